--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,16 @@
+//! tarragonknot: a request scheduler between callers and unlike upstreams.
+//!
+//! Data flows one way: caller, admission, placement, dispatch, answer. Control state reaches traffic
+//! as immutable snapshots only. Everything under [`policy`] is pure: state, event and time in,
+//! actions out.
+
+pub mod answer;
+pub mod chart;
+pub mod platform;
+pub mod policy;
+pub mod report;
+pub mod settings;
+pub mod standin;
+pub mod table;
+pub mod traffic;
+pub mod upstream;
--- /dev/null
+++ b/src/policy/estimate.rs
@@ -0,0 +1,145 @@
+//! Estimates of a request's cost and run time, corrected as answers teach.
+
+use super::{OrganisationIndex, TierRank};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Bytes of prompt text per token before any answer has taught better.
+const FIRST_BYTES_PER_TOKEN: f64 = 4.0;
+/// Output tokens expected before any answer has taught better.
+const FIRST_OUTPUT_TOKENS: f64 = 128.0;
+/// Weight of a new sample in the running means.
+const SAMPLE_WEIGHT: f64 = 0.1;
+/// First guess of prefill time per prompt token, in microseconds.
+const FIRST_PREFILL_MICROS: f64 = 40.0;
+/// First guess of the time between tokens, in microseconds.
+const FIRST_GAP_MICROS: f64 = 10_000.0;
+
+/// What a request is thought to need.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CostEstimate {
+    /// Prompt tokens.
+    pub prompt_tokens: u32,
+    /// Prompt and output tokens together; what queues and limits count.
+    pub cost: u32,
+    /// Time from dispatch to the end of the answer on an engine of usual speed.
+    pub run_time: Duration,
+}
+
+/// Speed of a pool's engines, learned from answers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineSpeed {
+    /// Microseconds of time to first token per prompt token.
+    pub prefill_micros: f64,
+    /// Microseconds between tokens.
+    pub gap_micros: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OutputMean {
+    tokens: f64,
+}
+
+/// Learns prompt size, output length and engine speed of one pool.
+#[derive(Clone, Debug)]
+pub struct CostModel {
+    bytes_per_token: f64,
+    outputs: HashMap<(OrganisationIndex, TierRank), OutputMean>,
+    pool_output: f64,
+    speed: EngineSpeed,
+    /// Tokens cost nothing to estimate for plain services: each request costs one.
+    counts_tokens: bool,
+}
+
+impl CostModel {
+    /// A model that has seen no answer; `counts_tokens` is false for plain services.
+    pub fn new(counts_tokens: bool) -> Self {
+        CostModel {
+            bytes_per_token: FIRST_BYTES_PER_TOKEN,
+            outputs: HashMap::new(),
+            pool_output: FIRST_OUTPUT_TOKENS,
+            speed: EngineSpeed {
+                prefill_micros: FIRST_PREFILL_MICROS,
+                gap_micros: FIRST_GAP_MICROS,
+            },
+            counts_tokens,
+        }
+    }
+
+    /// The estimate for a prompt of `prompt_bytes` and at most `output_limit` output tokens.
+    pub fn estimate(
+        &self,
+        organisation: OrganisationIndex,
+        tier: TierRank,
+        prompt_bytes: usize,
+        output_limit: Option<u32>,
+    ) -> CostEstimate {
+        if !self.counts_tokens {
+            let run_time = Duration::from_micros(self.speed.gap_micros as u64);
+            return CostEstimate { prompt_tokens: 0, cost: 1, run_time };
+        }
+        let prompt_tokens = (prompt_bytes as f64 / self.bytes_per_token).ceil() as u32;
+        let learned =
+            self.outputs.get(&(organisation, tier)).map_or(self.pool_output, |mean| mean.tokens);
+        let output_tokens =
+            output_limit.map_or(learned, |limit| learned.min(f64::from(limit))).max(1.0);
+        let micros = f64::from(prompt_tokens) * self.speed.prefill_micros
+            + output_tokens * self.speed.gap_micros;
+        CostEstimate {
+            prompt_tokens,
+            cost: prompt_tokens + output_tokens as u32,
+            run_time: Duration::from_micros(micros as u64),
+        }
+    }
+
+    /// Learns from an answer's true counts.
+    pub fn learn_counts(
+        &mut self,
+        organisation: OrganisationIndex,
+        tier: TierRank,
+        prompt_bytes: usize,
+        prompt_tokens: Option<u32>,
+        output_tokens: u32,
+    ) {
+        if let Some(tokens) = prompt_tokens.filter(|tokens| *tokens > 0) {
+            blend(
+                &mut self.bytes_per_token,
+                (prompt_bytes as f64 / f64::from(tokens)).clamp(0.5, 16.0),
+            );
+        }
+        let output = f64::from(output_tokens);
+        blend(&mut self.pool_output, output);
+        let first = self.pool_output;
+        let mean = self.outputs.entry((organisation, tier)).or_insert(OutputMean { tokens: first });
+        blend(&mut mean.tokens, output);
+    }
+
+    /// Learns from a time to first token, `prompt_tokens` being those the engine had to compute.
+    pub fn learn_prefill(&mut self, prompt_tokens: u32, time: Duration) {
+        if prompt_tokens >= 64 {
+            blend(
+                &mut self.speed.prefill_micros,
+                time.as_micros() as f64 / f64::from(prompt_tokens),
+            );
+        }
+    }
+
+    /// Learns from a time between tokens (for plain services, from a whole run time).
+    pub fn learn_gap(&mut self, gap: Duration) {
+        blend(&mut self.speed.gap_micros, gap.as_micros() as f64);
+    }
+
+    /// The speed learned so far.
+    pub fn speed(&self) -> EngineSpeed {
+        self.speed
+    }
+
+    /// Mean output tokens of the pool.
+    pub fn mean_output(&self) -> f64 {
+        self.pool_output
+    }
+}
+
+fn blend(mean: &mut f64, sample: f64) {
+    *mean += (sample - *mean) * SAMPLE_WEIGHT;
+}
--- /dev/null
+++ b/src/policy/mod.rs
@@ -0,0 +1,77 @@
+//! The decisions, pure: no clock, no socket, no async, no global random numbers.
+//!
+//! [`PoolScheduler`] takes [`PoolEvent`]s with the time and gives [`PoolAction`]s; [`Exchange`] does
+//! the same for one request's dispatch. The traffic code around them only carries bytes.
+
+mod estimate;
+mod exchange;
+mod learned_limit;
+mod organisation_limits;
+mod placement;
+mod queue;
+mod scheduler;
+mod shed_floor;
+mod upstreams;
+
+pub use estimate::{CostEstimate, CostModel, EngineSpeed};
+pub use exchange::{Exchange, ExchangeAction, ExchangeEvent, RequestState, request_chart};
+pub use learned_limit::LearnedLimit;
+pub use organisation_limits::{LimitBook, OrganisationLimit};
+pub use placement::{
+    AffinityPlacement, LeastReported, PlacementPolicy, PlacementQuery, RoundRobin,
+    placement_policy, prefix_hashes,
+};
+pub use queue::{FairQueue, FifoQueue, TierShare, WaitingQueue, WaitingRequest};
+pub use scheduler::{
+    ArrivedRequest, DispatchOutcome, PoolAction, PoolEvent, PoolPlan, PoolScheduler, PoolStatus,
+};
+pub use shed_floor::ShedFloor;
+pub use upstreams::{
+    LoadReport, UpstreamSet, UpstreamSource, UpstreamState, UpstreamStatus, UpstreamWord,
+    upstream_chart,
+};
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// A point in monotonic time, in microseconds since an arbitrary start.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Moment(pub u64);
+
+impl Moment {
+    /// `milliseconds` after the start.
+    pub const fn from_millis(milliseconds: u64) -> Self {
+        Moment(milliseconds * 1_000)
+    }
+
+    /// The time from `earlier` to `self`; zero if `earlier` is later.
+    pub fn since(self, earlier: Moment) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl std::ops::Add<Duration> for Moment {
+    type Output = Moment;
+
+    fn add(self, duration: Duration) -> Moment {
+        Moment(self.0.saturating_add(duration.as_micros() as u64))
+    }
+}
+
+/// A request's id, unique in one daemon's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestId(pub u64);
+
+/// A tier's place in the order of importance; 0 is the highest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TierRank(pub u8);
+
+/// An organisation's number, unique in one daemon's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct OrganisationIndex(pub u32);
+
+/// An upstream's number in its pool; never reused for another incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct UpstreamIndex(pub u32);
--- /dev/null
+++ b/src/policy/organisation_limits.rs
@@ -0,0 +1,104 @@
+//! Limits of organisations: token rate and requests in progress.
+//!
+//! The rate is a token bucket in the form of the generic cell rate algorithm (ITU-T I.371): one time
+//! stamp for each organisation.
+
+use super::{Moment, OrganisationIndex};
+use crate::answer::AnswerKind;
+use std::collections::HashMap;
+
+const MICROS: f64 = 1_000_000.0;
+/// Seconds' worth of tokens that may be used at once where the table names no burst.
+const DEFAULT_BURST_SECONDS: u64 = 10;
+
+/// The limits of one organisation, as one daemon applies them.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct OrganisationLimit {
+    /// Estimated tokens a second.
+    pub tokens_per_second: Option<u64>,
+    /// Tokens usable at once.
+    pub burst_tokens: Option<u64>,
+    /// Requests in progress.
+    pub concurrent: Option<u32>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct LimitState {
+    /// When the bucket will be full again, in microseconds.
+    full_at: f64,
+    in_progress: u32,
+}
+
+/// The state of all organisations' limits in one daemon.
+#[derive(Clone, Debug)]
+pub struct LimitBook {
+    limits: HashMap<OrganisationIndex, OrganisationLimit>,
+    states: HashMap<OrganisationIndex, LimitState>,
+    /// This daemon's share of each limit, 0.0 to 1.0.
+    share: f64,
+}
+
+impl Default for LimitBook {
+    fn default() -> Self {
+        LimitBook { limits: HashMap::new(), states: HashMap::new(), share: 1.0 }
+    }
+}
+
+impl LimitBook {
+    /// Replaces the limits; what is in progress stays counted.
+    pub fn set_limits(&mut self, limits: HashMap<OrganisationIndex, OrganisationLimit>) {
+        self.limits = limits;
+    }
+
+    /// Sets this daemon's share of every limit.
+    pub fn set_share(&mut self, share: f64) {
+        self.share = share.clamp(0.0, 1.0);
+    }
+
+    /// Takes `cost` tokens and a place in progress, or says which limit binds.
+    pub fn admit(
+        &mut self,
+        organisation: OrganisationIndex,
+        cost: u32,
+        now: Moment,
+    ) -> Result<(), AnswerKind> {
+        let limit = self.limits.get(&organisation).copied().unwrap_or_default();
+        let state = self.states.entry(organisation).or_default();
+        if limit.concurrent.is_some_and(|most| {
+            f64::from(state.in_progress) + 1.0 > (f64::from(most) * self.share).max(1.0)
+        }) {
+            return Err(AnswerKind::ConcurrencyLimited);
+        }
+        if let Some(rate) = limit.tokens_per_second {
+            let burst = limit.burst_tokens.unwrap_or(rate.saturating_mul(DEFAULT_BURST_SECONDS))
+                as f64
+                * self.share;
+            let rate = rate as f64 * self.share;
+            let time_now = now.0 as f64;
+            let full_at = state.full_at.max(time_now) + f64::from(cost) / rate * MICROS;
+            // A request larger than the whole burst passes when the bucket is full: it could never pass otherwise.
+            let is_full = state.full_at <= time_now;
+            if full_at - time_now > burst / rate * MICROS && !is_full {
+                return Err(AnswerKind::RateLimited);
+            }
+            state.full_at = full_at;
+        }
+        state.in_progress += 1;
+        Ok(())
+    }
+
+    /// Gives back a place in progress; `unused` tokens (of work that did not run) return to the bucket.
+    pub fn release(&mut self, organisation: OrganisationIndex, unused: u32) {
+        let rate = self.limits.get(&organisation).and_then(|limit| limit.tokens_per_second);
+        let Some(state) = self.states.get_mut(&organisation) else { return };
+        state.in_progress = state.in_progress.saturating_sub(1);
+        if let Some(rate) = rate {
+            state.full_at -= f64::from(unused) / (rate as f64 * self.share) * MICROS;
+        }
+    }
+
+    /// Requests in progress of one organisation.
+    pub fn in_progress(&self, organisation: OrganisationIndex) -> u32 {
+        self.states.get(&organisation).map_or(0, |state| state.in_progress)
+    }
+}
--- /dev/null
+++ b/src/policy/scheduler.rs
@@ -0,0 +1,668 @@
+//! The scheduler of one pool: admission, waiting, placement, eviction and refusal.
+
+use super::{
+    CostModel, FairQueue, FifoQueue, LearnedLimit, LoadReport, Moment, OrganisationIndex,
+    PlacementPolicy, PlacementQuery, RequestId, ShedFloor, TierRank, TierShare, UpstreamIndex,
+    UpstreamSet, UpstreamSource, UpstreamState, UpstreamWord, WaitingQueue, WaitingRequest,
+    placement_policy,
+};
+use crate::answer::AnswerKind;
+use crate::table::{LimitChoice, PlacementChoice, QueueChoice, ServiceKind, ServiceRow};
+use rand::RngCore;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Share of dispatches that may be repeated because the first provably sent nothing.
+const REDISPATCH_SHARE: f64 = 0.1;
+/// Most repeats saved up.
+const REDISPATCH_BURST: f64 = 20.0;
+/// Refuse a deadline as too short only if it is less than this share of the estimated run time,
+/// since estimates are means and a short answer may still make it.
+const TOO_SHORT_SHARE: f64 = 0.5;
+/// Time between judgements of stragglers.
+const JUDGE_PAUSE: Duration = Duration::from_millis(500);
+/// A late request that may not be shed yet is looked at again after this long.
+const LATE_PAUSE: Duration = Duration::from_millis(50);
+/// A first token later than this many times its expected prefill, and than half its objective, is a
+/// sign of waiting inside the engine.
+const FIRST_TOKEN_RATIO: f64 = 3.0;
+/// First guess of the mean cost of a model request, in tokens.
+const FIRST_MEAN_COST: f64 = 512.0;
+/// Weight of a new cost in the mean.
+const COST_WEIGHT: f64 = 0.05;
+
+/// What the table says of one pool, in the scheduler's terms.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PoolPlan {
+    /// Tiers, highest first.
+    pub tiers: Vec<TierShare>,
+    /// Order of waiting requests.
+    pub queue: QueueChoice,
+    /// Choice of upstream.
+    pub placement: PlacementChoice,
+    /// Bound on the work at one upstream.
+    pub limit: LimitChoice,
+    /// Requests per upstream to begin with.
+    pub first_guess: u32,
+    /// Most requests waiting.
+    pub waiting_limit: usize,
+    /// True for model engines.
+    pub counts_tokens: bool,
+    /// Objective between tokens.
+    pub token_gap: Duration,
+    /// Objective to the first token.
+    pub first_token: Duration,
+}
+
+impl PoolPlan {
+    /// The plan for a service's row and the table's tiers.
+    pub fn new(row: &ServiceRow, tiers: &[TierShare]) -> Self {
+        let mut tiers = tiers.to_vec();
+        tiers.sort_by_key(|share| share.rank);
+        PoolPlan {
+            tiers,
+            queue: row.queue,
+            placement: row.placement,
+            limit: row.limit,
+            first_guess: row.first_guess,
+            waiting_limit: row.waiting_limit as usize,
+            counts_tokens: row.kind == ServiceKind::Model,
+            token_gap: row.token_gap_ms,
+            first_token: row.first_token_ms,
+        }
+    }
+
+    fn queue(&self) -> Box<dyn WaitingQueue> {
+        match self.queue {
+            QueueChoice::Weighted => Box::new(FairQueue::new(&self.tiers)),
+            QueueChoice::Fifo => Box::new(FifoQueue::default()),
+        }
+    }
+
+    fn mean_cost(&self) -> f64 {
+        if self.counts_tokens { FIRST_MEAN_COST } else { 1.0 }
+    }
+
+    fn new_limit(&self) -> LearnedLimit {
+        LearnedLimit::new(self.first_guess, self.mean_cost(), self.limit == LimitChoice::Learned)
+    }
+}
+
+/// A request at the pool's door.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ArrivedRequest {
+    /// Its id.
+    pub id: RequestId,
+    /// Whose it is.
+    pub organisation: OrganisationIndex,
+    /// The organisation's weight.
+    pub weight: u32,
+    /// Its tier.
+    pub tier: TierRank,
+    /// Bytes of prompt.
+    pub prompt_bytes: usize,
+    /// Most output tokens, if it says.
+    pub output_limit: Option<u32>,
+    /// When the answer must be complete.
+    pub deadline: Moment,
+    /// Hashes of the prompt's leading blocks.
+    pub prefix: Box<[u64]>,
+}
+
+/// How a dispatch ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DispatchOutcome {
+    /// A whole answer; counts are zero for plain services.
+    Completed {
+        /// Prompt tokens as the engine counted them.
+        prompt_tokens: Option<u32>,
+        /// Output tokens.
+        output_tokens: u32,
+    },
+    /// No byte was sent.
+    NotSent,
+    /// Sent, and no whole answer.
+    Failed,
+    /// The caller left.
+    Cancelled,
+}
+
+/// What the scheduler is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PoolEvent {
+    /// A request came.
+    Arrived(ArrivedRequest),
+    /// A waiting request's caller left.
+    CallerLeft(RequestId),
+    /// The first token of a dispatched request came.
+    FirstToken {
+        /// The request.
+        id: RequestId,
+        /// Time since it was sent.
+        after: Duration,
+    },
+    /// Mean time between a request's tokens over the last stretch.
+    TokenGap {
+        /// The request.
+        id: RequestId,
+        /// The mean gap.
+        gap: Duration,
+    },
+    /// A dispatch ended.
+    Ended {
+        /// The request.
+        id: RequestId,
+        /// How.
+        outcome: DispatchOutcome,
+    },
+    /// An upstream reported its load.
+    Reported {
+        /// The upstream.
+        upstream: UpstreamIndex,
+        /// The report.
+        report: LoadReport,
+    },
+    /// Something was learned of an upstream's life.
+    Word {
+        /// The upstream.
+        upstream: UpstreamIndex,
+        /// What.
+        word: UpstreamWord,
+    },
+    /// An upstream dropped a prefix block from its cache.
+    CacheEvicted {
+        /// The upstream.
+        upstream: UpstreamIndex,
+        /// The block's hash.
+        block: u64,
+    },
+    /// The merged list of upstreams changed.
+    Sources(Vec<UpstreamSource>),
+    /// The table changed.
+    Plan(PoolPlan),
+    /// This daemon's share of an upstream's limit changed.
+    Share {
+        /// The upstream.
+        upstream: UpstreamIndex,
+        /// 0.0 to 1.0.
+        share: f64,
+    },
+    /// The fleet's word on the shed floor.
+    FleetFloor {
+        /// True if other daemons use this pool.
+        shared: bool,
+        /// The floor every daemon has confirmed.
+        confirmed: Option<TierRank>,
+        /// The floor this daemon must keep for others.
+        imposed: Option<TierRank>,
+    },
+    /// Time passed.
+    Tick,
+}
+
+/// What the scheduler wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PoolAction {
+    /// Send a request to an upstream.
+    Dispatch {
+        /// The request.
+        id: RequestId,
+        /// Where.
+        upstream: UpstreamIndex,
+    },
+    /// Refuse a request.
+    Refuse {
+        /// The request.
+        id: RequestId,
+        /// Why.
+        kind: AnswerKind,
+    },
+}
+
+#[derive(Debug)]
+struct RunningRequest {
+    request: WaitingRequest,
+    upstream: UpstreamIndex,
+    /// True if the upstream's bound, not the demand, held work back when this was sent.
+    was_bound: bool,
+    dispatched: Moment,
+}
+
+/// Numbers of a pool, for status and metrics.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PoolStatus {
+    /// Requests waiting.
+    pub waiting: usize,
+    /// Requests at upstreams.
+    pub running: usize,
+    /// Live upstreams.
+    pub live: usize,
+    /// The lowest tier admitted, if the floor is raised.
+    pub floor: Option<TierRank>,
+}
+
+/// The scheduler of one pool. Pure: its only inputs are events, time and a random generator.
+pub struct PoolScheduler {
+    plan: PoolPlan,
+    queue: Box<dyn WaitingQueue>,
+    placement: Box<dyn PlacementPolicy>,
+    upstreams: UpstreamSet,
+    model: CostModel,
+    floor: ShedFloor,
+    running: HashMap<RequestId, RunningRequest>,
+    mean_cost: f64,
+    mean_run: Option<f64>,
+    redispatches: f64,
+    judged_at: Moment,
+}
+
+impl PoolScheduler {
+    /// A scheduler with no upstreams and nothing waiting.
+    pub fn new(plan: PoolPlan) -> Self {
+        PoolScheduler {
+            queue: plan.queue(),
+            placement: placement_policy(plan.placement),
+            upstreams: UpstreamSet::default(),
+            model: CostModel::new(plan.counts_tokens),
+            floor: ShedFloor::default(),
+            running: HashMap::new(),
+            mean_cost: plan.mean_cost(),
+            mean_run: None,
+            redispatches: REDISPATCH_BURST,
+            judged_at: Moment(0),
+            plan,
+        }
+    }
+
+    /// Takes one event and appends what must be done to `actions`.
+    pub fn handle(
+        &mut self,
+        event: PoolEvent,
+        now: Moment,
+        rng: &mut dyn RngCore,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        match event {
+            PoolEvent::Arrived(request) => self.arrived(request, now, actions),
+            PoolEvent::CallerLeft(id) => {
+                self.queue.remove(id);
+            }
+            PoolEvent::FirstToken { id, after } => self.first_token(id, after, now),
+            PoolEvent::TokenGap { id, gap } => self.token_gap(id, gap, now),
+            PoolEvent::Ended { id, outcome } => self.ended(id, outcome, now, actions),
+            PoolEvent::Reported { upstream, report } => {
+                self.upstreams.reported(upstream, report, now)
+            }
+            PoolEvent::Word { upstream, word } => self.upstreams.tell(upstream, word),
+            PoolEvent::CacheEvicted { upstream, block } => self.placement.evicted(block, upstream),
+            PoolEvent::Sources(sources) => {
+                self.upstreams.set_sources(&sources, &self.plan.new_limit())
+            }
+            PoolEvent::Plan(plan) => self.replace_plan(plan),
+            PoolEvent::Share { upstream, share } => {
+                self.upstreams.update(upstream, |status| status.share = share)
+            }
+            PoolEvent::FleetFloor { shared, confirmed, imposed } => {
+                self.floor.set_fleet(shared, confirmed, imposed);
+                self.evict_below_floor(actions);
+            }
+            PoolEvent::Tick => self.tick(now, actions),
+        }
+        self.pump(now, rng, actions);
+    }
+
+    fn arrived(&mut self, request: ArrivedRequest, now: Moment, actions: &mut Vec<PoolAction>) {
+        let id = request.id;
+        let mut refuse = |kind| actions.push(PoolAction::Refuse { id, kind });
+        if self.upstreams.live_count() == 0 {
+            return refuse(AnswerKind::UpstreamAbsent);
+        }
+        let request = self.estimated(request, now);
+        let slack = request.deadline.since(now);
+        if request.run_time.mul_f64(TOO_SHORT_SHARE) > slack {
+            return refuse(AnswerKind::DeadlineTooShort);
+        }
+        if self.plan.queue == QueueChoice::Fifo {
+            match self.queue.len() >= self.plan.waiting_limit {
+                true => refuse(AnswerKind::Overloaded),
+                false => self.queue.push(request),
+            }
+            return;
+        }
+        if !self.floor.admits(request.tier) {
+            return refuse(AnswerKind::Overloaded);
+        }
+        if self.queue.len() >= self.plan.waiting_limit && !self.make_room(request.tier, actions) {
+            return self.shed(request, AnswerKind::Overloaded, now, actions);
+        }
+        if self.would_be_late(&request, slack) {
+            return self.shed(request, AnswerKind::DeadlineWaiting, now, actions);
+        }
+        self.queue.push(request);
+    }
+
+    fn estimated(&self, request: ArrivedRequest, now: Moment) -> WaitingRequest {
+        let estimate = self.model.estimate(
+            request.organisation,
+            request.tier,
+            request.prompt_bytes,
+            request.output_limit,
+        );
+        let mut waiting = WaitingRequest {
+            id: request.id,
+            organisation: request.organisation,
+            weight: request.weight,
+            tier: request.tier,
+            cost: estimate.cost,
+            prompt_tokens: estimate.prompt_tokens,
+            deadline: request.deadline,
+            run_time: estimate.run_time,
+            arrived: now,
+            prefix: request.prefix,
+            prompt_bytes: request.prompt_bytes,
+            late_at: request.deadline,
+        };
+        // An estimate of the run time longer than the whole slack must not make the request late at
+        // once: it was let in above because estimates are means.
+        if self.plan.queue == QueueChoice::Weighted {
+            waiting.late_at = waiting
+                .latest_start()
+                .max(now + request.deadline.since(now).mul_f64(TOO_SHORT_SHARE));
+        }
+        waiting
+    }
+
+    /// Evicts one waiting request of a lower tier. False if none waits.
+    fn make_room(&mut self, tier: TierRank, actions: &mut Vec<PoolAction>) -> bool {
+        let evicted = self.queue.evict_below(tier);
+        let found = evicted.is_some();
+        actions.extend(
+            evicted.map(|request| PoolAction::Refuse { id: request.id, kind: AnswerKind::Evicted }),
+        );
+        found
+    }
+
+    /// True if the request would miss its deadline even if all lower tiers' waiting work made room.
+    fn would_be_late(&self, request: &WaitingRequest, slack: Duration) -> bool {
+        if self.queue.is_empty() {
+            return false;
+        }
+        let wait = self.least_wait(request.tier);
+        wait + request.run_time > slack && wait > slack.mul_f64(1.0 - TOO_SHORT_SHARE)
+    }
+
+    /// Estimated wait of a request of `tier` that arrives now, with no lower tier in its way: the
+    /// lesser of its own tier's turn at its weight, and of all work of its tier and above.
+    fn least_wait(&self, tier: TierRank) -> Duration {
+        let rate = self.drain_rate();
+        let ahead = self.plan.tiers.iter().take_while(|share| share.rank <= tier);
+        let mut total = 0;
+        let mut weights = 0;
+        for share in ahead {
+            let tokens = self.queue.waiting_tokens(share.rank);
+            total += tokens;
+            weights += if tokens > 0 || share.rank == tier { u64::from(share.weight) } else { 0 };
+        }
+        let weight = self
+            .plan
+            .tiers
+            .iter()
+            .find(|share| share.rank == tier)
+            .map_or(1, |share| u64::from(share.weight));
+        let own = self.queue.waiting_tokens(tier) as f64 * weights as f64 / weight as f64;
+        Duration::from_secs_f64((total as f64).min(own) / rate)
+    }
+
+    /// Tokens a second that the pool works off, by Little's law: tokens in flight over their mean time.
+    fn drain_rate(&self) -> f64 {
+        let speed = self.model.speed();
+        let output = if self.plan.counts_tokens { self.model.mean_output() } else { 1.0 };
+        let estimated = output * speed.gap_micros / 1e6;
+        let run = self.mean_run.unwrap_or(estimated).max(1e-4);
+        (self.upstreams.live_limit() / run).max(1.0)
+    }
+
+    /// Sheds `request`, but only once nothing lower is admitted anywhere; until then it waits.
+    fn shed(
+        &mut self,
+        mut request: WaitingRequest,
+        kind: AnswerKind,
+        now: Moment,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let confirmed = self.floor.raise(request.tier, now);
+        self.evict_below_floor(actions);
+        if confirmed || now >= request.deadline {
+            actions.push(PoolAction::Refuse { id: request.id, kind });
+            return;
+        }
+        request.late_at = request.deadline.min(now + LATE_PAUSE);
+        self.queue.push_back_first(request);
+    }
+
+    fn evict_below_floor(&mut self, actions: &mut Vec<PoolAction>) {
+        let Some(lowest) = self.floor.lowest_admitted() else { return };
+        while self.make_room(lowest, actions) {}
+    }
+
+    fn first_token(&mut self, id: RequestId, after: Duration, now: Moment) {
+        let Some(running) = self.running.get(&id) else { return };
+        let prompt_tokens = running.request.prompt_tokens;
+        let upstream = running.upstream;
+        let expected = f64::from(prompt_tokens) * self.model.speed().prefill_micros;
+        self.model.learn_prefill(prompt_tokens, after);
+        let micros = after.as_micros() as f64;
+        let is_late = after > self.plan.first_token / 2 && micros > FIRST_TOKEN_RATIO * expected;
+        if is_late {
+            self.upstreams.update(upstream, |status| status.limit.overloaded(now));
+        }
+    }
+
+    fn token_gap(&mut self, id: RequestId, gap: Duration, now: Moment) {
+        let Some(running) = self.running.get(&id) else { return };
+        self.model.learn_gap(gap);
+        let is_late = gap > self.plan.token_gap;
+        self.upstreams.update(running.upstream, |status| {
+            status.learn_gap(gap.as_micros() as f64);
+            if is_late {
+                status.limit.overloaded(now);
+            }
+        });
+    }
+
+    fn ended(
+        &mut self,
+        id: RequestId,
+        outcome: DispatchOutcome,
+        now: Moment,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let Some(running) = self.running.remove(&id) else { return };
+        let RunningRequest { ref request, upstream, .. } = running;
+        self.upstreams.ended(upstream, request.cost, now);
+        match outcome {
+            DispatchOutcome::Completed { prompt_tokens, output_tokens } => {
+                self.completed(&running, prompt_tokens, output_tokens, now);
+            }
+            DispatchOutcome::NotSent => self.redispatch(running.request, upstream, now, actions),
+            DispatchOutcome::Failed | DispatchOutcome::Cancelled => {}
+        }
+    }
+
+    fn completed(
+        &mut self,
+        running: &RunningRequest,
+        prompt_tokens: Option<u32>,
+        output_tokens: u32,
+        now: Moment,
+    ) {
+        let RunningRequest { request, upstream, .. } = running;
+        let time = now.since(running.dispatched);
+        self.upstreams.tell(*upstream, UpstreamWord::Answered);
+        if self.plan.counts_tokens {
+            let (organisation, tier) = (request.organisation, request.tier);
+            self.model.learn_counts(
+                organisation,
+                tier,
+                request.prompt_bytes,
+                prompt_tokens,
+                output_tokens,
+            );
+        } else {
+            self.model.learn_gap(time);
+            let is_late = time > self.plan.first_token;
+            self.upstreams.update(*upstream, |status| {
+                status.learn_gap(time.as_micros() as f64);
+                if is_late {
+                    status.limit.overloaded(now);
+                }
+            });
+        }
+        self.learn_run(request.cost, time);
+        if running.was_bound {
+            self.upstreams.update(*upstream, |status| status.limit.succeeded(request.cost));
+        }
+    }
+
+    /// Mean run time weighted by cost, as Little's law on tokens needs it.
+    fn learn_run(&mut self, cost: u32, time: Duration) {
+        let weight = COST_WEIGHT * (f64::from(cost) / self.mean_cost).min(4.0);
+        self.mean_cost += (f64::from(cost) - self.mean_cost) * COST_WEIGHT;
+        let sample = time.as_secs_f64();
+        self.mean_run = Some(self.mean_run.map_or(sample, |mean| mean + (sample - mean) * weight));
+    }
+
+    /// The first dispatch provably sent nothing, so a second one keeps "at most once". The budget
+    /// keeps a pool that refuses all connections from being tried by every request in turn.
+    fn redispatch(
+        &mut self,
+        request: WaitingRequest,
+        upstream: UpstreamIndex,
+        now: Moment,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        self.upstreams.tell(upstream, UpstreamWord::Unreachable);
+        let can_try =
+            self.redispatches >= 1.0 && self.upstreams.live_count() > 0 && now < request.deadline;
+        if can_try {
+            self.redispatches -= 1.0;
+            self.queue.push_back_first(request);
+        } else {
+            actions
+                .push(PoolAction::Refuse { id: request.id, kind: AnswerKind::UpstreamUnreachable });
+        }
+    }
+
+    /// Waiting requests keep their places as far as the new plan's order allows.
+    fn replace_plan(&mut self, plan: PoolPlan) {
+        if plan == self.plan {
+            return;
+        }
+        if plan.placement != self.plan.placement {
+            self.placement = placement_policy(plan.placement);
+        }
+        if plan.queue != self.plan.queue || plan.tiers != self.plan.tiers {
+            let waiting = self.queue.drain();
+            self.queue = plan.queue();
+            waiting.into_iter().for_each(|request| self.queue.push(request));
+        }
+        if plan.limit != self.plan.limit || plan.first_guess != self.plan.first_guess {
+            let indexes: Vec<UpstreamIndex> =
+                self.upstreams.iter().map(|status| status.index).collect();
+            for index in indexes {
+                self.upstreams.update(index, |status| status.limit = plan.new_limit());
+            }
+        }
+        self.plan = plan;
+    }
+
+    fn tick(&mut self, now: Moment, actions: &mut Vec<PoolAction>) {
+        while let Some(request) = self.queue.pop_late(now) {
+            match self.plan.queue {
+                QueueChoice::Weighted => {
+                    self.shed(request, AnswerKind::DeadlineWaiting, now, actions)
+                }
+                QueueChoice::Fifo => {
+                    actions.push(PoolAction::Refuse {
+                        id: request.id,
+                        kind: AnswerKind::DeadlineWaiting,
+                    });
+                }
+            }
+        }
+        let ranks: Vec<TierRank> = self.plan.tiers.iter().map(|share| share.rank).collect();
+        self.floor.relax(&ranks, now);
+        if now.since(self.judged_at) >= JUDGE_PAUSE {
+            self.judged_at = now;
+            self.upstreams.judge_stragglers();
+        }
+        if self.upstreams.live_count() == 0
+            && self.upstreams.iter().all(|status| status.state() != UpstreamState::Suspect)
+        {
+            let stranded = self.queue.drain().into_iter();
+            actions.extend(stranded.map(|request| PoolAction::Refuse {
+                id: request.id,
+                kind: AnswerKind::UpstreamAbsent,
+            }));
+        }
+    }
+
+    /// Dispatches waiting requests while an upstream has room.
+    fn pump(&mut self, now: Moment, rng: &mut dyn RngCore, actions: &mut Vec<PoolAction>) {
+        while !self.upstreams.open().is_empty() {
+            let Some(request) = self.queue.pop(now) else { return };
+            let query = PlacementQuery {
+                prefix: &request.prefix,
+                prompt_tokens: request.prompt_tokens,
+                output_tokens: request.cost - request.prompt_tokens,
+                speed: self.model.speed(),
+                now,
+            };
+            let Some(upstream) = self.placement.place(&self.upstreams, &query, rng) else {
+                self.queue.push_back_first(request);
+                return;
+            };
+            self.placement.dispatched(&request.prefix, upstream);
+            self.upstreams.dispatched(upstream, request.cost, now);
+            self.redispatches = (self.redispatches + REDISPATCH_SHARE).min(REDISPATCH_BURST);
+            actions.push(PoolAction::Dispatch { id: request.id, upstream });
+            let was_bound = !self.queue.is_empty()
+                || self.upstreams.get(upstream).is_some_and(|status| status.load() > 0.8);
+            self.running.insert(
+                request.id,
+                RunningRequest { request, upstream, was_bound, dispatched: now },
+            );
+        }
+    }
+
+    /// The upstreams.
+    pub fn upstreams(&self) -> &UpstreamSet {
+        &self.upstreams
+    }
+
+    /// The floor this daemon wants for the fleet.
+    pub fn wanted_floor(&self) -> Option<TierRank> {
+        self.floor.wanted()
+    }
+
+    /// The estimate for a request, as admission will see it.
+    pub fn cost_of(
+        &self,
+        organisation: OrganisationIndex,
+        tier: TierRank,
+        prompt_bytes: usize,
+        output_limit: Option<u32>,
+    ) -> u32 {
+        self.model.estimate(organisation, tier, prompt_bytes, output_limit).cost
+    }
+
+    /// Numbers for status and metrics.
+    pub fn status(&self) -> PoolStatus {
+        PoolStatus {
+            waiting: self.queue.len(),
+            running: self.running.len(),
+            live: self.upstreams.live_count(),
+            floor: self.floor.lowest_admitted(),
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/upstreams.rs
@@ -0,0 +1,403 @@
+//! The upstreams of one pool as this daemon sees them: life cycle, work in flight, load reports.
+
+use super::{LearnedLimit, Moment, UpstreamIndex};
+use crate::chart::{ChartMachine, StateChart};
+use crate::chart_names;
+use crate::table::UpstreamName;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::LazyLock;
+use std::time::Duration;
+
+/// A straggler's step is this many times its pool's median.
+const STRAGGLER_RATIO: f64 = 2.0;
+/// Sends and ends older than this no longer correct a report.
+const CORRECTION_WINDOW: Duration = Duration::from_secs(5);
+/// A report older than this says nothing.
+const REPORT_LIFE: Duration = Duration::from_secs(10);
+/// Weight of a new gap in an upstream's mean.
+const GAP_WEIGHT: f64 = 0.2;
+
+chart_names! {
+    /// Where an upstream is in its life.
+    UpstreamState {
+        /// May get work.
+        Live,
+        /// Could not be reached; gets work again once it answers.
+        Suspect,
+        /// Gets no new work; running work ends.
+        Leaving,
+        /// Leaving, and nothing runs there any more.
+        Gone,
+    }
+}
+
+chart_names! {
+    /// What is learned of an upstream's life.
+    UpstreamWord {
+        /// It answered a request or a poll.
+        Answered,
+        /// A connection to it could not be opened.
+        Unreachable,
+        /// It, or the platform, says it is leaving.
+        Leaving,
+        /// Neither the table nor the platform's list names it any more.
+        Absent,
+        /// Nothing of this daemon runs there.
+        Idle,
+    }
+}
+
+chart_names! {
+    /// The upstream chart has no actions.
+    NoAction {
+        /// Never used; a chart needs at least one name.
+        Nothing,
+    }
+}
+
+/// The chart of an upstream.
+pub type UpstreamChart = StateChart<UpstreamState, UpstreamWord, NoAction>;
+
+static CHART: LazyLock<UpstreamChart> = LazyLock::new(|| {
+    StateChart::load(include_str!("../../charts/upstream.json"))
+        .expect("charts/upstream.json is checked by a test")
+});
+
+/// The upstream chart, loaded once.
+pub fn upstream_chart() -> &'static UpstreamChart {
+    &CHART
+}
+
+/// An upstream as the table or the platform's list names it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamSource {
+    /// Its name.
+    pub name: UpstreamName,
+    /// Grows when another process takes the name or address.
+    pub incarnation: u64,
+    /// Address and port.
+    pub address: std::net::SocketAddr,
+    /// True if a source says that it is leaving.
+    pub is_leaving: bool,
+}
+
+/// Load as an upstream reported it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// The upstream's own time stamp, in microseconds of its own clock; 0 if it gives none.
+    pub stamp: u64,
+    /// Requests in its batch.
+    pub running: u32,
+    /// Requests waiting inside it.
+    pub queued: u32,
+    /// Its present step time, in microseconds; 0 if it does not say.
+    pub step_micros: u32,
+    /// True if it says that it is leaving.
+    pub is_leaving: bool,
+}
+
+/// One upstream.
+#[derive(Debug)]
+pub struct UpstreamStatus {
+    /// Its number.
+    pub index: UpstreamIndex,
+    /// How it is named and reached.
+    pub source: UpstreamSource,
+    machine: ChartMachine<UpstreamState, UpstreamWord, NoAction>,
+    /// The learned bound.
+    pub limit: LearnedLimit,
+    /// Estimated tokens of this daemon in flight.
+    pub in_flight_tokens: u64,
+    /// Requests of this daemon in flight.
+    pub in_flight: u32,
+    /// This daemon's share of the limit, 0.0 to 1.0.
+    pub share: f64,
+    /// Mean time between tokens, in microseconds.
+    pub gap_micros: Option<f64>,
+    /// True while much slower than its pool.
+    pub is_straggler: bool,
+    report: Option<(Moment, LoadReport)>,
+    /// The least difference seen between arrival and stamp: the offset between the two clocks.
+    clock_offset: Option<i64>,
+    changes: VecDeque<(Moment, i32)>,
+    open_position: Option<usize>,
+}
+
+impl UpstreamStatus {
+    /// Where it is in its life.
+    pub fn state(&self) -> UpstreamState {
+        self.machine.state()
+    }
+
+    /// True if it may be given more work now.
+    pub fn has_room(&self) -> bool {
+        self.state() == UpstreamState::Live
+            && self.share > 0.0
+            && (self.in_flight == 0
+                || (self.in_flight_tokens as f64) < self.limit.tokens() * self.share)
+    }
+
+    /// Tokens in flight as a share of the bound.
+    pub fn load(&self) -> f64 {
+        self.in_flight_tokens as f64 / (self.limit.tokens() * self.share).max(1.0)
+    }
+
+    /// Requests last reported, running and queued, uncorrected; the baselines use it.
+    pub fn reported_requests(&self) -> u32 {
+        self.report.map_or(0, |(_, report)| report.running + report.queued)
+    }
+
+    /// Requests at the upstream now: the report, plus what this daemon sent since the report was
+    /// true, less what ended since. Without the correction all daemons run to the same minimum until
+    /// the next report.
+    pub fn corrected_requests(&self, now: Moment) -> f64 {
+        let own = f64::from(self.in_flight);
+        let Some((time, _)) = self.report.filter(|(time, _)| now.since(*time) < REPORT_LIFE) else {
+            return own;
+        };
+        let since: i32 = self
+            .changes
+            .iter()
+            .rev()
+            .take_while(|(at, _)| *at > time)
+            .map(|(_, change)| change)
+            .sum();
+        (f64::from(self.reported_requests()) + f64::from(since)).max(own)
+    }
+
+    fn note_change(&mut self, now: Moment, change: i32) {
+        self.changes.push_back((now, change));
+        while self.changes.front().is_some_and(|(at, _)| now.since(*at) > CORRECTION_WINDOW) {
+            self.changes.pop_front();
+        }
+    }
+
+    /// Places a report in this daemon's time by the least offset seen between the two clocks; a report
+    /// without a stamp counts as fresh. One that is older than the last is passed over.
+    fn take_report(&mut self, report: LoadReport, now: Moment) {
+        let time = match report.stamp {
+            0 => now,
+            stamp => {
+                let offset = now.0 as i64 - stamp as i64;
+                let least = self.clock_offset.map_or(offset, |least| least.min(offset));
+                self.clock_offset = Some(least);
+                Moment((stamp as i64).saturating_add(least).max(0) as u64)
+            }
+        };
+        if self.report.is_some_and(|(last, _)| last > time) {
+            return;
+        }
+        self.report = Some((time, report));
+        if report.step_micros > 0 {
+            self.learn_gap(f64::from(report.step_micros));
+        }
+    }
+
+    /// Blends a time between tokens, in microseconds, into the mean.
+    pub fn learn_gap(&mut self, micros: f64) {
+        self.gap_micros =
+            Some(self.gap_micros.map_or(micros, |mean| mean + (micros - mean) * GAP_WEIGHT));
+    }
+}
+
+/// All upstreams of a pool.
+#[derive(Debug, Default)]
+pub struct UpstreamSet {
+    upstreams: BTreeMap<UpstreamIndex, UpstreamStatus>,
+    by_name: HashMap<UpstreamName, UpstreamIndex>,
+    open: Vec<UpstreamIndex>,
+    next: u32,
+    live: usize,
+    /// Grows with each change of membership.
+    pub generation: u64,
+}
+
+impl UpstreamSet {
+    /// The upstream with this number, if it is still known.
+    pub fn get(&self, index: UpstreamIndex) -> Option<&UpstreamStatus> {
+        self.upstreams.get(&index)
+    }
+
+    /// All upstreams, in order of their numbers.
+    pub fn iter(&self) -> impl Iterator<Item = &UpstreamStatus> {
+        self.upstreams.values()
+    }
+
+    /// Upstreams that may be given work now, in no order.
+    pub fn open(&self) -> &[UpstreamIndex] {
+        &self.open
+    }
+
+    /// The number of the upstream of this name.
+    pub fn find(&self, name: &UpstreamName) -> Option<UpstreamIndex> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Live upstreams.
+    pub fn live_count(&self) -> usize {
+        self.live
+    }
+
+    /// Sum of the bounds of live upstreams, in tokens, for this daemon.
+    pub fn live_limit(&self) -> f64 {
+        let live = self.upstreams.values().filter(|status| status.state() == UpstreamState::Live);
+        live.map(|status| status.limit.tokens() * status.share).sum()
+    }
+
+    /// Takes the merged list of the table and the platform. A known name with a larger incarnation is
+    /// another upstream: the old one leaves, whatever its own list entry says.
+    pub fn set_sources(&mut self, sources: &[UpstreamSource], new_limit: &LearnedLimit) {
+        for source in sources {
+            match self.find(&source.name).and_then(|index| self.upstreams.get(&index)) {
+                Some(known) if known.source.incarnation > source.incarnation => continue,
+                Some(known)
+                    if known.source.incarnation == source.incarnation
+                        && known.source.address == source.address => {}
+                Some(known) => {
+                    let old = known.index;
+                    self.tell(old, UpstreamWord::Absent);
+                    self.add(source.clone(), new_limit.clone());
+                }
+                None => self.add(source.clone(), new_limit.clone()),
+            }
+            if source.is_leaving
+                && let Some(index) = self.find(&source.name)
+            {
+                self.tell(index, UpstreamWord::Leaving);
+            }
+        }
+        let absent: Vec<UpstreamIndex> = self
+            .upstreams
+            .values()
+            .filter(|status| !sources.iter().any(|source| source.name == status.source.name))
+            .map(|status| status.index)
+            .collect();
+        absent.into_iter().for_each(|index| self.tell(index, UpstreamWord::Absent));
+    }
+
+    fn add(&mut self, source: UpstreamSource, limit: LearnedLimit) {
+        let index = UpstreamIndex(self.next);
+        self.next += 1;
+        self.by_name.insert(source.name.clone(), index);
+        let status = UpstreamStatus {
+            index,
+            source,
+            machine: upstream_chart().start(),
+            limit,
+            in_flight_tokens: 0,
+            in_flight: 0,
+            share: 1.0,
+            gap_micros: None,
+            is_straggler: false,
+            report: None,
+            clock_offset: None,
+            changes: VecDeque::new(),
+            open_position: None,
+        };
+        self.upstreams.insert(index, status);
+        self.generation += 1;
+        self.live += 1;
+        self.refresh(index);
+    }
+
+    /// Takes a word on an upstream's life; forgets the upstream once it is gone.
+    pub fn tell(&mut self, index: UpstreamIndex, word: UpstreamWord) {
+        let Some(status) = self.upstreams.get_mut(&index) else { return };
+        let before = status.machine.state();
+        status.machine.step(word);
+        if status.in_flight == 0 {
+            status.machine.step(UpstreamWord::Idle);
+        }
+        let after = status.machine.state();
+        self.live -= usize::from(before == UpstreamState::Live);
+        self.live += usize::from(after == UpstreamState::Live);
+        if before != after {
+            self.generation += 1;
+        }
+        self.refresh(index);
+        if after == UpstreamState::Gone {
+            self.forget(index);
+        }
+    }
+
+    fn forget(&mut self, index: UpstreamIndex) {
+        let Some(status) = self.upstreams.remove(&index) else { return };
+        if self.by_name.get(&status.source.name) == Some(&index) {
+            self.by_name.remove(&status.source.name);
+        }
+    }
+
+    /// Changes an upstream and keeps the list of open ones right.
+    pub fn update(&mut self, index: UpstreamIndex, change: impl FnOnce(&mut UpstreamStatus)) {
+        if let Some(status) = self.upstreams.get_mut(&index) {
+            change(status);
+            self.refresh(index);
+        }
+    }
+
+    /// Counts a dispatch.
+    pub fn dispatched(&mut self, index: UpstreamIndex, cost: u32, now: Moment) {
+        self.update(index, |status| {
+            status.in_flight += 1;
+            status.in_flight_tokens += u64::from(cost);
+            status.note_change(now, 1);
+        });
+    }
+
+    /// Counts the end of a dispatch.
+    pub fn ended(&mut self, index: UpstreamIndex, cost: u32, now: Moment) {
+        self.update(index, |status| {
+            status.in_flight = status.in_flight.saturating_sub(1);
+            status.in_flight_tokens = status.in_flight_tokens.saturating_sub(u64::from(cost));
+            status.note_change(now, -1);
+        });
+        if self.get(index).is_some_and(|status| status.state() == UpstreamState::Leaving) {
+            self.tell(index, UpstreamWord::Idle);
+        }
+    }
+
+    /// Takes a load report.
+    pub fn reported(&mut self, index: UpstreamIndex, report: LoadReport, now: Moment) {
+        self.update(index, |status| status.take_report(report, now));
+        self.tell(
+            index,
+            if report.is_leaving { UpstreamWord::Leaving } else { UpstreamWord::Answered },
+        );
+    }
+
+    /// Judges every upstream's gap against the pool's median.
+    pub fn judge_stragglers(&mut self) {
+        let mut gaps: Vec<f64> =
+            self.upstreams.values().filter_map(|status| status.gap_micros).collect();
+        if gaps.len() < 3 {
+            return;
+        }
+        let middle = gaps.len() / 2;
+        let (_, median, _) = gaps.select_nth_unstable_by(middle, f64::total_cmp);
+        let bound = *median * STRAGGLER_RATIO;
+        for status in self.upstreams.values_mut() {
+            status.is_straggler = status.gap_micros.is_some_and(|gap| gap > bound);
+        }
+    }
+
+    fn refresh(&mut self, index: UpstreamIndex) {
+        let Some(status) = self.upstreams.get_mut(&index) else { return };
+        match (status.has_room(), status.open_position) {
+            (true, None) => {
+                status.open_position = Some(self.open.len());
+                self.open.push(index);
+            }
+            (false, Some(position)) => {
+                status.open_position = None;
+                self.open.swap_remove(position);
+                if let Some(moved) = self.open.get(position).copied()
+                    && let Some(status) = self.upstreams.get_mut(&moved)
+                {
+                    status.open_position = Some(position);
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/report/measures.rs
@@ -0,0 +1,80 @@
+//! Metrics by `metrics`, shown in the Prometheus text format.
+
+use crate::answer::AnswerKind;
+use crate::table::{OrganisationName, ServiceRow, TierName};
+use crate::traffic::TrafficState;
+use metrics::{counter, gauge, histogram};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use std::sync::OnceLock;
+use std::time::Duration;
+
+static HANDLE: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
+/// Upper bounds of the latency histograms' buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 2.5, 5.0, 10.0];
+
+/// Installs the process's metrics recorder; later calls change nothing.
+pub fn install_metrics() {
+    HANDLE.get_or_init(|| {
+        PrometheusBuilder::new().set_buckets(&LATENCY_BUCKETS).ok()?.install_recorder().ok()
+    });
+}
+
+/// What is recorded of one request.
+#[derive(Debug)]
+pub struct RequestRecord<'a> {
+    /// The service.
+    pub service: &'a ServiceRow,
+    /// The tier.
+    pub tier: &'a TierName,
+    /// Whose it was.
+    pub organisation: &'a OrganisationName,
+    /// Why there is no whole answer.
+    pub failure: Option<AnswerKind>,
+    /// True if the caller left.
+    pub is_abandoned: bool,
+    /// Time to the first piece.
+    pub first_piece: Option<Duration>,
+    /// Time to the end.
+    pub total: Duration,
+    /// Output tokens.
+    pub tokens: u32,
+}
+
+/// Counts one ended request.
+pub fn record_request(record: &RequestRecord<'_>) {
+    let service = record.service.service.to_string();
+    let tier = record.tier.to_string();
+    let outcome = match record.failure {
+        Some(kind) => kind.row().name,
+        None if record.is_abandoned => "abandoned",
+        None => "answered",
+    };
+    let organisation = record.organisation.to_string();
+    counter!("tarragonknot_requests_total", "service" => service.clone(), "tier" => tier.clone(), "organisation" => organisation, "outcome" => outcome)
+        .increment(1);
+    counter!("tarragonknot_output_tokens_total", "service" => service.clone(), "tier" => tier.clone())
+        .increment(u64::from(record.tokens));
+    if let Some(time) = record.first_piece {
+        histogram!("tarragonknot_first_piece_seconds", "service" => service.clone(), "tier" => tier.clone()).record(time);
+    }
+    histogram!("tarragonknot_request_seconds", "service" => service, "tier" => tier)
+        .record(record.total);
+}
+
+/// The metrics page.
+pub fn render_metrics(state: &TrafficState) -> String {
+    for (service, pool) in state.pools().iter() {
+        let status = pool.status();
+        let name = service.to_string();
+        gauge!("tarragonknot_waiting", "service" => name.clone()).set(status.waiting as f64);
+        gauge!("tarragonknot_running", "service" => name.clone()).set(status.running as f64);
+        gauge!("tarragonknot_live_upstreams", "service" => name).set(status.live as f64);
+    }
+    gauge!("tarragonknot_table_version").set(state.snapshot().version as f64);
+    gauge!("tarragonknot_ready").set(if state.is_ready() { 1.0 } else { 0.0 });
+    match HANDLE.get() {
+        Some(Some(handle)) => handle.render(),
+        _ => String::new(),
+    }
+}
--- /dev/null
+++ b/src/standin/engine_server.rs
@@ -0,0 +1,408 @@
+//! A stand-in model engine over HTTP: chat and completions, streamed or whole, resume and cancel by
+//! request id, load reports, faults on order, and a count of dispatches by request id.
+
+use super::engine_model::{EngineJob, EngineModel, EngineShape, JobId, PrefillLedger};
+use super::faults::{FaultPlan, StandinFault};
+use axum::body::Body;
+use axum::extract::{Path, State};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use bytes::Bytes;
+use http::{HeaderMap, Response, StatusCode};
+use serde_json::{Value, json};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, mpsc, watch};
+use tokio_stream::wrappers::ReceiverStream;
+
+/// Output tokens where the request names no limit.
+const DEFAULT_OUTPUT: u32 = 32;
+/// Bytes of prompt per token.
+const BYTES_PER_TOKEN: usize = 4;
+/// How often a finished request's record is looked at for removal.
+const RECORD_LIFE: Duration = Duration::from_secs(60);
+
+/// What the engine remembers of one request: enough to stream it from any piece on.
+#[derive(Clone, Debug, Default)]
+struct AnswerRecord {
+    nonce: String,
+    prompt_tokens: u32,
+    output_tokens: u32,
+    made: u32,
+    is_cancelled: bool,
+}
+
+impl AnswerRecord {
+    fn is_done(&self) -> bool {
+        self.made >= self.output_tokens
+    }
+}
+
+struct KnownRequest {
+    job: JobId,
+    record: watch::Sender<AnswerRecord>,
+    began: Instant,
+}
+
+#[derive(Default)]
+struct EngineBook {
+    requests: HashMap<String, KnownRequest>,
+    names: HashMap<JobId, String>,
+    dispatches: HashMap<String, u32>,
+}
+
+/// A running stand-in engine.
+pub struct EngineStandin {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Faults for the next requests.
+    pub faults: FaultPlan,
+    model: Mutex<EngineModel>,
+    book: Mutex<EngineBook>,
+    ledger: Arc<PrefillLedger>,
+    work: Notify,
+    next_job: AtomicU64,
+    is_leaving: AtomicBool,
+    started: Instant,
+    /// Load reports are this old when they are read.
+    report_lag: Duration,
+    reports: Mutex<Vec<(Instant, Value)>>,
+}
+
+/// Starts an engine on a free port of loopback; it runs until the runtime ends.
+pub async fn start_engine(
+    shape: EngineShape,
+    ledger: Arc<PrefillLedger>,
+    report_lag: Duration,
+) -> io::Result<Arc<EngineStandin>> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let engine = Arc::new(EngineStandin {
+        address: listener.local_addr()?,
+        faults: FaultPlan::default(),
+        model: Mutex::new(EngineModel::new(shape)),
+        book: Mutex::default(),
+        ledger,
+        work: Notify::new(),
+        next_job: AtomicU64::new(1),
+        is_leaving: AtomicBool::new(false),
+        started: Instant::now(),
+        report_lag,
+        reports: Mutex::default(),
+    });
+    let router = Router::new()
+        .route("/v1/chat/completions", post(complete))
+        .route("/v1/completions", post(complete))
+        .route("/v1/requests/{id}", get(resume).delete(cancel))
+        .route("/load", get(load))
+        .with_state(Arc::clone(&engine));
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    tokio::spawn(run_steps(Arc::clone(&engine)));
+    Ok(engine)
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl EngineStandin {
+    /// How often each request id was dispatched to this engine.
+    pub fn dispatches(&self) -> HashMap<String, u32> {
+        locked(&self.book).dispatches.clone()
+    }
+
+    /// Makes every step take `factor` times as long.
+    pub fn set_slowness(&self, factor: f64) {
+        locked(&self.model).slowness = factor;
+    }
+
+    /// From now on reports say that the engine is leaving.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Release);
+    }
+
+    /// Jobs running and waiting.
+    pub fn job_count(&self) -> usize {
+        let model = locked(&self.model);
+        model.running_count() + model.queued_count()
+    }
+
+    fn report(&self) -> Value {
+        let model = locked(&self.model);
+        json!({"named_metrics": {
+            "running": model.running_count(),
+            "queued": model.queued_count(),
+            "step_us": model.last_step_micros(),
+            "stamp_us": self.started.elapsed().as_micros() as u64,
+            "leaving": u8::from(self.is_leaving.load(Ordering::Acquire)),
+        }})
+    }
+
+    /// The newest report that is at least as old as the lag.
+    fn lagging_report(&self) -> Value {
+        let report = self.report();
+        if self.report_lag.is_zero() {
+            return report;
+        }
+        let mut reports = locked(&self.reports);
+        let now = Instant::now();
+        reports.push((now, report));
+        let old = reports.iter().rposition(|(at, _)| now - *at >= self.report_lag).unwrap_or(0);
+        reports.drain(..old);
+        reports[0].1.clone()
+    }
+
+    fn take_job(&self, id: &str, body: &Value) -> watch::Receiver<AnswerRecord> {
+        let prompt = prompt_text(body);
+        let limit = body
+            .get("max_tokens")
+            .or_else(|| body.get("max_completion_tokens"))
+            .and_then(Value::as_u64);
+        let record = AnswerRecord {
+            nonce: prompt.split_whitespace().last().unwrap_or_default().to_owned(),
+            prompt_tokens: prompt.len().div_ceil(BYTES_PER_TOKEN).max(1) as u32,
+            output_tokens: limit.map_or(DEFAULT_OUTPUT, |limit| limit.clamp(1, 100_000) as u32),
+            ..AnswerRecord::default()
+        };
+        let job = JobId(self.next_job.fetch_add(1, Ordering::Relaxed));
+        let engine_job = EngineJob {
+            id: job,
+            prompt_tokens: record.prompt_tokens,
+            blocks: crate::policy::prefix_hashes(prompt.as_bytes()),
+            output_tokens: record.output_tokens,
+        };
+        let (sender, receiver) = watch::channel(record);
+        let mut book = locked(&self.book);
+        *book.dispatches.entry(id.to_owned()).or_default() += 1;
+        book.names.insert(job, id.to_owned());
+        book.requests.retain(|_, known| known.began.elapsed() < RECORD_LIFE);
+        book.requests
+            .insert(id.to_owned(), KnownRequest { job, record: sender, began: Instant::now() });
+        drop(book);
+        locked(&self.model).submit(engine_job);
+        self.work.notify_one();
+        receiver
+    }
+
+    fn drop_job(&self, id: &str) -> bool {
+        let Some(known) = locked(&self.book).requests.remove(id) else { return false };
+        locked(&self.model).cancel(known.job, &self.ledger);
+        known.record.send_modify(|record| record.is_cancelled = true);
+        true
+    }
+
+    fn note_step(&self, emitted: &[JobId]) {
+        let book = locked(&self.book);
+        for job in emitted {
+            let known = book.names.get(job).and_then(|name| book.requests.get(name));
+            known.into_iter().for_each(|known| known.record.send_modify(|record| record.made += 1));
+        }
+    }
+}
+
+async fn run_steps(engine: Arc<EngineStandin>) {
+    loop {
+        let step = locked(&engine.model).step(&engine.ledger);
+        match step {
+            Some(step) => {
+                tokio::time::sleep(Duration::from_micros(step.micros)).await;
+                engine.note_step(&step.emitted);
+            }
+            None => engine.work.notified().await,
+        }
+    }
+}
+
+fn prompt_text(body: &Value) -> String {
+    let messages = body.get("messages").and_then(Value::as_array).into_iter().flatten();
+    let contents = messages.filter_map(|message| message.get("content").and_then(Value::as_str));
+    let prompt = body.get("prompt").and_then(Value::as_str);
+    contents.chain(prompt).collect::<Vec<&str>>().concat()
+}
+
+async fn complete(
+    State(engine): State<Arc<EngineStandin>>,
+    headers: HeaderMap,
+    Json(body): Json<Value>,
+) -> Response<Body> {
+    let id = headers
+        .get("x-request-id")
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("none")
+        .to_owned();
+    let wants_stream = body.get("stream").and_then(Value::as_bool).unwrap_or(false);
+    let fault = engine.faults.next();
+    let record = engine.take_job(&id, &body);
+    match fault {
+        StandinFault::Died => {
+            engine.drop_job(&id);
+            return cut_response(&id);
+        }
+        StandinFault::Late(time) => tokio::time::sleep(time).await,
+        _ => {}
+    }
+    let echo = if fault == StandinFault::Crossed { "another-request".to_owned() } else { id };
+    match wants_stream {
+        true => stream_response(record, echo, 0, fault),
+        false => whole_response(record, echo, fault).await,
+    }
+}
+
+/// A head is written, then the connection ends.
+fn cut_response(id: &str) -> Response<Body> {
+    let frames = vec![Err::<Bytes, io::Error>(io::Error::from(io::ErrorKind::ConnectionReset))];
+    let mut response = Response::new(Body::from_stream(tokio_stream::iter(frames)));
+    response
+        .headers_mut()
+        .insert("content-type", http::HeaderValue::from_static("text/event-stream"));
+    echo_id(&mut response, id);
+    response
+}
+
+fn echo_id(response: &mut Response<Body>, id: &str) {
+    if let Ok(value) = http::HeaderValue::from_str(id) {
+        response.headers_mut().insert("x-request-id", value);
+    }
+}
+
+fn chunk(record: &AnswerRecord, id: &str, number: u64) -> Value {
+    let is_last = number == u64::from(record.output_tokens);
+    let mut chunk = json!({
+        "id": id,
+        "object": "chat.completion.chunk",
+        "choices": [{"index": 0, "delta": {"content": format!("{}:{number} ", record.nonce)},
+            "finish_reason": if is_last { Some("stop") } else { None }}],
+    });
+    if is_last {
+        chunk["usage"] = json!({"prompt_tokens": record.prompt_tokens, "completion_tokens": record.output_tokens});
+    }
+    chunk
+}
+
+fn stream_response(
+    record: watch::Receiver<AnswerRecord>,
+    id: String,
+    after: u64,
+    fault: StandinFault,
+) -> Response<Body> {
+    let (sender, receiver) = mpsc::channel(16);
+    let mut response = Response::new(Body::from_stream(ReceiverStream::new(receiver)));
+    response
+        .headers_mut()
+        .insert("content-type", http::HeaderValue::from_static("text/event-stream"));
+    echo_id(&mut response, &id);
+    tokio::spawn(send_chunks(record, id, after, fault, sender));
+    response
+}
+
+async fn send_chunks(
+    mut record: watch::Receiver<AnswerRecord>,
+    id: String,
+    after: u64,
+    fault: StandinFault,
+    sender: mpsc::Sender<io::Result<Bytes>>,
+) {
+    let mut sent = after;
+    loop {
+        let state = record.borrow_and_update().clone();
+        while sent < u64::from(state.made) {
+            if fault == StandinFault::Truncated(sent) {
+                let _ = sender.send(Err(io::Error::from(io::ErrorKind::ConnectionReset))).await;
+                return;
+            }
+            if fault == StandinFault::Silent(sent) {
+                sender.closed().await;
+                return;
+            }
+            sent += 1;
+            let text = Bytes::from(format!("id: {sent}\ndata: {}\n\n", chunk(&state, &id, sent)));
+            let copies = if fault == StandinFault::Doubled { 2 } else { 1 };
+            for _ in 0..copies {
+                if sender.send(Ok(text.clone())).await.is_err() {
+                    return;
+                }
+            }
+        }
+        if state.is_done() {
+            let _ = sender.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await;
+            return;
+        }
+        if state.is_cancelled || record.changed().await.is_err() {
+            let _ = sender.send(Err(io::Error::from(io::ErrorKind::ConnectionReset))).await;
+            return;
+        }
+    }
+}
+
+async fn whole_response(
+    mut record: watch::Receiver<AnswerRecord>,
+    id: String,
+    fault: StandinFault,
+) -> Response<Body> {
+    let done = record
+        .wait_for(|record| record.is_done() || record.is_cancelled)
+        .await
+        .map(|record| record.clone());
+    let state = match done {
+        Ok(state) if state.is_done() => state,
+        _ => return cut_response(&id),
+    };
+    let text: String =
+        (1..=state.output_tokens).map(|number| format!("{}:{number} ", state.nonce)).collect();
+    let answer = json!({
+        "id": id,
+        "object": "chat.completion",
+        "choices": [{"index": 0, "message": {"role": "assistant", "content": text}, "finish_reason": "stop"}],
+        "usage": {"prompt_tokens": state.prompt_tokens, "completion_tokens": state.output_tokens},
+    });
+    let bytes = Bytes::from(answer.to_string());
+    let body = match fault {
+        StandinFault::Silent(_) => Body::from_stream(tokio_stream::pending::<io::Result<Bytes>>()),
+        StandinFault::Truncated(_) => {
+            let half = bytes.slice(..bytes.len() / 2);
+            Body::from_stream(tokio_stream::iter(vec![
+                Ok(half),
+                Err(io::Error::from(io::ErrorKind::ConnectionReset)),
+            ]))
+        }
+        _ => Body::from(bytes),
+    };
+    let mut response = Response::new(body);
+    response
+        .headers_mut()
+        .insert("content-type", http::HeaderValue::from_static("application/json"));
+    echo_id(&mut response, &id);
+    response
+}
+
+async fn resume(
+    State(engine): State<Arc<EngineStandin>>,
+    Path(id): Path<String>,
+    headers: HeaderMap,
+) -> Response<Body> {
+    let record = locked(&engine.book).requests.get(&id).map(|known| known.record.subscribe());
+    let Some(record) = record else {
+        let mut response = Response::new(Body::empty());
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        return response;
+    };
+    let text =
+        |name: &str| headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let after = text("last-event-id").parse().unwrap_or(0);
+    match text("accept") {
+        "application/json" => whole_response(record, id, StandinFault::None).await,
+        _ => stream_response(record, id, after, StandinFault::None),
+    }
+}
+
+async fn cancel(State(engine): State<Arc<EngineStandin>>, Path(id): Path<String>) -> StatusCode {
+    if engine.drop_job(&id) { StatusCode::NO_CONTENT } else { StatusCode::NOT_FOUND }
+}
+
+async fn load(State(engine): State<Arc<EngineStandin>>) -> Json<Value> {
+    Json(engine.lagging_report())
+}
--- /dev/null
+++ b/src/table/difference.rs
@@ -0,0 +1,64 @@
+//! Differences between two tables, cell by cell, with rows matched by name.
+
+use super::OperatorTable;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// One cell that differs. `before` is absent for an added cell, `after` for a removed one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CellChange {
+    /// Where: table part, row name and column, joined by `/`.
+    pub cell: String,
+    /// The old value as JSON text.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub before: Option<String>,
+    /// The new value as JSON text.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub after: Option<String>,
+}
+
+/// All cells that differ, in order of their place.
+pub fn diff_tables(before: &OperatorTable, after: &OperatorTable) -> Vec<CellChange> {
+    let old = cells(before);
+    let new = cells(after);
+    let mut places: Vec<&String> = old.keys().chain(new.keys()).collect();
+    places.sort();
+    places.dedup();
+    places
+        .into_iter()
+        .filter(|place| old.get(*place) != new.get(*place))
+        .map(|place| CellChange {
+            cell: place.clone(),
+            before: old.get(place).cloned(),
+            after: new.get(place).cloned(),
+        })
+        .collect()
+}
+
+fn cells(table: &OperatorTable) -> BTreeMap<String, String> {
+    let mut cells = BTreeMap::new();
+    let Ok(Value::Object(parts)) = serde_json::to_value(table) else { return cells };
+    for (part, rows) in &parts {
+        for (position, row) in rows.as_array().into_iter().flatten().enumerate() {
+            let name = row_name(part, position, row);
+            for (column, value) in row.as_object().into_iter().flatten() {
+                cells.insert(format!("{part}/{name}/{column}"), value.to_string());
+            }
+        }
+    }
+    cells
+}
+
+/// Rows are matched by their name; assignments have none, and their order matters, so by position.
+fn row_name(part: &str, position: usize, row: &Value) -> String {
+    let text =
+        |column: &str| row.get(column).and_then(Value::as_str).unwrap_or_default().to_owned();
+    match part {
+        "tiers" => text("tier"),
+        "organisations" => text("organisation"),
+        "services" => text("service"),
+        "upstreams" => format!("{}.{}", text("service"), text("upstream")),
+        _ => position.to_string(),
+    }
+}
--- /dev/null
+++ b/src/table/mod.rs
@@ -0,0 +1,326 @@
+//! The operators' table: tiers, organisations, services, assignments and upstreams.
+
+mod checks;
+mod difference;
+mod names;
+
+pub use checks::{FaultList, TableFault, check_document, read_checked};
+pub use difference::{CellChange, diff_tables};
+pub use names::{
+    DaemonName, DataCentreName, OrganisationName, ServiceName, TierName, UpstreamName,
+};
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use sha2::{Digest, Sha256};
+use std::time::Duration;
+
+/// The whole table, as operators write it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct OperatorTable {
+    /// Tiers, any order; `rank` orders them.
+    pub tiers: Vec<TierRow>,
+    /// Organisations and their limits.
+    pub organisations: Vec<OrganisationRow>,
+    /// Services: pools of upstreams with one interface.
+    pub services: Vec<ServiceRow>,
+    /// Which requests belong to which tier; the first row that matches wins.
+    #[serde(default)]
+    pub assignments: Vec<AssignmentRow>,
+    /// Upstreams known by address; the platform's list may add more.
+    #[serde(default)]
+    pub upstreams: Vec<UpstreamRow>,
+}
+
+/// A tier of requests.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct TierRow {
+    /// The tier's name.
+    pub tier: TierName,
+    /// Order of importance: 0 is the highest and is shed last.
+    #[schemars(range(min = 0, max = 15))]
+    pub rank: u8,
+    /// Share of a pool's tokens while other tiers want it too.
+    #[schemars(range(min = 1, max = 1_000_000))]
+    pub weight: u32,
+}
+
+/// An organisation: its keys, its weight and its limits.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct OrganisationRow {
+    /// The organisation's name.
+    pub organisation: OrganisationName,
+    /// SHA-256 digests, in hexadecimal, of its bearer keys.
+    pub key_digests: Vec<KeyDigest>,
+    /// Share of a tier's tokens while other organisations want it too.
+    #[schemars(range(min = 1, max = 1_000_000))]
+    pub weight: u32,
+    /// Limit on estimated tokens a second over all services; absent means none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(range(min = 1))]
+    pub tokens_per_second: Option<u64>,
+    /// Tokens that may be used at once above the rate; defaults to ten seconds' worth.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(range(min = 1))]
+    pub burst_tokens: Option<u64>,
+    /// Limit on requests in progress, waiting ones included; absent means none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(range(min = 1))]
+    pub concurrent: Option<u32>,
+}
+
+/// A SHA-256 digest in lower-case hexadecimal.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, JsonSchema)]
+#[serde(transparent)]
+pub struct KeyDigest(#[schemars(regex(pattern = "^[0-9a-f]{64}$"))] pub String);
+
+impl KeyDigest {
+    /// The digest of a bearer key.
+    pub fn of(key: &str) -> Self {
+        KeyDigest(hex(&Sha256::digest(key.as_bytes())))
+    }
+}
+
+/// What kind of upstream a service has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum ServiceKind {
+    /// Model engines: chat and completions JSON, streamed or whole.
+    Model,
+    /// Plain HTTP services: any method and path under the service's route.
+    Plain,
+}
+
+/// How a pool orders its waiting requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum QueueChoice {
+    /// Weighted fair queueing by tier, then organisation, with shedding by tier.
+    #[default]
+    Weighted,
+    /// First in, first out; a baseline for measurements.
+    Fifo,
+}
+
+/// How a pool chooses an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum PlacementChoice {
+    /// Prefix affinity under a load bound, then corrected load.
+    #[default]
+    Affinity,
+    /// Each in turn; a baseline for measurements.
+    RoundRobin,
+    /// The least load as last reported; a baseline for measurements.
+    LeastReported,
+}
+
+/// How a pool bounds the work at one upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum LimitChoice {
+    /// Learned from step times and times to first token.
+    #[default]
+    Learned,
+    /// `first_guess` requests, for ever; a baseline for measurements.
+    Fixed,
+}
+
+/// A service: one pool of upstreams and how callers reach it.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceRow {
+    /// The service's name; plain services answer under `/NAME/`, models by `"model": "NAME"`.
+    pub service: ServiceName,
+    /// Model or plain.
+    pub kind: ServiceKind,
+    /// Organisations that may use it; absent means all.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisations: Option<Vec<OrganisationName>>,
+    /// Tier of requests that no assignment matches.
+    pub default_tier: TierName,
+    /// Deadline of requests that name none, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[schemars(range(min = 1))]
+    pub deadline_ms: Duration,
+    /// A stream with no byte for this long is taken as silent and resumed, in milliseconds.
+    #[serde(default = "default_silence")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[schemars(range(min = 10))]
+    pub silence_ms: Duration,
+    /// Requests per upstream to begin with; the learned limit moves away from it.
+    #[serde(default = "default_guess")]
+    #[schemars(range(min = 1, max = 100_000))]
+    pub first_guess: u32,
+    /// Objective for the time between tokens, in milliseconds; bounds the learned limit.
+    #[serde(default = "default_token_gap")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[schemars(range(min = 1))]
+    pub token_gap_ms: Duration,
+    /// Objective for the time to the first token, in milliseconds.
+    #[serde(default = "default_first_token")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[schemars(range(min = 1))]
+    pub first_token_ms: Duration,
+    /// Largest request body, in bytes.
+    #[serde(default = "default_body_limit")]
+    #[schemars(range(min = 1, max = 67_108_864))]
+    pub body_limit: u32,
+    /// Most requests waiting at one daemon.
+    #[serde(default = "default_waiting_limit")]
+    #[schemars(range(min = 1, max = 10_000_000))]
+    pub waiting_limit: u32,
+    /// Methods whose requests may be repeated; absent means all for models and GET, HEAD, OPTIONS, PUT and DELETE for plain services.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub idempotent_methods: Option<Vec<String>>,
+    /// Order of waiting requests.
+    #[serde(default)]
+    pub queue: QueueChoice,
+    /// Choice of upstream.
+    #[serde(default)]
+    pub placement: PlacementChoice,
+    /// Bound on the work at one upstream.
+    #[serde(default)]
+    pub limit: LimitChoice,
+}
+
+impl ServiceRow {
+    /// True if a request of `method` may be repeated without harm.
+    pub fn is_idempotent(&self, method: &str) -> bool {
+        match (&self.idempotent_methods, self.kind) {
+            (Some(methods), _) => methods.iter().any(|known| known == method),
+            (None, ServiceKind::Model) => true,
+            (None, ServiceKind::Plain) => {
+                matches!(method, "GET" | "HEAD" | "OPTIONS" | "PUT" | "DELETE")
+            }
+        }
+    }
+
+    /// True if `organisation` may use the service.
+    pub fn allows(&self, organisation: &OrganisationName) -> bool {
+        self.organisations.as_ref().is_none_or(|allowed| allowed.contains(organisation))
+    }
+}
+
+fn default_silence() -> Duration {
+    Duration::from_millis(2_000)
+}
+
+fn default_guess() -> u32 {
+    32
+}
+
+fn default_token_gap() -> Duration {
+    Duration::from_millis(63)
+}
+
+fn default_first_token() -> Duration {
+    Duration::from_millis(750)
+}
+
+fn default_body_limit() -> u32 {
+    1 << 20
+}
+
+fn default_waiting_limit() -> u32 {
+    10_000
+}
+
+/// Gives a tier to requests; absent members match everything.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct AssignmentRow {
+    /// The service, or any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<ServiceName>,
+    /// The organisation, or any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisation: Option<OrganisationName>,
+    /// The value of the `tarragonknot-purpose` header, or any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub purpose: Option<String>,
+    /// The tier of what matches.
+    pub tier: TierName,
+}
+
+/// An upstream known by address.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamRow {
+    /// The upstream's name.
+    pub upstream: UpstreamName,
+    /// The service it belongs to.
+    pub service: ServiceName,
+    /// Address and port.
+    #[schemars(with = "String")]
+    pub address: std::net::SocketAddr,
+    /// The data centre it runs in.
+    pub data_centre: DataCentreName,
+    /// Grows each time another process takes over the name or address.
+    #[serde(default)]
+    pub incarnation: u64,
+}
+
+/// A table with its place in the history.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct VersionedTable {
+    /// Rises by one with each accepted edit; 0 is the empty table of a new fleet.
+    pub version: u64,
+    /// SHA-256 of the table's canonical JSON, in hexadecimal.
+    pub hash: String,
+    /// The table.
+    pub table: OperatorTable,
+}
+
+impl VersionedTable {
+    /// Stamps `table` with `version` and its hash.
+    pub fn new(version: u64, table: OperatorTable) -> Self {
+        VersionedTable { version, hash: table_hash(&table), table }
+    }
+}
+
+/// SHA-256 of the table's canonical JSON (members in declaration order, no white space).
+pub fn table_hash(table: &OperatorTable) -> String {
+    let bytes = serde_json::to_vec(table).unwrap_or_default();
+    hex(&Sha256::digest(&bytes))
+}
+
+fn hex(bytes: &[u8]) -> String {
+    use std::fmt::Write;
+    bytes.iter().fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
+
+impl OperatorTable {
+    /// The row of a tier.
+    pub fn tier(&self, name: &TierName) -> Option<&TierRow> {
+        self.tiers.iter().find(|row| row.tier == *name)
+    }
+
+    /// The row of a service.
+    pub fn service(&self, name: &str) -> Option<&ServiceRow> {
+        self.services.iter().find(|row| row.service.as_str() == name)
+    }
+
+    /// The tier of a request, by the first matching assignment or the service's default.
+    pub fn tier_of<'a>(
+        &'a self,
+        service: &'a ServiceRow,
+        organisation: &OrganisationName,
+        purpose: Option<&str>,
+    ) -> &'a TierName {
+        let matches = |row: &&AssignmentRow| {
+            row.service.as_ref().is_none_or(|name| *name == service.service)
+                && row.organisation.as_ref().is_none_or(|name| name == organisation)
+                && row.purpose.as_deref().is_none_or(|text| Some(text) == purpose)
+        };
+        self.assignments.iter().find(matches).map_or(&service.default_tier, |row| &row.tier)
+    }
+}
--- /dev/null
+++ b/src/table/names.rs
@@ -0,0 +1,77 @@
+//! Names of the things in the table. Each is a short string, cheap to clone.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::sync::Arc;
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, JsonSchema)]
+        #[serde(transparent)]
+        pub struct $name(
+            #[schemars(regex(pattern = "^[a-z0-9][a-z0-9._-]{0,62}$"))]
+            #[serde(with = "arc_text")]
+            #[schemars(with = "String")]
+            Arc<str>,
+        );
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                $name(Arc::from(text))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name_type! {
+    /// A tier's name.
+    TierName
+}
+name_type! {
+    /// An organisation's name.
+    OrganisationName
+}
+name_type! {
+    /// A service's name; a model service's name is also its model name.
+    ServiceName
+}
+name_type! {
+    /// An upstream's name, unique in its service.
+    UpstreamName
+}
+name_type! {
+    /// A data centre's name.
+    DataCentreName
+}
+name_type! {
+    /// A daemon's name, unique in the fleet.
+    DaemonName
+}
+
+mod arc_text {
+    use serde::{Deserialize, Deserializer, Serializer};
+    use std::sync::Arc;
+
+    pub fn serialize<S: Serializer>(text: &Arc<str>, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(text)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Arc<str>, D::Error> {
+        String::deserialize(deserializer).map(Arc::from)
+    }
+}
--- /dev/null
+++ b/src/traffic/access.rs
@@ -0,0 +1,140 @@
+//! Who a caller is and what the table lets it use: an index over one table, built once per edit.
+
+use crate::answer::AnswerKind;
+use crate::policy::{OrganisationIndex, OrganisationLimit, TierRank, TierShare};
+use crate::table::{
+    KeyDigest, OperatorTable, OrganisationName, OrganisationRow, ServiceName, ServiceRow, TierName,
+};
+use std::collections::HashMap;
+use std::sync::Arc;
+use subtle::ConstantTimeEq;
+
+/// A caller that proved its organisation.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallerIdentity {
+    /// The organisation's number in this daemon.
+    pub index: OrganisationIndex,
+    /// Its name.
+    pub organisation: OrganisationName,
+    /// Its weight.
+    pub weight: u32,
+}
+
+/// Numbers given to organisation names; kept over edits so that limits and queues keep their state.
+#[derive(Clone, Debug, Default)]
+pub struct OrganisationNumbers(HashMap<OrganisationName, OrganisationIndex>);
+
+impl OrganisationNumbers {
+    fn number(&mut self, name: &OrganisationName) -> OrganisationIndex {
+        let next = OrganisationIndex(self.0.len() as u32);
+        *self.0.entry(name.clone()).or_insert(next)
+    }
+}
+
+/// The index over one table.
+#[derive(Clone, Debug, Default)]
+pub struct AccessIndex {
+    by_digest: HashMap<String, (String, CallerIdentity)>,
+    services: HashMap<ServiceName, Arc<ServiceRow>>,
+    ranks: HashMap<TierName, TierRank>,
+    table: OperatorTable,
+    limits: HashMap<OrganisationIndex, OrganisationLimit>,
+}
+
+impl AccessIndex {
+    /// Indexes `table`.
+    pub fn new(table: &OperatorTable, numbers: &mut OrganisationNumbers) -> Self {
+        let mut index = AccessIndex {
+            services: table
+                .services
+                .iter()
+                .map(|row| (row.service.clone(), Arc::new(row.clone())))
+                .collect(),
+            ranks: table.tiers.iter().map(|row| (row.tier.clone(), TierRank(row.rank))).collect(),
+            table: table.clone(),
+            ..AccessIndex::default()
+        };
+        for row in &table.organisations {
+            let number = numbers.number(&row.organisation);
+            index.limits.insert(number, limit_of(row));
+            let identity = CallerIdentity {
+                index: number,
+                organisation: row.organisation.clone(),
+                weight: row.weight,
+            };
+            let digests = row
+                .key_digests
+                .iter()
+                .map(|digest| (digest.0.clone(), (digest.0.clone(), identity.clone())));
+            index.by_digest.extend(digests);
+        }
+        index
+    }
+
+    /// Finds the organisation of a bearer key. Only digests are looked up and compared, and the
+    /// comparison takes the same time wherever they differ, so timing tells nothing about a key.
+    pub fn identify(&self, bearer: Option<&str>) -> Result<&CallerIdentity, AnswerKind> {
+        let key = bearer.ok_or(AnswerKind::KeyMissing)?;
+        let digest = KeyDigest::of(key);
+        let (known, identity) = self.by_digest.get(&digest.0).ok_or(AnswerKind::KeyUnknown)?;
+        match bool::from(known.as_bytes().ct_eq(digest.0.as_bytes())) {
+            true => Ok(identity),
+            false => Err(AnswerKind::KeyUnknown),
+        }
+    }
+
+    /// The row of a service that `caller` may use.
+    pub fn service(
+        &self,
+        name: &str,
+        caller: &CallerIdentity,
+    ) -> Result<&Arc<ServiceRow>, AnswerKind> {
+        let row = self.services.get(&ServiceName::from(name)).ok_or(AnswerKind::ServiceUnknown)?;
+        if row.allows(&caller.organisation) { Ok(row) } else { Err(AnswerKind::NotAllowed) }
+    }
+
+    /// The tier of a request.
+    pub fn tier(
+        &self,
+        service: &ServiceRow,
+        caller: &CallerIdentity,
+        purpose: Option<&str>,
+    ) -> (TierName, TierRank) {
+        let name = self.table.tier_of(service, &caller.organisation, purpose);
+        // Checked tables have a rank for every name; an unknown one must not count as important.
+        let rank = self.ranks.get(name).copied().unwrap_or(TierRank(u8::MAX));
+        (name.clone(), rank)
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceRow>> {
+        self.services.values()
+    }
+
+    /// The table.
+    pub fn table(&self) -> &OperatorTable {
+        &self.table
+    }
+
+    /// Limits by organisation.
+    pub fn limits(&self) -> &HashMap<OrganisationIndex, OrganisationLimit> {
+        &self.limits
+    }
+
+    /// Tiers with their weights.
+    pub fn tier_shares(&self) -> Vec<TierShare> {
+        self.table
+            .tiers
+            .iter()
+            .map(|row| TierShare { rank: TierRank(row.rank), weight: row.weight })
+            .collect()
+    }
+}
+
+fn limit_of(row: &OrganisationRow) -> OrganisationLimit {
+    OrganisationLimit {
+        tokens_per_second: row.tokens_per_second,
+        burst_tokens: row.burst_tokens,
+        concurrent: row.concurrent,
+    }
+}
--- /dev/null
+++ b/src/traffic/mod.rs
@@ -0,0 +1,16 @@
+//! Traffic: the callers' front, dispatch and relay. Reads control state through snapshots only.
+
+mod access;
+mod dispatch;
+mod drain;
+mod front;
+mod model_call;
+mod pool_runtime;
+mod sink;
+mod state;
+
+pub use access::{AccessIndex, CallerIdentity};
+pub use drain::{DrainAction, DrainEvent, DrainState, drain_chart};
+pub use front::{FrontHandle, start_front};
+pub use pool_runtime::{PoolRuntime, RequestGuard};
+pub use state::{TableSnapshot, TrafficClock, TrafficState};
--- /dev/null
+++ b/src/traffic/pool_runtime.rs
@@ -0,0 +1,204 @@
+//! One pool at run time: the pure scheduler behind a lock, and who waits for its word.
+
+use super::state::TrafficClock;
+use crate::answer::AnswerKind;
+use crate::policy::{
+    ArrivedRequest, DispatchOutcome, Moment, OrganisationIndex, PoolAction, PoolEvent, PoolPlan,
+    PoolScheduler, PoolStatus, RequestId, TierRank, UpstreamIndex,
+};
+use crate::table::{ServiceName, UpstreamName};
+use crate::upstream::UpstreamDriver;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::oneshot;
+
+/// The scheduler's word on a waiting request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PlacementWord {
+    /// Send it there.
+    Go {
+        /// The upstream's number.
+        upstream: UpstreamIndex,
+        /// Its name.
+        name: UpstreamName,
+        /// Its address.
+        address: SocketAddr,
+    },
+    /// Refuse it.
+    Refuse(AnswerKind),
+}
+
+struct PoolCore {
+    scheduler: PoolScheduler,
+    rng: ChaCha8Rng,
+    waiters: HashMap<RequestId, oneshot::Sender<PlacementWord>>,
+    actions: Vec<PoolAction>,
+}
+
+/// A pool at run time.
+pub struct PoolRuntime {
+    /// The service.
+    pub service: ServiceName,
+    /// How to talk to its upstreams.
+    pub driver: Arc<dyn UpstreamDriver>,
+    clock: TrafficClock,
+    core: Mutex<PoolCore>,
+}
+
+impl PoolRuntime {
+    /// A pool without upstreams.
+    pub fn new(
+        service: ServiceName,
+        plan: PoolPlan,
+        driver: Arc<dyn UpstreamDriver>,
+        clock: TrafficClock,
+        seed: u64,
+    ) -> Arc<Self> {
+        let core = PoolCore {
+            scheduler: PoolScheduler::new(plan),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            waiters: HashMap::new(),
+            actions: Vec::new(),
+        };
+        Arc::new(PoolRuntime { service, driver, clock, core: Mutex::new(core) })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PoolCore> {
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells the scheduler something and passes on its words.
+    pub fn tell(&self, event: PoolEvent) {
+        self.tell_locked(&mut self.lock(), event);
+    }
+
+    fn tell_locked(&self, core: &mut PoolCore, event: PoolEvent) {
+        let now = self.clock.now();
+        let mut actions = std::mem::take(&mut core.actions);
+        core.scheduler.handle(event, now, &mut core.rng, &mut actions);
+        for action in actions.drain(..) {
+            let (id, word) = match action {
+                PoolAction::Refuse { id, kind } => (id, PlacementWord::Refuse(kind)),
+                PoolAction::Dispatch { id, upstream } => {
+                    match core.scheduler.upstreams().get(upstream) {
+                        Some(status) => {
+                            let source = &status.source;
+                            (
+                                id,
+                                PlacementWord::Go {
+                                    upstream,
+                                    name: source.name.clone(),
+                                    address: source.address,
+                                },
+                            )
+                        }
+                        None => (id, PlacementWord::Refuse(AnswerKind::UpstreamAbsent)),
+                    }
+                }
+            };
+            // A waiter that has left is dropped here; its guard tells the scheduler.
+            if let Some(waiter) = core.waiters.remove(&id) {
+                let _ = waiter.send(word);
+            }
+        }
+        core.actions = actions;
+    }
+
+    /// Hands a request to the scheduler. The guard withdraws it when dropped.
+    pub fn arrive(
+        self: &Arc<Self>,
+        request: ArrivedRequest,
+    ) -> (RequestGuard, oneshot::Receiver<PlacementWord>) {
+        let id = request.id;
+        let (sender, receiver) = oneshot::channel();
+        let mut core = self.lock();
+        core.waiters.insert(id, sender);
+        self.tell_locked(&mut core, PoolEvent::Arrived(request));
+        drop(core);
+        (RequestGuard { pool: Arc::clone(self), id, is_open: true }, receiver)
+    }
+
+    /// Numbers for status and metrics.
+    pub fn status(&self) -> PoolStatus {
+        self.lock().scheduler.status()
+    }
+
+    /// The estimated cost of a request.
+    pub fn cost_of(
+        &self,
+        organisation: OrganisationIndex,
+        tier: TierRank,
+        prompt_bytes: usize,
+        output_limit: Option<u32>,
+    ) -> u32 {
+        self.lock().scheduler.cost_of(organisation, tier, prompt_bytes, output_limit)
+    }
+
+    /// Reads the scheduler's state.
+    pub fn inspect<T>(&self, read: impl FnOnce(&PoolScheduler) -> T) -> T {
+        read(&self.lock().scheduler)
+    }
+
+    /// Addresses of all upstreams.
+    pub fn addresses(&self) -> Vec<(UpstreamIndex, SocketAddr)> {
+        self.lock()
+            .scheduler
+            .upstreams()
+            .iter()
+            .map(|status| (status.index, status.source.address))
+            .collect()
+    }
+
+    /// Now.
+    pub fn now(&self) -> Moment {
+        self.clock.now()
+    }
+}
+
+/// A request in the scheduler's hands. Dropped early, it leaves the queue or gives back its place.
+pub struct RequestGuard {
+    pool: Arc<PoolRuntime>,
+    id: RequestId,
+    is_open: bool,
+}
+
+impl RequestGuard {
+    /// Nothing was sent: the request waits again.
+    pub fn requeue(&mut self) -> oneshot::Receiver<PlacementWord> {
+        let (sender, receiver) = oneshot::channel();
+        let mut core = self.pool.lock();
+        core.waiters.insert(self.id, sender);
+        let event = PoolEvent::Ended { id: self.id, outcome: DispatchOutcome::NotSent };
+        self.pool.tell_locked(&mut core, event);
+        drop(core);
+        receiver
+    }
+
+    /// The dispatch ended.
+    pub fn end(&mut self, outcome: DispatchOutcome) {
+        if std::mem::take(&mut self.is_open) {
+            self.pool.tell(PoolEvent::Ended { id: self.id, outcome });
+        }
+    }
+
+    /// The scheduler refused: nothing to give back.
+    pub fn refused(&mut self) {
+        self.is_open = false;
+    }
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        if !self.is_open {
+            return;
+        }
+        let mut core = self.pool.lock();
+        core.waiters.remove(&self.id);
+        self.pool.tell_locked(&mut core, PoolEvent::CallerLeft(self.id));
+        let event = PoolEvent::Ended { id: self.id, outcome: DispatchOutcome::Cancelled };
+        self.pool.tell_locked(&mut core, event);
+    }
+}
--- /dev/null
+++ b/src/traffic/sink.rs
@@ -0,0 +1,149 @@
+//! The caller's end of an answer: one head, then a body that ends well or is visibly cut.
+
+use crate::answer::{AnswerKind, RefusalAnswer};
+use crate::upstream::AnswerHead;
+use axum::body::Body;
+use bytes::Bytes;
+use http::{HeaderValue, Response};
+use std::io;
+use std::sync::Arc;
+use tokio::sync::{mpsc, oneshot};
+use tokio_stream::wrappers::ReceiverStream;
+
+/// Pieces buffered between the upstream and a slow caller.
+const BUFFERED_PIECES: usize = 64;
+/// An answer that is not a stream is held back whole up to this size, so that a cut upstream can
+/// still become a clear refusal.
+const HELD_BYTES: usize = 1 << 20;
+
+/// The caller has gone.
+#[derive(Debug, PartialEq, Eq)]
+pub struct CallerGone;
+
+/// The caller's end of one answer.
+pub struct AnswerSink {
+    request_id: Arc<str>,
+    head_sender: Option<oneshot::Sender<Response<Body>>>,
+    body_sender: Option<mpsc::Sender<io::Result<Bytes>>>,
+    head: Option<AnswerHead>,
+    held: Vec<Bytes>,
+    held_bytes: usize,
+    streams: bool,
+}
+
+impl AnswerSink {
+    /// A sink and the receiver of its response. With `streams`, pieces pass at once.
+    pub fn new(request_id: Arc<str>, streams: bool) -> (Self, oneshot::Receiver<Response<Body>>) {
+        let (sender, receiver) = oneshot::channel();
+        let sink = AnswerSink {
+            request_id,
+            head_sender: Some(sender),
+            body_sender: None,
+            head: None,
+            held: Vec::new(),
+            held_bytes: 0,
+            streams,
+        };
+        (sink, receiver)
+    }
+
+    /// Resolves when the caller has gone.
+    pub async fn closed(&mut self) {
+        match (&mut self.head_sender, &self.body_sender) {
+            (Some(head), _) => head.closed().await,
+            (None, Some(body)) => body.closed().await,
+            (None, None) => std::future::pending().await,
+        }
+    }
+
+    /// True once the caller has seen any part of an answer.
+    pub fn has_begun(&self) -> bool {
+        self.head_sender.is_none()
+    }
+
+    /// Takes the upstream's head; it is passed on with the first piece.
+    pub fn set_head(&mut self, head: AnswerHead) {
+        if self.head.is_none() {
+            self.head = Some(head);
+        }
+    }
+
+    /// Passes a piece on, waiting for a slow caller.
+    pub async fn relay(&mut self, bytes: Bytes) -> Result<(), CallerGone> {
+        if self.body_sender.is_none() {
+            self.held_bytes += bytes.len();
+            self.held.push(bytes);
+            if !self.streams && self.held_bytes <= HELD_BYTES {
+                return Ok(());
+            }
+            return self.begin_body().await;
+        }
+        self.send(Ok(bytes)).await
+    }
+
+    async fn begin_body(&mut self) -> Result<(), CallerGone> {
+        let (sender, receiver) = mpsc::channel(BUFFERED_PIECES);
+        let response = self.response(Body::from_stream(ReceiverStream::new(receiver)));
+        let head_sender = self.head_sender.take().ok_or(CallerGone)?;
+        head_sender.send(response).map_err(|_| CallerGone)?;
+        self.body_sender = Some(sender);
+        for bytes in std::mem::take(&mut self.held) {
+            self.send(Ok(bytes)).await?;
+        }
+        Ok(())
+    }
+
+    async fn send(&mut self, frame: io::Result<Bytes>) -> Result<(), CallerGone> {
+        match &self.body_sender {
+            Some(sender) => sender.send(frame).await.map_err(|_| CallerGone),
+            None => Err(CallerGone),
+        }
+    }
+
+    fn response(&mut self, body: Body) -> Response<Body> {
+        let mut response = Response::new(body);
+        if let Some(head) = self.head.take() {
+            *response.status_mut() = head.status;
+            *response.headers_mut() = head.headers;
+        }
+        if let Ok(value) = HeaderValue::from_str(&self.request_id) {
+            response.headers_mut().insert("x-request-id", value);
+        }
+        response
+    }
+
+    /// Ends the answer well.
+    pub async fn finish(mut self, end_mark: Bytes) -> Result<(), CallerGone> {
+        if self.streams && self.body_sender.is_none() {
+            self.begin_body().await?;
+        }
+        if self.body_sender.is_some() {
+            // Dropping the sender ends the body.
+            return if end_mark.is_empty() { Ok(()) } else { self.send(Ok(end_mark)).await };
+        }
+        let body = std::mem::take(&mut self.held).concat();
+        let response = self.response(Body::from(body));
+        let head_sender = self.head_sender.take().ok_or(CallerGone)?;
+        head_sender.send(response).map_err(|_| CallerGone)
+    }
+
+    /// Says that there is no whole answer: a refusal if nothing was passed on yet, else a problem event
+    /// and a cut connection. The body is never ended as if it were complete.
+    pub async fn fail(mut self, refusal: &RefusalAnswer) {
+        if let Some(sender) = self.head_sender.take() {
+            let _ = sender.send(refusal.response(&self.request_id));
+            return;
+        }
+        if self.streams {
+            let problem =
+                serde_json::to_string(&refusal.body(&self.request_id)).unwrap_or_default();
+            let _ = self.send(Ok(Bytes::from(format!("event: error\ndata: {problem}\n\n")))).await;
+        }
+        let cut = io::Error::new(io::ErrorKind::UnexpectedEof, kind_text(refusal.kind));
+        let _ = self.send(Err(cut)).await;
+    }
+}
+
+fn kind_text(kind: AnswerKind) -> &'static str {
+    kind.row().name
+}
--- /dev/null
+++ b/src/upstream/engine.rs
@@ -0,0 +1,224 @@
+//! The driver for model engines: the chat and completions JSON shape, streamed as server-sent events
+//! (WHATWG HTML, section 9.2) or whole.
+//!
+//! Resume and cancel go by request id: `GET /v1/requests/ID` with `Last-Event-ID`, and `DELETE` of
+//! the same. Every event carries its number as the event id and the request's id in its JSON.
+
+use super::connection::{ConnectionGuard, ConnectionPool, OpenFault};
+use super::plain::{answer_head, poll_report, upstream_request};
+use super::{AnswerPiece, AnswerStream, PieceRead, PieceSource, UpstreamCall, UpstreamDriver};
+use crate::policy::LoadReport;
+use bytes::Bytes;
+use eventsource_stream::{Event, EventStream, Eventsource};
+use futures_util::StreamExt;
+use futures_util::future::BoxFuture;
+use http::header::{ACCEPT, CONTENT_TYPE, HOST};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::{BodyDataStream, BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Largest whole answer, in bytes.
+const WHOLE_LIMIT: usize = 16 << 20;
+/// A cancel takes at most this long.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The data of the last event of a stream.
+const END_MARK: &str = "[DONE]";
+
+/// The parts of an answer or chunk that the daemon reads.
+#[derive(Debug, Deserialize)]
+struct ChunkFields {
+    #[serde(default)]
+    id: Option<String>,
+    #[serde(default)]
+    usage: Option<UsageFields>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct UsageFields {
+    #[serde(default)]
+    prompt_tokens: u32,
+    #[serde(default)]
+    completion_tokens: u32,
+}
+
+/// The driver for model engines.
+pub struct EngineDriver {
+    connections: Arc<ConnectionPool>,
+}
+
+impl EngineDriver {
+    /// A driver over shared connections.
+    pub fn new(connections: Arc<ConnectionPool>) -> Self {
+        EngineDriver { connections }
+    }
+
+    fn about(
+        call: &UpstreamCall,
+        address: SocketAddr,
+        method: Method,
+    ) -> Result<Request<Full<Bytes>>, OpenFault> {
+        Request::builder()
+            .method(method)
+            .uri(format!("/v1/requests/{}", call.id))
+            .header(HOST, address.to_string())
+            .body(Full::default())
+            .map_err(|error| OpenFault::Lost { detail: error.to_string() })
+    }
+}
+
+fn read_answer(response: Response<Incoming>, guard: ConnectionGuard) -> AnswerStream {
+    let head = answer_head(&response);
+    let content_type = response
+        .headers()
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
+    let is_stream = content_type.starts_with("text/event-stream");
+    let pieces: Box<dyn PieceSource> = if is_stream {
+        let events = BodyDataStream::new(response.into_body()).eventsource();
+        Box::new(EventPieces { events, guard: Some(guard), prompt_tokens: None })
+    } else {
+        Box::new(WholePiece { answer: Some(response), guard: Some(guard), prompt_tokens: None })
+    };
+    AnswerStream { head, pieces }
+}
+
+impl UpstreamDriver for EngineDriver {
+    fn open<'a>(
+        &'a self,
+        call: &'a UpstreamCall,
+        address: SocketAddr,
+    ) -> BoxFuture<'a, Result<AnswerStream, OpenFault>> {
+        Box::pin(async move {
+            let request = upstream_request(call, address)?;
+            let (response, guard) =
+                self.connections.send(address, request, !call.is_idempotent).await?;
+            Ok(read_answer(response, guard))
+        })
+    }
+
+    fn resume<'a>(
+        &'a self,
+        call: &'a UpstreamCall,
+        address: SocketAddr,
+        after: u64,
+    ) -> BoxFuture<'a, Result<AnswerStream, OpenFault>> {
+        Box::pin(async move {
+            let mut request = Self::about(call, address, Method::GET)?;
+            request.headers_mut().insert("last-event-id", HeaderValue::from(after));
+            let shape = if call.wants_stream { "text/event-stream" } else { "application/json" };
+            request.headers_mut().insert(ACCEPT, HeaderValue::from_static(shape));
+            let (response, guard) = self.connections.send(address, request, true).await?;
+            match response.status() {
+                StatusCode::NOT_FOUND | StatusCode::GONE => Err(OpenFault::Lost {
+                    detail: format!("the engine answers {} to resume", response.status()),
+                }),
+                _ => Ok(read_answer(response, guard)),
+            }
+        })
+    }
+
+    fn cancel<'a>(&'a self, call: &'a UpstreamCall, address: SocketAddr) -> BoxFuture<'a, ()> {
+        Box::pin(async move {
+            let Ok(request) = Self::about(call, address, Method::DELETE) else { return };
+            let _ =
+                tokio::time::timeout(CANCEL_TIMEOUT, self.connections.send(address, request, true))
+                    .await;
+        })
+    }
+
+    fn report(&self, address: SocketAddr) -> BoxFuture<'_, Option<LoadReport>> {
+        Box::pin(poll_report(&self.connections, address))
+    }
+
+    fn can_resume(&self) -> bool {
+        true
+    }
+}
+
+struct EventPieces {
+    events: EventStream<BodyDataStream<Incoming>>,
+    guard: Option<ConnectionGuard>,
+    prompt_tokens: Option<u32>,
+}
+
+impl EventPieces {
+    /// The end mark is the answer's end; what follows on the connection is only the body's own end,
+    /// and the connection goes back to the pool only if that comes at once.
+    async fn finish(&mut self) {
+        let rest = tokio::time::timeout(Duration::from_millis(20), self.events.next()).await;
+        if matches!(rest, Ok(None)) {
+            self.guard.take().into_iter().for_each(ConnectionGuard::finish);
+        }
+        self.guard = None;
+    }
+
+    fn piece(&mut self, event: &Event) -> AnswerPiece {
+        let fields: Option<ChunkFields> = serde_json::from_str(&event.data).ok();
+        let usage = fields.as_ref().and_then(|fields| fields.usage.as_ref());
+        self.prompt_tokens = usage.map(|usage| usage.prompt_tokens).or(self.prompt_tokens);
+        let bytes = Bytes::from(format!("id: {}\ndata: {}\n\n", event.id, event.data));
+        AnswerPiece {
+            sequence: event.id.parse().unwrap_or(0),
+            bytes,
+            echo: fields.and_then(|fields| fields.id),
+            tokens: 1,
+        }
+    }
+}
+
+impl PieceSource for EventPieces {
+    fn next(&mut self) -> BoxFuture<'_, PieceRead> {
+        Box::pin(async move {
+            match self.events.next().await {
+                Some(Ok(event)) if event.data == END_MARK => {
+                    self.finish().await;
+                    let end_mark = Bytes::from_static(b"data: [DONE]\n\n");
+                    PieceRead::Ended { prompt_tokens: self.prompt_tokens, end_mark }
+                }
+                Some(Ok(event)) => PieceRead::Piece(self.piece(&event)),
+                Some(Err(_)) | None => PieceRead::Cut,
+            }
+        })
+    }
+}
+
+/// A whole answer, read to its end before it counts as a piece.
+struct WholePiece {
+    answer: Option<Response<Incoming>>,
+    guard: Option<ConnectionGuard>,
+    prompt_tokens: Option<u32>,
+}
+
+impl PieceSource for WholePiece {
+    fn next(&mut self) -> BoxFuture<'_, PieceRead> {
+        Box::pin(async move {
+            let Some(answer) = self.answer.take() else {
+                return PieceRead::Ended {
+                    prompt_tokens: self.prompt_tokens,
+                    end_mark: Bytes::new(),
+                };
+            };
+            let has_length = answer.headers().contains_key(http::header::CONTENT_LENGTH)
+                || answer.headers().contains_key(http::header::TRANSFER_ENCODING);
+            let Ok(body) = Limited::new(answer.into_body(), WHOLE_LIMIT).collect().await else {
+                return PieceRead::Cut;
+            };
+            if !has_length {
+                return PieceRead::Cut;
+            }
+            self.guard.take().into_iter().for_each(ConnectionGuard::finish);
+            let bytes = body.to_bytes();
+            let fields: Option<ChunkFields> = serde_json::from_slice(&bytes).ok();
+            let usage = fields.as_ref().and_then(|fields| fields.usage.as_ref());
+            self.prompt_tokens = usage.map(|usage| usage.prompt_tokens);
+            let tokens = usage.map_or(0, |usage| usage.completion_tokens);
+            let echo = fields.as_ref().and_then(|fields| fields.id.clone());
+            PieceRead::Piece(AnswerPiece { sequence: 1, bytes, echo, tokens })
+        })
+    }
+}
--- /dev/null
+++ b/src/upstream/plain.rs
@@ -0,0 +1,210 @@
+//! The driver for plain HTTP services: any method and path, bodies passed through.
+
+use super::connection::{ConnectionGuard, ConnectionPool, OpenFault};
+use super::orca::{ORCA_HEADER, parse_orca_header, parse_orca_json};
+use super::{
+    AnswerHead, AnswerPiece, AnswerStream, PieceRead, PieceSource, REQUEST_ID_HEADER, UpstreamCall,
+    UpstreamDriver,
+};
+use crate::policy::LoadReport;
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
+use http_body::Body as _;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A polled report takes at most this long.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Where reports are polled.
+const REPORT_PATH: &str = "/load";
+/// Largest polled report, in bytes.
+const REPORT_LIMIT: usize = 64 * 1024;
+
+/// Headers that belong to one connection (RFC 9110, section 7.6.1) and are not passed on.
+const HOP_HEADERS: [HeaderName; 6] = [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE, HOST];
+
+/// Copies the headers that may be passed on.
+pub fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(',').map(|name| name.trim().to_ascii_lowercase()))
+        .collect();
+    let passes = |name: &HeaderName| {
+        !HOP_HEADERS.contains(name)
+            && name != "keep-alive"
+            && name != "proxy-connection"
+            && !named.iter().any(|hop| hop == name.as_str())
+    };
+    headers
+        .iter()
+        .filter(|(name, _)| passes(name))
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
+
+/// Builds the request that goes to the upstream.
+pub fn upstream_request(
+    call: &UpstreamCall,
+    address: SocketAddr,
+) -> Result<Request<Full<Bytes>>, OpenFault> {
+    let not_sent = |detail: String| OpenFault::NotSent { detail };
+    let mut request = Request::builder()
+        .method(call.method.clone())
+        .uri(call.uri.clone())
+        .body(Full::new(call.body.clone()))
+        .map_err(|error| not_sent(error.to_string()))?;
+    let headers = request.headers_mut();
+    *headers = call.headers.clone();
+    headers.remove(CONTENT_LENGTH);
+    let host =
+        HeaderValue::from_str(&address.to_string()).map_err(|error| not_sent(error.to_string()))?;
+    headers.insert(HOST, host);
+    let id = HeaderValue::from_str(&call.id).map_err(|error| not_sent(error.to_string()))?;
+    headers.insert(REQUEST_ID_HEADER, id);
+    Ok(request)
+}
+
+/// Reads the parts of an answer's head that the daemon needs.
+pub fn answer_head(response: &Response<Incoming>) -> AnswerHead {
+    let text = |name: &str| response.headers().get(name).and_then(|value| value.to_str().ok());
+    AnswerHead {
+        status: response.status(),
+        headers: end_to_end_headers(response.headers()),
+        echo: text(REQUEST_ID_HEADER).map(str::to_owned),
+        report: text(ORCA_HEADER).and_then(parse_orca_header),
+    }
+}
+
+/// Polls a load report; shared by both drivers.
+pub async fn poll_report(
+    connections: &Arc<ConnectionPool>,
+    address: SocketAddr,
+) -> Option<LoadReport> {
+    let request =
+        Request::get(REPORT_PATH).header(HOST, address.to_string()).body(Full::default()).ok()?;
+    let poll = async {
+        let (response, guard) = connections.send(address, request, false).await.ok()?;
+        let is_good = response.status() == StatusCode::OK;
+        let body = http_body_util::Limited::new(response.into_body(), REPORT_LIMIT)
+            .collect()
+            .await
+            .ok()?
+            .to_bytes();
+        guard.finish();
+        is_good.then(|| parse_orca_json(&body)).flatten()
+    };
+    tokio::time::timeout(REPORT_TIMEOUT, poll).await.ok().flatten()
+}
+
+/// The driver for plain services.
+pub struct PlainDriver {
+    connections: Arc<ConnectionPool>,
+}
+
+impl PlainDriver {
+    /// A driver over shared connections.
+    pub fn new(connections: Arc<ConnectionPool>) -> Self {
+        PlainDriver { connections }
+    }
+}
+
+impl UpstreamDriver for PlainDriver {
+    fn open<'a>(
+        &'a self,
+        call: &'a UpstreamCall,
+        address: SocketAddr,
+    ) -> BoxFuture<'a, Result<AnswerStream, OpenFault>> {
+        Box::pin(async move {
+            let request = upstream_request(call, address)?;
+            let (response, guard) =
+                self.connections.send(address, request, !call.is_idempotent).await?;
+            let head = answer_head(&response);
+            let has_end_mark = ends_provably(&call.method, &response);
+            let pieces = BodyPieces {
+                body: response.into_body(),
+                guard: Some(guard),
+                sequence: 0,
+                has_end_mark,
+            };
+            Ok(AnswerStream { head, pieces: Box::new(pieces) })
+        })
+    }
+
+    fn resume<'a>(
+        &'a self,
+        _: &'a UpstreamCall,
+        _: SocketAddr,
+        _: u64,
+    ) -> BoxFuture<'a, Result<AnswerStream, OpenFault>> {
+        Box::pin(async {
+            Err(OpenFault::Lost { detail: "plain services cannot resume".to_owned() })
+        })
+    }
+
+    fn cancel<'a>(&'a self, _: &'a UpstreamCall, _: SocketAddr) -> BoxFuture<'a, ()> {
+        Box::pin(async {})
+    }
+
+    fn report(&self, address: SocketAddr) -> BoxFuture<'_, Option<LoadReport>> {
+        Box::pin(poll_report(&self.connections, address))
+    }
+
+    fn can_resume(&self) -> bool {
+        false
+    }
+}
+
+/// True if the answer's end can be told from a cut: a declared length, chunks, or no body at all. An
+/// answer that ends only with its connection looks the same whole or truncated.
+fn ends_provably(method: &Method, response: &Response<Incoming>) -> bool {
+    let headers = response.headers();
+    let has_no_body = method == Method::HEAD
+        || response.status().is_informational()
+        || response.status() == StatusCode::NO_CONTENT
+        || response.status() == StatusCode::NOT_MODIFIED;
+    has_no_body
+        || headers.contains_key(CONTENT_LENGTH)
+        || headers.contains_key(TRANSFER_ENCODING)
+        || response.body().is_end_stream()
+}
+
+struct BodyPieces {
+    body: Incoming,
+    guard: Option<ConnectionGuard>,
+    sequence: u64,
+    has_end_mark: bool,
+}
+
+impl PieceSource for BodyPieces {
+    fn next(&mut self) -> BoxFuture<'_, PieceRead> {
+        Box::pin(async move {
+            loop {
+                let frame = match self.body.frame().await {
+                    Some(Ok(frame)) => frame,
+                    Some(Err(_)) => return PieceRead::Cut,
+                    None if self.has_end_mark => {
+                        self.guard.take().into_iter().for_each(ConnectionGuard::finish);
+                        return PieceRead::Ended { prompt_tokens: None, end_mark: Bytes::new() };
+                    }
+                    None => return PieceRead::Cut,
+                };
+                if let Ok(bytes) = frame.into_data() {
+                    self.sequence += 1;
+                    return PieceRead::Piece(AnswerPiece {
+                        sequence: self.sequence,
+                        bytes,
+                        echo: None,
+                        tokens: 0,
+                    });
+                }
+            }
+        })
+    }
+}
--- /dev/null
+++ b/tests/fixtures.rs
@@ -0,0 +1,79 @@
+//! Fixtures built by functions: a table, stand-ins and one daemon's traffic, all on loopback.
+
+use slog::{Discard, Logger, o};
+use std::sync::Arc;
+use std::time::Duration;
+use tarragonknot::policy::Moment;
+use tarragonknot::standin::{
+    EngineShape, EngineStandin, PlainShape, PlainStandin, PrefillLedger, start_engine, start_plain,
+};
+use tarragonknot::table::{KeyDigest, OperatorTable, UpstreamRow, VersionedTable, check_document};
+use tarragonknot::traffic::{FrontHandle, TrafficState, start_front};
+use tokio::net::TcpListener;
+
+/// The key of the organisation `agents`.
+pub const AGENTS_KEY: &str = "agents-key";
+/// The key of the organisation `staff`.
+pub const STAFF_KEY: &str = "staff-key";
+
+/// A table with two tiers, two organisations, a model and a plain service, and no upstreams.
+pub fn small_table() -> OperatorTable {
+    let text = format!(
+        r#"{{
+        "tiers": [{{"tier": "urgent", "rank": 0, "weight": 3}}, {{"tier": "idle", "rank": 1, "weight": 1}}],
+        "organisations": [
+            {{"organisation": "agents", "key_digests": ["{}"], "weight": 1}},
+            {{"organisation": "staff", "key_digests": ["{}"], "weight": 1}}],
+        "services": [
+            {{"service": "pack-llm", "kind": "model", "default_tier": "urgent", "deadline_ms": 10000, "silence_ms": 200}},
+            {{"service": "pack-api", "kind": "plain", "default_tier": "urgent", "deadline_ms": 10000,
+              "organisations": ["agents"]}}],
+        "assignments": [{{"organisation": "staff", "tier": "idle"}}]
+    }}"#,
+        KeyDigest::of(AGENTS_KEY).0,
+        KeyDigest::of(STAFF_KEY).0
+    );
+    check_document(&text).expect("the fixture's table is good")
+}
+
+/// One daemon's traffic before one engine and one plain service.
+pub struct SmallFleet {
+    pub state: Arc<TrafficState>,
+    pub front: FrontHandle,
+    pub engine: Arc<EngineStandin>,
+    pub service: Arc<PlainStandin>,
+    pub table: OperatorTable,
+}
+
+/// Starts the fleet with `change` applied to the table.
+pub async fn small_fleet(change: impl FnOnce(&mut OperatorTable)) -> SmallFleet {
+    let engine = start_engine(
+        EngineShape::with_step(1_000),
+        Arc::new(PrefillLedger::default()),
+        Duration::ZERO,
+    )
+    .await
+    .unwrap();
+    let service = start_plain(PlainShape::default()).await.unwrap();
+    let mut table = small_table();
+    table.upstreams.push(upstream("engine-1", "pack-llm", engine.address));
+    table.upstreams.push(upstream("service-1", "pack-api", service.address));
+    change(&mut table);
+    let state = TrafficState::new("entry-1".into(), Logger::root(Discard, o!()), 7);
+    state.apply_table(&VersionedTable::new(1, table.clone()));
+    state.set_current_until(Moment(u64::MAX));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let front = start_front(Arc::clone(&state), listener, Duration::from_millis(50)).unwrap();
+    SmallFleet { state, front, engine, service, table }
+}
+
+/// A row for an upstream.
+pub fn upstream(name: &str, service: &str, address: std::net::SocketAddr) -> UpstreamRow {
+    UpstreamRow {
+        upstream: name.into(),
+        service: service.into(),
+        address,
+        data_centre: "hall-a".into(),
+        incarnation: 0,
+    }
+}
