--- a/src/traffic/front.rs
+++ b/src/traffic/front.rs
@@ -18,7 +18,7 @@
 use axum::routing::get;
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_TYPE};
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
@@ -338,7 +338,7 @@
         id: Arc::clone(id),
         method: parts.method,
         uri,
-        headers: upstream_headers(&parts.headers),
+        headers: upstream_headers(&parts.headers, is_model),
         body,
         wants_stream: shape.wants_stream,
         is_idempotent,
@@ -468,18 +468,15 @@
 }
 
 /// The caller's headers without its key, without what belongs to its connection, and without ours.
-fn upstream_headers(headers: &HeaderMap) -> HeaderMap {
+fn upstream_headers(headers: &HeaderMap, is_model: bool) -> HeaderMap {
     let mut passed = crate::upstream::end_to_end_headers(headers);
     let own = [DEADLINE_HEADER, IDEMPOTENT_HEADER, PURPOSE_HEADER, "x-request-id", "expect"];
     own.iter().for_each(|name| {
         passed.remove(*name);
     });
     passed.remove(AUTHORIZATION);
-    if !passed.contains_key(CONTENT_TYPE) {
-        passed.insert(
-            HeaderName::from_static("content-type"),
-            HeaderValue::from_static("application/octet-stream"),
-        );
+    if is_model {
+        passed.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     }
     passed
 }
