--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -15,6 +15,8 @@
     No,
     /// A byte was sent and no complete answer came back.
     Unknown,
+    /// The request ran, and was answered before.
+    Yes,
 }
 
 /// Whether and when a caller should come back.
@@ -78,6 +80,8 @@
     ClaimRunning,
     /// The first request with this idempotency key may have run; its outcome is not known.
     ClaimUnknown,
+    /// The first request with this idempotency key was answered; its answer is not kept.
+    ClaimAnswered,
     /// The claim could not be recorded, so the request was not dispatched.
     ClaimUnavailable,
     /// A fault of the daemon itself before dispatch.
@@ -149,6 +153,7 @@
     ClaimMismatch "claim-mismatch" 422 No RetryHint::Never, false, "The idempotency key was used with another body";
     ClaimRunning "claim-running" 409 Unknown SECOND, false, "The first request with this key is in progress";
     ClaimUnknown "claim-unknown" 409 Unknown RetryHint::Never, false, "The first request with this key may have run";
+    ClaimAnswered "claim-answered" 409 Yes RetryHint::Never, false, "The first request with this key was answered, and its answer is not kept";
     ClaimUnavailable "claim-unavailable" 503 No SECOND, false, "The claim could not be recorded";
     Internal "internal" 500 No SECOND, false, "A fault of this daemon";
 }
--- /dev/null
+++ b/src/cmd/load.rs
@@ -0,0 +1,255 @@
+//! `load`: sends a firm's requests to a daemon before stand-in upstreams, and sums up the answers.
+
+use super::CommandError;
+use crate::control::FleetKey;
+use crate::daemon::{RunningDaemon, start_daemon};
+use crate::load::{
+    CallResult, LoadCaller, LoadProfile, LoadSummary, PlannedRequest, PolicyChoice, ProfileKind,
+};
+use crate::report::{install_metrics, json_logger};
+use crate::settings::DaemonSettings;
+use crate::standin::{
+    EngineStandin, PlainShape, PlainStandin, PrefillLedger, start_engine, start_plain,
+};
+use crate::table::OperatorTable;
+use slog::{Discard, Level, Logger, o};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const HELP: &str = "\
+Starts stand-in engines and services on loopback, one daemon with an embedded voter before them, and
+sends requests on an open loop: arrivals do not wait for answers. Every answer is checked piece by
+piece. The run ends by itself. With --times the rate is a multiple of what the engines can carry at
+most by their own model.";
+
+/// Load reports of the stand-ins are this old.
+const REPORT_LAG: Duration = Duration::from_millis(200);
+/// A daemon that is not ready by then has failed.
+const READY_LIMIT: Duration = Duration::from_secs(15);
+
+/// Send a firm's requests and sum up the answers.
+#[derive(Debug, clap::Args)]
+#[command(long_about = HELP)]
+pub struct Args {
+    /// Whose requests.
+    #[arg(long, value_enum)]
+    profile: ProfileKind,
+    /// Requests a second.
+    #[arg(long, conflicts_with = "times")]
+    rate: Option<f64>,
+    /// The rate as a multiple of the engines' capacity.
+    #[arg(long)]
+    times: Option<f64>,
+    /// Seconds of arrivals.
+    #[arg(long, default_value_t = 10)]
+    seconds: u64,
+    /// Seed of the requests.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// The daemon's policy, or a baseline.
+    #[arg(long, value_enum, default_value = "weighted")]
+    policy: PolicyChoice,
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
+    /// Log the daemon to standard error.
+    #[arg(long)]
+    log: bool,
+}
+
+/// Runs the command.
+pub fn run(args: &Args) -> Result<(), CommandError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let runtime = runtime.map_err(|error| CommandError::Failed { detail: error.to_string() })?;
+    let summary = runtime.block_on(load(args))?;
+    match args.json {
+        true => super::print_json(&summary),
+        false => super::print_out(&summary.grid()),
+    }
+    match summary.broken() {
+        0 => Ok(()),
+        broken => Err(CommandError::Failed { detail: format!("{broken} broken promises") }),
+    }
+}
+
+async fn load(args: &Args) -> Result<LoadSummary, CommandError> {
+    let profile = Arc::new(LoadProfile::new(args.profile));
+    let log = if args.log {
+        json_logger(std::io::stderr(), Level::Info, "load")
+    } else {
+        Logger::root(Discard, o!())
+    };
+    let bench = LoadBench::start(&profile, args.policy, log).await?;
+    let rate = args.rate.unwrap_or_else(|| profile.capacity() * args.times.unwrap_or(0.5));
+    let plan = profile.plan(rate, Duration::from_secs(args.seconds), args.seed);
+    if !args.json {
+        super::print_out(&format!(
+            "{} requests at {rate:.0}/s, capacity {:.0}/s",
+            plan.len(),
+            profile.capacity()
+        ));
+    }
+    let results = send_plan(&profile, plan, bench.daemon.callers, args.seed).await;
+    let mut summary = LoadSummary::of(&profile, &results);
+    summary.prefill_tokens = bench.ledger.computed_tokens();
+    summary.wasted_tokens = bench.ledger.wasted_tokens();
+    summary.most_dispatches = bench.most_dispatches();
+    summary.order_breaks =
+        bench.daemon.state.pools().values().map(|pool| pool.order_breaks()).sum();
+    bench.stop().await;
+    Ok(summary)
+}
+
+/// Sends every planned request at its time, and waits for all answers.
+pub(super) async fn send_plan(
+    profile: &Arc<LoadProfile>,
+    plan: Vec<PlannedRequest>,
+    address: SocketAddr,
+    seed: u64,
+) -> Vec<(PlannedRequest, CallResult)> {
+    let caller = LoadCaller::new(address);
+    let start = tokio::time::Instant::now() + Duration::from_millis(50);
+    let mut calls = Vec::with_capacity(plan.len());
+    for planned in plan {
+        tokio::time::sleep_until(start + planned.at).await;
+        let profile = Arc::clone(profile);
+        let caller = caller.clone();
+        calls.push(tokio::spawn(async move {
+            let result = caller.call(&profile, &planned, seed).await;
+            (planned, result)
+        }));
+    }
+    let mut results = Vec::with_capacity(calls.len());
+    for call in calls {
+        results.extend(call.await.ok());
+    }
+    results
+}
+
+/// Stand-ins and one daemon before them.
+pub(super) struct LoadBench {
+    pub(super) daemon: RunningDaemon,
+    pub(super) ledger: Arc<PrefillLedger>,
+    pub(super) engines: Vec<Arc<EngineStandin>>,
+    pub(super) services: Vec<Arc<PlainStandin>>,
+    _folder: tempfile::TempDir,
+}
+
+impl LoadBench {
+    /// Starts everything and waits until the daemon is ready under the firm's table.
+    pub(super) async fn start(
+        profile: &LoadProfile,
+        policy: PolicyChoice,
+        log: Logger,
+    ) -> Result<Self, CommandError> {
+        let failed = |error: std::io::Error| CommandError::Failed { detail: error.to_string() };
+        install_metrics();
+        let ledger = Arc::new(PrefillLedger::default());
+        let mut engines = Vec::new();
+        for _ in 0..profile.engines {
+            engines.push(
+                start_engine(profile.shape, Arc::clone(&ledger), REPORT_LAG)
+                    .await
+                    .map_err(failed)?,
+            );
+        }
+        let mut services = Vec::new();
+        for _ in 0..profile.services {
+            services.push(start_plain(PlainShape::default()).await.map_err(failed)?);
+        }
+        let folder = tempfile::tempdir().map_err(failed)?;
+        let settings = single_settings(folder.path())?;
+        let key = FleetKey::from_text("load");
+        let daemon = start_daemon(&settings, key.clone(), log, 1)
+            .await
+            .map_err(|source| CommandError::Start { source })?;
+        let engine_addresses: Vec<SocketAddr> =
+            engines.iter().map(|engine| engine.address).collect();
+        let service_addresses: Vec<SocketAddr> =
+            services.iter().map(|service| service.address).collect();
+        let table = profile.table(&engine_addresses, &service_addresses, policy);
+        apply_first_table(daemon.control, &key, table).await?;
+        wait_ready(&daemon).await?;
+        Ok(LoadBench { daemon, ledger, engines, services, _folder: folder })
+    }
+
+    /// The largest number of dispatches of one request.
+    pub(super) fn most_dispatches(&self) -> u32 {
+        let engines = self.engines.iter().flat_map(|engine| engine.dispatches().into_values());
+        let services = self.services.iter().flat_map(|service| service.runs().into_values());
+        engines.chain(services).max().unwrap_or(0)
+    }
+
+    /// Drains and stops the daemon.
+    pub(super) async fn stop(self) {
+        self.daemon.drain();
+        self.daemon.finished().await;
+    }
+}
+
+fn single_settings(folder: &Path) -> Result<DaemonSettings, CommandError> {
+    let text = serde_json::json!({
+        "daemon": "entry-1",
+        "data_centre": "hall-a",
+        "callers": "127.0.0.1:0",
+        "control": "127.0.0.1:0",
+        "data_folder": folder.join("data"),
+        "fleet_key_file": folder.join("key"),
+        "found_fleet": true,
+        "balancer_wait_ms": 0,
+    });
+    DaemonSettings::read(&text.to_string())
+        .map_err(|faults| CommandError::Failed { detail: faults.to_string() })
+}
+
+/// Applies the first table of a new fleet.
+pub(super) async fn apply_first_table(
+    control: SocketAddr,
+    key: &FleetKey,
+    table: OperatorTable,
+) -> Result<(), CommandError> {
+    use crate::control::{ControlApiClient, EditOutcome, LeaderAnswer, TableEdit, connect};
+    let until = Instant::now() + READY_LIMIT;
+    let empty = crate::table::VersionedTable::new(0, OperatorTable::default());
+    let edit = TableEdit {
+        edit_id: "first".to_owned(),
+        operator: "load".to_owned(),
+        at: 0,
+        base_version: 0,
+        base_hash: empty.hash,
+        table,
+    };
+    while Instant::now() < until {
+        if let Ok(client) = connect(control, key).await
+            && let Ok(LeaderAnswer::Done(answer)) = client.apply(edit.clone(), true).await
+        {
+            return match answer.outcome {
+                EditOutcome::Accepted(_) => Ok(()),
+                EditOutcome::Conflict(_) => {
+                    Err(CommandError::Failed { detail: "the fleet has a table already".to_owned() })
+                }
+            };
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    Err(CommandError::Failed { detail: format!("no leader within {READY_LIMIT:?}") })
+}
+
+/// Waits until a daemon admits requests.
+pub(super) async fn wait_ready(daemon: &RunningDaemon) -> Result<(), CommandError> {
+    let until = Instant::now() + READY_LIMIT;
+    while Instant::now() < until {
+        let has_share = daemon
+            .state
+            .pools()
+            .values()
+            .all(|pool| pool.inspect(|scheduler| !scheduler.upstreams().open().is_empty()));
+        if daemon.state.is_ready() && has_share {
+            return Ok(());
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    Err(CommandError::Failed { detail: format!("not ready within {READY_LIMIT:?}") })
+}
--- /dev/null
+++ b/src/cmd/operator.rs
@@ -0,0 +1,102 @@
+//! What operators' commands share: where the daemons are, and finding the leader.
+
+use super::CommandError;
+use crate::control::{CallFault, FleetKey, LeaderAnswer, connect};
+use jsonrpsee::core::ClientError;
+use jsonrpsee::ws_client::WsClient;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Time before the daemons are asked again.
+const ASK_PAUSE: Duration = Duration::from_millis(100);
+
+/// Where and with which key to ask.
+#[derive(Debug, clap::Args)]
+pub struct ControlTarget {
+    /// Control address of a daemon; repeat it for others to be asked if the first does not answer.
+    #[arg(
+        long = "control",
+        value_name = "ADDRESS",
+        required = true,
+        env = "TARRAGONKNOT_CONTROL",
+        value_delimiter = ','
+    )]
+    pub addresses: Vec<SocketAddr>,
+    /// File that holds the fleet's key.
+    #[arg(long, value_name = "FILE", env = "TARRAGONKNOT_FLEET_KEY_FILE")]
+    pub fleet_key_file: PathBuf,
+    /// How long to look for a leader, in seconds.
+    #[arg(long, value_name = "SECONDS", default_value_t = 15)]
+    pub patience: u64,
+}
+
+impl ControlTarget {
+    /// Reads the key.
+    pub fn key(&self) -> Result<FleetKey, CommandError> {
+        let path = &self.fleet_key_file;
+        FleetKey::read(path).map_err(|source| CommandError::File { path: path.clone(), source })
+    }
+
+    /// Opens a connection to the first daemon that answers.
+    pub async fn any(&self) -> Result<(SocketAddr, Arc<WsClient>), CommandError> {
+        let key = self.key()?;
+        let mut last = CallFault::NoLeader;
+        for address in &self.addresses {
+            match connect(*address, &key).await {
+                Ok(client) => return Ok((*address, Arc::new(client))),
+                Err(fault) => last = fault,
+            }
+        }
+        Err(CommandError::Call { source: last })
+    }
+
+    /// Makes a call until a leader answers it. Calls must be harmless to repeat.
+    pub async fn ask_leader<T, F>(
+        &self,
+        call: impl Fn(Arc<WsClient>) -> F,
+    ) -> Result<T, CommandError>
+    where
+        F: Future<Output = Result<LeaderAnswer<T>, ClientError>>,
+    {
+        let key = self.key()?;
+        let until = Instant::now() + Duration::from_secs(self.patience);
+        let mut last = CallFault::NoLeader;
+        loop {
+            let mut addresses: VecDeque<SocketAddr> = self.addresses.iter().copied().collect();
+            let mut asked = Vec::new();
+            while let Some(address) = addresses.pop_front() {
+                if asked.contains(&address) {
+                    continue;
+                }
+                asked.push(address);
+                match ask_one(address, &key, &call).await {
+                    Ok(LeaderAnswer::Done(done)) => return Ok(done),
+                    Ok(LeaderAnswer::Elsewhere(leader)) => addresses.extend(leader),
+                    Err(fault @ CallFault::KeyRefused { .. }) => {
+                        return Err(CommandError::Call { source: fault });
+                    }
+                    Err(fault) => last = fault,
+                }
+            }
+            if Instant::now() >= until {
+                return Err(CommandError::Call { source: last });
+            }
+            tokio::time::sleep(ASK_PAUSE).await;
+        }
+    }
+}
+
+async fn ask_one<T, F>(
+    address: SocketAddr,
+    key: &FleetKey,
+    call: &impl Fn(Arc<WsClient>) -> F,
+) -> Result<LeaderAnswer<T>, CallFault>
+where
+    F: Future<Output = Result<LeaderAnswer<T>, ClientError>>,
+{
+    let client = Arc::new(connect(address, key).await?);
+    call(client).await.map_err(|error| CallFault::Failed { address, detail: error.to_string() })
+}
--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,116 @@
+//! `status`: shows daemons as they see themselves, and the fleet as the leader sees it.
+
+use super::CommandError;
+use super::operator::ControlTarget;
+use crate::control::{ControlApiClient, DaemonStatus, connect};
+use comfy_table::{Table, presets};
+use serde::Serialize;
+use std::net::SocketAddr;
+
+const HELP: &str = "\
+Asks the named daemons, and the leader if one of them knows it, for their status. A daemon that does not
+answer is listed as unreachable. Members are shown as the leader sees them: a member whose lease has run
+out admits nothing.";
+
+/// Show daemons and the fleet.
+#[derive(Debug, clap::Args)]
+#[command(long_about = HELP)]
+pub struct Args {
+    #[command(flatten)]
+    target: ControlTarget,
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+/// One daemon's answer.
+#[derive(Debug, Serialize)]
+struct StatusRow {
+    control: SocketAddr,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    status: Option<DaemonStatus>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    fault: Option<String>,
+}
+
+/// Runs the command.
+pub fn run(args: &Args) -> Result<(), CommandError> {
+    let rows = super::block_on(ask_all(&args.target))?;
+    if rows.iter().all(|row| row.status.is_none()) {
+        let detail =
+            rows.into_iter().filter_map(|row| row.fault).collect::<Vec<String>>().join("\n");
+        return Err(CommandError::Failed { detail });
+    }
+    match args.json {
+        true => super::print_json(&rows),
+        false => print_grid(&rows),
+    }
+    Ok(())
+}
+
+async fn ask_all(target: &ControlTarget) -> Result<Vec<StatusRow>, CommandError> {
+    let key = target.key()?;
+    let mut addresses = target.addresses.clone();
+    let mut rows: Vec<StatusRow> = Vec::new();
+    while let Some(control) = addresses.get(rows.len()).copied() {
+        let answer = match connect(control, &key).await {
+            Ok(client) => client.status().await.map_err(|error| error.to_string()),
+            Err(fault) => Err(fault.to_string()),
+        };
+        if let Ok(status) = &answer {
+            let members = status.members.iter().filter_map(|member| member.control);
+            let known: Vec<SocketAddr> = status.leader.into_iter().chain(members).collect();
+            known.into_iter().for_each(|address| {
+                if !addresses.contains(&address) {
+                    addresses.push(address)
+                }
+            });
+        }
+        rows.push(StatusRow {
+            control,
+            fault: answer.as_ref().err().cloned(),
+            status: answer.ok(),
+        });
+    }
+    Ok(rows)
+}
+
+fn print_grid(rows: &[StatusRow]) {
+    let mut grid = Table::new();
+    grid.load_preset(presets::UTF8_HORIZONTAL_ONLY);
+    grid.set_header(["daemon", "control", "role", "term", "table", "applied", "log", "claims"]);
+    for row in rows {
+        let control = row.control.to_string();
+        match &row.status {
+            Some(status) => grid.add_row([
+                status.daemon.clone(),
+                control,
+                status.role.clone(),
+                status.term.to_string(),
+                status.table_version.to_string(),
+                status.applied.to_string(),
+                status.log_length.to_string(),
+                status.claims.to_string(),
+            ]),
+            None => grid.add_row(["?", &control, row.fault.as_deref().unwrap_or("unreachable")]),
+        };
+    }
+    super::print_out(&grid.to_string());
+    let members =
+        rows.iter().filter_map(|row| row.status.as_ref()).flat_map(|status| &status.members);
+    let mut grid = Table::new();
+    grid.load_preset(presets::UTF8_HORIZONTAL_ONLY);
+    grid.set_header(["member", "table in force", "heard", "lease"]);
+    for member in members {
+        let heard =
+            member.heard_ms.map_or_else(|| "never".to_owned(), |millis| format!("{millis} ms ago"));
+        let lease = if member.is_live { "valid" } else { "run out" };
+        grid.add_row([
+            member.daemon.to_string(),
+            member.version.to_string(),
+            heard,
+            lease.to_owned(),
+        ]);
+    }
+    super::print_out(&grid.to_string());
+}
--- /dev/null
+++ b/src/control/claims.rs
@@ -0,0 +1,151 @@
+//! The traffic's way to claims: batches commands and brings them to the leader.
+
+use super::links::{FleetKey, LeaderHint, connect};
+use super::rpc::{ControlApiClient, LeaderAnswer};
+use crate::claim::{ClaimCommand, ClaimKey, ClaimOutcome, ClaimOwner, ClaimReply};
+use jsonrpsee::ws_client::WsClient;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+
+/// Commands in one call.
+const BATCH: usize = 512;
+/// Calls under way.
+const CALLS_AT_ONCE: usize = 4;
+/// One call is answered within this time, or is made again; a repeated take by its owner is harmless.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// A take that is not committed within this time is given up, and withdrawn.
+const TAKE_LIMIT: Duration = Duration::from_millis(2_500);
+/// A settlement is tried for this long.
+const SETTLE_LIMIT: Duration = Duration::from_secs(120);
+/// Time before the next try.
+const RETRY_PAUSE: Duration = Duration::from_millis(30);
+
+/// What the keeper needs.
+#[derive(Clone, Debug)]
+pub struct ClaimSettings {
+    /// Control addresses to look for the leader at.
+    pub voters: Vec<SocketAddr>,
+    /// The fleet's key.
+    pub key: FleetKey,
+    /// Where the leader is believed to be.
+    pub hint: LeaderHint,
+}
+
+#[derive(Debug)]
+struct PendingClaim {
+    command: ClaimCommand,
+    until: Instant,
+    reply: Option<oneshot::Sender<Option<ClaimReply>>>,
+}
+
+/// A handle for taking and settling claims.
+#[derive(Clone, Debug)]
+pub struct ClaimKeeper {
+    sender: mpsc::UnboundedSender<PendingClaim>,
+}
+
+impl ClaimKeeper {
+    /// Starts the keeper on the current runtime.
+    pub fn start(settings: ClaimSettings) -> Self {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let keeper = ClaimKeeper { sender };
+        tokio::spawn(run_batches(settings, receiver, keeper.clone()));
+        keeper
+    }
+
+    /// Takes a claim; none if it could not be committed in time, in which case it is withdrawn in the
+    /// background and the request must not be dispatched.
+    pub async fn take(
+        &self,
+        key: &ClaimKey,
+        digest: String,
+        owner: &ClaimOwner,
+        life: Duration,
+    ) -> Option<ClaimReply> {
+        let life = life.as_millis() as u64;
+        let command =
+            ClaimCommand::Take { key: key.clone(), digest, owner: owner.clone(), at: 0, life };
+        let (sender, receiver) = oneshot::channel();
+        let until = Instant::now() + TAKE_LIMIT;
+        self.sender.send(PendingClaim { command, until, reply: Some(sender) }).ok()?;
+        let reply = receiver.await.ok().flatten();
+        if reply.is_none() {
+            self.settle(key, owner, ClaimOutcome::NotRun);
+        }
+        reply
+    }
+
+    /// Records an outcome, in the background.
+    pub fn settle(&self, key: &ClaimKey, owner: &ClaimOwner, outcome: ClaimOutcome) {
+        let command = ClaimCommand::Settle { key: key.clone(), owner: owner.clone(), outcome };
+        let _ = self.sender.send(PendingClaim {
+            command,
+            until: Instant::now() + SETTLE_LIMIT,
+            reply: None,
+        });
+    }
+}
+
+async fn run_batches(
+    settings: ClaimSettings,
+    mut receiver: mpsc::UnboundedReceiver<PendingClaim>,
+    keeper: ClaimKeeper,
+) {
+    let calls = Arc::new(Semaphore::new(CALLS_AT_ONCE));
+    let mut client: Option<(SocketAddr, Arc<WsClient>)> = None;
+    let mut next_voter = 0;
+    let mut batch = Vec::new();
+    while receiver.recv_many(&mut batch, BATCH).await > 0 {
+        let Ok(permit) = Arc::clone(&calls).acquire_owned().await else { return };
+        let address = settings.hint.get().or_else(|| {
+            next_voter = (next_voter + 1) % settings.voters.len().max(1);
+            settings.voters.get(next_voter).copied()
+        });
+        if let Some(address) = address
+            && client.as_ref().is_none_or(|(known, open)| *known != address || !open.is_connected())
+        {
+            client =
+                connect(address, &settings.key).await.ok().map(|open| (address, Arc::new(open)));
+        }
+        let open = client.as_ref().map(|(_, open)| Arc::clone(open));
+        let call =
+            run_call(std::mem::take(&mut batch), open, settings.hint.clone(), keeper.clone());
+        tokio::spawn(async move {
+            let _permit = permit;
+            call.await;
+        });
+    }
+}
+
+async fn run_call(
+    batch: Vec<PendingClaim>,
+    client: Option<Arc<WsClient>>,
+    hint: LeaderHint,
+    keeper: ClaimKeeper,
+) {
+    let commands: Vec<ClaimCommand> = batch.iter().map(|pending| pending.command.clone()).collect();
+    let answer = match &client {
+        Some(client) => tokio::time::timeout(CALL_TIMEOUT, client.claims(commands)).await.ok(),
+        None => None,
+    };
+    match answer {
+        Some(Ok(LeaderAnswer::Done(replies))) if replies.len() == batch.len() => {
+            for (pending, reply) in batch.into_iter().zip(replies) {
+                pending.reply.into_iter().for_each(|sender| drop(sender.send(Some(reply.clone()))));
+            }
+            return;
+        }
+        Some(Ok(LeaderAnswer::Elsewhere(leader))) => hint.set(leader),
+        _ => hint.set(None),
+    }
+    tokio::time::sleep(RETRY_PAUSE).await;
+    let now = Instant::now();
+    for pending in batch {
+        match pending.until > now {
+            true => drop(keeper.sender.send(pending)),
+            false => pending.reply.into_iter().for_each(|sender| drop(sender.send(None))),
+        }
+    }
+}
--- /dev/null
+++ b/src/control/fleet.rs
@@ -0,0 +1,328 @@
+//! How the daemons act together, as the leader sees it; pure and kept in memory only.
+//!
+//! Every daemon has one call open to the leader: it reports, and is answered with orders when they
+//! change or after a while. A daemon may admit for one lease from when it sent its last answered
+//! report. So the leader knows of every daemon in the replicated member list either what it has
+//! confirmed, or that its lease has run out and it admits nothing.
+//!
+//! Shares: the limit of each pool is divided into [`SHARE_UNITS`]. A daemon counts with the larger of
+//! what it says it holds and what it was last ordered; only what nobody counts with is given out. So
+//! the sum never exceeds the whole, whoever dies between order and report.
+
+use crate::policy::{Moment, TierRank};
+use crate::table::{DaemonName, ServiceName, VersionedTable};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The whole of a pool's limit, in units of shares.
+pub const SHARE_UNITS: u32 = 10_000;
+/// Share that every member is given whatever its demand, as a part of its equal share.
+const LEAST_PART: f64 = 0.2;
+/// Clocks may differ by this factor over one lease.
+const DRIFT_MARGIN: f64 = 1.1;
+/// A share is changed only by more than this, so that noise in demand orders nothing.
+const SHARE_STEP: u32 = SHARE_UNITS / 50;
+
+/// What a daemon says of one pool.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolReport {
+    /// The pool.
+    pub service: ServiceName,
+    /// The floor it wants.
+    pub wanted: Option<TierRank>,
+    /// The floor it keeps: it admits no tier below, and holds none waiting.
+    pub kept: Option<TierRank>,
+    /// Estimated tokens waiting and running.
+    pub demand: u64,
+    /// Units of share it holds: what it was ordered, or more while work sent under a larger share runs.
+    pub share: u32,
+}
+
+/// A daemon's report.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DaemonReport {
+    /// The daemon.
+    pub daemon: DaemonName,
+    /// Its boot number.
+    pub boot: u64,
+    /// Rises with each report: one that was overtaken on the way is passed over.
+    pub sequence: u64,
+    /// Where its control interface is.
+    pub control: SocketAddr,
+    /// The table version in force there; 0 if none yet.
+    pub version: u64,
+    /// Its pools.
+    pub pools: Vec<PoolReport>,
+    /// True once it is draining and admits nothing.
+    pub is_leaving: bool,
+}
+
+/// Orders for one pool.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolOrder {
+    /// The pool.
+    pub service: ServiceName,
+    /// The floor to keep for others.
+    pub imposed: Option<TierRank>,
+    /// The floor that every daemon keeps.
+    pub confirmed: Option<TierRank>,
+    /// Units of share it may use.
+    pub share: u32,
+}
+
+/// The leader's answer to a report.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DaemonOrders {
+    /// The version in force.
+    pub version: u64,
+    /// Its table, if the daemon has another version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub table: Option<Box<VersionedTable>>,
+    /// Orders by pool.
+    pub pools: Vec<PoolOrder>,
+}
+
+/// A member as operators see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberView {
+    /// The daemon.
+    pub daemon: DaemonName,
+    /// The version in force there.
+    pub version: u64,
+    /// Milliseconds since its last report; absent if this leader has not heard it.
+    pub heard_ms: Option<u64>,
+    /// True while its lease lasts.
+    pub is_live: bool,
+    /// Its control address, once heard.
+    pub control: Option<SocketAddr>,
+}
+
+#[derive(Clone, Debug)]
+struct MemberState {
+    boot: u64,
+    heard: Option<Moment>,
+    report: Option<DaemonReport>,
+    /// The largest share ordered since that report.
+    ordered: BTreeMap<ServiceName, u32>,
+    /// The loosest floor imposed since that report; none where every tier was allowed again.
+    loosened: BTreeMap<ServiceName, Option<TierRank>>,
+}
+
+/// The leader's book of the fleet.
+#[derive(Clone, Debug)]
+pub struct FleetBook {
+    lease: Duration,
+    began: Moment,
+    members: BTreeMap<DaemonName, MemberState>,
+}
+
+impl FleetBook {
+    /// The book of a leader that was elected at `began`. Members it has not heard count as holding
+    /// leases until one lease after that.
+    pub fn new(lease: Duration, began: Moment, members: &BTreeMap<DaemonName, u64>) -> Self {
+        let mut book = FleetBook { lease, began, members: BTreeMap::new() };
+        book.set_members(members);
+        book
+    }
+
+    /// Takes the replicated member list.
+    pub fn set_members(&mut self, members: &BTreeMap<DaemonName, u64>) {
+        self.members.retain(|daemon, state| members.get(daemon) == Some(&state.boot));
+        for (daemon, boot) in members {
+            let fresh = MemberState {
+                boot: *boot,
+                heard: None,
+                report: None,
+                ordered: BTreeMap::new(),
+                loosened: BTreeMap::new(),
+            };
+            self.members.entry(daemon.clone()).or_insert(fresh);
+        }
+    }
+
+    /// True if the member list has this boot of the daemon.
+    pub fn knows(&self, daemon: &DaemonName, boot: u64) -> bool {
+        self.members.get(daemon).is_some_and(|state| state.boot == boot)
+    }
+
+    /// Takes a report of a known member. A daemon sends one only after it has taken over, or given up,
+    /// the answer to the one before, so the report replaces every earlier order.
+    pub fn report(&mut self, report: DaemonReport, now: Moment) {
+        let Some(state) =
+            self.members.get_mut(&report.daemon).filter(|state| state.boot == report.boot)
+        else {
+            return;
+        };
+        if state.report.as_ref().is_some_and(|last| last.sequence >= report.sequence) {
+            return;
+        }
+        state.heard = Some(now);
+        state.ordered.clear();
+        state.loosened.clear();
+        state.report = Some(report);
+    }
+
+    fn is_live(&self, state: &MemberState, now: Moment) -> bool {
+        let since = state.heard.unwrap_or(self.began);
+        now.since(since) < self.lease.mul_f64(DRIFT_MARGIN)
+    }
+
+    fn live(&self, now: Moment) -> impl Iterator<Item = (&DaemonName, &MemberState)> {
+        self.members.iter().filter(move |(_, state)| self.is_live(state, now))
+    }
+
+    /// Members whose lease ran out and that may be taken off the list.
+    pub fn dead(&self, now: Moment) -> Vec<(DaemonName, u64)> {
+        let dead = self.members.iter().filter(|(_, state)| !self.is_live(state, now));
+        dead.map(|(daemon, state)| (daemon.clone(), state.boot)).collect()
+    }
+
+    /// True if the daemon's boot is live: a claim it holds may still be running.
+    pub fn is_owner_live(&self, daemon: &DaemonName, boot: u64, now: Moment) -> bool {
+        self.members.get(daemon).is_some_and(|state| state.boot == boot && self.is_live(state, now))
+    }
+
+    /// Daemons that may still admit under a version below `version`.
+    pub fn lagging(&self, version: u64, now: Moment) -> Vec<DaemonName> {
+        let is_behind = |state: &MemberState| {
+            state.report.as_ref().is_none_or(|report| report.version < version)
+        };
+        self.live(now)
+            .filter(|(_, state)| is_behind(state))
+            .map(|(daemon, _)| daemon.clone())
+            .collect()
+    }
+
+    fn pool<'a>(state: &'a MemberState, service: &ServiceName) -> Option<&'a PoolReport> {
+        state.report.as_ref()?.pools.iter().find(|pool| pool.service == *service)
+    }
+
+    /// The floor that every live daemon keeps; none while one admits every tier, or is unheard.
+    pub fn confirmed(&self, service: &ServiceName, now: Moment) -> Option<TierRank> {
+        let kept = self.live(now).map(|(_, state)| match &state.report {
+            Some(report) if report.is_leaving => Some(TierRank(0)),
+            _ => Self::kept(state, service),
+        });
+        kept.collect::<Option<Vec<TierRank>>>()?.into_iter().max()
+    }
+
+    /// The floor that a member surely keeps: its word, unless a looser floor was imposed since.
+    fn kept(state: &MemberState, service: &ServiceName) -> Option<TierRank> {
+        let kept = Self::pool(state, service)?.kept?;
+        match state.loosened.get(service) {
+            Some(None) => None,
+            Some(Some(loosened)) => Some(kept.max(*loosened)),
+            None => Some(kept),
+        }
+    }
+
+    /// The strictest floor that a live daemon wants.
+    pub fn imposed(&self, service: &ServiceName, now: Moment) -> Option<TierRank> {
+        self.live(now).filter_map(|(_, state)| Self::pool(state, service)?.wanted).min()
+    }
+
+    /// Units that a member may be using: the larger of its word and the leader's.
+    fn outstanding(state: &MemberState, service: &ServiceName) -> u32 {
+        let held = Self::pool(state, service).map_or(0, |pool| pool.share);
+        held.max(state.ordered.get(service).copied().unwrap_or(0))
+    }
+
+    /// Units that nobody counts with; none while a live member is unheard, since it may hold any.
+    fn free(&self, service: &ServiceName, now: Moment) -> u32 {
+        if self.live(now).any(|(_, state)| state.report.is_none()) {
+            return 0;
+        }
+        let used: u32 = self.live(now).map(|(_, state)| Self::outstanding(state, service)).sum();
+        SHARE_UNITS.saturating_sub(used)
+    }
+
+    /// The share that a daemon's demand earns: a least part, and the rest by demand.
+    fn earned(&self, daemon: &DaemonName, service: &ServiceName, now: Moment) -> u32 {
+        let admits =
+            |state: &MemberState| state.report.as_ref().is_none_or(|report| !report.is_leaving);
+        let live: Vec<(&DaemonName, &MemberState)> =
+            self.live(now).filter(|(_, state)| admits(state)).collect();
+        if !live.iter().any(|(name, _)| *name == daemon) {
+            return 0;
+        }
+        let demand =
+            |state: &MemberState| Self::pool(state, service).map_or(0.0, |pool| pool.demand as f64);
+        let total: f64 = live.iter().map(|(_, state)| demand(state)).sum();
+        let own = self.members.get(daemon).map_or(0.0, demand);
+        let equal = 1.0 / live.len() as f64;
+        let by_demand = if total > 0.0 { own / total } else { equal };
+        let part = LEAST_PART * equal + (1.0 - LEAST_PART) * by_demand;
+        (part * f64::from(SHARE_UNITS)) as u32
+    }
+
+    /// The share to order, noting it: less at once, more only out of what is free.
+    fn order_share(&mut self, daemon: &DaemonName, service: &ServiceName, now: Moment) -> u32 {
+        let earned = self.earned(daemon, service, now);
+        let free = self.free(service, now);
+        let Some(state) = self.members.get_mut(daemon) else { return 0 };
+        let held = Self::pool(state, service).map_or(0, |pool| pool.share);
+        let outstanding = Self::outstanding(state, service);
+        let is_small = earned.abs_diff(held) < SHARE_STEP && held > 0 && earned > 0;
+        let share = match () {
+            () if is_small => held,
+            () if earned <= outstanding => earned,
+            () => earned.min(outstanding + free),
+        };
+        let ordered = state.ordered.entry(service.clone()).or_default();
+        *ordered = share.max(*ordered);
+        share
+    }
+
+    /// Orders for a member, for the services of the table in force.
+    pub fn orders(
+        &mut self,
+        daemon: &DaemonName,
+        table: &VersionedTable,
+        now: Moment,
+    ) -> DaemonOrders {
+        let services: BTreeSet<&ServiceName> =
+            table.table.services.iter().map(|row| &row.service).collect();
+        let order = |service: &ServiceName| PoolOrder {
+            service: service.clone(),
+            imposed: self.imposed(service, now),
+            confirmed: self.confirmed(service, now),
+            share: self.order_share(daemon, service, now),
+        };
+        let pools = services.into_iter().map(order).collect();
+        let known = self
+            .members
+            .get(daemon)
+            .and_then(|state| state.report.as_ref())
+            .map_or(0, |report| report.version);
+        let newer = (known != table.version).then(|| Box::new(table.clone()));
+        DaemonOrders { version: table.version, table: newer, pools }
+    }
+
+    /// Notes that orders were sent: from now on the member may act on them.
+    pub fn sent(&mut self, daemon: &DaemonName, orders: &[PoolOrder]) {
+        let Some(state) = self.members.get_mut(daemon) else { return };
+        for order in orders {
+            let loosened = state.loosened.entry(order.service.clone()).or_insert(order.imposed);
+            *loosened = loosened.zip(order.imposed).map(|(before, now)| before.max(now));
+        }
+    }
+
+    /// Live daemons.
+    pub fn live_count(&self, now: Moment) -> usize {
+        self.live(now).count()
+    }
+
+    /// All members, for operators.
+    pub fn view(&self, now: Moment) -> Vec<MemberView> {
+        let view = |(daemon, state): (&DaemonName, &MemberState)| MemberView {
+            daemon: daemon.clone(),
+            version: state.report.as_ref().map_or(0, |report| report.version),
+            heard_ms: state.heard.map(|heard| now.since(heard).as_millis() as u64),
+            is_live: self.is_live(state, now),
+            control: state.report.as_ref().map(|report| report.control),
+        };
+        self.members.iter().map(view).collect()
+    }
+}
--- /dev/null
+++ b/src/control/links.rs
@@ -0,0 +1,243 @@
+//! Connections to other daemons' control interfaces.
+
+use super::ledger::ControlCommand;
+use super::rpc::ControlApiClient;
+use crate::replica::{ReplicaEnvelope, ReplicaMessage, VoterId};
+use http::{HeaderMap, HeaderValue, header};
+use jsonrpsee::core::ClientError;
+use jsonrpsee::ws_client::{PingConfig, WsClient, WsClientBuilder};
+use slog::{Logger, debug};
+use snafu::Snafu;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Opening a connection takes at most this long.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// A short message is answered within this time, or its connection counts as silent: the next message
+/// goes over a new one. It is below the least election time, so that one silent connection elects nobody.
+const SHORT_TIMEOUT: Duration = Duration::from_millis(250);
+/// A snapshot or a large batch may take this long.
+const LONG_TIMEOUT: Duration = Duration::from_secs(10);
+/// Messages waiting for one peer; more are dropped, as on a lossy network.
+const WAITING_MESSAGES: usize = 256;
+/// Messages under way to one peer.
+const CALLS_AT_ONCE: usize = 32;
+/// Largest message, in bytes.
+pub const MESSAGE_LIMIT: u32 = 256 << 20;
+/// Calls under way on one connection.
+const PENDING_CALLS: usize = 4_096;
+/// An idle connection is pinged this often, so that one that went silent is noticed.
+const PING_INTERVAL: Duration = Duration::from_secs(5);
+
+/// The fleet's shared key. It is never logged: its debug form hides it.
+#[derive(Clone)]
+pub struct FleetKey(Arc<str>);
+
+impl FleetKey {
+    /// Reads the key from a file, without the white space around it.
+    pub fn read(path: &Path) -> std::io::Result<Self> {
+        let text = std::fs::read_to_string(path)?;
+        match text.trim() {
+            "" => {
+                Err(std::io::Error::new(std::io::ErrorKind::InvalidData, "the key file is empty"))
+            }
+            key => Ok(FleetKey(Arc::from(key))),
+        }
+    }
+
+    /// A key from text.
+    pub fn from_text(text: &str) -> Self {
+        FleetKey(Arc::from(text))
+    }
+
+    /// The value of the `Authorization` header.
+    pub fn bearer(&self) -> String {
+        format!("Bearer {}", self.0)
+    }
+}
+
+impl fmt::Debug for FleetKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("FleetKey(hidden)")
+    }
+}
+
+/// Where this process believes the leader to be; a hint only, every answer is checked by the leader.
+#[derive(Clone, Debug, Default)]
+pub struct LeaderHint(Arc<Mutex<Option<SocketAddr>>>);
+
+impl LeaderHint {
+    /// The address, if one is known.
+    pub fn get(&self) -> Option<SocketAddr> {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a new hint.
+    pub fn set(&self, leader: Option<SocketAddr>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = leader;
+    }
+}
+
+/// Why a call failed.
+#[derive(Debug, Snafu)]
+pub enum CallFault {
+    /// No connection.
+    #[snafu(display("{address}: cannot connect: {detail}"))]
+    Unreachable {
+        /// Whom.
+        address: SocketAddr,
+        /// What happened.
+        detail: String,
+    },
+    /// The other end refused the key.
+    #[snafu(display("{address}: the fleet key is not accepted"))]
+    KeyRefused {
+        /// Whom.
+        address: SocketAddr,
+    },
+    /// No answer in time, or an error.
+    #[snafu(display("{address}: {detail}"))]
+    Failed {
+        /// Whom.
+        address: SocketAddr,
+        /// What happened.
+        detail: String,
+    },
+    /// No leader was found in time.
+    #[snafu(display("no leader could be reached; the quorum may be lost"))]
+    NoLeader,
+}
+
+/// Opens a persistent connection to a control interface.
+pub async fn connect(address: SocketAddr, key: &FleetKey) -> Result<WsClient, CallFault> {
+    let mut headers = HeaderMap::new();
+    let value = HeaderValue::from_str(&key.bearer());
+    let value = value.map_err(|_| CallFault::Failed {
+        address,
+        detail: "the fleet key is not visible ASCII".to_owned(),
+    })?;
+    headers.insert(header::AUTHORIZATION, value);
+    let builder = WsClientBuilder::default()
+        .set_headers(headers)
+        .connection_timeout(CONNECT_TIMEOUT)
+        .request_timeout(LONG_TIMEOUT)
+        .max_request_size(MESSAGE_LIMIT)
+        .max_response_size(MESSAGE_LIMIT)
+        .max_concurrent_requests(PENDING_CALLS)
+        .enable_ws_ping(PingConfig::new().ping_interval(PING_INTERVAL))
+        .set_tcp_no_delay(true);
+    let connecting =
+        tokio::time::timeout(CONNECT_TIMEOUT, builder.build(format!("ws://{address}")));
+    match connecting.await {
+        Ok(Ok(client)) => Ok(client),
+        Ok(Err(error)) if error.to_string().contains("401") => {
+            Err(CallFault::KeyRefused { address })
+        }
+        Ok(Err(error)) => Err(CallFault::Unreachable { address, detail: error.to_string() }),
+        Err(_) => Err(CallFault::Unreachable {
+            address,
+            detail: format!("no answer within {CONNECT_TIMEOUT:?}"),
+        }),
+    }
+}
+
+/// Where replies go.
+pub type ReplySender = mpsc::UnboundedSender<ReplicaEnvelope<ControlCommand>>;
+
+/// Links to the other members.
+pub struct PeerLinks {
+    key: FleetKey,
+    log: Logger,
+    replies: ReplySender,
+    links: BTreeMap<VoterId, PeerLink>,
+}
+
+struct PeerLink {
+    address: SocketAddr,
+    sender: mpsc::Sender<ReplicaEnvelope<ControlCommand>>,
+}
+
+impl PeerLinks {
+    /// No links yet; replies will go to `replies`.
+    pub fn new(key: FleetKey, log: Logger, replies: ReplySender) -> Self {
+        PeerLinks { key, log, replies, links: BTreeMap::new() }
+    }
+
+    /// Sends a message to the member at `address`; drops it if too many wait.
+    pub fn send(&mut self, address: SocketAddr, envelope: ReplicaEnvelope<ControlCommand>) {
+        let to = envelope.to.clone();
+        if self.links.get(&to).is_none_or(|link| link.address != address || link.sender.is_closed())
+        {
+            let (sender, receiver) = mpsc::channel(WAITING_MESSAGES);
+            tokio::spawn(run_link(
+                address,
+                self.key.clone(),
+                self.log.clone(),
+                receiver,
+                self.replies.clone(),
+            ));
+            self.links.insert(to.clone(), PeerLink { address, sender });
+        }
+        if let Some(link) = self.links.get(&to) {
+            let _ = link.sender.try_send(envelope);
+        }
+    }
+}
+
+/// Carries one peer's messages over one connection, and opens another when a call gets no answer.
+async fn run_link(
+    address: SocketAddr,
+    key: FleetKey,
+    log: Logger,
+    mut receiver: mpsc::Receiver<ReplicaEnvelope<ControlCommand>>,
+    replies: ReplySender,
+) {
+    let calls = Arc::new(tokio::sync::Semaphore::new(CALLS_AT_ONCE));
+    let (broken_sender, mut broken) = mpsc::channel::<()>(1);
+    let mut client: Option<Arc<WsClient>> = None;
+    while let Some(envelope) = receiver.recv().await {
+        if broken.try_recv().is_ok() {
+            client = None;
+        }
+        let open = match &client {
+            Some(open) if open.is_connected() => Arc::clone(open),
+            _ => match connect(address, &key).await {
+                Ok(open) => Arc::clone(client.insert(Arc::new(open))),
+                Err(error) => {
+                    debug!(log, "peer not reached"; "error" => error.to_string());
+                    client = None;
+                    continue;
+                }
+            },
+        };
+        let Ok(permit) = Arc::clone(&calls).acquire_owned().await else { return };
+        let replies = replies.clone();
+        let broken_sender = broken_sender.clone();
+        tokio::spawn(async move {
+            let _permit = permit;
+            let limit = call_timeout(&envelope);
+            match tokio::time::timeout(limit, open.replica(envelope)).await {
+                Ok(Ok(envelopes)) => envelopes.into_iter().for_each(|reply| {
+                    let _ = replies.send(reply);
+                }),
+                Ok(Err(ClientError::Call(_))) => {}
+                _ => {
+                    let _ = broken_sender.try_send(());
+                }
+            }
+        });
+    }
+}
+
+fn call_timeout(envelope: &ReplicaEnvelope<ControlCommand>) -> Duration {
+    match &envelope.message {
+        ReplicaMessage::Snapshot { .. } => LONG_TIMEOUT,
+        ReplicaMessage::Append { entries, .. } if entries.len() > 64 => LONG_TIMEOUT,
+        _ => SHORT_TIMEOUT,
+    }
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,27 @@
+//! The control thread: drives the replica, the claims and the fleet's agreement, over jsonrpsee.
+
+mod agent;
+mod claims;
+mod control_loop;
+mod fleet;
+mod ledger;
+mod links;
+mod rpc;
+mod server;
+mod voting;
+
+pub use agent::{AgentSettings, start_agent};
+pub use claims::{ClaimKeeper, ClaimSettings};
+pub use control_loop::{ControlHandle, ControlRequest, ControlSetup, start_control};
+pub use fleet::{
+    DaemonOrders, DaemonReport, FleetBook, MemberView, PoolOrder, PoolReport, SHARE_UNITS,
+};
+pub use ledger::{
+    ControlCommand, ControlLedger, ControlReply, EditConflict, EditOutcome, EditRecord, TableEdit,
+};
+pub use links::{CallFault, FleetKey, LeaderHint, connect};
+pub use rpc::{
+    ApplyAnswer, ControlApiClient, ControlApiServer, DaemonStatus, EditProgress, HistoryRow,
+    JoinAnswer, LeaderAnswer, VoterRow,
+};
+pub use server::start_server;
--- /dev/null
+++ b/src/control/server.rs
@@ -0,0 +1,208 @@
+//! The server side of the control interface: checks the fleet key, hands calls to the control loop.
+
+use super::control_loop::{ControlHandle, ControlRequest};
+use super::fleet::{DaemonOrders, DaemonReport};
+use super::ledger::{ControlCommand, TableEdit};
+use super::links::{FleetKey, LeaderHint, MESSAGE_LIMIT, connect};
+use super::rpc::{
+    ApplyAnswer, ControlApiClient, ControlApiServer, DaemonStatus, HistoryRow, JoinAnswer,
+    LeaderAnswer, VoterRow,
+};
+use crate::claim::{ClaimCommand, ClaimReply};
+use crate::replica::{FleetId, ReplicaEnvelope, VoterId};
+use crate::table::{CellChange, DaemonName, VersionedTable};
+use futures_util::future::BoxFuture;
+use http::{Request, Response, StatusCode, header};
+use jsonrpsee::core::{ClientError, RpcResult, async_trait};
+use jsonrpsee::server::{HttpBody, Server, ServerConfig, ServerHandle};
+use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::ws_client::WsClient;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use subtle::ConstantTimeEq;
+use tokio::sync::oneshot;
+
+/// JSON-RPC code for a control loop that has ended.
+const ENDED_CODE: i32 = -32_000;
+/// Connections at once: the fleet's daemons and some operators.
+const CONNECTION_LIMIT: u32 = 4_096;
+
+/// Starts the control interface on a bound listener.
+pub async fn start_server(
+    listener: std::net::TcpListener,
+    key: FleetKey,
+    control: ControlHandle,
+    hint: LeaderHint,
+) -> std::io::Result<ServerHandle> {
+    let service_key = key.clone();
+    let config = ServerConfig::builder()
+        .max_request_body_size(MESSAGE_LIMIT)
+        .max_response_body_size(MESSAGE_LIMIT)
+        .max_connections(CONNECTION_LIMIT)
+        .set_tcp_no_delay(true)
+        .build();
+    let middleware = tower::ServiceBuilder::new()
+        .layer_fn(move |inner| KeyCheck { inner, expected: Arc::from(key.bearer()) });
+    let server = Server::builder()
+        .set_config(config)
+        .set_http_middleware(middleware)
+        .build_from_tcp(listener)?;
+    Ok(server.start(ControlService { control, key: service_key, hint }.into_rpc()))
+}
+
+/// Lets only requests with the fleet's key through.
+#[derive(Clone)]
+struct KeyCheck<S> {
+    inner: S,
+    expected: Arc<str>,
+}
+
+impl<S, B> tower::Service<Request<B>> for KeyCheck<S>
+where
+    S: tower::Service<Request<B>, Response = Response<HttpBody>>,
+    S::Future: Send + 'static,
+    S::Error: Send + 'static,
+{
+    type Response = Response<HttpBody>;
+    type Error = S::Error;
+    type Future = BoxFuture<'static, Result<Self::Response, Self::Error>>;
+
+    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.inner.poll_ready(context)
+    }
+
+    fn call(&mut self, request: Request<B>) -> Self::Future {
+        let given =
+            request.headers().get(header::AUTHORIZATION).map_or(&b""[..], |value| value.as_bytes());
+        if bool::from(given.ct_eq(self.expected.as_bytes())) {
+            return Box::pin(self.inner.call(request));
+        }
+        let mut refusal = Response::new(HttpBody::empty());
+        *refusal.status_mut() = StatusCode::UNAUTHORIZED;
+        Box::pin(async move { Ok(refusal) })
+    }
+}
+
+struct ControlService {
+    control: ControlHandle,
+    key: FleetKey,
+    hint: LeaderHint,
+}
+
+impl ControlService {
+    async fn ask<T>(
+        &self,
+        request: impl FnOnce(oneshot::Sender<T>) -> ControlRequest,
+    ) -> RpcResult<T> {
+        let answer = self.control.ask(request).await;
+        answer.ok_or_else(|| {
+            ErrorObjectOwned::owned(ENDED_CODE, "the control loop has ended", None::<()>)
+        })
+    }
+
+    /// Passes an operator's call on to the leader, so that any daemon can be asked. The answer is the
+    /// leader's own; if it cannot be reached the caller is told to ask elsewhere.
+    async fn pass_on<T, F>(
+        &self,
+        answer: LeaderAnswer<T>,
+        call: impl FnOnce(WsClient) -> F,
+    ) -> RpcResult<LeaderAnswer<T>>
+    where
+        F: Future<Output = Result<LeaderAnswer<T>, ClientError>>,
+    {
+        let LeaderAnswer::Elsewhere(leader) = answer else { return Ok(answer) };
+        let Some(address) = leader.or_else(|| self.hint.get()) else {
+            return Ok(LeaderAnswer::Elsewhere(None));
+        };
+        let Ok(client) = connect(address, &self.key).await else {
+            return Ok(LeaderAnswer::Elsewhere(None));
+        };
+        match call(client).await {
+            Ok(LeaderAnswer::Done(done)) => Ok(LeaderAnswer::Done(done)),
+            _ => Ok(LeaderAnswer::Elsewhere(None)),
+        }
+    }
+}
+
+#[async_trait]
+impl ControlApiServer for ControlService {
+    async fn replica(
+        &self,
+        envelope: ReplicaEnvelope<ControlCommand>,
+    ) -> RpcResult<Vec<ReplicaEnvelope<ControlCommand>>> {
+        self.ask(|reply| ControlRequest::Replica { envelope: Box::new(envelope), reply }).await
+    }
+
+    async fn report(&self, report: DaemonReport) -> RpcResult<LeaderAnswer<DaemonOrders>> {
+        self.ask(|reply| ControlRequest::Report { report, reply }).await
+    }
+
+    async fn claims(
+        &self,
+        commands: Vec<ClaimCommand>,
+    ) -> RpcResult<LeaderAnswer<Vec<ClaimReply>>> {
+        self.ask(|reply| ControlRequest::Claims { commands, reply }).await
+    }
+
+    async fn join(
+        &self,
+        voter: VoterId,
+        control: SocketAddr,
+    ) -> RpcResult<LeaderAnswer<JoinAnswer>> {
+        self.ask(|reply| ControlRequest::Join { voter, control, reply }).await
+    }
+
+    async fn fleet(&self) -> RpcResult<Option<FleetId>> {
+        self.ask(|reply| ControlRequest::Fleet { reply }).await
+    }
+
+    async fn apply(&self, edit: TableEdit, wait: bool) -> RpcResult<LeaderAnswer<ApplyAnswer>> {
+        let kept = Box::new(edit.clone());
+        let answer = self.ask(|reply| ControlRequest::Apply { edit: kept, wait, reply }).await?;
+        self.pass_on(answer, |client| async move { client.apply(edit, wait).await }).await
+    }
+
+    async fn table(&self, version: Option<u64>) -> RpcResult<LeaderAnswer<Option<VersionedTable>>> {
+        let answer = self.ask(|reply| ControlRequest::Table { version, reply }).await?;
+        self.pass_on(answer, |client| async move { client.table(version).await }).await
+    }
+
+    async fn diff(
+        &self,
+        before: u64,
+        after: u64,
+    ) -> RpcResult<LeaderAnswer<Option<Vec<CellChange>>>> {
+        let answer = self.ask(|reply| ControlRequest::Diff { before, after, reply }).await?;
+        self.pass_on(answer, |client| async move { client.diff(before, after).await }).await
+    }
+
+    async fn history(&self, most: usize) -> RpcResult<LeaderAnswer<Vec<HistoryRow>>> {
+        let answer = self.ask(|reply| ControlRequest::History { most, reply }).await?;
+        self.pass_on(answer, |client| async move { client.history(most).await }).await
+    }
+
+    async fn voters(&self) -> RpcResult<LeaderAnswer<Vec<VoterRow>>> {
+        let answer = self.ask(|reply| ControlRequest::Voters { reply }).await?;
+        self.pass_on(answer, |client| async move { client.voters().await }).await
+    }
+
+    async fn voter_rule(
+        &self,
+        daemon: DaemonName,
+        allowed: bool,
+    ) -> RpcResult<LeaderAnswer<Vec<VoterRow>>> {
+        let name = daemon.clone();
+        let answer =
+            self.ask(|reply| ControlRequest::VoterRule { daemon: name, allowed, reply }).await?;
+        self.pass_on(answer, |client| async move { client.voter_rule(daemon, allowed).await }).await
+    }
+
+    async fn status(&self) -> RpcResult<DaemonStatus> {
+        self.ask(|reply| ControlRequest::Status { reply }).await
+    }
+
+    async fn drain(&self) -> RpcResult<()> {
+        self.ask(|reply| ControlRequest::Drain { reply }).await
+    }
+}
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,219 @@
+//! One daemon put together: the control thread, the traffic threads, and the work that time calls for.
+
+mod upkeep;
+
+use crate::control::{
+    AgentSettings, ClaimKeeper, ClaimSettings, ControlSetup, FleetKey, LeaderHint, start_agent,
+    start_control, start_server,
+};
+use crate::replica::ReplicaConfig;
+use crate::settings::DaemonSettings;
+use crate::store::StoreError;
+use crate::traffic::{FrontHandle, TrafficState, start_front};
+use slog::{Logger, info};
+use snafu::{ResultExt, Snafu};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use tokio::sync::{oneshot, watch};
+use upkeep::start_upkeep;
+
+/// A drained daemon waits this long for the leader to take its shares back.
+const FAREWELL: Duration = Duration::from_millis(600);
+
+/// Why a daemon could not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address could not be bound.
+    #[snafu(display("{address}: {source}"))]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// The error.
+        source: std::io::Error,
+    },
+    /// The data folder cannot be used.
+    #[snafu(display("data folder: {source}"))]
+    Folder {
+        /// The error.
+        source: StoreError,
+    },
+    /// A thread or server could not be started.
+    #[snafu(display("cannot start: {detail}"))]
+    Thread {
+        /// What happened.
+        detail: String,
+    },
+}
+
+/// A running daemon.
+pub struct RunningDaemon {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where operators connect.
+    pub control: SocketAddr,
+    /// The traffic's state.
+    pub state: Arc<TrafficState>,
+    front: FrontHandle,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// What the control thread is given.
+struct ControlStart {
+    setup: ControlSetup,
+    agent: AgentSettings,
+    listener: std::net::TcpListener,
+    drain: watch::Sender<bool>,
+    state: Arc<TrafficState>,
+    stop: oneshot::Receiver<()>,
+    started: oneshot::Sender<Result<(), StartError>>,
+}
+
+/// Starts a daemon on the current (multi-threaded) runtime; control state gets a thread of its own.
+pub async fn start_daemon(
+    settings: &DaemonSettings,
+    key: FleetKey,
+    log: Logger,
+    seed: u64,
+) -> Result<RunningDaemon, StartError> {
+    let bind = |address: SocketAddr| BindSnafu { address };
+    let control_listener =
+        std::net::TcpListener::bind(settings.control).with_context(|_| bind(settings.control))?;
+    control_listener.set_nonblocking(true).with_context(|_| bind(settings.control))?;
+    let control = control_listener.local_addr().with_context(|_| bind(settings.control))?;
+    let callers = tokio::net::TcpListener::bind(settings.callers)
+        .await
+        .with_context(|_| bind(settings.callers))?;
+    let state = TrafficState::new(settings.daemon.clone(), log.clone(), seed);
+    let front = start_front(Arc::clone(&state), callers, settings.balancer_wait_ms)
+        .with_context(|_| bind(settings.callers))?;
+    let (stop, stopped) = oneshot::channel();
+    let (started, starting) = oneshot::channel();
+    let start = ControlStart {
+        setup: control_setup(settings, control, &key, &state, seed),
+        agent: agent_settings(settings, control, &key, seed),
+        listener: control_listener,
+        drain: front.drain_sender(),
+        state: Arc::clone(&state),
+        stop: stopped,
+        started,
+    };
+    let thread = std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || run_control_thread(start));
+    let thread = thread.map_err(|error| StartError::Thread { detail: error.to_string() })?;
+    starting.await.unwrap_or_else(|_| {
+        Err(StartError::Thread { detail: "the control thread ended".to_owned() })
+    })?;
+    start_upkeep(Arc::clone(&state), settings);
+    info!(log, "daemon started"; "callers" => front.address.to_string(), "control" => control.to_string());
+    Ok(RunningDaemon {
+        callers: front.address,
+        control,
+        state,
+        front,
+        stop: Some(stop),
+        thread: Some(thread),
+    })
+}
+
+fn control_setup(
+    settings: &DaemonSettings,
+    control: SocketAddr,
+    key: &FleetKey,
+    state: &Arc<TrafficState>,
+    seed: u64,
+) -> ControlSetup {
+    ControlSetup {
+        daemon: settings.daemon.clone(),
+        control,
+        data_folder: settings.data_folder.clone(),
+        peers: settings.peers.clone(),
+        found_fleet: settings.found_fleet,
+        key: key.clone(),
+        lease: settings.currency_lease_ms,
+        replica: ReplicaConfig::default(),
+        clock: state.clock,
+        log: state.log.clone(),
+        seed,
+    }
+}
+
+fn agent_settings(
+    settings: &DaemonSettings,
+    control: SocketAddr,
+    key: &FleetKey,
+    seed: u64,
+) -> AgentSettings {
+    let own = settings.data_folder.as_ref().map(|_| control);
+    AgentSettings {
+        daemon: settings.daemon.clone(),
+        boot: seed,
+        control,
+        voters: own.into_iter().chain(settings.peers.iter().map(|peer| peer.control)).collect(),
+        key: key.clone(),
+        lease: settings.currency_lease_ms,
+    }
+}
+
+fn run_control_thread(start: ControlStart) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    match runtime {
+        Ok(runtime) => runtime.block_on(run_control(start)),
+        Err(error) => {
+            drop(start.started.send(Err(StartError::Thread { detail: error.to_string() })))
+        }
+    }
+}
+
+async fn run_control(start: ControlStart) {
+    let ControlStart { setup, agent, listener, drain, state, stop, started } = start;
+    let key = setup.key.clone();
+    let hint = LeaderHint::default();
+    let control = match start_control(setup, drain).context(FolderSnafu) {
+        Ok(control) => control,
+        Err(error) => return drop(started.send(Err(error))),
+    };
+    let server = match start_server(listener, key.clone(), control, hint.clone()).await {
+        Ok(server) => server,
+        Err(error) => {
+            return drop(started.send(Err(StartError::Thread { detail: error.to_string() })));
+        }
+    };
+    state.set_claims(ClaimKeeper::start(ClaimSettings {
+        voters: agent.voters.clone(),
+        key,
+        hint: hint.clone(),
+    }));
+    start_agent(agent, state, hint);
+    let _ = started.send(Ok(()));
+    let _ = stop.await;
+    let _ = server.stop();
+}
+
+impl RunningDaemon {
+    /// Begins the drain; a second call changes nothing.
+    pub fn drain(&self) {
+        self.front.drain();
+    }
+
+    /// A sender of the drain order, for a signal handler.
+    pub fn drain_sender(&self) -> watch::Sender<bool> {
+        self.front.drain_sender()
+    }
+
+    /// Waits until the daemon has drained, by order or by an operator's call, and stops it.
+    pub async fn finished(mut self) {
+        self.front.finished().await;
+        self.state.floor_news.notify_one();
+        tokio::time::sleep(FAREWELL).await;
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+        if let Some(thread) = self.thread.take() {
+            let _ = tokio::task::spawn_blocking(move || thread.join()).await;
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,11 +6,18 @@
 
 pub mod answer;
 pub mod chart;
+pub mod claim;
+pub mod cmd;
+pub mod control;
+pub mod daemon;
+pub mod load;
 pub mod platform;
 pub mod policy;
+pub mod replica;
 pub mod report;
 pub mod settings;
 pub mod standin;
+pub mod store;
 pub mod table;
 pub mod traffic;
 pub mod upstream;
--- /dev/null
+++ b/src/load/caller.rs
@@ -0,0 +1,225 @@
+//! Callers that make planned requests over HTTP and check every answer.
+
+use super::profile::{LoadProfile, PlannedRequest, RequestKind, nonce};
+use crate::answer::{AnswerKind, ProblemBody};
+use bytes::Bytes;
+use eventsource_stream::Eventsource;
+use futures_util::StreamExt;
+use http::{Request, Response, header};
+use http_body_util::{BodyDataStream, BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// How one call ended.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CallOutcome {
+    /// The whole answer, and the caller's own.
+    Whole,
+    /// A refusal before or after dispatch.
+    Refused(AnswerKind),
+    /// The answer was visibly cut.
+    Cut,
+    /// The answer ended as if complete but was not whole, or held pieces twice.
+    Wrong(String),
+    /// Pieces of another caller's answer.
+    Crossed,
+    /// No HTTP answer.
+    NoAnswer(String),
+}
+
+/// One call's end and its times.
+#[derive(Clone, Debug)]
+pub struct CallResult {
+    /// How it ended.
+    pub outcome: CallOutcome,
+    /// Time to the first piece of the answer.
+    pub first: Option<Duration>,
+    /// Mean time between pieces.
+    pub gap: Option<Duration>,
+    /// Time to the end.
+    pub total: Duration,
+    /// `Retry-After`, in seconds.
+    pub retry_after: Option<u64>,
+}
+
+/// Makes calls to a front.
+#[derive(Clone, Debug)]
+pub struct LoadCaller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+}
+
+impl LoadCaller {
+    /// A caller of the front at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client =
+            Client::builder(TokioExecutor::new()).pool_max_idle_per_host(1_024).build(connector);
+        LoadCaller { client, address }
+    }
+
+    /// Makes one planned request and checks its answer.
+    pub async fn call(
+        &self,
+        profile: &LoadProfile,
+        planned: &PlannedRequest,
+        seed: u64,
+    ) -> CallResult {
+        let started = Instant::now();
+        let nonce = nonce(planned, seed);
+        let request = build(profile, planned, seed, self.address);
+        let response = match self.client.request(request).await {
+            Ok(response) => response,
+            Err(error) => {
+                return ended(CallOutcome::NoAnswer(error.to_string()), started, None, None, None);
+            }
+        };
+        let retry_after = response
+            .headers()
+            .get(header::RETRY_AFTER)
+            .and_then(|value| value.to_str().ok()?.parse().ok());
+        if !response.status().is_success() {
+            return ended(read_refusal(response).await, started, None, None, retry_after);
+        }
+        match profile.classes[planned.class].kind {
+            RequestKind::Model => {
+                read_stream(response, &nonce, planned.output_tokens, started).await
+            }
+            RequestKind::Lookup | RequestKind::Booking => {
+                let outcome = read_plain(response, &nonce).await;
+                let total = started.elapsed();
+                ended(outcome, started, Some(total), None, None)
+            }
+        }
+    }
+}
+
+fn ended(
+    outcome: CallOutcome,
+    started: Instant,
+    first: Option<Duration>,
+    gap: Option<Duration>,
+    retry_after: Option<u64>,
+) -> CallResult {
+    CallResult { outcome, first, gap, total: started.elapsed(), retry_after }
+}
+
+fn build(
+    profile: &LoadProfile,
+    planned: &PlannedRequest,
+    seed: u64,
+    address: SocketAddr,
+) -> Request<Full<Bytes>> {
+    let class = &profile.classes[planned.class];
+    let nonce = nonce(planned, seed);
+    let builder = Request::builder()
+        .header("authorization", format!("Bearer {}", profile.key(planned.organisation)))
+        .header("tarragonknot-purpose", class.tier)
+        .header("tarragonknot-deadline-ms", class.deadline.as_millis().to_string());
+    let built = match class.kind {
+        RequestKind::Model => {
+            let prompt = profile.prompt(planned, seed);
+            let messages = json!([{"role": "user", "content": prompt}]);
+            let body = json!({"model": profile.model, "stream": true, "max_tokens": planned.output_tokens, "messages": messages});
+            let uri = format!("http://{address}/v1/chat/completions");
+            builder
+                .method("POST")
+                .uri(uri)
+                .header("content-type", "application/json")
+                .body(Full::from(body.to_string()))
+        }
+        RequestKind::Lookup => builder
+            .method("GET")
+            .uri(format!("http://{address}/{}/catalogue/{nonce}", profile.plain))
+            .body(Full::default()),
+        RequestKind::Booking => {
+            let uri = format!("http://{address}/{}/bookings", profile.plain);
+            builder
+                .method("POST")
+                .uri(uri)
+                .header("idempotency-key", &nonce)
+                .body(Full::from(nonce))
+        }
+    };
+    built.unwrap_or_default()
+}
+
+async fn read_refusal(response: Response<Incoming>) -> CallOutcome {
+    let status = response.status();
+    let body = response.into_body().collect().await.map(|body| body.to_bytes());
+    let problem: Option<ProblemBody> =
+        body.ok().and_then(|body| serde_json::from_slice(&body).ok());
+    problem.map_or_else(
+        || CallOutcome::NoAnswer(format!("status {status}")),
+        |problem| CallOutcome::Refused(problem.kind),
+    )
+}
+
+async fn read_plain(response: Response<Incoming>, nonce: &str) -> CallOutcome {
+    let Ok(body) = response.into_body().collect().await else { return CallOutcome::Cut };
+    let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+    if text.contains(nonce) { CallOutcome::Whole } else { CallOutcome::Crossed }
+}
+
+/// Reads a stream piece by piece: each must carry the nonce and the next number, and the end mark must
+/// come after the last.
+async fn read_stream(
+    response: Response<Incoming>,
+    nonce: &str,
+    tokens: u32,
+    started: Instant,
+) -> CallResult {
+    let mut events = BodyDataStream::new(response.into_body()).eventsource();
+    let mut first = None;
+    let mut last = started;
+    let mut seen = 0u32;
+    let outcome = loop {
+        match events.next().await {
+            Some(Ok(event)) if event.event == "error" => {
+                let kind =
+                    serde_json::from_str::<ProblemBody>(&event.data).map(|problem| problem.kind);
+                break kind.map_or(CallOutcome::Cut, CallOutcome::Refused);
+            }
+            Some(Ok(event)) if event.data == "[DONE]" => {
+                let is_whole = seen == tokens;
+                break if is_whole {
+                    CallOutcome::Whole
+                } else {
+                    CallOutcome::Wrong(format!("{seen} of {tokens} pieces"))
+                };
+            }
+            Some(Ok(event)) => {
+                last = Instant::now();
+                first.get_or_insert(last - started);
+                seen += 1;
+                match check_piece(&event.data, nonce, seen) {
+                    Ok(()) => {}
+                    Err(outcome) => break outcome,
+                }
+            }
+            Some(Err(_)) => break CallOutcome::Cut,
+            None => break CallOutcome::Wrong("no end mark".to_owned()),
+        }
+    };
+    let gap = first.filter(|_| seen > 1).map(|first| (last - started - first) / (seen - 1));
+    ended(outcome, started, first, gap, None)
+}
+
+fn check_piece(data: &str, nonce: &str, number: u32) -> Result<(), CallOutcome> {
+    let chunk: Value =
+        serde_json::from_str(data).map_err(|error| CallOutcome::Wrong(error.to_string()))?;
+    let text = chunk["choices"][0]["delta"]["content"].as_str().unwrap_or_default();
+    match text.trim().split_once(':') {
+        Some((word, _)) if word != nonce => Err(CallOutcome::Crossed),
+        Some((_, found)) if found == number.to_string() => Ok(()),
+        _ => Err(CallOutcome::Wrong(format!("piece {number}, found {text}"))),
+    }
+}
--- /dev/null
+++ b/src/load/summary.rs
@@ -0,0 +1,161 @@
+//! Sums up a run: goodput by tier, refusals by kind, times as HDR histograms.
+
+use super::caller::{CallOutcome, CallResult};
+use super::profile::{LoadProfile, PlannedRequest};
+use comfy_table::{Table, presets};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// One tier's results.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct TierSummary {
+    /// The tier.
+    pub tier: String,
+    /// Requests made.
+    pub offered: u64,
+    /// Whole answers within the deadline.
+    pub good: u64,
+    /// Whole answers after the deadline.
+    pub late: u64,
+    /// Refusals by kind.
+    pub refused: BTreeMap<String, u64>,
+    /// Visibly cut answers, and calls without any answer.
+    pub cut: u64,
+    /// Answers that were doubled, crossed, or truncated as if complete. Must be 0.
+    pub wrong: u64,
+    /// Percentiles of the time to the first piece, in milliseconds: 50, 95, 99.
+    pub first_ms: [f64; 3],
+    /// Percentiles of the time between pieces, in milliseconds: 50, 95, 99.
+    pub gap_ms: [f64; 3],
+    /// Percentiles of the whole time, in milliseconds: 50, 95, 99.
+    pub total_ms: [f64; 3],
+}
+
+/// A run's results.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct LoadSummary {
+    /// By tier, highest first.
+    pub tiers: Vec<TierSummary>,
+    /// Prompt tokens that engines computed.
+    pub prefill_tokens: u64,
+    /// Of these, computed again or thrown away.
+    pub wasted_tokens: u64,
+    /// Higher-tier requests shed while a lower tier of the same pool was admitted later in the same
+    /// episode. Must be 0.
+    pub order_breaks: u64,
+    /// The largest number of dispatches of one request. Must be at most 1.
+    pub most_dispatches: u32,
+}
+
+#[derive(Debug)]
+struct TierTimes {
+    first: Histogram<u64>,
+    gap: Histogram<u64>,
+    total: Histogram<u64>,
+}
+
+impl TierTimes {
+    fn new() -> Self {
+        let histogram = || Histogram::new(3).expect("three digits are allowed");
+        TierTimes { first: histogram(), gap: histogram(), total: histogram() }
+    }
+}
+
+fn note(histogram: &mut Histogram<u64>, time: Option<Duration>) {
+    if let Some(time) = time {
+        // The histogram grows as needed, so recording cannot fail.
+        let _ = histogram.record(time.as_micros() as u64);
+    }
+}
+
+fn percentiles(histogram: &Histogram<u64>) -> [f64; 3] {
+    [0.5, 0.95, 0.99].map(|quantile| histogram.value_at_quantile(quantile) as f64 / 1_000.0)
+}
+
+impl LoadSummary {
+    /// Sums up the results of planned requests.
+    pub fn of(profile: &LoadProfile, results: &[(PlannedRequest, CallResult)]) -> Self {
+        let mut tiers = Vec::new();
+        for (position, class) in profile.classes.iter().enumerate() {
+            let mut summary = TierSummary { tier: class.tier.to_owned(), ..TierSummary::default() };
+            let mut times = TierTimes::new();
+            for (_, result) in results.iter().filter(|(planned, _)| planned.class == position) {
+                summary.count(result, class.deadline);
+                note(&mut times.first, result.first);
+                note(&mut times.gap, result.gap);
+                note(
+                    &mut times.total,
+                    Some(result.total).filter(|_| result.outcome == CallOutcome::Whole),
+                );
+            }
+            summary.first_ms = percentiles(&times.first);
+            summary.gap_ms = percentiles(&times.gap);
+            summary.total_ms = percentiles(&times.total);
+            tiers.push(summary);
+        }
+        LoadSummary { tiers, ..LoadSummary::default() }
+    }
+
+    /// Answers that break a promise.
+    pub fn broken(&self) -> u64 {
+        self.tiers.iter().map(|tier| tier.wrong).sum::<u64>()
+            + self.order_breaks
+            + u64::from(self.most_dispatches > 1)
+    }
+
+    /// The summary as an aligned table.
+    pub fn grid(&self) -> String {
+        let mut grid = Table::new();
+        grid.load_preset(presets::UTF8_HORIZONTAL_ONLY);
+        grid.set_header([
+            "tier",
+            "offered",
+            "good",
+            "late",
+            "refused",
+            "cut",
+            "wrong",
+            "first ms p50/p95",
+            "gap ms p50/p95",
+            "total ms p50/p99",
+        ]);
+        for tier in &self.tiers {
+            let refused: Vec<String> =
+                tier.refused.iter().map(|(kind, count)| format!("{kind} {count}")).collect();
+            grid.add_row([
+                tier.tier.clone(),
+                tier.offered.to_string(),
+                tier.good.to_string(),
+                tier.late.to_string(),
+                refused.join(", "),
+                tier.cut.to_string(),
+                tier.wrong.to_string(),
+                format!("{:.1} / {:.1}", tier.first_ms[0], tier.first_ms[1]),
+                format!("{:.1} / {:.1}", tier.gap_ms[0], tier.gap_ms[1]),
+                format!("{:.1} / {:.1}", tier.total_ms[0], tier.total_ms[2]),
+            ]);
+        }
+        let share = 100.0 * self.wasted_tokens as f64 / self.prefill_tokens.max(1) as f64;
+        format!(
+            "{grid}\nprefill tokens {}, wasted {} ({share:.1} %); most dispatches of one request {}; order breaks {}",
+            self.prefill_tokens, self.wasted_tokens, self.most_dispatches, self.order_breaks
+        )
+    }
+}
+
+impl TierSummary {
+    fn count(&mut self, result: &CallResult, deadline: Duration) {
+        self.offered += 1;
+        match &result.outcome {
+            CallOutcome::Whole if result.total <= deadline => self.good += 1,
+            CallOutcome::Whole => self.late += 1,
+            CallOutcome::Refused(kind) => {
+                *self.refused.entry(kind.row().name.to_owned()).or_default() += 1
+            }
+            CallOutcome::Cut | CallOutcome::NoAnswer(_) => self.cut += 1,
+            CallOutcome::Wrong(_) | CallOutcome::Crossed => self.wrong += 1,
+        }
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,6 +10,7 @@
 mod placement;
 mod queue;
 mod scheduler;
+mod shed_audit;
 mod shed_floor;
 mod upstreams;
 
@@ -25,6 +26,7 @@
 pub use scheduler::{
     ArrivedRequest, DispatchOutcome, PoolAction, PoolEvent, PoolPlan, PoolScheduler, PoolStatus,
 };
+pub use shed_audit::ShedAudit;
 pub use shed_floor::ShedFloor;
 pub use upstreams::{
     LoadReport, UpstreamSet, UpstreamSource, UpstreamState, UpstreamStatus, UpstreamWord,
--- a/src/policy/scheduler.rs
+++ b/src/policy/scheduler.rs
@@ -2,9 +2,9 @@
 
 use super::{
     CostModel, FairQueue, FifoQueue, LearnedLimit, LoadReport, Moment, OrganisationIndex,
-    PlacementPolicy, PlacementQuery, RequestId, ShedFloor, TierRank, TierShare, UpstreamIndex,
-    UpstreamSet, UpstreamSource, UpstreamState, UpstreamWord, WaitingQueue, WaitingRequest,
-    placement_policy,
+    PlacementPolicy, PlacementQuery, RequestId, ShedAudit, ShedFloor, TierRank, TierShare,
+    UpstreamIndex, UpstreamSet, UpstreamSource, UpstreamState, UpstreamWord, WaitingQueue,
+    WaitingRequest, placement_policy,
 };
 use crate::answer::AnswerKind;
 use crate::table::{LimitChoice, PlacementChoice, QueueChoice, ServiceKind, ServiceRow};
@@ -79,6 +79,10 @@
         }
     }
 
+    fn ranks(&self) -> Vec<TierRank> {
+        self.tiers.iter().map(|share| share.rank).collect()
+    }
+
     fn mean_cost(&self) -> f64 {
         if self.counts_tokens { FIRST_MEAN_COST } else { 1.0 }
     }
@@ -180,18 +184,18 @@
     Sources(Vec<UpstreamSource>),
     /// The table changed.
     Plan(PoolPlan),
-    /// This daemon's share of an upstream's limit changed.
+    /// This daemon's share of every upstream's limit changed.
     Share {
-        /// The upstream.
-        upstream: UpstreamIndex,
         /// 0.0 to 1.0.
         share: f64,
     },
+    /// This daemon may not act on its table any more: what waits is refused.
+    LeaseLapsed,
     /// The fleet's word on the shed floor.
     FleetFloor {
-        /// True if other daemons use this pool.
-        shared: bool,
-        /// The floor every daemon has confirmed.
+        /// The floor this daemon wanted when it asked.
+        wanted_then: Option<TierRank>,
+        /// The floor every daemon keeps.
         confirmed: Option<TierRank>,
         /// The floor this daemon must keep for others.
         imposed: Option<TierRank>,
@@ -249,6 +253,7 @@
     upstreams: UpstreamSet,
     model: CostModel,
     floor: ShedFloor,
+    audit: ShedAudit,
     running: HashMap<RequestId, RunningRequest>,
     mean_cost: f64,
     mean_run: Option<f64>,
@@ -259,12 +264,15 @@
 impl PoolScheduler {
     /// A scheduler with no upstreams and nothing waiting.
     pub fn new(plan: PoolPlan) -> Self {
+        let mut floor = ShedFloor::default();
+        floor.set_ranks(plan.ranks());
         PoolScheduler {
             queue: plan.queue(),
             placement: placement_policy(plan.placement),
             upstreams: UpstreamSet::default(),
             model: CostModel::new(plan.counts_tokens),
-            floor: ShedFloor::default(),
+            floor,
+            audit: ShedAudit::default(),
             running: HashMap::new(),
             mean_cost: plan.mean_cost(),
             mean_run: None,
@@ -299,12 +307,11 @@
                 self.upstreams.set_sources(&sources, &self.plan.new_limit())
             }
             PoolEvent::Plan(plan) => self.replace_plan(plan),
-            PoolEvent::Share { upstream, share } => {
-                self.upstreams.update(upstream, |status| status.share = share)
-            }
-            PoolEvent::FleetFloor { shared, confirmed, imposed } => {
-                self.floor.set_fleet(shared, confirmed, imposed);
-                self.evict_below_floor(actions);
+            PoolEvent::Share { share } => self.upstreams.set_share(share),
+            PoolEvent::LeaseLapsed => self.refuse_waiting(AnswerKind::TableStale, actions),
+            PoolEvent::FleetFloor { wanted_then, confirmed, imposed } => {
+                self.floor.set_fleet(wanted_then, confirmed, imposed);
+                self.evict_below_floor(now, actions);
             }
             PoolEvent::Tick => self.tick(now, actions),
         }
@@ -324,21 +331,23 @@
         }
         if self.plan.queue == QueueChoice::Fifo {
             match self.queue.len() >= self.plan.waiting_limit {
-                true => refuse(AnswerKind::Overloaded),
-                false => self.queue.push(request),
+                true => self.refuse_shed(&request, AnswerKind::Overloaded, now, actions),
+                false => self.enqueue(request, now),
             }
             return;
         }
         if !self.floor.admits(request.tier) {
-            return refuse(AnswerKind::Overloaded);
+            return self.refuse_shed(&request, AnswerKind::Overloaded, now, actions);
         }
-        if self.queue.len() >= self.plan.waiting_limit && !self.make_room(request.tier, actions) {
+        if self.queue.len() >= self.plan.waiting_limit
+            && !self.make_room(request.tier, now, actions)
+        {
             return self.shed(request, AnswerKind::Overloaded, now, actions);
         }
         if self.would_be_late(&request, slack) {
             return self.shed(request, AnswerKind::DeadlineWaiting, now, actions);
         }
-        self.queue.push(request);
+        self.enqueue(request, now);
     }
 
     fn estimated(&self, request: ArrivedRequest, now: Moment) -> WaitingRequest {
@@ -372,14 +381,50 @@
         waiting
     }
 
-    /// Evicts one waiting request of a lower tier. False if none waits.
-    fn make_room(&mut self, tier: TierRank, actions: &mut Vec<PoolAction>) -> bool {
+    /// Lets a request wait.
+    fn enqueue(&mut self, request: WaitingRequest, now: Moment) {
+        self.audit.admitted(request.tier, now);
+        self.queue.push(request);
+    }
+
+    /// Refuses a request for want of capacity.
+    fn refuse_shed(
+        &mut self,
+        request: &WaitingRequest,
+        kind: AnswerKind,
+        now: Moment,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let lower = self.plan.tiers.iter().filter(|share| share.rank > request.tier);
+        let lower_waiting = lower.map(|share| self.queue.waiting_count(share.rank)).sum();
+        self.audit.shed(request.tier, lower_waiting, now);
+        actions.push(PoolAction::Refuse { id: request.id, kind });
+    }
+
+    /// Makes room for a request of `tier` by evicting one of the lowest tier that waits, if that is lower
+    /// and may be shed. False if nothing lower waits; the queue may overrun its limit by as much again
+    /// while the fleet has not yet confirmed that the lower tier may go.
+    fn make_room(&mut self, tier: TierRank, now: Moment, actions: &mut Vec<PoolAction>) -> bool {
+        let waits = |share: &&TierShare| self.queue.waiting_count(share.rank) > 0;
+        let Some(lowest) = self.plan.tiers.iter().rev().find(waits).map(|share| share.rank) else {
+            return false;
+        };
+        if lowest <= tier {
+            return false;
+        }
+        if self.floor.raise(lowest, now) {
+            self.evict_one(tier, now, actions);
+            return true;
+        }
+        self.queue.len() < 2 * self.plan.waiting_limit
+    }
+
+    fn evict_one(&mut self, tier: TierRank, now: Moment, actions: &mut Vec<PoolAction>) -> bool {
         let evicted = self.queue.evict_below(tier);
-        let found = evicted.is_some();
-        actions.extend(
-            evicted.map(|request| PoolAction::Refuse { id: request.id, kind: AnswerKind::Evicted }),
-        );
-        found
+        evicted
+            .iter()
+            .for_each(|request| self.refuse_shed(request, AnswerKind::Evicted, now, actions));
+        evicted.is_some()
     }
 
     /// True if the request would miss its deadline even if all lower tiers' waiting work made room.
@@ -431,18 +476,17 @@
         actions: &mut Vec<PoolAction>,
     ) {
         let confirmed = self.floor.raise(request.tier, now);
-        self.evict_below_floor(actions);
+        self.evict_below_floor(now, actions);
         if confirmed || now >= request.deadline {
-            actions.push(PoolAction::Refuse { id: request.id, kind });
-            return;
+            return self.refuse_shed(&request, kind, now, actions);
         }
         request.late_at = request.deadline.min(now + LATE_PAUSE);
         self.queue.push_back_first(request);
     }
 
-    fn evict_below_floor(&mut self, actions: &mut Vec<PoolAction>) {
+    fn evict_below_floor(&mut self, now: Moment, actions: &mut Vec<PoolAction>) {
         let Some(lowest) = self.floor.lowest_admitted() else { return };
-        while self.make_room(lowest, actions) {}
+        while self.evict_one(lowest, now, actions) {}
     }
 
     fn first_token(&mut self, id: RequestId, after: Duration, now: Moment) {
@@ -574,6 +618,7 @@
             }
         }
         self.plan = plan;
+        self.floor.set_ranks(self.plan.ranks());
     }
 
     fn tick(&mut self, now: Moment, actions: &mut Vec<PoolAction>) {
@@ -583,15 +628,11 @@
                     self.shed(request, AnswerKind::DeadlineWaiting, now, actions)
                 }
                 QueueChoice::Fifo => {
-                    actions.push(PoolAction::Refuse {
-                        id: request.id,
-                        kind: AnswerKind::DeadlineWaiting,
-                    });
+                    self.refuse_shed(&request, AnswerKind::DeadlineWaiting, now, actions);
                 }
             }
         }
-        let ranks: Vec<TierRank> = self.plan.tiers.iter().map(|share| share.rank).collect();
-        self.floor.relax(&ranks, now);
+        self.floor.relax(now);
         if now.since(self.judged_at) >= JUDGE_PAUSE {
             self.judged_at = now;
             self.upstreams.judge_stragglers();
@@ -599,11 +640,7 @@
         if self.upstreams.live_count() == 0
             && self.upstreams.iter().all(|status| status.state() != UpstreamState::Suspect)
         {
-            let stranded = self.queue.drain().into_iter();
-            actions.extend(stranded.map(|request| PoolAction::Refuse {
-                id: request.id,
-                kind: AnswerKind::UpstreamAbsent,
-            }));
+            self.refuse_waiting(AnswerKind::UpstreamAbsent, actions);
         }
     }
 
@@ -635,6 +672,11 @@
         }
     }
 
+    fn refuse_waiting(&mut self, kind: AnswerKind, actions: &mut Vec<PoolAction>) {
+        let waiting = self.queue.drain().into_iter();
+        actions.extend(waiting.map(|request| PoolAction::Refuse { id: request.id, kind }));
+    }
+
     /// The upstreams.
     pub fn upstreams(&self) -> &UpstreamSet {
         &self.upstreams
@@ -645,6 +687,33 @@
         self.floor.wanted()
     }
 
+    /// Breaks of the shedding order; 0 unless the code is wrong or the queue has no tiers.
+    pub fn order_breaks(&self) -> u64 {
+        self.audit.breaks()
+    }
+
+    /// The lowest tier that is admitted here and may be waiting; none while every tier is.
+    pub fn kept_floor(&self) -> Option<TierRank> {
+        self.floor.lowest_admitted()
+    }
+
+    /// Estimated tokens waiting and running here.
+    pub fn demand_tokens(&self) -> u64 {
+        let waiting: u64 =
+            self.plan.tiers.iter().map(|share| self.queue.waiting_tokens(share.rank)).sum();
+        let running: u64 = self.upstreams.iter().map(|status| status.in_flight_tokens).sum();
+        waiting + running
+    }
+
+    /// The largest part of an upstream's limit that work of this daemon takes up.
+    pub fn used_share(&self) -> f64 {
+        let used = self
+            .upstreams
+            .iter()
+            .map(|status| status.in_flight_tokens as f64 / status.limit.tokens().max(1.0));
+        used.fold(0.0, f64::max)
+    }
+
     /// The estimate for a request, as admission will see it.
     pub fn cost_of(
         &self,
--- a/src/policy/shed_floor.rs
+++ b/src/policy/shed_floor.rs
@@ -2,8 +2,9 @@
 //!
 //! What goes wrong without it: one daemon refuses a high tier while another, or a moment later the
 //! same one, admits a low tier. One would notice by a shed high-tier request whose time lies inside
-//! the admission of a lower one. The floor prevents it by order: to refuse tier `r`, the floor must
-//! first exclude every tier below `r`, on every daemon.
+//! the admission of a lower one. The floor prevents it by order: a tier is dropped only once nothing
+//! below it is admitted on any daemon. So the floor rises one tier at a time, each step confirmed by
+//! the whole fleet before the next.
 
 use super::{Moment, TierRank};
 use std::time::Duration;
@@ -11,21 +12,39 @@
 /// How long the floor stays after the last shed request that needed it.
 const HOLD: Duration = Duration::from_millis(1_000);
 
-/// One pool's floor at one daemon: what it wants, and what the whole fleet has confirmed.
+/// One pool's floor at one daemon: what it wants, what others want, and what the whole fleet keeps.
 #[derive(Clone, Debug, Default)]
 pub struct ShedFloor {
+    /// All ranks, highest tier first.
+    ranks: Vec<TierRank>,
     wanted: Option<TierRank>,
-    confirmed: Option<TierRank>,
     imposed: Option<TierRank>,
+    confirmed: Option<TierRank>,
     needed_at: Moment,
     /// True where other daemons share the pool and must confirm first.
-    shared: bool,
+    is_shared: bool,
 }
 
 impl ShedFloor {
+    /// Takes the table's ranks.
+    pub fn set_ranks(&mut self, mut ranks: Vec<TierRank>) {
+        ranks.sort_unstable();
+        self.ranks = ranks;
+    }
+
     /// The lowest tier still admitted, or none if all are.
     pub fn lowest_admitted(&self) -> Option<TierRank> {
-        [self.wanted, self.imposed].into_iter().flatten().min()
+        let target = [self.wanted, self.imposed].into_iter().flatten().min()?;
+        if self.is_shared { Some(target.max(self.step_limit())) } else { Some(target) }
+    }
+
+    /// How far the floor may rise now: the lowest tier may always be dropped, another only once no daemon
+    /// admits anything below it.
+    fn step_limit(&self) -> TierRank {
+        let admitted = self.confirmed.or_else(|| self.ranks.last().copied());
+        let above =
+            self.ranks.iter().rev().find(|rank| admitted.is_some_and(|admitted| **rank < admitted));
+        above.copied().or(admitted).unwrap_or(TierRank(0))
     }
 
     /// True if work of `tier` may be admitted.
@@ -38,20 +57,20 @@
     pub fn raise(&mut self, tier: TierRank, now: Moment) -> bool {
         self.needed_at = now;
         self.wanted = Some(self.wanted.map_or(tier, |wanted| wanted.min(tier)));
-        !self.shared || self.confirmed.is_some_and(|confirmed| confirmed <= tier)
+        let is_lowest = self.ranks.last() == Some(&tier);
+        !self.is_shared || is_lowest || self.confirmed.is_some_and(|confirmed| confirmed <= tier)
     }
 
-    /// Lowers the floor by one tier of `ranks` (ascending) once it has not been needed for a while.
-    pub fn relax(&mut self, ranks: &[TierRank], now: Moment) {
+    /// Lowers the floor by one tier once it has not been needed for a while.
+    pub fn relax(&mut self, now: Moment) {
         let Some(wanted) = self.wanted else { return };
         if now.since(self.needed_at) < HOLD {
             return;
         }
         self.needed_at = now;
-        let next = ranks.iter().copied().find(|rank| *rank > wanted);
-        let is_last = ranks.last().is_some_and(|last| next.is_none_or(|next| next >= *last));
-        self.wanted = if is_last { None } else { next };
-        self.confirmed = self.confirmed.filter(|_| self.wanted.is_some());
+        let next = self.ranks.iter().copied().find(|rank| *rank > wanted);
+        self.wanted = next.filter(|next| Some(next) != self.ranks.last());
+        self.confirmed = None;
     }
 
     /// What this daemon wants the fleet's floor to be.
@@ -59,15 +78,16 @@
         self.wanted
     }
 
-    /// Takes the fleet's word: the floor every daemon has confirmed, and the floor this daemon must keep.
+    /// Takes the fleet's word. `wanted_then` is what this daemon wanted when it asked: if that has
+    /// changed since, the confirmation is of another floor and does not count.
     pub fn set_fleet(
         &mut self,
-        shared: bool,
+        wanted_then: Option<TierRank>,
         confirmed: Option<TierRank>,
         imposed: Option<TierRank>,
     ) {
-        self.shared = shared;
-        self.confirmed = confirmed;
+        self.is_shared = true;
+        self.confirmed = confirmed.filter(|_| wanted_then == self.wanted);
         self.imposed = imposed;
     }
 }
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -209,6 +209,7 @@
     open: Vec<UpstreamIndex>,
     next: u32,
     live: usize,
+    share: Option<f64>,
     /// Grows with each change of membership.
     pub generation: u64,
 }
@@ -287,7 +288,7 @@
             limit,
             in_flight_tokens: 0,
             in_flight: 0,
-            share: 1.0,
+            share: self.share.unwrap_or(1.0),
             gap_micros: None,
             is_straggler: false,
             report: None,
@@ -336,6 +337,16 @@
         }
     }
 
+    /// Sets this daemon's share of every upstream's limit, for new ones too.
+    pub fn set_share(&mut self, share: f64) {
+        if self.share == Some(share) {
+            return;
+        }
+        self.share = Some(share);
+        let indexes: Vec<UpstreamIndex> = self.upstreams.keys().copied().collect();
+        indexes.into_iter().for_each(|index| self.update(index, |status| status.share = share));
+    }
+
     /// Counts a dispatch.
     pub fn dispatched(&mut self, index: UpstreamIndex, cost: u32, now: Moment) {
         self.update(index, |status| {
--- /dev/null
+++ b/src/replica/core.rs
@@ -0,0 +1,437 @@
+//! The replica: its state, its inputs, its outputs.
+
+use super::ProposalFault;
+use super::log::{EntryPayload, LogEntry, LogPosition, MemoryLog};
+use super::membership::{FleetMembership, VoterId};
+use super::messages::{HardState, ReplicaEnvelope, ReplicaMessage, SnapshotRecord};
+use crate::policy::Moment;
+use rand::{Rng, RngCore};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// Times of a replica.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReplicaConfig {
+    /// Time between heartbeats.
+    pub heartbeat: Duration,
+    /// Least time without a leader before an election; the greatest is twice it.
+    pub election: Duration,
+    /// Share of the election time that a leader's lease lasts; the rest allows for clocks that run at
+    /// different speeds.
+    pub lease_share: f64,
+    /// Entries in one message at most.
+    pub batch: usize,
+}
+
+impl Default for ReplicaConfig {
+    fn default() -> Self {
+        ReplicaConfig {
+            heartbeat: Duration::from_millis(50),
+            election: Duration::from_millis(500),
+            lease_share: 0.8,
+            batch: 1_024,
+        }
+    }
+}
+
+/// What a replica does now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplicaRole {
+    /// Takes entries from a leader, or waits for one.
+    Follower,
+    /// Asks whether an election would succeed.
+    PreCandidate,
+    /// Asks for votes.
+    Candidate,
+    /// Leads.
+    Leader,
+}
+
+/// What the leader knows of another member.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PeerProgress {
+    pub(super) matched: u64,
+    pub(super) next: u64,
+    pub(super) acked_round: u64,
+    pub(super) heard: Moment,
+    /// A snapshot was sent in this round and is not yet acknowledged.
+    pub(super) snapshot_round: Option<u64>,
+}
+
+/// What the driver must do, in this order: keep (synced), then send, then apply.
+#[derive(Clone, Debug)]
+pub struct ReplicaOutput<C> {
+    /// Term and vote to keep.
+    pub hard_state: Option<HardState>,
+    /// Drop kept entries from this index on, before keeping the new ones.
+    pub truncate_from: Option<u64>,
+    /// Entries to keep.
+    pub entries: Vec<LogEntry<C>>,
+    /// A snapshot to keep in place of everything before, and to load into the state machine.
+    pub install: Option<SnapshotRecord>,
+    /// Messages to send.
+    pub messages: Vec<ReplicaEnvelope<C>>,
+    /// Entries to apply, in order.
+    pub committed: Vec<LogEntry<C>>,
+}
+
+impl<C> Default for ReplicaOutput<C> {
+    fn default() -> Self {
+        ReplicaOutput {
+            hard_state: None,
+            truncate_from: None,
+            entries: Vec::new(),
+            install: None,
+            messages: Vec::new(),
+            committed: Vec::new(),
+        }
+    }
+}
+
+impl<C> ReplicaOutput<C> {
+    /// True if something must be synced.
+    pub fn must_sync(&self) -> bool {
+        self.hard_state.is_some()
+            || self.truncate_from.is_some()
+            || !self.entries.is_empty()
+            || self.install.is_some()
+    }
+}
+
+/// What a replica starts from: what its folder holds.
+#[derive(Clone, Debug)]
+pub struct ReplicaStart<C> {
+    /// Its identity.
+    pub me: VoterId,
+    /// Term and vote.
+    pub hard_state: HardState,
+    /// The snapshot; its state is already loaded into the state machine.
+    pub snapshot: SnapshotRecord,
+    /// Entries behind the snapshot.
+    pub entries: Vec<LogEntry<C>>,
+}
+
+/// One replica.
+#[derive(Debug)]
+pub struct ReplicaCore<C> {
+    pub(super) config: ReplicaConfig,
+    pub(super) me: VoterId,
+    pub(super) role: ReplicaRole,
+    pub(super) hard: HardState,
+    pub(super) log: MemoryLog<C>,
+    pub(super) snapshot: SnapshotRecord,
+    /// The membership in force, and the index of its entry; kept beside the log, which is long.
+    membership: FleetMembership,
+    membership_index: u64,
+    pub(super) commit: u64,
+    applied: u64,
+    pub(super) leader: Option<VoterId>,
+    pub(super) leader_heard: Option<Moment>,
+    pub(super) election_at: Moment,
+    pub(super) heartbeat_at: Moment,
+    pub(super) votes: BTreeSet<VoterId>,
+    pub(super) progress: BTreeMap<VoterId, PeerProgress>,
+    pub(super) round: u64,
+    pub(super) rounds: VecDeque<(u64, Moment)>,
+    pub(super) lease_until: Moment,
+    pub(super) out: ReplicaOutput<C>,
+}
+
+impl<C: Clone + std::fmt::Debug> ReplicaCore<C> {
+    /// A replica that has just started. It waits a whole election time before anything else, so that
+    /// a restart cannot break the lease of a leader it has forgotten.
+    pub fn new(
+        config: ReplicaConfig,
+        start: ReplicaStart<C>,
+        now: Moment,
+        rng: &mut dyn RngCore,
+    ) -> Self {
+        let mut log = MemoryLog::new(start.snapshot.at);
+        start.entries.into_iter().for_each(|entry| log.push(entry));
+        let mut core = ReplicaCore {
+            config,
+            me: start.me,
+            role: ReplicaRole::Follower,
+            hard: start.hard_state,
+            log,
+            membership: start.snapshot.membership.clone(),
+            membership_index: start.snapshot.at.index,
+            commit: start.snapshot.at.index,
+            applied: start.snapshot.at.index,
+            snapshot: start.snapshot,
+            leader: None,
+            leader_heard: Some(now),
+            election_at: now,
+            heartbeat_at: now,
+            votes: BTreeSet::new(),
+            progress: BTreeMap::new(),
+            round: 0,
+            rounds: VecDeque::new(),
+            lease_until: Moment(0),
+            out: ReplicaOutput::default(),
+        };
+        core.refresh_membership();
+        core.reset_election(now, rng);
+        if core.membership.voters.len() == 1 && core.is_voter() {
+            // Nobody else can hold a lease.
+            core.election_at = now;
+        }
+        core
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Moment, rng: &mut dyn RngCore) -> ReplicaOutput<C> {
+        match self.role {
+            ReplicaRole::Leader => self.tick_leader(now, rng),
+            _ if now >= self.election_at && self.is_voter() => self.begin_pre_vote(now, rng),
+            _ => {}
+        }
+        self.take_output()
+    }
+
+    /// Takes a message.
+    pub fn receive(
+        &mut self,
+        envelope: ReplicaEnvelope<C>,
+        now: Moment,
+        rng: &mut dyn RngCore,
+    ) -> ReplicaOutput<C> {
+        if envelope.fleet == self.membership().fleet && envelope.to == self.me {
+            self.dispatch(envelope, now, rng);
+        }
+        self.take_output()
+    }
+
+    fn dispatch(&mut self, envelope: ReplicaEnvelope<C>, now: Moment, rng: &mut dyn RngCore) {
+        let ReplicaEnvelope { from, term, message, .. } = envelope;
+        match message {
+            ReplicaMessage::PreVote { last } => self.on_pre_vote(from, term, last, now),
+            ReplicaMessage::PreVoteReply { granted } => {
+                self.on_pre_vote_reply(from, term, granted, now, rng)
+            }
+            ReplicaMessage::Vote { last } => self.on_vote(from, term, last, now, rng),
+            ReplicaMessage::VoteReply { granted } => {
+                self.on_vote_reply(from, term, granted, now, rng)
+            }
+            ReplicaMessage::Append { previous, entries, commit, round } => {
+                if self.follow(&from, term, now, rng) {
+                    self.on_append(from, previous, entries, commit, round);
+                } else {
+                    self.send(
+                        from,
+                        ReplicaMessage::AppendReply { accepted: false, index: 0, round },
+                    );
+                }
+            }
+            ReplicaMessage::Snapshot { snapshot, round } => {
+                if self.follow(&from, term, now, rng) {
+                    self.on_snapshot(from, snapshot, round);
+                } else {
+                    self.send(
+                        from,
+                        ReplicaMessage::AppendReply { accepted: false, index: 0, round },
+                    );
+                }
+            }
+            ReplicaMessage::AppendReply { accepted, index, round } => {
+                if self.adopt_term(term, now, rng) {
+                    return;
+                }
+                if term == self.hard.term && self.role == ReplicaRole::Leader {
+                    self.on_append_reply(&from, accepted, index, round, now);
+                }
+            }
+        }
+    }
+
+    /// Proposes commands; they are in the log when this returns, and committed some time later.
+    /// Returns the index of the first.
+    pub fn propose(
+        &mut self,
+        commands: Vec<C>,
+        now: Moment,
+    ) -> Result<(u64, ReplicaOutput<C>), ProposalFault> {
+        if self.role != ReplicaRole::Leader {
+            return Err(ProposalFault::NotLeader { leader: self.leader.clone() });
+        }
+        let first = self.log.last().index + 1;
+        commands.into_iter().for_each(|command| self.append_own(EntryPayload::Command(command)));
+        self.broadcast(now);
+        self.advance_commit();
+        Ok((first, self.take_output()))
+    }
+
+    /// Proposes a change of voters. One at a time, and only once this leader has committed an entry of
+    /// its own term (otherwise two leaders' changes can give disjoint quorums; Ongaro, 2015).
+    pub fn change_membership(
+        &mut self,
+        membership: FleetMembership,
+        now: Moment,
+    ) -> Result<ReplicaOutput<C>, ProposalFault> {
+        if self.role != ReplicaRole::Leader {
+            return Err(ProposalFault::NotLeader { leader: self.leader.clone() });
+        }
+        let has_committed = self.log.term_at(self.commit) == Some(self.hard.term);
+        if !has_committed || self.membership_index > self.commit {
+            return Err(ProposalFault::ChangePending);
+        }
+        self.append_own(EntryPayload::Membership(membership));
+        self.refresh_progress(now);
+        self.broadcast(now);
+        self.advance_commit();
+        Ok(self.take_output())
+    }
+
+    /// Replaces entries up to `at` by a snapshot of the applied state. The driver must have kept the
+    /// returned record, synced, before it drops the entries from its files.
+    pub fn compact(&mut self, state: std::sync::Arc<str>) -> SnapshotRecord {
+        let index = self.applied;
+        let at =
+            LogPosition { term: self.log.term_at(index).unwrap_or(self.snapshot.at.term), index };
+        let membership = self.membership_at(index).clone();
+        self.snapshot = SnapshotRecord { at, membership, state };
+        self.log.compact(at);
+        self.snapshot.clone()
+    }
+
+    pub(super) fn append_own(&mut self, payload: EntryPayload<C>) {
+        let at = LogPosition { term: self.hard.term, index: self.log.last().index + 1 };
+        let entry = LogEntry { at, payload };
+        self.keep_entry(entry);
+    }
+
+    /// Adds an entry to the log and to what must be synced.
+    pub(super) fn keep_entry(&mut self, entry: LogEntry<C>) {
+        if let EntryPayload::Membership(membership) = &entry.payload {
+            self.membership = membership.clone();
+            self.membership_index = entry.at.index;
+        }
+        self.log.push(entry.clone());
+        self.out.entries.push(entry);
+    }
+
+    /// Finds the membership in force again, after the log lost entries or was replaced.
+    pub(super) fn refresh_membership(&mut self) {
+        self.membership = self.membership_at(u64::MAX).clone();
+        let is_change = |entry: &&LogEntry<C>| matches!(entry.payload, EntryPayload::Membership(_));
+        let newest = self.log.entries().iter().rev().find(is_change);
+        self.membership_index = newest.map_or(self.snapshot.at.index, |entry| entry.at.index);
+    }
+
+    pub(super) fn send(&mut self, to: VoterId, message: ReplicaMessage<C>) {
+        let term = self.hard.term;
+        self.send_in_term(to, term, message);
+    }
+
+    pub(super) fn send_in_term(&mut self, to: VoterId, term: u64, message: ReplicaMessage<C>) {
+        let fleet = self.membership().fleet;
+        let from = self.me.clone();
+        self.out.messages.push(ReplicaEnvelope { fleet, from, to, term, message });
+    }
+
+    fn take_output(&mut self) -> ReplicaOutput<C> {
+        while self.applied < self.commit {
+            let Some(entry) = self.log.get(self.applied + 1) else { break };
+            self.out.committed.push(entry.clone());
+            self.applied += 1;
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    pub(super) fn install_applied(&mut self, index: u64) {
+        self.commit = index;
+        self.applied = index;
+    }
+
+    /// The membership in force: the last one in the log, committed or not.
+    pub fn membership(&self) -> &FleetMembership {
+        &self.membership
+    }
+
+    fn membership_at(&self, index: u64) -> &FleetMembership {
+        let entries = self.log.entries().iter().rev().filter(|entry| entry.at.index <= index);
+        entries
+            .filter_map(|entry| match &entry.payload {
+                EntryPayload::Membership(membership) => Some(membership),
+                _ => None,
+            })
+            .next()
+            .unwrap_or(&self.snapshot.membership)
+    }
+
+    pub(super) fn membership_index(&self) -> u64 {
+        self.membership_index
+    }
+
+    pub(super) fn is_voter(&self) -> bool {
+        self.membership().voters.contains_key(&self.me)
+    }
+
+    pub(super) fn reset_election(&mut self, now: Moment, rng: &mut dyn RngCore) {
+        let least = self.config.election.as_micros() as u64;
+        self.election_at = now + Duration::from_micros(rng.random_range(least..=2 * least));
+    }
+
+    /// This replica's identity.
+    pub fn me(&self) -> &VoterId {
+        &self.me
+    }
+
+    /// What it does.
+    pub fn role(&self) -> ReplicaRole {
+        self.role
+    }
+
+    /// The term.
+    pub fn term(&self) -> u64 {
+        self.hard.term
+    }
+
+    /// Who leads, as far as it knows.
+    pub fn leader(&self) -> Option<&VoterId> {
+        self.leader.as_ref()
+    }
+
+    /// The last committed index.
+    pub fn commit_index(&self) -> u64 {
+        self.commit
+    }
+
+    /// The last applied index.
+    pub fn applied_index(&self) -> u64 {
+        self.applied
+    }
+
+    /// Entries behind the snapshot.
+    pub fn log_length(&self) -> usize {
+        self.log.entries().len()
+    }
+
+    /// The log, for checks.
+    pub fn log(&self) -> &MemoryLog<C> {
+        &self.log
+    }
+
+    /// True while nobody else can have been elected, and everything committed before this term is
+    /// applied: a read at this moment is the newest.
+    pub fn holds_lease(&self, now: Moment) -> bool {
+        self.role == ReplicaRole::Leader
+            && now < self.lease_until
+            && self.log.term_at(self.commit) == Some(self.hard.term)
+    }
+
+    /// When the present lease ends.
+    pub fn lease_until(&self) -> Moment {
+        self.lease_until
+    }
+
+    /// How far a member's log is known to match.
+    pub fn matched(&self, id: &VoterId) -> Option<u64> {
+        self.progress.get(id).map(|progress| progress.matched)
+    }
+
+    /// When a member was last heard, on the leader.
+    pub fn heard(&self, id: &VoterId) -> Option<Moment> {
+        self.progress.get(id).map(|progress| progress.heard)
+    }
+}
--- /dev/null
+++ b/src/replica/election.rs
@@ -0,0 +1,204 @@
+//! Elections: pre-vote, vote, and stepping down.
+
+use super::core::{PeerProgress, ReplicaCore, ReplicaRole};
+use super::log::{EntryPayload, LogPosition};
+use super::membership::VoterId;
+use super::messages::ReplicaMessage;
+use crate::policy::Moment;
+use rand::RngCore;
+
+impl<C: Clone + std::fmt::Debug> ReplicaCore<C> {
+    /// Asks first whether an election would succeed. What goes wrong without it: a replica that was cut
+    /// off comes back with a high term and deposes a working leader. One would notice by elections
+    /// after each partition heals.
+    pub(super) fn begin_pre_vote(&mut self, now: Moment, rng: &mut dyn RngCore) {
+        self.role = ReplicaRole::PreCandidate;
+        self.leader = None;
+        self.votes.clear();
+        self.votes.insert(self.me.clone());
+        self.reset_election(now, rng);
+        if self.votes.len() >= self.membership().quorum() {
+            return self.begin_vote(now, rng);
+        }
+        let last = self.log.last();
+        let term = self.hard.term + 1;
+        for peer in self.other_voters() {
+            self.send_in_term(peer, term, ReplicaMessage::PreVote { last });
+        }
+    }
+
+    pub(super) fn other_voters(&self) -> Vec<VoterId> {
+        self.membership().voters.keys().filter(|id| **id != self.me).cloned().collect()
+    }
+
+    /// True while this replica believes in a leader that it has heard within the least election time.
+    /// Such a replica refuses votes; the leader's lease rests on this.
+    fn hears_leader(&self, now: Moment) -> bool {
+        let has_recent =
+            self.leader_heard.is_some_and(|heard| now.since(heard) < self.config.election);
+        has_recent || (self.role == ReplicaRole::Leader && now < self.lease_until)
+    }
+
+    pub(super) fn on_pre_vote(&mut self, from: VoterId, term: u64, last: LogPosition, now: Moment) {
+        let granted = term > self.hard.term && last >= self.log.last() && !self.hears_leader(now);
+        let reply_term = if granted { term } else { self.hard.term };
+        self.send_in_term(from, reply_term, ReplicaMessage::PreVoteReply { granted });
+    }
+
+    pub(super) fn on_pre_vote_reply(
+        &mut self,
+        from: VoterId,
+        term: u64,
+        granted: bool,
+        now: Moment,
+        rng: &mut dyn RngCore,
+    ) {
+        if !granted {
+            self.adopt_term(term, now, rng);
+            return;
+        }
+        if self.role != ReplicaRole::PreCandidate
+            || term != self.hard.term + 1
+            || !self.is_other_voter(&from)
+        {
+            return;
+        }
+        self.votes.insert(from);
+        if self.votes.len() >= self.membership().quorum() {
+            self.begin_vote(now, rng);
+        }
+    }
+
+    fn is_other_voter(&self, id: &VoterId) -> bool {
+        *id != self.me && self.membership().voters.contains_key(id)
+    }
+
+    fn begin_vote(&mut self, now: Moment, rng: &mut dyn RngCore) {
+        self.role = ReplicaRole::Candidate;
+        self.hard.term += 1;
+        self.hard.vote = Some(self.me.clone());
+        self.keep_hard_state();
+        self.votes.clear();
+        self.votes.insert(self.me.clone());
+        self.reset_election(now, rng);
+        if self.votes.len() >= self.membership().quorum() {
+            return self.become_leader(now);
+        }
+        let last = self.log.last();
+        for peer in self.other_voters() {
+            self.send(peer, ReplicaMessage::Vote { last });
+        }
+    }
+
+    pub(super) fn on_vote(
+        &mut self,
+        from: VoterId,
+        term: u64,
+        last: LogPosition,
+        now: Moment,
+        rng: &mut dyn RngCore,
+    ) {
+        if self.hears_leader(now) {
+            return;
+        }
+        self.adopt_term(term, now, rng);
+        let is_free = self.hard.vote.as_ref().is_none_or(|vote| *vote == from);
+        let granted = term == self.hard.term && is_free && last >= self.log.last();
+        if granted {
+            self.hard.vote = Some(from.clone());
+            self.keep_hard_state();
+            self.reset_election(now, rng);
+        }
+        self.send(from, ReplicaMessage::VoteReply { granted });
+    }
+
+    pub(super) fn on_vote_reply(
+        &mut self,
+        from: VoterId,
+        term: u64,
+        granted: bool,
+        now: Moment,
+        rng: &mut dyn RngCore,
+    ) {
+        if self.adopt_term(term, now, rng) {
+            return;
+        }
+        let counts = granted
+            && term == self.hard.term
+            && self.role == ReplicaRole::Candidate
+            && self.is_other_voter(&from);
+        if !counts {
+            return;
+        }
+        self.votes.insert(from);
+        if self.votes.len() >= self.membership().quorum() {
+            self.become_leader(now);
+        }
+    }
+
+    fn become_leader(&mut self, now: Moment) {
+        self.role = ReplicaRole::Leader;
+        self.leader = Some(self.me.clone());
+        self.progress.clear();
+        self.rounds.clear();
+        self.lease_until = Moment(0);
+        self.refresh_progress(now);
+        self.append_own(EntryPayload::Empty);
+        self.broadcast(now);
+        self.advance_commit();
+    }
+
+    /// Gives every member a progress, and forgets who is no longer one.
+    pub(super) fn refresh_progress(&mut self, now: Moment) {
+        let next = self.log.last().index + 1;
+        let members: Vec<VoterId> = self.membership().members().map(|(id, _)| id.clone()).collect();
+        self.progress.retain(|id, _| members.contains(id));
+        for id in members {
+            let fresh =
+                PeerProgress { matched: 0, next, acked_round: 0, heard: now, snapshot_round: None };
+            self.progress.entry(id).or_insert(fresh);
+        }
+    }
+
+    /// Takes over a newer term; true if it was newer.
+    pub(super) fn adopt_term(&mut self, term: u64, now: Moment, rng: &mut dyn RngCore) -> bool {
+        if term <= self.hard.term {
+            return false;
+        }
+        self.hard.term = term;
+        self.hard.vote = None;
+        self.keep_hard_state();
+        self.step_down(now, rng);
+        true
+    }
+
+    pub(super) fn keep_hard_state(&mut self) {
+        self.out.hard_state = Some(self.hard.clone());
+    }
+
+    pub(super) fn step_down(&mut self, now: Moment, rng: &mut dyn RngCore) {
+        self.role = ReplicaRole::Follower;
+        self.leader = None;
+        self.lease_until = Moment(0);
+        self.reset_election(now, rng);
+    }
+
+    /// Follows the sender of an append or snapshot; false if its term is past.
+    pub(super) fn follow(
+        &mut self,
+        from: &VoterId,
+        term: u64,
+        now: Moment,
+        rng: &mut dyn RngCore,
+    ) -> bool {
+        self.adopt_term(term, now, rng);
+        if term < self.hard.term {
+            return false;
+        }
+        self.role = ReplicaRole::Follower;
+        self.leader = Some(from.clone());
+        self.leader_heard = Some(now);
+        self.reset_election(now, rng);
+        true
+    }
+}
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -178,6 +178,11 @@
     /// Methods whose requests may be repeated; absent means all for models and GET, HEAD, OPTIONS, PUT and DELETE for plain services.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub idempotent_methods: Option<Vec<String>>,
+    /// How long the outcome of a request with an idempotency key is kept, in milliseconds.
+    #[serde(default = "default_claim_life")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[schemars(range(min = 1_000))]
+    pub claim_life_ms: Duration,
     /// Order of waiting requests.
     #[serde(default)]
     pub queue: QueueChoice,
@@ -223,6 +228,10 @@
     Duration::from_millis(750)
 }
 
+fn default_claim_life() -> Duration {
+    Duration::from_secs(24 * 3_600)
+}
+
 fn default_body_limit() -> u32 {
     1 << 20
 }
--- /dev/null
+++ b/src/traffic/claim_guard.rs
@@ -0,0 +1,117 @@
+//! A request's claim: taken before it may be dispatched, settled when it has ended.
+
+use super::access::CallerIdentity;
+use super::dispatch::ExchangeEnd;
+use super::state::TrafficState;
+use crate::answer::{AnswerKind, RefusalAnswer};
+use crate::claim::{ClaimKey, ClaimOutcome, ClaimOwner, ClaimReply, RecordedAnswer};
+use crate::policy::RequestState;
+use crate::upstream::UpstreamCall;
+use axum::body::Body;
+use http::{HeaderValue, Response, StatusCode, header};
+use sha2::{Digest, Sha256};
+use std::fmt::Write;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The header that marks an answer given from the record.
+const REPLAYED_HEADER: &str = "idempotency-replayed";
+
+/// A claim that this request holds. Dropped without an end (the task was cut off), it is settled as
+/// unknown: the request may have been sent.
+pub struct ClaimGuard {
+    state: Arc<TrafficState>,
+    key: ClaimKey,
+    owner: ClaimOwner,
+    is_open: bool,
+}
+
+impl ClaimGuard {
+    /// Records how the request ended.
+    pub fn settle(mut self, end: &ExchangeEnd) {
+        let outcome = match (&end.recorded, end.state) {
+            (Some(answer), RequestState::Answered) => ClaimOutcome::Answered(answer.clone()),
+            _ if end.may_have_run => ClaimOutcome::Unknown,
+            _ => ClaimOutcome::NotRun,
+        };
+        self.record(outcome);
+    }
+
+    fn record(&mut self, outcome: ClaimOutcome) {
+        self.is_open = false;
+        if let Some(keeper) = self.state.claims() {
+            keeper.settle(&self.key, &self.owner, outcome);
+        }
+    }
+}
+
+impl Drop for ClaimGuard {
+    fn drop(&mut self) {
+        if self.is_open {
+            self.record(ClaimOutcome::Unknown);
+        }
+    }
+}
+
+/// Takes the claim; an error holds the reply that answers the request instead.
+pub async fn take_claim(
+    state: &Arc<TrafficState>,
+    caller: &CallerIdentity,
+    key: &str,
+    call: &UpstreamCall,
+    life: Duration,
+) -> Result<ClaimGuard, Option<ClaimReply>> {
+    let keeper = state.claims().ok_or(None)?;
+    let key = ClaimKey { organisation: caller.organisation.clone(), key: key.to_owned() };
+    let owner = ClaimOwner {
+        daemon: state.daemon.clone(),
+        boot: state.boot(),
+        request: call.id.to_string(),
+    };
+    match keeper.take(&key, request_digest(call), &owner, life).await {
+        Some(ClaimReply::Granted) => {
+            Ok(ClaimGuard { state: Arc::clone(state), key, owner, is_open: true })
+        }
+        reply => Err(reply),
+    }
+}
+
+/// SHA-256 over method, path and body: what must be equal for a resend to be the same request.
+fn request_digest(call: &UpstreamCall) -> String {
+    let mut digest = Sha256::new();
+    digest.update(call.method.as_str());
+    digest.update([0]);
+    digest.update(call.uri.to_string());
+    digest.update([0]);
+    digest.update(&call.body);
+    digest.finalize().iter().fold(String::with_capacity(64), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
+
+/// The answer to a request whose claim was not granted.
+pub fn claim_answer(reply: Option<ClaimReply>, id: &str, jitter: f64) -> Response<Body> {
+    let kind = match reply {
+        Some(ClaimReply::Answered(answer)) => match replay(answer, id) {
+            Some(response) => return response,
+            None => AnswerKind::ClaimAnswered,
+        },
+        Some(ClaimReply::Mismatch) => AnswerKind::ClaimMismatch,
+        Some(ClaimReply::Running(_)) => AnswerKind::ClaimRunning,
+        Some(ClaimReply::Unknown) => AnswerKind::ClaimUnknown,
+        _ => AnswerKind::ClaimUnavailable,
+    };
+    RefusalAnswer::new(kind, "", jitter).response(id)
+}
+
+/// The recorded answer, if its body was kept.
+fn replay(answer: RecordedAnswer, id: &str) -> Option<Response<Body>> {
+    let mut response = Response::new(Body::from(answer.body?));
+    *response.status_mut() = StatusCode::from_u16(answer.status).ok()?;
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_str(&answer.content_type).ok()?);
+    headers.insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
+    headers.insert("x-request-id", HeaderValue::from_str(id).ok()?);
+    Some(response)
+}
--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -4,6 +4,7 @@
 use super::sink::{AnswerSink, CallerGone};
 use super::state::TrafficState;
 use crate::answer::{AnswerKind, RefusalAnswer};
+use crate::claim::RecordedAnswer;
 use crate::policy::{
     ArrivedRequest, DispatchOutcome, Exchange, ExchangeAction, ExchangeEvent, Moment, PoolEvent,
     RequestState, UpstreamWord,
@@ -33,6 +34,10 @@
     pub first_piece: Option<Duration>,
     /// Output tokens.
     pub tokens: u32,
+    /// The answer, where it was to be kept.
+    pub recorded: Option<RecordedAnswer>,
+    /// True if a byte may have reached an upstream.
+    pub may_have_run: bool,
 }
 
 /// What is fixed about one request's run.
@@ -43,6 +48,8 @@
     pub arrived: ArrivedRequest,
     /// A stream is silent after this long without a byte.
     pub silence: Duration,
+    /// True if the answer must be kept for resends.
+    pub records: bool,
 }
 
 /// What can happen while an answer is awaited.
@@ -71,6 +78,8 @@
     resumes: u32,
     arrived_at: Moment,
     first_piece: Option<Duration>,
+    recorded: Option<RecordedAnswer>,
+    may_have_run: bool,
 }
 
 /// Runs a request to its one end.
@@ -80,7 +89,11 @@
     exchange_call: ExchangeCall,
     sink: AnswerSink,
 ) -> ExchangeEnd {
-    let ExchangeCall { call, arrived, silence } = exchange_call;
+    let ExchangeCall { call, arrived, silence, records } = exchange_call;
+    let mut sink = sink;
+    if records {
+        sink.keep_record();
+    }
     let mut run = ExchangeRun {
         state,
         pool,
@@ -97,6 +110,8 @@
         resumes: 0,
         arrived_at: state.clock.now(),
         first_piece: None,
+        recorded: None,
+        may_have_run: false,
     };
     let (guard, word) = pool.arrive(arrived);
     run.carry(guard, word, sink).await;
@@ -106,6 +121,8 @@
         upstream: run.target.map(|(name, _)| name),
         first_piece: run.first_piece,
         tokens: run.tokens,
+        recorded: run.recorded,
+        may_have_run: run.may_have_run,
     }
 }
 
@@ -131,10 +148,15 @@
                 PlacementWord::Go { upstream, name, address } => (upstream, name, address),
             };
             self.target = Some((name, address));
+            self.may_have_run = true;
             self.exchange.on(ExchangeEvent::Placed(upstream), self.now());
             match self.converse(&mut guard, &mut sink).await {
-                ConverseEnd::Requeue => word = guard.requeue(),
+                ConverseEnd::Requeue => {
+                    self.may_have_run = false;
+                    word = guard.requeue();
+                }
                 ConverseEnd::Finish => {
+                    self.recorded = sink.take_record();
                     let _ = sink.finish(std::mem::take(&mut self.end_mark)).await;
                     return;
                 }
--- a/src/traffic/front.rs
+++ b/src/traffic/front.rs
@@ -1,6 +1,7 @@
 //! The callers' front: HTTP/1.1 and HTTP/2, admission, and the answers' way back.
 
 use super::access::CallerIdentity;
+use super::claim_guard::{ClaimGuard, claim_answer, take_claim};
 use super::dispatch::{ExchangeCall, ExchangeEnd, run_exchange};
 use super::drain::{DrainAction, DrainEvent, drain_chart};
 use super::model_call::ModelCall;
@@ -10,7 +11,7 @@
 use crate::policy::{ArrivedRequest, OrganisationIndex, RequestId, RequestState, prefix_hashes};
 use crate::report::{RequestRecord, record_request, render_metrics};
 use crate::table::{ServiceKind, ServiceRow, TierName};
-use crate::upstream::UpstreamCall;
+use crate::upstream::{REQUEST_ID_HEADER, UpstreamCall};
 use axum::Router;
 use axum::body::Body;
 use axum::extract::State;
@@ -35,6 +36,10 @@
 const DEADLINE_HEADER: &str = "tarragonknot-deadline-ms";
 /// `yes` or `no`: whether the request may be repeated.
 const IDEMPOTENT_HEADER: &str = "tarragonknot-idempotent";
+/// The caller's key for one logical request (IETF draft `idempotency-key-header`).
+const KEY_HEADER: &str = "idempotency-key";
+/// Longest idempotency key, in bytes.
+const KEY_LIMIT: usize = 255;
 /// What the request is for; assignments may match it.
 const PURPOSE_HEADER: &str = "tarragonknot-purpose";
 /// A caller must send its head within this time.
@@ -120,6 +125,7 @@
         tokio::time::sleep(IDLE_CHECK).await;
     }
     if machine.step(DrainEvent::Idle).contains(&DrainAction::Exit) {
+        state.set_drained();
         info!(state.log, "drained");
     }
 }
@@ -244,6 +250,8 @@
     tier: TierName,
     caller: CallerIdentity,
     limit: LimitGuard,
+    claim: Option<ClaimGuard>,
+    claim_key: Option<String>,
 }
 
 /// An organisation's place in progress.
@@ -261,14 +269,38 @@
     }
 }
 
+/// Takes the claim of a request that carries a key. Runs in the request's own task, which a caller that
+/// leaves does not cut off: a claim taken and then forgotten would never be settled. Returns the answer if it must not be dispatched.
+async fn claim(
+    state: &Arc<TrafficState>,
+    admitted: &mut AdmittedRequest,
+) -> Option<Response<Body>> {
+    let key = admitted.claim_key.take()?;
+    let call = &admitted.exchange.call;
+    let id = Arc::clone(&call.id);
+    match take_claim(state, &admitted.caller, &key, call, admitted.service.claim_life_ms).await {
+        Ok(guard) => {
+            admitted.exchange.records = true;
+            admitted.claim = Some(guard);
+            None
+        }
+        Err(reply) => Some(claim_answer(reply, &id, state.jitter())),
+    }
+}
+
 async fn run_admitted(state: Arc<TrafficState>, admitted: AdmittedRequest, sink: AnswerSink) {
-    let AdmittedRequest { exchange, service, tier, caller, mut limit } = admitted;
     let progress = state.begin();
+    let mut admitted = admitted;
+    if let Some(answer) = claim(&state, &mut admitted).await {
+        return sink.answer(answer);
+    }
+    let AdmittedRequest { exchange, service, tier, caller, mut limit, claim, .. } = admitted;
     let Some(pool) = state.pool(&service.service) else { return };
     let arrived_at = state.clock.now();
     let request_id = Arc::clone(&exchange.call.id);
     let end = run_exchange(&state, &pool, exchange, sink).await;
     limit.has_run = end.upstream.is_some();
+    claim.into_iter().for_each(|claim| claim.settle(&end));
     let total = state.clock.now().since(arrived_at);
     log_end(&state, &request_id, &end);
     record_request(&RequestRecord {
@@ -327,6 +359,12 @@
     let (tier, rank) = snapshot.access.tier(&service, &caller, purpose);
     let deadline = deadline_of(&parts.headers, &service)?;
     let is_idempotent = idempotent_of(&parts.headers, &service, &parts.method)?;
+    let claim_key = header_text(&parts.headers, KEY_HEADER)?.map(str::to_owned);
+    if claim_key.as_ref().is_some_and(|key| key.is_empty() || key.len() > KEY_LIMIT) {
+        return Err(EarlyRefusal::bad(format!(
+            "header {KEY_HEADER}: expected 1 to {KEY_LIMIT} bytes"
+        )));
+    }
     let uri = if is_model { parts.uri.clone() } else { stripped_uri(&parts.uri, &shape.service)? };
     let pool = state.pool(&service.service).ok_or(AnswerKind::ServiceUnknown)?;
     let cost = pool.cost_of(caller.index, rank, shape.prompt_bytes, shape.output_limit);
@@ -353,8 +391,8 @@
         deadline: now + deadline,
         prefix: shape.prefix,
     };
-    let exchange = ExchangeCall { call, arrived, silence: service.silence_ms };
-    Ok(AdmittedRequest { exchange, service, tier, caller, limit })
+    let exchange = ExchangeCall { call, arrived, silence: service.silence_ms, records: false };
+    Ok(AdmittedRequest { exchange, service, tier, caller, limit, claim: None, claim_key })
 }
 
 /// What the body says of the request.
@@ -470,7 +508,7 @@
 /// The caller's headers without its key, without what belongs to its connection, and without ours.
 fn upstream_headers(headers: &HeaderMap, is_model: bool) -> HeaderMap {
     let mut passed = crate::upstream::end_to_end_headers(headers);
-    let own = [DEADLINE_HEADER, IDEMPOTENT_HEADER, PURPOSE_HEADER, "x-request-id", "expect"];
+    let own = [DEADLINE_HEADER, IDEMPOTENT_HEADER, PURPOSE_HEADER, REQUEST_ID_HEADER, "expect"];
     own.iter().for_each(|name| {
         passed.remove(*name);
     });
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -1,6 +1,7 @@
 //! Traffic: the callers' front, dispatch and relay. Reads control state through snapshots only.
 
 mod access;
+mod claim_guard;
 mod dispatch;
 mod drain;
 mod front;
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -4,7 +4,7 @@
 use crate::answer::AnswerKind;
 use crate::policy::{
     ArrivedRequest, DispatchOutcome, Moment, OrganisationIndex, PoolAction, PoolEvent, PoolPlan,
-    PoolScheduler, PoolStatus, RequestId, TierRank, UpstreamIndex,
+    PoolScheduler, PoolStatus, RequestId, TierRank, UpstreamIndex, UpstreamState, UpstreamStatus,
 };
 use crate::table::{ServiceName, UpstreamName};
 use crate::upstream::UpstreamDriver;
@@ -126,6 +126,11 @@
         self.lock().scheduler.status()
     }
 
+    /// Breaks of the shedding order.
+    pub fn order_breaks(&self) -> u64 {
+        self.lock().scheduler.order_breaks()
+    }
+
     /// The estimated cost of a request.
     pub fn cost_of(
         &self,
@@ -142,14 +147,12 @@
         read(&self.lock().scheduler)
     }
 
-    /// Addresses of all upstreams.
-    pub fn addresses(&self) -> Vec<(UpstreamIndex, SocketAddr)> {
-        self.lock()
-            .scheduler
-            .upstreams()
-            .iter()
-            .map(|status| (status.index, status.source.address))
-            .collect()
+    /// Numbers and addresses of all upstreams, and whether each could not be reached last.
+    pub fn addresses(&self) -> Vec<(UpstreamIndex, SocketAddr, bool)> {
+        let core = self.lock();
+        let is_suspect = |status: &UpstreamStatus| status.state() == UpstreamState::Suspect;
+        let statuses = core.scheduler.upstreams().iter();
+        statuses.map(|status| (status.index, status.source.address, is_suspect(status))).collect()
     }
 
     /// Now.
--- a/src/traffic/sink.rs
+++ b/src/traffic/sink.rs
@@ -1,9 +1,11 @@
 //! The caller's end of an answer: one head, then a body that ends well or is visibly cut.
 
 use crate::answer::{AnswerKind, RefusalAnswer};
+use crate::claim::RecordedAnswer;
 use crate::upstream::AnswerHead;
 use axum::body::Body;
 use bytes::Bytes;
+use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response};
 use std::io;
 use std::sync::Arc;
@@ -16,6 +18,9 @@
 /// still become a clear refusal.
 const HELD_BYTES: usize = 1 << 20;
 
+/// Bytes of an answer kept for resends; a larger one is kept as an outcome without a body.
+const RECORD_BYTES: usize = 16 << 10;
+
 /// The caller has gone.
 #[derive(Debug, PartialEq, Eq)]
 pub struct CallerGone;
@@ -29,6 +34,8 @@
     held: Vec<Bytes>,
     held_bytes: usize,
     streams: bool,
+    record: Option<RecordedAnswer>,
+    recorded: Vec<u8>,
 }
 
 impl AnswerSink {
@@ -43,6 +50,8 @@
             held: Vec::new(),
             held_bytes: 0,
             streams,
+            record: None,
+            recorded: Vec::new(),
         };
         (sink, receiver)
     }
@@ -64,12 +73,38 @@
     /// Takes the upstream's head; it is passed on with the first piece.
     pub fn set_head(&mut self, head: AnswerHead) {
         if self.head.is_none() {
+            if let Some(record) = &mut self.record {
+                let content_type =
+                    head.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+                record.status = head.status.as_u16();
+                record.content_type = content_type.unwrap_or_default().to_owned();
+            }
             self.head = Some(head);
         }
     }
 
+    /// Keeps the answer for resends, as far as it is small and text.
+    pub fn keep_record(&mut self) {
+        self.record = Some(RecordedAnswer { status: 0, content_type: String::new(), body: None });
+    }
+
+    /// The answer that was kept; its body is absent if it was too large or not text.
+    pub fn take_record(&mut self) -> Option<RecordedAnswer> {
+        let mut record = self.record.take()?;
+        let bytes = std::mem::take(&mut self.recorded);
+        record.body = if bytes.len() <= RECORD_BYTES && !self.streams {
+            String::from_utf8(bytes).ok()
+        } else {
+            None
+        };
+        Some(record)
+    }
+
     /// Passes a piece on, waiting for a slow caller.
     pub async fn relay(&mut self, bytes: Bytes) -> Result<(), CallerGone> {
+        if self.record.is_some() && self.recorded.len() <= RECORD_BYTES {
+            self.recorded.extend_from_slice(&bytes);
+        }
         if self.body_sender.is_none() {
             self.held_bytes += bytes.len();
             self.held.push(bytes);
@@ -112,6 +147,13 @@
         response
     }
 
+    /// Gives the whole answer at once, in place of an upstream's.
+    pub fn answer(mut self, response: Response<Body>) {
+        if let Some(sender) = self.head_sender.take() {
+            let _ = sender.send(response);
+        }
+    }
+
     /// Ends the answer well.
     pub async fn finish(mut self, end_mark: Bytes) -> Result<(), CallerGone> {
         if self.streams && self.body_sender.is_none() {
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -2,6 +2,7 @@
 
 use super::access::{AccessIndex, OrganisationNumbers};
 use super::pool_runtime::PoolRuntime;
+use crate::control::ClaimKeeper;
 use crate::platform::PlatformList;
 use crate::policy::{LimitBook, Moment, PoolEvent, PoolPlan, UpstreamSource};
 use crate::table::{DaemonName, OperatorTable, ServiceKind, ServiceName, VersionedTable};
@@ -13,8 +14,9 @@
 use slog::{Logger, info};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 
 /// Monotonic time as [`Moment`]s.
 #[derive(Clone, Copy, Debug)]
@@ -58,9 +60,13 @@
     /// The table counts as current until then, in microseconds of the clock.
     current_until: AtomicU64,
     is_ready: AtomicBool,
+    is_drained: AtomicBool,
+    claims: OnceLock<ClaimKeeper>,
+    /// Told when the leader should hear of a floor at once.
+    pub floor_news: Notify,
     in_progress: AtomicUsize,
     next_request: AtomicU64,
-    boot: String,
+    boot: u64,
     rng: Mutex<ChaCha8Rng>,
 }
 
@@ -68,8 +74,8 @@
     /// State with no table: nothing is admitted until [`TrafficState::apply_table`] and
     /// [`TrafficState::set_current_until`].
     pub fn new(daemon: DaemonName, log: Logger, seed: u64) -> Arc<Self> {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let boot = format!("{:08x}", rng.next_u32());
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+
         Arc::new(TrafficState {
             daemon,
             log,
@@ -82,9 +88,12 @@
             connections: Arc::default(),
             current_until: AtomicU64::new(0),
             is_ready: AtomicBool::new(true),
+            is_drained: AtomicBool::new(false),
+            claims: OnceLock::new(),
+            floor_news: Notify::new(),
             in_progress: AtomicUsize::new(0),
             next_request: AtomicU64::new(1),
-            boot,
+            boot: seed,
             rng: Mutex::new(rng),
         })
     }
@@ -178,10 +187,15 @@
         (self.seed() >> 11) as f64 / (1u64 << 53) as f64
     }
 
+    /// The daemon's boot number.
+    pub fn boot(&self) -> u64 {
+        self.boot
+    }
+
     /// A new request number and the id that goes to upstreams and callers.
     pub fn new_request_id(&self) -> (u64, Arc<str>) {
         let number = self.next_request.fetch_add(1, Ordering::Relaxed);
-        (number, Arc::from(format!("{}-{}-{number}", self.daemon, self.boot)))
+        (number, Arc::from(format!("{}-{:x}-{number}", self.daemon, self.boot)))
     }
 
     /// The table counts as current until `until`.
@@ -204,6 +218,26 @@
         self.is_ready.store(false, Ordering::Release);
     }
 
+    /// The drain is complete: nothing is admitted or waits here any more.
+    pub fn set_drained(&self) {
+        self.is_drained.store(true, Ordering::Release);
+    }
+
+    /// True once the drain is complete.
+    pub fn is_drained(&self) -> bool {
+        self.is_drained.load(Ordering::Acquire)
+    }
+
+    /// Gives the traffic its way to claims; only the first call counts.
+    pub fn set_claims(&self, keeper: ClaimKeeper) {
+        let _ = self.claims.set(keeper);
+    }
+
+    /// The way to claims.
+    pub fn claims(&self) -> Option<&ClaimKeeper> {
+        self.claims.get()
+    }
+
     /// Requests in progress.
     pub fn in_progress(&self) -> usize {
         self.in_progress.load(Ordering::Acquire)
