--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -44,6 +44,8 @@
 const SNAPSHOT_ENTRIES: usize = 4_096;
 /// A member is taken off the list after it has been dead for this long, beyond its lease.
 const DEAD_FOR: Duration = Duration::from_secs(10);
+/// A voter that hears no leader for this long asks to join again.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(2);
 /// Time between attempts to join or found a fleet.
 const JOIN_PAUSE: Duration = Duration::from_millis(200);
 
@@ -176,6 +178,7 @@
         drain,
         waiting: Waiting::default(),
         proposals: Vec::new(),
+        alone_since: Moment(0),
         dead_since: BTreeMap::new(),
         sent: BTreeMap::new(),
         setup,
@@ -281,6 +284,8 @@
     drain: watch::Sender<bool>,
     waiting: Waiting,
     proposals: Vec<(Vec<ControlCommand>, EntryWaiter)>,
+    /// Since when this voter has heard no leader, or asked to join.
+    alone_since: Moment,
     dead_since: BTreeMap<DaemonName, Moment>,
     /// The orders last sent to each daemon: a report is held only while they stay the same.
     sent: BTreeMap<DaemonName, Vec<super::fleet::PoolOrder>>,
@@ -403,6 +408,20 @@
         let output = core.tick(now, &mut self.rng);
         self.settle(output, None);
         self.lead();
+        self.ask_if_forgotten(now);
+    }
+
+    /// A voter that hears no leader may have been removed without being told. It asks again; a leader
+    /// that knows it says so, one that does not may let it in as a learner.
+    fn ask_if_forgotten(&mut self, now: Moment) {
+        let hears_leader = self.core.as_ref().is_none_or(|core| core.leader().is_some());
+        if hears_leader {
+            self.alone_since = now;
+        } else if now.since(self.alone_since) >= FORGOTTEN_AFTER {
+            self.alone_since = now;
+            let task = self.joining();
+            tokio::spawn(async move { ask_to_join(&task).await });
+        }
     }
 
     fn receive(&mut self, envelope: ReplicaEnvelope<ControlCommand>) {
@@ -946,40 +965,58 @@
     log: Logger,
 }
 
-/// Asks the peers to let the voter in. It founds a fleet only if it may and every peer answers that it
-/// belongs to none: a founder whose disk was wiped must not found a second fleet beside the first.
+/// Asks the peers to let the voter in, until it belongs to a fleet.
 async fn join_or_found(task: JoinTask, joined: mpsc::Sender<JoinedFleet>) {
     let mut was_barred = false;
     loop {
-        let mut without_fleet = 0;
-        let mut addresses: VecDeque<SocketAddr> = task.peers.iter().copied().collect();
-        let mut asked = Vec::new();
-        while let Some(address) = addresses.pop_front() {
-            if asked.contains(&address) {
-                continue;
-            }
-            asked.push(address);
-            let Ok(client) = connect(address, &task.key).await else { continue };
-            match client.join(task.voter.clone(), task.control).await {
-                Ok(LeaderAnswer::Done(JoinAnswer { fleet, is_accepted: true })) => {
-                    let _ = joined.send(JoinedFleet::Joined(fleet)).await;
-                    return;
-                }
-                Ok(LeaderAnswer::Done(_)) if !was_barred => {
-                    was_barred = true;
-                    warn!(task.log, "not accepted as a voter; see `tarragonknot voter list`");
-                }
-                Ok(LeaderAnswer::Elsewhere(Some(leader))) => addresses.push_back(leader),
-                Ok(LeaderAnswer::Elsewhere(None)) if matches!(client.fleet().await, Ok(None)) => {
-                    without_fleet += 1
-                }
-                _ => {}
-            }
-        }
-        if task.may_found && without_fleet == task.peers.len() {
-            let _ = joined.send(JoinedFleet::Founded).await;
+        let answer = ask_to_join(&task).await;
+        if answer.is_barred && !was_barred {
+            was_barred = true;
+            warn!(task.log, "not accepted as a voter; see `tarragonknot voter list`");
+        }
+        // A founder whose disk was wiped must not found a second fleet beside the first: every peer must
+        // have answered that it belongs to none.
+        let may_found = task.may_found && answer.without_fleet == task.peers.len();
+        let end =
+            answer.fleet.map(JoinedFleet::Joined).or(may_found.then_some(JoinedFleet::Founded));
+        if let Some(end) = end {
+            let _ = joined.send(end).await;
             return;
         }
         tokio::time::sleep(JOIN_PAUSE).await;
     }
 }
+
+/// What the peers said to a voter that asked to join.
+#[derive(Default)]
+struct JoinRound {
+    fleet: Option<FleetId>,
+    without_fleet: usize,
+    is_barred: bool,
+}
+
+async fn ask_to_join(task: &JoinTask) -> JoinRound {
+    let mut round = JoinRound::default();
+    let mut addresses: VecDeque<SocketAddr> = task.peers.iter().copied().collect();
+    let mut asked = Vec::new();
+    while let Some(address) = addresses.pop_front() {
+        if asked.contains(&address) {
+            continue;
+        }
+        asked.push(address);
+        let Ok(client) = connect(address, &task.key).await else { continue };
+        match client.join(task.voter.clone(), task.control).await {
+            Ok(LeaderAnswer::Done(JoinAnswer { fleet, is_accepted: true })) => {
+                round.fleet = Some(fleet);
+                return round;
+            }
+            Ok(LeaderAnswer::Done(_)) => round.is_barred = true,
+            Ok(LeaderAnswer::Elsewhere(Some(leader))) => addresses.push_back(leader),
+            Ok(LeaderAnswer::Elsewhere(None)) if matches!(client.fleet().await, Ok(None)) => {
+                round.without_fleet += 1
+            }
+            _ => {}
+        }
+    }
+    round
+}
