--- a/src/load/profile.rs
+++ b/src/load/profile.rs
@@ -15,6 +15,10 @@
 
 /// Bytes of prompt per token, as the stand-in engine counts.
 const BYTES_PER_TOKEN: usize = 4;
+/// Sequences in a batch when an engine is well used.
+const TYPICAL_BATCH: f64 = 32.0;
+/// The part of shared prompt tokens that a well-used cache holds.
+const TYPICAL_HITS: f64 = 0.5;
 /// Every firm has this many organisations; the first are large.
 const ORGANISATIONS: usize = 5;
 /// Shares of requests by organisation.
@@ -125,18 +129,16 @@
         format!("{}-org-{organisation}-key", self.model)
     }
 
-    /// Mean engine time of a request in seconds, with full batches: what one engine spends on it.
+    /// Mean engine time of a request in seconds, with well-filled batches and caches.
     fn engine_seconds(&self) -> f64 {
         let shape = &self.shape;
-        let per_token =
-            shape.step_micros as f64 / shape.batch_limit as f64 + shape.sequence_micros as f64;
+        let per_token = shape.step_micros as f64 / TYPICAL_BATCH + shape.sequence_micros as f64;
         let mean = |median: f64, spread: f64| median * (spread * spread / 2.0).exp();
         let models = self.classes.iter().filter(|class| class.kind == RequestKind::Model);
         let micros: f64 = models
             .map(|class| {
-                // Templates are shared: with affinity most of their part is computed once.
-                let prompt =
-                    mean(class.prompt_tokens, class.spread) * (1.0 - 0.8 * class.shared_part);
+                let prompt = mean(class.prompt_tokens, class.spread)
+                    * (1.0 - TYPICAL_HITS * class.shared_part);
                 class.share
                     * (prompt * shape.prefill_micros as f64
                         + mean(class.output_tokens, class.spread) * per_token)
@@ -390,9 +392,9 @@
         given_limit: 50,
         data_centres: ["hall-a", "hall-b", "hall-c"],
         classes: vec![
-            model_class("inventory", 0, 70, 0.04, (3_000.0, 300.0), 20),
+            model_class("inventory", 0, 70, 0.02, (3_000.0, 300.0), 20),
             model_class("price", 1, 20, 0.25, (500.0, 80.0), 8),
-            model_class("note", 2, 10, 0.41, (40.0, 30.0), 5),
+            model_class("note", 2, 10, 0.43, (40.0, 30.0), 5),
             plain_class("booking", 3, 10, RequestKind::Booking, 0.05),
             plain_class("lookup", 4, 10, RequestKind::Lookup, 0.25),
         ],
@@ -411,9 +413,9 @@
         given_limit: 60,
         data_centres: ["brum-a", "brum-b", "cov-1"],
         classes: vec![
-            model_class("proposal", 0, 70, 0.06, (2_000.0, 350.0), 15),
+            model_class("proposal", 0, 70, 0.04, (2_000.0, 350.0), 15),
             model_class("summary", 1, 20, 0.27, (900.0, 120.0), 10),
-            model_class("question", 2, 10, 0.47, (30.0, 25.0), 4),
+            model_class("question", 2, 10, 0.49, (30.0, 25.0), 4),
             plain_class("hold", 3, 10, RequestKind::Booking, 0.05),
             plain_class("lookup", 4, 10, RequestKind::Lookup, 0.15),
         ],
