--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -7,7 +7,7 @@
 use crate::claim::RecordedAnswer;
 use crate::policy::{
     ArrivedRequest, DispatchOutcome, Exchange, ExchangeAction, ExchangeEvent, Moment, PoolEvent,
-    RequestState, UpstreamWord,
+    RequestId, RequestState, UpstreamWord,
 };
 use crate::table::UpstreamName;
 use crate::upstream::{AnswerPiece, AnswerStream, OpenFault, PieceRead, UpstreamCall};
@@ -65,8 +65,9 @@
 struct ExchangeRun<'a> {
     state: &'a TrafficState,
     pool: &'a Arc<PoolRuntime>,
-    call: &'a UpstreamCall,
-    request: ArrivedRequest,
+    call: Box<UpstreamCall>,
+    id: RequestId,
+    deadline: Moment,
     silence: Duration,
     exchange: Exchange,
     target: Option<(UpstreamName, SocketAddr)>,
@@ -86,10 +87,10 @@
 pub async fn run_exchange(
     state: &TrafficState,
     pool: &Arc<PoolRuntime>,
-    exchange_call: ExchangeCall,
-    sink: AnswerSink,
+    exchange_call: Box<ExchangeCall>,
+    sink: Box<AnswerSink>,
 ) -> ExchangeEnd {
-    let ExchangeCall { call, arrived, silence, records } = exchange_call;
+    let ExchangeCall { call, arrived, silence, records } = *exchange_call;
     let mut sink = sink;
     if records {
         sink.keep_record();
@@ -98,8 +99,9 @@
         state,
         pool,
         exchange: Exchange::new(&*call.id, pool.driver.can_resume()),
-        call: &call,
-        request: arrived.clone(),
+        call: Box::new(call),
+        id: arrived.id,
+        deadline: arrived.deadline,
         silence,
         target: None,
         stream: None,
@@ -135,7 +137,7 @@
         &mut self,
         mut guard: RequestGuard,
         mut word: oneshot::Receiver<PlacementWord>,
-        mut sink: AnswerSink,
+        mut sink: Box<AnswerSink>,
     ) {
         loop {
             let Some(placed) = self.wait_for_word(&mut word, &mut sink).await else { return };
@@ -185,7 +187,7 @@
         }
     }
 
-    async fn refuse(&mut self, sink: AnswerSink, kind: AnswerKind) {
+    async fn refuse(&mut self, sink: Box<AnswerSink>, kind: AnswerKind) {
         let detail = match &self.target {
             Some((name, _)) if kind.row().ran == crate::answer::RanWord::Unknown => {
                 format!("upstream {name}")
@@ -239,12 +241,12 @@
     async fn next_happening(&mut self, opening: Opening, sink: &mut AnswerSink) -> Happening {
         let now = self.now();
         let has_begun = sink.has_begun();
-        let deadline = self.request.deadline.since(now);
+        let deadline = self.deadline.since(now);
         let silence = self.silence_limit();
         let address = self.target.as_ref().map(|(_, address)| *address);
         let driver = Arc::clone(&self.pool.driver);
         let after = self.exchange.pieces();
-        let call = self.call;
+        let call = &*self.call;
         let read = async {
             match (opening, address) {
                 (Opening::First, Some(address)) => {
@@ -355,7 +357,7 @@
 
     /// Tells the scheduler what the pieces' times say of the engine.
     fn teach(&mut self, piece: &AnswerPiece) {
-        let id = self.request.id;
+        let id = self.id;
         let now = self.now();
         if piece.sequence == 1 {
             self.first_piece = Some(now.since(self.arrived_at));
--- a/src/traffic/front.rs
+++ b/src/traffic/front.rs
@@ -233,7 +233,7 @@
         Ok(admitted) => {
             let streams = admitted.exchange.call.wants_stream;
             let (sink, response) = AnswerSink::new(Arc::clone(&id), streams);
-            tokio::spawn(run_admitted(state, admitted, sink));
+            tokio::spawn(run_admitted(state, admitted, Box::new(sink)));
             response
                 .await
                 .unwrap_or_else(|_| RefusalAnswer::new(AnswerKind::Internal, "", 0.0).response(&id))
@@ -246,7 +246,7 @@
 
 /// A request that passed the checks before the pool's door.
 struct AdmittedRequest {
-    exchange: ExchangeCall,
+    exchange: Box<ExchangeCall>,
     service: Arc<ServiceRow>,
     tier: TierName,
     caller: CallerIdentity,
@@ -289,7 +289,7 @@
     }
 }
 
-async fn run_admitted(state: Arc<TrafficState>, admitted: AdmittedRequest, sink: AnswerSink) {
+async fn run_admitted(state: Arc<TrafficState>, admitted: AdmittedRequest, sink: Box<AnswerSink>) {
     let progress = state.begin();
     let mut admitted = admitted;
     if let Some(answer) = Box::pin(claim(&state, &mut admitted)).await {
@@ -392,7 +392,8 @@
         deadline: now + deadline,
         prefix: shape.prefix,
     };
-    let exchange = ExchangeCall { call, arrived, silence: service.silence_ms, records: false };
+    let silence = service.silence_ms;
+    let exchange = Box::new(ExchangeCall { call, arrived, silence, records: false });
     Ok(AdmittedRequest { exchange, service, tier, caller, limit, claim: None, claim_key })
 }
 
