--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -12,6 +12,7 @@
     EngineStandin, PlainShape, PlainStandin, PrefillLedger, start_engine, start_plain,
 };
 use crate::table::OperatorTable;
+use serde::Serialize;
 use slog::{Discard, Level, Logger, o};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -54,6 +55,10 @@
     /// Print JSON.
     #[arg(long)]
     json: bool,
+    /// Measure the daemon's added time instead: look-ups at --rate, in turn straight to a stand-in service
+    /// and through the daemon.
+    #[arg(long, requires = "rate")]
+    overhead: bool,
     /// Log the daemon to standard error.
     #[arg(long)]
     log: bool,
@@ -63,6 +68,14 @@
 pub fn run(args: &Args) -> Result<(), CommandError> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     let runtime = runtime.map_err(|error| CommandError::Failed { detail: error.to_string() })?;
+    if args.overhead {
+        let added = runtime.block_on(overhead(args))?;
+        match args.json {
+            true => super::print_json(&added),
+            false => super::print_out(&added.grid()),
+        }
+        return Ok(());
+    }
     let summary = runtime.block_on(load(args))?;
     match args.json {
         true => super::print_json(&summary),
@@ -102,6 +115,63 @@
     Ok(summary)
 }
 
+/// The daemon's added time, in milliseconds.
+#[derive(Debug, Serialize)]
+struct AddedTime {
+    requests: usize,
+    direct_ms: [f64; 3],
+    through_ms: [f64; 3],
+}
+
+impl AddedTime {
+    fn grid(&self) -> String {
+        let line = |name: &str, ms: [f64; 3]| {
+            format!("{name:<10} p50 {:.3} ms  p95 {:.3} ms  p99 {:.3} ms", ms[0], ms[1], ms[2])
+        };
+        let added = [0, 1, 2].map(|position| self.through_ms[position] - self.direct_ms[position]);
+        let lines = [
+            line("direct", self.direct_ms),
+            line("through", self.through_ms),
+            line("added", added),
+        ];
+        format!("{} requests each way\n{}", self.requests, lines.join("\n"))
+    }
+}
+
+/// Look-ups at the rate each way, at the same times, so that both meet the same noise.
+async fn overhead(args: &Args) -> Result<AddedTime, CommandError> {
+    let mut profile = LoadProfile::new(args.profile);
+    profile.classes.retain(|class| class.tier == "lookup");
+    profile.classes.iter_mut().for_each(|class| class.share = 1.0);
+    let profile = Arc::new(profile);
+    let bench = LoadBench::start(&profile, args.policy, Logger::root(Discard, o!())).await?;
+    let plan =
+        profile.plan(args.rate.unwrap_or(1_000.0), Duration::from_secs(args.seconds), args.seed);
+    let direct = bench.services.first().map(|service| service.address);
+    let direct =
+        direct.ok_or_else(|| CommandError::Failed { detail: "no stand-in service".to_owned() })?;
+    let (through, straight) = tokio::join!(
+        send_plan(&profile, plan.clone(), bench.daemon.callers, args.seed),
+        send_plan(&profile, plan.clone(), direct, args.seed)
+    );
+    bench.stop().await;
+    let (through, straight) =
+        (LoadSummary::of(&profile, &through), LoadSummary::of(&profile, &straight));
+    let whole = |summary: &LoadSummary| summary.tiers.iter().all(|tier| tier.good == tier.offered);
+    if !whole(&through) || !whole(&straight) {
+        return Err(CommandError::Failed {
+            detail: format!(
+                "not every look-up was answered:\n{}\n{}",
+                through.grid(),
+                straight.grid()
+            ),
+        });
+    }
+    let times =
+        |summary: &LoadSummary| summary.tiers.first().map_or([0.0; 3], |tier| tier.total_ms);
+    Ok(AddedTime { requests: plan.len(), direct_ms: times(&straight), through_ms: times(&through) })
+}
+
 /// Sends every planned request at its time, and waits for all answers.
 pub(super) async fn send_plan(
     profile: &Arc<LoadProfile>,
