Bound requests as well as tokens at an engine; slow start; the engine's queue as the signal

Ruled out: the token-gap objective (gaps stay under 30 ms against 63). Change: two bounds, requests and tokens; the reported queue lowers the first, late tokens the second unless the engine reports no queue; growth by half until the first decrease. Tried and reverted: stretching run estimates by the measured ratio of runs.

--- a/src/policy/scheduler.rs
+++ b/src/policy/scheduler.rs
@@ -3,8 +3,8 @@
 use super::{
     CostModel, FairQueue, FifoQueue, FloorOrder, LearnedLimit, LoadReport, Moment,
     OrganisationIndex, PlacementPolicy, PlacementQuery, RequestId, ShedAudit, ShedFloor, TierRank,
-    TierShare, UpstreamIndex, UpstreamSet, UpstreamSource, UpstreamState, UpstreamWord,
-    WaitingQueue, WaitingRequest, placement_policy,
+    TierShare, UpstreamIndex, UpstreamSet, UpstreamSource, UpstreamState, UpstreamStatus,
+    UpstreamWord, WaitingQueue, WaitingRequest, placement_policy,
 };
 use crate::answer::AnswerKind;
 use crate::table::{LimitChoice, PlacementChoice, QueueChoice, ServiceKind, ServiceRow};
@@ -457,7 +457,7 @@
         let output = if self.plan.counts_tokens { self.model.mean_output() } else { 1.0 };
         let estimated = output * speed.gap_micros / 1e6;
         let run = self.mean_run.unwrap_or(estimated).max(1e-4);
-        (self.upstreams.live_limit() / run).max(1.0)
+        (self.upstreams.live_limit(self.mean_cost) / run).max(1.0)
     }
 
     /// Sheds `request`, but only once nothing lower is admitted anywhere; until then it waits.
@@ -491,7 +491,13 @@
         let micros = after.as_micros() as f64;
         let is_late = after > self.plan.first_token / 2 && micros > FIRST_TOKEN_RATIO * expected;
         if is_late {
-            self.upstreams.update(upstream, |status| status.limit.overloaded(now));
+            // An engine that reports its queue says better than a late first token whether it is crowded:
+            // a long prompt in the same step is late by itself.
+            self.upstreams.update(upstream, |status| {
+                if !status.reports_no_queue() {
+                    status.limit.slowed(now);
+                }
+            });
         }
     }
 
@@ -502,7 +508,7 @@
         self.upstreams.update(running.upstream, |status| {
             status.learn_gap(gap.as_micros() as f64);
             if is_late {
-                status.limit.overloaded(now);
+                status.limit.slowed(now);
             }
         });
     }
@@ -551,7 +557,7 @@
             self.upstreams.update(*upstream, |status| {
                 status.learn_gap(time.as_micros() as f64);
                 if is_late {
-                    status.limit.overloaded(now);
+                    status.limit.slowed(now);
                 }
             });
         }
@@ -705,10 +711,7 @@
 
     /// The largest part of an upstream's limit that work of this daemon takes up.
     pub fn used_share(&self) -> f64 {
-        let used = self
-            .upstreams
-            .iter()
-            .map(|status| status.in_flight_tokens as f64 / status.limit.tokens().max(1.0));
+        let used = self.upstreams.iter().map(UpstreamStatus::used);
         used.fold(0.0, f64::max)
     }
 
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -15,6 +15,8 @@
 const CORRECTION_WINDOW: Duration = Duration::from_secs(5);
 /// A report older than this says nothing.
 const REPORT_LIFE: Duration = Duration::from_secs(10);
+/// Requests that may wait inside an upstream: some are always on their way into the next step.
+const QUEUED_TOLERANCE: u32 = 2;
 /// Weight of a new gap in an upstream's mean.
 const GAP_WEIGHT: f64 = 0.2;
 
@@ -134,13 +136,22 @@
     pub fn has_room(&self) -> bool {
         self.state() == UpstreamState::Live
             && self.share > 0.0
-            && (self.in_flight == 0
-                || (self.in_flight_tokens as f64) < self.limit.tokens() * self.share)
+            && (self.in_flight == 0 || self.used() < self.share)
     }
 
-    /// Tokens in flight as a share of the bound.
+    /// The part of the bound that this daemon's work takes up.
+    pub fn used(&self) -> f64 {
+        self.limit.used(self.in_flight_tokens, self.in_flight)
+    }
+
+    /// This daemon's work as a part of its share of the bound.
     pub fn load(&self) -> f64 {
-        self.in_flight_tokens as f64 / (self.limit.tokens() * self.share).max(1.0)
+        self.used() / self.share.max(1e-6)
+    }
+
+    /// True if the last report says that nothing waits inside the upstream.
+    pub fn reports_no_queue(&self) -> bool {
+        self.report.is_some_and(|(_, report)| report.queued == 0)
     }
 
     /// Requests last reported, running and queued, uncorrected; the baselines use it.
@@ -189,6 +200,9 @@
             return;
         }
         self.report = Some((time, report));
+        if report.queued > QUEUED_TOLERANCE {
+            self.limit.crowded(now);
+        }
         if report.step_micros > 0 {
             self.learn_gap(f64::from(report.step_micros));
         }
@@ -240,10 +254,10 @@
         self.live
     }
 
-    /// Sum of the bounds of live upstreams, in tokens, for this daemon.
-    pub fn live_limit(&self) -> f64 {
+    /// Sum of the bounds of live upstreams for this daemon, in tokens of requests of the usual cost.
+    pub fn live_limit(&self, mean_cost: f64) -> f64 {
         let live = self.upstreams.values().filter(|status| status.state() == UpstreamState::Live);
-        live.map(|status| status.limit.tokens() * status.share).sum()
+        live.map(|status| status.limit.usual_tokens(mean_cost) * status.share).sum()
     }
 
     /// Takes the merged list of the table and the platform. A known name with a larger incarnation is
