--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -3,15 +3,21 @@
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
 use std::hint::black_box;
 use std::time::Duration;
+use tarragonknot::control::{DaemonReport, FleetBook, PoolReport};
 use tarragonknot::policy::{
     AffinityPlacement, ArrivedRequest, DispatchOutcome, EngineSpeed, FairQueue, LearnedLimit,
     Moment, OrganisationIndex, PlacementPolicy, PlacementQuery, PoolAction, PoolEvent, PoolPlan,
     PoolScheduler, RequestId, TierRank, TierShare, UpstreamSet, UpstreamSource, WaitingQueue,
     WaitingRequest, prefix_hashes,
 };
-use tarragonknot::table::{LimitChoice, PlacementChoice, QueueChoice};
+use tarragonknot::table::{
+    DaemonName, KeyDigest, LimitChoice, OrganisationRow, PlacementChoice, QueueChoice,
+    VersionedTable, check_document,
+};
+use tarragonknot::traffic::{AccessIndex, OrganisationNumbers};
 
 const SHARES: [TierShare; 3] = [
     TierShare { rank: TierRank(0), weight: 6 },
@@ -143,9 +149,95 @@
     });
 }
 
+/// A table of `organisations` rows and `services` model services.
+fn table(organisations: usize, services: usize) -> VersionedTable {
+    let digest = |number: usize| KeyDigest::of(&format!("key-{number}"));
+    let row = |number: usize| OrganisationRow {
+        organisation: format!("org-{number}").as_str().into(),
+        key_digests: vec![digest(number)],
+        weight: 1,
+        tokens_per_second: Some(1_000),
+        burst_tokens: None,
+        concurrent: None,
+    };
+    let services: Vec<String> = (0..services)
+        .map(|number| format!(r#"{{"service": "model-{number}", "kind": "model", "default_tier": "t", "deadline_ms": 1000}}"#))
+        .collect();
+    let text = format!(
+        r#"{{"tiers": [{{"tier": "t", "rank": 0, "weight": 1}}], "organisations": [], "services": [{}]}}"#,
+        services.join(",")
+    );
+    let mut table = check_document(&text).expect("a good table");
+    table.organisations = (0..organisations).map(row).collect();
+    VersionedTable::new(1, table)
+}
+
+/// The leader's work for one report, by the size of the fleet.
+fn fleet_book(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("leader-report");
+    let table = table(5, 17);
+    for count in [7u64, 60, 460] {
+        let name = |number: u64| -> DaemonName { format!("entry-{number}").as_str().into() };
+        let members: BTreeMap<DaemonName, u64> =
+            (0..count).map(|number| (name(number), 1)).collect();
+        let mut book = FleetBook::new(1, Duration::from_secs(3), Moment(0), &members);
+        let mut sequence = 0;
+        let mut report = |number: u64, book: &mut FleetBook| {
+            sequence += 1;
+            let pools = table.table.services.iter().map(|row| PoolReport {
+                service: row.service.clone(),
+                wanted: None,
+                guaranteed: None,
+                demand: 100 + number,
+                share: 10_000 / count as u32,
+            });
+            let report = DaemonReport {
+                daemon: name(number),
+                boot: 1,
+                term: 1,
+                sequence,
+                control: std::net::SocketAddr::from(([127, 0, 0, 1], 7_000)),
+                version: 1,
+                pools: pools.collect(),
+                has_lease: true,
+                is_leaving: false,
+            };
+            book.report(report, Moment(1_000));
+            book.orders(&name(number), &table, Moment(1_000))
+        };
+        (0..count).for_each(|number| drop(report(number, &mut book)));
+        let mut number = 0;
+        group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
+            bencher.iter(|| {
+                number = (number + 1) % count;
+                report(number, &mut book)
+            });
+        });
+    }
+    group.finish();
+}
+
+/// Reading a table and putting it in force, by the number of organisations.
+fn table_in_force(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("table-in-force");
+    for count in [5, 330, 3_300] {
+        let versioned = table(count, 17);
+        let text = serde_json::to_string(&versioned).expect("a table as text");
+        println!("a table of {count} organisations and 17 services: {} bytes", text.len());
+        group.bench_function(BenchmarkId::from_parameter(count), |bencher| {
+            bencher.iter(|| {
+                let versioned: VersionedTable =
+                    serde_json::from_str(black_box(&text)).expect("its own text");
+                AccessIndex::new(&versioned.table, &mut OrganisationNumbers::default())
+            });
+        });
+    }
+    group.finish();
+}
+
 criterion_group! {
     name = benches;
     config = Criterion::default().warm_up_time(Duration::from_millis(500)).measurement_time(Duration::from_secs(2)).sample_size(20);
-    targets = placement, queue, scheduler
+    targets = placement, queue, scheduler, fleet_book, table_in_force
 }
 criterion_main!(benches);
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -10,7 +10,7 @@
 mod sink;
 mod state;
 
-pub use access::{AccessIndex, CallerIdentity};
+pub use access::{AccessIndex, CallerIdentity, OrganisationNumbers};
 pub use drain::{DrainAction, DrainEvent, DrainState, drain_chart};
 pub use front::{FrontHandle, start_front};
 pub use pool_runtime::{PoolRuntime, RequestGuard};
