Split the control loop; platform list over HTTP; charts checked at start; a bench of waiting memory

Change: joining, the voter's folder and the waiters have files of their own; http:// lists; start_daemon checks all charts; benches/waiting.rs counts at the allocator.

--- /dev/null
+++ b/benches/waiting.rs
@@ -0,0 +1,79 @@
+//! Memory of waiting requests beside their bodies and connections, counted at the allocator:
+//! `cargo bench --bench waiting`.
+
+use http::Request;
+use slog::{Discard, Logger, o};
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicIsize, Ordering};
+use std::time::Duration;
+use tarragonknot::policy::Moment;
+use tarragonknot::standin::{EngineShape, start_engine};
+use tarragonknot::table::{KeyDigest, VersionedTable, check_document};
+use tarragonknot::traffic::{TrafficState, front_router};
+use tower::ServiceExt;
+
+/// Passes everything on to the system's allocator and counts the bytes in use.
+struct CountingAllocator;
+
+static IN_USE: AtomicIsize = AtomicIsize::new(0);
+
+// SAFETY: every call is passed on unchanged to the system's allocator.
+unsafe impl GlobalAlloc for CountingAllocator {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        IN_USE.fetch_add(layout.size() as isize, Ordering::Relaxed);
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        IN_USE.fetch_sub(layout.size() as isize, Ordering::Relaxed);
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator;
+
+#[tokio::main]
+async fn main() {
+    let engine = start_engine(EngineShape::with_step(50_000), Default::default(), Duration::ZERO)
+        .await
+        .expect("an engine");
+    let text = format!(
+        r#"{{"tiers": [{{"tier": "only", "rank": 0, "weight": 1}}],
+        "organisations": [{{"organisation": "org", "key_digests": ["{}"], "weight": 1}}],
+        "services": [{{"service": "slow", "kind": "model", "default_tier": "only", "deadline_ms": 3600000, "first_guess": 1,
+            "limit": "fixed", "silence_ms": 3600000, "waiting_limit": 1000000}}],
+        "upstreams": [{{"upstream": "engine", "service": "slow", "address": "{}", "data_centre": "hall-a"}}]}}"#,
+        KeyDigest::of("key").0,
+        engine.address
+    );
+    let table = check_document(&text).expect("a good table");
+    let state = TrafficState::new("bench".into(), Logger::root(Discard, o!()), 1);
+    state.apply_table(&VersionedTable::new(1, table));
+    state.set_current_until(Moment(u64::MAX));
+    let router = front_router(Arc::clone(&state));
+    let body = r#"{"model":"slow","stream":true,"max_tokens":100000,"messages":[{"role":"user","content":"hello"}]}"#;
+    let call = || {
+        let request = Request::post("/v1/chat/completions")
+            .header("authorization", "Bearer key")
+            .body(axum::body::Body::from(body));
+        tokio::spawn(router.clone().oneshot(request.expect("a good request")))
+    };
+    for count in [1_000usize, 10_000, 100_000] {
+        let first = call();
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let before = IN_USE.load(Ordering::Relaxed);
+        let calls: Vec<_> = (0..count).map(|_| call()).collect();
+        let pool = state.pool(&"slow".into()).expect("the pool");
+        while pool.status().waiting < count {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let each = (IN_USE.load(Ordering::Relaxed) - before) as f64 / count as f64;
+        println!("{count:>7} waiting: {each:.0} bytes each, of which {} are the body", body.len());
+        calls.into_iter().chain([first]).for_each(|call| call.abort());
+        while pool.status().waiting > 0 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -4,13 +4,15 @@
 //! sync (group commit) and one message to each follower.
 
 use super::fleet::{DaemonReport, FleetBook, ReportAnswer, ReportVerdict};
+use super::joining::{JoinTask, JoinedFleet, ask_to_join, join_or_found};
 use super::ledger::{ControlCommand, ControlLedger, ControlReply, EditOutcome, TableEdit};
-use super::links::{FleetKey, PeerLinks, connect};
+use super::links::{FleetKey, PeerLinks};
 use super::rpc::{
-    ApplyAnswer, ControlApiClient, DaemonStatus, EditProgress, HistoryRow, JoinAnswer,
-    LeaderAnswer, VoterRow,
+    ApplyAnswer, DaemonStatus, EditProgress, HistoryRow, JoinAnswer, LeaderAnswer, VoterRow,
 };
+use super::voter_folder::{OpenVoter, blank_snapshot, open_voter};
 use super::voting::{may_join, next_step};
+use super::waiters::{EntryWaiter, ForceWait, HeldReport, ReplyTo, Waiting};
 use crate::claim::{ClaimCommand, ClaimReply};
 use crate::policy::Moment;
 use crate::replica::{
@@ -25,9 +27,9 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, error, info, warn};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -46,8 +48,6 @@
 const DEAD_FOR: Duration = Duration::from_secs(10);
 /// A voter that hears no leader for this long asks to join again.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(2);
-/// Time between attempts to join or found a fleet.
-const JOIN_PAUSE: Duration = Duration::from_millis(200);
 
 /// What the control loop needs to start.
 #[derive(Clone, Debug)]
@@ -190,86 +190,11 @@
     Ok(ControlHandle { sender })
 }
 
-struct OpenVoter {
-    store: StoreFolder,
-    identity: FolderIdentity,
-    state: FolderState<ControlCommand>,
-}
-
-/// Opens the folder. A damaged or copied one is set aside, and the voter starts again under a new
-/// identity, to be filled by the others: it must not vote from what it may have lost.
-fn open_voter(
-    setup: &ControlSetup,
-    folder: &Path,
-    rng: &mut ChaCha8Rng,
-) -> Result<OpenVoter, StoreError> {
-    match read_voter(setup, folder, rng) {
-        Err(fault @ (StoreError::Damaged { .. } | StoreError::Foreign { .. })) => {
-            let is_other_daemon = matches!(&fault, StoreError::Foreign { detail, .. } if detail.starts_with("belongs"));
-            if is_other_daemon {
-                return Err(fault);
-            }
-            let aside = StoreFolder::set_aside(folder, unix_millis())?;
-            error!(setup.log, "data folder set aside; joining again under a new identity";
-                "fault" => fault.to_string(), "aside" => aside.display().to_string());
-            read_voter(setup, folder, rng)
-        }
-        read => read,
-    }
-}
-
-fn read_voter(
-    setup: &ControlSetup,
-    folder: &Path,
-    rng: &mut ChaCha8Rng,
-) -> Result<OpenVoter, StoreError> {
-    let mut store = StoreFolder::open(folder)?;
-    let identity = match FolderIdentity::load(folder, &setup.daemon)? {
-        Some(identity) => identity,
-        None => FolderIdentity::create(folder, &setup.daemon, rng)?,
-    };
-    let state = store.load(&setup.log)?;
-    Ok(OpenVoter { store, identity, state })
-}
-
-fn unix_millis() -> u64 {
+/// Wall-clock time in milliseconds.
+pub(super) fn unix_millis() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
 }
 
-type ReplyTo<T> = oneshot::Sender<LeaderAnswer<T>>;
-
-/// Who waits for an entry to be applied.
-enum EntryWaiter {
-    Edit { wait: bool, reply: ReplyTo<ApplyAnswer> },
-    Claims { replies: Vec<ClaimReply>, left: usize, reply: ReplyTo<Vec<ClaimReply>> },
-    Voters { reply: ReplyTo<Vec<VoterRow>> },
-    Nobody,
-}
-
-struct HeldReport {
-    daemon: DaemonName,
-    has_lease: bool,
-    version: u64,
-    since: Moment,
-    reply: ReplyTo<ReportAnswer>,
-}
-
-struct ForceWait {
-    answer: ApplyAnswer,
-    version: u64,
-    until: Moment,
-    reply: ReplyTo<ApplyAnswer>,
-}
-
-/// Everybody who waits for something.
-#[derive(Default)]
-struct Waiting {
-    /// By the index of the last entry waited for, with the term it was proposed in.
-    entries: VecDeque<(u64, u64, EntryWaiter)>,
-    reports: Vec<HeldReport>,
-    force: Vec<ForceWait>,
-}
-
 struct ControlLoop {
     setup: ControlSetup,
     ledger: ControlLedger,
@@ -928,95 +853,3 @@
         }
     }
 }
-
-impl EntryWaiter {
-    /// Tells the waiter to ask elsewhere.
-    fn elsewhere(self, leader: Option<SocketAddr>) {
-        match self {
-            EntryWaiter::Edit { reply, .. } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
-            EntryWaiter::Claims { reply, .. } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
-            EntryWaiter::Voters { reply } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
-            EntryWaiter::Nobody => {}
-        }
-    }
-
-    fn entry_count(&self) -> usize {
-        if let EntryWaiter::Claims { left, .. } = self { *left } else { 1 }
-    }
-}
-
-fn blank_snapshot(fleet: FleetId) -> SnapshotRecord {
-    let membership = FleetMembership { fleet, ..FleetMembership::default() };
-    SnapshotRecord { at: LogPosition::default(), membership, state: Arc::from("") }
-}
-
-/// How a voter came to belong to a fleet.
-enum JoinedFleet {
-    Joined(FleetId),
-    Founded,
-}
-
-struct JoinTask {
-    voter: VoterId,
-    control: SocketAddr,
-    peers: Vec<SocketAddr>,
-    may_found: bool,
-    key: FleetKey,
-    log: Logger,
-}
-
-/// Asks the peers to let the voter in, until it belongs to a fleet.
-async fn join_or_found(task: JoinTask, joined: mpsc::Sender<JoinedFleet>) {
-    let mut was_barred = false;
-    loop {
-        let answer = ask_to_join(&task).await;
-        if answer.is_barred && !was_barred {
-            was_barred = true;
-            warn!(task.log, "not accepted as a voter; see `tarragonknot voter list`");
-        }
-        // A founder whose disk was wiped must not found a second fleet beside the first: every peer must
-        // have answered that it belongs to none.
-        let may_found = task.may_found && answer.without_fleet == task.peers.len();
-        let end =
-            answer.fleet.map(JoinedFleet::Joined).or(may_found.then_some(JoinedFleet::Founded));
-        if let Some(end) = end {
-            let _ = joined.send(end).await;
-            return;
-        }
-        tokio::time::sleep(JOIN_PAUSE).await;
-    }
-}
-
-/// What the peers said to a voter that asked to join.
-#[derive(Default)]
-struct JoinRound {
-    fleet: Option<FleetId>,
-    without_fleet: usize,
-    is_barred: bool,
-}
-
-async fn ask_to_join(task: &JoinTask) -> JoinRound {
-    let mut round = JoinRound::default();
-    let mut addresses: VecDeque<SocketAddr> = task.peers.iter().copied().collect();
-    let mut asked = Vec::new();
-    while let Some(address) = addresses.pop_front() {
-        if asked.contains(&address) {
-            continue;
-        }
-        asked.push(address);
-        let Ok(client) = connect(address, &task.key).await else { continue };
-        match client.join(task.voter.clone(), task.control).await {
-            Ok(LeaderAnswer::Done(JoinAnswer { fleet, is_accepted: true })) => {
-                round.fleet = Some(fleet);
-                return round;
-            }
-            Ok(LeaderAnswer::Done(_)) => round.is_barred = true,
-            Ok(LeaderAnswer::Elsewhere(Some(leader))) => addresses.push_back(leader),
-            Ok(LeaderAnswer::Elsewhere(None)) if matches!(client.fleet().await, Ok(None)) => {
-                round.without_fleet += 1
-            }
-            _ => {}
-        }
-    }
-    round
-}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,11 +5,14 @@
 mod control_loop;
 mod fleet;
 mod fleet_member;
+mod joining;
 mod ledger;
 mod links;
 mod rpc;
 mod server;
+mod voter_folder;
 mod voting;
+mod waiters;
 
 pub use agent::{AgentSettings, start_agent};
 pub use claims::{ClaimKeeper, ClaimSettings};
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,10 +6,12 @@
     AgentSettings, ClaimKeeper, ClaimSettings, ControlSetup, FleetKey, LeaderHint, start_agent,
     start_control, start_server,
 };
+use crate::policy::{request_chart, upstream_chart};
 use crate::replica::ReplicaConfig;
 use crate::settings::DaemonSettings;
 use crate::store::StoreError;
-use crate::traffic::{FrontHandle, TrafficState, start_front};
+use crate::traffic::{FrontHandle, TrafficState, drain_chart, start_front};
+use crate::upstream::connection_chart;
 use slog::{Logger, info};
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
@@ -17,7 +19,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
-use upkeep::start_upkeep;
+pub use upkeep::start_upkeep;
 
 /// A drained daemon waits this long for the leader to take its shares back.
 const FAREWELL: Duration = Duration::from_millis(600);
@@ -78,6 +80,7 @@
     log: Logger,
     seed: u64,
 ) -> Result<RunningDaemon, StartError> {
+    check_charts()?;
     let bind = |address: SocketAddr| BindSnafu { address };
     let control_listener =
         std::net::TcpListener::bind(settings.control).with_context(|_| bind(settings.control))?;
@@ -119,6 +122,20 @@
     })
 }
 
+/// A chart that does not answer every event must stop the daemon at its start, not a request in its middle.
+fn check_charts() -> Result<(), StartError> {
+    let faults = [
+        request_chart().faults(),
+        upstream_chart().faults(),
+        connection_chart().faults(),
+        drain_chart().faults(),
+    ];
+    match faults.into_iter().flatten().next() {
+        Some(detail) => Err(StartError::Thread { detail }),
+        None => Ok(()),
+    }
+}
+
 fn control_setup(
     settings: &DaemonSettings,
     control: SocketAddr,
--- a/src/daemon/upkeep.rs
+++ b/src/daemon/upkeep.rs
@@ -5,10 +5,14 @@
 use crate::settings::DaemonSettings;
 use crate::table::ServiceName;
 use crate::traffic::{PoolRuntime, TrafficState};
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
 use slog::warn;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinSet;
@@ -19,6 +23,10 @@
 const IDLE_TICK: Duration = Duration::from_millis(100);
 /// Time between readings of the platform's list.
 const LIST_PAUSE: Duration = Duration::from_millis(500);
+/// A list over HTTP is answered within this time.
+const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest list, in bytes.
+const LIST_LIMIT: usize = 16 << 20;
 /// Load reports asked for at once.
 const POLLS_AT_ONCE: usize = 64;
 
@@ -26,8 +34,8 @@
 pub fn start_upkeep(state: Arc<TrafficState>, settings: &DaemonSettings) {
     tokio::spawn(tick_pools(Arc::clone(&state)));
     tokio::spawn(poll_reports(Arc::clone(&state), settings.report_poll_ms));
-    if let Some(path) = settings.platform_list.clone() {
-        tokio::spawn(read_platform(state, path));
+    if let Some(place) = settings.platform_list.clone() {
+        tokio::spawn(read_platform(state, place));
     }
 }
 
@@ -81,24 +89,48 @@
 }
 
 /// Reads the list again as it changes. A list that cannot be read leaves the last one in force.
-async fn read_platform(state: Arc<TrafficState>, path: PathBuf) {
+async fn read_platform(state: Arc<TrafficState>, place: String) {
     let mut last = String::new();
     loop {
-        match tokio::fs::read_to_string(&path).await {
+        match fetch_list(&place).await {
             Ok(text) if text != last => {
                 match PlatformList::read(&text) {
                     Ok(list) => state.apply_platform(list),
                     Err(faults) => {
-                        warn!(state.log, "platform list not read"; "file" => path.display().to_string(), "faults" => faults.to_string());
+                        warn!(state.log, "platform list not read"; "place" => &place, "faults" => faults.to_string());
                     }
                 }
                 last = text;
             }
             Ok(_) => {}
             Err(error) => {
-                warn!(state.log, "platform list not read"; "file" => path.display().to_string(), "error" => error.to_string());
+                warn!(state.log, "platform list not read"; "place" => &place, "error" => error)
             }
         }
         tokio::time::sleep(LIST_PAUSE).await;
     }
 }
+
+/// The list's text, from a file or over HTTP.
+async fn fetch_list(place: &str) -> Result<String, String> {
+    if !place.starts_with("http://") {
+        return tokio::fs::read_to_string(place).await.map_err(|error| error.to_string());
+    }
+    let request =
+        Request::get(place).body(Full::<Bytes>::default()).map_err(|error| error.to_string())?;
+    let fetch = async {
+        let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+        let response = client.request(request).await.map_err(|error| error.to_string())?;
+        if !response.status().is_success() {
+            return Err(format!("status {}", response.status()));
+        }
+        let body = Limited::new(response.into_body(), LIST_LIMIT)
+            .collect()
+            .await
+            .map_err(|error| error.to_string())?;
+        String::from_utf8(body.to_bytes().to_vec()).map_err(|error| error.to_string())
+    };
+    tokio::time::timeout(LIST_TIMEOUT, fetch)
+        .await
+        .unwrap_or_else(|_| Err(format!("no answer within {LIST_TIMEOUT:?}")))
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -36,10 +36,9 @@
     /// True on exactly one voter, at the fleet's first start only: it begins a new fleet.
     #[serde(default)]
     pub found_fleet: bool,
-    /// The platform's list of VMs: a JSON file, read again as it changes.
+    /// The platform's list of VMs: the path of a JSON file, or an `http://` URL; read again twice a second.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    #[schemars(with = "Option<String>")]
-    pub platform_list: Option<PathBuf>,
+    pub platform_list: Option<String>,
     /// How long a daemon keeps accepting after it turned unready, in milliseconds.
     #[serde(default = "default_balancer_wait")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
--- a/src/traffic/front.rs
+++ b/src/traffic/front.rs
@@ -98,7 +98,7 @@
     mut ordered: watch::Receiver<bool>,
     balancer_wait: Duration,
 ) {
-    let router = router(Arc::clone(&state));
+    let router = front_router(Arc::clone(&state));
     let graceful = GracefulShutdown::new();
     let mut machine = drain_chart().start();
     let mut noticed = Box::pin(async {
@@ -168,7 +168,8 @@
     });
 }
 
-fn router(state: Arc<TrafficState>) -> Router {
+/// The front as a service of its own, without a socket.
+pub fn front_router(state: Arc<TrafficState>) -> Router {
     Router::new()
         .route("/healthz", get(|| async { "ok\n" }))
         .route("/readyz", get(ready))
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -12,6 +12,6 @@
 
 pub use access::{AccessIndex, CallerIdentity, OrganisationNumbers};
 pub use drain::{DrainAction, DrainEvent, DrainState, drain_chart};
-pub use front::{FrontHandle, start_front};
+pub use front::{FrontHandle, front_router, start_front};
 pub use pool_runtime::{PoolRuntime, RequestGuard};
 pub use state::{TableSnapshot, TrafficClock, TrafficState};
--- a/tests/test_faults.rs
+++ b/tests/test_faults.rs
@@ -6,6 +6,7 @@
 use tarragonknot::answer::{AnswerKind, RanWord};
 use tarragonknot::load::{CallOutcome, LoadCaller, LoadProfile, PlannedRequest, ProfileKind};
 use tarragonknot::platform::PlatformList;
+use tarragonknot::settings::DaemonSettings;
 use tarragonknot::standin::StandinFault;
 use tarragonknot::table::KeyDigest;
 
@@ -207,6 +208,38 @@
     assert!(bench.fleet.engine.dispatches().is_empty());
 }
 
+/// Symptom: a list that is served over HTTP, or is broken for a while, is not followed.
+/// Sequence: the daemon reads a URL; the list is bad, then says leaving. Cause: reading files only, or giving
+/// up at the first bad list.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_platform_list_is_read_over_http() {
+    let list = Arc::new(std::sync::Mutex::new("not a list".to_owned()));
+    let served = Arc::clone(&list);
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let url = format!("http://{}/vms", listener.local_addr().unwrap());
+    let router =
+        axum::Router::new().fallback(move || async move { served.lock().unwrap().clone() });
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    let bench = bench().await;
+    let settings = serde_json::json!({
+        "daemon": "entry-1", "data_centre": "hall-a", "callers": "127.0.0.1:0", "control": "127.0.0.1:0",
+        "fleet_key_file": "key", "data_folder": "data", "platform_list": url,
+    });
+    let settings = DaemonSettings::read(&settings.to_string()).expect("good settings");
+    tarragonknot::daemon::start_upkeep(Arc::clone(&bench.fleet.state), &settings);
+
+    let before = bench.call(1, "note", 3).await;
+    *list.lock().unwrap() = format!(
+        r#"{{"vms": [{{"service": "pack-llm", "upstream": "engine-1", "address": "{}", "state": "leaving"}}]}}"#,
+        bench.fleet.engine.address
+    );
+    let pool = bench.fleet.state.pool(&"pack-llm".into()).expect("the pool");
+    wait_until(|| pool.status().live == 0).await;
+
+    assert_eq!(before, CallOutcome::Whole);
+    assert_eq!(bench.call(2, "note", 3).await, CallOutcome::Refused(AnswerKind::UpstreamAbsent));
+}
+
 /// Symptom: an upstream that refuses connections costs answers although another works.
 /// Sequence: the table names a dead address beside a live engine. Cause: no second try although
 /// provably nothing was sent.
