Bound an engine by its batch's places first

The tokens bound began at the guess times 512 tokens, 26 summaries to an engine with 64 places, and a queue in the engine cut the requests bound below the batch that the engine itself reported as running. Change: four times the room for tokens at first; a crowded engine's bound falls no lower than what it runs.

--- a/src/policy/learned_limit.rs
+++ b/src/policy/learned_limit.rs
@@ -18,6 +18,9 @@
 const DECREASE_PAUSE: Duration = Duration::from_millis(300);
 /// The bound stays within this factor of the first guess, either way.
 const LIMIT_RANGE: f64 = 16.0;
+/// Room for tokens at first, as a multiple of the guessed requests at their mean cost: the batch's places
+/// bind first, and tokens only once steps grow longer than the objective.
+const TOKEN_ROOM: f64 = 4.0;
 /// Stands for no bound on tokens.
 const NO_BOUND: f64 = 1e15;
 
@@ -61,7 +64,7 @@
     /// requests of any size.
     pub fn new(guess: u32, mean_cost: f64, learns: bool) -> Self {
         let guess = f64::from(guess);
-        let tokens = if learns { guess * mean_cost } else { NO_BOUND };
+        let tokens = if learns { guess * mean_cost * TOKEN_ROOM } else { NO_BOUND };
         LearnedLimit {
             tokens: LearnedBound::new(tokens, (tokens / LIMIT_RANGE).max(mean_cost)),
             requests: LearnedBound::new(guess, (guess / LIMIT_RANGE).max(1.0)),
@@ -89,10 +92,12 @@
         self.tokens.value.min(self.requests.value * mean_cost)
     }
 
-    /// The upstream holds requests back in a queue of its own.
-    pub fn crowded(&mut self, now: Moment) {
-        if self.learns {
+    /// The upstream holds requests back in a queue of its own while `running` are in its batch: that many
+    /// fill it, so the bound falls no lower than that.
+    pub fn crowded(&mut self, running: u32, now: Moment) {
+        if self.learns && f64::from(running) < self.requests.value {
             self.requests.decrease(now);
+            self.requests.value = self.requests.value.max(f64::from(running));
         }
     }
 
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -201,7 +201,7 @@
         }
         self.report = Some((time, report));
         if report.queued > QUEUED_TOLERANCE {
-            self.limit.crowded(now);
+            self.limit.crowded(report.running, now);
         }
         if report.step_micros > 0 {
             self.learn_gap(f64::from(report.step_micros));
