Unlock a data folder explicitly, and keep a test's ports reserved

A child process holds a copy of every open file between its fork and the loading of its program, and flock(2) lasts as long as one copy does; another test that starts a process at that moment keeps a folder locked after its store was dropped. free_address had a kin of it: a port that was found free could be given to another socket before the daemon bound it. Change: FolderLock unlocks when dropped, which counts for all copies; a test's port stays bound, without listening, until the test process ends. Ruled out: a second user of the folder (each test has its own).

--- a/src/store/journal.rs
+++ b/src/store/journal.rs
@@ -42,7 +42,36 @@
 pub struct StoreFolder {
     folder: PathBuf,
     log: File,
-    _lock: File,
+    _lock: FolderLock,
+}
+
+/// The lock of a data folder, given back when dropped.
+///
+/// Closing the file alone is not enough: a child process that is being started holds a copy of every open
+/// file until its program is loaded, and the lock lasts as long as a copy does (flock(2)). The folder would
+/// look in use for a moment after it was closed. Unlocking takes effect for all copies.
+#[derive(Debug)]
+struct FolderLock {
+    file: File,
+}
+
+impl FolderLock {
+    fn take(folder: &Path) -> Result<Self, StoreError> {
+        let path = folder.join(LOCK);
+        let file = File::create(&path).context(FilesSnafu { path: &path })?;
+        match file.try_lock() {
+            Ok(()) => Ok(FolderLock { file }),
+            Err(TryLockError::WouldBlock) => Err(StoreError::InUse { path: folder.to_owned() }),
+            Err(TryLockError::Error(source)) => Err(StoreError::Files { path, source }),
+        }
+    }
+}
+
+impl Drop for FolderLock {
+    fn drop(&mut self) {
+        // A failure leaves what closing does.
+        let _ = self.file.unlock();
+    }
 }
 
 impl StoreFolder {
@@ -50,17 +79,7 @@
     /// twice in one term.
     pub fn open(folder: &Path) -> Result<Self, StoreError> {
         fs::create_dir_all(folder).context(FilesSnafu { path: folder })?;
-        let lock_path = folder.join(LOCK);
-        let lock = File::create(&lock_path).context(FilesSnafu { path: &lock_path })?;
-        match lock.try_lock() {
-            Ok(()) => {}
-            Err(TryLockError::WouldBlock) => {
-                return Err(StoreError::InUse { path: folder.to_owned() });
-            }
-            Err(TryLockError::Error(source)) => {
-                return Err(StoreError::Files { path: lock_path, source });
-            }
-        }
+        let lock = FolderLock::take(folder)?;
         let path = folder.join(LOG);
         let mut options = OpenOptions::new();
         let log = options
--- a/tests/test_store.rs
+++ b/tests/test_store.rs
@@ -4,7 +4,10 @@
 use rand_chacha::ChaCha8Rng;
 use slog::{Discard, Logger, o};
 use std::path::Path;
+use std::process::Command;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 use tarragonknot::replica::{
     EntryPayload, FleetMembership, HardState, LogEntry, LogPosition, ReplicaOutput, SnapshotRecord,
 };
@@ -59,6 +62,32 @@
     assert_eq!(state.entries, (1..=4).map(entry).collect::<Vec<_>>());
 }
 
+/// Symptom: a data folder that was closed is now and then still in use.
+/// Sequence: a program is started in the moment in which the folder closes. Cause: the child has a copy of the
+/// lock's file until its program is loaded, and a lock lasts as long as a copy does.
+#[test]
+fn a_closed_folder_is_free_although_programs_start() {
+    let folder = tempfile::tempdir().unwrap();
+    let done = Arc::new(AtomicBool::new(false));
+    let starts = (0..4).map(|_| thread::spawn(start_programs_until(done.clone())));
+    let starts: Vec<_> = starts.collect();
+
+    let faults = (0..2_000).filter_map(|_| StoreFolder::open(folder.path()).err()).count();
+    done.store(true, Ordering::Relaxed);
+    starts.into_iter().for_each(|start| start.join().unwrap());
+
+    assert_eq!(faults, 0);
+}
+
+fn start_programs_until(done: Arc<AtomicBool>) -> impl FnOnce() + Send {
+    move || {
+        while !done.load(Ordering::Relaxed) {
+            let status = Command::new(env!("CARGO_BIN_EXE_tarragonknot")).arg("--version").output();
+            assert!(status.unwrap().status.success());
+        }
+    }
+}
+
 /// Symptom: a voter does not start after a power cut.
 /// Sequence: the machine stops in the middle of a write. Cause: a last record that is not complete; it was
 /// never synced, so nobody was told of it, and it is cut off.
--- a/tests/workdir.rs
+++ b/tests/workdir.rs
@@ -1,9 +1,11 @@
 //! A folder for one test, and ways to run our own binary in it.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::Mutex;
 use tempfile::TempDir;
+use tokio::net::TcpSocket;
 
 /// A work directory; gone when dropped.
 pub struct WorkDir {
@@ -96,9 +98,18 @@
     }
 }
 
-/// An address of loopback that was free a moment ago.
+/// An address of loopback that is this test process's own until it ends.
+///
+/// The socket stays bound without listening, so nobody else is given the port, while a daemon may still
+/// listen on it (both set SO_REUSEADDR).
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").expect("a free port").local_addr().expect("a bound address")
+    static RESERVED: Mutex<Vec<TcpSocket>> = Mutex::new(Vec::new());
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_reuseaddr(true).expect("a socket option");
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port");
+    let address = socket.local_addr().expect("a bound address");
+    RESERVED.lock().expect("no test panics here").push(socket);
+    address
 }
 
 /// Standard output as text.
