--- a/src/policy/exchange.rs
+++ b/src/policy/exchange.rs
@@ -7,7 +7,7 @@
 use crate::answer::AnswerKind;
 use crate::chart::{ChartMachine, StateChart};
 use crate::chart_names;
-use std::sync::LazyLock;
+use std::sync::{Arc, LazyLock};
 use std::time::Duration;
 
 /// Resume attempts for one request before its stream counts as lost.
@@ -151,7 +151,7 @@
 #[derive(Debug)]
 pub struct Exchange {
     machine: ChartMachine<RequestState, RequestEvent, ExchangeAction>,
-    id: String,
+    id: Arc<str>,
     can_resume: bool,
     resumes: u32,
     pieces: u64,
@@ -163,7 +163,7 @@
 
 impl Exchange {
     /// The exchange of a request that is waiting; `id` is what the upstream must echo.
-    pub fn new(id: impl Into<String>, can_resume: bool) -> Self {
+    pub fn new(id: impl Into<Arc<str>>, can_resume: bool) -> Self {
         Exchange {
             machine: request_chart().start(),
             id: id.into(),
@@ -224,7 +224,7 @@
 
     fn classify_head(&mut self, echo: Option<&str>) -> RequestEvent {
         match echo {
-            Some(echo) if echo != self.id => {
+            Some(echo) if echo != &*self.id => {
                 self.fail(RequestEvent::Crossed, AnswerKind::UpstreamCrossed)
             }
             _ if self.machine.state() == RequestState::Resuming => RequestEvent::Resumed,
@@ -240,7 +240,7 @@
         echo: Option<&str>,
         now: Moment,
     ) -> Option<RequestEvent> {
-        if echo.is_some_and(|echo| echo != self.id) {
+        if echo.is_some_and(|echo| echo != &*self.id) {
             return Some(self.fail(RequestEvent::Crossed, AnswerKind::UpstreamCrossed));
         }
         if sequence <= self.pieces {
--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -10,7 +10,7 @@
     RequestId, RequestState, UpstreamWord,
 };
 use crate::table::UpstreamName;
-use crate::upstream::{AnswerPiece, AnswerStream, OpenFault, PieceRead, UpstreamCall};
+use crate::upstream::{AnswerPiece, AnswerStream, OpenFault, PieceRead, PieceSource, UpstreamCall};
 use bytes::Bytes;
 use slog::{debug, info};
 use std::net::SocketAddr;
@@ -43,7 +43,7 @@
 /// What is fixed about one request's run.
 pub struct ExchangeCall {
     /// The request as it goes to the upstream.
-    pub call: UpstreamCall,
+    pub call: Box<UpstreamCall>,
     /// The request as the scheduler sees it.
     pub arrived: ArrivedRequest,
     /// A stream is silent after this long without a byte.
@@ -71,7 +71,7 @@
     silence: Duration,
     exchange: Exchange,
     target: Option<(UpstreamName, SocketAddr)>,
-    stream: Option<AnswerStream>,
+    pieces: Option<Box<dyn PieceSource>>,
     tokens: u32,
     prompt_tokens: Option<u32>,
     end_mark: Bytes,
@@ -98,13 +98,13 @@
     let mut run = ExchangeRun {
         state,
         pool,
-        exchange: Exchange::new(&*call.id, pool.driver.can_resume()),
-        call: Box::new(call),
+        exchange: Exchange::new(Arc::clone(&call.id), pool.driver.can_resume()),
+        call,
         id: arrived.id,
         deadline: arrived.deadline,
         silence,
         target: None,
-        stream: None,
+        pieces: None,
         tokens: 0,
         prompt_tokens: None,
         end_mark: Bytes::new(),
@@ -218,7 +218,7 @@
                         }
                     }
                     ExchangeAction::Resume => {
-                        self.stream = None;
+                        self.pieces = None;
                         self.resumes += 1;
                         opening = Opening::Again;
                         debug!(self.state.log, "stream interrupted, resuming"; "request" => &*self.call.id, "pieces" => self.exchange.pieces());
@@ -255,8 +255,8 @@
                 (Opening::Again, Some(address)) => {
                     Happening::Opened(driver.resume(call, address, after).await)
                 }
-                _ => match &mut self.stream {
-                    Some(stream) => Happening::Read(stream.pieces.next().await),
+                _ => match &mut self.pieces {
+                    Some(pieces) => Happening::Read(pieces.next().await),
                     None => std::future::pending().await,
                 },
             }
@@ -294,14 +294,14 @@
         match happening {
             Happening::Opened(Ok(stream)) => {
                 self.exchange.on(ExchangeEvent::Opened, now);
-                let head = stream.head.clone();
+                let AnswerStream { head, pieces } = stream;
                 if let (Some(report), Some(upstream)) = (head.report, self.exchange.upstream()) {
                     self.pool.tell(PoolEvent::Reported { upstream, report });
                 }
                 let actions =
                     self.exchange.on(ExchangeEvent::Head { echo: head.echo.as_deref() }, now);
                 sink.set_head(head);
-                self.stream = Some(stream);
+                self.pieces = Some(pieces);
                 actions
             }
             Happening::Opened(Err(OpenFault::NotSent { detail })) => {
@@ -389,7 +389,7 @@
     /// Closes the connection and asks the upstream to stop, in the background: the caller's refusal
     /// and the place at the upstream must not wait for an upstream that does not answer.
     fn cancel(&mut self) {
-        self.stream = None;
+        self.pieces = None;
         let Some((_, address)) = self.target.clone() else { return };
         let driver = Arc::clone(&self.pool.driver);
         let call = self.call.clone();
--- a/src/traffic/front.rs
+++ b/src/traffic/front.rs
@@ -26,7 +26,9 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use hyper_util::service::TowerToHyperService;
 use slog::{info, warn};
+use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -170,6 +172,11 @@
 
 /// The front as a service of its own, without a socket.
 pub fn front_router(state: Arc<TrafficState>) -> Router {
+    let requests = Arc::clone(&state);
+    let calls = tower::service_fn(move |request| {
+        let answer = handle(Arc::clone(&requests), request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
     Router::new()
         .route("/healthz", get(|| async { "ok\n" }))
         .route("/readyz", get(ready))
@@ -178,7 +185,7 @@
             get(|State(state): State<Arc<TrafficState>>| async move { render_metrics(&state) }),
         )
         .route("/v1/models", get(models))
-        .fallback(handle)
+        .fallback_service(calls)
         .with_state(state)
 }
 
@@ -227,10 +234,23 @@
     }
 }
 
-async fn handle(State(state): State<Arc<TrafficState>>, request: Request<Body>) -> Response<Body> {
+/// Answers one request. A waiting request holds this future until its answer begins, so the request itself is
+/// moved at once into a boxed future of its own, whose room is given back before the wait.
+fn handle(
+    state: Arc<TrafficState>,
+    request: Request<Body>,
+) -> impl Future<Output = Response<Body>> {
     let (number, id) = state.new_request_id();
-    // Boxed, so that the room for reading a request is given back before it waits.
-    match Box::pin(admit(&state, request, number, &id)).await {
+    let admission = Box::pin(admit(Arc::clone(&state), request, number, Arc::clone(&id)));
+    answer_admitted(state, id, admission)
+}
+
+async fn answer_admitted(
+    state: Arc<TrafficState>,
+    id: Arc<str>,
+    admission: Pin<Box<impl Future<Output = Result<Box<AdmittedRequest>, EarlyRefusal>>>>,
+) -> Response<Body> {
+    match admission.await {
         Ok(admitted) => {
             let streams = admitted.exchange.call.wants_stream;
             let (sink, response) = AnswerSink::new(Arc::clone(&id), streams);
@@ -290,25 +310,27 @@
     }
 }
 
-async fn run_admitted(state: Arc<TrafficState>, admitted: AdmittedRequest, sink: Box<AnswerSink>) {
+async fn run_admitted(
+    state: Arc<TrafficState>,
+    mut admitted: Box<AdmittedRequest>,
+    sink: Box<AnswerSink>,
+) {
     let progress = state.begin();
-    let mut admitted = admitted;
     if let Some(answer) = Box::pin(claim(&state, &mut admitted)).await {
         return sink.answer(answer);
     }
-    let AdmittedRequest { exchange, service, tier, caller, mut limit, claim, .. } = admitted;
-    let Some(pool) = state.pool(&service.service) else { return };
+    let Some(pool) = state.pool(&admitted.service.service) else { return };
     let arrived_at = state.clock.now();
-    let request_id = Arc::clone(&exchange.call.id);
-    let end = run_exchange(&state, &pool, exchange, sink).await;
-    limit.has_run = end.upstream.is_some();
-    claim.into_iter().for_each(|claim| claim.settle(&end));
+    let request_id = Arc::clone(&admitted.exchange.call.id);
+    let end = run_exchange(&state, &pool, admitted.exchange, sink).await;
+    admitted.limit.has_run = end.upstream.is_some();
+    admitted.claim.take().into_iter().for_each(|claim| claim.settle(&end));
     let total = state.clock.now().since(arrived_at);
     log_end(&state, &request_id, &end);
     record_request(&RequestRecord {
-        service: &service,
-        tier: &tier,
-        organisation: &caller.organisation,
+        service: &admitted.service,
+        tier: &admitted.tier,
+        organisation: &admitted.caller.organisation,
         failure: end.failure.filter(|_| end.state != RequestState::Abandoned),
         is_abandoned: end.state == RequestState::Abandoned,
         first_piece: end.first_piece,
@@ -331,11 +353,11 @@
 }
 
 async fn admit(
-    state: &Arc<TrafficState>,
+    state: Arc<TrafficState>,
     request: Request<Body>,
     number: u64,
-    id: &Arc<str>,
-) -> Result<AdmittedRequest, EarlyRefusal> {
+    id: Arc<str>,
+) -> Result<Box<AdmittedRequest>, EarlyRefusal> {
     if !state.is_current() {
         return Err(AnswerKind::TableStale.into());
     }
@@ -372,17 +394,16 @@
     let cost = pool.cost_of(caller.index, rank, shape.prompt_bytes, shape.output_limit);
     let now = state.clock.now();
     state.limits().admit(caller.index, cost, now)?;
-    let limit =
-        LimitGuard { state: Arc::clone(state), organisation: caller.index, cost, has_run: false };
-    let call = UpstreamCall {
-        id: Arc::clone(id),
+    let limit = LimitGuard { state, organisation: caller.index, cost, has_run: false };
+    let call = Box::new(UpstreamCall {
+        id,
         method: parts.method,
         uri,
         headers: upstream_headers(&parts.headers, is_model),
         body,
         wants_stream: shape.wants_stream,
         is_idempotent,
-    };
+    });
     let arrived = ArrivedRequest {
         id: RequestId(number),
         organisation: caller.index,
@@ -395,7 +416,7 @@
     };
     let silence = service.silence_ms;
     let exchange = Box::new(ExchangeCall { call, arrived, silence, records: false });
-    Ok(AdmittedRequest { exchange, service, tier, caller, limit, claim: None, claim_key })
+    Ok(Box::new(AdmittedRequest { exchange, service, tier, caller, limit, claim: None, claim_key }))
 }
 
 /// What the body says of the request.
--- a/src/traffic/sink.rs
+++ b/src/traffic/sink.rs
@@ -30,7 +30,7 @@
     request_id: Arc<str>,
     head_sender: Option<oneshot::Sender<Response<Body>>>,
     body_sender: Option<mpsc::Sender<io::Result<Bytes>>>,
-    head: Option<AnswerHead>,
+    head: Option<Box<AnswerHead>>,
     held: Vec<Bytes>,
     held_bytes: usize,
     streams: bool,
@@ -79,7 +79,7 @@
                 record.status = head.status.as_u16();
                 record.content_type = content_type.unwrap_or_default().to_owned();
             }
-            self.head = Some(head);
+            self.head = Some(Box::new(head));
         }
     }
 
