An experiment in virtual time; prefixes stay where they are; waits as measured

Cause: the load tool runs in real time, so a change took minutes to judge, and its 10 s of arrivals flatter a queue that is worked off afterwards. Change: tarragonknot experiment drives schedulers, fleet book and engine models from one event loop; a prefix goes to its holder up to 1.25 times the mean load; a request may overtake 32 elders of its lane if its holder has room; DrainMeter measures the speed of each tier's virtual time, which tells the wait of each organisation; the time to first token teaches the prefill by its length.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -51,6 +51,7 @@
         prefix: Box::default(),
         prompt_bytes: 400,
         late_at,
+        overtaken: 0,
     }
 }
 
@@ -95,7 +96,7 @@
                 },
                 |request| {
                     queue.push(request);
-                    queue.pop(Moment(1))
+                    queue.pop(Moment(1), &mut |_| true)
                 },
                 BatchSize::SmallInput,
             );
@@ -116,6 +117,8 @@
         counts_tokens: true,
         token_gap: Duration::from_millis(63),
         first_token: Duration::from_millis(750),
+        refuses_late: true,
+        avoids_stragglers: true,
     };
     let mut scheduler = PoolScheduler::new(plan);
     let mut rng = ChaCha8Rng::seed_from_u64(1);
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub mod completion;
 pub mod demo;
 pub mod drain;
+pub mod experiment;
 pub mod load;
 mod operator;
 pub mod serve;
--- /dev/null
+++ b/src/experiment/run.rs
@@ -0,0 +1,461 @@
+//! The event loop of one experiment.
+
+use super::engine::SimulatedEngine;
+use super::plan::{ExperimentPlan, FaultKind, MechanismSwitch};
+use super::summary::RunSummary;
+use crate::control::{DaemonOrders, FleetBook, FleetMember, PoolState, ReportVerdict};
+use crate::load::{PlannedRequest, RequestKind};
+use crate::policy::{
+    ArrivedRequest, DispatchOutcome, LoadReport, Moment, OrganisationIndex, PoolAction, PoolEvent,
+    PoolScheduler, RequestId, TierRank, UpstreamIndex, UpstreamSource, UpstreamWord, prefix_hashes,
+};
+use crate::standin::{EngineJob, JobId, PrefillLedger};
+use crate::table::{DaemonName, OperatorTable, VersionedTable};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// There and back between a daemon and an engine.
+const ROUND_TRIP: Duration = Duration::from_millis(2);
+/// Daemons poll load reports this often.
+const POLL_PAUSE: Duration = Duration::from_millis(100);
+/// A report is this old when it is read.
+const REPORT_LAG: Duration = Duration::from_millis(200);
+/// A daemon looks after its queue this often.
+const TICK: Duration = Duration::from_millis(10);
+/// A daemon reports to the leader this often, and at once if its floor has changed at a tick.
+const FLEET_PAUSE: Duration = Duration::from_millis(100);
+/// The lease on reports to the leader.
+const FLEET_LEASE: Duration = Duration::from_secs(3);
+/// Token gaps are told to the scheduler once in this many tokens, as by the product's relay.
+const GAP_STRETCH: u32 = 16;
+/// The engine that the faults strike.
+const STRUCK: usize = 1;
+/// The seed of the daemons' choices, apart from the arrivals'.
+const CHOICE_SEED: u64 = 0x5eed;
+
+/// What happens, and when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum RunEvent {
+    Arrive(usize),
+    Submit { request: usize, engine: usize },
+    StepEnd(usize),
+    Deadline(usize),
+    Poll,
+    Reports(usize),
+    Tick(usize),
+    Fault,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RequestPhase {
+    Coming,
+    Waiting,
+    Running(usize),
+    Ended,
+}
+
+/// One request on its way.
+struct SimulatedRequest {
+    planned: PlannedRequest,
+    at: Duration,
+    daemon: usize,
+    phase: RequestPhase,
+    prefix: Box<[u64]>,
+    sent_at: Moment,
+    first_at: Option<Moment>,
+    tokens: u32,
+    gap_from: (u32, Moment),
+}
+
+/// One daemon: its scheduler, and its place in the fleet.
+struct SimulatedDaemon {
+    name: DaemonName,
+    scheduler: PoolScheduler,
+    member: FleetMember,
+    rng: ChaCha8Rng,
+    report_at: Moment,
+    floor_before: (Option<TierRank>, Option<TierRank>),
+}
+
+/// Runs one experiment to its end.
+pub fn run_experiment(plan: &ExperimentPlan) -> RunSummary {
+    let mut run = ExperimentRun::new(plan);
+    run.run();
+    run.summary
+}
+
+struct ExperimentRun<'a> {
+    plan: &'a ExperimentPlan,
+    now: Moment,
+    events: BinaryHeap<Reverse<(u64, u64, RunEvent)>>,
+    sequence: u64,
+    requests: Vec<SimulatedRequest>,
+    daemons: Vec<SimulatedDaemon>,
+    engines: Vec<SimulatedEngine>,
+    book: FleetBook,
+    table: VersionedTable,
+    ledger: PrefillLedger,
+    reports: Vec<Vec<Option<LoadReport>>>,
+    open: usize,
+    summary: RunSummary,
+}
+
+impl<'a> ExperimentRun<'a> {
+    fn new(plan: &'a ExperimentPlan) -> Self {
+        let daemons: Vec<SimulatedDaemon> =
+            (0..plan.daemons).map(|number| daemon(plan, number)).collect();
+        let members: BTreeMap<DaemonName, u64> =
+            daemons.iter().map(|daemon| (daemon.name.clone(), 1)).collect();
+        let table = plan.profile.table(&[], &[], plan.policy);
+        let mut run = ExperimentRun {
+            plan,
+            now: Moment(0),
+            events: BinaryHeap::new(),
+            sequence: 0,
+            requests: requests(plan),
+            daemons,
+            engines: (0..plan.profile.engines)
+                .map(|_| SimulatedEngine::new(plan.profile.shape))
+                .collect(),
+            book: FleetBook::new(1, FLEET_LEASE, Moment(0), &members),
+            table: VersionedTable::new(1, OperatorTable { upstreams: Vec::new(), ..table }),
+            ledger: PrefillLedger::default(),
+            reports: Vec::new(),
+            open: 0,
+            summary: RunSummary::new(&plan.profile),
+        };
+        run.open = run.requests.len();
+        run.start();
+        run
+    }
+
+    fn start(&mut self) {
+        for number in 0..self.daemons.len() {
+            let sources = sources(self.plan.profile.engines);
+            self.tell(number, PoolEvent::Sources(sources));
+            self.push(TICK / (number as u32 + 1), RunEvent::Tick(number));
+        }
+        for request in 0..self.requests.len() {
+            let at = self.requests[request].at;
+            self.push(at, RunEvent::Arrive(request));
+        }
+        self.push(POLL_PAUSE, RunEvent::Poll);
+        if !matches!(self.plan.fault, FaultKind::None | FaultKind::Bursts) {
+            self.push(self.plan.fault_at(), RunEvent::Fault);
+        }
+    }
+
+    fn push(&mut self, after: Duration, event: RunEvent) {
+        self.sequence += 1;
+        self.events.push(Reverse(((self.now + after).0, self.sequence, event)));
+    }
+
+    fn run(&mut self) {
+        while self.open > 0
+            && let Some(Reverse((at, _, event))) = self.events.pop()
+        {
+            self.now = Moment(at);
+            match event {
+                RunEvent::Arrive(request) => self.arrive(request),
+                RunEvent::Submit { request, engine } => self.submit(request, engine),
+                RunEvent::StepEnd(engine) => self.end_step(engine),
+                RunEvent::Deadline(request) => self.deadline(request),
+                RunEvent::Poll => self.poll(),
+                RunEvent::Reports(number) => self.deliver_reports(number),
+                RunEvent::Tick(number) => self.tick(number),
+                RunEvent::Fault => self.strike(),
+            }
+        }
+        self.summary.prefill_tokens = self.ledger.computed_tokens();
+        self.summary.wasted_tokens = self.ledger.wasted_tokens();
+        self.summary.order_breaks =
+            self.daemons.iter().map(|daemon| daemon.scheduler.order_breaks()).sum();
+    }
+
+    /// Tells a daemon's scheduler something, and does what it says.
+    fn tell(&mut self, number: usize, event: PoolEvent) {
+        let mut actions = Vec::new();
+        let daemon = &mut self.daemons[number];
+        daemon.scheduler.handle(event, self.now, &mut daemon.rng, &mut actions);
+        for action in actions {
+            match action {
+                PoolAction::Dispatch { id, upstream } => self.dispatch(id, upstream),
+                PoolAction::Refuse { id, kind } => {
+                    self.summary.refused(kind, self.plan.measures(self.requests[id.0 as usize].at));
+                    self.end(id.0 as usize, false);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, request: usize) {
+        let class = &self.plan.profile.classes[self.requests[request].planned.class];
+        let arrived = &mut self.requests[request];
+        arrived.phase = RequestPhase::Waiting;
+        let event = ArrivedRequest {
+            id: RequestId(request as u64),
+            organisation: OrganisationIndex(arrived.planned.organisation as u32),
+            weight: 1,
+            tier: TierRank(class.rank),
+            prompt_bytes: arrived.planned.prompt_tokens as usize * 4,
+            output_limit: Some(arrived.planned.output_tokens),
+            deadline: self.now + class.deadline,
+            prefix: arrived.prefix.clone(),
+        };
+        let number = arrived.daemon;
+        if self.plan.measures(arrived.at) {
+            self.summary.offered(arrived.planned.class);
+        }
+        self.push(class.deadline, RunEvent::Deadline(request));
+        self.tell(number, PoolEvent::Arrived(event));
+    }
+
+    fn dispatch(&mut self, id: RequestId, upstream: UpstreamIndex) {
+        let request = id.0 as usize;
+        let engine = upstream.0 as usize;
+        self.requests[request].phase = RequestPhase::Running(engine);
+        self.requests[request].sent_at = self.now;
+        self.push(ROUND_TRIP, RunEvent::Submit { request, engine });
+    }
+
+    fn submit(&mut self, request: usize, engine: usize) {
+        let sent = &self.requests[request];
+        if sent.phase != RequestPhase::Running(engine) {
+            return;
+        }
+        let job = EngineJob {
+            id: JobId(request as u64),
+            prompt_tokens: sent.planned.prompt_tokens,
+            blocks: sent.prefix.clone(),
+            output_tokens: sent.planned.output_tokens,
+        };
+        if self.engines[engine].submit(job) {
+            return self.begin_step(engine);
+        }
+        self.requests[request].phase = RequestPhase::Waiting;
+        let event =
+            PoolEvent::Ended { id: RequestId(request as u64), outcome: DispatchOutcome::NotSent };
+        self.tell(self.requests[request].daemon, event);
+    }
+
+    fn begin_step(&mut self, engine: usize) {
+        if let Some(micros) = self.engines[engine].begin_step(&self.ledger) {
+            self.push(Duration::from_micros(micros), RunEvent::StepEnd(engine));
+        }
+    }
+
+    fn end_step(&mut self, engine: usize) {
+        let Some(step) = self.engines[engine].end_step() else { return };
+        step.emitted.iter().for_each(|id| self.token(id.0 as usize));
+        for id in &step.finished {
+            let request = id.0 as usize;
+            let planned = &self.requests[request].planned;
+            let outcome = DispatchOutcome::Completed {
+                prompt_tokens: Some(planned.prompt_tokens),
+                output_tokens: planned.output_tokens,
+            };
+            self.finish(request, outcome, true);
+        }
+        self.begin_step(engine);
+    }
+
+    fn token(&mut self, request: usize) {
+        let (now, id) = (self.now, RequestId(request as u64));
+        let running = &mut self.requests[request];
+        let number = running.daemon;
+        running.tokens += 1;
+        if running.first_at.is_none() {
+            running.first_at = Some(now);
+            running.gap_from = (1, now);
+            let after = now.since(running.sent_at);
+            return self.tell(number, PoolEvent::FirstToken { id, after });
+        }
+        let (from, at) = running.gap_from;
+        let count = running.tokens - from;
+        if count >= GAP_STRETCH {
+            running.gap_from = (running.tokens, now);
+            self.tell(number, PoolEvent::TokenGap { id, gap: now.since(at) / count });
+        }
+    }
+
+    fn finish(&mut self, request: usize, outcome: DispatchOutcome, is_whole: bool) {
+        if self.requests[request].phase == RequestPhase::Ended {
+            return;
+        }
+        self.end(request, is_whole);
+        let event = PoolEvent::Ended { id: RequestId(request as u64), outcome };
+        self.tell(self.requests[request].daemon, event);
+    }
+
+    /// Counts a request's one end.
+    fn end(&mut self, request: usize, is_whole: bool) {
+        let ended = &mut self.requests[request];
+        ended.phase = RequestPhase::Ended;
+        self.open -= 1;
+        if !self.plan.measures(ended.at) {
+            return;
+        }
+        let class = &self.plan.profile.classes[ended.planned.class];
+        let arrived = Moment(0) + ended.at;
+        let is_good = is_whole && self.now.since(arrived) <= class.deadline;
+        let tokens = ended.planned.prompt_tokens + ended.planned.output_tokens;
+        let first = ended.first_at.map(|first| first.since(arrived));
+        self.summary.ended(ended.planned.class, is_good.then_some(tokens), first);
+    }
+
+    /// A caller that has seen nothing by its deadline is refused, and its work cancelled.
+    fn deadline(&mut self, request: usize) {
+        let RequestPhase::Running(engine) = self.requests[request].phase else { return };
+        if self.requests[request].first_at.is_none() {
+            self.engines[engine].cancel(JobId(request as u64), &self.ledger);
+            self.finish(request, DispatchOutcome::Failed, false);
+        }
+    }
+
+    fn poll(&mut self) {
+        let stamp = self.now.0;
+        self.reports.push(self.engines.iter().map(|engine| engine.report(stamp)).collect());
+        self.push(REPORT_LAG, RunEvent::Reports(self.reports.len() - 1));
+        self.push(POLL_PAUSE, RunEvent::Poll);
+    }
+
+    fn deliver_reports(&mut self, number: usize) {
+        let reports = std::mem::take(&mut self.reports[number]);
+        for daemon in 0..self.daemons.len() {
+            for (engine, report) in reports.iter().enumerate() {
+                if let Some(report) = *report {
+                    let upstream = UpstreamIndex(engine as u32);
+                    self.tell(daemon, PoolEvent::Reported { upstream, report });
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self, number: usize) {
+        self.tell(number, PoolEvent::Tick);
+        let daemon = &self.daemons[number];
+        let floor = (daemon.scheduler.wanted_floor(), daemon.scheduler.guaranteed_floor());
+        if self.now >= daemon.report_at || floor != daemon.floor_before {
+            self.agree(number);
+        }
+        self.push(TICK, RunEvent::Tick(number));
+    }
+
+    /// One report to the leader, and its orders; on the wire both take less than a tick.
+    fn agree(&mut self, number: usize) {
+        let now = self.now;
+        let daemon = &mut self.daemons[number];
+        daemon.report_at = now + FLEET_PAUSE;
+        let scheduler = &daemon.scheduler;
+        daemon.floor_before = (scheduler.wanted_floor(), scheduler.guaranteed_floor());
+        let state = PoolState {
+            service: self.plan.profile.model.into(),
+            wanted: scheduler.wanted_floor(),
+            guaranteed: scheduler.guaranteed_floor(),
+            demand: scheduler.demand_tokens(),
+            used: scheduler.used_share(),
+        };
+        daemon.member.set_term(1);
+        let report = daemon.member.report(1, vec![state], false, now);
+        let has_lease = report.has_lease;
+        if self.book.report(report, now) != ReportVerdict::Taken
+            || (!has_lease && !self.book.is_complete(now))
+        {
+            return;
+        }
+        let orders = self.book.orders(&daemon.name, &self.table, now);
+        self.book.sent(&daemon.name, &orders.pools);
+        self.obey(number, orders);
+    }
+
+    fn obey(&mut self, number: usize, orders: DaemonOrders) {
+        let Some(moves) = self.daemons[number].member.take(orders, self.now) else { return };
+        for step in moves.pools {
+            let is_shared = self.plan.without != Some(MechanismSwitch::Shares);
+            let share = if is_shared { step.share } else { 1.0 };
+            self.tell(number, PoolEvent::Share { share });
+            self.tell(number, PoolEvent::FleetFloor(step.floor));
+        }
+    }
+
+    fn strike(&mut self) {
+        let engine = &mut self.engines[STRUCK];
+        match self.plan.fault {
+            FaultKind::Straggler => engine.slow_down(),
+            FaultKind::LeavingEngine => engine.leave(),
+            FaultKind::LostEngine => {
+                engine.die();
+                self.lose_work();
+            }
+            FaultKind::None | FaultKind::Bursts => {}
+        }
+    }
+
+    /// The daemons see their streams end and cannot resume them on a new connection.
+    fn lose_work(&mut self) {
+        let upstream = UpstreamIndex(STRUCK as u32);
+        for number in 0..self.daemons.len() {
+            self.tell(number, PoolEvent::Word { upstream, word: UpstreamWord::Unreachable });
+        }
+        for request in 0..self.requests.len() {
+            let running = &self.requests[request];
+            if running.phase == RequestPhase::Running(STRUCK) && running.sent_at < self.now {
+                self.finish(request, DispatchOutcome::Failed, false);
+            }
+        }
+    }
+}
+
+fn daemon(plan: &ExperimentPlan, number: usize) -> SimulatedDaemon {
+    let name: DaemonName = format!("entry-{number}").as_str().into();
+    let seed = plan.seed.wrapping_mul(1_000) + number as u64 + CHOICE_SEED;
+    SimulatedDaemon {
+        scheduler: PoolScheduler::new(plan.pool_plan()),
+        member: FleetMember::new(name.clone(), 1, address(number), FLEET_LEASE),
+        name,
+        rng: ChaCha8Rng::seed_from_u64(seed),
+        report_at: Moment(0),
+        floor_before: (None, None),
+    }
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_000 + number as u16))
+}
+
+fn sources(engines: usize) -> Vec<UpstreamSource> {
+    let source = |number: usize| UpstreamSource {
+        name: format!("engine-{number}").as_str().into(),
+        incarnation: 0,
+        address: address(number),
+        is_leaving: false,
+    };
+    (0..engines).map(source).collect()
+}
+
+/// The model requests of the plan, each at the door of one daemon.
+fn requests(plan: &ExperimentPlan) -> Vec<SimulatedRequest> {
+    let mut rng = ChaCha8Rng::seed_from_u64(plan.seed ^ CHOICE_SEED);
+    let planned = plan.profile.plan(plan.rate(), plan.length(), plan.seed);
+    let is_model =
+        |planned: &PlannedRequest| plan.profile.classes[planned.class].kind == RequestKind::Model;
+    planned
+        .into_iter()
+        .filter(is_model)
+        .map(|planned| SimulatedRequest {
+            at: plan.arrival(planned.at),
+            daemon: rng.random_range(0..plan.daemons),
+            phase: RequestPhase::Coming,
+            prefix: prefix_hashes(plan.profile.prompt(&planned, plan.seed).as_bytes()),
+            sent_at: Moment(0),
+            first_at: None,
+            tokens: 0,
+            gap_from: (0, Moment(0)),
+            planned,
+        })
+        .collect()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cmd;
 pub mod control;
 pub mod daemon;
+pub mod experiment;
 pub mod load;
 pub mod platform;
 pub mod policy;
--- a/src/load/profile.rs
+++ b/src/load/profile.rs
@@ -19,6 +19,8 @@
 const TYPICAL_BATCH: f64 = 32.0;
 /// The part of shared prompt tokens that a well-used cache holds.
 const TYPICAL_HITS: f64 = 0.5;
+/// Requests at an engine at once where nothing should bound them.
+const NO_LIMIT: u32 = 10_000;
 /// Every firm has this many organisations; the first are large.
 const ORGANISATIONS: usize = 5;
 /// Shares of requests by organisation.
@@ -257,7 +259,8 @@
         }
     }
 
-    fn service(&self, name: &str, kind: ServiceKind, choice: PolicyChoice) -> ServiceRow {
+    /// A service's row under the policy.
+    pub fn service(&self, name: &str, kind: ServiceKind, choice: PolicyChoice) -> ServiceRow {
         let lowest =
             self.classes.iter().max_by_key(|class| class.rank).map_or("", |class| class.tier);
         let is_model = kind == ServiceKind::Model;
@@ -269,7 +272,7 @@
             default_tier: lowest.into(),
             deadline_ms: Duration::from_secs(30),
             silence_ms: Duration::from_millis(2_000),
-            first_guess: if is_model { self.given_limit } else { 32 },
+            first_guess: if is_model { choice.first_guess(self.given_limit) } else { 32 },
             token_gap_ms: Duration::from_millis(63),
             first_token_ms: Duration::from_millis(750),
             body_limit: 1 << 20,
@@ -298,6 +301,10 @@
 }
 
 impl PolicyChoice {
+    fn first_guess(self, given: u32) -> u32 {
+        if self == PolicyChoice::LeastReported { NO_LIMIT } else { given }
+    }
+
     fn choices(self) -> (QueueChoice, PlacementChoice, LimitChoice) {
         match self {
             PolicyChoice::Weighted => {
--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -10,6 +10,8 @@
 const FIRST_OUTPUT_TOKENS: f64 = 128.0;
 /// Weight of a new sample in the running means.
 const SAMPLE_WEIGHT: f64 = 0.1;
+/// Prompt tokens from which a time to first token is mostly prefill.
+const LONG_PROMPT: f64 = 1_024.0;
 /// First guess of prefill time per prompt token, in microseconds.
 const FIRST_PREFILL_MICROS: f64 = 40.0;
 /// First guess of the time between tokens, in microseconds.
@@ -114,14 +116,13 @@
         blend(&mut mean.tokens, output);
     }
 
-    /// Learns from a time to first token, `prompt_tokens` being those the engine had to compute.
+    /// Learns from a time to first token. A step passes before the prompt's turn and one more makes the token,
+    /// whatever its length, so a short prompt says little of the prefill and counts for little.
     pub fn learn_prefill(&mut self, prompt_tokens: u32, time: Duration) {
-        if prompt_tokens >= 64 {
-            blend(
-                &mut self.speed.prefill_micros,
-                time.as_micros() as f64 / f64::from(prompt_tokens),
-            );
-        }
+        let micros = (time.as_micros() as f64 - 2.0 * self.speed.gap_micros).max(0.0);
+        let tokens = f64::from(prompt_tokens.max(1));
+        let weight = SAMPLE_WEIGHT * (tokens / LONG_PROMPT).min(1.0);
+        self.speed.prefill_micros += (micros / tokens - self.speed.prefill_micros) * weight;
     }
 
     /// Learns from a time between tokens (for plain services, from a whole run time).
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,6 +3,7 @@
 //! [`PoolScheduler`] takes [`PoolEvent`]s with the time and gives [`PoolAction`]s; [`Exchange`] does
 //! the same for one request's dispatch. The traffic code around them only carries bytes.
 
+mod drain_meter;
 mod estimate;
 mod exchange;
 mod learned_limit;
@@ -14,6 +15,7 @@
 mod shed_floor;
 mod upstreams;
 
+pub use drain_meter::{DrainMeter, TierProgress};
 pub use estimate::{CostEstimate, CostModel, EngineSpeed};
 pub use exchange::{Exchange, ExchangeAction, ExchangeEvent, RequestState, request_chart};
 pub use learned_limit::LearnedLimit;
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -22,6 +22,10 @@
 const RING_CANDIDATES: usize = 2;
 /// Entries of one generation of the prefix index.
 const INDEX_ENTRIES: usize = 16_384;
+/// An upstream holds on to its prefixes up to this many times the pool's mean load.
+const LOAD_BOUND: f64 = 1.25;
+/// Added to the bound, so that a nearly idle pool does not spread its prefixes.
+const LOAD_SLACK: f64 = 0.1;
 /// A straggler costs this many times its estimate.
 const STRAGGLER_PRICE: f64 = 4.0;
 
@@ -60,6 +64,11 @@
         query: &PlacementQuery<'_>,
         rng: &mut dyn RngCore,
     ) -> Option<UpstreamIndex>;
+    /// True unless it would be worth while to let another request go first, because the upstream that holds
+    /// this prefix has no room now.
+    fn has_home(&self, _set: &UpstreamSet, _prefix: &[u64]) -> bool {
+        true
+    }
     /// Learns that a prompt with these blocks went to an upstream.
     fn dispatched(&mut self, _prefix: &[u64], _upstream: UpstreamIndex) {}
     /// Learns that an upstream has dropped a block from its cache.
@@ -206,6 +215,48 @@
     if status.is_straggler { total * STRAGGLER_PRICE } else { total }
 }
 
+/// Requests at an upstream, this daemon's and others', as a part of what it may hold.
+fn request_load(status: &UpstreamStatus, now: Moment) -> f64 {
+    status.corrected_requests(now) / status.limit.requests().max(1.0)
+}
+
+/// Mean load of a pool's open upstreams; of a few taken at random where there are many.
+fn mean_load(set: &UpstreamSet, now: Moment, rng: &mut dyn RngCore) -> f64 {
+    let open = set.open();
+    let load =
+        |index: UpstreamIndex| set.get(index).map_or(0.0, |status| request_load(status, now));
+    if open.len() <= SEARCH_ALL {
+        return open.iter().map(|index| load(*index)).sum::<f64>() / open.len().max(1) as f64;
+    }
+    let sampled = (0..SEARCH_ALL).map(|_| load(open[rng.random_range(0..open.len())]));
+    sampled.sum::<f64>() / SEARCH_ALL as f64
+}
+
+impl AffinityPlacement {
+    /// The upstream that holds the prompt's prefix, or the first on the ring that should, unless it is
+    /// loaded beyond the bound. What goes wrong without this rule: the estimates below weigh the time of
+    /// this request alone, in which a little less load outweighs the prefill saved, although the prefill
+    /// holds up the whole batch; prefixes then wander over the pool and are computed again everywhere.
+    fn holder(
+        &self,
+        set: &UpstreamSet,
+        query: &PlacementQuery<'_>,
+        known: Option<UpstreamIndex>,
+        rng: &mut dyn RngCore,
+    ) -> Option<UpstreamIndex> {
+        let key = query.prefix.first()?;
+        let bound = mean_load(set, query.now, rng) * LOAD_BOUND + LOAD_SLACK;
+        let is_fit = |index: &UpstreamIndex| {
+            set.get(*index).is_some_and(|status| {
+                status.has_room()
+                    && !status.is_straggler
+                    && request_load(status, query.now) <= bound
+            })
+        };
+        known.into_iter().chain(self.ring_candidates(*key)).find(is_fit)
+    }
+}
+
 impl PlacementPolicy for AffinityPlacement {
     fn place(
         &mut self,
@@ -216,6 +267,9 @@
         self.refresh_ring(set);
         let open = set.open();
         let known = self.index.longest(query.prefix);
+        if let Some(upstream) = self.holder(set, query, known.map(|(upstream, _)| upstream), rng) {
+            return Some(upstream);
+        }
         let home = query.prefix.first().and_then(|key| self.ring_candidates(*key).next());
         let mut best: Option<(f64, UpstreamIndex)> = None;
         let mut consider = |index: UpstreamIndex| {
@@ -248,6 +302,13 @@
         best.map(|(_, index)| index)
     }
 
+    fn has_home(&self, set: &UpstreamSet, prefix: &[u64]) -> bool {
+        let Some(key) = prefix.first() else { return true };
+        let known = self.index.longest(prefix).map(|(upstream, _)| upstream);
+        let home = known.or_else(|| self.ring_candidates(*key).next());
+        home.and_then(|index| set.get(index)).is_some_and(UpstreamStatus::has_room)
+    }
+
     fn dispatched(&mut self, prefix: &[u64], upstream: UpstreamIndex) {
         prefix.iter().for_each(|block| self.index.insert(*block, upstream));
     }
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -3,7 +3,7 @@
 //! Start-time fair queueing (Goyal, Vin and Cheng, 1996) at two levels. A request that would miss its
 //! deadline in its fair turn, but not if it went first, is taken before lower tiers ("rescue").
 
-use super::{Moment, OrganisationIndex, RequestId, TierRank};
+use super::{Moment, OrganisationIndex, RequestId, TierProgress, TierRank};
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::time::Duration;
@@ -13,6 +13,11 @@
 /// A head request is rescued when this share of its estimated run time is all the slack it has left.
 const RESCUE_SLACK: f64 = 0.25;
 
+/// Requests of a lane that are looked at behind its head.
+const LOOK_AHEAD: usize = 32;
+/// A head goes first once it was overtaken this often.
+const MOST_OVERTAKEN: u8 = 16;
+
 /// A tier's weight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TierShare {
@@ -49,6 +54,8 @@
     pub prompt_bytes: usize,
     /// When the queue should give the request up as late; at first the latest start.
     pub late_at: Moment,
+    /// How often a later request of its lane went before it.
+    pub overtaken: u8,
 }
 
 impl WaitingRequest {
@@ -56,6 +63,11 @@
     pub fn latest_start(&self) -> Moment {
         Moment(self.deadline.0.saturating_sub(self.run_time.as_micros() as u64))
     }
+
+    /// True if it must be dispatched now to meet its deadline.
+    fn is_urgent(&self, now: Moment) -> bool {
+        now + self.run_time.mul_f64(RESCUE_SLACK) >= self.latest_start()
+    }
 }
 
 /// An order of waiting requests.
@@ -64,8 +76,13 @@
     fn push(&mut self, request: WaitingRequest);
     /// Puts a request that was popped but not sent back at the front of its turn.
     fn push_back_first(&mut self, request: WaitingRequest);
-    /// Takes the next request.
-    fn pop(&mut self, now: Moment) -> Option<WaitingRequest>;
+    /// Takes the next request. Among the first few of the lane whose turn it is, one that `prefers` may go
+    /// before its elders; tiers and organisations keep their turns.
+    fn pop(
+        &mut self,
+        now: Moment,
+        prefers: &mut dyn FnMut(&WaitingRequest) -> bool,
+    ) -> Option<WaitingRequest>;
     /// Takes a request out, wherever it is.
     fn remove(&mut self, id: RequestId) -> Option<WaitingRequest>;
     /// Takes out the newest request of the lowest tier below `tier`, if any waits.
@@ -80,6 +97,14 @@
     }
     /// Estimated tokens waiting in `tier`.
     fn waiting_tokens(&self, tier: TierRank) -> u64;
+    /// How far a tier has come; an order without tiers has none.
+    fn progress(&self, tier: TierRank) -> TierProgress {
+        TierProgress { rank: tier, has_backlog: false, virtual_time: 0 }
+    }
+    /// Virtual time that passes before a new request of an organisation has its turn in its tier.
+    fn virtual_span(&self, _tier: TierRank, _organisation: OrganisationIndex, _weight: u32) -> u64 {
+        0
+    }
     /// Requests waiting in `tier`.
     fn waiting_count(&self, tier: TierRank) -> usize;
     /// Takes everything out, oldest first.
@@ -169,7 +194,10 @@
         self.virtual_time = self.virtual_time.max(start);
         self.forget(request);
         let Some(lane) = self.lanes.get_mut(&organisation) else { return };
-        lane.ids.pop_front();
+        // One that overtook leaves its id behind, as a request that was taken out does.
+        if lane.ids.front() == Some(&request.id) {
+            lane.ids.pop_front();
+        }
         lane.finish = start + u64::from(request.cost) * TAG_SCALE / u64::from(lane.weight);
         lane.in_heap = lane.live > 0;
         if lane.in_heap {
@@ -250,8 +278,7 @@
             let lane = &mut self.tiers[position];
             let Some((_, _, id)) = lane.head(&self.entries) else { continue };
             let head = &self.entries[&id];
-            let slack = head.run_time.mul_f64(RESCUE_SLACK);
-            if urgent.is_none() && now + slack >= head.latest_start() {
+            if urgent.is_none() && head.is_urgent(now) {
                 urgent = Some(position);
             }
             if fair.is_none_or(|best| self.tiers[position].start < self.tiers[best].start) {
@@ -261,6 +288,34 @@
         urgent.filter(|position| fair.is_none_or(|best| *position < best)).or(fair)
     }
 
+    /// The first of the lane's next few requests that is preferred, or its head. The head's patience is
+    /// bounded, in turns and by its deadline: without that, a prompt that no open upstream knows would be
+    /// passed over for as long as others come (compare delay scheduling, Zaharia et al., 2010).
+    fn preferred(
+        &mut self,
+        position: usize,
+        organisation: OrganisationIndex,
+        head: RequestId,
+        now: Moment,
+        prefers: &mut dyn FnMut(&WaitingRequest) -> bool,
+    ) -> RequestId {
+        let Some(first) = self.entries.get(&head) else { return head };
+        let is_patient = first.overtaken < MOST_OVERTAKEN && !first.is_urgent(now);
+        if !is_patient || prefers(first) {
+            return head;
+        }
+        let Some(lane) = self.tiers[position].lanes.get(&organisation) else { return head };
+        let next = lane.ids.iter().skip(1).take(LOOK_AHEAD);
+        let mut next = next.filter_map(|id| self.entries.get(id));
+        let Some(id) = next.find(|request| prefers(request)).map(|request| request.id) else {
+            return head;
+        };
+        if let Some(first) = self.entries.get_mut(&head) {
+            first.overtaken += 1;
+        }
+        id
+    }
+
     fn take(&mut self, id: RequestId) -> Option<WaitingRequest> {
         let request = self.entries.remove(&id)?;
         self.late.remove(&(request.late_at, id));
@@ -277,9 +332,14 @@
         self.insert(request, true);
     }
 
-    fn pop(&mut self, now: Moment) -> Option<WaitingRequest> {
+    fn pop(
+        &mut self,
+        now: Moment,
+        prefers: &mut dyn FnMut(&WaitingRequest) -> bool,
+    ) -> Option<WaitingRequest> {
         let position = self.next_tier(now)?;
-        let (start, organisation, id) = self.tiers[position].head(&self.entries)?;
+        let (start, organisation, head) = self.tiers[position].head(&self.entries)?;
+        let id = self.preferred(position, organisation, head, now, prefers);
         let request = self.take(id)?;
         let lane = &mut self.tiers[position];
         lane.take_head(start, organisation, &request);
@@ -318,6 +378,21 @@
         self.tiers.iter().find(|lane| lane.rank == tier).map_or(0, |lane| lane.tokens)
     }
 
+    fn progress(&self, tier: TierRank) -> TierProgress {
+        let lane = self.tiers.iter().find(|lane| lane.rank == tier);
+        TierProgress {
+            rank: tier,
+            has_backlog: lane.is_some_and(|lane| lane.count > 0),
+            virtual_time: lane.map_or(0, |lane| lane.virtual_time),
+        }
+    }
+
+    fn virtual_span(&self, tier: TierRank, organisation: OrganisationIndex, weight: u32) -> u64 {
+        let tier = self.tiers.iter().find(|lane| lane.rank == tier);
+        let own = tier.and_then(|tier| tier.lanes.get(&organisation));
+        own.map_or(0, |lane| lane.tokens * TAG_SCALE / u64::from(weight.max(1)))
+    }
+
     fn waiting_count(&self, tier: TierRank) -> usize {
         self.tiers.iter().find(|lane| lane.rank == tier).map_or(0, |lane| lane.count)
     }
@@ -369,7 +444,11 @@
         self.insert(request);
     }
 
-    fn pop(&mut self, _now: Moment) -> Option<WaitingRequest> {
+    fn pop(
+        &mut self,
+        _now: Moment,
+        _prefers: &mut dyn FnMut(&WaitingRequest) -> bool,
+    ) -> Option<WaitingRequest> {
         while let Some(id) = self.ids.pop_front() {
             if let Some(request) = self.take(id) {
                 return Some(request);
--- a/src/policy/scheduler.rs
+++ b/src/policy/scheduler.rs
@@ -1,7 +1,7 @@
 //! The scheduler of one pool: admission, waiting, placement, eviction and refusal.
 
 use super::{
-    CostModel, FairQueue, FifoQueue, FloorOrder, LearnedLimit, LoadReport, Moment,
+    CostModel, DrainMeter, FairQueue, FifoQueue, FloorOrder, LearnedLimit, LoadReport, Moment,
     OrganisationIndex, PlacementPolicy, PlacementQuery, RequestId, ShedAudit, ShedFloor, TierRank,
     TierShare, UpstreamIndex, UpstreamSet, UpstreamSource, UpstreamState, UpstreamStatus,
     UpstreamWord, WaitingQueue, WaitingRequest, placement_policy,
@@ -19,6 +19,9 @@
 /// Refuse a deadline as too short only if it is less than this share of the estimated run time,
 /// since estimates are means and a short answer may still make it.
 const TOO_SHORT_SHARE: f64 = 0.5;
+/// A request is let in if its wait takes at most this part of the time it can spare: the rest is for the
+/// error of the estimate, and for waiting until the upstream that holds its prefix has room.
+const PATIENCE: f64 = 0.6;
 /// Time between judgements of stragglers.
 const JUDGE_PAUSE: Duration = Duration::from_millis(500);
 /// A late request that may not be shed yet is looked at again after this long.
@@ -52,6 +55,10 @@
     pub token_gap: Duration,
     /// Objective to the first token.
     pub first_token: Duration,
+    /// True if a request whose deadline cannot be met is refused while it waits; false in experiments only.
+    pub refuses_late: bool,
+    /// True if placement avoids stragglers; false in experiments only.
+    pub avoids_stragglers: bool,
 }
 
 impl PoolPlan {
@@ -69,6 +76,8 @@
             counts_tokens: row.kind == ServiceKind::Model,
             token_gap: row.token_gap_ms,
             first_token: row.first_token_ms,
+            refuses_late: true,
+            avoids_stragglers: true,
         }
     }
 
@@ -250,6 +259,7 @@
     running: HashMap<RequestId, RunningRequest>,
     mean_cost: f64,
     mean_run: Option<f64>,
+    meter: DrainMeter,
     redispatches: f64,
     judged_at: Moment,
 }
@@ -269,6 +279,7 @@
             running: HashMap::new(),
             mean_cost: plan.mean_cost(),
             mean_run: None,
+            meter: DrainMeter::default(),
             redispatches: REDISPATCH_BURST,
             judged_at: Moment(0),
             plan,
@@ -319,7 +330,7 @@
         }
         let request = self.estimated(request, now);
         let slack = request.deadline.since(now);
-        if request.run_time.mul_f64(TOO_SHORT_SHARE) > slack {
+        if self.plan.refuses_late && request.run_time.mul_f64(TOO_SHORT_SHARE) > slack {
             return refuse(AnswerKind::DeadlineTooShort);
         }
         if self.plan.queue == QueueChoice::Fifo {
@@ -363,10 +374,11 @@
             prefix: request.prefix,
             prompt_bytes: request.prompt_bytes,
             late_at: request.deadline,
+            overtaken: 0,
         };
         // An estimate of the run time longer than the whole slack must not make the request late at
         // once: it was let in above because estimates are means.
-        if self.plan.queue == QueueChoice::Weighted {
+        if self.plan.queue == QueueChoice::Weighted && self.plan.refuses_late {
             waiting.late_at = waiting
                 .latest_start()
                 .max(now + request.deadline.since(now).mul_f64(TOO_SHORT_SHARE));
@@ -422,36 +434,27 @@
 
     /// True if the request would miss its deadline even if all lower tiers' waiting work made room.
     fn would_be_late(&self, request: &WaitingRequest, slack: Duration) -> bool {
-        if self.queue.is_empty() {
+        if self.queue.is_empty() || !self.plan.refuses_late {
             return false;
         }
-        let wait = self.least_wait(request.tier);
-        wait + request.run_time > slack && wait > slack.mul_f64(1.0 - TOO_SHORT_SHARE)
-    }
-
-    /// Estimated wait of a request of `tier` that arrives now, with no lower tier in its way: the
-    /// lesser of its own tier's turn at its weight, and of all work of its tier and above.
-    fn least_wait(&self, tier: TierRank) -> Duration {
-        let rate = self.drain_rate();
-        let ahead = self.plan.tiers.iter().take_while(|share| share.rank <= tier);
-        let mut total = 0;
-        let mut weights = 0;
-        for share in ahead {
-            let tokens = self.queue.waiting_tokens(share.rank);
-            total += tokens;
-            weights += if tokens > 0 || share.rank == tier { u64::from(share.weight) } else { 0 };
-        }
-        let weight = self
-            .plan
-            .tiers
-            .iter()
-            .find(|share| share.rank == tier)
-            .map_or(1, |share| u64::from(share.weight));
-        let own = self.queue.waiting_tokens(tier) as f64 * weights as f64 / weight as f64;
-        Duration::from_secs_f64((total as f64).min(own) / rate)
+        let wait = self.least_wait(request);
+        wait > slack
+            .saturating_sub(request.run_time)
+            .max(slack.mul_f64(1.0 - TOO_SHORT_SHARE))
+            .mul_f64(PATIENCE)
+    }
+
+    /// Estimated wait of a request that arrives now, with no lower tier in its way: as its tier's queue was seen
+    /// to move, or, before any backlog, at what the limits should carry.
+    fn least_wait(&self, request: &WaitingRequest) -> Duration {
+        let (tier, organisation) = (request.tier, request.organisation);
+        let span = self.queue.virtual_span(tier, organisation, request.weight);
+        let measured = self.meter.wait(tier, span);
+        let reckoned = || self.queue.waiting_tokens(tier) as f64 / self.drain_rate();
+        Duration::try_from_secs_f64(measured.unwrap_or_else(reckoned)).unwrap_or(Duration::MAX)
     }
 
-    /// Tokens a second that the pool works off, by Little's law: tokens in flight over their mean time.
+    /// Tokens a second that the pool should work off, by Little's law: tokens in flight over their mean time.
     fn drain_rate(&self) -> f64 {
         let speed = self.model.speed();
         let output = if self.plan.counts_tokens { self.model.mean_output() } else { 1.0 };
@@ -631,8 +634,10 @@
                 }
             }
         }
+        let progress = self.plan.tiers.iter().map(|share| self.queue.progress(share.rank));
+        self.meter.tick(progress, now);
         self.floor.relax(now);
-        if now.since(self.judged_at) >= JUDGE_PAUSE {
+        if self.plan.avoids_stragglers && now.since(self.judged_at) >= JUDGE_PAUSE {
             self.judged_at = now;
             self.upstreams.judge_stragglers();
         }
@@ -646,7 +651,10 @@
     /// Dispatches waiting requests while an upstream has room.
     fn pump(&mut self, now: Moment, rng: &mut dyn RngCore, actions: &mut Vec<PoolAction>) {
         while !self.upstreams.open().is_empty() {
-            let Some(request) = self.queue.pop(now) else { return };
+            let (placement, upstreams) = (&self.placement, &self.upstreams);
+            let mut prefers =
+                |request: &WaitingRequest| placement.has_home(upstreams, &request.prefix);
+            let Some(request) = self.queue.pop(now, &mut prefers) else { return };
             let query = PlacementQuery {
                 prefix: &request.prefix,
                 prompt_tokens: request.prompt_tokens,
@@ -660,6 +668,7 @@
             };
             self.placement.dispatched(&request.prefix, upstream);
             self.upstreams.dispatched(upstream, request.cost, now);
+            self.meter.dispatched(request.tier, request.cost);
             self.redispatches = (self.redispatches + REDISPATCH_SHARE).min(REDISPATCH_BURST);
             actions.push(PoolAction::Dispatch { id: request.id, upstream });
             let was_bound = !self.queue.is_empty()
--- a/tests/session.rs
+++ b/tests/session.rs
@@ -29,6 +29,8 @@
         counts_tokens: true,
         token_gap: Duration::from_millis(63),
         first_token: Duration::from_millis(750),
+        refuses_late: true,
+        avoids_stragglers: true,
     }
 }
 
