Room at each engine for the highest tier alone

Cause: at 2x a request of the highest tier found only the one engine open that had just ended something, so affinity had no choice to make: of 8,000 prompts of the second tier 95 % had a known holder, 54 % one with room (42 % without overtaking), and the long prompts of the highest tier nearly none. Change: 15 % of each engine's limit is for the highest tier alone, in pools with affinity; the set of upstreams keeps one list of open ones for each kind of room. MOST_OVERTAKEN 16 -> 32.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -10,8 +10,8 @@
 use tarragonknot::policy::{
     AffinityPlacement, ArrivedRequest, DispatchOutcome, EngineSpeed, FairQueue, LearnedLimit,
     Moment, OrganisationIndex, PlacementPolicy, PlacementQuery, PoolAction, PoolEvent, PoolPlan,
-    PoolScheduler, RequestId, TierRank, TierShare, UpstreamSet, UpstreamSource, WaitingQueue,
-    WaitingRequest, prefix_hashes,
+    PoolScheduler, RequestId, RoomKind, TierRank, TierShare, UpstreamSet, UpstreamSource,
+    WaitingQueue, WaitingRequest, prefix_hashes,
 };
 use tarragonknot::table::{
     DaemonName, KeyDigest, LimitChoice, OrganisationRow, PlacementChoice, QueueChoice,
@@ -73,6 +73,7 @@
                     prompt_tokens: 800,
                     output_tokens: 100,
                     speed: EngineSpeed { prefill_micros: 40.0, gap_micros: 10_000.0 },
+                    room: RoomKind::Usual,
                     now,
                 };
                 policy.place(&set, &query, &mut rng)
@@ -96,7 +97,7 @@
                 },
                 |request| {
                     queue.push(request);
-                    queue.pop(Moment(1), &mut |_| true)
+                    queue.pop(TierRank(u8::MAX), Moment(1), &mut |_| true)
                 },
                 BatchSize::SmallInput,
             );
@@ -119,6 +120,7 @@
         first_token: Duration::from_millis(750),
         refuses_late: true,
         avoids_stragglers: true,
+        keeps_headroom: true,
     };
     let mut scheduler = PoolScheduler::new(plan);
     let mut rng = ChaCha8Rng::seed_from_u64(1);
--- a/src/experiment/plan.rs
+++ b/src/experiment/plan.rs
@@ -46,6 +46,8 @@
     DeadlineRefusal,
     /// Shares of the engines' limits: every daemon uses the whole.
     Shares,
+    /// Room at each engine for the highest tier alone.
+    Headroom,
     /// The straggler's price in placement.
     StragglerRule,
 }
@@ -121,6 +123,7 @@
             Some(MechanismSwitch::Affinity) => plan.placement = PlacementChoice::LeastReported,
             Some(MechanismSwitch::LearnedLimit) => plan.limit = LimitChoice::Fixed,
             Some(MechanismSwitch::DeadlineRefusal) => plan.refuses_late = false,
+            Some(MechanismSwitch::Headroom) => plan.keeps_headroom = false,
             Some(MechanismSwitch::StragglerRule) => plan.avoids_stragglers = false,
             Some(MechanismSwitch::Shares) | None => {}
         }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -31,7 +31,7 @@
 pub use shed_audit::ShedAudit;
 pub use shed_floor::{FloorOrder, ShedFloor};
 pub use upstreams::{
-    LoadReport, UpstreamSet, UpstreamSource, UpstreamState, UpstreamStatus, UpstreamWord,
+    LoadReport, RoomKind, UpstreamSet, UpstreamSource, UpstreamState, UpstreamStatus, UpstreamWord,
     upstream_chart,
 };
 
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -1,6 +1,6 @@
 //! The choice of an upstream for a request, behind a trait object with three implementations.
 
-use super::{EngineSpeed, Moment, UpstreamIndex, UpstreamSet, UpstreamStatus};
+use super::{EngineSpeed, Moment, RoomKind, UpstreamIndex, UpstreamSet, UpstreamStatus};
 use crate::table::PlacementChoice;
 use rand::{Rng, RngCore};
 use std::collections::HashMap;
@@ -51,6 +51,8 @@
     pub output_tokens: u32,
     /// The pool's learned speed.
     pub speed: EngineSpeed,
+    /// Which room it may take.
+    pub room: RoomKind,
     /// Now.
     pub now: Moment,
 }
@@ -66,7 +68,7 @@
     ) -> Option<UpstreamIndex>;
     /// True unless it would be worth while to let another request go first, because the upstream that holds
     /// this prefix has no room now.
-    fn has_home(&self, _set: &UpstreamSet, _prefix: &[u64]) -> bool {
+    fn has_home(&self, _set: &UpstreamSet, _prefix: &[u64], _room: RoomKind) -> bool {
         true
     }
     /// Learns that a prompt with these blocks went to an upstream.
@@ -94,12 +96,16 @@
     fn place(
         &mut self,
         set: &UpstreamSet,
-        _: &PlacementQuery<'_>,
+        query: &PlacementQuery<'_>,
         _: &mut dyn RngCore,
     ) -> Option<UpstreamIndex> {
         let last = self.last;
-        let next = set.open().iter().filter(|index| last.is_none_or(|last| **index > last)).min();
-        self.last = next.or_else(|| set.open().iter().min()).copied();
+        let next = set
+            .open(query.room)
+            .iter()
+            .filter(|index| last.is_none_or(|last| **index > last))
+            .min();
+        self.last = next.or_else(|| set.open(query.room).iter().min()).copied();
         self.last
     }
 }
@@ -112,13 +118,13 @@
     fn place(
         &mut self,
         set: &UpstreamSet,
-        _: &PlacementQuery<'_>,
+        query: &PlacementQuery<'_>,
         _: &mut dyn RngCore,
     ) -> Option<UpstreamIndex> {
         let load = |index: &&UpstreamIndex| {
             set.get(**index).map_or(u32::MAX, UpstreamStatus::reported_requests)
         };
-        set.open().iter().min_by_key(|index| (load(index), **index)).copied()
+        set.open(query.room).iter().min_by_key(|index| (load(index), **index)).copied()
     }
 }
 
@@ -221,10 +227,10 @@
 }
 
 /// Mean load of a pool's open upstreams; of a few taken at random where there are many.
-fn mean_load(set: &UpstreamSet, now: Moment, rng: &mut dyn RngCore) -> f64 {
-    let open = set.open();
+fn mean_load(set: &UpstreamSet, query: &PlacementQuery<'_>, rng: &mut dyn RngCore) -> f64 {
+    let open = set.open(query.room);
     let load =
-        |index: UpstreamIndex| set.get(index).map_or(0.0, |status| request_load(status, now));
+        |index: UpstreamIndex| set.get(index).map_or(0.0, |status| request_load(status, query.now));
     if open.len() <= SEARCH_ALL {
         return open.iter().map(|index| load(*index)).sum::<f64>() / open.len().max(1) as f64;
     }
@@ -245,10 +251,10 @@
         rng: &mut dyn RngCore,
     ) -> Option<UpstreamIndex> {
         let key = query.prefix.first()?;
-        let bound = mean_load(set, query.now, rng) * LOAD_BOUND + LOAD_SLACK;
+        let bound = mean_load(set, query, rng) * LOAD_BOUND + LOAD_SLACK;
         let is_fit = |index: &UpstreamIndex| {
             set.get(*index).is_some_and(|status| {
-                status.has_room()
+                status.has_room(query.room)
                     && !status.is_straggler
                     && request_load(status, query.now) <= bound
             })
@@ -265,7 +271,7 @@
         rng: &mut dyn RngCore,
     ) -> Option<UpstreamIndex> {
         self.refresh_ring(set);
-        let open = set.open();
+        let open = set.open(query.room);
         let known = self.index.longest(query.prefix);
         if let Some(upstream) = self.holder(set, query, known.map(|(upstream, _)| upstream), rng) {
             return Some(upstream);
@@ -273,7 +279,9 @@
         let home = query.prefix.first().and_then(|key| self.ring_candidates(*key).next());
         let mut best: Option<(f64, UpstreamIndex)> = None;
         let mut consider = |index: UpstreamIndex| {
-            let Some(status) = set.get(index).filter(|status| status.has_room()) else { return };
+            let Some(status) = set.get(index).filter(|status| status.has_room(query.room)) else {
+                return;
+            };
             let cached = match known {
                 Some((upstream, blocks)) if upstream == index => blocks as f64 * BLOCK_TOKENS,
                 // Nobody is known to have the prefix: lean to its home, where other daemons send it too.
@@ -302,11 +310,11 @@
         best.map(|(_, index)| index)
     }
 
-    fn has_home(&self, set: &UpstreamSet, prefix: &[u64]) -> bool {
+    fn has_home(&self, set: &UpstreamSet, prefix: &[u64], room: RoomKind) -> bool {
         let Some(key) = prefix.first() else { return true };
         let known = self.index.longest(prefix).map(|(upstream, _)| upstream);
         let home = known.or_else(|| self.ring_candidates(*key).next());
-        home.and_then(|index| set.get(index)).is_some_and(UpstreamStatus::has_room)
+        home.and_then(|index| set.get(index)).is_some_and(|status| status.has_room(room))
     }
 
     fn dispatched(&mut self, prefix: &[u64], upstream: UpstreamIndex) {
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -16,7 +16,7 @@
 /// Requests of a lane that are looked at behind its head.
 const LOOK_AHEAD: usize = 32;
 /// A head goes first once it was overtaken this often.
-const MOST_OVERTAKEN: u8 = 16;
+const MOST_OVERTAKEN: u8 = 32;
 
 /// A tier's weight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,9 +77,10 @@
     /// Puts a request that was popped but not sent back at the front of its turn.
     fn push_back_first(&mut self, request: WaitingRequest);
     /// Takes the next request. Among the first few of the lane whose turn it is, one that `prefers` may go
-    /// before its elders; tiers and organisations keep their turns.
+    /// before its elders; tiers and organisations keep their turns. Tiers below `lowest` are passed over.
     fn pop(
         &mut self,
+        lowest: TierRank,
         now: Moment,
         prefers: &mut dyn FnMut(&WaitingRequest) -> bool,
     ) -> Option<WaitingRequest>;
@@ -271,11 +272,14 @@
     }
 
     /// The tier to serve: the least start tag, unless a higher tier's head cannot wait for its turn.
-    fn next_tier(&mut self, now: Moment) -> Option<usize> {
+    fn next_tier(&mut self, lowest: TierRank, now: Moment) -> Option<usize> {
         let mut fair: Option<usize> = None;
         let mut urgent: Option<usize> = None;
         for position in 0..self.tiers.len() {
             let lane = &mut self.tiers[position];
+            if lane.rank > lowest {
+                break;
+            }
             let Some((_, _, id)) = lane.head(&self.entries) else { continue };
             let head = &self.entries[&id];
             if urgent.is_none() && head.is_urgent(now) {
@@ -334,10 +338,11 @@
 
     fn pop(
         &mut self,
+        lowest: TierRank,
         now: Moment,
         prefers: &mut dyn FnMut(&WaitingRequest) -> bool,
     ) -> Option<WaitingRequest> {
-        let position = self.next_tier(now)?;
+        let position = self.next_tier(lowest, now)?;
         let (start, organisation, head) = self.tiers[position].head(&self.entries)?;
         let id = self.preferred(position, organisation, head, now, prefers);
         let request = self.take(id)?;
@@ -446,6 +451,7 @@
 
     fn pop(
         &mut self,
+        _lowest: TierRank,
         _now: Moment,
         _prefers: &mut dyn FnMut(&WaitingRequest) -> bool,
     ) -> Option<WaitingRequest> {
--- a/src/policy/scheduler.rs
+++ b/src/policy/scheduler.rs
@@ -2,8 +2,8 @@
 
 use super::{
     CostModel, DrainMeter, FairQueue, FifoQueue, FloorOrder, LearnedLimit, LoadReport, Moment,
-    OrganisationIndex, PlacementPolicy, PlacementQuery, RequestId, ShedAudit, ShedFloor, TierRank,
-    TierShare, UpstreamIndex, UpstreamSet, UpstreamSource, UpstreamState, UpstreamStatus,
+    OrganisationIndex, PlacementPolicy, PlacementQuery, RequestId, RoomKind, ShedAudit, ShedFloor,
+    TierRank, TierShare, UpstreamIndex, UpstreamSet, UpstreamSource, UpstreamState, UpstreamStatus,
     UpstreamWord, WaitingQueue, WaitingRequest, placement_policy,
 };
 use crate::answer::AnswerKind;
@@ -22,6 +22,11 @@
 /// A request is let in if its wait takes at most this part of the time it can spare: the rest is for the
 /// error of the estimate, and for waiting until the upstream that holds its prefix has room.
 const PATIENCE: f64 = 0.6;
+/// The part of each engine's limit that only the highest tier may use. What goes wrong without it: under load
+/// only the engine that has just ended something has room, so a request of the highest tier, which comes
+/// seldom and is long, goes there and computes its prompt anew. One would notice by wasted prefill that is
+/// low at low load and as high as without affinity at high load.
+const HEADROOM: f64 = 0.15;
 /// Time between judgements of stragglers.
 const JUDGE_PAUSE: Duration = Duration::from_millis(500);
 /// A late request that may not be shed yet is looked at again after this long.
@@ -59,6 +64,8 @@
     pub refuses_late: bool,
     /// True if placement avoids stragglers; false in experiments only.
     pub avoids_stragglers: bool,
+    /// True if room is kept for the highest tier; false in experiments only.
+    pub keeps_headroom: bool,
 }
 
 impl PoolPlan {
@@ -78,6 +85,7 @@
             first_token: row.first_token_ms,
             refuses_late: true,
             avoids_stragglers: true,
+            keeps_headroom: true,
         }
     }
 
@@ -92,6 +100,13 @@
         self.tiers.iter().map(|share| share.rank).collect()
     }
 
+    /// Room at each upstream for the highest tier alone, where a choice of upstream is worth it.
+    fn headroom(&self) -> f64 {
+        let has_choice = self.placement == PlacementChoice::Affinity;
+        let has_tiers = self.queue == QueueChoice::Weighted && self.tiers.len() > 1;
+        if has_choice && has_tiers && self.keeps_headroom { HEADROOM } else { 0.0 }
+    }
+
     fn mean_cost(&self) -> f64 {
         if self.counts_tokens { FIRST_MEAN_COST } else { 1.0 }
     }
@@ -269,10 +284,12 @@
     pub fn new(plan: PoolPlan) -> Self {
         let mut floor = ShedFloor::default();
         floor.set_ranks(plan.ranks());
+        let mut upstreams = UpstreamSet::default();
+        upstreams.set_headroom(plan.headroom());
         PoolScheduler {
             queue: plan.queue(),
             placement: placement_policy(plan.placement),
-            upstreams: UpstreamSet::default(),
+            upstreams,
             model: CostModel::new(plan.counts_tokens),
             floor,
             audit: ShedAudit::default(),
@@ -619,6 +636,7 @@
                 self.upstreams.update(index, |status| status.limit = plan.new_limit());
             }
         }
+        self.upstreams.set_headroom(plan.headroom());
         self.plan = plan;
         self.floor.set_ranks(self.plan.ranks());
     }
@@ -650,16 +668,28 @@
 
     /// Dispatches waiting requests while an upstream has room.
     fn pump(&mut self, now: Moment, rng: &mut dyn RngCore, actions: &mut Vec<PoolAction>) {
-        while !self.upstreams.open().is_empty() {
+        loop {
+            let highest = self.plan.tiers.first().map_or(TierRank(0), |share| share.rank);
+            let lowest = match self.upstreams.open(RoomKind::Usual).is_empty() {
+                true if self.upstreams.open(RoomKind::Highest).is_empty() => return,
+                true => highest,
+                false => TierRank(u8::MAX),
+            };
+            let room = |request: &WaitingRequest| match request.tier <= highest {
+                true => RoomKind::Highest,
+                false => RoomKind::Usual,
+            };
             let (placement, upstreams) = (&self.placement, &self.upstreams);
-            let mut prefers =
-                |request: &WaitingRequest| placement.has_home(upstreams, &request.prefix);
-            let Some(request) = self.queue.pop(now, &mut prefers) else { return };
+            let mut prefers = |request: &WaitingRequest| {
+                placement.has_home(upstreams, &request.prefix, room(request))
+            };
+            let Some(request) = self.queue.pop(lowest, now, &mut prefers) else { return };
             let query = PlacementQuery {
                 prefix: &request.prefix,
                 prompt_tokens: request.prompt_tokens,
                 output_tokens: request.cost - request.prompt_tokens,
                 speed: self.model.speed(),
+                room: room(&request),
                 now,
             };
             let Some(upstream) = self.placement.place(&self.upstreams, &query, rng) else {
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -123,9 +123,23 @@
     /// The least difference seen between arrival and stamp: the offset between the two clocks.
     clock_offset: Option<i64>,
     changes: VecDeque<(Moment, i32)>,
-    open_position: Option<usize>,
+    /// The part of the share that only the highest tier may use.
+    headroom: f64,
+    open_positions: [Option<usize>; ROOM_KINDS],
 }
 
+/// For whom there must be room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RoomKind {
+    /// Any tier.
+    Usual = 0,
+    /// The highest tier, which may use the headroom too.
+    Highest = 1,
+}
+
+/// Kinds of room.
+const ROOM_KINDS: usize = 2;
+
 impl UpstreamStatus {
     /// Where it is in its life.
     pub fn state(&self) -> UpstreamState {
@@ -133,10 +147,14 @@
     }
 
     /// True if it may be given more work now.
-    pub fn has_room(&self) -> bool {
+    pub fn has_room(&self, kind: RoomKind) -> bool {
+        let part = match kind {
+            RoomKind::Usual => 1.0 - self.headroom,
+            RoomKind::Highest => 1.0,
+        };
         self.state() == UpstreamState::Live
             && self.share > 0.0
-            && (self.in_flight == 0 || self.used() < self.share)
+            && (self.in_flight == 0 || self.used() < self.share * part)
     }
 
     /// The part of the bound that this daemon's work takes up.
@@ -220,7 +238,8 @@
 pub struct UpstreamSet {
     upstreams: BTreeMap<UpstreamIndex, UpstreamStatus>,
     by_name: HashMap<UpstreamName, UpstreamIndex>,
-    open: Vec<UpstreamIndex>,
+    open: [Vec<UpstreamIndex>; ROOM_KINDS],
+    headroom: f64,
     next: u32,
     live: usize,
     share: Option<f64>,
@@ -240,8 +259,17 @@
     }
 
     /// Upstreams that may be given work now, in no order.
-    pub fn open(&self) -> &[UpstreamIndex] {
-        &self.open
+    pub fn open(&self, kind: RoomKind) -> &[UpstreamIndex] {
+        &self.open[kind as usize]
+    }
+
+    /// Sets the part of every upstream's limit that only the highest tier may use.
+    pub fn set_headroom(&mut self, headroom: f64) {
+        self.headroom = headroom;
+        let indexes: Vec<UpstreamIndex> = self.upstreams.keys().copied().collect();
+        indexes
+            .into_iter()
+            .for_each(|index| self.update(index, |status| status.headroom = headroom));
     }
 
     /// The number of the upstream of this name.
@@ -308,7 +336,8 @@
             report: None,
             clock_offset: None,
             changes: VecDeque::new(),
-            open_position: None,
+            headroom: self.headroom,
+            open_positions: [None; ROOM_KINDS],
         };
         self.upstreams.insert(index, status);
         self.generation += 1;
@@ -407,19 +436,25 @@
     }
 
     fn refresh(&mut self, index: UpstreamIndex) {
+        self.refresh_kind(index, RoomKind::Usual);
+        self.refresh_kind(index, RoomKind::Highest);
+    }
+
+    fn refresh_kind(&mut self, index: UpstreamIndex, kind: RoomKind) {
         let Some(status) = self.upstreams.get_mut(&index) else { return };
-        match (status.has_room(), status.open_position) {
+        let open = &mut self.open[kind as usize];
+        match (status.has_room(kind), status.open_positions[kind as usize]) {
             (true, None) => {
-                status.open_position = Some(self.open.len());
-                self.open.push(index);
+                status.open_positions[kind as usize] = Some(open.len());
+                open.push(index);
             }
             (false, Some(position)) => {
-                status.open_position = None;
-                self.open.swap_remove(position);
-                if let Some(moved) = self.open.get(position).copied()
+                status.open_positions[kind as usize] = None;
+                open.swap_remove(position);
+                if let Some(moved) = open.get(position).copied()
                     && let Some(status) = self.upstreams.get_mut(&moved)
                 {
-                    status.open_position = Some(position);
+                    status.open_positions[kind as usize] = Some(position);
                 }
             }
             _ => {}
--- a/tests/session.rs
+++ b/tests/session.rs
@@ -31,6 +31,7 @@
         first_token: Duration::from_millis(750),
         refuses_late: true,
         avoids_stragglers: true,
+        keeps_headroom: true,
     }
 }
 
