A crowded engine is one with a queue in two reports; overtaking out; tests in virtual time

Cause: the bound on requests stayed at the first guess of 50: a report taken while a few requests were on their way into the next step counted as a queue held back, and lowered the bound again and again. Change: only a queue above 2 and a sixteenth of the batch, in two reports in a row, lowers the bound. Fourteen tests of the mechanisms, one for each failure.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -51,7 +51,6 @@
         prefix: Box::default(),
         prompt_bytes: 400,
         late_at,
-        overtaken: 0,
     }
 }
 
@@ -97,7 +96,7 @@
                 },
                 |request| {
                     queue.push(request);
-                    queue.pop(TierRank(u8::MAX), Moment(1), &mut |_| true)
+                    queue.pop(TierRank(u8::MAX), Moment(1))
                 },
                 BatchSize::SmallInput,
             );
--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -82,7 +82,9 @@
     }
     let breaks: f64 = results
         .iter()
-        .filter(|result| result.case.policy == PolicyChoice::Weighted)
+        .filter(|result| {
+            result.case.policy == PolicyChoice::Weighted && result.case.without.is_none()
+        })
         .map(|result| result.summary.order_breaks.worst)
         .sum();
     match breaks == 0.0 {
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -66,11 +66,6 @@
         query: &PlacementQuery<'_>,
         rng: &mut dyn RngCore,
     ) -> Option<UpstreamIndex>;
-    /// True unless it would be worth while to let another request go first, because the upstream that holds
-    /// this prefix has no room now.
-    fn has_home(&self, _set: &UpstreamSet, _prefix: &[u64], _room: RoomKind) -> bool {
-        true
-    }
     /// Learns that a prompt with these blocks went to an upstream.
     fn dispatched(&mut self, _prefix: &[u64], _upstream: UpstreamIndex) {}
     /// Learns that an upstream has dropped a block from its cache.
@@ -310,13 +305,6 @@
         best.map(|(_, index)| index)
     }
 
-    fn has_home(&self, set: &UpstreamSet, prefix: &[u64], room: RoomKind) -> bool {
-        let Some(key) = prefix.first() else { return true };
-        let known = self.index.longest(prefix).map(|(upstream, _)| upstream);
-        let home = known.or_else(|| self.ring_candidates(*key).next());
-        home.and_then(|index| set.get(index)).is_some_and(|status| status.has_room(room))
-    }
-
     fn dispatched(&mut self, prefix: &[u64], upstream: UpstreamIndex) {
         prefix.iter().for_each(|block| self.index.insert(*block, upstream));
     }
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -13,11 +13,6 @@
 /// A head request is rescued when this share of its estimated run time is all the slack it has left.
 const RESCUE_SLACK: f64 = 0.25;
 
-/// Requests of a lane that are looked at behind its head.
-const LOOK_AHEAD: usize = 32;
-/// A head goes first once it was overtaken this often.
-const MOST_OVERTAKEN: u8 = 32;
-
 /// A tier's weight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TierShare {
@@ -54,8 +49,6 @@
     pub prompt_bytes: usize,
     /// When the queue should give the request up as late; at first the latest start.
     pub late_at: Moment,
-    /// How often a later request of its lane went before it.
-    pub overtaken: u8,
 }
 
 impl WaitingRequest {
@@ -76,14 +69,8 @@
     fn push(&mut self, request: WaitingRequest);
     /// Puts a request that was popped but not sent back at the front of its turn.
     fn push_back_first(&mut self, request: WaitingRequest);
-    /// Takes the next request. Among the first few of the lane whose turn it is, one that `prefers` may go
-    /// before its elders; tiers and organisations keep their turns. Tiers below `lowest` are passed over.
-    fn pop(
-        &mut self,
-        lowest: TierRank,
-        now: Moment,
-        prefers: &mut dyn FnMut(&WaitingRequest) -> bool,
-    ) -> Option<WaitingRequest>;
+    /// Takes the next request; tiers below `lowest` are passed over.
+    fn pop(&mut self, lowest: TierRank, now: Moment) -> Option<WaitingRequest>;
     /// Takes a request out, wherever it is.
     fn remove(&mut self, id: RequestId) -> Option<WaitingRequest>;
     /// Takes out the newest request of the lowest tier below `tier`, if any waits.
@@ -195,10 +182,7 @@
         self.virtual_time = self.virtual_time.max(start);
         self.forget(request);
         let Some(lane) = self.lanes.get_mut(&organisation) else { return };
-        // One that overtook leaves its id behind, as a request that was taken out does.
-        if lane.ids.front() == Some(&request.id) {
-            lane.ids.pop_front();
-        }
+        lane.ids.pop_front();
         lane.finish = start + u64::from(request.cost) * TAG_SCALE / u64::from(lane.weight);
         lane.in_heap = lane.live > 0;
         if lane.in_heap {
@@ -292,34 +276,6 @@
         urgent.filter(|position| fair.is_none_or(|best| *position < best)).or(fair)
     }
 
-    /// The first of the lane's next few requests that is preferred, or its head. The head's patience is
-    /// bounded, in turns and by its deadline: without that, a prompt that no open upstream knows would be
-    /// passed over for as long as others come (compare delay scheduling, Zaharia et al., 2010).
-    fn preferred(
-        &mut self,
-        position: usize,
-        organisation: OrganisationIndex,
-        head: RequestId,
-        now: Moment,
-        prefers: &mut dyn FnMut(&WaitingRequest) -> bool,
-    ) -> RequestId {
-        let Some(first) = self.entries.get(&head) else { return head };
-        let is_patient = first.overtaken < MOST_OVERTAKEN && !first.is_urgent(now);
-        if !is_patient || prefers(first) {
-            return head;
-        }
-        let Some(lane) = self.tiers[position].lanes.get(&organisation) else { return head };
-        let next = lane.ids.iter().skip(1).take(LOOK_AHEAD);
-        let mut next = next.filter_map(|id| self.entries.get(id));
-        let Some(id) = next.find(|request| prefers(request)).map(|request| request.id) else {
-            return head;
-        };
-        if let Some(first) = self.entries.get_mut(&head) {
-            first.overtaken += 1;
-        }
-        id
-    }
-
     fn take(&mut self, id: RequestId) -> Option<WaitingRequest> {
         let request = self.entries.remove(&id)?;
         self.late.remove(&(request.late_at, id));
@@ -336,15 +292,9 @@
         self.insert(request, true);
     }
 
-    fn pop(
-        &mut self,
-        lowest: TierRank,
-        now: Moment,
-        prefers: &mut dyn FnMut(&WaitingRequest) -> bool,
-    ) -> Option<WaitingRequest> {
+    fn pop(&mut self, lowest: TierRank, now: Moment) -> Option<WaitingRequest> {
         let position = self.next_tier(lowest, now)?;
-        let (start, organisation, head) = self.tiers[position].head(&self.entries)?;
-        let id = self.preferred(position, organisation, head, now, prefers);
+        let (start, organisation, id) = self.tiers[position].head(&self.entries)?;
         let request = self.take(id)?;
         let lane = &mut self.tiers[position];
         lane.take_head(start, organisation, &request);
@@ -449,12 +399,7 @@
         self.insert(request);
     }
 
-    fn pop(
-        &mut self,
-        _lowest: TierRank,
-        _now: Moment,
-        _prefers: &mut dyn FnMut(&WaitingRequest) -> bool,
-    ) -> Option<WaitingRequest> {
+    fn pop(&mut self, _lowest: TierRank, _now: Moment) -> Option<WaitingRequest> {
         while let Some(id) = self.ids.pop_front() {
             if let Some(request) = self.take(id) {
                 return Some(request);
--- a/src/policy/scheduler.rs
+++ b/src/policy/scheduler.rs
@@ -391,7 +391,6 @@
             prefix: request.prefix,
             prompt_bytes: request.prompt_bytes,
             late_at: request.deadline,
-            overtaken: 0,
         };
         // An estimate of the run time longer than the whole slack must not make the request late at
         // once: it was let in above because estimates are means.
@@ -668,48 +667,58 @@
 
     /// Dispatches waiting requests while an upstream has room.
     fn pump(&mut self, now: Moment, rng: &mut dyn RngCore, actions: &mut Vec<PoolAction>) {
-        loop {
-            let highest = self.plan.tiers.first().map_or(TierRank(0), |share| share.rank);
-            let lowest = match self.upstreams.open(RoomKind::Usual).is_empty() {
-                true if self.upstreams.open(RoomKind::Highest).is_empty() => return,
-                true => highest,
-                false => TierRank(u8::MAX),
-            };
-            let room = |request: &WaitingRequest| match request.tier <= highest {
-                true => RoomKind::Highest,
-                false => RoomKind::Usual,
-            };
-            let (placement, upstreams) = (&self.placement, &self.upstreams);
-            let mut prefers = |request: &WaitingRequest| {
-                placement.has_home(upstreams, &request.prefix, room(request))
-            };
-            let Some(request) = self.queue.pop(lowest, now, &mut prefers) else { return };
+        while let Some(lowest) = self.lowest_served() {
+            let Some(request) = self.queue.pop(lowest, now) else { return };
             let query = PlacementQuery {
                 prefix: &request.prefix,
                 prompt_tokens: request.prompt_tokens,
                 output_tokens: request.cost - request.prompt_tokens,
                 speed: self.model.speed(),
-                room: room(&request),
+                room: self.room(request.tier),
                 now,
             };
             let Some(upstream) = self.placement.place(&self.upstreams, &query, rng) else {
                 self.queue.push_back_first(request);
                 return;
             };
-            self.placement.dispatched(&request.prefix, upstream);
-            self.upstreams.dispatched(upstream, request.cost, now);
-            self.meter.dispatched(request.tier, request.cost);
-            self.redispatches = (self.redispatches + REDISPATCH_SHARE).min(REDISPATCH_BURST);
-            actions.push(PoolAction::Dispatch { id: request.id, upstream });
-            let was_bound = !self.queue.is_empty()
-                || self.upstreams.get(upstream).is_some_and(|status| status.load() > 0.8);
-            self.running.insert(
-                request.id,
-                RunningRequest { request, upstream, was_bound, dispatched: now },
-            );
+            self.dispatch(request, upstream, now, actions);
+        }
+    }
+
+    /// The lowest tier that some upstream has room for; none if all are full.
+    fn lowest_served(&self) -> Option<TierRank> {
+        if !self.upstreams.open(RoomKind::Usual).is_empty() {
+            return Some(TierRank(u8::MAX));
+        }
+        let highest = self.plan.tiers.first().map(|share| share.rank);
+        highest.filter(|_| !self.upstreams.open(RoomKind::Highest).is_empty())
+    }
+
+    fn room(&self, tier: TierRank) -> RoomKind {
+        match self.plan.tiers.first() {
+            Some(highest) if tier <= highest.rank => RoomKind::Highest,
+            _ => RoomKind::Usual,
         }
     }
 
+    fn dispatch(
+        &mut self,
+        request: WaitingRequest,
+        upstream: UpstreamIndex,
+        now: Moment,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        self.placement.dispatched(&request.prefix, upstream);
+        self.upstreams.dispatched(upstream, request.cost, now);
+        self.meter.dispatched(request.tier, request.cost);
+        self.redispatches = (self.redispatches + REDISPATCH_SHARE).min(REDISPATCH_BURST);
+        actions.push(PoolAction::Dispatch { id: request.id, upstream });
+        let was_bound = !self.queue.is_empty()
+            || self.upstreams.get(upstream).is_some_and(|status| status.load() > 0.8);
+        let running = RunningRequest { upstream, was_bound, dispatched: now, request };
+        self.running.insert(running.request.id, running);
+    }
+
     fn refuse_waiting(&mut self, kind: AnswerKind, actions: &mut Vec<PoolAction>) {
         let waiting = self.queue.drain().into_iter();
         actions.extend(waiting.map(|request| PoolAction::Refuse { id: request.id, kind }));
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -15,8 +15,11 @@
 const CORRECTION_WINDOW: Duration = Duration::from_secs(5);
 /// A report older than this says nothing.
 const REPORT_LIFE: Duration = Duration::from_secs(10);
-/// Requests that may wait inside an upstream: some are always on their way into the next step.
+/// Requests that may wait inside an upstream, and one more for so many in its batch: some are always on their
+/// way into the next step. Only a queue that two reports in a row show is one that the batch holds back; one
+/// report alone kept the bound at the first guess for ever.
 const QUEUED_TOLERANCE: u32 = 2;
+const QUEUED_PART: u32 = 16;
 /// Weight of a new gap in an upstream's mean.
 const GAP_WEIGHT: f64 = 0.2;
 
@@ -120,6 +123,8 @@
     /// True while much slower than its pool.
     pub is_straggler: bool,
     report: Option<(Moment, LoadReport)>,
+    /// True if requests waited inside it by the last report.
+    was_crowded: bool,
     /// The least difference seen between arrival and stamp: the offset between the two clocks.
     clock_offset: Option<i64>,
     changes: VecDeque<(Moment, i32)>,
@@ -218,9 +223,11 @@
             return;
         }
         self.report = Some((time, report));
-        if report.queued > QUEUED_TOLERANCE {
+        let is_crowded = report.queued > QUEUED_TOLERANCE + report.running / QUEUED_PART;
+        if is_crowded && self.was_crowded {
             self.limit.crowded(report.running, now);
         }
+        self.was_crowded = is_crowded;
         if report.step_micros > 0 {
             self.learn_gap(f64::from(report.step_micros));
         }
@@ -334,6 +341,7 @@
             gap_micros: None,
             is_straggler: false,
             report: None,
+            was_crowded: false,
             clock_offset: None,
             changes: VecDeque::new(),
             headroom: self.headroom,
--- /dev/null
+++ b/tests/test_experiment.rs
@@ -0,0 +1,229 @@
+//! The policy under load, in virtual time: what each mechanism prevents, and that a run repeats itself.
+
+use crate::session;
+use crate::workdir::{WorkDir, stderr, stdout};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tarragonknot::experiment::{
+    ExperimentPlan, FaultKind, MechanismSwitch, RunSummary, run_experiment,
+};
+use tarragonknot::load::{LoadProfile, PolicyChoice, ProfileKind};
+use tarragonknot::policy::{
+    ArrivedRequest, DrainMeter, LoadReport, Moment, OrganisationIndex, PoolAction, PoolEvent,
+    PoolPlan, PoolScheduler, RequestId, TierProgress, TierRank, UpstreamIndex, UpstreamSource,
+    prefix_hashes,
+};
+use tarragonknot::table::LimitChoice;
+
+/// A short run of a small Lodgeframe.
+fn plan(times: f64) -> ExperimentPlan {
+    let mut profile = LoadProfile::new(ProfileKind::Lodgeframe);
+    profile.engines = 4;
+    ExperimentPlan {
+        profile,
+        times,
+        window: Duration::from_secs(8),
+        daemons: 2,
+        policy: PolicyChoice::Weighted,
+        without: None,
+        fault: FaultKind::None,
+        seed: 1,
+    }
+}
+
+fn numbers(run: &RunSummary) -> (f64, u64, u64) {
+    (run.weighted_goodput(), run.refusals(), run.wasted_tokens)
+}
+
+#[test]
+fn a_seed_gives_the_same_run_twice() {
+    let plan = plan(1.5);
+
+    let first = run_experiment(&plan);
+    let second = run_experiment(&plan);
+
+    assert_eq!(numbers(&first), numbers(&second));
+    assert!(first.weighted_goodput() > 0.0);
+}
+
+/// Symptom: prompts are computed again although an engine holds their beginning.
+/// Sequence: many prompts of a few templates, with little load. Cause: a placement that follows the load
+/// alone spreads every template over all engines.
+#[test]
+fn affinity_halves_the_wasted_prefill() {
+    let with = run_experiment(&plan(0.5));
+    let without =
+        run_experiment(&ExperimentPlan { without: Some(MechanismSwitch::Affinity), ..plan(0.5) });
+
+    assert!(with.wasted_share() < without.wasted_share() / 2.0, "{with:?} {without:?}");
+    assert_eq!(with.refusals(), 0);
+}
+
+/// Symptom: higher tiers are refused, or answered late, while lower ones are served.
+/// Sequence: twice the load that the engines carry, on two daemons, also while an engine becomes slow, dies or
+/// leaves, or arrivals come in bursts. Cause: shedding without an order.
+#[rstest]
+#[case::no_fault(FaultKind::None)]
+#[case::straggler(FaultKind::Straggler)]
+#[case::lost_engine(FaultKind::LostEngine)]
+#[case::leaving_engine(FaultKind::LeavingEngine)]
+#[case::bursts(FaultKind::Bursts)]
+fn overload_is_shed_from_the_lowest_tier(#[case] fault: FaultKind) {
+    let run = run_experiment(&ExperimentPlan { fault, ..plan(2.0) });
+
+    let shares: Vec<f64> = (0..3).map(|class| run.good_share(class)).collect();
+    assert_eq!(run.order_breaks, 0);
+    assert!(shares[0] > shares[1] && shares[1] > shares[2], "{shares:?}");
+    assert!(shares[0] > 0.9, "{shares:?}");
+    assert!(run.refusals() > 0);
+}
+
+/// Symptom: a refused request would have been answered in time, or an admitted one waits in vain.
+/// Sequence: of two organisations with equal weights one wants most of the pool. Cause: a wait reckoned for
+/// the tier as a whole, which is too long for the one and too short for the other.
+#[test]
+fn the_wait_follows_the_tiers_virtual_time() {
+    let mut meter = DrainMeter::default();
+    let progress = |virtual_time| {
+        [TierProgress { rank: TierRank(0), has_backlog: true, virtual_time }].into_iter()
+    };
+    meter.tick(progress(0), Moment::from_millis(0));
+    meter.dispatched(TierRank(0), 500);
+
+    meter.tick(progress(1_000), Moment::from_millis(500));
+
+    assert_eq!(meter.wait(TierRank(0), 4_000), Some(2.0));
+    assert_eq!(meter.wait(TierRank(1), 4_000), None);
+}
+
+/// A time without a backlog measures the demand, not the pool.
+#[test]
+fn an_idle_tier_teaches_nothing() {
+    let mut meter = DrainMeter::default();
+    let idle = [TierProgress { rank: TierRank(0), has_backlog: false, virtual_time: 7 }];
+
+    meter.tick(idle.into_iter(), Moment::from_millis(0));
+    meter.tick(idle.into_iter(), Moment::from_millis(600));
+
+    assert_eq!(meter.wait(TierRank(0), 1), None);
+}
+
+/// A scheduler before engines that take ten requests each.
+struct SmallPool {
+    scheduler: PoolScheduler,
+    rng: ChaCha8Rng,
+    next: u64,
+}
+
+impl SmallPool {
+    fn new(engines: u16, plan: PoolPlan) -> Self {
+        let source = |number: u16| UpstreamSource {
+            name: format!("engine-{number}").as_str().into(),
+            incarnation: 0,
+            address: SocketAddr::from(([127, 0, 0, 1], number + 1)),
+            is_leaving: false,
+        };
+        let mut pool = SmallPool {
+            scheduler: PoolScheduler::new(plan),
+            rng: ChaCha8Rng::seed_from_u64(1),
+            next: 1,
+        };
+        pool.tell(PoolEvent::Sources((0..engines).map(source).collect()));
+        pool
+    }
+
+    fn tell(&mut self, event: PoolEvent) -> Vec<PoolAction> {
+        let mut actions = Vec::new();
+        self.scheduler.handle(event, Moment::from_millis(1), &mut self.rng, &mut actions);
+        actions
+    }
+
+    /// The engine to which a request with this prompt goes, or none if it waits.
+    fn send(&mut self, tier: u8, prompt: &str) -> Option<UpstreamIndex> {
+        let id = RequestId(self.next);
+        self.next += 1;
+        let actions = self.tell(PoolEvent::Arrived(ArrivedRequest {
+            id,
+            organisation: OrganisationIndex(0),
+            weight: 1,
+            tier: TierRank(tier),
+            prompt_bytes: prompt.len(),
+            output_limit: Some(16),
+            deadline: Moment::from_millis(60_000),
+            prefix: prefix_hashes(prompt.as_bytes()),
+        }));
+        actions.into_iter().find_map(|action| match action {
+            PoolAction::Dispatch { id: sent, upstream } if sent == id => Some(upstream),
+            _ => None,
+        })
+    }
+}
+
+/// Symptom: the highest tier's prompts are computed anew under load.
+/// Sequence: lower tiers fill the engines; a prompt of the highest tier comes whose prefix one of them holds.
+/// Cause: without room kept for it, it goes to the one engine that has just ended something.
+#[test]
+fn the_highest_tier_finds_room_where_its_prefix_is() {
+    let mut pool = SmallPool::new(3, session::plan(10));
+    let prompt = "an inventory of a furnished flat ".repeat(100);
+    let holder = pool.send(0, &prompt).expect("an idle pool");
+    let filler = (0..60).filter_map(|_| pool.send(2, "note")).count();
+
+    let lower = pool.send(1, &prompt);
+    let highest = pool.send(0, &prompt);
+
+    assert!(filler >= 24, "{filler}");
+    assert_eq!(lower, None);
+    assert_eq!(highest, Some(holder));
+}
+
+/// Symptom: one engine drowns in one popular prefix.
+/// Sequence: all prompts begin alike. Cause: affinity without a bound on the load.
+#[test]
+fn a_popular_prefix_spreads_once_its_holder_is_loaded() {
+    let mut pool = SmallPool::new(3, session::plan(10));
+    let prompt = "an inventory of a furnished flat ".repeat(100);
+
+    let engines: Vec<_> = (0..15).filter_map(|_| pool.send(0, &prompt)).collect();
+
+    let on = |index| engines.iter().filter(|engine| **engine == UpstreamIndex(index)).count();
+    assert_eq!(engines.len(), 15);
+    // 1.25 times the mean of 5, a tenth of the limit of 10, and the one that passes the bound.
+    assert!((0..3).all(|index| (1..=8).contains(&on(index))), "{engines:?}");
+}
+
+/// Symptom: engines are never given more than the first guess, however well they do.
+/// Sequence: requests on their way into the next step are reported as waiting. Cause: taking one such report
+/// for an engine that holds requests back; two in a row show that.
+#[rstest]
+#[case::one_report(1, 10.0)]
+#[case::two_reports(2, 8.5)]
+fn only_a_lasting_queue_lowers_the_bound(#[case] reports: u64, #[case] bound: f64) {
+    let plan = PoolPlan { limit: LimitChoice::Learned, ..session::plan(10) };
+    let mut pool = SmallPool::new(1, plan);
+
+    for stamp in 1..=reports {
+        let report = LoadReport { stamp, running: 8, queued: 4, ..LoadReport::default() };
+        pool.tell(PoolEvent::Reported { upstream: UpstreamIndex(0), report });
+    }
+
+    let status = pool.scheduler.upstreams().get(UpstreamIndex(0)).expect("the engine");
+    assert_eq!(status.limit.requests(), bound);
+}
+
+#[test]
+fn the_command_compares_policies_and_names_bad_rates() {
+    let work = WorkDir::new();
+    let args = ["experiment", "--profile", "lodgeframe", "--seeds", "1", "--seconds", "1"];
+
+    let table = work.run(&[&args[..], &["--times", "0.2"]].concat());
+    let bad = work.run(&[&args[..], &["--times", "0"]].concat());
+
+    assert!(table.status.success(), "{}", stderr(&table));
+    assert!(stdout(&table).contains("| round-robin"), "{}", stdout(&table));
+    assert_eq!(bad.status.code(), Some(2));
+    assert!(stderr(&bad).contains("--times: found 0; expected 0.01 to 20"), "{}", stderr(&bad));
+}
--- a/tests/test_policy.rs
+++ b/tests/test_policy.rs
@@ -34,7 +34,6 @@
         prefix: Box::default(),
         prompt_bytes: 0,
         late_at,
-        overtaken: 0,
     }
 }
 
@@ -72,7 +71,7 @@
                     next += 1;
                 }
                 QueueStep::Pop => {
-                    let popped = queue.pop(TierRank(u8::MAX), Moment(0), &mut |_| true).map(|request| request.id.0);
+                    let popped = queue.pop(TierRank(u8::MAX), Moment(0)).map(|request| request.id.0);
                     prop_assert_eq!(popped.is_none(), inside.is_empty());
                     popped.into_iter().for_each(|id| assert!(inside.remove(&id).is_some()));
                 }
@@ -93,7 +92,7 @@
                 prop_assert_eq!(queue.waiting_tokens(TierRank(tier)), tokens);
             }
         }
-        let rest: BTreeSet<u64> = std::iter::from_fn(|| queue.pop(TierRank(u8::MAX), Moment(0), &mut |_| true)).map(|request| request.id.0).collect();
+        let rest: BTreeSet<u64> = std::iter::from_fn(|| queue.pop(TierRank(u8::MAX), Moment(0))).map(|request| request.id.0).collect();
         prop_assert_eq!(rest, inside.keys().copied().collect::<BTreeSet<u64>>());
     }
 
@@ -107,7 +106,7 @@
         let mut by_organisation = [0u64; 4];
 
         while served.iter().sum::<u64>() < 60_000 {
-            let Some(request) = queue.pop(TierRank(u8::MAX), Moment(0), &mut |_| true) else { break };
+            let Some(request) = queue.pop(TierRank(u8::MAX), Moment(0)) else { break };
             served[request.tier.0 as usize] += u64::from(request.cost);
             if request.tier.0 == 0 {
                 by_organisation[request.organisation.0 as usize] += u64::from(request.cost);
