What waits is refused when the lease runs out, whoever answers; one client to the leader

A daemon cut off from the leader, whose floor kept changing, would neither notice the silent connection nor refuse what waited, and would dispatch under shares given away since. Change: the ticks look at the lease; the time limit of a row of reports runs from the first one without an answer. agent.rs and claims.rs choose address and connection by one LeaderClient.

--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -2,20 +2,22 @@
 
 use super::fleet::{DaemonOrders, DaemonReport, ReportAnswer};
 use super::fleet_member::{FleetMember, PoolState};
-use super::links::{FleetKey, LeaderHint, connect};
+use super::links::{FleetKey, LeaderClient, LeaderHint};
 use super::rpc::{ControlApiClient, LeaderAnswer};
 use crate::policy::{PoolEvent, PoolScheduler};
 use crate::table::{DaemonName, ServiceName};
 use crate::traffic::TrafficState;
 use jsonrpsee::ws_client::WsClient;
-use slog::{info, warn};
+use slog::info;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A report is answered within this time, or its connection counts as silent. Well above how long the
 /// leader holds one, well below the lease.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(900);
+/// The same for a row of reports, each given up for the next: the leader may hold each one for a while.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_800);
 /// Time before the next try when no leader is known.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -38,76 +40,69 @@
 
 /// Starts the agent on the current runtime.
 pub fn start_agent(settings: AgentSettings, state: Arc<TrafficState>, hint: LeaderHint) {
-    let AgentSettings { daemon, boot, control, lease, .. } = settings.clone();
+    let AgentSettings { daemon, boot, control, voters, key, lease } = settings;
     let member = FleetMember::new(daemon, boot, control, lease);
-    let agent = FleetAgent { settings, state, member, hint, next_voter: 0 };
+    let leader = LeaderClient::new(voters, key, hint);
+    let agent = FleetAgent { state, member, leader, silent_since: None };
     tokio::spawn(agent.run());
 }
 
 struct FleetAgent {
-    settings: AgentSettings,
     state: Arc<TrafficState>,
     member: FleetMember,
-    hint: LeaderHint,
-    next_voter: usize,
+    leader: LeaderClient,
+    /// When the first report was sent that has no answer yet. A report given up for a newer one does not
+    /// move it: else a floor that changes without pause would hide a connection that went silent.
+    silent_since: Option<Instant>,
 }
 
 impl FleetAgent {
     async fn run(mut self) {
-        let mut client: Option<(SocketAddr, WsClient)> = None;
         loop {
-            let address = self.hint.get().unwrap_or_else(|| self.some_voter());
-            if client.as_ref().is_none_or(|(known, open)| *known != address || !open.is_connected())
-            {
-                client =
-                    connect(address, &self.settings.key).await.ok().map(|open| (address, open));
-            }
-            let is_answered = match &client {
-                Some((address, open)) => self.report(*address, open).await,
-                None => false,
+            let is_answered = match self.leader.get().await {
+                Some((address, client)) => self.report(address, &client).await,
+                None => {
+                    self.leader.hint().set(None);
+                    false
+                }
             };
             if !is_answered {
-                if client.is_none() {
-                    self.hint.set(None);
-                }
-                client = client.filter(|(known, _)| Some(*known) == self.hint.get());
-                self.check_lease();
+                self.leader.drop_unless_hinted();
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
         }
     }
 
-    fn some_voter(&mut self) -> SocketAddr {
-        let voters = &self.settings.voters;
-        self.next_voter = (self.next_voter + 1) % voters.len().max(1);
-        voters.get(self.next_voter).copied().unwrap_or(self.settings.control)
-    }
-
     /// Sends one report and carries out its answer.
     async fn report(&mut self, address: SocketAddr, client: &WsClient) -> bool {
         let report = self.make_report();
+        let since = *self.silent_since.get_or_insert_with(Instant::now);
+        let until = (Instant::now() + REPORT_TIMEOUT).min(since + SILENCE_LIMIT);
+        let until = tokio::time::Instant::from_std(until);
         let answer = tokio::select! {
-            answer = tokio::time::timeout(REPORT_TIMEOUT, client.report(report)) => answer,
+            biased;
+            answer = tokio::time::timeout_at(until, client.report(report)) => answer,
             // A floor has changed here: the open report is given up for a new one.
             () = self.state.floor_news.notified() => return true,
         };
+        self.silent_since = None;
         match answer {
             Ok(Ok(LeaderAnswer::Done(ReportAnswer::NewTerm(term)))) => {
-                self.hint.set(Some(address));
+                self.leader.hint().set(Some(address));
                 self.member.set_term(term);
                 true
             }
             Ok(Ok(LeaderAnswer::Done(ReportAnswer::Orders(orders)))) => {
-                self.hint.set(Some(address));
+                self.leader.hint().set(Some(address));
                 self.carry_out(orders);
                 true
             }
             Ok(Ok(LeaderAnswer::Elsewhere(leader))) => {
-                self.hint.set(leader);
+                self.leader.hint().set(leader);
                 false
             }
             _ => {
-                self.hint.set(None);
+                self.leader.hint().set(None);
                 false
             }
         }
@@ -144,19 +139,6 @@
             self.state.set_current_until(moves.current_until);
         }
     }
-
-    /// Once the lease has run out nothing that waits may be dispatched any more.
-    fn check_lease(&self) {
-        if self.state.is_current() {
-            return;
-        }
-        for pool in self.state.pools().values() {
-            if pool.status().waiting > 0 {
-                warn!(self.state.log, "lease ran out; refusing what waits"; "service" => pool.service.as_str());
-                pool.tell(PoolEvent::LeaseLapsed);
-            }
-        }
-    }
 }
 
 fn pool_state(service: &ServiceName, scheduler: &PoolScheduler) -> PoolState {
--- a/src/control/claims.rs
+++ b/src/control/claims.rs
@@ -1,6 +1,6 @@
 //! The traffic's way to claims: batches commands and brings them to the leader.
 
-use super::links::{FleetKey, LeaderHint, connect};
+use super::links::{FleetKey, LeaderClient, LeaderHint};
 use super::rpc::{ControlApiClient, LeaderAnswer};
 use crate::claim::{ClaimCommand, ClaimKey, ClaimOutcome, ClaimOwner, ClaimReply};
 use jsonrpsee::ws_client::WsClient;
@@ -94,24 +94,13 @@
     keeper: ClaimKeeper,
 ) {
     let calls = Arc::new(Semaphore::new(CALLS_AT_ONCE));
-    let mut client: Option<(SocketAddr, Arc<WsClient>)> = None;
-    let mut next_voter = 0;
+    let ClaimSettings { voters, key, hint } = settings;
+    let mut leader = LeaderClient::new(voters, key, hint.clone());
     let mut batch = Vec::new();
     while receiver.recv_many(&mut batch, BATCH).await > 0 {
         let Ok(permit) = Arc::clone(&calls).acquire_owned().await else { return };
-        let address = settings.hint.get().or_else(|| {
-            next_voter = (next_voter + 1) % settings.voters.len().max(1);
-            settings.voters.get(next_voter).copied()
-        });
-        if let Some(address) = address
-            && client.as_ref().is_none_or(|(known, open)| *known != address || !open.is_connected())
-        {
-            client =
-                connect(address, &settings.key).await.ok().map(|open| (address, Arc::new(open)));
-        }
-        let open = client.as_ref().map(|(_, open)| Arc::clone(open));
-        let call =
-            run_call(std::mem::take(&mut batch), open, settings.hint.clone(), keeper.clone());
+        let client = leader.get().await.map(|(_, client)| client);
+        let call = run_call(std::mem::take(&mut batch), client, hint.clone(), keeper.clone());
         tokio::spawn(async move {
             let _permit = permit;
             call.await;
--- a/src/control/links.rs
+++ b/src/control/links.rs
@@ -146,6 +146,52 @@
     }
 }
 
+/// One connection to the leader, as far as the hint tells, else to one voter after the other.
+pub struct LeaderClient {
+    voters: Vec<SocketAddr>,
+    key: FleetKey,
+    hint: LeaderHint,
+    next_voter: usize,
+    open: Option<(SocketAddr, Arc<WsClient>)>,
+}
+
+impl LeaderClient {
+    /// A client that is not connected yet.
+    pub fn new(voters: Vec<SocketAddr>, key: FleetKey, hint: LeaderHint) -> Self {
+        LeaderClient { voters, key, hint, next_voter: 0, open: None }
+    }
+
+    /// Where the leader is believed to be.
+    pub fn hint(&self) -> &LeaderHint {
+        &self.hint
+    }
+
+    /// The connection, opened anew if need be, and whom it leads to.
+    pub async fn get(&mut self) -> Option<(SocketAddr, Arc<WsClient>)> {
+        let address = self.hint.get().or_else(|| self.some_voter())?;
+        let is_open = |(known, client): &(SocketAddr, Arc<WsClient>)| {
+            *known == address && client.is_connected()
+        };
+        if !self.open.as_ref().is_some_and(is_open) {
+            let client = connect(address, &self.key).await.ok();
+            self.open = client.map(|client| (address, Arc::new(client)));
+        }
+        self.open.clone()
+    }
+
+    /// Gives the connection up unless the hint still names its other end: one that gave no answer may
+    /// have gone silent for good while new ones work.
+    pub fn drop_unless_hinted(&mut self) {
+        let hint = self.hint.get();
+        self.open.take_if(|(known, _)| Some(*known) != hint);
+    }
+
+    fn some_voter(&mut self) -> Option<SocketAddr> {
+        self.next_voter = (self.next_voter + 1) % self.voters.len().max(1);
+        self.voters.get(self.next_voter).copied()
+    }
+}
+
 /// Where replies go.
 pub type ReplySender = mpsc::UnboundedSender<ReplicaEnvelope<ControlCommand>>;
 
--- a/src/daemon/upkeep.rs
+++ b/src/daemon/upkeep.rs
@@ -44,6 +44,7 @@
     loop {
         let mut is_busy = false;
         for (service, pool) in state.pools().iter() {
+            refuse_without_lease(&state, pool);
             pool.tell(PoolEvent::Tick);
             let floor =
                 pool.inspect(|scheduler| (scheduler.wanted_floor(), scheduler.kept_floor()));
@@ -57,6 +58,15 @@
     }
 }
 
+/// Once the lease has run out nothing that waits may be dispatched any more. Looked at with each tick, not by
+/// the agent: that one may be kept waiting by a leader that does not answer.
+fn refuse_without_lease(state: &TrafficState, pool: &PoolRuntime) {
+    if !state.is_current() && pool.status().waiting > 0 {
+        warn!(state.log, "lease ran out; refusing what waits"; "service" => pool.service.as_str());
+        pool.tell(PoolEvent::LeaseLapsed);
+    }
+}
+
 async fn poll_reports(state: Arc<TrafficState>, pause: Duration) {
     loop {
         let mut polls = JoinSet::new();
--- a/tests/test_traffic.rs
+++ b/tests/test_traffic.rs
@@ -7,7 +7,12 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use tarragonknot::answer::{AnswerKind, ProblemBody, RanWord};
+use tarragonknot::daemon::start_upkeep;
+use tarragonknot::policy::Moment;
+use tarragonknot::settings::DaemonSettings;
+use tarragonknot::table::LimitChoice;
 
 struct CallerAnswer {
     status: StatusCode,
@@ -127,3 +132,41 @@
     assert_eq!(answer.problem().ran, RanWord::No);
     assert!(fleet.service.runs().is_empty());
 }
+
+/// Symptom: a daemon cut off from the leader goes on to dispatch what waited there.
+/// Sequence: the lease runs out while a request waits, and the floor changes again and again, so that no report
+/// is ever answered or timed out. Cause: looking at the lease only when a report has failed.
+#[tokio::test]
+async fn what_waits_is_refused_once_the_lease_has_run_out() {
+    let fleet = small_fleet(|table| {
+        table.services[0].first_guess = 1;
+        table.services[0].limit = LimitChoice::Fixed;
+    })
+    .await;
+    let settings = r#"{"daemon": "entry-1", "data_centre": "hall-a", "callers": "127.0.0.1:0",
+        "control": "127.0.0.1:0", "fleet_key_file": "key", "peers": [{"daemon": "entry-2", "control": "127.0.0.1:1"}]}"#;
+    start_upkeep(Arc::clone(&fleet.state), &DaemonSettings::read(settings).unwrap());
+    let address = fleet.front.address;
+    let (long, short) = (chat(true, 4_000), chat(false, 1));
+    let running = tokio::spawn(async move {
+        call(address, "POST", "/v1/chat/completions", Some(AGENTS_KEY), &long).await
+    });
+    let pool = fleet.state.pool(&"pack-llm".into()).unwrap();
+    while pool.status().running == 0 {
+        tokio::task::yield_now().await;
+    }
+    let waiting = tokio::spawn(async move {
+        call(address, "POST", "/v1/chat/completions", Some(AGENTS_KEY), &short).await
+    });
+    while pool.status().waiting == 0 {
+        tokio::task::yield_now().await;
+    }
+
+    fleet.state.set_current_until(Moment(0));
+    let answer = waiting.await.unwrap();
+
+    let problem = answer.problem();
+    assert_eq!((problem.kind, problem.ran), (AnswerKind::TableStale, RanWord::No));
+    assert_eq!(pool.status().waiting, 0);
+    running.abort();
+}
