Daemons divide the organisations' limits as they divide the pools'

Cause: every daemon applied an organisation's limits whole, so that with seven daemons a limit let through up to seven times as much; LimitBook::set_share was never called. Change: reports and orders carry the limits as one more pool: its share follows the requests in progress of organisations with limits, is leased, and is given on only once nobody counts with it. Requests in progress count as used until they end; without a share nothing passes under a rate. Ruled out: a share by organisation (exact for callers of one organisation at one daemon, but 3,300 more rows in each report). Conclusion: kept; the price is a small share for a daemon whose callers come in a burst after idling, until its next report.

--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -1,6 +1,6 @@
 //! A daemon's end of the fleet: reports to the leader, carries out its orders, keeps the lease.
 
-use super::fleet::{DaemonOrders, DaemonReport, ReportAnswer};
+use super::fleet::{DaemonOrders, DaemonReport, LIMITS, ReportAnswer};
 use super::fleet_member::{FleetMember, PoolState};
 use super::links::{FleetKey, LeaderClient, LeaderHint};
 use super::rpc::{ControlApiClient, LeaderAnswer};
@@ -113,7 +113,15 @@
         let states = pools
             .iter()
             .map(|(service, pool)| pool.inspect(|scheduler| pool_state(service, scheduler)));
-        let states = states.collect();
+        let limits = self.state.limits();
+        let limits = PoolState {
+            service: LIMITS.into(),
+            wanted: None,
+            guaranteed: None,
+            demand: limits.demand(),
+            used: limits.used(),
+        };
+        let states = states.chain([limits]).collect();
         let version = self.state.snapshot().version;
         self.member.report(version, states, self.state.is_drained(), self.state.clock.now())
     }
@@ -126,6 +134,9 @@
         }
         let pools = self.state.pools();
         for step in moves.pools {
+            if step.service.as_str() == LIMITS {
+                self.state.limits().set_share(step.share);
+            }
             let Some(pool) = pools.get(&step.service) else { continue };
             pool.tell(PoolEvent::Share { share: step.share });
             pool.tell(PoolEvent::FleetFloor(step.floor));
--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -18,6 +18,9 @@
 
 /// The whole of a pool's limit, in units of shares.
 pub const SHARE_UNITS: u32 = 10_000;
+/// Stands for the organisations' limits among the pools of reports and orders: they are divided as the pools'
+/// limits are. No service can have this name, since a name has no space.
+pub const LIMITS: &str = "organisation limits";
 /// Share that every member is given whatever its demand, as a part of its equal share.
 const LEAST_PART: f64 = 0.2;
 /// Clocks may differ by this factor over one lease.
@@ -361,8 +364,9 @@
         table: &VersionedTable,
         now: Moment,
     ) -> DaemonOrders {
+        let limits = ServiceName::from(LIMITS);
         let services: BTreeSet<&ServiceName> =
-            table.table.services.iter().map(|row| &row.service).collect();
+            table.table.services.iter().map(|row| &row.service).chain([&limits]).collect();
         let order = |service: &ServiceName| PoolOrder {
             service: service.clone(),
             imposed: self.imposed_on(daemon, service, now),
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -18,7 +18,7 @@
 pub use claims::{ClaimKeeper, ClaimSettings};
 pub use control_loop::{ControlHandle, ControlRequest, ControlSetup, start_control};
 pub use fleet::{
-    DaemonOrders, DaemonReport, FleetBook, MemberView, PoolOrder, PoolReport, ReportAnswer,
+    DaemonOrders, DaemonReport, FleetBook, LIMITS, MemberView, PoolOrder, PoolReport, ReportAnswer,
     ReportVerdict, SHARE_UNITS,
 };
 pub use fleet_member::{FleetMember, MemberMove, PoolMove, PoolState};
--- a/src/experiment/run.rs
+++ b/src/experiment/run.rs
@@ -374,7 +374,8 @@
 
     fn obey(&mut self, number: usize, orders: DaemonOrders) {
         let Some(moves) = self.daemons[number].member.take(orders, self.now) else { return };
-        for step in moves.pools {
+        let model = self.plan.profile.model;
+        for step in moves.pools.into_iter().filter(|step| step.service.as_str() == model) {
             let is_shared = self.plan.without != Some(MechanismSwitch::Shares);
             let share = if is_shared { step.share } else { 1.0 };
             self.tell(number, PoolEvent::Share { share });
--- a/src/policy/organisation_limits.rs
+++ b/src/policy/organisation_limits.rs
@@ -63,6 +63,9 @@
         now: Moment,
     ) -> Result<(), AnswerKind> {
         let limit = self.limits.get(&organisation).copied().unwrap_or_default();
+        if limit.tokens_per_second.is_some() && self.share <= 0.0 {
+            return Err(AnswerKind::RateLimited);
+        }
         let state = self.states.entry(organisation).or_default();
         if limit.concurrent.is_some_and(|most| {
             f64::from(state.in_progress) + 1.0 > (f64::from(most) * self.share).max(1.0)
@@ -92,11 +95,27 @@
         let rate = self.limits.get(&organisation).and_then(|limit| limit.tokens_per_second);
         let Some(state) = self.states.get_mut(&organisation) else { return };
         state.in_progress = state.in_progress.saturating_sub(1);
-        if let Some(rate) = rate {
+        if let Some(rate) = rate.filter(|_| self.share > 0.0) {
             state.full_at -= f64::from(unused) / (rate as f64 * self.share) * MICROS;
         }
     }
 
+    /// Requests in progress of organisations that have limits: what this daemon's share should follow.
+    pub fn demand(&self) -> u64 {
+        self.limits.keys().map(|organisation| u64::from(self.in_progress(*organisation))).sum()
+    }
+
+    /// The largest part of a whole limit on requests in progress that this daemon takes up. A share that was
+    /// made smaller still counts for as much until they have ended: else another daemon would fill the part
+    /// that was taken away while it is still in use.
+    pub fn used(&self) -> f64 {
+        let used = self.limits.iter().filter_map(|(organisation, limit)| {
+            let most = f64::from(limit.concurrent?.max(1));
+            Some(f64::from(self.in_progress(*organisation)) / most)
+        });
+        used.fold(0.0, f64::max)
+    }
+
     /// Requests in progress of one organisation.
     pub fn in_progress(&self, organisation: OrganisationIndex) -> u32 {
         self.states.get(&organisation).map_or(0, |state| state.in_progress)
--- a/tests/fleet_schedule.rs
+++ b/tests/fleet_schedule.rs
@@ -7,7 +7,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tarragonknot::control::{
-    DaemonOrders, DaemonReport, FleetBook, FleetMember, PoolState, ReportVerdict, SHARE_UNITS,
+    DaemonOrders, DaemonReport, FleetBook, FleetMember, LIMITS, PoolState, ReportVerdict,
+    SHARE_UNITS,
 };
 use tarragonknot::policy::{FloorOrder, Moment, ShedFloor, TierRank};
 use tarragonknot::table::{DaemonName, VersionedTable, check_document};
@@ -37,6 +38,7 @@
     member: FleetMember,
     floor: ShedFloor,
     share: f64,
+    limit_share: f64,
     current_until: Moment,
     /// What it kept in the step before, if it held a lease then.
     kept_before: Option<Option<TierRank>>,
@@ -225,8 +227,13 @@
         let now = Moment((self.now as f64 * daemon.speed) as u64);
         let Some(moves) = daemon.member.take(orders, now) else { return };
         for step in moves.pools {
-            daemon.share = step.share;
-            daemon.floor.take(step.floor);
+            match step.service.as_str() {
+                LIMITS => daemon.limit_share = step.share,
+                _ => {
+                    daemon.share = step.share;
+                    daemon.floor.take(step.floor);
+                }
+            }
         }
         daemon.current_until = moves.current_until;
         daemon.report_at = self.now;
@@ -259,7 +266,15 @@
             demand: self.rng.random_range(0..1_000),
             used: 0.0,
         };
-        let report = daemon.member.report(1, vec![pool], false, now);
+        let limits = PoolState {
+            service: LIMITS.into(),
+            wanted: None,
+            guaranteed: None,
+            // Without a draw of its own, so that the seeds' schedules stay as they are.
+            demand: self.now / STEP % 10,
+            used: 0.0,
+        };
+        let report = daemon.member.report(1, vec![pool, limits], false, now);
         daemon.sequence = report.sequence;
         self.send(Message::Report(Box::new(report)));
     }
@@ -273,6 +288,10 @@
 
     fn check(&mut self) -> Result<(), String> {
         let current: Vec<usize> = (0..DAEMONS).filter(|number| self.has_lease(*number)).collect();
+        let limits: f64 = current.iter().map(|number| self.daemons[*number].limit_share).sum();
+        if limits > 1.0 + 1.0 / f64::from(SHARE_UNITS) {
+            return Err(format!("shares of the organisations' limits add up to {limits}"));
+        }
         let sum: f64 = current.iter().map(|number| self.daemons[*number].share).sum();
         if sum > 1.0 + 1.0 / f64::from(SHARE_UNITS) {
             return Err(format!("shares add up to {sum}"));
@@ -346,6 +365,7 @@
         boot,
         floor,
         share: 0.0,
+        limit_share: 0.0,
         current_until: Moment(0),
         kept_before: None,
         speed: rng.random_range(0.97..1.03),
--- a/tests/test_policy.rs
+++ b/tests/test_policy.rs
@@ -302,3 +302,61 @@
     let counts: Vec<u32> = scheduler.upstreams().iter().map(|status| status.in_flight).collect();
     assert_eq!(counts, [20, 20]);
 }
+
+fn limit_book(share: f64) -> LimitBook {
+    let mut book = LimitBook::default();
+    let limit = OrganisationLimit {
+        tokens_per_second: Some(100),
+        burst_tokens: Some(200),
+        concurrent: Some(10),
+    };
+    book.set_limits(HashMap::from([(OrganisationIndex(0), limit)]));
+    book.set_share(share);
+    book
+}
+
+fn admitted(book: &mut LimitBook, cost: u32) -> usize {
+    (0..100)
+        .take_while(|_| book.admit(OrganisationIndex(0), cost, Moment::from_millis(1)).is_ok())
+        .count()
+}
+
+/// Symptom: an organisation gets its limit once from every daemon.
+/// Sequence: its callers are spread over two daemons. Cause: each applying the limit whole.
+#[rstest]
+#[case::requests(1, 10)]
+#[case::tokens(50, 4)]
+fn daemons_divide_an_organisations_limit(#[case] cost: u32, #[case] whole: usize) {
+    let mut one = limit_book(0.5);
+    let mut other = limit_book(0.5);
+
+    let together = admitted(&mut one, cost) + admitted(&mut other, cost);
+
+    assert_eq!(together, whole);
+}
+
+/// Symptom: more requests in progress than the limit after shares have moved.
+/// Sequence: a daemon's share is made smaller while its requests run. Cause: giving the part away before they end.
+#[test]
+fn requests_in_progress_count_until_they_end() {
+    let mut book = limit_book(0.5);
+    let running = admitted(&mut book, 1);
+
+    book.set_share(0.1);
+    let used = book.used();
+    book.release(OrganisationIndex(0), 0);
+
+    assert_eq!((running, used), (5, 0.5));
+    assert_eq!(book.used(), 0.4);
+    assert_eq!(book.demand(), 4);
+}
+
+/// A daemon without a share admits nothing under a rate, rather than everything.
+#[test]
+fn without_a_share_the_rate_is_refused() {
+    let mut book = limit_book(0.0);
+
+    let refused = book.admit(OrganisationIndex(0), 1, Moment::from_millis(1));
+
+    assert_eq!(refused, Err(AnswerKind::RateLimited));
+}
