--- a/src/cmd/experiment.rs
+++ b/src/cmd/experiment.rs
@@ -40,6 +40,9 @@
     /// Measured seconds.
     #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(1..))]
     seconds: u64,
+    /// The number of requests per engine that the firm was given, instead of its own.
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..))]
+    given: Option<u32>,
     /// What goes wrong at a quarter of the measured time.
     #[arg(long, value_enum, default_value = "none")]
     fault: FaultKind,
@@ -154,8 +157,10 @@
 }
 
 fn plan(args: &Args, case: &ExperimentCase, seed: u64) -> ExperimentPlan {
+    let mut profile = LoadProfile::new(case.profile);
+    profile.given_limit = args.given.unwrap_or(profile.given_limit);
     ExperimentPlan {
-        profile: LoadProfile::new(case.profile),
+        profile,
         times: case.times,
         window: Duration::from_secs(args.seconds),
         daemons: args.daemons as usize,
