One fixture of a fleet of processes; a lost connection starts the silence anew

Cause: benches/fleet.rs and tests/test_fleet_processes.rs wrote the same settings; read once more, an unanswered report before a lost connection would have let the first report on the new one time out at once. Change: FleetDaemon in tests/workdir.rs serves both; the clock of silence is reset where no connection can be opened.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -5,7 +5,6 @@
 #[allow(dead_code, reason = "the bench uses a part of the helper")]
 mod workdir;
 
-use serde_json::{Value, json};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -16,7 +15,7 @@
 };
 use tarragonknot::standin::{EngineShape, start_engine};
 use tarragonknot::table::{KeyDigest, OperatorTable, VersionedTable, check_document};
-use workdir::{ServedDaemon, WorkDir, free_address};
+use workdir::{FleetDaemon, ServedDaemon, WorkDir};
 
 const VOTERS: usize = 3;
 const DAEMONS: usize = 7;
@@ -28,41 +27,20 @@
 const KEY: &str = "a-fleet-key";
 const CALLER_KEY: &str = "a-caller-key";
 
-struct Daemon {
-    name: String,
-    callers: SocketAddr,
-    control: SocketAddr,
-    process: Option<ServedDaemon>,
-}
-
 struct Fleet {
     work: WorkDir,
-    daemons: Vec<Daemon>,
+    daemons: Vec<FleetDaemon>,
 }
 
 impl Fleet {
     fn start(voters: usize, count: usize) -> Self {
-        let daemon = |number: usize| Daemon {
-            name: format!("entry-{number}"),
-            callers: free_address(),
-            control: free_address(),
-            process: None,
-        };
-        let mut fleet = Fleet { work: WorkDir::new(), daemons: (1..=count).map(daemon).collect() };
+        let daemons = (1..=count).map(FleetDaemon::new).collect();
+        let mut fleet = Fleet { work: WorkDir::new(), daemons };
         for number in 0..count {
             let daemon = &fleet.daemons[number];
-            let peers = fleet.daemons[..voters].iter().filter(|peer| peer.name != daemon.name);
-            let peers: Vec<Value> = peers
-                .map(|peer| json!({"daemon": peer.name, "control": peer.control.to_string()}))
-                .collect();
-            let mut settings = json!({
-                "daemon": daemon.name, "data_centre": "hall-a", "callers": daemon.callers.to_string(),
-                "control": daemon.control.to_string(), "fleet_key_file": "fleet.key", "peers": peers,
-                "balancer_wait_ms": 10, "traffic_threads": 2,
-            });
+            let mut settings = daemon.settings(&fleet.daemons[..voters]);
             if number < voters {
-                settings["data_folder"] = json!(format!("data-{}", daemon.name));
-                settings["found_fleet"] = json!(number == 0);
+                daemon.add_data_folder(&mut settings, number == 0);
             }
             fleet.work.write(&format!("{}.json", daemon.name), &settings.to_string());
             fleet.restart(number);
@@ -71,8 +49,7 @@
     }
 
     fn restart(&mut self, number: usize) {
-        let path = self.work.path(&format!("{}.json", self.daemons[number].name));
-        self.daemons[number].process = Some(self.work.serve(&path));
+        self.daemons[number].start(&self.work);
     }
 
     fn kill(&mut self, number: usize) {
--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -62,6 +62,7 @@
             let is_answered = match self.leader.get().await {
                 Some((address, client)) => self.report(address, &client).await,
                 None => {
+                    self.silent_since = None;
                     self.leader.hint().set(None);
                     false
                 }
--- a/src/policy/scheduler.rs
+++ b/src/policy/scheduler.rs
@@ -20,7 +20,7 @@
 /// since estimates are means and a short answer may still make it.
 const TOO_SHORT_SHARE: f64 = 0.5;
 /// A request is let in if its wait takes at most this part of the time it can spare: the rest is for the
-/// error of the estimate, and for waiting until the upstream that holds its prefix has room.
+/// error of the estimate.
 const PATIENCE: f64 = 0.6;
 /// The part of each engine's limit that only the highest tier may use. What goes wrong without it: under load
 /// only the engine that has just ended something has room, so a request of the highest tier, which comes
--- a/tests/test_fleet_processes.rs
+++ b/tests/test_fleet_processes.rs
@@ -1,7 +1,7 @@
 //! A few daemons of their own processes: kills, pauses, wiped disks, silent connections, resent claims.
 
 use crate::fixtures::{AGENTS_KEY, small_table, upstream};
-use crate::workdir::{ServedDaemon, WorkDir, free_address, stderr, stdout};
+use crate::workdir::{FleetDaemon, WorkDir, stderr, stdout};
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -20,13 +20,6 @@
 /// Something that must come is waited for this many times 20 ms.
 const PATIENCE: usize = 1_500;
 
-struct FleetDaemon {
-    name: String,
-    callers: SocketAddr,
-    control: SocketAddr,
-    process: Option<ServedDaemon>,
-}
-
 struct ProcessFleet {
     work: WorkDir,
     daemons: Vec<FleetDaemon>,
@@ -36,15 +29,7 @@
 impl ProcessFleet {
     /// Starts `voters` daemons with data folders and `diskless` without.
     fn start(voters: usize, diskless: usize) -> Self {
-        let names = (1..=voters + diskless).map(|number| format!("entry-{number}"));
-        let daemons: Vec<FleetDaemon> = names
-            .map(|name| FleetDaemon {
-                name,
-                callers: free_address(),
-                control: free_address(),
-                process: None,
-            })
-            .collect();
+        let daemons = (1..=voters + diskless).map(FleetDaemon::new).collect();
         let mut fleet = ProcessFleet { work: WorkDir::new(), daemons, edits: AtomicU64::new(0) };
         for number in 0..voters + diskless {
             fleet.write_settings(number, number < voters, voters);
@@ -55,25 +40,16 @@
 
     fn write_settings(&self, number: usize, votes: bool, voters: usize) {
         let daemon = &self.daemons[number];
-        let peers = self.daemons[..voters].iter().filter(|peer| peer.name != daemon.name);
-        let peers: Vec<Value> = peers
-            .map(|peer| json!({"daemon": peer.name, "control": peer.control.to_string()}))
-            .collect();
-        let mut settings = json!({
-            "daemon": daemon.name, "data_centre": "hall-a", "callers": daemon.callers.to_string(),
-            "control": daemon.control.to_string(), "fleet_key_file": "fleet.key", "peers": peers,
-            "currency_lease_ms": 1_500, "balancer_wait_ms": 10, "traffic_threads": 2,
-        });
+        let mut settings = daemon.settings(&self.daemons[..voters]);
+        settings["currency_lease_ms"] = json!(1_500);
         if votes {
-            settings["data_folder"] = json!(format!("data-{}", daemon.name));
-            settings["found_fleet"] = json!(number == 0);
+            daemon.add_data_folder(&mut settings, number == 0);
         }
         self.work.write(&format!("{}.json", daemon.name), &settings.to_string());
     }
 
     fn restart(&mut self, number: usize) {
-        let path = self.work.path(&format!("{}.json", self.daemons[number].name));
-        self.daemons[number].process = Some(self.work.serve(&path));
+        self.daemons[number].start(&self.work);
     }
 
     fn kill(&mut self, number: usize) {
--- a/tests/workdir.rs
+++ b/tests/workdir.rs
@@ -1,5 +1,6 @@
 //! A folder for one test, and ways to run our own binary in it.
 
+use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
@@ -98,6 +99,50 @@
     }
 }
 
+/// One daemon of a fleet of processes.
+pub struct FleetDaemon {
+    pub name: String,
+    pub callers: SocketAddr,
+    pub control: SocketAddr,
+    pub process: Option<ServedDaemon>,
+}
+
+impl FleetDaemon {
+    /// The daemon `entry-NUMBER`, with addresses of its own and not started.
+    pub fn new(number: usize) -> Self {
+        FleetDaemon {
+            name: format!("entry-{number}"),
+            callers: free_address(),
+            control: free_address(),
+            process: None,
+        }
+    }
+
+    /// Its settings beside these voters, without a data folder.
+    pub fn settings(&self, voters: &[FleetDaemon]) -> Value {
+        let peers = voters.iter().filter(|peer| peer.name != self.name);
+        let peers: Vec<Value> = peers
+            .map(|peer| json!({"daemon": peer.name, "control": peer.control.to_string()}))
+            .collect();
+        json!({
+            "daemon": self.name, "data_centre": "hall-a", "callers": self.callers.to_string(),
+            "control": self.control.to_string(), "fleet_key_file": "fleet.key", "peers": peers,
+            "balancer_wait_ms": 10, "traffic_threads": 2,
+        })
+    }
+
+    /// Makes `settings` those of a voter.
+    pub fn add_data_folder(&self, settings: &mut Value, founds_fleet: bool) {
+        settings["data_folder"] = json!(format!("data-{}", self.name));
+        settings["found_fleet"] = json!(founds_fleet);
+    }
+
+    /// Starts it, or starts it again, in its work directory.
+    pub fn start(&mut self, work: &WorkDir) {
+        self.process = Some(work.serve(&work.path(&format!("{}.json", self.name))));
+    }
+}
+
 /// An address of loopback that is this test process's own until it ends.
 ///
 /// The socket stays bound without listening, so nobody else is given the port, while a daemon may still
