Read once more: one loop over all upstreams; dead code of the experiment out

Cause: set_share, set_headroom and the scheduler's change of plan each collected the upstreams' numbers and changed them one by one; the experiment emptied a table's upstreams that were empty, and set the leader's term with each report; RunSummary::top_share had no caller (good_share(0) says the same). Change: UpstreamSet::update_all serves the three; the rest is taken out.

--- a/src/experiment/run.rs
+++ b/src/experiment/run.rs
@@ -10,7 +10,7 @@
     PoolScheduler, RequestId, TierRank, UpstreamIndex, UpstreamSource, UpstreamWord, prefix_hashes,
 };
 use crate::standin::{EngineJob, JobId, PrefillLedger};
-use crate::table::{DaemonName, OperatorTable, VersionedTable};
+use crate::table::{DaemonName, VersionedTable};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
@@ -28,6 +28,8 @@
 const TICK: Duration = Duration::from_millis(10);
 /// A daemon reports to the leader this often, and at once if its floor has changed at a tick.
 const FLEET_PAUSE: Duration = Duration::from_millis(100);
+/// The term of the one leader.
+const TERM: u64 = 1;
 /// The lease on reports to the leader.
 const FLEET_LEASE: Duration = Duration::from_secs(3);
 /// Token gaps are told to the scheduler once in this many tokens, as by the product's relay.
@@ -110,7 +112,6 @@
             (0..plan.daemons).map(|number| daemon(plan, number)).collect();
         let members: BTreeMap<DaemonName, u64> =
             daemons.iter().map(|daemon| (daemon.name.clone(), 1)).collect();
-        let table = plan.profile.table(&[], &[], plan.policy);
         let mut run = ExperimentRun {
             plan,
             now: Moment(0),
@@ -121,8 +122,8 @@
             engines: (0..plan.profile.engines)
                 .map(|_| SimulatedEngine::new(plan.profile.shape))
                 .collect(),
-            book: FleetBook::new(1, FLEET_LEASE, Moment(0), &members),
-            table: VersionedTable::new(1, OperatorTable { upstreams: Vec::new(), ..table }),
+            book: FleetBook::new(TERM, FLEET_LEASE, Moment(0), &members),
+            table: VersionedTable::new(1, plan.profile.table(&[], &[], plan.policy)),
             ledger: PrefillLedger::default(),
             reports: Vec::new(),
             open: 0,
@@ -359,7 +360,7 @@
             demand: scheduler.demand_tokens(),
             used: scheduler.used_share(),
         };
-        daemon.member.set_term(1);
+
         let report = daemon.member.report(1, vec![state], false, now);
         let has_lease = report.has_lease;
         if self.book.report(report, now) != ReportVerdict::Taken
@@ -414,9 +415,11 @@
 fn daemon(plan: &ExperimentPlan, number: usize) -> SimulatedDaemon {
     let name: DaemonName = format!("entry-{number}").as_str().into();
     let seed = plan.seed.wrapping_mul(1_000) + number as u64 + CHOICE_SEED;
+    let mut member = FleetMember::new(name.clone(), 1, address(number), FLEET_LEASE);
+    member.set_term(TERM);
     SimulatedDaemon {
         scheduler: PoolScheduler::new(plan.pool_plan()),
-        member: FleetMember::new(name.clone(), 1, address(number), FLEET_LEASE),
+        member,
         name,
         rng: ChaCha8Rng::seed_from_u64(seed),
         report_at: Moment(0),
--- a/src/experiment/summary.rs
+++ b/src/experiment/summary.rs
@@ -99,11 +99,6 @@
         self.classes.iter().map(|class| class.good_tokens as f64 * f64::from(class.weight)).sum()
     }
 
-    /// The part of the top tier's requests that was answered whole and in time.
-    pub fn top_share(&self) -> f64 {
-        self.good_share(0)
-    }
-
     /// The part of a class's requests that was answered whole and in time.
     pub fn good_share(&self, class: usize) -> f64 {
         let count = &self.classes[class];
--- a/src/policy/scheduler.rs
+++ b/src/policy/scheduler.rs
@@ -629,11 +629,7 @@
             waiting.into_iter().for_each(|request| self.queue.push(request));
         }
         if plan.limit != self.plan.limit || plan.first_guess != self.plan.first_guess {
-            let indexes: Vec<UpstreamIndex> =
-                self.upstreams.iter().map(|status| status.index).collect();
-            for index in indexes {
-                self.upstreams.update(index, |status| status.limit = plan.new_limit());
-            }
+            self.upstreams.update_all(|status| status.limit = plan.new_limit());
         }
         self.upstreams.set_headroom(plan.headroom());
         self.plan = plan;
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -273,10 +273,7 @@
     /// Sets the part of every upstream's limit that only the highest tier may use.
     pub fn set_headroom(&mut self, headroom: f64) {
         self.headroom = headroom;
-        let indexes: Vec<UpstreamIndex> = self.upstreams.keys().copied().collect();
-        indexes
-            .into_iter()
-            .for_each(|index| self.update(index, |status| status.headroom = headroom));
+        self.update_all(|status| status.headroom = headroom);
     }
 
     /// The number of the upstream of this name.
@@ -388,14 +385,19 @@
         }
     }
 
+    /// Changes every upstream, as [`UpstreamSet::update`] does one.
+    pub fn update_all(&mut self, change: impl Fn(&mut UpstreamStatus)) {
+        let indexes: Vec<UpstreamIndex> = self.upstreams.keys().copied().collect();
+        indexes.into_iter().for_each(|index| self.update(index, &change));
+    }
+
     /// Sets this daemon's share of every upstream's limit, for new ones too.
     pub fn set_share(&mut self, share: f64) {
         if self.share == Some(share) {
             return;
         }
         self.share = Some(share);
-        let indexes: Vec<UpstreamIndex> = self.upstreams.keys().copied().collect();
-        indexes.into_iter().for_each(|index| self.update(index, |status| status.share = share));
+        self.update_all(|status| status.share = share);
     }
 
     /// Counts a dispatch.
