--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -14,7 +14,7 @@
     WaitingQueue, WaitingRequest, prefix_hashes,
 };
 use tarragonknot::table::{
-    DaemonName, KeyDigest, LimitChoice, OrganisationRow, PlacementChoice, QueueChoice,
+    DaemonName, KeyDigest, LimitChoice, LimitUnit, OrganisationRow, PlacementChoice, QueueChoice,
     VersionedTable, check_document,
 };
 use tarragonknot::traffic::{AccessIndex, OrganisationNumbers};
@@ -32,6 +32,7 @@
         incarnation: 0,
         address: std::net::SocketAddr::from(([127, 0, 0, 1], (number % 60_000) as u16 + 1)),
         is_leaving: false,
+        places: None,
     };
     (0..count).map(source).collect()
 }
@@ -39,6 +40,7 @@
 fn waiting(id: u64) -> WaitingRequest {
     let late_at = Moment::from_millis(3_600_000);
     WaitingRequest {
+        output_tokens: 0,
         id: RequestId(id),
         organisation: OrganisationIndex((id * 7 % ORGANISATIONS) as u32),
         weight: 1,
@@ -120,6 +122,7 @@
         refuses_late: true,
         avoids_stragglers: true,
         keeps_headroom: true,
+        sheds_alone: false,
     };
     let mut scheduler = PoolScheduler::new(plan);
     let mut rng = ChaCha8Rng::seed_from_u64(1);
@@ -139,6 +142,7 @@
                 prompt_bytes: 400,
                 output_limit: Some(16),
                 deadline: now + Duration::from_secs(10),
+                sizes: None,
                 prefix: Box::default(),
             };
             scheduler.handle(PoolEvent::Arrived(arrived), now, &mut rng, &mut actions);
@@ -163,6 +167,8 @@
         tokens_per_second: Some(1_000),
         burst_tokens: None,
         concurrent: None,
+        limit_unit: LimitUnit::default(),
+        uncounted_tokens: None,
     };
     let services: Vec<String> = (0..services)
         .map(|number| format!(r#"{{"service": "model-{number}", "kind": "model", "default_tier": "t", "deadline_ms": 1000}}"#))
--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -65,6 +65,8 @@
     Draining,
     /// Every upstream tried refused the connection; nothing was sent.
     UpstreamUnreachable,
+    /// Every upstream tried says that it did not run the request.
+    UpstreamRefused,
     /// The upstream ended the exchange without a complete answer.
     UpstreamLost,
     /// The upstream's answer ended before its end mark or declared length.
@@ -146,6 +148,7 @@
     TableStale "table-stale" 503 No SECOND, false, "This daemon cannot confirm its table";
     Draining "draining" 503 No SECOND, false, "This daemon is shutting down";
     UpstreamUnreachable "upstream-unreachable" 503 No SECOND, false, "No upstream could be reached";
+    UpstreamRefused "upstream-refused" 503 No SECOND, false, "No upstream took the request";
     UpstreamLost "upstream-lost" 502 Unknown SECOND, false, "The upstream ended without an answer";
     UpstreamTruncated "upstream-truncated" 502 Unknown SECOND, false, "The upstream's answer was cut short";
     UpstreamCrossed "upstream-crossed" 502 Unknown SECOND, false, "The upstream answered another request";
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -1,9 +1,9 @@
 //! `check`: reads a settings file, a table or a platform list and reports every fault.
 
 use super::CommandError;
-use crate::platform::PlatformList;
 use crate::settings::DaemonSettings;
 use crate::table::{FaultList, check_document};
+use crate::upstream::PlatformList;
 use serde_json::Value;
 use std::path::PathBuf;
 
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -43,9 +43,11 @@
         .map_err(|source| CommandError::File { path: path.clone(), source })?;
     let settings = DaemonSettings::read(&text)
         .map_err(|faults| CommandError::Faults { path: path.clone(), faults })?;
-    let key_path = &settings.fleet_key_file;
-    let key = FleetKey::read(key_path)
-        .map_err(|source| CommandError::File { path: key_path.clone(), source })?;
+    let key = match &settings.fleet_key_file {
+        Some(path) => FleetKey::read(path)
+            .map_err(|source| CommandError::File { path: path.clone(), source })?,
+        None => FleetKey::open(),
+    };
     let log = json_logger(std::io::stderr(), args.log_level.into(), settings.daemon.as_str());
     install_metrics();
     let mut builder = tokio::runtime::Builder::new_multi_thread();
--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -4,14 +4,19 @@
 //! sync (group commit) and one message to each follower.
 
 use super::fleet::{DaemonReport, FleetBook, ReportAnswer, ReportVerdict};
-use super::joining::{JoinTask, JoinedFleet, ask_to_join, join_or_found};
-use super::ledger::{ControlCommand, ControlLedger, ControlReply, EditOutcome, TableEdit};
+use super::joining::{
+    JoinTask, JoinedFleet, ask_to_join, founding_membership, founding_voter, join_or_found,
+};
+use super::ledger::{
+    ControlCommand, ControlLedger, ControlReply, EditOutcome, NumberedOutcome, NumberedTable,
+    TableEdit,
+};
 use super::links::{FleetKey, PeerLinks};
 use super::rpc::{
     ApplyAnswer, DaemonStatus, EditProgress, HistoryRow, JoinAnswer, LeaderAnswer, VoterRow,
 };
 use super::voter_folder::{OpenVoter, blank_snapshot, open_voter};
-use super::voting::{may_join, next_step};
+use super::voting::{lost_voters, may_join, next_step};
 use super::waiters::{EntryWaiter, ForceWait, HeldReport, ReplyTo, Waiting};
 use crate::claim::{ClaimCommand, ClaimReply};
 use crate::policy::Moment;
@@ -60,6 +65,10 @@
     pub data_folder: Option<PathBuf>,
     /// The other voters.
     pub peers: Vec<PeerRow>,
+    /// The voters that found the fleet together, this one among them; empty where that is not to be done.
+    pub founders: Vec<PeerRow>,
+    /// True if voters that are lost are replaced by new ones without an operator.
+    pub replaces_voters: bool,
     /// True if it may found a fleet when every peer answers that it belongs to none.
     pub found_fleet: bool,
     /// The fleet's key.
@@ -105,6 +114,10 @@
         wait: bool,
         reply: oneshot::Sender<LeaderAnswer<ApplyAnswer>>,
     },
+    Replace {
+        numbered: Box<NumberedTable>,
+        reply: oneshot::Sender<LeaderAnswer<NumberedOutcome>>,
+    },
     Table {
         version: Option<u64>,
         reply: oneshot::Sender<LeaderAnswer<Option<VersionedTable>>>,
@@ -268,6 +281,9 @@
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let (founding_sender, mut founding) = mpsc::channel(1);
+        if self.store.is_some() && self.core.is_none() && !self.setup.founders.is_empty() {
+            self.joined(JoinedFleet::FoundedTogether);
+        }
         if self.store.is_some() && self.core.is_none() {
             tokio::spawn(join_or_found(self.joining(), founding_sender));
         }
@@ -313,6 +329,12 @@
                     FleetMembership::founded(fleet, identity.voter.clone(), self.setup.control);
                 (fleet, SnapshotRecord { membership, ..blank_snapshot(fleet) })
             }
+            JoinedFleet::FoundedTogether => {
+                let membership = founding_membership(&self.setup.founders);
+                identity.voter = founding_voter(&self.setup.daemon);
+                let fleet = membership.fleet;
+                (fleet, SnapshotRecord { membership, ..blank_snapshot(fleet) })
+            }
         };
         let Some(store) = &mut self.store else { return };
         let hard = HardState::default();
@@ -324,7 +346,7 @@
             self.identity = Some(identity);
             return;
         }
-        info!(self.setup.log, "belongs to a fleet"; "fleet" => fleet.0, "founded" => matches!(joined, JoinedFleet::Founded));
+        info!(self.setup.log, "belongs to a fleet"; "fleet" => fleet.0, "founded" => !matches!(joined, JoinedFleet::Joined(_)));
         self.fleet = Some(fleet);
         let state = FolderState { hard_state: hard, snapshot: None, entries: Vec::new() };
         self.start_core(&identity, snapshot, state);
@@ -455,6 +477,9 @@
             (EntryWaiter::Edit { wait, reply, .. }, ControlReply::Edit(outcome)) => {
                 self.answer_edit(*outcome, wait, reply)
             }
+            (EntryWaiter::Replace { reply }, ControlReply::Replace(outcome)) => {
+                let _ = reply.send(LeaderAnswer::Done(outcome));
+            }
             (EntryWaiter::Claims { mut replies, reply, .. }, _) => {
                 self.judge_owners(&mut replies);
                 let _ = reply.send(LeaderAnswer::Done(replies));
@@ -586,7 +611,8 @@
         }
         let now = self.now();
         let Some(core) = &mut self.core else { return };
-        if let Some(membership) = next_step(core, &self.ledger) {
+        let lost = if self.setup.replaces_voters { lost_voters(core, now) } else { Vec::new() };
+        if let Some(membership) = next_step(core, &self.ledger, &lost) {
             let text =
                 membership.voters.keys().map(VoterId::to_string).collect::<Vec<String>>().join(" ");
             if let Ok(output) = core.change_membership(membership, now) {
@@ -623,6 +649,7 @@
             ControlRequest::Join { voter, control, reply } => self.take_join(voter, control, reply),
             ControlRequest::Fleet { reply } => drop(reply.send(self.fleet)),
             ControlRequest::Apply { edit, wait, reply } => self.take_edit(edit, wait, reply),
+            ControlRequest::Replace { numbered, reply } => self.take_numbered(numbered, reply),
             ControlRequest::Table { version, reply } => {
                 let table = version
                     .map_or(Some(self.ledger.table()), |version| self.ledger.table_at(version))
@@ -690,6 +717,16 @@
         self.proposals.push((vec![command], EntryWaiter::Edit { wait, reply }));
     }
 
+    fn take_numbered(&mut self, numbered: Box<NumberedTable>, reply: ReplyTo<NumberedOutcome>) {
+        if !self.holds_lease() {
+            return drop(reply.send(LeaderAnswer::Elsewhere(self.other_leader())));
+        }
+        info!(self.setup.log, "numbered table proposed"; "version" => numbered.version,
+            "held" => self.ledger.table().version, "bytes" => numbered.document.len());
+        self.proposals
+            .push((vec![ControlCommand::Replace(numbered)], EntryWaiter::Replace { reply }));
+    }
+
     fn take_claims(&mut self, commands: Vec<ClaimCommand>, reply: ReplyTo<Vec<ClaimReply>>) {
         if !self.holds_lease() {
             return drop(reply.send(LeaderAnswer::Elsewhere(self.other_leader())));
@@ -719,7 +756,7 @@
         if is_known {
             return drop(reply.send(LeaderAnswer::Done(JoinAnswer { fleet, is_accepted: true })));
         }
-        if !may_join(core.membership(), &self.ledger, &voter) {
+        if !may_join(core.membership(), &self.ledger, &voter, self.setup.replaces_voters) {
             return drop(reply.send(LeaderAnswer::Done(JoinAnswer { fleet, is_accepted: false })));
         }
         let membership = core.membership().with_learner(voter, control);
--- a/src/control/joining.rs
+++ b/src/control/joining.rs
@@ -2,12 +2,15 @@
 
 use super::links::{FleetKey, connect};
 use super::rpc::{ControlApiClient, JoinAnswer, LeaderAnswer};
-use crate::replica::{FleetId, VoterId};
+use crate::replica::{FleetId, FleetMembership, VoterId};
+use crate::settings::PeerRow;
+use crate::table::DaemonName;
 use slog::{Logger, warn};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::mpsc;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Time between attempts to join or found a fleet.
 const JOIN_PAUSE: Duration = Duration::from_millis(200);
@@ -18,6 +21,27 @@
     Joined(FleetId),
     /// It founds one.
     Founded,
+    /// It founds one together with the other founders.
+    FoundedTogether,
+}
+
+/// The number of the data folder of a voter that founds a fleet with others. All founders must write the same
+/// membership without having talked, so none can draw a number; a folder made later draws one above.
+pub const FOUNDING_FOLDER: u32 = 0;
+
+/// The identity of a founder.
+pub fn founding_voter(daemon: &DaemonName) -> VoterId {
+    VoterId { daemon: daemon.clone(), folder: FOUNDING_FOLDER }
+}
+
+/// The membership that founders begin with. Each works it out from the same list, so that they need not talk:
+/// whoever of them starts first, a quorum of them is a quorum of the fleet.
+pub fn founding_membership(founders: &[PeerRow]) -> FleetMembership {
+    let voters: BTreeMap<VoterId, SocketAddr> =
+        founders.iter().map(|peer| (founding_voter(&peer.daemon), peer.control)).collect();
+    let names: Vec<String> = voters.values().map(SocketAddr::to_string).collect();
+    let fleet = FleetId(xxh3_64(names.join(" ").as_bytes()));
+    FleetMembership { fleet, voters, learners: BTreeMap::new() }
 }
 
 /// What a voter needs in order to ask.
--- a/src/control/ledger.rs
+++ b/src/control/ledger.rs
@@ -5,6 +5,7 @@
 use crate::table::{CellChange, DaemonName, OperatorTable, VersionedTable, diff_tables};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
 
 /// Edits whose whole tables are kept, for `table diff`.
 const KEPT_TABLES: usize = 32;
@@ -67,12 +68,38 @@
     Conflict(EditConflict),
 }
 
+/// A whole table as an operator sent it, ordered by the operator's own version.
+///
+/// Beside edits made from a base version: where operators number their tables themselves, the highest number
+/// wins, and a lower or equal one changes nothing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NumberedTable {
+    /// The operator's version.
+    pub version: u64,
+    /// The document, as it was sent.
+    pub document: Arc<str>,
+}
+
+/// What became of a numbered table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum NumberedOutcome {
+    /// It is the table in force from now on.
+    Taken,
+    /// Its version is the one held, and so is its content: a resend.
+    Held,
+    /// Its version is not above the one held, and its content is not the one held; it changes nothing.
+    Overtaken,
+}
+
 /// A command in the log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ControlCommand {
     /// Change the table.
     Edit(Box<TableEdit>),
+    /// Replace the table, if the operator's version is above the one held.
+    Replace(Box<NumberedTable>),
     /// Change a claim.
     Claim(ClaimCommand),
     /// A daemon may hold leases from now on.
@@ -103,6 +130,8 @@
 pub enum ControlReply {
     /// To an edit.
     Edit(Box<EditOutcome>),
+    /// To a numbered table.
+    Replace(NumberedOutcome),
     /// To a claim.
     Claim(ClaimReply),
     /// To the others.
@@ -168,6 +197,9 @@
     pub fn apply(&mut self, command: &ControlCommand) -> ControlReply {
         match command {
             ControlCommand::Edit(edit) => return ControlReply::Edit(Box::new(self.edit(edit))),
+            ControlCommand::Replace(numbered) => {
+                return ControlReply::Replace(self.replace(numbered));
+            }
             ControlCommand::Claim(claim) => return ControlReply::Claim(self.claims.apply(claim)),
             ControlCommand::Join { daemon, boot } => {
                 self.members.insert(daemon.clone(), *boot);
@@ -209,6 +241,17 @@
         outcome
     }
 
+    /// Older documents are not kept: they are large, and their operators keep them.
+    fn replace(&mut self, numbered: &NumberedTable) -> NumberedOutcome {
+        if numbered.version > self.table.version {
+            self.table = VersionedTable::from_document(numbered.version, &numbered.document);
+            return NumberedOutcome::Taken;
+        }
+        let is_same = numbered.version == self.table.version
+            && self.table.document.as_ref() == Some(&numbered.document);
+        if is_same { NumberedOutcome::Held } else { NumberedOutcome::Overtaken }
+    }
+
     fn accept(&mut self, edit: &TableEdit) -> EditRecord {
         self.tables.push_back(self.table.clone());
         if self.tables.len() > KEPT_TABLES {
--- a/src/control/links.rs
+++ b/src/control/links.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// The key of a fleet without one: whoever reaches the control interface may speak there.
+    pub fn open() -> Self {
+        FleetKey::from_text("open")
+    }
+
     /// A key from text.
     pub fn from_text(text: &str) -> Self {
         FleetKey(Arc::from(text))
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod joining;
 mod ledger;
 mod links;
+mod operator_door;
 mod rpc;
 mod server;
 mod voter_folder;
@@ -23,9 +24,11 @@
 };
 pub use fleet_member::{FleetMember, MemberMove, PoolMove, PoolState};
 pub use ledger::{
-    ControlCommand, ControlLedger, ControlReply, EditConflict, EditOutcome, EditRecord, TableEdit,
+    ControlCommand, ControlLedger, ControlReply, EditConflict, EditOutcome, EditRecord,
+    NumberedOutcome, NumberedTable, TableEdit,
 };
 pub use links::{CallFault, FleetKey, LeaderHint, connect};
+pub use operator_door::{DoorAnswer, OperatorDoor};
 pub use rpc::{
     ApplyAnswer, ControlApiClient, ControlApiServer, DaemonStatus, EditProgress, HistoryRow,
     JoinAnswer, LeaderAnswer, VoterRow,
--- a/src/control/waiters.rs
+++ b/src/control/waiters.rs
@@ -1,6 +1,7 @@
 //! Who waits for what in the control loop.
 
 use super::fleet::ReportAnswer;
+use super::ledger::NumberedOutcome;
 use super::rpc::{ApplyAnswer, LeaderAnswer, VoterRow};
 use crate::claim::ClaimReply;
 use crate::policy::Moment;
@@ -15,6 +16,7 @@
 /// Who waits for an entry to be applied.
 pub enum EntryWaiter {
     Edit { wait: bool, reply: ReplyTo<ApplyAnswer> },
+    Replace { reply: ReplyTo<NumberedOutcome> },
     Claims { replies: Vec<ClaimReply>, left: usize, reply: ReplyTo<Vec<ClaimReply>> },
     Voters { reply: ReplyTo<Vec<VoterRow>> },
     Nobody,
@@ -51,6 +53,7 @@
     pub fn elsewhere(self, leader: Option<SocketAddr>) {
         match self {
             EntryWaiter::Edit { reply, .. } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
+            EntryWaiter::Replace { reply } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
             EntryWaiter::Claims { reply, .. } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
             EntryWaiter::Voters { reply } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
             EntryWaiter::Nobody => {}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -3,14 +3,17 @@
 mod upkeep;
 
 use crate::control::{
-    AgentSettings, ClaimKeeper, ClaimSettings, ControlSetup, FleetKey, LeaderHint, start_agent,
-    start_control, start_server,
+    AgentSettings, ClaimKeeper, ClaimSettings, ControlHandle, ControlSetup, FleetKey, LeaderHint,
+    OperatorDoor, start_agent, start_control, start_server,
 };
+use crate::platform;
 use crate::policy::{request_chart, upstream_chart};
 use crate::replica::ReplicaConfig;
-use crate::settings::DaemonSettings;
+use crate::settings::{CutOffChoice, DaemonSettings};
 use crate::store::StoreError;
-use crate::traffic::{FrontHandle, TrafficState, drain_chart, start_front};
+use crate::traffic::{
+    FrontHandle, TrafficState, drain_chart, readiness_router, start_front, without_front,
+};
 use crate::upstream::connection_chart;
 use slog::{Logger, info};
 use snafu::{ResultExt, Snafu};
@@ -67,6 +70,7 @@
     setup: ControlSetup,
     agent: AgentSettings,
     listener: std::net::TcpListener,
+    operators: Option<SocketAddr>,
     drain: watch::Sender<bool>,
     state: Arc<TrafficState>,
     stop: oneshot::Receiver<()>,
@@ -86,18 +90,34 @@
         std::net::TcpListener::bind(settings.control).with_context(|_| bind(settings.control))?;
     control_listener.set_nonblocking(true).with_context(|_| bind(settings.control))?;
     let control = control_listener.local_addr().with_context(|_| bind(settings.control))?;
-    let callers = tokio::net::TcpListener::bind(settings.callers)
-        .await
-        .with_context(|_| bind(settings.callers))?;
     let state = TrafficState::new(settings.daemon.clone(), log.clone(), seed);
-    let front = start_front(Arc::clone(&state), callers, settings.balancer_wait_ms)
-        .with_context(|_| bind(settings.callers))?;
+    if settings.platform.is_some() {
+        state.set_manner(platform::manner());
+    }
+    if settings.when_cut_off == CutOffChoice::Serve {
+        state.serve_cut_off();
+    }
+    let front = match settings.callers {
+        Some(callers) => {
+            let listener = listen(callers).await?;
+            start_front(Arc::clone(&state), listener, settings.balancer_wait_ms)
+                .with_context(|_| bind(callers))?
+        }
+        None => without_front(Arc::clone(&state)),
+    };
+    if let Some(address) = settings.readiness {
+        let router = readiness_router(Arc::clone(&state));
+        let listener = listen(address).await?;
+        tokio::spawn(async move { axum::serve(listener, router).await });
+    }
+    let operators = settings.platform.as_ref().and_then(|platform| platform.operators);
     let (stop, stopped) = oneshot::channel();
     let (started, starting) = oneshot::channel();
     let start = ControlStart {
         setup: control_setup(settings, control, &key, &state, seed),
         agent: agent_settings(settings, control, &key, seed),
         listener: control_listener,
+        operators,
         drain: front.drain_sender(),
         state: Arc::clone(&state),
         stop: stopped,
@@ -147,8 +167,10 @@
         daemon: settings.daemon.clone(),
         control,
         data_folder: settings.data_folder.clone(),
-        peers: settings.peers.clone(),
-        found_fleet: settings.found_fleet,
+        peers: settings.known_voters(),
+        founders: settings.founders(),
+        found_fleet: settings.found_fleet && settings.seeds.is_empty(),
+        replaces_voters: !settings.seeds.is_empty(),
         key: key.clone(),
         lease: settings.currency_lease_ms,
         replica: ReplicaConfig::default(),
@@ -169,7 +191,10 @@
         daemon: settings.daemon.clone(),
         boot: seed,
         control,
-        voters: own.into_iter().chain(settings.peers.iter().map(|peer| peer.control)).collect(),
+        voters: own
+            .into_iter()
+            .chain(settings.known_voters().iter().map(|peer| peer.control))
+            .collect(),
         key: key.clone(),
         lease: settings.currency_lease_ms,
     }
@@ -186,13 +211,18 @@
 }
 
 async fn run_control(start: ControlStart) {
-    let ControlStart { setup, agent, listener, drain, state, stop, started } = start;
+    let ControlStart { setup, agent, listener, operators, drain, state, stop, started } = start;
     let key = setup.key.clone();
     let hint = LeaderHint::default();
     let control = match start_control(setup, drain).context(FolderSnafu) {
         Ok(control) => control,
         Err(error) => return drop(started.send(Err(error))),
     };
+    if let Some(address) = operators
+        && let Err(error) = serve_operators(address, control.clone(), &state).await
+    {
+        return drop(started.send(Err(error)));
+    }
     let server = match start_server(listener, key.clone(), control, hint.clone()).await {
         Ok(server) => server,
         Err(error) => {
@@ -210,6 +240,24 @@
     let _ = server.stop();
 }
 
+async fn listen(address: SocketAddr) -> Result<tokio::net::TcpListener, StartError> {
+    tokio::net::TcpListener::bind(address).await.with_context(|_| BindSnafu { address })
+}
+
+/// Serves the operators' calls in the platform's manner.
+async fn serve_operators(
+    address: SocketAddr,
+    control: ControlHandle,
+    state: &Arc<TrafficState>,
+) -> Result<(), StartError> {
+    let Some(manner) = state.manner() else { return Ok(()) };
+    let listener = listen(address).await?;
+    let door = OperatorDoor::new(control, Arc::clone(&manner.reader), state.log.clone());
+    let router = platform::operators_router(Arc::new(door), address.port());
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    Ok(())
+}
+
 impl RunningDaemon {
     /// Begins the drain; a second call changes nothing.
     pub fn drain(&self) {
--- a/src/daemon/upkeep.rs
+++ b/src/daemon/upkeep.rs
@@ -1,16 +1,18 @@
 //! What a daemon does as time passes: scheduler ticks, load reports, the platform's list.
 
-use crate::platform::PlatformList;
+use crate::platform::InstanceLister;
 use crate::policy::{PoolEvent, TierRank, UpstreamIndex, UpstreamWord};
 use crate::settings::DaemonSettings;
 use crate::table::ServiceName;
 use crate::traffic::{PoolRuntime, TrafficState};
+use crate::upstream::{ListFault, PlatformList, UpstreamLister};
 use bytes::Bytes;
+use futures_util::future::BoxFuture;
 use http::Request;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
-use slog::warn;
+use slog::{info, warn};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -27,15 +29,29 @@
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
 /// Largest list, in bytes.
 const LIST_LIMIT: usize = 16 << 20;
+/// Time between readings of the platform's list over its interface, where each call has a price and all daemons
+/// together may make so many a second. An upstream that leaves must get no new work 3 s after the list shows it.
+const INSTANCE_PAUSE: Duration = Duration::from_millis(1_000);
+/// Time between attempts to connect to upstreams that could not be reached.
+const PROBE_PAUSE: Duration = Duration::from_millis(500);
 /// Load reports asked for at once.
 const POLLS_AT_ONCE: usize = 64;
 
 /// Starts the upkeep tasks on the current runtime.
 pub fn start_upkeep(state: Arc<TrafficState>, settings: &DaemonSettings) {
     tokio::spawn(tick_pools(Arc::clone(&state)));
-    tokio::spawn(poll_reports(Arc::clone(&state), settings.report_poll_ms));
     if let Some(place) = settings.platform_list.clone() {
-        tokio::spawn(read_platform(state, place));
+        let lister = Box::new(DocumentLister { place });
+        tokio::spawn(read_lists(Arc::clone(&state), lister, LIST_PAUSE));
+    }
+    let Some(platform) = &settings.platform else {
+        tokio::spawn(poll_reports(state, settings.report_poll_ms));
+        return;
+    };
+    tokio::spawn(probe_suspects(Arc::clone(&state)));
+    if let Some(address) = platform.list {
+        let lister = Box::new(InstanceLister::new(address, Arc::clone(state.connections())));
+        tokio::spawn(read_lists(state, lister, INSTANCE_PAUSE));
     }
 }
 
@@ -67,6 +83,24 @@
     }
 }
 
+/// Where answers carry the load, only upstreams that could not be reached are looked at.
+async fn probe_suspects(state: Arc<TrafficState>) {
+    loop {
+        for pool in state.pools().values() {
+            let suspects = pool.addresses().into_iter().filter(|(_, _, is_suspect)| *is_suspect);
+            for (upstream, address, _) in suspects {
+                let pool = Arc::clone(pool);
+                tokio::spawn(async move {
+                    if pool.driver.probe(address).await {
+                        pool.tell(PoolEvent::Word { upstream, word: UpstreamWord::Answered });
+                    }
+                });
+            }
+        }
+        tokio::time::sleep(PROBE_PAUSE).await;
+    }
+}
+
 async fn poll_reports(state: Arc<TrafficState>, pause: Duration) {
     loop {
         let mut polls = JoinSet::new();
@@ -99,48 +133,65 @@
 }
 
 /// Reads the list again as it changes. A list that cannot be read leaves the last one in force.
-async fn read_platform(state: Arc<TrafficState>, place: String) {
-    let mut last = String::new();
+async fn read_lists(state: Arc<TrafficState>, lister: Box<dyn UpstreamLister>, pause: Duration) {
+    let mut last = None;
+    let mut was_read = true;
     loop {
-        match fetch_list(&place).await {
-            Ok(text) if text != last => {
-                match PlatformList::read(&text) {
-                    Ok(list) => state.apply_platform(list),
-                    Err(faults) => {
-                        warn!(state.log, "platform list not read"; "place" => &place, "faults" => faults.to_string());
-                    }
+        let read = tokio::time::timeout(LIST_TIMEOUT, lister.read()).await;
+        let read = read.unwrap_or_else(|_| {
+            Err(ListFault { detail: format!("no answer within {LIST_TIMEOUT:?}") })
+        });
+        match read {
+            Ok(list) => {
+                if !was_read {
+                    info!(state.log, "platform list read again");
+                }
+                was_read = true;
+                if last.as_ref() != Some(&list) {
+                    state.apply_platform(list.clone());
+                    last = Some(list);
                 }
-                last = text;
             }
-            Ok(_) => {}
-            Err(error) => {
-                warn!(state.log, "platform list not read"; "place" => &place, "error" => error)
+            Err(fault) => {
+                // Once for a row of failures: the list is asked for every second.
+                if was_read {
+                    warn!(state.log, "platform list not read"; "fault" => fault.detail);
+                }
+                was_read = false;
             }
         }
-        tokio::time::sleep(LIST_PAUSE).await;
+        tokio::time::sleep(pause).await;
     }
 }
 
-/// The list's text, from a file or over HTTP.
-async fn fetch_list(place: &str) -> Result<String, String> {
+/// The list as a file of JSON, or over HTTP.
+struct DocumentLister {
+    place: String,
+}
+
+impl UpstreamLister for DocumentLister {
+    fn read(&self) -> BoxFuture<'_, Result<PlatformList, ListFault>> {
+        Box::pin(async move {
+            let text = fetch_text(&self.place).await?;
+            PlatformList::read(&text).map_err(ListFault::from_display)
+        })
+    }
+}
+
+async fn fetch_text(place: &str) -> Result<String, ListFault> {
     if !place.starts_with("http://") {
-        return tokio::fs::read_to_string(place).await.map_err(|error| error.to_string());
+        return tokio::fs::read_to_string(place).await.map_err(ListFault::from_display);
     }
     let request =
-        Request::get(place).body(Full::<Bytes>::default()).map_err(|error| error.to_string())?;
-    let fetch = async {
-        let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
-        let response = client.request(request).await.map_err(|error| error.to_string())?;
-        if !response.status().is_success() {
-            return Err(format!("status {}", response.status()));
-        }
-        let body = Limited::new(response.into_body(), LIST_LIMIT)
-            .collect()
-            .await
-            .map_err(|error| error.to_string())?;
-        String::from_utf8(body.to_bytes().to_vec()).map_err(|error| error.to_string())
-    };
-    tokio::time::timeout(LIST_TIMEOUT, fetch)
+        Request::get(place).body(Full::<Bytes>::default()).map_err(ListFault::from_display)?;
+    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+    let response = client.request(request).await.map_err(ListFault::from_display)?;
+    if !response.status().is_success() {
+        return Err(ListFault { detail: format!("status {}", response.status()) });
+    }
+    let body = Limited::new(response.into_body(), LIST_LIMIT)
+        .collect()
         .await
-        .unwrap_or_else(|_| Err(format!("no answer within {LIST_TIMEOUT:?}")))
+        .map_err(ListFault::from_display)?;
+    String::from_utf8(body.to_bytes().to_vec()).map_err(ListFault::from_display)
 }
--- a/src/experiment/run.rs
+++ b/src/experiment/run.rs
@@ -205,6 +205,7 @@
             prompt_bytes: arrived.planned.prompt_tokens as usize * 4,
             output_limit: Some(arrived.planned.output_tokens),
             deadline: self.now + class.deadline,
+            sizes: None,
             prefix: arrived.prefix.clone(),
         };
         let number = arrived.daemon;
@@ -437,6 +438,7 @@
         incarnation: 0,
         address: address(number),
         is_leaving: false,
+        places: None,
     };
     (0..engines).map(source).collect()
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod daemon;
 pub mod experiment;
 pub mod load;
+
 pub mod platform;
 pub mod policy;
 pub mod replica;
--- a/src/load/profile.rs
+++ b/src/load/profile.rs
@@ -2,8 +2,8 @@
 
 use crate::standin::EngineShape;
 use crate::table::{
-    AssignmentRow, KeyDigest, LimitChoice, OperatorTable, OrganisationRow, PlacementChoice,
-    QueueChoice, ServiceKind, ServiceRow, TierRow, UpstreamRow,
+    AssignmentRow, KeyDigest, LimitChoice, LimitUnit, OperatorTable, OrganisationRow,
+    PlacementChoice, QueueChoice, ServiceKind, ServiceRow, TierRow, UpstreamRow,
 };
 use clap::ValueEnum;
 use rand::{Rng, SeedableRng};
@@ -225,6 +225,8 @@
             tokens_per_second: None,
             burst_tokens: None,
             concurrent: None,
+            limit_unit: LimitUnit::default(),
+            uncounted_tokens: None,
         });
         let assignments = self.classes.iter().map(|class| AssignmentRow {
             service: None,
@@ -256,6 +258,7 @@
             ],
             assignments: assignments.collect(),
             upstreams: engines.chain(services).collect(),
+            routes: Vec::new(),
         }
     }
 
@@ -279,6 +282,7 @@
             waiting_limit: 10_000,
             idempotent_methods: None,
             claim_life_ms: Duration::from_secs(24 * 3_600),
+            event_tokens: 1,
             queue,
             placement: if is_model { placement } else { PlacementChoice::LeastReported },
             limit,
--- /dev/null
+++ b/src/platform/document.rs
@@ -0,0 +1,211 @@
+//! The operator's configuration document.
+
+use crate::table::{
+    AssignmentRow, FaultList, KeyDigest, LimitChoice, LimitUnit, OperatorTable, OrganisationRow,
+    PlacementChoice, RouteKind, RouteRow, RouteTarget, ServiceKind, ServiceRow, TableReader,
+    TierRow, reference_faults, tier_of_rank,
+};
+use serde::Deserialize;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// A configuration as the operator sends it. Fields that say nothing to us are passed over.
+#[derive(Debug, Deserialize)]
+struct ConfigDocument {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<WireRoute>,
+    #[serde(default)]
+    services: Vec<WireService>,
+    #[serde(default)]
+    tenants: Vec<WireTenant>,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireRoute {
+    name: String,
+    host: String,
+    path_prefix: String,
+    kind: WireKind,
+    timeout_ms: u64,
+    #[serde(default)]
+    latency_slo_ms: u64,
+    #[serde(default)]
+    gap_slo_ms: Option<u64>,
+    #[serde(default)]
+    priority: u8,
+    #[serde(default)]
+    service: Option<String>,
+    #[serde(default)]
+    backends: Vec<WireBackend>,
+    #[serde(default = "one")]
+    max_attempts: u32,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    resumable: bool,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum WireKind {
+    Safe,
+    Unsafe,
+    Stream,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireBackend {
+    service: String,
+    weight: u32,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireService {
+    name: String,
+    #[serde(default)]
+    engine: Option<WireEngine>,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireEngine {
+    slots: u32,
+    /// Tokens in one event of a stream.
+    #[serde(default = "one")]
+    stride: u32,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireTenant {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    #[serde(default)]
+    priority: Option<u8>,
+    #[serde(default)]
+    unit: Option<String>,
+    #[serde(default)]
+    plain_tokens: Option<u32>,
+    /// 0 or none means no limit; the same holds for `burst`.
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// Reads configuration documents.
+#[derive(Debug)]
+pub struct DocumentReader;
+
+impl TableReader for DocumentReader {
+    fn read(&self, document: &str) -> Result<(u64, OperatorTable), FaultList> {
+        let document: ConfigDocument = serde_json::from_str(document).map_err(|error| {
+            let mut faults = FaultList::default();
+            let place = format!("line {}, column {}", error.line(), error.column());
+            faults.add("/", place, format!("a configuration ({error})"));
+            faults
+        })?;
+        let table = document.table();
+        let faults = reference_faults(&table);
+        if faults.0.is_empty() { Ok((document.version, table)) } else { Err(faults) }
+    }
+}
+
+impl ConfigDocument {
+    fn table(&self) -> OperatorTable {
+        OperatorTable {
+            tiers: self.tiers(),
+            organisations: self.tenants.iter().map(WireTenant::organisation).collect(),
+            services: self.services.iter().map(WireService::service).collect(),
+            assignments: self.tenants.iter().filter_map(WireTenant::assignment).collect(),
+            upstreams: Vec::new(),
+            routes: self.routes.iter().map(WireRoute::route).collect(),
+        }
+    }
+
+    /// One tier for each priority that is named, and the highest, which services have by default.
+    fn tiers(&self) -> Vec<TierRow> {
+        let routes = self.routes.iter().map(|route| route.priority);
+        let tenants = self.tenants.iter().filter_map(|tenant| tenant.priority);
+        let ranks: BTreeSet<u8> = routes.chain(tenants).chain([0]).collect();
+        ranks.into_iter().map(TierRow::of_rank).collect()
+    }
+}
+
+impl WireRoute {
+    fn route(&self) -> RouteRow {
+        let kind = match (self.kind, self.resumable) {
+            (WireKind::Safe, _) => RouteKind::Safe,
+            (WireKind::Unsafe, _) => RouteKind::Unsafe,
+            (WireKind::Stream, true) => RouteKind::ResumableStream,
+            (WireKind::Stream, false) => RouteKind::Stream,
+        };
+        let split = self.backends.iter().map(|backend| RouteTarget {
+            service: backend.service.as_str().into(),
+            weight: backend.weight,
+        });
+        let whole = self
+            .service
+            .iter()
+            .filter(|_| self.backends.is_empty())
+            .map(|service| RouteTarget { service: service.as_str().into(), weight: 1 });
+        RouteRow {
+            route: self.name.clone(),
+            host: self.host.clone(),
+            path_prefix: self.path_prefix.clone(),
+            kind,
+            timeout_ms: Duration::from_millis(self.timeout_ms),
+            objective_ms: Duration::from_millis(self.latency_slo_ms),
+            gap_ms: self.gap_slo_ms.map(Duration::from_millis),
+            tier: tier_of_rank(self.priority),
+            attempts: self.max_attempts.max(1),
+            is_public: self.public,
+            targets: split.chain(whole).collect(),
+        }
+    }
+}
+
+impl WireService {
+    fn service(&self) -> ServiceRow {
+        let kind = if self.engine.is_some() { ServiceKind::Model } else { ServiceKind::Plain };
+        let mut row = ServiceRow::new(self.name.as_str().into(), kind, tier_of_rank(0));
+        row.placement = PlacementChoice::Earliest;
+        row.limit = LimitChoice::Fixed;
+        if let Some(engine) = &self.engine {
+            row.first_guess = engine.slots.max(1);
+            row.event_tokens = engine.stride.max(1);
+        }
+        row
+    }
+}
+
+impl WireTenant {
+    fn organisation(&self) -> OrganisationRow {
+        let keys: BTreeSet<&String> = self.api_keys.iter().collect();
+        let counts_tokens = self.unit.as_deref() == Some("tokens");
+        let limit = |value: f64| (value > 0.0).then(|| value.ceil() as u64);
+        OrganisationRow {
+            organisation: self.name.as_str().into(),
+            key_digests: keys.into_iter().map(|key| KeyDigest::of(key)).collect(),
+            weight: 1,
+            tokens_per_second: limit(self.rate_per_s),
+            burst_tokens: limit(self.burst),
+            concurrent: None,
+            limit_unit: if counts_tokens { LimitUnit::Tokens } else { LimitUnit::Requests },
+            uncounted_tokens: self.plain_tokens,
+        }
+    }
+
+    fn assignment(&self) -> Option<AssignmentRow> {
+        self.priority.map(|priority| AssignmentRow {
+            service: None,
+            organisation: Some(self.name.as_str().into()),
+            purpose: None,
+            tier: tier_of_rank(priority),
+        })
+    }
+}
--- /dev/null
+++ b/src/policy/earliest.rs
@@ -0,0 +1,50 @@
+//! Placement by the earliest first event.
+
+use super::placement::{PlacementPolicy, PlacementQuery};
+use super::{UpstreamIndex, UpstreamSet, UpstreamStatus};
+use rand::RngCore;
+
+/// An upstream that fails all its requests counts as this many times slower.
+const FAILING_PRICE: f64 = 8.0;
+/// Steps before a first event, beside reading the prompt: the one under way and the one that makes it.
+const STEPS_BEFORE_FIRST: f64 = 2.0;
+
+/// The upstream with a place that should make the first event earliest.
+///
+/// An engine reads prompts one after the other, so the prompts that it has not read yet, of this daemon and of
+/// the others, come first; each upstream's own time between events tells how its speed compares with its
+/// pool's (a third of the given engines are four times slower than the rest). Engines admit in order of arrival and know no
+/// tiers, so none is sent more than it works on at once.
+#[derive(Debug)]
+pub struct EarliestPlacement;
+
+impl EarliestPlacement {
+    /// Estimated microseconds to the first event.
+    fn micros(status: &UpstreamStatus, query: &PlacementQuery<'_>) -> f64 {
+        let gap = status.gap_micros.unwrap_or(query.speed.gap_micros);
+        let slowness = gap / query.speed.gap_micros.max(1.0);
+        let unread = status.unread_tokens + status.others.unread_tokens;
+        let prompt = (unread as f64 + f64::from(query.prompt_tokens)) * query.speed.prefill_micros;
+        let load = status.used().min(1.0);
+        let total = prompt * slowness + STEPS_BEFORE_FIRST * gap + load * gap;
+        total * (1.0 + FAILING_PRICE * status.failing)
+    }
+}
+
+impl PlacementPolicy for EarliestPlacement {
+    fn place(
+        &mut self,
+        set: &UpstreamSet,
+        query: &PlacementQuery<'_>,
+        _: &mut dyn RngCore,
+    ) -> Option<UpstreamIndex> {
+        let open = set.open(query.room).iter().filter_map(|index| set.get(*index));
+        let rated = open.map(|status| {
+            let rests = query.now < status.rests_until;
+            (rests, Self::micros(status, query), status.index)
+        });
+        let best =
+            rated.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)))?;
+        Some(best.2)
+    }
+}
--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -17,11 +17,26 @@
 /// First guess of the time between tokens, in microseconds.
 const FIRST_GAP_MICROS: f64 = 10_000.0;
 
+/// Prompt tokens that hold an engine up as long as one output token. A prompt token takes 0.02 ms of the whole
+/// batch, an output token 6 ms of one of its 6 places (the given engines' sheets).
+const OUTPUT_PRICE: u32 = 50;
+
+/// A request's size as its caller gives it, in tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestSizes {
+    /// Prompt tokens.
+    pub prompt: u32,
+    /// Output tokens to expect.
+    pub output: u32,
+}
+
 /// What a request is thought to need.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CostEstimate {
     /// Prompt tokens.
     pub prompt_tokens: u32,
+    /// Output tokens.
+    pub output_tokens: u32,
     /// Prompt and output tokens together; what queues and limits count.
     pub cost: u32,
     /// Time from dispatch to the end of the answer on an engine of usual speed.
@@ -78,7 +93,7 @@
     ) -> CostEstimate {
         if !self.counts_tokens {
             let run_time = Duration::from_micros(self.speed.gap_micros as u64);
-            return CostEstimate { prompt_tokens: 0, cost: 1, run_time };
+            return CostEstimate { prompt_tokens: 0, output_tokens: 1, cost: 1, run_time };
         }
         let prompt_tokens = (prompt_bytes as f64 / self.bytes_per_token).ceil() as u32;
         let learned =
@@ -89,11 +104,27 @@
             + output_tokens * self.speed.gap_micros;
         CostEstimate {
             prompt_tokens,
+            output_tokens: output_tokens as u32,
             cost: prompt_tokens + output_tokens as u32,
             run_time: Duration::from_micros(micros as u64),
         }
     }
 
+    /// The estimate for a request whose size is known.
+    pub fn of_sizes(&self, sizes: RequestSizes) -> CostEstimate {
+        if !self.counts_tokens {
+            return self.estimate(OrganisationIndex(0), TierRank(0), 0, None);
+        }
+        let micros = f64::from(sizes.prompt) * self.speed.prefill_micros
+            + f64::from(sizes.output) * self.speed.gap_micros;
+        CostEstimate {
+            prompt_tokens: sizes.prompt,
+            output_tokens: sizes.output.max(1),
+            cost: sizes.prompt + sizes.output.max(1) * OUTPUT_PRICE,
+            run_time: Duration::from_micros(micros as u64),
+        }
+    }
+
     /// Learns from an answer's true counts.
     pub fn learn_counts(
         &mut self,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,19 +4,22 @@
 //! the same for one request's dispatch. The traffic code around them only carries bytes.
 
 mod drain_meter;
+mod earliest;
 mod estimate;
 mod exchange;
 mod learned_limit;
 mod organisation_limits;
 mod placement;
 mod queue;
+mod repeat_budget;
 mod scheduler;
 mod shed_audit;
 mod shed_floor;
 mod upstreams;
 
 pub use drain_meter::{DrainMeter, TierProgress};
-pub use estimate::{CostEstimate, CostModel, EngineSpeed};
+pub use earliest::EarliestPlacement;
+pub use estimate::{CostEstimate, CostModel, EngineSpeed, RequestSizes};
 pub use exchange::{Exchange, ExchangeAction, ExchangeEvent, RequestState, request_chart};
 pub use learned_limit::LearnedLimit;
 pub use organisation_limits::{LimitBook, OrganisationLimit};
@@ -25,14 +28,15 @@
     placement_policy, prefix_hashes,
 };
 pub use queue::{FairQueue, FifoQueue, TierShare, WaitingQueue, WaitingRequest};
+pub use repeat_budget::RepeatBudget;
 pub use scheduler::{
     ArrivedRequest, DispatchOutcome, PoolAction, PoolEvent, PoolPlan, PoolScheduler, PoolStatus,
 };
 pub use shed_audit::ShedAudit;
 pub use shed_floor::{FloorOrder, ShedFloor};
 pub use upstreams::{
-    LoadReport, RoomKind, UpstreamSet, UpstreamSource, UpstreamState, UpstreamStatus, UpstreamWord,
-    upstream_chart,
+    LoadReport, OthersWork, RoomKind, UpstreamSet, UpstreamSource, UpstreamState, UpstreamStatus,
+    UpstreamWord, upstream_chart,
 };
 
 use serde::{Deserialize, Serialize};
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -1,5 +1,6 @@
 //! The choice of an upstream for a request, behind a trait object with three implementations.
 
+use super::earliest::EarliestPlacement;
 use super::{EngineSpeed, Moment, RoomKind, UpstreamIndex, UpstreamSet, UpstreamStatus};
 use crate::table::PlacementChoice;
 use rand::{Rng, RngCore};
@@ -78,6 +79,7 @@
         PlacementChoice::Affinity => Box::new(AffinityPlacement::default()),
         PlacementChoice::RoundRobin => Box::new(RoundRobin::default()),
         PlacementChoice::LeastReported => Box::new(LeastReported),
+        PlacementChoice::Earliest => Box::new(EarliestPlacement),
     }
 }
 
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -37,6 +37,8 @@
     pub cost: u32,
     /// Estimated prompt tokens.
     pub prompt_tokens: u32,
+    /// Estimated output tokens.
+    pub output_tokens: u32,
     /// When its answer must be complete.
     pub deadline: Moment,
     /// Estimated time from dispatch to the end.
--- a/src/policy/scheduler.rs
+++ b/src/policy/scheduler.rs
@@ -2,12 +2,15 @@
 
 use super::{
     CostModel, DrainMeter, FairQueue, FifoQueue, FloorOrder, LearnedLimit, LoadReport, Moment,
-    OrganisationIndex, PlacementPolicy, PlacementQuery, RequestId, RoomKind, ShedAudit, ShedFloor,
-    TierRank, TierShare, UpstreamIndex, UpstreamSet, UpstreamSource, UpstreamState, UpstreamStatus,
-    UpstreamWord, WaitingQueue, WaitingRequest, placement_policy,
+    OrganisationIndex, OthersWork, PlacementPolicy, PlacementQuery, RequestId, RequestSizes,
+    RoomKind, ShedAudit, ShedFloor, TierRank, TierShare, UpstreamIndex, UpstreamSet,
+    UpstreamSource, UpstreamState, UpstreamStatus, UpstreamWord, WaitingQueue, WaitingRequest,
+    placement_policy,
 };
 use crate::answer::AnswerKind;
-use crate::table::{LimitChoice, PlacementChoice, QueueChoice, ServiceKind, ServiceRow};
+use crate::table::{
+    LimitChoice, PlacementChoice, QueueChoice, ServiceKind, ServiceRow, UpstreamName,
+};
 use rand::RngCore;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -66,6 +69,9 @@
     pub avoids_stragglers: bool,
     /// True if room is kept for the highest tier; false in experiments only.
     pub keeps_headroom: bool,
+    /// True if this daemon sheds by itself, without the fleet's floor: what it refuses is what it cannot serve
+    /// in time, whatever others still admit.
+    pub sheds_alone: bool,
 }
 
 impl PoolPlan {
@@ -86,6 +92,7 @@
             refuses_late: true,
             avoids_stragglers: true,
             keeps_headroom: true,
+            sheds_alone: false,
         }
     }
 
@@ -111,8 +118,13 @@
         if self.counts_tokens { FIRST_MEAN_COST } else { 1.0 }
     }
 
-    fn new_limit(&self) -> LearnedLimit {
-        LearnedLimit::new(self.first_guess, self.mean_cost(), self.limit == LimitChoice::Learned)
+    /// The bound of an upstream that works on `places` requests at once, where that is known.
+    fn limit_of(&self, places: Option<u32>) -> LearnedLimit {
+        LearnedLimit::new(
+            places.unwrap_or(self.first_guess),
+            self.mean_cost(),
+            self.limit == LimitChoice::Learned,
+        )
     }
 }
 
@@ -133,6 +145,8 @@
     pub output_limit: Option<u32>,
     /// When the answer must be complete.
     pub deadline: Moment,
+    /// Its size, where the caller says; else it is estimated.
+    pub sizes: Option<RequestSizes>,
     /// Hashes of the prompt's leading blocks.
     pub prefix: Box<[u64]>,
 }
@@ -217,6 +231,8 @@
     LeaseLapsed,
     /// The fleet's word on the shed floor.
     FleetFloor(FloorOrder),
+    /// What the other daemons have at each upstream, as last heard.
+    Others(Vec<(UpstreamName, OthersWork)>),
     /// Time passed.
     Tick,
 }
@@ -247,6 +263,8 @@
     /// True if the upstream's bound, not the demand, held work back when this was sent.
     was_bound: bool,
     dispatched: Moment,
+    /// Prompt tokens that the upstream has not yet read, as far as is known.
+    unread: u32,
 }
 
 /// Numbers of a pool, for status and metrics.
@@ -325,7 +343,8 @@
             PoolEvent::Word { upstream, word } => self.upstreams.tell(upstream, word),
             PoolEvent::CacheEvicted { upstream, block } => self.placement.evicted(block, upstream),
             PoolEvent::Sources(sources) => {
-                self.upstreams.set_sources(&sources, &self.plan.new_limit())
+                let plan = &self.plan;
+                self.upstreams.set_sources(&sources, |places| plan.limit_of(places))
             }
             PoolEvent::Plan(plan) => self.replace_plan(plan),
             PoolEvent::Share { share } => self.upstreams.set_share(share),
@@ -334,6 +353,7 @@
                 self.floor.take(order);
                 self.evict_below_floor(now, actions);
             }
+            PoolEvent::Others(rows) => self.upstreams.set_others(&rows),
             PoolEvent::Tick => self.tick(now, actions),
         }
         self.pump(now, rng, actions);
@@ -347,7 +367,10 @@
         }
         let request = self.estimated(request, now);
         let slack = request.deadline.since(now);
-        if self.plan.refuses_late && request.run_time.mul_f64(TOO_SHORT_SHARE) > slack {
+        if self.plan.refuses_late
+            && !self.plan.sheds_alone
+            && request.run_time.mul_f64(TOO_SHORT_SHARE) > slack
+        {
             return refuse(AnswerKind::DeadlineTooShort);
         }
         if self.plan.queue == QueueChoice::Fifo {
@@ -372,12 +395,15 @@
     }
 
     fn estimated(&self, request: ArrivedRequest, now: Moment) -> WaitingRequest {
-        let estimate = self.model.estimate(
-            request.organisation,
-            request.tier,
-            request.prompt_bytes,
-            request.output_limit,
-        );
+        let estimate = match request.sizes {
+            Some(sizes) => self.model.of_sizes(sizes),
+            None => self.model.estimate(
+                request.organisation,
+                request.tier,
+                request.prompt_bytes,
+                request.output_limit,
+            ),
+        };
         let mut waiting = WaitingRequest {
             id: request.id,
             organisation: request.organisation,
@@ -385,6 +411,7 @@
             tier: request.tier,
             cost: estimate.cost,
             prompt_tokens: estimate.prompt_tokens,
+            output_tokens: estimate.output_tokens,
             deadline: request.deadline,
             run_time: estimate.run_time,
             arrived: now,
@@ -433,7 +460,7 @@
         if lowest <= tier {
             return false;
         }
-        if self.floor.raise(lowest, now) {
+        if self.plan.sheds_alone || self.floor.raise(lowest, now) {
             self.evict_one(tier, now, actions);
             return true;
         }
@@ -487,6 +514,9 @@
         now: Moment,
         actions: &mut Vec<PoolAction>,
     ) {
+        if self.plan.sheds_alone {
+            return self.refuse_shed(&request, kind, now, actions);
+        }
         let confirmed = self.floor.raise(request.tier, now);
         self.evict_below_floor(now, actions);
         if confirmed || now >= request.deadline {
@@ -502,9 +532,11 @@
     }
 
     fn first_token(&mut self, id: RequestId, after: Duration, now: Moment) {
-        let Some(running) = self.running.get(&id) else { return };
+        let Some(running) = self.running.get_mut(&id) else { return };
+        let unread = std::mem::take(&mut running.unread);
         let prompt_tokens = running.request.prompt_tokens;
         let upstream = running.upstream;
+        self.upstreams.update(upstream, |status| status.read(unread));
         let expected = f64::from(prompt_tokens) * self.model.speed().prefill_micros;
         self.model.learn_prefill(prompt_tokens, after);
         let micros = after.as_micros() as f64;
@@ -540,8 +572,10 @@
         actions: &mut Vec<PoolAction>,
     ) {
         let Some(running) = self.running.remove(&id) else { return };
-        let RunningRequest { ref request, upstream, .. } = running;
+        let RunningRequest { ref request, upstream, unread, .. } = running;
         self.upstreams.ended(upstream, request.cost, now);
+        self.upstreams.update(upstream, |status| status.read(unread));
+        self.upstreams.judge_end(upstream, outcome, now);
         match outcome {
             DispatchOutcome::Completed { prompt_tokens, output_tokens } => {
                 self.completed(&running, prompt_tokens, output_tokens, now);
@@ -629,7 +663,7 @@
             waiting.into_iter().for_each(|request| self.queue.push(request));
         }
         if plan.limit != self.plan.limit || plan.first_guess != self.plan.first_guess {
-            self.upstreams.update_all(|status| status.limit = plan.new_limit());
+            self.upstreams.update_all(|status| status.limit = plan.limit_of(status.source.places));
         }
         self.upstreams.set_headroom(plan.headroom());
         self.plan = plan;
@@ -668,7 +702,7 @@
             let query = PlacementQuery {
                 prefix: &request.prefix,
                 prompt_tokens: request.prompt_tokens,
-                output_tokens: request.cost - request.prompt_tokens,
+                output_tokens: request.output_tokens,
                 speed: self.model.speed(),
                 room: self.room(request.tier),
                 now,
@@ -706,12 +740,14 @@
     ) {
         self.placement.dispatched(&request.prefix, upstream);
         self.upstreams.dispatched(upstream, request.cost, now);
+        let unread = request.prompt_tokens;
+        self.upstreams.update(upstream, |status| status.unread_tokens += u64::from(unread));
         self.meter.dispatched(request.tier, request.cost);
         self.redispatches = (self.redispatches + REDISPATCH_SHARE).min(REDISPATCH_BURST);
         actions.push(PoolAction::Dispatch { id: request.id, upstream });
         let was_bound = !self.queue.is_empty()
             || self.upstreams.get(upstream).is_some_and(|status| status.load() > 0.8);
-        let running = RunningRequest { upstream, was_bound, dispatched: now, request };
+        let running = RunningRequest { upstream, was_bound, dispatched: now, unread, request };
         self.running.insert(running.request.id, running);
     }
 
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -1,6 +1,6 @@
 //! The upstreams of one pool as this daemon sees them: life cycle, work in flight, load reports.
 
-use super::{LearnedLimit, Moment, UpstreamIndex};
+use super::{DispatchOutcome, LearnedLimit, Moment, UpstreamIndex};
 use crate::chart::{ChartMachine, StateChart};
 use crate::chart_names;
 use crate::table::UpstreamName;
@@ -22,6 +22,14 @@
 const QUEUED_PART: u32 = 16;
 /// Weight of a new gap in an upstream's mean.
 const GAP_WEIGHT: f64 = 0.2;
+/// Weight of a new end in the share of failures.
+const FAILING_WEIGHT: f64 = 0.2;
+/// Failures in a row after which an upstream rests: one alone is often the request's or the connection's.
+const FAILURES_TO_REST: u32 = 2;
+/// The first rest.
+const FIRST_REST: Duration = Duration::from_millis(500);
+/// A rest is doubled at most so often: 4 s, so that an upstream that is sound again is soon found.
+const MOST_DOUBLINGS: u32 = 3;
 
 chart_names! {
     /// Where an upstream is in its life.
@@ -85,6 +93,9 @@
     pub address: std::net::SocketAddr,
     /// True if a source says that it is leaving.
     pub is_leaving: bool,
+    /// Requests that it works on at once, where a source says.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub places: Option<u32>,
 }
 
 /// Load as an upstream reported it.
@@ -130,9 +141,28 @@
     changes: VecDeque<(Moment, i32)>,
     /// The part of the share that only the highest tier may use.
     headroom: f64,
+    /// Work of the other daemons there, as last heard.
+    pub others: OthersWork,
+    /// Prompt tokens of this daemon's requests that it has not yet read.
+    pub unread_tokens: u64,
+    /// Recent failures: 1.0 when all fail, 0.0 when none does.
+    pub failing: f64,
+    /// Failures in a row.
+    failed_in_row: u32,
+    /// It gets no work until then, unless nobody else has room.
+    pub rests_until: Moment,
     open_positions: [Option<usize>; ROOM_KINDS],
 }
 
+/// Work of the other daemons at an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OthersWork {
+    /// Requests there.
+    pub requests: u32,
+    /// Prompt tokens that it has not yet read.
+    pub unread_tokens: u64,
+}
+
 /// For whom there must be room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RoomKind {
@@ -159,12 +189,29 @@
         };
         self.state() == UpstreamState::Live
             && self.share > 0.0
-            && (self.in_flight == 0 || self.used() < self.share * part)
+            && (self.in_flight + self.others.requests == 0 || self.used() < self.share * part)
     }
 
     /// The part of the bound that this daemon's work takes up.
     pub fn used(&self) -> f64 {
-        self.limit.used(self.in_flight_tokens, self.in_flight)
+        self.limit.used(self.in_flight_tokens, self.in_flight + self.others.requests)
+    }
+
+    /// The upstream has read this many prompt tokens, or will not read them any more.
+    pub fn read(&mut self, tokens: u32) {
+        self.unread_tokens = self.unread_tokens.saturating_sub(u64::from(tokens));
+    }
+
+    /// Learns how an exchange ended. After failures in a row the upstream rests, longer each time: one that
+    /// answers its health checks but no requests would else be chosen first, since nothing runs there.
+    fn judge_end(&mut self, has_failed: bool, now: Moment) {
+        let sample = f64::from(u8::from(has_failed));
+        self.failing += (sample - self.failing) * FAILING_WEIGHT;
+        self.failed_in_row = if has_failed { self.failed_in_row + 1 } else { 0 };
+        if self.failed_in_row >= FAILURES_TO_REST {
+            let doublings = (self.failed_in_row - FAILURES_TO_REST).min(MOST_DOUBLINGS);
+            self.rests_until = now + FIRST_REST * 2u32.pow(doublings);
+        }
     }
 
     /// This daemon's work as a part of its share of the bound.
@@ -294,7 +341,11 @@
 
     /// Takes the merged list of the table and the platform. A known name with a larger incarnation is
     /// another upstream: the old one leaves, whatever its own list entry says.
-    pub fn set_sources(&mut self, sources: &[UpstreamSource], new_limit: &LearnedLimit) {
+    pub fn set_sources(
+        &mut self,
+        sources: &[UpstreamSource],
+        new_limit: impl Fn(Option<u32>) -> LearnedLimit,
+    ) {
         for source in sources {
             match self.find(&source.name).and_then(|index| self.upstreams.get(&index)) {
                 Some(known) if known.source.incarnation > source.incarnation => continue,
@@ -304,9 +355,9 @@
                 Some(known) => {
                     let old = known.index;
                     self.tell(old, UpstreamWord::Absent);
-                    self.add(source.clone(), new_limit.clone());
+                    self.add(source.clone(), new_limit(source.places));
                 }
-                None => self.add(source.clone(), new_limit.clone()),
+                None => self.add(source.clone(), new_limit(source.places)),
             }
             if source.is_leaving
                 && let Some(index) = self.find(&source.name)
@@ -342,6 +393,11 @@
             clock_offset: None,
             changes: VecDeque::new(),
             headroom: self.headroom,
+            others: OthersWork::default(),
+            unread_tokens: 0,
+            failing: 0.0,
+            failed_in_row: 0,
+            rests_until: Moment(0),
             open_positions: [None; ROOM_KINDS],
         };
         self.upstreams.insert(index, status);
@@ -400,6 +456,24 @@
         self.update_all(|status| status.share = share);
     }
 
+    /// Takes what the other daemons have at each upstream.
+    pub fn set_others(&mut self, rows: &[(UpstreamName, OthersWork)]) {
+        for (name, others) in rows {
+            let Some(index) = self.find(name) else { continue };
+            self.update(index, |status| status.others = *others);
+        }
+    }
+
+    /// Learns how an exchange ended at an upstream.
+    pub fn judge_end(&mut self, index: UpstreamIndex, outcome: DispatchOutcome, now: Moment) {
+        let has_failed = match outcome {
+            DispatchOutcome::Completed { .. } => false,
+            DispatchOutcome::Failed => true,
+            DispatchOutcome::NotSent | DispatchOutcome::Cancelled => return,
+        };
+        self.update(index, |status| status.judge_end(has_failed, now));
+    }
+
     /// Counts a dispatch.
     pub fn dispatched(&mut self, index: UpstreamIndex, cost: u32, now: Moment) {
         self.update(index, |status| {
--- a/src/store/journal.rs
+++ b/src/store/journal.rs
@@ -74,11 +74,21 @@
     }
 }
 
+/// Makes the folder, and its name durable: after a power cut a new folder may be gone with all that was synced
+/// in it, unless the folder above was synced, too.
+fn make_folder(folder: &Path) -> std::io::Result<()> {
+    fs::create_dir_all(folder)?;
+    match folder.parent().filter(|parent| !parent.as_os_str().is_empty()) {
+        Some(parent) => File::open(parent)?.sync_all(),
+        None => Ok(()),
+    }
+}
+
 impl StoreFolder {
     /// Opens a folder, making it if need be, and locks it: two processes over one folder would vote
     /// twice in one term.
     pub fn open(folder: &Path) -> Result<Self, StoreError> {
-        fs::create_dir_all(folder).context(FilesSnafu { path: folder })?;
+        make_folder(folder).context(FilesSnafu { path: folder })?;
         let lock = FolderLock::take(folder)?;
         let path = folder.join(LOG);
         let mut options = OpenOptions::new();
--- a/src/table/checks.rs
+++ b/src/table/checks.rs
@@ -184,6 +184,7 @@
     service_faults(table, &mut faults);
     assignment_faults(table, &mut faults);
     upstream_faults(table, &mut faults);
+    table.route_faults(&mut faults);
     faults
 }
 
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -3,17 +3,21 @@
 mod checks;
 mod difference;
 mod names;
+mod routes;
 
-pub use checks::{FaultList, TableFault, check_document, read_checked};
+pub use checks::{FaultList, TableFault, check_document, read_checked, reference_faults};
 pub use difference::{CellChange, diff_tables};
 pub use names::{
     DaemonName, DataCentreName, OrganisationName, ServiceName, TierName, UpstreamName,
 };
 
+pub use routes::{RouteKind, RouteRow, RouteTarget};
+
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 use sha2::{Digest, Sha256};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// The whole table, as operators write it.
@@ -32,6 +36,9 @@
     /// Upstreams known by address; the platform's list may add more.
     #[serde(default)]
     pub upstreams: Vec<UpstreamRow>,
+    /// Where requests go by host and path, where a platform's interface is served.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub routes: Vec<RouteRow>,
 }
 
 /// A tier of requests.
@@ -48,6 +55,24 @@
     pub weight: u32,
 }
 
+impl TierRow {
+    /// The tier of a rank, where operators name ranks alone.
+    pub fn of_rank(rank: u8) -> Self {
+        let weight = TOP_WEIGHT >> (WEIGHT_STEP * u32::from(rank)).min(TOP_WEIGHT.ilog2());
+        TierRow { tier: tier_of_rank(rank), rank, weight }
+    }
+}
+
+/// Weight of the highest tier where operators name ranks alone.
+const TOP_WEIGHT: u32 = 1 << 12;
+/// Each rank below has this many halvings less.
+const WEIGHT_STEP: u32 = 2;
+
+/// The name of the tier of a rank, where operators name ranks alone.
+pub fn tier_of_rank(rank: u8) -> TierName {
+    TierName::from(format!("rank-{rank}").as_str())
+}
+
 /// An organisation: its keys, its weight and its limits.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -71,6 +96,29 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[schemars(range(min = 1))]
     pub concurrent: Option<u32>,
+    /// What the limit counts.
+    #[serde(default, skip_serializing_if = "LimitUnit::is_default")]
+    pub limit_unit: LimitUnit,
+    /// Tokens that a request counts as that names none; absent means its estimate.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub uncounted_tokens: Option<u32>,
+}
+
+/// What an organisation's limit counts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum LimitUnit {
+    /// Tokens.
+    #[default]
+    Tokens,
+    /// Requests.
+    Requests,
+}
+
+impl LimitUnit {
+    fn is_default(&self) -> bool {
+        *self == LimitUnit::default()
+    }
 }
 
 /// A SHA-256 digest in lower-case hexadecimal.
@@ -117,6 +165,8 @@
     RoundRobin,
     /// The least load as last reported; a baseline for measurements.
     LeastReported,
+    /// The earliest first event, by the prompts before it and each upstream's own speed.
+    Earliest,
 }
 
 /// How a pool bounds the work at one upstream.
@@ -183,6 +233,10 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[schemars(range(min = 1_000))]
     pub claim_life_ms: Duration,
+    /// Tokens in one event of a stream, where events carry no numbers of their own.
+    #[serde(default = "default_event_tokens")]
+    #[schemars(range(min = 1))]
+    pub event_tokens: u32,
     /// Order of waiting requests.
     #[serde(default)]
     pub queue: QueueChoice,
@@ -195,6 +249,29 @@
 }
 
 impl ServiceRow {
+    /// A service with the usual choices.
+    pub fn new(service: ServiceName, kind: ServiceKind, default_tier: TierName) -> Self {
+        ServiceRow {
+            service,
+            kind,
+            organisations: None,
+            default_tier,
+            deadline_ms: DEFAULT_DEADLINE,
+            silence_ms: default_silence(),
+            first_guess: default_guess(),
+            token_gap_ms: default_token_gap(),
+            first_token_ms: default_first_token(),
+            body_limit: default_body_limit(),
+            waiting_limit: default_waiting_limit(),
+            idempotent_methods: None,
+            claim_life_ms: default_claim_life(),
+            event_tokens: default_event_tokens(),
+            queue: QueueChoice::default(),
+            placement: PlacementChoice::default(),
+            limit: LimitChoice::default(),
+        }
+    }
+
     /// True if a request of `method` may be repeated without harm.
     pub fn is_idempotent(&self, method: &str) -> bool {
         match (&self.idempotent_methods, self.kind) {
@@ -212,6 +289,9 @@
     }
 }
 
+/// Deadline of requests that name none, for services whose operator gives none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
+
 fn default_silence() -> Duration {
     Duration::from_millis(2_000)
 }
@@ -228,6 +308,10 @@
     Duration::from_millis(750)
 }
 
+fn default_event_tokens() -> u32 {
+    1
+}
+
 fn default_claim_life() -> Duration {
     Duration::from_secs(24 * 3_600)
 }
@@ -282,14 +366,33 @@
     pub version: u64,
     /// SHA-256 of the table's canonical JSON, in hexadecimal.
     pub hash: String,
-    /// The table.
+    /// The table; empty where `document` stands for it.
     pub table: OperatorTable,
+    /// The table as its operator wrote it, where that is another format than ours; each daemon reads it anew.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub document: Option<Arc<str>>,
+}
+
+/// Reads tables that operators write in another format than ours.
+pub trait TableReader: Send + Sync {
+    /// The version and the table that a document holds, or every fault in it.
+    fn read(&self, document: &str) -> Result<(u64, OperatorTable), FaultList>;
 }
 
 impl VersionedTable {
+    /// A table that its operator wrote in another format.
+    pub fn from_document(version: u64, document: &Arc<str>) -> Self {
+        VersionedTable {
+            version,
+            hash: hex(&Sha256::digest(document.as_bytes())),
+            table: OperatorTable::default(),
+            document: Some(Arc::clone(document)),
+        }
+    }
+
     /// Stamps `table` with `version` and its hash.
     pub fn new(version: u64, table: OperatorTable) -> Self {
-        VersionedTable { version, hash: table_hash(&table), table }
+        VersionedTable { version, hash: table_hash(&table), table, document: None }
     }
 }
 
--- a/src/traffic/access.rs
+++ b/src/traffic/access.rs
@@ -1,9 +1,11 @@
 //! Who a caller is and what the table lets it use: an index over one table, built once per edit.
 
+use super::routed::RouteIndex;
 use crate::answer::AnswerKind;
 use crate::policy::{OrganisationIndex, OrganisationLimit, TierRank, TierShare};
 use crate::table::{
-    KeyDigest, OperatorTable, OrganisationName, OrganisationRow, ServiceName, ServiceRow, TierName,
+    KeyDigest, LimitUnit, OperatorTable, OrganisationName, OrganisationRow, RouteRow, ServiceName,
+    ServiceRow, TierName,
 };
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -18,6 +20,10 @@
     pub organisation: OrganisationName,
     /// Its weight.
     pub weight: u32,
+    /// What its limit counts.
+    pub limit_unit: LimitUnit,
+    /// Tokens that a request counts as that names none.
+    pub uncounted_tokens: Option<u32>,
 }
 
 /// Numbers given to organisation names; kept over edits so that limits and queues keep their state.
@@ -39,6 +45,7 @@
     ranks: HashMap<TierName, TierRank>,
     table: OperatorTable,
     limits: HashMap<OrganisationIndex, OrganisationLimit>,
+    routes: RouteIndex,
 }
 
 impl AccessIndex {
@@ -52,6 +59,7 @@
                 .collect(),
             ranks: table.tiers.iter().map(|row| (row.tier.clone(), TierRank(row.rank))).collect(),
             table: table.clone(),
+            routes: RouteIndex::new(table),
             ..AccessIndex::default()
         };
         for row in &table.organisations {
@@ -61,6 +69,8 @@
                 index: number,
                 organisation: row.organisation.clone(),
                 weight: row.weight,
+                limit_unit: row.limit_unit,
+                uncounted_tokens: row.uncounted_tokens,
             };
             let digests = row
                 .key_digests
@@ -106,6 +116,29 @@
         (name.clone(), rank)
     }
 
+    /// The tier of a route's requests: the caller's own, if an assignment gives it one.
+    pub fn route_tier(&self, route: &RouteRow, caller: Option<&CallerIdentity>) -> TierRank {
+        let assigned = caller.and_then(|caller| {
+            let mut rows = self.table.assignments.iter();
+            rows.find(|row| row.organisation.as_ref() == Some(&caller.organisation))
+        });
+        let name = assigned.map_or(&route.tier, |row| &row.tier);
+        self.ranks.get(name).copied().unwrap_or(TierRank(u8::MAX))
+    }
+
+    /// The routes.
+    pub fn routes(&self) -> &RouteIndex {
+        &self.routes
+    }
+
+    /// What a request counts as against its organisation's limit: `tokens` if it says, else a fixed number.
+    pub fn counted(&self, caller: &CallerIdentity, tokens: Option<u32>) -> u32 {
+        match caller.limit_unit {
+            LimitUnit::Requests => 1,
+            LimitUnit::Tokens => tokens.or(caller.uncounted_tokens).unwrap_or(1),
+        }
+    }
+
     /// All services.
     pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceRow>> {
         self.services.values()
--- a/src/traffic/front.rs
+++ b/src/traffic/front.rs
@@ -5,6 +5,7 @@
 use super::dispatch::{ExchangeCall, ExchangeEnd, run_exchange};
 use super::drain::{DrainAction, DrainEvent, drain_chart};
 use super::model_call::ModelCall;
+use super::routed::routed_router;
 use super::sink::AnswerSink;
 use super::state::{TableSnapshot, TrafficState};
 use crate::answer::{AnswerKind, RefusalAnswer};
@@ -44,8 +45,9 @@
 const KEY_LIMIT: usize = 255;
 /// What the request is for; assignments may match it.
 const PURPOSE_HEADER: &str = "tarragonknot-purpose";
-/// A caller must send its head within this time.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// A caller must send its head within this time; it runs while a kept connection is idle, too, so it is above the
+/// 15 s for which the given platforms' callers may keep one.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(20);
 /// A caller must send its body within this time.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Longest deadline a caller may ask for.
@@ -94,13 +96,28 @@
     Ok(FrontHandle { address, drain, done })
 }
 
+/// The handle of a daemon that serves no callers: its drain is complete as soon as it is ordered.
+pub fn without_front(state: Arc<TrafficState>) -> FrontHandle {
+    let (drain, mut ordered) = watch::channel(false);
+    let done = tokio::spawn(async move {
+        let _ = ordered.wait_for(|ordered| *ordered).await;
+        state.turn_unready();
+        state.set_drained();
+        info!(state.log, "drained");
+    });
+    FrontHandle { address: SocketAddr::from(([0, 0, 0, 0], 0)), drain, done }
+}
+
 async fn serve_until_drained(
     state: Arc<TrafficState>,
     listener: TcpListener,
     mut ordered: watch::Receiver<bool>,
     balancer_wait: Duration,
 ) {
-    let router = front_router(Arc::clone(&state));
+    let router = match state.manner() {
+        Some(_) => routed_router(Arc::clone(&state)),
+        None => front_router(Arc::clone(&state)),
+    };
     let graceful = GracefulShutdown::new();
     let mut machine = drain_chart().start();
     let mut noticed = Box::pin(async {
@@ -189,6 +206,12 @@
         .with_state(state)
 }
 
+/// What the balancer and those who read metrics ask, on an address of its own; any path tells readiness.
+pub fn readiness_router(state: Arc<TrafficState>) -> Router {
+    let metrics = |State(state): State<Arc<TrafficState>>| async move { render_metrics(&state) };
+    Router::new().route("/metrics", get(metrics)).fallback(ready).with_state(state)
+}
+
 async fn ready(State(state): State<Arc<TrafficState>>) -> impl IntoResponse {
     match state.is_ready() {
         true => (StatusCode::OK, "ready\n"),
@@ -412,6 +435,7 @@
         prompt_bytes: shape.prompt_bytes,
         output_limit: shape.output_limit,
         deadline: now + deadline,
+        sizes: None,
         prefix: shape.prefix,
     };
     let silence = service.silence_ms;
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -7,11 +7,13 @@
 mod front;
 mod model_call;
 mod pool_runtime;
+mod routed;
 mod sink;
 mod state;
 
 pub use access::{AccessIndex, CallerIdentity, OrganisationNumbers};
 pub use drain::{DrainAction, DrainEvent, DrainState, drain_chart};
-pub use front::{FrontHandle, front_router, start_front};
+pub use front::{FrontHandle, front_router, readiness_router, start_front, without_front};
 pub use pool_runtime::{PoolRuntime, RequestGuard};
-pub use state::{TableSnapshot, TrafficClock, TrafficState};
+pub use routed::{AnswerFacts, CallDialect, CallerFacts, EventCutter, RouteIndex, SendFacts};
+pub use state::{PlatformManner, TableSnapshot, TrafficClock, TrafficState};
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -12,6 +12,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::oneshot;
 
@@ -45,6 +46,7 @@
     /// How to talk to its upstreams.
     pub driver: Arc<dyn UpstreamDriver>,
     clock: TrafficClock,
+    event_tokens: AtomicU32,
     core: Mutex<PoolCore>,
 }
 
@@ -63,7 +65,13 @@
             waiters: HashMap::new(),
             actions: Vec::new(),
         };
-        Arc::new(PoolRuntime { service, driver, clock, core: Mutex::new(core) })
+        Arc::new(PoolRuntime {
+            service,
+            driver,
+            clock,
+            event_tokens: AtomicU32::new(1),
+            core: Mutex::new(core),
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, PoolCore> {
@@ -155,6 +163,16 @@
         statuses.map(|status| (status.index, status.source.address, is_suspect(status))).collect()
     }
 
+    /// Tokens in one event of a stream.
+    pub fn event_tokens(&self) -> u32 {
+        self.event_tokens.load(Ordering::Relaxed).max(1)
+    }
+
+    /// Sets the tokens in one event of a stream.
+    pub fn set_event_tokens(&self, tokens: u32) {
+        self.event_tokens.store(tokens, Ordering::Relaxed);
+    }
+
     /// Now.
     pub fn now(&self) -> Moment {
         self.clock.now()
--- /dev/null
+++ b/src/traffic/routed/carry.rs
@@ -0,0 +1,325 @@
+//! Carries an admitted request: waits for its place, sends it, and sends it again where the route allows.
+
+use super::attempt::{AttemptFault, OpenAnswer, send};
+use super::dialect::{CallDialect, CallerFacts};
+use super::door::{LimitGuard, find_entry};
+use super::relay::{StreamRelay, stream_response, whole_response};
+use crate::answer::{AnswerKind, RefusalAnswer};
+use crate::policy::{
+    ArrivedRequest, DispatchOutcome, Moment, PoolEvent, RequestId, RequestSizes, UpstreamIndex,
+    UpstreamWord,
+};
+use crate::table::{RouteKind, RouteRow, ServiceName, UpstreamName};
+use crate::traffic::access::CallerIdentity;
+use crate::traffic::pool_runtime::{PlacementWord, PoolRuntime, RequestGuard};
+use crate::traffic::state::{ProgressGuard, TrafficState};
+use axum::body::Body;
+use bytes::Bytes;
+use http::Response;
+use http::request::Parts;
+use slog::info;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A resumable stream without a first event is sent elsewhere after this many times its objective.
+const FIRST_EVENT_PATIENCE: u32 = 2;
+/// At least this long, since engines under load make first events late without being lost.
+const LEAST_PATIENCE: Duration = Duration::from_millis(1_200);
+
+/// A request on its way.
+pub struct CarriedRequest {
+    pub state: Arc<TrafficState>,
+    pub dialect: Arc<dyn CallDialect>,
+    pub route: Arc<RouteRow>,
+    pub caller: Option<CallerIdentity>,
+    pub sizes: Option<RequestSizes>,
+    /// When the caller's or the route's time is over, whichever is first.
+    pub deadline: Moment,
+    /// True if the caller named a deadline.
+    pub has_deadline: bool,
+    pub facts: CallerFacts,
+    pub parts: Parts,
+    pub body: Bytes,
+    pub arrived_at: Moment,
+    pub limit: Option<LimitGuard>,
+    pub progress: ProgressGuard,
+}
+
+/// Where a request was sent.
+pub struct PlacedRequest {
+    pub pool: Arc<PoolRuntime>,
+    pub guard: RequestGuard,
+    /// The request's number in its pool.
+    pub number: RequestId,
+    pub upstream: UpstreamIndex,
+    pub name: UpstreamName,
+    pub address: SocketAddr,
+    pub sent_at: Moment,
+}
+
+/// What the sends of one request have come to.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SendCount {
+    /// Upstreams that it was sent to.
+    pub sent: u32,
+    /// True if one of them may have run it.
+    pub may_have_run: bool,
+}
+
+impl CarriedRequest {
+    /// What is left of the time.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.since(self.state.clock.now())
+    }
+
+    /// The request's id, for logs.
+    pub fn id(&self) -> &str {
+        self.facts.id.as_deref().unwrap_or_default()
+    }
+
+    /// True if the request may go to one more upstream now, which is paid from the budget.
+    pub fn may_send_again(&self, service: &ServiceName, count: SendCount) -> bool {
+        let is_allowed = !count.may_have_run || self.route.kind.may_repeat();
+        is_allowed
+            && count.sent < self.route.attempts
+            && !self.time_left().is_zero()
+            && self.state.with_repeats(service, |budget| budget.spend())
+    }
+
+    /// Waits for a place. Between the word and the send the table is asked again: a route may have moved and a
+    /// key may have been revoked while the request waited.
+    pub async fn place(&mut self) -> Result<PlacedRequest, AnswerKind> {
+        loop {
+            let entry = find_entry(&self.state.snapshot(), &self.parts, &self.facts)?;
+            self.route = entry.route;
+            self.caller = entry.caller;
+            let service = self.route.target(self.state.jitter());
+            let service = service.ok_or(AnswerKind::ServiceUnknown)?.clone();
+            let pool = self.state.pool(&service).ok_or(AnswerKind::UpstreamAbsent)?;
+            let placed = self.wait_in(pool).await?;
+            let entry = find_entry(&self.state.snapshot(), &self.parts, &self.facts)?;
+            if entry.route.allows(&service) {
+                return Ok(placed);
+            }
+        }
+    }
+
+    async fn wait_in(&self, pool: Arc<PoolRuntime>) -> Result<PlacedRequest, AnswerKind> {
+        let number = RequestId(self.state.new_request_id().0);
+        let arrived = self.arrived(number);
+        let (mut guard, word) = pool.arrive(arrived);
+        let limit = self.time_left();
+        let word = tokio::time::timeout(limit, word).await;
+        match word {
+            Ok(Ok(PlacementWord::Go { upstream, name, address })) => {
+                let sent_at = self.state.clock.now();
+                Ok(PlacedRequest { pool, guard, number, upstream, name, address, sent_at })
+            }
+            Ok(Ok(PlacementWord::Refuse(kind))) => {
+                guard.refused();
+                Err(kind)
+            }
+            Ok(Err(_)) => Err(AnswerKind::Internal),
+            Err(_) => Err(AnswerKind::DeadlineWaiting),
+        }
+    }
+
+    fn arrived(&self, id: RequestId) -> ArrivedRequest {
+        let snapshot = self.state.snapshot();
+        let organisation = self.caller.as_ref().map(|caller| (caller.index, caller.weight));
+        let (organisation, weight) = organisation.unwrap_or((super::NO_ORGANISATION, 1));
+        ArrivedRequest {
+            id,
+            organisation,
+            weight,
+            tier: snapshot.access.route_tier(&self.route, self.caller.as_ref()),
+            prompt_bytes: self.body.len(),
+            output_limit: self.facts.output_limit,
+            deadline: self.deadline,
+            sizes: self.sizes,
+            prefix: Box::default(),
+        }
+    }
+
+    /// How long an upstream may say nothing before the request goes elsewhere, if it may.
+    fn patience(&self) -> Duration {
+        match self.route.kind {
+            RouteKind::ResumableStream | RouteKind::Safe => {
+                (self.route.objective_ms * FIRST_EVENT_PATIENCE).max(LEAST_PATIENCE)
+            }
+            RouteKind::Unsafe | RouteKind::Stream => Duration::MAX,
+        }
+    }
+
+    /// Sends to a placed upstream, within the time that is left.
+    pub async fn try_send(
+        &self,
+        placed: &PlacedRequest,
+        count: &mut SendCount,
+        last_event: Option<u64>,
+    ) -> Result<OpenAnswer, AttemptFault> {
+        count.sent += 1;
+        let is_last = count.sent >= self.route.attempts;
+        let patience = if is_last { Duration::MAX } else { self.patience() };
+        let limit = self.time_left().min(patience);
+        let sending = send(self, placed.address, placed.name.as_str(), last_event);
+        match tokio::time::timeout(limit, sending).await {
+            Ok(answer) => answer,
+            Err(_) => Err(AttemptFault::Lost(format!("no answer within {limit:?}"))),
+        }
+    }
+
+    fn log_placed(&self, placed: &PlacedRequest, count: SendCount) {
+        let waited = placed.sent_at.since(self.arrived_at).as_millis() as u64;
+        info!(self.state.log, "sent"; "request" => self.id(), "service" => placed.pool.service.as_str(),
+            "upstream" => placed.name.as_str(), "waited_ms" => waited, "send" => count.sent + 1,
+            "table" => self.state.snapshot().version, "left_ms" => self.time_left().as_millis() as u64);
+    }
+}
+
+/// Carries a request to its answer's head, and a stream's events after it.
+pub async fn carry(mut request: Box<CarriedRequest>) -> Response<Body> {
+    let mut count = SendCount::default();
+    loop {
+        let mut placed = match request.place().await {
+            Ok(placed) => placed,
+            Err(kind) => return refuse(&request, kind, count),
+        };
+        request.log_placed(&placed, count);
+        let service = placed.pool.service.clone();
+        if count.sent == 0 {
+            request.state.with_repeats(&service, |budget| budget.earn());
+        }
+        let fault = match request.try_send(&placed, &mut count, request.facts.last_event).await {
+            Ok(answer) => match answer_caller(request, placed, count, answer).await {
+                Answered::Response(response) => return response,
+                Answered::Again(again, fault) => {
+                    request = again;
+                    fault
+                }
+            },
+            Err(AttemptFault::NotSent(detail)) => {
+                count.sent -= 1;
+                info!(request.state.log, "upstream not reached"; "request" => request.id(), "detail" => detail);
+                placed.pool.tell(PoolEvent::Word {
+                    upstream: placed.upstream,
+                    word: UpstreamWord::Unreachable,
+                });
+                placed.guard.end(DispatchOutcome::Failed);
+                if request.time_left().is_zero() {
+                    return refuse(&request, AnswerKind::UpstreamUnreachable, count);
+                }
+                continue;
+            }
+            Err(fault) => {
+                note_fault(&mut placed, &fault);
+                fault
+            }
+        };
+        request.note_run(&mut count, &fault);
+        info!(request.state.log, "no answer"; "request" => request.id(), "upstream" => &*format!("{fault:?}"), "sent" => count.sent);
+        if !request.may_send_again(&service, count) {
+            return refuse(&request, fault_kind(&request, &fault), count);
+        }
+    }
+}
+
+impl CarriedRequest {
+    fn note_run(&mut self, count: &mut SendCount, fault: &AttemptFault) {
+        if matches!(fault, AttemptFault::Lost(_)) {
+            count.may_have_run = true;
+            self.limit.iter_mut().for_each(|limit| limit.has_run = true);
+        }
+    }
+}
+
+/// Tells the pool how a send failed.
+pub fn note_fault(placed: &mut PlacedRequest, fault: &AttemptFault) {
+    if let AttemptFault::NotRun { is_other: true } = fault {
+        let word = UpstreamWord::Leaving;
+        placed.pool.tell(PoolEvent::Word { upstream: placed.upstream, word });
+    }
+    placed.guard.end(DispatchOutcome::Failed);
+}
+
+fn fault_kind(request: &CarriedRequest, fault: &AttemptFault) -> AnswerKind {
+    match fault {
+        AttemptFault::NotSent(_) => AnswerKind::UpstreamUnreachable,
+        AttemptFault::NotRun { .. } => AnswerKind::UpstreamRefused,
+        AttemptFault::Lost(_) if request.time_left().is_zero() => AnswerKind::DeadlineRunning,
+        AttemptFault::Lost(_) => AnswerKind::UpstreamLost,
+    }
+}
+
+/// The final refusal. Once a send may have run the request, nothing may say that it did not run.
+fn refuse(request: &CarriedRequest, kind: AnswerKind, count: SendCount) -> Response<Body> {
+    let says_not_run = matches!(kind.row().status, 408 | 421 | 429 | 503);
+    let kind = match count.may_have_run && says_not_run {
+        true if request.time_left().is_zero() => AnswerKind::DeadlineRunning,
+        true => AnswerKind::UpstreamLost,
+        false => kind,
+    };
+    let waited = request.state.clock.now().since(request.arrived_at).as_millis() as u64;
+    info!(request.state.log, "refused"; "request" => request.id(), "kind" => kind.row().name,
+        "route" => &request.route.route, "sent" => count.sent, "may_have_run" => count.may_have_run, "after_ms" => waited);
+    RefusalAnswer::new(kind, "", request.state.jitter()).response(request.id())
+}
+
+/// What became of an answer whose head came.
+enum Answered {
+    Response(Response<Body>),
+    /// It was not whole.
+    Again(Box<CarriedRequest>, AttemptFault),
+}
+
+async fn answer_caller(
+    mut request: Box<CarriedRequest>,
+    mut placed: PlacedRequest,
+    count: SendCount,
+    answer: OpenAnswer,
+) -> Answered {
+    let status = answer.response.status();
+    if let Some(report) = answer.facts.load {
+        placed.pool.tell(PoolEvent::Reported { upstream: placed.upstream, report });
+    }
+    if request.route.kind.is_stream() && status.is_success() {
+        request.limit.iter_mut().for_each(|limit| limit.has_run = true);
+        let (head, body) = answer.response.into_parts();
+        let relay = StreamRelay::new(request, placed, count, body, answer.connection);
+        return Answered::Response(stream_response(head, relay));
+    }
+    let limit = request.time_left();
+    let whole = whole_response(answer.response, answer.connection);
+    let fault = match tokio::time::timeout(limit, whole).await {
+        Ok(Ok(response)) => {
+            let is_failure = status.is_server_error();
+            let outcome = match is_failure {
+                true => DispatchOutcome::Failed,
+                false => DispatchOutcome::Completed { prompt_tokens: None, output_tokens: 0 },
+            };
+            placed.guard.end(outcome);
+            request.limit.iter_mut().for_each(|limit| limit.has_run = true);
+            let ran = SendCount { may_have_run: true, ..count };
+            if !is_failure || !request.may_send_again(&placed.pool.service, ran) {
+                request.log_answered(&placed, status.as_u16());
+                return Answered::Response(response);
+            }
+            // Already paid from the budget: the next send must not be asked for again.
+            request.state.with_repeats(&placed.pool.service, |budget| budget.refund());
+            return Answered::Again(request, AttemptFault::Lost(format!("status {status}")));
+        }
+        Ok(Err(detail)) => AttemptFault::Lost(detail),
+        Err(_) => AttemptFault::Lost("the answer was not whole in time".to_owned()),
+    };
+    placed.guard.end(DispatchOutcome::Failed);
+    Answered::Again(request, fault)
+}
+
+impl CarriedRequest {
+    pub fn log_answered(&self, placed: &PlacedRequest, status: u16) {
+        let after = self.state.clock.now().since(self.arrived_at).as_millis() as u64;
+        info!(self.state.log, "answered"; "request" => self.id(), "upstream" => placed.name.as_str(),
+            "status" => status, "after_ms" => after);
+    }
+}
--- /dev/null
+++ b/src/traffic/routed/dialect.rs
@@ -0,0 +1,64 @@
+//! What a platform's headers say, in our words. The platform's adapter implements the trait; traffic decides.
+
+use crate::policy::LoadReport;
+use http::{HeaderMap, StatusCode};
+use std::time::Duration;
+
+/// What a caller's headers say.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CallerFacts {
+    /// The caller's id of this attempt; upstreams echo it.
+    pub id: Option<String>,
+    /// The caller's key.
+    pub key: Option<String>,
+    /// How long the caller will wait.
+    pub deadline: Option<Duration>,
+    /// Prompt tokens.
+    pub prompt_tokens: Option<u32>,
+    /// Most output tokens.
+    pub output_limit: Option<u32>,
+    /// The caller's guess of output tokens; right at the median, often far off.
+    pub output_guess: Option<u32>,
+    /// The last event that the caller has, where it resumes a stream.
+    pub last_event: Option<u64>,
+}
+
+/// What the daemon tells an upstream beside the caller's request.
+#[derive(Clone, Copy, Debug)]
+pub struct SendFacts<'a> {
+    /// What is left of the caller's time.
+    pub deadline: Option<Duration>,
+    /// The upstream's incarnation that is meant; another one must not run the request.
+    pub incarnation: &'a str,
+    /// The organisation whose key the caller has.
+    pub organisation: Option<&'a str>,
+    /// The event after which a stream goes on.
+    pub last_event: Option<u64>,
+}
+
+/// What the head of an upstream's answer says.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct AnswerFacts {
+    /// The id of the request that it answers.
+    pub echo: Option<String>,
+    /// True if the upstream says that it did not run the request.
+    pub is_not_run: bool,
+    /// True if the upstream is another incarnation than was meant.
+    pub is_other_incarnation: bool,
+    /// True if the answer bears the upstream's signature.
+    pub is_signed: bool,
+    /// Its load.
+    pub load: Option<LoadReport>,
+    /// How long it keeps the connection open while idle.
+    pub keeps_idle: Option<Duration>,
+}
+
+/// A platform's headers.
+pub trait CallDialect: Send + Sync {
+    /// Reads a caller's headers.
+    fn read_caller(&self, headers: &HeaderMap) -> CallerFacts;
+    /// Makes a caller's headers those that go to an upstream.
+    fn write_send(&self, headers: &mut HeaderMap, facts: &SendFacts<'_>);
+    /// Reads the head of an answer.
+    fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerFacts;
+}
--- /dev/null
+++ b/src/traffic/routed/door.rs
@@ -0,0 +1,161 @@
+//! Reads a caller's request, finds its route and organisation, and admits it.
+
+use super::carry::{CarriedRequest, carry};
+use super::dialect::{CallDialect, CallerFacts};
+use crate::answer::{AnswerKind, RefusalAnswer};
+use crate::policy::{Moment, OrganisationIndex, RequestSizes};
+use crate::table::RouteRow;
+use crate::traffic::access::CallerIdentity;
+use crate::traffic::state::{TableSnapshot, TrafficState};
+use axum::Router;
+use axum::body::Body;
+use bytes::Bytes;
+use http::header::HOST;
+use http::request::Parts;
+use http::{Request, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use slog::info;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Largest request body, in bytes; the given platform's own bound is 4 MiB.
+const BODY_LIMIT: usize = 4 << 20;
+/// A caller must send its body within this time.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// The deadline of requests that name none.
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+
+/// The service that answers callers by route.
+pub fn routed_router(state: Arc<TrafficState>) -> Router {
+    let calls = tower::service_fn(move |request| {
+        let answer = answer(Arc::clone(&state), request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    Router::new().fallback_service(calls)
+}
+
+async fn answer(state: Arc<TrafficState>, request: Request<Body>) -> Response<Body> {
+    let Some(manner) = state.manner() else { return refusal(&state, AnswerKind::Internal, "") };
+    let dialect = Arc::clone(&manner.dialect);
+    let arrived_at = state.clock.now();
+    let facts = dialect.read_caller(request.headers());
+    let id: Arc<str> = Arc::from(facts.id.clone().unwrap_or_default());
+    match admit(&state, dialect, request, facts, arrived_at).await {
+        Ok(carried) => carry(carried).await,
+        Err(kind) => {
+            info!(state.log, "refused"; "request" => &*id, "kind" => kind.row().name, "table" => state.snapshot().version);
+            refusal(&state, kind, &id)
+        }
+    }
+}
+
+fn refusal(state: &TrafficState, kind: AnswerKind, id: &str) -> Response<Body> {
+    RefusalAnswer::new(kind, "", state.jitter()).response(id)
+}
+
+async fn admit(
+    state: &Arc<TrafficState>,
+    dialect: Arc<dyn CallDialect>,
+    request: Request<Body>,
+    facts: CallerFacts,
+    arrived_at: Moment,
+) -> Result<Box<CarriedRequest>, AnswerKind> {
+    // Without a table nothing is known of routes and keys: that is no reason to call them unknown.
+    if !state.is_current() {
+        return Err(AnswerKind::TableStale);
+    }
+    let (parts, body) = request.into_parts();
+    let entry = find_entry(&state.snapshot(), &parts, &facts)?;
+    let body = read_body(body).await?;
+    let progress = state.begin();
+    let tokens = facts.prompt_tokens.map(|prompt| prompt + facts.output_limit.unwrap_or(0));
+    let limit = match &entry.caller {
+        Some(caller) => {
+            let cost = state.snapshot().access.counted(caller, tokens);
+            state.limits().admit(caller.index, cost, state.clock.now())?;
+            Some(LimitGuard {
+                state: Arc::clone(state),
+                organisation: caller.index,
+                cost,
+                has_run: false,
+            })
+        }
+        None => None,
+    };
+    let wait = facts.deadline.unwrap_or(LONGEST_WAIT).min(entry.route.timeout_ms);
+    Ok(Box::new(CarriedRequest {
+        state: Arc::clone(state),
+        dialect,
+        route: entry.route,
+        caller: entry.caller,
+        sizes: sizes_of(&facts),
+        deadline: arrived_at + wait,
+        has_deadline: facts.deadline.is_some(),
+        facts,
+        parts,
+        body,
+        arrived_at,
+        limit,
+        progress,
+    }))
+}
+
+/// What the table says of a request.
+pub struct RouteEntry {
+    pub route: Arc<RouteRow>,
+    pub caller: Option<CallerIdentity>,
+}
+
+/// Finds a request's route and the organisation of its key; also asked again before each send, since the table
+/// may have changed while the request waited.
+pub fn find_entry(
+    snapshot: &TableSnapshot,
+    parts: &Parts,
+    facts: &CallerFacts,
+) -> Result<RouteEntry, AnswerKind> {
+    let access = &snapshot.access;
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+    let route = access.routes().find(host, parts.uri.path()).ok_or(AnswerKind::ServiceUnknown)?;
+    let needs_key = !route.is_public && !access.table().organisations.is_empty();
+    let caller = match needs_key {
+        true => Some(access.identify(facts.key.as_deref())?.clone()),
+        false => access.identify(facts.key.as_deref()).ok().cloned(),
+    };
+    Ok(RouteEntry { route: Arc::clone(route), caller })
+}
+
+/// The guess of the output is right at the median; the limit bounds it.
+fn sizes_of(facts: &CallerFacts) -> Option<RequestSizes> {
+    let prompt = facts.prompt_tokens?;
+    let limit = facts.output_limit.unwrap_or(u32::MAX);
+    let output = facts.output_guess.unwrap_or(limit).min(limit);
+    Some(RequestSizes { prompt, output })
+}
+
+async fn read_body(body: Body) -> Result<Bytes, AnswerKind> {
+    let collected = tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, BODY_LIMIT).collect());
+    match collected.await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
+            Err(AnswerKind::BodyTooLarge)
+        }
+        _ => Err(AnswerKind::BadRequest),
+    }
+}
+
+/// A request's part of its organisation's limit.
+pub struct LimitGuard {
+    state: Arc<TrafficState>,
+    organisation: OrganisationIndex,
+    cost: u32,
+    pub has_run: bool,
+}
+
+impl Drop for LimitGuard {
+    fn drop(&mut self) {
+        let unused = if self.has_run { 0 } else { self.cost };
+        self.state.limits().release(self.organisation, unused);
+    }
+}
--- /dev/null
+++ b/src/traffic/routed/index.rs
@@ -0,0 +1,35 @@
+//! The routes of one table, found by host and longest path prefix.
+
+use crate::table::{OperatorTable, RouteRow};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// Routes by host, the longest prefix first.
+#[derive(Clone, Debug, Default)]
+pub struct RouteIndex {
+    by_host: HashMap<String, Vec<Arc<RouteRow>>>,
+}
+
+impl RouteIndex {
+    /// Indexes the routes of `table`.
+    pub fn new(table: &OperatorTable) -> Self {
+        let mut index = RouteIndex::default();
+        for row in &table.routes {
+            let routes = index.by_host.entry(row.host.to_ascii_lowercase()).or_default();
+            routes.push(Arc::new(row.clone()));
+        }
+        index
+            .by_host
+            .values_mut()
+            .for_each(|routes| routes.sort_by_key(|row| std::cmp::Reverse(row.path_prefix.len())));
+        index
+    }
+
+    /// The route of a request; `host` may carry a port.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteRow>> {
+        let lower = host.to_ascii_lowercase();
+        let name = lower.split(':').next().unwrap_or_default();
+        let routes = self.by_host.get(&lower).or_else(|| self.by_host.get(name))?;
+        routes.iter().find(|row| path.starts_with(&row.path_prefix))
+    }
+}
--- /dev/null
+++ b/src/traffic/routed/relay.rs
@@ -0,0 +1,211 @@
+//! Passes answers on: whole ones once they are whole, streams event by event as they come.
+
+use super::attempt::AttemptFault;
+use super::carry::{CarriedRequest, PlacedRequest, SendCount, note_fault};
+use super::events::EventCutter;
+use crate::policy::{DispatchOutcome, Moment, PoolEvent};
+use crate::upstream::{ConnectionGuard, end_to_end_headers};
+use axum::body::Body;
+use bytes::Bytes;
+use futures_util::stream;
+use http::header::CONTENT_LENGTH;
+use http::{Response, response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use slog::info;
+use std::io;
+use std::time::Duration;
+
+/// Largest answer that is held whole, in bytes.
+const WHOLE_LIMIT: usize = 16 << 20;
+/// A stream that pauses for this many times its longest good pause goes on elsewhere, if it may.
+const PAUSE_PATIENCE: u32 = 4;
+/// At least this long, for routes that name no pause.
+const LEAST_PAUSE: Duration = Duration::from_millis(1_000);
+/// Gaps are told to the scheduler once in this many events.
+const GAP_STRETCH: u64 = 4;
+
+/// An answer that is not a stream, once it is whole; else what happened.
+pub async fn whole_response(
+    answer: Response<Incoming>,
+    connection: ConnectionGuard,
+) -> Result<Response<Body>, String> {
+    let (head, body) = answer.into_parts();
+    let body =
+        Limited::new(body, WHOLE_LIMIT).collect().await.map_err(|error| error.to_string())?;
+    connection.finish();
+    let mut response = response_of(&head, Body::from(body.to_bytes()));
+    response.headers_mut().remove(CONTENT_LENGTH);
+    Ok(response)
+}
+
+fn response_of(head: &response::Parts, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = head.status;
+    *response.headers_mut() = end_to_end_headers(&head.headers);
+    response
+}
+
+/// The response of a stream.
+pub fn stream_response(head: response::Parts, relay: StreamRelay) -> Response<Body> {
+    let events = stream::unfold(Some(relay), |relay| async move {
+        let mut relay = relay?;
+        match relay.next().await {
+            RelayStep::Events(bytes) => Some((Ok(bytes), Some(relay))),
+            // An error cuts the connection: what ends early must not look complete.
+            RelayStep::Cut => Some((Err(io::Error::from(io::ErrorKind::UnexpectedEof)), None)),
+            RelayStep::Done => None,
+        }
+    });
+    let mut response = response_of(&head, Body::from_stream(events));
+    response.headers_mut().remove(CONTENT_LENGTH);
+    response
+}
+
+enum RelayStep {
+    Events(Bytes),
+    Done,
+    Cut,
+}
+
+/// A stream being passed on. Dropped when the caller leaves, which closes the connection to the upstream.
+pub struct StreamRelay {
+    request: Box<CarriedRequest>,
+    placed: PlacedRequest,
+    count: SendCount,
+    body: Incoming,
+    connection: Option<ConnectionGuard>,
+    cutter: EventCutter,
+    /// When the last event came, and how many had come then; for gaps.
+    gap_from: Option<(u64, Moment)>,
+    is_over: bool,
+}
+
+impl StreamRelay {
+    pub fn new(
+        request: Box<CarriedRequest>,
+        placed: PlacedRequest,
+        count: SendCount,
+        body: Incoming,
+        connection: ConnectionGuard,
+    ) -> Self {
+        StreamRelay {
+            request,
+            placed,
+            count,
+            body,
+            connection: Some(connection),
+            cutter: EventCutter::default(),
+            gap_from: None,
+            is_over: false,
+        }
+    }
+
+    async fn next(&mut self) -> RelayStep {
+        if self.is_over {
+            return RelayStep::Done;
+        }
+        loop {
+            let limit = self.request.time_left().min(self.patience());
+            let frame = tokio::time::timeout(limit, self.body.frame()).await;
+            let fault = match frame {
+                Ok(Some(Ok(frame))) => {
+                    let Ok(bytes) = frame.into_data() else { continue };
+                    match self.cutter.push(&bytes) {
+                        Some(events) => {
+                            self.learn();
+                            return RelayStep::Events(events);
+                        }
+                        None => continue,
+                    }
+                }
+                Ok(None) => return self.end(),
+                Ok(Some(Err(error))) => error.to_string(),
+                Err(_) if self.request.time_left().is_zero() => {
+                    return self.cut("its time is over");
+                }
+                Err(_) => format!("no event within {limit:?}"),
+            };
+            if !self.go_on(fault).await {
+                return self.cut("it cannot go on elsewhere");
+            }
+        }
+    }
+
+    /// How long the upstream may pause.
+    fn patience(&self) -> Duration {
+        if !self.request.route.kind.may_repeat() || self.count.sent >= self.request.route.attempts {
+            return Duration::MAX;
+        }
+        let gap = self.request.route.gap_ms.unwrap_or_default() * PAUSE_PATIENCE;
+        let first = self.request.route.objective_ms * 2;
+        gap.max(LEAST_PAUSE).max(if self.cutter.events() == 0 { first } else { Duration::ZERO })
+    }
+
+    /// The upstream ended the stream well.
+    fn end(&mut self) -> RelayStep {
+        self.is_over = true;
+        self.connection.take().into_iter().for_each(ConnectionGuard::finish);
+        let output_tokens = self.cutter.events() as u32;
+        self.placed.guard.end(DispatchOutcome::Completed { prompt_tokens: None, output_tokens });
+        self.request.log_answered(&self.placed, 200);
+        self.cutter.rest().map_or(RelayStep::Done, RelayStep::Events)
+    }
+
+    fn cut(&mut self, detail: &str) -> RelayStep {
+        self.is_over = true;
+        self.connection = None;
+        self.placed.guard.end(DispatchOutcome::Failed);
+        info!(self.request.state.log, "stream cut"; "request" => self.request.id(), "upstream" => self.placed.name.as_str(),
+            "events" => self.cutter.events(), "detail" => detail);
+        RelayStep::Cut
+    }
+
+    /// Has another upstream go on after the last whole event; false if none may or can.
+    async fn go_on(&mut self, detail: String) -> bool {
+        // The connection closes first: the upstream stops its work before another one begins.
+        self.connection = None;
+        self.count.may_have_run = true;
+        info!(self.request.state.log, "stream broken"; "request" => self.request.id(), "upstream" => self.placed.name.as_str(),
+            "events" => self.cutter.events(), "detail" => detail.clone());
+        note_fault(&mut self.placed, &AttemptFault::Lost(detail));
+        while self.request.may_send_again(&self.placed.pool.service.clone(), self.count) {
+            let Ok(placed) = self.request.place().await else { return false };
+            self.placed = placed;
+            let last_event = self.cutter.last_event().or(self.request.facts.last_event);
+            let answer = self.request.try_send(&self.placed, &mut self.count, last_event).await;
+            match answer {
+                Ok(answer) if answer.response.status().is_success() => {
+                    self.cutter.drop_half();
+                    self.gap_from = None;
+                    self.body = answer.response.into_body();
+                    self.connection = Some(answer.connection);
+                    return true;
+                }
+                Ok(_) => self.placed.guard.end(DispatchOutcome::Failed),
+                Err(fault) => note_fault(&mut self.placed, &fault),
+            }
+        }
+        false
+    }
+
+    /// Tells the scheduler what the events' times say of the upstream.
+    fn learn(&mut self) {
+        let now = self.request.state.clock.now();
+        let events = self.cutter.events();
+        let id = self.placed.number;
+        match self.gap_from {
+            None => {
+                self.gap_from = Some((events, now));
+                let after = now.since(self.placed.sent_at);
+                self.placed.pool.tell(PoolEvent::FirstToken { id, after });
+            }
+            Some((from, at)) if events >= from + GAP_STRETCH => {
+                self.gap_from = Some((events, now));
+                let count = (events - from) as u32 * self.placed.pool.event_tokens();
+                self.placed.pool.tell(PoolEvent::TokenGap { id, gap: now.since(at) / count });
+            }
+            Some(_) => {}
+        }
+    }
+}
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -2,38 +2,53 @@
 
 use super::access::{AccessIndex, OrganisationNumbers};
 use super::pool_runtime::PoolRuntime;
+use super::routed::CallDialect;
 use crate::control::ClaimKeeper;
-use crate::platform::PlatformList;
-use crate::policy::{LimitBook, Moment, PoolEvent, PoolPlan, UpstreamSource};
-use crate::table::{DaemonName, OperatorTable, ServiceKind, ServiceName, VersionedTable};
+use crate::policy::{LimitBook, Moment, PoolEvent, PoolPlan, RepeatBudget, UpstreamSource};
+use crate::table::{
+    DaemonName, OperatorTable, ServiceKind, ServiceName, TableReader, VersionedTable,
+};
+use crate::upstream::PlatformList;
 use crate::upstream::{ConnectionPool, EngineDriver, PlainDriver, UpstreamDriver};
 use arc_swap::ArcSwap;
 use rand::RngCore;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use slog::{Logger, info};
+use rustix::time::{ClockId, clock_gettime};
+use slog::{Logger, error, info};
+use std::borrow::Cow;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::Notify;
 
 /// Monotonic time as [`Moment`]s.
+///
+/// Time in which the machine was suspended counts. What goes wrong with a clock that stands still meanwhile: a
+/// leader that was suspended believes in its lease after another was elected, and answers a read with an old
+/// table. One would notice by a read that is older than an edit acknowledged before it.
 #[derive(Clone, Copy, Debug)]
-pub struct TrafficClock(Instant);
+pub struct TrafficClock(Duration);
 
 impl TrafficClock {
     /// A clock that starts a moment before now, so that 0 never occurs.
     pub fn start() -> Self {
-        TrafficClock(Instant::now() - Duration::from_millis(1))
+        TrafficClock(since_boot().saturating_sub(Duration::from_millis(1)))
     }
 
     /// Now.
     pub fn now(&self) -> Moment {
-        Moment(self.0.elapsed().as_micros() as u64)
+        Moment(since_boot().saturating_sub(self.0).as_micros() as u64)
     }
 }
 
+/// Time since the machine's start, suspended time included.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
 /// One table as traffic sees it; replaced whole.
 #[derive(Clone, Debug, Default)]
 pub struct TableSnapshot {
@@ -43,6 +58,14 @@
     pub access: AccessIndex,
 }
 
+/// A platform's manner of speaking: how its tables are read, and its headers.
+pub struct PlatformManner {
+    /// Reads tables.
+    pub reader: Arc<dyn TableReader>,
+    /// Reads and writes headers.
+    pub dialect: Arc<dyn CallDialect>,
+}
+
 /// Shared state of one daemon's traffic.
 pub struct TrafficState {
     /// The daemon's name.
@@ -59,6 +82,11 @@
     connections: Arc<ConnectionPool>,
     /// The table counts as current until then, in microseconds of the clock.
     current_until: AtomicU64,
+    /// True if requests are admitted under the last known table when it cannot be confirmed.
+    serves_cut_off: AtomicBool,
+    /// The platform's manner of speaking, where one is served.
+    manner: OnceLock<PlatformManner>,
+    repeats: Mutex<HashMap<ServiceName, RepeatBudget>>,
     is_ready: AtomicBool,
     is_drained: AtomicBool,
     claims: OnceLock<ClaimKeeper>,
@@ -87,6 +115,9 @@
             platform: ArcSwap::default(),
             connections: Arc::default(),
             current_until: AtomicU64::new(0),
+            serves_cut_off: AtomicBool::new(false),
+            manner: OnceLock::new(),
+            repeats: Mutex::default(),
             is_ready: AtomicBool::new(true),
             is_drained: AtomicBool::new(false),
             claims: OnceLock::new(),
@@ -124,19 +155,70 @@
         if versioned.version <= self.snapshot.load().version {
             return;
         }
-        let access = AccessIndex::new(&versioned.table, &mut numbers);
+        let Some(table) = self.read_table(versioned) else { return };
+        let access = AccessIndex::new(&table, &mut numbers);
         self.limits().set_limits(access.limits().clone());
         self.update_pools(&access);
         self.snapshot.store(Arc::new(TableSnapshot { version: versioned.version, access }));
         info!(self.log, "table in force"; "version" => versioned.version, "hash" => &versioned.hash);
     }
 
+    /// The table itself, read from its document where there is one.
+    fn read_table<'a>(&self, versioned: &'a VersionedTable) -> Option<Cow<'a, OperatorTable>> {
+        let Some(document) = &versioned.document else {
+            return Some(Cow::Borrowed(&versioned.table));
+        };
+        let reader = self.manner.get().map(|manner| &manner.reader);
+        match reader.map(|reader| reader.read(document)) {
+            Some(Ok((_, table))) => Some(Cow::Owned(table)),
+            Some(Err(faults)) => {
+                error!(self.log, "table not read; the one before stays in force"; "version" => versioned.version, "faults" => faults.to_string());
+                None
+            }
+            None => {
+                error!(self.log, "table in another format, and no platform is set"; "version" => versioned.version);
+                None
+            }
+        }
+    }
+
+    /// Serves a platform's interface; only the first call counts.
+    pub fn set_manner(&self, manner: PlatformManner) {
+        let _ = self.manner.set(manner);
+    }
+
+    /// The platform's manner of speaking, if one is served.
+    pub fn manner(&self) -> Option<&PlatformManner> {
+        self.manner.get()
+    }
+
+    /// Admits under the last known table from now on, if the lease runs out.
+    pub fn serve_cut_off(&self) {
+        self.serves_cut_off.store(true, Ordering::Release);
+    }
+
+    /// The connections to upstreams.
+    pub fn connections(&self) -> &Arc<ConnectionPool> {
+        &self.connections
+    }
+
+    /// The budget for second sends to a service.
+    pub fn with_repeats<T>(
+        &self,
+        service: &ServiceName,
+        change: impl FnOnce(&mut RepeatBudget) -> T,
+    ) -> T {
+        let mut repeats = self.repeats.lock().unwrap_or_else(PoisonError::into_inner);
+        change(repeats.entry(service.clone()).or_default())
+    }
+
     fn update_pools(&self, access: &AccessIndex) {
         let old = self.pools.load();
         let mut pools = HashMap::new();
         let shares = access.tier_shares();
         for row in access.services() {
-            let plan = PoolPlan::new(row, &shares);
+            let mut plan = PoolPlan::new(row, &shares);
+            plan.sheds_alone = !access.table().routes.is_empty();
             let pool = match old.get(&row.service) {
                 Some(pool) => {
                     pool.tell(PoolEvent::Plan(plan));
@@ -150,6 +232,7 @@
                     self.seed(),
                 ),
             };
+            pool.set_event_tokens(row.event_tokens);
             pools.insert(row.service.clone(), pool);
         }
         self.pools.store(Arc::new(pools));
@@ -205,7 +288,9 @@
 
     /// True while this daemon may admit requests under its table.
     pub fn is_current(&self) -> bool {
-        self.clock.now().0 < self.current_until.load(Ordering::Acquire)
+        let goes_on =
+            self.serves_cut_off.load(Ordering::Acquire) && self.snapshot.load().version > 0;
+        goes_on || self.clock.now().0 < self.current_until.load(Ordering::Acquire)
     }
 
     /// True while the balancer should send callers here.
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -24,7 +24,10 @@
 use tokio::task::AbortHandle;
 
 /// A connection that ended a whole answer this recently counts as proven alive.
-const PROVEN_ALIVE: Duration = Duration::from_millis(1_000);
+pub const PROVEN_ALIVE: Duration = Duration::from_millis(1_000);
+/// An upstream that closes idle connections after some time may do so a little sooner by our clock: the request
+/// under way then would be lost.
+const CLOSING_MARGIN: Duration = Duration::from_millis(500);
 /// Opening a connection takes at most this long.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Idle connections kept for each address.
@@ -105,6 +108,8 @@
     machine: ConnectionMachine,
     address: SocketAddr,
     idle_since: Instant,
+    /// How long the upstream keeps it open while idle, as it said last.
+    kept_for: Option<Duration>,
     task: AbortHandle,
 }
 
@@ -127,6 +132,12 @@
 }
 
 impl ConnectionGuard {
+    /// Notes how long the upstream will keep the connection open while idle.
+    pub fn kept_for(mut self, time: Option<Duration>) -> Self {
+        self.connection.iter_mut().for_each(|connection| connection.kept_for = time);
+        self
+    }
+
     /// The answer was read to the end: the connection may be used again.
     pub fn finish(mut self) {
         let Some(mut connection) = self.connection.take() else { return };
@@ -156,11 +167,13 @@
     }
 
     /// An idle connection proven alive, the latest used first; older ones are closed.
-    fn take(&self, address: SocketAddr) -> Option<OpenConnection> {
+    fn take(&self, address: SocketAddr, most_idle: Duration) -> Option<OpenConnection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
         let mut connection = connections.pop()?;
-        if connection.idle_since.elapsed() > PROVEN_ALIVE {
+        let kept_for = connection.kept_for.map(|time| time.saturating_sub(CLOSING_MARGIN));
+        if connection.idle_since.elapsed() > kept_for.map_or(most_idle, |time| time.min(most_idle))
+        {
             connection.machine.step(ConnectionEvent::Stale);
             connections.clear();
             return None;
@@ -187,18 +200,28 @@
             .map_err(|error| not_sent(format!("{address}: {error}")))?;
         machine.step(ConnectionEvent::Opened);
         let task = tokio::spawn(connection).abort_handle();
-        Ok(OpenConnection { sender, machine, address, idle_since: Instant::now(), task })
+        Ok(OpenConnection {
+            sender,
+            machine,
+            address,
+            idle_since: Instant::now(),
+            kept_for: None,
+            task,
+        })
     }
 
-    /// Sends a request and waits for the answer's head. `must_be_new` rules out idle connections.
+    /// Sends a request and waits for the answer's head. A kept connection is used if it was idle for at most
+    /// `most_idle`; zero rules all out.
     pub async fn send(
         self: &Arc<Self>,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
-        must_be_new: bool,
+        most_idle: Duration,
     ) -> Result<(Response<Incoming>, ConnectionGuard), OpenFault> {
         let mut request = request;
-        if !must_be_new && let Some(connection) = self.take(address) {
+        if !most_idle.is_zero()
+            && let Some(connection) = self.take(address, most_idle)
+        {
             match self.send_over(connection, request).await {
                 Ok(answer) => return Ok(answer),
                 Err(SendFault { unsent: Some(unsent), .. }) => request = *unsent,
--- a/src/upstream/engine.rs
+++ b/src/upstream/engine.rs
@@ -96,7 +96,7 @@
         Box::pin(async move {
             let request = upstream_request(call, address)?;
             let (response, guard) =
-                self.connections.send(address, request, !call.is_idempotent).await?;
+                self.connections.send(address, request, call.most_idle()).await?;
             Ok(read_answer(response, guard))
         })
     }
@@ -112,7 +112,7 @@
             request.headers_mut().insert("last-event-id", HeaderValue::from(after));
             let shape = if call.wants_stream { "text/event-stream" } else { "application/json" };
             request.headers_mut().insert(ACCEPT, HeaderValue::from_static(shape));
-            let (response, guard) = self.connections.send(address, request, true).await?;
+            let (response, guard) = self.connections.send(address, request, Duration::ZERO).await?;
             match response.status() {
                 StatusCode::NOT_FOUND | StatusCode::GONE => Err(OpenFault::Lost {
                     detail: format!("the engine answers {} to resume", response.status()),
@@ -125,9 +125,11 @@
     fn cancel<'a>(&'a self, call: &'a UpstreamCall, address: SocketAddr) -> BoxFuture<'a, ()> {
         Box::pin(async move {
             let Ok(request) = Self::about(call, address, Method::DELETE) else { return };
-            let _ =
-                tokio::time::timeout(CANCEL_TIMEOUT, self.connections.send(address, request, true))
-                    .await;
+            let _ = tokio::time::timeout(
+                CANCEL_TIMEOUT,
+                self.connections.send(address, request, Duration::ZERO),
+            )
+            .await;
         })
     }
 
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -4,11 +4,15 @@
 mod engine;
 mod orca;
 mod plain;
+mod platform_list;
 
-pub use connection::{ConnectionPool, ConnectionState, OpenFault, connection_chart};
+pub use connection::{
+    ConnectionGuard, ConnectionPool, ConnectionState, OpenFault, PROVEN_ALIVE, connection_chart,
+};
 pub use engine::EngineDriver;
 pub use orca::{ORCA_HEADER, parse_orca_header, parse_orca_json};
 pub use plain::{PlainDriver, end_to_end_headers};
+pub use platform_list::{ListFault, PlatformList, UpstreamLister, VmRow, VmState};
 
 use crate::policy::LoadReport;
 use bytes::Bytes;
@@ -39,6 +43,14 @@
     pub is_idempotent: bool,
 }
 
+impl UpstreamCall {
+    /// How long a kept connection may have been idle that carries this call: one that went silent swallows it,
+    /// and only idempotent work may then be sent again.
+    fn most_idle(&self) -> std::time::Duration {
+        if self.is_idempotent { PROVEN_ALIVE } else { std::time::Duration::ZERO }
+    }
+}
+
 /// The head of an upstream's answer.
 #[derive(Clone, Debug)]
 pub struct AnswerHead {
--- a/src/upstream/plain.rs
+++ b/src/upstream/plain.rs
@@ -1,6 +1,6 @@
 //! The driver for plain HTTP services: any method and path, bodies passed through.
 
-use super::connection::{ConnectionGuard, ConnectionPool, OpenFault};
+use super::connection::{ConnectionGuard, ConnectionPool, OpenFault, PROVEN_ALIVE};
 use super::orca::{ORCA_HEADER, parse_orca_header, parse_orca_json};
 use super::{
     AnswerHead, AnswerPiece, AnswerStream, PieceRead, PieceSource, REQUEST_ID_HEADER, UpstreamCall,
@@ -90,7 +90,7 @@
     let request =
         Request::get(REPORT_PATH).header(HOST, address.to_string()).body(Full::default()).ok()?;
     let poll = async {
-        let (response, guard) = connections.send(address, request, false).await.ok()?;
+        let (response, guard) = connections.send(address, request, PROVEN_ALIVE).await.ok()?;
         let is_good = response.status() == StatusCode::OK;
         let body = http_body_util::Limited::new(response.into_body(), REPORT_LIMIT)
             .collect()
@@ -124,7 +124,7 @@
         Box::pin(async move {
             let request = upstream_request(call, address)?;
             let (response, guard) =
-                self.connections.send(address, request, !call.is_idempotent).await?;
+                self.connections.send(address, request, call.most_idle()).await?;
             let head = answer_head(&response);
             let has_end_mark = ends_provably(&call.method, &response);
             let pieces = BodyPieces {
--- a/tests/session.rs
+++ b/tests/session.rs
@@ -32,6 +32,7 @@
         refuses_late: true,
         avoids_stragglers: true,
         keeps_headroom: true,
+        sheds_alone: false,
     }
 }
 
@@ -165,6 +166,7 @@
             prompt_bytes: tokens * 4,
             output_limit: Some(16),
             deadline: self.now + Duration::from_millis(deadline),
+            sizes: None,
             prefix: prefix_hashes(prompt.as_bytes()),
         }));
         self
@@ -303,7 +305,7 @@
 /// An upstream source.
 pub fn source(name: &str, port: u16) -> UpstreamSource {
     let address = std::net::SocketAddr::from(([127, 0, 0, 1], port));
-    UpstreamSource { name: name.into(), incarnation: 0, address, is_leaving: false }
+    UpstreamSource { name: name.into(), incarnation: 0, address, is_leaving: false, places: None }
 }
 
 fn words(actions: &[ExchangeAction]) -> String {
--- a/tests/test_experiment.rs
+++ b/tests/test_experiment.rs
@@ -125,6 +125,7 @@
             incarnation: 0,
             address: SocketAddr::from(([127, 0, 0, 1], number + 1)),
             is_leaving: false,
+            places: None,
         };
         let mut pool = SmallPool {
             scheduler: PoolScheduler::new(plan),
@@ -153,6 +154,7 @@
             prompt_bytes: prompt.len(),
             output_limit: Some(16),
             deadline: Moment::from_millis(60_000),
+            sizes: None,
             prefix: prefix_hashes(prompt.as_bytes()),
         }));
         actions.into_iter().find_map(|action| match action {
--- a/tests/test_faults.rs
+++ b/tests/test_faults.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 use tarragonknot::answer::{AnswerKind, RanWord};
 use tarragonknot::load::{CallOutcome, LoadCaller, LoadProfile, PlannedRequest, ProfileKind};
-use tarragonknot::platform::PlatformList;
 use tarragonknot::settings::DaemonSettings;
 use tarragonknot::standin::StandinFault;
 use tarragonknot::table::KeyDigest;
+use tarragonknot::upstream::PlatformList;
 
 /// A caller of the fixture's services, with the checks of the load tool.
 struct Bench {
--- a/tests/test_policy.rs
+++ b/tests/test_policy.rs
@@ -22,6 +22,7 @@
 fn waiting(id: u64, tier: u8, organisation: u32, cost: u32) -> WaitingRequest {
     let late_at = Moment::from_millis(3_600_000);
     WaitingRequest {
+        output_tokens: 0,
         id: RequestId(id),
         organisation: OrganisationIndex(organisation),
         weight: 1,
@@ -162,7 +163,8 @@
                 let deadline = now + Duration::from_millis(deadline);
                 let arrived = ArrivedRequest {
                     id, organisation: OrganisationIndex(u32::from(tier)), weight: 1, tier: TierRank(tier), prompt_bytes: tokens * 4,
-                    output_limit: Some(16), deadline, prefix: prefix_hashes(&[]),
+                    output_limit: Some(16), deadline, sizes: None,
+        prefix: prefix_hashes(&[]),
                 };
                 scheduler.handle(PoolEvent::Arrived(arrived), now, &mut rng, &mut actions);
             } else if ended.len() == count {
@@ -294,6 +296,7 @@
             prompt_bytes: 400,
             output_limit: Some(16),
             deadline: Moment::from_millis(60_000),
+            sizes: None,
             prefix: Box::default(),
         };
         scheduler.handle(PoolEvent::Arrived(arrived), now, &mut rng, &mut actions);
