Daemons tell each other what they sent and let through

Change: notices over UDP (work at upstreams, tokens let through), each whole, at most 100 a second and daemon; limits are one bucket that all daemons charge, with the tolerance that the deployment names; silent neighbours are taken to go on as before. Ruled out: faster reports to the leader (they end with the leader).

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -62,7 +62,7 @@
     let prefix = prefix_hashes(prompt.as_bytes());
     for count in [18, 1_000, 11_000] {
         let mut set = UpstreamSet::default();
-        set.set_sources(&sources(count), &LearnedLimit::new(60, 512.0, true));
+        set.set_sources(&sources(count), |_| LearnedLimit::new(60, 512.0, true));
         let mut policy = AffinityPlacement::default();
         let mut rng = ChaCha8Rng::seed_from_u64(1);
         let mut now = Moment(1);
@@ -202,6 +202,7 @@
                 share: 10_000 / count as u32,
             });
             let report = DaemonReport {
+                serves_callers: true,
                 daemon: name(number),
                 boot: 1,
                 term: 1,
--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -36,12 +36,15 @@
     pub key: FleetKey,
     /// How long the table counts as current after a report was sent.
     pub lease: Duration,
+    /// True if this daemon serves callers.
+    pub serves_callers: bool,
 }
 
 /// Starts the agent on the current runtime.
 pub fn start_agent(settings: AgentSettings, state: Arc<TrafficState>, hint: LeaderHint) {
-    let AgentSettings { daemon, boot, control, voters, key, lease } = settings;
+    let AgentSettings { daemon, boot, control, voters, key, lease, serves_callers } = settings;
     let member = FleetMember::new(daemon, boot, control, lease);
+    let member = if serves_callers { member } else { member.without_callers() };
     let leader = LeaderClient::new(voters, key, hint);
     let agent = FleetAgent { state, member, leader, silent_since: None };
     tokio::spawn(agent.run());
@@ -130,11 +133,18 @@
     fn carry_out(&mut self, orders: DaemonOrders) {
         // None: the lease ran out before the answer came, so the next report asks anew.
         let Some(moves) = self.member.take(orders, self.state.clock.now()) else { return };
+        self.state.neighbours.book().set_named(moves.neighbours.clone());
+        self.leader.set_voters(moves.voters.clone());
+        // Where daemons tell each other what they send, shares of limits are not needed: each knows the whole.
+        let has_notices = self.state.manner().is_some();
         if let Some(table) = &moves.table {
             self.state.apply_table(table);
         }
         let pools = self.state.pools();
         for step in moves.pools {
+            if has_notices {
+                continue;
+            }
             if step.service.as_str() == LIMITS {
                 self.state.limits().set_share(step.share);
             }
--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -817,12 +817,16 @@
         let table = self.ledger.table();
         // A daemon without a lease gets one only from a leader that knows of every floor others rely on.
         let is_complete = book.is_complete(now);
+        let membership = self.core.as_ref().map(ReplicaCore::membership);
+        let voters: Vec<SocketAddr> =
+            membership.iter().flat_map(|membership| membership.voters.values().copied()).collect();
         for held in std::mem::take(&mut self.waiting.reports) {
             if !held.has_lease && !is_complete {
                 self.waiting.reports.push(held);
                 continue;
             }
-            let orders = book.orders(&held.daemon, table, now);
+            let mut orders = book.orders(&held.daemon, table, now);
+            orders.voters.clone_from(&voters);
             let is_due = now.since(held.since) >= REPORT_HOLD;
             let is_news =
                 held.version != table.version || self.sent.get(&held.daemon) != Some(&orders.pools);
--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -64,6 +64,9 @@
     pub has_lease: bool,
     /// True once it is drained and admits nothing.
     pub is_leaving: bool,
+    /// True if it serves callers.
+    #[serde(default)]
+    pub serves_callers: bool,
 }
 
 /// Orders for one pool.
@@ -89,6 +92,12 @@
     pub table: Option<Box<VersionedTable>>,
     /// Orders by pool.
     pub pools: Vec<PoolOrder>,
+    /// Control addresses of the live daemons that serve callers.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub neighbours: Vec<SocketAddr>,
+    /// Control addresses of the voters.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub voters: Vec<SocketAddr>,
 }
 
 /// The leader's answer to a report.
@@ -380,7 +389,15 @@
             .and_then(|state| state.report.as_ref())
             .map_or(0, |report| report.version);
         let newer = (known != table.version).then(|| Box::new(table.clone()));
-        DaemonOrders { version: table.version, table: newer, pools }
+        let neighbours = self.serving(now);
+        DaemonOrders { version: table.version, table: newer, pools, neighbours, voters: Vec::new() }
+    }
+
+    /// Control addresses of the live daemons that serve callers.
+    fn serving(&self, now: Moment) -> Vec<SocketAddr> {
+        let reports = self.live(now).filter_map(|(_, state)| state.report.as_ref());
+        let serving = reports.filter(|report| report.serves_callers && !report.is_leaving);
+        serving.map(|report| report.control).collect()
     }
 
     /// Notes that orders were sent: from now on the member may act on them.
--- a/src/control/fleet_member.rs
+++ b/src/control/fleet_member.rs
@@ -45,6 +45,10 @@
     pub current_until: Moment,
     /// The version in force in the fleet.
     pub version: u64,
+    /// Control addresses of the live daemons that serve callers.
+    pub neighbours: Vec<SocketAddr>,
+    /// Control addresses of the voters.
+    pub voters: Vec<SocketAddr>,
 }
 
 /// A daemon as a member of the fleet.
@@ -61,6 +65,7 @@
     sent_at: Moment,
     had_lease: bool,
     lease_until: Moment,
+    serves_callers: bool,
 }
 
 impl FleetMember {
@@ -78,9 +83,16 @@
             sent_at: Moment(0),
             had_lease: false,
             lease_until: Moment(0),
+            serves_callers: true,
         }
     }
 
+    /// A member that serves no callers.
+    pub fn without_callers(mut self) -> Self {
+        self.serves_callers = false;
+        self
+    }
+
     /// The next report. It ends the wait for the answer to the one before: orders that come late for an
     /// earlier report must not be taken, since the leader counts only what was ordered after the last.
     pub fn report(
@@ -109,6 +121,7 @@
             pools,
             has_lease: self.had_lease,
             is_leaving,
+            serves_callers: self.serves_callers,
         }
     }
 
@@ -160,6 +173,8 @@
             pools,
             current_until: self.lease_until,
             version: orders.version,
+            neighbours: orders.neighbours,
+            voters: orders.voters,
         })
     }
 }
--- a/src/control/links.rs
+++ b/src/control/links.rs
@@ -153,7 +153,10 @@
 
 /// One connection to the leader, as far as the hint tells, else to one voter after the other.
 pub struct LeaderClient {
+    /// The voters known at the start.
     voters: Vec<SocketAddr>,
+    /// The voters that a leader named last.
+    told: Vec<SocketAddr>,
     key: FleetKey,
     hint: LeaderHint,
     next_voter: usize,
@@ -163,7 +166,7 @@
 impl LeaderClient {
     /// A client that is not connected yet.
     pub fn new(voters: Vec<SocketAddr>, key: FleetKey, hint: LeaderHint) -> Self {
-        LeaderClient { voters, key, hint, next_voter: 0, open: None }
+        LeaderClient { voters, told: Vec::new(), key, hint, next_voter: 0, open: None }
     }
 
     /// Where the leader is believed to be.
@@ -191,9 +194,18 @@
         self.open.take_if(|(known, _)| Some(*known) != hint);
     }
 
+    /// Takes the leader's list of voters; those known at the start stay, for the case that all of the others
+    /// are replaced while this daemon hears nothing.
+    pub fn set_voters(&mut self, voters: Vec<SocketAddr>) {
+        if !voters.is_empty() {
+            self.told = voters;
+        }
+    }
+
     fn some_voter(&mut self) -> Option<SocketAddr> {
-        self.next_voter = (self.next_voter + 1) % self.voters.len().max(1);
-        self.voters.get(self.next_voter).copied()
+        let known: Vec<SocketAddr> = self.told.iter().chain(&self.voters).copied().collect();
+        self.next_voter = (self.next_voter + 1) % known.len().max(1);
+        known.get(self.next_voter).copied()
     }
 }
 
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -7,12 +7,13 @@
     OperatorDoor, start_agent, start_control, start_server,
 };
 use crate::platform;
-use crate::policy::{request_chart, upstream_chart};
+use crate::policy::{LimitTolerance, request_chart, upstream_chart};
 use crate::replica::ReplicaConfig;
 use crate::settings::{CutOffChoice, DaemonSettings};
 use crate::store::StoreError;
 use crate::traffic::{
-    FrontHandle, TrafficState, drain_chart, readiness_router, start_front, without_front,
+    FrontHandle, TrafficState, drain_chart, readiness_router, start_front, start_notices,
+    without_front,
 };
 use crate::upstream::connection_chart;
 use slog::{Logger, info};
@@ -94,6 +95,10 @@
     if settings.platform.is_some() {
         state.set_manner(platform::manner());
     }
+    state.limits().set_tolerance(LimitTolerance {
+        overage: settings.limit_overage,
+        slack: settings.limit_slack_tokens,
+    });
     if settings.when_cut_off == CutOffChoice::Serve {
         state.serve_cut_off();
     }
@@ -110,6 +115,10 @@
         let listener = listen(address).await?;
         tokio::spawn(async move { axum::serve(listener, router).await });
     }
+    if settings.platform.is_some() && settings.callers.is_some() {
+        let socket = tokio::net::UdpSocket::bind(control).await.with_context(|_| bind(control))?;
+        start_notices(Arc::clone(&state), socket, control, key.clone());
+    }
     let operators = settings.platform.as_ref().and_then(|platform| platform.operators);
     let (stop, stopped) = oneshot::channel();
     let (started, starting) = oneshot::channel();
@@ -197,6 +206,7 @@
             .collect(),
         key: key.clone(),
         lease: settings.currency_lease_ms,
+        serves_callers: settings.callers.is_some(),
     }
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,6 +8,7 @@
 mod estimate;
 mod exchange;
 mod learned_limit;
+mod neighbour_book;
 mod organisation_limits;
 mod placement;
 mod queue;
@@ -22,7 +23,8 @@
 pub use estimate::{CostEstimate, CostModel, EngineSpeed, RequestSizes};
 pub use exchange::{Exchange, ExchangeAction, ExchangeEvent, RequestState, request_chart};
 pub use learned_limit::LearnedLimit;
-pub use organisation_limits::{LimitBook, OrganisationLimit};
+pub use neighbour_book::{NeighbourBook, PoolNotice, WorkNotice};
+pub use organisation_limits::{LimitBook, LimitTolerance, OrganisationLimit};
 pub use placement::{
     AffinityPlacement, LeastReported, PlacementPolicy, PlacementQuery, RoundRobin,
     placement_policy, prefix_hashes,
--- a/src/policy/organisation_limits.rs
+++ b/src/policy/organisation_limits.rs
@@ -9,7 +9,7 @@
 
 const MICROS: f64 = 1_000_000.0;
 /// Seconds' worth of tokens that may be used at once where the table names no burst.
-const DEFAULT_BURST_SECONDS: u64 = 10;
+const DEFAULT_BURST_SECONDS: f64 = 10.0;
 
 /// The limits of one organisation, as one daemon applies them.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -27,6 +27,8 @@
     /// When the bucket will be full again, in microseconds.
     full_at: f64,
     in_progress: u32,
+    /// Tokens let through here since the start, less those given back.
+    taken: i64,
 }
 
 /// The state of all organisations' limits in one daemon.
@@ -36,11 +38,31 @@
     states: HashMap<OrganisationIndex, LimitState>,
     /// This daemon's share of each limit, 0.0 to 1.0.
     share: f64,
+    tolerance: LimitTolerance,
 }
 
+/// How far limits on tokens may be exceeded, where operators allow it because a fleet cannot count exactly.
+/// Refusing nothing that lies below the limit is worth more to callers than the last token of exactness.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LimitTolerance {
+    /// Share of the rate and of the burst, 0.1 for a tenth.
+    pub overage: f64,
+    /// Tokens beside that.
+    pub slack: u64,
+}
+
+/// The part of the tolerance that is given to callers; the rest is for what other daemons let through and have not
+/// yet told.
+const TOLERANCE_USED: f64 = 0.5;
+
 impl Default for LimitBook {
     fn default() -> Self {
-        LimitBook { limits: HashMap::new(), states: HashMap::new(), share: 1.0 }
+        LimitBook {
+            limits: HashMap::new(),
+            states: HashMap::new(),
+            share: 1.0,
+            tolerance: LimitTolerance::default(),
+        }
     }
 }
 
@@ -50,6 +72,16 @@
         self.limits = limits;
     }
 
+    /// Sets how far limits may be exceeded.
+    pub fn set_tolerance(&mut self, tolerance: LimitTolerance) {
+        self.tolerance = tolerance;
+    }
+
+    /// The rate that is let through, in tokens a second.
+    fn let_through(&self, rate: u64) -> f64 {
+        rate as f64 * (1.0 + self.tolerance.overage * TOLERANCE_USED)
+    }
+
     /// Sets this daemon's share of every limit.
     pub fn set_share(&mut self, share: f64) {
         self.share = share.clamp(0.0, 1.0);
@@ -66,17 +98,18 @@
         if limit.tokens_per_second.is_some() && self.share <= 0.0 {
             return Err(AnswerKind::RateLimited);
         }
+        let tolerated = self.tolerance.slack as f64 * TOLERANCE_USED;
+        let whole_rate = limit.tokens_per_second.map(|rate| self.let_through(rate));
         let state = self.states.entry(organisation).or_default();
         if limit.concurrent.is_some_and(|most| {
             f64::from(state.in_progress) + 1.0 > (f64::from(most) * self.share).max(1.0)
         }) {
             return Err(AnswerKind::ConcurrencyLimited);
         }
-        if let Some(rate) = limit.tokens_per_second {
-            let burst = limit.burst_tokens.unwrap_or(rate.saturating_mul(DEFAULT_BURST_SECONDS))
-                as f64
-                * self.share;
-            let rate = rate as f64 * self.share;
+        if let Some(rate) = whole_rate {
+            let burst = limit.burst_tokens.map_or(rate * DEFAULT_BURST_SECONDS, |burst| burst as f64);
+            let burst = (burst + tolerated) * self.share;
+            let rate = rate * self.share;
             let time_now = now.0 as f64;
             let full_at = state.full_at.max(time_now) + f64::from(cost) / rate * MICROS;
             // A request larger than the whole burst passes when the bucket is full: it could never pass otherwise.
@@ -86,6 +119,7 @@
             }
             state.full_at = full_at;
         }
+        state.taken += i64::from(cost);
         state.in_progress += 1;
         Ok(())
     }
@@ -93,13 +127,30 @@
     /// Gives back a place in progress; `unused` tokens (of work that did not run) return to the bucket.
     pub fn release(&mut self, organisation: OrganisationIndex, unused: u32) {
         let rate = self.limits.get(&organisation).and_then(|limit| limit.tokens_per_second);
+        let rate = rate.map(|rate| self.let_through(rate));
         let Some(state) = self.states.get_mut(&organisation) else { return };
         state.in_progress = state.in_progress.saturating_sub(1);
+        state.taken -= i64::from(unused);
         if let Some(rate) = rate.filter(|_| self.share > 0.0) {
-            state.full_at -= f64::from(unused) / (rate as f64 * self.share) * MICROS;
+            state.full_at -= f64::from(unused) / (rate * self.share) * MICROS;
         }
     }
 
+    /// Charges tokens that other daemons have let through: with all of them told, the whole limit is one bucket
+    /// that every daemon knows.
+    pub fn charge(&mut self, organisation: OrganisationIndex, tokens: i64, now: Moment) {
+        let rate = self.limits.get(&organisation).and_then(|limit| limit.tokens_per_second);
+        let Some(rate) = rate.map(|rate| self.let_through(rate)) else { return };
+        let state = self.states.entry(organisation).or_default();
+        let full_at = state.full_at.max(now.0 as f64);
+        state.full_at = full_at + tokens as f64 / rate * MICROS;
+    }
+
+    /// Tokens of an organisation let through here since the start.
+    pub fn taken(&self, organisation: OrganisationIndex) -> i64 {
+        self.states.get(&organisation).map_or(0, |state| state.taken)
+    }
+
     /// Requests in progress of organisations that have limits: what this daemon's share should follow.
     pub fn demand(&self) -> u64 {
         self.limits.keys().map(|organisation| u64::from(self.in_progress(*organisation))).sum()
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -51,6 +51,13 @@
     /// What a daemon does whose lease ran out: refuse, or go on under the last table it knows.
     #[serde(default)]
     pub when_cut_off: CutOffChoice,
+    /// How far organisations' limits on tokens may be exceeded, as a share of rate and burst.
+    #[serde(default)]
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub limit_overage: f64,
+    /// The same as a number of tokens beside that.
+    #[serde(default)]
+    pub limit_slack_tokens: u64,
     /// The platform whose manner of speaking is used towards callers, upstreams and operators; absent means
     /// tarragonknot's own.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/src/traffic/access.rs
+++ b/src/traffic/access.rs
@@ -46,6 +46,7 @@
     table: OperatorTable,
     limits: HashMap<OrganisationIndex, OrganisationLimit>,
     routes: RouteIndex,
+    numbers: HashMap<OrganisationName, OrganisationIndex>,
 }
 
 impl AccessIndex {
@@ -65,6 +66,7 @@
         for row in &table.organisations {
             let number = numbers.number(&row.organisation);
             index.limits.insert(number, limit_of(row));
+            index.numbers.insert(row.organisation.clone(), number);
             let identity = CallerIdentity {
                 index: number,
                 organisation: row.organisation.clone(),
@@ -126,6 +128,12 @@
         self.ranks.get(name).copied().unwrap_or(TierRank(u8::MAX))
     }
 
+    /// Organisations with a limit on tokens, and their numbers.
+    pub fn limited(&self) -> impl Iterator<Item = (&OrganisationName, OrganisationIndex)> {
+        let limited = self.table.organisations.iter().filter(|row| row.tokens_per_second.is_some());
+        limited.filter_map(|row| Some((&row.organisation, *self.numbers.get(&row.organisation)?)))
+    }
+
     /// The routes.
     pub fn routes(&self) -> &RouteIndex {
         &self.routes
--- a/src/traffic/routed/attempt.rs
+++ b/src/traffic/routed/attempt.rs
@@ -7,6 +7,7 @@
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -29,6 +30,17 @@
     Lost(String),
 }
 
+impl fmt::Display for AttemptFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            AttemptFault::NotSent(detail) => write!(formatter, "nothing was sent: {detail}"),
+            AttemptFault::NotRun { is_other: true } => formatter.write_str("another incarnation"),
+            AttemptFault::NotRun { is_other: false } => formatter.write_str("it did not run it"),
+            AttemptFault::Lost(detail) => write!(formatter, "it may have run: {detail}"),
+        }
+    }
+}
+
 /// An answer whose head has come.
 pub struct OpenAnswer {
     pub response: Response<Incoming>,
--- a/src/traffic/routed/carry.rs
+++ b/src/traffic/routed/carry.rs
@@ -43,7 +43,8 @@
     pub body: Bytes,
     pub arrived_at: Moment,
     pub limit: Option<LimitGuard>,
-    pub progress: ProgressGuard,
+    /// Counts the request as in progress until it has ended.
+    pub _progress: ProgressGuard,
 }
 
 /// Where a request was sent.
@@ -188,6 +189,7 @@
         };
         request.log_placed(&placed, count);
         let service = placed.pool.service.clone();
+        let name = placed.name.clone();
         if count.sent == 0 {
             request.state.with_repeats(&service, |budget| budget.earn());
         }
@@ -218,7 +220,8 @@
             }
         };
         request.note_run(&mut count, &fault);
-        info!(request.state.log, "no answer"; "request" => request.id(), "upstream" => &*format!("{fault:?}"), "sent" => count.sent);
+        info!(request.state.log, "no answer"; "request" => request.id(), "upstream" => name.as_str(),
+            "fault" => fault.to_string(), "sent" => count.sent);
         if !request.may_send_again(&service, count) {
             return refuse(&request, fault_kind(&request, &fault), count);
         }
--- a/src/traffic/routed/door.rs
+++ b/src/traffic/routed/door.rs
@@ -97,7 +97,7 @@
         body,
         arrived_at,
         limit,
-        progress,
+        _progress: progress,
     }))
 }
 
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -1,12 +1,14 @@
 //! What all requests of one daemon share: the snapshot, the pools, the limits, the clock.
 
 use super::access::{AccessIndex, OrganisationNumbers};
+use super::neighbours::Neighbours;
 use super::pool_runtime::PoolRuntime;
 use super::routed::CallDialect;
 use crate::control::ClaimKeeper;
 use crate::policy::{LimitBook, Moment, PoolEvent, PoolPlan, RepeatBudget, UpstreamSource};
 use crate::table::{
-    DaemonName, OperatorTable, ServiceKind, ServiceName, TableReader, VersionedTable,
+    DaemonName, OperatorTable, OrganisationName, ServiceKind, ServiceName, TableReader,
+    VersionedTable,
 };
 use crate::upstream::PlatformList;
 use crate::upstream::{ConnectionPool, EngineDriver, PlainDriver, UpstreamDriver};
@@ -90,6 +92,8 @@
     is_ready: AtomicBool,
     is_drained: AtomicBool,
     claims: OnceLock<ClaimKeeper>,
+    /// The other daemons that serve callers.
+    pub neighbours: Neighbours,
     /// Told when the leader should hear of a floor at once.
     pub floor_news: Notify,
     in_progress: AtomicUsize,
@@ -121,6 +125,7 @@
             is_ready: AtomicBool::new(true),
             is_drained: AtomicBool::new(false),
             claims: OnceLock::new(),
+            neighbours: Neighbours::default(),
             floor_news: Notify::new(),
             in_progress: AtomicUsize::new(0),
             next_request: AtomicU64::new(1),
@@ -197,6 +202,29 @@
         self.serves_cut_off.store(true, Ordering::Release);
     }
 
+    /// Tokens let through here, by organisation with a limit.
+    pub fn taken(&self) -> Vec<(OrganisationName, i64)> {
+        let snapshot = self.snapshot();
+        let limits = self.limits();
+        let rows =
+            snapshot.access.limited().map(|(name, index)| (name.clone(), limits.taken(index)));
+        rows.filter(|(_, taken)| *taken != 0).collect()
+    }
+
+    /// Charges what other daemons have let through.
+    pub fn charge_taken(&self, taken: &[(OrganisationName, i64)]) {
+        if taken.is_empty() {
+            return;
+        }
+        let snapshot = self.snapshot();
+        let now = self.clock.now();
+        let mut limits = self.limits();
+        for (name, index) in snapshot.access.limited() {
+            let charged = taken.iter().filter(|(other, _)| other == name);
+            charged.for_each(|(_, tokens)| limits.charge(index, *tokens, now));
+        }
+    }
+
     /// The connections to upstreams.
     pub fn connections(&self) -> &Arc<ConnectionPool> {
         &self.connections
