SIGHUP reads the settings again; new processes begin with empty buckets

Ruled out: giving newcomers the others' debt in notices: more to keep right, and an empty bucket is full again after 3 s.

--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -2,7 +2,7 @@
 
 use super::fleet::{DaemonOrders, DaemonReport, LIMITS, ReportAnswer};
 use super::fleet_member::{FleetMember, PoolState};
-use super::links::{FleetKey, LeaderClient, LeaderHint};
+use super::links::{FleetKey, KnownVoters, LeaderClient, LeaderHint};
 use super::rpc::{ControlApiClient, LeaderAnswer};
 use crate::policy::{PoolEvent, PoolScheduler};
 use crate::table::{DaemonName, ServiceName};
@@ -31,7 +31,7 @@
     /// Its control address.
     pub control: SocketAddr,
     /// Control addresses to look for the leader at; its own among them if it is a voter.
-    pub voters: Vec<SocketAddr>,
+    pub voters: KnownVoters,
     /// The fleet's key.
     pub key: FleetKey,
     /// How long the table counts as current after a report was sent.
--- a/src/control/claims.rs
+++ b/src/control/claims.rs
@@ -1,10 +1,9 @@
 //! The traffic's way to claims: batches commands and brings them to the leader.
 
-use super::links::{FleetKey, LeaderClient, LeaderHint};
+use super::links::{FleetKey, KnownVoters, LeaderClient, LeaderHint};
 use super::rpc::{ControlApiClient, LeaderAnswer};
 use crate::claim::{ClaimCommand, ClaimKey, ClaimOutcome, ClaimOwner, ClaimReply};
 use jsonrpsee::ws_client::WsClient;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::{Semaphore, mpsc, oneshot};
@@ -26,7 +25,7 @@
 #[derive(Clone, Debug)]
 pub struct ClaimSettings {
     /// Control addresses to look for the leader at.
-    pub voters: Vec<SocketAddr>,
+    pub voters: KnownVoters,
     /// The fleet's key.
     pub key: FleetKey,
     /// Where the leader is believed to be.
--- a/src/control/links.rs
+++ b/src/control/links.rs
@@ -88,6 +88,27 @@
     }
 }
 
+/// The voters that settings name; replaced when settings are read again.
+#[derive(Clone, Debug, Default)]
+pub struct KnownVoters(Arc<Mutex<Vec<SocketAddr>>>);
+
+impl KnownVoters {
+    /// These voters.
+    pub fn new(voters: Vec<SocketAddr>) -> Self {
+        KnownVoters(Arc::new(Mutex::new(voters)))
+    }
+
+    /// Replaces them.
+    pub fn set(&self, voters: Vec<SocketAddr>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = voters;
+    }
+
+    /// The voters now.
+    pub fn get(&self) -> Vec<SocketAddr> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
 /// Why a call failed.
 #[derive(Debug, Snafu)]
 pub enum CallFault {
@@ -153,8 +174,8 @@
 
 /// One connection to the leader, as far as the hint tells, else to one voter after the other.
 pub struct LeaderClient {
-    /// The voters known at the start.
-    voters: Vec<SocketAddr>,
+    /// The voters that settings name.
+    voters: KnownVoters,
     /// The voters that a leader named last.
     told: Vec<SocketAddr>,
     key: FleetKey,
@@ -165,7 +186,7 @@
 
 impl LeaderClient {
     /// A client that is not connected yet.
-    pub fn new(voters: Vec<SocketAddr>, key: FleetKey, hint: LeaderHint) -> Self {
+    pub fn new(voters: KnownVoters, key: FleetKey, hint: LeaderHint) -> Self {
         LeaderClient { voters, told: Vec::new(), key, hint, next_voter: 0, open: None }
     }
 
@@ -194,7 +215,7 @@
         self.open.take_if(|(known, _)| Some(*known) != hint);
     }
 
-    /// Takes the leader's list of voters; those known at the start stay, for the case that all of the others
+    /// Takes the leader's list of voters; those of the settings stay, for the case that all of the others
     /// are replaced while this daemon hears nothing.
     pub fn set_voters(&mut self, voters: Vec<SocketAddr>) {
         if !voters.is_empty() {
@@ -203,7 +224,7 @@
     }
 
     fn some_voter(&mut self) -> Option<SocketAddr> {
-        let known: Vec<SocketAddr> = self.told.iter().chain(&self.voters).copied().collect();
+        let known: Vec<SocketAddr> = self.told.iter().copied().chain(self.voters.get()).collect();
         self.next_voter = (self.next_voter + 1) % known.len().max(1);
         known.get(self.next_voter).copied()
     }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -27,7 +27,7 @@
     ControlCommand, ControlLedger, ControlReply, EditConflict, EditOutcome, EditRecord,
     NumberedOutcome, NumberedTable, TableEdit,
 };
-pub use links::{CallFault, FleetKey, LeaderHint, connect};
+pub use links::{CallFault, FleetKey, KnownVoters, LeaderHint, connect};
 pub use operator_door::{DoorAnswer, OperatorDoor};
 pub use rpc::{
     ApplyAnswer, ControlApiClient, ControlApiServer, DaemonStatus, EditProgress, HistoryRow,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -3,8 +3,8 @@
 mod upkeep;
 
 use crate::control::{
-    AgentSettings, ClaimKeeper, ClaimSettings, ControlHandle, ControlSetup, FleetKey, LeaderHint,
-    OperatorDoor, start_agent, start_control, start_server,
+    AgentSettings, ClaimKeeper, ClaimSettings, ControlHandle, ControlSetup, FleetKey, KnownVoters,
+    LeaderHint, OperatorDoor, start_agent, start_control, start_server,
 };
 use crate::platform;
 use crate::policy::{LimitTolerance, request_chart, upstream_chart};
@@ -61,6 +61,7 @@
     pub control: SocketAddr,
     /// The traffic's state.
     pub state: Arc<TrafficState>,
+    voters: KnownVoters,
     front: FrontHandle,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
@@ -94,11 +95,10 @@
     let state = TrafficState::new(settings.daemon.clone(), log.clone(), seed);
     if settings.platform.is_some() {
         state.set_manner(platform::manner());
+        let now = state.clock.now();
+        state.limits().start_empty(now);
     }
-    state.limits().set_tolerance(LimitTolerance {
-        overage: settings.limit_overage,
-        slack: settings.limit_slack_tokens,
-    });
+    state.limits().set_tolerance(tolerance(settings));
     if settings.when_cut_off == CutOffChoice::Serve {
         state.serve_cut_off();
     }
@@ -122,9 +122,11 @@
     let operators = settings.platform.as_ref().and_then(|platform| platform.operators);
     let (stop, stopped) = oneshot::channel();
     let (started, starting) = oneshot::channel();
+    let agent = agent_settings(settings, control, &key, seed);
+    let voters = agent.voters.clone();
     let start = ControlStart {
         setup: control_setup(settings, control, &key, &state, seed),
-        agent: agent_settings(settings, control, &key, seed),
+        agent,
         listener: control_listener,
         operators,
         drain: front.drain_sender(),
@@ -145,6 +147,7 @@
         callers: front.address,
         control,
         state,
+        voters,
         front,
         stop: Some(stop),
         thread: Some(thread),
@@ -165,6 +168,10 @@
     }
 }
 
+fn tolerance(settings: &DaemonSettings) -> LimitTolerance {
+    LimitTolerance { overage: settings.limit_overage, slack: settings.limit_slack_tokens }
+}
+
 fn control_setup(
     settings: &DaemonSettings,
     control: SocketAddr,
@@ -195,21 +202,24 @@
     key: &FleetKey,
     seed: u64,
 ) -> AgentSettings {
-    let own = settings.data_folder.as_ref().map(|_| control);
     AgentSettings {
         daemon: settings.daemon.clone(),
         boot: seed,
         control,
-        voters: own
-            .into_iter()
-            .chain(settings.known_voters().iter().map(|peer| peer.control))
-            .collect(),
+        voters: KnownVoters::new(voter_addresses(settings, control)),
         key: key.clone(),
         lease: settings.currency_lease_ms,
         serves_callers: settings.callers.is_some(),
     }
 }
 
+/// Where to look for the leader.
+fn voter_addresses(settings: &DaemonSettings, control: SocketAddr) -> Vec<SocketAddr> {
+    let own = settings.data_folder.as_ref().map(|_| control);
+    let others = settings.known_voters().into_iter().map(|peer| peer.control);
+    own.into_iter().chain(others).collect()
+}
+
 fn run_control_thread(start: ControlStart) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     match runtime {
@@ -274,14 +284,31 @@
         self.front.drain();
     }
 
+    /// Takes settings that were read again: what can change in a running daemon does at once.
+    pub fn apply_settings(&self, settings: &DaemonSettings) {
+        self.voters.set(voter_addresses(settings, self.control));
+        self.state.limits().set_tolerance(tolerance(settings));
+        info!(self.state.log, "settings in force"; "seeds" => format!("{:?}", settings.seeds));
+    }
+
     /// A sender of the drain order, for a signal handler.
     pub fn drain_sender(&self) -> watch::Sender<bool> {
         self.front.drain_sender()
     }
 
-    /// Waits until the daemon has drained, by order or by an operator's call, and stops it.
-    pub async fn finished(mut self) {
-        self.front.finished().await;
+    /// Resolves once the daemon has drained, by order or by an operator's call.
+    pub fn ended(&self) -> impl Future<Output = ()> + use<> {
+        self.front.ended()
+    }
+
+    /// Waits until the daemon has drained, and stops it.
+    pub async fn finished(self) {
+        self.ended().await;
+        self.stop().await;
+    }
+
+    /// Stops a drained daemon.
+    pub async fn stop(mut self) {
         self.state.floor_news.notify_one();
         tokio::time::sleep(FAREWELL).await;
         if let Some(stop) = self.stop.take() {
--- a/src/policy/organisation_limits.rs
+++ b/src/policy/organisation_limits.rs
@@ -39,6 +39,8 @@
     /// This daemon's share of each limit, 0.0 to 1.0.
     share: f64,
     tolerance: LimitTolerance,
+    /// When this book began with empty buckets; none if it began with full ones.
+    began_empty: Option<Moment>,
 }
 
 /// How far limits on tokens may be exceeded, where operators allow it because a fleet cannot count exactly.
@@ -62,6 +64,7 @@
             states: HashMap::new(),
             share: 1.0,
             tolerance: LimitTolerance::default(),
+            began_empty: None,
         }
     }
 }
@@ -77,6 +80,29 @@
         self.tolerance = tolerance;
     }
 
+    /// Every bucket is empty now. What goes wrong with full ones: a process that is killed and started again, or
+    /// added, does not know what the fleet has just let through, and lets a burst through a second time.
+    pub fn start_empty(&mut self, now: Moment) {
+        self.began_empty = Some(now);
+    }
+
+    /// The state of an organisation that is met for the first time.
+    fn first_state(&self, organisation: OrganisationIndex) -> LimitState {
+        let limit = self.limits.get(&organisation).copied().unwrap_or_default();
+        let (Some(began), Some(rate)) = (self.began_empty, limit.tokens_per_second) else {
+            return LimitState::default();
+        };
+        let refill = self.burst(&limit, rate) / self.let_through(rate) * MICROS;
+        LimitState { full_at: began.0 as f64 + refill, ..LimitState::default() }
+    }
+
+    /// The whole burst, in tokens.
+    fn burst(&self, limit: &OrganisationLimit, rate: u64) -> f64 {
+        let usual = || self.let_through(rate) * DEFAULT_BURST_SECONDS;
+        let burst = limit.burst_tokens.map_or_else(usual, |burst| burst as f64);
+        burst + self.tolerance.slack as f64 * TOLERANCE_USED
+    }
+
     /// The rate that is let through, in tokens a second.
     fn let_through(&self, rate: u64) -> f64 {
         rate as f64 * (1.0 + self.tolerance.overage * TOLERANCE_USED)
@@ -98,17 +124,17 @@
         if limit.tokens_per_second.is_some() && self.share <= 0.0 {
             return Err(AnswerKind::RateLimited);
         }
-        let tolerated = self.tolerance.slack as f64 * TOLERANCE_USED;
-        let whole_rate = limit.tokens_per_second.map(|rate| self.let_through(rate));
-        let state = self.states.entry(organisation).or_default();
+        let whole =
+            limit.tokens_per_second.map(|rate| (self.let_through(rate), self.burst(&limit, rate)));
+        let first = self.first_state(organisation);
+        let state = self.states.entry(organisation).or_insert(first);
         if limit.concurrent.is_some_and(|most| {
             f64::from(state.in_progress) + 1.0 > (f64::from(most) * self.share).max(1.0)
         }) {
             return Err(AnswerKind::ConcurrencyLimited);
         }
-        if let Some(rate) = whole_rate {
-            let burst = limit.burst_tokens.map_or(rate * DEFAULT_BURST_SECONDS, |burst| burst as f64);
-            let burst = (burst + tolerated) * self.share;
+        if let Some((rate, burst)) = whole {
+            let burst = burst * self.share;
             let rate = rate * self.share;
             let time_now = now.0 as f64;
             let full_at = state.full_at.max(time_now) + f64::from(cost) / rate * MICROS;
@@ -141,7 +167,8 @@
     pub fn charge(&mut self, organisation: OrganisationIndex, tokens: i64, now: Moment) {
         let rate = self.limits.get(&organisation).and_then(|limit| limit.tokens_per_second);
         let Some(rate) = rate.map(|rate| self.let_through(rate)) else { return };
-        let state = self.states.entry(organisation).or_default();
+        let first = self.first_state(organisation);
+        let state = self.states.entry(organisation).or_insert(first);
         let full_at = state.full_at.max(now.0 as f64);
         state.full_at = full_at + tokens as f64 / rate * MICROS;
     }
--- a/src/traffic/front.rs
+++ b/src/traffic/front.rs
@@ -64,7 +64,7 @@
     /// The bound address.
     pub address: SocketAddr,
     drain: watch::Sender<bool>,
-    done: tokio::task::JoinHandle<()>,
+    done: watch::Receiver<bool>,
 }
 
 impl FrontHandle {
@@ -78,9 +78,17 @@
         self.drain.clone()
     }
 
+    /// Resolves once the drain is complete.
+    pub fn ended(&self) -> impl Future<Output = ()> + use<> {
+        let mut done = self.done.clone();
+        async move {
+            let _ = done.wait_for(|is_done| *is_done).await;
+        }
+    }
+
     /// Waits until the drain is complete.
     pub async fn finished(self) {
-        let _ = self.done.await;
+        self.ended().await;
     }
 }
 
@@ -92,18 +100,24 @@
 ) -> std::io::Result<FrontHandle> {
     let address = listener.local_addr()?;
     let (drain, ordered) = watch::channel(false);
-    let done = tokio::spawn(serve_until_drained(state, listener, ordered, balancer_wait));
+    let (done_sender, done) = watch::channel(false);
+    tokio::spawn(async move {
+        serve_until_drained(state, listener, ordered, balancer_wait).await;
+        done_sender.send_replace(true);
+    });
     Ok(FrontHandle { address, drain, done })
 }
 
 /// The handle of a daemon that serves no callers: its drain is complete as soon as it is ordered.
 pub fn without_front(state: Arc<TrafficState>) -> FrontHandle {
     let (drain, mut ordered) = watch::channel(false);
-    let done = tokio::spawn(async move {
+    let (done_sender, done) = watch::channel(false);
+    tokio::spawn(async move {
         let _ = ordered.wait_for(|ordered| *ordered).await;
         state.turn_unready();
         state.set_drained();
         info!(state.log, "drained");
+        done_sender.send_replace(true);
     });
     FrontHandle { address: SocketAddr::from(([0, 0, 0, 0], 0)), drain, done }
 }
