--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -41,6 +41,8 @@
     let late_at = Moment::from_millis(3_600_000);
     WaitingRequest {
         output_tokens: 0,
+        rank: 0,
+        start_by: late_at,
         id: RequestId(id),
         organisation: OrganisationIndex((id * 7 % ORGANISATIONS) as u32),
         weight: 1,
@@ -143,6 +145,8 @@
                 output_limit: Some(16),
                 deadline: now + Duration::from_secs(10),
                 sizes: None,
+                rank: 0,
+                objective: None,
                 prefix: Box::default(),
             };
             scheduler.handle(PoolEvent::Arrived(arrived), now, &mut rng, &mut actions);
--- a/src/experiment/run.rs
+++ b/src/experiment/run.rs
@@ -206,6 +206,8 @@
             output_limit: Some(arrived.planned.output_tokens),
             deadline: self.now + class.deadline,
             sizes: None,
+            rank: 0,
+            objective: None,
             prefix: arrived.prefix.clone(),
         };
         let number = arrived.daemon;
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -2,8 +2,8 @@
 
 use crate::table::{
     AssignmentRow, FaultList, KeyDigest, LimitChoice, LimitUnit, OperatorTable, OrganisationRow,
-    PlacementChoice, RouteKind, RouteRow, RouteTarget, ServiceKind, ServiceRow, TableReader,
-    TierRow, reference_faults, tier_of_rank,
+    PlacementChoice, QueueChoice, RouteKind, RouteRow, RouteTarget, ServiceKind, ServiceRow,
+    TableReader, TierRow, reference_faults, tier_of_rank,
 };
 use serde::Deserialize;
 use std::collections::BTreeSet;
@@ -174,6 +174,7 @@
         let kind = if self.engine.is_some() { ServiceKind::Model } else { ServiceKind::Plain };
         let mut row = ServiceRow::new(self.name.as_str().into(), kind, tier_of_rank(0));
         row.placement = PlacementChoice::Earliest;
+        row.queue = QueueChoice::Urgency;
         row.limit = LimitChoice::Fixed;
         if let Some(engine) = &self.engine {
             row.first_guess = engine.slots.max(1);
--- a/src/policy/drain_meter.rs
+++ b/src/policy/drain_meter.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Tokens dispatched a second, of all tiers.
+    pub fn total_rate(&self) -> f64 {
+        self.flows.values().map(|flow| flow.rate).sum()
+    }
+
     /// Seconds until a request of `tier` is served that has `virtual_span` of virtual time before it, with no
     /// lower tier in its way; none if the tier never had a backlog.
     pub fn wait(&self, tier: TierRank, virtual_span: u64) -> Option<f64> {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -17,6 +17,7 @@
 mod shed_audit;
 mod shed_floor;
 mod upstreams;
+mod urgency_queue;
 
 pub use drain_meter::{DrainMeter, TierProgress};
 pub use earliest::EarliestPlacement;
@@ -40,6 +41,7 @@
     LoadReport, OthersWork, RoomKind, UpstreamSet, UpstreamSource, UpstreamState, UpstreamStatus,
     UpstreamWord, upstream_chart,
 };
+pub use urgency_queue::UrgencyQueue;
 
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
--- a/src/policy/neighbour_book.rs
+++ b/src/policy/neighbour_book.rs
@@ -18,6 +18,8 @@
 const SILENT_AFTER: Duration = Duration::from_millis(600);
 /// A silent neighbour is forgotten after this long, if the leader does not name it any more.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
+/// The leader's list counts as fresh for this long.
+const NAMES_LIFE: Duration = Duration::from_secs(2);
 /// Time over which a neighbour's rate is averaged.
 const RATE_TIME: Duration = Duration::from_secs(2);
 
@@ -61,13 +63,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct NeighbourBook {
     named: Vec<SocketAddr>,
+    /// When the leader named them.
+    named_at: Option<Moment>,
     known: BTreeMap<DaemonName, NeighbourState>,
 }
 
 impl NeighbourBook {
     /// Takes the leader's list of daemons that serve callers.
-    pub fn set_named(&mut self, named: Vec<SocketAddr>) {
+    pub fn set_named(&mut self, named: Vec<SocketAddr>, now: Moment) {
         self.named = named;
+        self.named_at = Some(now);
     }
 
     /// Where notices go: to those whom the leader names, and to those who were heard lately.
@@ -118,8 +123,12 @@
     /// The tokens that silent neighbours have probably let through since this was asked last.
     pub fn reckon_silent(&mut self, now: Moment) -> Vec<(OrganisationName, i64)> {
         let named = &self.named;
+        let is_fresh = self.named_at.is_some_and(|at| now.since(at) < NAMES_LIFE);
         self.known.retain(|_, state| {
-            named.contains(&state.notice.address) || now.since(state.heard) < FORGOTTEN_AFTER
+            let silent = now.since(state.heard);
+            // While the leader is heard, one that it does not name any more serves nobody.
+            let limit = if is_fresh { SILENT_AFTER } else { FORGOTTEN_AFTER };
+            named.contains(&state.notice.address) || silent < limit
         });
         let silent = self.known.values_mut().filter(|state| now.since(state.heard) >= SILENT_AFTER);
         let mut taken = Vec::new();
--- a/src/policy/organisation_limits.rs
+++ b/src/policy/organisation_limits.rs
@@ -6,6 +6,7 @@
 use super::{Moment, OrganisationIndex};
 use crate::answer::AnswerKind;
 use std::collections::HashMap;
+use std::time::Duration;
 
 const MICROS: f64 = 1_000_000.0;
 /// Seconds' worth of tokens that may be used at once where the table names no burst.
@@ -173,6 +174,12 @@
         state.full_at = full_at + tokens as f64 / rate * MICROS;
     }
 
+    /// The time after which an organisation's bucket is full again.
+    pub fn refilled_in(&self, organisation: OrganisationIndex, now: Moment) -> Duration {
+        let full_at = self.states.get(&organisation).map_or(0.0, |state| state.full_at);
+        Duration::from_micros((full_at - now.0 as f64).max(0.0) as u64)
+    }
+
     /// Tokens of an organisation let through here since the start.
     pub fn taken(&self, organisation: OrganisationIndex) -> i64 {
         self.states.get(&organisation).map_or(0, |state| state.taken)
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -33,6 +33,10 @@
     pub weight: u32,
     /// Its tier.
     pub tier: TierRank,
+    /// Its rank within the tier, 0 the highest.
+    pub rank: u8,
+    /// When it must be sent to meet its objective.
+    pub start_by: Moment,
     /// Estimated tokens.
     pub cost: u32,
     /// Estimated prompt tokens.
@@ -97,6 +101,10 @@
     }
     /// Requests waiting in `tier`.
     fn waiting_count(&self, tier: TierRank) -> usize;
+    /// Tokens waiting that go before a request: while it is in time, or once it is late.
+    fn cost_before(&mut self, _request: &WaitingRequest, _is_late: bool, _now: Moment) -> u64 {
+        0
+    }
     /// Takes everything out, oldest first.
     fn drain(&mut self) -> Vec<WaitingRequest>;
 }
--- a/src/policy/scheduler.rs
+++ b/src/policy/scheduler.rs
@@ -4,8 +4,8 @@
     CostModel, DrainMeter, FairQueue, FifoQueue, FloorOrder, LearnedLimit, LoadReport, Moment,
     OrganisationIndex, OthersWork, PlacementPolicy, PlacementQuery, RequestId, RequestSizes,
     RoomKind, ShedAudit, ShedFloor, TierRank, TierShare, UpstreamIndex, UpstreamSet,
-    UpstreamSource, UpstreamState, UpstreamStatus, UpstreamWord, WaitingQueue, WaitingRequest,
-    placement_policy,
+    UpstreamSource, UpstreamState, UpstreamStatus, UpstreamWord, UrgencyQueue, WaitingQueue,
+    WaitingRequest, placement_policy,
 };
 use crate::answer::AnswerKind;
 use crate::table::{
@@ -30,6 +30,12 @@
 /// seldom and is long, goes there and computes its prompt anew. One would notice by wasted prefill that is
 /// low at low load and as high as without affinity at high load.
 const HEADROOM: f64 = 0.15;
+/// The part of an objective that is left for what an estimate misses: the way to the engine, the step under way.
+const OBJECTIVE_MARGIN: f64 = 0.1;
+/// A pool is taken to work off at least this part of what its limits should carry, before it has shown more.
+const LEAST_DRAIN: f64 = 0.5;
+/// The part of a pool's speed that late requests can reckon with: those that come meanwhile go before them.
+const LATE_DRAIN: f64 = 0.5;
 /// Time between judgements of stragglers.
 const JUDGE_PAUSE: Duration = Duration::from_millis(500);
 /// A late request that may not be shed yet is looked at again after this long.
@@ -100,6 +106,7 @@
         match self.queue {
             QueueChoice::Weighted => Box::new(FairQueue::new(&self.tiers)),
             QueueChoice::Fifo => Box::new(FifoQueue::default()),
+            QueueChoice::Urgency => Box::new(UrgencyQueue::new(&self.tiers)),
         }
     }
 
@@ -145,6 +152,10 @@
     pub output_limit: Option<u32>,
     /// When the answer must be complete.
     pub deadline: Moment,
+    /// Its rank within the tier, 0 the highest.
+    pub rank: u8,
+    /// When its first event or answer is due to be worth most.
+    pub objective: Option<Moment>,
     /// Its size, where the caller says; else it is estimated.
     pub sizes: Option<RequestSizes>,
     /// Hashes of the prompt's leading blocks.
@@ -388,6 +399,13 @@
         {
             return self.shed(request, AnswerKind::Overloaded, now, actions);
         }
+        if self.plan.sheds_alone {
+            match self.plan.refuses_late && self.has_no_chance(&request, now) {
+                true => self.refuse_shed(&request, AnswerKind::DeadlineWaiting, now, actions),
+                false => self.enqueue(request, now),
+            }
+            return;
+        }
         if self.would_be_late(&request, slack) {
             return self.shed(request, AnswerKind::DeadlineWaiting, now, actions);
         }
@@ -409,6 +427,8 @@
             organisation: request.organisation,
             weight: request.weight,
             tier: request.tier,
+            rank: request.rank,
+            start_by: request.deadline,
             cost: estimate.cost,
             prompt_tokens: estimate.prompt_tokens,
             output_tokens: estimate.output_tokens,
@@ -421,7 +441,11 @@
         };
         // An estimate of the run time longer than the whole slack must not make the request late at
         // once: it was let in above because estimates are means.
-        if self.plan.queue == QueueChoice::Weighted && self.plan.refuses_late {
+        waiting.start_by = match request.objective {
+            Some(objective) => self.start_by(&waiting, objective, now),
+            None => waiting.latest_start(),
+        };
+        if self.plan.queue != QueueChoice::Fifo && self.plan.refuses_late {
             waiting.late_at = waiting
                 .latest_start()
                 .max(now + request.deadline.since(now).mul_f64(TOO_SHORT_SHARE));
@@ -429,6 +453,37 @@
         waiting
     }
 
+    /// The last moment to send a request so that its first event comes within its objective.
+    fn start_by(&self, request: &WaitingRequest, objective: Moment, now: Moment) -> Moment {
+        let margin = objective.since(now).mul_f64(OBJECTIVE_MARGIN);
+        let first = match self.plan.counts_tokens {
+            true => {
+                let micros = f64::from(request.prompt_tokens) * self.model.speed().prefill_micros;
+                Duration::from_micros(micros as u64)
+            }
+            false => request.run_time,
+        };
+        Moment(objective.0.saturating_sub((margin + first).as_micros() as u64))
+    }
+
+    /// True if a request should be refused at once, because by what waits before it and how fast the pool works
+    /// that off, it can meet neither its objective nor, as a late one, its deadline.
+    fn has_no_chance(&mut self, request: &WaitingRequest, now: Moment) -> bool {
+        if self.queue.is_empty() {
+            return false;
+        }
+        let rate = self.meter.total_rate().max(self.drain_rate() * LEAST_DRAIN);
+        let wait = |cost: u64, rate: f64| {
+            Duration::try_from_secs_f64(cost as f64 / rate).unwrap_or(Duration::MAX)
+        };
+        let before = self.queue.cost_before(request, false, now);
+        if now + wait(before, rate) <= request.start_by {
+            return false;
+        }
+        let before = self.queue.cost_before(request, true, now);
+        now + wait(before, rate * LATE_DRAIN) > request.latest_start()
+    }
+
     /// Lets a request wait.
     fn enqueue(&mut self, request: WaitingRequest, now: Moment) {
         self.audit.admitted(request.tier, now);
@@ -673,7 +728,7 @@
     fn tick(&mut self, now: Moment, actions: &mut Vec<PoolAction>) {
         while let Some(request) = self.queue.pop_late(now) {
             match self.plan.queue {
-                QueueChoice::Weighted => {
+                QueueChoice::Weighted | QueueChoice::Urgency => {
                     self.shed(request, AnswerKind::DeadlineWaiting, now, actions)
                 }
                 QueueChoice::Fifo => {
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -152,6 +152,8 @@
     Weighted,
     /// First in, first out; a baseline for measurements.
     Fifo,
+    /// By worth, those still in time for their objective first.
+    Urgency,
 }
 
 /// How a pool chooses an upstream.
--- a/src/traffic/access.rs
+++ b/src/traffic/access.rs
@@ -128,6 +128,11 @@
         self.ranks.get(name).copied().unwrap_or(TierRank(u8::MAX))
     }
 
+    /// A route's rank by its own tier, which orders the requests of one organisation's tier.
+    pub fn route_rank(&self, route: &RouteRow) -> u8 {
+        self.ranks.get(&route.tier).map_or(u8::MAX, |rank| rank.0)
+    }
+
     /// Organisations with a limit on tokens, and their numbers.
     pub fn limited(&self) -> impl Iterator<Item = (&OrganisationName, OrganisationIndex)> {
         let limited = self.table.organisations.iter().filter(|row| row.tokens_per_second.is_some());
--- a/src/traffic/front.rs
+++ b/src/traffic/front.rs
@@ -450,6 +450,8 @@
         output_limit: shape.output_limit,
         deadline: now + deadline,
         sizes: None,
+        rank: 0,
+        objective: None,
         prefix: shape.prefix,
     };
     let silence = service.silence_ms;
--- a/src/traffic/routed/carry.rs
+++ b/src/traffic/routed/carry.rs
@@ -138,6 +138,8 @@
             prompt_bytes: self.body.len(),
             output_limit: self.facts.output_limit,
             deadline: self.deadline,
+            rank: snapshot.access.route_rank(&self.route),
+            objective: Some(self.arrived_at + self.route.objective_ms),
             sizes: self.sizes,
             prefix: Box::default(),
         }
--- a/src/traffic/routed/door.rs
+++ b/src/traffic/routed/door.rs
@@ -73,7 +73,14 @@
     let limit = match &entry.caller {
         Some(caller) => {
             let cost = state.snapshot().access.counted(caller, tokens);
-            state.limits().admit(caller.index, cost, state.clock.now())?;
+            let now = state.clock.now();
+            let admitted = state.limits().admit(caller.index, cost, now);
+            if admitted.is_err() {
+                let wait = state.limits().refilled_in(caller.index, now);
+                info!(state.log, "over the limit"; "request" => facts.id.as_deref().unwrap_or_default(),
+                    "organisation" => caller.organisation.as_str(), "tokens" => cost, "refilled_ms" => wait.as_millis() as u64);
+            }
+            admitted?;
             Some(LimitGuard {
                 state: Arc::clone(state),
                 organisation: caller.index,
--- a/tests/session.rs
+++ b/tests/session.rs
@@ -167,6 +167,8 @@
             output_limit: Some(16),
             deadline: self.now + Duration::from_millis(deadline),
             sizes: None,
+            rank: 0,
+            objective: None,
             prefix: prefix_hashes(prompt.as_bytes()),
         }));
         self
--- a/tests/test_experiment.rs
+++ b/tests/test_experiment.rs
@@ -155,6 +155,8 @@
             output_limit: Some(16),
             deadline: Moment::from_millis(60_000),
             sizes: None,
+            rank: 0,
+            objective: None,
             prefix: prefix_hashes(prompt.as_bytes()),
         }));
         actions.into_iter().find_map(|action| match action {
--- a/tests/test_policy.rs
+++ b/tests/test_policy.rs
@@ -23,6 +23,8 @@
     let late_at = Moment::from_millis(3_600_000);
     WaitingRequest {
         output_tokens: 0,
+        rank: 0,
+        start_by: late_at,
         id: RequestId(id),
         organisation: OrganisationIndex(organisation),
         weight: 1,
@@ -164,6 +166,8 @@
                 let arrived = ArrivedRequest {
                     id, organisation: OrganisationIndex(u32::from(tier)), weight: 1, tier: TierRank(tier), prompt_bytes: tokens * 4,
                     output_limit: Some(16), deadline, sizes: None,
+            rank: 0,
+            objective: None,
         prefix: prefix_hashes(&[]),
                 };
                 scheduler.handle(PoolEvent::Arrived(arrived), now, &mut rng, &mut actions);
@@ -297,6 +301,8 @@
             output_limit: Some(16),
             deadline: Moment::from_millis(60_000),
             sizes: None,
+            rank: 0,
+            objective: None,
             prefix: Box::default(),
         };
         scheduler.handle(PoolEvent::Arrived(arrived), now, &mut rng, &mut actions);
