Refuse before the caller's patience ends, and tell callers to return late

Refused callers came back into the same burst. Change: routes carry their callers' patience, which bounds the wait; refusals for want of capacity name a time to return in the last part of what the caller may wait.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -147,6 +147,7 @@
                 sizes: None,
                 rank: 0,
                 objective: None,
+                patience: None,
                 prefix: Box::default(),
             };
             scheduler.handle(PoolEvent::Arrived(arrived), now, &mut rng, &mut actions);
--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -205,6 +205,8 @@
     pub detail: String,
     /// Seconds for `Retry-After`.
     pub retry_seconds: Option<u64>,
+    /// A time to return that is known better than by the kind; may hold parts of a second.
+    pub retry_after: Option<Duration>,
 }
 
 impl RefusalAnswer {
@@ -215,7 +217,13 @@
             RetryHint::Never => None,
             RetryHint::After(base) => Some(spread_seconds(base, jitter)),
         };
-        RefusalAnswer { kind, detail: detail.into(), retry_seconds }
+        RefusalAnswer { kind, detail: detail.into(), retry_seconds, retry_after: None }
+    }
+
+    /// Names the time to return, where it is known better than by the kind.
+    pub fn returning_within(mut self, time: Option<Duration>) -> Self {
+        self.retry_after = time;
+        self
     }
 
     /// The problem document for this refusal.
@@ -243,7 +251,10 @@
         if let Ok(value) = HeaderValue::from_str(request_id) {
             headers.insert(REQUEST_ID_HEADER, value);
         }
-        if let Some(seconds) = self.retry_seconds {
+        let exact = self.retry_after.map(|time| format!("{:.1}", time.as_secs_f64()));
+        if let Some(value) = exact.and_then(|text| HeaderValue::from_str(&text).ok()) {
+            headers.insert(header::RETRY_AFTER, value);
+        } else if let Some(seconds) = self.retry_seconds {
             headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
         }
         response
--- a/src/experiment/run.rs
+++ b/src/experiment/run.rs
@@ -208,6 +208,7 @@
             sizes: None,
             rank: 0,
             objective: None,
+            patience: None,
             prefix: arrived.prefix.clone(),
         };
         let number = arrived.daemon;
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -161,6 +161,7 @@
             timeout_ms: Duration::from_millis(self.timeout_ms),
             objective_ms: Duration::from_millis(self.latency_slo_ms),
             gap_ms: self.gap_slo_ms.map(Duration::from_millis),
+            patience_ms: kind.is_stream().then(|| self.patience()),
             tier: tier_of_rank(self.priority),
             attempts: self.max_attempts.max(1),
             is_public: self.public,
@@ -169,6 +170,16 @@
     }
 }
 
+impl WireRoute {
+    /// The platform's word on its callers: two seconds, four times the objective or eight times the longest good
+    /// pause, whichever is longest.
+    fn patience(&self) -> Duration {
+        let by_objective = 4 * self.latency_slo_ms;
+        let by_pause = 8 * self.gap_slo_ms.unwrap_or(0);
+        Duration::from_millis(by_objective.max(by_pause).max(2_000))
+    }
+}
+
 impl WireService {
     fn service(&self) -> ServiceRow {
         let kind = if self.engine.is_some() { ServiceKind::Model } else { ServiceKind::Plain };
--- a/src/policy/scheduler.rs
+++ b/src/policy/scheduler.rs
@@ -156,6 +156,8 @@
     pub rank: u8,
     /// When its first event or answer is due to be worth most.
     pub objective: Option<Moment>,
+    /// When its caller leaves if no event has come.
+    pub patience: Option<Moment>,
     /// Its size, where the caller says; else it is estimated.
     pub sizes: Option<RequestSizes>,
     /// Hashes of the prompt's leading blocks.
@@ -450,6 +452,10 @@
                 .latest_start()
                 .max(now + request.deadline.since(now).mul_f64(TOO_SHORT_SHARE));
         }
+        if let Some(patience) = request.patience {
+            // Its caller would leave before the first event of a later start.
+            waiting.late_at = waiting.late_at.min(self.start_by(&waiting, patience, now));
+        }
         waiting
     }
 
@@ -481,7 +487,7 @@
             return false;
         }
         let before = self.queue.cost_before(request, true, now);
-        now + wait(before, rate * LATE_DRAIN) > request.latest_start()
+        now + wait(before, rate * LATE_DRAIN) > request.late_at
     }
 
     /// Lets a request wait.
--- a/src/table/routes.rs
+++ b/src/table/routes.rs
@@ -66,6 +66,10 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     pub gap_ms: Option<Duration>,
+    /// Callers leave a stream that says nothing for this long, also before its first event, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    pub patience_ms: Option<Duration>,
     /// The tier of its requests, unless an assignment gives their organisation another.
     pub tier: TierName,
     /// Upstreams that one request may be sent to, one after the other.
--- a/src/traffic/front.rs
+++ b/src/traffic/front.rs
@@ -452,6 +452,7 @@
         sizes: None,
         rank: 0,
         objective: None,
+        patience: None,
         prefix: shape.prefix,
     };
     let silence = service.silence_ms;
--- a/src/traffic/routed/carry.rs
+++ b/src/traffic/routed/carry.rs
@@ -27,6 +27,11 @@
 /// At least this long, since engines under load make first events late without being lost.
 const LEAST_PATIENCE: Duration = Duration::from_millis(1_200);
 
+/// Parts of the time left between which callers are told to return: the platform's callers wait for a third of it
+/// at most.
+const RETURN_LEAST: f64 = 0.2;
+const RETURN_MOST: f64 = 0.33;
+
 /// A request on its way.
 pub struct CarriedRequest {
     pub state: Arc<TrafficState>,
@@ -140,6 +145,7 @@
             deadline: self.deadline,
             rank: snapshot.access.route_rank(&self.route),
             objective: Some(self.arrived_at + self.route.objective_ms),
+            patience: self.route.patience_ms.map(|time| self.arrived_at + time),
             sizes: self.sizes,
             prefix: Box::default(),
         }
@@ -268,7 +274,20 @@
     let waited = request.state.clock.now().since(request.arrived_at).as_millis() as u64;
     info!(request.state.log, "refused"; "request" => request.id(), "kind" => kind.row().name,
         "route" => &request.route.route, "sent" => count.sent, "may_have_run" => count.may_have_run, "after_ms" => waited);
-    RefusalAnswer::new(kind, "", request.state.jitter()).response(request.id())
+    RefusalAnswer::new(kind, "", request.state.jitter())
+        .returning_within(request.return_time(kind))
+        .response(request.id())
+}
+
+impl CarriedRequest {
+    /// When to come back after a refusal for want of capacity: late in the part of its time that the caller may
+    /// spend waiting. It is late in any case, so an early return gains nothing, and a burst is the more likely to
+    /// be over; spread, so that those refused together do not return together.
+    fn return_time(&self, kind: AnswerKind) -> Option<Duration> {
+        let is_overload = kind.row().shed || kind == AnswerKind::UpstreamRefused;
+        let spread = RETURN_LEAST + (RETURN_MOST - RETURN_LEAST) * self.state.jitter();
+        is_overload.then(|| self.time_left().mul_f64(spread))
+    }
 }
 
 /// What became of an answer whose head came.
--- a/src/traffic/routed/door.rs
+++ b/src/traffic/routed/door.rs
@@ -23,6 +23,9 @@
 const BODY_LIMIT: usize = 4 << 20;
 /// A caller must send its body within this time.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Part of its time after which a caller beyond its organisation's limit is told to return: as late as it may, since
+/// who is beyond its limit is so for seconds.
+const LIMIT_RETURN: f64 = 0.3;
 /// The deadline of requests that name none.
 const LONGEST_WAIT: Duration = Duration::from_secs(60);
 
@@ -40,12 +43,16 @@
     let dialect = Arc::clone(&manner.dialect);
     let arrived_at = state.clock.now();
     let facts = dialect.read_caller(request.headers());
+    let facts_deadline = facts.deadline;
     let id: Arc<str> = Arc::from(facts.id.clone().unwrap_or_default());
     match admit(&state, dialect, request, facts, arrived_at).await {
         Ok(carried) => carry(carried).await,
         Err(kind) => {
             info!(state.log, "refused"; "request" => &*id, "kind" => kind.row().name, "table" => state.snapshot().version);
-            refusal(&state, kind, &id)
+            let refusal = RefusalAnswer::new(kind, "", state.jitter());
+            let is_limit = kind == AnswerKind::RateLimited;
+            let wait = facts_deadline.filter(|_| is_limit).map(|time| time.mul_f64(LIMIT_RETURN));
+            refusal.returning_within(wait).response(&id)
         }
     }
 }
--- a/tests/session.rs
+++ b/tests/session.rs
@@ -169,6 +169,7 @@
             sizes: None,
             rank: 0,
             objective: None,
+            patience: None,
             prefix: prefix_hashes(prompt.as_bytes()),
         }));
         self
--- a/tests/test_experiment.rs
+++ b/tests/test_experiment.rs
@@ -157,6 +157,7 @@
             sizes: None,
             rank: 0,
             objective: None,
+            patience: None,
             prefix: prefix_hashes(prompt.as_bytes()),
         }));
         actions.into_iter().find_map(|action| match action {
--- a/tests/test_policy.rs
+++ b/tests/test_policy.rs
@@ -168,6 +168,7 @@
                     output_limit: Some(16), deadline, sizes: None,
             rank: 0,
             objective: None,
+            patience: None,
         prefix: prefix_hashes(&[]),
                 };
                 scheduler.handle(PoolEvent::Arrived(arrived), now, &mut rng, &mut actions);
@@ -303,6 +304,7 @@
             sizes: None,
             rank: 0,
             objective: None,
+            patience: None,
             prefix: Box::default(),
         };
         scheduler.handle(PoolEvent::Arrived(arrived), now, &mut rng, &mut actions);
