--- a/src/daemon/upkeep.rs
+++ b/src/daemon/upkeep.rs
@@ -4,7 +4,7 @@
 use crate::policy::{PoolEvent, TierRank, UpstreamIndex, UpstreamWord};
 use crate::settings::DaemonSettings;
 use crate::table::ServiceName;
-use crate::traffic::{PoolRuntime, TrafficState};
+use crate::traffic::{PoolRuntime, TrafficState, probe};
 use crate::upstream::{ListFault, PlatformList, UpstreamLister};
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
@@ -33,7 +33,7 @@
 /// together may make so many a second. An upstream that leaves must get no new work 3 s after the list shows it.
 const INSTANCE_PAUSE: Duration = Duration::from_millis(1_000);
 /// Time between attempts to connect to upstreams that could not be reached.
-const PROBE_PAUSE: Duration = Duration::from_millis(500);
+const PROBE_PAUSE: Duration = Duration::from_millis(300);
 /// Load reports asked for at once.
 const POLLS_AT_ONCE: usize = 64;
 
@@ -87,12 +87,14 @@
 async fn probe_suspects(state: Arc<TrafficState>) {
     loop {
         for pool in state.pools().values() {
-            let suspects = pool.addresses().into_iter().filter(|(_, _, is_suspect)| *is_suspect);
-            for (upstream, address, _) in suspects {
-                let pool = Arc::clone(pool);
+            let row = state.snapshot().access.table().service(pool.service.as_str()).cloned();
+            let path = row.and_then(|row| row.health_path).unwrap_or_else(|| "/".to_owned());
+            for (upstream, name, address) in pool.suspects() {
+                let (state, pool, path) = (Arc::clone(&state), Arc::clone(pool), path.clone());
                 tokio::spawn(async move {
-                    if pool.driver.probe(address).await {
-                        pool.tell(PoolEvent::Word { upstream, word: UpstreamWord::Answered });
+                    if let Some(word) = probe(&state, address, name.as_str(), &path).await {
+                        info!(state.log, "suspect upstream answers"; "upstream" => name.as_str(), "word" => format!("{word:?}"));
+                        pool.tell(PoolEvent::Word { upstream, word });
                     }
                 });
             }
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -64,6 +64,8 @@
 struct WireService {
     name: String,
     #[serde(default)]
+    health_path: Option<String>,
+    #[serde(default)]
     engine: Option<WireEngine>,
 }
 
@@ -184,6 +186,7 @@
     fn service(&self) -> ServiceRow {
         let kind = if self.engine.is_some() { ServiceKind::Model } else { ServiceKind::Plain };
         let mut row = ServiceRow::new(self.name.as_str().into(), kind, tier_of_rank(0));
+        row.health_path.clone_from(&self.health_path);
         row.placement = PlacementChoice::Earliest;
         row.queue = QueueChoice::Urgency;
         row.limit = LimitChoice::Fixed;
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -235,6 +235,9 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[schemars(range(min = 1_000))]
     pub claim_life_ms: Duration,
+    /// The path that tells whether an upstream is well, where there is one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub health_path: Option<String>,
     /// Tokens in one event of a stream, where events carry no numbers of their own.
     #[serde(default = "default_event_tokens")]
     #[schemars(range(min = 1))]
@@ -267,6 +270,7 @@
             waiting_limit: default_waiting_limit(),
             idempotent_methods: None,
             claim_life_ms: default_claim_life(),
+            health_path: None,
             event_tokens: default_event_tokens(),
             queue: QueueChoice::default(),
             placement: PlacementChoice::default(),
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -17,5 +17,7 @@
 pub use front::{FrontHandle, front_router, readiness_router, start_front, without_front};
 pub use neighbours::{Neighbours, start_notices};
 pub use pool_runtime::{PoolRuntime, RequestGuard};
-pub use routed::{AnswerFacts, CallDialect, CallerFacts, EventCutter, RouteIndex, SendFacts};
+pub use routed::{
+    AnswerFacts, CallDialect, CallerFacts, EventCutter, RouteIndex, SendFacts, probe,
+};
 pub use state::{PlatformManner, TableSnapshot, TrafficClock, TrafficState};
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -163,6 +163,16 @@
         statuses.map(|status| (status.index, status.source.address, is_suspect(status))).collect()
     }
 
+    /// Upstreams that could not be reached.
+    pub fn suspects(&self) -> Vec<(UpstreamIndex, UpstreamName, SocketAddr)> {
+        let core = self.lock();
+        let statuses = core.scheduler.upstreams().iter();
+        let suspects = statuses.filter(|status| status.state() == UpstreamState::Suspect);
+        suspects
+            .map(|status| (status.index, status.source.name.clone(), status.source.address))
+            .collect()
+    }
+
     /// Tokens in one event of a stream.
     pub fn event_tokens(&self) -> u32 {
         self.event_tokens.load(Ordering::Relaxed).max(1)
--- a/src/traffic/routed/door.rs
+++ b/src/traffic/routed/door.rs
@@ -26,6 +26,8 @@
 /// Part of its time after which a caller beyond its organisation's limit is told to return: as late as it may, since
 /// who is beyond its limit is so for seconds.
 const LIMIT_RETURN: f64 = 0.3;
+/// How long a request waits for a daemon's first table.
+const TABLE_WAIT: Duration = Duration::from_millis(1_500);
 /// The deadline of requests that name none.
 const LONGEST_WAIT: Duration = Duration::from_secs(60);
 
@@ -69,7 +71,7 @@
     arrived_at: Moment,
 ) -> Result<Box<CarriedRequest>, AnswerKind> {
     // Without a table nothing is known of routes and keys: that is no reason to call them unknown.
-    if !state.is_current() {
+    if !has_table_soon(state).await {
         return Err(AnswerKind::TableStale);
     }
     let (parts, body) = request.into_parts();
@@ -115,6 +117,21 @@
     }))
 }
 
+/// Waits a little for a first table. A daemon that has just started gets it within a part of a second, while the
+/// callers that were waiting for it to listen are there at once; a refusal would cost each its only retry.
+async fn has_table_soon(state: &TrafficState) -> bool {
+    let arrival = async {
+        loop {
+            let news = state.table_news.notified();
+            if state.is_current() {
+                return;
+            }
+            news.await;
+        }
+    };
+    state.is_current() || tokio::time::timeout(TABLE_WAIT, arrival).await.is_ok()
+}
+
 /// What the table says of a request.
 pub struct RouteEntry {
     pub route: Arc<RouteRow>,
--- a/src/traffic/routed/mod.rs
+++ b/src/traffic/routed/mod.rs
@@ -9,6 +9,7 @@
 mod door;
 mod events;
 mod index;
+mod probe;
 mod relay;
 
 use crate::policy::OrganisationIndex;
@@ -17,6 +18,7 @@
 pub use door::routed_router;
 pub use events::EventCutter;
 pub use index::RouteIndex;
+pub use probe::probe;
 
 /// Stands for callers of public routes without a key, together.
 const NO_ORGANISATION: OrganisationIndex = OrganisationIndex(u32::MAX);
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -92,6 +92,8 @@
     is_ready: AtomicBool,
     is_drained: AtomicBool,
     claims: OnceLock<ClaimKeeper>,
+    /// Told when a table is put in force.
+    pub table_news: Notify,
     /// The other daemons that serve callers.
     pub neighbours: Neighbours,
     /// Told when the leader should hear of a floor at once.
@@ -125,6 +127,7 @@
             is_ready: AtomicBool::new(true),
             is_drained: AtomicBool::new(false),
             claims: OnceLock::new(),
+            table_news: Notify::new(),
             neighbours: Neighbours::default(),
             floor_news: Notify::new(),
             in_progress: AtomicUsize::new(0),
@@ -165,6 +168,7 @@
         self.limits().set_limits(access.limits().clone());
         self.update_pools(&access);
         self.snapshot.store(Arc::new(TableSnapshot { version: versioned.version, access }));
+        self.table_news.notify_waiters();
         info!(self.log, "table in force"; "version" => versioned.version, "hash" => &versioned.hash);
     }
 
