Limits hold while daemons hear nothing of each other; a failed folder is used again

Buckets that differed once stayed so: two entries refused all, the others let all through. A voter whose disk was full for a moment never voted again. Change: a silent daemon is reckoned with its part of the whole, fixed when it fell silent, for 20 s unless it said goodbye; buckets move towards each other with each notice, and are never charged more than 1.5 s below empty; a voter reads its folder again every half second after a failure, synced before it relies on it.

--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -148,8 +148,7 @@
     fn carry_out(&mut self, orders: DaemonOrders) {
         // None: the lease ran out before the answer came, so the next report asks anew.
         let Some(moves) = self.member.take(orders, self.state.clock.now()) else { return };
-        let now = self.state.clock.now();
-        self.state.neighbours.book().set_named(moves.neighbours.clone(), now);
+        self.state.neighbours.book().set_named(moves.neighbours.clone());
         self.leader.set_voters(moves.voters.clone());
         // Where daemons tell each other what they send, shares of limits are not needed: each knows the whole.
         let has_notices = self.state.manner().is_some();
--- a/src/control/control_loop.rs
+++ b/src/control/control_loop.rs
@@ -51,6 +51,8 @@
 const SNAPSHOT_ENTRIES: usize = 4_096;
 /// A member is taken off the list after it has been dead for this long, beyond its lease.
 const DEAD_FOR: Duration = Duration::from_secs(10);
+/// Time between attempts to use a folder again that failed.
+const REOPEN_PAUSE: Duration = Duration::from_millis(500);
 /// A voter that hears no leader for this long asks to join again.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(2);
 
@@ -196,6 +198,7 @@
         proposals: Vec::new(),
         alone_since: Moment(0),
         dead_since: BTreeMap::new(),
+        broken_since: None,
         sent: BTreeMap::new(),
         setup,
     };
@@ -228,6 +231,8 @@
     /// Since when this voter has heard no leader, or asked to join.
     alone_since: Moment,
     dead_since: BTreeMap<DaemonName, Moment>,
+    /// Since when the folder does not work, or when it was tried last.
+    broken_since: Option<Moment>,
     /// The orders last sent to each daemon: a report is held only while they stay the same.
     sent: BTreeMap<DaemonName, Vec<super::fleet::PoolOrder>>,
 }
@@ -360,6 +365,7 @@
 
     fn tick(&mut self) {
         let now = self.now();
+        self.reopen_if_broken(now);
         let Some(core) = &mut self.core else { return };
         let output = core.tick(now, &mut self.rng);
         self.settle(output, None);
@@ -403,8 +409,7 @@
         {
             // A write that failed may be half done: what the folder holds is no longer known, so this
             // voter must not promise anything more until it has been read again.
-            error!(self.setup.log, "cannot keep the log; this voter stops"; "fault" => fault.to_string());
-            self.core = None;
+            self.stop_voting(&fault);
             return Vec::new();
         }
         if let Some(snapshot) = &output.install {
@@ -429,6 +434,37 @@
         answers
     }
 
+    /// Leaves the fleet's decisions to the others until the folder can be read again.
+    fn stop_voting(&mut self, fault: &StoreError) {
+        error!(self.setup.log, "cannot keep the log; not voting until the folder works again"; "fault" => fault.to_string());
+        self.core = None;
+        self.broken_since = Some(self.now());
+        self.watch_role();
+    }
+
+    /// Starts again from what the folder holds, as after a restart. What goes wrong without it: a disk that was
+    /// full for a moment costs the voter for good although its process runs, and the next such disk the quorum.
+    fn reopen_if_broken(&mut self, now: Moment) {
+        let Some(since) = self.broken_since.filter(|since| now.since(*since) >= REOPEN_PAUSE)
+        else {
+            return;
+        };
+        let Some(folder) = self.setup.data_folder.clone() else { return };
+        self.broken_since = Some(now);
+        // The folder's lock goes before it is taken again.
+        self.store = None;
+        match open_voter(&self.setup, &folder, &mut self.rng) {
+            Ok(voter) => {
+                info!(self.setup.log, "folder works again"; "after_ms" => now.since(since).as_millis() as u64);
+                self.broken_since = None;
+                self.adopt(voter);
+            }
+            Err(fault) => {
+                warn!(self.setup.log, "folder does not work yet"; "fault" => fault.to_string());
+            }
+        }
+    }
+
     fn address_of(&self, voter: &VoterId) -> Option<SocketAddr> {
         let known = self.core.as_ref().and_then(|core| core.membership().address(voter));
         known.or_else(|| {
@@ -609,8 +645,7 @@
         }
         let snapshot = core.compact(Arc::from(self.ledger.to_text()));
         if let Err(fault) = store.replace(&snapshot, &self.hard, core.log().entries()) {
-            error!(self.setup.log, "cannot keep a snapshot; this voter stops"; "fault" => fault.to_string());
-            self.core = None;
+            self.stop_voting(&fault);
         }
     }
 
--- a/src/policy/neighbour_book.rs
+++ b/src/policy/neighbour_book.rs
@@ -16,10 +16,9 @@
 /// A neighbour unheard for this long is taken to go on as before with the organisations' limits: it may be cut off
 /// from us and still serve callers.
 const SILENT_AFTER: Duration = Duration::from_millis(600);
-/// A silent neighbour is forgotten after this long, if the leader does not name it any more.
-const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
-/// The leader's list counts as fresh for this long.
-const NAMES_LIFE: Duration = Duration::from_secs(2);
+/// A silent neighbour is forgotten after this long, though the leader may have done so before: a daemon that is cut
+/// off from the voters goes on serving, and looks the same as a dead one. Above the cuts that are usual.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(20);
 /// Time over which a neighbour's rate is averaged.
 const RATE_TIME: Duration = Duration::from_secs(2);
 
@@ -38,6 +37,10 @@
     pub pools: Vec<PoolNotice>,
     /// Tokens that it has let through since its boot, by organisation.
     pub taken: Vec<(OrganisationName, i64)>,
+    /// Milliseconds until each organisation's bucket is full again, as it reckons.
+    pub refills: Vec<(OrganisationName, u32)>,
+    /// True once it has drained and lets nothing through any more.
+    pub is_leaving: bool,
 }
 
 /// A daemon's requests at the upstreams of one pool.
@@ -55,24 +58,53 @@
     heard: Moment,
     /// Until when its silence has been reckoned with.
     reckoned: Moment,
-    /// Tokens a second, by organisation.
+    /// Tokens reckoned since its last notice, by organisation.
+    assumed: BTreeMap<OrganisationName, f64>,
+    /// Its part of all that was let through when it fell silent, by organisation. It stays until the neighbour is
+    /// heard again: worked out anew, it would shrink as this daemon takes more, and this daemon would take all.
+    part: BTreeMap<OrganisationName, f64>,
+    flow: TokenFlow,
+}
+
+/// Tokens a second that a daemon lets through, by organisation.
+#[derive(Clone, Debug, Default)]
+struct TokenFlow {
     rates: BTreeMap<OrganisationName, f64>,
 }
 
+impl TokenFlow {
+    fn learn(&mut self, organisation: &OrganisationName, delta: i64, elapsed: Duration) {
+        let seconds = elapsed.as_secs_f64().max(0.001);
+        let weight = (seconds / RATE_TIME.as_secs_f64()).min(1.0);
+        let rate = self.rates.entry(organisation.clone()).or_default();
+        *rate += (delta.max(0) as f64 / seconds - *rate) * weight;
+    }
+
+    fn rate(&self, organisation: &OrganisationName) -> f64 {
+        self.rates.get(organisation).copied().unwrap_or(0.0)
+    }
+}
+
+/// This daemon's own totals, as of when they were looked at last.
+#[derive(Clone, Debug, Default)]
+struct OwnFlow {
+    totals: BTreeMap<OrganisationName, i64>,
+    at: Option<Moment>,
+    flow: TokenFlow,
+}
+
 /// The other daemons as one daemon knows them.
 #[derive(Clone, Debug, Default)]
 pub struct NeighbourBook {
     named: Vec<SocketAddr>,
-    /// When the leader named them.
-    named_at: Option<Moment>,
     known: BTreeMap<DaemonName, NeighbourState>,
+    own: OwnFlow,
 }
 
 impl NeighbourBook {
     /// Takes the leader's list of daemons that serve callers.
-    pub fn set_named(&mut self, named: Vec<SocketAddr>, now: Moment) {
+    pub fn set_named(&mut self, named: Vec<SocketAddr>) {
         self.named = named;
-        self.named_at = Some(now);
     }
 
     /// Where notices go: to those whom the leader names, and to those who were heard lately.
@@ -85,34 +117,40 @@
         addresses
     }
 
-    /// Takes a notice. Returns the tokens that its daemon has let through since its last one.
+    /// Takes a notice. Returns the tokens that its daemon has let through since its last one, less what was
+    /// reckoned while it was silent.
     pub fn take(&mut self, notice: WorkNotice, now: Moment) -> Vec<(OrganisationName, i64)> {
         let Some(state) = self.known.get_mut(&notice.daemon) else {
+            if notice.is_leaving {
+                return Vec::new();
+            }
             let daemon = notice.daemon.clone();
-            let rates = BTreeMap::new();
-            self.known.insert(daemon, NeighbourState { notice, heard: now, reckoned: now, rates });
+            let assumed = BTreeMap::new();
+            let flow = TokenFlow::default();
+            let part = BTreeMap::new();
+            let state = NeighbourState { notice, heard: now, reckoned: now, assumed, part, flow };
+            self.known.insert(daemon, state);
             return Vec::new();
         };
-        if state.notice.boot == notice.boot && state.notice.sequence >= notice.sequence {
+        let is_new_boot = state.notice.boot != notice.boot;
+        if !is_new_boot && state.notice.sequence >= notice.sequence {
             return Vec::new();
         }
-        let is_new_boot = state.notice.boot != notice.boot;
         let mut taken = Vec::new();
         let elapsed = now.since(state.heard);
         for (organisation, total) in &notice.taken {
             let before = state.notice.taken.iter().find(|(name, _)| name == organisation);
             let before = before.filter(|_| !is_new_boot).map_or(0, |(_, total)| *total);
             let delta = total - before;
-            state.learn_rate(organisation, delta, elapsed);
-            taken.push((organisation.clone(), delta));
+            state.flow.learn(organisation, delta, elapsed);
+            let assumed = state.assumed.get(organisation).copied().unwrap_or(0.0) as i64;
+            taken.push((organisation.clone(), delta - assumed.min(delta.max(0))));
         }
-        // What was reckoned during its silence is not charged twice.
-        let silent = state.reckoned.since(state.heard).as_secs_f64();
-        if silent > SILENT_AFTER.as_secs_f64() {
-            for (organisation, delta) in &mut taken {
-                let rate = state.rates.get(organisation).copied().unwrap_or(0.0);
-                *delta -= ((rate * silent) as i64).min(*delta).max(0);
-            }
+        state.assumed.clear();
+        state.part.clear();
+        if notice.is_leaving {
+            self.known.remove(&notice.daemon);
+            return taken;
         }
         state.notice = notice;
         state.heard = now;
@@ -120,27 +158,50 @@
         taken
     }
 
-    /// The tokens that silent neighbours have probably let through since this was asked last.
-    pub fn reckon_silent(&mut self, now: Moment) -> Vec<(OrganisationName, i64)> {
-        let named = &self.named;
-        let is_fresh = self.named_at.is_some_and(|at| now.since(at) < NAMES_LIFE);
-        self.known.retain(|_, state| {
-            let silent = now.since(state.heard);
-            // While the leader is heard, one that it does not name any more serves nobody.
-            let limit = if is_fresh { SILENT_AFTER } else { FORGOTTEN_AFTER };
-            named.contains(&state.notice.address) || silent < limit
-        });
-        let silent = self.known.values_mut().filter(|state| now.since(state.heard) >= SILENT_AFTER);
+    /// Learns what this daemon itself lets through, from its totals.
+    pub fn learn_own(&mut self, totals: &[(OrganisationName, i64)], now: Moment) {
+        let elapsed = self.own.at.map_or(Duration::ZERO, |at| now.since(at));
+        for (organisation, total) in totals {
+            let before = self.own.totals.insert(organisation.clone(), *total).unwrap_or(0);
+            self.own.flow.learn(organisation, total - before, elapsed);
+        }
+        self.own.at = Some(now);
+    }
+
+    /// The tokens that silent neighbours may have let through since this was asked last, given the rates that the
+    /// limits let through. Each is reckoned with its part of all that was let through when it was last heard, so
+    /// that daemons that hear nothing of each other still keep to the whole between them.
+    pub fn reckon_silent(
+        &mut self,
+        limits: &[(OrganisationName, f64)],
+        now: Moment,
+    ) -> Vec<(OrganisationName, i64)> {
+        self.forget_gone(now);
         let mut taken = Vec::new();
-        for state in silent {
-            let seconds = now.since(state.reckoned).as_secs_f64();
-            state.reckoned = now;
-            let rates = state.rates.iter();
-            taken.extend(rates.map(|(name, rate)| (name.clone(), (rate * seconds) as i64)));
+        for (organisation, limit) in limits {
+            let sum: f64 = self.known.values().map(|state| state.flow.rate(organisation)).sum();
+            let sum = sum + self.own.flow.rate(organisation);
+            let equal = 1.0 / (self.known.len() + 1) as f64;
+            let is_silent = |state: &&mut NeighbourState| now.since(state.heard) >= SILENT_AFTER;
+            for state in self.known.values_mut().filter(is_silent) {
+                let now_part = if sum > 1.0 { state.flow.rate(organisation) / sum } else { equal };
+                let part = *state.part.entry(organisation.clone()).or_insert(now_part);
+                let tokens = limit * part * now.since(state.reckoned).as_secs_f64();
+                *state.assumed.entry(organisation.clone()).or_default() += tokens;
+                taken.push((organisation.clone(), tokens as i64));
+            }
         }
+        self.known.values_mut().for_each(|state| state.reckoned = now);
         taken
     }
 
+    fn forget_gone(&mut self, now: Moment) {
+        let named = &self.named;
+        self.known.retain(|_, state| {
+            named.contains(&state.notice.address) || now.since(state.heard) < FORGOTTEN_AFTER
+        });
+    }
+
     /// The work of all neighbours together at each upstream of a pool.
     pub fn others(&self, service: &ServiceName, now: Moment) -> BTreeMap<UpstreamName, OthersWork> {
         let mut sums: BTreeMap<UpstreamName, OthersWork> = BTreeMap::new();
@@ -160,12 +221,3 @@
         self.known.values().filter(|state| now.since(state.heard) < WORK_LIFE).count()
     }
 }
-
-impl NeighbourState {
-    fn learn_rate(&mut self, organisation: &OrganisationName, delta: i64, elapsed: Duration) {
-        let seconds = elapsed.as_secs_f64().max(0.001);
-        let weight = (seconds / RATE_TIME.as_secs_f64()).min(1.0);
-        let rate = self.rates.entry(organisation.clone()).or_default();
-        *rate += (delta.max(0) as f64 / seconds - *rate) * weight;
-    }
-}
--- a/src/policy/organisation_limits.rs
+++ b/src/policy/organisation_limits.rs
@@ -9,6 +9,11 @@
 use std::time::Duration;
 
 const MICROS: f64 = 1_000_000.0;
+/// The part of the difference by which a bucket moves towards another daemon's with each notice: with 6 daemons and
+/// 10 notices a second each, buckets are level again within a second, while what is on its way weighs little.
+const LEVEL_STEP: f64 = 0.03;
+/// A bucket is never charged further below empty than this, in microseconds until it is empty again.
+const MOST_DEBT: f64 = 1.5 * MICROS;
 /// Seconds' worth of tokens that may be used at once where the table names no burst.
 const DEFAULT_BURST_SECONDS: f64 = 10.0;
 
@@ -167,11 +172,37 @@
     /// that every daemon knows.
     pub fn charge(&mut self, organisation: OrganisationIndex, tokens: i64, now: Moment) {
         let rate = self.limits.get(&organisation).and_then(|limit| limit.tokens_per_second);
-        let Some(rate) = rate.map(|rate| self.let_through(rate)) else { return };
+        let limit = self.limits.get(&organisation).copied().unwrap_or_default();
+        let Some((rate, empty)) = rate.map(|rate| {
+            let through = self.let_through(rate);
+            (through, self.burst(&limit, rate) / through * MICROS)
+        }) else {
+            return;
+        };
         let first = self.first_state(organisation);
         let state = self.states.entry(organisation).or_insert(first);
         let full_at = state.full_at.max(now.0 as f64);
-        state.full_at = full_at + tokens as f64 / rate * MICROS;
+        let full_at = full_at + tokens as f64 / rate * MICROS;
+        // What was let through out of our sight is not owed for ever: after a cut heals, a debt of many seconds
+        // would refuse an organisation that has long been back within its limit.
+        let most = now.0 as f64 + empty + MOST_DEBT;
+        state.full_at = full_at.min(most.max(state.full_at));
+    }
+
+    /// Moves an organisation's bucket a little towards what another daemon reckons of it. What goes wrong without
+    /// it: after lost notices or a cut the daemons' buckets differ for ever, since each is refilled at the same
+    /// rate, and the one with the least in it refuses everything while the others let the whole limit through.
+    pub fn level(&mut self, organisation: OrganisationIndex, refill: Duration, now: Moment) {
+        let Some(state) = self.states.get_mut(&organisation) else { return };
+        let own = state.full_at.max(now.0 as f64);
+        let told = now.0 as f64 + refill.as_micros() as f64;
+        state.full_at = own + (told - own) * LEVEL_STEP;
+    }
+
+    /// The rate that an organisation's limit lets through, in tokens a second.
+    pub fn rate(&self, organisation: OrganisationIndex) -> Option<f64> {
+        let rate = self.limits.get(&organisation)?.tokens_per_second?;
+        Some(self.let_through(rate))
     }
 
     /// The time after which an organisation's bucket is full again.
--- a/src/store/journal.rs
+++ b/src/store/journal.rs
@@ -152,6 +152,8 @@
             replay(&mut state, record, base).map_err(damaged)?;
             offset += HEADER_BYTES + text.len();
         }
+        // What was read may have been written without a sync that succeeded; from now on it is relied upon.
+        self.log.sync_data().context(FilesSnafu { path: &path })?;
         Ok(state)
     }
 
--- a/src/traffic/neighbours.rs
+++ b/src/traffic/neighbours.rs
@@ -68,8 +68,10 @@
 }
 
 fn take_notice(state: &TrafficState, notice: WorkNotice) {
+    let refills = notice.refills.clone();
     let taken = state.neighbours.book().take(notice, state.clock.now());
     state.charge_taken(&taken);
+    state.level_limits(&refills);
     refresh_others(state);
 }
 
@@ -108,18 +110,26 @@
     let mut told_at = Instant::now();
     loop {
         let now = state.clock.now();
-        let silent = state.neighbours.book().reckon_silent(now);
+        let totals = state.taken();
+        let rates = state.limit_rates();
+        let (silent, mut addresses) = {
+            let mut book = state.neighbours.book();
+            book.learn_own(&totals, now);
+            (book.reckon_silent(&rates, now), book.addresses(now))
+        };
         state.charge_taken(&silent);
-        let mut addresses = state.neighbours.book().addresses(now);
         addresses.retain(|to| *to != address);
-        let work = (pool_notices(&state), state.taken());
+        let work = (pool_notices(&state), totals);
         if last.as_ref() != Some(&work) || told_at.elapsed() >= LONGEST_PAUSE {
             sequence += 1;
             told_at = Instant::now();
             let (pools, taken) = work.clone();
             last = Some(work);
             let daemon = state.daemon.clone();
-            let notice = WorkNotice { daemon, boot: state.boot(), sequence, address, pools, taken };
+            let refills = state.refills();
+            let (boot, is_leaving) = (state.boot(), state.is_drained());
+            let notice =
+                WorkNotice { daemon, boot, sequence, address, pools, taken, refills, is_leaving };
             let bytes = write_notice(&notice, &key);
             for to in &addresses {
                 // Lost notices are made good by the next one.
--- a/src/traffic/routed/carry.rs
+++ b/src/traffic/routed/carry.rs
@@ -181,9 +181,11 @@
 
     fn log_placed(&self, placed: &PlacedRequest, count: SendCount) {
         let waited = placed.sent_at.since(self.arrived_at).as_millis() as u64;
-        info!(self.state.log, "sent"; "request" => self.id(), "route" => &self.route.path_prefix, "service" => placed.pool.service.as_str(),
-            "upstream" => placed.name.as_str(), "waited_ms" => waited, "send" => count.sent + 1,
-            "table" => self.state.snapshot().version, "left_ms" => self.time_left().as_millis() as u64);
+        let organisation = self.caller.as_ref().map_or("", |caller| caller.organisation.as_str());
+        info!(self.state.log, "sent"; "request" => self.id(), "route" => &self.route.route, "organisation" => organisation,
+            "service" => placed.pool.service.as_str(), "upstream" => placed.name.as_str(), "waited_ms" => waited,
+            "send" => count.sent + 1, "table" => self.state.snapshot().version,
+            "left_ms" => self.time_left().as_millis() as u64, "tokens" => self.limit.as_ref().map_or(0, |limit| limit.cost));
     }
 }
 
--- a/src/traffic/routed/door.rs
+++ b/src/traffic/routed/door.rs
@@ -180,7 +180,7 @@
 pub struct LimitGuard {
     state: Arc<TrafficState>,
     organisation: OrganisationIndex,
-    cost: u32,
+    pub cost: u32,
     pub has_run: bool,
 }
 
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -215,6 +215,37 @@
         rows.filter(|(_, taken)| *taken != 0).collect()
     }
 
+    /// Milliseconds until the bucket of each organisation with a limit is full again.
+    pub fn refills(&self) -> Vec<(OrganisationName, u32)> {
+        let snapshot = self.snapshot();
+        let now = self.clock.now();
+        let limits = self.limits();
+        let rows = snapshot.access.limited();
+        let refills = rows.map(|(name, index)| (name.clone(), limits.refilled_in(index, now)));
+        refills.map(|(name, time)| (name, time.as_millis() as u32)).collect()
+    }
+
+    /// Moves the buckets towards what another daemon reckons.
+    pub fn level_limits(&self, refills: &[(OrganisationName, u32)]) {
+        let snapshot = self.snapshot();
+        let now = self.clock.now();
+        let mut limits = self.limits();
+        for (name, index) in snapshot.access.limited() {
+            let told = refills.iter().filter(|(other, _)| other == name);
+            told.for_each(|(_, millis)| {
+                limits.level(index, Duration::from_millis(u64::from(*millis)), now)
+            });
+        }
+    }
+
+    /// The rates that the limits on tokens let through.
+    pub fn limit_rates(&self) -> Vec<(OrganisationName, f64)> {
+        let snapshot = self.snapshot();
+        let limits = self.limits();
+        let rows = snapshot.access.limited();
+        rows.filter_map(|(name, index)| Some((name.clone(), limits.rate(index)?))).collect()
+    }
+
     /// Charges what other daemons have let through.
     pub fn charge_taken(&self, taken: &[(OrganisationName, i64)]) {
         if taken.is_empty() {
