--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -10,8 +10,8 @@
 use std::time::{Duration, Instant};
 use tarragonknot::claim::{ClaimKey, ClaimOutcome, ClaimOwner, ClaimReply};
 use tarragonknot::control::{
-    ClaimKeeper, ClaimSettings, ControlApiClient, EditOutcome, FleetKey, LeaderAnswer, LeaderHint,
-    TableEdit, connect,
+    ClaimKeeper, ClaimSettings, ControlApiClient, EditOutcome, FleetKey, KnownVoters, LeaderAnswer,
+    LeaderHint, TableEdit, connect,
 };
 use tarragonknot::standin::{EngineShape, start_engine};
 use tarragonknot::table::{KeyDigest, OperatorTable, VersionedTable, check_document};
@@ -270,7 +270,11 @@
         fleet.daemons[..VOTERS].iter().map(|daemon| daemon.control).collect();
     let hint = LeaderHint::default();
     hint.set(Some(fleet.daemons[fleet.leader().await].control));
-    let keeper = ClaimKeeper::start(ClaimSettings { voters, key: FleetKey::from_text(KEY), hint });
+    let keeper = ClaimKeeper::start(ClaimSettings {
+        voters: KnownVoters::new(voters),
+        key: FleetKey::from_text(KEY),
+        hint,
+    });
     let owner =
         |number: usize| ClaimOwner { daemon: "bench".into(), boot: 1, request: number.to_string() };
     let mut times = Vec::new();
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -34,3 +34,4 @@
     JoinAnswer, LeaderAnswer, VoterRow,
 };
 pub use server::start_server;
+pub use voting::{may_join, next_step};
--- a/src/policy/neighbour_book.rs
+++ b/src/policy/neighbour_book.rs
@@ -60,9 +60,9 @@
     reckoned: Moment,
     /// Tokens reckoned since its last notice, by organisation.
     assumed: BTreeMap<OrganisationName, f64>,
-    /// Its part of all that was let through when it fell silent, by organisation. It stays until the neighbour is
-    /// heard again: worked out anew, it would shrink as this daemon takes more, and this daemon would take all.
-    part: BTreeMap<OrganisationName, f64>,
+    /// Its part of all that was let through when it was last heard, by organisation. Worked out later it would be too
+    /// small: this daemon takes more as soon as the other's charges stay away.
+    parts: BTreeMap<OrganisationName, f64>,
     flow: TokenFlow,
 }
 
@@ -127,8 +127,8 @@
             let daemon = notice.daemon.clone();
             let assumed = BTreeMap::new();
             let flow = TokenFlow::default();
-            let part = BTreeMap::new();
-            let state = NeighbourState { notice, heard: now, reckoned: now, assumed, part, flow };
+            let parts = BTreeMap::new();
+            let state = NeighbourState { notice, heard: now, reckoned: now, assumed, parts, flow };
             self.known.insert(daemon, state);
             return Vec::new();
         };
@@ -147,7 +147,6 @@
             taken.push((organisation.clone(), delta - assumed.min(delta.max(0))));
         }
         state.assumed.clear();
-        state.part.clear();
         if notice.is_leaving {
             self.known.remove(&notice.daemon);
             return taken;
@@ -155,9 +154,25 @@
         state.notice = notice;
         state.heard = now;
         state.reckoned = now;
+        let daemon = state.notice.daemon.clone();
+        self.learn_parts(&daemon);
         taken
     }
 
+    /// Notes a neighbour's part of all that is let through now.
+    fn learn_parts(&mut self, daemon: &DaemonName) {
+        let Some(state) = self.known.get(daemon) else { return };
+        let part = |organisation: &OrganisationName| {
+            let others: f64 = self.known.values().map(|other| other.flow.rate(organisation)).sum();
+            let sum = others + self.own.flow.rate(organisation);
+            let equal = 1.0 / (self.known.len() + 1) as f64;
+            if sum > 1.0 { state.flow.rate(organisation) / sum } else { equal }
+        };
+        let names = state.notice.taken.iter().map(|(organisation, _)| organisation);
+        let parts = names.map(|organisation| (organisation.clone(), part(organisation))).collect();
+        self.known.entry(daemon.clone()).and_modify(|state| state.parts = parts);
+    }
+
     /// Learns what this daemon itself lets through, from its totals.
     pub fn learn_own(&mut self, totals: &[(OrganisationName, i64)], now: Moment) {
         let elapsed = self.own.at.map_or(Duration::ZERO, |at| now.since(at));
@@ -179,19 +194,17 @@
         self.forget_gone(now);
         let mut taken = Vec::new();
         for (organisation, limit) in limits {
-            let sum: f64 = self.known.values().map(|state| state.flow.rate(organisation)).sum();
-            let sum = sum + self.own.flow.rate(organisation);
             let equal = 1.0 / (self.known.len() + 1) as f64;
             let is_silent = |state: &&mut NeighbourState| now.since(state.heard) >= SILENT_AFTER;
             for state in self.known.values_mut().filter(is_silent) {
-                let now_part = if sum > 1.0 { state.flow.rate(organisation) / sum } else { equal };
-                let part = *state.part.entry(organisation.clone()).or_insert(now_part);
+                let part = state.parts.get(organisation).copied().unwrap_or(equal);
                 let tokens = limit * part * now.since(state.reckoned).as_secs_f64();
                 *state.assumed.entry(organisation.clone()).or_default() += tokens;
                 taken.push((organisation.clone(), tokens as i64));
             }
         }
-        self.known.values_mut().for_each(|state| state.reckoned = now);
+        let silent = self.known.values_mut().filter(|state| now.since(state.heard) >= SILENT_AFTER);
+        silent.for_each(|state| state.reckoned = now);
         taken
     }
 
--- a/src/policy/organisation_limits.rs
+++ b/src/policy/organisation_limits.rs
@@ -12,6 +12,8 @@
 /// The part of the difference by which a bucket moves towards another daemon's with each notice: with 6 daemons and
 /// 10 notices a second each, buckets are level again within a second, while what is on its way weighs little.
 const LEVEL_STEP: f64 = 0.03;
+/// Differences between buckets up to this are not made level, in microseconds.
+const LEVEL_GAP: f64 = 0.3 * MICROS;
 /// A bucket is never charged further below empty than this, in microseconds until it is empty again.
 const MOST_DEBT: f64 = 1.5 * MICROS;
 /// Seconds' worth of tokens that may be used at once where the table names no burst.
@@ -196,7 +198,10 @@
         let Some(state) = self.states.get_mut(&organisation) else { return };
         let own = state.full_at.max(now.0 as f64);
         let told = now.0 as f64 + refill.as_micros() as f64;
-        state.full_at = own + (told - own) * LEVEL_STEP;
+        let gap = told - own;
+        // Small gaps are what each has let through and not yet told.
+        let lasting = gap.signum() * (gap.abs() - LEVEL_GAP).max(0.0);
+        state.full_at = own + lasting * LEVEL_STEP;
     }
 
     /// The rate that an organisation's limit lets through, in tokens a second.
--- /dev/null
+++ b/tests/routed_fleet.rs
@@ -0,0 +1,290 @@
+//! One daemon that serves routes between real callers and scripted engines of the users' platform, on loopback.
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde_json::json;
+use slog::{Discard, Logger, o};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tarragonknot::platform;
+use tarragonknot::table::VersionedTable;
+use tarragonknot::traffic::{FrontHandle, TrafficState, start_front};
+use tarragonknot::upstream::{PlatformList, VmRow, VmState};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// The key of the only organisation.
+pub const KEY: &str = "agents-key";
+
+/// A request as an engine saw it.
+#[derive(Clone, Debug)]
+pub struct SeenRequest {
+    pub id: String,
+    pub path: String,
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl SeenRequest {
+    /// The value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut rows = self.head.lines().filter_map(|line| line.split_once(": "));
+        rows.find(|(known, _)| known.eq_ignore_ascii_case(name)).map(|(_, value)| value)
+    }
+}
+
+/// What an engine does with a request.
+#[derive(Clone, Debug)]
+pub enum EngineMove {
+    /// A whole signed answer.
+    Answer(u16, &'static str),
+    /// The documented word that it did not run the request.
+    NotRun,
+    /// It is another incarnation than the one meant.
+    OtherIncarnation,
+    /// It reads the request and closes without a word.
+    Close,
+    /// It says nothing.
+    Silent,
+    /// A signed answer to another request.
+    Crossed,
+    /// Events from the first to the last number, and the stream's good end.
+    Events(u64, u64),
+    /// Events, then half of the next one, then the end of the connection.
+    CutEvents(u64, u64),
+    /// Fewer bytes than declared.
+    Truncated,
+}
+
+type EngineScript = Arc<dyn Fn(usize) -> EngineMove + Send + Sync>;
+
+/// A scripted engine.
+pub struct ScriptedEngine {
+    pub name: String,
+    pub address: SocketAddr,
+    seen: Arc<Mutex<Vec<SeenRequest>>>,
+}
+
+impl ScriptedEngine {
+    /// An engine that does what `script` says for its first, second and later requests.
+    pub async fn start(
+        name: &str,
+        script: impl Fn(usize) -> EngineMove + Send + Sync + 'static,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let seen: Arc<Mutex<Vec<SeenRequest>>> = Arc::default();
+        let script: EngineScript = Arc::new(script);
+        let log = Arc::clone(&seen);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, Arc::clone(&log), Arc::clone(&script)));
+            }
+        });
+        ScriptedEngine { name: name.to_owned(), address, seen }
+    }
+
+    /// The requests that it saw.
+    pub fn seen(&self) -> Vec<SeenRequest> {
+        self.seen.lock().expect("no test panics here").clone()
+    }
+
+    /// How often it saw a request.
+    pub fn count(&self) -> usize {
+        self.seen().len()
+    }
+}
+
+async fn serve(mut stream: TcpStream, log: Arc<Mutex<Vec<SeenRequest>>>, script: EngineScript) {
+    while let Some(request) = read_request(&mut stream).await {
+        let number = {
+            let mut seen = log.lock().expect("no test panics here");
+            seen.push(request.clone());
+            seen.len() - 1
+        };
+        if !play(&mut stream, &request, script(number)).await {
+            return;
+        }
+    }
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<SeenRequest> {
+    let mut bytes = Vec::new();
+    let end = loop {
+        if let Some(at) = bytes.windows(4).position(|four| four == b"\r\n\r\n") {
+            break at + 4;
+        }
+        let mut buffer = [0; 4096];
+        let count = stream.read(&mut buffer).await.ok().filter(|count| *count > 0)?;
+        bytes.extend_from_slice(&buffer[..count]);
+    };
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let mut request =
+        SeenRequest { id: String::new(), path: String::new(), head, body: Vec::new() };
+    let length: usize =
+        request.header("content-length").map_or(0, |text| text.parse().unwrap_or(0));
+    while bytes.len() < end + length {
+        let mut buffer = [0; 4096];
+        let count = stream.read(&mut buffer).await.ok().filter(|count| *count > 0)?;
+        bytes.extend_from_slice(&buffer[..count]);
+    }
+    request.id = request.header("tarragonknot-request-id").unwrap_or_default().to_owned();
+    request.path = request.head.split(' ').nth(1).unwrap_or_default().to_owned();
+    request.body = bytes[end..end + length].to_vec();
+    Some(request)
+}
+
+/// Plays a move; false if the connection ends with it.
+async fn play(stream: &mut TcpStream, request: &SeenRequest, engine_move: EngineMove) -> bool {
+    let echo =
+        format!("tarragonknot-request-id: {}\r\ntarragonknot-server-seal: seal-1\r\n", request.id);
+    let events = |first: u64, last: u64| {
+        (first..=last).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect::<String>()
+    };
+    let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+    let stream_head = format!(
+        "HTTP/1.1 200 OK\r\n{echo}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+    );
+    let (text, goes_on) = match engine_move {
+        EngineMove::Answer(status, body) => (
+            format!("HTTP/1.1 {status} X\r\n{echo}content-length: {}\r\n\r\n{body}", body.len()),
+            true,
+        ),
+        EngineMove::NotRun => (
+            format!("HTTP/1.1 503 X\r\n{echo}tarragonknot-not-executed: 1\r\ncontent-length: 0\r\n\r\n"),
+            true,
+        ),
+        EngineMove::OtherIncarnation => {
+            ("HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n".to_owned(), true)
+        }
+        EngineMove::Close => (String::new(), false),
+        EngineMove::Silent => {
+            let mut buffer = [0; 16];
+            let _ = stream.read(&mut buffer).await;
+            return false;
+        }
+        EngineMove::Crossed => (
+            "HTTP/1.1 200 OK\r\ntarragonknot-request-id: other\r\ntarragonknot-server-seal: seal-2\r\n\
+             content-length: 5\r\n\r\nwrong"
+                .to_owned(),
+            true,
+        ),
+        EngineMove::Events(first, last) => {
+            (format!("{stream_head}{}0\r\n\r\n", chunk(&events(first, last))), true)
+        }
+        EngineMove::CutEvents(first, last) => {
+            let half = format!("id: {}\ndata: pie", last + 1);
+            (format!("{stream_head}{}{}", chunk(&events(first, last)), chunk(&half)), false)
+        }
+        EngineMove::Truncated => {
+            (format!("HTTP/1.1 200 OK\r\n{echo}content-length: 100\r\n\r\nshort"), false)
+        }
+    };
+    stream.write_all(text.as_bytes()).await.is_ok() && goes_on
+}
+
+/// The daemon and its engines, all of one service.
+pub struct RoutedFleet {
+    pub state: Arc<TrafficState>,
+    pub front: FrontHandle,
+}
+
+/// An answer as a caller got it; the body is none if the connection was cut within it.
+#[derive(Debug)]
+pub struct CallerAnswer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Option<String>,
+}
+
+/// The table with a route of each kind.
+pub fn document(version: u64) -> String {
+    let route = |name: &str, kind: &str, attempts: u32, resumable: bool| {
+        json!({"name": name, "host": "shop.example", "path_prefix": format!("/{name}/"), "kind": kind,
+               "timeout_ms": 3000, "latency_slo_ms": 200, "priority": 0, "service": "pool",
+               "max_attempts": attempts, "public": false, "resumable": resumable, "gap_slo_ms": 100})
+    };
+    let routes = [
+        route("safe", "safe", 2, false),
+        route("unsafe", "unsafe", 1, false),
+        route("stream", "stream", 1, false),
+        route("resumable", "stream", 2, true),
+    ];
+    json!({"version": version, "routes": routes, "services": [{"name": "pool", "engine": {"slots": 4}}],
+           "tenants": [{"name": "agents", "api_keys": [KEY]}]})
+    .to_string()
+}
+
+impl RoutedFleet {
+    /// A daemon without a table, before engines.
+    pub async fn without_table(engines: &[&ScriptedEngine]) -> Self {
+        let log = Logger::root(Discard, o!());
+        let state = TrafficState::new("127.0.0.1".into(), log, 7);
+        state.set_manner(platform::manner());
+        state.serve_cut_off();
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let front = start_front(Arc::clone(&state), listener, Duration::from_millis(10));
+        let fleet = RoutedFleet { state, front: front.expect("a front") };
+        fleet.list(engines, VmState::Live);
+        fleet
+    }
+
+    /// A daemon before engines, with the table in force.
+    pub async fn start(engines: &[&ScriptedEngine]) -> Self {
+        let fleet = Self::without_table(engines).await;
+        fleet.apply(1, &document(1));
+        fleet
+    }
+
+    /// Puts a document in force.
+    pub fn apply(&self, version: u64, document: &str) {
+        self.state.apply_table(&VersionedTable::from_document(version, &Arc::from(document)));
+    }
+
+    /// Lists the engines in this state.
+    pub fn list(&self, engines: &[&ScriptedEngine], state: VmState) {
+        let row = |engine: &&ScriptedEngine| VmRow {
+            service: "pool".into(),
+            upstream: engine.name.as_str().into(),
+            address: engine.address,
+            state,
+            incarnation: 0,
+            places: Some(4),
+        };
+        self.state.apply_platform(PlatformList { vms: engines.iter().map(row).collect() });
+    }
+
+    /// Sends a request and reads its answer.
+    pub async fn call(&self, path: &str, id: &str) -> CallerAnswer {
+        self.call_with(path, id, KEY, &[]).await
+    }
+
+    /// Sends a request with a key and further headers.
+    pub async fn call_with(
+        &self,
+        path: &str,
+        id: &str,
+        key: &str,
+        headers: &[(&str, &str)],
+    ) -> CallerAnswer {
+        let mut request = Request::post(format!("http://{}{path}", self.front.address))
+            .header("host", "shop.example")
+            .header("tarragonknot-request-id", id)
+            .header("tarragonknot-deadline-ms", "2500")
+            .header("authorization", format!("Bearer {key}"));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(Bytes::from_static(b"the body"))).expect("a request");
+        let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+        let response = client.request(request).await.expect("an answer");
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.ok();
+        let body = body.map(|body| String::from_utf8_lossy(&body.to_bytes()).into_owned());
+        CallerAnswer { status: head.status, headers: head.headers, body }
+    }
+}
--- /dev/null
+++ b/tests/test_limits.rs
@@ -0,0 +1,318 @@
+//! Limits that several daemons keep together, and the queue that puts those in time first.
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tarragonknot::policy::{
+    ArrivedRequest, DispatchOutcome, LimitBook, LimitTolerance, Moment, NeighbourBook,
+    OrganisationIndex, OrganisationLimit, PoolAction, PoolEvent, PoolPlan, PoolScheduler,
+    RequestId, RequestSizes, TierRank, TierShare, UpstreamIndex, WorkNotice,
+};
+use tarragonknot::table::{
+    LimitChoice, OrganisationName, PlacementChoice, QueueChoice, ServiceKind, ServiceRow,
+    tier_of_rank,
+};
+
+use crate::session::source;
+
+const HOT: OrganisationIndex = OrganisationIndex(0);
+/// Tokens a second and burst of the limit in these tests.
+const RATE: u64 = 100_000;
+/// Time between two notices, in milliseconds.
+const NOTICE_PAUSE: u64 = 50;
+
+fn hot() -> OrganisationName {
+    OrganisationName::from("hot")
+}
+
+/// One daemon's side of the limits.
+struct LimitDaemon {
+    number: u64,
+    book: NeighbourBook,
+    limits: LimitBook,
+    sequence: u64,
+}
+
+impl LimitDaemon {
+    fn new(number: u64, began: Moment) -> Self {
+        let mut limits = LimitBook::default();
+        let limit = OrganisationLimit {
+            tokens_per_second: Some(RATE),
+            burst_tokens: Some(RATE),
+            concurrent: None,
+        };
+        limits.set_limits(HashMap::from([(HOT, limit)]));
+        limits.start_empty(began);
+        LimitDaemon { number, book: NeighbourBook::default(), limits, sequence: 0 }
+    }
+
+    fn notice(&mut self, now: Moment) -> WorkNotice {
+        self.sequence += 1;
+        let address = SocketAddr::from(([127, 0, 0, 1], 1_000 + self.number as u16));
+        WorkNotice {
+            daemon: format!("entry-{}", self.number).as_str().into(),
+            boot: 1,
+            sequence: self.sequence,
+            address,
+            pools: Vec::new(),
+            taken: vec![(hot(), self.limits.taken(HOT))],
+            refills: vec![(hot(), self.limits.refilled_in(HOT, now).as_millis() as u32)],
+            is_leaving: false,
+        }
+    }
+
+    fn hear(&mut self, notice: WorkNotice, now: Moment) {
+        let refill = Duration::from_millis(u64::from(notice.refills[0].1));
+        for (_, tokens) in self.book.take(notice, now) {
+            self.limits.charge(HOT, tokens, now);
+        }
+        self.limits.level(HOT, refill, now);
+    }
+
+    fn reckon(&mut self, now: Moment) {
+        self.book.learn_own(&[(hot(), self.limits.taken(HOT))], now);
+        let rate = self.limits.rate(HOT).expect("a limit");
+        for (_, tokens) in self.book.reckon_silent(&[(hot(), rate)], now) {
+            self.limits.charge(HOT, tokens, now);
+        }
+    }
+}
+
+/// Plays callers who ask for eight times the limit, evenly at all daemons; `hears` says who hears whom and when.
+/// Returns tokens let through in each second.
+fn play(daemons: u64, seconds: u64, hears: impl Fn(u64, u64, u64) -> bool) -> Vec<u64> {
+    let start = 10_000;
+    let mut fleet: Vec<LimitDaemon> =
+        (0..daemons).map(|number| LimitDaemon::new(number, Moment::from_millis(0))).collect();
+    let cost = 2_000;
+    let each = daemons * 1_000 * u64::from(cost) / (8 * RATE);
+    let mut let_through = vec![0; seconds as usize];
+    for millis in 0..seconds * 1_000 {
+        let now = Moment::from_millis(start + millis);
+        for (number, daemon) in fleet.iter_mut().enumerate() {
+            let is_asked = (millis + number as u64 * each / daemons).is_multiple_of(each);
+            if is_asked && daemon.limits.admit(HOT, cost, now).is_ok() {
+                let_through[(millis / 1_000) as usize] += u64::from(cost);
+            }
+        }
+        if millis.is_multiple_of(NOTICE_PAUSE) {
+            fleet.iter_mut().for_each(|daemon| daemon.reckon(now));
+            let notices: Vec<WorkNotice> =
+                fleet.iter_mut().map(|daemon| daemon.notice(now)).collect();
+            for (from, notice) in notices.into_iter().enumerate() {
+                let others = fleet.iter_mut().enumerate().filter(|(to, _)| *to != from);
+                let listening = others.filter(|(to, _)| hears(from as u64, *to as u64, millis));
+                listening.for_each(|(_, daemon)| daemon.hear(notice.clone(), now));
+            }
+        }
+    }
+    let_through
+}
+
+/// Symptom: an organisation gets as many times its limit as there are daemons. Cause: each daemon applies it alone.
+#[test]
+fn daemons_that_hear_each_other_keep_one_limit() {
+    let seconds = play(6, 10, |_, _, _| true);
+
+    let sum: u64 = seconds.iter().sum();
+    assert!(sum <= RATE * 11 + RATE / 2, "{seconds:?}");
+    assert!(sum >= RATE * 10, "{seconds:?}");
+}
+
+/// Symptom: an organisation exceeds its limit while entries are cut off from each other.
+/// Sequence: callers ask for eight times the limit; after two seconds four of seven daemons hear nobody any more.
+/// Cause: taking a silent daemon for one that lets nothing through, or less and less.
+#[test]
+fn daemons_that_hear_nothing_of_each_other_keep_it_too() {
+    let is_cut = |number: u64, millis: u64| number < 4 && millis >= 2_000;
+
+    let seconds = play(7, 12, |from, to, millis| !is_cut(from, millis) && !is_cut(to, millis));
+
+    for window in seconds.windows(8) {
+        let sum: u64 = window.iter().sum();
+        assert!(sum <= (RATE * 9) * 11 / 10 + 95_000, "{seconds:?}");
+    }
+}
+
+/// Symptom: after a cut has healed one daemon refuses all and the others let all through.
+/// Sequence: a daemon is cut off for five seconds and hears the others again. Cause: a debt that never falls, since
+/// the others use up what is refilled.
+#[test]
+fn a_daemon_that_comes_back_gets_its_part_again() {
+    let is_cut = |number: u64, millis: u64| number == 0 && (2_000..7_000).contains(&millis);
+    let hears = |from, to, millis| !is_cut(from, millis) && !is_cut(to, millis);
+
+    let seconds = play(4, 16, hears);
+
+    let late: u64 = seconds[10..].iter().sum();
+    assert!(late >= RATE * 6 * 8 / 10, "{seconds:?}");
+    assert!(late <= RATE * 6 * 12 / 10, "{seconds:?}");
+}
+
+/// Symptom: a burst passes twice. Sequence: a process is killed after letting a burst through and started again.
+/// Cause: a new process with full buckets.
+#[test]
+fn a_new_process_begins_with_empty_buckets() {
+    let mut daemon = LimitDaemon::new(0, Moment::from_millis(5_000));
+
+    let at_once = daemon.limits.admit(HOT, 50_000, Moment::from_millis(5_000));
+    let later = daemon.limits.admit(HOT, 50_000, Moment::from_millis(6_100));
+
+    assert!(at_once.is_err());
+    assert!(later.is_ok());
+}
+
+#[test]
+fn a_tolerance_is_given_to_callers_in_part() {
+    let mut daemon = LimitDaemon::new(0, Moment::from_millis(0));
+    daemon.limits.set_tolerance(LimitTolerance { overage: 0.1, slack: 100_000 });
+    let now = Moment::from_millis(60_000);
+
+    let passed = (0..400).filter(|_| daemon.limits.admit(HOT, 1_000, now).is_ok()).count();
+
+    assert_eq!(passed, 150);
+}
+
+fn urgency_plan() -> PoolPlan {
+    let mut row = ServiceRow::new("pool".into(), ServiceKind::Model, tier_of_rank(0));
+    row.queue = QueueChoice::Urgency;
+    row.placement = PlacementChoice::Earliest;
+    row.limit = LimitChoice::Fixed;
+    row.first_guess = 1;
+    let share = |rank, weight| TierShare { rank: TierRank(rank), weight };
+    let mut plan = PoolPlan::new(&row, &[share(0, 16), share(1, 4)]);
+    plan.sheds_alone = true;
+    plan
+}
+
+/// A pool of one engine with one place, in virtual time.
+struct BurstPool {
+    scheduler: PoolScheduler,
+    rng: ChaCha8Rng,
+    actions: Vec<PoolAction>,
+}
+
+impl BurstPool {
+    fn new() -> Self {
+        let mut pool = BurstPool {
+            scheduler: PoolScheduler::new(urgency_plan()),
+            rng: ChaCha8Rng::seed_from_u64(1),
+            actions: Vec::new(),
+        };
+        pool.tell(PoolEvent::Sources(vec![source("e1", 1)]), 0);
+        pool
+    }
+
+    fn tell(&mut self, event: PoolEvent, millis: u64) -> Vec<PoolAction> {
+        self.scheduler.handle(event, Moment::from_millis(millis), &mut self.rng, &mut self.actions);
+        std::mem::take(&mut self.actions)
+    }
+
+    fn arrive(&mut self, id: u64, rank: u8, millis: u64) -> Vec<PoolAction> {
+        let at = |after: u64| Moment::from_millis(millis + after);
+        let arrived = ArrivedRequest {
+            id: RequestId(id),
+            organisation: OrganisationIndex(0),
+            weight: 1,
+            tier: TierRank(0),
+            prompt_bytes: 0,
+            output_limit: None,
+            deadline: at(10_000),
+            rank,
+            objective: Some(at(500)),
+            patience: Some(at(2_400)),
+            sizes: Some(RequestSizes { prompt: 100, output: 10 }),
+            prefix: Box::default(),
+        };
+        self.tell(PoolEvent::Arrived(arrived), millis)
+    }
+
+    fn end(&mut self, id: u64, millis: u64) -> Vec<PoolAction> {
+        let outcome = DispatchOutcome::Completed { prompt_tokens: None, output_tokens: 10 };
+        self.tell(PoolEvent::Ended { id: RequestId(id), outcome }, millis)
+    }
+}
+
+fn sent(actions: &[PoolAction]) -> Vec<u64> {
+    let ids = actions.iter().filter_map(|action| match action {
+        PoolAction::Dispatch { id, .. } => Some(id.0),
+        PoolAction::Refuse { .. } => None,
+    });
+    ids.collect()
+}
+
+/// Symptom: in a burst every answer is late. Sequence: more comes than is worked off; first come, first served.
+/// Cause: each waits behind those that are late already.
+#[test]
+fn those_still_in_time_go_before_those_that_are_late() {
+    let mut pool = BurstPool::new();
+    pool.arrive(1, 0, 0);
+    pool.arrive(2, 0, 10);
+    pool.arrive(3, 0, 700);
+
+    let next = pool.end(1, 800);
+    let last = pool.end(3, 900);
+
+    assert_eq!((sent(&next), sent(&last)), (vec![3], vec![2]));
+}
+
+#[test]
+fn a_higher_rank_goes_first_and_a_lower_one_is_not_starved() {
+    let mut pool = BurstPool::new();
+    pool.arrive(1, 0, 0);
+    pool.arrive(2, 2, 1);
+    let mut order = Vec::new();
+    let mut running = 1;
+    for id in 3..40 {
+        pool.arrive(id, 0, id);
+        let actions = pool.end(running, id);
+        running = sent(&actions)[0];
+        order.push(running);
+    }
+
+    let place = order.iter().position(|id| *id == 2);
+
+    assert!(place.is_some_and(|place| (1..=32).contains(&place)), "{order:?}");
+}
+
+/// Symptom: callers wait until they leave, and nothing tells them to come back. Sequence: a request waits past the
+/// time for which its caller waits for a first event. Cause: a wait bounded by the deadline alone.
+#[test]
+fn what_cannot_start_within_the_callers_patience_is_refused() {
+    let mut pool = BurstPool::new();
+    pool.arrive(1, 0, 0);
+    pool.arrive(2, 0, 10);
+
+    let early = pool.tell(PoolEvent::Tick, 1_500);
+    let refused = pool.tell(PoolEvent::Tick, 2_405);
+
+    assert_eq!(early, Vec::new());
+    assert!(matches!(refused[..], [PoolAction::Refuse { id: RequestId(2), .. }]), "{refused:?}");
+}
+
+/// Symptom: a failing engine gets the most requests, since nothing runs there. Sequence: it ends each at once with a
+/// failure. Cause: placement by load alone.
+#[test]
+fn an_engine_that_fails_rests() {
+    let mut pool = BurstPool::new();
+    pool.tell(PoolEvent::Sources(vec![source("e1", 1), source("e2", 2)]), 1);
+    let failing = UpstreamIndex(0);
+    let mut to_failing = 0;
+    for id in 1..=20 {
+        let actions = pool.arrive(id, 0, 10 + id);
+        let Some(PoolAction::Dispatch { upstream, .. }) = actions.first() else { continue };
+        let is_failing = *upstream == failing;
+        to_failing += usize::from(is_failing);
+        match is_failing {
+            true => {
+                let outcome = DispatchOutcome::Failed;
+                pool.tell(PoolEvent::Ended { id: RequestId(id), outcome }, 10 + id);
+            }
+            false => drop(pool.end(id, 10 + id)),
+        }
+    }
+
+    assert!(to_failing <= 2, "{to_failing}");
+}
--- /dev/null
+++ b/tests/test_platform.rs
@@ -0,0 +1,230 @@
+//! The adapter to the users' platform: what it reads and writes, and that its names stay in its folder.
+
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use rstest::rstest;
+use serde_json::{Value, json};
+use std::path::Path;
+use std::time::Duration;
+use tarragonknot::platform::{DocumentReader, HeaderDialect};
+use tarragonknot::table::{LimitUnit, RouteKind, TableReader, tier_of_rank};
+use tarragonknot::traffic::{CallDialect, SendFacts};
+
+fn document() -> Value {
+    json!({
+        "version": 7,
+        "routes": [
+            {"name": "notes", "host": "shop.example", "path_prefix": "/notes/", "kind": "stream", "timeout_ms": 5000,
+             "latency_slo_ms": 500, "priority": 1, "service": "llm", "max_attempts": 2, "public": false,
+             "resumable": true, "gap_slo_ms": 300},
+            {"name": "book", "host": "shop.example", "path_prefix": "/book/", "kind": "unsafe", "timeout_ms": 1000,
+             "latency_slo_ms": 150, "priority": 2, "backends": [{"service": "api", "weight": 90},
+             {"service": "llm", "weight": 10}], "max_attempts": 1, "public": true}],
+        "services": [
+            {"name": "llm", "health_path": "/healthz", "engine": {"slots": 6, "stride": 3}},
+            {"name": "api", "health_path": "/healthz", "max_conns": 96}],
+        "tenants": [{"name": "agents", "api_keys": ["one", "two"], "priority": 0, "unit": "tokens",
+                     "plain_tokens": 200, "rate_per_s": 1000, "burst": 500}]
+    })
+}
+
+fn headers(rows: &[(&'static str, &'static str)]) -> HeaderMap {
+    let row = |(name, value): &(&'static str, &'static str)| {
+        (HeaderName::from_static(name), HeaderValue::from_static(value))
+    };
+    rows.iter().map(row).collect()
+}
+
+#[test]
+fn a_document_becomes_a_table() {
+    let (version, table) = DocumentReader.read(&document().to_string()).expect("a good document");
+
+    assert_eq!(version, 7);
+    let (notes, book) = (&table.routes[0], &table.routes[1]);
+    assert_eq!((notes.kind, book.kind), (RouteKind::ResumableStream, RouteKind::Unsafe));
+    assert_eq!((notes.attempts, notes.is_public, book.is_public), (2, false, true));
+    assert_eq!(notes.patience_ms, Some(Duration::from_millis(2_400)));
+    assert_eq!(book.patience_ms, None);
+    assert_eq!(book.targets.len(), 2);
+    assert_eq!(notes.tier, tier_of_rank(1));
+    let llm = table.service("llm").expect("the service");
+    assert_eq!((llm.first_guess, llm.event_tokens), (6, 3));
+    let agents = &table.organisations[0];
+    assert_eq!((agents.key_digests.len(), agents.limit_unit), (2, LimitUnit::Tokens));
+    assert_eq!((agents.tokens_per_second, agents.burst_tokens), (Some(1_000), Some(500)));
+    assert_eq!(table.assignments[0].tier, tier_of_rank(0));
+}
+
+#[rstest]
+#[case::cut_short("/routes", Value::Null, "a configuration")]
+#[case::unknown_service("/routes/0/service", json!("nobody"), "/routes/0/targets: found nobody")]
+#[case::same_place("/routes/1/path_prefix", json!("/notes/"), "/routes/1: found shop.example/notes/")]
+#[case::no_weight("/routes/1/backends", json!([{"service": "api", "weight": 0}]), "/routes/1/targets: found 0")]
+#[case::no_timeout("/routes/0/timeout_ms", json!(0), "/routes/0/timeout_ms: found 0")]
+fn an_invalid_document_is_refused_with_its_place(
+    #[case] place: &str,
+    #[case] value: Value,
+    #[case] expected: &str,
+) {
+    let mut document = document();
+    *document.pointer_mut(place).expect("a place of the document") = value;
+
+    let faults = DocumentReader.read(&document.to_string()).expect_err("a fault").to_string();
+
+    assert!(faults.contains(expected), "{faults}");
+}
+
+#[test]
+fn a_key_that_two_organisations_share_is_a_fault() {
+    let mut document = document();
+    let tenants = document["tenants"].as_array_mut().expect("a list");
+    tenants.push(json!({"name": "staff", "api_keys": ["two"]}));
+
+    let faults = DocumentReader.read(&document.to_string()).expect_err("a fault").to_string();
+
+    assert!(faults.starts_with("/organisations/1/key_digests/0"), "{faults}");
+}
+
+#[test]
+fn a_document_that_ends_early_is_refused() {
+    let text = document().to_string();
+
+    let faults = DocumentReader.read(&text[..text.len() / 2]).expect_err("a fault").to_string();
+
+    assert!(faults.starts_with("/: found line 1"), "{faults}");
+}
+
+#[test]
+fn a_callers_headers_are_read_once() {
+    let headers = headers(&[
+        ("tarragonknot-request-id", "9c41"),
+        ("authorization", "Bearer key-1"),
+        ("tarragonknot-deadline-ms", "10000"),
+        ("tarragonknot-token-count", "1460,80"),
+        ("tarragonknot-length-hint", "40"),
+        ("last-event-id", "12"),
+    ]);
+
+    let facts = HeaderDialect.read_caller(&headers);
+
+    assert_eq!((facts.id.as_deref(), facts.key.as_deref()), (Some("9c41"), Some("key-1")));
+    assert_eq!(facts.deadline, Some(Duration::from_secs(10)));
+    assert_eq!(
+        (facts.prompt_tokens, facts.output_limit, facts.output_guess),
+        (Some(1_460), Some(80), Some(40))
+    );
+    assert_eq!(facts.last_event, Some(12));
+}
+
+/// Symptom: an engine gives a caller another's memory, or learns a key. Sequence: a caller sets headers that are the
+/// system's to set. Cause: passing on what the caller sent.
+#[test]
+fn what_only_the_system_may_set_never_comes_from_a_caller() {
+    let mut headers = headers(&[
+        ("authorization", "Bearer key-1"),
+        ("tarragonknot-tenant", "somebody-else"),
+        ("tarragonknot-hold", "h"),
+        ("tarragonknot-pin-ms", "9"),
+        ("tarragonknot-kv-backup", "10.0.0.1:1"),
+        ("kv-from", "10.0.0.1:1/9"),
+        ("kv-fetch", "10.0.0.1:1"),
+        ("tarragonknot-model", "m"),
+        ("tarragonknot-request-id", "9c41"),
+    ]);
+    let facts = SendFacts {
+        deadline: Some(Duration::from_micros(1_500_700)),
+        incarnation: "i-1",
+        organisation: None,
+        last_event: Some(3),
+    };
+
+    HeaderDialect.write_send(&mut headers, &facts);
+
+    let mut names: Vec<&str> = headers.keys().map(HeaderName::as_str).collect();
+    names.sort_unstable();
+    let expected = [
+        "last-event-id",
+        "tarragonknot-deadline-ms",
+        "tarragonknot-expect-instance",
+        "tarragonknot-model",
+        "tarragonknot-request-id",
+    ];
+    assert_eq!(names, expected);
+    assert_eq!(headers["tarragonknot-deadline-ms"], "1500");
+    assert_eq!(headers["tarragonknot-expect-instance"], "i-1");
+}
+
+#[rstest]
+#[case::own_word(503, &[("tarragonknot-not-executed", "1")], true, false)]
+#[case::other_incarnation(421, &[], true, true)]
+#[case::refusal_without_the_word(503, &[], false, false)]
+#[case::good(200, &[("tarragonknot-server-seal", "3e1b")], false, false)]
+fn only_the_engines_own_word_says_not_run(
+    #[case] status: u16,
+    #[case] rows: &[(&'static str, &'static str)],
+    #[case] is_not_run: bool,
+    #[case] is_other: bool,
+) {
+    let status = StatusCode::from_u16(status).expect("a status");
+
+    let facts = HeaderDialect.read_answer(status, &headers(rows));
+
+    assert_eq!((facts.is_not_run, facts.is_other_incarnation), (is_not_run, is_other));
+}
+
+#[test]
+fn an_answers_load_and_idle_time_are_read() {
+    let headers =
+        headers(&[("tarragonknot-server-load", "3,1,8"), ("keep-alive", "timeout=5, max=100")]);
+
+    let facts = HeaderDialect.read_answer(StatusCode::OK, &headers);
+
+    let load = facts.load.expect("a load");
+    assert_eq!((load.running, load.queued), (3, 1));
+    assert_eq!(facts.keeps_idle, Some(Duration::from_secs(5)));
+}
+
+/// The platform's names stand in its folder alone: nothing else may come to rely on them.
+#[test]
+fn no_name_of_the_platform_stands_outside_its_folder() {
+    let names = [
+        "server-seal",
+        "expect-instance",
+        "token-count",
+        "prefix-hash",
+        "not-executed",
+        "length-hint",
+        "server-load",
+        "instance-id",
+        "latency_slo",
+        "gap_slo",
+        "max_attempts",
+        "api_keys",
+        "rate_per_s",
+        "path_prefix\"",
+        "config/replace",
+        "config/read",
+        "kv-events",
+        "/instances",
+        "page_token",
+        "plain_tokens",
+        "tarragonknot-tenant",
+    ];
+    let mut found = Vec::new();
+    walk(Path::new(env!("CARGO_MANIFEST_DIR")).join("src").as_path(), &mut |path, text| {
+        let hits = names.iter().filter(|name| text.contains(**name));
+        found.extend(hits.map(|name| format!("{}: {name}", path.display())));
+    });
+
+    assert_eq!(found, Vec::<String>::new());
+}
+
+fn walk(folder: &Path, visit: &mut impl FnMut(&Path, &str)) {
+    for entry in std::fs::read_dir(folder).expect("a folder of ours") {
+        let path = entry.expect("an entry").path();
+        match path.is_dir() {
+            true if path.ends_with("src/platform") => {}
+            true => walk(&path, visit),
+            false => visit(&path, &std::fs::read_to_string(&path).expect("a source file")),
+        }
+    }
+}
--- /dev/null
+++ b/tests/test_routes.rs
@@ -0,0 +1,175 @@
+//! Routes, what may be repeated, and tables ordered by their operator's version.
+
+use rstest::rstest;
+use std::sync::Arc;
+use std::time::Duration;
+use tarragonknot::control::{
+    ControlCommand, ControlLedger, ControlReply, NumberedOutcome, NumberedTable,
+};
+use tarragonknot::policy::RepeatBudget;
+use tarragonknot::table::{
+    OperatorTable, RouteKind, RouteRow, RouteTarget, ServiceKind, ServiceRow, TierRow,
+    reference_faults, tier_of_rank,
+};
+use tarragonknot::traffic::{EventCutter, RouteIndex};
+
+fn route(name: &str, host: &str, prefix: &str) -> RouteRow {
+    RouteRow {
+        route: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Safe,
+        timeout_ms: Duration::from_secs(1),
+        objective_ms: Duration::from_millis(100),
+        gap_ms: None,
+        patience_ms: None,
+        tier: tier_of_rank(0),
+        attempts: 2,
+        is_public: false,
+        targets: vec![RouteTarget { service: "pack-api".into(), weight: 1 }],
+    }
+}
+
+fn table(routes: Vec<RouteRow>) -> OperatorTable {
+    let service = ServiceRow::new("pack-api".into(), ServiceKind::Plain, tier_of_rank(0));
+    OperatorTable {
+        tiers: vec![TierRow::of_rank(0)],
+        services: vec![service],
+        routes,
+        ..OperatorTable::default()
+    }
+}
+
+#[rstest]
+#[case::longest_wins("shop.example", "/a/b/c", Some("deep"))]
+#[case::shorter("shop.example", "/a/c", Some("shallow"))]
+#[case::port_and_case("SHOP.example:8080", "/a/b/", Some("deep"))]
+#[case::other_host("other.example", "/a/b/", None)]
+#[case::no_prefix("shop.example", "/b/", None)]
+#[case::prefix_without_its_slash("shop.example", "/a", None)]
+fn a_route_is_found_by_host_and_longest_prefix(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Option<&str>,
+) {
+    let table = table(vec![
+        route("shallow", "shop.example", "/a/"),
+        route("deep", "shop.example", "/a/b/"),
+    ]);
+    let index = RouteIndex::new(&table);
+
+    let found = index.find(host, path).map(|row| row.route.as_str());
+
+    assert_eq!(found, expected);
+}
+
+#[test]
+fn a_split_follows_its_weights_and_never_takes_a_weight_of_zero() {
+    let mut row = route("split", "shop.example", "/");
+    let target = |service: &str, weight| RouteTarget { service: service.into(), weight };
+    row.targets = vec![target("none", 0), target("most", 90), target("few", 10), target("last", 0)];
+    let draws = (0..1_000).map(|step| f64::from(step) / 1_000.0);
+
+    let chosen: Vec<&str> =
+        draws.map(|draw| row.target(draw).expect("a usable target").as_str()).collect();
+
+    let count = |name: &str| chosen.iter().filter(|service| **service == name).count();
+    assert_eq!((count("most"), count("few"), count("none"), count("last")), (900, 100, 0, 0));
+    assert_eq!(row.target(1.0).map(|service| service.as_str()), Some("few"));
+    assert!(row.allows(&"few".into()) && !row.allows(&"none".into()));
+}
+
+#[test]
+fn every_fault_of_routes_names_its_place() {
+    let mut routes =
+        vec![route("one", "h", "/a/"), route("two", "h", "/a/"), route("three", "h", "/b/")];
+    routes[0].timeout_ms = Duration::ZERO;
+    routes[1].targets[0].weight = 0;
+    routes[2].targets[0].service = "unknown".into();
+
+    let faults = reference_faults(&table(routes)).to_string();
+
+    assert_eq!(
+        faults,
+        "/routes/0/timeout_ms: found 0; expected at least 1\n\
+         /routes/1/targets: found 0; expected weights that add up to more than 0\n\
+         /routes/1: found h/a/; expected another place than /routes/0\n\
+         /routes/2/targets: found unknown; expected a service of the table"
+    );
+}
+
+fn replace(ledger: &mut ControlLedger, version: u64, document: &str) -> ControlReply {
+    let numbered = NumberedTable { version, document: Arc::from(document) };
+    ledger.apply(&ControlCommand::Replace(Box::new(numbered)))
+}
+
+/// Symptom: a table that was replaced is in force again, or another one under its number.
+/// Sequence: two operators race with one version; an older table arrives late; a resend arrives after its answer
+/// was lost. Cause: taking what comes last instead of what is highest.
+#[test]
+fn the_highest_version_wins_and_its_content_stays() {
+    let mut ledger = ControlLedger::default();
+
+    let replies = [(5, "five"), (5, "five"), (5, "other"), (3, "three"), (9, "nine"), (5, "five")]
+        .map(|(version, document)| replace(&mut ledger, version, document));
+
+    use NumberedOutcome::{Held, Overtaken, Taken};
+    let expected = [Taken, Held, Overtaken, Overtaken, Taken, Overtaken].map(ControlReply::Replace);
+    assert_eq!(replies, expected);
+    assert_eq!(ledger.table().version, 9);
+    assert_eq!(ledger.table().document.as_deref(), Some("nine"));
+    let again = ControlLedger::from_text(&ledger.to_text()).expect("its own text");
+    assert_eq!(again.table(), ledger.table());
+}
+
+/// Symptom: a service that fails gets twice its requests. Sequence: every request fails and is sent again.
+/// Cause: repeats without a bound over all requests.
+#[test]
+fn repeats_stay_a_part_of_the_requests() {
+    let mut budget = RepeatBudget::default();
+
+    let repeats = (0..1_000).filter(|_| {
+        budget.earn();
+        budget.spend()
+    });
+    let repeats = repeats.count();
+
+    assert!((95..=105).contains(&repeats), "{repeats}");
+}
+
+/// Symptom: a caller reads an event that is two halves of different ones.
+/// Sequence: an upstream stops within an event; another one goes on after the last whole one. Cause: bytes passed on
+/// as they come.
+#[test]
+fn only_whole_events_are_passed_on() {
+    let mut cutter = EventCutter::default();
+
+    let first = cutter.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    let none = cutter.push(b"ta: b\n");
+    let second = cutter.push(b"\nid: 3\ndata: c");
+    let last = cutter.last_event();
+    cutter.drop_half();
+    let third = cutter.push(b"id: 3\ndata: c\n\n");
+
+    assert_eq!(first.as_deref(), Some(&b"id: 1\ndata: a\n\n"[..]));
+    assert_eq!(none, None);
+    assert_eq!(second.as_deref(), Some(&b"id: 2\ndata: b\n\n"[..]));
+    assert_eq!(last, Some(2));
+    assert_eq!(third.as_deref(), Some(&b"id: 3\ndata: c\n\n"[..]));
+    assert_eq!((cutter.events(), cutter.rest()), (3, None));
+}
+
+/// The end of an event may come split anywhere.
+#[test]
+fn an_event_is_whole_however_it_is_cut() {
+    let text = b"id: 7\r\ndata: x\r\n\r\nid: 8\ndata: y\n\n";
+    for cut in 1..text.len() {
+        let mut cutter = EventCutter::default();
+
+        let parts = [cutter.push(&text[..cut]), cutter.push(&text[cut..])];
+
+        let bytes: Vec<u8> = parts.into_iter().flatten().flatten().collect();
+        assert_eq!(bytes, text, "cut at {cut}");
+        assert_eq!(cutter.last_event(), Some(8));
+    }
+}
--- a/tests/test_store.rs
+++ b/tests/test_store.rs
@@ -110,6 +110,29 @@
     assert!(std::fs::metadata(&path).unwrap().len() < length - missing);
 }
 
+/// Symptom: a fleet whose voters were all killed serves nobody until it has a leader again.
+/// Sequence: entries are committed; every process is killed; daemons start and ask a voter for its table. Cause: a
+/// voter that does not know what is committed. A note that was torn is as good as none.
+#[test]
+fn a_note_of_what_is_committed_is_read_back_and_may_be_torn() {
+    let folder = tempfile::tempdir().unwrap();
+    filled(folder.path());
+    let mut store = StoreFolder::open(folder.path()).unwrap();
+    store.load::<String>(&log()).unwrap();
+    store.note_commit::<String>(3).unwrap();
+    store.note_commit::<String>(4).unwrap();
+    drop(store);
+    let whole = reload(folder.path()).unwrap();
+    let path = folder.path().join("log.bin");
+    let file = std::fs::File::options().write(true).open(&path).unwrap();
+    file.set_len(file.metadata().unwrap().len() - 2).unwrap();
+
+    let torn = reload(folder.path()).unwrap();
+
+    assert_eq!((whole.commit, torn.commit), (4, 3));
+    assert_eq!(torn.entries, whole.entries);
+}
+
 /// Symptom: a voter votes although it has lost entries it promised to keep.
 /// Sequence: a bit of an old record changes on the disk. Cause: taking damage for a torn end.
 #[test]
--- /dev/null
+++ b/tests/test_voters.rs
@@ -0,0 +1,234 @@
+//! Voters as processes of their own, founded from seeds: tables by version, lost and wiped voters, SIGHUP.
+
+use crate::workdir::{ServedDaemon, WorkDir, free_address, stdout};
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// Something that must come is waited for this many times 20 ms.
+const PATIENCE: usize = 1_500;
+
+/// Voters on loopback addresses of their own, all on the same ports.
+struct SeededFleet {
+    work: WorkDir,
+    network: u8,
+    control: u16,
+    operators: u16,
+    running: Vec<(u8, ServedDaemon)>,
+}
+
+impl SeededFleet {
+    /// Founds a fleet of three in the network 127.0.`network`.
+    fn found(network: u8) -> Self {
+        let (control, operators) = (free_address().port(), free_address().port());
+        let work = WorkDir::new();
+        // Fleets without a key file answer whoever brings the open word.
+        work.write("fleet.key", "open");
+        let mut fleet = SeededFleet { work, network, control, operators, running: Vec::new() };
+        (1..=3).for_each(|host| fleet.start(host, true));
+        fleet
+    }
+
+    fn address(&self, host: u8, port: u16) -> SocketAddr {
+        SocketAddr::from(([127, 0, self.network, host], port))
+    }
+
+    fn start(&mut self, host: u8, founds: bool) {
+        let control = self.address(host, self.control);
+        let seeds: Vec<String> =
+            (1..=3).map(|seed| self.address(seed, self.operators).to_string()).collect();
+        let settings = json!({
+            "daemon": control.ip().to_string(), "data_centre": "hall-a", "control": control.to_string(),
+            "data_folder": format!("data-{host}"), "found_fleet": founds, "seeds": seeds,
+            "when_cut_off": "serve", "traffic_threads": 1,
+            "platform": {"operators": self.address(host, self.operators).to_string()},
+        });
+        self.work.write(&format!("voter-{host}.json"), &settings.to_string());
+        let process = self.work.serve(&self.work.path(&format!("voter-{host}.json")));
+        self.running.push((host, process));
+    }
+
+    fn kill(&mut self, host: u8) {
+        self.running.retain(|(known, _)| *known != host);
+    }
+
+    fn signal(&self, host: u8, signal: &str) {
+        let process = self.running.iter().find(|(known, _)| *known == host);
+        process.expect("it runs").1.signal(signal);
+    }
+
+    fn is_running(&self, host: u8) -> bool {
+        self.call(host, "GET", "/-/config/read", "").is_some()
+    }
+
+    /// An operator's call; none if nobody answers.
+    fn call(&self, host: u8, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+        let mut stream = TcpStream::connect(self.address(host, self.operators)).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+        let text = format!(
+            "{method} {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-type: application/json\r\n\
+             content-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        stream.write_all(text.as_bytes()).ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).ok()?;
+        let status = answer.split(' ').nth(1)?.parse().ok()?;
+        let (_, body) = answer.split_once("\r\n\r\n")?;
+        Some((status, body.to_owned()))
+    }
+
+    /// Sends a table until some voter acknowledges it.
+    fn replace(&self, version: u64) -> u16 {
+        let document = document(version);
+        self.until("an acknowledgement", || {
+            let hosts: Vec<u8> = self.running.iter().map(|(host, _)| *host).collect();
+            let calls = hosts
+                .iter()
+                .filter_map(|host| self.call(*host, "POST", "/-/config/replace", &document));
+            calls.map(|(status, _)| status).find(|status| matches!(status, 200 | 400))
+        })
+    }
+
+    /// The version that is read back from the voter that is sure.
+    fn read(&self) -> u64 {
+        self.until("a sure reader", || {
+            let hosts: Vec<u8> = self.running.iter().map(|(host, _)| *host).collect();
+            let mut calls =
+                hosts.iter().filter_map(|host| self.call(*host, "GET", "/-/config/read", ""));
+            let (_, body) = calls.find(|(status, _)| *status == 200)?;
+            serde_json::from_str::<Value>(&body).ok()?["version"].as_u64()
+        })
+    }
+
+    fn voters(&self) -> Vec<String> {
+        let host = self.running[0].0;
+        let control = self.address(host, self.control);
+        let output = self.work.operate(control, &["voter", "list", "--json"]);
+        let rows: Value = serde_json::from_str(&stdout(&output)).unwrap_or_default();
+        let rows = rows.as_array().cloned().unwrap_or_default();
+        let voting = rows.iter().filter(|row| row["votes"] == true);
+        voting.filter_map(|row| row["voter"].as_str().map(str::to_owned)).collect()
+    }
+
+    fn until<T>(&self, what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+        for _ in 0..PATIENCE {
+            if let Some(found) = look() {
+                return found;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        panic!("{what} did not come; logs in {}", self.work.path("").display());
+    }
+
+    /// Waits until the voters are those on these hosts.
+    fn wait_for_voters(&self, hosts: &[u8]) {
+        let expected: Vec<String> =
+            hosts.iter().map(|host| format!("127.0.{}.{host}~", self.network)).collect();
+        self.until("the voters", || {
+            let voters = self.voters();
+            let is_there = |start: &String| voters.iter().any(|voter| voter.starts_with(start));
+            (voters.len() == hosts.len() && expected.iter().all(is_there)).then_some(())
+        });
+    }
+}
+
+fn document(version: u64) -> String {
+    let route = json!({"name": "r", "host": "h", "path_prefix": "/r/", "kind": "safe", "timeout_ms": 1000,
+                       "latency_slo_ms": 100, "priority": 0, "service": "s", "max_attempts": 1});
+    json!({"version": version, "routes": [route], "services": [{"name": "s"}]}).to_string()
+}
+
+/// Symptom: a fleet that nobody can start, or an accepted table that is gone after a voter was lost.
+/// Sequence: three voters start with the same seeds; a table is accepted; one voter is lost for good and an empty one
+/// comes at another address; then a second of the first three is lost. Cause: founding by one chosen voter, or lost
+/// voters that stay in the quorum until an operator acts.
+#[test]
+fn a_lost_voter_is_replaced_without_an_operator() {
+    let mut fleet = SeededFleet::found(11);
+    assert_eq!(fleet.replace(3), 200);
+
+    fleet.kill(3);
+    fleet.start(4, false);
+    fleet.wait_for_voters(&[1, 2, 4]);
+    fleet.kill(1);
+    let held = fleet.read();
+    let acknowledged = fleet.replace(8);
+
+    assert_eq!((held, acknowledged, fleet.read()), (3, 200, 8));
+}
+
+/// Symptom: an accepted table is gone, or two fleets exist. Sequence: a voter loses its disk and comes back at its
+/// address; then another one is killed. Cause: a blank voter that votes as its old self, or founds anew.
+#[test]
+fn a_wiped_voter_comes_back_under_a_new_identity() {
+    let mut fleet = SeededFleet::found(12);
+    assert_eq!(fleet.replace(5), 200);
+
+    fleet.kill(2);
+    std::fs::remove_dir_all(fleet.work.path("data-2")).expect("its folder");
+    fleet.start(2, false);
+    fleet.until("a new identity", || {
+        let voters = fleet.voters();
+        let is_new =
+            |voter: &&String| voter.starts_with("127.0.12.2~") && !voter.ends_with("~00000000");
+        (voters.len() == 3 && voters.iter().any(|voter| is_new(&voter))).then_some(())
+    });
+    fleet.kill(3);
+
+    assert_eq!(fleet.read(), 5);
+    assert_eq!(fleet.replace(6), 200);
+}
+
+/// Symptom: an accepted table is older after all voters were killed. Sequence: a table is acknowledged; every process
+/// is killed at once and started again. Cause: acknowledging before a quorum has kept it.
+#[test]
+fn a_table_outlives_the_death_of_all_voters() {
+    let mut fleet = SeededFleet::found(13);
+    assert_eq!(fleet.replace(2), 200);
+    assert_eq!(fleet.replace(9), 200);
+
+    (1..=3).for_each(|host| fleet.kill(host));
+    (1..=3).for_each(|host| fleet.start(host, false));
+
+    assert_eq!(fleet.read(), 9);
+    assert_eq!(fleet.replace(4), 200, "an overtaken version is acknowledged and changes nothing");
+    assert_eq!(fleet.read(), 9);
+}
+
+/// Symptom: a daemon ends when its settings change. Sequence: SIGHUP; settings with a fault; SIGHUP. Cause: the
+/// signal's default, or a fault that is taken for a reason to end.
+#[test]
+fn settings_are_read_again_and_faults_leave_the_last_ones() {
+    let fleet = SeededFleet::found(14);
+    assert_eq!(fleet.replace(2), 200);
+
+    fleet.signal(1, "-HUP");
+    fleet.until("the settings", || log_has(&fleet, "settings read again"));
+    fleet.work.write("voter-1.json", "{\"daemon\": 7}");
+    fleet.signal(1, "-HUP");
+    fleet.until("the faults", || log_has(&fleet, "settings have faults"));
+
+    assert!(fleet.is_running(1));
+    assert_eq!(fleet.read(), 2);
+}
+
+fn log_has(fleet: &SeededFleet, text: &str) -> Option<()> {
+    let log = std::fs::read_to_string(fleet.work.path("voter-1.log")).ok()?;
+    log.contains(text).then_some(())
+}
+
+#[test]
+fn a_bad_table_is_refused_with_its_place_and_changes_nothing() {
+    let fleet = SeededFleet::found(15);
+    assert_eq!(fleet.replace(2), 200);
+    let bad = document(7).replace("\"service\":\"s\"", "\"service\":\"nobody\"");
+
+    let (status, body) =
+        fleet.until("an answer", || fleet.call(1, "POST", "/-/config/replace", &bad));
+
+    assert_eq!(status, 400);
+    assert!(body.contains("/routes/0/targets"), "{body}");
+    assert_eq!(fleet.read(), 2);
+}
--- /dev/null
+++ b/tests/test_voting.rs
@@ -0,0 +1,78 @@
+//! The leader's rules for changing voters by itself.
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tarragonknot::control::{ControlCommand, ControlLedger, may_join, next_step};
+use tarragonknot::policy::Moment;
+use tarragonknot::replica::{
+    FleetId, FleetMembership, HardState, LogPosition, ReplicaConfig, ReplicaCore, ReplicaStart,
+    SnapshotRecord, VoterId,
+};
+
+fn voter(host: u8) -> VoterId {
+    VoterId { daemon: format!("10.0.0.{host}").as_str().into(), folder: 0 }
+}
+
+fn membership(voters: u8) -> FleetMembership {
+    let address = |host: u8| SocketAddr::from(([10, 0, 0, host], 7_600));
+    let voters: BTreeMap<VoterId, SocketAddr> =
+        (1..=voters).map(|host| (voter(host), address(host))).collect();
+    FleetMembership { fleet: FleetId(1), voters, learners: BTreeMap::new() }
+}
+
+fn core(voters: u8) -> ReplicaCore<ControlCommand> {
+    let at = LogPosition::default();
+    let snapshot = SnapshotRecord { at, membership: membership(voters), state: Arc::from("") };
+    let start = ReplicaStart {
+        me: voter(1),
+        hard_state: HardState::default(),
+        snapshot,
+        entries: Vec::new(),
+        commit: 0,
+    };
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    ReplicaCore::new(ReplicaConfig::default(), start, Moment(0), &mut rng)
+}
+
+/// Symptom: a fleet stands still although most of its machines are well. Sequence: a voter is lost, an empty one joins
+/// and makes four, and another is lost. Cause: a lost voter that stays in an even number of voters.
+#[test]
+fn a_lost_voter_leaves_an_even_number() {
+    let ledger = ControlLedger::default();
+
+    let changed = next_step(&core(4), &ledger, &[voter(3)]).expect("a change");
+
+    assert!(!changed.voters.contains_key(&voter(3)));
+    assert_eq!(changed.voters.len(), 3);
+}
+
+/// A voter that is only away for a while must not make the fleet smaller: two voters bear no loss at all.
+#[test]
+fn an_odd_number_waits_for_its_lost_voter() {
+    let ledger = ControlLedger::default();
+
+    assert_eq!(next_step(&core(3), &ledger, &[voter(2)]), None);
+    assert_eq!(next_step(&core(3), &ledger, &[]), None);
+    assert_eq!(next_step(&core(4), &ledger, &[]), None);
+}
+
+/// Two lost at once is more than one change can mend safely: nothing is removed.
+#[test]
+fn two_lost_voters_are_not_removed() {
+    let ledger = ControlLedger::default();
+
+    assert_eq!(next_step(&core(4), &ledger, &[voter(2), voter(3)]), None);
+}
+
+#[test]
+fn spares_are_let_in_beside_a_full_set_where_voters_are_replaced() {
+    let ledger = ControlLedger::default();
+    let full = membership(5);
+
+    assert!(may_join(&full, &ledger, &voter(9), true));
+    assert!(!may_join(&full, &ledger, &voter(9), false));
+    assert!(may_join(&membership(3), &ledger, &voter(9), false));
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -2,6 +2,7 @@
 
 mod fixtures;
 mod fleet_schedule;
+mod routed_fleet;
 mod schedule;
 mod session;
 mod test_charts;
@@ -11,10 +12,16 @@
 mod test_faults;
 mod test_fleet;
 mod test_fleet_processes;
+mod test_limits;
+mod test_platform;
 mod test_policy;
 mod test_replica;
+mod test_routed;
+mod test_routes;
 mod test_serve;
 mod test_sessions;
 mod test_store;
 mod test_traffic;
+mod test_voters;
+mod test_voting;
 mod workdir;
