The control loop and the scheduler as several files of one job each

Change: control_loop/ holds edits, folder, members, reports; requests.rs and setup.rs stand beside it; scheduler/ holds plan, events, admission, feedback; the clock has a module of its own; notices no longer know the control thread's key type. Behaviour is unchanged: functions were moved. Left: report/ reads traffic's state, traffic/ asks control's claims.

--- /dev/null
+++ b/src/control/control_loop/edits.rs
@@ -0,0 +1,164 @@
+//! Edits, numbered tables, claims and reads: what only the leader may answer.
+
+use super::ControlLoop;
+use crate::claim::{ClaimCommand, ClaimReply};
+use crate::control::ledger::{
+    ControlCommand, ControlReply, EditOutcome, NumberedOutcome, NumberedTable, TableEdit,
+};
+use crate::control::rpc::{ApplyAnswer, EditProgress, LeaderAnswer};
+use crate::control::setup::unix_millis;
+use crate::control::waiters::{EntryWaiter, ForceWait, ReplyTo};
+use crate::policy::Moment;
+use crate::replica::LogPosition;
+use slog::info;
+use std::time::Duration;
+
+/// An operator's `--wait` lasts at most this long.
+const FORCE_WAIT: Duration = Duration::from_secs(10);
+
+impl ControlLoop {
+    pub(super) fn take_edit(
+        &mut self,
+        edit: Box<TableEdit>,
+        wait: bool,
+        reply: ReplyTo<ApplyAnswer>,
+    ) {
+        if !self.holds_lease() {
+            return drop(reply.send(LeaderAnswer::Elsewhere(self.other_leader())));
+        }
+        let mut edit = edit;
+        edit.at = unix_millis();
+        let command = ControlCommand::Edit(edit);
+        self.proposals.push((vec![command], EntryWaiter::Edit { wait, reply }));
+    }
+
+    pub(super) fn take_numbered(
+        &mut self,
+        numbered: Box<NumberedTable>,
+        reply: ReplyTo<NumberedOutcome>,
+    ) {
+        if !self.holds_lease() {
+            return drop(reply.send(LeaderAnswer::Elsewhere(self.other_leader())));
+        }
+        info!(self.setup.log, "numbered table proposed"; "version" => numbered.version,
+            "held" => self.ledger.table().version, "bytes" => numbered.document.len());
+        self.proposals
+            .push((vec![ControlCommand::Replace(numbered)], EntryWaiter::Replace { reply }));
+    }
+
+    pub(super) fn take_claims(
+        &mut self,
+        commands: Vec<ClaimCommand>,
+        reply: ReplyTo<Vec<ClaimReply>>,
+    ) {
+        if !self.holds_lease() {
+            return drop(reply.send(LeaderAnswer::Elsewhere(self.other_leader())));
+        }
+        let stamp = unix_millis();
+        let mut commands = commands;
+        for command in &mut commands {
+            if let ClaimCommand::Take { at, .. } = command {
+                *at = stamp;
+            }
+        }
+        let left = commands.len();
+        if left == 0 {
+            return drop(reply.send(LeaderAnswer::Done(Vec::new())));
+        }
+        let commands = commands.into_iter().map(ControlCommand::Claim).collect();
+        self.proposals.push((commands, EntryWaiter::Claims { replies: Vec::new(), left, reply }));
+    }
+
+    /// A read is answered only under the lease, so that it is never older than an answer given before.
+    pub(super) fn answer_read<T>(&self, value: T, reply: ReplyTo<T>) {
+        let answer = if self.holds_lease() {
+            LeaderAnswer::Done(value)
+        } else {
+            LeaderAnswer::Elsewhere(self.other_leader())
+        };
+        let _ = reply.send(answer);
+    }
+
+    /// Hands an applied entry's reply to who waits for it. A waiter of another term lost its entry to a
+    /// new leader: it is told to ask again.
+    pub(super) fn answer_entry(&mut self, at: LogPosition, reply: ControlReply) {
+        while let Some((index, term, _)) = self.waiting.entries.front() {
+            if *index < at.index || (*index == at.index && *term != at.term) {
+                if let Some((_, _, waiter)) = self.waiting.entries.pop_front() {
+                    waiter.elsewhere(None);
+                }
+                continue;
+            }
+            break;
+        }
+        if let Some((index, _, EntryWaiter::Claims { replies, left, .. })) =
+            self.waiting.entries.front_mut()
+            && *index - (*left as u64) < at.index
+            && let ControlReply::Claim(claim) = &reply
+        {
+            replies.push(claim.clone());
+            *left -= 1;
+        }
+        if self.waiting.entries.front().is_some_and(|(index, _, _)| *index == at.index)
+            && let Some((_, _, waiter)) = self.waiting.entries.pop_front()
+        {
+            self.answer_waiter(waiter, reply);
+        }
+    }
+
+    pub(super) fn answer_waiter(&mut self, waiter: EntryWaiter, reply: ControlReply) {
+        match (waiter, reply) {
+            (EntryWaiter::Edit { wait, reply, .. }, ControlReply::Edit(outcome)) => {
+                self.answer_edit(*outcome, wait, reply)
+            }
+            (EntryWaiter::Replace { reply }, ControlReply::Replace(outcome)) => {
+                let _ = reply.send(LeaderAnswer::Done(outcome));
+            }
+            (EntryWaiter::Claims { mut replies, reply, .. }, _) => {
+                self.judge_owners(&mut replies);
+                let _ = reply.send(LeaderAnswer::Done(replies));
+            }
+            (EntryWaiter::Voters { reply }, _) => {
+                let _ = reply.send(LeaderAnswer::Done(self.voter_rows()));
+            }
+            _ => {}
+        }
+    }
+
+    /// A claim whose owner is dead will never be settled: its request may have run.
+    pub(super) fn judge_owners(&self, replies: &mut [ClaimReply]) {
+        let now = self.now();
+        let Some(book) = &self.book else { return };
+        for reply in replies {
+            if let ClaimReply::Running(owner) = reply
+                && !book.is_owner_live(&owner.daemon, owner.boot, now)
+            {
+                *reply = ClaimReply::Unknown;
+            }
+        }
+    }
+
+    pub(super) fn answer_edit(
+        &mut self,
+        outcome: EditOutcome,
+        wait: bool,
+        reply: ReplyTo<ApplyAnswer>,
+    ) {
+        let progress = EditProgress { is_in_force: false, lagging: Vec::new() };
+        let answer = ApplyAnswer { outcome, progress };
+        match &answer.outcome {
+            EditOutcome::Accepted(record) => {
+                let until = if wait { self.now() + FORCE_WAIT } else { Moment(0) };
+                self.waiting.force.push(ForceWait {
+                    version: record.version,
+                    until,
+                    answer,
+                    reply,
+                });
+            }
+            EditOutcome::Conflict(_) => {
+                let _ = reply.send(LeaderAnswer::Done(answer));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/control/control_loop/reports.rs
@@ -0,0 +1,94 @@
+//! Daemons' reports, answered with orders, and edits that wait until they are in force.
+
+use super::ControlLoop;
+use crate::control::fleet::{DaemonReport, ReportAnswer, ReportVerdict};
+use crate::control::ledger::ControlCommand;
+use crate::control::rpc::{EditProgress, LeaderAnswer};
+use crate::control::waiters::{EntryWaiter, HeldReport, ReplyTo};
+use crate::replica::ReplicaCore;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A report is answered after this long even if no order changed.
+const REPORT_HOLD: Duration = Duration::from_millis(400);
+
+impl ControlLoop {
+    /// A report of a daemon that is not on the member list is held until its `Join` is committed: from
+    /// then on every leader knows that it may hold a lease.
+    pub(super) fn take_report(&mut self, report: DaemonReport, reply: ReplyTo<ReportAnswer>) {
+        let now = self.now();
+        if !self.holds_lease() {
+            return drop(reply.send(LeaderAnswer::Elsewhere(self.other_leader())));
+        }
+        let Some(book) = &mut self.book else { return };
+        let (daemon, version, has_lease) =
+            (report.daemon.clone(), report.version, report.has_lease);
+        let boot = report.boot;
+        match book.report(report, now) {
+            ReportVerdict::Taken => {}
+            ReportVerdict::Unknown => {
+                let command = ControlCommand::Join { daemon: daemon.clone(), boot };
+                self.proposals.push((vec![command], EntryWaiter::Nobody));
+                self.sent.remove(&daemon);
+                return drop(reply.send(LeaderAnswer::Elsewhere(None)));
+            }
+            ReportVerdict::OtherTerm => {
+                let answer = ReportAnswer::NewTerm(book.term());
+                return drop(reply.send(LeaderAnswer::Done(answer)));
+            }
+            ReportVerdict::Overtaken => return drop(reply.send(LeaderAnswer::Elsewhere(None))),
+        }
+        self.waiting.reports.retain(|held| held.daemon != daemon);
+        self.waiting.reports.push(HeldReport { daemon, has_lease, version, since: now, reply });
+    }
+
+    /// Answers held reports whose orders changed or whose time is over, and edits now in force.
+    pub(super) fn answer_waiting(&mut self) {
+        if self.waiting.reports.is_empty() && self.waiting.force.is_empty() {
+            return;
+        }
+        if !self.holds_lease() {
+            let leader = self.other_leader();
+            self.waiting
+                .reports
+                .drain(..)
+                .for_each(|held| drop(held.reply.send(LeaderAnswer::Elsewhere(leader))));
+            return;
+        }
+        let now = self.now();
+        let Some(book) = &mut self.book else { return };
+        let table = self.ledger.table();
+        // A daemon without a lease gets one only from a leader that knows of every floor others rely on.
+        let is_complete = book.is_complete(now);
+        let membership = self.core.as_ref().map(ReplicaCore::membership);
+        let voters: Vec<SocketAddr> =
+            membership.iter().flat_map(|membership| membership.voters.values().copied()).collect();
+        for held in std::mem::take(&mut self.waiting.reports) {
+            if !held.has_lease && !is_complete {
+                self.waiting.reports.push(held);
+                continue;
+            }
+            let mut orders = book.orders(&held.daemon, table, now);
+            orders.voters.clone_from(&voters);
+            let is_due = now.since(held.since) >= REPORT_HOLD;
+            let is_news =
+                held.version != table.version || self.sent.get(&held.daemon) != Some(&orders.pools);
+            if is_due || is_news {
+                book.sent(&held.daemon, &orders.pools);
+                self.sent.insert(held.daemon, orders.pools.clone());
+                let _ = held.reply.send(LeaderAnswer::Done(ReportAnswer::Orders(orders)));
+            } else {
+                self.waiting.reports.push(held);
+            }
+        }
+        for mut force in std::mem::take(&mut self.waiting.force) {
+            let lagging = book.lagging(force.version, now);
+            if !lagging.is_empty() && now < force.until {
+                self.waiting.force.push(force);
+                continue;
+            }
+            force.answer.progress = EditProgress { is_in_force: lagging.is_empty(), lagging };
+            let _ = force.reply.send(LeaderAnswer::Done(force.answer));
+        }
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -9,15 +9,17 @@
 mod ledger;
 mod links;
 mod operator_door;
+mod requests;
 mod rpc;
 mod server;
+mod setup;
 mod voter_folder;
 mod voting;
 mod waiters;
 
 pub use agent::{AgentSettings, start_agent};
 pub use claims::{ClaimKeeper, ClaimSettings};
-pub use control_loop::{ControlHandle, ControlRequest, ControlSetup, start_control};
+pub use control_loop::start_control;
 pub use fleet::{
     DaemonOrders, DaemonReport, FleetBook, LIMITS, MemberView, PoolOrder, PoolReport, ReportAnswer,
     ReportVerdict, SHARE_UNITS,
@@ -29,9 +31,11 @@
 };
 pub use links::{CallFault, FleetKey, KnownVoters, LeaderHint, connect};
 pub use operator_door::{DoorAnswer, OperatorDoor};
+pub use requests::{ControlHandle, ControlRequest};
 pub use rpc::{
     ApplyAnswer, ControlApiClient, ControlApiServer, DaemonStatus, EditProgress, HistoryRow,
     JoinAnswer, LeaderAnswer, VoterRow,
 };
 pub use server::start_server;
+pub use setup::ControlSetup;
 pub use voting::{may_join, next_step};
--- a/src/control/operator_door.rs
+++ b/src/control/operator_door.rs
@@ -1,7 +1,7 @@
 //! Operators' calls that carry whole tables with versions of their own, decided by the leader.
 
-use super::control_loop::{ControlHandle, ControlRequest};
 use super::ledger::{NumberedOutcome, NumberedTable};
+use super::requests::{ControlHandle, ControlRequest};
 use super::rpc::LeaderAnswer;
 use crate::table::{FaultList, TableReader};
 use slog::{Logger, info, warn};
--- /dev/null
+++ b/src/control/requests.rs
@@ -0,0 +1,93 @@
+//! What the control loop is asked, and the way to ask it.
+
+use super::fleet::{DaemonReport, ReportAnswer};
+use super::ledger::{ControlCommand, NumberedOutcome, NumberedTable, TableEdit};
+use super::rpc::{ApplyAnswer, DaemonStatus, HistoryRow, JoinAnswer, LeaderAnswer, VoterRow};
+use crate::claim::{ClaimCommand, ClaimReply};
+use crate::replica::{FleetId, ReplicaEnvelope, VoterId};
+use crate::table::{CellChange, DaemonName, VersionedTable};
+use std::net::SocketAddr;
+use tokio::sync::{mpsc, oneshot};
+
+/// A request to the control loop.
+#[derive(Debug)]
+#[allow(missing_docs)]
+pub enum ControlRequest {
+    Replica {
+        envelope: Box<ReplicaEnvelope<ControlCommand>>,
+        reply: oneshot::Sender<Vec<ReplicaEnvelope<ControlCommand>>>,
+    },
+    Report {
+        report: DaemonReport,
+        reply: oneshot::Sender<LeaderAnswer<ReportAnswer>>,
+    },
+    Claims {
+        commands: Vec<ClaimCommand>,
+        reply: oneshot::Sender<LeaderAnswer<Vec<ClaimReply>>>,
+    },
+    Join {
+        voter: VoterId,
+        control: SocketAddr,
+        reply: oneshot::Sender<LeaderAnswer<JoinAnswer>>,
+    },
+    Fleet {
+        reply: oneshot::Sender<Option<FleetId>>,
+    },
+    Apply {
+        edit: Box<TableEdit>,
+        wait: bool,
+        reply: oneshot::Sender<LeaderAnswer<ApplyAnswer>>,
+    },
+    Replace {
+        numbered: Box<NumberedTable>,
+        reply: oneshot::Sender<LeaderAnswer<NumberedOutcome>>,
+    },
+    KnownTable {
+        reply: oneshot::Sender<Option<VersionedTable>>,
+    },
+    Table {
+        version: Option<u64>,
+        reply: oneshot::Sender<LeaderAnswer<Option<VersionedTable>>>,
+    },
+    Diff {
+        before: u64,
+        after: u64,
+        reply: oneshot::Sender<LeaderAnswer<Option<Vec<CellChange>>>>,
+    },
+    History {
+        most: usize,
+        reply: oneshot::Sender<LeaderAnswer<Vec<HistoryRow>>>,
+    },
+    Voters {
+        reply: oneshot::Sender<LeaderAnswer<Vec<VoterRow>>>,
+    },
+    VoterRule {
+        daemon: DaemonName,
+        allowed: bool,
+        reply: oneshot::Sender<LeaderAnswer<Vec<VoterRow>>>,
+    },
+    Status {
+        reply: oneshot::Sender<DaemonStatus>,
+    },
+    Drain {
+        reply: oneshot::Sender<()>,
+    },
+}
+
+/// A way to ask the control loop.
+#[derive(Clone, Debug)]
+pub struct ControlHandle {
+    pub(super) sender: mpsc::UnboundedSender<ControlRequest>,
+}
+
+impl ControlHandle {
+    /// Sends a request and waits for its answer; none if the loop has ended.
+    pub async fn ask<T>(
+        &self,
+        request: impl FnOnce(oneshot::Sender<T>) -> ControlRequest,
+    ) -> Option<T> {
+        let (sender, receiver) = oneshot::channel();
+        self.sender.send(request(sender)).ok()?;
+        receiver.await.ok()
+    }
+}
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -1,9 +1,9 @@
 //! The server side of the control interface: checks the fleet key, hands calls to the control loop.
 
-use super::control_loop::{ControlHandle, ControlRequest};
 use super::fleet::{DaemonReport, ReportAnswer};
 use super::ledger::{ControlCommand, TableEdit};
 use super::links::{FleetKey, LeaderHint, MESSAGE_LIMIT, connect};
+use super::requests::{ControlHandle, ControlRequest};
 use super::rpc::{
     ApplyAnswer, ControlApiClient, ControlApiServer, DaemonStatus, HistoryRow, JoinAnswer,
     LeaderAnswer, VoterRow,
--- a/src/control/voter_folder.rs
+++ b/src/control/voter_folder.rs
@@ -1,7 +1,7 @@
 //! Opening a voter's data folder.
 
-use super::control_loop::{ControlSetup, unix_millis};
 use super::ledger::ControlCommand;
+use super::setup::{ControlSetup, unix_millis};
 use crate::replica::{FleetId, FleetMembership, LogPosition, SnapshotRecord};
 use crate::store::{FolderIdentity, FolderState, StoreError, StoreFolder};
 use rand_chacha::ChaCha8Rng;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -117,7 +117,7 @@
     }
     if settings.platform.is_some() && settings.callers.is_some() {
         let socket = tokio::net::UdpSocket::bind(control).await.with_context(|_| bind(control))?;
-        start_notices(Arc::clone(&state), socket, control, key.clone());
+        start_notices(Arc::clone(&state), socket, control, Arc::from(key.bearer()));
     }
     let operators = settings.platform.as_ref().and_then(|platform| platform.operators);
     let (stop, stopped) = oneshot::channel();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod chart;
 pub mod claim;
+pub mod clock;
 pub mod cmd;
 pub mod control;
 pub mod daemon;
--- /dev/null
+++ b/src/policy/scheduler/admission.rs
@@ -0,0 +1,264 @@
+//! Admission: what waits, what is refused at once, and what makes room.
+
+use super::{ArrivedRequest, PoolAction, PoolScheduler};
+use crate::answer::AnswerKind;
+use crate::policy::{Moment, TierRank, TierShare, WaitingRequest};
+use crate::table::QueueChoice;
+use std::time::Duration;
+
+/// Refuse a deadline as too short only if it is less than this share of the estimated run time,
+/// since estimates are means and a short answer may still make it.
+const TOO_SHORT_SHARE: f64 = 0.5;
+/// A request is let in if its wait takes at most this part of the time it can spare: the rest is for the
+/// error of the estimate.
+const PATIENCE: f64 = 0.6;
+/// The part of an objective that is left for what an estimate misses: the way to the engine, the step under way.
+const OBJECTIVE_MARGIN: f64 = 0.1;
+/// A pool is taken to work off at least this part of what its limits should carry, before it has shown more.
+const LEAST_DRAIN: f64 = 0.5;
+/// The part of a pool's speed that late requests can reckon with: those that come meanwhile go before them.
+const LATE_DRAIN: f64 = 0.5;
+/// A late request that may not be shed yet is looked at again after this long.
+const LATE_PAUSE: Duration = Duration::from_millis(50);
+
+impl PoolScheduler {
+    pub(super) fn arrived(
+        &mut self,
+        request: ArrivedRequest,
+        now: Moment,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let id = request.id;
+        let mut refuse = |kind| actions.push(PoolAction::Refuse { id, kind });
+        if self.upstreams.live_count() == 0 {
+            return refuse(AnswerKind::UpstreamAbsent);
+        }
+        let request = self.estimated(request, now);
+        let slack = request.deadline.since(now);
+        if self.plan.refuses_late
+            && !self.plan.sheds_alone
+            && request.run_time.mul_f64(TOO_SHORT_SHARE) > slack
+        {
+            return refuse(AnswerKind::DeadlineTooShort);
+        }
+        if self.plan.queue == QueueChoice::Fifo {
+            match self.queue.len() >= self.plan.waiting_limit {
+                true => self.refuse_shed(&request, AnswerKind::Overloaded, now, actions),
+                false => self.enqueue(request, now),
+            }
+            return;
+        }
+        if !self.floor.admits(request.tier) {
+            return self.refuse_shed(&request, AnswerKind::Overloaded, now, actions);
+        }
+        if self.queue.len() >= self.plan.waiting_limit
+            && !self.make_room(request.tier, now, actions)
+        {
+            return self.shed(request, AnswerKind::Overloaded, now, actions);
+        }
+        if self.plan.sheds_alone {
+            match self.plan.refuses_late && self.has_no_chance(&request, now) {
+                true => self.refuse_shed(&request, AnswerKind::DeadlineWaiting, now, actions),
+                false => self.enqueue(request, now),
+            }
+            return;
+        }
+        if self.would_be_late(&request, slack) {
+            return self.shed(request, AnswerKind::DeadlineWaiting, now, actions);
+        }
+        self.enqueue(request, now);
+    }
+
+    pub(super) fn estimated(&self, request: ArrivedRequest, now: Moment) -> WaitingRequest {
+        let estimate = match request.sizes {
+            Some(sizes) => self.model.of_sizes(sizes),
+            None => self.model.estimate(
+                request.organisation,
+                request.tier,
+                request.prompt_bytes,
+                request.output_limit,
+            ),
+        };
+        let mut waiting = WaitingRequest {
+            id: request.id,
+            organisation: request.organisation,
+            weight: request.weight,
+            tier: request.tier,
+            rank: request.rank,
+            start_by: request.deadline,
+            cost: estimate.cost,
+            prompt_tokens: estimate.prompt_tokens,
+            output_tokens: estimate.output_tokens,
+            deadline: request.deadline,
+            run_time: estimate.run_time,
+            arrived: now,
+            prefix: request.prefix,
+            prompt_bytes: request.prompt_bytes,
+            late_at: request.deadline,
+        };
+        // An estimate of the run time longer than the whole slack must not make the request late at
+        // once: it was let in above because estimates are means.
+        waiting.start_by = match request.objective {
+            Some(objective) => self.start_by(&waiting, objective, now),
+            None => waiting.latest_start(),
+        };
+        if self.plan.queue != QueueChoice::Fifo && self.plan.refuses_late {
+            waiting.late_at = waiting
+                .latest_start()
+                .max(now + request.deadline.since(now).mul_f64(TOO_SHORT_SHARE));
+        }
+        if let Some(patience) = request.patience {
+            // Its caller would leave before the first event of a later start.
+            waiting.late_at = waiting.late_at.min(self.start_by(&waiting, patience, now));
+        }
+        waiting
+    }
+
+    /// The last moment to send a request so that its first event comes within its objective.
+    pub(super) fn start_by(
+        &self,
+        request: &WaitingRequest,
+        objective: Moment,
+        now: Moment,
+    ) -> Moment {
+        let margin = objective.since(now).mul_f64(OBJECTIVE_MARGIN);
+        let first = match self.plan.counts_tokens {
+            true => {
+                let micros = f64::from(request.prompt_tokens) * self.model.speed().prefill_micros;
+                Duration::from_micros(micros as u64)
+            }
+            false => request.run_time,
+        };
+        Moment(objective.0.saturating_sub((margin + first).as_micros() as u64))
+    }
+
+    /// True if a request should be refused at once, because by what waits before it and how fast the pool works
+    /// that off, it can meet neither its objective nor, as a late one, its deadline.
+    pub(super) fn has_no_chance(&mut self, request: &WaitingRequest, now: Moment) -> bool {
+        if self.queue.is_empty() {
+            return false;
+        }
+        let rate = self.meter.total_rate().max(self.drain_rate() * LEAST_DRAIN);
+        let wait = |cost: u64, rate: f64| {
+            Duration::try_from_secs_f64(cost as f64 / rate).unwrap_or(Duration::MAX)
+        };
+        let before = self.queue.cost_before(request, false, now);
+        if now + wait(before, rate) <= request.start_by {
+            return false;
+        }
+        let before = self.queue.cost_before(request, true, now);
+        now + wait(before, rate * LATE_DRAIN) > request.late_at
+    }
+
+    /// Lets a request wait.
+    pub(super) fn enqueue(&mut self, request: WaitingRequest, now: Moment) {
+        self.audit.admitted(request.tier, now);
+        self.queue.push(request);
+    }
+
+    /// Refuses a request for want of capacity.
+    pub(super) fn refuse_shed(
+        &mut self,
+        request: &WaitingRequest,
+        kind: AnswerKind,
+        now: Moment,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let lower = self.plan.tiers.iter().filter(|share| share.rank > request.tier);
+        let lower_waiting = lower.map(|share| self.queue.waiting_count(share.rank)).sum();
+        self.audit.shed(request.tier, lower_waiting, now);
+        actions.push(PoolAction::Refuse { id: request.id, kind });
+    }
+
+    /// Makes room for a request of `tier` by evicting one of the lowest tier that waits, if that is lower
+    /// and may be shed. False if nothing lower waits; the queue may overrun its limit by as much again
+    /// while the fleet has not yet confirmed that the lower tier may go.
+    pub(super) fn make_room(
+        &mut self,
+        tier: TierRank,
+        now: Moment,
+        actions: &mut Vec<PoolAction>,
+    ) -> bool {
+        let waits = |share: &&TierShare| self.queue.waiting_count(share.rank) > 0;
+        let Some(lowest) = self.plan.tiers.iter().rev().find(waits).map(|share| share.rank) else {
+            return false;
+        };
+        if lowest <= tier {
+            return false;
+        }
+        if self.plan.sheds_alone || self.floor.raise(lowest, now) {
+            self.evict_one(tier, now, actions);
+            return true;
+        }
+        self.queue.len() < 2 * self.plan.waiting_limit
+    }
+
+    pub(super) fn evict_one(
+        &mut self,
+        tier: TierRank,
+        now: Moment,
+        actions: &mut Vec<PoolAction>,
+    ) -> bool {
+        let evicted = self.queue.evict_below(tier);
+        evicted
+            .iter()
+            .for_each(|request| self.refuse_shed(request, AnswerKind::Evicted, now, actions));
+        evicted.is_some()
+    }
+
+    /// True if the request would miss its deadline even if all lower tiers' waiting work made room.
+    pub(super) fn would_be_late(&self, request: &WaitingRequest, slack: Duration) -> bool {
+        if self.queue.is_empty() || !self.plan.refuses_late {
+            return false;
+        }
+        let wait = self.least_wait(request);
+        wait > slack
+            .saturating_sub(request.run_time)
+            .max(slack.mul_f64(1.0 - TOO_SHORT_SHARE))
+            .mul_f64(PATIENCE)
+    }
+
+    /// Estimated wait of a request that arrives now, with no lower tier in its way: as its tier's queue was seen
+    /// to move, or, before any backlog, at what the limits should carry.
+    pub(super) fn least_wait(&self, request: &WaitingRequest) -> Duration {
+        let (tier, organisation) = (request.tier, request.organisation);
+        let span = self.queue.virtual_span(tier, organisation, request.weight);
+        let measured = self.meter.wait(tier, span);
+        let reckoned = || self.queue.waiting_tokens(tier) as f64 / self.drain_rate();
+        Duration::try_from_secs_f64(measured.unwrap_or_else(reckoned)).unwrap_or(Duration::MAX)
+    }
+
+    /// Tokens a second that the pool should work off, by Little's law: tokens in flight over their mean time.
+    pub(super) fn drain_rate(&self) -> f64 {
+        let speed = self.model.speed();
+        let output = if self.plan.counts_tokens { self.model.mean_output() } else { 1.0 };
+        let estimated = output * speed.gap_micros / 1e6;
+        let run = self.mean_run.unwrap_or(estimated).max(1e-4);
+        (self.upstreams.live_limit(self.mean_cost) / run).max(1.0)
+    }
+
+    /// Sheds `request`, but only once nothing lower is admitted anywhere; until then it waits.
+    pub(super) fn shed(
+        &mut self,
+        mut request: WaitingRequest,
+        kind: AnswerKind,
+        now: Moment,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        if self.plan.sheds_alone {
+            return self.refuse_shed(&request, kind, now, actions);
+        }
+        let confirmed = self.floor.raise(request.tier, now);
+        self.evict_below_floor(now, actions);
+        if confirmed || now >= request.deadline {
+            return self.refuse_shed(&request, kind, now, actions);
+        }
+        request.late_at = request.deadline.min(now + LATE_PAUSE);
+        self.queue.push_back_first(request);
+    }
+
+    pub(super) fn evict_below_floor(&mut self, now: Moment, actions: &mut Vec<PoolAction>) {
+        let Some(lowest) = self.floor.lowest_admitted() else { return };
+        while self.evict_one(lowest, now, actions) {}
+    }
+}
--- /dev/null
+++ b/src/policy/scheduler/events.rs
@@ -0,0 +1,144 @@
+//! What a scheduler is told, and what it wants done.
+
+use super::PoolPlan;
+use crate::answer::AnswerKind;
+use crate::policy::{
+    FloorOrder, LoadReport, Moment, OrganisationIndex, OthersWork, RequestId, RequestSizes,
+    TierRank, UpstreamIndex, UpstreamSource, UpstreamWord,
+};
+use crate::table::UpstreamName;
+use std::time::Duration;
+
+/// A request at the pool's door.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ArrivedRequest {
+    /// Its id.
+    pub id: RequestId,
+    /// Whose it is.
+    pub organisation: OrganisationIndex,
+    /// The organisation's weight.
+    pub weight: u32,
+    /// Its tier.
+    pub tier: TierRank,
+    /// Bytes of prompt.
+    pub prompt_bytes: usize,
+    /// Most output tokens, if it says.
+    pub output_limit: Option<u32>,
+    /// When the answer must be complete.
+    pub deadline: Moment,
+    /// Its rank within the tier, 0 the highest.
+    pub rank: u8,
+    /// When its first event or answer is due to be worth most.
+    pub objective: Option<Moment>,
+    /// When its caller leaves if no event has come.
+    pub patience: Option<Moment>,
+    /// Its size, where the caller says; else it is estimated.
+    pub sizes: Option<RequestSizes>,
+    /// Hashes of the prompt's leading blocks.
+    pub prefix: Box<[u64]>,
+}
+
+/// How a dispatch ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DispatchOutcome {
+    /// A whole answer; counts are zero for plain services.
+    Completed {
+        /// Prompt tokens as the engine counted them.
+        prompt_tokens: Option<u32>,
+        /// Output tokens.
+        output_tokens: u32,
+    },
+    /// No byte was sent.
+    NotSent,
+    /// Sent, and no whole answer.
+    Failed,
+    /// The caller left.
+    Cancelled,
+}
+
+/// What the scheduler is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PoolEvent {
+    /// A request came.
+    Arrived(ArrivedRequest),
+    /// A waiting request's caller left.
+    CallerLeft(RequestId),
+    /// The first token of a dispatched request came.
+    FirstToken {
+        /// The request.
+        id: RequestId,
+        /// Time since it was sent.
+        after: Duration,
+    },
+    /// Mean time between a request's tokens over the last stretch.
+    TokenGap {
+        /// The request.
+        id: RequestId,
+        /// The mean gap.
+        gap: Duration,
+    },
+    /// A dispatch ended.
+    Ended {
+        /// The request.
+        id: RequestId,
+        /// How.
+        outcome: DispatchOutcome,
+    },
+    /// An upstream reported its load.
+    Reported {
+        /// The upstream.
+        upstream: UpstreamIndex,
+        /// The report.
+        report: LoadReport,
+    },
+    /// Something was learned of an upstream's life.
+    Word {
+        /// The upstream.
+        upstream: UpstreamIndex,
+        /// What.
+        word: UpstreamWord,
+    },
+    /// An upstream dropped a prefix block from its cache.
+    CacheEvicted {
+        /// The upstream.
+        upstream: UpstreamIndex,
+        /// The block's hash.
+        block: u64,
+    },
+    /// The merged list of upstreams changed.
+    Sources(Vec<UpstreamSource>),
+    /// The table changed.
+    Plan(PoolPlan),
+    /// This daemon's share of every upstream's limit changed.
+    Share {
+        /// 0.0 to 1.0.
+        share: f64,
+    },
+    /// This daemon may not act on its table any more: what waits is refused.
+    LeaseLapsed,
+    /// The fleet's word on the shed floor.
+    FleetFloor(FloorOrder),
+    /// What the other daemons have at each upstream, as last heard.
+    Others(Vec<(UpstreamName, OthersWork)>),
+    /// Time passed.
+    Tick,
+}
+
+/// What the scheduler wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PoolAction {
+    /// Send a request to an upstream.
+    Dispatch {
+        /// The request.
+        id: RequestId,
+        /// Where.
+        upstream: UpstreamIndex,
+    },
+    /// Refuse a request.
+    Refuse {
+        /// The request.
+        id: RequestId,
+        /// Why.
+        kind: AnswerKind,
+    },
+}
--- /dev/null
+++ b/src/policy/scheduler/feedback.rs
@@ -0,0 +1,132 @@
+//! What the pool learns from its answers.
+
+use super::{DispatchOutcome, PoolAction, PoolScheduler, RunningRequest};
+use crate::answer::AnswerKind;
+use crate::policy::{Moment, RequestId, UpstreamIndex, UpstreamWord, WaitingRequest};
+use std::time::Duration;
+
+/// A first token later than this many times its expected prefill, and than half its objective, is a
+/// sign of waiting inside the engine.
+const FIRST_TOKEN_RATIO: f64 = 3.0;
+/// Weight of a new cost in the mean.
+const COST_WEIGHT: f64 = 0.05;
+
+impl PoolScheduler {
+    pub(super) fn first_token(&mut self, id: RequestId, after: Duration, now: Moment) {
+        let Some(running) = self.running.get_mut(&id) else { return };
+        let unread = std::mem::take(&mut running.unread);
+        let prompt_tokens = running.request.prompt_tokens;
+        let upstream = running.upstream;
+        self.upstreams.update(upstream, |status| status.read(unread));
+        let expected = f64::from(prompt_tokens) * self.model.speed().prefill_micros;
+        self.model.learn_prefill(prompt_tokens, after);
+        let micros = after.as_micros() as f64;
+        let is_late = after > self.plan.first_token / 2 && micros > FIRST_TOKEN_RATIO * expected;
+        if is_late {
+            // An engine that reports its queue says better than a late first token whether it is crowded:
+            // a long prompt in the same step is late by itself.
+            self.upstreams.update(upstream, |status| {
+                if !status.reports_no_queue() {
+                    status.limit.slowed(now);
+                }
+            });
+        }
+    }
+
+    pub(super) fn token_gap(&mut self, id: RequestId, gap: Duration, now: Moment) {
+        let Some(running) = self.running.get(&id) else { return };
+        self.model.learn_gap(gap);
+        let is_late = gap > self.plan.token_gap;
+        self.upstreams.update(running.upstream, |status| {
+            status.learn_gap(gap.as_micros() as f64);
+            if is_late {
+                status.limit.slowed(now);
+            }
+        });
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        id: RequestId,
+        outcome: DispatchOutcome,
+        now: Moment,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let Some(running) = self.running.remove(&id) else { return };
+        let RunningRequest { ref request, upstream, unread, .. } = running;
+        self.upstreams.ended(upstream, request.cost, now);
+        self.upstreams.update(upstream, |status| status.read(unread));
+        self.upstreams.judge_end(upstream, outcome, now);
+        match outcome {
+            DispatchOutcome::Completed { prompt_tokens, output_tokens } => {
+                self.completed(&running, prompt_tokens, output_tokens, now);
+            }
+            DispatchOutcome::NotSent => self.redispatch(running.request, upstream, now, actions),
+            DispatchOutcome::Failed | DispatchOutcome::Cancelled => {}
+        }
+    }
+
+    pub(super) fn completed(
+        &mut self,
+        running: &RunningRequest,
+        prompt_tokens: Option<u32>,
+        output_tokens: u32,
+        now: Moment,
+    ) {
+        let RunningRequest { request, upstream, .. } = running;
+        let time = now.since(running.dispatched);
+        self.upstreams.tell(*upstream, UpstreamWord::Answered);
+        if self.plan.counts_tokens {
+            let (organisation, tier) = (request.organisation, request.tier);
+            self.model.learn_counts(
+                organisation,
+                tier,
+                request.prompt_bytes,
+                prompt_tokens,
+                output_tokens,
+            );
+        } else {
+            self.model.learn_gap(time);
+            let is_late = time > self.plan.first_token;
+            self.upstreams.update(*upstream, |status| {
+                status.learn_gap(time.as_micros() as f64);
+                if is_late {
+                    status.limit.slowed(now);
+                }
+            });
+        }
+        self.learn_run(request.cost, time);
+        if running.was_bound {
+            self.upstreams.update(*upstream, |status| status.limit.succeeded(request.cost));
+        }
+    }
+
+    /// Mean run time weighted by cost, as Little's law on tokens needs it.
+    pub(super) fn learn_run(&mut self, cost: u32, time: Duration) {
+        let weight = COST_WEIGHT * (f64::from(cost) / self.mean_cost).min(4.0);
+        self.mean_cost += (f64::from(cost) - self.mean_cost) * COST_WEIGHT;
+        let sample = time.as_secs_f64();
+        self.mean_run = Some(self.mean_run.map_or(sample, |mean| mean + (sample - mean) * weight));
+    }
+
+    /// The first dispatch provably sent nothing, so a second one keeps "at most once". The budget
+    /// keeps a pool that refuses all connections from being tried by every request in turn.
+    pub(super) fn redispatch(
+        &mut self,
+        request: WaitingRequest,
+        upstream: UpstreamIndex,
+        now: Moment,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        self.upstreams.tell(upstream, UpstreamWord::Unreachable);
+        let can_try =
+            self.redispatches >= 1.0 && self.upstreams.live_count() > 0 && now < request.deadline;
+        if can_try {
+            self.redispatches -= 1.0;
+            self.queue.push_back_first(request);
+        } else {
+            actions
+                .push(PoolAction::Refuse { id: request.id, kind: AnswerKind::UpstreamUnreachable });
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/scheduler/mod.rs
@@ -0,0 +1,298 @@
+//! The scheduler of one pool: admission, waiting, placement, eviction and refusal.
+
+mod admission;
+mod events;
+mod feedback;
+mod plan;
+
+pub use events::{ArrivedRequest, DispatchOutcome, PoolAction, PoolEvent};
+pub use plan::PoolPlan;
+
+use super::{
+    CostModel, DrainMeter, Moment, OrganisationIndex, PlacementPolicy, PlacementQuery, RequestId,
+    RoomKind, ShedAudit, ShedFloor, TierRank, UpstreamIndex, UpstreamSet, UpstreamState,
+    UpstreamStatus, WaitingQueue, WaitingRequest, placement_policy,
+};
+use crate::answer::AnswerKind;
+use crate::table::QueueChoice;
+use rand::RngCore;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Share of dispatches that may be repeated because the first provably sent nothing.
+const REDISPATCH_SHARE: f64 = 0.1;
+/// Most repeats saved up.
+const REDISPATCH_BURST: f64 = 20.0;
+/// Time between judgements of stragglers.
+const JUDGE_PAUSE: Duration = Duration::from_millis(500);
+
+#[derive(Debug)]
+struct RunningRequest {
+    request: WaitingRequest,
+    upstream: UpstreamIndex,
+    /// True if the upstream's bound, not the demand, held work back when this was sent.
+    was_bound: bool,
+    dispatched: Moment,
+    /// Prompt tokens that the upstream has not yet read, as far as is known.
+    unread: u32,
+}
+
+/// Numbers of a pool, for status and metrics.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PoolStatus {
+    /// Requests waiting.
+    pub waiting: usize,
+    /// Requests at upstreams.
+    pub running: usize,
+    /// Live upstreams.
+    pub live: usize,
+    /// The lowest tier admitted, if the floor is raised.
+    pub floor: Option<TierRank>,
+}
+
+/// The scheduler of one pool. Pure: its only inputs are events, time and a random generator.
+pub struct PoolScheduler {
+    plan: PoolPlan,
+    queue: Box<dyn WaitingQueue>,
+    placement: Box<dyn PlacementPolicy>,
+    upstreams: UpstreamSet,
+    model: CostModel,
+    floor: ShedFloor,
+    audit: ShedAudit,
+    running: HashMap<RequestId, RunningRequest>,
+    mean_cost: f64,
+    mean_run: Option<f64>,
+    meter: DrainMeter,
+    redispatches: f64,
+    judged_at: Moment,
+}
+
+impl PoolScheduler {
+    /// A scheduler with no upstreams and nothing waiting.
+    pub fn new(plan: PoolPlan) -> Self {
+        let mut floor = ShedFloor::default();
+        floor.set_ranks(plan.ranks());
+        let mut upstreams = UpstreamSet::default();
+        upstreams.set_headroom(plan.headroom());
+        PoolScheduler {
+            queue: plan.queue(),
+            placement: placement_policy(plan.placement),
+            upstreams,
+            model: CostModel::new(plan.counts_tokens),
+            floor,
+            audit: ShedAudit::default(),
+            running: HashMap::new(),
+            mean_cost: plan.mean_cost(),
+            mean_run: None,
+            meter: DrainMeter::default(),
+            redispatches: REDISPATCH_BURST,
+            judged_at: Moment(0),
+            plan,
+        }
+    }
+
+    /// Takes one event and appends what must be done to `actions`.
+    pub fn handle(
+        &mut self,
+        event: PoolEvent,
+        now: Moment,
+        rng: &mut dyn RngCore,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        match event {
+            PoolEvent::Arrived(request) => self.arrived(request, now, actions),
+            PoolEvent::CallerLeft(id) => {
+                self.queue.remove(id);
+            }
+            PoolEvent::FirstToken { id, after } => self.first_token(id, after, now),
+            PoolEvent::TokenGap { id, gap } => self.token_gap(id, gap, now),
+            PoolEvent::Ended { id, outcome } => self.ended(id, outcome, now, actions),
+            PoolEvent::Reported { upstream, report } => {
+                self.upstreams.reported(upstream, report, now)
+            }
+            PoolEvent::Word { upstream, word } => self.upstreams.tell(upstream, word),
+            PoolEvent::CacheEvicted { upstream, block } => self.placement.evicted(block, upstream),
+            PoolEvent::Sources(sources) => {
+                let plan = &self.plan;
+                self.upstreams.set_sources(&sources, |places| plan.limit_of(places))
+            }
+            PoolEvent::Plan(plan) => self.replace_plan(plan),
+            PoolEvent::Share { share } => self.upstreams.set_share(share),
+            PoolEvent::LeaseLapsed => self.refuse_waiting(AnswerKind::TableStale, actions),
+            PoolEvent::FleetFloor(order) => {
+                self.floor.take(order);
+                self.evict_below_floor(now, actions);
+            }
+            PoolEvent::Others(rows) => self.upstreams.set_others(&rows),
+            PoolEvent::Tick => self.tick(now, actions),
+        }
+        self.pump(now, rng, actions);
+    }
+
+    /// Waiting requests keep their places as far as the new plan's order allows.
+    fn replace_plan(&mut self, plan: PoolPlan) {
+        if plan == self.plan {
+            return;
+        }
+        if plan.placement != self.plan.placement {
+            self.placement = placement_policy(plan.placement);
+        }
+        if plan.queue != self.plan.queue || plan.tiers != self.plan.tiers {
+            let waiting = self.queue.drain();
+            self.queue = plan.queue();
+            waiting.into_iter().for_each(|request| self.queue.push(request));
+        }
+        if plan.limit != self.plan.limit || plan.first_guess != self.plan.first_guess {
+            self.upstreams.update_all(|status| status.limit = plan.limit_of(status.source.places));
+        }
+        self.upstreams.set_headroom(plan.headroom());
+        self.plan = plan;
+        self.floor.set_ranks(self.plan.ranks());
+    }
+
+    fn tick(&mut self, now: Moment, actions: &mut Vec<PoolAction>) {
+        while let Some(request) = self.queue.pop_late(now) {
+            match self.plan.queue {
+                QueueChoice::Weighted | QueueChoice::Urgency => {
+                    self.shed(request, AnswerKind::DeadlineWaiting, now, actions)
+                }
+                QueueChoice::Fifo => {
+                    self.refuse_shed(&request, AnswerKind::DeadlineWaiting, now, actions);
+                }
+            }
+        }
+        let progress = self.plan.tiers.iter().map(|share| self.queue.progress(share.rank));
+        self.meter.tick(progress, now);
+        self.floor.relax(now);
+        if self.plan.avoids_stragglers && now.since(self.judged_at) >= JUDGE_PAUSE {
+            self.judged_at = now;
+            self.upstreams.judge_stragglers();
+        }
+        if self.upstreams.live_count() == 0
+            && self.upstreams.iter().all(|status| status.state() != UpstreamState::Suspect)
+        {
+            self.refuse_waiting(AnswerKind::UpstreamAbsent, actions);
+        }
+    }
+
+    /// Dispatches waiting requests while an upstream has room.
+    fn pump(&mut self, now: Moment, rng: &mut dyn RngCore, actions: &mut Vec<PoolAction>) {
+        while let Some(lowest) = self.lowest_served() {
+            let Some(request) = self.queue.pop(lowest, now) else { return };
+            let query = PlacementQuery {
+                prefix: &request.prefix,
+                prompt_tokens: request.prompt_tokens,
+                output_tokens: request.output_tokens,
+                speed: self.model.speed(),
+                room: self.room(request.tier),
+                now,
+            };
+            let Some(upstream) = self.placement.place(&self.upstreams, &query, rng) else {
+                self.queue.push_back_first(request);
+                return;
+            };
+            self.dispatch(request, upstream, now, actions);
+        }
+    }
+
+    /// The lowest tier that some upstream has room for; none if all are full.
+    fn lowest_served(&self) -> Option<TierRank> {
+        if !self.upstreams.open(RoomKind::Usual).is_empty() {
+            return Some(TierRank(u8::MAX));
+        }
+        let highest = self.plan.tiers.first().map(|share| share.rank);
+        highest.filter(|_| !self.upstreams.open(RoomKind::Highest).is_empty())
+    }
+
+    fn room(&self, tier: TierRank) -> RoomKind {
+        match self.plan.tiers.first() {
+            Some(highest) if tier <= highest.rank => RoomKind::Highest,
+            _ => RoomKind::Usual,
+        }
+    }
+
+    fn dispatch(
+        &mut self,
+        request: WaitingRequest,
+        upstream: UpstreamIndex,
+        now: Moment,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        self.placement.dispatched(&request.prefix, upstream);
+        self.upstreams.dispatched(upstream, request.cost, now);
+        let unread = request.prompt_tokens;
+        self.upstreams.update(upstream, |status| status.unread_tokens += u64::from(unread));
+        self.meter.dispatched(request.tier, request.cost);
+        self.redispatches = (self.redispatches + REDISPATCH_SHARE).min(REDISPATCH_BURST);
+        actions.push(PoolAction::Dispatch { id: request.id, upstream });
+        let was_bound = !self.queue.is_empty()
+            || self.upstreams.get(upstream).is_some_and(|status| status.load() > 0.8);
+        let running = RunningRequest { upstream, was_bound, dispatched: now, unread, request };
+        self.running.insert(running.request.id, running);
+    }
+
+    fn refuse_waiting(&mut self, kind: AnswerKind, actions: &mut Vec<PoolAction>) {
+        let waiting = self.queue.drain().into_iter();
+        actions.extend(waiting.map(|request| PoolAction::Refuse { id: request.id, kind }));
+    }
+
+    /// The upstreams.
+    pub fn upstreams(&self) -> &UpstreamSet {
+        &self.upstreams
+    }
+
+    /// The floor this daemon wants for the fleet.
+    pub fn wanted_floor(&self) -> Option<TierRank> {
+        self.floor.wanted()
+    }
+
+    /// Breaks of the shedding order; 0 unless the code is wrong or the queue has no tiers.
+    pub fn order_breaks(&self) -> u64 {
+        self.audit.breaks()
+    }
+
+    /// The floor that this daemon keeps until the next order.
+    pub fn guaranteed_floor(&self) -> Option<TierRank> {
+        self.floor.guaranteed()
+    }
+
+    /// The lowest tier that is admitted here and may be waiting; none while every tier is.
+    pub fn kept_floor(&self) -> Option<TierRank> {
+        self.floor.lowest_admitted()
+    }
+
+    /// Estimated tokens waiting and running here.
+    pub fn demand_tokens(&self) -> u64 {
+        let waiting: u64 =
+            self.plan.tiers.iter().map(|share| self.queue.waiting_tokens(share.rank)).sum();
+        let running: u64 = self.upstreams.iter().map(|status| status.in_flight_tokens).sum();
+        waiting + running
+    }
+
+    /// The largest part of an upstream's limit that work of this daemon takes up.
+    pub fn used_share(&self) -> f64 {
+        let used = self.upstreams.iter().map(UpstreamStatus::used);
+        used.fold(0.0, f64::max)
+    }
+
+    /// The estimate for a request, as admission will see it.
+    pub fn cost_of(
+        &self,
+        organisation: OrganisationIndex,
+        tier: TierRank,
+        prompt_bytes: usize,
+        output_limit: Option<u32>,
+    ) -> u32 {
+        self.model.estimate(organisation, tier, prompt_bytes, output_limit).cost
+    }
+
+    /// Numbers for status and metrics.
+    pub fn status(&self) -> PoolStatus {
+        PoolStatus {
+            waiting: self.queue.len(),
+            running: self.running.len(),
+            live: self.upstreams.live_count(),
+            floor: self.floor.lowest_admitted(),
+        }
+    }
+}
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -20,4 +20,4 @@
 pub use routed::{
     AnswerFacts, CallDialect, CallerFacts, EventCutter, RouteIndex, SendFacts, probe,
 };
-pub use state::{PlatformManner, TableSnapshot, TrafficClock, TrafficState};
+pub use state::{PlatformManner, TableSnapshot, TrafficState};
--- a/src/traffic/neighbours.rs
+++ b/src/traffic/neighbours.rs
@@ -1,7 +1,6 @@
 //! Notices between daemons over UDP: what each has sent where, and let through of the organisations' limits.
 
 use super::state::TrafficState;
-use crate::control::FleetKey;
 use crate::policy::{NeighbourBook, OthersWork, PoolEvent, PoolNotice, WorkNotice};
 use crate::table::UpstreamName;
 use sha2::{Digest, Sha256};
@@ -43,10 +42,9 @@
     state: Arc<TrafficState>,
     socket: UdpSocket,
     address: SocketAddr,
-    key: FleetKey,
+    key: Arc<str>,
 ) {
     let socket = Arc::new(socket);
-    let key: Arc<str> = Arc::from(key.bearer());
     tokio::spawn(listen(Arc::clone(&state), Arc::clone(&socket), Arc::clone(&key)));
     tokio::spawn(tell(state, socket, address, key));
 }
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -1,7 +1,7 @@
 //! One pool at run time: the pure scheduler behind a lock, and who waits for its word.
 
-use super::state::TrafficClock;
 use crate::answer::AnswerKind;
+use crate::clock::TrafficClock;
 use crate::policy::{
     ArrivedRequest, DispatchOutcome, Moment, OrganisationIndex, PoolAction, PoolEvent, PoolPlan,
     PoolScheduler, PoolStatus, RequestId, TierRank, UpstreamIndex, UpstreamState, UpstreamStatus,
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -4,6 +4,7 @@
 use super::neighbours::Neighbours;
 use super::pool_runtime::PoolRuntime;
 use super::routed::CallDialect;
+use crate::clock::TrafficClock;
 use crate::control::ClaimKeeper;
 use crate::policy::{LimitBook, Moment, PoolEvent, PoolPlan, RepeatBudget, UpstreamSource};
 use crate::table::{
@@ -16,7 +17,6 @@
 use rand::RngCore;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use rustix::time::{ClockId, clock_gettime};
 use slog::{Logger, error, info};
 use std::borrow::Cow;
 use std::collections::HashMap;
@@ -25,32 +25,6 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
-/// Monotonic time as [`Moment`]s.
-///
-/// Time in which the machine was suspended counts. What goes wrong with a clock that stands still meanwhile: a
-/// leader that was suspended believes in its lease after another was elected, and answers a read with an old
-/// table. One would notice by a read that is older than an edit acknowledged before it.
-#[derive(Clone, Copy, Debug)]
-pub struct TrafficClock(Duration);
-
-impl TrafficClock {
-    /// A clock that starts a moment before now, so that 0 never occurs.
-    pub fn start() -> Self {
-        TrafficClock(since_boot().saturating_sub(Duration::from_millis(1)))
-    }
-
-    /// Now.
-    pub fn now(&self) -> Moment {
-        Moment(since_boot().saturating_sub(self.0).as_micros() as u64)
-    }
-}
-
-/// Time since the machine's start, suspended time included.
-fn since_boot() -> Duration {
-    let time = clock_gettime(ClockId::Boottime);
-    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
-}
-
 /// One table as traffic sees it; replaced whole.
 #[derive(Clone, Debug, Default)]
 pub struct TableSnapshot {
