--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -72,6 +72,7 @@
             bencher.iter(|| {
                 now = now + Duration::from_micros(1);
                 let query = PlacementQuery {
+                    left: Duration::from_secs(10),
                     prefix: black_box(&prefix),
                     prompt_tokens: 800,
                     output_tokens: 100,
--- a/src/policy/neighbour_book.rs
+++ b/src/policy/neighbour_book.rs
@@ -11,11 +11,22 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// A neighbour's work counts for this long after its last notice: it may have died, and its requests with it.
+/// Least time between two notices of one daemon: what was sent meanwhile is told together.
+const LEAST_PAUSE: Duration = Duration::from_millis(40);
+/// Notices that one daemon sends in a second at most, to all others together: the cost of a notice is near
+/// 20 us at either end, and 100 of them are 0.2 % of a core.
+const MOST_A_SECOND: f64 = 100.0;
+/// A neighbour's work counts for this long after its last notice, or for some pauses between notices where those
+/// are longer: it may have died, and its requests with it.
 const WORK_LIFE: Duration = Duration::from_millis(1_000);
-/// A neighbour unheard for this long is taken to go on as before with the organisations' limits: it may be cut off
-/// from us and still serve callers.
+/// A neighbour unheard for this long, or for some pauses, is taken to go on as before with the organisations'
+/// limits: it may be cut off from us and still serve callers.
 const SILENT_AFTER: Duration = Duration::from_millis(600);
+/// Pauses between notices that a silence is longer than.
+const SILENT_PAUSES: u32 = 3;
+/// What was reckoned for a silent neighbour beyond what it turns out to have let through is given back, up to this
+/// many seconds' worth: after a longer silence the bucket has been refilled meanwhile.
+const REFUND_SECONDS: f64 = 2.0;
 /// A silent neighbour is forgotten after this long, though the leader may have done so before: a daemon that is cut
 /// off from the voters goes on serving, and looks the same as a dead one. Above the cuts that are usual.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(20);
@@ -59,13 +70,22 @@
     /// Until when its silence has been reckoned with.
     reckoned: Moment,
     /// Tokens reckoned since its last notice, by organisation.
-    assumed: BTreeMap<OrganisationName, f64>,
+    assumed: BTreeMap<OrganisationName, AssumedTokens>,
     /// Its part of all that was let through when it was last heard, by organisation. Worked out later it would be too
     /// small: this daemon takes more as soon as the other's charges stay away.
     parts: BTreeMap<OrganisationName, f64>,
     flow: TokenFlow,
 }
 
+/// Tokens reckoned for a silent neighbour.
+#[derive(Clone, Copy, Debug, Default)]
+struct AssumedTokens {
+    /// All of them.
+    sum: f64,
+    /// Those that may be given back.
+    refundable: f64,
+}
+
 /// Tokens a second that a daemon lets through, by organisation.
 #[derive(Clone, Debug, Default)]
 struct TokenFlow {
@@ -143,8 +163,9 @@
             let before = before.filter(|_| !is_new_boot).map_or(0, |(_, total)| *total);
             let delta = total - before;
             state.flow.learn(organisation, delta, elapsed);
-            let assumed = state.assumed.get(organisation).copied().unwrap_or(0.0) as i64;
-            taken.push((organisation.clone(), delta - assumed.min(delta.max(0))));
+            let assumed = state.assumed.get(organisation).copied().unwrap_or_default();
+            let charge = (delta - assumed.sum as i64).max(-(assumed.refundable as i64));
+            taken.push((organisation.clone(), charge));
         }
         state.assumed.clear();
         if notice.is_leaving {
@@ -193,21 +214,34 @@
     ) -> Vec<(OrganisationName, i64)> {
         self.forget_gone(now);
         let mut taken = Vec::new();
+        let silent_after = self.silent_after();
         for (organisation, limit) in limits {
             let equal = 1.0 / (self.known.len() + 1) as f64;
-            let is_silent = |state: &&mut NeighbourState| now.since(state.heard) >= SILENT_AFTER;
+            let is_silent = |state: &&mut NeighbourState| now.since(state.heard) >= silent_after;
             for state in self.known.values_mut().filter(is_silent) {
                 let part = state.parts.get(organisation).copied().unwrap_or(equal);
                 let tokens = limit * part * now.since(state.reckoned).as_secs_f64();
-                *state.assumed.entry(organisation.clone()).or_default() += tokens;
+                let assumed = state.assumed.entry(organisation.clone()).or_default();
+                assumed.sum += tokens;
+                assumed.refundable = assumed.sum.min(limit * part * REFUND_SECONDS);
                 taken.push((organisation.clone(), tokens as i64));
             }
         }
-        let silent = self.known.values_mut().filter(|state| now.since(state.heard) >= SILENT_AFTER);
+        let silent = self.known.values_mut().filter(|state| now.since(state.heard) >= silent_after);
         silent.for_each(|state| state.reckoned = now);
         taken
     }
 
+    /// Time between two notices of one daemon in a fleet of this size.
+    pub fn notice_pause(&self) -> Duration {
+        let others = self.known.len().max(self.named.len()) as f64;
+        Duration::from_secs_f64(others / MOST_A_SECOND).max(LEAST_PAUSE)
+    }
+
+    fn silent_after(&self) -> Duration {
+        SILENT_AFTER.max(self.notice_pause() * SILENT_PAUSES)
+    }
+
     fn forget_gone(&mut self, now: Moment) {
         let named = &self.named;
         self.known.retain(|_, state| {
@@ -218,7 +252,8 @@
     /// The work of all neighbours together at each upstream of a pool.
     pub fn others(&self, service: &ServiceName, now: Moment) -> BTreeMap<UpstreamName, OthersWork> {
         let mut sums: BTreeMap<UpstreamName, OthersWork> = BTreeMap::new();
-        let fresh = self.known.values().filter(|state| now.since(state.heard) < WORK_LIFE);
+        let life = WORK_LIFE.max(self.notice_pause() * SILENT_PAUSES);
+        let fresh = self.known.values().filter(|state| now.since(state.heard) < life);
         let pools = fresh.flat_map(|state| &state.notice.pools);
         let rows = pools.filter(|pool| pool.service == *service).flat_map(|pool| &pool.upstreams);
         for (upstream, work) in rows {
@@ -228,9 +263,4 @@
         }
         sums
     }
-
-    /// Neighbours heard lately.
-    pub fn heard_count(&self, now: Moment) -> usize {
-        self.known.values().filter(|state| now.since(state.heard) < WORK_LIFE).count()
-    }
 }
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -5,6 +5,7 @@
 use crate::table::PlacementChoice;
 use rand::{Rng, RngCore};
 use std::collections::HashMap;
+use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Bytes of prompt in one hashed block.
@@ -54,6 +55,8 @@
     pub speed: EngineSpeed,
     /// Which room it may take.
     pub room: RoomKind,
+    /// What is left of the caller's time.
+    pub left: Duration,
     /// Now.
     pub now: Moment,
 }
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -185,6 +185,7 @@
                 output_tokens: request.output_tokens,
                 speed: self.model.speed(),
                 room: self.room(request.tier),
+                left: request.deadline.since(now),
                 now,
             };
             let Some(upstream) = self.placement.place(&self.upstreams, &query, rng) else {
--- a/src/traffic/neighbours.rs
+++ b/src/traffic/neighbours.rs
@@ -12,13 +12,10 @@
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
-/// Least time between two notices of one daemon: what was sent meanwhile is told together.
-const LEAST_PAUSE: Duration = Duration::from_millis(40);
 /// Longest time between two notices, also where nothing has changed.
 const LONGEST_PAUSE: Duration = Duration::from_millis(250);
-/// Notices that one daemon sends in a second at most, to all others together: the cost of a notice is near
-/// 20 us at either end, and 100 of them are 0.2 % of a core.
-const MOST_A_SECOND: f64 = 100.0;
+/// Pause after a socket error.
+const FAULT_PAUSE: Duration = Duration::from_millis(40);
 /// Largest notice, in bytes: one datagram.
 const NOTICE_LIMIT: usize = 32 << 10;
 /// Bytes of the tag that proves the fleet's key.
@@ -54,7 +51,7 @@
     loop {
         let Ok((length, from)) = socket.recv_from(&mut buffer).await else {
             // A peer that does not listen shows up here as a refused connection; there is nothing to do.
-            tokio::time::sleep(LEAST_PAUSE).await;
+            tokio::time::sleep(FAULT_PAUSE).await;
             continue;
         };
         match read_notice(&buffer[..length], &key) {
@@ -135,8 +132,8 @@
             }
         }
         refresh_others(&state);
-        let pause = Duration::from_secs_f64(addresses.len() as f64 / MOST_A_SECOND);
-        tokio::time::sleep(pause.max(LEAST_PAUSE)).await;
+        let pause = state.neighbours.book().notice_pause();
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/tests/test_limits.rs
+++ b/tests/test_limits.rs
@@ -83,11 +83,22 @@
 /// Plays callers who ask for eight times the limit, evenly at all daemons; `hears` says who hears whom and when.
 /// Returns tokens let through in each second.
 fn play(daemons: u64, seconds: u64, hears: impl Fn(u64, u64, u64) -> bool) -> Vec<u64> {
+    play_asking(8.0, NOTICE_PAUSE, daemons, seconds, hears)
+}
+
+/// The same for callers who ask for `times` the limit, and notices `pause` milliseconds apart.
+fn play_asking(
+    times: f64,
+    pause: u64,
+    daemons: u64,
+    seconds: u64,
+    hears: impl Fn(u64, u64, u64) -> bool,
+) -> Vec<u64> {
     let start = 10_000;
     let mut fleet: Vec<LimitDaemon> =
         (0..daemons).map(|number| LimitDaemon::new(number, Moment::from_millis(0))).collect();
     let cost = 2_000;
-    let each = daemons * 1_000 * u64::from(cost) / (8 * RATE);
+    let each = (daemons as f64 * 1_000.0 * f64::from(cost) / (times * RATE as f64)) as u64;
     let mut let_through = vec![0; seconds as usize];
     for millis in 0..seconds * 1_000 {
         let now = Moment::from_millis(start + millis);
@@ -97,7 +108,7 @@
                 let_through[(millis / 1_000) as usize] += u64::from(cost);
             }
         }
-        if millis.is_multiple_of(NOTICE_PAUSE) {
+        if millis.is_multiple_of(pause) {
             fleet.iter_mut().for_each(|daemon| daemon.reckon(now));
             let notices: Vec<WorkNotice> =
                 fleet.iter_mut().map(|daemon| daemon.notice(now)).collect();
@@ -151,6 +162,27 @@
     assert!(late <= RATE * 6 * 12 / 10, "{seconds:?}");
 }
 
+/// Symptom: a large fleet refuses nearly everything although nobody is beyond a limit.
+/// Sequence: 74 daemons tell each other what they let through, so seldom that each counts as silent between two
+/// notices; callers ask for half of the limit. Cause: reckoning every daemon with its part of the whole limit, and
+/// giving nothing back when its notice says that it let through less.
+#[test]
+fn a_large_fleet_refuses_nothing_below_the_limit() {
+    let book = {
+        let mut book = NeighbourBook::default();
+        let address = |host: u16| SocketAddr::from(([127, 0, 0, 1], 2_000 + host));
+        book.set_named((0..73).map(address).collect());
+        book
+    };
+    let pause = book.notice_pause().as_millis() as u64;
+
+    let seconds = play_asking(0.5, pause, 74, 12, |_, _, _| true);
+
+    let sum: u64 = seconds[4..].iter().sum();
+    assert!(pause >= 700, "{pause}");
+    assert!(sum >= RATE / 2 * 8 * 95 / 100, "{seconds:?}");
+}
+
 /// Symptom: a burst passes twice. Sequence: a process is killed after letting a burst through and started again.
 /// Cause: a new process with full buckets.
 #[test]
@@ -316,3 +348,68 @@
 
     assert!(to_failing <= 2, "{to_failing}");
 }
+
+/// A pool of two engines, the first four times slower, as its events tell.
+fn pool_with_a_slow_engine() -> BurstPool {
+    let mut pool = BurstPool::new();
+    pool.tell(PoolEvent::Sources(vec![source("e1", 1), source("e2", 2)]), 1);
+    for id in 1..=60 {
+        let actions = pool.arrive(id, 0, 10 * id);
+        let Some(PoolAction::Dispatch { upstream, .. }) = actions.first() else { continue };
+        let gap = Duration::from_millis(if *upstream == UpstreamIndex(0) { 24 } else { 6 });
+        pool.tell(PoolEvent::TokenGap { id: RequestId(id), gap }, 10 * id + 1);
+        pool.end(id, 10 * id + 5);
+    }
+    pool
+}
+
+/// Symptom: the longest answers are cut by their deadline. Sequence: a long answer goes to an engine that begins it
+/// in time and makes its tokens four times slower than the rest. Cause: placement by the first event alone.
+#[test]
+fn a_long_answer_does_not_go_to_an_engine_too_slow_for_it() {
+    let mut pool = pool_with_a_slow_engine();
+    let mut slow = 0;
+    for id in 100..140 {
+        let now = Moment::from_millis(10 * id);
+        let arrived = ArrivedRequest {
+            id: RequestId(id),
+            organisation: OrganisationIndex(0),
+            weight: 1,
+            tier: TierRank(0),
+            prompt_bytes: 0,
+            output_limit: None,
+            deadline: now + Duration::from_secs(10),
+            rank: 0,
+            objective: Some(now + Duration::from_millis(500)),
+            patience: None,
+            sizes: Some(RequestSizes { prompt: 100, output: 600 }),
+            prefix: Box::default(),
+        };
+        let actions = pool.tell(PoolEvent::Arrived(arrived), 10 * id);
+        let is_slow =
+            matches!(actions[..], [PoolAction::Dispatch { upstream: UpstreamIndex(0), .. }]);
+        slow += usize::from(is_slow);
+        pool.end(id, 10 * id + 5);
+    }
+
+    assert_eq!(slow, 0);
+}
+
+/// Symptom: engines with queues beside idle ones. Sequence: daemons that know the same place their requests at the
+/// same moment. Cause: taking the first of those that look alike.
+#[test]
+fn engines_that_look_alike_are_chosen_in_turn() {
+    let mut pool = BurstPool::new();
+    let sources = (1..=10).map(|number| source(&format!("e{number}"), number)).collect();
+    pool.tell(PoolEvent::Sources(sources), 1);
+    let mut chosen = HashMap::new();
+    for id in 1..=100 {
+        let actions = pool.arrive(id, 0, 10 * id);
+        let Some(PoolAction::Dispatch { upstream, .. }) = actions.first() else { continue };
+        *chosen.entry(*upstream).or_insert(0) += 1;
+        pool.end(id, 10 * id + 5);
+    }
+
+    assert!(chosen.len() >= 8, "{chosen:?}");
+    assert!(chosen.values().all(|count| *count <= 40), "{chosen:?}");
+}
