One daemon reads the platform's list for those that hear it; a caller's leaving is logged

Change: the daemon with the lowest address among those that hear each other reads and tells the others; whoever has heard no list for 1.8 s reads it itself. Dropped requests say at which stage their caller left.

--- a/src/daemon/upkeep.rs
+++ b/src/daemon/upkeep.rs
@@ -32,6 +32,8 @@
 /// Time between readings of the platform's list over its interface, where each call has a price and all daemons
 /// together may make so many a second. An upstream that leaves must get no new work 3 s after the list shows it.
 const INSTANCE_PAUSE: Duration = Duration::from_millis(1_000);
+/// How often a daemon that does not read the list looks whether it must.
+const READER_CHECK: Duration = Duration::from_millis(200);
 /// Time between attempts to connect to upstreams that could not be reached.
 const PROBE_PAUSE: Duration = Duration::from_millis(300);
 /// Load reports asked for at once.
@@ -139,6 +141,12 @@
     let mut last = None;
     let mut was_read = true;
     loop {
+        if !state.neighbours.must_read_list(state.clock.now()) {
+            // What another daemon told may differ from what this one read last.
+            last = None;
+            tokio::time::sleep(READER_CHECK).await;
+            continue;
+        }
         let read = tokio::time::timeout(LIST_TIMEOUT, lister.read()).await;
         let read = read.unwrap_or_else(|_| {
             Err(ListFault { detail: format!("no answer within {LIST_TIMEOUT:?}") })
@@ -149,6 +157,7 @@
                     info!(state.log, "platform list read again");
                 }
                 was_read = true;
+                state.neighbours.tell_list(&list);
                 if last.as_ref() != Some(&list) {
                     state.apply_platform(list.clone());
                     last = Some(list);
--- a/src/policy/neighbour_book.rs
+++ b/src/policy/neighbour_book.rs
@@ -249,10 +249,22 @@
         });
     }
 
+    /// True if the daemon at `own` is the one that reads the platform's list for all that hear each other: the one
+    /// with the lowest address among those heard lately. Where they do not hear each other, each side has one.
+    pub fn is_reader(&self, own: SocketAddr, now: Moment) -> bool {
+        let life = self.work_life();
+        let fresh = self.known.values().filter(|state| now.since(state.heard) < life);
+        fresh.map(|state| state.notice.address).all(|address| own < address)
+    }
+
+    fn work_life(&self) -> Duration {
+        WORK_LIFE.max(self.notice_pause() * SILENT_PAUSES)
+    }
+
     /// The work of all neighbours together at each upstream of a pool.
     pub fn others(&self, service: &ServiceName, now: Moment) -> BTreeMap<UpstreamName, OthersWork> {
         let mut sums: BTreeMap<UpstreamName, OthersWork> = BTreeMap::new();
-        let life = WORK_LIFE.max(self.notice_pause() * SILENT_PAUSES);
+        let life = self.work_life();
         let fresh = self.known.values().filter(|state| now.since(state.heard) < life);
         let pools = fresh.flat_map(|state| &state.notice.pools);
         let rows = pools.filter(|pool| pool.service == *service).flat_map(|pool| &pool.upstreams);
--- a/src/traffic/neighbours.rs
+++ b/src/traffic/neighbours.rs
@@ -1,13 +1,15 @@
 //! Notices between daemons over UDP: what each has sent where, and let through of the organisations' limits.
 
 use super::state::TrafficState;
-use crate::policy::{NeighbourBook, OthersWork, PoolEvent, PoolNotice, WorkNotice};
-use crate::table::UpstreamName;
+use crate::policy::{Moment, NeighbourBook, OthersWork, PoolEvent, PoolNotice, WorkNotice};
+use crate::table::{DaemonName, ServiceName, UpstreamName};
+use crate::upstream::{PlatformList, VmRow, VmState};
+use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use slog::debug;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
@@ -17,14 +19,48 @@
 /// Pause after a socket error.
 const FAULT_PAUSE: Duration = Duration::from_millis(40);
 /// Largest notice, in bytes: one datagram.
-const NOTICE_LIMIT: usize = 32 << 10;
+const NOTICE_LIMIT: usize = 60 << 10;
+/// Another daemon's list counts for this long. An upstream that leaves must get no new work 3 s after the list shows
+/// it, and the list is read and told each second.
+const LIST_LIFE: Duration = Duration::from_millis(1_800);
 /// Bytes of the tag that proves the fleet's key.
 const TAG_BYTES: usize = 8;
 
+/// What one daemon sends another.
+#[derive(Debug, Serialize, Deserialize)]
+enum DaemonNotice {
+    /// What it sent where.
+    Work(WorkNotice),
+    /// The platform's list as it was just read.
+    List {
+        /// The daemon that read it.
+        daemon: DaemonName,
+        /// The list.
+        rows: Vec<ListRow>,
+    },
+}
+
+/// One upstream of the list. A tuple's worth of fields without names: the list is most of what is sent.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct ListRow {
+    service: ServiceName,
+    upstream: UpstreamName,
+    address: SocketAddr,
+    incarnation: u64,
+    is_leaving: bool,
+    places: Option<u32>,
+}
+
 /// The neighbours of one daemon.
 #[derive(Debug, Default)]
 pub struct Neighbours {
     book: Mutex<NeighbourBook>,
+    /// Where this daemon hears notices; none while it sends none.
+    own: OnceLock<SocketAddr>,
+    /// When another daemon's list was heard last.
+    list_heard: Mutex<Option<Moment>>,
+    /// The list that this daemon read, to be told.
+    list_read: Mutex<Option<Vec<ListRow>>>,
 }
 
 impl Neighbours {
@@ -32,6 +68,43 @@
     pub fn book(&self) -> MutexGuard<'_, NeighbourBook> {
         self.book.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// True if this daemon should read the platform's list itself: it reads for all that hear it, or whoever does
+    /// has not been heard for [`LIST_LIFE`].
+    pub fn must_read_list(&self, now: Moment) -> bool {
+        let Some(own) = self.own.get() else { return true };
+        let heard = *self.list_heard.lock().unwrap_or_else(PoisonError::into_inner);
+        self.book().is_reader(*own, now) || heard.is_none_or(|at| now.since(at) >= LIST_LIFE)
+    }
+
+    /// Has the others told of the list that this daemon just read.
+    pub fn tell_list(&self, list: &PlatformList) {
+        let rows = list.vms.iter().map(|vm| ListRow {
+            service: vm.service.clone(),
+            upstream: vm.upstream.clone(),
+            address: vm.address,
+            incarnation: vm.incarnation,
+            is_leaving: vm.state == VmState::Leaving,
+            places: vm.places,
+        });
+        *self.list_read.lock().unwrap_or_else(PoisonError::into_inner) = Some(rows.collect());
+    }
+
+    fn take_list(&self) -> Option<Vec<ListRow>> {
+        self.list_read.lock().unwrap_or_else(PoisonError::into_inner).take()
+    }
+}
+
+fn list_of(rows: Vec<ListRow>) -> PlatformList {
+    let vms = rows.into_iter().map(|row| VmRow {
+        service: row.service,
+        upstream: row.upstream,
+        address: row.address,
+        state: if row.is_leaving { VmState::Leaving } else { VmState::Live },
+        incarnation: row.incarnation,
+        places: row.places,
+    });
+    PlatformList { vms: vms.collect() }
 }
 
 /// Starts to tell and to listen on a bound socket.
@@ -42,6 +115,7 @@
     key: Arc<str>,
 ) {
     let socket = Arc::new(socket);
+    let _ = state.neighbours.own.set(address);
     tokio::spawn(listen(Arc::clone(&state), Arc::clone(&socket), Arc::clone(&key)));
     tokio::spawn(tell(state, socket, address, key));
 }
@@ -55,7 +129,15 @@
             continue;
         };
         match read_notice(&buffer[..length], &key) {
-            Some(notice) if notice.daemon != state.daemon => take_notice(&state, notice),
+            Some(DaemonNotice::Work(notice)) if notice.daemon != state.daemon => {
+                take_notice(&state, notice)
+            }
+            Some(DaemonNotice::List { daemon, rows }) if daemon != state.daemon => {
+                let now = state.clock.now();
+                *state.neighbours.list_heard.lock().unwrap_or_else(PoisonError::into_inner) =
+                    Some(now);
+                state.apply_platform(list_of(rows));
+            }
             Some(_) => {}
             None => debug!(state.log, "notice not read"; "from" => from.to_string()),
         }
@@ -125,12 +207,19 @@
             let (boot, is_leaving) = (state.boot(), state.is_drained());
             let notice =
                 WorkNotice { daemon, boot, sequence, address, pools, taken, refills, is_leaving };
-            let bytes = write_notice(&notice, &key);
+            let bytes = write_notice(&DaemonNotice::Work(notice), &key);
             for to in &addresses {
                 // Lost notices are made good by the next one.
                 let _ = socket.try_send_to(&bytes, *to);
             }
         }
+        if let Some(rows) = state.neighbours.take_list() {
+            let daemon = state.daemon.clone();
+            let bytes = write_notice(&DaemonNotice::List { daemon, rows }, &key);
+            for to in &addresses {
+                let _ = socket.try_send_to(&bytes, *to);
+            }
+        }
         refresh_others(&state);
         let pause = state.neighbours.book().notice_pause();
         tokio::time::sleep(pause).await;
@@ -167,14 +256,14 @@
     tag
 }
 
-fn write_notice(notice: &WorkNotice, key: &str) -> Vec<u8> {
+fn write_notice(notice: &DaemonNotice, key: &str) -> Vec<u8> {
     let body = postcard::to_stdvec(notice).unwrap_or_default();
     let mut bytes = tag(&body, key).to_vec();
     bytes.extend_from_slice(&body);
     bytes
 }
 
-fn read_notice(bytes: &[u8], key: &str) -> Option<WorkNotice> {
+fn read_notice(bytes: &[u8], key: &str) -> Option<DaemonNotice> {
     let (given, body) = bytes.split_at_checked(TAG_BYTES)?;
     if given != tag(body, key) {
         return None;
--- a/src/traffic/routed/carry.rs
+++ b/src/traffic/routed/carry.rs
@@ -32,8 +32,22 @@
 const RETURN_LEAST: f64 = 0.2;
 const RETURN_MOST: f64 = 0.33;
 
+/// How far a request has come; told when its caller leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestStage {
+    /// It waits for a place.
+    Waiting,
+    /// It was sent; no answer has begun.
+    Sent,
+    /// Its answer has begun.
+    Answering,
+    /// Its end was told.
+    Ended,
+}
+
 /// A request on its way.
 pub struct CarriedRequest {
+    pub stage: RequestStage,
     pub state: Arc<TrafficState>,
     pub dialect: Arc<dyn CallDialect>,
     pub route: Arc<RouteRow>,
@@ -73,6 +87,18 @@
     pub may_have_run: bool,
 }
 
+impl Drop for CarriedRequest {
+    /// A caller that leaves ends the request wherever it is; without a line of its own such a request would seem to
+    /// hang for ever to whoever reads the logs.
+    fn drop(&mut self) {
+        if self.stage != RequestStage::Ended {
+            let after = self.state.clock.now().since(self.arrived_at).as_millis() as u64;
+            info!(self.state.log, "caller left"; "request" => self.id(), "stage" => format!("{:?}", self.stage),
+                "route" => &self.route.route, "after_ms" => after, "left_ms" => self.time_left().as_millis() as u64);
+        }
+    }
+}
+
 impl CarriedRequest {
     /// What is left of the time.
     pub fn time_left(&self) -> Duration {
@@ -193,10 +219,12 @@
 pub async fn carry(mut request: Box<CarriedRequest>) -> Response<Body> {
     let mut count = SendCount::default();
     loop {
+        request.stage = RequestStage::Waiting;
         let mut placed = match request.place().await {
             Ok(placed) => placed,
-            Err(kind) => return refuse(&request, kind, count),
+            Err(kind) => return refuse(&mut request, kind, count),
         };
+        request.stage = RequestStage::Sent;
         request.log_placed(&placed, count);
         let service = placed.pool.service.clone();
         let name = placed.name.clone();
@@ -220,7 +248,7 @@
                 });
                 placed.guard.end(DispatchOutcome::Failed);
                 if request.time_left().is_zero() {
-                    return refuse(&request, AnswerKind::UpstreamUnreachable, count);
+                    return refuse(&mut request, AnswerKind::UpstreamUnreachable, count);
                 }
                 continue;
             }
@@ -233,7 +261,8 @@
         info!(request.state.log, "no answer"; "request" => request.id(), "upstream" => name.as_str(),
             "fault" => fault.to_string(), "sent" => count.sent);
         if !request.may_send_again(&service, count) {
-            return refuse(&request, fault_kind(&request, &fault), count);
+            let kind = fault_kind(&request, &fault);
+            return refuse(&mut request, kind, count);
         }
     }
 }
@@ -266,7 +295,8 @@
 }
 
 /// The final refusal. Once a send may have run the request, nothing may say that it did not run.
-fn refuse(request: &CarriedRequest, kind: AnswerKind, count: SendCount) -> Response<Body> {
+fn refuse(request: &mut CarriedRequest, kind: AnswerKind, count: SendCount) -> Response<Body> {
+    request.stage = RequestStage::Ended;
     let says_not_run = matches!(kind.row().status, 408 | 421 | 429 | 503);
     let kind = match count.may_have_run && says_not_run {
         true if request.time_left().is_zero() => AnswerKind::DeadlineRunning,
@@ -311,6 +341,7 @@
     }
     if request.route.kind.is_stream() && status.is_success() {
         request.limit.iter_mut().for_each(|limit| limit.has_run = true);
+        request.stage = RequestStage::Answering;
         let (head, body) = answer.response.into_parts();
         let relay = StreamRelay::new(request, placed, count, body, answer.connection);
         return Answered::Response(stream_response(head, relay));
@@ -343,7 +374,8 @@
 }
 
 impl CarriedRequest {
-    pub fn log_answered(&self, placed: &PlacedRequest, status: u16) {
+    pub fn log_answered(&mut self, placed: &PlacedRequest, status: u16) {
+        self.stage = RequestStage::Ended;
         let after = self.state.clock.now().since(self.arrived_at).as_millis() as u64;
         info!(self.state.log, "answered"; "request" => self.id(), "upstream" => placed.name.as_str(),
             "status" => status, "after_ms" => after);
--- a/src/traffic/routed/door.rs
+++ b/src/traffic/routed/door.rs
@@ -1,6 +1,6 @@
 //! Reads a caller's request, finds its route and organisation, and admits it.
 
-use super::carry::{CarriedRequest, carry};
+use super::carry::{CarriedRequest, RequestStage, carry};
 use super::dialect::{CallDialect, CallerFacts};
 use crate::answer::{AnswerKind, RefusalAnswer};
 use crate::policy::{Moment, OrganisationIndex, RequestSizes};
@@ -101,6 +101,7 @@
     };
     let wait = facts.deadline.unwrap_or(LONGEST_WAIT).min(entry.route.timeout_ms);
     Ok(Box::new(CarriedRequest {
+        stage: RequestStage::Waiting,
         state: Arc::clone(state),
         dialect,
         route: entry.route,
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -1,7 +1,7 @@
 //! Passes answers on: whole ones once they are whole, streams event by event as they come.
 
 use super::attempt::AttemptFault;
-use super::carry::{CarriedRequest, PlacedRequest, SendCount, note_fault};
+use super::carry::{CarriedRequest, PlacedRequest, RequestStage, SendCount, note_fault};
 use super::events::EventCutter;
 use crate::policy::{DispatchOutcome, Moment, PoolEvent};
 use crate::upstream::{ConnectionGuard, end_to_end_headers};
@@ -154,6 +154,7 @@
 
     fn cut(&mut self, detail: &str) -> RelayStep {
         self.is_over = true;
+        self.request.stage = RequestStage::Ended;
         self.connection = None;
         self.placed.guard.end(DispatchOutcome::Failed);
         info!(self.request.state.log, "stream cut"; "request" => self.request.id(), "upstream" => self.placed.name.as_str(),
--- a/tests/test_limits.rs
+++ b/tests/test_limits.rs
@@ -413,3 +413,24 @@
     assert!(chosen.len() >= 8, "{chosen:?}");
     assert!(chosen.values().all(|count| *count <= 40), "{chosen:?}");
 }
+
+/// Symptom: the platform's list is read as often as there are daemons, beyond what the platform takes; or nobody
+/// reads it any more. Sequence: daemons hear each other; the one that reads falls silent. Cause: a reader that is
+/// appointed instead of worked out.
+#[test]
+fn one_daemon_reads_the_list_and_another_takes_over() {
+    let now = Moment::from_millis(10_000);
+    let mut first = LimitDaemon::new(1, now);
+    let mut second = LimitDaemon::new(2, now);
+    let own = |number: u16| SocketAddr::from(([127, 0, 0, 1], 1_000 + number));
+    let alone = second.book.is_reader(own(2), now);
+    let (notice, answer) = (first.notice(now), second.notice(now));
+    second.hear(notice, now);
+    first.hear(answer, now);
+
+    let together = (first.book.is_reader(own(1), now), second.book.is_reader(own(2), now));
+    let later = now + Duration::from_secs(3);
+    let after_silence = second.book.is_reader(own(2), later);
+
+    assert_eq!((alone, together, after_silence), (true, (true, false), true));
+}
