--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 pub mod demo;
 pub mod drain;
 pub mod experiment;
+pub mod explain;
 pub mod load;
 mod operator;
 pub mod serve;
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -17,7 +17,7 @@
 
 const HELP: &str = "\
 Runs one daemon until it is drained by SIGTERM, SIGINT or `tarragonknot drain`. Logs go to standard
-error as JSON lines. A second signal changes nothing: it must not cut answers short. SIGHUP, or a change of the
+output as JSON lines; what is too much for it is dropped and counted, never waited for. A second signal changes nothing: it must not cut answers short. SIGHUP, or a change of the
 file, has the settings read again: seeds and tolerances take effect at once, addresses at the next start.";
 
 /// How much is logged.
@@ -53,7 +53,7 @@
             .map_err(|source| CommandError::File { path: path.clone(), source })?,
         None => FleetKey::open(),
     };
-    let log = json_logger(std::io::stderr(), args.log_level.into(), settings.daemon.as_str());
+    let log = json_logger(std::io::stdout(), args.log_level.into(), settings.daemon.as_str());
     install_metrics();
     let mut builder = tokio::runtime::Builder::new_multi_thread();
     builder.enable_all().thread_name("traffic");
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -142,7 +142,7 @@
         Err(StartError::Thread { detail: "the control thread ended".to_owned() })
     })?;
     start_upkeep(Arc::clone(&state), settings);
-    info!(log, "daemon started"; "callers" => front.address.to_string(), "control" => control.to_string());
+    info!(log, "daemon started"; "version" => env!("CARGO_PKG_VERSION"), "boot" => seed, "voter" => settings.data_folder.is_some(), "callers" => front.address.to_string(), "control" => control.to_string());
     Ok(RunningDaemon {
         callers: front.address,
         control,
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -5,7 +5,7 @@
 use crate::chart_names;
 use crate::table::UpstreamName;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::LazyLock;
 use std::time::Duration;
 
@@ -297,6 +297,9 @@
     next: u32,
     live: usize,
     share: Option<f64>,
+    /// Incarnations that said that they leave, or were said to, for as long as a source names them. What goes wrong
+    /// without them: one that is gone is forgotten, and the lagging list brings it back as new, again and again.
+    left: HashSet<(UpstreamName, u64)>,
     /// Grows with each change of membership.
     pub generation: u64,
 }
@@ -346,7 +349,14 @@
         sources: &[UpstreamSource],
         new_limit: impl Fn(Option<u32>) -> LearnedLimit,
     ) {
+        self.left.retain(|(name, incarnation)| {
+            sources.iter().any(|source| source.name == *name && source.incarnation == *incarnation)
+        });
         for source in sources {
+            let has_left = self.left.contains(&(source.name.clone(), source.incarnation));
+            if has_left && self.find(&source.name).is_none() {
+                continue;
+            }
             match self.find(&source.name).and_then(|index| self.upstreams.get(&index)) {
                 Some(known) if known.source.incarnation > source.incarnation => continue,
                 Some(known)
@@ -410,6 +420,9 @@
     pub fn tell(&mut self, index: UpstreamIndex, word: UpstreamWord) {
         let Some(status) = self.upstreams.get_mut(&index) else { return };
         let before = status.machine.state();
+        if word == UpstreamWord::Leaving {
+            self.left.insert((status.source.name.clone(), status.source.incarnation));
+        }
         status.machine.step(word);
         if status.in_flight == 0 {
             status.machine.step(UpstreamWord::Idle);
--- a/src/report/logging.rs
+++ b/src/report/logging.rs
@@ -1,4 +1,4 @@
-//! Structured logs: JSON lines on standard error, through `slog`.
+//! Structured logs: JSON lines, through `slog`. A full buffer drops lines and says how many; traffic never waits.
 
 use slog::{Drain, FnValue, Level, Logger, PushFnValue, o};
 use std::io::Write;
--- /dev/null
+++ b/tests/test_explain.rs
@@ -0,0 +1,72 @@
+//! `explain`: from a request's id to its cause.
+
+use crate::workdir::{WorkDir, stderr, stdout};
+use tarragonknot::answer::ANSWER_TABLE;
+use tarragonknot::cmd::explain::explain;
+
+fn line(daemon: &str, time: u64, message: &str, fields: &str) -> String {
+    format!(
+        r#"{{"message":"{message}","time":{time},"level":"INFO","daemon":"{daemon}"{fields},"request":"id-1"}}"#
+    )
+}
+
+fn log() -> String {
+    [
+        "not a line of ours".to_owned(),
+        line("entry-1", 1_000, "sent", r#","upstream":"i-1","waited_ms":3"#),
+        line("entry-1", 1_000, "sent", r#","upstream":"i-2""#).replace("id-1", "id-2"),
+        line("entry-1", 1_400, "stream broken", r#","upstream":"i-1","events":4,"detail":"reset""#),
+        line("entry-1", 1_402, "sent", r#","upstream":"i-3","send":2"#),
+        format!(
+            "   3.1 entry-1 {}",
+            line(
+                "entry-1",
+                1_900,
+                "stream cut",
+                r#","upstream":"i-3","events":9,"detail":"its time is over""#
+            )
+        ),
+    ]
+    .join("\n")
+}
+
+#[test]
+fn a_requests_way_ends_with_its_cause() {
+    let log = log();
+
+    let ways = explain("id-1", log.lines());
+
+    let steps: Vec<(u64, &str)> =
+        ways[0].steps.iter().map(|step| (step.after_ms, step.message.as_str())).collect();
+    assert_eq!(steps, [(0, "sent"), (400, "stream broken"), (402, "sent"), (900, "stream cut")]);
+    assert_eq!(ways[0].cause, "upstream i-3 stopped after 9 events and its time is over");
+    assert_eq!(ways.len(), 1);
+}
+
+/// Every kind of refusal has a line that explains it.
+#[test]
+fn every_kind_of_refusal_is_explained() {
+    for row in ANSWER_TABLE {
+        let line = line("entry-1", 1, "refused", &format!(r#","kind":"{}""#, row.name));
+
+        let ways = explain("id-1", [line.as_str()].into_iter());
+
+        assert!(ways[0].cause.contains(row.title), "{}: {}", row.name, ways[0].cause);
+    }
+}
+
+#[test]
+fn the_command_reads_several_logs_and_says_when_none_names_the_request() {
+    let work = WorkDir::new();
+    work.write("one.log", &log());
+    work.write("two.log", &line("entry-2", 5, "caller left", r#","stage":"Sent""#));
+
+    let found = work.run(&["explain", "id-1", "one.log", "two.log"]);
+    let none = work.run(&["explain", "id-9", "one.log"]);
+
+    let text = stdout(&found);
+    assert!(text.contains("daemon entry-1") && text.contains("daemon entry-2"), "{text}");
+    assert!(text.contains("cause: the caller left before an answer began"), "{text}");
+    assert_eq!(none.status.code(), Some(1));
+    assert!(stderr(&none).contains("no line of these logs names request id-9"));
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -9,6 +9,7 @@
 mod test_check;
 mod test_demo;
 mod test_experiment;
+mod test_explain;
 mod test_faults;
 mod test_fleet;
 mod test_fleet_processes;
--- a/tests/workdir.rs
+++ b/tests/workdir.rs
@@ -64,7 +64,8 @@
             .open(self.path(&format!("{name}.log")))
             .expect("a log file");
         let mut command = self.command(&["serve", "--settings"]);
-        command.arg(settings).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::from(log));
+        let errors = log.try_clone().expect("a second handle");
+        command.arg(settings).stdin(Stdio::null()).stdout(log).stderr(errors);
         ServedDaemon { child: command.spawn().expect("our binary runs") }
     }
 }
