--- a/src/traffic/routed/attempt.rs
+++ b/src/traffic/routed/attempt.rs
@@ -14,7 +14,7 @@
 /// A kept connection is used again within this time of its last answer. Longer than the gap between requests to
 /// one upstream, since new connections cost the upstreams; shorter than what lies between tells of one that went
 /// silent.
-const KEPT_ALIVE: Duration = Duration::from_secs(4);
+const KEPT_ALIVE: Duration = Duration::from_secs(10);
 
 /// How a send ended before an answer began.
 #[derive(Debug)]
