An organisation at its limit spends it on what is urgent first

Cause: a limit was spent on what came first. Change: lower ranks leave 0.2 and 0.5 of the bucket to higher ones. A list told by another daemon counts for longer in fleets whose notices are further apart. Ruled out: a second, exact bucket beside the tolerant one (more to tell in notices).

--- a/src/policy/organisation_limits.rs
+++ b/src/policy/organisation_limits.rs
@@ -14,6 +14,8 @@
 const LEVEL_STEP: f64 = 0.03;
 /// Differences between buckets up to this are not made level, in microseconds.
 const LEVEL_GAP: f64 = 0.3 * MICROS;
+/// The part of a bucket that is left to higher ranks, by rank.
+const RESERVES: [f64; 3] = [0.0, 0.2, 0.5];
 /// A bucket is never charged further below empty than this, in microseconds until it is empty again.
 const MOST_DEBT: f64 = 1.5 * MICROS;
 /// Seconds' worth of tokens that may be used at once where the table names no burst.
@@ -128,6 +130,20 @@
         cost: u32,
         now: Moment,
     ) -> Result<(), AnswerKind> {
+        self.admit_ranked(organisation, cost, 0, now)
+    }
+
+    /// The same for a request of a rank: lower ranks leave the last part of the bucket to higher ones. What goes wrong
+    /// without it: an organisation at its limit spends it on what came first, its long notes, and its urgent requests
+    /// are refused. Below the limit the bucket is full and nothing is refused.
+    pub fn admit_ranked(
+        &mut self,
+        organisation: OrganisationIndex,
+        cost: u32,
+        rank: u8,
+        now: Moment,
+    ) -> Result<(), AnswerKind> {
+        let reserve = RESERVES[usize::from(rank).min(RESERVES.len() - 1)];
         let limit = self.limits.get(&organisation).copied().unwrap_or_default();
         if limit.tokens_per_second.is_some() && self.share <= 0.0 {
             return Err(AnswerKind::RateLimited);
@@ -148,7 +164,8 @@
             let full_at = state.full_at.max(time_now) + f64::from(cost) / rate * MICROS;
             // A request larger than the whole burst passes when the bucket is full: it could never pass otherwise.
             let is_full = state.full_at <= time_now;
-            if full_at - time_now > burst / rate * MICROS && !is_full {
+            let usable = burst * (1.0 - reserve);
+            if full_at - time_now > usable / rate * MICROS && !is_full {
                 return Err(AnswerKind::RateLimited);
             }
             state.full_at = full_at;
--- a/src/traffic/neighbours.rs
+++ b/src/traffic/neighbours.rs
@@ -23,6 +23,8 @@
 /// Another daemon's list counts for this long. An upstream that leaves must get no new work 3 s after the list shows
 /// it, and the list is read and told each second.
 const LIST_LIFE: Duration = Duration::from_millis(1_800);
+/// About the time between two lists of one reader, beside the pause of its notices.
+const LIST_PAUSE: Duration = Duration::from_millis(1_200);
 /// Bytes of the tag that proves the fleet's key.
 const TAG_BYTES: usize = 8;
 
@@ -74,7 +76,9 @@
     pub fn must_read_list(&self, now: Moment) -> bool {
         let Some(own) = self.own.get() else { return true };
         let heard = *self.list_heard.lock().unwrap_or_else(PoisonError::into_inner);
-        self.book().is_reader(*own, now) || heard.is_none_or(|at| now.since(at) >= LIST_LIFE)
+        let book = self.book();
+        let life = LIST_LIFE.max(LIST_PAUSE + book.notice_pause() * 2);
+        book.is_reader(*own, now) || heard.is_none_or(|at| now.since(at) >= life)
     }
 
     /// Has the others told of the list that this daemon just read.
--- a/src/traffic/routed/door.rs
+++ b/src/traffic/routed/door.rs
@@ -83,7 +83,8 @@
         Some(caller) => {
             let cost = state.snapshot().access.counted(caller, tokens);
             let now = state.clock.now();
-            let admitted = state.limits().admit(caller.index, cost, now);
+            let rank = state.snapshot().access.route_rank(&entry.route);
+            let admitted = state.limits().admit_ranked(caller.index, cost, rank, now);
             if admitted.is_err() {
                 let wait = state.limits().refilled_in(caller.index, now);
                 info!(state.log, "over the limit"; "request" => facts.id.as_deref().unwrap_or_default(),
--- a/tests/test_limits.rs
+++ b/tests/test_limits.rs
@@ -434,3 +434,36 @@
 
     assert_eq!((alone, together, after_silence), (true, (true, false), true));
 }
+
+/// Symptom: an organisation at its limit has its urgent requests refused while its least urgent ones run.
+/// Sequence: it asks for twice its limit, half of it urgent. Cause: a limit that is spent on what comes first.
+#[test]
+fn an_organisation_spends_its_limit_on_what_is_urgent() {
+    let mut daemon = LimitDaemon::new(0, Moment::from_millis(0));
+    let mut refused = [0, 0];
+    for step in 0..200 {
+        let now = Moment::from_millis(60_000 + step * 50);
+        for (position, rank) in [2, 0].into_iter().enumerate() {
+            let admitted = daemon.limits.admit_ranked(HOT, 5_000, rank, now);
+            refused[position] += usize::from(admitted.is_err());
+        }
+    }
+
+    let [least_urgent, urgent] = refused;
+
+    assert_eq!(urgent, 0, "{refused:?}");
+    assert!(least_urgent >= 150, "{refused:?}");
+}
+
+/// Below the limit a lower rank is refused nothing.
+#[test]
+fn a_lower_rank_has_the_whole_limit_while_nobody_else_wants_it() {
+    let mut daemon = LimitDaemon::new(0, Moment::from_millis(0));
+
+    let refused = (0..200).filter(|step| {
+        let now = Moment::from_millis(60_000 + step * 50);
+        daemon.limits.admit_ranked(HOT, 5_000, 2, now).is_err()
+    });
+
+    assert_eq!(refused.count(), 0);
+}
