--- a/src/policy/organisation_limits.rs
+++ b/src/policy/organisation_limits.rs
@@ -16,6 +16,9 @@
 const LEVEL_GAP: f64 = 0.3 * MICROS;
 /// The part of a bucket that is left to higher ranks, by rank.
 const RESERVES: [f64; 3] = [0.0, 0.2, 0.5];
+/// Requests of at most this part of the burst leave nothing to higher ranks: refusing a booking of 200 tokens saves
+/// next to nothing of a limit of 65,000.
+const SMALL_PART: f64 = 0.01;
 /// A bucket is never charged further below empty than this, in microseconds until it is empty again.
 const MOST_DEBT: f64 = 1.5 * MICROS;
 /// Seconds' worth of tokens that may be used at once where the table names no burst.
@@ -164,7 +167,8 @@
             let full_at = state.full_at.max(time_now) + f64::from(cost) / rate * MICROS;
             // A request larger than the whole burst passes when the bucket is full: it could never pass otherwise.
             let is_full = state.full_at <= time_now;
-            let usable = burst * (1.0 - reserve);
+            let is_small = f64::from(cost) <= burst * SMALL_PART;
+            let usable = if is_small { burst } else { burst * (1.0 - reserve) };
             if full_at - time_now > usable / rate * MICROS && !is_full {
                 return Err(AnswerKind::RateLimited);
             }
--- a/tests/test_limits.rs
+++ b/tests/test_limits.rs
@@ -467,3 +467,18 @@
 
     assert_eq!(refused.count(), 0);
 }
+
+/// Symptom: tiny bookings are refused beside long notes. Sequence: an organisation at its limit sends both. Cause: a
+/// part of the limit kept from a rank whatever its requests take.
+#[test]
+fn a_small_request_of_a_low_rank_passes_while_a_large_one_leaves_room() {
+    let mut daemon = LimitDaemon::new(0, Moment::from_millis(0));
+    let now = Moment::from_millis(60_000);
+    daemon.limits.admit_ranked(HOT, 60_000, 0, now).expect("a full bucket");
+
+    let large = daemon.limits.admit_ranked(HOT, 5_000, 2, now);
+    let small = daemon.limits.admit_ranked(HOT, 200, 2, now);
+
+    assert!(large.is_err());
+    assert!(small.is_ok());
+}
