--- a/src/daemon/upkeep.rs
+++ b/src/daemon/upkeep.rs
@@ -89,9 +89,15 @@
 async fn probe_suspects(state: Arc<TrafficState>) {
     loop {
         for pool in state.pools().values() {
-            let row = state.snapshot().access.table().service(pool.service.as_str()).cloned();
-            let path = row.and_then(|row| row.health_path).unwrap_or_else(|| "/".to_owned());
-            for (upstream, name, address) in pool.suspects() {
+            let suspects = pool.suspects();
+            if suspects.is_empty() {
+                continue;
+            }
+            let snapshot = state.snapshot();
+            let row = snapshot.access.table().service(pool.service.as_str());
+            let path =
+                row.and_then(|row| row.health_path.clone()).unwrap_or_else(|| "/".to_owned());
+            for (upstream, name, address) in suspects {
                 let (state, pool, path) = (Arc::clone(&state), Arc::clone(pool), path.clone());
                 tokio::spawn(async move {
                     if let Some(word) = probe(&state, address, name.as_str(), &path).await {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -108,14 +108,6 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[schemars(with = "Option<String>")]
     pub list: Option<SocketAddr>,
-    /// Calls to the list that the platform takes each second from the whole fleet.
-    #[serde(default = "default_list_rate")]
-    #[schemars(range(min = 0.01))]
-    pub list_rate: f64,
-}
-
-fn default_list_rate() -> f64 {
-    10.0
 }
 
 /// Another voter.
--- a/src/traffic/routed/door.rs
+++ b/src/traffic/routed/door.rs
@@ -81,9 +81,10 @@
     let tokens = facts.prompt_tokens.map(|prompt| prompt + facts.output_limit.unwrap_or(0));
     let limit = match &entry.caller {
         Some(caller) => {
-            let cost = state.snapshot().access.counted(caller, tokens);
+            let snapshot = state.snapshot();
+            let cost = snapshot.access.counted(caller, tokens);
+            let rank = snapshot.access.route_rank(&entry.route);
             let now = state.clock.now();
-            let rank = state.snapshot().access.route_rank(&entry.route);
             let admitted = state.limits().admit_ranked(caller.index, cost, rank, now);
             if admitted.is_err() {
                 let wait = state.limits().refilled_in(caller.index, now);
