--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -41,6 +41,7 @@
     let late_at = Moment::from_millis(3_600_000);
     WaitingRequest {
         output_tokens: 0,
+        pause: None,
         rank: 0,
         start_by: late_at,
         id: RequestId(id),
@@ -76,6 +77,8 @@
                     prefix: black_box(&prefix),
                     prompt_tokens: 800,
                     output_tokens: 100,
+                    event_tokens: 1,
+                    pause: None,
                     speed: EngineSpeed { prefill_micros: 40.0, gap_micros: 10_000.0 },
                     room: RoomKind::Usual,
                     now,
@@ -126,6 +129,8 @@
         avoids_stragglers: true,
         keeps_headroom: true,
         sheds_alone: false,
+        event_tokens: 1,
+        reserves: false,
     };
     let mut scheduler = PoolScheduler::new(plan);
     let mut rng = ChaCha8Rng::seed_from_u64(1);
@@ -149,6 +154,7 @@
                 rank: 0,
                 objective: None,
                 patience: None,
+                pause: None,
                 prefix: Box::default(),
             };
             scheduler.handle(PoolEvent::Arrived(arrived), now, &mut rng, &mut actions);
@@ -209,6 +215,7 @@
             });
             let report = DaemonReport {
                 serves_callers: true,
+                divides_alone: false,
                 daemon: name(number),
                 boot: 1,
                 term: 1,
--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -38,15 +38,19 @@
     pub lease: Duration,
     /// True if this daemon serves callers.
     pub serves_callers: bool,
+    /// True if this daemon divides limits with its neighbours by notices, and sheds by itself.
+    pub divides_alone: bool,
 }
 
 /// Starts the agent on the current runtime.
 pub fn start_agent(settings: AgentSettings, state: Arc<TrafficState>, hint: LeaderHint) {
-    let AgentSettings { daemon, boot, control, voters, key, lease, serves_callers } = settings;
+    let AgentSettings { daemon, boot, control, voters, key, lease, .. } = settings;
     let member = FleetMember::new(daemon, boot, control, lease);
-    let member = if serves_callers { member } else { member.without_callers() };
+    let member = if settings.serves_callers { member } else { member.without_callers() };
+    let member = if settings.divides_alone { member.dividing_alone() } else { member };
     let leader = LeaderClient::new(voters, key, hint);
-    let agent = FleetAgent { state, member, leader, silent_since: None };
+    let divides_alone = settings.divides_alone;
+    let agent = FleetAgent { state, member, leader, silent_since: None, divides_alone };
     tokio::spawn(agent.run());
 }
 
@@ -57,6 +61,7 @@
     /// When the first report was sent that has no answer yet. A report given up for a newer one does not
     /// move it: else a floor that changes without pause would hide a connection that went silent.
     silent_since: Option<Instant>,
+    divides_alone: bool,
 }
 
 impl FleetAgent {
@@ -128,6 +133,12 @@
     }
 
     fn make_report(&mut self) -> DaemonReport {
+        let states = if self.divides_alone { Vec::new() } else { self.pool_states() };
+        let version = self.state.snapshot().version;
+        self.member.report(version, states, self.state.is_drained(), self.state.clock.now())
+    }
+
+    fn pool_states(&self) -> Vec<PoolState> {
         let pools = self.state.pools();
         let states = pools
             .iter()
@@ -140,9 +151,7 @@
             demand: limits.demand(),
             used: limits.used(),
         };
-        let states = states.chain([limits]).collect();
-        let version = self.state.snapshot().version;
-        self.member.report(version, states, self.state.is_drained(), self.state.clock.now())
+        states.chain([limits]).collect()
     }
 
     fn carry_out(&mut self, orders: DaemonOrders) {
@@ -150,16 +159,11 @@
         let Some(moves) = self.member.take(orders, self.state.clock.now()) else { return };
         self.state.neighbours.book().set_named(moves.neighbours.clone());
         self.leader.set_voters(moves.voters.clone());
-        // Where daemons tell each other what they send, shares of limits are not needed: each knows the whole.
-        let has_notices = self.state.manner().is_some();
         if let Some(table) = &moves.table {
             self.state.apply_table(table);
         }
         let pools = self.state.pools();
         for step in moves.pools {
-            if has_notices {
-                continue;
-            }
             if step.service.as_str() == LIMITS {
                 self.state.limits().set_share(step.share);
             }
--- a/src/control/control_loop/reports.rs
+++ b/src/control/control_loop/reports.rs
@@ -23,7 +23,7 @@
         let Some(book) = &mut self.book else { return };
         let (daemon, version, has_lease) =
             (report.daemon.clone(), report.version, report.has_lease);
-        let boot = report.boot;
+        let (boot, divides_alone) = (report.boot, report.divides_alone);
         match book.report(report, now) {
             ReportVerdict::Taken => {}
             ReportVerdict::Unknown => {
@@ -39,7 +39,8 @@
             ReportVerdict::Overtaken => return drop(reply.send(LeaderAnswer::Elsewhere(None))),
         }
         self.waiting.reports.retain(|held| held.daemon != daemon);
-        self.waiting.reports.push(HeldReport { daemon, has_lease, version, since: now, reply });
+        let held = HeldReport { daemon, has_lease, divides_alone, version, since: now, reply };
+        self.waiting.reports.push(held);
     }
 
     /// Answers held reports whose orders changed or whose time is over, and edits now in force.
@@ -68,9 +69,14 @@
                 self.waiting.reports.push(held);
                 continue;
             }
+            let is_due = now.since(held.since) >= REPORT_HOLD;
+            // Without this every event at the leader would cost it as much as there are daemons, squared.
+            if held.divides_alone && !is_due && held.version == table.version {
+                self.waiting.reports.push(held);
+                continue;
+            }
             let mut orders = book.orders(&held.daemon, table, now);
             orders.voters.clone_from(&voters);
-            let is_due = now.since(held.since) >= REPORT_HOLD;
             let is_news =
                 held.version != table.version || self.sent.get(&held.daemon) != Some(&orders.pools);
             if is_due || is_news {
--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -67,6 +67,10 @@
     /// True if it serves callers.
     #[serde(default)]
     pub serves_callers: bool,
+    /// True if it divides the limits with its neighbours itself and sheds by itself: it needs no shares and no
+    /// floors, and reports no pools.
+    #[serde(default)]
+    pub divides_alone: bool,
 }
 
 /// Orders for one pool.
@@ -373,6 +377,21 @@
         table: &VersionedTable,
         now: Moment,
     ) -> DaemonOrders {
+        let report = self.members.get(daemon).and_then(|state| state.report.as_ref());
+        let known = report.map_or(0, |report| report.version);
+        let newer = (known != table.version).then(|| Box::new(table.clone()));
+        let divides_alone = report.is_some_and(|report| report.divides_alone);
+        let pools = if divides_alone { Vec::new() } else { self.pool_orders(daemon, table, now) };
+        let neighbours = self.serving(now);
+        DaemonOrders { version: table.version, table: newer, pools, neighbours, voters: Vec::new() }
+    }
+
+    fn pool_orders(
+        &mut self,
+        daemon: &DaemonName,
+        table: &VersionedTable,
+        now: Moment,
+    ) -> Vec<PoolOrder> {
         let limits = ServiceName::from(LIMITS);
         let services: BTreeSet<&ServiceName> =
             table.table.services.iter().map(|row| &row.service).chain([&limits]).collect();
@@ -382,15 +401,7 @@
             confirmed: self.confirmed(service, now),
             share: self.order_share(daemon, service, now),
         };
-        let pools = services.into_iter().map(order).collect();
-        let known = self
-            .members
-            .get(daemon)
-            .and_then(|state| state.report.as_ref())
-            .map_or(0, |report| report.version);
-        let newer = (known != table.version).then(|| Box::new(table.clone()));
-        let neighbours = self.serving(now);
-        DaemonOrders { version: table.version, table: newer, pools, neighbours, voters: Vec::new() }
+        services.into_iter().map(order).collect()
     }
 
     /// Control addresses of the live daemons that serve callers.
--- a/src/control/fleet_member.rs
+++ b/src/control/fleet_member.rs
@@ -66,6 +66,7 @@
     had_lease: bool,
     lease_until: Moment,
     serves_callers: bool,
+    divides_alone: bool,
 }
 
 impl FleetMember {
@@ -84,6 +85,7 @@
             had_lease: false,
             lease_until: Moment(0),
             serves_callers: true,
+            divides_alone: false,
         }
     }
 
@@ -93,6 +95,12 @@
         self
     }
 
+    /// A member that divides limits with its neighbours itself and sheds by itself.
+    pub fn dividing_alone(mut self) -> Self {
+        self.divides_alone = true;
+        self
+    }
+
     /// The next report. It ends the wait for the answer to the one before: orders that come late for an
     /// earlier report must not be taken, since the leader counts only what was ordered after the last.
     pub fn report(
@@ -122,6 +130,7 @@
             has_lease: self.had_lease,
             is_leaving,
             serves_callers: self.serves_callers,
+            divides_alone: self.divides_alone,
         }
     }
 
--- a/src/control/waiters.rs
+++ b/src/control/waiters.rs
@@ -26,6 +26,8 @@
 pub struct HeldReport {
     pub daemon: DaemonName,
     pub has_lease: bool,
+    /// True if only a newer table is news to the daemon: it takes no shares and floors.
+    pub divides_alone: bool,
     pub version: u64,
     pub since: Moment,
     pub reply: ReplyTo<ReportAnswer>,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -210,6 +210,7 @@
         key: key.clone(),
         lease: settings.currency_lease_ms,
         serves_callers: settings.callers.is_some(),
+        divides_alone: settings.platform.is_some(),
     }
 }
 
--- a/src/experiment/run.rs
+++ b/src/experiment/run.rs
@@ -209,6 +209,7 @@
             rank: 0,
             objective: None,
             patience: None,
+            pause: None,
             prefix: arrived.prefix.clone(),
         };
         let number = arrived.daemon;
--- a/src/load/profile.rs
+++ b/src/load/profile.rs
@@ -283,6 +283,7 @@
             idempotent_methods: None,
             claim_life_ms: Duration::from_secs(24 * 3_600),
             event_tokens: 1,
+            reservation_ms: None,
             health_path: None,
             queue,
             placement: if is_model { placement } else { PlacementChoice::LeastReported },
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -75,6 +75,9 @@
     /// Tokens in one event of a stream.
     #[serde(default = "one")]
     stride: u32,
+    /// How long a reserved place is held at most; none or 0 if engines reserve none.
+    #[serde(default)]
+    hold_ms: f64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -193,6 +196,8 @@
         if let Some(engine) = &self.engine {
             row.first_guess = engine.slots.max(1);
             row.event_tokens = engine.stride.max(1);
+            let reservation = Duration::from_millis(engine.hold_ms as u64);
+            row.reservation_ms = (!reservation.is_zero()).then_some(reservation);
         }
         row
     }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,9 +1,11 @@
 //! Headers of callers and engines.
 
 use crate::policy::LoadReport;
-use crate::traffic::{AnswerFacts, CallDialect, CallerFacts, SendFacts};
-use http::header::AUTHORIZATION;
-use http::{HeaderMap, HeaderValue, StatusCode};
+use crate::traffic::{AnswerFacts, CallDialect, CallerFacts, PlaceWanted, PlaceWord, SendFacts};
+use bytes::Bytes;
+use http::header::{AUTHORIZATION, CONTENT_TYPE};
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
+use serde::{Deserialize, Serialize};
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -18,18 +20,37 @@
 const NOT_EXECUTED: &str = "tarragonknot-not-executed";
 const SERVER_LOAD: &str = "tarragonknot-server-load";
 const KEEP_ALIVE: &str = "keep-alive";
+const HOLD: &str = "tarragonknot-hold";
+const HOLD_TAKE: &str = "/-/hold-take";
 /// Headers that only the system may set towards engines.
 const SYSTEM_ONLY: [&str; 8] = [
     EXPECT_INSTANCE,
     TENANT,
     "tarragonknot-expect-version",
     "tarragonknot-pin-ms",
-    "tarragonknot-hold",
+    HOLD,
     "tarragonknot-kv-backup",
     "kv-from",
     "kv-fetch",
 ];
 
+/// Asks an engine for a place.
+#[derive(Debug, Serialize)]
+struct HoldCall {
+    tokens: u32,
+    ttl_ms: u64,
+}
+
+/// The engine's answer; the page does not say whether the name is text or a number.
+#[derive(Debug, Deserialize)]
+struct HoldAnswer {
+    hold: serde_json::Value,
+}
+
+fn hold_name(hold: &serde_json::Value) -> String {
+    hold.as_str().map_or_else(|| hold.to_string(), str::to_owned)
+}
+
 /// The platform's headers.
 #[derive(Debug)]
 pub struct HeaderDialect;
@@ -64,6 +85,28 @@
             .into_iter()
             .for_each(|left| set(DEADLINE, left.as_millis().max(1).to_string()));
         facts.last_event.into_iter().for_each(|event| set(LAST_EVENT, event.to_string()));
+        facts.place.into_iter().for_each(|place| set(HOLD, place.to_owned()));
+    }
+
+    fn place_call(&self, wanted: &PlaceWanted<'_>) -> Option<Request<Bytes>> {
+        let body = HoldCall { tokens: wanted.tokens, ttl_ms: wanted.held_for.as_millis() as u64 };
+        Request::post(HOLD_TAKE)
+            .header(CONTENT_TYPE, "application/json")
+            .header(EXPECT_INSTANCE, wanted.incarnation)
+            .body(serde_json::to_vec(&body).ok()?.into())
+            .ok()
+    }
+
+    fn read_place(&self, status: StatusCode, body: &[u8]) -> PlaceWord {
+        match status {
+            StatusCode::OK => match serde_json::from_slice(body) {
+                Ok(HoldAnswer { hold }) => PlaceWord::Reserved(hold_name(&hold)),
+                Err(_) => PlaceWord::Unknown,
+            },
+            StatusCode::SERVICE_UNAVAILABLE => PlaceWord::Full,
+            StatusCode::MISDIRECTED_REQUEST => PlaceWord::OtherIncarnation,
+            _ => PlaceWord::Unknown,
+        }
     }
 
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerFacts {
--- a/src/policy/earliest.rs
+++ b/src/policy/earliest.rs
@@ -14,6 +14,19 @@
 const TOO_SLOW_PRICE: f64 = 6.0;
 /// Output guesses are right at the median only; an upstream should have time for this many times as much.
 const GUESS_MARGIN: f64 = 1.3;
+/// Engines read prompts in parts between their steps, so at most this many tokens of prompts come between two events
+/// of a stream (the given engines: parts of 2,048 tokens, events of 3 to 5).
+const MOST_READ_BETWEEN_EVENTS: f64 = 8_192.0;
+/// For each stream that would pause for too long an upstream counts as this many times slower. What goes wrong without
+/// it: a long prompt on an engine four times slower than the rest makes every stream there late (measured: 28 % of the
+/// streams on such engines, none on the others).
+const STALL_PRICE: f64 = 1.0;
+/// An upstream of another cell counts as this many times slower: it is likely to be busy with that cell's work, and a
+/// new connection has its price. Less than the slowest engines of one's own, four times slower than the rest.
+const AWAY_PRICE: f64 = 2.0;
+/// Upstreams that are compared for one request; of more, as many are drawn at random. Keeps the cost of a placement
+/// from growing with the pool, and daemons that know the same from choosing the same.
+const MOST_COMPARED: usize = 64;
 /// Steps before a first event, beside reading the prompt: the one under way and the one that makes it.
 const STEPS_BEFORE_FIRST: f64 = 2.0;
 
@@ -29,21 +42,53 @@
 impl EarliestPlacement {
     /// Estimated microseconds to the first event.
     fn micros(status: &UpstreamStatus, query: &PlacementQuery<'_>) -> f64 {
-        let gap = status.gap_micros.unwrap_or(query.speed.gap_micros);
+        let gap = status.gap().unwrap_or(query.speed.gap_micros);
         let slowness = gap / query.speed.gap_micros.max(1.0);
         let unread = status.unread_tokens + status.others.unread_tokens;
         let prompt = (unread as f64 + f64::from(query.prompt_tokens)) * query.speed.prefill_micros;
-        let load = status.used().min(1.0);
+        let load = status.occupied().min(1.0);
         let total = prompt * slowness + STEPS_BEFORE_FIRST * gap + load * gap;
+        let total = total + Self::wait_for_place(status, query, gap);
+        let total = total * Self::stall_price(status, query, gap, slowness);
         let run = f64::from(query.output_tokens) * gap * GUESS_MARGIN;
         // What goes wrong without this: a long answer begins in time on an engine four times slower than the rest
         // and is cut by its deadline, after holding a place for all of it.
         let is_too_slow = total + run > query.left.as_micros() as f64;
         let total = if is_too_slow { total * TOO_SLOW_PRICE } else { total };
+        let total = if status.is_home { total } else { total * AWAY_PRICE };
         total * (1.0 + FAILING_PRICE * status.failing)
     }
 }
 
+impl EarliestPlacement {
+    /// Where others seem to fill the places but their word is old, the time until one becomes free.
+    fn wait_for_place(status: &UpstreamStatus, query: &PlacementQuery<'_>, gap: f64) -> f64 {
+        let beyond = (status.occupied() - 1.0).max(0.0) + 1.0 / status.limit.requests().max(1.0);
+        let is_full = status.occupied() >= 1.0;
+        let run = f64::from(query.output_tokens) * gap;
+        if is_full { run * beyond } else { 0.0 }
+    }
+
+    /// What it costs those who run there that their events pause while the prompt is read.
+    fn stall_price(
+        status: &UpstreamStatus,
+        query: &PlacementQuery<'_>,
+        gap: f64,
+        slowness: f64,
+    ) -> f64 {
+        let Some(pause) = query.pause else { return 1.0 };
+        let unread = status.unread_tokens + status.others.unread_tokens;
+        let read = (unread as f64 + f64::from(query.prompt_tokens)).min(MOST_READ_BETWEEN_EVENTS);
+        let stall =
+            f64::from(query.event_tokens) * gap + read * query.speed.prefill_micros * slowness;
+        if stall <= pause.as_micros() as f64 {
+            return 1.0;
+        }
+        let running = status.in_flight + status.others.all_requests();
+        1.0 + STALL_PRICE * f64::from(running)
+    }
+}
+
 impl PlacementPolicy for EarliestPlacement {
     fn place(
         &mut self,
@@ -51,7 +96,10 @@
         query: &PlacementQuery<'_>,
         rng: &mut dyn RngCore,
     ) -> Option<UpstreamIndex> {
-        let open = set.open(query.room).iter().filter_map(|index| set.get(*index));
+        let open = set.open(query.room);
+        let start = if open.len() > MOST_COMPARED { rng.random_range(0..open.len()) } else { 0 };
+        let drawn = open.iter().cycle().skip(start).take(open.len().min(MOST_COMPARED));
+        let open = drawn.filter_map(|index| set.get(*index));
         let rated = open.map(|status| {
             let rests = query.now < status.rests_until;
             let spread = 1.0 + CHOICE_SPREAD * rng.random::<f64>();
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -25,7 +25,7 @@
 pub use estimate::{CostEstimate, CostModel, EngineSpeed, RequestSizes};
 pub use exchange::{Exchange, ExchangeAction, ExchangeEvent, RequestState, request_chart};
 pub use learned_limit::LearnedLimit;
-pub use neighbour_book::{NeighbourBook, PoolNotice, WorkNotice};
+pub use neighbour_book::{CellNotice, FleetCell, NeighbourBook, UpstreamMark, WorkNotice};
 pub use organisation_limits::{LimitBook, LimitTolerance, OrganisationLimit};
 pub use placement::{
     AffinityPlacement, LeastReported, PlacementPolicy, PlacementQuery, RoundRobin,
--- a/src/policy/neighbour_book.rs
+++ b/src/policy/neighbour_book.rs
@@ -10,12 +10,16 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Least time between two notices of one daemon: what was sent meanwhile is told together.
 const LEAST_PAUSE: Duration = Duration::from_millis(40);
 /// Notices that one daemon sends in a second at most, to all others together: the cost of a notice is near
 /// 20 us at either end, and 100 of them are 0.2 % of a core.
 const MOST_A_SECOND: f64 = 100.0;
+/// Daemons in one cell, at least. Eight tell each other each 70 ms at [`MOST_A_SECOND`], a seventh of a usual run; and
+/// callers, who are spread unevenly, make the cells' loads differ by a tenth only.
+const CELL_SIZE: usize = 8;
 /// A neighbour's work counts for this long after its last notice, or for some pauses between notices where those
 /// are longer: it may have died, and its requests with it.
 const WORK_LIFE: Duration = Duration::from_millis(1_000);
@@ -30,6 +34,8 @@
 /// A silent neighbour is forgotten after this long, though the leader may have done so before: a daemon that is cut
 /// off from the voters goes on serving, and looks the same as a dead one. Above the cuts that are usual.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(20);
+/// What was told of an upstream's speed counts for this long; upstreams come and go.
+const SPEED_LIFE: Duration = Duration::from_secs(60);
 /// Time over which a neighbour's rate is averaged.
 const RATE_TIME: Duration = Duration::from_secs(2);
 
@@ -44,8 +50,8 @@
     pub sequence: u64,
     /// Where notices to it go.
     pub address: SocketAddr,
-    /// Its requests at upstreams, by pool; upstreams without any are left out.
-    pub pools: Vec<PoolNotice>,
+    /// Its requests at upstreams; upstreams without any, and without news of their speed, are left out.
+    pub work: Vec<(UpstreamMark, OthersWork)>,
     /// Tokens that it has let through since its boot, by organisation.
     pub taken: Vec<(OrganisationName, i64)>,
     /// Milliseconds until each organisation's bucket is full again, as it reckons.
@@ -54,19 +60,83 @@
     pub is_leaving: bool,
 }
 
-/// A daemon's requests at the upstreams of one pool.
+/// What a daemon tells the others of its cell, more often: its work alone.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct PoolNotice {
-    /// The pool.
-    pub service: ServiceName,
-    /// Work by upstream.
-    pub upstreams: Vec<(UpstreamName, OthersWork)>,
+pub struct CellNotice {
+    /// The daemon.
+    pub daemon: DaemonName,
+    /// Its boot number.
+    pub boot: u64,
+    /// Rises with each notice, of either kind.
+    pub sequence: u64,
+    /// Its requests at upstreams.
+    pub work: Vec<(UpstreamMark, OthersWork)>,
+}
+
+/// A part of the fleet, by place in the order of addresses, so that those of one data centre mostly meet.
+///
+/// Daemons of a cell tell each other what they send at once, and use the upstreams of the cell first. What goes wrong
+/// without cells: notices to the whole fleet cost each daemon as much as there are others, so they are made seldom, and
+/// what they say of upstreams is about requests that have ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetCell {
+    /// Its number, from 0.
+    pub index: usize,
+    /// Number of cells.
+    pub count: usize,
+}
+
+impl Default for FleetCell {
+    fn default() -> Self {
+        FleetCell { index: 0, count: 1 }
+    }
+}
+
+impl FleetCell {
+    /// The cell of the one at `position` among `total` in order.
+    pub fn of(position: usize, total: usize, count: usize) -> usize {
+        position * count / total.max(1)
+    }
+}
+
+/// Stands for an upstream in notices, in four bytes instead of its names. Two of 11,000 upstreams have the same mark in
+/// one fleet of 70; each then counts with the other's work, which costs a worse placement now and then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct UpstreamMark(u32);
+
+impl UpstreamMark {
+    /// The mark of an upstream of a service.
+    pub fn of(service: &ServiceName, upstream: &UpstreamName) -> Self {
+        let seed = xxh3_64(service.as_str().as_bytes());
+        UpstreamMark(xxh3_64_with_seed(upstream.as_str().as_bytes(), seed) as u32)
+    }
+}
+
+/// How fast an upstream is by another daemon's word.
+#[derive(Clone, Copy, Debug)]
+struct ToldSpeed {
+    gap_micros: u32,
+    at: Moment,
+}
+
+fn learn_speeds(
+    speeds: &mut BTreeMap<UpstreamMark, ToldSpeed>,
+    work: &[(UpstreamMark, OthersWork)],
+    now: Moment,
+) {
+    for (mark, work) in work.iter().filter(|(_, work)| work.gap_micros > 0) {
+        speeds.insert(*mark, ToldSpeed { gap_micros: work.gap_micros, at: now });
+    }
 }
 
 #[derive(Clone, Debug)]
 struct NeighbourState {
     notice: WorkNotice,
     heard: Moment,
+    /// The work that it told last, in which notice, and when.
+    work: Vec<(UpstreamMark, OthersWork)>,
+    work_sequence: u64,
+    work_heard: Moment,
     /// Until when its silence has been reckoned with.
     reckoned: Moment,
     /// Tokens reckoned since its last notice, by organisation.
@@ -119,6 +189,7 @@
     named: Vec<SocketAddr>,
     known: BTreeMap<DaemonName, NeighbourState>,
     own: OwnFlow,
+    speeds: BTreeMap<UpstreamMark, ToldSpeed>,
 }
 
 impl NeighbourBook {
@@ -148,7 +219,17 @@
             let assumed = BTreeMap::new();
             let flow = TokenFlow::default();
             let parts = BTreeMap::new();
-            let state = NeighbourState { notice, heard: now, reckoned: now, assumed, parts, flow };
+            let state = NeighbourState {
+                work: notice.work.clone(),
+                work_sequence: notice.sequence,
+                work_heard: now,
+                notice,
+                heard: now,
+                reckoned: now,
+                assumed,
+                parts,
+                flow,
+            };
             self.known.insert(daemon, state);
             return Vec::new();
         };
@@ -156,6 +237,12 @@
         if !is_new_boot && state.notice.sequence >= notice.sequence {
             return Vec::new();
         }
+        learn_speeds(&mut self.speeds, &notice.work, now);
+        if is_new_boot || notice.sequence > state.work_sequence {
+            state.work.clone_from(&notice.work);
+            state.work_sequence = notice.sequence;
+            state.work_heard = now;
+        }
         let mut taken = Vec::new();
         let elapsed = now.since(state.heard);
         for (organisation, total) in &notice.taken {
@@ -180,6 +267,50 @@
         taken
     }
 
+    /// Takes a notice of a daemon of this one's cell; one that was overtaken is passed over.
+    pub fn take_cell(&mut self, notice: CellNotice, now: Moment) {
+        let Some(state) = self.known.get_mut(&notice.daemon) else { return };
+        if state.notice.boot != notice.boot || state.work_sequence >= notice.sequence {
+            return;
+        }
+        learn_speeds(&mut self.speeds, &notice.work, now);
+        state.work = notice.work;
+        state.work_sequence = notice.sequence;
+        state.work_heard = now;
+    }
+
+    /// The daemons that serve, this one among them, in order of their addresses.
+    fn in_order(&self, own: SocketAddr, now: Moment) -> Vec<SocketAddr> {
+        let mut addresses = self.addresses(now);
+        addresses.push(own);
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
+    /// The cell of the daemon at `own`.
+    pub fn cell(&self, own: SocketAddr, now: Moment) -> FleetCell {
+        let addresses = self.in_order(own, now);
+        let count = (addresses.len() / CELL_SIZE).max(1);
+        let position = addresses.iter().position(|address| *address == own).unwrap_or(0);
+        FleetCell { index: FleetCell::of(position, addresses.len(), count), count }
+    }
+
+    /// The other daemons of its cell.
+    pub fn cell_addresses(&self, own: SocketAddr, now: Moment) -> Vec<SocketAddr> {
+        let cell = self.cell(own, now);
+        let addresses = self.in_order(own, now);
+        let total = addresses.len();
+        let numbered = addresses.into_iter().enumerate();
+        let mates = numbered.filter(|(at, _)| FleetCell::of(*at, total, cell.count) == cell.index);
+        mates.map(|(_, address)| address).filter(|address| *address != own).collect()
+    }
+
+    /// Time between two notices to the others of a cell.
+    pub fn cell_pause(mates: usize) -> Duration {
+        Duration::from_secs_f64(mates as f64 / MOST_A_SECOND).max(LEAST_PAUSE)
+    }
+
     /// Notes a neighbour's part of all that is let through now.
     fn learn_parts(&mut self, daemon: &DaemonName) {
         let Some(state) = self.known.get(daemon) else { return };
@@ -243,6 +374,7 @@
     }
 
     fn forget_gone(&mut self, now: Moment) {
+        self.speeds.retain(|_, speed| now.since(speed.at) < SPEED_LIFE);
         let named = &self.named;
         self.known.retain(|_, state| {
             named.contains(&state.notice.address) || now.since(state.heard) < FORGOTTEN_AFTER
@@ -261,17 +393,24 @@
         WORK_LIFE.max(self.notice_pause() * SILENT_PAUSES)
     }
 
-    /// The work of all neighbours together at each upstream of a pool.
-    pub fn others(&self, service: &ServiceName, now: Moment) -> BTreeMap<UpstreamName, OthersWork> {
-        let mut sums: BTreeMap<UpstreamName, OthersWork> = BTreeMap::new();
+    /// The work of all neighbours together at each upstream, and its speed as one of them told it last. Only what
+    /// those of this daemon's cell have there is known well enough to take up places.
+    pub fn others(&self, own: SocketAddr, now: Moment) -> BTreeMap<UpstreamMark, OthersWork> {
+        let mut sums: BTreeMap<UpstreamMark, OthersWork> = BTreeMap::new();
+        let mates = self.cell_addresses(own, now);
         let life = self.work_life();
-        let fresh = self.known.values().filter(|state| now.since(state.heard) < life);
-        let pools = fresh.flat_map(|state| &state.notice.pools);
-        let rows = pools.filter(|pool| pool.service == *service).flat_map(|pool| &pool.upstreams);
-        for (upstream, work) in rows {
-            let sum = sums.entry(upstream.clone()).or_default();
-            sum.requests += work.requests;
-            sum.unread_tokens += work.unread_tokens;
+        let fresh = self.known.values().filter(|state| now.since(state.work_heard) < life);
+        for state in fresh {
+            let is_mate = mates.contains(&state.notice.address);
+            for (mark, work) in &state.work {
+                let sum = sums.entry(*mark).or_default();
+                sum.unread_tokens += work.unread_tokens;
+                let requests = if is_mate { &mut sum.requests } else { &mut sum.hinted };
+                *requests += work.requests;
+            }
+        }
+        for (mark, speed) in &self.speeds {
+            sums.entry(*mark).or_default().gap_micros = speed.gap_micros;
         }
         sums
     }
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -55,6 +55,10 @@
     pub speed: EngineSpeed,
     /// Which room it may take.
     pub room: RoomKind,
+    /// Tokens in one event of a stream.
+    pub event_tokens: u32,
+    /// The longest good pause between events, of the routes that use the pool as this request's does.
+    pub pause: Option<Duration>,
     /// What is left of the caller's time.
     pub left: Duration,
     /// Now.
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -43,6 +43,8 @@
     pub prompt_tokens: u32,
     /// Estimated output tokens.
     pub output_tokens: u32,
+    /// The longest good pause between its events.
+    pub pause: Option<Duration>,
     /// When its answer must be complete.
     pub deadline: Moment,
     /// Estimated time from dispatch to the end.
--- a/src/policy/scheduler/admission.rs
+++ b/src/policy/scheduler/admission.rs
@@ -89,6 +89,7 @@
             cost: estimate.cost,
             prompt_tokens: estimate.prompt_tokens,
             output_tokens: estimate.output_tokens,
+            pause: request.pause,
             deadline: request.deadline,
             run_time: estimate.run_time,
             arrived: now,
--- a/src/policy/scheduler/events.rs
+++ b/src/policy/scheduler/events.rs
@@ -3,8 +3,8 @@
 use super::PoolPlan;
 use crate::answer::AnswerKind;
 use crate::policy::{
-    FloorOrder, LoadReport, Moment, OrganisationIndex, OthersWork, RequestId, RequestSizes,
-    TierRank, UpstreamIndex, UpstreamSource, UpstreamWord,
+    FleetCell, FloorOrder, LoadReport, Moment, OrganisationIndex, OthersWork, RequestId,
+    RequestSizes, TierRank, UpstreamIndex, UpstreamSource, UpstreamWord,
 };
 use crate::table::UpstreamName;
 use std::time::Duration;
@@ -32,6 +32,8 @@
     pub objective: Option<Moment>,
     /// When its caller leaves if no event has come.
     pub patience: Option<Moment>,
+    /// The longest good pause between its events.
+    pub pause: Option<Duration>,
     /// Its size, where the caller says; else it is estimated.
     pub sizes: Option<RequestSizes>,
     /// Hashes of the prompt's leading blocks.
@@ -54,6 +56,8 @@
     Failed,
     /// The caller left.
     Cancelled,
+    /// The upstream had no place to reserve; nothing was sent.
+    Crowded,
 }
 
 /// What the scheduler is told.
@@ -118,8 +122,13 @@
     LeaseLapsed,
     /// The fleet's word on the shed floor.
     FleetFloor(FloorOrder),
-    /// What the other daemons have at each upstream, as last heard.
-    Others(Vec<(UpstreamName, OthersWork)>),
+    /// What the other daemons have at each upstream, as last heard, and how fast it is by their word.
+    Others {
+        /// The upstreams of which something new was heard.
+        rows: Vec<(UpstreamName, OthersWork)>,
+        /// This daemon's part of the fleet.
+        cell: FleetCell,
+    },
     /// Time passed.
     Tick,
 }
--- a/src/policy/scheduler/feedback.rs
+++ b/src/policy/scheduler/feedback.rs
@@ -2,7 +2,9 @@
 
 use super::{DispatchOutcome, PoolAction, PoolScheduler, RunningRequest};
 use crate::answer::AnswerKind;
-use crate::policy::{Moment, RequestId, UpstreamIndex, UpstreamWord, WaitingRequest};
+use crate::policy::{
+    Moment, RequestId, UpstreamIndex, UpstreamStatus, UpstreamWord, WaitingRequest,
+};
 use std::time::Duration;
 
 /// A first token later than this many times its expected prefill, and than half its objective, is a
@@ -38,7 +40,7 @@
         self.model.learn_gap(gap);
         let is_late = gap > self.plan.token_gap;
         self.upstreams.update(running.upstream, |status| {
-            status.learn_gap(gap.as_micros() as f64);
+            status.learn_gap(gap.as_micros() as f64, now);
             if is_late {
                 status.limit.slowed(now);
             }
@@ -55,6 +57,10 @@
         let Some(running) = self.running.remove(&id) else { return };
         let RunningRequest { ref request, upstream, unread, .. } = running;
         self.upstreams.ended(upstream, request.cost, now);
+        if !matches!(outcome, DispatchOutcome::NotSent | DispatchOutcome::Crowded) {
+            self.upstreams.update(upstream, UpstreamStatus::uncrowd);
+            self.reservations.freed();
+        }
         self.upstreams.update(upstream, |status| status.read(unread));
         self.upstreams.judge_end(upstream, outcome, now);
         match outcome {
@@ -62,10 +68,18 @@
                 self.completed(&running, prompt_tokens, output_tokens, now);
             }
             DispatchOutcome::NotSent => self.redispatch(running.request, upstream, now, actions),
+            DispatchOutcome::Crowded => self.crowded(running.request, upstream, now),
             DispatchOutcome::Failed | DispatchOutcome::Cancelled => {}
         }
     }
 
+    /// An upstream had no place to reserve: the request waits again, and nothing was lost but a moment.
+    fn crowded(&mut self, request: WaitingRequest, upstream: UpstreamIndex, now: Moment) {
+        self.upstreams.update(upstream, |status| status.crowd(now));
+        self.reservations.refused(now);
+        self.queue.push_back_first(request);
+    }
+
     pub(super) fn completed(
         &mut self,
         running: &RunningRequest,
@@ -89,7 +103,7 @@
             self.model.learn_gap(time);
             let is_late = time > self.plan.first_token;
             self.upstreams.update(*upstream, |status| {
-                status.learn_gap(time.as_micros() as f64);
+                status.learn_gap(time.as_micros() as f64, now);
                 if is_late {
                     status.limit.slowed(now);
                 }
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -4,9 +4,11 @@
 mod events;
 mod feedback;
 mod plan;
+mod reservations;
 
 pub use events::{ArrivedRequest, DispatchOutcome, PoolAction, PoolEvent};
 pub use plan::PoolPlan;
+use reservations::ReservationPace;
 
 use super::{
     CostModel, DrainMeter, Moment, OrganisationIndex, PlacementPolicy, PlacementQuery, RequestId,
@@ -65,6 +67,7 @@
     meter: DrainMeter,
     redispatches: f64,
     judged_at: Moment,
+    reservations: ReservationPace,
 }
 
 impl PoolScheduler {
@@ -87,6 +90,7 @@
             meter: DrainMeter::default(),
             redispatches: REDISPATCH_BURST,
             judged_at: Moment(0),
+            reservations: ReservationPace::default(),
             plan,
         }
     }
@@ -123,7 +127,10 @@
                 self.floor.take(order);
                 self.evict_below_floor(now, actions);
             }
-            PoolEvent::Others(rows) => self.upstreams.set_others(&rows),
+            PoolEvent::Others { rows, cell } => {
+                self.upstreams.set_others(&rows);
+                self.upstreams.set_cell(cell);
+            }
             PoolEvent::Tick => self.tick(now, actions),
         }
         self.pump(now, rng, actions);
@@ -161,6 +168,7 @@
                 }
             }
         }
+        self.upstreams.reopen(now);
         let progress = self.plan.tiers.iter().map(|share| self.queue.progress(share.rank));
         self.meter.tick(progress, now);
         self.floor.relax(now);
@@ -177,7 +185,7 @@
 
     /// Dispatches waiting requests while an upstream has room.
     fn pump(&mut self, now: Moment, rng: &mut dyn RngCore, actions: &mut Vec<PoolAction>) {
-        while let Some(lowest) = self.lowest_served() {
+        while let Some(lowest) = self.lowest_served().filter(|_| self.reservations.may_try(now)) {
             let Some(request) = self.queue.pop(lowest, now) else { return };
             let query = PlacementQuery {
                 prefix: &request.prefix,
@@ -185,6 +193,8 @@
                 output_tokens: request.output_tokens,
                 speed: self.model.speed(),
                 room: self.room(request.tier),
+                event_tokens: self.plan.event_tokens,
+                pause: request.pause,
                 left: request.deadline.since(now),
                 now,
             };
--- a/src/policy/scheduler/plan.rs
+++ b/src/policy/scheduler/plan.rs
@@ -44,6 +44,10 @@
     /// True if this daemon sheds by itself, without the fleet's floor: what it refuses is what it cannot serve
     /// in time, whatever others still admit.
     pub sheds_alone: bool,
+    /// Tokens in one event of a stream.
+    pub event_tokens: u32,
+    /// True if upstreams reserve a place before a request is sent: then what others have there is a hint only.
+    pub reserves: bool,
 }
 
 impl PoolPlan {
@@ -65,6 +69,8 @@
             avoids_stragglers: true,
             keeps_headroom: true,
             sheds_alone: false,
+            event_tokens: row.event_tokens,
+            reserves: row.reservation_ms.is_some(),
         }
     }
 
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -1,11 +1,12 @@
 //! The upstreams of one pool as this daemon sees them: life cycle, work in flight, load reports.
 
-use super::{DispatchOutcome, LearnedLimit, Moment, UpstreamIndex};
+use super::{DispatchOutcome, FleetCell, LearnedLimit, Moment, UpstreamIndex};
 use crate::chart::{ChartMachine, StateChart};
 use crate::chart_names;
 use crate::table::UpstreamName;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::sync::LazyLock;
 use std::time::Duration;
 
@@ -30,6 +31,13 @@
 const FIRST_REST: Duration = Duration::from_millis(500);
 /// A rest is doubled at most so often: 4 s, so that an upstream that is sound again is soon found.
 const MOST_DOUBLINGS: u32 = 3;
+/// An upstream without a place is not asked again for this long, doubled with each refusal in a row: with 4 places and
+/// runs of half a second one becomes free each 125 ms.
+const FIRST_CROWDED: Duration = Duration::from_millis(30);
+/// Most doublings: 120 ms.
+const MOST_CROWDED_DOUBLINGS: u32 = 2;
+/// Upstreams in one cell, at least; pools with fewer are shared by all cells.
+const CELL_UPSTREAMS: usize = 4;
 
 chart_names! {
     /// Where an upstream is in its life.
@@ -151,6 +159,16 @@
     failed_in_row: u32,
     /// It gets no work until then, unless nobody else has room.
     pub rests_until: Moment,
+    /// It had no place to reserve; it is not asked again until then.
+    crowded_until: Option<Moment>,
+    /// Refusals of a place in a row.
+    crowded_in_row: u32,
+    /// True if it is of this daemon's cell, and used first.
+    pub is_home: bool,
+    /// Time between tokens as another daemon told it, in microseconds.
+    told_gap: Option<f64>,
+    /// When this daemon learned of its speed last.
+    pub learned_at: Moment,
     open_positions: [Option<usize>; ROOM_KINDS],
 }
 
@@ -161,6 +179,18 @@
     pub requests: u32,
     /// Prompt tokens that it has not yet read.
     pub unread_tokens: u64,
+    /// Time between its tokens as one of them measured it last, in microseconds; 0 if none did.
+    pub gap_micros: u32,
+    /// Requests of daemons outside of this one's cell, by old word: a hint, and never told on.
+    #[serde(skip)]
+    pub hinted: u32,
+}
+
+impl OthersWork {
+    /// Requests there as far as is known.
+    pub fn all_requests(&self) -> u32 {
+        self.requests + self.hinted
+    }
 }
 
 /// For whom there must be room.
@@ -189,14 +219,38 @@
         };
         self.state() == UpstreamState::Live
             && self.share > 0.0
+            && self.crowded_until.is_none()
             && (self.in_flight + self.others.requests == 0 || self.used() < self.share * part)
     }
 
-    /// The part of the bound that this daemon's work takes up.
+    /// The part of the bound that this daemon's work takes up, with the others' where that is known well enough.
     pub fn used(&self) -> f64 {
         self.limit.used(self.in_flight_tokens, self.in_flight + self.others.requests)
     }
 
+    /// Requests there as far as is known, as a part of its places.
+    pub fn occupied(&self) -> f64 {
+        f64::from(self.in_flight + self.others.all_requests()) / self.limit.requests().max(1.0)
+    }
+
+    /// Mean time between tokens, in microseconds: this daemon's own measure, or else another one's.
+    pub fn gap(&self) -> Option<f64> {
+        self.gap_micros.or(self.told_gap)
+    }
+
+    /// It had no place to reserve.
+    pub(super) fn crowd(&mut self, now: Moment) {
+        let doublings = self.crowded_in_row.min(MOST_CROWDED_DOUBLINGS);
+        self.crowded_in_row += 1;
+        self.crowded_until = Some(now + FIRST_CROWDED * 2u32.pow(doublings));
+    }
+
+    /// A place there became free.
+    pub(super) fn uncrowd(&mut self) {
+        self.crowded_until = None;
+        self.crowded_in_row = 0;
+    }
+
     /// The upstream has read this many prompt tokens, or will not read them any more.
     pub fn read(&mut self, tokens: u32) {
         self.unread_tokens = self.unread_tokens.saturating_sub(u64::from(tokens));
@@ -276,12 +330,13 @@
         }
         self.was_crowded = is_crowded;
         if report.step_micros > 0 {
-            self.learn_gap(f64::from(report.step_micros));
+            self.learn_gap(f64::from(report.step_micros), now);
         }
     }
 
     /// Blends a time between tokens, in microseconds, into the mean.
-    pub fn learn_gap(&mut self, micros: f64) {
+    pub fn learn_gap(&mut self, micros: f64, now: Moment) {
+        self.learned_at = now;
         self.gap_micros =
             Some(self.gap_micros.map_or(micros, |mean| mean + (micros - mean) * GAP_WEIGHT));
     }
@@ -297,6 +352,9 @@
     next: u32,
     live: usize,
     share: Option<f64>,
+    cell: FleetCell,
+    /// The generation for which the cell's upstreams were worked out.
+    homes_of: Option<u64>,
     /// Incarnations that said that they leave, or were said to, for as long as a source names them. What goes wrong
     /// without them: one that is gone is forgotten, and the lagging list brings it back as new, again and again.
     left: HashSet<(UpstreamName, u64)>,
@@ -408,6 +466,11 @@
             failing: 0.0,
             failed_in_row: 0,
             rests_until: Moment(0),
+            crowded_until: None,
+            crowded_in_row: 0,
+            is_home: true,
+            told_gap: None,
+            learned_at: Moment(0),
             open_positions: [None; ROOM_KINDS],
         };
         self.upstreams.insert(index, status);
@@ -473,16 +536,48 @@
     pub fn set_others(&mut self, rows: &[(UpstreamName, OthersWork)]) {
         for (name, others) in rows {
             let Some(index) = self.find(name) else { continue };
-            self.update(index, |status| status.others = *others);
+            self.update(index, |status| {
+                status.others = *others;
+                let told = (others.gap_micros > 0).then(|| f64::from(others.gap_micros));
+                status.told_gap = told.or(status.told_gap);
+            });
         }
     }
 
+    /// Works out which upstreams are of this daemon's cell: as many for each cell, by order of addresses.
+    pub fn set_cell(&mut self, cell: FleetCell) {
+        if self.cell == cell && self.homes_of == Some(self.generation) {
+            return;
+        }
+        self.cell = cell;
+        self.homes_of = Some(self.generation);
+        let mut order: Vec<(SocketAddr, UpstreamIndex)> =
+            self.upstreams.values().map(|status| (status.source.address, status.index)).collect();
+        order.sort_unstable();
+        let total = order.len();
+        let is_shared = total < cell.count * CELL_UPSTREAMS;
+        for (at, (_, index)) in order.into_iter().enumerate() {
+            let is_home = is_shared || FleetCell::of(at, total, cell.count) == cell.index;
+            self.update(index, |status| status.is_home = is_home);
+        }
+    }
+
+    /// Lets upstreams be asked again whose pause after a refusal is over.
+    pub fn reopen(&mut self, now: Moment) {
+        let over = |status: &&UpstreamStatus| status.crowded_until.is_some_and(|at| at <= now);
+        let over: Vec<UpstreamIndex> =
+            self.upstreams.values().filter(over).map(|status| status.index).collect();
+        over.into_iter().for_each(|index| self.update(index, |status| status.crowded_until = None));
+    }
+
     /// Learns how an exchange ended at an upstream.
     pub fn judge_end(&mut self, index: UpstreamIndex, outcome: DispatchOutcome, now: Moment) {
         let has_failed = match outcome {
             DispatchOutcome::Completed { .. } => false,
             DispatchOutcome::Failed => true,
-            DispatchOutcome::NotSent | DispatchOutcome::Cancelled => return,
+            DispatchOutcome::NotSent | DispatchOutcome::Cancelled | DispatchOutcome::Crowded => {
+                return;
+            }
         };
         self.update(index, |status| status.judge_end(has_failed, now));
     }
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -242,6 +242,12 @@
     #[serde(default = "default_event_tokens")]
     #[schemars(range(min = 1))]
     pub event_tokens: u32,
+    /// How long an upstream reserves a place for a request that is about to be sent, in milliseconds; absent where
+    /// upstreams reserve none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
+    #[schemars(with = "Option<u64>")]
+    pub reservation_ms: Option<Duration>,
     /// Order of waiting requests.
     #[serde(default)]
     pub queue: QueueChoice,
@@ -272,6 +278,7 @@
             claim_life_ms: default_claim_life(),
             health_path: None,
             event_tokens: default_event_tokens(),
+            reservation_ms: None,
             queue: QueueChoice::default(),
             placement: PlacementChoice::default(),
             limit: LimitChoice::default(),
--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -156,7 +156,7 @@
             match Box::pin(self.converse(&mut guard, &mut sink)).await {
                 ConverseEnd::Requeue => {
                     self.may_have_run = false;
-                    word = guard.requeue();
+                    word = guard.requeue(DispatchOutcome::NotSent);
                 }
                 ConverseEnd::Finish => {
                     self.recorded = sink.take_record();
--- a/src/traffic/front.rs
+++ b/src/traffic/front.rs
@@ -453,6 +453,7 @@
         rank: 0,
         objective: None,
         patience: None,
+        pause: None,
         prefix: shape.prefix,
     };
     let silence = service.silence_ms;
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -18,6 +18,7 @@
 pub use neighbours::{Neighbours, start_notices};
 pub use pool_runtime::{PoolRuntime, RequestGuard};
 pub use routed::{
-    AnswerFacts, CallDialect, CallerFacts, EventCutter, RouteIndex, SendFacts, probe,
+    AnswerFacts, CallDialect, CallerFacts, EventCutter, PlaceWanted, PlaceWord, RouteIndex,
+    SendFacts, probe,
 };
 pub use state::{PlatformManner, TableSnapshot, TrafficState};
--- a/src/traffic/neighbours/mod.rs
+++ b/src/traffic/neighbours/mod.rs
@@ -4,17 +4,19 @@
 mod wire;
 
 use super::state::TrafficState;
-use crate::policy::{Moment, NeighbourBook, OthersWork, PoolEvent, PoolNotice, WorkNotice};
-use crate::table::UpstreamName;
+use crate::policy::{
+    CellNotice, Moment, NeighbourBook, OthersWork, PoolEvent, UpstreamMark, UpstreamSet, WorkNotice,
+};
+use crate::table::{ServiceName, UpstreamName};
 use crate::upstream::PlatformList;
 use list::ListExchange;
 use slog::debug;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::time::Instant;
 use wire::{DaemonNotice, read_notice, write_notice};
 
 /// Longest time between two notices, also where nothing has changed.
@@ -30,6 +32,7 @@
     /// Where this daemon hears notices; none while it sends none.
     own: OnceLock<SocketAddr>,
     list: ListExchange,
+    sequence: AtomicU64,
 }
 
 impl Neighbours {
@@ -38,6 +41,11 @@
         lock(&self.book)
     }
 
+    /// The number of the next notice.
+    fn next_sequence(&self) -> u64 {
+        self.sequence.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
     /// True if this daemon should read the platform's list itself: it reads for all that hear it, or whoever does
     /// has not been heard lately, or tells of a list that this daemon does not know.
     pub fn must_read_list(&self, now: Moment) -> bool {
@@ -91,6 +99,7 @@
     let _ = state.neighbours.own.set(address);
     tokio::spawn(listen(Arc::clone(&state), socket.clone()));
     tokio::spawn(list::tell_readings(Arc::clone(&state), socket.clone()));
+    tokio::spawn(tell_cell(Arc::clone(&state), socket.clone()));
     tokio::spawn(tell(state, socket));
 }
 
@@ -112,6 +121,9 @@
 fn take(state: &TrafficState, socket: &NoticeSocket, notice: DaemonNotice) {
     match notice {
         DaemonNotice::Work(notice) if notice.daemon != state.daemon => take_notice(state, notice),
+        DaemonNotice::Cell(notice) if notice.daemon != state.daemon => {
+            take_cell_notice(state, notice)
+        }
         DaemonNotice::ListRead { daemon, address, change } if daemon != state.daemon => {
             list::take_change(state, socket, (&daemon, address), &change)
         }
@@ -119,8 +131,11 @@
             list::answer_wanted(state, socket, address)
         }
         DaemonNotice::ListPart(part) => list::take_part(state, part),
-        DaemonNotice::Work(_) | DaemonNotice::ListRead { .. } | DaemonNotice::ListWanted { .. } => {
-        }
+        // Its own notice, come back.
+        DaemonNotice::Work(_)
+        | DaemonNotice::Cell(_)
+        | DaemonNotice::ListRead { .. }
+        | DaemonNotice::ListWanted { .. } => {}
     }
 }
 
@@ -129,37 +144,51 @@
     let taken = state.neighbours.book().take(notice, state.clock.now());
     state.charge_taken(&taken);
     state.level_limits(&refills);
+    // In a fleet of one cell each notice is of this daemon's cell; in larger ones the cell has notices of its own.
+    let own = state.neighbours.own.get().copied();
+    let now = state.clock.now();
+    if own.is_some_and(|own| state.neighbours.book().cell(own, now).count == 1) {
+        refresh_others(state);
+    }
+}
+
+fn take_cell_notice(state: &TrafficState, notice: CellNotice) {
+    state.neighbours.book().take_cell(notice, state.clock.now());
     refresh_others(state);
 }
 
 /// Gives each pool what the others have at its upstreams.
 fn refresh_others(state: &TrafficState) {
-    let now = state.clock.now();
+    let Some(own) = state.neighbours.own.get() else { return };
+    let (others, cell) = {
+        let (book, now) = (state.neighbours.book(), state.clock.now());
+        (book.others(*own, now), book.cell(*own, now))
+    };
     for (service, pool) in state.pools().iter() {
-        let others = state.neighbours.book().others(service, now);
-        let rows = pool.inspect(|scheduler| changed_rows(scheduler.upstreams(), &others));
+        let rows = pool.inspect(|scheduler| changed_rows(service, scheduler.upstreams(), &others));
         if !rows.is_empty() {
-            pool.tell(PoolEvent::Others(rows));
+            pool.tell(PoolEvent::Others { rows, cell });
         }
     }
 }
 
 fn changed_rows(
-    upstreams: &crate::policy::UpstreamSet,
-    others: &BTreeMap<UpstreamName, OthersWork>,
+    service: &ServiceName,
+    upstreams: &UpstreamSet,
+    others: &BTreeMap<UpstreamMark, OthersWork>,
 ) -> Vec<(UpstreamName, OthersWork)> {
     let rows = upstreams.iter().map(|status| {
         let name = &status.source.name;
-        (name, status.others, others.get(name).copied().unwrap_or_default())
+        let work = others.get(&UpstreamMark::of(service, name));
+        (name, status.others, work.copied().unwrap_or_default())
     });
     let changed = rows.filter(|(_, known, work)| known != work);
     changed.map(|(name, _, work)| (name.clone(), work)).collect()
 }
 
+/// Tells all daemons what they need of this one: its part of the organisations' limits, and its work.
 async fn tell(state: Arc<TrafficState>, socket: NoticeSocket) {
-    let mut sequence = 0;
-    let mut last = None;
-    let mut told_at = Instant::now();
+    let mut told = ToldWork::default();
     loop {
         let now = state.clock.now();
         let totals = state.taken();
@@ -171,18 +200,13 @@
         };
         state.charge_taken(&silent);
         list::ask_while_unknown(&state, &socket);
-        let work = (pool_notices(&state), totals);
-        if last.as_ref() != Some(&work) || told_at.elapsed() >= LONGEST_PAUSE {
-            sequence += 1;
-            told_at = Instant::now();
-            let (pools, taken) = work.clone();
-            last = Some(work);
+        if let Some((work, taken)) = told.news(&state, now, totals) {
             let notice = WorkNotice {
                 daemon: state.daemon.clone(),
                 boot: state.boot(),
-                sequence,
+                sequence: state.neighbours.next_sequence(),
                 address: socket.own,
-                pools,
+                work,
                 taken,
                 refills: state.refills(),
                 is_leaving: state.is_drained(),
@@ -195,25 +219,68 @@
     }
 }
 
-fn pool_notices(state: &TrafficState) -> Vec<PoolNotice> {
-    let pools = state.pools();
-    let mut notices: Vec<PoolNotice> = pools
-        .iter()
-        .map(|(service, pool)| PoolNotice {
-            service: service.clone(),
-            upstreams: pool.inspect(|scheduler| {
-                let busy = scheduler.upstreams().iter().filter(|status| status.in_flight > 0);
-                let work = busy.map(|status| {
-                    let work = OthersWork {
-                        requests: status.in_flight,
-                        unread_tokens: status.unread_tokens,
-                    };
-                    (status.source.name.clone(), work)
-                });
-                work.collect()
-            }),
-        })
-        .collect();
-    notices.sort_by(|a, b| a.service.cmp(&b.service));
-    notices
+/// Tells the others of this daemon's cell its work, where the fleet is larger than one cell.
+async fn tell_cell(state: Arc<TrafficState>, socket: NoticeSocket) {
+    let mut told = ToldWork::default();
+    loop {
+        let now = state.clock.now();
+        let mates = state.neighbours.book().cell_addresses(socket.own, now);
+        let is_whole = mates.len() >= state.neighbours.others_addresses(now).len();
+        if !is_whole && let Some((work, _)) = told.news(&state, now, ()) {
+            let notice = CellNotice {
+                daemon: state.daemon.clone(),
+                boot: state.boot(),
+                sequence: state.neighbours.next_sequence(),
+                work,
+            };
+            socket.send(&DaemonNotice::Cell(notice), &mates);
+        }
+        tokio::time::sleep(NeighbourBook::cell_pause(mates.len())).await;
+    }
+}
+
+/// What was told last, beside `T`; nothing is told again before [`LONGEST_PAUSE`].
+#[derive(Debug, Default)]
+struct ToldWork<T> {
+    last: Option<(Vec<(UpstreamMark, OthersWork)>, T)>,
+    at: Moment,
+}
+
+impl<T: Clone + PartialEq> ToldWork<T> {
+    fn news(
+        &mut self,
+        state: &TrafficState,
+        now: Moment,
+        beside: T,
+    ) -> Option<(Vec<(UpstreamMark, OthersWork)>, T)> {
+        let news = (own_work(state, self.at), beside);
+        if self.last.as_ref() == Some(&news) && now.since(self.at) < LONGEST_PAUSE {
+            return None;
+        }
+        self.at = now;
+        self.last = Some(news.clone());
+        Some(news)
+    }
+}
+
+/// What this daemon has at each upstream, and the speeds that it learned since `since`.
+fn own_work(state: &TrafficState, since: Moment) -> Vec<(UpstreamMark, OthersWork)> {
+    let mut rows = Vec::new();
+    for (service, pool) in state.pools().iter() {
+        pool.inspect(|scheduler| {
+            rows.extend(scheduler.upstreams().iter().filter_map(|status| {
+                let learned = status.gap_micros.filter(|_| status.learned_at > since);
+                let work = OthersWork {
+                    requests: status.in_flight,
+                    unread_tokens: status.unread_tokens,
+                    gap_micros: learned.unwrap_or(0.0) as u32,
+                    hinted: 0,
+                };
+                let mark = UpstreamMark::of(service, &status.source.name);
+                (work != OthersWork::default()).then_some((mark, work))
+            }));
+        });
+    }
+    rows.sort_unstable_by_key(|(mark, _)| *mark);
+    rows
 }
--- a/src/traffic/neighbours/wire.rs
+++ b/src/traffic/neighbours/wire.rs
@@ -1,6 +1,6 @@
 //! Datagrams between daemons: what they hold, and the tag that proves the fleet's key.
 
-use crate::policy::{ListChange, ListPart, WorkNotice};
+use crate::policy::{CellNotice, ListChange, ListPart, WorkNotice};
 use crate::table::DaemonName;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -14,6 +14,8 @@
 pub enum DaemonNotice {
     /// What it sent where.
     Work(WorkNotice),
+    /// The same for the daemons of its cell, more often.
+    Cell(CellNotice),
     /// What its reading of the platform's list changed, mostly nothing.
     ListRead {
         /// The daemon that read it.
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -6,14 +6,15 @@
     ArrivedRequest, DispatchOutcome, Moment, OrganisationIndex, PoolAction, PoolEvent, PoolPlan,
     PoolScheduler, PoolStatus, RequestId, TierRank, UpstreamIndex, UpstreamState, UpstreamStatus,
 };
-use crate::table::{ServiceName, UpstreamName};
+use crate::table::{ServiceName, ServiceRow, UpstreamName};
 use crate::upstream::UpstreamDriver;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use tokio::sync::oneshot;
 
 /// The scheduler's word on a waiting request.
@@ -47,6 +48,8 @@
     pub driver: Arc<dyn UpstreamDriver>,
     clock: TrafficClock,
     event_tokens: AtomicU32,
+    /// How long an upstream reserves a place at most, in milliseconds; 0 if it reserves none.
+    reservation: AtomicU64,
     core: Mutex<PoolCore>,
 }
 
@@ -70,6 +73,7 @@
             driver,
             clock,
             event_tokens: AtomicU32::new(1),
+            reservation: AtomicU64::new(0),
             core: Mutex::new(core),
         })
     }
@@ -178,9 +182,17 @@
         self.event_tokens.load(Ordering::Relaxed).max(1)
     }
 
-    /// Sets the tokens in one event of a stream.
-    pub fn set_event_tokens(&self, tokens: u32) {
-        self.event_tokens.store(tokens, Ordering::Relaxed);
+    /// How long an upstream reserves a place at most; none if it reserves none.
+    pub fn reservation(&self) -> Option<Duration> {
+        let time = Duration::from_millis(self.reservation.load(Ordering::Relaxed));
+        (!time.is_zero()).then_some(time)
+    }
+
+    /// Takes what the service's row says of its upstreams.
+    pub fn set_manner(&self, row: &ServiceRow) {
+        self.event_tokens.store(row.event_tokens, Ordering::Relaxed);
+        let reservation = row.reservation_ms.unwrap_or_default().as_millis() as u64;
+        self.reservation.store(reservation, Ordering::Relaxed);
     }
 
     /// Now.
@@ -197,12 +209,12 @@
 }
 
 impl RequestGuard {
-    /// Nothing was sent: the request waits again.
-    pub fn requeue(&mut self) -> oneshot::Receiver<PlacementWord> {
+    /// Nothing was sent, for the reason that `outcome` names: the request waits again.
+    pub fn requeue(&mut self, outcome: DispatchOutcome) -> oneshot::Receiver<PlacementWord> {
         let (sender, receiver) = oneshot::channel();
         let mut core = self.pool.lock();
         core.waiters.insert(self.id, sender);
-        let event = PoolEvent::Ended { id: self.id, outcome: DispatchOutcome::NotSent };
+        let event = PoolEvent::Ended { id: self.id, outcome };
         self.pool.tell_locked(&mut core, event);
         drop(core);
         receiver
--- a/src/traffic/routed/attempt.rs
+++ b/src/traffic/routed/attempt.rs
@@ -54,8 +54,9 @@
     address: SocketAddr,
     incarnation: &str,
     last_event: Option<u64>,
+    place: Option<&str>,
 ) -> Result<OpenAnswer, AttemptFault> {
-    let call = make_call(request, incarnation, last_event)?;
+    let call = make_call(request, incarnation, last_event, place)?;
     let connections = request.state.connections();
     let sent = connections.send(address, call, KEPT_ALIVE).await;
     let (response, connection) = sent.map_err(|fault| match fault {
@@ -82,6 +83,7 @@
     request: &CarriedRequest,
     incarnation: &str,
     last_event: Option<u64>,
+    place: Option<&str>,
 ) -> Result<Request<Full<bytes::Bytes>>, AttemptFault> {
     let path = request.parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let mut call = Request::builder()
@@ -97,6 +99,7 @@
         incarnation,
         organisation: request.caller.as_ref().map(|caller| caller.organisation.as_str()),
         last_event,
+        place,
     };
     request.dialect.write_send(headers, &facts);
     Ok(call)
--- a/src/traffic/routed/carry.rs
+++ b/src/traffic/routed/carry.rs
@@ -4,6 +4,7 @@
 use super::dialect::{CallDialect, CallerFacts};
 use super::door::{LimitGuard, find_entry};
 use super::relay::{StreamRelay, stream_response, whole_response};
+use super::reserve::{Reservation, reserve};
 use crate::answer::{AnswerKind, RefusalAnswer};
 use crate::policy::{
     ArrivedRequest, DispatchOutcome, Moment, PoolEvent, RequestId, RequestSizes, UpstreamIndex,
@@ -76,6 +77,8 @@
     pub name: UpstreamName,
     pub address: SocketAddr,
     pub sent_at: Moment,
+    /// The place that the upstream reserved.
+    pub place: Option<String>,
 }
 
 /// What the sends of one request have come to.
@@ -137,23 +140,49 @@
         }
     }
 
+    /// Waits for the scheduler's word, and for a place at the upstream that it names.
     async fn wait_in(&self, pool: Arc<PoolRuntime>) -> Result<PlacedRequest, AnswerKind> {
         let number = RequestId(self.state.new_request_id().0);
-        let arrived = self.arrived(number);
-        let (mut guard, word) = pool.arrive(arrived);
-        let limit = self.time_left();
-        let word = tokio::time::timeout(limit, word).await;
-        match word {
-            Ok(Ok(PlacementWord::Go { upstream, name, address })) => {
-                let sent_at = self.state.clock.now();
-                Ok(PlacedRequest { pool, guard, number, upstream, name, address, sent_at })
-            }
-            Ok(Ok(PlacementWord::Refuse(kind))) => {
-                guard.refused();
-                Err(kind)
+        let (mut guard, mut word) = pool.arrive(self.arrived(number));
+        loop {
+            let limit = self.time_left();
+            let (upstream, name, address) = match tokio::time::timeout(limit, word).await {
+                Ok(Ok(PlacementWord::Go { upstream, name, address })) => (upstream, name, address),
+                Ok(Ok(PlacementWord::Refuse(kind))) => {
+                    guard.refused();
+                    return Err(kind);
+                }
+                Ok(Err(_)) => return Err(AnswerKind::Internal),
+                Err(_) => return Err(AnswerKind::DeadlineWaiting),
+            };
+            let reservation = match pool.reservation() {
+                Some(longest) => reserve(self, address, name.as_str(), longest).await,
+                None => Reservation::Granted(None),
+            };
+            match reservation {
+                Reservation::Granted(place) => {
+                    let sent_at = self.state.clock.now();
+                    return Ok(PlacedRequest {
+                        pool,
+                        guard,
+                        number,
+                        upstream,
+                        name,
+                        address,
+                        sent_at,
+                        place,
+                    });
+                }
+                Reservation::Full => word = guard.requeue(DispatchOutcome::Crowded),
+                Reservation::Gone => {
+                    pool.tell(PoolEvent::Word { upstream, word: UpstreamWord::Leaving });
+                    word = guard.requeue(DispatchOutcome::Crowded);
+                }
+                Reservation::Unreachable => {
+                    info!(self.state.log, "no word on a place"; "request" => self.id(), "upstream" => name.as_str());
+                    word = guard.requeue(DispatchOutcome::NotSent);
+                }
             }
-            Ok(Err(_)) => Err(AnswerKind::Internal),
-            Err(_) => Err(AnswerKind::DeadlineWaiting),
         }
     }
 
@@ -172,6 +201,7 @@
             rank: snapshot.access.route_rank(&self.route),
             objective: Some(self.arrived_at + self.route.objective_ms),
             patience: self.route.patience_ms.map(|time| self.arrived_at + time),
+            pause: self.route.gap_ms,
             sizes: self.sizes,
             prefix: Box::default(),
         }
@@ -198,7 +228,8 @@
         let is_last = count.sent >= self.route.attempts;
         let patience = if is_last { Duration::MAX } else { self.patience() };
         let limit = self.time_left().min(patience);
-        let sending = send(self, placed.address, placed.name.as_str(), last_event);
+        let place = placed.place.as_deref();
+        let sending = send(self, placed.address, placed.name.as_str(), last_event, place);
         match tokio::time::timeout(limit, sending).await {
             Ok(answer) => answer,
             Err(_) => Err(AttemptFault::Lost(format!("no answer within {limit:?}"))),
--- a/src/traffic/routed/dialect.rs
+++ b/src/traffic/routed/dialect.rs
@@ -1,7 +1,8 @@
 //! What a platform's headers say, in our words. The platform's adapter implements the trait; traffic decides.
 
 use crate::policy::LoadReport;
-use http::{HeaderMap, StatusCode};
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
 use std::time::Duration;
 
 /// What a caller's headers say.
@@ -34,6 +35,32 @@
     pub organisation: Option<&'a str>,
     /// The event after which a stream goes on.
     pub last_event: Option<u64>,
+    /// The place that the upstream reserved for the request.
+    pub place: Option<&'a str>,
+}
+
+/// A place that is asked for at an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceWanted<'a> {
+    /// The upstream's incarnation that is meant.
+    pub incarnation: &'a str,
+    /// Tokens of prompt and answer together, at most.
+    pub tokens: u32,
+    /// How long it is to be held for the request to come.
+    pub held_for: Duration,
+}
+
+/// What an upstream says to one who asks for a place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PlaceWord {
+    /// The place's name.
+    Reserved(String),
+    /// It has none.
+    Full,
+    /// It is another incarnation than was meant.
+    OtherIncarnation,
+    /// It does not reserve places, or not now.
+    Unknown,
 }
 
 /// What the head of an upstream's answer says.
@@ -61,4 +88,8 @@
     fn write_send(&self, headers: &mut HeaderMap, facts: &SendFacts<'_>);
     /// Reads the head of an answer.
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerFacts;
+    /// The call that asks for a place; none if the platform has none.
+    fn place_call(&self, wanted: &PlaceWanted<'_>) -> Option<Request<Bytes>>;
+    /// Reads the answer to such a call.
+    fn read_place(&self, status: StatusCode, body: &[u8]) -> PlaceWord;
 }
--- a/src/traffic/routed/mod.rs
+++ b/src/traffic/routed/mod.rs
@@ -11,10 +11,11 @@
 mod index;
 mod probe;
 mod relay;
+mod reserve;
 
 use crate::policy::OrganisationIndex;
 
-pub use dialect::{AnswerFacts, CallDialect, CallerFacts, SendFacts};
+pub use dialect::{AnswerFacts, CallDialect, CallerFacts, PlaceWanted, PlaceWord, SendFacts};
 pub use door::routed_router;
 pub use events::EventCutter;
 pub use index::RouteIndex;
--- a/src/traffic/routed/probe.rs
+++ b/src/traffic/routed/probe.rs
@@ -27,7 +27,13 @@
     let manner = state.manner()?;
     let mut headers = HeaderMap::new();
     headers.insert(HOST, HeaderValue::from_str(&address.to_string()).ok()?);
-    let facts = SendFacts { deadline: None, incarnation, organisation: None, last_event: None };
+    let facts = SendFacts {
+        deadline: None,
+        incarnation,
+        organisation: None,
+        last_event: None,
+        place: None,
+    };
     manner.dialect.write_send(&mut headers, &facts);
     let mut request = Request::get(path).body(Full::<Bytes>::default()).ok()?;
     *request.headers_mut() = headers;
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -274,7 +274,7 @@
                     self.seed(),
                 ),
             };
-            pool.set_event_tokens(row.event_tokens);
+            pool.set_manner(row);
             pools.insert(row.service.clone(), pool);
         }
         self.pools.store(Arc::new(pools));
--- /dev/null
+++ b/tests/burst_pool.rs
@@ -0,0 +1,96 @@
+//! A pool whose requests have objectives, in virtual time.
+
+use crate::session::source;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tarragonknot::policy::{
+    ArrivedRequest, DispatchOutcome, Moment, OrganisationIndex, PoolAction, PoolEvent, PoolPlan,
+    PoolScheduler, RequestId, RequestSizes, TierRank, TierShare,
+};
+use tarragonknot::table::{
+    LimitChoice, PlacementChoice, QueueChoice, ServiceKind, ServiceRow, tier_of_rank,
+};
+
+/// The plan of a model pool whose requests have objectives; one place for each upstream.
+pub fn urgency_plan() -> PoolPlan {
+    let mut row = ServiceRow::new("pool".into(), ServiceKind::Model, tier_of_rank(0));
+    row.queue = QueueChoice::Urgency;
+    row.placement = PlacementChoice::Earliest;
+    row.limit = LimitChoice::Fixed;
+    row.first_guess = 1;
+    let share = |rank, weight| TierShare { rank: TierRank(rank), weight };
+    let mut plan = PoolPlan::new(&row, &[share(0, 16), share(1, 4)]);
+    plan.sheds_alone = true;
+    plan
+}
+
+/// A request of `output` tokens that arrives at `millis`, whose caller waits 10 s, and 2.4 s for a first event.
+pub fn arrived(id: u64, rank: u8, output: u32, millis: u64) -> ArrivedRequest {
+    let at = |after: u64| Moment::from_millis(millis + after);
+    ArrivedRequest {
+        id: RequestId(id),
+        organisation: OrganisationIndex(0),
+        weight: 1,
+        tier: TierRank(0),
+        prompt_bytes: 0,
+        output_limit: None,
+        deadline: at(10_000),
+        rank,
+        objective: Some(at(500)),
+        patience: Some(at(2_400)),
+        pause: None,
+        sizes: Some(RequestSizes { prompt: 100, output }),
+        prefix: Box::default(),
+    }
+}
+
+/// A pool of one engine with one place, in virtual time.
+pub struct BurstPool {
+    pub scheduler: PoolScheduler,
+    rng: ChaCha8Rng,
+    actions: Vec<PoolAction>,
+}
+
+impl BurstPool {
+    /// With the plan of [`urgency_plan`].
+    pub fn new() -> Self {
+        Self::with_plan(urgency_plan())
+    }
+
+    /// With another plan.
+    pub fn with_plan(plan: PoolPlan) -> Self {
+        let mut pool = BurstPool {
+            scheduler: PoolScheduler::new(plan),
+            rng: ChaCha8Rng::seed_from_u64(1),
+            actions: Vec::new(),
+        };
+        pool.tell(PoolEvent::Sources(vec![source("e1", 1)]), 0);
+        pool
+    }
+
+    /// Tells it something.
+    pub fn tell(&mut self, event: PoolEvent, millis: u64) -> Vec<PoolAction> {
+        self.scheduler.handle(event, Moment::from_millis(millis), &mut self.rng, &mut self.actions);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// A request of 10 output tokens comes.
+    pub fn arrive(&mut self, id: u64, rank: u8, millis: u64) -> Vec<PoolAction> {
+        self.tell(PoolEvent::Arrived(arrived(id, rank, 10, millis)), millis)
+    }
+
+    /// A request ends well.
+    pub fn end(&mut self, id: u64, millis: u64) -> Vec<PoolAction> {
+        let outcome = DispatchOutcome::Completed { prompt_tokens: None, output_tokens: 10 };
+        self.tell(PoolEvent::Ended { id: RequestId(id), outcome }, millis)
+    }
+}
+
+/// The ids of the requests that are sent.
+pub fn sent(actions: &[PoolAction]) -> Vec<u64> {
+    let ids = actions.iter().filter_map(|action| match action {
+        PoolAction::Dispatch { id, .. } => Some(id.0),
+        PoolAction::Refuse { .. } => None,
+    });
+    ids.collect()
+}
--- a/tests/routed_fleet.rs
+++ b/tests/routed_fleet.rs
@@ -58,6 +58,10 @@
     CutEvents(u64, u64),
     /// Fewer bytes than declared.
     Truncated,
+    /// It reserves a place of this name.
+    Reserve(&'static str),
+    /// It has no place to reserve.
+    NoPlace,
 }
 
 type EngineScript = Arc<dyn Fn(usize) -> EngineMove + Send + Sync>;
@@ -180,6 +184,11 @@
             let half = format!("id: {}\ndata: pie", last + 1);
             (format!("{stream_head}{}{}", chunk(&events(first, last)), chunk(&half)), false)
         }
+        EngineMove::Reserve(place) => {
+            let body = json!({"hold": place}).to_string();
+            (format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len()), true)
+        }
+        EngineMove::NoPlace => ("HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n".to_owned(), true),
         EngineMove::Truncated => {
             (format!("HTTP/1.1 200 OK\r\n{echo}content-length: 100\r\n\r\nshort"), false)
         }
@@ -219,6 +228,14 @@
     .to_string()
 }
 
+/// The same, whose engines reserve places.
+pub fn document_with_places(version: u64) -> String {
+    let plain = r#""engine":{"slots":4}"#;
+    let document = document(version);
+    assert!(document.contains(plain), "the fixture's engine: {document}");
+    document.replace(plain, r#""engine":{"slots":4,"hold_ms":2000.0}"#)
+}
+
 impl RoutedFleet {
     /// A daemon without a table, before engines.
     pub async fn without_table(engines: &[&ScriptedEngine]) -> Self {
--- a/tests/session.rs
+++ b/tests/session.rs
@@ -33,6 +33,8 @@
         avoids_stragglers: true,
         keeps_headroom: true,
         sheds_alone: false,
+        event_tokens: 1,
+        reserves: false,
     }
 }
 
@@ -170,6 +172,7 @@
             rank: 0,
             objective: None,
             patience: None,
+            pause: None,
             prefix: prefix_hashes(prompt.as_bytes()),
         }));
         self
--- a/tests/test_experiment.rs
+++ b/tests/test_experiment.rs
@@ -158,6 +158,7 @@
             rank: 0,
             objective: None,
             patience: None,
+            pause: None,
             prefix: prefix_hashes(prompt.as_bytes()),
         }));
         actions.into_iter().find_map(|action| match action {
--- a/tests/test_limits.rs
+++ b/tests/test_limits.rs
@@ -1,20 +1,15 @@
 //! Limits that several daemons keep together, and the queue that puts those in time first.
 
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tarragonknot::policy::{
-    ArrivedRequest, DispatchOutcome, LimitBook, LimitTolerance, Moment, NeighbourBook,
-    OrganisationIndex, OrganisationLimit, PoolAction, PoolEvent, PoolPlan, PoolScheduler,
-    RequestId, RequestSizes, TierRank, TierShare, UpstreamIndex, WorkNotice,
-};
-use tarragonknot::table::{
-    LimitChoice, OrganisationName, PlacementChoice, QueueChoice, ServiceKind, ServiceRow,
-    tier_of_rank,
+    DispatchOutcome, LimitBook, LimitTolerance, Moment, NeighbourBook, OrganisationIndex,
+    OrganisationLimit, PoolAction, PoolEvent, RequestId, UpstreamIndex, WorkNotice,
 };
+use tarragonknot::table::OrganisationName;
 
+use crate::burst_pool::{BurstPool, arrived, sent};
 use crate::session::source;
 
 const HOT: OrganisationIndex = OrganisationIndex(0);
@@ -56,7 +51,7 @@
             boot: 1,
             sequence: self.sequence,
             address,
-            pools: Vec::new(),
+            work: Vec::new(),
             taken: vec![(hot(), self.limits.taken(HOT))],
             refills: vec![(hot(), self.limits.refilled_in(HOT, now).as_millis() as u32)],
             is_leaving: false,
@@ -207,78 +202,6 @@
     assert_eq!(passed, 150);
 }
 
-fn urgency_plan() -> PoolPlan {
-    let mut row = ServiceRow::new("pool".into(), ServiceKind::Model, tier_of_rank(0));
-    row.queue = QueueChoice::Urgency;
-    row.placement = PlacementChoice::Earliest;
-    row.limit = LimitChoice::Fixed;
-    row.first_guess = 1;
-    let share = |rank, weight| TierShare { rank: TierRank(rank), weight };
-    let mut plan = PoolPlan::new(&row, &[share(0, 16), share(1, 4)]);
-    plan.sheds_alone = true;
-    plan
-}
-
-/// A request of `output` tokens that arrives at `millis`, whose caller waits 10 s, and 2.4 s for a first event.
-fn arrived(id: u64, rank: u8, output: u32, millis: u64) -> ArrivedRequest {
-    let at = |after: u64| Moment::from_millis(millis + after);
-    ArrivedRequest {
-        id: RequestId(id),
-        organisation: OrganisationIndex(0),
-        weight: 1,
-        tier: TierRank(0),
-        prompt_bytes: 0,
-        output_limit: None,
-        deadline: at(10_000),
-        rank,
-        objective: Some(at(500)),
-        patience: Some(at(2_400)),
-        sizes: Some(RequestSizes { prompt: 100, output }),
-        prefix: Box::default(),
-    }
-}
-
-/// A pool of one engine with one place, in virtual time.
-struct BurstPool {
-    scheduler: PoolScheduler,
-    rng: ChaCha8Rng,
-    actions: Vec<PoolAction>,
-}
-
-impl BurstPool {
-    fn new() -> Self {
-        let mut pool = BurstPool {
-            scheduler: PoolScheduler::new(urgency_plan()),
-            rng: ChaCha8Rng::seed_from_u64(1),
-            actions: Vec::new(),
-        };
-        pool.tell(PoolEvent::Sources(vec![source("e1", 1)]), 0);
-        pool
-    }
-
-    fn tell(&mut self, event: PoolEvent, millis: u64) -> Vec<PoolAction> {
-        self.scheduler.handle(event, Moment::from_millis(millis), &mut self.rng, &mut self.actions);
-        std::mem::take(&mut self.actions)
-    }
-
-    fn arrive(&mut self, id: u64, rank: u8, millis: u64) -> Vec<PoolAction> {
-        self.tell(PoolEvent::Arrived(arrived(id, rank, 10, millis)), millis)
-    }
-
-    fn end(&mut self, id: u64, millis: u64) -> Vec<PoolAction> {
-        let outcome = DispatchOutcome::Completed { prompt_tokens: None, output_tokens: 10 };
-        self.tell(PoolEvent::Ended { id: RequestId(id), outcome }, millis)
-    }
-}
-
-fn sent(actions: &[PoolAction]) -> Vec<u64> {
-    let ids = actions.iter().filter_map(|action| match action {
-        PoolAction::Dispatch { id, .. } => Some(id.0),
-        PoolAction::Refuse { .. } => None,
-    });
-    ids.collect()
-}
-
 /// Symptom: in a burst every answer is late. Sequence: more comes than is worked off; first come, first served.
 /// Cause: each waits behind those that are late already.
 #[test]
--- a/tests/test_platform.rs
+++ b/tests/test_platform.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use tarragonknot::platform::{DocumentReader, HeaderDialect};
 use tarragonknot::table::{LimitUnit, RouteKind, TableReader, tier_of_rank};
-use tarragonknot::traffic::{CallDialect, SendFacts};
+use tarragonknot::traffic::{CallDialect, PlaceWord, SendFacts};
 
 fn document() -> Value {
     json!({
@@ -135,6 +135,7 @@
         incarnation: "i-1",
         organisation: None,
         last_event: Some(3),
+        place: None,
     };
 
     HeaderDialect.write_send(&mut headers, &facts);
@@ -153,6 +154,41 @@
     assert_eq!(headers["tarragonknot-expect-instance"], "i-1");
 }
 
+#[test]
+fn a_reserved_place_goes_with_the_request() {
+    let mut headers = HeaderMap::new();
+    let facts = SendFacts {
+        deadline: None,
+        incarnation: "i-1",
+        organisation: None,
+        last_event: None,
+        place: Some("7"),
+    };
+
+    HeaderDialect.write_send(&mut headers, &facts);
+
+    assert_eq!(headers["tarragonknot-hold"], "7");
+}
+
+#[rstest]
+#[case::text(200, r#"{"hold":"h-1"}"#, PlaceWord::Reserved("h-1".into()))]
+#[case::number(200, r#"{"hold":17}"#, PlaceWord::Reserved("17".into()))]
+#[case::unreadable(200, "nonsense", PlaceWord::Unknown)]
+#[case::full(503, "", PlaceWord::Full)]
+#[case::other_incarnation(421, "", PlaceWord::OtherIncarnation)]
+#[case::not_known(404, "", PlaceWord::Unknown)]
+fn an_engines_word_on_a_place_is_read(
+    #[case] status: u16,
+    #[case] body: &str,
+    #[case] expected: PlaceWord,
+) {
+    let status = StatusCode::from_u16(status).expect("a status");
+
+    let word = HeaderDialect.read_place(status, body.as_bytes());
+
+    assert_eq!(word, expected);
+}
+
 #[rstest]
 #[case::own_word(503, &[("tarragonknot-not-executed", "1")], true, false)]
 #[case::other_incarnation(421, &[], true, true)]
--- a/tests/test_policy.rs
+++ b/tests/test_policy.rs
@@ -23,6 +23,7 @@
     let late_at = Moment::from_millis(3_600_000);
     WaitingRequest {
         output_tokens: 0,
+        pause: None,
         rank: 0,
         start_by: late_at,
         id: RequestId(id),
@@ -169,6 +170,7 @@
             rank: 0,
             objective: None,
             patience: None,
+            pause: None,
         prefix: prefix_hashes(&[]),
                 };
                 scheduler.handle(PoolEvent::Arrived(arrived), now, &mut rng, &mut actions);
@@ -305,6 +307,7 @@
             rank: 0,
             objective: None,
             patience: None,
+            pause: None,
             prefix: Box::default(),
         };
         scheduler.handle(PoolEvent::Arrived(arrived), now, &mut rng, &mut actions);
--- /dev/null
+++ b/tests/test_reservations.rs
@@ -0,0 +1,179 @@
+//! Places that engines reserve before a request is sent.
+
+use crate::burst_pool::{BurstPool, sent, urgency_plan};
+use crate::routed_fleet::{EngineMove, RoutedFleet, ScriptedEngine, document_with_places};
+use crate::session::source;
+use http::StatusCode;
+use tarragonknot::policy::{DispatchOutcome, PoolAction, PoolEvent, RequestId, UpstreamIndex};
+
+async fn fleet(engines: &[&ScriptedEngine]) -> RoutedFleet {
+    let fleet = RoutedFleet::without_table(engines).await;
+    fleet.apply(1, &document_with_places(1));
+    fleet
+}
+
+fn is_request(path: &str) -> bool {
+    !path.starts_with("/-/")
+}
+
+fn requests(engine: &ScriptedEngine) -> usize {
+    engine.seen().iter().filter(|seen| is_request(&seen.path)).count()
+}
+
+/// Answers calls for a place with `place`, and then the request.
+fn answers_after(place: EngineMove) -> impl Fn(usize) -> EngineMove + Send + Sync {
+    move |number| if number == 0 { place.clone() } else { EngineMove::Events(1, 2) }
+}
+
+#[tokio::test]
+async fn a_request_goes_to_the_place_that_was_reserved_for_it() {
+    let engine = ScriptedEngine::start("e1", answers_after(EngineMove::Reserve("h-1"))).await;
+    let fleet = fleet(&[&engine]).await;
+
+    let answer = fleet
+        .call_with(
+            "/stream/a",
+            "r1",
+            crate::routed_fleet::KEY,
+            &[("tarragonknot-token-count", "30,12")],
+        )
+        .await;
+
+    let seen = engine.seen();
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(seen[0].path, "/-/hold-take");
+    assert_eq!(seen[0].header("tarragonknot-expect-instance"), Some("e1"));
+    let asked: serde_json::Value = serde_json::from_slice(&seen[0].body).expect("JSON");
+    assert_eq!(asked["tokens"], 42);
+    assert_eq!(seen[1].header("tarragonknot-hold"), Some("h-1"));
+}
+
+/// Symptom: requests wait inside full engines while others have places free. Sequence: daemons that know late of each
+/// other choose the same engine. Cause: sending without asking.
+#[tokio::test]
+async fn a_full_engine_gets_no_request() {
+    let full = ScriptedEngine::start("e1", |_| EngineMove::NoPlace).await;
+    let free = ScriptedEngine::start("e2", answers_after(EngineMove::Reserve("h-2"))).await;
+    let fleet = fleet(&[&full, &free]).await;
+
+    let answer = fleet.call("/stream/a", "r1").await;
+
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!((requests(&full), requests(&free)), (0, 1));
+}
+
+/// Symptom: a stream that may run once ends as lost. Sequence: its engine says nothing any more; the request is sent
+/// there and may have run. Cause: finding out that an engine is silent with a request.
+#[tokio::test]
+async fn a_silent_engine_is_found_out_before_the_request_is_there() {
+    let silent = ScriptedEngine::start("e1", |_| EngineMove::Silent).await;
+    let sound = ScriptedEngine::start("e2", |number| match number % 2 {
+        0 => EngineMove::Reserve("h-2"),
+        _ => EngineMove::Events(1, 2),
+    })
+    .await;
+    let fleet = fleet(&[&silent, &sound]).await;
+
+    let mut statuses = Vec::new();
+    for id in ["r1", "r2", "r3"] {
+        statuses.push(fleet.call("/stream/a", id).await.status);
+    }
+
+    assert_eq!(statuses, [StatusCode::OK; 3]);
+    assert_eq!((requests(&silent), requests(&sound)), (0, 3));
+}
+
+#[tokio::test]
+async fn another_incarnation_is_found_out_before_the_request_is_there() {
+    let other = ScriptedEngine::start("e1", |_| EngineMove::OtherIncarnation).await;
+    let sound = ScriptedEngine::start("e2", answers_after(EngineMove::Reserve("h-2"))).await;
+    let fleet = fleet(&[&other, &sound]).await;
+
+    let answer = fleet.call("/stream/a", "r1").await;
+
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!((requests(&other), requests(&sound)), (0, 1));
+}
+
+#[tokio::test]
+async fn an_engine_that_reserves_nothing_is_sent_requests_all_the_same() {
+    let engine = ScriptedEngine::start("e1", answers_after(EngineMove::Answer(404, ""))).await;
+    let fleet = fleet(&[&engine]).await;
+
+    let answer = fleet.call("/stream/a", "r1").await;
+
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(engine.seen()[1].header("tarragonknot-hold"), None);
+}
+
+/// A pool of `count` engines that reserve places.
+fn reserving_pool(count: u16) -> BurstPool {
+    let mut plan = urgency_plan();
+    plan.reserves = true;
+    let mut pool = BurstPool::with_plan(plan);
+    let sources = (1..=count).map(|number| source(&format!("e{number}"), number)).collect();
+    pool.tell(PoolEvent::Sources(sources), 0);
+    pool
+}
+
+fn crowded(pool: &mut BurstPool, id: u64, millis: u64) -> Vec<PoolAction> {
+    let outcome = DispatchOutcome::Crowded;
+    pool.tell(PoolEvent::Ended { id: RequestId(id), outcome }, millis)
+}
+
+fn upstreams(actions: &[PoolAction]) -> Vec<UpstreamIndex> {
+    let chosen = actions.iter().filter_map(|action| match action {
+        PoolAction::Dispatch { upstream, .. } => Some(*upstream),
+        PoolAction::Refuse { .. } => None,
+    });
+    chosen.collect()
+}
+
+#[test]
+fn a_request_without_a_place_is_sent_elsewhere_at_once() {
+    let mut pool = reserving_pool(2);
+    let first = upstreams(&pool.arrive(1, 0, 10));
+
+    let second = upstreams(&crowded(&mut pool, 1, 11));
+
+    assert_eq!((first.len(), second.len()), (1, 1));
+    assert_ne!(first, second);
+}
+
+#[test]
+fn an_engine_without_a_place_is_asked_again_after_a_while() {
+    let mut pool = reserving_pool(1);
+    pool.arrive(1, 0, 10);
+    let at_once = sent(&crowded(&mut pool, 1, 11));
+    let soon = sent(&pool.tell(PoolEvent::Tick, 21));
+    let later = sent(&pool.tell(PoolEvent::Tick, 42));
+
+    assert_eq!((at_once, soon, later), (vec![], vec![], vec![1]));
+}
+
+/// Symptom: daemons spend their processors on calls that end in a refusal. Sequence: a burst fills every engine; each
+/// request asks one after the other. Cause: asking without a pause.
+#[test]
+fn while_nothing_is_free_places_are_asked_for_with_pauses() {
+    let mut pool = reserving_pool(40);
+    let mut asked = pool.arrive(1, 0, 10).len();
+    for millis in 11..111 {
+        let running = asked;
+        asked += crowded(&mut pool, 1, millis).len();
+        asked += pool.tell(PoolEvent::Tick, millis).len();
+        assert!(asked <= running + 1, "one request is at one engine");
+    }
+
+    assert!((6..=16).contains(&asked), "{asked}");
+}
+
+#[test]
+fn the_end_of_an_own_request_frees_its_place_at_once() {
+    let mut pool = reserving_pool(1);
+    pool.arrive(1, 0, 10);
+    pool.arrive(2, 0, 11);
+
+    let next = sent(&pool.end(1, 12));
+
+    assert_eq!(next, [2]);
+}
--- a/tests/test_shared_list.rs
+++ b/tests/test_shared_list.rs
@@ -24,7 +24,7 @@
 fn pair() -> (SharedList, SharedList) {
     let (mut reader, mut other) = (SharedList::default(), SharedList::default());
     reader.replace(reading(None));
-    reader.parts().into_iter().for_each(|part| drop(other.take_part(part)));
+    reader.parts().into_iter().for_each(|part| _ = other.take_part(part));
     (reader, other)
 }
 
@@ -84,7 +84,7 @@
     let mut parts = reader.parts();
     let largest = parts.iter().map(|part| postcard::to_stdvec(part).expect("written").len()).max();
     parts.reverse();
-    parts.into_iter().for_each(|part| drop(other.take_part(part)));
+    parts.into_iter().for_each(|part| _ = other.take_part(part));
     assert!(other.rows().eq(reader.rows()));
     assert!(largest.is_some_and(|bytes| bytes <= 1_300), "{largest:?} bytes");
 }
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the whole program: a file per subcommand, and focused files for the promises.
 
+mod burst_pool;
 mod fixtures;
 mod fleet_schedule;
 mod routed_fleet;
@@ -14,9 +15,11 @@
 mod test_fleet;
 mod test_fleet_processes;
 mod test_limits;
+mod test_placing;
 mod test_platform;
 mod test_policy;
 mod test_replica;
+mod test_reservations;
 mod test_routed;
 mod test_routes;
 mod test_serve;
