--- a/src/report/measures.rs
+++ b/src/report/measures.rs
@@ -1,7 +1,7 @@
 //! Metrics by `metrics`, shown in the Prometheus text format.
 
 use crate::answer::AnswerKind;
-use crate::table::{OrganisationName, ServiceRow, TierName};
+use crate::table::{OrganisationName, RouteKind, ServiceRow, TierName};
 use crate::traffic::TrafficState;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -67,6 +67,38 @@
         .record(record.total);
 }
 
+/// What is recorded of one request by route. Routes themselves are no label: there may be thousands.
+#[derive(Debug)]
+pub struct RouteRecord<'a> {
+    /// The route's kind.
+    pub kind: RouteKind,
+    /// The route's tier.
+    pub tier: &'a TierName,
+    /// How it ended: the refusal's name, `answered`, `upstream-failure`, `cut` or `caller-left`.
+    pub outcome: &'static str,
+    /// Time to the first event of a stream.
+    pub first_event: Option<Duration>,
+    /// The longest pause between two events.
+    pub longest_pause: Option<Duration>,
+    /// Time to the end.
+    pub total: Duration,
+}
+
+/// Counts one ended request by route.
+pub fn record_route(record: &RouteRecord<'_>) {
+    let (kind, tier) = (record.kind.name(), record.tier.to_string());
+    counter!("tarragonknot_route_requests_total", "kind" => kind, "tier" => tier.clone(), "outcome" => record.outcome)
+        .increment(1);
+    histogram!("tarragonknot_route_request_seconds", "kind" => kind, "tier" => tier.clone())
+        .record(record.total);
+    if let Some(time) = record.first_event {
+        histogram!("tarragonknot_route_first_event_seconds", "kind" => kind, "tier" => tier.clone()).record(time);
+    }
+    if let Some(time) = record.longest_pause {
+        histogram!("tarragonknot_route_pause_seconds", "kind" => kind, "tier" => tier).record(time);
+    }
+}
+
 /// The metrics page.
 pub fn render_metrics(state: &TrafficState) -> String {
     for (service, pool) in state.pools().iter() {
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -4,4 +4,6 @@
 mod measures;
 
 pub use logging::json_logger;
-pub use measures::{RequestRecord, install_metrics, record_request, render_metrics};
+pub use measures::{
+    RequestRecord, RouteRecord, install_metrics, record_request, record_route, render_metrics,
+};
--- a/src/table/routes.rs
+++ b/src/table/routes.rs
@@ -22,6 +22,16 @@
 }
 
 impl RouteKind {
+    /// Its name, as in tables.
+    pub fn name(self) -> &'static str {
+        match self {
+            RouteKind::Safe => "safe",
+            RouteKind::Unsafe => "unsafe",
+            RouteKind::Stream => "stream",
+            RouteKind::ResumableStream => "resumable-stream",
+        }
+    }
+
     /// True if a second upstream may run the request after a first one may have.
     pub fn may_repeat(self) -> bool {
         matches!(self, RouteKind::Safe | RouteKind::ResumableStream)
--- a/src/traffic/routed/carry.rs
+++ b/src/traffic/routed/carry.rs
@@ -3,13 +3,14 @@
 use super::attempt::{AttemptFault, OpenAnswer, send};
 use super::dialect::{CallDialect, CallerFacts};
 use super::door::{LimitGuard, find_entry};
-use super::relay::{StreamRelay, stream_response, whole_response};
+use super::relay::{StreamPace, StreamRelay, stream_response, whole_response};
 use super::reserve::{Reservation, reserve};
 use crate::answer::{AnswerKind, RefusalAnswer};
 use crate::policy::{
     ArrivedRequest, DispatchOutcome, Moment, PoolEvent, RequestId, RequestSizes, UpstreamIndex,
     UpstreamWord,
 };
+use crate::report::{RouteRecord, record_route};
 use crate::table::{RouteKind, RouteRow, ServiceName, UpstreamName};
 use crate::traffic::access::CallerIdentity;
 use crate::traffic::pool_runtime::{PlacementWord, PoolRuntime, RequestGuard};
@@ -96,6 +97,7 @@
     fn drop(&mut self) {
         if self.stage != RequestStage::Ended {
             let after = self.state.clock.now().since(self.arrived_at).as_millis() as u64;
+            self.record("caller-left", None);
             info!(self.state.log, "caller left"; "request" => self.id(), "stage" => format!("{:?}", self.stage),
                 "route" => &self.route.route, "after_ms" => after, "left_ms" => self.time_left().as_millis() as u64);
         }
@@ -108,6 +110,18 @@
         self.deadline.since(self.state.clock.now())
     }
 
+    /// Counts the request's end; `pace` is that of a stream's events.
+    pub fn record(&self, outcome: &'static str, pace: Option<&StreamPace>) {
+        record_route(&RouteRecord {
+            kind: self.route.kind,
+            tier: &self.route.tier,
+            outcome,
+            first_event: pace.and_then(|pace| pace.first_after(self.arrived_at)),
+            longest_pause: pace.map(StreamPace::longest_pause),
+            total: self.state.clock.now().since(self.arrived_at),
+        });
+    }
+
     /// The request's id, for logs.
     pub fn id(&self) -> &str {
         self.facts.id.as_deref().unwrap_or_default()
@@ -346,6 +360,7 @@
         false => kind,
     };
     let waited = request.state.clock.now().since(request.arrived_at).as_millis() as u64;
+    request.record(kind.row().name, None);
     info!(request.state.log, "refused"; "request" => request.id(), "kind" => kind.row().name,
         "route" => &request.route.route, "sent" => count.sent, "may_have_run" => count.may_have_run, "after_ms" => waited);
     RefusalAnswer::new(kind, "", request.state.jitter())
@@ -416,6 +431,7 @@
 impl CarriedRequest {
     pub fn log_answered(&mut self, placed: &PlacedRequest, status: u16) {
         self.stage = RequestStage::Ended;
+        self.record(if status < 500 { "answered" } else { "upstream-failure" }, None);
         let after = self.state.clock.now().since(self.arrived_at).as_millis() as u64;
         info!(self.state.log, "answered"; "request" => self.id(), "upstream" => placed.name.as_str(),
             "status" => status, "after_ms" => after);
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -84,13 +84,23 @@
 
 /// When a stream's events came, as its caller saw them.
 #[derive(Clone, Copy, Debug, Default)]
-struct StreamPace {
+pub struct StreamPace {
     first: Option<Moment>,
     last: Option<Moment>,
     longest_pause: Duration,
 }
 
 impl StreamPace {
+    /// The time from `start` to the first event; none before there was one.
+    pub fn first_after(&self, start: Moment) -> Option<Duration> {
+        self.first.map(|at| at.since(start))
+    }
+
+    /// The longest pause between two events so far.
+    pub fn longest_pause(&self) -> Duration {
+        self.longest_pause
+    }
+
     fn note(&mut self, now: Moment) {
         self.first = self.first.or(Some(now));
         let pause = self.last.map_or(Duration::ZERO, |last| now.since(last));
@@ -175,7 +185,8 @@
     fn log_ended(&mut self) {
         self.request.stage = RequestStage::Ended;
         let arrived = self.request.arrived_at;
-        let first = self.pace.first.map_or(Duration::ZERO, |at| at.since(arrived));
+        self.request.record("answered", Some(&self.pace));
+        let first = self.pace.first_after(arrived).unwrap_or_default();
         let after = self.request.state.clock.now().since(arrived);
         info!(self.request.state.log, "answered"; "request" => self.request.id(), "upstream" => self.placed.name.as_str(),
             "status" => 200, "after_ms" => after.as_millis() as u64, "first_ms" => first.as_millis() as u64,
@@ -185,6 +196,7 @@
     fn cut(&mut self, detail: &str) -> RelayStep {
         self.is_over = true;
         self.request.stage = RequestStage::Ended;
+        self.request.record("cut", Some(&self.pace));
         self.connection = None;
         self.placed.guard.end(DispatchOutcome::Failed);
         info!(self.request.state.log, "stream cut"; "request" => self.request.id(), "upstream" => self.placed.name.as_str(),
--- a/tests/test_limits.rs
+++ b/tests/test_limits.rs
@@ -97,7 +97,7 @@
     let start = 10_000;
     let mut fleet: Vec<LimitDaemon> =
         (0..daemons).map(|number| LimitDaemon::new(number, Moment::from_millis(0))).collect();
-    let named: Vec<SocketAddr> = (0..daemons).map(|number| LimitDaemon::address(number)).collect();
+    let named: Vec<SocketAddr> = (0..daemons).map(LimitDaemon::address).collect();
     fleet.iter_mut().for_each(|daemon| {
         daemon.book.set_named(named.clone());
         daemon.limits.new_round(daemon.book.late_others());
--- a/tests/test_routed.rs
+++ b/tests/test_routed.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
+use tarragonknot::report::{install_metrics, render_metrics};
 use tarragonknot::upstream::VmState;
 
 fn events(first: u64, last: u64) -> String {
@@ -288,6 +289,32 @@
     assert_eq!((running, engine.count()), (0, 1));
 }
 
+#[tokio::test]
+async fn each_end_of_a_request_is_counted() {
+    install_metrics();
+    let engine = ScriptedEngine::start("i-1", |number| match number {
+        0 => EngineMove::Events(1, 3),
+        1 => EngineMove::CutEvents(1, 2),
+        _ => EngineMove::NotRun,
+    })
+    .await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    for id in ["r1", "r2", "r3"] {
+        fleet.call("/stream/", id).await;
+    }
+    let page = render_metrics(&fleet.state);
+
+    for outcome in ["answered", "cut", "upstream-refused"] {
+        let row = format!("kind=\"stream\",tier=\"rank-0\",outcome=\"{outcome}\"");
+        let is_counted = page.lines().any(|line| {
+            line.starts_with("tarragonknot_route_requests_total") && line.contains(&row)
+        });
+        assert!(is_counted, "{row} in {page}");
+    }
+    assert!(page.contains("tarragonknot_route_first_event_seconds_bucket"), "{page}");
+}
+
 /// Symptom: a service that fails gets nearly twice its requests, from each daemon. Cause: repeats without a budget.
 /// Symptom: an organisation's limit is exceeded while its callers leave early. Sequence: a request is sent; its caller
 /// leaves before an answer; its tokens go back to the bucket, though an engine runs it. Cause: what was sent counts as
