The list is made anew only where a change was applied

Cause, found on reading the change once more: each daemon built the whole list of upstreams for every reading that it heard, once a second, and threw it away where nothing had changed.

--- a/src/traffic/neighbours/list.rs
+++ b/src/traffic/neighbours/list.rs
@@ -148,7 +148,8 @@
     let (verdict, list) = {
         let mut list = lock(&exchange.list);
         let verdict = list.take(change);
-        (verdict, platform_list(&list))
+        // Mostly nothing has changed, and there is nothing to put in force.
+        (verdict, (verdict == ChangeVerdict::Applied).then(|| platform_list(&list)))
     };
     match verdict {
         ChangeVerdict::Known => *lock(&exchange.confirmed) = Some(now),
@@ -156,7 +157,7 @@
             *lock(&exchange.confirmed) = Some(now);
             info!(state.log, "platform list changed"; "reader" => daemon.as_str(), "changed" => change.changed.len(),
                 "gone" => change.gone.len());
-            state.apply_platform(list);
+            list.into_iter().for_each(|list| state.apply_platform(list));
         }
         ChangeVerdict::Unknown if exchange.may_ask(now) => ask(state, socket, address),
         ChangeVerdict::Unknown => {}
--- a/src/traffic/neighbours/mod.rs
+++ b/src/traffic/neighbours/mod.rs
@@ -26,6 +26,7 @@
 const FAULT_PAUSE: Duration = Duration::from_millis(40);
 /// Largest notice, in bytes: one datagram.
 const NOTICE_LIMIT: usize = 60 << 10;
+
 /// The neighbours of one daemon.
 #[derive(Debug, Default)]
 pub struct Neighbours {
