Births of upstreams, and a list in which a bad entry costs itself alone

Cause: an engine may start again under its id, and all that was believed of it was believed of the one after it; one foreign entry of the list, or bytes that are no text, made every reading fail, so that no change of any engine was heard. Change: a birth is an upstream's incarnation, from the list or from its word on a place; a later one is another upstream, an earlier one changes nothing, the first one told is no news; marks in notices hold the birth. Pages are decoded entry by entry; an unread entry names nothing to use and lets nobody leave; a list without a readable end adds only; a token that repeats ends it; causes are logged once and entries counted. Ruled out: cutting unreadable entries at the next bracket (it could name an engine that nobody named).

--- a/src/daemon/upkeep.rs
+++ b/src/daemon/upkeep.rs
@@ -5,7 +5,7 @@
 use crate::settings::DaemonSettings;
 use crate::table::ServiceName;
 use crate::traffic::{PoolRuntime, TrafficState, probe};
-use crate::upstream::{ListFault, PlatformList, UpstreamLister};
+use crate::upstream::{ListFault, ListReading, PlatformList, UnreadEntry, UpstreamLister};
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use http::Request;
@@ -13,7 +13,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use slog::{info, warn};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,6 +36,8 @@
 const READER_CHECK: Duration = Duration::from_millis(200);
 /// Time between attempts to connect to upstreams that could not be reached.
 const PROBE_PAUSE: Duration = Duration::from_millis(300);
+/// Causes of unread entries that are logged, at most.
+const MOST_CAUSES: usize = 64;
 /// Load reports asked for at once.
 const POLLS_AT_ONCE: usize = 64;
 
@@ -147,6 +149,7 @@
 async fn read_lists(state: Arc<TrafficState>, lister: Box<dyn UpstreamLister>, pause: Duration) {
     let mut last = None;
     let mut was_read = true;
+    let mut causes = BTreeSet::new();
     loop {
         if !state.neighbours.must_read_list(state.clock.now()) {
             // What another daemon told may differ from what this one read last.
@@ -159,7 +162,9 @@
             Err(ListFault { detail: format!("no answer within {LIST_TIMEOUT:?}") })
         });
         match read {
-            Ok(list) => {
+            Ok(reading) => {
+                note_unread(&state, &reading.unread, &mut causes);
+                let list = reading.over(&state.platform());
                 if !was_read {
                     info!(state.log, "platform list read again");
                 }
@@ -182,16 +187,29 @@
     }
 }
 
+/// Counts entries that could not be read, and logs each cause once: they stand in the list for long, which is read each
+/// second.
+fn note_unread(state: &TrafficState, unread: &[UnreadEntry], causes: &mut BTreeSet<String>) {
+    metrics::counter!("platform_list_entries_unread").increment(unread.len() as u64);
+    for entry in unread {
+        if causes.len() < MOST_CAUSES && causes.insert(entry.cause.clone()) {
+            let name = entry.upstream.as_ref().map_or("", |name| name.as_str());
+            warn!(state.log, "entry of the platform list not read"; "upstream" => name, "cause" => &entry.cause);
+        }
+    }
+}
+
 /// The list as a file of JSON, or over HTTP.
 struct DocumentLister {
     place: String,
 }
 
 impl UpstreamLister for DocumentLister {
-    fn read(&self) -> BoxFuture<'_, Result<PlatformList, ListFault>> {
+    fn read(&self) -> BoxFuture<'_, Result<ListReading, ListFault>> {
         Box::pin(async move {
             let text = fetch_text(&self.place).await?;
-            PlatformList::read(&text).map_err(ListFault::from_display)
+            let list = PlatformList::read(&text).map_err(ListFault::from_display)?;
+            Ok(list.into())
         })
     }
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -45,6 +45,9 @@
 #[derive(Debug, Deserialize)]
 struct HoldAnswer {
     hold: serde_json::Value,
+    /// Unix millisecond of the engine's start, where it says.
+    #[serde(default)]
+    born: serde_json::Value,
 }
 
 fn hold_name(hold: &serde_json::Value) -> String {
@@ -100,7 +103,9 @@
     fn read_place(&self, status: StatusCode, body: &[u8]) -> PlaceWord {
         match status {
             StatusCode::OK => match serde_json::from_slice(body) {
-                Ok(HoldAnswer { hold }) => PlaceWord::Reserved(hold_name(&hold)),
+                Ok(HoldAnswer { hold, born }) => {
+                    PlaceWord::Reserved { place: hold_name(&hold), incarnation: born.as_u64() }
+                }
                 Err(_) => PlaceWord::Unknown,
             },
             StatusCode::SERVICE_UNAVAILABLE => PlaceWord::Full,
--- a/src/platform/instances.rs
+++ b/src/platform/instances.rs
@@ -1,14 +1,13 @@
 //! The platform's list of engines.
 
-use crate::upstream::{
-    ConnectionPool, ListFault, PROVEN_ALIVE, PlatformList, UpstreamLister, VmRow, VmState,
-};
+use super::pages::{InstancePage, NextPage, read_page};
+use crate::upstream::{ConnectionPool, ListFault, ListReading, PROVEN_ALIVE, UpstreamLister};
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use http::Request;
 use http::header::HOST;
 use http_body_util::{BodyExt, Full, Limited};
-use serde::Deserialize;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -17,33 +16,6 @@
 /// Pages read at most; a list without an end must not be read for ever.
 const MOST_PAGES: usize = 1_000;
 
-#[derive(Debug, Deserialize)]
-struct InstancePage {
-    instances: Vec<WireInstance>,
-    /// The token of the page that follows; here it is no number of tokens.
-    #[serde(default)]
-    next_token: Option<String>,
-}
-
-#[derive(Debug, Deserialize)]
-struct WireInstance {
-    id: String,
-    service: String,
-    address: SocketAddr,
-    state: WireState,
-    #[serde(default)]
-    slots: Option<u32>,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum WireState {
-    Ready,
-    Draining,
-    #[serde(other)]
-    Other,
-}
-
 /// Reads the list over HTTP, page by page.
 pub struct InstanceLister {
     address: SocketAddr,
@@ -71,39 +43,32 @@
         if !status.is_success() {
             return Err(ListFault { detail: format!("status {status}") });
         }
-        serde_json::from_slice(&body.to_bytes()).map_err(ListFault::from_display)
+        Ok(read_page(&body.to_bytes()))
     }
 }
 
 impl UpstreamLister for InstanceLister {
-    fn read(&self) -> BoxFuture<'_, Result<PlatformList, ListFault>> {
+    fn read(&self) -> BoxFuture<'_, Result<ListReading, ListFault>> {
         Box::pin(async move {
-            let mut vms = Vec::new();
-            let mut token = None;
+            let mut reading = ListReading::default();
+            let mut read = BTreeSet::new();
+            let mut token: Option<String> = None;
             for _ in 0..MOST_PAGES {
                 let page = self.page(token.as_deref()).await?;
-                vms.extend(page.instances.iter().map(WireInstance::vm));
-                token = page.next_token;
-                if token.is_none() {
-                    return Ok(PlatformList { vms });
-                }
+                reading.rows.extend(page.rows);
+                reading.unread.extend(page.unread);
+                let next = match page.next {
+                    NextPage::None => {
+                        reading.is_whole = true;
+                        return Ok(reading);
+                    }
+                    // A token that repeats would lead round and round.
+                    NextPage::Token(next) if read.insert(next.clone()) => next,
+                    NextPage::Token(_) | NextPage::Unknown => return Ok(reading),
+                };
+                token = Some(next);
             }
-            Err(ListFault { detail: "the list has no end".to_owned() })
+            Ok(reading)
         })
     }
 }
-
-impl WireInstance {
-    /// Each start of an engine has an id of its own, so that the id names the incarnation.
-    fn vm(&self) -> VmRow {
-        let state = if self.state == WireState::Ready { VmState::Live } else { VmState::Leaving };
-        VmRow {
-            service: self.service.as_str().into(),
-            upstream: self.id.as_str().into(),
-            address: self.address,
-            state,
-            incarnation: 0,
-            places: self.slots,
-        }
-    }
-}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,11 +5,13 @@
 mod headers;
 mod instances;
 mod operators;
+mod pages;
 
 pub use document::DocumentReader;
 pub use headers::HeaderDialect;
 pub use instances::InstanceLister;
 pub use operators::operators_router;
+pub use pages::{InstancePage, NextPage, read_page};
 
 use crate::traffic::PlatformManner;
 use std::sync::Arc;
--- a/src/policy/neighbour_book.rs
+++ b/src/policy/neighbour_book.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Least time between two notices of one daemon: what was sent meanwhile is told together.
 const LEAST_PAUSE: Duration = Duration::from_millis(40);
@@ -110,9 +110,9 @@
 pub struct UpstreamMark(u32);
 
 impl UpstreamMark {
-    /// The mark of an upstream of a service.
-    pub fn of(service: &ServiceName, upstream: &UpstreamName) -> Self {
-        let seed = xxh3_64(service.as_str().as_bytes());
+    /// The mark of one incarnation of an upstream: what is told of another one of the same name says nothing of it.
+    pub fn of(service: &ServiceName, upstream: &UpstreamName, incarnation: u64) -> Self {
+        let seed = xxh3_64_with_seed(service.as_str().as_bytes(), incarnation);
         UpstreamMark(xxh3_64_with_seed(upstream.as_str().as_bytes(), seed) as u32)
     }
 }
--- a/src/policy/scheduler/events.rs
+++ b/src/policy/scheduler/events.rs
@@ -83,6 +83,13 @@
         /// The mean gap.
         gap: Duration,
     },
+    /// An upstream told its birth, which is its incarnation.
+    Born {
+        /// The upstream.
+        upstream: UpstreamIndex,
+        /// Its incarnation.
+        incarnation: u64,
+    },
     /// A dispatch ended.
     Ended {
         /// The request.
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -123,6 +123,10 @@
                 let plan = &self.plan;
                 self.upstreams.set_sources(&sources, |places| plan.limit_of(places))
             }
+            PoolEvent::Born { upstream, incarnation } => {
+                let plan = &self.plan;
+                self.upstreams.born(upstream, incarnation, |places| plan.limit_of(places))
+            }
             PoolEvent::Plan(plan) => self.replace_plan(plan),
             PoolEvent::Share { share } => self.upstreams.set_share(share),
             PoolEvent::LeaseLapsed => self.refuse_waiting(AnswerKind::TableStale, actions),
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -40,6 +40,8 @@
 const TOLD_DOWN_TIME: Duration = Duration::from_millis(250);
 /// An upstream whose events came this lately is not down, whatever another daemon says.
 const PROVEN_TIME: Duration = Duration::from_millis(500);
+/// The incarnation of an upstream that has not said when it was born.
+const UNKNOWN_BIRTH: u64 = 0;
 /// Upstreams in one cell, at least; pools with fewer are shared by all cells.
 const CELL_UPSTREAMS: usize = 4;
 
@@ -426,6 +428,13 @@
                 Some(known)
                     if known.source.incarnation == source.incarnation
                         && known.source.address == source.address => {}
+                Some(known)
+                    if known.source.incarnation == UNKNOWN_BIRTH
+                        && known.source.address == source.address =>
+                {
+                    let index = known.index;
+                    self.born(index, source.incarnation, &new_limit);
+                }
                 Some(known) => {
                     let old = known.index;
                     self.tell(old, UpstreamWord::Absent);
@@ -448,6 +457,29 @@
         absent.into_iter().for_each(|index| self.tell(index, UpstreamWord::Absent));
     }
 
+    /// Takes an upstream's own word on its birth. A later one is another upstream, of which nothing is known yet; an
+    /// earlier one is old word and changes nothing. The first word on a birth that was not known is no news of another.
+    pub fn born(
+        &mut self,
+        index: UpstreamIndex,
+        incarnation: u64,
+        new_limit: impl Fn(Option<u32>) -> LearnedLimit,
+    ) {
+        let Some(status) = self.upstreams.get_mut(&index) else { return };
+        let is_current = self.by_name.get(&status.source.name) == Some(&index);
+        if !is_current || status.source.incarnation >= incarnation {
+            return;
+        }
+        if status.source.incarnation == UNKNOWN_BIRTH {
+            status.source.incarnation = incarnation;
+            return;
+        }
+        let source = UpstreamSource { incarnation, is_leaving: false, ..status.source.clone() };
+        self.tell(index, UpstreamWord::Absent);
+        let limit = new_limit(source.places);
+        self.add(source, limit);
+    }
+
     fn add(&mut self, source: UpstreamSource, limit: LearnedLimit) {
         let index = UpstreamIndex(self.next);
         self.next += 1;
--- a/src/traffic/neighbours/mod.rs
+++ b/src/traffic/neighbours/mod.rs
@@ -182,7 +182,7 @@
 ) -> Vec<(UpstreamName, OthersWork)> {
     let rows = upstreams.iter().map(|status| {
         let name = &status.source.name;
-        let work = others.get(&UpstreamMark::of(service, name));
+        let work = others.get(&UpstreamMark::of(service, name, status.source.incarnation));
         (name, status.others, work.copied().unwrap_or_default())
     });
     let changed = rows.filter(|(_, known, work)| known != work);
@@ -283,7 +283,8 @@
                     is_down: status.state() == UpstreamState::Suspect,
                     hinted: 0,
                 };
-                let mark = UpstreamMark::of(service, &status.source.name);
+                let mark =
+                    UpstreamMark::of(service, &status.source.name, status.source.incarnation);
                 (work != OthersWork::default()).then_some((mark, work))
             }));
         });
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -177,6 +177,17 @@
             .collect()
     }
 
+    /// True if the upstream is the one that it was when a place there was asked for, and takes work. Its own word on its
+    /// birth, if it came with the place, is taken first.
+    pub fn is_still(&self, upstream: UpstreamIndex, incarnation: Option<u64>) -> bool {
+        if let Some(incarnation) = incarnation {
+            self.tell(PoolEvent::Born { upstream, incarnation });
+        }
+        let core = self.lock();
+        let status = core.scheduler.upstreams().get(upstream);
+        status.is_some_and(|status| status.state() != UpstreamState::Leaving)
+    }
+
     /// Tokens in one event of a stream.
     pub fn event_tokens(&self) -> u32 {
         self.event_tokens.load(Ordering::Relaxed).max(1)
--- a/src/traffic/routed/carry.rs
+++ b/src/traffic/routed/carry.rs
@@ -4,7 +4,7 @@
 use super::dialect::{CallDialect, CallerFacts};
 use super::door::{LimitGuard, find_entry};
 use super::relay::{StreamPace, StreamRelay, stream_response, whole_response};
-use super::reserve::{Reservation, reserve};
+use super::reserve::{NO_PLACE, Reservation, reserve};
 use crate::answer::{AnswerKind, RefusalAnswer};
 use crate::policy::{
     ArrivedRequest, DispatchOutcome, Moment, PoolEvent, RequestId, RequestSizes, UpstreamIndex,
@@ -171,10 +171,16 @@
             };
             let reservation = match pool.reservation() {
                 Some(longest) => reserve(self, address, name.as_str(), longest).await,
-                None => Reservation::Granted(None),
+                None => NO_PLACE,
             };
             match reservation {
-                Reservation::Granted(place) => {
+                Reservation::Granted { incarnation, .. }
+                    if !pool.is_still(upstream, incarnation) =>
+                {
+                    // It was born anew since, or leaves: the place lapses by itself.
+                    word = guard.requeue(DispatchOutcome::Crowded);
+                }
+                Reservation::Granted { place, .. } => {
                     guard.granted();
                     let sent_at = self.state.clock.now();
                     return Ok(PlacedRequest {
--- a/src/traffic/routed/dialect.rs
+++ b/src/traffic/routed/dialect.rs
@@ -53,8 +53,13 @@
 /// What an upstream says to one who asks for a place.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PlaceWord {
-    /// The place's name.
-    Reserved(String),
+    /// It has one.
+    Reserved {
+        /// The place's name.
+        place: String,
+        /// The upstream's incarnation, where it says.
+        incarnation: Option<u64>,
+    },
     /// It has none.
     Full,
     /// It is another incarnation than was meant.
--- a/src/traffic/routed/reserve.rs
+++ b/src/traffic/routed/reserve.rs
@@ -27,7 +27,12 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reservation {
     /// The request may be sent, with the place's name where there is one.
-    Granted(Option<String>),
+    Granted {
+        /// The place's name.
+        place: Option<String>,
+        /// The upstream's incarnation, where it says.
+        incarnation: Option<u64>,
+    },
     /// There is no place.
     Full,
     /// The upstream has gone; another one has its address.
@@ -36,6 +41,9 @@
     Unreachable,
 }
 
+/// Granted where no places are reserved.
+pub const NO_PLACE: Reservation = Reservation::Granted { place: None, incarnation: None };
+
 /// Asks the upstream at `address` for a place for a request.
 pub async fn reserve(
     request: &CarriedRequest,
@@ -47,13 +55,15 @@
     let output = facts.output_limit.or(facts.output_guess).unwrap_or(0);
     let tokens = facts.prompt_tokens.unwrap_or(0).saturating_add(output);
     let wanted = PlaceWanted { incarnation, tokens, held_for: HELD_FOR.min(longest) };
-    let Some(call) = request.dialect.place_call(&wanted) else { return Reservation::Granted(None) };
+    let Some(call) = request.dialect.place_call(&wanted) else { return NO_PLACE };
     let limit = ANSWER_TIME.min(request.time_left());
     match tokio::time::timeout(limit, ask(request, address, call)).await {
-        Ok(Some(PlaceWord::Reserved(place))) => Reservation::Granted(Some(place)),
+        Ok(Some(PlaceWord::Reserved { place, incarnation })) => {
+            Reservation::Granted { place: Some(place), incarnation }
+        }
         Ok(Some(PlaceWord::Full)) => Reservation::Full,
         Ok(Some(PlaceWord::OtherIncarnation)) => Reservation::Gone,
-        Ok(Some(PlaceWord::Unknown)) => Reservation::Granted(None),
+        Ok(Some(PlaceWord::Unknown)) => NO_PLACE,
         Ok(None) | Err(_) => Reservation::Unreachable,
     }
 }
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -294,6 +294,11 @@
         self.update_sources(access.table());
     }
 
+    /// The platform's list as it is in force.
+    pub fn platform(&self) -> Arc<PlatformList> {
+        self.platform.load_full()
+    }
+
     /// Takes a new platform list.
     pub fn apply_platform(&self, list: PlatformList) {
         self.platform.store(Arc::new(list));
--- a/src/upstream/platform_list.rs
+++ b/src/upstream/platform_list.rs
@@ -30,7 +30,68 @@
 /// Where the list comes from.
 pub trait UpstreamLister: Send + Sync {
     /// Reads the whole list.
-    fn read(&self) -> BoxFuture<'_, Result<PlatformList, ListFault>>;
+    fn read(&self) -> BoxFuture<'_, Result<ListReading, ListFault>>;
+}
+
+/// One reading of the list, as far as it could be understood.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ListReading {
+    /// Rows that name an upstream.
+    pub rows: Vec<VmRow>,
+    /// Entries that do not.
+    pub unread: Vec<UnreadEntry>,
+    /// True if the list was read to its end.
+    pub is_whole: bool,
+}
+
+/// An entry that names no upstream to use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnreadEntry {
+    /// The upstream that it speaks of, where that much can be read.
+    pub upstream: Option<UpstreamName>,
+    /// Why it cannot be read; alike for entries with the same fault.
+    pub cause: String,
+}
+
+impl ListReading {
+    /// The list after this reading, where `known` was the list before.
+    ///
+    /// An upstream that only unread entries speak of stays as it was: such an entry names nothing to use, but is no word
+    /// that the upstream has left either. The same holds for all that were known where the list was not read to its end.
+    /// Of several rows for one upstream the latest birth counts, and among those the address that was known.
+    pub fn over(&self, known: &PlatformList) -> PlatformList {
+        let known_rows: BTreeMap<_, _> = known.vms.iter().map(|row| (row.key(), row)).collect();
+        let mut rows: BTreeMap<_, &VmRow> = BTreeMap::new();
+        for row in &self.rows {
+            let before = known_rows.get(&row.key());
+            let is_known = before.is_some_and(|before| before.address == row.address);
+            let chosen = rows.entry(row.key()).or_insert(row);
+            let is_later = row.incarnation > chosen.incarnation;
+            if is_later || row.incarnation == chosen.incarnation && is_known {
+                *chosen = row;
+            }
+        }
+        let is_spoken_of = |row: &VmRow| {
+            self.unread.iter().any(|entry| entry.upstream.as_ref() == Some(&row.upstream))
+        };
+        for row in known.vms.iter().filter(|row| !self.is_whole || is_spoken_of(row)) {
+            rows.entry(row.key()).or_insert(row);
+        }
+        PlatformList { vms: rows.into_values().cloned().collect() }
+    }
+}
+
+impl VmRow {
+    fn key(&self) -> (ServiceName, UpstreamName) {
+        (self.service.clone(), self.upstream.clone())
+    }
+}
+
+impl From<PlatformList> for ListReading {
+    /// A list that was read whole.
+    fn from(list: PlatformList) -> Self {
+        ListReading { rows: list.vms, unread: Vec::new(), is_whole: true }
+    }
 }
 
 /// Whether a VM is to stay.
--- a/tests/test_placing.rs
+++ b/tests/test_placing.rs
@@ -66,7 +66,7 @@
 }
 
 fn mark() -> UpstreamMark {
-    UpstreamMark::of(&"pool".into(), &"e1".into())
+    UpstreamMark::of(&"pool".into(), &"e1".into(), 0)
 }
 
 fn work(requests: u32, gap_micros: u32) -> OthersWork {
--- a/tests/test_platform.rs
+++ b/tests/test_platform.rs
@@ -171,8 +171,10 @@
 }
 
 #[rstest]
-#[case::text(200, r#"{"hold":"h-1"}"#, PlaceWord::Reserved("h-1".into()))]
-#[case::number(200, r#"{"hold":17}"#, PlaceWord::Reserved("17".into()))]
+#[case::text(200, r#"{"hold":"h-1"}"#, PlaceWord::Reserved { place: "h-1".into(), incarnation: None })]
+#[case::number(200, r#"{"hold":17}"#, PlaceWord::Reserved { place: "17".into(), incarnation: None })]
+#[case::born(200, r#"{"hold":"h-2","born":1760000000123}"#, PlaceWord::Reserved { place: "h-2".into(), incarnation: Some(1_760_000_000_123) })]
+#[case::born_of_another_type(200, r#"{"hold":"h-3","born":"soon"}"#, PlaceWord::Reserved { place: "h-3".into(), incarnation: None })]
 #[case::unreadable(200, "nonsense", PlaceWord::Unknown)]
 #[case::full(503, "", PlaceWord::Full)]
 #[case::other_incarnation(421, "", PlaceWord::OtherIncarnation)]
