Value for cost, callers that return, first events as a line, places that fit

Each can be switched off (mechanisms_off). One fault found by the tests in between: a request waited for a better place where there is none.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -9,9 +9,9 @@
 use tarragonknot::control::{DaemonReport, FleetBook, PoolReport};
 use tarragonknot::policy::{
     AffinityPlacement, ArrivedRequest, DispatchOutcome, EngineSpeed, FairQueue, LearnedLimit,
-    Moment, OrganisationIndex, PlacementPolicy, PlacementQuery, PoolAction, PoolEvent, PoolPlan,
-    PoolScheduler, RequestId, RoomKind, TierRank, TierShare, UpstreamSet, UpstreamSource,
-    WaitingQueue, WaitingRequest, prefix_hashes,
+    MechanismSet, Moment, OrganisationIndex, PlacementPolicy, PlacementQuery, PoolAction,
+    PoolEvent, PoolPlan, PoolScheduler, RequestId, RoomKind, TierRank, TierShare, UpstreamSet,
+    UpstreamSource, WaitingQueue, WaitingRequest, prefix_hashes,
 };
 use tarragonknot::table::{
     DaemonName, KeyDigest, LimitChoice, LimitUnit, OrganisationRow, PlacementChoice, QueueChoice,
@@ -77,6 +77,7 @@
                     prefix: black_box(&prefix),
                     prompt_tokens: 800,
                     output_tokens: 100,
+                    can_wait: false,
                     event_tokens: 1,
                     pause: None,
                     speed: EngineSpeed { prefill_micros: 40.0, gap_micros: 10_000.0 },
@@ -130,6 +131,7 @@
         keeps_headroom: true,
         sheds_alone: false,
         event_tokens: 1,
+        mechanisms: MechanismSet::default(),
         reserves: false,
     };
     let mut scheduler = PoolScheduler::new(plan);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -7,7 +7,7 @@
     LeaderHint, OperatorDoor, start_agent, start_control, start_server,
 };
 use crate::platform;
-use crate::policy::{LimitTolerance, request_chart, upstream_chart};
+use crate::policy::{LimitTolerance, MechanismSet, request_chart, upstream_chart};
 use crate::replica::ReplicaConfig;
 use crate::settings::{CutOffChoice, DaemonSettings};
 use crate::store::StoreError;
@@ -99,6 +99,7 @@
         state.limits().start_empty(now);
     }
     state.limits().set_tolerance(tolerance(settings));
+    state.set_mechanisms(MechanismSet::without(&settings.mechanisms_off));
     if settings.when_cut_off == CutOffChoice::Serve {
         state.serve_cut_off();
     }
--- a/src/policy/earliest.rs
+++ b/src/policy/earliest.rs
@@ -1,7 +1,7 @@
 //! Placement by the earliest first event.
 
 use super::placement::{PlacementPolicy, PlacementQuery};
-use super::{UpstreamIndex, UpstreamSet, UpstreamStatus};
+use super::{UpstreamIndex, UpstreamSet, UpstreamState, UpstreamStatus};
 use rand::{Rng, RngCore};
 
 /// An upstream that fails all its requests counts as this many times slower.
@@ -14,6 +14,9 @@
 const TOO_SLOW_PRICE: f64 = 6.0;
 /// Output guesses are right at the median only; an upstream should have time for this many times as much.
 const GUESS_MARGIN: f64 = 1.3;
+/// The same where the request can wait for another upstream: guesses are off by a factor of 1.6 at one deviation, so one
+/// in twelve takes longer than this.
+const SAFE_GUESS_MARGIN: f64 = 2.0;
 /// Engines read prompts in parts between their steps, so at most this many tokens of prompts come between two events
 /// of a stream (the given engines: parts of 2,048 tokens, events of 3 to 5).
 const MOST_READ_BETWEEN_EVENTS: f64 = 8_192.0;
@@ -69,6 +72,25 @@
         if is_full { run * beyond } else { 0.0 }
     }
 
+    /// True if the answer should end in the caller's time though its length is a guess, and if nobody there would have to
+    /// pause for too long. What goes wrong without it: under load the slowest engines are those with room, long answers
+    /// go there, hold a place for all of their callers' time and are cut (measured: a tenth of all engine time).
+    fn fits(status: &UpstreamStatus, query: &PlacementQuery<'_>) -> bool {
+        let gap = status.gap().unwrap_or(query.speed.gap_micros);
+        let slowness = gap / query.speed.gap_micros.max(1.0);
+        let read = f64::from(query.prompt_tokens) * query.speed.prefill_micros * slowness;
+        let run = f64::from(query.output_tokens) * gap * SAFE_GUESS_MARGIN;
+        let ends_in_time = read + run <= query.left.as_micros() as f64;
+        ends_in_time && Self::stall_price(status, query, gap, slowness) <= 1.0
+    }
+
+    /// True if a live upstream that has no room now would fit.
+    fn may_fit_later(set: &UpstreamSet, query: &PlacementQuery<'_>) -> bool {
+        let live = set.iter().filter(|status| status.state() == UpstreamState::Live);
+        let busy = live.filter(|status| !status.has_room(query.room));
+        busy.take(MOST_COMPARED).any(|status| Self::fits(status, query))
+    }
+
     /// What it costs those who run there that their events pause while the prompt is read.
     fn stall_price(
         status: &UpstreamStatus,
@@ -102,11 +124,14 @@
         let open = drawn.filter_map(|index| set.get(*index));
         let rated = open.map(|status| {
             let rests = query.now < status.rests_until;
+            let unfit = query.can_wait && !Self::fits(status, query);
             let spread = 1.0 + CHOICE_SPREAD * rng.random::<f64>();
-            (rests, Self::micros(status, query) * spread, status.index)
+            ((rests, unfit), Self::micros(status, query) * spread, status.index)
         });
         let best =
             rated.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)))?;
-        Some(best.2)
+        let ((_, unfit), _, index) = best;
+        let waits = unfit && Self::may_fit_later(set, query);
+        (!waits).then_some(index)
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,11 +3,14 @@
 //! [`PoolScheduler`] takes [`PoolEvent`]s with the time and gives [`PoolAction`]s; [`Exchange`] does
 //! the same for one request's dispatch. The traffic code around them only carries bytes.
 
+mod caller_returns;
 mod drain_meter;
 mod earliest;
 mod estimate;
 mod exchange;
+mod first_event;
 mod learned_limit;
+mod mechanism;
 mod neighbour_book;
 mod organisation_limits;
 mod placement;
@@ -19,14 +22,18 @@
 mod shed_floor;
 mod upstreams;
 mod urgency_queue;
+mod worth;
 
+pub use caller_returns::CallerTimes;
 pub use drain_meter::{DrainMeter, TierProgress};
 pub use earliest::EarliestPlacement;
 pub use estimate::{CostEstimate, CostModel, EngineSpeed, RequestSizes};
 pub use exchange::{Exchange, ExchangeAction, ExchangeEvent, RequestState, request_chart};
+pub use first_event::FirstEventModel;
 pub use learned_limit::LearnedLimit;
+pub use mechanism::{Mechanism, MechanismSet};
 pub use neighbour_book::{CellNotice, FleetCell, NeighbourBook, UpstreamMark, WorkNotice};
-pub use organisation_limits::{LateWord, LimitBook, LimitTolerance, OrganisationLimit};
+pub use organisation_limits::{LateWord, LimitBook, LimitClaim, LimitTolerance, OrganisationLimit};
 pub use placement::{
     AffinityPlacement, LeastReported, PlacementPolicy, PlacementQuery, RoundRobin,
     placement_policy, prefix_hashes,
@@ -44,6 +51,7 @@
     UpstreamWord, upstream_chart,
 };
 pub use urgency_queue::UrgencyQueue;
+pub use worth::{CostLadder, LaneMeans};
 
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
--- a/src/policy/organisation_limits.rs
+++ b/src/policy/organisation_limits.rs
@@ -3,7 +3,7 @@
 //! The rate is a token bucket in the form of the generic cell rate algorithm (ITU-T I.371): one time
 //! stamp for each organisation.
 
-use super::{Moment, OrganisationIndex};
+use super::{Mechanism, MechanismSet, Moment, OrganisationIndex};
 use crate::answer::AnswerKind;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -18,6 +18,10 @@
 const LEVEL_GAP: f64 = 0.3 * MICROS;
 /// The part of a bucket that is left to higher ranks, by rank.
 const RESERVES: [f64; 3] = [0.0, 0.2, 0.5];
+/// The part that is left to newcomers by callers who have been here before. What goes wrong without it: an organisation that
+/// asks for twice its limit spends half of it on answers that come too late, while newcomers are refused and come back
+/// as late ones themselves.
+const RETURN_RESERVE: f64 = 0.35;
 /// Requests of at most this part of the burst leave nothing to higher ranks: refusing a booking of 200 tokens saves
 /// next to nothing of a limit of 65,000.
 const SMALL_PART: f64 = 0.01;
@@ -77,6 +81,17 @@
     }
 }
 
+/// What a request asks of its organisation's limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LimitClaim {
+    /// Tokens.
+    pub cost: u32,
+    /// Rank of its route, 0 the highest.
+    pub rank: u8,
+    /// True if its caller has been here before with it.
+    pub has_returned: bool,
+}
+
 /// The state of all organisations' limits in one daemon.
 #[derive(Clone, Debug)]
 pub struct LimitBook {
@@ -85,6 +100,7 @@
     /// This daemon's share of each limit, 0.0 to 1.0.
     share: f64,
     tolerance: LimitTolerance,
+    mechanisms: MechanismSet,
     /// When this book began with empty buckets; none if it began with full ones.
     began_empty: Option<Moment>,
     /// When this process was last known to run.
@@ -124,6 +140,7 @@
             states: HashMap::new(),
             share: 1.0,
             tolerance: LimitTolerance::default(),
+            mechanisms: MechanismSet::default(),
             began_empty: None,
             alive_at: None,
         }
@@ -141,6 +158,11 @@
         self.tolerance = tolerance;
     }
 
+    /// Switches mechanisms off.
+    pub fn set_mechanisms(&mut self, mechanisms: MechanismSet) {
+        self.mechanisms = mechanisms;
+    }
+
     /// Every bucket is empty now. What goes wrong with full ones: a process that is killed and started again, or
     /// added, does not know what the fleet has just let through, and lets a burst through a second time.
     pub fn start_empty(&mut self, now: Moment) {
@@ -211,23 +233,23 @@
         cost: u32,
         now: Moment,
     ) -> Result<(), AnswerKind> {
-        self.admit_ranked(organisation, cost, 0, now)
+        self.admit_claim(organisation, LimitClaim { cost, ..LimitClaim::default() }, now)
     }
 
     /// The same for a request of a rank: lower ranks leave the last part of the bucket to higher ones. What goes wrong
     /// without it: an organisation at its limit spends it on what came first, its long notes, and its urgent requests
     /// are refused. Below the limit the bucket is full and nothing is refused.
-    pub fn admit_ranked(
+    pub fn admit_claim(
         &mut self,
         organisation: OrganisationIndex,
-        cost: u32,
-        rank: u8,
+        claim: LimitClaim,
         now: Moment,
     ) -> Result<(), AnswerKind> {
         if self.alive_at.is_some() {
             self.alive(now);
         }
-        let reserve = RESERVES[usize::from(rank).min(RESERVES.len() - 1)];
+        let reserve = self.reserve(claim);
+        let cost = claim.cost;
         let limit = self.limits.get(&organisation).copied().unwrap_or_default();
         if limit.tokens_per_second.is_some() && self.share <= 0.0 {
             return Err(AnswerKind::RateLimited);
@@ -262,6 +284,16 @@
         Ok(())
     }
 
+    /// The part of a bucket that a request leaves to others.
+    fn reserve(&self, claim: LimitClaim) -> f64 {
+        let by_rank = match self.mechanisms.has(Mechanism::RankReserve) {
+            true => RESERVES[usize::from(claim.rank).min(RESERVES.len() - 1)],
+            false => 0.0,
+        };
+        let is_late = claim.has_returned && self.mechanisms.has(Mechanism::ReturnReserve);
+        if is_late { by_rank + (1.0 - by_rank) * RETURN_RESERVE } else { by_rank }
+    }
+
     /// Gives back a place in progress; `unused` tokens (of work that did not run) return to the bucket.
     pub fn release(&mut self, organisation: OrganisationIndex, unused: u32) {
         let rate = self.limits.get(&organisation).and_then(|limit| limit.tokens_per_second);
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -55,6 +55,8 @@
     pub speed: EngineSpeed,
     /// Which room it may take.
     pub room: RoomKind,
+    /// True if the request may wait for a better place than those that there are.
+    pub can_wait: bool,
     /// Tokens in one event of a stream.
     pub event_tokens: u32,
     /// The longest good pause between events, of the routes that use the pool as this request's does.
--- a/src/policy/scheduler/admission.rs
+++ b/src/policy/scheduler/admission.rs
@@ -125,7 +125,11 @@
         let margin = objective.since(now).mul_f64(OBJECTIVE_MARGIN);
         let first = match self.plan.counts_tokens {
             true => {
-                let micros = f64::from(request.prompt_tokens) * self.model.speed().prefill_micros;
+                let base = match self.knows_first_events() {
+                    true => self.first_events.base_micros(),
+                    false => 0.0,
+                };
+                let micros = base + f64::from(request.prompt_tokens) * self.speed().prefill_micros;
                 Duration::from_micros(micros as u64)
             }
             false => request.run_time,
--- a/src/policy/scheduler/feedback.rs
+++ b/src/policy/scheduler/feedback.rs
@@ -18,10 +18,12 @@
         let Some(running) = self.running.get_mut(&id) else { return };
         let unread = std::mem::take(&mut running.unread);
         let prompt_tokens = running.request.prompt_tokens;
+        let (ahead, slowness) = (running.ahead, running.slowness);
         let upstream = running.upstream;
         self.upstreams.update(upstream, |status| status.read(unread));
         let expected = f64::from(prompt_tokens) * self.model.speed().prefill_micros;
         self.model.learn_prefill(prompt_tokens, after);
+        self.first_events.learn(ahead, slowness, after);
         let micros = after.as_micros() as f64;
         let is_late = after > self.plan.first_token / 2 && micros > FIRST_TOKEN_RATIO * expected;
         if is_late {
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -11,9 +11,10 @@
 use reservations::ReservationPace;
 
 use super::{
-    CostModel, DrainMeter, Moment, OrganisationIndex, PlacementPolicy, PlacementQuery, RequestId,
-    RoomKind, ShedAudit, ShedFloor, TierRank, UpstreamIndex, UpstreamSet, UpstreamState,
-    UpstreamStatus, WaitingQueue, WaitingRequest, placement_policy,
+    CostModel, DrainMeter, EngineSpeed, FirstEventModel, Mechanism, Moment, OrganisationIndex,
+    PlacementPolicy, PlacementQuery, RequestId, RoomKind, ShedAudit, ShedFloor, TierRank,
+    UpstreamIndex, UpstreamSet, UpstreamState, UpstreamStatus, WaitingQueue, WaitingRequest,
+    placement_policy,
 };
 use crate::answer::AnswerKind;
 use crate::table::QueueChoice;
@@ -25,6 +26,8 @@
 const REDISPATCH_SHARE: f64 = 0.1;
 /// Most repeats saved up.
 const REDISPATCH_BURST: f64 = 20.0;
+/// Requests that are passed over at most, one after the other, for want of a fitting place.
+const MOST_PASSED_OVER: usize = 8;
 /// Time between judgements of stragglers.
 const JUDGE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -37,6 +40,10 @@
     dispatched: Moment,
     /// Prompt tokens that the upstream has not yet read, as far as is known.
     unread: u32,
+    /// Prompt tokens that the upstream had to read before its first event, its own among them.
+    ahead: u64,
+    /// How many times slower than usual the upstream was thought to be.
+    slowness: f64,
     /// True until the upstream has said whether it has a place.
     is_asking: bool,
 }
@@ -61,6 +68,7 @@
     placement: Box<dyn PlacementPolicy>,
     upstreams: UpstreamSet,
     model: CostModel,
+    first_events: FirstEventModel,
     floor: ShedFloor,
     audit: ShedAudit,
     running: HashMap<RequestId, RunningRequest>,
@@ -84,6 +92,7 @@
             placement: placement_policy(plan.placement),
             upstreams,
             model: CostModel::new(plan.counts_tokens),
+            first_events: FirstEventModel::default(),
             floor,
             audit: ShedAudit::default(),
             running: HashMap::new(),
@@ -151,7 +160,10 @@
         if plan.placement != self.plan.placement {
             self.placement = placement_policy(plan.placement);
         }
-        if plan.queue != self.plan.queue || plan.tiers != self.plan.tiers {
+        if plan.queue != self.plan.queue
+            || plan.tiers != self.plan.tiers
+            || plan.mechanisms != self.plan.mechanisms
+        {
             let waiting = self.queue.drain();
             self.queue = plan.queue();
             waiting.into_iter().for_each(|request| self.queue.push(request));
@@ -192,25 +204,54 @@
 
     /// Dispatches waiting requests while an upstream has room.
     fn pump(&mut self, now: Moment, rng: &mut dyn RngCore, actions: &mut Vec<PoolAction>) {
+        let mut passed_over = Vec::new();
         while let Some(lowest) = self.lowest_served().filter(|_| self.reservations.may_try(now)) {
-            let Some(request) = self.queue.pop(lowest, now) else { return };
-            let query = PlacementQuery {
-                prefix: &request.prefix,
-                prompt_tokens: request.prompt_tokens,
-                output_tokens: request.output_tokens,
-                speed: self.model.speed(),
-                room: self.room(request.tier),
-                event_tokens: self.plan.event_tokens,
-                pause: request.pause,
-                left: request.deadline.since(now),
-                now,
-            };
-            let Some(upstream) = self.placement.place(&self.upstreams, &query, rng) else {
-                self.queue.push_back_first(request);
-                return;
-            };
-            self.dispatch(request, upstream, now, actions);
+            let Some(request) = self.queue.pop(lowest, now) else { break };
+            match self.place(&request, now, rng) {
+                Some(upstream) => self.dispatch(request, upstream, now, actions),
+                None => passed_over.push(request),
+            }
+            if passed_over.len() >= MOST_PASSED_OVER {
+                break;
+            }
         }
+        passed_over.into_iter().for_each(|request| self.queue.push_back_first(request));
+    }
+
+    fn place(
+        &mut self,
+        request: &WaitingRequest,
+        now: Moment,
+        rng: &mut dyn RngCore,
+    ) -> Option<UpstreamIndex> {
+        let can_wait = now < request.start_by && self.plan.mechanisms.has(Mechanism::FitPlaces);
+        let query = PlacementQuery {
+            prefix: &request.prefix,
+            prompt_tokens: request.prompt_tokens,
+            output_tokens: request.output_tokens,
+            speed: self.speed(),
+            room: self.room(request.tier),
+            event_tokens: self.plan.event_tokens,
+            pause: request.pause,
+            left: request.deadline.since(now),
+            can_wait,
+            now,
+        };
+        self.placement.place(&self.upstreams, &query, rng)
+    }
+
+    /// The pool's speed as far as it is learned.
+    pub(super) fn speed(&self) -> EngineSpeed {
+        let speed = self.model.speed();
+        if !self.knows_first_events() {
+            return speed;
+        }
+        EngineSpeed { prefill_micros: self.first_events.slope_micros(), ..speed }
+    }
+
+    /// True if times of first events are a base and a part for each token.
+    pub(super) fn knows_first_events(&self) -> bool {
+        self.plan.sheds_alone && self.plan.mechanisms.has(Mechanism::FirstEvents)
     }
 
     /// The lowest tier that some upstream has room for; none if all are full.
@@ -239,6 +280,7 @@
         self.placement.dispatched(&request.prefix, upstream);
         self.upstreams.dispatched(upstream, request.cost, now);
         let unread = request.prompt_tokens;
+        let (ahead, slowness) = self.ahead_of(upstream, unread);
         self.upstreams.update(upstream, |status| status.unread_tokens += u64::from(unread));
         self.meter.dispatched(request.tier, request.cost);
         self.redispatches = (self.redispatches + REDISPATCH_SHARE).min(REDISPATCH_BURST);
@@ -249,11 +291,27 @@
         if is_asking {
             self.reservations.asked();
         }
-        let running =
-            RunningRequest { upstream, was_bound, dispatched: now, unread, is_asking, request };
+        let running = RunningRequest {
+            upstream,
+            was_bound,
+            dispatched: now,
+            unread,
+            ahead,
+            slowness,
+            is_asking,
+            request,
+        };
         self.running.insert(running.request.id, running);
     }
 
+    /// Prompt tokens that an upstream reads before the first event of a request sent now, and how slow it is.
+    fn ahead_of(&self, upstream: UpstreamIndex, own: u32) -> (u64, f64) {
+        let Some(status) = self.upstreams.get(upstream) else { return (u64::from(own), 1.0) };
+        let ahead = status.unread_tokens + status.others.unread_tokens + u64::from(own);
+        let usual = self.model.speed().gap_micros.max(1.0);
+        (ahead, status.gap().unwrap_or(usual) / usual)
+    }
+
     fn refuse_waiting(&mut self, kind: AnswerKind, actions: &mut Vec<PoolAction>) {
         let waiting = self.queue.drain().into_iter();
         actions.extend(waiting.map(|request| PoolAction::Refuse { id: request.id, kind }));
--- a/src/policy/scheduler/plan.rs
+++ b/src/policy/scheduler/plan.rs
@@ -1,7 +1,8 @@
 //! What the table says of one pool, in the scheduler's terms.
 
 use crate::policy::{
-    FairQueue, FifoQueue, LearnedLimit, TierRank, TierShare, UrgencyQueue, WaitingQueue,
+    FairQueue, FifoQueue, LearnedLimit, MechanismSet, TierRank, TierShare, UrgencyQueue,
+    WaitingQueue,
 };
 use crate::table::{LimitChoice, PlacementChoice, QueueChoice, ServiceKind, ServiceRow};
 use std::time::Duration;
@@ -46,6 +47,8 @@
     pub sheds_alone: bool,
     /// Tokens in one event of a stream.
     pub event_tokens: u32,
+    /// Mechanisms that are switched off; none but to measure what each is worth.
+    pub mechanisms: MechanismSet,
     /// True if upstreams reserve a place before a request is sent: then what others have there is a hint only.
     pub reserves: bool,
 }
@@ -70,6 +73,7 @@
             keeps_headroom: true,
             sheds_alone: false,
             event_tokens: row.event_tokens,
+            mechanisms: MechanismSet::default(),
             reserves: row.reservation_ms.is_some(),
         }
     }
@@ -78,7 +82,9 @@
         match self.queue {
             QueueChoice::Weighted => Box::new(FairQueue::new(&self.tiers)),
             QueueChoice::Fifo => Box::new(FifoQueue::default()),
-            QueueChoice::Urgency => Box::new(UrgencyQueue::new(&self.tiers)),
+            QueueChoice::Urgency => {
+                Box::new(UrgencyQueue::new(&self.tiers, self.mechanisms.clone()))
+            }
         }
     }
 
--- a/src/policy/urgency_queue.rs
+++ b/src/policy/urgency_queue.rs
@@ -1,73 +1,100 @@
-//! The queue of pools whose requests have objectives: by worth, those still in time first.
+//! The queue of pools whose requests have objectives: by worth for cost, those still in time first.
 //!
 //! Answers the load of a burst of twice what the engines carry. First in, first out then makes every request
-//! late: each waits behind those that are late already. Here a request that can still meet its objective goes
-//! before those that cannot any more, which are worth less; a lower lane waits for a higher one, but for every
-//! [`TURN`]th place, which goes round among the lanes, so that none starves.
+//! late: each waits behind those that are late already. Here what earns most for the engines' time goes first: a request
+//! that can still meet its objective is worth more than one that cannot any more, one of a higher rank more than one
+//! of a lower, and a short one more for its cost than a long one. Every [`TURN`]th place goes round among the lanes, to the
+//! request due first, so that neither a lane nor the long ones of a lane starve.
 
 use super::queue::{WaitingQueue, WaitingRequest};
-use super::{Moment, OrganisationIndex, RequestId, TierProgress, TierRank, TierShare};
+use super::worth::{CostLadder, LATE_WORTH, LaneMeans, step_worth};
+use super::{
+    Mechanism, MechanismSet, Moment, OrganisationIndex, RequestId, TierProgress, TierRank,
+    TierShare,
+};
+use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 
-/// What a late answer is worth beside one in time: 0.3 on one of the given sheets, 0.48 on the other.
-const LATE_WORTH: f64 = 0.3;
-/// Worth of a request in time, by rank within its tier. On both given sheets the first two ranks are worth as much for
-/// the same work on an engine and the third a sixteenth to a twenty-ninth, so one of the second rank that is in time
-/// goes before a late one of the first, and one of the third after it (as far as one turn in [`TURN`] allows).
-const RANK_WORTHS: [f64; 4] = [1.0, 0.5, 0.1, 0.02];
-/// Worth of a request of a tier beside one of the tier above. So little less that a late request of a high tier never
-/// goes before one in time of a lower tier and the same rank: in a burst that lasts, late requests of the highest tier
-/// would take all places, and nothing would be in time (measured: a third of all answers).
-const TIER_STEP: f64 = 0.8;
 /// One place in so many goes round among the lanes.
 const TURN: u32 = 16;
 
+/// Worth for cost as a number that sorts as it does: positive floats sort as their bits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct DensityKey(u64);
+
+impl DensityKey {
+    fn of(density: f64) -> Self {
+        DensityKey(density.max(0.0).to_bits())
+    }
+
+    fn density(self) -> f64 {
+        f64::from_bits(self.0)
+    }
+}
+
+/// A request and what it is worth for its cost while in time.
+#[derive(Debug)]
+struct QueuedRequest {
+    request: WaitingRequest,
+    density: DensityKey,
+}
+
+/// The most worth for its cost first, then the one due first.
+type DenseOrder = BTreeSet<(Reverse<DensityKey>, Moment, RequestId)>;
+
 /// Requests of one tier and one rank within it.
 #[derive(Debug)]
 struct UrgencyLane {
     tier: TierRank,
     rank: u8,
+    /// What a request of the mean size is worth.
     worth: f64,
-    in_time: BTreeSet<(Moment, RequestId)>,
-    late: BTreeSet<(Moment, RequestId)>,
-    cost_in_time: u64,
-    cost_late: u64,
+    means: LaneMeans,
+    due: BTreeSet<(Moment, RequestId)>,
+    in_time: DenseOrder,
+    late: DenseOrder,
+    cost: u64,
 }
 
 impl UrgencyLane {
-    /// Moves those whose time to start has passed to the late ones.
-    fn age(&mut self, now: Moment, entries: &HashMap<RequestId, WaitingRequest>) {
-        while let Some((start_by, id)) = self.in_time.first().copied() {
-            if start_by >= now {
-                return;
-            }
-            self.in_time.remove(&(start_by, id));
-            self.late.insert((start_by, id));
-            let cost = entries.get(&id).map_or(0, |request| u64::from(request.cost));
-            self.cost_in_time -= cost;
-            self.cost_late += cost;
-        }
+    fn density(&self, request: &WaitingRequest, by_size: bool) -> f64 {
+        let density = match by_size {
+            true => self.means.density(request.prompt_tokens, request.output_tokens, request.cost),
+            false => self.means.mean_density(),
+        };
+        self.worth * density
     }
 
-    fn insert(&mut self, request: &WaitingRequest) {
-        self.in_time.insert((request.start_by, request.id));
-        self.cost_in_time += u64::from(request.cost);
+    fn insert(&mut self, queued: &QueuedRequest) {
+        let request = &queued.request;
+        self.due.insert((request.start_by, request.id));
+        self.in_time.insert((Reverse(queued.density), request.start_by, request.id));
+        self.cost += u64::from(request.cost);
     }
 
-    fn remove(&mut self, request: &WaitingRequest) {
-        let key = (request.start_by, request.id);
-        let cost = u64::from(request.cost);
-        if self.in_time.remove(&key) {
-            self.cost_in_time -= cost;
-        } else if self.late.remove(&key) {
-            self.cost_late -= cost;
+    fn remove(&mut self, queued: &QueuedRequest) -> bool {
+        let request = &queued.request;
+        let key = (Reverse(queued.density), request.start_by, request.id);
+        self.cost -= u64::from(request.cost);
+        self.due.remove(&(request.start_by, request.id));
+        let was_in_time = self.in_time.remove(&key);
+        if !was_in_time {
+            self.late.remove(&key);
         }
+        was_in_time
     }
 
-    /// The next request and its worth.
+    /// The next request and its worth for its cost.
     fn head(&self) -> Option<(f64, RequestId)> {
-        let in_time = self.in_time.first().map(|(_, id)| (self.worth, *id));
-        in_time.or_else(|| self.late.first().map(|(_, id)| (self.worth * LATE_WORTH, *id)))
+        let in_time = self.in_time.first().map(|(density, _, id)| (density.0.density(), *id));
+        let late =
+            self.late.first().map(|(density, _, id)| (density.0.density() * LATE_WORTH, *id));
+        in_time.or(late)
+    }
+
+    /// The one due first of those in time, or else of the late ones.
+    fn due_first(&self) -> Option<RequestId> {
+        self.due.first().map(|(_, id)| *id).or_else(|| self.late.first().map(|(.., id)| *id))
     }
 
     fn len(&self) -> usize {
@@ -79,21 +106,25 @@
 #[derive(Debug)]
 pub struct UrgencyQueue {
     tiers: Vec<TierShare>,
+    mechanisms: MechanismSet,
     lanes: Vec<UrgencyLane>,
-    entries: HashMap<RequestId, WaitingRequest>,
+    entries: HashMap<RequestId, QueuedRequest>,
     late: BTreeSet<(Moment, RequestId)>,
+    ladder: CostLadder,
     popped: u32,
     next_turn: usize,
 }
 
 impl UrgencyQueue {
     /// An empty queue over `tiers`.
-    pub fn new(tiers: &[TierShare]) -> Self {
+    pub fn new(tiers: &[TierShare], mechanisms: MechanismSet) -> Self {
         UrgencyQueue {
             tiers: tiers.to_vec(),
+            mechanisms,
             lanes: Vec::new(),
             entries: HashMap::new(),
             late: BTreeSet::new(),
+            ladder: CostLadder::default(),
             popped: 0,
             next_turn: 0,
         }
@@ -102,50 +133,74 @@
     fn lane(&mut self, tier: TierRank, rank: u8) -> &mut UrgencyLane {
         let position = self.lanes.iter().position(|lane| lane.tier == tier && lane.rank == rank);
         let position = position.unwrap_or_else(|| {
-            let above = self.tiers.iter().filter(|share| share.rank < tier).count();
-            let weight = TIER_STEP.powi(above as i32);
             self.lanes.push(UrgencyLane {
                 tier,
                 rank,
-                worth: weight * RANK_WORTHS[usize::from(rank).min(RANK_WORTHS.len() - 1)],
+                worth: step_worth(&self.tiers, tier, rank),
+                means: LaneMeans::default(),
+                due: BTreeSet::new(),
                 in_time: BTreeSet::new(),
                 late: BTreeSet::new(),
-                cost_in_time: 0,
-                cost_late: 0,
+                cost: 0,
             });
             self.lanes.len() - 1
         });
         &mut self.lanes[position]
     }
 
+    /// Moves those whose time to start has passed to the late ones.
     fn age(&mut self, now: Moment) {
-        let entries = &self.entries;
-        self.lanes.iter_mut().for_each(|lane| lane.age(now, entries));
+        for lane in &mut self.lanes {
+            while let Some((start_by, id)) = lane.due.first().copied().filter(|due| due.0 < now) {
+                lane.due.remove(&(start_by, id));
+                let Some(queued) = self.entries.get(&id) else { continue };
+                let key = (Reverse(queued.density), start_by, id);
+                lane.in_time.remove(&key);
+                lane.late.insert(key);
+                let density = queued.density.density();
+                self.ladder.remove(density, queued.request.cost);
+                self.ladder.add(density * LATE_WORTH, queued.request.cost);
+            }
+        }
     }
 
     fn next(&mut self) -> Option<RequestId> {
         self.popped += 1;
-        if self.popped.is_multiple_of(TURN) {
+        if self.popped.is_multiple_of(TURN) && self.mechanisms.has(Mechanism::LaneTurns) {
             let count = self.lanes.len();
             let turns = (0..count).map(|step| (self.next_turn + step) % count.max(1));
             let turn = turns.into_iter().find(|position| self.lanes[*position].len() > 0)?;
             self.next_turn = turn + 1;
-            return self.lanes[turn].head().map(|(_, id)| id);
+            return self.lanes[turn].due_first();
         }
         let heads = self.lanes.iter().filter_map(UrgencyLane::head);
         heads.max_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
     }
+
+    fn density(&mut self, request: &WaitingRequest) -> f64 {
+        let by_size = self.mechanisms.has(Mechanism::SizeOrder);
+        self.lane(request.tier, request.rank).density(request, by_size)
+    }
+
+    fn enqueue(&mut self, request: WaitingRequest) {
+        let density = DensityKey::of(self.density(&request));
+        self.ladder.add(density.density(), request.cost);
+        self.late.insert((request.late_at, request.id));
+        let queued = QueuedRequest { request, density };
+        self.lane(queued.request.tier, queued.request.rank).insert(&queued);
+        self.entries.insert(queued.request.id, queued);
+    }
 }
 
 impl WaitingQueue for UrgencyQueue {
     fn push(&mut self, request: WaitingRequest) {
-        self.lane(request.tier, request.rank).insert(&request);
-        self.late.insert((request.late_at, request.id));
-        self.entries.insert(request.id, request);
+        let (prompt, output) = (request.prompt_tokens, request.output_tokens);
+        self.lane(request.tier, request.rank).means.learn(prompt, output, request.cost);
+        self.enqueue(request);
     }
 
     fn push_back_first(&mut self, request: WaitingRequest) {
-        self.push(request);
+        self.enqueue(request);
     }
 
     fn pop(&mut self, _lowest: TierRank, now: Moment) -> Option<WaitingRequest> {
@@ -155,16 +210,19 @@
     }
 
     fn remove(&mut self, id: RequestId) -> Option<WaitingRequest> {
-        let request = self.entries.remove(&id)?;
-        self.late.remove(&(request.late_at, id));
-        self.lane(request.tier, request.rank).remove(&request);
-        Some(request)
+        let queued = self.entries.remove(&id)?;
+        let (tier, rank) = (queued.request.tier, queued.request.rank);
+        self.late.remove(&(queued.request.late_at, id));
+        let was_in_time = self.lane(tier, rank).remove(&queued);
+        let factor = if was_in_time { 1.0 } else { LATE_WORTH };
+        self.ladder.remove(queued.density.density() * factor, queued.request.cost);
+        Some(queued.request)
     }
 
     fn evict_below(&mut self, tier: TierRank) -> Option<WaitingRequest> {
         let lower = self.lanes.iter().filter(|lane| lane.tier > tier && lane.len() > 0);
         let lowest = lower.min_by(|a, b| a.worth.total_cmp(&b.worth))?;
-        let id = lowest.late.last().or(lowest.in_time.last()).map(|(_, id)| *id)?;
+        let id = lowest.late.last().or(lowest.in_time.last()).map(|(.., id)| *id)?;
         self.remove(id)
     }
 
@@ -178,8 +236,7 @@
     }
 
     fn waiting_tokens(&self, tier: TierRank) -> u64 {
-        let lanes = self.lanes.iter().filter(|lane| lane.tier == tier);
-        lanes.map(|lane| lane.cost_in_time + lane.cost_late).sum()
+        self.lanes.iter().filter(|lane| lane.tier == tier).map(|lane| lane.cost).sum()
     }
 
     fn waiting_count(&self, tier: TierRank) -> usize {
@@ -197,22 +254,17 @@
 
     fn cost_before(&mut self, request: &WaitingRequest, is_late: bool, now: Moment) -> u64 {
         self.age(now);
-        let own = self.lane(request.tier, request.rank).worth;
-        let worth = if is_late { own * LATE_WORTH } else { own };
-        let before = self.lanes.iter().map(|lane| {
-            let in_time = if lane.worth >= worth { lane.cost_in_time } else { 0 };
-            let late = if lane.worth * LATE_WORTH >= worth { lane.cost_late } else { 0 };
-            in_time + late
-        });
-        before.sum()
+        let density = self.density(request);
+        self.ladder.cost_from(if is_late { density * LATE_WORTH } else { density })
     }
 
     fn drain(&mut self) -> Vec<WaitingRequest> {
         let mut requests: Vec<WaitingRequest> =
-            self.entries.drain().map(|(_, request)| request).collect();
+            self.entries.drain().map(|(_, queued)| queued.request).collect();
         requests.sort_by_key(|request| (request.arrived, request.id));
         self.late.clear();
         self.lanes.clear();
+        self.ladder = CostLadder::default();
         requests
     }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,5 +1,6 @@
 //! What one process is told: its name, addresses, data centre, peers and data folder.
 
+use crate::policy::Mechanism;
 use crate::table::{DaemonName, DataCentreName, FaultList, read_checked};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -58,6 +59,9 @@
     /// The same as a number of tokens beside that.
     #[serde(default)]
     pub limit_slack_tokens: u64,
+    /// Mechanisms of the policy that are switched off, to measure what each is worth.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub mechanisms_off: Vec<Mechanism>,
     /// The platform whose manner of speaking is used towards callers, upstreams and operators; absent means
     /// tarragonknot's own.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/src/traffic/routed/carry.rs
+++ b/src/traffic/routed/carry.rs
@@ -59,6 +59,8 @@
     pub deadline: Moment,
     /// True if the caller named a deadline.
     pub has_deadline: bool,
+    /// True if its caller has been here before with it, as far as that can be told.
+    pub has_returned: bool,
     pub facts: CallerFacts,
     pub parts: Parts,
     pub body: Bytes,
@@ -220,7 +222,7 @@
             output_limit: self.facts.output_limit,
             deadline: self.deadline,
             rank: snapshot.access.route_rank(&self.route),
-            objective: Some(self.arrived_at + self.route.objective_ms),
+            objective: Some(self.objective()),
             patience: self.route.patience_ms.map(|time| self.arrived_at + time),
             pause: self.route.gap_ms,
             sizes: self.sizes,
@@ -228,6 +230,15 @@
         }
     }
 
+    /// When its first event or its answer is due. A caller that has been here before counts from its first attempt, so
+    /// that it is due already.
+    fn objective(&self) -> Moment {
+        match self.has_returned {
+            true => self.arrived_at,
+            false => self.arrived_at + self.route.objective_ms,
+        }
+    }
+
     /// How long an upstream may say nothing before the request goes elsewhere, if it may.
     fn patience(&self) -> Duration {
         match self.route.kind {
@@ -263,7 +274,8 @@
         info!(self.state.log, "sent"; "request" => self.id(), "route" => &self.route.route, "organisation" => organisation,
             "service" => placed.pool.service.as_str(), "upstream" => placed.name.as_str(), "waited_ms" => waited,
             "send" => count.sent + 1, "table" => self.state.snapshot().version,
-            "left_ms" => self.time_left().as_millis() as u64, "tokens" => self.limit.as_ref().map_or(0, |limit| limit.cost));
+            "left_ms" => self.time_left().as_millis() as u64, "tokens" => self.limit.as_ref().map_or(0, |limit| limit.cost),
+            "returned" => self.has_returned, "prompt" => self.facts.prompt_tokens, "output_limit" => self.facts.output_limit, "output_guess" => self.facts.output_guess);
     }
 }
 
--- a/src/traffic/routed/door.rs
+++ b/src/traffic/routed/door.rs
@@ -3,7 +3,7 @@
 use super::carry::{CarriedRequest, RequestStage, carry};
 use super::dialect::{CallDialect, CallerFacts};
 use crate::answer::{AnswerKind, RefusalAnswer};
-use crate::policy::{Moment, OrganisationIndex, RequestSizes};
+use crate::policy::{LimitClaim, Moment, OrganisationIndex, RequestSizes};
 use crate::table::RouteRow;
 use crate::traffic::access::CallerIdentity;
 use crate::traffic::state::{TableSnapshot, TrafficState};
@@ -78,6 +78,8 @@
     let entry = find_entry(&state.snapshot(), &parts, &facts)?;
     let body = read_body(body).await?;
     let progress = state.begin();
+    let has_returned =
+        facts.deadline.is_some_and(|time| state.has_returned(&entry.route.route, time));
     let tokens = facts.prompt_tokens.map(|prompt| prompt + facts.output_limit.unwrap_or(0));
     let limit = match &entry.caller {
         Some(caller) => {
@@ -85,11 +87,14 @@
             let cost = snapshot.access.counted(caller, tokens);
             let rank = snapshot.access.route_rank(&entry.route);
             let now = state.clock.now();
-            let admitted = state.limits().admit_ranked(caller.index, cost, rank, now);
+            let claim = LimitClaim { cost, rank, has_returned };
+            let admitted = state.limits().admit_claim(caller.index, claim, now);
             if admitted.is_err() {
                 let wait = state.limits().refilled_in(caller.index, now);
+                let rate = state.limits().rate(caller.index).unwrap_or_default();
                 info!(state.log, "over the limit"; "request" => facts.id.as_deref().unwrap_or_default(),
-                    "organisation" => caller.organisation.as_str(), "tokens" => cost, "refilled_ms" => wait.as_millis() as u64);
+                    "organisation" => caller.organisation.as_str(), "tokens" => cost, "refilled_ms" => wait.as_millis() as u64,
+                    "rate" => rate as u64, "rank" => rank, "returned" => has_returned);
             }
             admitted?;
             Some(LimitGuard {
@@ -111,6 +116,7 @@
         sizes: sizes_of(&facts),
         deadline: arrived_at + wait,
         has_deadline: facts.deadline.is_some(),
+        has_returned,
         facts,
         parts,
         body,
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -7,7 +7,8 @@
 use crate::clock::TrafficClock;
 use crate::control::ClaimKeeper;
 use crate::policy::{
-    LateWord, LimitBook, Moment, PoolEvent, PoolPlan, RepeatBudget, UpstreamSource,
+    CallerTimes, LateWord, LimitBook, Mechanism, MechanismSet, Moment, PoolEvent, PoolPlan,
+    RepeatBudget, UpstreamSource,
 };
 use crate::table::{
     DaemonName, OperatorTable, OrganisationName, ServiceKind, ServiceName, TableReader,
@@ -21,7 +22,7 @@
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, error, info};
 use std::borrow::Cow;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
@@ -65,6 +66,9 @@
     /// The platform's manner of speaking, where one is served.
     manner: OnceLock<PlatformManner>,
     repeats: Mutex<HashMap<ServiceName, RepeatBudget>>,
+    mechanisms: OnceLock<MechanismSet>,
+    /// The time that callers have, by route.
+    caller_times: Mutex<HashMap<String, CallerTimes>>,
     is_ready: AtomicBool,
     is_drained: AtomicBool,
     claims: OnceLock<ClaimKeeper>,
@@ -100,6 +104,8 @@
             serves_cut_off: AtomicBool::new(false),
             manner: OnceLock::new(),
             repeats: Mutex::default(),
+            mechanisms: OnceLock::new(),
+            caller_times: Mutex::default(),
             is_ready: AtomicBool::new(true),
             is_drained: AtomicBool::new(false),
             claims: OnceLock::new(),
@@ -257,6 +263,28 @@
         &self.connections
     }
 
+    /// Switches mechanisms off; only the first call counts, before any table is in force.
+    pub fn set_mechanisms(&self, mechanisms: MechanismSet) {
+        self.limits().set_mechanisms(mechanisms.clone());
+        let _ = self.mechanisms.set(mechanisms);
+    }
+
+    fn mechanisms(&self) -> MechanismSet {
+        self.mechanisms.get().cloned().unwrap_or_default()
+    }
+
+    /// True if a caller of `route` that has `time` left has been here before, as far as that can be told.
+    pub fn has_returned(&self, route: &str, time: Duration) -> bool {
+        if !self.mechanisms().has(Mechanism::KnownReturns) {
+            return false;
+        }
+        let mut times = self.caller_times.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(times) = times.get_mut(route) {
+            return times.has_returned(time);
+        }
+        times.entry(route.to_owned()).or_default().has_returned(time)
+    }
+
     /// The budget for second sends to a service.
     pub fn with_repeats<T>(
         &self,
@@ -274,6 +302,7 @@
         for row in access.services() {
             let mut plan = PoolPlan::new(row, &shares);
             plan.sheds_alone = !access.table().routes.is_empty();
+            plan.mechanisms = self.mechanisms();
             let pool = match old.get(&row.service) {
                 Some(pool) => {
                     pool.tell(PoolEvent::Plan(plan));
@@ -291,6 +320,11 @@
             pools.insert(row.service.clone(), pool);
         }
         self.pools.store(Arc::new(pools));
+        let routes: HashSet<&str> =
+            access.table().routes.iter().map(|row| row.route.as_str()).collect();
+        let mut times = self.caller_times.lock().unwrap_or_else(PoisonError::into_inner);
+        times.retain(|route, _| routes.contains(route.as_str()));
+        drop(times);
         self.update_sources(access.table());
     }
 
--- a/tests/session.rs
+++ b/tests/session.rs
@@ -9,9 +9,9 @@
 use tarragonknot::answer::AnswerKind;
 use tarragonknot::chart::ChartMachine;
 use tarragonknot::policy::{
-    ArrivedRequest, DispatchOutcome, Exchange, ExchangeAction, ExchangeEvent, LoadReport, Moment,
-    OrganisationIndex, PoolAction, PoolEvent, PoolPlan, PoolScheduler, RequestId, RequestState,
-    TierRank, TierShare, UpstreamIndex, UpstreamSource, prefix_hashes,
+    ArrivedRequest, DispatchOutcome, Exchange, ExchangeAction, ExchangeEvent, LoadReport,
+    MechanismSet, Moment, OrganisationIndex, PoolAction, PoolEvent, PoolPlan, PoolScheduler,
+    RequestId, RequestState, TierRank, TierShare, UpstreamIndex, UpstreamSource, prefix_hashes,
 };
 use tarragonknot::table::{LimitChoice, PlacementChoice, QueueChoice};
 use tarragonknot::traffic::{DrainAction, DrainEvent, DrainState, drain_chart};
@@ -34,6 +34,7 @@
         keeps_headroom: true,
         sheds_alone: false,
         event_tokens: 1,
+        mechanisms: MechanismSet::default(),
         reserves: false,
     }
 }
--- a/tests/test_limits.rs
+++ b/tests/test_limits.rs
@@ -4,8 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tarragonknot::policy::{
-    DispatchOutcome, LimitBook, LimitTolerance, Moment, NeighbourBook, OrganisationIndex,
-    OrganisationLimit, PoolAction, PoolEvent, RequestId, UpstreamIndex, WorkNotice,
+    DispatchOutcome, LimitBook, LimitClaim, LimitTolerance, Moment, NeighbourBook,
+    OrganisationIndex, OrganisationLimit, PoolAction, PoolEvent, RequestId, UpstreamIndex,
+    WorkNotice,
 };
 use tarragonknot::table::OrganisationName;
 
@@ -454,6 +455,10 @@
     assert_eq!((alone, together, after_silence), (true, (true, false), true));
 }
 
+fn claim(cost: u32, rank: u8) -> LimitClaim {
+    LimitClaim { cost, rank, has_returned: false }
+}
+
 /// Symptom: an organisation at its limit has its urgent requests refused while its least urgent ones run.
 /// Sequence: it asks for twice its limit, half of it urgent. Cause: a limit that is spent on what comes first.
 #[test]
@@ -463,7 +468,7 @@
     for step in 0..200 {
         let now = Moment::from_millis(60_000 + step * 50);
         for (position, rank) in [2, 0].into_iter().enumerate() {
-            let admitted = daemon.limits.admit_ranked(HOT, 5_000, rank, now);
+            let admitted = daemon.limits.admit_claim(HOT, claim(5_000, rank), now);
             refused[position] += usize::from(admitted.is_err());
         }
     }
@@ -481,7 +486,7 @@
 
     let refused = (0..200).filter(|step| {
         let now = Moment::from_millis(60_000 + step * 50);
-        daemon.limits.admit_ranked(HOT, 5_000, 2, now).is_err()
+        daemon.limits.admit_claim(HOT, claim(5_000, 2), now).is_err()
     });
 
     assert_eq!(refused.count(), 0);
@@ -493,11 +498,32 @@
 fn a_small_request_of_a_low_rank_passes_while_a_large_one_leaves_room() {
     let mut daemon = LimitDaemon::new(0, Moment::from_millis(0));
     let now = Moment::from_millis(60_000);
-    daemon.limits.admit_ranked(HOT, 60_000, 0, now).expect("a full bucket");
+    daemon.limits.admit_claim(HOT, claim(60_000, 0), now).expect("a full bucket");
 
-    let large = daemon.limits.admit_ranked(HOT, 5_000, 2, now);
-    let small = daemon.limits.admit_ranked(HOT, 200, 2, now);
+    let large = daemon.limits.admit_claim(HOT, claim(5_000, 2), now);
+    let small = daemon.limits.admit_claim(HOT, claim(200, 2), now);
 
     assert!(large.is_err());
     assert!(small.is_ok());
 }
+
+/// Symptom: an organisation at its limit gets late answers while its newcomers are refused. Sequence: it asks for more than
+/// its limit; who was refused comes back and is let through in the stead of a newcomer. Cause: a limit that is spent on
+/// what comes first.
+#[test]
+fn an_organisation_spends_its_limit_on_newcomers_first() {
+    let mut daemon = LimitDaemon::new(0, Moment::from_millis(0));
+    let mut refused = [0, 0];
+    for step in 0..200 {
+        let now = Moment::from_millis(60_000 + step * 50);
+        for (position, has_returned) in [true, false].into_iter().enumerate() {
+            let claim = LimitClaim { has_returned, ..claim(5_000, 0) };
+            refused[position] += usize::from(daemon.limits.admit_claim(HOT, claim, now).is_err());
+        }
+    }
+
+    let [returned, new] = refused;
+
+    assert_eq!(new, 0, "{refused:?}");
+    assert!(returned >= 150, "{refused:?}");
+}
