While all that waits can be sent in time, what is due first goes first

Cause: letters have 300 ms and waited behind leaflets that had 800 ms and time enough; the worst kind was theirs. Change: if the backlog that is in time can be worked off before the densest request is due, the one due first goes first.

--- a/src/policy/urgency_queue.rs
+++ b/src/policy/urgency_queue.rs
@@ -14,6 +14,7 @@
 };
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
 
 /// One place in so many goes round among the lanes.
 const TURN: u32 = 16;
@@ -54,6 +55,7 @@
     in_time: DenseOrder,
     late: DenseOrder,
     cost: u64,
+    cost_in_time: u64,
 }
 
 impl UrgencyLane {
@@ -70,6 +72,7 @@
         self.due.insert((request.start_by, request.id));
         self.in_time.insert((Reverse(queued.density), request.start_by, request.id));
         self.cost += u64::from(request.cost);
+        self.cost_in_time += u64::from(request.cost);
     }
 
     fn remove(&mut self, queued: &QueuedRequest) -> bool {
@@ -78,8 +81,9 @@
         self.cost -= u64::from(request.cost);
         self.due.remove(&(request.start_by, request.id));
         let was_in_time = self.in_time.remove(&key);
-        if !was_in_time {
-            self.late.remove(&key);
+        match was_in_time {
+            true => self.cost_in_time -= u64::from(request.cost),
+            false => _ = self.late.remove(&key),
         }
         was_in_time
     }
@@ -113,6 +117,8 @@
     ladder: CostLadder,
     popped: u32,
     next_turn: usize,
+    /// Cost that is worked off in a second, as last told.
+    drain_rate: f64,
 }
 
 impl UrgencyQueue {
@@ -127,6 +133,7 @@
             ladder: CostLadder::default(),
             popped: 0,
             next_turn: 0,
+            drain_rate: 0.0,
         }
     }
 
@@ -142,6 +149,7 @@
                 in_time: BTreeSet::new(),
                 late: BTreeSet::new(),
                 cost: 0,
+                cost_in_time: 0,
             });
             self.lanes.len() - 1
         });
@@ -157,6 +165,7 @@
                 let key = (Reverse(queued.density), start_by, id);
                 lane.in_time.remove(&key);
                 lane.late.insert(key);
+                lane.cost_in_time -= u64::from(queued.request.cost);
                 let density = queued.density.density();
                 self.ladder.remove(density, queued.request.cost);
                 self.ladder.add(density * LATE_WORTH, queued.request.cost);
@@ -164,7 +173,7 @@
         }
     }
 
-    fn next(&mut self) -> Option<RequestId> {
+    fn next(&mut self, now: Moment) -> Option<RequestId> {
         self.popped += 1;
         if self.popped.is_multiple_of(TURN) && self.mechanisms.has(Mechanism::LaneTurns) {
             let count = self.lanes.len();
@@ -174,7 +183,21 @@
             return self.lanes[turn].due_first();
         }
         let heads = self.lanes.iter().filter_map(UrgencyLane::head);
-        heads.max_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
+        let densest = heads.max_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)?;
+        Some(self.due_before(densest, now).unwrap_or(densest))
+    }
+
+    /// The request due first, if there is time for all that are in time before `densest` is due. What goes wrong without
+    /// it: short objectives are missed behind requests that have time enough.
+    fn due_before(&self, densest: RequestId, now: Moment) -> Option<RequestId> {
+        if !self.mechanisms.has(Mechanism::DueFirst) || self.drain_rate <= 0.0 {
+            return None;
+        }
+        let due = self.lanes.iter().filter_map(|lane| lane.due.first()).min()?;
+        let backlog: u64 = self.lanes.iter().map(|lane| lane.cost_in_time).sum();
+        let time = Duration::try_from_secs_f64(backlog as f64 / self.drain_rate).ok()?;
+        let start_by = self.entries.get(&densest)?.request.start_by;
+        (now + time <= start_by).then_some(due.1)
     }
 
     fn density(&mut self, request: &WaitingRequest) -> f64 {
@@ -205,7 +228,7 @@
 
     fn pop(&mut self, _lowest: TierRank, now: Moment) -> Option<WaitingRequest> {
         self.age(now);
-        let id = self.next()?;
+        let id = self.next(now)?;
         self.remove(id)
     }
 
@@ -219,6 +242,10 @@
         Some(queued.request)
     }
 
+    fn set_drain_rate(&mut self, rate: f64) {
+        self.drain_rate = rate;
+    }
+
     fn evict_below(&mut self, tier: TierRank) -> Option<WaitingRequest> {
         let lower = self.lanes.iter().filter(|lane| lane.tier > tier && lane.len() > 0);
         let lowest = lower.min_by(|a, b| a.worth.total_cmp(&b.worth))?;
