--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -9,7 +9,7 @@
 use tarragonknot::control::{DaemonReport, FleetBook, PoolReport};
 use tarragonknot::policy::{
     AffinityPlacement, ArrivedRequest, DispatchOutcome, EngineSpeed, FairQueue, LearnedLimit,
-    MechanismSet, Moment, OrganisationIndex, PlacementPolicy, PlacementQuery, PoolAction,
+    MechanismSet, Moment, OrganisationIndex, PlaceFit, PlacementPolicy, PlacementQuery, PoolAction,
     PoolEvent, PoolPlan, PoolScheduler, RequestId, RoomKind, TierRank, TierShare, UpstreamSet,
     UpstreamSource, WaitingQueue, WaitingRequest, prefix_hashes,
 };
@@ -77,7 +77,7 @@
                     prefix: black_box(&prefix),
                     prompt_tokens: 800,
                     output_tokens: 100,
-                    can_wait: false,
+                    fit: PlaceFit::Any,
                     event_tokens: 1,
                     pause: None,
                     speed: EngineSpeed { prefill_micros: 40.0, gap_micros: 10_000.0 },
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -7,7 +7,7 @@
     LeaderHint, OperatorDoor, start_agent, start_control, start_server,
 };
 use crate::platform;
-use crate::policy::{LimitTolerance, MechanismSet, request_chart, upstream_chart};
+use crate::policy::{LimitTolerance, MechanismSet, RepeatBound, request_chart, upstream_chart};
 use crate::replica::ReplicaConfig;
 use crate::settings::{CutOffChoice, DaemonSettings};
 use crate::store::StoreError;
@@ -16,7 +16,7 @@
     without_front,
 };
 use crate::upstream::connection_chart;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -99,6 +99,10 @@
         state.limits().start_empty(now);
     }
     state.limits().set_tolerance(tolerance(settings));
+    state.set_repeat_bound(RepeatBound {
+        ratio: settings.repeat_ratio,
+        slack: settings.repeat_slack,
+    });
     state.set_mechanisms(MechanismSet::without(&settings.mechanisms_off));
     if settings.when_cut_off == CutOffChoice::Serve {
         state.serve_cut_off();
@@ -116,6 +120,9 @@
         let listener = listen(address).await?;
         tokio::spawn(async move { axum::serve(listener, router).await });
     }
+    if let Some(address) = settings.metrics {
+        serve_metrics(&state, address).await;
+    }
     if settings.platform.is_some() && settings.callers.is_some() {
         let socket = tokio::net::UdpSocket::bind(control).await.with_context(|_| bind(control))?;
         start_notices(Arc::clone(&state), socket, control, Arc::from(key.bearer()));
@@ -155,6 +162,19 @@
     })
 }
 
+/// Serves metrics on an address of their own. A port that is taken costs the metrics there and not the daemon.
+async fn serve_metrics(state: &Arc<TrafficState>, address: SocketAddr) {
+    match listen(address).await {
+        Ok(listener) => {
+            let router = readiness_router(Arc::clone(state));
+            tokio::spawn(async move { axum::serve(listener, router).await });
+        }
+        Err(error) => {
+            warn!(state.log, "metrics are not served"; "address" => address.to_string(), "error" => error.to_string());
+        }
+    }
+}
+
 /// A chart that does not answer every event must stop the daemon at its start, not a request in its middle.
 fn check_charts() -> Result<(), StartError> {
     let faults = [
--- a/src/policy/earliest.rs
+++ b/src/policy/earliest.rs
@@ -1,6 +1,6 @@
 //! Placement by the earliest first event.
 
-use super::placement::{PlacementPolicy, PlacementQuery};
+use super::placement::{PlaceFit, PlacementPolicy, PlacementQuery};
 use super::{UpstreamIndex, UpstreamSet, UpstreamState, UpstreamStatus};
 use rand::{Rng, RngCore};
 
@@ -79,7 +79,12 @@
         let gap = status.gap().unwrap_or(query.speed.gap_micros);
         let slowness = gap / query.speed.gap_micros.max(1.0);
         let read = f64::from(query.prompt_tokens) * query.speed.prefill_micros * slowness;
-        let run = f64::from(query.output_tokens) * gap * SAFE_GUESS_MARGIN;
+        let margin = match query.fit {
+            PlaceFit::Safe => SAFE_GUESS_MARGIN,
+            PlaceFit::Likely => GUESS_MARGIN,
+            PlaceFit::Any => return true,
+        };
+        let run = f64::from(query.output_tokens) * gap * margin;
         let ends_in_time = read + run <= query.left.as_micros() as f64;
         ends_in_time && Self::stall_price(status, query, gap, slowness) <= 1.0
     }
@@ -124,7 +129,7 @@
         let open = drawn.filter_map(|index| set.get(*index));
         let rated = open.map(|status| {
             let rests = query.now < status.rests_until;
-            let unfit = query.can_wait && !Self::fits(status, query);
+            let unfit = !Self::fits(status, query);
             let spread = 1.0 + CHOICE_SPREAD * rng.random::<f64>();
             ((rests, unfit), Self::micros(status, query) * spread, status.index)
         });
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -35,11 +35,11 @@
 pub use neighbour_book::{CellNotice, FleetCell, NeighbourBook, UpstreamMark, WorkNotice};
 pub use organisation_limits::{LateWord, LimitBook, LimitClaim, LimitTolerance, OrganisationLimit};
 pub use placement::{
-    AffinityPlacement, LeastReported, PlacementPolicy, PlacementQuery, RoundRobin,
+    AffinityPlacement, LeastReported, PlaceFit, PlacementPolicy, PlacementQuery, RoundRobin,
     placement_policy, prefix_hashes,
 };
 pub use queue::{FairQueue, FifoQueue, TierShare, WaitingQueue, WaitingRequest};
-pub use repeat_budget::RepeatBudget;
+pub use repeat_budget::{RepeatBound, RepeatBudget};
 pub use scheduler::{
     ArrivedRequest, DispatchOutcome, PoolAction, PoolEvent, PoolPlan, PoolScheduler, PoolStatus,
 };
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -42,6 +42,17 @@
         .collect()
 }
 
+/// How well a place must fit a request, or the request waits for another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlaceFit {
+    /// The answer ends in the caller's time even if it is twice as long as guessed.
+    Safe,
+    /// It ends in time if it is about as long as guessed.
+    Likely,
+    /// Any place will do.
+    Any,
+}
+
 /// What a placement is asked for.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementQuery<'a> {
@@ -55,8 +66,8 @@
     pub speed: EngineSpeed,
     /// Which room it may take.
     pub room: RoomKind,
-    /// True if the request may wait for a better place than those that there are.
-    pub can_wait: bool,
+    /// How well a place must fit, or the request waits for another one.
+    pub fit: PlaceFit,
     /// Tokens in one event of a stream.
     pub event_tokens: u32,
     /// The longest good pause between events, of the routes that use the pool as this request's does.
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -12,7 +12,7 @@
 
 use super::{
     CostModel, DrainMeter, EngineSpeed, FirstEventModel, Mechanism, Moment, OrganisationIndex,
-    PlacementPolicy, PlacementQuery, RequestId, RoomKind, ShedAudit, ShedFloor, TierRank,
+    PlaceFit, PlacementPolicy, PlacementQuery, RequestId, RoomKind, ShedAudit, ShedFloor, TierRank,
     UpstreamIndex, UpstreamSet, UpstreamState, UpstreamStatus, WaitingQueue, WaitingRequest,
     placement_policy,
 };
@@ -225,7 +225,6 @@
         now: Moment,
         rng: &mut dyn RngCore,
     ) -> Option<UpstreamIndex> {
-        let can_wait = now < request.start_by && self.plan.mechanisms.has(Mechanism::FitPlaces);
         let query = PlacementQuery {
             prefix: &request.prefix,
             prompt_tokens: request.prompt_tokens,
@@ -235,12 +234,23 @@
             event_tokens: self.plan.event_tokens,
             pause: request.pause,
             left: request.deadline.since(now),
-            can_wait,
+            fit: self.fit(request, now),
             now,
         };
         self.placement.place(&self.upstreams, &query, rng)
     }
 
+    /// How well a place must fit the request, or it waits for another one.
+    fn fit(&self, request: &WaitingRequest, now: Moment) -> PlaceFit {
+        if !self.plan.mechanisms.has(Mechanism::FitPlaces) {
+            return PlaceFit::Any;
+        }
+        match now < request.start_by {
+            true => PlaceFit::Safe,
+            false => PlaceFit::Likely,
+        }
+    }
+
     /// The pool's speed as far as it is learned.
     pub(super) fn speed(&self) -> EngineSpeed {
         let speed = self.model.speed();
--- a/src/policy/urgency_queue.rs
+++ b/src/policy/urgency_queue.rs
@@ -33,7 +33,7 @@
     }
 }
 
-/// A request and what it is worth for its cost while in time.
+/// A request and what it is worth for its cost, in time or late as it is.
 #[derive(Debug)]
 struct QueuedRequest {
     request: WaitingRequest,
@@ -75,24 +75,21 @@
         self.cost_in_time += u64::from(request.cost);
     }
 
-    fn remove(&mut self, queued: &QueuedRequest) -> bool {
+    fn remove(&mut self, queued: &QueuedRequest) {
         let request = &queued.request;
         let key = (Reverse(queued.density), request.start_by, request.id);
         self.cost -= u64::from(request.cost);
         self.due.remove(&(request.start_by, request.id));
-        let was_in_time = self.in_time.remove(&key);
-        match was_in_time {
+        match self.in_time.remove(&key) {
             true => self.cost_in_time -= u64::from(request.cost),
             false => _ = self.late.remove(&key),
         }
-        was_in_time
     }
 
     /// The next request and its worth for its cost.
     fn head(&self) -> Option<(f64, RequestId)> {
         let in_time = self.in_time.first().map(|(density, _, id)| (density.0.density(), *id));
-        let late =
-            self.late.first().map(|(density, _, id)| (density.0.density() * LATE_WORTH, *id));
+        let late = self.late.first().map(|(density, _, id)| (density.0.density(), *id));
         in_time.or(late)
     }
 
@@ -161,14 +158,15 @@
         for lane in &mut self.lanes {
             while let Some((start_by, id)) = lane.due.first().copied().filter(|due| due.0 < now) {
                 lane.due.remove(&(start_by, id));
-                let Some(queued) = self.entries.get(&id) else { continue };
+                let Some(queued) = self.entries.get_mut(&id) else { continue };
                 let key = (Reverse(queued.density), start_by, id);
                 lane.in_time.remove(&key);
-                lane.late.insert(key);
                 lane.cost_in_time -= u64::from(queued.request.cost);
-                let density = queued.density.density();
-                self.ladder.remove(density, queued.request.cost);
-                self.ladder.add(density * LATE_WORTH, queued.request.cost);
+                let late = DensityKey::of(queued.density.density() * LATE_WORTH);
+                lane.late.insert((Reverse(late), start_by, id));
+                self.ladder.remove(queued.density.density(), queued.request.cost);
+                self.ladder.add(late.density(), queued.request.cost);
+                queued.density = late;
             }
         }
     }
@@ -236,9 +234,8 @@
         let queued = self.entries.remove(&id)?;
         let (tier, rank) = (queued.request.tier, queued.request.rank);
         self.late.remove(&(queued.request.late_at, id));
-        let was_in_time = self.lane(tier, rank).remove(&queued);
-        let factor = if was_in_time { 1.0 } else { LATE_WORTH };
-        self.ladder.remove(queued.density.density() * factor, queued.request.cost);
+        self.lane(tier, rank).remove(&queued);
+        self.ladder.remove(queued.density.density(), queued.request.cost);
         Some(queued.request)
     }
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,6 +1,6 @@
 //! What one process is told: its name, addresses, data centre, peers and data folder.
 
-use crate::policy::Mechanism;
+use crate::policy::{Mechanism, RepeatBound};
 use crate::table::{DaemonName, DataCentreName, FaultList, read_checked};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -59,6 +59,17 @@
     /// The same as a number of tokens beside that.
     #[serde(default)]
     pub limit_slack_tokens: u64,
+    /// Requests that may be sent to a second upstream, for each request of a service, over all daemons.
+    #[serde(default = "default_repeat_ratio")]
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub repeat_ratio: f64,
+    /// The same as a number of requests beside that, in one window.
+    #[serde(default = "default_repeat_slack")]
+    pub repeat_slack: u64,
+    /// Where metrics are read beside `callers` and `readiness`, on a port that does not change.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Option<String>")]
+    pub metrics: Option<SocketAddr>,
     /// Mechanisms of the policy that are switched off, to measure what each is worth.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub mechanisms_off: Vec<Mechanism>,
@@ -138,6 +149,14 @@
     Duration::from_millis(3_000)
 }
 
+fn default_repeat_ratio() -> f64 {
+    RepeatBound::default().ratio
+}
+
+fn default_repeat_slack() -> u64 {
+    RepeatBound::default().slack
+}
+
 fn default_poll() -> Duration {
     Duration::from_millis(200)
 }
--- a/src/traffic/neighbours/mod.rs
+++ b/src/traffic/neighbours/mod.rs
@@ -14,7 +14,7 @@
 use slog::debug;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -35,6 +35,8 @@
     own: OnceLock<SocketAddr>,
     list: ListExchange,
     sequence: AtomicU64,
+    /// The other daemons, as last looked at.
+    others: AtomicUsize,
 }
 
 impl Neighbours {
@@ -43,6 +45,11 @@
         lock(&self.book)
     }
 
+    /// Daemons of the fleet as far as is known, this one among them.
+    pub fn daemons(&self) -> usize {
+        self.others.load(Ordering::Relaxed) + 1
+    }
+
     /// The number of the next notice.
     fn next_sequence(&self) -> u64 {
         self.sequence.fetch_add(1, Ordering::Relaxed) + 1
@@ -206,6 +213,8 @@
         };
         state.charge_taken(&silent);
         list::ask_while_unknown(&state, &socket);
+        let addresses = state.neighbours.others_addresses(now);
+        state.neighbours.others.store(addresses.len(), Ordering::Relaxed);
         if let Some((work, taken)) = told.news(&state, now, totals) {
             let notice = WorkNotice {
                 daemon: state.daemon.clone(),
@@ -217,7 +226,7 @@
                 refills: state.refills(),
                 is_leaving: state.is_drained(),
             };
-            socket.send(&DaemonNotice::Work(notice), &state.neighbours.others_addresses(now));
+            socket.send(&DaemonNotice::Work(notice), &addresses);
         }
         refresh_others(&state);
         let pause = state.neighbours.book().notice_pause();
--- a/src/traffic/routed/carry.rs
+++ b/src/traffic/routed/carry.rs
@@ -293,7 +293,8 @@
         let service = placed.pool.service.clone();
         let name = placed.name.clone();
         if count.sent == 0 {
-            request.state.with_repeats(&service, |budget| budget.earn());
+            let daemons = request.state.neighbours.daemons();
+            request.state.with_repeats(&service, |budget| budget.earn(daemons));
         }
         request.count_as_run(true);
         let sent = request.try_send(&placed, &mut count, request.facts.last_event).await;
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -8,7 +8,7 @@
 use crate::control::ClaimKeeper;
 use crate::policy::{
     CallerTimes, LateWord, LimitBook, Mechanism, MechanismSet, Moment, PoolEvent, PoolPlan,
-    RepeatBudget, UpstreamSource,
+    RepeatBound, RepeatBudget, UpstreamSource,
 };
 use crate::table::{
     DaemonName, OperatorTable, OrganisationName, ServiceKind, ServiceName, TableReader,
@@ -66,6 +66,7 @@
     /// The platform's manner of speaking, where one is served.
     manner: OnceLock<PlatformManner>,
     repeats: Mutex<HashMap<ServiceName, RepeatBudget>>,
+    repeat_bound: OnceLock<RepeatBound>,
     mechanisms: OnceLock<MechanismSet>,
     /// The time that callers have, by route.
     caller_times: Mutex<HashMap<String, CallerTimes>>,
@@ -104,6 +105,7 @@
             serves_cut_off: AtomicBool::new(false),
             manner: OnceLock::new(),
             repeats: Mutex::default(),
+            repeat_bound: OnceLock::new(),
             mechanisms: OnceLock::new(),
             caller_times: Mutex::default(),
             is_ready: AtomicBool::new(true),
@@ -263,6 +265,11 @@
         &self.connections
     }
 
+    /// Sets the operators' bound on repeats; only the first call counts, before any request.
+    pub fn set_repeat_bound(&self, bound: RepeatBound) {
+        let _ = self.repeat_bound.set(bound);
+    }
+
     /// Switches mechanisms off; only the first call counts, before any table is in force.
     pub fn set_mechanisms(&self, mechanisms: MechanismSet) {
         self.limits().set_mechanisms(mechanisms.clone());
@@ -292,7 +299,11 @@
         change: impl FnOnce(&mut RepeatBudget) -> T,
     ) -> T {
         let mut repeats = self.repeats.lock().unwrap_or_else(PoisonError::into_inner);
-        change(repeats.entry(service.clone()).or_default())
+        let budget = repeats.entry(service.clone()).or_insert_with(|| {
+            let bound = self.repeat_bound.get().copied().unwrap_or_default();
+            RepeatBudget::new(bound, self.neighbours.daemons())
+        });
+        change(budget)
     }
 
     fn update_pools(&self, access: &AccessIndex) {
--- a/tests/test_routes.rs
+++ b/tests/test_routes.rs
@@ -6,7 +6,7 @@
 use tarragonknot::control::{
     ControlCommand, ControlLedger, ControlReply, NumberedOutcome, NumberedTable,
 };
-use tarragonknot::policy::RepeatBudget;
+use tarragonknot::policy::{RepeatBound, RepeatBudget};
 use tarragonknot::table::{
     OperatorTable, RouteKind, RouteRow, RouteTarget, ServiceKind, ServiceRow, TierRow,
     reference_faults, tier_of_rank,
@@ -126,10 +126,10 @@
 /// Cause: repeats without a bound over all requests.
 #[test]
 fn repeats_stay_a_part_of_the_requests() {
-    let mut budget = RepeatBudget::default();
+    let mut budget = RepeatBudget::new(RepeatBound { ratio: 0.2, slack: 24 }, 6);
 
     let repeats = (0..1_000).filter(|_| {
-        budget.earn();
+        budget.earn(6);
         budget.spend()
     });
     let repeats = repeats.count();
@@ -137,6 +137,21 @@
     assert!((95..=105).contains(&repeats), "{repeats}");
 }
 
+/// Symptom: a service that fails gets more than the operators' bound in one window. Sequence: all daemons have saved up,
+/// and spend it at once. Cause: each of them saving up the whole slack.
+#[rstest]
+#[case::few(54, 7)]
+#[case::many(152, 56)]
+#[case::a_bound_without_slack(0, 6)]
+fn daemons_together_save_up_no_more_than_the_bound(#[case] slack: u64, #[case] daemons: usize) {
+    let mut budgets = vec![RepeatBudget::new(RepeatBound { ratio: 0.2, slack }, daemons); daemons];
+
+    let spent: usize =
+        budgets.iter_mut().map(|budget| (0..100).filter(|_| budget.spend()).count()).sum();
+
+    assert!(spent as u64 <= slack, "{spent}");
+}
+
 /// Symptom: a caller reads an event that is two halves of different ones.
 /// Sequence: an upstream stops within an event; another one goes on after the last whole one. Cause: bytes passed on
 /// as they come.
