--- a/src/policy/mechanism.rs
+++ b/src/policy/mechanism.rs
@@ -15,8 +15,6 @@
     KnownReturns,
     /// One place in so many goes round among the lanes.
     LaneTurns,
-    /// While all that waits can be sent in time, what is due first goes first.
-    DueFirst,
     /// Within an organisation's limit, callers that have been here before leave a part to newcomers.
     ReturnReserve,
     /// Within an organisation's limit, lower ranks leave a part to higher ones.
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -75,9 +75,6 @@
 pub trait WaitingQueue: Send {
     /// Adds a request.
     fn push(&mut self, request: WaitingRequest);
-    /// Tells how much cost is worked off in a second, for queues that reckon with it.
-    fn set_drain_rate(&mut self, _rate: f64) {}
-
     /// Puts a request that was popped but not sent back at the front of its turn.
     fn push_back_first(&mut self, request: WaitingRequest);
     /// Takes the next request; tiers below `lowest` are passed over.
--- a/src/policy/scheduler/admission.rs
+++ b/src/policy/scheduler/admission.rs
@@ -143,7 +143,7 @@
         if self.queue.is_empty() {
             return false;
         }
-        let rate = self.work_rate();
+        let rate = self.meter.total_rate().max(self.drain_rate() * LEAST_DRAIN);
         let wait = |cost: u64, rate: f64| {
             Duration::try_from_secs_f64(cost as f64 / rate).unwrap_or(Duration::MAX)
         };
@@ -155,11 +155,6 @@
         now + wait(before, rate * LATE_DRAIN) > request.late_at
     }
 
-    /// Cost that this daemon sends in a second while requests wait, as far as is known.
-    pub(super) fn work_rate(&self) -> f64 {
-        self.meter.total_rate().max(self.drain_rate() * LEAST_DRAIN)
-    }
-
     /// Lets a request wait.
     pub(super) fn enqueue(&mut self, request: WaitingRequest, now: Moment) {
         self.audit.admitted(request.tier, now);
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -190,7 +190,6 @@
         self.upstreams.reopen(now);
         let progress = self.plan.tiers.iter().map(|share| self.queue.progress(share.rank));
         self.meter.tick(progress, now);
-        self.queue.set_drain_rate(self.work_rate());
         self.floor.relax(now);
         if self.plan.avoids_stragglers && now.since(self.judged_at) >= JUDGE_PAUSE {
             self.judged_at = now;
--- a/src/policy/urgency_queue.rs
+++ b/src/policy/urgency_queue.rs
@@ -14,7 +14,6 @@
 };
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
-use std::time::Duration;
 
 /// One place in so many goes round among the lanes.
 const TURN: u32 = 16;
@@ -55,7 +54,6 @@
     in_time: DenseOrder,
     late: DenseOrder,
     cost: u64,
-    cost_in_time: u64,
 }
 
 impl UrgencyLane {
@@ -72,7 +70,6 @@
         self.due.insert((request.start_by, request.id));
         self.in_time.insert((Reverse(queued.density), request.start_by, request.id));
         self.cost += u64::from(request.cost);
-        self.cost_in_time += u64::from(request.cost);
     }
 
     fn remove(&mut self, queued: &QueuedRequest) {
@@ -80,9 +77,8 @@
         let key = (Reverse(queued.density), request.start_by, request.id);
         self.cost -= u64::from(request.cost);
         self.due.remove(&(request.start_by, request.id));
-        match self.in_time.remove(&key) {
-            true => self.cost_in_time -= u64::from(request.cost),
-            false => _ = self.late.remove(&key),
+        if !self.in_time.remove(&key) {
+            self.late.remove(&key);
         }
     }
 
@@ -114,8 +110,6 @@
     ladder: CostLadder,
     popped: u32,
     next_turn: usize,
-    /// Cost that is worked off in a second, as last told.
-    drain_rate: f64,
 }
 
 impl UrgencyQueue {
@@ -130,7 +124,6 @@
             ladder: CostLadder::default(),
             popped: 0,
             next_turn: 0,
-            drain_rate: 0.0,
         }
     }
 
@@ -146,7 +139,6 @@
                 in_time: BTreeSet::new(),
                 late: BTreeSet::new(),
                 cost: 0,
-                cost_in_time: 0,
             });
             self.lanes.len() - 1
         });
@@ -161,7 +153,6 @@
                 let Some(queued) = self.entries.get_mut(&id) else { continue };
                 let key = (Reverse(queued.density), start_by, id);
                 lane.in_time.remove(&key);
-                lane.cost_in_time -= u64::from(queued.request.cost);
                 let late = DensityKey::of(queued.density.density() * LATE_WORTH);
                 lane.late.insert((Reverse(late), start_by, id));
                 self.ladder.remove(queued.density.density(), queued.request.cost);
@@ -171,7 +162,7 @@
         }
     }
 
-    fn next(&mut self, now: Moment) -> Option<RequestId> {
+    fn next(&mut self) -> Option<RequestId> {
         self.popped += 1;
         if self.popped.is_multiple_of(TURN) && self.mechanisms.has(Mechanism::LaneTurns) {
             let count = self.lanes.len();
@@ -181,21 +172,7 @@
             return self.lanes[turn].due_first();
         }
         let heads = self.lanes.iter().filter_map(UrgencyLane::head);
-        let densest = heads.max_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)?;
-        Some(self.due_before(densest, now).unwrap_or(densest))
-    }
-
-    /// The request due first, if there is time for all that are in time before `densest` is due. What goes wrong without
-    /// it: short objectives are missed behind requests that have time enough.
-    fn due_before(&self, densest: RequestId, now: Moment) -> Option<RequestId> {
-        if !self.mechanisms.has(Mechanism::DueFirst) || self.drain_rate <= 0.0 {
-            return None;
-        }
-        let due = self.lanes.iter().filter_map(|lane| lane.due.first()).min()?;
-        let backlog: u64 = self.lanes.iter().map(|lane| lane.cost_in_time).sum();
-        let time = Duration::try_from_secs_f64(backlog as f64 / self.drain_rate).ok()?;
-        let start_by = self.entries.get(&densest)?.request.start_by;
-        (now + time <= start_by).then_some(due.1)
+        heads.max_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
     }
 
     fn density(&mut self, request: &WaitingRequest) -> f64 {
@@ -226,7 +203,7 @@
 
     fn pop(&mut self, _lowest: TierRank, now: Moment) -> Option<WaitingRequest> {
         self.age(now);
-        let id = self.next(now)?;
+        let id = self.next()?;
         self.remove(id)
     }
 
@@ -239,10 +216,6 @@
         Some(queued.request)
     }
 
-    fn set_drain_rate(&mut self, rate: f64) {
-        self.drain_rate = rate;
-    }
-
     fn evict_below(&mut self, tier: TierRank) -> Option<WaitingRequest> {
         let lower = self.lanes.iter().filter(|lane| lane.tier > tier && lane.len() > 0);
         let lowest = lower.min_by(|a, b| a.worth.total_cmp(&b.worth))?;
