--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -20,6 +20,7 @@
 mod shared_list;
 mod shed_audit;
 mod shed_floor;
+mod upstream_set;
 mod upstreams;
 mod urgency_queue;
 mod worth;
@@ -46,9 +47,10 @@
 pub use shared_list::{ChangeVerdict, ListChange, ListPart, ListedUpstream, SharedList};
 pub use shed_audit::ShedAudit;
 pub use shed_floor::{FloorOrder, ShedFloor};
+pub use upstream_set::UpstreamSet;
 pub use upstreams::{
-    LoadReport, OthersWork, RoomKind, UpstreamSet, UpstreamSource, UpstreamState, UpstreamStatus,
-    UpstreamWord, upstream_chart,
+    LoadReport, OthersWork, RoomKind, UpstreamSource, UpstreamState, UpstreamStatus, UpstreamWord,
+    upstream_chart,
 };
 pub use urgency_queue::UrgencyQueue;
 pub use worth::{CostLadder, LaneMeans};
