Only pools whose order takes requests back pass some over

Cause, found on reading the diff: up to eight requests without a fitting place were taken from any queue and put back; a fair queue would have them in another order. The users' platform has the order by worth alone, so nothing changes there.

--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -204,6 +204,8 @@
 
     /// Dispatches waiting requests while an upstream has room.
     fn pump(&mut self, now: Moment, rng: &mut dyn RngCore, actions: &mut Vec<PoolAction>) {
+        // Only the order by worth can take a request back without harm to the order of the rest.
+        let most = if self.plan.sheds_alone { MOST_PASSED_OVER } else { 1 };
         let mut passed_over = Vec::new();
         while let Some(lowest) = self.lowest_served().filter(|_| self.reservations.may_try(now)) {
             let Some(request) = self.queue.pop(lowest, now) else { break };
@@ -211,7 +213,7 @@
                 Some(upstream) => self.dispatch(request, upstream, now, actions),
                 None => passed_over.push(request),
             }
-            if passed_over.len() >= MOST_PASSED_OVER {
+            if passed_over.len() >= most {
                 break;
             }
         }
