Read once more: unread prompts, an engine's pace and readiness each in one place

Found on reading the whole change: the sum of unread prompt tokens stood in four places, time between tokens and slowness in two, the serving of readiness in two; the usual time of callers was kept and never read again.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -116,9 +116,7 @@
         None => without_front(Arc::clone(&state)),
     };
     if let Some(address) = settings.readiness {
-        let router = readiness_router(Arc::clone(&state));
-        let listener = listen(address).await?;
-        tokio::spawn(async move { axum::serve(listener, router).await });
+        serve_readiness(&state, listen(address).await?);
     }
     if let Some(address) = settings.metrics {
         serve_metrics(&state, address).await;
@@ -162,13 +160,16 @@
     })
 }
 
+/// Serves readiness and metrics.
+fn serve_readiness(state: &Arc<TrafficState>, listener: tokio::net::TcpListener) {
+    let router = readiness_router(Arc::clone(state));
+    tokio::spawn(async move { axum::serve(listener, router).await });
+}
+
 /// Serves metrics on an address of their own. A port that is taken costs the metrics there and not the daemon.
 async fn serve_metrics(state: &Arc<TrafficState>, address: SocketAddr) {
     match listen(address).await {
-        Ok(listener) => {
-            let router = readiness_router(Arc::clone(state));
-            tokio::spawn(async move { axum::serve(listener, router).await });
-        }
+        Ok(listener) => serve_readiness(state, listener),
         Err(error) => {
             warn!(state.log, "metrics are not served"; "address" => address.to_string(), "error" => error.to_string());
         }
--- a/src/policy/caller_returns.rs
+++ b/src/policy/caller_returns.rs
@@ -21,7 +21,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct CallerTimes {
     recent: VecDeque<Duration>,
-    usual: Duration,
 }
 
 impl CallerTimes {
@@ -37,7 +36,6 @@
         let mut times: Vec<Duration> = self.recent.iter().copied().collect();
         let place = ((times.len() - 1) as f64 * USUAL_PART) as usize;
         let (_, usual, _) = times.select_nth_unstable(place);
-        self.usual = *usual;
-        time < self.usual.mul_f64(FIRST_PART)
+        time < usual.mul_f64(FIRST_PART)
     }
 }
--- a/src/policy/earliest.rs
+++ b/src/policy/earliest.rs
@@ -43,11 +43,16 @@
 pub struct EarliestPlacement;
 
 impl EarliestPlacement {
+    /// An upstream's time between tokens, in microseconds, and how many times slower than the pool it is.
+    fn pace(status: &UpstreamStatus, query: &PlacementQuery<'_>) -> (f64, f64) {
+        let gap = status.gap().unwrap_or(query.speed.gap_micros);
+        (gap, gap / query.speed.gap_micros.max(1.0))
+    }
+
     /// Estimated microseconds to the first event.
     fn micros(status: &UpstreamStatus, query: &PlacementQuery<'_>) -> f64 {
-        let gap = status.gap().unwrap_or(query.speed.gap_micros);
-        let slowness = gap / query.speed.gap_micros.max(1.0);
-        let unread = status.unread_tokens + status.others.unread_tokens;
+        let (gap, slowness) = Self::pace(status, query);
+        let unread = status.all_unread();
         let prompt = (unread as f64 + f64::from(query.prompt_tokens)) * query.speed.prefill_micros;
         let load = status.occupied().min(1.0);
         let total = prompt * slowness + STEPS_BEFORE_FIRST * gap + load * gap;
@@ -76,8 +81,7 @@
     /// pause for too long. What goes wrong without it: under load the slowest engines are those with room, long answers
     /// go there, hold a place for all of their callers' time and are cut (measured: a tenth of all engine time).
     fn fits(status: &UpstreamStatus, query: &PlacementQuery<'_>) -> bool {
-        let gap = status.gap().unwrap_or(query.speed.gap_micros);
-        let slowness = gap / query.speed.gap_micros.max(1.0);
+        let (gap, slowness) = Self::pace(status, query);
         let read = f64::from(query.prompt_tokens) * query.speed.prefill_micros * slowness;
         let margin = match query.fit {
             PlaceFit::Safe => SAFE_GUESS_MARGIN,
@@ -104,7 +108,7 @@
         slowness: f64,
     ) -> f64 {
         let Some(pause) = query.pause else { return 1.0 };
-        let unread = status.unread_tokens + status.others.unread_tokens;
+        let unread = status.all_unread();
         let read = (unread as f64 + f64::from(query.prompt_tokens)).min(MOST_READ_BETWEEN_EVENTS);
         let stall =
             f64::from(query.event_tokens) * gap + read * query.speed.prefill_micros * slowness;
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -319,7 +319,7 @@
     /// Prompt tokens that an upstream reads before the first event of a request sent now, and how slow it is.
     fn ahead_of(&self, upstream: UpstreamIndex, own: u32) -> (u64, f64) {
         let Some(status) = self.upstreams.get(upstream) else { return (u64::from(own), 1.0) };
-        let ahead = status.unread_tokens + status.others.unread_tokens + u64::from(own);
+        let ahead = status.all_unread() + u64::from(own);
         let usual = self.model.speed().gap_micros.max(1.0);
         (ahead, status.gap().unwrap_or(usual) / usual)
     }
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -262,6 +262,11 @@
         self.limit.used(self.in_flight_tokens, self.in_flight + self.others.requests)
     }
 
+    /// Prompt tokens that it has not read yet, of this daemon's requests and of the others'.
+    pub fn all_unread(&self) -> u64 {
+        self.unread_tokens + self.others.unread_tokens
+    }
+
     /// Requests there as far as is known, as a part of its places.
     pub fn occupied(&self) -> f64 {
         f64::from(self.in_flight + self.others.all_requests()) / self.limit.requests().max(1.0)
