Bounds that come as fractions are read, and missing ones leave the default

Class of fault: all four bounds that the template renders. Counts are read as numbers and rounded down (rounding up would exceed what operators allow); a bound that is not given leaves the default instead of a document that cannot be read. Test: tests/test_settings_template.rs renders the template as the platform does, with fractions, whole numbers as fractions, large values, zero, nothing, and one below zero, which is a fault that names its place.

--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,7 +1,7 @@
 //! What one process is told: its name, addresses, data centre, peers and data folder.
 
 use crate::policy::{Mechanism, RepeatBound};
-use crate::table::{DaemonName, DataCentreName, FaultList, read_checked};
+use crate::table::{DaemonName, DataCentreName, FaultList, WholeNumber, read_checked};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -56,14 +56,16 @@
     #[serde(default)]
     #[schemars(range(min = 0.0, max = 1.0))]
     pub limit_overage: f64,
-    /// The same as a number of tokens beside that.
+    /// The same as a number of tokens beside that; a fraction is rounded down.
+    #[serde_as(as = "WholeNumber")]
     #[serde(default)]
     pub limit_slack_tokens: u64,
     /// Requests that may be sent to a second upstream, for each request of a service, over all daemons.
     #[serde(default = "default_repeat_ratio")]
     #[schemars(range(min = 0.0, max = 1.0))]
     pub repeat_ratio: f64,
-    /// The same as a number of requests beside that, in one window.
+    /// The same as a number of requests beside that, in one window; a fraction is rounded down.
+    #[serde_as(as = "WholeNumber")]
     #[serde(default = "default_repeat_slack")]
     pub repeat_slack: u64,
     /// Where metrics are read beside `callers` and `readiness`, on a port that does not change.
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -4,6 +4,7 @@
 mod difference;
 mod names;
 mod routes;
+mod whole_number;
 
 pub use checks::{FaultList, TableFault, check_document, read_checked, reference_faults};
 pub use difference::{CellChange, diff_tables};
@@ -12,6 +13,7 @@
 };
 
 pub use routes::{RouteKind, RouteRow, RouteTarget};
+pub use whole_number::WholeNumber;
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
--- /dev/null
+++ b/tests/settings_template.rs
@@ -0,0 +1,70 @@
+//! Fills in the settings template as the platform does: places, sections, and what is absent.
+
+use serde_json::Value;
+
+/// The template that the platform fills in.
+pub const TEMPLATE: &str = include_str!("../deploy/settings.json.template");
+
+/// The template with `fields` in their places.
+pub fn render(template: &str, fields: &Value) -> String {
+    render_in(template, &[fields])
+}
+
+/// The same inside sections: a name is looked up in the innermost entry first.
+fn render_in(template: &str, scopes: &[&Value]) -> String {
+    let mut rest = template;
+    let mut text = String::new();
+    while let Some((before, after)) = rest.split_once("{{") {
+        text.push_str(before);
+        let (name, after) = after.split_once("}}").expect("a closed place");
+        rest = after;
+        if let Some(section) = name.strip_prefix('#') {
+            let end = format!("{{{{/{section}}}}}");
+            let (body, after) = rest.split_once(&end).expect("a closed section");
+            text.push_str(&section_text(body, look_up(scopes, section), scopes));
+            rest = after;
+        } else {
+            text.push_str(&place_text(scopes, name));
+        }
+    }
+    text + rest
+}
+
+fn section_text(body: &str, value: Option<&Value>, scopes: &[&Value]) -> String {
+    let once = |value: &Value, comma: &str| {
+        let inner: Vec<&Value> = scopes.iter().copied().chain([value]).collect();
+        render_in(&body.replace("{{,}}", comma), &inner)
+    };
+    match value {
+        None | Some(Value::Null | Value::Bool(false)) => String::new(),
+        Some(Value::Array(rows)) => {
+            let last = rows.len().saturating_sub(1);
+            let texts = rows.iter().enumerate();
+            texts.map(|(at, row)| once(row, if at < last { "," } else { "" })).collect()
+        }
+        Some(value) => once(value, ""),
+    }
+}
+
+fn place_text(scopes: &[&Value], name: &str) -> String {
+    let (path, is_json) = name.strip_suffix("|json").map_or((name, false), |path| (path, true));
+    match look_up(scopes, path) {
+        Some(Value::String(text)) if !is_json => text.clone(),
+        Some(value) => value.to_string(),
+        None => String::new(),
+    }
+}
+
+fn look_up<'a>(scopes: &[&'a Value], path: &str) -> Option<&'a Value> {
+    if path == "." {
+        return scopes.last().copied();
+    }
+    scopes.iter().rev().find_map(|scope| find(scope, path))
+}
+
+fn find<'a>(scope: &'a Value, path: &str) -> Option<&'a Value> {
+    path.split('.').try_fold(scope, |value, key| match key.parse::<usize>() {
+        Ok(at) if value.is_array() => value.get(at),
+        _ => value.get(key),
+    })
+}
--- /dev/null
+++ b/tests/test_settings_template.rs
@@ -0,0 +1,96 @@
+//! The settings that the platform renders, with every bound that it may give.
+
+use crate::settings_template::{TEMPLATE, render};
+use rstest::rstest;
+use serde_json::{Value, json};
+use tarragonknot::settings::DaemonSettings;
+
+/// The fields of a daemon that serves callers.
+fn fields() -> Value {
+    json!({
+        "ip": "10.1.0.14", "zone": "hall-a",
+        "listen": {"front": "10.1.0.14:8221", "ready": "10.1.0.14:8224"},
+        "port_range": [7600, 7615],
+        "seeds": ["10.1.0.16:8229", "10.2.0.7:8229"],
+        "bootstrap": true, "data_dir": null,
+        "cloud_api": {"address": "10.200.0.35:8225"},
+        "bounds": {"quota_overage": 0.1, "quota_slack": 190_000, "retry_ratio": 0.3, "retry_slack": 52}
+    })
+}
+
+fn settings_with(bound: &str, value: Value) -> DaemonSettings {
+    let mut fields = fields();
+    fields["bounds"][bound] = value;
+    let text = render(TEMPLATE, &fields);
+    DaemonSettings::read(&text).unwrap_or_else(|faults| panic!("{faults}\n{text}"))
+}
+
+fn bounds(settings: &DaemonSettings) -> (f64, u64, f64, u64) {
+    let DaemonSettings { limit_overage, limit_slack_tokens, repeat_ratio, repeat_slack, .. } =
+        settings;
+    (*limit_overage, *limit_slack_tokens, *repeat_ratio, *repeat_slack)
+}
+
+/// Symptom: no process starts on a deployment that was scaled down; each ends with "expected a value of type integer".
+/// Sequence: a bound is worked out as a part of a larger one and is a fraction. Cause: a count read as a whole number.
+#[rstest]
+#[case::fraction("retry_slack", json!(32.736_842_105_263_16), (0.1, 190_000, 0.3, 32))]
+#[case::fraction_of_tokens("quota_slack", json!(9_999.99), (0.1, 9_999, 0.3, 52))]
+#[case::whole_as_a_fraction("quota_slack", json!(190_000.0), (0.1, 190_000, 0.3, 52))]
+#[case::whole_ratio("retry_ratio", json!(1), (0.1, 190_000, 1.0, 52))]
+#[case::whole_overage("quota_overage", json!(0), (0.0, 190_000, 0.3, 52))]
+#[case::zero("retry_slack", json!(0), (0.1, 190_000, 0.3, 0))]
+#[case::zero_tokens("quota_slack", json!(0.0), (0.1, 0, 0.3, 52))]
+#[case::large("quota_slack", json!(1e30), (0.1, u64::MAX, 0.3, 52))]
+#[case::large_whole("retry_slack", json!(9_007_199_254_740_992_u64), (0.1, 190_000, 0.3, 9_007_199_254_740_992))]
+fn every_bound_is_read_however_it_is_written(
+    #[case] bound: &str,
+    #[case] value: Value,
+    #[case] expected: (f64, u64, f64, u64),
+) {
+    let settings = settings_with(bound, value);
+
+    assert_eq!(bounds(&settings), expected);
+}
+
+#[rstest]
+#[case::no_value("quota_overage", Value::Null)]
+#[case::no_slack("quota_slack", Value::Null)]
+#[case::no_ratio("retry_ratio", Value::Null)]
+#[case::no_repeats("retry_slack", Value::Null)]
+fn a_missing_bound_leaves_the_default(#[case] bound: &str, #[case] value: Value) {
+    let missing = bounds(&settings_with(bound, value));
+    let text =
+        r#"{"daemon": "a", "data_centre": "d", "control": "127.0.0.1:1", "data_folder": "/tmp/x"}"#;
+    let defaults = bounds(&DaemonSettings::read(text).expect("settings without bounds"));
+    let given = bounds(&settings_with("unknown", json!(1)));
+
+    for at in 0..4 {
+        let parts = |bounds: (f64, u64, f64, u64)| {
+            [bounds.0, bounds.1 as f64, bounds.2, bounds.3 as f64][at]
+        };
+        assert!([parts(defaults), parts(given)].contains(&parts(missing)), "{missing:?}");
+    }
+    assert_ne!(missing, given);
+}
+
+#[test]
+fn a_bound_below_zero_is_a_fault_that_names_its_place() {
+    let mut fields = fields();
+    fields["bounds"]["retry_slack"] = json!(-1);
+    let faults = DaemonSettings::read(&render(TEMPLATE, &fields)).expect_err("a fault").to_string();
+
+    assert!(faults.contains("/repeat_slack"), "{faults}");
+}
+
+#[test]
+fn a_voter_is_rendered_too() {
+    let mut fields = fields();
+    fields["listen"] = json!({"control": "10.1.0.14:8230"});
+    fields["data_dir"] = json!("/data");
+    let settings = DaemonSettings::read(&render(TEMPLATE, &fields)).expect("settings of a voter");
+
+    assert!(settings.callers.is_none());
+    assert!(settings.found_fleet);
+    assert!(settings.platform.is_some_and(|platform| platform.operators.is_some()));
+}
