--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -218,6 +218,7 @@
             let report = DaemonReport {
                 serves_callers: true,
                 divides_alone: false,
+                knows_serving: 0,
                 daemon: name(number),
                 boot: 1,
                 term: 1,
--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -39,7 +39,7 @@
     pub lease: Duration,
     /// True if this daemon serves callers.
     pub serves_callers: bool,
-    /// True if this daemon divides limits with its neighbours by notices, and sheds by itself.
+    /// True if this daemon divides limits with the other daemons by itself, and sheds by itself.
     pub divides_alone: bool,
 }
 
@@ -164,7 +164,11 @@
         }
         // None: the lease ran out before the answer came, so the next report asks anew.
         let Some(moves) = self.member.take(orders, self.state.clock.now()) else { return };
-        self.state.neighbours.book().set_named(moves.neighbours.clone());
+        let now = self.state.clock.now();
+        match &moves.serving {
+            Some(serving) => self.state.fleet.set_named(serving.addresses.clone(), now),
+            None => self.state.fleet.confirm_named(now),
+        }
         self.leader.set_voters(moves.voters.clone());
         if let Some(table) = &moves.table {
             self.state.apply_table(table);
--- a/src/control/control_loop/reports.rs
+++ b/src/control/control_loop/reports.rs
@@ -6,6 +6,7 @@
 use crate::control::rpc::{EditProgress, LeaderAnswer};
 use crate::control::waiters::{EntryWaiter, HeldReport, ReplyTo};
 use crate::replica::ReplicaCore;
+use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -24,6 +25,7 @@
         let (daemon, version, has_lease) =
             (report.daemon.clone(), report.version, report.has_lease);
         let (boot, divides_alone) = (report.boot, report.divides_alone);
+        let knows_serving = report.knows_serving;
         match book.report(report, now) {
             ReportVerdict::Taken => {}
             ReportVerdict::Unknown => {
@@ -39,7 +41,15 @@
             ReportVerdict::Overtaken => return drop(reply.send(LeaderAnswer::Elsewhere(None))),
         }
         self.waiting.reports.retain(|held| held.daemon != daemon);
-        let held = HeldReport { daemon, has_lease, divides_alone, version, since: now, reply };
+        let held = HeldReport {
+            daemon,
+            has_lease,
+            divides_alone,
+            knows_serving,
+            version,
+            since: now,
+            reply,
+        };
         self.waiting.reports.push(held);
     }
 
@@ -64,6 +74,7 @@
         let membership = self.core.as_ref().map(ReplicaCore::membership);
         let voters: Vec<SocketAddr> =
             membership.iter().flat_map(|membership| membership.voters.values().copied()).collect();
+        let serving = OnceCell::new();
         for held in std::mem::take(&mut self.waiting.reports) {
             if !held.has_lease && !is_complete {
                 self.waiting.reports.push(held);
@@ -77,6 +88,12 @@
             }
             let mut orders = book.orders(&held.daemon, table, now);
             orders.voters.clone_from(&voters);
+            let (list, digest) = serving.get_or_init(|| {
+                let list = book.serving(now);
+                let digest = list.digest();
+                (list, digest)
+            });
+            orders.serving = (held.knows_serving != *digest).then(|| list.clone());
             let is_news =
                 held.version != table.version || self.sent.get(&held.daemon) != Some(&orders.pools);
             if is_due || is_news {
--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -16,6 +16,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The whole of a pool's limit, in units of shares.
 pub const SHARE_UNITS: u32 = 10_000;
@@ -68,10 +69,13 @@
     /// True if it serves callers.
     #[serde(default)]
     pub serves_callers: bool,
-    /// True if it divides the limits with its neighbours itself and sheds by itself: it needs no shares and no
+    /// True if it divides the limits with the other daemons itself and sheds by itself: it needs no shares and no
     /// floors, and reports no pools.
     #[serde(default)]
     pub divides_alone: bool,
+    /// Digest of the list of daemons that it knows; 0 if it knows none.
+    #[serde(default)]
+    pub knows_serving: u64,
 }
 
 /// Orders for one pool.
@@ -87,6 +91,29 @@
     pub share: u32,
 }
 
+/// Control addresses of the live daemons that serve callers.
+///
+/// What goes wrong if it goes with each answer: 291 addresses in 700 answers a second are 4 MB a second for the leader, and
+/// each daemon reads them anew twice a second. So a report names the digest of the list that it knows.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServingList {
+    /// The addresses, in order.
+    pub addresses: Vec<SocketAddr>,
+}
+
+impl ServingList {
+    /// A list of daemons in any order.
+    pub fn new(mut addresses: Vec<SocketAddr>) -> Self {
+        addresses.sort_unstable();
+        ServingList { addresses }
+    }
+
+    /// A number that stands for the whole list; never 0, which stands for none.
+    pub fn digest(&self) -> u64 {
+        xxh3_64(&postcard::to_stdvec(&self.addresses).unwrap_or_default()).max(1)
+    }
+}
+
 /// The leader's answer to a report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct DaemonOrders {
@@ -100,9 +127,9 @@
     pub packed: Option<Arc<str>>,
     /// Orders by pool.
     pub pools: Vec<PoolOrder>,
-    /// Control addresses of the live daemons that serve callers.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub neighbours: Vec<SocketAddr>,
+    /// Control addresses of the live daemons that serve callers, where they are others than the daemon knows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub serving: Option<ServingList>,
     /// Control addresses of the voters.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub voters: Vec<SocketAddr>,
@@ -386,13 +413,12 @@
         let newer = (known != table.version).then(|| Box::new(table.clone()));
         let divides_alone = report.is_some_and(|report| report.divides_alone);
         let pools = if divides_alone { Vec::new() } else { self.pool_orders(daemon, table, now) };
-        let neighbours = self.serving(now);
         DaemonOrders {
             version: table.version,
             table: newer,
             packed: None,
             pools,
-            neighbours,
+            serving: None,
             voters: Vec::new(),
         }
     }
@@ -416,10 +442,11 @@
     }
 
     /// Control addresses of the live daemons that serve callers.
-    fn serving(&self, now: Moment) -> Vec<SocketAddr> {
+    /// The live daemons that serve callers.
+    pub fn serving(&self, now: Moment) -> ServingList {
         let reports = self.live(now).filter_map(|(_, state)| state.report.as_ref());
         let serving = reports.filter(|report| report.serves_callers && !report.is_leaving);
-        serving.map(|report| report.control).collect()
+        ServingList::new(serving.map(|report| report.control).collect())
     }
 
     /// Notes that orders were sent: from now on the member may act on them.
--- a/src/control/fleet_member.rs
+++ b/src/control/fleet_member.rs
@@ -1,7 +1,7 @@
 //! A daemon's side of the fleet's agreement; pure. What it reports, what it takes from orders, and until
 //! when it may admit.
 
-use super::fleet::{DaemonOrders, DaemonReport, PoolReport, SHARE_UNITS};
+use super::fleet::{DaemonOrders, DaemonReport, PoolReport, SHARE_UNITS, ServingList};
 use crate::policy::{FloorOrder, Moment, TierRank};
 use crate::table::{DaemonName, ServiceName, VersionedTable};
 use std::collections::BTreeMap;
@@ -45,8 +45,8 @@
     pub current_until: Moment,
     /// The version in force in the fleet.
     pub version: u64,
-    /// Control addresses of the live daemons that serve callers.
-    pub neighbours: Vec<SocketAddr>,
+    /// The live daemons that serve callers, if they are others than before.
+    pub serving: Option<ServingList>,
     /// Control addresses of the voters.
     pub voters: Vec<SocketAddr>,
 }
@@ -67,6 +67,8 @@
     lease_until: Moment,
     serves_callers: bool,
     divides_alone: bool,
+    /// Digest of the list of daemons that it took last.
+    knows_serving: u64,
 }
 
 impl FleetMember {
@@ -86,6 +88,7 @@
             lease_until: Moment(0),
             serves_callers: true,
             divides_alone: false,
+            knows_serving: 0,
         }
     }
 
@@ -95,7 +98,7 @@
         self
     }
 
-    /// A member that divides limits with its neighbours itself and sheds by itself.
+    /// A member that divides limits with the other daemons itself and sheds by itself.
     pub fn dividing_alone(mut self) -> Self {
         self.divides_alone = true;
         self
@@ -131,6 +134,7 @@
             is_leaving,
             serves_callers: self.serves_callers,
             divides_alone: self.divides_alone,
+            knows_serving: self.knows_serving,
         }
     }
 
@@ -161,6 +165,9 @@
             return None;
         }
         self.lease_until = self.sent_at + self.lease;
+        if let Some(serving) = &orders.serving {
+            self.knows_serving = serving.digest();
+        }
         let is_fresh = !self.had_lease;
         let mut pools = Vec::with_capacity(orders.pools.len());
         for order in orders.pools {
@@ -182,7 +189,7 @@
             pools,
             current_until: self.lease_until,
             version: orders.version,
-            neighbours: orders.neighbours,
+            serving: orders.serving,
             voters: orders.voters,
         })
     }
--- a/src/control/waiters.rs
+++ b/src/control/waiters.rs
@@ -28,6 +28,7 @@
     pub has_lease: bool,
     /// True if only a newer table is news to the daemon: it takes no shares and floors.
     pub divides_alone: bool,
+    pub knows_serving: u64,
     pub version: u64,
     pub since: Moment,
     pub reply: ReplyTo<ReportAnswer>,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -12,7 +12,7 @@
 use crate::settings::{CutOffChoice, DaemonSettings};
 use crate::store::StoreError;
 use crate::traffic::{
-    FrontHandle, TrafficState, drain_chart, readiness_router, start_front, start_notices,
+    FrontHandle, TrafficState, drain_chart, readiness_router, start_exchange, start_front,
     without_front,
 };
 use crate::upstream::connection_chart;
@@ -123,7 +123,7 @@
     }
     if settings.platform.is_some() && settings.callers.is_some() {
         let socket = tokio::net::UdpSocket::bind(control).await.with_context(|_| bind(control))?;
-        start_notices(Arc::clone(&state), socket, control, Arc::from(key.bearer()));
+        start_exchange(Arc::clone(&state), socket, control, Arc::from(key.bearer()));
     }
     let operators = settings.platform.as_ref().and_then(|platform| platform.operators);
     let (stop, stopped) = oneshot::channel();
--- a/src/daemon/upkeep.rs
+++ b/src/daemon/upkeep.rs
@@ -151,7 +151,7 @@
     let mut was_read = true;
     let mut causes = BTreeSet::new();
     loop {
-        if !state.neighbours.must_read_list(state.clock.now()) {
+        if !state.fleet.must_read_list(state.clock.now()) {
             // What another daemon told may differ from what this one read last.
             last = None;
             tokio::time::sleep(READER_CHECK).await;
@@ -169,13 +169,14 @@
                     info!(state.log, "platform list read again");
                 }
                 was_read = true;
-                state.neighbours.take_reading(&list);
+                state.fleet.take_reading(&list, state.clock.now());
                 if last.as_ref() != Some(&list) {
                     state.apply_platform(list.clone());
                     last = Some(list);
                 }
             }
             Err(fault) => {
+                state.fleet.note_unread_list(state.clock.now());
                 // Once for a row of failures: the list is asked for every second.
                 if was_read {
                     warn!(state.log, "platform list not read"; "fault" => fault.detail);
--- /dev/null
+++ b/src/fleet_state/messages.rs
@@ -0,0 +1,184 @@
+//! What daemons tell each other of their state.
+
+use crate::policy::OthersWork;
+use crate::table::{DaemonName, OrganisationName, ServiceName, UpstreamName};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Stands for an upstream in messages, in four bytes instead of its names. Two of 11,000 upstreams have the same hash in
+/// one fleet of 70; each then counts with the other's work, which costs a worse placement now and then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct UpstreamHash(u32);
+
+impl UpstreamHash {
+    /// The hash of one incarnation of an upstream: what is said of another one of the same name says nothing of it.
+    pub fn of(service: &ServiceName, upstream: &UpstreamName, incarnation: u64) -> Self {
+        let seed = xxh3_64_with_seed(service.as_str().as_bytes(), incarnation);
+        UpstreamHash(xxh3_64_with_seed(upstream.as_str().as_bytes(), seed) as u32)
+    }
+}
+
+/// Stands for an organisation in messages. In a fleet of 3,300 organisations two have the same hash once in 800 fleets; each
+/// would then be charged for both.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct OrganisationHash(u32);
+
+impl OrganisationHash {
+    /// The least hash.
+    pub(super) const LEAST: Self = OrganisationHash(0);
+
+    /// The hash of an organisation's name.
+    pub fn of(organisation: &OrganisationName) -> Self {
+        OrganisationHash(xxh3_64(organisation.as_str().as_bytes()) as u32)
+    }
+}
+
+/// Tokens of one organisation, counted since the source of the row began to count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FlowRow {
+    /// The organisation.
+    pub organisation: OrganisationHash,
+    /// Tokens let through, less those given back.
+    pub taken: i64,
+    /// Tokens asked for, refused ones among them.
+    pub asked: u64,
+    /// Milliseconds until its bucket is full again, as the source estimates.
+    pub refill_ms: u32,
+}
+
+/// Work at one upstream.
+pub type WorkRow = (UpstreamHash, OthersWork);
+
+/// Who sent a message, and which of its messages it is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MessageSource {
+    /// The daemon.
+    pub daemon: DaemonName,
+    /// The number of its start; its counters begin at nought with it.
+    pub boot: u64,
+    /// Rises with each message.
+    pub sequence: u64,
+    /// Where it hears messages.
+    pub address: SocketAddr,
+}
+
+/// A reading of the platform's list, as far as a daemon knows of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListStamp {
+    /// Digest of the list that was read.
+    pub digest: u64,
+    /// Milliseconds since it was read.
+    pub age_ms: u32,
+}
+
+/// Whether this is the last message of a daemon to the one that gets it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Departure {
+    /// It goes on reporting.
+    #[default]
+    Stays,
+    /// It reports to another aggregator from now on.
+    Moved,
+    /// It has drained and lets nothing through any more.
+    Left,
+}
+
+/// What one daemon tells its aggregator, or all others in a small fleet.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MemberReport {
+    /// The daemon.
+    pub source: MessageSource,
+    /// What it let through; rows that have not changed lately may be left out.
+    pub flows: Vec<FlowRow>,
+    /// True if no row is left out but those at nought.
+    pub is_whole: bool,
+    /// All of its requests at upstreams.
+    pub work: Vec<WorkRow>,
+    /// The last reading of the platform's list that agrees with the list it has in force.
+    pub list: Option<ListStamp>,
+    /// False while the platform does not let it read the list.
+    pub can_read_list: bool,
+    /// Whether it goes on reporting.
+    pub departure: Departure,
+}
+
+/// What an aggregator tells the others: the sum of those that report to it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GroupSum {
+    /// The aggregator.
+    pub source: MessageSource,
+    /// The daemons that it covers, by hash of their names.
+    pub members: Vec<u32>,
+    /// Age of the oldest part, in milliseconds.
+    pub age_ms: u32,
+    /// What they let through since the aggregator began to count.
+    pub flows: Vec<FlowRow>,
+    /// Their requests at upstreams.
+    pub work: Vec<WorkRow>,
+    /// The last reading of the platform's list, as in [`MemberReport::list`].
+    pub list: Option<ListStamp>,
+    /// See [`MemberReport::can_read_list`].
+    pub can_read_list: bool,
+    /// True if the aggregator will send no more sums.
+    pub is_leaving: bool,
+}
+
+/// What an aggregator tells the members of its group: the sums of the whole fleet.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FleetSummary {
+    /// The aggregator.
+    pub source: MessageSource,
+    /// Daemons that the sums cover.
+    pub covers: u32,
+    /// Age of the oldest part, in milliseconds.
+    pub age_ms: u32,
+    /// What the fleet let through since the aggregator began to count.
+    pub flows: Vec<FlowRow>,
+    /// All requests of the group at upstreams.
+    pub work: Vec<WorkRow>,
+    /// Some of the requests of other groups; the rest comes with the next summaries.
+    pub away: Vec<WorkRow>,
+    /// The last report of each member that the sums hold, by hash of its name.
+    pub included: Vec<(u32, u64)>,
+    /// The last reading of the platform's list, as in [`MemberReport::list`].
+    pub list: Option<ListStamp>,
+    /// True if the aggregator will send no more summaries.
+    pub is_leaving: bool,
+}
+
+/// Any message between daemons about the fleet's state.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum FleetMessage {
+    /// A member's own state.
+    Report(MemberReport),
+    /// The sum of a group.
+    Sum(GroupSum),
+    /// The sums of the fleet.
+    Summary(FleetSummary),
+}
+
+impl FleetMessage {
+    /// Who sent it.
+    pub fn source(&self) -> &MessageSource {
+        match self {
+            FleetMessage::Report(report) => &report.source,
+            FleetMessage::Sum(sum) => &sum.source,
+            FleetMessage::Summary(summary) => &summary.source,
+        }
+    }
+
+    /// The reading of the platform's list that it names.
+    pub fn list(&self) -> Option<ListStamp> {
+        match self {
+            FleetMessage::Report(report) => report.list,
+            FleetMessage::Sum(sum) => sum.list,
+            FleetMessage::Summary(summary) => summary.list,
+        }
+    }
+}
+
+/// The hash by which messages name a daemon.
+pub fn daemon_hash(daemon: &DaemonName) -> u32 {
+    xxh3_64(daemon.as_str().as_bytes()) as u32
+}
--- /dev/null
+++ b/src/fleet_state/state/mod.rs
@@ -0,0 +1,362 @@
+//! The fleet's state as one daemon keeps it: its role, what it sends, and what it takes.
+
+mod parts;
+mod sending;
+mod taking;
+mod view;
+
+pub use taking::BucketWord;
+pub use view::FleetRole;
+
+use super::messages::daemon_hash;
+use super::{
+    AggregatorChoice, Departure, FleetLayout, FleetMessage, FlowDelta, FlowLedger, FlowRates,
+    FlowRow, ListStamp, MessageSource, OrganisationHash, OwnHistory, RowRotation, WorkRow,
+    WorkTable,
+};
+use crate::policy::Moment;
+use crate::table::DaemonName;
+use parts::{PeerAggregator, Reporter, SummaryView};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The part of each limit that a daemon uses that knows of no other one: as in a small fleet.
+const UNINFORMED_SHARE: f64 = 1.0 / 8.0;
+/// A daemon unheard for this long, or for some pauses, is taken to go on as before with the organisations' limits: it may
+/// be cut off and still serve callers.
+const SILENT_AFTER: Duration = Duration::from_millis(600);
+/// Pauses between messages that a silence is longer than.
+const SILENT_PAUSES: u32 = 4;
+/// What a daemon reported of its work counts for this long, or for some pauses: it may have died, and its requests with it.
+const WORK_LIFE: Duration = Duration::from_millis(1_000);
+/// An aggregator counts as present for this long after its last message.
+const PEER_LIFE: Duration = Duration::from_millis(500);
+/// A silent daemon is forgotten after this long, though the leader may have done so before: a daemon that is cut off from
+/// the voters goes on serving, and looks the same as a dead one. Above the cuts that are usual.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(20);
+/// The leader's list of daemons counts alone for this long; after that, those that are heard count beside it.
+const NAMED_LIFE: Duration = Duration::from_secs(5);
+
+/// Who this daemon is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DaemonIdentity {
+    /// Its name.
+    pub daemon: DaemonName,
+    /// The number of its start.
+    pub boot: u64,
+    /// Where it hears messages.
+    pub address: SocketAddr,
+}
+
+/// What this daemon knows of itself.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct OwnReading {
+    /// Tokens by organisation since its start; organisations at nought may be left out.
+    pub flows: Vec<FlowRow>,
+    /// Its requests at upstreams.
+    pub work: Vec<WorkRow>,
+    /// The last reading of the platform's list that agrees with its own.
+    pub list: Option<ListStamp>,
+    /// False while the platform does not let it read the list.
+    pub can_read_list: bool,
+    /// True once it has drained.
+    pub has_left: bool,
+}
+
+/// A message and where it goes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OutgoingMessage {
+    /// Those who get it.
+    pub to: Vec<SocketAddr>,
+    /// The message.
+    pub message: FleetMessage,
+}
+
+/// The state.
+#[derive(Clone, Debug)]
+pub struct FleetState {
+    identity: DaemonIdentity,
+    sequence: u64,
+    /// The leader's list of daemons that serve callers, and when it was given; none before the first.
+    named: Option<(Vec<SocketAddr>, Moment)>,
+    /// Addresses that messages came from.
+    heard: BTreeMap<SocketAddr, Moment>,
+    layout: FleetLayout,
+    choice: AggregatorChoice,
+    /// Daemons that report to this one.
+    members: FlowLedger,
+    reporters: BTreeMap<DaemonName, Reporter>,
+    /// The other aggregators.
+    peers: FlowLedger,
+    aggregators: BTreeMap<DaemonName, PeerAggregator>,
+    /// The aggregator that this daemon reports to, and what it says.
+    upward: FlowLedger,
+    summary: Option<SummaryView>,
+    away: WorkTable,
+    history: OwnHistory,
+    own: OwnReading,
+    group_flows: BTreeMap<OrganisationHash, (i64, u64)>,
+    fleet_flows: BTreeMap<OrganisationHash, (i64, u64)>,
+    taken_rates: FlowRates,
+    asked_rates: FlowRates,
+    own_rates: FlowRates,
+    report_rows: RowRotation,
+    group_rows: RowRotation,
+    fleet_rows: RowRotation,
+    /// Tokens of others that have not been charged yet.
+    charges: BTreeMap<OrganisationHash, i64>,
+}
+
+impl FleetState {
+    /// The state of a daemon that knows of no others.
+    pub fn new(identity: DaemonIdentity) -> Self {
+        let layout = FleetLayout::new(vec![identity.address]);
+        FleetState {
+            identity,
+            sequence: 0,
+            named: None,
+            heard: BTreeMap::new(),
+            layout,
+            choice: AggregatorChoice::default(),
+            members: FlowLedger::default(),
+            reporters: BTreeMap::new(),
+            peers: FlowLedger::default(),
+            aggregators: BTreeMap::new(),
+            upward: FlowLedger::default(),
+            summary: None,
+            away: WorkTable::default(),
+            history: OwnHistory::default(),
+            own: OwnReading::default(),
+            group_flows: BTreeMap::new(),
+            fleet_flows: BTreeMap::new(),
+            taken_rates: FlowRates::default(),
+            asked_rates: FlowRates::default(),
+            own_rates: FlowRates::default(),
+            report_rows: RowRotation::default(),
+            group_rows: RowRotation::default(),
+            fleet_rows: RowRotation::default(),
+            charges: BTreeMap::new(),
+        }
+    }
+
+    /// The number of this daemon's start.
+    pub fn boot(&self) -> u64 {
+        self.identity.boot
+    }
+
+    /// Takes the leader's list of daemons that serve callers.
+    pub fn set_named(&mut self, named: Vec<SocketAddr>, now: Moment) {
+        self.named = Some((named, now));
+        self.refresh_layout(now);
+    }
+
+    /// The leader's list is still the same.
+    pub fn confirm_named(&mut self, now: Moment) {
+        if let Some((_, at)) = &mut self.named {
+            *at = now;
+        }
+    }
+
+    /// Where time has passed: learns what this daemon did, and gives the messages to send. `limits` are the rates that
+    /// the organisations' limits let through, in tokens a second.
+    pub fn tick(
+        &mut self,
+        own: OwnReading,
+        limits: &[(OrganisationHash, f64)],
+        now: Moment,
+    ) -> Vec<OutgoingMessage> {
+        self.sequence += 1;
+        self.refresh_layout(now);
+        self.learn_own(&own.flows, now);
+        self.own = own;
+        let mut outgoing = Vec::new();
+        if self.is_mesh(now) {
+            self.report_to_all(&mut outgoing);
+        } else {
+            self.report_upward(now, &mut outgoing);
+        }
+        if self.acts(now) {
+            self.send_sums(now, &mut outgoing);
+        }
+        self.assume_silent(limits, now);
+        self.forget(now);
+        outgoing
+    }
+
+    /// Tokens that others let through and that have not been charged yet.
+    pub fn drain_charges(&mut self) -> Vec<(OrganisationHash, i64)> {
+        std::mem::take(&mut self.charges).into_iter().filter(|(_, tokens)| *tokens != 0).collect()
+    }
+
+    fn source(&self) -> MessageSource {
+        let DaemonIdentity { daemon, boot, address } = self.identity.clone();
+        MessageSource { daemon, boot, sequence: self.sequence, address }
+    }
+
+    fn own_hash(&self) -> u32 {
+        daemon_hash(&self.identity.daemon)
+    }
+
+    fn refresh_layout(&mut self, now: Moment) {
+        let is_fresh = |at: &Moment| now.since(*at) < NAMED_LIFE;
+        let named = self.named.as_ref().map_or(&[][..], |(named, _)| named.as_slice());
+        let trusts_leader = self.named.as_ref().is_some_and(|(_, at)| is_fresh(at));
+        let heard = self.heard.keys().filter(|_| !trusts_leader);
+        let own = [self.identity.address];
+        let addresses: Vec<SocketAddr> = named.iter().chain(heard).chain(&own).copied().collect();
+        let layout = FleetLayout::new(addresses);
+        if layout != self.layout {
+            self.layout = layout;
+        }
+    }
+
+    fn learn_own(&mut self, flows: &[FlowRow], now: Moment) {
+        let before: BTreeMap<OrganisationHash, (i64, u64)> =
+            self.own.flows.iter().map(|row| (row.organisation, (row.taken, row.asked))).collect();
+        let is_mesh = self.is_mesh(now);
+        for row in flows {
+            let (taken, asked) = before.get(&row.organisation).copied().unwrap_or_default();
+            let (taken, asked) = (row.taken - taken, row.asked.saturating_sub(asked));
+            if taken == 0 && asked == 0 {
+                continue;
+            }
+            self.own_rates.add(row.organisation, taken, now);
+            if is_mesh {
+                self.taken_rates.add(row.organisation, taken, now);
+                self.asked_rates.add(row.organisation, asked as i64, now);
+            }
+        }
+    }
+
+    /// True if this daemon learns of the fleet from the daemons themselves, not from an aggregator.
+    fn counts_itself(&self, now: Moment) -> bool {
+        self.is_mesh(now) || self.choice.chosen() == Some(self.identity.address)
+    }
+
+    /// True if the fleet needs no aggregators, as far as this daemon knows.
+    fn is_mesh(&self, now: Moment) -> bool {
+        let hears_summaries =
+            self.summary.as_ref().is_some_and(|summary| now.since(summary.heard) < WORK_LIFE);
+        self.layout.is_mesh() && !hears_summaries
+    }
+
+    /// True if this daemon aggregates: for its group, or for whoever reports to it.
+    fn acts(&self, now: Moment) -> bool {
+        if self.is_mesh(now) {
+            return false;
+        }
+        let is_fresh = |reporter: &Reporter| now.since(reporter.heard) < PEER_LIFE;
+        self.choice.chosen() == Some(self.identity.address) || self.reporters.values().any(is_fresh)
+    }
+
+    /// Counts tokens into the sums. `is_member`: of a daemon that reports here; `is_own`: of this daemon.
+    fn count(&mut self, deltas: &[FlowDelta], (is_member, is_own): (bool, bool), now: Moment) {
+        let counts_itself = self.counts_itself(now);
+        for delta in deltas {
+            let add = |sums: &mut BTreeMap<OrganisationHash, (i64, u64)>| {
+                let sum = sums.entry(delta.organisation).or_default();
+                sum.0 += delta.taken;
+                sum.1 += delta.asked;
+            };
+            if is_member {
+                add(&mut self.group_flows);
+            }
+            add(&mut self.fleet_flows);
+            if counts_itself {
+                self.taken_rates.add(delta.organisation, delta.taken, now);
+                self.asked_rates.add(delta.organisation, delta.asked as i64, now);
+            }
+            if counts_itself && !is_own {
+                *self.charges.entry(delta.organisation).or_default() += delta.taken;
+            }
+        }
+    }
+
+    fn silent_after(&self) -> Duration {
+        SILENT_AFTER.max(self.layout.pause() * SILENT_PAUSES)
+    }
+
+    /// Accounts for daemons that are silent.
+    fn assume_silent(&mut self, limits: &[(OrganisationHash, f64)], now: Moment) {
+        let after = self.silent_after();
+        let equal = 1.0 / self.layout.addresses().len().max(1) as f64;
+        let members = self.members.assume_silent(limits, &self.taken_rates, (equal, after), now);
+        self.count(&members, (true, false), now);
+        self.drop_replaced(now);
+        let group = 1.0 / self.layout.groups() as f64;
+        let peers = self.peers.assume_silent(limits, &self.taken_rates, (group, after), now);
+        self.count(&peers, (false, false), now);
+        self.assume_upward(limits, now);
+    }
+
+    /// The same for the aggregator that this daemon reports to, or reported to until it was given up: it speaks for all
+    /// others, until another view of them is there.
+    fn assume_upward(&mut self, limits: &[(OrganisationHash, f64)], now: Moment) {
+        let is_replaced = self.counts_itself(now)
+            && self.aggregators.values().any(|peer| now.since(peer.heard) < PEER_LIFE);
+        if is_replaced {
+            self.upward = FlowLedger::default();
+        }
+        let address = self.summary.as_ref().map(|summary| summary.address);
+        let is_given_up = address.is_some() && self.choice.chosen() != address;
+        let after = if is_given_up { Duration::ZERO } else { self.silent_after() };
+        let rest = 1.0 - 1.0 / self.layout.addresses().len().max(1) as f64;
+        let deltas = self.upward.assume_silent(limits, &self.taken_rates, (rest, after), now);
+        for delta in deltas {
+            *self.charges.entry(delta.organisation).or_default() += delta.taken;
+        }
+    }
+
+    /// Drops silent sources whose daemons another one covers by now.
+    fn drop_replaced(&mut self, now: Moment) {
+        let is_fresh = |heard: Moment| now.since(heard) < PEER_LIFE;
+        let live = self.aggregators.values().filter(|peer| is_fresh(peer.heard));
+        let covered: std::collections::BTreeSet<u32> =
+            live.flat_map(|peer| peer.members.iter().copied()).collect();
+        let moved = self
+            .reporters
+            .iter()
+            .filter(|(_, reporter)| !is_fresh(reporter.heard) && covered.contains(&reporter.hash));
+        let moved: Vec<DaemonName> = moved.map(|(daemon, _)| daemon.clone()).collect();
+        moved.iter().for_each(|daemon| self.remove_member(daemon));
+        let own: Vec<u32> = self.reporters.values().map(|reporter| reporter.hash).collect();
+        let replaced = self.aggregators.iter().filter(|(_, peer)| {
+            let is_covered = |hash: &u32| covered.contains(hash) || own.contains(hash);
+            !is_fresh(peer.heard) && peer.members.iter().any(is_covered)
+        });
+        let replaced: Vec<DaemonName> = replaced.map(|(daemon, _)| daemon.clone()).collect();
+        replaced.iter().for_each(|daemon| self.remove_peer(daemon));
+    }
+
+    fn remove_member(&mut self, daemon: &DaemonName) {
+        self.members.remove(daemon);
+        self.reporters.remove(daemon);
+    }
+
+    fn remove_peer(&mut self, daemon: &DaemonName) {
+        self.peers.remove(daemon);
+        self.aggregators.remove(daemon);
+    }
+
+    fn forget(&mut self, now: Moment) {
+        let is_known = |heard: Moment| now.since(heard) < FORGOTTEN_AFTER;
+        let layout = &self.layout;
+        let is_named = |address: SocketAddr| layout.addresses().binary_search(&address).is_ok();
+        self.heard.retain(|_, at| is_known(*at));
+        self.reporters.retain(|_, member| is_known(member.heard) || is_named(member.address));
+        let reporters = &self.reporters;
+        let own = &self.identity.daemon;
+        self.members.retain(|daemon, _| daemon == own || reporters.contains_key(daemon));
+        self.aggregators.retain(|_, peer| is_known(peer.heard));
+        let aggregators = &self.aggregators;
+        self.peers.retain(|daemon, _| aggregators.contains_key(daemon));
+        self.upward.retain(|_, heard| is_known(heard));
+        self.away.forget(now);
+    }
+}
+
+/// What a departure says beside [`Departure::Stays`].
+fn departure(own: &OwnReading) -> Departure {
+    if own.has_left { Departure::Left } else { Departure::Stays }
+}
--- /dev/null
+++ b/src/fleet_state/state/taking.rs
@@ -0,0 +1,151 @@
+//! What a daemon takes of the others' messages.
+
+use super::{DaemonIdentity, FleetState, PeerAggregator, Reporter, SummaryView};
+use crate::fleet_state::messages::daemon_hash;
+use crate::fleet_state::{
+    Departure, FleetMessage, FleetSummary, FlowRow, GroupSum, MemberReport, MessageSource,
+    SourceStamp,
+};
+use crate::policy::Moment;
+use std::time::Duration;
+
+/// What a message says of the organisations' buckets.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct BucketWord {
+    /// Rows with the sender's estimates.
+    pub rows: Vec<FlowRow>,
+    /// Daemons that say so to this one.
+    pub tellers: usize,
+}
+
+impl FleetState {
+    /// Takes a message of another daemon. Returns what it says of the organisations' buckets, which are kept level.
+    pub fn take(&mut self, message: FleetMessage, now: Moment) -> BucketWord {
+        let source = message.source();
+        if source.daemon == self.identity.daemon {
+            return BucketWord::default();
+        }
+        self.heard.insert(source.address, now);
+        match message {
+            FleetMessage::Report(report) => {
+                let rows = report.flows.clone();
+                let is_new = self.take_report(report, now);
+                let tellers = self.reporters.len();
+                // Members of a group are levelled by their aggregator, which hears the other groups too.
+                BucketWord::new(rows, tellers, is_new && self.is_mesh(now))
+            }
+            FleetMessage::Sum(sum) => {
+                let rows = sum.flows.clone();
+                let is_new = self.take_sum(sum, now);
+                let tellers = self.aggregators.len();
+                BucketWord::new(rows, tellers, is_new && self.counts_itself(now))
+            }
+            FleetMessage::Summary(summary) => {
+                let rows = summary.flows.clone();
+                let is_new = self.take_summary(summary, now);
+                BucketWord::new(rows, 1, is_new)
+            }
+        }
+    }
+
+    /// Takes a report, which may be this daemon's own. False if it was overtaken.
+    pub(super) fn take_report(&mut self, report: MemberReport, now: Moment) -> bool {
+        let MemberReport { source, flows, is_whole, work, can_read_list, departure, .. } = report;
+        let MessageSource { daemon, address, .. } = &source;
+        if departure != Departure::Stays && self.members.stamp(daemon).is_none() {
+            return false;
+        }
+        let rows = (flows.as_slice(), is_whole);
+        let Some(deltas) = self.members.take(daemon, stamp(&source), rows, now) else {
+            return false;
+        };
+        let DaemonIdentity { daemon: own, .. } = &self.identity;
+        let is_own = daemon == own;
+        self.count(&deltas, (true, is_own), now);
+        if departure != Departure::Stays {
+            self.remove_member(daemon);
+            self.heard.remove(address);
+            return true;
+        }
+        self.away.learn_speeds(&work, now);
+        let (hash, address) = (daemon_hash(daemon), *address);
+        let reporter = Reporter { address, hash, work, heard: now, can_read_list };
+        self.reporters.insert(daemon.clone(), reporter);
+        true
+    }
+
+    fn take_sum(&mut self, sum: GroupSum, now: Moment) -> bool {
+        let MessageSource { daemon, address, .. } = &sum.source;
+        let rows = (sum.flows.as_slice(), false);
+        let Some(deltas) = self.peers.take(daemon, stamp(&sum.source), rows, now) else {
+            return false;
+        };
+        self.count(&deltas, (false, false), now);
+        if sum.is_leaving {
+            self.remove_peer(daemon);
+            return true;
+        }
+        self.away.take(&sum.work, now);
+        let peer = PeerAggregator {
+            address: *address,
+            members: sum.members,
+            work: sum.work,
+            heard: now,
+            age: Duration::from_millis(u64::from(sum.age_ms)),
+            can_read_list: sum.can_read_list,
+        };
+        self.aggregators.insert(daemon.clone(), peer);
+        true
+    }
+
+    fn take_summary(&mut self, summary: FleetSummary, now: Moment) -> bool {
+        let address = summary.source.address;
+        if summary.is_leaving {
+            self.choice.give_up(address, now);
+            return false;
+        }
+        self.choice.hear(address, now);
+        let is_first = self.choice.chosen().is_none();
+        if !is_first && self.choice.chosen() != Some(address) {
+            return false;
+        }
+        let daemon = &summary.source.daemon;
+        let rows = (summary.flows.as_slice(), false);
+        let Some(deltas) = self.upward.take(daemon, stamp(&summary.source), rows, now) else {
+            return false;
+        };
+        // What was assumed of the one before ends here.
+        self.upward.retain(|source, _| source == daemon);
+        for delta in deltas {
+            self.taken_rates.add(delta.organisation, delta.taken, now);
+            self.asked_rates.add(delta.organisation, delta.asked as i64, now);
+            *self.charges.entry(delta.organisation).or_default() += delta.taken;
+        }
+        let own = self.own_hash();
+        let included = summary.included.iter().find(|(hash, _)| *hash == own);
+        let own = included.map_or_else(Vec::new, |(_, sequence)| self.history.include(*sequence));
+        for delta in own {
+            *self.charges.entry(delta.organisation).or_default() -= delta.taken;
+        }
+        self.away.take(&summary.away, now);
+        self.away.learn_speeds(&summary.work, now);
+        self.summary = Some(SummaryView {
+            address,
+            covers: summary.covers,
+            age: Duration::from_millis(u64::from(summary.age_ms)),
+            heard: now,
+            work: summary.work,
+        });
+        true
+    }
+}
+
+impl BucketWord {
+    fn new(rows: Vec<FlowRow>, tellers: usize, counts: bool) -> Self {
+        if counts { BucketWord { rows, tellers } } else { BucketWord::default() }
+    }
+}
+
+fn stamp(source: &MessageSource) -> SourceStamp {
+    SourceStamp { boot: source.boot, sequence: source.sequence }
+}
--- /dev/null
+++ b/src/fleet_state/state/view.rs
@@ -0,0 +1,187 @@
+//! What a daemon knows of the fleet, as traffic asks for it.
+
+use super::{FleetState, PEER_LIFE, UNINFORMED_SHARE};
+use crate::fleet_state::work_tables::{add_hints, add_work, subtract_work};
+use crate::fleet_state::{OrganisationHash, UpstreamHash};
+use crate::policy::{FleetGroup, LimitForecast, Moment, OthersWork};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Messages that pass until the others know what this daemon does now: its report, its group's sum, their summaries.
+const STEPS: u32 = 3;
+
+/// What a daemon does for the fleet's state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FleetRole {
+    /// The fleet is small; all report to all.
+    Mesh,
+    /// It reports to the aggregator at this address.
+    Member(SocketAddr),
+    /// It aggregates for its group.
+    Aggregator,
+}
+
+impl FleetState {
+    /// Its role.
+    pub fn role(&self, now: Moment) -> FleetRole {
+        let own = self.identity.address;
+        match self.choice.chosen() {
+            _ if self.is_mesh(now) => FleetRole::Mesh,
+            Some(address) if address != own => FleetRole::Member(address),
+            _ => FleetRole::Aggregator,
+        }
+    }
+
+    /// The group of this daemon.
+    pub fn group(&self) -> FleetGroup {
+        self.layout.group_of(self.identity.address)
+    }
+
+    /// All daemons that serve callers, as far as is known, this one among them.
+    pub fn addresses(&self) -> &[SocketAddr] {
+        self.layout.addresses()
+    }
+
+    /// Time between two messages.
+    pub fn pause(&self) -> Duration {
+        self.layout.pause()
+    }
+
+    /// The part of the organisations' limits that this daemon may use: the whole, which all daemons charge, once it
+    /// knows of the others. What goes wrong without it: after a restart of the whole fleet there is no leader for a
+    /// second, nobody knows of anybody, and each daemon lets the whole limit through. One would notice by limits
+    /// exceeded in the first seconds.
+    pub fn limit_share(&self) -> f64 {
+        let is_informed = self.is_informed() || !self.heard.is_empty();
+        if is_informed { 1.0 } else { UNINFORMED_SHARE }
+    }
+
+    /// True once the leader has said who serves callers.
+    pub fn is_informed(&self) -> bool {
+        self.named.as_ref().is_some_and(|(named, _)| !named.is_empty())
+    }
+
+    /// Daemons that the sums cover, this one among them.
+    pub fn coverage(&self, now: Moment) -> usize {
+        let life = self.silent_after();
+        let is_fresh = |heard: Moment| now.since(heard) < life;
+        if !self.counts_itself(now) {
+            let fresh = self.summary.as_ref().filter(|summary| is_fresh(summary.heard));
+            return fresh.map_or(1, |summary| summary.covers as usize);
+        }
+        let own = &self.identity.daemon;
+        let others = self.reporters.iter().filter(|(daemon, _)| *daemon != own);
+        let members = others.filter(|(_, member)| is_fresh(member.heard)).count();
+        let peers = self.aggregators.values().filter(|peer| is_fresh(peer.heard));
+        1 + members + peers.map(|peer| peer.members.len()).sum::<usize>()
+    }
+
+    /// Age of the oldest part of the fleet's sums, silent daemons left out.
+    pub fn sums_age(&self, now: Moment) -> Duration {
+        if !self.counts_itself(now) {
+            return self.summary.as_ref().map_or(Duration::ZERO, |summary| {
+                (now.since(summary.heard) + summary.age).min(self.silent_after())
+            });
+        }
+        let life = self.silent_after();
+        let live = self.aggregators.values().filter(|peer| now.since(peer.heard) < life);
+        let peers = live.map(|peer| now.since(peer.heard) + peer.age).max();
+        peers.unwrap_or_default().max(self.members_age(now))
+    }
+
+    pub(super) fn members_age(&self, now: Moment) -> Duration {
+        let life = self.silent_after();
+        let ages = self.reporters.values().map(|member| now.since(member.heard));
+        ages.filter(|age| *age < life).max().unwrap_or_default()
+    }
+
+    /// What is known of the others that share an organisation's limit.
+    pub fn forecast(&self, organisation: OrganisationHash, now: Moment) -> LimitForecast {
+        let taken = self.taken_rates.rate(organisation, now);
+        let own = self.own_rates.rate(organisation, now);
+        // Parts are of any age from nought to that of the oldest.
+        let age = self.sums_age(now) / 2;
+        let steps = if self.is_mesh(now) { 1 } else { STEPS };
+        LimitForecast {
+            others_taken: (taken - own).max(0.0),
+            fleet_asked: self.asked_rates.rate(organisation, now),
+            counted_until: Moment(now.0.saturating_sub(age.as_micros() as u64)),
+            horizon: self.pause() * steps,
+        }
+    }
+
+    /// True if this daemon is the one that reads the platform's list: the aggregator with the lowest address among those that
+    /// are present and can read it, or the daemon with the lowest one in a small fleet. Where parts of the fleet do not
+    /// hear each other, each has one; when the reader falls silent, the next one in order follows.
+    pub fn is_reader(&self, now: Moment) -> bool {
+        if !self.counts_itself(now) {
+            return false;
+        }
+        let own = (!self.own.can_read_list, self.identity.address);
+        let life = PEER_LIFE.max(self.layout.pause() * super::SILENT_PAUSES);
+        let is_fresh = |heard: Moment| now.since(heard) < life;
+        let members = self.reporters.values().filter(|_| self.is_mesh(now));
+        let members = members.map(|member| (member.heard, member.can_read_list, member.address));
+        let peers = self.aggregators.values();
+        let peers = peers.map(|peer| (peer.heard, peer.can_read_list, peer.address));
+        let others = members.chain(peers).filter(|(heard, ..)| is_fresh(*heard));
+        others.map(|(_, can_read, address)| (!can_read, address)).all(|other| own <= other)
+    }
+
+    /// Where a change of the list goes: from the reader to the aggregators, and from those to their groups.
+    pub fn list_receivers(&self, now: Moment) -> Vec<SocketAddr> {
+        let own = self.identity.address;
+        let is_fresh = |heard: Moment| now.since(heard) < FORWARD_LIFE;
+        let group = self.layout.members(self.group().index);
+        let reads = self.is_reader(now);
+        let peers = self.aggregators.values().filter(|peer| reads && is_fresh(peer.heard));
+        let reporters = self.reporters.values().map(|reporter| reporter.address);
+        let mut addresses: Vec<SocketAddr> =
+            group.iter().copied().chain(reporters).chain(peers.map(|peer| peer.address)).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses.retain(|address| *address != own);
+        addresses
+    }
+
+    /// True if this daemon passes changes of the list on to its group.
+    pub fn passes_on(&self, now: Moment) -> bool {
+        self.role(now) == FleetRole::Aggregator
+    }
+
+    /// Somebody who may know the list: the aggregator, or else the daemon at `draw` (0.0..1.0) of all.
+    pub fn list_source(&self, draw: f64, now: Moment) -> Option<SocketAddr> {
+        if let FleetRole::Member(address) = self.role(now) {
+            return Some(address);
+        }
+        let own = self.identity.address;
+        let others = self.layout.addresses().iter().filter(|address| **address != own);
+        let others: Vec<SocketAddr> = others.copied().collect();
+        others.get((draw * others.len() as f64) as usize).copied()
+    }
+
+    /// The requests of all others at each upstream, and its speed as one of them measured it last. Only what those of
+    /// this daemon's group have there is known well enough to take up places.
+    pub fn others(&self, now: Moment) -> BTreeMap<UpstreamHash, OthersWork> {
+        let mut sums = BTreeMap::new();
+        if self.counts_itself(now) {
+            let life = self.work_life();
+            let own = &self.identity.daemon;
+            let others = self.reporters.iter().filter(|(daemon, _)| *daemon != own);
+            let fresh = others.filter(|(_, member)| now.since(member.heard) < life);
+            fresh.for_each(|(_, member)| add_work(&mut sums, &member.work));
+        } else if let Some(summary) = &self.summary {
+            add_work(&mut sums, &summary.work);
+            subtract_work(&mut sums, self.history.included_work());
+        }
+        if !self.is_mesh(now) {
+            add_hints(&mut sums, self.away.rows());
+        }
+        self.away.add_speeds(&mut sums);
+        sums
+    }
+}
+
+/// Aggregators heard within this time get changes of the list.
+const FORWARD_LIFE: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/src/fleet_state/work_tables.rs
@@ -0,0 +1,101 @@
+//! Requests of the others at upstreams, as far as they are known.
+
+use super::{UpstreamHash, WorkRow};
+use crate::policy::{Moment, OthersWork};
+use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::time::Duration;
+
+/// A row of another group counts for this long. All rows come in turn within half of it at 11,000 upstreams in use by
+/// 460 daemons' groups, and a request seldom runs longer than some seconds.
+const AWAY_LIFE: Duration = Duration::from_millis(1_500);
+/// What was learned of an upstream's speed counts for this long; upstreams come and go.
+const SPEED_LIFE: Duration = Duration::from_secs(60);
+/// Rows of other groups in one message, at most: near 500 bytes.
+const AWAY_ROWS: usize = 40;
+
+/// Adds rows to sums by upstream.
+pub fn add_work(sums: &mut BTreeMap<UpstreamHash, OthersWork>, rows: &[WorkRow]) {
+    for (upstream, work) in rows {
+        let sum = sums.entry(*upstream).or_default();
+        sum.requests += work.requests;
+        sum.unread_tokens += work.unread_tokens;
+        sum.is_down |= work.is_down;
+        sum.gap_micros = if work.gap_micros > 0 { work.gap_micros } else { sum.gap_micros };
+    }
+}
+
+/// Takes a part of sums away again.
+pub fn subtract_work(sums: &mut BTreeMap<UpstreamHash, OthersWork>, rows: &[WorkRow]) {
+    for (upstream, work) in rows {
+        let Some(sum) = sums.get_mut(upstream) else { continue };
+        sum.requests = sum.requests.saturating_sub(work.requests);
+        sum.unread_tokens = sum.unread_tokens.saturating_sub(work.unread_tokens);
+    }
+}
+
+/// Adds rows as hints: they are of other groups, so old, and take up no places.
+pub fn add_hints<'a>(
+    sums: &mut BTreeMap<UpstreamHash, OthersWork>,
+    rows: impl IntoIterator<Item = (&'a UpstreamHash, &'a OthersWork)>,
+) {
+    for (upstream, work) in rows {
+        let sum = sums.entry(*upstream).or_default();
+        sum.hinted += work.requests;
+        sum.unread_tokens += work.unread_tokens;
+    }
+}
+
+/// Rows of other groups that come a few at a time, and how fast upstreams are.
+#[derive(Clone, Debug, Default)]
+pub struct WorkTable {
+    rows: BTreeMap<UpstreamHash, (OthersWork, Moment)>,
+    speeds: BTreeMap<UpstreamHash, (u32, Moment)>,
+    /// The last row that was sent on.
+    last: Option<UpstreamHash>,
+}
+
+impl WorkTable {
+    /// Takes rows of other groups.
+    pub fn take(&mut self, rows: &[WorkRow], now: Moment) {
+        self.rows.extend(rows.iter().map(|(upstream, work)| (*upstream, (*work, now))));
+        self.learn_speeds(rows, now);
+    }
+
+    /// Learns speeds alone.
+    pub fn learn_speeds(&mut self, rows: &[WorkRow], now: Moment) {
+        let told = rows.iter().filter(|(_, work)| work.gap_micros > 0);
+        self.speeds.extend(told.map(|(upstream, work)| (*upstream, (work.gap_micros, now))));
+    }
+
+    /// Forgets what is too old.
+    pub fn forget(&mut self, now: Moment) {
+        self.rows.retain(|_, (_, at)| now.since(*at) < AWAY_LIFE);
+        self.speeds.retain(|_, (_, at)| now.since(*at) < SPEED_LIFE);
+    }
+
+    /// The rows that count.
+    pub fn rows(&self) -> impl Iterator<Item = (&UpstreamHash, &OthersWork)> {
+        self.rows.iter().map(|(upstream, (work, _))| (upstream, work))
+    }
+
+    /// Puts the speeds that are known into sums.
+    pub fn add_speeds(&self, sums: &mut BTreeMap<UpstreamHash, OthersWork>) {
+        for (upstream, (gap_micros, _)) in &self.speeds {
+            sums.entry(*upstream).or_default().gap_micros = *gap_micros;
+        }
+    }
+
+    /// Some of `sums`, in turn, with the speeds that are known.
+    pub fn next_rows(&mut self, sums: &BTreeMap<UpstreamHash, OthersWork>) -> Vec<WorkRow> {
+        let start = self.last.map_or(Bound::Unbounded, Bound::Excluded);
+        let later = sums.range((start, Bound::Unbounded));
+        let chosen: Vec<WorkRow> = later
+            .chain(sums.iter())
+            .take(AWAY_ROWS.min(sums.len()))
+            .map(|(k, v)| (*k, *v))
+            .collect();
+        self.last = chosen.last().map(|(upstream, _)| *upstream);
+        chosen
+    }
+}
--- a/src/policy/earliest.rs
+++ b/src/policy/earliest.rs
@@ -24,7 +24,7 @@
 /// it: a long prompt on an engine four times slower than the rest makes every stream there late (measured: 28 % of the
 /// streams on such engines, none on the others).
 const STALL_PRICE: f64 = 1.0;
-/// An upstream of another cell counts as this many times slower: it is likely to be busy with that cell's work, and a
+/// An upstream of another group counts as this many times slower: it is likely to be busy with that group's work, and a
 /// new connection has its price. Less than the slowest engines of one's own, four times slower than the rest.
 const AWAY_PRICE: f64 = 2.0;
 /// Upstreams that are compared for one request; of more, as many are drawn at random. Keeps the cost of a placement
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -9,9 +9,9 @@
 mod estimate;
 mod exchange;
 mod first_event;
+mod fleet_group;
 mod learned_limit;
 mod mechanism;
-mod neighbour_book;
 mod organisation_limits;
 mod placement;
 mod queue;
@@ -31,10 +31,12 @@
 pub use estimate::{CostEstimate, CostModel, EngineSpeed, RequestSizes};
 pub use exchange::{Exchange, ExchangeAction, ExchangeEvent, RequestState, request_chart};
 pub use first_event::FirstEventModel;
+pub use fleet_group::FleetGroup;
 pub use learned_limit::LearnedLimit;
 pub use mechanism::{Mechanism, MechanismSet};
-pub use neighbour_book::{CellNotice, FleetCell, NeighbourBook, UpstreamMark, WorkNotice};
-pub use organisation_limits::{LateWord, LimitBook, LimitClaim, LimitTolerance, OrganisationLimit};
+pub use organisation_limits::{
+    LimitBook, LimitClaim, LimitForecast, LimitTolerance, OrganisationLimit,
+};
 pub use placement::{
     AffinityPlacement, LeastReported, PlaceFit, PlacementPolicy, PlacementQuery, RoundRobin,
     placement_policy, prefix_hashes,
--- a/src/policy/organisation_limits.rs
+++ b/src/policy/organisation_limits.rs
@@ -9,11 +9,11 @@
 use std::time::Duration;
 
 const MICROS: f64 = 1_000_000.0;
-/// The part of the difference by which a bucket moves towards another daemon's with each notice: with 6 daemons and
-/// 10 notices a second each, buckets are level again within a second, while what is on its way weighs little.
-const LEVEL_STEP: f64 = 0.03;
-/// As many daemons move a bucket by [`LEVEL_STEP`] each; more of them by less.
-const LEVEL_TELLERS: f64 = 6.0;
+/// The part of the difference by which a bucket moves towards the others' with a round of messages, all tellers together:
+/// with 10 rounds a second, buckets are level again within a second, while what is on its way weighs little.
+const LEVEL_STEP: f64 = 0.18;
+/// The part by which it moves towards one teller's at most.
+const MOST_LEVEL_STEP: f64 = 0.1;
 /// Differences between buckets up to this are not made level, in microseconds.
 const LEVEL_GAP: f64 = 0.3 * MICROS;
 /// The part of a bucket that is left to higher ranks, by rank.
@@ -26,11 +26,9 @@
 /// next to nothing of a limit of 65,000.
 const SMALL_PART: f64 = 0.01;
 /// A bucket is never charged further below empty than this, in microseconds until it is empty again.
-const MOST_DEBT: f64 = 1.5 * MICROS;
+const MOST_DEBT: f64 = 2.0 * MICROS;
 /// A process that has not run for this long stood still: it is told to run each 100 ms.
 const PAUSED_AFTER: Duration = Duration::from_millis(700);
-/// The same in a fleet whose word comes late: what all have let through in one round is more than that.
-const MOST_LATE_DEBT: f64 = 4.0 * MICROS;
 /// Seconds' worth of tokens that may be used at once where the table names no burst.
 const DEFAULT_BURST_SECONDS: f64 = 10.0;
 
@@ -52,32 +50,77 @@
     in_progress: u32,
     /// Tokens let through here since the start, less those given back.
     taken: i64,
-    /// Tokens let through here in this round of notices.
-    recent: u64,
-    /// What is known of the others, whose word comes late.
-    late: LateWord,
+    /// Tokens asked for here since the start.
+    asked: u64,
+    /// What is known of the others.
+    forecast: LimitForecast,
+    pace: AdmissionPace,
+    /// True once the pace has begun.
+    is_paced: bool,
 }
 
-/// What a daemon knows of the others that share an organisation's limit, where their word comes late.
+/// What is known of the others that share an organisation's limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct LateWord {
-    /// All of them.
-    pub others: usize,
-    /// Those that have let requests of the organisation through lately.
-    pub active: usize,
-    /// Tokens that this daemon usually lets through in a round of notices.
-    pub usual: f64,
+pub struct LimitForecast {
+    /// Tokens a second that the others let through.
+    pub others_taken: f64,
+    /// Tokens a second that the whole fleet is asked for.
+    pub fleet_asked: f64,
+    /// The time up to which the others have been counted, in the mean.
+    pub counted_until: Moment,
+    /// Time until the others know what this daemon does now.
+    pub horizon: Duration,
 }
 
-/// A round with more than this many times the usual is a surge, which all daemons may see.
-const SURGE: f64 = 2.0;
+impl LimitForecast {
+    /// Tokens that the others have let through since they were counted.
+    fn unknown(&self, now: Moment) -> f64 {
+        self.others_taken * now.since(self.counted_until).min(LONGEST_FORECAST).as_secs_f64()
+    }
+
+    /// Tokens that the fleet is asked for until all know of what is let through now.
+    fn contended(&self) -> f64 {
+        self.fleet_asked * self.horizon.as_secs_f64()
+    }
+}
+
+/// What others do is foreseen for this long; after that, silent ones are accounted for by what is assumed of them.
+const LONGEST_FORECAST: Duration = Duration::from_millis(600);
+
+/// Lets a part of the tokens asked for through, evenly over the requests: each adds its part, and passes once that makes
+/// up a whole one. Daemons begin at different points, or the first requests of all would fare alike.
+#[derive(Clone, Copy, Debug, Default)]
+struct AdmissionPace {
+    credit: f64,
+}
+
+impl AdmissionPace {
+    fn passes(&mut self, cost: f64, part: f64) -> bool {
+        self.credit += cost * part;
+        let passes = self.credit >= cost;
+        self.credit -= if passes { cost } else { 0.0 };
+        // What a large request leaves over must not let many small ones through at once.
+        self.credit = self.credit.min(cost.max(1.0) * MOST_CREDIT);
+        passes
+    }
+}
+
+/// Credit that is kept, in requests of the last one's size.
+const MOST_CREDIT: f64 = 2.0;
 
 impl LimitState {
-    /// Tokens that others may have let through and not yet told, if they do as this daemon does.
-    fn untold(&self) -> f64 {
-        let recent = self.recent as f64;
-        let surge = (recent - SURGE * self.late.usual).max(0.0);
-        (recent * self.late.active as f64).max(surge * self.late.others as f64)
+    /// Where the rest of a bucket could be spent by all daemons at once before they know of each other: lets through the part of
+    /// what the fleet is asked for that the limit allows.
+    ///
+    /// What goes wrong without it: while an organisation asks for several times its limit, hundreds of daemons see the
+    /// same rest of the bucket and each spends it. One would notice by limits exceeded the more, the larger the fleet.
+    fn passes_paced(&mut self, cost: f64, rate: f64, start: f64) -> bool {
+        let part = rate / self.forecast.fleet_asked.max(rate);
+        if !self.is_paced {
+            self.pace.credit = cost * start;
+            self.is_paced = true;
+        }
+        self.pace.passes(cost, part)
     }
 }
 
@@ -105,6 +148,8 @@
     began_empty: Option<Moment>,
     /// When this process was last known to run.
     alive_at: Option<Moment>,
+    /// Where this daemon's paces begin, 0.0 to 1.0 of a request.
+    pace_start: f64,
 }
 
 /// How far limits on tokens may be exceeded, where operators allow it because a fleet cannot count exactly.
@@ -143,11 +188,17 @@
             mechanisms: MechanismSet::default(),
             began_empty: None,
             alive_at: None,
+            pace_start: 0.5,
         }
     }
 }
 
 impl LimitBook {
+    /// Sets where this daemon's paces begin, 0.0 to 1.0 of a request: daemons draw it, so that they differ.
+    pub fn set_pace_start(&mut self, start: f64) {
+        self.pace_start = start.clamp(0.0, 1.0);
+    }
+
     /// Replaces the limits; what is in progress stays counted.
     pub fn set_limits(&mut self, limits: HashMap<OrganisationIndex, OrganisationLimit>) {
         self.limits = limits;
@@ -188,16 +239,10 @@
         }
     }
 
-    /// A round of notices has ended; `late` tells of the others whose word comes late, if it does.
-    ///
-    /// What goes wrong without reckoning with them: while an organisation asks for several times its limit, 74 daemons
-    /// that tell each other each 0.74 s all see the same rest of the bucket, and each spends it. One would notice by
-    /// limits exceeded the more, the larger the fleet. So each takes it that the others do as it does.
-    pub fn new_round(&mut self, late: &HashMap<OrganisationIndex, LateWord>) {
-        // An organisation that was never met is let through its first round without: what is usual is not known yet.
-        for (organisation, state) in &mut self.states {
-            state.recent = 0;
-            state.late = late.get(organisation).copied().unwrap_or_default();
+    /// Takes what is known of the others.
+    pub fn foresee(&mut self, organisation: OrganisationIndex, forecast: LimitForecast) {
+        if let Some(state) = self.states.get_mut(&organisation) {
+            state.forecast = forecast;
         }
     }
 
@@ -263,21 +308,26 @@
         }) {
             return Err(AnswerKind::ConcurrencyLimited);
         }
+        state.asked += u64::from(cost);
         if let Some((rate, burst)) = whole {
-            let burst = burst * self.share;
-            let rate = rate * self.share;
+            let (rate, burst) = (rate * self.share, burst * self.share);
             let time_now = now.0 as f64;
-            let untold = state.untold();
             let full_at = state.full_at.max(time_now) + f64::from(cost) / rate * MICROS;
+            let unknown = state.forecast.unknown(now);
             // A request larger than the whole burst passes when the bucket is full: it could never pass otherwise.
-            let is_full = state.full_at <= time_now && untold == 0.0;
+            let is_full = state.full_at <= time_now && unknown < f64::from(cost);
             let is_small = f64::from(cost) <= burst * SMALL_PART;
             let usable = if is_small { burst } else { burst * (1.0 - reserve) };
-            if full_at - time_now + untold / rate * MICROS > usable / rate * MICROS && !is_full {
+            let spent = (full_at - time_now) * rate / MICROS + unknown;
+            if spent > usable && !is_full {
+                return Err(AnswerKind::RateLimited);
+            }
+            if spent + state.forecast.contended() > usable
+                && !state.passes_paced(f64::from(cost), rate, self.pace_start)
+            {
                 return Err(AnswerKind::RateLimited);
             }
             state.full_at = full_at;
-            state.recent += u64::from(cost);
         }
         state.taken += i64::from(cost);
         state.in_progress += 1;
@@ -323,25 +373,33 @@
         let full_at = full_at + tokens as f64 / rate * MICROS;
         // What was let through out of our sight is not owed for ever: after a cut heals, a debt of many seconds
         // would refuse an organisation that has long been back within its limit.
-        let debt = if state.late.others > 0 { MOST_LATE_DEBT } else { MOST_DEBT };
-        let most = now.0 as f64 + empty + debt;
+        let most = now.0 as f64 + empty + MOST_DEBT;
         state.full_at = full_at.min(most.max(state.full_at));
     }
 
     /// Moves an organisation's bucket a little towards what another daemon reckons of it. What goes wrong without
     /// it: after lost notices or a cut the daemons' buckets differ for ever, since each is refilled at the same
     /// rate, and the one with the least in it refuses everything while the others let the whole limit through.
-    pub fn level(&mut self, organisation: OrganisationIndex, refill: Duration, now: Moment) {
+    pub fn level(
+        &mut self,
+        organisation: OrganisationIndex,
+        refill: Duration,
+        tellers: usize,
+        now: Moment,
+    ) {
         let Some(state) = self.states.get_mut(&organisation) else { return };
         let own = state.full_at.max(now.0 as f64);
         let told = now.0 as f64 + refill.as_micros() as f64;
         let gap = told - own;
         // Small gaps are what each has let through and not yet told.
         let lasting = gap.signum() * (gap.abs() - LEVEL_GAP).max(0.0);
-        // Where many tell, and late, what they tell lacks what was charged here meanwhile: taken at full weight it would
-        // be forgotten with each round.
-        let weight = (LEVEL_TELLERS / state.late.others.max(1) as f64).min(1.0);
-        state.full_at = own + lasting * LEVEL_STEP * weight;
+        let step = (LEVEL_STEP / tellers.max(1) as f64).min(MOST_LEVEL_STEP);
+        state.full_at = own + lasting * step;
+    }
+
+    /// Tokens of an organisation asked for here since the start.
+    pub fn asked(&self, organisation: OrganisationIndex) -> u64 {
+        self.states.get(&organisation).map_or(0, |state| state.asked)
     }
 
     /// The rate that an organisation's limit lets through, in tokens a second.
--- a/src/policy/scheduler/events.rs
+++ b/src/policy/scheduler/events.rs
@@ -3,7 +3,7 @@
 use super::PoolPlan;
 use crate::answer::AnswerKind;
 use crate::policy::{
-    FleetCell, FloorOrder, LoadReport, Moment, OrganisationIndex, OthersWork, RequestId,
+    FleetGroup, FloorOrder, LoadReport, Moment, OrganisationIndex, OthersWork, RequestId,
     RequestSizes, TierRank, UpstreamIndex, UpstreamSource, UpstreamWord,
 };
 use crate::table::UpstreamName;
@@ -136,7 +136,7 @@
         /// The upstreams of which something new was heard.
         rows: Vec<(UpstreamName, OthersWork)>,
         /// This daemon's part of the fleet.
-        cell: FleetCell,
+        group: FleetGroup,
     },
     /// Time passed.
     Tick,
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -143,9 +143,9 @@
                 self.floor.take(order);
                 self.evict_below_floor(now, actions);
             }
-            PoolEvent::Others { rows, cell } => {
+            PoolEvent::Others { rows, group } => {
                 self.upstreams.set_others(&rows, now);
-                self.upstreams.set_cell(cell);
+                self.upstreams.set_group(group);
             }
             PoolEvent::Tick => self.tick(now, actions),
         }
--- a/src/policy/shared_list.rs
+++ b/src/policy/shared_list.rs
@@ -90,6 +90,11 @@
         self.rows.values()
     }
 
+    /// Digest of the list; none while none is known.
+    pub fn digest(&self) -> Option<u64> {
+        self.digest
+    }
+
     /// True once a list is known.
     pub fn is_known(&self) -> bool {
         self.digest.is_some()
--- a/src/policy/upstream_set.rs
+++ b/src/policy/upstream_set.rs
@@ -1,8 +1,8 @@
-//! All upstreams of one pool: who is live, who has room, who is of this daemon's cell, and births.
+//! All upstreams of one pool: who is live, who has room, who is of this daemon's group, and births.
 
 use super::upstreams::ROOM_KINDS;
 use super::{
-    DispatchOutcome, FleetCell, LearnedLimit, LoadReport, Moment, OthersWork, RoomKind,
+    DispatchOutcome, FleetGroup, LearnedLimit, LoadReport, Moment, OthersWork, RoomKind,
     UpstreamIndex, UpstreamSource, UpstreamState, UpstreamStatus, UpstreamWord,
 };
 use crate::table::UpstreamName;
@@ -18,8 +18,8 @@
 const PROVEN_TIME: Duration = Duration::from_millis(500);
 /// The incarnation of an upstream that has not said when it was born.
 const UNKNOWN_BIRTH: u64 = 0;
-/// Upstreams in one cell, at least; pools with fewer are shared by all cells.
-const CELL_UPSTREAMS: usize = 4;
+/// Upstreams for one group, at least; pools with fewer are shared by all groups.
+const GROUP_UPSTREAMS: usize = 4;
 
 /// All upstreams of a pool.
 #[derive(Debug, Default)]
@@ -31,8 +31,8 @@
     next: u32,
     live: usize,
     share: Option<f64>,
-    cell: FleetCell,
-    /// The generation for which the cell's upstreams were worked out.
+    group: FleetGroup,
+    /// The generation for which the group's upstreams were worked out.
     homes_of: Option<u64>,
     /// Incarnations that said that they leave, or were said to, for as long as a source names them. What goes wrong
     /// without them: one that is gone is forgotten, and the lagging list brings it back as new, again and again.
@@ -235,20 +235,25 @@
         }
     }
 
-    /// Works out which upstreams are of this daemon's cell: as many for each cell, by order of addresses.
-    pub fn set_cell(&mut self, cell: FleetCell) {
-        if self.cell == cell && self.homes_of == Some(self.generation) {
+    /// The group of daemons that this one is of.
+    pub fn group(&self) -> FleetGroup {
+        self.group
+    }
+
+    /// Works out which upstreams are of this daemon's group: as many for each group, by order of addresses.
+    pub fn set_group(&mut self, group: FleetGroup) {
+        if self.group == group && self.homes_of == Some(self.generation) {
             return;
         }
-        self.cell = cell;
+        self.group = group;
         self.homes_of = Some(self.generation);
         let mut order: Vec<(SocketAddr, UpstreamIndex)> =
             self.upstreams.values().map(|status| (status.source.address, status.index)).collect();
         order.sort_unstable();
         let total = order.len();
-        let is_shared = total < cell.count * CELL_UPSTREAMS;
+        let is_shared = total < group.count * GROUP_UPSTREAMS;
         for (at, (_, index)) in order.into_iter().enumerate() {
-            let is_home = is_shared || FleetCell::of(at, total, cell.count) == cell.index;
+            let is_home = is_shared || FleetGroup::of(at, total, group.count) == group.index;
             self.update(index, |status| status.is_home = is_home);
         }
     }
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -158,7 +158,7 @@
     pub(super) crowded_until: Option<Moment>,
     /// Refusals of a place in a row.
     crowded_in_row: u32,
-    /// True if it is of this daemon's cell, and used first.
+    /// True if it is of this daemon's group, and used first.
     pub is_home: bool,
     /// Time between tokens as another daemon told it, in microseconds.
     pub(super) told_gap: Option<f64>,
@@ -178,7 +178,7 @@
     pub gap_micros: u32,
     /// True if it could not be reached.
     pub is_down: bool,
-    /// Requests of daemons outside of this one's cell, by old word: a hint, and never told on.
+    /// Requests of daemons outside of this one's group, by old word: a hint, and never told on.
     #[serde(skip)]
     pub hinted: u32,
 }
--- a/src/traffic/access.rs
+++ b/src/traffic/access.rs
@@ -2,6 +2,7 @@
 
 use super::routed::RouteIndex;
 use crate::answer::AnswerKind;
+use crate::fleet_state::OrganisationHash;
 use crate::policy::{OrganisationIndex, OrganisationLimit, TierRank, TierShare};
 use crate::table::{
     KeyDigest, LimitUnit, OperatorTable, OrganisationName, OrganisationRow, RouteRow, ServiceName,
@@ -46,7 +47,8 @@
     table: OperatorTable,
     limits: HashMap<OrganisationIndex, OrganisationLimit>,
     routes: RouteIndex,
-    numbers: HashMap<OrganisationName, OrganisationIndex>,
+    /// Organisations with a limit on tokens.
+    limited: HashMap<OrganisationHash, OrganisationIndex>,
 }
 
 impl AccessIndex {
@@ -66,7 +68,9 @@
         for row in &table.organisations {
             let number = numbers.number(&row.organisation);
             index.limits.insert(number, limit_of(row));
-            index.numbers.insert(row.organisation.clone(), number);
+            if row.tokens_per_second.is_some() {
+                index.limited.insert(OrganisationHash::of(&row.organisation), number);
+            }
             let identity = CallerIdentity {
                 index: number,
                 organisation: row.organisation.clone(),
@@ -133,10 +137,14 @@
         self.ranks.get(&route.tier).map_or(u8::MAX, |rank| rank.0)
     }
 
-    /// Organisations with a limit on tokens, and their numbers.
-    pub fn limited(&self) -> impl Iterator<Item = (&OrganisationName, OrganisationIndex)> {
-        let limited = self.table.organisations.iter().filter(|row| row.tokens_per_second.is_some());
-        limited.filter_map(|row| Some((&row.organisation, *self.numbers.get(&row.organisation)?)))
+    /// Organisations with a limit on tokens, by the hash that daemons call them by, and their numbers.
+    pub fn limited_hashes(&self) -> impl Iterator<Item = (OrganisationHash, OrganisationIndex)> {
+        self.limited.iter().map(|(hash, index)| (*hash, *index))
+    }
+
+    /// The number of an organisation with a limit on tokens.
+    pub fn limited_by_hash(&self, organisation: OrganisationHash) -> Option<OrganisationIndex> {
+        self.limited.get(&organisation).copied()
     }
 
     /// The routes.
--- /dev/null
+++ b/src/traffic/fleet_exchange/list.rs
@@ -0,0 +1,288 @@
+//! The platform's list among daemons: one reads it, and tells the others what each reading changed.
+
+use super::wire::DaemonMessage;
+use super::{ListStamp, MessageSocket, lock};
+use crate::policy::{ChangeVerdict, ListChange, ListPart, ListedUpstream, Moment, SharedList};
+use crate::table::DaemonName;
+use crate::traffic::state::TrafficState;
+use crate::upstream::{PlatformList, VmRow, VmState};
+use slog::info;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// A list that agreed with a reading counts for this long. An upstream that leaves must get no new work 3 s after the list
+/// shows it; the list is read each second, and a reader that is lost is followed by another within half a second.
+const LIST_LIFE: Duration = Duration::from_millis(1_800);
+/// A daemon that was just started waits so long for the others' list before it reads the platform's.
+const FIRST_WAIT: Duration = Duration::from_millis(1_000);
+/// Daemons whose list is overdue read it for themselves within this time for each 100 daemons, evenly spread: after the loss of
+/// the reader most hear of another reading first. Beyond two such times the fleet would exceed the platform's rate.
+const SPREAD_PER_HUNDRED: Duration = Duration::from_millis(1_000);
+/// The spread at most: an upstream that leaves must not get work for longer.
+const MOST_SPREAD: Duration = Duration::from_millis(3_000);
+/// A daemon that could not read the list lets others read it for this long.
+const UNREAD_PAUSE: Duration = Duration::from_secs(5);
+/// A change is sent this many times: datagrams are lost, and whoever misses all asks for the whole list.
+const CHANGE_SENT: u32 = 2;
+/// Pause between two sendings of one change.
+const CHANGE_PAUSE: Duration = Duration::from_millis(120);
+/// Another list than one's own must be named for this long before the whole is asked for: the change is on its way.
+const DIFFERS_FOR: Duration = Duration::from_millis(250);
+/// Whole lists sent within [`WHOLE_PAUSE`] at most: one of 143 upstreams takes 5 ms of a link of 10 Mbit/s, and after a
+/// restart of all daemons everyone asks at once.
+const MOST_WHOLE: u32 = 8;
+/// See [`MOST_WHOLE`].
+const WHOLE_PAUSE: Duration = Duration::from_millis(250);
+/// A daemon without a list, or with another one than was read, asks no more often than this.
+const ASK_PAUSE: Duration = Duration::from_millis(200);
+
+/// The list as this daemon knows it, and what it knows of the others' readings.
+#[derive(Debug, Default)]
+pub struct ListExchange {
+    list: Mutex<SharedList>,
+    times: Mutex<ReadingTimes>,
+    /// Changes to be sent.
+    changes: Mutex<Vec<ListChange>>,
+    news: Notify,
+    /// Whole lists sent since the time named.
+    sent: Mutex<(Moment, u32)>,
+}
+
+/// When what was heard of the list.
+#[derive(Clone, Copy, Debug, Default)]
+struct ReadingTimes {
+    /// When this daemon began to listen.
+    began: Moment,
+    /// Where this daemon stands among those whose list is overdue, 0.0 to 1.0.
+    place: f64,
+    /// The last reading that agrees with this daemon's list.
+    confirmed: Option<Moment>,
+    /// The last reading that this daemon could not make.
+    failed: Option<Moment>,
+    /// Since when a newer reading of another list has been heard of.
+    differs_since: Option<Moment>,
+    asked: Option<Moment>,
+}
+
+impl ListExchange {
+    /// Begins to listen; `place` is drawn from 0.0..1.0.
+    pub fn begin(&self, place: f64, now: Moment) {
+        *lock(&self.times) = ReadingTimes { began: now, place, ..ReadingTimes::default() };
+    }
+
+    /// True if this daemon has not known for too long that its list agrees with a reading.
+    pub fn is_overdue(&self, daemons: usize, now: Moment) -> bool {
+        let times = *lock(&self.times);
+        let spread = (SPREAD_PER_HUNDRED * daemons as u32 / 100).min(MOST_SPREAD);
+        match times.confirmed {
+            Some(at) => now.since(at) >= LIST_LIFE + spread.mul_f64(times.place),
+            // It does not know how many others have just started, too.
+            None => now.since(times.began) >= FIRST_WAIT + MOST_SPREAD.mul_f64(times.place),
+        }
+    }
+
+    /// The last reading that agrees with this daemon's list.
+    pub fn stamp(&self, now: Moment) -> Option<ListStamp> {
+        let digest = lock(&self.list).digest()?;
+        let at = lock(&self.times).confirmed?;
+        Some(ListStamp { digest, age_ms: now.since(at).as_millis() as u32 })
+    }
+
+    /// True unless this daemon failed to read the list lately.
+    pub fn can_read(&self, now: Moment) -> bool {
+        lock(&self.times).failed.is_none_or(|at| now.since(at) >= UNREAD_PAUSE)
+    }
+
+    /// Notes that the list could not be read.
+    pub fn note_failure(&self, now: Moment) {
+        lock(&self.times).failed = Some(now);
+    }
+
+    /// Takes the list that this daemon just read, and has what changed told.
+    pub fn take_reading(&self, list: &PlatformList, now: Moment) {
+        let change = lock(&self.list).replace(list.vms.iter().map(listed));
+        self.confirm(now);
+        lock(&self.times).failed = None;
+        if change.base != change.digest {
+            self.pass_on(change);
+        }
+    }
+
+    fn confirm(&self, at: Moment) {
+        let mut times = lock(&self.times);
+        times.confirmed = times.confirmed.max(Some(at));
+        times.differs_since = None;
+    }
+
+    fn pass_on(&self, change: ListChange) {
+        lock(&self.changes).push(change);
+        self.news.notify_one();
+    }
+
+    /// True if this daemon may ask now.
+    fn may_ask(&self, now: Moment) -> bool {
+        let mut times = lock(&self.times);
+        let may = times.asked.is_none_or(|at| now.since(at) >= ASK_PAUSE);
+        if may {
+            times.asked = Some(now);
+        }
+        may
+    }
+
+    /// True if this daemon may send one more whole list now.
+    fn may_send_whole(&self, now: Moment) -> bool {
+        let mut sent = lock(&self.sent);
+        if now.since(sent.0) >= WHOLE_PAUSE {
+            *sent = (now, 0);
+        }
+        sent.1 += 1;
+        sent.1 <= MOST_WHOLE
+    }
+}
+
+fn listed(row: &VmRow) -> ListedUpstream {
+    ListedUpstream {
+        service: row.service.clone(),
+        upstream: row.upstream.clone(),
+        address: row.address,
+        incarnation: row.incarnation,
+        is_leaving: row.state == VmState::Leaving,
+        places: row.places,
+    }
+}
+
+fn platform_list(list: &SharedList) -> PlatformList {
+    let vms = list.rows().map(|row| VmRow {
+        service: row.service.clone(),
+        upstream: row.upstream.clone(),
+        address: row.address,
+        state: if row.is_leaving { VmState::Leaving } else { VmState::Live },
+        incarnation: row.incarnation,
+        places: row.places,
+    });
+    PlatformList { vms: vms.collect() }
+}
+
+/// Sends each change on: from the reader to the aggregators, and from those to their groups.
+pub async fn send_changes(state: std::sync::Arc<TrafficState>, socket: MessageSocket) {
+    let exchange = &state.fleet.list;
+    loop {
+        exchange.news.notified().await;
+        let changes = std::mem::take(&mut *lock(&exchange.changes));
+        for time in 0..CHANGE_SENT {
+            if time > 0 {
+                tokio::time::sleep(CHANGE_PAUSE).await;
+            }
+            let now = state.clock.now();
+            let to = state.fleet.fleet().map(|fleet| fleet.list_receivers(now)).unwrap_or_default();
+            for change in &changes {
+                let (daemon, change) = (state.daemon.clone(), change.clone());
+                let address = socket.own;
+                socket.send(&DaemonMessage::ListChanged { daemon, address, change }, &to);
+            }
+        }
+    }
+}
+
+/// Asks another daemon for the list while none is known: a daemon that was just started must not wait for the platform.
+pub fn ask_while_unknown(state: &TrafficState, socket: &MessageSocket) {
+    let exchange = &state.fleet.list;
+    let now = state.clock.now();
+    if lock(&exchange.list).is_known() {
+        return;
+    }
+    let draw = state.jitter();
+    let source = state.fleet.fleet().and_then(|fleet| fleet.list_source(draw, now));
+    if let Some(address) = source
+        && exchange.may_ask(now)
+    {
+        ask(state, socket, address);
+    }
+}
+
+fn ask(state: &TrafficState, socket: &MessageSocket, address: SocketAddr) {
+    let daemon = state.daemon.clone();
+    socket.send(&DaemonMessage::ListWanted { daemon, address: socket.own }, &[address]);
+}
+
+/// Takes what another daemon says of the last reading that it knows of.
+pub fn take_stamp(
+    state: &TrafficState,
+    socket: &MessageSocket,
+    from: SocketAddr,
+    stamp: ListStamp,
+) {
+    let exchange = &state.fleet.list;
+    let now = state.clock.now();
+    let read_at = Moment(now.0.saturating_sub(u64::from(stamp.age_ms) * 1_000));
+    if lock(&exchange.list).digest() == Some(stamp.digest) {
+        return exchange.confirm(read_at);
+    }
+    let mut times = lock(&exchange.times);
+    let is_newer = times.confirmed.is_none_or(|at| at < read_at);
+    if !is_newer {
+        return;
+    }
+    let since = *times.differs_since.get_or_insert(now);
+    drop(times);
+    if now.since(since) >= DIFFERS_FOR && exchange.may_ask(now) {
+        ask(state, socket, from);
+    }
+}
+
+/// Takes a change of the list.
+pub fn take_change(
+    state: &TrafficState,
+    socket: &MessageSocket,
+    from: (&DaemonName, SocketAddr),
+    change: &ListChange,
+) {
+    let exchange = &state.fleet.list;
+    let now = state.clock.now();
+    let (daemon, address) = from;
+    let (verdict, list) = {
+        let mut list = lock(&exchange.list);
+        let verdict = list.take(change);
+        (verdict, (verdict == ChangeVerdict::Applied).then(|| platform_list(&list)))
+    };
+    match verdict {
+        ChangeVerdict::Known => {}
+        ChangeVerdict::Applied => {
+            exchange.confirm(now);
+            info!(state.log, "platform list changed"; "from" => daemon.as_str(), "changed" => change.changed.len(),
+                "gone" => change.gone.len());
+            list.into_iter().for_each(|list| state.apply_platform(list));
+            let is_member = state.fleet.fleet().is_none_or(|fleet| !fleet.passes_on(now));
+            if !is_member {
+                exchange.pass_on(change.clone());
+            }
+        }
+        ChangeVerdict::Unknown if exchange.may_ask(now) => ask(state, socket, address),
+        ChangeVerdict::Unknown => {}
+    }
+}
+
+/// Answers a daemon that asks for the whole list.
+pub fn answer_wanted(state: &TrafficState, socket: &MessageSocket, address: SocketAddr) {
+    let exchange = &state.fleet.list;
+    let parts = lock(&exchange.list).parts();
+    if parts.is_empty() || !exchange.may_send_whole(state.clock.now()) {
+        return;
+    }
+    parts.into_iter().for_each(|part| socket.send(&DaemonMessage::ListPart(part), &[address]));
+}
+
+/// Takes a part of a list that was asked for.
+pub fn take_part(state: &TrafficState, part: ListPart) {
+    let exchange = &state.fleet.list;
+    let whole = {
+        let mut list = lock(&exchange.list);
+        list.take_part(part).then(|| platform_list(&list))
+    };
+    let Some(list) = whole else { return };
+    info!(state.log, "platform list taken whole"; "upstreams" => list.vms.len());
+    exchange.confirm(state.clock.now());
+    state.apply_platform(list);
+}
--- /dev/null
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -0,0 +1,369 @@
+//! The fleet's state over UDP: reads what this daemon did, sends and takes messages, and puts what they say in force.
+
+mod list;
+mod wire;
+
+pub use wire::{DaemonMessage, MessageFault, read_message, write_message};
+
+use super::state::TrafficState;
+use crate::fleet_state::{
+    BucketWord, DaemonIdentity, FleetMessage, FleetRole, FleetState, FlowRow, ListStamp,
+    OrganisationHash, OutgoingMessage, OwnReading, UpstreamHash, WorkRow,
+};
+use crate::policy::{Moment, OthersWork, PoolEvent, UpstreamSet, UpstreamState};
+use crate::table::{ServiceName, UpstreamName};
+use crate::upstream::PlatformList;
+use list::ListExchange;
+use slog::{info, warn};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Duration;
+use tokio::net::UdpSocket;
+
+/// Pause after a socket error.
+const FAULT_PAUSE: Duration = Duration::from_millis(40);
+/// Largest datagram, in bytes.
+const DATAGRAM_LIMIT: usize = 60 << 10;
+
+/// What one daemon knows of the fleet, and tells it.
+#[derive(Debug, Default)]
+pub struct FleetExchange {
+    /// None while this daemon sends nothing.
+    fleet: OnceLock<Mutex<FleetState>>,
+    list: ListExchange,
+    /// Faults of datagrams that were logged: each is logged once and counted always.
+    faults: Mutex<BTreeSet<MessageFault>>,
+    daemons: AtomicUsize,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl FleetExchange {
+    fn fleet(&self) -> Option<MutexGuard<'_, FleetState>> {
+        self.fleet.get().map(lock)
+    }
+
+    /// Takes the leader's list of daemons that serve callers.
+    pub fn set_named(&self, named: Vec<SocketAddr>, now: Moment) {
+        if let Some(mut fleet) = self.fleet() {
+            fleet.set_named(named, now);
+        }
+    }
+
+    /// The leader's list is still the same.
+    pub fn confirm_named(&self, now: Moment) {
+        if let Some(mut fleet) = self.fleet() {
+            fleet.confirm_named(now);
+        }
+    }
+
+    /// Daemons of the fleet as far as is known, this one among them.
+    pub fn daemons(&self) -> usize {
+        self.daemons.load(Ordering::Relaxed).max(1)
+    }
+
+    /// True if this daemon should read the platform's list itself: it reads for all, or has not known for long that its
+    /// list agrees with a reading.
+    pub fn must_read_list(&self, now: Moment) -> bool {
+        let Some(fleet) = self.fleet() else { return true };
+        if fleet.is_informed() && fleet.is_reader(now) {
+            return true;
+        }
+        let daemons = fleet.addresses().len();
+        drop(fleet);
+        self.list.is_overdue(daemons, now)
+    }
+
+    /// Takes the list that this daemon just read, and has the others told.
+    pub fn take_reading(&self, list: &PlatformList, now: Moment) {
+        self.list.take_reading(list, now);
+    }
+
+    /// Notes that the platform did not let this daemon read the list: another one should.
+    pub fn note_unread_list(&self, now: Moment) {
+        self.list.note_failure(now);
+    }
+}
+
+/// The socket over which messages go.
+#[derive(Clone)]
+pub struct MessageSocket {
+    socket: Arc<UdpSocket>,
+    own: SocketAddr,
+    key: Arc<str>,
+}
+
+impl MessageSocket {
+    /// Sends a message. Lost ones are made good by later ones.
+    fn send(&self, message: &DaemonMessage, addresses: &[SocketAddr]) {
+        if addresses.is_empty() {
+            return;
+        }
+        let bytes = write_message(message, &self.key);
+        for address in addresses {
+            let _ = self.socket.try_send_to(&bytes, *address);
+        }
+        metrics::counter!("fleet_messages_sent").increment(addresses.len() as u64);
+        metrics::counter!("fleet_bytes_sent").increment((bytes.len() * addresses.len()) as u64);
+    }
+}
+
+/// Starts to send and to listen on a bound socket.
+pub fn start_exchange(
+    state: Arc<TrafficState>,
+    socket: UdpSocket,
+    address: SocketAddr,
+    key: Arc<str>,
+) {
+    let socket = MessageSocket { socket: Arc::new(socket), own: address, key };
+    let identity = DaemonIdentity { daemon: state.daemon.clone(), boot: state.boot(), address };
+    let fleet = FleetState::new(identity);
+    state.limits().set_share(fleet.limit_share());
+    state.limits().set_pace_start(state.jitter());
+    let _ = state.fleet.fleet.set(Mutex::new(fleet));
+    state.fleet.list.begin(state.jitter(), state.clock.now());
+    tokio::spawn(listen(Arc::clone(&state), socket.clone()));
+    tokio::spawn(list::send_changes(Arc::clone(&state), socket.clone()));
+    tokio::spawn(run(state, socket));
+}
+
+async fn listen(state: Arc<TrafficState>, socket: MessageSocket) {
+    let mut buffer = vec![0; DATAGRAM_LIMIT];
+    loop {
+        let Ok((length, from)) = socket.socket.recv_from(&mut buffer).await else {
+            // A peer that does not listen shows up here as a refused connection; there is nothing to do.
+            tokio::time::sleep(FAULT_PAUSE).await;
+            continue;
+        };
+        match read_message(&buffer[..length], &socket.key) {
+            Ok(message) => take(&state, &socket, message),
+            Err(fault) => note_fault(&state, fault, from),
+        }
+    }
+}
+
+/// Counts a datagram that was dropped, and logs each cause once.
+fn note_fault(state: &TrafficState, fault: MessageFault, from: SocketAddr) {
+    metrics::counter!("fleet_messages_dropped", "cause" => fault.name()).increment(1);
+    if lock(&state.fleet.faults).insert(fault) {
+        warn!(state.log, "message of a daemon dropped"; "cause" => fault.name(), "from" => from.to_string());
+    }
+}
+
+fn take(state: &TrafficState, socket: &MessageSocket, message: DaemonMessage) {
+    match message {
+        DaemonMessage::State(message) if message.source().daemon != state.daemon => {
+            take_state(state, socket, message)
+        }
+        DaemonMessage::ListChanged { daemon, address, change } if daemon != state.daemon => {
+            list::take_change(state, socket, (&daemon, address), &change)
+        }
+        DaemonMessage::ListWanted { daemon, address } if daemon != state.daemon => {
+            list::answer_wanted(state, socket, address)
+        }
+        DaemonMessage::ListPart(part) => list::take_part(state, part),
+        // Its own message, come back.
+        DaemonMessage::State(_)
+        | DaemonMessage::ListChanged { .. }
+        | DaemonMessage::ListWanted { .. } => {}
+    }
+}
+
+fn take_state(state: &TrafficState, socket: &MessageSocket, message: FleetMessage) {
+    let now = state.clock.now();
+    if let Some(stamp) = message.list() {
+        list::take_stamp(state, socket, message.source().address, stamp);
+    }
+    let is_summary = matches!(message, FleetMessage::Summary(_));
+    let Some(mut fleet) = state.fleet.fleet() else { return };
+    let word = fleet.take(message, now);
+    let charges = fleet.drain_charges();
+    let is_mesh = fleet.role(now) == FleetRole::Mesh;
+    drop(fleet);
+    charge(state, &charges);
+    level(state, &word);
+    // An aggregator hears many messages in one pause, and looks at them together when it sends its own.
+    if is_summary || is_mesh {
+        refresh(state);
+    }
+}
+
+/// Charges what others have let through.
+fn charge(state: &TrafficState, charges: &[(OrganisationHash, i64)]) {
+    if charges.is_empty() {
+        return;
+    }
+    let snapshot = state.snapshot();
+    let now = state.clock.now();
+    let mut limits = state.limits();
+    for (organisation, tokens) in charges {
+        if let Some(index) = snapshot.access.limited_by_hash(*organisation) {
+            limits.charge(index, *tokens, now);
+        }
+    }
+}
+
+/// Moves the buckets towards what another daemon estimates.
+fn level(state: &TrafficState, word: &BucketWord) {
+    let snapshot = state.snapshot();
+    let now = state.clock.now();
+    let mut limits = state.limits();
+    for row in &word.rows {
+        if let Some(index) = snapshot.access.limited_by_hash(row.organisation) {
+            let refill = Duration::from_millis(u64::from(row.refill_ms));
+            limits.level(index, refill, word.tellers, now);
+        }
+    }
+}
+
+/// Gives the limits and each pool what is known of the others.
+fn refresh(state: &TrafficState) {
+    let now = state.clock.now();
+    let snapshot = state.snapshot();
+    let Some(fleet) = state.fleet.fleet() else { return };
+    let (others, group) = (fleet.others(now), fleet.group());
+    let share = fleet.limit_share();
+    let limited = snapshot.access.limited_hashes();
+    let forecasts: Vec<_> =
+        limited.map(|(hash, index)| (index, fleet.forecast(hash, now))).collect();
+    drop(fleet);
+    let mut limits = state.limits();
+    limits.set_share(share);
+    forecasts.into_iter().for_each(|(index, forecast)| limits.foresee(index, forecast));
+    drop(limits);
+    for (service, pool) in state.pools().iter() {
+        let rows = pool.inspect(|scheduler| changed_rows(service, scheduler.upstreams(), &others));
+        let is_changed = pool.inspect(|scheduler| scheduler.upstreams().group() != group);
+        if !rows.is_empty() || is_changed {
+            pool.tell(PoolEvent::Others { rows, group });
+        }
+    }
+}
+
+fn changed_rows(
+    service: &ServiceName,
+    upstreams: &UpstreamSet,
+    others: &BTreeMap<UpstreamHash, OthersWork>,
+) -> Vec<(UpstreamName, OthersWork)> {
+    let rows = upstreams.iter().map(|status| {
+        let name = &status.source.name;
+        let work = others.get(&UpstreamHash::of(service, name, status.source.incarnation));
+        (name, status.others, work.copied().unwrap_or_default())
+    });
+    let changed = rows.filter(|(_, known, work)| known != work);
+    changed.map(|(name, _, work)| (name.clone(), work)).collect()
+}
+
+/// What was logged last of the fleet's state.
+#[derive(Debug, Default, PartialEq)]
+struct LoggedState {
+    role: Option<FleetRole>,
+    is_reader: bool,
+    /// True while less than half of the fleet is covered.
+    is_partial: bool,
+}
+
+/// Sends what the others need of this daemon, again and again.
+async fn run(state: Arc<TrafficState>, socket: MessageSocket) {
+    let mut logged = LoggedState::default();
+    let mut read_at = Moment::default();
+    loop {
+        let now = state.clock.now();
+        let reading = own_reading(&state, read_at);
+        read_at = now;
+        let rates = limit_rates(&state);
+        let Some((outgoing, charges, pause)) = state.fleet.fleet().map(|mut fleet| {
+            let outgoing = fleet.tick(reading, &rates, now);
+            state.fleet.daemons.store(fleet.addresses().len(), Ordering::Relaxed);
+            log_changes(&state, &fleet, &mut logged, now);
+            (outgoing, fleet.drain_charges(), fleet.pause())
+        }) else {
+            return;
+        };
+        charge(&state, &charges);
+        list::ask_while_unknown(&state, &socket);
+        for OutgoingMessage { to, message } in outgoing {
+            socket.send(&DaemonMessage::State(message), &to);
+        }
+        refresh(&state);
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// One line for each change of what this daemon does for the fleet, and of how much it knows.
+fn log_changes(state: &TrafficState, fleet: &FleetState, logged: &mut LoggedState, now: Moment) {
+    let (covers, daemons) = (fleet.coverage(now), fleet.addresses().len());
+    let age = fleet.sums_age(now);
+    metrics::gauge!("fleet_sums_daemons").set(covers as f64);
+    metrics::gauge!("fleet_sums_age_seconds").set(age.as_secs_f64());
+    let current = LoggedState {
+        role: Some(fleet.role(now)),
+        is_reader: fleet.is_informed() && fleet.is_reader(now),
+        is_partial: covers * 2 < daemons,
+    };
+    if current != *logged {
+        info!(state.log, "fleet state"; "role" => format!("{:?}", fleet.role(now)), "reads_list" => current.is_reader,
+            "covers" => covers, "daemons" => daemons, "age_ms" => age.as_millis() as u64);
+        *logged = current;
+    }
+}
+
+/// What this daemon did; speeds are those learned since `since`.
+fn own_reading(state: &TrafficState, since: Moment) -> OwnReading {
+    let now = state.clock.now();
+    OwnReading {
+        flows: own_flows(state),
+        work: own_work(state, since),
+        list: state.fleet.list.stamp(now),
+        can_read_list: state.fleet.list.can_read(now),
+        has_left: state.is_drained(),
+    }
+}
+
+fn own_flows(state: &TrafficState) -> Vec<FlowRow> {
+    let snapshot = state.snapshot();
+    let now = state.clock.now();
+    let limits = state.limits();
+    let rows = snapshot.access.limited_hashes().map(|(organisation, index)| FlowRow {
+        organisation,
+        taken: limits.taken(index),
+        asked: limits.asked(index),
+        refill_ms: limits.refilled_in(index, now).as_millis() as u32,
+    });
+    rows.filter(|row| row.asked != 0 || row.refill_ms != 0).collect()
+}
+
+fn limit_rates(state: &TrafficState) -> Vec<(OrganisationHash, f64)> {
+    let snapshot = state.snapshot();
+    let limits = state.limits();
+    let limited = snapshot.access.limited_hashes();
+    limited.filter_map(|(hash, index)| Some((hash, limits.rate(index)?))).collect()
+}
+
+/// What this daemon has at each upstream, and the speeds that it learned since `since`.
+fn own_work(state: &TrafficState, since: Moment) -> Vec<WorkRow> {
+    let mut rows = Vec::new();
+    for (service, pool) in state.pools().iter() {
+        pool.inspect(|scheduler| {
+            rows.extend(scheduler.upstreams().iter().filter_map(|status| {
+                let learned = status.gap_micros.filter(|_| status.learned_at > since);
+                let work = OthersWork {
+                    requests: status.in_flight,
+                    unread_tokens: status.unread_tokens,
+                    gap_micros: learned.unwrap_or(0.0) as u32,
+                    is_down: status.state() == UpstreamState::Suspect,
+                    hinted: 0,
+                };
+                let hash =
+                    UpstreamHash::of(service, &status.source.name, status.source.incarnation);
+                (work != OthersWork::default()).then_some((hash, work))
+            }));
+        });
+    }
+    rows.sort_unstable_by_key(|(hash, _)| *hash);
+    rows
+}
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -4,9 +4,9 @@
 mod claim_guard;
 mod dispatch;
 mod drain;
+mod fleet_exchange;
 mod front;
 mod model_call;
-mod neighbours;
 mod pool_runtime;
 mod routed;
 mod sink;
@@ -14,8 +14,10 @@
 
 pub use access::{AccessIndex, CallerIdentity, OrganisationNumbers};
 pub use drain::{DrainAction, DrainEvent, DrainState, drain_chart};
+pub use fleet_exchange::{
+    DaemonMessage, FleetExchange, MessageFault, read_message, start_exchange, write_message,
+};
 pub use front::{FrontHandle, front_router, readiness_router, start_front, without_front};
-pub use neighbours::{Neighbours, start_notices};
 pub use pool_runtime::{PoolRuntime, RequestGuard};
 pub use routed::{
     AnswerFacts, CallDialect, CallerFacts, EventCutter, PlaceWanted, PlaceWord, RouteIndex,
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -1,18 +1,17 @@
 //! What all requests of one daemon share: the snapshot, the pools, the limits, the clock.
 
 use super::access::{AccessIndex, OrganisationNumbers};
-use super::neighbours::Neighbours;
+use super::fleet_exchange::FleetExchange;
 use super::pool_runtime::PoolRuntime;
 use super::routed::CallDialect;
 use crate::clock::TrafficClock;
 use crate::control::ClaimKeeper;
 use crate::policy::{
-    CallerTimes, LateWord, LimitBook, Mechanism, MechanismSet, Moment, PoolEvent, PoolPlan,
-    RepeatBound, RepeatBudget, UpstreamSource,
+    CallerTimes, LimitBook, Mechanism, MechanismSet, Moment, PoolEvent, PoolPlan, RepeatBound,
+    RepeatBudget, UpstreamSource,
 };
 use crate::table::{
-    DaemonName, OperatorTable, OrganisationName, ServiceKind, ServiceName, TableReader,
-    VersionedTable,
+    DaemonName, OperatorTable, ServiceKind, ServiceName, TableReader, VersionedTable,
 };
 use crate::upstream::PlatformList;
 use crate::upstream::{ConnectionPool, EngineDriver, PlainDriver, UpstreamDriver};
@@ -22,7 +21,7 @@
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, error, info};
 use std::borrow::Cow;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
@@ -76,7 +75,7 @@
     /// Told when a table is put in force.
     pub table_news: Notify,
     /// The other daemons that serve callers.
-    pub neighbours: Neighbours,
+    pub fleet: FleetExchange,
     /// Told when the leader should hear of a floor at once.
     pub floor_news: Notify,
     in_progress: AtomicUsize,
@@ -112,7 +111,7 @@
             is_drained: AtomicBool::new(false),
             claims: OnceLock::new(),
             table_news: Notify::new(),
-            neighbours: Neighbours::default(),
+            fleet: FleetExchange::default(),
             floor_news: Notify::new(),
             in_progress: AtomicUsize::new(0),
             next_request: AtomicU64::new(1),
@@ -190,71 +189,6 @@
         self.serves_cut_off.store(true, Ordering::Release);
     }
 
-    /// Tokens let through here, by organisation with a limit.
-    pub fn taken(&self) -> Vec<(OrganisationName, i64)> {
-        let snapshot = self.snapshot();
-        let limits = self.limits();
-        let rows =
-            snapshot.access.limited().map(|(name, index)| (name.clone(), limits.taken(index)));
-        rows.filter(|(_, taken)| *taken != 0).collect()
-    }
-
-    /// Milliseconds until the bucket of each organisation with a limit is full again.
-    pub fn refills(&self) -> Vec<(OrganisationName, u32)> {
-        let snapshot = self.snapshot();
-        let now = self.clock.now();
-        let limits = self.limits();
-        let rows = snapshot.access.limited();
-        let refills = rows.map(|(name, index)| (name.clone(), limits.refilled_in(index, now)));
-        refills.map(|(name, time)| (name, time.as_millis() as u32)).collect()
-    }
-
-    /// Moves the buckets towards what another daemon reckons.
-    pub fn level_limits(&self, refills: &[(OrganisationName, u32)]) {
-        let snapshot = self.snapshot();
-        let now = self.clock.now();
-        let mut limits = self.limits();
-        for (name, index) in snapshot.access.limited() {
-            let told = refills.iter().filter(|(other, _)| other == name);
-            told.for_each(|(_, millis)| {
-                limits.level(index, Duration::from_millis(u64::from(*millis)), now)
-            });
-        }
-    }
-
-    /// Begins a round of notices: the part of the limits that may be used, and what is known of others that use
-    /// each organisation's, where their word comes late.
-    pub fn start_round(&self, share: f64, late_words: &BTreeMap<OrganisationName, LateWord>) {
-        let snapshot = self.snapshot();
-        let rows = snapshot.access.limited();
-        let late = rows.filter_map(|(name, index)| Some((index, *late_words.get(name)?))).collect();
-        let mut limits = self.limits();
-        limits.set_share(share);
-        limits.new_round(&late);
-    }
-
-    /// The rates that the limits on tokens let through.
-    pub fn limit_rates(&self) -> Vec<(OrganisationName, f64)> {
-        let snapshot = self.snapshot();
-        let limits = self.limits();
-        let rows = snapshot.access.limited();
-        rows.filter_map(|(name, index)| Some((name.clone(), limits.rate(index)?))).collect()
-    }
-
-    /// Charges what other daemons have let through.
-    pub fn charge_taken(&self, taken: &[(OrganisationName, i64)]) {
-        if taken.is_empty() {
-            return;
-        }
-        let snapshot = self.snapshot();
-        let now = self.clock.now();
-        let mut limits = self.limits();
-        for (name, index) in snapshot.access.limited() {
-            let charged = taken.iter().filter(|(other, _)| other == name);
-            charged.for_each(|(_, tokens)| limits.charge(index, *tokens, now));
-        }
-    }
-
     /// True if requests are admitted under the last known table when the lease runs out.
     pub fn may_serve_cut_off(&self) -> bool {
         self.serves_cut_off.load(Ordering::Acquire)
@@ -301,7 +235,7 @@
         let mut repeats = self.repeats.lock().unwrap_or_else(PoisonError::into_inner);
         let budget = repeats.entry(service.clone()).or_insert_with(|| {
             let bound = self.repeat_bound.get().copied().unwrap_or_default();
-            RepeatBudget::new(bound, self.neighbours.daemons())
+            RepeatBudget::new(bound, self.fleet.daemons())
         });
         change(budget)
     }
--- a/tests/test_births.rs
+++ b/tests/test_births.rs
@@ -4,9 +4,10 @@
 use crate::session::source;
 use rstest::rstest;
 use std::time::Duration;
+use tarragonknot::fleet_state::UpstreamHash;
 use tarragonknot::policy::{
-    OthersWork, PoolEvent, RequestId, UpstreamIndex, UpstreamMark, UpstreamSource, UpstreamState,
-    UpstreamStatus, UpstreamWord,
+    OthersWork, PoolEvent, RequestId, UpstreamIndex, UpstreamSource, UpstreamState, UpstreamStatus,
+    UpstreamWord,
 };
 
 fn born(incarnation: u64) -> UpstreamSource {
@@ -122,11 +123,11 @@
 
 #[test]
 fn what_others_tell_of_another_birth_says_nothing() {
-    let mark = |birth| UpstreamMark::of(&"pool".into(), &"e1".into(), birth);
+    let hash = |birth| UpstreamHash::of(&"pool".into(), &"e1".into(), birth);
 
-    assert_eq!(mark(5), mark(5));
-    assert_ne!(mark(5), mark(9));
-    assert_ne!(mark(5), mark(0));
+    assert_eq!(hash(5), hash(5));
+    assert_ne!(hash(5), hash(9));
+    assert_ne!(hash(5), hash(0));
 }
 
 #[test]
--- /dev/null
+++ b/tests/test_fleet_state.rs
@@ -0,0 +1,403 @@
+//! The fleet's sums: who is counted, how old they are, what they cost, and what becomes of them under faults.
+
+use crate::fleet_play::{FleetPlay, RATE, address, hot, name};
+use proptest::prelude::*;
+use rstest::rstest;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use tarragonknot::fleet_state::{
+    AggregatorChoice, FleetLayout, FleetRole, FlowLedger, FlowRates, FlowRow, RowRotation,
+    SourceStamp, UpstreamHash,
+};
+use tarragonknot::policy::{Moment, OthersWork};
+use tarragonknot::table::DaemonName;
+
+#[rstest]
+#[case::one(1, 1, 1)]
+#[case::small(7, 1, 7)]
+#[case::largest_mesh(16, 1, 16)]
+#[case::least_with_groups(17, 4, 5)]
+#[case::sixty(60, 8, 8)]
+#[case::hundreds(291, 17, 18)]
+#[case::a_thousand(1_000, 32, 32)]
+fn groups_are_about_the_square_root_of_the_fleet(
+    #[case] count: usize,
+    #[case] groups: usize,
+    #[case] largest: usize,
+) {
+    let layout = FleetLayout::new((0..count).rev().map(address).collect());
+    let members: Vec<_> = (0..groups).map(|group| layout.members(group).to_vec()).collect();
+
+    assert_eq!(layout.groups(), groups);
+    assert_eq!(members.concat(), layout.addresses());
+    assert!(members.iter().all(|members| (1..=largest).contains(&members.len())));
+    let at = |group: usize| members[group].iter().map(|at| layout.group_of(*at).index);
+    assert!((0..groups).all(|group| at(group).all(|index| index == group)));
+}
+
+/// Where all rows of a source come with each message.
+fn row(taken: i64) -> FlowRow {
+    FlowRow { organisation: hot(), taken, asked: taken as u64, refill_ms: 0 }
+}
+
+fn stamp(boot: u64, sequence: u64) -> SourceStamp {
+    SourceStamp { boot, sequence }
+}
+
+proptest! {
+    /// Any order, repetition and loss of messages ends in the same sum, once the last message has come.
+    #[test]
+    fn a_sum_does_not_depend_on_the_way_of_messages(
+        steps in proptest::collection::vec(0_i64..5_000, 2..40),
+        order in proptest::collection::vec(0_usize..40, 0..120),
+    ) {
+        let daemon = DaemonName::from("entry-1");
+        let mut ledger = FlowLedger::default();
+        let totals: Vec<i64> = steps.iter().scan(0, |sum, step| { *sum += step; Some(*sum) }).collect();
+        let mut sum = 0;
+        let mut take = |at: usize| {
+            let rows = [row(totals[at])];
+            let now = Moment::from_millis(at as u64 * 50);
+            let deltas = ledger.take(&daemon, stamp(1, at as u64 + 1), (&rows, true), now);
+            sum += deltas.into_iter().flatten().map(|delta| delta.taken).sum::<i64>();
+        };
+        take(0);
+        order.into_iter().filter(|at| *at < totals.len()).for_each(&mut take);
+        take(totals.len() - 1);
+        prop_assert_eq!(sum, totals[totals.len() - 1] - totals[0]);
+    }
+}
+
+/// Symptom: a burst is charged twice, or not at all. Sequence: a daemon is killed and starts again; its counters begin at
+/// nought. Cause: a difference between the counters of two starts.
+#[test]
+fn a_daemon_that_starts_again_counts_from_nought() {
+    let daemon = DaemonName::from("entry-1");
+    let mut ledger = FlowLedger::default();
+    let now = Moment::from_millis(1_000);
+    ledger.take(&daemon, stamp(1, 9), (&[row(50_000)], true), now);
+
+    let restarted = ledger.take(&daemon, stamp(2, 1), (&[row(700)], true), now);
+    let late = ledger.take(&daemon, stamp(2, 1), (&[row(700)], true), now);
+
+    assert_eq!(restarted.map(|deltas| deltas[0].taken), Some(700));
+    assert_eq!(late, None);
+}
+
+/// Symptom: after an aggregator is replaced every bucket of the fleet is empty for seconds. Sequence: the new aggregator
+/// hears counters that began long ago, one organisation after the other. Cause: taking counters heard for the first
+/// time for tokens let through just now.
+#[test]
+fn what_a_new_source_let_through_before_is_not_counted() {
+    let daemon = DaemonName::from("entry-1");
+    let mut ledger = FlowLedger::default();
+    let now = Moment::from_millis(1_000);
+    let first = ledger.take(&daemon, stamp(1, 8), (&[], false), now);
+    let second = ledger.take(&daemon, stamp(1, 9), (&[row(900_000)], false), now);
+    let third = ledger.take(&daemon, stamp(1, 10), (&[row(900_500)], false), now);
+
+    assert_eq!((first, second), (Some(vec![]), Some(vec![])));
+    assert_eq!(third.map(|deltas| deltas[0].taken), Some(500));
+}
+
+/// Symptom: an organisation exceeds its limit while a daemon is cut off, or is refused for long after the cut has healed.
+/// Sequence: a daemon with half of an organisation's callers falls silent for five seconds, and had let nothing through.
+/// Cause: a silent daemon taken for idle; and nothing given back when it is heard again.
+#[test]
+fn a_silent_source_is_taken_to_use_its_part_and_some_is_given_back() {
+    let daemon = DaemonName::from("entry-1");
+    let mut ledger = FlowLedger::default();
+    let mut rates = FlowRates::default();
+    let limits = [(hot(), RATE as f64)];
+    let mut now = Moment::from_millis(0);
+    for sequence in 1..=40 {
+        now = Moment::from_millis(sequence * 50);
+        ledger.take(&daemon, stamp(1, sequence), (&[row(sequence as i64 * 1_000)], true), now);
+        rates.add(hot(), 2_000, now);
+    }
+    let after = Duration::from_millis(600);
+    let soon = now + Duration::from_millis(500);
+    let later = now + Duration::from_secs(5);
+    let heard_soon = ledger.assume_silent(&limits, &rates, (0.1, after), soon);
+    rates.add(hot(), 200_000, later);
+    let assumed = ledger.assume_silent(&limits, &rates, (0.1, after), later);
+    let back = ledger.take(&daemon, stamp(1, 41), (&[row(40_000)], true), later);
+
+    assert_eq!(heard_soon, []);
+    assert!(assumed[0].taken > 0, "{assumed:?}");
+    let given_back = -back.expect("a new message")[0].taken;
+    assert!(given_back > 0 && given_back <= assumed[0].taken, "{given_back} of {assumed:?}");
+}
+
+#[test]
+fn changed_rows_are_sent_again_and_the_others_in_turn() {
+    let hash = |number: usize| {
+        tarragonknot::fleet_state::OrganisationHash::of(&format!("o{number}").as_str().into())
+    };
+    let rows = |changed: Option<usize>, taken: i64| {
+        (0..300).map(move |number| FlowRow {
+            organisation: hash(number),
+            taken: if Some(number) == changed { taken } else { 1 },
+            asked: 1,
+            refill_ms: 0,
+        })
+    };
+    let mut rotation = RowRotation::default();
+    let mut seen = BTreeSet::new();
+    for _ in 0..60 {
+        seen.extend(rotation.choose(rows(None, 1)).iter().map(|row| row.organisation));
+    }
+    let sends: Vec<Vec<FlowRow>> = (0..6).map(|_| rotation.choose(rows(Some(7), 2))).collect();
+
+    assert_eq!(seen.len(), 300);
+    let has = |rows: &[FlowRow]| rows.iter().any(|row| row.organisation == hash(7));
+    assert!(sends[..4].iter().all(|rows| has(rows)));
+    assert!(sends.iter().all(|rows| rows.len() <= 10), "few rows where little changes");
+}
+
+#[test]
+fn a_silent_aggregator_is_passed_over_and_comes_back() {
+    let candidates = [address(0), address(1), address(2)];
+    let pause = Duration::from_millis(60);
+    let mut choice = AggregatorChoice::default();
+    let at = Moment::from_millis;
+    let first = choice.choose(&candidates, address(2), pause, at(1_000));
+    let patient = choice.choose(&candidates, address(2), pause, at(1_300));
+    let second = choice.choose(&candidates, address(2), pause, at(1_450));
+    let third = choice.choose(&candidates, address(2), pause, at(1_750));
+    choice.hear(address(0), at(1_800));
+    let back = choice.choose(&candidates, address(2), pause, at(1_810));
+
+    assert_eq!((first, patient, second), (address(0), address(0), address(1)));
+    assert_eq!((third, back), (address(2), address(0)));
+}
+
+/// Tokens that all daemons know the others to have let through, after each of them let some through.
+fn spread_tokens(play: &mut FleetPlay, tokens: u32) -> Vec<f64> {
+    let now = play.now;
+    for daemon in &mut play.daemons {
+        daemon.limits.release(tarragonknot::policy::OrganisationIndex(0), 0);
+        assert!(daemon.limits.admit(crate::fleet_play::HOT, tokens, now).is_ok());
+    }
+    play.run(1_500, true);
+    let now = play.now;
+    let refills = play.daemons.iter().map(|daemon| {
+        daemon.limits.refilled_in(crate::fleet_play::HOT, now).as_secs_f64() * RATE as f64
+    });
+    refills.collect()
+}
+
+#[rstest]
+#[case::small(7)]
+#[case::sixty(60)]
+#[case::hundreds(300)]
+#[case::a_thousand(1_000)]
+fn all_daemons_come_to_know_the_same_sum(#[case] count: usize) {
+    let mut play = FleetPlay::calm(count, 1);
+    play.run(2_400, true);
+    let covered: Vec<usize> =
+        play.daemons.iter().map(|daemon| daemon.fleet.coverage(play.now)).collect();
+    let tokens = (RATE as usize * 4 / 10 / count) as u32;
+
+    let known = spread_tokens(&mut play, tokens);
+
+    assert!(covered.iter().all(|covers| *covers == count), "{covered:?}");
+    let (least, most) = known.iter().fold((f64::MAX, 0.0), |(least, most): (f64, f64), value| {
+        (least.min(*value), most.max(*value))
+    });
+    assert!(most - least <= RATE as f64 * 0.05, "{least}..{most}");
+}
+
+/// A daemon's messages and bytes in a second, in the mean and at most.
+fn cost(count: usize) -> (f64, f64, f64) {
+    let mut play = FleetPlay::calm(count, 2);
+    play.run(2_000, true);
+    let before: Vec<(u64, u64)> =
+        play.daemons.iter().map(|daemon| (daemon.sent + daemon.heard, daemon.bytes)).collect();
+    play.run(2_000, true);
+    let after = play.daemons.iter().map(|daemon| (daemon.sent + daemon.heard, daemon.bytes));
+    let differences: Vec<(f64, f64)> = after
+        .zip(before)
+        .map(|(after, before)| {
+            ((after.0 - before.0) as f64 / 2.0, (after.1 - before.1) as f64 / 2.0)
+        })
+        .collect();
+    let messages = differences.iter().map(|(messages, _)| messages).sum::<f64>() / count as f64;
+    let most = differences.iter().map(|(messages, _)| *messages).fold(0.0, f64::max);
+    let bytes = differences.iter().map(|(_, bytes)| bytes).sum::<f64>() / count as f64;
+    (messages, most, bytes)
+}
+
+/// Symptom: the larger the fleet, the older what its daemons know, and the more processor time they spend on it. Cause:
+/// each daemon tells all others.
+#[test]
+fn the_cost_of_a_daemon_grows_no_faster_than_the_square_root_of_the_fleet() {
+    let costs: Vec<(f64, f64, f64)> = [60, 300, 1_000].into_iter().map(cost).collect();
+
+    // From 60 to 1,000 the square root grows 4.1 times.
+    assert!(costs[2].0 <= costs[0].0 * 4.1, "{costs:?}");
+    assert!(costs[2].1 <= costs[0].1 * 4.1, "{costs:?}");
+    assert!(costs.iter().all(|(mean, most, _)| *mean <= 120.0 && *most <= 1_200.0), "{costs:?}");
+    assert!(costs.iter().all(|(_, _, bytes)| *bytes <= 11_000.0), "{costs:?}");
+}
+
+#[rstest]
+#[case::hundreds(291, 200)]
+#[case::a_thousand(1_000, 400)]
+fn sums_are_fresh(#[case] count: usize, #[case] bound: u64) {
+    let mut play = FleetPlay::calm(count, 3);
+    play.run(2_400, true);
+    let mut ages = Vec::new();
+    for _ in 0..20 {
+        play.run_for(37);
+        // Parts are of any age up to the oldest one's.
+        ages.extend(play.daemons.iter().map(|daemon| daemon.fleet.sums_age(play.now) / 2));
+    }
+    ages.sort_unstable();
+
+    let age = ages[ages.len() * 95 / 100];
+
+    assert!(age <= Duration::from_millis(bound), "{age:?}");
+}
+
+/// Symptom: limits are exceeded, or refuse everything, for as long as an aggregator is gone. Sequence: the aggregators of all
+/// groups but two are killed at once. Cause: nobody takes their place, or both are counted.
+#[rstest]
+#[case(60)]
+#[case(291)]
+fn others_take_the_place_of_aggregators_that_are_killed(#[case] count: usize) {
+    let mut play = FleetPlay::calm(count, 4);
+    play.run(2_000, true);
+    let aggregators: Vec<usize> = (0..count)
+        .filter(|number| play.daemons[*number].fleet.role(play.now) == FleetRole::Aggregator)
+        .collect();
+    aggregators[2..].iter().for_each(|number| play.kill(*number));
+    play.run_for(1_500);
+
+    let alive = count - (aggregators.len() - 2);
+    let covered = play.daemons.iter().filter(|daemon| daemon.is_running);
+    let covered: Vec<usize> = covered.map(|daemon| daemon.fleet.coverage(play.now)).collect();
+    assert!(covered.iter().all(|covers| *covers == alive), "{alive}: {covered:?}");
+}
+
+/// Symptom: a daemon that was started again while the voters are away lets a whole limit through by itself. Sequence: it
+/// knows of nobody and nobody names it. Cause: sums that are sent to those only who report.
+#[test]
+fn a_daemon_that_starts_while_there_is_no_leader_finds_its_group() {
+    let mut play = FleetPlay::calm(100, 5);
+    play.run(2_000, true);
+    let number = (0..100)
+        .find(|number| play.daemons[*number].fleet.role(play.now) != FleetRole::Aggregator)
+        .expect("a member");
+    play.kill(number);
+    play.run_for(300);
+    play.start(number);
+    play.run_for(1_500);
+
+    let fleet = &play.daemons[number].fleet;
+    assert!(fleet.coverage(play.now) >= 99, "{}", fleet.coverage(play.now));
+    assert!(fleet.limit_share() >= 1.0);
+}
+
+/// Symptom: after a rolling restart sums lack daemons or hold some twice. Sequence: daemons drain and stop, start again under
+/// their addresses, others are added; a message in ten is lost and one in ten comes twice.
+#[test]
+fn everybody_is_counted_once_after_restarts_and_growth_under_loss() {
+    let weather = |_, _, _, draw: f64| match draw {
+        draw if draw < 0.1 => 0,
+        draw if draw > 0.9 => 2,
+        _ => 1,
+    };
+    let mut play = FleetPlay::new(100, 6, Box::new(weather));
+    play.run(2_000, true);
+    for number in (0..100).step_by(3) {
+        play.daemons[number].has_left = true;
+        play.run(400, true);
+        play.kill(number);
+        play.start(number);
+    }
+    (100..112).for_each(|number| play.start(number));
+    play.run(3_200, true);
+
+    let covered = play.daemons.iter().map(|daemon| daemon.fleet.coverage(play.now));
+    let covered: Vec<usize> = covered.collect();
+    let exact = covered.iter().filter(|covers| **covers == 112).count();
+    assert!(exact >= 106, "{covered:?}");
+    assert!(covered.iter().all(|covers| (100..=118).contains(covers)), "{covered:?}");
+}
+
+/// Symptom: nobody reads the platform's list, or many do. Sequence: the reader is killed; then the two that follow it.
+#[test]
+fn one_daemon_reads_the_list_and_another_takes_over() {
+    for count in [7, 60, 291] {
+        let mut play = FleetPlay::calm(count, 7);
+        play.run(2_400, true);
+        for _ in 0..3 {
+            let now = play.now;
+            let readers: Vec<usize> = (0..count)
+                .filter(|number| play.daemons[*number].is_running)
+                .filter(|number| play.daemons[*number].fleet.is_reader(now))
+                .collect();
+            assert_eq!(readers.len(), 1, "{count}: {readers:?}");
+            play.kill(readers[0]);
+            play.run(1_200, true);
+        }
+    }
+}
+
+fn work(requests: u32, gap_micros: u32) -> OthersWork {
+    OthersWork { requests, gap_micros, ..OthersWork::default() }
+}
+
+fn engine(number: usize) -> UpstreamHash {
+    UpstreamHash::of(&"pool".into(), &format!("e{number}").as_str().into(), 1)
+}
+
+/// Symptom: a daemon takes its own requests for another one's, and leaves places free. Sequence: the sums of its aggregator
+/// come back with its own part.
+#[test]
+fn the_work_of_others_holds_nothing_of_ones_own() {
+    let mut play = FleetPlay::calm(64, 8);
+    play.daemons[1].work = vec![(engine(1), work(2, 0))];
+    play.daemons[2].work = vec![(engine(1), work(3, 24_000))];
+    play.daemons[60].work = vec![(engine(1), work(4, 0)), (engine(2), work(1, 0))];
+    play.run(2_000, true);
+
+    let seen = |number: usize| play.daemons[number].fleet.others(play.now);
+    let places =
+        |number: usize| (seen(number)[&engine(1)].requests, seen(number)[&engine(1)].hinted);
+    assert_eq!((places(0), places(1), places(2)), ((5, 4), (3, 4), (2, 4)));
+    assert_eq!(places(60), (0, 5));
+    assert_eq!(seen(5)[&engine(2)].hinted, 1);
+    assert_eq!(seen(63)[&engine(1)].gap_micros, 24_000);
+}
+
+/// Symptom: engines are taken for full whose requests have long ended. Sequence: a daemon is killed with requests running.
+#[test]
+fn the_work_of_a_daemon_that_is_gone_is_forgotten() {
+    for count in [7, 64] {
+        let mut play = FleetPlay::calm(count, 9);
+        play.daemons[1].work = vec![(engine(1), work(2, 0))];
+        play.run(2_000, true);
+        let before = play.daemons[2].fleet.others(play.now)[&engine(1)].requests;
+        play.kill(1);
+        play.run_for(2_500);
+        let after = play.daemons[2].fleet.others(play.now);
+
+        assert_eq!(before, 2, "{count}");
+        assert!(after.get(&engine(1)).is_none_or(|work| work.requests == 0), "{count}: {after:?}");
+    }
+}
+
+#[test]
+fn a_message_of_ones_own_that_comes_back_changes_nothing() {
+    let mut play = FleetPlay::calm(3, 10);
+    play.run(1_000, true);
+    let daemon = &mut play.daemons[0];
+    let before = daemon.fleet.coverage(play.now);
+    let outgoing = daemon.fleet.tick(Default::default(), &[], play.now);
+    outgoing.into_iter().for_each(|out| _ = daemon.fleet.take(out.message, play.now));
+
+    assert_eq!(daemon.fleet.coverage(play.now), before);
+    assert!(name(0).starts_with("entry"));
+}
--- a/tests/test_limits.rs
+++ b/tests/test_limits.rs
@@ -1,38 +1,26 @@
 //! Limits that several daemons keep together, and the queue that puts those in time first.
 
+use rstest::rstest;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tarragonknot::fleet_state::{DaemonIdentity, FleetState};
 use tarragonknot::policy::{
-    DispatchOutcome, LimitBook, LimitClaim, LimitTolerance, Moment, NeighbourBook,
-    OrganisationIndex, OrganisationLimit, PoolAction, PoolEvent, RequestId, UpstreamIndex,
-    WorkNotice,
+    DispatchOutcome, LimitBook, LimitClaim, LimitTolerance, Moment, OrganisationLimit, PoolAction,
+    PoolEvent, RequestId, UpstreamIndex,
 };
-use tarragonknot::table::OrganisationName;
 
 use crate::burst_pool::{BurstPool, arrived, sent};
+use crate::fleet_play::{AskedTokens, FleetPlay, HOT, RATE, Weather};
 use crate::session::source;
 
-const HOT: OrganisationIndex = OrganisationIndex(0);
-/// Tokens a second and burst of the limit in these tests.
-const RATE: u64 = 100_000;
-/// Time between two notices, in milliseconds.
-const NOTICE_PAUSE: u64 = 50;
-
-fn hot() -> OrganisationName {
-    OrganisationName::from("hot")
-}
-
-/// One daemon's side of the limits.
+/// One daemon's limits.
 struct LimitDaemon {
-    number: u64,
-    book: NeighbourBook,
     limits: LimitBook,
-    sequence: u64,
 }
 
 impl LimitDaemon {
-    fn new(number: u64, began: Moment) -> Self {
+    fn new(began: Moment) -> Self {
         let mut limits = LimitBook::default();
         let limit = OrganisationLimit {
             tokens_per_second: Some(RATE),
@@ -41,107 +29,37 @@
         };
         limits.set_limits(HashMap::from([(HOT, limit)]));
         limits.start_empty(began);
-        LimitDaemon { number, book: NeighbourBook::default(), limits, sequence: 0 }
-    }
-
-    fn address(number: u64) -> SocketAddr {
-        SocketAddr::from(([127, 0, 0, 1], 1_000 + number as u16))
-    }
-
-    fn notice(&mut self, now: Moment) -> WorkNotice {
-        self.sequence += 1;
-        let address = Self::address(self.number);
-        WorkNotice {
-            daemon: format!("entry-{}", self.number).as_str().into(),
-            boot: 1,
-            sequence: self.sequence,
-            address,
-            work: Vec::new(),
-            taken: vec![(hot(), self.limits.taken(HOT))],
-            refills: vec![(hot(), self.limits.refilled_in(HOT, now).as_millis() as u32)],
-            is_leaving: false,
-        }
-    }
-
-    fn hear(&mut self, notice: WorkNotice, now: Moment) {
-        let refill = Duration::from_millis(u64::from(notice.refills[0].1));
-        for (_, tokens) in self.book.take(notice, now) {
-            self.limits.charge(HOT, tokens, now);
-        }
-        self.limits.level(HOT, refill, now);
-    }
-
-    fn start_round(&mut self) {
-        let words = self.book.late_words(&[hot()]);
-        let words = words.get(&hot()).map(|word| (HOT, *word));
-        self.limits.new_round(&words.into_iter().collect());
-    }
-
-    fn reckon(&mut self, now: Moment) {
-        self.book.learn_own(&[(hot(), self.limits.taken(HOT))], now);
-        self.start_round();
-        let rate = self.limits.rate(HOT).expect("a limit");
-        for (_, tokens) in self.book.reckon_silent(&[(hot(), rate)], now) {
-            self.limits.charge(HOT, tokens, now);
-        }
+        LimitDaemon { limits }
     }
 }
 
-/// Plays callers who ask for eight times the limit, evenly at all daemons; `hears` says who hears whom and when.
-/// Returns tokens let through in each second.
-fn play(daemons: u64, seconds: u64, hears: impl Fn(u64, u64, u64) -> bool) -> Vec<u64> {
-    play_asking(8.0, NOTICE_PAUSE, daemons, seconds, hears)
-}
+/// Tokens of one request.
+const COST: u32 = 2_000;
 
-/// The same for callers who ask for `times` the limit, and notices `pause` milliseconds apart.
-fn play_asking(
+/// Callers ask for `times` the limit, evenly at all daemons of a fleet; `hears` says who hears whom and when.
+fn play(
     times: f64,
-    pause: u64,
-    daemons: u64,
+    daemons: usize,
     seconds: u64,
-    hears: impl Fn(u64, u64, u64) -> bool,
-) -> Vec<u64> {
-    let start = 10_000;
-    let mut fleet: Vec<LimitDaemon> =
-        (0..daemons).map(|number| LimitDaemon::new(number, Moment::from_millis(0))).collect();
-    let named: Vec<SocketAddr> = (0..daemons).map(LimitDaemon::address).collect();
-    fleet.iter_mut().for_each(|daemon| {
-        daemon.book.set_named(named.clone());
-        daemon.start_round();
+    hears: impl Fn(usize, usize, u64) -> bool + 'static,
+) -> AskedTokens {
+    let began = 4_400;
+    let weather: Weather = Box::new(move |from, to, now: Moment, _| {
+        usize::from(hears(from, to, (now.0 / 1_000).saturating_sub(began)))
     });
-    let cost = 2_000;
-    let each = (daemons as f64 * 1_000.0 * f64::from(cost) / (times * RATE as f64)) as u64;
-    let mut let_through = vec![0; seconds as usize];
-    for millis in 0..seconds * 1_000 {
-        let now = Moment::from_millis(start + millis);
-        for (number, daemon) in fleet.iter_mut().enumerate() {
-            let is_asked = (millis + number as u64 * each / daemons).is_multiple_of(each);
-            if is_asked && daemon.limits.admit(HOT, cost, now).is_ok() {
-                let_through[(millis / 1_000) as usize] += u64::from(cost);
-            }
-        }
-        if millis.is_multiple_of(pause) {
-            fleet.iter_mut().for_each(|daemon| daemon.reckon(now));
-            let notices: Vec<WorkNotice> =
-                fleet.iter_mut().map(|daemon| daemon.notice(now)).collect();
-            for (from, notice) in notices.into_iter().enumerate() {
-                let others = fleet.iter_mut().enumerate().filter(|(to, _)| *to != from);
-                let listening = others.filter(|(to, _)| hears(from as u64, *to as u64, millis));
-                listening.for_each(|(_, daemon)| daemon.hear(notice.clone(), now));
-            }
-        }
-    }
-    let_through
+    let mut fleet = FleetPlay::new(daemons, 1, weather);
+    fleet.run(began - 2_000, true);
+    fleet.ask((times, COST), seconds, |draw| (draw * daemons as f64) as usize)
 }
 
 /// Symptom: an organisation gets as many times its limit as there are daemons. Cause: each daemon applies it alone.
 #[test]
 fn daemons_that_hear_each_other_keep_one_limit() {
-    let seconds = play(6, 10, |_, _, _| true);
+    let asked = play(8.0, 6, 10, |_, _, _| true);
 
-    let sum: u64 = seconds.iter().sum();
-    assert!(sum <= RATE * 11 + RATE / 2, "{seconds:?}");
-    assert!(sum >= RATE * 10, "{seconds:?}");
+    let sum: u64 = asked.let_through.iter().sum();
+    assert!(sum <= RATE * 11 + RATE / 2, "{asked:?}");
+    assert!(sum >= RATE * 10, "{asked:?}");
 }
 
 /// Symptom: an organisation exceeds its limit while entries are cut off from each other.
@@ -149,14 +67,21 @@
 /// Cause: taking a silent daemon for one that lets nothing through, or less and less.
 #[test]
 fn daemons_that_hear_nothing_of_each_other_keep_it_too() {
-    let is_cut = |number: u64, millis: u64| number < 4 && millis >= 2_000;
+    let is_cut = |number: usize, millis: u64| number < 4 && millis >= 2_000;
 
-    let seconds = play(7, 12, |from, to, millis| !is_cut(from, millis) && !is_cut(to, millis));
+    let asked = play(8.0, 7, 12, move |from, to, at| !is_cut(from, at) && !is_cut(to, at));
 
-    for window in seconds.windows(8) {
-        let sum: u64 = window.iter().sum();
-        assert!(sum <= (RATE * 9) * 11 / 10 + 95_000, "{seconds:?}");
-    }
+    assert!(asked.worst(8) <= (RATE * 9) * 11 / 10 + 95_000, "{asked:?}");
+}
+
+/// The same in a fleet with aggregators: a member, and an aggregator, are cut off.
+#[test]
+fn daemons_of_a_large_fleet_that_are_cut_off_keep_it_too() {
+    let is_cut = |number: usize, millis: u64| number < 4 && millis >= 2_000;
+
+    let asked = play(8.0, 64, 12, move |from, to, at| !is_cut(from, at) && !is_cut(to, at));
+
+    assert!(asked.worst(8) <= (RATE * 9) * 11 / 10 + 95_000, "{asked:?}");
 }
 
 /// Symptom: after a cut has healed one daemon refuses all and the others let all through.
@@ -164,42 +89,79 @@
 /// the others use up what is refilled.
 #[test]
 fn a_daemon_that_comes_back_gets_its_part_again() {
-    let is_cut = |number: u64, millis: u64| number == 0 && (2_000..7_000).contains(&millis);
-    let hears = |from, to, millis| !is_cut(from, millis) && !is_cut(to, millis);
+    let is_cut = |number: usize, millis: u64| number == 0 && (2_000..7_000).contains(&millis);
+
+    let asked = play(8.0, 4, 16, move |from, to, at| !is_cut(from, at) && !is_cut(to, at));
+
+    let late = asked.mean_from(10);
+    assert!(late >= RATE as f64 * 0.8, "{asked:?}");
+    assert!(late <= RATE as f64 * 1.2, "{asked:?}");
+}
+
+/// Symptom: a large fleet refuses nearly everything although nobody is beyond a limit (18,921 of 31,062 requests on a
+/// day with 291 daemons). Sequence: daemons hear late what the others let through; callers ask for less than the limit.
+/// Cause: what is not known reckoned as a guess times the number of daemons.
+#[rstest]
+#[case::half(0.5, 74)]
+#[case::nearly_all(0.9, 74)]
+#[case::half_of_hundreds(0.5, 291)]
+#[case::nearly_all_of_hundreds(0.9, 291)]
+fn a_large_fleet_refuses_nothing_below_the_limit(#[case] times: f64, #[case] daemons: usize) {
+    let asked = play(times, daemons, 12, |_, _, _| true);
+
+    assert!(asked.refused * 200 <= asked.requests, "{asked:?}");
+}
 
-    let seconds = play(4, 16, hears);
+/// Symptom: on a fleet of 74 an organisation that asks for six times its limit gets 7 % more than is tolerated.
+/// Sequence: its bucket is nearly empty; every daemon sees the same rest and spends it before it hears of the others.
+/// Cause: word that is old taken for the present.
+#[rstest]
+#[case(6.0, 74)]
+#[case(3.0, 291)]
+#[case(8.0, 291)]
+fn a_large_fleet_keeps_the_limit_too(#[case] times: f64, #[case] daemons: usize) {
+    let asked = play(times, daemons, 16, |_, _, _| true);
 
-    let late: u64 = seconds[10..].iter().sum();
-    assert!(late >= RATE * 6 * 8 / 10, "{seconds:?}");
-    assert!(late <= RATE * 6 * 12 / 10, "{seconds:?}");
+    let tolerated = (RATE * 8 + RATE) * 11 / 10;
+    assert!(asked.worst(8) <= tolerated, "{} of {tolerated}: {asked:?}", asked.worst(8));
+    assert!(asked.mean_from(4) >= RATE as f64 * 0.9, "{asked:?}");
+    assert!(asked.mean_from(4) <= RATE as f64 * 1.1, "{asked:?}");
 }
 
-/// Symptom: a large fleet refuses nearly everything although nobody is beyond a limit.
-/// Sequence: 74 daemons tell each other what they let through, so seldom that each counts as silent between two
-/// notices; callers ask for half of the limit. Cause: reckoning every daemon with its part of the whole limit, and
-/// giving nothing back when its notice says that it let through less.
+/// Symptom: an organisation's limit is exceeded in the first second of a burst. Sequence: it asks for little, then for six
+/// times its limit at once, at all of 291 daemons. Cause: rates that are averaged over too long a time.
 #[test]
-fn a_large_fleet_refuses_nothing_below_the_limit() {
-    let book = {
-        let mut book = NeighbourBook::default();
-        let address = |host: u16| SocketAddr::from(([127, 0, 0, 1], 2_000 + host));
-        book.set_named((0..73).map(address).collect());
-        book
-    };
-    let pause = book.notice_pause().as_millis() as u64;
+fn a_sudden_burst_is_held_too() {
+    let mut fleet = FleetPlay::calm(291, 3);
+    fleet.run(2_400, true);
+    let everywhere = |draw: f64| (draw * 291.0) as usize;
+    fleet.ask((0.2, COST), 4, everywhere);
+    let asked = fleet.ask((6.0, COST), 10, everywhere);
+
+    assert!(asked.worst(8) <= (RATE * 9) * 11 / 10, "{asked:?}");
+}
 
-    let seconds = play_asking(0.5, pause, 74, 12, |_, _, _| true);
+/// Symptom: on a large fleet organisations below their limits are refused. Sequence: an organisation's callers are at
+/// a few daemons and ask for nine tenths of its limit. Cause: taking it that every daemon of the fleet lets as much
+/// through.
+#[rstest]
+#[case(74)]
+#[case(291)]
+fn a_large_fleet_refuses_nothing_to_callers_at_few_daemons(#[case] daemons: usize) {
+    let mut fleet = FleetPlay::calm(daemons, 2);
+    fleet.run(2_400, true);
+
+    let asked = fleet.ask((0.9, 1_000), 12, |draw| (draw * 6.0) as usize * daemons / 7);
 
-    let sum: u64 = seconds[4..].iter().sum();
-    assert!(pause >= 700, "{pause}");
-    assert!(sum >= RATE / 2 * 8 * 95 / 100, "{seconds:?}");
+    assert!(asked.requests > 900);
+    assert!(asked.refused * 200 <= asked.requests, "{asked:?}");
 }
 
 /// Symptom: a burst passes twice. Sequence: a process is killed after letting a burst through and started again.
 /// Cause: a new process with full buckets.
 #[test]
 fn a_new_process_begins_with_empty_buckets() {
-    let mut daemon = LimitDaemon::new(0, Moment::from_millis(5_000));
+    let mut daemon = LimitDaemon::new(Moment::from_millis(5_000));
 
     let at_once = daemon.limits.admit(HOT, 50_000, Moment::from_millis(5_000));
     let later = daemon.limits.admit(HOT, 50_000, Moment::from_millis(6_100));
@@ -208,77 +170,32 @@
     assert!(later.is_ok());
 }
 
-/// Symptom: on a fleet of 74 an organisation that asks for six times its limit gets 7 % more than is tolerated.
-/// Sequence: its bucket is nearly empty; every daemon sees the same rest and spends it before it hears of the others.
-/// Cause: word that is 0.74 s old taken for the present.
-#[test]
-fn a_large_fleet_keeps_the_limit_too() {
-    let pause = 740;
-    let seconds = play_asking(6.0, pause, 74, 16, |_, _, _| true);
-
-    let worst = seconds.windows(8).map(|window| window.iter().sum::<u64>()).max().unwrap_or(0);
-    let tolerated = (RATE * 8 + RATE) * 11 / 10;
-    assert!(worst <= tolerated, "{worst} of {tolerated}: {seconds:?}");
-    let last: u64 = seconds[8..].iter().sum();
-    assert!(last >= RATE * 8 * 8 / 10, "{last}: {seconds:?}");
-}
-
-/// Symptom: on a fleet of 74 organisations below their limits are refused. Sequence: an organisation's callers are at
-/// a few daemons and ask for three fifths of its limit. Cause: reckoning every daemon of the fleet as if it let as much
-/// through.
-#[test]
-fn a_large_fleet_refuses_nothing_to_callers_at_few_daemons() {
-    let pause = 740;
-    let mut fleet: Vec<LimitDaemon> =
-        (0..74).map(|number| LimitDaemon::new(number, Moment::from_millis(0))).collect();
-    let named: Vec<SocketAddr> = (0..74).map(LimitDaemon::address).collect();
-    fleet.iter_mut().for_each(|daemon| daemon.book.set_named(named.clone()));
-    let mut refused = 0;
-    let mut asked = 0;
-    for millis in 0..12_000 {
-        let now = Moment::from_millis(10_000 + millis);
-        // Six requests of 1,000 tokens each 100 ms, at the first six daemons in turn.
-        if millis % 17 == 0 {
-            let daemon = &mut fleet[(millis / 17 % 6) as usize];
-            asked += 1;
-            refused += u64::from(daemon.limits.admit(HOT, 1_000, now).is_err());
-        }
-        if millis % pause == 0 {
-            fleet.iter_mut().for_each(|daemon| daemon.reckon(now));
-            let notices: Vec<WorkNotice> =
-                fleet.iter_mut().map(|daemon| daemon.notice(now)).collect();
-            for (from, notice) in notices.into_iter().enumerate() {
-                let others = fleet.iter_mut().enumerate().filter(|(to, _)| *to != from);
-                others.for_each(|(_, daemon)| daemon.hear(notice.clone(), now));
-            }
-        }
-    }
-
-    assert!(asked > 600);
-    assert!(refused * 50 <= asked, "{refused} of {asked}");
-}
-
 /// Symptom: an organisation's limit is exceeded by half in the first three seconds. Sequence: all daemons start at
 /// once; until there is a leader none is told of the others. Cause: a daemon that knows of nobody takes itself for the
 /// only one. (Found by the soak, seed 106.)
 #[test]
 fn daemons_that_know_of_nobody_yet_keep_the_limit_between_them() {
-    let mut fleet: Vec<LimitDaemon> =
-        (0..6).map(|number| LimitDaemon::new(number, Moment::from_millis(0))).collect();
+    let alone = |number: u16| {
+        let address = SocketAddr::from(([127, 0, 0, 1], 1_000 + number));
+        FleetState::new(DaemonIdentity { daemon: "entry".into(), boot: 1, address })
+    };
+    let mut fleet: Vec<(FleetState, LimitDaemon)> =
+        (0..6).map(|number| (alone(number), LimitDaemon::new(Moment::from_millis(0)))).collect();
     let mut passed = 0;
     for millis in (0..3_000).step_by(10) {
         let now = Moment::from_millis(millis);
-        for daemon in &mut fleet {
-            daemon.limits.set_share(daemon.book.limit_share());
+        for (state, daemon) in &mut fleet {
+            daemon.limits.set_share(state.limit_share());
             passed += u64::from(daemon.limits.admit(HOT, 2_000, now).is_ok()) * 2_000;
         }
     }
-    let alone = fleet[0].book.limit_share();
-    fleet[0].book.set_named(vec![SocketAddr::from(([127, 0, 0, 1], 1_000))]);
+    let state = &mut fleet[0].0;
+    let share = state.limit_share();
+    state.set_named(vec![SocketAddr::from(([127, 0, 0, 1], 1_000))], Moment::from_millis(3_000));
 
     assert!(passed <= 4 * RATE, "{passed}");
-    assert!(alone < 1.0);
-    assert!(fleet[0].book.limit_share() >= 1.0);
+    assert!(share < 1.0);
+    assert!(state.limit_share() >= 1.0);
 }
 
 /// Symptom: an organisation's limit is exceeded after a machine froze for seconds. Sequence: one of four daemons
@@ -287,7 +204,7 @@
 #[test]
 fn a_process_that_stood_still_goes_on_with_empty_buckets() {
     let began = Moment::from_millis(0);
-    let mut daemon = LimitDaemon::new(0, began);
+    let mut daemon = LimitDaemon::new(began);
     let full_at = 20_000;
     daemon.limits.alive(Moment::from_millis(full_at));
     let before = daemon.limits.admit(HOT, 1_000, Moment::from_millis(full_at)).is_ok();
@@ -301,7 +218,7 @@
 
 #[test]
 fn a_tolerance_is_given_to_callers_in_part() {
-    let mut daemon = LimitDaemon::new(0, Moment::from_millis(0));
+    let mut daemon = LimitDaemon::new(Moment::from_millis(0));
     daemon.limits.set_tolerance(LimitTolerance { overage: 0.1, slack: 100_000 });
     let now = Moment::from_millis(60_000);
 
@@ -434,27 +351,6 @@
     assert!(chosen.values().all(|count| *count <= 40), "{chosen:?}");
 }
 
-/// Symptom: the platform's list is read as often as there are daemons, beyond what the platform takes; or nobody
-/// reads it any more. Sequence: daemons hear each other; the one that reads falls silent. Cause: a reader that is
-/// appointed instead of worked out.
-#[test]
-fn one_daemon_reads_the_list_and_another_takes_over() {
-    let now = Moment::from_millis(10_000);
-    let mut first = LimitDaemon::new(1, now);
-    let mut second = LimitDaemon::new(2, now);
-    let own = |number: u16| SocketAddr::from(([127, 0, 0, 1], 1_000 + number));
-    let alone = second.book.is_reader(own(2), now);
-    let (notice, answer) = (first.notice(now), second.notice(now));
-    second.hear(notice, now);
-    first.hear(answer, now);
-
-    let together = (first.book.is_reader(own(1), now), second.book.is_reader(own(2), now));
-    let later = now + Duration::from_secs(3);
-    let after_silence = second.book.is_reader(own(2), later);
-
-    assert_eq!((alone, together, after_silence), (true, (true, false), true));
-}
-
 fn claim(cost: u32, rank: u8) -> LimitClaim {
     LimitClaim { cost, rank, has_returned: false }
 }
@@ -463,7 +359,7 @@
 /// Sequence: it asks for twice its limit, half of it urgent. Cause: a limit that is spent on what comes first.
 #[test]
 fn an_organisation_spends_its_limit_on_what_is_urgent() {
-    let mut daemon = LimitDaemon::new(0, Moment::from_millis(0));
+    let mut daemon = LimitDaemon::new(Moment::from_millis(0));
     let mut refused = [0, 0];
     for step in 0..200 {
         let now = Moment::from_millis(60_000 + step * 50);
@@ -482,7 +378,7 @@
 /// Below the limit a lower rank is refused nothing.
 #[test]
 fn a_lower_rank_has_the_whole_limit_while_nobody_else_wants_it() {
-    let mut daemon = LimitDaemon::new(0, Moment::from_millis(0));
+    let mut daemon = LimitDaemon::new(Moment::from_millis(0));
 
     let refused = (0..200).filter(|step| {
         let now = Moment::from_millis(60_000 + step * 50);
@@ -496,7 +392,7 @@
 /// part of the limit kept from a rank whatever its requests take.
 #[test]
 fn a_small_request_of_a_low_rank_passes_while_a_large_one_leaves_room() {
-    let mut daemon = LimitDaemon::new(0, Moment::from_millis(0));
+    let mut daemon = LimitDaemon::new(Moment::from_millis(0));
     let now = Moment::from_millis(60_000);
     daemon.limits.admit_claim(HOT, claim(60_000, 0), now).expect("a full bucket");
 
@@ -512,7 +408,7 @@
 /// what comes first.
 #[test]
 fn an_organisation_spends_its_limit_on_newcomers_first() {
-    let mut daemon = LimitDaemon::new(0, Moment::from_millis(0));
+    let mut daemon = LimitDaemon::new(Moment::from_millis(0));
     let mut refused = [0, 0];
     for step in 0..200 {
         let now = Moment::from_millis(60_000 + step * 50);
--- a/tests/test_routed.rs
+++ b/tests/test_routed.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
+use tarragonknot::fleet_state::OrganisationHash;
 use tarragonknot::report::{install_metrics, render_metrics};
 use tarragonknot::upstream::VmState;
 
@@ -336,7 +337,10 @@
 
     assert!(left.is_err());
     assert_eq!(engine_has_it, 1);
-    assert_eq!(fleet.state.taken(), vec![("agents".into(), 1)]);
+    let snapshot = fleet.state.snapshot();
+    let organisation = OrganisationHash::of(&"agents".into());
+    let index = snapshot.access.limited_by_hash(organisation).expect("a limit");
+    assert_eq!(fleet.state.limits().taken(index), 1);
 }
 
 #[tokio::test]
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -2,6 +2,7 @@
 
 mod burst_pool;
 mod fixtures;
+mod fleet_play;
 mod fleet_schedule;
 mod routed_fleet;
 mod schedule;
@@ -16,6 +17,7 @@
 mod test_faults;
 mod test_fleet;
 mod test_fleet_processes;
+mod test_fleet_state;
 mod test_limits;
 mod test_list_pages;
 mod test_packed_table;
