--- a/src/fleet_state/flow_ledger.rs
+++ b/src/fleet_state/flow_ledger.rs
@@ -1,6 +1,6 @@
 //! Cumulative counters of several sources, and what is assumed of those that are silent.
 
-use super::{FlowRates, FlowRow, OrganisationHash};
+use super::{FlowRates, FlowRow, MessageRefusal, OrganisationHash};
 use crate::policy::Moment;
 use crate::table::DaemonName;
 use std::collections::BTreeMap;
@@ -72,7 +72,7 @@
 }
 
 impl FlowLedger {
-    /// Takes a message; none if it was overtaken or came twice. Rows that are left out have not changed, or stand at
+    /// Takes a message, unless it was overtaken or a counter has fallen. Rows that are left out have not changed, or stand at
     /// nought where the message `is_whole`.
     pub fn take(
         &mut self,
@@ -80,7 +80,7 @@
         stamp: SourceStamp,
         (rows, is_whole): (&[FlowRow], bool),
         now: Moment,
-    ) -> Option<Vec<FlowDelta>> {
+    ) -> Result<Vec<FlowDelta>, MessageRefusal> {
         let Some(source) = self.sources.get_mut(daemon) else {
             let totals = rows.iter().map(|row| (row.organisation, (row.taken, row.asked)));
             let source = FlowSource {
@@ -92,12 +92,16 @@
                 is_complete: is_whole,
             };
             self.sources.insert(daemon.clone(), source);
-            return Some(Vec::new());
+            return Ok(Vec::new());
         };
-        if source.stamp.boot == stamp.boot && source.stamp.sequence >= stamp.sequence {
-            return None;
+        let is_same_start = source.stamp.boot == stamp.boot;
+        if is_same_start && source.stamp.sequence >= stamp.sequence {
+            return Err(MessageRefusal::Overtaken);
         }
-        if source.stamp.boot != stamp.boot {
+        if is_same_start && rows.iter().any(|row| source.asked(row.organisation) > row.asked) {
+            return Err(MessageRefusal::FallingCounter);
+        }
+        if !is_same_start {
             source.totals.clear();
             source.is_complete = true;
         }
@@ -106,7 +110,7 @@
         let silence = source.silence.take();
         let deltas = source.deltas(rows, silence, now);
         source.is_complete |= is_whole;
-        Some(deltas)
+        Ok(deltas)
     }
 
     /// What silent sources may have let through since this was asked last, given the rates that the limits let through. Each
@@ -162,6 +166,10 @@
 }
 
 impl FlowSource {
+    fn asked(&self, organisation: OrganisationHash) -> u64 {
+        self.totals.get(&organisation).map_or(0, |(_, asked)| *asked)
+    }
+
     fn deltas(
         &mut self,
         rows: &[FlowRow],
--- a/src/fleet_state/messages.rs
+++ b/src/fleet_state/messages.rs
@@ -178,6 +178,54 @@
     }
 }
 
+/// Why a message is passed over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum MessageRefusal {
+    /// It came twice, or after a later one of the same source, or it is this daemon's own. That is usual.
+    Overtaken,
+    /// A counter that can only rise has fallen within one start of the source.
+    FallingCounter,
+    /// It says what no daemon can have done, or names no address to answer to.
+    Implausible,
+}
+
+impl MessageRefusal {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            MessageRefusal::Overtaken => "overtaken",
+            MessageRefusal::FallingCounter => "falling-counter",
+            MessageRefusal::Implausible => "implausible",
+        }
+    }
+}
+
+/// Requests of one daemon or group at one upstream, at most: an upstream works on tens at once.
+const MOST_REQUESTS: u32 = 1 << 20;
+/// Tokens that a source counts of one organisation, at most: a century at 12 million a second.
+const MOST_TOKENS: u64 = 1 << 55;
+
+impl FleetMessage {
+    /// Refuses what no daemon can have done.
+    pub fn check(&self) -> Result<(), MessageRefusal> {
+        // Sums hold what is assumed of silent daemons, which nobody asked for.
+        let (flows, work, is_own) = match self {
+            FleetMessage::Report(report) => (&report.flows, &report.work, true),
+            FleetMessage::Sum(sum) => (&sum.flows, &sum.work, false),
+            FleetMessage::Summary(summary) => (&summary.flows, &summary.work, false),
+        };
+        let address = self.source().address;
+        let is_reachable = address.port() != 0 && !address.ip().is_unspecified();
+        let counts = |row: &FlowRow| {
+            let most = if is_own { row.asked } else { MOST_TOKENS };
+            row.asked <= MOST_TOKENS && row.taken.unsigned_abs() <= most
+        };
+        let works = |row: &WorkRow| row.1.requests <= MOST_REQUESTS;
+        let is_plausible = is_reachable && flows.iter().all(counts) && work.iter().all(works);
+        if is_plausible { Ok(()) } else { Err(MessageRefusal::Implausible) }
+    }
+}
+
 /// The hash by which messages name a daemon.
 pub fn daemon_hash(daemon: &DaemonName) -> u32 {
     xxh3_64(daemon.as_str().as_bytes()) as u32
--- a/src/fleet_state/mod.rs
+++ b/src/fleet_state/mod.rs
@@ -30,7 +30,7 @@
 pub use layout::{FleetLayout, MESH_SIZE};
 pub use messages::{
     Departure, FleetMessage, FleetSummary, FlowRow, GroupSum, ListStamp, MemberReport,
-    MessageSource, OrganisationHash, UpstreamHash, WorkRow,
+    MessageRefusal, MessageSource, OrganisationHash, UpstreamHash, WorkRow,
 };
 pub use own_history::OwnHistory;
 pub use row_rotation::RowRotation;
--- a/src/fleet_state/state/sending.rs
+++ b/src/fleet_state/state/sending.rs
@@ -64,7 +64,8 @@
         let report = self.report(!self.history.is_included(), departure(&self.own));
         self.history.push(self.sequence, &self.own.flows, &self.own.work);
         if aggregator == own {
-            self.take_report(MemberReport { departure: Departure::Stays, ..report }, now);
+            // Its own report is never overtaken.
+            let _ = self.take_report(MemberReport { departure: Departure::Stays, ..report }, now);
         } else {
             let message = FleetMessage::Report(report);
             outgoing.push(OutgoingMessage { to: vec![aggregator], message });
--- a/src/fleet_state/state/taking.rs
+++ b/src/fleet_state/state/taking.rs
@@ -3,8 +3,8 @@
 use super::{DaemonIdentity, FleetState, PeerAggregator, Reporter, SummaryView};
 use crate::fleet_state::messages::daemon_hash;
 use crate::fleet_state::{
-    Departure, FleetMessage, FleetSummary, FlowRow, GroupSum, MemberReport, MessageSource,
-    SourceStamp,
+    Departure, FleetMessage, FleetSummary, FlowRow, GroupSum, MemberReport, MessageRefusal,
+    MessageSource, SourceStamp,
 };
 use crate::policy::Moment;
 use std::time::Duration;
@@ -19,71 +19,74 @@
 }
 
 impl FleetState {
-    /// Takes a message of another daemon. Returns what it says of the organisations' buckets, which are kept level.
-    pub fn take(&mut self, message: FleetMessage, now: Moment) -> BucketWord {
-        let source = message.source();
-        if source.daemon == self.identity.daemon {
-            return BucketWord::default();
+    /// Takes a message of another daemon. Returns what it says of the organisations' buckets, which are kept level, or why it
+    /// is passed over.
+    pub fn take(
+        &mut self,
+        message: FleetMessage,
+        now: Moment,
+    ) -> Result<BucketWord, MessageRefusal> {
+        if message.source().daemon == self.identity.daemon {
+            return Err(MessageRefusal::Overtaken);
         }
-        self.heard.insert(source.address, now);
+        message.check()?;
+        self.heard.insert(message.source().address, now);
         match message {
             FleetMessage::Report(report) => {
                 let rows = report.flows.clone();
-                let is_new = self.take_report(report, now);
-                let tellers = self.reporters.len();
+                self.take_report(report, now)?;
                 // Members of a group are levelled by their aggregator, which hears the other groups too.
-                BucketWord::new(rows, tellers, is_new && self.is_mesh(now))
+                Ok(BucketWord::new(rows, self.reporters.len(), self.is_mesh(now)))
             }
             FleetMessage::Sum(sum) => {
                 let rows = sum.flows.clone();
-                let is_new = self.take_sum(sum, now);
-                let tellers = self.aggregators.len();
-                BucketWord::new(rows, tellers, is_new && self.counts_itself(now))
+                self.take_sum(sum, now)?;
+                Ok(BucketWord::new(rows, self.aggregators.len(), self.counts_itself(now)))
             }
             FleetMessage::Summary(summary) => {
                 let rows = summary.flows.clone();
-                let is_new = self.take_summary(summary, now);
-                BucketWord::new(rows, 1, is_new)
+                let is_taken = self.take_summary(summary, now)?;
+                Ok(BucketWord::new(rows, 1, is_taken))
             }
         }
     }
 
-    /// Takes a report, which may be this daemon's own. False if it was overtaken.
-    pub(super) fn take_report(&mut self, report: MemberReport, now: Moment) -> bool {
+    /// Takes a report, which may be this daemon's own.
+    pub(super) fn take_report(
+        &mut self,
+        report: MemberReport,
+        now: Moment,
+    ) -> Result<(), MessageRefusal> {
         let MemberReport { source, flows, is_whole, work, can_read_list, departure, .. } = report;
         let MessageSource { daemon, address, .. } = &source;
         if departure != Departure::Stays && self.members.stamp(daemon).is_none() {
-            return false;
+            return Ok(());
         }
         let rows = (flows.as_slice(), is_whole);
-        let Some(deltas) = self.members.take(daemon, stamp(&source), rows, now) else {
-            return false;
-        };
+        let deltas = self.members.take(daemon, stamp(&source), rows, now)?;
         let DaemonIdentity { daemon: own, .. } = &self.identity;
         let is_own = daemon == own;
         self.count(&deltas, (true, is_own), now);
         if departure != Departure::Stays {
             self.remove_member(daemon);
             self.heard.remove(address);
-            return true;
+            return Ok(());
         }
         self.away.learn_speeds(&work, now);
         let (hash, address) = (daemon_hash(daemon), *address);
         let reporter = Reporter { address, hash, work, heard: now, can_read_list };
         self.reporters.insert(daemon.clone(), reporter);
-        true
+        Ok(())
     }
 
-    fn take_sum(&mut self, sum: GroupSum, now: Moment) -> bool {
+    fn take_sum(&mut self, sum: GroupSum, now: Moment) -> Result<(), MessageRefusal> {
         let MessageSource { daemon, address, .. } = &sum.source;
         let rows = (sum.flows.as_slice(), false);
-        let Some(deltas) = self.peers.take(daemon, stamp(&sum.source), rows, now) else {
-            return false;
-        };
+        let deltas = self.peers.take(daemon, stamp(&sum.source), rows, now)?;
         self.count(&deltas, (false, false), now);
         if sum.is_leaving {
             self.remove_peer(daemon);
-            return true;
+            return Ok(());
         }
         self.away.take(&sum.work, now);
         let peer = PeerAggregator {
@@ -95,25 +98,24 @@
             can_read_list: sum.can_read_list,
         };
         self.aggregators.insert(daemon.clone(), peer);
-        true
+        Ok(())
     }
 
-    fn take_summary(&mut self, summary: FleetSummary, now: Moment) -> bool {
+    /// False if it is of another aggregator than this daemon reports to.
+    fn take_summary(&mut self, summary: FleetSummary, now: Moment) -> Result<bool, MessageRefusal> {
         let address = summary.source.address;
         if summary.is_leaving {
             self.choice.give_up(address, now);
-            return false;
+            return Ok(false);
         }
         self.choice.hear(address, now);
         let is_first = self.choice.chosen().is_none();
         if !is_first && self.choice.chosen() != Some(address) {
-            return false;
+            return Ok(false);
         }
         let daemon = &summary.source.daemon;
         let rows = (summary.flows.as_slice(), false);
-        let Some(deltas) = self.upward.take(daemon, stamp(&summary.source), rows, now) else {
-            return false;
-        };
+        let deltas = self.upward.take(daemon, stamp(&summary.source), rows, now)?;
         // What was assumed of the one before ends here.
         self.upward.retain(|source, _| source == daemon);
         for delta in deltas {
@@ -136,7 +138,7 @@
             heard: now,
             work: summary.work,
         });
-        true
+        Ok(true)
     }
 }
 
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -8,7 +8,7 @@
 use super::state::TrafficState;
 use crate::fleet_state::{
     BucketWord, DaemonIdentity, FleetMessage, FleetRole, FleetState, FlowRow, ListStamp,
-    OrganisationHash, OutgoingMessage, OwnReading, UpstreamHash, WorkRow,
+    MessageRefusal, OrganisationHash, OutgoingMessage, OwnReading, UpstreamHash, WorkRow,
 };
 use crate::policy::{Moment, OthersWork, PoolEvent, UpstreamSet, UpstreamState};
 use crate::table::{ServiceName, UpstreamName};
@@ -140,7 +140,7 @@
             continue;
         };
         match read_message(&buffer[..length], &socket.key) {
-            Ok(message) => take(&state, &socket, message),
+            Ok(message) => take(&state, &socket, message, from),
             Err(fault) => note_fault(&state, fault, from),
         }
     }
@@ -149,15 +149,18 @@
 /// Counts a datagram that was dropped, and logs each cause once.
 fn note_fault(state: &TrafficState, fault: MessageFault, from: SocketAddr) {
     metrics::counter!("fleet_messages_dropped", "cause" => fault.name()).increment(1);
-    if lock(&state.fleet.faults).insert(fault) {
+    let is_usual = fault == MessageFault::Refused(MessageRefusal::Overtaken);
+    if !is_usual && lock(&state.fleet.faults).insert(fault) {
         warn!(state.log, "message of a daemon dropped"; "cause" => fault.name(), "from" => from.to_string());
     }
 }
 
-fn take(state: &TrafficState, socket: &MessageSocket, message: DaemonMessage) {
+fn take(state: &TrafficState, socket: &MessageSocket, message: DaemonMessage, from: SocketAddr) {
     match message {
         DaemonMessage::State(message) if message.source().daemon != state.daemon => {
-            take_state(state, socket, message)
+            if let Err(refusal) = take_state(state, socket, message) {
+                note_fault(state, MessageFault::Refused(refusal), from);
+            }
         }
         DaemonMessage::ListChanged { daemon, address, change } if daemon != state.daemon => {
             list::take_change(state, socket, (&daemon, address), &change)
@@ -173,23 +176,29 @@
     }
 }
 
-fn take_state(state: &TrafficState, socket: &MessageSocket, message: FleetMessage) {
+fn take_state(
+    state: &TrafficState,
+    socket: &MessageSocket,
+    message: FleetMessage,
+) -> Result<(), MessageRefusal> {
     let now = state.clock.now();
-    if let Some(stamp) = message.list() {
-        list::take_stamp(state, socket, message.source().address, stamp);
-    }
+    let (stamp, address) = (message.list(), message.source().address);
     let is_summary = matches!(message, FleetMessage::Summary(_));
-    let Some(mut fleet) = state.fleet.fleet() else { return };
-    let word = fleet.take(message, now);
+    let Some(mut fleet) = state.fleet.fleet() else { return Ok(()) };
+    let word = fleet.take(message, now)?;
     let charges = fleet.drain_charges();
     let is_mesh = fleet.role(now) == FleetRole::Mesh;
     drop(fleet);
+    if let Some(stamp) = stamp {
+        list::take_stamp(state, socket, address, stamp);
+    }
     charge(state, &charges);
     level(state, &word);
     // An aggregator hears many messages in one pause, and looks at them together when it sends its own.
     if is_summary || is_mesh {
         refresh(state);
     }
+    Ok(())
 }
 
 /// Charges what others have let through.
--- a/src/traffic/fleet_exchange/wire.rs
+++ b/src/traffic/fleet_exchange/wire.rs
@@ -1,12 +1,14 @@
 //! Datagrams between daemons: what they hold, and the tag that proves the fleet's key.
 
-use crate::fleet_state::FleetMessage;
+use crate::fleet_state::{FleetMessage, MessageRefusal};
 use crate::policy::{ListChange, ListPart};
 use crate::table::DaemonName;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::net::SocketAddr;
 
+/// The version of these messages: a daemon that speaks another one is not understood, and both go on with what they know.
+const VERSION: u8 = 2;
 /// Bytes of the tag that proves the fleet's key.
 const TAG_BYTES: usize = 8;
 
@@ -40,8 +42,12 @@
 pub enum MessageFault {
     /// It is shorter than its tag, or was made without the fleet's key, or was damaged on its way.
     BadTag,
-    /// It was made with the key and cannot be read: by a daemon of another version.
+    /// It was made by a daemon that speaks another version.
+    OtherVersion,
+    /// It was made with the key and cannot be read.
     Unreadable,
+    /// It says what cannot be.
+    Refused(MessageRefusal),
 }
 
 impl MessageFault {
@@ -49,7 +55,9 @@
     pub fn name(self) -> &'static str {
         match self {
             MessageFault::BadTag => "bad-tag",
+            MessageFault::OtherVersion => "other-version",
             MessageFault::Unreadable => "unreadable",
+            MessageFault::Refused(refusal) => refusal.name(),
         }
     }
 }
@@ -63,7 +71,7 @@
 
 /// The datagram of a message.
 pub fn write_message(message: &DaemonMessage, key: &str) -> Vec<u8> {
-    let body = postcard::to_stdvec(message).unwrap_or_default();
+    let body = postcard::to_extend(message, vec![VERSION]).unwrap_or_default();
     let mut bytes = tag(&body, key).to_vec();
     bytes.extend_from_slice(&body);
     bytes
@@ -75,5 +83,9 @@
     if given != tag(body, key) {
         return Err(MessageFault::BadTag);
     }
+    let (version, body) = body.split_first().ok_or(MessageFault::Unreadable)?;
+    if *version != VERSION {
+        return Err(MessageFault::OtherVersion);
+    }
     postcard::from_bytes(body).map_err(|_| MessageFault::Unreadable)
 }
--- a/tests/fleet_play.rs
+++ b/tests/fleet_play.rs
@@ -263,7 +263,7 @@
         }
         daemon.heard += 1;
         daemon.bytes += postcard::to_stdvec(&message).expect("written").len() as u64;
-        let word = daemon.fleet.take(message, self.now);
+        let word = daemon.fleet.take(message, self.now).unwrap_or_default();
         daemon.settle(self.now);
         for row in word.rows {
             let refill = Duration::from_millis(u64::from(row.refill_ms));
--- /dev/null
+++ b/tests/test_fleet_messages.rs
@@ -0,0 +1,122 @@
+//! Messages between daemons that are damaged, of another version, of a stranger, or absurd.
+
+use crate::fleet_play::{FleetPlay, address, hot};
+use proptest::prelude::*;
+use rstest::rstest;
+use tarragonknot::fleet_state::{
+    Departure, FleetMessage, FlowRow, MemberReport, MessageRefusal, MessageSource, UpstreamHash,
+};
+use tarragonknot::policy::OthersWork;
+use tarragonknot::traffic::{DaemonMessage, MessageFault, read_message, write_message};
+
+const KEY: &str = "the fleet's key";
+
+fn flow(taken: i64, asked: u64) -> FlowRow {
+    FlowRow { organisation: hot(), taken, asked, refill_ms: 7 }
+}
+
+fn report(sequence: u64, flow: FlowRow) -> MemberReport {
+    let work = OthersWork { requests: 3, ..OthersWork::default() };
+    MemberReport {
+        source: MessageSource { daemon: "entry-9".into(), boot: 1, sequence, address: address(9) },
+        flows: vec![flow],
+        is_whole: true,
+        work: vec![(UpstreamHash::of(&"pool".into(), &"e1".into(), 1), work)],
+        list: None,
+        can_read_list: true,
+        departure: Departure::Stays,
+    }
+}
+
+fn bytes() -> Vec<u8> {
+    let report = FleetMessage::Report(report(1, flow(5, 9)));
+    write_message(&DaemonMessage::State(report), KEY)
+}
+
+#[test]
+fn a_message_is_read_as_it_was_written() {
+    let read = read_message(&bytes(), KEY).expect("a message");
+
+    let DaemonMessage::State(FleetMessage::Report(read)) = read else { panic!("{read:?}") };
+    assert_eq!(read, report(1, flow(5, 9)));
+}
+
+#[test]
+fn a_message_of_a_stranger_is_dropped() {
+    assert_eq!(read_message(&bytes(), "another key").err(), Some(MessageFault::BadTag));
+}
+
+proptest! {
+    /// Whatever is cut off or changed, the tag shows it; nothing is read in part.
+    #[test]
+    fn a_damaged_message_is_dropped(length in 0_usize..200, at in 0_usize..200, bit in 0_u8..8) {
+        let whole = bytes();
+        let cut = &whole[..length.min(whole.len() - 1)];
+        let mut changed = whole.clone();
+        let at = at % changed.len();
+        changed[at] ^= 1 << bit;
+
+        prop_assert_eq!(read_message(cut, KEY).err(), Some(MessageFault::BadTag));
+        prop_assert_eq!(read_message(&changed, KEY).err(), Some(MessageFault::BadTag));
+    }
+
+    /// What is made with the key by a program that is not ours is refused or read, and never ends the process.
+    #[test]
+    fn any_body_is_refused_or_read(body in proptest::collection::vec(any::<u8>(), 0..300)) {
+        use sha2::{Digest, Sha256};
+        let tag = Sha256::new().chain_update(KEY).chain_update(&body).chain_update(KEY).finalize();
+        let bytes: Vec<u8> = tag[..8].iter().chain(&body).copied().collect();
+        let read = read_message(&bytes, KEY);
+        let is_ours = body.first() == Some(&2);
+        match read {
+            Ok(_) => prop_assert!(is_ours),
+            Err(fault) => prop_assert_ne!(fault, MessageFault::BadTag),
+        }
+    }
+}
+
+#[rstest]
+#[case::more_than_was_asked_for(flow(1_000, 1), 3, address(9))]
+#[case::beyond_any_count(flow(1, u64::MAX), 3, address(9))]
+#[case::more_requests_than_any_upstream_holds(flow(1, 1), u32::MAX, address(9))]
+#[case::no_address_to_answer_to(flow(1, 1), 3, ([0, 0, 0, 0], 7_600).into())]
+#[case::no_port_to_answer_to(flow(1, 1), 3, ([10, 0, 0, 1], 0).into())]
+fn an_absurd_message_changes_nothing(
+    #[case] flow: FlowRow,
+    #[case] requests: u32,
+    #[case] address: std::net::SocketAddr,
+) {
+    let mut play = FleetPlay::calm(3, 1);
+    play.run(800, true);
+    let mut absurd = report(1, flow);
+    absurd.work[0].1.requests = requests;
+    absurd.source.address = address;
+    let daemon = &mut play.daemons[0];
+    let before = daemon.fleet.coverage(play.now);
+
+    let refusal = daemon.fleet.take(FleetMessage::Report(absurd), play.now);
+
+    assert_eq!(refusal.err(), Some(MessageRefusal::Implausible));
+    assert_eq!(daemon.fleet.coverage(play.now), before);
+    assert_eq!(daemon.fleet.drain_charges(), []);
+}
+
+/// Symptom: a bucket is charged with tokens that nobody let through, or given some back. Sequence: a counter falls and
+/// rises again within one start of its source. Cause: a difference taken of whatever comes.
+#[test]
+fn a_counter_that_falls_changes_nothing() {
+    let mut play = FleetPlay::calm(3, 1);
+    play.run(800, true);
+    let daemon = &mut play.daemons[0];
+    let mut take = |sequence, flow| {
+        let word = daemon.fleet.take(FleetMessage::Report(report(sequence, flow)), play.now);
+        (word.err(), daemon.fleet.drain_charges())
+    };
+    let first = take(1, flow(500, 900));
+    let fallen = take(2, flow(400, 800));
+    let risen = take(3, flow(600, 1_000));
+
+    assert_eq!(first, (None, vec![]));
+    assert_eq!(fallen, (Some(MessageRefusal::FallingCounter), vec![]));
+    assert_eq!(risen, (None, vec![(hot(), 100)]));
+}
--- a/tests/test_fleet_state.rs
+++ b/tests/test_fleet_state.rs
@@ -6,8 +6,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 use tarragonknot::fleet_state::{
-    AggregatorChoice, FleetLayout, FleetRole, FlowLedger, FlowRates, FlowRow, RowRotation,
-    SourceStamp, UpstreamHash,
+    AggregatorChoice, FleetLayout, FleetRole, FlowLedger, FlowRates, FlowRow, MessageRefusal,
+    RowRotation, SourceStamp, UpstreamHash,
 };
 use tarragonknot::policy::{Moment, OthersWork};
 use tarragonknot::table::DaemonName;
@@ -75,13 +75,13 @@
     let daemon = DaemonName::from("entry-1");
     let mut ledger = FlowLedger::default();
     let now = Moment::from_millis(1_000);
-    ledger.take(&daemon, stamp(1, 9), (&[row(50_000)], true), now);
+    ledger.take(&daemon, stamp(1, 9), (&[row(50_000)], true), now).expect("the first message");
 
     let restarted = ledger.take(&daemon, stamp(2, 1), (&[row(700)], true), now);
     let late = ledger.take(&daemon, stamp(2, 1), (&[row(700)], true), now);
 
-    assert_eq!(restarted.map(|deltas| deltas[0].taken), Some(700));
-    assert_eq!(late, None);
+    assert_eq!(restarted.map(|deltas| deltas[0].taken), Ok(700));
+    assert_eq!(late, Err(MessageRefusal::Overtaken));
 }
 
 /// Symptom: after an aggregator is replaced every bucket of the fleet is empty for seconds. Sequence: the new aggregator
@@ -96,8 +96,8 @@
     let second = ledger.take(&daemon, stamp(1, 9), (&[row(900_000)], false), now);
     let third = ledger.take(&daemon, stamp(1, 10), (&[row(900_500)], false), now);
 
-    assert_eq!((first, second), (Some(vec![]), Some(vec![])));
-    assert_eq!(third.map(|deltas| deltas[0].taken), Some(500));
+    assert_eq!((first, second), (Ok(vec![]), Ok(vec![])));
+    assert_eq!(third.map(|deltas| deltas[0].taken), Ok(500));
 }
 
 /// Symptom: an organisation exceeds its limit while a daemon is cut off, or is refused for long after the cut has healed.
@@ -112,7 +112,8 @@
     let mut now = Moment::from_millis(0);
     for sequence in 1..=40 {
         now = Moment::from_millis(sequence * 50);
-        ledger.take(&daemon, stamp(1, sequence), (&[row(sequence as i64 * 1_000)], true), now);
+        let rows = [row(sequence as i64 * 1_000)];
+        ledger.take(&daemon, stamp(1, sequence), (&rows, true), now).expect("a new message");
         rates.add(hot(), 2_000, now);
     }
     let after = Duration::from_millis(600);
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -16,6 +16,7 @@
 mod test_explain;
 mod test_faults;
 mod test_fleet;
+mod test_fleet_messages;
 mod test_fleet_processes;
 mod test_fleet_state;
 mod test_limits;
