--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -2,7 +2,7 @@
 
 use super::CommandError;
 use super::operator::ControlTarget;
-use crate::control::{ControlApiClient, DaemonStatus, connect};
+use crate::control::{ControlApiClient, DaemonStatus, MemberView, connect, roll_out};
 use comfy_table::{Table, presets};
 use serde::Serialize;
 use std::net::SocketAddr;
@@ -10,7 +10,10 @@
 const HELP: &str = "\
 Asks the named daemons, and the leader if one of them knows it, for their status. A daemon that does not
 answer is listed as unreachable. Members are shown as the leader sees them: a member whose lease has run
-out admits nothing.";
+out admits nothing. The last table tells how far the newest table has come: how many daemons have which
+version in force, and for how long the others have lagged.
+
+Example: tarragonknot status --control 10.1.0.14:7600";
 
 /// Show daemons and the fleet.
 #[derive(Debug, clap::Args)]
@@ -98,6 +101,12 @@
     super::print_out(&grid.to_string());
     let members =
         rows.iter().filter_map(|row| row.status.as_ref()).flat_map(|status| &status.members);
+    let members: Vec<MemberView> = members.cloned().collect();
+    print_members(&members);
+    print_roll_out(&members);
+}
+
+fn print_members(members: &[MemberView]) {
     let mut grid = Table::new();
     grid.load_preset(presets::UTF8_HORIZONTAL_ONLY);
     grid.set_header(["member", "table in force", "heard", "lease"]);
@@ -114,3 +123,22 @@
     }
     super::print_out(&grid.to_string());
 }
+
+fn print_roll_out(members: &[MemberView]) {
+    let mut grid = Table::new();
+    grid.load_preset(presets::UTF8_HORIZONTAL_ONLY);
+    grid.set_header(["table", "in force at", "lease run out", "behind for", "daemons"]);
+    for row in roll_out(members) {
+        let behind = row.lags_ms.map_or_else(|| "newest".to_owned(), |ms| format!("{ms} ms"));
+        let named: Vec<&str> = row.named.iter().map(|daemon| daemon.as_str()).collect();
+        let more = if row.live + row.lapsed > named.len() { " ..." } else { "" };
+        grid.add_row([
+            row.version.to_string(),
+            row.live.to_string(),
+            row.lapsed.to_string(),
+            behind,
+            format!("{}{more}", named.join(" ")),
+        ]);
+    }
+    super::print_out(&grid.to_string());
+}
--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -168,6 +168,9 @@
     pub daemon: DaemonName,
     /// The version in force there.
     pub version: u64,
+    /// Milliseconds since it first reported that version to this leader; absent if this leader has not heard it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version_ms: Option<u64>,
     /// Milliseconds since its last report; absent if this leader has not heard it.
     pub heard_ms: Option<u64>,
     /// True while its lease lasts.
@@ -180,6 +183,8 @@
 struct MemberState {
     boot: u64,
     heard: Option<Moment>,
+    /// When it first reported the version that it has.
+    version_since: Option<Moment>,
     report: Option<DaemonReport>,
     /// The largest share ordered since that report.
     ordered: BTreeMap<ServiceName, u32>,
@@ -222,6 +227,7 @@
             let fresh = MemberState {
                 boot: *boot,
                 heard: None,
+                version_since: None,
                 report: None,
                 ordered: BTreeMap::new(),
                 loosened: BTreeMap::new(),
@@ -251,6 +257,9 @@
             return ReportVerdict::Overtaken;
         }
         state.heard = Some(now);
+        let had = state.report.as_ref().map(|last| last.version);
+        state.version_since =
+            state.version_since.filter(|_| had == Some(report.version)).or(Some(now));
         state.ordered.clear();
         state.loosened.clear();
         state.tightening.clear();
@@ -475,6 +484,7 @@
         let view = |(daemon, state): (&DaemonName, &MemberState)| MemberView {
             daemon: daemon.clone(),
             version: state.report.as_ref().map_or(0, |report| report.version),
+            version_ms: state.version_since.map(|since| now.since(since).as_millis() as u64),
             heard_ms: state.heard.map(|heard| now.since(heard).as_millis() as u64),
             is_live: self.is_live(state, now),
             control: state.report.as_ref().map(|report| report.control),
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -11,6 +11,7 @@
 mod operator_door;
 mod packed_table;
 mod requests;
+mod roll_out;
 mod rpc;
 mod server;
 mod setup;
@@ -23,7 +24,7 @@
 pub use control_loop::start_control;
 pub use fleet::{
     DaemonOrders, DaemonReport, FleetBook, LIMITS, MemberView, PoolOrder, PoolReport, ReportAnswer,
-    ReportVerdict, SHARE_UNITS,
+    ReportVerdict, SHARE_UNITS, ServingList,
 };
 pub use fleet_member::{FleetMember, MemberMove, PoolMove, PoolState};
 pub use ledger::{
@@ -34,6 +35,7 @@
 pub use operator_door::{DoorAnswer, OperatorDoor};
 pub use packed_table::{PackedTable, pack, unpack};
 pub use requests::{ControlHandle, ControlRequest};
+pub use roll_out::{RollOutRow, roll_out};
 pub use rpc::{
     ApplyAnswer, ControlApiClient, ControlApiServer, DaemonStatus, EditProgress, HistoryRow,
     JoinAnswer, LeaderAnswer, VoterRow,
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -27,6 +27,7 @@
 mod test_policy;
 mod test_replica;
 mod test_reservations;
+mod test_roll_out;
 mod test_routed;
 mod test_routes;
 mod test_serve;
