A daemon without a list reads it soon once it has a table; who needs none does not read

Cause: a daemon that knows of nobody waited 1 to 4 s for others whom no leader names yet. Now: a quarter of a second from its first table, and half a second of spread; before a table nobody reads.

--- a/src/daemon/upkeep.rs
+++ b/src/daemon/upkeep.rs
@@ -33,7 +33,7 @@
 /// together may make so many a second. An upstream that leaves must get no new work 3 s after the list shows it.
 const INSTANCE_PAUSE: Duration = Duration::from_millis(1_000);
 /// How often a daemon that does not read the list looks whether it must.
-const READER_CHECK: Duration = Duration::from_millis(200);
+const READER_CHECK: Duration = Duration::from_millis(100);
 /// Time between attempts to connect to upstreams that could not be reached.
 const PROBE_PAUSE: Duration = Duration::from_millis(300);
 /// Causes of unread entries that are logged, at most.
@@ -151,7 +151,8 @@
     let mut was_read = true;
     let mut causes = BTreeSet::new();
     loop {
-        if !state.fleet.must_read_list(state.clock.now()) {
+        let has_table = state.snapshot().version > 0;
+        if !state.fleet.must_read_list(has_table, state.clock.now()) {
             // What another daemon told may differ from what this one read last.
             last = None;
             tokio::time::sleep(READER_CHECK).await;
--- a/src/fleet_state/mod.rs
+++ b/src/fleet_state/mod.rs
@@ -18,6 +18,7 @@
 mod flow_ledger;
 mod flow_rates;
 mod layout;
+mod list_freshness;
 mod messages;
 mod own_history;
 mod row_rotation;
@@ -28,6 +29,7 @@
 pub use flow_ledger::{FlowDelta, FlowLedger, SourceStamp};
 pub use flow_rates::FlowRates;
 pub use layout::{FleetLayout, MESH_SIZE};
+pub use list_freshness::ListFreshness;
 pub use messages::{
     Departure, FleetMessage, FleetSummary, FlowRow, GroupSum, ListStamp, MemberReport,
     MessageRefusal, MessageSource, OrganisationHash, UpstreamHash, WorkRow,
--- a/src/traffic/fleet_exchange/list.rs
+++ b/src/traffic/fleet_exchange/list.rs
@@ -2,6 +2,7 @@
 
 use super::wire::DaemonMessage;
 use super::{ListStamp, MessageSocket, lock};
+use crate::fleet_state::ListFreshness;
 use crate::policy::{ChangeVerdict, ListChange, ListPart, ListedUpstream, Moment, SharedList};
 use crate::table::DaemonName;
 use crate::traffic::state::TrafficState;
@@ -12,37 +13,20 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
-/// A list that agreed with a reading counts for this long. An upstream that leaves must get no new work 3 s after the list
-/// shows it; the list is read each second, and a reader that is lost is followed by another within half a second.
-const LIST_LIFE: Duration = Duration::from_millis(1_800);
-/// A daemon that was just started waits so long for the others' list before it reads the platform's.
-const FIRST_WAIT: Duration = Duration::from_millis(1_000);
-/// Daemons whose list is overdue read it for themselves within this time for each 100 daemons, evenly spread: after the loss of
-/// the reader most hear of another reading first. Beyond two such times the fleet would exceed the platform's rate.
-const SPREAD_PER_HUNDRED: Duration = Duration::from_millis(1_000);
-/// The spread at most: an upstream that leaves must not get work for longer.
-const MOST_SPREAD: Duration = Duration::from_millis(3_000);
-/// A daemon that could not read the list lets others read it for this long.
-const UNREAD_PAUSE: Duration = Duration::from_secs(5);
 /// A change is sent this many times: datagrams are lost, and whoever misses all asks for the whole list.
 const CHANGE_SENT: u32 = 2;
 /// Pause between two sendings of one change.
 const CHANGE_PAUSE: Duration = Duration::from_millis(120);
-/// Another list than one's own must be named for this long before the whole is asked for: the change is on its way.
-const DIFFERS_FOR: Duration = Duration::from_millis(250);
 /// Whole lists sent within [`WHOLE_PAUSE`] at most: one of 143 upstreams takes 5 ms of a link of 10 Mbit/s, and after a
 /// restart of all daemons everyone asks at once.
 const MOST_WHOLE: u32 = 8;
 /// See [`MOST_WHOLE`].
 const WHOLE_PAUSE: Duration = Duration::from_millis(250);
-/// A daemon without a list, or with another one than was read, asks no more often than this.
-const ASK_PAUSE: Duration = Duration::from_millis(200);
-
 /// The list as this daemon knows it, and what it knows of the others' readings.
 #[derive(Debug, Default)]
 pub struct ListExchange {
     list: Mutex<SharedList>,
-    times: Mutex<ReadingTimes>,
+    freshness: Mutex<ListFreshness>,
     /// Changes to be sent.
     changes: Mutex<Vec<ListChange>>,
     news: Notify,
@@ -50,70 +34,45 @@
     sent: Mutex<(Moment, u32)>,
 }
 
-/// When what was heard of the list.
-#[derive(Clone, Copy, Debug, Default)]
-struct ReadingTimes {
-    /// When this daemon began to listen.
-    began: Moment,
-    /// Where this daemon stands among those whose list is overdue, 0.0 to 1.0.
-    place: f64,
-    /// The last reading that agrees with this daemon's list.
-    confirmed: Option<Moment>,
-    /// The last reading that this daemon could not make.
-    failed: Option<Moment>,
-    /// Since when a newer reading of another list has been heard of.
-    differs_since: Option<Moment>,
-    asked: Option<Moment>,
-}
-
 impl ListExchange {
     /// Begins to listen; `place` is drawn from 0.0..1.0.
-    pub fn begin(&self, place: f64, now: Moment) {
-        *lock(&self.times) = ReadingTimes { began: now, place, ..ReadingTimes::default() };
+    pub fn begin(&self, place: f64) {
+        *lock(&self.freshness) = ListFreshness::new(place);
     }
 
-    /// True if this daemon has not known for too long that its list agrees with a reading.
-    pub fn is_overdue(&self, daemons: usize, now: Moment) -> bool {
-        let times = *lock(&self.times);
-        let spread = (SPREAD_PER_HUNDRED * daemons as u32 / 100).min(MOST_SPREAD);
-        match times.confirmed {
-            Some(at) => now.since(at) >= LIST_LIFE + spread.mul_f64(times.place),
-            // It does not know how many others have just started, too.
-            None => now.since(times.began) >= FIRST_WAIT + MOST_SPREAD.mul_f64(times.place),
-        }
+    /// See [`ListFreshness::is_overdue`].
+    pub fn is_overdue(&self, daemons: usize, has_table: bool, now: Moment) -> bool {
+        lock(&self.freshness).is_overdue(daemons, has_table, now)
     }
 
     /// The last reading that agrees with this daemon's list.
     pub fn stamp(&self, now: Moment) -> Option<ListStamp> {
         let digest = lock(&self.list).digest()?;
-        let at = lock(&self.times).confirmed?;
-        Some(ListStamp { digest, age_ms: now.since(at).as_millis() as u32 })
+        let age = lock(&self.freshness).age(now)?;
+        Some(ListStamp { digest, age_ms: age.as_millis() as u32 })
     }
 
     /// True unless this daemon failed to read the list lately.
     pub fn can_read(&self, now: Moment) -> bool {
-        lock(&self.times).failed.is_none_or(|at| now.since(at) >= UNREAD_PAUSE)
+        lock(&self.freshness).can_read(now)
     }
 
     /// Notes that the list could not be read.
     pub fn note_failure(&self, now: Moment) {
-        lock(&self.times).failed = Some(now);
+        lock(&self.freshness).fail(now);
     }
 
     /// Takes the list that this daemon just read, and has what changed told.
     pub fn take_reading(&self, list: &PlatformList, now: Moment) {
         let change = lock(&self.list).replace(list.vms.iter().map(listed));
-        self.confirm(now);
-        lock(&self.times).failed = None;
+        lock(&self.freshness).read(now);
         if change.base != change.digest {
             self.pass_on(change);
         }
     }
 
     fn confirm(&self, at: Moment) {
-        let mut times = lock(&self.times);
-        times.confirmed = times.confirmed.max(Some(at));
-        times.differs_since = None;
+        lock(&self.freshness).confirm(at);
     }
 
     fn pass_on(&self, change: ListChange) {
@@ -121,14 +80,8 @@
         self.news.notify_one();
     }
 
-    /// True if this daemon may ask now.
     fn may_ask(&self, now: Moment) -> bool {
-        let mut times = lock(&self.times);
-        let may = times.asked.is_none_or(|at| now.since(at) >= ASK_PAUSE);
-        if may {
-            times.asked = Some(now);
-        }
-        may
+        lock(&self.freshness).may_ask(now)
     }
 
     /// True if this daemon may send one more whole list now.
@@ -220,14 +173,7 @@
     if lock(&exchange.list).digest() == Some(stamp.digest) {
         return exchange.confirm(read_at);
     }
-    let mut times = lock(&exchange.times);
-    let is_newer = times.confirmed.is_none_or(|at| at < read_at);
-    if !is_newer {
-        return;
-    }
-    let since = *times.differs_since.get_or_insert(now);
-    drop(times);
-    if now.since(since) >= DIFFERS_FOR && exchange.may_ask(now) {
+    if lock(&exchange.freshness).hear_of_another(read_at, now) {
         ask(state, socket, from);
     }
 }
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -67,15 +67,15 @@
     }
 
     /// True if this daemon should read the platform's list itself: it reads for all, or has not known for long that its
-    /// list agrees with a reading.
-    pub fn must_read_list(&self, now: Moment) -> bool {
+    /// list agrees with a reading. `has_table`: it could serve callers if it had one.
+    pub fn must_read_list(&self, has_table: bool, now: Moment) -> bool {
         let Some(fleet) = self.fleet() else { return true };
         if fleet.is_informed() && fleet.is_reader(now) {
             return true;
         }
         let daemons = fleet.addresses().len();
         drop(fleet);
-        self.list.is_overdue(daemons, now)
+        self.list.is_overdue(daemons, has_table, now)
     }
 
     /// Takes the list that this daemon just read, and has the others told.
@@ -125,7 +125,7 @@
     state.limits().set_share(fleet.limit_share());
     state.limits().set_pace_start(state.jitter());
     let _ = state.fleet.fleet.set(Mutex::new(fleet));
-    state.fleet.list.begin(state.jitter(), state.clock.now());
+    state.fleet.list.begin(state.jitter());
     tokio::spawn(listen(Arc::clone(&state), socket.clone()));
     tokio::spawn(list::send_changes(Arc::clone(&state), socket.clone()));
     tokio::spawn(run(state, socket));
--- /dev/null
+++ b/tests/test_list_freshness.rs
@@ -0,0 +1,75 @@
+//! Who reads the platform's list when nobody has told of it, and how soon.
+
+use std::time::Duration;
+use tarragonknot::fleet_state::ListFreshness;
+use tarragonknot::policy::Moment;
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(10_000 + millis)
+}
+
+/// When each of `count` daemons reads the list, in milliseconds, if nobody else does; looked at each 10 ms.
+fn readings(count: usize, has_table_at: u64, confirmed: Option<u64>) -> Vec<u64> {
+    let reading = |number: usize| {
+        let mut freshness = ListFreshness::new((number as f64 + 0.5) / count as f64);
+        confirmed.into_iter().for_each(|millis| freshness.confirm(at(millis)));
+        let due = |millis: &u64| freshness.is_overdue(count, *millis >= has_table_at, at(*millis));
+        (0..10_000).step_by(10).find(due).unwrap_or(u64::MAX)
+    };
+    (0..count).map(reading).collect()
+}
+
+/// Symptom: after a loss of the whole fleet callers are refused for three seconds, since no upstream is known. Sequence:
+/// all start again; tables come from any voter at once, the leader who names the others two seconds later. Cause: a
+/// daemon that waits for others of whom it knows none.
+#[test]
+fn daemons_that_know_of_nobody_read_the_list_soon_once_they_have_a_table() {
+    let readings = readings(6, 1_000, None);
+
+    assert!(readings.iter().all(|millis| (1_200..=1_800).contains(millis)), "{readings:?}");
+}
+
+/// Symptom: at the start of a fleet of 291 each daemon reads the list, four calls each. Cause: reading it before there is a
+/// table, without which nobody is served.
+#[test]
+fn nobody_reads_the_list_before_there_is_a_table() {
+    assert!(readings(291, u64::MAX, None).iter().all(|millis| *millis == u64::MAX));
+}
+
+/// Symptom: after the reader's death the platform gets 33,000 calls in 42 s. Sequence: 290 daemons find at the same
+/// moment that nobody has read the list. Cause: a fixed time after which each reads for itself.
+#[test]
+fn overdue_lists_are_read_one_after_the_other() {
+    let mut readings = readings(291, 0, Some(0));
+    readings.sort_unstable();
+    let first_half_second = readings.iter().filter(|millis| **millis < readings[0] + 500).count();
+
+    assert!(readings[0] >= 1_800, "{readings:?}");
+    assert!(readings[290] <= 4_800, "an upstream that leaves gets no work for longer");
+    assert!(first_half_second <= 60, "{first_half_second}");
+}
+
+#[test]
+fn another_list_is_asked_for_only_if_it_is_newer_and_does_not_come_by_itself() {
+    let mut freshness = ListFreshness::new(0.5);
+    freshness.confirm(at(0));
+    let older = freshness.hear_of_another(at(0), at(300));
+    let at_once = freshness.hear_of_another(at(400), at(420));
+    let later = freshness.hear_of_another(at(400), at(700));
+    let again = freshness.hear_of_another(at(400), at(750));
+
+    assert_eq!((older, at_once, later, again), (false, false, true, false));
+}
+
+#[test]
+fn a_daemon_that_cannot_read_says_so_for_a_while() {
+    let mut freshness = ListFreshness::new(0.5);
+    freshness.fail(at(0));
+    let soon = freshness.can_read(at(1_000));
+    let later = freshness.can_read(at(5_000));
+    freshness.fail(at(6_000));
+    freshness.read(at(6_100));
+
+    assert_eq!((soon, later, freshness.can_read(at(6_100))), (false, true, true));
+    assert_eq!(freshness.age(at(6_300)), Some(Duration::from_millis(200)));
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -20,6 +20,7 @@
 mod test_fleet_processes;
 mod test_fleet_state;
 mod test_limits;
+mod test_list_freshness;
 mod test_list_pages;
 mod test_packed_table;
 mod test_placing;
