--- a/src/policy/mechanism.rs
+++ b/src/policy/mechanism.rs
@@ -23,7 +23,7 @@
     FirstEvents,
     /// A request waits for an engine that should end it in time without making others pause.
     FitPlaces,
-    /// A request leaves places to the requests of other daemons that are worth more for their cost.
+    /// A late request leaves places to the requests of other daemons that are worth more for their cost.
     GroupOrder,
 }
 
