--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::hint::black_box;
 use std::time::Duration;
-use tarragonknot::control::{DaemonReport, FleetBook, PoolReport};
+use tarragonknot::control::{DaemonReport, FleetRegistry, PoolReport};
 use tarragonknot::policy::{
     AffinityPlacement, ArrivedRequest, DispatchOutcome, EngineSpeed, FairQueue, LearnedLimit,
     MechanismSet, Moment, OrganisationIndex, PlaceFit, PlacementPolicy, PlacementQuery, PoolAction,
@@ -204,9 +204,9 @@
         let name = |number: u64| -> DaemonName { format!("entry-{number}").as_str().into() };
         let members: BTreeMap<DaemonName, u64> =
             (0..count).map(|number| (name(number), 1)).collect();
-        let mut book = FleetBook::new(1, Duration::from_secs(3), Moment(0), &members);
+        let mut book = FleetRegistry::new(1, Duration::from_secs(3), Moment(0), &members);
         let mut sequence = 0;
-        let mut report = |number: u64, book: &mut FleetBook| {
+        let mut report = |number: u64, book: &mut FleetRegistry| {
             sequence += 1;
             let pools = table.table.services.iter().map(|row| PoolReport {
                 service: row.service.clone(),
--- a/src/control/control_loop/edits.rs
+++ b/src/control/control_loop/edits.rs
@@ -128,10 +128,10 @@
     /// A claim whose owner is dead will never be settled: its request may have run.
     pub(super) fn judge_owners(&self, replies: &mut [ClaimReply]) {
         let now = self.now();
-        let Some(book) = &self.book else { return };
+        let Some(registry) = &self.registry else { return };
         for reply in replies {
             if let ClaimReply::Running(owner) = reply
-                && !book.is_owner_live(&owner.daemon, owner.boot, now)
+                && !registry.is_owner_live(&owner.daemon, owner.boot, now)
             {
                 *reply = ClaimReply::Unknown;
             }
--- a/src/control/control_loop/members.rs
+++ b/src/control/control_loop/members.rs
@@ -104,8 +104,8 @@
     }
 
     pub(super) fn drop_dead(&mut self, now: Moment) {
-        let Some(book) = &self.book else { return };
-        let dead = book.dead(now);
+        let Some(registry) = &self.registry else { return };
+        let dead = registry.dead(now);
         self.dead_since.retain(|daemon, _| dead.iter().any(|(name, _)| name == daemon));
         let mut gone = Vec::new();
         for (daemon, boot) in dead {
--- a/src/control/control_loop/mod.rs
+++ b/src/control/control_loop/mod.rs
@@ -1,4 +1,4 @@
-//! The control loop: one task that owns the replica, the ledger, the folder and the fleet's book.
+//! The control loop: one task that owns the replica, the ledger, the folder and the registry of the fleet.
 //!
 //! Requests come over one channel. What has arrived is taken together, so that its entries share one
 //! sync (group commit) and one message to each follower.
@@ -8,7 +8,7 @@
 mod members;
 mod reports;
 
-use super::fleet::{FleetBook, PoolOrder};
+use super::fleet::{FleetRegistry, PoolOrder};
 use super::joining::JoinedFleet;
 use super::joining::join_or_found;
 use super::ledger::{ControlCommand, ControlLedger, ControlReply};
@@ -58,7 +58,7 @@
         store: None,
         hard: HardState::default(),
         identity: None,
-        book: None,
+        registry: None,
         fleet: None,
         links,
         rng,
@@ -86,7 +86,7 @@
     store: Option<StoreFolder>,
     hard: HardState,
     identity: Option<FolderIdentity>,
-    book: Option<FleetBook>,
+    registry: Option<FleetRegistry>,
     fleet: Option<FleetId>,
     links: PeerLinks,
     rng: ChaCha8Rng,
@@ -217,11 +217,11 @@
             EntryPayload::Empty | EntryPayload::Membership(_) => ControlReply::Done,
         };
         if let (
-            Some(book),
+            Some(registry),
             EntryPayload::Command(ControlCommand::Join { .. } | ControlCommand::Leave { .. }),
-        ) = (&mut self.book, &entry.payload)
+        ) = (&mut self.registry, &entry.payload)
         {
-            book.set_members(self.ledger.members());
+            registry.set_members(self.ledger.members());
         }
         self.answer_entry(entry.at, reply);
     }
@@ -267,18 +267,22 @@
 
     fn watch_role(&mut self) {
         let leads = self.core.as_ref().is_some_and(|core| core.role() == ReplicaRole::Leader);
-        match (leads, self.book.is_some()) {
+        match (leads, self.registry.is_some()) {
             (true, false) => {
                 info!(self.setup.log, "leads"; "term" => self.core.as_ref().map_or(0, ReplicaCore::term));
                 let term = self.core.as_ref().map_or(0, ReplicaCore::term);
-                self.book =
-                    Some(FleetBook::new(term, self.setup.lease, self.now(), self.ledger.members()));
+                self.registry = Some(FleetRegistry::new(
+                    term,
+                    self.setup.lease,
+                    self.now(),
+                    self.ledger.members(),
+                ));
                 self.dead_since.clear();
                 self.sent.clear();
             }
             (false, true) => {
                 info!(self.setup.log, "no longer leads");
-                self.book = None;
+                self.registry = None;
                 let leader = self.leader_address();
                 let waiting = std::mem::take(&mut self.waiting);
                 waiting.entries.into_iter().for_each(|(_, _, waiter)| waiter.elsewhere(leader));
@@ -378,7 +382,10 @@
             log_length: self.core.as_ref().map_or(0, ReplicaCore::log_length),
             applied: self.core.as_ref().map_or(0, ReplicaCore::applied_index),
             claims: self.ledger.claim_count(),
-            members: self.book.as_ref().map_or_else(Vec::new, |book| book.view(self.now())),
+            members: self
+                .registry
+                .as_ref()
+                .map_or_else(Vec::new, |registry| registry.view(self.now())),
         }
     }
 }
--- a/src/control/control_loop/reports.rs
+++ b/src/control/control_loop/reports.rs
@@ -21,12 +21,12 @@
         if !self.holds_lease() {
             return drop(reply.send(LeaderAnswer::Elsewhere(self.other_leader())));
         }
-        let Some(book) = &mut self.book else { return };
+        let Some(registry) = &mut self.registry else { return };
         let (daemon, version, has_lease) =
             (report.daemon.clone(), report.version, report.has_lease);
         let (boot, divides_alone) = (report.boot, report.divides_alone);
         let knows_serving = report.knows_serving;
-        match book.report(report, now) {
+        match registry.report(report, now) {
             ReportVerdict::Taken => {}
             ReportVerdict::Unknown => {
                 let command = ControlCommand::Join { daemon: daemon.clone(), boot };
@@ -35,7 +35,7 @@
                 return drop(reply.send(LeaderAnswer::Elsewhere(None)));
             }
             ReportVerdict::OtherTerm => {
-                let answer = ReportAnswer::NewTerm(book.term());
+                let answer = ReportAnswer::NewTerm(registry.term());
                 return drop(reply.send(LeaderAnswer::Done(answer)));
             }
             ReportVerdict::Overtaken => return drop(reply.send(LeaderAnswer::Elsewhere(None))),
@@ -67,10 +67,10 @@
             return;
         }
         let now = self.now();
-        let Some(book) = &mut self.book else { return };
+        let Some(registry) = &mut self.registry else { return };
         let table = self.ledger.table();
         // A daemon without a lease gets one only from a leader that knows of every floor others rely on.
-        let is_complete = book.is_complete(now);
+        let is_complete = registry.is_complete(now);
         let membership = self.core.as_ref().map(ReplicaCore::membership);
         let voters: Vec<SocketAddr> =
             membership.iter().flat_map(|membership| membership.voters.values().copied()).collect();
@@ -86,10 +86,10 @@
                 self.waiting.reports.push(held);
                 continue;
             }
-            let mut orders = book.orders(&held.daemon, table, now);
+            let mut orders = registry.orders(&held.daemon, table, now);
             orders.voters.clone_from(&voters);
             let (list, digest) = serving.get_or_init(|| {
-                let list = book.serving(now);
+                let list = registry.serving(now);
                 let digest = list.digest();
                 (list, digest)
             });
@@ -97,7 +97,7 @@
             let is_news =
                 held.version != table.version || self.sent.get(&held.daemon) != Some(&orders.pools);
             if is_due || is_news {
-                book.sent(&held.daemon, &orders.pools);
+                registry.sent(&held.daemon, &orders.pools);
                 self.sent.insert(held.daemon, orders.pools.clone());
                 if let Some(newer) = &orders.table {
                     orders.packed = self.packed.of(newer);
@@ -111,7 +111,7 @@
             }
         }
         for mut force in std::mem::take(&mut self.waiting.force) {
-            let lagging = book.lagging(force.version, now);
+            let lagging = registry.lagging(force.version, now);
             if !lagging.is_empty() && now < force.until {
                 self.waiting.force.push(force);
                 continue;
--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -145,7 +145,7 @@
     NewTerm(u64),
 }
 
-/// What the book makes of a report.
+/// What the registry makes of a report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReportVerdict {
     /// It is the member's newest word.
@@ -194,9 +194,9 @@
     tightening: BTreeSet<ServiceName>,
 }
 
-/// The leader's book of the fleet.
+/// The leader's registry of the fleet.
 #[derive(Clone, Debug)]
-pub struct FleetBook {
+pub struct FleetRegistry {
     term: u64,
     lease: Duration,
     began: Moment,
@@ -205,8 +205,8 @@
     levels: BTreeMap<ServiceName, Option<TierRank>>,
 }
 
-impl FleetBook {
-    /// The book of a leader that was elected at `began`. Members it has not heard count as holding
+impl FleetRegistry {
+    /// The registry of a leader that was elected at `began`. Members it has not heard count as holding
     /// leases until one lease after that.
     pub fn new(
         term: u64,
@@ -214,10 +214,10 @@
         began: Moment,
         members: &BTreeMap<DaemonName, u64>,
     ) -> Self {
-        let mut book =
-            FleetBook { term, lease, began, members: BTreeMap::new(), levels: BTreeMap::new() };
-        book.set_members(members);
-        book
+        let mut registry =
+            FleetRegistry { term, lease, began, members: BTreeMap::new(), levels: BTreeMap::new() };
+        registry.set_members(members);
+        registry
     }
 
     /// Takes the replicated member list.
--- a/src/experiment/run.rs
+++ b/src/experiment/run.rs
@@ -3,7 +3,7 @@
 use super::engine::SimulatedEngine;
 use super::plan::{ExperimentPlan, FaultKind, MechanismSwitch};
 use super::summary::RunSummary;
-use crate::control::{DaemonOrders, FleetBook, FleetMember, PoolState, ReportVerdict};
+use crate::control::{DaemonOrders, FleetMember, FleetRegistry, PoolState, ReportVerdict};
 use crate::load::{PlannedRequest, RequestKind};
 use crate::policy::{
     ArrivedRequest, DispatchOutcome, LoadReport, Moment, OrganisationIndex, PoolAction, PoolEvent,
@@ -98,7 +98,7 @@
     requests: Vec<SimulatedRequest>,
     daemons: Vec<SimulatedDaemon>,
     engines: Vec<SimulatedEngine>,
-    book: FleetBook,
+    book: FleetRegistry,
     table: VersionedTable,
     ledger: PrefillLedger,
     reports: Vec<Vec<Option<LoadReport>>>,
@@ -122,7 +122,7 @@
             engines: (0..plan.profile.engines)
                 .map(|_| SimulatedEngine::new(plan.profile.shape))
                 .collect(),
-            book: FleetBook::new(TERM, FLEET_LEASE, Moment(0), &members),
+            book: FleetRegistry::new(TERM, FLEET_LEASE, Moment(0), &members),
             table: VersionedTable::new(1, plan.profile.table(&[], &[], plan.policy)),
             ledger: PrefillLedger::default(),
             reports: Vec::new(),
--- a/src/fleet_state/mod.rs
+++ b/src/fleet_state/mod.rs
@@ -38,5 +38,7 @@
 };
 pub use own_history::OwnHistory;
 pub use row_rotation::RowRotation;
-pub use state::{BucketWord, DaemonIdentity, FleetRole, FleetState, OutgoingMessage, OwnReading};
+pub use state::{
+    BucketEstimates, DaemonIdentity, FleetRole, FleetState, OutgoingMessage, OwnReading,
+};
 pub use work_tables::WorkTable;
--- a/src/fleet_state/state/mod.rs
+++ b/src/fleet_state/state/mod.rs
@@ -5,7 +5,7 @@
 mod taking;
 mod view;
 
-pub use taking::BucketWord;
+pub use taking::BucketEstimates;
 pub use view::FleetRole;
 
 use super::messages::daemon_hash;
--- a/src/fleet_state/state/taking.rs
+++ b/src/fleet_state/state/taking.rs
@@ -9,13 +9,13 @@
 use crate::policy::Moment;
 use std::time::Duration;
 
-/// What a message says of the organisations' buckets.
+/// What a message says of the organisations' buckets, by its sender's estimate.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct BucketWord {
-    /// Rows with the sender's estimates.
+pub struct BucketEstimates {
+    /// The rows.
     pub rows: Vec<FlowRow>,
-    /// Daemons that say so to this one.
-    pub tellers: usize,
+    /// Daemons that send such estimates to this one.
+    pub senders: usize,
 }
 
 impl FleetState {
@@ -25,7 +25,7 @@
         &mut self,
         message: FleetMessage,
         now: Moment,
-    ) -> Result<BucketWord, MessageRefusal> {
+    ) -> Result<BucketEstimates, MessageRefusal> {
         if message.source().daemon == self.identity.daemon {
             return Err(MessageRefusal::Overtaken);
         }
@@ -36,17 +36,17 @@
                 let rows = report.flows.clone();
                 self.take_report(report, now)?;
                 // Members of a group are levelled by their aggregator, which hears the other groups too.
-                Ok(BucketWord::new(rows, self.reporters.len(), self.is_mesh(now)))
+                Ok(BucketEstimates::new(rows, self.reporters.len(), self.is_mesh(now)))
             }
             FleetMessage::Sum(sum) => {
                 let rows = sum.flows.clone();
                 self.take_sum(sum, now)?;
-                Ok(BucketWord::new(rows, self.aggregators.len(), self.counts_itself(now)))
+                Ok(BucketEstimates::new(rows, self.aggregators.len(), self.counts_itself(now)))
             }
             FleetMessage::Summary(summary) => {
                 let rows = summary.flows.clone();
                 let is_taken = self.take_summary(summary, now)?;
-                Ok(BucketWord::new(rows, 1, is_taken))
+                Ok(BucketEstimates::new(rows, 1, is_taken))
             }
         }
     }
@@ -147,9 +147,9 @@
     }
 }
 
-impl BucketWord {
-    fn new(rows: Vec<FlowRow>, tellers: usize, counts: bool) -> Self {
-        if counts { BucketWord { rows, tellers } } else { BucketWord::default() }
+impl BucketEstimates {
+    fn new(rows: Vec<FlowRow>, senders: usize, counts: bool) -> Self {
+        if counts { BucketEstimates { rows, senders } } else { BucketEstimates::default() }
     }
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -36,7 +36,7 @@
 pub use learned_limit::LearnedLimit;
 pub use mechanism::{Mechanism, MechanismSet};
 pub use organisation_limits::{
-    LimitBook, LimitClaim, LimitForecast, LimitTolerance, OrganisationLimit,
+    LimitClaim, LimitForecast, LimitTable, LimitTolerance, OrganisationLimit,
 };
 pub use placement::{
     AffinityPlacement, LeastReported, PlaceFit, PlacementPolicy, PlacementQuery, RoundRobin,
--- a/src/policy/organisation_limits.rs
+++ b/src/policy/organisation_limits.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 const MICROS: f64 = 1_000_000.0;
-/// The part of the difference by which a bucket moves towards the others' with a round of messages, all tellers together:
+/// The part of the difference by which a bucket moves towards the others' with a round of messages, all senders together:
 /// with 10 rounds a second, buckets are level again within a second, while what is on its way weighs little.
 const LEVEL_STEP: f64 = 0.18;
-/// The part by which it moves towards one teller's at most.
+/// The part by which it moves towards one sender's at most.
 const MOST_LEVEL_STEP: f64 = 0.1;
 /// Differences between buckets up to this are not made level, in microseconds.
 const LEVEL_GAP: f64 = 0.3 * MICROS;
@@ -137,14 +137,14 @@
 
 /// The state of all organisations' limits in one daemon.
 #[derive(Clone, Debug)]
-pub struct LimitBook {
+pub struct LimitTable {
     limits: HashMap<OrganisationIndex, OrganisationLimit>,
     states: HashMap<OrganisationIndex, LimitState>,
     /// This daemon's share of each limit, 0.0 to 1.0.
     share: f64,
     tolerance: LimitTolerance,
     mechanisms: MechanismSet,
-    /// When this book began with empty buckets; none if it began with full ones.
+    /// When this table began with empty buckets; none if it began with full ones.
     began_empty: Option<Moment>,
     /// When this process was last known to run.
     alive_at: Option<Moment>,
@@ -178,9 +178,9 @@
 /// yet told.
 const TOLERANCE_USED: f64 = 0.5;
 
-impl Default for LimitBook {
+impl Default for LimitTable {
     fn default() -> Self {
-        LimitBook {
+        LimitTable {
             limits: HashMap::new(),
             states: HashMap::new(),
             share: 1.0,
@@ -193,7 +193,7 @@
     }
 }
 
-impl LimitBook {
+impl LimitTable {
     /// Sets where this daemon's paces begin, 0.0 to 1.0 of a request: daemons draw it, so that they differ.
     pub fn set_pace_start(&mut self, start: f64) {
         self.pace_start = start.clamp(0.0, 1.0);
@@ -377,14 +377,14 @@
         state.full_at = full_at.min(most.max(state.full_at));
     }
 
-    /// Moves an organisation's bucket a little towards what another daemon reckons of it. What goes wrong without
-    /// it: after lost notices or a cut the daemons' buckets differ for ever, since each is refilled at the same
+    /// Moves an organisation's bucket a little towards what another daemon estimates. What goes wrong without
+    /// it: after lost messages or a cut the daemons' buckets differ for ever, since each is refilled at the same
     /// rate, and the one with the least in it refuses everything while the others let the whole limit through.
     pub fn level(
         &mut self,
         organisation: OrganisationIndex,
         refill: Duration,
-        tellers: usize,
+        senders: usize,
         now: Moment,
     ) {
         let Some(state) = self.states.get_mut(&organisation) else { return };
@@ -393,7 +393,7 @@
         let gap = told - own;
         // Small gaps are what each has let through and not yet told.
         let lasting = gap.signum() * (gap.abs() - LEVEL_GAP).max(0.0);
-        let step = (LEVEL_STEP / tellers.max(1) as f64).min(MOST_LEVEL_STEP);
+        let step = (LEVEL_STEP / senders.max(1) as f64).min(MOST_LEVEL_STEP);
         state.full_at = own + lasting * step;
     }
 
--- a/src/policy/shared_list.rs
+++ b/src/policy/shared_list.rs
@@ -1,7 +1,7 @@
 //! The platform's list of upstreams as daemons tell it to each other: what changed, and a digest of the whole.
 //!
 //! What goes wrong with whole lists: 64 daemons and 143 upstreams make 8 KB for each daemon and reading, which fills
-//! links of 10 Mbit/s, so that lists and all other notices are lost, every daemon reads the list for itself and tells
+//! links of 10 Mbit/s, so that lists and all other messages are lost, every daemon reads the list for itself and tells
 //! it too. One would notice by calls to the platform that grow with the fleet.
 
 use crate::table::{ServiceName, UpstreamName};
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -7,7 +7,7 @@
 
 use super::state::TrafficState;
 use crate::fleet_state::{
-    BucketWord, DaemonIdentity, FleetMessage, FleetRole, FleetState, FlowRow, ListStamp,
+    BucketEstimates, DaemonIdentity, FleetMessage, FleetRole, FleetState, FlowRow, ListStamp,
     MessageRefusal, OrganisationHash, OutgoingMessage, OwnReading, ServiceHash, UpstreamHash,
     WaitingRow, WorkRow,
 };
@@ -186,7 +186,7 @@
     let (stamp, address) = (message.list(), message.source().address);
     let is_summary = matches!(message, FleetMessage::Summary(_));
     let Some(mut fleet) = state.fleet.fleet() else { return Ok(()) };
-    let word = fleet.take(message, now)?;
+    let estimates = fleet.take(message, now)?;
     let charges = fleet.drain_charges();
     let is_mesh = fleet.role(now) == FleetRole::Mesh;
     drop(fleet);
@@ -194,7 +194,7 @@
         list::take_stamp(state, socket, address, stamp);
     }
     charge(state, &charges);
-    level(state, &word);
+    level(state, &estimates);
     // An aggregator hears many messages in one pause, and looks at them together when it sends its own.
     if is_summary || is_mesh {
         refresh(state);
@@ -218,14 +218,14 @@
 }
 
 /// Moves the buckets towards what another daemon estimates.
-fn level(state: &TrafficState, word: &BucketWord) {
+fn level(state: &TrafficState, estimates: &BucketEstimates) {
     let snapshot = state.snapshot();
     let now = state.clock.now();
     let mut limits = state.limits();
-    for row in &word.rows {
+    for row in &estimates.rows {
         if let Some(index) = snapshot.access.limited_by_hash(row.organisation) {
             let refill = Duration::from_millis(u64::from(row.refill_ms));
-            limits.level(index, refill, word.tellers, now);
+            limits.level(index, refill, estimates.senders, now);
         }
     }
 }
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -7,7 +7,7 @@
 use crate::clock::TrafficClock;
 use crate::control::ClaimKeeper;
 use crate::policy::{
-    CallerTimes, LimitBook, Mechanism, MechanismSet, Moment, PoolEvent, PoolPlan, RepeatBound,
+    CallerTimes, LimitTable, Mechanism, MechanismSet, Moment, PoolEvent, PoolPlan, RepeatBound,
     RepeatBudget, UpstreamSource,
 };
 use crate::table::{
@@ -55,7 +55,7 @@
     snapshot: ArcSwap<TableSnapshot>,
     pools: ArcSwap<HashMap<ServiceName, Arc<PoolRuntime>>>,
     numbers: Mutex<OrganisationNumbers>,
-    limits: Mutex<LimitBook>,
+    limits: Mutex<LimitTable>,
     platform: ArcSwap<PlatformList>,
     connections: Arc<ConnectionPool>,
     /// The table counts as current until then, in microseconds of the clock.
@@ -136,7 +136,7 @@
     }
 
     /// The organisations' limits.
-    pub fn limits(&self) -> std::sync::MutexGuard<'_, LimitBook> {
+    pub fn limits(&self) -> std::sync::MutexGuard<'_, LimitTable> {
         self.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/tests/fleet_play.rs
+++ b/tests/fleet_play.rs
@@ -9,7 +9,7 @@
 use tarragonknot::fleet_state::{
     DaemonIdentity, FleetMessage, FleetState, FlowRow, OrganisationHash, OwnReading, WorkRow,
 };
-use tarragonknot::policy::{LimitBook, Moment, OrganisationIndex, OrganisationLimit};
+use tarragonknot::policy::{LimitTable, Moment, OrganisationIndex, OrganisationLimit};
 
 /// The organisation of these tests.
 pub const HOT: OrganisationIndex = OrganisationIndex(0);
@@ -33,7 +33,7 @@
 /// One daemon.
 pub struct PlayedDaemon {
     pub fleet: FleetState,
-    pub limits: LimitBook,
+    pub limits: LimitTable,
     pub work: Vec<WorkRow>,
     pub is_running: bool,
     pub has_left: bool,
@@ -47,7 +47,7 @@
     fn new(number: usize, boot: u64, draw: f64, now: Moment) -> Self {
         let daemon = name(number).as_str().into();
         let identity = DaemonIdentity { daemon, boot, address: address(number) };
-        let mut limits = LimitBook::default();
+        let mut limits = LimitTable::default();
         let limit = OrganisationLimit {
             tokens_per_second: Some(RATE),
             burst_tokens: Some(RATE),
@@ -264,11 +264,11 @@
         }
         daemon.heard += 1;
         daemon.bytes += postcard::to_stdvec(&message).expect("written").len() as u64;
-        let word = daemon.fleet.take(message, self.now).unwrap_or_default();
+        let estimates = daemon.fleet.take(message, self.now).unwrap_or_default();
         daemon.settle(self.now);
-        for row in word.rows {
+        for row in estimates.rows {
             let refill = Duration::from_millis(u64::from(row.refill_ms));
-            daemon.limits.level(HOT, refill, word.tellers, self.now);
+            daemon.limits.level(HOT, refill, estimates.senders, self.now);
         }
     }
 
--- a/tests/fleet_schedule.rs
+++ b/tests/fleet_schedule.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tarragonknot::control::{
-    DaemonOrders, DaemonReport, FleetBook, FleetMember, LIMITS, PoolState, ReportVerdict,
+    DaemonOrders, DaemonReport, FleetMember, FleetRegistry, LIMITS, PoolState, ReportVerdict,
     SHARE_UNITS,
 };
 use tarragonknot::policy::{FloorOrder, Moment, ShedFloor, TierRank};
@@ -62,7 +62,7 @@
     now: u64,
     daemons: Vec<TestDaemon>,
     members: BTreeMap<DaemonName, u64>,
-    book: FleetBook,
+    book: FleetRegistry,
     table: VersionedTable,
     flights: Vec<(u64, Message)>,
     /// Steps in which nearly the whole of the shares was in use.
@@ -90,7 +90,7 @@
             rng,
             rule,
             now: 5_000_000,
-            book: FleetBook::new(1, LEASE, Moment(5_000_000), &members),
+            book: FleetRegistry::new(1, LEASE, Moment(5_000_000), &members),
             daemons,
             members,
             table: table(),
@@ -127,7 +127,7 @@
                 members.clear();
             }
             let term = self.book.term() + 1;
-            self.book = FleetBook::new(term, LEASE, Moment(self.now), &members);
+            self.book = FleetRegistry::new(term, LEASE, Moment(self.now), &members);
         }
     }
 
--- a/tests/test_limits.rs
+++ b/tests/test_limits.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use tarragonknot::fleet_state::{DaemonIdentity, FleetState};
 use tarragonknot::policy::{
-    DispatchOutcome, LimitBook, LimitClaim, LimitTolerance, Moment, OrganisationLimit, PoolAction,
+    DispatchOutcome, LimitClaim, LimitTable, LimitTolerance, Moment, OrganisationLimit, PoolAction,
     PoolEvent, RequestId, UpstreamIndex,
 };
 
@@ -16,12 +16,12 @@
 
 /// One daemon's limits.
 struct LimitDaemon {
-    limits: LimitBook,
+    limits: LimitTable,
 }
 
 impl LimitDaemon {
     fn new(began: Moment) -> Self {
-        let mut limits = LimitBook::default();
+        let mut limits = LimitTable::default();
         let limit = OrganisationLimit {
             tokens_per_second: Some(RATE),
             burst_tokens: Some(RATE),
--- a/tests/test_policy.rs
+++ b/tests/test_policy.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use tarragonknot::answer::AnswerKind;
 use tarragonknot::policy::{
-    ArrivedRequest, DispatchOutcome, FairQueue, FloorOrder, LimitBook, LoadReport, Moment,
+    ArrivedRequest, DispatchOutcome, FairQueue, FloorOrder, LimitTable, LoadReport, Moment,
     OrganisationIndex, OrganisationLimit, PoolAction, PoolEvent, PoolScheduler, RequestId,
     ShedFloor, TierRank, TierShare, WaitingQueue, WaitingRequest, prefix_hashes,
 };
@@ -128,7 +128,7 @@
 
     #[test]
     fn the_rate_limit_never_passes_more_than_burst_and_rate(costs in proptest::collection::vec(1u32..300, 1..200), gap in 0u64..200) {
-        let mut book = LimitBook::default();
+        let mut book = LimitTable::default();
         let limit = OrganisationLimit { tokens_per_second: Some(1_000), burst_tokens: Some(500), concurrent: None };
         book.set_limits(HashMap::from([(OrganisationIndex(1), limit)]));
         let mut passed = 0u64;
@@ -207,7 +207,7 @@
     #[case] requests: u32,
     #[case] expected: Result<(), AnswerKind>,
 ) {
-    let mut book = LimitBook::default();
+    let mut book = LimitTable::default();
     let limit = OrganisationLimit { concurrent: Some(1), ..OrganisationLimit::default() };
     book.set_limits(HashMap::from([(OrganisationIndex(1), limit)]));
 
@@ -317,8 +317,8 @@
     assert_eq!(counts, [20, 20]);
 }
 
-fn limit_book(share: f64) -> LimitBook {
-    let mut book = LimitBook::default();
+fn limit_book(share: f64) -> LimitTable {
+    let mut book = LimitTable::default();
     let limit = OrganisationLimit {
         tokens_per_second: Some(100),
         burst_tokens: Some(200),
@@ -329,7 +329,7 @@
     book
 }
 
-fn admitted(book: &mut LimitBook, cost: u32) -> usize {
+fn admitted(book: &mut LimitTable, cost: u32) -> usize {
     (0..100)
         .take_while(|_| book.admit(OrganisationIndex(0), cost, Moment::from_millis(1)).is_ok())
         .count()
