Read once more: counters' differences, timed rows and address lists each in one place; names in the field's terms

Found on reading the whole change: differences of counters stood in two places, rows that expire in two, lists of others' addresses in two, the counting into rates and charges in three; the age of the sums was worked out anew for each organisation, pools were locked twice for one look, rows were chosen for reports that hold all; accessors that nothing called. Behaviour is the same, but that a reporter's turn among unchanged rows begins with its first report that leaves rows out. Comments of the change in the field's terms.

--- a/src/fleet_state/flow_ledger.rs
+++ b/src/fleet_state/flow_ledger.rs
@@ -1,5 +1,6 @@
 //! Cumulative counters of several sources, and what is assumed of those that are silent.
 
+use super::flow_totals::{FlowTotals, totals_of};
 use super::{FlowRates, FlowRow, MessageRefusal, OrganisationHash};
 use crate::policy::Moment;
 use crate::table::DaemonName;
@@ -32,11 +33,11 @@
     pub sequence: u64,
 }
 
-/// What one source has told.
+/// What one source has reported.
 #[derive(Clone, Debug)]
 struct FlowSource {
     stamp: SourceStamp,
-    totals: BTreeMap<OrganisationHash, (i64, u64)>,
+    totals: FlowTotals,
     rates: FlowRates,
     heard: Moment,
     silence: Option<SourceSilence>,
@@ -82,10 +83,9 @@
         now: Moment,
     ) -> Result<Vec<FlowDelta>, MessageRefusal> {
         let Some(source) = self.sources.get_mut(daemon) else {
-            let totals = rows.iter().map(|row| (row.organisation, (row.taken, row.asked)));
             let source = FlowSource {
                 stamp,
-                totals: totals.collect(),
+                totals: totals_of(rows),
                 rates: FlowRates::default(),
                 heard: now,
                 silence: None,
@@ -148,21 +148,6 @@
     pub fn stamp(&self, daemon: &DaemonName) -> Option<SourceStamp> {
         self.sources.get(daemon).map(|source| source.stamp)
     }
-
-    /// When a source was heard last.
-    pub fn heard(&self, daemon: &DaemonName) -> Option<Moment> {
-        self.sources.get(daemon).map(|source| source.heard)
-    }
-
-    /// Number of sources.
-    pub fn len(&self) -> usize {
-        self.sources.len()
-    }
-
-    /// True if there are no sources.
-    pub fn is_empty(&self) -> bool {
-        self.sources.is_empty()
-    }
 }
 
 impl FlowSource {
--- a/src/fleet_state/flow_rates.rs
+++ b/src/fleet_state/flow_rates.rs
@@ -27,9 +27,4 @@
         let Some((rate, at)) = self.rates.get(&organisation) else { return 0.0 };
         rate * (-now.since(*at).as_secs_f64() / RATE_TIME.as_secs_f64()).exp()
     }
-
-    /// Organisations of which anything is known.
-    pub fn organisations(&self) -> impl Iterator<Item = OrganisationHash> {
-        self.rates.keys().copied()
-    }
 }
--- /dev/null
+++ b/src/fleet_state/flow_totals.rs
@@ -0,0 +1,25 @@
+//! Counters of one source by organisation, and what they grew by.
+
+use super::{FlowDelta, FlowRow, OrganisationHash};
+use std::collections::BTreeMap;
+
+/// Tokens let through and asked for since a source began to count, by organisation.
+pub type FlowTotals = BTreeMap<OrganisationHash, (i64, u64)>;
+
+/// The counters of rows.
+pub fn totals_of(rows: &[FlowRow]) -> FlowTotals {
+    rows.iter().map(|row| (row.organisation, (row.taken, row.asked))).collect()
+}
+
+/// What counters grew by; organisations that were not there stood at nought.
+pub fn differences(before: &FlowTotals, after: &FlowTotals) -> Vec<FlowDelta> {
+    let deltas = after.iter().map(|(organisation, (taken, asked))| {
+        let (taken_before, asked_before) = before.get(organisation).copied().unwrap_or_default();
+        FlowDelta {
+            organisation: *organisation,
+            taken: taken - taken_before,
+            asked: asked.saturating_sub(asked_before),
+        }
+    });
+    deltas.filter(|delta| delta.taken != 0 || delta.asked != 0).collect()
+}
--- a/src/fleet_state/layout.rs
+++ b/src/fleet_state/layout.rs
@@ -14,7 +14,7 @@
 /// Messages that an aggregator sends in a second at most. With as many received that is 2 % of a core, on one daemon
 /// of each group; 291 daemons then speak each 68 ms and 1,000 each 126 ms.
 const AGGREGATOR_SENDS_A_SECOND: f64 = 500.0;
-/// Least time between two reports of a small fleet: what was sent meanwhile is told together.
+/// Least time between two reports of a small fleet: what was sent meanwhile goes into one report.
 const LEAST_MESH_PAUSE: Duration = Duration::from_millis(40);
 /// The same where there are aggregators, which each member hears of three steps later.
 const LEAST_GROUP_PAUSE: Duration = Duration::from_millis(50);
--- a/src/fleet_state/messages.rs
+++ b/src/fleet_state/messages.rs
@@ -1,4 +1,4 @@
-//! What daemons tell each other of their state.
+//! The messages in which daemons report their state.
 
 use crate::policy::{OthersWork, WorthLevel};
 use crate::table::{DaemonName, OrganisationName, ServiceName, UpstreamName};
@@ -25,9 +25,6 @@
 pub struct OrganisationHash(u32);
 
 impl OrganisationHash {
-    /// The least hash.
-    pub(super) const LEAST: Self = OrganisationHash(0);
-
     /// The hash of an organisation's name.
     pub fn of(organisation: &OrganisationName) -> Self {
         OrganisationHash(xxh3_64(organisation.as_str().as_bytes()) as u32)
@@ -106,7 +103,7 @@
     Left,
 }
 
-/// What one daemon tells its aggregator, or all others in a small fleet.
+/// The report of one daemon to its aggregator, or to all others in a small fleet.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MemberReport {
     /// The daemon.
@@ -127,7 +124,7 @@
     pub departure: Departure,
 }
 
-/// What an aggregator tells the others: the sum of those that report to it.
+/// The sum of those that report to an aggregator, for the other aggregators.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct GroupSum {
     /// The aggregator.
@@ -150,7 +147,7 @@
     pub is_leaving: bool,
 }
 
-/// What an aggregator tells the members of its group: the sums of the whole fleet.
+/// The sums of the whole fleet, from an aggregator to the members of its group.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct FleetSummary {
     /// The aggregator.
--- a/src/fleet_state/mod.rs
+++ b/src/fleet_state/mod.rs
@@ -1,8 +1,8 @@
 //! What one daemon knows of the whole fleet, as sums that are aggregated; pure: no clock, no socket.
 //!
 //! A daemon needs to know how many tokens the fleet has let through of each organisation's limit, what the others
-//! have sent to each upstream, and who reads the platform's list. What goes wrong when all daemons tell all others:
-//! the cost of it grows with the square of the fleet, so each tells seldom, and at hundreds of daemons what is known
+//! have sent to each upstream, and who reads the platform's list. What goes wrong when each daemon reports to all
+//! others: the cost grows with the square of the fleet, so each reports seldom, and at hundreds of daemons what is known
 //! is seconds old. One would notice by refusals of organisations far below their limits.
 //!
 //! So daemons form groups of about the square root of their number ([`FleetLayout`]). Each sends its cumulative
@@ -17,6 +17,7 @@
 mod aggregator_choice;
 mod flow_ledger;
 mod flow_rates;
+mod flow_totals;
 mod layout;
 mod list_freshness;
 mod messages;
--- a/src/fleet_state/own_history.rs
+++ b/src/fleet_state/own_history.rs
@@ -1,7 +1,8 @@
 //! What this daemon has reported, message by message: sums that come back hold some of it.
 
-use super::{FlowDelta, FlowRow, OrganisationHash, OwnReading, WaitingRow, WorkRow};
-use std::collections::{BTreeMap, VecDeque};
+use super::flow_totals::{FlowTotals, differences, totals_of};
+use super::{FlowDelta, OwnReading, WaitingRow, WorkRow};
+use std::collections::VecDeque;
 
 /// Reports that are remembered: 4 s at 15 a second, far more than a sum is old.
 const REMEMBERED: usize = 64;
@@ -10,7 +11,7 @@
 #[derive(Clone, Debug)]
 struct PastReport {
     sequence: u64,
-    totals: BTreeMap<OrganisationHash, (i64, u64)>,
+    totals: FlowTotals,
     work: Vec<WorkRow>,
     waiting: Vec<WaitingRow>,
 }
@@ -25,11 +26,9 @@
 impl OwnHistory {
     /// Remembers a report.
     pub fn push(&mut self, sequence: u64, own: &OwnReading) {
-        let totals =
-            own.flows.iter().map(|row: &FlowRow| (row.organisation, (row.taken, row.asked)));
         let report = PastReport {
             sequence,
-            totals: totals.collect(),
+            totals: totals_of(&own.flows),
             work: own.work.clone(),
             waiting: own.waiting.clone(),
         };
@@ -74,18 +73,3 @@
         self.included.as_ref().map_or(&[], |report| &report.work)
     }
 }
-
-fn differences(
-    before: &BTreeMap<OrganisationHash, (i64, u64)>,
-    after: &BTreeMap<OrganisationHash, (i64, u64)>,
-) -> Vec<FlowDelta> {
-    let deltas = after.iter().map(|(organisation, (taken, asked))| {
-        let (taken_before, asked_before) = before.get(organisation).copied().unwrap_or_default();
-        FlowDelta {
-            organisation: *organisation,
-            taken: taken - taken_before,
-            asked: asked.saturating_sub(asked_before),
-        }
-    });
-    deltas.filter(|delta| delta.taken != 0 || delta.asked != 0).collect()
-}
--- a/src/fleet_state/row_rotation.rs
+++ b/src/fleet_state/row_rotation.rs
@@ -63,9 +63,8 @@
     /// All rows, beginning after the one that had the last turn.
     fn in_turn(&self) -> impl Iterator<Item = (OrganisationHash, RowState)> {
         let start = self.last.map_or(Bound::Unbounded, Bound::Excluded);
-        let end = self.last.map_or(Bound::Excluded(OrganisationHash::LEAST), Bound::Included);
         let later = self.rows.range((start, Bound::Unbounded));
-        let earlier = self.rows.range((Bound::Unbounded, end));
-        later.chain(earlier).map(|(organisation, state)| (*organisation, *state))
+        let rows = later.chain(&self.rows).take(self.rows.len());
+        rows.map(|(organisation, state)| (*organisation, *state))
     }
 }
--- a/src/fleet_state/state/mod.rs
+++ b/src/fleet_state/state/mod.rs
@@ -8,6 +8,7 @@
 pub use taking::BucketEstimates;
 pub use view::FleetRole;
 
+use super::flow_totals::{FlowTotals, differences, totals_of};
 use super::messages::daemon_hash;
 use super::work_tables::RowTurn;
 use super::{
@@ -18,7 +19,7 @@
 use crate::policy::Moment;
 use crate::table::DaemonName;
 use parts::{PeerAggregator, Reporter, SummaryView};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -97,11 +98,13 @@
     upward: FlowLedger,
     summary: Option<SummaryView>,
     away: WorkTable,
+    /// Where the turns of the group's rows and of the others' stand.
     group_turn: RowTurn,
+    away_turn: RowTurn,
     history: OwnHistory,
     own: OwnReading,
-    group_flows: BTreeMap<OrganisationHash, (i64, u64)>,
-    fleet_flows: BTreeMap<OrganisationHash, (i64, u64)>,
+    group_flows: FlowTotals,
+    fleet_flows: FlowTotals,
     taken_rates: FlowRates,
     asked_rates: FlowRates,
     own_rates: FlowRates,
@@ -131,10 +134,11 @@
             summary: None,
             away: WorkTable::default(),
             group_turn: RowTurn::default(),
+            away_turn: RowTurn::default(),
             history: OwnHistory::default(),
             own: OwnReading::default(),
-            group_flows: BTreeMap::new(),
-            fleet_flows: BTreeMap::new(),
+            group_flows: FlowTotals::new(),
+            fleet_flows: FlowTotals::new(),
             taken_rates: FlowRates::default(),
             asked_rates: FlowRates::default(),
             own_rates: FlowRates::default(),
@@ -210,30 +214,30 @@
         let heard = self.heard.keys().filter(|_| !trusts_leader);
         let own = [self.identity.address];
         let addresses: Vec<SocketAddr> = named.iter().chain(heard).chain(&own).copied().collect();
-        let layout = FleetLayout::new(addresses);
-        if layout != self.layout {
-            self.layout = layout;
-        }
+        self.layout = FleetLayout::new(addresses);
     }
 
     fn learn_own(&mut self, flows: &[FlowRow], now: Moment) {
-        let before: BTreeMap<OrganisationHash, (i64, u64)> =
-            self.own.flows.iter().map(|row| (row.organisation, (row.taken, row.asked))).collect();
         let is_mesh = self.is_mesh(now);
-        for row in flows {
-            let (taken, asked) = before.get(&row.organisation).copied().unwrap_or_default();
-            let (taken, asked) = (row.taken - taken, row.asked.saturating_sub(asked));
-            if taken == 0 && asked == 0 {
-                continue;
-            }
-            self.own_rates.add(row.organisation, taken, now);
+        for delta in differences(&totals_of(&self.own.flows), &totals_of(flows)) {
+            self.own_rates.add(delta.organisation, delta.taken, now);
             if is_mesh {
-                self.taken_rates.add(row.organisation, taken, now);
-                self.asked_rates.add(row.organisation, asked as i64, now);
+                self.learn_rates(&delta, now);
             }
         }
     }
 
+    /// Counts tokens of anybody into the fleet's rates.
+    fn learn_rates(&mut self, delta: &FlowDelta, now: Moment) {
+        self.taken_rates.add(delta.organisation, delta.taken, now);
+        self.asked_rates.add(delta.organisation, delta.asked as i64, now);
+    }
+
+    /// Notes tokens of others that this daemon's limits are to be charged with.
+    fn charge(&mut self, organisation: OrganisationHash, tokens: i64) {
+        *self.charges.entry(organisation).or_default() += tokens;
+    }
+
     /// True if this daemon learns of the fleet from the daemons themselves, not from an aggregator.
     fn counts_itself(&self, now: Moment) -> bool {
         self.is_mesh(now) || self.choice.chosen() == Some(self.identity.address)
@@ -259,21 +263,15 @@
     fn count(&mut self, deltas: &[FlowDelta], (is_member, is_own): (bool, bool), now: Moment) {
         let counts_itself = self.counts_itself(now);
         for delta in deltas {
-            let add = |sums: &mut BTreeMap<OrganisationHash, (i64, u64)>| {
-                let sum = sums.entry(delta.organisation).or_default();
-                sum.0 += delta.taken;
-                sum.1 += delta.asked;
-            };
             if is_member {
-                add(&mut self.group_flows);
+                add_to(&mut self.group_flows, delta);
             }
-            add(&mut self.fleet_flows);
+            add_to(&mut self.fleet_flows, delta);
             if counts_itself {
-                self.taken_rates.add(delta.organisation, delta.taken, now);
-                self.asked_rates.add(delta.organisation, delta.asked as i64, now);
+                self.learn_rates(delta, now);
             }
             if counts_itself && !is_own {
-                *self.charges.entry(delta.organisation).or_default() += delta.taken;
+                self.charge(delta.organisation, delta.taken);
             }
         }
     }
@@ -309,7 +307,7 @@
         let rest = 1.0 - 1.0 / self.layout.addresses().len().max(1) as f64;
         let deltas = self.upward.assume_silent(limits, &self.taken_rates, (rest, after), now);
         for delta in deltas {
-            *self.charges.entry(delta.organisation).or_default() += delta.taken;
+            self.charge(delta.organisation, delta.taken);
         }
     }
 
@@ -317,7 +315,7 @@
     fn drop_replaced(&mut self, now: Moment) {
         let is_fresh = |heard: Moment| now.since(heard) < PEER_LIFE;
         let live = self.aggregators.values().filter(|peer| is_fresh(peer.heard));
-        let covered: std::collections::BTreeSet<u32> =
+        let mut covered: BTreeSet<u32> =
             live.flat_map(|peer| peer.members.iter().copied()).collect();
         let moved = self
             .reporters
@@ -325,11 +323,11 @@
             .filter(|(_, reporter)| !is_fresh(reporter.heard) && covered.contains(&reporter.hash));
         let moved: Vec<DaemonName> = moved.map(|(daemon, _)| daemon.clone()).collect();
         moved.iter().for_each(|daemon| self.remove_member(daemon));
-        let own: Vec<u32> = self.reporters.values().map(|reporter| reporter.hash).collect();
-        let replaced = self.aggregators.iter().filter(|(_, peer)| {
-            let is_covered = |hash: &u32| covered.contains(hash) || own.contains(hash);
-            !is_fresh(peer.heard) && peer.members.iter().any(is_covered)
-        });
+        covered.extend(self.reporters.values().map(|reporter| reporter.hash));
+        let is_covered =
+            |peer: &PeerAggregator| peer.members.iter().any(|hash| covered.contains(hash));
+        let replaced =
+            self.aggregators.iter().filter(|(_, peer)| !is_fresh(peer.heard) && is_covered(peer));
         let replaced: Vec<DaemonName> = replaced.map(|(daemon, _)| daemon.clone()).collect();
         replaced.iter().for_each(|daemon| self.remove_peer(daemon));
     }
@@ -365,3 +363,9 @@
 fn departure(own: &OwnReading) -> Departure {
     if own.has_left { Departure::Left } else { Departure::Stays }
 }
+
+fn add_to(sums: &mut FlowTotals, delta: &FlowDelta) {
+    let sum = sums.entry(delta.organisation).or_default();
+    sum.0 += delta.taken;
+    sum.1 += delta.asked;
+}
--- a/src/fleet_state/state/sending.rs
+++ b/src/fleet_state/state/sending.rs
@@ -1,6 +1,7 @@
 //! What a daemon sends: reports of itself, the sum of its group, the sums of the fleet.
 
 use super::{FleetState, OutgoingMessage, PEER_LIFE, WORK_LIFE, departure};
+use crate::fleet_state::flow_totals::FlowTotals;
 use crate::fleet_state::waiting_table::{WaitingTable, add_waiting, waiting_rows};
 use crate::fleet_state::work_tables::add_work;
 use crate::fleet_state::{
@@ -18,10 +19,13 @@
 impl FleetState {
     /// This daemon's report; `is_whole` where the receiver may know nothing of it.
     fn report(&mut self, is_whole: bool, departure: Departure) -> MemberReport {
-        let chosen = self.report_rows.choose(self.own.flows.iter().copied());
+        let flows = match is_whole {
+            true => self.own.flows.clone(),
+            false => self.report_rows.choose(self.own.flows.iter().copied()),
+        };
         MemberReport {
             source: self.source(),
-            flows: if is_whole { self.own.flows.clone() } else { chosen },
+            flows,
             is_whole,
             work: self.own.work.clone(),
             waiting: self.own.waiting.clone(),
@@ -99,7 +103,7 @@
         let life = self.work_life();
         let mut sums = BTreeMap::new();
         let fresh = self.reporters.values().filter(|member| now.since(member.heard) < life);
-        fresh.for_each(|member| add_work(&mut sums, &member.work));
+        fresh.for_each(|member| add_work(&mut sums, member.work.iter().copied()));
         sums
     }
 
@@ -143,7 +147,7 @@
         let mut away = BTreeMap::new();
         let life = self.work_life();
         let fresh = self.aggregators.values().filter(|peer| now.since(peer.heard) < life);
-        fresh.for_each(|peer| add_work(&mut away, &peer.work.rows()));
+        fresh.for_each(|peer| add_work(&mut away, peer.work.rows()));
         let included = self.reporters.iter().filter_map(|(daemon, reporter)| {
             let stamp = self.members.stamp(daemon)?;
             Some((reporter.hash, stamp.sequence))
@@ -156,7 +160,7 @@
             flows: self.fleet_rows.choose(flows),
             work: work_rows(work),
             waiting: waiting_rows(&self.members_waiting(true, now)),
-            away: self.away.next_rows(&away),
+            away: self.away_turn.next_rows(&away),
             list: self.own.list,
             is_leaving: self.own.has_left,
         }
@@ -184,17 +188,25 @@
         let is_chosen = self.choice.chosen() == Some(own);
         let group = self.layout.group_of(own);
         let group = if is_chosen { self.layout.members(group.index) } else { &[] };
+        self.others_among(group.iter().copied())
+    }
+
+    /// The daemons that report here and `addresses`, each once, without this one.
+    pub(super) fn others_among(
+        &self,
+        addresses: impl IntoIterator<Item = SocketAddr>,
+    ) -> Vec<SocketAddr> {
         let reporters = self.reporters.values().map(|reporter| reporter.address);
-        let mut addresses: Vec<SocketAddr> = group.iter().copied().chain(reporters).collect();
-        addresses.sort_unstable();
-        addresses.dedup();
-        addresses.retain(|address| *address != own);
-        addresses
+        let mut others: Vec<SocketAddr> = reporters.chain(addresses).collect();
+        others.sort_unstable();
+        others.dedup();
+        others.retain(|address| *address != self.identity.address);
+        others
     }
 }
 
 /// Sums as rows, each with this daemon's own estimate of the bucket.
-fn rows(sums: &BTreeMap<OrganisationHash, (i64, u64)>, own: &[FlowRow]) -> Vec<FlowRow> {
+fn rows(sums: &FlowTotals, own: &[FlowRow]) -> Vec<FlowRow> {
     let refills: BTreeMap<OrganisationHash, u32> =
         own.iter().map(|row| (row.organisation, row.refill_ms)).collect();
     let rows = sums.iter().map(|(organisation, (taken, asked))| FlowRow {
--- a/src/fleet_state/state/taking.rs
+++ b/src/fleet_state/state/taking.rs
@@ -1,6 +1,6 @@
 //! What a daemon takes of the others' messages.
 
-use super::{DaemonIdentity, FleetState, PeerAggregator, Reporter, SummaryView};
+use super::{FleetState, PeerAggregator, Reporter, SummaryView};
 use crate::fleet_state::messages::daemon_hash;
 use crate::fleet_state::{
     Departure, FleetMessage, FleetSummary, FlowRow, GroupSum, MemberReport, MessageRefusal,
@@ -57,16 +57,23 @@
         report: MemberReport,
         now: Moment,
     ) -> Result<(), MessageRefusal> {
-        let MemberReport { source, flows, is_whole, work, waiting, .. } = report;
-        let MemberReport { can_read_list, departure, .. } = report;
+        let MemberReport {
+            source,
+            flows,
+            is_whole,
+            work,
+            waiting,
+            list: _,
+            can_read_list,
+            departure,
+        } = report;
         let MessageSource { daemon, address, .. } = &source;
         if departure != Departure::Stays && self.members.stamp(daemon).is_none() {
             return Ok(());
         }
         let rows = (flows.as_slice(), is_whole);
         let deltas = self.members.take(daemon, stamp(&source), rows, now)?;
-        let DaemonIdentity { daemon: own, .. } = &self.identity;
-        let is_own = daemon == own;
+        let is_own = *daemon == self.identity.daemon;
         self.count(&deltas, (true, is_own), now);
         if departure != Departure::Stays {
             self.remove_member(daemon);
@@ -93,6 +100,7 @@
         let known = self.aggregators.remove(daemon);
         let mut work = known.map(|peer| peer.work).unwrap_or_default();
         work.take(&sum.work, sum.is_whole, now);
+        work.forget(now);
         let peer = PeerAggregator {
             address: *address,
             members: sum.members,
@@ -123,15 +131,14 @@
         // What was assumed of the one before ends here.
         self.upward.retain(|source, _| source == daemon);
         for delta in deltas {
-            self.taken_rates.add(delta.organisation, delta.taken, now);
-            self.asked_rates.add(delta.organisation, delta.asked as i64, now);
-            *self.charges.entry(delta.organisation).or_default() += delta.taken;
+            self.learn_rates(&delta, now);
+            self.charge(delta.organisation, delta.taken);
         }
         let own = self.own_hash();
         let included = summary.included.iter().find(|(hash, _)| *hash == own);
         let own = included.map_or_else(Vec::new, |(_, sequence)| self.history.include(*sequence));
         for delta in own {
-            *self.charges.entry(delta.organisation).or_default() -= delta.taken;
+            self.charge(delta.organisation, -delta.taken);
         }
         self.away.take(&summary.away, now);
         self.away.learn_speeds(&summary.work, now);
--- a/src/fleet_state/state/view.rs
+++ b/src/fleet_state/state/view.rs
@@ -15,6 +15,9 @@
 /// The same within a group: its report, and the summary.
 const GROUP_STEPS: u32 = 2;
 
+/// Aggregators heard within this time get changes of the list.
+const FORWARD_LIFE: Duration = Duration::from_secs(1);
+
 /// What a daemon does for the fleet's state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FleetRole {
@@ -100,18 +103,19 @@
         ages.filter(|age| *age < life).max().unwrap_or_default()
     }
 
-    /// What is known of the others that share an organisation's limit.
-    pub fn forecast(&self, organisation: OrganisationHash, now: Moment) -> LimitForecast {
-        let taken = self.taken_rates.rate(organisation, now);
-        let own = self.own_rates.rate(organisation, now);
+    /// What is known of the others that share an organisation's limit, for each that is asked for.
+    pub fn forecasts(&self, now: Moment) -> impl Fn(OrganisationHash) -> LimitForecast {
         // Parts are of any age from nought to that of the oldest.
         let age = self.sums_age(now) / 2;
+        let counted_until = Moment(now.0.saturating_sub(age.as_micros() as u64));
         let steps = if self.is_mesh(now) { 1 } else { STEPS };
-        LimitForecast {
-            others_taken: (taken - own).max(0.0),
-            fleet_asked: self.asked_rates.rate(organisation, now),
-            counted_until: Moment(now.0.saturating_sub(age.as_micros() as u64)),
-            horizon: self.pause() * steps,
+        let horizon = self.pause() * steps;
+        move |organisation| {
+            let taken = self.taken_rates.rate(organisation, now);
+            let own = self.own_rates.rate(organisation, now);
+            let fleet_asked = self.asked_rates.rate(organisation, now);
+            let others_taken = (taken - own).max(0.0);
+            LimitForecast { others_taken, fleet_asked, counted_until, horizon }
         }
     }
 
@@ -135,18 +139,11 @@
 
     /// Where a change of the list goes: from the reader to the aggregators, and from those to their groups.
     pub fn list_receivers(&self, now: Moment) -> Vec<SocketAddr> {
-        let own = self.identity.address;
         let is_fresh = |heard: Moment| now.since(heard) < FORWARD_LIFE;
-        let group = self.layout.members(self.group().index);
         let reads = self.is_reader(now);
         let peers = self.aggregators.values().filter(|peer| reads && is_fresh(peer.heard));
-        let reporters = self.reporters.values().map(|reporter| reporter.address);
-        let mut addresses: Vec<SocketAddr> =
-            group.iter().copied().chain(reporters).chain(peers.map(|peer| peer.address)).collect();
-        addresses.sort_unstable();
-        addresses.dedup();
-        addresses.retain(|address| *address != own);
-        addresses
+        let group = self.layout.members(self.group().index).iter().copied();
+        self.others_among(group.chain(peers.map(|peer| peer.address)))
     }
 
     /// True if this daemon passes changes of the list on to its group.
@@ -194,18 +191,15 @@
             let own = &self.identity.daemon;
             let others = self.reporters.iter().filter(|(daemon, _)| *daemon != own);
             let fresh = others.filter(|(_, member)| now.since(member.heard) < life);
-            fresh.for_each(|(_, member)| add_work(&mut sums, &member.work));
+            fresh.for_each(|(_, member)| add_work(&mut sums, member.work.iter().copied()));
         } else if let Some(summary) = &self.summary {
-            add_work(&mut sums, &summary.work);
+            add_work(&mut sums, summary.work.iter().copied());
             subtract_work(&mut sums, self.history.included_work());
         }
         if !self.is_mesh(now) {
-            add_hints(&mut sums, self.away.rows());
+            add_hints(&mut sums, self.away.away());
         }
         self.away.add_speeds(&mut sums);
         sums
     }
 }
-
-/// Aggregators heard within this time get changes of the list.
-const FORWARD_LIFE: Duration = Duration::from_secs(1);
--- a/src/fleet_state/work_tables.rs
+++ b/src/fleet_state/work_tables.rs
@@ -15,9 +15,12 @@
 const AWAY_ROWS: usize = 40;
 
 /// Adds rows to sums by upstream.
-pub fn add_work(sums: &mut BTreeMap<UpstreamHash, OthersWork>, rows: &[WorkRow]) {
+pub fn add_work(
+    sums: &mut BTreeMap<UpstreamHash, OthersWork>,
+    rows: impl IntoIterator<Item = WorkRow>,
+) {
     for (upstream, work) in rows {
-        let sum = sums.entry(*upstream).or_default();
+        let sum = sums.entry(upstream).or_default();
         sum.requests += work.requests;
         sum.unread_tokens += work.unread_tokens;
         sum.is_down |= work.is_down;
@@ -35,18 +38,18 @@
 }
 
 /// Adds rows as hints: they are of other groups, so old, and take up no places.
-pub fn add_hints<'a>(
+pub fn add_hints(
     sums: &mut BTreeMap<UpstreamHash, OthersWork>,
-    rows: impl IntoIterator<Item = (&'a UpstreamHash, &'a OthersWork)>,
+    rows: impl IntoIterator<Item = WorkRow>,
 ) {
     for (upstream, work) in rows {
-        let sum = sums.entry(*upstream).or_default();
+        let sum = sums.entry(upstream).or_default();
         sum.hinted += work.requests;
         sum.unread_tokens += work.unread_tokens;
     }
 }
 
-/// Rows of one group that may come a few at a time.
+/// Rows that may come a few at a time, each of which counts for [`AWAY_LIFE`].
 #[derive(Clone, Debug, Default)]
 pub struct TimedRows {
     rows: BTreeMap<UpstreamHash, (OthersWork, Moment)>,
@@ -59,21 +62,24 @@
             self.rows.clear();
         }
         self.rows.extend(rows.iter().map(|(upstream, work)| (*upstream, (*work, now))));
+    }
+
+    /// Forgets what is too old.
+    pub fn forget(&mut self, now: Moment) {
         self.rows.retain(|_, (_, at)| now.since(*at) < AWAY_LIFE);
     }
 
     /// The rows.
-    pub fn rows(&self) -> Vec<WorkRow> {
-        self.rows.iter().map(|(upstream, (work, _))| (*upstream, *work)).collect()
+    pub fn rows(&self) -> impl Iterator<Item = WorkRow> {
+        self.rows.iter().map(|(upstream, (work, _))| (*upstream, *work))
     }
 }
 
-/// Rows of other groups that come a few at a time, and how fast upstreams are.
+/// Rows of other groups, and how fast upstreams are.
 #[derive(Clone, Debug, Default)]
 pub struct WorkTable {
-    rows: BTreeMap<UpstreamHash, (OthersWork, Moment)>,
+    away: TimedRows,
     speeds: BTreeMap<UpstreamHash, (u32, Moment)>,
-    turn: RowTurn,
 }
 
 /// Where the turn stands among rows that are sent some at a time.
@@ -97,25 +103,25 @@
 impl WorkTable {
     /// Takes rows of other groups.
     pub fn take(&mut self, rows: &[WorkRow], now: Moment) {
-        self.rows.extend(rows.iter().map(|(upstream, work)| (*upstream, (*work, now))));
+        self.away.take(rows, false, now);
         self.learn_speeds(rows, now);
     }
 
     /// Learns speeds alone.
     pub fn learn_speeds(&mut self, rows: &[WorkRow], now: Moment) {
-        let told = rows.iter().filter(|(_, work)| work.gap_micros > 0);
-        self.speeds.extend(told.map(|(upstream, work)| (*upstream, (work.gap_micros, now))));
+        let learned = rows.iter().filter(|(_, work)| work.gap_micros > 0);
+        self.speeds.extend(learned.map(|(upstream, work)| (*upstream, (work.gap_micros, now))));
     }
 
     /// Forgets what is too old.
     pub fn forget(&mut self, now: Moment) {
-        self.rows.retain(|_, (_, at)| now.since(*at) < AWAY_LIFE);
+        self.away.forget(now);
         self.speeds.retain(|_, (_, at)| now.since(*at) < SPEED_LIFE);
     }
 
-    /// The rows that count.
-    pub fn rows(&self) -> impl Iterator<Item = (&UpstreamHash, &OthersWork)> {
-        self.rows.iter().map(|(upstream, (work, _))| (upstream, work))
+    /// The rows of other groups.
+    pub fn away(&self) -> impl Iterator<Item = WorkRow> {
+        self.away.rows()
     }
 
     /// Puts the speeds that are known into sums.
@@ -124,9 +130,4 @@
             sums.entry(*upstream).or_default().gap_micros = *gap_micros;
         }
     }
-
-    /// Some of `sums`, in turn.
-    pub fn next_rows(&mut self, sums: &BTreeMap<UpstreamHash, OthersWork>) -> Vec<WorkRow> {
-        self.turn.next_rows(sums)
-    }
 }
--- a/src/platform/pages.rs
+++ b/src/platform/pages.rs
@@ -87,7 +87,7 @@
     }
 }
 
-/// Decodes a page that is no JSON as a whole: its entries one by one, as far as their ends can be told.
+/// Decodes a page that is no JSON as a whole: its entries one by one, as far as their ends can be found.
 fn of_pieces(text: &str) -> InstancePage {
     let Some(cut) = CutPage::of(text) else {
         return InstancePage { next: NextPage::Unknown, ..InstancePage::default() };
--- a/src/policy/organisation_limits.rs
+++ b/src/policy/organisation_limits.rs
@@ -54,9 +54,8 @@
     asked: u64,
     /// What is known of the others.
     forecast: LimitForecast,
-    pace: AdmissionPace,
-    /// True once the pace has begun.
-    is_paced: bool,
+    /// None until it is needed first.
+    pace: Option<AdmissionPace>,
 }
 
 /// What is known of the others that share an organisation's limit.
@@ -89,7 +88,7 @@
 
 /// Lets a part of the tokens asked for through, evenly over the requests: each adds its part, and passes once that makes
 /// up a whole one. Daemons begin at different points, or the first requests of all would fare alike.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct AdmissionPace {
     credit: f64,
 }
@@ -116,11 +115,8 @@
     /// same rest of the bucket and each spends it. One would notice by limits exceeded the more, the larger the fleet.
     fn passes_paced(&mut self, cost: f64, rate: f64, start: f64) -> bool {
         let part = rate / self.forecast.fleet_asked.max(rate);
-        if !self.is_paced {
-            self.pace.credit = cost * start;
-            self.is_paced = true;
-        }
-        self.pace.passes(cost, part)
+        let pace = self.pace.get_or_insert(AdmissionPace { credit: cost * start });
+        pace.passes(cost, part)
     }
 }
 
--- a/src/policy/repeat_budget.rs
+++ b/src/policy/repeat_budget.rs
@@ -1,7 +1,7 @@
 //! How many requests may be sent to a second upstream.
 
 /// The part of the operators' bound that daemons use: requests may fall faster than what was earned before them is
-/// spent, and word of the fleet's size is late.
+/// spent, and reports of the fleet's size are late.
 const USED_PART: f64 = 0.5;
 /// Daemons that the bound's slack is divided among, at least, while few others are known.
 const LEAST_DAEMONS: usize = 6;
--- a/src/policy/scheduler/events.rs
+++ b/src/policy/scheduler/events.rs
@@ -92,7 +92,7 @@
         /// The mean gap.
         gap: Duration,
     },
-    /// An upstream told its birth, which is its incarnation.
+    /// An upstream reported its birth, which is its incarnation.
     Born {
         /// The upstream.
         upstream: UpstreamIndex,
--- a/src/policy/upstream_set.rs
+++ b/src/policy/upstream_set.rs
@@ -128,8 +128,8 @@
         absent.into_iter().for_each(|index| self.tell(index, UpstreamWord::Absent));
     }
 
-    /// Takes an upstream's own word on its birth. A later one is another upstream, of which nothing is known yet; an
-    /// earlier one is old word and changes nothing. The first word on a birth that was not known is no news of another.
+    /// Takes the birth that an upstream reports. A later one is another upstream, of which nothing is known yet; an
+    /// earlier one is an old report and changes nothing. The first report of a birth that was not known is no other upstream.
     pub fn born(
         &mut self,
         index: UpstreamIndex,
@@ -163,7 +163,7 @@
         self.refresh(index);
     }
 
-    /// Takes a word on an upstream's life; forgets the upstream once it is gone.
+    /// Takes what was learned of an upstream's life; forgets the upstream once it is gone.
     pub fn tell(&mut self, index: UpstreamIndex, word: UpstreamWord) {
         let Some(status) = self.upstreams.get_mut(&index) else { return };
         let before = status.machine.state();
@@ -217,7 +217,7 @@
     }
 
     /// Takes what the other daemons have at each upstream. One that they cannot reach is not asked for a while; but a
-    /// daemon that reaches nothing is itself what is cut off, so its word on most of the pool is passed over.
+    /// daemon that reaches nothing is itself what is cut off, so its report on most of the pool is passed over.
     pub fn set_others(&mut self, rows: &[(UpstreamName, OthersWork)], now: Moment) {
         let down = rows.iter().filter(|(_, others)| others.is_down).count();
         let believes = down * 2 <= self.live;
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -178,7 +178,7 @@
     pub gap_micros: u32,
     /// True if it could not be reached.
     pub is_down: bool,
-    /// Requests of daemons outside of this one's group, by old word: a hint, and never told on.
+    /// Requests of daemons outside of this one's group, by old reports: a hint, and never passed on.
     #[serde(skip)]
     pub hinted: u32,
 }
--- a/src/traffic/fleet_exchange/list.rs
+++ b/src/traffic/fleet_exchange/list.rs
@@ -1,4 +1,4 @@
-//! The platform's list among daemons: one reads it, and tells the others what each reading changed.
+//! The platform's list among daemons: one reads it, and sends the others what each reading changed.
 
 use super::wire::DaemonMessage;
 use super::{ListStamp, MessageSocket, lock};
@@ -9,7 +9,7 @@
 use crate::upstream::{PlatformList, VmRow, VmState};
 use slog::info;
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::Notify;
 
@@ -22,6 +22,7 @@
 const MOST_WHOLE: u32 = 8;
 /// See [`MOST_WHOLE`].
 const WHOLE_PAUSE: Duration = Duration::from_millis(250);
+
 /// The list as this daemon knows it, and what it knows of the others' readings.
 #[derive(Debug, Default)]
 pub struct ListExchange {
@@ -62,7 +63,7 @@
         lock(&self.freshness).fail(now);
     }
 
-    /// Takes the list that this daemon just read, and has what changed told.
+    /// Takes the list that this daemon just read, and has what changed sent.
     pub fn take_reading(&self, list: &PlatformList, now: Moment) {
         let change = lock(&self.list).replace(list.vms.iter().map(listed));
         lock(&self.freshness).read(now);
@@ -119,7 +120,7 @@
 }
 
 /// Sends each change on: from the reader to the aggregators, and from those to their groups.
-pub async fn send_changes(state: std::sync::Arc<TrafficState>, socket: MessageSocket) {
+pub async fn send_changes(state: Arc<TrafficState>, socket: MessageSocket) {
     let exchange = &state.fleet.list;
     loop {
         exchange.news.notified().await;
@@ -200,8 +201,7 @@
             info!(state.log, "platform list changed"; "from" => daemon.as_str(), "changed" => change.changed.len(),
                 "gone" => change.gone.len());
             list.into_iter().for_each(|list| state.apply_platform(list));
-            let is_member = state.fleet.fleet().is_none_or(|fleet| !fleet.passes_on(now));
-            if !is_member {
+            if state.fleet.fleet().is_some_and(|fleet| fleet.passes_on(now)) {
                 exchange.pass_on(change.clone());
             }
         }
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -28,7 +28,7 @@
 /// Largest datagram, in bytes.
 const DATAGRAM_LIMIT: usize = 60 << 10;
 
-/// What one daemon knows of the fleet, and tells it.
+/// What one daemon knows of the fleet, and reports to it.
 #[derive(Debug, Default)]
 pub struct FleetExchange {
     /// None while this daemon sends nothing.
@@ -79,7 +79,7 @@
         self.list.is_overdue(daemons, has_table, now)
     }
 
-    /// Takes the list that this daemon just read, and has the others told.
+    /// Takes the list that this daemon just read, and has what changed sent to the others.
     pub fn take_reading(&self, list: &PlatformList, now: Moment) {
         self.list.take_reading(list, now);
     }
@@ -238,20 +238,22 @@
     let (others, group) = (fleet.others(now), fleet.group());
     let (waiting, horizon) = (fleet.others_waiting(now), fleet.group_horizon(now));
     let share = fleet.limit_share();
+    let forecast = fleet.forecasts(now);
     let limited = snapshot.access.limited_hashes();
-    let forecasts: Vec<_> =
-        limited.map(|(hash, index)| (index, fleet.forecast(hash, now))).collect();
+    let forecasts: Vec<_> = limited.map(|(hash, index)| (index, forecast(hash))).collect();
+    drop(forecast);
     drop(fleet);
     let mut limits = state.limits();
     limits.set_share(share);
     forecasts.into_iter().for_each(|(index, forecast)| limits.foresee(index, forecast));
     drop(limits);
     for (service, pool) in state.pools().iter() {
-        let rows = pool.inspect(|scheduler| changed_rows(service, scheduler.upstreams(), &others));
         let levels = waiting.get(&ServiceHash::of(service)).cloned().unwrap_or_default();
         let waiting = OthersWaiting { levels, age: horizon };
-        let is_changed = pool.inspect(|scheduler| {
-            scheduler.upstreams().group() != group || *scheduler.others_waiting() != waiting
+        let (rows, is_changed) = pool.inspect(|scheduler| {
+            let upstreams = scheduler.upstreams();
+            let is_changed = upstreams.group() != group || *scheduler.others_waiting() != waiting;
+            (changed_rows(service, upstreams, &others), is_changed)
         });
         if !rows.is_empty() || is_changed {
             pool.tell(PoolEvent::Others { rows, group, waiting });
--- a/src/traffic/front/admitted.rs
+++ b/src/traffic/front/admitted.rs
@@ -77,7 +77,7 @@
     }
 }
 
-/// A request that passed the checks before the pool's door.
+/// A request that passed the checks before its pool.
 struct AdmittedRequest {
     exchange: Box<ExchangeCall>,
     service: Arc<ServiceRow>,
--- a/tests/fleet_play.rs
+++ b/tests/fleet_play.rs
@@ -18,6 +18,19 @@
 /// Time on the way of a message, in microseconds: between two data centres, with a slow timer.
 const WAY: u64 = 2_000;
 
+/// One daemon's limits, with empty buckets since `began`.
+pub fn hot_limits(began: Moment) -> LimitTable {
+    let mut limits = LimitTable::default();
+    let limit = OrganisationLimit {
+        tokens_per_second: Some(RATE),
+        burst_tokens: Some(RATE),
+        concurrent: None,
+    };
+    limits.set_limits(HashMap::from([(HOT, limit)]));
+    limits.start_empty(began);
+    limits
+}
+
 pub fn hot() -> OrganisationHash {
     OrganisationHash::of(&"hot".into())
 }
@@ -47,14 +60,7 @@
     fn new(number: usize, boot: u64, draw: f64, now: Moment) -> Self {
         let daemon = name(number).as_str().into();
         let identity = DaemonIdentity { daemon, boot, address: address(number) };
-        let mut limits = LimitTable::default();
-        let limit = OrganisationLimit {
-            tokens_per_second: Some(RATE),
-            burst_tokens: Some(RATE),
-            concurrent: None,
-        };
-        limits.set_limits(HashMap::from([(HOT, limit)]));
-        limits.start_empty(now);
+        let mut limits = hot_limits(now);
         limits.set_pace_start(draw);
         PlayedDaemon {
             fleet: FleetState::new(identity),
@@ -90,7 +96,7 @@
             assert_eq!(organisation, hot());
             self.limits.charge(HOT, tokens, now);
         }
-        self.limits.foresee(HOT, self.fleet.forecast(hot(), now));
+        self.limits.foresee(HOT, self.fleet.forecasts(now)(hot()));
     }
 }
 
--- a/tests/test_limits.rs
+++ b/tests/test_limits.rs
@@ -6,33 +6,14 @@
 use std::time::Duration;
 use tarragonknot::fleet_state::{DaemonIdentity, FleetState};
 use tarragonknot::policy::{
-    DispatchOutcome, LimitClaim, LimitTable, LimitTolerance, Moment, OrganisationLimit, PoolAction,
-    PoolEvent, RequestId, UpstreamIndex,
+    DispatchOutcome, LimitClaim, LimitTable, LimitTolerance, Moment, PoolAction, PoolEvent,
+    RequestId, UpstreamIndex,
 };
 
 use crate::burst_pool::{BurstPool, arrived, sent};
-use crate::fleet_play::{AskedTokens, FleetPlay, HOT, RATE, Weather};
+use crate::fleet_play::{AskedTokens, FleetPlay, HOT, RATE, Weather, hot_limits};
 use crate::session::source;
 
-/// One daemon's limits.
-struct LimitDaemon {
-    limits: LimitTable,
-}
-
-impl LimitDaemon {
-    fn new(began: Moment) -> Self {
-        let mut limits = LimitTable::default();
-        let limit = OrganisationLimit {
-            tokens_per_second: Some(RATE),
-            burst_tokens: Some(RATE),
-            concurrent: None,
-        };
-        limits.set_limits(HashMap::from([(HOT, limit)]));
-        limits.start_empty(began);
-        LimitDaemon { limits }
-    }
-}
-
 /// Tokens of one request.
 const COST: u32 = 2_000;
 
@@ -161,10 +142,10 @@
 /// Cause: a new process with full buckets.
 #[test]
 fn a_new_process_begins_with_empty_buckets() {
-    let mut daemon = LimitDaemon::new(Moment::from_millis(5_000));
+    let mut daemon = hot_limits(Moment::from_millis(5_000));
 
-    let at_once = daemon.limits.admit(HOT, 50_000, Moment::from_millis(5_000));
-    let later = daemon.limits.admit(HOT, 50_000, Moment::from_millis(6_100));
+    let at_once = daemon.admit(HOT, 50_000, Moment::from_millis(5_000));
+    let later = daemon.admit(HOT, 50_000, Moment::from_millis(6_100));
 
     assert!(at_once.is_err());
     assert!(later.is_ok());
@@ -179,14 +160,14 @@
         let address = SocketAddr::from(([127, 0, 0, 1], 1_000 + number));
         FleetState::new(DaemonIdentity { daemon: "entry".into(), boot: 1, address })
     };
-    let mut fleet: Vec<(FleetState, LimitDaemon)> =
-        (0..6).map(|number| (alone(number), LimitDaemon::new(Moment::from_millis(0)))).collect();
+    let mut fleet: Vec<(FleetState, LimitTable)> =
+        (0..6).map(|number| (alone(number), hot_limits(Moment::from_millis(0)))).collect();
     let mut passed = 0;
     for millis in (0..3_000).step_by(10) {
         let now = Moment::from_millis(millis);
         for (state, daemon) in &mut fleet {
-            daemon.limits.set_share(state.limit_share());
-            passed += u64::from(daemon.limits.admit(HOT, 2_000, now).is_ok()) * 2_000;
+            daemon.set_share(state.limit_share());
+            passed += u64::from(daemon.admit(HOT, 2_000, now).is_ok()) * 2_000;
         }
     }
     let state = &mut fleet[0].0;
@@ -204,13 +185,13 @@
 #[test]
 fn a_process_that_stood_still_goes_on_with_empty_buckets() {
     let began = Moment::from_millis(0);
-    let mut daemon = LimitDaemon::new(began);
+    let mut daemon = hot_limits(began);
     let full_at = 20_000;
-    daemon.limits.alive(Moment::from_millis(full_at));
-    let before = daemon.limits.admit(HOT, 1_000, Moment::from_millis(full_at)).is_ok();
+    daemon.alive(Moment::from_millis(full_at));
+    let before = daemon.admit(HOT, 1_000, Moment::from_millis(full_at)).is_ok();
     let woken = Moment::from_millis(full_at + 3_000);
 
-    let passed = (0..200).filter(|_| daemon.limits.admit(HOT, 1_000, woken).is_ok()).count();
+    let passed = (0..200).filter(|_| daemon.admit(HOT, 1_000, woken).is_ok()).count();
 
     assert!(before);
     assert_eq!(passed, 0);
@@ -218,11 +199,11 @@
 
 #[test]
 fn a_tolerance_is_given_to_callers_in_part() {
-    let mut daemon = LimitDaemon::new(Moment::from_millis(0));
-    daemon.limits.set_tolerance(LimitTolerance { overage: 0.1, slack: 100_000 });
+    let mut daemon = hot_limits(Moment::from_millis(0));
+    daemon.set_tolerance(LimitTolerance { overage: 0.1, slack: 100_000 });
     let now = Moment::from_millis(60_000);
 
-    let passed = (0..400).filter(|_| daemon.limits.admit(HOT, 1_000, now).is_ok()).count();
+    let passed = (0..400).filter(|_| daemon.admit(HOT, 1_000, now).is_ok()).count();
 
     assert_eq!(passed, 150);
 }
@@ -359,12 +340,12 @@
 /// Sequence: it asks for twice its limit, half of it urgent. Cause: a limit that is spent on what comes first.
 #[test]
 fn an_organisation_spends_its_limit_on_what_is_urgent() {
-    let mut daemon = LimitDaemon::new(Moment::from_millis(0));
+    let mut daemon = hot_limits(Moment::from_millis(0));
     let mut refused = [0, 0];
     for step in 0..200 {
         let now = Moment::from_millis(60_000 + step * 50);
         for (position, rank) in [2, 0].into_iter().enumerate() {
-            let admitted = daemon.limits.admit_claim(HOT, claim(5_000, rank), now);
+            let admitted = daemon.admit_claim(HOT, claim(5_000, rank), now);
             refused[position] += usize::from(admitted.is_err());
         }
     }
@@ -378,11 +359,11 @@
 /// Below the limit a lower rank is refused nothing.
 #[test]
 fn a_lower_rank_has_the_whole_limit_while_nobody_else_wants_it() {
-    let mut daemon = LimitDaemon::new(Moment::from_millis(0));
+    let mut daemon = hot_limits(Moment::from_millis(0));
 
     let refused = (0..200).filter(|step| {
         let now = Moment::from_millis(60_000 + step * 50);
-        daemon.limits.admit_claim(HOT, claim(5_000, 2), now).is_err()
+        daemon.admit_claim(HOT, claim(5_000, 2), now).is_err()
     });
 
     assert_eq!(refused.count(), 0);
@@ -392,12 +373,12 @@
 /// part of the limit kept from a rank whatever its requests take.
 #[test]
 fn a_small_request_of_a_low_rank_passes_while_a_large_one_leaves_room() {
-    let mut daemon = LimitDaemon::new(Moment::from_millis(0));
+    let mut daemon = hot_limits(Moment::from_millis(0));
     let now = Moment::from_millis(60_000);
-    daemon.limits.admit_claim(HOT, claim(60_000, 0), now).expect("a full bucket");
+    daemon.admit_claim(HOT, claim(60_000, 0), now).expect("a full bucket");
 
-    let large = daemon.limits.admit_claim(HOT, claim(5_000, 2), now);
-    let small = daemon.limits.admit_claim(HOT, claim(200, 2), now);
+    let large = daemon.admit_claim(HOT, claim(5_000, 2), now);
+    let small = daemon.admit_claim(HOT, claim(200, 2), now);
 
     assert!(large.is_err());
     assert!(small.is_ok());
@@ -408,13 +389,13 @@
 /// what comes first.
 #[test]
 fn an_organisation_spends_its_limit_on_newcomers_first() {
-    let mut daemon = LimitDaemon::new(Moment::from_millis(0));
+    let mut daemon = hot_limits(Moment::from_millis(0));
     let mut refused = [0, 0];
     for step in 0..200 {
         let now = Moment::from_millis(60_000 + step * 50);
         for (position, has_returned) in [true, false].into_iter().enumerate() {
             let claim = LimitClaim { has_returned, ..claim(5_000, 0) };
-            refused[position] += usize::from(daemon.limits.admit_claim(HOT, claim, now).is_err());
+            refused[position] += usize::from(daemon.admit_claim(HOT, claim, now).is_err());
         }
     }
 
