Sight: contents have a fingerprint, resumed streams a line, and upstreams that end under requests are told from lost connections

Nothing said whether two requests are the same but for their ids; a stream that goes on elsewhere had no line; an engine that ended looked like a lost connection. Now: 'sent' (also for the rest of a stream) names the fingerprint of organisation, method, host, path and body; one look at the upstream's address after a break tells an end from a lost connection; lines 'upstream ended', 'lost with its upstream', 'connections broke, upstream lives on'; metrics tarragonknot_upstreams_ended_total and tarragonknot_requests_broken_total. 'explain' takes the cause from the request's end though another line follows. No decision changes. Ruled out: the health call as the look; it takes a place of an engine that lives, and a refused connection says enough.

--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -13,6 +13,9 @@
 daemon made it, then the cause of its end. Lines that are not JSON are passed over. Clocks of different daemons
 differ, so times count from each daemon's first line about the request, and daemons are not set against each other.";
 
+/// Messages of lines that tell a request's end.
+const ENDS: [&str; 5] = ["answered", "refused", "stream cut", "caller left", "over the limit"];
+
 /// Explain what became of a request, from logs.
 #[derive(Debug, clap::Args)]
 #[command(long_about = HELP)]
@@ -92,7 +95,9 @@
 }
 
 fn way(daemon: String, rows: Vec<Map<String, Value>>) -> DaemonWay {
-    let cause = rows.last().map(cause_of).unwrap_or_default();
+    // What is found out of a lost upstream comes after the end of some of its requests.
+    let end = rows.iter().rev().find(|row| ENDS.contains(&text(row, "message")));
+    let cause = end.or(rows.last()).map(cause_of).unwrap_or_default();
     let time = |row: &Map<String, Value>| row.get("time").and_then(Value::as_u64).unwrap_or(0);
     let first = rows.first().map_or(0, time);
     let step = |mut row: Map<String, Value>| {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! tarragonknot: a request scheduler between callers and unlike upstreams.
 //!
 //! Data flows one way: caller, admission, placement, dispatch, answer. Control state reaches traffic
-//! as immutable snapshots only. Everything under [`policy`] and [`fleet_state`] is pure: state, event and time in,
+//! as immutable snapshots only. Everything under [`policy`], [`fleet_state`] and [`quarantine`] is pure: state, event and time in,
 //! actions out.
 
 pub mod answer;
@@ -16,6 +16,7 @@
 pub mod load;
 pub mod platform;
 pub mod policy;
+pub mod quarantine;
 pub mod replica;
 pub mod report;
 pub mod settings;
--- /dev/null
+++ b/src/traffic/crash_check.rs
@@ -0,0 +1,122 @@
+//! Finds out whether an upstream ended when connections to it broke.
+//!
+//! A broken connection alone says little: it may have been reset on the way, or the upstream gave up one answer. If
+//! nobody listens at the upstream's address just after, it ended, and all requests that it ran ended with it. One look
+//! serves all requests that broke there at the same time.
+
+use super::state::TrafficState;
+use crate::fleet_state::UpstreamHash;
+use crate::quarantine::RequestFingerprint;
+use crate::table::{ServiceName, UpstreamName};
+use crate::upstream::can_connect;
+use slog::info;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// Looks at an upstream that still takes connections, before it counts as alive: the connections of a process that ends
+/// may close a moment before its listener does.
+const LOOKS: u32 = 2;
+/// Time between two looks. Far below the seconds that an upstream needs to start again.
+const LOOK_PAUSE: Duration = Duration::from_millis(150);
+
+/// An upstream at which a request broke off.
+#[derive(Clone, Debug)]
+pub struct BrokenUpstream {
+    /// Its service.
+    pub service: ServiceName,
+    /// Its name.
+    pub upstream: UpstreamName,
+    /// Its incarnation, as far as it was known.
+    pub incarnation: u64,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+impl BrokenUpstream {
+    fn hash(&self) -> UpstreamHash {
+        UpstreamHash::of(&self.service, &self.upstream, self.incarnation)
+    }
+}
+
+/// A request whose connection broke while an upstream had it.
+#[derive(Clone, Debug)]
+pub struct BrokenRequest {
+    /// Its id, for logs.
+    pub id: Arc<str>,
+    /// What it is known by.
+    pub fingerprint: RequestFingerprint,
+}
+
+/// Looks that are under way, each with the requests that wait for what it finds.
+#[derive(Debug, Default)]
+pub struct CrashChecks(Mutex<HashMap<UpstreamHash, Vec<BrokenRequest>>>);
+
+impl CrashChecks {
+    fn lock(&self) -> MutexGuard<'_, HashMap<UpstreamHash, Vec<BrokenRequest>>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds a request; true if no look at the upstream is under way.
+    fn add(&self, upstream: UpstreamHash, request: BrokenRequest) -> bool {
+        let mut checks = self.lock();
+        let requests = checks.entry(upstream).or_default();
+        requests.push(request);
+        requests.len() == 1
+    }
+
+    fn take(&self, upstream: UpstreamHash) -> Vec<BrokenRequest> {
+        self.lock().remove(&upstream).unwrap_or_default()
+    }
+}
+
+/// Looks whether the upstream at which a request broke off has ended.
+pub fn check_upstream(state: &Arc<TrafficState>, upstream: BrokenUpstream, request: BrokenRequest) {
+    if !state.crash_checks.add(upstream.hash(), request) {
+        return;
+    }
+    let state = Arc::clone(state);
+    tokio::spawn(async move {
+        let has_ended = has_ended(upstream.address).await;
+        let requests = state.crash_checks.take(upstream.hash());
+        conclude(&state, &upstream, &requests, has_ended);
+    });
+}
+
+async fn has_ended(address: SocketAddr) -> bool {
+    for look in 0..LOOKS {
+        if look > 0 {
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+        if !can_connect(address).await {
+            return true;
+        }
+    }
+    false
+}
+
+fn conclude(
+    state: &TrafficState,
+    upstream: &BrokenUpstream,
+    requests: &[BrokenRequest],
+    has_ended: bool,
+) {
+    let BrokenUpstream { service, upstream: name, incarnation, .. } = upstream;
+    let cause = if has_ended { "upstream-ended" } else { "connection" };
+    metrics::counter!("tarragonknot_requests_broken_total", "service" => service.to_string(), "cause" => cause)
+        .increment(requests.len() as u64);
+    if !has_ended {
+        info!(state.log, "connections broke, upstream lives on"; "service" => service.as_str(), "upstream" => name.as_str(),
+            "requests" => requests.len());
+        return;
+    }
+    metrics::counter!("tarragonknot_upstreams_ended_total", "service" => service.to_string())
+        .increment(1);
+    info!(state.log, "upstream ended"; "service" => service.as_str(), "upstream" => name.as_str(),
+        "incarnation" => incarnation, "requests" => requests.len());
+    for request in requests {
+        info!(state.log, "lost with its upstream"; "request" => &*request.id, "fingerprint" => request.fingerprint.to_string(),
+            "service" => service.as_str(), "upstream" => name.as_str());
+    }
+}
--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -1,5 +1,6 @@
 //! Carries one admitted request through its exchange: the chart says what, this does it.
 
+use super::crash_check::{BrokenRequest, BrokenUpstream, check_upstream};
 use super::pool_runtime::{PlacementWord, PoolRuntime, RequestGuard};
 use super::sink::{AnswerSink, CallerGone};
 use super::state::TrafficState;
@@ -9,6 +10,7 @@
     ArrivedRequest, DispatchOutcome, Exchange, ExchangeAction, ExchangeEvent, Moment, PoolEvent,
     RequestId, RequestState, UpstreamWord,
 };
+use crate::quarantine::RequestFingerprint;
 use crate::table::UpstreamName;
 use crate::upstream::{AnswerPiece, AnswerStream, OpenFault, PieceRead, PieceSource, UpstreamCall};
 use bytes::Bytes;
@@ -48,6 +50,8 @@
     pub arrived: ArrivedRequest,
     /// A stream is silent after this long without a byte.
     pub silence: Duration,
+    /// What the request is known by when it comes again.
+    pub fingerprint: RequestFingerprint,
     /// True if the answer must be kept for resends.
     pub records: bool,
 }
@@ -63,12 +67,13 @@
 
 /// One request being carried.
 struct ExchangeRun<'a> {
-    state: &'a TrafficState,
+    state: &'a Arc<TrafficState>,
     pool: &'a Arc<PoolRuntime>,
     call: Box<UpstreamCall>,
     id: RequestId,
     deadline: Moment,
     silence: Duration,
+    fingerprint: RequestFingerprint,
     exchange: Exchange,
     target: Option<(UpstreamName, SocketAddr)>,
     pieces: Option<Box<dyn PieceSource>>,
@@ -85,12 +90,12 @@
 
 /// Runs a request to its one end.
 pub async fn run_exchange(
-    state: &TrafficState,
+    state: &Arc<TrafficState>,
     pool: &Arc<PoolRuntime>,
     exchange_call: Box<ExchangeCall>,
     sink: Box<AnswerSink>,
 ) -> ExchangeEnd {
-    let ExchangeCall { call, arrived, silence, records } = *exchange_call;
+    let ExchangeCall { call, arrived, silence, fingerprint, records } = *exchange_call;
     let mut sink = sink;
     if records {
         sink.keep_record();
@@ -103,6 +108,7 @@
         id: arrived.id,
         deadline: arrived.deadline,
         silence,
+        fingerprint,
         target: None,
         pieces: None,
         tokens: 0,
@@ -316,6 +322,7 @@
             }
             Happening::Opened(Err(OpenFault::Lost { detail })) => {
                 info!(self.state.log, "upstream gave no answer"; "request" => &*self.call.id, "detail" => detail);
+                self.check_upstream();
                 let was_resuming = self.exchange.state() == RequestState::Resuming;
                 self.exchange.on(ExchangeEvent::Opened, now);
                 self.exchange.on(
@@ -335,7 +342,10 @@
                 self.end_mark = end_mark;
                 self.exchange.on(ExchangeEvent::Ended, now)
             }
-            Happening::Read(PieceRead::Cut) => self.exchange.on(ExchangeEvent::Cut, now),
+            Happening::Read(PieceRead::Cut) => {
+                self.check_upstream();
+                self.exchange.on(ExchangeEvent::Cut, now)
+            }
             Happening::Silent => {
                 // The request may have left this machine before the silence began.
                 self.exchange.on(ExchangeEvent::Opened, now);
@@ -349,6 +359,21 @@
         }
     }
 
+    /// The connection ended before the answer did: has the upstream looked at, which may have ended.
+    fn check_upstream(&self) {
+        let (Some((name, address)), Some(index)) = (&self.target, self.exchange.upstream()) else {
+            return;
+        };
+        let upstream = BrokenUpstream {
+            service: self.pool.service.clone(),
+            upstream: name.clone(),
+            incarnation: self.pool.incarnation(index),
+            address: *address,
+        };
+        let id = Arc::clone(&self.call.id);
+        check_upstream(self.state, upstream, BrokenRequest { id, fingerprint: self.fingerprint });
+    }
+
     async fn relay(&mut self, piece: AnswerPiece, sink: &mut AnswerSink) -> Result<(), CallerGone> {
         self.tokens += piece.tokens;
         self.teach(&piece);
--- a/src/traffic/front/admitted.rs
+++ b/src/traffic/front/admitted.rs
@@ -7,6 +7,7 @@
 };
 use crate::answer::{AnswerKind, RefusalAnswer};
 use crate::policy::{ArrivedRequest, OrganisationIndex, RequestId, RequestState};
+use crate::quarantine::{RequestContent, RequestFingerprint};
 use crate::report::{RequestRecord, record_request};
 use crate::table::{ServiceKind, ServiceRow, TierName};
 use crate::traffic::access::CallerIdentity;
@@ -232,6 +233,22 @@
         prefix: shape.prefix,
     };
     let silence = service.silence_ms;
-    let exchange = Box::new(ExchangeCall { call, arrived, silence, records: false });
+    let fingerprint = fingerprint_of(&caller, &service, &call);
+    let exchange = Box::new(ExchangeCall { call, arrived, silence, fingerprint, records: false });
     Ok(Box::new(AdmittedRequest { exchange, service, tier, caller, limit, claim: None, claim_key }))
 }
+
+/// What an upstream will be given to run, whatever the request's number.
+fn fingerprint_of(
+    caller: &CallerIdentity,
+    service: &ServiceRow,
+    call: &UpstreamCall,
+) -> RequestFingerprint {
+    RequestFingerprint::of(&RequestContent {
+        organisation: caller.organisation.as_str(),
+        method: call.method.as_str(),
+        host: service.service.as_str(),
+        path: call.uri.path_and_query().map_or("/", |path| path.as_str()),
+        body: &call.body,
+    })
+}
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod claim_guard;
+mod crash_check;
 mod dispatch;
 mod drain;
 mod fleet_exchange;
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -177,6 +177,13 @@
             .collect()
     }
 
+    /// The incarnation of an upstream; 0 if it is not known, or the upstream is not known any more.
+    pub fn incarnation(&self, upstream: UpstreamIndex) -> u64 {
+        self.inspect(|scheduler| {
+            scheduler.upstreams().get(upstream).map_or(0, |status| status.source.incarnation)
+        })
+    }
+
     /// True if the upstream is the one that it was when a place there was asked for, and takes work. Its own word on its
     /// birth, if it came with the place, is taken first.
     pub fn is_still(&self, upstream: UpstreamIndex, incarnation: Option<u64>) -> bool {
--- a/src/traffic/routed/attempt.rs
+++ b/src/traffic/routed/attempt.rs
@@ -26,7 +26,9 @@
         /// True if it is another incarnation than the one meant.
         is_other: bool,
     },
-    /// It may have run.
+    /// The connection ended before the answer did: it may have run, and the upstream may have ended.
+    Broken(String),
+    /// It may have run; the connection held.
     Lost(String),
 }
 
@@ -36,7 +38,9 @@
             AttemptFault::NotSent(detail) => write!(formatter, "nothing was sent: {detail}"),
             AttemptFault::NotRun { is_other: true } => formatter.write_str("another incarnation"),
             AttemptFault::NotRun { is_other: false } => formatter.write_str("it did not run it"),
-            AttemptFault::Lost(detail) => write!(formatter, "it may have run: {detail}"),
+            AttemptFault::Broken(detail) | AttemptFault::Lost(detail) => {
+                write!(formatter, "it may have run: {detail}")
+            }
         }
     }
 }
@@ -61,7 +65,7 @@
     let sent = connections.send(address, call, KEPT_ALIVE).await;
     let (response, connection) = sent.map_err(|fault| match fault {
         OpenFault::NotSent { detail } => AttemptFault::NotSent(detail),
-        OpenFault::Lost { detail } => AttemptFault::Lost(detail),
+        OpenFault::Lost { detail } => AttemptFault::Broken(detail),
     })?;
     let facts = request.dialect.read_answer(response.status(), response.headers());
     let connection = connection.kept_for(facts.keeps_idle);
--- a/src/traffic/routed/carry.rs
+++ b/src/traffic/routed/carry.rs
@@ -10,9 +10,11 @@
     ArrivedRequest, DispatchOutcome, Moment, PoolEvent, RequestId, RequestSizes, UpstreamIndex,
     UpstreamWord,
 };
+use crate::quarantine::RequestFingerprint;
 use crate::report::{RouteRecord, record_route};
 use crate::table::{RouteKind, RouteRow, ServiceName, UpstreamName};
 use crate::traffic::access::CallerIdentity;
+use crate::traffic::crash_check::{BrokenRequest, BrokenUpstream, check_upstream};
 use crate::traffic::pool_runtime::{PlacementWord, PoolRuntime, RequestGuard};
 use crate::traffic::state::{ProgressGuard, TrafficState};
 use axum::body::Body;
@@ -62,6 +64,8 @@
     /// True if its caller has been here before with it, as far as that can be told.
     pub has_returned: bool,
     pub facts: CallerFacts,
+    /// What the request is known by when it comes again.
+    pub fingerprint: RequestFingerprint,
     pub parts: Parts,
     pub body: Bytes,
     pub arrived_at: Moment,
@@ -84,6 +88,18 @@
     pub place: Option<String>,
 }
 
+impl PlacedRequest {
+    /// Its upstream, as one whose connection broke.
+    fn broken_upstream(&self) -> BrokenUpstream {
+        BrokenUpstream {
+            service: self.pool.service.clone(),
+            upstream: self.name.clone(),
+            incarnation: self.pool.incarnation(self.upstream),
+            address: self.address,
+        }
+    }
+}
+
 /// What the sends of one request have come to.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SendCount {
@@ -268,12 +284,13 @@
         }
     }
 
-    fn log_placed(&self, placed: &PlacedRequest, count: SendCount) {
+    /// One line for each send, whether first, second or the rest of a stream.
+    pub fn log_placed(&self, placed: &PlacedRequest, count: SendCount, last_event: Option<u64>) {
         let waited = placed.sent_at.since(self.arrived_at).as_millis() as u64;
         let organisation = self.caller.as_ref().map_or("", |caller| caller.organisation.as_str());
         info!(self.state.log, "sent"; "request" => self.id(), "route" => &self.route.route, "organisation" => organisation,
             "service" => placed.pool.service.as_str(), "upstream" => placed.name.as_str(), "waited_ms" => waited,
-            "send" => count.sent + 1, "table" => self.state.snapshot().version,
+            "send" => count.sent + 1, "after_event" => last_event, "fingerprint" => self.fingerprint.to_string(), "table" => self.state.snapshot().version,
             "left_ms" => self.time_left().as_millis() as u64, "tokens" => self.limit.as_ref().map_or(0, |limit| limit.cost),
             "returned" => self.has_returned, "prompt" => self.facts.prompt_tokens, "output_limit" => self.facts.output_limit, "output_guess" => self.facts.output_guess);
     }
@@ -289,7 +306,7 @@
             Err(kind) => return refuse(&mut request, kind, count),
         };
         request.stage = RequestStage::Sent;
-        request.log_placed(&placed, count);
+        request.log_placed(&placed, count, request.facts.last_event);
         let service = placed.pool.service.clone();
         let name = placed.name.clone();
         if count.sent == 0 {
@@ -323,7 +340,7 @@
                 continue;
             }
             Err(fault) => {
-                note_fault(&mut placed, &fault);
+                note_fault(&request, &mut placed, &fault);
                 fault
             }
         };
@@ -339,7 +356,7 @@
 
 impl CarriedRequest {
     fn note_run(&mut self, count: &mut SendCount, fault: &AttemptFault) {
-        if matches!(fault, AttemptFault::Lost(_)) {
+        if matches!(fault, AttemptFault::Broken(_) | AttemptFault::Lost(_)) {
             count.may_have_run = true;
         }
     }
@@ -351,8 +368,12 @@
     }
 }
 
-/// Tells the pool how a send failed.
-pub fn note_fault(placed: &mut PlacedRequest, fault: &AttemptFault) {
+/// Tells the pool how a send failed, and has the upstream looked at where it may have ended.
+pub fn note_fault(request: &CarriedRequest, placed: &mut PlacedRequest, fault: &AttemptFault) {
+    if let AttemptFault::Broken(_) = fault {
+        let broken = BrokenRequest { id: request.id().into(), fingerprint: request.fingerprint };
+        check_upstream(&request.state, placed.broken_upstream(), broken);
+    }
     if let AttemptFault::NotRun { is_other: true } = fault {
         let word = UpstreamWord::Leaving;
         placed.pool.tell(PoolEvent::Word { upstream: placed.upstream, word });
@@ -364,8 +385,10 @@
     match fault {
         AttemptFault::NotSent(_) => AnswerKind::UpstreamUnreachable,
         AttemptFault::NotRun { .. } => AnswerKind::UpstreamRefused,
-        AttemptFault::Lost(_) if request.time_left().is_zero() => AnswerKind::DeadlineRunning,
-        AttemptFault::Lost(_) => AnswerKind::UpstreamLost,
+        AttemptFault::Broken(_) | AttemptFault::Lost(_) if request.time_left().is_zero() => {
+            AnswerKind::DeadlineRunning
+        }
+        AttemptFault::Broken(_) | AttemptFault::Lost(_) => AnswerKind::UpstreamLost,
     }
 }
 
@@ -440,10 +463,10 @@
             request.state.with_repeats(&placed.pool.service, |budget| budget.refund());
             return Answered::Again(request, AttemptFault::Lost(format!("status {status}")));
         }
-        Ok(Err(detail)) => AttemptFault::Lost(detail),
+        Ok(Err(detail)) => AttemptFault::Broken(detail),
         Err(_) => AttemptFault::Lost("the answer was not whole in time".to_owned()),
     };
-    placed.guard.end(DispatchOutcome::Failed);
+    note_fault(&request, &mut placed, &fault);
     Answered::Again(request, fault)
 }
 
--- a/src/traffic/routed/door.rs
+++ b/src/traffic/routed/door.rs
@@ -4,6 +4,7 @@
 use super::dialect::{CallDialect, CallerFacts};
 use crate::answer::{AnswerKind, RefusalAnswer};
 use crate::policy::{LimitClaim, Moment, OrganisationIndex, RequestSizes};
+use crate::quarantine::{RequestContent, RequestFingerprint};
 use crate::table::RouteRow;
 use crate::traffic::access::CallerIdentity;
 use crate::traffic::state::{TableSnapshot, TrafficState};
@@ -77,6 +78,7 @@
     let (parts, body) = request.into_parts();
     let entry = find_entry(&state.snapshot(), &parts, &facts)?;
     let body = read_body(body).await?;
+    let fingerprint = fingerprint_of(&entry, &parts, &body);
     let progress = state.begin();
     let has_returned =
         facts.deadline.is_some_and(|time| state.has_returned(&entry.route.route, time));
@@ -114,6 +116,7 @@
         route: entry.route,
         caller: entry.caller,
         sizes: sizes_of(&facts),
+        fingerprint,
         deadline: arrived_at + wait,
         has_deadline: facts.deadline.is_some(),
         has_returned,
@@ -141,6 +144,18 @@
     state.is_current() || tokio::time::timeout(TABLE_WAIT, arrival).await.is_ok()
 }
 
+/// What an upstream will be given to run, whatever the caller's id of this attempt.
+fn fingerprint_of(entry: &RouteEntry, parts: &Parts, body: &[u8]) -> RequestFingerprint {
+    let caller = entry.caller.as_ref();
+    RequestFingerprint::of(&RequestContent {
+        organisation: caller.map_or("", |caller| caller.organisation.as_str()),
+        method: parts.method.as_str(),
+        host: &entry.route.host,
+        path: parts.uri.path_and_query().map_or("/", |path| path.as_str()),
+        body,
+    })
+}
+
 /// What the table says of a request.
 pub struct RouteEntry {
     pub route: Arc<RouteRow>,
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -149,11 +149,11 @@
                     }
                 }
                 Ok(None) => return self.end(),
-                Ok(Some(Err(error))) => error.to_string(),
+                Ok(Some(Err(error))) => AttemptFault::Broken(error.to_string()),
                 Err(_) if self.request.time_left().is_zero() => {
                     return self.cut("its time is over");
                 }
-                Err(_) => format!("no event within {limit:?}"),
+                Err(_) => AttemptFault::Lost(format!("no event within {limit:?}")),
             };
             if !self.go_on(fault).await {
                 return self.cut("it cannot go on elsewhere");
@@ -205,17 +205,18 @@
     }
 
     /// Has another upstream go on after the last whole event; false if none may or can.
-    async fn go_on(&mut self, detail: String) -> bool {
+    async fn go_on(&mut self, fault: AttemptFault) -> bool {
         // The connection closes first: the upstream stops its work before another one begins.
         self.connection = None;
         self.count.may_have_run = true;
         info!(self.request.state.log, "stream broken"; "request" => self.request.id(), "upstream" => self.placed.name.as_str(),
-            "events" => self.cutter.events(), "detail" => detail.clone());
-        note_fault(&mut self.placed, &AttemptFault::Lost(detail));
+            "events" => self.cutter.events(), "detail" => fault.to_string());
+        note_fault(&self.request, &mut self.placed, &fault);
         while self.request.may_send_again(&self.placed.pool.service.clone(), self.count) {
             let Ok(placed) = self.request.place().await else { return false };
             self.placed = placed;
             let last_event = self.cutter.last_event().or(self.request.facts.last_event);
+            self.request.log_placed(&self.placed, self.count, last_event);
             let answer = self.request.try_send(&self.placed, &mut self.count, last_event).await;
             match answer {
                 Ok(answer) if answer.response.status().is_success() => {
@@ -226,7 +227,7 @@
                     return true;
                 }
                 Ok(_) => self.placed.guard.end(DispatchOutcome::Failed),
-                Err(fault) => note_fault(&mut self.placed, &fault),
+                Err(fault) => note_fault(&self.request, &mut self.placed, &fault),
             }
         }
         false
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -1,6 +1,7 @@
 //! What all requests of one daemon share: the snapshot, the pools, the limits, the clock.
 
 use super::access::{AccessIndex, OrganisationNumbers};
+use super::crash_check::CrashChecks;
 use super::fleet_exchange::FleetExchange;
 use super::pool_runtime::PoolRuntime;
 use super::routed::CallDialect;
@@ -76,6 +77,8 @@
     pub table_news: Notify,
     /// The other daemons that serve callers.
     pub fleet: FleetExchange,
+    /// Looks at upstreams whose connections broke.
+    pub crash_checks: CrashChecks,
     /// Told when the leader should hear of a floor at once.
     pub floor_news: Notify,
     in_progress: AtomicUsize,
@@ -112,6 +115,7 @@
             claims: OnceLock::new(),
             table_news: Notify::new(),
             fleet: FleetExchange::default(),
+            crash_checks: CrashChecks::default(),
             floor_news: Notify::new(),
             in_progress: AtomicUsize::new(0),
             next_request: AtomicU64::new(1),
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -7,7 +7,8 @@
 mod platform_list;
 
 pub use connection::{
-    ConnectionGuard, ConnectionPool, ConnectionState, OpenFault, PROVEN_ALIVE, connection_chart,
+    ConnectionGuard, ConnectionPool, ConnectionState, OpenFault, PROVEN_ALIVE, can_connect,
+    connection_chart,
 };
 pub use engine::EngineDriver;
 pub use orca::{ORCA_HEADER, parse_orca_header, parse_orca_json};
--- a/tests/routed_fleet.rs
+++ b/tests/routed_fleet.rs
@@ -16,6 +16,8 @@
 use tarragonknot::upstream::{PlatformList, VmRow, VmState};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 /// The key of the only organisation.
 pub const KEY: &str = "agents-key";
@@ -58,19 +60,22 @@
     CutEvents(u64, u64),
     /// Fewer bytes than declared.
     Truncated,
+    /// It ends as a process does: with all its connections, and nobody listens at its address any more.
+    Crash,
     /// It reserves a place of this name.
     Reserve(&'static str),
     /// It has no place to reserve.
     NoPlace,
 }
 
-type EngineScript = Arc<dyn Fn(usize) -> EngineMove + Send + Sync>;
+type EngineScript = Arc<dyn Fn(usize, &SeenRequest) -> EngineMove + Send + Sync>;
 
 /// A scripted engine.
 pub struct ScriptedEngine {
     pub name: String,
     pub address: SocketAddr,
     seen: Arc<Mutex<Vec<SeenRequest>>>,
+    has_ended: watch::Receiver<bool>,
 }
 
 impl ScriptedEngine {
@@ -78,18 +83,41 @@
     pub async fn start(
         name: &str,
         script: impl Fn(usize) -> EngineMove + Send + Sync + 'static,
+    ) -> Self {
+        Self::reading(name, move |number, _| script(number)).await
+    }
+
+    /// The same where the script also sees the request.
+    pub async fn reading(
+        name: &str,
+        script: impl Fn(usize, &SeenRequest) -> EngineMove + Send + Sync + 'static,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let seen: Arc<Mutex<Vec<SeenRequest>>> = Arc::default();
-        let script: EngineScript = Arc::new(script);
+        let (end, has_ended) = watch::channel(false);
+        let (script, end): (EngineScript, _) = (Arc::new(script), Arc::new(end));
         let log = Arc::clone(&seen);
+        let mut ended = has_ended.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, Arc::clone(&log), Arc::clone(&script)));
+            let mut connections = JoinSet::new();
+            loop {
+                tokio::select! {
+                    _ = ended.changed() => break,
+                    accepted = listener.accept() => {
+                        let Ok((stream, _)) = accepted else { break };
+                        let (log, script, end) = (Arc::clone(&log), Arc::clone(&script), Arc::clone(&end));
+                        connections.spawn(serve(stream, log, script, end));
+                    }
+                }
             }
         });
-        ScriptedEngine { name: name.to_owned(), address, seen }
+        ScriptedEngine { name: name.to_owned(), address, seen, has_ended }
+    }
+
+    /// True once it has crashed.
+    pub fn has_ended(&self) -> bool {
+        *self.has_ended.borrow()
     }
 
     /// The requests that it saw.
@@ -103,14 +131,25 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, log: Arc<Mutex<Vec<SeenRequest>>>, script: EngineScript) {
+async fn serve(
+    mut stream: TcpStream,
+    log: Arc<Mutex<Vec<SeenRequest>>>,
+    script: EngineScript,
+    end: Arc<watch::Sender<bool>>,
+) {
     while let Some(request) = read_request(&mut stream).await {
         let number = {
             let mut seen = log.lock().expect("no test panics here");
             seen.push(request.clone());
             seen.len() - 1
         };
-        if !play(&mut stream, &request, script(number)).await {
+        let engine_move = script(number, &request);
+        if let EngineMove::Crash = engine_move {
+            // This connection ends with all others once the engine's own task has heard.
+            let _ = end.send(true);
+            return std::future::pending().await;
+        }
+        if !play(&mut stream, &request, engine_move).await {
             return;
         }
     }
@@ -165,7 +204,7 @@
         EngineMove::OtherIncarnation => {
             ("HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n".to_owned(), true)
         }
-        EngineMove::Close => (String::new(), false),
+        EngineMove::Close | EngineMove::Crash => (String::new(), false),
         EngineMove::Silent => {
             let mut buffer = [0; 16];
             let _ = stream.read(&mut buffer).await;
@@ -200,6 +239,7 @@
 pub struct RoutedFleet {
     pub state: Arc<TrafficState>,
     pub front: FrontHandle,
+    pool: &'static str,
 }
 
 /// An answer as a caller got it; the body is none if the connection was cut within it.
@@ -239,13 +279,17 @@
 impl RoutedFleet {
     /// A daemon without a table, before engines.
     pub async fn without_table(engines: &[&ScriptedEngine]) -> Self {
+        Self::of_pool("pool", engines).await
+    }
+
+    async fn of_pool(pool: &'static str, engines: &[&ScriptedEngine]) -> Self {
         let log = Logger::root(Discard, o!());
         let state = TrafficState::new("127.0.0.1".into(), log, 7);
         state.set_manner(platform::manner());
         state.serve_cut_off();
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let front = start_front(Arc::clone(&state), listener, Duration::from_millis(10));
-        let fleet = RoutedFleet { state, front: front.expect("a front") };
+        let fleet = RoutedFleet { state, front: front.expect("a front"), pool };
         fleet.list(engines, VmState::Live);
         fleet
     }
@@ -257,6 +301,13 @@
         fleet
     }
 
+    /// The same with a service of another name, whose metrics are its own.
+    pub async fn start_pool(pool: &'static str, engines: &[&ScriptedEngine]) -> Self {
+        let fleet = Self::of_pool(pool, engines).await;
+        fleet.apply(1, &document(1).replace("\"pool\"", &format!("\"{pool}\"")));
+        fleet
+    }
+
     /// Puts a document in force.
     pub fn apply(&self, version: u64, document: &str) {
         self.state.apply_table(&VersionedTable::from_document(version, &Arc::from(document)));
@@ -265,7 +316,7 @@
     /// Lists the engines in this state.
     pub fn list(&self, engines: &[&ScriptedEngine], state: VmState) {
         let row = |engine: &&ScriptedEngine| VmRow {
-            service: "pool".into(),
+            service: self.pool.into(),
             upstream: engine.name.as_str().into(),
             address: engine.address,
             state,
--- /dev/null
+++ b/tests/test_crash_check.rs
@@ -0,0 +1,77 @@
+//! What daemons log and count when connections to upstreams break.
+
+use crate::routed_fleet::{EngineMove, RoutedFleet, ScriptedEngine};
+use rstest::rstest;
+use std::time::Duration;
+use tarragonknot::quarantine::{RequestContent, RequestFingerprint};
+use tarragonknot::report::{install_metrics, render_metrics};
+
+/// Waits until the metrics show `line`; the last metrics if they never do.
+async fn metrics_with(fleet: &RoutedFleet, line: &str) -> String {
+    let mut metrics = String::new();
+    for _ in 0..200 {
+        metrics = render_metrics(&fleet.state);
+        if metrics.contains(line) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(25)).await;
+    }
+    metrics
+}
+
+/// Symptom: engines end one after the other, and nobody can tell from logs or metrics whether they did or a connection
+/// was lost. Sequence: an engine ends under a request, or closes the one connection and lives on. Cause: both show
+/// as a connection that closes; only a look at the engine tells them apart.
+#[rstest]
+#[case::ended(
+    EngineMove::Crash,
+    r#"tarragonknot_upstreams_ended_total{service="ended-pool"} 1"#,
+    r#"tarragonknot_requests_broken_total{service="ended-pool",cause="upstream-ended"} 1"#
+)]
+#[case::lives_on(
+    EngineMove::Close,
+    "",
+    r#"tarragonknot_requests_broken_total{service="living-pool",cause="connection"} 1"#
+)]
+#[tokio::test]
+async fn an_engine_that_ended_is_told_from_a_lost_connection(
+    #[case] engine_move: EngineMove,
+    #[case] ended: &str,
+    #[case] broken: &str,
+) {
+    install_metrics();
+    let pool = if ended.is_empty() { "living-pool" } else { "ended-pool" };
+    let engine = ScriptedEngine::start("i-1", move |_| engine_move.clone()).await;
+    let fleet = RoutedFleet::start_pool(pool, &[&engine]).await;
+
+    fleet.call("/unsafe/x", "id-1").await;
+
+    let metrics = metrics_with(&fleet, broken).await;
+    assert!(metrics.contains(broken), "{metrics}");
+    assert!(metrics.contains(ended), "{metrics}");
+    let has_counted = metrics.contains(&format!("upstreams_ended_total{{service=\"{pool}\"}}"));
+    assert_eq!(has_counted, engine.has_ended(), "{metrics}");
+}
+
+fn content() -> RequestContent<'static> {
+    RequestContent {
+        organisation: "agents",
+        method: "POST",
+        host: "shop.example",
+        path: "/safe/x",
+        body: b"the body",
+    }
+}
+
+/// A caller that comes again gets another id each time, so ids say nothing of what engines are given to run.
+#[rstest]
+#[case::another_organisation(RequestContent { organisation: "others", ..content() })]
+#[case::another_method(RequestContent { method: "PUT", ..content() })]
+#[case::another_host(RequestContent { host: "book.example", ..content() })]
+#[case::another_path(RequestContent { path: "/safe/y", ..content() })]
+#[case::another_body(RequestContent { body: b"the body!", ..content() })]
+#[case::parts_run_together(RequestContent { host: "shop.example/safe", path: "/x", ..content() })]
+fn requests_of_other_content_have_other_fingerprints(#[case] other: RequestContent<'_>) {
+    assert_eq!(RequestFingerprint::of(&content()), RequestFingerprint::of(&content()));
+    assert_ne!(RequestFingerprint::of(&content()), RequestFingerprint::of(&other));
+}
--- a/tests/test_explain.rs
+++ b/tests/test_explain.rs
@@ -43,6 +43,18 @@
     assert_eq!(ways.len(), 1);
 }
 
+/// What is found out of a lost upstream comes after the end of a request that was broken off with it.
+#[test]
+fn the_cause_is_the_requests_end_though_another_line_follows() {
+    let end =
+        line("entry-1", 1, "stream cut", r#","upstream":"i-3","events":9,"detail":"no time""#);
+    let later = line("entry-1", 2, "lost with its upstream", r#","upstream":"i-3""#);
+
+    let ways = explain("id-1", [end.as_str(), later.as_str()].into_iter());
+
+    assert_eq!(ways[0].cause, "upstream i-3 stopped after 9 events and no time");
+}
+
 /// Every kind of refusal has a line that explains it.
 #[test]
 fn every_kind_of_refusal_is_explained() {
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -12,6 +12,7 @@
 mod test_births;
 mod test_charts;
 mod test_check;
+mod test_crash_check;
 mod test_demo;
 mod test_experiment;
 mod test_explain;
