A failing test of the incident: engines end in rows under one request, on three daemons

Cause under test: what is learned of a request goes with its attempt's id, and each daemon learns alone. Ruled out in the test: overload (four engines, one request at a time) and our own way of resuming (routes that may send once fail as well, and every other request is answered by the same engines).

--- /dev/null
+++ b/tests/engine_park.rs
@@ -0,0 +1,88 @@
+//! Engines of one pool that are replaced when they end, before several daemons.
+
+use crate::routed_fleet::{CallerAnswer, EngineMove, RoutedFleet, ScriptedEngine};
+use std::time::Duration;
+use tarragonknot::upstream::VmState;
+
+/// The body of the request under which engines end.
+pub const DEADLY: &str = "deadly";
+/// Daemons of the fleet.
+const DAEMONS: usize = 3;
+/// Engines that live at any time.
+const ENGINES: usize = 4;
+/// For how long daemons may speak to each other between two attempts of a caller.
+const SETTLING: Duration = Duration::from_millis(400);
+
+/// Daemons and engines.
+pub struct EnginePark {
+    pub daemons: Vec<RoutedFleet>,
+    engines: Vec<ScriptedEngine>,
+    /// Requests with the deadly body at engines that have ended.
+    ended: Vec<usize>,
+    deadly_move: EngineMove,
+}
+
+impl EnginePark {
+    /// Engines that answer all but the deadly request, to which they do `deadly_move`.
+    pub async fn start(deadly_move: EngineMove) -> Self {
+        let mut engines = Vec::new();
+        for number in 0..ENGINES {
+            engines.push(engine(number, deadly_move.clone()).await);
+        }
+        let listed: Vec<&ScriptedEngine> = engines.iter().collect();
+        let daemons = RoutedFleet::start_several(DAEMONS, &listed).await;
+        EnginePark { daemons, engines, ended: Vec::new(), deadly_move }
+    }
+
+    /// A caller's attempt at one of the daemons, under an id of its own; then engines that ended are replaced.
+    pub async fn attempt(&mut self, number: usize, path: &str, body: &str) -> CallerAnswer {
+        let daemon = &self.daemons[number % self.daemons.len()];
+        let answer = daemon.call_body(path, &format!("id-{number}"), body).await;
+        tokio::time::sleep(SETTLING).await;
+        self.replace_ended().await;
+        answer
+    }
+
+    async fn replace_ended(&mut self) {
+        let (ended, mut living): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.engines).into_iter().partition(ScriptedEngine::has_ended);
+        self.ended.extend(ended.iter().map(deadly_count));
+        while living.len() < ENGINES {
+            let number = ENGINES + self.ended.len() + living.len();
+            living.push(engine(number, self.deadly_move.clone()).await);
+        }
+        self.engines = living;
+        self.list();
+    }
+
+    fn list(&self) {
+        let listed: Vec<&ScriptedEngine> = self.engines.iter().collect();
+        self.daemons.iter().for_each(|daemon| daemon.list(&listed, VmState::Live));
+    }
+
+    /// Engines that have ended.
+    pub fn ended(&self) -> usize {
+        self.ended.len()
+    }
+
+    /// How often engines were sent the deadly request.
+    pub fn deadly_sends(&self) -> usize {
+        self.ended.iter().sum::<usize>() + self.engines.iter().map(deadly_count).sum::<usize>()
+    }
+}
+
+fn deadly_count(engine: &ScriptedEngine) -> usize {
+    engine.seen().iter().filter(|request| request.body == DEADLY.as_bytes()).count()
+}
+
+async fn engine(number: usize, deadly_move: EngineMove) -> ScriptedEngine {
+    ScriptedEngine::reading(&format!("i-{number}"), move |_, request| {
+        let is_stream = request.path.starts_with("/stream") || request.path.starts_with("/resum");
+        match request.body == DEADLY.as_bytes() {
+            true => deadly_move.clone(),
+            false if is_stream => EngineMove::Events(1, 3),
+            false => EngineMove::Answer(200, "fine"),
+        }
+    })
+    .await
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the whole program: a file per subcommand, and focused files for the promises.
 
 mod burst_pool;
+mod engine_park;
 mod fixtures;
 mod fleet_play;
 mod fleet_schedule;
@@ -29,6 +30,7 @@
 mod test_placing;
 mod test_platform;
 mod test_policy;
+mod test_quarantine;
 mod test_replica;
 mod test_reservations;
 mod test_roll_out;
