Mend: the fleet counts by content which upstreams ended under it, and holds back what ended three

Cause: what a daemon learned of a request went with its attempt's id, and each daemon learned alone; only the fleet's sum shows that one content was on every engine that ended. The class: knowledge that is right only as a sum over the fleet and over attempts, kept by each daemon and attempt for itself. Mended in the design: src/quarantine (pure) keeps, by fingerprint of the content, the upstreams that ended under it; rows are merged as sets (any order, doubled, by other ways) and go with the fleet's messages, each four times, and all again to a daemon whose digest goes on differing (restarts, healed cuts). One gate: every routed send is placed by place(), the product's own interface passes pass_quarantine(). The refusal is 503 quarantined, not run, or 502 where the same attempt ran before. Ruled out: a limit on sends of each attempt (attempts change ids); blame by time on the engine or by events seen (the incident's first breaks had none, resumed ones had some); 422 in place of 503 (a refusal that nothing ran must say so).

--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -87,6 +87,8 @@
     ClaimAnswered,
     /// The claim could not be recorded, so the request was not dispatched.
     ClaimUnavailable,
+    /// Upstreams ended while they ran this content, so it is held back.
+    Quarantined,
     /// A fault of the daemon itself before dispatch.
     Internal,
 }
@@ -159,6 +161,7 @@
     ClaimUnknown "claim-unknown" 409 Unknown RetryHint::Never, false, "The first request with this key may have run";
     ClaimAnswered "claim-answered" 409 Yes RetryHint::Never, false, "The first request with this key was answered, and its answer is not kept";
     ClaimUnavailable "claim-unavailable" 503 No SECOND, false, "The claim could not be recorded";
+    Quarantined "quarantined" 503 No LATER, false, "Held back: upstreams ended while they ran this request";
     Internal "internal" 500 No SECOND, false, "A fault of this daemon";
 }
 
--- a/src/fleet_state/messages.rs
+++ b/src/fleet_state/messages.rs
@@ -1,23 +1,11 @@
 //! The messages in which daemons report their state.
 
-use crate::policy::{OthersWork, WorthLevel};
-use crate::table::{DaemonName, OrganisationName, ServiceName, UpstreamName};
+use crate::policy::{OthersWork, UpstreamHash, WorthLevel};
+use crate::quarantine::SuspectNews;
+use crate::table::{DaemonName, OrganisationName, ServiceName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
-
-/// Stands for an upstream in messages, in four bytes instead of its names. Two of 11,000 upstreams have the same hash in
-/// one fleet of 70; each then counts with the other's work, which costs a worse placement now and then.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct UpstreamHash(u32);
-
-impl UpstreamHash {
-    /// The hash of one incarnation of an upstream: what is said of another one of the same name says nothing of it.
-    pub fn of(service: &ServiceName, upstream: &UpstreamName, incarnation: u64) -> Self {
-        let seed = xxh3_64_with_seed(service.as_str().as_bytes(), incarnation);
-        UpstreamHash(xxh3_64_with_seed(upstream.as_str().as_bytes(), seed) as u32)
-    }
-}
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Stands for an organisation in messages. In a fleet of 3,300 organisations two have the same hash once in 800 fleets; each
 /// would then be charged for both.
@@ -122,6 +110,8 @@
     pub can_read_list: bool,
     /// Whether it goes on reporting.
     pub departure: Departure,
+    /// What its sender knows of requests under which upstreams ended.
+    pub suspects: SuspectNews,
 }
 
 /// The sum of those that report to an aggregator, for the other aggregators.
@@ -145,6 +135,8 @@
     pub can_read_list: bool,
     /// True if the aggregator will send no more sums.
     pub is_leaving: bool,
+    /// What its sender knows of requests under which upstreams ended.
+    pub suspects: SuspectNews,
 }
 
 /// The sums of the whole fleet, from an aggregator to the members of its group.
@@ -170,6 +162,8 @@
     pub list: Option<ListStamp>,
     /// True if the aggregator will send no more summaries.
     pub is_leaving: bool,
+    /// What its sender knows of requests under which upstreams ended.
+    pub suspects: SuspectNews,
 }
 
 /// Any message between daemons about the fleet's state.
@@ -193,6 +187,15 @@
         }
     }
 
+    /// What it says of requests under which upstreams ended.
+    pub fn suspects(&self) -> &SuspectNews {
+        match self {
+            FleetMessage::Report(report) => &report.suspects,
+            FleetMessage::Sum(sum) => &sum.suspects,
+            FleetMessage::Summary(summary) => &summary.suspects,
+        }
+    }
+
     /// The reading of the platform's list that it names.
     pub fn list(&self) -> Option<ListStamp> {
         match self {
@@ -246,7 +249,10 @@
             row.asked <= MOST_TOKENS && row.taken.unsigned_abs() <= most
         };
         let works = |row: &WorkRow| row.1.requests <= MOST_REQUESTS;
-        let is_plausible = is_reachable && flows.iter().all(counts) && work.iter().all(works);
+        let is_plausible = is_reachable
+            && flows.iter().all(counts)
+            && work.iter().all(works)
+            && self.suspects().is_plausible();
         if is_plausible { Ok(()) } else { Err(MessageRefusal::Implausible) }
     }
 }
--- a/src/fleet_state/mod.rs
+++ b/src/fleet_state/mod.rs
@@ -34,8 +34,7 @@
 pub use list_freshness::ListFreshness;
 pub use messages::{
     Departure, FleetMessage, FleetSummary, FlowRow, GroupSum, ListStamp, MemberReport,
-    MessageRefusal, MessageSource, OrganisationHash, ServiceHash, UpstreamHash, WaitingRow,
-    WorkRow,
+    MessageRefusal, MessageSource, OrganisationHash, ServiceHash, WaitingRow, WorkRow,
 };
 pub use own_history::OwnHistory;
 pub use row_rotation::RowRotation;
--- a/src/fleet_state/state/mod.rs
+++ b/src/fleet_state/state/mod.rs
@@ -17,6 +17,7 @@
     WorkRow, WorkTable,
 };
 use crate::policy::Moment;
+use crate::quarantine::SuspectNews;
 use crate::table::DaemonName;
 use parts::{PeerAggregator, Reporter, SummaryView};
 use std::collections::{BTreeMap, BTreeSet};
@@ -66,6 +67,8 @@
     pub can_read_list: bool,
     /// True once it has drained.
     pub has_left: bool,
+    /// What it knows of requests under which upstreams ended.
+    pub suspects: SuspectNews,
 }
 
 /// A message and where it goes.
--- a/src/fleet_state/state/sending.rs
+++ b/src/fleet_state/state/sending.rs
@@ -6,9 +6,9 @@
 use crate::fleet_state::work_tables::add_work;
 use crate::fleet_state::{
     Departure, FleetMessage, FleetSummary, FlowRow, GroupSum, MemberReport, OrganisationHash,
-    UpstreamHash, WorkRow,
+    WorkRow,
 };
-use crate::policy::{Moment, OthersWork};
+use crate::policy::{Moment, OthersWork, UpstreamHash};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -32,6 +32,7 @@
             list: self.own.list,
             can_read_list: self.own.can_read_list,
             departure,
+            suspects: self.own.suspects.clone(),
         }
     }
 
@@ -135,6 +136,7 @@
             list: self.own.list,
             can_read_list: self.own.can_read_list,
             is_leaving: self.own.has_left,
+            suspects: self.own.suspects.clone(),
         }
     }
 
@@ -163,6 +165,7 @@
             away: self.away_turn.next_rows(&away),
             list: self.own.list,
             is_leaving: self.own.has_left,
+            suspects: self.own.suspects.clone(),
         }
     }
 
--- a/src/fleet_state/state/taking.rs
+++ b/src/fleet_state/state/taking.rs
@@ -66,6 +66,7 @@
             list: _,
             can_read_list,
             departure,
+            suspects: _,
         } = report;
         let MessageSource { daemon, address, .. } = &source;
         if departure != Departure::Stays && self.members.stamp(daemon).is_none() {
--- a/src/fleet_state/state/view.rs
+++ b/src/fleet_state/state/view.rs
@@ -1,10 +1,10 @@
 //! What a daemon knows of the fleet, as traffic asks for it.
 
 use super::{FleetState, PEER_LIFE, UNINFORMED_SHARE};
+use crate::fleet_state::OrganisationHash;
 use crate::fleet_state::waiting_table::{WaitingTable, add_waiting, subtract_waiting};
 use crate::fleet_state::work_tables::{add_hints, add_work, subtract_work};
-use crate::fleet_state::{OrganisationHash, UpstreamHash};
-use crate::policy::{FleetGroup, LimitForecast, Moment, OthersWork};
+use crate::policy::{FleetGroup, LimitForecast, Moment, OthersWork, UpstreamHash};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/src/fleet_state/work_tables.rs
+++ b/src/fleet_state/work_tables.rs
@@ -1,7 +1,7 @@
 //! Requests of the others at upstreams, as far as they are known.
 
-use super::{UpstreamHash, WorkRow};
-use crate::policy::{Moment, OthersWork};
+use super::WorkRow;
+use crate::policy::{Moment, OthersWork, UpstreamHash};
 use std::collections::BTreeMap;
 use std::ops::Bound;
 use std::time::Duration;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -20,6 +20,7 @@
 mod shared_list;
 mod shed_audit;
 mod shed_floor;
+mod upstream_hash;
 mod upstream_set;
 mod upstreams;
 mod urgency_queue;
@@ -51,6 +52,7 @@
 pub use shared_list::{ChangeVerdict, ListChange, ListPart, ListedUpstream, SharedList};
 pub use shed_audit::ShedAudit;
 pub use shed_floor::{FloorOrder, ShedFloor};
+pub use upstream_hash::UpstreamHash;
 pub use upstream_set::UpstreamSet;
 pub use upstreams::{
     LoadReport, OthersWork, RoomKind, UpstreamSource, UpstreamState, UpstreamStatus, UpstreamWord,
--- /dev/null
+++ b/src/quarantine/crash_table.rs
@@ -0,0 +1,238 @@
+//! All contents under which upstreams ended, as one daemon knows them.
+
+use super::news_queue::NewsQueue;
+use super::suspect_record::SuspectRecord;
+use super::{PastMoment, RequestFingerprint, SuspectNews, SuspectRow};
+use crate::policy::{Moment, UpstreamHash};
+use crate::table::DaemonName;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Contents that are remembered, at most: near 1.5 MB. Those under which the fewest upstreams ended are dropped first, so
+/// a flood of them drives out nothing that is held back.
+const MOST_RECORDS: usize = 8_192;
+/// Contents with a whole answer that are remembered, at most: near 200 KB.
+const MOST_ANSWERED: usize = 4_096;
+/// For how long a whole answer speaks for its content.
+const ANSWER_LIFE: Duration = Duration::from_secs(10);
+/// A daemon that knows something else for this long is told everything. Longer than news takes through the fleet (three
+/// messages of 126 ms at 1,000 daemons).
+const DIFFERS_FOR: Duration = Duration::from_millis(1_000);
+/// Time between two times that everything is told.
+const TELL_PAUSE: Duration = Duration::from_millis(2_000);
+/// Time between two looks for records that are over.
+const FORGET_PAUSE: Duration = Duration::from_secs(1);
+
+/// A content that is held back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeldRequest {
+    /// The content.
+    pub request: RequestFingerprint,
+    /// Upstreams that ended under it.
+    pub crashes: usize,
+    /// What is left of its hold.
+    pub held_for: Duration,
+    /// Time since the last upstream ended under it.
+    pub last_crash: Duration,
+}
+
+/// How many contents a table holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TableSizes {
+    /// Held back.
+    pub held: usize,
+    /// All.
+    pub known: usize,
+}
+
+/// The table.
+#[derive(Clone, Debug, Default)]
+pub struct CrashTable {
+    records: HashMap<RequestFingerprint, SuspectRecord>,
+    answered: HashMap<RequestFingerprint, Moment>,
+    queue: NewsQueue,
+    /// The digest of the records; none where they have changed since.
+    digest: Option<u32>,
+    /// Since when other daemons know something else.
+    differing: BTreeMap<DaemonName, Moment>,
+    told_all: Option<Moment>,
+    forgot: Moment,
+}
+
+impl CrashTable {
+    /// What is left of a content's hold; none if it may be sent.
+    pub fn held_for(&self, request: RequestFingerprint, now: Moment) -> Option<Duration> {
+        self.records.get(&request)?.held_for(now)
+    }
+
+    /// An upstream ended under a content. Gives the content if it is held back from now on.
+    pub fn note_crash(
+        &mut self,
+        request: RequestFingerprint,
+        upstream: UpstreamHash,
+        now: Moment,
+    ) -> Option<HeldRequest> {
+        self.change(request, now, |record| record.add_crash(upstream, now.into()))
+    }
+
+    /// A whole answer to a content came, so that upstreams do not end under it.
+    pub fn note_answer(&mut self, request: RequestFingerprint, now: Moment) {
+        if self.answered.len() >= MOST_ANSWERED {
+            self.answered.retain(|_, at| now.since(*at) < ANSWER_LIFE);
+        }
+        if self.answered.len() < MOST_ANSWERED {
+            self.answered.insert(request, now);
+        }
+        if self.records.contains_key(&request) {
+            self.change(request, now, |record| record.prove(now.into()));
+        }
+    }
+
+    /// An operator lets a content through again: ends up to now do not count any more.
+    pub fn release(&mut self, request: RequestFingerprint, now: Moment) {
+        self.change(request, now, |record| record.void(now.into()));
+    }
+
+    fn change(
+        &mut self,
+        request: RequestFingerprint,
+        now: Moment,
+        change: impl FnOnce(&mut SuspectRecord) -> bool,
+    ) -> Option<HeldRequest> {
+        let record = self.records.entry(request).or_default();
+        let was_held = record.held_for(now).is_some();
+        let mut is_news = change(record);
+        if let Some(at) = self.answered.get(&request).filter(|at| now.since(**at) < ANSWER_LIFE) {
+            is_news |= record.prove(PastMoment::from(*at));
+        }
+        if is_news {
+            self.digest = None;
+            self.queue.push(request, record.crashes());
+        }
+        let held = held_request(request, record, now).filter(|_| !was_held);
+        self.drop_excess(now);
+        held
+    }
+
+    /// The part of the next message.
+    pub fn news(&mut self, now: Moment) -> SuspectNews {
+        self.forget(now);
+        let rows = self.queue.next_rows();
+        let rows =
+            rows.iter().filter_map(|request| Some(self.records.get(request)?.row(*request, now)));
+        SuspectNews { rows: rows.collect(), digest: self.digest() }
+    }
+
+    /// Takes another daemon's message. Gives the contents that are held back from now on.
+    pub fn take(&mut self, from: &DaemonName, news: &SuspectNews, now: Moment) -> Vec<HeldRequest> {
+        let held = news.rows.iter().filter_map(|row| self.take_row(row, now)).collect();
+        self.compare(from, news.digest, now);
+        held
+    }
+
+    /// Takes all that is known of one content.
+    pub fn take_row(&mut self, row: &SuspectRow, now: Moment) -> Option<HeldRequest> {
+        self.change(row.request, now, |record| record.take(row, now))
+    }
+
+    /// Tells everything again to a daemon that goes on knowing something else: it has just started, or was cut off while
+    /// news went round.
+    fn compare(&mut self, from: &DaemonName, digest: u32, now: Moment) {
+        if self.digest() == digest {
+            self.differing.remove(from);
+            return;
+        }
+        let since = *self.differing.entry(from.clone()).or_insert(now);
+        let is_paused = self.told_all.is_some_and(|at| now.since(at) < TELL_PAUSE);
+        if now.since(since) < DIFFERS_FOR || is_paused || !self.queue.is_empty() {
+            return;
+        }
+        self.told_all = Some(now);
+        self.differing.clear();
+        for (request, record) in &self.records {
+            self.queue.push(*request, record.crashes());
+        }
+    }
+
+    /// Stands for the ends that count. Moments are left out: they differ by the messages' ways.
+    fn digest(&mut self) -> u32 {
+        if let Some(digest) = self.digest {
+            return digest;
+        }
+        let pairs = self.records.iter().flat_map(|(request, record)| {
+            record.upstreams().map(move |upstream| (request, upstream))
+        });
+        let hashes = pairs.map(|pair| xxh3_64(&postcard::to_stdvec(&pair).unwrap_or_default()));
+        let digest = hashes.fold(0, |sum, hash| sum ^ hash) as u32;
+        self.digest = Some(digest);
+        digest
+    }
+
+    fn forget(&mut self, now: Moment) {
+        if now.since(self.forgot) < FORGET_PAUSE {
+            return;
+        }
+        self.forgot = now;
+        let before = self.records.len();
+        let queue = &mut self.queue;
+        self.records.retain(|request, record| {
+            let is_kept = !record.is_over(now);
+            if !is_kept {
+                queue.remove(*request);
+            }
+            is_kept
+        });
+        self.answered.retain(|_, at| now.since(*at) < ANSWER_LIFE);
+        self.differing.retain(|_, since| now.since(*since) < DIFFERS_FOR * 10);
+        if self.records.len() != before {
+            self.digest = None;
+        }
+    }
+
+    /// Drops a quarter of the records if there are too many, so that this is not done for each new one.
+    fn drop_excess(&mut self, now: Moment) {
+        if self.records.len() <= MOST_RECORDS {
+            return;
+        }
+        let rank = |record: &SuspectRecord| {
+            (record.crashes(), std::cmp::Reverse(record.last_crash_age(now)))
+        };
+        let mut ranked: Vec<_> =
+            self.records.iter().map(|(request, record)| (rank(record), *request)).collect();
+        ranked.sort_unstable();
+        for (_, request) in ranked.into_iter().take(MOST_RECORDS / 4) {
+            self.records.remove(&request);
+            self.queue.remove(request);
+        }
+        self.digest = None;
+    }
+
+    /// What is held back, the latest first.
+    pub fn held(&self, now: Moment) -> Vec<HeldRequest> {
+        let records = self.records.iter();
+        let mut held: Vec<HeldRequest> =
+            records.filter_map(|(request, record)| held_request(*request, record, now)).collect();
+        held.sort_unstable_by_key(|held| (held.last_crash, held.request));
+        held
+    }
+
+    /// How many contents are known.
+    pub fn sizes(&self, now: Moment) -> TableSizes {
+        let is_held = |record: &&SuspectRecord| record.held_for(now).is_some();
+        TableSizes {
+            held: self.records.values().filter(is_held).count(),
+            known: self.records.len(),
+        }
+    }
+}
+
+fn held_request(
+    request: RequestFingerprint,
+    record: &SuspectRecord,
+    now: Moment,
+) -> Option<HeldRequest> {
+    let held_for = record.held_for(now)?;
+    let last_crash = record.last_crash_age(now);
+    Some(HeldRequest { request, crashes: record.crashes(), held_for, last_crash })
+}
--- a/src/traffic/crash_check.rs
+++ b/src/traffic/crash_check.rs
@@ -5,7 +5,7 @@
 //! serves all requests that broke there at the same time.
 
 use super::state::TrafficState;
-use crate::fleet_state::UpstreamHash;
+use crate::policy::UpstreamHash;
 use crate::quarantine::RequestFingerprint;
 use crate::table::{ServiceName, UpstreamName};
 use crate::upstream::can_connect;
@@ -118,5 +118,6 @@
     for request in requests {
         info!(state.log, "lost with its upstream"; "request" => &*request.id, "fingerprint" => request.fingerprint.to_string(),
             "service" => service.as_str(), "upstream" => name.as_str());
+        state.quarantine.note_crash(state, request.fingerprint, upstream.hash());
     }
 }
--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -123,6 +123,9 @@
     };
     let (guard, word) = pool.arrive(arrived);
     run.carry(guard, word, sink).await;
+    if run.exchange.state() == RequestState::Answered {
+        state.quarantine.note_answer(fingerprint, state.clock.now());
+    }
     ExchangeEnd {
         state: run.exchange.state(),
         failure: (run.exchange.state() != RequestState::Answered).then(|| run.exchange.failure()),
@@ -147,6 +150,7 @@
     ) {
         loop {
             let Some(placed) = self.wait_for_word(&mut word, &mut sink).await else { return };
+            let placed = self.pass_quarantine(placed, &mut guard);
             let (upstream, name, address) = match placed {
                 PlacementWord::Refuse(kind) => {
                     guard.refused();
@@ -193,6 +197,18 @@
         }
     }
 
+    /// Gives the place back if the content is held back.
+    fn pass_quarantine(&self, word: PlacementWord, guard: &mut RequestGuard) -> PlacementWord {
+        let PlacementWord::Go { .. } = &word else { return word };
+        match self.state.quarantine.check(self.state, &self.call.id, self.fingerprint) {
+            Ok(()) => word,
+            Err(kind) => {
+                guard.end(DispatchOutcome::Cancelled);
+                PlacementWord::Refuse(kind)
+            }
+        }
+    }
+
     async fn refuse(&mut self, sink: Box<AnswerSink>, kind: AnswerKind) {
         let detail = match &self.target {
             Some((name, _)) if kind.row().ran == crate::answer::RanWord::Unknown => {
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -8,10 +8,12 @@
 use super::state::TrafficState;
 use crate::fleet_state::{
     BucketEstimates, DaemonIdentity, FleetMessage, FleetRole, FleetState, FlowRow, ListStamp,
-    MessageRefusal, OrganisationHash, OutgoingMessage, OwnReading, ServiceHash, UpstreamHash,
-    WaitingRow, WorkRow,
+    MessageRefusal, OrganisationHash, OutgoingMessage, OwnReading, ServiceHash, WaitingRow,
+    WorkRow,
+};
+use crate::policy::{
+    Moment, OthersWaiting, OthersWork, PoolEvent, UpstreamHash, UpstreamSet, UpstreamState,
 };
-use crate::policy::{Moment, OthersWaiting, OthersWork, PoolEvent, UpstreamSet, UpstreamState};
 use crate::table::{ServiceName, UpstreamName};
 use crate::upstream::PlatformList;
 use list::ListExchange;
@@ -184,6 +186,7 @@
 ) -> Result<(), MessageRefusal> {
     let now = state.clock.now();
     let (stamp, address) = (message.list(), message.source().address);
+    let (daemon, suspects) = (message.source().daemon.clone(), message.suspects().clone());
     let is_summary = matches!(message, FleetMessage::Summary(_));
     let Some(mut fleet) = state.fleet.fleet() else { return Ok(()) };
     let estimates = fleet.take(message, now)?;
@@ -193,6 +196,7 @@
     if let Some(stamp) = stamp {
         list::take_stamp(state, socket, address, stamp);
     }
+    state.quarantine.take(state, &daemon, &suspects);
     charge(state, &charges);
     level(state, &estimates);
     // An aggregator hears many messages in one pause, and looks at them together when it sends its own.
@@ -339,6 +343,7 @@
         list: state.fleet.list.stamp(now),
         can_read_list: state.fleet.list.can_read(now),
         has_left: state.is_drained(),
+        suspects: state.quarantine.news(now),
     }
 }
 
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 mod front;
 mod model_call;
 mod pool_runtime;
+mod quarantine_gate;
 mod routed;
 mod sink;
 mod state;
--- a/src/traffic/routed/carry.rs
+++ b/src/traffic/routed/carry.rs
@@ -149,15 +149,18 @@
     pub fn may_send_again(&self, service: &ServiceName, count: SendCount) -> bool {
         let is_allowed = !count.may_have_run || self.route.kind.may_repeat();
         is_allowed
+            && self.state.quarantine.held_for(self.fingerprint, self.state.clock.now()).is_none()
             && count.sent < self.route.attempts
             && !self.time_left().is_zero()
             && self.state.with_repeats(service, |budget| budget.spend())
     }
 
     /// Waits for a place. Between the word and the send the table is asked again: a route may have moved and a
-    /// key may have been revoked while the request waited.
+    /// key may have been revoked while the request waited. So is the quarantine: there is no other way to an upstream,
+    /// whether for a first send, a second one, or the rest of a stream.
     pub async fn place(&mut self) -> Result<PlacedRequest, AnswerKind> {
         loop {
+            self.check_quarantine()?;
             let entry = find_entry(&self.state.snapshot(), &self.parts, &self.facts)?;
             self.route = entry.route;
             self.caller = entry.caller;
@@ -165,6 +168,7 @@
             let service = service.ok_or(AnswerKind::ServiceUnknown)?.clone();
             let pool = self.state.pool(&service).ok_or(AnswerKind::UpstreamAbsent)?;
             let placed = self.wait_in(pool).await?;
+            self.check_quarantine()?;
             let entry = find_entry(&self.state.snapshot(), &self.parts, &self.facts)?;
             if entry.route.allows(&service) {
                 return Ok(placed);
@@ -172,6 +176,10 @@
         }
     }
 
+    fn check_quarantine(&self) -> Result<(), AnswerKind> {
+        self.state.quarantine.check(&self.state, self.id(), self.fingerprint)
+    }
+
     /// Waits for the scheduler's word, and for a place at the upstream that it names.
     async fn wait_in(&self, pool: Arc<PoolRuntime>) -> Result<PlacedRequest, AnswerKind> {
         let number = RequestId(self.state.new_request_id().0);
@@ -415,6 +423,9 @@
     /// spend waiting. It is late in any case, so an early return gains nothing, and a burst is the more likely to
     /// be over; spread, so that those refused together do not return together.
     fn return_time(&self, kind: AnswerKind) -> Option<Duration> {
+        if kind == AnswerKind::Quarantined {
+            return self.state.quarantine.held_for(self.fingerprint, self.state.clock.now());
+        }
         let is_overload = kind.row().shed || kind == AnswerKind::UpstreamRefused;
         let spread = RETURN_LEAST + (RETURN_MOST - RETURN_LEAST) * self.state.jitter();
         is_overload.then(|| self.time_left().mul_f64(spread))
@@ -473,6 +484,7 @@
 impl CarriedRequest {
     pub fn log_answered(&mut self, placed: &PlacedRequest, status: u16) {
         self.stage = RequestStage::Ended;
+        self.state.quarantine.note_answer(self.fingerprint, self.state.clock.now());
         self.record(if status < 500 { "answered" } else { "upstream-failure" }, None);
         let after = self.state.clock.now().since(self.arrived_at).as_millis() as u64;
         info!(self.state.log, "answered"; "request" => self.id(), "upstream" => placed.name.as_str(),
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -184,10 +184,12 @@
     /// Tells the stream's pace, which says whether its caller was served in time.
     fn log_ended(&mut self) {
         self.request.stage = RequestStage::Ended;
+        let (now, quarantine) = (self.request.state.clock.now(), &self.request.state.quarantine);
+        quarantine.note_answer(self.request.fingerprint, now);
         let arrived = self.request.arrived_at;
         self.request.record("answered", Some(&self.pace));
         let first = self.pace.first_after(arrived).unwrap_or_default();
-        let after = self.request.state.clock.now().since(arrived);
+        let after = now.since(arrived);
         info!(self.request.state.log, "answered"; "request" => self.request.id(), "upstream" => self.placed.name.as_str(),
             "status" => 200, "after_ms" => after.as_millis() as u64, "first_ms" => first.as_millis() as u64,
             "pause_ms" => self.pace.longest_pause.as_millis() as u64, "events" => self.cutter.events());
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -4,6 +4,7 @@
 use super::crash_check::CrashChecks;
 use super::fleet_exchange::FleetExchange;
 use super::pool_runtime::PoolRuntime;
+use super::quarantine_gate::QuarantineGate;
 use super::routed::CallDialect;
 use crate::clock::TrafficClock;
 use crate::control::ClaimKeeper;
@@ -77,6 +78,8 @@
     pub table_news: Notify,
     /// The other daemons that serve callers.
     pub fleet: FleetExchange,
+    /// Requests under which upstreams end.
+    pub quarantine: QuarantineGate,
     /// Looks at upstreams whose connections broke.
     pub crash_checks: CrashChecks,
     /// Told when the leader should hear of a floor at once.
@@ -115,6 +118,7 @@
             claims: OnceLock::new(),
             table_news: Notify::new(),
             fleet: FleetExchange::default(),
+            quarantine: QuarantineGate::default(),
             crash_checks: CrashChecks::default(),
             floor_news: Notify::new(),
             in_progress: AtomicUsize::new(0),
--- a/tests/fleet_play.rs
+++ b/tests/fleet_play.rs
@@ -10,6 +10,7 @@
     DaemonIdentity, FleetMessage, FleetState, FlowRow, OrganisationHash, OwnReading, WorkRow,
 };
 use tarragonknot::policy::{LimitTable, Moment, OrganisationIndex, OrganisationLimit};
+use tarragonknot::quarantine::CrashTable;
 
 /// The organisation of these tests.
 pub const HOT: OrganisationIndex = OrganisationIndex(0);
@@ -47,6 +48,7 @@
 pub struct PlayedDaemon {
     pub fleet: FleetState,
     pub limits: LimitTable,
+    pub crashes: CrashTable,
     pub work: Vec<WorkRow>,
     pub is_running: bool,
     pub has_left: bool,
@@ -65,6 +67,7 @@
         PlayedDaemon {
             fleet: FleetState::new(identity),
             limits,
+            crashes: CrashTable::default(),
             work: Vec::new(),
             is_running: true,
             has_left: false,
@@ -74,7 +77,7 @@
         }
     }
 
-    fn reading(&self, now: Moment) -> OwnReading {
+    fn reading(&mut self, now: Moment) -> OwnReading {
         let flow = FlowRow {
             organisation: hot(),
             taken: self.limits.taken(HOT),
@@ -88,6 +91,7 @@
             list: None,
             can_read_list: true,
             has_left: self.has_left,
+            suspects: self.crashes.news(now),
         }
     }
 
@@ -270,7 +274,12 @@
         }
         daemon.heard += 1;
         daemon.bytes += postcard::to_stdvec(&message).expect("written").len() as u64;
-        let estimates = daemon.fleet.take(message, self.now).unwrap_or_default();
+        let (from, suspects) = (message.source().daemon.clone(), message.suspects().clone());
+        let taken = daemon.fleet.take(message, self.now);
+        if taken.is_ok() {
+            daemon.crashes.take(&from, &suspects, self.now);
+        }
+        let estimates = taken.unwrap_or_default();
         daemon.settle(self.now);
         for row in estimates.rows {
             let refill = Duration::from_millis(u64::from(row.refill_ms));
--- a/tests/test_births.rs
+++ b/tests/test_births.rs
@@ -4,7 +4,7 @@
 use crate::session::source;
 use rstest::rstest;
 use std::time::Duration;
-use tarragonknot::fleet_state::UpstreamHash;
+use tarragonknot::policy::UpstreamHash;
 use tarragonknot::policy::{
     OthersWork, PoolEvent, RequestId, UpstreamIndex, UpstreamSource, UpstreamState, UpstreamStatus,
     UpstreamWord,
--- a/tests/test_fleet_messages.rs
+++ b/tests/test_fleet_messages.rs
@@ -4,9 +4,10 @@
 use proptest::prelude::*;
 use rstest::rstest;
 use tarragonknot::fleet_state::{
-    Departure, FleetMessage, FlowRow, MemberReport, MessageRefusal, MessageSource, UpstreamHash,
+    Departure, FleetMessage, FlowRow, MemberReport, MessageRefusal, MessageSource,
 };
-use tarragonknot::policy::OthersWork;
+use tarragonknot::policy::{OthersWork, UpstreamHash};
+use tarragonknot::quarantine::SuspectNews;
 use tarragonknot::traffic::{DaemonMessage, MessageFault, read_message, write_message};
 
 const KEY: &str = "the fleet's key";
@@ -26,6 +27,7 @@
         list: None,
         can_read_list: true,
         departure: Departure::Stays,
+        suspects: SuspectNews::default(),
     }
 }
 
--- a/tests/test_fleet_state.rs
+++ b/tests/test_fleet_state.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 use tarragonknot::fleet_state::{
     AggregatorChoice, FleetLayout, FleetRole, FlowLedger, FlowRates, FlowRow, MessageRefusal,
-    RowRotation, SourceStamp, UpstreamHash,
+    RowRotation, SourceStamp,
 };
-use tarragonknot::policy::{Moment, OthersWork};
+use tarragonknot::policy::{Moment, OthersWork, UpstreamHash};
 use tarragonknot::table::DaemonName;
 
 #[rstest]
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -14,6 +14,8 @@
 mod test_charts;
 mod test_check;
 mod test_crash_check;
+mod test_crash_table;
+
 mod test_demo;
 mod test_experiment;
 mod test_explain;
@@ -31,6 +33,7 @@
 mod test_platform;
 mod test_policy;
 mod test_quarantine;
+mod test_quarantine_fleet;
 mod test_replica;
 mod test_reservations;
 mod test_roll_out;
