An upstream that ended is found out by a probe, also behind a proxy, and its pool is told at once

Cause: the look after a broken connection was a bare connect. Now: the health call with the incarnation that is meant; refused or answered by another incarnation is an end, two connections closed without a word are one, an answer or silence (busy) is none. The pool hears of the end, so that no request finds the dead engine by being sent there. Ruled out: silence as an end (a full engine keeps a health call waiting).

--- a/src/daemon/upkeep.rs
+++ b/src/daemon/upkeep.rs
@@ -4,7 +4,7 @@
 use crate::policy::{PoolEvent, TierRank, UpstreamIndex, UpstreamWord};
 use crate::settings::DaemonSettings;
 use crate::table::ServiceName;
-use crate::traffic::{PoolRuntime, TrafficState, probe};
+use crate::traffic::{PoolRuntime, ProbeOutcome, TrafficState, probe};
 use crate::upstream::{ListFault, ListReading, PlatformList, UnreadEntry, UpstreamLister};
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
@@ -96,14 +96,12 @@
             if suspects.is_empty() {
                 continue;
             }
-            let snapshot = state.snapshot();
-            let row = snapshot.access.table().service(pool.service.as_str());
-            let path =
-                row.and_then(|row| row.health_path.clone()).unwrap_or_else(|| "/".to_owned());
+            let path = state.health_path(&pool.service);
             for (upstream, name, address) in suspects {
                 let (state, pool, path) = (Arc::clone(&state), Arc::clone(pool), path.clone());
                 tokio::spawn(async move {
-                    if let Some(word) = probe(&state, address, name.as_str(), &path).await {
+                    let outcome = probe(&state, address, name.as_str(), path.as_deref()).await;
+                    if let Some(word) = word_of(outcome) {
                         info!(state.log, "suspect upstream answers"; "upstream" => name.as_str(), "word" => format!("{word:?}"));
                         pool.tell(PoolEvent::Word { upstream, word });
                     }
@@ -114,6 +112,15 @@
     }
 }
 
+/// What a probe's outcome says of an upstream that could not be reached; none where it still says nothing.
+fn word_of(outcome: ProbeOutcome) -> Option<UpstreamWord> {
+    match outcome {
+        ProbeOutcome::Answered => Some(UpstreamWord::Answered),
+        ProbeOutcome::OtherIncarnation => Some(UpstreamWord::Leaving),
+        ProbeOutcome::Refused | ProbeOutcome::Closed | ProbeOutcome::Silent => None,
+    }
+}
+
 async fn poll_reports(state: Arc<TrafficState>, pause: Duration) {
     loop {
         let mut polls = JoinSet::new();
--- a/src/traffic/crash_check.rs
+++ b/src/traffic/crash_check.rs
@@ -1,22 +1,22 @@
 //! Finds out whether an upstream ended when connections to it broke.
 //!
-//! A broken connection alone says little: it may have been reset on the way, or the upstream gave up one answer. If
-//! nobody listens at the upstream's address just after, it ended, and all requests that it ran ended with it. One look
-//! serves all requests that broke there at the same time.
+//! A broken connection alone says little: it may have been reset on the way, or the upstream gave up one answer. If the
+//! upstream does not answer a probe just after, it ended, and all requests that it ran ended with it. One look serves all
+//! requests that broke there at the same time.
 
+use super::probe::{ProbeOutcome, probe};
 use super::state::TrafficState;
-use crate::policy::UpstreamHash;
+use crate::policy::{PoolEvent, UpstreamHash, UpstreamIndex, UpstreamWord};
 use crate::quarantine::RequestFingerprint;
 use crate::table::{ServiceName, UpstreamName};
-use crate::upstream::can_connect;
 use slog::info;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// Looks at an upstream that still takes connections, before it counts as alive: the connections of a process that ends
-/// may close a moment before its listener does.
+/// Looks at an upstream that takes connections and closes them, before it counts as ended: a proxy before it does so, but
+/// so does one that drops requests now and then.
 const LOOKS: u32 = 2;
 /// Time between two looks. Far below the seconds that an upstream needs to start again.
 const LOOK_PAUSE: Duration = Duration::from_millis(150);
@@ -28,6 +28,8 @@
     pub service: ServiceName,
     /// Its name.
     pub upstream: UpstreamName,
+    /// Its number in its pool.
+    pub index: UpstreamIndex,
     /// Its incarnation, as far as it was known.
     pub incarnation: u64,
     /// Its address.
@@ -78,22 +80,50 @@
     }
     let state = Arc::clone(state);
     tokio::spawn(async move {
-        let has_ended = has_ended(upstream.address).await;
+        let fate = look(&state, &upstream).await;
         let requests = state.crash_checks.take(upstream.hash());
-        conclude(&state, &upstream, &requests, has_ended);
+        tell_pool(&state, &upstream, fate);
+        conclude(&state, &upstream, &requests, fate != UpstreamFate::LivesOn);
     });
 }
 
-async fn has_ended(address: SocketAddr) -> bool {
+/// What is known of an upstream after a look.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum UpstreamFate {
+    LivesOn,
+    Ended,
+    /// It ended, and another incarnation has its address already.
+    Replaced,
+}
+
+/// An upstream that takes the connection and says nothing is busy, and lives.
+async fn look(state: &TrafficState, upstream: &BrokenUpstream) -> UpstreamFate {
+    let path = state.health_path(&upstream.service);
+    let name = upstream.upstream.as_str();
     for look in 0..LOOKS {
         if look > 0 {
             tokio::time::sleep(LOOK_PAUSE).await;
         }
-        if !can_connect(address).await {
-            return true;
+        match probe(state, upstream.address, name, path.as_deref()).await {
+            ProbeOutcome::Refused => return UpstreamFate::Ended,
+            ProbeOutcome::OtherIncarnation => return UpstreamFate::Replaced,
+            ProbeOutcome::Answered | ProbeOutcome::Silent => return UpstreamFate::LivesOn,
+            ProbeOutcome::Closed => {}
         }
     }
-    false
+    UpstreamFate::Ended
+}
+
+/// Tells the pool, so that no request of this daemon, and soon none of the others, is sent there for nothing.
+fn tell_pool(state: &TrafficState, upstream: &BrokenUpstream, fate: UpstreamFate) {
+    let word = match fate {
+        UpstreamFate::LivesOn => return,
+        UpstreamFate::Ended => UpstreamWord::Unreachable,
+        UpstreamFate::Replaced => UpstreamWord::Leaving,
+    };
+    if let Some(pool) = state.pool(&upstream.service) {
+        pool.tell(PoolEvent::Word { upstream: upstream.index, word });
+    }
 }
 
 fn conclude(
--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -383,6 +383,7 @@
         let upstream = BrokenUpstream {
             service: self.pool.service.clone(),
             upstream: name.clone(),
+            index,
             incarnation: self.pool.incarnation(index),
             address: *address,
         };
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 mod front;
 mod model_call;
 mod pool_runtime;
+mod probe;
 mod quarantine_gate;
 mod routed;
 mod sink;
@@ -21,8 +22,9 @@
 };
 pub use front::{FrontHandle, front_router, readiness_router, start_front, without_front};
 pub use pool_runtime::{PoolRuntime, RequestGuard};
+pub use probe::{ProbeOutcome, probe};
 pub use routed::{
     AnswerFacts, CallDialect, CallerFacts, EventCutter, PlaceWanted, PlaceWord, RouteIndex,
-    SendFacts, probe,
+    SendFacts,
 };
 pub use state::{PlatformManner, TableSnapshot, TrafficState};
--- a/src/traffic/routed/carry.rs
+++ b/src/traffic/routed/carry.rs
@@ -94,6 +94,7 @@
         BrokenUpstream {
             service: self.pool.service.clone(),
             upstream: self.name.clone(),
+            index: self.upstream,
             incarnation: self.pool.incarnation(self.upstream),
             address: self.address,
         }
--- a/src/traffic/routed/mod.rs
+++ b/src/traffic/routed/mod.rs
@@ -9,7 +9,6 @@
 mod door;
 mod events;
 mod index;
-mod probe;
 mod relay;
 mod reserve;
 
@@ -19,7 +18,6 @@
 pub use door::routed_router;
 pub use events::EventCutter;
 pub use index::RouteIndex;
-pub use probe::probe;
 
 /// Stands for callers of public routes without a key, together.
 const NO_ORGANISATION: OrganisationIndex = OrganisationIndex(u32::MAX);
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -202,6 +202,13 @@
         self.serves_cut_off.load(Ordering::Acquire)
     }
 
+    /// Where a service's upstreams are asked whether they are sound, if it says.
+    pub fn health_path(&self, service: &ServiceName) -> Option<String> {
+        let snapshot = self.snapshot();
+        let row = snapshot.access.table().service(service.as_str());
+        row.and_then(|row| row.health_path.clone())
+    }
+
     /// The connections to upstreams.
     pub fn connections(&self) -> &Arc<ConnectionPool> {
         &self.connections
--- a/tests/test_crash_check.rs
+++ b/tests/test_crash_check.rs
@@ -23,34 +23,42 @@
 /// was lost. Sequence: an engine ends under a request, or closes the one connection and lives on. Cause: both show
 /// as a connection that closes; only a look at the engine tells them apart.
 #[rstest]
-#[case::ended(
-    EngineMove::Crash,
-    r#"tarragonknot_upstreams_ended_total{service="ended-pool"} 1"#,
-    r#"tarragonknot_requests_broken_total{service="ended-pool",cause="upstream-ended"} 1"#
+#[case::ended("ended-pool", EngineMove::Crash, EngineMove::Crash, true)]
+#[case::behind_a_proxy_that_takes_connections(
+    "proxied-pool",
+    EngineMove::Close,
+    EngineMove::Close,
+    true
 )]
-#[case::lives_on(
+#[case::replaced_at_its_address(
+    "replaced-pool",
     EngineMove::Close,
-    "",
-    r#"tarragonknot_requests_broken_total{service="living-pool",cause="connection"} 1"#
+    EngineMove::OtherIncarnation,
+    true
 )]
+#[case::lives_on("living-pool", EngineMove::Close, EngineMove::Answer(200, "fine"), false)]
+#[case::lives_on_and_is_busy("busy-pool", EngineMove::Close, EngineMove::Silent, false)]
 #[tokio::test]
 async fn an_engine_that_ended_is_told_from_a_lost_connection(
-    #[case] engine_move: EngineMove,
-    #[case] ended: &str,
-    #[case] broken: &str,
+    #[case] pool: &'static str,
+    #[case] first: EngineMove,
+    #[case] later: EngineMove,
+    #[case] has_ended: bool,
 ) {
     install_metrics();
-    let pool = if ended.is_empty() { "living-pool" } else { "ended-pool" };
-    let engine = ScriptedEngine::start("i-1", move |_| engine_move.clone()).await;
+    let script = move |number| if number == 0 { first.clone() } else { later.clone() };
+    let engine = ScriptedEngine::start("i-1", script).await;
     let fleet = RoutedFleet::start_pool(pool, &[&engine]).await;
 
     fleet.call("/unsafe/x", "id-1").await;
 
-    let metrics = metrics_with(&fleet, broken).await;
-    assert!(metrics.contains(broken), "{metrics}");
-    assert!(metrics.contains(ended), "{metrics}");
-    let has_counted = metrics.contains(&format!("upstreams_ended_total{{service=\"{pool}\"}}"));
-    assert_eq!(has_counted, engine.has_ended(), "{metrics}");
+    let cause = if has_ended { "upstream-ended" } else { "connection" };
+    let broken =
+        format!(r#"tarragonknot_requests_broken_total{{service="{pool}",cause="{cause}"}} 1"#);
+    let metrics = metrics_with(&fleet, &broken).await;
+    assert!(metrics.contains(&broken), "{metrics}");
+    let ended = format!(r#"tarragonknot_upstreams_ended_total{{service="{pool}"}} 1"#);
+    assert_eq!(metrics.contains(&ended), has_ended, "{metrics}");
 }
 
 fn content() -> RequestContent<'static> {
