What is held back outlives the fleet's restart, and operators see it and let it through

Cause: the quarantine lived in daemons' memory alone. After a kill of all daemons every content ends three upstreams anew, and operators could not see what is held back, since when, or end it. Gauges of held and suspect contents. Ruled out: every daemon reporting what it heard (291 copies for the leader); the list with each order.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -228,6 +228,8 @@
                 pools: pools.collect(),
                 has_lease: true,
                 is_leaving: false,
+                suspects: Vec::new(),
+                wants_suspects: false,
             };
             book.report(report, Moment(1_000));
             book.orders(&name(number), &table, Moment(1_000))
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 pub mod explain;
 pub mod load;
 mod operator;
+pub mod quarantine;
 pub mod serve;
 pub mod status;
 pub mod table;
--- /dev/null
+++ b/src/cmd/quarantine.rs
@@ -0,0 +1,92 @@
+//! `quarantine`: shows which requests are held back and why, and lets one through.
+
+use super::CommandError;
+use super::operator::ControlTarget;
+use crate::control::{ControlApiClient, QuarantineRow};
+use crate::quarantine::RequestFingerprint;
+use clap::Subcommand;
+use comfy_table::{Table, presets};
+use std::time::Duration;
+
+const HELP: &str = "\
+A request under which three upstreams ended is held back on every daemon: its callers are refused with kind `quarantined`
+and no upstream is given it. The fingerprint stands for organisation, method, host, path and body, and is the one in the
+logs' lines `sent`, `lost with its upstream`, `request quarantined` and `held back`. A request that was held back is let
+through by itself after ten minutes, after twice as long for each further upstream, a day at most; one more upstream that
+ends under it holds it back again. `release` lets it through at once and forgets what it did.
+
+  tarragonknot quarantine list --control 10.0.0.4:7600 --fleet-key-file key
+  tarragonknot quarantine release 07e231c685114121 --control 10.0.0.4:7600 --fleet-key-file key";
+
+/// Show requests that are held back, or let one through.
+#[derive(Debug, clap::Args)]
+#[command(long_about = HELP)]
+pub struct Args {
+    #[command(subcommand)]
+    action: Action,
+}
+
+#[derive(Debug, Subcommand)]
+enum Action {
+    /// Show what is held back.
+    List(ListArgs),
+    /// Let a request through on every daemon.
+    Release(ReleaseArgs),
+}
+
+#[derive(Debug, clap::Args)]
+struct ListArgs {
+    #[command(flatten)]
+    target: ControlTarget,
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Debug, clap::Args)]
+struct ReleaseArgs {
+    /// The request's fingerprint: 16 hexadecimal digits.
+    fingerprint: RequestFingerprint,
+    #[command(flatten)]
+    list: ListArgs,
+}
+
+/// Runs the command.
+pub fn run(args: &Args) -> Result<(), CommandError> {
+    let (rows, json) = match &args.action {
+        Action::List(list) => {
+            let rows = super::block_on(
+                list.target.ask_leader(|client| async move { client.quarantine().await }),
+            )?;
+            (rows, list.json)
+        }
+        Action::Release(ReleaseArgs { fingerprint, list }) => {
+            let request = *fingerprint;
+            let rows = super::block_on(
+                list.target.ask_leader(|client| async move { client.release(request).await }),
+            )?;
+            (rows, list.json)
+        }
+    };
+    print_rows(&rows, json);
+    Ok(())
+}
+
+fn print_rows(rows: &[QuarantineRow], json: bool) {
+    if json {
+        return super::print_json(&rows);
+    }
+    let mut grid = Table::new();
+    grid.load_preset(presets::UTF8_HORIZONTAL_ONLY);
+    grid.set_header(["fingerprint", "upstreams ended", "last ended", "let through in"]);
+    for row in rows {
+        let ended = format!("{} ago", seconds(row.last_ended_ms));
+        let held = seconds(row.held_for_ms);
+        grid.add_row([row.fingerprint.clone(), row.upstreams_ended.to_string(), ended, held]);
+    }
+    super::print_out(&grid.to_string());
+}
+
+fn seconds(millis: u64) -> String {
+    format!("{:?}", Duration::from_secs(millis / 1_000))
+}
--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -136,7 +136,9 @@
     fn make_report(&mut self) -> DaemonReport {
         let states = if self.divides_alone { Vec::new() } else { self.pool_states() };
         let version = self.state.snapshot().version;
-        self.member.report(version, states, self.state.is_drained(), self.state.clock.now())
+        let now = self.state.clock.now();
+        let report = self.member.report(version, states, self.state.is_drained(), now);
+        DaemonReport { suspects: self.state.quarantine.reports(now), ..report }
     }
 
     fn pool_states(&self) -> Vec<PoolState> {
@@ -170,6 +172,7 @@
             None => self.state.fleet.confirm_named(now),
         }
         self.leader.set_voters(moves.voters.clone());
+        self.state.quarantine.take_rows(&self.state, &moves.suspects);
         if let Some(table) = &moves.table {
             self.state.apply_table(table);
         }
--- a/src/control/control_loop/edits.rs
+++ b/src/control/control_loop/edits.rs
@@ -118,6 +118,9 @@
                 self.judge_owners(&mut replies);
                 let _ = reply.send(LeaderAnswer::Done(replies));
             }
+            (EntryWaiter::Quarantine { reply }, _) => {
+                let _ = reply.send(LeaderAnswer::Done(self.quarantine_rows()));
+            }
             (EntryWaiter::Voters { reply }, _) => {
                 let _ = reply.send(LeaderAnswer::Done(self.voter_rows()));
             }
--- a/src/control/control_loop/mod.rs
+++ b/src/control/control_loop/mod.rs
@@ -6,6 +6,7 @@
 mod edits;
 mod folder;
 mod members;
+mod quarantine;
 mod reports;
 
 use super::fleet::{FleetRegistry, PoolOrder};
@@ -14,6 +15,7 @@
 use super::ledger::{ControlCommand, ControlLedger, ControlReply};
 use super::links::PeerLinks;
 use super::packed_table::PackedTable;
+use super::quarantine_log::RecentRequests;
 use super::requests::{ControlHandle, ControlRequest};
 use super::rpc::{DaemonStatus, LeaderAnswer};
 use super::setup::ControlSetup;
@@ -70,6 +72,8 @@
         broken_since: None,
         sent: BTreeMap::new(),
         packed: PackedTable::default(),
+        proposed_suspects: RecentRequests::default(),
+        released: RecentRequests::default(),
         setup,
     };
     if let Some(voter) = voter {
@@ -102,6 +106,10 @@
     sent: BTreeMap<DaemonName, Vec<PoolOrder>>,
     /// The table in force as it is sent to daemons.
     packed: PackedTable,
+    /// Contents that were proposed to be held back a moment ago.
+    proposed_suspects: RecentRequests,
+    /// Contents that operators let through a moment ago.
+    released: RecentRequests,
 }
 
 impl ControlLoop {
@@ -332,6 +340,10 @@
                 let command = ControlCommand::VoterRule { daemon, allowed };
                 self.proposals.push((vec![command], EntryWaiter::Voters { reply }));
             }
+            ControlRequest::Quarantine { reply } => {
+                self.answer_read(self.quarantine_rows(), reply);
+            }
+            ControlRequest::Release { request, reply } => self.take_release(request, reply),
             ControlRequest::Status { reply } => drop(reply.send(self.status())),
             ControlRequest::Drain { reply } => {
                 self.drain.send_replace(true);
--- a/src/control/control_loop/reports.rs
+++ b/src/control/control_loop/reports.rs
@@ -4,6 +4,7 @@
 use crate::control::fleet::{DaemonReport, ReportAnswer, ReportVerdict};
 use crate::control::ledger::ControlCommand;
 use crate::control::rpc::{EditProgress, LeaderAnswer};
+use crate::control::setup::unix_millis;
 use crate::control::waiters::{EntryWaiter, HeldReport, ReplyTo};
 use crate::replica::ReplicaCore;
 use std::cell::OnceCell;
@@ -25,6 +26,9 @@
         let (daemon, version, has_lease) =
             (report.daemon.clone(), report.version, report.has_lease);
         let (boot, divides_alone) = (report.boot, report.divides_alone);
+        let wants_suspects = report.wants_suspects;
+        let mut report = report;
+        let suspects = std::mem::take(&mut report.suspects);
         let knows_serving = report.knows_serving;
         match registry.report(report, now) {
             ReportVerdict::Taken => {}
@@ -46,11 +50,13 @@
             has_lease,
             divides_alone,
             knows_serving,
+            wants_suspects,
             version,
             since: now,
             reply,
         };
         self.waiting.reports.push(held);
+        self.take_suspects(suspects);
     }
 
     /// Answers held reports whose orders changed or whose time is over, and edits now in force.
@@ -67,6 +73,7 @@
             return;
         }
         let now = self.now();
+        let released = self.released_rows();
         let Some(registry) = &mut self.registry else { return };
         let table = self.ledger.table();
         // A daemon without a lease gets one only from a leader that knows of every floor others rely on.
@@ -93,6 +100,10 @@
                 let digest = list.digest();
                 (list, digest)
             });
+            orders.suspects = match held.wants_suspects {
+                true => self.ledger.quarantine().rows(None, unix_millis()),
+                false => released.clone(),
+            };
             orders.serving = (held.knows_serving != *digest).then(|| list.clone());
             let is_news =
                 held.version != table.version || self.sent.get(&held.daemon) != Some(&orders.pools);
--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -10,6 +10,7 @@
 //! the sum never exceeds the whole, whoever dies between order and report.
 
 use crate::policy::{Moment, TierRank};
+use crate::quarantine::SuspectRow;
 use crate::table::{DaemonName, ServiceName, VersionedTable};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -76,6 +77,12 @@
     /// Digest of the list of daemons that it knows; 0 if it knows none.
     #[serde(default)]
     pub knows_serving: u64,
+    /// Contents that are held back and under which it saw an upstream end.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<SuspectRow>,
+    /// True until it was told which contents are held back, after its start.
+    #[serde(default)]
+    pub wants_suspects: bool,
 }
 
 /// Orders for one pool.
@@ -133,6 +140,9 @@
     /// Control addresses of the voters.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub voters: Vec<SocketAddr>,
+    /// Contents that are held back, for a daemon that wants them, and those that were released a moment ago.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<SuspectRow>,
 }
 
 /// The leader's answer to a report.
@@ -429,6 +439,7 @@
             pools,
             serving: None,
             voters: Vec::new(),
+            suspects: Vec::new(),
         }
     }
 
--- a/src/control/fleet_member.rs
+++ b/src/control/fleet_member.rs
@@ -3,6 +3,7 @@
 
 use super::fleet::{DaemonOrders, DaemonReport, PoolReport, SHARE_UNITS, ServingList};
 use crate::policy::{FloorOrder, Moment, TierRank};
+use crate::quarantine::SuspectRow;
 use crate::table::{DaemonName, ServiceName, VersionedTable};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -49,6 +50,8 @@
     pub serving: Option<ServingList>,
     /// Control addresses of the voters.
     pub voters: Vec<SocketAddr>,
+    /// Contents that are held back, or were released.
+    pub suspects: Vec<SuspectRow>,
 }
 
 /// A daemon as a member of the fleet.
@@ -69,6 +72,8 @@
     divides_alone: bool,
     /// Digest of the list of daemons that it took last.
     knows_serving: u64,
+    /// True until it was told which contents are held back.
+    wants_suspects: bool,
 }
 
 impl FleetMember {
@@ -89,6 +94,7 @@
             serves_callers: true,
             divides_alone: false,
             knows_serving: 0,
+            wants_suspects: true,
         }
     }
 
@@ -135,6 +141,8 @@
             serves_callers: self.serves_callers,
             divides_alone: self.divides_alone,
             knows_serving: self.knows_serving,
+            suspects: Vec::new(),
+            wants_suspects: self.wants_suspects,
         }
     }
 
@@ -165,6 +173,7 @@
             return None;
         }
         self.lease_until = self.sent_at + self.lease;
+        self.wants_suspects = false;
         if let Some(serving) = &orders.serving {
             self.knows_serving = serving.digest();
         }
@@ -191,6 +200,7 @@
             version: orders.version,
             serving: orders.serving,
             voters: orders.voters,
+            suspects: orders.suspects,
         })
     }
 }
--- a/src/control/ledger.rs
+++ b/src/control/ledger.rs
@@ -1,7 +1,9 @@
 //! The replicated state machine: the table and its history, edit outcomes, claims, members, voters'
 //! rules. Deterministic: every replica applies the same commands and comes to the same state.
 
+use super::quarantine_log::QuarantineLog;
 use crate::claim::{ClaimBook, ClaimCommand, ClaimReply};
+use crate::quarantine::{RequestFingerprint, SuspectRow};
 use crate::table::{CellChange, DaemonName, OperatorTable, VersionedTable, diff_tables};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -116,6 +118,20 @@
         /// The boot number that left.
         boot: u64,
     },
+    /// Upstreams ended under these contents.
+    Quarantine {
+        /// The contents.
+        rows: Vec<SuspectRow>,
+        /// The leader's wall clock when it was proposed, in milliseconds.
+        at: u64,
+    },
+    /// An operator lets a content through that was held back.
+    Release {
+        /// The content.
+        request: RequestFingerprint,
+        /// The leader's wall clock when it was proposed, in milliseconds.
+        at: u64,
+    },
     /// Whether a daemon with a data folder may become a voter.
     VoterRule {
         /// The daemon.
@@ -150,6 +166,8 @@
     claims: ClaimBook,
     members: BTreeMap<DaemonName, u64>,
     barred: BTreeSet<DaemonName>,
+    #[serde(default)]
+    quarantine: QuarantineLog,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -169,6 +187,7 @@
             claims: ClaimBook::default(),
             members: BTreeMap::new(),
             barred: BTreeSet::new(),
+            quarantine: QuarantineLog::default(),
         }
     }
 }
@@ -209,6 +228,8 @@
                     self.members.remove(daemon);
                 }
             }
+            ControlCommand::Quarantine { rows, at } => self.quarantine.take(rows, *at),
+            ControlCommand::Release { request, at } => self.quarantine.release(*request, *at),
             ControlCommand::VoterRule { daemon, allowed: true } => {
                 self.barred.remove(daemon);
             }
@@ -309,6 +330,11 @@
         &self.members
     }
 
+    /// Contents that are held back.
+    pub fn quarantine(&self) -> &QuarantineLog {
+        &self.quarantine
+    }
+
     /// True if `daemon` may become a voter.
     pub fn may_vote(&self, daemon: &DaemonName) -> bool {
         !self.barred.contains(daemon)
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod links;
 mod operator_door;
 mod packed_table;
+mod quarantine_log;
 mod requests;
 mod roll_out;
 mod rpc;
@@ -34,6 +35,7 @@
 pub use links::{CallFault, FleetKey, KnownVoters, LeaderHint, connect};
 pub use operator_door::{DoorAnswer, OperatorDoor};
 pub use packed_table::{PackedTable, pack, unpack};
+pub use quarantine_log::{QuarantineLog, QuarantineRow};
 pub use requests::{ControlHandle, ControlRequest};
 pub use roll_out::{RollOutRow, roll_out};
 pub use rpc::{
--- a/src/control/requests.rs
+++ b/src/control/requests.rs
@@ -2,8 +2,10 @@
 
 use super::fleet::{DaemonReport, ReportAnswer};
 use super::ledger::{ControlCommand, NumberedOutcome, NumberedTable, TableEdit};
+use super::quarantine_log::QuarantineRow;
 use super::rpc::{ApplyAnswer, DaemonStatus, HistoryRow, JoinAnswer, LeaderAnswer, VoterRow};
 use crate::claim::{ClaimCommand, ClaimReply};
+use crate::quarantine::RequestFingerprint;
 use crate::replica::{FleetId, ReplicaEnvelope, VoterId};
 use crate::table::{CellChange, DaemonName, VersionedTable};
 use std::net::SocketAddr;
@@ -66,6 +68,13 @@
         allowed: bool,
         reply: oneshot::Sender<LeaderAnswer<Vec<VoterRow>>>,
     },
+    Quarantine {
+        reply: oneshot::Sender<LeaderAnswer<Vec<QuarantineRow>>>,
+    },
+    Release {
+        request: RequestFingerprint,
+        reply: oneshot::Sender<LeaderAnswer<Vec<QuarantineRow>>>,
+    },
     Status {
         reply: oneshot::Sender<DaemonStatus>,
     },
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -2,7 +2,9 @@
 
 use super::fleet::{DaemonReport, MemberView, ReportAnswer};
 use super::ledger::{ControlCommand, EditOutcome, EditRecord, TableEdit};
+use super::quarantine_log::QuarantineRow;
 use crate::claim::{ClaimCommand, ClaimReply};
+use crate::quarantine::RequestFingerprint;
 use crate::replica::{FleetId, ReplicaEnvelope, VoterId};
 use crate::table::{CellChange, DaemonName, VersionedTable};
 use jsonrpsee::core::RpcResult;
@@ -155,6 +157,17 @@
         allowed: bool,
     ) -> RpcResult<LeaderAnswer<Vec<VoterRow>>>;
 
+    /// Contents that are held back.
+    #[method(name = "quarantine")]
+    async fn quarantine(&self) -> RpcResult<LeaderAnswer<Vec<QuarantineRow>>>;
+
+    /// Lets a content through; the answer is what is held back after that.
+    #[method(name = "release")]
+    async fn release(
+        &self,
+        request: RequestFingerprint,
+    ) -> RpcResult<LeaderAnswer<Vec<QuarantineRow>>>;
+
     /// This daemon's status.
     #[method(name = "status")]
     async fn status(&self) -> RpcResult<DaemonStatus>;
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -3,12 +3,14 @@
 use super::fleet::{DaemonReport, ReportAnswer};
 use super::ledger::{ControlCommand, TableEdit};
 use super::links::{FleetKey, LeaderHint, MESSAGE_LIMIT, connect};
+use super::quarantine_log::QuarantineRow;
 use super::requests::{ControlHandle, ControlRequest};
 use super::rpc::{
     ApplyAnswer, ControlApiClient, ControlApiServer, DaemonStatus, HistoryRow, JoinAnswer,
     LeaderAnswer, VoterRow,
 };
 use crate::claim::{ClaimCommand, ClaimReply};
+use crate::quarantine::RequestFingerprint;
 use crate::replica::{FleetId, ReplicaEnvelope, VoterId};
 use crate::table::{CellChange, DaemonName, VersionedTable};
 use futures_util::future::BoxFuture;
@@ -202,6 +204,19 @@
         self.pass_on(answer, |client| async move { client.voter_rule(daemon, allowed).await }).await
     }
 
+    async fn quarantine(&self) -> RpcResult<LeaderAnswer<Vec<QuarantineRow>>> {
+        let answer = self.ask(|reply| ControlRequest::Quarantine { reply }).await?;
+        self.pass_on(answer, |client| async move { client.quarantine().await }).await
+    }
+
+    async fn release(
+        &self,
+        request: RequestFingerprint,
+    ) -> RpcResult<LeaderAnswer<Vec<QuarantineRow>>> {
+        let answer = self.ask(|reply| ControlRequest::Release { request, reply }).await?;
+        self.pass_on(answer, |client| async move { client.release(request).await }).await
+    }
+
     async fn status(&self) -> RpcResult<DaemonStatus> {
         self.ask(|reply| ControlRequest::Status { reply }).await
     }
--- a/src/control/waiters.rs
+++ b/src/control/waiters.rs
@@ -2,6 +2,7 @@
 
 use super::fleet::ReportAnswer;
 use super::ledger::NumberedOutcome;
+use super::quarantine_log::QuarantineRow;
 use super::rpc::{ApplyAnswer, LeaderAnswer, VoterRow};
 use crate::claim::ClaimReply;
 use crate::policy::Moment;
@@ -19,6 +20,7 @@
     Replace { reply: ReplyTo<NumberedOutcome> },
     Claims { replies: Vec<ClaimReply>, left: usize, reply: ReplyTo<Vec<ClaimReply>> },
     Voters { reply: ReplyTo<Vec<VoterRow>> },
+    Quarantine { reply: ReplyTo<Vec<QuarantineRow>> },
     Nobody,
 }
 
@@ -29,6 +31,7 @@
     /// True if only a newer table is news to the daemon: it takes no shares and floors.
     pub divides_alone: bool,
     pub knows_serving: u64,
+    pub wants_suspects: bool,
     pub version: u64,
     pub since: Moment,
     pub reply: ReplyTo<ReportAnswer>,
@@ -59,6 +62,7 @@
             EntryWaiter::Replace { reply } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
             EntryWaiter::Claims { reply, .. } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
             EntryWaiter::Voters { reply } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
+            EntryWaiter::Quarantine { reply } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
             EntryWaiter::Nobody => {}
         }
     }
--- a/src/quarantine/crash_table.rs
+++ b/src/quarantine/crash_table.rs
@@ -52,6 +52,8 @@
     records: HashMap<RequestFingerprint, SuspectRecord>,
     answered: HashMap<RequestFingerprint, Moment>,
     queue: NewsQueue,
+    /// Held contents that this daemon saw at work, for the voters.
+    reports: NewsQueue,
     /// The digest of the records; none where they have changed since.
     digest: Option<u32>,
     /// Since when other daemons know something else.
@@ -73,7 +75,10 @@
         upstream: UpstreamHash,
         now: Moment,
     ) -> Option<HeldRequest> {
-        self.change(request, now, |record| record.add_crash(upstream, now.into()))
+        self.change(request, now, |record| {
+            record.is_witness = true;
+            record.add_crash(upstream, now.into())
+        })
     }
 
     /// A whole answer to a content came, so that upstreams do not end under it.
@@ -106,11 +111,15 @@
         if let Some(at) = self.answered.get(&request).filter(|at| now.since(**at) < ANSWER_LIFE) {
             is_news |= record.prove(PastMoment::from(*at));
         }
+        let held = record.held(request, now);
         if is_news {
             self.digest = None;
             self.queue.push(request, record.crashes());
         }
-        let held = held_request(request, record, now).filter(|_| !was_held);
+        if is_news && held.is_some() && record.is_witness {
+            self.reports.push(request, record.crashes());
+        }
+        let held = held.filter(|_| !was_held);
         self.drop_excess(now);
         held
     }
@@ -118,10 +127,20 @@
     /// The part of the next message.
     pub fn news(&mut self, now: Moment) -> SuspectNews {
         self.forget(now);
-        let rows = self.queue.next_rows();
-        let rows =
-            rows.iter().filter_map(|request| Some(self.records.get(request)?.row(*request, now)));
-        SuspectNews { rows: rows.collect(), digest: self.digest() }
+        let chosen = self.queue.next_rows();
+        SuspectNews { rows: self.rows(&chosen, now), digest: self.digest() }
+    }
+
+    /// What the voters are told next: contents that are held back, by the daemons that saw upstreams end under them.
+    pub fn reports(&mut self, now: Moment) -> Vec<SuspectRow> {
+        let chosen = self.reports.next_rows();
+        self.rows(&chosen, now)
+    }
+
+    fn rows(&self, chosen: &[RequestFingerprint], now: Moment) -> Vec<SuspectRow> {
+        let records =
+            chosen.iter().filter_map(|request| Some((request, self.records.get(request)?)));
+        records.map(|(request, record)| record.row(*request, now)).collect()
     }
 
     /// Takes another daemon's message. Gives the contents that are held back from now on.
@@ -175,11 +194,12 @@
         }
         self.forgot = now;
         let before = self.records.len();
-        let queue = &mut self.queue;
+        let (queue, reports) = (&mut self.queue, &mut self.reports);
         self.records.retain(|request, record| {
             let is_kept = !record.is_over(now);
             if !is_kept {
                 queue.remove(*request);
+                reports.remove(*request);
             }
             is_kept
         });
@@ -204,6 +224,7 @@
         for (_, request) in ranked.into_iter().take(MOST_RECORDS / 4) {
             self.records.remove(&request);
             self.queue.remove(request);
+            self.reports.remove(request);
         }
         self.digest = None;
     }
@@ -212,7 +233,7 @@
     pub fn held(&self, now: Moment) -> Vec<HeldRequest> {
         let records = self.records.iter();
         let mut held: Vec<HeldRequest> =
-            records.filter_map(|(request, record)| held_request(*request, record, now)).collect();
+            records.filter_map(|(request, record)| record.held(*request, now)).collect();
         held.sort_unstable_by_key(|held| (held.last_crash, held.request));
         held
     }
@@ -226,13 +247,3 @@
         }
     }
 }
-
-fn held_request(
-    request: RequestFingerprint,
-    record: &SuspectRecord,
-    now: Moment,
-) -> Option<HeldRequest> {
-    let held_for = record.held_for(now)?;
-    let last_crash = record.last_crash_age(now);
-    Some(HeldRequest { request, crashes: record.crashes(), held_for, last_crash })
-}
--- a/src/quarantine/fingerprint.rs
+++ b/src/quarantine/fingerprint.rs
@@ -1,7 +1,9 @@
 //! By what a request is known again when its caller sends it anew.
 
 use serde::{Deserialize, Serialize};
+use snafu::Snafu;
 use std::fmt;
+use std::str::FromStr;
 use xxhash_rust::xxh3::Xxh3;
 
 /// What an upstream is given to run.
@@ -42,6 +44,25 @@
     }
 }
 
+/// Digits of a fingerprint as text.
+const DIGITS: usize = 16;
+
+/// A text that is no fingerprint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("expected {DIGITS} hexadecimal digits, as in the logs"))]
+pub struct FingerprintFault;
+
+impl FromStr for RequestFingerprint {
+    type Err = FingerprintFault;
+
+    fn from_str(text: &str) -> Result<Self, FingerprintFault> {
+        let is_hexadecimal =
+            text.len() == DIGITS && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let number = is_hexadecimal.then(|| u64::from_str_radix(text, 16).ok()).flatten();
+        number.map(RequestFingerprint).ok_or(FingerprintFault)
+    }
+}
+
 impl fmt::Display for RequestFingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:016x}", self.0)
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -18,7 +18,7 @@
 mod suspect_record;
 
 pub use crash_table::{CrashTable, HeldRequest, TableSizes};
-pub use fingerprint::{RequestContent, RequestFingerprint};
+pub use fingerprint::{FingerprintFault, RequestContent, RequestFingerprint};
 pub use past_moment::PastMoment;
 pub use suspect_news::{SuspectNews, SuspectRow};
-pub use suspect_record::CRASHES_TO_HOLD;
+pub use suspect_record::{CRASHES_TO_HOLD, SuspectRecord};
--- a/src/quarantine/past_moment.rs
+++ b/src/quarantine/past_moment.rs
@@ -1,10 +1,11 @@
 //! Moments that may lie before this process began.
 
 use crate::policy::Moment;
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Microseconds of this daemon's clock, below nought for what was before its start: what others tell is often older.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct PastMoment(i64);
 
 impl PastMoment {
--- a/src/quarantine/suspect_record.rs
+++ b/src/quarantine/suspect_record.rs
@@ -1,7 +1,8 @@
 //! What is known of one content: which upstreams ended under it, and what cleared it.
 
-use super::{PastMoment, RequestFingerprint, SuspectRow};
+use super::{HeldRequest, PastMoment, RequestFingerprint, SuspectRow};
 use crate::policy::{Moment, UpstreamHash};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -25,11 +26,14 @@
 const VOID_STEP: Duration = Duration::from_secs(5);
 
 /// One content's record.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct SuspectRecord {
     crashes: BTreeMap<UpstreamHash, PastMoment>,
     /// Ends up to then do not count.
     void_until: Option<PastMoment>,
+    /// True if this daemon itself saw an upstream end under it.
+    #[serde(skip)]
+    pub is_witness: bool,
 }
 
 impl SuspectRecord {
@@ -96,6 +100,13 @@
         self.last_crash()?.after(self.hold()?).remaining(now)
     }
 
+    /// The record where it is held back.
+    pub fn held(&self, request: RequestFingerprint, now: Moment) -> Option<HeldRequest> {
+        let held_for = self.held_for(now)?;
+        let last_crash = self.last_crash_age(now);
+        Some(HeldRequest { request, crashes: self.crashes(), held_for, last_crash })
+    }
+
     /// When it was last seen to end an upstream, as a time before `now`.
     pub fn last_crash_age(&self, now: Moment) -> Duration {
         let age = self.last_crash().map_or(0, |at| at.age_ms(now).max(0));
--- a/src/report/measures.rs
+++ b/src/report/measures.rs
@@ -108,6 +108,9 @@
         gauge!("tarragonknot_running", "service" => name.clone()).set(status.running as f64);
         gauge!("tarragonknot_live_upstreams", "service" => name).set(status.live as f64);
     }
+    let sizes = state.quarantine.sizes(state.clock.now());
+    gauge!("tarragonknot_quarantined_requests").set(sizes.held as f64);
+    gauge!("tarragonknot_suspect_requests").set(sizes.known as f64);
     gauge!("tarragonknot_table_version").set(state.snapshot().version as f64);
     gauge!("tarragonknot_ready").set(if state.is_ready() { 1.0 } else { 0.0 });
     match HANDLE.get() {
--- a/src/traffic/quarantine_gate.rs
+++ b/src/traffic/quarantine_gate.rs
@@ -3,7 +3,9 @@
 use super::state::TrafficState;
 use crate::answer::AnswerKind;
 use crate::policy::{Moment, UpstreamHash};
-use crate::quarantine::{CrashTable, HeldRequest, RequestFingerprint, SuspectNews, TableSizes};
+use crate::quarantine::{
+    CrashTable, HeldRequest, RequestFingerprint, SuspectNews, SuspectRow, TableSizes,
+};
 use crate::table::DaemonName;
 use slog::{info, warn};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -64,6 +66,19 @@
         note_held(state, &held, from.as_str());
     }
 
+    /// What the voters are told next.
+    pub fn reports(&self, now: Moment) -> Vec<SuspectRow> {
+        self.lock().reports(now)
+    }
+
+    /// Takes what the voters keep.
+    pub fn take_rows(&self, state: &TrafficState, rows: &[SuspectRow]) {
+        let now = state.clock.now();
+        let held = rows.iter().filter_map(|row| self.lock().take_row(row, now));
+        let held: Vec<HeldRequest> = held.collect();
+        note_held(state, &held, "voters");
+    }
+
     /// How many contents are known.
     pub fn sizes(&self, now: Moment) -> TableSizes {
         self.lock().sizes(now)
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -34,6 +34,7 @@
 mod test_policy;
 mod test_quarantine;
 mod test_quarantine_fleet;
+mod test_quarantine_log;
 mod test_replica;
 mod test_reservations;
 mod test_roll_out;
