Soak: a request that ends each engine that begins to run it

Cause of the change: no fault of the soak tied an engine's end to what it ran, so the incident could not be met at home. Now: a caller sends one body to the entries in turn while processes are killed, paused and restarted; engines that begin to run it end and are replaced. Once all is calm it may reach engines three times more at most.

--- a/soak/engines.rs
+++ b/soak/engines.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for engines and the platform's list: they run requests, count runs by id, and misbehave by the seed.
 
 use crate::world::{AddressKind, ENGINE_PORT, LIST_PORT, SoakWorld, lock};
-use crate::{checks, proxy};
+use crate::{checks, deadly, proxy};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
@@ -91,10 +91,18 @@
     while let Ok((stream, _)) = listener.accept().await {
         seed += 1;
         let rng = ChaCha8Rng::seed_from_u64(seed);
-        connections.spawn(serve(Arc::clone(&world), stream, id.clone(), Arc::clone(&held), rng));
+        let engine = EngineName { id: id.clone(), number };
+        connections.spawn(serve(Arc::clone(&world), stream, engine, Arc::clone(&held), rng));
     }
 }
 
+/// By what an engine is known.
+#[derive(Clone, Debug)]
+struct EngineName {
+    id: String,
+    number: usize,
+}
+
 /// A request's head and body as they came.
 struct WireRequest {
     head: String,
@@ -156,14 +164,16 @@
 async fn serve(
     world: Arc<SoakWorld>,
     mut stream: TcpStream,
-    id: String,
+    engine: EngineName,
     held: Arc<Mutex<u32>>,
     mut rng: ChaCha8Rng,
 ) {
     let _ = stream.set_nodelay(true);
+    let id = &engine.id;
     let mut reserved = None;
     while let Some(request) = read_request(&mut stream).await {
-        if request.header("tarragonknot-expect-instance").is_some_and(|meant| meant != id) {
+        if request.header("tarragonknot-expect-instance").is_some_and(|meant| meant != id.as_str())
+        {
             if stream.write_all(plain(421, "", "").as_bytes()).await.is_err() {
                 return;
             }
@@ -184,7 +194,7 @@
             "/healthz" => plain(200, &format!("tarragonknot-instance-id: {id}\r\n"), ""),
             _ => {
                 let _place = reserved.take().or_else(|| take_place(&held));
-                if !run(&world, &mut stream, &request, &id, &mut rng).await {
+                if !run(&world, &mut stream, &request, &engine, &mut rng).await {
                     return;
                 }
                 continue;
@@ -198,10 +208,10 @@
 
 /// Runs a request; false if the connection ends with it.
 async fn run(
-    world: &SoakWorld,
+    world: &Arc<SoakWorld>,
     stream: &mut TcpStream,
     request: &WireRequest,
-    engine: &str,
+    EngineName { id: engine, number }: &EngineName,
     rng: &mut ChaCha8Rng,
 ) -> bool {
     let id = request.header("tarragonknot-request-id").unwrap_or_default().to_owned();
@@ -217,6 +227,10 @@
     let tokens: u64 =
         counts.split(',').filter_map(|number| number.trim().parse::<u64>().ok()).sum();
     world.ledger.ran(&id, (organisation == "limited").then_some(tokens));
+    if deadly::strikes(world, *number, &request.body) {
+        // Ends with the engine.
+        return std::future::pending().await;
+    }
     let head =
         format!("tarragonknot-request-id: {id}\r\ntarragonknot-server-seal: {engine}.{id}\r\n");
     if request.path().contains("/stream/") || request.path().contains("/resumable/") {
--- a/soak/world.rs
+++ b/soak/world.rs
@@ -1,6 +1,7 @@
 //! What all parts of one run share: addresses, the ledger of what happened, the processes.
 
 use crate::SoakArgs;
+use crate::deadly::DeadlyCount;
 use crate::fleet::FleetProcesses;
 use crate::proxy::ProxyModes;
 use std::collections::BTreeMap;
@@ -151,6 +152,8 @@
     pub acknowledged: Mutex<BTreeMap<u64, Instant>>,
     /// When a process or an engine was last disturbed.
     pub disturbed: Mutex<Instant>,
+    /// Runs of the request that ends engines.
+    pub deadly: DeadlyCount,
     folder: Mutex<Option<TempDir>>,
     base: u8,
     is_stopped: AtomicBool,
@@ -175,6 +178,7 @@
             proxies: ProxyModes::default(),
             acknowledged: Mutex::default(),
             disturbed: Mutex::new(Instant::now()),
+            deadly: DeadlyCount::default(),
             folder: Mutex::new(Some(tempfile::tempdir().expect("a temporary folder"))),
             base: free_base(),
             is_stopped: AtomicBool::new(false),
