Quarantine: tests of the refusal and of the product's own interface; the log line names the ends

Tests wait for what daemons know instead of a fixed time. 'held back' now says how many upstreams ended.

--- a/src/quarantine/crash_table.rs
+++ b/src/quarantine/crash_table.rs
@@ -68,6 +68,11 @@
         self.records.get(&request)?.held_for(now)
     }
 
+    /// Upstreams that ended under a content, as far as is known here and counts.
+    pub fn crashes(&self, request: RequestFingerprint) -> usize {
+        self.records.get(&request).map_or(0, SuspectRecord::crashes)
+    }
+
     /// An upstream ended under a content. Gives the content if it is held back from now on.
     pub fn note_crash(
         &mut self,
--- a/src/traffic/quarantine_gate.rs
+++ b/src/traffic/quarantine_gate.rs
@@ -25,6 +25,11 @@
         self.lock().held_for(request, now)
     }
 
+    /// Upstreams that ended under a content, as far as is known here and counts.
+    pub fn crashes(&self, request: RequestFingerprint) -> usize {
+        self.lock().crashes(request)
+    }
+
     /// Refuses a request whose content is held back, with a line that says why.
     pub fn check(
         &self,
@@ -35,7 +40,7 @@
         let Some(held_for) = self.held_for(request, state.clock.now()) else { return Ok(()) };
         metrics::counter!("tarragonknot_requests_quarantined_total").increment(1);
         info!(state.log, "held back"; "request" => id, "fingerprint" => request.to_string(),
-            "held_for_ms" => held_for.as_millis() as u64);
+            "upstreams_ended" => self.crashes(request), "held_for_ms" => held_for.as_millis() as u64);
         Err(AnswerKind::Quarantined)
     }
 
--- a/tests/engine_park.rs
+++ b/tests/engine_park.rs
@@ -2,6 +2,7 @@
 
 use crate::routed_fleet::{CallerAnswer, EngineMove, RoutedFleet, ScriptedEngine};
 use std::time::Duration;
+use tarragonknot::quarantine::{RequestContent, RequestFingerprint};
 use tarragonknot::upstream::VmState;
 
 /// The body of the request under which engines end.
@@ -10,8 +11,9 @@
 const DAEMONS: usize = 3;
 /// Engines that live at any time.
 const ENGINES: usize = 4;
-/// For how long daemons may speak to each other between two attempts of a caller.
-const SETTLING: Duration = Duration::from_millis(400);
+/// How long daemons may take to hear of an engine that ended; far more than they need on a busy machine.
+const PATIENCE: Duration = Duration::from_secs(10);
+const LOOK_PAUSE: Duration = Duration::from_millis(10);
 
 /// Daemons and engines.
 pub struct EnginePark {
@@ -38,11 +40,29 @@
     pub async fn attempt(&mut self, number: usize, path: &str, body: &str) -> CallerAnswer {
         let daemon = &self.daemons[number % self.daemons.len()];
         let answer = daemon.call_body(path, &format!("id-{number}"), body).await;
-        tokio::time::sleep(SETTLING).await;
+        self.settle(path).await;
         self.replace_ended().await;
         answer
     }
 
+    /// Waits until all daemons know of every engine that ended.
+    async fn settle(&self, path: &str) {
+        let content = RequestContent {
+            organisation: "agents",
+            method: "POST",
+            host: "shop.example",
+            path,
+            body: DEADLY.as_bytes(),
+        };
+        let request = RequestFingerprint::of(&content);
+        let ended = self.ended.len() + self.engines.iter().filter(|one| one.has_ended()).count();
+        let knows = |daemon: &RoutedFleet| daemon.state.quarantine.crashes(request) >= ended;
+        let until = tokio::time::Instant::now() + PATIENCE;
+        while !self.daemons.iter().all(knows) && tokio::time::Instant::now() < until {
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+
     async fn replace_ended(&mut self) {
         let (ended, mut living): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.engines).into_iter().partition(ScriptedEngine::has_ended);
