Quarantine read once more: one constant for how long an answer speaks, the field's name for such requests, a probe that tells unreachable from busy

Cause: the probe gave up in the same second in which a connection must open, so an upstream without power could count as busy and its end as a lost connection; the time for which an answer speaks stood twice; 'deadly' is not the field's word.

--- a/soak/engines.rs
+++ b/soak/engines.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for engines and the platform's list: they run requests, count runs by id, and misbehave by the seed.
 
 use crate::world::{AddressKind, ENGINE_PORT, LIST_PORT, SoakWorld, lock};
-use crate::{checks, deadly, proxy};
+use crate::{checks, poison, proxy};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
@@ -227,7 +227,7 @@
     let tokens: u64 =
         counts.split(',').filter_map(|number| number.trim().parse::<u64>().ok()).sum();
     world.ledger.ran(&id, (organisation == "limited").then_some(tokens));
-    if deadly::strikes(world, *number, &request.body) {
+    if poison::strikes(world, *number, &request.body) {
         // Ends with the engine.
         return std::future::pending().await;
     }
--- a/soak/main.rs
+++ b/soak/main.rs
@@ -5,11 +5,11 @@
 
 mod callers;
 mod checks;
-mod deadly;
 mod engines;
 mod fleet;
 mod operators;
 mod plan;
+mod poison;
 mod proxy;
 mod world;
 
@@ -89,13 +89,13 @@
         let traffic = callers::start(&world, seed);
         let operators = operators::start(&world, seed);
         let watch = checks::start_watch(&world);
-        let deadly = deadly::start(&world);
+        let poison = poison::start(&world);
         plan::carry_out(&world, &steps).await;
         fleet::heal(&world).await;
         checks::wait_for_recovery(&world).await;
         world.stop();
-        let _ = tokio::join!(traffic, operators, watch, deadly);
-        deadly::check(&world).await;
+        let _ = tokio::join!(traffic, operators, watch, poison);
+        poison::check(&world).await;
         checks::check_ledger(&world);
         checks::check_kept(&world).await;
     }
--- a/soak/deadly.rs
+++ b/soak/poison.rs
@@ -14,7 +14,7 @@
 use tokio::task::JoinHandle;
 
 /// The body; no other caller sends it.
-const BODY: &str = "deadly";
+const BODY: &str = "poison";
 /// Pause between two attempts while faults are played.
 const PAUSE: Duration = Duration::from_millis(700);
 /// How long the caller waits.
@@ -31,9 +31,9 @@
 
 /// How often engines began to run the request.
 #[derive(Debug, Default)]
-pub struct DeadlyCount(AtomicU32);
+pub struct PoisonCount(AtomicU32);
 
-impl DeadlyCount {
+impl PoisonCount {
     fn get(&self) -> u32 {
         self.0.load(Ordering::Relaxed)
     }
@@ -44,7 +44,7 @@
     if body != BODY.as_bytes() {
         return false;
     }
-    world.deadly.0.fetch_add(1, Ordering::Relaxed);
+    world.poison.0.fetch_add(1, Ordering::Relaxed);
     let world = Arc::clone(world);
     tokio::spawn(async move {
         world.disturb();
@@ -70,7 +70,7 @@
 
 async fn send(world: &SoakWorld, kind: AddressKind, number: usize) {
     let address = world.address(kind, number % world.sizes.entries, CALLERS_PORT);
-    let id = format!("{:x}-deadly-{kind:?}-{number}", world.seed);
+    let id = format!("{:x}-poison-{kind:?}-{number}", world.seed);
     let request = Request::post(format!("http://{address}/resumable/a"))
         .header("host", HOST)
         .header("authorization", format!("Bearer {FREE_KEY}"))
@@ -95,11 +95,11 @@
 /// Once everything is calm, the request reaches engines no more than it may, whichever entries were killed meanwhile.
 pub async fn check(world: &SoakWorld) {
     tokio::time::sleep(CONTACT).await;
-    let before = world.deadly.get();
+    let before = world.poison.get();
     for number in 0..LAST_ATTEMPTS {
         send(world, AddressKind::Entry, number).await;
     }
-    let sends = world.deadly.get() - before;
+    let sends = world.poison.get() - before;
     let most = MOST_SENDS_AFTER + MOST_ENDS.saturating_sub(before);
     if sends > most {
         world.ledger.broke(
--- a/soak/world.rs
+++ b/soak/world.rs
@@ -1,8 +1,8 @@
 //! What all parts of one run share: addresses, the ledger of what happened, the processes.
 
 use crate::SoakArgs;
-use crate::deadly::DeadlyCount;
 use crate::fleet::FleetProcesses;
+use crate::poison::PoisonCount;
 use crate::proxy::ProxyModes;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -153,7 +153,7 @@
     /// When a process or an engine was last disturbed.
     pub disturbed: Mutex<Instant>,
     /// Runs of the request that ends engines.
-    pub deadly: DeadlyCount,
+    pub poison: PoisonCount,
     folder: Mutex<Option<TempDir>>,
     base: u8,
     is_stopped: AtomicBool,
@@ -178,7 +178,7 @@
             proxies: ProxyModes::default(),
             acknowledged: Mutex::default(),
             disturbed: Mutex::new(Instant::now()),
-            deadly: DeadlyCount::default(),
+            poison: PoisonCount::default(),
             folder: Mutex::new(Some(tempfile::tempdir().expect("a temporary folder"))),
             base: free_base(),
             is_stopped: AtomicBool::new(false),
--- a/src/experiment/mod.rs
+++ b/src/experiment/mod.rs
@@ -5,9 +5,9 @@
 //! seed, with nothing of machines or networks but one fixed delay: the same seed gives the same run on
 //! any machine, however busy.
 
-mod deadly;
 mod engine;
 mod plan;
+mod poison;
 mod run;
 mod summary;
 
--- a/src/experiment/plan.rs
+++ b/src/experiment/plan.rs
@@ -33,7 +33,7 @@
     /// Arrivals come in bursts of three times the mean rate.
     Bursts,
     /// A caller sends a request again and again under which each engine that begins to run it ends.
-    DeadlyRequest,
+    PoisonRequest,
 }
 
 /// A mechanism that is switched off, to see what it is worth.
--- a/src/experiment/deadly.rs
+++ b/src/experiment/poison.rs
@@ -14,7 +14,7 @@
 /// Daemons tell each other news this often.
 pub const NEWS_PAUSE: Duration = Duration::from_millis(50);
 /// The content; those of other requests are numbered from 1.
-const DEADLY: RequestFingerprint = RequestFingerprint(0);
+const POISON: RequestFingerprint = RequestFingerprint(0);
 
 /// What the daemons of an experiment know of engines' ends.
 pub struct CrashKnowledge {
@@ -32,12 +32,12 @@
         CrashKnowledge { tables, lives: vec![1; engines], is_on }
     }
 
-    /// True if a daemon may send the deadly request.
+    /// True if a daemon may send the poison request.
     pub fn may_send(&self, daemon: usize, now: Moment) -> bool {
-        !self.is_on || self.tables[daemon].1.held_for(DEADLY, now).is_none()
+        !self.is_on || self.tables[daemon].1.held_for(POISON, now).is_none()
     }
 
-    /// An engine ended under the deadly request of one daemon and under others' requests, by daemon.
+    /// An engine ended under the poison request of one daemon and under others' requests, by daemon.
     pub fn note_end(
         &mut self,
         engine: usize,
@@ -48,7 +48,7 @@
         let name = format!("engine-{engine}");
         let upstream = UpstreamHash::of(&"pool".into(), &name.as_str().into(), self.lives[engine]);
         self.lives[engine] += 1;
-        self.tables[daemon].1.note_crash(DEADLY, upstream, now);
+        self.tables[daemon].1.note_crash(POISON, upstream, now);
         for (daemon, request) in others {
             self.tables[*daemon].1.note_crash(content(*request), upstream, now);
         }
--- a/src/experiment/run.rs
+++ b/src/experiment/run.rs
@@ -1,8 +1,8 @@
 //! The event loop of one experiment.
 
-use super::deadly::{ATTEMPT_PAUSE, CrashKnowledge, NEWS_PAUSE, RESTART_TIME, SENDS};
 use super::engine::SimulatedEngine;
 use super::plan::{ExperimentPlan, FaultKind, MechanismSwitch};
+use super::poison::{ATTEMPT_PAUSE, CrashKnowledge, NEWS_PAUSE, RESTART_TIME, SENDS};
 use super::summary::RunSummary;
 use crate::control::{DaemonOrders, FleetMember, FleetRegistry, PoolState, ReportVerdict};
 use crate::load::{PlannedRequest, RequestKind};
@@ -54,8 +54,8 @@
     Reports(usize),
     Tick(usize),
     Fault,
-    /// An attempt of the caller with the deadly request.
-    Deadly(usize),
+    /// An attempt of the caller with the poison request.
+    Poison(usize),
     Restart(usize),
     News,
 }
@@ -182,7 +182,7 @@
                 RunEvent::Reports(number) => self.deliver_reports(number),
                 RunEvent::Tick(number) => self.tick(number),
                 RunEvent::Fault => self.strike(),
-                RunEvent::Deadly(attempt) => self.attempt_deadly(attempt),
+                RunEvent::Poison(attempt) => self.attempt_poison(attempt),
                 RunEvent::Restart(engine) => self.restart(engine),
                 RunEvent::News => self.tell_news(),
             }
@@ -416,8 +416,8 @@
                 engine.die();
                 self.lose_work(STRUCK);
             }
-            FaultKind::DeadlyRequest => {
-                self.push(Duration::ZERO, RunEvent::Deadly(0));
+            FaultKind::PoisonRequest => {
+                self.push(Duration::ZERO, RunEvent::Poison(0));
                 self.push(Duration::ZERO, RunEvent::News);
             }
             FaultKind::None | FaultKind::Bursts => {}
@@ -438,8 +438,8 @@
         }
     }
 
-    /// One attempt: the deadly request reaches an engine that lives, and another one after it has ended.
-    fn attempt_deadly(&mut self, attempt: usize) {
+    /// One attempt: the poison request reaches an engine that lives, and another one after it has ended.
+    fn attempt_poison(&mut self, attempt: usize) {
         let daemon = attempt % self.daemons.len();
         for send in 0..SENDS {
             let living: Vec<usize> =
@@ -450,7 +450,7 @@
             self.end_engine(living[(attempt + send) % living.len()], daemon);
         }
         if self.now < Moment(0) + self.plan.fault_end() {
-            self.push(ATTEMPT_PAUSE, RunEvent::Deadly(attempt + 1));
+            self.push(ATTEMPT_PAUSE, RunEvent::Poison(attempt + 1));
         }
     }
 
--- a/src/quarantine/crash_table.rs
+++ b/src/quarantine/crash_table.rs
@@ -1,7 +1,7 @@
 //! All contents under which upstreams ended, as one daemon knows them.
 
 use super::news_queue::NewsQueue;
-use super::suspect_record::SuspectRecord;
+use super::suspect_record::{PROVEN_FOR, SuspectRecord};
 use super::{PastMoment, RequestFingerprint, SuspectNews, SuspectRow};
 use crate::policy::{Moment, UpstreamHash};
 use crate::table::DaemonName;
@@ -14,8 +14,6 @@
 const MOST_RECORDS: usize = 8_192;
 /// Contents with a whole answer that are remembered, at most: near 200 KB.
 const MOST_ANSWERED: usize = 4_096;
-/// For how long a whole answer speaks for its content.
-const ANSWER_LIFE: Duration = Duration::from_secs(10);
 /// A daemon that knows something else for this long is told everything. Longer than news takes through the fleet (three
 /// messages of 126 ms at 1,000 daemons).
 const DIFFERS_FOR: Duration = Duration::from_millis(1_000);
@@ -89,9 +87,9 @@
     /// A whole answer to a content came, so that upstreams do not end under it.
     pub fn note_answer(&mut self, request: RequestFingerprint, now: Moment) {
         if self.answered.len() >= MOST_ANSWERED {
-            self.answered.retain(|_, at| now.since(*at) < ANSWER_LIFE);
+            self.answered.retain(|_, at| now.since(*at) < PROVEN_FOR);
         }
-        if self.answered.len() < MOST_ANSWERED {
+        if self.answered.len() < MOST_ANSWERED || self.answered.contains_key(&request) {
             self.answered.insert(request, now);
         }
         if self.records.contains_key(&request) {
@@ -113,7 +111,7 @@
         let record = self.records.entry(request).or_default();
         let was_held = record.held_for(now).is_some();
         let mut is_news = change(record);
-        if let Some(at) = self.answered.get(&request).filter(|at| now.since(**at) < ANSWER_LIFE) {
+        if let Some(at) = self.answered.get(&request).filter(|at| now.since(**at) < PROVEN_FOR) {
             is_news |= record.prove(PastMoment::from(*at));
         }
         let held = record.held(request, now);
@@ -208,7 +206,7 @@
             }
             is_kept
         });
-        self.answered.retain(|_, at| now.since(*at) < ANSWER_LIFE);
+        self.answered.retain(|_, at| now.since(*at) < PROVEN_FOR);
         self.differing.retain(|_, since| now.since(*since) < DIFFERS_FOR * 10);
         if self.records.len() != before {
             self.digest = None;
--- a/src/quarantine/suspect_record.rs
+++ b/src/quarantine/suspect_record.rs
@@ -20,7 +20,7 @@
 const SUSPECTED_FOR: Duration = Duration::from_secs(600);
 /// Ends so soon after a whole answer of the same content do not count: whatever ends a whole rack takes many requests of one
 /// popular content with it at the same moment.
-const PROVEN_FOR: Duration = Duration::from_secs(10);
+pub const PROVEN_FOR: Duration = Duration::from_secs(10);
 
 /// A popular content is answered all the time: others hear of that once in this time.
 const VOID_STEP: Duration = Duration::from_secs(5);
--- a/src/traffic/probe.rs
+++ b/src/traffic/probe.rs
@@ -10,8 +10,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// A probe is answered within this time, or the upstream counts as silent.
-const PROBE_TIME: Duration = Duration::from_millis(1_000);
+/// A probe is answered within this time, or the upstream counts as silent. Longer than the second in which a connection
+/// must open, so that an upstream that cannot be reached is told from one that is busy.
+const PROBE_TIME: Duration = Duration::from_millis(1_300);
 /// Asked for where a service names no path of its own.
 const DEFAULT_PATH: &str = "/";
 
--- a/tests/engine_park.rs
+++ b/tests/engine_park.rs
@@ -6,7 +6,7 @@
 use tarragonknot::upstream::VmState;
 
 /// The body of the request under which engines end.
-pub const DEADLY: &str = "deadly";
+pub const POISON: &str = "poison";
 /// Daemons of the fleet.
 const DAEMONS: usize = 3;
 /// Engines that live at any time.
@@ -19,21 +19,21 @@
 pub struct EnginePark {
     pub daemons: Vec<RoutedFleet>,
     engines: Vec<ScriptedEngine>,
-    /// Requests with the deadly body at engines that have ended.
+    /// Requests with the poison body at engines that have ended.
     ended: Vec<usize>,
-    deadly_move: EngineMove,
+    poison_move: EngineMove,
 }
 
 impl EnginePark {
-    /// Engines that answer all but the deadly request, to which they do `deadly_move`.
-    pub async fn start(deadly_move: EngineMove) -> Self {
+    /// Engines that answer all but the poison request, to which they do `poison_move`.
+    pub async fn start(poison_move: EngineMove) -> Self {
         let mut engines = Vec::new();
         for number in 0..ENGINES {
-            engines.push(engine(number, deadly_move.clone()).await);
+            engines.push(engine(number, poison_move.clone()).await);
         }
         let listed: Vec<&ScriptedEngine> = engines.iter().collect();
         let daemons = RoutedFleet::start_several(DAEMONS, &listed).await;
-        EnginePark { daemons, engines, ended: Vec::new(), deadly_move }
+        EnginePark { daemons, engines, ended: Vec::new(), poison_move }
     }
 
     /// A caller's attempt at one of the daemons, under an id of its own; then engines that ended are replaced.
@@ -52,7 +52,7 @@
             method: "POST",
             host: "shop.example",
             path,
-            body: DEADLY.as_bytes(),
+            body: POISON.as_bytes(),
         };
         let request = RequestFingerprint::of(&content);
         let ended = self.ended.len() + self.engines.iter().filter(|one| one.has_ended()).count();
@@ -66,10 +66,10 @@
     async fn replace_ended(&mut self) {
         let (ended, mut living): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.engines).into_iter().partition(ScriptedEngine::has_ended);
-        self.ended.extend(ended.iter().map(deadly_count));
+        self.ended.extend(ended.iter().map(poison_count));
         while living.len() < ENGINES {
             let number = ENGINES + self.ended.len() + living.len();
-            living.push(engine(number, self.deadly_move.clone()).await);
+            living.push(engine(number, self.poison_move.clone()).await);
         }
         self.engines = living;
         self.list();
@@ -85,21 +85,21 @@
         self.ended.len()
     }
 
-    /// How often engines were sent the deadly request.
-    pub fn deadly_sends(&self) -> usize {
-        self.ended.iter().sum::<usize>() + self.engines.iter().map(deadly_count).sum::<usize>()
+    /// How often engines were sent the poison request.
+    pub fn poison_sends(&self) -> usize {
+        self.ended.iter().sum::<usize>() + self.engines.iter().map(poison_count).sum::<usize>()
     }
 }
 
-fn deadly_count(engine: &ScriptedEngine) -> usize {
-    engine.seen().iter().filter(|request| request.body == DEADLY.as_bytes()).count()
+fn poison_count(engine: &ScriptedEngine) -> usize {
+    engine.seen().iter().filter(|request| request.body == POISON.as_bytes()).count()
 }
 
-async fn engine(number: usize, deadly_move: EngineMove) -> ScriptedEngine {
+async fn engine(number: usize, poison_move: EngineMove) -> ScriptedEngine {
     ScriptedEngine::reading(&format!("i-{number}"), move |_, request| {
         let is_stream = request.path.starts_with("/stream") || request.path.starts_with("/resum");
-        match request.body == DEADLY.as_bytes() {
-            true => deadly_move.clone(),
+        match request.body == POISON.as_bytes() {
+            true => poison_move.clone(),
             false if is_stream => EngineMove::Events(1, 3),
             false => EngineMove::Answer(200, "fine"),
         }
--- a/tests/test_experiment.rs
+++ b/tests/test_experiment.rs
@@ -239,7 +239,7 @@
 /// daemon and each attempt takes it for new.
 #[test]
 fn a_request_that_ends_engines_costs_few_of_them_and_few_answers() {
-    let fault = FaultKind::DeadlyRequest;
+    let fault = FaultKind::PoisonRequest;
     let mut plan = ExperimentPlan { fault, window: Duration::from_secs(16), ..plan(0.7) };
     plan.profile.engines = 8;
     let without = Some(MechanismSwitch::Quarantine);
--- a/tests/test_quarantine.rs
+++ b/tests/test_quarantine.rs
@@ -1,6 +1,6 @@
 //! Requests under which engines end, and those that only were there.
 
-use crate::engine_park::{DEADLY, EnginePark};
+use crate::engine_park::{EnginePark, POISON};
 use crate::fixtures::{AGENTS_KEY, small_fleet, upstream};
 use crate::routed_fleet::{EngineMove, ScriptedEngine};
 use bytes::Bytes;
@@ -25,7 +25,7 @@
 /// daemon learns for itself, so that nobody ever holds more than two ends against one content, while only the fleet's
 /// sum shows that it was on every engine that ended. Evidence: in the incident's logs one or two requests of each engine
 /// that ended had no event yet, of another id each time, twice for one id and never more often; in this test, whose
-/// only deadly content is one body, each of its sends ends an engine, on whichever daemon.
+/// only poison content is one body, each of its sends ends an engine, on whichever daemon.
 #[rstest]
 #[case::resumed_stream("/resumable/x", EngineMove::CrashAfter(1, 2))]
 #[case::stream_without_an_event("/resumable/x", EngineMove::Crash)]
@@ -35,15 +35,15 @@
 #[tokio::test]
 async fn a_request_that_ends_engines_is_held_back_by_all_daemons(
     #[case] path: &str,
-    #[case] deadly_move: EngineMove,
+    #[case] poison_move: EngineMove,
 ) {
-    let mut park = EnginePark::start(deadly_move).await;
+    let mut park = EnginePark::start(poison_move).await;
 
     for number in 0..ATTEMPTS {
-        park.attempt(number, path, DEADLY).await;
+        park.attempt(number, path, POISON).await;
     }
 
-    let (sends, ended) = (park.deadly_sends(), park.ended());
+    let (sends, ended) = (park.poison_sends(), park.ended());
     assert!(sends <= MOST_SENDS, "{sends} sends, {ended} engines ended");
     for number in 0..3 {
         let answer = park.attempt(number, path, "sound").await;
@@ -56,10 +56,10 @@
 async fn a_request_that_is_held_back_is_refused_truthfully() {
     let mut park = EnginePark::start(EngineMove::Crash).await;
     for number in 0..3 {
-        park.attempt(number, "/unsafe/x", DEADLY).await;
+        park.attempt(number, "/unsafe/x", POISON).await;
     }
 
-    let answer = park.attempt(3, "/unsafe/x", DEADLY).await;
+    let answer = park.attempt(3, "/unsafe/x", POISON).await;
 
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
     let body = answer.body.expect("a whole body");
@@ -67,7 +67,7 @@
     assert_eq!((problem.kind, problem.ran), (AnswerKind::Quarantined, RanWord::No));
     let returns = answer.headers["retry-after"].to_str().expect("text").parse::<f64>();
     assert!(returns.expect("seconds") > 500.0, "what is left of ten minutes");
-    assert_eq!(park.deadly_sends(), 3);
+    assert_eq!(park.poison_sends(), 3);
 }
 
 fn request_of(body: &str) -> RequestFingerprint {
@@ -100,7 +100,7 @@
         let request = Request::post(format!("http://{}/pack-api/x", fleet.front.address))
             .header("authorization", format!("Bearer {AGENTS_KEY}"))
             .header("x-note", number.to_string())
-            .body(Full::new(Bytes::from_static(DEADLY.as_bytes())))
+            .body(Full::new(Bytes::from_static(POISON.as_bytes())))
             .expect("a request");
         let response = client.request(request).await.expect("an answer");
         let body = response.into_body().collect().await.expect("a body").to_bytes();
@@ -109,7 +109,7 @@
         // The look at the engine's address comes a moment after the caller's answer.
         let ended = engines.iter().filter(|engine| engine.has_ended()).count();
         for _ in 0..500 {
-            if fleet.state.quarantine.crashes(request_of(DEADLY)) >= ended {
+            if fleet.state.quarantine.crashes(request_of(POISON)) >= ended {
                 break;
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
