Voters hear that a content was cleared

Cause: only ends were reported to the voters' log; content that was held back, and cleared by a run that ended well, would have been held back again by daemons that start anew. Now: a daemon that clears a held content reports that; rows that are over are not told.

--- a/src/control/quarantine_log.rs
+++ b/src/control/quarantine_log.rs
@@ -45,10 +45,11 @@
 }
 
 impl QuarantineLog {
-    /// True if a row says more than is kept.
+    /// True if a row says more than is kept: of further ends, or that the content was cleared.
     pub fn lacks(&self, row: &SuspectRow) -> bool {
-        let Some(known) = self.records.get(&row.request) else { return true };
-        row.crashes.len() > known.crashes()
+        let known = self.records.get(&row.request).map_or(0, SuspectRecord::crashes);
+        let is_cleared = row.void_age_ms.is_some() && row.crashes.len() < known;
+        is_cleared || row.crashes.len() > known
     }
 
     /// Takes what a daemon reported at `at_ms` of the wall clock.
@@ -78,11 +79,13 @@
         self.records.entry(request).or_default().void(wall(at_ms).into());
     }
 
-    /// What daemons are told: all contents, or only `request`.
+    /// What daemons are told: all contents that are not over, or only `request`.
     pub fn rows(&self, request: Option<RequestFingerprint>, now_ms: u64) -> Vec<SuspectRow> {
-        let chosen =
-            self.records.iter().filter(|(known, _)| request.is_none_or(|one| one == **known));
-        chosen.map(|(request, record)| record.row(*request, wall(now_ms))).collect()
+        let now = wall(now_ms);
+        let is_chosen = |known: &RequestFingerprint| request.is_none_or(|one| one == *known);
+        let chosen = self.records.iter().filter(|(known, _)| is_chosen(known));
+        let current = chosen.filter(|(_, record)| !record.is_over(now));
+        current.map(|(request, record)| record.row(*request, now)).collect()
     }
 
     /// What is held back, the longest hold first.
--- a/src/quarantine/crash_table.rs
+++ b/src/quarantine/crash_table.rs
@@ -50,7 +50,7 @@
     records: HashMap<RequestFingerprint, SuspectRecord>,
     answered: HashMap<RequestFingerprint, Moment>,
     queue: NewsQueue,
-    /// Held contents that this daemon saw at work, for the voters.
+    /// Held contents that this daemon saw at work, and cleared ones, for the voters.
     reports: NewsQueue,
     /// The digest of the records; none where they have changed since.
     digest: Option<u32>,
@@ -119,7 +119,8 @@
             self.digest = None;
             self.queue.push(request, record.crashes());
         }
-        if is_news && held.is_some() && record.is_witness {
+        let is_cleared = was_held && held.is_none();
+        if is_cleared || (is_news && held.is_some() && record.is_witness) {
             self.reports.push(request, record.crashes());
         }
         let held = held.filter(|_| !was_held);
@@ -134,7 +135,8 @@
         SuspectNews { rows: self.rows(&chosen, now), digest: self.digest() }
     }
 
-    /// What the voters are told next: contents that are held back, by the daemons that saw upstreams end under them.
+    /// What the voters are told next: contents that are held back, by the daemons that saw upstreams end under them, and
+    /// contents that were cleared.
     pub fn reports(&mut self, now: Moment) -> Vec<SuspectRow> {
         let chosen = self.reports.next_rows();
         self.rows(&chosen, now)
--- a/tests/test_quarantine_log.rs
+++ b/tests/test_quarantine_log.rs
@@ -92,6 +92,24 @@
     assert_eq!(log.lacks(&row(CONTENT, reported)), is_news);
 }
 
+/// Symptom: content that was cleared is held back again after a restart. Sequence: it is held back and logged; a run that
+/// was under way ends well, which clears it; daemons start anew. Cause: voters are told of ends alone.
+#[test]
+fn voters_hear_that_a_content_was_cleared() {
+    let mut ledger = ledger();
+    let mut daemon = CrashTable::default();
+    let now = Moment::from_millis(100_000);
+    ledger.quarantine().rows(None, NOON).iter().for_each(|row| _ = daemon.take_row(row, now));
+    assert_eq!(daemon.reports(now), [], "others saw the ends");
+
+    daemon.note_answer(CONTENT, now);
+    let rows = daemon.reports(now);
+
+    assert!(ledger.quarantine().lacks(&rows[0]));
+    ledger.apply(&ControlCommand::Quarantine { rows, at: NOON + 1_000 });
+    assert_eq!(ledger.quarantine().held(NOON + 1_000), []);
+}
+
 #[test]
 fn the_log_is_bounded_and_keeps_what_ended_most_upstreams() {
     let mut log = QuarantineLog::default();
