--- a/tests/shared_places.rs
+++ b/tests/shared_places.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::time::Duration;
 use tarragonknot::policy::{
     DispatchOutcome, FleetGroup, Mechanism, MechanismSet, Moment, OthersWaiting, OthersWork,
@@ -179,7 +179,7 @@
     fn speak(&mut self, now: u64) {
         for daemon in 0..DAEMONS {
             let mut levels = WaitingLevels::default();
-            let mut work: HashMap<_, OthersWork> = HashMap::new();
+            let mut work: BTreeMap<_, OthersWork> = BTreeMap::new();
             let others = self.daemons.iter().enumerate().filter(|(other, _)| *other != daemon);
             for (_, other) in others {
                 other.waiting_levels().iter().for_each(|(level, count)| levels.add(level, count));
