--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -80,7 +80,7 @@
     /// Contents that are held back and under which it saw an upstream end.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<SuspectRow>,
-    /// True until it was told which contents are held back, after its start.
+    /// True from its start until it has received the contents that are held back.
     #[serde(default)]
     pub wants_suspects: bool,
 }
--- a/src/control/fleet_member.rs
+++ b/src/control/fleet_member.rs
@@ -72,7 +72,7 @@
     divides_alone: bool,
     /// Digest of the list of daemons that it took last.
     knows_serving: u64,
-    /// True until it was told which contents are held back.
+    /// True until it has received the contents that are held back.
     wants_suspects: bool,
 }
 
--- a/src/control/quarantine_log.rs
+++ b/src/control/quarantine_log.rs
@@ -79,7 +79,7 @@
         self.records.entry(request).or_default().void(wall(at_ms).into());
     }
 
-    /// What daemons are told: all contents that are not over, or only `request`.
+    /// The rows for daemons: all contents that are not over, or only `request`.
     pub fn rows(&self, request: Option<RequestFingerprint>, now_ms: u64) -> Vec<SuspectRow> {
         let now = wall(now_ms);
         let is_chosen = |known: &RequestFingerprint| request.is_none_or(|one| one == *known);
--- a/src/quarantine/crash_table.rs
+++ b/src/quarantine/crash_table.rs
@@ -14,10 +14,10 @@
 const MOST_RECORDS: usize = 8_192;
 /// Contents with a whole answer that are remembered, at most: near 200 KB.
 const MOST_ANSWERED: usize = 4_096;
-/// A daemon that knows something else for this long is told everything. Longer than news takes through the fleet (three
+/// A peer whose digest differs for this long is sent every record. Longer than news takes through the fleet (three
 /// messages of 126 ms at 1,000 daemons).
 const DIFFERS_FOR: Duration = Duration::from_millis(1_000);
-/// Time between two times that everything is told.
+/// Least time between two full sends of all records.
 const TELL_PAUSE: Duration = Duration::from_millis(2_000);
 /// Time between two looks for records that are over.
 const FORGET_PAUSE: Duration = Duration::from_secs(1);
@@ -135,7 +135,7 @@
         SuspectNews { rows: self.rows(&chosen, now), digest: self.digest() }
     }
 
-    /// What the voters are told next: contents that are held back, by the daemons that saw upstreams end under them, and
+    /// The next report to the voters: contents that are held back, by the daemons that saw upstreams end under them, and
     /// contents that were cleared.
     pub fn reports(&mut self, now: Moment) -> Vec<SuspectRow> {
         let chosen = self.reports.next_rows();
@@ -160,7 +160,7 @@
         self.change(row.request, now, |record| record.take(row, now))
     }
 
-    /// Tells everything again to a daemon that goes on knowing something else: it has just started, or was cut off while
+    /// Sends every record again to a peer whose digest goes on differing: it has just started, or was cut off while
     /// news went round.
     fn compare(&mut self, from: &DaemonName, digest: u32, now: Moment) {
         if self.digest() == digest {
--- a/src/quarantine/news_queue.rs
+++ b/src/quarantine/news_queue.rs
@@ -4,13 +4,13 @@
 use super::suspect_news::MOST_ROWS;
 use std::collections::{BTreeMap, HashMap};
 
-/// A row is told with this many messages: each is lost now and then.
+/// A row is sent with this many messages: each is lost now and then.
 const TOLD_TIMES: u8 = 4;
 
 /// A row's place in the queue: rows with more ends first, then in the order in which they came.
 type QueuePlace = (std::cmp::Reverse<usize>, u64);
 
-/// Rows that wait to be told.
+/// Rows that wait to be sent.
 #[derive(Clone, Debug, Default)]
 pub struct NewsQueue {
     places: HashMap<RequestFingerprint, (QueuePlace, u8)>,
@@ -19,7 +19,7 @@
 }
 
 impl NewsQueue {
-    /// A row changed, or is to be told anew; `crashes` of it count.
+    /// A row changed, or is to be sent anew; `crashes` of it count.
     pub fn push(&mut self, request: RequestFingerprint, crashes: usize) {
         self.put(request, crashes, TOLD_TIMES);
     }
--- a/src/quarantine/suspect_news.rs
+++ b/src/quarantine/suspect_news.rs
@@ -1,4 +1,4 @@
-//! What daemons tell each other of requests under which upstreams ended.
+//! News between peers of requests under which upstreams ended.
 
 use super::RequestFingerprint;
 use crate::policy::UpstreamHash;
@@ -29,7 +29,7 @@
 pub struct SuspectNews {
     /// Stands for all that the sender knows; daemons that know the same have the same.
     pub digest: u32,
-    /// Rows that are news, or are told again.
+    /// Rows that are new, or are sent again.
     pub rows: Vec<SuspectRow>,
 }
 
--- a/src/traffic/quarantine_gate.rs
+++ b/src/traffic/quarantine_gate.rs
@@ -60,18 +60,18 @@
         self.lock().note_answer(request, now);
     }
 
-    /// What is told to other daemons next.
+    /// The next news for the peers.
     pub fn news(&self, now: Moment) -> SuspectNews {
         self.lock().news(now)
     }
 
-    /// Takes what another daemon tells.
+    /// Takes the news of a peer.
     pub fn take(&self, state: &TrafficState, from: &DaemonName, news: &SuspectNews) {
         let held = self.lock().take(from, news, state.clock.now());
         note_held(state, &held, from.as_str());
     }
 
-    /// What the voters are told next.
+    /// The next report to the voters.
     pub fn reports(&self, now: Moment) -> Vec<SuspectRow> {
         self.lock().reports(now)
     }
