Logs and metrics tell how requests fare by size within their route

Cause of the change: neither logs nor metrics could tell the hypotheses of the incident apart, which differ in where requests of one size are lost. Lines that end a request name its sizes, its tenth by size among the recent ones of its route, and whether its caller has returned; sent names how slow the engine is; tarragonknot_size_requests_total counts ends by tenth. Bounded by ten tenths and the tiers; no decision changed.

Tests: test_request_sizes (new), each_end_of_a_request_is_counted checks the new counter.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -16,6 +16,7 @@
 mod placement;
 mod queue;
 mod repeat_budget;
+mod request_sizes;
 mod scheduler;
 mod shared_list;
 mod shed_audit;
@@ -45,6 +46,7 @@
 };
 pub use queue::{FairQueue, FifoQueue, TierShare, WaitingQueue, WaitingRequest};
 pub use repeat_budget::{RepeatBound, RepeatBudget};
+pub use request_sizes::{RouteSizes, SizeTenth};
 pub use scheduler::{
     ArrivedRequest, DispatchOutcome, OthersWaiting, PoolAction, PoolEvent, PoolPlan, PoolScheduler,
     PoolStatus,
--- /dev/null
+++ b/src/policy/request_sizes.rs
@@ -0,0 +1,55 @@
+//! Where a request stands by size among the recent requests of its route.
+
+use super::RequestSizes;
+use super::worth::size;
+use std::collections::VecDeque;
+
+/// Requests of a route that a new one is compared with.
+const RECENT_REQUESTS: usize = 256;
+/// Fewer say nothing of what is large.
+const LEAST_REQUESTS: usize = 10;
+
+/// A tenth of a route's requests by size: 0 the smallest, 9 the largest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SizeTenth(u8);
+
+impl SizeTenth {
+    /// The largest tenth.
+    pub const LARGEST: SizeTenth = SizeTenth(9);
+    const NAMES: [&str; 10] = ["0", "1", "2", "3", "4", "5", "6", "7", "8", "9"];
+
+    /// The tenth of a request that is larger than `smaller` of `all` others.
+    pub fn of_rank(smaller: usize, all: usize) -> Self {
+        SizeTenth((smaller * 10 / all.max(1)).min(9) as u8)
+    }
+
+    /// Its number as a label.
+    pub fn name(self) -> &'static str {
+        Self::NAMES[usize::from(self.0)]
+    }
+
+    /// Its number.
+    pub fn number(self) -> u8 {
+        self.0
+    }
+}
+
+/// The sizes of one route's recent requests, as estimated when they came.
+#[derive(Clone, Debug, Default)]
+pub struct RouteSizes {
+    recent: VecDeque<f64>,
+}
+
+impl RouteSizes {
+    /// Takes a request's sizes. Its tenth among those before it; none while too few are known.
+    pub fn tenth(&mut self, sizes: RequestSizes) -> Option<SizeTenth> {
+        let size = size(sizes.prompt, sizes.output);
+        let known = self.recent.len();
+        let smaller = self.recent.iter().filter(|other| **other < size).count();
+        if known == RECENT_REQUESTS {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(size);
+        (known >= LEAST_REQUESTS).then(|| SizeTenth::of_rank(smaller, known))
+    }
+}
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -370,9 +370,14 @@
     /// Prompt tokens that an upstream reads before the first event of a request sent now, and how slow it is.
     fn ahead_of(&self, upstream: UpstreamIndex, own: u32) -> (u64, f64) {
         let Some(status) = self.upstreams.get(upstream) else { return (u64::from(own), 1.0) };
-        let ahead = status.all_unread() + u64::from(own);
+        (status.all_unread() + u64::from(own), self.slowness(upstream))
+    }
+
+    /// How many times slower than the pool's usual an upstream is; 1 if that is not known.
+    pub fn slowness(&self, upstream: UpstreamIndex) -> f64 {
         let usual = self.model.speed().gap_micros.max(1.0);
-        (ahead, status.gap().unwrap_or(usual) / usual)
+        let gap = self.upstreams.get(upstream).and_then(UpstreamStatus::gap);
+        gap.map_or(1.0, |gap| gap / usual)
     }
 
     fn refuse_waiting(&mut self, kind: AnswerKind, actions: &mut Vec<PoolAction>) {
--- a/src/policy/worth.rs
+++ b/src/policy/worth.rs
@@ -62,7 +62,8 @@
     }
 }
 
-fn size(prompt_tokens: u32, output_tokens: u32) -> f64 {
+/// Size of a request as its worth counts it, in prompt tokens.
+pub(super) fn size(prompt_tokens: u32, output_tokens: u32) -> f64 {
     f64::from(prompt_tokens) + OUTPUT_WORTH * f64::from(output_tokens)
 }
 
--- a/src/report/measures.rs
+++ b/src/report/measures.rs
@@ -1,6 +1,7 @@
 //! Metrics by `metrics`, shown in the Prometheus text format.
 
 use crate::answer::AnswerKind;
+use crate::policy::SizeTenth;
 use crate::table::{OrganisationName, RouteKind, ServiceRow, TierName};
 use crate::traffic::TrafficState;
 use metrics::{counter, gauge, histogram};
@@ -13,6 +14,9 @@
 const LATENCY_BUCKETS: [f64; 12] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75, 1.0, 2.5, 5.0, 10.0];
 
+/// A request refused within this time did not wait.
+const AT_ONCE: Duration = Duration::from_millis(5);
+
 /// Installs the process's metrics recorder; later calls change nothing.
 pub fn install_metrics() {
     HANDLE.get_or_init(|| {
@@ -76,6 +80,10 @@
     pub tier: &'a TierName,
     /// How it ended: the refusal's name, `answered`, `upstream-failure`, `cut` or `caller-left`.
     pub outcome: &'static str,
+    /// Its tenth by size among the recent requests of its route, if that is known.
+    pub size_tenth: Option<SizeTenth>,
+    /// True if an answer met its objectives.
+    pub is_in_time: bool,
     /// Time to the first event of a stream.
     pub first_event: Option<Duration>,
     /// The longest pause between two events.
@@ -89,6 +97,12 @@
     let (kind, tier) = (record.kind.name(), record.tier.to_string());
     counter!("tarragonknot_route_requests_total", "kind" => kind, "tier" => tier.clone(), "outcome" => record.outcome)
         .increment(1);
+    let outcome = match record.outcome {
+        "answered" if !record.is_in_time => "answered-late",
+        "deadline-waiting" if record.total < AT_ONCE => "deadline-at-once",
+        outcome => outcome,
+    };
+    record_size(record.kind, record.tier, record.size_tenth, outcome);
     histogram!("tarragonknot_route_request_seconds", "kind" => kind, "tier" => tier.clone())
         .record(record.total);
     if let Some(time) = record.first_event {
@@ -99,6 +113,18 @@
     }
 }
 
+/// Counts one ended request by its size among the recent requests of its route.
+pub fn record_size(
+    kind: RouteKind,
+    tier: &TierName,
+    size_tenth: Option<SizeTenth>,
+    outcome: &'static str,
+) {
+    let tenth = size_tenth.map_or("unknown", SizeTenth::name);
+    counter!("tarragonknot_size_requests_total", "kind" => kind.name(), "tier" => tier.to_string(), "tenth" => tenth, "outcome" => outcome)
+        .increment(1);
+}
+
 /// The metrics page.
 pub fn render_metrics(state: &TrafficState) -> String {
     for (service, pool) in state.pools().iter() {
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -5,5 +5,6 @@
 
 pub use logging::json_logger;
 pub use measures::{
-    RequestRecord, RouteRecord, install_metrics, record_request, record_route, render_metrics,
+    RequestRecord, RouteRecord, install_metrics, record_request, record_route, record_size,
+    render_metrics,
 };
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -184,6 +184,11 @@
         })
     }
 
+    /// How many times slower than the pool's usual an upstream is; 1 if that is not known.
+    pub fn slowness(&self, upstream: UpstreamIndex) -> f64 {
+        self.inspect(|scheduler| scheduler.slowness(upstream))
+    }
+
     /// True if the upstream is the one that it was when a place there was asked for, and takes work. Its own word on its
     /// birth, if it came with the place, is taken first.
     pub fn is_still(&self, upstream: UpstreamIndex, incarnation: Option<u64>) -> bool {
--- a/src/traffic/routed/carry.rs
+++ b/src/traffic/routed/carry.rs
@@ -5,10 +5,11 @@
 use super::door::{LimitGuard, find_entry};
 use super::relay::{StreamPace, StreamRelay, stream_response, whole_response};
 use super::reserve::{NO_PLACE, Reservation, reserve};
+use super::size_fields::SizeFields;
 use crate::answer::{AnswerKind, RefusalAnswer};
 use crate::policy::{
-    ArrivedRequest, DispatchOutcome, Moment, PoolEvent, RequestId, RequestSizes, UpstreamIndex,
-    UpstreamWord,
+    ArrivedRequest, DispatchOutcome, Moment, PoolEvent, RequestId, RequestSizes, SizeTenth,
+    UpstreamIndex, UpstreamWord,
 };
 use crate::quarantine::RequestFingerprint;
 use crate::report::{RouteRecord, record_route};
@@ -57,6 +58,8 @@
     pub route: Arc<RouteRow>,
     pub caller: Option<CallerIdentity>,
     pub sizes: Option<RequestSizes>,
+    /// Its tenth by size among the recent requests of its route, if that is known.
+    pub size_tenth: Option<SizeTenth>,
     /// When the caller's or the route's time is over, whichever is first.
     pub deadline: Moment,
     /// True if the caller named a deadline.
@@ -118,7 +121,7 @@
             let after = self.state.clock.now().since(self.arrived_at).as_millis() as u64;
             self.record("caller-left", None);
             info!(self.state.log, "caller left"; "request" => self.id(), "stage" => format!("{:?}", self.stage),
-                "route" => &self.route.route, "after_ms" => after, "left_ms" => self.time_left().as_millis() as u64);
+                "route" => &self.route.route, "after_ms" => after, "left_ms" => self.time_left().as_millis() as u64, self.size_fields());
         }
     }
 }
@@ -135,12 +138,26 @@
             kind: self.route.kind,
             tier: &self.route.tier,
             outcome,
+            size_tenth: self.size_tenth,
+            is_in_time: pace.is_none_or(|pace| self.is_in_time(pace)),
             first_event: pace.and_then(|pace| pace.first_after(self.arrived_at)),
             longest_pause: pace.map(StreamPace::longest_pause),
             total: self.state.clock.now().since(self.arrived_at),
         });
     }
 
+    /// True if a stream's first event came within its objective and no pause was too long.
+    fn is_in_time(&self, pace: &StreamPace) -> bool {
+        let first = pace.first_after(self.arrived_at);
+        let is_steady = self.route.gap_ms.is_none_or(|gap| pace.longest_pause() <= gap);
+        is_steady && first.is_some_and(|first| self.arrived_at + first <= self.objective())
+    }
+
+    /// Its size, for the lines that tell what was decided of it and how it ended.
+    pub fn size_fields(&self) -> SizeFields {
+        SizeFields::new(&self.facts, self.size_tenth, self.has_returned)
+    }
+
     /// The request's id, for logs.
     pub fn id(&self) -> &str {
         self.facts.id.as_deref().unwrap_or_default()
@@ -301,7 +318,7 @@
             "service" => placed.pool.service.as_str(), "upstream" => placed.name.as_str(), "waited_ms" => waited,
             "send" => count.sent + 1, "after_event" => last_event, "fingerprint" => self.fingerprint.to_string(), "table" => self.state.snapshot().version,
             "left_ms" => self.time_left().as_millis() as u64, "tokens" => self.limit.as_ref().map_or(0, |limit| limit.cost),
-            "returned" => self.has_returned, "prompt" => self.facts.prompt_tokens, "output_limit" => self.facts.output_limit, "output_guess" => self.facts.output_guess);
+            "slowness" => format!("{:.2}", placed.pool.slowness(placed.upstream)), self.size_fields());
     }
 }
 
@@ -413,7 +430,7 @@
     let waited = request.state.clock.now().since(request.arrived_at).as_millis() as u64;
     request.record(kind.row().name, None);
     info!(request.state.log, "refused"; "request" => request.id(), "kind" => kind.row().name,
-        "route" => &request.route.route, "sent" => count.sent, "may_have_run" => count.may_have_run, "after_ms" => waited);
+        "route" => &request.route.route, "sent" => count.sent, "may_have_run" => count.may_have_run, "after_ms" => waited, request.size_fields());
     RefusalAnswer::new(kind, "", request.state.jitter())
         .returning_within(request.return_time(kind))
         .response(request.id())
--- a/src/traffic/routed/door.rs
+++ b/src/traffic/routed/door.rs
@@ -2,9 +2,11 @@
 
 use super::carry::{CarriedRequest, RequestStage, carry};
 use super::dialect::{CallDialect, CallerFacts};
+use super::size_fields::SizeFields;
 use crate::answer::{AnswerKind, RefusalAnswer};
 use crate::policy::{LimitClaim, Moment, OrganisationIndex, RequestSizes};
 use crate::quarantine::{RequestContent, RequestFingerprint};
+use crate::report::record_size;
 use crate::table::RouteRow;
 use crate::traffic::access::CallerIdentity;
 use crate::traffic::state::{TableSnapshot, TrafficState};
@@ -83,6 +85,8 @@
     let has_returned =
         facts.deadline.is_some_and(|time| state.has_returned(&entry.route.route, time));
     let tokens = facts.prompt_tokens.map(|prompt| prompt + facts.output_limit.unwrap_or(0));
+    let sizes = sizes_of(&facts);
+    let size_tenth = sizes.and_then(|sizes| state.size_tenth(&entry.route.route, sizes));
     let limit = match &entry.caller {
         Some(caller) => {
             let snapshot = state.snapshot();
@@ -96,7 +100,9 @@
                 let rate = state.limits().rate(caller.index).unwrap_or_default();
                 info!(state.log, "over the limit"; "request" => facts.id.as_deref().unwrap_or_default(),
                     "organisation" => caller.organisation.as_str(), "tokens" => cost, "refilled_ms" => wait.as_millis() as u64,
-                    "rate" => rate as u64, "rank" => rank, "returned" => has_returned);
+                    "rate" => rate as u64, "rank" => rank, "route" => &entry.route.route,
+                    SizeFields::new(&facts, size_tenth, has_returned));
+                record_size(entry.route.kind, &entry.route.tier, size_tenth, "rate-limited");
             }
             admitted?;
             Some(LimitGuard {
@@ -115,7 +121,8 @@
         dialect,
         route: entry.route,
         caller: entry.caller,
-        sizes: sizes_of(&facts),
+        sizes,
+        size_tenth,
         fingerprint,
         deadline: arrived_at + wait,
         has_deadline: facts.deadline.is_some(),
--- a/src/traffic/routed/mod.rs
+++ b/src/traffic/routed/mod.rs
@@ -11,6 +11,7 @@
 mod index;
 mod relay;
 mod reserve;
+mod size_fields;
 
 use crate::policy::OrganisationIndex;
 
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -192,7 +192,7 @@
         let after = now.since(arrived);
         info!(self.request.state.log, "answered"; "request" => self.request.id(), "upstream" => self.placed.name.as_str(),
             "status" => 200, "after_ms" => after.as_millis() as u64, "first_ms" => first.as_millis() as u64,
-            "pause_ms" => self.pace.longest_pause.as_millis() as u64, "events" => self.cutter.events());
+            "pause_ms" => self.pace.longest_pause.as_millis() as u64, "events" => self.cutter.events(), self.request.size_fields());
     }
 
     fn cut(&mut self, detail: &str) -> RelayStep {
@@ -202,7 +202,7 @@
         self.connection = None;
         self.placed.guard.end(DispatchOutcome::Failed);
         info!(self.request.state.log, "stream cut"; "request" => self.request.id(), "upstream" => self.placed.name.as_str(),
-            "events" => self.cutter.events(), "detail" => detail);
+            "events" => self.cutter.events(), "detail" => detail, self.request.size_fields());
         RelayStep::Cut
     }
 
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -10,7 +10,7 @@
 use crate::control::ClaimKeeper;
 use crate::policy::{
     CallerTimes, LimitTable, Mechanism, MechanismSet, Moment, PoolEvent, PoolPlan, RepeatBound,
-    RepeatBudget, UpstreamSource,
+    RepeatBudget, RequestSizes, RouteSizes, SizeTenth, UpstreamSource,
 };
 use crate::table::{
     DaemonName, OperatorTable, ServiceKind, ServiceName, TableReader, VersionedTable,
@@ -71,6 +71,8 @@
     mechanisms: OnceLock<MechanismSet>,
     /// The time that callers have, by route.
     caller_times: Mutex<HashMap<String, CallerTimes>>,
+    /// Sizes of recent requests, by route.
+    route_sizes: Mutex<HashMap<String, RouteSizes>>,
     is_ready: AtomicBool,
     is_drained: AtomicBool,
     claims: OnceLock<ClaimKeeper>,
@@ -113,6 +115,7 @@
             repeat_bound: OnceLock::new(),
             mechanisms: OnceLock::new(),
             caller_times: Mutex::default(),
+            route_sizes: Mutex::default(),
             is_ready: AtomicBool::new(true),
             is_drained: AtomicBool::new(false),
             claims: OnceLock::new(),
@@ -241,6 +244,15 @@
         times.entry(route.to_owned()).or_default().has_returned(time)
     }
 
+    /// The tenth by size of a request among the recent ones of its route; none while too few are known.
+    pub fn size_tenth(&self, route: &str, sizes: RequestSizes) -> Option<SizeTenth> {
+        let mut known = self.route_sizes.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(known) = known.get_mut(route) {
+            return known.tenth(sizes);
+        }
+        known.entry(route.to_owned()).or_default().tenth(sizes)
+    }
+
     /// The budget for second sends to a service.
     pub fn with_repeats<T>(
         &self,
@@ -285,6 +297,9 @@
         let mut times = self.caller_times.lock().unwrap_or_else(PoisonError::into_inner);
         times.retain(|route, _| routes.contains(route.as_str()));
         drop(times);
+        let mut sizes = self.route_sizes.lock().unwrap_or_else(PoisonError::into_inner);
+        sizes.retain(|route, _| routes.contains(route.as_str()));
+        drop(sizes);
         self.update_sources(access.table());
     }
 
--- /dev/null
+++ b/tests/test_request_sizes.rs
@@ -0,0 +1,38 @@
+//! The place of a request by size among the recent ones of its route.
+
+use rstest::rstest;
+use tarragonknot::policy::{RequestSizes, RouteSizes, SizeTenth};
+
+fn sizes(output: u32) -> RequestSizes {
+    RequestSizes { prompt: 100, output }
+}
+
+fn known_sizes(outputs: impl Iterator<Item = u32>) -> RouteSizes {
+    let mut known = RouteSizes::default();
+    outputs.for_each(|output| drop(known.tenth(sizes(output))));
+    known
+}
+
+#[rstest]
+#[case::smallest(0, 0)]
+#[case::middle(55, 5)]
+#[case::largest(1_000, 9)]
+fn a_request_has_its_tenth_among_the_recent_ones(#[case] output: u32, #[case] tenth: u8) {
+    let mut known = known_sizes(1..=100);
+
+    assert_eq!(known.tenth(sizes(output)).map(SizeTenth::number), Some(tenth));
+}
+
+#[test]
+fn nothing_is_large_before_enough_is_known() {
+    let mut known = known_sizes(1..=9);
+
+    assert_eq!(known.tenth(sizes(1_000)), None);
+}
+
+#[test]
+fn what_was_usual_long_ago_is_forgotten() {
+    let mut known = known_sizes((0..300).map(|_| 1_000).chain((0..300).map(|_| 10)));
+
+    assert_eq!(known.tenth(sizes(20)), Some(SizeTenth::LARGEST));
+}
--- a/tests/test_routed.rs
+++ b/tests/test_routed.rs
@@ -314,6 +314,8 @@
         assert!(is_counted, "{row} in {page}");
     }
     assert!(page.contains("tarragonknot_route_first_event_seconds_bucket"), "{page}");
+    let by_size = "kind=\"stream\",tier=\"rank-0\",tenth=\"unknown\",outcome=\"cut\"";
+    assert!(page.contains(&format!("tarragonknot_size_requests_total{{{by_size}}}")), "{page}");
 }
 
 /// Symptom: a service that fails gets nearly twice its requests, from each daemon. Cause: repeats without a budget.
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -37,6 +37,7 @@
 mod test_quarantine_fleet;
 mod test_quarantine_log;
 mod test_replica;
+mod test_request_sizes;
 mod test_reservations;
 mod test_roll_out;
 mod test_routed;
