--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -153,6 +153,7 @@
                 output_limit: Some(16),
                 deadline: now + Duration::from_secs(10),
                 sizes: None,
+                size_tenth: None,
                 rank: 0,
                 objective: None,
                 patience: None,
--- a/src/experiment/run.rs
+++ b/src/experiment/run.rs
@@ -222,6 +222,7 @@
             output_limit: Some(arrived.planned.output_tokens),
             deadline: self.now + class.deadline,
             sizes: None,
+            size_tenth: None,
             rank: 0,
             objective: None,
             patience: None,
--- a/src/policy/scheduler/events.rs
+++ b/src/policy/scheduler/events.rs
@@ -4,7 +4,7 @@
 use crate::answer::AnswerKind;
 use crate::policy::{
     FleetGroup, FloorOrder, LoadReport, Moment, OrganisationIndex, OthersWork, RequestId,
-    RequestSizes, TierRank, UpstreamIndex, UpstreamSource, UpstreamWord, WaitingLevels,
+    RequestSizes, SizeTenth, TierRank, UpstreamIndex, UpstreamSource, UpstreamWord, WaitingLevels,
 };
 use crate::table::UpstreamName;
 use std::time::Duration;
@@ -45,6 +45,8 @@
     pub pause: Option<Duration>,
     /// Its size, where the caller says; else it is estimated.
     pub sizes: Option<RequestSizes>,
+    /// Its tenth by size among the recent requests of its route, if that is known.
+    pub size_tenth: Option<SizeTenth>,
     /// Hashes of the prompt's leading blocks.
     pub prefix: Box<[u64]>,
 }
--- a/src/traffic/front/admitted.rs
+++ b/src/traffic/front/admitted.rs
@@ -226,6 +226,7 @@
         output_limit: shape.output_limit,
         deadline: now + deadline,
         sizes: None,
+        size_tenth: None,
         rank: 0,
         objective: None,
         patience: None,
--- a/src/traffic/routed/carry.rs
+++ b/src/traffic/routed/carry.rs
@@ -268,6 +268,7 @@
             patience: self.route.patience_ms.map(|time| self.arrived_at + time),
             pause: self.route.gap_ms,
             sizes: self.sizes,
+            size_tenth: self.size_tenth,
             prefix: Box::default(),
         }
     }
--- a/tests/burst_pool.rs
+++ b/tests/burst_pool.rs
@@ -40,6 +40,7 @@
         patience: Some(at(2_400)),
         pause: None,
         sizes: Some(RequestSizes { prompt: 100, output }),
+        size_tenth: None,
         prefix: Box::default(),
     }
 }
--- a/tests/session.rs
+++ b/tests/session.rs
@@ -170,6 +170,7 @@
             output_limit: Some(16),
             deadline: self.now + Duration::from_millis(deadline),
             sizes: None,
+            size_tenth: None,
             rank: 0,
             objective: None,
             patience: None,
--- a/tests/test_experiment.rs
+++ b/tests/test_experiment.rs
@@ -155,6 +155,7 @@
             output_limit: Some(16),
             deadline: Moment::from_millis(60_000),
             sizes: None,
+            size_tenth: None,
             rank: 0,
             objective: None,
             patience: None,
--- a/tests/test_policy.rs
+++ b/tests/test_policy.rs
@@ -166,7 +166,7 @@
                 let deadline = now + Duration::from_millis(deadline);
                 let arrived = ArrivedRequest {
                     id, organisation: OrganisationIndex(u32::from(tier)), weight: 1, tier: TierRank(tier), prompt_bytes: tokens * 4,
-                    output_limit: Some(16), deadline, sizes: None,
+                    output_limit: Some(16), deadline, sizes: None, size_tenth: None,
             rank: 0,
             objective: None,
             patience: None,
@@ -304,6 +304,7 @@
             output_limit: Some(16),
             deadline: Moment::from_millis(60_000),
             sizes: None,
+            size_tenth: None,
             rank: 0,
             objective: None,
             patience: None,
--- a/tests/test_request_sizes.rs
+++ b/tests/test_request_sizes.rs
@@ -9,7 +9,9 @@
 
 fn known_sizes(outputs: impl Iterator<Item = u32>) -> RouteSizes {
     let mut known = RouteSizes::default();
-    outputs.for_each(|output| drop(known.tenth(sizes(output))));
+    for output in outputs {
+        known.tenth(sizes(output));
+    }
     known
 }
 
