Limits let all sizes of a kind through alike

Cause: whether a request passes was decided with its own tokens. The pace kept no more credit than two requests of the last size, so that after a small one a large one never had enough; the rest of the bucket went to what fitted into it; and small ones left nothing to higher ranks.

Fix: the usual cost of the route decides, as the daemon sees it; each request is charged its own, and none passes beyond the whole burst. Kinds stay as they were beside one another.

--- a/src/policy/organisation_limits.rs
+++ b/src/policy/organisation_limits.rs
@@ -22,7 +22,7 @@
 /// asks for twice its limit spends half of it on answers that come too late, while newcomers are refused and come back
 /// as late ones themselves.
 const RETURN_RESERVE: f64 = 0.35;
-/// Requests of at most this part of the burst leave nothing to higher ranks: refusing a booking of 200 tokens saves
+/// Kinds whose requests cost at most this part of the burst leave nothing to higher ranks: refusing a booking of 200 tokens saves
 /// next to nothing of a limit of 65,000.
 const SMALL_PART: f64 = 0.01;
 /// A bucket is never charged further below empty than this, in microseconds until it is empty again.
@@ -125,6 +125,8 @@
 pub struct LimitClaim {
     /// Tokens.
     pub cost: u32,
+    /// Tokens of a usual request of its kind.
+    pub usual_cost: u32,
     /// Rank of its route, 0 the highest.
     pub rank: u8,
     /// True if its caller has been here before with it.
@@ -274,7 +276,11 @@
         cost: u32,
         now: Moment,
     ) -> Result<(), AnswerKind> {
-        self.admit_claim(organisation, LimitClaim { cost, ..LimitClaim::default() }, now)
+        self.admit_claim(
+            organisation,
+            LimitClaim { cost, usual_cost: cost, ..LimitClaim::default() },
+            now,
+        )
     }
 
     /// The same for a request of a rank: lower ranks leave the last part of the bucket to higher ones. What goes wrong
@@ -308,21 +314,26 @@
         if let Some((rate, burst)) = whole {
             let (rate, burst) = (rate * self.share, burst * self.share);
             let time_now = now.0 as f64;
-            let full_at = state.full_at.max(time_now) + f64::from(cost) / rate * MICROS;
+            let full_at = state.full_at.max(time_now);
             let unknown = state.forecast.unknown(now);
+            let spent = (full_at - time_now) * rate / MICROS + unknown;
             // A request larger than the whole burst passes when the bucket is full: it could never pass otherwise.
-            let is_full = state.full_at <= time_now && unknown < f64::from(cost);
-            let is_small = f64::from(cost) <= burst * SMALL_PART;
+            let is_full = full_at <= time_now && unknown < f64::from(cost);
+            // What decides is the usual cost of the kind: with each request's own, small ones would use up what a large
+            // one waits for.
+            let usual_cost = f64::from(claim.usual_cost);
+            let is_small = usual_cost <= burst * SMALL_PART;
             let usable = if is_small { burst } else { burst * (1.0 - reserve) };
-            let spent = (full_at - time_now) * rate / MICROS + unknown;
-            if spent > usable && !is_full {
+            let is_spent = spent + usual_cost > usable || spent + f64::from(cost) > burst;
+            if is_spent && !is_full {
                 return Err(AnswerKind::RateLimited);
             }
-            if spent + state.forecast.contended() > usable
-                && !state.passes_paced(f64::from(cost), rate, self.pace_start)
+            if spent + usual_cost + state.forecast.contended() > usable
+                && !state.passes_paced(usual_cost, rate, self.pace_start)
             {
                 return Err(AnswerKind::RateLimited);
             }
+            let full_at = full_at + f64::from(cost) / rate * MICROS;
             state.full_at = full_at;
         }
         state.taken += i64::from(cost);
--- a/src/policy/request_sizes.rs
+++ b/src/policy/request_sizes.rs
@@ -8,6 +8,8 @@
 const RECENT_REQUESTS: usize = 256;
 /// Fewer say nothing of what is large.
 const LEAST_REQUESTS: usize = 10;
+/// Weight of a request in the usual cost of its route.
+const COST_WEIGHT: f64 = 0.05;
 
 /// A tenth of a route's requests by size: 0 the smallest, 9 the largest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -38,9 +40,18 @@
 #[derive(Clone, Debug, Default)]
 pub struct RouteSizes {
     recent: VecDeque<f64>,
+    usual_cost: Option<f64>,
 }
 
 impl RouteSizes {
+    /// Takes what a request costs of a limit. The usual cost, this one counted.
+    pub fn usual_cost(&mut self, cost: u32) -> u32 {
+        let cost = f64::from(cost);
+        let usual = self.usual_cost.map_or(cost, |usual| usual + (cost - usual) * COST_WEIGHT);
+        self.usual_cost = Some(usual);
+        usual as u32
+    }
+
     /// Takes a request's sizes. Its tenth among those before it; none while too few are known.
     pub fn tenth(&mut self, sizes: RequestSizes) -> Option<SizeTenth> {
         let size = size(sizes.prompt, sizes.output);
--- a/src/traffic/routed/door.rs
+++ b/src/traffic/routed/door.rs
@@ -93,7 +93,8 @@
             let cost = snapshot.access.counted(caller, tokens);
             let rank = snapshot.access.route_rank(&entry.route);
             let now = state.clock.now();
-            let claim = LimitClaim { cost, rank, has_returned };
+            let usual_cost = state.usual_cost(&entry.route.route, cost);
+            let claim = LimitClaim { cost, usual_cost, rank, has_returned };
             let admitted = state.limits().admit_claim(caller.index, claim, now);
             if admitted.is_err() {
                 let wait = state.limits().refilled_in(caller.index, now);
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -246,11 +246,20 @@
 
     /// The tenth by size of a request among the recent ones of its route; none while too few are known.
     pub fn size_tenth(&self, route: &str, sizes: RequestSizes) -> Option<SizeTenth> {
+        self.with_route_sizes(route, |known| known.tenth(sizes))
+    }
+
+    /// Takes what a request of a route costs of its organisation's limit; what one usually costs.
+    pub fn usual_cost(&self, route: &str, cost: u32) -> u32 {
+        self.with_route_sizes(route, |known| known.usual_cost(cost))
+    }
+
+    fn with_route_sizes<T>(&self, route: &str, take: impl FnOnce(&mut RouteSizes) -> T) -> T {
         let mut known = self.route_sizes.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(known) = known.get_mut(route) {
-            return known.tenth(sizes);
+            return take(known);
         }
-        known.entry(route.to_owned()).or_default().tenth(sizes)
+        take(known.entry(route.to_owned()).or_default())
     }
 
     /// The budget for second sends to a service.
