--- /dev/null
+++ b/benches/size_share.rs
@@ -0,0 +1,53 @@
+//! What the promise by size costs, in virtual time: `cargo bench --bench size_share`.
+//!
+//! For each level of the promise and each number of daemons, at twice what the engines do: the part of all requests that is
+//! served, and served in time, and by kind the part of all and of the largest tenth.
+
+#[allow(dead_code)]
+#[path = "../tests/burst_pool.rs"]
+mod burst_pool;
+#[allow(dead_code)]
+#[path = "../tests/session.rs"]
+mod session;
+#[path = "../tests/sized_load.rs"]
+mod sized_load;
+
+use comfy_table::Table;
+use sized_load::{SizedEnd, SizedLoad, by_size, in_time_part, play, play_with, served_part};
+
+const PROMISES: [f64; 5] = [0.0, 0.25, 0.5, 0.75, 1.0];
+const DAEMONS: [usize; 4] = [1, 7, 56, 291];
+
+fn lost(ends: &[SizedEnd]) -> f64 {
+    ends.iter().filter(|end| end.is_lost).count() as f64 / ends.len().max(1) as f64
+}
+
+/// Of a kind, the part of all and of the largest tenth that is served.
+fn of_kind(ends: &[SizedEnd], kind: usize) -> String {
+    let own = by_size(ends, kind);
+    let largest = &own[own.len() * 9 / 10..];
+    format!("{:.3}, {:.3}", served_part(own.iter()), served_part(largest.iter()))
+}
+
+fn row(name: &str, ends: &[SizedEnd]) -> Vec<String> {
+    let mut row = vec![name.to_owned()];
+    row.extend(
+        [served_part(ends.iter()), in_time_part(ends), lost(ends)].map(|part| format!("{part:.3}")),
+    );
+    row.extend((0..3).map(|kind| of_kind(ends, kind)));
+    row
+}
+
+fn main() {
+    let mut table = Table::new();
+    table.set_header(["load", "served", "in time", "in vain", "kind 0", "kind 1", "kind 2"]);
+    for daemons in DAEMONS {
+        for promise in PROMISES {
+            let ends = play_with(&SizedLoad::overload(daemons), |plan| plan.size_share = promise);
+            table.add_row(row(&format!("{daemons} daemons, promise {promise}"), &ends));
+        }
+    }
+    let calm = play(&SizedLoad { times: 0.5, ..SizedLoad::overload(7) });
+    table.add_row(row("7 daemons, half of the load", &calm));
+    println!("{table}");
+}
--- a/tests/sized_load.rs
+++ b/tests/sized_load.rs
@@ -88,6 +88,8 @@
     pub kind: usize,
     pub size: f64,
     pub is_served: bool,
+    /// True if it was served and its first event came within its objective.
+    pub is_in_time: bool,
     /// True if it was begun and not served.
     pub is_lost: bool,
 }
@@ -99,6 +101,11 @@
     f64::from(served) / f64::from(all.max(1))
 }
 
+/// The part of `ends` that was served in time.
+pub fn in_time_part(ends: &[SizedEnd]) -> f64 {
+    ends.iter().filter(|end| end.is_in_time).count() as f64 / ends.len().max(1) as f64
+}
+
 /// The requests of a kind, the smallest first.
 pub fn by_size(ends: &[SizedEnd], kind: usize) -> Vec<SizedEnd> {
     let mut own: Vec<SizedEnd> = ends.iter().copied().filter(|end| end.kind == kind).collect();
@@ -113,6 +120,7 @@
     output: f64,
     deadline: u64,
     is_served: bool,
+    is_in_time: bool,
     is_begun: bool,
 }
 
@@ -150,6 +158,7 @@
         kind: request.kind,
         size: request.prompt + 10.0 * request.output,
         is_served: request.is_served,
+        is_in_time: request.is_served && request.is_in_time,
         is_lost: request.is_begun && !request.is_served,
     });
     ends.collect()
@@ -261,6 +270,7 @@
             output,
             deadline,
             is_served: false,
+            is_in_time: false,
             is_begun: false,
         };
         self.requests.insert(id, request);
@@ -293,6 +303,8 @@
         request.is_begun = true;
         let slowness = self.load.engines[engine];
         let first = (request.prompt * READ * slowness) as u64 + 2 * (GAP * slowness) as u64;
+        let due = request.deadline - (DEADLINE - OBJECTIVE) * 1_000;
+        request.is_in_time = now + first <= due;
         let whole = now + first + (request.output * GAP * slowness) as u64;
         let (until, is_whole) = (whole.min(request.deadline), whole <= request.deadline);
         let after = Duration::from_micros(first);
--- a/tests/test_size_share.rs
+++ b/tests/test_size_share.rs
@@ -1,6 +1,6 @@
 //! What large requests get of what their kind gets, under lasting overload.
 
-use crate::sized_load::{SizedLoad, by_size, play, served_part};
+use crate::sized_load::{SizedLoad, by_size, in_time_part, play, play_with, served_part};
 use rstest::rstest;
 
 /// The part of a kind's service that its largest tenth, and the fifth below it, get at least.
@@ -65,7 +65,22 @@
 fn a_load_that_the_engines_carry_is_served_whole() {
     let load = SizedLoad { times: 0.5, ..SizedLoad::overload(7) };
 
-    let served = served_part(play(&load).iter());
+    let ends = play(&load);
 
-    assert!(served >= 0.98, "{served}");
+    let (served, in_time) = (served_part(ends.iter()), in_time_part(&ends));
+    assert!(served >= 0.98 && in_time >= 0.95, "{served} served, {in_time} in time");
+}
+
+/// Guards against a promise that costs callers more than a sixth of what is served without it.
+#[rstest]
+#[case::one_daemon(1)]
+#[case::seven_daemons(7)]
+#[case::many_daemons(56)]
+fn the_promise_costs_little_of_what_is_served(#[case] daemons: usize) {
+    let load = SizedLoad::overload(daemons);
+
+    let without = served_part(play_with(&load, |plan| plan.size_share = 0.0).iter());
+    let with = served_part(play(&load).iter());
+
+    assert!(with >= without * 5.0 / 6.0, "{with:.3} with, {without:.3} without");
 }
