--- a/src/policy/organisation_limits.rs
+++ b/src/policy/organisation_limits.rs
@@ -18,9 +18,7 @@
 const LEVEL_GAP: f64 = 0.3 * MICROS;
 /// The part of a bucket that is left to higher ranks, by rank.
 const RESERVES: [f64; 3] = [0.0, 0.2, 0.5];
-/// The part that is left to newcomers by callers who have been here before. What goes wrong without it: an organisation that
-/// asks for twice its limit spends half of it on answers that come too late, while newcomers are refused and come back
-/// as late ones themselves.
+/// The part that is left to newcomers by callers who have been here before, whose answers are late in any case.
 const RETURN_RESERVE: f64 = 0.35;
 /// Kinds whose requests cost at most this part of the burst leave nothing to higher ranks: refusing a booking of 200 tokens saves
 /// next to nothing of a limit of 65,000.
@@ -110,9 +108,7 @@
 impl LimitState {
     /// Where the rest of a bucket could be spent by all daemons at once before they know of each other: lets through the part of
     /// what the fleet is asked for that the limit allows.
-    ///
-    /// What goes wrong without it: while an organisation asks for several times its limit, hundreds of daemons see the
-    /// same rest of the bucket and each spends it. One would notice by limits exceeded the more, the larger the fleet.
+    /// Without it, each daemon spends the same rest of the bucket.
     fn passes_paced(&mut self, cost: f64, rate: f64, start: f64) -> bool {
         let part = rate / self.forecast.fleet_asked.max(rate);
         let pace = self.pace.get_or_insert(AdmissionPace { credit: cost * start });
@@ -212,15 +208,13 @@
         self.mechanisms = mechanisms;
     }
 
-    /// Every bucket is empty now. What goes wrong with full ones: a process that is killed and started again, or
-    /// added, does not know what the fleet has just let through, and lets a burst through a second time.
+    /// Every bucket is empty now: a new process does not know what the fleet has just let through.
     pub fn start_empty(&mut self, now: Moment) {
         self.began_empty = Some(now);
     }
 
-    /// Notes that the process runs. What goes wrong without it: a process that stood still for seconds has not taken
-    /// what the others let through meanwhile, and lets a burst through a second time when it goes on. One would notice
-    /// by a limit exceeded after a machine froze. So after a pause all buckets are empty, as in a new process.
+    /// Notes that the process runs. After a pause all buckets are empty, as in a new process: what the others let through
+    /// meanwhile is not known.
     pub fn alive(&mut self, now: Moment) {
         let has_paused = self.alive_at.is_some_and(|at| now.since(at) >= PAUSED_AFTER);
         self.alive_at = Some(now);
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -64,7 +64,7 @@
     pub route: RouteKey,
     /// Its tenth by size among the requests of its kind, if that is known.
     pub size_tenth: Option<SizeTenth>,
-    /// True if it goes first in its lane, since too few of its size are served.
+    /// True if it is owed service, since too few of its size are served.
     pub is_owed: bool,
 }
 
--- a/src/policy/scheduler/admission.rs
+++ b/src/policy/scheduler/admission.rs
@@ -72,7 +72,7 @@
         self.enqueue(request, now);
     }
 
-    /// True if too few of the request's size are served, so that it goes first in its lane.
+    /// True if the request is owed service, since too few of its size are served.
     fn is_owed(&mut self, request: &WaitingRequest, now: Moment, rng: &mut dyn RngCore) -> bool {
         self.plan.queue == QueueChoice::Urgency
             && self.plan.mechanisms.has(Mechanism::SizeShare)
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -235,11 +235,7 @@
 
     /// True if a late request has more before it at the group's other daemons than places will become free until those
     /// daemons are heard again. One in time takes its chance: the group's order alone would starve the lowest lanes.
-    ///
-    /// What goes wrong without it: each daemon orders its own requests alone, and the place that becomes free goes to
-    /// whichever daemon asks first. After a burst late requests of some take the places, and requests of others become
-    /// late for them (measured on 291 daemons: a third of all requests for 14 s after a burst, at a load that is
-    /// served in time before it).
+    /// Without it, late requests of some daemons take places after a burst while requests of others become late.
     fn leaves_places(&mut self, request: &WaitingRequest, now: Moment) -> bool {
         let is_in_time = now <= request.start_by;
         let has_order = self.plan.reserves && self.plan.mechanisms.has(Mechanism::GroupOrder);
--- a/src/policy/size_shares.rs
+++ b/src/policy/size_shares.rs
@@ -3,7 +3,7 @@
 //! An order by worth for cost alone leaves the largest requests of a kind for last, and under lasting overload the last
 //! are never served. Here each tenth of each kind has an account. Each end adds the promised part of the share of requests
 //! that its lane serves, and an answer takes one request away. A request that finds a whole one in its account is owed
-//! service: it goes first in its lane, and if it is not served the account owes it to the next.
+//! service: one place in four goes to such requests before all others. What is not served stays owed to the next.
 
 use super::{Moment, SizeTenth, TierRank};
 use std::collections::HashMap;
--- a/src/policy/urgency_queue.rs
+++ b/src/policy/urgency_queue.rs
@@ -4,7 +4,8 @@
 //! late: each waits behind those that are late already. Here what earns most for the engines' time goes first: a request
 //! that can still meet its objective is worth more than one that cannot any more, one of a higher rank more than one
 //! of a lower, and a short one more for its cost than a long one. Every [`TURN`]th place goes round among the lanes, to the
-//! request due first, so that neither a lane nor the long ones of a lane starve.
+//! request due first, so that no lane starves; every [`OWED_TURN`]th goes to a request that is owed service, so that no size
+//! does.
 
 use super::queue::{WaitingQueue, WaitingRequest};
 use super::worth::{CostLadder, LATE_WORTH, LaneMeans, step_worth};
@@ -53,7 +54,7 @@
     /// What a request of the mean size is worth.
     worth: f64,
     means: LaneMeans,
-    /// Requests that are owed service, in time or late, the one due first first. They are in none of the others.
+    /// Requests that are owed service, in time or late, by when they are due; they are in no other order of the lane.
     owed: BTreeSet<(Moment, RequestId)>,
     due: BTreeSet<(Moment, RequestId)>,
     in_time: DenseOrder,
@@ -292,7 +293,7 @@
 
     fn levels(&self) -> WaitingLevels {
         let mut levels = WaitingLevels::default();
-        // Others leave no places to requests that are owed service: those take the first that fits.
+        // Requests that are owed service have turns of their own; others leave no places to them.
         let usual = self.entries.values().filter(|queued| !queued.request.is_owed);
         let densities = usual.map(|queued| queued.density.density());
         densities.for_each(|density| levels.add(WorthLevel::of(density), 1));
--- a/src/policy/worth.rs
+++ b/src/policy/worth.rs
@@ -9,8 +9,7 @@
 /// makes four requests of the lower rank worth one of the higher, whatever their size.
 const RANK_STEP: f64 = 0.25;
 /// Worth of a request of a tier beside one of the tier above. So little less that a late request of a high tier never
-/// goes before one in time of a lower tier and the same rank and cost: in a burst that lasts, late requests of the highest
-/// tier would take all places, and nothing would be in time (measured: a third of all answers).
+/// goes before one in time of a lower tier and the same rank and cost.
 const TIER_STEP: f64 = 0.8;
 /// What a late answer is worth beside one in time, where operators say nothing: it is still used, by a caller who has
 /// had to wait for it.
