Size shares: a bound that never applied is gone

The weight of a new end in a lane's share was one in the ends counted, and at least one in 30; the count itself stops at 30, so the second bound never applied.

--- a/src/policy/size_shares.rs
+++ b/src/policy/size_shares.rs
@@ -14,9 +14,7 @@
 const MOST_OWED: f64 = 2.0;
 /// Requests beyond the promise that an account remembers at most.
 const MOST_AHEAD: f64 = 2.0;
-/// Weight of a new end in a lane's share once it has seen [`WARM_ENDS`].
-const END_WEIGHT: f64 = 1.0 / WARM_ENDS;
-/// Ends over which a lane's share is a plain mean.
+/// Ends over which a lane's share is a plain mean; after that a new end has the weight of one in so many.
 const WARM_ENDS: f64 = 30.0;
 /// Accounts kept at most; beyond, those that nobody used for [`IDLE_AFTER`] are dropped.
 const MOST_ACCOUNTS: usize = 4_096;
@@ -62,8 +60,7 @@
 impl ServedShare {
     fn learn(&mut self, is_served: bool) {
         self.ends = (self.ends + 1.0).min(WARM_ENDS);
-        let weight = (1.0 / self.ends).max(END_WEIGHT);
-        self.share += (f64::from(u8::from(is_served)) - self.share) * weight;
+        self.share += (f64::from(u8::from(is_served)) - self.share) / self.ends;
     }
 }
 
