Limits: each kind of request has its own pace, so cheap kinds no longer use up a dear kind's credit

Cause: while the daemons can't know of each other what they let through, a pace lets a part of what is asked for through. It counted tokens of all kinds in one credit; a request of 2,000 tokens takes what one of 10,000 waits for, so the dear kind hardly ever finds a whole credit.

Ruled out: the reserve of lower ranks (rank 0 leaves nothing to others and may use the whole bucket).

Change: a pace for each kind (route), so each gets the same part of its own requests.

--- a/src/policy/organisation_limits.rs
+++ b/src/policy/organisation_limits.rs
@@ -3,7 +3,7 @@
 //! The rate is a token bucket in the form of the generic cell rate algorithm (ITU-T I.371): one time
 //! stamp for each organisation.
 
-use super::{Mechanism, MechanismSet, Moment, OrganisationIndex};
+use super::{Mechanism, MechanismSet, Moment, OrganisationIndex, RouteKey};
 use crate::answer::AnswerKind;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -41,7 +41,7 @@
     pub concurrent: Option<u32>,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct LimitState {
     /// When the bucket will be full again, in microseconds.
     full_at: f64,
@@ -52,8 +52,8 @@
     asked: u64,
     /// What is known of the others.
     forecast: LimitForecast,
-    /// None until it is needed first.
-    pace: Option<AdmissionPace>,
+    /// By kind of request, from the first request of the kind that needs it.
+    paces: HashMap<RouteKey, AdmissionPace>,
 }
 
 /// What is known of the others that share an organisation's limit.
@@ -102,6 +102,9 @@
     }
 }
 
+/// Kinds of request whose paces are kept for an organisation, at most: routes come and go.
+const MOST_PACES: usize = 256;
+
 /// Credit that is kept, in requests of the last one's size.
 const MOST_CREDIT: f64 = 2.0;
 
@@ -109,9 +112,13 @@
     /// Where the rest of a bucket could be spent by all daemons at once before they know of each other: lets through the part of
     /// what the fleet is asked for that the limit allows.
     /// Without it, each daemon spends the same rest of the bucket.
-    fn passes_paced(&mut self, cost: f64, rate: f64, start: f64) -> bool {
+    /// Each kind has a pace of its own: in a common one, cheap kinds use up the credit that a dear one waits for.
+    fn passes_paced(&mut self, kind: RouteKey, cost: f64, rate: f64, start: f64) -> bool {
         let part = rate / self.forecast.fleet_asked.max(rate);
-        let pace = self.pace.get_or_insert(AdmissionPace { credit: cost * start });
+        if self.paces.len() >= MOST_PACES && !self.paces.contains_key(&kind) {
+            self.paces.clear();
+        }
+        let pace = self.paces.entry(kind).or_insert(AdmissionPace { credit: cost * start });
         pace.passes(cost, part)
     }
 }
@@ -119,6 +126,8 @@
 /// What a request asks of its organisation's limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LimitClaim {
+    /// Its kind of request.
+    pub kind: RouteKey,
     /// Tokens.
     pub cost: u32,
     /// Tokens of a usual request of its kind.
@@ -323,7 +332,7 @@
                 return Err(AnswerKind::RateLimited);
             }
             if spent + usual_cost + state.forecast.contended() > usable
-                && !state.passes_paced(usual_cost, rate, self.pace_start)
+                && !state.passes_paced(claim.kind, usual_cost, rate, self.pace_start)
             {
                 return Err(AnswerKind::RateLimited);
             }
--- a/src/traffic/routed/door.rs
+++ b/src/traffic/routed/door.rs
@@ -4,7 +4,7 @@
 use super::dialect::{CallDialect, CallerFacts};
 use super::size_fields::SizeFields;
 use crate::answer::{AnswerKind, RefusalAnswer};
-use crate::policy::{LimitClaim, Moment, OrganisationIndex, RequestSizes};
+use crate::policy::{LimitClaim, Moment, OrganisationIndex, RequestSizes, RouteKey};
 use crate::quarantine::{RequestContent, RequestFingerprint};
 use crate::report::record_size;
 use crate::table::RouteRow;
@@ -94,7 +94,8 @@
             let rank = snapshot.access.route_rank(&entry.route);
             let now = state.clock.now();
             let usual_cost = state.usual_cost(&entry.route.route, cost);
-            let claim = LimitClaim { cost, usual_cost, rank, has_returned };
+            let kind = RouteKey::of(&entry.route.route);
+            let claim = LimitClaim { kind, cost, usual_cost, rank, has_returned };
             let admitted = state.limits().admit_claim(caller.index, claim, now);
             if admitted.is_err() {
                 let wait = state.limits().refilled_in(caller.index, now);
--- a/tests/test_limit_sizes.rs
+++ b/tests/test_limit_sizes.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use tarragonknot::policy::{
     LimitClaim, LimitForecast, LimitTable, LimitTolerance, Moment, OrganisationIndex,
-    OrganisationLimit,
+    OrganisationLimit, RouteKey,
 };
 
 const HOT: OrganisationIndex = OrganisationIndex(0);
@@ -52,7 +52,7 @@
     while now < END {
         let cost = costs.sample(&mut rng).clamp(100.0, 20_000.0) as u32;
         limits.foresee(HOT, forecast(times, now));
-        let claim = LimitClaim { cost, usual_cost: mean as u32, rank, has_returned: false };
+        let claim = LimitClaim { cost, usual_cost: mean as u32, rank, ..LimitClaim::default() };
         asked.push((cost, limits.admit_claim(HOT, claim, now).is_ok()));
         now = now + Duration::from_micros((mean / (RATE * times) * 1e6) as u64);
     }
@@ -101,7 +101,8 @@
         let number = rng.random_range(0..kinds.len());
         let (cost, rank) = kinds[number];
         limits.foresee(HOT, forecast(times, now));
-        let claim = LimitClaim { cost, usual_cost: cost, rank, has_returned: false };
+        let kind = RouteKey::of(&format!("kind-{number}"));
+        let claim = LimitClaim { kind, cost, usual_cost: cost, rank, has_returned: false };
         rows[number].push((cost, limits.admit_claim(HOT, claim, now).is_ok()));
         now = now + Duration::from_micros((mean / (RATE * times) * 1e6) as u64);
     }
--- a/tests/test_limits.rs
+++ b/tests/test_limits.rs
@@ -333,7 +333,7 @@
 }
 
 fn claim(cost: u32, rank: u8) -> LimitClaim {
-    LimitClaim { cost, usual_cost: cost, rank, has_returned: false }
+    LimitClaim { cost, usual_cost: cost, rank, ..LimitClaim::default() }
 }
 
 /// Symptom: an organisation at its limit has its urgent requests refused while its least urgent ones run.
