--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -236,6 +236,8 @@
                 is_leaving: false,
                 suspects: Vec::new(),
                 wants_suspects: false,
+                knows_rollouts: 0,
+                rollouts: Vec::new(),
             };
             book.report(report, Moment(1_000));
             book.orders(&name(number), &table, Moment(1_000))
--- a/src/chart/mod.rs
+++ b/src/chart/mod.rs
@@ -126,6 +126,11 @@
         reached
     }
 
+    /// A machine in `state`, for one that was kept.
+    pub fn resume(&'static self, state: S) -> ChartMachine<S, V, A> {
+        ChartMachine { chart: self, state }
+    }
+
     /// A machine in the initial state.
     pub fn start(&'static self) -> ChartMachine<S, V, A> {
         ChartMachine { chart: self, state: self.initial }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 pub mod load;
 mod operator;
 pub mod quarantine;
+pub mod rollout;
 pub mod serve;
 pub mod status;
 pub mod table;
--- /dev/null
+++ b/src/cmd/rollout.rs
@@ -0,0 +1,163 @@
+//! `rollout`: orders a new version of a service's upstreams, and shows how far it has come.
+
+use super::CommandError;
+use super::operator::ControlTarget;
+use crate::control::ControlApiClient;
+use crate::rollout::{RolloutOrder, RolloutRecord, RolloutReply, RolloutStage};
+use clap::Subcommand;
+use comfy_table::{Table, presets};
+use std::io::IsTerminal;
+use std::time::Duration;
+
+const HELP: &str = "\
+Upstreams of the new version start beside the old ones. A small share of the service's requests goes to them, then more,
+then all; once nothing runs on the old version any more, the roll-out is completed. A version that fails more often than
+the old one, or is several times slower, is rolled back, and so is one that nothing speaks for in time.
+
+  tarragonknot rollout begin pack-llm v2 --seconds 60 --control 10.0.0.4:7600 --fleet-key-file key
+  tarragonknot rollout watch pack-llm --control 10.0.0.4:7600 --fleet-key-file key
+
+`watch` ends with 0 for a roll-out that was completed, and with 1 for one that was rolled back.";
+/// Time between two looks of `watch`.
+const WATCH_PAUSE: Duration = Duration::from_millis(500);
+
+/// Order a roll-out, or show roll-outs.
+#[derive(Debug, clap::Args)]
+#[command(long_about = HELP)]
+pub struct Args {
+    #[command(subcommand)]
+    action: Action,
+}
+
+#[derive(Debug, Subcommand)]
+enum Action {
+    /// Order a roll-out.
+    Begin(BeginArgs),
+    /// Show the newest roll-out of each service.
+    Status(StatusArgs),
+    /// Wait until a service's roll-out has ended.
+    Watch(WatchArgs),
+}
+
+#[derive(Debug, clap::Args)]
+struct BeginArgs {
+    /// The service.
+    service: String,
+    /// The version that its upstreams are to have.
+    version: String,
+    /// Seconds within which the roll-out is to end.
+    #[arg(long, value_parser = clap::value_parser!(u64).range(1..=604_800))]
+    seconds: u64,
+    #[command(flatten)]
+    status: StatusArgs,
+}
+
+#[derive(Debug, clap::Args)]
+struct StatusArgs {
+    #[command(flatten)]
+    target: ControlTarget,
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Debug, clap::Args)]
+struct WatchArgs {
+    /// The service.
+    service: String,
+    #[command(flatten)]
+    status: StatusArgs,
+}
+
+/// Runs the command.
+pub fn run(args: &Args) -> Result<(), CommandError> {
+    match &args.action {
+        Action::Begin(begin) => order(begin),
+        Action::Status(status) => {
+            print_records(&records(&status.target)?, status.json);
+            Ok(())
+        }
+        Action::Watch(watch) => watch_until_end(watch),
+    }
+}
+
+fn records(target: &ControlTarget) -> Result<Vec<RolloutRecord>, CommandError> {
+    super::block_on(target.ask_leader(|client| async move { client.rollouts().await }))
+}
+
+fn order(begin: &BeginArgs) -> Result<(), CommandError> {
+    let order = RolloutOrder {
+        service: begin.service.as_str().into(),
+        to: begin.version.as_str().into(),
+        duration_ms: begin.seconds * 1_000,
+    };
+    let reply = super::block_on(begin.status.target.ask_leader(|client| {
+        let order = order.clone();
+        async move { client.rollout(order).await }
+    }))?;
+    match reply {
+        RolloutReply::Accepted(record) => {
+            print_records(&[record], begin.status.json);
+            Ok(())
+        }
+        RolloutReply::Busy(record) => {
+            let detail = format!("a roll-out to {} is under way", record.order.to);
+            Err(CommandError::Conflict { detail })
+        }
+    }
+}
+
+fn watch_until_end(watch: &WatchArgs) -> Result<(), CommandError> {
+    loop {
+        let records = records(&watch.status.target)?;
+        let record =
+            records.into_iter().find(|record| record.order.service.as_str() == watch.service);
+        let Some(record) = record else {
+            let detail = format!("no roll-out of {} was ordered", watch.service);
+            return Err(CommandError::Usage { detail });
+        };
+        if record.stage.is_final() {
+            print_records(std::slice::from_ref(&record), watch.status.json);
+            return match record.stage {
+                RolloutStage::RolledBack => Err(CommandError::Failed {
+                    detail: format!("{} was rolled back", record.order.to),
+                }),
+                _ => Ok(()),
+            };
+        }
+        if std::io::stderr().is_terminal() {
+            eprint!("\r{} {:>6.1} s", stage_name(record.stage), record.elapsed_ms as f64 / 1_000.0);
+        }
+        std::thread::sleep(WATCH_PAUSE);
+    }
+}
+
+fn stage_name(stage: RolloutStage) -> &'static str {
+    match stage {
+        RolloutStage::Trial => "on trial",
+        RolloutStage::Expanding => "expanding",
+        RolloutStage::Draining => "draining the old version",
+        RolloutStage::Completed => "completed",
+        RolloutStage::RolledBack => "rolled back",
+    }
+}
+
+fn print_records(records: &[RolloutRecord], json: bool) {
+    if json {
+        return super::print_json(&records);
+    }
+    let mut grid = Table::new();
+    grid.load_preset(presets::UTF8_HORIZONTAL_ONLY);
+    grid.set_header(["service", "version", "stage", "since its order", "time ordered"]);
+    for record in records {
+        let seconds = |millis: u64| format!("{:?}", Duration::from_millis(millis));
+        grid.add_row([
+            record.order.service.to_string(),
+            record.order.to.to_string(),
+            stage_name(record.stage).to_owned(),
+            seconds(record.elapsed_ms),
+            seconds(record.order.duration_ms),
+        ]);
+    }
+    super::print_out(&grid.to_string());
+}
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -2,7 +2,7 @@
 
 use super::CommandError;
 use super::operator::ControlTarget;
-use crate::control::{ControlApiClient, DaemonStatus, MemberView, connect, roll_out};
+use crate::control::{ControlApiClient, DaemonStatus, MemberView, connect, table_versions};
 use comfy_table::{Table, presets};
 use serde::Serialize;
 use std::net::SocketAddr;
@@ -103,7 +103,7 @@
         rows.iter().filter_map(|row| row.status.as_ref()).flat_map(|status| &status.members);
     let members: Vec<MemberView> = members.cloned().collect();
     print_members(&members);
-    print_roll_out(&members);
+    print_table_versions(&members);
 }
 
 fn print_members(members: &[MemberView]) {
@@ -124,11 +124,11 @@
     super::print_out(&grid.to_string());
 }
 
-fn print_roll_out(members: &[MemberView]) {
+fn print_table_versions(members: &[MemberView]) {
     let mut grid = Table::new();
     grid.load_preset(presets::UTF8_HORIZONTAL_ONLY);
     grid.set_header(["table", "in force at", "lease run out", "behind for", "daemons"]);
-    for row in roll_out(members) {
+    for row in table_versions(members) {
         let behind = row.lags_ms.map_or_else(|| "newest".to_owned(), |ms| format!("{ms} ms"));
         let named: Vec<&str> = row.named.iter().map(|daemon| daemon.as_str()).collect();
         let more = if row.live + row.lapsed > named.len() { " ..." } else { "" };
--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -138,7 +138,12 @@
         let version = self.state.snapshot().version;
         let now = self.state.clock.now();
         let report = self.member.report(version, states, self.state.is_drained(), now);
-        DaemonReport { suspects: self.state.quarantine.reports(now), ..report }
+        DaemonReport {
+            suspects: self.state.quarantine.reports(now),
+            knows_rollouts: self.state.rollouts.digest(),
+            rollouts: self.state.rollout_reports(),
+            ..report
+        }
     }
 
     fn pool_states(&self) -> Vec<PoolState> {
@@ -173,6 +178,10 @@
         }
         self.leader.set_voters(moves.voters.clone());
         self.state.quarantine.take_rows(&self.state, &moves.suspects);
+        self.state.rollouts.confirm(now);
+        if let Some(rollouts) = moves.rollouts {
+            self.state.apply_rollouts(rollouts);
+        }
         if let Some(table) = &moves.table {
             self.state.apply_table(table);
         }
--- a/src/control/control_loop/edits.rs
+++ b/src/control/control_loop/edits.rs
@@ -118,6 +118,9 @@
                 self.judge_owners(&mut replies);
                 let _ = reply.send(LeaderAnswer::Done(replies));
             }
+            (EntryWaiter::Rollout { reply }, ControlReply::Rollout(answer)) => {
+                let _ = reply.send(LeaderAnswer::Done(*answer));
+            }
             (EntryWaiter::Quarantine { reply }, _) => {
                 let _ = reply.send(LeaderAnswer::Done(self.quarantine_rows()));
             }
--- a/src/control/control_loop/members.rs
+++ b/src/control/control_loop/members.rs
@@ -101,6 +101,7 @@
             }
         }
         self.drop_dead(now);
+        self.direct_rollouts(now);
     }
 
     pub(super) fn drop_dead(&mut self, now: Moment) {
--- a/src/control/control_loop/mod.rs
+++ b/src/control/control_loop/mod.rs
@@ -8,7 +8,9 @@
 mod members;
 mod quarantine;
 mod reports;
+mod rollouts;
 
+use self::rollouts::RolloutDesk;
 use super::fleet::{FleetRegistry, PoolOrder};
 use super::joining::JoinedFleet;
 use super::joining::join_or_found;
@@ -74,6 +76,7 @@
         packed: PackedTable::default(),
         proposed_suspects: RecentRequests::default(),
         released: RecentRequests::default(),
+        rollouts: RolloutDesk::default(),
         setup,
     };
     if let Some(voter) = voter {
@@ -110,6 +113,8 @@
     proposed_suspects: RecentRequests,
     /// Contents that operators let through a moment ago.
     released: RecentRequests,
+    /// Roll-outs that are under way, while this daemon leads.
+    rollouts: RolloutDesk,
 }
 
 impl ControlLoop {
@@ -287,6 +292,7 @@
                 ));
                 self.dead_since.clear();
                 self.sent.clear();
+                self.rollouts.clear();
             }
             (false, true) => {
                 info!(self.setup.log, "no longer leads");
@@ -344,6 +350,10 @@
                 self.answer_read(self.quarantine_rows(), reply);
             }
             ControlRequest::Release { request, reply } => self.take_release(request, reply),
+            ControlRequest::Rollout { order, reply } => self.take_rollout(order, reply),
+            ControlRequest::Rollouts { reply } => {
+                self.answer_read(self.ledger.rollouts().iter().cloned().collect(), reply);
+            }
             ControlRequest::Status { reply } => drop(reply.send(self.status())),
             ControlRequest::Drain { reply } => {
                 self.drain.send_replace(true);
--- a/src/control/control_loop/reports.rs
+++ b/src/control/control_loop/reports.rs
@@ -7,6 +7,7 @@
 use crate::control::setup::unix_millis;
 use crate::control::waiters::{EntryWaiter, HeldReport, ReplyTo};
 use crate::replica::ReplicaCore;
+use crate::rollout::RolloutRows;
 use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -29,7 +30,8 @@
         let wants_suspects = report.wants_suspects;
         let mut report = report;
         let suspects = std::mem::take(&mut report.suspects);
-        let knows_serving = report.knows_serving;
+        let (knows_serving, knows_rollouts) = (report.knows_serving, report.knows_rollouts);
+        let rollouts = std::mem::take(&mut report.rollouts);
         match registry.report(report, now) {
             ReportVerdict::Taken => {}
             ReportVerdict::Unknown => {
@@ -45,12 +47,14 @@
             ReportVerdict::Overtaken => return drop(reply.send(LeaderAnswer::Elsewhere(None))),
         }
         self.waiting.reports.retain(|held| held.daemon != daemon);
+        self.take_rollout_reports(&daemon, boot, rollouts);
         let held = HeldReport {
             daemon,
             has_lease,
             divides_alone,
             knows_serving,
             wants_suspects,
+            knows_rollouts,
             version,
             since: now,
             reply,
@@ -74,6 +78,8 @@
         }
         let now = self.now();
         let released = self.released_rows();
+        let rollouts = RolloutRows::new(self.ledger.rollouts(), self.setup.rollout_share);
+        let rollouts_digest = rollouts.digest();
         let Some(registry) = &mut self.registry else { return };
         let table = self.ledger.table();
         // A daemon without a lease gets one only from a leader that knows of every floor others rely on.
@@ -89,7 +95,8 @@
             }
             let is_due = now.since(held.since) >= REPORT_HOLD;
             // Without this every event at the leader would cost it as much as there are daemons, squared.
-            if held.divides_alone && !is_due && held.version == table.version {
+            let knows_all = held.version == table.version && held.knows_rollouts == rollouts_digest;
+            if held.divides_alone && !is_due && knows_all {
                 self.waiting.reports.push(held);
                 continue;
             }
@@ -104,9 +111,9 @@
                 true => self.ledger.quarantine().rows(None, unix_millis()),
                 false => released.clone(),
             };
+            orders.rollouts = (held.knows_rollouts != rollouts_digest).then(|| rollouts.clone());
             orders.serving = (held.knows_serving != *digest).then(|| list.clone());
-            let is_news =
-                held.version != table.version || self.sent.get(&held.daemon) != Some(&orders.pools);
+            let is_news = !knows_all || self.sent.get(&held.daemon) != Some(&orders.pools);
             if is_due || is_news {
                 registry.sent(&held.daemon, &orders.pools);
                 self.sent.insert(held.daemon, orders.pools.clone());
--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -11,6 +11,7 @@
 
 use crate::policy::{Moment, TierRank};
 use crate::quarantine::SuspectRow;
+use crate::rollout::{RolloutReport, RolloutRows};
 use crate::table::{DaemonName, ServiceName, VersionedTable};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -83,6 +84,12 @@
     /// True from its start until it has received the contents that are held back.
     #[serde(default)]
     pub wants_suspects: bool,
+    /// Digest of the roll-outs that it knows; 0 if it has received none.
+    #[serde(default)]
+    pub knows_rollouts: u64,
+    /// What it saw of roll-outs that are under way.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<RolloutReport>,
 }
 
 /// Orders for one pool.
@@ -143,6 +150,9 @@
     /// Contents that are held back, for a daemon that wants them, and those that were released a moment ago.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<SuspectRow>,
+    /// Roll-outs of upstreams' software, where they are others than the daemon knows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rollouts: Option<RolloutRows>,
 }
 
 /// The leader's answer to a report.
@@ -440,6 +450,7 @@
             serving: None,
             voters: Vec::new(),
             suspects: Vec::new(),
+            rollouts: None,
         }
     }
 
@@ -485,6 +496,16 @@
         }
     }
 
+    /// Boots of the live daemons that serve callers and have not drained, as far as they were heard.
+    pub fn serving_boots(&self, now: Moment) -> BTreeMap<DaemonName, u64> {
+        let serves = |state: &MemberState| {
+            let report = state.report.as_ref();
+            report.is_some_and(|report| report.serves_callers && !report.is_leaving)
+        };
+        let serving = self.live(now).filter(|(_, state)| serves(state));
+        serving.map(|(daemon, state)| (daemon.clone(), state.boot)).collect()
+    }
+
     /// Live daemons.
     pub fn live_count(&self, now: Moment) -> usize {
         self.live(now).count()
--- a/src/control/fleet_member.rs
+++ b/src/control/fleet_member.rs
@@ -4,6 +4,7 @@
 use super::fleet::{DaemonOrders, DaemonReport, PoolReport, SHARE_UNITS, ServingList};
 use crate::policy::{FloorOrder, Moment, TierRank};
 use crate::quarantine::SuspectRow;
+use crate::rollout::RolloutRows;
 use crate::table::{DaemonName, ServiceName, VersionedTable};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -52,6 +53,8 @@
     pub voters: Vec<SocketAddr>,
     /// Contents that are held back, or were released.
     pub suspects: Vec<SuspectRow>,
+    /// Roll-outs, if they are others than before.
+    pub rollouts: Option<RolloutRows>,
 }
 
 /// A daemon as a member of the fleet.
@@ -143,6 +146,8 @@
             knows_serving: self.knows_serving,
             suspects: Vec::new(),
             wants_suspects: self.wants_suspects,
+            knows_rollouts: 0,
+            rollouts: Vec::new(),
         }
     }
 
@@ -201,6 +206,7 @@
             serving: orders.serving,
             voters: orders.voters,
             suspects: orders.suspects,
+            rollouts: orders.rollouts,
         })
     }
 }
--- a/src/control/ledger.rs
+++ b/src/control/ledger.rs
@@ -4,6 +4,7 @@
 use super::quarantine_log::QuarantineLog;
 use crate::claim::{ClaimBook, ClaimCommand, ClaimReply};
 use crate::quarantine::{RequestFingerprint, SuspectRow};
+use crate::rollout::{RolloutLog, RolloutOrder, RolloutReply, RolloutStep};
 use crate::table::{CellChange, DaemonName, OperatorTable, VersionedTable, diff_tables};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -132,6 +133,15 @@
         /// The leader's wall clock when it was proposed, in milliseconds.
         at: u64,
     },
+    /// An operator orders a roll-out.
+    Rollout {
+        /// The order.
+        order: RolloutOrder,
+        /// The leader's wall clock when it was proposed, in milliseconds.
+        at: u64,
+    },
+    /// A roll-out goes on, ends, or only lasts.
+    RolloutStep(RolloutStep),
     /// Whether a daemon with a data folder may become a voter.
     VoterRule {
         /// The daemon.
@@ -150,6 +160,8 @@
     Replace(NumberedOutcome),
     /// To a claim.
     Claim(ClaimReply),
+    /// To an order of a roll-out.
+    Rollout(Box<RolloutReply>),
     /// To the others.
     Done,
 }
@@ -168,6 +180,8 @@
     barred: BTreeSet<DaemonName>,
     #[serde(default)]
     quarantine: QuarantineLog,
+    #[serde(default)]
+    rollouts: RolloutLog,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -188,6 +202,7 @@
             members: BTreeMap::new(),
             barred: BTreeSet::new(),
             quarantine: QuarantineLog::default(),
+            rollouts: RolloutLog::default(),
         }
     }
 }
@@ -220,6 +235,10 @@
                 return ControlReply::Replace(self.replace(numbered));
             }
             ControlCommand::Claim(claim) => return ControlReply::Claim(self.claims.apply(claim)),
+            ControlCommand::Rollout { order, at } => {
+                return ControlReply::Rollout(Box::new(self.rollouts.begin(order, *at)));
+            }
+            ControlCommand::RolloutStep(step) => self.rollouts.step(step),
             ControlCommand::Join { daemon, boot } => {
                 self.members.insert(daemon.clone(), *boot);
             }
@@ -335,6 +354,11 @@
         &self.quarantine
     }
 
+    /// Roll-outs of upstreams' software.
+    pub fn rollouts(&self) -> &RolloutLog {
+        &self.rollouts
+    }
+
     /// True if `daemon` may become a voter.
     pub fn may_vote(&self, daemon: &DaemonName) -> bool {
         !self.barred.contains(daemon)
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -12,10 +12,10 @@
 mod packed_table;
 mod quarantine_log;
 mod requests;
-mod roll_out;
 mod rpc;
 mod server;
 mod setup;
+mod table_versions;
 mod voter_folder;
 mod voting;
 mod waiters;
@@ -37,11 +37,11 @@
 pub use packed_table::{PackedTable, pack, unpack};
 pub use quarantine_log::{QuarantineLog, QuarantineRow};
 pub use requests::{ControlHandle, ControlRequest};
-pub use roll_out::{RollOutRow, roll_out};
 pub use rpc::{
     ApplyAnswer, ControlApiClient, ControlApiServer, DaemonStatus, EditProgress, HistoryRow,
     JoinAnswer, LeaderAnswer, VoterRow,
 };
 pub use server::start_server;
 pub use setup::ControlSetup;
+pub use table_versions::{TableVersionRow, table_versions};
 pub use voting::{may_join, next_step};
--- a/src/control/operator_door.rs
+++ b/src/control/operator_door.rs
@@ -3,7 +3,8 @@
 use super::ledger::{NumberedOutcome, NumberedTable};
 use super::requests::{ControlHandle, ControlRequest};
 use super::rpc::LeaderAnswer;
-use crate::table::{FaultList, TableReader};
+use crate::rollout::{RolloutOrder, RolloutRecord, RolloutReply};
+use crate::table::{FaultList, ServiceName, TableReader};
 use slog::{Logger, info, warn};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -71,6 +72,48 @@
         }
     }
 
+    /// Begins a roll-out. Acknowledged once a quorum has kept the order; its service must be one of the newest table.
+    pub async fn begin_rollout(&self, order: RolloutOrder) -> DoorAnswer<RolloutReply> {
+        let document = match self.read().await {
+            DoorAnswer::Done(document) => document,
+            DoorAnswer::Elsewhere(leader) => return DoorAnswer::Elsewhere(leader),
+            _ => return DoorAnswer::Unsure,
+        };
+        let is_known = self
+            .reader
+            .read(&document)
+            .is_ok_and(|(_, table)| table.services.iter().any(|row| row.service == order.service));
+        if !is_known {
+            let mut faults = FaultList::default();
+            faults.add("/service", &order.service, "a service of the table in force");
+            return DoorAnswer::Bad(faults);
+        }
+        let (service, to) = (order.service.clone(), order.to.clone());
+        let answer = self.ask(|reply| ControlRequest::Rollout { order, reply }).await;
+        let outcome = match &answer {
+            DoorAnswer::Done(RolloutReply::Accepted(record)) => format!("{:?}", record.stage),
+            DoorAnswer::Done(RolloutReply::Busy(record)) => {
+                format!("another one is under way, to {}", record.order.to)
+            }
+            DoorAnswer::Elsewhere(leader) => format!("sent on to {leader}"),
+            _ => "not sure".to_owned(),
+        };
+        info!(self.log, "roll-out from an operator"; "service" => service.as_str(), "to" => to.as_str(), "outcome" => outcome);
+        answer
+    }
+
+    /// The newest roll-out of a service; none if there was none.
+    pub async fn rollout(&self, service: &ServiceName) -> DoorAnswer<Option<RolloutRecord>> {
+        match self.ask(|reply| ControlRequest::Rollouts { reply }).await {
+            DoorAnswer::Done(records) => DoorAnswer::Done(
+                records.into_iter().find(|record| record.order.service == *service),
+            ),
+            DoorAnswer::Elsewhere(leader) => DoorAnswer::Elsewhere(leader),
+            DoorAnswer::Unsure => DoorAnswer::Unsure,
+            DoorAnswer::Bad(faults) => DoorAnswer::Bad(faults),
+        }
+    }
+
     async fn ask<T>(
         &self,
         request: impl FnOnce(tokio::sync::oneshot::Sender<LeaderAnswer<T>>) -> ControlRequest,
--- a/src/control/requests.rs
+++ b/src/control/requests.rs
@@ -7,6 +7,7 @@
 use crate::claim::{ClaimCommand, ClaimReply};
 use crate::quarantine::RequestFingerprint;
 use crate::replica::{FleetId, ReplicaEnvelope, VoterId};
+use crate::rollout::{RolloutOrder, RolloutRecord, RolloutReply};
 use crate::table::{CellChange, DaemonName, VersionedTable};
 use std::net::SocketAddr;
 use tokio::sync::{mpsc, oneshot};
@@ -75,6 +76,13 @@
         request: RequestFingerprint,
         reply: oneshot::Sender<LeaderAnswer<Vec<QuarantineRow>>>,
     },
+    Rollout {
+        order: RolloutOrder,
+        reply: oneshot::Sender<LeaderAnswer<RolloutReply>>,
+    },
+    Rollouts {
+        reply: oneshot::Sender<LeaderAnswer<Vec<RolloutRecord>>>,
+    },
     Status {
         reply: oneshot::Sender<DaemonStatus>,
     },
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -6,6 +6,7 @@
 use crate::claim::{ClaimCommand, ClaimReply};
 use crate::quarantine::RequestFingerprint;
 use crate::replica::{FleetId, ReplicaEnvelope, VoterId};
+use crate::rollout::{RolloutOrder, RolloutRecord, RolloutReply};
 use crate::table::{CellChange, DaemonName, VersionedTable};
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
@@ -168,6 +169,14 @@
         request: RequestFingerprint,
     ) -> RpcResult<LeaderAnswer<Vec<QuarantineRow>>>;
 
+    /// Orders a roll-out; answered once a quorum has kept it.
+    #[method(name = "rollout")]
+    async fn rollout(&self, order: RolloutOrder) -> RpcResult<LeaderAnswer<RolloutReply>>;
+
+    /// The newest roll-out of each service.
+    #[method(name = "rollouts")]
+    async fn rollouts(&self) -> RpcResult<LeaderAnswer<Vec<RolloutRecord>>>;
+
     /// This daemon's status.
     #[method(name = "status")]
     async fn status(&self) -> RpcResult<DaemonStatus>;
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -12,6 +12,7 @@
 use crate::claim::{ClaimCommand, ClaimReply};
 use crate::quarantine::RequestFingerprint;
 use crate::replica::{FleetId, ReplicaEnvelope, VoterId};
+use crate::rollout::{RolloutOrder, RolloutRecord, RolloutReply};
 use crate::table::{CellChange, DaemonName, VersionedTable};
 use futures_util::future::BoxFuture;
 use http::{Request, Response, StatusCode, header};
@@ -217,6 +218,17 @@
         self.pass_on(answer, |client| async move { client.release(request).await }).await
     }
 
+    async fn rollout(&self, order: RolloutOrder) -> RpcResult<LeaderAnswer<RolloutReply>> {
+        let kept = order.clone();
+        let answer = self.ask(|reply| ControlRequest::Rollout { order: kept, reply }).await?;
+        self.pass_on(answer, |client| async move { client.rollout(order).await }).await
+    }
+
+    async fn rollouts(&self) -> RpcResult<LeaderAnswer<Vec<RolloutRecord>>> {
+        let answer = self.ask(|reply| ControlRequest::Rollouts { reply }).await?;
+        self.pass_on(answer, |client| async move { client.rollouts().await }).await
+    }
+
     async fn status(&self) -> RpcResult<DaemonStatus> {
         self.ask(|reply| ControlRequest::Status { reply }).await
     }
--- a/src/control/setup.rs
+++ b/src/control/setup.rs
@@ -31,6 +31,8 @@
     pub key: FleetKey,
     /// The currency lease.
     pub lease: Duration,
+    /// The largest share of a service's requests that a version on trial may get.
+    pub rollout_share: f64,
     /// Times of the replica.
     pub replica: ReplicaConfig,
     /// The clock shared with traffic.
--- a/src/control/roll_out.rs
+++ b/src/control/table_versions.rs
@@ -9,7 +9,7 @@
 
 /// The daemons at one version.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct RollOutRow {
+pub struct TableVersionRow {
     /// The version.
     pub version: u64,
     /// Daemons with a valid lease that have it in force.
@@ -23,7 +23,7 @@
 }
 
 /// The versions that members have in force, the newest first.
-pub fn roll_out(members: &[MemberView]) -> Vec<RollOutRow> {
+pub fn table_versions(members: &[MemberView]) -> Vec<TableVersionRow> {
     let mut versions: Vec<u64> = members.iter().map(|member| member.version).collect();
     versions.sort_unstable_by(|a, b| b.cmp(a));
     versions.dedup();
@@ -34,7 +34,7 @@
     let row = |version: u64| {
         let at = || members.iter().filter(|member| member.version == version);
         let live = at().filter(|member| member.is_live).count();
-        RollOutRow {
+        TableVersionRow {
             version,
             live,
             lapsed: at().count() - live,
--- a/src/control/waiters.rs
+++ b/src/control/waiters.rs
@@ -6,6 +6,7 @@
 use super::rpc::{ApplyAnswer, LeaderAnswer, VoterRow};
 use crate::claim::ClaimReply;
 use crate::policy::Moment;
+use crate::rollout::RolloutReply;
 use crate::table::DaemonName;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -21,6 +22,7 @@
     Claims { replies: Vec<ClaimReply>, left: usize, reply: ReplyTo<Vec<ClaimReply>> },
     Voters { reply: ReplyTo<Vec<VoterRow>> },
     Quarantine { reply: ReplyTo<Vec<QuarantineRow>> },
+    Rollout { reply: ReplyTo<RolloutReply> },
     Nobody,
 }
 
@@ -32,6 +34,8 @@
     pub divides_alone: bool,
     pub knows_serving: u64,
     pub wants_suspects: bool,
+    /// Digest of the roll-outs that the daemon knows.
+    pub knows_rollouts: u64,
     pub version: u64,
     pub since: Moment,
     pub reply: ReplyTo<ReportAnswer>,
@@ -63,6 +67,7 @@
             EntryWaiter::Claims { reply, .. } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
             EntryWaiter::Voters { reply } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
             EntryWaiter::Quarantine { reply } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
+            EntryWaiter::Rollout { reply } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
             EntryWaiter::Nobody => {}
         }
     }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -211,6 +211,7 @@
         replaces_voters: !settings.seeds.is_empty(),
         key: key.clone(),
         lease: settings.currency_lease_ms,
+        rollout_share: settings.rollout_share,
         replica: ReplicaConfig::default(),
         clock: state.clock,
         log: state.log.clone(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! tarragonknot: a request scheduler between callers and unlike upstreams.
 //!
 //! Data flows one way: caller, admission, placement, dispatch, answer. Control state reaches traffic
-//! as immutable snapshots only. Everything under [`policy`], [`fleet_state`] and [`quarantine`] is pure: state, event and time in,
+//! as immutable snapshots only. Everything under [`policy`], [`fleet_state`], [`quarantine`] and [`rollout`] is pure: state, event and time in,
 //! actions out.
 
 pub mod answer;
@@ -19,6 +19,7 @@
 pub mod quarantine;
 pub mod replica;
 pub mod report;
+pub mod rollout;
 pub mod settings;
 pub mod standin;
 pub mod store;
--- a/src/platform/operators.rs
+++ b/src/platform/operators.rs
@@ -1,16 +1,24 @@
 //! The operator's calls.
 
 use crate::control::{DoorAnswer, OperatorDoor};
+use crate::rollout::{RolloutOrder, RolloutRecord, RolloutReply, RolloutStage};
+use crate::table::FaultList;
 use axum::Router;
 use axum::body::Body;
-use axum::extract::{DefaultBodyLimit, State};
+use axum::extract::{DefaultBodyLimit, Path, State};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
 use http::header::{CONTENT_TYPE, LOCATION, RETRY_AFTER};
 use http::{HeaderValue, StatusCode, Uri};
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// Shortest and longest time for a roll-out, in seconds.
+const LEAST_SECONDS: f64 = 0.001;
+const MOST_SECONDS: f64 = 7.0 * 86_400.0;
+/// Longest name of a service or version, in bytes.
+const LONGEST_NAME: usize = 256;
 /// Largest configuration, in bytes; a route takes about 300.
 const CONFIG_LIMIT: usize = 64 << 20;
 
@@ -20,6 +28,8 @@
     Router::new()
         .route("/-/config/replace", post(replace))
         .route("/-/config/read", get(read))
+        .route("/-/rollouts/begin", post(begin_rollout))
+        .route("/-/rollouts/{service}/read", get(read_rollout))
         .layer(DefaultBodyLimit::max(CONFIG_LIMIT))
         .with_state(state)
 }
@@ -40,6 +50,80 @@
     state.respond(answer, &uri, |document| document.to_string())
 }
 
+async fn begin_rollout(State(state): State<DoorState>, uri: Uri, body: String) -> Response {
+    let answer = match read_order(&body) {
+        Ok(order) => state.door.begin_rollout(order).await,
+        Err(faults) => DoorAnswer::Bad(faults),
+    };
+    match answer {
+        DoorAnswer::Done(RolloutReply::Busy(record)) => {
+            let error = format!("a roll-out to {} is under way", record.order.to);
+            json(StatusCode::CONFLICT, serde_json::json!({ "error": error }).to_string())
+        }
+        answer => state.respond(answer, &uri, |_| "{}".to_owned()),
+    }
+}
+
+async fn read_rollout(
+    State(state): State<DoorState>,
+    Path(service): Path<String>,
+    uri: Uri,
+) -> Response {
+    match state.door.rollout(&service.as_str().into()).await {
+        DoorAnswer::Done(None) => {
+            let error = format!("no roll-out of {service} was ordered");
+            json(StatusCode::NOT_FOUND, serde_json::json!({ "error": error }).to_string())
+        }
+        answer => state.respond(answer, &uri, |record| rollout_text(record.as_ref())),
+    }
+}
+
+fn rollout_text(record: Option<&RolloutRecord>) -> String {
+    let Some(record) = record else { return "{}".to_owned() };
+    let state = match record.stage {
+        RolloutStage::Trial | RolloutStage::Expanding | RolloutStage::Draining => "running",
+        RolloutStage::Completed => "completed",
+        RolloutStage::RolledBack => "rolled_back",
+    };
+    serde_json::json!({ "state": state, "to": record.order.to }).to_string()
+}
+
+/// Reads an order, naming every field that is missing or makes no sense.
+fn read_order(body: &str) -> Result<RolloutOrder, FaultList> {
+    let mut faults = FaultList::default();
+    let document: Value = serde_json::from_str(body).unwrap_or_else(|error| {
+        faults.add("", error, "a JSON object");
+        Value::Null
+    });
+    if !faults.0.is_empty() {
+        return Err(faults);
+    }
+    let mut text = |field: &str| {
+        let value = document.get(field).unwrap_or(&Value::Null);
+        let text = value.as_str().filter(|text| !text.is_empty() && text.len() <= LONGEST_NAME);
+        if text.is_none() {
+            faults.add(format!("/{field}"), value, "a name");
+        }
+        text.unwrap_or_default().to_owned()
+    };
+    let (service, to) = (text("service"), text("to"));
+    let duration = document.get("duration_s").unwrap_or(&Value::Null);
+    let seconds = duration.as_f64().filter(|seconds| LEAST_SECONDS <= *seconds);
+    let seconds = seconds.filter(|seconds| *seconds <= MOST_SECONDS);
+    if seconds.is_none() {
+        let expected = format!("a number of seconds from {LEAST_SECONDS} to {MOST_SECONDS}");
+        faults.add("/duration_s", duration, expected);
+    }
+    if !faults.0.is_empty() {
+        return Err(faults);
+    }
+    Ok(RolloutOrder {
+        service: service.as_str().into(),
+        to: to.as_str().into(),
+        duration_ms: (seconds.unwrap_or_default() * 1_000.0) as u64,
+    })
+}
+
 impl DoorState {
     fn respond<T>(&self, answer: DoorAnswer<T>, uri: &Uri, text: impl Fn(T) -> String) -> Response {
         match answer {
--- a/src/platform/pages.rs
+++ b/src/platform/pages.rs
@@ -43,8 +43,7 @@
     address: SocketAddr,
     #[serde(rename = "zone")]
     _zone: String,
-    #[serde(rename = "version")]
-    _version: String,
+    version: String,
     state: WireState,
     slots: u32,
     #[serde(rename = "cold_left_ms")]
@@ -220,6 +219,7 @@
             },
             incarnation: self.born,
             places: Some(self.slots),
+            version: Some(self.version.as_str().into()),
         })
     }
 }
--- a/src/policy/shared_list.rs
+++ b/src/policy/shared_list.rs
@@ -4,7 +4,7 @@
 //! links of 10 Mbit/s, so that lists and all other messages are lost, every daemon reads the list for itself and tells
 //! it too. One would notice by calls to the platform that grow with the fleet.
 
-use crate::table::{ServiceName, UpstreamName};
+use crate::table::{ServiceName, SoftwareVersion, UpstreamName};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -28,6 +28,8 @@
     pub is_leaving: bool,
     /// Requests that it works on at once, where the platform says.
     pub places: Option<u32>,
+    /// The version of its software, where the platform says.
+    pub version: Option<SoftwareVersion>,
 }
 
 type ListKey = (ServiceName, UpstreamName);
--- a/src/policy/size_shares.rs
+++ b/src/policy/size_shares.rs
@@ -29,6 +29,11 @@
     pub fn of(route: &str) -> Self {
         RouteKey(xxh3_64(route.as_bytes()))
     }
+
+    /// A shorter number for messages: of 100 routes two have the same one in one table of 13.
+    pub fn short(self) -> u32 {
+        u32::from(self.0 as u16)
+    }
 }
 
 /// Where a request counts.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -68,6 +68,10 @@
     #[serde_as(as = "WholeNumber")]
     #[serde(default = "default_repeat_slack")]
     pub repeat_slack: u64,
+    /// The largest share of a service's requests that a new software version may get before it has proved sound.
+    #[serde(default = "default_rollout_share")]
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub rollout_share: f64,
     /// Where metrics are read beside `callers` and `readiness`, on a port that does not change.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[schemars(with = "Option<String>")]
@@ -159,6 +163,10 @@
     RepeatBound::default().slack
 }
 
+fn default_rollout_share() -> f64 {
+    0.1
+}
+
 fn default_poll() -> Duration {
     Duration::from_millis(200)
 }
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -9,7 +9,8 @@
 pub use checks::{FaultList, TableFault, check_document, read_checked, reference_faults};
 pub use difference::{CellChange, diff_tables};
 pub use names::{
-    DaemonName, DataCentreName, OrganisationName, ServiceName, TierName, UpstreamName,
+    DaemonName, DataCentreName, OrganisationName, ServiceName, SoftwareVersion, TierName,
+    UpstreamName,
 };
 
 pub use routes::{RouteKind, RouteRow, RouteTarget};
--- a/src/table/names.rs
+++ b/src/table/names.rs
@@ -63,6 +63,11 @@
     DaemonName
 }
 
+name_type! {
+    /// The version of the software that an upstream runs; the versions of the table are numbers.
+    SoftwareVersion
+}
+
 mod arc_text {
     use serde::{Deserialize, Deserializer, Serializer};
     use std::sync::Arc;
--- a/src/traffic/crash_check.rs
+++ b/src/traffic/crash_check.rs
@@ -8,7 +8,7 @@
 use super::state::TrafficState;
 use crate::policy::{PoolEvent, UpstreamHash, UpstreamIndex, UpstreamWord};
 use crate::quarantine::RequestFingerprint;
-use crate::table::{ServiceName, UpstreamName};
+use crate::table::{ServiceName, SoftwareVersion, UpstreamName};
 use slog::info;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -26,6 +26,8 @@
 pub struct BrokenUpstream {
     /// Its service.
     pub service: ServiceName,
+    /// The version whose pool it is in; none if that takes any.
+    pub version: Option<SoftwareVersion>,
     /// Its name.
     pub upstream: UpstreamName,
     /// Its number in its pool.
@@ -121,7 +123,7 @@
         UpstreamFate::Ended => UpstreamWord::Unreachable,
         UpstreamFate::Replaced => UpstreamWord::Leaving,
     };
-    if let Some(pool) = state.pool(&upstream.service) {
+    if let Some(pool) = state.version_pool(&upstream.service, upstream.version.as_ref()) {
         pool.tell(PoolEvent::Word { upstream: upstream.index, word });
     }
 }
--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -382,6 +382,7 @@
         };
         let upstream = BrokenUpstream {
             service: self.pool.service.clone(),
+            version: self.pool.version.clone(),
             upstream: name.clone(),
             index,
             incarnation: self.pool.incarnation(index),
--- a/src/traffic/fleet_exchange/list.rs
+++ b/src/traffic/fleet_exchange/list.rs
@@ -104,6 +104,7 @@
         incarnation: row.incarnation,
         is_leaving: row.state == VmState::Leaving,
         places: row.places,
+        version: row.version.clone(),
     }
 }
 
@@ -115,6 +116,7 @@
         state: if row.is_leaving { VmState::Leaving } else { VmState::Live },
         incarnation: row.incarnation,
         places: row.places,
+        version: row.version.clone(),
     });
     PlatformList { vms: vms.collect() }
 }
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -257,7 +257,7 @@
         let (rows, is_changed) = pool.inspect(|scheduler| {
             let upstreams = scheduler.upstreams();
             let is_changed = upstreams.group() != group || *scheduler.others_waiting() != waiting;
-            (changed_rows(service, upstreams, &others), is_changed)
+            (changed_rows(&pool.service, upstreams, &others), is_changed)
         });
         if !rows.is_empty() || is_changed {
             pool.tell(PoolEvent::Others { rows, group, waiting });
@@ -382,7 +382,8 @@
 /// What this daemon has at each upstream, and the speeds that it learned since `since`.
 fn own_work(state: &TrafficState, since: Moment) -> Vec<WorkRow> {
     let mut rows = Vec::new();
-    for (service, pool) in state.pools().iter() {
+    for pool in state.pools().values() {
+        let service = &pool.service;
         pool.inspect(|scheduler| {
             rows.extend(scheduler.upstreams().iter().filter_map(|status| {
                 let learned = status.gap_micros.filter(|_| status.learned_at > since);
--- a/src/traffic/fleet_exchange/wire.rs
+++ b/src/traffic/fleet_exchange/wire.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 
 /// The version of these messages: a daemon that speaks another one is not understood, and both go on with what they know.
-const VERSION: u8 = 5;
+const VERSION: u8 = 6;
 /// Bytes of the tag that proves the fleet's key.
 const TAG_BYTES: usize = 8;
 
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -11,6 +11,7 @@
 mod pool_runtime;
 mod probe;
 mod quarantine_gate;
+mod rollout_gate;
 mod routed;
 mod sink;
 mod state;
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -6,7 +6,7 @@
     ArrivedRequest, DispatchOutcome, Moment, OrganisationIndex, PoolAction, PoolEvent, PoolPlan,
     PoolScheduler, PoolStatus, RequestId, TierRank, UpstreamIndex, UpstreamState, UpstreamStatus,
 };
-use crate::table::{ServiceName, ServiceRow, UpstreamName};
+use crate::table::{ServiceName, ServiceRow, SoftwareVersion, UpstreamName};
 use crate::upstream::UpstreamDriver;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -44,6 +44,8 @@
 pub struct PoolRuntime {
     /// The service.
     pub service: ServiceName,
+    /// The version of its upstreams' software; none if it takes any.
+    pub version: Option<SoftwareVersion>,
     /// How to talk to its upstreams.
     pub driver: Arc<dyn UpstreamDriver>,
     clock: TrafficClock,
@@ -57,6 +59,7 @@
     /// A pool without upstreams.
     pub fn new(
         service: ServiceName,
+        version: Option<SoftwareVersion>,
         plan: PoolPlan,
         driver: Arc<dyn UpstreamDriver>,
         clock: TrafficClock,
@@ -70,6 +73,7 @@
         };
         Arc::new(PoolRuntime {
             service,
+            version,
             driver,
             clock,
             event_tokens: AtomicU32::new(1),
--- a/src/traffic/routed/carry.rs
+++ b/src/traffic/routed/carry.rs
@@ -9,15 +9,17 @@
 use crate::answer::{AnswerKind, RefusalAnswer};
 use crate::policy::{
     ArrivedRequest, DispatchOutcome, Moment, PoolEvent, RequestId, RequestSizes, RouteKey,
-    SizeTenth, UpstreamIndex, UpstreamWord,
+    SizeTenth, UpstreamHash, UpstreamIndex, UpstreamWord,
 };
 use crate::quarantine::RequestFingerprint;
 use crate::report::{RouteRecord, record_route};
+use crate::rollout::{AnswerCount, RequestGroup, VersionArm};
 use crate::table::{RouteKind, RouteRow, ServiceName, UpstreamName};
 use crate::traffic::access::CallerIdentity;
 use crate::traffic::crash_check::{BrokenRequest, BrokenUpstream, check_upstream};
 use crate::traffic::pool_runtime::{PlacementWord, PoolRuntime, RequestGuard};
-use crate::traffic::state::{ProgressGuard, TrafficState};
+use crate::traffic::rollout_gate::TrialTicket;
+use crate::traffic::state::{ChosenPool, ProgressGuard, TrafficState};
 use axum::body::Body;
 use bytes::Bytes;
 use http::Response;
@@ -26,6 +28,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// A resumable stream without a first event is sent elsewhere after this many times its objective.
 const FIRST_EVENT_PATIENCE: u32 = 2;
@@ -89,6 +92,10 @@
     pub sent_at: Moment,
     /// The place that the upstream reserved.
     pub place: Option<String>,
+    /// The version that it has in its service's roll-out, if there is one.
+    pub arm: VersionArm,
+    /// The request's part of the share of a version on trial.
+    pub ticket: Option<TrialTicket>,
 }
 
 impl PlacedRequest {
@@ -96,6 +103,7 @@
     fn broken_upstream(&self) -> BrokenUpstream {
         BrokenUpstream {
             service: self.pool.service.clone(),
+            version: self.pool.version.clone(),
             upstream: self.name.clone(),
             index: self.upstream,
             incarnation: self.pool.incarnation(self.upstream),
@@ -176,7 +184,10 @@
     /// Waits for a place. Between the word and the send the table is asked again: a route may have moved and a
     /// key may have been revoked while the request waited. So is the quarantine: there is no other way to an upstream,
     /// whether for a first send, a second one, or the rest of a stream.
-    pub async fn place(&mut self) -> Result<PlacedRequest, AnswerKind> {
+    ///
+    /// `may_try` if the request may go to a version on trial: one that has failed already goes to what is proven.
+    pub async fn place(&mut self, may_try: bool) -> Result<PlacedRequest, AnswerKind> {
+        let mut news = self.state.rollouts.news();
         loop {
             self.check_quarantine()?;
             let entry = find_entry(&self.state.snapshot(), &self.parts, &self.facts)?;
@@ -184,11 +195,12 @@
             self.caller = entry.caller;
             let service = self.route.target(self.state.jitter());
             let service = service.ok_or(AnswerKind::ServiceUnknown)?.clone();
-            let pool = self.state.pool(&service).ok_or(AnswerKind::UpstreamAbsent)?;
-            let placed = self.wait_in(pool).await?;
+            let chosen = self.state.choose_pool(&service, may_try);
+            let chosen = chosen.ok_or(AnswerKind::UpstreamAbsent)?;
+            let Some(placed) = self.wait_in(chosen, &mut news).await? else { continue };
             self.check_quarantine()?;
             let entry = find_entry(&self.state.snapshot(), &self.parts, &self.facts)?;
-            if entry.route.allows(&service) {
+            if entry.route.allows(&service) && self.state.may_use(&service, placed.arm) {
                 return Ok(placed);
             }
         }
@@ -198,13 +210,29 @@
         self.state.quarantine.check(&self.state, self.id(), self.fingerprint)
     }
 
-    /// Waits for the scheduler's word, and for a place at the upstream that it names.
-    async fn wait_in(&self, pool: Arc<PoolRuntime>) -> Result<PlacedRequest, AnswerKind> {
+    /// Waits for the scheduler's word, and for a place at the upstream that it names. None if a roll-out leaves the pool
+    /// meanwhile.
+    async fn wait_in(
+        &self,
+        chosen: ChosenPool,
+        news: &mut watch::Receiver<()>,
+    ) -> Result<Option<PlacedRequest>, AnswerKind> {
+        let ChosenPool { pool, arm, ticket } = chosen;
         let number = RequestId(self.state.new_request_id().0);
         let (mut guard, mut word) = pool.arrive(self.arrived(number));
         loop {
             let limit = self.time_left();
-            let (upstream, name, address) = match tokio::time::timeout(limit, word).await {
+            let waited = tokio::select! {
+                biased;
+                waited = tokio::time::timeout(limit, &mut word) => waited,
+                Ok(()) = news.changed() => {
+                    if self.state.may_use(&pool.service, arm) {
+                        continue;
+                    }
+                    return Ok(None);
+                }
+            };
+            let (upstream, name, address) = match waited {
                 Ok(Ok(PlacementWord::Go { upstream, name, address })) => (upstream, name, address),
                 Ok(Ok(PlacementWord::Refuse(kind))) => {
                     guard.refused();
@@ -227,7 +255,9 @@
                 Reservation::Granted { place, .. } => {
                     guard.granted();
                     let sent_at = self.state.clock.now();
-                    return Ok(PlacedRequest {
+                    return Ok(Some(PlacedRequest {
+                        arm,
+                        ticket,
                         pool,
                         guard,
                         number,
@@ -236,7 +266,7 @@
                         address,
                         sent_at,
                         place,
-                    });
+                    }));
                 }
                 Reservation::Full => word = guard.requeue(DispatchOutcome::Crowded),
                 Reservation::Gone => {
@@ -301,6 +331,10 @@
         last_event: Option<u64>,
     ) -> Result<OpenAnswer, AttemptFault> {
         count.sent += 1;
+        match &placed.ticket {
+            Some(ticket) => ticket.sent(),
+            None => self.state.rollouts.note_sent_to_old(&placed.pool.service),
+        }
         let is_last = count.sent >= self.route.attempts;
         let patience = if is_last { Duration::MAX } else { self.patience() };
         let limit = self.time_left().min(patience);
@@ -317,7 +351,7 @@
         let waited = placed.sent_at.since(self.arrived_at).as_millis() as u64;
         let organisation = self.caller.as_ref().map_or("", |caller| caller.organisation.as_str());
         info!(self.state.log, "sent"; "request" => self.id(), "route" => &self.route.route, "organisation" => organisation,
-            "service" => placed.pool.service.as_str(), "upstream" => placed.name.as_str(), "waited_ms" => waited,
+            "service" => placed.pool.service.as_str(), "version" => placed.pool.version.as_ref().map(|version| version.as_str()), "upstream" => placed.name.as_str(), "waited_ms" => waited,
             "send" => count.sent + 1, "after_event" => last_event, "fingerprint" => self.fingerprint.to_string(), "table" => self.state.snapshot().version,
             "left_ms" => self.time_left().as_millis() as u64, "tokens" => self.limit.as_ref().map_or(0, |limit| limit.cost),
             "slowness" => format!("{:.2}", placed.pool.slowness(placed.upstream)), self.size_fields());
@@ -329,7 +363,7 @@
     let mut count = SendCount::default();
     loop {
         request.stage = RequestStage::Waiting;
-        let mut placed = match request.place().await {
+        let mut placed = match request.place(count.sent == 0).await {
             Ok(placed) => placed,
             Err(kind) => return refuse(&mut request, kind, count),
         };
@@ -383,6 +417,15 @@
 }
 
 impl CarriedRequest {
+    /// Counts what came of a send for its service's roll-out, if there is one.
+    pub fn note_version(&self, placed: &PlacedRequest, answer: AnswerCount) {
+        let group = RequestGroup::of(RouteKey::of(&self.route.route), self.size_tenth);
+        let incarnation = placed.pool.incarnation(placed.upstream);
+        let service = &placed.pool.service;
+        let upstream = UpstreamHash::of(service, &placed.name, incarnation);
+        self.state.rollouts.note_answer(service, placed.arm, group, upstream, answer);
+    }
+
     fn note_run(&mut self, count: &mut SendCount, fault: &AttemptFault) {
         if matches!(fault, AttemptFault::Broken(_) | AttemptFault::Lost(_)) {
             count.may_have_run = true;
@@ -406,6 +449,9 @@
         let word = UpstreamWord::Leaving;
         placed.pool.tell(PoolEvent::Word { upstream: placed.upstream, word });
     }
+    if let AttemptFault::Broken(_) | AttemptFault::Lost(_) = fault {
+        request.note_version(placed, AnswerCount::Failed);
+    }
     placed.guard.end(DispatchOutcome::Failed);
 }
 
@@ -484,6 +530,9 @@
                 true => DispatchOutcome::Failed,
                 false => DispatchOutcome::Completed { prompt_tokens: None, output_tokens: 0 },
             };
+            let after = request.state.clock.now().since(placed.sent_at);
+            let answer = if is_failure { AnswerCount::Failed } else { AnswerCount::served(after) };
+            request.note_version(&placed, answer);
             placed.guard.end(outcome);
             let ran = SendCount { may_have_run: true, ..count };
             if !is_failure || !request.may_send_again(&placed.pool.service, ran) {
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -4,6 +4,7 @@
 use super::carry::{CarriedRequest, PlacedRequest, RequestStage, SendCount, note_fault};
 use super::events::EventCutter;
 use crate::policy::{DispatchOutcome, Moment, PoolEvent};
+use crate::rollout::AnswerCount;
 use crate::upstream::{ConnectionGuard, end_to_end_headers};
 use axum::body::Body;
 use bytes::Bytes;
@@ -199,6 +200,9 @@
         self.is_over = true;
         self.request.stage = RequestStage::Ended;
         self.request.record("cut", Some(&self.pace));
+        if self.connection.is_some() {
+            self.request.note_version(&self.placed, AnswerCount::Failed);
+        }
         self.connection = None;
         self.placed.guard.end(DispatchOutcome::Failed);
         info!(self.request.state.log, "stream cut"; "request" => self.request.id(), "upstream" => self.placed.name.as_str(),
@@ -215,7 +219,7 @@
             "events" => self.cutter.events(), "detail" => fault.to_string());
         note_fault(&self.request, &mut self.placed, &fault);
         while self.request.may_send_again(&self.placed.pool.service.clone(), self.count) {
-            let Ok(placed) = self.request.place().await else { return false };
+            let Ok(placed) = self.request.place(false).await else { return false };
             self.placed = placed;
             let last_event = self.cutter.last_event().or(self.request.facts.last_event);
             self.request.log_placed(&self.placed, self.count, last_event);
@@ -228,7 +232,10 @@
                     self.connection = Some(answer.connection);
                     return true;
                 }
-                Ok(_) => self.placed.guard.end(DispatchOutcome::Failed),
+                Ok(_) => {
+                    self.request.note_version(&self.placed, AnswerCount::Failed);
+                    self.placed.guard.end(DispatchOutcome::Failed);
+                }
                 Err(fault) => note_fault(&self.request, &mut self.placed, &fault),
             }
         }
@@ -245,6 +252,7 @@
             None => {
                 self.gap_from = Some((events, now));
                 let after = now.since(self.placed.sent_at);
+                self.request.note_version(&self.placed, AnswerCount::served(after));
                 self.placed.pool.tell(PoolEvent::FirstToken { id, after });
             }
             Some((from, at)) if events >= from + GAP_STRETCH => {
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -5,25 +5,29 @@
 use super::fleet_exchange::FleetExchange;
 use super::pool_runtime::PoolRuntime;
 use super::quarantine_gate::QuarantineGate;
+use super::rollout_gate::{RolloutGate, TrialTicket};
 use super::routed::CallDialect;
 use crate::clock::TrafficClock;
 use crate::control::ClaimKeeper;
 use crate::policy::{
     CallerTimes, LimitTable, Mechanism, MechanismSet, Moment, PoolEvent, PoolPlan, RepeatBound,
-    RepeatBudget, RequestSizes, RouteSizes, SizeTenth, UpstreamSource,
+    RepeatBudget, RequestSizes, RouteSizes, SizeTenth, UpstreamHash, UpstreamSource,
 };
+use crate::rollout::{RolloutReport, RolloutRow, RolloutRows, VersionArm, version_pool};
 use crate::table::{
-    DaemonName, OperatorTable, ServiceKind, ServiceName, TableReader, VersionedTable,
+    DaemonName, OperatorTable, ServiceKind, ServiceName, ServiceRow, SoftwareVersion, TableReader,
+    VersionedTable,
+};
+use crate::upstream::{
+    ConnectionPool, EngineDriver, PlainDriver, PlatformList, UpstreamDriver, VmRow,
 };
-use crate::upstream::PlatformList;
-use crate::upstream::{ConnectionPool, EngineDriver, PlainDriver, UpstreamDriver};
 use arc_swap::ArcSwap;
 use rand::RngCore;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, error, info};
 use std::borrow::Cow;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
@@ -82,6 +86,8 @@
     pub fleet: FleetExchange,
     /// Requests under which upstreams end.
     pub quarantine: QuarantineGate,
+    /// Roll-outs of upstreams' software.
+    pub rollouts: RolloutGate,
     /// Looks at upstreams whose connections broke.
     pub crash_checks: CrashChecks,
     /// Told when the leader should hear of a floor at once.
@@ -122,6 +128,7 @@
             table_news: Notify::new(),
             fleet: FleetExchange::default(),
             quarantine: QuarantineGate::default(),
+            rollouts: RolloutGate::default(),
             crash_checks: CrashChecks::default(),
             floor_news: Notify::new(),
             in_progress: AtomicUsize::new(0),
@@ -136,9 +143,68 @@
         self.snapshot.load_full()
     }
 
-    /// The pool of a service.
+    /// The pool of a service, that of the version in use where it has been rolled out.
     pub fn pool(&self, service: &ServiceName) -> Option<Arc<PoolRuntime>> {
-        self.pools.load().get(service).cloned()
+        self.choose_pool(service, false).map(|chosen| chosen.pool)
+    }
+
+    /// The pool that holds the upstreams of one version of a service.
+    pub fn version_pool(
+        &self,
+        service: &ServiceName,
+        version: Option<&SoftwareVersion>,
+    ) -> Option<Arc<PoolRuntime>> {
+        self.pools.load().get(&version_pool(service, version)).cloned()
+    }
+
+    /// The pool for a request of a service; `may_try` if the request may go to a version on trial.
+    pub fn choose_pool(&self, service: &ServiceName, may_try: bool) -> Option<ChosenPool> {
+        let Some(row) = self.rollouts.row(service) else {
+            let pool = self.version_pool(service, None)?;
+            return Some(ChosenPool { pool, arm: VersionArm::Old, ticket: None });
+        };
+        let (live, now) = (self.live_versions(&row), self.clock.now());
+        let ticket = may_try.then(|| self.rollouts.ticket(&row, live.1, now)).flatten();
+        let arm = match &ticket {
+            Some(_) => VersionArm::New,
+            None => self.rollouts.arm_in_use(&row, live, now),
+        };
+        let pool = self.version_pool(service, row.version_of(arm))?;
+        Some(ChosenPool { pool, arm, ticket })
+    }
+
+    /// Whether the old and the new version of a roll-out have upstreams.
+    fn live_versions(&self, row: &RolloutRow) -> (bool, bool) {
+        let is_live = |arm| {
+            let pool = self.version_pool(&row.service, row.version_of(arm));
+            pool.is_some_and(|pool| pool.status().live > 0)
+        };
+        (is_live(VersionArm::Old), is_live(VersionArm::New))
+    }
+
+    /// True if a request that was meant for an arm of its service's roll-out may still be sent there.
+    pub fn may_use(&self, service: &ServiceName, arm: VersionArm) -> bool {
+        let Some(row) = self.rollouts.row(service) else { return true };
+        self.rollouts.allows(&row, arm, self.live_versions(&row), self.clock.now())
+    }
+
+    /// What this daemon saw of roll-outs, for the leader.
+    pub fn rollout_reports(&self) -> Vec<RolloutReport> {
+        self.rollouts.reports(|row| {
+            let pool = self.version_pool(&row.service, row.version_of(VersionArm::Old));
+            pool.map_or(0, |pool| (pool.status().waiting + pool.status().running) as u32)
+        })
+    }
+
+    /// Takes the roll-outs that the leader named.
+    pub fn apply_rollouts(&self, rows: RolloutRows) {
+        if !self.rollouts.take(rows, self.jitter()) {
+            return;
+        }
+        let numbers = self.numbers.lock().unwrap_or_else(PoisonError::into_inner);
+        self.update_pools(&self.snapshot.load().access);
+        drop(numbers);
+        self.rollouts.tell_news();
     }
 
     /// All pools.
@@ -280,17 +346,19 @@
         let old = self.pools.load();
         let mut pools = HashMap::new();
         let shares = access.tier_shares();
-        for row in access.services() {
+        for (row, version) in access.services().flat_map(|row| self.versions_of(row)) {
             let mut plan = PoolPlan::new(row, &shares);
             plan.sheds_alone = !access.table().routes.is_empty();
             plan.mechanisms = self.mechanisms();
-            let pool = match old.get(&row.service) {
+            let name = version_pool(&row.service, version.as_ref());
+            let pool = match old.get(&name) {
                 Some(pool) => {
                     pool.tell(PoolEvent::Plan(plan));
                     Arc::clone(pool)
                 }
                 None => PoolRuntime::new(
                     row.service.clone(),
+                    version,
                     plan,
                     self.driver(row.kind),
                     self.clock,
@@ -298,7 +366,7 @@
                 ),
             };
             pool.set_manner(row);
-            pools.insert(row.service.clone(), pool);
+            pools.insert(name, pool);
         }
         self.pools.store(Arc::new(pools));
         let routes: HashSet<&str> =
@@ -312,6 +380,19 @@
         self.update_sources(access.table());
     }
 
+    /// A service's row for each of its pools: one, or one for each version of a roll-out.
+    fn versions_of<'a>(
+        &self,
+        row: &'a ServiceRow,
+    ) -> Vec<(&'a ServiceRow, Option<SoftwareVersion>)> {
+        let mut versions = BTreeSet::from([None]);
+        if let Some(rollout) = self.rollouts.row(&row.service) {
+            let arms = [VersionArm::Old, VersionArm::New];
+            versions.extend(arms.map(|arm| rollout.version_of(arm).cloned()));
+        }
+        versions.into_iter().map(|version| (row, version)).collect()
+    }
+
     /// The platform's list as it is in force.
     pub fn platform(&self) -> Arc<PlatformList> {
         self.platform.load_full()
@@ -325,8 +406,11 @@
 
     fn update_sources(&self, table: &OperatorTable) {
         let platform = self.platform.load();
-        for (service, pool) in self.pools.load().iter() {
-            let sources: Vec<UpstreamSource> = platform.merged(table, service);
+        for pool in self.pools.load().values() {
+            let sources = match self.rollouts.row(&pool.service) {
+                Some(row) => version_sources(&row, &platform, table, pool),
+                None => platform.merged(table, &pool.service),
+            };
             pool.tell(PoolEvent::Sources(sources));
         }
     }
@@ -413,6 +497,40 @@
     }
 }
 
+/// The upstreams of a pool while its service has several versions.
+fn version_sources(
+    row: &RolloutRow,
+    platform: &PlatformList,
+    table: &OperatorTable,
+    pool: &PoolRuntime,
+) -> Vec<UpstreamSource> {
+    let service = &pool.service;
+    let arms = [VersionArm::Old, VersionArm::New];
+    let arm = arms.into_iter().find(|arm| row.version_of(*arm) == pool.version.as_ref());
+    let Some(arm) = arm else { return Vec::new() };
+    let belongs = |vm: &VmRow| row.arm_of(vm.version.as_ref()) == arm;
+    if arm == VersionArm::Old {
+        return platform.only(service, belongs).merged(table, service);
+    }
+    // What the table itself names has no version.
+    let mut sources = platform.only(service, belongs).merged(&OperatorTable::default(), service);
+    let hash =
+        |source: &UpstreamSource| UpstreamHash::of(service, &source.name, source.incarnation);
+    let in_use = row.in_use(sources.iter().map(hash).collect());
+    sources.retain(|source| in_use.contains(&hash(source)));
+    sources
+}
+
+/// The pool for a request.
+pub struct ChosenPool {
+    /// The pool.
+    pub pool: Arc<PoolRuntime>,
+    /// The version that it stands for in the service's roll-out.
+    pub arm: VersionArm,
+    /// Where the pool's version is on trial: the request's part of its share.
+    pub ticket: Option<TrialTicket>,
+}
+
 /// A request in progress.
 pub struct ProgressGuard(Arc<TrafficState>);
 
--- a/src/upstream/platform_list.rs
+++ b/src/upstream/platform_list.rs
@@ -6,7 +6,9 @@
 //! incarnation.
 
 use crate::policy::UpstreamSource;
-use crate::table::{FaultList, OperatorTable, ServiceName, UpstreamName, read_checked};
+use crate::table::{
+    FaultList, OperatorTable, ServiceName, SoftwareVersion, UpstreamName, read_checked,
+};
 use futures_util::future::BoxFuture;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -123,6 +125,9 @@
     /// Requests that it works on at once, where the platform says.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub places: Option<u32>,
+    /// The version of its software, where the platform says.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<SoftwareVersion>,
 }
 
 /// The platform's list.
@@ -139,6 +144,12 @@
         read_checked(text)
     }
 
+    /// The rows of `service` that `keep` says yes to, and all of other services.
+    pub fn only(&self, service: &ServiceName, keep: impl Fn(&VmRow) -> bool) -> PlatformList {
+        let vms = self.vms.iter().filter(|row| row.service != *service || keep(row));
+        PlatformList { vms: vms.cloned().collect() }
+    }
+
     /// The upstreams of `service` that the table or this list names. Leaving wins over live for the
     /// same incarnation, and the larger incarnation over the smaller.
     pub fn merged(&self, table: &OperatorTable, service: &ServiceName) -> Vec<UpstreamSource> {
--- a/tests/routed_fleet.rs
+++ b/tests/routed_fleet.rs
@@ -342,13 +342,20 @@
 
     /// Lists the engines in this state.
     pub fn list(&self, engines: &[&ScriptedEngine], state: VmState) {
-        let row = |engine: &&ScriptedEngine| VmRow {
+        let versions: Vec<_> = engines.iter().map(|engine| (*engine, "v1")).collect();
+        self.list_versions(&versions, state);
+    }
+
+    /// Lists engines with the versions of their software.
+    pub fn list_versions(&self, engines: &[(&ScriptedEngine, &str)], state: VmState) {
+        let row = |(engine, version): &(&ScriptedEngine, &str)| VmRow {
             service: self.pool.into(),
             upstream: engine.name.as_str().into(),
             address: engine.address,
             state,
             incarnation: 0,
             places: Some(4),
+            version: Some((*version).into()),
         };
         self.state.apply_platform(PlatformList { vms: engines.iter().map(row).collect() });
     }
--- a/tests/test_list_pages.rs
+++ b/tests/test_list_pages.rs
@@ -111,6 +111,7 @@
         state: VmState::Live,
         incarnation,
         places: Some(5),
+        version: Some("v1".into()),
     }
 }
 
--- /dev/null
+++ b/tests/test_rollout.rs
@@ -0,0 +1,192 @@
+//! Roll-outs of upstreams' software: orders, ends, shares and verdicts.
+
+use crate::rollout_play::{Badness, EVENTS, RolloutPlay, Trouble, is_rolled_back};
+use rstest::rstest;
+use std::collections::BTreeSet;
+use tarragonknot::control::{ControlCommand, ControlLedger, ControlReply};
+use tarragonknot::rollout::{
+    RolloutLog, RolloutOrder, RolloutReply, RolloutStage, RolloutStep, SharePace, rollout_chart,
+};
+use tarragonknot::table::ServiceName;
+
+fn order(to: &str) -> RolloutOrder {
+    RolloutOrder { service: "pool".into(), to: to.into(), duration_ms: 12_000 }
+}
+
+fn step(number: u64, event: Option<tarragonknot::rollout::RolloutEvent>, at: u64) -> RolloutStep {
+    RolloutStep { service: "pool".into(), number, event, elapsed_ms: at, at }
+}
+
+fn accepted(reply: RolloutReply) -> u64 {
+    match reply {
+        RolloutReply::Accepted(record) => record.number,
+        RolloutReply::Busy(record) => panic!("busy with {record:?}"),
+    }
+}
+
+#[test]
+fn the_chart_is_complete() {
+    assert_eq!(rollout_chart().faults(), Vec::<String>::new());
+}
+
+/// Guards against an order whose answer was lost and whose resend is refused.
+#[test]
+fn a_resent_order_is_answered_as_before() {
+    let mut log = RolloutLog::default();
+    let first = accepted(log.begin(&order("v2"), 0));
+
+    let again = accepted(log.begin(&order("v2"), 900));
+    let other = log.begin(&order("v3"), 950);
+
+    assert_eq!(again, first);
+    assert!(matches!(other, RolloutReply::Busy(_)), "{other:?}");
+}
+
+/// Guards against an end that is undone by a late step, and against a new roll-out moved by one of the last.
+#[test]
+fn no_step_undoes_an_end_or_moves_a_later_roll_out() {
+    let mut log = RolloutLog::default();
+    let first = accepted(log.begin(&order("v2"), 0));
+    log.step(&step(first, Some(EVENTS[1]), 1_000));
+
+    log.step(&step(first, Some(EVENTS[0]), 2_000));
+    let ended = log.get(&"pool".into()).expect("the first").stage;
+    let second = accepted(log.begin(&order("v3"), 3_000));
+    log.step(&step(first, Some(EVENTS[1]), 4_000));
+
+    assert_eq!(ended, RolloutStage::RolledBack);
+    let current = log.get(&"pool".into()).expect("the second");
+    assert_eq!((current.number, current.stage), (second, RolloutStage::Trial));
+}
+
+/// Guards against a wall clock that is stepped, which would end a trial at once or keep it for ever.
+#[rstest]
+#[case::forward(3_600_000, 6_000)]
+#[case::backward(0, 1_000)]
+#[case::by_a_little(2_500, 2_500)]
+fn a_stepped_clock_shifts_the_time_by_seconds_at_most(#[case] wall: u64, #[case] expected: u64) {
+    let mut log = RolloutLog::default();
+    let number = accepted(log.begin(&order("v2"), 0));
+    log.step(&step(number, None, 1_000));
+
+    let elapsed = log.get(&"pool".into()).expect("the roll-out").elapsed_at(wall);
+
+    assert_eq!(elapsed, expected);
+}
+
+/// Guards against both ends for one roll-out, an end that reverts, and an acknowledged order that is gone: every order of
+/// two operators' orders, steps of two leaders and restarts from a snapshot, seven deep.
+#[test]
+fn no_interleaving_reverts_an_end_or_loses_an_order() {
+    let service: ServiceName = "pool".into();
+    let mut open = vec![(ControlLedger::default(), BTreeSet::<u64>::new(), 0)];
+    let mut states = 0;
+    while let Some((ledger, acknowledged, depth)) = open.pop() {
+        states += 1;
+        let before = ledger.rollouts().get(&service).cloned();
+        if depth == 7 {
+            continue;
+        }
+        for choice in 0..8 {
+            let restarted = ControlLedger::from_text(&ledger.to_text()).expect("a snapshot");
+            let mut next = if choice == 7 { restarted } else { ledger.clone() };
+            let mut known = acknowledged.clone();
+            let command = command(choice, before.as_ref().map_or(1, |record| record.number));
+            if let ControlReply::Rollout(reply) = next.apply(&command)
+                && let RolloutReply::Accepted(record) = *reply
+            {
+                known.insert(record.number);
+            }
+            let after = next.rollouts().get(&service).cloned();
+            if let (Some(before), Some(after)) = (&before, &after)
+                && before.number == after.number
+                && before.stage.is_final()
+            {
+                assert_eq!(before.stage, after.stage, "an end reverted");
+            }
+            let newest = after.as_ref().map_or(0, |record| record.number);
+            assert!(known.iter().all(|number| *number <= newest), "{known:?} of {newest}");
+            if before == after && choice != 7 {
+                continue;
+            }
+            open.push((next, known, depth + 1));
+        }
+    }
+    assert!(states > 1_000, "{states} states");
+}
+
+fn command(choice: usize, number: u64) -> ControlCommand {
+    match choice {
+        0 | 1 => ControlCommand::Rollout { order: order(["v2", "v3"][choice]), at: 0 },
+        2..=4 => ControlCommand::RolloutStep(step(number, Some(EVENTS[choice - 2]), 0)),
+        5 => ControlCommand::RolloutStep(step(number.saturating_sub(1), Some(EVENTS[1]), 0)),
+        _ => ControlCommand::RolloutStep(step(number, None, 0)),
+    }
+}
+
+/// Guards against a share of arrivals: where most are refused, the new version would get more than its share of the rest.
+#[test]
+fn the_share_is_of_what_is_sent() {
+    let mut sent = [0u32; 2];
+    let mut paces: Vec<SharePace> =
+        (0..80).map(|daemon| SharePace::new(f64::from(daemon) / 80.0)).collect();
+
+    for request in 0..80 * 200 {
+        let pace = &mut paces[request % 80];
+        match pace.take() {
+            true => sent[1] += 1,
+            // Only every third request is sent; the others are refused.
+            false if request / 80 % 3 == 0 => {
+                pace.sent_to_old(0.06);
+                sent[0] += 1;
+            }
+            false => {}
+        }
+    }
+
+    let share = f64::from(sent[1]) / f64::from(sent[0] + sent[1]);
+    assert!((0.05..=0.07).contains(&share), "{share:.3} of {sent:?}");
+}
+
+/// Guards against bad versions that are let in, or get more than their share.
+#[rstest]
+#[case::all_fail(Badness::Fails(1.0))]
+#[case::three_in_ten_fail(Badness::Fails(0.3))]
+#[case::one_in_ten_fails(Badness::Fails(0.1))]
+#[case::three_times_slower(Badness::Slow(3.0))]
+#[case::eight_times_slower(Badness::Slow(8.0))]
+#[case::later(Badness::Later(0.5))]
+#[case::one_route(Badness::OneRoute)]
+#[case::under_load(Badness::UnderLoad)]
+#[case::absent(Badness::Absent)]
+fn a_bad_version_is_rolled_back(
+    #[case] badness: Badness,
+    #[values(7, 80, 291)] daemons: usize,
+    #[values(Trouble::Nothing, Trouble::GreyEngines, Trouble::LeaderLost)] trouble: Trouble,
+) {
+    for seed in 0..4 {
+        let play = RolloutPlay { daemons, rate: 400.0, badness, trouble, seed };
+
+        let outcome = play.play();
+
+        assert!(is_rolled_back(&outcome), "seed {seed}: {outcome:?}");
+        assert!(!outcome.is_overexposed(), "seed {seed}: {outcome:?}");
+        assert_eq!(outcome.after_roll_back, 0, "seed {seed}: {outcome:?}");
+    }
+}
+
+/// Guards against good versions that are rolled back for what engines in trouble do, or are late.
+#[rstest]
+fn a_good_version_is_finished(
+    #[values(7, 80, 291)] daemons: usize,
+    #[values(Trouble::Nothing, Trouble::GreyEngines, Trouble::Crashes)] trouble: Trouble,
+) {
+    let seeds = 0..6;
+    let ends = seeds.map(|seed| {
+        RolloutPlay { daemons, rate: 400.0, badness: Badness::Nothing, trouble, seed }.play()
+    });
+    let in_time =
+        ends.filter(|end| end.stage == RolloutStage::Completed && end.ended_ms <= 12_000).count();
+
+    assert!(in_time >= if trouble == Trouble::Nothing { 6 } else { 5 }, "{in_time} of 6");
+}
--- a/tests/test_shared_list.rs
+++ b/tests/test_shared_list.rs
@@ -13,6 +13,7 @@
         incarnation: 1,
         is_leaving,
         places: Some(4),
+        version: None,
     }
 }
 
--- a/tests/test_roll_out.rs
+++ b/tests/test_table_versions.rs
@@ -1,6 +1,6 @@
 //! How far a table has come, as operators ask.
 
-use tarragonknot::control::{MemberView, RollOutRow, roll_out};
+use tarragonknot::control::{MemberView, TableVersionRow, table_versions};
 
 fn member(number: u16, version: u64, version_ms: u64, is_live: bool) -> MemberView {
     MemberView {
@@ -23,17 +23,17 @@
     members.push(member(289, 6, 60_000, true));
     members.push(member(290, 6, 60_000, false));
 
-    let rows = roll_out(&members);
+    let rows = table_versions(&members);
 
     let [newest, behind] = &rows[..] else { panic!("{rows:?}") };
     assert_eq!((newest.version, newest.live, newest.lapsed, newest.lags_ms), (7, 289, 0, None));
     assert_eq!(newest.named.len(), 5);
     let named = vec!["entry-289".into(), "entry-290".into()];
-    let expected = RollOutRow { version: 6, live: 1, lapsed: 1, lags_ms: Some(1_400), named };
+    let expected = TableVersionRow { version: 6, live: 1, lapsed: 1, lags_ms: Some(1_400), named };
     assert_eq!(*behind, expected);
 }
 
 #[test]
 fn a_fleet_without_members_has_no_rows() {
-    assert_eq!(roll_out(&[]), []);
+    assert_eq!(table_versions(&[]), []);
 }
--- a/tests/test_voters.rs
+++ b/tests/test_voters.rs
@@ -232,3 +232,53 @@
     assert!(body.contains("/routes/0/targets"), "{body}");
     assert_eq!(fleet.read(), 2);
 }
+
+/// Guards against an order that is taken though it makes no sense, or refused without a word on why.
+#[test]
+fn roll_outs_are_ordered_and_read_back_and_bad_orders_name_their_field() {
+    let mut fleet = SeededFleet::found(16);
+    assert_eq!(fleet.replace(2), 200);
+    let order = |text: &str| {
+        fleet.until("an answer", || {
+            let hosts = fleet.running.iter().map(|(host, _)| *host);
+            let calls =
+                hosts.filter_map(|host| fleet.call(host, "POST", "/-/rollouts/begin", text));
+            calls.into_iter().find(|(status, _)| !matches!(status, 307 | 503))
+        })
+    };
+    let bad = [
+        (r#"{"to":"v2","duration_s":12}"#, "/service"),
+        (r#"{"service":"nobody","to":"v2","duration_s":12}"#, "/service"),
+        (r#"{"service":"s","to":7,"duration_s":12}"#, "/to"),
+        (r#"{"service":"s","to":"v2"}"#, "/duration_s"),
+        (r#"{"service":"s","to":"v2","duration_s":0}"#, "/duration_s"),
+        (r#"{"service":"s","to":"v2","duration_s":-3}"#, "/duration_s"),
+        (r#"{"service":"s","to":"v2","duration_s":1e300}"#, "/duration_s"),
+        (r#"{"service":"s","to":"v2","dur"#, "a JSON object"),
+    ];
+
+    let refused: Vec<(u16, String)> = bad.iter().map(|(text, _)| order(text)).collect();
+    let good = r#"{"service":"s","to":"v2","duration_s":600}"#;
+    let (accepted, resent) = (order(good).0, order(good).0);
+    let (busy, _) = order(r#"{"service":"s","to":"v3","duration_s":600}"#);
+    fleet.kill(1);
+    fleet.start(1, true);
+    let read = |service: &str| {
+        let path = format!("/-/rollouts/{service}/read");
+        fleet.until("a sure reader", || {
+            let hosts = fleet.running.iter().map(|(host, _)| *host);
+            let calls = hosts.filter_map(|host| fleet.call(host, "GET", &path, ""));
+            calls.into_iter().find(|(status, _)| !matches!(status, 307 | 503))
+        })
+    };
+
+    for ((status, body), (text, field)) in refused.iter().zip(bad) {
+        assert_eq!(*status, 400, "{text}: {body}");
+        assert!(body.contains(field), "{text}: {body}");
+    }
+    assert_eq!((accepted, resent, busy), (200, 200, 409));
+    let (status, body) = read("s");
+    let state: Value = serde_json::from_str(&body).expect("JSON");
+    assert_eq!((status, state), (200, json!({"state": "running", "to": "v2"})));
+    assert_eq!(read("other").0, 404);
+}
