Callers before a daemon's first list of upstreams wait for it, 1.5 s at most, instead of being refused

Ruled out: the list's reading itself (it comes within 0.25 to 0.75 s of the table, spread over the daemons on purpose, since the platform takes so many calls a second).

Change: a daemon that reads a list, and has none yet, lets a request wait for it before admission; the limits fill meanwhile. Not for daemons whose upstreams stand in the table.

The test failed before (503), passes now.

--- a/src/traffic/routed/door.rs
+++ b/src/traffic/routed/door.rs
@@ -31,6 +31,9 @@
 const LIMIT_RETURN: f64 = 0.3;
 /// How long a request waits for a daemon's first table.
 const TABLE_WAIT: Duration = Duration::from_millis(1_500);
+/// How long a request waits for a daemon's first list of upstreams. Callers are there as soon as the daemon listens, and a
+/// refusal would cost each its only retry; organisations' limits, empty in a new process, fill meanwhile.
+const LIST_WAIT: Duration = Duration::from_millis(1_500);
 /// The deadline of requests that name none.
 const LONGEST_WAIT: Duration = Duration::from_secs(60);
 
@@ -77,6 +80,7 @@
     if !has_table_soon(state).await {
         return Err(AnswerKind::TableStale);
     }
+    state.list_soon(LIST_WAIT).await;
     let (parts, body) = request.into_parts();
     let entry = find_entry(&state.snapshot(), &parts, &facts)?;
     let body = read_body(body).await?;
--- a/src/traffic/state.rs
+++ b/src/traffic/state.rs
@@ -31,7 +31,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 /// One table as traffic sees it; replaced whole.
 #[derive(Clone, Debug, Default)]
@@ -82,6 +82,8 @@
     claims: OnceLock<ClaimKeeper>,
     /// Told when a table is put in force.
     pub table_news: Notify,
+    /// True once a list of upstreams was received, or if none is read.
+    has_list: watch::Sender<bool>,
     /// The other daemons that serve callers.
     pub fleet: FleetExchange,
     /// Requests under which upstreams end.
@@ -126,6 +128,7 @@
             is_drained: AtomicBool::new(false),
             claims: OnceLock::new(),
             table_news: Notify::new(),
+            has_list: watch::Sender::new(true),
             fleet: FleetExchange::default(),
             quarantine: QuarantineGate::default(),
             rollouts: RolloutGate::default(),
@@ -398,10 +401,25 @@
         self.platform.load_full()
     }
 
+    /// A list of upstreams is read from now on, and none is known yet.
+    pub fn expect_list(&self) {
+        self.has_list.send_replace(false);
+    }
+
+    /// Waits for the first list of upstreams, `most` at most.
+    pub async fn list_soon(&self, most: Duration) {
+        if *self.has_list.borrow() {
+            return;
+        }
+        let mut news = self.has_list.subscribe();
+        let _ = tokio::time::timeout(most, news.wait_for(|has_list| *has_list)).await;
+    }
+
     /// Takes a new platform list.
     pub fn apply_platform(&self, list: PlatformList) {
         self.platform.store(Arc::new(list));
         self.update_sources(self.snapshot.load().access.table());
+        self.has_list.send_replace(true);
     }
 
     fn update_sources(&self, table: &OperatorTable) {
--- a/tests/test_routed.rs
+++ b/tests/test_routed.rs
@@ -356,3 +356,19 @@
 
     assert!((40..=46).contains(&engine.count()), "{}", engine.count());
 }
+
+/// Guards against refusals in the moments after a start, before the first list of upstreams: each costs a caller its only retry.
+#[tokio::test]
+async fn callers_before_the_first_list_are_served_once_it_is_there() {
+    let engine = ScriptedEngine::start("i-1", |_| EngineMove::Answer(200, "fine")).await;
+    let fleet = Arc::new(RoutedFleet::start(&[]).await);
+    fleet.state.expect_list();
+    let caller = Arc::clone(&fleet);
+    let call = tokio::spawn(async move { caller.call("/unsafe/x", "id-1").await });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.list(&[&engine], VmState::Live);
+
+    let answer = call.await.expect("an answer");
+
+    assert_eq!(answer.status, StatusCode::OK);
+}
