Plain services: calls that are late anyway wait here while the upstreams' own queues are long

Cause: callers who come back after a refusal are late in any case, and stand in the engines' queues before newcomers, who become late behind them. 71 daemons with two or three calls a second each cannot know what the others have sent; but each answer tells the queue.

Change: `CrowdMeter` averages the reported queues; while more than one call waits for each place, late calls wait in the daemon, to the last moment at which they may still end in time for their callers. A refusal's load counts too.

Tried instead and dropped: a part of the newcomers refused before the queues are full (random early detection).

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,6 +4,7 @@
 //! the same for one request's dispatch. The traffic code around them only carries bytes.
 
 mod caller_returns;
+mod crowd_meter;
 mod drain_meter;
 mod earliest;
 mod estimate;
@@ -30,6 +31,7 @@
 mod worth;
 
 pub use caller_returns::CallerTimes;
+pub use crowd_meter::CrowdMeter;
 pub use drain_meter::{DrainMeter, TierProgress};
 pub use earliest::EarliestPlacement;
 pub use estimate::{CostEstimate, CostModel, EngineSpeed, RequestSizes};
--- a/src/policy/scheduler/feedback.rs
+++ b/src/policy/scheduler/feedback.rs
@@ -80,6 +80,15 @@
         }
     }
 
+    /// Requests wait inside an upstream.
+    pub(super) fn note_crowd(&mut self, upstream: UpstreamIndex, queued: u32, now: Moment) {
+        if self.plan.counts_tokens {
+            return;
+        }
+        let Some(status) = self.upstreams.get(upstream) else { return };
+        self.crowd.report(queued, status.limit.requests() as u32, now);
+    }
+
     /// The upstream has a place for the request, which is on its way.
     pub(super) fn granted(&mut self, id: RequestId) {
         let Some(running) = self.running.get_mut(&id) else { return };
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -11,10 +11,10 @@
 use reservations::ReservationPace;
 
 use super::{
-    CostModel, DrainMeter, EngineSpeed, FirstEventModel, Mechanism, Moment, OrganisationIndex,
-    PlaceFit, PlacementPolicy, PlacementQuery, RequestId, RoomKind, ShedAudit, ShedFloor,
-    SizeShares, TierRank, UpstreamIndex, UpstreamSet, UpstreamState, UpstreamStatus, WaitingLevels,
-    WaitingQueue, WaitingRequest, placement_policy,
+    CostModel, CrowdMeter, DrainMeter, EngineSpeed, FirstEventModel, Mechanism, Moment,
+    OrganisationIndex, PlaceFit, PlacementPolicy, PlacementQuery, RequestId, RoomKind, ShedAudit,
+    ShedFloor, SizeShares, TierRank, UpstreamIndex, UpstreamSet, UpstreamState, UpstreamStatus,
+    WaitingLevels, WaitingQueue, WaitingRequest, placement_policy,
 };
 use crate::answer::AnswerKind;
 use crate::table::QueueChoice;
@@ -82,6 +82,8 @@
     reservations: ReservationPace,
     others_waiting: OthersWaiting,
     shares: SizeShares,
+    /// Queues inside the upstreams of a plain service.
+    crowd: CrowdMeter,
 }
 
 impl PoolScheduler {
@@ -108,6 +110,7 @@
             reservations: ReservationPace::default(),
             others_waiting: OthersWaiting::default(),
             shares: SizeShares::default(),
+            crowd: CrowdMeter::default(),
             plan,
         }
     }
@@ -132,6 +135,7 @@
             PoolEvent::TokenGap { id, gap } => self.token_gap(id, gap, now),
             PoolEvent::Ended { id, outcome } => self.ended(id, outcome, now, actions),
             PoolEvent::Reported { upstream, report } => {
+                self.note_crowd(upstream, report.queued, now);
                 self.upstreams.reported(upstream, report, now)
             }
             PoolEvent::Word { upstream, word } => self.upstreams.tell(upstream, word),
@@ -238,6 +242,9 @@
     /// Without it, late requests of some daemons take places after a burst while requests of others become late.
     fn leaves_places(&mut self, request: &WaitingRequest, now: Moment) -> bool {
         let is_in_time = now <= request.start_by;
+        if !is_in_time && self.leaves_queues(now) {
+            return true;
+        }
         let has_order = self.plan.reserves && self.plan.mechanisms.has(Mechanism::GroupOrder);
         if is_in_time || request.is_owed || !has_order {
             return false;
@@ -247,6 +254,14 @@
         f64::from(before) > self.freed_places(self.others_waiting.age)
     }
 
+    /// True while the upstreams of a plain service have long queues. A late request there makes those in time late.
+    fn leaves_queues(&self, now: Moment) -> bool {
+        !self.plan.counts_tokens
+            && self.plan.sheds_alone
+            && self.plan.mechanisms.has(Mechanism::LateWait)
+            && self.crowd.is_crowded(now)
+    }
+
     /// Places of the group's upstreams that become free within a time, by Little's law.
     fn freed_places(&self, time: Duration) -> f64 {
         let home = self.upstreams.iter().filter(|status| status.is_home);
--- a/src/traffic/routed/attempt.rs
+++ b/src/traffic/routed/attempt.rs
@@ -2,6 +2,7 @@
 
 use super::carry::CarriedRequest;
 use super::dialect::{AnswerFacts, SendFacts};
+use crate::policy::LoadReport;
 use crate::upstream::{ConnectionGuard, OpenFault, end_to_end_headers};
 use http::header::{CONTENT_LENGTH, EXPECT, HOST};
 use http::{HeaderMap, Request, Response};
@@ -25,6 +26,8 @@
     NotRun {
         /// True if it is another incarnation than the one meant.
         is_other: bool,
+        /// Its load.
+        load: Option<LoadReport>,
     },
     /// The connection ended before the answer did: it may have run, and the upstream may have ended.
     Broken(String),
@@ -36,8 +39,12 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             AttemptFault::NotSent(detail) => write!(formatter, "nothing was sent: {detail}"),
-            AttemptFault::NotRun { is_other: true } => formatter.write_str("another incarnation"),
-            AttemptFault::NotRun { is_other: false } => formatter.write_str("it did not run it"),
+            AttemptFault::NotRun { is_other: true, .. } => {
+                formatter.write_str("another incarnation")
+            }
+            AttemptFault::NotRun { is_other: false, .. } => {
+                formatter.write_str("it did not run it")
+            }
             AttemptFault::Broken(detail) | AttemptFault::Lost(detail) => {
                 write!(formatter, "it may have run: {detail}")
             }
@@ -75,7 +82,8 @@
         return Err(AttemptFault::Lost("the answer bears another request's id".to_owned()));
     }
     if facts.is_not_run {
-        return Err(AttemptFault::NotRun { is_other: facts.is_other_incarnation });
+        let is_other = facts.is_other_incarnation;
+        return Err(AttemptFault::NotRun { is_other, load: facts.load });
     }
     if response.status().is_success() && !facts.is_signed {
         return Err(AttemptFault::Lost("the answer is not signed".to_owned()));
--- a/src/traffic/routed/carry.rs
+++ b/src/traffic/routed/carry.rs
@@ -445,7 +445,10 @@
         let broken = BrokenRequest { id: request.id().into(), fingerprint: request.fingerprint };
         check_upstream(&request.state, placed.broken_upstream(), broken);
     }
-    if let AttemptFault::NotRun { is_other: true } = fault {
+    if let AttemptFault::NotRun { load: Some(report), .. } = fault {
+        placed.pool.tell(PoolEvent::Reported { upstream: placed.upstream, report: *report });
+    }
+    if let AttemptFault::NotRun { is_other: true, .. } = fault {
         let word = UpstreamWord::Leaving;
         placed.pool.tell(PoolEvent::Word { upstream: placed.upstream, word });
     }
--- /dev/null
+++ b/tests/small_calls.rs
@@ -0,0 +1,226 @@
+//! Small calls of many daemons to a few upstreams that queue by themselves, in virtual time.
+
+use crate::burst_pool::urgency_plan;
+use crate::session::source;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, LogNormal};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use tarragonknot::policy::{
+    ArrivedRequest, DispatchOutcome, LoadReport, Mechanism, MechanismSet, Moment,
+    OrganisationIndex, PoolAction, PoolEvent, PoolScheduler, RequestId, RouteKey, TierRank,
+    UpstreamIndex,
+};
+
+const UPSTREAMS: usize = 3;
+const PLACES: usize = 6;
+/// Requests that an upstream lets wait; it refuses more.
+const QUEUE: usize = 24;
+const WORK_MS: f64 = 60.0;
+const OBJECTIVE_MS: u64 = 300;
+const DEADLINE_MS: u64 = 1_500;
+
+/// What came of the calls that arrived in a span of time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CallEnds {
+    pub asked: u32,
+    pub in_time: u32,
+    pub late: u32,
+    pub refused: u32,
+}
+
+#[derive(Default)]
+struct Upstream {
+    running: Vec<u64>,
+    waiting: VecDeque<u64>,
+}
+
+struct Call {
+    daemon: usize,
+    /// When its caller came first.
+    arrived: u64,
+    has_returned: bool,
+    upstream: Option<UpstreamIndex>,
+}
+
+/// Plays `daemons` for 10 s in which calls come at `rates(second)` a second; ends of those that came in each second.
+pub fn play(
+    daemons: usize,
+    rates: impl Fn(u64) -> f64,
+    off: &[Mechanism],
+    seed: u64,
+) -> Vec<CallEnds> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let work = LogNormal::new(WORK_MS.ln() - 0.125, 0.5).expect("a spread");
+    let mut schedulers: Vec<PoolScheduler> = (0..daemons).map(|_| scheduler(off)).collect();
+    let mut upstreams: Vec<Upstream> = (0..UPSTREAMS).map(|_| Upstream::default()).collect();
+    let mut calls: BTreeMap<u64, Call> = BTreeMap::new();
+    let mut ends: Vec<CallEnds> = vec![CallEnds::default(); 10];
+    let mut done: BinaryHeap<Reverse<(u64, u64)>> = BinaryHeap::new();
+    let (mut next, mut owed) = (0, 0.0);
+    let mut returns: BinaryHeap<Reverse<(u64, u64)>> = BinaryHeap::new();
+    for now in 0..12_000u64 {
+        owed += if now < 10_000 { rates(now / 1_000) / 1_000.0 } else { 0.0 };
+        while owed >= 1.0 {
+            owed -= 1.0;
+            next += 1;
+            ends[(now / 1_000) as usize].asked += 1;
+            returns.push(Reverse((now, now)));
+        }
+        while returns.peek().is_some_and(|Reverse((at, _))| *at <= now) {
+            let Some(Reverse((_, first))) = returns.pop() else { break };
+            next += 1;
+            let daemon = rng.random_range(0..daemons);
+            let has_returned = first < now;
+            calls.insert(next, Call { daemon, arrived: first, has_returned, upstream: None });
+            let event = PoolEvent::Arrived(arrived(next, first, now));
+            let actions = tell(&mut schedulers[daemon], event, now, &mut rng);
+            let refused = take(actions, &mut calls, &mut upstreams, &mut schedulers, now, &mut rng);
+            end_refused(refused, &mut returns, &mut ends, now, &mut rng);
+        }
+        while done.peek().is_some_and(|Reverse((at, _))| *at <= now) {
+            let Some(Reverse((_, id))) = done.pop() else { break };
+            let Some(call) = calls.remove(&id) else { continue };
+            let Some(index) = call.upstream else { continue };
+            let upstream = &mut upstreams[index.0 as usize];
+            upstream.running.retain(|running| *running != id);
+            let row = &mut ends[(call.arrived / 1_000) as usize];
+            match now - call.arrived <= OBJECTIVE_MS {
+                true => row.in_time += 1,
+                false => row.late += 1,
+            }
+            let report = report(upstream);
+            let scheduler = &mut schedulers[call.daemon];
+            tell(scheduler, PoolEvent::Reported { upstream: index, report }, now, &mut rng);
+            let outcome = DispatchOutcome::Completed { prompt_tokens: None, output_tokens: 0 };
+            let ended = PoolEvent::Ended { id: RequestId(id), outcome };
+            let actions = tell(scheduler, ended, now, &mut rng);
+            let refused = take(actions, &mut calls, &mut upstreams, &mut schedulers, now, &mut rng);
+            end_refused(refused, &mut returns, &mut ends, now, &mut rng);
+        }
+        for upstream in &mut upstreams {
+            while upstream.running.len() < PLACES
+                && let Some(id) = upstream.waiting.pop_front()
+            {
+                upstream.running.push(id);
+                done.push(Reverse((now + work.sample(&mut rng).max(1.0) as u64, id)));
+            }
+        }
+        if now % 10 == 0 {
+            for daemon in 0..daemons {
+                let actions = tell(&mut schedulers[daemon], PoolEvent::Tick, now, &mut rng);
+                let refused =
+                    take(actions, &mut calls, &mut upstreams, &mut schedulers, now, &mut rng);
+                end_refused(refused, &mut returns, &mut ends, now, &mut rng);
+            }
+        }
+    }
+    ends
+}
+
+fn scheduler(off: &[Mechanism]) -> PoolScheduler {
+    let mut plan = urgency_plan();
+    plan.counts_tokens = false;
+    plan.first_guess = PLACES as u32;
+    plan.mechanisms = MechanismSet::without(off);
+    let mut scheduler = PoolScheduler::new(plan);
+    let sources = (1..=UPSTREAMS).map(|number| source(&format!("e{number}"), number as u16));
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    tell(&mut scheduler, PoolEvent::Sources(sources.collect()), 0, &mut rng);
+    scheduler
+}
+
+/// Refused callers come back once, after a part of the time that they have left.
+fn end_refused(
+    refused: Vec<Call>,
+    returns: &mut BinaryHeap<Reverse<(u64, u64)>>,
+    ends: &mut [CallEnds],
+    now: u64,
+    rng: &mut ChaCha8Rng,
+) {
+    for call in refused {
+        let left = (call.arrived + DEADLINE_MS).saturating_sub(now) as f64;
+        match call.has_returned {
+            true => ends[(call.arrived / 1_000) as usize].refused += 1,
+            false => {
+                let pause = (left * rng.random_range(0.2..0.33)) as u64;
+                returns.push(Reverse((now + pause.max(1), call.arrived)));
+            }
+        }
+    }
+}
+
+fn arrived(id: u64, first: u64, now: u64) -> ArrivedRequest {
+    ArrivedRequest {
+        id: RequestId(id),
+        organisation: OrganisationIndex(0),
+        weight: 1,
+        tier: TierRank(0),
+        prompt_bytes: 0,
+        output_limit: None,
+        deadline: Moment::from_millis(first + DEADLINE_MS),
+        rank: 2,
+        objective: Some(Moment::from_millis(if first < now { now } else { now + OBJECTIVE_MS })),
+        patience: None,
+        pause: None,
+        sizes: None,
+        size_tenth: None,
+        route: RouteKey::default(),
+        prefix: Box::default(),
+    }
+}
+
+fn tell(
+    scheduler: &mut PoolScheduler,
+    event: PoolEvent,
+    now: u64,
+    rng: &mut ChaCha8Rng,
+) -> Vec<PoolAction> {
+    let mut actions = Vec::new();
+    scheduler.handle(event, Moment::from_millis(now), rng, &mut actions);
+    actions
+}
+
+fn report(upstream: &Upstream) -> LoadReport {
+    LoadReport {
+        running: upstream.running.len() as u32,
+        queued: upstream.waiting.len() as u32,
+        ..LoadReport::default()
+    }
+}
+
+fn take(
+    actions: Vec<PoolAction>,
+    calls: &mut BTreeMap<u64, Call>,
+    upstreams: &mut [Upstream],
+    schedulers: &mut [PoolScheduler],
+    now: u64,
+    rng: &mut ChaCha8Rng,
+) -> Vec<Call> {
+    let mut refused = Vec::new();
+    let mut open = actions;
+    while let Some(action) = open.pop() {
+        match action {
+            PoolAction::Refuse { id, .. } => {
+                refused.extend(calls.remove(&id.0));
+            }
+            PoolAction::Dispatch { id, upstream: index } => {
+                let Some(call) = calls.get_mut(&id.0) else { continue };
+                let upstream = &mut upstreams[index.0 as usize];
+                if upstream.waiting.len() < QUEUE {
+                    call.upstream = Some(index);
+                    upstream.waiting.push_back(id.0);
+                    continue;
+                }
+                let report = report(upstream);
+                let scheduler = &mut schedulers[call.daemon];
+                tell(scheduler, PoolEvent::Reported { upstream: index, report }, now, rng);
+                let ended = PoolEvent::Ended { id, outcome: DispatchOutcome::Failed };
+                open.extend(tell(scheduler, ended, now, rng));
+                refused.extend(calls.remove(&id.0));
+            }
+        }
+    }
+    refused
+}
