Returned callers without a prospect of a place are refused at once, not when their time is over

Cause: a returned caller is late in any case, so what is in time goes before it for as long as the burst lasts; the queue looked at its prospects on arrival only, and the burst often came after it.

Change: a returned request is looked at each 50 ms. It waits on while what goes before it, here and in the group, should be worked off within half of the time that its caller has left. Newcomers wait as before: their Retry-After would bring them back later than the place that becomes free.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -56,6 +56,7 @@
         prefix: Box::default(),
         prompt_bytes: 400,
         late_at,
+        gives_up_at: late_at,
         route: RouteKey::default(),
         size_tenth: None,
         is_owed: false,
--- a/src/policy/mechanism.rs
+++ b/src/policy/mechanism.rs
@@ -25,6 +25,8 @@
     FitPlaces,
     /// Each tenth by size of a kind is served at least a part as often as its lane.
     SizeShare,
+    /// A caller that has been here before and has no prospect of a place is refused at once, not when its time is over.
+    LateRefusal,
     /// Where upstreams queue by themselves, requests that are late anyway wait here until those queues are short.
     LateWait,
     /// A late request leaves places to the requests of other daemons that are worth more for their cost.
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -60,6 +60,8 @@
     pub prompt_bytes: usize,
     /// When the queue should give the request up as late; at first the latest start.
     pub late_at: Moment,
+    /// Its caller waits no longer; [`WaitingRequest::late_at`] comes before that where its prospects are looked at.
+    pub gives_up_at: Moment,
     /// Its kind.
     pub route: RouteKey,
     /// Its tenth by size among the requests of its kind, if that is known.
--- a/src/policy/scheduler/admission.rs
+++ b/src/policy/scheduler/admission.rs
@@ -19,6 +19,8 @@
 const LEAST_DRAIN: f64 = 0.5;
 /// The part of a pool's speed that late requests can reckon with: those that come meanwhile go before them.
 const LATE_DRAIN: f64 = 0.5;
+/// The part of its time left within which a returned caller's request must have the prospect of a place.
+const PROSPECT_PART: f64 = 0.5;
 /// A late request that may not be shed yet is looked at again after this long.
 const LATE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -72,6 +74,42 @@
         self.enqueue(request, now);
     }
 
+    /// True if the prospects of returned callers are looked at.
+    fn looks_at_late(&self) -> bool {
+        self.plan.sheds_alone
+            && self.plan.queue == QueueChoice::Urgency
+            && self.plan.mechanisms.has(Mechanism::LateRefusal)
+    }
+
+    /// Looks at a request whose time to be looked at has come: it waits on while it has a prospect of a place. Without one its
+    /// caller would hear of the refusal only when its time is over, and places go to requests that can no longer be ended.
+    pub(super) fn look_at_late(
+        &mut self,
+        mut request: WaitingRequest,
+        now: Moment,
+        actions: &mut Vec<PoolAction>,
+    ) {
+        let may_wait = now < request.gives_up_at && self.looks_at_late();
+        if may_wait && (request.is_owed || self.has_prospect(&request, now)) {
+            request.late_at = request.gives_up_at.min(now + LATE_PAUSE);
+            return self.queue.push_back_first(request);
+        }
+        self.shed(request, AnswerKind::DeadlineWaiting, now, actions);
+    }
+
+    /// True if what goes before a late request, here and in the group, should be worked off well before its caller gives up.
+    fn has_prospect(&mut self, request: &WaitingRequest, now: Moment) -> bool {
+        let left = request.gives_up_at.since(now).mul_f64(PROSPECT_PART);
+        let rate = self.meter.total_rate().max(self.drain_rate() * LEAST_DRAIN) * LATE_DRAIN;
+        let before = self.queue.cost_before(request, true, now) as f64;
+        if before > rate * left.as_secs_f64() {
+            return false;
+        }
+        let Some(level) = self.queue.level(request, now) else { return true };
+        let others = f64::from(self.others_waiting.levels.above(level));
+        others <= self.freed_places(left) * LATE_DRAIN
+    }
+
     /// True if the request is owed service, since too few of its size are served.
     fn is_owed(&mut self, request: &WaitingRequest, now: Moment, rng: &mut dyn RngCore) -> bool {
         self.plan.queue == QueueChoice::Urgency
@@ -111,6 +149,7 @@
             prefix: request.prefix,
             prompt_bytes: request.prompt_bytes,
             late_at: request.deadline,
+            gives_up_at: request.deadline,
             route: request.route,
             size_tenth: request.size_tenth,
             is_owed: false,
@@ -130,6 +169,11 @@
             // Its caller would leave before the first event of a later start.
             waiting.late_at = waiting.late_at.min(self.start_by(&waiting, patience, now));
         }
+        waiting.gives_up_at = waiting.late_at;
+        let has_returned = request.objective.is_some_and(|objective| objective <= now);
+        if has_returned && request.patience.is_some() && self.looks_at_late() {
+            waiting.late_at = waiting.late_at.min(now + LATE_PAUSE);
+        }
         waiting
     }
 
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -192,9 +192,10 @@
     fn tick(&mut self, now: Moment, actions: &mut Vec<PoolAction>) {
         while let Some(request) = self.queue.pop_late(now) {
             match self.plan.queue {
-                QueueChoice::Weighted | QueueChoice::Urgency => {
+                QueueChoice::Weighted => {
                     self.shed(request, AnswerKind::DeadlineWaiting, now, actions)
                 }
+                QueueChoice::Urgency => self.look_at_late(request, now, actions),
                 QueueChoice::Fifo => {
                     self.refuse_shed(&request, AnswerKind::DeadlineWaiting, now, actions);
                 }
--- a/tests/test_limits.rs
+++ b/tests/test_limits.rs
@@ -257,6 +257,46 @@
     assert!(matches!(refused[..], [PoolAction::Refuse { id: RequestId(2), .. }]), "{refused:?}");
 }
 
+/// A caller that was here before comes at `millis`, late in any case.
+fn come_back(pool: &mut BurstPool, id: u64, millis: u64) {
+    let mut request = arrived(id, 0, 1_000, millis);
+    request.objective = Some(Moment::from_millis(millis));
+    pool.tell(PoolEvent::Arrived(request), millis);
+}
+
+/// Guards against callers that wait for the whole of their time, a second time, for a refusal that was to be expected.
+#[test]
+fn a_returned_caller_without_prospect_is_refused_at_once() {
+    let mut pool = BurstPool::new();
+    pool.arrive(1, 0, 10);
+    come_back(&mut pool, 1_000, 11);
+    for id in 2..=400 {
+        pool.tell(PoolEvent::Arrived(arrived(id, 0, 1_000, 12)), 12);
+    }
+
+    let refused = pool.tell(PoolEvent::Tick, 70);
+
+    let ids = refused.iter().filter_map(|action| match action {
+        PoolAction::Refuse { id, .. } => Some(id.0),
+        PoolAction::Dispatch { .. } => None,
+    });
+    assert_eq!(ids.collect::<Vec<u64>>(), [1_000]);
+}
+
+/// Guards against returned callers that are refused though nothing goes before them.
+#[test]
+fn a_returned_caller_with_nothing_before_it_waits_for_its_place() {
+    let mut pool = BurstPool::new();
+    pool.arrive(1, 0, 10);
+    come_back(&mut pool, 2, 20);
+
+    let waited: Vec<PoolAction> =
+        (1..=20).flat_map(|step| pool.tell(PoolEvent::Tick, step * 100)).collect();
+    let served = sent(&pool.end(1, 2_010));
+
+    assert_eq!((waited, served), (Vec::new(), vec![2]));
+}
+
 /// Symptom: a failing engine gets the most requests, since nothing runs there. Sequence: it ends each at once with a
 /// failure. Cause: placement by load alone.
 #[test]
--- a/tests/test_policy.rs
+++ b/tests/test_policy.rs
@@ -38,6 +38,7 @@
         prefix: Box::default(),
         prompt_bytes: 0,
         late_at,
+        gives_up_at: late_at,
         route: RouteKey::default(),
         size_tenth: None,
         is_owed: false,
