--- a/src/rollout/counts.rs
+++ b/src/rollout/counts.rs
@@ -55,7 +55,7 @@
     }
 }
 
-/// What is counted apart. Times on the old version are not told apart by engine: there are many.
+/// What is counted apart. Times on the old version are not kept by engine: there are many.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CountKey {
     /// The version.
--- a/src/rollout/messages.rs
+++ b/src/rollout/messages.rs
@@ -13,7 +13,7 @@
 const TRIAL_USE: f64 = 0.6;
 /// Share of the requests that go to the new version before it gets all.
 const EXPANDING_SHARE: f64 = 0.3;
-/// Shares are told in these units.
+/// Unit of shares in messages.
 const SHARE_UNITS: f64 = 10_000.0;
 
 /// A roll-out as daemons need it.
--- a/src/traffic/rollout_gate.rs
+++ b/src/traffic/rollout_gate.rs
@@ -134,7 +134,7 @@
         may_try || arm == self.arm_in_use(row, live, now)
     }
 
-    /// Tells whoever waits that the roll-outs have changed.
+    /// Wakes the requests that wait: the roll-outs have changed.
     pub fn tell_news(&self) {
         self.news.send_replace(());
     }
@@ -171,7 +171,7 @@
         }
     }
 
-    /// What the leader is told; `on_old` counts the requests that wait for or run on a roll-out's old version.
+    /// The reports for the leader; `on_old` counts the requests that wait for or run on a roll-out's old version.
     pub fn reports(&self, on_old: impl Fn(&RolloutRow) -> u32) -> Vec<RolloutReport> {
         let rows = self.rows.load();
         let rows = rows.iter().flat_map(|rows| &rows.0).filter(|row| !row.stage.is_final());
--- a/src/traffic/state.rs
+++ b/src/traffic/state/mod.rs
@@ -1,33 +1,35 @@
 //! What all requests of one daemon share: the snapshot, the pools, the limits, the clock.
 
+mod versions;
+
+pub use versions::ChosenPool;
+use versions::version_sources;
+
 use super::access::{AccessIndex, OrganisationNumbers};
 use super::crash_check::CrashChecks;
 use super::fleet_exchange::FleetExchange;
 use super::pool_runtime::PoolRuntime;
 use super::quarantine_gate::QuarantineGate;
-use super::rollout_gate::{RolloutGate, TrialTicket};
+use super::rollout_gate::RolloutGate;
 use super::routed::CallDialect;
 use crate::clock::TrafficClock;
 use crate::control::ClaimKeeper;
 use crate::policy::{
     CallerTimes, LimitTable, Mechanism, MechanismSet, Moment, PoolEvent, PoolPlan, RepeatBound,
-    RepeatBudget, RequestSizes, RouteSizes, SizeTenth, UpstreamHash, UpstreamSource,
+    RepeatBudget, RequestSizes, RouteSizes, SizeTenth,
 };
-use crate::rollout::{RolloutReport, RolloutRow, RolloutRows, VersionArm, version_pool};
+use crate::rollout::version_pool;
 use crate::table::{
-    DaemonName, OperatorTable, ServiceKind, ServiceName, ServiceRow, SoftwareVersion, TableReader,
-    VersionedTable,
-};
-use crate::upstream::{
-    ConnectionPool, EngineDriver, PlainDriver, PlatformList, UpstreamDriver, VmRow,
+    DaemonName, OperatorTable, ServiceKind, ServiceName, TableReader, VersionedTable,
 };
+use crate::upstream::{ConnectionPool, EngineDriver, PlainDriver, PlatformList, UpstreamDriver};
 use arc_swap::ArcSwap;
 use rand::RngCore;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, error, info};
 use std::borrow::Cow;
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
@@ -151,65 +153,6 @@
         self.choose_pool(service, false).map(|chosen| chosen.pool)
     }
 
-    /// The pool that holds the upstreams of one version of a service.
-    pub fn version_pool(
-        &self,
-        service: &ServiceName,
-        version: Option<&SoftwareVersion>,
-    ) -> Option<Arc<PoolRuntime>> {
-        self.pools.load().get(&version_pool(service, version)).cloned()
-    }
-
-    /// The pool for a request of a service; `may_try` if the request may go to a version on trial.
-    pub fn choose_pool(&self, service: &ServiceName, may_try: bool) -> Option<ChosenPool> {
-        let Some(row) = self.rollouts.row(service) else {
-            let pool = self.version_pool(service, None)?;
-            return Some(ChosenPool { pool, arm: VersionArm::Old, ticket: None });
-        };
-        let (live, now) = (self.live_versions(&row), self.clock.now());
-        let ticket = may_try.then(|| self.rollouts.ticket(&row, live.1, now)).flatten();
-        let arm = match &ticket {
-            Some(_) => VersionArm::New,
-            None => self.rollouts.arm_in_use(&row, live, now),
-        };
-        let pool = self.version_pool(service, row.version_of(arm))?;
-        Some(ChosenPool { pool, arm, ticket })
-    }
-
-    /// Whether the old and the new version of a roll-out have upstreams.
-    fn live_versions(&self, row: &RolloutRow) -> (bool, bool) {
-        let is_live = |arm| {
-            let pool = self.version_pool(&row.service, row.version_of(arm));
-            pool.is_some_and(|pool| pool.status().live > 0)
-        };
-        (is_live(VersionArm::Old), is_live(VersionArm::New))
-    }
-
-    /// True if a request that was meant for an arm of its service's roll-out may still be sent there.
-    pub fn may_use(&self, service: &ServiceName, arm: VersionArm) -> bool {
-        let Some(row) = self.rollouts.row(service) else { return true };
-        self.rollouts.allows(&row, arm, self.live_versions(&row), self.clock.now())
-    }
-
-    /// What this daemon saw of roll-outs, for the leader.
-    pub fn rollout_reports(&self) -> Vec<RolloutReport> {
-        self.rollouts.reports(|row| {
-            let pool = self.version_pool(&row.service, row.version_of(VersionArm::Old));
-            pool.map_or(0, |pool| (pool.status().waiting + pool.status().running) as u32)
-        })
-    }
-
-    /// Takes the roll-outs that the leader named.
-    pub fn apply_rollouts(&self, rows: RolloutRows) {
-        if !self.rollouts.take(rows, self.jitter()) {
-            return;
-        }
-        let numbers = self.numbers.lock().unwrap_or_else(PoisonError::into_inner);
-        self.update_pools(&self.snapshot.load().access);
-        drop(numbers);
-        self.rollouts.tell_news();
-    }
-
     /// All pools.
     pub fn pools(&self) -> Arc<HashMap<ServiceName, Arc<PoolRuntime>>> {
         self.pools.load_full()
@@ -383,19 +326,6 @@
         self.update_sources(access.table());
     }
 
-    /// A service's row for each of its pools: one, or one for each version of a roll-out.
-    fn versions_of<'a>(
-        &self,
-        row: &'a ServiceRow,
-    ) -> Vec<(&'a ServiceRow, Option<SoftwareVersion>)> {
-        let mut versions = BTreeSet::from([None]);
-        if let Some(rollout) = self.rollouts.row(&row.service) {
-            let arms = [VersionArm::Old, VersionArm::New];
-            versions.extend(arms.map(|arm| rollout.version_of(arm).cloned()));
-        }
-        versions.into_iter().map(|version| (row, version)).collect()
-    }
-
     /// The platform's list as it is in force.
     pub fn platform(&self) -> Arc<PlatformList> {
         self.platform.load_full()
@@ -515,40 +445,6 @@
     }
 }
 
-/// The upstreams of a pool while its service has several versions.
-fn version_sources(
-    row: &RolloutRow,
-    platform: &PlatformList,
-    table: &OperatorTable,
-    pool: &PoolRuntime,
-) -> Vec<UpstreamSource> {
-    let service = &pool.service;
-    let arms = [VersionArm::Old, VersionArm::New];
-    let arm = arms.into_iter().find(|arm| row.version_of(*arm) == pool.version.as_ref());
-    let Some(arm) = arm else { return Vec::new() };
-    let belongs = |vm: &VmRow| row.arm_of(vm.version.as_ref()) == arm;
-    if arm == VersionArm::Old {
-        return platform.only(service, belongs).merged(table, service);
-    }
-    // What the table itself names has no version.
-    let mut sources = platform.only(service, belongs).merged(&OperatorTable::default(), service);
-    let hash =
-        |source: &UpstreamSource| UpstreamHash::of(service, &source.name, source.incarnation);
-    let in_use = row.in_use(sources.iter().map(hash).collect());
-    sources.retain(|source| in_use.contains(&hash(source)));
-    sources
-}
-
-/// The pool for a request.
-pub struct ChosenPool {
-    /// The pool.
-    pub pool: Arc<PoolRuntime>,
-    /// The version that it stands for in the service's roll-out.
-    pub arm: VersionArm,
-    /// Where the pool's version is on trial: the request's part of its share.
-    pub ticket: Option<TrialTicket>,
-}
-
 /// A request in progress.
 pub struct ProgressGuard(Arc<TrafficState>);
 
--- a/tests/rollout_play.rs
+++ b/tests/rollout_play.rs
@@ -235,7 +235,7 @@
             }
             let stage = log.get(&service).expect("the roll-out").stage;
             if stage != record.stage {
-                // A change of stage is told at once, as the leader answers the reports that it holds.
+                // A change of stage reaches daemons at once: the leader answers the reports that it holds.
                 let record = log.get(&service).expect("the roll-out");
                 daemons.iter_mut().for_each(|daemon| {
                     daemon.row = Some(RolloutRow::new(record, BOUND));
