Log and count failed answers with what they prove

The logs of an entry can't tell an upstream's own failure from a reply that belongs to something else: 'answered' has the status alone, 'no answer' has neither status nor id. The line 'failed answer' and tarragonknot_failed_answers_total name the status, whose id the answer echoes, whether it says that the request didn't run, its seal, and whether the connection was used before. At most one line for each send. No decision changed.

--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -4,6 +4,7 @@
 use crate::policy::SizeDecile;
 use crate::table::{OrganisationName, RouteKind, ServiceRow, TierName};
 use crate::traffic::TrafficState;
+use http::StatusCode;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use std::sync::OnceLock;
@@ -126,6 +127,14 @@
         .increment(1);
 }
 
+/// Counts an upstream's answer that is not a signed success, by the evidence of whether the request
+/// ran: the id that the answer echoes (`own`, `other` or `absent`), and whether it says "not run".
+pub fn record_failed_answer(status: StatusCode, echoed_id: &'static str, says_not_run: bool) {
+    let says_not_run = if says_not_run { "yes" } else { "no" };
+    counter!("tarragonknot_failed_answers_total", "status" => status.as_u16().to_string(), "echoed_id" => echoed_id, "says_not_run" => says_not_run)
+        .increment(1);
+}
+
 /// Updates the gauges and renders all metrics in the Prometheus text format.
 pub fn render_metrics(state: &TrafficState) -> String {
     for (service, pool) in state.pools().iter() {
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -4,7 +4,7 @@
 mod metrics;
 
 pub use self::metrics::{
-    RequestRecord, RouteRecord, install_metrics, record_request, record_route, record_size,
-    render_metrics,
+    RequestRecord, RouteRecord, install_metrics, record_failed_answer, record_request,
+    record_route, record_size, render_metrics,
 };
 pub use logging::json_logger;
--- a/src/traffic/routed/attempt.rs
+++ b/src/traffic/routed/attempt.rs
@@ -3,11 +3,13 @@
 use super::dialect::{AnswerMetadata, SendMetadata};
 use super::forward::RoutedRequest;
 use crate::policy::LoadReport;
+use crate::report::record_failed_answer;
 use crate::upstream::{ConnectionGuard, OpenError, end_to_end_headers};
 use http::header::{CONTENT_LENGTH, EXPECT, HOST};
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use slog::info;
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -76,6 +78,9 @@
         OpenError::Lost { detail } => SendError::ConnectionBroken(detail),
     })?;
     let metadata = request.dialect.read_answer(response.status(), response.headers());
+    if !response.status().is_success() || !metadata.is_signed {
+        log_failed_answer(request, incarnation, response.status(), &metadata, &connection);
+    }
     let connection = connection.with_idle_timeout(metadata.idle_timeout);
     let is_matching = metadata.echoed_id.is_none() || metadata.echoed_id == request.metadata.id;
     if !is_matching {
@@ -94,6 +99,26 @@
     Ok(OpenAnswer { response, metadata, connection })
 }
 
+/// Logs and counts an answer that is not a signed success, with the evidence of whether the upstream
+/// ran the request.
+fn log_failed_answer(
+    request: &RoutedRequest,
+    incarnation: &str,
+    status: StatusCode,
+    metadata: &AnswerMetadata,
+    connection: &ConnectionGuard,
+) {
+    let echoed_id = match &metadata.echoed_id {
+        None => "absent",
+        id if *id == request.metadata.id => "own",
+        Some(_) => "other",
+    };
+    record_failed_answer(status, echoed_id, metadata.is_not_run);
+    info!(request.state.log, "failed answer"; "request" => request.id(), "upstream" => incarnation, "status" => status.as_u16(),
+        "echoed_id" => echoed_id, "says_not_run" => metadata.is_not_run, "signed" => metadata.is_signed,
+        "reused_connection" => connection.is_reused());
+}
+
 fn build_upstream_request(
     request: &RoutedRequest,
     incarnation: &str,
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -130,6 +130,7 @@
 pub struct ConnectionGuard {
     pool: Arc<ConnectionPool>,
     connection: Option<OpenConnection>,
+    is_reused: bool,
 }
 
 impl ConnectionGuard {
@@ -139,6 +140,11 @@
         self
     }
 
+    /// True if the connection has carried another exchange before.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Returns the connection to the pool, after its answer was read to the end.
     pub fn finish(mut self) {
         let Some(mut connection) = self.connection.take() else { return };
@@ -227,7 +233,10 @@
             && let Some(connection) = self.take(address, max_idle_time)
         {
             match self.send_over(connection, request).await {
-                Ok(answer) => return Ok(answer),
+                Ok((response, mut guard)) => {
+                    guard.is_reused = true;
+                    return Ok((response, guard));
+                }
                 Err(SendError { unsent: Some(unsent), .. }) => request = *unsent,
                 Err(SendError { detail, .. }) => return Err(OpenError::Lost { detail }),
             }
@@ -245,7 +254,11 @@
         request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, ConnectionGuard), SendError> {
         let answer = connection.sender.try_send_request(request);
-        let guard = ConnectionGuard { pool: Arc::clone(self), connection: Some(connection) };
+        let guard = ConnectionGuard {
+            pool: Arc::clone(self),
+            connection: Some(connection),
+            is_reused: false,
+        };
         match answer.await {
             Ok(response) => Ok((response, guard)),
             // hyper returns the request only if it has not begun to write it.
