--- a/tests/routed_fleet.rs
+++ b/tests/routed_fleet.rs
@@ -47,8 +47,12 @@
     Answer(u16, &'static str),
     /// Declares with the documented header that the request was not run.
     NotRun,
+    /// Rejects the request with this status and header line, under the request's id.
+    Rejected(u16, &'static str),
     /// Answers 421: the engine is not the expected incarnation.
     OtherIncarnation,
+    /// Writes these bytes, which belong to an earlier exchange, then runs the request.
+    RunAfterStray(&'static str),
     /// Reads the request and closes the connection without an answer.
     Close,
     /// Keeps the connection open without an answer.
@@ -208,9 +212,19 @@
             format!("HTTP/1.1 503 X\r\n{echo}tarragonknot-not-executed: 1\r\ncontent-length: 0\r\n\r\n"),
             true,
         ),
+        EngineAction::Rejected(status, header) => (
+            format!(
+                "HTTP/1.1 {status} X\r\ntarragonknot-request-id: {}\r\n{header}content-length: 0\r\n\r\n",
+                request.id
+            ),
+            true,
+        ),
         EngineAction::OtherIncarnation => {
             ("HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n".to_owned(), true)
         }
+        EngineAction::RunAfterStray(stray) => {
+            (format!("{stray}HTTP/1.1 200 X\r\n{echo}content-length: 4\r\n\r\nfine"), true)
+        }
         EngineAction::Close | EngineAction::Crash => (String::new(), false),
         EngineAction::Silent => {
             let mut buffer = [0; 16];
--- /dev/null
+++ b/tests/test_promises.rs
@@ -0,0 +1,133 @@
+//! Refusals of routed requests: 408, 421, 429 and 503 tell a caller that its request has not run.
+
+use crate::routed_fleet::{EngineAction, RoutedFleet, ScriptedEngine, document_with_reservations};
+use http::StatusCode;
+use rstest::rstest;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use tarragonknot::report::{install_metrics, render_metrics};
+
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+/// Replies without a request id, as they follow a reservation or an idle timeout.
+const RESERVATION_REFUSED: &str = "HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n";
+const RESERVATION_GRANTED: &str = "HTTP/1.1 200 X\r\ncontent-length: 14\r\n\r\n{\"hold\":\"h-1\"}";
+const IDLE_TIMEOUT: &str = "HTTP/1.1 408 X\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+const UNNAMED_NOT_RUN: &str =
+    "HTTP/1.1 503 X\r\ntarragonknot-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+const UNNAMED_MISDIRECTED: &str = "HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n";
+const UNNAMED_TOO_MANY: &str =
+    "HTTP/1.1 429 X\r\ntarragonknot-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+
+/// Guards against passing on the status of an engine that failed after it ran the request.
+#[rstest]
+#[tokio::test]
+async fn a_failure_after_the_run_is_not_reported_as_not_run(
+    #[values(408, 429, 503)] status: u16,
+    #[values("/unsafe/", "/stream/", "/safe/", "/resumable/")] path: &str,
+) {
+    let script = move |_| EngineAction::Answer(status, "failed after the run");
+    let first = ScriptedEngine::start("i-1", script).await;
+    let second = ScriptedEngine::start("i-2", script).await;
+    let fleet = RoutedFleet::start(&[&first, &second]).await;
+
+    let answer = fleet.call(path, "id-1").await;
+
+    assert!(first.count() + second.count() >= 1);
+    assert!(!NOT_RUN_STATUSES.contains(&answer.status), "{answer:?}");
+    assert!(!answer.headers.contains_key("tarragonknot-server-seal"), "{answer:?}");
+}
+
+/// Guards against taking a reply that names no request for the answer to the request just sent.
+#[rstest]
+#[case::reservation_refused(RESERVATION_REFUSED)]
+#[case::reservation_granted(RESERVATION_GRANTED)]
+#[case::idle_timeout(IDLE_TIMEOUT)]
+#[case::not_run(UNNAMED_NOT_RUN)]
+#[case::misdirected(UNNAMED_MISDIRECTED)]
+#[case::too_many(UNNAMED_TOO_MANY)]
+#[tokio::test]
+async fn a_reply_that_names_no_request_does_not_prove_that_it_did_not_run(
+    #[case] reply: &'static str,
+    #[values("/unsafe/", "/stream/")] path: &str,
+) {
+    let engine = ScriptedEngine::start("i-1", move |_| EngineAction::RunAfterStray(reply)).await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    let answer = fleet.call(path, "id-1").await;
+
+    assert_eq!(engine.count(), 1);
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{answer:?}");
+}
+
+/// Guards against reading the second copy of a reservation's reply as the answer to the request.
+#[rstest]
+#[tokio::test]
+async fn a_doubled_reply_to_a_reservation_is_not_the_answer(
+    #[values("/unsafe/", "/stream/")] path: &str,
+) {
+    let reservations = Arc::new(AtomicUsize::new(0));
+    let engine =
+        ScriptedEngine::start_with_request("i-1", move |_, request| match request.path.as_str() {
+            "/-/hold-take" => match reservations.fetch_add(1, Ordering::SeqCst) {
+                0 => EngineAction::NoPlace,
+                _ => EngineAction::Reserve("h-1"),
+            },
+            _ => EngineAction::RunAfterStray(RESERVATION_REFUSED),
+        })
+        .await;
+    let fleet = RoutedFleet::without_table(&[&engine]).await;
+    fleet.apply(1, &document_with_reservations(1));
+
+    let answer = fleet.call(path, "id-1").await;
+
+    assert!(engine.seen().iter().any(|request| request.id == "id-1"));
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{answer:?}");
+}
+
+#[rstest]
+#[case::full(503, "tarragonknot-not-executed: 1\r\n")]
+#[case::shed(429, "tarragonknot-not-executed: 1\r\n")]
+#[case::other_incarnation(421, "")]
+#[tokio::test]
+async fn an_answer_that_names_the_request_proves_that_it_did_not_run(
+    #[case] status: u16,
+    #[case] header: &'static str,
+    #[values("/unsafe/", "/stream/")] path: &str,
+) {
+    let engine =
+        ScriptedEngine::start("i-1", move |_| EngineAction::Rejected(status, header)).await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    let answer = fleet.call(path, "id-1").await;
+
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{answer:?}");
+    assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
+}
+
+#[tokio::test]
+async fn failed_answers_are_counted_by_what_they_prove() {
+    install_metrics();
+    let engine = ScriptedEngine::start("i-1", |number| match number {
+        0 => EngineAction::Answer(507, "failed after the run"),
+        _ => EngineAction::RunAfterStray("HTTP/1.1 506 X\r\ncontent-length: 0\r\n\r\n"),
+    })
+    .await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    for id in ["id-1", "id-2"] {
+        fleet.call("/unsafe/", id).await;
+    }
+    let page = render_metrics(&fleet.state);
+
+    for (status, echoed_id) in [(507, "own"), (506, "absent")] {
+        let row = format!(
+            "tarragonknot_failed_answers_total{{status=\"{status}\",echoed_id=\"{echoed_id}\",says_not_run=\"no\"}} 1"
+        );
+        assert!(page.contains(&row), "{row} in {page}");
+    }
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -37,6 +37,7 @@
 mod test_platform;
 mod test_policy;
 mod test_power_loss;
+mod test_promises;
 mod test_quarantine;
 mod test_quarantine_fleet;
 mod test_quarantine_log;
