Make the reservation's test reach the engine before it fails

As committed before, the test failed because its first reservation was refused and the request was never sent: it showed nothing. Now the place is granted and the second reply, a 503, comes when the request is there.

--- a/tests/routed_fleet.rs
+++ b/tests/routed_fleet.rs
@@ -219,9 +219,13 @@
             ),
             true,
         ),
-        EngineAction::OtherIncarnation => {
-            ("HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n".to_owned(), true)
-        }
+        EngineAction::OtherIncarnation => (
+            format!(
+                "HTTP/1.1 421 X\r\ntarragonknot-request-id: {}\r\ncontent-length: 0\r\n\r\n",
+                request.id
+            ),
+            true,
+        ),
         EngineAction::RunAfterStray(stray) => {
             (format!("{stray}HTTP/1.1 200 X\r\n{echo}content-length: 4\r\n\r\nfine"), true)
         }
--- a/tests/test_promises.rs
+++ b/tests/test_promises.rs
@@ -1,10 +1,10 @@
 //! Refusals of routed requests: 408, 421, 429 and 503 tell a caller that its request has not run.
 
-use crate::routed_fleet::{EngineAction, RoutedFleet, ScriptedEngine, document_with_reservations};
+use crate::routed_fleet::{
+    EngineAction, ReceivedRequest, RoutedFleet, ScriptedEngine, document_with_reservations,
+};
 use http::StatusCode;
 use rstest::rstest;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use tarragonknot::report::{install_metrics, render_metrics};
 
 const NOT_RUN_STATUSES: [StatusCode; 4] = [
@@ -64,22 +64,17 @@
     assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{answer:?}");
 }
 
-/// Guards against reading the second copy of a reservation's reply as the answer to the request.
+/// Guards against reading a second reply to a reservation as the answer to the request.
 #[rstest]
 #[tokio::test]
-async fn a_doubled_reply_to_a_reservation_is_not_the_answer(
+async fn a_second_reply_to_a_reservation_is_not_the_answer(
     #[values("/unsafe/", "/stream/")] path: &str,
 ) {
-    let reservations = Arc::new(AtomicUsize::new(0));
-    let engine =
-        ScriptedEngine::start_with_request("i-1", move |_, request| match request.path.as_str() {
-            "/-/hold-take" => match reservations.fetch_add(1, Ordering::SeqCst) {
-                0 => EngineAction::NoPlace,
-                _ => EngineAction::Reserve("h-1"),
-            },
-            _ => EngineAction::RunAfterStray(RESERVATION_REFUSED),
-        })
-        .await;
+    let script = |_, request: &ReceivedRequest| match request.path.as_str() {
+        "/-/hold-take" => EngineAction::Reserve("h-1"),
+        _ => EngineAction::RunAfterStray(RESERVATION_REFUSED),
+    };
+    let engine = ScriptedEngine::start_with_request("i-1", script).await;
     let fleet = RoutedFleet::without_table(&[&engine]).await;
     fleet.apply(1, &document_with_reservations(1));
 
