An answer that names no request is not taken for the answer

Callers saw 503, 429, 421 or 408 ('not run') for a request that an engine ran. Cause: an answer without a request id was accepted as that of the request just sent, then believed or passed on. Replies to reservations and of idle timeouts carry no id and share the connections with requests: a second or late one is read as the next answer. Why it works: an answer counts only if it echoes the id of the request on this connection; 'not run' needs that echo too. Anything else leaves the request as possibly run, and the connection is closed.

--- a/src/traffic/routed/attempt.rs
+++ b/src/traffic/routed/attempt.rs
@@ -62,6 +62,47 @@
     pub connection: ConnectionGuard,
 }
 
+/// The request that an answer names by the id that it echoes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EchoedId {
+    /// The request that was sent.
+    Own,
+    /// Another request.
+    Other,
+    /// None, although the request has an id.
+    Absent,
+    /// None, as the request has no id.
+    Anonymous,
+}
+
+impl EchoedId {
+    fn of(metadata: &AnswerMetadata, own_id: Option<&str>) -> Self {
+        match (metadata.echoed_id.as_deref(), own_id) {
+            (None, None) => EchoedId::Anonymous,
+            (None, Some(_)) => EchoedId::Absent,
+            (echoed_id, own_id) if echoed_id == own_id => EchoedId::Own,
+            (Some(_), _) => EchoedId::Other,
+        }
+    }
+
+    fn name(self) -> &'static str {
+        match self {
+            EchoedId::Own => "own",
+            EchoedId::Other => "other",
+            EchoedId::Absent | EchoedId::Anonymous => "absent",
+        }
+    }
+
+    /// Why the answer can't be that of the request; `None` if it can.
+    fn mismatch(self) -> Option<&'static str> {
+        match self {
+            EchoedId::Own | EchoedId::Anonymous => None,
+            EchoedId::Other => Some("the answer carries the id of another request"),
+            EchoedId::Absent => Some("the answer carries no request id"),
+        }
+    }
+}
+
 /// Sends the request. `last_event_id` is the id of the event after which a stream resumes.
 pub async fn send(
     request: &RoutedRequest,
@@ -78,18 +119,17 @@
         OpenError::Lost { detail } => SendError::ConnectionBroken(detail),
     })?;
     let metadata = request.dialect.read_answer(response.status(), response.headers());
+    let echoed_id = EchoedId::of(&metadata, request.metadata.id.as_deref());
     if !response.status().is_success() || !metadata.is_signed {
         log_failed_answer(request, incarnation, response.status(), &metadata, &connection);
     }
     let connection = connection.with_idle_timeout(metadata.idle_timeout);
-    let is_matching = metadata.echoed_id.is_none() || metadata.echoed_id == request.metadata.id;
-    if !is_matching {
-        // A late answer to another request: the rest of the connection is unreliable too.
-        return Err(SendError::NoUsableAnswer(
-            "the answer carries the id of another request".to_owned(),
-        ));
+    // Upstreams echo the id of each request, but not in replies to reservations or idle timeouts,
+    // which may arrive late on the same connection. The rest of the connection is unreliable too.
+    if let Some(detail) = echoed_id.mismatch() {
+        return Err(SendError::NoUsableAnswer(detail.to_owned()));
     }
-    if metadata.is_not_run {
+    if metadata.is_not_run && echoed_id == EchoedId::Own {
         let is_other_incarnation = metadata.is_other_incarnation;
         return Err(SendError::NotRun { is_other_incarnation, load: metadata.load });
     }
@@ -108,11 +148,7 @@
     metadata: &AnswerMetadata,
     connection: &ConnectionGuard,
 ) {
-    let echoed_id = match &metadata.echoed_id {
-        None => "absent",
-        id if *id == request.metadata.id => "own",
-        Some(_) => "other",
-    };
+    let echoed_id = EchoedId::of(metadata, request.metadata.id.as_deref()).name();
     record_failed_answer(status, echoed_id, metadata.is_not_run);
     info!(request.state.log, "failed answer"; "request" => request.id(), "upstream" => incarnation, "status" => status.as_u16(),
         "echoed_id" => echoed_id, "says_not_run" => metadata.is_not_run, "signed" => metadata.is_signed,
