An engine's 408, 429 or 503 after a run reaches the caller as a 502

Callers saw 408, 429 or 503 ('not run') for a request that an engine ran: its own failure was passed on with its status and seal. Only the header 'not executed', or 421, says that a request did not run; the guard in 'refuse' covers refusals of our own alone. Why it works: a head with such a status and without proof ends the send as possibly run. A route that may be repeated tries another upstream; else the caller gets the new kind upstream-failed (502, ran unknown), without the engine's seal, since a sealed failure must keep the engine's status. The four statuses stand in one function, which 'refuse' uses too.

--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -91,6 +91,9 @@
     Quarantined,
     /// Internal error of the daemon before dispatch.
     Internal,
+    /// The upstream failed with a status that tells callers "not run", without stating that it did
+    /// not run the request.
+    UpstreamFailed,
 }
 
 /// Row of the response table.
@@ -163,6 +166,13 @@
     ClaimUnavailable "claim-unavailable" 503 No RETRY_IN_1S, false, "The claim could not be recorded";
     Quarantined "quarantined" 503 No RETRY_IN_5S, false, "Held back: upstreams ended while they ran this request";
     Internal "internal" 500 No RETRY_IN_1S, false, "A fault of this daemon";
+    UpstreamFailed "upstream-failed" 502 Unknown RETRY_IN_1S, false, "The upstream failed and may have run the request";
+}
+
+/// True if callers of routes take the status as a promise that the request has not run and never
+/// will.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
 impl AnswerKind {
--- a/src/traffic/routed/attempt.rs
+++ b/src/traffic/routed/attempt.rs
@@ -2,6 +2,7 @@
 
 use super::dialect::{AnswerMetadata, SendMetadata};
 use super::forward::RoutedRequest;
+use crate::answer::promises_not_run;
 use crate::policy::LoadReport;
 use crate::report::record_failed_answer;
 use crate::upstream::{ConnectionGuard, OpenError, end_to_end_headers};
@@ -31,6 +32,9 @@
         /// The load that the upstream reports.
         load: Option<LoadReport>,
     },
+    /// The upstream failed with a status that would promise the caller that the request did not run,
+    /// but did not state so itself. The request may have run.
+    UnprovenRefusal(StatusCode),
     /// The connection closed before the answer was complete. The request may have run, and the
     /// upstream may have terminated.
     ConnectionBroken(String),
@@ -48,6 +52,9 @@
             SendError::NotRun { is_other_incarnation: false, .. } => {
                 formatter.write_str("the upstream did not run the request")
             }
+            SendError::UnprovenRefusal(status) => {
+                write!(formatter, "the request may have run: status {status}")
+            }
             SendError::ConnectionBroken(detail) | SendError::NoUsableAnswer(detail) => {
                 write!(formatter, "the request may have run: {detail}")
             }
@@ -133,6 +140,9 @@
         let is_other_incarnation = metadata.is_other_incarnation;
         return Err(SendError::NotRun { is_other_incarnation, load: metadata.load });
     }
+    if promises_not_run(response.status()) {
+        return Err(SendError::UnprovenRefusal(response.status()));
+    }
     if response.status().is_success() && !metadata.is_signed {
         return Err(SendError::NoUsableAnswer("the answer is not signed".to_owned()));
     }
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -6,7 +6,7 @@
 use super::relay::{StreamRelay, StreamTiming, buffered_response, stream_response};
 use super::reserve::{NOT_RESERVED, ReservationOutcome, reserve};
 use super::size_fields::SizeFields;
-use crate::answer::{AnswerKind, RefusalAnswer};
+use crate::answer::{AnswerKind, RefusalAnswer, promises_not_run};
 use crate::policy::{
     ArrivedRequest, DispatchOutcome, Moment, PoolEvent, RequestId, RequestSizes, RouteKey,
     SizeDecile, UpstreamEvent, UpstreamHash, UpstreamIndex,
@@ -22,8 +22,8 @@
 use crate::traffic::state::{ChosenPool, ProgressGuard, TrafficState};
 use axum::body::Body;
 use bytes::Bytes;
-use http::Response;
 use http::request::Parts;
+use http::{Response, StatusCode};
 use slog::info;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -438,7 +438,7 @@
     }
 
     fn record_possible_run(&mut self, history: &mut SendHistory, error: &SendError) {
-        if matches!(error, SendError::ConnectionBroken(_) | SendError::NoUsableAnswer(_)) {
+        if !matches!(error, SendError::NotSent(_) | SendError::NotRun { .. }) {
             history.may_have_run = true;
         }
     }
@@ -465,7 +465,7 @@
         let event = UpstreamEvent::Leaving;
         placed.pool.handle_event(PoolEvent::Lifecycle { upstream: placed.upstream, event });
     }
-    if let SendError::ConnectionBroken(_) | SendError::NoUsableAnswer(_) = error {
+    if !matches!(error, SendError::NotSent(_) | SendError::NotRun { .. }) {
         request.record_version_answer(placed, VersionOutcome::Failed);
     }
     placed.guard.end(DispatchOutcome::Failed);
@@ -475,6 +475,7 @@
     match error {
         SendError::NotSent(_) => AnswerKind::UpstreamUnreachable,
         SendError::NotRun { .. } => AnswerKind::UpstreamRefused,
+        SendError::UnprovenRefusal(_) => AnswerKind::UpstreamFailed,
         SendError::ConnectionBroken(_) | SendError::NoUsableAnswer(_)
             if request.time_left().is_zero() =>
         {
@@ -487,8 +488,8 @@
 /// Refuses the request. Once a send may have run it, the answer must not claim that it did not run.
 fn refuse(request: &mut RoutedRequest, kind: AnswerKind, history: SendHistory) -> Response<Body> {
     request.stage = RequestStage::Ended;
-    let claims_not_run = matches!(kind.row().status, 408 | 421 | 429 | 503);
-    let kind = match history.may_have_run && claims_not_run {
+    let is_promise = StatusCode::from_u16(kind.row().status).is_ok_and(promises_not_run);
+    let kind = match history.may_have_run && is_promise {
         true if request.time_left().is_zero() => AnswerKind::DeadlineRunning,
         true => AnswerKind::UpstreamLost,
         false => kind,
