A send counts as a possible run until its end proves the contrary

Design of the class: 'may have run' was set for some ends of a send, so each end that nobody thought of, and a success that was read to its end, counted as not run. SendHistory now counts sends and those proved not to have run ('not sent' by the connection, 'not run' by the upstream under the request's id and without the status of a success); all else may have run. One match without a wildcard lists the ends, so that a new one has to choose. A test of the answer table: no kind with 408, 421, 429 or 503 but those of requests that did not run.

--- a/src/traffic/routed/attempt.rs
+++ b/src/traffic/routed/attempt.rs
@@ -136,14 +136,15 @@
     if let Some(detail) = echoed_id.mismatch() {
         return Err(SendError::NoUsableAnswer(detail.to_owned()));
     }
-    if metadata.is_not_run && echoed_id == EchoedId::Own {
+    let status = response.status();
+    if metadata.is_not_run && echoed_id == EchoedId::Own && !status.is_success() {
         let is_other_incarnation = metadata.is_other_incarnation;
         return Err(SendError::NotRun { is_other_incarnation, load: metadata.load });
     }
-    if promises_not_run(response.status()) {
-        return Err(SendError::UnprovenRefusal(response.status()));
+    if promises_not_run(status) {
+        return Err(SendError::UnprovenRefusal(status));
     }
-    if response.status().is_success() && !metadata.is_signed {
+    if status.is_success() && !metadata.is_signed {
         return Err(SendError::NoUsableAnswer("the answer is not signed".to_owned()));
     }
     Ok(OpenAnswer { response, metadata, connection })
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -113,13 +113,40 @@
     }
 }
 
-/// The sends of one request so far.
+/// The sends of one request so far. A send counts as a possible run until its end proves the
+/// contrary.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SendHistory {
+    sent: u32,
+    not_run: u32,
+}
+
+impl SendHistory {
     /// Number of upstreams that the request was sent to.
-    pub sent: u32,
+    pub fn sent(self) -> u32 {
+        self.sent
+    }
+
     /// True if one of them may have run the request.
-    pub may_have_run: bool,
+    pub fn may_have_run(self) -> bool {
+        self.sent > self.not_run
+    }
+
+    /// Counts a send, before its first byte is written.
+    pub fn begin_send(&mut self) {
+        self.sent += 1;
+    }
+
+    /// Takes the end of the last send into account.
+    pub fn end_send(&mut self, error: &SendError) {
+        match error {
+            SendError::NotSent(_) => self.sent -= 1,
+            SendError::NotRun { .. } => self.not_run += 1,
+            SendError::UnprovenRefusal(_)
+            | SendError::ConnectionBroken(_)
+            | SendError::NoUsableAnswer(_) => {}
+        }
+    }
 }
 
 impl Drop for RoutedRequest {
@@ -174,10 +201,10 @@
 
     /// True if the request may be sent to one more upstream now; spends a unit of the retry budget.
     pub fn may_send_again(&self, service: &ServiceName, history: SendHistory) -> bool {
-        let is_allowed = !history.may_have_run || self.route.kind.may_repeat();
+        let is_allowed = !history.may_have_run() || self.route.kind.may_repeat();
         is_allowed
             && self.state.quarantine.held_for(self.fingerprint, self.state.clock.now()).is_none()
-            && history.sent < self.route.attempts
+            && history.sent() < self.route.attempts
             && !self.time_left().is_zero()
             && self.state.with_retry_budget(service, |budget| budget.try_withdraw())
     }
@@ -336,12 +363,12 @@
         history: &mut SendHistory,
         last_event_id: Option<u64>,
     ) -> Result<OpenAnswer, SendError> {
-        history.sent += 1;
+        history.begin_send();
         match &placed.ticket {
             Some(ticket) => ticket.mark_sent(),
             None => self.state.rollouts.note_sent_to_old(&placed.pool.service),
         }
-        let is_last_send = history.sent >= self.route.attempts;
+        let is_last_send = history.sent() >= self.route.attempts;
         let timeout = if is_last_send { Duration::MAX } else { self.answer_timeout() };
         let limit = self.time_left().min(timeout);
         let place_id = placed.place_id.as_deref();
@@ -363,7 +390,7 @@
         let organisation = self.caller.as_ref().map_or("", |caller| caller.organisation.as_str());
         info!(self.state.log, "sent"; "request" => self.id(), "route" => &self.route.route, "organisation" => organisation,
             "service" => placed.pool.service.as_str(), "version" => placed.pool.version.as_ref().map(|version| version.as_str()), "upstream" => placed.name.as_str(), "waited_ms" => waited,
-            "send" => history.sent + 1, "after_event" => last_event_id, "fingerprint" => self.fingerprint.to_string(), "table" => self.state.snapshot().version,
+            "send" => history.sent() + 1, "after_event" => last_event_id, "fingerprint" => self.fingerprint.to_string(), "table" => self.state.snapshot().version,
             "left_ms" => self.time_left().as_millis() as u64, "tokens" => self.limit.as_ref().map_or(0, |limit| limit.cost),
             "slowness" => format!("{:.2}", placed.pool.slowness(placed.upstream)), self.size_fields());
     }
@@ -374,7 +401,7 @@
     let mut history = SendHistory::default();
     loop {
         request.stage = RequestStage::Waiting;
-        let mut placed = match request.place(history.sent == 0).await {
+        let mut placed = match request.place(history.sent() == 0).await {
             Ok(placed) => placed,
             Err(kind) => return refuse(&mut request, kind, history),
         };
@@ -382,14 +409,15 @@
         request.log_send(&placed, history, request.metadata.last_event_id);
         let service = placed.pool.service.clone();
         let name = placed.name.clone();
-        if history.sent == 0 {
+        if history.sent() == 0 {
             let daemons = request.state.fleet.daemon_count();
             request.state.with_retry_budget(&service, |budget| budget.deposit(daemons));
         }
         request.set_charged(true);
         let sent = request.try_send(&placed, &mut history, request.metadata.last_event_id).await;
-        if let Err(SendError::NotSent(_) | SendError::NotRun { .. }) = sent {
-            request.set_charged(history.may_have_run);
+        if let Err(error) = &sent {
+            history.end_send(error);
+            request.set_charged(history.may_have_run());
         }
         let error = match sent {
             Ok(answer) => match relay_answer(request, placed, history, answer).await {
@@ -400,7 +428,6 @@
                 }
             },
             Err(SendError::NotSent(detail)) => {
-                history.sent -= 1;
                 info!(request.state.log, "upstream not reached"; "request" => request.id(), "detail" => detail);
                 placed.pool.handle_event(PoolEvent::Lifecycle {
                     upstream: placed.upstream,
@@ -417,9 +444,8 @@
                 error
             }
         };
-        request.record_possible_run(&mut history, &error);
         info!(request.state.log, "no answer"; "request" => request.id(), "upstream" => name.as_str(),
-            "fault" => error.to_string(), "sent" => history.sent);
+            "fault" => error.to_string(), "sent" => history.sent());
         if !request.may_send_again(&service, history) {
             let kind = refusal_kind(&request, &error);
             return refuse(&mut request, kind, history);
@@ -437,12 +463,6 @@
         self.state.rollouts.note_answer(service, placed.arm, group, upstream, answer);
     }
 
-    fn record_possible_run(&mut self, history: &mut SendHistory, error: &SendError) {
-        if !matches!(error, SendError::NotSent(_) | SendError::NotRun { .. }) {
-            history.may_have_run = true;
-        }
-    }
-
     /// Sets whether the request is charged to its organisation's limit. It is charged before it is
     /// sent, since the outcome stays unknown if the caller disconnects while an upstream runs it.
     fn set_charged(&mut self, is_charged: bool) {
@@ -489,7 +509,7 @@
 fn refuse(request: &mut RoutedRequest, kind: AnswerKind, history: SendHistory) -> Response<Body> {
     request.stage = RequestStage::Ended;
     let is_promise = StatusCode::from_u16(kind.row().status).is_ok_and(promises_not_run);
-    let kind = match history.may_have_run && is_promise {
+    let kind = match history.may_have_run() && is_promise {
         true if request.time_left().is_zero() => AnswerKind::DeadlineRunning,
         true => AnswerKind::UpstreamLost,
         false => kind,
@@ -497,7 +517,7 @@
     let waited = request.state.clock.now().since(request.arrived_at).as_millis() as u64;
     request.record(kind.row().name, None);
     info!(request.state.log, "refused"; "request" => request.id(), "kind" => kind.row().name,
-        "route" => &request.route.route, "sent" => history.sent, "may_have_run" => history.may_have_run, "after_ms" => waited, request.size_fields());
+        "route" => &request.route.route, "sent" => history.sent(), "may_have_run" => history.may_have_run(), "after_ms" => waited, request.size_fields());
     RefusalAnswer::new(kind, "", request.state.jitter())
         .with_retry_after(request.retry_delay(kind))
         .response(request.id())
@@ -556,8 +576,7 @@
                 if is_failure { VersionOutcome::Failed } else { VersionOutcome::served(after) };
             request.record_version_answer(&placed, answer);
             placed.guard.end(outcome);
-            let updated = SendHistory { may_have_run: true, ..history };
-            if !is_failure || !request.may_send_again(&placed.pool.service, updated) {
+            if !is_failure || !request.may_send_again(&placed.pool.service, history) {
                 request.log_answered(&placed, status.as_u16());
                 return AnswerOutcome::Response(response);
             }
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -167,7 +167,8 @@
 
     /// How long the upstream may pause before the stream is resumed elsewhere.
     fn pause_timeout(&self) -> Duration {
-        if !self.request.route.kind.may_repeat() || self.history.sent >= self.request.route.attempts
+        if !self.request.route.kind.may_repeat()
+            || self.history.sent() >= self.request.route.attempts
         {
             return Duration::MAX;
         }
@@ -222,7 +223,6 @@
     async fn resume_elsewhere(&mut self, error: SendError) -> bool {
         // Closing the connection first makes the upstream stop before another one begins.
         self.connection = None;
-        self.history.may_have_run = true;
         info!(self.request.state.log, "stream broken"; "request" => self.request.id(), "upstream" => self.placed.name.as_str(),
             "events" => self.splitter.event_count(), "detail" => error.to_string());
         report_send_error(&self.request, &mut self.placed, &error);
--- a/tests/test_promises.rs
+++ b/tests/test_promises.rs
@@ -5,6 +5,7 @@
 };
 use http::StatusCode;
 use rstest::rstest;
+use tarragonknot::answer::{ANSWER_TABLE, ExecutionStatus, promises_not_run};
 use tarragonknot::report::{install_metrics, render_metrics};
 
 const NOT_RUN_STATUSES: [StatusCode; 4] = [
@@ -104,6 +105,31 @@
     assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
 }
 
+/// Guards against believing "not run" from an answer with the status of a success.
+#[tokio::test]
+async fn a_success_does_not_prove_that_the_request_did_not_run() {
+    let engine = ScriptedEngine::start("i-1", |_| {
+        EngineAction::Rejected(200, "tarragonknot-not-executed: 1\r\n")
+    })
+    .await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    let answer = fleet.call("/unsafe/", "id-1").await;
+
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{answer:?}");
+}
+
+#[test]
+fn only_kinds_of_requests_that_did_not_run_have_a_status_that_says_so() {
+    let promises = ANSWER_TABLE
+        .iter()
+        .filter(|row| StatusCode::from_u16(row.status).is_ok_and(promises_not_run));
+
+    let unproven: Vec<_> = promises.filter(|row| row.ran != ExecutionStatus::No).collect();
+
+    assert!(unproven.is_empty(), "{unproven:?}");
+}
+
 #[tokio::test]
 async fn failed_answers_are_counted_by_what_they_prove() {
     install_metrics();
