A refusal after a possible run never carries 'ran: no'

Callers of a route that may be repeated saw 401 or 404 with 'ran: no' when the key was revoked or the route removed between two sends of their request, though the first send may have run. Cause: the guard of 'refuse' looked at the four statuses alone, not at what the refusal says. Evidence: a_key_revoked_between_two_sends_does_not_prove_that_the_first_did_not_run fails before (401, ran no), passes now (502, ran unknown). Why it works: the guard asks the answer table whether the kind says 'not run'; the four statuses are among these, which a test of the table checks.

--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -6,7 +6,7 @@
 use super::relay::{StreamRelay, StreamTiming, buffered_response, stream_response};
 use super::reserve::{NOT_RESERVED, ReservationOutcome, reserve};
 use super::size_fields::SizeFields;
-use crate::answer::{AnswerKind, RefusalAnswer, promises_not_run};
+use crate::answer::{AnswerKind, ExecutionStatus, RefusalAnswer};
 use crate::policy::{
     ArrivedRequest, DispatchOutcome, Moment, PoolEvent, RequestId, RequestSizes, RouteKey,
     SizeDecile, UpstreamEvent, UpstreamHash, UpstreamIndex,
@@ -22,8 +22,8 @@
 use crate::traffic::state::{ChosenPool, ProgressGuard, TrafficState};
 use axum::body::Body;
 use bytes::Bytes;
+use http::Response;
 use http::request::Parts;
-use http::{Response, StatusCode};
 use slog::info;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -508,8 +508,8 @@
 /// Refuses the request. Once a send may have run it, the answer must not claim that it did not run.
 fn refuse(request: &mut RoutedRequest, kind: AnswerKind, history: SendHistory) -> Response<Body> {
     request.stage = RequestStage::Ended;
-    let is_promise = StatusCode::from_u16(kind.row().status).is_ok_and(promises_not_run);
-    let kind = match history.may_have_run() && is_promise {
+    let claims_not_run = kind.row().ran == ExecutionStatus::No;
+    let kind = match history.may_have_run() && claims_not_run {
         true if request.time_left().is_zero() => AnswerKind::DeadlineRunning,
         true => AnswerKind::UpstreamLost,
         false => kind,
--- a/tests/test_promises.rs
+++ b/tests/test_promises.rs
@@ -1,10 +1,12 @@
 //! Refusals of routed requests: 408, 421, 429 and 503 tell a caller that its request has not run.
 
 use crate::routed_fleet::{
-    EngineAction, ReceivedRequest, RoutedFleet, ScriptedEngine, document_with_reservations,
+    EngineAction, KEY, ReceivedRequest, RoutedFleet, ScriptedEngine, document,
+    document_with_reservations,
 };
 use http::StatusCode;
 use rstest::rstest;
+use std::time::Duration;
 use tarragonknot::answer::{ANSWER_TABLE, ExecutionStatus, promises_not_run};
 use tarragonknot::report::{install_metrics, render_metrics};
 
@@ -119,6 +121,25 @@
     assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{answer:?}");
 }
 
+/// Guards against a refusal with `ran: no` after an earlier send of the request may have run.
+#[tokio::test]
+async fn a_key_revoked_between_two_sends_does_not_prove_that_the_first_did_not_run() {
+    let engine = ScriptedEngine::start("i-1", |_| EngineAction::Silent).await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+    let revoke = async {
+        while engine.count() == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        fleet.apply(2, &document(2).replace(KEY, "another-key"));
+    };
+
+    let (answer, ()) = tokio::join!(fleet.call("/safe/", "id-1"), revoke);
+
+    let problem = answer.body.expect("the body is complete");
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{problem}");
+    assert!(problem.contains(r#""ran":"unknown""#), "{problem}");
+}
+
 #[test]
 fn only_kinds_of_requests_that_did_not_run_have_a_status_that_says_so() {
     let promises = ANSWER_TABLE
