Engines: the refusal of a resume request is not the answer to the request

What callers would see: an engine runs a request and its connection breaks before the head of the answer. The daemon asks for the rest by id, the engine answers that call with 503 (or 408, 421, 429), and the caller gets this status as the answer to its request, which ran. A stream that breaks off after some events, and whose resume is answered with 503 and a JSON body, ended as if it were complete.

Cause: only 404 and 410 counted as a refused resume. Every other reply was read as the answer: its status became that of the answer if no head had come before, and its body was one piece with number 1, which is dropped as a duplicate, followed by the end.

Fix: a resume is accepted only with a success status, and for a stream only as an event stream. Everything else is `upstream-lost`, `ran: unknown`. An engine that repeats the failed status of a finished request on the resume is now also reported as lost: that status can't be told from a refusal of the call.

--- a/src/upstream/engine.rs
+++ b/src/upstream/engine.rs
@@ -14,7 +14,7 @@
 use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
 use http::header::{ACCEPT, CONTENT_TYPE, HOST};
-use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response};
 use http_body_util::{BodyDataStream, BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use serde::Deserialize;
@@ -71,15 +71,14 @@
     }
 }
 
+fn is_event_stream(response: &Response<Incoming>) -> bool {
+    let content_type = response.headers().get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    content_type.is_some_and(|text| text.starts_with("text/event-stream"))
+}
+
 fn read_answer(response: Response<Incoming>, guard: ConnectionGuard) -> AnswerStream {
     let head = answer_head(&response);
-    let content_type = response
-        .headers()
-        .get(CONTENT_TYPE)
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or_default();
-    let is_stream = content_type.starts_with("text/event-stream");
-    let pieces: Box<dyn PieceSource> = if is_stream {
+    let pieces: Box<dyn PieceSource> = if is_event_stream(&response) {
         let events = BodyDataStream::new(response.into_body()).eventsource();
         Box::new(EventPieces { events, guard: Some(guard), prompt_tokens: None })
     } else {
@@ -115,15 +114,16 @@
                 if call.wants_stream { "text/event-stream" } else { "application/json" };
             request.headers_mut().insert(ACCEPT, HeaderValue::from_static(media_type));
             let (response, guard) = self.connections.send(address, request, Duration::ZERO).await?;
-            match response.status() {
-                StatusCode::NOT_FOUND | StatusCode::GONE => Err(OpenError::Lost {
-                    detail: format!(
-                        "the engine answered {} to the resume request",
-                        response.status()
-                    ),
-                }),
-                _ => Ok(read_answer(response, guard)),
+            // Any other answer concerns the resume request only: passed on, its status would deny
+            // that the request ran, and its body would end a truncated stream as complete.
+            let is_continued = response.status().is_success()
+                && (is_event_stream(&response) || !call.wants_stream);
+            if !is_continued {
+                let detail =
+                    format!("the engine answered {} to the resume request", response.status());
+                return Err(OpenError::Lost { detail });
             }
+            Ok(read_answer(response, guard))
         })
     }
 
--- /dev/null
+++ b/tests/test_ran_status.rs
@@ -0,0 +1,150 @@
+//! What refusals say about the execution of their request: `ran: no` only where no upstream can
+//! have received it.
+
+use crate::fixtures::{AGENTS_KEY, SmallFleet, small_fleet};
+use axum::Router;
+use axum::body::Body;
+use axum::routing::{get, post};
+use futures_util::{StreamExt, stream};
+use http::{HeaderMap, Method, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Bytes, Incoming};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use rstest::rstest;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tarragonknot::answer::{AnswerKind, ExecutionStatus, ProblemBody};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+const CHAT_PATH: &str = "/v1/chat/completions";
+
+/// Serves `router` on a free loopback port until the runtime shuts down.
+async fn start_upstream(router: Router) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    address
+}
+
+/// A small fleet whose engine and plain service listen on `address`, and whose streams may pause.
+async fn fleet_at(address: SocketAddr) -> SmallFleet {
+    small_fleet(|table| {
+        table.upstreams.iter_mut().for_each(|row| row.address = address);
+        table.services.iter_mut().for_each(|row| row.silence_ms = Duration::from_secs(60));
+    })
+    .await
+}
+
+/// Sends a request with the key of `agents` and these further headers.
+async fn send(
+    fleet: &SmallFleet,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Response<Incoming> {
+    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+    let uri = format!("http://{}{path}", fleet.front.address);
+    let mut request = http::Request::builder().method(method).uri(uri);
+    request = request.header("authorization", format!("Bearer {AGENTS_KEY}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::from(body.to_owned())).unwrap();
+    client.request(request).await.expect("the request gets a response")
+}
+
+struct CallerAnswer {
+    status: StatusCode,
+    body: String,
+}
+
+impl CallerAnswer {
+    fn problem(&self) -> ProblemBody {
+        serde_json::from_str(&self.body).expect("the body is a problem document")
+    }
+}
+
+/// Sends a request and reads its whole answer.
+async fn call(
+    fleet: &SmallFleet,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> CallerAnswer {
+    let (head, body) = send(fleet, method, path, headers, body).await.into_parts();
+    let body = body.collect().await.expect("the answer is complete").to_bytes();
+    CallerAnswer { status: head.status, body: String::from_utf8(body.to_vec()).unwrap() }
+}
+
+fn chat(stream: bool) -> String {
+    format!(r#"{{"model":"pack-llm","stream":{stream},"messages":[]}}"#)
+}
+
+fn id_of(headers: &HeaderMap) -> String {
+    headers.get("x-request-id").map_or("", |id| id.to_str().unwrap()).to_owned()
+}
+
+/// An event stream that sends `events` events and breaks off at `cut`.
+fn cut_stream(id: &str, events: u64, cut: Arc<Notify>) -> Response<Body> {
+    let id = id.to_owned();
+    let sent =
+        (1..=events).map(move |number| format!("id: {number}\ndata: {{\"id\":\"{id}\"}}\n\n"));
+    let end = async move {
+        cut.notified().await;
+        Err(io::Error::from(io::ErrorKind::ConnectionReset))
+    };
+    let frames = stream::iter(sent.map(Ok)).chain(stream::once(end));
+    let mut response = Response::new(Body::from_stream(frames));
+    response.headers_mut().insert("content-type", "text/event-stream".parse().unwrap());
+    response
+}
+
+/// An engine that breaks off its answers after `events` events, at `cut`, and answers requests to
+/// resume them with `status`.
+async fn engine_that_refuses_resumes(events: u64, cut: Arc<Notify>, status: u16) -> SocketAddr {
+    let run = move |headers: HeaderMap| async move { cut_stream(&id_of(&headers), events, cut) };
+    let status = StatusCode::from_u16(status).unwrap();
+    let resume = move || async move { (status, r#"{"error":"busy"}"#) };
+    let router = Router::new()
+        .route(CHAT_PATH, post(run))
+        .route("/v1/requests/{id}", get(resume).delete(|| async { StatusCode::NO_CONTENT }));
+    start_upstream(router).await
+}
+
+/// Guards against taking the refusal of a resume request for the answer to the request itself,
+/// which has run.
+#[rstest]
+#[tokio::test]
+async fn a_refused_resume_is_not_the_answer(#[values(408, 421, 429, 500, 503)] status: u16) {
+    let cut = Arc::new(Notify::new());
+    cut.notify_one();
+    let fleet = fleet_at(engine_that_refuses_resumes(0, cut, status).await).await;
+
+    let answer = call(&fleet, Method::POST, CHAT_PATH, &[], &chat(false)).await;
+
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    let problem = answer.problem();
+    assert_eq!((problem.kind, problem.ran), (AnswerKind::UpstreamLost, ExecutionStatus::Unknown));
+}
+
+/// Guards against ending a truncated stream as complete when the answer to its resume request is
+/// not the rest of the stream.
+#[rstest]
+#[tokio::test]
+async fn a_stream_that_is_not_resumed_is_cut(#[values(200, 503)] status: u16) {
+    let cut = Arc::new(Notify::new());
+    let fleet = fleet_at(engine_that_refuses_resumes(1, Arc::clone(&cut), status).await).await;
+
+    let mut answer = send(&fleet, Method::POST, CHAT_PATH, &[], &chat(true)).await;
+    answer.frame().await.expect("the first event").expect("the first event");
+    cut.notify_one();
+    let rest = answer.collect().await;
+
+    assert!(rest.is_err(), "{rest:?}");
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -40,6 +40,7 @@
 mod test_quarantine;
 mod test_quarantine_fleet;
 mod test_quarantine_log;
+mod test_ran_status;
 mod test_replica;
 mod test_request_sizes;
 mod test_reservations;
