Exchange: a refusal that is ignored does not become the reason of a failure

What callers would see: a request that was sent and failed is answered with a kind of `ran: no`. No order of events of today's dispatcher leads there: it passes on a refusal only for a request that waits.

Cause: `Exchange` stored the kind of a refusal in every state, though the chart ignores it once an upstream is chosen.

Fix: the kind is stored only while the request waits, where the chart takes the refusal.

--- a/src/policy/exchange.rs
+++ b/src/policy/exchange.rs
@@ -192,7 +192,10 @@
                 RequestEvent::Placed
             }
             ExchangeEvent::Refused(kind) => {
-                self.failure = Some(kind);
+                // Once an upstream is chosen, the refusal is ignored and proves nothing.
+                if self.state() == RequestState::Waiting {
+                    self.failure = Some(kind);
+                }
                 RequestEvent::Refused
             }
             ExchangeEvent::NotSent => RequestEvent::NotSent,
--- a/tests/test_ran_status.rs
+++ b/tests/test_ran_status.rs
@@ -11,12 +11,15 @@
 use hyper::body::{Bytes, Incoming};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rstest::rstest;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tarragonknot::answer::{AnswerKind, ExecutionStatus, ProblemBody};
+use tarragonknot::policy::{Exchange, ExchangeEvent, Moment, RequestState, UpstreamIndex};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
@@ -148,3 +151,47 @@
 
     assert!(rest.is_err(), "{rest:?}");
 }
+
+const EXCHANGE_EVENTS: &[ExchangeEvent<'static>] = &[
+    ExchangeEvent::Placed(UpstreamIndex(0)),
+    ExchangeEvent::Refused(AnswerKind::Overloaded),
+    ExchangeEvent::NotSent,
+    ExchangeEvent::Opened,
+    ExchangeEvent::Head { echo: None },
+    ExchangeEvent::Head { echo: Some("other") },
+    ExchangeEvent::Piece { sequence: 1, echo: None },
+    ExchangeEvent::Piece { sequence: 3, echo: None },
+    ExchangeEvent::Ended,
+    ExchangeEvent::Cut,
+    ExchangeEvent::Silent,
+    ExchangeEvent::ResumeRefused,
+    ExchangeEvent::CallerLeft,
+    ExchangeEvent::Deadline,
+];
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(4_000)
+    })]
+
+    /// Guards against an order of events in which a request that was sent ends as not run.
+    #[test]
+    fn no_order_of_events_ends_a_sent_request_as_not_run(
+        order in proptest::collection::vec(0..EXCHANGE_EVENTS.len(), 0..24),
+        is_resumable in any::<bool>(),
+    ) {
+        let mut exchange = Exchange::new("a", is_resumable);
+        let mut was_sent = false;
+        for idx in order {
+            exchange.handle(EXCHANGE_EVENTS[idx], Moment(0));
+            was_sent |= exchange.state() == RequestState::Sent;
+            if was_sent {
+                prop_assert_ne!(exchange.state(), RequestState::Waiting);
+                prop_assert_ne!(exchange.state(), RequestState::Refused);
+                prop_assert_ne!(exchange.failure().row().ran, ExecutionStatus::No);
+            }
+        }
+    }
+}
