Answers: `internal` no longer says that the request was not run

What callers would see: 500 `internal` with `ran: no` for a request that an upstream received, after a panic in its exchange. No panic is known; the row promised what a lost task can't prove.

Cause: the daemon answers `internal` when the task of a request ends without an answer, whether or not it had sent the request.

Evidence: a_panic_after_the_dispatch_is_not_reported_as_not_run lets the log drain panic after the upstream has closed the connection; it got `no`.

Fix: the row says `unknown`. Routed requests carry the same row; their status stays 500, which promises nothing.

--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -89,7 +89,7 @@
     ClaimUnavailable,
     /// Upstream processes ended while running the same content, so the request is quarantined.
     Quarantined,
-    /// Internal error of the daemon before dispatch.
+    /// Internal error of the daemon, which may have occurred after the dispatch.
     Internal,
 }
 
@@ -162,7 +162,7 @@
     ClaimAnswered "claim-answered" 409 Yes RetryHint::Never, false, "The first request with this key was answered, and its answer is not kept";
     ClaimUnavailable "claim-unavailable" 503 No RETRY_IN_1S, false, "The claim could not be recorded";
     Quarantined "quarantined" 503 No RETRY_IN_5S, false, "Held back: upstreams ended while they ran this request";
-    Internal "internal" 500 No RETRY_IN_1S, false, "A fault of this daemon";
+    Internal "internal" 500 Unknown RETRY_IN_1S, false, "A fault of this daemon";
 }
 
 impl AnswerKind {
--- a/tests/fixtures.rs
+++ b/tests/fixtures.rs
@@ -48,6 +48,14 @@
 
 /// Starts a small fleet with `change` applied to its table.
 pub async fn small_fleet(change: impl FnOnce(&mut OperatorTable)) -> SmallFleet {
+    small_fleet_with_log(Logger::root(Discard, o!()), change).await
+}
+
+/// Starts a small fleet that logs to `log`, with `change` applied to its table.
+pub async fn small_fleet_with_log(
+    log: Logger,
+    change: impl FnOnce(&mut OperatorTable),
+) -> SmallFleet {
     let engine = start_engine(
         EngineShape::with_step(1_000),
         Arc::new(PrefillLedger::default()),
@@ -60,7 +68,7 @@
     table.upstreams.push(upstream("engine-1", "pack-llm", engine.address));
     table.upstreams.push(upstream("service-1", "pack-api", service.address));
     change(&mut table);
-    let state = TrafficState::new("entry-1".into(), Logger::root(Discard, o!()), 7);
+    let state = TrafficState::new("entry-1".into(), log, 7);
     state.apply_table(&VersionedTable::new(1, table.clone()));
     state.set_current_until(Moment(u64::MAX));
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/tests/test_ran_status.rs
+++ b/tests/test_ran_status.rs
@@ -1,7 +1,7 @@
 //! What refusals say about the execution of their request: `ran: no` only where no upstream can
 //! have received it.
 
-use crate::fixtures::{AGENTS_KEY, SmallFleet, small_fleet};
+use crate::fixtures::{AGENTS_KEY, SmallFleet, small_fleet, small_fleet_with_log};
 use axum::Router;
 use axum::body::Body;
 use axum::routing::{get, post};
@@ -14,6 +14,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rstest::rstest;
+use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -195,3 +196,37 @@
         }
     }
 }
+
+/// A drain that panics on one message, as a fault in the middle of an exchange.
+struct PanickingDrain(&'static str);
+
+impl Drain for PanickingDrain {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record<'_>, _: &OwnedKVList) -> Result<(), Never> {
+        assert_ne!(record.msg().to_string(), self.0, "the fault of this test");
+        Ok(())
+    }
+}
+
+/// Guards against the answer `internal`, `ran: no`, after a panic in the exchange of a request that
+/// was sent.
+#[tokio::test]
+async fn a_panic_after_the_dispatch_is_not_reported_as_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let log = Logger::root(PanickingDrain("upstream gave no answer"), o!());
+    let fleet = small_fleet_with_log(log, |table| {
+        table.upstreams.iter_mut().for_each(|row| row.address = address);
+    })
+    .await;
+    tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        stream.readable().await.unwrap();
+    });
+
+    let answer = call(&fleet, Method::POST, "/pack-api/slots", &[], "van").await;
+
+    assert_eq!(answer.problem().ran, ExecutionStatus::Unknown);
+}
