Answers: a body whose writer is lost is aborted, not ended

What callers would see: a truncated stream, or a body over 1 MiB, that ends without an error, as if it were complete. It takes a panic in the task that relays it; none is known.

Cause: the end of the body was the drop of its sender, which a panic causes too.

Evidence: a_panic_in_mid_stream_cuts_the_answer (the log drain panics when the stream is interrupted) read the body to its end without an error.

Fix: the body ends well only if the writer says so; otherwise an error follows its last piece, which aborts the connection.

--- a/src/traffic/sink.rs
+++ b/src/traffic/sink.rs
@@ -6,6 +6,7 @@
 use crate::upstream::{AnswerHead, REQUEST_ID_HEADER};
 use axum::body::Body;
 use bytes::Bytes;
+use futures_util::{Stream, StreamExt, future, stream};
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response};
 use std::io;
@@ -32,6 +33,8 @@
     request_id: Arc<str>,
     head_sender: Option<oneshot::Sender<Response<Body>>>,
     body_sender: Option<mpsc::Sender<io::Result<Bytes>>>,
+    /// Reports that the body is complete; if it is dropped, the body is aborted.
+    end_sender: Option<oneshot::Sender<()>>,
     head: Option<Box<AnswerHead>>,
     buffered: Vec<Bytes>,
     buffered_bytes: usize,
@@ -49,6 +52,7 @@
             request_id,
             head_sender: Some(sender),
             body_sender: None,
+            end_sender: None,
             head: None,
             buffered: Vec::new(),
             buffered_bytes: 0,
@@ -121,10 +125,12 @@
 
     async fn begin_body(&mut self) -> Result<(), CallerGone> {
         let (sender, receiver) = mpsc::channel(BODY_CHANNEL_PIECES);
-        let response = self.response(Body::from_stream(ReceiverStream::new(receiver)));
+        let (end_sender, end) = oneshot::channel();
+        let response = self.response(Body::from_stream(body_stream(receiver, end)));
         let head_sender = self.head_sender.take().ok_or(CallerGone)?;
         head_sender.send(response).map_err(|_| CallerGone)?;
         self.body_sender = Some(sender);
+        self.end_sender = Some(end_sender);
         for bytes in std::mem::take(&mut self.buffered) {
             self.send(Ok(bytes)).await?;
         }
@@ -162,9 +168,11 @@
         if self.is_stream && self.body_sender.is_none() {
             self.begin_body().await?;
         }
-        if self.body_sender.is_some() {
-            // Dropping the sender ends the body.
-            return if end_mark.is_empty() { Ok(()) } else { self.send(Ok(end_mark)).await };
+        if let Some(end_sender) = self.end_sender.take() {
+            if !end_mark.is_empty() {
+                self.send(Ok(end_mark)).await?;
+            }
+            return end_sender.send(()).map_err(|()| CallerGone);
         }
         let body = std::mem::take(&mut self.buffered).concat();
         let response = self.response(Body::from(body));
@@ -189,6 +197,16 @@
     }
 }
 
+/// The pieces of a body, followed by an error unless `end` reports that they are complete: the
+/// sender may also be dropped by a panic.
+fn body_stream(
+    pieces: mpsc::Receiver<io::Result<Bytes>>,
+    end: oneshot::Receiver<()>,
+) -> impl Stream<Item = io::Result<Bytes>> {
+    let cut = async { end.await.err().map(|_| Err(io::ErrorKind::UnexpectedEof.into())) };
+    ReceiverStream::new(pieces).chain(stream::once(cut).filter_map(future::ready))
+}
+
 fn kind_name(kind: AnswerKind) -> &'static str {
     kind.row().name
 }
--- a/tests/test_ran_status.rs
+++ b/tests/test_ran_status.rs
@@ -230,3 +230,23 @@
 
     assert_eq!(answer.problem().ran, ExecutionStatus::Unknown);
 }
+
+/// Guards against ending an answer as complete after a panic in the middle of it.
+#[tokio::test]
+async fn a_panic_in_mid_stream_cuts_the_answer() {
+    let cut = Arc::new(Notify::new());
+    let address = engine_that_refuses_resumes(1, Arc::clone(&cut), 503).await;
+    let log = Logger::root(PanickingDrain("stream interrupted, resuming"), o!());
+    let fleet = small_fleet_with_log(log, |table| {
+        table.upstreams.iter_mut().for_each(|row| row.address = address);
+        table.services.iter_mut().for_each(|row| row.silence_ms = Duration::from_secs(60));
+    })
+    .await;
+
+    let mut answer = send(&fleet, Method::POST, CHAT_PATH, &[], &chat(true)).await;
+    answer.frame().await.expect("the first event").expect("the first event");
+    cut.notify_one();
+    let rest = answer.collect().await;
+
+    assert!(rest.is_err(), "{rest:?}");
+}
