Claims: a request whose service was removed is refused and its key released

What callers would see: a request with an idempotency key whose service an operator removes while the claim is being recorded. It got 500 `internal`, and its key stayed claimed as unknown: every resend got 409 `claim-unknown`, though nothing was sent.

Cause: the task returned without an answer and dropped the claim unsettled.

Fix: the request is refused as `service-unknown`, `ran: no`, as one that comes after the edit, and the claim is settled as not run.

--- a/src/traffic/claim_guard.rs
+++ b/src/traffic/claim_guard.rs
@@ -37,6 +37,11 @@
         self.record(outcome);
     }
 
+    /// Releases the key: the request was not dispatched.
+    pub fn withdraw(mut self) {
+        self.record(ClaimOutcome::NotRun);
+    }
+
     fn record(&mut self, outcome: ClaimOutcome) {
         self.is_open = false;
         if let Some(client) = self.state.claims() {
--- a/src/traffic/frontend/admitted.rs
+++ b/src/traffic/frontend/admitted.rs
@@ -134,9 +134,13 @@
     if let Some(answer) = Box::pin(claim(&state, &mut admitted)).await {
         return sink.answer(answer);
     }
-    let Some(pool) = state.pool(&admitted.service.service) else { return };
-    let arrived_at = state.clock.now();
     let request_id = Arc::clone(&admitted.exchange.call.id);
+    let Some(pool) = state.pool(&admitted.service.service) else {
+        admitted.claim.take().into_iter().for_each(ClaimGuard::withdraw);
+        let refusal = RefusalAnswer::new(AnswerKind::ServiceUnknown, "", state.jitter());
+        return sink.answer(refusal.response(&request_id));
+    };
+    let arrived_at = state.clock.now();
     let end = run_exchange(&state, &pool, admitted.exchange, sink).await;
     admitted.limit.is_charged = end.upstream.is_some();
     admitted.claim.take().into_iter().for_each(|claim| claim.settle(&end));
--- a/tests/test_ran_status.rs
+++ b/tests/test_ran_status.rs
@@ -1,7 +1,7 @@
 //! What refusals say about the execution of their request: `ran: no` only where no upstream can
 //! have received it.
 
-use crate::fixtures::{AGENTS_KEY, SmallFleet, small_fleet, small_fleet_with_log};
+use crate::fixtures::{AGENTS_KEY, SmallFleet, small_fleet, small_fleet_with_log, small_table};
 use axum::Router;
 use axum::body::Body;
 use axum::routing::{get, post};
@@ -11,18 +11,26 @@
 use hyper::body::{Bytes, Incoming};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
+use jsonrpsee::RpcModule;
+use jsonrpsee::server::{Server, ServerHandle};
+use jsonrpsee::types::ErrorObjectOwned;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rstest::rstest;
 use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tarragonknot::answer::{AnswerKind, ExecutionStatus, ProblemBody};
+use tarragonknot::claim::{ClaimCommand, ClaimOutcome, ClaimReply};
+use tarragonknot::control::{
+    ClaimClient, ClaimClientSettings, FleetKey, KnownVoters, LeaderAnswer, LeaderHint,
+};
 use tarragonknot::policy::{Exchange, ExchangeEvent, Moment, RequestState, UpstreamIndex};
+use tarragonknot::table::VersionedTable;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 const CHAT_PATH: &str = "/v1/chat/completions";
 
@@ -250,3 +258,79 @@
 
     assert!(rest.is_err(), "{rest:?}");
 }
+
+/// A leader that grants all claims once `is_open`, and records the commands.
+struct LeaderStandin {
+    commands: Mutex<Vec<ClaimCommand>>,
+    is_open: watch::Sender<bool>,
+}
+
+impl LeaderStandin {
+    fn commands(&self) -> Vec<ClaimCommand> {
+        self.commands.lock().unwrap().clone()
+    }
+
+    fn outcome(&self) -> Option<ClaimOutcome> {
+        self.commands().into_iter().find_map(|command| match command {
+            ClaimCommand::Settle { outcome, .. } => Some(outcome),
+            ClaimCommand::Acquire { .. } => None,
+        })
+    }
+}
+
+async fn start_leader(fleet: &SmallFleet) -> (Arc<LeaderStandin>, ServerHandle) {
+    let leader =
+        Arc::new(LeaderStandin { commands: Mutex::default(), is_open: watch::Sender::new(false) });
+    let mut module = RpcModule::new(Arc::clone(&leader));
+    module
+        .register_async_method("control_claims", |params, leader, _| async move {
+            let commands: Vec<ClaimCommand> = params.sequence().next()?;
+            leader.commands.lock().unwrap().extend(commands.clone());
+            let _ = leader.is_open.subscribe().wait_for(|is_open| *is_open).await;
+            let replies = commands.iter().map(|command| match command {
+                ClaimCommand::Acquire { .. } => ClaimReply::Granted,
+                ClaimCommand::Settle { .. } => ClaimReply::Settled,
+            });
+            Ok::<_, ErrorObjectOwned>(LeaderAnswer::Done(replies.collect::<Vec<ClaimReply>>()))
+        })
+        .unwrap();
+    let server = Server::builder().build("127.0.0.1:0").await.unwrap();
+    let address = server.local_addr().unwrap();
+    fleet.state.set_claims(ClaimClient::start(ClaimClientSettings {
+        voters: KnownVoters::new(vec![address]),
+        key: FleetKey::unprotected(),
+        hint: LeaderHint::default(),
+    }));
+    (leader, server.start(module))
+}
+
+async fn wait_until(condition: impl Fn() -> bool) {
+    while !condition() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Guards against a key that stays claimed as unknown although its request was refused as not run:
+/// the service is removed while the claim is being recorded.
+#[tokio::test]
+async fn a_claim_of_a_removed_service_is_settled_as_not_run() {
+    let fleet = Arc::new(small_fleet(|_| {}).await);
+    let (leader, _server) = start_leader(&fleet).await;
+    let caller = Arc::clone(&fleet);
+    let headers = [("idempotency-key", "booking-1")];
+    let answer = tokio::spawn(async move {
+        call(&caller, Method::POST, "/pack-api/slots", &headers, "van").await
+    });
+    wait_until(|| !leader.commands().is_empty()).await;
+
+    let mut table = small_table();
+    table.services.retain(|row| row.service.as_str() != "pack-api");
+    fleet.state.apply_table(&VersionedTable::new(2, table));
+    leader.is_open.send_replace(true);
+    let answer = answer.await.unwrap();
+    wait_until(|| leader.outcome().is_some()).await;
+
+    assert_eq!(answer.problem().ran, ExecutionStatus::No);
+    assert_eq!(leader.outcome(), Some(ClaimOutcome::NotRun));
+    assert!(fleet.service.runs().is_empty());
+}
