Upstreams: an answer without an id on a reused connection is not the answer

What callers would see: a late or second copy of a reply that names no request (a load report, a 408 or 503 that an HTTP server sends before it closes an idle connection) is passed on as the answer to a request that the upstream runs. Only requests that may be repeated are concerned: others open a connection of their own.

Cause: only a different id was taken for a crossed answer, none was accepted; and load reports, whose replies have no id, shared connections with requests.

Evidence: an_answer_without_an_id_on_a_reused_connection_is_not_passed_on (the caller got the 503), load_reports_share_no_connection_with_requests (one and the same connection for both, with engines and with plain services).

Fix: once an answer on a connection named its request, a later one without an id is `upstream-lost`, `ran: unknown`; an engine is then asked by id. Reports are polled on connections of their own, one more for each upstream.

--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -111,6 +111,8 @@
     idle_since: Instant,
     /// Idle timeout last announced by the upstream.
     idle_timeout: Option<Duration>,
+    /// True once an answer on this connection named its request.
+    names_requests: bool,
     task: AbortHandle,
 }
 
@@ -139,6 +141,14 @@
         self
     }
 
+    /// Records whether an answer names its request. Returns false if it does not although earlier
+    /// answers on the connection did: it may then be a late answer to one of their requests.
+    pub fn note_answer(&mut self, is_named: bool) -> bool {
+        let Some(connection) = &mut self.connection else { return is_named };
+        connection.names_requests |= is_named;
+        is_named || !connection.names_requests
+    }
+
     /// Returns the connection to the pool, after its answer was read to the end.
     pub fn finish(mut self) {
         let Some(mut connection) = self.connection.take() else { return };
@@ -210,6 +220,7 @@
             address,
             idle_since: Instant::now(),
             idle_timeout: None,
+            names_requests: false,
             task,
         })
     }
--- a/src/upstream/engine.rs
+++ b/src/upstream/engine.rs
@@ -6,7 +6,7 @@
 //! its JSON.
 
 use super::connection::{ConnectionGuard, ConnectionPool, OpenError};
-use super::plain::{answer_head, poll_report, upstream_request};
+use super::plain::{answer_head, open_call, poll_report};
 use super::{AnswerPiece, AnswerStream, PieceRead, PieceSource, UpstreamCall, UpstreamDriver};
 use crate::policy::LoadReport;
 use bytes::Bytes;
@@ -48,12 +48,14 @@
 /// Driver for model engines.
 pub struct EngineDriver {
     connections: Arc<ConnectionPool>,
+    /// Connections for load reports, whose late replies name no request.
+    reports: Arc<ConnectionPool>,
 }
 
 impl EngineDriver {
     /// Creates a driver that uses the pool `connections`.
     pub fn new(connections: Arc<ConnectionPool>) -> Self {
-        EngineDriver { connections }
+        EngineDriver { connections, reports: Arc::default() }
     }
 
     /// Builds a request without a body for the resource of a dispatched call.
@@ -94,9 +96,7 @@
         address: SocketAddr,
     ) -> BoxFuture<'a, Result<AnswerStream, OpenError>> {
         Box::pin(async move {
-            let request = upstream_request(call, address)?;
-            let (response, guard) =
-                self.connections.send(address, request, call.max_idle_time()).await?;
+            let (response, guard) = open_call(&self.connections, call, address).await?;
             Ok(read_answer(response, guard))
         })
     }
@@ -139,7 +139,7 @@
     }
 
     fn report(&self, address: SocketAddr) -> BoxFuture<'_, Option<LoadReport>> {
-        Box::pin(poll_report(&self.connections, address))
+        Box::pin(poll_report(&self.reports, address))
     }
 
     fn can_resume(&self) -> bool {
--- a/src/upstream/plain.rs
+++ b/src/upstream/plain.rs
@@ -51,7 +51,7 @@
 }
 
 /// Builds the HTTP request for the upstream.
-pub fn upstream_request(
+fn upstream_request(
     call: &UpstreamCall,
     address: SocketAddr,
 ) -> Result<Request<Full<Bytes>>, OpenError> {
@@ -72,6 +72,22 @@
     Ok(request)
 }
 
+/// Sends the call and reads the head of its answer.
+pub async fn open_call(
+    connections: &Arc<ConnectionPool>,
+    call: &UpstreamCall,
+    address: SocketAddr,
+) -> Result<(Response<Incoming>, ConnectionGuard), OpenError> {
+    let request = upstream_request(call, address)?;
+    let (response, mut guard) = connections.send(address, request, call.max_idle_time()).await?;
+    let is_named = response.headers().contains_key(REQUEST_ID_HEADER);
+    if !guard.note_answer(is_named) {
+        let detail = format!("an answer {} on a reused connection has no id", response.status());
+        return Err(OpenError::Lost { detail });
+    }
+    Ok((response, guard))
+}
+
 /// Extracts the parts of an answer's head that the daemon uses.
 pub fn answer_head(response: &Response<Incoming>) -> AnswerHead {
     let text = |name: &str| response.headers().get(name).and_then(|value| value.to_str().ok());
@@ -108,12 +124,14 @@
 /// Driver for plain services.
 pub struct PlainDriver {
     connections: Arc<ConnectionPool>,
+    /// Connections for load reports, whose late replies name no request.
+    reports: Arc<ConnectionPool>,
 }
 
 impl PlainDriver {
     /// Creates a driver that uses the pool `connections`.
     pub fn new(connections: Arc<ConnectionPool>) -> Self {
-        PlainDriver { connections }
+        PlainDriver { connections, reports: Arc::default() }
     }
 }
 
@@ -124,9 +142,7 @@
         address: SocketAddr,
     ) -> BoxFuture<'a, Result<AnswerStream, OpenError>> {
         Box::pin(async move {
-            let request = upstream_request(call, address)?;
-            let (response, guard) =
-                self.connections.send(address, request, call.max_idle_time()).await?;
+            let (response, guard) = open_call(&self.connections, call, address).await?;
             let head = answer_head(&response);
             let has_detectable_end = has_detectable_end(&call.method, &response);
             let pieces = BodyPieces {
@@ -155,7 +171,7 @@
     }
 
     fn report(&self, address: SocketAddr) -> BoxFuture<'_, Option<LoadReport>> {
-        Box::pin(poll_report(&self.connections, address))
+        Box::pin(poll_report(&self.reports, address))
     }
 
     fn can_resume(&self) -> bool {
--- a/tests/test_ran_status.rs
+++ b/tests/test_ran_status.rs
@@ -4,9 +4,11 @@
 use crate::fixtures::{AGENTS_KEY, SmallFleet, small_fleet, small_fleet_with_log, small_table};
 use axum::Router;
 use axum::body::Body;
+use axum::extract::{ConnectInfo, Request, State};
+use axum::response::IntoResponse;
 use axum::routing::{get, post};
 use futures_util::{StreamExt, stream};
-use http::{HeaderMap, Method, Response, StatusCode};
+use http::{HeaderMap, Method, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
 use hyper_util::client::legacy::Client;
@@ -18,6 +20,7 @@
 use proptest::test_runner::RngSeed;
 use rstest::rstest;
 use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -29,6 +32,9 @@
 };
 use tarragonknot::policy::{Exchange, ExchangeEvent, Moment, RequestState, UpstreamIndex};
 use tarragonknot::table::VersionedTable;
+use tarragonknot::upstream::{
+    ConnectionPool, EngineDriver, PieceRead, PlainDriver, UpstreamCall, UpstreamDriver,
+};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 
@@ -38,7 +44,8 @@
 async fn start_upstream(router: Router) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    tokio::spawn(async move { axum::serve(listener, router).await });
+    let service = router.into_make_service_with_connect_info::<SocketAddr>();
+    tokio::spawn(async move { axum::serve(listener, service).await });
     address
 }
 
@@ -334,3 +341,96 @@
     assert_eq!(leader.outcome(), Some(ClaimOutcome::NotRun));
     assert!(fleet.service.runs().is_empty());
 }
+
+/// Connections on which a stand-in has answered requests or load reports.
+#[derive(Default)]
+struct SeenConnections {
+    requests: Mutex<BTreeSet<SocketAddr>>,
+    reports: Mutex<BTreeSet<SocketAddr>>,
+    reuses: Mutex<u32>,
+}
+
+/// Answers the first request on each connection with its id; later ones with 503 and no id, like a
+/// late copy of the reply to another call.
+async fn answer_once_by_id(
+    State(seen): State<Arc<SeenConnections>>,
+    ConnectInfo(peer): ConnectInfo<SocketAddr>,
+    request: Request,
+) -> Response<Body> {
+    if request.uri().path() == "/load" {
+        seen.reports.lock().unwrap().insert(peer);
+        return r#"{"named_metrics":{"running":0}}"#.into_response();
+    }
+    if !seen.requests.lock().unwrap().insert(peer) {
+        *seen.reuses.lock().unwrap() += 1;
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    let id = id_of(request.headers());
+    ([("x-request-id", id.clone())], format!(r#"{{"id":"{id}"}}"#)).into_response()
+}
+
+async fn start_forgetful_upstream() -> (Arc<SeenConnections>, SocketAddr) {
+    let seen = Arc::new(SeenConnections::default());
+    let router = Router::new().fallback(answer_once_by_id).with_state(Arc::clone(&seen));
+    (seen, start_upstream(router).await)
+}
+
+/// Guards against passing on a late copy of another call's reply: it names no request, and earlier
+/// answers on its connection did.
+#[tokio::test]
+async fn an_answer_without_an_id_on_a_reused_connection_is_not_passed_on() {
+    let (seen, address) = start_forgetful_upstream().await;
+    let fleet = fleet_at(address).await;
+
+    let mut answer = call(&fleet, Method::GET, "/pack-api/slots", &[], "").await;
+    while *seen.reuses.lock().unwrap() == 0 {
+        assert_eq!(answer.status, StatusCode::OK);
+        answer = call(&fleet, Method::GET, "/pack-api/slots", &[], "").await;
+    }
+
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert_eq!(answer.problem().ran, ExecutionStatus::Unknown);
+}
+
+/// Plain services need not return the id.
+#[tokio::test]
+async fn answers_of_a_service_that_returns_no_ids_are_passed_on() {
+    let fleet = fleet_at(start_upstream(Router::new().fallback(|| async { "ok" })).await).await;
+
+    for _ in 0..3 {
+        let answer = call(&fleet, Method::GET, "/pack-api/slots", &[], "").await;
+        assert_eq!((answer.status, answer.body.as_str()), (StatusCode::OK, "ok"));
+    }
+}
+
+fn upstream_call(uri: &'static str) -> UpstreamCall {
+    UpstreamCall {
+        id: "request-1".into(),
+        method: Method::POST,
+        uri: Uri::from_static(uri),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        wants_stream: false,
+        is_idempotent: true,
+    }
+}
+
+#[rstest]
+#[case::engine(|connections| Arc::new(EngineDriver::new(connections)) as Arc<dyn UpstreamDriver>)]
+#[case::plain(|connections| Arc::new(PlainDriver::new(connections)) as Arc<dyn UpstreamDriver>)]
+#[tokio::test]
+async fn load_reports_share_no_connection_with_requests(
+    #[case] driver: fn(Arc<ConnectionPool>) -> Arc<dyn UpstreamDriver>,
+) {
+    let (seen, address) = start_forgetful_upstream().await;
+    let driver = driver(Arc::default());
+
+    driver.report(address).await.expect("a report");
+    let mut answer = driver.open(&upstream_call("/v1/completions"), address).await.unwrap();
+    while matches!(answer.pieces.next().await, PieceRead::Piece(_)) {}
+    driver.report(address).await.expect("a report");
+
+    let requests = seen.requests.lock().unwrap().clone();
+    let reports = seen.reports.lock().unwrap().clone();
+    assert!(requests.is_disjoint(&reports), "{requests:?} {reports:?}");
+}
