Interface: refusals are marked by a header that upstreams can't set

What callers would see: an upstream (a proxy's page, another tarragonknot behind one that drops `x-request-id`) answers 503 with a problem document of `ran: no` for a request that it ran or passed on. It is passed on as the upstream's answer, and nothing told it from the daemon's own refusal.

Fix: refusals of the product's own interface carry `tarragonknot-ran`, and the header is removed from upstreams' answers; their bodies stay whole.

--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -8,6 +8,10 @@
 use std::fmt;
 use std::time::Duration;
 
+/// Header of refusals with their [`ExecutionStatus`]. It is removed from the answers of upstreams,
+/// whose bodies may look like a refusal.
+pub const RAN_HEADER: &str = "tarragonknot-ran";
+
 /// Whether a refused request was executed at an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -20,6 +24,17 @@
     Yes,
 }
 
+impl ExecutionStatus {
+    /// Name, as in problem documents.
+    pub fn name(self) -> &'static str {
+        match self {
+            ExecutionStatus::No => "no",
+            ExecutionStatus::Unknown => "unknown",
+            ExecutionStatus::Yes => "yes",
+        }
+    }
+}
+
 /// Whether and when the caller should retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetryHint {
@@ -248,6 +263,14 @@
         }
     }
 
+    /// Complete HTTP response that an upstream's answer cannot be mistaken for.
+    pub fn marked_response(&self, request_id: &str) -> Response<axum::body::Body> {
+        let mut response = self.response(request_id);
+        let ran = HeaderValue::from_static(self.kind.row().ran.name());
+        response.headers_mut().insert(RAN_HEADER, ran);
+        response
+    }
+
     /// Complete HTTP response.
     pub fn response(&self, request_id: &str) -> Response<axum::body::Body> {
         let body = serde_json::to_vec(&self.body(request_id)).unwrap_or_default();
--- a/src/traffic/sink.rs
+++ b/src/traffic/sink.rs
@@ -1,7 +1,7 @@
 //! Writes an answer to its caller: one head, then a body that either completes or is visibly
 //! aborted.
 
-use crate::answer::{AnswerKind, RefusalAnswer};
+use crate::answer::{AnswerKind, RAN_HEADER, RefusalAnswer};
 use crate::claim::RecordedAnswer;
 use crate::upstream::{AnswerHead, REQUEST_ID_HEADER};
 use axum::body::Body;
@@ -149,6 +149,7 @@
         if let Some(head) = self.head.take() {
             *response.status_mut() = head.status;
             *response.headers_mut() = head.headers;
+            response.headers_mut().remove(RAN_HEADER);
         }
         if let Ok(value) = HeaderValue::from_str(&self.request_id) {
             response.headers_mut().insert(REQUEST_ID_HEADER, value);
@@ -184,7 +185,7 @@
     /// error event, in a stream, and an aborted connection. The body must never look complete.
     pub async fn fail(mut self, refusal: &RefusalAnswer) {
         if let Some(sender) = self.head_sender.take() {
-            let _ = sender.send(refusal.response(&self.request_id));
+            let _ = sender.send(refusal.marked_response(&self.request_id));
             return;
         }
         if self.is_stream {
--- a/tests/test_ran_status.rs
+++ b/tests/test_ran_status.rs
@@ -38,6 +38,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 
+/// Header of the answers that the daemon makes itself.
+const RAN_HEADER: &str = "tarragonknot-ran";
 const CHAT_PATH: &str = "/v1/chat/completions";
 
 /// Serves `router` on a free loopback port until the runtime shuts down.
@@ -79,6 +81,7 @@
 
 struct CallerAnswer {
     status: StatusCode,
+    headers: HeaderMap,
     body: String,
 }
 
@@ -86,6 +89,10 @@
     fn problem(&self) -> ProblemBody {
         serde_json::from_str(&self.body).expect("the body is a problem document")
     }
+
+    fn ran_header(&self) -> Option<&str> {
+        self.headers.get(RAN_HEADER).map(|value| value.to_str().unwrap())
+    }
 }
 
 /// Sends a request and reads its whole answer.
@@ -98,7 +105,11 @@
 ) -> CallerAnswer {
     let (head, body) = send(fleet, method, path, headers, body).await.into_parts();
     let body = body.collect().await.expect("the answer is complete").to_bytes();
-    CallerAnswer { status: head.status, body: String::from_utf8(body.to_vec()).unwrap() }
+    CallerAnswer {
+        status: head.status,
+        headers: head.headers,
+        body: String::from_utf8(body.to_vec()).unwrap(),
+    }
 }
 
 fn chat(stream: bool) -> String {
@@ -434,3 +445,33 @@
     let reports = seen.reports.lock().unwrap().clone();
     assert!(requests.is_disjoint(&reports), "{requests:?} {reports:?}");
 }
+
+/// Guards against taking an upstream's own problem document for a refusal of the daemon.
+#[tokio::test]
+async fn an_upstream_cannot_answer_as_the_daemon() {
+    let problem = r#"{"type":"urn:tarragonknot:overloaded","kind":"overloaded","ran":"no"}"#;
+    let answer = (StatusCode::SERVICE_UNAVAILABLE, [(RAN_HEADER, "no")], problem);
+    let router = Router::new().fallback(move || async move { answer });
+    let fleet = fleet_at(start_upstream(router).await).await;
+
+    let answer = call(&fleet, Method::POST, "/pack-api/slots", &[], "van").await;
+
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(answer.ran_header(), None);
+    assert_eq!(answer.body, problem);
+}
+
+#[rstest]
+#[case::before_admission("/nothing/x", "no")]
+#[case::after_the_dispatch("/pack-api/slots", "unknown")]
+#[tokio::test]
+async fn a_refusal_of_the_daemon_is_marked(#[case] path: &str, #[case] ran: &str) {
+    let cut = Arc::new(Notify::new());
+    cut.notify_one();
+    let reset = move || async move { cut_stream("", 0, cut) };
+    let fleet = fleet_at(start_upstream(Router::new().fallback(reset)).await).await;
+
+    let answer = call(&fleet, Method::POST, path, &[], "van").await;
+
+    assert_eq!(answer.ran_header(), Some(ran));
+}
