Claims: the life of a claim begins at the deadline of its request

What callers would see: a service whose `claim_life_ms` (1 s at least) is shorter than its requests run. The key is forgotten while the first request still runs, a resend is granted the claim and runs a second time. With the default of 24 h no request lasts so long.

Cause: the life was counted from the acquisition, though the row promises it for the outcome, and records are removed at its end whatever their state (a_running_claim_is_held_for_its_lifetime shows it on the pure state).

Evidence: a_claim_outlives_the_deadline_of_its_request saw a life of exactly `claim_life_ms` for a request with an hour left.

Fix: the time that the request has left is added.

--- a/src/traffic/frontend/admitted.rs
+++ b/src/traffic/frontend/admitted.rs
@@ -115,7 +115,10 @@
     let key = admitted.claim_key.take()?;
     let call = &admitted.exchange.call;
     let id = Arc::clone(&call.id);
-    match acquire_claim(state, &admitted.caller, &key, call, admitted.service.claim_life_ms).await {
+    // The outcome, which comes before the deadline, must be kept for the whole claim life.
+    let time_left = admitted.exchange.arrived.deadline.since(state.clock.now());
+    let ttl = admitted.service.claim_life_ms + time_left;
+    match acquire_claim(state, &admitted.caller, &key, call, ttl).await {
         Ok(guard) => {
             admitted.exchange.is_recorded = true;
             admitted.claim = Some(guard);
--- a/tests/test_ran_status.rs
+++ b/tests/test_ran_status.rs
@@ -26,7 +26,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tarragonknot::answer::{AnswerKind, ExecutionStatus, ProblemBody};
-use tarragonknot::claim::{ClaimCommand, ClaimOutcome, ClaimReply};
+use tarragonknot::claim::{
+    ClaimCommand, ClaimKey, ClaimOutcome, ClaimOwner, ClaimRegistry, ClaimReply,
+};
 use tarragonknot::control::{
     ClaimClient, ClaimClientSettings, FleetKey, KnownVoters, LeaderAnswer, LeaderHint,
 };
@@ -475,3 +477,49 @@
 
     assert_eq!(answer.ran_header(), Some(ran));
 }
+
+fn acquire(request: &str, timestamp_ms: u64) -> ClaimCommand {
+    ClaimCommand::Acquire {
+        key: ClaimKey { organisation: "agents".into(), key: "booking-1".to_owned() },
+        digest: "digest".to_owned(),
+        owner: owner(request),
+        timestamp_ms,
+        ttl_ms: 1_000,
+    }
+}
+
+fn owner(request: &str) -> ClaimOwner {
+    ClaimOwner { daemon: "entry-1".into(), boot: 1, request: request.to_owned() }
+}
+
+/// An unsettled claim is held until its lifetime ends, and forgotten then.
+#[rstest]
+#[case::before_its_end(999, ClaimReply::Running(owner("first")))]
+#[case::at_its_end(1_000, ClaimReply::Granted)]
+fn a_running_claim_is_held_for_its_lifetime(#[case] at: u64, #[case] expected: ClaimReply) {
+    let mut registry = ClaimRegistry::default();
+    registry.apply(&acquire("first", 0));
+
+    let reply = registry.apply(&acquire("second", at));
+
+    assert_eq!(reply, expected);
+}
+
+/// Guards against a key that is free again while its first request may still be answered: the
+/// lifetime of a claim has to begin at the deadline of its request.
+#[tokio::test]
+async fn a_claim_outlives_the_deadline_of_its_request() {
+    let life = Duration::from_secs(24 * 3_600);
+    let fleet =
+        small_fleet(|table| table.services.iter_mut().for_each(|row| row.claim_life_ms = life))
+            .await;
+    let (leader, _server) = start_leader(&fleet).await;
+    leader.is_open.send_replace(true);
+    let headers = [("idempotency-key", "booking-1"), ("tarragonknot-deadline-ms", "3600000")];
+
+    call(&fleet, Method::POST, "/pack-api/slots", &headers, "van").await;
+
+    let commands = leader.commands();
+    let ClaimCommand::Acquire { ttl_ms, .. } = &commands[0] else { panic!("{commands:?}") };
+    assert!(u128::from(*ttl_ms) > life.as_millis(), "{ttl_ms}");
+}
