Roll-outs: the copy of an order isn't refused because its service is gone

What operators would see: the answer to a roll-out order is lost, a table without the service is accepted, and the order, sent again, is refused with 400 though it was accepted.

Cause: the service was looked up in the newest table before the stored roll-outs were asked.

Evidence: a_resent_order_is_acknowledged_after_its_service_was_removed, a daemon with a fleet of its own: 400 to the copy.

Fix: if the newest roll-out of a missing service is the one that is ordered, it is acknowledged again. An order for another version stays refused. Not covered: an order that is logged behind such a table and not yet applied when its copy comes.

--- a/src/control/operator_client.rs
+++ b/src/control/operator_client.rs
@@ -86,6 +86,15 @@
             .read(&document)
             .is_ok_and(|(_, table)| table.services.iter().any(|row| row.service == order.service));
         if !is_known {
+            // A copy of an accepted order must not be refused because its service was removed since.
+            match self.newest_rollout(&order.service).await {
+                OperatorAnswer::Done(Some(record)) if record.order == order => {
+                    return OperatorAnswer::Done(RolloutReply::Accepted(record));
+                }
+                OperatorAnswer::Done(_) => {}
+                OperatorAnswer::Elsewhere(leader) => return OperatorAnswer::Elsewhere(leader),
+                _ => return OperatorAnswer::Unknown,
+            }
             let mut faults = FaultList::default();
             faults.add("/service", &order.service, "a service of the table in force");
             return OperatorAnswer::Invalid(faults);
--- a/tests/test_rollout.rs
+++ b/tests/test_rollout.rs
@@ -1,12 +1,24 @@
 //! Roll-outs of upstream software: orders, final stages, traffic shares and verdicts.
 
 use crate::rollout_simulation::{EVENTS, RolloutSimulation, Trouble, VersionFault, is_rolled_back};
+use crate::workdir::{WorkDir, free_address};
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
 use rstest::rstest;
+use serde_json::{Value, json};
+use slog::{Discard, Logger, o};
 use std::collections::BTreeSet;
-use tarragonknot::control::{ControlCommand, ControlLedger, ControlReply};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tarragonknot::control::{ControlCommand, ControlLedger, ControlReply, FleetKey};
+use tarragonknot::daemon::{RunningDaemon, start_daemon};
 use tarragonknot::rollout::{
     RolloutLog, RolloutOrder, RolloutReply, RolloutStage, RolloutStep, SharePacer, rollout_chart,
 };
+use tarragonknot::settings::DaemonSettings;
 use tarragonknot::table::ServiceName;
 
 fn order(to: &str) -> RolloutOrder {
@@ -20,7 +32,7 @@
 fn accepted(reply: RolloutReply) -> u64 {
     match reply {
         RolloutReply::Accepted(record) => record.number,
-        RolloutReply::Busy(record) => panic!("busy with {record:?}"),
+        reply => panic!("{reply:?}"),
     }
 }
 
@@ -199,3 +211,59 @@
 
     assert!(in_time >= if trouble == Trouble::Nothing { 6 } else { 5 }, "{in_time} of 6");
 }
+
+/// A daemon that serves operators, with a fleet of its own.
+struct OperatedDaemon {
+    operators: SocketAddr,
+    _daemon: RunningDaemon,
+    _work: WorkDir,
+}
+
+async fn start_operated_daemon() -> OperatedDaemon {
+    let work = WorkDir::new();
+    let operators = free_address();
+    let settings = json!({
+        "daemon": "core-1", "data_centre": "hall-a", "control": free_address().to_string(),
+        "data_folder": work.path("data"), "fleet_key_file": "fleet.key", "found_fleet": true,
+        "platform": {"operators": operators.to_string()},
+    });
+    let settings = DaemonSettings::read(&settings.to_string()).expect("the settings are valid");
+    let log = Logger::root(Discard, o!());
+    let daemon = start_daemon(&settings, FleetKey::unprotected(), log, 1).await;
+    OperatedDaemon { operators, _daemon: daemon.expect("the daemon starts"), _work: work }
+}
+
+impl OperatedDaemon {
+    /// Sends an order until it gets a clear response.
+    async fn order(&self, path: &str, body: &Value) -> StatusCode {
+        let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+        loop {
+            let request = Request::post(format!("http://{}{path}", self.operators))
+                .body(Full::from(body.to_string()))
+                .unwrap();
+            match client.request(request).await.map(|response| response.status()) {
+                Ok(status) if !status.is_server_error() => return status,
+                _ => tokio::time::sleep(Duration::from_millis(20)).await,
+            }
+        }
+    }
+}
+
+/// Guards against refusing the copy of an accepted order because its service was removed since.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_resent_order_is_acknowledged_after_its_service_was_removed() {
+    let daemon = start_operated_daemon().await;
+    let order = json!({"service": "pool", "to": "v2", "duration_s": 60});
+    let other = json!({"service": "pool", "to": "v3", "duration_s": 60});
+    let table = |version: u64, services: Value| json!({"version": version, "services": services});
+
+    let first = daemon.order("/-/config/replace", &table(1, json!([{"name": "pool"}]))).await;
+    let begun = daemon.order("/-/rollouts/begin", &order).await;
+    let removed = daemon.order("/-/config/replace", &table(2, json!([]))).await;
+    let again = daemon.order("/-/rollouts/begin", &order).await;
+    let refused = daemon.order("/-/rollouts/begin", &other).await;
+
+    assert_eq!([first, begun, removed], [StatusCode::OK; 3]);
+    assert_eq!(again, StatusCode::OK);
+    assert_eq!(refused, StatusCode::BAD_REQUEST);
+}
