Roll-outs: a late copy of an earlier order gets no refusal

What operators would see: the answer to an order is lost, its roll-out ends, another one of the service begins, and the late copy of the first order is refused with 409 though it was accepted.

Cause: only the newest order of a service was kept, so that the copy looked like a new order.

Evidence: a_copy_of_an_earlier_order_is_not_refused: `Busy` for the copy.

Fix: the last eight earlier orders of each service are kept. An order that equals one of them while a later roll-out is under way gets 503, no clear response: acknowledged, a new order of the same content would be lost. A third order is refused as before.

Not covered: the same copy after its service was removed too (400).

--- a/src/cmd/rollout.rs
+++ b/src/cmd/rollout.rs
@@ -107,6 +107,13 @@
                 format!("a roll-out to version {} is already in progress", record.order.to);
             Err(CommandError::Conflict { detail })
         }
+        RolloutReply::Overtaken(record) => {
+            let detail = format!(
+                "the order was accepted earlier; a later roll-out to version {} is in progress",
+                record.order.to
+            );
+            Err(CommandError::Conflict { detail })
+        }
     }
 }
 
--- a/src/control/operator_client.rs
+++ b/src/control/operator_client.rs
@@ -106,11 +106,18 @@
             OperatorAnswer::Done(RolloutReply::Busy(record)) => {
                 format!("another rollout is in progress, to {}", record.order.to)
             }
+            OperatorAnswer::Done(RolloutReply::Overtaken(record)) => {
+                format!("accepted earlier; a later rollout is in progress, to {}", record.order.to)
+            }
             OperatorAnswer::Elsewhere(leader) => format!("redirected to {leader}"),
             _ => "unknown".to_owned(),
         };
         info!(self.log, "operator request to begin a rollout"; "service" => service.as_str(), "to" => to.as_str(), "outcome" => outcome);
-        answer
+        match answer {
+            // An accepted order must not be refused, nor a new one acknowledged.
+            OperatorAnswer::Done(RolloutReply::Overtaken(_)) => OperatorAnswer::Unknown,
+            answer => answer,
+        }
     }
 
     /// Returns the newest rollout of a service, if there has been one.
--- a/src/rollout/log.rs
+++ b/src/rollout/log.rs
@@ -3,11 +3,13 @@
 use super::stage::{RolloutEvent, RolloutStage};
 use crate::table::{ServiceName, SoftwareVersion};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 /// Maximum number of roll-outs stored; beyond it, the oldest finished one is evicted.
 const MAX_RECORDS: usize = 1_024;
+/// Number of earlier orders stored per service, to recognise their copies.
+const MAX_EARLIER_ORDERS: usize = 8;
 /// Maximum time that a new leader adds for the period without a leader.
 const MAX_LEADERLESS_MS: u64 = 5_000;
 
@@ -47,6 +49,9 @@
     Accepted(RolloutRecord),
     /// Another roll-out of the service is in progress.
     Busy(RolloutRecord),
+    /// The same order was accepted earlier, and this later roll-out is in progress: the order may
+    /// be a delayed copy, or a new one.
+    Overtaken(RolloutRecord),
 }
 
 /// A state change of a roll-out, proposed by the leader.
@@ -68,6 +73,9 @@
 pub struct RolloutLog {
     records: BTreeMap<ServiceName, RolloutRecord>,
     last_number: u64,
+    /// Orders before the most recent one of each service, oldest first.
+    #[serde(default)]
+    earlier: BTreeMap<ServiceName, VecDeque<RolloutOrder>>,
 }
 
 impl RolloutLog {
@@ -78,7 +86,12 @@
                 return RolloutReply::Accepted(known.clone());
             }
             if !known.stage.is_final() {
-                return RolloutReply::Busy(known.clone());
+                let is_copy =
+                    self.earlier.get(&order.service).is_some_and(|orders| orders.contains(order));
+                return match is_copy {
+                    true => RolloutReply::Overtaken(known.clone()),
+                    false => RolloutReply::Busy(known.clone()),
+                };
             }
         }
         self.last_number += 1;
@@ -90,11 +103,21 @@
             elapsed_ms: 0,
             at,
         };
-        self.records.insert(order.service.clone(), record.clone());
+        if let Some(replaced) = self.records.insert(order.service.clone(), record.clone()) {
+            self.store_earlier(replaced.order);
+        }
         self.evict_oldest();
         RolloutReply::Accepted(record)
     }
 
+    fn store_earlier(&mut self, order: RolloutOrder) {
+        let orders = self.earlier.entry(order.service.clone()).or_default();
+        orders.push_back(order);
+        if orders.len() > MAX_EARLIER_ORDERS {
+            orders.pop_front();
+        }
+    }
+
     fn evict_oldest(&mut self) {
         if self.records.len() <= MAX_RECORDS {
             return;
@@ -103,6 +126,7 @@
         let oldest = ended.min_by_key(|record| record.number);
         if let Some(service) = oldest.map(|record| record.order.service.clone()) {
             self.records.remove(&service);
+            self.earlier.remove(&service);
         }
     }
 
--- a/tests/test_rollout.rs
+++ b/tests/test_rollout.rs
@@ -54,6 +54,21 @@
     assert!(matches!(other, RolloutReply::Busy(_)), "{other:?}");
 }
 
+/// Guards against refusing a delayed copy of an accepted order because another one came after it.
+#[test]
+fn a_copy_of_an_earlier_order_is_not_refused() {
+    let mut log = RolloutLog::default();
+    let first = accepted(log.begin(&order("v2"), 0));
+    log.step(&step(first, Some(EVENTS[1]), 1_000));
+    let second = accepted(log.begin(&order("v3"), 2_000));
+
+    let copy = log.begin(&order("v2"), 3_000);
+    let other = log.begin(&order("v4"), 3_000);
+
+    assert!(matches!(&copy, RolloutReply::Overtaken(known) if known.number == second), "{copy:?}");
+    assert!(matches!(other, RolloutReply::Busy(_)), "{other:?}");
+}
+
 /// Guards against a late step that reverts a final stage, or that advances the next roll-out.
 #[test]
 fn no_step_undoes_an_end_or_moves_a_later_roll_out() {
