--- a/src/control/operator_client.rs
+++ b/src/control/operator_client.rs
@@ -86,6 +86,15 @@
             .read(&document)
             .is_ok_and(|(_, table)| table.services.iter().any(|row| row.service == order.service));
         if !is_known {
+            // A copy of an accepted order must not be refused because its service was removed since.
+            match self.newest_rollout(&order.service).await {
+                OperatorAnswer::Done(Some(record)) if record.order == order => {
+                    return OperatorAnswer::Done(RolloutReply::Accepted(record));
+                }
+                OperatorAnswer::Done(_) => {}
+                OperatorAnswer::Elsewhere(leader) => return OperatorAnswer::Elsewhere(leader),
+                _ => return OperatorAnswer::Unknown,
+            }
             let mut faults = FaultList::default();
             faults.add("/service", &order.service, "a service of the table in force");
             return OperatorAnswer::Invalid(faults);
@@ -97,11 +106,18 @@
             OperatorAnswer::Done(RolloutReply::Busy(record)) => {
                 format!("another rollout is in progress, to {}", record.order.to)
             }
+            OperatorAnswer::Done(RolloutReply::Overtaken(record)) => {
+                format!("accepted earlier; a later rollout is in progress, to {}", record.order.to)
+            }
             OperatorAnswer::Elsewhere(leader) => format!("redirected to {leader}"),
             _ => "unknown".to_owned(),
         };
         info!(self.log, "operator request to begin a rollout"; "service" => service.as_str(), "to" => to.as_str(), "outcome" => outcome);
-        answer
+        match answer {
+            // An accepted order must not be refused, nor a new one acknowledged.
+            OperatorAnswer::Done(RolloutReply::Overtaken(_)) => OperatorAnswer::Unknown,
+            answer => answer,
+        }
     }
 
     /// Returns the newest rollout of a service, if there has been one.
--- a/src/traffic/frontend/admitted.rs
+++ b/src/traffic/frontend/admitted.rs
@@ -33,7 +33,7 @@
     let snapshot = state.snapshot();
     let caller = match snapshot.access.identify(bearer_key(&headers)) {
         Ok(caller) => caller,
-        Err(kind) => return RefusalAnswer::new(kind, "", state.jitter()).response(""),
+        Err(kind) => return RefusalAnswer::new(kind, "", state.jitter()).marked_response(""),
     };
     let allowed = snapshot
         .access
@@ -69,12 +69,12 @@
             let streams = admitted.exchange.call.wants_stream;
             let (sink, response) = AnswerSink::new(Arc::clone(&id), streams);
             tokio::spawn(run_admitted(state, admitted, Box::new(sink)));
-            response
-                .await
-                .unwrap_or_else(|_| RefusalAnswer::new(AnswerKind::Internal, "", 0.0).response(&id))
+            response.await.unwrap_or_else(|_| {
+                RefusalAnswer::new(AnswerKind::Internal, "", 0.0).marked_response(&id)
+            })
         }
         Err(refusal) => {
-            RefusalAnswer::new(refusal.kind, refusal.detail, state.jitter()).response(&id)
+            RefusalAnswer::new(refusal.kind, refusal.detail, state.jitter()).marked_response(&id)
         }
     }
 }
@@ -115,7 +115,10 @@
     let key = admitted.claim_key.take()?;
     let call = &admitted.exchange.call;
     let id = Arc::clone(&call.id);
-    match acquire_claim(state, &admitted.caller, &key, call, admitted.service.claim_life_ms).await {
+    // The outcome, which comes before the deadline, must be kept for the whole claim life.
+    let time_left = admitted.exchange.arrived.deadline.since(state.clock.now());
+    let ttl = admitted.service.claim_life_ms + time_left;
+    match acquire_claim(state, &admitted.caller, &key, call, ttl).await {
         Ok(guard) => {
             admitted.exchange.is_recorded = true;
             admitted.claim = Some(guard);
@@ -134,9 +137,13 @@
     if let Some(answer) = Box::pin(claim(&state, &mut admitted)).await {
         return sink.answer(answer);
     }
-    let Some(pool) = state.pool(&admitted.service.service) else { return };
-    let arrived_at = state.clock.now();
     let request_id = Arc::clone(&admitted.exchange.call.id);
+    let Some(pool) = state.pool(&admitted.service.service) else {
+        admitted.claim.take().into_iter().for_each(ClaimGuard::withdraw);
+        let refusal = RefusalAnswer::new(AnswerKind::ServiceUnknown, "", state.jitter());
+        return sink.answer(refusal.marked_response(&request_id));
+    };
+    let arrived_at = state.clock.now();
     let end = run_exchange(&state, &pool, admitted.exchange, sink).await;
     admitted.limit.is_charged = end.upstream.is_some();
     admitted.claim.take().into_iter().for_each(|claim| claim.settle(&end));
