Connections: a request queued while its connection ends is returned, not left waiting

Callers see: a request, or a reservation, that meets the end of a pooled connection goes to a new connection at once. Before, it could wait until its deadline and end as 504 (a reservation: 300 ms and 'unreachable'). No promise was broken by it: the request was not sent and its caller was not told so.

Cause: a request queued in the moment in which hyper's connection task drops its receiver stays in the channel until the sender is dropped as well, and the sender was kept until the answer came. Now the end of the task drops the sender, and hyper returns the request.

--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -19,10 +19,11 @@
 use snafu::Snafu;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::{Arc, LazyLock, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
+use tokio::task::JoinHandle;
 
 /// Maximum time since its last complete answer within which a connection is considered alive and
 /// may be reused, unless the user of the pool sets another one.
@@ -111,7 +112,7 @@
     idle_since: Instant,
     /// Idle timeout last announced by the upstream.
     idle_timeout: Option<Duration>,
-    task: AbortHandle,
+    task: JoinHandle<hyper::Result<()>>,
 }
 
 impl Drop for OpenConnection {
@@ -139,6 +140,13 @@
         self
     }
 
+    /// Resolves once the connection's task has ended.
+    async fn ended(&mut self) {
+        if let Some(connection) = &mut self.connection {
+            let _ = (&mut connection.task).await;
+        }
+    }
+
     /// Returns the connection to the pool, after its answer was read to the end.
     pub fn finish(mut self) {
         let Some(mut connection) = self.connection.take() else { return };
@@ -203,7 +211,7 @@
             .await
             .map_err(|error| not_sent(format!("{address}: {error}")))?;
         machine.step(ConnectionEvent::Opened);
-        let task = tokio::spawn(connection).abort_handle();
+        let task = tokio::spawn(connection);
         Ok(OpenConnection {
             sender,
             machine,
@@ -244,9 +252,19 @@
         mut connection: OpenConnection,
         request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, ConnectionGuard), SendError> {
-        let answer = connection.sender.try_send_request(request);
-        let guard = ConnectionGuard { pool: Arc::clone(self), connection: Some(connection) };
-        match answer.await {
+        let mut answer = pin!(connection.sender.try_send_request(request));
+        let mut guard = ConnectionGuard { pool: Arc::clone(self), connection: Some(connection) };
+        let answered = tokio::select! {
+            biased;
+            answered = &mut answer => answered,
+            () = guard.ended() => {
+                // A request that was queued while the connection's task ended stays in the queue
+                // until the sender is dropped too; then hyper returns it.
+                guard.connection = None;
+                answer.await
+            }
+        };
+        match answered {
             Ok(response) => Ok((response, guard)),
             // hyper returns the request only if it has not begun to write it.
             Err(mut error) => {
--- a/tests/test_send_proof.rs
+++ b/tests/test_send_proof.rs
@@ -30,6 +30,8 @@
 const MAX_IDLE_TIME: Duration = Duration::from_secs(10);
 /// Time limit of a send that no engine keeps waiting; generous even for a busy machine.
 const SEND_TIME_LIMIT: Duration = Duration::from_secs(20);
+/// Number of interleavings of each race.
+const ROUND_COUNT: usize = 400;
 /// Longest pause that shifts the two sides of a race against each other.
 const MAX_SHIFT_MICROS: u64 = 250;
 /// Time within which a request that is sent late would reach its engine.
@@ -95,6 +97,57 @@
     Duration::from_micros(random.random_range(0..=MAX_SHIFT_MICROS))
 }
 
+/// Guards against a request that is reported as not sent, or sent again, although the engine has
+/// it: the engine ends a pooled connection around the moment of its reuse.
+#[rstest]
+#[case::closed(Ending::Close, 1)]
+#[case::reset(Ending::Reset, 2)]
+#[case::half_closed(Ending::HalfClose, 3)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_pooled_connection_that_ends_at_its_reuse_proves_nothing_wrong(
+    #[case] ending: Ending,
+    #[case] seed: u64,
+    #[values(0, 100_000)] size: usize,
+) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let shifts: Vec<Duration> = (0..4 * ROUND_COUNT).map(|_| shift(&mut random)).collect();
+    let engine = RawEngine::start(move |number| {
+        let late = RawStep::Pause(shifts[number % shifts.len()]);
+        let mut steps = vec![RawStep::ReadHead, RawStep::ReadBody, RawStep::Run, ANSWER, late];
+        steps.push(ending.step());
+        steps
+    })
+    .await;
+    let mut ends = Vec::new();
+
+    for round in 0..ROUND_COUNT {
+        let pool = Arc::new(ConnectionPool::default());
+        let (first, second) = (format!("a-{round}"), format!("b-{round}"));
+        let opened = send(&pool, engine.address, &first, 0).await;
+        let connections = engine.connection_count();
+        pause(shift(&mut random)).await;
+        let reused = send(&pool, engine.address, &second, size).await;
+
+        assert!(opened == SendEnd::Answered || matches!(ending, Ending::Reset), "{first}");
+        assert_proven(&engine, &first, opened);
+        assert_proven(&engine, &second, reused);
+        ends.push((reused, engine.connection_count() > connections));
+    }
+
+    let count =
+        |end: SendEnd, is_new: bool| ends.iter().filter(|one| **one == (end, is_new)).count();
+    println!(
+        "{ending:?}, body of {size}: over a new connection {} answered, {} not sent, {} lost; \
+         over the pooled one {} answered, {} not sent, {} lost",
+        count(SendEnd::Answered, true),
+        count(SendEnd::NotSent, true),
+        count(SendEnd::Lost, true),
+        count(SendEnd::Answered, false),
+        count(SendEnd::NotSent, false),
+        count(SendEnd::Lost, false),
+    );
+}
+
 /// Guards against "not sent" for a request whose first bytes the engine has read.
 #[rstest]
 #[case::after_the_head(vec![RawStep::ReadHead])]
