soak: the proxy passes resets on

A reset by one side reached the other as a regular end. It is now a reset there too, so that engines can reset connections through their proxies.

--- a/soak/proxy.rs
+++ b/soak/proxy.rs
@@ -101,7 +101,7 @@
         ProxyMode::CutBack,
     );
     tokio::select! {
-        () = async { tokio::join!(to_server, to_client); } => {}
+        _ = async { tokio::try_join!(to_server, to_client) } => {}
         // Dropping both halves with unread bytes resets the connection.
         () = wait_for_reset(modes) => {}
     }
@@ -121,19 +121,28 @@
     std::future::pending().await
 }
 
+/// Forwards one direction until its end; `Err` if the reader's side reset the connection.
 async fn forward_bytes(
     mut reader: OwnedReadHalf,
     mut writer: OwnedWriteHalf,
     modes: watch::Receiver<(u64, ProxyMode)>,
     opened_generation: u64,
     cut_mode: ProxyMode,
-) {
+) -> std::io::Result<()> {
     let mut buffer = vec![0; 16 << 10];
     let mut is_silent = false;
-    while let Ok(count) = reader.read(&mut buffer).await {
-        if count == 0 {
-            break;
-        }
+    loop {
+        let count = match reader.read(&mut buffer).await {
+            Ok(0) => break,
+            Ok(count) => count,
+            Err(_) if is_silent => break,
+            Err(error) => {
+                close_with_reset(writer.as_ref())?;
+                // Dropping the half would send a regular end first.
+                writer.forget();
+                return Err(error);
+            }
+        };
         let (generation, mode) = *modes.borrow();
         is_silent |= mode == ProxyMode::SilenceOpen && generation > opened_generation;
         match mode {
@@ -146,9 +155,9 @@
             break;
         }
     }
-    if !is_silent {
-        let _ = writer.shutdown().await;
-    } else {
-        std::future::pending::<()>().await;
+    if is_silent {
+        return std::future::pending().await;
     }
+    let _ = writer.shutdown().await;
+    Ok(())
 }
