soak: engines echo the request's id in 421, 429 and 503

Engines name the request in each answer to it, also when they did not run it; answers to reservations, which have no id, stay without one. Refusals are 503 or 429 now.

--- a/soak/engines.rs
+++ b/soak/engines.rs
@@ -132,6 +132,19 @@
     fn path(&self) -> &str {
         self.head.split(' ').nth(1).unwrap_or_default()
     }
+
+    /// The request's id; empty if it has none.
+    fn id(&self) -> &str {
+        self.header("tarragonknot-request-id").unwrap_or_default()
+    }
+
+    /// Header line that echoes the request's id, if it has one.
+    fn echoed_id(&self) -> String {
+        match self.id() {
+            "" => String::new(),
+            id => format!("tarragonknot-request-id: {id}\r\n"),
+        }
+    }
 }
 
 async fn read_request(stream: &mut TcpStream) -> Option<WireRequest> {
@@ -190,7 +203,8 @@
             .header("tarragonknot-expect-instance")
             .is_some_and(|expected_id| expected_id != id.as_str())
         {
-            if stream.write_all(response_text(421, "", "").as_bytes()).await.is_err() {
+            let text = response_text(421, &request.echoed_id(), "");
+            if stream.write_all(text.as_bytes()).await.is_err() {
                 return;
             }
             continue;
@@ -230,12 +244,14 @@
     EngineIdentity { id: engine, number }: &EngineIdentity,
     rng: &mut ChaCha8Rng,
 ) -> bool {
-    let id = request.header("tarragonknot-request-id").unwrap_or_default().to_owned();
+    let id = request.id().to_owned();
     checks::check_arrival(ctx, &id, engine, request.header("authorization").is_some());
     let is_faulty = rng.random_range(0..1_000) < FAULT_RATE.per_mille.load(Ordering::Relaxed);
     let fault = if is_faulty { rng.random_range(0..6) } else { u32::MAX };
     if fault == 0 {
-        let not_executed = response_text(503, "tarragonknot-not-executed: 1\r\n", "");
+        let status = if rng.random() { 503 } else { 429 };
+        let headers = request.echoed_id() + "tarragonknot-not-executed: 1\r\n";
+        let not_executed = response_text(status, &headers, "");
         return stream.write_all(not_executed.as_bytes()).await.is_ok();
     }
     let organisation = request.header("tarragonknot-tenant").unwrap_or_default();
