--- a/soak/callers.rs
+++ b/soak/callers.rs
@@ -142,10 +142,8 @@
         ctx.recorder.record_status(id, status);
         let is_denied = matches!(status, 400..=407 | 409..=420 | 422..=428);
         if is_denied && ctx.time_since_disturbance() > Duration::from_secs(5) {
-            ctx.recorder.record_violation(
-                "DENIED",
-                format!("{id} was refused with status {status} without a recent disturbance"),
-            );
+            let detail = format!("was refused with status {status} without a recent disturbance");
+            ctx.recorder.record_request_violation("DENIED", id, detail);
         }
         return is_reusable && body.is_ok();
     }
@@ -157,10 +155,8 @@
         ctx.recorder.record_status(id, status);
     }
     if seal.is_none() {
-        ctx.recorder.record_violation(
-            "MIXED",
-            format!("{id}: successful response without the engine's seal header"),
-        );
+        let detail = "received a success without the engine's seal header";
+        ctx.recorder.record_request_violation("MIXED", id, detail);
     }
     let expected = if is_stream {
         (1..=events).map(|event| format!("id: {event}\ndata: {id} {event}\n\n")).collect()
@@ -175,10 +171,8 @@
     // A response that is visibly truncated may be incomplete, but the received part of a stream
     // must still belong to this request.
     if !is_expected && (is_complete || is_stream) {
-        ctx.recorder.record_violation(
-            "MIXED",
-            format!("{id}: received {text:?}, expected {expected:?}, complete: {is_complete}"),
-        );
+        let detail = format!("received {text:?}, expected {expected:?}, complete: {is_complete}");
+        ctx.recorder.record_request_violation("MIXED", id, detail);
     }
     is_reusable && is_complete
 }
--- a/soak/checks.rs
+++ b/soak/checks.rs
@@ -50,7 +50,8 @@
         .and_then(|known| known.draining_since);
     let is_late = draining_since.is_some_and(|at| at.elapsed() > DRAIN_GRACE);
     if is_late && ctx.time_since_disturbance() > DRAIN_GRACE {
-        ctx.recorder.record_violation("DRAIN", format!("{id} reached {engine}, which is draining"));
+        let detail = format!("reached {engine}, which is draining");
+        ctx.recorder.record_request_violation("DRAIN", id, detail);
     }
 }
 
@@ -93,19 +94,20 @@
 fn check_request(ctx: &SoakContext, id: &str, request: &SentRequest, executions: u32) {
     if executions > request.max_attempts {
         let rule = if request.may_repeat { "BUDGET" } else { "TWICE" };
-        ctx.recorder.record_violation(rule, format!("{id} was executed {executions} times"));
+        let detail = format!("was executed {executions} times");
+        ctx.recorder.record_request_violation(rule, id, detail);
     }
-    let reports_not_executed =
-        request.status.is_some_and(|status| NOT_EXECUTED_STATUSES.contains(&status));
-    if reports_not_executed && executions > 0 && !request.may_repeat {
-        ctx.recorder.record_violation(
-            "REFUSED",
-            format!("{id} was answered {:?} but was executed", request.status),
-        );
+    let refusal = request.status.filter(|status| NOT_EXECUTED_STATUSES.contains(status));
+    if let Some(status) = refusal
+        && executions > 0
+        && !request.may_repeat
+    {
+        let detail = format!("was answered {status} but was executed");
+        ctx.recorder.record_request_violation("REFUSED", id, detail);
     }
     if request.status == Some(200) && executions == 0 {
-        ctx.recorder
-            .record_violation("MIXED", format!("{id} was answered 200 but was never executed"));
+        let detail = "was answered 200 but was never executed";
+        ctx.recorder.record_request_violation("MIXED", id, detail);
     }
 }
 
--- a/soak/context.rs
+++ b/soak/context.rs
@@ -6,6 +6,7 @@
 use crate::poison::PoisonExecutions;
 use crate::proxy::ProxyModes;
 use std::collections::BTreeMap;
+use std::fmt::Display;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -68,6 +69,8 @@
     executions: Mutex<BTreeMap<String, u32>>,
     /// Executions for the organisation that has a limit.
     limited_executions: Mutex<Vec<LimitedExecution>>,
+    /// What engines did with each request, by request id.
+    events: Mutex<BTreeMap<String, Vec<String>>>,
     violations: Mutex<Vec<String>>,
 }
 
@@ -117,8 +120,20 @@
         lock(&self.limited_executions).clone()
     }
 
+    /// Records what an engine did with a request.
+    pub fn record_event(&self, id: &str, event: String) {
+        lock(&self.events).entry(id.to_owned()).or_default().push(event);
+    }
+
+    /// Records that a request violates a rule, with what engines did with the request.
+    pub fn record_request_violation(&self, rule: &str, id: &str, detail: impl Display) {
+        let events = lock(&self.events).get(id).map(|events| events.join(", "));
+        let events = events.unwrap_or_else(|| "none received it".to_owned());
+        self.record_violation(rule, format!("{id} {detail}; engines: {events}"));
+    }
+
     /// Records the violation of a rule.
-    pub fn record_violation(&self, rule: &str, detail: impl std::fmt::Display) {
+    pub fn record_violation(&self, rule: &str, detail: impl Display) {
         lock(&self.violations).push(format!("{rule}: {detail}"));
     }
 
@@ -127,25 +142,27 @@
         violations.iter().take(MAX_PRINTED_VIOLATIONS).cloned().collect()
     }
 
+    /// Counts of violations by rule, for the printed result.
+    pub fn violation_counts(&self) -> String {
+        let violations = lock(&self.violations);
+        count_text(violations.iter().filter_map(|line| line.split(':').next()))
+    }
+
     /// Counts of requests by status, for the printed result.
     pub fn summary(&self) -> String {
         let requests = lock(&self.requests);
-        let count_status = |status: u16| {
-            requests.values().filter(move |request| request.status == Some(status)).count()
-        };
         let unanswered = requests.values().filter(|request| request.status.is_none()).count();
-        format!(
-            "{} requests, 200: {}, 429: {}, 503: {}, 502: {}, 504: {}, cut or none: {unanswered}",
-            requests.len(),
-            count_status(200),
-            count_status(429),
-            count_status(503),
-            count_status(502),
-            count_status(504)
-        )
+        let counts = count_text(requests.values().filter_map(|request| request.status));
+        format!("{} requests, {counts}cut or none: {unanswered}", requests.len())
     }
 }
 
+fn count_text<T: Ord + Display>(items: impl Iterator<Item = T>) -> String {
+    let mut counts: BTreeMap<T, usize> = BTreeMap::new();
+    items.for_each(|item| *counts.entry(item).or_default() += 1);
+    counts.iter().map(|(item, count)| format!("{item}: {count}, ")).collect()
+}
+
 /// State of one run.
 pub struct SoakContext {
     pub seed: u64,
--- a/soak/engines.rs
+++ b/soak/engines.rs
@@ -248,6 +248,9 @@
     checks::check_arrival(ctx, &id, engine, request.header("authorization").is_some());
     let is_faulty = rng.random_range(0..1_000) < FAULT_RATE.per_mille.load(Ordering::Relaxed);
     let fault = if is_faulty { rng.random_range(0..6) } else { u32::MAX };
+    if is_faulty {
+        ctx.recorder.record_event(&id, format!("{engine} drew fault {fault}"));
+    }
     if fault == 0 {
         let status = if rng.random() { 503 } else { 429 };
         let headers = request.echoed_id() + "tarragonknot-not-executed: 1\r\n";
@@ -259,6 +262,7 @@
     let tokens: u64 =
         counts.split(',').filter_map(|number| number.trim().parse::<u64>().ok()).sum();
     ctx.recorder.record_execution(&id, (organisation == "limited").then_some(tokens));
+    ctx.recorder.record_event(&id, format!("{engine} executed it"));
     if poison::crash_if_poison(ctx, *number, &request.body) {
         // Never answers: the engine's task is aborted.
         return std::future::pending().await;
--- a/soak/main.rs
+++ b/soak/main.rs
@@ -115,7 +115,7 @@
         }
         return true;
     }
-    println!("seed {}: BROKEN; {summary}", ctx.seed);
+    println!("seed {}: BROKEN; {}{summary}", ctx.seed, ctx.recorder.violation_counts());
     violations.iter().for_each(|line| println!("  {line}"));
     let done_count = ctx.steps_done().min(steps.len());
     let last_steps = &steps[done_count.saturating_sub(PRINTED_STEPS)..done_count];
