soak: a quarter of the requests have bodies of up to 200 kB

The body stays the number of events, followed by a space and the request's id, repeated. Engines check the whole body, on streams too, and plain answers state its length, so a changed or shortened body is found as before.

--- a/soak/callers.rs
+++ b/soak/callers.rs
@@ -27,6 +27,35 @@
 /// Maximum number of events in a stream.
 const MAX_STREAM_EVENTS: u64 = 30;
 
+/// Maximum size of a large body, and one in how many requests has one.
+const MAX_BODY_BYTES: usize = 200_000;
+const LARGE_BODY_INTERVAL: u32 = 4;
+
+/// A request's body: the number of events and, up to `length`, a space and the repeated id.
+pub fn request_body(events: &str, id: &str, length: usize) -> String {
+    let mut body = events.to_owned();
+    if length > events.len() && !id.is_empty() {
+        body.push(' ');
+        body.extend(id.chars().cycle().take(length - body.len()));
+    }
+    body
+}
+
+/// The number of events in a request's body.
+pub fn event_count_text(body: &[u8]) -> String {
+    let end = body.iter().position(|byte| *byte == b' ').unwrap_or(body.len());
+    String::from_utf8_lossy(&body[..end]).into_owned()
+}
+
+/// Draws the minimum length of a body; 0 for a small one.
+fn body_length(rng: &mut ChaCha8Rng) -> usize {
+    if rng.random_range(0..LARGE_BODY_INTERVAL) == 0 {
+        rng.random_range(0..MAX_BODY_BYTES)
+    } else {
+        0
+    }
+}
+
 /// Starts the callers; they run until the context is stopped.
 pub fn start(ctx: &Arc<SoakContext>, seed: u64) -> JoinHandle<()> {
     let ctx = Arc::clone(ctx);
@@ -119,7 +148,7 @@
             .header("tarragonknot-request-id", id)
             .header("tarragonknot-deadline-ms", REQUEST_DEADLINE.as_millis().to_string())
             .header("tarragonknot-token-count", format!("{},{events}", rng.random_range(50..2_000)))
-            .body(Full::new(Bytes::from(events.to_string())))
+            .body(Full::new(Bytes::from(request_body(&events.to_string(), id, body_length(rng)))))
             .expect("the request consists of valid parts")
     }
 }
@@ -132,12 +161,13 @@
     id: &str,
 ) -> bool {
     let is_stream = !request.uri().path().contains("safe/");
-    let events: u64 = read_event_count(request.body()).await;
+    let body = request.body().clone().collect().await.unwrap_or_default().to_bytes();
+    let events: u64 = event_count_text(&body).parse().unwrap_or(0);
     let Ok(response) = connection.send_request(request).await else { return false };
     let status = response.status().as_u16();
     let is_reusable = response.headers().get("connection").is_none_or(|value| value != "close");
     let seal = response.headers().get("tarragonknot-server-seal").cloned();
-    let body = read_response_body(response.into_body()).await;
+    let answer = read_response_body(response.into_body()).await;
     if status != 200 {
         ctx.recorder.record_status(id, status);
         let is_denied = matches!(status, 400..=407 | 409..=420 | 422..=428);
@@ -145,9 +175,9 @@
             let detail = format!("was refused with status {status} without a recent disturbance");
             ctx.recorder.record_request_violation("DENIED", id, detail);
         }
-        return is_reusable && body.is_ok();
+        return is_reusable && answer.is_ok();
     }
-    let (text, is_complete) = match &body {
+    let (text, is_complete) = match &answer {
         Ok(text) => (text, true),
         Err(text) => (text, false),
     };
@@ -161,7 +191,7 @@
     let expected = if is_stream {
         (1..=events).map(|event| format!("id: {event}\ndata: {id} {event}\n\n")).collect()
     } else {
-        format!("answer to {id}, {events}")
+        format!("answer to {id}, {events}, {} bytes", body.len())
     };
     let is_expected = if is_complete {
         *text == expected
@@ -177,11 +207,6 @@
     is_reusable && is_complete
 }
 
-async fn read_event_count(body: &Full<Bytes>) -> u64 {
-    let bytes = body.clone().collect().await.map(|body| body.to_bytes()).unwrap_or_default();
-    String::from_utf8_lossy(&bytes).parse().unwrap_or(0)
-}
-
 /// Reads the response body; `Err` holds the part received before the connection failed.
 async fn read_response_body(mut body: Incoming) -> Result<String, String> {
     let mut text = String::new();
--- a/soak/checks.rs
+++ b/soak/checks.rs
@@ -1,6 +1,6 @@
 //! Checks of the invariants, from what callers, operators and engines observe.
 
-use crate::callers::{FREE_KEY, ROUTE_HOST};
+use crate::callers::{FREE_KEY, ROUTE_HOST, event_count_text, request_body};
 use crate::context::{AddressKind, CALLERS_PORT, READY_PORT, SentRequest, SoakContext, lock};
 use crate::fleet::{POLL_INTERVAL, WAIT_TIMEOUT};
 use crate::operators::read_config;
@@ -55,6 +55,18 @@
     }
 }
 
+/// Checks a request's body after it was read whole at an engine.
+pub fn check_body(ctx: &SoakContext, id: &str, engine: &str, body: &[u8]) {
+    let events = event_count_text(body);
+    if body != request_body(&events, id, body.len()).as_bytes() {
+        ctx.recorder.record_request_violation(
+            "UNASKED",
+            id,
+            format!("reached {engine} with a changed body of {} bytes", body.len()),
+        );
+    }
+}
+
 /// Checks a configuration read: it must return at least the newest version that was acknowledged
 /// before the read was sent.
 pub fn check_config_read(
--- a/soak/engines.rs
+++ b/soak/engines.rs
@@ -2,7 +2,7 @@
 //! request id and inject faults according to the seed.
 
 use crate::context::{AddressKind, ENGINE_PORT, LIST_PORT, SoakContext, lock};
-use crate::{checks, poison, proxy};
+use crate::{callers, checks, poison, proxy};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
@@ -246,6 +246,7 @@
 ) -> bool {
     let id = request.id().to_owned();
     checks::check_arrival(ctx, &id, engine, request.header("authorization").is_some());
+    checks::check_body(ctx, &id, engine, &request.body);
     let is_faulty = rng.random_range(0..1_000) < FAULT_RATE.per_mille.load(Ordering::Relaxed);
     let fault = if is_faulty { rng.random_range(0..6) } else { u32::MAX };
     if is_faulty {
@@ -273,7 +274,8 @@
         return stream_events(stream, request, &id, &head, fault, rng).await;
     }
     tokio::time::sleep(Duration::from_millis(rng.random_range(1..40))).await;
-    let body = format!("answer to {id}, {}", String::from_utf8_lossy(&request.body));
+    let events = callers::event_count_text(&request.body);
+    let body = format!("answer to {id}, {events}, {} bytes", request.body.len());
     let text = response_text(200, &head, &body);
     let (text, keeps_open) = match fault {
         // The response is lost with its connection.
@@ -300,7 +302,7 @@
     fault: u32,
     rng: &mut ChaCha8Rng,
 ) -> bool {
-    let event_count: u64 = String::from_utf8_lossy(&request.body).trim().parse().unwrap_or(3);
+    let event_count: u64 = callers::event_count_text(&request.body).trim().parse().unwrap_or(3);
     let last_received =
         request.header("last-event-id").and_then(|last| last.parse::<u64>().ok()).unwrap_or(0);
     let head = format!(
