soak: faults of engines are kinds that can be run alone

The engines' side of a connection moves to wire.rs (messages), connection.rs (requests and reservations), answers.rs (execution and answers) and faults.rs. `--faults KIND,..` limits the kinds; 50 per thousand requests fail throughout, besides the rate of the schedule (`--fault-rate`), since a schedule of 6 s seldom has any. A stream is cut within an event by one kind instead of by all but one, and gets a second answer too.

--- /dev/null
+++ b/soak/answers.rs
@@ -0,0 +1,179 @@
+//! Execution of requests at the simulated engines, and the faults of its answers.
+
+use crate::connection::{EngineConnection, close};
+use crate::faults::FaultKind;
+use crate::wire::{WireRequest, response_text};
+use crate::{callers, checks, poison};
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use std::io;
+use std::time::Duration;
+
+/// Time between two events of a stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(15);
+/// Upper bound of the time that a plain request runs.
+const MAX_RUN_TIME_MS: u64 = 40;
+/// Header line of answers that state that the request was not executed.
+const NOT_EXECUTED: &str = "tarragonknot-not-executed: 1\r\n";
+/// Statuses of such answers.
+const REFUSAL_STATUSES: [u16; 2] = [503, 429];
+/// Statuses of failed executions.
+const FAILURE_STATUSES: [u16; 1] = [500];
+
+fn is_stream(request: &WireRequest) -> bool {
+    request.path().contains("/stream/") || request.path().contains("/resumable/")
+}
+
+impl EngineConnection {
+    /// Reads the rest of a request, executes and answers it; an error ends the connection.
+    pub async fn answer(&mut self, mut request: WireRequest) -> io::Result<()> {
+        self.check_head(&request);
+        let fault = self.ctx.faults.draw(&mut self.rng);
+        if let Some(fault) = fault {
+            self.record_event(&request, &format!("drew {fault:?}"));
+        }
+        self.read_whole_body(&mut request).await?;
+        let _slot = self.take_slot();
+        self.answer_whole_request(&request, fault).await
+    }
+
+    fn check_head(&self, request: &WireRequest) {
+        let has_key = request.header("authorization").is_some();
+        checks::check_arrival(&self.ctx, request.id(), &self.engine.id, has_key);
+    }
+
+    async fn read_whole_body(&mut self, request: &mut WireRequest) -> io::Result<()> {
+        let length = request.body_length();
+        self.wire.read_body(request, length).await?;
+        checks::check_body(&self.ctx, request.id(), &self.engine.id, &request.body);
+        Ok(())
+    }
+
+    async fn answer_whole_request(
+        &mut self,
+        request: &WireRequest,
+        fault: Option<FaultKind>,
+    ) -> io::Result<()> {
+        match fault {
+            Some(FaultKind::Refusal) => self.refuse(request).await.map(drop),
+            Some(FaultKind::LostAnswer) => {
+                self.execute(request).await;
+                close()
+            }
+            Some(FaultKind::FailedRun) => self.fail(request, &FAILURE_STATUSES).await.map(drop),
+            Some(FaultKind::TruncatedAnswer) => {
+                self.run(request, true).await?;
+                close()
+            }
+            Some(FaultKind::ExtraAnswer) => {
+                self.run(request, false).await?;
+                let head = self.answer_headers(request).replace(request.id(), "other");
+                self.wire.write(&response_text(200, &head, "not yours")).await
+            }
+            _ => self.run(request, false).await.map(drop),
+        }
+    }
+
+    /// Executes the request for a while and records it; never returns if it crashes the engine.
+    async fn execute(&mut self, request: &WireRequest) {
+        let organisation = request.header("tarragonknot-tenant").unwrap_or_default();
+        let counts = request.header("tarragonknot-token-count").unwrap_or("200,0");
+        let tokens: u64 =
+            counts.split(',').filter_map(|number| number.trim().parse::<u64>().ok()).sum();
+        let limited_tokens = (organisation == "limited").then_some(tokens);
+        self.ctx.recorder.record_execution(request.id(), limited_tokens);
+        self.record_event(request, "executed it");
+        if poison::crash_if_poison(&self.ctx, self.engine.number, &request.body) {
+            return std::future::pending().await;
+        }
+        if !is_stream(request) {
+            self.pause().await;
+        }
+    }
+
+    async fn pause(&mut self) {
+        let time = self.rng.random_range(1..MAX_RUN_TIME_MS);
+        tokio::time::sleep(Duration::from_millis(time)).await;
+    }
+
+    fn answer_headers(&self, request: &WireRequest) -> String {
+        let seal = format!("tarragonknot-server-seal: {}.{}\r\n", self.engine.id, request.id());
+        request.echoed_id() + &seal
+    }
+
+    /// Answers that the request was not executed; returns the answer.
+    async fn refuse(&mut self, request: &WireRequest) -> io::Result<String> {
+        let status = REFUSAL_STATUSES.choose(&mut self.rng).copied().unwrap_or(503);
+        self.write_status(request, status, &(request.echoed_id() + NOT_EXECUTED)).await
+    }
+
+    /// Executes the request, which fails with one of `statuses`; returns the answer.
+    async fn fail(&mut self, request: &WireRequest, statuses: &[u16]) -> io::Result<String> {
+        self.execute(request).await;
+        let status = statuses.choose(&mut self.rng).copied().unwrap_or(500);
+        self.write_status(request, status, &self.answer_headers(request)).await
+    }
+
+    async fn write_status(
+        &mut self,
+        request: &WireRequest,
+        status: u16,
+        headers: &str,
+    ) -> io::Result<String> {
+        self.record_event(request, &format!("answered {status}"));
+        let text = response_text(status, headers, "failed");
+        self.wire.write(&text).await.map(|()| text)
+    }
+
+    /// Executes the request and answers it with success, or with the first part of that answer;
+    /// returns the answer.
+    async fn run(&mut self, request: &WireRequest, is_truncated: bool) -> io::Result<String> {
+        self.execute(request).await;
+        let headers = self.answer_headers(request);
+        if is_stream(request) {
+            return self.stream_events(request, &headers, is_truncated).await;
+        }
+        let events = callers::event_count_text(&request.body);
+        let body = format!("answer to {}, {events}, {} bytes", request.id(), request.body.len());
+        let mut text = response_text(200, &headers, &body);
+        if is_truncated {
+            text.truncate(text.len() - 3);
+        }
+        self.wire.write(&text).await.map(|()| text)
+    }
+
+    async fn stream_events(
+        &mut self,
+        request: &WireRequest,
+        headers: &str,
+        is_truncated: bool,
+    ) -> io::Result<String> {
+        let event_count: u64 = callers::event_count_text(&request.body).trim().parse().unwrap_or(3);
+        let last_received =
+            request.header("last-event-id").and_then(|last| last.parse::<u64>().ok()).unwrap_or(0);
+        let cut_event = if is_truncated {
+            self.rng.random_range(last_received + 1..=event_count.max(last_received + 1))
+        } else {
+            u64::MAX
+        };
+        let mut text = format!(
+            "HTTP/1.1 200 OK\r\n{headers}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+        );
+        self.wire.write(&text).await?;
+        for event in last_received + 1..=event_count {
+            tokio::time::sleep(EVENT_INTERVAL).await;
+            let mut data = format!("id: {event}\ndata: {} {event}\n\n", request.id());
+            if event == cut_event {
+                data.truncate(data.len() / 2);
+            }
+            let chunk = format!("{:x}\r\n{data}\r\n", data.len());
+            self.wire.write(&chunk).await?;
+            text.push_str(&chunk);
+            if event == cut_event {
+                return close().map(|()| text);
+            }
+        }
+        self.wire.write("0\r\n\r\n").await?;
+        Ok(text + "0\r\n\r\n")
+    }
+}
--- a/soak/context.rs
+++ b/soak/context.rs
@@ -2,6 +2,7 @@
 //! processes.
 
 use crate::SoakArgs;
+use crate::faults::FaultSettings;
 use crate::fleet::FleetProcesses;
 use crate::poison::PoisonExecutions;
 use crate::proxy::ProxyModes;
@@ -172,6 +173,7 @@
     pub processes: Mutex<FleetProcesses>,
     pub engines: Mutex<crate::engines::EngineSet>,
     pub proxies: ProxyModes,
+    pub faults: FaultSettings,
     /// Acknowledged versions of the configuration, with the time of their first acknowledgement.
     pub acknowledged_versions: Mutex<BTreeMap<u64, Instant>>,
     /// Time of the last disturbance: start or end of a fault at a process, a proxy or an engine.
@@ -200,6 +202,7 @@
             processes: Mutex::default(),
             engines: Mutex::default(),
             proxies: ProxyModes::default(),
+            faults: FaultSettings::new(&args.faults, args.fault_rate),
             acknowledged_versions: Mutex::default(),
             last_disturbance: Mutex::new(Instant::now()),
             poison_executions: PoisonExecutions::default(),
--- a/soak/fleet.rs
+++ b/soak/fleet.rs
@@ -189,7 +189,7 @@
 
 /// Ends all faults: restarts every process and lets every proxy forward bytes again.
 pub async fn heal(ctx: &Arc<SoakContext>) {
-    engines::set_fault_rate(0);
+    ctx.faults.stop();
     ctx.proxies.heal();
     for name in process_names(ctx) {
         signal(ctx, name, SoakSignal::Cont);
--- a/soak/main.rs
+++ b/soak/main.rs
@@ -5,18 +5,23 @@
 //! determines everything but the timing of the operating system. A seed with violated invariants
 //! ends with the seed, the violations, the last steps and the folder of the logs being printed.
 
+mod answers;
 mod callers;
 mod checks;
+mod connection;
 mod context;
 mod engines;
+mod faults;
 mod fleet;
 mod operators;
 mod plan;
 mod poison;
 mod proxy;
+mod wire;
 
 use clap::Parser;
 use context::SoakContext;
+use faults::FaultKind;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::path::PathBuf;
@@ -55,6 +60,12 @@
     /// Number of callers; each sends its requests one after the other.
     #[arg(long, default_value_t = 12)]
     callers: usize,
+    /// Faults of the engines to inject, separated by commas; all if omitted.
+    #[arg(long, value_enum, value_delimiter = ',')]
+    faults: Vec<FaultKind>,
+    /// Faults of the engines per thousand requests, besides those of the schedule.
+    #[arg(long, default_value_t = 50)]
+    fault_rate: u64,
     /// Program to test; a copy with a deliberately broken rule should fail.
     #[arg(long, default_value = env!("CARGO_BIN_EXE_tarragonknot"))]
     program: PathBuf,
--- a/soak/plan.rs
+++ b/soak/plan.rs
@@ -33,7 +33,7 @@
     /// Crashes the engine at this index, modulo their count, among those that are not draining.
     CrashEngine(usize),
     LeaveEngine(usize),
-    /// Sets how many of a thousand requests fail at the engines from now on.
+    /// Sets how many more of a thousand requests fail at the engines from now on.
     Misbehave(u64),
 }
 
@@ -178,7 +178,7 @@
         SoakStep::LeaveEngine(idx) => {
             pick_engine(ctx, idx).into_iter().for_each(|number| engines::start_drain(ctx, number));
         }
-        SoakStep::Misbehave(per_mille) => engines::set_fault_rate(per_mille),
+        SoakStep::Misbehave(per_mille) => ctx.faults.set_added_rate(per_mille),
     }
 }
 
