soak: engines answer as real engines and HTTP servers may

New faults: a run that fails with 500, 503, 429, 408 or 504 (on streams before the first event); answers before the body is read, after which the body is read or the connection reset; resets before the body, in it and during the run; an answer or a reservation's reply that is doubled late, when the next request has been read; a reply that is doubled at once; 408 or 503 on an idle connection, or crossing the next request, with the connection closed or kept.

--- a/soak/answers.rs
+++ b/soak/answers.rs
@@ -1,7 +1,7 @@
 //! Execution of requests at the simulated engines, and the faults of its answers.
 
-use crate::connection::{EngineConnection, close};
-use crate::faults::FaultKind;
+use crate::connection::{EngineConnection, LateBytes, close};
+use crate::faults::{FaultKind, FaultPlace};
 use crate::wire::{WireRequest, response_text};
 use crate::{callers, checks, poison};
 use rand::Rng;
@@ -18,7 +18,7 @@
 /// Statuses of such answers.
 const REFUSAL_STATUSES: [u16; 2] = [503, 429];
 /// Statuses of failed executions.
-const FAILURE_STATUSES: [u16; 1] = [500];
+const FAILURE_STATUSES: [u16; 5] = [500, 503, 429, 408, 504];
 
 fn is_stream(request: &WireRequest) -> bool {
     request.path().contains("/stream/") || request.path().contains("/resumable/")
@@ -28,18 +28,43 @@
     /// Reads the rest of a request, executes and answers it; an error ends the connection.
     pub async fn answer(&mut self, mut request: WireRequest) -> io::Result<()> {
         self.check_head(&request);
-        let fault = self.ctx.faults.draw(&mut self.rng);
+        let fault = self.draw_fault(FaultPlace::Request);
         if let Some(fault) = fault {
             self.record_event(&request, &format!("drew {fault:?}"));
         }
+        match fault {
+            Some(FaultKind::ResetBeforeBody) => return self.wire.reset(),
+            Some(FaultKind::ResetInBody) => {
+                let length = request.body_length() / 2;
+                self.wire.read_body(&mut request, length).await?;
+                return self.wire.reset();
+            }
+            Some(FaultKind::EarlyRefusal) => {
+                self.refuse(&request).await?;
+                return self.read_late_body(request).await;
+            }
+            Some(FaultKind::EarlyFailure) => {
+                self.fail(&request, &[500]).await?;
+                return self.read_late_body(request).await;
+            }
+            _ => {}
+        }
         self.read_whole_body(&mut request).await?;
+        let closes = self.write_late_bytes(&request).await?;
         let _slot = self.take_slot();
+        if closes {
+            self.execute(&request).await;
+            return close();
+        }
         self.answer_whole_request(&request, fault).await
     }
 
-    fn check_head(&self, request: &WireRequest) {
+    fn check_head(&mut self, request: &WireRequest) {
         let has_key = request.header("authorization").is_some();
         checks::check_arrival(&self.ctx, request.id(), &self.engine.id, has_key);
+        if let Some(label) = self.previous_fault.take() {
+            self.record_event(request, &format!("read it after {label}"));
+        }
     }
 
     async fn read_whole_body(&mut self, request: &mut WireRequest) -> io::Result<()> {
@@ -49,6 +74,15 @@
         Ok(())
     }
 
+    /// Reads the body of a request that has been answered, or resets the connection.
+    async fn read_late_body(&mut self, mut request: WireRequest) -> io::Result<()> {
+        self.pause().await;
+        if self.rng.random() {
+            return self.wire.reset();
+        }
+        self.read_whole_body(&mut request).await
+    }
+
     async fn answer_whole_request(
         &mut self,
         request: &WireRequest,
@@ -56,9 +90,9 @@
     ) -> io::Result<()> {
         match fault {
             Some(FaultKind::Refusal) => self.refuse(request).await.map(drop),
-            Some(FaultKind::LostAnswer) => {
+            Some(fault @ (FaultKind::LostAnswer | FaultKind::ResetInRun)) => {
                 self.execute(request).await;
-                close()
+                if fault == FaultKind::ResetInRun { self.wire.reset() } else { close() }
             }
             Some(FaultKind::FailedRun) => self.fail(request, &FAILURE_STATUSES).await.map(drop),
             Some(FaultKind::TruncatedAnswer) => {
@@ -68,8 +102,19 @@
             Some(FaultKind::ExtraAnswer) => {
                 self.run(request, false).await?;
                 let head = self.answer_headers(request).replace(request.id(), "other");
+                self.previous_fault = Some("ExtraAnswer".to_owned());
                 self.wire.write(&response_text(200, &head, "not yours")).await
             }
+            Some(FaultKind::LateAnswer) => {
+                let text = match self.rng.random_range(0..3) {
+                    0 => self.refuse(request).await?,
+                    1 => self.fail(request, &[500]).await?,
+                    _ => self.run(request, false).await?,
+                };
+                let label = format!("LateAnswer to {}", request.id());
+                self.late = Some(LateBytes { text, label, closes: false });
+                Ok(())
+            }
             _ => self.run(request, false).await.map(drop),
         }
     }
--- a/soak/faults.rs
+++ b/soak/faults.rs
@@ -17,8 +17,47 @@
     TruncatedAnswer,
     /// An answer under another id follows at once.
     ExtraAnswer,
-    /// The execution fails, with 500.
+    /// A second copy of the answer, which may also be a refusal or a failure, is written when the
+    /// next request has been read.
+    LateAnswer,
+    /// The execution fails, with a status of the engine's own.
     FailedRun,
+    /// A refusal is written before the body is read; not executed.
+    EarlyRefusal,
+    /// A failure is written before the body is read.
+    EarlyFailure,
+    /// The connection is reset between head and body; not executed.
+    ResetBeforeBody,
+    /// The connection is reset in the middle of the body; not executed.
+    ResetInBody,
+    /// The connection is reset during the execution.
+    ResetInRun,
+    /// A second copy of a reservation's reply follows at once.
+    DoubledReservation,
+    /// A second copy of a reservation's reply is written when the next request has been read.
+    LateReservation,
+    /// 408 or 503 on an idle connection, which is then closed or kept.
+    IdleNotice,
+    /// The same at the moment when the next request has been read.
+    LateNotice,
+}
+
+/// What a fault concerns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FaultPlace {
+    Request,
+    Reservation,
+    IdleConnection,
+}
+
+impl FaultKind {
+    fn place(self) -> FaultPlace {
+        match self {
+            FaultKind::DoubledReservation | FaultKind::LateReservation => FaultPlace::Reservation,
+            FaultKind::IdleNotice | FaultKind::LateNotice => FaultPlace::IdleConnection,
+            _ => FaultPlace::Request,
+        }
+    }
 }
 
 /// The faults that a run injects, and their rates per thousand.
@@ -46,9 +85,11 @@
         self.rate.store(0, Ordering::Relaxed);
     }
 
-    /// Draws whether a fault occurs, and which.
-    pub fn draw(&self, rng: &mut ChaCha8Rng) -> Option<FaultKind> {
+    /// Draws whether a fault of `place` occurs, and which.
+    pub fn draw(&self, place: FaultPlace, rng: &mut ChaCha8Rng) -> Option<FaultKind> {
         let is_faulty = rng.random_range(0..1_000) < self.rate.load(Ordering::Relaxed);
-        if is_faulty { self.kinds.choose(rng).copied() } else { None }
+        let enabled: Vec<FaultKind> =
+            self.kinds.iter().filter(|kind| kind.place() == place).copied().collect();
+        if is_faulty { enabled.choose(rng).copied() } else { None }
     }
 }
--- a/soak/wire.rs
+++ b/soak/wire.rs
@@ -2,6 +2,7 @@
 //! connection has ended.
 
 use std::io;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -88,6 +89,16 @@
         }
     }
 
+    /// Waits for the first bytes of the next request; false if none arrive within `time`.
+    pub async fn wait_for_bytes(&mut self, time: Duration) -> io::Result<bool> {
+        if !self.received.is_empty() {
+            return Ok(true);
+        }
+        tokio::time::timeout(time, self.receive())
+            .await
+            .map_or(Ok(false), |read| read.map(|()| true))
+    }
+
     async fn receive(&mut self) -> io::Result<()> {
         let mut buffer = [0; 8 << 10];
         match self.stream.read(&mut buffer).await? {
@@ -103,6 +114,12 @@
     pub async fn write(&mut self, text: &str) -> io::Result<()> {
         self.stream.write_all(text.as_bytes()).await
     }
+
+    /// Makes the close of the connection send a reset.
+    pub fn reset(&self) -> io::Result<()> {
+        self.stream.set_zero_linger()?;
+        Err(io::ErrorKind::ConnectionReset.into())
+    }
 }
 
 /// An answer with a body of known length; `headers` are complete lines.
