Signals are handled before the daemon listens

Cause: the handlers were installed after start_daemon had returned; until then a signal takes its default action, and callers could already be connected. Why it works: the handlers stand before the first socket is bound; a signal that comes meanwhile is read afterwards.

--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -73,14 +73,15 @@
     key: FleetKey,
     log: Logger,
 ) -> Result<(), CommandError> {
-    let seed = rand::rng().next_u64();
-    let daemon = start_daemon(&settings, key, log.clone(), seed)
-        .await
-        .map_err(|source| CommandError::Start { source })?;
+    // Before the daemon starts: a signal without a handler ends the process.
     let failed = |error: std::io::Error| CommandError::Failed { detail: error.to_string() };
     let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(failed)?;
+    let seed = rand::rng().next_u64();
+    let daemon = start_daemon(&settings, key, log.clone(), seed)
+        .await
+        .map_err(|source| CommandError::Start { source })?;
     let mut ended = Box::pin(daemon.ended());
     let mut reloader = SettingsReloader { path: path.to_owned(), settings, log: log.clone() };
     loop {
--- a/tests/test_fleet_processes.rs
+++ b/tests/test_fleet_processes.rs
@@ -322,6 +322,22 @@
     }
 }
 
+/// Guards against a reload signal that ends a daemon which is still starting.
+#[test]
+fn a_daemon_handles_signals_before_it_listens() {
+    const HANGUP_BIT: u64 = 1;
+    let fleet = ProcessFleet::start(1, 0);
+    let daemon = &fleet.daemons[0];
+    let process = daemon.process.as_ref().expect("the daemon was started");
+
+    wait_until("the daemon listens", || std::net::TcpStream::connect(daemon.control).is_ok());
+    let status = std::fs::read_to_string(format!("/proc/{}/status", process.id())).unwrap();
+
+    let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:")).expect("a line");
+    let caught = u64::from_str_radix(caught.trim(), 16).expect("a mask");
+    assert_ne!(caught & HANGUP_BIT, 0, "{caught:x}");
+}
+
 /// Guards against running a booking twice. A caller loses the answer and resends the booking
 /// through another daemon, then with another body; later a daemon dies between claim and outcome.
 /// This happens if each daemon knows only its own requests.
