Promises: tests for parts of the fix that none of the tests caught

Each of these mutations passed all tests of routed requests before: an answer without an id accepted (a stray 404 reached the caller), "not run" believed for a request without an id, an unproven refusal or a broken connection counted as "not run" before a second send, and the answer to another request accepted.

--- a/tests/routed_fleet.rs
+++ b/tests/routed_fleet.rs
@@ -398,6 +398,11 @@
         self.send(path, id, (key, headers), "the body").await
     }
 
+    /// Sends a request without an id.
+    pub async fn call_without_id(&self, path: &str) -> CallerAnswer {
+        Self::answer(self.request(path, (KEY, &[]), "the body")).await
+    }
+
     /// Sends a request with a body.
     pub async fn call_body(&self, path: &str, id: &str, body: &str) -> CallerAnswer {
         self.send(path, id, (KEY, &[]), body).await
@@ -407,20 +412,35 @@
         &self,
         path: &str,
         id: &str,
-        (key, headers): (&str, &[(&str, &str)]),
+        caller: (&str, &[(&str, &str)]),
         body: &str,
     ) -> CallerAnswer {
+        let mut request = self.request(path, caller, body);
+        let id = id.parse().expect("the id is a valid header value");
+        request.headers_mut().insert("tarragonknot-request-id", id);
+        Self::answer(request).await
+    }
+
+    /// Builds a request without an id.
+    fn request(
+        &self,
+        path: &str,
+        (key, headers): (&str, &[(&str, &str)]),
+        body: &str,
+    ) -> Request<Full<Bytes>> {
         let mut request = Request::post(format!("http://{}{path}", self.front.address))
             .header("host", "shop.example")
-            .header("tarragonknot-request-id", id)
             .header("tarragonknot-deadline-ms", "2500")
             .header("authorization", format!("Bearer {key}"));
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
-        let request = request
+        request
             .body(Full::new(Bytes::from(body.to_owned())))
-            .expect("the request consists of valid parts");
+            .expect("the request consists of valid parts")
+    }
+
+    async fn answer(request: Request<Full<Bytes>>) -> CallerAnswer {
         let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
         let response = client.request(request).await.expect("the request gets a response");
         let (head, body) = response.into_parts();
--- a/tests/test_promises.rs
+++ b/tests/test_promises.rs
@@ -6,6 +6,8 @@
 };
 use http::StatusCode;
 use rstest::rstest;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tarragonknot::answer::{ANSWER_TABLE, ExecutionStatus, promises_not_run};
 use tarragonknot::report::{install_metrics, render_metrics};
@@ -25,6 +27,9 @@
 const UNNAMED_MISDIRECTED: &str = "HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n";
 const UNNAMED_TOO_MANY: &str =
     "HTTP/1.1 429 X\r\ntarragonknot-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+const OTHER_NOT_RUN: &str = "HTTP/1.1 503 X\r\ntarragonknot-request-id: other\r\n\
+    tarragonknot-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+const UNNAMED_NOT_FOUND: &str = "HTTP/1.1 404 X\r\ncontent-length: 0\r\n\r\n";
 
 /// Guards against passing on the status of an engine that failed after it ran the request.
 #[rstest]
@@ -53,6 +58,7 @@
 #[case::not_run(UNNAMED_NOT_RUN)]
 #[case::misdirected(UNNAMED_MISDIRECTED)]
 #[case::too_many(UNNAMED_TOO_MANY)]
+#[case::not_found(UNNAMED_NOT_FOUND)]
 #[tokio::test]
 async fn a_reply_that_names_no_request_does_not_prove_that_it_did_not_run(
     #[case] reply: &'static str,
@@ -107,6 +113,84 @@
     assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
 }
 
+/// Guards against a second run of a request that must not be repeated.
+#[rstest]
+#[tokio::test]
+async fn an_unsafe_request_is_not_sent_again_after_a_failure_that_may_follow_a_run(
+    #[values(408, 429, 500, 503)] status: u16,
+) {
+    let script = move |_| EngineAction::Answer(status, "failed after the run");
+    let first = ScriptedEngine::start("i-1", script).await;
+    let second = ScriptedEngine::start("i-2", script).await;
+    let fleet = RoutedFleet::without_table(&[&first, &second]).await;
+    fleet.apply(1, &document(1).replace(r#""max_attempts":1"#, r#""max_attempts":2"#));
+
+    fleet.call("/unsafe/", "id-1").await;
+
+    assert_eq!(first.count() + second.count(), 1);
+}
+
+/// Guards against passing on the answer to another request.
+#[rstest]
+#[case::success(EngineAction::Crossed)]
+#[case::not_run(EngineAction::RunAfterStray(OTHER_NOT_RUN))]
+#[tokio::test]
+async fn an_answer_to_another_request_is_not_passed_on(
+    #[case] action: EngineAction,
+    #[values("/unsafe/", "/stream/")] path: &str,
+) {
+    let engine = ScriptedEngine::start("i-1", move |_| action.clone()).await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    let answer = fleet.call(path, "id-1").await;
+
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{answer:?}");
+}
+
+/// Guards against believing an answer that can't name the request, as the caller sent no id.
+#[rstest]
+#[tokio::test]
+async fn an_answer_to_a_request_without_an_id_does_not_prove_that_it_did_not_run(
+    #[values(UNNAMED_NOT_RUN, UNNAMED_MISDIRECTED, UNNAMED_TOO_MANY, IDLE_TIMEOUT)]
+    reply: &'static str,
+) {
+    let engine = ScriptedEngine::start("i-1", move |_| EngineAction::RunAfterStray(reply)).await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    let answer = fleet.call_without_id("/unsafe/").await;
+
+    assert_eq!(engine.count(), 1);
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{answer:?}");
+}
+
+/// Guards against forgetting that the first of two sends may have run.
+#[rstest]
+#[case::unproven_refusal(EngineAction::Answer(503, "failed after the run"))]
+#[case::connection_broken(EngineAction::Close)]
+#[case::own_failure(EngineAction::Answer(500, "failed after the run"))]
+#[tokio::test]
+async fn a_second_send_that_did_not_run_does_not_prove_that_the_first_did_not(
+    #[case] first_action: EngineAction,
+) {
+    let sends = Arc::new(AtomicUsize::new(0));
+    let script = |sends: Arc<AtomicUsize>| {
+        let first_action = first_action.clone();
+        move |_, request: &ReceivedRequest| match request.head.starts_with("GET ") {
+            true => EngineAction::Answer(200, "healthy"),
+            false if sends.fetch_add(1, Ordering::Relaxed) == 0 => first_action.clone(),
+            false => EngineAction::NotRun,
+        }
+    };
+    let first = ScriptedEngine::start_with_request("i-1", script(Arc::clone(&sends))).await;
+    let second = ScriptedEngine::start_with_request("i-2", script(Arc::clone(&sends))).await;
+    let fleet = RoutedFleet::start(&[&first, &second]).await;
+
+    let answer = fleet.call("/safe/", "id-1").await;
+
+    assert_eq!(sends.load(Ordering::Relaxed), 2, "{answer:?}");
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{answer:?}");
+}
+
 /// Guards against believing "not run" from an answer with the status of a success.
 #[tokio::test]
 async fn a_success_does_not_prove_that_the_request_did_not_run() {
