Tests that fail: a sealed 421 is believed as "not run"

What callers see: an engine answers 421 under the request's id and its seal, without the header that says "not executed". The caller gets 503 with `ran: no`, and an unsafe request with two attempts is sent to a second engine.

Evidence: a_sealed_421_does_not_prove_that_the_request_did_not_run (503 instead of 502) and an_unsafe_request_is_not_sent_again_after_a_failure_that_may_follow _a_run, status 421 (2 sends instead of 1).

--- a/tests/test_promises.rs
+++ b/tests/test_promises.rs
@@ -113,11 +113,27 @@
     assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
 }
 
+/// Guards against taking an engine's own 421, sealed after a run, for that of another incarnation.
+#[rstest]
+#[tokio::test]
+async fn a_sealed_421_does_not_prove_that_the_request_did_not_run(
+    #[values("/unsafe/", "/stream/")] path: &str,
+) {
+    let engine =
+        ScriptedEngine::start("i-1", |_| EngineAction::Answer(421, "failed after the run")).await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    let answer = fleet.call(path, "id-1").await;
+
+    assert_eq!(engine.count(), 1);
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{answer:?}");
+}
+
 /// Guards against a second run of a request that must not be repeated.
 #[rstest]
 #[tokio::test]
 async fn an_unsafe_request_is_not_sent_again_after_a_failure_that_may_follow_a_run(
-    #[values(408, 429, 500, 503)] status: u16,
+    #[values(408, 421, 429, 500, 503)] status: u16,
 ) {
     let script = move |_| EngineAction::Answer(status, "failed after the run");
     let first = ScriptedEngine::start("i-1", script).await;
