Test that fails: a late answer makes the daemon give up a sound engine

What callers see: the reply to a reservation is preceded by a late 421 under the id of another request. The engine counts as leaving, and callers get 503 until the platform's list has it anew.

Evidence: a_late_answer_to_a_request_is_not_the_reply_to_a_reservation (503 deadline-waiting instead of 200).

--- a/tests/test_promises.rs
+++ b/tests/test_promises.rs
@@ -207,6 +207,25 @@
     assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{answer:?}");
 }
 
+/// Guards against believing that an engine is gone because of a late answer to another request.
+#[tokio::test]
+async fn a_late_answer_to_a_request_is_not_the_reply_to_a_reservation() {
+    let late = "HTTP/1.1 421 X\r\ntarragonknot-request-id: other\r\ntarragonknot-not-executed: 1\r\n\
+                content-length: 0\r\n\r\n";
+    let script = move |number, request: &ReceivedRequest| match request.path.as_str() {
+        "/-/hold-take" if number == 0 => EngineAction::RunAfterStray(late),
+        "/-/hold-take" => EngineAction::Reserve("h-1"),
+        _ => EngineAction::Answer(200, "fine"),
+    };
+    let engine = ScriptedEngine::start_with_request("i-1", script).await;
+    let fleet = RoutedFleet::without_table(&[&engine]).await;
+    fleet.apply(1, &document_with_reservations(1));
+
+    let answer = fleet.call("/unsafe/", "id-1").await;
+
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+}
+
 /// Guards against believing "not run" from an answer with the status of a success.
 #[tokio::test]
 async fn a_success_does_not_prove_that_the_request_did_not_run() {
