Tests that fail: answers to callers of routes don't show who refused

What callers see: INTERFACE.md says that only the daemon sets tarragonknot-ran, and on its own refusals. A refusal to a caller of a route has no such header, and that of an engine is passed on.

Evidence: a_refusal_to_a_caller_of_a_route_is_marked (2 cases) and an_engine_cannot_mark_its_answer_as_a_refusal_of_the_daemon.

--- a/tests/test_promises.rs
+++ b/tests/test_promises.rs
@@ -259,6 +259,34 @@
     assert!(problem.contains(r#""ran":"unknown""#), "{problem}");
 }
 
+/// Guards against an engine's answer that callers take for a refusal of the daemon.
+#[tokio::test]
+async fn an_engine_cannot_mark_its_answer_as_a_refusal_of_the_daemon() {
+    let engine =
+        ScriptedEngine::start("i-1", |_| EngineAction::Rejected(500, "tarragonknot-ran: no\r\n"))
+            .await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    let answer = fleet.call("/unsafe/", "id-1").await;
+
+    assert_eq!(answer.status, StatusCode::INTERNAL_SERVER_ERROR, "{answer:?}");
+    assert!(!answer.headers.contains_key("tarragonknot-ran"), "{answer:?}");
+}
+
+#[rstest]
+#[case::before_admission("/nothing/", "no")]
+#[case::after_the_send("/unsafe/", "unknown")]
+#[tokio::test]
+async fn a_refusal_to_a_caller_of_a_route_is_marked(#[case] path: &str, #[case] ran: &str) {
+    let engine = ScriptedEngine::start("i-1", |_| EngineAction::Close).await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    let answer = fleet.call(path, "id-1").await;
+
+    let mark = answer.headers.get("tarragonknot-ran").map(|value| value.as_bytes());
+    assert_eq!(mark, Some(ran.as_bytes()), "{answer:?}");
+}
+
 #[test]
 fn only_kinds_of_requests_that_did_not_run_have_a_status_that_says_so() {
     let promises = ANSWER_TABLE
