A sealed 421 doesn't prove that the request did not run

Callers saw 503 with 'ran: no' for a request that an engine ran and failed with 421 under its id and seal, without 'not executed'; an unsafe route with two attempts sent it to a second engine, and the engine counted as another incarnation for as long as it was listed. Cause: any 421 was read as 'another incarnation'. Evidence: a_sealed_421_does_not_prove_that_the_request_did_not_run (2 cases), an_unsafe_request_is_not_sent_again_after_a_failure_that_may_follow_a_run (421) and an_engine_is_used_again_after_a_sealed_421 fail before, pass now. Found by the review.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -119,12 +119,14 @@
     }
 
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerMetadata {
-        let is_other_incarnation = status == StatusCode::MISDIRECTED_REQUEST;
+        let is_signed = headers.contains_key(SERVER_SEAL);
+        // Engines seal the answers of runs only: a sealed 421 is the engine's own failure.
+        let is_other_incarnation = status == StatusCode::MISDIRECTED_REQUEST && !is_signed;
         AnswerMetadata {
             echoed_id: text(headers, REQUEST_ID).map(str::to_owned),
             is_not_run: is_other_incarnation || headers.contains_key(NOT_EXECUTED),
             is_other_incarnation,
-            is_signed: headers.contains_key(SERVER_SEAL),
+            is_signed,
             load: text(headers, SERVER_LOAD).and_then(read_load),
             idle_timeout: text(headers, KEEP_ALIVE).and_then(read_keep_alive),
         }
--- a/tests/test_promises.rs
+++ b/tests/test_promises.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use tarragonknot::answer::{ANSWER_TABLE, ExecutionStatus, promises_not_run};
 use tarragonknot::report::{install_metrics, render_metrics};
+use tarragonknot::upstream::VmState;
 
 const NOT_RUN_STATUSES: [StatusCode; 4] = [
     StatusCode::REQUEST_TIMEOUT,
@@ -129,6 +130,23 @@
     assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{answer:?}");
 }
 
+/// Guards against giving up an engine because of its own 421, sealed after a run.
+#[tokio::test]
+async fn an_engine_is_used_again_after_a_sealed_421() {
+    let engine = ScriptedEngine::start("i-1", |number| match number {
+        0 => EngineAction::Answer(421, "failed after the run"),
+        _ => EngineAction::Answer(200, "fine"),
+    })
+    .await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    fleet.call("/unsafe/", "id-1").await;
+    fleet.list(&[&engine], VmState::Live);
+    let later = fleet.call("/unsafe/", "id-2").await;
+
+    assert_eq!(later.status, StatusCode::OK, "{later:?}");
+}
+
 /// Guards against a second run of a request that must not be repeated.
 #[rstest]
 #[tokio::test]
@@ -222,8 +240,10 @@
     fleet.apply(1, &document_with_reservations(1));
 
     let answer = fleet.call("/unsafe/", "id-1").await;
+    fleet.list(&[&engine], VmState::Live);
+    let later = fleet.call("/unsafe/", "id-2").await;
 
-    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    assert_eq!((answer.status, later.status), (StatusCode::OK, StatusCode::OK), "{later:?}");
 }
 
 /// Guards against believing "not run" from an answer with the status of a success.
