A late answer to a request is not the reply to a reservation

Callers saw 503 although an engine was free: a late 421 or 503 with another request's id came where the reply to a reservation was due; the engine counted as another incarnation (for as long as it was listed) or as full, and the real reply stayed on the connection for the next request. Cause: replies to reservations were read without a look at the id, though they carry none. Evidence: a_late_answer_to_a_request_is_not_the_reply_to_a_reservation fails before (503), passes now. Why it works: an answer with an id is not the reply; its connection is dropped with what is still to come on it, and one more attempt follows on another. An empty id counts as none.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -123,7 +123,7 @@
         // Engines seal the answers of runs only: a sealed 421 is the engine's own failure.
         let is_other_incarnation = status == StatusCode::MISDIRECTED_REQUEST && !is_signed;
         AnswerMetadata {
-            echoed_id: text(headers, REQUEST_ID).map(str::to_owned),
+            echoed_id: text(headers, REQUEST_ID).filter(|id| !id.is_empty()).map(str::to_owned),
             is_not_run: is_other_incarnation || headers.contains_key(NOT_EXECUTED),
             is_other_incarnation,
             is_signed,
--- a/src/traffic/routed/reserve.rs
+++ b/src/traffic/routed/reserve.rs
@@ -22,6 +22,8 @@
 const MAX_IDLE_TIME: Duration = Duration::from_secs(10);
 /// Maximum lifetime of a reservation; short, since the request follows immediately.
 const HOLD_TIME: Duration = Duration::from_millis(1_000);
+/// Attempts to get a reply that is not an answer to another request.
+const MAX_ATTEMPTS: usize = 2;
 /// Maximum size of a reply, in bytes.
 const REPLY_LIMIT_BYTES: usize = 4 << 10;
 
@@ -71,7 +73,8 @@
     }
 }
 
-/// Sends the reservation request; `None` if no readable reply came.
+/// Sends the reservation request; `None` if no readable reply came. A late answer to a request may
+/// come in place of the reply, so a second attempt follows on another connection.
 async fn request_place(
     request: &RoutedRequest,
     address: SocketAddr,
@@ -79,13 +82,20 @@
 ) -> Option<ReservationReply> {
     let mut call = call.map(Full::new);
     call.headers_mut().insert(HOST, address.to_string().parse().ok()?);
-    let sent = request.state.connections().send(address, call, MAX_IDLE_TIME).await;
-    let (response, connection) = sent.ok()?;
-    let metadata = request.dialect.read_answer(response.status(), response.headers());
-    let connection = connection.with_idle_timeout(metadata.idle_timeout);
-    let status = response.status();
-    let body =
-        Limited::new(response.into_body(), REPLY_LIMIT_BYTES).collect().await.ok()?.to_bytes();
-    connection.finish();
-    Some(request.dialect.read_reservation(status, &body))
+    for _ in 0..MAX_ATTEMPTS {
+        let sent = request.state.connections().send(address, call.clone(), MAX_IDLE_TIME).await;
+        let (response, connection) = sent.ok()?;
+        let metadata = request.dialect.read_answer(response.status(), response.headers());
+        if metadata.echoed_id.is_some() {
+            // Dropping the connection discards the replies that are still to come on it.
+            continue;
+        }
+        let connection = connection.with_idle_timeout(metadata.idle_timeout);
+        let status = response.status();
+        let body =
+            Limited::new(response.into_body(), REPLY_LIMIT_BYTES).collect().await.ok()?.to_bytes();
+        connection.finish();
+        return Some(request.dialect.read_reservation(status, &body));
+    }
+    None
 }
