Refusals to callers of routes are marked too, and upstreams can't mark theirs

INTERFACE.md says that only the daemon sets tarragonknot-ran, and on its own refusals; on routes it was missing, and an engine's was passed on. Evidence: a_refusal_to_a_caller_of_a_route_is_marked (2 cases) and an_engine_cannot_mark_its_answer_as_a_refusal_of_the_daemon fail before, pass now. One way to make the response sets the header, so no refusal can lack it.

--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -273,15 +273,7 @@
         }
     }
 
-    /// Complete HTTP response that an upstream's answer cannot be mistaken for.
-    pub fn marked_response(&self, request_id: &str) -> Response<axum::body::Body> {
-        let mut response = self.response(request_id);
-        let ran = HeaderValue::from_static(self.kind.row().ran.name());
-        response.headers_mut().insert(RAN_HEADER, ran);
-        response
-    }
-
-    /// Complete HTTP response.
+    /// Complete HTTP response, which an upstream's answer cannot be mistaken for.
     pub fn response(&self, request_id: &str) -> Response<axum::body::Body> {
         let body = serde_json::to_vec(&self.body(request_id)).unwrap_or_default();
         let mut response = Response::new(axum::body::Body::from(body));
@@ -289,6 +281,7 @@
             StatusCode::from_u16(self.kind.row().status).unwrap_or(StatusCode::BAD_GATEWAY);
         let headers = response.headers_mut();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+        headers.insert(RAN_HEADER, HeaderValue::from_static(self.kind.row().ran.name()));
         if let Ok(value) = HeaderValue::from_str(request_id) {
             headers.insert(REQUEST_ID_HEADER, value);
         }
--- a/src/traffic/claim_guard.rs
+++ b/src/traffic/claim_guard.rs
@@ -105,7 +105,7 @@
         Some(ClaimReply::Unknown) => AnswerKind::ClaimUnknown,
         _ => AnswerKind::ClaimUnavailable,
     };
-    RefusalAnswer::new(kind, "", jitter).marked_response(id)
+    RefusalAnswer::new(kind, "", jitter).response(id)
 }
 
 /// Builds the response from the recorded answer; `None` if its body was not kept.
--- a/src/traffic/frontend/admitted.rs
+++ b/src/traffic/frontend/admitted.rs
@@ -33,7 +33,7 @@
     let snapshot = state.snapshot();
     let caller = match snapshot.access.identify(bearer_key(&headers)) {
         Ok(caller) => caller,
-        Err(kind) => return RefusalAnswer::new(kind, "", state.jitter()).marked_response(""),
+        Err(kind) => return RefusalAnswer::new(kind, "", state.jitter()).response(""),
     };
     let allowed = snapshot
         .access
@@ -69,12 +69,12 @@
             let streams = admitted.exchange.call.wants_stream;
             let (sink, response) = AnswerSink::new(Arc::clone(&id), streams);
             tokio::spawn(run_admitted(state, admitted, Box::new(sink)));
-            response.await.unwrap_or_else(|_| {
-                RefusalAnswer::new(AnswerKind::Internal, "", 0.0).marked_response(&id)
-            })
+            response
+                .await
+                .unwrap_or_else(|_| RefusalAnswer::new(AnswerKind::Internal, "", 0.0).response(&id))
         }
         Err(refusal) => {
-            RefusalAnswer::new(refusal.kind, refusal.detail, state.jitter()).marked_response(&id)
+            RefusalAnswer::new(refusal.kind, refusal.detail, state.jitter()).response(&id)
         }
     }
 }
@@ -141,7 +141,7 @@
     let Some(pool) = state.pool(&admitted.service.service) else {
         admitted.claim.take().into_iter().for_each(ClaimGuard::withdraw);
         let refusal = RefusalAnswer::new(AnswerKind::ServiceUnknown, "", state.jitter());
-        return sink.answer(refusal.marked_response(&request_id));
+        return sink.answer(refusal.response(&request_id));
     };
     let arrived_at = state.clock.now();
     let end = run_exchange(&state, &pool, admitted.exchange, sink).await;
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -3,6 +3,7 @@
 use super::attempt::SendError;
 use super::events::EventSplitter;
 use super::forward::{PlacedRequest, RequestStage, RoutedRequest, SendHistory, report_send_error};
+use crate::answer::RAN_HEADER;
 use crate::policy::{DispatchOutcome, Moment, PoolEvent};
 use crate::rollout::VersionOutcome;
 use crate::upstream::{ConnectionGuard, end_to_end_headers};
@@ -46,6 +47,7 @@
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
     *response.headers_mut() = end_to_end_headers(&head.headers);
+    response.headers_mut().remove(RAN_HEADER);
     response
 }
 
--- a/src/traffic/sink.rs
+++ b/src/traffic/sink.rs
@@ -185,7 +185,7 @@
     /// error event, in a stream, and an aborted connection. The body must never look complete.
     pub async fn fail(mut self, refusal: &RefusalAnswer) {
         if let Some(sender) = self.head_sender.take() {
-            let _ = sender.send(refusal.marked_response(&self.request_id));
+            let _ = sender.send(refusal.response(&self.request_id));
             return;
         }
         if self.is_stream {
