Both engines of what_may_have_run_once do what the case says

The second engine always closed, and the request went there: the cases 'crossed' and 'cut short' never played their answers (shown by a mutation of the review: the check of foreign ids switched off passed). The 6 cases pass with both engines playing the case.

--- a/tests/test_routed.rs
+++ b/tests/test_routed.rs
@@ -69,8 +69,9 @@
     #[case] action: EngineAction,
     #[values("/unsafe/", "/stream/")] path: &str,
 ) {
-    let engine = ScriptedEngine::start("i-1", move |_| action.clone()).await;
-    let other = ScriptedEngine::start("i-2", |_| EngineAction::Close).await;
+    let script = move |_| action.clone();
+    let engine = ScriptedEngine::start("i-1", script.clone()).await;
+    let other = ScriptedEngine::start("i-2", script).await;
     let fleet = RoutedFleet::start(&[&engine, &other]).await;
 
     let answer = fleet.call(path, "id-1").await;
