A request is not sent again once its route forbids repeats

Engines saw a request twice on a route that allows one run: the table changed the route from safe to unsafe between two sends, and the question whether the request may be repeated was asked of the route as it was at the first send. Evidence: a_request_is_not_sent_again_once_its_route_forbids_it fails before (2 sends), passes now (1 send, 502). Why it works: wherever a send matches its route anew it asks that route, with the history of sends.

--- a/src/traffic/routed/attempt.rs
+++ b/src/traffic/routed/attempt.rs
@@ -34,7 +34,7 @@
     },
     /// The upstream failed with a status that would promise the caller that the request did not run,
     /// but did not state so itself. The request may have run.
-    UnprovenRefusal(StatusCode),
+    UnprovenStatus(StatusCode),
     /// The connection closed before the answer was complete. The request may have run, and the
     /// upstream may have terminated.
     ConnectionBroken(String),
@@ -52,7 +52,7 @@
             SendError::NotRun { is_other_incarnation: false, .. } => {
                 formatter.write_str("the upstream did not run the request")
             }
-            SendError::UnprovenRefusal(status) => {
+            SendError::UnprovenStatus(status) => {
                 write!(formatter, "the request may have run: status {status}")
             }
             SendError::ConnectionBroken(detail) | SendError::NoUsableAnswer(detail) => {
@@ -132,7 +132,8 @@
     }
     let connection = connection.with_idle_timeout(metadata.idle_timeout);
     // Upstreams echo the id of each request, but not in replies to reservations or idle timeouts,
-    // which may arrive late on the same connection. The rest of the connection is unreliable too.
+    // which may arrive late on the same connection. The connection is dropped: what is still to come
+    // on it is unreliable too.
     if let Some(detail) = echoed_id.mismatch() {
         return Err(SendError::NoUsableAnswer(detail.to_owned()));
     }
@@ -142,7 +143,7 @@
         return Err(SendError::NotRun { is_other_incarnation, load: metadata.load });
     }
     if promises_not_run(status) {
-        return Err(SendError::UnprovenRefusal(status));
+        return Err(SendError::UnprovenStatus(status));
     }
     if status.is_success() && !metadata.is_signed {
         return Err(SendError::NoUsableAnswer("the answer is not signed".to_owned()));
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -1,6 +1,6 @@
 //! Forwards an admitted request: waits for placement, sends it, and retries where the route allows.
 
-use super::admission::{LimitGuard, match_route};
+use super::admission::{LimitGuard, RouteMatch, match_route};
 use super::attempt::{OpenAnswer, SendError, send};
 use super::dialect::{CallDialect, CallerMetadata};
 use super::relay::{StreamRelay, StreamTiming, buffered_response, stream_response};
@@ -117,7 +117,9 @@
 /// contrary.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SendHistory {
+    /// Sends, without those that wrote no byte.
     sent: u32,
+    /// Sends that the upstream declared not to have run.
     not_run: u32,
 }
 
@@ -137,12 +139,12 @@
         self.sent += 1;
     }
 
-    /// Takes the end of the last send into account.
+    /// Takes the end of the last send into account. Without this call it stays a possible run.
     pub fn end_send(&mut self, error: &SendError) {
         match error {
             SendError::NotSent(_) => self.sent -= 1,
             SendError::NotRun { .. } => self.not_run += 1,
-            SendError::UnprovenRefusal(_)
+            SendError::UnprovenStatus(_)
             | SendError::ConnectionBroken(_)
             | SendError::NoUsableAnswer(_) => {}
         }
@@ -214,28 +216,36 @@
     /// request waited. So is the quarantine: every send passes here, whether it is the first one, a
     /// retry, or the resumption of a stream.
     ///
-    /// `may_use_trial` allows a version on trial; a request that has already failed goes to the
-    /// proven version.
-    pub async fn place(&mut self, may_use_trial: bool) -> Result<PlacedRequest, AnswerKind> {
+    /// A request that has already failed goes to the proven version, not to one on trial.
+    pub async fn place(&mut self, history: SendHistory) -> Result<PlacedRequest, AnswerKind> {
         let mut changes = self.state.rollouts.subscribe();
         loop {
             self.check_quarantine()?;
-            let matched = match_route(&self.state.snapshot(), &self.parts, &self.metadata)?;
+            let matched = self.match_route_again(history)?;
             self.route = matched.route;
             self.caller = matched.caller;
             let service = self.route.select_target(self.state.jitter());
             let service = service.ok_or(AnswerKind::ServiceUnknown)?.clone();
-            let chosen = self.state.choose_pool(&service, may_use_trial);
+            let chosen = self.state.choose_pool(&service, history.sent() == 0);
             let chosen = chosen.ok_or(AnswerKind::UpstreamAbsent)?;
             let Some(placed) = self.wait_in_pool(chosen, &mut changes).await? else { continue };
             self.check_quarantine()?;
-            let matched = match_route(&self.state.snapshot(), &self.parts, &self.metadata)?;
+            let matched = self.match_route_again(history)?;
             if matched.route.allows(&service) && self.state.may_use_arm(&service, placed.arm) {
                 return Ok(placed);
             }
         }
     }
 
+    /// Matches the route in the table in force, which may no longer allow a repeat.
+    fn match_route_again(&self, history: SendHistory) -> Result<RouteMatch, AnswerKind> {
+        let matched = match_route(&self.state.snapshot(), &self.parts, &self.metadata)?;
+        match history.may_have_run() && !matched.route.kind.may_repeat() {
+            true => Err(AnswerKind::UpstreamLost),
+            false => Ok(matched),
+        }
+    }
+
     fn check_quarantine(&self) -> Result<(), AnswerKind> {
         self.state.quarantine.check(&self.state, self.id(), self.fingerprint)
     }
@@ -401,7 +411,7 @@
     let mut history = SendHistory::default();
     loop {
         request.stage = RequestStage::Waiting;
-        let mut placed = match request.place(history.sent() == 0).await {
+        let mut placed = match request.place(history).await {
             Ok(placed) => placed,
             Err(kind) => return refuse(&mut request, kind, history),
         };
@@ -495,7 +505,7 @@
     match error {
         SendError::NotSent(_) => AnswerKind::UpstreamUnreachable,
         SendError::NotRun { .. } => AnswerKind::UpstreamRefused,
-        SendError::UnprovenRefusal(_) => AnswerKind::UpstreamFailed,
+        SendError::UnprovenStatus(_) => AnswerKind::UpstreamFailed,
         SendError::ConnectionBroken(_) | SendError::NoUsableAnswer(_)
             if request.time_left().is_zero() =>
         {
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -229,7 +229,7 @@
             "events" => self.splitter.event_count(), "detail" => error.to_string());
         report_send_error(&self.request, &mut self.placed, &error);
         while self.request.may_send_again(&self.placed.pool.service.clone(), self.history) {
-            let Ok(placed) = self.request.place(false).await else { return false };
+            let Ok(placed) = self.request.place(self.history).await else { return false };
             self.placed = placed;
             let last_event_id =
                 self.splitter.last_event_id().or(self.request.metadata.last_event_id);
--- a/tests/test_promises.rs
+++ b/tests/test_promises.rs
@@ -307,6 +307,26 @@
     assert_eq!(mark, Some(ran.as_bytes()), "{answer:?}");
 }
 
+/// Guards against a second run when a route stops allowing repeats between two sends.
+#[tokio::test]
+async fn a_request_is_not_sent_again_once_its_route_forbids_it() {
+    let first = ScriptedEngine::start("i-1", |_| EngineAction::Silent).await;
+    let second = ScriptedEngine::start("i-2", |_| EngineAction::Silent).await;
+    let fleet = RoutedFleet::start(&[&first, &second]).await;
+    let count = || first.count() + second.count();
+    let edit = async {
+        while count() == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        fleet.apply(2, &document(2).replace(r#""kind":"safe""#, r#""kind":"unsafe""#));
+    };
+
+    let (answer, ()) = tokio::join!(fleet.call("/safe/", "id-1"), edit);
+
+    assert_eq!(count(), 1);
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{answer:?}");
+}
+
 #[test]
 fn only_kinds_of_requests_that_did_not_run_have_a_status_that_says_so() {
     let promises = ANSWER_TABLE
