A failed answer doesn't clear a content that crashes engines

Cause: any complete answer of an upstream, a 500 too, counted as a sign that the content is harmless and voided its crashes for ten seconds before and after. Evidence: a_failure_does_not_clear_a_request_that_crashes_engines fails before (5 engines crashed), passes now; 61 tests of crashes and quarantine pass. Why it works: only a success shows that an upstream ran the content and lived. The same class: a bystander's word taken as proof.

--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -85,6 +85,8 @@
     first_piece: Option<Duration>,
     recorded: Option<RecordedAnswer>,
     may_have_run: bool,
+    /// True if the last head of an answer had the status of a success.
+    is_success: bool,
 }
 
 /// Runs a request to its final state.
@@ -119,10 +121,11 @@
         first_piece: None,
         recorded: None,
         may_have_run: false,
+        is_success: false,
     };
     let (guard, decision) = pool.submit(arrived);
     run.execute(guard, decision, sink).await;
-    if run.exchange.state() == RequestState::Answered {
+    if run.exchange.state() == RequestState::Answered && run.is_success {
         state.quarantine.note_answer(fingerprint, state.clock.now());
     }
     ExchangeEnd {
@@ -323,6 +326,7 @@
             ObservedEvent::Opened(Ok(stream)) => {
                 self.exchange.handle(ExchangeEvent::Opened, now);
                 let AnswerStream { head, pieces } = stream;
+                self.is_success = head.status.is_success();
                 if let (Some(report), Some(upstream)) = (head.report, self.exchange.upstream()) {
                     self.pool.handle_event(PoolEvent::LoadReported { upstream, report });
                 }
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -22,8 +22,8 @@
 use crate::traffic::state::{ChosenPool, ProgressGuard, TrafficState};
 use axum::body::Body;
 use bytes::Bytes;
-use http::Response;
 use http::request::Parts;
+use http::{Response, StatusCode};
 use slog::info;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -587,7 +587,7 @@
             request.record_version_answer(&placed, answer);
             placed.guard.end(outcome);
             if !is_failure || !request.may_send_again(&placed.pool.service, history) {
-                request.log_answered(&placed, status.as_u16());
+                request.log_answered(&placed, status);
                 return AnswerOutcome::Response(response);
             }
             // `may_send_again` has spent a unit of the budget, and `forward` calls it again.
@@ -605,12 +605,15 @@
 }
 
 impl RoutedRequest {
-    pub fn log_answered(&mut self, placed: &PlacedRequest, status: u16) {
+    fn log_answered(&mut self, placed: &PlacedRequest, status: StatusCode) {
         self.stage = RequestStage::Ended;
-        self.state.quarantine.note_answer(self.fingerprint, self.state.clock.now());
-        self.record(if status < 500 { "answered" } else { "upstream-failure" }, None);
+        // A failure may precede the run, so it does not show that the content is harmless.
+        if status.is_success() {
+            self.state.quarantine.note_answer(self.fingerprint, self.state.clock.now());
+        }
+        self.record(if status.is_server_error() { "upstream-failure" } else { "answered" }, None);
         let after = self.state.clock.now().since(self.arrived_at).as_millis() as u64;
         info!(self.state.log, "answered"; "request" => self.id(), "upstream" => placed.name.as_str(),
-            "status" => status, "after_ms" => after);
+            "status" => status.as_u16(), "after_ms" => after);
     }
 }
--- a/tests/crashing_engines.rs
+++ b/tests/crashing_engines.rs
@@ -37,6 +37,13 @@
         CrashingEngines { daemons, engines, crashed: Vec::new(), poison_move }
     }
 
+    /// Replaces all engines by some that crash on the poison request.
+    pub async fn crash_from_now_on(&mut self) {
+        self.poison_move = EngineAction::Crash;
+        self.engines.clear();
+        self.replace_crashed().await;
+    }
+
     /// Sends a request with an id of its own to one of the daemons, then replaces crashed engines.
     pub async fn attempt(&mut self, number: usize, path: &str, body: &str) -> CallerAnswer {
         let daemon = &self.daemons[number % self.daemons.len()];
--- a/tests/test_quarantine.rs
+++ b/tests/test_quarantine.rs
@@ -73,6 +73,20 @@
     assert_eq!(park.poison_request_count(), 3);
 }
 
+/// Guards against clearing a request that crashes engines because one of them failed before.
+#[tokio::test]
+async fn a_failure_does_not_clear_a_request_that_crashes_engines() {
+    let mut park = CrashingEngines::start(EngineAction::Answer(500, "busy")).await;
+    park.attempt(0, "/unsafe/x", POISON_BODY).await;
+    park.crash_from_now_on().await;
+
+    for number in 1..ATTEMPT_COUNT {
+        park.attempt(number, "/unsafe/x", POISON_BODY).await;
+    }
+
+    assert!(park.crashed_count() <= 3, "{} engines crashed", park.crashed_count());
+}
+
 fn fingerprint_of(body: &str) -> RequestFingerprint {
     RequestFingerprint::of(&RequestContent {
         organisation: "agents",
