--- a/soak/connection.rs
+++ b/soak/connection.rs
@@ -1,5 +1,5 @@
 //! A connection to a simulated engine: reads requests, replies to reservations and sends answers
-//! that nobody asked for.
+//! that belong to no request.
 
 use crate::context::{SoakContext, lock};
 use crate::engines::{ENGINE_SLOTS, EngineIdentity};
--- a/tests/test_send_proof.rs
+++ b/tests/test_send_proof.rs
@@ -1,5 +1,5 @@
 //! Proof that a request was not sent: what connections, engines and callers do at their edges must
-//! not let a request run whose caller was told that it has not run and never will.
+//! not let a request run that was refused as not run.
 
 use crate::raw_engine::{
     ANSWER, FAILURE, NOT_RUN, RawAnswer, RawCaller, RawEngine, RawStep, large_body, pause,
