Logs: why a replica stops leading, how late the control thread is, calls to peers that take long

The logs could not tell a leader that stands still from one whose links fail. No decision changes; one metric is new, tarragonknot_control_delay_seconds.

--- a/src/control/control_loop/mod.rs
+++ b/src/control/control_loop/mod.rs
@@ -33,6 +33,7 @@
 };
 use crate::store::{DataFolder, FolderIdentity, StoreError};
 use crate::table::{DaemonName, diff_tables};
+use metrics::histogram;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use slog::{info, warn};
@@ -43,6 +44,8 @@
 
 /// Interval between ticks of the replica.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// Delay of a tick from which it is logged: as long as an interval between heartbeats.
+const REPORTED_DELAY: Duration = Duration::from_millis(100);
 /// Maximum number of requests in one batch.
 const MAX_REQUEST_BATCH: usize = 2_048;
 
@@ -75,6 +78,7 @@
         proposals: Vec::new(),
         leaderless_since: Moment(0),
         dead_since: BTreeMap::new(),
+        last_tick: setup.clock.now(),
         folder_failed_at: None,
         sent_orders: BTreeMap::new(),
         serving: ServingHistory::default(),
@@ -108,6 +112,7 @@
     /// Time since which no leader has been heard, or at which the voter last asked to join.
     leaderless_since: Moment,
     dead_since: BTreeMap<DaemonName, Moment>,
+    last_tick: Moment,
     /// Time at which the data folder failed or was last tried again.
     folder_failed_at: Option<Moment>,
     /// Orders last sent to each daemon. A report is held only while they are unchanged.
@@ -164,6 +169,7 @@
 
     fn tick(&mut self) {
         let now = self.now();
+        self.record_tick_delay(now);
         self.reopen_failed_folder(now);
         let Some(core) = &mut self.core else { return };
         let output = core.tick(now, &mut self.rng);
@@ -172,6 +178,16 @@
         self.rejoin_if_leaderless(now);
     }
 
+    /// Records how late a tick is. A late control thread answers no peer, operator or daemon.
+    fn record_tick_delay(&mut self, now: Moment) {
+        let delay = now.since(self.last_tick).saturating_sub(TICK_INTERVAL);
+        self.last_tick = now;
+        histogram!("tarragonknot_control_delay_seconds").record(delay);
+        if delay >= REPORTED_DELAY {
+            warn!(self.setup.log, "control thread was late"; "late_ms" => delay.as_millis() as u64);
+        }
+    }
+
     fn receive(&mut self, envelope: ReplicaEnvelope<ControlCommand>) {
         let now = self.now();
         let Some(core) = &mut self.core else { return };
@@ -305,7 +321,8 @@
                 self.rollout_tracker.clear();
             }
             (false, true) => {
-                info!(self.setup.log, "no longer leads");
+                info!(self.setup.log, "no longer leads"; "reason" => self.leadership_end(),
+                    "silent_ms" => self.silences());
                 self.registry = None;
                 let leader = self.leader_address();
                 let mut waiting = std::mem::take(&mut self.waiting);
@@ -320,6 +337,23 @@
         }
     }
 
+    fn leadership_end(&self) -> String {
+        let reason = self.core.as_ref().map(ReplicaCore::leadership_end);
+        reason.flatten().map_or_else(|| "folder failed".to_owned(), |reason| format!("{reason:?}"))
+    }
+
+    /// The time since the last reply of each other member, as text for the log.
+    fn silences(&self) -> String {
+        let Some(core) = &self.core else { return String::new() };
+        let now = self.now();
+        let others = core.membership().members().map(|(id, _)| id).filter(|id| *id != core.id());
+        let silences = others.filter_map(|id| {
+            let silence = now.since(core.last_contact(id)?);
+            Some(format!("{} {}", id.daemon, silence.as_millis()))
+        });
+        silences.collect::<Vec<String>>().join(", ")
+    }
+
     fn on_request(&mut self, request: ControlRequest) {
         match request {
             ControlRequest::Replica { envelope, reply } => self.on_envelope(*envelope, reply),
--- a/src/control/links.rs
+++ b/src/control/links.rs
@@ -6,14 +6,14 @@
 use http::{HeaderMap, HeaderValue, header};
 use jsonrpsee::core::ClientError;
 use jsonrpsee::ws_client::{PingConfig, WsClient, WsClientBuilder};
-use slog::{Logger, debug};
+use slog::{Logger, debug, info, warn};
 use snafu::Snafu;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
 /// Timeout for opening a connection.
@@ -24,6 +24,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout for a snapshot or a large batch of entries.
 const BULK_CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Duration from which an answered call to a peer is logged.
+const LONG_CALL: Duration = Duration::from_millis(100);
 /// Maximum number of messages queued for one peer; further ones are dropped, as by a lossy network.
 const PEER_QUEUE_CAPACITY: usize = 256;
 /// Maximum number of concurrent calls to one peer.
@@ -319,15 +321,21 @@
         let Ok(permit) = Arc::clone(&calls).acquire_owned().await else { return };
         let replies = replies.clone();
         let broken_sender = broken_sender.clone();
+        let log = log.clone();
         tokio::spawn(async move {
             let _permit = permit;
             let limit = call_timeout(&envelope);
+            let call = PeerCall::new(address, &envelope, log);
             match tokio::time::timeout(limit, open.replica(envelope)).await {
-                Ok(Ok(envelopes)) => envelopes.into_iter().for_each(|reply| {
-                    let _ = replies.send(reply);
-                }),
+                Ok(Ok(envelopes)) => {
+                    call.log_answered();
+                    envelopes.into_iter().for_each(|reply| {
+                        let _ = replies.send(reply);
+                    });
+                }
                 Ok(Err(ClientError::Call(_))) => {}
                 _ => {
+                    call.log_unanswered();
                     let _ = broken_sender.try_send(());
                 }
             }
@@ -342,3 +350,38 @@
         _ => CALL_TIMEOUT,
     }
 }
+
+/// A call to a peer, as it appears in the log.
+struct PeerCall {
+    peer: SocketAddr,
+    kind: &'static str,
+    entries: usize,
+    sent_at: Instant,
+    log: Logger,
+}
+
+impl PeerCall {
+    fn new(peer: SocketAddr, envelope: &ReplicaEnvelope<ControlCommand>, log: Logger) -> Self {
+        let (kind, entries) = match &envelope.message {
+            ReplicaMessage::Append { entries, .. } if entries.is_empty() => ("heartbeat", 0),
+            ReplicaMessage::Append { entries, .. } => ("entries", entries.len()),
+            ReplicaMessage::Snapshot { .. } => ("snapshot", 0),
+            _ => ("vote", 0),
+        };
+        PeerCall { peer, kind, entries, sent_at: Instant::now(), log }
+    }
+
+    /// Logs a call that took long. The number of concurrent calls bounds the number of lines.
+    fn log_answered(&self) {
+        let taken = self.sent_at.elapsed();
+        if taken >= LONG_CALL {
+            info!(self.log, "peer answered late"; "peer" => self.peer, "kind" => self.kind,
+                "entries" => self.entries, "taken_ms" => taken.as_millis() as u64);
+        }
+    }
+
+    fn log_unanswered(&self) {
+        warn!(self.log, "peer did not answer"; "peer" => self.peer, "kind" => self.kind,
+            "entries" => self.entries, "taken_ms" => self.sent_at.elapsed().as_millis() as u64);
+    }
+}
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -53,6 +53,17 @@
     Leader,
 }
 
+/// Why a replica stopped leading.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeadershipEnd {
+    /// A quorum did not reply within the minimum election timeout.
+    QuorumSilent,
+    /// Another replica has a newer term.
+    NewerTerm,
+    /// The replica was removed from the voters.
+    Removed,
+}
+
 /// The leader's view of another member.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PeerProgress {
@@ -144,6 +155,7 @@
     pub(super) round: u64,
     pub(super) sent_rounds: VecDeque<(u64, Moment)>,
     pub(super) lease_until: Moment,
+    pub(super) leadership_end: Option<LeadershipEnd>,
     pub(super) output: ReplicaOutput<C>,
 }
 
@@ -180,6 +192,7 @@
             round: 0,
             sent_rounds: VecDeque::new(),
             lease_until: Moment(0),
+            leadership_end: None,
             output: ReplicaOutput::default(),
         };
         core.refresh_membership();
@@ -436,6 +449,11 @@
             && self.log.term_at(self.commit_index) == Some(self.hard_state.term)
     }
 
+    /// Why this replica last stopped leading; `None` if it never led.
+    pub fn leadership_end(&self) -> Option<LeadershipEnd> {
+        self.leadership_end
+    }
+
     /// Expiry of the leader lease.
     pub fn lease_until(&self) -> Moment {
         self.lease_until
--- a/src/replica/election.rs
+++ b/src/replica/election.rs
@@ -1,6 +1,6 @@
 //! Leader election: pre-vote, vote and step-down.
 
-use super::core::{PeerProgress, ReplicaCore, ReplicaRole};
+use super::core::{LeadershipEnd, PeerProgress, ReplicaCore, ReplicaRole};
 use super::log::{EntryPayload, LogPosition};
 use super::membership::VoterId;
 use super::messages::ReplicaMessage;
@@ -179,7 +179,7 @@
         self.hard_state.term = term;
         self.hard_state.vote = None;
         self.store_hard_state();
-        self.step_down(now, rng);
+        self.step_down(LeadershipEnd::NewerTerm, now, rng);
         true
     }
 
@@ -187,7 +187,10 @@
         self.output.hard_state = Some(self.hard_state.clone());
     }
 
-    pub(super) fn step_down(&mut self, now: Moment, rng: &mut dyn RngCore) {
+    pub(super) fn step_down(&mut self, reason: LeadershipEnd, now: Moment, rng: &mut dyn RngCore) {
+        if self.role == ReplicaRole::Leader {
+            self.leadership_end = Some(reason);
+        }
         self.role = ReplicaRole::Follower;
         self.leader = None;
         self.lease_until = Moment(0);
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -13,7 +13,9 @@
 mod messages;
 mod replication;
 
-pub use self::core::{InitialState, ReplicaConfig, ReplicaCore, ReplicaOutput, ReplicaRole};
+pub use self::core::{
+    InitialState, LeadershipEnd, ReplicaConfig, ReplicaCore, ReplicaOutput, ReplicaRole,
+};
 pub use log::{EntryPayload, LogEntry, LogPosition, MemoryLog};
 pub use membership::{FleetId, FleetMembership, VoterId};
 pub use messages::{HardState, ReplicaEnvelope, ReplicaMessage, SnapshotRecord};
--- a/src/replica/replication.rs
+++ b/src/replica/replication.rs
@@ -1,6 +1,6 @@
 //! Log replication: heartbeats, entries, snapshots, commits and the leader lease.
 
-use super::core::{ReplicaCore, ReplicaRole};
+use super::core::{LeadershipEnd, ReplicaCore, ReplicaRole};
 use super::log::{LogEntry, LogPosition, MemoryLog};
 use super::membership::VoterId;
 use super::messages::{ReplicaMessage, SnapshotRecord};
@@ -15,7 +15,7 @@
 impl<C: Clone + std::fmt::Debug> ReplicaCore<C> {
     pub(super) fn tick_leader(&mut self, now: Moment, rng: &mut dyn RngCore) {
         if !self.has_quorum_contact(now) {
-            return self.step_down(now, rng);
+            return self.step_down(LeadershipEnd::QuorumSilent, now, rng);
         }
         if now >= self.heartbeat_at {
             self.broadcast(now);
@@ -226,6 +226,7 @@
             self.role = ReplicaRole::Follower;
             self.leader = None;
             self.lease_until = Moment(0);
+            self.leadership_end = Some(LeadershipEnd::Removed);
         }
     }
 }
