--- /dev/null
+++ b/tests/slow_voters.rs
@@ -0,0 +1,401 @@
+//! Voters in virtual time whose control thread needs time for every byte that it writes or reads,
+//! and an operator who edits a large table.
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tarragonknot::control::{
+    ControlCommand, ControlLedger, NumberedTable, lost_voters, may_join, next_membership,
+};
+use tarragonknot::policy::Moment;
+use tarragonknot::replica::{
+    EntryPayload, FleetId, FleetMembership, HardState, InitialState, LogEntry, LogPosition,
+    ReplicaConfig, ReplicaCore, ReplicaEnvelope, ReplicaMessage, ReplicaOutput, ReplicaRole,
+    SnapshotRecord, VoterId,
+};
+
+const STEP: Duration = Duration::from_millis(1);
+const TICK: Duration = Duration::from_millis(20);
+/// Bytes that a voter with a seventh of a core writes or reads in a millisecond.
+const BYTES_PER_MS: u64 = 10_000;
+/// Time to handle a message, apart from its bytes.
+const MESSAGE_TIME: Duration = Duration::from_micros(300);
+/// Pause between two requests to join.
+const JOIN_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after which the operator sends an unanswered edit again.
+const RESEND_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum number of edits that the operator has under way.
+const MAX_EDITS_UNDER_WAY: usize = 8;
+/// Number of entries after which the control loop writes a snapshot.
+const ENTRIES_PER_SNAPSHOT: u64 = 4_096;
+const FLEET_ID: FleetId = FleetId(3);
+
+/// What one run of the voters is like.
+#[derive(Clone, Copy, Debug)]
+pub struct VoterSetup {
+    pub voters: usize,
+    /// One-way latency between voters.
+    pub latency: Duration,
+    pub table_bytes: usize,
+    pub seed: u64,
+}
+
+struct VoterDisk {
+    hard_state: HardState,
+    snapshot: SnapshotRecord,
+    entries: Vec<LogEntry<ControlCommand>>,
+}
+
+impl VoterDisk {
+    fn new(membership: FleetMembership) -> Self {
+        let at = LogPosition::default();
+        let snapshot = SnapshotRecord { at, membership, state: Arc::from("") };
+        VoterDisk { hard_state: HardState::default(), snapshot, entries: Vec::new() }
+    }
+}
+
+struct SlowVoter {
+    id: VoterId,
+    disk: VoterDisk,
+    /// `None` while the process is down.
+    core: Option<ReplicaCore<ControlCommand>>,
+    ledger: ControlLedger,
+    inbox: VecDeque<(Moment, ReplicaEnvelope<ControlCommand>)>,
+    busy_until: Moment,
+    tick_at: Moment,
+    starts_at: Moment,
+    is_cut_off: bool,
+}
+
+/// An edit of the operator.
+#[derive(Clone, Copy, Debug)]
+pub struct OperatorEdit {
+    pub version: u64,
+    pub sent_at: Moment,
+    pub acked_at: Option<Moment>,
+    tried_at: Option<Moment>,
+}
+
+/// The voters and their operator.
+pub struct SlowFleet {
+    setup: VoterSetup,
+    rng: ChaCha8Rng,
+    pub now: Moment,
+    voters: Vec<SlowVoter>,
+    pub edits: Vec<OperatorEdit>,
+    edit_interval: Option<Duration>,
+    edit_at: Moment,
+    next_folder: u32,
+}
+
+fn control_address(position: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, position as u8 + 1], 7_600))
+}
+
+fn voter_id(position: usize, folder_id: u32) -> VoterId {
+    VoterId { daemon: format!("core-{position}").as_str().into(), folder_id }
+}
+
+fn entry_bytes(entry: &LogEntry<ControlCommand>) -> u64 {
+    match &entry.payload {
+        EntryPayload::Command(ControlCommand::Replace(numbered)) => numbered.document.len() as u64,
+        _ => 0,
+    }
+}
+
+fn message_bytes(message: &ReplicaMessage<ControlCommand>) -> u64 {
+    match message {
+        ReplicaMessage::Append { entries, .. } => entries.iter().map(entry_bytes).sum(),
+        ReplicaMessage::Snapshot { snapshot, .. } => snapshot.state.len() as u64,
+        _ => 0,
+    }
+}
+
+fn handling_time(bytes: u64) -> Duration {
+    MESSAGE_TIME + Duration::from_micros(bytes * 1_000 / BYTES_PER_MS)
+}
+
+impl SlowFleet {
+    pub fn new(setup: VoterSetup) -> Self {
+        let members = (0..setup.voters).map(|at| (voter_id(at, 0), control_address(at)));
+        let voters = members.collect();
+        let membership = FleetMembership { voters, fleet: FLEET_ID, ..FleetMembership::default() };
+        let now = Moment(1_000_000);
+        let voter = |position| SlowVoter {
+            id: voter_id(position, 0),
+            disk: VoterDisk::new(membership.clone()),
+            core: None,
+            ledger: ControlLedger::default(),
+            inbox: VecDeque::new(),
+            busy_until: now,
+            tick_at: now,
+            starts_at: now,
+            is_cut_off: false,
+        };
+        SlowFleet {
+            setup,
+            rng: ChaCha8Rng::seed_from_u64(setup.seed),
+            now,
+            voters: (0..setup.voters).map(voter).collect(),
+            edits: Vec::new(),
+            edit_interval: None,
+            edit_at: now,
+            next_folder: 1,
+        }
+    }
+
+    /// Sets how often the operator edits the table; `None` for never.
+    pub fn edit_every(&mut self, interval: Option<Duration>) {
+        self.edit_interval = interval;
+        self.edit_at = self.now;
+    }
+
+    pub fn run_for(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + STEP;
+            self.drive_operator();
+            for position in 0..self.voters.len() {
+                self.run_voter(position);
+            }
+        }
+    }
+
+    /// The voter that leads and holds the lease.
+    pub fn leader(&self) -> Option<usize> {
+        let leads =
+            |voter: &SlowVoter| voter.core.as_ref().is_some_and(|core| core.has_lease(self.now));
+        self.voters.iter().position(leads)
+    }
+
+    /// A voter that does not lead.
+    pub fn follower(&self) -> usize {
+        let leader = self.leader();
+        (0..self.voters.len()).find(|position| Some(*position) != leader).expect("a follower")
+    }
+
+    /// Cuts a voter off from all others, or joins it to them again.
+    pub fn cut_off(&mut self, position: usize, is_cut_off: bool) {
+        self.voters[position].is_cut_off = is_cut_off;
+    }
+
+    /// Takes the power of a voter for `span`.
+    pub fn stop(&mut self, position: usize, span: Duration) {
+        let starts_at = self.now + span;
+        let voter = &mut self.voters[position];
+        voter.core = None;
+        voter.inbox.clear();
+        voter.starts_at = starts_at;
+    }
+
+    /// Takes the power and the disk of a voter, which starts again after `span` with an empty one.
+    pub fn wipe(&mut self, position: usize, span: Duration) {
+        self.stop(position, span);
+        let membership = FleetMembership { fleet: FLEET_ID, ..FleetMembership::default() };
+        let voter = &mut self.voters[position];
+        voter.disk = VoterDisk::new(membership);
+        voter.id = voter_id(position, self.next_folder);
+        self.next_folder += 1;
+    }
+
+    /// The longest time that an edit waited for its acknowledgement, not counted before `since`.
+    pub fn longest_wait(&self, since: Moment) -> Duration {
+        let wait =
+            |edit: &OperatorEdit| edit.acked_at.unwrap_or(self.now).since(edit.sent_at.max(since));
+        self.edits.iter().map(wait).max().unwrap_or_default()
+    }
+
+    /// True if every voter has the newest acknowledged edit.
+    pub fn is_complete(&self) -> bool {
+        let newest = self.edits.iter().rev().find(|edit| edit.acked_at.is_some());
+        let version = newest.map_or(0, |edit| edit.version);
+        self.voters.iter().all(|voter| voter.ledger.table().version >= version)
+    }
+
+    fn drive_operator(&mut self) {
+        let under_way = self.edits.iter().filter(|edit| edit.acked_at.is_none()).count();
+        if let Some(interval) = self.edit_interval
+            && self.now >= self.edit_at
+            && under_way < MAX_EDITS_UNDER_WAY
+        {
+            self.edit_at = self.now + interval;
+            let version = self.edits.len() as u64 + 1;
+            let (sent_at, acked_at) = (self.now, None);
+            self.edits.push(OperatorEdit { version, sent_at, acked_at, tried_at: None });
+        }
+        let Some(leader) = self.leader() else { return };
+        if self.voters[leader].busy_until > self.now {
+            return;
+        }
+        let is_due = |edit: &&mut OperatorEdit| {
+            edit.acked_at.is_none()
+                && edit.tried_at.is_none_or(|tried| self.now.since(tried) >= RESEND_INTERVAL)
+        };
+        let Some(edit) = self.edits.iter_mut().find(is_due) else { return };
+        edit.tried_at = Some(self.now);
+        let version = edit.version;
+        self.propose(leader, version);
+    }
+
+    fn propose(&mut self, leader: usize, version: u64) {
+        let text = "r".repeat(self.setup.table_bytes);
+        let numbered = Box::new(NumberedTable { version, document: Arc::from(text) });
+        self.voters[leader].busy_until = self.now + handling_time(self.setup.table_bytes as u64);
+        let now = self.now;
+        let Some(core) = &mut self.voters[leader].core else { return };
+        if let Ok((_, output)) = core.propose(vec![ControlCommand::Replace(numbered)], now) {
+            self.process(leader, output);
+        }
+    }
+
+    fn run_voter(&mut self, position: usize) {
+        if self.voters[position].core.is_none() && self.now >= self.voters[position].starts_at {
+            self.start(position);
+        }
+        while self.voters[position].core.is_some() && self.voters[position].busy_until <= self.now {
+            let voter = &self.voters[position];
+            let has_message = voter.inbox.front().is_some_and(|(at, _)| *at <= self.now);
+            let has_tick = voter.tick_at <= self.now;
+            // As the control loop does, which takes whichever of its inputs it polls first.
+            if has_tick && (!has_message || self.rng.random_bool(0.5)) {
+                self.tick(position);
+            } else if has_message {
+                self.receive(position);
+            } else {
+                return;
+            }
+        }
+    }
+
+    fn start(&mut self, position: usize) {
+        let now = self.now;
+        let voter = &mut self.voters[position];
+        voter.ledger = ControlLedger::from_json(&voter.disk.snapshot.state).expect("valid JSON");
+        let bytes = voter.disk.entries.iter().map(entry_bytes).sum();
+        voter.busy_until = now + handling_time(bytes);
+        let start = InitialState {
+            id: voter.id.clone(),
+            hard_state: voter.disk.hard_state.clone(),
+            snapshot: voter.disk.snapshot.clone(),
+            entries: voter.disk.entries.clone(),
+            commit_index: 0,
+        };
+        let core = ReplicaCore::new(ReplicaConfig::default(), start, now, &mut self.rng);
+        voter.core = Some(core);
+    }
+
+    fn tick(&mut self, position: usize) {
+        let now = self.now;
+        self.voters[position].tick_at = now + TICK;
+        let Some(core) = &mut self.voters[position].core else { return };
+        let output = core.tick(now, &mut self.rng);
+        self.process(position, output);
+        self.run_leader_tasks(position);
+        self.ask_to_join(position);
+    }
+
+    fn run_leader_tasks(&mut self, position: usize) {
+        let now = self.now;
+        let voter = &mut self.voters[position];
+        let Some(core) = voter.core.as_mut().filter(|core| core.has_lease(now)) else { return };
+        let lost = lost_voters(core, now);
+        let Some(membership) = next_membership(core, &voter.ledger, &lost) else { return };
+        if let Ok(output) = core.change_membership(membership, now) {
+            self.process(position, output);
+        }
+    }
+
+    fn ask_to_join(&mut self, position: usize) {
+        let now = self.now;
+        let is_due = now.0 % JOIN_INTERVAL.as_micros() as u64 <= TICK.as_micros() as u64;
+        let id = self.voters[position].id.clone();
+        let Some(leader) = self.leader().filter(|leader| is_due && *leader != position) else {
+            return;
+        };
+        let voter = &mut self.voters[leader];
+        let Some(core) = &mut voter.core else { return };
+        let membership = core.membership();
+        if membership.address(&id).is_some() || !may_join(membership, &voter.ledger, &id, true) {
+            return;
+        }
+        let membership = membership.with_learner(id, control_address(position));
+        if let Ok(output) = core.change_membership(membership, now) {
+            self.process(leader, output);
+        }
+    }
+
+    fn receive(&mut self, position: usize) {
+        let now = self.now;
+        let voter = &mut self.voters[position];
+        let Some((_, envelope)) = voter.inbox.pop_front() else { return };
+        voter.busy_until = now + handling_time(message_bytes(&envelope.message));
+        let Some(core) = &mut voter.core else { return };
+        let output = core.receive(envelope, now, &mut self.rng);
+        self.process(position, output);
+    }
+
+    /// Stores, sends and applies in the order that the control loop keeps.
+    fn process(&mut self, position: usize, output: ReplicaOutput<ControlCommand>) {
+        let voter = &mut self.voters[position];
+        if let Some(hard_state) = output.hard_state {
+            voter.disk.hard_state = hard_state;
+        }
+        if let Some(snapshot) = output.install_snapshot {
+            voter.ledger = ControlLedger::from_json(&snapshot.state).expect("valid JSON");
+            voter.disk.entries.clear();
+            voter.disk.snapshot = snapshot;
+        }
+        if let Some(index) = output.truncate_from {
+            voter.disk.entries.retain(|entry| entry.at.index < index);
+        }
+        voter.disk.entries.extend(output.entries);
+        for envelope in output.messages {
+            self.send(position, envelope);
+        }
+        for entry in output.committed {
+            self.apply(position, &entry);
+        }
+        self.compact(position);
+    }
+
+    fn send(&mut self, from: usize, envelope: ReplicaEnvelope<ControlCommand>) {
+        let cost = handling_time(message_bytes(&envelope.message));
+        let sender = &mut self.voters[from];
+        sender.busy_until = sender.busy_until.max(self.now) + cost;
+        let arrives_at = sender.busy_until + self.setup.latency;
+        let is_cut_off = sender.is_cut_off;
+        let receiver = self.voters.iter_mut().find(|voter| voter.id == envelope.to);
+        let receiver = receiver.filter(|receiver| !is_cut_off && !receiver.is_cut_off);
+        if let Some(receiver) = receiver.filter(|receiver| receiver.core.is_some()) {
+            receiver.inbox.push_back((arrives_at, envelope));
+            receiver.inbox.make_contiguous().sort_by_key(|(at, _)| *at);
+        }
+    }
+
+    fn apply(&mut self, position: usize, entry: &LogEntry<ControlCommand>) {
+        let EntryPayload::Command(command) = &entry.payload else { return };
+        let voter = &mut self.voters[position];
+        voter.ledger.apply(command);
+        let core = voter.core.as_ref();
+        if core.is_some_and(|core| core.role() == ReplicaRole::Leader) {
+            let version = voter.ledger.table().version;
+            let acked = self.edits.iter_mut().filter(|edit| edit.version <= version);
+            acked.for_each(|edit| edit.acked_at = edit.acked_at.or(Some(self.now)));
+        }
+    }
+
+    fn compact(&mut self, position: usize) {
+        let voter = &mut self.voters[position];
+        let Some(core) = &mut voter.core else { return };
+        let covered = core.applied_index().saturating_sub(core.log().base().index);
+        if covered < ENTRIES_PER_SNAPSHOT {
+            return;
+        }
+        let snapshot = core.compact(Arc::from(voter.ledger.to_json()));
+        voter.disk.entries.retain(|entry| entry.at.index > snapshot.at.index);
+        voter.disk.snapshot = snapshot;
+    }
+}
--- /dev/null
+++ b/tests/test_catch_up.rs
@@ -0,0 +1,74 @@
+//! Edits are acknowledged while voters catch up with a log of large tables.
+
+use crate::slow_voters::{SlowFleet, VoterSetup};
+use rstest::rstest;
+use std::time::Duration;
+
+/// Time within which an edit must be acknowledged while no fault is injected.
+const ACK_LIMIT: Duration = Duration::from_secs(4);
+/// Size of a table with about 350 routes.
+const TABLE_BYTES: usize = 75_000;
+const STORM_INTERVAL: Duration = Duration::from_millis(110);
+const CALM_INTERVAL: Duration = Duration::from_millis(900);
+
+fn fleet_with_edits(voters: usize, latency_ms: u64, seed: u64, seconds: u64) -> SlowFleet {
+    let latency = Duration::from_millis(latency_ms);
+    let mut fleet = SlowFleet::new(VoterSetup { voters, latency, table_bytes: TABLE_BYTES, seed });
+    fleet.run_for(Duration::from_secs(2));
+    fleet.edit_every(Some(STORM_INTERVAL));
+    fleet.run_for(Duration::from_secs(seconds));
+    fleet.edit_every(Some(CALM_INTERVAL));
+    fleet
+}
+
+/// Guards against leaders that stand still, one after the other, while they send an empty voter the
+/// log.
+#[rstest]
+fn an_empty_voter_catches_up_without_a_change_of_leader(
+    #[values((3, 1), (3, 8), (5, 1), (9, 1))] (voters, latency_ms): (usize, u64),
+    #[values(true, false)] is_leader_wiped: bool,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut fleet = fleet_with_edits(voters, latency_ms, seed, 11);
+    let leader = fleet.leader().expect("a leader");
+    let wiped = if is_leader_wiped { leader } else { fleet.follower() };
+
+    fleet.wipe(wiped, Duration::from_millis(1_500));
+    fleet.run_for(Duration::from_secs(2));
+    let calm_since = fleet.now;
+    let leader = fleet.leader();
+    fleet.run_for(Duration::from_secs(12));
+
+    let longest = fleet.longest_wait(calm_since);
+    assert!(longest <= ACK_LIMIT, "an edit waited for {longest:?}");
+    assert_eq!(fleet.leader(), leader, "no fault, so no election");
+    assert!(fleet.is_complete(), "every voter has every edit");
+}
+
+/// Guards against edits that wait while the only voter that completes the quorum is sent what it
+/// missed.
+#[rstest]
+fn a_voter_that_missed_edits_completes_the_quorum(
+    #[values(1, 8)] latency_ms: u64,
+    #[values(11, 30, 60)] seconds: u64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let latency = Duration::from_millis(latency_ms);
+    let mut fleet =
+        SlowFleet::new(VoterSetup { voters: 3, latency, table_bytes: TABLE_BYTES, seed });
+    fleet.run_for(Duration::from_secs(2));
+    let leader = fleet.leader().expect("a leader");
+    let [behind, other] = [(leader + 1) % 3, (leader + 2) % 3];
+    fleet.cut_off(behind, true);
+    fleet.edit_every(Some(STORM_INTERVAL));
+    fleet.run_for(Duration::from_secs(seconds));
+
+    fleet.edit_every(Some(CALM_INTERVAL));
+    fleet.stop(other, Duration::from_secs(60));
+    fleet.cut_off(behind, false);
+    let calm_since = fleet.now;
+    fleet.run_for(Duration::from_secs(12));
+
+    let longest = fleet.longest_wait(calm_since);
+    assert!(longest <= ACK_LIMIT, "an edit waited for {longest:?}");
+}
