--- a/src/control/links.rs
+++ b/src/control/links.rs
@@ -364,7 +364,9 @@
         let (kind, entries) = match &envelope.message {
             ReplicaMessage::Append { entries, .. } if entries.is_empty() => ("heartbeat", 0),
             ReplicaMessage::Append { entries, .. } => ("entries", entries.len()),
-            ReplicaMessage::Snapshot { .. } => ("snapshot", 0),
+            ReplicaMessage::Snapshot { .. } | ReplicaMessage::SnapshotPart { .. } => {
+                ("snapshot", 0)
+            }
             _ => ("vote", 0),
         };
         PeerCall { peer, kind, entries, sent_at: Instant::now(), log }
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -4,6 +4,7 @@
 use super::log::{EntryPayload, LogEntry, LogPosition, MemoryLog, ReplicatedCommand};
 use super::membership::{FleetMembership, VoterId};
 use super::messages::{HardState, ReplicaEnvelope, ReplicaMessage, SnapshotRecord};
+use super::transfer::{IncomingSnapshot, OutgoingSnapshot};
 use crate::policy::Moment;
 use rand::{Rng, RngCore};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -70,7 +71,7 @@
 }
 
 /// The leader's view of another member.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct PeerProgress {
     pub(super) match_index: u64,
     pub(super) next_index: u64,
@@ -80,8 +81,8 @@
     pub(super) unacked_bytes: usize,
     /// The heartbeat round in which entries were last sent.
     pub(super) entries_round: u64,
-    /// The heartbeat round in which an unacknowledged snapshot was sent.
-    pub(super) snapshot_round: Option<u64>,
+    /// The snapshot that the member is being sent.
+    pub(super) snapshot: Option<OutgoingSnapshot>,
 }
 
 /// Work for the driver, in this order: write and sync the records, send the messages, apply the
@@ -165,6 +166,8 @@
     pub(super) sent_rounds: VecDeque<(u64, Moment)>,
     pub(super) lease_until: Moment,
     pub(super) leadership_end: Option<LeadershipEnd>,
+    /// A snapshot that is received in parts.
+    pub(super) incoming_snapshot: Option<IncomingSnapshot>,
     pub(super) output: ReplicaOutput<C>,
 }
 
@@ -202,6 +205,7 @@
             sent_rounds: VecDeque::new(),
             lease_until: Moment(0),
             leadership_end: None,
+            incoming_snapshot: None,
             output: ReplicaOutput::default(),
         };
         core.refresh_membership();
@@ -248,34 +252,55 @@
                 self.on_vote_reply(from, term, granted, now, rng)
             }
             ReplicaMessage::Append { previous, entries, commit, round } => {
-                if self.accept_leader(&from, term, now, rng) {
+                if self.follows(&from, term, round, now, rng) {
                     self.on_append(from, previous, entries, commit, round);
-                } else {
-                    self.send(
-                        from,
-                        ReplicaMessage::AppendReply { accepted: false, index: 0, round },
-                    );
                 }
             }
             ReplicaMessage::Snapshot { snapshot, round } => {
-                if self.accept_leader(&from, term, now, rng) {
+                if self.follows(&from, term, round, now, rng) {
                     self.on_snapshot(from, snapshot, round);
-                } else {
-                    self.send(
-                        from,
-                        ReplicaMessage::AppendReply { accepted: false, index: 0, round },
-                    );
                 }
             }
-            ReplicaMessage::AppendReply { accepted, index, round } => {
-                if self.adopt_term(term, now, rng) {
-                    return;
+            ReplicaMessage::SnapshotPart { part, round } => {
+                if self.follows(&from, term, round, now, rng) {
+                    self.on_snapshot_part(from, part, round);
                 }
-                if term == self.hard_state.term && self.role == ReplicaRole::Leader {
+            }
+            ReplicaMessage::AppendReply { accepted, index, round } => {
+                if self.is_reply_to_leader(term, now, rng) {
                     self.on_append_reply(&from, accepted, index, round, now);
                 }
             }
+            ReplicaMessage::SnapshotPartReply { at, received, round } => {
+                if self.is_reply_to_leader(term, now, rng) {
+                    self.on_snapshot_part_reply(&from, at, received, round, now);
+                }
+            }
+        }
+    }
+
+    /// Accepts the sender as leader; otherwise sends it the current term and returns false.
+    fn follows(
+        &mut self,
+        from: &VoterId,
+        term: u64,
+        round: u64,
+        now: Moment,
+        rng: &mut dyn RngCore,
+    ) -> bool {
+        let follows = self.accept_leader(from, term, now, rng);
+        if !follows {
+            let refusal = ReplicaMessage::AppendReply { accepted: false, index: 0, round };
+            self.send(from.clone(), refusal);
         }
+        follows
+    }
+
+    /// True for a reply of the current term to this replica as leader.
+    fn is_reply_to_leader(&mut self, term: u64, now: Moment, rng: &mut dyn RngCore) -> bool {
+        !self.adopt_term(term, now, rng)
+            && term == self.hard_state.term
+            && self.role == ReplicaRole::Leader
     }
 
     /// Appends commands to the log as leader and returns the index of the first. They are committed
--- a/src/replica/election.rs
+++ b/src/replica/election.rs
@@ -167,7 +167,7 @@
                 last_contact: now,
                 unacked_bytes: 0,
                 entries_round: 0,
-                snapshot_round: None,
+                snapshot: None,
             };
             self.progress.entry(id).or_insert(fresh);
         }
--- a/src/replica/messages.rs
+++ b/src/replica/messages.rs
@@ -78,6 +78,37 @@
         /// Number of the heartbeat round.
         round: u64,
     },
+    /// A part of a snapshot that is too large for one message.
+    SnapshotPart {
+        /// The part.
+        part: SnapshotPart,
+        /// Number of the heartbeat round.
+        round: u64,
+    },
+    /// Reply to [`ReplicaMessage::SnapshotPart`], unless the part completed the snapshot.
+    SnapshotPartReply {
+        /// Position of the snapshot.
+        at: LogPosition,
+        /// Number of bytes received, and offset of the part to send next.
+        received: usize,
+        /// Number of the heartbeat round.
+        round: u64,
+    },
+}
+
+/// A part of a [`SnapshotRecord`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SnapshotPart {
+    /// Position of the last entry covered by the snapshot.
+    pub at: LogPosition,
+    /// The membership at that position.
+    pub membership: FleetMembership,
+    /// Offset of this part in the serialised state machine, in bytes.
+    pub offset: usize,
+    /// This part of the serialised state machine.
+    pub text: String,
+    /// True for the last part.
+    pub is_last: bool,
 }
 
 impl<C: ReplicatedCommand> ReplicaMessage<C> {
@@ -88,6 +119,7 @@
                 entries.iter().map(LogEntry::size_bytes).sum()
             }
             ReplicaMessage::Snapshot { snapshot, .. } => snapshot.state.len(),
+            ReplicaMessage::SnapshotPart { part, .. } => part.text.len(),
             _ => 0,
         }
     }
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -12,13 +12,14 @@
 mod membership;
 mod messages;
 mod replication;
+mod transfer;
 
 pub use self::core::{
     InitialState, LeadershipEnd, ReplicaConfig, ReplicaCore, ReplicaOutput, ReplicaRole,
 };
 pub use log::{EntryPayload, LogEntry, LogPosition, MemoryLog, ReplicatedCommand};
 pub use membership::{FleetId, FleetMembership, VoterId};
-pub use messages::{HardState, ReplicaEnvelope, ReplicaMessage, SnapshotRecord};
+pub use messages::{HardState, ReplicaEnvelope, ReplicaMessage, SnapshotPart, SnapshotRecord};
 
 use snafu::Snafu;
 
--- a/src/replica/replication.rs
+++ b/src/replica/replication.rs
@@ -3,13 +3,14 @@
 use super::core::{LeadershipEnd, PeerProgress, ReplicaConfig, ReplicaCore, ReplicaRole};
 use super::log::{LogEntry, LogPosition, MemoryLog, ReplicatedCommand};
 use super::membership::VoterId;
-use super::messages::{ReplicaMessage, SnapshotRecord};
+use super::messages::{ReplicaMessage, SnapshotPart, SnapshotRecord};
+use super::transfer::{OutgoingSnapshot, PartOutcome, receive_part};
 use crate::policy::Moment;
 use rand::RngCore;
 
 /// Maximum number of heartbeat rounds whose send time is remembered.
 const MAX_SENT_ROUNDS: usize = 256;
-/// Number of heartbeat rounds after which an unacknowledged snapshot is sent again.
+/// Number of heartbeat rounds after which an unacknowledged snapshot, or part of one, is sent again.
 const SNAPSHOT_RETRY_ROUNDS: u64 = 40;
 
 impl<C: ReplicatedCommand> ReplicaCore<C> {
@@ -54,25 +55,9 @@
     fn send_entries(&mut self, to: VoterId) {
         let round = self.round;
         let Some(progress) = self.progress.get_mut(&to) else { return };
-        let is_snapshot_pending =
-            progress.snapshot_round.is_some_and(|sent| round < sent + SNAPSHOT_RETRY_ROUNDS);
         let previous_index = progress.next_index - 1;
-        let Some(term) = self.log.term_at(previous_index).filter(|_| !is_snapshot_pending) else {
-            if !is_snapshot_pending {
-                progress.snapshot_round = Some(round);
-                let snapshot = self.snapshot.clone();
-                return self.send(to, ReplicaMessage::Snapshot { snapshot, round });
-            }
-            // An empty heartbeat prevents an election by the follower while the snapshot is in
-            // transit.
-            let message = ReplicaMessage::Append {
-                previous: self.snapshot.at,
-                entries: Vec::new(),
-                commit: 0,
-                round,
-            };
-            return self.send(to, message);
-        };
+        let term = self.log.term_at(previous_index).filter(|_| progress.snapshot.is_none());
+        let Some(term) = term else { return self.send_snapshot(to) };
         let previous = LogPosition { term, index: previous_index };
         let entries = next_batch(&self.log, progress, &self.config).to_vec();
         if !entries.is_empty() {
@@ -84,6 +69,37 @@
         self.send(to, ReplicaMessage::Append { previous, entries, commit, round });
     }
 
+    /// Sends the next part of the snapshot, or a heartbeat while a part is on its way.
+    fn send_snapshot(&mut self, to: VoterId) {
+        let round = self.round;
+        let Some(progress) = self.progress.get_mut(&to) else { return };
+        if let Some(outgoing) = &mut progress.snapshot {
+            if round < outgoing.sent_round + SNAPSHOT_RETRY_ROUNDS {
+                // The empty heartbeat prevents an election by the follower.
+                let previous = outgoing.record.at;
+                let entries = Vec::new();
+                let message = ReplicaMessage::Append { previous, entries, commit: 0, round };
+                return self.send(to, message);
+            }
+            outgoing.sent_round = round;
+        }
+        self.send_snapshot_part(to);
+    }
+
+    fn send_snapshot_part(&mut self, to: VoterId) {
+        let round = self.round;
+        let max_bytes = self.config.max_unacked_bytes;
+        let Some(progress) = self.progress.get_mut(&to) else { return };
+        let outgoing = progress
+            .snapshot
+            .get_or_insert_with(|| OutgoingSnapshot::new(self.snapshot.clone(), round));
+        let message = match outgoing.record.state.len() <= max_bytes {
+            true => ReplicaMessage::Snapshot { snapshot: outgoing.record.clone(), round },
+            false => ReplicaMessage::SnapshotPart { part: outgoing.part(max_bytes), round },
+        };
+        self.send(to, message);
+    }
+
     pub(super) fn on_append(
         &mut self,
         from: VoterId,
@@ -141,6 +157,42 @@
         self.send(from, ReplicaMessage::AppendReply { accepted: true, index, round });
     }
 
+    pub(super) fn on_snapshot_part(&mut self, from: VoterId, part: SnapshotPart, round: u64) {
+        let at = part.at;
+        if at.index <= self.commit_index {
+            let index = self.commit_index;
+            let message = ReplicaMessage::AppendReply { accepted: true, index, round };
+            return self.send(from, message);
+        }
+        match receive_part(&mut self.incoming_snapshot, part) {
+            PartOutcome::Complete(snapshot) => self.on_snapshot(from, snapshot, round),
+            PartOutcome::Continue(received) => {
+                self.send(from, ReplicaMessage::SnapshotPartReply { at, received, round });
+            }
+        }
+    }
+
+    pub(super) fn on_snapshot_part_reply(
+        &mut self,
+        from: &VoterId,
+        at: LogPosition,
+        received: usize,
+        round: u64,
+        now: Moment,
+    ) {
+        let current_round = self.round;
+        let Some(progress) = self.progress.get_mut(from) else { return };
+        progress.last_contact = now;
+        progress.acked_round = progress.acked_round.max(round);
+        let outgoing = progress.snapshot.as_mut().filter(|outgoing| outgoing.record.at == at);
+        let has_next =
+            outgoing.is_some_and(|outgoing| outgoing.continue_at(received, current_round));
+        self.extend_lease();
+        if has_next {
+            self.send_snapshot_part(from.clone());
+        }
+    }
+
     pub(super) fn on_append_reply(
         &mut self,
         from: &VoterId,
@@ -157,11 +209,10 @@
         if accepted {
             progress.match_index = progress.match_index.max(index);
             progress.next_index = progress.next_index.max(progress.match_index + 1);
-            if progress
-                .snapshot_round
-                .is_some_and(|sent| round >= sent && index >= self.snapshot.at.index)
-            {
-                progress.snapshot_round = None;
+            let has_snapshot =
+                progress.snapshot.as_ref().is_some_and(|sent| index >= sent.record.at.index);
+            if has_snapshot {
+                progress.snapshot = None;
                 progress.next_index = progress.match_index + 1;
             }
         } else if !is_outdated {
@@ -175,7 +226,7 @@
         };
         // While a snapshot is in transit, replying to a rejected heartbeat with another one would
         // loop without end.
-        let has_more_to_send = progress.snapshot_round.is_none()
+        let has_more_to_send = progress.snapshot.is_none()
             && !is_outdated
             && (!accepted || !next_batch(&self.log, progress, &self.config).is_empty());
         self.extend_lease();
--- a/tests/slow_voters.rs
+++ b/tests/slow_voters.rs
@@ -7,14 +7,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tarragonknot::claim::{ClaimCommand, ClaimKey, ClaimOutcome, ClaimOwner, RecordedAnswer};
 use tarragonknot::control::{
     ControlCommand, ControlLedger, NumberedTable, lost_voters, may_join, next_membership,
 };
 use tarragonknot::policy::Moment;
 use tarragonknot::replica::{
     EntryPayload, FleetId, FleetMembership, HardState, InitialState, LogEntry, LogPosition,
-    ReplicaConfig, ReplicaCore, ReplicaEnvelope, ReplicaOutput, ReplicaRole, SnapshotRecord,
-    VoterId,
+    ReplicaConfig, ReplicaCore, ReplicaEnvelope, ReplicaMessage, ReplicaOutput, ReplicaRole,
+    SnapshotRecord, VoterId,
 };
 
 const STEP: Duration = Duration::from_millis(1);
@@ -29,8 +30,6 @@
 const RESEND_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of edits that the operator has under way.
 const MAX_EDITS_UNDER_WAY: usize = 8;
-/// Number of entries after which the control loop writes a snapshot.
-const ENTRIES_PER_SNAPSHOT: u64 = 4_096;
 const FLEET_ID: FleetId = FleetId(3);
 
 /// What one run of the voters is like.
@@ -40,9 +39,23 @@
     /// One-way latency between voters.
     pub latency: Duration,
     pub table_bytes: usize,
+    /// Number of entries after which a voter writes a snapshot.
+    pub entries_per_snapshot: u64,
     pub seed: u64,
 }
 
+impl Default for VoterSetup {
+    fn default() -> Self {
+        VoterSetup {
+            voters: 3,
+            latency: Duration::from_millis(1),
+            table_bytes: 75_000,
+            entries_per_snapshot: 4_096,
+            seed: 1,
+        }
+    }
+}
+
 struct VoterDisk {
     hard_state: HardState,
     snapshot: SnapshotRecord,
@@ -89,6 +102,8 @@
     edit_interval: Option<Duration>,
     edit_at: Moment,
     next_folder: u32,
+    /// Number of snapshots that are still to be lost on their way.
+    snapshots_to_lose: usize,
 }
 
 fn control_address(position: usize) -> SocketAddr {
@@ -99,6 +114,28 @@
     VoterId { daemon: format!("core-{position}").as_str().into(), folder_id }
 }
 
+fn is_snapshot(message: &ReplicaMessage<ControlCommand>) -> bool {
+    matches!(message, ReplicaMessage::Snapshot { .. } | ReplicaMessage::SnapshotPart { .. })
+}
+
+/// A claim that is acquired and answered.
+fn claim_commands(number: usize, bytes: usize) -> Vec<ControlCommand> {
+    let key = ClaimKey { organisation: "org".into(), key: format!("key-{number}") };
+    let owner = ClaimOwner { daemon: "entry".into(), boot: 1, request: format!("{number}") };
+    let acquire = ClaimCommand::Acquire {
+        key: key.clone(),
+        digest: String::new(),
+        owner: owner.clone(),
+        timestamp_ms: 0,
+        ttl_ms: 3_600_000,
+    };
+    let content_type = "text/plain".to_owned();
+    let body = Some("a".repeat(bytes));
+    let outcome = ClaimOutcome::Answered(RecordedAnswer { status: 200, content_type, body });
+    let settle = ClaimCommand::Settle { key, owner, outcome };
+    [acquire, settle].map(ControlCommand::Claim).into()
+}
+
 fn handling_time(bytes: usize) -> Duration {
     MESSAGE_TIME + Duration::from_micros(bytes as u64 * 1_000 / BYTES_PER_MS)
 }
@@ -129,6 +166,7 @@
             edit_interval: None,
             edit_at: now,
             next_folder: 1,
+            snapshots_to_lose: 0,
         }
     }
 
@@ -167,6 +205,24 @@
         self.voters[position].is_cut_off = is_cut_off;
     }
 
+    /// Loses the next snapshots, or parts of one, on their way.
+    pub fn lose_snapshots(&mut self, count: usize) {
+        self.snapshots_to_lose = count;
+    }
+
+    /// Stores `count` claims, each with an answer of `bytes`.
+    pub fn store_claims(&mut self, count: usize, bytes: usize) {
+        for number in 0..count {
+            let Some(leader) = self.leader() else { return };
+            let now = self.now;
+            let Some(core) = &mut self.voters[leader].core else { return };
+            let commands = claim_commands(number, bytes);
+            let output = core.propose(commands, now).map(|(_, output)| output);
+            self.process(leader, output.unwrap_or_default());
+            self.run_for(Duration::from_millis(10));
+        }
+    }
+
     /// Takes the power of a voter for `span`.
     pub fn stop(&mut self, position: usize, span: Duration) {
         let starts_at = self.now + span;
@@ -351,6 +407,10 @@
         let sender = &mut self.voters[from];
         sender.busy_until = sender.busy_until.max(self.now) + cost;
         let arrives_at = sender.busy_until + self.setup.latency;
+        if self.snapshots_to_lose > 0 && is_snapshot(&envelope.message) {
+            self.snapshots_to_lose -= 1;
+            return;
+        }
         let is_cut_off = sender.is_cut_off;
         let receiver = self.voters.iter_mut().find(|voter| voter.id == envelope.to);
         let receiver = receiver.filter(|receiver| !is_cut_off && !receiver.is_cut_off);
@@ -376,7 +436,7 @@
         let voter = &mut self.voters[position];
         let Some(core) = &mut voter.core else { return };
         let covered = core.applied_index().saturating_sub(core.log().base().index);
-        if covered < ENTRIES_PER_SNAPSHOT {
+        if covered < self.setup.entries_per_snapshot {
             return;
         }
         let snapshot = core.compact(Arc::from(voter.ledger.to_json()));
--- a/tests/test_catch_up.rs
+++ b/tests/test_catch_up.rs
@@ -6,14 +6,12 @@
 
 /// Time within which an edit must be acknowledged while no fault is injected.
 const ACK_LIMIT: Duration = Duration::from_secs(4);
-/// Size of a table with about 350 routes.
-const TABLE_BYTES: usize = 75_000;
 const STORM_INTERVAL: Duration = Duration::from_millis(110);
 const CALM_INTERVAL: Duration = Duration::from_millis(900);
 
 fn fleet_with_edits(voters: usize, latency_ms: u64, seed: u64, seconds: u64) -> SlowFleet {
     let latency = Duration::from_millis(latency_ms);
-    let mut fleet = SlowFleet::new(VoterSetup { voters, latency, table_bytes: TABLE_BYTES, seed });
+    let mut fleet = SlowFleet::new(VoterSetup { voters, latency, seed, ..VoterSetup::default() });
     fleet.run_for(Duration::from_secs(2));
     fleet.edit_every(Some(STORM_INTERVAL));
     fleet.run_for(Duration::from_secs(seconds));
@@ -54,8 +52,7 @@
     #[values(1, 2, 3)] seed: u64,
 ) {
     let latency = Duration::from_millis(latency_ms);
-    let mut fleet =
-        SlowFleet::new(VoterSetup { voters: 3, latency, table_bytes: TABLE_BYTES, seed });
+    let mut fleet = SlowFleet::new(VoterSetup { latency, seed, ..VoterSetup::default() });
     fleet.run_for(Duration::from_secs(2));
     let leader = fleet.leader().expect("a leader");
     let [behind, other] = [(leader + 1) % 3, (leader + 2) % 3];
@@ -72,3 +69,47 @@
     let longest = fleet.longest_wait(calm_since);
     assert!(longest <= ACK_LIMIT, "an edit waited for {longest:?}");
 }
+
+/// Guards against edits that wait until a lost snapshot is sent again.
+#[rstest]
+fn a_lost_snapshot_is_sent_again_in_time(#[values(1, 2, 3)] seed: u64) {
+    let setup =
+        VoterSetup { table_bytes: 2_000, entries_per_snapshot: 20, seed, ..VoterSetup::default() };
+    let mut fleet = SlowFleet::new(setup);
+    fleet.run_for(Duration::from_secs(2));
+    let leader = fleet.leader().expect("a leader");
+    let [behind, other] = [(leader + 1) % 3, (leader + 2) % 3];
+    fleet.cut_off(behind, true);
+    fleet.edit_every(Some(STORM_INTERVAL));
+    fleet.run_for(Duration::from_secs(8));
+
+    fleet.edit_every(Some(CALM_INTERVAL));
+    fleet.lose_snapshots(1);
+    fleet.stop(other, Duration::from_secs(60));
+    fleet.cut_off(behind, false);
+    let calm_since = fleet.now;
+    fleet.run_for(Duration::from_secs(12));
+
+    let longest = fleet.longest_wait(calm_since);
+    assert!(longest <= ACK_LIMIT, "an edit waited for {longest:?}");
+}
+
+/// Guards against a leader that stands still while it sends a large snapshot.
+#[rstest]
+fn a_large_snapshot_is_sent_without_a_change_of_leader(#[values(1, 2, 3)] seed: u64) {
+    let setup = VoterSetup { entries_per_snapshot: 1_000, seed, ..VoterSetup::default() };
+    let mut fleet = SlowFleet::new(setup);
+    fleet.run_for(Duration::from_secs(2));
+    fleet.store_claims(600, 20_000);
+    fleet.edit_every(Some(CALM_INTERVAL));
+
+    fleet.wipe(fleet.follower(), Duration::from_millis(1_500));
+    fleet.run_for(Duration::from_secs(2));
+    let (calm_since, leader) = (fleet.now, fleet.leader());
+    fleet.run_for(Duration::from_secs(12));
+
+    let longest = fleet.longest_wait(calm_since);
+    assert!(longest <= ACK_LIMIT, "an edit waited for {longest:?}");
+    assert_eq!(fleet.leader(), leader, "no fault, so no election");
+    assert!(fleet.is_complete(), "every voter has every edit");
+}
