--- a/src/replica/replication.rs
+++ b/src/replica/replication.rs
@@ -10,8 +10,10 @@
 
 /// Maximum number of heartbeat rounds whose send time is remembered.
 const MAX_SENT_ROUNDS: usize = 256;
-/// Number of heartbeat rounds after which an unacknowledged snapshot, or part of one, is sent again.
-const SNAPSHOT_RETRY_ROUNDS: u64 = 40;
+/// Number of heartbeat rounds after which an unacknowledged snapshot, or part of one, is sent again:
+/// several times as long as a member takes to store a part, and a fraction of the time within which
+/// an edit must be acknowledged, since a quorum may wait for this member.
+const SNAPSHOT_RETRY_ROUNDS: u64 = 10;
 
 impl<C: ReplicatedCommand> ReplicaCore<C> {
     pub(super) fn tick_leader(&mut self, now: Moment, rng: &mut dyn RngCore) {
--- a/tests/test_catch_up.rs
+++ b/tests/test_catch_up.rs
@@ -96,13 +96,17 @@
 
 /// Guards against a leader that stands still while it sends a large snapshot.
 #[rstest]
-fn a_large_snapshot_is_sent_without_a_change_of_leader(#[values(1, 2, 3)] seed: u64) {
+fn a_large_snapshot_is_sent_without_a_change_of_leader(
+    #[values(0, 2)] lost_parts: usize,
+    #[values(1, 2, 3)] seed: u64,
+) {
     let setup = VoterSetup { entries_per_snapshot: 1_000, seed, ..VoterSetup::default() };
     let mut fleet = SlowFleet::new(setup);
     fleet.run_for(Duration::from_secs(2));
     fleet.store_claims(600, 20_000);
     fleet.edit_every(Some(CALM_INTERVAL));
 
+    fleet.lose_snapshots(lost_parts);
     fleet.wipe(fleet.follower(), Duration::from_millis(1_500));
     fleet.run_for(Duration::from_secs(2));
     let (calm_since, leader) = (fleet.now, fleet.leader());
