The log of the voters is bounded by bytes, and so is what a voter must be sent or must read

Callers saw: edits that wait for their acknowledgement while voters catch up. Each edit of a platform's table holds the whole table, so the log grew by 75 KB an edit: 8 MB after 100 edits, more than a voter's disk of 128 MB after some 1,700. A voter that was cut off and then completes the quorum must be sent all that it missed; the wait grew with the log.

A redirect to a voter that has just lost its power still costs an operator 3 s.

--- a/src/control/control_loop/folder.rs
+++ b/src/control/control_loop/folder.rs
@@ -11,8 +11,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Number of log entries after which a snapshot is written.
-const ENTRIES_PER_SNAPSHOT: usize = 4_096;
 /// Delay between attempts to reopen a failed data folder.
 const REOPEN_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -92,14 +90,12 @@
 
     pub(super) fn compact_if_long(&mut self) {
         let (Some(core), Some(store)) = (&mut self.core, &mut self.store) else { return };
-        let covered = core.applied_index().saturating_sub(core.log().base().index);
-        if (covered as usize) < ENTRIES_PER_SNAPSHOT {
+        if !core.should_compact() {
             return;
         }
         let snapshot = core.compact(Arc::from(self.ledger.to_json()));
-        if let Err(fault) =
-            store.replace_with_snapshot(&snapshot, &self.hard_state, core.log().entries())
-        {
+        let entries = core.entries_after_snapshot();
+        if let Err(fault) = store.replace_with_snapshot(&snapshot, &self.hard_state, entries) {
             self.stop_voting(&fault);
         }
     }
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -15,6 +15,10 @@
 /// leader.
 pub const ELECTION_JITTER_SHARE: f64 = 0.5;
 
+/// Size of applied entries from which a snapshot replaces them, in sizes of the previous snapshot.
+/// It bounds the writing of snapshots to a part of the writing of the log.
+const SNAPSHOT_RATIO: usize = 4;
+
 /// Timing and batching parameters of a replica.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReplicaConfig {
@@ -32,6 +36,14 @@
     /// sent alone. Writing or reading a message keeps the control thread from all else, so the time
     /// that this takes must stay below the heartbeat interval.
     pub max_unacked_bytes: usize,
+    /// Number of applied entries after which a snapshot replaces them.
+    pub max_log_entries: u64,
+    /// Size of applied entries from which a snapshot replaces them, in bytes. The log is what an
+    /// empty voter must be sent and a restarted one must read, and a quorum may wait for either.
+    pub max_log_bytes: usize,
+    /// Size of the newest entries that stay in memory when a snapshot replaces them, in bytes, so
+    /// that a member which lacks only those needs no snapshot.
+    pub retained_log_bytes: usize,
 }
 
 impl Default for ReplicaConfig {
@@ -42,6 +54,9 @@
             lease_share: 0.8,
             max_batch_entries: 1_024,
             max_unacked_bytes: 256 << 10,
+            max_log_entries: 4_096,
+            max_log_bytes: 2 << 20,
+            retained_log_bytes: 512 << 10,
         }
     }
 }
@@ -156,6 +171,8 @@
     membership_index: u64,
     pub(super) commit_index: u64,
     applied_index: u64,
+    /// Size of the entries applied since the snapshot.
+    applied_bytes: usize,
     pub(super) leader: Option<VoterId>,
     pub(super) last_leader_contact: Option<Moment>,
     pub(super) election_at: Moment,
@@ -194,6 +211,7 @@
             membership_index: start.snapshot.at.index,
             commit_index,
             applied_index: start.snapshot.at.index,
+            applied_bytes: 0,
             snapshot: start.snapshot,
             leader: None,
             last_leader_contact: Some(now),
@@ -344,15 +362,24 @@
         Ok(self.take_output())
     }
 
+    /// True if a snapshot should replace the applied entries.
+    pub fn should_compact(&self) -> bool {
+        let applied = self.applied_index.saturating_sub(self.snapshot.at.index);
+        let max_bytes = self.config.max_log_bytes.max(SNAPSHOT_RATIO * self.snapshot.state.len());
+        applied >= self.config.max_log_entries || self.applied_bytes >= max_bytes
+    }
+
     /// Replaces the applied entries by a snapshot of the applied state. The driver must store and
-    /// sync the returned record before it deletes the entries from its files.
+    /// sync the returned record before it deletes the entries from its files. The newest of them
+    /// stay in memory for members that lack only these.
     pub fn compact(&mut self, state: std::sync::Arc<str>) -> SnapshotRecord {
         let index = self.applied_index;
         let at =
             LogPosition { term: self.log.term_at(index).unwrap_or(self.snapshot.at.term), index };
         let membership = self.membership_at(index).clone();
         self.snapshot = SnapshotRecord { at, membership, state };
-        self.log.compact(at);
+        self.applied_bytes = 0;
+        self.log.compact(at, self.config.retained_log_bytes);
         self.snapshot.clone()
     }
 
@@ -394,6 +421,7 @@
     fn take_output(&mut self) -> ReplicaOutput<C> {
         while self.applied_index < self.commit_index {
             let Some(entry) = self.log.get(self.applied_index + 1) else { break };
+            self.applied_bytes += entry.size_bytes();
             self.output.committed.push(entry.clone());
             self.applied_index += 1;
         }
@@ -403,6 +431,12 @@
     pub(super) fn set_applied_index(&mut self, index: u64) {
         self.commit_index = index;
         self.applied_index = index;
+        self.applied_bytes = 0;
+    }
+
+    /// The entries after the snapshot.
+    pub fn entries_after_snapshot(&self) -> &[LogEntry<C>] {
+        self.log.entries_in(self.snapshot.at.index + 1..u64::MAX)
     }
 
     /// The membership in force: the latest one in the log, committed or not.
@@ -467,7 +501,7 @@
 
     /// Number of entries after the snapshot.
     pub fn log_len(&self) -> usize {
-        self.log.entries().len()
+        self.entries_after_snapshot().len()
     }
 
     /// The log in memory.
--- a/src/replica/log.rs
+++ b/src/replica/log.rs
@@ -1,4 +1,4 @@
-//! The log in memory: the entries after the last snapshot.
+//! The log in memory: the entries after the last snapshot, and some before it.
 
 use super::membership::FleetMembership;
 use serde::{Deserialize, Serialize};
@@ -67,7 +67,7 @@
     }
 }
 
-/// The entries after a snapshot.
+/// The entries after a snapshot, and some that it covers.
 #[derive(Clone, Debug)]
 pub struct MemoryLog<C> {
     base: LogPosition,
@@ -129,11 +129,21 @@
         let kept_len = index.saturating_sub(self.base.index + 1) as usize;
         self.entries.truncate(kept_len);
     }
+}
 
-    /// Removes the entries up to `at`, which are covered by a snapshot.
-    pub fn compact(&mut self, at: LogPosition) {
+impl<C: ReplicatedCommand> MemoryLog<C> {
+    /// Removes entries up to `at`, which are covered by a snapshot, except for the newest of them
+    /// with a size of at most `retained_bytes`.
+    pub fn compact(&mut self, at: LogPosition, retained_bytes: usize) {
         let covered = (at.index.saturating_sub(self.base.index) as usize).min(self.entries.len());
-        self.entries.drain(..covered);
-        self.base = at;
+        let mut bytes = 0;
+        let is_retained = |entry: &&LogEntry<C>| {
+            bytes += entry.size_bytes();
+            bytes <= retained_bytes
+        };
+        let retained = self.entries[..covered].iter().rev().take_while(is_retained).count();
+        if let Some(last) = self.entries.drain(..covered - retained).next_back() {
+            self.base = last.at;
+        }
     }
 }
--- a/tests/schedule.rs
+++ b/tests/schedule.rs
@@ -66,6 +66,7 @@
 /// A set of voters, the messages in flight between them and the facts that must not change.
 pub struct Schedule {
     rng: ChaCha8Rng,
+    config: ReplicaConfig,
     rule: BrokenRule,
     now: u64,
     voters: Vec<TestVoter>,
@@ -96,8 +97,10 @@
     std::net::SocketAddr::from(([127, 0, 0, 1], 7_000 + position as u16))
 }
 
-fn config() -> ReplicaConfig {
-    ReplicaConfig::default()
+/// Snapshots are frequent, and every second seed retains some of the entries that they cover.
+fn config(seed: u64) -> ReplicaConfig {
+    let retained_log_bytes = if seed.is_multiple_of(2) { 0 } else { 4_000 };
+    ReplicaConfig { max_log_entries: 40, retained_log_bytes, ..ReplicaConfig::default() }
 }
 
 impl Schedule {
@@ -128,6 +131,7 @@
             .collect();
         let mut schedule = Schedule {
             rng,
+            config: config(seed),
             rule,
             now: 1_000,
             voters,
@@ -268,7 +272,7 @@
             entries: disk.entries,
             commit_index: 0,
         };
-        voter.core = Some(ReplicaCore::new(config(), start, now, &mut self.rng));
+        voter.core = Some(ReplicaCore::new(self.config, start, now, &mut self.rng));
     }
 
     fn deliver(&mut self) -> Result<(), String> {
@@ -431,7 +435,7 @@
     fn compact(&mut self, position: usize) {
         let voter = &mut self.voters[position];
         let Some(core) = &mut voter.core else { return };
-        if core.applied_index().saturating_sub(core.log().base().index) < 40 {
+        if !core.should_compact() {
             return;
         }
         let snapshot = core.compact(Arc::from(voter.ledger.to_json()));
--- a/tests/slow_voters.rs
+++ b/tests/slow_voters.rs
@@ -39,8 +39,7 @@
     /// One-way latency between voters.
     pub latency: Duration,
     pub table_bytes: usize,
-    /// Number of entries after which a voter writes a snapshot.
-    pub entries_per_snapshot: u64,
+    pub replica: ReplicaConfig,
     pub seed: u64,
 }
 
@@ -50,7 +49,7 @@
             voters: 3,
             latency: Duration::from_millis(1),
             table_bytes: 75_000,
-            entries_per_snapshot: 4_096,
+            replica: ReplicaConfig::default(),
             seed: 1,
         }
     }
@@ -324,7 +323,7 @@
             entries: voter.disk.entries.clone(),
             commit_index: 0,
         };
-        let core = ReplicaCore::new(ReplicaConfig::default(), start, now, &mut self.rng);
+        let core = ReplicaCore::new(self.setup.replica, start, now, &mut self.rng);
         voter.core = Some(core);
     }
 
@@ -435,8 +434,7 @@
     fn compact(&mut self, position: usize) {
         let voter = &mut self.voters[position];
         let Some(core) = &mut voter.core else { return };
-        let covered = core.applied_index().saturating_sub(core.log().base().index);
-        if covered < self.setup.entries_per_snapshot {
+        if !core.should_compact() {
             return;
         }
         let snapshot = core.compact(Arc::from(voter.ledger.to_json()));
--- a/tests/test_catch_up.rs
+++ b/tests/test_catch_up.rs
@@ -3,12 +3,18 @@
 use crate::slow_voters::{SlowFleet, VoterSetup};
 use rstest::rstest;
 use std::time::Duration;
+use tarragonknot::replica::ReplicaConfig;
 
 /// Time within which an edit must be acknowledged while no fault is injected.
 const ACK_LIMIT: Duration = Duration::from_secs(4);
 const STORM_INTERVAL: Duration = Duration::from_millis(110);
 const CALM_INTERVAL: Duration = Duration::from_millis(900);
 
+/// Snapshots after a number of entries, which do not stay in memory.
+fn with_snapshot_every(max_log_entries: u64) -> ReplicaConfig {
+    ReplicaConfig { max_log_entries, retained_log_bytes: 0, ..ReplicaConfig::default() }
+}
+
 fn fleet_with_edits(voters: usize, latency_ms: u64, seed: u64, seconds: u64) -> SlowFleet {
     let latency = Duration::from_millis(latency_ms);
     let mut fleet = SlowFleet::new(VoterSetup { voters, latency, seed, ..VoterSetup::default() });
@@ -73,8 +79,12 @@
 /// Guards against edits that wait until a lost snapshot is sent again.
 #[rstest]
 fn a_lost_snapshot_is_sent_again_in_time(#[values(1, 2, 3)] seed: u64) {
-    let setup =
-        VoterSetup { table_bytes: 2_000, entries_per_snapshot: 20, seed, ..VoterSetup::default() };
+    let setup = VoterSetup {
+        table_bytes: 2_000,
+        replica: with_snapshot_every(20),
+        seed,
+        ..VoterSetup::default()
+    };
     let mut fleet = SlowFleet::new(setup);
     fleet.run_for(Duration::from_secs(2));
     let leader = fleet.leader().expect("a leader");
@@ -100,7 +110,7 @@
     #[values(0, 2)] lost_parts: usize,
     #[values(1, 2, 3)] seed: u64,
 ) {
-    let setup = VoterSetup { entries_per_snapshot: 1_000, seed, ..VoterSetup::default() };
+    let setup = VoterSetup { replica: with_snapshot_every(1_000), seed, ..VoterSetup::default() };
     let mut fleet = SlowFleet::new(setup);
     fleet.run_for(Duration::from_secs(2));
     fleet.store_claims(600, 20_000);
