The rate that an engine states is read, logged and measured

A change is logged with the request that brought it; tarragonknot_upstream_stated_rate has it by upstream. Nothing is decided by it yet.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,6 +1,6 @@
 //! Request and response headers exchanged with callers and engines.
 
-use crate::policy::LoadReport;
+use crate::policy::{LoadReport, RateStatement};
 use crate::traffic::{
     AnswerMetadata, CallDialect, CallerMetadata, ReservationReply, ReservationRequest, SendMetadata,
 };
@@ -23,6 +23,8 @@
 const SERVER_LOAD: &str = "tarragonknot-server-load";
 const KEEP_ALIVE: &str = "keep-alive";
 const COLD: &str = "tarragonknot-cold-ms";
+/// The platform's announcement of the header lacks the usual prefix, so both names are read.
+const RATE_LIMITS: [&str; 2] = ["server-limit", "tarragonknot-server-limit"];
 const HOLD: &str = "tarragonknot-hold";
 const HOLD_TAKE_PATH: &str = "/-/hold-take";
 /// Headers removed from callers' requests: only this system may set them on requests to engines.
@@ -131,6 +133,7 @@
             load: text(headers, SERVER_LOAD).and_then(read_load),
             idle_timeout: text(headers, KEEP_ALIVE).and_then(read_keep_alive),
             cold_left: number::<f64>(headers, COLD).and_then(read_cold),
+            stated_rate: read_rate(headers),
         }
     }
 }
@@ -161,6 +164,16 @@
     Duration::try_from_secs_f64(millis / 1_000.0).ok().filter(|left| !left.is_zero())
 }
 
+/// Reads the requests per second that an engine takes; `None` if the value is not a finite number of
+/// at least 0.
+fn read_rate(headers: &HeaderMap) -> Option<RateStatement> {
+    let Some(value) = RATE_LIMITS.iter().find_map(|name| headers.get(*name)) else {
+        return Some(RateStatement::Unlimited);
+    };
+    let rate: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    (rate.is_finite() && rate >= 0.0).then_some(RateStatement::Limited(rate))
+}
+
 /// Parses `timeout=SECONDS` and ignores other parameters.
 fn read_keep_alive(text: &str) -> Option<Duration> {
     let mut parameters = text.split(',').filter_map(|parameter| parameter.trim().split_once('='));
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -25,6 +25,7 @@
 mod shed_audit;
 mod shed_floor;
 mod size_shares;
+mod stated_rate;
 mod upstream_hash;
 mod upstream_queue_meter;
 mod upstream_set;
@@ -62,6 +63,7 @@
 pub use shed_audit::ShedAudit;
 pub use shed_floor::{FloorOrder, ShedFloor};
 pub use size_shares::{RouteKey, SizeClaim, SizeShares};
+pub use stated_rate::RateStatement;
 pub use upstream_hash::UpstreamHash;
 pub use upstream_queue_meter::UpstreamQueueMeter;
 pub use upstream_set::UpstreamSet;
--- a/src/policy/scheduler/events.rs
+++ b/src/policy/scheduler/events.rs
@@ -4,8 +4,8 @@
 use crate::answer::AnswerKind;
 use crate::policy::{
     FleetGroup, FloorOrder, HomeRegions, LoadReport, Moment, OrganisationIndex, OwnerRing,
-    PeerWork, RequestId, RequestSizes, RouteKey, SizeDecile, TierRank, UpstreamEvent,
-    UpstreamIndex, UpstreamSource, WaitingLevels,
+    PeerWork, RateStatement, RequestId, RequestSizes, RouteKey, SizeDecile, TierRank,
+    UpstreamEvent, UpstreamIndex, UpstreamSource, WaitingLevels,
 };
 use crate::table::UpstreamName;
 use std::sync::Arc;
@@ -114,6 +114,13 @@
         /// How much longer it is cold; `None` if it is not.
         left: Option<Duration>,
     },
+    /// An answer of an upstream stated the rate at which it takes requests.
+    RateStated {
+        /// Upstream concerned.
+        upstream: UpstreamIndex,
+        /// What it states.
+        rate: RateStatement,
+    },
     /// The daemons that own cold upstreams changed.
     Owners(Arc<OwnerRing>),
     /// A dispatch ended.
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -155,6 +155,9 @@
                 let until = left.map(|left| now + left);
                 self.upstreams.report_cold(upstream, until, now);
             }
+            PoolEvent::RateStated { upstream, rate } => {
+                self.upstreams.update(upstream, |status| status.stated_rate = rate);
+            }
             PoolEvent::Owners(owners) => self.upstreams.set_owners(owners, now),
             PoolEvent::Plan(plan) => self.replace_plan(plan),
             PoolEvent::Share { share } => self.upstreams.set_share(share),
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -1,6 +1,6 @@
 //! The state of one upstream as seen by this daemon: life cycle, work in flight and load reports.
 
-use super::{ColdBound, ColdPace, HomeRegions, LearnedLimit, Moment, UpstreamIndex};
+use super::{ColdBound, ColdPace, HomeRegions, LearnedLimit, Moment, RateStatement, UpstreamIndex};
 use crate::chart::{ChartMachine, NoAction, StateChart};
 use crate::chart_names;
 use crate::table::{DataCentreName, RegionName, UpstreamName};
@@ -189,6 +189,8 @@
     pub(super) open_positions: [Option<usize>; CAPACITY_CLASSES],
     /// This daemon's recent requests there, for the bound on requests to cold upstreams.
     pub(super) cold_pace: ColdPace,
+    /// The rate at which it takes requests, by its last answer.
+    pub stated_rate: RateStatement,
     /// True if this daemon may send requests there while it is cold.
     pub(super) is_owned: bool,
     /// True while the bound on requests to cold upstreams allows no request from this daemon.
@@ -268,6 +270,7 @@
             gap_measured_at: Moment(0),
             open_positions: [None; CAPACITY_CLASSES],
             cold_pace: ColdPace::default(),
+            stated_rate: RateStatement::Unlimited,
             is_owned: false,
             is_held_back: false,
             is_counted: false,
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics recorded through the `metrics` crate and exported in the Prometheus text format.
 
 use crate::answer::AnswerKind;
-use crate::policy::SizeDecile;
+use crate::policy::{RateStatement, SizeDecile};
 use crate::table::{OrganisationName, RouteKind, ServiceRow, TierName};
 use crate::traffic::TrafficState;
 use http::StatusCode;
@@ -72,6 +72,15 @@
         .record(record.total);
 }
 
+/// Records the requests per second that an upstream states it takes; infinite if it states none.
+pub fn record_stated_rate(upstream: &str, rate: RateStatement) {
+    let rate = match rate {
+        RateStatement::Unlimited => f64::INFINITY,
+        RateStatement::Limited(rate) => rate,
+    };
+    gauge!("tarragonknot_upstream_stated_rate", "upstream" => upstream.to_owned()).set(rate);
+}
+
 /// The outcome of one routed request. Routes are not used as a label, because there may be
 /// thousands of them.
 #[derive(Debug)]
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -5,8 +5,8 @@
 use crate::clock::MonotonicClock;
 use crate::policy::{
     ArrivedRequest, DispatchOutcome, HomeRegions, Moment, OrganisationIndex, PoolAction, PoolEvent,
-    PoolPlan, PoolScheduler, PoolStatus, RequestId, TierRank, UpstreamIndex, UpstreamState,
-    UpstreamStatus,
+    PoolPlan, PoolScheduler, PoolStatus, RateStatement, RequestId, TierRank, UpstreamIndex,
+    UpstreamState, UpstreamStatus,
 };
 use crate::table::{ServiceName, ServiceRow, SoftwareVersion, UpstreamName};
 use crate::upstream::UpstreamDriver;
@@ -186,6 +186,19 @@
         })
     }
 
+    /// Applies the rate that an upstream states. Returns the rate stated before if it differs.
+    pub fn state_rate(
+        &self,
+        upstream: UpstreamIndex,
+        rate: RateStatement,
+    ) -> Option<RateStatement> {
+        let before = self.inspect(|scheduler| {
+            scheduler.upstreams().get(upstream).map(|status| status.stated_rate)
+        });
+        self.handle_event(PoolEvent::RateStated { upstream, rate });
+        before.filter(|before| *before != rate)
+    }
+
     /// Slowdown of an upstream relative to the rest of the pool, as a factor; 1 if unknown.
     pub fn slowness(&self, upstream: UpstreamIndex) -> f64 {
         self.inspect(|scheduler| scheduler.slowness(upstream))
--- a/src/traffic/routed/attempt.rs
+++ b/src/traffic/routed/attempt.rs
@@ -1,7 +1,7 @@
 //! Sends a request to one upstream and waits for the head of the answer.
 
 use super::dialect::{AnswerMetadata, SendMetadata};
-use super::forward::RoutedRequest;
+use super::forward::{PlacedRequest, RoutedRequest};
 use crate::answer::promises_not_run;
 use crate::policy::LoadReport;
 use crate::report::record_failed_answer;
@@ -12,7 +12,6 @@
 use hyper::body::Incoming;
 use slog::info;
 use std::fmt;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Longest idle time after which a connection is reused. Longer than the gap between requests to
@@ -113,14 +112,13 @@
 /// Sends the request. `last_event_id` is the id of the event after which a stream resumes.
 pub async fn send(
     request: &RoutedRequest,
-    address: SocketAddr,
-    incarnation: &str,
+    placed: &PlacedRequest,
     last_event_id: Option<u64>,
-    place_id: Option<&str>,
 ) -> Result<OpenAnswer, SendError> {
+    let (incarnation, place_id) = (placed.name.as_str(), placed.place_id.as_deref());
     let upstream_request = build_upstream_request(request, incarnation, last_event_id, place_id)?;
     let connections = request.state.connections();
-    let opened = connections.send(address, upstream_request, MAX_IDLE_TIME).await;
+    let opened = connections.send(placed.address, upstream_request, MAX_IDLE_TIME).await;
     let (response, connection) = opened.map_err(|fault| match fault {
         OpenError::NotSent { detail } => SendError::NotSent(detail),
         OpenError::Lost { detail } => SendError::ConnectionBroken(detail),
@@ -137,6 +135,9 @@
     if let Some(detail) = echoed_id.mismatch() {
         return Err(SendError::NoUsableAnswer(detail.to_owned()));
     }
+    if let Some(rate) = metadata.stated_rate.filter(|_| !metadata.is_other_incarnation) {
+        request.note_stated_rate(placed, rate);
+    }
     let status = response.status();
     if metadata.is_not_run && echoed_id == EchoedId::Own && !status.is_success() {
         let is_other_incarnation = metadata.is_other_incarnation;
--- a/src/traffic/routed/dialect.rs
+++ b/src/traffic/routed/dialect.rs
@@ -2,7 +2,7 @@
 //!
 //! A platform adapter implements [`CallDialect`]; all decisions are made by the traffic code.
 
-use crate::policy::LoadReport;
+use crate::policy::{LoadReport, RateStatement};
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
 use std::time::Duration;
@@ -87,6 +87,8 @@
     pub idle_timeout: Option<Duration>,
     /// How much longer the upstream is cold, if it says that it is.
     pub cold_left: Option<Duration>,
+    /// The rate at which the upstream takes requests; `None` if what it says is not readable.
+    pub stated_rate: Option<RateStatement>,
 }
 
 /// Reads and writes the headers of one platform.
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -8,11 +8,11 @@
 use super::size_fields::SizeFields;
 use crate::answer::{AnswerKind, ExecutionStatus, RefusalAnswer};
 use crate::policy::{
-    ArrivedRequest, DispatchOutcome, HomeRegions, Moment, PoolEvent, RequestId, RequestSizes,
-    RouteKey, SizeDecile, UpstreamEvent, UpstreamHash, UpstreamIndex,
+    ArrivedRequest, DispatchOutcome, HomeRegions, Moment, PoolEvent, RateStatement, RequestId,
+    RequestSizes, RouteKey, SizeDecile, UpstreamEvent, UpstreamHash, UpstreamIndex,
 };
 use crate::quarantine::RequestFingerprint;
-use crate::report::{RouteRecord, record_route};
+use crate::report::{RouteRecord, record_route, record_stated_rate};
 use crate::rollout::{RequestGroup, VersionArm, VersionOutcome};
 use crate::table::{RouteKind, RouteRow, ServiceName, UpstreamName};
 use crate::traffic::access::CallerIdentity;
@@ -387,14 +387,21 @@
         let is_last_send = history.sent() >= self.route.attempts;
         let timeout = if is_last_send { Duration::MAX } else { self.answer_timeout() };
         let limit = self.time_left().min(timeout);
-        let place_id = placed.place_id.as_deref();
-        let sending = send(self, placed.address, placed.name.as_str(), last_event_id, place_id);
+        let sending = send(self, placed, last_event_id);
         match tokio::time::timeout(limit, sending).await {
             Ok(answer) => answer,
             Err(_) => Err(SendError::NoUsableAnswer(format!("no answer within {limit:?}"))),
         }
     }
 
+    /// Applies and logs the rate that the answer of an upstream states.
+    pub fn note_stated_rate(&self, placed: &PlacedRequest, rate: RateStatement) {
+        let Some(before) = placed.pool.state_rate(placed.upstream, rate) else { return };
+        record_stated_rate(placed.name.as_str(), rate);
+        info!(self.state.log, "upstream states another rate"; "request" => self.id(), "upstream" => placed.name.as_str(),
+            "service" => placed.pool.service.as_str(), "rate" => format!("{rate:?}"), "before" => format!("{before:?}"));
+    }
+
     /// Logs a send: the first one, a retry, or the resumption of a stream.
     pub fn log_send(
         &self,
--- a/tests/test_platform.rs
+++ b/tests/test_platform.rs
@@ -7,6 +7,7 @@
 use std::path::Path;
 use std::time::Duration;
 use tarragonknot::platform::{DocumentReader, HeaderDialect};
+use tarragonknot::policy::RateStatement;
 use tarragonknot::table::{LimitUnit, RouteKind, TableReader, tier_name_of_rank};
 use tarragonknot::traffic::{CallDialect, ReservationReply, SendMetadata};
 
@@ -286,3 +287,24 @@
         }
     }
 }
+
+#[rstest]
+#[case::absent(&[], Some(RateStatement::Unlimited))]
+#[case::decimal(&[("server-limit", "1.7")], Some(RateStatement::Limited(1.7)))]
+#[case::with_the_usual_prefix(&[("tarragonknot-server-limit", "4")], Some(RateStatement::Limited(4.0)))]
+#[case::spaces(&[("server-limit", " 2 ")], Some(RateStatement::Limited(2.0)))]
+#[case::zero(&[("server-limit", "0")], Some(RateStatement::Limited(0.0)))]
+#[case::huge(&[("server-limit", "1e300")], Some(RateStatement::Limited(1e300)))]
+#[case::empty(&[("server-limit", "")], None)]
+#[case::negative(&[("server-limit", "-1")], None)]
+#[case::not_a_number(&[("server-limit", "NaN")], None)]
+#[case::infinite(&[("server-limit", "inf")], None)]
+#[case::words(&[("server-limit", "a few")], None)]
+fn a_stated_rate_is_read(
+    #[case] rows: &[(&'static str, &'static str)],
+    #[case] expected: Option<RateStatement>,
+) {
+    let answer = HeaderDialect.read_answer(StatusCode::OK, &headers(rows));
+
+    assert_eq!(answer.stated_rate, expected);
+}
