--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -65,6 +65,7 @@
 mod test_size_accounts;
 mod test_size_share;
 mod test_small_calls;
+mod test_stated_rates;
 mod test_store;
 mod test_table_versions;
 mod test_traffic;
