Upstreams get no more requests than the rate that they state, over all daemons

Callers and operators saw: a model engine that named a limit of 1 a second got 14 to 16 requests in 4 s, of 11 allowed, from daemons that it had told. Cause: nothing read the statement; an engine in need was placed on like any other. A new owner starts with nothing to send, since it does not know what others have just sent, so a change of owners does not double the rate. An upstream gets at least a request in 10 s, or it could never state that its need is over. Capacity and the refusal of late requests count an owner's part of the rate; where all upstreams are left to others, requests are refused at once, with a time to retry. Every dispatch counts: first sends, retries, resumed streams, refused reservations.

--- a/src/policy/cold_pace.rs
+++ b/src/policy/cold_pace.rs
@@ -8,7 +8,7 @@
 //! enough that two further daemons may believe to be the owner, because they know an older list of
 //! daemons.
 
-use super::Moment;
+use super::{Moment, RateShare, RateStatement, owner_count};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -123,12 +123,37 @@
         self.points.is_empty()
     }
 
+    /// This daemon's part in the requests to an upstream that states `rate`. `salt` changes its place
+    /// among the daemons that are no owners.
+    pub fn rate_share(&self, upstream: SocketAddr, rate: RateStatement, salt: u64) -> RateShare {
+        let daemons = self.points.len() / POINTS_PER_DAEMON as usize;
+        let owners = owner_count(rate).min(daemons).max(1);
+        let text = format!("{:?} {upstream}", self.own);
+        let place = xxh3_64_with_seed(text.as_bytes(), salt) as f64 / u64::MAX as f64;
+        RateShare { is_owner: self.is_among_owners(upstream, owners), owners, daemons, place }
+    }
+
     /// Returns true if this daemon owns the upstream at an address. On an empty ring it owns none: a
     /// daemon that does not know the others cannot tell which of them do.
     pub fn is_owner(&self, upstream: SocketAddr) -> bool {
+        self.is_among_owners(upstream, 1)
+    }
+
+    /// Returns true if this daemon is one of the `count` daemons that follow the upstream's place on
+    /// the ring.
+    fn is_among_owners(&self, upstream: SocketAddr, count: usize) -> bool {
         let place = xxh3_64_with_seed(upstream.to_string().as_bytes(), POINTS_PER_DAEMON);
         let next = self.points.partition_point(|(point, _)| *point < place);
-        let owner = self.points.get(next).or_else(|| self.points.first());
-        owner.is_some_and(|(_, owner)| Some(*owner) == self.own)
+        let (before, after) = self.points.split_at(next);
+        let mut owners: Vec<SocketAddr> = Vec::with_capacity(count);
+        for (_, daemon) in after.iter().chain(before) {
+            if owners.len() == count || owners.last() == self.own.as_ref() {
+                break;
+            }
+            if !owners.contains(daemon) {
+                owners.push(*daemon);
+            }
+        }
+        owners.last().is_some_and(|last| Some(*last) == self.own)
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -63,7 +63,7 @@
 pub use shed_audit::ShedAudit;
 pub use shed_floor::{FloorOrder, ShedFloor};
 pub use size_shares::{RouteKey, SizeClaim, SizeShares};
-pub use stated_rate::RateStatement;
+pub use stated_rate::{RatePace, RateShare, RateStatement, RateWord, owner_count};
 pub use upstream_hash::UpstreamHash;
 pub use upstream_queue_meter::UpstreamQueueMeter;
 pub use upstream_set::UpstreamSet;
--- a/src/policy/scheduler/admission.rs
+++ b/src/policy/scheduler/admission.rs
@@ -48,6 +48,9 @@
         {
             return refuse(AnswerKind::DeadlineTooShort);
         }
+        if !self.upstreams.takes_requests_here(request.homes.as_ref()) {
+            return self.shed_when_confirmed(request, AnswerKind::Overloaded, now, actions);
+        }
         request.is_underserved = self.claim_owed_service(&request, now, rng);
         if self.plan.queue == QueueDiscipline::Fifo {
             match self.queue.len() >= self.plan.waiting_limit {
@@ -324,7 +327,8 @@
     /// Expected throughput of the pool in tokens per second, by Little's law: tokens in flight
     /// divided by the mean run time.
     pub(super) fn expected_drain_rate(&self) -> f64 {
-        (self.upstreams.live_limit(self.mean_cost) / self.run_seconds()).max(1.0)
+        let run_seconds = self.run_seconds();
+        (self.upstreams.live_limit(self.mean_cost, run_seconds) / run_seconds).max(1.0)
     }
 
     /// Sheds `request` once no daemon admits a lower tier; until then it waits in the queue.
--- a/src/policy/scheduler/feedback.rs
+++ b/src/policy/scheduler/feedback.rs
@@ -72,6 +72,10 @@
         if matches!(outcome, DispatchOutcome::NotSent | DispatchOutcome::NoSlot) {
             self.upstreams.update(upstream, |status| status.cold_pace.retract_send());
         }
+        // A refused reservation has reached the upstream, so it counts against the stated rate.
+        if outcome == DispatchOutcome::NotSent {
+            self.upstreams.update(upstream, |status| status.rate_pace.retract_send());
+        }
         match outcome {
             DispatchOutcome::Completed { prompt_tokens, output_tokens } => {
                 self.handle_completion(&running, prompt_tokens, output_tokens, now);
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -156,7 +156,7 @@
                 self.upstreams.report_cold(upstream, until, now);
             }
             PoolEvent::RateStated { upstream, rate } => {
-                self.upstreams.update(upstream, |status| status.stated_rate = rate);
+                self.upstreams.state_rate(upstream, rate, now);
             }
             PoolEvent::Owners(owners) => self.upstreams.set_owners(owners, now),
             PoolEvent::Plan(plan) => self.replace_plan(plan),
--- a/src/policy/upstream_set.rs
+++ b/src/policy/upstream_set.rs
@@ -3,8 +3,8 @@
 use super::upstreams::CAPACITY_CLASSES;
 use super::{
     CapacityClass, ColdBound, DispatchOutcome, FleetGroup, HomeRegions, LearnedLimit, LoadReport,
-    Moment, OwnerRing, PeerWork, UpstreamEvent, UpstreamIndex, UpstreamSource, UpstreamState,
-    UpstreamStatus,
+    Moment, OwnerRing, PeerWork, RateStatement, RateWord, UpstreamEvent, UpstreamIndex,
+    UpstreamSource, UpstreamState, UpstreamStatus,
 };
 use crate::table::UpstreamName;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -88,11 +88,18 @@
         self.live > 0 && (homes.is_none() || self.upstreams.values().any(serves))
     }
 
-    /// Sum of this daemon's shares of the limits of usable upstreams, in tokens, for requests of
-    /// `mean_cost`.
-    pub fn live_limit(&self, mean_cost: f64) -> f64 {
+    /// True if this daemon may send requests with these homes to some usable upstream. It may not if
+    /// each of them states a limited rate that is left to another daemon.
+    pub fn takes_requests_here(&self, homes: Option<&HomeRegions>) -> bool {
+        let takes = |status: &UpstreamStatus| status.takes_requests_here() && status.is_home(homes);
+        self.upstreams.values().any(takes)
+    }
+
+    /// This daemon's part of what the usable upstreams take at a time, in tokens, for requests of
+    /// `mean_cost` that run for `run_seconds`.
+    pub fn live_limit(&self, mean_cost: f64, run_seconds: f64) -> f64 {
         let usable = self.upstreams.values().filter(|status| status.is_usable());
-        usable.map(|status| status.limit.tokens_at_mean_cost(mean_cost) * status.share).sum()
+        usable.map(|status| status.capacity_tokens(mean_cost, run_seconds)).sum()
     }
 
     /// Applies the merged list of upstreams from the table and the platform. A known name with a
@@ -162,7 +169,7 @@
             status.source.region.clone_from(&source.region);
             status.source.is_evacuated = source.is_evacuated;
             status.source.is_cold = source.is_cold;
-            status.review_cold(bound.as_ref(), now);
+            status.review_pace(bound.as_ref(), now);
         });
     }
 
@@ -171,12 +178,17 @@
         self.cold_bound = bound;
     }
 
-    /// Sets which daemons own which upstreams while these are cold.
+    /// Sets which daemons own which upstreams while these are cold or state a rate.
     pub fn set_owners(&mut self, owners: Arc<OwnerRing>, now: Moment) {
         let bound = self.cold_bound;
         self.update_all(|status| {
             status.is_owned = owners.is_owner(status.source.address);
-            status.review_cold(bound.as_ref(), now);
+            if status.rate_pace.is_limited() {
+                let rate = status.rate_pace.rate();
+                let share = owners.rate_share(status.source.address, rate, now.0);
+                status.rate_pace.set_share(share, now);
+            }
+            status.review_pace(bound.as_ref(), now);
         });
         self.owners = owners;
     }
@@ -191,7 +203,17 @@
         let bound = self.cold_bound;
         self.update(index, |status| {
             status.cold_pace.set_cold_until(until);
-            status.review_cold(bound.as_ref(), now);
+            status.review_pace(bound.as_ref(), now);
+        });
+    }
+
+    /// Applies the rate that an upstream states in an answer to this daemon.
+    pub fn state_rate(&mut self, index: UpstreamIndex, rate: RateStatement, now: Moment) {
+        let (bound, owners) = (self.cold_bound, Arc::clone(&self.owners));
+        self.update(index, |status| {
+            let share = owners.rate_share(status.source.address, rate, now.0);
+            status.rate_pace.record_statement(rate, share, now);
+            status.review_pace(bound.as_ref(), now);
         });
     }
 
@@ -294,6 +316,7 @@
     pub fn set_peer_work(&mut self, rows: &[(UpstreamName, PeerWork)], now: Moment) {
         let down = rows.iter().filter(|(_, work)| work.is_down).count();
         let is_trusted = down * 2 <= self.live;
+        let (bound, owners) = (self.cold_bound, Arc::clone(&self.owners));
         for (name, work) in rows {
             let Some(index) = self.find(name) else { continue };
             self.update(index, |status| {
@@ -304,6 +327,12 @@
                 if work.is_down && is_trusted && !is_known_reachable {
                     status.paused_until = Some(now + REMOTE_DOWN_PAUSE);
                 }
+                if work.stated_rate != RateWord::default() || status.rate_pace.is_limited() {
+                    let rate = work.stated_rate.statement().unwrap_or(status.rate_pace.rate());
+                    let share = owners.rate_share(status.source.address, rate, now.0);
+                    status.rate_pace.record_word(work.stated_rate, share, now);
+                    status.review_pace(bound.as_ref(), now);
+                }
             });
         }
     }
@@ -334,8 +363,8 @@
         }
     }
 
-    /// Ends expired pauses, and the holding back of upstreams that are cold no longer or have room
-    /// again, so that these upstreams may be given work.
+    /// Ends expired pauses, and the holding back of upstreams that are no longer cold or have room again,
+    /// so that these upstreams may be given work.
     pub fn resume_paused(&mut self, now: Moment) {
         let is_expired = |status: &UpstreamStatus| status.paused_until.is_some_and(|at| at <= now);
         let to_review = |status: &&UpstreamStatus| is_expired(status) || status.is_held_back;
@@ -347,7 +376,7 @@
                 if is_expired(status) {
                     status.paused_until = None;
                 }
-                status.review_cold(bound.as_ref(), now);
+                status.review_pace(bound.as_ref(), now);
             });
         }
     }
@@ -370,8 +399,9 @@
         self.update(index, |status| {
             if let Some(bound) = &bound {
                 status.cold_pace.record_send(bound, now);
-                status.review_cold(Some(bound), now);
             }
+            status.rate_pace.record_send(now);
+            status.review_pace(bound.as_ref(), now);
             status.in_flight += 1;
             status.in_flight_tokens += u64::from(cost);
             status.record_change(now, 1);
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -1,6 +1,8 @@
 //! The state of one upstream as seen by this daemon: life cycle, work in flight and load reports.
 
-use super::{ColdBound, ColdPace, HomeRegions, LearnedLimit, Moment, RateStatement, UpstreamIndex};
+use super::{
+    ColdBound, ColdPace, HomeRegions, LearnedLimit, Moment, RatePace, RateWord, UpstreamIndex,
+};
 use crate::chart::{ChartMachine, NoAction, StateChart};
 use crate::chart_names;
 use crate::table::{DataCentreName, RegionName, UpstreamName};
@@ -189,11 +191,12 @@
     pub(super) open_positions: [Option<usize>; CAPACITY_CLASSES],
     /// This daemon's recent requests there, for the bound on requests to cold upstreams.
     pub(super) cold_pace: ColdPace,
-    /// The rate at which it takes requests, by its last answer.
-    pub stated_rate: RateStatement,
+    /// The rate at which it states to take requests.
+    pub rate_pace: RatePace,
     /// True if this daemon may send requests there while it is cold.
     pub(super) is_owned: bool,
-    /// True while the bound on requests to cold upstreams allows no request from this daemon.
+    /// True while the bound on requests to cold upstreams, or its stated rate, allows no request from
+    /// this daemon.
     pub(super) is_held_back: bool,
     /// True if it is counted among the usable upstreams of its pool.
     pub(super) is_counted: bool,
@@ -209,6 +212,8 @@
     pub gap_micros: u32,
     /// True if one of the daemons could not reach the upstream.
     pub is_down: bool,
+    /// The rate that the upstream stated to one of the daemons.
+    pub stated_rate: RateWord,
     /// Requests of daemons outside this one's group, from outdated reports; an estimate that is
     /// never forwarded.
     #[serde(skip)]
@@ -270,7 +275,7 @@
             gap_measured_at: Moment(0),
             open_positions: [None; CAPACITY_CLASSES],
             cold_pace: ColdPace::default(),
-            stated_rate: RateStatement::Unlimited,
+            rate_pace: RatePace::default(),
             is_owned: false,
             is_held_back: false,
             is_counted: false,
@@ -297,12 +302,29 @@
         self.source.is_cold || self.cold_pace.is_cold(now)
     }
 
-    /// Updates whether the bound on requests to cold upstreams allows a further request.
-    pub(super) fn review_cold(&mut self, bound: Option<&ColdBound>, now: Moment) {
-        self.is_held_back = bound.is_some_and(|bound| {
+    /// Updates whether the bound on requests to cold upstreams and the stated rate allow a further
+    /// request.
+    pub(super) fn review_pace(&mut self, bound: Option<&ColdBound>, now: Moment) {
+        let is_too_cold = bound.is_some_and(|bound| {
             let may_send = self.is_owned && self.cold_pace.has_room(bound, now);
             self.is_cold(now) && !may_send
         });
+        self.is_held_back = is_too_cold || !self.rate_pace.has_room(now);
+    }
+
+    /// True if the upstream is in service and this daemon may send it requests, now or soon.
+    pub fn takes_requests_here(&self) -> bool {
+        self.is_usable() && !self.rate_pace.is_left_to_owners()
+    }
+
+    /// This daemon's part of what the upstream takes at a time, in tokens, for requests of `mean_cost`
+    /// that run for `run_seconds`.
+    pub fn capacity_tokens(&self, mean_cost: f64, run_seconds: f64) -> f64 {
+        let tokens = self.limit.tokens_at_mean_cost(mean_cost) * self.share;
+        match self.rate_pace.own_rate() {
+            None => tokens,
+            Some(rate) => tokens.min(rate * run_seconds * mean_cost),
+        }
     }
 
     /// True if the upstream may be given more work now.
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -351,7 +351,7 @@
     let now = state.clock.now();
     LocalState {
         flows: own_flows(state),
-        work: own_work(state, since),
+        work: own_work(state, since, now),
         waiting: own_waiting(state),
         list: state.fleet.list.stamp(now),
         can_read_list: state.fleet.list.can_read(now),
@@ -393,7 +393,7 @@
 }
 
 /// Collects this daemon's requests at each upstream, and the speeds learned since `since`.
-fn own_work(state: &TrafficState, since: Moment) -> Vec<WorkRow> {
+fn own_work(state: &TrafficState, since: Moment, now: Moment) -> Vec<WorkRow> {
     let mut rows = Vec::new();
     for pool in state.pools().values() {
         let service = &pool.service;
@@ -405,6 +405,7 @@
                     unread_tokens: status.unread_tokens,
                     gap_micros: learned.unwrap_or(0.0) as u32,
                     is_down: status.state() == UpstreamState::Suspect,
+                    stated_rate: status.rate_pace.word(now),
                     hinted: 0,
                 };
                 let hash =
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -193,10 +193,12 @@
         rate: RateStatement,
     ) -> Option<RateStatement> {
         let before = self.inspect(|scheduler| {
-            scheduler.upstreams().get(upstream).map(|status| status.stated_rate)
-        });
-        self.handle_event(PoolEvent::RateStated { upstream, rate });
-        before.filter(|before| *before != rate)
+            scheduler.upstreams().get(upstream).map(|status| status.rate_pace.rate())
+        })?;
+        if (before, rate) != (RateStatement::Unlimited, RateStatement::Unlimited) {
+            self.handle_event(PoolEvent::RateStated { upstream, rate });
+        }
+        (before != rate).then_some(before)
     }
 
     /// Slowdown of an upstream relative to the rest of the pool, as a factor; 1 if unknown.
--- a/tests/test_stated_rates.rs
+++ b/tests/test_stated_rates.rs
@@ -9,7 +9,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tarragonknot::policy::{
-    OwnerRing, PoolAction, PoolEvent, RateStatement, RequestId, UpstreamIndex, UpstreamSource,
+    FleetGroup, Moment, OwnerRing, PeerWaiting, PeerWork, PoolAction, PoolEvent, RateStatement,
+    RateWord, RequestId, UpstreamIndex, UpstreamSource,
 };
 
 const UPSTREAMS: u16 = 4;
@@ -20,6 +21,8 @@
 const SETTLED_MS: u64 = 3_000;
 /// A daemon counts from this time after the first statement that it received.
 const TOLD_MS: u64 = 500;
+/// Interval between messages of the daemons.
+const EXCHANGE_MS: u64 = 200;
 const WINDOW_MS: u64 = 4_000;
 /// Time after which the daemons know that one of them has started or stopped.
 const MAX_LIST_DELAY_MS: u64 = 1_500;
@@ -47,7 +50,9 @@
     told: BTreeMap<(usize, UpstreamIndex), u64>,
     /// Lists of daemons that are still on their way.
     lists: Vec<(u64, usize, Vec<usize>)>,
-    refused: usize,
+    /// True if the daemons tell each other what upstreams state.
+    has_exchange: bool,
+    told_words: BTreeMap<(usize, UpstreamIndex), RateWord>,
 }
 
 fn address(daemon: usize) -> SocketAddr {
@@ -80,7 +85,8 @@
             arrivals: BTreeMap::new(),
             told: BTreeMap::new(),
             lists: Vec::new(),
-            refused: 0,
+            has_exchange: false,
+            told_words: BTreeMap::new(),
         };
         let all: Vec<usize> = (0..daemons).collect();
         (0..daemons).for_each(|daemon| fleet.learn_list(daemon, &all));
@@ -115,7 +121,7 @@
                     self.arrivals.entry(*upstream).or_default().push(arrival);
                     self.answers.push((self.now + ANSWER_MS, daemon, *id, *upstream));
                 }
-                PoolAction::Refuse { .. } => self.refused += 1,
+                PoolAction::Refuse { .. } => {}
             }
         }
     }
@@ -125,6 +131,9 @@
             self.now += STEP_MS;
             self.deliver_lists();
             self.deliver_answers();
+            if self.has_exchange && self.now.is_multiple_of(EXCHANGE_MS) {
+                self.exchange_words();
+            }
             for daemon in 0..self.pools.len() {
                 let mut actions = self.pools[daemon].handle_event(PoolEvent::Tick, self.now);
                 let per_step = self.load * STEP_MS as f64 / 1_000.0 / self.pools.len() as f64;
@@ -167,6 +176,33 @@
         }
     }
 
+    /// Tells each daemon what the others know of the upstreams, where it has changed.
+    fn exchange_words(&mut self) {
+        let now = Moment::from_millis(self.now);
+        let indices = (0..u32::from(UPSTREAMS)).map(UpstreamIndex);
+        for upstream in indices {
+            let word_of = |pool: &BurstPool| {
+                let status = pool.scheduler.upstreams().get(upstream).expect("a known upstream");
+                status.rate_pace.word(now)
+            };
+            let words: Vec<RateWord> = self.pools.iter().map(word_of).collect();
+            for daemon in 0..self.pools.len() {
+                let others = words.iter().enumerate().filter(|(other, _)| *other != daemon);
+                let merged = others.fold(RateWord::default(), |sum, (_, word)| sum.merge(*word));
+                let before = self.told_words.insert((daemon, upstream), merged);
+                if before.unwrap_or_default() == merged {
+                    continue;
+                }
+                let name = format!("e{}", upstream.0 + 1).as_str().into();
+                let rows = vec![(name, PeerWork { stated_rate: merged, ..PeerWork::default() })];
+                let (group, waiting) = (FleetGroup::default(), PeerWaiting::default());
+                let event = PoolEvent::PeerLoad { rows, group, waiting };
+                let actions = self.pools[daemon].handle_event(event, self.now);
+                self.record(daemon, &actions);
+            }
+        }
+    }
+
     /// The largest number of counted requests to an upstream in any window that begins between
     /// `from` and `until`: those of daemons that had received its statement some time before.
     fn most_in_window(&self, upstream: u32, from: u64, until: u64) -> usize {
@@ -202,9 +238,11 @@
 fn daemons_stay_within_a_stated_rate(
     #[values(1, 7, 80, 291)] daemons: usize,
     #[values(0.0, 1.0, 1.7, 12.0)] rate: f64,
+    #[values(false, true)] has_exchange: bool,
     #[values(1, 2, 3)] seed: u64,
 ) {
     let mut fleet = StatedFleet::new(daemons, 150.0, seed);
+    fleet.has_exchange = has_exchange;
     fleet.run_until(1_000);
 
     fleet.state(0, RateStatement::Limited(rate));
@@ -263,3 +301,62 @@
     let taken = rate * 12.0 * f64::from(UPSTREAMS);
     assert!(requests as f64 >= taken / 2.0, "{requests} requests of {taken} that they take");
 }
+
+/// Guards against daemons that leave an upstream to its owners after it takes all requests again.
+#[rstest]
+fn every_daemon_uses_an_upstream_whose_limit_has_ended(
+    #[values(1, 7, 80)] daemons: usize,
+    #[values(1.0, 12.0)] rate: f64,
+) {
+    let mut fleet = StatedFleet::new(daemons, 150.0, 1);
+    fleet.has_exchange = true;
+    fleet.run_until(1_000);
+    fleet.state(0, RateStatement::Limited(rate));
+    fleet.run_until(8_000);
+
+    fleet.state(0, RateStatement::Unlimited);
+    fleet.run_until(30_000);
+
+    let after = fleet.requests_between(0, 25_000, 30_000) as f64 / 5.0;
+    let equal_part = fleet.load / f64::from(UPSTREAMS);
+    assert!(after >= equal_part / 2.0, "{after} requests a second, {equal_part} in equal parts");
+}
+
+/// Guards against upstreams whose limits change all the time.
+#[rstest]
+fn a_rate_that_changes_every_second_is_kept(
+    #[values(7, 80)] daemons: usize,
+    #[values(false, true)] has_exchange: bool,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut fleet = StatedFleet::new(daemons, 150.0, seed);
+    fleet.has_exchange = has_exchange;
+    fleet.run_until(1_000);
+
+    let lowest = 1.0;
+    let mut highest: f64 = lowest;
+    for second in 1..16 {
+        let rate: f64 = lowest + fleet.rng.random_range(0.0..4.0);
+        highest = highest.max(rate);
+        fleet.state(0, RateStatement::Limited(rate));
+        fleet.run_until((second + 1) * 1_000);
+    }
+
+    let most = fleet.most_in_window(0, 1_000 + SETTLED_MS, 12_000);
+    assert!(most <= allowed(highest), "{most} requests in 4 s, {} allowed", allowed(highest));
+}
+
+/// Guards against callers that wait in vain for upstreams that other daemons own.
+#[test]
+fn a_daemon_that_owns_none_of_the_limited_upstreams_refuses_at_once() {
+    let mut fleet = StatedFleet::new(80, 150.0, 1);
+    fleet.run_until(1_000);
+    (0..u32::from(UPSTREAMS)).for_each(|index| fleet.state(index, RateStatement::Limited(1.0)));
+    fleet.run_until(4_000);
+    let owns = |pool: &BurstPool| pool.scheduler.upstreams().takes_requests_here(None);
+    let other = fleet.pools.iter().position(|pool| !owns(pool)).expect("more daemons than owners");
+
+    let actions = fleet.pools[other].arrive(1_000_000, 0, 4_000);
+
+    assert!(matches!(actions[..], [PoolAction::Refuse { .. }]), "{actions:?}");
+}
