--- a/src/replica/replication.rs
+++ b/src/replica/replication.rs
@@ -166,7 +166,7 @@
             let message = ReplicaMessage::AppendReply { accepted: true, index, round };
             return self.send(from, message);
         }
-        match receive_part(&mut self.incoming_snapshot, part) {
+        match receive_part(&mut self.incoming_snapshot, part, self.hard_state.term) {
             PartOutcome::Complete(snapshot) => self.on_snapshot(from, snapshot, round),
             PartOutcome::Continue(received) => {
                 self.send(from, ReplicaMessage::SnapshotPartReply { at, received, round });
--- a/src/replica/transfer.rs
+++ b/src/replica/transfer.rs
@@ -53,9 +53,11 @@
     boundary
 }
 
-/// A snapshot that is being received.
+/// A snapshot that is being received from the leader of a term. The text of another leader's snapshot
+/// may differ although it covers the same entries.
 #[derive(Clone, Debug)]
 pub(super) struct IncomingSnapshot {
+    leader_term: u64,
     at: LogPosition,
     text: String,
 }
@@ -72,10 +74,12 @@
 pub(super) fn receive_part(
     incoming: &mut Option<IncomingSnapshot>,
     part: SnapshotPart,
+    leader_term: u64,
 ) -> PartOutcome {
-    let known = incoming.take().filter(|known| known.at == part.at);
+    let same = (leader_term, part.at);
+    let known = incoming.take().filter(|known| (known.leader_term, known.at) == same);
     let mut snapshot =
-        known.unwrap_or_else(|| IncomingSnapshot { at: part.at, text: String::new() });
+        known.unwrap_or_else(|| IncomingSnapshot { leader_term, at: part.at, text: String::new() });
     let fits = part.offset == snapshot.text.len();
     if fits {
         snapshot.text.push_str(&part.text);
--- a/tests/test_replica.rs
+++ b/tests/test_replica.rs
@@ -9,7 +9,8 @@
 use tarragonknot::policy::Moment;
 use tarragonknot::replica::{
     EntryPayload, FleetId, FleetMembership, HardState, InitialState, LogEntry, LogPosition,
-    ReplicaConfig, ReplicaCore, ReplicaEnvelope, ReplicaMessage, SnapshotRecord, VoterId,
+    ReplicaConfig, ReplicaCore, ReplicaEnvelope, ReplicaMessage, SnapshotPart, SnapshotRecord,
+    VoterId,
 };
 
 const CI_SEEDS: u64 = 200;
@@ -98,6 +99,54 @@
     assert_eq!(output.committed, vec![entry(1)]);
 }
 
+/// Guards against a snapshot that is joined from the parts of two leaders, whose texts may differ.
+#[test]
+fn parts_of_two_leaders_are_not_joined() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let id = |name: &str| VoterId { daemon: name.into(), folder_id: 1 };
+    let at = LogPosition { term: 1, index: 9 };
+    let start = InitialState {
+        id: id("learner"),
+        hard_state: HardState::default(),
+        snapshot: SnapshotRecord {
+            at: LogPosition::default(),
+            membership: FleetMembership::default(),
+            state: Arc::from(""),
+        },
+        entries: Vec::new(),
+        commit_index: 0,
+    };
+    let mut core: ReplicaCore<u32> =
+        ReplicaCore::new(ReplicaConfig::default(), start, Moment(1), &mut rng);
+    let part = |leader: &str, term, offset, text: &str, is_last| ReplicaEnvelope {
+        fleet: FleetId::default(),
+        from: id(leader),
+        to: id("learner"),
+        term,
+        message: ReplicaMessage::SnapshotPart {
+            part: SnapshotPart {
+                at,
+                membership: FleetMembership::default(),
+                offset,
+                text: text.to_owned(),
+                is_last,
+            },
+            round: 1,
+        },
+    };
+
+    core.receive(part("one", 2, 0, "abc", false), Moment(2), &mut rng);
+    let joined = core.receive(part("two", 3, 3, "fed", true), Moment(3), &mut rng);
+    core.receive(part("two", 3, 0, "cba", false), Moment(4), &mut rng);
+    let whole = core.receive(part("two", 3, 3, "fed", true), Moment(5), &mut rng);
+
+    assert_eq!(joined.install_snapshot, None);
+    let asked = ReplicaMessage::SnapshotPartReply { at, received: 0, round: 1 };
+    assert_eq!(joined.messages[0].message, asked);
+    let state = whole.install_snapshot.map(|snapshot| snapshot.state.to_string());
+    assert_eq!(state.as_deref(), Some("cbafed"));
+}
+
 #[rstest]
 #[case::skip_sync(BrokenRule::SkipSync)]
 #[case::skip_lease_check(BrokenRule::SkipLeaseCheck)]
