--- a/src/policy/cold_pace.rs
+++ b/src/policy/cold_pace.rs
@@ -9,7 +9,7 @@
 //! daemons.
 
 use super::{Moment, RateShare, RateStatement, owner_count};
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -130,7 +130,8 @@
         let owners = owner_count(rate).min(daemons).max(1);
         let text = format!("{:?} {upstream}", self.own);
         let place = xxh3_64_with_seed(text.as_bytes(), salt) as f64 / u64::MAX as f64;
-        RateShare { is_owner: self.is_among_owners(upstream, owners), owners, daemons, place }
+        let is_owner = owners == daemons || self.is_among_owners(upstream, owners);
+        RateShare { is_owner, owners, daemons, place }
     }
 
     /// Returns true if this daemon owns the upstream at an address. On an empty ring it owns none: a
@@ -145,15 +146,12 @@
         let place = xxh3_64_with_seed(upstream.to_string().as_bytes(), POINTS_PER_DAEMON);
         let next = self.points.partition_point(|(point, _)| *point < place);
         let (before, after) = self.points.split_at(next);
-        let mut owners: Vec<SocketAddr> = Vec::with_capacity(count);
-        for (_, daemon) in after.iter().chain(before) {
-            if owners.len() == count || owners.last() == self.own.as_ref() {
-                break;
-            }
-            if !owners.contains(daemon) {
-                owners.push(*daemon);
-            }
-        }
-        owners.last().is_some_and(|last| Some(*last) == self.own)
+        let mut owners = BTreeSet::new();
+        let mut first =
+            after.iter().chain(before).map(|(_, daemon)| *daemon).take_while(|daemon| {
+                owners.insert(*daemon);
+                owners.len() <= count
+            });
+        first.any(|daemon| Some(daemon) == self.own)
     }
 }
--- a/src/policy/earliest_placement.rs
+++ b/src/policy/earliest_placement.rs
@@ -71,8 +71,9 @@
         // others and is then cut by its deadline, having held a slot for its entire duration.
         let is_too_slow = total + run > query.time_left.as_micros() as f64;
         let total = if is_too_slow { total * MISSED_DEADLINE_PENALTY } else { total };
-        // A cold upstream is used by its owner alone, whatever the owner's group.
-        let is_preferred = status.is_in_group || status.is_cold(query.now);
+        // A cold upstream, or one that states a rate, is used by its owners alone, whatever their groups.
+        let is_preferred =
+            status.is_in_group || status.is_cold(query.now) || status.rate_pace.is_limited();
         let total = if is_preferred { total } else { total * OTHER_GROUP_PENALTY };
         total * (1.0 + FAILURE_PENALTY * status.failure_rate)
     }
--- a/src/policy/stated_rate.rs
+++ b/src/policy/stated_rate.rs
@@ -85,9 +85,8 @@
     stated_at: Option<Moment>,
     /// When the upstream first stated to this daemon that its limit has ended.
     ended_at: Option<Moment>,
-    /// True while other daemons tell of the upstream's rate.
-    is_told: bool,
-    /// Requests that this daemon as an owner may send at `filled_at`; negative after requests beyond the rate.
+    /// Requests that this daemon may send as an owner at `filled_at`; negative after requests beyond
+    /// the rate.
     tokens: f64,
     filled_at: Moment,
     /// When this daemon may send a request without being an owner.
@@ -101,7 +100,6 @@
             share: RateShare::default(),
             stated_at: None,
             ended_at: None,
-            is_told: false,
             tokens: 0.0,
             filled_at: Moment(0),
             recheck_at: Moment(0),
@@ -126,7 +124,7 @@
 pub fn owner_count(rate: RateStatement) -> usize {
     match rate {
         RateStatement::Unlimited => 1,
-        RateStatement::Limited(rate) => 1 + (rate / RATE_PER_OWNER) as usize,
+        RateStatement::Limited(rate) => ((rate / RATE_PER_OWNER) as usize).saturating_add(1),
     }
 }
 
@@ -154,7 +152,6 @@
     /// Applies what other daemons tell, unless the upstream has just stated something to this one.
     pub fn record_word(&mut self, word: RateWord, share: RateShare, now: Moment) {
         let told = word.statement();
-        self.is_told = told.is_some();
         let is_own_newer = self.stated_at.is_some_and(|at| now.since(at) < OWN_STATEMENT_PRIORITY);
         if !is_own_newer {
             self.set_rate(told.unwrap_or(self.rate), share, now);
@@ -202,12 +199,13 @@
         self.filled_at = now;
     }
 
-    /// True if this daemon may send a request now.
-    pub fn has_room(&self, now: Moment) -> bool {
+    /// True if this daemon may send a request now. `is_told` is true while other daemons tell what the
+    /// upstream states.
+    pub fn has_room(&self, is_told: bool, now: Moment) -> bool {
         match (self.rate, self.share.is_owner) {
             (RateStatement::Unlimited, _) => true,
             (RateStatement::Limited(_), true) => self.tokens_at(now) >= 1.0,
-            (RateStatement::Limited(_), false) => !self.is_told && now >= self.recheck_at,
+            (RateStatement::Limited(_), false) => !is_told && now >= self.recheck_at,
         }
     }
 
--- a/src/policy/upstream_set.rs
+++ b/src/policy/upstream_set.rs
@@ -363,8 +363,8 @@
         }
     }
 
-    /// Ends expired pauses, and the holding back of upstreams that are no longer cold or have room again,
-    /// so that these upstreams may be given work.
+    /// Ends expired pauses, and the holding back of upstreams that have room again, so that these
+    /// upstreams may be given work.
     pub fn resume_paused(&mut self, now: Moment) {
         let is_expired = |status: &UpstreamStatus| status.paused_until.is_some_and(|at| at <= now);
         let to_review = |status: &&UpstreamStatus| is_expired(status) || status.is_held_back;
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -309,12 +309,17 @@
             let may_send = self.is_owned && self.cold_pace.has_room(bound, now);
             self.is_cold(now) && !may_send
         });
-        self.is_held_back = is_too_cold || !self.rate_pace.has_room(now);
+        self.is_held_back = is_too_cold || !self.rate_pace.has_room(self.is_rate_told(), now);
+    }
+
+    /// True while other daemons tell what rate the upstream states.
+    fn is_rate_told(&self) -> bool {
+        self.peer_work.stated_rate != RateWord::default()
     }
 
     /// True if the upstream is in service and this daemon may send it requests, now or soon.
     pub fn takes_requests_here(&self) -> bool {
-        self.is_usable() && !self.rate_pace.is_left_to_owners()
+        self.is_usable() && !(self.rate_pace.is_left_to_owners() && self.is_held_back)
     }
 
     /// This daemon's part of what the upstream takes at a time, in tokens, for requests of `mean_cost`
--- a/tests/test_stated_rates.rs
+++ b/tests/test_stated_rates.rs
@@ -237,7 +237,7 @@
 #[rstest]
 fn daemons_stay_within_a_stated_rate(
     #[values(1, 7, 80, 291)] daemons: usize,
-    #[values(0.0, 1.0, 1.7, 12.0)] rate: f64,
+    #[values(0.0, 1.0, 1.7, 12.0, 1e300)] rate: f64,
     #[values(false, true)] has_exchange: bool,
     #[values(1, 2, 3)] seed: u64,
 ) {
