Soak: edits of large tables, an acknowledgement after calm, engines that state rates

After the faults and the recovery every second engine states a rate for 9 s, and all entries together must keep it; then an edit must be acknowledged within 4 s once the voters have been undisturbed for 3 s.

--- a/soak/answers.rs
+++ b/soak/answers.rs
@@ -143,13 +143,14 @@
 
     fn answer_headers(&self, request: &WireRequest) -> String {
         let seal = format!("tarragonknot-server-seal: {}.{}\r\n", self.engine.id, request.id());
-        request.echoed_id() + &seal
+        request.echoed_id() + &seal + &self.ctx.stated_rates.header(self.engine.number)
     }
 
     /// Answers that the request was not executed; returns the answer.
     async fn refuse(&mut self, request: &WireRequest) -> io::Result<String> {
         let status = REFUSAL_STATUSES.choose(&mut self.rng).copied().unwrap_or(503);
-        self.write_status(request, status, &(request.echoed_id() + NOT_EXECUTED)).await
+        let rate = self.ctx.stated_rates.header(self.engine.number);
+        self.write_status(request, status, &(request.echoed_id() + NOT_EXECUTED + &rate)).await
     }
 
     /// Executes the request, which fails with one of `statuses`; returns the answer.
--- a/soak/checks.rs
+++ b/soak/checks.rs
@@ -3,7 +3,7 @@
 use crate::callers::{FREE_KEY, ROUTE_HOST, event_count_text, request_body};
 use crate::context::{AddressKind, CALLERS_PORT, READY_PORT, SentRequest, SoakContext, lock};
 use crate::fleet::{POLL_INTERVAL, WAIT_TIMEOUT};
-use crate::operators::read_config;
+use crate::operators::{config_document, read_config, replace_config};
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -26,6 +26,12 @@
 /// Time after which an engine listed as draining must receive no new requests, provided that no
 /// fault was injected meanwhile.
 const DRAIN_GRACE: Duration = Duration::from_secs(6);
+/// Time after a disturbance from which the voters count as undisturbed.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Time within which an edit must then be acknowledged.
+const ACK_LIMIT: Duration = Duration::from_secs(4);
+/// Distance of a version from those that the operators may still have under way.
+const VERSION_GAP: u64 = 1_000;
 /// Response statuses that guarantee that the request was not executed.
 const NOT_EXECUTED_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -240,6 +246,25 @@
     }
 }
 
+/// Checks that an edit is acknowledged in time once the voters have been undisturbed for a while.
+pub async fn check_acknowledgement(ctx: &SoakContext) {
+    tokio::time::sleep(CONTACT_TIME.saturating_sub(ctx.time_since_disturbance())).await;
+    let newest = lock(&ctx.acknowledged_versions).last_key_value().map_or(0, |(newest, _)| *newest);
+    let version = newest + VERSION_GAP;
+    let document = config_document(version, ctx.sizes.idle_routes);
+    let sent_at = Instant::now();
+    for voter in (0..ctx.sizes.voters).cycle() {
+        if replace_config(ctx, voter, version, &document).await {
+            return;
+        }
+        if sent_at.elapsed() > ACK_LIMIT {
+            let detail = format!("version {version} has no acknowledgement after {ACK_LIMIT:?}");
+            return ctx.recorder.record_violation("SHORT", detail);
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
 /// Checks that the newest acknowledged version is still stored at every voter and in force at every
 /// entry.
 pub async fn check_durability(ctx: &SoakContext) {
--- a/soak/connection.rs
+++ b/soak/connection.rs
@@ -93,6 +93,7 @@
         let expected_id = request.header("tarragonknot-expect-instance");
         let is_expected = expected_id.is_none_or(|expected_id| expected_id == self.engine.id);
         if is_expected && !matches!(request.path(), "/-/hold-take" | "/healthz") {
+            self.ctx.stated_rates.record_arrival(self.engine.number);
             return self.answer(request).await;
         }
         let length = request.body_length();
--- a/soak/context.rs
+++ b/soak/context.rs
@@ -6,6 +6,7 @@
 use crate::fleet::FleetProcesses;
 use crate::poison::PoisonExecutions;
 use crate::proxy::ProxyModes;
+use crate::stated_rates::StatedRates;
 use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -22,6 +23,8 @@
 pub const OPERATORS_PORT: u16 = 18_229;
 pub const CONTROL_PORT: u16 = 17_600;
 pub const ENGINE_PORT: u16 = 18_080;
+/// Idle routes in the configurations of every second seed, some 90 KB.
+const LARGE_TABLE_ROUTES: usize = 350;
 /// Maximum number of violations that are printed for one run.
 const MAX_PRINTED_VIOLATIONS: usize = 12;
 
@@ -32,6 +35,8 @@
     pub voters: usize,
     pub engines: usize,
     pub callers: usize,
+    /// Routes of the configuration that no caller uses; a large table strains the voters.
+    pub idle_routes: usize,
 }
 
 /// Kinds of participants; the value is the third octet of their addresses.
@@ -178,6 +183,8 @@
     pub acknowledged_versions: Mutex<BTreeMap<u64, Instant>>,
     /// Time of the last disturbance: start or end of a fault at a process, a proxy or an engine.
     pub last_disturbance: Mutex<Instant>,
+    /// Rates that engines state.
+    pub stated_rates: StatedRates,
     /// Executions of the poison request.
     pub poison_executions: PoisonExecutions,
     folder: Mutex<Option<TempDir>>,
@@ -193,6 +200,7 @@
             voters: args.voters,
             engines: args.engines,
             callers: args.callers,
+            idle_routes: if seed.is_multiple_of(2) { 0 } else { LARGE_TABLE_ROUTES },
         };
         SoakContext {
             seed,
@@ -205,6 +213,7 @@
             faults: FaultSettings::new(&args.faults, args.fault_rate),
             acknowledged_versions: Mutex::default(),
             last_disturbance: Mutex::new(Instant::now()),
+            stated_rates: StatedRates::default(),
             poison_executions: PoisonExecutions::default(),
             folder: Mutex::new(Some(
                 tempfile::tempdir().expect("a temporary folder can be created"),
--- a/soak/fleet.rs
+++ b/soak/fleet.rs
@@ -176,7 +176,8 @@
     }
     lock(&ctx.processes).has_started = true;
     let deadline = tokio::time::Instant::now() + WAIT_TIMEOUT;
-    while !operators::replace_config(ctx, 0, 1, &config_document(1)).await {
+    let document = config_document(1, ctx.sizes.idle_routes);
+    while !operators::replace_config(ctx, 0, 1, &document).await {
         if tokio::time::Instant::now() > deadline {
             return Err("voter 0 did not accept the first configuration".to_owned());
         }
--- a/soak/main.rs
+++ b/soak/main.rs
@@ -17,6 +17,7 @@
 mod plan;
 mod poison;
 mod proxy;
+mod stated_rates;
 mod wire;
 
 use clap::Parser;
@@ -106,8 +107,10 @@
         plan::execute(&ctx, &steps).await;
         fleet::heal(&ctx).await;
         checks::wait_for_recovery(&ctx).await;
+        stated_rates::check(&ctx).await;
         ctx.stop();
         let _ = tokio::join!(traffic, operators, version_watch, poison_caller);
+        checks::check_acknowledgement(&ctx).await;
         poison::check(&ctx).await;
         checks::check_recorded_runs(&ctx);
         checks::check_durability(&ctx).await;
--- a/soak/operators.rs
+++ b/soak/operators.rs
@@ -23,20 +23,24 @@
 /// Number of calls after which a change is given up; it may or may not be in force then.
 const MAX_CALLS: usize = 30;
 
-/// The configuration of a version: the same routes, and one whose name contains the version.
-pub fn config_document(version: u64) -> String {
+/// The configuration of a version: the same routes, one whose name contains the version, and a number
+/// that no caller uses.
+pub fn config_document(version: u64, idle_routes: usize) -> String {
     let route = |name: &str, kind: &str, max_attempts: u32, is_resumable: bool| {
         json!({"name": name, "host": ROUTE_HOST, "path_prefix": format!("/{name}/"), "kind": kind, "timeout_ms": 4000,
                "latency_slo_ms": 400, "priority": 0, "service": SERVICE_NAME, "max_attempts": max_attempts, "public": false,
                "resumable": is_resumable, "gap_slo_ms": 300})
     };
-    let routes = [
+    let used_routes = [
         route("safe", "safe", 2, false),
         route("unsafe", "unsafe", 1, false),
         route("stream", "stream", 1, false),
         route("resumable", "stream", 2, true),
         route(&format!("version-{version}"), "safe", 1, false),
     ];
+    let idle_routes =
+        (0..idle_routes).map(|number| route(&format!("idle-{number}"), "safe", 1, false));
+    let routes: Vec<Value> = used_routes.into_iter().chain(idle_routes).collect();
     let token_rate = checks::LIMIT_TOKENS_PER_SECOND;
     json!({"version": version, "routes": routes,
            "services": [{"name": SERVICE_NAME, "health_path": "/healthz", "max_conns": 100,
@@ -123,7 +127,7 @@
         tokio::time::sleep(Duration::from_millis(rng.random_range(50..900))).await;
         let version = versions.fetch_add(rng.random_range(1..4), Ordering::Relaxed) + 4;
         versions.fetch_max(version, Ordering::Relaxed);
-        let document = config_document(version);
+        let document = config_document(version, ctx.sizes.idle_routes);
         for _ in 0..MAX_CALLS {
             let voter = rng.random_range(0..ctx.sizes.voters);
             let is_acknowledged = replace_config(ctx, voter, version, &document).await;
@@ -141,7 +145,7 @@
 
 async fn send_invalid_config(ctx: &SoakContext, voter: usize, version: u64) {
     let mut invalid: Value =
-        serde_json::from_str(&config_document(version + 1_000_000)).unwrap_or_default();
+        serde_json::from_str(&config_document(version + 1_000_000, 0)).unwrap_or_default();
     invalid["routes"][0]["service"] = json!("nobody");
     let request = Request::post("/-/config/replace").header("content-type", "application/json");
     if let Some((StatusCode::OK, _)) = call_voter(ctx, voter, request, invalid.to_string()).await {
