Stated rates: daemons report them; the ring of owners has its own module

Names only: what one daemon passes on to the others is a report, as elsewhere. The ring is used for cold upstreams and for stated rates, so it moves out of cold_pace.rs.

--- a/soak/stated_rates.rs
+++ b/soak/stated_rates.rs
@@ -17,7 +17,7 @@
 const RATE_OVERAGE_FACTOR: f64 = 1.5;
 const RATE_SLACK: f64 = 5.0;
 
-/// The rates that engines state, and the requests that they receive meanwhile, by engine.
+/// The rates that engines state, and the requests that they receive while they do, by engine.
 #[derive(Debug, Default)]
 pub struct StatedRates {
     rates: Mutex<BTreeMap<usize, f64>>,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -15,6 +15,7 @@
 mod learned_limit;
 mod mechanism;
 mod organisation_limits;
+mod owner_ring;
 mod placement;
 mod queue;
 mod request_sizes;
@@ -34,7 +35,7 @@
 mod value_density;
 mod waiting_levels;
 
-pub use cold_pace::{ColdBound, ColdPace, ColdTolerance, OwnerRing};
+pub use cold_pace::{ColdBound, ColdPace, ColdTolerance};
 pub use drain_meter::{DrainMeter, TierProgress};
 pub use earliest_placement::EarliestPlacement;
 pub use estimate::{CostEstimate, CostModel, EngineSpeed, RequestSizes};
@@ -47,6 +48,7 @@
 pub use organisation_limits::{
     LimitClaim, LimitForecast, LimitTable, LimitTolerance, OrganisationLimit,
 };
+pub use owner_ring::OwnerRing;
 pub use placement::{
     AffinityPlacement, LeastReported, PlacementPolicy, PlacementQuery, RequiredFit, RoundRobin,
     placement_policy, prefix_hashes,
@@ -63,7 +65,7 @@
 pub use shed_audit::ShedAudit;
 pub use shed_floor::{FloorOrder, ShedFloor};
 pub use size_shares::{RouteKey, SizeClaim, SizeShares};
-pub use stated_rate::{RatePace, RateShare, RateStatement, RateWord, owner_count};
+pub use stated_rate::{RatePace, RateReport, RateShare, RateStatement, owner_count};
 pub use upstream_hash::UpstreamHash;
 pub use upstream_queue_meter::UpstreamQueueMeter;
 pub use upstream_set::UpstreamSet;
--- a/src/policy/stated_rate.rs
+++ b/src/policy/stated_rate.rs
@@ -5,9 +5,9 @@
 //! cannot share it: each of them may send a request at the same moment, which an upstream with a
 //! rate of one a second does not bear from a large fleet. For such a rate there is one owner.
 //!
-//! The owners learn from the answers when the limit ends and tell the others. If no daemon says
-//! anything of the upstream for a while, because its owners have no requests for it, the others send
-//! it one request each, spread so that they stay below the rate.
+//! The owners learn from the answers when the limit ends and report it to the others. If no daemon
+//! reports anything of the upstream for a while, because its owners have no requests for it, the
+//! others send it one request each, spread so that they stay below the rate.
 
 use super::Moment;
 use serde::{Deserialize, Serialize};
@@ -21,9 +21,9 @@
 /// Requests per second for each owner beyond the first. Each may send one at once, and former owners
 /// may go on for a moment.
 const RATE_PER_OWNER: f64 = 2.0;
-/// Age to which a daemon tells the others what an upstream stated to it.
+/// Age to which a daemon reports to the others what an upstream stated to it.
 const STATEMENT_TTL: Duration = Duration::from_secs(5);
-/// Age to which what an upstream stated to this daemon overrides what other daemons tell.
+/// Age to which what an upstream stated to this daemon overrides the reports of others.
 const OWN_STATEMENT_PRIORITY: Duration = Duration::from_millis(1_500);
 /// Time without any statement after which daemons that are no owners send a request.
 const RECHECK_DELAY: Duration = Duration::from_secs(10);
@@ -39,21 +39,21 @@
     Limited(f64),
 }
 
-/// A statement as daemons tell it each other: 0 for none, otherwise thousandths of a request per
+/// A statement as daemons report it to each other: 0 for none, otherwise thousandths of a request per
 /// second and one, or the maximum for no limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RateWord(u32);
+pub struct RateReport(u32);
 
-impl RateWord {
+impl RateReport {
     const UNLIMITED: u32 = u32::MAX;
 
     /// Encodes a statement.
     pub fn new(rate: RateStatement) -> Self {
         match rate {
-            RateStatement::Unlimited => RateWord(Self::UNLIMITED),
+            RateStatement::Unlimited => RateReport(Self::UNLIMITED),
             RateStatement::Limited(rate) => {
                 let thousandths = (rate * 1_000.0).min(f64::from(Self::UNLIMITED - 2));
-                RateWord(1 + thousandths as u32)
+                RateReport(1 + thousandths as u32)
             }
         }
     }
@@ -63,15 +63,15 @@
         match self.0 {
             0 => None,
             Self::UNLIMITED => Some(RateStatement::Unlimited),
-            word => Some(RateStatement::Limited(f64::from(word - 1) / 1_000.0)),
+            code => Some(RateStatement::Limited(f64::from(code - 1) / 1_000.0)),
         }
     }
 
-    /// Combines what two daemons tell; the lower rate counts.
-    pub fn merge(self, other: RateWord) -> RateWord {
+    /// Combines the reports of two daemons; the lower rate counts.
+    pub fn merge(self, other: RateReport) -> RateReport {
         match (self.0, other.0) {
-            (0, word) | (word, 0) => RateWord(word),
-            (one, two) => RateWord(one.min(two)),
+            (0, code) | (code, 0) => RateReport(code),
+            (one, two) => RateReport(one.min(two)),
         }
     }
 }
@@ -149,12 +149,12 @@
         self.set_rate(rate, share, now);
     }
 
-    /// Applies what other daemons tell, unless the upstream has just stated something to this one.
-    pub fn record_word(&mut self, word: RateWord, share: RateShare, now: Moment) {
-        let told = word.statement();
+    /// Applies the report of other daemons, unless the upstream has just stated something to this one.
+    pub fn record_report(&mut self, report: RateReport, share: RateShare, now: Moment) {
+        let reported = report.statement();
         let is_own_newer = self.stated_at.is_some_and(|at| now.since(at) < OWN_STATEMENT_PRIORITY);
         if !is_own_newer {
-            self.set_rate(told.unwrap_or(self.rate), share, now);
+            self.set_rate(reported.unwrap_or(self.rate), share, now);
         }
     }
 
@@ -199,13 +199,13 @@
         self.filled_at = now;
     }
 
-    /// True if this daemon may send a request now. `is_told` is true while other daemons tell what the
-    /// upstream states.
-    pub fn has_room(&self, is_told: bool, now: Moment) -> bool {
+    /// True if this daemon may send a request now. `has_report` is true while other daemons report what
+    /// the upstream states.
+    pub fn has_room(&self, has_report: bool, now: Moment) -> bool {
         match (self.rate, self.share.is_owner) {
             (RateStatement::Unlimited, _) => true,
             (RateStatement::Limited(_), true) => self.tokens_at(now) >= 1.0,
-            (RateStatement::Limited(_), false) => !is_told && now >= self.recheck_at,
+            (RateStatement::Limited(_), false) => !has_report && now >= self.recheck_at,
         }
     }
 
@@ -222,14 +222,14 @@
         self.tokens += 1.0;
     }
 
-    /// What to tell the other daemons.
-    pub fn word(&self, now: Moment) -> RateWord {
+    /// The report for the other daemons.
+    pub fn report(&self, now: Moment) -> RateReport {
         let since = match self.rate {
             RateStatement::Unlimited => self.ended_at,
             RateStatement::Limited(_) => self.stated_at,
         };
         let is_current = since.is_some_and(|at| now.since(at) < STATEMENT_TTL);
-        if is_current { RateWord::new(self.rate) } else { RateWord::default() }
+        if is_current { RateReport::new(self.rate) } else { RateReport::default() }
     }
 
     /// True if the upstream states a limit and this daemon is none of those that send it requests.
--- a/src/policy/upstream_set.rs
+++ b/src/policy/upstream_set.rs
@@ -3,7 +3,7 @@
 use super::upstreams::CAPACITY_CLASSES;
 use super::{
     CapacityClass, ColdBound, DispatchOutcome, FleetGroup, HomeRegions, LearnedLimit, LoadReport,
-    Moment, OwnerRing, PeerWork, RateStatement, RateWord, UpstreamEvent, UpstreamIndex,
+    Moment, OwnerRing, PeerWork, RateReport, RateStatement, UpstreamEvent, UpstreamIndex,
     UpstreamSource, UpstreamState, UpstreamStatus,
 };
 use crate::table::UpstreamName;
@@ -327,10 +327,10 @@
                 if work.is_down && is_trusted && !is_known_reachable {
                     status.paused_until = Some(now + REMOTE_DOWN_PAUSE);
                 }
-                if work.stated_rate != RateWord::default() || status.rate_pace.is_limited() {
+                if work.stated_rate != RateReport::default() || status.rate_pace.is_limited() {
                     let rate = work.stated_rate.statement().unwrap_or(status.rate_pace.rate());
                     let share = owners.rate_share(status.source.address, rate, now.0);
-                    status.rate_pace.record_word(work.stated_rate, share, now);
+                    status.rate_pace.record_report(work.stated_rate, share, now);
                     status.review_pace(bound.as_ref(), now);
                 }
             });
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -1,7 +1,7 @@
 //! The state of one upstream as seen by this daemon: life cycle, work in flight and load reports.
 
 use super::{
-    ColdBound, ColdPace, HomeRegions, LearnedLimit, Moment, RatePace, RateWord, UpstreamIndex,
+    ColdBound, ColdPace, HomeRegions, LearnedLimit, Moment, RatePace, RateReport, UpstreamIndex,
 };
 use crate::chart::{ChartMachine, NoAction, StateChart};
 use crate::chart_names;
@@ -213,7 +213,7 @@
     /// True if one of the daemons could not reach the upstream.
     pub is_down: bool,
     /// The rate that the upstream stated to one of the daemons.
-    pub stated_rate: RateWord,
+    pub stated_rate: RateReport,
     /// Requests of daemons outside this one's group, from outdated reports; an estimate that is
     /// never forwarded.
     #[serde(skip)]
@@ -309,12 +309,12 @@
             let may_send = self.is_owned && self.cold_pace.has_room(bound, now);
             self.is_cold(now) && !may_send
         });
-        self.is_held_back = is_too_cold || !self.rate_pace.has_room(self.is_rate_told(), now);
+        self.is_held_back = is_too_cold || !self.rate_pace.has_room(self.has_rate_report(), now);
     }
 
-    /// True while other daemons tell what rate the upstream states.
-    fn is_rate_told(&self) -> bool {
-        self.peer_work.stated_rate != RateWord::default()
+    /// True while other daemons report what rate the upstream states.
+    fn has_rate_report(&self) -> bool {
+        self.peer_work.stated_rate != RateReport::default()
     }
 
     /// True if the upstream is in service and this daemon may send it requests, now or soon.
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -405,7 +405,7 @@
                     unread_tokens: status.unread_tokens,
                     gap_micros: learned.unwrap_or(0.0) as u32,
                     is_down: status.state() == UpstreamState::Suspect,
-                    stated_rate: status.rate_pace.word(now),
+                    stated_rate: status.rate_pace.report(now),
                     hinted: 0,
                 };
                 let hash =
--- a/tests/test_stated_rates.rs
+++ b/tests/test_stated_rates.rs
@@ -9,8 +9,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tarragonknot::policy::{
-    FleetGroup, Moment, OwnerRing, PeerWaiting, PeerWork, PoolAction, PoolEvent, RateStatement,
-    RateWord, RequestId, UpstreamIndex, UpstreamSource,
+    FleetGroup, Moment, OwnerRing, PeerWaiting, PeerWork, PoolAction, PoolEvent, RateReport,
+    RateStatement, RequestId, UpstreamIndex, UpstreamSource,
 };
 
 const UPSTREAMS: u16 = 4;
@@ -20,7 +20,7 @@
 /// Time after a first statement from which the bound holds.
 const SETTLED_MS: u64 = 3_000;
 /// A daemon counts from this time after the first statement that it received.
-const TOLD_MS: u64 = 500;
+const REACTION_MS: u64 = 500;
 /// Interval between messages of the daemons.
 const EXCHANGE_MS: u64 = 200;
 const WINDOW_MS: u64 = 4_000;
@@ -47,12 +47,12 @@
     answers: Vec<(u64, usize, RequestId, UpstreamIndex)>,
     arrivals: BTreeMap<UpstreamIndex, Vec<Arrival>>,
     /// When each daemon first received a limit of an upstream.
-    told: BTreeMap<(usize, UpstreamIndex), u64>,
+    first_stated: BTreeMap<(usize, UpstreamIndex), u64>,
     /// Lists of daemons that are still on their way.
     lists: Vec<(u64, usize, Vec<usize>)>,
-    /// True if the daemons tell each other what upstreams state.
+    /// True if the daemons report to each other what upstreams state.
     has_exchange: bool,
-    told_words: BTreeMap<(usize, UpstreamIndex), RateWord>,
+    known_reports: BTreeMap<(usize, UpstreamIndex), RateReport>,
 }
 
 fn address(daemon: usize) -> SocketAddr {
@@ -83,10 +83,10 @@
             stated: BTreeMap::new(),
             answers: Vec::new(),
             arrivals: BTreeMap::new(),
-            told: BTreeMap::new(),
+            first_stated: BTreeMap::new(),
             lists: Vec::new(),
             has_exchange: false,
-            told_words: BTreeMap::new(),
+            known_reports: BTreeMap::new(),
         };
         let all: Vec<usize> = (0..daemons).collect();
         (0..daemons).for_each(|daemon| fleet.learn_list(daemon, &all));
@@ -132,7 +132,7 @@
             self.deliver_lists();
             self.deliver_answers();
             if self.has_exchange && self.now.is_multiple_of(EXCHANGE_MS) {
-                self.exchange_words();
+                self.exchange_reports();
             }
             for daemon in 0..self.pools.len() {
                 let mut actions = self.pools[daemon].handle_event(PoolEvent::Tick, self.now);
@@ -167,7 +167,7 @@
         for (_, daemon, id, upstream) in due {
             let rate = self.stated.get(&upstream).copied().unwrap_or(RateStatement::Unlimited);
             if rate != RateStatement::Unlimited {
-                self.told.entry((daemon, upstream)).or_insert(now);
+                self.first_stated.entry((daemon, upstream)).or_insert(now);
             }
             let event = PoolEvent::RateStated { upstream, rate };
             let mut actions = self.pools[daemon].handle_event(event, now);
@@ -176,20 +176,21 @@
         }
     }
 
-    /// Tells each daemon what the others know of the upstreams, where it has changed.
-    fn exchange_words(&mut self) {
+    /// Passes on the reports of the others to each daemon, where they have changed.
+    fn exchange_reports(&mut self) {
         let now = Moment::from_millis(self.now);
         let indices = (0..u32::from(UPSTREAMS)).map(UpstreamIndex);
         for upstream in indices {
-            let word_of = |pool: &BurstPool| {
+            let report_of = |pool: &BurstPool| {
                 let status = pool.scheduler.upstreams().get(upstream).expect("a known upstream");
-                status.rate_pace.word(now)
+                status.rate_pace.report(now)
             };
-            let words: Vec<RateWord> = self.pools.iter().map(word_of).collect();
+            let reports: Vec<RateReport> = self.pools.iter().map(report_of).collect();
             for daemon in 0..self.pools.len() {
-                let others = words.iter().enumerate().filter(|(other, _)| *other != daemon);
-                let merged = others.fold(RateWord::default(), |sum, (_, word)| sum.merge(*word));
-                let before = self.told_words.insert((daemon, upstream), merged);
+                let others = reports.iter().enumerate().filter(|(other, _)| *other != daemon);
+                let merged =
+                    others.fold(RateReport::default(), |sum, (_, report)| sum.merge(*report));
+                let before = self.known_reports.insert((daemon, upstream), merged);
                 if before.unwrap_or_default() == merged {
                     continue;
                 }
@@ -208,8 +209,8 @@
     fn most_in_window(&self, upstream: u32, from: u64, until: u64) -> usize {
         let upstream = UpstreamIndex(upstream);
         let counts = |arrival: &&Arrival| {
-            let told = self.told.get(&(arrival.daemon, upstream));
-            told.is_some_and(|told| arrival.at >= told + TOLD_MS)
+            let first = self.first_stated.get(&(arrival.daemon, upstream));
+            first.is_some_and(|first| arrival.at >= first + REACTION_MS)
         };
         let arrivals = self.arrivals.get(&upstream).map_or(&[][..], Vec::as_slice);
         let times: Vec<u64> = arrivals.iter().filter(counts).map(|arrival| arrival.at).collect();
@@ -272,7 +273,7 @@
         if second % 4 == 3 {
             let stopped = known.remove(fleet.rng.random_range(0..known.len()));
             fleet.pools[stopped] = new_pool();
-            fleet.told.retain(|(daemon, _), _| *daemon != stopped);
+            fleet.first_stated.retain(|(daemon, _), _| *daemon != stopped);
             fleet.announce_list(&known);
         }
     }
