--- a/tests/test_catch_up.rs
+++ b/tests/test_catch_up.rs
@@ -25,6 +25,19 @@
     fleet
 }
 
+/// Edits the table for `seconds` while one of three voters is cut off; returns that one and the other
+/// follower.
+fn edit_without_one(fleet: &mut SlowFleet, seconds: u64) -> [usize; 2] {
+    fleet.run_for(Duration::from_secs(2));
+    let leader = fleet.leader().expect("a leader");
+    let [behind, other] = [(leader + 1) % 3, (leader + 2) % 3];
+    fleet.cut_off(behind, true);
+    fleet.edit_every(Some(STORM_INTERVAL));
+    fleet.run_for(Duration::from_secs(seconds));
+    fleet.edit_every(Some(CALM_INTERVAL));
+    [behind, other]
+}
+
 /// Guards against leaders that stand still, one after the other, while they send an empty voter the
 /// log.
 #[rstest]
@@ -59,14 +72,8 @@
 ) {
     let latency = Duration::from_millis(latency_ms);
     let mut fleet = SlowFleet::new(VoterSetup { latency, seed, ..VoterSetup::default() });
-    fleet.run_for(Duration::from_secs(2));
-    let leader = fleet.leader().expect("a leader");
-    let [behind, other] = [(leader + 1) % 3, (leader + 2) % 3];
-    fleet.cut_off(behind, true);
-    fleet.edit_every(Some(STORM_INTERVAL));
-    fleet.run_for(Duration::from_secs(seconds));
+    let [behind, other] = edit_without_one(&mut fleet, seconds);
 
-    fleet.edit_every(Some(CALM_INTERVAL));
     fleet.stop(other, Duration::from_secs(60));
     fleet.cut_off(behind, false);
     let calm_since = fleet.now;
@@ -86,14 +93,8 @@
         ..VoterSetup::default()
     };
     let mut fleet = SlowFleet::new(setup);
-    fleet.run_for(Duration::from_secs(2));
-    let leader = fleet.leader().expect("a leader");
-    let [behind, other] = [(leader + 1) % 3, (leader + 2) % 3];
-    fleet.cut_off(behind, true);
-    fleet.edit_every(Some(STORM_INTERVAL));
-    fleet.run_for(Duration::from_secs(8));
+    let [behind, other] = edit_without_one(&mut fleet, 8);
 
-    fleet.edit_every(Some(CALM_INTERVAL));
     fleet.lose_snapshots(1);
     fleet.stop(other, Duration::from_secs(60));
     fleet.cut_off(behind, false);
