Logs: how an answer is delimited, and what a stream leaves over at its end

The incident's logs don't tell whether an answer that was taken for complete had a length or chunks, or ended with its connection. The line "answered" has `framing` and, for streams, `unfinished_bytes`; a counter tells how many streams end within an event. Nothing is decided by them yet.

--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -4,6 +4,7 @@
 use crate::policy::{RateStatement, SizeDecile};
 use crate::table::{OrganisationName, RouteKind, ServiceRow, TierName};
 use crate::traffic::TrafficState;
+use crate::upstream::AnswerFraming;
 use http::StatusCode;
 use metrics::{counter, gauge, histogram};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -144,6 +145,13 @@
         .increment(1);
 }
 
+/// Counts the end of a stream's body, by its framing and by whether bytes of an event are left over.
+pub fn record_stream_end(framing: AnswerFraming, is_within_event: bool) {
+    let place = if is_within_event { "within-event" } else { "between-events" };
+    counter!("tarragonknot_stream_ends_total", "framing" => framing.name(), "place" => place)
+        .increment(1);
+}
+
 /// Updates the gauges and renders all metrics in the Prometheus text format.
 pub fn render_metrics(state: &TrafficState) -> String {
     for (service, pool) in state.pools().iter() {
--- a/src/traffic/routed/attempt.rs
+++ b/src/traffic/routed/attempt.rs
@@ -5,7 +5,7 @@
 use crate::answer::promises_not_run;
 use crate::policy::LoadReport;
 use crate::report::record_failed_answer;
-use crate::upstream::{ConnectionGuard, OpenError, end_to_end_headers};
+use crate::upstream::{AnswerFraming, ConnectionGuard, OpenError, end_to_end_headers};
 use http::header::{CONTENT_LENGTH, EXPECT, HOST};
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -65,6 +65,7 @@
 pub struct OpenAnswer {
     pub response: Response<Incoming>,
     pub metadata: AnswerMetadata,
+    pub framing: AnswerFraming,
     pub connection: ConnectionGuard,
 }
 
@@ -149,7 +150,8 @@
     if status.is_success() && !metadata.is_signed {
         return Err(SendError::NoUsableAnswer("the answer is not signed".to_owned()));
     }
-    Ok(OpenAnswer { response, metadata, connection })
+    let framing = AnswerFraming::of(&request.parts.method, status, response.headers());
+    Ok(OpenAnswer { response, metadata, framing, connection })
 }
 
 /// Logs and counts an answer that is not a signed success, with the evidence of whether the upstream
--- a/src/traffic/routed/events.rs
+++ b/src/traffic/routed/events.rs
@@ -32,6 +32,11 @@
         (!remainder.is_empty()).then_some(remainder)
     }
 
+    /// Number of buffered bytes that do not form a complete event.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Discards a partial event before another upstream resumes the stream.
     pub fn discard_partial(&mut self) {
         self.pending.clear();
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -20,6 +20,7 @@
 use crate::traffic::pool_runtime::{PoolDecision, PoolRuntime, RequestGuard};
 use crate::traffic::rollout_gate::TrialTicket;
 use crate::traffic::state::{ChosenPool, ProgressGuard, TrafficState};
+use crate::upstream::AnswerFraming;
 use axum::body::Body;
 use bytes::Bytes;
 use http::request::Parts;
@@ -582,10 +583,12 @@
     if request.route.kind.is_stream() && status.is_success() {
         request.stage = RequestStage::Answering;
         let (head, body) = answer.response.into_parts();
-        let relay = StreamRelay::new(request, placed, history, body, answer.connection);
+        let relay =
+            StreamRelay::new(request, placed, history, body, answer.framing, answer.connection);
         return AnswerOutcome::Response(stream_response(head, relay));
     }
     let limit = request.time_left();
+    let framing = answer.framing;
     let buffering = buffered_response(answer.response, answer.connection);
     let error = match tokio::time::timeout(limit, buffering).await {
         Ok(Ok(response)) => {
@@ -600,7 +603,7 @@
             request.record_version_answer(&placed, answer);
             placed.guard.end(outcome);
             if !is_failure || !request.may_send_again(&placed.pool.service, history) {
-                request.log_answered(&placed, status);
+                request.log_answered(&placed, status, framing);
                 return AnswerOutcome::Response(response);
             }
             // `may_send_again` has spent a unit of the budget, and `forward` calls it again.
@@ -618,7 +621,7 @@
 }
 
 impl RoutedRequest {
-    fn log_answered(&mut self, placed: &PlacedRequest, status: StatusCode) {
+    fn log_answered(&mut self, placed: &PlacedRequest, status: StatusCode, framing: AnswerFraming) {
         self.stage = RequestStage::Ended;
         // A failure may precede the run, so it does not show that the content is harmless.
         if status.is_success() {
@@ -627,6 +630,6 @@
         self.record(if status.is_server_error() { "upstream-failure" } else { "answered" }, None);
         let after = self.state.clock.now().since(self.arrived_at).as_millis() as u64;
         info!(self.state.log, "answered"; "request" => self.id(), "upstream" => placed.name.as_str(),
-            "status" => status.as_u16(), "after_ms" => after);
+            "status" => status.as_u16(), "after_ms" => after, "framing" => framing.name());
     }
 }
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -5,8 +5,9 @@
 use super::forward::{PlacedRequest, RequestStage, RoutedRequest, SendHistory, report_send_error};
 use crate::answer::RAN_HEADER;
 use crate::policy::{DispatchOutcome, Moment, PoolEvent};
+use crate::report::record_stream_end;
 use crate::rollout::VersionOutcome;
-use crate::upstream::{ConnectionGuard, end_to_end_headers};
+use crate::upstream::{AnswerFraming, ConnectionGuard, end_to_end_headers};
 use axum::body::Body;
 use bytes::Bytes;
 use futures_util::stream;
@@ -80,6 +81,7 @@
     placed: PlacedRequest,
     history: SendHistory,
     body: Incoming,
+    framing: AnswerFraming,
     connection: Option<ConnectionGuard>,
     splitter: EventSplitter,
     /// Event count and time at the start of the current gap measurement.
@@ -121,6 +123,7 @@
         placed: PlacedRequest,
         history: SendHistory,
         body: Incoming,
+        framing: AnswerFraming,
         connection: ConnectionGuard,
     ) -> Self {
         StreamRelay {
@@ -128,6 +131,7 @@
             placed,
             history,
             body,
+            framing,
             connection: Some(connection),
             splitter: EventSplitter::default(),
             gap_start: None,
@@ -195,6 +199,8 @@
 
     /// Records and logs the stream's timing, which shows whether the caller was served in time.
     fn log_ended(&mut self) {
+        let unfinished_bytes = self.splitter.pending_bytes();
+        record_stream_end(self.framing, unfinished_bytes > 0);
         self.request.stage = RequestStage::Ended;
         let (now, quarantine) = (self.request.state.clock.now(), &self.request.state.quarantine);
         quarantine.note_answer(self.request.fingerprint, now);
@@ -204,7 +210,8 @@
         let after = now.since(arrived);
         info!(self.request.state.log, "answered"; "request" => self.request.id(), "upstream" => self.placed.name.as_str(),
             "status" => 200, "after_ms" => after.as_millis() as u64, "first_ms" => first.as_millis() as u64,
-            "pause_ms" => self.timing.longest_pause.as_millis() as u64, "events" => self.splitter.event_count(), self.request.size_fields());
+            "pause_ms" => self.timing.longest_pause.as_millis() as u64, "events" => self.splitter.event_count(),
+            "framing" => self.framing.name(), "unfinished_bytes" => unfinished_bytes, self.request.size_fields());
     }
 
     fn cut(&mut self, detail: &str) -> RelayStep {
@@ -241,6 +248,7 @@
                     self.splitter.discard_partial();
                     self.gap_start = None;
                     self.body = answer.response.into_body();
+                    self.framing = answer.framing;
                     self.connection = Some(answer.connection);
                     return true;
                 }
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 mod connection;
 mod engine;
+mod framing;
 mod orca;
 mod plain;
 mod platform_list;
@@ -11,6 +12,7 @@
     can_connect, connection_chart,
 };
 pub use engine::EngineDriver;
+pub use framing::AnswerFraming;
 pub use orca::{ORCA_HEADER, parse_orca_header, parse_orca_json};
 pub use plain::{PlainDriver, end_to_end_headers};
 pub use platform_list::{
