--- a/tests/routed_fleet.rs
+++ b/tests/routed_fleet.rs
@@ -65,6 +65,8 @@
     CutEvents(u64, u64),
     /// Sends fewer bytes than the declared content length.
     Truncated,
+    /// Writes these bytes, where `{id}` is replaced by the request's id, then ends the connection.
+    Raw(String, ConnectionEnd),
     /// Crashes the engine: closes all its connections and the listening socket.
     Crash,
     /// Streams the events with ids from the first to the last, then crashes like `Crash`.
@@ -75,6 +77,21 @@
     NoPlace,
 }
 
+/// How an engine ends a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// Closes it.
+    Close,
+    /// Closes the sending direction and reads on.
+    HalfClose,
+    /// Resets it.
+    Reset,
+    /// Crashes the engine, which closes all its connections and the listening socket.
+    Crash,
+    /// Keeps it open.
+    Stay,
+}
+
 type EngineScript = Arc<dyn Fn(usize, &ReceivedRequest) -> EngineAction + Send + Sync>;
 
 /// An HTTP engine on loopback whose behaviour is set by a script.
@@ -153,7 +170,12 @@
             seen.len() - 1
         };
         let action = script(number, &request);
-        let is_crash = matches!(action, EngineAction::Crash | EngineAction::CrashAfter(..));
+        let is_crash = matches!(
+            action,
+            EngineAction::Crash
+                | EngineAction::CrashAfter(..)
+                | EngineAction::Raw(_, ConnectionEnd::Crash)
+        );
         let is_kept_open = perform(&mut stream, &request, action).await;
         if is_crash {
             // The accept loop drops its `JoinSet` on this signal, which closes all connections.
@@ -256,6 +278,10 @@
             (format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len()), true)
         }
         EngineAction::NoPlace => ("HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n".to_owned(), true),
+        EngineAction::Raw(text, end) => {
+            let is_written = stream.write_all(text.replace("{id}", &request.id).as_bytes()).await;
+            return is_written.is_ok() && end_connection(stream, end).await;
+        }
         EngineAction::Truncated => {
             (format!("HTTP/1.1 200 OK\r\n{echo}content-length: 100\r\n\r\nshort"), false)
         }
@@ -263,6 +289,21 @@
     stream.write_all(text.as_bytes()).await.is_ok() && is_kept_open
 }
 
+/// Ends a connection; returns true if it stays open.
+async fn end_connection(stream: &mut TcpStream, end: ConnectionEnd) -> bool {
+    match end {
+        ConnectionEnd::Stay => return true,
+        ConnectionEnd::Close | ConnectionEnd::Crash => {}
+        ConnectionEnd::Reset => stream.set_zero_linger().expect("SO_LINGER can be set"),
+        ConnectionEnd::HalfClose => {
+            let _ = stream.shutdown().await;
+            let mut buffer = [0; 1_024];
+            while stream.read(&mut buffer).await.is_ok_and(|count| count > 0) {}
+        }
+    }
+    false
+}
+
 /// A daemon and its engines, all of one service.
 pub struct RoutedFleet {
     pub state: Arc<TrafficState>,
--- /dev/null
+++ b/tests/test_answer_end.rs
@@ -0,0 +1,316 @@
+//! Ends of answers: what an upstream broke off must not look complete to its caller, and what is
+//! whole must arrive.
+
+use crate::routed_fleet::{ConnectionEnd, EngineAction, KEY, RoutedFleet, ScriptedEngine};
+use bytes::Bytes;
+use futures_util::future::join_all;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use rstest::rstest;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// Status line and headers that each answer of an engine begins with.
+const HEAD: &str =
+    "200 OK\r\ntarragonknot-request-id: {id}\r\ntarragonknot-server-seal: seal-1\r\n";
+/// Half of the fourth event.
+const HALF_EVENT: &str = "id: 4\ndata: pie";
+/// Time within which an engine's crash is noticed.
+const CRASH_CHECK_TIME: Duration = Duration::from_secs(10);
+
+/// HTTP version that a caller speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallerVersion {
+    Http1,
+    Http2,
+}
+
+/// How an engine frames a stream that it ends as if it were complete.
+#[derive(Clone, Copy, Debug)]
+enum StreamFraming {
+    /// Neither a length nor chunks, and no word on the connection.
+    Unframed,
+    /// Neither, and the head says that the connection closes.
+    Closing,
+    /// HTTP/1.0, which has no chunks.
+    Http10,
+    /// A coding that doesn't mark its end.
+    OtherCoding,
+    /// Chunks with their last one.
+    Chunks,
+    /// The length of what is sent.
+    Length,
+}
+
+impl StreamFraming {
+    /// The bytes of an answer with this body.
+    fn answer(self, body: &str) -> String {
+        let length = body.len();
+        let (version, framing, body) = match self {
+            StreamFraming::Unframed => ("1.1", String::new(), body.to_owned()),
+            StreamFraming::Closing => ("1.1", "connection: close\r\n".to_owned(), body.to_owned()),
+            StreamFraming::Http10 => ("1.0", String::new(), body.to_owned()),
+            StreamFraming::OtherCoding => {
+                ("1.1", "transfer-encoding: identity\r\n".to_owned(), body.to_owned())
+            }
+            StreamFraming::Chunks => {
+                let body = format!("{length:x}\r\n{body}\r\n0\r\n\r\n");
+                ("1.1", "transfer-encoding: chunked\r\n".to_owned(), body)
+            }
+            StreamFraming::Length => {
+                ("1.1", format!("content-length: {length}\r\n"), body.to_owned())
+            }
+        };
+        format!("HTTP/{version} {HEAD}content-type: text/event-stream\r\n{framing}\r\n{body}")
+    }
+}
+
+fn events(first: u64, last: u64) -> String {
+    (first..=last).map(|id| format!("id: {id}\ndata: piece {id}\n\n")).collect()
+}
+
+/// A body as its caller received it.
+#[derive(Debug)]
+struct ReceivedBody {
+    status: StatusCode,
+    text: String,
+    /// False if the caller saw that the body was broken off.
+    is_whole: bool,
+}
+
+async fn call(fleet: &RoutedFleet, path: &str, id: &str, version: CallerVersion) -> ReceivedBody {
+    let request = Request::post(format!("http://{}{path}", fleet.front.address))
+        .header("host", "shop.example")
+        .header("tarragonknot-deadline-ms", "2500")
+        .header("tarragonknot-request-id", id)
+        .header("authorization", format!("Bearer {KEY}"))
+        .body(Full::new(Bytes::from_static(b"the body")))
+        .expect("the request consists of valid parts");
+    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new())
+        .http2_only(version == CallerVersion::Http2)
+        .build_http();
+    let response = client.request(request).await.expect("the request gets a response");
+    let status = response.status();
+    let mut body = response.into_body();
+    let mut received = ReceivedBody { status, text: String::new(), is_whole: true };
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => {
+                let bytes = frame.into_data().unwrap_or_default();
+                received.text.push_str(&String::from_utf8_lossy(&bytes));
+            }
+            Err(_) => {
+                received.is_whole = false;
+                break;
+            }
+        }
+    }
+    received
+}
+
+/// Starts an engine that answers each request but probes with these bytes.
+async fn raw_engine(text: String, end: ConnectionEnd) -> ScriptedEngine {
+    ScriptedEngine::start_with_request("i-1", move |_, request| {
+        match request.head.starts_with("GET ") {
+            true => EngineAction::Answer(200, "ok"),
+            false => EngineAction::Raw(text.clone(), end),
+        }
+    })
+    .await
+}
+
+/// Guards against a stream cut within an event that its caller takes for complete, or half an event
+/// that is passed on.
+#[rstest]
+#[tokio::test]
+async fn a_stream_that_ends_within_an_event_does_not_look_complete(
+    #[values(
+        StreamFraming::Unframed,
+        StreamFraming::Closing,
+        StreamFraming::Http10,
+        StreamFraming::OtherCoding,
+        StreamFraming::Chunks,
+        StreamFraming::Length
+    )]
+    framing: StreamFraming,
+    #[values(ConnectionEnd::Close, ConnectionEnd::HalfClose, ConnectionEnd::Crash)]
+    end: ConnectionEnd,
+    #[values(CallerVersion::Http1, CallerVersion::Http2)] version: CallerVersion,
+) {
+    let text = framing.answer(&(events(1, 3) + HALF_EVENT));
+    let engine = raw_engine(text, end).await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    let received = call(&fleet, "/stream/", "id-1", version).await;
+
+    assert!(!received.is_whole, "{received:?}");
+    assert!(events(1, 3).starts_with(&received.text), "{received:?}");
+    assert_eq!(engine.count(), 1);
+}
+
+/// Guards against a reset that is taken for the end of an answer without a length.
+#[rstest]
+#[tokio::test]
+async fn a_stream_that_is_reset_does_not_look_complete(
+    #[values("", HALF_EVENT)] rest: &str,
+    #[values(CallerVersion::Http1, CallerVersion::Http2)] version: CallerVersion,
+) {
+    let text = StreamFraming::Unframed.answer(&(events(1, 3) + rest));
+    let engine = raw_engine(text, ConnectionEnd::Reset).await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    let received = call(&fleet, "/stream/", "id-1", version).await;
+
+    assert!(!received.is_whole || received.status != StatusCode::OK, "{received:?}");
+    assert_eq!(engine.count(), 1);
+}
+
+/// Guards against a resumable stream that stops where one engine broke it off, though another can go
+/// on after its last whole event.
+#[rstest]
+#[case::within_the_fourth_event(3, HALF_EVENT)]
+#[case::within_the_first_event(0, "id: 1\nda")]
+#[case::after_the_head(0, "id")]
+#[case::before_the_blank_line(3, "id: 4\ndata: piece 4\n")]
+#[tokio::test]
+async fn a_resumable_stream_that_ends_within_an_event_goes_on_elsewhere(
+    #[case] last: u64,
+    #[case] rest: &'static str,
+    #[values(StreamFraming::Unframed, StreamFraming::Chunks)] framing: StreamFraming,
+) {
+    let order = Arc::new(AtomicUsize::new(0));
+    let engine = |name: &'static str| {
+        let order = Arc::clone(&order);
+        ScriptedEngine::start_with_request(name, move |_, request| {
+            if request.head.starts_with("GET ") {
+                return EngineAction::Answer(200, "ok");
+            }
+            match order.fetch_add(1, Ordering::SeqCst) {
+                0 => {
+                    let text = framing.answer(&(events(1, last) + rest));
+                    EngineAction::Raw(text, ConnectionEnd::Close)
+                }
+                _ => EngineAction::Events(last + 1, 6),
+            }
+        })
+    };
+    let (first, second) = (engine("i-1").await, engine("i-2").await);
+    let fleet = RoutedFleet::start(&[&first, &second]).await;
+
+    let received = call(&fleet, "/resumable/", "id-1", CallerVersion::Http1).await;
+
+    assert!(received.is_whole, "{received:?}");
+    assert_eq!(received.text, events(1, 6));
+    assert_eq!((first.count(), second.count()), (1, 1));
+}
+
+/// Guards against a whole stream that is lost since nothing but its connection marks its end.
+#[rstest]
+#[tokio::test]
+async fn a_stream_that_ends_with_its_connection_after_an_event_is_whole(
+    #[values(
+        StreamFraming::Unframed,
+        StreamFraming::Closing,
+        StreamFraming::Http10,
+        StreamFraming::Chunks
+    )]
+    framing: StreamFraming,
+    #[values(ConnectionEnd::Close, ConnectionEnd::HalfClose)] end: ConnectionEnd,
+    #[values("/stream/", "/resumable/")] path: &str,
+    #[values(CallerVersion::Http1, CallerVersion::Http2)] version: CallerVersion,
+) {
+    let engine = raw_engine(framing.answer(&events(1, 40)), end).await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    let received = call(&fleet, path, "id-1", version).await;
+
+    assert!(received.is_whole, "{received:?}");
+    assert_eq!(received.text, events(1, 40));
+    assert_eq!(engine.count(), 1);
+}
+
+/// Guards against a cut at any byte: a caller gets the whole events before it, and takes the stream
+/// for complete only if the cut is between two events.
+#[rstest]
+#[case::line_feeds("\n")]
+#[case::carriage_returns("\r")]
+#[case::both("\r\n")]
+#[tokio::test]
+async fn a_stream_cut_at_any_byte_ends_as_what_it_is(#[case] line_end: &str) {
+    let event = |id: u64| format!("id: {id}\ndata: p{id}\n\n").replace('\n', line_end);
+    let text: String = (1..=3).map(event).collect();
+    let event_size = event(1).len();
+
+    let cuts = join_all((1..=text.len()).map(|cut| {
+        let sent = text[..cut].to_owned();
+        async move {
+            let raw = StreamFraming::Unframed.answer(&sent);
+            let engine = raw_engine(raw, ConnectionEnd::Close).await;
+            let fleet = RoutedFleet::start(&[&engine]).await;
+            (cut, call(&fleet, "/stream/", "id-1", CallerVersion::Http1).await)
+        }
+    }))
+    .await;
+
+    for (cut, received) in cuts {
+        // A carriage return alone ends the blank line; the line feed after it belongs to the same
+        // line end.
+        let ends_blank_line = line_end == "\r\n" && (cut + 1) % event_size == 0;
+        let is_between = cut % event_size == 0 || ends_blank_line;
+        let whole = if ends_blank_line { cut } else { cut - cut % event_size };
+        assert_eq!(received.is_whole, is_between, "cut at {cut}: {received:?}");
+        assert_eq!(received.text, text[..whole], "cut at {cut}");
+    }
+}
+
+/// Guards against a crash that no part of the daemon notices, since the answer that it cut was
+/// counted as complete.
+#[tokio::test]
+async fn a_crash_that_cuts_a_stream_without_a_length_counts_against_its_request() {
+    let text = StreamFraming::Unframed.answer(&(events(1, 3) + HALF_EVENT));
+    let engine = raw_engine(text, ConnectionEnd::Crash).await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    call(&fleet, "/stream/", "id-1", CallerVersion::Http1).await;
+
+    let suspects = || fleet.state.quarantine.sizes(fleet.state.clock.now()).known;
+    let noticed = tokio::time::timeout(CRASH_CHECK_TIME, async {
+        while suspects() == 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    });
+    assert!(noticed.await.is_ok(), "{} requests are suspect", suspects());
+}
+
+/// Guards against a plain answer without a length that was reset on its way and looks complete.
+#[tokio::test]
+async fn a_plain_answer_that_is_reset_is_not_passed_on() {
+    let text = format!("HTTP/1.1 {HEAD}\r\nhalf of");
+    let engine = raw_engine(text, ConnectionEnd::Reset).await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    let received = call(&fleet, "/unsafe/", "id-1", CallerVersion::Http1).await;
+
+    assert_eq!(received.status, StatusCode::BAD_GATEWAY, "{received:?}");
+    assert_eq!(engine.count(), 1);
+}
+
+/// Guards against a whole plain answer that is lost since nothing but its connection marks its end.
+#[rstest]
+#[tokio::test]
+async fn a_plain_answer_that_ends_with_its_connection_is_whole(
+    #[values("1.1", "1.0")] version: &str,
+    #[values(ConnectionEnd::Close, ConnectionEnd::HalfClose)] end: ConnectionEnd,
+) {
+    let text = format!("HTTP/{version} {HEAD}\r\nall of it");
+    let engine = raw_engine(text, end).await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    let received = call(&fleet, "/unsafe/", "id-1", CallerVersion::Http1).await;
+
+    assert!(received.is_whole, "{received:?}");
+    assert_eq!(received.text, "all of it");
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -15,6 +15,7 @@
 mod sized_load;
 mod slow_voters;
 mod small_calls;
+mod test_answer_end;
 mod test_births;
 mod test_catch_up;
 mod test_charts;
