Logs: whether an entry reaches the upstreams of a pool

The incident's logs show each upstream as silent by itself; none says that the entry has lost the pool. A monitor for each pool counts upstreams that could not be reached, or left a request unanswered, since the last contact with any. Three in a row, or all of a smaller pool, make the entry cut off: logged, and a gauge by service. Nothing is decided by it yet.

--- a/src/daemon/background.rs
+++ b/src/daemon/background.rs
@@ -13,6 +13,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
+use metrics::gauge;
 use slog::{info, warn};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -64,12 +65,14 @@
 
 async fn tick_pools(state: Arc<TrafficState>) {
     let mut floors: BTreeMap<ServiceName, (Option<TierRank>, Option<TierRank>)> = BTreeMap::new();
+    let mut cut_off = BTreeSet::new();
     loop {
         state.limits().record_alive(state.clock.now());
         let mut is_busy = false;
         for (service, pool) in state.pools().iter() {
             refuse_after_lease_expiry(&state, pool);
             pool.handle_event(PoolEvent::Tick);
+            report_reach(&state, pool, &mut cut_off);
             let floor =
                 pool.inspect(|scheduler| (scheduler.wanted_floor(), scheduler.effective_floor()));
             is_busy |= floor != (None, None) || pool.status().waiting > 0;
@@ -82,6 +85,25 @@
     }
 }
 
+/// Logs and records whether this daemon reaches the upstreams of a pool; `cut_off` has the services of
+/// those that it did not reach before.
+fn report_reach(state: &TrafficState, pool: &PoolRuntime, cut_off: &mut BTreeSet<ServiceName>) {
+    let service = &pool.service;
+    let is_cut_off = pool.is_cut_off();
+    gauge!("tarragonknot_cut_off", "service" => service.to_string())
+        .set(f64::from(u8::from(is_cut_off)));
+    match is_cut_off {
+        true if cut_off.insert(service.clone()) => {
+            let status = pool.status();
+            warn!(state.log, "cut off from all upstreams"; "service" => service.as_str(), "live" => status.live, "waiting" => status.waiting);
+        }
+        false if cut_off.remove(service) => {
+            info!(state.log, "reaches upstreams again"; "service" => service.as_str());
+        }
+        true | false => {}
+    }
+}
+
 /// Refuses waiting requests once the lease has expired, since none may be dispatched any more. This
 /// is checked at each tick and not by the agent, which may be blocked on a leader that does not
 /// answer.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -18,6 +18,7 @@
 mod owner_ring;
 mod placement;
 mod queue;
+mod reach_monitor;
 mod request_sizes;
 mod retry_budget;
 mod retry_detector;
@@ -54,6 +55,7 @@
     placement_policy, prefix_hashes,
 };
 pub use queue::{FairQueue, FifoQueue, TierShare, WaitingQueue, WaitingRequest};
+pub use reach_monitor::ReachMonitor;
 pub use request_sizes::{RouteSizes, SizeDecile};
 pub use retry_budget::{RetryBound, RetryBudget};
 pub use retry_detector::RetryDetector;
--- a/src/policy/scheduler/events.rs
+++ b/src/policy/scheduler/events.rs
@@ -144,6 +144,11 @@
         /// What.
         event: UpstreamEvent,
     },
+    /// A request that was sent to an upstream got no answer in time.
+    Unanswered {
+        /// Upstream concerned.
+        upstream: UpstreamIndex,
+    },
     /// An upstream evicted a prefix block from its cache.
     CacheEvicted {
         /// Upstream concerned.
--- a/src/policy/scheduler/feedback.rs
+++ b/src/policy/scheduler/feedback.rs
@@ -15,6 +15,7 @@
 
 impl PoolScheduler {
     pub(super) fn handle_first_token(&mut self, id: RequestId, after: Duration, now: Moment) {
+        self.reach.record_contact();
         let Some(running) = self.running.get_mut(&id) else { return };
         let unread_tokens = std::mem::take(&mut running.unread_tokens);
         let prompt_tokens = running.request.prompt_tokens;
@@ -106,6 +107,7 @@
     pub(super) fn handle_grant(&mut self, id: RequestId) {
         let Some(running) = self.running.get_mut(&id) else { return };
         if std::mem::take(&mut running.is_reserving) {
+            self.reach.record_contact();
             let upstream = running.upstream;
             self.upstreams.update(upstream, UpstreamStatus::clear_refusals);
             self.reservations.record_grant();
@@ -114,6 +116,7 @@
 
     /// Handles a refused slot reservation: the request returns to the front of its queue.
     fn handle_no_slot(&mut self, request: WaitingRequest, upstream: UpstreamIndex, now: Moment) {
+        self.reach.record_contact();
         self.upstreams.update(upstream, |status| status.record_refusal(now));
         self.reservations.record_refusal(now);
         self.queue.requeue_front(request);
@@ -130,6 +133,7 @@
         let time = now.since(running.dispatched_at);
         self.record_end(request, true);
         self.upstreams.apply_event(*upstream, UpstreamEvent::Answered);
+        self.reach.record_contact();
         if self.plan.counts_tokens {
             let (organisation, tier) = (request.organisation, request.tier);
             self.model.learn_counts(
@@ -175,6 +179,7 @@
         actions: &mut Vec<PoolAction>,
     ) {
         self.upstreams.apply_event(upstream, UpstreamEvent::Unreachable);
+        self.record_unreached(upstream, now);
         let may_retry = self.redispatch_budget >= 1.0
             && self.upstreams.live_count() > 0
             && now < request.deadline;
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -12,9 +12,10 @@
 
 use super::{
     CapacityClass, CostModel, DrainMeter, EngineSpeed, FirstEventModel, Mechanism, Moment,
-    OrganisationIndex, PlacementPolicy, PlacementQuery, RequestId, RequiredFit, ShedAudit,
-    ShedFloor, SizeShares, TierRank, UpstreamIndex, UpstreamQueueMeter, UpstreamSet, UpstreamState,
-    UpstreamStatus, WaitingLevels, WaitingQueue, WaitingRequest, placement_policy,
+    OrganisationIndex, PlacementPolicy, PlacementQuery, ReachMonitor, RequestId, RequiredFit,
+    ShedAudit, ShedFloor, SizeShares, TierRank, UpstreamEvent, UpstreamIndex, UpstreamQueueMeter,
+    UpstreamSet, UpstreamState, UpstreamStatus, WaitingLevels, WaitingQueue, WaitingRequest,
+    placement_policy,
 };
 use crate::answer::AnswerKind;
 use crate::table::QueueDiscipline;
@@ -82,6 +83,7 @@
     stragglers_checked_at: Moment,
     reservations: ReservationLimiter,
     peer_waiting: PeerWaiting,
+    reach: ReachMonitor,
     size_shares: SizeShares,
     /// Queue lengths inside the upstreams of a plain service.
     upstream_queues: UpstreamQueueMeter,
@@ -111,6 +113,7 @@
             stragglers_checked_at: Moment(0),
             reservations: ReservationLimiter::default(),
             peer_waiting: PeerWaiting::default(),
+            reach: ReachMonitor::default(),
             size_shares: SizeShares::default(),
             upstream_queues: UpstreamQueueMeter::default(),
             plan,
@@ -137,10 +140,19 @@
             PoolEvent::TokenGap { id, gap } => self.handle_token_gap(id, gap, now),
             PoolEvent::Ended { id, outcome } => self.handle_end(id, outcome, now, actions),
             PoolEvent::LoadReported { upstream, report } => {
+                self.reach.record_contact();
                 self.record_upstream_queue(upstream, report.queued, now);
                 self.upstreams.reported(upstream, report, now)
             }
-            PoolEvent::Lifecycle { upstream, event } => self.upstreams.apply_event(upstream, event),
+            PoolEvent::Lifecycle { upstream, event } => {
+                self.upstreams.apply_event(upstream, event);
+                match event {
+                    UpstreamEvent::Answered => self.reach.record_contact(),
+                    UpstreamEvent::Unreachable => self.record_unreached(upstream, now),
+                    UpstreamEvent::Leaving | UpstreamEvent::Absent | UpstreamEvent::Idle => {}
+                }
+            }
+            PoolEvent::Unanswered { upstream } => self.record_unreached(upstream, now),
             PoolEvent::CacheEvicted { upstream, block } => self.placement.evicted(block, upstream),
             PoolEvent::Sources(sources) => {
                 let plan = &self.plan;
@@ -434,6 +446,16 @@
         }
     }
 
+    /// Records that an upstream could not be reached, or left a request unanswered.
+    pub(super) fn record_unreached(&mut self, upstream: UpstreamIndex, now: Moment) {
+        self.reach.record_failure(upstream, self.upstreams.iter().count(), now);
+    }
+
+    /// Whether this daemon reaches the pool's upstreams.
+    pub fn reach(&self) -> &ReachMonitor {
+        &self.reach
+    }
+
     /// All upstreams of the pool.
     pub fn upstreams(&self) -> &UpstreamSet {
         &self.upstreams
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -244,6 +244,11 @@
         self.reservation.store(reservation, Ordering::Relaxed);
     }
 
+    /// True if this daemon probably reaches none of the pool's upstreams.
+    pub fn is_cut_off(&self) -> bool {
+        self.inspect(|scheduler| scheduler.reach().is_cut_off())
+    }
+
     pub fn now(&self) -> Moment {
         self.clock.now()
     }
--- a/src/traffic/routed/attempt.rs
+++ b/src/traffic/routed/attempt.rs
@@ -36,6 +36,9 @@
     /// The connection closed before the answer was complete. The request may have run, and the
     /// upstream may have terminated.
     ConnectionBroken(String),
+    /// No answer began within this time, although the connection stayed open. The request may have
+    /// run.
+    Unanswered(Duration),
     /// No usable answer came, although the connection stayed open. The request may have run.
     NoUsableAnswer(String),
 }
@@ -53,6 +56,9 @@
             SendError::UnprovenStatus(status) => {
                 write!(formatter, "the request may have run: status {status}")
             }
+            SendError::Unanswered(limit) => {
+                write!(formatter, "the request may have run: no answer within {limit:?}")
+            }
             SendError::ConnectionBroken(detail) | SendError::NoUsableAnswer(detail) => {
                 write!(formatter, "the request may have run: {detail}")
             }
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -149,6 +149,7 @@
             SendError::NotRun { .. } => self.not_run += 1,
             SendError::UnprovenStatus(_)
             | SendError::ConnectionBroken(_)
+            | SendError::Unanswered(_)
             | SendError::NoUsableAnswer(_) => {}
         }
     }
@@ -391,7 +392,7 @@
         let sending = send(self, placed, last_event_id);
         match tokio::time::timeout(limit, sending).await {
             Ok(answer) => answer,
-            Err(_) => Err(SendError::NoUsableAnswer(format!("no answer within {limit:?}"))),
+            Err(_) => Err(SendError::Unanswered(limit)),
         }
     }
 
@@ -500,6 +501,9 @@
         let broken = BrokenRequest { id: request.id().into(), fingerprint: request.fingerprint };
         check_upstream(&request.state, placed.broken_upstream(), broken);
     }
+    if let SendError::Unanswered(_) = error {
+        placed.pool.handle_event(PoolEvent::Unanswered { upstream: placed.upstream });
+    }
     if let SendError::NotRun { load: Some(report), .. } = error {
         placed
             .pool
@@ -520,12 +524,12 @@
         SendError::NotSent(_) => AnswerKind::UpstreamUnreachable,
         SendError::NotRun { .. } => AnswerKind::UpstreamRefused,
         SendError::UnprovenStatus(_) => AnswerKind::UpstreamFailed,
-        SendError::ConnectionBroken(_) | SendError::NoUsableAnswer(_)
-            if request.time_left().is_zero() =>
-        {
-            AnswerKind::DeadlineRunning
-        }
-        SendError::ConnectionBroken(_) | SendError::NoUsableAnswer(_) => AnswerKind::UpstreamLost,
+        SendError::ConnectionBroken(_)
+        | SendError::Unanswered(_)
+        | SendError::NoUsableAnswer(_) => match request.time_left().is_zero() {
+            true => AnswerKind::DeadlineRunning,
+            false => AnswerKind::UpstreamLost,
+        },
     }
 }
 
