--- a/tests/routed_fleet.rs
+++ b/tests/routed_fleet.rs
@@ -425,6 +425,22 @@
         self.state.apply_platform_list(PlatformList { vms: engines.iter().map(row).collect() });
     }
 
+    /// Applies a platform list that has engines of these names at these addresses.
+    pub fn list_addresses(&self, engines: &[(&str, SocketAddr)]) {
+        let row = |(name, address): &(&str, SocketAddr)| VmRow {
+            service: self.pool.into(),
+            upstream: (*name).into(),
+            address: *address,
+            state: VmState::Live,
+            incarnation: 0,
+            places: Some(4),
+            version: Some("v1".into()),
+            data_centre: None,
+            is_cold: false,
+        };
+        self.state.apply_platform_list(PlatformList { vms: engines.iter().map(row).collect() });
+    }
+
     /// Applies a platform list that has the engines with their data centres.
     pub fn list_data_centres(&self, engines: &[(&ScriptedEngine, &str)]) {
         let row = |(engine, data_centre): &(&ScriptedEngine, &str)| VmRow {
