Entries that reach no upstream pass requests on through their peers

What callers saw: at an entry that was cut off from all upstreams every first try failed (503, or the deadline), while the other entries served 221 of 225.

Cause: an entry served with what it reached itself. It found one upstream after the other silent, marked each, and then refused everything; nothing passed work on. Class: a decision about the fleet from one daemon's own view. The same view marked upstreams as down for the others, and counted contents as crashing.

The reach monitor now decides. While an entry is cut off, waiting and new requests go to a peer over a port between daemons; the peer admits, places and sends them as its own, so limits, budgets, tiers and roll-outs count once. A ticket with a tag of the fleet's key carries the time waited and the sends so far. One hop, three peers at most, at random, without those that could not serve one in the last second. What may have run is not repeated unless its route allows it; the peer's "not run" lets another be asked. Streams go event by event, end with their caller, and go on through another peer. Upstreams of other pools are checked by a few probes; idle connections of a cut are closed; an entry that may be cut off reports no upstream as down, and broken connections count only against contents that broke some before.

Ruled out: leaving rotation (open connections stay, a whole data centre may be cut, each closed connection is a failed try); carrying bytes to an upstream chosen here (limits would count where the upstream can't be heard).

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -166,6 +166,7 @@
                 sizes: None,
                 size_tenth: None,
                 homes: None,
+                must_stay: false,
                 route: RouteKey::default(),
                 rank: 0,
                 objective: None,
--- a/src/daemon/background.rs
+++ b/src/daemon/background.rs
@@ -4,7 +4,7 @@
 use crate::platform::InstanceLister;
 use crate::policy::{PoolEvent, TierRank, UpstreamEvent, UpstreamIndex};
 use crate::settings::DaemonSettings;
-use crate::table::ServiceName;
+use crate::table::{ServiceName, UpstreamName};
 use crate::traffic::{PoolRuntime, ProbeOutcome, TrafficState, probe};
 use crate::upstream::{ListError, ListReading, PlatformList, UnreadEntry, UpstreamLister};
 use bytes::Bytes;
@@ -14,8 +14,9 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use metrics::gauge;
+use rand::seq::SliceRandom;
 use slog::{info, warn};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -39,6 +40,8 @@
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval of probes of unreachable upstreams.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// Number of upstreams of a pool that are probed at a time while this daemon is cut off from all.
+const CUT_OFF_PROBES: usize = 3;
 /// Maximum number of distinct causes of unread entries that are logged.
 const MAX_LOGGED_CAUSES: usize = 64;
 /// Maximum number of concurrent load report polls.
@@ -95,6 +98,9 @@
     match is_cut_off {
         true if cut_off.insert(service.clone()) => {
             let status = pool.status();
+            // Connections that outlive the cut would hang again.
+            let addresses = pool.addresses().into_iter().map(|(_, address, _)| address);
+            state.connections().close_idle(addresses);
             warn!(state.log, "cut off from all upstreams"; "service" => service.as_str(), "live" => status.live, "waiting" => status.waiting);
         }
         false if cut_off.remove(service) => {
@@ -117,32 +123,74 @@
 /// Probes unreachable upstreams. Used with a platform, where answers carry the load reports and
 /// others need no polling.
 async fn probe_suspects(state: Arc<TrafficState>) {
+    let mut contacts: HashMap<ServiceName, u64> = HashMap::new();
     loop {
-        for pool in state.pools().values() {
-            let suspects = pool.suspects();
-            if suspects.is_empty() {
-                continue;
-            }
-            let path = state.health_path(&pool.service);
-            for (upstream, name, address) in suspects {
-                let (state, pool, path) = (Arc::clone(&state), Arc::clone(pool), path.clone());
-                tokio::spawn(async move {
-                    let outcome = probe(&state, address, name.as_str(), path.as_deref()).await;
-                    if let ProbeOutcome::Answered { cold_left: left } = outcome {
-                        // Before the upstream is used again, since it may crash under the load.
-                        pool.handle_event(PoolEvent::ColdReported { upstream, left });
-                    }
-                    if let Some(event) = event_of_outcome(outcome) {
-                        info!(state.log, "suspect upstream answered a probe"; "upstream" => name.as_str(), "word" => format!("{event:?}"));
-                        pool.handle_event(PoolEvent::Lifecycle { upstream, event });
-                    }
-                });
+        let pools = state.pools();
+        let is_any_cut_off = pools.values().any(|pool| pool.is_cut_off());
+        for pool in pools.values() {
+            let count = pool.inspect(|scheduler| scheduler.reach().contacts());
+            let had_contact = contacts.insert(pool.service.clone(), count) != Some(count);
+            let (targets, purpose) = match (pool.is_cut_off(), is_any_cut_off && !had_contact) {
+                (true, _) => (few_upstreams(&state, pool), ProbePurpose::Return),
+                (false, true) => (few_upstreams(&state, pool), ProbePurpose::Check),
+                (false, false) => (pool.suspects(), ProbePurpose::Return),
+            };
+            for target in targets {
+                let (state, pool) = (Arc::clone(&state), Arc::clone(pool));
+                tokio::spawn(async move { probe_upstream(&state, &pool, target, purpose).await });
             }
         }
         tokio::time::sleep(PROBE_INTERVAL).await;
     }
 }
 
+/// Why an upstream is probed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProbePurpose {
+    /// To use it again once it answers.
+    Return,
+    /// To learn whether this daemon reaches it, since it reaches none of another pool and had no
+    /// contact with this one. With few requests, or slow ones, these would show it late.
+    Check,
+}
+
+/// An upstream to probe.
+type ProbeTarget = (UpstreamIndex, UpstreamName, SocketAddr);
+
+/// A few upstreams of a pool at random, so that the probes of a fleet that is cut off stay few.
+fn few_upstreams(state: &TrafficState, pool: &PoolRuntime) -> Vec<ProbeTarget> {
+    let mut targets = pool.usable_or_suspect();
+    targets.shuffle(&mut state.new_rng());
+    targets.truncate(CUT_OFF_PROBES);
+    targets
+}
+
+async fn probe_upstream(
+    state: &TrafficState,
+    pool: &PoolRuntime,
+    (upstream, name, address): ProbeTarget,
+    purpose: ProbePurpose,
+) {
+    let path = state.health_path(&pool.service);
+    let outcome = probe(state, address, name.as_str(), path.as_deref()).await;
+    if let ProbeOutcome::Answered { cold_left: left } = outcome {
+        // Before the upstream is used again, since it may crash under the load.
+        pool.handle_event(PoolEvent::ColdReported { upstream, left });
+    }
+    if outcome == ProbeOutcome::Silent {
+        pool.handle_event(PoolEvent::Reached);
+    }
+    let is_unreached = matches!(outcome, ProbeOutcome::Refused | ProbeOutcome::Closed);
+    if is_unreached && purpose == ProbePurpose::Check {
+        let event = UpstreamEvent::Unreachable;
+        pool.handle_event(PoolEvent::Lifecycle { upstream, event });
+    }
+    if let Some(event) = event_of_outcome(outcome) {
+        info!(state.log, "upstream answered a probe"; "upstream" => name.as_str(), "word" => format!("{event:?}"));
+        pool.handle_event(PoolEvent::Lifecycle { upstream, event });
+    }
+}
+
 /// Returns the event of an unreachable upstream for a probe's outcome, or `None` if it is still
 /// unreachable.
 fn event_of_outcome(outcome: ProbeOutcome) -> Option<UpstreamEvent> {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -17,7 +17,7 @@
 use crate::table::DataCentreName;
 use crate::traffic::{
     FrontendHandle, TrafficState, drain_chart, readiness_router, start_exchange, start_frontend,
-    without_frontend,
+    start_relay_server, without_frontend,
 };
 use crate::upstream::connection_chart;
 pub use background::start_background_tasks;
@@ -127,8 +127,12 @@
         let socket = tokio::net::UdpSocket::bind(control).await.with_context(|_| bind(control))?;
         let calls_per_second =
             settings.platform.as_ref().and_then(|platform| platform.list_calls_per_second);
-        let key = Arc::from(key.bearer());
-        start_exchange(Arc::clone(&state), socket, control, key, calls_per_second);
+        let key: Arc<str> = Arc::from(key.bearer());
+        start_exchange(Arc::clone(&state), socket, control, Arc::clone(&key), calls_per_second);
+        if let Some(address) = settings.relay {
+            state.relay.enable(address, key);
+            start_relay_server(Arc::clone(&state), listen(address).await?);
+        }
     }
     let operators = settings.platform.as_ref().and_then(|platform| platform.operators);
     let (stop, stopped) = oneshot::channel();
--- a/src/experiment/run.rs
+++ b/src/experiment/run.rs
@@ -232,6 +232,7 @@
             sizes: None,
             size_tenth: None,
             homes: None,
+            must_stay: false,
             route: RouteKey::default(),
             rank: 0,
             objective: None,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -98,6 +98,11 @@
     pub fn since(self, earlier: Moment) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// The timestamp `duration` earlier, or the epoch.
+    pub fn before(self, duration: Duration) -> Moment {
+        Moment(self.0.saturating_sub(duration.as_micros() as u64))
+    }
 }
 
 impl std::ops::Add<Duration> for Moment {
--- a/src/policy/scheduler/admission.rs
+++ b/src/policy/scheduler/admission.rs
@@ -40,6 +40,9 @@
         if !self.upstreams.has_usable(request.homes.as_ref()) {
             return refuse(AnswerKind::UpstreamAbsent);
         }
+        if self.reach.is_cut_off() && !request.must_stay {
+            return refuse(AnswerKind::UpstreamUnreachable);
+        }
         let mut request = self.to_waiting_request(request, now);
         let slack = request.deadline.since(now);
         if self.plan.refuses_late
--- a/src/policy/scheduler/events.rs
+++ b/src/policy/scheduler/events.rs
@@ -51,6 +51,9 @@
     pub size_tenth: Option<SizeDecile>,
     /// Regions in which the request may be served; `None` means anywhere.
     pub homes: Option<HomeRegions>,
+    /// True if no peer can take the request, so that it is tried here even if no upstream seems to be
+    /// reached.
+    pub must_stay: bool,
     /// Route of the request; sizes are compared among the requests of one route.
     pub route: RouteKey,
     /// Cumulative hashes of the leading blocks of the prompt.
@@ -149,6 +152,13 @@
         /// Upstream concerned.
         upstream: UpstreamIndex,
     },
+    /// An upstream accepted a connection.
+    Reached,
+    /// Requests can be sent through other daemons, or no longer.
+    Peers {
+        /// True if the fleet has such daemons.
+        has_peers: bool,
+    },
     /// An upstream evicted a prefix block from its cache.
     CacheEvicted {
         /// Upstream concerned.
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -128,6 +128,7 @@
         rng: &mut dyn RngCore,
         actions: &mut Vec<PoolAction>,
     ) {
+        let was_cut_off = self.reach.is_cut_off();
         match event {
             PoolEvent::Arrived(request) => self.handle_arrival(request, now, rng, actions),
             PoolEvent::CallerLeft(id) => {
@@ -152,7 +153,12 @@
                     UpstreamEvent::Leaving | UpstreamEvent::Absent | UpstreamEvent::Idle => {}
                 }
             }
-            PoolEvent::Unanswered { upstream } => self.record_unreached(upstream, now),
+            PoolEvent::Unanswered { upstream } => {
+                let is_last = self.upstreams.is_last_reachable(upstream);
+                self.reach.record_unanswered(upstream, is_last, now);
+            }
+            PoolEvent::Reached => self.reach.record_contact(),
+            PoolEvent::Peers { has_peers } => self.reach.set_has_peers(has_peers),
             PoolEvent::CacheEvicted { upstream, block } => self.placement.evicted(block, upstream),
             PoolEvent::Sources(sources) => {
                 let plan = &self.plan;
@@ -185,6 +191,9 @@
             }
             PoolEvent::Tick => self.tick(now, actions),
         }
+        if self.reach.is_cut_off() && !was_cut_off {
+            self.refuse_waiting(AnswerKind::UpstreamUnreachable, actions);
+        }
         self.dispatch_waiting(now, rng, actions);
     }
 
@@ -446,9 +455,9 @@
         }
     }
 
-    /// Records that an upstream could not be reached, or left a request unanswered.
+    /// Records that no connection to an upstream could be opened.
     pub(super) fn record_unreached(&mut self, upstream: UpstreamIndex, now: Moment) {
-        self.reach.record_failure(upstream, self.upstreams.iter().count(), now);
+        self.reach.record_unreachable(upstream, self.upstreams.iter().count(), now);
     }
 
     /// Whether this daemon reaches the pool's upstreams.
--- a/src/policy/upstream_set.rs
+++ b/src/policy/upstream_set.rs
@@ -88,6 +88,19 @@
         self.live > 0 && (homes.is_none() || self.upstreams.values().any(serves))
     }
 
+    /// True if there are other upstreams in service than this one, and none of them can be reached.
+    pub fn is_last_reachable(&self, index: UpstreamIndex) -> bool {
+        let mut others = self.upstreams.values().filter(|status| {
+            status.index != index
+                && matches!(status.state(), UpstreamState::Live | UpstreamState::Suspect)
+        });
+        let mut count = 0;
+        others.all(|status| {
+            count += 1;
+            status.state() == UpstreamState::Suspect
+        }) && count > 0
+    }
+
     /// True if this daemon may send requests with these homes to some usable upstream. It may not if
     /// each of them states a limited rate that is left to another daemon.
     pub fn takes_requests_here(&self, homes: Option<&HomeRegions>) -> bool {
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -145,6 +145,12 @@
         .increment(1);
 }
 
+/// Counts a request that was offered to a peer: `answered`, `refused`, `unable` (another peer may serve
+/// it) or `failed`.
+pub fn record_relayed(outcome: &'static str) {
+    counter!("tarragonknot_relayed_requests_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts the end of a stream's body, by its framing and by whether bytes of an event are left over.
 pub fn record_stream_end(framing: AnswerFraming, is_within_event: bool) {
     let place = if is_within_event { "within-event" } else { "between-events" };
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -93,6 +93,11 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[schemars(with = "Option<String>")]
     pub metrics: Option<SocketAddr>,
+    /// Address at which this daemon accepts requests that other daemons pass on, on the same port as
+    /// all of them; absent means that no requests are passed on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Option<String>")]
+    pub relay: Option<SocketAddr>,
     /// Mechanisms of the policy that are disabled, to measure the effect of each.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub mechanisms_off: Vec<Mechanism>,
--- a/src/traffic/crash_check.rs
+++ b/src/traffic/crash_check.rs
@@ -23,6 +23,9 @@
 /// Delay between two probes; far below the seconds that an upstream needs to restart.
 const PROBE_RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Time within which the checks of other upstreams show that this daemon is cut off from all of them.
+const CUT_OFF_CHECK_DELAY: Duration = Duration::from_millis(200);
+
 /// An upstream whose connection broke during a request.
 #[derive(Clone, Debug)]
 pub struct BrokenUpstream {
@@ -86,7 +89,12 @@
         let result = probe_upstream(&state, &upstream).await;
         let requests = state.crash_checks.take(upstream.hash());
         notify_pool(&state, &upstream, result);
-        record_result(&state, &upstream, &requests, result != CheckResult::Alive);
+        let verdict = match result {
+            CheckResult::Alive => CheckVerdict::Alive,
+            _ if is_cut_off(&state, &upstream).await => CheckVerdict::CutOff,
+            CheckResult::Ended | CheckResult::Replaced => CheckVerdict::Ended,
+        };
+        record_verdict(&state, &upstream, &requests, verdict);
     });
 }
 
@@ -130,28 +138,82 @@
     }
 }
 
-fn record_result(
+/// True if this daemon, and not the upstream, lost its connections: it reaches none of the upstreams,
+/// and other daemons do. While several upstreams fail at the same time, the result of their checks is
+/// awaited.
+async fn is_cut_off(state: &TrafficState, upstream: &BrokenUpstream) -> bool {
+    let Some(pool) = state.version_pool(&upstream.service, upstream.version.as_ref()) else {
+        return false;
+    };
+    if pool.inspect(|scheduler| scheduler.reach().is_doubtful()) {
+        tokio::time::sleep(CUT_OFF_CHECK_DELAY).await;
+    }
+    pool.is_cut_off() && pool.is_used_by_peers()
+}
+
+/// What the broken connections are put down to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CheckVerdict {
+    /// The connections themselves.
+    Alive,
+    /// This daemon, which reaches none of the upstreams.
+    CutOff,
+    /// The upstream, which has ended.
+    Ended,
+}
+
+impl CheckVerdict {
+    /// Name of the cause in metrics.
+    fn cause(self) -> &'static str {
+        match self {
+            CheckVerdict::Alive => "connection",
+            CheckVerdict::CutOff => "cut-off",
+            CheckVerdict::Ended => "upstream-ended",
+        }
+    }
+}
+
+fn record_verdict(
     state: &TrafficState,
     upstream: &BrokenUpstream,
     requests: &[BrokenRequest],
-    has_ended: bool,
+    verdict: CheckVerdict,
 ) {
     let BrokenUpstream { service, upstream: name, incarnation, .. } = upstream;
-    let cause = if has_ended { "upstream-ended" } else { "connection" };
-    metrics::counter!("tarragonknot_requests_broken_total", "service" => service.to_string(), "cause" => cause)
+    metrics::counter!("tarragonknot_requests_broken_total", "service" => service.to_string(), "cause" => verdict.cause())
         .increment(requests.len() as u64);
-    if !has_ended {
-        info!(state.log, "connections broke, but the upstream is alive"; "service" => service.as_str(), "upstream" => name.as_str(),
-            "requests" => requests.len());
-        return;
+    match verdict {
+        CheckVerdict::Alive => {
+            info!(state.log, "connections broke, but the upstream is alive"; "service" => service.as_str(), "upstream" => name.as_str(),
+                "requests" => requests.len());
+        }
+        CheckVerdict::CutOff => {
+            info!(state.log, "connections broke, as no upstream is reached"; "service" => service.as_str(), "upstream" => name.as_str(),
+                "requests" => requests.len());
+            // A cut breaks requests of different contents at each upstream, while a content that
+            // crashes them is there each time.
+            let is_suspect =
+                |request: &&BrokenRequest| state.quarantine.crashes(request.fingerprint) > 0;
+            note_crashes(state, upstream, requests.iter().filter(is_suspect));
+        }
+        CheckVerdict::Ended => {
+            metrics::counter!("tarragonknot_upstreams_ended_total", "service" => service.to_string())
+                .increment(1);
+            info!(state.log, "upstream ended"; "service" => service.as_str(), "upstream" => name.as_str(),
+                "incarnation" => incarnation, "requests" => requests.len());
+            note_crashes(state, upstream, requests.iter());
+        }
     }
-    metrics::counter!("tarragonknot_upstreams_ended_total", "service" => service.to_string())
-        .increment(1);
-    info!(state.log, "upstream ended"; "service" => service.as_str(), "upstream" => name.as_str(),
-        "incarnation" => incarnation, "requests" => requests.len());
+}
+
+fn note_crashes<'a>(
+    state: &TrafficState,
+    upstream: &BrokenUpstream,
+    requests: impl Iterator<Item = &'a BrokenRequest>,
+) {
     for request in requests {
         info!(state.log, "lost with its upstream"; "request" => &*request.id, "fingerprint" => request.fingerprint.to_string(),
-            "service" => service.as_str(), "upstream" => name.as_str());
+            "service" => upstream.service.as_str(), "upstream" => upstream.upstream.as_str());
         state.quarantine.note_crash(state, request.fingerprint, upstream.hash());
     }
 }
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -72,6 +72,11 @@
         self.daemon_count.load(Ordering::Relaxed).max(1)
     }
 
+    /// Control addresses of the daemons that serve callers, including this one.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.fleet().map_or_else(Vec::new, |fleet| fleet.addresses().to_vec())
+    }
+
     /// Returns true if this daemon should read the platform's list itself: it is the reader for the
     /// fleet, or its list has not been confirmed for too long. `has_table` is true if it could
     /// serve callers once it has a list.
@@ -261,7 +266,11 @@
     limits.set_share(share);
     forecasts.into_iter().for_each(|(index, forecast)| limits.set_forecast(index, forecast));
     drop(limits);
+    let has_peers = state.relay.is_enabled() && state.fleet.daemon_count() > 1;
     for (service, pool) in state.pools().iter() {
+        if pool.inspect(|scheduler| scheduler.reach().has_peers() != has_peers) {
+            pool.handle_event(PoolEvent::Peers { has_peers });
+        }
         if pool.inspect(|scheduler| !Arc::ptr_eq(scheduler.upstreams().owners(), &owners)) {
             pool.handle_event(PoolEvent::Owners(Arc::clone(&owners)));
         }
@@ -398,13 +407,15 @@
     for pool in state.pools().values() {
         let service = &pool.service;
         pool.inspect(|scheduler| {
+            // A daemon that may reach none of the upstreams knows nothing of any one of them.
+            let is_doubtful = scheduler.reach().is_doubtful();
             rows.extend(scheduler.upstreams().iter().filter_map(|status| {
                 let learned = status.gap_micros.filter(|_| status.gap_measured_at > since);
                 let work = PeerWork {
                     requests: status.in_flight,
                     unread_tokens: status.unread_tokens,
                     gap_micros: learned.unwrap_or(0.0) as u32,
-                    is_down: status.state() == UpstreamState::Suspect,
+                    is_down: !is_doubtful && status.state() == UpstreamState::Suspect,
                     stated_rate: status.rate_pace.report(now),
                     hinted: 0,
                 };
--- a/src/traffic/frontend/admitted.rs
+++ b/src/traffic/frontend/admitted.rs
@@ -239,6 +239,7 @@
         sizes: None,
         size_tenth: None,
         homes: None,
+        must_stay: false,
         route: RouteKey::default(),
         rank: 0,
         objective: None,
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -12,6 +12,7 @@
 mod pool_runtime;
 mod probe;
 mod quarantine_gate;
+mod relay;
 mod rollout_gate;
 mod routed;
 mod sink;
@@ -27,6 +28,7 @@
 };
 pub use pool_runtime::{PoolRuntime, RequestGuard};
 pub use probe::{ProbeOutcome, probe};
+pub use relay::{PeerChoice, RelayTicket, TicketSubject, start_relay_server};
 pub use routed::{
     AnswerMetadata, CallDialect, CallerMetadata, EventSplitter, ReservationReply,
     ReservationRequest, RouteIndex, SendMetadata,
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -179,6 +179,17 @@
             .collect()
     }
 
+    /// Upstreams that are in service, whether this daemon reaches them or not.
+    pub fn usable_or_suspect(&self) -> Vec<(UpstreamIndex, UpstreamName, SocketAddr)> {
+        let core = self.lock();
+        let statuses = core.scheduler.upstreams().iter().filter(|status| {
+            matches!(status.state(), UpstreamState::Live | UpstreamState::Suspect)
+        });
+        statuses
+            .map(|status| (status.index, status.source.name.clone(), status.source.address))
+            .collect()
+    }
+
     /// Incarnation of an upstream; 0 if it is unknown or the upstream is no longer in the pool.
     pub fn incarnation(&self, upstream: UpstreamIndex) -> u64 {
         self.inspect(|scheduler| {
@@ -249,6 +260,13 @@
         self.inspect(|scheduler| scheduler.reach().is_cut_off())
     }
 
+    /// True if other daemons report requests at the pool's upstreams.
+    pub fn is_used_by_peers(&self) -> bool {
+        self.inspect(|scheduler| {
+            scheduler.upstreams().iter().any(|status| status.peer_work.requests > 0)
+        })
+    }
+
     pub fn now(&self) -> Moment {
         self.clock.now()
     }
--- a/src/traffic/routed/admission.rs
+++ b/src/traffic/routed/admission.rs
@@ -11,6 +11,7 @@
 use crate::report::record_size;
 use crate::table::RouteRow;
 use crate::traffic::access::CallerIdentity;
+use crate::traffic::relay::{RELAY_HEADER, RelayTicket, TicketSubject};
 use crate::traffic::state::{TableSnapshot, TrafficState};
 use axum::Router;
 use axum::body::Body;
@@ -19,7 +20,7 @@
 use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use slog::info;
+use slog::{info, warn};
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,20 +44,59 @@
 /// The HTTP service that answers callers by route.
 pub fn routed_router(state: Arc<TrafficState>) -> Router {
     let service = tower::service_fn(move |request| {
-        let answer = answer_request(Arc::clone(&state), request);
+        let answer = answer_request(Arc::clone(&state), request, None);
         async move { Ok::<_, Infallible>(answer.await) }
     });
     Router::new().fallback_service(service)
 }
 
-async fn answer_request(state: Arc<TrafficState>, request: Request<Body>) -> Response<Body> {
+/// The HTTP service that answers requests that peers pass on.
+pub fn relayed_router(state: Arc<TrafficState>) -> Router {
+    let service = tower::service_fn(move |request| {
+        let answer = answer_relayed(Arc::clone(&state), request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    Router::new().fallback_service(service)
+}
+
+async fn answer_relayed(state: Arc<TrafficState>, request: Request<Body>) -> Response<Body> {
+    let Some(ticket) = read_ticket(&state, &request) else {
+        warn!(state.log, "dropped a relayed request without a valid ticket");
+        return refusal(&state, AnswerKind::NotAllowed, "");
+    };
+    let Some(_place) = state.relay.begin_receiving() else {
+        return refusal(&state, AnswerKind::Draining, "");
+    };
+    if !state.is_ready() {
+        return refusal(&state, AnswerKind::Draining, "");
+    }
+    answer_request(state, request, Some(ticket)).await
+}
+
+fn read_ticket(state: &TrafficState, request: &Request<Body>) -> Option<RelayTicket> {
+    let metadata = state.interface()?.dialect.read_caller(request.headers());
+    let subject = TicketSubject {
+        method: request.method().as_str(),
+        path: request.uri().path_and_query().map_or("/", |path| path.as_str()),
+        id: metadata.id.as_deref().unwrap_or_default(),
+    };
+    let text = request.headers().get(RELAY_HEADER)?.to_str().ok()?;
+    RelayTicket::verify(text, &subject, state.relay.key()?)
+}
+
+async fn answer_request(
+    state: Arc<TrafficState>,
+    request: Request<Body>,
+    ticket: Option<RelayTicket>,
+) -> Response<Body> {
     let Some(manner) = state.interface() else { return refusal(&state, AnswerKind::Internal, "") };
     let dialect = Arc::clone(&manner.dialect);
-    let arrived_at = state.clock.now();
+    let waited = ticket.as_ref().map_or(Duration::ZERO, |ticket| ticket.waited);
+    let arrived_at = state.clock.now().before(waited);
     let metadata = dialect.read_caller(request.headers());
     let caller_deadline = metadata.deadline;
     let id: Arc<str> = Arc::from(metadata.id.clone().unwrap_or_default());
-    match admit(&state, dialect, request, metadata, arrived_at).await {
+    match admit(&state, dialect, request, metadata, (arrived_at, ticket)).await {
         Ok(admitted) => forward(admitted).await,
         Err(kind) => {
             info!(state.log, "refused"; "request" => &*id, "kind" => kind.row().name, "table" => state.snapshot().version);
@@ -79,7 +119,7 @@
     dialect: Arc<dyn CallDialect>,
     request: Request<Body>,
     metadata: CallerMetadata,
-    arrived_at: Moment,
+    (arrived_at, ticket): (Moment, Option<RelayTicket>),
 ) -> Result<Box<RoutedRequest>, AnswerKind> {
     // Without a table, routes and keys cannot be checked, so they must not be reported as unknown.
     if !wait_for_table(state).await {
@@ -96,8 +136,10 @@
     let tokens = metadata.prompt_tokens.map(|prompt| prompt + metadata.output_limit.unwrap_or(0));
     let sizes = request_sizes(&metadata);
     let size_tenth = sizes.and_then(|sizes| state.size_decile(&matched.route.route, sizes));
+    // A peer that has sent the request to an upstream that may have run it has charged it too.
+    let is_charged = ticket.is_some_and(|ticket| ticket.sent > ticket.not_run);
     let limit = match &matched.caller {
-        Some(caller) => {
+        Some(caller) if !is_charged => {
             let snapshot = state.snapshot();
             let cost = snapshot.access.charged_units(caller, tokens);
             let rank = snapshot.access.route_rank(&matched.route);
@@ -123,7 +165,7 @@
                 is_charged: false,
             })
         }
-        None => None,
+        Some(_) | None => None,
     };
     let wait = metadata.deadline.unwrap_or(DEFAULT_DEADLINE).min(matched.route.timeout_ms);
     Ok(Box::new(RoutedRequest {
@@ -144,6 +186,8 @@
         body,
         arrived_at,
         limit,
+        ticket,
+        must_stay: false,
         _progress: progress,
     }))
 }
--- a/src/traffic/routed/attempt.rs
+++ b/src/traffic/routed/attempt.rs
@@ -5,6 +5,7 @@
 use crate::answer::promises_not_run;
 use crate::policy::LoadReport;
 use crate::report::record_failed_answer;
+use crate::traffic::relay::RELAY_HEADER;
 use crate::upstream::{AnswerBody, ConnectionGuard, OpenError, end_to_end_headers};
 use http::header::{CONTENT_LENGTH, EXPECT, HOST};
 use http::{HeaderMap, Request, StatusCode, response};
@@ -201,11 +202,12 @@
 }
 
 /// The caller's end-to-end headers. `Content-Length` and `Expect` are dropped: the body is buffered
-/// and sent whole, with a newly computed length.
-fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
+/// and sent whole, with a newly computed length. So is the relay's header, which only daemons set.
+pub fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
     let mut forwarded = end_to_end_headers(headers);
     forwarded.remove(CONTENT_LENGTH);
     forwarded.remove(EXPECT);
+    forwarded.remove(RELAY_HEADER);
     if let Some(host) = headers.get(HOST) {
         forwarded.insert(HOST, host.clone());
     }
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -3,9 +3,12 @@
 use super::admission::{LimitGuard, RouteMatch, match_route};
 use super::attempt::{OpenAnswer, SendError, send};
 use super::dialect::{CallDialect, CallerMetadata};
-use super::relay::{StreamContent, StreamRelay, StreamTiming, buffered_response, stream_response};
+use super::relay::{
+    AnswerSource, StreamContent, StreamRelay, StreamTiming, buffered_response, stream_response,
+};
 use super::reserve::{NOT_RESERVED, ReservationOutcome, reserve};
 use super::size_fields::SizeFields;
+use super::through_peer::{PeerForward, forward_through_peers};
 use crate::answer::{AnswerKind, ExecutionStatus, RefusalAnswer};
 use crate::policy::{
     ArrivedRequest, DispatchOutcome, HomeRegions, Moment, PoolEvent, RateStatement, RequestId,
@@ -18,6 +21,7 @@
 use crate::traffic::access::CallerIdentity;
 use crate::traffic::crash_check::{BrokenRequest, BrokenUpstream, check_upstream};
 use crate::traffic::pool_runtime::{PoolDecision, PoolRuntime, RequestGuard};
+use crate::traffic::relay::RelayTicket;
 use crate::traffic::rollout_gate::TrialTicket;
 use crate::traffic::state::{ChosenPool, ProgressGuard, TrafficState};
 use crate::upstream::AnswerFraming;
@@ -80,6 +84,10 @@
     pub body: Bytes,
     pub arrived_at: Moment,
     pub limit: Option<LimitGuard>,
+    /// Set if a peer has passed the request on.
+    pub ticket: Option<RelayTicket>,
+    /// True if no peer can take the request.
+    pub must_stay: bool,
     /// Counts the request as in progress until dropped.
     pub _progress: ProgressGuard,
 }
@@ -127,11 +135,26 @@
 }
 
 impl SendHistory {
+    /// The sends of a request at the peer that has passed it on.
+    pub fn of_ticket(ticket: &RelayTicket) -> Self {
+        SendHistory { sent: ticket.sent, not_run: ticket.not_run }
+    }
+
     /// Number of upstreams that the request was sent to.
     pub fn sent(self) -> u32 {
         self.sent
     }
 
+    /// Number of those that declared not to have run the request.
+    pub fn not_run(self) -> u32 {
+        self.not_run
+    }
+
+    /// Takes back a send to a peer that has not sent the request to any upstream that ran it.
+    pub fn retract_send(&mut self) {
+        self.sent -= 1;
+    }
+
     /// True if one of them may have run the request.
     pub fn may_have_run(self) -> bool {
         self.sent > self.not_run
@@ -145,7 +168,7 @@
     /// Takes the end of the last send into account. Without this call it stays a possible run.
     pub fn end_send(&mut self, error: &SendError) {
         match error {
-            SendError::NotSent(_) => self.sent -= 1,
+            SendError::NotSent(_) => self.retract_send(),
             SendError::NotRun { .. } => self.not_run += 1,
             SendError::UnprovenStatus(_)
             | SendError::ConnectionBroken(_)
@@ -215,6 +238,19 @@
             && self.state.with_retry_budget(service, |budget| budget.try_withdraw())
     }
 
+    /// True if a peer may serve the request, as this daemon reaches no upstream that can. A request
+    /// takes one hop at most. One that is bound to regions stays here, since a peer's region is not
+    /// known.
+    pub fn may_pass_on(&self, kind: AnswerKind) -> bool {
+        let is_unreached =
+            matches!(kind, AnswerKind::UpstreamAbsent | AnswerKind::UpstreamUnreachable);
+        is_unreached
+            && !self.must_stay
+            && self.ticket.is_none()
+            && self.homes.is_none()
+            && !self.time_left().is_zero()
+    }
+
     /// Waits until the scheduler places the request at an upstream. The table is checked again
     /// before each send, since a route may have changed and a key may have been revoked while the
     /// request waited. So is the quarantine: every send passes here, whether it is the first one, a
@@ -350,6 +386,7 @@
             sizes: self.sizes,
             size_tenth: self.size_tenth,
             homes: self.homes.clone(),
+            must_stay: self.must_stay,
             route: RouteKey::of(&self.route.route),
             prefix: Box::default(),
         }
@@ -423,11 +460,21 @@
 
 /// Forwards a request until an answer begins or it is refused; the events of a stream follow later.
 pub async fn forward(mut request: Box<RoutedRequest>) -> Response<Body> {
-    let mut history = SendHistory::default();
+    let mut history = request.ticket.as_ref().map(SendHistory::of_ticket).unwrap_or_default();
     loop {
         request.stage = RequestStage::Waiting;
         let mut placed = match request.place(history).await {
             Ok(placed) => placed,
+            Err(kind) if request.may_pass_on(kind) => {
+                match forward_through_peers(request, history).await {
+                    PeerForward::Answered(response) => return response,
+                    PeerForward::NotTaken(returned, sends) => {
+                        (request, history) = (returned, sends);
+                        request.must_stay = true;
+                        continue;
+                    }
+                }
+            }
             Err(kind) => return refuse(&mut request, kind, history),
         };
         request.stage = RequestStage::Sent;
@@ -519,7 +566,7 @@
     placed.guard.end(DispatchOutcome::Failed);
 }
 
-fn refusal_kind(request: &RoutedRequest, error: &SendError) -> AnswerKind {
+pub fn refusal_kind(request: &RoutedRequest, error: &SendError) -> AnswerKind {
     match error {
         SendError::NotSent(_) => AnswerKind::UpstreamUnreachable,
         SendError::NotRun { .. } => AnswerKind::UpstreamRefused,
@@ -534,7 +581,11 @@
 }
 
 /// Refuses the request. Once a send may have run it, the answer must not claim that it did not run.
-fn refuse(request: &mut RoutedRequest, kind: AnswerKind, history: SendHistory) -> Response<Body> {
+pub fn refuse(
+    request: &mut RoutedRequest,
+    kind: AnswerKind,
+    history: SendHistory,
+) -> Response<Body> {
     request.stage = RequestStage::Ended;
     let claims_not_run = kind.row().ran == ExecutionStatus::No;
     let kind = match history.may_have_run() && claims_not_run {
@@ -589,7 +640,8 @@
     let is_stream = request.route.kind.is_stream() && content != StreamContent::Other;
     if is_stream && status.is_success() {
         request.stage = RequestStage::Answering;
-        let relay = StreamRelay::new(request, placed, history, content, body);
+        let relay =
+            StreamRelay::new(request, AnswerSource::Upstream(placed), history, content, body);
         return AnswerOutcome::Response(stream_response(head, relay));
     }
     let limit = request.time_left();
@@ -608,7 +660,7 @@
             request.record_version_answer(&placed, answer);
             placed.guard.end(outcome);
             if !is_failure || !request.may_send_again(&placed.pool.service, history) {
-                request.log_answered(&placed, status, framing);
+                request.log_answered(placed.name.as_str(), status, framing);
                 return AnswerOutcome::Response(response);
             }
             // `may_send_again` has spent a unit of the budget, and `forward` calls it again.
@@ -626,7 +678,8 @@
 }
 
 impl RoutedRequest {
-    fn log_answered(&mut self, placed: &PlacedRequest, status: StatusCode, framing: AnswerFraming) {
+    /// Logs and records the end of a request that got a whole answer from an upstream, or a peer.
+    pub fn log_answered(&mut self, upstream: &str, status: StatusCode, framing: AnswerFraming) {
         self.stage = RequestStage::Ended;
         // A failure may precede the run, so it does not show that the content is harmless.
         if status.is_success() {
@@ -634,7 +687,7 @@
         }
         self.record(if status.is_server_error() { "upstream-failure" } else { "answered" }, None);
         let after = self.state.clock.now().since(self.arrived_at).as_millis() as u64;
-        info!(self.state.log, "answered"; "request" => self.id(), "upstream" => placed.name.as_str(),
+        info!(self.state.log, "answered"; "request" => self.id(), "upstream" => upstream,
             "status" => status.as_u16(), "after_ms" => after, "framing" => framing.name());
     }
 }
--- a/src/traffic/routed/mod.rs
+++ b/src/traffic/routed/mod.rs
@@ -13,10 +13,11 @@
 mod relay;
 mod reserve;
 mod size_fields;
+mod through_peer;
 
 use crate::policy::OrganisationIndex;
 
-pub use admission::routed_router;
+pub use admission::{relayed_router, routed_router};
 pub use dialect::{
     AnswerMetadata, CallDialect, CallerMetadata, ReservationReply, ReservationRequest, SendMetadata,
 };
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -3,6 +3,7 @@
 use super::attempt::SendError;
 use super::events::EventSplitter;
 use super::forward::{PlacedRequest, RequestStage, RoutedRequest, SendHistory, report_send_error};
+use super::through_peer::{PeerHop, PeerOutcome, send_through_peers};
 use crate::answer::RAN_HEADER;
 use crate::policy::{DispatchOutcome, Moment, PoolEvent};
 use crate::report::record_stream_end;
@@ -33,15 +34,22 @@
     head: response::Parts,
     body: AnswerBody,
 ) -> Result<Response<Body>, String> {
-    let (bytes, end) = body.collect(ANSWER_LIMIT_BYTES).await.map_err(|error| error.to_string())?;
-    if end == BodyEnd::Unstated && is_json(&head) && !is_complete_json(&bytes) {
-        return Err("the connection ended within a JSON document".to_owned());
-    }
+    let bytes = whole_body(&head, body).await?;
     let mut response = build_response(&head, Body::from(bytes));
     response.headers_mut().remove(CONTENT_LENGTH);
     Ok(response)
 }
 
+/// Reads the body of an answer that is not a stream, as for [`buffered_response`].
+pub async fn whole_body(head: &response::Parts, body: AnswerBody) -> Result<Bytes, String> {
+    let collected = body.collect(ANSWER_LIMIT_BYTES).await;
+    let (bytes, end) = collected.map_err(|error| error.to_string())?;
+    if end == BodyEnd::Unstated && is_json(head) && !is_complete_json(&bytes) {
+        return Err("the connection ended within a JSON document".to_owned());
+    }
+    Ok(bytes)
+}
+
 fn is_json(head: &response::Parts) -> bool {
     media_type(head).is_some_and(|name| name.eq_ignore_ascii_case("application/json"))
 }
@@ -108,11 +116,19 @@
     Cut,
 }
 
+/// Where the answer to a request comes from.
+pub enum AnswerSource {
+    /// An upstream.
+    Upstream(PlacedRequest),
+    /// A peer, which has sent the request to an upstream.
+    Peer(PeerHop),
+}
+
 /// A stream being relayed. Dropped when the caller disconnects, which closes the connection to the
 /// upstream.
 pub struct StreamRelay {
     request: Box<RoutedRequest>,
-    placed: PlacedRequest,
+    source: AnswerSource,
     history: SendHistory,
     /// `None` once the stream was broken, which closes the connection.
     body: Option<AnswerBody>,
@@ -155,14 +171,14 @@
 impl StreamRelay {
     pub fn new(
         request: Box<RoutedRequest>,
-        placed: PlacedRequest,
+        source: AnswerSource,
         history: SendHistory,
         content: StreamContent,
         body: AnswerBody,
     ) -> Self {
         StreamRelay {
             request,
-            placed,
+            source,
             history,
             framing: body.framing(),
             content,
@@ -235,7 +251,7 @@
         self.body = None;
         self.record_end();
         let output_tokens = self.splitter.event_count() as u32;
-        self.placed.guard.end(DispatchOutcome::Completed { prompt_tokens: None, output_tokens });
+        self.source.end(DispatchOutcome::Completed { prompt_tokens: None, output_tokens });
         self.log_ended();
         self.splitter.take_remainder().map_or(RelayStep::Done, RelayStep::Events)
     }
@@ -249,7 +265,7 @@
         self.request.record("answered", Some(&self.timing));
         let first = self.timing.first_event_after(arrived).unwrap_or_default();
         let after = now.since(arrived);
-        info!(self.request.state.log, "answered"; "request" => self.request.id(), "upstream" => self.placed.name.as_str(),
+        info!(self.request.state.log, "answered"; "request" => self.request.id(), "upstream" => self.source.name(),
             "status" => 200, "after_ms" => after.as_millis() as u64, "first_ms" => first.as_millis() as u64,
             "pause_ms" => self.timing.longest_pause.as_millis() as u64, "events" => self.splitter.event_count(),
             "framing" => self.framing.name(), self.request.size_fields());
@@ -264,71 +280,99 @@
         self.request.stage = RequestStage::Ended;
         self.request.record("cut", Some(&self.timing));
         if self.body.is_some() {
-            self.request.record_version_answer(&self.placed, VersionOutcome::Failed);
+            self.record_failure();
         }
         self.body = None;
-        self.placed.guard.end(DispatchOutcome::Failed);
-        info!(self.request.state.log, "stream cut"; "request" => self.request.id(), "upstream" => self.placed.name.as_str(),
+        self.source.end(DispatchOutcome::Failed);
+        info!(self.request.state.log, "stream cut"; "request" => self.request.id(), "upstream" => self.source.name(),
             "events" => self.splitter.event_count(), "detail" => detail, self.request.size_fields());
         RelayStep::Cut
     }
 
+    fn record_failure(&self) {
+        if let Some(placed) = self.source.placed() {
+            self.request.record_version_answer(placed, VersionOutcome::Failed);
+        }
+    }
+
     /// Resumes the stream elsewhere after its last complete event; false if no upstream may or can.
     async fn resume_elsewhere(&mut self, error: SendError) -> bool {
         // Closing the connection first makes the upstream stop before another one begins.
         self.body = None;
-        info!(self.request.state.log, "stream broken"; "request" => self.request.id(), "upstream" => self.placed.name.as_str(),
+        info!(self.request.state.log, "stream broken"; "request" => self.request.id(), "upstream" => self.source.name(),
             "events" => self.splitter.event_count(), "framing" => self.framing.name(),
             "unfinished_bytes" => self.splitter.pending_bytes(), "detail" => error.to_string());
-        report_send_error(&self.request, &mut self.placed, &error);
+        if let AnswerSource::Upstream(placed) = &mut self.source {
+            report_send_error(&self.request, placed, &error);
+        }
         if !self.splitter.can_resume() {
             return false;
         }
-        while self.request.may_send_again(&self.placed.pool.service.clone(), self.history) {
-            let Ok(placed) = self.request.place(self.history).await else { return false };
-            self.placed = placed;
-            let last_event_id =
-                self.splitter.last_event_id().or(self.request.metadata.last_event_id);
-            self.request.log_send(&self.placed, self.history, last_event_id);
-            let answer =
-                self.request.try_send(&self.placed, &mut self.history, last_event_id).await;
+        let last_event_id = self.splitter.last_event_id().or(self.request.metadata.last_event_id);
+        while self.request.may_send_again(&self.source.service().clone(), self.history) {
+            let mut placed = match self.request.place(self.history).await {
+                Ok(placed) => placed,
+                Err(kind) => {
+                    return self.request.may_pass_on(kind)
+                        && self.resume_through_peers(last_event_id).await;
+                }
+            };
+            self.request.log_send(&placed, self.history, last_event_id);
+            let answer = self.request.try_send(&placed, &mut self.history, last_event_id).await;
             match answer {
                 Ok(answer) if answer.head.status.is_success() => {
-                    self.splitter.discard_partial();
-                    self.gap_start = None;
-                    self.framing = answer.body.framing();
-                    self.body = Some(answer.body);
+                    self.adopt(AnswerSource::Upstream(placed), answer.body);
                     return true;
                 }
                 Ok(_) => {
-                    self.request.record_version_answer(&self.placed, VersionOutcome::Failed);
-                    self.placed.guard.end(DispatchOutcome::Failed);
+                    self.request.record_version_answer(&placed, VersionOutcome::Failed);
+                    placed.guard.end(DispatchOutcome::Failed);
                 }
-                Err(error) => report_send_error(&self.request, &mut self.placed, &error),
+                Err(error) => report_send_error(&self.request, &mut placed, &error),
             }
+            self.source = AnswerSource::Upstream(placed);
         }
         false
     }
 
+    async fn resume_through_peers(&mut self, last_event_id: Option<u64>) -> bool {
+        let (request, history) = (&mut self.request, &mut self.history);
+        match send_through_peers(request, history, last_event_id).await {
+            PeerOutcome::Answered(answer) if answer.head.status.is_success() => {
+                self.adopt(AnswerSource::Peer(answer.hop), answer.body);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Goes on with the body of an answer that resumes the stream.
+    fn adopt(&mut self, source: AnswerSource, body: AnswerBody) {
+        self.splitter.discard_partial();
+        self.gap_start = None;
+        self.source = source;
+        self.framing = body.framing();
+        self.body = Some(body);
+    }
+
     /// Reports the event timing to the scheduler, which learns the upstream's speed from it.
     fn report_timing(&mut self) {
         let now = self.request.state.clock.now();
         self.timing.record_event(now);
         let events = self.splitter.event_count();
-        let id = self.placed.number;
+        let Some(placed) = self.source.placed() else { return };
+        let id = placed.number;
         match self.gap_start {
             None => {
                 self.gap_start = Some((events, now));
-                let after = now.since(self.placed.sent_at);
-                self.request.record_version_answer(&self.placed, VersionOutcome::served(after));
-                self.placed.pool.handle_event(PoolEvent::FirstToken { id, after });
+                let after = now.since(placed.sent_at);
+                self.request.record_version_answer(placed, VersionOutcome::served(after));
+                placed.pool.handle_event(PoolEvent::FirstToken { id, after });
             }
             Some((from, at)) if events >= from + GAP_REPORT_EVENTS => {
                 self.gap_start = Some((events, now));
-                let count = (events - from) as u32 * self.placed.pool.event_tokens();
-                self.placed
-                    .pool
-                    .handle_event(PoolEvent::TokenGap { id, gap: now.since(at) / count });
+                let count = (events - from) as u32 * placed.pool.event_tokens();
+                placed.pool.handle_event(PoolEvent::TokenGap { id, gap: now.since(at) / count });
             }
             Some(_) => {}
         }
--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -10,6 +10,7 @@
 use super::fleet_exchange::FleetExchange;
 use super::pool_runtime::PoolRuntime;
 use super::quarantine_gate::QuarantineGate;
+use super::relay::PeerRelay;
 use super::rollout_gate::RolloutGate;
 use super::routed::CallDialect;
 use crate::clock::MonotonicClock;
@@ -96,6 +97,8 @@
     pub quarantine: QuarantineGate,
     /// Roll-outs of upstreams' software.
     pub rollouts: RolloutGate,
+    /// Requests that are passed on between this daemon and its peers.
+    pub relay: PeerRelay,
     /// Checks in progress of upstreams whose connections broke.
     pub crash_checks: CrashChecks,
     /// Notified when a shed floor must be reported to the leader at once.
@@ -141,6 +144,7 @@
             fleet: FleetExchange::default(),
             quarantine: QuarantineGate::default(),
             rollouts: RolloutGate::default(),
+            relay: PeerRelay::default(),
             crash_checks: CrashChecks::default(),
             floor_changes: Notify::new(),
             in_progress: AtomicUsize::new(0),
@@ -443,6 +447,11 @@
         (self.seed() >> 11) as f64 / (1u64 << 53) as f64
     }
 
+    /// A new generator of random numbers.
+    pub fn new_rng(&self) -> ChaCha8Rng {
+        ChaCha8Rng::seed_from_u64(self.seed())
+    }
+
     /// Boot number of the daemon.
     pub fn boot(&self) -> u64 {
         self.boot
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -191,6 +191,12 @@
         }
     }
 
+    /// Closes the idle connections to these addresses.
+    pub fn close_idle(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        addresses.into_iter().for_each(|address| drop(idle.remove(&address)));
+    }
+
     /// Takes the most recently used idle connection. If that one was idle for too long, it and all
     /// others of the address, which are older, are closed.
     fn take(&self, address: SocketAddr, max_idle_time: Duration) -> Option<OpenConnection> {
--- a/tests/burst_pool.rs
+++ b/tests/burst_pool.rs
@@ -43,6 +43,7 @@
         sizes: Some(RequestSizes { prompt: 100, output }),
         size_tenth: None,
         homes: None,
+        must_stay: false,
         route: RouteKey::default(),
         prefix: Box::default(),
     }
--- a/tests/routed_fleet.rs
+++ b/tests/routed_fleet.rs
@@ -8,12 +8,14 @@
 use hyper_util::rt::TokioExecutor;
 use serde_json::json;
 use slog::{Discard, Logger, o};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tarragonknot::platform;
 use tarragonknot::table::VersionedTable;
-use tarragonknot::traffic::{FrontendHandle, TrafficState, start_exchange, start_frontend};
+use tarragonknot::traffic::{
+    FrontendHandle, TrafficState, start_exchange, start_frontend, start_relay_server,
+};
 use tarragonknot::upstream::{PlatformList, VmRow, VmState};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -304,6 +306,22 @@
     false
 }
 
+/// Listeners on the same port of as many loopback addresses.
+async fn relay_listeners(count: usize) -> Vec<TcpListener> {
+    loop {
+        let first = TcpListener::bind("127.0.1.1:0").await.expect("a loopback port can be bound");
+        let port = first.local_addr().expect("the socket has a local address").port();
+        let mut listeners = vec![first];
+        for number in 2..=count as u8 {
+            let listener = TcpListener::bind((Ipv4Addr::new(127, 0, 1, number), port)).await;
+            listeners.extend(listener);
+        }
+        if listeners.len() == count {
+            return listeners;
+        }
+    }
+}
+
 /// A daemon and its engines, all of one service.
 pub struct RoutedFleet {
     pub state: Arc<TrafficState>,
@@ -378,17 +396,22 @@
         fleet
     }
 
-    /// Starts `count` daemons that exchange state, with version 1 of the table in force.
+    /// Starts `count` daemons that exchange state and pass requests on, with version 1 of the table
+    /// in force.
     pub async fn start_peers(count: usize, engines: &[&ScriptedEngine]) -> Vec<Self> {
         let mut fleets = Vec::new();
         let mut addresses = Vec::new();
-        for number in 0..count {
+        let key: Arc<str> = Arc::from("a key");
+        for (number, relay) in relay_listeners(count).await.into_iter().enumerate() {
             let fleet = Self::with_service(&format!("entry-{number}"), "pool", engines).await;
             fleet.apply(1, &document(1));
+            let own = relay.local_addr().expect("the socket has a local address");
             let socket =
-                UdpSocket::bind("127.0.0.1:0").await.expect("a loopback port can be bound");
+                UdpSocket::bind((own.ip(), 0)).await.expect("a loopback port can be bound");
             let address = socket.local_addr().expect("the socket has a local address");
-            start_exchange(Arc::clone(&fleet.state), socket, address, Arc::from("a key"), None);
+            start_exchange(Arc::clone(&fleet.state), socket, address, Arc::clone(&key), None);
+            fleet.state.relay.enable(own, Arc::clone(&key));
+            start_relay_server(Arc::clone(&fleet.state), relay);
             addresses.push(address);
             fleets.push(fleet);
         }
--- a/tests/session.rs
+++ b/tests/session.rs
@@ -179,6 +179,7 @@
             sizes: None,
             size_tenth: None,
             homes: None,
+            must_stay: false,
             route: RouteKey::default(),
             rank: 0,
             objective: None,
--- a/tests/sized_load.rs
+++ b/tests/sized_load.rs
@@ -300,6 +300,7 @@
             sizes: Some(sizes),
             size_tenth: decile,
             homes: None,
+            must_stay: false,
             route: RouteKey::of(&kind.to_string()),
             ..arrived(id.0, own.rank, 0, 0)
         });
--- a/tests/small_calls.rs
+++ b/tests/small_calls.rs
@@ -182,6 +182,7 @@
         sizes: None,
         size_tenth: None,
         homes: None,
+        must_stay: false,
         route: RouteKey::default(),
         prefix: Box::default(),
     }
--- a/tests/test_experiment.rs
+++ b/tests/test_experiment.rs
@@ -156,6 +156,7 @@
             sizes: None,
             size_tenth: None,
             homes: None,
+            must_stay: false,
             route: RouteKey::default(),
             rank: 0,
             objective: None,
--- a/tests/test_policy.rs
+++ b/tests/test_policy.rs
@@ -171,7 +171,7 @@
                 let deadline = now + Duration::from_millis(deadline);
                 let arrived = ArrivedRequest {
                     id, organisation: OrganisationIndex(u32::from(tier)), weight: 1, tier: TierRank(tier), prompt_bytes: tokens * 4,
-                    output_limit: Some(16), deadline, sizes: None, size_tenth: None, homes: None, route: RouteKey::default(),
+                    output_limit: Some(16), deadline, sizes: None, size_tenth: None, homes: None, must_stay: false, route: RouteKey::default(),
             rank: 0,
             objective: None,
             patience: None,
@@ -311,6 +311,7 @@
             sizes: None,
             size_tenth: None,
             homes: None,
+            must_stay: false,
             route: RouteKey::default(),
             rank: 0,
             objective: None,
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -53,6 +53,7 @@
 mod test_quarantine_fleet;
 mod test_quarantine_log;
 mod test_ran_status;
+mod test_reach_monitor;
 mod test_replica;
 mod test_request_sizes;
 mod test_reservations;
