A stream without a stated end is cut if its upstream ended with it

What callers saw: a stream that a crash cut between two events, complete.

Cause: the content can't tell such a cut from an end; only the upstream can. At an unstated end between two events it is now probed as after a broken connection. If it has ended, or another incarnation has its address, the stream is broken off, or resumed elsewhere. A busy or live upstream leaves it whole. Only streams without a length or chunks pay for the probe.

Soak: such streams are chosen by the request's id, so that what a seed draws stays the same; entries pass requests on. Open: the soak can't cut one entry from the engines, as all entries share each engine's proxy.

--- a/soak/answers.rs
+++ b/soak/answers.rs
@@ -24,6 +24,12 @@
     request.path().contains("/stream/") || request.path().contains("/resumable/")
 }
 
+/// True for the streams, a quarter of all, that have neither a length nor chunks. Chosen by the
+/// request's id, so that the faults that a seed draws stay the same.
+fn ends_with_connection(request: &WireRequest) -> bool {
+    request.id().bytes().map(u32::from).sum::<u32>() % 4 == 0
+}
+
 impl EngineConnection {
     /// Reads the rest of a request, executes and answers it; an error ends the connection.
     pub async fn answer(&mut self, mut request: WireRequest) -> io::Result<()> {
@@ -202,9 +208,10 @@
         } else {
             u64::MAX
         };
-        let mut text = format!(
-            "HTTP/1.1 200 OK\r\n{headers}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
-        );
+        let is_chunked = !ends_with_connection(request);
+        let framing = if is_chunked { "transfer-encoding: chunked\r\n" } else { "" };
+        let mut text =
+            format!("HTTP/1.1 200 OK\r\n{headers}content-type: text/event-stream\r\n{framing}\r\n");
         self.wire.write(&text).await?;
         for event in last_received + 1..=event_count {
             tokio::time::sleep(EVENT_INTERVAL).await;
@@ -212,13 +219,19 @@
             if event == cut_event {
                 data.truncate(data.len() / 2);
             }
-            let chunk = format!("{:x}\r\n{data}\r\n", data.len());
+            let chunk = match is_chunked {
+                true => format!("{:x}\r\n{data}\r\n", data.len()),
+                false => data,
+            };
             self.wire.write(&chunk).await?;
             text.push_str(&chunk);
             if event == cut_event {
                 return close().map(|()| text);
             }
         }
+        if !is_chunked {
+            return close().map(|()| text);
+        }
         self.wire.write("0\r\n\r\n").await?;
         Ok(text + "0\r\n\r\n")
     }
--- a/soak/context.rs
+++ b/soak/context.rs
@@ -22,6 +22,7 @@
 pub const LIST_PORT: u16 = 18_225;
 pub const OPERATORS_PORT: u16 = 18_229;
 pub const CONTROL_PORT: u16 = 17_600;
+pub const RELAY_PORT: u16 = 17_615;
 pub const ENGINE_PORT: u16 = 18_080;
 /// Idle routes in the configurations of every second seed, some 90 KB.
 const LARGE_TABLE_ROUTES: usize = 350;
--- a/soak/fleet.rs
+++ b/soak/fleet.rs
@@ -1,8 +1,8 @@
 //! The processes of the tested program, which are started, signalled and killed by process id.
 
 use crate::context::{
-    AddressKind, CALLERS_PORT, CONTROL_PORT, LIST_PORT, OPERATORS_PORT, READY_PORT, SoakContext,
-    lock,
+    AddressKind, CALLERS_PORT, CONTROL_PORT, LIST_PORT, OPERATORS_PORT, READY_PORT, RELAY_PORT,
+    SoakContext, lock,
 };
 use crate::operators::config_document;
 use crate::{checks, engines, operators, proxy};
@@ -78,6 +78,7 @@
             let ip = ctx.ip(AddressKind::Entry, number);
             let mut settings = common(ip);
             settings["callers"] = json!(format!("{ip}:{CALLERS_PORT}"));
+            settings["relay"] = json!(format!("{ip}:{RELAY_PORT}"));
             settings["readiness"] = json!(format!("{ip}:{READY_PORT}"));
             settings["platform"] = json!({"list": ctx.address(AddressKind::List, 0, LIST_PORT)});
             settings
--- a/src/traffic/crash_check.rs
+++ b/src/traffic/crash_check.rs
@@ -98,6 +98,11 @@
     });
 }
 
+/// True if the upstream has terminated, or another incarnation uses its address.
+pub async fn has_ended(state: &TrafficState, upstream: &BrokenUpstream) -> bool {
+    probe_upstream(state, upstream).await != CheckResult::Alive
+}
+
 /// Result of a check.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CheckResult {
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -112,7 +112,7 @@
 
 impl PlacedRequest {
     /// Describes the upstream for the crash check after a broken connection.
-    fn broken_upstream(&self) -> BrokenUpstream {
+    pub fn broken_upstream(&self) -> BrokenUpstream {
         BrokenUpstream {
             service: self.pool.service.clone(),
             version: self.pool.version.clone(),
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -8,6 +8,7 @@
 use crate::policy::{DispatchOutcome, Moment, PoolEvent};
 use crate::report::record_stream_end;
 use crate::rollout::VersionOutcome;
+use crate::traffic::crash_check::has_ended;
 use crate::upstream::{AnswerBody, AnswerFraming, BodyEnd, BodyRead, end_to_end_headers};
 use axum::body::Body;
 use bytes::Bytes;
@@ -205,11 +206,13 @@
                     }
                     None => continue,
                 },
-                Ok(BodyRead::Ended(end)) if self.is_complete(end) => return self.end(),
-                Ok(BodyRead::Ended(_)) => {
-                    self.record_end();
-                    SendError::ConnectionBroken("the stream ended within an event".to_owned())
-                }
+                Ok(BodyRead::Ended(end)) => match self.find_break(end).await {
+                    None => return self.end(),
+                    Some(detail) => {
+                        self.record_end();
+                        SendError::ConnectionBroken(detail.to_owned())
+                    }
+                },
                 Ok(BodyRead::Broken(error)) => SendError::ConnectionBroken(error.to_string()),
                 Err(_) if self.request.time_left().is_zero() => {
                     return self.cut("the deadline has passed");
@@ -222,11 +225,21 @@
         }
     }
 
-    /// True if a body that ends here is complete. No framing makes half an event complete, but content
-    /// of no stated type may be something else.
-    fn is_complete(&self, end: BodyEnd) -> bool {
-        let is_stated = self.content == StreamContent::Unstated && end == BodyEnd::Stated;
-        is_stated || !self.splitter.is_within_event()
+    /// Why a body that ends here is incomplete; `None` if it is complete. No framing makes half an
+    /// event complete, but content of no stated type may be something else. An unstated end between
+    /// two events is that of a whole stream, unless the upstream ended with it.
+    async fn find_break(&self, end: BodyEnd) -> Option<&'static str> {
+        let is_within_event = self.splitter.is_within_event();
+        match (end, self.source.placed()) {
+            (BodyEnd::Stated, _) if self.content == StreamContent::Unstated => None,
+            _ if is_within_event => Some("the stream ended within an event"),
+            (BodyEnd::Unstated, Some(placed))
+                if has_ended(&self.request.state, &placed.broken_upstream()).await =>
+            {
+                Some("the upstream ended with its stream")
+            }
+            _ => None,
+        }
     }
 
     /// How long the upstream may pause before the stream is resumed elsewhere.
--- a/tests/test_answer_end.rs
+++ b/tests/test_answer_end.rs
@@ -237,6 +237,25 @@
     assert_eq!(engine.count(), 1);
 }
 
+/// Guards against a stream that an engine's crash cut between two events and that its caller takes for
+/// complete.
+#[rstest]
+#[tokio::test]
+async fn a_stream_that_ends_with_its_engine_does_not_look_complete(
+    #[values("/stream/", "/resumable/")] path: &str,
+    #[values(CallerVersion::Http1, CallerVersion::Http2)] version: CallerVersion,
+) {
+    let text = StreamFraming::Unframed.answer(&events(1, 3));
+    let engine = raw_engine(text, ConnectionEnd::Crash).await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    let received = call(&fleet, path, "id-1", version).await;
+
+    assert!(!received.is_whole, "{received:?}");
+    assert!(events(1, 3).starts_with(&received.text), "{received:?}");
+    assert_eq!(engine.count(), 1);
+}
+
 /// Guards against a cut at any byte: a caller gets the whole events before it, and takes the stream
 /// for complete only if the cut is between two events.
 #[rstest]
