The bound on rejections that an upstream states is read, logged and measured

Engines may say how many rejections per second they bear before they fail. Nothing read it. The header is read under both names that the platform uses, its changes are logged and shown as a gauge by upstream.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -25,6 +25,8 @@
 const COLD: &str = "tarragonknot-cold-ms";
 /// The platform's announcement of the header lacks the usual prefix, so both names are read.
 const RATE_LIMITS: [&str; 2] = ["server-limit", "tarragonknot-server-limit"];
+/// Both names are read, as for [`RATE_LIMITS`].
+const BRITTLE: [&str; 2] = ["server-brittle", "tarragonknot-server-brittle"];
 const HOLD: &str = "tarragonknot-hold";
 const HOLD_TAKE_PATH: &str = "/-/hold-take";
 /// Headers removed from callers' requests: only this system may set them on requests to engines.
@@ -134,6 +136,7 @@
             idle_timeout: text(headers, KEEP_ALIVE).and_then(read_keep_alive),
             cold_left: number::<f64>(headers, COLD).and_then(read_cold),
             stated_rate: read_rate(headers),
+            rejections_per_second: BRITTLE.iter().find_map(|name| number(headers, name)),
         }
     }
 }
--- a/src/policy/scheduler/events.rs
+++ b/src/policy/scheduler/events.rs
@@ -124,6 +124,13 @@
         /// What it states.
         rate: RateStatement,
     },
+    /// An answer of an upstream stated how many rejections per second it bears, or no longer states it.
+    RejectionBoundStated {
+        /// Upstream concerned.
+        upstream: UpstreamIndex,
+        /// The bound, if there is one.
+        bound: Option<u32>,
+    },
     /// The daemons that own cold upstreams changed.
     Owners(Arc<OwnerRing>),
     /// A dispatch ended.
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -176,6 +176,9 @@
             PoolEvent::RateStated { upstream, rate } => {
                 self.upstreams.state_rate(upstream, rate, now);
             }
+            PoolEvent::RejectionBoundStated { upstream, bound } => {
+                self.upstreams.update(upstream, |status| status.rejection_bound = bound);
+            }
             PoolEvent::Owners(owners) => self.upstreams.set_owners(owners, now),
             PoolEvent::Plan(plan) => self.replace_plan(plan),
             PoolEvent::Share { share } => self.upstreams.set_share(share),
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -193,6 +193,8 @@
     pub(super) cold_pace: ColdPace,
     /// The rate at which it states to take requests.
     pub rate_pace: RatePace,
+    /// Rejections per second that it states to bear, if it states a number.
+    pub rejection_bound: Option<u32>,
     /// True if this daemon may send requests there while it is cold.
     pub(super) is_owned: bool,
     /// True while the bound on requests to cold upstreams, or its stated rate, allows no request from
@@ -276,6 +278,7 @@
             open_positions: [None; CAPACITY_CLASSES],
             cold_pace: ColdPace::default(),
             rate_pace: RatePace::default(),
+            rejection_bound: None,
             is_owned: false,
             is_held_back: false,
             is_counted: false,
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -82,6 +82,12 @@
     gauge!("tarragonknot_upstream_stated_rate", "upstream" => upstream.to_owned()).set(rate);
 }
 
+/// Records the rejections per second that an upstream states it bears; infinite if it states none.
+pub fn record_rejection_bound(upstream: &str, bound: Option<u32>) {
+    let bound = bound.map_or(f64::INFINITY, f64::from);
+    gauge!("tarragonknot_upstream_rejection_bound", "upstream" => upstream.to_owned()).set(bound);
+}
+
 /// The outcome of one routed request. Routes are not used as a label, because there may be
 /// thousands of them.
 #[derive(Debug)]
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -212,6 +212,23 @@
         (before != rate).then_some(before)
     }
 
+    /// Stores the rejections per second that an upstream states it bears. Returns the bound stated
+    /// before if it differs.
+    pub fn state_rejection_bound(
+        &self,
+        upstream: UpstreamIndex,
+        bound: Option<u32>,
+    ) -> Option<Option<u32>> {
+        let before = self.inspect(|scheduler| {
+            scheduler.upstreams().get(upstream).map(|status| status.rejection_bound)
+        })?;
+        if before == bound {
+            return None;
+        }
+        self.handle_event(PoolEvent::RejectionBoundStated { upstream, bound });
+        Some(before)
+    }
+
     /// Slowdown of an upstream relative to the rest of the pool, as a factor; 1 if unknown.
     pub fn slowness(&self, upstream: UpstreamIndex) -> f64 {
         self.inspect(|scheduler| scheduler.slowness(upstream))
--- a/src/traffic/routed/attempt.rs
+++ b/src/traffic/routed/attempt.rs
@@ -144,6 +144,9 @@
     if let Some(rate) = metadata.stated_rate.filter(|_| !metadata.is_other_incarnation) {
         request.note_stated_rate(placed, rate);
     }
+    if !metadata.is_other_incarnation {
+        request.note_rejection_bound(placed, metadata.rejections_per_second);
+    }
     let status = response.status();
     if metadata.is_not_run && echoed_id == EchoedId::Own && !status.is_success() {
         let is_other_incarnation = metadata.is_other_incarnation;
--- a/src/traffic/routed/dialect.rs
+++ b/src/traffic/routed/dialect.rs
@@ -89,6 +89,9 @@
     pub cold_left: Option<Duration>,
     /// The rate at which the upstream takes requests; `None` if what it says is not readable.
     pub stated_rate: Option<RateStatement>,
+    /// Number of requests per second that the upstream can reject for lack of capacity before it
+    /// fails, if it states one.
+    pub rejections_per_second: Option<u32>,
 }
 
 /// Reads and writes the headers of one platform.
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -15,7 +15,7 @@
     RequestSizes, RouteKey, SizeDecile, UpstreamEvent, UpstreamHash, UpstreamIndex,
 };
 use crate::quarantine::RequestFingerprint;
-use crate::report::{RouteRecord, record_route, record_stated_rate};
+use crate::report::{RouteRecord, record_rejection_bound, record_route, record_stated_rate};
 use crate::rollout::{RequestGroup, VersionArm, VersionOutcome};
 use crate::table::{RouteKind, RouteRow, ServiceName, UpstreamName};
 use crate::traffic::access::CallerIdentity;
@@ -441,6 +441,16 @@
             "service" => placed.pool.service.as_str(), "rate" => format!("{rate:?}"), "before" => format!("{before:?}"));
     }
 
+    /// Logs and records how many rejections per second an upstream states that it bears.
+    pub fn note_rejection_bound(&self, placed: &PlacedRequest, bound: Option<u32>) {
+        let Some(before) = placed.pool.state_rejection_bound(placed.upstream, bound) else {
+            return;
+        };
+        record_rejection_bound(placed.name.as_str(), bound);
+        info!(self.state.log, "upstream states another bound on rejections"; "request" => self.id(), "upstream" => placed.name.as_str(),
+            "service" => placed.pool.service.as_str(), "per_second" => bound, "before" => before);
+    }
+
     /// Logs a send: the first one, a retry, or the resumption of a stream.
     pub fn log_send(
         &self,
--- a/tests/test_platform.rs
+++ b/tests/test_platform.rs
@@ -308,3 +308,20 @@
 
     assert_eq!(answer.stated_rate, expected);
 }
+
+/// Guards against a bound on rejections that is missed under one of its names, or made up.
+#[rstest]
+#[case::short_name("server-brittle", "2", Some(2))]
+#[case::full_name("tarragonknot-server-brittle", "8", Some(8))]
+#[case::not_a_number("server-brittle", "yes", None)]
+#[case::negative("server-brittle", "-1", None)]
+#[case::another_header("server-limit", "2", None)]
+fn a_bound_on_rejections_is_read(
+    #[case] name: &'static str,
+    #[case] value: &'static str,
+    #[case] expected: Option<u32>,
+) {
+    let answer = HeaderDialect.read_answer(StatusCode::OK, &headers(&[(name, value)]));
+
+    assert_eq!(answer.rejections_per_second, expected);
+}
