Soak: connections that are reset get a reset, not a regular end

The proxy's fault "open connections are reset" dropped both sockets. Both sides now get a reset, as the fault says.

--- a/soak/proxy.rs
+++ b/soak/proxy.rs
@@ -84,26 +84,32 @@
     };
     modes.mark_unchanged();
     let opened_generation = modes.borrow().0;
-    let (client_reader, client_writer) = client.into_split();
-    let (server_reader, server_writer) = server.into_split();
+    let (mut client_reader, mut client_writer) = client.into_split();
+    let (mut server_reader, mut server_writer) = server.into_split();
     let to_server = forward_bytes(
-        client_reader,
-        server_writer,
+        &mut client_reader,
+        &mut server_writer,
         modes.clone(),
         opened_generation,
         ProxyMode::CutThere,
     );
     let to_client = forward_bytes(
-        server_reader,
-        client_writer,
+        &mut server_reader,
+        &mut client_writer,
         modes.clone(),
         opened_generation,
         ProxyMode::CutBack,
     );
-    tokio::select! {
-        _ = async { tokio::try_join!(to_server, to_client) } => {}
-        // Dropping both halves with unread bytes resets the connection.
-        () = wait_for_reset(modes) => {}
+    let is_reset = tokio::select! {
+        ended = async { tokio::try_join!(to_server, to_client) } => ended.is_err(),
+        () = wait_for_reset(modes) => true,
+    };
+    if is_reset {
+        for writer in [client_writer, server_writer] {
+            let _ = close_with_reset(writer.as_ref());
+            // Dropping the half would send a regular end first.
+            writer.forget();
+        }
     }
 }
 
@@ -123,8 +129,8 @@
 
 /// Forwards one direction until its end; `Err` if the reader's side reset the connection.
 async fn forward_bytes(
-    mut reader: OwnedReadHalf,
-    mut writer: OwnedWriteHalf,
+    reader: &mut OwnedReadHalf,
+    writer: &mut OwnedWriteHalf,
     modes: watch::Receiver<(u64, ProxyMode)>,
     opened_generation: u64,
     cut_mode: ProxyMode,
@@ -136,12 +142,7 @@
             Ok(0) => break,
             Ok(count) => count,
             Err(_) if is_silent => break,
-            Err(error) => {
-                close_with_reset(writer.as_ref())?;
-                // Dropping the half would send a regular end first.
-                writer.forget();
-                return Err(error);
-            }
+            Err(error) => return Err(error),
         };
         let (generation, mode) = *modes.borrow();
         is_silent |= mode == ProxyMode::SilenceOpen && generation > opened_generation;
