A request that no peer takes stays charged where it is sent

What an operator would see: more tokens at upstreams than an organisation's limit allows, from entries that try a request themselves after its peers could not. Cause: the claim on the limit was released before the request was offered, and nothing took it again. It is now released once a peer has answered, which charges it there. Found by reading; the new test fails before (0 charged). A daemon without a relay no longer looks for peers.

--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -245,6 +245,7 @@
         let is_unreached =
             matches!(kind, AnswerKind::UpstreamAbsent | AnswerKind::UpstreamUnreachable);
         is_unreached
+            && self.state.relay.is_enabled()
             && !self.must_stay
             && self.ticket.is_none()
             && self.homes.is_none()
--- a/src/traffic/routed/through_peer.rs
+++ b/src/traffic/routed/through_peer.rs
@@ -18,6 +18,7 @@
 use http_body_util::Full;
 use slog::info;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
 
@@ -52,7 +53,7 @@
     Answered(Box<PeerAnswer>),
     /// A peer refuses it, and it has not run; another peer would do the same.
     Refused(response::Parts, Bytes),
-    /// No peer took it, and none has run it.
+    /// No peer answers it. Its sends tell whether one may have run it.
     NotTaken,
     /// A peer took it and did not answer.
     Lost(SendError),
@@ -70,7 +71,7 @@
 /// Result of passing a request on.
 pub enum PeerForward {
     Answered(Response<Body>),
-    /// No peer took the request, and none has run it.
+    /// No peer answers the request, which is returned with its sends.
     NotTaken(Box<RoutedRequest>, SendHistory),
 }
 
@@ -141,7 +142,7 @@
     history: &mut SendHistory,
     last_event_id: Option<u64>,
 ) -> PeerOutcome {
-    let state = std::sync::Arc::clone(&request.state);
+    let state = Arc::clone(&request.state);
     let peers = state.relay.peers(&state);
     let Some(place) = state.relay.begin_sending().filter(|_| !peers.is_empty()) else {
         return PeerOutcome::NotTaken;
@@ -149,8 +150,6 @@
     let Some(service) = request.route.select_target(state.jitter()).cloned() else {
         return PeerOutcome::NotTaken;
     };
-    // The peer charges the organisation's limit.
-    request.limit = request.limit.take().filter(|limit| limit.is_charged);
     let mut tried = Vec::new();
     while tried.len() < MAX_PEERS && !request.time_left().is_zero() {
         let now = state.clock.now();
@@ -162,11 +161,13 @@
         let error = match result {
             OfferResult::Answered(head, body) => {
                 record_relayed("answered");
+                release_claim(request);
                 let hop = PeerHop { peer, service, _place: place };
                 return PeerOutcome::Answered(Box::new(PeerAnswer { hop, head, body }));
             }
             OfferResult::Refused(head, bytes) => {
                 record_relayed("refused");
+                release_claim(request);
                 return PeerOutcome::Refused(head, bytes);
             }
             OfferResult::Unable(kind) => {
@@ -188,6 +189,11 @@
     PeerOutcome::NotTaken
 }
 
+/// Releases the claim on the organisation's limit, which the peer has charged.
+fn release_claim(request: &mut RoutedRequest) {
+    request.limit = request.limit.take().filter(|limit| limit.is_charged);
+}
+
 async fn offer(
     request: &RoutedRequest,
     history: &mut SendHistory,
--- a/tests/test_cut_off_entries.rs
+++ b/tests/test_cut_off_entries.rs
@@ -1,7 +1,9 @@
 //! Entries that reach no upstream: their callers are served like those of the others.
 
 use crate::raw_engine::{RawCaller, request_head};
-use crate::routed_fleet::{ConnectionEnd, EngineAction, KEY, RoutedFleet, ScriptedEngine};
+use crate::routed_fleet::{
+    ConnectionEnd, EngineAction, KEY, RoutedFleet, ScriptedEngine, document,
+};
 use http::StatusCode;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -10,7 +12,8 @@
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
-use tarragonknot::policy::Moment;
+use tarragonknot::fleet_state::OrganisationHash;
+use tarragonknot::policy::{Moment, PoolEvent, UpstreamIndex};
 use tarragonknot::traffic::{PeerChoice, RelayTicket, TicketSubject};
 use tokio::net::{TcpSocket, TcpStream};
 
@@ -30,6 +33,9 @@
 /// Number of requests that one entry passes on.
 const SPREAD_REQUESTS: usize = 600;
 
+/// Requests left unanswered that make a daemon cut off.
+const UNANSWERED: u32 = 3;
+
 /// What happens to connections from a daemon that is cut off.
 #[derive(Clone, Copy, Debug)]
 enum Cut {
@@ -258,6 +264,38 @@
     assert_eq!(fleet.run_count(), 0);
 }
 
+/// Guards against a request that no limit counts: no peer takes it, and it is sent here after all.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_no_peer_takes_is_charged_where_it_is_sent() {
+    let fleet = CutFleet::start(Cut::Refused, |_| EngineAction::Answer(200, "fine")).await;
+    let names = fleet.engines.iter().map(|engine| engine.name.as_str());
+    let dead: Vec<_> = names.zip(fleet.dead.iter().map(|dead| dead.address)).collect();
+    fleet.daemons[1..].iter().for_each(|daemon| daemon.list_addresses(&dead));
+    let live: Vec<_> =
+        fleet.engines.iter().map(|engine| (engine.name.as_str(), engine.address)).collect();
+    let daemon = fleet.cut_daemon();
+    daemon.list_addresses(&live);
+    let limited = document(2).replace(
+        r#""name":"agents""#,
+        r#""name":"agents","rate_per_s":1000.0,"burst":1000.0,"unit":"requests""#,
+    );
+    fleet.daemons.iter().for_each(|daemon| daemon.apply(2, &limited));
+    let pool = daemon.state.pool(&"pool".into()).expect("the pool exists");
+    for index in 0..UNANSWERED {
+        pool.handle_event(PoolEvent::Unanswered { upstream: UpstreamIndex(index) });
+    }
+    let was_cut_off = pool.is_cut_off();
+
+    let answer = daemon.call("/unsafe/", "id-1").await;
+
+    let snapshot = daemon.state.snapshot();
+    let agents = OrganisationHash::of(&"agents".into());
+    let index = snapshot.access.token_limited_by_hash(agents).expect("agents are limited");
+    assert!(was_cut_off);
+    assert_eq!((answer.status, fleet.run_count()), (StatusCode::OK, 1));
+    assert_eq!(daemon.state.limits().admitted_tokens(index), 1);
+}
+
 /// Guards against requests that anybody who reaches the relay's port could have run in the name of
 /// the fleet.
 #[rstest]
