--- a/tests/test_answer_end.rs
+++ b/tests/test_answer_end.rs
@@ -34,9 +34,9 @@
 /// How an engine frames a stream that it ends as if it were complete.
 #[derive(Clone, Copy, Debug)]
 enum StreamFraming {
-    /// Neither a length nor chunks, and no word on the connection.
+    /// Neither a length nor chunks, and no `Connection` header.
     Unframed,
-    /// Neither, and the head says that the connection closes.
+    /// The same with `Connection: close`.
     Closing,
     /// HTTP/1.0, which has no chunks.
     Http10,
