A peer sends a request that was passed on only once; its sender repeats it

What upstreams saw: a resumable stream whose route allows two upstreams ran on three. Cause: two daemons each counted their own sends. A peer now repeats nothing that may have run there; the daemon that passed it on counts each hop as a send and repeats it through another, as the route and the budget allow. A peer's own "may have run" counts as such a send.

--- a/src/traffic/relay/ticket.rs
+++ b/src/traffic/relay/ticket.rs
@@ -31,6 +31,11 @@
 }
 
 impl RelayTicket {
+    /// Number of sends that may have run the request.
+    pub fn possible_runs(&self) -> u32 {
+        self.sent.saturating_sub(self.not_run)
+    }
+
     /// The header's value: `WAITED_MS,SENT,NOT_RUN,TAG`, with the tag in hexadecimal.
     pub fn encode(&self, subject: &TicketSubject<'_>, key: &str) -> String {
         let RelayTicket { sent, not_run, .. } = self;
--- a/src/traffic/routed/admission.rs
+++ b/src/traffic/routed/admission.rs
@@ -137,7 +137,7 @@
     let sizes = request_sizes(&metadata);
     let size_tenth = sizes.and_then(|sizes| state.size_decile(&matched.route.route, sizes));
     // A peer that has sent the request to an upstream that may have run it has charged it too.
-    let is_charged = ticket.is_some_and(|ticket| ticket.sent > ticket.not_run);
+    let is_charged = ticket.is_some_and(|ticket| ticket.possible_runs() > 0);
     let limit = match &matched.caller {
         Some(caller) if !is_charged => {
             let snapshot = state.snapshot();
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -137,7 +137,7 @@
 impl SendHistory {
     /// The sends of a request at the peer that has passed it on.
     pub fn of_ticket(ticket: &RelayTicket) -> Self {
-        SendHistory { sent: ticket.sent, not_run: ticket.not_run }
+        SendHistory { sent: ticket.sent, not_run: ticket.not_run.min(ticket.sent) }
     }
 
     /// Number of upstreams that the request was sent to.
@@ -157,7 +157,12 @@
 
     /// True if one of them may have run the request.
     pub fn may_have_run(self) -> bool {
-        self.sent > self.not_run
+        self.possible_runs() > 0
+    }
+
+    /// Number of sends that may have run the request.
+    pub fn possible_runs(self) -> u32 {
+        self.sent - self.not_run
     }
 
     /// Counts a send, before its first byte is written.
@@ -231,7 +236,11 @@
     /// True if the request may be sent to one more upstream now; spends a unit of the retry budget.
     pub fn may_send_again(&self, service: &ServiceName, history: SendHistory) -> bool {
         let is_allowed = !history.may_have_run() || self.route.kind.may_repeat();
+        // The daemon that passed the request on repeats it, as it counts the sends of all peers.
+        let has_run_here =
+            self.ticket.is_some_and(|ticket| history.possible_runs() > ticket.possible_runs());
         is_allowed
+            && !has_run_here
             && self.state.quarantine.held_for(self.fingerprint, self.state.clock.now()).is_none()
             && history.sent() < self.route.attempts
             && !self.time_left().is_zero()
--- a/src/traffic/routed/through_peer.rs
+++ b/src/traffic/routed/through_peer.rs
@@ -222,8 +222,13 @@
         }
     };
     let (head, body) = AnswerBody::split(&method, answer, connection);
-    if !is_unrun(&head) {
-        return OfferResult::Answered(head, body);
+    match execution_status(&head) {
+        None => return OfferResult::Answered(head, body),
+        Some(ran) if ran != ExecutionStatus::No.name() => {
+            let detail = format!("the peer answered {}", head.status);
+            return OfferResult::Failed(SendError::NoUsableAnswer(detail));
+        }
+        Some(_) => {}
     }
     let refusal = body.collect(REFUSAL_LIMIT_BYTES).await;
     history.retract_send();
@@ -238,11 +243,10 @@
     }
 }
 
-/// True if the peer states that the request has not run. It removes the header from the answers of
-/// upstreams.
-fn is_unrun(head: &response::Parts) -> bool {
-    let ran = head.headers.get(RAN_HEADER).and_then(|value| value.to_str().ok());
-    ran == Some(ExecutionStatus::No.name())
+/// Whether the request has run, as a refusal of the peer's own states it. The answers of upstreams
+/// don't have the header.
+fn execution_status(head: &response::Parts) -> Option<&str> {
+    head.headers.get(RAN_HEADER).and_then(|value| value.to_str().ok())
 }
 
 fn read_refusal(head: response::Parts, body: Result<Bytes, BodyError>) -> OfferResult {
--- a/tests/test_cut_off_entries.rs
+++ b/tests/test_cut_off_entries.rs
@@ -246,6 +246,39 @@
     assert!(!seen.is_empty(), "no request was passed on");
 }
 
+/// Guards against a request that runs more often than its route allows, since each daemon that has it
+/// counts its own sends only (found by the soak with seed 713).
+#[rstest]
+#[case::stream("/resumable/", EngineAction::CutEvents(1, 3))]
+#[case::plain("/safe/", EngineAction::Close)]
+#[case::failed("/safe/", EngineAction::Answer(500, "broken"))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_runs_no_more_often_through_peers_than_its_route_allows(
+    #[case] path: &str,
+    #[case] action: EngineAction,
+) {
+    let engine = ScriptedEngine::start_with_request("i-1", move |_, request| {
+        match request.head.starts_with("GET ") {
+            true => EngineAction::Answer(200, "ok"),
+            false => action.clone(),
+        }
+    });
+    let engine = engine.await;
+    let daemons = RoutedFleet::start_peers(DAEMON_COUNT, &[&engine]).await;
+    wait_until_acquainted(&daemons).await;
+    let dead = DeadAddress::new(Cut::Refused).await;
+    daemons[0].list_addresses(&[("i-1", dead.address)]);
+
+    for number in 0..CALLS {
+        daemons[0].call(path, &format!("id-{number}")).await;
+    }
+
+    let seen = engine.seen();
+    let runs = |number| seen.iter().filter(|request| request.id == format!("id-{number}")).count();
+    let most = (0..CALLS).map(runs).max().unwrap_or_default();
+    assert!((1..=2).contains(&most), "a request ran {most} times");
+}
+
 /// Guards against requests that go round between daemons of which none reaches an upstream.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_is_refused_if_no_daemon_reaches_an_upstream() {
