Logs: version of the upstream that a request is sent to, and the attempt that it goes on with

The line `sent` named the version of the pool, which is empty unless a service has a roll-out, so it could not be told whether a resumed stream changed versions. It names the version of the upstream now, as listed when it was chosen, and the attempt that the caller's `Resumes` names. The header is read with and without the prefix of the platform's other headers until a log shows which one arrives. Nothing decides by either yet.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -16,6 +16,8 @@
 const TOKEN_COUNT: &str = "tarragonknot-token-count";
 const LENGTH_HINT: &str = "tarragonknot-length-hint";
 const LAST_EVENT_ID: &str = "last-event-id";
+/// The platform's specification names the header without the usual prefix, so both names are read.
+const RESUMES: [&str; 2] = ["resumes", "tarragonknot-resumes"];
 const EXPECT_INSTANCE: &str = "tarragonknot-expect-instance";
 const TENANT: &str = "tarragonknot-tenant";
 const SERVER_SEAL: &str = "tarragonknot-server-seal";
@@ -78,6 +80,7 @@
             output_limit: counts.and_then(|(_, output)| output.trim().parse().ok()),
             output_guess: number(headers, LENGTH_HINT),
             last_event_id: number(headers, LAST_EVENT_ID),
+            resumes: RESUMES.iter().find_map(|name| text(headers, name)).map(str::to_owned),
         }
     }
 
--- a/src/policy/upstream_set.rs
+++ b/src/policy/upstream_set.rs
@@ -178,6 +178,7 @@
             if let Some(bound) = bound.filter(|_| returns) {
                 status.cold_pace.set_cold_until(Some(now + bound.duration));
             }
+            status.source.version.clone_from(&source.version);
             status.source.data_centre.clone_from(&source.data_centre);
             status.source.region.clone_from(&source.region);
             status.source.is_evacuated = source.is_evacuated;
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -5,7 +5,7 @@
 };
 use crate::chart::{ChartMachine, NoAction, StateChart};
 use crate::chart_names;
-use crate::table::{DataCentreName, RegionName, UpstreamName};
+use crate::table::{DataCentreName, RegionName, SoftwareVersion, UpstreamName};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::sync::LazyLock;
@@ -94,6 +94,9 @@
     /// Concurrent request slots, if a source states them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub places: Option<u32>,
+    /// Its software version, if a source states it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<SoftwareVersion>,
     /// The data centre it runs in, if a source states it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub data_centre: Option<DataCentreName>,
@@ -117,6 +120,7 @@
             address,
             is_leaving: false,
             places: None,
+            version: None,
             data_centre: None,
             region: None,
             is_evacuated: false,
--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -159,7 +159,7 @@
                     self.exchange.handle(ExchangeEvent::Refused(kind), self.now());
                     return Box::pin(self.refuse(sink, kind)).await;
                 }
-                PoolDecision::Send { upstream, name, address } => (upstream, name, address),
+                PoolDecision::Send { upstream, name, address, .. } => (upstream, name, address),
             };
             self.target = Some((name, address));
             self.may_have_run = true;
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -28,6 +28,8 @@
         upstream: UpstreamIndex,
         name: UpstreamName,
         address: SocketAddr,
+        /// The upstream's software version, if it is known.
+        version: Option<SoftwareVersion>,
     },
     /// Refuse the request.
     Refuse(AnswerKind),
@@ -106,6 +108,7 @@
                                     upstream,
                                     name: source.name.clone(),
                                     address: source.address,
+                                    version: source.version.clone(),
                                 },
                             )
                         }
--- a/src/traffic/routed/dialect.rs
+++ b/src/traffic/routed/dialect.rs
@@ -24,6 +24,8 @@
     pub output_guess: Option<u32>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Id of the caller's attempt that brought the first event of the stream that it resumes.
+    pub resumes: Option<String>,
 }
 
 /// Metadata that the daemon adds to a request sent to an upstream.
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -17,7 +17,7 @@
 use crate::quarantine::RequestFingerprint;
 use crate::report::{RouteRecord, record_rejection_bound, record_route, record_stated_rate};
 use crate::rollout::{RequestGroup, VersionArm, VersionOutcome};
-use crate::table::{RouteKind, RouteRow, ServiceName, UpstreamName};
+use crate::table::{RouteKind, RouteRow, ServiceName, SoftwareVersion, UpstreamName};
 use crate::traffic::access::CallerIdentity;
 use crate::traffic::crash_check::{BrokenRequest, BrokenUpstream, check_upstream};
 use crate::traffic::pool_runtime::{PoolDecision, PoolRuntime, RequestGuard};
@@ -101,6 +101,8 @@
     pub upstream: UpstreamIndex,
     pub name: UpstreamName,
     pub address: SocketAddr,
+    /// Software version of the upstream, as listed when it was chosen.
+    pub version: Option<SoftwareVersion>,
     pub sent_at: Moment,
     /// Id of the place that the upstream reserved.
     pub place_id: Option<String>,
@@ -325,8 +327,10 @@
                     return Ok(None);
                 }
             };
-            let (upstream, name, address) = match waited {
-                Ok(Ok(PoolDecision::Send { upstream, name, address })) => (upstream, name, address),
+            let (upstream, name, address, version) = match waited {
+                Ok(Ok(PoolDecision::Send { upstream, name, address, version })) => {
+                    (upstream, name, address, version)
+                }
                 Ok(Ok(PoolDecision::Refuse(kind))) => {
                     guard.disarm();
                     return Err(kind);
@@ -357,6 +361,7 @@
                         upstream,
                         name,
                         address,
+                        version,
                         sent_at,
                         place_id,
                     }));
@@ -471,8 +476,8 @@
         let waited = placed.sent_at.since(self.arrived_at).as_millis() as u64;
         let organisation = self.caller.as_ref().map_or("", |caller| caller.organisation.as_str());
         info!(self.state.log, "sent"; "request" => self.id(), "route" => &self.route.route, "organisation" => organisation,
-            "service" => placed.pool.service.as_str(), "version" => placed.pool.version.as_ref().map(|version| version.as_str()), "upstream" => placed.name.as_str(), "waited_ms" => waited,
-            "send" => history.sent() + 1, "after_event" => last_event_id, "fingerprint" => self.fingerprint.to_string(), "table" => self.state.snapshot().version,
+            "service" => placed.pool.service.as_str(), "version" => placed.version.as_ref().map(SoftwareVersion::as_str), "upstream" => placed.name.as_str(), "waited_ms" => waited,
+            "send" => history.sent() + 1, "after_event" => last_event_id, "resumes" => self.metadata.resumes.as_deref(), "fingerprint" => self.fingerprint.to_string(), "table" => self.state.snapshot().version,
             "left_ms" => self.time_left().as_millis() as u64, "tokens" => self.limit.as_ref().map_or(0, |limit| limit.cost),
             "slowness" => format!("{:.2}", placed.pool.slowness(placed.upstream)), self.size_fields());
     }
--- a/src/upstream/platform_list.rs
+++ b/src/upstream/platform_list.rs
@@ -180,6 +180,7 @@
                 incarnation: row.incarnation,
                 is_leaving: row.state == VmState::Leaving,
                 places: row.places,
+                version: row.version.clone(),
                 data_centre: row.data_centre.clone(),
                 is_cold: row.is_cold,
                 ..UpstreamSource::new(row.upstream.clone(), row.address)
