--- a/tests/routed_fleet.rs
+++ b/tests/routed_fleet.rs
@@ -19,6 +19,7 @@
 use tarragonknot::upstream::{PlatformList, VmRow, VmState};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::runtime::{Handle, Runtime};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
@@ -322,6 +323,28 @@
     }
 }
 
+/// The runtime of one daemon. Once it is dropped, its tasks and sockets have ended like those of a
+/// killed process.
+pub struct DaemonRuntime(Option<Runtime>);
+
+impl DaemonRuntime {
+    pub fn new() -> Self {
+        let mut builder = tokio::runtime::Builder::new_multi_thread();
+        let runtime = builder.worker_threads(1).enable_all().build();
+        DaemonRuntime(Some(runtime.expect("a runtime starts")))
+    }
+
+    pub fn handle(&self) -> Handle {
+        self.0.as_ref().expect("the runtime runs until it is dropped").handle().clone()
+    }
+}
+
+impl Drop for DaemonRuntime {
+    fn drop(&mut self) {
+        self.0.take().into_iter().for_each(Runtime::shutdown_background);
+    }
+}
+
 /// A daemon and its engines, all of one service.
 pub struct RoutedFleet {
     pub state: Arc<TrafficState>,
@@ -329,6 +352,15 @@
     pool: &'static str,
 }
 
+/// What a caller received of a stream.
+#[derive(Debug)]
+pub struct ReceivedStream {
+    pub status: StatusCode,
+    pub text: String,
+    /// True if the answer was complete.
+    pub is_whole: bool,
+}
+
 /// An answer as the caller received it; `body` is `None` if the connection broke within it.
 #[derive(Debug)]
 pub struct CallerAnswer {
@@ -366,16 +398,18 @@
 impl RoutedFleet {
     /// Starts a daemon that knows the engines but has no table.
     pub async fn without_table(engines: &[&ScriptedEngine]) -> Self {
-        Self::with_service("127.0.0.1", "pool", engines).await
+        Self::with_service("127.0.0.1", "pool", engines)
     }
 
-    async fn with_service(daemon: &str, pool: &'static str, engines: &[&ScriptedEngine]) -> Self {
+    fn with_service(daemon: &str, pool: &'static str, engines: &[&ScriptedEngine]) -> Self {
         let log = Logger::root(Discard, o!());
         let state = TrafficState::new(daemon.into(), log, 7);
         state.set_interface(platform::interface());
         state.allow_expired_table();
         let listener =
-            TcpListener::bind("127.0.0.1:0").await.expect("a loopback port can be bound");
+            std::net::TcpListener::bind("127.0.0.1:0").expect("a loopback port can be bound");
+        listener.set_nonblocking(true).expect("the socket can be set to non-blocking");
+        let listener = TcpListener::from_std(listener).expect("the runtime takes the socket");
         let front = start_frontend(Arc::clone(&state), listener, Duration::from_millis(10));
         let fleet = RoutedFleet { state, front: front.expect("the front end starts"), pool };
         fleet.list(engines, VmState::Live);
@@ -391,7 +425,7 @@
 
     /// Starts the same daemon with another service name, so that its metrics are separate.
     pub async fn start_service(pool: &'static str, engines: &[&ScriptedEngine]) -> Self {
-        let fleet = Self::with_service("127.0.0.1", pool, engines).await;
+        let fleet = Self::with_service("127.0.0.1", pool, engines);
         fleet.apply(1, &document(1).replace("\"pool\"", &format!("\"{pool}\"")));
         fleet
     }
@@ -399,15 +433,26 @@
     /// Starts `count` daemons that exchange state and pass requests on, with version 1 of the table
     /// in force.
     pub async fn start_peers(count: usize, engines: &[&ScriptedEngine]) -> Vec<Self> {
+        Self::start_peers_on(&vec![Handle::current(); count], engines).await
+    }
+
+    /// Starts a daemon on each of the runtimes, as [`RoutedFleet::start_peers`].
+    pub async fn start_peers_on(runtimes: &[Handle], engines: &[&ScriptedEngine]) -> Vec<Self> {
         let mut fleets = Vec::new();
         let mut addresses = Vec::new();
         let key: Arc<str> = Arc::from("a key");
-        for (number, relay) in relay_listeners(count).await.into_iter().enumerate() {
-            let fleet = Self::with_service(&format!("entry-{number}"), "pool", engines).await;
-            fleet.apply(1, &document(1));
+        let relays = relay_listeners(runtimes.len()).await;
+        for (number, (relay, runtime)) in relays.into_iter().zip(runtimes).enumerate() {
             let own = relay.local_addr().expect("the socket has a local address");
+            let relay = relay.into_std().expect("the runtime gives the socket back");
+            let _context = runtime.enter();
+            let relay = TcpListener::from_std(relay).expect("the runtime takes the socket");
+            let fleet = Self::with_service(&format!("entry-{number}"), "pool", engines);
+            fleet.apply(1, &document(1));
             let socket =
-                UdpSocket::bind((own.ip(), 0)).await.expect("a loopback port can be bound");
+                std::net::UdpSocket::bind((own.ip(), 0)).expect("a loopback port can be bound");
+            socket.set_nonblocking(true).expect("the socket can be set to non-blocking");
+            let socket = UdpSocket::from_std(socket).expect("the runtime takes the socket");
             let address = socket.local_addr().expect("the socket has a local address");
             start_exchange(Arc::clone(&fleet.state), socket, address, Arc::clone(&key), None);
             fleet.state.relay.enable(own, Arc::clone(&key));
@@ -506,6 +551,38 @@
         self.send(path, id, (KEY, &[]), body).await
     }
 
+    /// Sends a request with additional headers and reads what comes of its stream.
+    pub async fn stream(&self, path: &str, id: &str, headers: &[(&str, &str)]) -> ReceivedStream {
+        self.stream_for(KEY, path, id, headers).await
+    }
+
+    /// As [`RoutedFleet::stream`], with another key.
+    pub async fn stream_for(
+        &self,
+        key: &str,
+        path: &str,
+        id: &str,
+        headers: &[(&str, &str)],
+    ) -> ReceivedStream {
+        // Upstreams may be held to have crashed under a body that several streams share.
+        let mut request = self.request(path, (key, headers), id);
+        request.headers_mut().insert("tarragonknot-request-id", id.parse().expect("a valid id"));
+        let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+        let response = client.request(request).await.expect("the request gets a response");
+        let (status, mut body) = (response.status(), response.into_body());
+        let mut text = String::new();
+        loop {
+            match body.frame().await {
+                None => return ReceivedStream { status, text, is_whole: true },
+                Some(Err(_)) => return ReceivedStream { status, text, is_whole: false },
+                Some(Ok(frame)) => {
+                    let bytes = frame.into_data().unwrap_or_default();
+                    text.push_str(&String::from_utf8_lossy(&bytes));
+                }
+            }
+        }
+    }
+
     async fn send(
         &self,
         path: &str,
--- /dev/null
+++ b/tests/test_stream_versions.rs
@@ -0,0 +1,331 @@
+//! Streams go on only at the software version that began them, within one answer and over the tries
+//! of a caller.
+
+use crate::routed_fleet::{
+    ConnectionEnd, DaemonRuntime, EngineAction, ReceivedRequest, ReceivedStream, RoutedFleet,
+    ScriptedEngine, document,
+};
+use http::StatusCode;
+use rstest::rstest;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use tarragonknot::policy::RetryBound;
+use tarragonknot::rollout::{RolloutLog, RolloutOrder, RolloutRows};
+use tarragonknot::upstream::VmState;
+
+/// Events of a whole stream.
+const EVENTS: u64 = 8;
+/// Streams of a test. With two versions of equal size, half of them would change the version by
+/// chance.
+const STREAMS: usize = 24;
+/// Time within which daemons learn of each other and of streams; generous even for a busy machine.
+const NOTICE_TIME: Duration = Duration::from_secs(20);
+/// Key of the organisation `others`.
+const OTHER_KEY: &str = "others-key";
+
+/// Versions of the upstreams, two of each.
+const TWO_VERSIONS: &[&str] = &["v1", "v1", "v1.1", "v1.1"];
+
+/// The answer of an engine that breaks off after `sends` events, unless its stream is whole by then.
+fn events_of(version: &str, request: &ReceivedRequest, sends: u64) -> EngineAction {
+    if request.head.starts_with("GET ") {
+        return EngineAction::Answer(200, "ok");
+    }
+    let after = request.header("last-event-id").map_or(0, |id| id.parse().expect("a number"));
+    let last = EVENTS.min(after + sends);
+    let events = (after + 1..=last).map(|id| format!("id: {id}\ndata: {version}\n\n"));
+    let events: String = events.collect();
+    let head = "HTTP/1.1 200 OK\r\ntarragonknot-request-id: {id}\r\n\
+                tarragonknot-server-seal: seal-1\r\ncontent-type: text/event-stream\r\n\
+                transfer-encoding: chunked\r\n\r\n";
+    let text = format!("{head}{:x}\r\n{events}\r\n", events.len());
+    match last == EVENTS {
+        true => EngineAction::Raw(format!("{text}0\r\n\r\n"), ConnectionEnd::Stay),
+        false => EngineAction::Raw(text, ConnectionEnd::Close),
+    }
+}
+
+/// Starts an engine of each of the versions, which break off after `sends` events.
+async fn start_engines(
+    versions: &[&'static str],
+    sends: u64,
+) -> Vec<(ScriptedEngine, &'static str)> {
+    let mut engines = Vec::new();
+    for (number, version) in versions.iter().copied().enumerate() {
+        let script = move |_, request: &ReceivedRequest| -> EngineAction {
+            events_of(version, request, sends)
+        };
+        let name = format!("i-{number}");
+        engines.push((ScriptedEngine::start_with_request(&name, script).await, version));
+    }
+    engines
+}
+
+/// Entries that serve the engines.
+struct VersionedFleet {
+    engines: Vec<(ScriptedEngine, &'static str)>,
+    entries: Vec<RoutedFleet>,
+    runtimes: Vec<DaemonRuntime>,
+}
+
+impl VersionedFleet {
+    async fn start(entries: usize, versions: &[&'static str], sends: u64) -> Self {
+        let engines = start_engines(versions, sends).await;
+        let refs: Vec<&ScriptedEngine> = engines.iter().map(|(engine, _)| engine).collect();
+        let runtimes: Vec<DaemonRuntime> = (0..entries).map(|_| DaemonRuntime::new()).collect();
+        let handles: Vec<_> = runtimes.iter().map(DaemonRuntime::handle).collect();
+        let entries = RoutedFleet::start_peers_on(&handles, &refs).await;
+        let fleet = VersionedFleet { engines, entries, runtimes };
+        let bound = RetryBound { ratio: 1.0, slack: 10_000 };
+        fleet.entries.iter().for_each(|entry| entry.state.set_retry_bound(bound));
+        fleet.list(|_| true);
+        fleet.wait_until_acquainted().await;
+        fleet
+    }
+
+    /// Lists the engines whose versions are `listed`, at all entries.
+    fn list(&self, listed: impl Fn(&str) -> bool) {
+        let rows = self.engines.iter().filter(|(_, version)| listed(version));
+        let rows: Vec<_> = rows.map(|(engine, version)| (engine, *version)).collect();
+        self.entries.iter().for_each(|entry| entry.list_versions(&rows, VmState::Live));
+    }
+
+    async fn wait_until_acquainted(&self) {
+        let count = self.entries.len();
+        let knowing = async {
+            while self.entries.iter().any(|entry| entry.state.fleet.daemon_count() < count) {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let known = tokio::time::timeout(NOTICE_TIME, knowing).await;
+        assert!(known.is_ok(), "the entries don't know each other");
+    }
+
+    /// Ends an entry like a killed process; the others keep their numbers.
+    fn kill(&mut self, number: usize) {
+        self.runtimes[number] = DaemonRuntime::new();
+    }
+
+    /// Sends a request to an entry, and takes its stream up at the others until it is whole, with at
+    /// most `tries` tries. The attempt that brought the first event is named in `header`.
+    async fn read_to_end(&self, id: &str, from: usize, tries: usize, header: &str) -> CallerStream {
+        let entry = |attempt: usize| &self.entries[(from + attempt) % self.entries.len()];
+        let mut stream = CallerStream::default();
+        stream.add(entry(0).stream("/resumable/", id, &[]).await);
+        for attempt in 1..tries {
+            if stream.is_whole {
+                break;
+            }
+            let last = stream.last_event().to_string();
+            let headers = [("last-event-id", last.as_str()), (header, id)];
+            let own_id = format!("{id}-{attempt}");
+            stream.add(entry(attempt).stream("/resumable/", &own_id, &headers).await);
+        }
+        stream
+    }
+}
+
+/// What a caller has of a stream.
+#[derive(Debug, Default)]
+struct CallerStream {
+    ids: Vec<u64>,
+    versions: BTreeSet<String>,
+    is_whole: bool,
+    statuses: Vec<u16>,
+}
+
+impl CallerStream {
+    fn add(&mut self, received: ReceivedStream) {
+        self.statuses.push(received.status.as_u16());
+        if received.status != StatusCode::OK {
+            return;
+        }
+        self.is_whole = received.is_whole;
+        for event in received.text.split_terminator("\n\n") {
+            let (id, version) = event.split_once("\ndata: ").expect("an event has data");
+            let id = id.strip_prefix("id: ").expect("an event has an id");
+            self.ids.push(id.parse().expect("ids are numbers"));
+            self.versions.insert(version.to_owned());
+        }
+    }
+
+    fn last_event(&self) -> u64 {
+        self.ids.last().copied().unwrap_or_default()
+    }
+
+    fn is_complete(&self) -> bool {
+        self.is_whole && self.ids.iter().copied().eq(1..=EVENTS)
+    }
+}
+
+/// Asserts that no stream holds events of two versions, and that all went on to their ends.
+#[track_caller]
+fn assert_all_whole(streams: &[CallerStream]) {
+    let joined = streams.iter().filter(|stream| stream.versions.len() > 1).count();
+    let whole = streams.iter().filter(|stream| stream.is_complete()).count();
+    assert_eq!((joined, whole), (0, streams.len()), "joined, whole; {streams:?}");
+}
+
+/// Guards against an answer that holds events of two versions, as a stream that breaks goes on at
+/// any upstream.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_goes_on_within_its_answer_at_the_version_that_began_it() {
+    let fleet = VersionedFleet::start(1, TWO_VERSIONS, EVENTS / 2).await;
+
+    let mut streams = Vec::new();
+    for number in 0..STREAMS {
+        streams.push(fleet.read_to_end(&format!("r{number}"), 0, 1, "resumes").await);
+    }
+
+    assert_all_whole(&streams);
+}
+
+/// Guards against a caller whose tries bring events of two versions, as the entry that it comes back
+/// to doesn't know which one began its stream.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_that_its_caller_takes_up_goes_on_at_the_version_that_began_it(
+    #[values(1, 3)] entries: usize,
+    #[values("resumes", "tarragonknot-resumes")] header: &str,
+) {
+    let fleet = VersionedFleet::start(entries, TWO_VERSIONS, 1).await;
+
+    let mut streams = Vec::new();
+    for number in 0..STREAMS {
+        streams.push(fleet.read_to_end(&format!("r{number}"), number, 4, header).await);
+    }
+
+    assert_all_whole(&streams);
+}
+
+/// Guards against streams that go on at any version, or not at all, once the entry that began them is
+/// gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_goes_on_at_its_version_after_its_entry_was_killed() {
+    let mut fleet = VersionedFleet::start(4, TWO_VERSIONS, 2).await;
+    let mut begun = Vec::new();
+    for number in 0..STREAMS {
+        let mut stream = CallerStream::default();
+        stream.add(fleet.entries[0].stream("/resumable/", &format!("r{number}"), &[]).await);
+        begun.push(stream);
+    }
+
+    fleet.kill(0);
+    for (number, stream) in begun.iter_mut().enumerate() {
+        let (id, last) = (format!("r{number}"), stream.last_event().to_string());
+        let headers = [("last-event-id", last.as_str()), ("resumes", id.as_str())];
+        let entry = &fleet.entries[1 + number % 3];
+        stream.add(entry.stream("/resumable/", &format!("{id}-1"), &headers).await);
+    }
+
+    let went_on = |stream: &&CallerStream| stream.last_event() == EVENTS;
+    let joined = begun.iter().filter(|stream| stream.versions.len() > 1).count();
+    assert_eq!((joined, begun.iter().filter(went_on).count()), (0, STREAMS), "{begun:?}");
+}
+
+/// Guards against streams that go on at another version once no upstream of theirs is left.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_is_refused_once_its_version_has_left() {
+    let fleet = VersionedFleet::start(2, TWO_VERSIONS, 2).await;
+    let mut begun = Vec::new();
+    for number in 0..STREAMS {
+        let mut stream = CallerStream::default();
+        stream.add(fleet.entries[0].stream("/resumable/", &format!("r{number}"), &[]).await);
+        begun.push(stream);
+    }
+
+    fleet.list(|version| version != "v1");
+    for (number, stream) in begun.iter_mut().enumerate() {
+        let (id, last) = (format!("r{number}"), stream.last_event().to_string());
+        let headers = [("last-event-id", last.as_str()), ("resumes", id.as_str())];
+        stream.add(fleet.entries[1].stream("/resumable/", &format!("{id}-1"), &headers).await);
+    }
+
+    for stream in &begun {
+        let has_left = stream.versions.contains("v1");
+        let expected = if has_left { 503 } else { 200 };
+        assert_eq!(stream.versions.len(), 1, "{stream:?}");
+        assert_eq!(stream.statuses, [200, expected], "{stream:?}");
+    }
+}
+
+/// Guards against a stream that nobody knows and that goes on at a version by chance.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unknown_stream_is_refused_while_two_versions_serve() {
+    let fleet = VersionedFleet::start(2, TWO_VERSIONS, EVENTS).await;
+    let headers = [("last-event-id", "2"), ("resumes", "never-seen")];
+
+    let received = fleet.entries[0].stream("/resumable/", "r1", &headers).await;
+
+    assert_eq!(received.status, StatusCode::SERVICE_UNAVAILABLE, "{received:?}");
+}
+
+/// Guards against streams that are refused though there is only one version that can have begun
+/// them.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unknown_stream_goes_on_while_one_version_serves(#[values(1, 3)] entries: usize) {
+    let fleet = VersionedFleet::start(entries, &["v1", "v1"], EVENTS).await;
+    let headers = [("last-event-id", "2"), ("resumes", "never-seen")];
+
+    let received = fleet.entries[0].stream("/resumable/", "r1", &headers).await;
+
+    assert_eq!((received.status, received.is_whole), (StatusCode::OK, true), "{received:?}");
+}
+
+/// Guards against a caller who takes up, or finds out, the stream of another organisation by its id.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_id_of_another_organisation_is_unknown() {
+    let fleet = VersionedFleet::start(2, TWO_VERSIONS, 2).await;
+    let document = document(2).replace(
+        r#"[{"api_keys""#,
+        &format!(r#"[{{"api_keys":["{OTHER_KEY}"],"name":"others"}},{{"api_keys""#),
+    );
+    fleet.entries.iter().for_each(|entry| entry.apply(2, &document));
+    let begun = fleet.entries[0].stream("/resumable/", "r1", &[]).await;
+    let headers = [("last-event-id", "2"), ("resumes", "r1")];
+
+    let other = &fleet.entries[1];
+    let received = other.stream_for(OTHER_KEY, "/resumable/", "r2", &headers).await;
+
+    assert_eq!(begun.status, StatusCode::OK);
+    assert_eq!(received.status, StatusCode::SERVICE_UNAVAILABLE, "{received:?}");
+}
+
+/// Guards against a roll-out whose old arm holds two versions that streams are joined from.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_keeps_its_version_within_the_old_arm_of_a_roll_out() {
+    let fleet = VersionedFleet::start(1, TWO_VERSIONS, 1).await;
+    let mut log = RolloutLog::default();
+    let order = RolloutOrder { service: "pool".into(), to: "v2".into(), duration_ms: 60_000 };
+    log.begin(&order, 0);
+    let state = &fleet.entries[0].state;
+    state.rollouts.confirm_leader(state.clock.now());
+    state.apply_rollouts(RolloutRows::new(&log, 0.5));
+
+    let mut streams = Vec::new();
+    for number in 0..STREAMS {
+        streams.push(fleet.read_to_end(&format!("r{number}"), 0, 4, "resumes").await);
+    }
+
+    assert_all_whole(&streams);
+}
+
+/// Guards against a stream that changes its version as parts of it are passed on through peers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_that_is_passed_on_through_peers_keeps_its_version() {
+    let fleet = VersionedFleet::start(3, TWO_VERSIONS, 1).await;
+    let dead = std::net::TcpListener::bind("127.0.0.1:0").expect("a loopback port can be bound");
+    let address = dead.local_addr().expect("the socket has an address");
+    drop(dead);
+    let names: Vec<_> = (0..TWO_VERSIONS.len()).map(|number| format!("i-{number}")).collect();
+    let rows: Vec<_> = names.iter().map(|name| (name.as_str(), address)).collect();
+    fleet.entries[0].list_addresses(&rows);
+
+    let mut streams = Vec::new();
+    for number in 0..STREAMS {
+        streams.push(fleet.read_to_end(&format!("r{number}"), 0, 5, "resumes").await);
+    }
+
+    assert_all_whole(&streams);
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -71,6 +71,7 @@
 mod test_small_calls;
 mod test_stated_rates;
 mod test_store;
+mod test_stream_versions;
 mod test_table_versions;
 mod test_traffic;
 mod test_voters;
