Routed requests: one file each for the request, its placing, its sends and its refusals

Code moved, nothing else changed: the request's own state and end (request.rs), waiting for a place (placing.rs), what its sends prove (send_history.rs) and refusals (refusal.rs).

--- a/src/traffic/routed/admission.rs
+++ b/src/traffic/routed/admission.rs
@@ -1,7 +1,8 @@
 //! Admission: reads a caller's request, matches its route and organisation, and applies the limits.
 
 use super::dialect::{CallDialect, CallerMetadata};
-use super::forward::{RequestStage, RoutedRequest, forward};
+use super::forward::forward;
+use super::request::{RequestStage, RoutedRequest};
 use super::size_fields::SizeFields;
 use crate::answer::{AnswerKind, RefusalAnswer};
 use crate::policy::{
--- a/src/traffic/routed/attempt.rs
+++ b/src/traffic/routed/attempt.rs
@@ -1,7 +1,8 @@
 //! Sends a request to one upstream and waits for the head of the answer.
 
 use super::dialect::{AnswerMetadata, SendMetadata};
-use super::forward::{PlacedRequest, RoutedRequest};
+use super::placing::PlacedRequest;
+use super::request::RoutedRequest;
 use crate::answer::promises_not_run;
 use crate::policy::LoadReport;
 use crate::report::record_failed_answer;
--- a/src/traffic/routed/mod.rs
+++ b/src/traffic/routed/mod.rs
@@ -10,8 +10,12 @@
 mod events;
 mod forward;
 mod index;
+mod placing;
+mod refusal;
 mod relay;
+mod request;
 mod reserve;
+mod send_history;
 mod size_fields;
 mod through_peer;
 
--- /dev/null
+++ b/src/traffic/routed/refusal.rs
@@ -0,0 +1,66 @@
+//! Refusals of admitted requests.
+
+use super::attempt::SendError;
+use super::request::{RequestStage, RoutedRequest};
+use super::send_history::SendHistory;
+use crate::answer::{AnswerKind, ExecutionStatus, RefusalAnswer};
+use axum::body::Body;
+use http::Response;
+use slog::info;
+use std::time::Duration;
+
+/// Callers are told to retry after a fraction of the remaining time between these bounds; callers
+/// of the platform wait for at most a third of it.
+const MIN_RETRY_FRACTION: f64 = 0.2;
+const MAX_RETRY_FRACTION: f64 = 0.33;
+pub fn refusal_kind(request: &RoutedRequest, error: &SendError) -> AnswerKind {
+    match error {
+        SendError::NotSent(_) => AnswerKind::UpstreamUnreachable,
+        SendError::NotRun { .. } => AnswerKind::UpstreamRefused,
+        SendError::UnprovenStatus(_) => AnswerKind::UpstreamFailed,
+        SendError::ConnectionBroken(_)
+        | SendError::Unanswered(_)
+        | SendError::NoUsableAnswer(_) => match request.time_left().is_zero() {
+            true => AnswerKind::DeadlineRunning,
+            false => AnswerKind::UpstreamLost,
+        },
+    }
+}
+
+/// Refuses the request. Once a send may have run it, the answer must not claim that it did not run.
+pub fn refuse(
+    request: &mut RoutedRequest,
+    kind: AnswerKind,
+    history: SendHistory,
+) -> Response<Body> {
+    request.stage = RequestStage::Ended;
+    let claims_not_run = kind.row().ran == ExecutionStatus::No;
+    let kind = match history.may_have_run() && claims_not_run {
+        true if request.time_left().is_zero() => AnswerKind::DeadlineRunning,
+        true => AnswerKind::UpstreamLost,
+        false => kind,
+    };
+    let waited = request.state.clock.now().since(request.arrived_at).as_millis() as u64;
+    request.record(kind.row().name, None);
+    info!(request.state.log, "refused"; "request" => request.id(), "kind" => kind.row().name,
+        "route" => &request.route.route, "sent" => history.sent(), "may_have_run" => history.may_have_run(), "after_ms" => waited, request.size_fields());
+    RefusalAnswer::new(kind, "", request.state.jitter())
+        .with_retry_after(request.retry_delay(kind))
+        .response(request.id())
+}
+
+impl RoutedRequest {
+    /// When to retry after a refusal for lack of capacity: late within the time that the caller may
+    /// wait. The request misses its objective in any case, so an early retry gains nothing, and a
+    /// burst is more likely to be over later. The time is spread so that requests refused together
+    /// are not retried together.
+    fn retry_delay(&self, kind: AnswerKind) -> Option<Duration> {
+        if kind == AnswerKind::Quarantined {
+            return self.state.quarantine.held_for(self.fingerprint, self.state.clock.now());
+        }
+        let is_overload = kind.row().is_shed || kind == AnswerKind::UpstreamRefused;
+        let spread =
+            MIN_RETRY_FRACTION + (MAX_RETRY_FRACTION - MIN_RETRY_FRACTION) * self.state.jitter();
+        is_overload.then(|| self.time_left().mul_f64(spread))
+    }
+}
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -2,7 +2,10 @@
 
 use super::attempt::SendError;
 use super::events::EventSplitter;
-use super::forward::{PlacedRequest, RequestStage, RoutedRequest, SendHistory, report_send_error};
+use super::forward::report_send_error;
+use super::placing::PlacedRequest;
+use super::request::{RequestStage, RoutedRequest};
+use super::send_history::SendHistory;
 use super::through_peer::{PeerHop, PeerOutcome, send_through_peers};
 use crate::answer::RAN_HEADER;
 use crate::policy::{DispatchOutcome, Moment, PoolEvent};
--- /dev/null
+++ b/src/traffic/routed/request.rs
@@ -0,0 +1,168 @@
+//! A request that was admitted, from its admission to its end.
+
+use super::admission::LimitGuard;
+use super::dialect::{CallDialect, CallerMetadata};
+use super::relay::StreamTiming;
+use super::send_history::SendHistory;
+use super::size_fields::SizeFields;
+use crate::answer::AnswerKind;
+use crate::policy::{HomeRegions, Moment, RequestSizes, SizeDecile};
+use crate::quarantine::RequestFingerprint;
+use crate::report::{RouteRecord, record_route};
+use crate::table::{RouteRow, ServiceName};
+use crate::traffic::access::CallerIdentity;
+use crate::traffic::relay::RelayTicket;
+use crate::traffic::state::{ProgressGuard, TrafficState};
+use crate::upstream::AnswerFraming;
+use bytes::Bytes;
+use http::StatusCode;
+use http::request::Parts;
+use slog::info;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Progress of a request, logged when its caller disconnects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestStage {
+    /// The request waits for placement.
+    Waiting,
+    /// The request was sent; no answer has begun.
+    Sent,
+    /// The answer has begun.
+    Answering,
+    /// The end of the request has been logged.
+    Ended,
+}
+
+/// A request that was admitted and has not ended.
+pub struct RoutedRequest {
+    pub stage: RequestStage,
+    pub state: Arc<TrafficState>,
+    pub dialect: Arc<dyn CallDialect>,
+    pub route: Arc<RouteRow>,
+    pub caller: Option<CallerIdentity>,
+    /// Regions in which the request may be served; `None` means anywhere.
+    pub homes: Option<HomeRegions>,
+    pub sizes: Option<RequestSizes>,
+    /// Decile of its size among the recent requests of its route, if known.
+    pub size_tenth: Option<SizeDecile>,
+    /// The earlier of the caller's deadline and the route's timeout.
+    pub deadline: Moment,
+    /// True if the caller stated a deadline.
+    pub has_deadline: bool,
+    /// True if this appears to be a retry by its caller.
+    pub has_returned: bool,
+    pub metadata: CallerMetadata,
+    /// Identifies the same request when it is sent again.
+    pub fingerprint: RequestFingerprint,
+    pub parts: Parts,
+    pub body: Bytes,
+    pub arrived_at: Moment,
+    pub limit: Option<LimitGuard>,
+    /// Set if a peer has passed the request on.
+    pub ticket: Option<RelayTicket>,
+    /// True if no peer can take the request.
+    pub must_stay: bool,
+    /// Counts the request as in progress until dropped.
+    pub _progress: ProgressGuard,
+}
+impl Drop for RoutedRequest {
+    /// A caller that disconnects ends the request at any stage. Without this log line the request
+    /// would seem to hang forever in the logs.
+    fn drop(&mut self) {
+        if self.stage != RequestStage::Ended {
+            let after = self.state.clock.now().since(self.arrived_at).as_millis() as u64;
+            self.record("caller-left", None);
+            info!(self.state.log, "caller left"; "request" => self.id(), "stage" => format!("{:?}", self.stage),
+                "route" => &self.route.route, "after_ms" => after, "left_ms" => self.time_left().as_millis() as u64, self.size_fields());
+        }
+    }
+}
+
+impl RoutedRequest {
+    /// Time left until the deadline.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.since(self.state.clock.now())
+    }
+
+    /// Records the end of the request in the metrics; `timing` is the timing of a stream's events.
+    pub fn record(&self, outcome: &'static str, timing: Option<&StreamTiming>) {
+        record_route(&RouteRecord {
+            kind: self.route.kind,
+            tier: &self.route.tier,
+            outcome,
+            size_tenth: self.size_tenth,
+            is_in_time: timing.is_none_or(|timing| self.is_in_time(timing)),
+            first_event: timing.and_then(|timing| timing.first_event_after(self.arrived_at)),
+            longest_pause: timing.map(StreamTiming::longest_pause),
+            total: self.state.clock.now().since(self.arrived_at),
+        });
+    }
+
+    /// True if a stream's first event met its objective and no pause exceeded the route's limit.
+    fn is_in_time(&self, timing: &StreamTiming) -> bool {
+        let first = timing.first_event_after(self.arrived_at);
+        let is_steady = self.route.gap_ms.is_none_or(|gap| timing.longest_pause() <= gap);
+        is_steady && first.is_some_and(|first| self.arrived_at + first <= self.objective())
+    }
+
+    /// Size fields for log lines about the decisions on the request and its end.
+    pub fn size_fields(&self) -> SizeFields {
+        SizeFields::new(&self.metadata, self.size_tenth, self.has_returned)
+    }
+
+    /// The request's id, for logs.
+    pub fn id(&self) -> &str {
+        self.metadata.id.as_deref().unwrap_or_default()
+    }
+
+    /// True if the request may be sent to one more upstream now; spends a unit of the retry budget.
+    pub fn may_send_again(&self, service: &ServiceName, history: SendHistory) -> bool {
+        let is_allowed = !history.may_have_run() || self.route.kind.may_repeat();
+        // The daemon that passed the request on repeats it, as it counts the sends of all peers.
+        let has_run_here =
+            self.ticket.is_some_and(|ticket| history.possible_runs() > ticket.possible_runs());
+        is_allowed
+            && !has_run_here
+            && self.state.quarantine.held_for(self.fingerprint, self.state.clock.now()).is_none()
+            && history.sent() < self.route.attempts
+            && !self.time_left().is_zero()
+            && self.state.with_retry_budget(service, |budget| budget.try_withdraw())
+    }
+
+    /// True if a peer may serve the request, as this daemon reaches no upstream that can. A request
+    /// takes one hop at most. One that is bound to regions stays here, since a peer's region is not
+    /// known.
+    pub fn may_pass_on(&self, kind: AnswerKind) -> bool {
+        let is_unreached =
+            matches!(kind, AnswerKind::UpstreamAbsent | AnswerKind::UpstreamUnreachable);
+        is_unreached
+            && self.state.relay.is_enabled()
+            && !self.must_stay
+            && self.ticket.is_none()
+            && self.homes.is_none()
+            && !self.time_left().is_zero()
+    }
+
+    /// When the first event or the answer is due. The objective of a retry counts from the caller's
+    /// first attempt, so a retry is due on arrival.
+    pub fn objective(&self) -> Moment {
+        match self.has_returned {
+            true => self.arrived_at,
+            false => self.arrived_at + self.route.objective_ms,
+        }
+    }
+
+    /// Logs and records the end of a request that got a whole answer from an upstream, or a peer.
+    pub fn log_answered(&mut self, upstream: &str, status: StatusCode, framing: AnswerFraming) {
+        self.stage = RequestStage::Ended;
+        // A failure may precede the run, so it does not show that the content is harmless.
+        if status.is_success() {
+            self.state.quarantine.note_answer(self.fingerprint, self.state.clock.now());
+        }
+        self.record(if status.is_server_error() { "upstream-failure" } else { "answered" }, None);
+        let after = self.state.clock.now().since(self.arrived_at).as_millis() as u64;
+        info!(self.state.log, "answered"; "request" => self.id(), "upstream" => upstream,
+            "status" => status.as_u16(), "after_ms" => after, "framing" => framing.name());
+    }
+}
--- a/src/traffic/routed/reserve.rs
+++ b/src/traffic/routed/reserve.rs
@@ -7,7 +7,7 @@
 //! has been sent there.
 
 use super::dialect::{ReservationReply, ReservationRequest};
-use super::forward::RoutedRequest;
+use super::request::RoutedRequest;
 use crate::upstream::AnswerBody;
 use http::Request;
 use http::header::HOST;
--- a/src/traffic/routed/through_peer.rs
+++ b/src/traffic/routed/through_peer.rs
@@ -1,10 +1,11 @@
 //! Passes a request on through a peer that reaches the upstreams.
 
 use super::attempt::{SendError, forwarded_headers};
-use super::forward::{
-    PlacedRequest, RequestStage, RoutedRequest, SendHistory, refusal_kind, refuse,
-};
+use super::placing::PlacedRequest;
+use super::refusal::{refusal_kind, refuse};
 use super::relay::{AnswerSource, StreamContent, StreamRelay, stream_response, whole_body};
+use super::request::{RequestStage, RoutedRequest};
+use super::send_history::SendHistory;
 use crate::answer::{AnswerKind, ExecutionStatus, ProblemBody, RAN_HEADER};
 use crate::policy::DispatchOutcome;
 use crate::report::record_relayed;
