--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -10,9 +10,10 @@
 use tarragonknot::control::{DaemonReport, FleetRegistry, PoolReport};
 use tarragonknot::policy::{
     AffinityPlacement, ArrivedRequest, CapacityClass, DispatchOutcome, EngineSpeed, FairQueue,
-    LearnedLimit, MechanismSet, Moment, OrganisationIndex, PlacementPolicy, PlacementQuery,
-    PoolAction, PoolEvent, PoolPlan, PoolScheduler, RequestId, RequiredFit, RouteKey, TierRank,
-    TierShare, UpstreamSet, UpstreamSource, WaitingQueue, WaitingRequest, prefix_hashes,
+    LearnedLimit, MechanismSet, Moment, OrganisationIndex, PlacementDemand, PlacementPolicy,
+    PlacementQuery, PoolAction, PoolEvent, PoolPlan, PoolScheduler, RequestId, RequiredFit,
+    RouteKey, TierRank, TierShare, UpstreamSet, UpstreamSource, WaitingQueue, WaitingRequest,
+    prefix_hashes,
 };
 use tarragonknot::table::{
     DaemonName, KeyDigest, LimitMode, LimitUnit, OrganisationRow, PlacementMode, QueueDiscipline,
@@ -58,7 +59,8 @@
         expires_at: review_at,
         route: RouteKey::default(),
         size_tenth: None,
-        homes: None,
+        demand: PlacementDemand::default(),
+        may_be_resumed: false,
         is_underserved: false,
     }
 }
@@ -88,7 +90,8 @@
                     required_fit: RequiredFit::Any,
                     event_tokens: 1,
                     max_pause: None,
-                    homes: None,
+                    demand: &PlacementDemand::default(),
+                    avoided: &[],
                     speed: EngineSpeed { prefill_micros: 40.0, gap_micros: 10_000.0 },
                     capacity: CapacityClass::Regular,
                     now,
@@ -165,7 +168,8 @@
                 deadline: now + Duration::from_secs(10),
                 sizes: None,
                 size_tenth: None,
-                homes: None,
+                demand: PlacementDemand::default(),
+                may_be_resumed: false,
                 must_stay: false,
                 route: RouteKey::default(),
                 rank: 0,
--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -111,6 +111,10 @@
     UpstreamFailed,
     /// The route and the organisation allow no region in common.
     RegionConflict,
+    /// No upstream of the version that began the resumed stream is left.
+    VersionAbsent,
+    /// It is not known which version began the resumed stream, and several may have.
+    OriginUnknown,
 }
 
 /// Row of the response table.
@@ -185,6 +189,8 @@
     Internal "internal" 500 Unknown RETRY_IN_1S, false, "A fault of this daemon";
     UpstreamFailed "upstream-failed" 502 Unknown RETRY_IN_1S, false, "The upstream failed and may have run the request";
     RegionConflict "region-conflict" 403 No RetryHint::Never, false, "The route and the organisation allow no region in common";
+    VersionAbsent "version-absent" 503 No RetryHint::Never, false, "No upstream of the version that began the stream is left";
+    OriginUnknown "origin-unknown" 503 No RETRY_IN_1S, false, "The version that began the stream is not known";
 }
 
 /// True if callers of routes take the status as a promise that the request has not run and never
--- a/src/experiment/run.rs
+++ b/src/experiment/run.rs
@@ -9,9 +9,9 @@
 use crate::control::{DaemonOrders, FleetMember, FleetRegistry, PoolState, ReportOutcome};
 use crate::load::{PlannedRequest, RequestKind};
 use crate::policy::{
-    ArrivedRequest, DispatchOutcome, LoadReport, Moment, OrganisationIndex, PoolAction, PoolEvent,
-    PoolScheduler, RequestId, RouteKey, TierRank, UpstreamEvent, UpstreamIndex, UpstreamSource,
-    prefix_hashes,
+    ArrivedRequest, DispatchOutcome, LoadReport, Moment, OrganisationIndex, PlacementDemand,
+    PoolAction, PoolEvent, PoolScheduler, RequestId, RouteKey, TierRank, UpstreamEvent,
+    UpstreamIndex, UpstreamSource, prefix_hashes,
 };
 use crate::standin::{EngineJob, JobId, PrefillLedger};
 use crate::table::{DaemonName, VersionedTable};
@@ -231,7 +231,8 @@
             deadline: self.now + class.deadline,
             sizes: None,
             size_tenth: None,
-            homes: None,
+            demand: PlacementDemand::default(),
+            may_be_resumed: false,
             must_stay: false,
             route: RouteKey::default(),
             rank: 0,
--- a/src/fleet_state/messages.rs
+++ b/src/fleet_state/messages.rs
@@ -4,6 +4,7 @@
 use crate::quarantine::SuspectUpdate;
 use crate::table::{DaemonName, OrganisationName, ServiceName};
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -40,6 +41,18 @@
     }
 }
 
+impl From<u32> for ServiceHash {
+    fn from(number: u32) -> Self {
+        ServiceHash(number)
+    }
+}
+
+impl fmt::LowerHex for ServiceHash {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::LowerHex::fmt(&self.0, formatter)
+    }
+}
+
 /// A number of waiting requests of one service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaitingRow {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod settings;
 pub mod standin;
 pub mod store;
+pub mod stream_origin;
 pub mod table;
 pub mod traffic;
 pub mod upstream;
--- a/src/policy/earliest_placement.rs
+++ b/src/policy/earliest_placement.rs
@@ -110,8 +110,8 @@
     /// Returns true if a live upstream that has no free capacity now would fit.
     fn may_fit_later(set: &UpstreamSet, query: &PlacementQuery<'_>) -> bool {
         let usable = set.iter().filter(|status| status.takes_requests_here());
-        let busy = usable
-            .filter(|status| !status.has_capacity(query.capacity) && status.is_home(query.homes));
+        let busy =
+            usable.filter(|status| !status.has_capacity(query.capacity) && query.accepts(status));
         busy.take(MAX_CANDIDATES).any(|status| Self::fits(status, query))
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -17,6 +17,7 @@
 mod organisation_limits;
 mod owner_ring;
 mod placement;
+mod placement_demand;
 mod queue;
 mod reach_monitor;
 mod request_sizes;
@@ -34,6 +35,7 @@
 mod upstreams;
 mod urgency_queue;
 mod value_density;
+mod version_hash;
 mod waiting_levels;
 
 pub use cold_pace::{ColdBound, ColdPace, ColdTolerance};
@@ -54,6 +56,7 @@
     AffinityPlacement, LeastReported, PlacementPolicy, PlacementQuery, RequiredFit, RoundRobin,
     placement_policy, prefix_hashes,
 };
+pub use placement_demand::PlacementDemand;
 pub use queue::{FairQueue, FifoQueue, TierShare, WaitingQueue, WaitingRequest};
 pub use reach_monitor::ReachMonitor;
 pub use request_sizes::{RouteSizes, SizeDecile};
@@ -77,6 +80,7 @@
 };
 pub use urgency_queue::UrgencyQueue;
 pub use value_density::{CostHistogram, LaneMeans};
+pub use version_hash::VersionHash;
 pub use waiting_levels::{DensityLevel, WaitingLevels};
 
 use serde::{Deserialize, Serialize};
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -2,7 +2,7 @@
 
 use super::earliest_placement::EarliestPlacement;
 use super::{
-    CapacityClass, EngineSpeed, HomeRegions, Moment, UpstreamIndex, UpstreamSet, UpstreamStatus,
+    CapacityClass, EngineSpeed, Moment, PlacementDemand, UpstreamIndex, UpstreamSet, UpstreamStatus,
 };
 use crate::table::PlacementMode;
 use rand::{Rng, RngCore};
@@ -77,8 +77,10 @@
     /// The longest acceptable pause between events on routes that use the pool in the same way as
     /// this request's route.
     pub max_pause: Option<Duration>,
-    /// Regions in which the request may be served; `None` means anywhere.
-    pub homes: Option<&'a HomeRegions>,
+    /// What the request demands of its upstream.
+    pub demand: &'a PlacementDemand,
+    /// Upstreams to choose only if no other one is open.
+    pub avoided: &'a [UpstreamIndex],
     /// Time left until the caller's deadline.
     pub time_left: Duration,
     pub now: Moment,
@@ -88,13 +90,17 @@
     /// Returns the open upstreams at which the request may be served.
     pub fn open<'s>(&self, set: &'s UpstreamSet) -> Cow<'s, [UpstreamIndex]> {
         let open = set.open(self.capacity);
-        if self.homes.is_none() {
+        if self.demand.is_empty() && self.avoided.is_empty() {
             return Cow::Borrowed(open);
         }
-        let is_home = |index: &&UpstreamIndex| {
-            set.get(**index).is_some_and(|status| status.is_home(self.homes))
-        };
-        Cow::Owned(open.iter().filter(is_home).copied().collect())
+        let is_candidate =
+            |index: &&UpstreamIndex| set.get(**index).is_some_and(|status| self.accepts(status));
+        Cow::Owned(open.iter().filter(is_candidate).copied().collect())
+    }
+
+    /// True if the request may be placed at the upstream, apart from its capacity.
+    pub fn accepts(&self, status: &UpstreamStatus) -> bool {
+        status.meets(self.demand) && !self.avoided.contains(&status.index)
     }
 }
 
@@ -295,7 +301,7 @@
         let is_fit = |index: &UpstreamIndex| {
             set.get(*index).is_some_and(|status| {
                 status.has_capacity(query.capacity)
-                    && status.is_home(query.homes)
+                    && query.accepts(status)
                     && !status.is_straggler
                     && request_load(status, query.now) <= bound
             })
@@ -323,7 +329,7 @@
         let mut best: Option<(f64, UpstreamIndex)> = None;
         let mut consider = |index: UpstreamIndex| {
             let can_serve = |status: &&UpstreamStatus| {
-                status.has_capacity(query.capacity) && status.is_home(query.homes)
+                status.has_capacity(query.capacity) && query.accepts(status)
             };
             let Some(status) = set.get(index).filter(can_serve) else {
                 return;
--- /dev/null
+++ b/src/policy/placement_demand.rs
@@ -0,0 +1,30 @@
+//! What a request demands of the upstream that serves it.
+
+use super::{HomeRegions, UpstreamSource, VersionHash};
+
+/// What a request demands of the upstream that serves it. It is checked when an upstream is chosen,
+/// and again after a wait and before each send.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PlacementDemand {
+    /// Regions in which it may be served; `None` means anywhere.
+    pub homes: Option<HomeRegions>,
+    /// The version that began the stream that it resumes; `None` if it may run at any.
+    pub version: Option<VersionHash>,
+}
+
+impl PlacementDemand {
+    /// True if any upstream may serve the request.
+    pub fn is_empty(&self) -> bool {
+        self.homes.is_none() && self.version.is_none()
+    }
+
+    /// True if the upstream may serve the request. One whose region or version is unknown equals no
+    /// other.
+    pub fn allows(&self, source: &UpstreamSource) -> bool {
+        let is_home = self.homes.as_ref().is_none_or(|homes| homes.allow(source.region.as_ref()));
+        let has_version = self
+            .version
+            .is_none_or(|version| source.version.as_ref().map(VersionHash::of) == Some(version));
+        is_home && has_version
+    }
+}
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -5,7 +5,7 @@
 //! in its fair turn, but can still meet it if sent now, is served ahead of lower tiers.
 
 use super::{
-    DensityLevel, HomeRegions, Moment, OrganisationIndex, RequestId, RouteKey, SizeClaim,
+    DensityLevel, Moment, OrganisationIndex, PlacementDemand, RequestId, RouteKey, SizeClaim,
     SizeDecile, TierProgress, TierRank, WaitingLevels,
 };
 use std::cmp::Reverse;
@@ -29,8 +29,10 @@
 /// A request in the queue.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WaitingRequest {
-    /// Regions in which it may be served; `None` means anywhere.
-    pub homes: Option<HomeRegions>,
+    /// What it demands of its upstream.
+    pub demand: PlacementDemand,
+    /// True if it is a stream that may be resumed at another upstream of its version.
+    pub may_be_resumed: bool,
     pub id: RequestId,
     /// The organisation that sent it.
     pub organisation: OrganisationIndex,
--- a/src/policy/scheduler/admission.rs
+++ b/src/policy/scheduler/admission.rs
@@ -36,8 +36,11 @@
         actions: &mut Vec<PoolAction>,
     ) {
         let id = request.id;
+        if request.demand.version.is_some() && !(self.reach.is_cut_off() && !request.must_stay) {
+            return self.handle_resumed_arrival(request, now, rng, actions);
+        }
         let mut refuse = |kind| actions.push(PoolAction::Refuse { id, kind });
-        if !self.upstreams.has_usable(request.homes.as_ref()) {
+        if !self.upstreams.has_usable(&request.demand) {
             return refuse(AnswerKind::UpstreamAbsent);
         }
         if self.reach.is_cut_off() && !request.must_stay {
@@ -51,7 +54,7 @@
         {
             return refuse(AnswerKind::DeadlineTooShort);
         }
-        if !self.upstreams.takes_requests_here(request.homes.as_ref()) {
+        if !self.upstreams.takes_requests_here(&request.demand) {
             return self.shed_when_confirmed(request, AnswerKind::Overloaded, now, actions);
         }
         request.is_underserved = self.claim_owed_service(&request, now, rng);
@@ -124,7 +127,7 @@
     }
 
     /// Returns whether the request is owed service because too few requests of its size are served.
-    fn claim_owed_service(
+    pub(super) fn claim_owed_service(
         &mut self,
         request: &WaitingRequest,
         now: Moment,
@@ -174,7 +177,8 @@
             expires_at: request.deadline,
             route: request.route,
             size_tenth: request.size_tenth,
-            homes: request.homes,
+            demand: request.demand,
+            may_be_resumed: request.may_be_resumed,
             is_underserved: false,
         };
         // A run time estimate longer than the whole slack must not make the request late at once:
@@ -351,7 +355,7 @@
             return self.shed_now(&request, kind, now, actions);
         }
         request.review_at = request.deadline.min(now + LATE_RECHECK_INTERVAL);
-        self.queue.requeue_front(request);
+        self.requeue(request);
     }
 
     pub(super) fn evict_below_floor(&mut self, now: Moment, actions: &mut Vec<PoolAction>) {
--- a/src/policy/scheduler/events.rs
+++ b/src/policy/scheduler/events.rs
@@ -3,8 +3,8 @@
 use super::PoolPlan;
 use crate::answer::AnswerKind;
 use crate::policy::{
-    FleetGroup, FloorOrder, HomeRegions, LoadReport, Moment, OrganisationIndex, OwnerRing,
-    PeerWork, RateStatement, RequestId, RequestSizes, RouteKey, SizeDecile, TierRank,
+    FleetGroup, FloorOrder, LoadReport, Moment, OrganisationIndex, OwnerRing, PeerWork,
+    PlacementDemand, RateStatement, RequestId, RequestSizes, RouteKey, SizeDecile, TierRank,
     UpstreamEvent, UpstreamIndex, UpstreamSource, WaitingLevels,
 };
 use crate::table::UpstreamName;
@@ -49,8 +49,10 @@
     pub sizes: Option<RequestSizes>,
     /// Size decile among the recent requests of its route, if known.
     pub size_tenth: Option<SizeDecile>,
-    /// Regions in which the request may be served; `None` means anywhere.
-    pub homes: Option<HomeRegions>,
+    /// What the request demands of its upstream.
+    pub demand: PlacementDemand,
+    /// True if it is a stream that may be resumed at another upstream of its version.
+    pub may_be_resumed: bool,
     /// True if no peer can take the request, so that it is tried here even if no upstream seems to be
     /// reached.
     pub must_stay: bool,
--- a/src/policy/scheduler/feedback.rs
+++ b/src/policy/scheduler/feedback.rs
@@ -119,7 +119,7 @@
         self.reach.record_contact();
         self.upstreams.update(upstream, |status| status.record_refusal(now));
         self.reservations.record_refusal(now);
-        self.queue.requeue_front(request);
+        self.requeue(request);
     }
 
     pub(super) fn handle_completion(
@@ -185,7 +185,7 @@
             && now < request.deadline;
         if may_retry {
             self.redispatch_budget -= 1.0;
-            self.queue.requeue_front(request);
+            self.requeue(request);
         } else {
             self.record_end(&request, false);
             actions
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -5,10 +5,12 @@
 mod feedback;
 mod plan;
 mod reservations;
+mod resumed;
 
 pub use events::{ArrivedRequest, DispatchOutcome, PeerWaiting, PoolAction, PoolEvent};
 pub use plan::PoolPlan;
 use reservations::ReservationLimiter;
+use resumed::ResumedQueue;
 
 use super::{
     CapacityClass, CostModel, DrainMeter, EngineSpeed, FirstEventModel, Mechanism, Moment,
@@ -21,6 +23,7 @@
 use crate::table::QueueDiscipline;
 use rand::RngCore;
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Redispatches allowed per dispatch, where the failed attempt provably sent no byte.
@@ -69,6 +72,7 @@
 pub struct PoolScheduler {
     plan: PoolPlan,
     queue: Box<dyn WaitingQueue>,
+    resumed: ResumedQueue,
     placement: Box<dyn PlacementPolicy>,
     upstreams: UpstreamSet,
     model: CostModel,
@@ -99,6 +103,7 @@
         upstreams.set_cold_bound(plan.cold_bound);
         PoolScheduler {
             queue: plan.new_queue(),
+            resumed: ResumedQueue::default(),
             placement: placement_policy(plan.placement),
             upstreams,
             model: CostModel::new(plan.counts_tokens),
@@ -132,7 +137,7 @@
         match event {
             PoolEvent::Arrived(request) => self.handle_arrival(request, now, rng, actions),
             PoolEvent::CallerLeft(id) => {
-                if let Some(request) = self.queue.remove(id) {
+                if let Some(request) = self.queue.remove(id).or_else(|| self.resumed.remove(id)) {
                     self.record_end(&request, false);
                 }
             }
@@ -197,6 +202,7 @@
         if self.reach.is_cut_off() && !was_cut_off {
             self.refuse_waiting(AnswerKind::UpstreamUnreachable, actions);
         }
+        self.dispatch_resumed(now, rng, actions);
         self.dispatch_waiting(now, rng, actions);
     }
 
@@ -239,6 +245,7 @@
                 }
             }
         }
+        self.review_resumed(now, actions);
         self.upstreams.resume_paused(now);
         let progress = self.plan.tiers.iter().map(|share| self.queue.progress(share.rank));
         self.drain_meter.tick(progress, now);
@@ -346,6 +353,10 @@
         now: Moment,
         rng: &mut dyn RngCore,
     ) -> Option<UpstreamIndex> {
+        let lone = match request.may_be_resumed && request.demand.version.is_none() {
+            true => self.upstreams.lone_versions(),
+            false => Arc::default(),
+        };
         let query = PlacementQuery {
             prefix: &request.prefix,
             prompt_tokens: request.prompt_tokens,
@@ -354,17 +365,22 @@
             capacity: self.room_kind(request.tier),
             event_tokens: self.plan.event_tokens,
             max_pause: request.pause,
-            homes: request.homes.as_ref(),
+            demand: &request.demand,
+            avoided: &lone,
             time_left: request.deadline.since(now),
             required_fit: self.required_fit(request, now),
             now,
         };
-        self.placement.place(&self.upstreams, &query, rng)
+        let placed = self.placement.place(&self.upstreams, &query, rng);
+        if placed.is_some() || lone.is_empty() {
+            return placed;
+        }
+        self.placement.place(&self.upstreams, &PlacementQuery { avoided: &[], ..query }, rng)
     }
 
     /// Returns how well an upstream must suit the request for it to be dispatched now.
     fn required_fit(&self, request: &WaitingRequest, now: Moment) -> RequiredFit {
-        if !self.plan.mechanisms.has(Mechanism::FitPlaces) {
+        if !self.plan.mechanisms.has(Mechanism::FitPlaces) || request.demand.version.is_some() {
             return RequiredFit::Any;
         }
         match now < request.start_by {
@@ -452,7 +468,7 @@
     }
 
     fn refuse_waiting(&mut self, kind: AnswerKind, actions: &mut Vec<PoolAction>) {
-        for request in self.queue.drain() {
+        for request in self.queue.drain().into_iter().chain(self.resumed.drain()) {
             self.record_end(&request, false);
             actions.push(PoolAction::Refuse { id: request.id, kind });
         }
@@ -498,7 +514,7 @@
         let waiting: u64 =
             self.plan.tiers.iter().map(|share| self.queue.waiting_tokens(share.rank)).sum();
         let running: u64 = self.upstreams.iter().map(|status| status.in_flight_tokens).sum();
-        waiting + running
+        waiting + self.resumed.waiting_tokens() + running
     }
 
     /// Largest utilisation of any upstream's limit, as a fraction.
@@ -521,7 +537,7 @@
     /// Current counters for status pages and metrics.
     pub fn status(&self) -> PoolStatus {
         PoolStatus {
-            waiting: self.queue.len(),
+            waiting: self.queue.len() + self.resumed.len(),
             running: self.running.len(),
             live: self.upstreams.live_count(),
             floor: self.floor.lowest_admitted(),
--- a/src/policy/upstream_set.rs
+++ b/src/policy/upstream_set.rs
@@ -2,11 +2,11 @@
 
 use super::upstreams::CAPACITY_CLASSES;
 use super::{
-    CapacityClass, ColdBound, DispatchOutcome, FleetGroup, HomeRegions, LearnedLimit, LoadReport,
-    Moment, OwnerRing, PeerWork, RateReport, RateStatement, UpstreamEvent, UpstreamIndex,
+    CapacityClass, ColdBound, DispatchOutcome, FleetGroup, LearnedLimit, LoadReport, Moment,
+    OwnerRing, PeerWork, PlacementDemand, RateReport, RateStatement, UpstreamEvent, UpstreamIndex,
     UpstreamSource, UpstreamState, UpstreamStatus,
 };
-use crate::table::UpstreamName;
+use crate::table::{SoftwareVersion, UpstreamName};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -45,6 +45,8 @@
     departed: HashSet<(UpstreamName, u64)>,
     /// Incremented on each change of the usable upstreams.
     pub generation: u64,
+    /// See [`UpstreamSet::lone_versions`], and the generation for which they were found.
+    lone_versions: (Option<u64>, Arc<[UpstreamIndex]>),
     /// Bound on requests to cold upstreams, if there is one.
     cold_bound: Option<ColdBound>,
     owners: Arc<OwnerRing>,
@@ -82,10 +84,42 @@
         self.live
     }
 
-    /// True if some usable upstream may serve requests with these homes.
-    pub fn has_usable(&self, homes: Option<&HomeRegions>) -> bool {
-        let serves = |status: &UpstreamStatus| status.is_usable() && status.is_home(homes);
-        self.live > 0 && (homes.is_none() || self.upstreams.values().any(serves))
+    /// True if some usable upstream may serve requests with this demand.
+    pub fn has_usable(&self, demand: &PlacementDemand) -> bool {
+        let serves = |status: &UpstreamStatus| status.is_usable() && status.meets(demand);
+        self.live > 0 && (demand.is_empty() || self.upstreams.values().any(serves))
+    }
+
+    /// True if some upstream in service may serve requests with this demand, now or once it is
+    /// reached again.
+    pub fn has_in_service(&self, demand: &PlacementDemand) -> bool {
+        let serves = |status: &UpstreamStatus| status.is_in_service() && status.meets(demand);
+        self.upstreams.values().any(serves)
+    }
+
+    /// Upstreams that are the only ones of their version in service, if another version has several.
+    /// A stream that begins at one of them cannot be resumed once it is gone.
+    pub fn lone_versions(&mut self) -> Arc<[UpstreamIndex]> {
+        if self.lone_versions.0 != Some(self.generation) {
+            self.lone_versions = (Some(self.generation), self.find_lone_versions().into());
+        }
+        Arc::clone(&self.lone_versions.1)
+    }
+
+    fn find_lone_versions(&self) -> Vec<UpstreamIndex> {
+        let mut by_version: BTreeMap<&SoftwareVersion, Vec<UpstreamIndex>> = BTreeMap::new();
+        for status in self.upstreams.values().filter(|status| status.is_in_service()) {
+            let Some(version) = &status.source.version else { continue };
+            by_version.entry(version).or_default().push(status.index);
+        }
+        let has_lasting = by_version.values().any(|indexes| indexes.len() > 1);
+        let lone = by_version.into_values().filter(|indexes| has_lasting && indexes.len() == 1);
+        lone.flatten().collect()
+    }
+
+    /// True if the version of any upstream is known.
+    pub fn has_versions(&self) -> bool {
+        self.upstreams.values().any(|status| status.source.version.is_some())
     }
 
     /// True if there are other upstreams in service than this one, and none of them can be reached.
@@ -101,10 +135,10 @@
         }) && count > 0
     }
 
-    /// True if this daemon may send requests with these homes to some usable upstream. It may not if
+    /// True if this daemon may send requests with this demand to some usable upstream. It may not if
     /// each of them states a limited rate that is left to another daemon.
-    pub fn takes_requests_here(&self, homes: Option<&HomeRegions>) -> bool {
-        let takes = |status: &UpstreamStatus| status.takes_requests_here() && status.is_home(homes);
+    pub fn takes_requests_here(&self, demand: &PlacementDemand) -> bool {
+        let takes = |status: &UpstreamStatus| status.takes_requests_here() && status.meets(demand);
         self.upstreams.values().any(takes)
     }
 
@@ -173,6 +207,11 @@
     fn update_availability(&mut self, source: &UpstreamSource, now: Moment) {
         let Some(index) = self.find(&source.name) else { return };
         let bound = self.cold_bound;
+        let known = self.upstreams.get(&index).map(|status| &status.source);
+        let is_changed = known.is_some_and(|known| {
+            known.version != source.version || known.is_evacuated != source.is_evacuated
+        });
+        self.generation += u64::from(is_changed);
         self.update(index, |status| {
             let returns = status.source.is_evacuated && !source.is_evacuated;
             if let Some(bound) = bound.filter(|_| returns) {
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -1,7 +1,7 @@
 //! The state of one upstream as seen by this daemon: life cycle, work in flight and load reports.
 
 use super::{
-    ColdBound, ColdPace, HomeRegions, LearnedLimit, Moment, RatePace, RateReport, UpstreamIndex,
+    ColdBound, ColdPace, LearnedLimit, Moment, PlacementDemand, RatePace, RateReport, UpstreamIndex,
 };
 use crate::chart::{ChartMachine, NoAction, StateChart};
 use crate::chart_names;
@@ -299,9 +299,15 @@
         self.state() == UpstreamState::Live && !self.source.is_evacuated
     }
 
-    /// True if the upstream may serve requests with these homes; all may if there are none.
-    pub fn is_home(&self, homes: Option<&HomeRegions>) -> bool {
-        homes.is_none_or(|homes| homes.allow(self.source.region.as_ref()))
+    /// True if the upstream is not leaving, whether this daemon reaches it or not.
+    pub fn is_in_service(&self) -> bool {
+        let is_listed = matches!(self.state(), UpstreamState::Live | UpstreamState::Suspect);
+        is_listed && !self.source.is_evacuated
+    }
+
+    /// True if the upstream may serve requests with this demand.
+    pub fn meets(&self, demand: &PlacementDemand) -> bool {
+        demand.allows(&self.source)
     }
 
     /// True while the upstream is cold, by the list or by its own report.
--- a/src/table/routes.rs
+++ b/src/table/routes.rs
@@ -102,6 +102,11 @@
         self.targets.iter().any(|target| target.weight > 0 && target.service == *service)
     }
 
+    /// The services that the route may send requests to.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.targets.iter().filter(|target| target.weight > 0).map(|target| &target.service)
+    }
+
     /// Selects a target by weight, given a random number from 0.0..1.0.
     pub fn select_target(&self, draw: f64) -> Option<&ServiceName> {
         let sum: f64 = self.targets.iter().map(|target| f64::from(target.weight)).sum();
--- a/src/traffic/frontend/admitted.rs
+++ b/src/traffic/frontend/admitted.rs
@@ -7,7 +7,9 @@
     parse_idempotent, read_body, stripped_uri, upstream_headers,
 };
 use crate::answer::{AnswerKind, RefusalAnswer};
-use crate::policy::{ArrivedRequest, OrganisationIndex, RequestId, RequestState, RouteKey};
+use crate::policy::{
+    ArrivedRequest, OrganisationIndex, PlacementDemand, RequestId, RequestState, RouteKey,
+};
 use crate::quarantine::{RequestContent, RequestFingerprint};
 use crate::report::{RequestRecord, record_request};
 use crate::table::{ServiceKind, ServiceRow, TierName};
@@ -238,7 +240,8 @@
         deadline: now + deadline,
         sizes: None,
         size_tenth: None,
-        homes: None,
+        demand: PlacementDemand::default(),
+        may_be_resumed: false,
         must_stay: false,
         route: RouteKey::default(),
         rank: 0,
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -4,9 +4,9 @@
 use crate::answer::AnswerKind;
 use crate::clock::MonotonicClock;
 use crate::policy::{
-    ArrivedRequest, DispatchOutcome, HomeRegions, Moment, OrganisationIndex, PoolAction, PoolEvent,
-    PoolPlan, PoolScheduler, PoolStatus, RateStatement, RequestId, TierRank, UpstreamIndex,
-    UpstreamState, UpstreamStatus,
+    ArrivedRequest, DispatchOutcome, Moment, OrganisationIndex, PlacementDemand, PoolAction,
+    PoolEvent, PoolPlan, PoolScheduler, PoolStatus, RateStatement, RequestId, TierRank,
+    UpstreamIndex, UpstreamState, UpstreamStatus,
 };
 use crate::table::{ServiceName, ServiceRow, SoftwareVersion, UpstreamName};
 use crate::upstream::UpstreamDriver;
@@ -250,11 +250,16 @@
         })
     }
 
-    /// True if an upstream may serve a request with these homes.
-    pub fn is_home(&self, upstream: UpstreamIndex, homes: Option<&HomeRegions>) -> bool {
-        let is_home = |status: &UpstreamStatus| status.is_home(homes);
-        homes.is_none()
-            || self.inspect(|scheduler| scheduler.upstreams().get(upstream).is_some_and(is_home))
+    /// True if an upstream may serve a request with this demand.
+    pub fn meets(&self, upstream: UpstreamIndex, demand: &PlacementDemand) -> bool {
+        let meets = |status: &UpstreamStatus| status.meets(demand);
+        demand.is_empty()
+            || self.inspect(|scheduler| scheduler.upstreams().get(upstream).is_some_and(meets))
+    }
+
+    /// True if the version of any upstream of the pool is known.
+    pub fn has_versions(&self) -> bool {
+        self.inspect(|scheduler| scheduler.upstreams().has_versions())
     }
 
     /// Number of tokens in one event of a stream.
--- a/src/traffic/relay/mod.rs
+++ b/src/traffic/relay/mod.rs
@@ -10,7 +10,7 @@
 
 pub use peer_choice::PeerChoice;
 pub use server::start_relay_server;
-pub use ticket::{RELAY_HEADER, RelayTicket, TicketSubject};
+pub use ticket::{ORIGIN_HEADER, RELAY_HEADER, RelayTicket, TicketSubject};
 
 use super::state::TrafficState;
 use std::net::SocketAddr;
--- a/src/traffic/relay/ticket.rs
+++ b/src/traffic/relay/ticket.rs
@@ -1,11 +1,15 @@
 //! The header that marks a request as passed on by a peer, and proves it.
 
+use crate::stream_origin::StreamOrigin;
 use sha2::{Digest, Sha256};
 use std::time::Duration;
 use subtle::ConstantTimeEq;
 
 /// Name of the header. Callers' own headers of this name are dropped.
 pub const RELAY_HEADER: &str = "tarragonknot-relay";
+/// Name of the header of a peer's answer that says what began its stream. It is removed from the
+/// answers of upstreams.
+pub const ORIGIN_HEADER: &str = "tarragonknot-relay-origin";
 /// Length of the authentication tag, in bytes.
 const TAG_LEN: usize = 16;
 
@@ -28,6 +32,8 @@
     pub sent: u32,
     /// Those of them that declared not to have run it.
     pub not_run: u32,
+    /// What began the stream that the request resumes.
+    pub origin: Option<StreamOrigin>,
 }
 
 impl RelayTicket {
@@ -36,28 +42,38 @@
         self.sent.saturating_sub(self.not_run)
     }
 
-    /// The header's value: `WAITED_MS,SENT,NOT_RUN,TAG`, with the tag in hexadecimal.
+    /// The header's value: `WAITED_MS,SENT,NOT_RUN,ORIGIN,TAG`, with the tag in hexadecimal. `ORIGIN`
+    /// is empty for a request that resumes nothing.
     pub fn encode(&self, subject: &TicketSubject<'_>, key: &str) -> String {
         let RelayTicket { sent, not_run, .. } = self;
-        let waited = self.waited.as_millis();
+        let (waited, origin) = (self.waited.as_millis(), self.origin_text());
         let tag = self.tag(subject, key);
         let tag: String = tag.iter().map(|byte| format!("{byte:02x}")).collect();
-        format!("{waited},{sent},{not_run},{tag}")
+        format!("{waited},{sent},{not_run},{origin},{tag}")
+    }
+
+    fn origin_text(&self) -> String {
+        self.origin.map(|origin| origin.to_string()).unwrap_or_default()
     }
 
     /// Reads the header; `None` if it was not made for this request with the fleet's key.
     pub fn verify(text: &str, subject: &TicketSubject<'_>, key: &str) -> Option<Self> {
-        let mut parts = text.splitn(4, ',');
+        let mut parts = text.splitn(5, ',');
         let waited = Duration::from_millis(parts.next()?.parse().ok()?);
         let sent = parts.next()?.parse().ok()?;
         let not_run = parts.next()?.parse().ok()?;
-        let ticket = RelayTicket { waited, sent, not_run };
+        let origin = match parts.next()? {
+            "" => None,
+            origin => Some(origin.parse().ok()?),
+        };
+        let ticket = RelayTicket { waited, sent, not_run, origin };
         let expected = ticket.encode(subject, key);
         bool::from(expected.as_bytes().ct_eq(text.as_bytes())).then_some(ticket)
     }
 
     fn tag(&self, subject: &TicketSubject<'_>, key: &str) -> [u8; TAG_LEN] {
-        let fields = [key, subject.method, subject.path, subject.id];
+        let origin = self.origin_text();
+        let fields = [key, subject.method, subject.path, subject.id, &origin];
         let mut digest = Sha256::new();
         for field in fields {
             digest.update((field.len() as u64).to_be_bytes());
--- a/src/traffic/routed/admission.rs
+++ b/src/traffic/routed/admission.rs
@@ -176,6 +176,7 @@
         route: matched.route,
         caller: matched.caller,
         homes: matched.homes,
+        origin: ticket.and_then(|ticket| ticket.origin),
         sizes,
         size_tenth,
         fingerprint,
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -12,7 +12,7 @@
     DispatchOutcome, PoolEvent, RateStatement, RouteKey, UpstreamEvent, UpstreamHash,
 };
 use crate::report::{record_rejection_bound, record_stated_rate};
-use crate::rollout::{RequestGroup, VersionOutcome};
+use crate::rollout::{RequestGroup, VersionArm, VersionOutcome};
 use crate::table::{RouteKind, SoftwareVersion};
 use crate::traffic::crash_check::{BrokenRequest, check_upstream};
 use axum::body::Body;
@@ -46,7 +46,10 @@
         history.begin_send();
         match &placed.ticket {
             Some(ticket) => ticket.mark_sent(),
-            None => self.state.rollouts.note_sent_to_old(&placed.pool.service),
+            None if placed.arm == VersionArm::Old => {
+                self.state.rollouts.note_sent_to_old(&placed.pool.service);
+            }
+            None => {}
         }
         let is_last_send = history.sent() >= self.route.attempts;
         let timeout = if is_last_send { Duration::MAX } else { self.answer_timeout() };
--- a/src/traffic/routed/placing.rs
+++ b/src/traffic/routed/placing.rs
@@ -5,12 +5,14 @@
 use super::reserve::{NOT_RESERVED, ReservationOutcome, reserve};
 use super::send_history::SendHistory;
 use crate::answer::AnswerKind;
+use crate::fleet_state::ServiceHash;
 use crate::policy::{
-    ArrivedRequest, DispatchOutcome, Moment, PoolEvent, RequestId, RouteKey, UpstreamEvent,
-    UpstreamIndex,
+    ArrivedRequest, DispatchOutcome, Moment, PlacementDemand, PoolEvent, RequestId, RouteKey,
+    UpstreamEvent, UpstreamIndex,
 };
 use crate::rollout::VersionArm;
-use crate::table::{SoftwareVersion, UpstreamName};
+use crate::stream_origin::StreamOrigin;
+use crate::table::{RouteKind, ServiceName, SoftwareVersion, UpstreamName};
 use crate::traffic::crash_check::BrokenUpstream;
 use crate::traffic::pool_runtime::{PoolDecision, PoolRuntime, RequestGuard};
 use crate::traffic::rollout_gate::TrialTicket;
@@ -41,6 +43,11 @@
 }
 
 impl PlacedRequest {
+    /// What begins a stream here.
+    pub fn origin(&self) -> StreamOrigin {
+        StreamOrigin::new(&self.pool.service, self.version.as_ref())
+    }
+
     /// Describes the upstream for the crash check after a broken connection.
     pub fn broken_upstream(&self) -> BrokenUpstream {
         BrokenUpstream {
@@ -69,21 +76,59 @@
             self.route = matched.route;
             self.caller = matched.caller;
             self.homes = matched.homes;
-            let service = self.route.select_target(self.state.jitter());
-            let service = service.ok_or(AnswerKind::ServiceUnknown)?.clone();
-            let chosen = self.state.choose_pool(&service, history.sent() == 0);
+            let service = self.target_service()?;
+            let chosen = match &self.origin {
+                Some(origin) => self.state.choose_pool_of(&service, origin.version),
+                None => self.state.choose_pool(&service, history.sent() == 0),
+            };
             let chosen = chosen.ok_or(AnswerKind::UpstreamAbsent)?;
+            self.check_origin(&chosen.pool)?;
             let Some(placed) = self.wait_in_pool(chosen, &mut changes).await? else { continue };
             self.check_quarantine()?;
             let matched = self.match_route_again(history)?;
-            let is_home = placed.pool.is_home(placed.upstream, matched.homes.as_ref());
-            let may_use_arm = self.state.may_use_arm(&service, placed.arm);
-            if matched.route.allows(&service) && may_use_arm && is_home {
+            self.homes = matched.homes;
+            let meets_demand = placed.pool.meets(placed.upstream, &self.demand());
+            let may_use_arm = self.may_use_arm(&service, placed.arm);
+            if matched.route.allows(&service) && may_use_arm && meets_demand {
                 return Ok(placed);
             }
         }
     }
 
+    /// The service to send the request to: the one that began its stream, or one by weight.
+    fn target_service(&self) -> Result<ServiceName, AnswerKind> {
+        let Some(origin) = &self.origin else {
+            let service = self.route.select_target(self.state.jitter());
+            return service.cloned().ok_or(AnswerKind::ServiceUnknown);
+        };
+        let mut services = self.route.services();
+        let began = services.find(|service| ServiceHash::of(service) == origin.service);
+        began.cloned().ok_or(AnswerKind::VersionAbsent)
+    }
+
+    /// A stream whose version is unknown goes on only where no upstream states a version.
+    fn check_origin(&self, pool: &PoolRuntime) -> Result<(), AnswerKind> {
+        let is_unknown = self.origin.is_some_and(|origin| origin.version.is_none());
+        match is_unknown && pool.has_versions() {
+            true => Err(AnswerKind::VersionAbsent),
+            false => Ok(()),
+        }
+    }
+
+    /// What the request demands of its upstream.
+    pub fn demand(&self) -> PlacementDemand {
+        let version = self.origin.and_then(|origin| origin.version);
+        PlacementDemand { homes: self.homes.clone(), version }
+    }
+
+    /// True if the request may be sent to an arm of its service's roll-out.
+    fn may_use_arm(&self, service: &ServiceName, arm: VersionArm) -> bool {
+        match self.origin {
+            Some(_) => self.state.may_resume_at_arm(service, arm),
+            None => self.state.may_use_arm(service, arm),
+        }
+    }
+
     /// Matches the route in the table in force, which may no longer allow a repeat.
     fn match_route_again(&self, history: SendHistory) -> Result<RouteMatch, AnswerKind> {
         let matched = match_route(&self.state.snapshot(), &self.parts, &self.metadata)?;
@@ -113,7 +158,7 @@
                 biased;
                 waited = tokio::time::timeout(limit, &mut decision) => waited,
                 Ok(()) = changes.changed() => {
-                    if self.state.may_use_arm(&pool.service, arm) {
+                    if self.may_use_arm(&pool.service, arm) {
                         continue;
                     }
                     return Ok(None);
@@ -192,7 +237,8 @@
             pause: self.route.gap_ms,
             sizes: self.sizes,
             size_tenth: self.size_tenth,
-            homes: self.homes.clone(),
+            demand: self.demand(),
+            may_be_resumed: self.route.kind == RouteKind::ResumableStream,
             must_stay: self.must_stay,
             route: RouteKey::of(&self.route.route),
             prefix: Box::default(),
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -12,12 +12,13 @@
 use crate::report::record_stream_end;
 use crate::rollout::VersionOutcome;
 use crate::traffic::crash_check::has_ended;
+use crate::traffic::relay::ORIGIN_HEADER;
 use crate::upstream::{AnswerBody, AnswerFraming, BodyEnd, BodyRead, end_to_end_headers};
 use axum::body::Body;
 use bytes::Bytes;
 use futures_util::stream;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
-use http::{Response, response};
+use http::{HeaderValue, Response, response};
 use serde::de::IgnoredAny;
 use slog::info;
 use std::io;
@@ -95,11 +96,13 @@
     *response.status_mut() = head.status;
     *response.headers_mut() = end_to_end_headers(&head.headers);
     response.headers_mut().remove(RAN_HEADER);
+    response.headers_mut().remove(ORIGIN_HEADER);
     response
 }
 
 /// Builds the response that relays a stream.
 pub fn stream_response(head: response::Parts, relay: StreamRelay) -> Response<Body> {
+    let told_origin = relay.origin_for_peer();
     let events = stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
         match relay.next_step().await {
@@ -111,6 +114,9 @@
     });
     let mut response = build_response(&head, Body::from_stream(events));
     response.headers_mut().remove(CONTENT_LENGTH);
+    if let Some(origin) = told_origin {
+        response.headers_mut().insert(ORIGIN_HEADER, origin);
+    }
     response
 }
 
@@ -194,6 +200,12 @@
         }
     }
 
+    /// What began the stream, for the answer to a peer that has passed the request on.
+    fn origin_for_peer(&self) -> Option<HeaderValue> {
+        self.request.ticket.as_ref()?;
+        HeaderValue::from_str(&self.source.origin()?.to_string()).ok()
+    }
+
     async fn next_step(&mut self) -> RelayStep {
         if self.has_ended {
             return RelayStep::Done;
@@ -204,6 +216,7 @@
             let error = match tokio::time::timeout(limit, body.read()).await {
                 Ok(BodyRead::Data(bytes)) => match self.splitter.push(&bytes) {
                     Some(events) => {
+                        self.record_origin();
                         self.report_timing();
                         return RelayStep::Events(events);
                     }
@@ -228,6 +241,11 @@
         }
     }
 
+    /// Records what began the stream, before its first event leaves.
+    fn record_origin(&mut self) {
+        self.request.origin = self.request.origin.or(self.source.origin());
+    }
+
     /// Why a body that ends here is incomplete; `None` if it is complete. No framing makes half an
     /// event complete, but content of no stated type may be something else. An unstated end between
     /// two events is that of a whole stream, unless the upstream ended with it.
@@ -353,8 +371,12 @@
 
     async fn resume_through_peers(&mut self, last_event_id: Option<u64>) -> bool {
         let (request, history) = (&mut self.request, &mut self.history);
+        let origin = request.origin;
         match send_through_peers(request, history, last_event_id).await {
-            PeerOutcome::Answered(answer) if answer.head.status.is_success() => {
+            PeerOutcome::Answered(answer)
+                if answer.head.status.is_success()
+                    && (origin.is_none() || answer.hop.origin == origin) =>
+            {
                 self.adopt(AnswerSource::Peer(answer.hop), answer.body);
                 true
             }
--- a/src/traffic/routed/request.rs
+++ b/src/traffic/routed/request.rs
@@ -9,6 +9,7 @@
 use crate::policy::{HomeRegions, Moment, RequestSizes, SizeDecile};
 use crate::quarantine::RequestFingerprint;
 use crate::report::{RouteRecord, record_route};
+use crate::stream_origin::StreamOrigin;
 use crate::table::{RouteRow, ServiceName};
 use crate::traffic::access::CallerIdentity;
 use crate::traffic::relay::RelayTicket;
@@ -43,6 +44,8 @@
     pub caller: Option<CallerIdentity>,
     /// Regions in which the request may be served; `None` means anywhere.
     pub homes: Option<HomeRegions>,
+    /// What began its stream, once its caller has an event of it.
+    pub origin: Option<StreamOrigin>,
     pub sizes: Option<RequestSizes>,
     /// Decile of its size among the recent requests of its route, if known.
     pub size_tenth: Option<SizeDecile>,
@@ -134,8 +137,12 @@
     /// takes one hop at most. One that is bound to regions stays here, since a peer's region is not
     /// known.
     pub fn may_pass_on(&self, kind: AnswerKind) -> bool {
-        let is_unreached =
-            matches!(kind, AnswerKind::UpstreamAbsent | AnswerKind::UpstreamUnreachable);
+        let is_unreached = matches!(
+            kind,
+            AnswerKind::UpstreamAbsent
+                | AnswerKind::UpstreamUnreachable
+                | AnswerKind::VersionAbsent
+        );
         is_unreached
             && self.state.relay.is_enabled()
             && !self.must_stay
--- a/src/traffic/routed/through_peer.rs
+++ b/src/traffic/routed/through_peer.rs
@@ -9,8 +9,9 @@
 use crate::answer::{AnswerKind, ExecutionStatus, ProblemBody, RAN_HEADER};
 use crate::policy::DispatchOutcome;
 use crate::report::record_relayed;
+use crate::stream_origin::StreamOrigin;
 use crate::table::ServiceName;
-use crate::traffic::relay::{RELAY_HEADER, RelayTicket, TicketSubject};
+use crate::traffic::relay::{ORIGIN_HEADER, RELAY_HEADER, RelayTicket, TicketSubject};
 use crate::upstream::{AnswerBody, BodyError, OpenError, end_to_end_headers};
 use axum::body::Body;
 use bytes::Bytes;
@@ -37,6 +38,8 @@
     pub peer: SocketAddr,
     /// The service that the request is counted for.
     pub service: ServiceName,
+    /// What began the peer's stream, if it says so.
+    pub origin: Option<StreamOrigin>,
     /// Counts the request as passed on until dropped.
     _place: OwnedSemaphorePermit,
 }
@@ -134,6 +137,7 @@
     *response.status_mut() = head.status;
     *response.headers_mut() = end_to_end_headers(&head.headers);
     response.headers_mut().remove(http::header::CONTENT_LENGTH);
+    response.headers_mut().remove(ORIGIN_HEADER);
     response
 }
 
@@ -163,7 +167,9 @@
             OfferResult::Answered(head, body) => {
                 record_relayed("answered");
                 release_claim(request);
-                let hop = PeerHop { peer, service, _place: place };
+                let origin = head.headers.get(ORIGIN_HEADER);
+                let origin = origin.and_then(|value| value.to_str().ok()?.parse().ok());
+                let hop = PeerHop { peer, service, origin, _place: place };
                 return PeerOutcome::Answered(Box::new(PeerAnswer { hop, head, body }));
             }
             OfferResult::Refused(head, bytes) => {
@@ -174,7 +180,10 @@
             OfferResult::Unable(kind) => {
                 record_relayed("unable");
                 info!(state.log, "peer can't serve a request"; "request" => request.id(), "peer" => peer.to_string(), "kind" => kind.row().name);
-                state.relay.choice().avoid(peer, state.clock.now());
+                // That it has no upstream of one version says nothing of other requests.
+                if kind != AnswerKind::VersionAbsent {
+                    state.relay.choice().avoid(peer, state.clock.now());
+                }
                 continue;
             }
             OfferResult::Failed(error) => error,
@@ -274,6 +283,7 @@
             | AnswerKind::NotAllowed
             | AnswerKind::ServiceUnknown
             | AnswerKind::RegionConflict
+            | AnswerKind::VersionAbsent
     )
 }
 
@@ -290,6 +300,7 @@
         waited: request.state.clock.now().since(request.arrived_at),
         sent: history.sent(),
         not_run: history.not_run(),
+        origin: request.origin,
     };
     let subject = TicketSubject { method: method.as_str(), path, id: request.id() };
     let ticket = HeaderValue::from_str(&ticket.encode(&subject, key));
@@ -334,6 +345,16 @@
         }
     }
 
+    /// What began the stream, if it began here.
+    pub fn origin(&self) -> Option<StreamOrigin> {
+        match self {
+            AnswerSource::Upstream(placed) => Some(placed.origin()),
+            AnswerSource::Peer(hop) => {
+                hop.origin.or_else(|| Some(StreamOrigin::new(&hop.service, None)))
+            }
+        }
+    }
+
     /// The placement at an upstream of this daemon.
     pub fn placed(&self) -> Option<&PlacedRequest> {
         match self {
--- a/src/traffic/state/versions.rs
+++ b/src/traffic/state/versions.rs
@@ -1,7 +1,7 @@
 //! Selects the version of a service for each request, and the upstreams of each version.
 
 use super::TrafficState;
-use crate::policy::{UpstreamHash, UpstreamSource};
+use crate::policy::{UpstreamHash, UpstreamSource, VersionHash};
 use crate::rollout::{RolloutReport, RolloutRow, RolloutRows, VersionArm, version_pool_name};
 use crate::table::{OperatorTable, ServiceName, ServiceRow, SoftwareVersion};
 use crate::traffic::pool_runtime::PoolRuntime;
@@ -46,6 +46,29 @@
         Some(ChosenPool { pool, arm, ticket })
     }
 
+    /// Selects the pool for a request that resumes a stream of `version`, whatever the share of a
+    /// version on trial.
+    pub fn choose_pool_of(
+        &self,
+        service: &ServiceName,
+        version: Option<VersionHash>,
+    ) -> Option<ChosenPool> {
+        let Some(row) = self.rollouts.row(service) else {
+            return self.choose_pool(service, false);
+        };
+        let is_new = version == Some(VersionHash::of(&row.to));
+        let arm = if is_new { VersionArm::New } else { VersionArm::Old };
+        let pool = self.version_pool(service, row.version_of(arm))?;
+        Some(ChosenPool { pool, arm, ticket: None })
+    }
+
+    /// True if a stream that began at an arm of its service's roll-out may be resumed there. Streams
+    /// of the old version go on while its upstreams are left; those of a new one that is rolled back,
+    /// or may be, do not.
+    pub fn may_resume_at_arm(&self, service: &ServiceName, arm: VersionArm) -> bool {
+        arm == VersionArm::Old || self.may_use_arm(service, arm)
+    }
+
     /// Whether the old and the new version of a roll-out have live upstreams.
     fn live_versions(&self, row: &RolloutRow) -> (bool, bool) {
         let is_live = |arm| {
--- a/tests/burst_pool.rs
+++ b/tests/burst_pool.rs
@@ -4,8 +4,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tarragonknot::policy::{
-    ArrivedRequest, DispatchOutcome, Moment, OrganisationIndex, PoolAction, PoolEvent, PoolPlan,
-    PoolScheduler, RequestId, RequestSizes, RouteKey, TierRank, TierShare,
+    ArrivedRequest, DispatchOutcome, Moment, OrganisationIndex, PlacementDemand, PoolAction,
+    PoolEvent, PoolPlan, PoolScheduler, RequestId, RequestSizes, RouteKey, TierRank, TierShare,
 };
 use tarragonknot::table::{
     LimitMode, PlacementMode, QueueDiscipline, ServiceKind, ServiceRow, tier_name_of_rank,
@@ -42,7 +42,8 @@
         pause: None,
         sizes: Some(RequestSizes { prompt: 100, output }),
         size_tenth: None,
-        homes: None,
+        demand: PlacementDemand::default(),
+        may_be_resumed: false,
         must_stay: false,
         route: RouteKey::default(),
         prefix: Box::default(),
--- a/tests/session.rs
+++ b/tests/session.rs
@@ -10,9 +10,9 @@
 use tarragonknot::chart::ChartMachine;
 use tarragonknot::policy::{
     ArrivedRequest, DispatchOutcome, Exchange, ExchangeAction, ExchangeEvent, LoadReport,
-    MechanismSet, Moment, OrganisationIndex, PoolAction, PoolEvent, PoolPlan, PoolScheduler,
-    RequestId, RequestState, RouteKey, TierRank, TierShare, UpstreamIndex, UpstreamSource,
-    prefix_hashes,
+    MechanismSet, Moment, OrganisationIndex, PlacementDemand, PoolAction, PoolEvent, PoolPlan,
+    PoolScheduler, RequestId, RequestState, RouteKey, TierRank, TierShare, UpstreamIndex,
+    UpstreamSource, prefix_hashes,
 };
 use tarragonknot::table::{LimitMode, PlacementMode, QueueDiscipline};
 use tarragonknot::traffic::{DrainAction, DrainEvent, DrainState, drain_chart};
@@ -178,7 +178,8 @@
             deadline: self.now + Duration::from_millis(deadline),
             sizes: None,
             size_tenth: None,
-            homes: None,
+            demand: PlacementDemand::default(),
+            may_be_resumed: false,
             must_stay: false,
             route: RouteKey::default(),
             rank: 0,
--- a/tests/sized_load.rs
+++ b/tests/sized_load.rs
@@ -10,8 +10,8 @@
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::time::Duration;
 use tarragonknot::policy::{
-    ArrivedRequest, DispatchOutcome, FleetGroup, Moment, PeerWaiting, PeerWork, PoolAction,
-    PoolEvent, PoolPlan, PoolScheduler, RequestId, RequestSizes, RouteKey, RouteSizes,
+    ArrivedRequest, DispatchOutcome, FleetGroup, Moment, PeerWaiting, PeerWork, PlacementDemand,
+    PoolAction, PoolEvent, PoolPlan, PoolScheduler, RequestId, RequestSizes, RouteKey, RouteSizes,
     UpstreamIndex, WaitingLevels,
 };
 
@@ -299,7 +299,8 @@
             patience: Some(at(PATIENCE_MS)),
             sizes: Some(sizes),
             size_tenth: decile,
-            homes: None,
+            demand: PlacementDemand::default(),
+            may_be_resumed: false,
             must_stay: false,
             route: RouteKey::of(&kind.to_string()),
             ..arrived(id.0, own.rank, 0, 0)
--- a/tests/small_calls.rs
+++ b/tests/small_calls.rs
@@ -10,8 +10,8 @@
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use tarragonknot::policy::{
     ArrivedRequest, DispatchOutcome, LoadReport, Mechanism, MechanismSet, Moment,
-    OrganisationIndex, PoolAction, PoolEvent, PoolScheduler, RequestId, RouteKey, TierRank,
-    UpstreamIndex,
+    OrganisationIndex, PlacementDemand, PoolAction, PoolEvent, PoolScheduler, RequestId, RouteKey,
+    TierRank, UpstreamIndex,
 };
 
 const UPSTREAMS: usize = 3;
@@ -181,7 +181,8 @@
         pause: None,
         sizes: None,
         size_tenth: None,
-        homes: None,
+        demand: PlacementDemand::default(),
+        may_be_resumed: false,
         must_stay: false,
         route: RouteKey::default(),
         prefix: Box::default(),
--- a/tests/test_cut_off_entries.rs
+++ b/tests/test_cut_off_entries.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 use tarragonknot::fleet_state::OrganisationHash;
 use tarragonknot::policy::{Moment, PoolEvent, UpstreamIndex};
+use tarragonknot::stream_origin::StreamOrigin;
 use tarragonknot::traffic::{PeerChoice, RelayTicket, TicketSubject};
 use tokio::net::{TcpSocket, TcpStream};
 
@@ -432,7 +433,8 @@
 /// for.
 #[test]
 fn a_ticket_holds_only_for_its_request() {
-    let ticket = RelayTicket { waited: Duration::from_millis(12), sent: 1, not_run: 1 };
+    let origin = Some(StreamOrigin::new(&"pool".into(), Some(&"v1".into())));
+    let ticket = RelayTicket { waited: Duration::from_millis(12), sent: 1, not_run: 1, origin };
     let subject = TicketSubject { method: "POST", path: "/a/", id: "id-1" };
     let text = ticket.encode(&subject, "a key");
     let verify = |text: &str, subject: &TicketSubject<'_>, key: &str| {
@@ -446,6 +448,13 @@
     assert!(!verify(&text, &TicketSubject { id: "id-2", ..subject }, "a key"));
     assert!(!verify(&text.replacen("12,1,1", "12,0,0", 1), &subject, "a key"));
     assert!(!verify(&text.replacen("12,", "13,", 1), &subject, "a key"));
+    let other = RelayTicket { origin: None, ..ticket };
+    let tag = text.rsplit(',').next().expect("a ticket ends with its tag");
+    let forged = other.encode(&subject, "a key").replace(
+        other.encode(&subject, "a key").rsplit(',').next().expect("a ticket ends with its tag"),
+        tag,
+    );
+    assert!(!verify(&forged, &subject, "a key"));
 }
 
 /// Guards against a herd: the requests of an entry that is cut off must spread over the fleet, at
--- a/tests/test_experiment.rs
+++ b/tests/test_experiment.rs
@@ -13,8 +13,8 @@
 };
 use tarragonknot::load::{LoadProfile, PolicyChoice, ProfileKind};
 use tarragonknot::policy::{
-    ArrivedRequest, DrainMeter, LoadReport, Moment, OrganisationIndex, PoolAction, PoolEvent,
-    PoolPlan, PoolScheduler, RequestId, RouteKey, TierProgress, TierRank, UpstreamIndex,
+    ArrivedRequest, DrainMeter, LoadReport, Moment, OrganisationIndex, PlacementDemand, PoolAction,
+    PoolEvent, PoolPlan, PoolScheduler, RequestId, RouteKey, TierProgress, TierRank, UpstreamIndex,
     UpstreamSource, prefix_hashes,
 };
 use tarragonknot::table::LimitMode;
@@ -155,7 +155,8 @@
             deadline: Moment::from_millis(60_000),
             sizes: None,
             size_tenth: None,
-            homes: None,
+            demand: PlacementDemand::default(),
+            may_be_resumed: false,
             must_stay: false,
             route: RouteKey::default(),
             rank: 0,
--- a/tests/test_policy.rs
+++ b/tests/test_policy.rs
@@ -9,8 +9,9 @@
 use tarragonknot::answer::AnswerKind;
 use tarragonknot::policy::{
     ArrivedRequest, DispatchOutcome, FairQueue, FloorOrder, LimitTable, LoadReport, Moment,
-    OrganisationIndex, OrganisationLimit, PoolAction, PoolEvent, PoolScheduler, RequestId,
-    RouteKey, ShedFloor, TierRank, TierShare, WaitingQueue, WaitingRequest, prefix_hashes,
+    OrganisationIndex, OrganisationLimit, PlacementDemand, PoolAction, PoolEvent, PoolScheduler,
+    RequestId, RouteKey, ShedFloor, TierRank, TierShare, WaitingQueue, WaitingRequest,
+    prefix_hashes,
 };
 
 const SHARES: [TierShare; 3] = [
@@ -41,7 +42,8 @@
         expires_at: review_at,
         route: RouteKey::default(),
         size_tenth: None,
-        homes: None,
+        demand: PlacementDemand::default(),
+        may_be_resumed: false,
         is_underserved: false,
     }
 }
@@ -171,7 +173,7 @@
                 let deadline = now + Duration::from_millis(deadline);
                 let arrived = ArrivedRequest {
                     id, organisation: OrganisationIndex(u32::from(tier)), weight: 1, tier: TierRank(tier), prompt_bytes: tokens * 4,
-                    output_limit: Some(16), deadline, sizes: None, size_tenth: None, homes: None, must_stay: false, route: RouteKey::default(),
+                    output_limit: Some(16), deadline, sizes: None, size_tenth: None, demand: PlacementDemand::default(), may_be_resumed: false, must_stay: false, route: RouteKey::default(),
             rank: 0,
             objective: None,
             patience: None,
@@ -310,7 +312,8 @@
             deadline: Moment::from_millis(60_000),
             sizes: None,
             size_tenth: None,
-            homes: None,
+            demand: PlacementDemand::default(),
+            may_be_resumed: false,
             must_stay: false,
             route: RouteKey::default(),
             rank: 0,
--- a/tests/test_stated_rates.rs
+++ b/tests/test_stated_rates.rs
@@ -9,8 +9,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tarragonknot::policy::{
-    FleetGroup, Moment, OwnerRing, PeerWaiting, PeerWork, PoolAction, PoolEvent, RateReport,
-    RateStatement, RequestId, UpstreamIndex, UpstreamSource,
+    FleetGroup, Moment, OwnerRing, PeerWaiting, PeerWork, PlacementDemand, PoolAction, PoolEvent,
+    RateReport, RateStatement, RequestId, UpstreamIndex, UpstreamSource,
 };
 
 const UPSTREAMS: u16 = 4;
@@ -370,7 +370,8 @@
     fleet.run_until(1_000);
     (0..u32::from(UPSTREAMS)).for_each(|index| fleet.state(index, RateStatement::Limited(1.0)));
     fleet.run_until(4_000);
-    let owns = |pool: &BurstPool| pool.scheduler.upstreams().takes_requests_here(None);
+    let demand = PlacementDemand::default();
+    let owns = |pool: &BurstPool| pool.scheduler.upstreams().takes_requests_here(&demand);
     let other = fleet.pools.iter().position(|pool| !owns(pool)).expect("more daemons than owners");
 
     let actions = fleet.pools[other].arrive(1_000_000, 0, 4_000);
