A stream that its caller takes up goes on only at the version that began it

Cause: nothing read Resumes, and no daemon could know which version an attempt at another daemon had begun at.

The daemon through which a stream begins records its origin under a hash of the organisation and the attempt's id, and sends the record to three owners by rendezvous hash before the first event leaves. An entry that a stream is taken up at asks the owners, then more daemons for owners that have changed, for at most 0.3 s. Records are kept for twice the route's timeout and bounded in number. While a service has had one version for that long, records stay with the daemon and are sent once a second version is listed or a route changes its services; an unknown stream goes on then, if no peer knows of another version. With several versions an unknown stream is refused (503, origin-unknown), and so is one whose version has left (503, version-absent).

Logs: 'stream origin' names the first attempt, the result, who knew it and the record's age. Metric tarragonknot_resumptions_total by service, place, result.

--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -152,6 +152,13 @@
 }
 
 /// Counts a request that was offered to a peer: `answered`, `refused`, `unable` (another peer may serve
+/// Counts a stream that was taken up again: by its `caller` in a new request, or within its `answer`.
+pub fn record_resumption(service: &str, place: &'static str, result: &'static str) {
+    let service = service.to_owned();
+    counter!("tarragonknot_resumptions_total", "service" => service, "place" => place, "result" => result)
+        .increment(1);
+}
+
 /// it) or `failed`.
 pub fn record_relayed(outcome: &'static str) {
     counter!("tarragonknot_relayed_requests_total", "outcome" => outcome).increment(1);
--- /dev/null
+++ b/src/stream_origin/lookup.rs
@@ -0,0 +1,173 @@
+//! Finds out which version began a stream that a caller resumes: from the daemons that keep its
+//! record, or else from what the fleet knows of the service's versions.
+
+use super::{KnownOrigin, OriginFinding, StreamOrigin, VersionClaim};
+use crate::fleet_state::ServiceHash;
+use crate::policy::VersionHash;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Number of owners that have been asked after each round. The first covers an owner that has changed;
+/// the others find records whose owners this daemon does not know, as the fleet has changed.
+const ROUND_SIZES: [usize; 3] = [4, 8, 16];
+/// Maximum number of daemons that are asked.
+pub const MAX_ASKED: usize = ROUND_SIZES[ROUND_SIZES.len() - 1];
+/// Time that replies may take before the next round; daemons in other regions reply within 50 ms.
+pub const ROUND_TIMEOUT: Duration = Duration::from_millis(60);
+/// Rounds in which all are asked again, for lost datagrams and for records that are on their way.
+const REPEATED_ROUNDS: usize = 2;
+
+/// What began a stream, and who knew it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LookupResult {
+    /// A record names it.
+    Known { origin: StreamOrigin, age_ms: u32, by: Option<SocketAddr> },
+    /// The service has had this version alone.
+    SoleVersion(StreamOrigin),
+    /// The upstreams of the service state no version.
+    Unversioned,
+    /// Two streams of this id began at different versions.
+    Ambiguous,
+    /// Nobody knows, and several versions may have begun it.
+    Unknown,
+}
+
+/// A question to the owners of a record, and their replies so far.
+#[derive(Clone, Debug)]
+pub struct OriginLookup {
+    service: ServiceHash,
+    own_claim: VersionClaim,
+    /// True if this daemon's list of upstreams is up to date.
+    is_list_fresh: bool,
+    /// The daemons to ask, the first owner first.
+    owners: Vec<SocketAddr>,
+    round: usize,
+    replied: BTreeSet<SocketAddr>,
+    claims: Vec<VersionClaim>,
+}
+
+impl LookupResult {
+    /// The result of a record; `by` is the peer that has it, or `None` for this daemon.
+    pub fn of_known(known: KnownOrigin, by: Option<SocketAddr>) -> Self {
+        match known {
+            KnownOrigin::One { origin, age_ms } => LookupResult::Known { origin, age_ms, by },
+            KnownOrigin::Several => LookupResult::Ambiguous,
+        }
+    }
+
+    /// Name for logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            LookupResult::Known { .. } => "known",
+            LookupResult::SoleVersion(_) => "sole-version",
+            LookupResult::Unversioned => "unversioned",
+            LookupResult::Ambiguous => "ambiguous",
+            LookupResult::Unknown => "unknown",
+        }
+    }
+}
+
+impl OriginLookup {
+    pub fn new(
+        service: ServiceHash,
+        own_claim: VersionClaim,
+        is_list_fresh: bool,
+        owners: Vec<SocketAddr>,
+    ) -> Self {
+        let (replied, claims) = (BTreeSet::new(), Vec::new());
+        OriginLookup { service, own_claim, is_list_fresh, owners, round: 0, replied, claims }
+    }
+
+    /// The daemons to ask next; `None` once all rounds are over, or the fleet agrees on one version.
+    pub fn next_round(&mut self) -> Option<Vec<SocketAddr>> {
+        if self.is_agreed() || self.round >= ROUND_SIZES.len() + REPEATED_ROUNDS {
+            return None;
+        }
+        if self.round > 0 && self.asked().len() == self.owners.len() {
+            self.round = self.round.max(ROUND_SIZES.len());
+            self.replied.clear();
+        }
+        self.round += 1;
+        let asked = self.asked().iter().filter(|owner| !self.replied.contains(owner));
+        Some(asked.copied().collect())
+    }
+
+    /// The service that the stream probably began at.
+    pub fn service(&self) -> ServiceHash {
+        self.service
+    }
+
+    /// The daemons that have been asked.
+    fn asked(&self) -> &[SocketAddr] {
+        let size = match self.round {
+            0 => 0,
+            round => ROUND_SIZES.get(round - 1).copied().unwrap_or(MAX_ASKED),
+        };
+        &self.owners[..size.min(self.owners.len())]
+    }
+
+    /// True if the next round need not wait for its time: all have replied, and there are more to ask
+    /// or one version is agreed on.
+    pub fn may_go_on(&self) -> bool {
+        let is_complete = self.asked().iter().all(|owner| self.replied.contains(owner));
+        is_complete && (self.asked().len() < self.owners.len() || self.is_agreed())
+    }
+
+    /// Takes a reply into account; returns a result if it is decisive.
+    pub fn handle_reply(
+        &mut self,
+        from: SocketAddr,
+        finding: OriginFinding,
+    ) -> Option<LookupResult> {
+        self.replied.insert(from);
+        match finding {
+            OriginFinding::Known(known) => Some(LookupResult::of_known(known, Some(from))),
+            OriginFinding::Unknown(claim) => {
+                self.claims.push(claim);
+                None
+            }
+        }
+    }
+
+    /// True if the first owners have replied and the fleet agrees on one version, or there is none to
+    /// agree on.
+    fn is_agreed(&self) -> bool {
+        let has_asked = self.round > 0 && self.asked().iter().all(|it| self.replied.contains(it));
+        let is_sole = matches!(self.result(), LookupResult::SoleVersion(_));
+        has_asked && is_sole || self.own_claim == VersionClaim::Unversioned
+    }
+
+    /// The result once no record was found.
+    pub fn result(&self) -> LookupResult {
+        let version = match self.own_claim {
+            VersionClaim::Unversioned => return LookupResult::Unversioned,
+            VersionClaim::Sole(version) if self.is_confirmed(version) => version,
+            VersionClaim::Recent(version) if self.is_vouched_for(version) => version,
+            _ => return LookupResult::Unknown,
+        };
+        LookupResult::SoleVersion(StreamOrigin { service: self.service, version: Some(version) })
+    }
+
+    /// True if no peer knows of another version. A daemon that hears from no peer may have missed
+    /// versions, unless it reads the list of upstreams itself.
+    fn is_confirmed(&self, version: VersionHash) -> bool {
+        let has_heard = !self.claims.is_empty() || self.owners.is_empty() || self.is_list_fresh;
+        has_heard && self.claims.iter().all(|claim| Self::agrees(*claim, version))
+    }
+
+    /// True if a peer has watched for long enough and knows one version alone, or if no daemon has:
+    /// after a start of the whole fleet.
+    fn is_vouched_for(&self, version: VersionHash) -> bool {
+        let has_replies = !self.claims.is_empty() || self.owners.is_empty();
+        has_replies && self.claims.iter().all(|claim| Self::agrees(*claim, version))
+    }
+
+    fn agrees(claim: VersionClaim, version: VersionHash) -> bool {
+        match claim {
+            VersionClaim::Sole(known) | VersionClaim::Recent(known) => known == version,
+            VersionClaim::None => true,
+            VersionClaim::Several | VersionClaim::Unversioned => false,
+        }
+    }
+}
--- a/src/stream_origin/mod.rs
+++ b/src/stream_origin/mod.rs
@@ -1,7 +1,26 @@
 //! Which software version began a stream. What two versions write does not fit together, so a stream
-//! goes on only at the version that began it. This module is pure: it reads no clock and opens no
-//! socket.
+//! goes on only at the version that began it, also over the tries of a caller at any daemon.
+//!
+//! The daemon through which a stream begins records its origin ([`OriginRecord`]) and sends the record
+//! to a few [`owners`] before the first event leaves. Callers mostly come back because that daemon is
+//! gone, so another one asks the owners ([`OriginLookup`]). Nothing is sent while a service has had one
+//! version for longer than its streams can be resumed ([`VersionHistory`]); once that ends, the records
+//! of this time are sent after all.
+//!
+//! This module is pure: it reads no clock and opens no socket.
 
+mod attempt_key;
+mod lookup;
+mod messages;
 mod origin;
+mod origin_table;
+mod owners;
+mod version_history;
 
-pub use origin::StreamOrigin;
+pub use attempt_key::AttemptKey;
+pub use lookup::{LookupResult, MAX_ASKED, OriginLookup, ROUND_TIMEOUT};
+pub use messages::{OriginFinding, OriginMessage};
+pub use origin::{InvalidOrigin, StreamOrigin};
+pub use origin_table::{KnownOrigin, OriginRecord, OriginTable};
+pub use owners::{OWNER_COUNT, owners};
+pub use version_history::{VersionClaim, VersionHistory};
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -36,6 +36,8 @@
 pub struct FleetExchange {
     /// None until the exchange is started.
     fleet: OnceLock<Mutex<FleetState>>,
+    /// None until the exchange is started.
+    socket: OnceLock<MessageSocket>,
     list: ListExchange,
     /// Kinds of datagram faults already logged. Each kind is logged once and always counted.
     logged_causes: Mutex<BTreeSet<DropCause>>,
@@ -77,6 +79,51 @@
         self.fleet().map_or_else(Vec::new, |fleet| fleet.addresses().to_vec())
     }
 
+    /// The daemons that serve callers, and which of them is this one.
+    pub fn peer_addresses(&self) -> PeerAddresses {
+        let own = self.socket.get().map(|socket| socket.own_address);
+        PeerAddresses { own, addresses: self.addresses() }
+    }
+
+    /// Age of the last reading that agrees with this daemon's list of upstreams; `None` if the daemon
+    /// has no peers to exchange the list with.
+    pub fn list_age(&self, now: Moment) -> Option<Duration> {
+        self.fleet.get()?;
+        let age = |stamp: ListStamp| Duration::from_millis(u64::from(stamp.age_ms));
+        Some(self.list.stamp(now).map_or(Duration::MAX, age))
+    }
+
+    /// Sends a message to other daemons.
+    pub fn send(&self, message: &DaemonMessage, addresses: &[SocketAddr]) {
+        if let Some(socket) = self.socket.get() {
+            socket.send(message, addresses);
+        }
+    }
+
+    /// Sends messages to other daemons, with a pause after each `burst` of them.
+    pub fn send_paced(
+        &self,
+        mut messages: Vec<(SocketAddr, DaemonMessage)>,
+        burst: usize,
+        pause: Duration,
+    ) {
+        let Some(socket) = self.socket.get().cloned() else { return };
+        let send = |messages: &[(SocketAddr, DaemonMessage)], socket: &MessageSocket| {
+            messages.iter().for_each(|(address, message)| socket.send(message, &[*address]));
+        };
+        let later = messages.split_off(messages.len().min(burst));
+        send(&messages, &socket);
+        if later.is_empty() {
+            return;
+        }
+        tokio::spawn(async move {
+            for messages in later.chunks(burst) {
+                tokio::time::sleep(pause).await;
+                send(messages, &socket);
+            }
+        });
+    }
+
     /// Returns true if this daemon should read the platform's list itself: it is the reader for the
     /// fleet, or its list has not been confirmed for too long. `has_table` is true if it could
     /// serve callers once it has a list.
@@ -108,8 +155,17 @@
     }
 }
 
+/// The daemons that serve callers.
+#[derive(Clone, Debug)]
+pub struct PeerAddresses {
+    /// The address of this one; `None` before the exchange is started.
+    pub own: Option<SocketAddr>,
+    /// All of them, this one included.
+    pub addresses: Vec<SocketAddr>,
+}
+
 /// The UDP socket for messages between daemons.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct MessageSocket {
     socket: Arc<UdpSocket>,
     own_address: SocketAddr,
@@ -146,6 +202,7 @@
     state.limits().set_share(fleet.limit_share());
     state.limits().set_initial_credit(state.jitter());
     let _ = state.fleet.fleet.set(Mutex::new(fleet));
+    let _ = state.fleet.socket.set(socket.clone());
     state.fleet.list.init(state.jitter(), calls_per_second);
     tokio::spawn(receive_messages(Arc::clone(&state), socket.clone()));
     tokio::spawn(list::send_messages(Arc::clone(&state), socket.clone()));
@@ -187,6 +244,12 @@
         DaemonMessage::List { daemon, address, message } if daemon != state.daemon => {
             list::handle_message(state, address, message)
         }
+        DaemonMessage::Origin(message) => {
+            let reply = state.origins.handle_message(message, from, state.clock.now());
+            if let Some(reply) = reply {
+                state.fleet.send(&DaemonMessage::Origin(reply), &[from]);
+            }
+        }
         // This daemon's own message, received back, or one of an earlier build.
         DaemonMessage::State(_)
         | DaemonMessage::List { .. }
--- a/src/traffic/fleet_exchange/wire.rs
+++ b/src/traffic/fleet_exchange/wire.rs
@@ -1,6 +1,7 @@
 //! Encoding of datagrams between daemons, and the tag that authenticates them with the fleet's key.
 
 use crate::fleet_state::{FleetMessage, ListMessage, MessageRefusal};
+use crate::stream_origin::OriginMessage;
 use crate::table::DaemonName;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -32,6 +33,8 @@
         address: SocketAddr,
         message: ListMessage,
     },
+    /// A message about where streams began.
+    Origin(OriginMessage),
 }
 
 /// Why a datagram was dropped.
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -17,6 +17,7 @@
 mod routed;
 mod sink;
 mod state;
+mod stream_origins;
 
 pub use access::{AccessIndex, CallerIdentity, OrganisationIndices};
 pub use drain::{DrainAction, DrainEvent, DrainState, drain_chart};
@@ -34,3 +35,4 @@
     ReservationRequest, RouteIndex, SendMetadata,
 };
 pub use state::{PlatformInterface, TableSnapshot, TrafficState};
+pub use stream_origins::{ResumableStream, StreamOrigins};
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -99,6 +99,9 @@
 /// Forwards a request until an answer begins or it is refused; the events of a stream follow later.
 pub async fn forward(mut request: Box<RoutedRequest>) -> Response<Body> {
     let mut history = request.ticket.as_ref().map(SendHistory::of_ticket).unwrap_or_default();
+    if let Err(kind) = request.find_origin().await {
+        return refuse(&mut request, kind, history);
+    }
     loop {
         request.stage = RequestStage::Waiting;
         let mut placed = match request.place(history).await {
--- /dev/null
+++ b/src/traffic/routed/origin.rs
@@ -0,0 +1,92 @@
+//! Where the stream of a request began, and where it may go on.
+
+use super::request::RoutedRequest;
+use crate::answer::AnswerKind;
+use crate::report::record_resumption;
+use crate::stream_origin::{AttemptKey, LookupResult, StreamOrigin};
+use crate::table::{RouteKind, ServiceName};
+use crate::traffic::stream_origins::ResumableStream;
+use slog::info;
+
+/// A stream may be resumed within this many times the timeout of its route after it began: its own
+/// time, and as much for its caller to come back.
+const HORIZON_TIMEOUTS: u32 = 2;
+
+impl RoutedRequest {
+    /// True if a caller takes up a stream of which it has events.
+    pub fn resumes_stream(&self) -> bool {
+        let has_events = self.metadata.resumes.is_some() || self.metadata.last_event_id.is_some();
+        self.route.kind == RouteKind::ResumableStream && has_events
+    }
+
+    /// Finds out what began the stream that the caller takes up. A peer that passes the request on has
+    /// done so already.
+    pub async fn find_origin(&mut self) -> Result<(), AnswerKind> {
+        if !self.resumes_stream() || self.ticket.is_some() {
+            return Ok(());
+        }
+        let asked_at = self.state.clock.now();
+        let services: Vec<ServiceName> = self.route.services().cloned().collect();
+        let key = self.metadata.resumes.as_deref().map(|first| self.attempt_key(first));
+        let stream = self.resumable_stream(key, &services);
+        let result = self.state.origins.find(&self.state, stream).await;
+        self.log_origin(result, asked_at.0);
+        self.origin = match result {
+            LookupResult::Known { origin, .. } | LookupResult::SoleVersion(origin) => Some(origin),
+            LookupResult::Unversioned => None,
+            LookupResult::Ambiguous | LookupResult::Unknown => {
+                return Err(AnswerKind::OriginUnknown);
+            }
+        };
+        Ok(())
+    }
+
+    /// Records what began the stream, before its first event leaves; `began` is where that event comes
+    /// from. Later tries of the caller name the attempt that brought the first event.
+    pub fn record_origin(&mut self, began: StreamOrigin) {
+        let origin = *self.origin.get_or_insert(began);
+        if self.route.kind != RouteKind::ResumableStream || self.ticket.is_some() {
+            return;
+        }
+        let first = self.metadata.resumes.as_deref().or(self.metadata.id.as_deref());
+        let key = first.map(|first| self.attempt_key(first));
+        let services: Vec<ServiceName> = self.route.services().cloned().collect();
+        self.state.origins.record(&self.state, self.resumable_stream(key, &services), origin);
+        if self.resumes_stream() {
+            self.record_resumption("caller", "same-version");
+        }
+    }
+
+    /// Counts a resumption by the caller, or within the answer.
+    pub fn record_resumption(&self, place: &'static str, result: &'static str) {
+        let service = self.route.services().next();
+        record_resumption(service.map_or("", ServiceName::as_str), place, result);
+    }
+
+    fn attempt_key(&self, id: &str) -> AttemptKey {
+        let organisation = self.caller.as_ref().map_or("", |caller| caller.organisation.as_str());
+        AttemptKey::of(organisation, id)
+    }
+
+    fn resumable_stream<'a>(
+        &self,
+        key: Option<AttemptKey>,
+        services: &'a [ServiceName],
+    ) -> ResumableStream<'a> {
+        ResumableStream { key, services, horizon: self.route.timeout_ms * HORIZON_TIMEOUTS }
+    }
+
+    /// Logs who knew what began the stream. `version` is empty if no upstream of it is listed here.
+    fn log_origin(&self, result: LookupResult, asked_at: u64) {
+        let waited = (self.state.clock.now().0 - asked_at) / 1_000;
+        let (origin, age, by) = match result {
+            LookupResult::Known { origin, age_ms, by } => (Some(origin), Some(age_ms), by),
+            LookupResult::SoleVersion(origin) => (Some(origin), None, None),
+            _ => (None, None, None),
+        };
+        info!(self.state.log, "stream origin"; "request" => self.id(), "resumes" => self.metadata.resumes.as_deref(),
+            "after_event" => self.metadata.last_event_id, "route" => &self.route.route, "result" => result.name(),
+            "origin" => origin.map(|origin| origin.to_string()), "version" => origin.and_then(|origin| self.state.version_name(origin)),
+            "known_by" => by.map(|peer| peer.to_string()), "age_ms" => age, "waited_ms" => waited);
+    }
+}
--- a/src/traffic/routed/refusal.rs
+++ b/src/traffic/routed/refusal.rs
@@ -42,6 +42,9 @@
     };
     let waited = request.state.clock.now().since(request.arrived_at).as_millis() as u64;
     request.record(kind.row().name, None);
+    if request.resumes_stream() {
+        request.record_resumption("caller", resumption_result(kind));
+    }
     info!(request.state.log, "refused"; "request" => request.id(), "kind" => kind.row().name,
         "route" => &request.route.route, "sent" => history.sent(), "may_have_run" => history.may_have_run(), "after_ms" => waited, request.size_fields());
     RefusalAnswer::new(kind, "", request.state.jitter())
@@ -49,6 +52,15 @@
         .response(request.id())
 }
 
+/// Result of taking a stream up, for metrics.
+fn resumption_result(kind: AnswerKind) -> &'static str {
+    match kind {
+        AnswerKind::OriginUnknown => "unknown",
+        AnswerKind::VersionAbsent => "none-left",
+        _ => "refused",
+    }
+}
+
 impl RoutedRequest {
     /// When to retry after a refusal for lack of capacity: late within the time that the caller may
     /// wait. The request misses its objective in any case, so an early retry gains nothing, and a
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -149,6 +149,7 @@
     gap_start: Option<(u64, Moment)>,
     timing: StreamTiming,
     has_ended: bool,
+    has_recorded_origin: bool,
 }
 
 /// Timing of a stream's events as seen by the caller.
@@ -197,13 +198,14 @@
             gap_start: None,
             timing: StreamTiming::default(),
             has_ended: false,
+            has_recorded_origin: false,
         }
     }
 
     /// What began the stream, for the answer to a peer that has passed the request on.
     fn origin_for_peer(&self) -> Option<HeaderValue> {
         self.request.ticket.as_ref()?;
-        HeaderValue::from_str(&self.source.origin()?.to_string()).ok()
+        HeaderValue::from_str(&self.source.origin().to_string()).ok()
     }
 
     async fn next_step(&mut self) -> RelayStep {
@@ -236,6 +238,9 @@
                 Err(_) => SendError::NoUsableAnswer(format!("no event within {limit:?}")),
             };
             if !self.resume_elsewhere(error).await {
+                if self.has_recorded_origin && self.request.route.kind.may_repeat() {
+                    self.request.record_resumption("answer", "none-left");
+                }
                 return self.cut("no other upstream can resume it");
             }
         }
@@ -243,7 +248,11 @@
 
     /// Records what began the stream, before its first event leaves.
     fn record_origin(&mut self) {
-        self.request.origin = self.request.origin.or(self.source.origin());
+        if self.has_recorded_origin {
+            return;
+        }
+        self.has_recorded_origin = true;
+        self.request.record_origin(self.source.origin());
     }
 
     /// Why a body that ends here is incomplete; `None` if it is complete. No framing makes half an
@@ -375,7 +384,7 @@
         match send_through_peers(request, history, last_event_id).await {
             PeerOutcome::Answered(answer)
                 if answer.head.status.is_success()
-                    && (origin.is_none() || answer.hop.origin == origin) =>
+                    && origin.is_none_or(|origin| answer.hop.origin == origin) =>
             {
                 self.adopt(AnswerSource::Peer(answer.hop), answer.body);
                 true
@@ -386,6 +395,7 @@
 
     /// Goes on with the body of an answer that resumes the stream.
     fn adopt(&mut self, source: AnswerSource, body: AnswerBody) {
+        self.request.record_resumption("answer", "same-version");
         self.splitter.discard_partial();
         self.gap_start = None;
         self.source = source;
--- a/src/traffic/routed/through_peer.rs
+++ b/src/traffic/routed/through_peer.rs
@@ -38,8 +38,8 @@
     pub peer: SocketAddr,
     /// The service that the request is counted for.
     pub service: ServiceName,
-    /// What began the peer's stream, if it says so.
-    pub origin: Option<StreamOrigin>,
+    /// Where the peer's stream comes from; its version is unknown if the peer does not name it.
+    pub origin: StreamOrigin,
     /// Counts the request as passed on until dropped.
     _place: OwnedSemaphorePermit,
 }
@@ -169,6 +169,7 @@
                 release_claim(request);
                 let origin = head.headers.get(ORIGIN_HEADER);
                 let origin = origin.and_then(|value| value.to_str().ok()?.parse().ok());
+                let origin = origin.unwrap_or_else(|| StreamOrigin::new(&service, None));
                 let hop = PeerHop { peer, service, origin, _place: place };
                 return PeerOutcome::Answered(Box::new(PeerAnswer { hop, head, body }));
             }
@@ -345,13 +346,11 @@
         }
     }
 
-    /// What began the stream, if it began here.
-    pub fn origin(&self) -> Option<StreamOrigin> {
+    /// Where the events come from.
+    pub fn origin(&self) -> StreamOrigin {
         match self {
-            AnswerSource::Upstream(placed) => Some(placed.origin()),
-            AnswerSource::Peer(hop) => {
-                hop.origin.or_else(|| Some(StreamOrigin::new(&hop.service, None)))
-            }
+            AnswerSource::Upstream(placed) => placed.origin(),
+            AnswerSource::Peer(hop) => hop.origin,
         }
     }
 
--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -13,6 +13,7 @@
 use super::relay::PeerRelay;
 use super::rollout_gate::RolloutGate;
 use super::routed::CallDialect;
+use super::stream_origins::StreamOrigins;
 use crate::clock::MonotonicClock;
 use crate::control::ClaimClient;
 use crate::evacuation::EvacuatedSet;
@@ -22,8 +23,8 @@
 };
 use crate::rollout::version_pool_name;
 use crate::table::{
-    DaemonName, DataCentreName, OperatorTable, RegionName, ServiceKind, ServiceName, ServiceRow,
-    TableReader, VersionedTable,
+    DaemonName, DataCentreName, OperatorTable, RegionName, RouteRow, ServiceKind, ServiceName,
+    ServiceRow, TableReader, VersionedTable,
 };
 use crate::upstream::{ConnectionPool, EngineDriver, PlainDriver, PlatformList, UpstreamDriver};
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -32,7 +33,7 @@
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, error, info};
 use std::borrow::Cow;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
@@ -99,6 +100,8 @@
     pub rollouts: RolloutGate,
     /// Requests that are passed on between this daemon and its peers.
     pub relay: PeerRelay,
+    /// Where streams began.
+    pub origins: StreamOrigins,
     /// Checks in progress of upstreams whose connections broke.
     pub crash_checks: CrashChecks,
     /// Notified when a shed floor must be reported to the leader at once.
@@ -145,6 +148,7 @@
             quarantine: QuarantineGate::default(),
             rollouts: RolloutGate::default(),
             relay: PeerRelay::default(),
+            origins: StreamOrigins::default(),
             crash_checks: CrashChecks::default(),
             floor_changes: Notify::new(),
             in_progress: AtomicUsize::new(0),
@@ -182,6 +186,9 @@
         let Some(table) = self.read_table(versioned) else { return };
         let access = AccessIndex::new(&table, &mut indices);
         self.limits().set_limits(access.limits().clone());
+        if has_moved_route(self.snapshot.load().access.table(), access.table()) {
+            self.origins.record_route_change(self);
+        }
         self.update_pools(&access);
         self.snapshot.store(Arc::new(TableSnapshot { version: versioned.version, access }));
         self.table_changes.notify_waiters();
@@ -415,6 +422,10 @@
 
     fn update_sources(&self, table: &OperatorTable) {
         let platform = self.platform_list.load();
+        for row in &table.services {
+            let sources = platform.upstream_sources(table, &row.service);
+            self.origins.apply_sources(self, &row.service, &sources);
+        }
         let evacuated = self.evacuated.load();
         for pool in self.pools.load().values() {
             let mut sources = match self.rollouts.row(&pool.service) {
@@ -517,6 +528,15 @@
     }
 }
 
+/// True if a route of both tables has other services in the new one.
+fn has_moved_route(old: &OperatorTable, new: &OperatorTable) -> bool {
+    let services = |row: &RouteRow| row.services().cloned().collect::<BTreeSet<ServiceName>>();
+    let known: HashMap<&str, &RouteRow> =
+        old.routes.iter().map(|row| (row.route.as_str(), row)).collect();
+    let mut pairs = new.routes.iter().filter_map(|row| Some((row, known.get(row.route.as_str())?)));
+    pairs.any(|(row, known)| services(row) != services(known))
+}
+
 /// Counts a request as in progress until dropped.
 pub struct ProgressGuard(Arc<TrafficState>);
 
--- a/src/traffic/state/versions.rs
+++ b/src/traffic/state/versions.rs
@@ -3,6 +3,7 @@
 use super::TrafficState;
 use crate::policy::{UpstreamHash, UpstreamSource, VersionHash};
 use crate::rollout::{RolloutReport, RolloutRow, RolloutRows, VersionArm, version_pool_name};
+use crate::stream_origin::StreamOrigin;
 use crate::table::{OperatorTable, ServiceName, ServiceRow, SoftwareVersion};
 use crate::traffic::pool_runtime::PoolRuntime;
 use crate::traffic::rollout_gate::TrialTicket;
@@ -29,6 +30,13 @@
         self.pools.load().get(&version_pool_name(service, version)).cloned()
     }
 
+    /// Name of the version of a stream's origin, if an upstream of it is listed.
+    pub fn version_name(&self, origin: StreamOrigin) -> Option<String> {
+        let list = self.platform_list();
+        let began = |row: &&VmRow| StreamOrigin::new(&row.service, row.version.as_ref()) == origin;
+        list.vms.iter().find(began)?.version.as_ref().map(SoftwareVersion::to_string)
+    }
+
     /// Selects the pool for a request to a service. `may_try` is true if the request may go to a
     /// version on trial.
     pub fn choose_pool(&self, service: &ServiceName, may_try: bool) -> Option<ChosenPool> {
--- /dev/null
+++ b/src/traffic/stream_origins.rs
@@ -0,0 +1,224 @@
+//! A daemon's part in knowing where streams began: it keeps records, sends them to their owners, and
+//! asks for those of streams that callers resume.
+
+use super::fleet_exchange::DaemonMessage;
+use super::state::TrafficState;
+use crate::fleet_state::ServiceHash;
+use crate::policy::{Moment, UpstreamSource, VersionHash};
+use crate::stream_origin::{
+    AttemptKey, LookupResult, MAX_ASKED, OWNER_COUNT, OriginFinding, OriginLookup, OriginMessage,
+    OriginRecord, OriginTable, ROUND_TIMEOUT, StreamOrigin, VersionClaim, VersionHistory, owners,
+};
+use crate::table::ServiceName;
+use slog::info;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Age of the list of upstreams up to which a daemon without contact to its peers relies on it.
+const MAX_LIST_AGE: Duration = Duration::from_secs(3);
+/// Maximum number of records in a datagram, some 12 KB.
+const MAX_BATCH: usize = 500;
+/// Datagrams sent at a time when many records are due, and the pause after them.
+const BATCHES_AT_ONCE: usize = 64;
+const BATCH_PAUSE: Duration = Duration::from_millis(10);
+
+type FindingSender = mpsc::UnboundedSender<(SocketAddr, OriginFinding)>;
+
+/// Records of streams, the versions that were listed, and questions that wait for replies.
+#[derive(Debug, Default)]
+pub struct StreamOrigins {
+    table: Mutex<OriginTable>,
+    history: Mutex<VersionHistory>,
+    questions: Mutex<HashMap<u64, FindingSender>>,
+    next_question: AtomicU64,
+}
+
+/// The stream of a route's request.
+#[derive(Clone, Copy, Debug)]
+pub struct ResumableStream<'a> {
+    /// The attempt that brought its first event, if the caller names it.
+    pub key: Option<AttemptKey>,
+    /// The services that the route sends requests to.
+    pub services: &'a [ServiceName],
+    /// Time within which a stream of the route may be resumed after it began.
+    pub horizon: Duration,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl StreamOrigins {
+    /// Applies the listed upstreams of a service. With a new version beside the known one, records
+    /// that needed no owner get theirs.
+    pub fn apply_sources(
+        &self,
+        state: &TrafficState,
+        service: &ServiceName,
+        sources: &[UpstreamSource],
+    ) {
+        let (service, now) = (ServiceHash::of(service), state.clock.now());
+        let versions = sources.iter().map(|source| source.version.as_ref().map(VersionHash::of));
+        if lock(&self.history).apply_list(service, versions, now) {
+            self.send_unsent(state, Some(service));
+        }
+    }
+
+    /// Records that a route has changed its services.
+    pub fn record_route_change(&self, state: &TrafficState) {
+        lock(&self.history).record_route_change(state.clock.now());
+        self.send_unsent(state, None);
+    }
+
+    /// Number of records kept here.
+    pub fn record_count(&self) -> usize {
+        lock(&self.table).len()
+    }
+
+    /// Records where a stream began, or went on, and sends the record to its owners unless any daemon
+    /// can tell.
+    pub fn record(&self, state: &TrafficState, stream: ResumableStream<'_>, origin: StreamOrigin) {
+        let (Some(key), Some(version)) = (stream.key, origin.version) else { return };
+        let (now, horizon) = (state.clock.now(), stream.horizon);
+        let claim = lock(&self.history).claim(origin.service, horizon, now);
+        let is_evident = claim == VersionClaim::Sole(version) && stream.services.len() == 1;
+        lock(&self.table).record(key, origin, horizon, is_evident, now);
+        if !is_evident {
+            let ttl_ms = horizon.as_millis() as u32;
+            send_to_owners(state, &[OriginRecord { key, origin, age_ms: 0, ttl_ms }]);
+        }
+    }
+
+    fn send_unsent(&self, state: &TrafficState, service: Option<ServiceHash>) {
+        let records = lock(&self.table).take_unsent(service, state.clock.now());
+        if !records.is_empty() {
+            info!(state.log, "sending records of streams"; "records" => records.len());
+            send_to_owners(state, &records);
+        }
+    }
+
+    /// Finds out what began a stream.
+    pub async fn find(&self, state: &TrafficState, stream: ResumableStream<'_>) -> LookupResult {
+        let now = state.clock.now();
+        if let Some(known) = stream.key.and_then(|key| lock(&self.table).get(key, now)) {
+            return LookupResult::of_known(known, None);
+        }
+        let Some(service) = stream.services.first() else { return LookupResult::Unknown };
+        let claim = |service: &ServiceName| {
+            lock(&self.history).claim(ServiceHash::of(service), stream.horizon, now)
+        };
+        let claim = match stream.services.iter().map(claim).collect::<Vec<_>>()[..] {
+            [claim] => claim,
+            // Any of the services may have begun it.
+            ref claims if claims.iter().all(|it| *it == VersionClaim::Unversioned) => {
+                VersionClaim::Unversioned
+            }
+            _ => VersionClaim::Several,
+        };
+        let peers = state.fleet.peer_addresses();
+        let owners = match stream.key {
+            Some(key) => owners(key, &peers.addresses, peers.own, MAX_ASKED),
+            None => Vec::new(),
+        };
+        let is_list_fresh = state.fleet.list_age(now).is_none_or(|age| age <= MAX_LIST_AGE);
+        let lookup = OriginLookup::new(ServiceHash::of(service), claim, is_list_fresh, owners);
+        self.ask(state, stream, lookup).await
+    }
+
+    async fn ask(
+        &self,
+        state: &TrafficState,
+        stream: ResumableStream<'_>,
+        mut lookup: OriginLookup,
+    ) -> LookupResult {
+        let Some(key) = stream.key else { return lookup.result() };
+        let number = self.next_question.fetch_add(1, Ordering::Relaxed);
+        let (sender, mut replies) = mpsc::unbounded_channel();
+        lock(&self.questions).insert(number, sender);
+        let _question = QuestionGuard { origins: self, number };
+        while let Some(asked) = lookup.next_round() {
+            let horizon_ms = stream.horizon.as_millis() as u32;
+            let message = OriginMessage::Ask { number, key, service: lookup.service(), horizon_ms };
+            state.fleet.send(&DaemonMessage::Origin(message), &asked);
+            let round = tokio::time::sleep(ROUND_TIMEOUT);
+            tokio::pin!(round);
+            while !lookup.may_go_on() {
+                tokio::select! {
+                    () = &mut round => break,
+                    Some((from, finding)) = replies.recv() => {
+                        if let Some(result) = lookup.handle_reply(from, finding) {
+                            return result;
+                        }
+                    }
+                }
+            }
+        }
+        lookup.result()
+    }
+
+    /// Handles a message of a peer, and returns the reply to it.
+    pub fn handle_message(
+        &self,
+        message: OriginMessage,
+        from: SocketAddr,
+        now: Moment,
+    ) -> Option<OriginMessage> {
+        match message {
+            OriginMessage::Store(records) => {
+                let mut table = lock(&self.table);
+                records.iter().for_each(|record| table.record_peer(record, now));
+                None
+            }
+            OriginMessage::Ask { number, key, service, horizon_ms } => {
+                let known = lock(&self.table).get(key, now);
+                let horizon = Duration::from_millis(u64::from(horizon_ms));
+                let finding = match known {
+                    Some(known) => OriginFinding::Known(known),
+                    None => {
+                        OriginFinding::Unknown(lock(&self.history).claim(service, horizon, now))
+                    }
+                };
+                Some(OriginMessage::Reply { number, finding })
+            }
+            OriginMessage::Reply { number, finding } => {
+                if let Some(sender) = lock(&self.questions).get(&number) {
+                    let _ = sender.send((from, finding));
+                }
+                None
+            }
+        }
+    }
+}
+
+/// Removes a question once its answer is no longer waited for.
+struct QuestionGuard<'a> {
+    origins: &'a StreamOrigins,
+    number: u64,
+}
+
+impl Drop for QuestionGuard<'_> {
+    fn drop(&mut self) {
+        lock(&self.origins.questions).remove(&self.number);
+    }
+}
+
+/// Sends records to their owners, at once if there are few.
+fn send_to_owners(state: &TrafficState, records: &[OriginRecord]) {
+    let peers = state.fleet.peer_addresses();
+    let mut by_owner: BTreeMap<SocketAddr, Vec<OriginRecord>> = BTreeMap::new();
+    for record in records {
+        for owner in owners(record.key, &peers.addresses, peers.own, OWNER_COUNT) {
+            by_owner.entry(owner).or_default().push(*record);
+        }
+    }
+    let batches = by_owner.into_iter().flat_map(|(owner, records)| {
+        let chunks: Vec<Vec<OriginRecord>> = records.chunks(MAX_BATCH).map(<[_]>::to_vec).collect();
+        chunks.into_iter().map(move |chunk| (owner, OriginMessage::Store(chunk)))
+    });
+    let message = |(owner, message)| (owner, DaemonMessage::Origin(message));
+    state.fleet.send_paced(batches.map(message).collect(), BATCHES_AT_ONCE, BATCH_PAUSE);
+}
