--- a/src/stream_origin/lookup.rs
+++ b/src/stream_origin/lookup.rs
@@ -33,13 +33,23 @@
     Unknown,
 }
 
+/// What a daemon knows of its peers when it looks a stream up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerContact {
+    /// It is the only daemon that serves callers.
+    Alone,
+    /// It has peers, and its list of upstreams was read a moment ago, whether by them or by itself.
+    FreshList,
+    /// It has peers, and its list of upstreams may be out of date.
+    StaleList,
+}
+
 /// A question to the owners of a record, and their replies so far.
 #[derive(Clone, Debug)]
 pub struct OriginLookup {
     service: ServiceHash,
     own_claim: VersionClaim,
-    /// True if this daemon's list of upstreams is up to date.
-    is_list_fresh: bool,
+    peers: PeerContact,
     /// The daemons to ask, the first owner first.
     owners: Vec<SocketAddr>,
     round: usize,
@@ -69,14 +79,16 @@
 }
 
 impl OriginLookup {
+    /// Creates the question of a daemon that itself claims `own_claim`, to `owners`, the first owner
+    /// first.
     pub fn new(
         service: ServiceHash,
         own_claim: VersionClaim,
-        is_list_fresh: bool,
+        peers: PeerContact,
         owners: Vec<SocketAddr>,
     ) -> Self {
         let (replied, claims) = (BTreeSet::new(), Vec::new());
-        OriginLookup { service, own_claim, is_list_fresh, owners, round: 0, replied, claims }
+        OriginLookup { service, own_claim, peers, owners, round: 0, replied, claims }
     }
 
     /// The daemons to ask next; `None` once all rounds are over, or the fleet agrees on one version.
@@ -131,36 +143,43 @@
     }
 
     /// True if the first owners have replied and the fleet agrees on one version, or there is none to
-    /// agree on.
+    /// agree on. Daemons that have just started agree on what they see; one that remembers more may be
+    /// among those that have not been asked.
     fn is_agreed(&self) -> bool {
         let has_asked = self.round > 0 && self.asked().iter().all(|it| self.replied.contains(it));
-        let is_sole = matches!(self.result(), LookupResult::SoleVersion(_));
-        has_asked && is_sole || self.own_claim == VersionClaim::Unversioned
+        let is_sole = |claim: &VersionClaim| matches!(claim, VersionClaim::Sole(_));
+        let is_remembered = is_sole(&self.own_claim) || self.claims.iter().any(is_sole);
+        let is_alone = self.peers == PeerContact::Alone;
+        let has_result = matches!(self.result(), LookupResult::SoleVersion(_));
+        let is_agreed = has_asked && has_result && (is_remembered || is_alone);
+        is_agreed || self.own_claim == VersionClaim::Unversioned
     }
 
     /// The result once no record was found.
     pub fn result(&self) -> LookupResult {
         let version = match self.own_claim {
             VersionClaim::Unversioned => return LookupResult::Unversioned,
-            VersionClaim::Sole(version) if self.is_confirmed(version) => version,
-            VersionClaim::Recent(version) if self.is_vouched_for(version) => version,
+            VersionClaim::Sole(version) if self.may_rely_on_itself() => version,
+            VersionClaim::Recent(version) if self.has_heard() => version,
             _ => return LookupResult::Unknown,
         };
-        LookupResult::SoleVersion(StreamOrigin { service: self.service, version: Some(version) })
+        match self.claims.iter().all(|claim| Self::agrees(*claim, version)) {
+            true => {
+                let origin = StreamOrigin { service: self.service, version: Some(version) };
+                LookupResult::SoleVersion(origin)
+            }
+            false => LookupResult::Unknown,
+        }
     }
 
-    /// True if no peer knows of another version. A daemon that hears from no peer may have missed
-    /// versions, unless it reads the list of upstreams itself.
-    fn is_confirmed(&self, version: VersionHash) -> bool {
-        let has_heard = !self.claims.is_empty() || self.owners.is_empty() || self.is_list_fresh;
-        has_heard && self.claims.iter().all(|claim| Self::agrees(*claim, version))
+    /// True if a peer has replied, or there is none.
+    fn has_heard(&self) -> bool {
+        !self.claims.is_empty() || self.peers == PeerContact::Alone
     }
 
-    /// True if a peer has watched for long enough and knows one version alone, or if no daemon has:
-    /// after a start of the whole fleet.
-    fn is_vouched_for(&self, version: VersionHash) -> bool {
-        let has_replies = !self.claims.is_empty() || self.owners.is_empty();
-        has_replies && self.claims.iter().all(|claim| Self::agrees(*claim, version))
+    /// A daemon that hears from no peer may have missed versions, unless its list is fresh.
+    fn may_rely_on_itself(&self) -> bool {
+        self.has_heard() || self.peers == PeerContact::FreshList
     }
 
     fn agrees(claim: VersionClaim, version: VersionHash) -> bool {
--- a/src/stream_origin/mod.rs
+++ b/src/stream_origin/mod.rs
@@ -18,7 +18,7 @@
 mod version_history;
 
 pub use attempt_key::AttemptKey;
-pub use lookup::{LookupResult, MAX_ASKED, OriginLookup, ROUND_TIMEOUT};
+pub use lookup::{LookupResult, MAX_ASKED, OriginLookup, PeerContact, ROUND_TIMEOUT};
 pub use messages::{OriginFinding, OriginMessage};
 pub use origin::{InvalidOrigin, StreamOrigin};
 pub use origin_table::{KnownOrigin, OriginRecord, OriginTable};
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -82,11 +82,15 @@
     /// The daemons that serve callers, and which of them is this one.
     pub fn peer_addresses(&self) -> PeerAddresses {
         let own = self.socket.get().map(|socket| socket.own_address);
-        PeerAddresses { own, addresses: self.addresses() }
+        let Some(fleet) = self.fleet() else {
+            return PeerAddresses { own, addresses: Vec::new(), is_complete: true };
+        };
+        let addresses = fleet.addresses().to_vec();
+        PeerAddresses { own, addresses, is_complete: fleet.has_serving_list() }
     }
 
     /// Age of the last reading that agrees with this daemon's list of upstreams; `None` if the daemon
-    /// has no peers to exchange the list with.
+    /// exchanges no lists.
     pub fn list_age(&self, now: Moment) -> Option<Duration> {
         self.fleet.get()?;
         let age = |stamp: ListStamp| Duration::from_millis(u64::from(stamp.age_ms));
@@ -160,8 +164,17 @@
 pub struct PeerAddresses {
     /// The address of this one; `None` before the exchange is started.
     pub own: Option<SocketAddr>,
-    /// All of them, this one included.
+    /// All that are known, this one included.
     pub addresses: Vec<SocketAddr>,
+    /// False until the leader has named them.
+    pub is_complete: bool,
+}
+
+impl PeerAddresses {
+    /// True if no other daemon is known.
+    pub fn is_alone(&self) -> bool {
+        self.addresses.iter().all(|address| Some(*address) == self.own)
+    }
 }
 
 /// The UDP socket for messages between daemons.
--- a/src/traffic/stream_origins.rs
+++ b/src/traffic/stream_origins.rs
@@ -7,7 +7,8 @@
 use crate::policy::{Moment, UpstreamSource, VersionHash};
 use crate::stream_origin::{
     AttemptKey, LookupResult, MAX_ASKED, OWNER_COUNT, OriginFinding, OriginLookup, OriginMessage,
-    OriginRecord, OriginTable, ROUND_TIMEOUT, StreamOrigin, VersionClaim, VersionHistory, owners,
+    OriginRecord, OriginTable, PeerContact, ROUND_TIMEOUT, StreamOrigin, VersionClaim,
+    VersionHistory, owners,
 };
 use crate::table::ServiceName;
 use slog::info;
@@ -124,8 +125,13 @@
             Some(key) => owners(key, &peers.addresses, peers.own, MAX_ASKED),
             None => Vec::new(),
         };
-        let is_list_fresh = state.fleet.list_age(now).is_none_or(|age| age <= MAX_LIST_AGE);
-        let lookup = OriginLookup::new(ServiceHash::of(service), claim, is_list_fresh, owners);
+        let is_fresh = state.fleet.list_age(now).is_some_and(|age| age <= MAX_LIST_AGE);
+        let contact = match peers.is_complete && peers.is_alone() {
+            true => PeerContact::Alone,
+            false if is_fresh => PeerContact::FreshList,
+            false => PeerContact::StaleList,
+        };
+        let lookup = OriginLookup::new(ServiceHash::of(service), claim, contact, owners);
         self.ask(state, stream, lookup).await
     }
 
--- a/tests/test_platform.rs
+++ b/tests/test_platform.rs
@@ -127,6 +127,19 @@
     assert_eq!(metadata.last_event_id, Some(12));
 }
 
+/// Guards against streams whose first attempt is not found, as the header may arrive with the prefix of
+/// the others or without.
+#[rstest]
+#[case::plain("resumes")]
+#[case::prefixed("tarragonknot-resumes")]
+fn the_attempt_that_a_caller_goes_on_with_is_read(#[case] name: &'static str) {
+    let headers = headers(&[(name, "7f40"), ("last-event-id", "12")]);
+
+    let metadata = HeaderDialect.read_caller(&headers);
+
+    assert_eq!(metadata.resumes.as_deref(), Some("7f40"));
+}
+
 /// Guards against an engine exposing another caller's memory or learning a key: a caller sets
 /// headers that only the system may set, and they are passed on.
 #[test]
