Own interface: a stream is not resumed at the successor of its engine

A stream that breaks is resumed by its id at the same address. Another engine may have taken the address by then, and may write the stream at another version. The pool knows it by its incarnation; the stream is broken off then.

Test: a_stream_is_resumed_only_at_the_engine_that_began_it; the case of a successor failed before (the stream went on), the other passed.

--- a/soak/answers.rs
+++ b/soak/answers.rs
@@ -3,7 +3,7 @@
 use crate::connection::{EngineConnection, LateBytes, close};
 use crate::faults::{FaultKind, FaultPlace};
 use crate::wire::{WireRequest, response_text};
-use crate::{callers, checks, poison};
+use crate::{callers, checks, poison, streams};
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use std::io;
@@ -215,7 +215,8 @@
         self.wire.write(&text).await?;
         for event in last_received + 1..=event_count {
             tokio::time::sleep(EVENT_INTERVAL).await;
-            let mut data = format!("id: {event}\ndata: {} {event}\n\n", request.id());
+            let version = streams::engine_version(self.engine.number);
+            let mut data = streams::event_text(request.id(), event, version);
             if event == cut_event {
                 data.truncate(data.len() / 2);
             }
--- a/soak/callers.rs
+++ b/soak/callers.rs
@@ -2,6 +2,7 @@
 //! checks the responses.
 
 use crate::context::{AddressKind, CALLERS_PORT, SentRequest, SoakContext};
+use crate::streams::{ReceivedEvents, has_two_engines};
 use bytes::Bytes;
 use http::Request;
 use http_body_util::{BodyExt, Full};
@@ -27,6 +28,13 @@
 /// Maximum number of events in a stream.
 const MAX_STREAM_EVENTS: u64 = 30;
 
+/// Maximum number of times that a caller takes a stream up.
+const MAX_RETURNS: usize = 3;
+/// Pause of a caller before that.
+const RETURN_PAUSE: Duration = Duration::from_millis(50);
+/// Names of the header with the attempt that brought the first event of a stream.
+const RESUMES_HEADERS: [&str; 2] = ["resumes", "tarragonknot-resumes"];
+
 /// Maximum size of a large body, and one in how many requests has one.
 const MAX_BODY_BYTES: usize = 200_000;
 const LARGE_BODY_INTERVAL: u32 = 4;
@@ -96,22 +104,73 @@
         sent_count += 1;
         let id = format!("{:x}-{caller}-{sent_count}", ctx.seed);
         let kind = RequestKind::random(&mut rng);
-        let request = kind.request(&id, &mut rng);
-        let may_repeat = matches!(kind, RequestKind::Safe | RequestKind::Resumable);
-        let max_attempts = if may_repeat { 2 } else { 1 };
-        ctx.recorder.record_request(
-            &id,
-            SentRequest { may_repeat, max_attempts, status: None, sent_at: Instant::now() },
-        );
+        let draft = RequestDraft::random(kind, &mut rng);
+        let request = draft.request(&id, None);
+        record_request(&ctx, kind, &id);
         // One request in 20 is abandoned if its response is not complete within 100 ms.
         let response_timeout =
             if rng.random_range(0..20) == 0 { REQUEST_DEADLINE / 40 } else { REQUEST_DEADLINE * 2 };
-        let answer =
-            tokio::time::timeout(response_timeout, exchange(&ctx, &mut connection, request, &id))
-                .await;
-        if matches!(answer, Ok(true)) && connection.ready().await.is_ok() {
+        let exchanging = exchange(&ctx, &mut connection, request, &id, 0);
+        let Ok(answer) = tokio::time::timeout(response_timeout, exchanging).await else { continue };
+        if answer.is_reusable && connection.ready().await.is_ok() {
             idle_connection = Some(connection);
         }
+        if matches!(kind, RequestKind::Resumable) {
+            ctx.streams.record_new(answer.received.last_event > 0);
+            take_up(&ctx, &draft, &id, answer, &mut rng).await;
+        }
+    }
+}
+
+fn record_request(ctx: &SoakContext, kind: RequestKind, id: &str) {
+    let may_repeat = matches!(kind, RequestKind::Safe | RequestKind::Resumable);
+    let max_attempts = if may_repeat { 2 } else { 1 };
+    let request = SentRequest { may_repeat, max_attempts, status: None, sent_at: Instant::now() };
+    ctx.recorder.record_request(id, request);
+}
+
+/// Takes a stream that was cut off up at other entries, and checks that it goes on at its version.
+async fn take_up(
+    ctx: &SoakContext,
+    draft: &RequestDraft,
+    first_id: &str,
+    first: CallerAnswer,
+    rng: &mut ChaCha8Rng,
+) {
+    let mut held = first.received;
+    let mut is_complete = first.is_complete;
+    for number in 1..=MAX_RETURNS {
+        if is_complete || held.last_event == 0 || held.last_event >= draft.events {
+            return;
+        }
+        tokio::time::sleep(RETURN_PAUSE).await;
+        let entry = rng.random_range(0..ctx.sizes.entries);
+        let header = RESUMES_HEADERS[rng.random_range(0..RESUMES_HEADERS.len())];
+        let Some(mut connection) = connect(ctx, entry).await else { continue };
+        let id = format!("{first_id}-{number}");
+        record_request(ctx, RequestKind::Resumable, &id);
+        let request = draft.request(&id, Some((header, first_id, held.last_event)));
+        let is_left = |version: &String| has_two_engines(ctx, version);
+        let was_left = held.versions.iter().all(is_left);
+        let exchanging = exchange(ctx, &mut connection, request, &id, held.last_event);
+        let limit = REQUEST_DEADLINE * 2;
+        let Ok(answer) = tokio::time::timeout(limit, exchanging).await else { return };
+        let has_gone_on = answer.received.last_event > held.last_event;
+        if has_gone_on || was_left && held.versions.iter().all(is_left) {
+            ctx.streams.record_taken_up(has_gone_on);
+        }
+        held.versions.extend(answer.received.versions);
+        held.last_event = held.last_event.max(answer.received.last_event);
+        is_complete = answer.is_complete;
+        check_versions(ctx, &id, &held);
+    }
+}
+
+/// Checks that a stream holds events of one version.
+fn check_versions(ctx: &SoakContext, id: &str, held: &ReceivedEvents) {
+    if held.versions.len() > 1 {
+        let detail = format!("holds events of the versions {:?}", held.versions);
+        ctx.recorder.record_request_violation("ORDER", id, detail);
     }
 }
 
@@ -133,37 +192,74 @@
         }
     }
 
-    fn request(self, id: &str, rng: &mut ChaCha8Rng) -> Request<Full<Bytes>> {
-        let path = match self {
+    fn path(self) -> &'static str {
+        match self {
             RequestKind::Safe => "/safe/a",
             RequestKind::Unsafe => "/unsafe/a",
             RequestKind::Stream => "/stream/a",
             RequestKind::Resumable => "/resumable/a",
-        };
+        }
+    }
+}
+
+/// A request without its id, which differs between the tries of a caller.
+#[derive(Clone, Debug)]
+struct RequestDraft {
+    kind: RequestKind,
+    key: &'static str,
+    events: u64,
+    prompt_tokens: u64,
+    body_length: usize,
+}
+
+impl RequestDraft {
+    fn random(kind: RequestKind, rng: &mut ChaCha8Rng) -> Self {
         let key = if rng.random_range(0..3) == 0 { LIMITED_KEY } else { FREE_KEY };
         let events = rng.random_range(1..=MAX_STREAM_EVENTS);
-        Request::post(path)
+        let prompt_tokens = rng.random_range(50..2_000);
+        RequestDraft { kind, key, events, prompt_tokens, body_length: body_length(rng) }
+    }
+
+    /// Builds a request. `resumed` has the name of the header, the attempt that brought the first event
+    /// and the id of the last one, for a stream that is taken up.
+    fn request(&self, id: &str, resumed: Option<(&str, &str, u64)>) -> Request<Full<Bytes>> {
+        let body = request_body(&self.events.to_string(), id, self.body_length);
+        let mut request = Request::post(self.kind.path())
             .header("host", ROUTE_HOST)
-            .header("authorization", format!("Bearer {key}"))
+            .header("authorization", format!("Bearer {}", self.key))
             .header("tarragonknot-request-id", id)
             .header("tarragonknot-deadline-ms", REQUEST_DEADLINE.as_millis().to_string())
-            .header("tarragonknot-token-count", format!("{},{events}", rng.random_range(50..2_000)))
-            .body(Full::new(Bytes::from(request_body(&events.to_string(), id, body_length(rng)))))
-            .expect("the request consists of valid parts")
+            .header("tarragonknot-token-count", format!("{},{}", self.prompt_tokens, self.events));
+        if let Some((header, first_id, last_event)) = resumed {
+            request = request.header(header, first_id).header("last-event-id", last_event);
+        }
+        request.body(Full::new(Bytes::from(body))).expect("the request consists of valid parts")
     }
 }
 
-/// Sends a request and checks the response; true if the connection may be reused.
+/// What came of a request.
+#[derive(Debug, Default)]
+struct CallerAnswer {
+    /// True if the connection may be reused.
+    is_reusable: bool,
+    is_complete: bool,
+    received: ReceivedEvents,
+}
+
+/// Sends a request, whose stream goes on after the event `after`, and checks the response.
 async fn exchange(
     ctx: &SoakContext,
     connection: &mut CallerConnection,
     request: Request<Full<Bytes>>,
     id: &str,
-) -> bool {
+    after: u64,
+) -> CallerAnswer {
     let is_stream = !request.uri().path().contains("safe/");
     let body = request.body().clone().collect().await.unwrap_or_default().to_bytes();
     let events: u64 = event_count_text(&body).parse().unwrap_or(0);
-    let Ok(response) = connection.send_request(request).await else { return false };
+    let Ok(response) = connection.send_request(request).await else {
+        return CallerAnswer::default();
+    };
     let status = response.status().as_u16();
     let is_reusable = response.headers().get("connection").is_none_or(|value| value != "close");
     let seal = response.headers().get("tarragonknot-server-seal").cloned();
@@ -175,7 +271,8 @@
             let detail = format!("was refused with status {status} without a recent disturbance");
             ctx.recorder.record_request_violation("DENIED", id, detail);
         }
-        return is_reusable && answer.is_ok();
+        let is_reusable = is_reusable && answer.is_ok();
+        return CallerAnswer { is_reusable, ..CallerAnswer::default() };
     }
     let (text, is_complete) = match &answer {
         Ok(text) => (text, true),
@@ -188,8 +285,11 @@
         let detail = "received a success without the engine's seal header";
         ctx.recorder.record_request_violation("MIXED", id, detail);
     }
+    let received = if is_stream { ReceivedEvents::read(text) } else { ReceivedEvents::default() };
+    let text = if is_stream { &received.text } else { text };
+    check_versions(ctx, id, &received);
     let expected = if is_stream {
-        (1..=events).map(|event| format!("id: {event}\ndata: {id} {event}\n\n")).collect()
+        (after + 1..=events).map(|event| format!("id: {event}\ndata: {id} {event}\n\n")).collect()
     } else {
         format!("answer to {id}, {events}, {} bytes", body.len())
     };
@@ -204,7 +304,7 @@
         let detail = format!("received {text:?}, expected {expected:?}, complete: {is_complete}");
         ctx.recorder.record_request_violation("MIXED", id, detail);
     }
-    is_reusable && is_complete
+    CallerAnswer { is_reusable: is_reusable && is_complete, is_complete, received }
 }
 
 /// Reads the response body; `Err` holds the part received before the connection failed.
--- a/soak/context.rs
+++ b/soak/context.rs
@@ -7,6 +7,7 @@
 use crate::poison::PoisonExecutions;
 use crate::proxy::ProxyModes;
 use crate::stated_rates::StatedRates;
+use crate::streams::StreamRecord;
 use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -186,6 +187,8 @@
     pub last_disturbance: Mutex<Instant>,
     /// Rates that engines state.
     pub stated_rates: StatedRates,
+    /// Streams that callers began and took up.
+    pub streams: StreamRecord,
     /// Executions of the poison request.
     pub poison_executions: PoisonExecutions,
     folder: Mutex<Option<TempDir>>,
@@ -215,6 +218,7 @@
             acknowledged_versions: Mutex::default(),
             last_disturbance: Mutex::new(Instant::now()),
             stated_rates: StatedRates::default(),
+            streams: StreamRecord::default(),
             poison_executions: PoisonExecutions::default(),
             folder: Mutex::new(Some(
                 tempfile::tempdir().expect("a temporary folder can be created"),
--- a/soak/engines.rs
+++ b/soak/engines.rs
@@ -2,8 +2,8 @@
 
 use crate::connection::EngineConnection;
 use crate::context::{AddressKind, ENGINE_PORT, LIST_PORT, SoakContext, lock};
-use crate::proxy;
 use crate::wire::{WireStream, response_text};
+use crate::{proxy, streams};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
@@ -125,10 +125,10 @@
 
 fn list_document(ctx: &SoakContext) -> Value {
     let set = lock(&ctx.engines);
-    let rows = set.engines.values().map(|engine| {
+    let rows = set.engines.iter().map(|(number, engine)| {
         let state = if engine.draining_since.is_some() { "draining" } else { "ready" };
         json!({"id": engine.id, "service": SERVICE_NAME, "address": engine.listed_address, "zone": "a", "slots": ENGINE_SLOTS,
-               "state": state, "version": "v1", "cold_left_ms": 0})
+               "state": state, "version": streams::engine_version(*number), "cold_left_ms": 0})
     });
     json!({"instances": rows.collect::<Vec<Value>>(), "next_token": null})
 }
--- a/soak/main.rs
+++ b/soak/main.rs
@@ -18,6 +18,7 @@
 mod poison;
 mod proxy;
 mod stated_rates;
+mod streams;
 mod wire;
 
 use clap::Parser;
@@ -113,6 +114,7 @@
         checks::check_acknowledgement(&ctx).await;
         poison::check(&ctx).await;
         checks::check_recorded_runs(&ctx);
+        streams::check(&ctx);
         checks::check_durability(&ctx).await;
     }
     fleet::kill_all(&ctx).await;
@@ -121,7 +123,7 @@
 
 fn report(ctx: &SoakContext, steps: &[plan::TimedStep], keep: bool) -> bool {
     let violations = ctx.recorder.violations();
-    let summary = ctx.recorder.summary();
+    let summary = format!("{}; {}", ctx.recorder.summary(), ctx.streams);
     if violations.is_empty() {
         println!("seed {}: kept, {} steps; {summary}", ctx.seed, steps.len());
         if keep {
--- /dev/null
+++ b/soak/streams.rs
@@ -0,0 +1,105 @@
+//! Streams over the tries of a caller: they hold events of one software version, and those that are
+//! taken up again go on about as often as new ones begin.
+
+use crate::context::{SoakContext, lock};
+use std::collections::BTreeSet;
+use std::fmt;
+use std::sync::Mutex;
+
+/// Versions of the engines' software; two engines in a row have the same one.
+const VERSIONS: [&str; 3] = ["v1", "v1.1", "v1.2"];
+/// Number of streams that are taken up from which the share that goes on is checked.
+const MIN_TAKEN_UP: usize = 12;
+
+/// Software version of an engine, by its number from 1.
+pub fn engine_version(number: usize) -> &'static str {
+    VERSIONS[(number - 1) / 2 % VERSIONS.len()]
+}
+
+/// An event as an engine writes it.
+pub fn event_text(request: &str, event: u64, version: &str) -> String {
+    format!("id: {event}\ndata: {request} {event} {version}\n\n")
+}
+
+/// What a caller holds of a stream.
+#[derive(Clone, Debug, Default)]
+pub struct ReceivedEvents {
+    /// Id of the last event; 0 before the first one.
+    pub last_event: u64,
+    pub versions: BTreeSet<String>,
+    /// The text without the versions.
+    pub text: String,
+}
+
+impl ReceivedEvents {
+    /// Reads the events of an answer.
+    pub fn read(text: &str) -> Self {
+        let mut received = ReceivedEvents::default();
+        for line in text.split_inclusive('\n') {
+            if let Some(event) = line.strip_prefix("id: ") {
+                received.last_event = event.trim().parse().unwrap_or(received.last_event);
+            }
+            match line.strip_prefix("data: ").and_then(|data| data.trim_end().rsplit_once(' ')) {
+                Some((data, version)) if version.starts_with('v') => {
+                    received.versions.insert(version.to_owned());
+                    received.text.push_str(&format!("data: {data}\n"));
+                }
+                _ => received.text.push_str(line),
+            }
+        }
+        received
+    }
+}
+
+/// Numbers of streams whose callers reached an entry.
+#[derive(Debug, Default)]
+struct StreamCounts {
+    new: usize,
+    begun: usize,
+    taken_up: usize,
+    gone_on: usize,
+}
+
+/// Record of the streams of a run.
+#[derive(Debug, Default)]
+pub struct StreamRecord(Mutex<StreamCounts>);
+
+impl StreamRecord {
+    /// Counts a new stream and whether it began.
+    pub fn record_new(&self, has_begun: bool) {
+        let mut counts = lock(&self.0);
+        counts.new += 1;
+        counts.begun += usize::from(has_begun);
+    }
+
+    /// Counts a stream that was taken up and whether it went on.
+    pub fn record_taken_up(&self, has_gone_on: bool) {
+        let mut counts = lock(&self.0);
+        counts.taken_up += 1;
+        counts.gone_on += usize::from(has_gone_on);
+    }
+}
+
+impl fmt::Display for StreamRecord {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let StreamCounts { new, begun, taken_up, gone_on } = &*lock(&self.0);
+        write!(formatter, "{begun} of {new} streams began, {gone_on} of {taken_up} went on")
+    }
+}
+
+/// True if two engines of a version take requests.
+pub fn has_two_engines(ctx: &SoakContext, version: &str) -> bool {
+    let set = lock(&ctx.engines);
+    let serving = set.engines.iter().filter(|(_, engine)| engine.draining_since.is_none());
+    serving.filter(|(number, _)| engine_version(**number) == version).count() >= 2
+}
+
+/// Checks that of the streams that were taken up at least half as large a share went on as of new ones
+/// began.
+pub fn check(ctx: &SoakContext) {
+    let StreamCounts { new, begun, taken_up, gone_on } = *lock(&ctx.streams.0);
+    if taken_up >= MIN_TAKEN_UP && gone_on * new * 2 < begun * taken_up {
+        let detail = format!("{} of streams that were taken up", ctx.streams);
+        ctx.recorder.record_violation("LOST", detail);
+    }
+}
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -11,7 +11,8 @@
 const HELP: &str = "\
 Reads the logs of one or more daemons and prints the history of a request: each daemon's decisions in the order in which
 they were made, then the cause of the outcome. Lines that are not JSON are skipped. As clocks differ between daemons, times
-are relative to each daemon's first line about the request, and lines of different daemons are not ordered with each other.";
+are relative to each daemon's first line about the request, and lines of different daemons are not ordered with each other.
+If the request resumes a stream, the attempt of its caller that began the stream is traced as well.";
 
 /// Log messages that record the outcome of a request.
 const OUTCOME_MESSAGES: [&str; 5] =
@@ -34,6 +35,8 @@
 /// The history of a request on one daemon.
 #[derive(Debug, Serialize)]
 pub struct DaemonTrace {
+    /// Id of the request.
+    pub request: String,
     /// The daemon's name.
     pub daemon: String,
     /// The daemon's log lines about the request, in log order.
@@ -57,11 +60,16 @@
 pub fn run(args: &Args) -> Result<(), CommandError> {
     let texts: Result<Vec<String>, CommandError> =
         args.files.iter().map(|path| read_log(path)).collect();
-    let traces = explain(&args.id, texts?.iter().flat_map(|text| text.lines()));
+    let texts = texts?;
+    let lines = || texts.iter().flat_map(|text| text.lines());
+    let mut traces = explain(&args.id, lines());
     if traces.is_empty() {
         let detail = format!("no line of these logs names request {}", args.id);
         return Err(CommandError::Failed { detail });
     }
+    if let Some(first) = first_attempt(&traces) {
+        traces.extend(explain(&first, lines()));
+    }
     if args.json {
         super::print_json(&traces);
     } else {
@@ -70,6 +78,13 @@
     Ok(())
 }
 
+/// The attempt that began the stream that these traces go on with.
+pub fn first_attempt(traces: &[DaemonTrace]) -> Option<String> {
+    let steps = traces.iter().flat_map(|trace| &trace.steps);
+    let mut resumes = steps.filter_map(|step| step.fields.get("resumes")?.as_str());
+    resumes.next().map(str::to_owned)
+}
+
 fn read_log(path: &Path) -> Result<String, CommandError> {
     let failed = |source| CommandError::File { path: path.to_owned(), source };
     if path == Path::new("-") {
@@ -92,10 +107,10 @@
             daemons.entry(text_field(&fields, "daemon").to_owned()).or_default().push(fields);
         }
     }
-    daemons.into_iter().map(|(daemon, rows)| daemon_trace(daemon, rows)).collect()
+    daemons.into_iter().map(|(daemon, rows)| daemon_trace(id, daemon, rows)).collect()
 }
 
-fn daemon_trace(daemon: String, rows: Vec<Map<String, Value>>) -> DaemonTrace {
+fn daemon_trace(id: &str, daemon: String, rows: Vec<Map<String, Value>>) -> DaemonTrace {
     // The finding about a lost upstream may be logged after the outcome of its requests, so the
     // last line isn't always the outcome.
     let outcome_row =
@@ -111,7 +126,8 @@
         });
         TraceStep { after_ms, message, fields: row }
     };
-    DaemonTrace { daemon, steps: rows.into_iter().map(step).collect(), cause }
+    let request = id.to_owned();
+    DaemonTrace { request, daemon, steps: rows.into_iter().map(step).collect(), cause }
 }
 
 fn text_field<'a>(row: &'a Map<String, Value>, name: &str) -> &'a str {
@@ -151,7 +167,7 @@
 }
 
 fn print_trace(trace: &DaemonTrace) {
-    super::print_line(&format!("daemon {}", trace.daemon));
+    super::print_line(&format!("request {} at daemon {}", trace.request, trace.daemon));
     for step in &trace.steps {
         let fields = step.fields.iter().map(|(name, value)| match value {
             Value::String(text) => format!("{name}={text}"),
--- a/src/policy/scheduler/admission.rs
+++ b/src/policy/scheduler/admission.rs
@@ -36,14 +36,15 @@
         actions: &mut Vec<PoolAction>,
     ) {
         let id = request.id;
-        if request.demand.version.is_some() && !(self.reach.is_cut_off() && !request.must_stay) {
+        let must_leave = self.reach.is_cut_off() && !request.must_stay;
+        if request.demand.version.is_some() && !must_leave {
             return self.handle_resumed_arrival(request, now, rng, actions);
         }
         let mut refuse = |kind| actions.push(PoolAction::Refuse { id, kind });
         if !self.upstreams.has_usable(&request.demand) {
             return refuse(AnswerKind::UpstreamAbsent);
         }
-        if self.reach.is_cut_off() && !request.must_stay {
+        if must_leave {
             return refuse(AnswerKind::UpstreamUnreachable);
         }
         let mut request = self.to_waiting_request(request, now);
--- a/src/policy/upstream_set.rs
+++ b/src/policy/upstream_set.rs
@@ -117,6 +117,13 @@
         lone.flatten().collect()
     }
 
+    /// True if a later upstream has the address of this one, or this one is forgotten.
+    pub fn is_replaced(&self, index: UpstreamIndex) -> bool {
+        let Some(status) = self.upstreams.get(&index) else { return true };
+        let mut later = self.upstreams.range(index..).skip(1);
+        later.any(|(_, other)| other.source.address == status.source.address)
+    }
+
     /// True if the version of any upstream is known.
     pub fn has_versions(&self) -> bool {
         self.upstreams.values().any(|status| status.source.version.is_some())
--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -275,12 +275,20 @@
         let address = self.target.as_ref().map(|(_, address)| *address);
         let driver = Arc::clone(&self.pool.driver);
         let after = self.exchange.pieces();
+        let upstream = self.exchange.upstream();
+        let is_replaced = open_mode == OpenMode::Resume
+            && upstream.is_some_and(|upstream| self.pool.is_replaced(upstream));
         let call = &*self.call;
         let read = async {
             match (open_mode, address) {
                 (OpenMode::Initial, Some(address)) => {
                     ObservedEvent::Opened(driver.open(call, address).await)
                 }
+                // Its successor knows nothing of the stream, and may be of another version.
+                (OpenMode::Resume, _) if is_replaced => {
+                    let detail = "another upstream has taken the address".to_owned();
+                    ObservedEvent::Opened(Err(OpenError::Lost { detail }))
+                }
                 (OpenMode::Resume, Some(address)) => {
                     ObservedEvent::Opened(driver.resume(call, address, after).await)
                 }
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -257,6 +257,11 @@
             || self.inspect(|scheduler| scheduler.upstreams().get(upstream).is_some_and(meets))
     }
 
+    /// True if another upstream has taken the address of this one.
+    pub fn is_replaced(&self, upstream: UpstreamIndex) -> bool {
+        self.inspect(|scheduler| scheduler.upstreams().is_replaced(upstream))
+    }
+
     /// True if the version of any upstream of the pool is known.
     pub fn has_versions(&self) -> bool {
         self.inspect(|scheduler| scheduler.upstreams().has_versions())
--- a/tests/test_explain.rs
+++ b/tests/test_explain.rs
@@ -2,7 +2,7 @@
 
 use crate::workdir::{WorkDir, stderr, stdout};
 use tarragonknot::answer::ANSWER_TABLE;
-use tarragonknot::cmd::explain::explain;
+use tarragonknot::cmd::explain::{explain, first_attempt};
 
 fn line(daemon: &str, time: u64, message: &str, fields: &str) -> String {
     format!(
@@ -81,3 +81,18 @@
     assert_eq!(none.status.code(), Some(1));
     assert!(stderr(&none).contains("no line of these logs names request id-9"));
 }
+
+/// Guards against a resumed stream whose beginning must be searched for by hand.
+#[test]
+fn the_attempt_that_began_a_resumed_stream_is_named() {
+    let log = [
+        line("entry-1", 1_000, "sent", r#","upstream":"i-1","resumes":null"#),
+        line("entry-2", 2_000, "stream origin", r#","resumes":"id-0","result":"known""#),
+        line("entry-2", 2_001, "sent", r#","upstream":"i-2","resumes":"id-0""#),
+    ];
+
+    let traces = explain("id-1", log.iter().map(String::as_str));
+
+    assert_eq!(first_attempt(&traces).as_deref(), Some("id-0"));
+    assert_eq!(first_attempt(&traces[..1]), None);
+}
--- a/tests/test_ran_status.rs
+++ b/tests/test_ran_status.rs
@@ -5,7 +5,7 @@
 use crate::workdir::free_address;
 use axum::Router;
 use axum::body::Body;
-use axum::extract::{ConnectInfo, Request, State};
+use axum::extract::{ConnectInfo, Path, Request, State};
 use axum::response::IntoResponse;
 use axum::routing::{get, post};
 use futures_util::{StreamExt, stream};
@@ -185,6 +185,46 @@
     assert!(rest.is_err(), "{rest:?}");
 }
 
+/// Guards against a stream that goes on at the successor of its engine, which may write it at another
+/// version.
+#[rstest]
+#[case::same(1, true)]
+#[case::successor(2, false)]
+#[tokio::test]
+async fn a_stream_is_resumed_only_at_the_engine_that_began_it(
+    #[case] incarnation: u64,
+    #[case] goes_on: bool,
+) {
+    let cut = Arc::new(Notify::new());
+    let run = {
+        let cut = Arc::clone(&cut);
+        move |headers: HeaderMap| async move { cut_stream(&id_of(&headers), 1, cut) }
+    };
+    let resume = |Path(id): Path<String>| async move {
+        let event = format!("id: 2\ndata: {{\"id\":\"{id}\"}}\n\nid: 3\ndata: [DONE]\n\n");
+        ([("content-type", "text/event-stream")], event)
+    };
+    let router = Router::new()
+        .route(CHAT_PATH, post(run))
+        .route("/v1/requests/{id}", get(resume).delete(|| async { StatusCode::NO_CONTENT }));
+    let address = start_upstream(router).await;
+    let fleet = small_fleet(|table| {
+        table.upstreams.iter_mut().for_each(|row| (row.address, row.incarnation) = (address, 1));
+        table.services.iter_mut().for_each(|row| row.silence_ms = Duration::from_secs(60));
+    })
+    .await;
+    let mut table = fleet.table.clone();
+    table.upstreams.iter_mut().for_each(|row| row.incarnation = incarnation);
+
+    let mut answer = send(&fleet, Method::POST, CHAT_PATH, &[], &chat(true)).await;
+    answer.frame().await.expect("the first event").expect("the first event");
+    fleet.state.apply_table(&VersionedTable::new(2, table));
+    cut.notify_one();
+    let rest = answer.collect().await;
+
+    assert_eq!(rest.is_ok(), goes_on, "{rest:?}");
+}
+
 const EXCHANGE_EVENTS: &[ExchangeEvent<'static>] = &[
     ExchangeEvent::Placed(UpstreamIndex(0)),
     ExchangeEvent::Refused(AnswerKind::Overloaded),
