A stream whose first attempt is not named goes on while its service has one version

Cause: without Resumes there was no key to choose daemons by, so none was asked, and a fleet that has run for less than a stream's horizon could not tell that it has one version. The daemons are asked by the request's own id now. A small fleet that has started together no longer waits out the rounds either: once all have replied and agree, the result stands.

Test: a_stream_whose_first_attempt_is_not_named_goes_on_at_a_sole_version.

--- a/src/stream_origin/lookup.rs
+++ b/src/stream_origin/lookup.rs
@@ -142,16 +142,16 @@
         }
     }
 
-    /// True if the first owners have replied and the fleet agrees on one version, or there is none to
-    /// agree on. Daemons that have just started agree on what they see; one that remembers more may be
-    /// among those that have not been asked.
+    /// True if all that were asked have replied and agree on one version, or there is none to agree on.
+    /// Daemons that have just started agree on what they see; one that remembers more may be among those
+    /// that have not been asked, so the last round must be over if none of them remembers.
     fn is_agreed(&self) -> bool {
         let has_asked = self.round > 0 && self.asked().iter().all(|it| self.replied.contains(it));
         let is_sole = |claim: &VersionClaim| matches!(claim, VersionClaim::Sole(_));
         let is_remembered = is_sole(&self.own_claim) || self.claims.iter().any(is_sole);
-        let is_alone = self.peers == PeerContact::Alone;
+        let is_everybody = self.asked().len() == self.owners.len();
         let has_result = matches!(self.result(), LookupResult::SoleVersion(_));
-        let is_agreed = has_asked && has_result && (is_remembered || is_alone);
+        let is_agreed = has_asked && has_result && (is_remembered || is_everybody);
         is_agreed || self.own_claim == VersionClaim::Unversioned
     }
 
--- a/src/traffic/routed/origin.rs
+++ b/src/traffic/routed/origin.rs
@@ -27,8 +27,7 @@
         }
         let asked_at = self.state.clock.now();
         let services: Vec<ServiceName> = self.route.services().cloned().collect();
-        let key = self.metadata.resumes.as_deref().map(|first| self.attempt_key(first));
-        let stream = self.resumable_stream(key, &services);
+        let stream = self.resumable_stream(&services);
         let result = self.state.origins.find(&self.state, stream).await;
         self.log_origin(result, asked_at.0);
         self.origin = match result {
@@ -48,10 +47,11 @@
         if self.route.kind != RouteKind::ResumableStream || self.ticket.is_some() {
             return;
         }
-        let first = self.metadata.resumes.as_deref().or(self.metadata.id.as_deref());
-        let key = first.map(|first| self.attempt_key(first));
-        let services: Vec<ServiceName> = self.route.services().cloned().collect();
-        self.state.origins.record(&self.state, self.resumable_stream(key, &services), origin);
+        // No try can name an attempt without an id.
+        if self.metadata.id.is_some() || self.metadata.resumes.is_some() {
+            let services: Vec<ServiceName> = self.route.services().cloned().collect();
+            self.state.origins.record(&self.state, self.resumable_stream(&services), origin);
+        }
         if self.resumes_stream() {
             self.record_resumption("caller", "same-version");
         }
@@ -63,16 +63,11 @@
         record_resumption(service.map_or("", ServiceName::as_str), place, result);
     }
 
-    fn attempt_key(&self, id: &str) -> AttemptKey {
+    /// The stream of the request, by the attempt that its caller names, or else by this one.
+    fn resumable_stream<'a>(&self, services: &'a [ServiceName]) -> ResumableStream<'a> {
         let organisation = self.caller.as_ref().map_or("", |caller| caller.organisation.as_str());
-        AttemptKey::of(organisation, id)
-    }
-
-    fn resumable_stream<'a>(
-        &self,
-        key: Option<AttemptKey>,
-        services: &'a [ServiceName],
-    ) -> ResumableStream<'a> {
+        let first = self.metadata.resumes.as_deref().unwrap_or_else(|| self.id());
+        let key = AttemptKey::of(organisation, first);
         ResumableStream { key, services, horizon: self.route.timeout_ms * HORIZON_TIMEOUTS }
     }
 
--- a/src/traffic/stream_origins.rs
+++ b/src/traffic/stream_origins.rs
@@ -41,8 +41,9 @@
 /// The stream of a route's request.
 #[derive(Clone, Copy, Debug)]
 pub struct ResumableStream<'a> {
-    /// The attempt that brought its first event, if the caller names it.
-    pub key: Option<AttemptKey>,
+    /// The attempt that brought its first event; of a caller that does not name it, the attempt itself,
+    /// which no record names.
+    pub key: AttemptKey,
     /// The services that the route sends requests to.
     pub services: &'a [ServiceName],
     /// Time within which a stream of the route may be resumed after it began.
@@ -83,8 +84,8 @@
     /// Records where a stream began, or went on, and sends the record to its owners unless any daemon
     /// can tell.
     pub fn record(&self, state: &TrafficState, stream: ResumableStream<'_>, origin: StreamOrigin) {
-        let (Some(key), Some(version)) = (stream.key, origin.version) else { return };
-        let (now, horizon) = (state.clock.now(), stream.horizon);
+        let Some(version) = origin.version else { return };
+        let (now, horizon, key) = (state.clock.now(), stream.horizon, stream.key);
         let claim = lock(&self.history).claim(origin.service, horizon, now);
         let is_evident = claim == VersionClaim::Sole(version) && stream.services.len() == 1;
         lock(&self.table).record(key, origin, horizon, is_evident, now);
@@ -105,7 +106,7 @@
     /// Finds out what began a stream.
     pub async fn find(&self, state: &TrafficState, stream: ResumableStream<'_>) -> LookupResult {
         let now = state.clock.now();
-        if let Some(known) = stream.key.and_then(|key| lock(&self.table).get(key, now)) {
+        if let Some(known) = lock(&self.table).get(stream.key, now) {
             return LookupResult::of_known(known, None);
         }
         let Some(service) = stream.services.first() else { return LookupResult::Unknown };
@@ -121,10 +122,7 @@
             _ => VersionClaim::Several,
         };
         let peers = state.fleet.peer_addresses();
-        let owners = match stream.key {
-            Some(key) => owners(key, &peers.addresses, peers.own, MAX_ASKED),
-            None => Vec::new(),
-        };
+        let owners = owners(stream.key, &peers.addresses, peers.own, MAX_ASKED);
         let is_fresh = state.fleet.list_age(now).is_some_and(|age| age <= MAX_LIST_AGE);
         let contact = match peers.is_complete && peers.is_alone() {
             true => PeerContact::Alone,
@@ -141,7 +139,7 @@
         stream: ResumableStream<'_>,
         mut lookup: OriginLookup,
     ) -> LookupResult {
-        let Some(key) = stream.key else { return lookup.result() };
+        let key = stream.key;
         let number = self.next_question.fetch_add(1, Ordering::Relaxed);
         let (sender, mut replies) = mpsc::unbounded_channel();
         lock(&self.questions).insert(number, sender);
--- a/tests/test_stream_versions.rs
+++ b/tests/test_stream_versions.rs
@@ -273,6 +273,24 @@
     assert_eq!((received.status, received.is_whole), (StatusCode::OK, true), "{received:?}");
 }
 
+/// Guards against streams that are refused since their callers don't name the attempt that began them,
+/// though there is only one version that can have.
+#[rstest]
+#[case::one_version(&["v1", "v1"], 200)]
+#[case::two_versions(TWO_VERSIONS, 503)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_whose_first_attempt_is_not_named_goes_on_at_a_sole_version(
+    #[values(1, 3)] entries: usize,
+    #[case] versions: &[&'static str],
+    #[case] status: u16,
+) {
+    let fleet = VersionedFleet::start(entries, versions, EVENTS).await;
+
+    let received = fleet.entries[0].stream("/resumable/", "r1", &[("last-event-id", "2")]).await;
+
+    assert_eq!(received.status.as_u16(), status, "{received:?}");
+}
+
 /// Guards against a caller who takes up, or finds out, the stream of another organisation by its id.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_id_of_another_organisation_is_unknown() {
