--- a/soak/callers.rs
+++ b/soak/callers.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::TokioIo;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
@@ -32,6 +33,8 @@
 const MAX_RETURNS: usize = 3;
 /// Pause of a caller before that.
 const RETURN_PAUSE: Duration = Duration::from_millis(50);
+/// One in how many streams that may be resumed is left by its caller, who takes it up elsewhere.
+const LEAVE_INTERVAL: u32 = 3;
 /// Names of the header with the attempt that brought the first event of a stream.
 const RESUMES_HEADERS: [&str; 2] = ["resumes", "tarragonknot-resumes"];
 
@@ -71,7 +74,9 @@
         let mut callers = tokio::task::JoinSet::new();
         for caller in 0..ctx.sizes.callers {
             let rng = ChaCha8Rng::seed_from_u64(seed ^ (caller as u64 + 1) << 40);
-            callers.spawn(run_caller(Arc::clone(&ctx), caller, rng));
+            // Apart from the other draws, which stay those of the seed.
+            let return_rng = ChaCha8Rng::seed_from_u64(seed ^ (caller as u64 + 1) << 20);
+            callers.spawn(run_caller(Arc::clone(&ctx), caller, rng, return_rng));
         }
         callers.join_all().await;
     })
@@ -90,7 +95,12 @@
     Some(sender)
 }
 
-async fn run_caller(ctx: Arc<SoakContext>, caller: usize, mut rng: ChaCha8Rng) {
+async fn run_caller(
+    ctx: Arc<SoakContext>,
+    caller: usize,
+    mut rng: ChaCha8Rng,
+    mut return_rng: ChaCha8Rng,
+) {
     let mut idle_connection: Option<CallerConnection> = None;
     let mut sent_count = 0u64;
     while !ctx.is_stopped() {
@@ -110,14 +120,15 @@
         // One request in 20 is abandoned if its response is not complete within 100 ms.
         let response_timeout =
             if rng.random_range(0..20) == 0 { REQUEST_DEADLINE / 40 } else { REQUEST_DEADLINE * 2 };
-        let exchanging = exchange(&ctx, &mut connection, request, &id, 0);
+        let leave_after = draft.leave_after(0, &mut return_rng);
+        let exchanging = exchange(&ctx, &mut connection, request, &id, 0..leave_after);
         let Ok(answer) = tokio::time::timeout(response_timeout, exchanging).await else { continue };
         if answer.is_reusable && connection.ready().await.is_ok() {
             idle_connection = Some(connection);
         }
         if matches!(kind, RequestKind::Resumable) {
             ctx.streams.record_new(answer.received.last_event > 0);
-            take_up(&ctx, &draft, &id, answer, &mut rng).await;
+            take_up(&ctx, &draft, &id, answer, &mut return_rng).await;
         }
     }
 }
@@ -152,7 +163,8 @@
         let request = draft.request(&id, Some((header, first_id, held.last_event)));
         let is_left = |version: &String| has_two_engines(ctx, version);
         let was_left = held.versions.iter().all(is_left);
-        let exchanging = exchange(ctx, &mut connection, request, &id, held.last_event);
+        let events = held.last_event..draft.leave_after(held.last_event, rng);
+        let exchanging = exchange(ctx, &mut connection, request, &id, events);
         let limit = REQUEST_DEADLINE * 2;
         let Ok(answer) = tokio::time::timeout(limit, exchanging).await else { return };
         let has_gone_on = answer.received.last_event > held.last_event;
@@ -220,6 +232,14 @@
         RequestDraft { kind, key, events, prompt_tokens, body_length: body_length(rng) }
     }
 
+    /// The event after which the caller leaves, of those after `last`; `u64::MAX` if it stays.
+    fn leave_after(&self, last: u64, rng: &mut ChaCha8Rng) -> u64 {
+        let leaves = matches!(self.kind, RequestKind::Resumable)
+            && last + 1 < self.events
+            && rng.random_range(0..LEAVE_INTERVAL) == 0;
+        if leaves { rng.random_range(last + 1..self.events) } else { u64::MAX }
+    }
+
     /// Builds a request. `resumed` has the name of the header, the attempt that brought the first event
     /// and the id of the last one, for a stream that is taken up.
     fn request(&self, id: &str, resumed: Option<(&str, &str, u64)>) -> Request<Full<Bytes>> {
@@ -246,24 +266,25 @@
     received: ReceivedEvents,
 }
 
-/// Sends a request, whose stream goes on after the event `after`, and checks the response.
+/// Sends a request and checks the response. Its stream goes on after the event `events.start`, and its
+/// caller leaves after `events.end`.
 async fn exchange(
     ctx: &SoakContext,
     connection: &mut CallerConnection,
     request: Request<Full<Bytes>>,
     id: &str,
-    after: u64,
+    events: Range<u64>,
 ) -> CallerAnswer {
     let is_stream = !request.uri().path().contains("safe/");
     let body = request.body().clone().collect().await.unwrap_or_default().to_bytes();
-    let events: u64 = event_count_text(&body).parse().unwrap_or(0);
+    let event_count: u64 = event_count_text(&body).parse().unwrap_or(0);
     let Ok(response) = connection.send_request(request).await else {
         return CallerAnswer::default();
     };
     let status = response.status().as_u16();
     let is_reusable = response.headers().get("connection").is_none_or(|value| value != "close");
     let seal = response.headers().get("tarragonknot-server-seal").cloned();
-    let answer = read_response_body(response.into_body()).await;
+    let answer = read_response_body(response.into_body(), events.end).await;
     if status != 200 {
         ctx.recorder.record_status(id, status);
         let is_denied = matches!(status, 400..=407 | 409..=420 | 422..=428);
@@ -289,9 +310,10 @@
     let text = if is_stream { &received.text } else { text };
     check_versions(ctx, id, &received);
     let expected = if is_stream {
-        (after + 1..=events).map(|event| format!("id: {event}\ndata: {id} {event}\n\n")).collect()
+        let text = |event| format!("id: {event}\ndata: {id} {event}\n\n");
+        (events.start + 1..=event_count).map(text).collect()
     } else {
-        format!("answer to {id}, {events}, {} bytes", body.len())
+        format!("answer to {id}, {event_count}, {} bytes", body.len())
     };
     let is_expected = if is_complete {
         *text == expected
@@ -307,10 +329,14 @@
     CallerAnswer { is_reusable: is_reusable && is_complete, is_complete, received }
 }
 
-/// Reads the response body; `Err` holds the part received before the connection failed.
-async fn read_response_body(mut body: Incoming) -> Result<String, String> {
+/// Reads the response body; `Err` holds the part received before the connection failed, or up to the
+/// event `last_event`.
+async fn read_response_body(mut body: Incoming, last_event: u64) -> Result<String, String> {
     let mut text = String::new();
     loop {
+        if last_event < u64::MAX && ReceivedEvents::read(&text).last_event >= last_event {
+            return Err(text);
+        }
         match body.frame().await {
             None => return Ok(text),
             Some(Ok(frame)) => {
--- a/src/stream_origin/lookup.rs
+++ b/src/stream_origin/lookup.rs
@@ -93,7 +93,7 @@
 
     /// The daemons to ask next; `None` once all rounds are over, or the fleet agrees on one version.
     pub fn next_round(&mut self) -> Option<Vec<SocketAddr>> {
-        if self.is_agreed() || self.round >= ROUND_SIZES.len() + REPEATED_ROUNDS {
+        if self.is_agreed(true) || self.round >= ROUND_SIZES.len() + REPEATED_ROUNDS {
             return None;
         }
         if self.round > 0 && self.asked().len() == self.owners.len() {
@@ -122,8 +122,8 @@
     /// True if the next round need not wait for its time: all have replied, and there are more to ask
     /// or one version is agreed on.
     pub fn may_go_on(&self) -> bool {
-        let is_complete = self.asked().iter().all(|owner| self.replied.contains(owner));
-        is_complete && (self.asked().len() < self.owners.len() || self.is_agreed())
+        let has_more = self.asked().len() < self.owners.len();
+        self.is_round_complete() && (has_more || self.is_agreed(false))
     }
 
     /// Takes a reply into account; returns a result if it is decisive.
@@ -142,17 +142,29 @@
         }
     }
 
-    /// True if all that were asked have replied and agree on one version, or there is none to agree on.
-    /// Daemons that have just started agree on what they see; one that remembers more may be among those
-    /// that have not been asked, so the last round must be over if none of them remembers.
-    fn is_agreed(&self) -> bool {
-        let has_asked = self.round > 0 && self.asked().iter().all(|it| self.replied.contains(it));
+    /// True if those that have replied agree on one version, or there is none to agree on. Daemons that
+    /// have just started agree on what they see, and one that remembers more may be among those that
+    /// have not replied; so all must, if none of them remembers. One that remembers suffices once the
+    /// round is over.
+    fn is_agreed(&self, is_round_over: bool) -> bool {
+        if self.own_claim == VersionClaim::Unversioned {
+            return true;
+        }
+        if self.round == 0 || !matches!(self.result(), LookupResult::SoleVersion(_)) {
+            return false;
+        }
         let is_sole = |claim: &VersionClaim| matches!(claim, VersionClaim::Sole(_));
         let is_remembered = is_sole(&self.own_claim) || self.claims.iter().any(is_sole);
         let is_everybody = self.asked().len() == self.owners.len();
-        let has_result = matches!(self.result(), LookupResult::SoleVersion(_));
-        let is_agreed = has_asked && has_result && (is_remembered || is_everybody);
-        is_agreed || self.own_claim == VersionClaim::Unversioned
+        match self.is_round_complete() {
+            true => is_remembered || is_everybody,
+            false => is_round_over && is_remembered && !self.claims.is_empty(),
+        }
+    }
+
+    /// True if all that were asked have replied.
+    fn is_round_complete(&self) -> bool {
+        self.asked().iter().all(|owner| self.replied.contains(owner))
     }
 
     /// The result once no record was found.
--- a/src/traffic/stream_origins.rs
+++ b/src/traffic/stream_origins.rs
@@ -1,7 +1,7 @@
 //! A daemon's part in knowing where streams began: it keeps records, sends them to their owners, and
 //! asks for those of streams that callers resume.
 
-use super::fleet_exchange::DaemonMessage;
+use super::fleet_exchange::{DaemonMessage, PeerAddresses};
 use super::state::TrafficState;
 use crate::fleet_state::ServiceHash;
 use crate::policy::{Moment, UpstreamSource, VersionHash};
@@ -21,6 +21,9 @@
 
 /// Age of the list of upstreams up to which a daemon without contact to its peers relies on it.
 const MAX_LIST_AGE: Duration = Duration::from_secs(3);
+/// How long a daemon that has just started waits for the names of its peers, and between two looks.
+const PEERS_TIMEOUT: Duration = Duration::from_millis(300);
+const PEERS_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum number of records in a datagram, some 12 KB.
 const MAX_BATCH: usize = 500;
 /// Datagrams sent at a time when many records are due, and the pause after them.
@@ -121,7 +124,7 @@
             }
             _ => VersionClaim::Several,
         };
-        let peers = state.fleet.peer_addresses();
+        let peers = known_peers(state).await;
         let owners = owners(stream.key, &peers.addresses, peers.own, MAX_ASKED);
         let is_fresh = state.fleet.list_age(now).is_some_and(|age| age <= MAX_LIST_AGE);
         let contact = match peers.is_complete && peers.is_alone() {
@@ -198,6 +201,21 @@
     }
 }
 
+/// The peers, once the leader has named them to a daemon that has just started.
+async fn known_peers(state: &TrafficState) -> PeerAddresses {
+    let first_names = async {
+        loop {
+            let peers = state.fleet.peer_addresses();
+            if peers.is_complete {
+                return peers;
+            }
+            tokio::time::sleep(PEERS_POLL_INTERVAL).await;
+        }
+    };
+    let peers = tokio::time::timeout(PEERS_TIMEOUT, first_names).await;
+    peers.unwrap_or_else(|_| state.fleet.peer_addresses())
+}
+
 /// Removes a question once its answer is no longer waited for.
 struct QuestionGuard<'a> {
     origins: &'a StreamOrigins,
--- a/tests/test_stream_origin.rs
+++ b/tests/test_stream_origin.rs
@@ -193,7 +193,15 @@
 
     let (unknown, unknown_time) = mixed.resume(5, key(1));
     let (sole, sole_time) = single.resume(5, key(1));
+    (6..200).step_by(2).for_each(|daemon| single.daemons[daemon].is_dead = true);
+    let mut late = Duration::ZERO;
+    for number in 0..STREAMS {
+        let (found, time) = single.resume(5, key(number));
+        assert_eq!(found, LookupResult::SoleVersion(origin(1)));
+        late = late.max(time);
+    }
 
+    assert!(late <= Duration::from_millis(180), "{late:?}");
     assert_eq!((unknown, sole), (LookupResult::Unknown, LookupResult::SoleVersion(origin(1))));
     assert!(unknown_time <= Duration::from_millis(300), "{unknown_time:?}");
     assert_eq!(sole_time, Duration::ZERO);
