A stream of a version that is rolled back, or that a peer brings at another version, is refused

Found by reading the change. A stream that began on trial and is taken up after the roll-back was placed at the new arm and dropped again until its deadline: for new requests the next choice leaves that arm, for a bound one it doesn't. A peer of an older build, which doesn't read the demand, could bring a stream at another version. A version whose upstreams state rates that are left to other daemons was waited for in vain.

Test: a_stream_of_a_version_that_is_rolled_back_is_refused. Metrics: broken-off answers are not counted as none-left.

--- a/src/policy/scheduler/resumed.rs
+++ b/src/policy/scheduler/resumed.rs
@@ -47,9 +47,11 @@
         if !self.upstreams.has_in_service(&request.demand) {
             return actions.push(PoolAction::Refuse { id, kind: AnswerKind::VersionAbsent });
         }
+        let is_left_to_others = self.upstreams.has_usable(&request.demand)
+            && !self.upstreams.takes_requests_here(&request.demand);
         let request = self.to_waiting_request(request, now);
         self.claim_owed_service(&request, now, rng);
-        if self.resumed.len() >= self.plan.waiting_limit {
+        if is_left_to_others || self.resumed.len() >= self.plan.waiting_limit {
             return self.shed_when_confirmed(request, AnswerKind::Overloaded, now, actions);
         }
         self.resumed.0.push_back(request);
--- a/src/stream_origin/lookup.rs
+++ b/src/stream_origin/lookup.rs
@@ -29,7 +29,7 @@
     Unversioned,
     /// Two streams of this id began at different versions.
     Ambiguous,
-    /// Nobody knows, and several versions may have begun it.
+    /// No daemon has a record of it, and several versions may have begun it.
     Unknown,
 }
 
--- a/src/traffic/routed/placing.rs
+++ b/src/traffic/routed/placing.rs
@@ -82,7 +82,7 @@
                 None => self.state.choose_pool(&service, history.sent() == 0),
             };
             let chosen = chosen.ok_or(AnswerKind::UpstreamAbsent)?;
-            self.check_origin(&chosen.pool)?;
+            self.check_origin(&service, &chosen)?;
             let Some(placed) = self.wait_in_pool(chosen, &mut changes).await? else { continue };
             self.check_quarantine()?;
             let matched = self.match_route_again(history)?;
@@ -106,10 +106,12 @@
         began.cloned().ok_or(AnswerKind::VersionAbsent)
     }
 
-    /// A stream whose version is unknown goes on only where no upstream states a version.
-    fn check_origin(&self, pool: &PoolRuntime) -> Result<(), AnswerKind> {
-        let is_unknown = self.origin.is_some_and(|origin| origin.version.is_none());
-        match is_unknown && pool.has_versions() {
+    /// A stream whose version is unknown goes on only where no upstream states a version, and none at
+    /// a version that is rolled back.
+    fn check_origin(&self, service: &ServiceName, chosen: &ChosenPool) -> Result<(), AnswerKind> {
+        let Some(origin) = &self.origin else { return Ok(()) };
+        let is_unknown = origin.version.is_none() && chosen.pool.has_versions();
+        match is_unknown || !self.state.may_resume_at_arm(service, chosen.arm) {
             true => Err(AnswerKind::VersionAbsent),
             false => Ok(()),
         }
@@ -143,7 +145,7 @@
     }
 
     /// Waits for the scheduler's decision, and reserves a place at the upstream that it chooses.
-    /// Returns `None` if a roll-out abandons the pool meanwhile.
+    /// Returns `None` if a roll-out abandons the pool during the wait.
     async fn wait_in_pool(
         &self,
         chosen: ChosenPool,
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -102,7 +102,7 @@
 
 /// Builds the response that relays a stream.
 pub fn stream_response(head: response::Parts, relay: StreamRelay) -> Response<Body> {
-    let told_origin = relay.origin_for_peer();
+    let origin = relay.origin_for_peer();
     let events = stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
         match relay.next_step().await {
@@ -114,7 +114,7 @@
     });
     let mut response = build_response(&head, Body::from_stream(events));
     response.headers_mut().remove(CONTENT_LENGTH);
-    if let Some(origin) = told_origin {
+    if let Some(origin) = origin {
         response.headers_mut().insert(ORIGIN_HEADER, origin);
     }
     response
@@ -239,7 +239,7 @@
             };
             if !self.resume_elsewhere(error).await {
                 if self.has_recorded_origin && self.request.route.kind.may_repeat() {
-                    self.request.record_resumption("answer", "none-left");
+                    self.request.record_resumption("answer", "broken-off");
                 }
                 return self.cut("no other upstream can resume it");
             }
--- a/src/traffic/routed/through_peer.rs
+++ b/src/traffic/routed/through_peer.rs
@@ -109,6 +109,12 @@
     answer: PeerAnswer,
 ) -> Response<Body> {
     let PeerAnswer { hop, head, body } = answer;
+    let is_other = request.origin.is_some_and(|origin| origin != hop.origin);
+    if is_other && head.status.is_success() {
+        let detail = "the peer's stream is of another version".to_owned();
+        let kind = refusal_kind(&request, &SendError::NoUsableAnswer(detail));
+        return refuse(&mut request, kind, history);
+    }
     let content = StreamContent::of(&head);
     let is_stream = request.route.kind.is_stream() && content != StreamContent::Other;
     if is_stream && head.status.is_success() {
--- a/tests/test_stream_origin.rs
+++ b/tests/test_stream_origin.rs
@@ -109,7 +109,7 @@
     assert!(share > 0.98, "{share}");
 }
 
-/// Guards against records that nobody needs, and against owners that have more to keep than others.
+/// Guards against records that are sent without need, and against owners that have more to keep than others.
 #[rstest]
 fn costs_spread_evenly_and_are_none_while_one_version_serves(
     #[values(7, 80, 291, 985)] daemons: usize,
@@ -183,7 +183,7 @@
     assert_eq!(later, LookupResult::SoleVersion(origin(2)));
 }
 
-/// Guards against callers who wait for an answer that nobody has, or of which there is no doubt.
+/// Guards against callers who wait long for an answer that no daemon has, or that is certain.
 #[test]
 fn lookups_end_in_time() {
     let mut mixed = mixed_fleet(291);
@@ -253,7 +253,7 @@
     assert_ne!(AttemptKey::of(one.0, one.1), AttemptKey::of(other.0, other.1));
 }
 
-/// Guards against a service whose versions are told from too short a time, or from a route that led
+/// Guards against a version that is taken for the only one after too short a time, or though a route led
 /// elsewhere.
 #[test]
 fn a_sole_version_is_claimed_only_after_the_horizon() {
--- a/tests/test_stream_versions.rs
+++ b/tests/test_stream_versions.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 use tarragonknot::policy::RetryBound;
-use tarragonknot::rollout::{RolloutLog, RolloutOrder, RolloutRows};
+use tarragonknot::rollout::{RolloutEvent, RolloutLog, RolloutOrder, RolloutRows, RolloutStep};
 use tarragonknot::upstream::VmState;
 
 /// Events of a whole stream.
@@ -249,7 +249,7 @@
     }
 }
 
-/// Guards against a stream that nobody knows and that goes on at a version by chance.
+/// Guards against a stream that no daemon knows and that goes on at a version by chance.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_unknown_stream_is_refused_while_two_versions_serve() {
     let fleet = VersionedFleet::start(2, TWO_VERSIONS, EVENTS).await;
@@ -329,6 +329,43 @@
     assert_all_whole(&streams);
 }
 
+/// Guards against streams of a version that is rolled back which go on elsewhere, or wait in vain.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_of_a_version_that_is_rolled_back_is_refused() {
+    let fleet = VersionedFleet::start(1, &["v1", "v1", "v2", "v2"], 2).await;
+    let state = &fleet.entries[0].state;
+    let mut log = RolloutLog::default();
+    let order = RolloutOrder { service: "pool".into(), to: "v2".into(), duration_ms: 60_000 };
+    log.begin(&order, 0);
+    state.rollouts.confirm_leader(state.clock.now());
+    state.apply_rollouts(RolloutRows::new(&log, 0.5));
+    let mut begun = Vec::new();
+    for number in 0..STREAMS {
+        let mut stream = CallerStream::default();
+        stream.add(fleet.entries[0].stream("/resumable/", &format!("r{number}"), &[]).await);
+        begun.push(stream);
+    }
+
+    let event = Some(RolloutEvent::Condemned);
+    log.step(&RolloutStep { service: "pool".into(), number: 1, event, elapsed_ms: 1, at: 1 });
+    state.apply_rollouts(RolloutRows::new(&log, 0.5));
+    for (number, stream) in begun.iter_mut().enumerate() {
+        let (id, last) = (format!("r{number}"), stream.last_event().to_string());
+        let headers = [("last-event-id", last.as_str()), ("resumes", id.as_str())];
+        let own_id = format!("{id}-1");
+        let received = fleet.entries[0].stream("/resumable/", &own_id, &headers);
+        let received = tokio::time::timeout(Duration::from_secs(2), received).await;
+        stream.add(received.expect("an answer before the deadline"));
+    }
+
+    let new = begun.iter().filter(|stream| stream.versions.contains("v2")).count();
+    assert!(new > 0, "no stream began on trial");
+    for stream in &begun {
+        let expected = if stream.versions.contains("v2") { 503 } else { 200 };
+        assert_eq!((stream.versions.len(), stream.statuses[1]), (1, expected), "{stream:?}");
+    }
+}
+
 /// Guards against a stream that changes its version as parts of it are passed on through peers.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_that_is_passed_on_through_peers_keeps_its_version() {
