--- a/tests/test_stream_versions.rs
+++ b/tests/test_stream_versions.rs
@@ -25,6 +25,7 @@
 
 /// Versions of the upstreams, two of each.
 const TWO_VERSIONS: &[&str] = &["v1", "v1", "v1.1", "v1.1"];
+const FOUR_VERSIONS: &[&str] = &["v1", "v1", "v1.1", "v1.1", "v1.2", "v1.2", "v2", "v2"];
 
 /// The answer of an engine that breaks off after `sends` events, unless its stream is whole by then.
 fn events_of(version: &str, request: &ReceivedRequest, sends: u64) -> EngineAction {
@@ -187,8 +188,9 @@
 async fn a_stream_that_its_caller_takes_up_goes_on_at_the_version_that_began_it(
     #[values(1, 3)] entries: usize,
     #[values("resumes", "tarragonknot-resumes")] header: &str,
+    #[values(TWO_VERSIONS, FOUR_VERSIONS)] versions: &[&'static str],
 ) {
-    let fleet = VersionedFleet::start(entries, TWO_VERSIONS, 1).await;
+    let fleet = VersionedFleet::start(entries, versions, 1).await;
 
     let mut streams = Vec::new();
     for number in 0..STREAMS {
