Logs: who ended a stream that is not whole, why, and under which tables

`stream cut` said only that no other upstream could resume the stream. It names who ended it (upstream, deadline, this daemon), the cause (which obstacle to a retry, which refusal of a place), the silence before it, the table that admitted the request, the one in force and its age; `refused` and `caller left` name the tables too. `explain` tells it, and tarragonknot_answers_cut_total counts it by who and why. No decision changes.

--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -150,11 +150,7 @@
             let ran = known.map_or_else(String::new, |row| format!("; ran: {:?}", row.ran));
             format!("refused as {kind}: {title}{}", ran.to_lowercase())
         }
-        "stream cut" => format!(
-            "upstream {upstream} stopped after {} events and {}",
-            number("events"),
-            text_field(row, "detail")
-        ),
+        "stream cut" => cut_cause(row),
         "caller left" => match text_field(row, "stage") {
             "Waiting" => "the caller left while the request waited for a place".to_owned(),
             "Sent" => "the caller left before an answer began; whether the upstream ran it is not known here"
@@ -166,6 +162,34 @@
     }
 }
 
+/// Describes the end of a stream that is not whole. Daemons of earlier versions log a `detail` only.
+fn cut_cause(row: &Map<String, Value>) -> String {
+    let (upstream, cause) = (text_field(row, "upstream"), text_field(row, "cause"));
+    let number = |name: &str| row.get(name).and_then(Value::as_u64);
+    let events = number("events").unwrap_or(0);
+    let silence = number("silent_ms").map(|time| format!(" after {time} ms of silence"));
+    let silence = silence.unwrap_or_default();
+    let tables = match (number("admitted_table"), number("table"), number("table_age_ms")) {
+        (Some(admitted), Some(table), Some(age)) if admitted != table => {
+            format!("; admitted under table {admitted}, table {table} in force for {age} ms")
+        }
+        _ => String::new(),
+    };
+    match text_field(row, "ended_by") {
+        "" => format!(
+            "upstream {upstream} stopped after {events} events and {}",
+            text_field(row, "detail")
+        ),
+        "upstream" => format!(
+            "upstream {upstream} broke off after {events} events, and the stream was not resumed: {cause}{tables}"
+        ),
+        "deadline" => format!("the deadline passed after {events} events of upstream {upstream}"),
+        _ => format!(
+            "this daemon left upstream {upstream}{silence} and {events} events, and the stream was not resumed: {cause}{tables}"
+        ),
+    }
+}
+
 fn print_trace(trace: &DaemonTrace) {
     super::print_line(&format!("request {} at daemon {}", trace.request, trace.daemon));
     for step in &trace.steps {
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -151,7 +151,12 @@
         .increment(1);
 }
 
-/// Counts a request that was offered to a peer: `answered`, `refused`, `unable` (another peer may serve
+/// Counts an answer that had begun and was cut, by who ended it and why.
+pub fn record_cut_answer(ended_by: &'static str, cause: &'static str) {
+    counter!("tarragonknot_answers_cut_total", "ended_by" => ended_by, "cause" => cause)
+        .increment(1);
+}
+
 /// Counts a stream that was taken up again: by its `caller` in a new request, or within its `answer`.
 pub fn record_resumption(service: &str, place: &'static str, result: &'static str) {
     let service = service.to_owned();
@@ -159,6 +164,7 @@
         .increment(1);
 }
 
+/// Counts a request that was offered to a peer: `answered`, `refused`, `unable` (another peer may serve
 /// it) or `failed`.
 pub fn record_relayed(outcome: &'static str) {
     counter!("tarragonknot_relayed_requests_total", "outcome" => outcome).increment(1);
--- a/src/traffic/routed/admission.rs
+++ b/src/traffic/routed/admission.rs
@@ -128,7 +128,9 @@
     }
     state.wait_for_upstream_list(FIRST_LIST_TIMEOUT).await;
     let (parts, body) = request.into_parts();
-    let matched = match_route(&state.snapshot(), &parts, &metadata)?;
+    let snapshot = state.snapshot();
+    let matched = match_route(&snapshot, &parts, &metadata)?;
+    let table = snapshot.version;
     let body = read_body(body).await?;
     let fingerprint = request_fingerprint(&matched, &parts, &body);
     let progress = state.begin_request();
@@ -175,6 +177,7 @@
         dialect,
         route: matched.route,
         caller: matched.caller,
+        table,
         homes: matched.homes,
         origin: ticket.and_then(|ticket| ticket.origin),
         sizes,
--- a/src/traffic/routed/mod.rs
+++ b/src/traffic/routed/mod.rs
@@ -16,8 +16,11 @@
 mod relay;
 mod request;
 mod reserve;
+mod retry;
 mod send_history;
 mod size_fields;
+mod stream_end;
+mod table_fields;
 mod through_peer;
 
 use crate::policy::OrganisationIndex;
--- a/src/traffic/routed/refusal.rs
+++ b/src/traffic/routed/refusal.rs
@@ -46,7 +46,8 @@
         request.record_resumption("caller", resumption_result(kind));
     }
     info!(request.state.log, "refused"; "request" => request.id(), "kind" => kind.row().name,
-        "route" => &request.route.route, "sent" => history.sent(), "may_have_run" => history.may_have_run(), "after_ms" => waited, request.size_fields());
+        "route" => &request.route.route, "sent" => history.sent(), "may_have_run" => history.may_have_run(), "after_ms" => waited,
+        request.table_fields(), request.size_fields());
     RefusalAnswer::new(kind, "", request.state.jitter())
         .with_retry_after(request.retry_delay(kind))
         .response(request.id())
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -6,10 +6,11 @@
 use super::placing::PlacedRequest;
 use super::request::{RequestStage, RoutedRequest};
 use super::send_history::SendHistory;
+use super::stream_end::{CutCause, StreamBreak};
 use super::through_peer::{PeerHop, PeerOutcome, send_through_peers};
-use crate::answer::RAN_HEADER;
+use crate::answer::{AnswerKind, RAN_HEADER};
 use crate::policy::{DispatchOutcome, Moment, PoolEvent};
-use crate::report::record_stream_end;
+use crate::report::{record_cut_answer, record_stream_end};
 use crate::rollout::VersionOutcome;
 use crate::traffic::crash_check::has_ended;
 use crate::traffic::relay::ORIGIN_HEADER;
@@ -148,6 +149,8 @@
     /// Event count and time at the start of the current gap measurement.
     gap_start: Option<(u64, Moment)>,
     timing: StreamTiming,
+    /// What interrupted the stream last.
+    interruption: Option<StreamBreak>,
     has_ended: bool,
     has_recorded_origin: bool,
 }
@@ -197,6 +200,7 @@
             splitter: EventSplitter::default(),
             gap_start: None,
             timing: StreamTiming::default(),
+            interruption: None,
             has_ended: false,
             has_recorded_origin: false,
         }
@@ -214,7 +218,9 @@
         }
         loop {
             let limit = self.request.time_left().min(self.pause_timeout());
-            let Some(body) = &mut self.body else { return self.cut("the stream is broken") };
+            let Some(body) = &mut self.body else {
+                return self.cut(CutCause::NoPlace(AnswerKind::UpstreamLost));
+            };
             let error = match tokio::time::timeout(limit, body.read()).await {
                 Ok(BodyRead::Data(bytes)) => match self.splitter.push(&bytes) {
                     Some(events) => {
@@ -233,15 +239,19 @@
                 },
                 Ok(BodyRead::Broken(error)) => SendError::ConnectionBroken(error.to_string()),
                 Err(_) if self.request.time_left().is_zero() => {
-                    return self.cut("the deadline has passed");
+                    return self.cut(CutCause::Deadline);
                 }
                 Err(_) => SendError::NoUsableAnswer(format!("no event within {limit:?}")),
             };
-            if !self.resume_elsewhere(error).await {
+            self.interruption = Some(match error {
+                SendError::NoUsableAnswer(_) => StreamBreak::Silent(limit),
+                _ => StreamBreak::BrokenOff,
+            });
+            if let Err(cause) = self.resume_elsewhere(error).await {
                 if self.has_recorded_origin && self.request.route.kind.may_repeat() {
                     self.request.record_resumption("answer", "broken-off");
                 }
-                return self.cut("no other upstream can resume it");
+                return self.cut(cause);
             }
         }
     }
@@ -318,7 +328,7 @@
         record_stream_end(self.framing, self.splitter.is_within_event());
     }
 
-    fn cut(&mut self, detail: &str) -> RelayStep {
+    fn cut(&mut self, cause: CutCause) -> RelayStep {
         self.has_ended = true;
         self.request.stage = RequestStage::Ended;
         self.request.record("cut", Some(&self.timing));
@@ -327,45 +337,61 @@
         }
         self.body = None;
         self.source.end(DispatchOutcome::Failed);
+        let ended_by = cause.ended_by(self.interruption);
+        record_cut_answer(ended_by.name(), cause.name());
+        let after = self.request.state.clock.now().since(self.request.arrived_at);
         info!(self.request.state.log, "stream cut"; "request" => self.request.id(), "upstream" => self.source.name(),
-            "events" => self.splitter.event_count(), "detail" => detail, self.request.size_fields());
+            "route" => &self.request.route.route, "events" => self.splitter.event_count(), "after_ms" => after.as_millis() as u64,
+            "sent" => self.history.sent(), "ended_by" => ended_by.name(), "cause" => cause.name(),
+            "silent_ms" => self.silent_ms(), self.request.table_fields(), self.request.size_fields());
         RelayStep::Cut
     }
 
+    /// Length of the silence that interrupted the stream, if one did, in milliseconds.
+    fn silent_ms(&self) -> Option<u64> {
+        match self.interruption {
+            Some(StreamBreak::Silent(time)) => Some(time.as_millis() as u64),
+            Some(StreamBreak::BrokenOff) | None => None,
+        }
+    }
+
     fn record_failure(&self) {
         if let Some(placed) = self.source.placed() {
             self.request.record_version_answer(placed, VersionOutcome::Failed);
         }
     }
 
-    /// Resumes the stream elsewhere after its last complete event; false if no upstream may or can.
-    async fn resume_elsewhere(&mut self, error: SendError) -> bool {
+    /// Resumes the stream elsewhere after its last complete event, or returns why none may or can.
+    async fn resume_elsewhere(&mut self, error: SendError) -> Result<(), CutCause> {
         // Closing the connection first makes the upstream stop before another one begins.
         self.body = None;
         info!(self.request.state.log, "stream broken"; "request" => self.request.id(), "upstream" => self.source.name(),
             "events" => self.splitter.event_count(), "framing" => self.framing.name(),
-            "unfinished_bytes" => self.splitter.pending_bytes(), "detail" => error.to_string());
+            "unfinished_bytes" => self.splitter.pending_bytes(), "silent_ms" => self.silent_ms(), "detail" => error.to_string());
         if let AnswerSource::Upstream(placed) = &mut self.source {
             report_send_error(&self.request, placed, &error);
         }
         if !self.splitter.can_resume() {
-            return false;
+            return Err(CutCause::UnnumberedEvent);
         }
         let last_event_id = self.splitter.last_event_id().or(self.request.metadata.last_event_id);
-        while self.request.may_send_again(&self.source.service().clone(), self.history) {
+        loop {
+            let service = self.source.service().clone();
+            self.request.withdraw_retry(&service, self.history).map_err(CutCause::NoRetry)?;
             let mut placed = match self.request.place(self.history).await {
                 Ok(placed) => placed,
-                Err(kind) => {
-                    return self.request.may_pass_on(kind)
-                        && self.resume_through_peers(last_event_id).await;
+                Err(kind) if self.request.may_pass_on(kind) => {
+                    let is_resumed = self.resume_through_peers(last_event_id).await;
+                    return is_resumed.then_some(()).ok_or(CutCause::NoPeer);
                 }
+                Err(kind) => return Err(CutCause::NoPlace(kind)),
             };
             self.request.log_send(&placed, self.history, last_event_id);
             let answer = self.request.try_send(&placed, &mut self.history, last_event_id).await;
             match answer {
                 Ok(answer) if answer.head.status.is_success() => {
                     self.adopt(AnswerSource::Upstream(placed), answer.body);
-                    return true;
+                    return Ok(());
                 }
                 Ok(_) => {
                     self.request.record_version_answer(&placed, VersionOutcome::Failed);
@@ -375,7 +401,6 @@
             }
             self.source = AnswerSource::Upstream(placed);
         }
-        false
     }
 
     async fn resume_through_peers(&mut self, last_event_id: Option<u64>) -> bool {
--- a/src/traffic/routed/request.rs
+++ b/src/traffic/routed/request.rs
@@ -3,8 +3,10 @@
 use super::admission::LimitGuard;
 use super::dialect::{CallDialect, CallerMetadata};
 use super::relay::StreamTiming;
+use super::retry::RetryObstacle;
 use super::send_history::SendHistory;
 use super::size_fields::SizeFields;
+use super::table_fields::TableFields;
 use crate::answer::AnswerKind;
 use crate::policy::{HomeRegions, Moment, RequestSizes, SizeDecile};
 use crate::quarantine::RequestFingerprint;
@@ -42,6 +44,8 @@
     pub dialect: Arc<dyn CallDialect>,
     pub route: Arc<RouteRow>,
     pub caller: Option<CallerIdentity>,
+    /// Version of the table that admitted the request.
+    pub table: u64,
     /// Regions in which the request may be served; `None` means anywhere.
     pub homes: Option<HomeRegions>,
     /// What began its stream, once its caller has an event of it.
@@ -77,7 +81,8 @@
             let after = self.state.clock.now().since(self.arrived_at).as_millis() as u64;
             self.record("caller-left", None);
             info!(self.state.log, "caller left"; "request" => self.id(), "stage" => format!("{:?}", self.stage),
-                "route" => &self.route.route, "after_ms" => after, "left_ms" => self.time_left().as_millis() as u64, self.size_fields());
+                "route" => &self.route.route, "after_ms" => after, "left_ms" => self.time_left().as_millis() as u64,
+                self.table_fields(), self.size_fields());
         }
     }
 }
@@ -114,6 +119,11 @@
         SizeFields::new(&self.metadata, self.size_tenth, self.has_returned)
     }
 
+    /// Table fields for log lines about the end of the request.
+    pub fn table_fields(&self) -> TableFields {
+        TableFields::new(&self.state, self.table)
+    }
+
     /// The request's id, for logs.
     pub fn id(&self) -> &str {
         self.metadata.id.as_deref().unwrap_or_default()
@@ -121,16 +131,39 @@
 
     /// True if the request may be sent to one more upstream now; spends a unit of the retry budget.
     pub fn may_send_again(&self, service: &ServiceName, history: SendHistory) -> bool {
+        self.withdraw_retry(service, history).is_ok()
+    }
+
+    /// Spends a unit of the retry budget for sending the request to one more upstream, or returns what
+    /// stands in the way.
+    pub fn withdraw_retry(
+        &self,
+        service: &ServiceName,
+        history: SendHistory,
+    ) -> Result<(), RetryObstacle> {
         let is_allowed = !history.may_have_run() || self.route.kind.may_repeat();
         // The daemon that passed the request on repeats it, as it counts the sends of all peers.
         let has_run_here =
             self.ticket.is_some_and(|ticket| history.possible_runs() > ticket.possible_runs());
-        is_allowed
-            && !has_run_here
-            && self.state.quarantine.held_for(self.fingerprint, self.state.clock.now()).is_none()
-            && history.sent() < self.route.attempts
-            && !self.time_left().is_zero()
-            && self.state.with_retry_budget(service, |budget| budget.try_withdraw())
+        if !is_allowed {
+            return Err(RetryObstacle::RunsOnce);
+        }
+        if has_run_here {
+            return Err(RetryObstacle::LeftToPeer);
+        }
+        if self.state.quarantine.held_for(self.fingerprint, self.state.clock.now()).is_some() {
+            return Err(RetryObstacle::Quarantined);
+        }
+        if history.sent() >= self.route.attempts {
+            return Err(RetryObstacle::Attempts);
+        }
+        if self.time_left().is_zero() {
+            return Err(RetryObstacle::Deadline);
+        }
+        match self.state.with_retry_budget(service, |budget| budget.try_withdraw()) {
+            true => Ok(()),
+            false => Err(RetryObstacle::Budget),
+        }
     }
 
     /// True if a peer may serve the request, as this daemon reaches no upstream that can. A request
--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -72,6 +72,8 @@
     /// Region of each data centre.
     regions: OnceLock<BTreeMap<DataCentreName, RegionName>>,
     connections: Arc<ConnectionPool>,
+    /// When the table took effect, in microseconds of the clock.
+    table_since: AtomicU64,
     /// End of the table's lease, in microseconds of the clock.
     current_until: AtomicU64,
     /// True if requests are admitted under the last known table after its lease has expired.
@@ -131,6 +133,7 @@
             cold_tolerance: OnceLock::new(),
             regions: OnceLock::new(),
             connections: Arc::default(),
+            table_since: AtomicU64::new(0),
             current_until: AtomicU64::new(0),
             may_use_expired_table: AtomicBool::new(false),
             interface: OnceLock::new(),
@@ -191,10 +194,16 @@
         }
         self.update_pools(&access);
         self.snapshot.store(Arc::new(TableSnapshot { version: versioned.version, access }));
+        self.table_since.store(self.clock.now().0, Ordering::Release);
         self.table_changes.notify_waiters();
         info!(self.log, "table in force"; "version" => versioned.version, "hash" => &versioned.hash);
     }
 
+    /// When the table in force took effect.
+    pub fn table_since(&self) -> Moment {
+        Moment(self.table_since.load(Ordering::Acquire))
+    }
+
     /// Returns the table, parsed from the platform's document if there is one.
     fn read_table<'a>(&self, versioned: &'a VersionedTable) -> Option<Cow<'a, OperatorTable>> {
         let Some(document) = &versioned.document else {
--- a/tests/test_explain.rs
+++ b/tests/test_explain.rs
@@ -1,6 +1,7 @@
 //! The `explain` command: finds the cause of a request's outcome by its id.
 
 use crate::workdir::{WorkDir, stderr, stdout};
+use rstest::rstest;
 use tarragonknot::answer::ANSWER_TABLE;
 use tarragonknot::cmd::explain::{explain, first_attempt};
 
@@ -55,6 +56,29 @@
     assert_eq!(traces[0].cause, "upstream i-3 stopped after 9 events and no time");
 }
 
+#[rstest]
+#[case::left(
+    "daemon",
+    "this daemon left upstream i-3 after 1200 ms of silence and 9 events, and the stream was not resumed: budget-spent; \
+     admitted under table 42, table 57 in force for 300 ms"
+)]
+#[case::broken_off(
+    "upstream",
+    "upstream i-3 broke off after 9 events, and the stream was not resumed: budget-spent; admitted under table 42, table 57 in \
+     force for 300 ms"
+)]
+#[case::late("deadline", "the deadline passed after 9 events of upstream i-3")]
+fn a_cut_stream_names_who_ended_it(#[case] ended_by: &str, #[case] expected: &str) {
+    let fields = format!(
+        r#","upstream":"i-3","events":9,"ended_by":"{ended_by}","cause":"budget-spent","silent_ms":1200,"admitted_table":42,"table":57,"table_age_ms":300"#
+    );
+    let line = line("entry-1", 1, "stream cut", &fields);
+
+    let traces = explain("id-1", [line.as_str()].into_iter());
+
+    assert_eq!(traces[0].cause, expected);
+}
+
 #[test]
 fn every_kind_of_refusal_is_explained() {
     for row in ANSWER_TABLE {
