--- a/tests/routed_fleet.rs
+++ b/tests/routed_fleet.rs
@@ -64,6 +64,8 @@
     Crossed,
     /// Streams the events with ids from the first to the last and ends the stream properly.
     Events(u64, u64),
+    /// Streams the events after the one that the request names, at a pace.
+    PacedEvents(EventPace),
     /// Streams the events, then half of the next one, then closes the connection.
     CutEvents(u64, u64),
     /// Sends fewer bytes than the declared content length.
@@ -80,6 +82,21 @@
     NoPlace,
 }
 
+/// When an engine sends the events of a stream.
+#[derive(Clone, Copy, Debug)]
+pub struct EventPace {
+    /// Number of the last event.
+    pub last: u64,
+    /// Time before the head of the answer.
+    pub head_delay: Duration,
+    /// Time between two events.
+    pub gap: Duration,
+    /// The event before a silence, and the length of the silence.
+    pub silence: (u64, Duration),
+    /// The event after which the engine closes the connection; 0 for none.
+    pub breaks_after: u64,
+}
+
 /// How an engine ends a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionEnd {
@@ -272,6 +289,9 @@
         EngineAction::CrashAfter(first, last) => {
             (format!("{stream_head}{}", chunk(&events(first, last))), false)
         }
+        EngineAction::PacedEvents(pace) => {
+            return send_paced(stream, request, &stream_head, pace).await.is_ok();
+        }
         EngineAction::CutEvents(first, last) => {
             let half = format!("id: {}\ndata: pie", last + 1);
             (format!("{stream_head}{}{}", chunk(&events(first, last)), chunk(&half)), false)
@@ -292,6 +312,30 @@
     stream.write_all(text.as_bytes()).await.is_ok() && is_kept_open
 }
 
+/// Sends the events of a stream at a pace; fails if the connection ends or is to be closed.
+async fn send_paced(
+    stream: &mut TcpStream,
+    request: &ReceivedRequest,
+    head: &str,
+    pace: EventPace,
+) -> std::io::Result<()> {
+    let after = request.header("last-event-id").map_or(0, |id| id.parse().expect("a number"));
+    tokio::time::sleep(pace.head_delay).await;
+    stream.write_all(head.as_bytes()).await?;
+    for id in after + 1..=pace.last {
+        let event = format!("id: {id}\ndata: piece {id}\n\n");
+        stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).await?;
+        if id == pace.breaks_after {
+            return Err(std::io::ErrorKind::BrokenPipe.into());
+        }
+        tokio::time::sleep(pace.gap).await;
+        if id == pace.silence.0 {
+            tokio::time::sleep(pace.silence.1).await;
+        }
+    }
+    stream.write_all(b"0\r\n\r\n").await
+}
+
 /// Ends a connection; returns true if it stays open.
 async fn end_connection(stream: &mut TcpStream, end: ConnectionEnd) -> bool {
     match end {
@@ -401,8 +445,24 @@
         Self::with_service("127.0.0.1", "pool", engines)
     }
 
+    /// Starts a daemon on a runtime, with version 1 of the table in force.
+    pub fn start_on(runtime: &Handle, log: Logger, engines: &[&ScriptedEngine]) -> Self {
+        let _context = runtime.enter();
+        let fleet = Self::with_log("127.0.0.1", "pool", engines, log);
+        fleet.apply(1, &document(1));
+        fleet
+    }
+
     fn with_service(daemon: &str, pool: &'static str, engines: &[&ScriptedEngine]) -> Self {
-        let log = Logger::root(Discard, o!());
+        Self::with_log(daemon, pool, engines, Logger::root(Discard, o!()))
+    }
+
+    fn with_log(
+        daemon: &str,
+        pool: &'static str,
+        engines: &[&ScriptedEngine],
+        log: Logger,
+    ) -> Self {
         let state = TrafficState::new(daemon.into(), log, 7);
         state.set_interface(platform::interface());
         state.allow_expired_table();
@@ -603,16 +663,18 @@
         (key, headers): (&str, &[(&str, &str)]),
         body: &str,
     ) -> Request<Full<Bytes>> {
-        let mut request = Request::post(format!("http://{}{path}", self.front.address))
+        let request = Request::post(format!("http://{}{path}", self.front.address))
             .header("host", "shop.example")
             .header("tarragonknot-deadline-ms", "2500")
             .header("authorization", format!("Bearer {key}"));
+        let mut request = request
+            .body(Full::new(Bytes::from(body.to_owned())))
+            .expect("the request consists of valid parts");
         for (name, value) in headers {
-            request = request.header(*name, *value);
+            let name: http::HeaderName = name.parse().expect("a valid name");
+            request.headers_mut().insert(name, value.parse().expect("a valid value"));
         }
         request
-            .body(Full::new(Bytes::from(body.to_owned())))
-            .expect("the request consists of valid parts")
     }
 
     async fn answer(request: Request<Full<Bytes>>) -> CallerAnswer {
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -75,6 +75,7 @@
 mod test_store;
 mod test_stream_origin;
 mod test_stream_versions;
+mod test_streams_kept;
 mod test_table_versions;
 mod test_traffic;
 mod test_voters;
