An answer is left only for a place that it has elsewhere

What callers saw: streams of sound upstreams cut, first answers refused as upstream-lost, after a silence of the upstream. Cause: after four gaps without an event (1 s at least) the relay closed the connection, and only then asked for a retry, a route and a place. Each may say no: the budget is spent by failing upstreams, all places are taken, a table has moved the route. The same on the first event, after two objectives. Fix: a silence starts the search for a retry and a place, while the old answer is still read; whichever comes first wins. The connection is closed just before the request is sent to the place found, so that both never work at a time. A search without success changes nothing, and is repeated. A daemon that is cut off from its upstreams asks its peers meanwhile. A stream that was left is not given up for want of another place, if the first one turns out to be none. A request whose answer has not begun is still refused once a check shows that its upstream has ended. What follows a break by the upstream stays as it was, but for sends that provably ran nothing, which no longer use up the attempts of a stream. Why it works: no answer of the budget, the table or the scheduler ends an answer any more; only the upstream, the deadline and the caller do.

Two tests of promises have an upstream that is silent for ever, and a table that forbids the retry. They got a 502 after 1.2 s; the upstream may still answer, so the refusal comes at the deadline now (504). What they check stays: one send, and `ran: unknown`.

--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -1,7 +1,8 @@
 //! Forwards an admitted request: waits for placement, sends it, and retries where the route allows.
 
 use super::attempt::{OpenAnswer, SendError, send};
-use super::placing::PlacedRequest;
+use super::next_place::NextPlace;
+use super::placing::{PlacedRequest, PlacingRule};
 use super::refusal::{refusal_kind, refuse};
 use super::relay::{AnswerSource, StreamContent, StreamRelay, buffered_response, stream_response};
 use super::request::{RequestStage, RoutedRequest};
@@ -13,11 +14,12 @@
 };
 use crate::report::{record_rejection_bound, record_stated_rate};
 use crate::rollout::{RequestGroup, VersionArm, VersionOutcome};
-use crate::table::{RouteKind, SoftwareVersion};
-use crate::traffic::crash_check::{BrokenRequest, check_upstream};
+use crate::table::{RouteKind, SoftwareVersion, UpstreamName};
+use crate::traffic::crash_check::{BrokenRequest, check_upstream, has_ended};
 use axum::body::Body;
 use http::Response;
 use slog::info;
+use std::pin::pin;
 use std::time::Duration;
 
 /// A resumable stream without a first event, or a safe request without an answer, is sent to
@@ -25,8 +27,17 @@
 const ANSWER_TIMEOUT_FACTOR: u32 = 2;
 /// Lower bound of that time: under load engines deliver first events late without having failed.
 const MIN_ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// How a send ended.
+pub enum SendResult {
+    /// An answer began, or none comes.
+    Ended(Result<Box<OpenAnswer>, SendError>),
+    /// The upstream was silent, and there is another place.
+    Left(NextPlace, SendError),
+}
+
 impl RoutedRequest {
-    /// How long an upstream may stay silent before the request is sent elsewhere, if allowed.
+    /// How long an upstream may stay silent before another place is looked for, if allowed.
     fn answer_timeout(&self) -> Duration {
         match self.route.kind {
             RouteKind::ResumableStream | RouteKind::Safe => {
@@ -36,13 +47,15 @@
         }
     }
 
-    /// Sends the request to its upstream, within the time left.
+    /// Sends the request to its upstream and waits for the head of the answer, within the time left.
+    /// While the upstream is silent for long, another place is looked for.
     pub async fn try_send(
         &self,
         placed: &PlacedRequest,
         history: &mut SendHistory,
         last_event_id: Option<u64>,
-    ) -> Result<OpenAnswer, SendError> {
+        rule: PlacingRule,
+    ) -> SendResult {
         history.begin_send();
         match &placed.ticket {
             Some(ticket) => ticket.mark_sent(),
@@ -51,13 +64,49 @@
             }
             None => {}
         }
-        let is_last_send = history.sent() >= self.route.attempts;
-        let timeout = if is_last_send { Duration::MAX } else { self.answer_timeout() };
-        let limit = self.time_left().min(timeout);
-        let sending = send(self, placed, last_event_id);
-        match tokio::time::timeout(limit, sending).await {
-            Ok(answer) => answer,
-            Err(_) => Err(SendError::Unanswered(limit)),
+        let limit = self.time_left();
+        let mut sending = pin!(send(self, placed, last_event_id));
+        let silence = self.answer_timeout().min(limit);
+        if let Ok(answer) = tokio::time::timeout(silence, &mut sending).await {
+            return SendResult::Ended(answer.map(Box::new));
+        }
+        let next = Box::pin(self.leave_silent(placed, *history, rule));
+        let ended = Box::pin(self.notice_end(placed, rule));
+        tokio::select! {
+            biased;
+            answer = sending => SendResult::Ended(answer.map(Box::new)),
+            () = tokio::time::sleep(self.time_left()) => {
+                SendResult::Ended(Err(SendError::Unanswered(limit)))
+            }
+            next = next => SendResult::Left(next, SendError::Unanswered(silence)),
+            error = ended => SendResult::Ended(Err(error)),
+        }
+    }
+
+    /// Returns once a silent upstream turns out to have ended, so that its request is not kept waiting
+    /// in vain. An answer that has begun may still arrive, and is waited for.
+    async fn notice_end(&self, placed: &PlacedRequest, rule: PlacingRule) -> SendError {
+        let is_waiting = rule == PlacingRule::InForce;
+        match is_waiting && has_ended(&self.state, &placed.broken_upstream()).await {
+            true => SendError::ConnectionBroken("the upstream has ended".to_owned()),
+            false => std::future::pending().await,
+        }
+    }
+
+    /// Finds another place for a request that its upstream leaves unanswered; never returns if there
+    /// is none.
+    async fn leave_silent(
+        &self,
+        placed: &PlacedRequest,
+        history: SendHistory,
+        rule: PlacingRule,
+    ) -> NextPlace {
+        placed.pool.handle_event(PoolEvent::Unanswered { upstream: placed.upstream });
+        info!(self.state.log, "upstream silent"; "request" => self.id(), "upstream" => placed.name.as_str(),
+            "sent" => history.sent(), "left_ms" => self.time_left().as_millis() as u64);
+        match self.await_next_place(&placed.pool.service, history, rule).await {
+            Ok(next) => next,
+            Err(_) => std::future::pending().await,
         }
     }
 
@@ -102,9 +151,14 @@
     if let Err(kind) = request.find_origin().await {
         return refuse(&mut request, kind, history);
     }
+    let mut found = None;
     loop {
         request.stage = RequestStage::Waiting;
-        let mut placed = match request.place(history).await {
+        let placed = match found.take() {
+            Some(placed) => Ok(placed),
+            None => request.place(history).await,
+        };
+        let mut placed = match placed {
             Ok(placed) => placed,
             Err(kind) if request.may_pass_on(kind) => {
                 match forward_through_peers(request, history).await {
@@ -127,13 +181,23 @@
             request.state.with_retry_budget(&service, |budget| budget.deposit(daemons));
         }
         request.set_charged(true);
-        let sent = request.try_send(&placed, &mut history, request.metadata.last_event_id).await;
+        let last_event_id = request.metadata.last_event_id;
+        let sent = request.try_send(&placed, &mut history, last_event_id, PlacingRule::InForce);
+        let sent = match sent.await {
+            SendResult::Ended(sent) => sent,
+            SendResult::Left(next, error) => {
+                log_unanswered(&request, &name, history, &error);
+                report_send_error(&request, &mut placed, &error);
+                found = request.go_to(next);
+                continue;
+            }
+        };
         if let Err(error) = &sent {
             history.end_send(error);
             request.set_charged(history.may_have_run());
         }
         let error = match sent {
-            Ok(answer) => match relay_answer(request, placed, history, answer).await {
+            Ok(answer) => match relay_answer(request, placed, history, *answer).await {
                 AnswerOutcome::Response(response) => return response,
                 AnswerOutcome::Retry(returned, error) => {
                     request = returned;
@@ -141,12 +205,8 @@
                 }
             },
             Err(SendError::NotSent(detail)) => {
-                info!(request.state.log, "upstream not reached"; "request" => request.id(), "detail" => detail);
-                placed.pool.handle_event(PoolEvent::Lifecycle {
-                    upstream: placed.upstream,
-                    event: UpstreamEvent::Unreachable,
-                });
-                placed.guard.end(DispatchOutcome::Failed);
+                info!(request.state.log, "upstream not reached"; "request" => request.id(), "detail" => &detail);
+                report_send_error(&request, &mut placed, &SendError::NotSent(detail));
                 if request.time_left().is_zero() {
                     return refuse(&mut request, AnswerKind::UpstreamUnreachable, history);
                 }
@@ -157,8 +217,7 @@
                 error
             }
         };
-        info!(request.state.log, "no answer"; "request" => request.id(), "upstream" => name.as_str(),
-            "fault" => error.to_string(), "sent" => history.sent());
+        log_unanswered(&request, &name, history, &error);
         if !request.may_send_again(&service, history) {
             let kind = refusal_kind(&request, &error);
             return refuse(&mut request, kind, history);
@@ -166,7 +225,32 @@
     }
 }
 
+fn log_unanswered(
+    request: &RoutedRequest,
+    upstream: &UpstreamName,
+    history: SendHistory,
+    error: &SendError,
+) {
+    info!(request.state.log, "no answer"; "request" => request.id(), "upstream" => upstream.as_str(),
+        "fault" => error.to_string(), "sent" => history.sent());
+}
+
 impl RoutedRequest {
+    /// Spends the retry and returns the place; `None` if the request goes on through a peer.
+    fn go_to(&mut self, next: NextPlace) -> Option<PlacedRequest> {
+        match next {
+            NextPlace::Here { placed, matched, permit } => {
+                permit.spend();
+                self.apply_match(matched);
+                Some(*placed)
+            }
+            NextPlace::ThroughPeer(permit) => {
+                permit.spend();
+                None
+            }
+        }
+    }
+
     /// Counts the result of a send for the service's roll-out, if there is one.
     pub fn record_version_answer(&self, placed: &PlacedRequest, answer: VersionOutcome) {
         let group = RequestGroup::of(RouteKey::of(&self.route.route), self.size_tenth);
@@ -192,6 +276,10 @@
     if let SendError::Unanswered(_) = error {
         placed.pool.handle_event(PoolEvent::Unanswered { upstream: placed.upstream });
     }
+    if let SendError::NotSent(_) = error {
+        let event = UpstreamEvent::Unreachable;
+        placed.pool.handle_event(PoolEvent::Lifecycle { upstream: placed.upstream, event });
+    }
     if let SendError::NotRun { load: Some(report), .. } = error {
         placed
             .pool
--- a/src/traffic/routed/mod.rs
+++ b/src/traffic/routed/mod.rs
@@ -10,6 +10,7 @@
 mod events;
 mod forward;
 mod index;
+mod next_place;
 mod origin;
 mod placing;
 mod refusal;
--- a/src/traffic/routed/placing.rs
+++ b/src/traffic/routed/placing.rs
@@ -12,7 +12,7 @@
 };
 use crate::rollout::VersionArm;
 use crate::stream_origin::StreamOrigin;
-use crate::table::{RouteKind, ServiceName, SoftwareVersion, UpstreamName};
+use crate::table::{RouteKind, RouteRow, ServiceName, SoftwareVersion, UpstreamName};
 use crate::traffic::crash_check::BrokenUpstream;
 use crate::traffic::pool_runtime::{PoolDecision, PoolRuntime, RequestGuard};
 use crate::traffic::rollout_gate::TrialTicket;
@@ -61,47 +61,80 @@
     }
 }
 
+/// What decides where a request may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlacingRule {
+    /// For a request whose answer has not begun.
+    InForce,
+    /// For an answer that has begun.
+    Admitted,
+}
+
+impl PlacingRule {
+    /// Sends that count towards the attempts of a route. An answer that has begun is not given up for
+    /// upstreams that have not run it.
+    pub fn counted_sends(self, history: SendHistory) -> u32 {
+        match self {
+            PlacingRule::InForce => history.sent(),
+            PlacingRule::Admitted => history.possible_runs(),
+        }
+    }
+}
+
 impl RoutedRequest {
-    /// Waits until the scheduler places the request at an upstream. The table is checked again
-    /// before each send, since a route may have changed and a key may have been revoked while the
-    /// request waited. So is the quarantine: every send passes here, whether it is the first one, a
-    /// retry, or the resumption of a stream.
+    /// Waits until the scheduler places the request at an upstream, by the table in force.
+    pub async fn place(&mut self, history: SendHistory) -> Result<PlacedRequest, AnswerKind> {
+        let (placed, matched) = self.find_place(history).await?;
+        self.apply_match(matched);
+        Ok(placed)
+    }
+
+    /// Continues under the route and caller by which the request was placed.
+    pub fn apply_match(&mut self, matched: RouteMatch) {
+        let RouteMatch { route, caller, homes } = matched;
+        (self.route, self.caller, self.homes) = (route, caller, homes);
+    }
+
+    /// Waits until the scheduler places the request at an upstream. The table is checked again before
+    /// each send, since a route may have changed and a key may have been revoked while the request
+    /// waited. So is the quarantine: every send passes here, whether it is the first one, a retry, or
+    /// the resumption of a stream.
     ///
     /// A request that has already failed goes to the proven version, not to one on trial.
-    pub async fn place(&mut self, history: SendHistory) -> Result<PlacedRequest, AnswerKind> {
+    pub async fn find_place(
+        &self,
+        history: SendHistory,
+    ) -> Result<(PlacedRequest, RouteMatch), AnswerKind> {
         let mut changes = self.state.rollouts.subscribe();
         loop {
             self.check_quarantine()?;
-            let matched = self.match_route_again(history)?;
-            self.route = matched.route;
-            self.caller = matched.caller;
-            self.homes = matched.homes;
-            let service = self.target_service()?;
+            let matched = self.match_by(history)?;
+            let service = self.target_service(&matched.route)?;
             let chosen = match &self.origin {
                 Some(origin) => self.state.choose_pool_of(&service, origin.version),
                 None => self.state.choose_pool(&service, history.sent() == 0),
             };
             let chosen = chosen.ok_or(AnswerKind::UpstreamAbsent)?;
             self.check_origin(&service, &chosen)?;
-            let Some(placed) = self.wait_in_pool(chosen, &mut changes).await? else { continue };
+            let waited = self.wait_in_pool(chosen, &matched, &mut changes).await?;
+            let Some(placed) = waited else { continue };
             self.check_quarantine()?;
-            let matched = self.match_route_again(history)?;
-            self.homes = matched.homes;
-            let meets_demand = placed.pool.meets(placed.upstream, &self.demand());
+            let matched = self.match_by(history)?;
+            let meets_demand = placed.pool.meets(placed.upstream, &self.demand(&matched));
             let may_use_arm = self.may_use_arm(&service, placed.arm);
             if matched.route.allows(&service) && may_use_arm && meets_demand {
-                return Ok(placed);
+                return Ok((placed, matched));
             }
         }
     }
 
     /// The service to send the request to: the one that began its stream, or one by weight.
-    fn target_service(&self) -> Result<ServiceName, AnswerKind> {
+    fn target_service(&self, route: &RouteRow) -> Result<ServiceName, AnswerKind> {
         let Some(origin) = &self.origin else {
-            let service = self.route.select_target(self.state.jitter());
+            let service = route.select_target(self.state.jitter());
             return service.cloned().ok_or(AnswerKind::ServiceUnknown);
         };
-        let mut services = self.route.services();
+        let mut services = route.services();
         let began = services.find(|service| ServiceHash::of(service) == origin.service);
         began.cloned().ok_or(AnswerKind::VersionAbsent)
     }
@@ -118,9 +151,9 @@
     }
 
     /// What the request demands of its upstream.
-    pub fn demand(&self) -> PlacementDemand {
+    fn demand(&self, matched: &RouteMatch) -> PlacementDemand {
         let version = self.origin.and_then(|origin| origin.version);
-        PlacementDemand { homes: self.homes.clone(), version }
+        PlacementDemand { homes: matched.homes.clone(), version }
     }
 
     /// True if the request may be sent to an arm of its service's roll-out.
@@ -131,8 +164,9 @@
         }
     }
 
-    /// Matches the route in the table in force, which may no longer allow a repeat.
-    fn match_route_again(&self, history: SendHistory) -> Result<RouteMatch, AnswerKind> {
+    /// The route and caller under which the request may be placed. The table in force may no longer
+    /// allow a repeat.
+    fn match_by(&self, history: SendHistory) -> Result<RouteMatch, AnswerKind> {
         let matched = match_route(&self.state.snapshot(), &self.parts, &self.metadata)?;
         match history.may_have_run() && !matched.route.kind.may_repeat() {
             true => Err(AnswerKind::UpstreamLost),
@@ -149,11 +183,12 @@
     async fn wait_in_pool(
         &self,
         chosen: ChosenPool,
+        matched: &RouteMatch,
         changes: &mut watch::Receiver<()>,
     ) -> Result<Option<PlacedRequest>, AnswerKind> {
         let ChosenPool { pool, arm, ticket } = chosen;
         let number = RequestId(self.state.new_request_id().0);
-        let (mut guard, mut decision) = pool.submit(self.arrived_request(number));
+        let (mut guard, mut decision) = pool.submit(self.arrived_request(number, matched));
         loop {
             let limit = self.time_left();
             let waited = tokio::select! {
@@ -221,28 +256,29 @@
         }
     }
 
-    fn arrived_request(&self, id: RequestId) -> ArrivedRequest {
+    fn arrived_request(&self, id: RequestId, matched: &RouteMatch) -> ArrivedRequest {
         let snapshot = self.state.snapshot();
-        let organisation = self.caller.as_ref().map(|caller| (caller.index, caller.weight));
+        let RouteMatch { route, caller, .. } = matched;
+        let organisation = caller.as_ref().map(|caller| (caller.index, caller.weight));
         let (organisation, weight) = organisation.unwrap_or((super::NO_ORGANISATION, 1));
         ArrivedRequest {
             id,
             organisation,
             weight,
-            tier: snapshot.access.route_tier(&self.route, self.caller.as_ref()),
+            tier: snapshot.access.route_tier(route, caller.as_ref()),
             prompt_bytes: self.body.len(),
             output_limit: self.metadata.output_limit,
             deadline: self.deadline,
-            rank: snapshot.access.route_rank(&self.route),
+            rank: snapshot.access.route_rank(route),
             objective: Some(self.objective()),
-            patience: self.route.patience_ms.map(|time| self.arrived_at + time),
-            pause: self.route.gap_ms,
+            patience: route.patience_ms.map(|time| self.arrived_at + time),
+            pause: route.gap_ms,
             sizes: self.sizes,
             size_tenth: self.size_tenth,
-            demand: self.demand(),
-            may_be_resumed: self.route.kind == RouteKind::ResumableStream,
+            demand: self.demand(matched),
+            may_be_resumed: route.kind == RouteKind::ResumableStream,
             must_stay: self.must_stay,
-            route: RouteKey::of(&self.route.route),
+            route: RouteKey::of(&route.route),
             prefix: Box::default(),
         }
     }
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -2,13 +2,14 @@
 
 use super::attempt::SendError;
 use super::events::EventSplitter;
-use super::forward::report_send_error;
-use super::placing::PlacedRequest;
+use super::forward::{SendResult, report_send_error};
+use super::next_place::NextPlace;
+use super::placing::{PlacedRequest, PlacingRule};
 use super::request::{RequestStage, RoutedRequest};
 use super::send_history::SendHistory;
 use super::stream_end::{CutCause, StreamBreak};
-use super::through_peer::{PeerHop, PeerOutcome, send_through_peers};
-use crate::answer::{AnswerKind, RAN_HEADER};
+use super::through_peer::{PeerAnswer, PeerHop, PeerOutcome, send_through_peers};
+use crate::answer::RAN_HEADER;
 use crate::policy::{DispatchOutcome, Moment, PoolEvent};
 use crate::report::{record_cut_answer, record_stream_end};
 use crate::rollout::VersionOutcome;
@@ -127,6 +128,62 @@
     Cut,
 }
 
+/// What comes first while a stream is read.
+enum RelayEvent {
+    Read(BodyRead),
+    /// The stream can go on elsewhere, while its upstream is silent.
+    NextSource(NextSource),
+    Deadline,
+}
+
+/// Where a stream goes on that leaves a silent upstream.
+enum NextSource {
+    Place(NextPlace),
+    /// A peer, which has begun to answer.
+    Peer(Box<PeerAnswer>),
+}
+
+/// Looks for another place until there is one, while the upstream may still go on. A daemon that is
+/// cut off from its upstreams asks its peers meanwhile.
+async fn find_next_source(
+    request: &mut RoutedRequest,
+    history: &mut SendHistory,
+    source: &AnswerSource,
+    last_event_id: Option<u64>,
+) -> NextSource {
+    loop {
+        let service = source.service();
+        match request.await_next_place(service, *history, PlacingRule::Admitted).await {
+            Ok(NextPlace::ThroughPeer(permit)) => {
+                permit.spend();
+                if let Some(answer) = ask_peers(request, history, last_event_id).await {
+                    return NextSource::Peer(answer);
+                }
+            }
+            Ok(next) => return NextSource::Place(next),
+            Err(_) => return std::future::pending().await,
+        }
+    }
+}
+
+/// The answer of a peer that resumes the stream at the version that began it.
+async fn ask_peers(
+    request: &mut RoutedRequest,
+    history: &mut SendHistory,
+    last_event_id: Option<u64>,
+) -> Option<Box<PeerAnswer>> {
+    let origin = request.origin;
+    match send_through_peers(request, history, last_event_id).await {
+        PeerOutcome::Answered(answer)
+            if answer.head.status.is_success()
+                && origin.is_none_or(|origin| answer.hop.origin == origin) =>
+        {
+            Some(answer)
+        }
+        _ => None,
+    }
+}
+
 /// Where the answer to a request comes from.
 pub enum AnswerSource {
     /// An upstream.
@@ -217,37 +274,31 @@
             return RelayStep::Done;
         }
         loop {
-            let limit = self.request.time_left().min(self.pause_timeout());
-            let Some(body) = &mut self.body else {
-                return self.cut(CutCause::NoPlace(AnswerKind::UpstreamLost));
-            };
-            let error = match tokio::time::timeout(limit, body.read()).await {
-                Ok(BodyRead::Data(bytes)) => match self.splitter.push(&bytes) {
+            let error = match self.next_event().await {
+                RelayEvent::Read(BodyRead::Data(bytes)) => match self.splitter.push(&bytes) {
                     Some(events) => {
+                        self.interruption = None;
                         self.record_origin();
                         self.report_timing();
                         return RelayStep::Events(events);
                     }
                     None => continue,
                 },
-                Ok(BodyRead::Ended(end)) => match self.find_break(end).await {
+                RelayEvent::Read(BodyRead::Ended(end)) => match self.find_break(end).await {
                     None => return self.end(),
                     Some(detail) => {
                         self.record_end();
-                        SendError::ConnectionBroken(detail.to_owned())
+                        detail.to_owned()
                     }
                 },
-                Ok(BodyRead::Broken(error)) => SendError::ConnectionBroken(error.to_string()),
-                Err(_) if self.request.time_left().is_zero() => {
-                    return self.cut(CutCause::Deadline);
-                }
-                Err(_) => SendError::NoUsableAnswer(format!("no event within {limit:?}")),
+                RelayEvent::Read(BodyRead::Broken(error)) => error.to_string(),
+                RelayEvent::Deadline => return self.cut(CutCause::Deadline),
+                RelayEvent::NextSource(next) => match self.leave_for(next).await {
+                    Ok(()) => continue,
+                    Err(cause) => return self.cut(cause),
+                },
             };
-            self.interruption = Some(match error {
-                SendError::NoUsableAnswer(_) => StreamBreak::Silent(limit),
-                _ => StreamBreak::BrokenOff,
-            });
-            if let Err(cause) = self.resume_elsewhere(error).await {
+            if let Err(cause) = self.resume_broken(SendError::ConnectionBroken(error)).await {
                 if self.has_recorded_origin && self.request.route.kind.may_repeat() {
                     self.request.record_resumption("answer", "broken-off");
                 }
@@ -256,6 +307,45 @@
         }
     }
 
+    /// Reads the body. While the upstream is silent for long, another place is looked for; whichever
+    /// comes first is returned.
+    async fn next_event(&mut self) -> RelayEvent {
+        let silence = self.pause_timeout();
+        let limit = self.request.time_left();
+        let Some(body) = &mut self.body else { return RelayEvent::Deadline };
+        if let Ok(read) = tokio::time::timeout(silence.min(limit), body.read()).await {
+            return RelayEvent::Read(read);
+        }
+        let limit = self.request.time_left();
+        self.log_silence(silence);
+        self.interruption = Some(StreamBreak::Silent(silence));
+        let last_event_id = self.last_event_id();
+        let StreamRelay { request, history, body, source, splitter, .. } = self;
+        let Some(body) = body else { return RelayEvent::Deadline };
+        let search = Box::pin(async {
+            match splitter.can_resume() {
+                true => find_next_source(request, history, source, last_event_id).await,
+                false => std::future::pending().await,
+            }
+        });
+        tokio::select! {
+            biased;
+            read = body.read() => RelayEvent::Read(read),
+            () = tokio::time::sleep(limit) => RelayEvent::Deadline,
+            next = search => RelayEvent::NextSource(next),
+        }
+    }
+
+    fn last_event_id(&self) -> Option<u64> {
+        self.splitter.last_event_id().or(self.request.metadata.last_event_id)
+    }
+
+    fn log_silence(&self, silence: Duration) {
+        info!(self.request.state.log, "upstream silent"; "request" => self.request.id(), "upstream" => self.source.name(),
+            "events" => self.splitter.event_count(), "silent_ms" => silence.as_millis() as u64, "sent" => self.history.sent(),
+            "left_ms" => self.request.time_left().as_millis() as u64);
+    }
+
     /// Records what began the stream, before its first event leaves.
     fn record_origin(&mut self) {
         if self.has_recorded_origin {
@@ -282,11 +372,10 @@
         }
     }
 
-    /// How long the upstream may pause before the stream is resumed elsewhere.
+    /// How long the upstream may pause before another place is looked for.
     fn pause_timeout(&self) -> Duration {
-        if !self.request.route.kind.may_repeat()
-            || self.history.sent() >= self.request.route.attempts
-        {
+        let counted_sends = PlacingRule::Admitted.counted_sends(self.history);
+        if !self.request.route.kind.may_repeat() || counted_sends >= self.request.route.attempts {
             return Duration::MAX;
         }
         let gap = self.request.route.gap_ms.unwrap_or_default() * PAUSE_TIMEOUT_FACTOR;
@@ -361,61 +450,103 @@
         }
     }
 
-    /// Resumes the stream elsewhere after its last complete event, or returns why none may or can.
-    async fn resume_elsewhere(&mut self, error: SendError) -> Result<(), CutCause> {
-        // Closing the connection first makes the upstream stop before another one begins.
+    /// Leaves a silent upstream for a place that the stream has elsewhere.
+    async fn leave_for(&mut self, next: NextSource) -> Result<(), CutCause> {
+        let silence = self.silent_ms().unwrap_or_default();
+        let error = SendError::NoUsableAnswer(format!("no event within {silence} ms"));
+        self.close_source(&error);
+        match next {
+            NextSource::Peer(answer) => {
+                self.adopt(AnswerSource::Peer(answer.hop), answer.body);
+                Ok(())
+            }
+            NextSource::Place(placed) => self.resume_at(Some(placed)).await,
+        }
+    }
+
+    /// Resumes a stream that its upstream broke off, or returns why none may or can.
+    async fn resume_broken(&mut self, error: SendError) -> Result<(), CutCause> {
+        self.interruption = Some(StreamBreak::BrokenOff);
+        self.close_source(&error);
+        match self.splitter.can_resume() {
+            true => self.resume_at(None).await,
+            false => Err(CutCause::UnnumberedEvent),
+        }
+    }
+
+    /// Closes the connection, which makes the upstream stop before another one begins.
+    fn close_source(&mut self, error: &SendError) {
         self.body = None;
         info!(self.request.state.log, "stream broken"; "request" => self.request.id(), "upstream" => self.source.name(),
             "events" => self.splitter.event_count(), "framing" => self.framing.name(),
             "unfinished_bytes" => self.splitter.pending_bytes(), "silent_ms" => self.silent_ms(), "detail" => error.to_string());
         if let AnswerSource::Upstream(placed) = &mut self.source {
-            report_send_error(&self.request, placed, &error);
+            report_send_error(&self.request, placed, error);
         }
-        if !self.splitter.can_resume() {
-            return Err(CutCause::UnnumberedEvent);
-        }
-        let last_event_id = self.splitter.last_event_id().or(self.request.metadata.last_event_id);
+    }
+
+    /// Resumes the stream after its last complete event, at first at a place that it has already. A
+    /// stream that was left for this place is not given up for want of another one.
+    async fn resume_at(&mut self, place: Option<NextPlace>) -> Result<(), CutCause> {
+        let (last_event_id, rule) = (self.last_event_id(), PlacingRule::Admitted);
+        let was_left = place.is_some();
+        let mut found = place;
         loop {
-            let service = self.source.service().clone();
-            self.request.withdraw_retry(&service, self.history).map_err(CutCause::NoRetry)?;
-            let mut placed = match self.request.place(self.history).await {
-                Ok(placed) => placed,
-                Err(kind) if self.request.may_pass_on(kind) => {
+            let (service, history) = (self.source.service().clone(), self.history);
+            let next = match found.take() {
+                Some(next) => next,
+                None if was_left => {
+                    let search = self.request.await_next_place(&service, history, rule);
+                    let limit = self.request.time_left();
+                    let found = tokio::time::timeout(limit, search).await;
+                    found.unwrap_or(Err(CutCause::Deadline))?
+                }
+                None => self.request.find_next_place(&service, history, rule).await?,
+            };
+            let mut placed = match next {
+                NextPlace::ThroughPeer(permit) => {
+                    permit.spend();
                     let is_resumed = self.resume_through_peers(last_event_id).await;
                     return is_resumed.then_some(()).ok_or(CutCause::NoPeer);
                 }
-                Err(kind) => return Err(CutCause::NoPlace(kind)),
+                NextPlace::Here { placed, permit, .. } => {
+                    permit.spend();
+                    *placed
+                }
             };
             self.request.log_send(&placed, self.history, last_event_id);
-            let answer = self.request.try_send(&placed, &mut self.history, last_event_id).await;
-            match answer {
-                Ok(answer) if answer.head.status.is_success() => {
+            let sent = self.request.try_send(&placed, &mut self.history, last_event_id, rule).await;
+            match sent {
+                SendResult::Ended(Ok(answer)) if answer.head.status.is_success() => {
                     self.adopt(AnswerSource::Upstream(placed), answer.body);
                     return Ok(());
                 }
-                Ok(_) => {
+                SendResult::Ended(Ok(_)) => {
+                    self.interruption = Some(StreamBreak::BrokenOff);
                     self.request.record_version_answer(&placed, VersionOutcome::Failed);
                     placed.guard.end(DispatchOutcome::Failed);
                 }
-                Err(error) => report_send_error(&self.request, &mut placed, &error),
+                SendResult::Ended(Err(error)) => {
+                    self.interruption = Some(StreamBreak::BrokenOff);
+                    self.history.end_send(&error);
+                    report_send_error(&self.request, &mut placed, &error);
+                }
+                SendResult::Left(next, error) => {
+                    report_send_error(&self.request, &mut placed, &error);
+                    found = Some(next);
+                }
             }
             self.source = AnswerSource::Upstream(placed);
         }
     }
 
     async fn resume_through_peers(&mut self, last_event_id: Option<u64>) -> bool {
-        let (request, history) = (&mut self.request, &mut self.history);
-        let origin = request.origin;
-        match send_through_peers(request, history, last_event_id).await {
-            PeerOutcome::Answered(answer)
-                if answer.head.status.is_success()
-                    && origin.is_none_or(|origin| answer.hop.origin == origin) =>
-            {
-                self.adopt(AnswerSource::Peer(answer.hop), answer.body);
-                true
-            }
-            _ => false,
-        }
+        let answer = ask_peers(&mut self.request, &mut self.history, last_event_id).await;
+        let is_resumed = answer.is_some();
+        answer
+            .into_iter()
+            .for_each(|answer| self.adopt(AnswerSource::Peer(answer.hop), answer.body));
+        is_resumed
     }
 
     /// Goes on with the body of an answer that resumes the stream.
@@ -423,6 +554,7 @@
         self.request.record_resumption("answer", "same-version");
         self.splitter.discard_partial();
         self.gap_start = None;
+        self.interruption = None;
         self.source = source;
         self.framing = body.framing();
         self.body = Some(body);
--- a/src/traffic/routed/request.rs
+++ b/src/traffic/routed/request.rs
@@ -3,8 +3,6 @@
 use super::admission::LimitGuard;
 use super::dialect::{CallDialect, CallerMetadata};
 use super::relay::StreamTiming;
-use super::retry::RetryObstacle;
-use super::send_history::SendHistory;
 use super::size_fields::SizeFields;
 use super::table_fields::TableFields;
 use crate::answer::AnswerKind;
@@ -12,7 +10,7 @@
 use crate::quarantine::RequestFingerprint;
 use crate::report::{RouteRecord, record_route};
 use crate::stream_origin::StreamOrigin;
-use crate::table::{RouteRow, ServiceName};
+use crate::table::RouteRow;
 use crate::traffic::access::CallerIdentity;
 use crate::traffic::relay::RelayTicket;
 use crate::traffic::state::{ProgressGuard, TrafficState};
@@ -129,43 +127,6 @@
         self.metadata.id.as_deref().unwrap_or_default()
     }
 
-    /// True if the request may be sent to one more upstream now; spends a unit of the retry budget.
-    pub fn may_send_again(&self, service: &ServiceName, history: SendHistory) -> bool {
-        self.withdraw_retry(service, history).is_ok()
-    }
-
-    /// Spends a unit of the retry budget for sending the request to one more upstream, or returns what
-    /// stands in the way.
-    pub fn withdraw_retry(
-        &self,
-        service: &ServiceName,
-        history: SendHistory,
-    ) -> Result<(), RetryObstacle> {
-        let is_allowed = !history.may_have_run() || self.route.kind.may_repeat();
-        // The daemon that passed the request on repeats it, as it counts the sends of all peers.
-        let has_run_here =
-            self.ticket.is_some_and(|ticket| history.possible_runs() > ticket.possible_runs());
-        if !is_allowed {
-            return Err(RetryObstacle::RunsOnce);
-        }
-        if has_run_here {
-            return Err(RetryObstacle::LeftToPeer);
-        }
-        if self.state.quarantine.held_for(self.fingerprint, self.state.clock.now()).is_some() {
-            return Err(RetryObstacle::Quarantined);
-        }
-        if history.sent() >= self.route.attempts {
-            return Err(RetryObstacle::Attempts);
-        }
-        if self.time_left().is_zero() {
-            return Err(RetryObstacle::Deadline);
-        }
-        match self.state.with_retry_budget(service, |budget| budget.try_withdraw()) {
-            true => Ok(()),
-            false => Err(RetryObstacle::Budget),
-        }
-    }
-
     /// True if a peer may serve the request, as this daemon reaches no upstream that can. A request
     /// takes one hop at most. One that is bound to regions stays here, since a peer's region is not
     /// known.
