An answer that has begun goes on under the table that admitted its request

What callers saw: streams cut with key-unknown, service-unknown, version-absent or upstream-lost, once their upstream broke off after a table that changes the key or drops, moves or re-kinds the route. Cause: a resumption matched route and key again, by the table in force. Fix: what has begun is placed by the route, caller and regions of the request's admission. Work that has not begun is still matched before each send.

--- a/src/traffic/routed/next_place.rs
+++ b/src/traffic/routed/next_place.rs
@@ -32,7 +32,7 @@
         rule: PlacingRule,
     ) -> Result<NextPlace, CutCause> {
         let permit = self.retry_permit(service, history, rule).map_err(CutCause::NoRetry)?;
-        match self.find_place(history).await {
+        match self.find_place(history, rule).await {
             Ok((placed, matched)) => {
                 Ok(NextPlace::Here { placed: Box::new(placed), matched, permit })
             }
--- a/src/traffic/routed/placing.rs
+++ b/src/traffic/routed/placing.rs
@@ -64,9 +64,10 @@
 /// What decides where a request may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlacingRule {
-    /// For a request whose answer has not begun.
+    /// The table in force, for a request whose answer has not begun.
     InForce,
-    /// For an answer that has begun.
+    /// The table that admitted the request, for an answer that has begun: what its caller has of it
+    /// would be worth nothing if a later table could end it.
     Admitted,
 }
 
@@ -84,7 +85,7 @@
 impl RoutedRequest {
     /// Waits until the scheduler places the request at an upstream, by the table in force.
     pub async fn place(&mut self, history: SendHistory) -> Result<PlacedRequest, AnswerKind> {
-        let (placed, matched) = self.find_place(history).await?;
+        let (placed, matched) = self.find_place(history, PlacingRule::InForce).await?;
         self.apply_match(matched);
         Ok(placed)
     }
@@ -104,11 +105,12 @@
     pub async fn find_place(
         &self,
         history: SendHistory,
+        rule: PlacingRule,
     ) -> Result<(PlacedRequest, RouteMatch), AnswerKind> {
         let mut changes = self.state.rollouts.subscribe();
         loop {
             self.check_quarantine()?;
-            let matched = self.match_by(history)?;
+            let matched = self.match_by(rule, history)?;
             let service = self.target_service(&matched.route)?;
             let chosen = match &self.origin {
                 Some(origin) => self.state.choose_pool_of(&service, origin.version),
@@ -119,7 +121,7 @@
             let waited = self.wait_in_pool(chosen, &matched, &mut changes).await?;
             let Some(placed) = waited else { continue };
             self.check_quarantine()?;
-            let matched = self.match_by(history)?;
+            let matched = self.match_by(rule, history)?;
             let meets_demand = placed.pool.meets(placed.upstream, &self.demand(&matched));
             let may_use_arm = self.may_use_arm(&service, placed.arm);
             if matched.route.allows(&service) && may_use_arm && meets_demand {
@@ -166,7 +168,11 @@
 
     /// The route and caller under which the request may be placed. The table in force may no longer
     /// allow a repeat.
-    fn match_by(&self, history: SendHistory) -> Result<RouteMatch, AnswerKind> {
+    fn match_by(&self, rule: PlacingRule, history: SendHistory) -> Result<RouteMatch, AnswerKind> {
+        if rule == PlacingRule::Admitted {
+            let (route, caller) = (Arc::clone(&self.route), self.caller.clone());
+            return Ok(RouteMatch { route, caller, homes: self.homes.clone() });
+        }
         let matched = match_route(&self.state.snapshot(), &self.parts, &self.metadata)?;
         match history.may_have_run() && !matched.route.kind.may_repeat() {
             true => Err(AnswerKind::UpstreamLost),
