Silence does not count until this process has run and read what has come

What callers saw: sound streams left, or cut, at one daemon in one moment. Cause: after a stall of the process all its timers are due before its sockets were looked at, so events that had come counted as a silence. Fix: the search for another place begins after 50 ms in which no timer of the process was late; what has come by then is read first.

--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -1,7 +1,7 @@
 //! Forwards an admitted request: waits for placement, sends it, and retries where the route allows.
 
 use super::attempt::{OpenAnswer, SendError, send};
-use super::next_place::NextPlace;
+use super::next_place::{NextPlace, settle};
 use super::placing::{PlacedRequest, PlacingRule};
 use super::refusal::{refusal_kind, refuse};
 use super::relay::{AnswerSource, StreamContent, StreamRelay, buffered_response, stream_response};
@@ -101,6 +101,7 @@
         history: SendHistory,
         rule: PlacingRule,
     ) -> NextPlace {
+        settle().await;
         placed.pool.handle_event(PoolEvent::Unanswered { upstream: placed.upstream });
         info!(self.state.log, "upstream silent"; "request" => self.id(), "upstream" => placed.name.as_str(),
             "sent" => history.sent(), "left_ms" => self.time_left().as_millis() as u64);
--- a/src/traffic/routed/next_place.rs
+++ b/src/traffic/routed/next_place.rs
@@ -12,9 +12,16 @@
 use crate::answer::AnswerKind;
 use crate::table::ServiceName;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Time between two searches for a place.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(500);
+/// Time in which bytes that have arrived are read before a silence counts. After a stall of this
+/// process its timers are due before its sockets were looked at.
+const SETTLE_TIME: Duration = Duration::from_millis(50);
+/// A timer that is late by more shows another stall.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(100);
+
 /// Where a request goes on, with the retry that this takes.
 pub enum NextPlace {
     /// At an upstream of this daemon, which has a place for it.
@@ -23,6 +30,17 @@
     ThroughPeer(RetryPermit),
 }
 
+/// Waits until this process has run without a stall for a time.
+pub async fn settle() {
+    loop {
+        let due = Instant::now() + SETTLE_TIME;
+        tokio::time::sleep_until(due).await;
+        if due.elapsed() <= MAX_TIMER_DELAY {
+            return;
+        }
+    }
+}
+
 impl RoutedRequest {
     /// Takes a retry and a place for one more send, or returns why there is none now.
     pub async fn find_next_place(
@@ -49,6 +67,7 @@
         history: SendHistory,
         rule: PlacingRule,
     ) -> Result<NextPlace, CutCause> {
+        settle().await;
         loop {
             match self.find_next_place(service, history, rule).await {
                 Ok(NextPlace::ThroughPeer(_)) if !self.is_cut_off(service) => {}
