A peer that has a request is left only if another can be asked

What callers saw: an entry that is cut off passes a request on, and answers 502 after half of its time although the peer would have answered. Cause: an offer to a peer was dropped after half of the time left, and the retry for another one was asked for afterwards. Fix: the offer goes on to the deadline unless there is another peer and a retry.

--- a/src/traffic/routed/through_peer.rs
+++ b/src/traffic/routed/through_peer.rs
@@ -1,7 +1,7 @@
 //! Passes a request on through a peer that reaches the upstreams.
 
 use super::attempt::{SendError, forwarded_headers};
-use super::placing::PlacedRequest;
+use super::placing::{PlacedRequest, PlacingRule};
 use super::refusal::{refusal_kind, refuse};
 use super::relay::{AnswerSource, StreamContent, StreamRelay, stream_response, whole_body};
 use super::request::{RequestStage, RoutedRequest};
@@ -20,6 +20,7 @@
 use http_body_util::Full;
 use slog::info;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
@@ -168,7 +169,8 @@
         let Some(peer) = chosen else { break };
         tried.push(peer);
         log_offer(request, peer, *history);
-        let result = offer(request, history, peer, last_event_id).await;
+        let has_other = tried.len() < MAX_PEERS && tried.len() < peers.len();
+        let result = offer(request, history, peer, (last_event_id, has_other)).await;
         let error = match result {
             OfferResult::Answered(head, body) => {
                 record_relayed("answered");
@@ -215,7 +217,7 @@
     request: &RoutedRequest,
     history: &mut SendHistory,
     peer: SocketAddr,
-    last_event_id: Option<u64>,
+    (last_event_id, has_other): (Option<u64>, bool),
 ) -> OfferResult {
     let built = match build_request(request, *history, last_event_id) {
         Ok(built) => built,
@@ -223,9 +225,13 @@
     };
     let method = built.method().clone();
     history.begin_send();
-    let limit = offer_timeout(request);
-    let sending = request.state.connections().send(peer, built, MAX_IDLE_TIME);
-    let sent = match tokio::time::timeout(limit, sending).await {
+    let limit = request.time_left();
+    let mut sending = pin!(request.state.connections().send(peer, built, MAX_IDLE_TIME));
+    let mut sent = tokio::time::timeout(offer_timeout(request), &mut sending).await;
+    if sent.is_err() && !(has_other && request.may_leave_peer(*history)) {
+        sent = tokio::time::timeout(request.time_left(), sending).await;
+    }
+    let sent = match sent {
         Ok(Ok(sent)) => Ok(sent),
         Ok(Err(OpenError::NotSent { detail })) => Err(SendError::NotSent(detail)),
         Ok(Err(OpenError::Lost { detail })) => Err(SendError::ConnectionBroken(detail)),
@@ -252,6 +258,15 @@
     read_refusal(head, refusal.map(|(bytes, _)| bytes))
 }
 
+impl RoutedRequest {
+    /// True if another peer can be asked in place of one that has not answered.
+    fn may_leave_peer(&self, history: SendHistory) -> bool {
+        let service = self.route.services().next();
+        service
+            .is_some_and(|service| self.check_retry(service, history, PlacingRule::InForce).is_ok())
+    }
+}
+
 /// A request that may be repeated leaves time to ask another peer, in case this one has stopped.
 fn offer_timeout(request: &RoutedRequest) -> Duration {
     match request.route.kind.may_repeat() {
