A search for another place keeps no retry and no place from others

With the two retries of a daemon one silent stream kept them from streams that had broken off. The test of a stalled daemon has retries to spend now, and asks that no stream be sent again: without retries it passed without the wait for a settled process.

The two tests of promises are as strict as before the fix again: an upstream that closes gives 502, a silent one 504.

--- a/src/policy/placement_demand.rs
+++ b/src/policy/placement_demand.rs
@@ -1,6 +1,7 @@
 //! What a request demands of the upstream that serves it.
 
 use super::{HomeRegions, UpstreamSource, VersionHash};
+use crate::table::UpstreamName;
 
 /// What a request demands of the upstream that serves it. It is checked when an upstream is chosen,
 /// and again after a wait and before each send.
@@ -10,12 +11,14 @@
     pub homes: Option<HomeRegions>,
     /// The version that began the stream that it resumes; `None` if it may run at any.
     pub version: Option<VersionHash>,
+    /// An upstream that it would leave, and that must not serve it again.
+    pub except: Option<UpstreamName>,
 }
 
 impl PlacementDemand {
     /// True if any upstream may serve the request.
     pub fn is_empty(&self) -> bool {
-        self.homes.is_none() && self.version.is_none()
+        self.homes.is_none() && self.version.is_none() && self.except.is_none()
     }
 
     /// True if the upstream may serve the request. One whose region or version is unknown equals no
@@ -25,6 +28,6 @@
         let has_version = self
             .version
             .is_none_or(|version| source.version.as_ref().map(VersionHash::of) == Some(version));
-        is_home && has_version
+        is_home && has_version && self.except.as_ref() != Some(&source.name)
     }
 }
--- a/src/policy/retry_budget.rs
+++ b/src/policy/retry_budget.rs
@@ -61,9 +61,14 @@
         self.balance += 1.0;
     }
 
+    /// True if the balance has a retry left.
+    pub fn has_retry(&self) -> bool {
+        self.balance >= 1.0
+    }
+
     /// Takes one retry from the balance; false if none is left.
     pub fn try_withdraw(&mut self) -> bool {
-        let has_balance = self.balance >= 1.0;
+        let has_balance = self.has_retry();
         if has_balance {
             self.balance -= 1.0;
         }
--- a/src/policy/scheduler/admission.rs
+++ b/src/policy/scheduler/admission.rs
@@ -139,8 +139,12 @@
             && self.size_shares.record_arrival(&request.size_claim(), rng.random(), now)
     }
 
-    /// Records whether a request was served, in the account of its size.
+    /// Records whether a request was served, in the account of its size. A search for another place
+    /// that finds none says nothing: the request goes on where it is.
     pub(super) fn record_end(&mut self, request: &WaitingRequest, is_served: bool) {
+        if request.demand.except.is_some() && !is_served {
+            return;
+        }
         self.size_shares.record_end(&request.size_claim(), is_served, self.plan.size_share);
     }
 
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -1,7 +1,7 @@
 //! Forwards an admitted request: waits for placement, sends it, and retries where the route allows.
 
 use super::attempt::{OpenAnswer, SendError, send};
-use super::next_place::{NextPlace, settle};
+use super::next_place::{NextPlace, SilentSend, settle};
 use super::placing::{PlacedRequest, PlacingRule};
 use super::refusal::{refusal_kind, refuse};
 use super::relay::{AnswerSource, StreamContent, StreamRelay, buffered_response, stream_response};
@@ -22,8 +22,8 @@
 use std::pin::pin;
 use std::time::Duration;
 
-/// A resumable stream without a first event, or a safe request without an answer, is sent to
-/// another upstream after this many times its latency objective.
+/// Another place is looked for once a resumable stream has had no first event, or a safe request no
+/// answer, for this many times its latency objective.
 const ANSWER_TIMEOUT_FACTOR: u32 = 2;
 /// Lower bound of that time: under load engines deliver first events late without having failed.
 const MIN_ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -70,6 +70,9 @@
         if let Ok(answer) = tokio::time::timeout(silence, &mut sending).await {
             return SendResult::Ended(answer.map(Box::new));
         }
+        if self.time_left().is_zero() {
+            return SendResult::Ended(Err(SendError::Unanswered(limit)));
+        }
         let next = Box::pin(self.leave_silent(placed, *history, rule));
         let ended = Box::pin(self.notice_end(placed, rule));
         tokio::select! {
@@ -105,7 +108,9 @@
         placed.pool.handle_event(PoolEvent::Unanswered { upstream: placed.upstream });
         info!(self.state.log, "upstream silent"; "request" => self.id(), "upstream" => placed.name.as_str(),
             "sent" => history.sent(), "left_ms" => self.time_left().as_millis() as u64);
-        match self.await_next_place(&placed.pool.service, history, rule).await {
+        let (service, upstream) = (&placed.pool.service, Some(&placed.name));
+        let send = SilentSend { service, upstream, history, rule };
+        match self.search_next_place(send).await {
             Ok(next) => next,
             Err(_) => std::future::pending().await,
         }
@@ -189,7 +194,7 @@
             SendResult::Left(next, error) => {
                 log_unanswered(&request, &name, history, &error);
                 report_send_error(&request, &mut placed, &error);
-                found = request.go_to(next);
+                found = request.take_place(next);
                 continue;
             }
         };
@@ -237,18 +242,14 @@
 }
 
 impl RoutedRequest {
-    /// Spends the retry and returns the place; `None` if the request goes on through a peer.
-    fn go_to(&mut self, next: NextPlace) -> Option<PlacedRequest> {
+    /// Takes over the terms of a place; `None` if the request goes on through a peer.
+    fn take_place(&mut self, next: NextPlace) -> Option<PlacedRequest> {
         match next {
-            NextPlace::Here { placed, matched, permit } => {
-                permit.spend();
+            NextPlace::Here(placed, matched) => {
                 self.apply_match(matched);
                 Some(*placed)
             }
-            NextPlace::ThroughPeer(permit) => {
-                permit.spend();
-                None
-            }
+            NextPlace::ThroughPeer => None,
         }
     }
 
@@ -295,6 +296,7 @@
     }
     placed.guard.end(DispatchOutcome::Failed);
 }
+
 /// Result of reading an answer after its head.
 enum AnswerOutcome {
     Response(Response<Body>),
--- a/src/traffic/routed/placing.rs
+++ b/src/traffic/routed/placing.rs
@@ -85,7 +85,7 @@
 impl RoutedRequest {
     /// Waits until the scheduler places the request at an upstream, by the table in force.
     pub async fn place(&mut self, history: SendHistory) -> Result<PlacedRequest, AnswerKind> {
-        let (placed, matched) = self.find_place(history, PlacingRule::InForce).await?;
+        let (placed, matched) = self.find_place(history, PlacingRule::InForce, None).await?;
         self.apply_match(matched);
         Ok(placed)
     }
@@ -96,16 +96,17 @@
         (self.route, self.caller, self.homes) = (route, caller, homes);
     }
 
-    /// Waits until the scheduler places the request at an upstream. The table is checked again before
-    /// each send, since a route may have changed and a key may have been revoked while the request
-    /// waited. So is the quarantine: every send passes here, whether it is the first one, a retry, or
-    /// the resumption of a stream.
+    /// Waits until the scheduler places the request at an upstream other than `except`. The table is
+    /// checked again before each send of a request whose answer has not begun, since a route may have
+    /// changed and a key may have been revoked while it waited. The quarantine is checked before every
+    /// send, whether it is the first one, a retry, or the resumption of a stream.
     ///
     /// A request that has already failed goes to the proven version, not to one on trial.
     pub async fn find_place(
         &self,
         history: SendHistory,
         rule: PlacingRule,
+        except: Option<&UpstreamName>,
     ) -> Result<(PlacedRequest, RouteMatch), AnswerKind> {
         let mut changes = self.state.rollouts.subscribe();
         loop {
@@ -118,11 +119,11 @@
             };
             let chosen = chosen.ok_or(AnswerKind::UpstreamAbsent)?;
             self.check_origin(&service, &chosen)?;
-            let waited = self.wait_in_pool(chosen, &matched, &mut changes).await?;
+            let waited = self.wait_in_pool(chosen, (&matched, except), &mut changes).await?;
             let Some(placed) = waited else { continue };
             self.check_quarantine()?;
             let matched = self.match_by(rule, history)?;
-            let meets_demand = placed.pool.meets(placed.upstream, &self.demand(&matched));
+            let meets_demand = placed.pool.meets(placed.upstream, &self.demand(&matched, except));
             let may_use_arm = self.may_use_arm(&service, placed.arm);
             if matched.route.allows(&service) && may_use_arm && meets_demand {
                 return Ok((placed, matched));
@@ -153,9 +154,9 @@
     }
 
     /// What the request demands of its upstream.
-    fn demand(&self, matched: &RouteMatch) -> PlacementDemand {
+    fn demand(&self, matched: &RouteMatch, except: Option<&UpstreamName>) -> PlacementDemand {
         let version = self.origin.and_then(|origin| origin.version);
-        PlacementDemand { homes: matched.homes.clone(), version }
+        PlacementDemand { homes: matched.homes.clone(), version, except: except.cloned() }
     }
 
     /// True if the request may be sent to an arm of its service's roll-out.
@@ -189,12 +190,12 @@
     async fn wait_in_pool(
         &self,
         chosen: ChosenPool,
-        matched: &RouteMatch,
+        (matched, except): (&RouteMatch, Option<&UpstreamName>),
         changes: &mut watch::Receiver<()>,
     ) -> Result<Option<PlacedRequest>, AnswerKind> {
         let ChosenPool { pool, arm, ticket } = chosen;
         let number = RequestId(self.state.new_request_id().0);
-        let (mut guard, mut decision) = pool.submit(self.arrived_request(number, matched));
+        let (mut guard, mut decision) = pool.submit(self.arrived_request(number, matched, except));
         loop {
             let limit = self.time_left();
             let waited = tokio::select! {
@@ -262,7 +263,12 @@
         }
     }
 
-    fn arrived_request(&self, id: RequestId, matched: &RouteMatch) -> ArrivedRequest {
+    fn arrived_request(
+        &self,
+        id: RequestId,
+        matched: &RouteMatch,
+        except: Option<&UpstreamName>,
+    ) -> ArrivedRequest {
         let snapshot = self.state.snapshot();
         let RouteMatch { route, caller, .. } = matched;
         let organisation = caller.as_ref().map(|caller| (caller.index, caller.weight));
@@ -280,8 +286,9 @@
             patience: route.patience_ms.map(|time| self.arrived_at + time),
             pause: route.gap_ms,
             sizes: self.sizes,
-            size_tenth: self.size_tenth,
-            demand: self.demand(matched),
+            // A search is no request of its own in the account of sizes.
+            size_tenth: self.size_tenth.filter(|_| except.is_none()),
+            demand: self.demand(matched, except),
             may_be_resumed: route.kind == RouteKind::ResumableStream,
             must_stay: self.must_stay,
             route: RouteKey::of(&route.route),
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -3,7 +3,7 @@
 use super::attempt::SendError;
 use super::events::EventSplitter;
 use super::forward::{SendResult, report_send_error};
-use super::next_place::NextPlace;
+use super::next_place::{NextPlace, SilentSend, settle};
 use super::placing::{PlacedRequest, PlacingRule};
 use super::request::{RequestStage, RoutedRequest};
 use super::send_history::SendHistory;
@@ -28,10 +28,12 @@
 
 /// Maximum size of a buffered answer, in bytes.
 const ANSWER_LIMIT_BYTES: usize = 16 << 20;
-/// A stream that pauses for this many times the route's `gap_ms` is resumed elsewhere, if allowed.
+/// Another place is looked for once a stream has paused for this many times the route's `gap_ms`.
 const PAUSE_TIMEOUT_FACTOR: u32 = 4;
 /// Lower bound of that time, and the time itself for routes without `gap_ms`.
 const MIN_PAUSE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time between two searches for a peer that goes on with a stream.
+const PEER_INTERVAL: Duration = Duration::from_millis(500);
 /// Event gaps are reported to the scheduler once per this many events.
 const GAP_REPORT_EVENTS: u64 = 4;
 
@@ -138,11 +140,20 @@
 
 /// Where a stream goes on that leaves a silent upstream.
 enum NextSource {
-    Place(NextPlace),
+    /// An upstream of this daemon, which has a place for it.
+    Place(Box<PlacedRequest>),
     /// A peer, which has begun to answer.
     Peer(Box<PeerAnswer>),
 }
 
+/// How a send that is to resume a stream ended.
+enum ResumeResult {
+    Resumed,
+    /// The upstream was silent; the stream has another place, or may go on through a peer.
+    Left(Option<Box<PlacedRequest>>),
+    Failed,
+}
+
 /// Looks for another place until there is one, while the upstream may still go on. A daemon that is
 /// cut off from its upstreams asks its peers meanwhile.
 async fn find_next_source(
@@ -151,16 +162,19 @@
     source: &AnswerSource,
     last_event_id: Option<u64>,
 ) -> NextSource {
+    let (service, rule) = (source.service(), PlacingRule::Admitted);
+    let upstream = source.placed().map(|placed| &placed.name);
+    settle().await;
     loop {
-        let service = source.service();
-        match request.await_next_place(service, *history, PlacingRule::Admitted).await {
-            Ok(NextPlace::ThroughPeer(permit)) => {
-                permit.spend();
+        let send = SilentSend { service, upstream, history: *history, rule };
+        match request.search_next_place(send).await {
+            Ok(NextPlace::Here(placed, _)) => return NextSource::Place(placed),
+            Ok(NextPlace::ThroughPeer) => {
                 if let Some(answer) = ask_peers(request, history, last_event_id).await {
                     return NextSource::Peer(answer);
                 }
+                tokio::time::sleep(PEER_INTERVAL).await;
             }
-            Ok(next) => return NextSource::Place(next),
             Err(_) => return std::future::pending().await,
         }
     }
@@ -172,8 +186,14 @@
     history: &mut SendHistory,
     last_event_id: Option<u64>,
 ) -> Option<Box<PeerAnswer>> {
-    let origin = request.origin;
-    match send_through_peers(request, history, last_event_id).await {
+    let (origin, sent) = (request.origin, history.sent());
+    let outcome = send_through_peers(request, history, last_event_id).await;
+    if history.sent() == sent
+        && let Some(service) = request.route.services().next()
+    {
+        request.state.with_retry_budget(service, |budget| budget.refund());
+    }
+    match outcome {
         PeerOutcome::Answered(answer)
             if answer.head.status.is_success()
                 && origin.is_none_or(|origin| answer.hop.origin == origin) =>
@@ -295,14 +315,11 @@
                 RelayEvent::Deadline => return self.cut(CutCause::Deadline),
                 RelayEvent::NextSource(next) => match self.leave_for(next).await {
                     Ok(()) => continue,
-                    Err(cause) => return self.cut(cause),
+                    Err(cause) => return self.cut_unresumed(cause),
                 },
             };
             if let Err(cause) = self.resume_broken(SendError::ConnectionBroken(error)).await {
-                if self.has_recorded_origin && self.request.route.kind.may_repeat() {
-                    self.request.record_resumption("answer", "broken-off");
-                }
-                return self.cut(cause);
+                return self.cut_unresumed(cause);
             }
         }
     }
@@ -317,6 +334,9 @@
             return RelayEvent::Read(read);
         }
         let limit = self.request.time_left();
+        if limit.is_zero() {
+            return RelayEvent::Deadline;
+        }
         self.log_silence(silence);
         self.interruption = Some(StreamBreak::Silent(silence));
         let last_event_id = self.last_event_id();
@@ -417,6 +437,14 @@
         record_stream_end(self.framing, self.splitter.is_within_event());
     }
 
+    /// Cuts a stream that goes on nowhere.
+    fn cut_unresumed(&mut self, cause: CutCause) -> RelayStep {
+        if self.has_recorded_origin && self.request.route.kind.may_repeat() {
+            self.request.record_resumption("answer", "broken-off");
+        }
+        self.cut(cause)
+    }
+
     fn cut(&mut self, cause: CutCause) -> RelayStep {
         self.has_ended = true;
         self.request.stage = RequestStage::Ended;
@@ -486,60 +514,86 @@
     }
 
     /// Resumes the stream after its last complete event, at first at a place that it has already. A
-    /// stream that was left for this place is not given up for want of another one.
-    async fn resume_at(&mut self, place: Option<NextPlace>) -> Result<(), CutCause> {
-        let (last_event_id, rule) = (self.last_event_id(), PlacingRule::Admitted);
-        let was_left = place.is_some();
+    /// stream that was taken from a silent upstream is not given up while there may be another place.
+    async fn resume_at(&mut self, place: Option<Box<PlacedRequest>>) -> Result<(), CutCause> {
+        let last_event_id = self.last_event_id();
+        let mut was_left = place.is_some();
         let mut found = place;
         loop {
-            let (service, history) = (self.source.service().clone(), self.history);
-            let next = match found.take() {
-                Some(next) => next,
-                None if was_left => {
-                    let search = self.request.await_next_place(&service, history, rule);
-                    let limit = self.request.time_left();
-                    let found = tokio::time::timeout(limit, search).await;
-                    found.unwrap_or(Err(CutCause::Deadline))?
-                }
-                None => self.request.find_next_place(&service, history, rule).await?,
-            };
-            let mut placed = match next {
-                NextPlace::ThroughPeer(permit) => {
-                    permit.spend();
-                    let is_resumed = self.resume_through_peers(last_event_id).await;
-                    return is_resumed.then_some(()).ok_or(CutCause::NoPeer);
-                }
-                NextPlace::Here { placed, permit, .. } => {
-                    permit.spend();
-                    *placed
-                }
+            let placed = match found.take() {
+                Some(placed) => placed,
+                None => match self.next_place(was_left).await? {
+                    NextPlace::Here(placed, _) => placed,
+                    NextPlace::ThroughPeer if self.resume_through_peers(last_event_id).await => {
+                        return Ok(());
+                    }
+                    NextPlace::ThroughPeer if was_left => {
+                        tokio::time::sleep(PEER_INTERVAL.min(self.request.time_left())).await;
+                        continue;
+                    }
+                    NextPlace::ThroughPeer => return Err(CutCause::NoPeer),
+                },
             };
-            self.request.log_send(&placed, self.history, last_event_id);
-            let sent = self.request.try_send(&placed, &mut self.history, last_event_id, rule).await;
-            match sent {
-                SendResult::Ended(Ok(answer)) if answer.head.status.is_success() => {
-                    self.adopt(AnswerSource::Upstream(placed), answer.body);
-                    return Ok(());
-                }
-                SendResult::Ended(Ok(_)) => {
-                    self.interruption = Some(StreamBreak::BrokenOff);
-                    self.request.record_version_answer(&placed, VersionOutcome::Failed);
-                    placed.guard.end(DispatchOutcome::Failed);
-                }
-                SendResult::Ended(Err(error)) => {
-                    self.interruption = Some(StreamBreak::BrokenOff);
-                    self.history.end_send(&error);
-                    report_send_error(&self.request, &mut placed, &error);
-                }
-                SendResult::Left(next, error) => {
-                    report_send_error(&self.request, &mut placed, &error);
-                    found = Some(next);
+            match self.send_to(*placed, last_event_id).await {
+                ResumeResult::Resumed => return Ok(()),
+                ResumeResult::Left(next) => {
+                    was_left = true;
+                    found = next;
                 }
+                ResumeResult::Failed if was_left => {}
+                ResumeResult::Failed => self.interruption = Some(StreamBreak::BrokenOff),
             }
-            self.source = AnswerSource::Upstream(placed);
         }
     }
 
+    /// Waits for the next place of a stream that no upstream has.
+    async fn next_place(&self, was_left: bool) -> Result<NextPlace, CutCause> {
+        let (service, history, rule) = (self.source.service(), self.history, PlacingRule::Admitted);
+        if !was_left {
+            return self.request.find_next_place(service, history, rule).await;
+        }
+        let send = SilentSend { service, upstream: None, history, rule };
+        let search = self.request.search_next_place(send);
+        let found = tokio::time::timeout(self.request.time_left(), search).await;
+        found.unwrap_or(Err(CutCause::Deadline))
+    }
+
+    /// Sends the request to an upstream, which resumes its stream.
+    async fn send_to(
+        &mut self,
+        mut placed: PlacedRequest,
+        last_event_id: Option<u64>,
+    ) -> ResumeResult {
+        self.request.log_send(&placed, self.history, last_event_id);
+        let rule = PlacingRule::Admitted;
+        let sent = self.request.try_send(&placed, &mut self.history, last_event_id, rule).await;
+        let result = match sent {
+            SendResult::Ended(Ok(answer)) if answer.head.status.is_success() => {
+                self.adopt(AnswerSource::Upstream(placed), answer.body);
+                return ResumeResult::Resumed;
+            }
+            SendResult::Ended(Ok(_)) => {
+                self.request.record_version_answer(&placed, VersionOutcome::Failed);
+                placed.guard.end(DispatchOutcome::Failed);
+                ResumeResult::Failed
+            }
+            SendResult::Ended(Err(error)) => {
+                self.history.end_send(&error);
+                report_send_error(&self.request, &mut placed, &error);
+                ResumeResult::Failed
+            }
+            SendResult::Left(next, error) => {
+                report_send_error(&self.request, &mut placed, &error);
+                match next {
+                    NextPlace::Here(next, _) => ResumeResult::Left(Some(next)),
+                    NextPlace::ThroughPeer => ResumeResult::Left(None),
+                }
+            }
+        };
+        self.source = AnswerSource::Upstream(placed);
+        result
+    }
+
     async fn resume_through_peers(&mut self, last_event_id: Option<u64>) -> bool {
         let answer = ask_peers(&mut self.request, &mut self.history, last_event_id).await;
         let is_resumed = answer.is_some();
--- a/src/traffic/routed/retry.rs
+++ b/src/traffic/routed/retry.rs
@@ -4,8 +4,6 @@
 use super::request::RoutedRequest;
 use super::send_history::SendHistory;
 use crate::table::ServiceName;
-use crate::traffic::state::TrafficState;
-use std::sync::Arc;
 
 /// What stands in the way of sending a request once more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,56 +47,44 @@
     }
 }
 
-/// A unit of a service's retry budget, which returns to the budget unless it is spent.
-pub struct RetryPermit {
-    state: Arc<TrafficState>,
-    service: ServiceName,
-    is_spent: bool,
-}
-
-impl RetryPermit {
-    /// Spends the unit, as the request is sent.
-    pub fn spend(mut self) {
-        self.is_spent = true;
-    }
-}
-
-impl Drop for RetryPermit {
-    fn drop(&mut self) {
-        if !self.is_spent {
-            self.state.with_retry_budget(&self.service, |budget| budget.refund());
-        }
-    }
-}
-
 impl RoutedRequest {
     /// True if the request may be sent to one more upstream now; spends a unit of the retry budget.
     pub fn may_send_again(&self, service: &ServiceName, history: SendHistory) -> bool {
-        let permit = self.retry_permit(service, history, PlacingRule::InForce);
-        permit.map(RetryPermit::spend).is_ok()
+        self.withdraw_retry(service, history, PlacingRule::InForce).is_ok()
     }
 
-    /// Takes a unit of the retry budget for sending the request to one more upstream, or returns what
+    /// Spends a unit of the retry budget for sending the request to one more upstream, or returns what
     /// stands in the way.
-    pub fn retry_permit(
+    pub fn withdraw_retry(
         &self,
         service: &ServiceName,
         history: SendHistory,
         rule: PlacingRule,
-    ) -> Result<RetryPermit, RetryObstacle> {
+    ) -> Result<(), RetryObstacle> {
         if let Some(obstacle) = self.retry_obstacle(history, rule) {
             return Err(obstacle);
         }
         match self.state.with_retry_budget(service, |budget| budget.try_withdraw()) {
-            true => Ok(RetryPermit {
-                state: Arc::clone(&self.state),
-                service: service.clone(),
-                is_spent: false,
-            }),
+            true => Ok(()),
             false => Err(RetryObstacle::Budget),
         }
     }
 
+    /// Returns what stands in the way of a retry now, without spending any of the budget.
+    pub fn check_retry(
+        &self,
+        service: &ServiceName,
+        history: SendHistory,
+        rule: PlacingRule,
+    ) -> Result<(), RetryObstacle> {
+        let has_budget = self.state.with_retry_budget(service, |budget| budget.has_retry());
+        match self.retry_obstacle(history, rule) {
+            Some(obstacle) => Err(obstacle),
+            None if !has_budget => Err(RetryObstacle::Budget),
+            None => Ok(()),
+        }
+    }
+
     fn retry_obstacle(&self, history: SendHistory, rule: PlacingRule) -> Option<RetryObstacle> {
         let is_allowed = !history.may_have_run() || self.route.kind.may_repeat();
         // The daemon that passed the request on repeats it, as it counts the sends of all peers.
--- a/src/traffic/routed/stream_end.rs
+++ b/src/traffic/routed/stream_end.rs
@@ -46,6 +46,8 @@
     NoRetry(RetryObstacle),
     /// No upstream takes it.
     NoPlace(AnswerKind),
+    /// No upstream had a place soon.
+    NoPlaceInTime,
     /// No peer goes on with it.
     NoPeer,
 }
@@ -58,6 +60,7 @@
             CutCause::UnnumberedEvent => "unnumbered-event",
             CutCause::NoRetry(obstacle) => obstacle.name(),
             CutCause::NoPlace(kind) => kind.row().name,
+            CutCause::NoPlaceInTime => "no-place",
             CutCause::NoPeer => "no-peer",
         }
     }
--- a/tests/routed_fleet.rs
+++ b/tests/routed_fleet.rs
@@ -58,6 +58,8 @@
     RunAfterStray(&'static str),
     /// Reads the request and closes the connection without an answer.
     Close,
+    /// Reads the request and closes the connection once this becomes true.
+    CloseWhen(watch::Receiver<bool>),
     /// Keeps the connection open without an answer.
     Silent,
     /// Sends a sealed answer with the id of another request.
@@ -272,6 +274,10 @@
             (format!("{stray}HTTP/1.1 200 X\r\n{echo}content-length: 4\r\n\r\nfine"), true)
         }
         EngineAction::Close | EngineAction::Crash => (String::new(), false),
+        EngineAction::CloseWhen(mut signal) => {
+            let _ = signal.wait_for(|is_due| *is_due).await;
+            return false;
+        }
         EngineAction::Silent => {
             let mut buffer = [0; 16];
             let _ = stream.read(&mut buffer).await;
--- a/tests/test_promises.rs
+++ b/tests/test_promises.rs
@@ -12,6 +12,7 @@
 use tarragonknot::answer::{ANSWER_TABLE, ExecutionStatus, promises_not_run};
 use tarragonknot::report::{install_metrics, render_metrics};
 use tarragonknot::upstream::VmState;
+use tokio::sync::watch;
 
 const NOT_RUN_STATUSES: [StatusCode; 4] = [
     StatusCode::REQUEST_TIMEOUT,
@@ -261,21 +262,30 @@
 }
 
 /// Guards against a refusal with `ran: no` after an earlier send of the request may have run.
+#[rstest]
+#[case::closed(true, StatusCode::BAD_GATEWAY)]
+#[case::silent(false, StatusCode::GATEWAY_TIMEOUT)]
 #[tokio::test]
-async fn a_key_revoked_between_two_sends_does_not_prove_that_the_first_did_not_run() {
-    let engine = ScriptedEngine::start("i-1", |_| EngineAction::Silent).await;
+async fn a_key_revoked_between_two_sends_does_not_prove_that_the_first_did_not_run(
+    #[case] closes: bool,
+    #[case] expected: StatusCode,
+) {
+    let (close, is_due) = watch::channel(false);
+    let engine =
+        ScriptedEngine::start("i-1", move |_| EngineAction::CloseWhen(is_due.clone())).await;
     let fleet = RoutedFleet::start(&[&engine]).await;
     let revoke = async {
         while engine.count() == 0 {
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
         fleet.apply(2, &document(2).replace(KEY, "another-key"));
+        close.send_replace(closes);
     };
 
     let (answer, ()) = tokio::join!(fleet.call("/safe/", "id-1"), revoke);
 
     let problem = answer.body.expect("the body is complete");
-    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT, "{problem}");
+    assert_eq!(answer.status, expected, "{problem}");
     assert!(problem.contains(r#""ran":"unknown""#), "{problem}");
 }
 
@@ -308,10 +318,18 @@
 }
 
 /// Guards against a second run when a route stops allowing repeats between two sends.
+#[rstest]
+#[case::closed(true, StatusCode::BAD_GATEWAY)]
+#[case::silent(false, StatusCode::GATEWAY_TIMEOUT)]
 #[tokio::test]
-async fn a_request_is_not_sent_again_once_its_route_forbids_it() {
-    let first = ScriptedEngine::start("i-1", |_| EngineAction::Silent).await;
-    let second = ScriptedEngine::start("i-2", |_| EngineAction::Silent).await;
+async fn a_request_is_not_sent_again_once_its_route_forbids_it(
+    #[case] closes: bool,
+    #[case] expected: StatusCode,
+) {
+    let (close, is_due) = watch::channel(false);
+    let script = |is_due: watch::Receiver<bool>| move |_| EngineAction::CloseWhen(is_due.clone());
+    let first = ScriptedEngine::start("i-1", script(is_due.clone())).await;
+    let second = ScriptedEngine::start("i-2", script(is_due)).await;
     let fleet = RoutedFleet::start(&[&first, &second]).await;
     let count = || first.count() + second.count();
     let edit = async {
@@ -319,12 +337,13 @@
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
         fleet.apply(2, &document(2).replace(r#""kind":"safe""#, r#""kind":"unsafe""#));
+        close.send_replace(closes);
     };
 
     let (answer, ()) = tokio::join!(fleet.call("/safe/", "id-1"), edit);
 
     assert_eq!(count(), 1);
-    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT, "{answer:?}");
+    assert_eq!(answer.status, expected, "{answer:?}");
 }
 
 #[test]
--- a/tests/test_streams_kept.rs
+++ b/tests/test_streams_kept.rs
@@ -9,6 +9,7 @@
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::io::Write;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tarragonknot::policy::RetryBound;
@@ -89,6 +90,10 @@
 
 /// Retries that suffice for all streams of a test.
 const SPARE_RETRIES: RetryBound = RetryBound { ratio: 1.0, slack: 10_000 };
+/// Two retries for a daemon, and a tenth of one for each request.
+const TWO_RETRIES: RetryBound = RetryBound { ratio: 0.2, slack: 24 };
+/// Requests that bring more than one retry.
+const REFILLING_REQUESTS: usize = 20;
 /// No retries.
 const NO_RETRIES: RetryBound = RetryBound { ratio: 0.0, slack: 0 };
 
@@ -167,7 +172,7 @@
             futures_util::future::join_all(reads).await
         };
         let begun = async {
-            while self.engines.iter().map(ScriptedEngine::count).sum::<usize>() < STREAMS {
+            while self.sends() < STREAMS {
                 tokio::time::sleep(Duration::from_millis(1)).await;
             }
             meanwhile().await;
@@ -184,6 +189,11 @@
 }
 
 impl KeptStreams {
+    /// Requests that the engines have received.
+    fn sends(&self) -> usize {
+        self.engines.iter().map(ScriptedEngine::count).sum()
+    }
+
     fn assert_all_whole(&self, streams: &[ReceivedStream]) {
         let whole = streams.iter().filter(|stream| has_all_events(stream)).count();
         assert_eq!(whole, STREAMS, "streams are not whole: {:?}", self.log.ends());
@@ -226,7 +236,7 @@
 /// Guards against streams of sound upstreams being cut because this daemon stood still for a time.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stalled_daemon_leaves_no_stream() {
-    let kept = KeptStreams::start(NO_RETRIES, |_| STEADY).await;
+    let kept = KeptStreams::start(SPARE_RETRIES, |_| STEADY).await;
 
     let streams = kept
         .run("/resumable/a", async || {
@@ -236,6 +246,7 @@
         .await;
 
     kept.assert_all_whole(&streams);
+    assert_eq!(kept.sends(), STREAMS, "streams were left");
 }
 
 /// Guards against a stream that its upstream breaks off not being resumed because of a newer table.
@@ -273,3 +284,95 @@
 
     kept.assert_all_whole(&streams);
 }
+
+/// Guards against a stream that is taken from a silent upstream only to be sent there again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_silent_upstream_is_not_left_for_itself() {
+    let script = |_, request: &ReceivedRequest| match request.head.starts_with("GET ") {
+        true => EngineAction::Answer(200, "ok"),
+        false => EngineAction::PacedEvents(PAUSING),
+    };
+    let engine = ScriptedEngine::start_with_request("i-1", script).await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+    fleet.apply(2, &first_table());
+
+    let stream = fleet.stream("/resumable/a", "id-1", &[("tarragonknot-deadline-ms", TIMEOUT_MS)]);
+    let stream = stream.await;
+
+    assert!(has_all_events(&stream), "{stream:?}");
+    assert_eq!(engine.count(), 1);
+}
+
+/// Guards against a stream that was left for a place being given up because that place turns out to be
+/// none and the retries are spent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_that_was_left_waits_for_another_retry() {
+    let sends = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&sends);
+    let script = move |_: usize, request: &ReceivedRequest| {
+        if !request.path.starts_with("/resumable/") {
+            return EngineAction::Answer(200, "ok");
+        }
+        match counted.fetch_add(1, Ordering::Relaxed) {
+            0 => EngineAction::PacedEvents(EventPace { breaks_after: 8, ..STEADY }),
+            1 => EngineAction::Silent,
+            2 => EngineAction::NotRun,
+            _ => EngineAction::PacedEvents(STEADY),
+        }
+    };
+    let mut engines = Vec::new();
+    for name in ["i-1", "i-2", "i-3", "i-4"] {
+        engines.push(ScriptedEngine::start_with_request(name, script.clone()).await);
+    }
+    let fleet = RoutedFleet::start(&engines.iter().collect::<Vec<_>>()).await;
+    fleet.state.set_retry_bound(TWO_RETRIES);
+    fleet.apply(2, &first_table().replace("\"max_attempts\":2", "\"max_attempts\":6"));
+    let others = async {
+        while sends.load(Ordering::Relaxed) < 3 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        for number in 0..REFILLING_REQUESTS {
+            fleet.call("/safe/", &format!("other-{number}")).await;
+        }
+    };
+
+    let headers = [("tarragonknot-deadline-ms", TIMEOUT_MS)];
+    let (stream, ()) = tokio::join!(fleet.stream("/resumable/a", "id-1", &headers), others);
+
+    assert!(has_all_events(&stream), "{stream:?}");
+}
+
+/// Guards against searches for silent streams that keep the retries from a stream that broke off.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_search_keeps_no_retry_from_others() {
+    let silent = EventPace { silence: (8, SILENCE * 2), ..STEADY };
+    let mut engines = Vec::new();
+    for (name, version, pace) in [
+        ("i-1", "v1", silent),
+        ("i-2", "v1", silent),
+        ("i-3", "v2", EventPace { breaks_after: 16, gap: SILENCE / 8, ..STEADY }),
+    ] {
+        let script = move |_, request: &ReceivedRequest| match request.head.starts_with("GET ") {
+            true => EngineAction::Answer(200, "ok"),
+            false => EngineAction::PacedEvents(pace),
+        };
+        engines.push((ScriptedEngine::start_with_request(name, script).await, version));
+    }
+    let fleet = RoutedFleet::start(&[]).await;
+    fleet.state.set_retry_bound(TWO_RETRIES);
+    fleet.apply(2, &first_table());
+    let rows: Vec<_> = engines.iter().map(|(engine, version)| (engine, *version)).collect();
+    fleet.list_versions(&rows, VmState::Live);
+
+    let streams = (0..9).map(|number| {
+        let fleet = &fleet;
+        async move {
+            let headers = [("tarragonknot-deadline-ms", TIMEOUT_MS)];
+            fleet.stream("/resumable/a", &format!("id-{number}"), &headers).await
+        }
+    });
+    let streams = futures_util::future::join_all(streams).await;
+
+    assert_eq!(engines[2].0.count(), 2, "one stream is broken off and resumed");
+    assert_eq!(streams.iter().filter(|stream| has_all_events(stream)).count(), 9);
+}
