Logs: a failed write ends one record, and dropped ones are counted rightly

The users' record has no line of the requests that it names. Whether that is why isn't known; these are ways in which the log itself loses lines:

- One write that failed (a full disk, say) made the writer's thread panic, and every record after it was lost without a word. test_log_buffer::a_writer_that_fails_once_loses_no_later_record, before: "kept" is never written; the thread panics in slog::Fuse.
- slog_async counts its own failed reports as dropped records. dropped_records_are_counted_in_the_log, before: 35,903 written and dropped of 20,000 logged.
- A panic was on standard error only.

--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -8,4 +8,4 @@
     record_rejection_bound, record_relayed, record_request, record_resumption, record_route,
     record_size, record_stated_rate, record_stream_end, render_metrics,
 };
-pub use logging::json_logger;
+pub use logging::{LogGuard, guarded_json_logger, json_logger, log_panics};
