Drain: the answers for peers are written before the process ends

A caller of an entry gets 502 for a request that the entry passed on to a peer which is drained meanwhile: the peer's drain ended when no request was in progress, which is when the answer is complete here, not when hyper has written it, and nothing closed the peer's connections in order. By reading: the process ends 0.6 s later, whatever is left to write.

--- a/src/traffic/frontend/mod.rs
+++ b/src/traffic/frontend/mod.rs
@@ -131,6 +131,10 @@
     while state.in_progress() > 0 {
         tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
     }
+    // The last request has ended once its answer is complete here, not once a peer has it.
+    if !state.relay.close().await {
+        warn!(state.log, "peers have not taken their answers");
+    }
     if machine.step(DrainEvent::Idle).contains(&DrainAction::Exit) {
         state.set_drained();
         info!(state.log, "drained");
--- a/src/traffic/relay/mod.rs
+++ b/src/traffic/relay/mod.rs
@@ -12,6 +12,7 @@
 pub use server::start_relay_server;
 pub use ticket::{ORIGIN_HEADER, RELAY_HEADER, RelayTicket, TicketSubject};
 
+use self::server::RelayServer;
 use super::state::TrafficState;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -35,6 +36,7 @@
     choice: Mutex<PeerChoice>,
     sent: Arc<Semaphore>,
     received: Arc<Semaphore>,
+    server: OnceLock<RelayServer>,
 }
 
 impl Default for PeerRelay {
@@ -44,6 +46,7 @@
             choice: Mutex::default(),
             sent: Arc::new(Semaphore::new(MAX_RELAYED)),
             received: Arc::new(Semaphore::new(MAX_RELAYED)),
+            server: OnceLock::new(),
         }
     }
 }
@@ -55,6 +58,20 @@
         let _ = self.settings.set(RelaySettings { own, key });
     }
 
+    /// Sets the server for peers; only the first call has an effect.
+    fn set_server(&self, server: RelayServer) {
+        let _ = self.server.set(server);
+    }
+
+    /// Closes the server for peers once their answers are written; returns false if they have not
+    /// taken them in time.
+    pub async fn close(&self) -> bool {
+        match self.server.get() {
+            Some(server) => server.close().await,
+            None => true,
+        }
+    }
+
     /// True if requests are passed on.
     pub fn is_enabled(&self) -> bool {
         self.settings.get().is_some()
