Callers' connections: their failures are logged, and a stuck one ends

The result of a connection was dropped, so an answer could end below the daemon without a line.

- a_connection_that_fails_within_an_answer_is_logged: no line.
- a_caller_that_reads_nothing_holds_no_place_forever: the request was still in progress 40 s after a deadline of 2 s. hyper asks the body for nothing while the connection takes no bytes, so nobody looks at the deadline.
By reading, a drain would wait as long.
- a_caller_without_chunks_sees_that_a_stream_was_cut: with HTTP/1.0 a cut stream looked whole.

A connection that fails within an answer is logged with its cause (32 lines a second at most, the rest is counted), and counted as tarragonknot_caller_connections_failed_total; each body that is dropped before its end counts as tarragonknot_answers_unfinished_total. A caller that takes no byte for 60 s, the deadline of requests that state none, is closed. A cut answer without frames ends with a reset.

Ruled out by tests that passed before: pipelined requests, bytes after a request, unread bytes, HTTP/1.0, a half-close (which counts as a close), a caller that reads nothing for 4 s. New, and run only on this code: a_stream_outlasts_the_timers_of_its_connection (44 s, HTTP/1.1 and HTTP/2).

--- a/src/traffic/frontend/mod.rs
+++ b/src/traffic/frontend/mod.rs
@@ -1,6 +1,7 @@
 //! The HTTP/1.1 and HTTP/2 server for callers, with readiness and graceful drain.
 
 mod admitted;
+mod connection;
 mod request_parts;
 
 use super::drain::{DrainAction, DrainEvent, drain_chart};
@@ -12,17 +13,20 @@
 use axum::extract::State;
 use axum::response::IntoResponse;
 use axum::routing::get;
-use http::StatusCode;
+use connection::{CallerStream, ConnectionRecord, FailureLog, FollowedBody};
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use hyper::service::{Service, service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
 use hyper_util::service::TowerToHyperService;
-use slog::{info, warn};
+use slog::{Logger, info, warn};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 /// Time within which a caller must send the head of a request. The timer also runs on idle
@@ -106,12 +110,12 @@
         Some(_) => routed_router(Arc::clone(&state)),
         None => frontend_router(Arc::clone(&state)),
     };
-    let graceful = GracefulShutdown::new();
+    let server = CallerServer::new(router, state.log.clone());
     let mut machine = drain_chart().start();
     let mut drain_signal = Box::pin(async {
         let _ = drain_ordered.wait_for(|drain_ordered| *drain_ordered).await;
     });
-    accept_until(&state, &listener, &router, &graceful, &mut drain_signal).await;
+    accept_until(&state, &listener, &server, &mut drain_signal).await;
     for action in machine.step(DrainEvent::Signal) {
         if *action == DrainAction::TurnUnready {
             info!(state.log, "draining: unready, still accepting"; "balancer_wait_ms" => balancer_wait.as_millis() as u64);
@@ -119,14 +123,14 @@
         }
     }
     let mut balancer_delay = Box::pin(tokio::time::sleep(balancer_wait));
-    accept_until(&state, &listener, &router, &graceful, &mut balancer_delay).await;
+    accept_until(&state, &listener, &server, &mut balancer_delay).await;
     let actions = machine.step(DrainEvent::BalancerNoticed);
     if actions.contains(&DrainAction::StopAccepting) {
         drop(listener);
     }
     if actions.contains(&DrainAction::CloseKeepAlive) {
         info!(state.log, "draining: closing connections"; "in_progress" => state.in_progress());
-        graceful.shutdown().await;
+        server.graceful.shutdown().await;
     }
     while state.in_progress() > 0 {
         tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
@@ -144,8 +148,7 @@
 async fn accept_until(
     state: &Arc<TrafficState>,
     listener: &TcpListener,
-    router: &Router,
-    graceful: &GracefulShutdown,
+    server: &CallerServer,
     until: &mut (impl Future<Output = ()> + Unpin),
 ) {
     loop {
@@ -157,7 +160,7 @@
         match accepted {
             Ok((stream, _)) => {
                 let _ = stream.set_nodelay(true);
-                serve_connection(stream, router.clone(), graceful);
+                server.serve(stream);
             }
             Err(error) => {
                 warn!(state.log, "accept failed"; "error" => error.to_string());
@@ -167,16 +170,44 @@
     }
 }
 
-fn serve_connection(stream: tokio::net::TcpStream, router: Router, graceful: &GracefulShutdown) {
-    let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder.http1().timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
-    builder.http2().timer(TokioTimer::new()).keep_alive_interval(HEAD_TIMEOUT);
-    let service = TowerToHyperService::new(router);
-    let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
-    let watched = graceful.watch(connection);
-    tokio::spawn(async move {
-        let _ = watched.await;
-    });
+/// Serves the connections of callers.
+struct CallerServer {
+    router: Router,
+    graceful: GracefulShutdown,
+    failures: Arc<FailureLog>,
+}
+
+impl CallerServer {
+    fn new(router: Router, log: Logger) -> Self {
+        let failures = Arc::new(FailureLog::new(log));
+        CallerServer { router, graceful: GracefulShutdown::new(), failures }
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let mut builder = auto::Builder::new(TokioExecutor::new());
+        builder.http1().timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
+        builder.http2().timer(TokioTimer::new()).keep_alive_interval(HEAD_TIMEOUT);
+        let record = Arc::new(ConnectionRecord::default());
+        let io = TokioIo::new(CallerStream::new(stream, Arc::clone(&record)));
+        let (router, answers) =
+            (TowerToHyperService::new(self.router.clone()), Arc::clone(&record));
+        let service = service_fn(move |request: Request<Incoming>| {
+            let answer = answers.begin(&request);
+            let response = router.call(request);
+            async move {
+                let response = response.await;
+                response.map(|response| response.map(|body| FollowedBody::new(body, answer)))
+            }
+        });
+        let connection = builder.serve_connection(io, service).into_owned();
+        let watched = self.graceful.watch(connection);
+        let failures = Arc::clone(&self.failures);
+        tokio::spawn(async move {
+            if let Err(error) = watched.await {
+                failures.record(&record, &*error);
+            }
+        });
+    }
 }
 
 /// The router that serves callers, independent of a socket.
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -19,6 +19,7 @@
 mod small_calls;
 mod test_answer_end;
 mod test_births;
+mod test_caller_connections;
 mod test_catch_up;
 mod test_charts;
 mod test_check;
