--- a/tests/test_caller_connections.rs
+++ b/tests/test_caller_connections.rs
@@ -207,6 +207,23 @@
     assert!(door.has_ended_all().await, "the stream goes on");
 }
 
+/// Guards against work on a plain answer that goes on after its caller has sent further bytes and
+/// closed its connection.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn further_bytes_hide_no_close_from_a_plain_answer() {
+    let door = FrontDoor::start(|| EngineAction::Silent).await;
+    let mut stream = door.connect().await;
+
+    door.begin(&mut stream, &head("/unsafe/a", "first")).await;
+    stream.write_all(b"GET / HTTP/1.1\r\n").await.expect("the daemon reads");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    drop(stream);
+
+    let is_idle =
+        tokio::time::timeout(Duration::from_millis(TIMEOUT_MS / 2), door.has_ended_all()).await;
+    assert_eq!(is_idle.ok(), Some(true), "the request goes on");
+}
+
 /// Guards against a stream being cut because its caller reads nothing for seconds.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_caller_that_pauses_gets_all_bytes() {
