--- a/tests/test_caller_connections.rs
+++ b/tests/test_caller_connections.rs
@@ -13,6 +13,7 @@
 use hyper_util::rt::TokioExecutor;
 use rstest::rstest;
 use std::time::Duration;
+use tarragonknot::report::{install_metrics, render_metrics};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::runtime::Handle;
@@ -278,6 +279,7 @@
 /// Guards against a connection that ends within an answer without a line in the log.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_connection_that_fails_within_an_answer_is_logged() {
+    install_metrics();
     let door = FrontDoor::start(|| EngineAction::PacedEvents(ENDLESS)).await;
     let mut caller = RawCaller::connect(door.fleet.front.address).await;
 
@@ -288,6 +290,10 @@
 
     assert_eq!(line["unfinished"], 1, "{line}");
     assert!(line["cause"].is_string() && line["error"].is_string(), "{line}");
+    let metrics = render_metrics(&door.fleet.state);
+    let counters =
+        ["tarragonknot_caller_connections_failed_total", "tarragonknot_answers_unfinished_total"];
+    assert!(counters.iter().all(|name| metrics.contains(name)), "{metrics}");
 }
 
 /// Guards against a stream being cut by the timers of its caller's connection.
--- a/tests/test_log_buffer.rs
+++ b/tests/test_log_buffer.rs
@@ -2,12 +2,15 @@
 
 use crate::log_lines::LogLines;
 use serde_json::Value;
-use slog::{Level, info};
+use slog::{Discard, Level, Logger, info, o};
 use std::io::{Error, ErrorKind, Result, Write};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
-use tarragonknot::report::{guarded_json_logger, json_logger, log_panics};
+use tarragonknot::report::{
+    guarded_json_logger, install_metrics, json_logger, log_panics, render_metrics,
+};
+use tarragonknot::traffic::TrafficState;
 
 /// Records that no buffer holds.
 const RECORDS: usize = 20_000;
@@ -50,9 +53,16 @@
     }
 }
 
+/// True if a counter has counted.
+fn has_counted(name: &str) -> bool {
+    let state = TrafficState::new("entry".into(), Logger::root(Discard, o!()), 7);
+    render_metrics(&state).lines().any(|line| line.starts_with(name))
+}
+
 /// Guards against records that a slow writer doesn't take being lost without their number.
 #[tokio::test]
 async fn dropped_records_are_counted_in_the_log() {
+    install_metrics();
     let writer = GatedWriter::new(false, 0);
     let log = json_logger(writer.clone(), Level::Info, "entry");
 
@@ -70,11 +80,13 @@
     assert!(written < RECORDS, "nothing was dropped");
     assert_eq!(written as u64 + dropped, RECORDS as u64);
     assert!(writer.lines.with_count().iter().all(|line| line["daemon"] == "entry"));
+    assert!(has_counted("tarragonknot_log_records_dropped_total"));
 }
 
 /// Guards against a log that stays silent after its writer has failed once.
 #[tokio::test]
 async fn a_writer_that_fails_once_loses_no_later_record() {
+    install_metrics();
     let writer = GatedWriter::new(true, 1);
     let log = json_logger(writer.clone(), Level::Info, "entry");
 
@@ -86,6 +98,7 @@
     info!(log, "kept");
 
     writer.lines.wait_for("kept").await;
+    assert!(has_counted("tarragonknot_log_records_unwritten_total"));
 }
 
 /// Guards against records that are lost at the end of the process while some logger still exists.
@@ -118,6 +131,7 @@
 /// Guards against a panic that ends the work of a task without a line in the log.
 #[tokio::test]
 async fn a_panic_is_logged() {
+    install_metrics();
     let lines = LogLines::default();
     log_panics(lines.logger());
 
@@ -131,4 +145,5 @@
     while !lines.with_message("panicked").iter().any(is_own) {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
+    assert!(has_counted("tarragonknot_panics_total"));
 }
