Tests: streams of sound upstreams under tables apart, lists and orders

Every stream that began must be whole with each event once, and a refusal must not follow a send.

What a silence cuts lies in traffic/routed.

a_roll_out_counts_the_streams_that_run fails for another reason: the pool of a version begins without the requests that the service's own pool has at the same upstreams, so that one place is given out twice.

--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -38,6 +38,8 @@
 mod test_fleet_state;
 mod test_group_order;
 mod test_home_regions;
+mod test_kept_fleets;
+mod test_kept_orders;
 mod test_leader_growth;
 mod test_limit_sizes;
 mod test_limits;
