A pool lives on while a request uses it

What callers saw: streams of a service that a table drops went on, but one whose upstream broke it off then could not be resumed, what waited got no ticks, and peers that still had the service took the places of these streams for free. When the service came back, its upstreams got as many requests again as they had places.

Cause: update_pools forgot a pool at once when its service or version left the table.

Now a pool that leaves the table is kept among the outgoing ones until no request holds it, and 1 s at least, for requests that were admitted just before. It gets ticks, lists and floors, is reported to peers, and is found by whoever asks for the service by name; routes lead nothing new to it, and what it places is checked against the table as before. A service that returns finds the same pool, its places taken. An empty list and a table without the service leave the upstreams of the table before as they were.

a_request_that_is_passed_on_keeps_the_timeout fails before and after: the peer applies its own table's timeout (routed/admission.rs). The other eight cases on timeouts passed before, too: the timeout that admitted a request holds.

--- a/src/daemon/background.rs
+++ b/src/daemon/background.rs
@@ -71,6 +71,7 @@
     let mut cut_off = BTreeSet::new();
     loop {
         state.limits().record_alive(state.clock.now());
+        state.release_idle_pools();
         let mut is_busy = false;
         for (service, pool) in state.pools().iter() {
             refuse_after_lease_expiry(&state, pool);
@@ -140,6 +141,7 @@
                 tokio::spawn(async move { probe_upstream(&state, &pool, target, purpose).await });
             }
         }
+        drop(pools);
         tokio::time::sleep(PROBE_INTERVAL).await;
     }
 }
--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -1,7 +1,9 @@
 //! State shared by all requests of one daemon: table snapshot, pools, limits and clock.
 
+mod outgoing_pools;
 mod versions;
 
+use outgoing_pools::{OutgoingPools, PoolMap};
 pub use versions::ChosenPool;
 use versions::version_sources;
 
@@ -35,7 +37,7 @@
 use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
@@ -62,7 +64,8 @@
     pub log: Logger,
     pub clock: MonotonicClock,
     snapshot: ArcSwap<TableSnapshot>,
-    pools: ArcSwap<HashMap<ServiceName, Arc<PoolRuntime>>>,
+    pools: ArcSwap<PoolMap>,
+    outgoing_pools: OutgoingPools,
     organisation_indices: Mutex<OrganisationIndices>,
     limits: Mutex<LimitTable>,
     platform_list: ArcSwap<PlatformList>,
@@ -126,6 +129,7 @@
             clock: MonotonicClock::start(),
             snapshot: ArcSwap::default(),
             pools: ArcSwap::default(),
+            outgoing_pools: OutgoingPools::default(),
             organisation_indices: Mutex::default(),
             limits: Mutex::default(),
             platform_list: ArcSwap::default(),
@@ -170,9 +174,14 @@
         self.choose_pool(service, false).map(|chosen| chosen.pool)
     }
 
-    /// All pools.
-    pub fn pools(&self) -> Arc<HashMap<ServiceName, Arc<PoolRuntime>>> {
-        self.pools.load_full()
+    /// All pools, with those that have left the table while requests use them.
+    pub fn pools(&self) -> Arc<PoolMap> {
+        self.outgoing_pools.joined_with(self.pools.load_full())
+    }
+
+    /// Forgets the pools that have left the table and that no request uses any more.
+    pub fn release_idle_pools(&self) {
+        self.outgoing_pools.release_idle(self.clock.now());
     }
 
     /// Locks the organisations' limits.
@@ -182,7 +191,7 @@
 
     /// Puts a table in force, unless its version is not newer than that of the current one.
     pub fn apply_table(&self, versioned: &VersionedTable) {
-        let mut indices = self.organisation_indices.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut indices = self.lock_changes();
         if versioned.version <= self.snapshot.load().version {
             return;
         }
@@ -199,6 +208,11 @@
         info!(self.log, "table in force"; "version" => versioned.version, "hash" => &versioned.hash);
     }
 
+    /// Locks out other changes of what the pools are built from.
+    fn lock_changes(&self) -> MutexGuard<'_, OrganisationIndices> {
+        self.organisation_indices.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// When the table in force took effect.
     pub fn table_since(&self) -> Moment {
         Moment(self.table_since.load(Ordering::Acquire))
@@ -336,8 +350,8 @@
     }
 
     fn update_pools(&self, access: &AccessIndex) {
-        let old = self.pools.load();
-        let mut pools = HashMap::new();
+        let old = self.pools();
+        let mut pools = PoolMap::new();
         let shares = access.tier_shares();
         for (row, version) in access.services().flat_map(|row| self.versions_of(row)) {
             let mut plan = PoolPlan::new(row, &shares);
@@ -362,7 +376,10 @@
             pool.apply_service_row(row);
             pools.insert(name, pool);
         }
-        self.pools.store(Arc::new(pools));
+        self.outgoing_pools.add_missing(&self.pools.load(), &pools, self.clock.now());
+        let pools = Arc::new(pools);
+        self.pools.store(Arc::clone(&pools));
+        self.outgoing_pools.remove_returned(&pools);
         let routes: HashSet<&str> =
             access.table().routes.iter().map(|row| row.route.as_str()).collect();
         let mut detectors = self.retry_detectors.lock().unwrap_or_else(PoisonError::into_inner);
@@ -436,7 +453,11 @@
             self.origins.apply_sources(self, &row.service, &sources);
         }
         let evacuated = self.evacuated.load();
-        for pool in self.pools.load().values() {
+        for pool in self.pools().values() {
+            // A table without the service says nothing of the upstreams that another one listed.
+            if platform.vms.is_empty() && table.service(pool.service.as_str()).is_none() {
+                continue;
+            }
             let mut sources = match self.rollouts.row(&pool.service) {
                 Some(row) => version_sources(&row, &platform, table, pool),
                 None => platform.upstream_sources(table, &pool.service),
--- a/src/traffic/state/versions.rs
+++ b/src/traffic/state/versions.rs
@@ -9,7 +9,7 @@
 use crate::traffic::rollout_gate::TrialTicket;
 use crate::upstream::{PlatformList, VmRow};
 use std::collections::BTreeSet;
-use std::sync::{Arc, PoisonError};
+use std::sync::Arc;
 
 /// Pool selected for a request.
 pub struct ChosenPool {
@@ -21,13 +21,17 @@
 }
 
 impl TrafficState {
-    /// Pool with the upstreams of one version of a service.
+    /// Pool with the upstreams of one version of a service. One that has left the table is found while
+    /// requests use it: what it places is checked against the table in force before it is sent.
     pub fn version_pool(
         &self,
         service: &ServiceName,
         version: Option<&SoftwareVersion>,
     ) -> Option<Arc<PoolRuntime>> {
-        self.pools.load().get(&version_pool_name(service, version)).cloned()
+        let name = version_pool_name(service, version);
+        let find = || self.pools.load().get(&name).cloned();
+        // A pool that returns meanwhile is in neither map at the first two looks.
+        find().or_else(|| self.outgoing_pools.get(&name)).or_else(find)
     }
 
     /// Name of the version of a stream's origin, if an upstream of it is listed.
@@ -105,7 +109,7 @@
         if !self.rollouts.replace_rows(rows, self.jitter()) {
             return;
         }
-        let indices = self.organisation_indices.lock().unwrap_or_else(PoisonError::into_inner);
+        let indices = self.lock_changes();
         self.update_pools(&self.snapshot.load().access);
         drop(indices);
         self.rollouts.notify_changed();
--- /dev/null
+++ b/tests/test_kept_pools.rs
@@ -0,0 +1,209 @@
+//! Pools whose service a table drops, or whose version a roll-out ends, while requests use them.
+
+use crate::routed_fleet::{
+    EngineAction, EventPace, KEY, ReceivedStream, RoutedFleet, ScriptedEngine, document,
+};
+use http::StatusCode;
+use rstest::rstest;
+use serde_json::Value;
+use std::time::Duration;
+use tarragonknot::policy::RetryBound;
+use tarragonknot::table::ServiceName;
+use tarragonknot::upstream::VmState;
+
+/// Places of an engine, as in the document and the list of [`RoutedFleet`].
+const PLACES: usize = 4;
+/// Events of a whole stream.
+const EVENTS: u64 = 40;
+const PACED: EventPace = EventPace {
+    last: EVENTS,
+    head_delay: Duration::ZERO,
+    gap: Duration::from_millis(15),
+    silence: (0, Duration::ZERO),
+    breaks_after: 0,
+};
+
+/// A table in which all routes lead to another service and `pool` is gone.
+fn without_pool(version: u64) -> String {
+    let mut table: Value = serde_json::from_str(&document(version)).expect("it is JSON");
+    table["services"][0]["name"] = "other".into();
+    let routes = table["routes"].as_array_mut().expect("routes are a list");
+    routes.iter_mut().for_each(|row| row["service"] = "other".into());
+    table.to_string()
+}
+
+async fn paced_engine(name: &str, pace: EventPace) -> ScriptedEngine {
+    ScriptedEngine::start(name, move |_| EngineAction::PacedEvents(pace)).await
+}
+
+/// Sends as many streams as one engine has places.
+async fn fill_places(fleet: &RoutedFleet) -> Vec<ReceivedStream> {
+    let streams = (0..PLACES).map(|number| async move {
+        fleet.stream("/resumable/a", &format!("first-{number}"), &[]).await
+    });
+    futures_util::future::join_all(streams).await
+}
+
+async fn wait_for(engine: &ScriptedEngine, count: usize) {
+    while engine.count() < count {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+fn is_whole(stream: &ReceivedStream) -> bool {
+    let ids = stream.text.lines().filter_map(|line| line.strip_prefix("id: "));
+    let ids: Vec<u64> = ids.map(|id| id.parse().expect("ids are numbers")).collect();
+    stream.status == StatusCode::OK && stream.is_whole && ids.into_iter().eq(1..=EVENTS)
+}
+
+/// Guards against a pool that gets no ticks, lists and floors any more while a request uses it, and
+/// against one that is kept for ever.
+#[tokio::test]
+async fn a_dropped_service_keeps_its_pool_while_a_stream_runs() {
+    let engine = paced_engine("i-1", PACED).await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+    let pool: ServiceName = "pool".into();
+
+    let (streams, while_running) = tokio::join!(fill_places(&fleet), async {
+        wait_for(&engine, PLACES).await;
+        fleet.apply(2, &without_pool(2));
+        let refused = fleet.call("/safe/a", "later").await.status;
+        let status = fleet.state.pools().get(&pool).map(|pool| pool.status());
+        (refused, status.map(|status| (status.running, status.live)))
+    });
+    while fleet.state.pools().contains_key(&pool) {
+        fleet.state.release_idle_pools();
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+
+    assert!(streams.iter().all(is_whole), "{streams:?}");
+    assert_eq!(while_running, (StatusCode::SERVICE_UNAVAILABLE, Some((PLACES, 1))));
+    assert_eq!(engine.count(), PLACES);
+}
+
+/// Guards against an engine's places being given out twice when its service returns to the table.
+#[tokio::test]
+async fn a_service_that_returns_counts_the_streams_that_run() {
+    let engine = paced_engine("i-1", PACED).await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    let (streams, (whole, at_once)) = tokio::join!(fill_places(&fleet), async {
+        wait_for(&engine, PLACES).await;
+        fleet.apply(2, &without_pool(2));
+        fleet.apply(3, &document(3));
+        let next = fleet.stream("/resumable/a", "next", &[]);
+        let placed_at_once = async {
+            let pool: ServiceName = "pool".into();
+            while fleet.state.pools().get(&pool).is_none_or(|pool| pool.status().waiting == 0)
+                && engine.count() == PLACES
+            {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            engine.count() - PLACES
+        };
+        tokio::join!(next, placed_at_once)
+    });
+
+    assert_eq!(at_once, 0, "sent to an engine without a free place");
+    assert!(streams.iter().chain([&whole]).all(is_whole), "{streams:?}, {whole:?}");
+}
+
+/// Guards against a daemon that tells its peers nothing of the places that the streams of a dropped
+/// service take, while they still have the service.
+#[tokio::test]
+async fn peers_count_the_streams_of_a_service_that_is_dropped_here() {
+    let long = EventPace { last: 200, ..PACED };
+    let engine = paced_engine("i-1", long).await;
+    let fleets = RoutedFleet::start_peers(2, &[&engine]).await;
+    let pool: ServiceName = "pool".into();
+    let peer_work = || {
+        let pools = fleets[1].state.pools();
+        pools[&pool]
+            .inspect(|it| it.upstreams().iter().map(|it| it.peer_work.requests).sum::<u32>())
+    };
+
+    let observe = async {
+        while peer_work() < PLACES as u32 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        fleets[0].apply(2, &without_pool(2));
+        // Longer than peers rely on a report, shorter than the streams.
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        peer_work()
+    };
+    let (_, counted) = tokio::join!(fill_places(&fleets[0]), observe);
+
+    assert_eq!(counted, PLACES as u32);
+}
+
+/// Guards against a stream that its upstream breaks off not being resumed because a table has
+/// dropped its service meanwhile.
+#[rstest]
+#[tokio::test]
+async fn a_broken_stream_of_a_dropped_service_is_resumed(#[values(false, true)] returns: bool) {
+    let broken = paced_engine("i-1", EventPace { breaks_after: 20, ..PACED }).await;
+    let sound = paced_engine("i-2", PACED).await;
+    let fleet = RoutedFleet::start(&[&broken, &sound]).await;
+    fleet.state.set_retry_bound(RetryBound { ratio: 1.0, slack: 100 });
+
+    let (streams, ()) = tokio::join!(fill_places(&fleet), async {
+        while broken.count() + sound.count() < PLACES {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        fleet.apply(2, &without_pool(2));
+        if returns {
+            fleet.apply(3, &document(3));
+        }
+    });
+
+    assert!(broken.count() > 0, "no stream broke off");
+    let whole = streams.iter().filter(|stream| is_whole(stream)).count();
+    assert_eq!(whole, PLACES, "{streams:?}");
+}
+
+/// Guards against an older timeout or deadline being replaced by that of a table which comes while
+/// the request runs.
+#[rstest]
+#[case::shorter(3_000, 300, true)]
+#[case::longer(300, 3_000, false)]
+#[tokio::test]
+async fn a_request_keeps_the_timeout_that_admitted_it(
+    #[case] first_ms: u64,
+    #[case] then_ms: u64,
+    #[case] is_kept: bool,
+    #[values("/resumable/a", "/stream/a", "/safe/a", "/unsafe/a")] path: &str,
+) {
+    let timeout = |version, time: u64| {
+        document(version).replace("\"timeout_ms\":3000", &format!("\"timeout_ms\":{time}"))
+    };
+    let engine = paced_engine("i-1", PACED).await;
+    let fleet = RoutedFleet::without_table(&[&engine]).await;
+    fleet.apply(1, &timeout(1, first_ms));
+
+    let (stream, ()) = tokio::join!(fleet.stream_for(KEY, path, "r", &[]), async {
+        wait_for(&engine, 1).await;
+        fleet.apply(2, &timeout(2, then_ms));
+    });
+
+    assert_eq!(is_whole(&stream), is_kept, "{stream:?}");
+}
+
+/// Guards against a request that is passed on being ended by the timeout in its peer's table.
+#[rstest]
+#[case::shorter(300, true)]
+#[case::longer(9_000, true)]
+#[tokio::test]
+async fn a_request_that_is_passed_on_keeps_the_timeout_that_admitted_it(
+    #[case] peer_ms: u64,
+    #[case] is_kept: bool,
+) {
+    let engine = paced_engine("i-1", PACED).await;
+    let fleets = RoutedFleet::start_peers(2, &[&engine]).await;
+    fleets[0].list(&[], VmState::Live);
+    let table = document(2).replace("\"timeout_ms\":3000", &format!("\"timeout_ms\":{peer_ms}"));
+    fleets[1].apply(2, &table);
+
+    let stream = fleets[0].stream("/resumable/a", "r", &[]).await;
+
+    assert_eq!(is_whole(&stream), is_kept, "{stream:?}");
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -40,6 +40,7 @@
 mod test_home_regions;
 mod test_kept_fleets;
 mod test_kept_orders;
+mod test_kept_pools;
 mod test_leader_growth;
 mod test_limit_sizes;
 mod test_limits;
