A service that leaves the table keeps its health check while requests use it

What upstreams saw: the end of a stream without a stated length was judged by a GET of / instead of the service's health check, if a table had dropped the service meanwhile: an upstream may take that for a request, and answer it or not as it likes.

Cause: the path was looked up in the table in force only. The pool now keeps the path of its service's last row, and the outgoing pool is asked when the table has no such service.

--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -10,6 +10,7 @@
 };
 use crate::table::{ServiceName, ServiceRow, SoftwareVersion, UpstreamName};
 use crate::upstream::UpstreamDriver;
+use arc_swap::ArcSwapOption;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
@@ -52,6 +53,8 @@
     event_tokens: AtomicU32,
     /// Longest time that an upstream reserves a slot, in milliseconds; 0 without reservations.
     reservation: AtomicU64,
+    /// Path of the upstreams' health check.
+    health_path: ArcSwapOption<String>,
     core: Mutex<PoolCore>,
 }
 
@@ -78,6 +81,7 @@
             clock,
             event_tokens: AtomicU32::new(1),
             reservation: AtomicU64::new(0),
+            health_path: ArcSwapOption::empty(),
             core: Mutex::new(core),
         })
     }
@@ -283,6 +287,12 @@
         self.event_tokens.store(row.event_tokens, Ordering::Relaxed);
         let reservation = row.reservation_ms.unwrap_or_default().as_millis() as u64;
         self.reservation.store(reservation, Ordering::Relaxed);
+        self.health_path.store(row.health_path.clone().map(Arc::new));
+    }
+
+    /// Path of the upstreams' health check, as last set by the service's row.
+    pub fn health_path(&self) -> Option<String> {
+        self.health_path.load().as_deref().cloned()
     }
 
     /// True if this daemon probably reaches none of the pool's upstreams.
--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -257,11 +257,14 @@
         self.may_use_expired_table.load(Ordering::Acquire)
     }
 
-    /// Path of the health check of a service's upstreams, if the service has one.
+    /// Path of the health check of a service's upstreams, if the service has one. A service that has
+    /// left the table keeps its path while requests use its pool.
     pub fn health_path(&self, service: &ServiceName) -> Option<String> {
         let snapshot = self.snapshot();
-        let row = snapshot.access.table().service(service.as_str());
-        row.and_then(|row| row.health_path.clone())
+        match snapshot.access.table().service(service.as_str()) {
+            Some(row) => row.health_path.clone(),
+            None => self.outgoing_pools.get(service).and_then(|pool| pool.health_path()),
+        }
     }
 
     pub fn connections(&self) -> &Arc<ConnectionPool> {
--- a/tests/test_kept_pools.rs
+++ b/tests/test_kept_pools.rs
@@ -1,14 +1,17 @@
 //! Pools whose service a table drops, or whose version a roll-out ends, while requests use them.
 
 use crate::routed_fleet::{
-    EngineAction, EventPace, KEY, ReceivedStream, RoutedFleet, ScriptedEngine, document,
+    ConnectionEnd, EngineAction, EventPace, KEY, ReceivedStream, RoutedFleet, ScriptedEngine,
+    document,
 };
 use http::StatusCode;
 use rstest::rstest;
 use serde_json::Value;
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 use tarragonknot::policy::RetryBound;
-use tarragonknot::table::ServiceName;
+use tarragonknot::table::{ServiceName, VersionedTable};
+use tarragonknot::traffic::TrafficState;
 use tarragonknot::upstream::VmState;
 
 /// Places of an engine, as in the document and the list of [`RoutedFleet`].
@@ -32,6 +35,11 @@
     table.to_string()
 }
 
+/// A table in which `pool` has a health check.
+fn with_health_path(version: u64) -> String {
+    document(version).replace(r#""name":"pool""#, r#""name":"pool","health_path":"/up""#)
+}
+
 async fn paced_engine(name: &str, pace: EventPace) -> ScriptedEngine {
     ScriptedEngine::start(name, move |_| EngineAction::PacedEvents(pace)).await
 }
@@ -136,6 +144,37 @@
     assert_eq!(counted, PLACES as u32);
 }
 
+/// Guards against the end of a stream being judged by another path than the service's health check
+/// once a table has dropped the service.
+#[tokio::test]
+async fn a_dropped_service_is_probed_at_its_health_path() {
+    let probes = Arc::new(Mutex::new(Vec::new()));
+    let daemon: Arc<OnceLock<Arc<TrafficState>>> = Arc::default();
+    let (log, known) = (Arc::clone(&probes), Arc::clone(&daemon));
+    let engine = ScriptedEngine::start_with_request("i-1", move |_, request| {
+        if request.head.starts_with("GET ") {
+            log.lock().expect("no holder of the lock panics").push(request.path.clone());
+            return EngineAction::Answer(200, "ok");
+        }
+        let state = known.get().expect("the daemon has started");
+        state.apply_table(&VersionedTable::from_document(2, &Arc::from(without_pool(2))));
+        let head = "HTTP/1.1 200 OK\r\ntarragonknot-request-id: {id}\r\n\
+                    tarragonknot-server-seal: seal-1\r\ncontent-type: text/event-stream\r\n\
+                    connection: close\r\n\r\nid: 1\ndata: piece 1\n\n";
+        EngineAction::Raw(head.to_owned(), ConnectionEnd::Close)
+    })
+    .await;
+    let fleet = RoutedFleet::without_table(&[&engine]).await;
+    fleet.apply(1, &with_health_path(1));
+    assert!(daemon.set(Arc::clone(&fleet.state)).is_ok());
+
+    let stream = fleet.stream("/resumable/a", "r", &[]).await;
+
+    assert!(stream.is_whole, "{stream:?}");
+    let probes = probes.lock().expect("no holder of the lock panics").clone();
+    assert_eq!(probes, ["/up"]);
+}
+
 /// Guards against a stream that its upstream breaks off not being resumed because a table has
 /// dropped its service meanwhile.
 #[rstest]
