Lists, evacuations and tables are applied one after another

What callers could see: requests at upstreams that the newest list has as gone, until the list changed again, and none at new ones.

Cause: a list was stored and then passed to the pools without a lock, and a table builds its pools from both. Of two that were applied at once, one from the platform and one from a peer, or a list and a table, the older could reach the pools last. Tables and roll-outs took a lock already; lists and evacuations take the same one now.

--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -66,6 +66,7 @@
     snapshot: ArcSwap<TableSnapshot>,
     pools: ArcSwap<PoolMap>,
     outgoing_pools: OutgoingPools,
+    /// Locked while tables, lists, evacuations or roll-outs are applied, so that the last one holds.
     organisation_indices: Mutex<OrganisationIndices>,
     limits: Mutex<LimitTable>,
     platform_list: ArcSwap<PlatformList>,
@@ -418,8 +419,10 @@
 
     /// Applies a new platform list.
     pub fn apply_platform_list(&self, list: PlatformList) {
+        let changes = self.lock_changes();
         self.platform_list.store(Arc::new(list));
         self.update_sources(self.snapshot.load().access.table());
+        drop(changes);
         self.has_upstream_list.send_replace(true);
     }
 
@@ -430,6 +433,7 @@
 
     /// Applies the evacuated data centres received from the leader.
     pub fn apply_evacuated(&self, evacuated: EvacuatedSet) {
+        let _changes = self.lock_changes();
         let known = self.evacuated.load_full();
         if known.as_deref() == Some(&evacuated) {
             return;
--- a/tests/test_kept_pools.rs
+++ b/tests/test_kept_pools.rs
@@ -7,12 +7,13 @@
 use http::StatusCode;
 use rstest::rstest;
 use serde_json::Value;
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Barrier, Mutex, OnceLock};
 use std::time::Duration;
 use tarragonknot::policy::RetryBound;
 use tarragonknot::table::{ServiceName, VersionedTable};
 use tarragonknot::traffic::TrafficState;
-use tarragonknot::upstream::VmState;
+use tarragonknot::upstream::{PlatformList, VmRow, VmState};
 
 /// Places of an engine, as in the document and the list of [`RoutedFleet`].
 const PLACES: usize = 4;
@@ -200,6 +201,51 @@
     assert_eq!(whole, PLACES, "{streams:?}");
 }
 
+/// Guards against an older list that replaces a newer one in the pools when both are applied at once.
+#[tokio::test]
+async fn the_last_list_holds_when_lists_are_applied_at_once() {
+    let fleet = RoutedFleet::start(&[]).await;
+    let list = |number: usize| {
+        let row = |index: usize| VmRow {
+            service: "pool".into(),
+            upstream: format!("i-{index}").as_str().into(),
+            address: ([127, 0, 0, 1], 1 + index as u16).into(),
+            state: VmState::Live,
+            incarnation: 0,
+            places: Some(4),
+            version: Some("v1".into()),
+            data_centre: None,
+            is_cold: false,
+        };
+        PlatformList { vms: (number * 50..number * 50 + 50).map(row).collect() }
+    };
+    let stale = AtomicUsize::new(0);
+    let barrier = Barrier::new(2);
+
+    std::thread::scope(|scope| {
+        let apply = |number: usize| {
+            let (fleet, barrier, stale) = (&fleet, &barrier, &stale);
+            move || {
+                for _ in 0..500 {
+                    barrier.wait();
+                    fleet.state.apply_platform_list(list(number));
+                    barrier.wait();
+                    let pools = fleet.state.pools();
+                    let known = pools[&ServiceName::from("pool")].usable_or_suspect();
+                    let listed = fleet.state.platform_list();
+                    let is_listed = |name| listed.vms.iter().any(|row| row.upstream == name);
+                    let is_stale = known.into_iter().any(|(_, name, _)| !is_listed(name));
+                    stale.fetch_add(usize::from(is_stale), Ordering::Relaxed);
+                }
+            }
+        };
+        scope.spawn(apply(0));
+        scope.spawn(apply(1));
+    });
+
+    assert_eq!(stale.into_inner(), 0);
+}
+
 /// Guards against an older timeout or deadline being replaced by that of a table which comes while
 /// the request runs.
 #[rstest]
