--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -15,8 +15,8 @@
 If the request resumes a stream, the attempt of its caller that began the stream is traced as well.";
 
 /// Log messages that record the outcome of a request.
-const OUTCOME_MESSAGES: [&str; 5] =
-    ["answered", "refused", "stream cut", "caller left", "over the limit"];
+const OUTCOME_MESSAGES: [&str; 6] =
+    ["answered", "refused", "stream cut", "caller left", "over the limit", "request panicked"];
 
 /// Explain the outcome of a request from daemon logs.
 #[derive(Debug, clap::Args)]
@@ -157,6 +157,7 @@
                 .to_owned(),
             _ => "the caller left while its answer came".to_owned(),
         },
+        "request panicked" => "this daemon panicked while it had the request".to_owned(),
         "over the limit" => "beyond its organisation's limit".to_owned(),
         other => format!("no end is logged; the last line is \"{other}\": the process ended, or its log did"),
     }
--- a/src/traffic/routed/request.rs
+++ b/src/traffic/routed/request.rs
@@ -77,8 +77,10 @@
     fn drop(&mut self) {
         if self.stage != RequestStage::Ended {
             let after = self.state.clock.now().since(self.arrived_at).as_millis() as u64;
-            self.record("caller-left", None);
-            info!(self.state.log, "caller left"; "request" => self.id(), "stage" => format!("{:?}", self.stage),
+            let is_panicking = std::thread::panicking();
+            self.record(if is_panicking { "panicked" } else { "caller-left" }, None);
+            let message = if is_panicking { "request panicked" } else { "caller left" };
+            info!(self.state.log, "{}", message; "request" => self.id(), "stage" => format!("{:?}", self.stage),
                 "route" => &self.route.route, "after_ms" => after, "left_ms" => self.time_left().as_millis() as u64,
                 self.table_fields(), self.size_fields());
         }
