Failing tests: answers of silent upstreams on the own interface

Callers' answers are cut or refused while their upstream is sound: a silence closes the connection before the resumption is certain.

The stand-in engine gets faults for it: a pause in mid-answer, a late break, a status, and faults of resumptions.

--- a/src/standin/engine_server.rs
+++ b/src/standin/engine_server.rs
@@ -8,6 +8,7 @@
 use axum::routing::{get, post};
 use axum::{Json, Router};
 use bytes::Bytes;
+use futures_util::{StreamExt, future, stream};
 use http::{HeaderMap, Response, StatusCode};
 use serde_json::{Value, json};
 use std::collections::HashMap;
@@ -62,6 +63,8 @@
     pub address: SocketAddr,
     /// Faults to inject into the next requests.
     pub faults: FaultPlan,
+    /// Faults to inject into the next requests that resume an answer.
+    pub resume_faults: FaultPlan,
     model: Mutex<EngineModel>,
     registry: Mutex<RequestRegistry>,
     ledger: Arc<PrefillLedger>,
@@ -84,6 +87,7 @@
     let engine = Arc::new(EngineStandin {
         address: listener.local_addr()?,
         faults: FaultPlan::default(),
+        resume_faults: FaultPlan::default(),
         model: Mutex::new(EngineModel::new(shape)),
         registry: Mutex::default(),
         ledger,
@@ -246,6 +250,7 @@
             engine.cancel_job(&id);
             return reset_response(&id);
         }
+        StandinFault::Refused(status) => return refusal(status),
         StandinFault::Delayed(time) => tokio::time::sleep(time).await,
         _ => {}
     }
@@ -267,6 +272,12 @@
     response
 }
 
+fn refusal(status: u16) -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
+    response
+}
+
 fn echo_id(response: &mut Response<Body>, id: &str) {
     if let Ok(value) = http::HeaderValue::from_str(id) {
         response.headers_mut().insert("x-request-id", value);
@@ -307,7 +318,7 @@
     mut record: watch::Receiver<AnswerRecord>,
     id: String,
     last_event_id: u64,
-    fault: StandinFault,
+    mut fault: StandinFault,
     sender: mpsc::Sender<io::Result<Bytes>>,
 ) {
     let mut sent = last_event_id;
@@ -318,9 +329,18 @@
                 let _ = sender.send(Err(io::Error::from(io::ErrorKind::ConnectionReset))).await;
                 return;
             }
-            if fault == StandinFault::Silent(sent) {
-                sender.closed().await;
-                return;
+            match fault {
+                StandinFault::TruncatedLate(after, time) if after == sent => {
+                    tokio::time::sleep(time).await;
+                    let _ = sender.send(Err(io::Error::from(io::ErrorKind::ConnectionReset))).await;
+                    return;
+                }
+                StandinFault::Silent(after) if after == sent => return sender.closed().await,
+                StandinFault::Paused(after, time) if after == sent => {
+                    fault = StandinFault::None;
+                    tokio::time::sleep(time).await;
+                }
+                _ => {}
             }
             sent += 1;
             let text = Bytes::from(format!("id: {sent}\ndata: {}\n\n", chunk(&state, &id, sent)));
@@ -366,6 +386,15 @@
     let bytes = Bytes::from(answer.to_string());
     let body = match fault {
         StandinFault::Silent(_) => Body::from_stream(tokio_stream::pending::<io::Result<Bytes>>()),
+        StandinFault::Paused(_, time) => {
+            let (half, rest) = (bytes.slice(..bytes.len() / 2), bytes.slice(bytes.len() / 2..));
+            let rest = async move {
+                tokio::time::sleep(time).await;
+                Ok(rest)
+            };
+            let half = stream::once(future::ready(Ok::<Bytes, io::Error>(half)));
+            Body::from_stream(half.chain(stream::once(rest)))
+        }
         StandinFault::Truncated(_) => {
             let half = bytes.slice(..bytes.len() / 2);
             Body::from_stream(tokio_stream::iter(vec![
@@ -388,18 +417,22 @@
     Path(id): Path<String>,
     headers: HeaderMap,
 ) -> Response<Body> {
+    let fault = engine.resume_faults.next();
+    match fault {
+        StandinFault::Refused(status) => return refusal(status),
+        StandinFault::Reset => return reset_response(&id),
+        StandinFault::Delayed(time) => tokio::time::sleep(time).await,
+        _ => {}
+    }
     let record = lock(&engine.registry).requests.get(&id).map(|known| known.record.subscribe());
-    let Some(record) = record else {
-        let mut response = Response::new(Body::empty());
-        *response.status_mut() = StatusCode::NOT_FOUND;
-        return response;
-    };
+    let Some(record) = record else { return refusal(404) };
     let text =
         |name: &str| headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default();
     let last_event_id = text("last-event-id").parse().unwrap_or(0);
+    let id = if fault == StandinFault::Crossed { "another-request".to_owned() } else { id };
     match text("accept") {
-        "application/json" => whole_response(record, id, StandinFault::None).await,
-        _ => stream_response(record, id, last_event_id, StandinFault::None),
+        "application/json" => whole_response(record, id, fault).await,
+        _ => stream_response(record, id, last_event_id, fault),
     }
 }
 
--- a/src/standin/plain_server.rs
+++ b/src/standin/plain_server.rs
@@ -5,6 +5,7 @@
 use axum::body::Body;
 use axum::extract::{Request, State};
 use bytes::Bytes;
+use futures_util::{StreamExt, future, stream};
 use http::Response;
 use serde_json::json;
 use std::collections::HashMap;
@@ -107,6 +108,15 @@
         StandinFault::Truncated(_) => {
             Body::from_stream(tokio_stream::iter(vec![Ok(text.slice(..text.len() / 2)), reset()]))
         }
+        StandinFault::Paused(_, time) => {
+            let (half, rest) = (text.slice(..text.len() / 2), text.slice(text.len() / 2..));
+            let rest = async move {
+                tokio::time::sleep(time).await;
+                Ok(rest)
+            };
+            let half = stream::once(future::ready(Ok::<Bytes, io::Error>(half)));
+            Body::from_stream(half.chain(stream::once(rest)))
+        }
         StandinFault::Silent(_) => Body::from_stream(tokio_stream::pending::<io::Result<Bytes>>()),
         _ => Body::from(text),
     };
--- a/tests/fixtures.rs
+++ b/tests/fixtures.rs
@@ -64,6 +64,16 @@
     .await
     .unwrap();
     let service = start_plain(PlainShape::default()).await.unwrap();
+    small_fleet_at(engine, service, log, change).await
+}
+
+/// Starts the daemon of a small fleet, on the runtime that runs this, in front of these upstreams.
+pub async fn small_fleet_at(
+    engine: Arc<EngineStandin>,
+    service: Arc<PlainStandin>,
+    log: Logger,
+    change: impl FnOnce(&mut OperatorTable),
+) -> SmallFleet {
     let mut table = small_table();
     table.upstreams.push(upstream("engine-1", "pack-llm", engine.address));
     table.upstreams.push(upstream("service-1", "pack-api", service.address));
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -68,6 +68,7 @@
 mod test_sessions;
 mod test_settings_template;
 mod test_shared_list;
+mod test_silent_upstreams;
 mod test_size_accounts;
 mod test_size_share;
 mod test_small_calls;
