Own interface: an answer is left only for a resumption that brings its next piece

Callers saw streams cut after some events, and 502 or 504 (upstream-lost, upstream-silent) for answers that had not begun or were no streams, while their upstream was sound.

Cause: after silence_ms the daemon closed the connection and only then asked to resume. A refusal, another incarnation in the list or an upstream that the list had dropped ended the answer; so did a fourth silence. A stall of this process looks like a silence: timers fire before the bytes that have come are read.

Why it works: a silence opens the resumption on a second connection, and the first is read on. Only the connection that brings the next piece or the end stays; what fails on the second closes that alone. A break of the first goes on with the second, if there is one. The limit doubles with each silence, up to eight times. Silence alone ends an answer only after its deadline, the fourth time without a piece, so that a dead upstream holds no stream for ever. When the silence timer fires, the tasks that read connections run once before it counts.

Cuts of answers that had begun are logged as stream cut and counted by who ended them and why, as on routes.

The property over orders of events has the new event Switched too.

--- a/src/policy/exchange.rs
+++ b/src/policy/exchange.rs
@@ -10,7 +10,8 @@
 use std::sync::{Arc, LazyLock};
 use std::time::Duration;
 
-/// Maximum resume attempts for one request before its stream counts as lost.
+/// Maximum resume attempts for one request after breaks by its upstream before its stream counts as
+/// lost; after the deadline, also the maximum number of silences without a piece.
 const MAX_RESUME_ATTEMPTS: u32 = 3;
 
 chart_names! {
@@ -24,7 +25,7 @@
         Sent,
         /// The answer is arriving.
         Streaming,
-        /// The answer was interrupted and is being resumed on a new connection, without a new
+        /// The answer was broken off and is being resumed on a new connection, without a new
         /// dispatch.
         Resuming,
         /// Final: the whole answer was sent to the caller.
@@ -63,6 +64,8 @@
         Silent,
         /// The stream was resumed.
         Resumed,
+        /// The connection ended before the answer did, while another one was already being opened.
+        Switched,
         /// The answer ended early and cannot be resumed.
         Lost,
         /// The caller closed its connection.
@@ -87,6 +90,9 @@
         Relay,
         /// Reopen the stream on a new connection, from the next piece.
         Resume,
+        /// Reopen the stream on a second connection, from the next piece, and go on reading the
+        /// first; the one that brings the next piece first is kept.
+        Attach,
         /// Cancel the work at the upstream and close the connection.
         Cancel,
         /// Free the slot at the upstream.
@@ -138,8 +144,10 @@
     Ended,
     /// The connection ended before the answer did.
     Cut,
-    /// No byte arrived for longer than the silence limit.
+    /// No byte arrived on any connection for longer than the silence limit.
     Silent,
+    /// The connection ended before the answer did, while another one was already being opened.
+    Switched,
     /// The upstream does not know the request, or refused to resume it.
     ResumeRefused,
     /// The caller closed its connection.
@@ -155,6 +163,9 @@
     id: Arc<str>,
     is_resumable: bool,
     resume_attempts: u32,
+    /// Silences since the last piece.
+    silences: u32,
+    deadline: Option<Moment>,
     pieces: u64,
     upstream: Option<UpstreamIndex>,
     failure: Option<AnswerKind>,
@@ -170,6 +181,8 @@
             id: id.into(),
             is_resumable,
             resume_attempts: 0,
+            silences: 0,
+            deadline: None,
             pieces: 0,
             upstream: None,
             failure: None,
@@ -178,6 +191,12 @@
         }
     }
 
+    /// Sets the deadline, before which silence never ends the answer.
+    pub fn with_deadline(mut self, deadline: Moment) -> Self {
+        self.deadline = Some(deadline);
+        self
+    }
+
     /// Processes an event and returns the actions to execute, in order.
     pub fn handle(&mut self, event: ExchangeEvent<'_>, now: Moment) -> &'static [ExchangeAction] {
         let Some(event) = self.classify(event, now) else { return &[] };
@@ -214,9 +233,8 @@
             ExchangeEvent::Cut => {
                 self.resume_or_fail(RequestEvent::Cut, AnswerKind::UpstreamTruncated)
             }
-            ExchangeEvent::Silent => {
-                self.resume_or_fail(RequestEvent::Silent, AnswerKind::UpstreamSilent)
-            }
+            ExchangeEvent::Silent => return self.classify_silence(now),
+            ExchangeEvent::Switched => RequestEvent::Switched,
             ExchangeEvent::ResumeRefused => self.fail(RequestEvent::Lost, AnswerKind::UpstreamLost),
             ExchangeEvent::CallerLeft => RequestEvent::CallerLeft,
             ExchangeEvent::Deadline => {
@@ -255,12 +273,27 @@
             return Some(self.resume_or_fail(RequestEvent::Cut, AnswerKind::UpstreamTruncated));
         }
         self.pieces = sequence;
+        self.silences = 0;
         if self.time_to_first_piece.is_none() {
             self.time_to_first_piece = self.sent_at.map(|sent| now.since(sent));
         }
         Some(RequestEvent::Piece)
     }
 
+    /// A silence opens a second connection and proves nothing about the first. Only after the
+    /// deadline, which an answer that has begun may pass, does a series of them end the answer.
+    fn classify_silence(&mut self, now: Moment) -> Option<RequestEvent> {
+        self.silences = self.silences.saturating_add(1);
+        let is_late = self.deadline.is_some_and(|deadline| now >= deadline);
+        match self.is_resumable {
+            _ if is_late && self.silences > MAX_RESUME_ATTEMPTS => {
+                Some(self.fail(RequestEvent::Lost, AnswerKind::UpstreamSilent))
+            }
+            true => Some(RequestEvent::Silent),
+            false => None,
+        }
+    }
+
     /// Selects the event for a stream that ended early: `event` if it can be resumed and attempts
     /// are left, otherwise lost.
     fn resume_or_fail(&mut self, event: RequestEvent, kind: AnswerKind) -> RequestEvent {
@@ -293,6 +326,11 @@
         self.failure.unwrap_or(AnswerKind::UpstreamLost)
     }
 
+    /// Number of silences since the last piece.
+    pub fn silences(&self) -> u32 {
+        self.silences
+    }
+
     /// Number of pieces forwarded so far; a resume starts after them.
     pub fn pieces(&self) -> u64 {
         self.pieces
--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -1,6 +1,7 @@
 //! Executes the exchange of one admitted request: performs the actions that the request chart
 //! orders and reports events back to it.
 
+use super::answer_lines::{AnswerLine, AnswerLines, LineEvent, LineRole};
 use super::crash_check::{BrokenRequest, BrokenUpstream, check_upstream};
 use super::pool_runtime::{PoolDecision, PoolRuntime, RequestGuard};
 use super::sink::{AnswerSink, CallerGone};
@@ -12,8 +13,9 @@
     RequestId, RequestState, UpstreamEvent,
 };
 use crate::quarantine::RequestFingerprint;
+use crate::report::record_cut_answer;
 use crate::table::UpstreamName;
-use crate::upstream::{AnswerPiece, AnswerStream, OpenError, PieceRead, PieceSource, UpstreamCall};
+use crate::upstream::{AnswerHead, AnswerPiece, AnswerStream, OpenError, PieceRead, UpstreamCall};
 use bytes::Bytes;
 use slog::{debug, info};
 use std::net::SocketAddr;
@@ -24,6 +26,11 @@
 /// Minimum number of pieces over which a mean token gap is reported to the scheduler.
 const MIN_TOKEN_GAP_PIECES: u64 = 16;
 
+/// Maximum factor by which silences without a piece stretch the silence limit.
+const MAX_SILENCE_FACTOR: u32 = 8;
+/// Silence limit of upstreams that cannot resume, which are limited by the deadline.
+const UNRESUMABLE_SILENCE: Duration = Duration::from_secs(3_600);
+
 /// Result of a request, for logs, metrics and claims.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ExchangeEnd {
@@ -57,8 +64,7 @@
 
 /// Event observed while waiting for an answer.
 enum ObservedEvent {
-    Read(PieceRead),
-    Opened(Result<AnswerStream, OpenError>),
+    Answer(LineRole, LineEvent),
     Silent,
     Deadline,
     CallerLeft,
@@ -68,19 +74,22 @@
 struct ExchangeRun<'a> {
     state: &'a Arc<TrafficState>,
     pool: &'a Arc<PoolRuntime>,
-    call: Box<UpstreamCall>,
+    call: Arc<UpstreamCall>,
     id: RequestId,
     deadline: Moment,
     silence: Duration,
     fingerprint: RequestFingerprint,
     exchange: Exchange,
     target: Option<(UpstreamName, SocketAddr)>,
-    pieces: Option<Box<dyn PieceSource>>,
+    lines: AnswerLines,
+    /// Head of the answer on the second connection.
+    spare_head: Option<Box<AnswerHead>>,
+    /// When the upstream last sent a part of the answer, or the request was placed.
+    last_read: Moment,
     tokens: u32,
     prompt_tokens: Option<u32>,
     end_mark: Bytes,
     gap_start: (u64, Moment),
-    resumes: u32,
     arrived_at: Moment,
     first_piece: Option<Duration>,
     recorded: Option<RecordedAnswer>,
@@ -104,19 +113,21 @@
     let mut run = ExchangeRun {
         state,
         pool,
-        exchange: Exchange::new(Arc::clone(&call.id), pool.driver.can_resume()),
-        call,
+        exchange: Exchange::new(Arc::clone(&call.id), pool.driver.can_resume())
+            .with_deadline(arrived.deadline),
+        call: Arc::from(call),
         id: arrived.id,
         deadline: arrived.deadline,
         silence,
         fingerprint,
         target: None,
-        pieces: None,
+        lines: AnswerLines::default(),
+        spare_head: None,
+        last_read: Moment(0),
         tokens: 0,
         prompt_tokens: None,
         end_mark: Bytes::new(),
         gap_start: (0, Moment(0)),
-        resumes: 0,
         arrived_at: state.clock.now(),
         first_piece: None,
         recorded: None,
@@ -167,6 +178,7 @@
             // Boxed so that a waiting request does not occupy the memory of the larger future.
             match Box::pin(self.run_dispatch(&mut guard, &mut sink)).await {
                 DispatchEnd::Requeue => {
+                    self.lines.close();
                     self.may_have_run = false;
                     decision = guard.requeue(DispatchOutcome::NotSent);
                 }
@@ -177,6 +189,9 @@
                 }
                 DispatchEnd::Fail => {
                     let kind = self.exchange.failure();
+                    if sink.has_begun() {
+                        self.log_cut(kind);
+                    }
                     return Box::pin(self.refuse(sink, kind)).await;
                 }
                 DispatchEnd::CallerGone => return,
@@ -228,10 +243,10 @@
         guard: &mut RequestGuard,
         sink: &mut AnswerSink,
     ) -> DispatchEnd {
-        let mut open_mode = OpenMode::Initial;
+        self.last_read = self.now();
+        self.lines.main = Some(self.open_line(OpenMode::Initial));
         loop {
-            let observed = self.next_event(open_mode, sink).await;
-            open_mode = OpenMode::None;
+            let observed = self.next_event(sink).await;
             let mut piece = None;
             let actions = self.handle_event(observed, sink, &mut piece);
             for action in actions {
@@ -247,11 +262,15 @@
                         }
                     }
                     ExchangeAction::Resume => {
-                        self.pieces = None;
-                        self.resumes += 1;
-                        open_mode = OpenMode::Resume;
+                        self.lines.main = Some(self.open_line(OpenMode::Resume));
                         debug!(self.state.log, "stream interrupted, resuming"; "request" => &*self.call.id, "pieces" => self.exchange.pieces());
                     }
+                    ExchangeAction::Attach => {
+                        self.lines.spare = Some(self.open_line(OpenMode::Resume));
+                        self.spare_head = None;
+                        info!(self.state.log, "upstream silent, resuming beside it"; "request" => &*self.call.id,
+                            "pieces" => self.exchange.pieces(), "silent_ms" => self.silent_ms());
+                    }
                     ExchangeAction::Requeue => return DispatchEnd::Requeue,
                     ExchangeAction::Cancel => self.cancel(),
                     ExchangeAction::Release => guard.end(self.outcome()),
@@ -267,59 +286,56 @@
         }
     }
 
-    async fn next_event(&mut self, open_mode: OpenMode, sink: &mut AnswerSink) -> ObservedEvent {
-        let now = self.now();
-        let has_begun = sink.has_begun();
-        let deadline = self.deadline.since(now);
-        let silence = self.silence_limit();
-        let address = self.target.as_ref().map(|(_, address)| *address);
-        let driver = Arc::clone(&self.pool.driver);
+    /// Opens a connection to the upstream of the request.
+    fn open_line(&self, mode: OpenMode) -> AnswerLine {
+        let Some((_, address)) = self.target else {
+            return AnswerLine::Opening(Box::pin(std::future::pending()));
+        };
+        let (driver, call) = (Arc::clone(&self.pool.driver), Arc::clone(&self.call));
         let after = self.exchange.pieces();
-        let upstream = self.exchange.upstream();
-        let is_replaced = open_mode == OpenMode::Resume
-            && upstream.is_some_and(|upstream| self.pool.is_replaced(upstream));
-        let call = &*self.call;
-        let read = async {
-            match (open_mode, address) {
-                (OpenMode::Initial, Some(address)) => {
-                    ObservedEvent::Opened(driver.open(call, address).await)
-                }
+        let is_replaced =
+            self.exchange.upstream().is_some_and(|upstream| self.pool.is_replaced(upstream));
+        AnswerLine::Opening(Box::pin(async move {
+            match mode {
+                OpenMode::Initial => driver.open(&call, address).await,
                 // Its successor knows nothing of the stream, and may be of another version.
-                (OpenMode::Resume, _) if is_replaced => {
+                OpenMode::Resume if is_replaced => {
                     let detail = "another upstream has taken the address".to_owned();
-                    ObservedEvent::Opened(Err(OpenError::Lost { detail }))
-                }
-                (OpenMode::Resume, Some(address)) => {
-                    ObservedEvent::Opened(driver.resume(call, address, after).await)
+                    Err(OpenError::Lost { detail })
                 }
-                _ => match &mut self.pieces {
-                    Some(pieces) => ObservedEvent::Read(pieces.next().await),
-                    None => std::future::pending().await,
-                },
+                OpenMode::Resume => driver.resume(&call, address, after).await,
             }
+        }))
+    }
+
+    async fn next_event(&mut self, sink: &mut AnswerSink) -> ObservedEvent {
+        let now = self.now();
+        let has_begun = sink.has_begun();
+        let deadline = self.deadline.since(now);
+        let silence = self.silence_limit();
+        let silent = async {
+            tokio::time::sleep(silence).await;
+            // After a stall of this process, bytes that have come are read first.
+            tokio::task::yield_now().await;
         };
         tokio::select! {
             biased;
-            observed = read => observed,
+            (role, event) = self.lines.next() => ObservedEvent::Answer(role, event),
             () = sink.closed() => ObservedEvent::CallerLeft,
-            () = tokio::time::sleep(silence) => ObservedEvent::Silent,
+            () = silent => ObservedEvent::Silent,
             // No deadline once the caller receives the answer: aborting would waste the work done.
             () = tokio::time::sleep(deadline), if !has_begun => ObservedEvent::Deadline,
         }
     }
 
-    /// Time without a byte after which an upstream counts as silent. Plain services, and engines
-    /// whose answer is not a stream, send nothing while they work. An upstream that cannot resume
-    /// is limited by the deadline only; for a resumable answer that is not a stream, the limit
-    /// doubles with each resume.
+    /// Time without a byte after which the answer is resumed on a second connection; it doubles with
+    /// each silence, up to a factor. Plain services, and engines whose answer is not a stream, send
+    /// nothing while they work.
     fn silence_limit(&self) -> Duration {
         if !self.pool.driver.can_resume() {
-            return Duration::from_secs(3_600);
-        }
-        match self.call.wants_stream {
-            true => self.silence,
-            false => self.silence * 2u32.saturating_pow(self.resumes),
+            return UNRESUMABLE_SILENCE;
         }
+        self.silence * 2u32.saturating_pow(self.exchange.silences()).min(MAX_SILENCE_FACTOR)
     }
 
     /// Passes an observed event to the exchange and returns the actions to execute.
@@ -331,71 +347,201 @@
     ) -> &'static [ExchangeAction] {
         let now = self.now();
         match observed {
-            ObservedEvent::Opened(Ok(stream)) => {
-                self.exchange.handle(ExchangeEvent::Opened, now);
-                let AnswerStream { head, pieces } = stream;
-                self.is_success = head.status.is_success();
-                if let (Some(report), Some(upstream)) = (head.report, self.exchange.upstream()) {
-                    self.pool.handle_event(PoolEvent::LoadReported { upstream, report });
+            ObservedEvent::Answer(LineRole::Main, LineEvent::Opened(opened)) => {
+                self.handle_opened(opened, sink)
+            }
+            ObservedEvent::Answer(LineRole::Main, LineEvent::Read(read)) => {
+                self.handle_read(read, sink, received_piece)
+            }
+            ObservedEvent::Answer(LineRole::Spare, LineEvent::Opened(opened)) => {
+                self.handle_spare_opened(opened);
+                &[]
+            }
+            ObservedEvent::Answer(LineRole::Spare, LineEvent::Read(read)) => {
+                if !self.adopt_spare(&read, sink) {
+                    return &[];
                 }
-                let actions =
-                    self.exchange.handle(ExchangeEvent::Head { echo: head.echo.as_deref() }, now);
-                sink.set_head(head);
-                self.pieces = Some(pieces);
-                actions
+                self.handle_read(read, sink, received_piece)
+            }
+            ObservedEvent::Silent => self.exchange.handle(ExchangeEvent::Silent, now),
+            ObservedEvent::Deadline => {
+                self.exchange.handle(ExchangeEvent::Opened, now);
+                self.exchange.handle(ExchangeEvent::Deadline, now)
+            }
+            ObservedEvent::CallerLeft => self.exchange.handle(ExchangeEvent::CallerLeft, now),
+        }
+    }
+
+    fn handle_opened(
+        &mut self,
+        opened: Result<AnswerStream, OpenError>,
+        sink: &mut AnswerSink,
+    ) -> &'static [ExchangeAction] {
+        let now = self.now();
+        match opened {
+            Ok(AnswerStream { head, pieces }) => {
+                self.lines.read(LineRole::Main, pieces);
+                self.handle_head(head, sink)
             }
-            ObservedEvent::Opened(Err(OpenError::NotSent { detail })) => {
+            Err(OpenError::NotSent { detail }) => {
                 info!(self.state.log, "upstream not reached"; "request" => &*self.call.id, "detail" => detail);
                 if self.exchange.state() == RequestState::Connecting {
                     return self.exchange.handle(ExchangeEvent::NotSent, now);
                 }
-                if let Some(upstream) = self.exchange.upstream() {
-                    self.pool.handle_event(PoolEvent::Lifecycle {
-                        upstream,
-                        event: UpstreamEvent::Unreachable,
-                    });
-                }
-                self.exchange.handle(ExchangeEvent::Cut, now)
+                self.report_unreachable();
+                self.handle_break(ExchangeEvent::Cut, sink)
             }
-            ObservedEvent::Opened(Err(OpenError::Lost { detail })) => {
+            Err(OpenError::Lost { detail }) => {
                 info!(self.state.log, "upstream gave no answer"; "request" => &*self.call.id, "detail" => detail);
                 self.check_upstream();
                 let was_resuming = self.exchange.state() == RequestState::Resuming;
                 self.exchange.handle(ExchangeEvent::Opened, now);
-                self.exchange.handle(
-                    if was_resuming { ExchangeEvent::ResumeRefused } else { ExchangeEvent::Cut },
-                    now,
-                )
+                let event =
+                    if was_resuming { ExchangeEvent::ResumeRefused } else { ExchangeEvent::Cut };
+                self.handle_break(event, sink)
             }
-            ObservedEvent::Read(PieceRead::Piece(piece)) => {
+        }
+    }
+
+    fn handle_head(
+        &mut self,
+        head: AnswerHead,
+        sink: &mut AnswerSink,
+    ) -> &'static [ExchangeAction] {
+        let now = self.now();
+        self.last_read = now;
+        self.exchange.handle(ExchangeEvent::Opened, now);
+        self.is_success = head.status.is_success();
+        if let (Some(report), Some(upstream)) = (head.report, self.exchange.upstream()) {
+            self.pool.handle_event(PoolEvent::LoadReported { upstream, report });
+        }
+        let actions = self.exchange.handle(ExchangeEvent::Head { echo: head.echo.as_deref() }, now);
+        sink.set_head(head);
+        actions
+    }
+
+    fn handle_read(
+        &mut self,
+        read: PieceRead,
+        sink: &mut AnswerSink,
+        received_piece: &mut Option<AnswerPiece>,
+    ) -> &'static [ExchangeAction] {
+        let now = self.now();
+        match read {
+            PieceRead::Piece(piece) => {
+                self.last_read = now;
                 let event =
                     ExchangeEvent::Piece { sequence: piece.sequence, echo: piece.echo.as_deref() };
                 let actions = self.exchange.handle(event, now);
                 *received_piece = Some(piece);
                 actions
             }
-            ObservedEvent::Read(PieceRead::Ended { prompt_tokens, end_mark }) => {
+            PieceRead::Ended { prompt_tokens, end_mark } => {
                 self.prompt_tokens = prompt_tokens;
                 self.end_mark = end_mark;
                 self.exchange.handle(ExchangeEvent::Ended, now)
             }
-            ObservedEvent::Read(PieceRead::Cut) => {
+            PieceRead::Cut => {
                 self.check_upstream();
-                self.exchange.handle(ExchangeEvent::Cut, now)
+                self.handle_break(ExchangeEvent::Cut, sink)
             }
-            ObservedEvent::Silent => {
-                // The request may have been sent before the silence began.
-                self.exchange.handle(ExchangeEvent::Opened, now);
-                self.exchange.handle(ExchangeEvent::Silent, now)
+        }
+    }
+
+    /// Handles the loss of the connection in use: `event`, or a switch to the second connection if
+    /// there is one.
+    fn handle_break(
+        &mut self,
+        event: ExchangeEvent<'_>,
+        sink: &mut AnswerSink,
+    ) -> &'static [ExchangeAction] {
+        let now = self.now();
+        if self.lines.spare.is_none() {
+            return self.exchange.handle(event, now);
+        }
+        self.exchange.handle(ExchangeEvent::Switched, now);
+        self.switch_to_spare(sink);
+        &[]
+    }
+
+    /// Goes on with the second connection and closes the first.
+    fn switch_to_spare(&mut self, sink: &mut AnswerSink) {
+        self.lines.use_spare();
+        if let Some(head) = self.spare_head.take() {
+            self.handle_head(*head, sink);
+        }
+    }
+
+    /// Reads on if the second connection resumes the answer. If it doesn't, only that connection is
+    /// closed.
+    fn handle_spare_opened(&mut self, opened: Result<AnswerStream, OpenError>) {
+        let detail = match opened {
+            Ok(AnswerStream { head, pieces }) if self.is_own(head.echo.as_deref()) => {
+                self.spare_head = Some(Box::new(head));
+                return self.lines.read(LineRole::Spare, pieces);
             }
-            ObservedEvent::Deadline => {
-                self.exchange.handle(ExchangeEvent::Opened, now);
-                self.exchange.handle(ExchangeEvent::Deadline, now)
+            Ok(_) => "it names another request".to_owned(),
+            Err(error) => {
+                if matches!(error, OpenError::NotSent { .. }) {
+                    self.report_unreachable();
+                }
+                error.to_string()
             }
-            ObservedEvent::CallerLeft => self.exchange.handle(ExchangeEvent::CallerLeft, now),
+        };
+        info!(self.state.log, "not resumed beside a silent answer"; "request" => &*self.call.id, "detail" => detail);
+    }
+
+    /// Goes on with the second connection if it has brought the next part of the answer, and closes
+    /// it if it can't. Returns whether it is the one in use now.
+    fn adopt_spare(&mut self, read: &PieceRead, sink: &mut AnswerSink) -> bool {
+        let next = self.exchange.pieces() + 1;
+        let is_next = match read {
+            PieceRead::Piece(piece) => {
+                let is_usable = self.is_own(piece.echo.as_deref()) && piece.sequence <= next;
+                if !is_usable {
+                    self.lines.spare = None;
+                }
+                is_usable && piece.sequence == next
+            }
+            PieceRead::Ended { .. } => true,
+            PieceRead::Cut => false,
+        };
+        if is_next {
+            self.switch_to_spare(sink);
+        }
+        is_next
+    }
+
+    /// False if an answer names another request.
+    fn is_own(&self, echo: Option<&str>) -> bool {
+        echo.is_none_or(|echo| echo == &*self.call.id)
+    }
+
+    fn report_unreachable(&self) {
+        if let Some(upstream) = self.exchange.upstream() {
+            let event = UpstreamEvent::Unreachable;
+            self.pool.handle_event(PoolEvent::Lifecycle { upstream, event });
         }
     }
 
+    /// Time since the upstream last sent a part of the answer, in milliseconds.
+    fn silent_ms(&self) -> u64 {
+        self.now().since(self.last_read).as_millis() as u64
+    }
+
+    /// Logs and counts an answer that had begun and gets no end.
+    fn log_cut(&self, kind: AnswerKind) {
+        let ended_by = if kind == AnswerKind::UpstreamSilent { "daemon" } else { "upstream" };
+        let cause = kind.row().name;
+        record_cut_answer(ended_by, cause);
+        let upstream = self.target.as_ref().map_or("", |(name, _)| name.as_str());
+        let after = self.now().since(self.arrived_at);
+        info!(self.state.log, "stream cut"; "request" => &*self.call.id, "upstream" => upstream,
+            "service" => self.pool.service.as_str(), "events" => self.exchange.pieces(),
+            "after_ms" => after.as_millis() as u64, "ended_by" => ended_by, "cause" => cause,
+            "silent_ms" => self.silent_ms());
+    }
+
     /// Starts a crash check after the connection ended before the answer did, since the upstream
     /// may have terminated.
     fn check_upstream(&self) {
@@ -414,7 +560,9 @@
         check_upstream(self.state, upstream, BrokenRequest { id, fingerprint: self.fingerprint });
     }
 
+    /// Forwards the next piece. The connection that brought it is the only one that is kept.
     async fn relay(&mut self, piece: AnswerPiece, sink: &mut AnswerSink) -> Result<(), CallerGone> {
+        self.lines.spare = None;
         self.tokens += piece.tokens;
         self.report_timing(&piece);
         sink.relay(piece.bytes).await
@@ -457,17 +605,16 @@
     /// Closes the connection and cancels the work at the upstream in the background. Neither the
     /// caller's refusal nor the release of the slot may wait for an upstream that does not respond.
     fn cancel(&mut self) {
-        self.pieces = None;
+        self.lines.close();
         let Some((_, address)) = self.target.clone() else { return };
         let driver = Arc::clone(&self.pool.driver);
-        let call = self.call.clone();
+        let call = Arc::clone(&self.call);
         tokio::spawn(async move { driver.cancel(&call, address).await });
     }
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum OpenMode {
-    None,
     Initial,
     Resume,
 }
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 //! state only through snapshots.
 
 mod access;
+mod answer_lines;
 mod claim_guard;
 mod crash_check;
 mod dispatch;
--- a/tests/test_ran_status.rs
+++ b/tests/test_ran_status.rs
@@ -237,6 +237,7 @@
     ExchangeEvent::Ended,
     ExchangeEvent::Cut,
     ExchangeEvent::Silent,
+    ExchangeEvent::Switched,
     ExchangeEvent::ResumeRefused,
     ExchangeEvent::CallerLeft,
     ExchangeEvent::Deadline,
