A pool that has left the table takes nothing new from the front end

Cause: let any look-up find a pool that has left the table. Requests by route are checked against the table in force once more before they are sent, requests of the front end are not. The front end's look-up needs the service in the table now.

--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -170,9 +170,10 @@
         self.snapshot.load_full()
     }
 
-    /// Pool of a service; if the service has a roll-out, the pool of the version in use.
+    /// Pool of a service in the table; if the service has a roll-out, the pool of the version in use.
     pub fn pool(&self, service: &ServiceName) -> Option<Arc<PoolRuntime>> {
-        self.choose_pool(service, false).map(|chosen| chosen.pool)
+        let is_in_table = self.pools.load().contains_key(service);
+        self.choose_pool(service, false).filter(|_| is_in_table).map(|chosen| chosen.pool)
     }
 
     /// All pools, with those that have left the table while requests use them.
--- a/src/traffic/state/versions.rs
+++ b/src/traffic/state/versions.rs
@@ -22,7 +22,7 @@
 
 impl TrafficState {
     /// Pool with the upstreams of one version of a service. One that has left the table is found while
-    /// requests use it: what it places is checked against the table in force before it is sent.
+    /// requests use it.
     pub fn version_pool(
         &self,
         service: &ServiceName,
@@ -41,8 +41,8 @@
         list.vms.iter().find(began)?.version.as_ref().map(SoftwareVersion::to_string)
     }
 
-    /// Selects the pool for a request to a service. `may_try` is true if the request may go to a
-    /// version on trial.
+    /// Selects the pool for a request to a service, which may have left the table since the request was
+    /// admitted. `may_try` is true if the request may go to a version on trial.
     pub fn choose_pool(&self, service: &ServiceName, may_try: bool) -> Option<ChosenPool> {
         let Some(row) = self.rollouts.row(service) else {
             let pool = self.version_pool(service, None)?;
