Soak: planned work, silences and stalls, and what they may not end

The users' case (streams of sound upstreams that end beside edits) could not happen in the soak: its engines never paused, its edits changed no route in use, and no check looked at answers that were cut.

New in the schedule: engines that pause in mid-stream (one by one, every second one, all at once), series of edits each 0.2 s that move, split, drop, re-key, shorten and lengthen routes in use, end `resumable` or drop the service, and bring them back; stalls of entries; SIGHUP and SIGTERM in series beside edits; starts of the whole fleet after which voters hold different tables. `--planned` plays these alone, without the request that ends engines.

New checks: LOST (beside planned work, in the rule's words) and CUT (the daemon's own record says that it cut a stream whose engine was sound, at any time).

Changes to checks: - A refusal (DENIED) counts unless a table that may be in force asks for it; before, all tables were alike. - A stream's versions over the tries of a caller (ORDER) and the share of streams that go on are not judged where a table in force sends the route to other engines or ends `resumable`. Within one answer they are judged always. - `GET /` without an id is a health check under a table that no longer has the service. Engines answer it as real ones do, 400 and not executed; all else without an id breaks UNASKED as before.

--- a/soak/answers.rs
+++ b/soak/answers.rs
@@ -1,9 +1,10 @@
 //! Execution of requests at the simulated engines, and the faults of its answers.
 
-use crate::connection::{EngineConnection, LateBytes, close};
+use crate::connection::{EngineConnection, LateBytes, close, close_error};
 use crate::faults::{FaultKind, FaultPlace};
+use crate::losses::ViewGuard;
 use crate::wire::{WireRequest, response_text};
-use crate::{callers, checks, poison, streams};
+use crate::{callers, checks, planned, poison, streams};
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use std::io;
@@ -14,7 +15,7 @@
 /// Upper bound of the time that a plain request runs.
 const MAX_RUN_TIME_MS: u64 = 40;
 /// Header line of answers that state that the request was not executed.
-const NOT_EXECUTED: &str = "tarragonknot-not-executed: 1\r\n";
+pub const NOT_EXECUTED: &str = "tarragonknot-not-executed: 1\r\n";
 /// Statuses of such answers.
 const REFUSAL_STATUSES: [u16; 2] = [503, 429];
 /// Statuses of failed executions.
@@ -32,9 +33,25 @@
 
 impl EngineConnection {
     /// Reads the rest of a request, executes and answers it; an error ends the connection.
-    pub async fn answer(&mut self, mut request: WireRequest) -> io::Result<()> {
+    pub async fn answer(&mut self, request: WireRequest) -> io::Result<()> {
+        let view = ViewGuard::begin(&self.ctx, request.id(), self.engine.number);
+        // Bytes that belong to no request may spoil this answer.
+        let is_spoilt = self.late.is_some() || self.previous_fault.is_some();
         self.check_head(&request);
         let fault = self.draw_fault(FaultPlace::Request);
+        let result = self.answer_with_fault(request, fault).await;
+        if !is_spoilt && matches!(fault, None | Some(FaultKind::Pause)) {
+            let is_own_close = |error: &io::Error| error.kind() == close_error().kind();
+            view.end(result.as_ref().map_or_else(is_own_close, |()| true));
+        }
+        result
+    }
+
+    async fn answer_with_fault(
+        &mut self,
+        mut request: WireRequest,
+        fault: Option<FaultKind>,
+    ) -> io::Result<()> {
         if let Some(fault) = fault {
             self.record_event(&request, &format!("drew {fault:?}"));
         }
@@ -66,8 +83,7 @@
     }
 
     fn check_head(&mut self, request: &WireRequest) {
-        let has_key = request.header("authorization").is_some();
-        checks::check_arrival(&self.ctx, request.id(), &self.engine.id, has_key);
+        checks::check_arrival(&self.ctx, request, &self.engine.id);
         if let Some(label) = self.previous_fault.take() {
             self.record_event(request, &format!("read it after {label}"));
         }
@@ -102,11 +118,11 @@
             }
             Some(FaultKind::FailedRun) => self.fail(request, &FAILURE_STATUSES).await.map(drop),
             Some(FaultKind::TruncatedAnswer) => {
-                self.run(request, true).await?;
+                self.run(request, fault).await?;
                 close()
             }
             Some(FaultKind::ExtraAnswer) => {
-                self.run(request, false).await?;
+                self.run(request, fault).await?;
                 let head = self.answer_headers(request).replace(request.id(), "other");
                 self.previous_fault = Some("ExtraAnswer".to_owned());
                 self.wire.write(&response_text(200, &head, "not yours")).await
@@ -115,13 +131,13 @@
                 let text = match self.rng.random_range(0..3) {
                     0 => self.refuse(request).await?,
                     1 => self.fail(request, &[500]).await?,
-                    _ => self.run(request, false).await?,
+                    _ => self.run(request, fault).await?,
                 };
                 let label = format!("LateAnswer to {}", request.id());
                 self.late = Some(LateBytes { text, label, closes: false });
                 Ok(())
             }
-            _ => self.run(request, false).await.map(drop),
+            _ => self.run(request, fault).await.map(drop),
         }
     }
 
@@ -179,16 +195,16 @@
 
     /// Executes the request and answers it with success, or with the first part of that answer;
     /// returns the answer.
-    async fn run(&mut self, request: &WireRequest, is_truncated: bool) -> io::Result<String> {
+    async fn run(&mut self, request: &WireRequest, fault: Option<FaultKind>) -> io::Result<String> {
         self.execute(request).await;
         let headers = self.answer_headers(request);
         if is_stream(request) {
-            return self.stream_events(request, &headers, is_truncated).await;
+            return self.stream_events(request, &headers, fault).await;
         }
         let events = callers::event_count_text(&request.body);
         let body = format!("answer to {}, {events}, {} bytes", request.id(), request.body.len());
         let mut text = response_text(200, &headers, &body);
-        if is_truncated {
+        if fault == Some(FaultKind::TruncatedAnswer) {
             text.truncate(text.len() - 3);
         }
         self.wire.write(&text).await.map(|()| text)
@@ -198,16 +214,16 @@
         &mut self,
         request: &WireRequest,
         headers: &str,
-        is_truncated: bool,
+        fault: Option<FaultKind>,
     ) -> io::Result<String> {
         let event_count: u64 = callers::event_count_text(&request.body).trim().parse().unwrap_or(3);
         let last_received =
             request.header("last-event-id").and_then(|last| last.parse::<u64>().ok()).unwrap_or(0);
-        let cut_event = if is_truncated {
-            self.rng.random_range(last_received + 1..=event_count.max(last_received + 1))
-        } else {
-            u64::MAX
-        };
+        let faulty_event =
+            self.rng.random_range(last_received + 1..=event_count.max(last_received + 1));
+        let event_with = |kind| if fault == Some(kind) { faulty_event } else { u64::MAX };
+        let cut_event = event_with(FaultKind::TruncatedAnswer);
+        let pause_event = event_with(FaultKind::Pause);
         let is_chunked = !ends_with_connection(request);
         let framing = if is_chunked { "transfer-encoding: chunked\r\n" } else { "" };
         let mut text =
@@ -215,6 +231,11 @@
         self.wire.write(&text).await?;
         for event in last_received + 1..=event_count {
             tokio::time::sleep(EVENT_INTERVAL).await;
+            self.ctx.pauses.wait(self.engine.number).await;
+            if event == pause_event {
+                let time = self.rng.random_range(planned::PAUSE_MS);
+                tokio::time::sleep(Duration::from_millis(time)).await;
+            }
             let version = streams::engine_version(self.engine.number);
             let mut data = streams::event_text(request.id(), event, version);
             if event == cut_event {
--- a/soak/callers.rs
+++ b/soak/callers.rs
@@ -2,7 +2,9 @@
 //! checks the responses.
 
 use crate::context::{AddressKind, CALLERS_PORT, SentRequest, SoakContext};
+use crate::losses::EndedRequest;
 use crate::streams::{ReceivedEvents, has_two_engines};
+use crate::tables;
 use bytes::Bytes;
 use http::Request;
 use http_body_util::{BodyExt, Full};
@@ -23,7 +25,7 @@
 pub const FREE_KEY: &str = "free-key";
 pub const LIMITED_KEY: &str = "limited-key";
 /// Deadline that callers send with each request.
-const REQUEST_DEADLINE: Duration = Duration::from_secs(4);
+pub const REQUEST_DEADLINE: Duration = Duration::from_secs(4);
 /// Upper bound of the pause between two requests of a caller.
 const MAX_THINK_TIME_MS: u64 = 60;
 /// Maximum number of events in a stream.
@@ -82,7 +84,11 @@
     })
 }
 
-type CallerConnection = SendRequest<Full<Bytes>>;
+/// A connection to an entry.
+struct CallerConnection {
+    entry: usize,
+    sender: SendRequest<Full<Bytes>>,
+}
 
 async fn connect(ctx: &SoakContext, entry: usize) -> Option<CallerConnection> {
     let address = ctx.address(AddressKind::EntryProxy, entry, CALLERS_PORT);
@@ -92,7 +98,7 @@
         .ok()?;
     let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
     tokio::spawn(connection);
-    Some(sender)
+    Some(CallerConnection { entry, sender })
 }
 
 async fn run_caller(
@@ -106,10 +112,11 @@
     while !ctx.is_stopped() {
         tokio::time::sleep(Duration::from_millis(rng.random_range(0..MAX_THINK_TIME_MS))).await;
         // Connections are reused until they fail, even while the entry shuts down.
-        let connection = match idle_connection.take().filter(|connection| !connection.is_closed()) {
-            Some(connection) => Some(connection),
-            None => connect(&ctx, rng.random_range(0..ctx.sizes.entries)).await,
-        };
+        let connection =
+            match idle_connection.take().filter(|connection| !connection.sender.is_closed()) {
+                Some(connection) => Some(connection),
+                None => connect(&ctx, rng.random_range(0..ctx.sizes.entries)).await,
+            };
         let Some(mut connection) = connection else { continue };
         sent_count += 1;
         let id = format!("{:x}-{caller}-{sent_count}", ctx.seed);
@@ -121,14 +128,15 @@
         let response_timeout =
             if rng.random_range(0..20) == 0 { REQUEST_DEADLINE / 40 } else { REQUEST_DEADLINE * 2 };
         let leave_after = draft.leave_after(0, &mut return_rng);
+        let began_at = Instant::now();
         let exchanging = exchange(&ctx, &mut connection, request, &id, 0..leave_after);
         let Ok(answer) = tokio::time::timeout(response_timeout, exchanging).await else { continue };
-        if answer.is_reusable && connection.ready().await.is_ok() {
+        if answer.is_reusable && connection.sender.ready().await.is_ok() {
             idle_connection = Some(connection);
         }
         if matches!(kind, RequestKind::Resumable) {
             ctx.streams.record_new(answer.received.last_event > 0);
-            take_up(&ctx, &draft, &id, answer, &mut return_rng).await;
+            take_up(&ctx, &draft, &id, answer, began_at, &mut return_rng).await;
         }
     }
 }
@@ -146,10 +154,12 @@
     draft: &RequestDraft,
     first_id: &str,
     first: CallerAnswer,
+    began_at: Instant,
     rng: &mut ChaCha8Rng,
 ) {
     let mut held = first.received;
     let mut is_complete = first.is_complete;
+    let request_path = draft.kind.path();
     for number in 1..=MAX_RETURNS {
         if is_complete || held.last_event == 0 || held.last_event >= draft.events {
             return;
@@ -161,6 +171,7 @@
         let id = format!("{first_id}-{number}");
         record_request(ctx, RequestKind::Resumable, &id);
         let request = draft.request(&id, Some((header, first_id, held.last_event)));
+        let sent_at = Instant::now();
         let is_left = |version: &String| has_two_engines(ctx, version);
         let was_left = held.versions.iter().all(is_left);
         let events = held.last_event..draft.leave_after(held.last_event, rng);
@@ -168,13 +179,16 @@
         let limit = REQUEST_DEADLINE * 2;
         let Ok(answer) = tokio::time::timeout(limit, exchanging).await else { return };
         let has_gone_on = answer.received.last_event > held.last_event;
-        if has_gone_on || was_left && held.versions.iter().all(is_left) {
+        let is_left = was_left && held.versions.iter().all(is_left);
+        if has_gone_on || is_left && tables::is_plain(ctx, sent_at) {
             ctx.streams.record_taken_up(has_gone_on);
         }
         held.versions.extend(answer.received.versions);
         held.last_event = held.last_event.max(answer.received.last_event);
         is_complete = answer.is_complete;
-        check_versions(ctx, &id, &held);
+        if !tables::may_change_version(ctx, began_at, request_path) {
+            check_versions(ctx, &id, &held);
+        }
     }
 }
 
@@ -275,10 +289,18 @@
     id: &str,
     events: Range<u64>,
 ) -> CallerAnswer {
-    let is_stream = !request.uri().path().contains("safe/");
+    let (path, sent_at) = (request.uri().path().to_owned(), Instant::now());
+    let is_stream = !path.contains("safe/");
+    let record_end = |last_event, is_cut| {
+        let entry = connection.entry;
+        let (path, ended_at) = (path.clone(), Instant::now());
+        let ended = EndedRequest { entry, path, sent_at, ended_at, last_event, is_cut };
+        ctx.losses.record_end(id, ended);
+    };
     let body = request.body().clone().collect().await.unwrap_or_default().to_bytes();
     let event_count: u64 = event_count_text(&body).parse().unwrap_or(0);
-    let Ok(response) = connection.send_request(request).await else {
+    let Ok(response) = connection.sender.send_request(request).await else {
+        record_end(0, true);
         return CallerAnswer::default();
     };
     let status = response.status().as_u16();
@@ -287,18 +309,18 @@
     let answer = read_response_body(response.into_body(), events.end).await;
     if status != 200 {
         ctx.recorder.record_status(id, status);
+        record_end(0, answer.1 == BodyEnd::Broken);
         let is_denied = matches!(status, 400..=407 | 409..=420 | 422..=428);
+        let is_denied = is_denied && !tables::may_deny(ctx, sent_at, &path, status);
         if is_denied && ctx.time_since_disturbance() > Duration::from_secs(5) {
             let detail = format!("was refused with status {status} without a recent disturbance");
             ctx.recorder.record_request_violation("DENIED", id, detail);
         }
-        let is_reusable = is_reusable && answer.is_ok();
+        let is_reusable = is_reusable && answer.1 == BodyEnd::Whole;
         return CallerAnswer { is_reusable, ..CallerAnswer::default() };
     }
-    let (text, is_complete) = match &answer {
-        Ok(text) => (text, true),
-        Err(text) => (text, false),
-    };
+    let (text, body_end) = &answer;
+    let is_complete = *body_end == BodyEnd::Whole;
     if is_complete {
         ctx.recorder.record_status(id, status);
     }
@@ -307,6 +329,7 @@
         ctx.recorder.record_request_violation("MIXED", id, detail);
     }
     let received = if is_stream { ReceivedEvents::read(text) } else { ReceivedEvents::default() };
+    record_end(received.last_event, *body_end == BodyEnd::Broken);
     let text = if is_stream { &received.text } else { text };
     check_versions(ctx, id, &received);
     let expected = if is_stream {
@@ -329,21 +352,31 @@
     CallerAnswer { is_reusable: is_reusable && is_complete, is_complete, received }
 }
 
-/// Reads the response body; `Err` holds the part received before the connection failed, or up to the
-/// event `last_event`.
-async fn read_response_body(mut body: Incoming, last_event: u64) -> Result<String, String> {
+/// How the reading of a response ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BodyEnd {
+    Whole,
+    /// The connection failed.
+    Broken,
+    /// The caller has left.
+    Left,
+}
+
+/// Reads the response body, or the part received before the connection failed, or up to the event
+/// `last_event`.
+async fn read_response_body(mut body: Incoming, last_event: u64) -> (String, BodyEnd) {
     let mut text = String::new();
     loop {
         if last_event < u64::MAX && ReceivedEvents::read(&text).last_event >= last_event {
-            return Err(text);
+            return (text, BodyEnd::Left);
         }
         match body.frame().await {
-            None => return Ok(text),
+            None => return (text, BodyEnd::Whole),
             Some(Ok(frame)) => {
                 let bytes = frame.into_data().unwrap_or_default();
                 text.push_str(&String::from_utf8_lossy(&bytes));
             }
-            Some(Err(_)) => return Err(text),
+            Some(Err(_)) => return (text, BodyEnd::Broken),
         }
     }
 }
--- a/soak/checks.rs
+++ b/soak/checks.rs
@@ -3,7 +3,9 @@
 use crate::callers::{FREE_KEY, ROUTE_HOST, event_count_text, request_body};
 use crate::context::{AddressKind, CALLERS_PORT, READY_PORT, SentRequest, SoakContext, lock};
 use crate::fleet::{POLL_INTERVAL, WAIT_TIMEOUT};
-use crate::operators::{config_document, read_config, replace_config};
+use crate::operators::{read_config, replace_config};
+use crate::tables::{TableChange, TableEdit};
+use crate::wire::WireRequest;
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -36,11 +38,13 @@
 const NOT_EXECUTED_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 /// Checks a request when it arrives at an engine.
-pub fn check_arrival(ctx: &SoakContext, id: &str, engine: &str, has_key: bool) {
+pub fn check_arrival(ctx: &SoakContext, request: &WireRequest, engine: &str) {
+    let (id, path) = (request.id(), request.path());
+    let has_key = request.header("authorization").is_some();
     if !ctx.recorder.was_sent(id) && !id.starts_with("probe") {
         ctx.recorder.record_violation(
             "UNASKED",
-            format!("{engine} received request {id:?}, which no caller sent"),
+            format!("{engine} received request {id:?}, which no caller sent, on {path}"),
         );
     }
     if has_key {
@@ -251,10 +255,10 @@
     tokio::time::sleep(CONTACT_TIME.saturating_sub(ctx.time_since_disturbance())).await;
     let newest = lock(&ctx.acknowledged_versions).last_key_value().map_or(0, |(newest, _)| *newest);
     let version = newest + VERSION_GAP;
-    let document = config_document(version, ctx.sizes.idle_routes);
+    let edit = TableEdit::new(ctx, version, TableChange::PLAIN);
     let sent_at = Instant::now();
     for voter in (0..ctx.sizes.voters).cycle() {
-        if replace_config(ctx, voter, version, &document).await {
+        if replace_config(ctx, voter, &edit).await {
             return;
         }
         if sent_at.elapsed() > ACK_LIMIT {
--- a/soak/connection.rs
+++ b/soak/connection.rs
@@ -1,6 +1,7 @@
 //! A connection to a simulated engine: reads requests, replies to reservations and sends answers
 //! that belong to no request.
 
+use crate::answers::NOT_EXECUTED;
 use crate::context::{SoakContext, lock};
 use crate::engines::{ENGINE_SLOTS, EngineIdentity};
 use crate::faults::{FaultKind, FaultPlace};
@@ -90,9 +91,12 @@
             self.draw_notice().await?;
         }
         let mut request = self.wire.read_head().await?;
+        self.ctx.pauses.wait(self.engine.number).await;
         let expected_id = request.header("tarragonknot-expect-instance");
         let is_expected = expected_id.is_none_or(|expected_id| expected_id == self.engine.id);
-        if is_expected && !matches!(request.path(), "/-/hold-take" | "/healthz") {
+        let path = request.path();
+        let is_own_call = path.starts_with("/-/") || matches!(path, "/" | "/healthz");
+        if is_expected && !is_own_call {
             self.ctx.stated_rates.record_arrival(self.engine.number);
             return self.answer(request).await;
         }
@@ -109,6 +113,8 @@
                 self.wire.write(&response_text(421, &request.echoed_id(), "")).await
             }
             "/-/hold-take" => self.reserve().await,
+            // A health check under a table without the service, which names no path for it.
+            "/" => self.wire.write(&response_text(400, NOT_EXECUTED, "")).await,
             _ => {
                 let headers = format!("tarragonknot-instance-id: {}\r\n", self.engine.id);
                 self.wire.write(&response_text(200, &headers, "")).await
@@ -191,5 +197,10 @@
 
 /// Ends the connection.
 pub fn close() -> io::Result<()> {
-    Err(io::ErrorKind::ConnectionAborted.into())
+    Err(close_error())
+}
+
+/// The error that stands for an end by the engine itself.
+pub fn close_error() -> io::Error {
+    io::ErrorKind::ConnectionAborted.into()
 }
--- a/soak/context.rs
+++ b/soak/context.rs
@@ -4,10 +4,12 @@
 use crate::SoakArgs;
 use crate::faults::FaultSettings;
 use crate::fleet::FleetProcesses;
+use crate::losses::LossRecord;
 use crate::poison::PoisonExecutions;
 use crate::proxy::ProxyModes;
 use crate::stated_rates::StatedRates;
 use crate::streams::StreamRecord;
+use crate::tables::TableRecord;
 use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -183,6 +185,12 @@
     pub faults: FaultSettings,
     /// Acknowledged versions of the configuration, with the time of their first acknowledgement.
     pub acknowledged_versions: Mutex<BTreeMap<u64, Instant>>,
+    /// The tables that were sent.
+    pub tables: TableRecord,
+    /// Requests that ended, and what may have ended them.
+    pub losses: LossRecord,
+    /// Engines that stand still.
+    pub pauses: crate::engines::EnginePause,
     /// Time of the last disturbance: start or end of a fault at a process, a proxy or an engine.
     pub last_disturbance: Mutex<Instant>,
     /// Rates that engines state.
@@ -216,6 +224,9 @@
             proxies: ProxyModes::default(),
             faults: FaultSettings::new(&args.faults, args.fault_rate),
             acknowledged_versions: Mutex::default(),
+            tables: TableRecord::default(),
+            losses: LossRecord::default(),
+            pauses: crate::engines::EnginePause::default(),
             last_disturbance: Mutex::new(Instant::now()),
             stated_rates: StatedRates::default(),
             streams: StreamRecord::default(),
--- a/soak/engines.rs
+++ b/soak/engines.rs
@@ -2,6 +2,7 @@
 
 use crate::connection::EngineConnection;
 use crate::context::{AddressKind, ENGINE_PORT, LIST_PORT, SoakContext, lock};
+use crate::losses::FaultTarget;
 use crate::wire::{WireStream, response_text};
 use crate::{proxy, streams};
 use rand::SeedableRng;
@@ -10,7 +11,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::task::AbortHandle;
 
@@ -18,6 +19,9 @@
 pub const ENGINE_SLOTS: u32 = 4;
 /// Name of the service that the engines belong to.
 pub const SERVICE_NAME: &str = "pool";
+/// Name and number of engines of the service to which edits move routes.
+pub const OTHER_SERVICE: &str = "annex";
+pub const OTHER_ENGINES: usize = 2;
 
 /// One incarnation of a simulated engine.
 #[derive(Debug)]
@@ -26,6 +30,7 @@
     /// Address in the platform's list, which is that of the engine's proxy.
     pub listed_address: SocketAddr,
     pub draining_since: Option<Instant>,
+    pub service: &'static str,
     task: AbortHandle,
 }
 
@@ -36,8 +41,40 @@
     pub last_number: usize,
 }
 
-/// Starts another engine and its proxy.
-pub async fn add(ctx: &Arc<SoakContext>) -> std::io::Result<usize> {
+impl EngineSet {
+    /// The engines of the usual service that take requests, and their numbers.
+    pub fn pool(&self) -> impl Iterator<Item = (&usize, &SimulatedEngine)> {
+        let is_serving = |engine: &SimulatedEngine| engine.draining_since.is_none();
+        let engines = self.engines.iter();
+        engines.filter(move |(_, engine)| is_serving(engine) && engine.service == SERVICE_NAME)
+    }
+}
+
+/// Engines that stand still until a moment: all, or every second one.
+#[derive(Debug, Default)]
+pub struct EnginePause {
+    all: Mutex<Option<Instant>>,
+    some: Mutex<Option<Instant>>,
+}
+
+impl EnginePause {
+    /// Lets engines stand still for a while.
+    pub fn start(&self, are_all: bool, time: Duration) {
+        *lock(if are_all { &self.all } else { &self.some }) = Some(Instant::now() + time);
+    }
+
+    /// Waits while an engine stands still.
+    pub async fn wait(&self, engine: usize) {
+        let some = lock(&self.some).filter(|_| engine.is_multiple_of(2));
+        let until = some.max(*lock(&self.all));
+        if let Some(until) = until {
+            tokio::time::sleep_until(until.into()).await;
+        }
+    }
+}
+
+/// Starts another engine of a service and its proxy.
+pub async fn add(ctx: &Arc<SoakContext>, service: &'static str) -> std::io::Result<usize> {
     let number = {
         let mut set = lock(&ctx.engines);
         set.last_number += 1;
@@ -49,19 +86,20 @@
     proxy::start(ctx, listed_address, engine_address).await?;
     let id = format!("i-{number:04}");
     let task = tokio::spawn(accept_connections(Arc::clone(ctx), listener, id.clone(), number));
-    let engine =
-        SimulatedEngine { id, listed_address, draining_since: None, task: task.abort_handle() };
+    let task = task.abort_handle();
+    let engine = SimulatedEngine { id, listed_address, draining_since: None, service, task };
     lock(&ctx.engines).engines.insert(number, engine);
     Ok(number)
 }
 
 /// Stops an engine at once, as a crash does, and resets its open connections; the next read of the
-/// list omits it.
-pub fn crash(ctx: &SoakContext, number: usize) {
-    if let Some(engine) = lock(&ctx.engines).engines.remove(&number) {
-        engine.task.abort();
-        ctx.proxies.set(engine.listed_address, proxy::ProxyMode::ResetOpen);
-    }
+/// list omits it. Returns its service.
+pub fn crash(ctx: &SoakContext, number: usize) -> Option<&'static str> {
+    ctx.losses.record_fault(FaultTarget::Engine(number));
+    let engine = lock(&ctx.engines).engines.remove(&number)?;
+    engine.task.abort();
+    ctx.proxies.set(engine.listed_address, proxy::ProxyMode::ResetOpen);
+    Some(engine.service)
 }
 
 /// Lists an engine as draining; it continues to serve requests.
@@ -127,7 +165,7 @@
     let set = lock(&ctx.engines);
     let rows = set.engines.iter().map(|(number, engine)| {
         let state = if engine.draining_since.is_some() { "draining" } else { "ready" };
-        json!({"id": engine.id, "service": SERVICE_NAME, "address": engine.listed_address, "zone": "a", "slots": ENGINE_SLOTS,
+        json!({"id": engine.id, "service": engine.service, "address": engine.listed_address, "zone": "a", "slots": ENGINE_SLOTS,
                "state": state, "version": streams::engine_version(*number), "cold_left_ms": 0})
     });
     json!({"instances": rows.collect::<Vec<Value>>(), "next_token": null})
--- a/soak/faults.rs
+++ b/soak/faults.rs
@@ -36,6 +36,8 @@
     DoubledReservation,
     /// A second copy of a reservation's reply is written when the next request has been read.
     LateReservation,
+    /// The stream pauses and is whole otherwise.
+    Pause,
     /// 408 or 503 on an idle connection, which is then closed or kept.
     IdleNotice,
     /// The same at the moment when the next request has been read.
--- a/soak/fleet.rs
+++ b/soak/fleet.rs
@@ -4,7 +4,9 @@
     AddressKind, CALLERS_PORT, CONTROL_PORT, LIST_PORT, OPERATORS_PORT, READY_PORT, RELAY_PORT,
     SoakContext, lock,
 };
-use crate::operators::config_document;
+use crate::engines::{OTHER_ENGINES, OTHER_SERVICE, SERVICE_NAME};
+use crate::losses::FaultTarget;
+use crate::tables::{TableChange, TableEdit};
 use crate::{checks, engines, operators, proxy};
 use serde_json::{Value, json};
 use std::fs::OpenOptions;
@@ -109,10 +111,18 @@
     Ok(())
 }
 
+/// Records an unplanned fault of a process.
+pub fn record_fault(ctx: &SoakContext, name: ProcessName) {
+    if let ProcessName::Entry(entry) = name {
+        ctx.losses.record_fault(FaultTarget::Entry(entry));
+    }
+}
+
 /// Kills a process with SIGKILL and waits for it.
 pub fn kill(ctx: &SoakContext, name: ProcessName) {
     ctx.record_disturbance();
     if let Some(mut child) = lock(&ctx.processes).running.remove(&name) {
+        record_fault(ctx, name);
         let _ = child.kill();
         let _ = child.wait();
     }
@@ -165,7 +175,10 @@
     let to_text = |error: std::io::Error| error.to_string();
     engines::serve_platform_list(ctx).await.map_err(to_text)?;
     for _ in 0..ctx.sizes.engines {
-        engines::add(ctx).await.map_err(to_text)?;
+        engines::add(ctx, SERVICE_NAME).await.map_err(to_text)?;
+    }
+    for _ in 0..OTHER_ENGINES {
+        engines::add(ctx, OTHER_SERVICE).await.map_err(to_text)?;
     }
     for number in 0..ctx.sizes.entries {
         let proxy_address = ctx.address(AddressKind::EntryProxy, number, CALLERS_PORT);
@@ -177,8 +190,8 @@
     }
     lock(&ctx.processes).has_started = true;
     let deadline = tokio::time::Instant::now() + WAIT_TIMEOUT;
-    let document = config_document(1, ctx.sizes.idle_routes);
-    while !operators::replace_config(ctx, 0, 1, &document).await {
+    let edit = TableEdit::new(ctx, 1, TableChange::PLAIN);
+    while !operators::replace_config(ctx, 0, &edit).await {
         if tokio::time::Instant::now() > deadline {
             return Err("voter 0 did not accept the first configuration".to_owned());
         }
@@ -210,14 +223,8 @@
             break;
         }
     }
-    while lock(&ctx.engines)
-        .engines
-        .values()
-        .filter(|engine| engine.draining_since.is_none())
-        .count()
-        < 2
-    {
-        let _ = engines::add(ctx).await;
+    while lock(&ctx.engines).pool().count() < 2 {
+        let _ = engines::add(ctx, SERVICE_NAME).await;
     }
 }
 
--- a/soak/main.rs
+++ b/soak/main.rs
@@ -13,12 +13,15 @@
 mod engines;
 mod faults;
 mod fleet;
+mod losses;
 mod operators;
 mod plan;
+mod planned;
 mod poison;
 mod proxy;
 mod stated_rates;
 mod streams;
+mod tables;
 mod wire;
 
 use clap::Parser;
@@ -32,7 +35,7 @@
 use std::time::Duration;
 
 /// Number of the schedule's last steps that are printed with a violation.
-const PRINTED_STEPS: usize = 20;
+const PRINTED_STEPS: usize = 40;
 
 /// Command-line options.
 #[derive(Clone, Debug, Parser)]
@@ -68,6 +71,9 @@
     /// Faults of the engines per thousand requests, besides those of the schedule.
     #[arg(long, default_value_t = 50)]
     fault_rate: u64,
+    /// Play planned work, pauses and stalls alone; faults of single requests follow `--fault-rate`.
+    #[arg(long)]
+    planned: bool,
     /// Program to test; a copy with a deliberately broken rule should fail.
     #[arg(long, default_value = env!("CARGO_BIN_EXE_tarragonknot"))]
     program: PathBuf,
@@ -97,6 +103,7 @@
         &mut ChaCha8Rng::seed_from_u64(seed),
         Duration::from_secs(args.seconds),
         &ctx.sizes,
+        args.planned,
     );
     if let Err(detail) = fleet::start_all(&ctx).await {
         ctx.recorder.record_violation("START", detail);
@@ -104,17 +111,21 @@
         let traffic = callers::start(&ctx, seed);
         let operators = operators::start(&ctx, seed);
         let version_watch = checks::start_version_watch(&ctx);
-        let poison_caller = poison::start(&ctx);
+        let poison_caller = (!args.planned).then(|| poison::start(&ctx));
         plan::execute(&ctx, &steps).await;
         fleet::heal(&ctx).await;
         checks::wait_for_recovery(&ctx).await;
         stated_rates::check(&ctx).await;
         ctx.stop();
-        let _ = tokio::join!(traffic, operators, version_watch, poison_caller);
+        let _ = tokio::join!(traffic, operators, version_watch);
         checks::check_acknowledgement(&ctx).await;
-        poison::check(&ctx).await;
+        if let Some(caller) = poison_caller {
+            let _ = caller.await;
+            poison::check(&ctx).await;
+        }
         checks::check_recorded_runs(&ctx);
         streams::check(&ctx);
+        losses::check(&ctx);
         checks::check_durability(&ctx).await;
     }
     fleet::kill_all(&ctx).await;
@@ -123,7 +134,9 @@
 
 fn report(ctx: &SoakContext, steps: &[plan::TimedStep], keep: bool) -> bool {
     let violations = ctx.recorder.violations();
-    let summary = format!("{}; {}", ctx.recorder.summary(), ctx.streams);
+    let all_steps: String = steps.iter().map(|step| format!("{step}\n")).collect();
+    drop(std::fs::write(ctx.folder().join("steps.txt"), all_steps));
+    let summary = format!("{}; {}; {}", ctx.recorder.summary(), ctx.streams, ctx.losses);
     if violations.is_empty() {
         println!("seed {}: kept, {} steps; {summary}", ctx.seed, steps.len());
         if keep {
--- a/soak/operators.rs
+++ b/soak/operators.rs
@@ -1,10 +1,9 @@
 //! Simulated operators: two change the configuration and retry calls without a definite response,
 //! one reads it.
 
-use crate::callers::{FREE_KEY, LIMITED_KEY, ROUTE_HOST};
 use crate::checks;
 use crate::context::{AddressKind, OPERATORS_PORT, SoakContext, lock};
-use crate::engines::{ENGINE_SLOTS, SERVICE_NAME};
+use crate::tables::{self, TableChange, TableEdit};
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -14,7 +13,6 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 use tokio::task::JoinHandle;
 
@@ -23,34 +21,6 @@
 /// Number of calls after which a change is given up; it may or may not be in force then.
 const MAX_CALLS: usize = 30;
 
-/// The configuration of a version: the same routes, one whose name contains the version, and a number
-/// that no caller uses.
-pub fn config_document(version: u64, idle_routes: usize) -> String {
-    let route = |name: &str, kind: &str, max_attempts: u32, is_resumable: bool| {
-        json!({"name": name, "host": ROUTE_HOST, "path_prefix": format!("/{name}/"), "kind": kind, "timeout_ms": 4000,
-               "latency_slo_ms": 400, "priority": 0, "service": SERVICE_NAME, "max_attempts": max_attempts, "public": false,
-               "resumable": is_resumable, "gap_slo_ms": 300})
-    };
-    let used_routes = [
-        route("safe", "safe", 2, false),
-        route("unsafe", "unsafe", 1, false),
-        route("stream", "stream", 1, false),
-        route("resumable", "stream", 2, true),
-        route(&format!("version-{version}"), "safe", 1, false),
-    ];
-    let idle_routes =
-        (0..idle_routes).map(|number| route(&format!("idle-{number}"), "safe", 1, false));
-    let routes: Vec<Value> = used_routes.into_iter().chain(idle_routes).collect();
-    let token_rate = checks::LIMIT_TOKENS_PER_SECOND;
-    json!({"version": version, "routes": routes,
-           "services": [{"name": SERVICE_NAME, "health_path": "/healthz", "max_conns": 100,
-                         "engine": {"slots": ENGINE_SLOTS, "stride": 1, "hold_ms": 2000.0}}],
-           "tenants": [{"name": "free", "api_keys": [FREE_KEY]},
-                       {"name": "limited", "api_keys": [LIMITED_KEY], "unit": "tokens", "plain_tokens": 200,
-                        "rate_per_s": token_rate, "burst": token_rate}]})
-    .to_string()
-}
-
 async fn call_voter(
     ctx: &SoakContext,
     voter: usize,
@@ -83,11 +53,12 @@
 }
 
 /// Sends a configuration to a voter and returns true if it was acknowledged.
-pub async fn replace_config(ctx: &SoakContext, voter: usize, version: u64, document: &str) -> bool {
+pub async fn replace_config(ctx: &SoakContext, voter: usize, edit: &TableEdit) -> bool {
+    let TableEdit { version, document } = edit;
     let request = Request::post("/-/config/replace").header("content-type", "application/json");
-    match call_voter(ctx, voter, request, document.to_owned()).await {
+    match call_voter(ctx, voter, request, document.clone()).await {
         Some((StatusCode::OK, _)) => {
-            lock(&ctx.acknowledged_versions).entry(version).or_insert_with(Instant::now);
+            lock(&ctx.acknowledged_versions).entry(*version).or_insert_with(Instant::now);
             true
         }
         Some((status, body)) if status.is_client_error() => {
@@ -112,40 +83,55 @@
 pub fn start(ctx: &Arc<SoakContext>, seed: u64) -> JoinHandle<()> {
     let ctx = Arc::clone(ctx);
     tokio::spawn(async move {
-        let versions = Arc::new(AtomicU64::new(1));
         let rng_for = |number: u64| ChaCha8Rng::seed_from_u64(seed ^ (number << 50));
         tokio::join!(
-            run_writer(&ctx, Arc::clone(&versions), rng_for(1)),
-            run_writer(&ctx, Arc::clone(&versions), rng_for(2)),
+            run_writer(&ctx, rng_for(1)),
+            run_writer(&ctx, rng_for(2)),
             run_reader(&ctx, rng_for(3))
         );
     })
 }
 
-async fn run_writer(ctx: &SoakContext, versions: Arc<AtomicU64>, mut rng: ChaCha8Rng) {
+async fn run_writer(ctx: &SoakContext, mut rng: ChaCha8Rng) {
     while !ctx.is_stopped() {
         tokio::time::sleep(Duration::from_millis(rng.random_range(50..900))).await;
-        let version = versions.fetch_add(rng.random_range(1..4), Ordering::Relaxed) + 4;
-        versions.fetch_max(version, Ordering::Relaxed);
-        let document = config_document(version, ctx.sizes.idle_routes);
-        for _ in 0..MAX_CALLS {
-            let voter = rng.random_range(0..ctx.sizes.voters);
-            let is_acknowledged = replace_config(ctx, voter, version, &document).await;
-            // An acknowledged change that is sent again to any voter must be acknowledged again.
-            if is_acknowledged && rng.random_range(0..3) > 0 || ctx.is_stopped() {
-                break;
-            }
-            tokio::time::sleep(Duration::from_millis(rng.random_range(20..200))).await;
+        if ctx.tables.is_in_series() {
+            continue;
         }
+        let edit = TableEdit::next(ctx, rng.random_range(1..4), TableChange::PLAIN);
+        send_edit(ctx, &edit, &mut rng).await;
         if rng.random_range(0..4) == 0 {
-            send_invalid_config(ctx, rng.random_range(0..ctx.sizes.voters), version).await;
+            send_invalid_config(ctx, rng.random_range(0..ctx.sizes.voters), edit.version).await;
+        }
+    }
+}
+
+/// Sends an edit until it is acknowledged, sometimes more often.
+async fn send_edit(ctx: &SoakContext, edit: &TableEdit, rng: &mut ChaCha8Rng) {
+    for _ in 0..MAX_CALLS {
+        let voter = rng.random_range(0..ctx.sizes.voters);
+        let is_acknowledged = replace_config(ctx, voter, edit).await;
+        // An acknowledged change that is sent again to any voter must be acknowledged again.
+        if is_acknowledged && rng.random_range(0..3) > 0 || ctx.is_stopped() {
+            return;
         }
+        tokio::time::sleep(Duration::from_millis(rng.random_range(20..200))).await;
     }
 }
 
+/// Sends an edit of a series, beside the ones before it.
+pub fn start_edit(ctx: &Arc<SoakContext>, change: TableChange) {
+    ctx.tables.record_series();
+    let edit = TableEdit::next(ctx, 1, change);
+    let mut rng = ChaCha8Rng::seed_from_u64(ctx.seed ^ (edit.version << 8));
+    let ctx = Arc::clone(ctx);
+    tokio::spawn(async move { send_edit(&ctx, &edit, &mut rng).await });
+}
+
 async fn send_invalid_config(ctx: &SoakContext, voter: usize, version: u64) {
     let mut invalid: Value =
-        serde_json::from_str(&config_document(version + 1_000_000, 0)).unwrap_or_default();
+        serde_json::from_str(&tables::document(version + 1_000_000, 0, TableChange::PLAIN))
+            .unwrap_or_default();
     invalid["routes"][0]["service"] = json!("nobody");
     let request = Request::post("/-/config/replace").header("content-type", "application/json");
     if let Some((StatusCode::OK, _)) = call_voter(ctx, voter, request, invalid.to_string()).await {
--- a/soak/plan.rs
+++ b/soak/plan.rs
@@ -1,9 +1,13 @@
 //! The schedule of faults: computed from the seed alone, then executed at the scheduled times.
 
 use crate::context::{AddressKind, CALLERS_PORT, FleetSizes, SoakContext, lock};
-use crate::engines;
+use crate::engines::{self, SERVICE_NAME};
 use crate::fleet::{self, ProcessName, SoakSignal};
+use crate::losses::FaultTarget;
+use crate::operators;
+use crate::planned;
 use crate::proxy::ProxyMode;
+use crate::tables::TableChange;
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
@@ -18,6 +22,11 @@
 /// one disk at a time.
 const VOTER_CATCH_UP_TIME: Duration = Duration::from_secs(8);
 
+/// Time after SIGTERM within which a process must have ended, beyond the requests' deadline.
+pub const DRAIN_TIME: Duration = Duration::from_secs(6);
+/// One in how many events of a schedule is planned work or a stall.
+const PLANNED_INTERVAL: u32 = 3;
+
 /// One action of the schedule.
 #[derive(Clone, Copy, Debug)]
 pub enum SoakStep {
@@ -35,6 +44,15 @@
     LeaveEngine(usize),
     /// Sets how many more of a thousand requests fail at the engines from now on.
     Misbehave(u64),
+    Edit(TableChange),
+    /// Lets all engines or every second one stand still.
+    PauseEngines {
+        are_all: bool,
+        time: Duration,
+    },
+    /// Stops a process for a moment, as on a busy machine.
+    Stall(ProcessName),
+    GoOn(ProcessName),
 }
 
 /// A step and its time, relative to the start of the schedule.
@@ -50,15 +68,23 @@
     }
 }
 
-/// Computes the schedule of a seed.
-pub fn schedule(rng: &mut ChaCha8Rng, length: Duration, sizes: &FleetSizes) -> Vec<TimedStep> {
+/// Computes the schedule of a seed, of planned work and stalls alone or with faults.
+pub fn schedule(
+    rng: &mut ChaCha8Rng,
+    length: Duration,
+    sizes: &FleetSizes,
+    is_planned: bool,
+) -> Vec<TimedStep> {
     let mut steps = Vec::new();
     let mut at = Duration::ZERO;
     let mut disk_lost_at: Option<Duration> = None;
     while at < length {
         let may_wipe = disk_lost_at.is_none_or(|lost_at| at >= lost_at + VOTER_CATCH_UP_TIME);
         let duration = Duration::from_millis(rng.random_range(200..3_000));
-        let mut fault = draw_fault(rng, sizes, at, duration, may_wipe);
+        let mut fault = match is_planned || rng.random_range(0..PLANNED_INTERVAL) == 0 {
+            true => planned::draw(rng, sizes, at),
+            false => draw_fault(rng, sizes, at, duration, may_wipe),
+        };
         if fault.iter().any(|timed| matches!(timed.step, SoakStep::Wipe(_))) {
             disk_lost_at = Some(at + duration);
         }
@@ -88,7 +114,7 @@
     let once = |step| vec![timed(at, step)];
     let cuts = [ProxyMode::Delay, ProxyMode::CutThere, ProxyMode::CutBack];
     let breaks = [ProxyMode::SilenceOpen, ProxyMode::ResetOpen];
-    match rng.random_range(0..15) {
+    match rng.random_range(0..16) {
         0 | 1 => lasting(SoakStep::Kill(process), SoakStep::Start(process)),
         2 | 3 => lasting(
             SoakStep::Signal(process, SoakSignal::Stop),
@@ -116,6 +142,7 @@
         11 => once(SoakStep::EngineProxies(breaks.choose(rng).copied().unwrap_or_default())),
         12 => lasting(SoakStep::CrashEngine(rng.random_range(0..8)), SoakStep::AddEngine),
         13 => lasting(SoakStep::LeaveEngine(rng.random_range(0..8)), SoakStep::AddEngine),
+        14 => planned::draw_fleet_restart(rng, sizes, at),
         _ => lasting(SoakStep::Misbehave(rng.random_range(20..300)), SoakStep::Misbehave(0)),
     }
 }
@@ -145,6 +172,8 @@
             // Kills a process that is still draining, as a platform does after the grace period.
             if terminating.remove(&name) {
                 fleet::kill(ctx, name);
+            } else {
+                fleet::record_fault(ctx, name);
             }
             if let Err(error) = fleet::start(ctx, name) {
                 ctx.recorder.record_violation("START", format!("{name:?}: {error}"));
@@ -154,6 +183,13 @@
             if signal == SoakSignal::Term {
                 terminating.insert(name);
             }
+            match (name, signal) {
+                (ProcessName::Entry(entry), SoakSignal::Term) => {
+                    ctx.losses.record_termination(entry);
+                }
+                (ProcessName::Entry(entry), SoakSignal::Hangup) => ctx.losses.record_hangup(entry),
+                _ => fleet::record_fault(ctx, name),
+            }
             fleet::signal(ctx, name, signal);
         }
         SoakStep::Wipe(voter) => {
@@ -162,34 +198,37 @@
         }
         SoakStep::EntryProxy(entry, mode) => {
             ctx.record_disturbance();
+            ctx.losses.record_fault(FaultTarget::Entry(entry));
             ctx.proxies.set(ctx.address(AddressKind::EntryProxy, entry, CALLERS_PORT), mode);
         }
         SoakStep::EngineProxies(mode) => {
             ctx.record_disturbance();
+            ctx.losses.record_fault(FaultTarget::AllEngines);
             let addresses: Vec<_> =
                 lock(&ctx.engines).engines.values().map(|engine| engine.listed_address).collect();
             addresses.into_iter().for_each(|address| ctx.proxies.set(address, mode));
         }
-        SoakStep::AddEngine => drop(engines::add(ctx).await),
+        SoakStep::AddEngine => drop(engines::add(ctx, SERVICE_NAME).await),
         SoakStep::CrashEngine(idx) => {
             ctx.record_disturbance();
-            pick_engine(ctx, idx).into_iter().for_each(|number| engines::crash(ctx, number));
+            pick_engine(ctx, idx).into_iter().for_each(|number| {
+                engines::crash(ctx, number);
+            });
         }
         SoakStep::LeaveEngine(idx) => {
             pick_engine(ctx, idx).into_iter().for_each(|number| engines::start_drain(ctx, number));
         }
         SoakStep::Misbehave(per_mille) => ctx.faults.set_added_rate(per_mille),
+        SoakStep::Edit(change) => operators::start_edit(ctx, change),
+        SoakStep::PauseEngines { are_all, time } => ctx.pauses.start(are_all, time),
+        SoakStep::Stall(name) => fleet::signal(ctx, name, SoakSignal::Stop),
+        SoakStep::GoOn(name) => fleet::signal(ctx, name, SoakSignal::Cont),
     }
 }
 
 /// Picks an engine that is not draining; `None` if fewer than two are left.
 fn pick_engine(ctx: &SoakContext, idx: usize) -> Option<usize> {
     let set = lock(&ctx.engines);
-    let active: Vec<usize> = set
-        .engines
-        .iter()
-        .filter(|(_, engine)| engine.draining_since.is_none())
-        .map(|(number, _)| *number)
-        .collect();
+    let active: Vec<usize> = set.pool().map(|(number, _)| *number).collect();
     if active.len() < 2 { None } else { active.get(idx % active.len()).copied() }
 }
--- a/soak/poison.rs
+++ b/soak/poison.rs
@@ -50,9 +50,9 @@
     let ctx = Arc::clone(ctx);
     tokio::spawn(async move {
         ctx.record_disturbance();
-        engines::crash(&ctx, engine);
+        let service = engines::crash(&ctx, engine).unwrap_or(engines::SERVICE_NAME);
         tokio::time::sleep(REPLACEMENT_DELAY).await;
-        drop(engines::add(&ctx).await);
+        drop(engines::add(&ctx, service).await);
     });
     true
 }
--- a/soak/streams.rs
+++ b/soak/streams.rs
@@ -89,9 +89,7 @@
 
 /// True if two engines of a version take requests.
 pub fn has_two_engines(ctx: &SoakContext, version: &str) -> bool {
-    let set = lock(&ctx.engines);
-    let serving = set.engines.iter().filter(|(_, engine)| engine.draining_since.is_none());
-    serving.filter(|(number, _)| engine_version(**number) == version).count() >= 2
+    lock(&ctx.engines).pool().filter(|(number, _)| engine_version(**number) == version).count() >= 2
 }
 
 /// Checks that of the streams that were taken up at least half as large a share went on as of new ones
