Soak: SIGHUP only once a process can catch it, and how a process ended

The line now has the exit status.

A SIGHUP is skipped in the first 5 s of a process while /proc shows that it has no handler for it; later it is sent whatever /proc says, so that a program that never installs one fails as before.

--- a/soak/fleet.rs
+++ b/soak/fleet.rs
@@ -10,13 +10,15 @@
 use crate::{checks, engines, operators, proxy};
 use serde_json::{Value, json};
 use std::fs::OpenOptions;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Timeout of the checks that wait for a condition; long enough that a busy machine does not count
 /// as a violation.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time within which a process must handle SIGHUP after its start.
+const START_TIME: Duration = Duration::from_secs(5);
 /// Pause between two polls of a condition.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -39,7 +41,8 @@
 /// The running processes.
 #[derive(Debug, Default)]
 pub struct FleetProcesses {
-    running: std::collections::BTreeMap<ProcessName, Child>,
+    /// Each with the time of its start.
+    running: std::collections::BTreeMap<ProcessName, (Child, Instant)>,
     has_started: bool,
 }
 
@@ -106,7 +109,7 @@
         .stdout(log.try_clone()?)
         .stderr(log)
         .spawn()?;
-    processes.running.insert(name, child);
+    processes.running.insert(name, (child, Instant::now()));
     ctx.record_disturbance();
     Ok(())
 }
@@ -121,19 +124,31 @@
 /// Kills a process with SIGKILL and waits for it.
 pub fn kill(ctx: &SoakContext, name: ProcessName) {
     ctx.record_disturbance();
-    if let Some(mut child) = lock(&ctx.processes).running.remove(&name) {
+    if let Some((mut child, _)) = lock(&ctx.processes).running.remove(&name) {
         record_fault(ctx, name);
         let _ = child.kill();
         let _ = child.wait();
     }
 }
 
+/// True if a process has a handler of SIGHUP. Without one the system ends it before its own code runs.
+fn catches_hangup(pid: u32) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+    let mask = caught.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+    mask.is_some_and(|mask| mask & 1 == 1)
+}
+
 /// Sends a signal to a process that this run started.
 pub fn signal(ctx: &SoakContext, name: ProcessName, signal: SoakSignal) {
     ctx.record_disturbance();
     let processes = lock(&ctx.processes);
-    let Some(child) = processes.running.get(&name) else { return };
+    let Some((child, started_at)) = processes.running.get(&name) else { return };
     let Some(pid) = rustix::process::Pid::from_raw(child.id() as i32) else { return };
+    let is_starting = started_at.elapsed() < START_TIME && !catches_hangup(child.id());
+    if signal == SoakSignal::Hangup && is_starting {
+        return;
+    }
     let number = match signal {
         SoakSignal::Term => rustix::process::Signal::TERM,
         SoakSignal::Stop => rustix::process::Signal::STOP,
@@ -146,16 +161,16 @@
 /// Removes processes that have exited; an exit without a request to terminate is a violation.
 pub fn reap(ctx: &SoakContext, may_exit: impl Fn(ProcessName) -> bool) {
     let mut processes = lock(&ctx.processes);
-    let ended: Vec<ProcessName> = processes
+    let ended: Vec<(ProcessName, ExitStatus)> = processes
         .running
         .iter_mut()
-        .filter_map(|(name, child)| matches!(child.try_wait(), Ok(Some(_))).then_some(*name))
+        .filter_map(|(name, (child, _))| child.try_wait().ok()?.map(|status| (*name, status)))
         .collect();
-    for name in ended {
+    for (name, status) in ended {
         processes.running.remove(&name);
         if !may_exit(name) {
-            ctx.recorder
-                .record_violation("PROCESS", format!("{name:?} exited without being told to"));
+            let detail = format!("{name:?} exited without being told to: {status}");
+            ctx.recorder.record_violation("PROCESS", detail);
         }
     }
 }
