Soak: versions of streams are judged by the tables of entries that lag, too

The check asked only for tables of the last 5 s. It now begins with the oldest version that an entry shows as in force (`tarragonknot_table_version`, polled all the time). DENIED is judged as before.

--- a/soak/checks.rs
+++ b/soak/checks.rs
@@ -182,6 +182,7 @@
         while !ctx.is_stopped() {
             for entry in 0..ctx.sizes.entries {
                 if let Some((process_start, version)) = active_version(&ctx, entry).await {
+                    ctx.tables.record_seen(entry, version);
                     let last_version = last_versions.entry((entry, process_start)).or_default();
                     if version < *last_version {
                         ctx.recorder.record_violation(
--- a/soak/tables.rs
+++ b/soak/tables.rs
@@ -120,9 +120,16 @@
     next_version: AtomicU64,
     sent: Mutex<BTreeMap<u64, SentTable>>,
     series_at: Mutex<Option<Instant>>,
+    /// Versions last seen in force, by entry.
+    seen: Mutex<BTreeMap<usize, u64>>,
 }
 
 impl TableRecord {
+    /// Records the version in force at an entry.
+    pub fn record_seen(&self, entry: usize, version: u64) {
+        lock(&self.seen).insert(entry, version);
+    }
+
     /// Keeps the operators' other edits back for a while.
     pub fn record_series(&self) {
         *lock(&self.series_at) = Some(Instant::now());
@@ -143,14 +150,23 @@
     }
 }
 
-/// The tables that may be in force between two moments.
-fn possible_tables(ctx: &SoakContext, since: Instant, until: Instant) -> Vec<TableChange> {
-    let oldest = lock(&ctx.acknowledged_versions)
+/// The oldest version that may be in force at a process in touch.
+fn oldest_version(ctx: &SoakContext, since: Instant) -> u64 {
+    lock(&ctx.acknowledged_versions)
         .iter()
         .filter(|(_, at)| **at + APPLY_TIME < since)
         .map(|(version, _)| *version)
         .max()
-        .unwrap_or(0);
+        .unwrap_or(0)
+}
+
+/// The tables that may be in force between two moments.
+fn possible_tables(ctx: &SoakContext, since: Instant, until: Instant) -> Vec<TableChange> {
+    tables_from(ctx, oldest_version(ctx, since), until)
+}
+
+/// The tables sent until a moment, from a version on.
+fn tables_from(ctx: &SoakContext, oldest: u64, until: Instant) -> Vec<TableChange> {
     let sent = lock(&ctx.tables.sent);
     sent.range(oldest..)
         .filter(|(_, table)| table.sent_at <= until)
@@ -165,9 +181,10 @@
 }
 
 /// True if a stream on `path` may be taken up at another version under a table that may be in force since
-/// `sent_at`.
+/// `sent_at`, also at an entry that lags behind.
 pub fn may_change_version(ctx: &SoakContext, sent_at: Instant, path: &str) -> bool {
-    let tables = possible_tables(ctx, sent_at, Instant::now());
+    let seen = lock(&ctx.tables.seen).values().copied().min().unwrap_or(0);
+    let tables = tables_from(ctx, seen.min(oldest_version(ctx, sent_at)), Instant::now());
     tables.into_iter().any(|change| change.changes_version(path))
 }
 
