A request that is passed on keeps the time limit of the table that admitted it

What callers saw: a stream that an entry passes on is cut at the timeout of the peer's table, though the table that admitted it allows more. Cause: the peer took the lesser of the caller's deadline and its own table's timeout. Fix: the entry ends the request itself, so the peer takes the caller's deadline alone.

--- a/src/traffic/routed/admission.rs
+++ b/src/traffic/routed/admission.rs
@@ -170,7 +170,9 @@
         }
         Some(_) | None => None,
     };
-    let wait = metadata.deadline.unwrap_or(DEFAULT_DEADLINE).min(matched.route.timeout_ms);
+    // The daemon that passed the request on ends it by the table that admitted it there.
+    let timeout = if ticket.is_some() { Duration::MAX } else { matched.route.timeout_ms };
+    let wait = metadata.deadline.unwrap_or(DEFAULT_DEADLINE).min(timeout);
     Ok(Box::new(RoutedRequest {
         stage: RequestStage::Waiting,
         state: Arc::clone(state),
