--- a/soak/connection.rs
+++ b/soak/connection.rs
@@ -95,7 +95,9 @@
         let expected_id = request.header("tarragonknot-expect-instance");
         let is_expected = expected_id.is_none_or(|expected_id| expected_id == self.engine.id);
         let path = request.path();
-        let is_own_call = path.starts_with("/-/") || matches!(path, "/" | "/healthz");
+        let is_own_call = path.starts_with("/-/")
+            || path == "/healthz"
+            || (path == "/" && request.id().is_empty());
         if is_expected && !is_own_call {
             self.ctx.stated_rates.record_arrival(self.engine.number);
             return self.answer(request).await;
