--- a/soak/fleet.rs
+++ b/soak/fleet.rs
@@ -169,7 +169,7 @@
     for (name, status) in ended {
         processes.running.remove(&name);
         if !may_exit(name) {
-            let detail = format!("{name:?} exited without being told to: {status}");
+            let detail = format!("{name:?} exited without a signal of the schedule: {status}");
             ctx.recorder.record_violation("PROCESS", detail);
         }
     }
--- a/soak/losses.rs
+++ b/soak/losses.rs
@@ -151,16 +151,16 @@
         })
     }
 
-    /// True if the entry was told to terminate or to read its settings before the request ended.
+    /// True if the entry received SIGTERM or SIGHUP before the request ended.
     fn is_beside_signal(&self, request: &EndedRequest) -> bool {
         let (sent_at, ended_at) = (request.sent_at, request.ended_at);
         let is_here = |entry: &usize| *entry == request.entry;
         let hangups = lock(&self.hangups);
         let mut beside = hangups.iter().filter(|(_, entry)| is_here(entry));
         let terminations = lock(&self.terminations);
-        let mut told = terminations.iter().filter(|(_, entry)| is_here(entry));
+        let mut signals = terminations.iter().filter(|(_, entry)| is_here(entry));
         beside.any(|(at, _)| *at <= ended_at && sent_at <= *at + HANGUP_TIME)
-            || told.any(|(at, _)| *at <= ended_at && sent_at <= *at + crate::plan::DRAIN_TIME)
+            || signals.any(|(at, _)| *at <= ended_at && sent_at <= *at + crate::plan::DRAIN_TIME)
     }
 }
 
--- a/src/traffic/frontend/connection.rs
+++ b/src/traffic/frontend/connection.rs
@@ -17,8 +17,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
-/// Time within which a caller must take a byte of what is written to it. Its answer can't be read on
-/// meanwhile, and holds its place at the upstream.
+/// Time within which a caller must take a byte of what is written to it. Until then its answer is not
+/// read further and occupies its place at the upstream.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Maximum number of failed connections that are logged in a [`LOG_INTERVAL`]; all are counted.
 const MAX_LOGGED_FAILURES: u64 = 32;
--- a/src/traffic/routed/next_place.rs
+++ b/src/traffic/routed/next_place.rs
@@ -15,7 +15,7 @@
 
 /// Time between two searches for a place.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(250);
-/// Longest wait of a search for a place. It holds no retry meanwhile, which others may need.
+/// Longest wait of a search for a place. A waiting search holds no retry, which others may need.
 const SEARCH_TIME: Duration = Duration::from_millis(250);
 /// Time in which bytes that have arrived are read before a silence counts. After a stall of this
 /// process its timers are due before its sockets were looked at.
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -154,8 +154,8 @@
     Failed,
 }
 
-/// Looks for another place until there is one, while the upstream may still go on. A daemon that is
-/// cut off from its upstreams asks its peers meanwhile.
+/// Looks for another place until there is one, while the old body is still read. A daemon that is cut
+/// off from its upstreams asks its peers.
 async fn find_next_source(
     request: &mut RoutedRequest,
     history: &mut SendHistory,
--- a/src/traffic/state/versions.rs
+++ b/src/traffic/state/versions.rs
@@ -30,7 +30,7 @@
     ) -> Option<Arc<PoolRuntime>> {
         let name = version_pool_name(service, version);
         let find = || self.pools.load().get(&name).cloned();
-        // A pool that returns meanwhile is in neither map at the first two looks.
+        // A pool that returns between the first two lookups is in neither map.
         find().or_else(|| self.outgoing_pools.get(&name)).or_else(find)
     }
 
