Test: a peer that is slow to answer is not left without a retry

An entry without upstreams passes a request on, the peer's upstream begins its answer after 0.6 of the caller's time, and no retry is left.

--- a/tests/test_cut_off_entries.rs
+++ b/tests/test_cut_off_entries.rs
@@ -2,7 +2,8 @@
 
 use crate::raw_engine::{RawCaller, request_head};
 use crate::routed_fleet::{
-    ConnectionEnd, EngineAction, KEY, RoutedFleet, ScriptedEngine, document,
+    ConnectionEnd, EngineAction, EventPace, KEY, ReceivedRequest, RoutedFleet, ScriptedEngine,
+    document,
 };
 use http::StatusCode;
 use rand::SeedableRng;
@@ -13,7 +14,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use tarragonknot::fleet_state::OrganisationHash;
-use tarragonknot::policy::{Moment, PoolEvent, UpstreamIndex};
+use tarragonknot::policy::{Moment, PoolEvent, RetryBound, UpstreamIndex};
 use tarragonknot::stream_origin::StreamOrigin;
 use tarragonknot::traffic::{PeerChoice, RelayTicket, TicketSubject};
 use tokio::net::{TcpSocket, TcpStream};
@@ -34,6 +35,10 @@
 /// Number of requests that one entry passes on.
 const SPREAD_REQUESTS: usize = 600;
 
+/// Time before the head of a slow answer: more than half of its caller's deadline.
+const SLOW_HEAD: Duration = Duration::from_millis(3_600);
+const SLOW_DEADLINE_MS: &str = "6000";
+
 /// Requests left unanswered that make a daemon cut off.
 const UNANSWERED: u32 = 3;
 
@@ -104,6 +109,20 @@
     assert!(known.await.is_ok(), "the daemons don't know each other");
 }
 
+/// Calls a daemon until a call is served.
+async fn wait_until_served(daemon: &RoutedFleet, path: &str) {
+    let serving = async {
+        for number in 0.. {
+            if daemon.call(path, &format!("first-{number}")).await.status == StatusCode::OK {
+                return;
+            }
+            tokio::time::sleep(NOTICE_PAUSE).await;
+        }
+    };
+    let served = tokio::time::timeout(NOTICE_TIME, serving).await;
+    assert!(served.is_ok(), "no call was served");
+}
+
 /// A fleet whose first daemon reaches none of the upstreams.
 struct CutFleet {
     daemons: Vec<RoutedFleet>,
@@ -143,17 +162,7 @@
 
     /// Calls the daemon that is cut off until a call is served.
     async fn wait_until_served(&self, path: &str) {
-        let serving = async {
-            for number in 0.. {
-                let answer = self.cut_daemon().call(path, &format!("first-{number}")).await;
-                if answer.status == StatusCode::OK {
-                    return;
-                }
-                tokio::time::sleep(NOTICE_PAUSE).await;
-            }
-        };
-        let served = tokio::time::timeout(NOTICE_TIME, serving).await;
-        assert!(served.is_ok(), "no call was served");
+        wait_until_served(self.cut_daemon(), path).await;
     }
 
     fn run_count(&self) -> usize {
@@ -280,6 +289,37 @@
     assert!((1..=2).contains(&most), "a request ran {most} times");
 }
 
+/// Guards against a request that is taken from a peer although no other one can be asked.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_peer_that_is_slow_to_answer_is_not_left_without_a_retry() {
+    let pace = EventPace {
+        last: 3,
+        head_delay: SLOW_HEAD,
+        gap: Duration::ZERO,
+        silence: (0, Duration::ZERO),
+        breaks_after: 0,
+    };
+    let script = move |_, request: &ReceivedRequest| match request.path.starts_with("/resumable/") {
+        true => EngineAction::PacedEvents(pace),
+        false => EngineAction::Answer(200, "fine"),
+    };
+    let engine = ScriptedEngine::start_with_request("i-1", script).await;
+    let daemons = RoutedFleet::start_peers(DAEMON_COUNT, &[&engine]).await;
+    wait_until_acquainted(&daemons).await;
+    let table = document(2).replace("\"timeout_ms\":3000", "\"timeout_ms\":30000");
+    daemons.iter().for_each(|daemon| daemon.apply(2, &table));
+    daemons[0].state.set_retry_bound(RetryBound { ratio: 0.0, slack: 0 });
+    let dead = DeadAddress::new(Cut::Refused).await;
+    daemons[0].list_addresses(&[("i-1", dead.address)]);
+    wait_until_served(&daemons[0], "/safe/").await;
+
+    let deadline = [("tarragonknot-deadline-ms", SLOW_DEADLINE_MS)];
+    let stream = daemons[0].stream("/resumable/", "id-1", &deadline).await;
+
+    assert!(stream.status == StatusCode::OK && stream.is_whole, "{stream:?}");
+    assert_eq!(engine.seen().iter().filter(|request| request.id == "id-1").count(), 1);
+}
+
 /// Guards against requests that go round between daemons of which none reaches an upstream.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_is_refused_if_no_daemon_reaches_an_upstream() {
