Lists do not wait while a table is read

A test with a reader that waits fails before (the list is not applied within 20 s) and passes now: the table is parsed before the lock is taken, and its version is looked at again under it.

--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -193,11 +193,16 @@
 
     /// Puts a table in force, unless its version is not newer than that of the current one.
     pub fn apply_table(&self, versioned: &VersionedTable) {
-        let mut indices = self.lock_changes();
-        if versioned.version <= self.snapshot.load().version {
+        let is_newer = || versioned.version > self.snapshot.load().version;
+        if !is_newer() {
             return;
         }
+        // Read before the lock is taken: lists must not wait while a large table is parsed.
         let Some(table) = self.read_table(versioned) else { return };
+        let mut indices = self.lock_changes();
+        if !is_newer() {
+            return;
+        }
         let access = AccessIndex::new(&table, &mut indices);
         self.limits().set_limits(access.limits().clone());
         if has_moved_route(self.snapshot.load().access.table(), access.table()) {
--- a/tests/test_kept_pools.rs
+++ b/tests/test_kept_pools.rs
@@ -7,18 +7,22 @@
 use http::StatusCode;
 use rstest::rstest;
 use serde_json::Value;
+use slog::{Discard, Logger, o};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Barrier, Mutex, OnceLock};
+use std::sync::{Arc, Barrier, Mutex, OnceLock, mpsc};
 use std::time::Duration;
+use tarragonknot::platform;
 use tarragonknot::policy::RetryBound;
-use tarragonknot::table::{ServiceName, VersionedTable};
-use tarragonknot::traffic::TrafficState;
+use tarragonknot::table::{FaultList, OperatorTable, ServiceName, TableReader, VersionedTable};
+use tarragonknot::traffic::{PlatformInterface, TrafficState};
 use tarragonknot::upstream::{PlatformList, VmRow, VmState};
 
 /// Places of an engine, as in the document and the list of [`RoutedFleet`].
 const PLACES: usize = 4;
 /// Events of a whole stream.
 const EVENTS: u64 = 40;
+/// Time within which a list is applied, generous even for a busy machine.
+const LIST_TIMEOUT: Duration = Duration::from_secs(20);
 const PACED: EventPace = EventPace {
     last: EVENTS,
     head_delay: Duration::ZERO,
@@ -292,3 +296,48 @@
 
     assert_eq!(is_whole(&stream), is_kept, "{stream:?}");
 }
+
+/// A reader of tables that waits before it returns.
+struct SlowReader {
+    reader: Arc<dyn TableReader>,
+    begun: Mutex<mpsc::Sender<()>>,
+    may_return: Mutex<mpsc::Receiver<()>>,
+}
+
+impl TableReader for SlowReader {
+    fn read(&self, document: &str) -> Result<(u64, OperatorTable), FaultList> {
+        self.begun.lock().expect("no holder panics").send(()).expect("the test waits");
+        let _ = self.may_return.lock().expect("no holder panics").recv();
+        self.reader.read(document)
+    }
+}
+
+/// Guards against lists that wait while a large table is read.
+#[test]
+fn a_list_is_applied_while_a_table_is_being_read() {
+    let (begun, has_begun) = mpsc::channel();
+    let (allow, may_return) = mpsc::channel();
+    let PlatformInterface { reader, dialect } = platform::interface();
+    let (begun, may_return) = (Mutex::new(begun), Mutex::new(may_return));
+    let reader = Arc::new(SlowReader { reader, begun, may_return });
+    let state = TrafficState::new("entry".into(), Logger::root(Discard, o!()), 7);
+    state.set_interface(PlatformInterface { reader, dialect });
+    let table = VersionedTable::from_document(1, &Arc::from(document(1)));
+    let other = Arc::clone(&state);
+    let reading = std::thread::spawn(move || other.apply_table(&table));
+    has_begun.recv().expect("the table is being read");
+
+    let (applied, is_applied) = mpsc::channel();
+    let other = Arc::clone(&state);
+    let listing = std::thread::spawn(move || {
+        other.apply_platform_list(PlatformList::default());
+        applied.send(()).expect("the test waits");
+    });
+
+    let result = is_applied.recv_timeout(LIST_TIMEOUT);
+    drop(allow);
+    listing.join().expect("the list is applied");
+    reading.join().expect("the table is applied");
+    assert!(result.is_ok(), "the list waited for the table");
+    assert_eq!(state.snapshot().version, 1);
+}
