Log the list behind each send, and the age of lists

To tell apart whether a request goes to an upstream that has left because the list there is old, or although it is new: `sent` names the digest of the list and the time since it was read, `platform list changed` these and the number of upstreams before, and the gauge `platform_list_age_seconds` shows the age by daemon.

--- a/src/traffic/fleet_exchange/list.rs
+++ b/src/traffic/fleet_exchange/list.rs
@@ -139,7 +139,15 @@
         exchange.work_notify.notify_one();
     }
     if let Some(list) = changed {
-        info!(state.log, "platform list changed"; "from" => from.to_string(), "upstreams" => list.vms.len());
+        log_list(state, "received", from, &list);
         state.apply_platform_list(list);
     }
 }
+
+/// Logs a list that replaces another one, with the time since it was read.
+fn log_list(state: &TrafficState, how: &str, from: SocketAddr, list: &PlatformList) {
+    let stamp = state.fleet.list.stamp(state.clock.now());
+    let before = state.platform_list().vms.len();
+    info!(state.log, "platform list changed"; "how" => how, "from" => from.to_string(), "upstreams" => list.vms.len(), "before" => before,
+        "list" => stamp.map(|stamp| format!("{:016x}", stamp.digest)), "list_age_ms" => stamp.map(|stamp| stamp.age_ms));
+}
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -97,6 +97,12 @@
         Some(self.list.stamp(now).map_or(Duration::MAX, age))
     }
 
+    /// Returns the last reading that agrees with this daemon's list of upstreams.
+    pub fn list_stamp(&self, now: Moment) -> Option<ListStamp> {
+        self.fleet.get()?;
+        self.list.stamp(now)
+    }
+
     /// Sends a message to other daemons.
     pub fn send(&self, message: &DaemonMessage, addresses: &[SocketAddr]) {
         if let Some(socket) = self.socket.get() {
@@ -419,6 +425,10 @@
     let age = fleet.sums_age(now);
     metrics::gauge!("fleet_sums_daemons").set(covered_daemons as f64);
     metrics::gauge!("fleet_sums_age_seconds").set(age.as_secs_f64());
+    if let Some(stamp) = state.fleet.list.stamp(now) {
+        let age = Duration::from_millis(u64::from(stamp.age_ms));
+        metrics::gauge!("platform_list_age_seconds").set(age.as_secs_f64());
+    }
     let current = LoggedState {
         role: Some(fleet.role(now)),
         is_list_reader: fleet.has_serving_list() && fleet.is_list_reader(now),
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -143,9 +143,11 @@
     ) {
         let waited = placed.sent_at.since(self.arrived_at).as_millis() as u64;
         let organisation = self.caller.as_ref().map_or("", |caller| caller.organisation.as_str());
+        let list = self.state.fleet.list_stamp(placed.sent_at);
         info!(self.state.log, "sent"; "request" => self.id(), "route" => &self.route.route, "organisation" => organisation,
             "service" => placed.pool.service.as_str(), "version" => placed.version.as_ref().map(SoftwareVersion::as_str), "upstream" => placed.name.as_str(), "waited_ms" => waited,
             "send" => history.sent() + 1, "after_event" => last_event_id, "resumes" => self.metadata.resumes.as_deref(), "fingerprint" => self.fingerprint.to_string(), "table" => self.state.snapshot().version,
+            "list" => list.map(|stamp| format!("{:016x}", stamp.digest)), "list_age_ms" => list.map(|stamp| stamp.age_ms),
             "left_ms" => self.time_left().as_millis() as u64, "tokens" => self.limit.as_ref().map_or(0, |limit| limit.cost),
             "slowness" => format!("{:.2}", placed.pool.slowness(placed.upstream)), self.size_fields());
     }
