--- /dev/null
+++ b/tests/test_list_order.rs
@@ -0,0 +1,224 @@
+//! The order of readings of the platform's list: an older list takes the place of a newer one nowhere,
+//! and a list is as old everywhere as its reading.
+
+use crate::burst_pool::{BurstPool, urgency_plan};
+use crate::list_fleet::{
+    Condition, FleetEvent, ListFleet, ListSchedule, address, begin_reading, store_reading, upstream,
+};
+use crate::session::source;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use std::time::Duration;
+use tarragonknot::fleet_state::{ListPeers, ListSync};
+use tarragonknot::policy::{ListedUpstream, Moment, PoolEvent, UpstreamSource};
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(10_000 + millis)
+}
+
+/// The list of a version: the third upstream leaves in the first version and is gone in the second.
+fn rows(version: usize) -> Vec<ListedUpstream> {
+    let listed = |number: usize| upstream(number, version == 1 && number == 3);
+    (0..40).filter(|number| version < 2 || *number != 3).map(listed).collect()
+}
+
+fn read(sync: &mut ListSync, version: usize, millis: u64) {
+    begin_reading(sync, at(millis));
+    store_reading(sync, rows(version), at(millis), at(millis));
+}
+
+/// Exchanges messages and statements among the daemons `members` from one time to another, in steps of
+/// 10 ms.
+fn exchange(syncs: &mut [ListSync], members: &[usize], from_millis: u64, to_millis: u64) {
+    for millis in (from_millis..to_millis).step_by(10) {
+        for number in members {
+            let others: Vec<usize> = members.iter().copied().filter(|it| it != number).collect();
+            let receivers = others.iter().map(|other| address(*other)).collect();
+            let source = others.get(millis as usize / 10 % others.len()).map(|it| address(*it));
+            let peers = ListPeers { receivers, source, is_forwarder: false };
+            for outgoing in syncs[*number].tick(&peers, at(millis)) {
+                for to in others.iter().filter(|other| outgoing.to.contains(&address(**other))) {
+                    let message = outgoing.message.clone();
+                    syncs[*to].handle(address(*number), message, false, at(millis));
+                }
+            }
+            let Some(stamp) = syncs[*number].stamp(at(millis)).filter(|_| millis % 100 == 0) else {
+                continue;
+            };
+            for other in others {
+                syncs[other].handle_stamp(address(*number), stamp, at(millis));
+            }
+        }
+    }
+}
+
+fn new_syncs<const N: usize>() -> [ListSync; N] {
+    std::array::from_fn(|number| ListSync::new((number as f64 + 0.5) / N as f64))
+}
+
+/// Guards against a list that counts as just read at a daemon which received it late.
+#[test]
+fn a_received_list_is_as_old_as_its_reading() {
+    let mut syncs: [ListSync; 2] = new_syncs();
+    read(&mut syncs[0], 0, 0);
+
+    exchange(&mut syncs, &[0, 1], 4_000, 5_000);
+
+    let age = syncs[1].stamp(at(5_000)).map(|stamp| stamp.age_ms);
+    assert!(age.is_some_and(|age| age >= 4_900), "{age:?} ms");
+}
+
+/// Guards against a daemon that lists an upstream as live again after a daemon with an older list has
+/// passed that list on.
+#[rstest]
+#[case::leaving(1)]
+#[case::gone(2)]
+fn an_older_list_does_not_take_the_place_of_a_newer_one(#[case] version: usize) {
+    let mut syncs: [ListSync; 3] = new_syncs();
+    read(&mut syncs[0], 0, 0);
+    read(&mut syncs[1], version, 3_000);
+
+    // The third daemon gets the older list late, and the second one hears of it.
+    exchange(&mut syncs, &[0, 2], 4_000, 4_500);
+    exchange(&mut syncs, &[0, 1, 2], 4_500, 9_000);
+
+    for (number, sync) in syncs.iter().enumerate() {
+        assert!(sync.rows().cloned().eq(sorted(rows(version))), "list of daemon {number}");
+    }
+}
+
+fn sorted(mut rows: Vec<ListedUpstream>) -> Vec<ListedUpstream> {
+    rows.sort_by(|one, other| one.upstream.cmp(&other.upstream));
+    rows
+}
+
+/// Guards against an upstream that has left and is used again because an older list names it.
+#[test]
+fn an_upstream_that_left_does_not_return_with_an_older_list() {
+    let mut pool = BurstPool::with_plan(urgency_plan());
+    let listed = UpstreamSource { incarnation: 7, ..source("e1", 1) };
+    let leaving = UpstreamSource { is_leaving: true, ..listed.clone() };
+    pool.handle_event(PoolEvent::Sources(vec![listed.clone()]), 0);
+    pool.handle_event(PoolEvent::Sources(vec![leaving]), 1_000);
+    pool.handle_event(PoolEvent::Sources(Vec::new()), 2_000);
+
+    pool.handle_event(PoolEvent::Sources(vec![listed]), 3_000);
+
+    assert_eq!(pool.scheduler.upstreams().live_count(), 0);
+}
+
+/// A schedule of a list that is replaced by a tenth in each second.
+fn release(upstreams: usize, first_change: u64) -> ListSchedule {
+    ListSchedule { upstreams, growth: 1, leaving: upstreams / 33, versions: 13, first_change }
+}
+
+/// Guards against a daemon's list that is replaced by an older one in a fleet whose daemons die, freeze
+/// and are cut off at any time.
+#[rstest]
+fn no_daemons_list_goes_back(
+    #[values(5, 40)] daemons: usize,
+    #[values(0.01, 0.2)] loss: f64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut events: Vec<FleetEvent> = Vec::new();
+    for _ in 0..12 {
+        let (begin, daemon) = (rng.random_range(2_000..14_000), rng.random_range(0..daemons));
+        let conditions = [Condition::Frozen, Condition::Cut, Condition::Dead];
+        let condition = conditions[rng.random_range(0..conditions.len())];
+        events.push((begin, daemon, condition));
+        events.push((begin + rng.random_range(300..6_000), daemon, Condition::Running));
+    }
+    let fleet = ListFleet::new(daemons, release(daemons * 3, 4_000), seed).with_known_list();
+
+    let figures = fleet.with_loss(loss).with_events(events).run(22_000);
+
+    assert_eq!(figures.regressions, 0);
+}
+
+/// The times of the users' deployments of each size: after `drain_ms` an upstream that leaves must get
+/// no request any more, and a second of it is left for requests on their way.
+fn change_bound(daemons: usize) -> Duration {
+    let drain = match daemons {
+        0..=16 => 3_000,
+        17..=99 => 4_000,
+        100.. => 5_000,
+    };
+    Duration::from_millis(drain - 1_000)
+}
+
+/// Guards against a change of the list that reaches a daemon after the upstream that it names as
+/// leaving may get no request any more.
+#[rstest]
+#[case::seven(7, 140)]
+#[case::sixty(60, 180)]
+#[case::three_hundred(300, 900)]
+#[case::a_thousand(985, 2_955)]
+#[case::two_thousand(2_000, 3_000)]
+fn a_change_is_known_to_all_in_time(#[case] daemons: usize, #[case] upstreams: usize) {
+    let fleet = ListFleet::new(daemons, release(upstreams, 3_000), 1).with_known_list();
+
+    let figures = fleet.counting_from(1).run(18_000);
+
+    print_figures("change", daemons, &figures);
+    assert!(figures.worst_millis <= change_bound(daemons).as_millis() as u64);
+    assert_eq!((figures.regressions, figures.refused_calls), (0, 0));
+}
+
+fn print_figures(what: &str, daemons: usize, figures: &crate::list_fleet::FleetFigures) {
+    println!(
+        "{what}, {daemons} daemons: p99 {} ms, worst {} ms, {} calls ({} refused), {} regressions, {} bytes",
+        figures.p99_millis(),
+        figures.worst_millis,
+        figures.calls,
+        figures.refused_calls,
+        figures.regressions,
+        figures.most_sent
+    );
+}
+
+/// Guards against changes that come late beside lost messages, and against readers that are missed.
+#[rstest]
+#[case::losses(0.1, None)]
+#[case::reader_killed(0.01, Some(Condition::Dead))]
+#[case::reader_frozen(0.01, Some(Condition::Frozen))]
+#[case::reader_cut_off(0.01, Some(Condition::Cut))]
+fn a_change_is_known_in_time_beside_faults(
+    #[case] loss: f64,
+    #[case] fault: Option<Condition>,
+    #[values(7, 60, 300)] daemons: usize,
+) {
+    // The first reader and its successor fail in turn and come back.
+    let events = fault.into_iter().flat_map(|condition| {
+        [(5_200, 0, condition), (9_200, 0, Condition::Running), (9_900, 1, condition)]
+            .into_iter()
+            .chain([(13_000, 1, Condition::Running)])
+    });
+    let fleet = ListFleet::new(daemons, release(daemons * 3, 3_000), 1).with_known_list();
+
+    let figures = fleet.with_loss(loss).with_events(events.collect()).counting_from(1).run(18_000);
+
+    print_figures(&format!("{fault:?}, loss {loss}"), daemons, &figures);
+    let bound = change_bound(daemons) + Duration::from_millis(1_000);
+    assert!(figures.worst_millis <= bound.as_millis() as u64);
+    assert_eq!(figures.regressions, 0);
+}
+
+/// Guards against a fleet that still refuses requests when its traffic begins, because the list grew
+/// while it spread, and against its calls to the platform.
+#[rstest]
+#[case::three_hundred(300, 900)]
+#[case::a_thousand(985, 2_955)]
+fn a_list_that_grows_while_it_spreads_reaches_all(#[case] daemons: usize, #[case] rows: usize) {
+    let schedule =
+        ListSchedule { upstreams: rows, growth: 7, leaving: 0, versions: 7, first_change: 2_000 };
+    let fleet = ListFleet::new(daemons, schedule, 1);
+
+    // The last version is listed at 7 s.
+    let figures = fleet.counting_from(7_000).run(20_000);
+
+    print_figures("growth", daemons, &figures);
+    assert!(figures.worst_millis <= change_bound(daemons).as_millis() as u64);
+    assert_eq!((figures.regressions, figures.refused_calls), (0, 0));
+}
