--- a/src/daemon/background.rs
+++ b/src/daemon/background.rs
@@ -247,6 +247,7 @@
             tokio::time::sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
+        let begun = state.fleet.begin_reading(state.clock.now());
         let read = tokio::time::timeout(LIST_TIMEOUT, lister.read()).await;
         let read = read.unwrap_or_else(|_| {
             Err(ListError { detail: format!("no answer within {LIST_TIMEOUT:?}") })
@@ -259,7 +260,7 @@
                     info!(state.log, "platform list can be read again");
                 }
                 is_readable = true;
-                state.fleet.store_reading(&list, state.clock.now());
+                state.fleet.store_reading(begun, &list, state.clock.now());
                 if last_list.as_ref() != Some(&list) {
                     state.apply_platform_list(list.clone());
                     last_list = Some(list);
--- a/src/fleet_state/list_freshness.rs
+++ b/src/fleet_state/list_freshness.rs
@@ -109,9 +109,8 @@
         self.failed_at.is_none_or(|at| now.since(at) >= READ_FAILURE_BACKOFF)
     }
 
-    /// Records that this daemon has read the list.
-    pub fn record_read(&mut self, now: Moment) {
-        self.confirm(now);
+    /// Records that this daemon could read the list.
+    pub fn record_success(&mut self) {
         self.failed_at = None;
     }
 
@@ -134,13 +133,14 @@
         self.mismatch_since = None;
     }
 
-    /// Records that a reading at `read_at` gave a different list. Returns true if the full list
-    /// should be requested now: the reading is newer than this daemon's list, and the change has
-    /// not arrived in time.
-    pub fn record_mismatch(&mut self, read_at: Moment, now: Moment) -> bool {
-        if self.confirmed_at.is_some_and(|at| at >= read_at) {
-            return false;
-        }
+    /// Records that this daemon's list was replaced by that of a reading at time `at`.
+    pub fn replace(&mut self, at: Moment, now: Moment) {
+        (self.confirmed_at, self.heard_at, self.mismatch_since) = (Some(at), now, None);
+    }
+
+    /// Records that a newer reading gave a different list. Returns true if the full list should be
+    /// requested now, since the change has not arrived in time.
+    pub fn record_mismatch(&mut self, now: Moment) -> bool {
         let since = *self.mismatch_since.get_or_insert(now);
         now.since(since) >= MISMATCH_GRACE && self.may_request(now)
     }
--- a/src/fleet_state/list_sync.rs
+++ b/src/fleet_state/list_sync.rs
@@ -8,7 +8,7 @@
 //! lost parts cost whole lists, most daemons of a fleet of 985 gave up and read the list from the
 //! platform, and the platform refused most of the 15,000 calls.
 
-use super::{ListFreshness, ListStamp};
+use super::{BegunReading, ListFreshness, ListStamp, ReadingClock, ReadingOrder};
 use crate::policy::{ChangeVerdict, ListChange, ListPart, ListedUpstream, Moment, SharedList};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
@@ -36,17 +36,21 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 /// Silence after which the rest of a list is requested again.
 const STALL_TIMEOUT: Duration = Duration::from_millis(300);
+/// A list of a later reading is refused if it is older than this daemon's list by more than this.
+/// Daemons that have never heard of each other may number their readings by clocks that differ, and
+/// stated ages lack the time that messages took.
+const MAX_AGE_ERROR: Duration = Duration::from_secs(3);
 
 /// A message about the list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ListMessage {
-    /// What a reading changed.
-    Change(ListChange),
+    /// What a reading changed, and the last reading that gave the changed list.
+    Change { stamp: ListStamp, change: ListChange },
     /// A request for parts of the list with this digest, or for the whole list if the receiver has
     /// another one or no part is named.
     Wanted { digest: u64, parts: Vec<u32> },
-    /// A part of the list.
-    Part(ListPart),
+    /// A part of the list, and the last reading that gave it.
+    Part { stamp: ListStamp, part: ListPart },
 }
 
 /// A message and its receivers.
@@ -68,10 +72,21 @@
     pub is_forwarder: bool,
 }
 
+/// A list that was refused because this daemon knows a newer one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OlderList {
+    /// The daemon that sent it; `None` if this daemon read it.
+    pub from: Option<SocketAddr>,
+    pub stamp: ListStamp,
+}
+
 /// A change that is being sent.
 #[derive(Clone, Debug)]
 struct PendingChange {
     change: ListChange,
+    /// The reading that gave the changed list, and when that began.
+    order: ReadingOrder,
+    read_at: Moment,
     sends_left: u32,
     next_at: Moment,
 }
@@ -88,6 +103,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct ListSync {
     list: SharedList,
+    /// The last reading that agrees with the list.
+    order: ReadingOrder,
+    clock: ReadingClock,
+    /// See [`ReadingOrder::reader`].
+    reader: u32,
     freshness: ListFreshness,
     changes: Vec<PendingChange>,
     requests: VecDeque<PartRequest>,
@@ -100,12 +120,15 @@
     may_request: bool,
     /// When the last part was received, and from which daemon.
     last_part: Option<(Moment, SocketAddr)>,
+    /// The last list that was refused and not yet taken by [`ListSync::take_older`].
+    older: Option<OlderList>,
 }
 
 impl ListSync {
     /// Creates the state of a daemon without a list. `jitter` is drawn from 0.0..1.0.
     pub fn new(jitter: f64) -> Self {
-        ListSync { freshness: ListFreshness::new(jitter), ..ListSync::default() }
+        let reader = (jitter * f64::from(u32::MAX)) as u32;
+        ListSync { reader, freshness: ListFreshness::new(jitter), ..ListSync::default() }
     }
 
     /// See [`ListFreshness::with_platform_rate`].
@@ -141,37 +164,85 @@
 
     /// Returns the last reading that agrees with this daemon's list.
     pub fn stamp(&self, now: Moment) -> Option<ListStamp> {
-        let age = self.freshness.age(now)?;
-        Some(ListStamp { digest: self.list.digest()?, age_ms: age.as_millis() as u32 })
+        let age_ms = self.freshness.age(now)?.as_millis() as u32;
+        Some(ListStamp { digest: self.list.digest()?, order: self.order, age_ms })
+    }
+
+    /// Removes and returns the last list that was refused because this daemon knows a newer one.
+    pub fn take_older(&mut self) -> Option<OlderList> {
+        self.older.take()
     }
 
-    /// Stores a list that this daemon has read.
-    pub fn store_reading(&mut self, rows: impl IntoIterator<Item = ListedUpstream>, now: Moment) {
+    /// Begins a reading of the platform's list.
+    pub fn begin_reading(&self, now: Moment) -> BegunReading {
+        let number = self.clock.next_number(self.order.number, now);
+        BegunReading { order: ReadingOrder { number, reader: self.reader }, begun_at: now }
+    }
+
+    /// Stores a list that this daemon has read, unless that of a later reading has arrived since the
+    /// reading began.
+    pub fn store_reading(
+        &mut self,
+        reading: BegunReading,
+        rows: impl IntoIterator<Item = ListedUpstream>,
+        now: Moment,
+    ) {
+        self.freshness.record_success();
+        if self.list.is_known() && reading.order <= self.order {
+            let age_ms = now.since(reading.begun_at).as_millis() as u32;
+            let digest = SharedList::digest_of(rows);
+            let stamp = ListStamp { digest, order: reading.order, age_ms };
+            self.older = Some(OlderList { from: None, stamp });
+            return;
+        }
         let is_first = !self.list.is_known();
         let change = self.list.replace(rows);
-        self.freshness.record_read(now);
+        self.adopt(reading.order, reading.begun_at, now);
         if !is_first && change.base != change.digest {
             self.queue_change(change, now);
         }
     }
 
+    /// Records that this daemon's list was replaced by that of a reading.
+    fn adopt(&mut self, order: ReadingOrder, read_at: Moment, now: Moment) {
+        self.order = order;
+        self.freshness.replace(read_at, now);
+    }
+
+    /// True if the list of a reading should take the place of this daemon's list.
+    fn is_newer(&self, stamp: &ListStamp, now: Moment) -> bool {
+        let Some(age) = self.freshness.age(now) else { return true };
+        let stated = Duration::from_millis(u64::from(stamp.age_ms));
+        stamp.order > self.order && stated <= age + MAX_AGE_ERROR
+    }
+
     fn queue_change(&mut self, change: ListChange, now: Moment) {
+        let read_at = now.before(self.freshness.age(now).unwrap_or_default());
         if change.changed.len() + change.gone.len() <= MAX_CHANGE_ROWS {
-            self.changes.push(PendingChange { change, sends_left: CHANGE_SENDS, next_at: now });
+            let (order, sends_left) = (self.order, CHANGE_SENDS);
+            self.changes.push(PendingChange { change, order, read_at, sends_left, next_at: now });
         }
     }
 
     /// Handles another daemon's statement of the last reading that it knows of.
     pub fn handle_stamp(&mut self, from: SocketAddr, stamp: ListStamp, now: Moment) {
-        let read_at = Moment(now.0.saturating_sub(u64::from(stamp.age_ms) * 1_000));
+        self.clock.observe(&stamp, now);
         if self.list.digest() == Some(stamp.digest) {
-            self.freshness.confirm_earlier(read_at, now);
-        } else if self.freshness.record_mismatch(read_at, now) {
+            self.confirm_by(&stamp, now);
+        } else if self.is_newer(&stamp, now) && self.freshness.record_mismatch(now) {
             self.wanted_from = Some(from);
             self.may_request = true;
         }
     }
 
+    /// Applies a stamp with the digest of this daemon's list.
+    fn confirm_by(&mut self, stamp: &ListStamp, now: Moment) {
+        if stamp.order > self.order {
+            self.order = stamp.order;
+            self.freshness.confirm_earlier(stamp.read_at(now), now);
+        }
+    }
+
     /// Handles a message from the daemon at `from`; true if this daemon's list has changed.
     pub fn handle(
         &mut self,
@@ -181,26 +252,31 @@
         now: Moment,
     ) -> bool {
         match message {
-            ListMessage::Change(change) => self.handle_change(from, change, is_forwarder, now),
+            ListMessage::Change { stamp, change } => {
+                self.handle_change(from, (stamp, change), is_forwarder, now)
+            }
             ListMessage::Wanted { digest, parts } => {
                 self.handle_request(from, digest, parts);
                 false
             }
-            ListMessage::Part(part) => self.handle_part(from, part, now),
+            ListMessage::Part { stamp, part } => self.handle_part(from, (stamp, part), now),
         }
     }
 
     fn handle_change(
         &mut self,
         from: SocketAddr,
-        change: ListChange,
+        (stamp, change): (ListStamp, ListChange),
         is_forwarder: bool,
         now: Moment,
     ) -> bool {
+        if !self.check_order(from, &stamp, now) {
+            return false;
+        }
         match self.list.apply(&change) {
             ChangeVerdict::Known => false,
             ChangeVerdict::Applied => {
-                self.freshness.confirm(now);
+                self.adopt(stamp.order, stamp.read_at(now), now);
                 if is_forwarder {
                     self.queue_change(change, now);
                 }
@@ -213,6 +289,20 @@
         }
     }
 
+    /// Returns true if the list with this stamp should take the place of this daemon's list.
+    fn check_order(&mut self, from: SocketAddr, stamp: &ListStamp, now: Moment) -> bool {
+        self.clock.observe(stamp, now);
+        if self.list.digest() == Some(stamp.digest) {
+            self.confirm_by(stamp, now);
+            return false;
+        }
+        let is_newer = self.is_newer(stamp, now);
+        if !is_newer {
+            self.older = Some(OlderList { from: Some(from), stamp: *stamp });
+        }
+        is_newer
+    }
+
     fn handle_request(&mut self, from: SocketAddr, digest: u64, parts: Vec<u32>) {
         let has_same = self.list.digest() == Some(digest) && !parts.is_empty();
         let parts: VecDeque<u32> = match has_same {
@@ -229,7 +319,15 @@
         }
     }
 
-    fn handle_part(&mut self, from: SocketAddr, part: ListPart, now: Moment) -> bool {
+    fn handle_part(
+        &mut self,
+        from: SocketAddr,
+        (stamp, part): (ListStamp, ListPart),
+        now: Moment,
+    ) -> bool {
+        if !self.check_order(from, &stamp, now) {
+            return false;
+        }
         // Parts of two lists at a time would keep either from being completed.
         let other = self.list.missing_parts().filter(|(digest, _)| *digest != part.digest);
         if other.is_some() && self.is_receiving(now) {
@@ -238,7 +336,7 @@
         self.last_part = Some((now, from));
         let is_complete = self.list.add_part(part);
         if is_complete {
-            self.freshness.confirm(now);
+            self.adopt(stamp.order, stamp.read_at(now), now);
             self.wanted_from = None;
         }
         is_complete
@@ -279,7 +377,10 @@
             pending.sends_left -= 1;
             pending.next_at = now + CHANGE_RESEND_DELAY;
             if !receivers.is_empty() {
-                let message = ListMessage::Change(pending.change.clone());
+                let age_ms = now.since(pending.read_at).as_millis() as u32;
+                let (change, order) = (pending.change.clone(), pending.order);
+                let stamp = ListStamp { digest: change.digest, order, age_ms };
+                let message = ListMessage::Change { stamp, change };
                 outgoing.push(ListOutgoing { to: receivers.to_vec(), message });
             }
         }
@@ -293,6 +394,7 @@
         let earned = now.since(self.budget_at).as_secs_f64() * PARTS_PER_SECOND;
         self.part_budget = (self.part_budget + earned).min(MAX_PART_BURST);
         self.budget_at = now;
+        let Some(stamp) = self.stamp(now) else { return Vec::new() };
         let mut outgoing = Vec::new();
         while self.part_budget >= 1.0
             && let Some(request) = self.requests.front_mut()
@@ -303,7 +405,10 @@
             }
             if let Some(part) = next.and_then(|part| self.list.part(part)) {
                 self.part_budget -= 1.0;
-                outgoing.push(ListOutgoing { to: vec![to], message: ListMessage::Part(part) });
+                outgoing.push(ListOutgoing {
+                    to: vec![to],
+                    message: ListMessage::Part { stamp, part },
+                });
             }
         }
         outgoing
--- a/src/fleet_state/messages.rs
+++ b/src/fleet_state/messages.rs
@@ -1,11 +1,13 @@
 //! Messages in which daemons report their state to each other.
 
-use crate::policy::{DensityLevel, PeerWork, UpstreamHash};
+use super::ReadingOrder;
+use crate::policy::{DensityLevel, Moment, PeerWork, UpstreamHash};
 use crate::quarantine::SuspectUpdate;
 use crate::table::{DaemonName, OrganisationName, ServiceName};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Identifies an organisation in messages. In a fleet of 3,300 organisations, the probability that
@@ -82,10 +84,18 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListStamp {
     pub digest: u64,
-    /// Milliseconds since the list was read.
+    pub order: ReadingOrder,
+    /// Milliseconds since the reading began.
     pub age_ms: u32,
 }
 
+impl ListStamp {
+    /// When the reading began, if the stamp was received at `now`.
+    pub fn read_at(&self, now: Moment) -> Moment {
+        now.before(Duration::from_millis(u64::from(self.age_ms)))
+    }
+}
+
 /// Whether this is the last message from a daemon to its receiver, and why.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Departure {
--- a/src/fleet_state/mod.rs
+++ b/src/fleet_state/mod.rs
@@ -27,6 +27,7 @@
 mod list_sync;
 mod messages;
 mod own_history;
+mod reading_order;
 mod row_rotation;
 mod state;
 mod waiting_table;
@@ -37,12 +38,13 @@
 pub use flow_rates::FlowRates;
 pub use layout::{FleetLayout, MAX_MESH_SIZE};
 pub use list_freshness::ListFreshness;
-pub use list_sync::{ListMessage, ListOutgoing, ListPeers, ListSync};
+pub use list_sync::{ListMessage, ListOutgoing, ListPeers, ListSync, OlderList};
 pub use messages::{
     Departure, FleetMessage, FleetSummary, FlowRow, GroupSum, ListStamp, MemberReport,
     MessageRefusal, MessageSource, OrganisationHash, ServiceHash, WaitingRow, WorkRow,
 };
 pub use own_history::ReportHistory;
+pub use reading_order::{BegunReading, ReadingClock, ReadingOrder};
 pub use row_rotation::RowRotation;
 pub use state::{
     BucketEstimates, DaemonIdentity, FleetRole, FleetState, LocalState, OutgoingMessage,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -98,6 +98,11 @@
         Moment(milliseconds * 1_000)
     }
 
+    /// Milliseconds since the epoch.
+    pub const fn millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
     /// The time elapsed from `earlier` to `self`; zero if `earlier` is later.
     pub fn since(self, earlier: Moment) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
--- a/src/policy/shared_list.rs
+++ b/src/policy/shared_list.rs
@@ -116,6 +116,12 @@
         self.digest.is_some()
     }
 
+    /// Digest of a list with these rows.
+    pub fn digest_of(rows: impl IntoIterator<Item = ListedUpstream>) -> u64 {
+        let keyed = rows.into_iter().map(|row| ((row.service.clone(), row.upstream.clone()), row));
+        list_digest(&keyed.collect())
+    }
+
     /// Replaces the list with one just read and returns the difference.
     pub fn replace(&mut self, rows: impl IntoIterator<Item = ListedUpstream>) -> ListChange {
         let keyed = rows.into_iter().map(|row| ((row.service.clone(), row.upstream.clone()), row));
--- a/src/traffic/fleet_exchange/list.rs
+++ b/src/traffic/fleet_exchange/list.rs
@@ -2,7 +2,7 @@
 
 use super::wire::DaemonMessage;
 use super::{ListStamp, MessageSocket, lock};
-use crate::fleet_state::{ListMessage, ListPeers, ListSync};
+use crate::fleet_state::{BegunReading, ListMessage, ListPeers, ListSync, OlderList};
 use crate::policy::{ListedUpstream, Moment};
 use crate::traffic::state::TrafficState;
 use crate::upstream::{PlatformList, VmRow, VmState};
@@ -44,9 +44,14 @@
         lock(&self.sync).record_failure(now);
     }
 
+    /// See [`ListSync::begin_reading`].
+    pub fn begin_reading(&self, now: Moment) -> BegunReading {
+        lock(&self.sync).begin_reading(now)
+    }
+
     /// Stores a list that this daemon has read, and queues the change for sending.
-    pub fn store_reading(&self, list: &PlatformList, now: Moment) {
-        lock(&self.sync).store_reading(list.vms.iter().map(listed_upstream), now);
+    pub fn store_reading(&self, reading: BegunReading, list: &PlatformList, now: Moment) {
+        lock(&self.sync).store_reading(reading, list.vms.iter().map(listed_upstream), now);
         self.work_notify.notify_one();
     }
 }
@@ -138,6 +143,7 @@
     if lock(&exchange.sync).tick_interval().is_some() {
         exchange.work_notify.notify_one();
     }
+    log_older(state);
     if let Some(list) = changed {
         log_list(state, "received", from, &list);
         state.apply_platform_list(list);
@@ -149,5 +155,17 @@
     let stamp = state.fleet.list.stamp(state.clock.now());
     let before = state.platform_list().vms.len();
     info!(state.log, "platform list changed"; "how" => how, "from" => from.to_string(), "upstreams" => list.vms.len(), "before" => before,
-        "list" => stamp.map(|stamp| format!("{:016x}", stamp.digest)), "list_age_ms" => stamp.map(|stamp| stamp.age_ms));
+        "list" => stamp.map(|stamp| format!("{:016x}", stamp.digest)), "reading" => stamp.map(|stamp| stamp.order.number),
+        "list_age_ms" => stamp.map(|stamp| stamp.age_ms));
+}
+
+/// Logs and counts a list that was refused because this daemon knows a newer one.
+fn log_older(state: &TrafficState) {
+    let older = lock(&state.fleet.list.sync).take_older();
+    let Some(OlderList { from, stamp }) = older else { return };
+    metrics::counter!("platform_lists_refused").increment(1);
+    let known = state.fleet.list.stamp(state.clock.now());
+    info!(state.log, "platform list refused as older"; "from" => from.map(|from| from.to_string()), "list" => format!("{:016x}", stamp.digest),
+        "reading" => stamp.order.number, "list_age_ms" => stamp.age_ms, "known_reading" => known.map(|stamp| stamp.order.number),
+        "known_age_ms" => known.map(|stamp| stamp.age_ms));
 }
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -8,9 +8,9 @@
 
 use super::state::TrafficState;
 use crate::fleet_state::{
-    BucketEstimates, DaemonIdentity, FleetMessage, FleetRole, FleetState, FlowRow, ListStamp,
-    LocalState, MessageRefusal, OrganisationHash, OutgoingMessage, ServiceHash, WaitingRow,
-    WorkRow,
+    BegunReading, BucketEstimates, DaemonIdentity, FleetMessage, FleetRole, FleetState, FlowRow,
+    ListStamp, LocalState, MessageRefusal, OrganisationHash, OutgoingMessage, ServiceHash,
+    WaitingRow, WorkRow,
 };
 use crate::policy::{
     Moment, PeerWaiting, PeerWork, PoolEvent, UpstreamHash, UpstreamSet, UpstreamState,
@@ -153,9 +153,14 @@
         self.expected_daemons.store(daemons, Ordering::Relaxed);
     }
 
+    /// Begins a reading of the platform's list by this daemon.
+    pub fn begin_reading(&self, now: Moment) -> BegunReading {
+        self.list.begin_reading(now)
+    }
+
     /// Stores a list that this daemon has read, and sends the change to the others.
-    pub fn store_reading(&self, list: &PlatformList, now: Moment) {
-        self.list.store_reading(list, now);
+    pub fn store_reading(&self, reading: BegunReading, list: &PlatformList, now: Moment) {
+        self.list.store_reading(reading, list, now);
     }
 
     /// Records that the platform did not let this daemon read the list, so that another daemon
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -147,7 +147,8 @@
         info!(self.state.log, "sent"; "request" => self.id(), "route" => &self.route.route, "organisation" => organisation,
             "service" => placed.pool.service.as_str(), "version" => placed.version.as_ref().map(SoftwareVersion::as_str), "upstream" => placed.name.as_str(), "waited_ms" => waited,
             "send" => history.sent() + 1, "after_event" => last_event_id, "resumes" => self.metadata.resumes.as_deref(), "fingerprint" => self.fingerprint.to_string(), "table" => self.state.snapshot().version,
-            "list" => list.map(|stamp| format!("{:016x}", stamp.digest)), "list_age_ms" => list.map(|stamp| stamp.age_ms),
+            "list" => list.map(|stamp| format!("{:016x}", stamp.digest)), "reading" => list.map(|stamp| stamp.order.number),
+            "list_age_ms" => list.map(|stamp| stamp.age_ms),
             "left_ms" => self.time_left().as_millis() as u64, "tokens" => self.limit.as_ref().map_or(0, |limit| limit.cost),
             "slowness" => format!("{:.2}", placed.pool.slowness(placed.upstream)), self.size_fields());
     }
--- a/tests/list_fleet.rs
+++ b/tests/list_fleet.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use tarragonknot::fleet_state::{
-    FleetLayout, ListMessage, ListOutgoing, ListPeers, ListStamp, ListSync,
+    BegunReading, FleetLayout, ListMessage, ListOutgoing, ListPeers, ListStamp, ListSync,
 };
 use tarragonknot::policy::{ListedUpstream, Moment};
 
@@ -30,6 +30,10 @@
 pub const CALLS_PER_SECOND: f64 = 190.0;
 /// Time until a daemon that has fallen silent is replaced as an aggregator or a reader.
 const SILENCE_MILLIS: u64 = 500;
+/// Longest time for which a process has run at the start of a play: a day in a fleet that has run for
+/// long, and two seconds in one that has just started.
+const MAX_UPTIME_MILLIS: u64 = 86_400_000;
+const MAX_START_SPREAD_MILLIS: u64 = 2_000;
 
 /// The platform's list, which changes once a second: it first grows, then a part of the upstreams is
 /// replaced with each version, after having been listed as leaving in the version before.
@@ -117,6 +121,10 @@
 #[derive(Debug)]
 struct SimulatedDaemon {
     sync: ListSync,
+    /// What its clock, which starts with its process, shows at the start of the play or of the
+    /// process, in milliseconds.
+    clock_start: u64,
+    started_at: u64,
     condition: Condition,
     condition_since: u64,
     /// Messages that wait at its link, with their sizes.
@@ -127,6 +135,7 @@
     inbox_bytes: usize,
     /// A reading that has begun: its end and the version that it reads.
     reading: Option<(u64, u32)>,
+    begun: Option<BegunReading>,
     next_read: u64,
     /// The version of its list; `None` without one.
     version: Option<u32>,
@@ -184,7 +193,7 @@
         ListFleet {
             schedule,
             lists,
-            daemons: (0..daemons).map(|_| new_daemon(rng.random())).collect(),
+            daemons: (0..daemons).map(|_| new_daemon(&mut rng)).collect(),
             numbers: (0..daemons).map(|daemon| (address(daemon), daemon)).collect(),
             aggregators: vec![0; layout.group_count()],
             layout,
@@ -217,9 +226,11 @@
 
     /// Gives every daemon the first version, as if the fleet had run for long.
     pub fn with_known_list(mut self) -> Self {
-        let now = self.now();
         for daemon in &mut self.daemons {
-            store_reading(&mut daemon.sync, self.lists[0].iter().cloned(), now, now);
+            daemon.clock_start = self.rng.random_range(10_000..MAX_UPTIME_MILLIS);
+            let now = Moment::from_millis(daemon.clock_start);
+            let begun = daemon.sync.begin_reading(now);
+            daemon.sync.store_reading(begun, self.lists[0].iter().cloned(), now);
             daemon.version = Some(0);
         }
         self
@@ -256,8 +267,9 @@
         self.figures
     }
 
-    fn now(&self) -> Moment {
-        Moment::from_millis(10_000 + self.millis)
+    fn now(&self, daemon: usize) -> Moment {
+        let daemon = &self.daemons[daemon];
+        Moment::from_millis(daemon.clock_start + self.millis - daemon.started_at)
     }
 
     fn apply_events(&mut self) {
@@ -267,7 +279,8 @@
             self.events.pop_front();
             let was = self.daemons[number].condition;
             if was == Condition::Dead || condition == Condition::Dead {
-                self.daemons[number] = new_daemon(self.rng.random());
+                self.daemons[number] = new_daemon(&mut self.rng);
+                self.daemons[number].started_at = self.millis;
             }
             let daemon = &mut self.daemons[number];
             (daemon.condition, daemon.condition_since) = (condition, self.millis);
@@ -304,10 +317,8 @@
     /// The aggregator that reads the list: the first that is not known to have failed.
     fn reader(&self) -> usize {
         let live = self.aggregators.iter().filter(|number| !self.is_missed(**number));
-        let now = self.now();
-        live.min_by_key(|number| (!self.daemons[**number].sync.can_read(now), **number))
-            .copied()
-            .unwrap_or(0)
+        let can_read = |number: usize| self.daemons[number].sync.can_read(self.now(number));
+        live.min_by_key(|number| (!can_read(**number), **number)).copied().unwrap_or(0)
     }
 
     fn peers(&mut self, daemon: usize, reader: usize) -> ListPeers {
@@ -333,14 +344,16 @@
     }
 
     fn read_if_due(&mut self, number: usize, reader: usize) {
-        let (now, millis, count) = (self.now(), self.millis, self.daemons.len());
+        let (now, millis, count) = (self.now(number), self.millis, self.daemons.len());
         let ended = self.daemons[number].reading.filter(|(until, _)| *until <= millis);
         if let Some((_, version)) = ended {
             self.daemons[number].reading = None;
             self.daemons[number].next_read = millis + READ_PAUSE_MILLIS;
-            let begun = Moment::from_millis(10_000 + millis - READING_MILLIS);
             let rows = self.lists[version as usize].iter().cloned();
-            store_reading(&mut self.daemons[number].sync, rows, begun, now);
+            let daemon = &mut self.daemons[number];
+            if let Some(begun) = daemon.begun.take() {
+                daemon.sync.store_reading(begun, rows, now);
+            }
             self.note_version(number);
         }
         let daemon = &mut self.daemons[number];
@@ -355,7 +368,7 @@
             self.free_calls -= pages as f64;
             self.figures.calls += pages;
             daemon.reading = Some((millis + READING_MILLIS, self.schedule.version_at(millis)));
-            begin_reading(&mut daemon.sync, now);
+            daemon.begun = Some(daemon.sync.begin_reading(now));
             return;
         }
         if daemon.condition != Condition::Cut {
@@ -369,7 +382,7 @@
     /// An aggregator states its reading to the other aggregators and its group, a member to its
     /// aggregator.
     fn send_stamp(&mut self, number: usize) {
-        let Some(stamp) = self.daemons[number].sync.stamp(self.now()) else { return };
+        let Some(stamp) = self.daemons[number].sync.stamp(self.now(number)) else { return };
         let to: Vec<usize> = match self.is_aggregator(number) {
             true => {
                 let group = self.group(number).iter().map(|member| self.numbers[member]);
@@ -391,7 +404,7 @@
         if self.daemons[number].sync.tick_interval().is_none() {
             return;
         }
-        let (peers, now) = (self.peers(number, reader), self.now());
+        let (peers, now) = (self.peers(number, reader), self.now(number));
         let daemon = &mut self.daemons[number];
         for outgoing in daemon.sync.tick(&peers, now) {
             let size = postcard::to_stdvec(&outgoing.message).map_or(0, |bytes| bytes.len());
@@ -456,7 +469,7 @@
     }
 
     fn handle(&mut self, from: usize, to: usize, received: Received) {
-        let (now, is_forwarder) = (self.now(), self.is_aggregator(to));
+        let (now, is_forwarder) = (self.now(to), self.is_aggregator(to));
         let sync = &mut self.daemons[to].sync;
         match received {
             Received::Stamp(stamp) => sync.handle_stamp(address(from), stamp, now),
@@ -498,9 +511,11 @@
     }
 }
 
-fn new_daemon(jitter: f64) -> SimulatedDaemon {
+fn new_daemon(rng: &mut ChaCha8Rng) -> SimulatedDaemon {
     SimulatedDaemon {
-        sync: ListSync::new(jitter).with_platform_rate(Some(CALLS_PER_SECOND)),
+        sync: ListSync::new(rng.random()).with_platform_rate(Some(CALLS_PER_SECOND)),
+        started_at: 0,
+        clock_start: rng.random_range(0..MAX_START_SPREAD_MILLIS),
         condition: Condition::Running,
         condition_since: 0,
         link: VecDeque::new(),
@@ -508,21 +523,9 @@
         inbox: VecDeque::new(),
         inbox_bytes: 0,
         reading: None,
+        begun: None,
         next_read: 0,
         version: None,
         sent_bytes: 0,
     }
 }
-
-/// Begins a reading of the list.
-pub fn begin_reading(_sync: &mut ListSync, _now: Moment) {}
-
-/// Stores a reading that began at `begun`.
-pub fn store_reading(
-    sync: &mut ListSync,
-    rows: impl IntoIterator<Item = ListedUpstream>,
-    _begun: Moment,
-    now: Moment,
-) {
-    sync.store_reading(rows, now);
-}
--- a/tests/test_list_freshness.rs
+++ b/tests/test_list_freshness.rs
@@ -115,15 +115,14 @@
 }
 
 #[test]
-fn another_list_is_asked_for_only_if_it_is_newer_and_does_not_come_by_itself() {
+fn another_list_is_asked_for_only_if_it_does_not_come_by_itself() {
     let mut freshness = ListFreshness::new(0.5);
     freshness.confirm(at(0));
-    let older = freshness.record_mismatch(at(0), at(300));
-    let at_once = freshness.record_mismatch(at(400), at(420));
-    let later = freshness.record_mismatch(at(400), at(700));
-    let again = freshness.record_mismatch(at(400), at(750));
+    let at_once = freshness.record_mismatch(at(420));
+    let later = freshness.record_mismatch(at(700));
+    let again = freshness.record_mismatch(at(750));
 
-    assert_eq!((older, at_once, later, again), (false, false, true, false));
+    assert_eq!((at_once, later, again), (false, true, false));
 }
 
 #[test]
@@ -133,7 +132,8 @@
     let soon = freshness.can_read(at(1_000));
     let later = freshness.can_read(at(5_000));
     freshness.record_failure(at(6_000));
-    freshness.record_read(at(6_100));
+    freshness.record_success();
+    freshness.confirm(at(6_100));
 
     assert_eq!((soon, later, freshness.can_read(at(6_100))), (false, true, true));
     assert_eq!(freshness.age(at(6_300)), Some(Duration::from_millis(200)));
--- a/tests/test_list_in_force.rs
+++ b/tests/test_list_in_force.rs
@@ -74,7 +74,7 @@
 }
 
 fn store_reading(state: &TrafficState, list: &PlatformList, now: Moment) {
-    state.fleet.store_reading(list, now);
+    state.fleet.store_reading(state.fleet.begin_reading(now), list, now);
 }
 
 /// Guards against a reader that sends requests by the list of another daemon, although it has read a
--- a/tests/test_list_order.rs
+++ b/tests/test_list_order.rs
@@ -2,15 +2,13 @@
 //! and a list is as old everywhere as its reading.
 
 use crate::burst_pool::{BurstPool, urgency_plan};
-use crate::list_fleet::{
-    Condition, FleetEvent, ListFleet, ListSchedule, address, begin_reading, store_reading, upstream,
-};
+use crate::list_fleet::{Condition, FleetEvent, ListFleet, ListSchedule, address, upstream};
 use crate::session::source;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 use std::time::Duration;
-use tarragonknot::fleet_state::{ListPeers, ListSync};
+use tarragonknot::fleet_state::{ListPeers, ListStamp, ListSync};
 use tarragonknot::policy::{ListedUpstream, Moment, PoolEvent, UpstreamSource};
 
 fn at(millis: u64) -> Moment {
@@ -24,8 +22,8 @@
 }
 
 fn read(sync: &mut ListSync, version: usize, millis: u64) {
-    begin_reading(sync, at(millis));
-    store_reading(sync, rows(version), at(millis), at(millis));
+    let begun = sync.begin_reading(at(millis));
+    sync.store_reading(begun, rows(version), at(millis));
 }
 
 /// Exchanges messages and statements among the daemons `members` from one time to another, in steps of
@@ -222,3 +220,42 @@
     assert!(figures.worst_millis <= change_bound(daemons).as_millis() as u64);
     assert_eq!((figures.regressions, figures.refused_calls), (0, 0));
 }
+
+/// Guards against a daemon that asks for the list of a reading that its own list has overtaken, however
+/// recent that reading claims to be.
+#[test]
+fn the_list_of_an_earlier_reading_is_not_requested() {
+    let mut syncs: [ListSync; 2] = new_syncs();
+    read(&mut syncs[0], 0, 0);
+    let stamp = syncs[0].stamp(at(0)).expect("a list is known");
+    syncs[1].handle_stamp(address(0), stamp, at(0));
+    read(&mut syncs[1], 1, 1_000);
+    let peers = ListPeers { source: Some(address(0)), ..ListPeers::default() };
+
+    let mut outgoing = Vec::new();
+    for millis in (1_000..4_000).step_by(50) {
+        let stamp = ListStamp { age_ms: 0, ..stamp };
+        syncs[1].handle_stamp(address(0), stamp, at(millis));
+        outgoing.extend(syncs[1].tick(&peers, at(millis)));
+    }
+
+    assert!(outgoing.is_empty(), "{outgoing:?}");
+}
+
+/// Guards against a reading that takes the place of a later one that ended before it.
+#[test]
+fn a_reading_that_was_overtaken_is_not_stored() {
+    let mut syncs: [ListSync; 2] = new_syncs();
+    read(&mut syncs[0], 0, 0);
+    exchange(&mut syncs, &[0, 1], 0, 500);
+    let slow = syncs[0].begin_reading(at(1_000));
+    let stamp = ListStamp { digest: 1, order: slow.order, age_ms: 0 };
+    syncs[1].handle_stamp(address(0), stamp, at(1_000));
+    read(&mut syncs[1], 1, 1_100);
+    exchange(&mut syncs, &[0, 1], 1_100, 2_000);
+
+    syncs[0].store_reading(slow, rows(0), at(2_500));
+
+    assert!(syncs[0].rows().cloned().eq(sorted(rows(1))));
+    assert!(syncs[0].take_older().is_some_and(|older| older.from.is_none()));
+}
--- a/tests/test_list_spread.rs
+++ b/tests/test_list_spread.rs
@@ -7,7 +7,9 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tarragonknot::fleet_state::{FleetLayout, ListMessage, ListOutgoing, ListPeers, ListSync};
+use tarragonknot::fleet_state::{
+    FleetLayout, ListMessage, ListOutgoing, ListPeers, ListStamp, ListSync, ReadingOrder,
+};
 use tarragonknot::policy::{ListedUpstream, Moment};
 
 /// Length of a step of virtual time, which is also the time that a message takes.
@@ -144,7 +146,8 @@
         let daemon = &mut self.daemons[number];
         if daemon.reading_until.is_some_and(|until| until <= millis) {
             daemon.reading_until = None;
-            daemon.sync.store_reading((0..self.upstreams).map(upstream), now);
+            let begun = daemon.sync.begin_reading(now);
+            daemon.sync.store_reading(begun, (0..self.upstreams).map(upstream), now);
             daemon.known_at.get_or_insert(millis);
         }
         let is_reader = number == 0 && millis % 1_000 < STEP_MILLIS;
@@ -248,7 +251,8 @@
 fn only_the_lost_parts_are_requested_again() {
     let at = |millis: u64| Moment::from_millis(10_000 + millis);
     let (mut holder, mut peer) = (ListSync::new(0.5), ListSync::new(0.5));
-    holder.store_reading((0..900).map(upstream), at(0));
+    let begun = holder.begin_reading(at(0));
+    holder.store_reading(begun, (0..900).map(upstream), at(0));
     let mut asked = Vec::new();
     let mut sent = 0;
 
@@ -279,8 +283,9 @@
     let at = Moment::from_millis(10_000);
     let mut peer = ListSync::new(0.5);
     let part = tarragonknot::policy::ListPart { digest: 5, part: 0, parts: 1, bytes: vec![7; 90] };
+    let stamp = ListStamp { digest: 5, order: ReadingOrder::default(), age_ms: 0 };
 
-    let is_changed = peer.handle(address(1), ListMessage::Part(part), false, at);
+    let is_changed = peer.handle(address(1), ListMessage::Part { stamp, part }, false, at);
 
     assert!(!is_changed && !peer.is_known());
     assert_eq!(peer.tick_interval(), Some(Duration::from_millis(50)));
