One place puts the list of upstreams in force (DRAIN)

What callers saw: requests sent to an upstream that the daemon itself had read to be leaving.

Cause: the list existed twice, in the exchange and in the traffic state, set in two places. A reader compared what it read with what it had last read: when another daemon's list came in between, the exchange's copy was put right and the traffic's was not, until the platform's list next changed. Two lists that were applied at once could end in the wrong order, too.

Evidence: test_list_in_force, which fails before: the reader kept the other daemon's list for ten seconds of readings that said otherwise.

Now the traffic's copy is always made from the exchange's, under a lock, when their digests differ; who read it or sent it plays no part. The line says what replaced what, by which reading, of what age.

--- a/src/daemon/background.rs
+++ b/src/daemon/background.rs
@@ -236,18 +236,15 @@
 
 /// Reads the list repeatedly and applies changes. If a read fails, the last list stays in force.
 async fn read_lists(state: Arc<TrafficState>, lister: Box<dyn UpstreamLister>, pause: Duration) {
-    let mut last_list = None;
     let mut is_readable = true;
     let mut logged_causes = BTreeSet::new();
     loop {
         let has_table = state.snapshot().version > 0;
         if !state.fleet.is_list_read_due(has_table, state.clock.now()) {
-            // A list received from another daemon may differ from the one last read here.
-            last_list = None;
             tokio::time::sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
-        let begun = state.fleet.begin_reading(state.clock.now());
+        let begun = state.begin_list_reading();
         let read = tokio::time::timeout(LIST_TIMEOUT, lister.read()).await;
         let read = read.unwrap_or_else(|_| {
             Err(ListError { detail: format!("no answer within {LIST_TIMEOUT:?}") })
@@ -260,11 +257,7 @@
                     info!(state.log, "platform list can be read again");
                 }
                 is_readable = true;
-                state.fleet.store_reading(begun, &list, state.clock.now());
-                if last_list.as_ref() != Some(&list) {
-                    state.apply_platform_list(list.clone());
-                    last_list = Some(list);
-                }
+                state.store_list_reading(begun, &list);
             }
             Err(error) => {
                 state.fleet.record_read_failure(state.clock.now());
--- a/src/traffic/fleet_exchange/list.rs
+++ b/src/traffic/fleet_exchange/list.rs
@@ -15,6 +15,9 @@
 #[derive(Debug, Default)]
 pub struct ListExchange {
     sync: Mutex<ListSync>,
+    /// Digest of the list by which requests are placed. Locked while a list is put in force, so that
+    /// the last one holds.
+    in_force: Mutex<Option<u64>>,
     work_notify: Notify,
 }
 
@@ -48,11 +51,23 @@
     pub fn begin_reading(&self, now: Moment) -> BegunReading {
         lock(&self.sync).begin_reading(now)
     }
+}
+
+impl TrafficState {
+    /// Begins a reading of the platform's list by this daemon.
+    pub fn begin_list_reading(&self) -> BegunReading {
+        self.fleet.list.begin_reading(self.clock.now())
+    }
 
-    /// Stores a list that this daemon has read, and queues the change for sending.
-    pub fn store_reading(&self, reading: BegunReading, list: &PlatformList, now: Moment) {
-        lock(&self.sync).store_reading(reading, list.vms.iter().map(listed_upstream), now);
-        self.work_notify.notify_one();
+    /// Stores a list that this daemon has read, puts it in force and sends the change to the others,
+    /// unless that of a later reading is known.
+    pub fn store_list_reading(&self, reading: BegunReading, list: &PlatformList) {
+        let exchange = &self.fleet.list;
+        let rows = list.vms.iter().map(listed_upstream);
+        lock(&exchange.sync).store_reading(reading, rows, self.clock.now());
+        exchange.work_notify.notify_one();
+        log_older(self);
+        put_in_force(self, None);
     }
 }
 
@@ -135,28 +150,34 @@
     let exchange = &state.fleet.list;
     let now = state.clock.now();
     let is_forwarder = state.fleet.fleet().is_some_and(|fleet| fleet.is_list_forwarder(now));
-    let changed = {
-        let mut sync = lock(&exchange.sync);
-        let is_changed = sync.handle(from, message, is_forwarder, now);
-        is_changed.then(|| platform_list(&sync))
-    };
+    let is_changed = lock(&exchange.sync).handle(from, message, is_forwarder, now);
     if lock(&exchange.sync).tick_interval().is_some() {
         exchange.work_notify.notify_one();
     }
     log_older(state);
-    if let Some(list) = changed {
-        log_list(state, "received", from, &list);
-        state.apply_platform_list(list);
+    if is_changed {
+        put_in_force(state, Some(from));
     }
 }
 
-/// Logs a list that replaces another one, with the time since it was read.
-fn log_list(state: &TrafficState, how: &str, from: SocketAddr, list: &PlatformList) {
-    let stamp = state.fleet.list.stamp(state.clock.now());
+/// Puts the exchange's list in force, unless it is already. `from` is the daemon that it was received
+/// from; `None` if this daemon has read it.
+fn put_in_force(state: &TrafficState, from: Option<SocketAddr>) {
+    let exchange = &state.fleet.list;
+    let mut in_force = lock(&exchange.in_force);
+    let (list, stamp) = {
+        let sync = lock(&exchange.sync);
+        let Some(stamp) = sync.stamp(state.clock.now()).filter(|it| Some(it.digest) != *in_force)
+        else {
+            return;
+        };
+        (platform_list(&sync), stamp)
+    };
     let before = state.platform_list().vms.len();
-    info!(state.log, "platform list changed"; "how" => how, "from" => from.to_string(), "upstreams" => list.vms.len(), "before" => before,
-        "list" => stamp.map(|stamp| format!("{:016x}", stamp.digest)), "reading" => stamp.map(|stamp| stamp.order.number),
-        "list_age_ms" => stamp.map(|stamp| stamp.age_ms));
+    info!(state.log, "platform list changed"; "from" => from.map(|from| from.to_string()), "upstreams" => list.vms.len(), "before" => before,
+        "list" => format!("{:016x}", stamp.digest), "reading" => stamp.order.number, "reader" => stamp.order.reader, "list_age_ms" => stamp.age_ms);
+    state.apply_platform_list(list);
+    *in_force = Some(stamp.digest);
 }
 
 /// Logs and counts a list that was refused because this daemon knows a newer one.
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -8,15 +8,14 @@
 
 use super::state::TrafficState;
 use crate::fleet_state::{
-    BegunReading, BucketEstimates, DaemonIdentity, FleetMessage, FleetRole, FleetState, FlowRow,
-    ListStamp, LocalState, MessageRefusal, OrganisationHash, OutgoingMessage, ServiceHash,
-    WaitingRow, WorkRow,
+    BucketEstimates, DaemonIdentity, FleetMessage, FleetRole, FleetState, FlowRow, ListStamp,
+    LocalState, MessageRefusal, OrganisationHash, OutgoingMessage, ServiceHash, WaitingRow,
+    WorkRow,
 };
 use crate::policy::{
     Moment, PeerWaiting, PeerWork, PoolEvent, UpstreamHash, UpstreamSet, UpstreamState,
 };
 use crate::table::{ServiceName, UpstreamName};
-use crate::upstream::PlatformList;
 use list::ListExchange;
 use slog::{info, warn};
 use std::collections::{BTreeMap, BTreeSet};
@@ -153,16 +152,6 @@
         self.expected_daemons.store(daemons, Ordering::Relaxed);
     }
 
-    /// Begins a reading of the platform's list by this daemon.
-    pub fn begin_reading(&self, now: Moment) -> BegunReading {
-        self.list.begin_reading(now)
-    }
-
-    /// Stores a list that this daemon has read, and sends the change to the others.
-    pub fn store_reading(&self, reading: BegunReading, list: &PlatformList, now: Moment) {
-        self.list.store_reading(reading, list, now);
-    }
-
     /// Records that the platform did not let this daemon read the list, so that another daemon
     /// takes over.
     pub fn record_read_failure(&self, now: Moment) {
--- a/tests/test_list_in_force.rs
+++ b/tests/test_list_in_force.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tarragonknot::daemon::start_background_tasks;
-use tarragonknot::policy::Moment;
 use tarragonknot::settings::DaemonSettings;
 use tarragonknot::traffic::{TrafficState, start_exchange};
 use tarragonknot::upstream::{PlatformList, VmRow, VmState};
@@ -73,10 +72,6 @@
     false
 }
 
-fn store_reading(state: &TrafficState, list: &PlatformList, now: Moment) {
-    state.fleet.store_reading(state.fleet.begin_reading(now), list, now);
-}
-
 /// Guards against a reader that sends requests by the list of another daemon, although it has read a
 /// newer one since.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -91,7 +86,7 @@
     assert!(has_list(&one, &leaving, DEADLINE).await && has_list(&other, &leaving, DEADLINE).await);
 
     // The list of the other daemon is that of a moment before, and is read again after it.
-    store_reading(&other, &live, other.clock.now());
+    other.store_list_reading(other.begin_list_reading(), &live);
     has_list(&one, &live, Duration::from_secs(2)).await;
 
     assert!(has_list(&one, &leaving, DEADLINE).await, "{:?}", one.platform_list());
