An upstream that has left stays out for 10 s after it was last listed (DRAIN)

What callers saw: requests at an upstream that had been listed as leaving, and then as gone.

Cause: a pool forgot that an incarnation had left as soon as a list lacked it, and took it up as new when an older list named it again.

The record is kept for ten seconds after the incarnation was last listed, longer than a list that is refused as older can differ; pools look at the list again as often, so that nothing is kept out longer.

--- a/src/daemon/background.rs
+++ b/src/daemon/background.rs
@@ -2,7 +2,7 @@
 //! platform's list.
 
 use crate::platform::InstanceLister;
-use crate::policy::{PoolEvent, TierRank, UpstreamEvent, UpstreamIndex};
+use crate::policy::{DEPARTED_TTL, PoolEvent, TierRank, UpstreamEvent, UpstreamIndex};
 use crate::settings::DaemonSettings;
 use crate::table::{ServiceName, UpstreamName};
 use crate::traffic::{PoolRuntime, ProbeOutcome, TrafficState, probe};
@@ -69,7 +69,12 @@
 async fn tick_pools(state: Arc<TrafficState>) {
     let mut floors: BTreeMap<ServiceName, (Option<TierRank>, Option<TierRank>)> = BTreeMap::new();
     let mut cut_off = BTreeSet::new();
+    let mut refreshed_at = state.clock.now();
     loop {
+        if state.clock.now().since(refreshed_at) >= DEPARTED_TTL {
+            refreshed_at = state.clock.now();
+            state.refresh_sources();
+        }
         state.limits().record_alive(state.clock.now());
         state.release_idle_pools();
         let mut is_busy = false;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -73,7 +73,7 @@
 pub use stated_rate::{RatePace, RateReport, RateShare, RateStatement, owner_count};
 pub use upstream_hash::UpstreamHash;
 pub use upstream_queue_meter::UpstreamQueueMeter;
-pub use upstream_set::UpstreamSet;
+pub use upstream_set::{DEPARTED_TTL, UpstreamSet};
 pub use upstreams::{
     CapacityClass, LoadReport, PeerWork, UpstreamEvent, UpstreamSource, UpstreamState,
     UpstreamStatus, upstream_chart,
--- a/src/policy/upstream_set.rs
+++ b/src/policy/upstream_set.rs
@@ -23,6 +23,9 @@
 const REACHABLE_WINDOW: Duration = Duration::from_millis(500);
 /// The incarnation of an upstream that has not reported one.
 const UNKNOWN_INCARNATION: u64 = 0;
+/// An incarnation that has left is not taken up again for this long after it was last listed, since
+/// an older list may still arrive from a daemon that was cut off.
+pub const DEPARTED_TTL: Duration = Duration::from_secs(10);
 /// Minimum number of upstreams per group; pools with fewer are shared by all groups.
 const MIN_GROUP_UPSTREAMS: usize = 4;
 
@@ -39,10 +42,10 @@
     group: FleetGroup,
     /// The membership generation for which the group's upstreams were computed.
     group_generation: Option<u64>,
-    /// Incarnations that announced their departure, or were reported as leaving, for as long as a
-    /// source lists them. Without this record, an upstream that is gone and forgotten is added as
-    /// new again and again by a list that lags behind.
-    departed: HashSet<(UpstreamName, u64)>,
+    /// Incarnations that announced their departure, or were reported as leaving, and when a source
+    /// last listed them; kept for [`DEPARTED_TTL`] after that. Without this record, an upstream that
+    /// is gone and forgotten is added as new again by a list that lags behind.
+    departed: HashMap<(UpstreamName, u64), Option<Moment>>,
     /// Incremented on each change of the usable upstreams.
     pub generation: u64,
     /// See [`UpstreamSet::lone_versions`], and the generation for which they were found.
@@ -167,9 +170,15 @@
     ) {
         let listed: HashSet<(&UpstreamName, u64)> =
             sources.iter().map(|source| (&source.name, source.incarnation)).collect();
-        self.departed.retain(|(name, incarnation)| listed.contains(&(name, *incarnation)));
+        self.departed.retain(|(name, incarnation), listed_at| {
+            if listed_at.is_none() || listed.contains(&(name, *incarnation)) {
+                *listed_at = Some(now);
+            }
+            listed_at.is_some_and(|at| now.since(at) < DEPARTED_TTL)
+        });
         for source in sources {
-            let has_departed = self.departed.contains(&(source.name.clone(), source.incarnation));
+            let has_departed =
+                self.departed.contains_key(&(source.name.clone(), source.incarnation));
             if has_departed && self.find(&source.name).is_none() {
                 continue;
             }
@@ -324,7 +333,8 @@
         let Some(status) = self.upstreams.get_mut(&index) else { return };
         let before = status.machine.state();
         if event == UpstreamEvent::Leaving {
-            self.departed.insert((status.source.name.clone(), status.source.incarnation));
+            let departed = (status.source.name.clone(), status.source.incarnation);
+            self.departed.entry(departed).or_insert(None);
         }
         status.machine.step(event);
         if status.in_flight == 0 {
--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -432,6 +432,12 @@
         self.has_upstream_list.send_replace(true);
     }
 
+    /// Applies the current list again, as an upstream may have become usable since it was applied.
+    pub fn refresh_sources(&self) {
+        let _changes = self.lock_changes();
+        self.update_sources(self.snapshot.load().access.table());
+    }
+
     /// Digest of the evacuated data centres known here; 0 if none were received.
     pub fn evacuated_digest(&self) -> u64 {
         self.evacuated.load().as_deref().map_or(0, EvacuatedSet::digest)
--- a/tests/test_list_order.rs
+++ b/tests/test_list_order.rs
@@ -106,6 +106,22 @@
     assert_eq!(pool.scheduler.upstreams().live_count(), 0);
 }
 
+/// Guards against an upstream that is kept out for ever because it once left under the same name and
+/// incarnation.
+#[test]
+fn an_upstream_that_left_returns_once_no_older_list_can_be_about() {
+    let mut pool = BurstPool::with_plan(urgency_plan());
+    let listed = UpstreamSource { incarnation: 7, ..source("e1", 1) };
+    let leaving = UpstreamSource { is_leaving: true, ..listed.clone() };
+    pool.handle_event(PoolEvent::Sources(vec![leaving]), 1_000);
+    pool.handle_event(PoolEvent::Sources(Vec::new()), 2_000);
+
+    pool.handle_event(PoolEvent::Sources(Vec::new()), 12_000);
+    pool.handle_event(PoolEvent::Sources(vec![listed]), 12_100);
+
+    assert_eq!(pool.scheduler.upstreams().live_count(), 1);
+}
+
 /// A schedule of a list that is replaced by a tenth in each second.
 fn release(upstreams: usize, first_change: u64) -> ListSchedule {
     ListSchedule { upstreams, growth: 1, leaving: upstreams / 33, versions: 13, first_change }
