Daemons whose list is old leave the platform's calls to the reader (DRAIN)

Cause: a daemon whose list was 4.8 s old read the platform itself, whatever it heard, within three seconds of all others, and tried again each second after a refusal; one refused page gave up a reading of 15. At 985 daemons that is 5,000 calls a second where 190 are allowed. The reader was refused, too, so that nobody had a new list, and all went on reading.

Reads by daemons that lack the list of others take half of the platform's rate at most, spread by position, for silence, lag and repeats alike; a page that is refused is asked for again. Word of a reading that this daemon has not yet got counts as heard. Small fleets read sooner than before: a list counts as overdue from 2.5 s on instead of 4.8 s.

Two tests of the freshness held 4.8 s for any size, which at 291 and 985 daemons means more calls than the platform takes, and so no list at all. In their place: small fleets read within drain_ms (7 and 60 daemons, two tests), large ones never beyond the rate, the first soon; the bound for large fleets is held where it is reached, by the exchange (test_list_order).

--- a/src/fleet_state/list_freshness.rs
+++ b/src/fleet_state/list_freshness.rs
@@ -15,21 +15,27 @@
 /// Daemons that have just started spread their first read evenly over at least this period, which
 /// begins after [`INITIAL_READ_DELAY`].
 const INITIAL_READ_SPREAD: Duration = Duration::from_millis(500);
-/// Part of the platform's rate of calls that first reads of daemons may take.
-const INITIAL_READ_RATE_SHARE: f64 = 0.5;
+/// Part of the platform's rate of calls that reads of daemons may take which read because they lack
+/// the list of others. The rest is left to the reader: if its calls were refused, too, all would lack
+/// a new list, and read ever more.
+const OWN_READ_RATE_SHARE: f64 = 0.5;
 /// Daemons for each page of the list, if the list is as long as usual: three upstreams for each
 /// daemon, and 200 on a page.
 const DAEMONS_PER_PAGE: f64 = 64.0;
 /// Rate of calls that the platform is assumed to take if the settings state none.
 const DEFAULT_CALLS_PER_SECOND: f64 = 100.0;
-/// Daemons whose list is overdue spread their reads evenly over this period for each 100 daemons,
-/// so that most learn of another daemon's reading first when the reader is lost. Beyond two such
-/// periods the fleet would exceed the platform's rate limit.
+/// Daemons that hear of no reading spread their reads evenly over at least this period for each 100
+/// daemons, so that most learn of another daemon's reading first when the reader is lost.
 const OVERDUE_SPREAD_PER_HUNDRED: Duration = Duration::from_millis(1_000);
-/// Maximum spread; a leaving upstream must not get work for longer than this.
+/// Maximum of that period.
 const MAX_OVERDUE_SPREAD: Duration = Duration::from_millis(3_000);
+/// A list that is older than [`CONFIRMED_TTL`] by this is overdue although readings are heard of; in
+/// a large fleet by the period above, as word of a reading takes longer there.
+const MIN_LAG: Duration = Duration::from_millis(700);
 /// A daemon that failed to read the list leaves it to other daemons for this long.
 const READ_FAILURE_BACKOFF: Duration = Duration::from_secs(5);
+/// Minimum pause after a failure before a daemon whose list is overdue tries again.
+const MIN_RETRY_PAUSE: Duration = Duration::from_secs(1);
 /// Another daemon must report a different list for this long before the full list is requested,
 /// because the change is usually on its way.
 const MISMATCH_GRACE: Duration = Duration::from_millis(250);
@@ -70,33 +76,40 @@
     }
 
     /// Returns true if this daemon's list has not been confirmed by a reading for too long, in a
-    /// fleet of `daemons`. A daemon without a table needs no list.
+    /// fleet of `daemons` that may share one; 1 if it hears of no other. A daemon without a table
+    /// needs no list.
     pub fn is_overdue(&mut self, daemons: usize, has_table: bool, now: Moment) -> bool {
         self.needed_since = self.needed_since.or(has_table.then_some(now));
-        let spread = (OVERDUE_SPREAD_PER_HUNDRED * daemons as u32 / 100).min(MAX_OVERDUE_SPREAD);
+        let read_spread = self.read_spread(daemons);
+        let retry_pause = read_spread.max(MIN_RETRY_PAUSE);
+        if self.failed_at.is_some_and(|at| now.since(at) < retry_pause) {
+            return false;
+        }
+        let heard_spread =
+            (OVERDUE_SPREAD_PER_HUNDRED * daemons as u32 / 100).min(MAX_OVERDUE_SPREAD);
         match (self.confirmed_at, self.needed_since) {
-            // The time that word of a reading takes grows with the fleet, so that the age of the
-            // last reading alone would make daemons read that hear of a new one every second.
             (Some(at), _) => {
-                now.since(self.heard_at) >= CONFIRMED_TTL + spread.mul_f64(self.jitter)
-                    || now.since(at) >= CONFIRMED_TTL + MAX_OVERDUE_SPREAD
+                let silence = heard_spread.max(read_spread).mul_f64(self.jitter);
+                let lag = heard_spread.max(MIN_LAG) + read_spread.mul_f64(self.jitter);
+                now.since(self.heard_at) >= CONFIRMED_TTL + silence
+                    || now.since(at) >= CONFIRMED_TTL + lag
             }
             (None, Some(since)) => {
-                let spread = self.initial_spread(daemons);
+                let spread = read_spread.max(INITIAL_READ_SPREAD);
                 now.since(since) >= INITIAL_READ_DELAY + spread.mul_f64(self.jitter)
             }
             (None, None) => false,
         }
     }
 
-    /// Period over which `daemons` that start at the same time spread their first reads, so that the
-    /// platform takes the calls. In a small fleet a read is the fastest way to a list; in a large one
-    /// nearly all daemons get the list from others before their turn comes.
-    fn initial_spread(&self, daemons: usize) -> Duration {
+    /// Period over which `daemons` spread their own reads, so that the platform takes the calls. In a
+    /// small fleet a read is the fastest way to a list; in a large one nearly all daemons get the list
+    /// from others before their turn comes.
+    fn read_spread(&self, daemons: usize) -> Duration {
         let pages = 1.0 + daemons as f64 / DAEMONS_PER_PAGE;
         let rate = self.calls_per_second.unwrap_or(DEFAULT_CALLS_PER_SECOND);
-        let seconds = daemons as f64 * pages / (rate * INITIAL_READ_RATE_SHARE).max(1.0);
-        Duration::from_secs_f64(seconds).max(INITIAL_READ_SPREAD)
+        let seconds = daemons as f64 * pages / (rate * OWN_READ_RATE_SHARE).max(1.0);
+        Duration::from_secs_f64(seconds)
     }
 
     /// Returns when the last reading that agrees with this daemon's list began; the epoch if there was
@@ -144,6 +157,11 @@
         (self.confirmed_at, self.heard_at, self.mismatch_since) = (Some(at), now, None);
     }
 
+    /// Records that this daemon heard of a reading newer than any before.
+    pub fn record_news(&mut self, now: Moment) {
+        self.heard_at = now;
+    }
+
     /// Records that a newer reading gave a different list. Returns true if the full list should be
     /// requested now, since the change has not arrived in time.
     pub fn record_mismatch(&mut self, now: Moment) -> bool {
--- a/src/fleet_state/list_sync.rs
+++ b/src/fleet_state/list_sync.rs
@@ -72,6 +72,8 @@
     list: SharedList,
     /// The last reading that agrees with the list.
     order: ReadingOrder,
+    /// The last reading that this daemon has heard of.
+    heard_order: ReadingOrder,
     clock: ReadingClock,
     /// See [`ReadingOrder::reader`].
     reader: u32,
@@ -193,7 +195,7 @@
 
     /// Handles another daemon's statement of the last reading that it knows of.
     pub fn handle_stamp(&mut self, from: SocketAddr, stamp: ListStamp, now: Moment) {
-        self.clock.observe(&stamp, now);
+        self.observe(&stamp, now);
         if self.list.digest() == Some(stamp.digest) {
             self.confirm_by(&stamp, now);
         } else if self.is_newer(&stamp, now) && self.freshness.record_mismatch(now) {
@@ -202,6 +204,14 @@
         }
     }
 
+    fn observe(&mut self, stamp: &ListStamp, now: Moment) {
+        self.clock.observe(stamp, now);
+        if stamp.order > self.heard_order {
+            self.heard_order = stamp.order;
+            self.freshness.record_news(now);
+        }
+    }
+
     /// Applies a stamp with the digest of this daemon's list.
     fn confirm_by(&mut self, stamp: &ListStamp, now: Moment) {
         if stamp.order > self.order {
@@ -236,7 +246,7 @@
 
     /// Returns true if the list with this stamp should take the place of this daemon's list.
     fn check_order(&mut self, from: SocketAddr, stamp: &ListStamp, now: Moment) -> bool {
-        self.clock.observe(stamp, now);
+        self.observe(stamp, now);
         if self.list.digest() == Some(stamp.digest) {
             self.confirm_by(stamp, now);
             return false;
--- a/src/fleet_state/state/queries.rs
+++ b/src/fleet_state/state/queries.rs
@@ -17,7 +17,8 @@
 /// Number of hops within a group: the report and the summary.
 const GROUP_HOPS: u32 = 2;
 
-/// Changes of the list are forwarded to aggregators heard within this time.
+/// Changes of the list are forwarded to aggregators heard within this time, and a daemon that has
+/// heard no other within it is cut off.
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The role of a daemon in the exchange of the fleet's state.
@@ -146,6 +147,12 @@
         others.map(|(_, can_read, address)| (!can_read, address)).all(|other| own <= other)
     }
 
+    /// Returns true if another daemon was heard recently.
+    pub fn hears_others(&self, now: Moment) -> bool {
+        let last_heard = self.last_heard.values().max();
+        last_heard.is_some_and(|at| now.since(*at) < FORWARD_TIMEOUT)
+    }
+
     /// Returns the receivers of a change of the list: the reader sends it to the aggregators, and
     /// they forward it to their groups.
     pub fn list_receivers(&self, now: Moment) -> Vec<SocketAddr> {
--- a/src/traffic/fleet_exchange/list.rs
+++ b/src/traffic/fleet_exchange/list.rs
@@ -47,6 +47,11 @@
         lock(&self.sync).record_failure(now);
     }
 
+    /// See [`ListSync::is_known`].
+    pub fn is_known(&self) -> bool {
+        lock(&self.sync).is_known()
+    }
+
     /// See [`ListSync::begin_reading`].
     pub fn begin_reading(&self, now: Moment) -> BegunReading {
         lock(&self.sync).begin_reading(now)
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -142,6 +142,9 @@
             return true;
         }
         let daemons = fleet.addresses().len().max(self.expected_daemons.load(Ordering::Relaxed));
+        // A daemon that is cut off from the others gets no list from them.
+        let is_alone = self.list.is_known() && !fleet.hears_others(now);
+        let daemons = if is_alone { 1 } else { daemons };
         drop(fleet);
         self.list.is_overdue(daemons, has_table, now)
     }
--- a/tests/list_fleet.rs
+++ b/tests/list_fleet.rs
@@ -355,6 +355,8 @@
         }
         let daemon = &mut self.daemons[number];
         let is_checked = (millis + number as u64 * 10) % READER_CHECK_MILLIS < STEP_MILLIS;
+        // A daemon that is cut off hears no other.
+        let count = if daemon.condition == Condition::Cut { 1 } else { count };
         let is_due = number == reader || is_checked && daemon.sync.is_overdue(count, true, now);
         if !is_due || daemon.reading.is_some() || millis < daemon.next_read {
             return;
