Test: links carry messages that are larger than a step's bytes

The simulated link held a message of more than 12.5 KB for ever, and all behind it. Addresses and rows are shared with the test of the first spread.

--- a/tests/list_fleet.rs
+++ b/tests/list_fleet.rs
@@ -130,6 +130,8 @@
     /// Messages that wait at its link, with their sizes.
     link: VecDeque<(usize, ListOutgoing)>,
     link_bytes: usize,
+    /// Bytes that its link may carry now; below zero while a message is under way.
+    link_credit: i64,
     /// Messages that wait for a frozen process.
     inbox: VecDeque<(SocketAddr, Received)>,
     inbox_bytes: usize,
@@ -424,13 +426,12 @@
     fn transmit(&mut self) -> Vec<(usize, usize, ListMessage)> {
         let mut arrived = Vec::new();
         for (number, daemon) in self.daemons.iter_mut().enumerate() {
-            let mut free = LINK_BYTES;
-            while let Some((size, _)) = daemon.link.front()
-                && *size <= free.max(LINK_BYTES)
-                && free > 0
+            // A message that is larger than a step's bytes takes several steps.
+            daemon.link_credit = (daemon.link_credit + LINK_BYTES as i64).min(LINK_BYTES as i64);
+            while daemon.link_credit > 0
                 && let Some((size, outgoing)) = daemon.link.pop_front()
             {
-                free = free.saturating_sub(size);
+                daemon.link_credit -= size as i64;
                 daemon.link_bytes -= size;
                 daemon.sent_bytes += size;
                 let is_lost = self.rng.random_bool(self.loss);
@@ -521,6 +522,7 @@
         condition_since: 0,
         link: VecDeque::new(),
         link_bytes: 0,
+        link_credit: 0,
         inbox: VecDeque::new(),
         inbox_bytes: 0,
         reading: None,
--- a/tests/test_list_spread.rs
+++ b/tests/test_list_spread.rs
@@ -1,6 +1,7 @@
 //! The spread of the platform's list over fleets of several sizes that have just started, in virtual
 //! time: how many daemons read it from the platform, and how soon all have it.
 
+use crate::list_fleet::{address, upstream};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -25,23 +26,8 @@
 /// and to hear the table.
 const SPREAD_TARGET_MILLIS: u64 = 18_000 - 6_000;
 
-fn address(daemon: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, (daemon >> 8) as u8, daemon as u8], 7_600))
-}
-
-fn upstream(number: usize) -> ListedUpstream {
-    let name = format!("i-{:08x}", number.wrapping_mul(2_654_435_761) as u32);
-    ListedUpstream {
-        service: "pack-llm".into(),
-        upstream: name.as_str().into(),
-        address: ([10, 2, (number >> 8) as u8, number as u8], 8_080).into(),
-        incarnation: 1_791_638_460_000 + number as u64 * 37 % 4_001,
-        is_leaving: false,
-        places: Some(5),
-        version: Some("v1".into()),
-        data_centre: Some(format!("hall-{}", number % 5).as_str().into()),
-        is_cold: false,
-    }
+fn listed(number: usize) -> ListedUpstream {
+    upstream(number, false)
 }
 
 struct SimulatedDaemon {
@@ -147,7 +133,7 @@
         if daemon.reading_until.is_some_and(|until| until <= millis) {
             daemon.reading_until = None;
             let begun = daemon.sync.begin_reading(now);
-            daemon.sync.store_reading(begun, (0..self.upstreams).map(upstream), now);
+            daemon.sync.store_reading(begun, (0..self.upstreams).map(listed), now);
             daemon.known_at.get_or_insert(millis);
         }
         let is_reader = number == 0 && millis % 1_000 < STEP_MILLIS;
@@ -252,7 +238,7 @@
     let at = |millis: u64| Moment::from_millis(10_000 + millis);
     let (mut holder, mut peer) = (ListSync::new(0.5), ListSync::new(0.5));
     let begun = holder.begin_reading(at(0));
-    holder.store_reading(begun, (0..900).map(upstream), at(0));
+    holder.store_reading(begun, (0..900).map(listed), at(0));
     let mut asked = Vec::new();
     let mut sent = 0;
 
