Test that fails: a daemon that waits for one change is sent the next one alone

Found by reading the queue of parts: PartQueue::push overwrites the base of a request that waits, so two changes within the time of a turn reach the last daemons as the second alone. They cannot apply it and ask: 0.2 to 0.5 s more, never an older list.

--- a/tests/test_list_order.rs
+++ b/tests/test_list_order.rs
@@ -301,3 +301,37 @@
     assert!(syncs[0].rows().cloned().eq(sorted(rows(1))));
     assert!(syncs[0].take_older().is_some_and(|older| older.from.is_none()));
 }
+
+/// Guards against a daemon that waits for one change and is sent only the next one, which it cannot
+/// apply.
+#[test]
+fn a_daemon_that_waits_for_a_change_gets_the_next_one_with_it() {
+    let mut reader = ListSync::new(0.5);
+    read(&mut reader, 0, 0);
+    let mut last = ListSync::new(0.9);
+    let stamp = reader.stamp(at(0)).expect("a list is known");
+    let parts = reader.rows().cloned().collect::<Vec<ListedUpstream>>();
+    let begun = last.begin_reading(at(0));
+    last.store_reading(begun, parts, at(0));
+    assert_eq!(last.stamp(at(0)).map(|known| known.digest), Some(stamp.digest));
+    let receivers = (1..40).map(address).collect();
+    let peers = ListPeers { receivers, source: None, is_forwarder: true };
+    let mut wanted = 0;
+
+    for millis in (1_000..2_000).step_by(10) {
+        match millis {
+            1_000 => read(&mut reader, 1, 1_000),
+            1_010 => read(&mut reader, 2, 1_010),
+            _ => {}
+        }
+        for outgoing in reader.tick(&peers, at(millis)) {
+            if outgoing.to == [address(39)] {
+                last.handle(address(0), outgoing.message, false, at(millis));
+            }
+        }
+        let source = Some(address(0));
+        wanted += last.tick(&ListPeers { source, ..ListPeers::default() }, at(millis)).len();
+    }
+
+    assert_eq!((last.rows().count(), wanted), (rows(2).len(), 0));
+}
