--- a/tests/test_list_freshness.rs
+++ b/tests/test_list_freshness.rs
@@ -151,7 +151,7 @@
 }
 
 /// Guards against a large fleet whose daemons lag and all read the list, so that the platform refuses
-/// the reader, too, and nobody gets a new list any more.
+/// the reader, too, and no daemon gets a new list any more.
 #[test]
 fn lagging_daemons_of_a_large_fleet_leave_the_platform_to_the_reader() {
     let overdue = |number: usize| {
