--- a/tests/list_fleet.rs
+++ b/tests/list_fleet.rs
@@ -30,10 +30,8 @@
 pub const CALLS_PER_SECOND: f64 = 190.0;
 /// Time until a daemon that has fallen silent is replaced as an aggregator or a reader.
 const SILENCE_MILLIS: u64 = 500;
-/// Longest time for which a process has run at the start of a play: a day in a fleet that has run for
-/// long, and two seconds in one that has just started.
+/// Longest time that the clock of a process shows at the start of a play.
 const MAX_UPTIME_MILLIS: u64 = 86_400_000;
-const MAX_START_SPREAD_MILLIS: u64 = 2_000;
 
 /// The platform's list, which changes once a second: it first grows, then a part of the upstreams is
 /// replaced with each version, after having been listed as leaving in the version before.
@@ -121,8 +119,8 @@
 #[derive(Debug)]
 struct SimulatedDaemon {
     sync: ListSync,
-    /// What its clock, which starts with its process, shows at the start of the play or of the
-    /// process, in milliseconds.
+    /// What its clock shows at the start of the play or of the process, in milliseconds. The clocks of
+    /// daemons are unrelated.
     clock_start: u64,
     started_at: u64,
     condition: Condition,
@@ -517,7 +515,7 @@
     SimulatedDaemon {
         sync: ListSync::new(rng.random()).with_platform_rate(Some(CALLS_PER_SECOND)),
         started_at: 0,
-        clock_start: rng.random_range(0..MAX_START_SPREAD_MILLIS),
+        clock_start: rng.random_range(0..MAX_UPTIME_MILLIS),
         condition: Condition::Running,
         condition_since: 0,
         link: VecDeque::new(),
