Logs: prompt parts of requests, and how long a lost request's answer was being written

For the incident of requests with one prompt part that crash upstreams: no line told whether the requests lost with several upstreams had a part in common, nor which of them had just begun. The fields parts (sent, lost with its upstream) and written_ms (lost with its upstream) do. No decision changes.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,6 +1,7 @@
 //! Request and response headers exchanged with callers and engines.
 
 use crate::policy::{LoadReport, RateStatement};
+use crate::quarantine::PromptPart;
 use crate::traffic::{
     AnswerMetadata, CallDialect, CallerMetadata, ReservationReply, ReservationRequest, SendMetadata,
 };
@@ -15,6 +16,9 @@
 const DEADLINE: &str = "tarragonknot-deadline-ms";
 const TOKEN_COUNT: &str = "tarragonknot-token-count";
 const LENGTH_HINT: &str = "tarragonknot-length-hint";
+const PREFIX_HASH: &str = "tarragonknot-prefix-hash";
+/// Maximum number of prompt parts that are read.
+const MAX_PROMPT_PARTS: usize = 64;
 const LAST_EVENT_ID: &str = "last-event-id";
 /// The platform's specification names the header without the usual prefix, so both names are read.
 const RESUMES: [&str; 2] = ["resumes", "tarragonknot-resumes"];
@@ -81,6 +85,7 @@
             output_guess: number(headers, LENGTH_HINT),
             last_event_id: number(headers, LAST_EVENT_ID),
             resumes: RESUMES.iter().find_map(|name| text(headers, name)).map(str::to_owned),
+            prompt_parts: read_prompt_parts(headers).unwrap_or_default(),
         }
     }
 
@@ -157,6 +162,23 @@
     scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
 }
 
+/// Reads the `ID:TOKENS` entries of a prompt, without the last one, which belongs to the request or its
+/// session; `None` if any of them is not readable.
+fn read_prompt_parts(headers: &HeaderMap) -> Option<Box<[PromptPart]>> {
+    let mut parts = Vec::new();
+    for value in headers.get_all(PREFIX_HASH) {
+        for entry in value.to_str().ok()?.split(',') {
+            let (id, tokens) = entry.trim().split_once(':')?;
+            let is_readable = id.bytes().all(|byte| byte.is_ascii_hexdigit()) && !id.is_empty();
+            tokens.trim().parse::<u32>().ok().filter(|_| is_readable)?;
+            parts.push(PromptPart::of(id.to_ascii_lowercase().as_bytes()));
+        }
+    }
+    parts.pop();
+    parts.truncate(MAX_PROMPT_PARTS);
+    Some(parts.into_boxed_slice())
+}
+
 /// Parses `RUNNING,QUEUED,SLOTS`; the slots are ignored.
 fn read_load(text: &str) -> Option<LoadReport> {
     let mut numbers = text.split(',').map(|number| number.trim().parse::<u32>().ok());
--- a/src/quarantine/fingerprint.rs
+++ b/src/quarantine/fingerprint.rs
@@ -1,10 +1,15 @@
 //! Content fingerprint that identifies a request across its caller's attempts.
 
+use super::PromptPart;
+use crate::table::ServiceName;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 use std::fmt;
 use std::str::FromStr;
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
+
+/// Keeps the fingerprints of parts apart from those of contents.
+const PART_SEED: u64 = 0x70_61_72_74;
 
 /// The parts of a request that determine what an upstream runs.
 #[derive(Clone, Copy, Debug)]
@@ -21,7 +26,7 @@
     pub body: &'a [u8],
 }
 
-/// Identifies all attempts of the same content.
+/// Identifies all attempts of the same content, or all requests of a service that share a prompt part.
 ///
 /// The request id is left out, since it changes with each attempt and has no influence on what
 /// runs. Headers are left out as well, since a caller may vary the hints that it sends in them. The
@@ -44,6 +49,12 @@
         hasher.update(body);
         RequestFingerprint(hasher.digest())
     }
+
+    /// Computes the fingerprint of a prompt part at a service.
+    pub fn of_part(service: &ServiceName, part: PromptPart) -> Self {
+        let seed = xxh3_64_with_seed(service.as_str().as_bytes(), PART_SEED);
+        RequestFingerprint(xxh3_64_with_seed(&part.number().to_le_bytes(), seed))
+    }
 }
 
 /// Number of hexadecimal digits of a fingerprint in text form.
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -18,11 +18,13 @@
 mod fingerprint;
 mod send_queue;
 mod signed_moment;
+mod suspect_keys;
 mod suspect_record;
 mod suspect_update;
 
 pub use crash_table::{CrashTable, HeldRequest, TableSizes};
 pub use fingerprint::{FingerprintError, RequestContent, RequestFingerprint};
 pub use signed_moment::SignedMoment;
+pub use suspect_keys::{PromptPart, SuspectKeys};
 pub use suspect_record::{CRASHES_TO_HOLD, SuspectRecord};
 pub use suspect_update::{SuspectRow, SuspectUpdate};
--- a/src/traffic/crash_check.rs
+++ b/src/traffic/crash_check.rs
@@ -8,7 +8,7 @@
 use super::probe::{ProbeOutcome, probe};
 use super::state::TrafficState;
 use crate::policy::{PoolEvent, UpstreamEvent, UpstreamHash, UpstreamIndex};
-use crate::quarantine::RequestFingerprint;
+use crate::quarantine::SuspectKeys;
 use crate::table::{ServiceName, SoftwareVersion, UpstreamName};
 use slog::info;
 use std::collections::HashMap;
@@ -52,8 +52,10 @@
 pub struct BrokenRequest {
     /// Request id, for logs.
     pub id: Arc<str>,
-    /// Fingerprint of the request's content.
-    pub fingerprint: RequestFingerprint,
+    /// What the request can be blamed under.
+    pub keys: SuspectKeys,
+    /// How long the upstream had been writing the answer; `None` if it had written no event.
+    pub written_for: Option<Duration>,
 }
 
 /// Checks in progress, each with the requests that wait for its result.
@@ -198,7 +200,7 @@
             // A cut breaks requests of different contents at each upstream, while a content that
             // crashes them is there each time.
             let is_suspect =
-                |request: &&BrokenRequest| state.quarantine.crashes(request.fingerprint) > 0;
+                |request: &&BrokenRequest| state.quarantine.crashes(request.keys.content) > 0;
             note_crashes(state, upstream, requests.iter().filter(is_suspect));
         }
         CheckVerdict::Ended => {
@@ -217,8 +219,8 @@
     requests: impl Iterator<Item = &'a BrokenRequest>,
 ) {
     for request in requests {
-        info!(state.log, "lost with its upstream"; "request" => &*request.id, "fingerprint" => request.fingerprint.to_string(),
+        info!(state.log, "lost with its upstream"; "request" => &*request.id, "fingerprint" => request.keys.content.to_string(), "parts" => request.keys.parts_text(), "written_ms" => request.written_for.map(|time| time.as_millis() as u64),
             "service" => upstream.service.as_str(), "upstream" => upstream.upstream.as_str());
-        state.quarantine.note_crash(state, request.fingerprint, upstream.hash());
+        state.quarantine.note_crash(state, request.keys.content, upstream.hash());
     }
 }
--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -12,7 +12,7 @@
     ArrivedRequest, DispatchOutcome, Exchange, ExchangeAction, ExchangeEvent, Moment, PoolEvent,
     RequestId, RequestState, UpstreamEvent,
 };
-use crate::quarantine::RequestFingerprint;
+use crate::quarantine::{RequestFingerprint, SuspectKeys};
 use crate::report::record_cut_answer;
 use crate::table::UpstreamName;
 use crate::upstream::{AnswerHead, AnswerPiece, AnswerStream, OpenError, PieceRead, UpstreamCall};
@@ -557,7 +557,9 @@
             address: *address,
         };
         let id = Arc::clone(&self.call.id);
-        check_upstream(self.state, upstream, BrokenRequest { id, fingerprint: self.fingerprint });
+        let keys = SuspectKeys::of_content(self.fingerprint);
+        let written_for = self.first_piece.map(|first| self.now().since(self.arrived_at + first));
+        check_upstream(self.state, upstream, BrokenRequest { id, keys, written_for });
     }
 
     /// Forwards the next piece. The connection that brought it is the only one that is kept.
--- a/src/traffic/routed/dialect.rs
+++ b/src/traffic/routed/dialect.rs
@@ -3,6 +3,7 @@
 //! A platform adapter implements [`CallDialect`]; all decisions are made by the traffic code.
 
 use crate::policy::{LoadReport, RateStatement};
+use crate::quarantine::PromptPart;
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
 use std::time::Duration;
@@ -26,6 +27,8 @@
     pub last_event_id: Option<u64>,
     /// Id of the caller's attempt that brought the first event of the stream that it resumes.
     pub resumes: Option<String>,
+    /// Parts of the prompt that other requests may share.
+    pub prompt_parts: Box<[PromptPart]>,
 }
 
 /// Metadata that the daemon adds to a request sent to an upstream.
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -146,7 +146,8 @@
         let list = self.state.fleet.list_stamp(placed.sent_at);
         info!(self.state.log, "sent"; "request" => self.id(), "route" => &self.route.route, "organisation" => organisation,
             "service" => placed.pool.service.as_str(), "version" => placed.version.as_ref().map(SoftwareVersion::as_str), "upstream" => placed.name.as_str(), "waited_ms" => waited,
-            "send" => history.sent() + 1, "after_event" => last_event_id, "resumes" => self.metadata.resumes.as_deref(), "fingerprint" => self.fingerprint.to_string(), "table" => self.state.snapshot().version,
+            "send" => history.sent() + 1, "after_event" => last_event_id, "resumes" => self.metadata.resumes.as_deref(), "fingerprint" => self.fingerprint.to_string(),
+            "parts" => self.suspect_keys(&placed.pool.service).parts_text(), "table" => self.state.snapshot().version,
             "list" => list.map(|stamp| format!("{:016x}", stamp.digest)), "reading" => list.map(|stamp| stamp.order.number),
             "list_age_ms" => list.map(|stamp| stamp.age_ms),
             "left_ms" => self.time_left().as_millis() as u64, "tokens" => self.limit.as_ref().map_or(0, |limit| limit.cost),
@@ -275,7 +276,12 @@
 /// Reports a failed send to the pool, and checks the upstream if it may have crashed.
 pub fn report_send_error(request: &RoutedRequest, placed: &mut PlacedRequest, error: &SendError) {
     if let SendError::ConnectionBroken(_) = error {
-        let broken = BrokenRequest { id: request.id().into(), fingerprint: request.fingerprint };
+        let now = request.state.clock.now();
+        let broken = BrokenRequest {
+            id: request.id().into(),
+            keys: request.suspect_keys(&placed.pool.service),
+            written_for: placed.first_event_at.map(|at| now.since(at)),
+        };
         check_upstream(&request.state, placed.broken_upstream(), broken);
     }
     if let SendError::Unanswered(_) = error {
--- a/src/traffic/routed/placing.rs
+++ b/src/traffic/routed/placing.rs
@@ -34,6 +34,8 @@
     /// Software version of the upstream, as listed when it was chosen.
     pub version: Option<SoftwareVersion>,
     pub sent_at: Moment,
+    /// When the first event of its answer arrived.
+    pub first_event_at: Option<Moment>,
     /// Id of the place that the upstream reserved.
     pub place_id: Option<String>,
     /// The arm of the service's roll-out that the upstream's version belongs to.
@@ -244,6 +246,7 @@
                         address,
                         version,
                         sent_at,
+                        first_event_at: None,
                         place_id,
                     }));
                 }
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -619,8 +619,10 @@
         let now = self.request.state.clock.now();
         self.timing.record_event(now);
         let events = self.splitter.event_count();
-        let Some(placed) = self.source.placed() else { return };
+        let AnswerSource::Upstream(placed) = &mut self.source else { return };
         let id = placed.number;
+        placed.first_event_at = placed.first_event_at.or(Some(now));
+        let placed = &*placed;
         match self.gap_start {
             None => {
                 self.gap_start = Some((events, now));
--- a/src/traffic/routed/request.rs
+++ b/src/traffic/routed/request.rs
@@ -7,10 +7,10 @@
 use super::table_fields::TableFields;
 use crate::answer::AnswerKind;
 use crate::policy::{HomeRegions, Moment, RequestSizes, SizeDecile};
-use crate::quarantine::RequestFingerprint;
+use crate::quarantine::{RequestFingerprint, SuspectKeys};
 use crate::report::{RouteRecord, record_route};
 use crate::stream_origin::StreamOrigin;
-use crate::table::RouteRow;
+use crate::table::{RouteRow, ServiceName};
 use crate::traffic::access::CallerIdentity;
 use crate::traffic::relay::RelayTicket;
 use crate::traffic::state::{ProgressGuard, TrafficState};
@@ -124,6 +124,11 @@
         TableFields::new(&self.state, self.table)
     }
 
+    /// What the request can be blamed under for a crash of the service's upstreams.
+    pub fn suspect_keys(&self, service: &ServiceName) -> SuspectKeys {
+        SuspectKeys::new(self.fingerprint, service, &self.metadata.prompt_parts)
+    }
+
     /// The request's id, for logs.
     pub fn id(&self) -> &str {
         self.metadata.id.as_deref().unwrap_or_default()
