Test that fails: requests with one prompt part crash engine after engine (BUDGET)

Three daemons and eight engines that are replaced when they crash; twelve requests that are unlike but for one part, first, in the middle or last but one, with sound ones between them, at streams that may and may not be resumed, safe and unsafe routes.

--- /dev/null
+++ b/tests/test_prompt_parts.rs
@@ -0,0 +1,52 @@
+//! Requests that are unlike but for one prompt part, which crashes the engines that run them.
+
+use crate::crashing_parts::{BAD_PART, PartCrashes};
+use crate::routed_fleet::EngineAction;
+use http::StatusCode;
+use rstest::rstest;
+
+/// Requests with the part, and as many sound ones between them.
+const ATTEMPT_COUNT: usize = 12;
+/// Maximum number of sends: three before the part is held back, and three after that.
+const MAX_SENDS: usize = 3 + 3;
+
+/// A prompt whose first part all requests share, with the bad part in the given place.
+fn bad_prompt(place: usize, number: usize) -> String {
+    let mut parts = vec!["f157:60".to_owned(), format!("a{number:03x}:400")];
+    parts.insert(place, format!("{BAD_PART}:300"));
+    parts.push(format!("e{number:03x}:200"));
+    parts.join(",")
+}
+
+fn sound_prompt(number: usize) -> String {
+    format!("f157:60,a{number:03x}:400,c{number:03x}:200")
+}
+
+/// Guards against requests that share a prompt part crashing one engine after another, as each is new.
+#[rstest]
+#[case::first("/resumable/x", 0, EngineAction::CrashAfter(1, 2))]
+#[case::in_the_middle("/resumable/x", 1, EngineAction::CrashAfter(1, 2))]
+#[case::last_but_one("/resumable/x", 2, EngineAction::CrashAfter(1, 2))]
+#[case::before_an_event("/resumable/x", 1, EngineAction::Crash)]
+#[case::stream_that_may_run_once("/stream/x", 1, EngineAction::CrashAfter(1, 1))]
+#[case::safe("/safe/x", 1, EngineAction::Crash)]
+#[case::unsafe_that_may_run_once("/unsafe/x", 1, EngineAction::Crash)]
+#[tokio::test]
+async fn unlike_requests_whose_part_ends_engines_are_held_back(
+    #[case] path: &str,
+    #[case] place: usize,
+    #[case] crash: EngineAction,
+) {
+    let mut park = PartCrashes::start(crash).await;
+
+    let mut served = 0;
+    for number in 0..ATTEMPT_COUNT {
+        let sound = park.attempt(100 + number, path, &sound_prompt(number)).await;
+        served += usize::from(sound.status == StatusCode::OK && sound.is_whole);
+        park.attempt(number, path, &bad_prompt(place, number)).await;
+    }
+
+    let sends = park.send_count();
+    assert!(sends <= MAX_SENDS, "{sends} sends");
+    assert_eq!(served, ATTEMPT_COUNT, "sound requests served");
+}
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -2,6 +2,7 @@
 
 mod burst_pool;
 mod crashing_engines;
+mod crashing_parts;
 mod fixtures;
 mod fleet_play;
 mod fleet_schedule;
@@ -61,6 +62,7 @@
 mod test_power_loss;
 mod test_process_end;
 mod test_promises;
+mod test_prompt_parts;
 mod test_quarantine;
 mod test_quarantine_fleet;
 mod test_quarantine_log;
