--- a/src/cmd/quarantine.rs
+++ b/src/cmd/quarantine.rs
@@ -10,15 +10,17 @@
 
 const HELP: &str = "\
 A request that has crashed three upstreams is quarantined on every daemon: it is refused with kind `quarantined` and not
-sent to any upstream. The fingerprint identifies the organisation, method, host, path and body; it also appears in the log
-messages `sent`, `lost with its upstream`, `request quarantined` and `held back`. The quarantine expires after ten minutes;
-each further crash doubles this time, up to one day. After it has expired, one more crash quarantines the request
-again. `release` ends the quarantine at once and clears the request's crash history.
+sent to any upstream. The same holds for all requests of a service that share a part of their prompts under which three
+upstreams crashed. The fingerprint of a content identifies the organisation, method, host, path and body, that of a part the
+service and the part; both also appear in the log messages `sent`, `lost with its upstream`, `request quarantined` and
+`held back`. The quarantine expires after ten minutes;
+each further crash doubles this time, up to one day. After it has expired, one more crash quarantines it again.
+`release` ends the quarantine at once and clears the crash history.
 
   tarragonknot quarantine list --control 10.0.0.4:7600 --fleet-key-file key
   tarragonknot quarantine release 07e231c685114121 --control 10.0.0.4:7600 --fleet-key-file key";
 
-/// List or release quarantined requests.
+/// List or release quarantined requests and prompt parts.
 #[derive(Debug, clap::Args)]
 #[command(long_about = HELP)]
 pub struct Args {
@@ -45,7 +47,7 @@
 
 #[derive(Debug, clap::Args)]
 struct ReleaseArgs {
-    /// Fingerprint of the request: 16 hexadecimal digits.
+    /// Fingerprint of the content or part: 16 hexadecimal digits.
     fingerprint: RequestFingerprint,
     #[command(flatten)]
     list: ListArgs,
@@ -78,11 +80,12 @@
     }
     let mut grid = Table::new();
     grid.load_preset(presets::UTF8_HORIZONTAL_ONLY);
-    grid.set_header(["fingerprint", "upstreams ended", "last ended", "let through in"]);
+    grid.set_header(["fingerprint", "kind", "upstreams ended", "last ended", "let through in"]);
     for row in rows {
         let ended = format!("{} ago", format_seconds(row.last_ended_ms));
         let remaining = format_seconds(row.held_for_ms);
-        grid.add_row([row.fingerprint.clone(), row.upstreams_ended.to_string(), ended, remaining]);
+        let (fingerprint, kind) = (row.fingerprint.clone(), row.kind.clone());
+        grid.add_row([fingerprint, kind, row.upstreams_ended.to_string(), ended, remaining]);
     }
     super::print_line(&grid.to_string());
 }
--- a/src/control/quarantine_log.rs
+++ b/src/control/quarantine_log.rs
@@ -2,7 +2,9 @@
 //! if all of them restarted at once.
 
 use crate::policy::Moment;
-use crate::quarantine::{HeldRequest, RequestFingerprint, SuspectRecord, SuspectRow};
+use crate::quarantine::{
+    HeldRequest, RequestFingerprint, SuspectRecord, SuspectRow, held_suspects,
+};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -10,11 +12,14 @@
 /// Maximum number of records, which take about 200 KB in a snapshot.
 const MAX_RECORDS: usize = 1_024;
 
-/// A quarantined request content, as shown to operators.
+/// A quarantined request content or prompt part, as shown to operators.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineRow {
-    /// The fingerprint of the content, as in logs.
+    /// Its fingerprint, as in logs.
     pub fingerprint: String,
+    /// What the fingerprint identifies: `content` or `part`.
+    #[serde(default)]
+    pub kind: String,
     /// Number of upstreams that crashed while running it.
     pub upstreams_ended: usize,
     /// Milliseconds since the last crash.
@@ -27,6 +32,7 @@
     fn from(held: HeldRequest) -> Self {
         QuarantineRow {
             fingerprint: held.request.to_string(),
+            kind: held.request.kind().to_owned(),
             upstreams_ended: held.crashes,
             last_ended_ms: held.last_crash.as_millis() as u64,
             held_for_ms: held.held_for.as_millis() as u64,
@@ -47,12 +53,15 @@
 }
 
 impl QuarantineLog {
-    /// Returns true if a row is news: it has more crashes than the stored record, or says that the
-    /// content was cleared.
+    /// Returns true if a row is news: it has more crashes than the stored record, fewer companions, or
+    /// says that the suspect was cleared.
     pub fn is_news(&self, row: &SuspectRow) -> bool {
-        let known = self.records.get(&row.request).map_or(0, SuspectRecord::crashes);
+        let record = self.records.get(&row.request);
+        let known = record.map_or(0, SuspectRecord::crashes);
+        let companions = record.map_or(0, |record| record.companions().len());
         let is_cleared = row.void_age_ms.is_some() && row.crashes.len() < known;
-        is_cleared || row.crashes.len() > known
+        let is_narrowed = !row.crashes.is_empty() && row.companions.len() < companions;
+        is_cleared || row.crashes.len() > known || is_narrowed
     }
 
     /// Merges rows that a daemon reported at the wall-clock time `at_ms`.
@@ -93,10 +102,10 @@
 
     /// Returns the quarantined contents, those with the longest remaining time first.
     pub fn held(&self, now_ms: u64) -> Vec<QuarantineRow> {
-        let records = self.records.iter();
-        let mut held: Vec<HeldRequest> = records
-            .filter_map(|(request, record)| record.held(*request, wall_moment(now_ms)))
-            .collect();
+        let now = wall_moment(now_ms);
+        let suspects = held_suspects(self.records.iter(), now);
+        let mut held: Vec<HeldRequest> =
+            suspects.iter().filter_map(|(key, record)| record.held(*key, now)).collect();
         held.sort_by_key(|held| std::cmp::Reverse(held.held_for));
         held.into_iter().map(QuarantineRow::from).collect()
     }
--- a/src/quarantine/fingerprint.rs
+++ b/src/quarantine/fingerprint.rs
@@ -6,10 +6,10 @@
 use snafu::Snafu;
 use std::fmt;
 use std::str::FromStr;
-use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
+use xxhash_rust::xxh3::{Xxh3, xxh3_64, xxh3_64_with_seed};
 
-/// Keeps the fingerprints of parts apart from those of contents.
-const PART_SEED: u64 = 0x70_61_72_74;
+/// Bit that tells the fingerprints of prompt parts from those of contents.
+const PART_MARK: u64 = 1;
 
 /// The parts of a request that determine what an upstream runs.
 #[derive(Clone, Copy, Debug)]
@@ -47,13 +47,18 @@
             hasher.update(text.as_bytes());
         }
         hasher.update(body);
-        RequestFingerprint(hasher.digest())
+        RequestFingerprint(hasher.digest() & !PART_MARK)
     }
 
     /// Computes the fingerprint of a prompt part at a service.
     pub fn of_part(service: &ServiceName, part: PromptPart) -> Self {
-        let seed = xxh3_64_with_seed(service.as_str().as_bytes(), PART_SEED);
-        RequestFingerprint(xxh3_64_with_seed(&part.number().to_le_bytes(), seed))
+        let seed = xxh3_64(service.as_str().as_bytes());
+        RequestFingerprint(xxh3_64_with_seed(&part.number().to_le_bytes(), seed) | PART_MARK)
+    }
+
+    /// Name of what the fingerprint identifies, for logs, metrics and operators.
+    pub fn kind(self) -> &'static str {
+        if self.0 & PART_MARK == 0 { "content" } else { "part" }
     }
 }
 
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -15,6 +15,7 @@
 //! for another reason is answered elsewhere, whereas content that crashes every upstream never is.
 
 mod crash_table;
+mod explanation;
 mod fingerprint;
 mod send_queue;
 mod signed_moment;
@@ -22,7 +23,8 @@
 mod suspect_record;
 mod suspect_update;
 
-pub use crash_table::{CrashTable, HeldRequest, TableSizes};
+pub use crash_table::{CrashEvidence, CrashTable, HeldRequest, TableSizes};
+pub use explanation::held_suspects;
 pub use fingerprint::{FingerprintError, RequestContent, RequestFingerprint};
 pub use signed_moment::SignedMoment;
 pub use suspect_keys::{PromptPart, SuspectKeys};
--- a/src/quarantine/suspect_record.rs
+++ b/src/quarantine/suspect_record.rs
@@ -1,4 +1,4 @@
-//! Record of one content: the upstreams that crashed on it, and when it was cleared.
+//! Record of one content or prompt part: the upstreams that crashed on it, and when it was cleared.
 
 use super::{HeldRequest, RequestFingerprint, SignedMoment, SuspectRow};
 use crate::policy::{Moment, UpstreamHash};
@@ -12,6 +12,8 @@
 pub const CRASHES_TO_HOLD: usize = 3;
 /// Maximum number of crashes stored per content: enough to reach the longest quarantine.
 const MAX_CRASHES: usize = 12;
+/// Maximum number of companions stored.
+pub const MAX_COMPANIONS: usize = 8;
 /// Duration of the first quarantine. Much longer than callers keep retrying, yet short enough that
 /// content quarantined because of faulty upstreams is released once they are repaired.
 const INITIAL_HOLD: Duration = Duration::from_secs(600);
@@ -28,24 +30,48 @@
 /// continuously, and this limits the announcements to one per interval.
 const VOID_ANNOUNCE_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Crashes on one content.
+/// Crashes on one content or prompt part.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct SuspectRecord {
     crashes: BTreeMap<UpstreamHash, SignedMoment>,
     /// Crashes up to this moment do not count.
     void_until: Option<SignedMoment>,
+    /// What else was in every request that the crashes are blamed on, in ascending order.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    companions: Vec<RequestFingerprint>,
     /// True if this daemon itself saw an upstream crash on the content.
     #[serde(skip)]
     pub is_witness: bool,
 }
 
 impl SuspectRecord {
-    /// Adds a crash of an upstream; returns true if it was not known. Of two reports on the same
-    /// upstream, the earlier time is kept.
-    pub fn add_crash(&mut self, upstream: UpstreamHash, at: SignedMoment) -> bool {
+    /// Adds a crash of an upstream, blamed on a request that also had the companions; returns true if
+    /// this is news. Of two reports on the same upstream, the earlier time is kept.
+    pub fn add_crash(
+        &mut self,
+        upstream: UpstreamHash,
+        at: SignedMoment,
+        companions: &[RequestFingerprint],
+    ) -> bool {
         if self.is_void(at) {
             return false;
         }
+        let is_alone = self.restrict_companions(companions);
+        self.insert_crash(upstream, at) || is_alone
+    }
+
+    /// Keeps the companions that are among the given ones; returns true if that changes them.
+    fn restrict_companions(&mut self, companions: &[RequestFingerprint]) -> bool {
+        if self.crashes.is_empty() {
+            self.companions = companions.iter().copied().take(MAX_COMPANIONS).collect();
+            return !self.companions.is_empty();
+        }
+        let before = self.companions.len();
+        self.companions.retain(|companion| companions.contains(companion));
+        self.companions.len() != before
+    }
+
+    fn insert_crash(&mut self, upstream: UpstreamHash, at: SignedMoment) -> bool {
         if let Some(known) = self.crashes.get_mut(&upstream) {
             *known = (*known).min(at);
             return false;
@@ -68,6 +94,9 @@
         let before = self.crashes.len();
         self.void_until = Some(until);
         self.crashes.retain(|_, at| *at > until);
+        if self.crashes.is_empty() {
+            self.companions.clear();
+        }
         is_due || self.crashes.len() != before
     }
 
@@ -90,6 +119,35 @@
         self.crashes.keys().copied()
     }
 
+    /// The last upstream of a record that is full, and may therefore lack others after it.
+    pub fn last_if_full(&self) -> Option<UpstreamHash> {
+        let is_full = self.crashes.len() == MAX_CRASHES;
+        self.crashes.keys().next_back().copied().filter(|_| is_full)
+    }
+
+    /// True if this suspect may have been present at all crashes of another one.
+    pub fn covers(&self, other: &SuspectRecord) -> bool {
+        let last = self.last_if_full();
+        other.upstreams().all(|upstream| {
+            self.crashes.contains_key(&upstream) || last.is_some_and(|last| upstream > last)
+        })
+    }
+
+    /// The companions that may be to blame in place of this suspect, since they were present at all
+    /// of its crashes; `find` looks their records up.
+    pub fn accomplices<'a>(
+        &self,
+        find: impl Fn(&RequestFingerprint) -> Option<&'a SuspectRecord>,
+    ) -> impl Iterator<Item = RequestFingerprint> {
+        let companions = self.companions.iter();
+        companions.filter(move |key| find(key).is_some_and(|other| other.covers(self))).copied()
+    }
+
+    /// What else was in every request that the crashes are blamed on.
+    pub fn companions(&self) -> &[RequestFingerprint] {
+        &self.companions
+    }
+
     fn last_crash(&self) -> Option<SignedMoment> {
         self.crashes.values().max().copied()
     }
@@ -136,6 +194,7 @@
             request,
             crashes: crashes.collect(),
             void_age_ms: self.void_until.map(|until| until.age_ms(now)),
+            companions: self.companions.clone(),
         }
     }
 
@@ -146,7 +205,8 @@
             has_changed |= self.void_crashes(SignedMoment::from_age_ms(age, now));
         }
         for (upstream, age) in &row.crashes {
-            has_changed |= self.add_crash(*upstream, SignedMoment::from_age_ms(*age, now));
+            let at = SignedMoment::from_age_ms(*age, now);
+            has_changed |= self.add_crash(*upstream, at, &row.companions);
         }
         has_changed
     }
--- a/src/quarantine/suspect_update.rs
+++ b/src/quarantine/suspect_update.rs
@@ -1,6 +1,7 @@
-//! Updates between daemons about request contents that upstreams crashed on.
+//! Updates between daemons about request contents and prompt parts that upstreams crashed on.
 
 use super::RequestFingerprint;
+use super::suspect_record::MAX_COMPANIONS;
 use crate::policy::UpstreamHash;
 use serde::{Deserialize, Serialize};
 
@@ -14,7 +15,7 @@
 /// Maximum time that a moment may lie in the future, in milliseconds.
 const MAX_AHEAD_MS: i64 = 60_000;
 
-/// All that is known about one content. Rows are merged as sets, so duplicated, delayed and
+/// All that is known about one content or prompt part. Rows are merged as sets, so duplicated, delayed and
 /// rerouted rows are harmless.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectRow {
@@ -25,6 +26,9 @@
     /// Crashes that happened this many milliseconds ago or earlier do not count; negative if the
     /// cut-off is in the future.
     pub void_age_ms: Option<i64>,
+    /// What else was in every request that the crashes are blamed on.
+    #[serde(default)]
+    pub companions: Vec<RequestFingerprint>,
 }
 
 /// The part of a message that concerns suspect contents.
@@ -43,6 +47,7 @@
         self.rows.len() <= MAX_ROWS
             && self.rows.iter().all(|row| {
                 row.crashes.len() <= MAX_CRASHES
+                    && row.companions.len() <= MAX_COMPANIONS
                     && row.crashes.iter().all(|(_, age)| is_plausible_age(*age))
                     && row.void_age_ms.is_none_or(is_plausible_age)
             })
--- a/src/traffic/crash_check.rs
+++ b/src/traffic/crash_check.rs
@@ -8,9 +8,10 @@
 use super::probe::{ProbeOutcome, probe};
 use super::state::TrafficState;
 use crate::policy::{PoolEvent, UpstreamEvent, UpstreamHash, UpstreamIndex};
-use crate::quarantine::SuspectKeys;
+use crate::quarantine::{CrashEvidence, SuspectKeys};
 use crate::table::{ServiceName, SoftwareVersion, UpstreamName};
 use slog::info;
+use std::borrow::Cow;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -26,6 +27,9 @@
 /// Time within which the checks of other upstreams show that this daemon is cut off from all of them.
 const CUT_OFF_CHECK_DELAY: Duration = Duration::from_millis(200);
 
+/// Time from its first event within which an answer counts as just begun.
+const ANSWER_BEGINNING: Duration = Duration::from_secs(1);
+
 /// An upstream whose connection broke during a request.
 #[derive(Clone, Debug)]
 pub struct BrokenUpstream {
@@ -58,6 +62,17 @@
     pub written_for: Option<Duration>,
 }
 
+impl BrokenRequest {
+    /// What the request is blamed under. A part crashes upstreams that begin to write an answer on it,
+    /// so the parts of an answer that was long being written are not to blame.
+    fn blamed_keys(&self) -> Cow<'_, SuspectKeys> {
+        match self.written_for.is_some_and(|time| time > ANSWER_BEGINNING) {
+            true => Cow::Owned(SuspectKeys::of_content(self.keys.content)),
+            false => Cow::Borrowed(&self.keys),
+        }
+    }
+}
+
 /// Checks in progress, each with the requests that wait for its result.
 #[derive(Debug, Default)]
 pub struct CrashChecks(Mutex<HashMap<UpstreamHash, Vec<BrokenRequest>>>);
@@ -197,30 +212,28 @@
         CheckVerdict::CutOff => {
             info!(state.log, "connections broke, as no upstream is reached"; "service" => service.as_str(), "upstream" => name.as_str(),
                 "requests" => requests.len());
-            // A cut breaks requests of different contents at each upstream, while a content that
-            // crashes them is there each time.
-            let is_suspect =
-                |request: &&BrokenRequest| state.quarantine.crashes(request.keys.content) > 0;
-            note_crashes(state, upstream, requests.iter().filter(is_suspect));
+            note_crashes(state, upstream, requests, CrashEvidence::Doubtful);
         }
         CheckVerdict::Ended => {
             metrics::counter!("tarragonknot_upstreams_ended_total", "service" => service.to_string())
                 .increment(1);
             info!(state.log, "upstream ended"; "service" => service.as_str(), "upstream" => name.as_str(),
                 "incarnation" => incarnation, "requests" => requests.len());
-            note_crashes(state, upstream, requests.iter());
+            note_crashes(state, upstream, requests, CrashEvidence::Certain);
         }
     }
 }
 
-fn note_crashes<'a>(
+fn note_crashes(
     state: &TrafficState,
     upstream: &BrokenUpstream,
-    requests: impl Iterator<Item = &'a BrokenRequest>,
+    requests: &[BrokenRequest],
+    evidence: CrashEvidence,
 ) {
     for request in requests {
         info!(state.log, "lost with its upstream"; "request" => &*request.id, "fingerprint" => request.keys.content.to_string(), "parts" => request.keys.parts_text(), "written_ms" => request.written_for.map(|time| time.as_millis() as u64),
             "service" => upstream.service.as_str(), "upstream" => upstream.upstream.as_str());
-        state.quarantine.note_crash(state, request.keys.content, upstream.hash());
+        let keys = request.blamed_keys();
+        state.quarantine.note_crash(state, &keys, upstream.hash(), evidence);
     }
 }
--- a/src/traffic/dispatch.rs
+++ b/src/traffic/dispatch.rs
@@ -12,7 +12,7 @@
     ArrivedRequest, DispatchOutcome, Exchange, ExchangeAction, ExchangeEvent, Moment, PoolEvent,
     RequestId, RequestState, UpstreamEvent,
 };
-use crate::quarantine::{RequestFingerprint, SuspectKeys};
+use crate::quarantine::SuspectKeys;
 use crate::report::record_cut_answer;
 use crate::table::UpstreamName;
 use crate::upstream::{AnswerHead, AnswerPiece, AnswerStream, OpenError, PieceRead, UpstreamCall};
@@ -56,8 +56,8 @@
     pub arrived: ArrivedRequest,
     /// Time without a byte after which a stream counts as silent.
     pub silence: Duration,
-    /// Identifies the same request when it is sent again.
-    pub fingerprint: RequestFingerprint,
+    /// What the request can be blamed under for a crash.
+    pub keys: SuspectKeys,
     /// True if the answer must be kept for retries.
     pub is_recorded: bool,
 }
@@ -78,7 +78,7 @@
     id: RequestId,
     deadline: Moment,
     silence: Duration,
-    fingerprint: RequestFingerprint,
+    keys: SuspectKeys,
     exchange: Exchange,
     target: Option<(UpstreamName, SocketAddr)>,
     lines: AnswerLines,
@@ -105,7 +105,7 @@
     exchange_call: Box<ExchangeCall>,
     sink: Box<AnswerSink>,
 ) -> ExchangeEnd {
-    let ExchangeCall { call, arrived, silence, fingerprint, is_recorded } = *exchange_call;
+    let ExchangeCall { call, arrived, silence, keys, is_recorded } = *exchange_call;
     let mut sink = sink;
     if is_recorded {
         sink.start_record();
@@ -119,7 +119,7 @@
         id: arrived.id,
         deadline: arrived.deadline,
         silence,
-        fingerprint,
+        keys,
         target: None,
         lines: AnswerLines::default(),
         spare_head: None,
@@ -137,7 +137,7 @@
     let (guard, decision) = pool.submit(arrived);
     run.execute(guard, decision, sink).await;
     if run.exchange.state() == RequestState::Answered && run.is_success {
-        state.quarantine.note_answer(fingerprint, state.clock.now());
+        state.quarantine.note_answer(&run.keys, state.clock.now());
     }
     ExchangeEnd {
         state: run.exchange.state(),
@@ -214,10 +214,10 @@
         }
     }
 
-    /// Releases the slot and refuses the request if its content is quarantined.
+    /// Releases the slot and refuses the request if it is quarantined.
     fn check_quarantine(&self, decision: PoolDecision, guard: &mut RequestGuard) -> PoolDecision {
         let PoolDecision::Send { .. } = &decision else { return decision };
-        match self.state.quarantine.check(self.state, &self.call.id, self.fingerprint) {
+        match self.state.quarantine.check(self.state, &self.call.id, &self.keys) {
             Ok(()) => decision,
             Err(kind) => {
                 guard.end(DispatchOutcome::Cancelled);
@@ -557,7 +557,7 @@
             address: *address,
         };
         let id = Arc::clone(&self.call.id);
-        let keys = SuspectKeys::of_content(self.fingerprint);
+        let keys = self.keys.clone();
         let written_for = self.first_piece.map(|first| self.now().since(self.arrived_at + first));
         check_upstream(self.state, upstream, BrokenRequest { id, keys, written_for });
     }
--- a/src/traffic/frontend/admitted.rs
+++ b/src/traffic/frontend/admitted.rs
@@ -10,7 +10,7 @@
 use crate::policy::{
     ArrivedRequest, OrganisationIndex, PlacementDemand, RequestId, RequestState, RouteKey,
 };
-use crate::quarantine::{RequestContent, RequestFingerprint};
+use crate::quarantine::{RequestContent, RequestFingerprint, SuspectKeys};
 use crate::report::{RequestRecord, record_request};
 use crate::table::{ServiceKind, ServiceRow, TierName};
 use crate::traffic::access::CallerIdentity;
@@ -251,9 +251,9 @@
         prefix: properties.prefix,
     };
     let silence = service.silence_ms;
-    let fingerprint = request_fingerprint(&caller, &service, &call);
-    let exchange =
-        Box::new(ExchangeCall { call, arrived, silence, fingerprint, is_recorded: false });
+    let content = request_fingerprint(&caller, &service, &call);
+    let keys = SuspectKeys::new(content, &service.service, &properties.parts);
+    let exchange = Box::new(ExchangeCall { call, arrived, silence, keys, is_recorded: false });
     Ok(Box::new(AdmittedRequest { exchange, service, tier, caller, limit, claim: None, claim_key }))
 }
 
--- a/src/traffic/frontend/request_parts.rs
+++ b/src/traffic/frontend/request_parts.rs
@@ -2,6 +2,7 @@
 
 use crate::answer::AnswerKind;
 use crate::policy::prefix_hashes;
+use crate::quarantine::PromptPart;
 use crate::table::{ServiceKind, ServiceRow};
 use crate::traffic::model_call::ModelCall;
 use crate::traffic::state::TableSnapshot;
@@ -55,6 +56,8 @@
     pub prompt_bytes: usize,
     pub output_limit: Option<u32>,
     pub prefix: Box<[u64]>,
+    /// Parts of the prompt that other requests may share.
+    pub parts: Box<[PromptPart]>,
 }
 
 impl RequestProperties {
@@ -65,6 +68,7 @@
             prompt_bytes: body_bytes,
             output_limit: None,
             prefix: Box::default(),
+            parts: Box::default(),
         }
     }
 }
@@ -82,6 +86,7 @@
         prompt_bytes: text.len(),
         output_limit,
         prefix: prefix_hashes(text.as_bytes()),
+        parts: call.prompt_parts(),
         service: call.model,
     })
 }
--- a/src/traffic/model_call.rs
+++ b/src/traffic/model_call.rs
@@ -1,8 +1,12 @@
 //! Parses the fields of a chat or completions request that the daemon needs.
 
+use crate::quarantine::PromptPart;
 use serde::Deserialize;
 use serde_json::Value;
 
+/// Maximum number of messages that count as parts of a prompt.
+const MAX_PROMPT_PARTS: usize = 64;
+
 /// Fields of a request body that the daemon reads; the body itself is forwarded unchanged.
 #[derive(Debug, Deserialize)]
 pub struct ModelCall {
@@ -45,6 +49,17 @@
         self.prompt.iter().for_each(|prompt| append_text(prompt, &mut text));
         text
     }
+
+    /// The messages of the prompt that other calls may share: all but the last.
+    pub fn prompt_parts(&self) -> Box<[PromptPart]> {
+        let shared = self.messages.split_last().map_or(&[][..], |(_, shared)| shared);
+        let part = |message: &ChatMessage| {
+            let mut text = String::new();
+            append_text(&message.content, &mut text);
+            PromptPart::of(text.as_bytes())
+        };
+        shared.iter().take(MAX_PROMPT_PARTS).map(part).collect()
+    }
 }
 
 fn append_text(value: &Value, text: &mut String) {
--- a/src/traffic/quarantine_gate.rs
+++ b/src/traffic/quarantine_gate.rs
@@ -4,7 +4,8 @@
 use crate::answer::AnswerKind;
 use crate::policy::{Moment, UpstreamHash};
 use crate::quarantine::{
-    CrashTable, HeldRequest, RequestFingerprint, SuspectRow, SuspectUpdate, TableSizes,
+    CrashEvidence, CrashTable, HeldRequest, RequestFingerprint, SuspectKeys, SuspectRow,
+    SuspectUpdate, TableSizes,
 };
 use crate::table::DaemonName;
 use slog::{info, warn};
@@ -20,45 +21,49 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Remaining quarantine time of a content; `None` if it may be sent.
-    pub fn held_for(&self, request: RequestFingerprint, now: Moment) -> Option<Duration> {
-        self.lock().held_for(request, now)
+    /// Remaining quarantine time of a request; `None` if it may be sent.
+    pub fn held_for(&self, keys: &SuspectKeys, now: Moment) -> Option<Duration> {
+        self.lock().find_held(keys, now).map(|held| held.held_for)
     }
 
-    /// Number of upstreams known to have terminated while they ran this content, as far as they
-    /// count towards its quarantine.
+    /// Number of upstreams known to have terminated while they ran this content or part, as far as
+    /// they count towards its quarantine.
     pub fn crashes(&self, request: RequestFingerprint) -> usize {
         self.lock().crashes(request)
     }
 
-    /// Refuses a request whose content is quarantined, and logs the reason.
+    /// Refuses a request whose content or one of whose parts is quarantined, and logs the reason.
     pub fn check(
         &self,
         state: &TrafficState,
         id: &str,
-        request: RequestFingerprint,
+        keys: &SuspectKeys,
     ) -> Result<(), AnswerKind> {
-        let Some(held_for) = self.held_for(request, state.clock.now()) else { return Ok(()) };
-        metrics::counter!("tarragonknot_requests_quarantined_total").increment(1);
-        info!(state.log, "held back"; "request" => id, "fingerprint" => request.to_string(),
-            "upstreams_ended" => self.crashes(request), "held_for_ms" => held_for.as_millis() as u64);
+        let Some(held) = self.lock().find_held(keys, state.clock.now()) else { return Ok(()) };
+        let key = held.request;
+        metrics::counter!("tarragonknot_requests_quarantined_total", "kind" => key.kind())
+            .increment(1);
+        info!(state.log, "held back"; "request" => id, "fingerprint" => key.to_string(), "kind" => key.kind(),
+            "upstreams_ended" => held.crashes, "held_for_ms" => held.held_for.as_millis() as u64);
         Err(AnswerKind::Quarantined)
     }
 
-    /// Records that an upstream terminated while it ran this content.
+    /// Records that an upstream terminated while it ran this request.
     pub fn note_crash(
         &self,
         state: &TrafficState,
-        request: RequestFingerprint,
+        keys: &SuspectKeys,
         upstream: UpstreamHash,
+        evidence: CrashEvidence,
     ) {
-        let held = self.lock().record_crash(request, upstream, state.clock.now());
-        note_held(state, held.as_slice(), "seen here");
+        let now = state.clock.now();
+        let held = self.lock().record_request_crash(keys, upstream, evidence, now);
+        note_held(state, &held, "seen here");
     }
 
-    /// Records that the content received a whole answer.
-    pub fn note_answer(&self, request: RequestFingerprint, now: Moment) {
-        self.lock().record_answer(request, now);
+    /// Records that the request received a whole answer.
+    pub fn note_answer(&self, keys: &SuspectKeys, now: Moment) {
+        self.lock().record_request_answer(keys, now);
     }
 
     /// Returns the next news for the other daemons.
@@ -80,21 +85,21 @@
     /// Merges the records kept by the voters.
     pub fn merge_rows(&self, state: &TrafficState, rows: &[SuspectRow]) {
         let now = state.clock.now();
-        let held = rows.iter().filter_map(|row| self.lock().merge_row(row, now));
-        let held: Vec<HeldRequest> = held.collect();
+        let held = self.lock().merge_rows(rows, now);
         note_held(state, &held, "voters");
     }
 
-    /// Number of known contents.
+    /// Numbers of known contents and parts.
     pub fn sizes(&self, now: Moment) -> TableSizes {
         self.lock().sizes(now)
     }
 }
 
-/// Logs each newly quarantined content.
+/// Logs each newly quarantined content or part.
 fn note_held(state: &TrafficState, held: &[HeldRequest], from: &str) {
     for request in held {
-        warn!(state.log, "request quarantined"; "fingerprint" => request.request.to_string(), "upstreams_ended" => request.crashes,
+        warn!(state.log, "request quarantined"; "fingerprint" => request.request.to_string(),
+            "kind" => request.request.kind(), "upstreams_ended" => request.crashes,
             "held_for_ms" => request.held_for.as_millis() as u64, "from" => from);
     }
 }
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -347,6 +347,9 @@
                 if is_failure { VersionOutcome::Failed } else { VersionOutcome::served(after) };
             request.record_version_answer(&placed, answer);
             placed.guard.end(outcome);
+            if status.is_success() {
+                request.note_whole_answer(&request.suspect_keys(&placed.pool.service));
+            }
             if !is_failure || !request.may_send_again(&placed.pool.service, history) {
                 request.log_answered(placed.name.as_str(), status, framing);
                 return AnswerOutcome::Response(response);
--- a/src/traffic/routed/placing.rs
+++ b/src/traffic/routed/placing.rs
@@ -112,9 +112,9 @@
     ) -> Result<(PlacedRequest, RouteMatch), AnswerKind> {
         let mut changes = self.state.rollouts.subscribe();
         loop {
-            self.check_quarantine()?;
             let matched = self.match_by(rule, history)?;
             let service = self.target_service(&matched.route)?;
+            self.check_quarantine(&service)?;
             let chosen = match &self.origin {
                 Some(origin) => self.state.choose_pool_of(&service, origin.version),
                 None => self.state.choose_pool(&service, history.sent() == 0),
@@ -123,7 +123,7 @@
             self.check_origin(&service, &chosen)?;
             let waited = self.wait_in_pool(chosen, (&matched, except), &mut changes).await?;
             let Some(placed) = waited else { continue };
-            self.check_quarantine()?;
+            self.check_quarantine(&service)?;
             let matched = self.match_by(rule, history)?;
             let meets_demand = placed.pool.meets(placed.upstream, &self.demand(&matched, except));
             let may_use_arm = self.may_use_arm(&service, placed.arm);
@@ -183,8 +183,8 @@
         }
     }
 
-    fn check_quarantine(&self) -> Result<(), AnswerKind> {
-        self.state.quarantine.check(&self.state, self.id(), self.fingerprint)
+    fn check_quarantine(&self, service: &ServiceName) -> Result<(), AnswerKind> {
+        self.state.quarantine.check(&self.state, self.id(), &self.suspect_keys(service))
     }
 
     /// Waits for the scheduler's decision, and reserves a place at the upstream that it chooses.
--- a/src/traffic/routed/refusal.rs
+++ b/src/traffic/routed/refusal.rs
@@ -69,7 +69,7 @@
     /// are not retried together.
     fn retry_delay(&self, kind: AnswerKind) -> Option<Duration> {
         if kind == AnswerKind::Quarantined {
-            return self.state.quarantine.held_for(self.fingerprint, self.state.clock.now());
+            return self.route.services().filter_map(|service| self.held_for(service)).max();
         }
         let is_overload = kind.row().is_shed || kind == AnswerKind::UpstreamRefused;
         let spread =
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -11,6 +11,7 @@
 use super::through_peer::{PeerAnswer, PeerHop, PeerOutcome, send_through_peers};
 use crate::answer::RAN_HEADER;
 use crate::policy::{DispatchOutcome, Moment, PoolEvent};
+use crate::quarantine::SuspectKeys;
 use crate::report::{record_cut_answer, record_stream_end};
 use crate::rollout::VersionOutcome;
 use crate::traffic::crash_check::has_ended;
@@ -421,8 +422,8 @@
     /// Records and logs the stream's timing, which shows whether the caller was served in time.
     fn log_ended(&mut self) {
         self.request.stage = RequestStage::Ended;
-        let (now, quarantine) = (self.request.state.clock.now(), &self.request.state.quarantine);
-        quarantine.note_answer(self.request.fingerprint, now);
+        let now = self.request.state.clock.now();
+        self.request.note_whole_answer(&self.answered_keys());
         let arrived = self.request.arrived_at;
         self.request.record("answered", Some(&self.timing));
         let first = self.timing.first_event_after(arrived).unwrap_or_default();
@@ -433,6 +434,17 @@
             "framing" => self.framing.name(), self.request.size_fields());
     }
 
+    /// What the whole stream clears. An upstream that wrote no event has not begun on the parts; what
+    /// a peer's upstream wrote is known to the peer.
+    fn answered_keys(&self) -> SuspectKeys {
+        match self.source.placed() {
+            Some(placed) if self.splitter.event_count() > 0 => {
+                self.request.suspect_keys(&placed.pool.service)
+            }
+            _ => SuspectKeys::of_content(self.request.fingerprint),
+        }
+    }
+
     fn record_end(&self) {
         record_stream_end(self.framing, self.splitter.is_within_event());
     }
--- a/src/traffic/routed/request.rs
+++ b/src/traffic/routed/request.rs
@@ -129,6 +129,17 @@
         SuspectKeys::new(self.fingerprint, service, &self.metadata.prompt_parts)
     }
 
+    /// Records that the request received a whole answer with the status of a success. A failure may
+    /// precede the run, so it does not show that the content is harmless.
+    pub fn note_whole_answer(&self, keys: &SuspectKeys) {
+        self.state.quarantine.note_answer(keys, self.state.clock.now());
+    }
+
+    /// Remaining quarantine time of the request at a service; `None` if it may be sent.
+    pub fn held_for(&self, service: &ServiceName) -> Option<Duration> {
+        self.state.quarantine.held_for(&self.suspect_keys(service), self.state.clock.now())
+    }
+
     /// The request's id, for logs.
     pub fn id(&self) -> &str {
         self.metadata.id.as_deref().unwrap_or_default()
@@ -164,10 +175,6 @@
     /// Logs and records the end of a request that got a whole answer from an upstream, or a peer.
     pub fn log_answered(&mut self, upstream: &str, status: StatusCode, framing: AnswerFraming) {
         self.stage = RequestStage::Ended;
-        // A failure may precede the run, so it does not show that the content is harmless.
-        if status.is_success() {
-            self.state.quarantine.note_answer(self.fingerprint, self.state.clock.now());
-        }
         self.record(if status.is_server_error() { "upstream-failure" } else { "answered" }, None);
         let after = self.state.clock.now().since(self.arrived_at).as_millis() as u64;
         info!(self.state.log, "answered"; "request" => self.id(), "upstream" => upstream,
--- a/src/traffic/routed/retry.rs
+++ b/src/traffic/routed/retry.rs
@@ -12,7 +12,7 @@
     RunsOnce,
     /// A peer has passed it on and repeats it itself.
     LeftToPeer,
-    /// Its content is quarantined.
+    /// It is quarantined.
     Quarantined,
     /// It was sent as often as its route allows.
     Attempts,
@@ -61,7 +61,7 @@
         history: SendHistory,
         rule: PlacingRule,
     ) -> Result<(), RetryObstacle> {
-        if let Some(obstacle) = self.retry_obstacle(history, rule) {
+        if let Some(obstacle) = self.retry_obstacle(service, history, rule) {
             return Err(obstacle);
         }
         match self.state.with_retry_budget(service, |budget| budget.try_withdraw()) {
@@ -78,14 +78,19 @@
         rule: PlacingRule,
     ) -> Result<(), RetryObstacle> {
         let has_budget = self.state.with_retry_budget(service, |budget| budget.has_retry());
-        match self.retry_obstacle(history, rule) {
+        match self.retry_obstacle(service, history, rule) {
             Some(obstacle) => Err(obstacle),
             None if !has_budget => Err(RetryObstacle::Budget),
             None => Ok(()),
         }
     }
 
-    fn retry_obstacle(&self, history: SendHistory, rule: PlacingRule) -> Option<RetryObstacle> {
+    fn retry_obstacle(
+        &self,
+        service: &ServiceName,
+        history: SendHistory,
+        rule: PlacingRule,
+    ) -> Option<RetryObstacle> {
         let is_allowed = !history.may_have_run() || self.route.kind.may_repeat();
         // The daemon that passed the request on repeats it, as it counts the sends of all peers.
         let has_run_here =
@@ -99,8 +104,7 @@
         } else if self.time_left().is_zero() {
             Some(RetryObstacle::Deadline)
         } else {
-            let held = self.state.quarantine.held_for(self.fingerprint, self.state.clock.now());
-            held.map(|_| RetryObstacle::Quarantined)
+            self.held_for(service).map(|_| RetryObstacle::Quarantined)
         }
     }
 }
--- a/src/traffic/routed/through_peer.rs
+++ b/src/traffic/routed/through_peer.rs
@@ -8,6 +8,7 @@
 use super::send_history::SendHistory;
 use crate::answer::{AnswerKind, ExecutionStatus, ProblemBody, RAN_HEADER};
 use crate::policy::DispatchOutcome;
+use crate::quarantine::SuspectKeys;
 use crate::report::record_relayed;
 use crate::stream_origin::StreamOrigin;
 use crate::table::ServiceName;
@@ -126,6 +127,9 @@
     let framing = body.framing();
     match tokio::time::timeout(request.time_left(), whole_body(&head, body)).await {
         Ok(Ok(bytes)) => {
+            if head.status.is_success() {
+                request.note_whole_answer(&SuspectKeys::of_content(request.fingerprint));
+            }
             request.log_answered(&hop.peer.to_string(), head.status, framing);
             peer_response(&head, Body::from(bytes))
         }
--- a/tests/test_crash_table.rs
+++ b/tests/test_crash_table.rs
@@ -177,7 +177,7 @@
     #[case] void_age_ms: Option<i64>,
 ) {
     let crashes = (0..crashes).map(|number| (upstream(number), age)).collect();
-    let row = SuspectRow { request: CONTENT, crashes, void_age_ms };
+    let row = SuspectRow { request: CONTENT, crashes, void_age_ms, companions: Vec::new() };
     let update = SuspectUpdate { digest: 0, rows: vec![row; rows] };
 
     assert!(!update.is_plausible());
@@ -196,15 +196,16 @@
             request: RequestFingerprint(*request),
             crashes: vec![(upstream(*crash), *age)],
             void_age_ms: None,
+            companions: Vec::new(),
         };
         let mut first = CrashTable::default();
         let mut second = CrashTable::default();
-        rows.iter().for_each(|entry| _ = first.merge_row(&row(entry), now));
+        rows.iter().for_each(|entry| _ = first.merge_rows(&[row(entry)], now));
         let mut shuffled = rows.clone();
         shuffled.rotate_left(order as usize % rows.len());
         shuffled.reverse();
         shuffled.extend(rows.clone());
-        shuffled.iter().for_each(|entry| _ = second.merge_row(&row(entry), now));
+        shuffled.iter().for_each(|entry| _ = second.merge_rows(&[row(entry)], now));
 
         prop_assert_eq!(first.held(now), second.held(now));
         prop_assert_eq!(first.next_update(now).digest, second.next_update(now).digest);
--- a/tests/test_kept_orders.rs
+++ b/tests/test_kept_orders.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use tarragonknot::evacuation::EvacuatedSet;
 use tarragonknot::policy::{RetryBound, UpstreamHash};
-use tarragonknot::quarantine::{RequestContent, RequestFingerprint};
+use tarragonknot::quarantine::{CrashEvidence, RequestContent, RequestFingerprint, SuspectKeys};
 use tarragonknot::rollout::{RolloutEvent, RolloutLog, RolloutOrder, RolloutRows, RolloutStep};
 use tarragonknot::upstream::VmState;
 
@@ -200,14 +200,19 @@
 
     let streams = run(&fleet, [&one, &two], async || {
         for number in 0..STREAMS {
+            let keys = SuspectKeys::of_content(fingerprint(number));
             for crashed in 0..8 {
                 let name = format!("i-crashed-{crashed}");
                 let upstream = UpstreamHash::of(&"pool".into(), &name.as_str().into(), 1);
-                fleet.state.quarantine.note_crash(&fleet.state, fingerprint(number), upstream);
+                fleet.state.quarantine.note_crash(
+                    &fleet.state,
+                    &keys,
+                    upstream,
+                    CrashEvidence::Certain,
+                );
             }
             let now = fleet.state.clock.now();
-            held +=
-                usize::from(fleet.state.quarantine.held_for(fingerprint(number), now).is_some());
+            held += usize::from(fleet.state.quarantine.held_for(&keys, now).is_some());
         }
     })
     .await;
--- a/tests/test_quarantine_log.rs
+++ b/tests/test_quarantine_log.rs
@@ -16,7 +16,7 @@
 
 fn row(request: RequestFingerprint, crashes: usize) -> SuspectRow {
     let crashes = (0..crashes).map(|number| (upstream(number), 1_000)).collect();
-    SuspectRow { request, crashes, void_age_ms: None }
+    SuspectRow { request, crashes, void_age_ms: None, companions: Vec::new() }
 }
 
 /// Returns a ledger to which the content was reported at `REPORT_TIME_MS`.
@@ -37,7 +37,7 @@
     // The daemon has been up for 2 s; the last crash on the content was a minute before.
     let now = Moment::from_millis(2_000);
     let rows = ledger.quarantine().rows(None, REPORT_TIME_MS + 60_000);
-    rows.iter().for_each(|row| _ = daemon.merge_row(row, now));
+    daemon.merge_rows(&rows, now);
 
     let held = daemon.held(now);
     assert_eq!(held.len(), 1);
@@ -62,14 +62,14 @@
     let mut ledger = ledger();
     let mut daemon = CrashTable::default();
     let now = Moment::from_millis(100_000);
-    daemon.merge_row(&ledger.quarantine().rows(None, REPORT_TIME_MS)[0], now);
+    daemon.merge_rows(&ledger.quarantine().rows(None, REPORT_TIME_MS)[..1], now);
     assert!(daemon.held_for(CONTENT, now).is_some());
 
     ledger.apply(&ControlCommand::Release { request: CONTENT, at: REPORT_TIME_MS + 500 });
 
     assert_eq!(ledger.quarantine().held(REPORT_TIME_MS + 600), []);
     let rows = ledger.quarantine().rows(Some(CONTENT), REPORT_TIME_MS + 600);
-    rows.iter().for_each(|row| _ = daemon.merge_row(row, now));
+    daemon.merge_rows(&rows, now);
     assert_eq!(daemon.held_for(CONTENT, now), None);
 }
 
@@ -101,11 +101,7 @@
     let mut ledger = ledger();
     let mut daemon = CrashTable::default();
     let now = Moment::from_millis(100_000);
-    ledger
-        .quarantine()
-        .rows(None, REPORT_TIME_MS)
-        .iter()
-        .for_each(|row| _ = daemon.merge_row(row, now));
+    daemon.merge_rows(&ledger.quarantine().rows(None, REPORT_TIME_MS), now);
     assert_eq!(daemon.reports(now), [], "other daemons saw the crashes");
 
     daemon.record_answer(CONTENT, now);
--- a/tests/test_ran_status.rs
+++ b/tests/test_ran_status.rs
@@ -36,7 +36,7 @@
 use tarragonknot::policy::{
     Exchange, ExchangeEvent, Moment, RequestState, UpstreamHash, UpstreamIndex,
 };
-use tarragonknot::quarantine::{RequestContent, RequestFingerprint};
+use tarragonknot::quarantine::{CrashEvidence, RequestContent, RequestFingerprint, SuspectKeys};
 use tarragonknot::table::VersionedTable;
 use tarragonknot::upstream::{
     ConnectionPool, EngineDriver, PieceRead, PlainDriver, UpstreamCall, UpstreamDriver,
@@ -679,7 +679,12 @@
     });
     for upstream in ["service-1", "service-2", "service-3"] {
         let upstream = UpstreamHash::of(&"pack-api".into(), &upstream.into(), 1);
-        fleet.state.quarantine.note_crash(&fleet.state, content, upstream);
+        fleet.state.quarantine.note_crash(
+            &fleet.state,
+            &SuspectKeys::of_content(content),
+            upstream,
+            CrashEvidence::Certain,
+        );
     }
 
     let answer = call(&fleet, Method::POST, "/pack-api/slots", &[], "van").await;
--- a/tests/test_send_proof.rs
+++ b/tests/test_send_proof.rs
@@ -22,7 +22,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tarragonknot::policy::UpstreamHash;
-use tarragonknot::quarantine::{RequestContent, RequestFingerprint};
+use tarragonknot::quarantine::{CrashEvidence, RequestContent, RequestFingerprint, SuspectKeys};
 use tarragonknot::upstream::{ConnectionPool, OpenError, PlatformList, VmRow, VmState};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
@@ -785,7 +785,12 @@
         });
         for name in ["e-1", "e-2", "e-3"] {
             let upstream = UpstreamHash::of(&"pool".into(), &name.into(), 0);
-            fleet.state.quarantine.note_crash(&fleet.state, content, upstream);
+            fleet.state.quarantine.note_crash(
+                &fleet.state,
+                &SuspectKeys::of_content(content),
+                upstream,
+                CrashEvidence::Certain,
+            );
         }
     }
 }
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -56,6 +56,7 @@
 mod test_list_spread;
 mod test_log_buffer;
 mod test_packed_table;
+mod test_part_table;
 mod test_placing;
 mod test_platform;
 mod test_policy;
