--- a/tests/test_platform.rs
+++ b/tests/test_platform.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use tarragonknot::platform::{DocumentReader, HeaderDialect};
 use tarragonknot::policy::RateStatement;
+use tarragonknot::quarantine::PromptPart;
 use tarragonknot::table::{LimitUnit, RouteKind, TableReader, tier_name_of_rank};
 use tarragonknot::traffic::{CallDialect, ReservationReply, SendMetadata};
 
@@ -127,6 +128,43 @@
     assert_eq!(metadata.last_event_id, Some(12));
 }
 
+fn part(id: &str) -> PromptPart {
+    PromptPart::of(id.as_bytes())
+}
+
+/// Guards against blame on the part that no other request has, or none on those that others share.
+#[rstest]
+#[case::three("5c1e:800,91BD:410,e440:250", vec![part("5c1e"), part("91bd")])]
+#[case::with_spaces("5c1e:800, 91bd:410 ,e440:250", vec![part("5c1e"), part("91bd")])]
+#[case::one("5c1e:800", vec![])]
+#[case::none("", vec![])]
+#[case::no_tokens("5c1e,91bd:410,e440:250", vec![])]
+#[case::no_number("5c1e:many,91bd:410", vec![])]
+#[case::no_hash("xyz:1,91bd:410", vec![])]
+#[case::negative("5c1e:-1,91bd:410", vec![])]
+fn the_common_parts_of_a_prompt_are_read(
+    #[case] value: &'static str,
+    #[case] expected: Vec<PromptPart>,
+) {
+    let headers = headers(&[("tarragonknot-prefix-hash", value)]);
+
+    assert_eq!(HeaderDialect.read_caller(&headers).prompt_parts[..], expected);
+}
+
+#[test]
+fn a_prompt_of_twenty_parts_on_two_lines_is_read_whole() {
+    let line = |from: u32| (from..from + 10).map(|id| format!("{id:x}:1")).collect::<Vec<_>>();
+    let mut headers = HeaderMap::new();
+    for from in [0x100, 0x200] {
+        let value = HeaderValue::from_str(&line(from).join(",")).expect("a valid value");
+        headers.append("tarragonknot-prefix-hash", value);
+    }
+
+    let parts = HeaderDialect.read_caller(&headers).prompt_parts;
+
+    assert_eq!((parts.len(), parts[0], parts[18]), (19, part("100"), part("208")));
+}
+
 /// Guards against streams whose first attempt is not found, as the header may arrive with the prefix of
 /// the others or without.
 #[rstest]
--- a/tests/test_prompt_parts.rs
+++ b/tests/test_prompt_parts.rs
@@ -1,7 +1,7 @@
 //! Requests that are unlike but for one prompt part, which crashes the engines that run them.
 
 use crate::crashing_parts::{BAD_PART, PartCrashes};
-use crate::routed_fleet::EngineAction;
+use crate::routed_fleet::{EngineAction, KEY};
 use http::StatusCode;
 use rstest::rstest;
 
@@ -50,3 +50,42 @@
     assert!(sends <= MAX_SENDS, "{sends} sends");
     assert_eq!(served, ATTEMPT_COUNT, "sound requests served");
 }
+
+/// Guards against a part held that was only there when engines ended for reasons of their own.
+#[tokio::test]
+async fn engines_that_end_by_themselves_hold_no_part() {
+    const CALLS: usize = 40;
+    let mut park = PartCrashes::start_ending_each(6).await;
+
+    let mut served = 0;
+    for number in 0..CALLS {
+        let answer = park.attempt(number, "/resumable/x", &sound_prompt(number)).await;
+        served += usize::from(answer.status == StatusCode::OK && answer.is_whole);
+    }
+
+    assert_eq!(served, CALLS);
+}
+
+/// Guards against a prompt header that blames what no other request has, or fails the request.
+#[rstest]
+#[case::one_part("f157:60")]
+#[case::none("")]
+#[case::not_hexadecimal("f157:60,zz:3,aa:1")]
+#[case::without_tokens("f157,aa:1")]
+#[case::not_a_list(";;;")]
+#[tokio::test]
+async fn requests_without_a_readable_common_part_are_blamed_for_their_content_alone(
+    #[case] prompt: &str,
+) {
+    let mut park = PartCrashes::start(EngineAction::Crash).await;
+    for number in 0..4 {
+        let daemon = &park.daemons[0];
+        let headers = [("tarragonknot-prefix-hash", prompt), ("x-note", BAD_PART)];
+        daemon.stream_for(KEY, "/unsafe/x", &format!("bad-{number}"), &headers).await;
+        park.replace_crashed().await;
+    }
+
+    let answer = park.attempt(9, "/unsafe/x", prompt).await;
+
+    assert_eq!((answer.status, park.send_count()), (StatusCode::OK, 4));
+}
--- a/tests/test_quarantine_fleet.rs
+++ b/tests/test_quarantine_fleet.rs
@@ -1,9 +1,13 @@
 //! Distribution of quarantined contents through whole fleets in virtual time.
 
 use crate::fleet_play::FleetSimulation;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
+use std::collections::VecDeque;
+use std::time::Duration;
 use tarragonknot::policy::{Moment, UpstreamHash};
-use tarragonknot::quarantine::RequestFingerprint;
+use tarragonknot::quarantine::{CrashEvidence, PromptPart, RequestFingerprint, SuspectKeys};
 
 const CONTENT: RequestFingerprint = RequestFingerprint(7);
 
@@ -156,3 +160,83 @@
     assert!(flood / 12 < 12 * (calm / 4), "calm {} flood {}", calm / 4, flood / 12);
     assert!(after < calm + calm / 5, "calm {calm} after {after}");
 }
+
+/// A request that is like no other, with these prompt parts.
+fn unlike_request(content: u64, parts: &[u64]) -> SuspectKeys {
+    let parts: Vec<PromptPart> =
+        parts.iter().map(|part| PromptPart::of(&part.to_le_bytes())).collect();
+    SuspectKeys::new(RequestFingerprint(content * 2), &"pool".into(), &parts)
+}
+
+/// Counts of a play in which requests with one prompt part crash upstreams.
+#[derive(Debug, Default)]
+struct PartPlay {
+    sends: usize,
+    /// Sends later than the bound after the fifth crash.
+    late_sends: usize,
+    sound: usize,
+    sound_held: usize,
+}
+
+/// Plays 8 s in which a request with the part arrives anywhere every `gap` ms, and as many sound ones,
+/// which share their first part and one of 40 others; one of those is lost with each upstream.
+fn play_part(count: usize, gap: u64, seed: u64) -> PartPlay {
+    const FIRST: u64 = 1;
+    const BAD: u64 = 2;
+    const CONTACT_MILLIS: u64 = 3_000;
+    const RUN_MILLIS: u64 = 100;
+    let mut play = FleetSimulation::lossless(count, seed);
+    play.run(3_000, true);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut counts = PartPlay::default();
+    let mut due: VecDeque<(Moment, usize, SuspectKeys, usize)> = VecDeque::new();
+    let mut crashes = Vec::new();
+    for step in 0..8_000 / gap {
+        let common = 100 + rng.random_range(0..40);
+        let sound = unlike_request(1_000_000 + step, &[FIRST, common]);
+        let bad = unlike_request(step, &[FIRST, BAD, common]);
+        let (here, there) = (rng.random_range(0..count), rng.random_range(0..count));
+        let now = play.now;
+        let table = &mut play.daemons[here].crashes;
+        counts.sound += 1;
+        counts.sound_held += usize::from(table.find_held(&sound, now).is_some());
+        table.record_request_answer(&sound, now);
+        let table = &mut play.daemons[there].crashes;
+        if table.find_held(&bad, now).is_none() {
+            let fifth = crashes.get(4).copied();
+            counts.sends += 1;
+            counts.late_sends += usize::from(fifth.is_some_and(|fifth: Moment| {
+                now.since(fifth) > Duration::from_millis(CONTACT_MILLIS)
+            }));
+            due.push_back((now + Duration::from_millis(RUN_MILLIS), there, bad, counts.sends));
+        }
+        play.run(gap, step % 8 == 0);
+        while due.front().is_some_and(|(at, ..)| *at <= play.now) {
+            let Some((_, daemon, keys, number)) = due.pop_front() else { break };
+            let bystander = unlike_request(2_000_000 + step, &[FIRST, common]);
+            let elsewhere = rng.random_range(0..count);
+            for (daemon, lost) in [(daemon, keys), (elsewhere, bystander)] {
+                let (now, table) = (play.now, &mut play.daemons[daemon].crashes);
+                table.record_request_crash(&lost, upstream(number), CrashEvidence::Certain, now);
+            }
+            crashes.push(play.now);
+        }
+    }
+    counts
+}
+
+/// Guards against news of a part that comes too late, or holds what was lost beside it.
+#[rstest]
+#[case::seven(7)]
+#[case::sixty(60)]
+#[case::three_hundred(300)]
+#[case::whole_fleet(985)]
+fn a_part_that_ends_upstreams_is_held_by_all_in_time(#[case] count: usize) {
+    let plays: Vec<PartPlay> = (1..=2).map(|seed| play_part(count, 50, seed)).collect();
+
+    for play in plays {
+        println!("{count} daemons: {play:?}");
+        assert!(play.late_sends <= 3, "{play:?}");
+        assert_eq!(play.sound_held, 0, "{play:?}");
+    }
+}
