Logs: the rest that an upstream asks for, and that it leaves

For the incident of upstreams that ask for rest: failed answer had no field for Retry-After, nor for Server-Leaving. Both are read with and without the platform's usual prefix. No decision changes.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -33,6 +33,12 @@
 const RATE_LIMITS: [&str; 2] = ["server-limit", "tarragonknot-server-limit"];
 /// Both names are read, as for [`RATE_LIMITS`].
 const BRITTLE: [&str; 2] = ["server-brittle", "tarragonknot-server-brittle"];
+/// Both names are read, as for [`RATE_LIMITS`].
+const LEAVING: [&str; 2] = ["server-leaving", "tarragonknot-server-leaving"];
+/// Both names are read, as for [`RATE_LIMITS`].
+const REST: [&str; 2] = ["retry-after", "tarragonknot-retry-after"];
+/// Longest rest of an engine that is observed; a longer one is cut to it.
+const MAX_REST: Duration = Duration::from_secs(600);
 const HOLD: &str = "tarragonknot-hold";
 const HOLD_TAKE_PATH: &str = "/-/hold-take";
 /// Headers removed from callers' requests: only this system may set them on requests to engines.
@@ -145,6 +151,8 @@
             cold_left: number::<f64>(headers, COLD).and_then(read_cold),
             stated_rate: read_rate(headers),
             rejections_per_second: BRITTLE.iter().find_map(|name| number(headers, name)),
+            rest: read_rest(status, headers),
+            is_leaving: LEAVING.iter().find_map(|name| text(headers, name)).is_some_and(is_true),
         }
     }
 }
@@ -202,6 +210,18 @@
     (rate.is_finite() && rate >= 0.0).then_some(RateStatement::Limited(rate))
 }
 
+fn is_true(text: &str) -> bool {
+    !matches!(text.trim(), "" | "0" | "false")
+}
+
+/// Reads the rest that an engine asks for with a 503, in seconds; `None` if it asks for none, or in
+/// another form.
+fn read_rest(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
+    let seconds: f64 = REST.iter().find_map(|name| number(headers, name))?;
+    let is_asked = status == StatusCode::SERVICE_UNAVAILABLE && seconds > 0.0;
+    is_asked.then(|| Duration::from_secs_f64(seconds.min(MAX_REST.as_secs_f64())))
+}
+
 /// Parses `timeout=SECONDS` and ignores other parameters.
 fn read_keep_alive(text: &str) -> Option<Duration> {
     let mut parameters = text.split(',').filter_map(|parameter| parameter.trim().split_once('='));
--- a/src/traffic/routed/attempt.rs
+++ b/src/traffic/routed/attempt.rs
@@ -176,7 +176,7 @@
     record_failed_answer(status, echoed_id, metadata.is_not_run);
     info!(request.state.log, "failed answer"; "request" => request.id(), "upstream" => incarnation, "status" => status.as_u16(),
         "echoed_id" => echoed_id, "says_not_run" => metadata.is_not_run, "signed" => metadata.is_signed,
-        "reused_connection" => connection.is_reused());
+        "rest_ms" => metadata.rest.map(|time| time.as_millis() as u64), "leaving" => metadata.is_leaving, "reused_connection" => connection.is_reused());
 }
 
 fn build_upstream_request(
--- a/src/traffic/routed/dialect.rs
+++ b/src/traffic/routed/dialect.rs
@@ -97,6 +97,10 @@
     /// Number of requests per second that the upstream can reject for lack of capacity before it
     /// fails, if it states one.
     pub rejections_per_second: Option<u32>,
+    /// How long the upstream, which turned the request away, wants no further one from this daemon.
+    pub rest: Option<Duration>,
+    /// True if the upstream says that it leaves.
+    pub is_leaving: bool,
 }
 
 /// Reads and writes the headers of one platform.
