--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -93,6 +93,7 @@
 mod test_streams_kept;
 mod test_table_versions;
 mod test_traffic;
+mod test_upstream_statements;
 mod test_voters;
 mod test_voting;
 mod test_worth;
