--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -115,6 +115,8 @@
     VersionAbsent,
     /// It is not known which version began the resumed stream, and several may have.
     OriginUnknown,
+    /// Every upstream has asked this daemon for rest.
+    UpstreamResting,
 }
 
 /// Row of the response table.
@@ -191,6 +193,7 @@
     RegionConflict "region-conflict" 403 No RetryHint::Never, false, "The route and the organisation allow no region in common";
     VersionAbsent "version-absent" 503 No RetryHint::Never, false, "No upstream of the version that began the stream is left";
     OriginUnknown "origin-unknown" 503 No RETRY_IN_1S, false, "The version that began the stream is not known";
+    UpstreamResting "upstream-resting" 503 No RETRY_IN_1S, false, "Every upstream has asked for rest";
 }
 
 /// True if callers of routes take the status as a promise that the request has not run and never
--- a/src/policy/scheduler/admission.rs
+++ b/src/policy/scheduler/admission.rs
@@ -2,7 +2,7 @@
 
 use super::{ArrivedRequest, PoolAction, PoolScheduler};
 use crate::answer::AnswerKind;
-use crate::policy::{Mechanism, Moment, TierRank, TierShare, WaitingRequest};
+use crate::policy::{Mechanism, Moment, PlacementDemand, TierRank, TierShare, WaitingRequest};
 use crate::table::QueueDiscipline;
 use rand::{Rng, RngCore};
 use std::time::Duration;
@@ -55,8 +55,11 @@
         {
             return refuse(AnswerKind::DeadlineTooShort);
         }
-        if !self.upstreams.takes_requests_here(&request.demand) {
-            return self.shed_when_confirmed(request, AnswerKind::Overloaded, now, actions);
+        if !self.upstreams.takes_requests_before(&request.demand, request.start_by) {
+            return match self.upstreams.rest_end(&request.demand) {
+                Some(_) => self.shed_now(&request, AnswerKind::UpstreamResting, now, actions),
+                None => self.shed_when_confirmed(request, AnswerKind::Overloaded, now, actions),
+            };
         }
         request.is_underserved = self.claim_owed_service(&request, now, rng);
         if self.plan.queue == QueueDiscipline::Fifo {
@@ -87,6 +90,26 @@
         self.enqueue(request, now);
     }
 
+    /// Refuses waiting requests that would be late by the time that the first upstream ends its rest.
+    /// They may be served elsewhere, or come back then.
+    pub(super) fn refuse_through_rest(&mut self, now: Moment, actions: &mut Vec<PoolAction>) {
+        if self.upstreams.rest_end(&PlacementDemand::default()).is_none() {
+            return;
+        }
+        for request in self.queue.drain() {
+            match self.upstreams.takes_requests_before(&request.demand, request.start_by) {
+                true => self.queue.push(request),
+                false => self.shed_now(&request, AnswerKind::UpstreamResting, now, actions),
+            }
+        }
+        for request in self.resumed.drain() {
+            match self.upstreams.takes_requests_before(&request.demand, request.deadline) {
+                true => self.resumed.push(request),
+                false => self.shed_now(&request, AnswerKind::UpstreamResting, now, actions),
+            }
+        }
+    }
+
     /// Returns whether late requests of returning callers are refused early if they have no chance.
     fn has_late_refusal(&self) -> bool {
         self.plan.sheds_locally
--- a/src/policy/scheduler/events.rs
+++ b/src/policy/scheduler/events.rs
@@ -133,6 +133,13 @@
         /// The bound, if there is one.
         bound: Option<u32>,
     },
+    /// An upstream turned a request away and wants no further one from this daemon for some time.
+    RestAsked {
+        /// Upstream concerned.
+        upstream: UpstreamIndex,
+        /// How long.
+        time: Duration,
+    },
     /// The daemons that own cold upstreams changed.
     Owners(Arc<OwnerRing>),
     /// A dispatch ended.
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -21,7 +21,7 @@
 };
 use crate::answer::AnswerKind;
 use crate::table::QueueDiscipline;
-use rand::RngCore;
+use rand::{Rng, RngCore};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,6 +32,8 @@
 const REDISPATCH_BURST: f64 = 20.0;
 /// Consecutive requests to skip because no upstream with room suits them.
 const MAX_SKIPPED_REQUESTS: usize = 8;
+/// An upstream's rest is prolonged by up to this share of it.
+const MAX_REST_SPREAD: f64 = 0.1;
 /// Lower bound on the run time, which prevents a division by zero.
 const MIN_RUN_SECONDS: f64 = 1e-4;
 /// Time between straggler checks.
@@ -184,6 +186,12 @@
             PoolEvent::RejectionBoundStated { upstream, bound } => {
                 self.upstreams.update(upstream, |status| status.rejection_bound = bound);
             }
+            PoolEvent::RestAsked { upstream, time } => {
+                // Daemons that were told at the same time do not return at the same time.
+                let spread = 1.0 + MAX_REST_SPREAD * rng.random::<f64>();
+                self.upstreams.rest(upstream, now + time.mul_f64(spread));
+                self.refuse_through_rest(now, actions);
+            }
             PoolEvent::Owners(owners) => self.upstreams.set_owners(owners, now),
             PoolEvent::Plan(plan) => self.replace_plan(plan),
             PoolEvent::Share { share } => self.upstreams.set_share(share),
--- a/src/policy/scheduler/resumed.rs
+++ b/src/policy/scheduler/resumed.rs
@@ -24,6 +24,10 @@
         self.0.remove(at)
     }
 
+    pub(super) fn push(&mut self, request: WaitingRequest) {
+        self.0.push_back(request);
+    }
+
     pub(super) fn drain(&mut self) -> Vec<WaitingRequest> {
         self.0.drain(..).collect()
     }
@@ -48,7 +52,7 @@
             return actions.push(PoolAction::Refuse { id, kind: AnswerKind::VersionAbsent });
         }
         let is_left_to_others = self.upstreams.has_usable(&request.demand)
-            && !self.upstreams.takes_requests_here(&request.demand);
+            && !self.upstreams.takes_requests_before(&request.demand, request.deadline);
         let request = self.to_waiting_request(request, now);
         self.claim_owed_service(&request, now, rng);
         if is_left_to_others || self.resumed.len() >= self.plan.waiting_limit {
--- a/src/policy/upstream_set.rs
+++ b/src/policy/upstream_set.rs
@@ -145,17 +145,33 @@
         }) && count > 0
     }
 
-    /// True if this daemon may send requests with this demand to some usable upstream. It may not if
-    /// each of them states a limited rate that is left to another daemon.
-    pub fn takes_requests_here(&self, demand: &PlacementDemand) -> bool {
-        let takes = |status: &UpstreamStatus| status.takes_requests_here() && status.meets(demand);
-        self.upstreams.values().any(takes)
+    /// True if this daemon may send requests with this demand to some usable upstream before `latest`.
+    /// It may not if each of them rests until then, or states a limited rate that is left to another
+    /// daemon.
+    pub fn takes_requests_before(&self, demand: &PlacementDemand, latest: Moment) -> bool {
+        let mut upstreams = self.upstreams.values();
+        upstreams.any(|status| status.takes_requests_before(latest) && status.meets(demand))
+    }
+
+    /// When the first upstream that may serve requests with this demand ends its rest; `None` if one of
+    /// them does not rest, or there is none.
+    pub fn rest_end(&self, demand: &PlacementDemand) -> Option<Moment> {
+        let serves = |status: &&UpstreamStatus| status.is_usable() && status.meets(demand);
+        let ends: Option<Vec<Moment>> =
+            self.upstreams.values().filter(serves).map(|status| status.rest_until).collect();
+        ends?.into_iter().min()
+    }
+
+    /// Gives an upstream no work until then, or until the end of a longer rest.
+    pub fn rest(&mut self, index: UpstreamIndex, until: Moment) {
+        self.update(index, |status| status.rest_until = status.rest_until.max(Some(until)));
     }
 
     /// This daemon's part of what the usable upstreams take at a time, in tokens, for requests of
     /// `mean_cost` that run for `run_seconds`.
     pub fn live_limit(&self, mean_cost: f64, run_seconds: f64) -> f64 {
-        let usable = self.upstreams.values().filter(|status| status.is_usable());
+        let usable =
+            self.upstreams.values().filter(|status| status.is_usable() && !status.is_resting());
         usable.map(|status| status.capacity_tokens(mean_cost, run_seconds)).sum()
     }
 
@@ -433,11 +449,15 @@
         }
     }
 
-    /// Ends expired pauses, and the holding back of upstreams that have room again, so that these
+    /// Ends expired pauses and rests, and the holding back of upstreams that have room again, so that these
     /// upstreams may be given work.
     pub fn resume_paused(&mut self, now: Moment) {
-        let is_expired = |status: &UpstreamStatus| status.paused_until.is_some_and(|at| at <= now);
-        let to_review = |status: &&UpstreamStatus| is_expired(status) || status.is_held_back;
+        let is_over = |end: Option<Moment>| end.is_some_and(|at| at <= now);
+        let is_expired = |status: &UpstreamStatus| is_over(status.paused_until);
+        let is_rested = |status: &UpstreamStatus| is_over(status.rest_until);
+        let to_review = |status: &&UpstreamStatus| {
+            is_expired(status) || is_rested(status) || status.is_held_back
+        };
         let chosen: Vec<UpstreamIndex> =
             self.upstreams.values().filter(to_review).map(|status| status.index).collect();
         let bound = self.cold_bound;
@@ -446,6 +466,9 @@
                 if is_expired(status) {
                     status.paused_until = None;
                 }
+                if is_rested(status) {
+                    status.rest_until = None;
+                }
                 status.review_pace(bound.as_ref(), now);
             });
         }
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -184,6 +184,8 @@
     pub backoff_until: Moment,
     /// It gets no work until then, after it refused a slot or another daemon could not reach it.
     pub(super) paused_until: Option<Moment>,
+    /// Until then it gets no work, as it has asked this daemon for rest.
+    pub(super) rest_until: Option<Moment>,
     /// Consecutive refusals of a slot.
     consecutive_refusals: u32,
     /// True if the upstream belongs to this daemon's group, whose upstreams are preferred.
@@ -275,6 +277,7 @@
             consecutive_failures: 0,
             backoff_until: Moment(0),
             paused_until: None,
+            rest_until: None,
             consecutive_refusals: 0,
             is_in_group: true,
             peer_gap_micros: None,
@@ -330,8 +333,22 @@
         self.peer_work.stated_rate != RateReport::default()
     }
 
+    /// True while the upstream rests, as it has asked this daemon for.
+    pub fn is_resting(&self) -> bool {
+        self.rest_until.is_some()
+    }
+
     /// True if the upstream is in service and this daemon may send it requests, now or soon.
     pub fn takes_requests_here(&self) -> bool {
+        !self.is_resting() && self.is_open_here()
+    }
+
+    /// True if this daemon may send the upstream requests before `latest`.
+    pub fn takes_requests_before(&self, latest: Moment) -> bool {
+        self.rest_until.is_none_or(|end| end < latest) && self.is_open_here()
+    }
+
+    fn is_open_here(&self) -> bool {
         self.is_usable() && !(self.rate_pace.is_left_to_owners() && self.is_held_back)
     }
 
@@ -354,6 +371,7 @@
         self.is_usable()
             && self.share > 0.0
             && self.paused_until.is_none()
+            && !self.is_resting()
             && !self.is_held_back
             && (self.in_flight + self.peer_work.requests == 0
                 || self.utilisation() < self.share * usable_share)
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::AnswerKind;
 use crate::policy::{RateStatement, SizeDecile};
-use crate::table::{OrganisationName, RouteKind, ServiceRow, TierName};
+use crate::table::{OrganisationName, RouteKind, ServiceName, ServiceRow, TierName};
 use crate::traffic::TrafficState;
 use crate::upstream::AnswerFraming;
 use http::StatusCode;
@@ -88,6 +88,11 @@
     gauge!("tarragonknot_upstream_rejection_bound", "upstream" => upstream.to_owned()).set(bound);
 }
 
+/// Counts a request for rest by an upstream of a service.
+pub fn record_rest(service: &ServiceName) {
+    counter!("tarragonknot_rests_asked_total", "service" => service.to_string()).increment(1);
+}
+
 /// The outcome of one routed request. Routes are not used as a label, because there may be
 /// thousands of them.
 #[derive(Debug)]
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -243,17 +243,32 @@
 
     /// True if the upstream is still the incarnation at which a slot was requested, and may be sent
     /// work. An incarnation that the upstream reported with the slot is recorded first.
-    pub fn is_same_incarnation(&self, upstream: UpstreamIndex, incarnation: Option<u64>) -> bool {
+    pub fn may_send_to(&self, upstream: UpstreamIndex, incarnation: Option<u64>) -> bool {
         if let Some(incarnation) = incarnation {
             self.handle_event(PoolEvent::IncarnationReported { upstream, incarnation });
         }
         let core = self.lock();
         let status = core.scheduler.upstreams().get(upstream);
         status.is_some_and(|status| {
-            status.state() != UpstreamState::Leaving && !status.source.is_evacuated
+            status.state() != UpstreamState::Leaving
+                && !status.source.is_evacuated
+                && !status.is_resting()
         })
     }
 
+    /// The shortest time for which an upstream still rests, if all that are in use rest.
+    pub fn rest_left(&self) -> Option<Duration> {
+        let now = self.clock.now();
+        let end =
+            self.inspect(|scheduler| scheduler.upstreams().rest_end(&PlacementDemand::default()));
+        end.map(|end| end.since(now))
+    }
+
+    /// The index of the upstream with this name.
+    pub fn find(&self, name: &UpstreamName) -> Option<UpstreamIndex> {
+        self.inspect(|scheduler| scheduler.upstreams().find(name))
+    }
+
     /// True if an upstream may serve a request with this demand.
     pub fn meets(&self, upstream: UpstreamIndex, demand: &PlacementDemand) -> bool {
         let meets = |status: &UpstreamStatus| status.meets(demand);
--- a/src/traffic/routed/attempt.rs
+++ b/src/traffic/routed/attempt.rs
@@ -142,12 +142,7 @@
     if let Some(detail) = echoed_id.mismatch() {
         return Err(SendError::NoUsableAnswer(detail.to_owned()));
     }
-    if let Some(rate) = metadata.stated_rate.filter(|_| !metadata.is_other_incarnation) {
-        request.note_stated_rate(placed, rate);
-    }
-    if !metadata.is_other_incarnation {
-        request.note_rejection_bound(placed, metadata.rejections_per_second);
-    }
+    request.apply_statements(placed.answering_upstream(), &metadata);
     let status = response.status();
     if metadata.is_not_run && echoed_id == EchoedId::Own && !status.is_success() {
         let is_other_incarnation = metadata.is_other_incarnation;
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -9,10 +9,7 @@
 use super::send_history::SendHistory;
 use super::through_peer::{PeerForward, forward_through_peers};
 use crate::answer::AnswerKind;
-use crate::policy::{
-    DispatchOutcome, PoolEvent, RateStatement, RouteKey, UpstreamEvent, UpstreamHash,
-};
-use crate::report::{record_rejection_bound, record_stated_rate};
+use crate::policy::{DispatchOutcome, PoolEvent, RouteKey, UpstreamEvent, UpstreamHash};
 use crate::rollout::{RequestGroup, VersionArm, VersionOutcome};
 use crate::table::{RouteKind, SoftwareVersion, UpstreamName};
 use crate::traffic::crash_check::{BrokenRequest, check_upstream, has_ended};
@@ -116,24 +113,6 @@
         }
     }
 
-    /// Applies and logs the rate that the answer of an upstream states.
-    pub fn note_stated_rate(&self, placed: &PlacedRequest, rate: RateStatement) {
-        let Some(before) = placed.pool.state_rate(placed.upstream, rate) else { return };
-        record_stated_rate(placed.name.as_str(), rate);
-        info!(self.state.log, "upstream states another rate"; "request" => self.id(), "upstream" => placed.name.as_str(),
-            "service" => placed.pool.service.as_str(), "rate" => format!("{rate:?}"), "before" => format!("{before:?}"));
-    }
-
-    /// Logs and records how many rejections per second an upstream states that it bears.
-    pub fn note_rejection_bound(&self, placed: &PlacedRequest, bound: Option<u32>) {
-        let Some(before) = placed.pool.state_rejection_bound(placed.upstream, bound) else {
-            return;
-        };
-        record_rejection_bound(placed.name.as_str(), bound);
-        info!(self.state.log, "upstream states another bound on rejections"; "request" => self.id(), "upstream" => placed.name.as_str(),
-            "service" => placed.pool.service.as_str(), "per_second" => bound, "before" => before);
-    }
-
     /// Logs a send: the first one, a retry, or the resumption of a stream.
     pub fn log_send(
         &self,
--- a/src/traffic/routed/mod.rs
+++ b/src/traffic/routed/mod.rs
@@ -20,6 +20,7 @@
 mod retry;
 mod send_history;
 mod size_fields;
+mod statements;
 mod stream_end;
 mod table_fields;
 mod through_peer;
--- a/src/traffic/routed/placing.rs
+++ b/src/traffic/routed/placing.rs
@@ -4,6 +4,7 @@
 use super::request::RoutedRequest;
 use super::reserve::{NOT_RESERVED, ReservationOutcome, reserve};
 use super::send_history::SendHistory;
+use super::statements::AnsweringUpstream;
 use crate::answer::AnswerKind;
 use crate::fleet_state::ServiceHash;
 use crate::policy::{
@@ -50,6 +51,11 @@
         StreamOrigin::new(&self.pool.service, self.version.as_ref())
     }
 
+    /// The upstream as the source of an answer.
+    pub fn answering_upstream(&self) -> AnsweringUpstream<'_> {
+        AnsweringUpstream { pool: &self.pool, index: self.upstream, name: &self.name }
+    }
+
     /// Describes the upstream for the crash check after a broken connection.
     pub fn broken_upstream(&self) -> BrokenUpstream {
         BrokenUpstream {
@@ -222,14 +228,17 @@
                 Err(_) => return Err(AnswerKind::DeadlineWaiting),
             };
             let reservation = match pool.reservation() {
-                Some(max_hold) => reserve(self, address, name.as_str(), max_hold).await,
+                Some(max_hold) => {
+                    let from = AnsweringUpstream { pool: &pool, index: upstream, name: &name };
+                    reserve(self, from, address, max_hold).await
+                }
                 None => NOT_RESERVED,
             };
             match reservation {
                 ReservationOutcome::Granted { incarnation, .. }
-                    if !pool.is_same_incarnation(upstream, incarnation) =>
+                    if !pool.may_send_to(upstream, incarnation) =>
                 {
-                    // The upstream has restarted or is leaving; the reservation expires by itself.
+                    // The upstream has restarted, is leaving or rests; the reservation expires by itself.
                     decision = guard.requeue(DispatchOutcome::NoSlot);
                 }
                 ReservationOutcome::Granted { place_id, .. } => {
--- a/src/traffic/routed/refusal.rs
+++ b/src/traffic/routed/refusal.rs
@@ -71,6 +71,9 @@
         if kind == AnswerKind::Quarantined {
             return self.route.services().filter_map(|service| self.held_for(service)).max();
         }
+        if kind == AnswerKind::UpstreamResting {
+            return self.route.services().filter_map(|service| self.state.rest_left(service)).min();
+        }
         let is_overload = kind.row().is_shed || kind == AnswerKind::UpstreamRefused;
         let spread =
             MIN_RETRY_FRACTION + (MAX_RETRY_FRACTION - MIN_RETRY_FRACTION) * self.state.jitter();
--- a/src/traffic/routed/reserve.rs
+++ b/src/traffic/routed/reserve.rs
@@ -8,6 +8,7 @@
 
 use super::dialect::{ReservationReply, ReservationRequest};
 use super::request::RoutedRequest;
+use super::statements::AnsweringUpstream;
 use crate::upstream::AnswerBody;
 use http::Request;
 use http::header::HOST;
@@ -53,17 +54,18 @@
 /// Reserves a place for a request at the upstream at `address`, for `max_hold` at most.
 pub async fn reserve(
     request: &RoutedRequest,
+    from: AnsweringUpstream<'_>,
     address: SocketAddr,
-    incarnation: &str,
     max_hold: Duration,
 ) -> ReservationOutcome {
     let metadata = &request.metadata;
     let output = metadata.output_limit.or(metadata.output_guess).unwrap_or(0);
     let tokens = metadata.prompt_tokens.unwrap_or(0).saturating_add(output);
+    let incarnation = from.name.as_str();
     let wanted = ReservationRequest { incarnation, tokens, hold_time: HOLD_TIME.min(max_hold) };
     let Some(call) = request.dialect.reservation_call(&wanted) else { return NOT_RESERVED };
     let limit = REPLY_TIMEOUT.min(request.time_left());
-    match tokio::time::timeout(limit, request_place(request, address, call)).await {
+    match tokio::time::timeout(limit, request_place(request, from, address, call)).await {
         Ok(Some(ReservationReply::Reserved { id, incarnation })) => {
             ReservationOutcome::Granted { place_id: Some(id), incarnation }
         }
@@ -78,6 +80,7 @@
 /// come in place of the reply, so a second attempt follows on another connection.
 async fn request_place(
     request: &RoutedRequest,
+    from: AnsweringUpstream<'_>,
     address: SocketAddr,
     call: Request<bytes::Bytes>,
 ) -> Option<ReservationReply> {
@@ -91,6 +94,7 @@
             // Dropping the connection discards the replies that are still to come on it.
             continue;
         }
+        request.apply_availability(from, &metadata);
         let connection = connection.with_idle_timeout(metadata.idle_timeout);
         let status = response.status();
         let (_, body) = AnswerBody::split(call.method(), response, connection);
--- a/src/traffic/routed/through_peer.rs
+++ b/src/traffic/routed/through_peer.rs
@@ -310,6 +310,7 @@
             | AnswerKind::ServiceUnknown
             | AnswerKind::RegionConflict
             | AnswerKind::VersionAbsent
+            | AnswerKind::UpstreamResting
     )
 }
 
--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -21,12 +21,12 @@
 use crate::evacuation::EvacuatedSet;
 use crate::policy::{
     ColdBound, ColdTolerance, LimitTable, Mechanism, MechanismSet, Moment, PoolEvent, PoolPlan,
-    RequestSizes, RetryBound, RetryBudget, RetryDetector, RouteSizes, SizeDecile,
+    RequestSizes, RetryBound, RetryBudget, RetryDetector, RouteSizes, SizeDecile, UpstreamIndex,
 };
 use crate::rollout::version_pool_name;
 use crate::table::{
     DaemonName, DataCentreName, OperatorTable, RegionName, RouteRow, ServiceKind, ServiceName,
-    ServiceRow, TableReader, VersionedTable,
+    ServiceRow, TableReader, UpstreamName, VersionedTable,
 };
 use crate::upstream::{ConnectionPool, EngineDriver, PlainDriver, PlatformList, UpstreamDriver};
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -181,6 +181,26 @@
         self.outgoing_pools.joined_with(self.pools.load_full())
     }
 
+    /// Passes an event of an upstream to each pool of its service that has it: those of a roll-out's
+    /// versions, and the one of all versions, which is used before and after.
+    pub fn notify_pools(
+        &self,
+        service: &ServiceName,
+        name: &UpstreamName,
+        event: impl Fn(UpstreamIndex) -> PoolEvent,
+    ) {
+        for pool in self.pools().values().filter(|pool| pool.service == *service) {
+            pool.find(name).into_iter().for_each(|upstream| pool.handle_event(event(upstream)));
+        }
+    }
+
+    /// The shortest time for which an upstream of a service still rests, if all of them rest.
+    pub fn rest_left(&self, service: &ServiceName) -> Option<Duration> {
+        let pools = self.pools();
+        let rests = pools.values().filter(|pool| pool.service == *service);
+        rests.filter_map(|pool| pool.rest_left()).min()
+    }
+
     /// Forgets the pools that have left the table and that no request uses any more.
     pub fn release_idle_pools(&self) {
         self.outgoing_pools.release_idle(self.clock.now());
--- a/tests/test_stated_rates.rs
+++ b/tests/test_stated_rates.rs
@@ -371,7 +371,8 @@
     (0..u32::from(UPSTREAMS)).for_each(|index| fleet.state(index, RateStatement::Limited(1.0)));
     fleet.run_until(4_000);
     let demand = PlacementDemand::default();
-    let owns = |pool: &BurstPool| pool.scheduler.upstreams().takes_requests_here(&demand);
+    let owns =
+        |pool: &BurstPool| pool.scheduler.upstreams().takes_requests_before(&demand, Moment(0));
     let other = fleet.pools.iter().position(|pool| !owns(pool)).expect("more daemons than owners");
 
     let actions = fleet.pools[other].arrive(1_000_000, 0, 4_000);
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -72,6 +72,7 @@
 mod test_replica;
 mod test_request_sizes;
 mod test_reservations;
+mod test_rest;
 mod test_resumed_requests;
 mod test_rollout;
 mod test_rollout_traffic;
