An upstream that says in an answer that it leaves gets no new work (DRAIN)

Cause: nothing read the header; only the list, and load reports of the own interface, made an upstream leave. The same class as the rest that upstreams ask for: what they say of themselves is read name by name.

Now the statement in any answer to a request or a reservation, and in a probe's, makes this incarnation leave in every pool of the service, for as long as it is listed and 10 s more, whatever an older list says. Streams there go on. For 3 s the other daemons are told, also those that passed on such an answer for a peer (PeerWork::is_leaving).

--- a/src/daemon/background.rs
+++ b/src/daemon/background.rs
@@ -203,7 +203,7 @@
 fn event_of_outcome(outcome: ProbeOutcome) -> Option<UpstreamEvent> {
     match outcome {
         ProbeOutcome::Answered { .. } => Some(UpstreamEvent::Answered),
-        ProbeOutcome::OtherIncarnation => Some(UpstreamEvent::Leaving),
+        ProbeOutcome::OtherIncarnation | ProbeOutcome::Leaving => Some(UpstreamEvent::Leaving),
         ProbeOutcome::Refused | ProbeOutcome::Closed | ProbeOutcome::Silent => None,
     }
 }
--- a/src/fleet_state/work_tables.rs
+++ b/src/fleet_state/work_tables.rs
@@ -24,6 +24,7 @@
         sum.requests += work.requests;
         sum.unread_tokens += work.unread_tokens;
         sum.is_down |= work.is_down;
+        sum.is_leaving |= work.is_leaving;
         sum.stated_rate = sum.stated_rate.merge(work.stated_rate);
         sum.gap_micros = if work.gap_micros > 0 { work.gap_micros } else { sum.gap_micros };
     }
@@ -46,6 +47,7 @@
     for (upstream, work) in rows {
         let sum = sums.entry(upstream).or_default();
         sum.hinted += work.requests;
+        sum.is_leaving |= work.is_leaving;
         sum.stated_rate = sum.stated_rate.merge(work.stated_rate);
         sum.unread_tokens += work.unread_tokens;
     }
--- a/src/policy/scheduler/events.rs
+++ b/src/policy/scheduler/events.rs
@@ -140,6 +140,11 @@
         /// How long.
         time: Duration,
     },
+    /// An upstream stated that it leaves.
+    DepartureStated {
+        /// Upstream concerned.
+        upstream: UpstreamIndex,
+    },
     /// The daemons that own cold upstreams changed.
     Owners(Arc<OwnerRing>),
     /// A dispatch ended.
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -192,6 +192,9 @@
                 self.upstreams.rest(upstream, now + time.mul_f64(spread));
                 self.refuse_through_rest(now, actions);
             }
+            PoolEvent::DepartureStated { upstream } => {
+                self.upstreams.announce_departure(upstream, now);
+            }
             PoolEvent::Owners(owners) => self.upstreams.set_owners(owners, now),
             PoolEvent::Plan(plan) => self.replace_plan(plan),
             PoolEvent::Share { share } => self.upstreams.set_share(share),
--- a/src/policy/upstream_set.rs
+++ b/src/policy/upstream_set.rs
@@ -26,6 +26,8 @@
 /// An incarnation that has left is not taken up again for this long after it was last listed, since
 /// an older list may still arrive from a daemon that was cut off.
 pub const DEPARTED_TTL: Duration = Duration::from_secs(10);
+/// The other daemons are told for this long that an upstream has said that it leaves.
+const DEPARTURE_REPORT_TIME: Duration = Duration::from_secs(3);
 /// Minimum number of upstreams per group; pools with fewer are shared by all groups.
 const MIN_GROUP_UPSTREAMS: usize = 4;
 
@@ -46,6 +48,9 @@
     /// last listed them; kept for [`DEPARTED_TTL`] after that. Without this record, an upstream that
     /// is gone and forgotten is added as new again by a list that lags behind.
     departed: HashMap<(UpstreamName, u64), Option<Moment>>,
+    /// Incarnations that have told this daemon that they leave, and when; kept for
+    /// [`DEPARTURE_REPORT_TIME`].
+    announced: HashMap<(UpstreamName, u64), Moment>,
     /// Incremented on each change of the usable upstreams.
     pub generation: u64,
     /// See [`UpstreamSet::lone_versions`], and the generation for which they were found.
@@ -366,6 +371,21 @@
         }
     }
 
+    /// Applies an upstream's own statement that it leaves.
+    pub fn announce_departure(&mut self, index: UpstreamIndex, now: Moment) {
+        let Some(status) = self.upstreams.get(&index) else { return };
+        let departed = (status.source.name.clone(), status.source.incarnation);
+        self.announced.entry(departed).or_insert(now);
+        self.apply_event(index, UpstreamEvent::Leaving);
+    }
+
+    /// Names and incarnations of the upstreams that have lately told this daemon that they leave.
+    pub fn announced_departures(&self, now: Moment) -> impl Iterator<Item = (&UpstreamName, u64)> {
+        let recent = self.announced.iter();
+        let recent = recent.filter(move |(_, at)| now.since(**at) < DEPARTURE_REPORT_TIME);
+        recent.map(|((name, incarnation), _)| (name, *incarnation))
+    }
+
     fn forget(&mut self, index: UpstreamIndex) {
         let Some(status) = self.upstreams.remove(&index) else { return };
         if self.by_name.get(&status.source.name) == Some(&index) {
@@ -420,6 +440,9 @@
                     status.review_pace(bound.as_ref(), now);
                 }
             });
+            if work.is_leaving {
+                self.apply_event(index, UpstreamEvent::Leaving);
+            }
         }
     }
 
@@ -452,6 +475,7 @@
     /// Ends expired pauses and rests, and the holding back of upstreams that have room again, so that these
     /// upstreams may be given work.
     pub fn resume_paused(&mut self, now: Moment) {
+        self.announced.retain(|_, at| now.since(*at) < DEPARTURE_REPORT_TIME);
         let is_over = |end: Option<Moment>| end.is_some_and(|at| at <= now);
         let is_expired = |status: &UpstreamStatus| is_over(status.paused_until);
         let is_rested = |status: &UpstreamStatus| is_over(status.rest_until);
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -220,6 +220,8 @@
     pub gap_micros: u32,
     /// True if one of the daemons could not reach the upstream.
     pub is_down: bool,
+    /// True if the upstream is known to leave to one of the daemons.
+    pub is_leaving: bool,
     /// The rate that the upstream stated to one of the daemons.
     pub stated_rate: RateReport,
     /// Requests of daemons outside this one's group, from outdated reports; an estimate that is
--- a/src/traffic/crash_check.rs
+++ b/src/traffic/crash_check.rs
@@ -140,7 +140,9 @@
         match probe(state, upstream.address, name, path.as_deref()).await {
             ProbeOutcome::Refused => return CheckResult::Ended,
             ProbeOutcome::OtherIncarnation => return CheckResult::Replaced,
-            ProbeOutcome::Answered { .. } | ProbeOutcome::Silent => return CheckResult::Alive,
+            ProbeOutcome::Answered { .. } | ProbeOutcome::Leaving | ProbeOutcome::Silent => {
+                return CheckResult::Alive;
+            }
             ProbeOutcome::Closed => {}
         }
     }
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -499,6 +499,7 @@
                     unread_tokens: status.unread_tokens,
                     gap_micros: learned.unwrap_or(0.0) as u32,
                     is_down: !is_doubtful && status.state() == UpstreamState::Suspect,
+                    is_leaving: false,
                     stated_rate: status.rate_pace.report(now),
                     hinted: 0,
                 };
@@ -506,6 +507,11 @@
                     UpstreamHash::of(service, &status.source.name, status.source.incarnation);
                 (work != PeerWork::default()).then_some((hash, work))
             }));
+            let announced = scheduler.upstreams().announced_departures(now);
+            rows.extend(announced.map(|(name, incarnation)| {
+                let work = PeerWork { is_leaving: true, ..PeerWork::default() };
+                (UpstreamHash::of(service, name, incarnation), work)
+            }));
         });
     }
     rows.sort_unstable_by_key(|(hash, _)| *hash);
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -264,6 +264,12 @@
         end.map(|end| end.since(now))
     }
 
+    /// True if the upstream is in the pool and not leaving.
+    pub fn is_in_service(&self, upstream: UpstreamIndex) -> bool {
+        let is_in_service = |status: &UpstreamStatus| status.is_in_service();
+        self.inspect(|scheduler| scheduler.upstreams().get(upstream).is_some_and(is_in_service))
+    }
+
     /// The index of the upstream with this name.
     pub fn find(&self, name: &UpstreamName) -> Option<UpstreamIndex> {
         self.inspect(|scheduler| scheduler.upstreams().find(name))
--- a/src/traffic/probe.rs
+++ b/src/traffic/probe.rs
@@ -21,6 +21,8 @@
 pub enum ProbeOutcome {
     /// The upstream answered, and said how much longer it is cold, if it is.
     Answered { cold_left: Option<Duration> },
+    /// The upstream answered that it leaves.
+    Leaving,
     /// Another incarnation uses the upstream's address.
     OtherIncarnation,
     /// No connection could be opened.
@@ -56,9 +58,10 @@
     match tokio::time::timeout(PROBE_TIMEOUT, sent).await {
         Ok(Ok((response, _connection))) => {
             let metadata = interface.dialect.read_answer(response.status(), response.headers());
-            match metadata.is_other_incarnation {
-                true => ProbeOutcome::OtherIncarnation,
-                false => ProbeOutcome::Answered { cold_left: metadata.cold_left },
+            match (metadata.is_other_incarnation, metadata.is_leaving) {
+                (true, _) => ProbeOutcome::OtherIncarnation,
+                (false, true) => ProbeOutcome::Leaving,
+                (false, false) => ProbeOutcome::Answered { cold_left: metadata.cold_left },
             }
         }
         Ok(Err(OpenError::NotSent { .. })) => ProbeOutcome::Refused,
--- a/src/traffic/routed/statements.rs
+++ b/src/traffic/routed/statements.rs
@@ -30,9 +30,15 @@
 
     /// Applies whether the upstream wants further requests, which it may say in any reply.
     pub fn apply_availability(&self, from: AnsweringUpstream<'_>, metadata: &AnswerMetadata) {
-        if let Some(rest) = metadata.rest.filter(|_| !metadata.is_other_incarnation) {
+        if metadata.is_other_incarnation {
+            return;
+        }
+        if let Some(rest) = metadata.rest {
             self.apply_rest(from, rest);
         }
+        if metadata.is_leaving {
+            self.apply_departure(from);
+        }
     }
 
     fn apply_rate(&self, from: AnsweringUpstream<'_>, metadata: &AnswerMetadata) {
@@ -52,6 +58,18 @@
             "service" => pool.service.as_str(), "per_second" => bound, "before" => before);
     }
 
+    /// Gives the upstream no new work, whatever lists say of this incarnation from now on.
+    fn apply_departure(&self, from: AnsweringUpstream<'_>) {
+        let AnsweringUpstream { pool, index, name } = from;
+        let is_new = pool.is_in_service(index);
+        let notice = |upstream| PoolEvent::DepartureStated { upstream };
+        self.state.notify_pools(&pool.service, name, notice);
+        if is_new {
+            info!(self.state.log, "upstream says that it leaves"; "request" => self.id(), "upstream" => name.as_str(),
+                "service" => pool.service.as_str());
+        }
+    }
+
     fn apply_rest(&self, from: AnsweringUpstream<'_>, time: Duration) {
         let AnsweringUpstream { pool, name, .. } = from;
         self.state
--- a/tests/test_upstream_statements.rs
+++ b/tests/test_upstream_statements.rs
@@ -4,12 +4,15 @@
 use futures_util::future::join_all;
 use http::StatusCode;
 use rstest::rstest;
+use std::time::Duration;
 use tarragonknot::upstream::VmState;
 
 /// Requests after the statement, and how many of them are sent at a time: more than one engine has
 /// places for.
 const CALLS: usize = 60;
 const CONCURRENT_CALLS: usize = 6;
+/// Time limit for daemons to learn from each other; generous even for a busy machine.
+const LEARN_TIME: Duration = Duration::from_secs(30);
 /// Requests that an upstream may get in spite of its rest.
 const MAX_REQUESTS_AT_REST: usize = 2;
 
@@ -145,3 +148,35 @@
     assert_eq!(served, CALLS);
     assert_eq!(leaving.count(), 1);
 }
+
+/// Guards against requests by daemons that have not heard it themselves, as one whose answer came
+/// through a peer.
+#[tokio::test]
+async fn other_daemons_learn_that_an_upstream_leaves() {
+    let answer = leaving_answer(200, SEAL, "content-length: 4\r\n\r\nfine");
+    let leaving = engine("i-1", answer).await;
+    let other = engine("i-2", sound_answer("/safe/")).await;
+    let daemons = RoutedFleet::start_peers(3, &[&leaving, &other]).await;
+    let index = |daemon: &RoutedFleet| {
+        daemon.state.pool(&"pool".into()).and_then(|pool| pool.find(&"i-1".into()))
+    };
+    let uses = |daemon: &RoutedFleet| {
+        let pool = daemon.state.pool(&"pool".into()).expect("the pool exists");
+        index(daemon).is_some_and(|upstream| pool.is_in_service(upstream))
+    };
+    assert!(daemons.iter().all(uses));
+
+    while leaving.count() == 0 {
+        count_served(&daemons[0], "/safe/", || {}).await;
+    }
+    let time_limit = tokio::time::Instant::now() + LEARN_TIME;
+    while daemons.iter().any(uses) && tokio::time::Instant::now() < time_limit {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+
+    assert!(!daemons.iter().any(uses));
+    for daemon in &daemons {
+        daemon.list(&[&leaving, &other], VmState::Live);
+        assert!(!uses(daemon), "an older list undoes it");
+    }
+}
