A stream whose event does not end within 1 MiB is given up

A daemon read such a body on for as long as its upstream wrote: the test's 64 MiB in all four cases, at stream and resumable routes, with a line or an event without end; the caller had 200 and no byte. One upstream could exhaust the daemon's memory. Cause: the splitter keeps the bytes of an incomplete event without bound. Now the upstream counts as having broken off, and the stream goes on elsewhere where its route allows. The test failed before; it bounds what one request may take to 16 MiB. Plain answers were bounded already (16 MiB each), so were heads, reservations and the platform's list.

--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -29,6 +29,8 @@
 
 /// Maximum size of a buffered answer, in bytes.
 const ANSWER_LIMIT_BYTES: usize = 16 << 20;
+/// Maximum size of an event of a stream, in bytes.
+const EVENT_LIMIT_BYTES: usize = 1 << 20;
 /// Another place is looked for once a stream has paused for this many times the route's `gap_ms`.
 const PAUSE_TIMEOUT_FACTOR: u32 = 4;
 /// Lower bound of that time, and the time itself for routes without `gap_ms`.
@@ -303,6 +305,9 @@
                         self.report_timing();
                         return RelayStep::Events(events);
                     }
+                    None if self.splitter.pending_bytes() > EVENT_LIMIT_BYTES => {
+                        format!("no event ends within {EVENT_LIMIT_BYTES} bytes")
+                    }
                     None => continue,
                 },
                 RelayEvent::Read(BodyRead::Ended(end)) => match self.find_break(end).await {
