Large events share a bounded memory in place of a limit for each

Now an event beyond 1 MiB reserves memory in steps of 1 MiB out of 18 MiB that a daemon has for all of them; without any left the stream counts as broken off.

--- a/src/policy/upstream_set.rs
+++ b/src/policy/upstream_set.rs
@@ -472,8 +472,8 @@
         }
     }
 
-    /// Ends expired pauses and rests, and the holding back of upstreams that have room again, so that these
-    /// upstreams may be given work.
+    /// Ends expired pauses and rests, and the holding back of upstreams that have room again, so that
+    /// these upstreams may be given work.
     pub fn resume_paused(&mut self, now: Moment) {
         self.announced.retain(|_, at| now.since(*at) < DEPARTURE_REPORT_TIME);
         let is_over = |end: Option<Moment>| end.is_some_and(|at| at <= now);
--- a/src/quarantine/crash_table.rs
+++ b/src/quarantine/crash_table.rs
@@ -135,8 +135,8 @@
         added
     }
 
-    /// Number of upstreams known to have crashed on a content or part, without crashes voided by an answer
-    /// or a release.
+    /// Number of upstreams known to have crashed on a content or part, without crashes voided by an
+    /// answer or a release.
     pub fn crashes(&self, request: RequestFingerprint) -> usize {
         self.records.get(&request).map_or(0, SuspectRecord::crashes)
     }
@@ -305,8 +305,8 @@
         }
     }
 
-    /// Hash of the crashes that count, and of their companions. The times of crashes are left out: they differ between daemons with
-    /// the path and delay of the messages.
+    /// Hash of the crashes that count, and of the companions. Times are left out: they differ between
+    /// daemons with the path and delay of the messages.
     fn digest(&mut self) -> u32 {
         if let Some(digest) = self.digest {
             return digest;
--- a/src/quarantine/suspect_record.rs
+++ b/src/quarantine/suspect_record.rs
@@ -56,8 +56,8 @@
         if self.is_void(at) {
             return false;
         }
-        let is_alone = self.restrict_companions(companions);
-        self.insert_crash(upstream, at) || is_alone
+        let has_fewer_companions = self.restrict_companions(companions);
+        self.insert_crash(upstream, at) || has_fewer_companions
     }
 
     /// Keeps the companions that are among the given ones; returns true if that changes them.
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -25,12 +25,14 @@
 use serde::de::IgnoredAny;
 use slog::info;
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::OwnedSemaphorePermit;
 
 /// Maximum size of a buffered answer, in bytes.
 const ANSWER_LIMIT_BYTES: usize = 16 << 20;
-/// Maximum size of an event of a stream, in bytes.
-const EVENT_LIMIT_BYTES: usize = 1 << 20;
+/// Size of an incomplete event beyond which memory is reserved for it, and of a reservation, in bytes.
+const EVENT_MEMORY_STEP: usize = 1 << 20;
 /// Another place is looked for once a stream has paused for this many times the route's `gap_ms`.
 const PAUSE_TIMEOUT_FACTOR: u32 = 4;
 /// Lower bound of that time, and the time itself for routes without `gap_ms`.
@@ -233,6 +235,8 @@
     interruption: Option<StreamBreak>,
     has_ended: bool,
     has_recorded_origin: bool,
+    /// Memory reserved for the event that is being read.
+    event_memory: Option<OwnedSemaphorePermit>,
 }
 
 /// Timing of a stream's events as seen by the caller.
@@ -283,6 +287,7 @@
             interruption: None,
             has_ended: false,
             has_recorded_origin: false,
+            event_memory: None,
         }
     }
 
@@ -301,14 +306,15 @@
                 RelayEvent::Read(BodyRead::Data(bytes)) => match self.splitter.push(&bytes) {
                     Some(events) => {
                         self.interruption = None;
+                        self.event_memory = None;
                         self.record_origin();
                         self.report_timing();
                         return RelayStep::Events(events);
                     }
-                    None if self.splitter.pending_bytes() > EVENT_LIMIT_BYTES => {
-                        format!("no event ends within {EVENT_LIMIT_BYTES} bytes")
+                    None if self.reserve_event_memory() => continue,
+                    None => {
+                        format!("no event ends within {} bytes", self.splitter.pending_bytes())
                     }
-                    None => continue,
                 },
                 RelayEvent::Read(BodyRead::Ended(end)) => match self.find_break(end).await {
                     None => return self.end(),
@@ -381,6 +387,24 @@
         self.request.record_origin(self.source.origin());
     }
 
+    /// Reserves memory for the event that is being read; false if the daemon has none left. An upstream
+    /// may write an event without end.
+    fn reserve_event_memory(&mut self) -> bool {
+        let needed = self.splitter.pending_bytes() / EVENT_MEMORY_STEP;
+        let held = self.event_memory.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
+        let missing = needed.saturating_sub(held) as u32;
+        if missing == 0 {
+            return true;
+        }
+        let memory = Arc::clone(&self.request.state.event_memory);
+        let Ok(more) = memory.try_acquire_many_owned(missing) else { return false };
+        match &mut self.event_memory {
+            Some(known) => known.merge(more),
+            None => self.event_memory = Some(more),
+        }
+        true
+    }
+
     /// Why a body that ends here is incomplete; `None` if it is complete. No framing makes half an
     /// event complete, but content of no stated type may be something else. An unstated end between
     /// two events is that of a whole stream, unless the upstream ended with it.
@@ -624,6 +648,7 @@
     fn adopt(&mut self, source: AnswerSource, body: AnswerBody) {
         self.request.record_resumption("answer", "same-version");
         self.splitter.discard_partial();
+        self.event_memory = None;
         self.gap_start = None;
         self.interruption = None;
         self.source = source;
--- a/src/traffic/routed/request.rs
+++ b/src/traffic/routed/request.rs
@@ -145,9 +145,9 @@
         self.metadata.id.as_deref().unwrap_or_default()
     }
 
-    /// True if a peer may serve the request, as this daemon reaches no upstream that can, or all rest. A request
-    /// takes one hop at most. One that is bound to regions stays here, since a peer's region is not
-    /// known.
+    /// True if a peer may serve the request, as this daemon reaches no upstream that can, or all rest. A
+    /// request takes one hop at most. One that is bound to regions stays here, since a peer's region is
+    /// not known.
     pub fn may_pass_on(&self, kind: AnswerKind) -> bool {
         let is_unreached = matches!(
             kind,
--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -39,7 +39,10 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
+
+/// Memory that incomplete events larger than 1 MiB may take together.
+const EVENT_MEMORY_MIB: usize = 18;
 
 /// The table in force, as used by the data plane; replaced as a whole.
 #[derive(Clone, Debug, Default)]
@@ -100,6 +103,8 @@
     has_upstream_list: watch::Sender<bool>,
     /// Exchange with the other daemons that serve callers.
     pub fleet: FleetExchange,
+    /// Memory for large events of streams, in MiB, one permit each.
+    pub event_memory: Arc<Semaphore>,
     /// Quarantine of requests that crashed upstreams.
     pub quarantine: QuarantineGate,
     /// Roll-outs of upstreams' software.
@@ -153,6 +158,7 @@
             table_changes: Notify::new(),
             has_upstream_list: watch::Sender::new(true),
             fleet: FleetExchange::default(),
+            event_memory: Arc::new(Semaphore::new(EVENT_MEMORY_MIB)),
             quarantine: QuarantineGate::default(),
             rollouts: RolloutGate::default(),
             relay: PeerRelay::default(),
