Soak: requests that are unlike but for a prompt part that crashes engines

Beside the content that crashes engines, with the same caller; all other callers share its first part and some its second.

--- a/soak/answers.rs
+++ b/soak/answers.rs
@@ -150,7 +150,8 @@
         let limited_tokens = (organisation == "limited").then_some(tokens);
         self.ctx.recorder.record_execution(request.id(), limited_tokens);
         self.record_event(request, "executed it");
-        if poison::crash_if_poison(&self.ctx, self.engine.number, &request.body) {
+        let prompt = request.header("tarragonknot-prefix-hash").unwrap_or_default();
+        if poison::crash_if_poison(&self.ctx, self.engine.number, &request.body, prompt) {
             return std::future::pending().await;
         }
         if !is_stream(request) {
--- a/soak/callers.rs
+++ b/soak/callers.rs
@@ -3,6 +3,7 @@
 
 use crate::context::{AddressKind, CALLERS_PORT, SentRequest, SoakContext};
 use crate::losses::EndedRequest;
+use crate::poison::sound_prompt;
 use crate::streams::{ReceivedEvents, has_two_engines};
 use crate::tables;
 use bytes::Bytes;
@@ -263,7 +264,8 @@
             .header("authorization", format!("Bearer {}", self.key))
             .header("tarragonknot-request-id", id)
             .header("tarragonknot-deadline-ms", REQUEST_DEADLINE.as_millis().to_string())
-            .header("tarragonknot-token-count", format!("{},{}", self.prompt_tokens, self.events));
+            .header("tarragonknot-token-count", format!("{},{}", self.prompt_tokens, self.events))
+            .header("tarragonknot-prefix-hash", sound_prompt(self.events as usize));
         if let Some((header, first_id, last_event)) = resumed {
             request = request.header(header, first_id).header("last-event-id", last_event);
         }
