--- a/tests/test_part_table.rs
+++ b/tests/test_part_table.rs
@@ -101,6 +101,27 @@
     }
 }
 
+/// Guards against sound requests held for a part that two culprits had in common, and against culprits
+/// that go free as that part explains a part of their crashes.
+#[test]
+fn two_culprits_are_held_in_place_of_what_they_have_in_common() {
+    let mut table = CrashTable::default();
+    let poison = |common: &str| request(500, &["first", common]);
+    for number in 0..2 {
+        crash(&mut table, number, &[&poison("a")], millis(100_000));
+        let keys = request(number as u64, &["first", "a", "bad"]);
+        crash(&mut table, 2 + number, &[&keys], millis(100_100));
+    }
+    table.record_request_answer(&request(900, &["first", "b"]), millis(101_000));
+    crash(&mut table, 4, &[&poison("b")], millis(102_000));
+    crash(&mut table, 5, &[&request(3, &["first", "b", "bad"])], millis(102_000));
+
+    let now = millis(102_100);
+    assert!(is_held(&table, &poison("c"), now));
+    assert!(is_held(&table, &request(77, &["first", "c", "bad"]), now));
+    assert!(!is_held(&table, &request(78, &["first", "a"]), now));
+}
+
 /// Guards against sound requests held for a part that so far came only together with the crashing one.
 #[test]
 fn parts_that_always_came_together_hold_only_requests_with_all_of_them() {
