Five crashes hold a prompt part, in place of three

Now a part needs five crashes, two contents sent twice make four. Fingerprints of parts are told by their highest bit.

--- a/src/cmd/quarantine.rs
+++ b/src/cmd/quarantine.rs
@@ -10,7 +10,7 @@
 
 const HELP: &str = "\
 A request that has crashed three upstreams is quarantined on every daemon: it is refused with kind `quarantined` and not
-sent to any upstream. The same holds for all requests of a service that share a part of their prompts under which three
+sent to any upstream. The same holds for all requests of a service that share a part of their prompts under which five
 upstreams crashed. The fingerprint of a content identifies the organisation, method, host, path and body, that of a part the
 service and the part; both also appear in the log messages `sent`, `lost with its upstream`, `request quarantined` and
 `held back`. The quarantine expires after ten minutes;
--- a/src/control/quarantine_log.rs
+++ b/src/control/quarantine_log.rs
@@ -76,7 +76,7 @@
     }
 
     fn drop_excess(&mut self, now: Moment) {
-        self.records.retain(|_, record| !record.is_expired(now));
+        self.records.retain(|key, record| !record.is_expired(*key, now));
         let mut ranked: Vec<(usize, RequestFingerprint)> =
             self.records.iter().map(|(request, record)| (record.crashes(), *request)).collect();
         ranked.sort_unstable();
@@ -96,7 +96,7 @@
         let now = wall_moment(now_ms);
         let is_chosen = |known: &RequestFingerprint| request.is_none_or(|wanted| wanted == *known);
         let chosen = self.records.iter().filter(|(known, _)| is_chosen(known));
-        let current = chosen.filter(|(_, record)| !record.is_expired(now));
+        let current = chosen.filter(|(key, record)| !record.is_expired(**key, now));
         current.map(|(request, record)| record.row(*request, now)).collect()
     }
 
--- a/src/quarantine/crash_table.rs
+++ b/src/quarantine/crash_table.rs
@@ -224,7 +224,7 @@
         let answers = [&self.answered_contents, &self.answered_parts];
         let answered_at = answers.into_iter().find_map(|times| times.recent(request, now));
         let record = self.records.entry(request).or_default();
-        let was_suspect = record.held_for(now).is_some();
+        let was_suspect = record.held_for(request, now).is_some();
         if !was_suspect {
             self.held.remove(&request);
         }
@@ -233,7 +233,7 @@
             has_changed |= record.record_answer(SignedMoment::from(at));
         }
         let (crashes, is_witness) = (record.crashes(), record.is_witness);
-        let is_suspect = record.held_for(now).is_some();
+        let is_suspect = record.held_for(request, now).is_some();
         if has_changed {
             self.digest = None;
             self.peer_queue.push(request, crashes);
@@ -331,7 +331,7 @@
         let before = self.records.len();
         let (peer_queue, voter_queue) = (&mut self.peer_queue, &mut self.voter_queue);
         self.records.retain(|request, record| {
-            let is_kept = !record.is_expired(now);
+            let is_kept = !record.is_expired(*request, now);
             if !is_kept {
                 peer_queue.remove(*request);
                 voter_queue.remove(*request);
--- a/src/quarantine/explanation.rs
+++ b/src/quarantine/explanation.rs
@@ -24,7 +24,7 @@
     records: impl Iterator<Item = (&'a RequestFingerprint, &'a SuspectRecord)>,
     now: Moment,
 ) -> Vec<Suspect<'a>> {
-    let candidates = records.filter(|(_, record)| record.held_for(now).is_some());
+    let candidates = records.filter(|(key, record)| record.held_for(**key, now).is_some());
     let mut by_crashes: BTreeMap<Vec<UpstreamHash>, Vec<Suspect<'a>>> = BTreeMap::new();
     for (key, record) in candidates {
         by_crashes.entry(record.upstreams().collect()).or_default().push((*key, record));
--- a/src/quarantine/fingerprint.rs
+++ b/src/quarantine/fingerprint.rs
@@ -9,7 +9,7 @@
 use xxhash_rust::xxh3::{Xxh3, xxh3_64, xxh3_64_with_seed};
 
 /// Bit that tells the fingerprints of prompt parts from those of contents.
-const PART_MARK: u64 = 1;
+const PART_MARK: u64 = 1 << 63;
 
 /// The parts of a request that determine what an upstream runs.
 #[derive(Clone, Copy, Debug)]
@@ -58,7 +58,12 @@
 
     /// Name of what the fingerprint identifies, for logs, metrics and operators.
     pub fn kind(self) -> &'static str {
-        if self.0 & PART_MARK == 0 { "content" } else { "part" }
+        if self.is_part() { "part" } else { "content" }
+    }
+
+    /// True for a prompt part.
+    pub fn is_part(self) -> bool {
+        self.0 & PART_MARK != 0
     }
 }
 
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -28,5 +28,5 @@
 pub use fingerprint::{FingerprintError, RequestContent, RequestFingerprint};
 pub use signed_moment::SignedMoment;
 pub use suspect_keys::{PromptPart, SuspectKeys};
-pub use suspect_record::{CRASHES_TO_HOLD, SuspectRecord};
+pub use suspect_record::{CRASHES_TO_HOLD, PART_CRASHES_TO_HOLD, SuspectRecord};
 pub use suspect_update::{SuspectRow, SuspectUpdate};
--- a/src/quarantine/suspect_record.rs
+++ b/src/quarantine/suspect_record.rs
@@ -10,6 +10,10 @@
 /// coincidence, and a rack failure can also hit a second upstream to which the same request was
 /// sent again; a third is rarely a coincidence.
 pub const CRASHES_TO_HOLD: usize = 3;
+/// Number of upstreams that crash on a prompt part before it is quarantined. Sound requests share
+/// parts: two contents that crash upstreams, each sent twice, make four crashes of what they have in
+/// common.
+pub const PART_CRASHES_TO_HOLD: usize = 5;
 /// Maximum number of crashes stored per content: enough to reach the longest quarantine.
 const MAX_CRASHES: usize = 12;
 /// Maximum number of companions stored.
@@ -155,19 +159,20 @@
     /// Duration of the quarantine, or none if there are too few crashes. It doubles with each
     /// further upstream, so that content which keeps crashing upstreams after its release does so
     /// less and less often.
-    fn hold_duration(&self) -> Option<Duration> {
-        let extra_crashes = self.crashes.len().checked_sub(CRASHES_TO_HOLD)?;
+    fn hold_duration(&self, key: RequestFingerprint) -> Option<Duration> {
+        let required = if key.is_part() { PART_CRASHES_TO_HOLD } else { CRASHES_TO_HOLD };
+        let extra_crashes = self.crashes.len().checked_sub(required)?;
         Some((INITIAL_HOLD * 2u32.pow(extra_crashes as u32)).min(MAX_HOLD))
     }
 
     /// Returns the remaining quarantine time, or none if the content is not quarantined.
-    pub fn held_for(&self, now: Moment) -> Option<Duration> {
-        self.last_crash()?.after(self.hold_duration()?).remaining(now)
+    pub fn held_for(&self, key: RequestFingerprint, now: Moment) -> Option<Duration> {
+        self.last_crash()?.after(self.hold_duration(key)?).remaining(now)
     }
 
     /// Describes the quarantined content, or returns none if it is not quarantined.
     pub fn held(&self, request: RequestFingerprint, now: Moment) -> Option<HeldRequest> {
-        let held_for = self.held_for(now)?;
+        let held_for = self.held_for(request, now)?;
         let last_crash = self.last_crash_age(now);
         Some(HeldRequest { request, crashes: self.crashes(), held_for, last_crash })
     }
@@ -180,8 +185,8 @@
 
     /// Returns true once the record is no longer needed. After a quarantine it is kept for the same
     /// duration again, so that one more crash quarantines the content at once.
-    pub fn is_expired(&self, now: Moment) -> bool {
-        let kept = self.hold_duration().map_or(SUSPECT_RETENTION, |hold| hold * 2);
+    pub fn is_expired(&self, key: RequestFingerprint, now: Moment) -> bool {
+        let kept = self.hold_duration(key).map_or(SUSPECT_RETENTION, |hold| hold * 2);
         let crash = self.last_crash().and_then(|at| at.after(kept).remaining(now));
         let void = self.void_until.and_then(|until| until.after(SUSPECT_RETENTION).remaining(now));
         crash.is_none() && void.is_none()
