--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -187,7 +187,7 @@
                 self.upstreams.update(upstream, |status| status.rejection_bound = bound);
             }
             PoolEvent::RestAsked { upstream, time } => {
-                // Daemons that were told at the same time do not return at the same time.
+                // Daemons that learn of a rest together do not return together.
                 let spread = 1.0 + MAX_REST_SPREAD * rng.random::<f64>();
                 self.upstreams.rest(upstream, now + time.mul_f64(spread));
                 self.refuse_through_rest(now, actions);
--- a/src/policy/upstream_set.rs
+++ b/src/policy/upstream_set.rs
@@ -26,7 +26,7 @@
 /// An incarnation that has left is not taken up again for this long after it was last listed, since
 /// an older list may still arrive from a daemon that was cut off.
 pub const DEPARTED_TTL: Duration = Duration::from_secs(10);
-/// The other daemons are told for this long that an upstream has said that it leaves.
+/// A departure that an upstream states is reported to the other daemons for this long.
 const DEPARTURE_REPORT_TIME: Duration = Duration::from_secs(3);
 /// Minimum number of upstreams per group; pools with fewer are shared by all groups.
 const MIN_GROUP_UPSTREAMS: usize = 4;
@@ -48,7 +48,7 @@
     /// last listed them; kept for [`DEPARTED_TTL`] after that. Without this record, an upstream that
     /// is gone and forgotten is added as new again by a list that lags behind.
     departed: HashMap<(UpstreamName, u64), Option<Moment>>,
-    /// Incarnations that have told this daemon that they leave, and when; kept for
+    /// Incarnations that have stated their departure to this daemon, and when; kept for
     /// [`DEPARTURE_REPORT_TIME`].
     announced: HashMap<(UpstreamName, u64), Moment>,
     /// Incremented on each change of the usable upstreams.
@@ -379,7 +379,7 @@
         self.apply_event(index, UpstreamEvent::Leaving);
     }
 
-    /// Names and incarnations of the upstreams that have lately told this daemon that they leave.
+    /// Names and incarnations of the upstreams that have lately stated their departure.
     pub fn announced_departures(&self, now: Moment) -> impl Iterator<Item = (&UpstreamName, u64)> {
         let recent = self.announced.iter();
         let recent = recent.filter(move |(_, at)| now.since(**at) < DEPARTURE_REPORT_TIME);
