Settings carry the deployment's contracts; the adapter maps them to optional parts

A deployment's settings list the contracts in force. The template now passes them on, and the adapter maps the one of deployments that are short of memory and capacity to the parts that it calls for. The memory of engines enters the service's row only there. Nothing reads either yet, so all deployments are served as before.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -7,7 +7,7 @@
     KnownVoters, LeaderHint, OperatorClient, start_agent, start_control, start_server,
 };
 use crate::evacuation::evacuation_chart;
-use crate::platform;
+use crate::platform::{self, ContractFeatures};
 use crate::policy::{
     ColdTolerance, LimitTolerance, MechanismSet, RetryBound, request_chart, upstream_chart,
 };
@@ -92,8 +92,9 @@
     control_listener.set_nonblocking(true).with_context(|_| bind(settings.control))?;
     let control = control_listener.local_addr().with_context(|_| bind(settings.control))?;
     let state = TrafficState::new(settings.daemon.clone(), log.clone(), seed);
-    if settings.platform.is_some() {
-        state.set_interface(platform::interface());
+    if let Some(platform) = &settings.platform {
+        let features = ContractFeatures::of(&platform.contracts);
+        state.set_interface(platform::interface(features));
         let now = state.clock.now();
         state.limits().start_empty(now);
     }
--- a/src/load/profile.rs
+++ b/src/load/profile.rs
@@ -294,6 +294,7 @@
             claim_life_ms: Duration::from_secs(24 * 3_600),
             event_tokens: 1,
             reservation_ms: None,
+            engine_memory_tokens: None,
             cold_requests_per_second: None,
             cold_start_ms: Duration::ZERO,
             size_share_percent: crate::table::default_size_share(),
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -1,5 +1,6 @@
 //! The operator's configuration document.
 
+use super::ContractFeatures;
 use crate::table::{
     AssignmentRow, FaultList, KeyDigest, LimitMode, LimitUnit, OperatorTable, OrganisationRow,
     PlacementMode, QueueDiscipline, RegionName, RouteKind, RouteRow, RouteTarget, ServiceKind,
@@ -86,6 +87,9 @@
     /// Maximum lifetime of a reservation; absent or 0 if the engines take no reservations.
     #[serde(default)]
     hold_ms: f64,
+    /// Tokens that fit into an engine's memory; absent or 0 if not stated.
+    #[serde(default)]
+    kv_tokens: u64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -119,8 +123,17 @@
 }
 
 /// Parses and validates configuration documents.
-#[derive(Debug)]
-pub struct DocumentReader;
+#[derive(Debug, Default)]
+pub struct DocumentReader {
+    features: ContractFeatures,
+}
+
+impl DocumentReader {
+    /// Creates a reader for a deployment with these features.
+    pub fn new(features: ContractFeatures) -> Self {
+        DocumentReader { features }
+    }
+}
 
 impl TableReader for DocumentReader {
     fn read(&self, document: &str) -> Result<(u64, OperatorTable), FaultList> {
@@ -130,18 +143,18 @@
             faults.add("/", place, format!("a configuration ({error})"));
             faults
         })?;
-        let table = document.table();
+        let table = document.table(self.features);
         let faults = semantic_faults(&table);
         if faults.0.is_empty() { Ok((document.version, table)) } else { Err(faults) }
     }
 }
 
 impl ConfigDocument {
-    fn table(&self) -> OperatorTable {
+    fn table(&self, features: ContractFeatures) -> OperatorTable {
         OperatorTable {
             tiers: self.tiers(),
             organisations: self.tenants.iter().map(WireTenant::organisation).collect(),
-            services: self.services.iter().map(WireService::service).collect(),
+            services: self.services.iter().map(|service| service.service(features)).collect(),
             assignments: self.tenants.iter().filter_map(WireTenant::assignment).collect(),
             upstreams: Vec::new(),
             routes: self.routes.iter().map(WireRoute::route).collect(),
@@ -203,7 +216,7 @@
 }
 
 impl WireService {
-    fn service(&self) -> ServiceRow {
+    fn service(&self, features: ContractFeatures) -> ServiceRow {
         let kind = if self.engine.is_some() { ServiceKind::Model } else { ServiceKind::Plain };
         let mut row = ServiceRow::new(self.name.as_str().into(), kind, tier_name_of_rank(0));
         row.health_path.clone_from(&self.health_path);
@@ -217,6 +230,8 @@
             row.event_tokens = engine.stride.max(1);
             let reservation = Duration::from_millis(engine.hold_ms as u64);
             row.reservation_ms = (!reservation.is_zero()).then_some(reservation);
+            let memory = Some(engine.kv_tokens).filter(|tokens| *tokens > 0);
+            row.engine_memory_tokens = memory.filter(|_| features.bounds_memory);
         }
         row
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -157,6 +157,10 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[schemars(range(min = 0.0))]
     pub list_calls_per_second: Option<f64>,
+    /// Names of the optional requirements that the platform sets for the deployment. The platform's
+    /// adapter enables the parts that they call for; unknown names are ignored.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub contracts: Vec<String>,
 }
 
 /// Another voter.
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -258,6 +258,11 @@
     #[serde_as(as = "Option<DurationMilliSeconds<u64>>")]
     #[schemars(with = "Option<u64>")]
     pub reservation_ms: Option<Duration>,
+    /// Tokens that fit into the memory of one upstream, of all requests that it holds together;
+    /// absent if they are not counted.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(range(min = 1))]
+    pub engine_memory_tokens: Option<u64>,
     /// Requests per second that an upstream takes while it is cold, that is for some seconds after
     /// its start or at any other moment that the platform's list names; absent if cold upstreams
     /// take as many as others.
@@ -305,6 +310,7 @@
             health_path: None,
             event_tokens: default_event_tokens(),
             reservation_ms: None,
+            engine_memory_tokens: None,
             cold_requests_per_second: None,
             cold_start_ms: Duration::ZERO,
             size_share_percent: default_size_share(),
--- a/tests/test_platform.rs
+++ b/tests/test_platform.rs
@@ -40,7 +40,7 @@
 #[test]
 fn a_document_becomes_a_table() {
     let (version, table) =
-        DocumentReader.read(&document().to_string()).expect("the document is valid");
+        DocumentReader::default().read(&document().to_string()).expect("the document is valid");
 
     assert_eq!(version, 7);
     let (notes, book) = (&table.routes[0], &table.routes[1]);
@@ -72,7 +72,7 @@
     let mut document = document();
     *document.pointer_mut(pointer).expect("the pointer names a value") = value;
 
-    let faults = DocumentReader
+    let faults = DocumentReader::default()
         .read(&document.to_string())
         .expect_err("the document is invalid")
         .to_string();
@@ -86,7 +86,7 @@
     let tenants = document["tenants"].as_array_mut().expect("the member is an array");
     tenants.push(json!({"name": "staff", "api_keys": ["two"]}));
 
-    let faults = DocumentReader
+    let faults = DocumentReader::default()
         .read(&document.to_string())
         .expect_err("the document is invalid")
         .to_string();
@@ -98,7 +98,7 @@
 fn a_document_that_ends_early_is_refused() {
     let text = document().to_string();
 
-    let faults = DocumentReader
+    let faults = DocumentReader::default()
         .read(&text[..text.len() / 2])
         .expect_err("the document is invalid")
         .to_string();
--- a/tests/test_settings_template.rs
+++ b/tests/test_settings_template.rs
@@ -3,6 +3,7 @@
 use crate::settings_template::{TEMPLATE, render};
 use rstest::rstest;
 use serde_json::{Value, json};
+use tarragonknot::platform::ContractFeatures;
 use tarragonknot::settings::DaemonSettings;
 
 /// Template fields for a daemon that serves callers.
@@ -102,6 +103,24 @@
     assert_eq!(rate, Some(40.0));
 }
 
+/// Guards against a part that stays off, or comes on, because the platform's contracts are lost on
+/// their way into the settings.
+#[test]
+fn the_contracts_are_rendered_and_enable_their_features() {
+    let mut given = fields();
+    given["contracts"] = json!(["base", "pressure"]);
+    let names = |fields: &Value| {
+        let settings = DaemonSettings::read(&render(TEMPLATE, fields)).expect("valid settings");
+        settings.platform.expect("the platform is set").contracts
+    };
+    let mut missing = fields();
+    missing.as_object_mut().expect("an object").remove("contracts");
+
+    assert_eq!(names(&given), ["base", "pressure"]);
+    assert!(ContractFeatures::of(&names(&given)).shares_organisations);
+    assert_eq!(ContractFeatures::of(&names(&missing)), ContractFeatures::default());
+}
+
 #[test]
 fn a_voter_is_rendered_too() {
     let mut fields = fields();
