--- a/src/traffic/routed/refusal.rs
+++ b/src/traffic/routed/refusal.rs
@@ -45,8 +45,9 @@
     if request.resumes_stream() {
         request.record_resumption("caller", resumption_result(kind));
     }
+    let organisation = request.caller.as_ref().map_or("", |caller| caller.organisation.as_str());
     info!(request.state.log, "refused"; "request" => request.id(), "kind" => kind.row().name,
-        "route" => &request.route.route, "sent" => history.sent(), "may_have_run" => history.may_have_run(), "after_ms" => waited,
+        "route" => &request.route.route, "organisation" => organisation, "sent" => history.sent(), "may_have_run" => history.may_have_run(), "after_ms" => waited,
         request.table_fields(), request.size_fields());
     RefusalAnswer::new(kind, "", request.state.jitter())
         .with_retry_after(request.retry_delay(kind))
