Slots that a daemon leaves unused are offered to daemons of its group that wait

Each daemon sees a few requests a second, so a slot is often left by a request of a daemon without waiting work, and the others of the group learn of it about 0.1 s later, a third of a run.

Change: the scheduler notes a slot that stays unused after its request ended while the group waits; the aggregator passes the offer on to the member with the most waiting requests. Setting slot_notices, off by default.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -107,6 +107,9 @@
         slack: settings.cold_slack,
     });
     state.set_mechanisms(MechanismSet::without(&settings.mechanisms_off));
+    if settings.slot_notices {
+        state.enable_slot_notices();
+    }
     if settings.when_cut_off == LeaseExpiryMode::Serve {
         state.allow_expired_table();
     }
--- a/src/fleet_state/mod.rs
+++ b/src/fleet_state/mod.rs
@@ -48,6 +48,7 @@
 pub use reading_order::{BegunReading, ReadingClock, ReadingOrder};
 pub use row_rotation::RowRotation;
 pub use state::{
-    BucketEstimates, DaemonIdentity, FleetRole, FleetState, LocalState, OutgoingMessage,
+    BucketEstimates, DaemonIdentity, FleetRole, FleetState, LocalState, OfferTarget,
+    OutgoingMessage,
 };
 pub use work_tables::WorkTable;
--- a/src/fleet_state/state/mod.rs
+++ b/src/fleet_state/state/mod.rs
@@ -5,9 +5,11 @@
 mod queries;
 mod receive;
 mod send;
+mod slot_offers;
 
 pub use queries::FleetRole;
 pub use receive::BucketEstimates;
+pub use slot_offers::OfferTarget;
 
 use super::flow_totals::{FlowTotals, flow_deltas, totals_of};
 use super::messages::daemon_hash;
--- a/src/fleet_state/state/peers.rs
+++ b/src/fleet_state/state/peers.rs
@@ -14,6 +14,8 @@
     pub hash: u32,
     pub work: Vec<WorkRow>,
     pub waiting: Vec<WaitingRow>,
+    /// Free slots of which it was told since its last report.
+    pub offered_slots: u32,
     pub last_heard: Moment,
     pub can_read_list: bool,
 }
--- a/src/fleet_state/state/receive.rs
+++ b/src/fleet_state/state/receive.rs
@@ -83,7 +83,15 @@
         }
         self.other_groups.record_speeds(&work, now);
         let (hash, address) = (daemon_hash(daemon), *address);
-        let member = MemberState { address, hash, work, waiting, last_heard: now, can_read_list };
+        let member = MemberState {
+            address,
+            hash,
+            work,
+            waiting,
+            offered_slots: 0,
+            last_heard: now,
+            can_read_list,
+        };
         self.members.insert(daemon.clone(), member);
         Ok(())
     }
--- a/src/policy/scheduler/events.rs
+++ b/src/policy/scheduler/events.rs
@@ -210,6 +210,11 @@
         /// Requests waiting at the other daemons of the group.
         waiting: PeerWaiting,
     },
+    /// A request of another daemon has left a slot, for which that daemon has no use.
+    SlotFreed {
+        /// Upstream concerned.
+        upstream: UpstreamIndex,
+    },
     /// Periodic timer.
     Tick,
 }
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -6,6 +6,7 @@
 mod plan;
 mod reservations;
 mod resumed;
+mod slot_notices;
 
 pub use events::{ArrivedRequest, DispatchOutcome, PeerWaiting, PoolAction, PoolEvent};
 pub use plan::PoolPlan;
@@ -93,6 +94,8 @@
     size_shares: SizeShares,
     /// Queue lengths inside the upstreams of a plain service.
     upstream_queues: UpstreamQueueMeter,
+    /// Slots to offer to the group's other daemons.
+    unused_slots: Vec<UpstreamIndex>,
 }
 
 impl PoolScheduler {
@@ -123,6 +126,7 @@
             reach: ReachMonitor::default(),
             size_shares: SizeShares::default(),
             upstream_queues: UpstreamQueueMeter::default(),
+            unused_slots: Vec::new(),
             plan,
         }
     }
@@ -136,6 +140,7 @@
         actions: &mut Vec<PoolAction>,
     ) {
         let was_cut_off = self.reach.is_cut_off();
+        let mut left_slot = None;
         match event {
             PoolEvent::Arrived(request) => self.handle_arrival(request, now, rng, actions),
             PoolEvent::CallerLeft(id) => {
@@ -146,7 +151,11 @@
             PoolEvent::Granted(id) => self.handle_grant(id),
             PoolEvent::FirstToken { id, after } => self.handle_first_token(id, after, now),
             PoolEvent::TokenGap { id, gap } => self.handle_token_gap(id, gap, now),
-            PoolEvent::Ended { id, outcome } => self.handle_end(id, outcome, now, actions),
+            PoolEvent::Ended { id, outcome } => {
+                left_slot = self.left_slot(id, outcome);
+                self.handle_end(id, outcome, now, actions);
+            }
+            PoolEvent::SlotFreed { upstream } => self.handle_slot_notice(upstream, now),
             PoolEvent::LoadReported { upstream, report } => {
                 self.reach.record_contact();
                 self.record_upstream_queue(upstream, report.queued, now);
@@ -215,6 +224,7 @@
         }
         self.dispatch_resumed(now, rng, actions);
         self.dispatch_waiting(now, rng, actions);
+        left_slot.into_iter().for_each(|left| self.note_unused_slot(left));
     }
 
     /// Applies a new plan. Waiting requests keep their positions as far as the new queue order
--- a/src/policy/scheduler/plan.rs
+++ b/src/policy/scheduler/plan.rs
@@ -58,6 +58,8 @@
     pub has_reservations: bool,
     /// Bound on requests to cold upstreams, if there is one.
     pub cold_bound: Option<ColdBound>,
+    /// True if slots that this daemon leaves unused are offered to the group's other daemons.
+    pub has_slot_notices: bool,
 }
 
 impl PoolPlan {
@@ -84,6 +86,7 @@
             mechanisms: MechanismSet::default(),
             has_reservations: row.reservation_ms.is_some(),
             cold_bound: None,
+            has_slot_notices: false,
         }
     }
 
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -407,6 +407,11 @@
         self.paused_until = Some(now + INITIAL_REFUSAL_PAUSE * 2u32.pow(doublings));
     }
 
+    /// True if it gets no work because it has refused a slot.
+    pub(super) fn is_refusing(&self, now: Moment) -> bool {
+        self.consecutive_refusals > 0 && self.paused_until.is_some_and(|until| until > now)
+    }
+
     /// Records that a slot there became free.
     pub(super) fn clear_refusals(&mut self) {
         self.paused_until = None;
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -2,8 +2,10 @@
 //! messages, and applies what they report to limits and pools.
 
 mod list;
+mod slots;
 mod wire;
 
+pub use slots::SlotOffer;
 pub use wire::{DaemonMessage, DropCause, decode_message, encode_message};
 
 use super::state::TrafficState;
@@ -18,6 +20,7 @@
 use crate::table::{ServiceName, UpstreamName};
 use list::ListExchange;
 use slog::{info, warn};
+use slots::OfferChannel;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -38,6 +41,7 @@
     /// None until the exchange is started.
     socket: OnceLock<MessageSocket>,
     list: ListExchange,
+    offers: OfferChannel,
     /// Kinds of datagram faults already logged. Each kind is logged once and always counted.
     logged_causes: Mutex<BTreeSet<DropCause>>,
     daemon_count: AtomicUsize,
@@ -222,6 +226,7 @@
     state.fleet.list.init(state.jitter(), calls_per_second);
     tokio::spawn(receive_messages(Arc::clone(&state), socket.clone()));
     tokio::spawn(list::send_messages(Arc::clone(&state), socket.clone()));
+    tokio::spawn(slots::send_offers(Arc::clone(&state)));
     tokio::spawn(send_messages(state, socket));
 }
 
@@ -266,6 +271,7 @@
                 state.fleet.send(&DaemonMessage::Origin(reply), &[from]);
             }
         }
+        DaemonMessage::SlotOffer(offer) => slots::handle_offer(state, offer),
         // This daemon's own message, received back, or one of an earlier build.
         DaemonMessage::State(_)
         | DaemonMessage::List { .. }
--- a/src/traffic/fleet_exchange/wire.rs
+++ b/src/traffic/fleet_exchange/wire.rs
@@ -1,5 +1,6 @@
 //! Encoding of datagrams between daemons, and the tag that authenticates them with the fleet's key.
 
+use super::slots::SlotOffer;
 use crate::fleet_state::{FleetMessage, ListMessage, MessageRefusal};
 use crate::stream_origin::OriginMessage;
 use crate::table::DaemonName;
@@ -35,6 +36,8 @@
     },
     /// A message about where streams began.
     Origin(OriginMessage),
+    /// A slot that its sender has no use for.
+    SlotOffer(SlotOffer),
 }
 
 /// Why a datagram was dropped.
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -1,12 +1,14 @@
 //! Runtime of one pool: the scheduler, which performs no I/O, behind a lock, and the requests that
 //! wait for its decisions.
 
+use super::fleet_exchange::SlotOffer;
 use crate::answer::AnswerKind;
 use crate::clock::MonotonicClock;
+use crate::fleet_state::ServiceHash;
 use crate::policy::{
     ArrivedRequest, DispatchOutcome, Moment, OrganisationIndex, PlacementDemand, PoolAction,
     PoolEvent, PoolPlan, PoolScheduler, PoolStatus, RateStatement, RequestId, TierRank,
-    UpstreamIndex, UpstreamState, UpstreamStatus,
+    UpstreamHash, UpstreamIndex, UpstreamState, UpstreamStatus,
 };
 use crate::table::{ServiceName, ServiceRow, SoftwareVersion, UpstreamName};
 use crate::upstream::UpstreamDriver;
@@ -16,9 +18,9 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
 /// The scheduler's decision on a waiting request.
 #[derive(Clone, Debug, PartialEq)]
@@ -55,6 +57,8 @@
     reservation: AtomicU64,
     /// Path of the upstreams' health check.
     health_path: ArcSwapOption<String>,
+    /// Where unused slots are offered to other daemons; unset without an exchange.
+    offers: OnceLock<mpsc::Sender<SlotOffer>>,
     core: Mutex<PoolCore>,
 }
 
@@ -82,6 +86,7 @@
             event_tokens: AtomicU32::new(1),
             reservation: AtomicU64::new(0),
             health_path: ArcSwapOption::empty(),
+            offers: OnceLock::new(),
             core: Mutex::new(core),
         })
     }
@@ -126,6 +131,27 @@
             }
         }
         core.actions = actions;
+        self.offer_unused_slots(&mut core.scheduler);
+    }
+
+    /// Sets where unused slots are offered to other daemons; only the first call has an effect.
+    pub fn offer_slots_to(&self, sender: mpsc::Sender<SlotOffer>) {
+        let _ = self.offers.set(sender);
+    }
+
+    fn offer_unused_slots(&self, scheduler: &mut PoolScheduler) {
+        let unused = scheduler.take_unused_slots();
+        let Some(sender) = self.offers.get() else { return };
+        for status in unused.iter().filter_map(|index| scheduler.upstreams().get(*index)) {
+            let source = &status.source;
+            let offer = SlotOffer {
+                service: ServiceHash::of(&self.service),
+                upstream: UpstreamHash::of(&self.service, &source.name, source.incarnation),
+                is_forwarded: false,
+            };
+            // A full queue means that many offers are under way already.
+            let _ = sender.try_send(offer);
+        }
     }
 
     /// Submits a request to the scheduler. Dropping the guard withdraws the request.
--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -90,6 +90,8 @@
     retry_budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     retry_bound: OnceLock<RetryBound>,
     mechanisms: OnceLock<MechanismSet>,
+    /// True if slots that this daemon leaves unused are offered to other daemons.
+    has_slot_notices: AtomicBool,
     /// Detectors of retries by the callers' remaining time, by route.
     retry_detectors: Mutex<HashMap<String, RetryDetector>>,
     /// Sizes of recent requests, by route.
@@ -150,6 +152,7 @@
             retry_budgets: Mutex::default(),
             retry_bound: OnceLock::new(),
             mechanisms: OnceLock::new(),
+            has_slot_notices: AtomicBool::new(false),
             retry_detectors: Mutex::default(),
             route_sizes: Mutex::default(),
             is_ready: AtomicBool::new(true),
@@ -335,6 +338,11 @@
         let _ = self.mechanisms.set(mechanisms);
     }
 
+    /// Offers slots that this daemon leaves unused to other daemons; set before any table is in force.
+    pub fn enable_slot_notices(&self) {
+        self.has_slot_notices.store(true, Ordering::Release);
+    }
+
     fn mechanisms(&self) -> MechanismSet {
         self.mechanisms.get().cloned().unwrap_or_default()
     }
@@ -394,6 +402,7 @@
             plan.sheds_locally = !access.table().routes.is_empty();
             plan.mechanisms = self.mechanisms();
             plan.cold_bound = self.cold_bound(row);
+            plan.has_slot_notices = self.has_slot_notices.load(Ordering::Acquire);
             let name = version_pool_name(&row.service, version.as_ref());
             let pool = match old.get(&name) {
                 Some(pool) => {
@@ -409,6 +418,7 @@
                     self.seed(),
                 ),
             };
+            pool.offer_slots_to(self.fleet.offer_sender());
             pool.apply_service_row(row);
             pools.insert(name, pool);
         }
--- a/tests/shared_places.rs
+++ b/tests/shared_places.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use tarragonknot::policy::{
     DispatchOutcome, FleetGroup, Mechanism, MechanismSet, Moment, PeerWaiting, PeerWork,
-    PoolAction, PoolEvent, PoolScheduler, RequestId, UpstreamIndex, WaitingLevels,
+    PoolAction, PoolEvent, PoolPlan, PoolScheduler, RequestId, UpstreamIndex, WaitingLevels,
 };
 
 /// Number of daemons, of engines, and of requests that each engine runs at a time.
@@ -26,6 +26,8 @@
 const PEER_LOAD_AGE_MS: u64 = 70;
 /// Must equal the objective that [`arrived`] sets.
 const OBJECTIVE_MS: u64 = 500;
+/// Time that an offer of an unused slot takes: to the aggregator, and on to a member.
+const OFFER_MS: u64 = 2;
 
 enum DueEvent {
     Arrive,
@@ -60,6 +62,48 @@
     next_id: u64,
     rng: ChaCha8Rng,
     seconds: Vec<SecondOutcomes>,
+    /// Milliseconds that slots were used, by the second in which the use began.
+    used_ms: Vec<u64>,
+    /// Daemons that were offered each slot that was left unused; none if there are no offers.
+    offers: Option<u32>,
+    /// True if offers are lost on their way.
+    loses_offers: bool,
+}
+
+/// What became of the offers of unused slots in a simulation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OfferMode {
+    Off,
+    On,
+    /// Offers are sent, but none arrives.
+    Lost,
+}
+
+/// Result of [`simulate_offers`].
+#[derive(Clone, Debug)]
+pub struct OfferOutcome {
+    pub seconds: Vec<SecondOutcomes>,
+    /// Fraction of all slots that were used, by second.
+    pub used: Vec<f64>,
+    /// Number of offers sent.
+    pub offers: u32,
+}
+
+/// Simulates the same as [`simulate`], with or without offers of unused slots.
+pub fn simulate_offers(loads: &[f64], mode: OfferMode, seed: u64) -> OfferOutcome {
+    let mut simulation = SharedPlacesSimulation::new(&[], seed);
+    simulation.loses_offers = mode == OfferMode::Lost;
+    if mode != OfferMode::Off {
+        simulation.enable_offers();
+    }
+    simulation.play(loads, None);
+    let slots = u64::from(u32::from(ENGINES) * PLACES_PER_ENGINE);
+    let used = simulation.used_ms.iter().map(|used| *used as f64 / (slots * 1_000) as f64);
+    OfferOutcome {
+        used: used.collect(),
+        offers: simulation.offers.unwrap_or(0),
+        seconds: simulation.seconds,
+    }
 }
 
 /// Simulates one second for each of `loads` (arrival rate relative to capacity) with the mechanisms
@@ -72,26 +116,13 @@
     seed: u64,
 ) -> Vec<SecondOutcomes> {
     let mut simulation = SharedPlacesSimulation::new(disabled, seed);
-    simulation.seconds = vec![SecondOutcomes::default(); loads.len()];
-    let capacity = f64::from(u32::from(ENGINES) * PLACES_PER_ENGINE) * 1_000.0 / SERVICE_MS as f64;
-    let mut at = 0.0;
-    while (at as usize) < loads.len() * 1_000 {
-        simulation.push(at as u64, DueEvent::Arrive);
-        let gap = 1_000.0 / (capacity * loads[at as usize / 1_000]);
-        at += gap * simulation.rng.random_range(0.2..1.8);
-    }
-    (0..DAEMONS).for_each(|daemon| simulation.push(daemon as u64 % 10, DueEvent::Tick(daemon)));
-    simulation.push(0, DueEvent::SharePeerLoad);
-    simulation.run(loads.len() as u64 * 1_000, rank);
+    simulation.play(loads, rank);
     simulation.seconds
 }
 
 impl SharedPlacesSimulation {
     fn new(disabled: &[Mechanism], seed: u64) -> Self {
-        let mut plan = urgency_plan();
-        plan.has_reservations = true;
-        plan.first_guess = PLACES_PER_ENGINE;
-        plan.mechanisms = MechanismSet::without(disabled);
+        let plan = Self::plan(disabled);
         let daemons = (0..DAEMONS).map(|_| PoolScheduler::new(plan.clone())).collect();
         let mut simulation = SharedPlacesSimulation {
             daemons,
@@ -102,6 +133,9 @@
             next_id: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             seconds: Vec::new(),
+            used_ms: Vec::new(),
+            offers: None,
+            loses_offers: false,
         };
         let sources: Vec<_> =
             (1..=ENGINES).map(|number| source(&format!("e{number}"), number)).collect();
@@ -110,6 +144,52 @@
         simulation
     }
 
+    fn plan(disabled: &[Mechanism]) -> PoolPlan {
+        let mut plan = urgency_plan();
+        plan.has_reservations = true;
+        plan.first_guess = PLACES_PER_ENGINE;
+        plan.mechanisms = MechanismSet::without(disabled);
+        plan
+    }
+
+    fn enable_offers(&mut self) {
+        self.offers = Some(0);
+        let mut plan = Self::plan(&[]);
+        plan.has_slot_notices = true;
+        (0..DAEMONS).for_each(|daemon| self.deliver(daemon, PoolEvent::Plan(plan.clone()), 0));
+    }
+
+    fn play(&mut self, loads: &[f64], rank: Option<u8>) {
+        self.seconds = vec![SecondOutcomes::default(); loads.len()];
+        self.used_ms = vec![0; loads.len()];
+        let capacity =
+            f64::from(u32::from(ENGINES) * PLACES_PER_ENGINE) * 1_000.0 / SERVICE_MS as f64;
+        let mut at = 0.0;
+        while (at as usize) < loads.len() * 1_000 {
+            self.push(at as u64, DueEvent::Arrive);
+            let gap = 1_000.0 / (capacity * loads[at as usize / 1_000]);
+            at += gap * self.rng.random_range(0.2..1.8);
+        }
+        (0..DAEMONS).for_each(|daemon| self.push(daemon as u64 % 10, DueEvent::Tick(daemon)));
+        self.push(0, DueEvent::SharePeerLoad);
+        self.run(loads.len() as u64 * 1_000, rank);
+    }
+
+    /// Offers the slots that a daemon has left unused to the one with the most waiting requests.
+    fn offer_unused(&mut self, daemon: usize, now: u64) {
+        for upstream in self.daemons[daemon].take_unused_slots() {
+            let Some(offers) = &mut self.offers else { return };
+            *offers += 1;
+            let others = (0..DAEMONS).filter(|other| *other != daemon);
+            let waiting = |other: &usize| self.daemons[*other].status().waiting;
+            let most = others.max_by_key(waiting).filter(|other| waiting(other) > 0);
+            if let Some(daemon) = most.filter(|_| !self.loses_offers) {
+                let event = PoolEvent::SlotFreed { upstream };
+                self.push(now + OFFER_MS, DueEvent::Deliver { daemon, event });
+            }
+        }
+    }
+
     fn push(&mut self, at: u64, event: DueEvent) {
         self.next_id += 1;
         self.due.push(Reverse((at, self.next_id)));
@@ -125,6 +205,7 @@
                 self.push(now + ROUND_TRIP_MS, DueEvent::ReachEngine { daemon, id, upstream });
             }
         }
+        self.offer_unused(daemon, now);
     }
 
     fn run(&mut self, until: u64, rank: Option<u8>) {
@@ -183,6 +264,7 @@
         let is_in_time = now + FIRST_EVENT_MS <= at + OBJECTIVE_MS;
         let counts = is_in_time && rank.is_none_or(|rank| rank == own);
         self.seconds[at as usize / 1_000].in_time += u32::from(counts);
+        self.used_ms[now as usize / 1_000] += SERVICE_MS;
         self.deliver(daemon, PoolEvent::Granted(id), now);
         self.push(now + SERVICE_MS, DueEvent::End { daemon, id, upstream });
     }
