Check: a review of a table before it is sent

Operators learnt only after an edit was in force that a row of it has no effect or that two limits exclude each other.

--- a/src/cmd/table.rs
+++ b/src/cmd/table.rs
@@ -227,7 +227,8 @@
                     )
                 },
             );
-            let difference: Vec<String> = conflict.difference.iter().map(format_change).collect();
+            let difference: Vec<String> =
+                conflict.difference.iter().map(CellChange::to_string).collect();
             let detail = format!(
                 "edit not applied: based on version {}; {winner}\n{}",
                 edit.base_version,
@@ -282,20 +283,11 @@
     };
     match args.json {
         true => super::print_json(&difference),
-        false => difference.iter().for_each(|change| super::print_line(&format_change(change))),
+        false => difference.iter().for_each(|change| super::print_line(&change.to_string())),
     }
     Ok(())
 }
 
-fn format_change(change: &CellChange) -> String {
-    match (&change.before, &change.after) {
-        (Some(before), Some(after)) => format!("~ {}: {before} -> {after}", change.cell),
-        (None, Some(after)) => format!("+ {}: {after}", change.cell),
-        (Some(before), None) => format!("- {}: {before}", change.cell),
-        (None, None) => change.cell.clone(),
-    }
-}
-
 fn new_grid(header: &[&str]) -> Table {
     let mut grid = Table::new();
     grid.load_preset(presets::UTF8_HORIZONTAL_ONLY);
--- a/src/table/difference.rs
+++ b/src/table/difference.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::BTreeMap;
+use std::fmt;
 
 /// A cell that differs. `before` is absent for an added cell, `after` for a removed one.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -18,6 +19,18 @@
     pub after: Option<String>,
 }
 
+impl fmt::Display for CellChange {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let cell = &self.cell;
+        match (&self.before, &self.after) {
+            (Some(before), Some(after)) => write!(formatter, "~ {cell}: {before} -> {after}"),
+            (None, Some(after)) => write!(formatter, "+ {cell}: {after}"),
+            (Some(before), None) => write!(formatter, "- {cell}: {before}"),
+            (None, None) => formatter.write_str(cell),
+        }
+    }
+}
+
 /// Returns all cells that differ, sorted by name.
 pub fn diff_tables(before: &OperatorTable, after: &OperatorTable) -> Vec<CellChange> {
     let old = cells(before);
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -3,6 +3,7 @@
 mod checks;
 mod difference;
 mod names;
+mod review;
 mod routes;
 mod whole_number;
 
@@ -13,6 +14,7 @@
     TierName, UpstreamName,
 };
 
+pub use review::{TableWarning, WarningKind, review_table};
 pub use routes::{RouteKind, RouteRow, RouteTarget};
 pub use whole_number::WholeNumber;
 
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -93,6 +93,7 @@
 mod test_stream_origin;
 mod test_stream_versions;
 mod test_streams_kept;
+mod test_table_review;
 mod test_table_versions;
 mod test_traffic;
 mod test_upstream_statements;
