Placement counts the tokens that requests may use of an engine's memory

An engine crashes if the requests that it holds exceed its memory, and requests sent without a reservation were not checked. Where a service states the memory, each upstream counts prompt and maximum output of this daemon's requests; those of its peers count with the mean size. Placement passes over upstreams where a request does not fit, smaller requests pass larger ones, and a request beyond the memory is refused at once. The estimate of the peers loses weight after a second in which it alone keeps a request out, so that a wrong one does not keep a slot free. A sum in the peers' messages was weighed: it costs bytes per upstream.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -62,6 +62,7 @@
         demand: PlacementDemand::default(),
         may_be_resumed: false,
         is_underserved: false,
+        held_tokens: 0,
     }
 }
 
@@ -94,6 +95,7 @@
                     avoided: &[],
                     speed: EngineSpeed { prefill_micros: 40.0, gap_micros: 10_000.0 },
                     capacity: CapacityClass::Regular,
+                    memory: None,
                     now,
                 };
                 policy.place(&set, &query, &mut rng)
--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -117,6 +117,12 @@
     OriginUnknown,
     /// Every upstream has asked this daemon for rest.
     UpstreamResting,
+    /// The prompt and the maximum output do not fit into the memory of one engine.
+    ExceedsMemory,
+    /// The daemon has no memory left for the request's body.
+    MemoryFull,
+    /// The daemon had no memory left for the answer and dropped it.
+    AnswerDropped,
 }
 
 /// Row of the response table.
@@ -194,6 +200,9 @@
     VersionAbsent "version-absent" 503 No RetryHint::Never, false, "No upstream of the version that began the stream is left";
     OriginUnknown "origin-unknown" 503 No RETRY_IN_1S, false, "The version that began the stream is not known";
     UpstreamResting "upstream-resting" 503 No RETRY_IN_1S, false, "Every upstream has asked for rest";
+    ExceedsMemory "exceeds-memory" 503 No RetryHint::Never, false, "The request does not fit into the memory of an engine";
+    MemoryFull "memory-full" 503 No RETRY_IN_1S, false, "The daemon has no memory left for the body";
+    AnswerDropped "answer-dropped" 502 Unknown RETRY_IN_1S, false, "The daemon had no memory left for the answer";
 }
 
 /// True if callers of routes take the status as a promise that the request has not run and never
--- a/src/policy/earliest_placement.rs
+++ b/src/policy/earliest_placement.rs
@@ -110,8 +110,10 @@
     /// Returns true if a live upstream that has no free capacity now would fit.
     fn may_fit_later(set: &UpstreamSet, query: &PlacementQuery<'_>) -> bool {
         let usable = set.iter().filter(|status| status.takes_requests_here());
-        let busy =
-            usable.filter(|status| !status.has_capacity(query.capacity) && query.accepts(status));
+        let is_full = |status: &UpstreamStatus| {
+            !status.has_capacity(query.capacity) || !query.has_memory(status)
+        };
+        let busy = usable.filter(|status| is_full(status) && query.suits(status));
         busy.take(MAX_CANDIDATES).any(|status| Self::fits(status, query))
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,6 +7,7 @@
 mod cold_pace;
 mod drain_meter;
 mod earliest_placement;
+mod engine_memory;
 mod estimate;
 mod exchange;
 mod first_event;
@@ -41,6 +42,7 @@
 pub use cold_pace::{ColdBound, ColdPace, ColdTolerance};
 pub use drain_meter::{DrainMeter, TierProgress};
 pub use earliest_placement::EarliestPlacement;
+pub use engine_memory::{EngineMemory, MemoryNeed};
 pub use estimate::{CostEstimate, CostModel, EngineSpeed, RequestSizes};
 pub use exchange::{Exchange, ExchangeAction, ExchangeEvent, RequestState, request_chart};
 pub use first_event::FirstEventModel;
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -2,7 +2,8 @@
 
 use super::earliest_placement::EarliestPlacement;
 use super::{
-    CapacityClass, EngineSpeed, Moment, PlacementDemand, UpstreamIndex, UpstreamSet, UpstreamStatus,
+    CapacityClass, EngineSpeed, MemoryNeed, Moment, PlacementDemand, UpstreamIndex, UpstreamSet,
+    UpstreamStatus,
 };
 use crate::table::PlacementMode;
 use rand::{Rng, RngCore};
@@ -81,6 +82,8 @@
     pub demand: &'a PlacementDemand,
     /// Upstreams to choose only if no other one is open.
     pub avoided: &'a [UpstreamIndex],
+    /// What the request needs of its upstream's memory; `None` if that is not counted.
+    pub memory: Option<MemoryNeed>,
     /// Time left until the caller's deadline.
     pub time_left: Duration,
     pub now: Moment,
@@ -90,7 +93,7 @@
     /// Returns the open upstreams at which the request may be served.
     pub fn open<'s>(&self, set: &'s UpstreamSet) -> Cow<'s, [UpstreamIndex]> {
         let open = set.open(self.capacity);
-        if self.demand.is_empty() && self.avoided.is_empty() {
+        if self.demand.is_empty() && self.avoided.is_empty() && self.memory.is_none() {
             return Cow::Borrowed(open);
         }
         let is_candidate =
@@ -100,8 +103,27 @@
 
     /// True if the request may be placed at the upstream, apart from its capacity.
     pub fn accepts(&self, status: &UpstreamStatus) -> bool {
+        self.suits(status) && self.has_memory(status)
+    }
+
+    /// True if the request may be placed at the upstream once that has room for it.
+    pub fn suits(&self, status: &UpstreamStatus) -> bool {
         status.meets(self.demand) && !self.avoided.contains(&status.index)
     }
+
+    /// True if the request fits into the upstream's memory now.
+    pub fn has_memory(&self, status: &UpstreamStatus) -> bool {
+        self.memory.is_none_or(|need| status.has_memory(&need, self.now))
+    }
+
+    /// True if only the estimate of the other daemons' tokens keeps the request from the upstream.
+    pub fn is_kept_out_by_estimate(&self, status: &UpstreamStatus) -> bool {
+        let fits_own = self.memory.is_some_and(|need| status.memory.fits_own(&need));
+        fits_own
+            && status.has_capacity(self.capacity)
+            && self.suits(status)
+            && !self.has_memory(status)
+    }
 }
 
 /// Chooses an upstream among the open ones.
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -73,6 +73,8 @@
     pub size_tenth: Option<SizeDecile>,
     /// True if it has priority because too few requests of its size are served.
     pub is_underserved: bool,
+    /// Tokens that it may use of an engine's memory: its prompt and its maximum output.
+    pub held_tokens: u32,
 }
 
 impl WaitingRequest {
--- a/src/policy/scheduler/admission.rs
+++ b/src/policy/scheduler/admission.rs
@@ -41,6 +41,9 @@
             return self.handle_resumed_arrival(request, now, rng, actions);
         }
         let mut refuse = |kind| actions.push(PoolAction::Refuse { id, kind });
+        if self.exceeds_memory(&request) {
+            return refuse(AnswerKind::ExceedsMemory);
+        }
         if !self.upstreams.has_usable(&request.demand) {
             return refuse(AnswerKind::UpstreamAbsent);
         }
@@ -185,6 +188,8 @@
                 request.output_limit,
             ),
         };
+        let limit = request.output_limit.unwrap_or(estimate.output_tokens);
+        let held_tokens = estimate.prompt_tokens.saturating_add(limit);
         let mut waiting = WaitingRequest {
             id: request.id,
             organisation: request.organisation,
@@ -208,6 +213,7 @@
             demand: request.demand,
             may_be_resumed: request.may_be_resumed,
             is_underserved: false,
+            held_tokens,
         };
         // A run time estimate longer than the whole slack must not make the request late at once:
         // such requests are admitted because the estimate is a mean.
@@ -233,6 +239,15 @@
         waiting
     }
 
+    /// Returns whether a request of known size does not fit into the memory of an idle upstream.
+    pub(super) fn exceeds_memory(&self, request: &ArrivedRequest) -> bool {
+        let (Some(capacity), Some(sizes)) = (self.plan.engine_memory_tokens, request.sizes) else {
+            return false;
+        };
+        let output = request.output_limit.unwrap_or(sizes.output);
+        u64::from(sizes.prompt) + u64::from(output) > capacity
+    }
+
     /// Latest dispatch time at which the first event still meets the objective.
     pub(super) fn latest_start_for(
         &self,
--- a/src/policy/scheduler/feedback.rs
+++ b/src/policy/scheduler/feedback.rs
@@ -60,6 +60,7 @@
     ) {
         let Some(running) = self.running.remove(&id) else { return };
         let RunningRequest { ref request, upstream, unread_tokens, is_reserving, .. } = running;
+        self.upstreams.release_tokens(upstream, request.held_tokens);
         self.upstreams.ended(upstream, request.cost, now);
         if is_reserving && outcome != DispatchOutcome::NoSlot {
             self.reservations.release_pending();
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -13,11 +13,11 @@
 use resumed::ResumedQueue;
 
 use super::{
-    CapacityClass, CostModel, DrainMeter, EngineSpeed, FirstEventModel, Mechanism, Moment,
-    OrganisationIndex, PlacementPolicy, PlacementQuery, ReachMonitor, RequestId, RequiredFit,
-    ShedAudit, ShedFloor, SizeShares, TierRank, UpstreamEvent, UpstreamIndex, UpstreamQueueMeter,
-    UpstreamSet, UpstreamState, UpstreamStatus, WaitingLevels, WaitingQueue, WaitingRequest,
-    placement_policy,
+    CapacityClass, CostModel, DrainMeter, EngineSpeed, FirstEventModel, Mechanism, MemoryNeed,
+    Moment, OrganisationIndex, PlacementPolicy, PlacementQuery, ReachMonitor, RequestId,
+    RequiredFit, ShedAudit, ShedFloor, SizeShares, TierRank, UpstreamEvent, UpstreamIndex,
+    UpstreamQueueMeter, UpstreamSet, UpstreamState, UpstreamStatus, WaitingLevels, WaitingQueue,
+    WaitingRequest, placement_policy,
 };
 use crate::answer::AnswerKind;
 use crate::table::QueueDiscipline;
@@ -32,6 +32,9 @@
 const REDISPATCH_BURST: f64 = 20.0;
 /// Consecutive requests to skip because no upstream with room suits them.
 const MAX_SKIPPED_REQUESTS: usize = 8;
+/// Further requests to skip in one round because they don't fit into the memory of any upstream with
+/// room. More would cost too much time for each event while all engines are full.
+const MAX_SKIPPED_FOR_MEMORY: usize = 16;
 /// An upstream's rest is prolonged by up to this share of it.
 const MAX_REST_SPREAD: f64 = 0.1;
 /// Lower bound on the run time, which prevents a division by zero.
@@ -285,6 +288,7 @@
         // order of the rest.
         let max_skipped = if self.plan.sheds_locally { MAX_SKIPPED_REQUESTS } else { 1 };
         let mut skipped = Vec::new();
+        let mut skipped_for_memory = 0;
         while let Some(lowest) =
             self.lowest_tier_with_room().filter(|_| self.reservations.may_reserve(now))
         {
@@ -295,9 +299,13 @@
             }
             match self.choose_upstream(&request, now, rng) {
                 Some(upstream) => self.dispatch(request, upstream, now, actions),
-                None => skipped.push(request),
+                None => {
+                    let is_kept_out = self.is_kept_out_by_memory(&request, now);
+                    skipped_for_memory += usize::from(is_kept_out && max_skipped > 1);
+                    skipped.push(request);
+                }
             }
-            if skipped.len() >= max_skipped {
+            if skipped.len() >= max_skipped + skipped_for_memory.min(MAX_SKIPPED_FOR_MEMORY) {
                 break;
             }
         }
@@ -380,13 +388,37 @@
             avoided: &lone,
             time_left: request.deadline.since(now),
             required_fit: self.required_fit(request, now),
+            memory: self.memory_need(request),
             now,
         };
         let placed = self.placement.place(&self.upstreams, &query, rng);
-        if placed.is_some() || lone.is_empty() {
+        if placed.is_some() {
             return placed;
         }
-        self.placement.place(&self.upstreams, &PlacementQuery { avoided: &[], ..query }, rng)
+        let any = PlacementQuery { avoided: &[], ..query };
+        let placed = match lone.is_empty() {
+            true => None,
+            false => self.placement.place(&self.upstreams, &any, rng),
+        };
+        if placed.is_none() && any.memory.is_some() {
+            self.upstreams.note_memory_shortage(&any);
+        }
+        placed
+    }
+
+    /// What a request needs of its upstream's memory; `None` if that is not counted.
+    fn memory_need(&self, request: &WaitingRequest) -> Option<MemoryNeed> {
+        let capacity = self.plan.engine_memory_tokens?;
+        let peer_mean = self.upstreams.mean_held_tokens();
+        Some(MemoryNeed { capacity, tokens: request.held_tokens, peer_mean })
+    }
+
+    /// Returns whether no upstream with room has enough memory for the request.
+    fn is_kept_out_by_memory(&self, request: &WaitingRequest, now: Moment) -> bool {
+        let Some(need) = self.memory_need(request) else { return false };
+        let open = self.upstreams.open(self.room_kind(request.tier)).iter();
+        let mut open = open.filter_map(|index| self.upstreams.get(*index));
+        !open.any(|status| status.meets(&request.demand) && status.has_memory(&need, now))
     }
 
     /// Returns how well an upstream must suit the request for it to be dispatched now.
@@ -439,6 +471,7 @@
     ) {
         self.placement.dispatched(&request.prefix, upstream);
         self.upstreams.dispatched(upstream, request.cost, now);
+        self.upstreams.hold_tokens(upstream, request.held_tokens, now);
         let unread_tokens = request.prompt_tokens;
         let (tokens_ahead, slowness) = self.prefill_ahead(upstream, unread_tokens);
         self.upstreams.update(upstream, |status| status.unread_tokens += u64::from(unread_tokens));
--- a/src/policy/scheduler/plan.rs
+++ b/src/policy/scheduler/plan.rs
@@ -58,6 +58,8 @@
     pub has_reservations: bool,
     /// Bound on requests to cold upstreams, if there is one.
     pub cold_bound: Option<ColdBound>,
+    /// Tokens that fit into the memory of one upstream; `None` if they are not counted.
+    pub engine_memory_tokens: Option<u64>,
 }
 
 impl PoolPlan {
@@ -84,6 +86,7 @@
             mechanisms: MechanismSet::default(),
             has_reservations: row.reservation_ms.is_some(),
             cold_bound: None,
+            engine_memory_tokens: row.engine_memory_tokens,
         }
     }
 
--- a/src/policy/scheduler/resumed.rs
+++ b/src/policy/scheduler/resumed.rs
@@ -48,6 +48,9 @@
         actions: &mut Vec<PoolAction>,
     ) {
         let id = request.id;
+        if self.exceeds_memory(&request) {
+            return actions.push(PoolAction::Refuse { id, kind: AnswerKind::ExceedsMemory });
+        }
         if !self.upstreams.has_in_service(&request.demand) {
             return actions.push(PoolAction::Refuse { id, kind: AnswerKind::VersionAbsent });
         }
--- a/src/policy/upstream_set.rs
+++ b/src/policy/upstream_set.rs
@@ -3,8 +3,8 @@
 use super::upstreams::CAPACITY_CLASSES;
 use super::{
     CapacityClass, ColdBound, DispatchOutcome, FleetGroup, LearnedLimit, LoadReport, Moment,
-    OwnerRing, PeerWork, PlacementDemand, RateReport, RateStatement, UpstreamEvent, UpstreamIndex,
-    UpstreamSource, UpstreamState, UpstreamStatus,
+    OwnerRing, PeerWork, PlacementDemand, PlacementQuery, RateReport, RateStatement, UpstreamEvent,
+    UpstreamIndex, UpstreamSource, UpstreamState, UpstreamStatus,
 };
 use crate::table::{SoftwareVersion, UpstreamName};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -28,6 +28,8 @@
 pub const DEPARTED_TTL: Duration = Duration::from_secs(10);
 /// A departure that an upstream states is reported to the other daemons for this long.
 const DEPARTURE_REPORT_TIME: Duration = Duration::from_secs(3);
+/// Weight of a new request in the mean of the tokens that requests may use of an upstream's memory.
+const HELD_TOKENS_WEIGHT: f64 = 0.05;
 /// Minimum number of upstreams per group; pools with fewer are shared by all groups.
 const MIN_GROUP_UPSTREAMS: usize = 4;
 
@@ -58,6 +60,8 @@
     /// Bound on requests to cold upstreams, if there is one.
     cold_bound: Option<ColdBound>,
     owners: Arc<OwnerRing>,
+    /// Mean tokens that this daemon's requests may use of an upstream's memory.
+    mean_held_tokens: Option<f64>,
 }
 
 impl UpstreamSet {
@@ -507,7 +511,12 @@
                 return;
             }
         };
-        self.update(index, |status| status.record_outcome(has_failed, now));
+        self.update(index, |status| {
+            status.record_outcome(has_failed, now);
+            if has_failed {
+                status.memory.note_failure(now);
+            }
+        });
     }
 
     /// Records a dispatch.
@@ -537,6 +546,34 @@
         }
     }
 
+    /// Counts the tokens that a request may use of the memory of the upstream it is placed at.
+    pub fn hold_tokens(&mut self, index: UpstreamIndex, tokens: u32, now: Moment) {
+        let sample = f64::from(tokens);
+        let mean = self.mean_held_tokens;
+        self.mean_held_tokens =
+            Some(mean.map_or(sample, |mean| mean + (sample - mean) * HELD_TOKENS_WEIGHT));
+        self.update(index, |status| status.memory.hold(tokens, now));
+    }
+
+    /// Releases the tokens of a request that has ended.
+    pub fn release_tokens(&mut self, index: UpstreamIndex, tokens: u32) {
+        self.update(index, |status| status.memory.release(tokens));
+    }
+
+    /// Mean tokens that a request may use of an upstream's memory; 0 if none was placed yet.
+    pub fn mean_held_tokens(&self) -> f64 {
+        self.mean_held_tokens.unwrap_or_default()
+    }
+
+    /// Records at which upstreams only the estimate of the other daemons' tokens keeps a request out.
+    pub fn note_memory_shortage(&mut self, query: &PlacementQuery<'_>) {
+        for status in self.upstreams.values_mut() {
+            if query.is_kept_out_by_estimate(status) {
+                status.memory.note_shortage(query.now);
+            }
+        }
+    }
+
     /// Applies a load report.
     pub fn reported(&mut self, index: UpstreamIndex, report: LoadReport, now: Moment) {
         self.update(index, |status| status.record_report(report, now));
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -1,7 +1,8 @@
 //! The state of one upstream as seen by this daemon: life cycle, work in flight and load reports.
 
 use super::{
-    ColdBound, ColdPace, LearnedLimit, Moment, PlacementDemand, RatePace, RateReport, UpstreamIndex,
+    ColdBound, ColdPace, EngineMemory, LearnedLimit, MemoryNeed, Moment, PlacementDemand, RatePace,
+    RateReport, UpstreamIndex,
 };
 use crate::chart::{ChartMachine, NoAction, StateChart};
 use crate::chart_names;
@@ -208,6 +209,8 @@
     pub(super) is_held_back: bool,
     /// True if it is counted among the usable upstreams of its pool.
     pub(super) is_counted: bool,
+    /// Tokens that the known requests may use of its memory.
+    pub memory: EngineMemory,
 }
 
 /// The other daemons' work at an upstream.
@@ -291,6 +294,7 @@
             is_owned: false,
             is_held_back: false,
             is_counted: false,
+            memory: EngineMemory::default(),
         }
     }
 
@@ -379,6 +383,11 @@
                 || self.utilisation() < self.share * usable_share)
     }
 
+    /// True if a request fits into the upstream's memory besides all known ones.
+    pub fn has_memory(&self, need: &MemoryNeed, now: Moment) -> bool {
+        self.memory.fits(need, self.peer_work.total_requests(), now)
+    }
+
     /// The share of the limit in use by this daemon's work, including the requests of the other
     /// daemons known from current reports.
     pub fn utilisation(&self) -> f64 {
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -33,6 +33,7 @@
 mod test_demo;
 mod test_drain_ends;
 mod test_endless_bytes;
+mod test_engine_memory;
 mod test_evacuation;
 mod test_event_splitter;
 mod test_experiment;
