One bound on the bodies and answers that a daemon holds

Callers that read slowly made a daemon hold whole answers of up to 16 MiB each without a common bound, and a stream's upstream waited for its caller. Without the setting, the earlier paths are taken unchanged.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -98,6 +98,9 @@
         let now = state.clock.now();
         state.limits().start_empty(now);
     }
+    if let Some(memory) = settings.memory_mb.filter(|_| bounds_memory(settings)) {
+        state.memory.set_memory(memory);
+    }
     state.limits().set_tolerance(limit_tolerance(settings));
     state
         .set_retry_bound(RetryBound { ratio: settings.repeat_ratio, slack: settings.repeat_slack });
@@ -171,6 +174,13 @@
     })
 }
 
+/// True if the memory for callers is bounded where the settings give the daemon's memory. A platform
+/// states its VMs' memory in every deployment, so there its contracts decide.
+fn bounds_memory(settings: &DaemonSettings) -> bool {
+    let platform = settings.platform.as_ref();
+    platform.is_none_or(|platform| ContractFeatures::of(&platform.contracts).bounds_memory)
+}
+
 /// Serves the readiness and metrics endpoints on `listener`.
 fn serve_readiness(state: &Arc<TrafficState>, listener: tokio::net::TcpListener) {
     let router = readiness_router(Arc::clone(state));
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -194,6 +194,7 @@
     let sizes = state.quarantine.sizes(state.clock.now());
     gauge!("tarragonknot_quarantined_requests").set(sizes.held as f64);
     gauge!("tarragonknot_suspect_requests").set(sizes.known as f64);
+    gauge!("tarragonknot_memory_held_bytes").set(state.memory.held() as f64);
     gauge!("tarragonknot_table_version").set(state.snapshot().version as f64);
     gauge!("tarragonknot_ready").set(if state.is_ready() { 1.0 } else { 0.0 });
     match RECORDER_HANDLE.get() {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -123,6 +123,12 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[schemars(range(min = 1, max = 1024))]
     pub traffic_threads: Option<usize>,
+    /// The daemon's memory, in MiB; request bodies and answers that it holds are bounded by a fraction
+    /// of it. Absent means that there is no bound.
+    #[serde_as(as = "Option<WholeNumber>")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Option<f64>", range(min = 1))]
+    pub memory_mb: Option<u64>,
     /// Polling interval for the load reports of an upstream, in milliseconds.
     #[serde(default = "default_poll")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 mod drain;
 mod fleet_exchange;
 mod frontend;
+mod memory_budget;
 mod model_call;
 mod pool_runtime;
 mod probe;
@@ -28,6 +29,9 @@
 pub use frontend::{
     FrontendHandle, frontend_router, readiness_router, start_frontend, without_frontend,
 };
+pub use memory_budget::{
+    AnswerNumber, AnswerWriter, HeldBody, MemoryBudget, MemoryGuard, MemoryLedger, NoMemory,
+};
 pub use pool_runtime::{PoolRuntime, RequestGuard};
 pub use probe::{ProbeOutcome, probe};
 pub use relay::{PeerChoice, RelayTicket, TicketSubject, start_relay_server};
--- a/src/traffic/routed/admission.rs
+++ b/src/traffic/routed/admission.rs
@@ -12,17 +12,19 @@
 use crate::report::record_size;
 use crate::table::RouteRow;
 use crate::traffic::access::CallerIdentity;
+use crate::traffic::memory_budget::{MemoryBudget, MemoryGuard, NoMemory};
 use crate::traffic::relay::{RELAY_HEADER, RelayTicket, TicketSubject};
 use crate::traffic::state::{TableSnapshot, TrafficState};
 use axum::Router;
 use axum::body::Body;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::HOST;
 use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use slog::{info, warn};
 use std::convert::Infallible;
+use std::error::Error;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -131,7 +133,7 @@
     let snapshot = state.snapshot();
     let matched = match_route(&snapshot, &parts, &metadata)?;
     let table = snapshot.version;
-    let body = read_body(body).await?;
+    let (body, memory) = read_body(&state.memory, body).await?;
     let fingerprint = request_fingerprint(&matched, &parts, &body);
     let progress = state.begin_request();
     let has_returned =
@@ -196,6 +198,7 @@
         ticket,
         must_stay: false,
         _progress: progress,
+        _memory: memory,
     }))
 }
 
@@ -265,15 +268,42 @@
     Some(RequestSizes { prompt, output })
 }
 
-async fn read_body(body: Body) -> Result<Bytes, AnswerKind> {
-    let collected =
-        tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, BODY_LIMIT_BYTES).collect());
-    match collected.await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.downcast_ref::<LengthLimitError>().is_some() => {
-            Err(AnswerKind::BodyTooLarge)
-        }
-        _ => Err(AnswerKind::BadRequest),
+/// Reads a request's body; its memory is counted if there is a bound.
+async fn read_body(budget: &MemoryBudget, body: Body) -> Result<(Bytes, MemoryGuard), AnswerKind> {
+    let mut memory = budget.guard();
+    let limited = Limited::new(body, BODY_LIMIT_BYTES);
+    if budget.is_bounded() {
+        let reading = tokio::time::timeout(BODY_TIMEOUT, read_counted(limited, &mut memory));
+        let body = reading.await.unwrap_or(Err(AnswerKind::BadRequest))?;
+        return Ok((body, memory));
+    }
+    match tokio::time::timeout(BODY_TIMEOUT, limited.collect()).await {
+        Ok(Ok(body)) => Ok((body.to_bytes(), memory)),
+        Ok(Err(error)) => Err(body_fault(&*error)),
+        Err(_) => Err(AnswerKind::BadRequest),
+    }
+}
+
+/// Reads a body whose memory is reserved as it arrives, so that a caller that sends slowly holds no
+/// more than it has sent.
+async fn read_counted(
+    mut body: Limited<Body>,
+    memory: &mut MemoryGuard,
+) -> Result<Bytes, AnswerKind> {
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| body_fault(&*error))?;
+        let Ok(bytes) = frame.into_data() else { continue };
+        memory.grow_body(bytes.len()).await.map_err(|NoMemory| AnswerKind::MemoryFull)?;
+        collected.extend_from_slice(&bytes);
+    }
+    Ok(collected.freeze())
+}
+
+fn body_fault(error: &(dyn Error + 'static)) -> AnswerKind {
+    match error.is::<LengthLimitError>() {
+        true => AnswerKind::BodyTooLarge,
+        false => AnswerKind::BadRequest,
     }
 }
 
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -4,7 +4,9 @@
 use super::next_place::{NextPlace, SilentSend, settle};
 use super::placing::{PlacedRequest, PlacingRule};
 use super::refusal::{refusal_kind, refuse};
-use super::relay::{AnswerSource, StreamContent, StreamRelay, buffered_response, stream_response};
+use super::relay::{
+    AnswerSource, BufferError, StreamContent, StreamRelay, buffered_response, stream_response,
+};
 use super::request::{RequestStage, RoutedRequest};
 use super::send_history::SendHistory;
 use super::through_peer::{PeerForward, forward_through_peers};
@@ -313,8 +315,8 @@
     }
     let limit = request.time_left();
     let framing = body.framing();
-    let buffering = buffered_response(head, body);
-    let error = match tokio::time::timeout(limit, buffering).await {
+    let buffered = tokio::time::timeout(limit, buffered_response(&request, head, body)).await;
+    let error = match buffered {
         Ok(Ok(response)) => {
             let is_failure = status.is_server_error();
             let outcome = match is_failure {
@@ -340,7 +342,13 @@
                 SendError::NoUsableAnswer(format!("status {status}")),
             );
         }
-        Ok(Err(detail)) => SendError::ConnectionBroken(detail),
+        Ok(Err(BufferError::NoMemory)) => {
+            // Another send would meet the same lack of memory, which says nothing of the upstream.
+            placed.guard.end(DispatchOutcome::Cancelled);
+            let response = refuse(&mut request, AnswerKind::AnswerDropped, history);
+            return AnswerOutcome::Response(response);
+        }
+        Ok(Err(BufferError::Unusable(detail))) => SendError::ConnectionBroken(detail),
         Err(_) => SendError::NoUsableAnswer("incomplete answer at the deadline".to_owned()),
     };
     report_send_error(&request, &mut placed, &error);
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -15,8 +15,11 @@
 use crate::report::{record_cut_answer, record_stream_end};
 use crate::rollout::VersionOutcome;
 use crate::traffic::crash_check::has_ended;
+use crate::traffic::memory_budget::NoMemory;
 use crate::traffic::relay::ORIGIN_HEADER;
-use crate::upstream::{AnswerBody, AnswerFraming, BodyEnd, BodyRead, end_to_end_headers};
+use crate::upstream::{
+    AnswerBody, AnswerFraming, BodyEnd, BodyError, BodyRead, end_to_end_headers,
+};
 use axum::body::Body;
 use bytes::Bytes;
 use futures_util::stream;
@@ -42,26 +45,88 @@
 /// Event gaps are reported to the scheduler once per this many events.
 const GAP_REPORT_EVENTS: u64 = 4;
 
+/// Why an answer could not be buffered.
+#[derive(Debug)]
+pub enum BufferError {
+    /// It is incomplete or too large.
+    Unusable(String),
+    /// The daemon had no memory left for it.
+    NoMemory,
+}
+
 /// Buffers an answer that is not a stream; fails if it is incomplete or too large. An answer whose
 /// end is unstated counts as complete unless its content shows that it is not.
 pub async fn buffered_response(
+    request: &RoutedRequest,
     head: response::Parts,
     body: AnswerBody,
-) -> Result<Response<Body>, String> {
-    let bytes = whole_body(&head, body).await?;
-    let mut response = build_response(&head, Body::from(bytes));
+) -> Result<Response<Body>, BufferError> {
+    let body = whole_body(request, &head, body).await?;
+    let mut response = build_response(&head, body);
     response.headers_mut().remove(CONTENT_LENGTH);
     Ok(response)
 }
 
 /// Reads the body of an answer that is not a stream, as for [`buffered_response`].
-pub async fn whole_body(head: &response::Parts, body: AnswerBody) -> Result<Bytes, String> {
+pub async fn whole_body(
+    request: &RoutedRequest,
+    head: &response::Parts,
+    body: AnswerBody,
+) -> Result<Body, BufferError> {
+    if request.state.memory.is_bounded() {
+        return held_body(request, head, body).await;
+    }
     let collected = body.collect(ANSWER_LIMIT_BYTES).await;
-    let (bytes, end) = collected.map_err(|error| error.to_string())?;
-    if end == BodyEnd::Unstated && is_json(head) && !is_complete_json(&bytes) {
-        return Err("the connection ended within a JSON document".to_owned());
+    let (bytes, end) = collected.map_err(|error| BufferError::Unusable(error.to_string()))?;
+    check_end(head, end, || bytes.to_vec())?;
+    Ok(Body::from(bytes))
+}
+
+/// Reads a body whose memory is counted until it is written to the caller.
+async fn held_body(
+    request: &RoutedRequest,
+    head: &response::Parts,
+    mut body: AnswerBody,
+) -> Result<Body, BufferError> {
+    let (writer, held) = request.state.memory.begin_answer(request.id());
+    loop {
+        let read = tokio::select! {
+            biased;
+            () = writer.dropped() => return Err(BufferError::NoMemory),
+            read = body.read() => read,
+        };
+        match read {
+            BodyRead::Data(bytes) if writer.unread() + bytes.len() > ANSWER_LIMIT_BYTES => {
+                let error = BodyError::TooLarge { limit: ANSWER_LIMIT_BYTES };
+                return Err(BufferError::Unusable(error.to_string()));
+            }
+            BodyRead::Data(bytes) => {
+                writer.push(&bytes).map_err(|NoMemory| BufferError::NoMemory)?;
+            }
+            BodyRead::Ended(end) => {
+                check_end(head, end, || writer.copy_unread())?;
+                writer.finish();
+                return Ok(held.into_body(request.time_left()));
+            }
+            BodyRead::Broken(source) => {
+                let error = BodyError::Incomplete { source };
+                return Err(BufferError::Unusable(error.to_string()));
+            }
+        }
     }
-    Ok(bytes)
+}
+
+/// Checks that a body whose end is unstated is not known to be incomplete.
+fn check_end(
+    head: &response::Parts,
+    end: BodyEnd,
+    bytes: impl FnOnce() -> Vec<u8>,
+) -> Result<(), BufferError> {
+    if end == BodyEnd::Unstated && is_json(head) && !is_complete_json(&bytes()) {
+        let detail = "the connection ended within a JSON document";
+        return Err(BufferError::Unusable(detail.to_owned()));
+    }
+    Ok(())
 }
 
 fn is_json(head: &response::Parts) -> bool {
@@ -112,7 +177,21 @@
 /// Builds the response that relays a stream.
 pub fn stream_response(head: response::Parts, relay: StreamRelay) -> Response<Body> {
     let origin = relay.origin_for_peer();
-    let events = stream::unfold(Some(relay), |relay| async move {
+    let body = match relay.request.state.memory.is_bounded() {
+        true => held_stream(relay),
+        false => direct_stream(relay),
+    };
+    let mut response = build_response(&head, body);
+    response.headers_mut().remove(CONTENT_LENGTH);
+    if let Some(origin) = origin {
+        response.headers_mut().insert(ORIGIN_HEADER, origin);
+    }
+    response
+}
+
+/// The body of a stream that is read from its upstream as its caller takes it.
+fn direct_stream(relay: StreamRelay) -> Body {
+    Body::from_stream(stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
         match relay.next_step().await {
             RelayStep::Events(bytes) => Some((Ok(bytes), Some(relay))),
@@ -120,13 +199,32 @@
             RelayStep::Cut => Some((Err(io::Error::from(io::ErrorKind::UnexpectedEof)), None)),
             RelayStep::Done => None,
         }
+    }))
+}
+
+/// The body of a stream that is read at its upstream's speed, so that a caller that reads slowly does
+/// not hold the place there. It is cut if its relay ends without having finished it.
+fn held_stream(mut relay: StreamRelay) -> Body {
+    let time_left = relay.request.time_left();
+    let (writer, mut held) = relay.request.state.memory.begin_answer(relay.request.id());
+    let reading = tokio::spawn(async move {
+        loop {
+            let step = tokio::select! {
+                biased;
+                () = writer.dropped() => None,
+                step = relay.next_step() => Some(step),
+            };
+            match step {
+                Some(RelayStep::Events(bytes)) if writer.push(&bytes).is_ok() => {}
+                Some(RelayStep::Done) => return writer.finish(),
+                Some(RelayStep::Cut) => return,
+                Some(RelayStep::Events(_)) | None => return relay.drop_unread(),
+            }
+            writer.wait_for_room().await;
+        }
     });
-    let mut response = build_response(&head, Body::from_stream(events));
-    response.headers_mut().remove(CONTENT_LENGTH);
-    if let Some(origin) = origin {
-        response.headers_mut().insert(ORIGIN_HEADER, origin);
-    }
-    response
+    held.end_with_body(reading.abort_handle());
+    held.into_body(time_left)
 }
 
 enum RelayStep {
@@ -486,15 +584,27 @@
         self.cut(cause)
     }
 
+    /// Ends a stream whose unread events were dropped, unless it was read whole.
+    fn drop_unread(&mut self) {
+        if !self.has_ended {
+            self.cut(CutCause::Dropped);
+        }
+    }
+
     fn cut(&mut self, cause: CutCause) -> RelayStep {
         self.has_ended = true;
         self.request.stage = RequestStage::Ended;
         self.request.record("cut", Some(&self.timing));
-        if self.body.is_some() {
+        // A lack of memory here says nothing of the upstream.
+        let is_own_fault = cause == CutCause::Dropped;
+        if self.body.is_some() && !is_own_fault {
             self.record_failure();
         }
         self.body = None;
-        self.source.end(DispatchOutcome::Failed);
+        self.source.end(match is_own_fault {
+            true => DispatchOutcome::Cancelled,
+            false => DispatchOutcome::Failed,
+        });
         let ended_by = cause.ended_by(self.interruption);
         record_cut_answer(ended_by.name(), cause.name());
         let after = self.request.state.clock.now().since(self.request.arrived_at);
--- a/src/traffic/routed/request.rs
+++ b/src/traffic/routed/request.rs
@@ -12,6 +12,7 @@
 use crate::stream_origin::StreamOrigin;
 use crate::table::{RouteRow, ServiceName};
 use crate::traffic::access::CallerIdentity;
+use crate::traffic::memory_budget::MemoryGuard;
 use crate::traffic::relay::RelayTicket;
 use crate::traffic::state::{ProgressGuard, TrafficState};
 use crate::upstream::AnswerFraming;
@@ -70,6 +71,8 @@
     pub must_stay: bool,
     /// Counts the request as in progress until dropped.
     pub _progress: ProgressGuard,
+    /// Memory of the body.
+    pub _memory: MemoryGuard,
 }
 impl Drop for RoutedRequest {
     /// A caller that disconnects ends the request at any stage. Without this log line the request
--- a/src/traffic/routed/stream_end.rs
+++ b/src/traffic/routed/stream_end.rs
@@ -50,6 +50,8 @@
     NoPlaceInTime,
     /// No peer goes on with it.
     NoPeer,
+    /// What its caller had not read was dropped.
+    Dropped,
 }
 
 impl CutCause {
@@ -62,6 +64,7 @@
             CutCause::NoPlace(kind) => kind.row().name,
             CutCause::NoPlaceInTime => "no-place",
             CutCause::NoPeer => "no-peer",
+            CutCause::Dropped => "no-memory",
         }
     }
 
--- a/src/traffic/routed/through_peer.rs
+++ b/src/traffic/routed/through_peer.rs
@@ -3,7 +3,9 @@
 use super::attempt::{SendError, forwarded_headers};
 use super::placing::{PlacedRequest, PlacingRule};
 use super::refusal::{refusal_kind, refuse};
-use super::relay::{AnswerSource, StreamContent, StreamRelay, stream_response, whole_body};
+use super::relay::{
+    AnswerSource, BufferError, StreamContent, StreamRelay, stream_response, whole_body,
+};
 use super::request::{RequestStage, RoutedRequest};
 use super::send_history::SendHistory;
 use crate::answer::{AnswerKind, ExecutionStatus, ProblemBody, RAN_HEADER};
@@ -125,15 +127,18 @@
         return stream_response(head, relay);
     }
     let framing = body.framing();
-    match tokio::time::timeout(request.time_left(), whole_body(&head, body)).await {
-        Ok(Ok(bytes)) => {
+    let time_left = request.time_left();
+    let whole = tokio::time::timeout(time_left, whole_body(&request, &head, body)).await;
+    match whole {
+        Ok(Ok(body)) => {
             if head.status.is_success() {
                 request.note_whole_answer(&SuspectKeys::of_content(request.fingerprint));
             }
             request.log_answered(&hop.peer.to_string(), head.status, framing);
-            peer_response(&head, Body::from(bytes))
+            peer_response(&head, body)
         }
-        Ok(Err(detail)) => {
+        Ok(Err(BufferError::NoMemory)) => refuse(&mut request, AnswerKind::AnswerDropped, history),
+        Ok(Err(BufferError::Unusable(detail))) => {
             let kind = refusal_kind(&request, &SendError::ConnectionBroken(detail));
             refuse(&mut request, kind, history)
         }
@@ -311,6 +316,7 @@
             | AnswerKind::RegionConflict
             | AnswerKind::VersionAbsent
             | AnswerKind::UpstreamResting
+            | AnswerKind::MemoryFull
     )
 }
 
--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -10,6 +10,7 @@
 use super::access::{AccessIndex, OrganisationIndices};
 use super::crash_check::CrashChecks;
 use super::fleet_exchange::FleetExchange;
+use super::memory_budget::MemoryBudget;
 use super::pool_runtime::PoolRuntime;
 use super::quarantine_gate::QuarantineGate;
 use super::relay::PeerRelay;
@@ -105,6 +106,8 @@
     pub fleet: FleetExchange,
     /// Memory for large events of streams, in MiB, one permit each.
     pub event_memory: Arc<Semaphore>,
+    /// Memory for request bodies and answers.
+    pub memory: MemoryBudget,
     /// Quarantine of requests that crashed upstreams.
     pub quarantine: QuarantineGate,
     /// Roll-outs of upstreams' software.
@@ -130,6 +133,7 @@
         let rng = ChaCha8Rng::seed_from_u64(seed);
 
         Arc::new(TrafficState {
+            memory: MemoryBudget::new(log.clone()),
             daemon,
             log,
             clock: MonotonicClock::start(),
--- a/tests/test_births.rs
+++ b/tests/test_births.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 use tarragonknot::policy::UpstreamHash;
 use tarragonknot::policy::{
-    PeerWork, PoolEvent, RequestId, UpstreamEvent, UpstreamIndex, UpstreamSource, UpstreamState,
-    UpstreamStatus,
+    DispatchOutcome, Moment, PeerWork, PoolEvent, RateStatement, RequestId, UpstreamEvent,
+    UpstreamIndex, UpstreamSource, UpstreamState, UpstreamStatus,
 };
 
 fn source_with_incarnation(incarnation: u64) -> UpstreamSource {
@@ -148,3 +148,44 @@
 
     assert_eq!(pool.scheduler.upstreams().iter().count(), 1);
 }
+
+/// Guards against an upstream that starts again and gets no work because of what its earlier incarnation
+/// asked for, stated or was taken for.
+#[rstest]
+#[case::rest(|upstream| PoolEvent::RestAsked { upstream, time: Duration::from_secs(60) })]
+#[case::rate(|upstream| PoolEvent::RateStated { upstream, rate: RateStatement::Limited(0.001) })]
+#[case::unreachable(|upstream| PoolEvent::Lifecycle { upstream, event: UpstreamEvent::Unreachable })]
+fn what_an_earlier_birth_stated_does_not_hold_for_a_later_one(
+    #[case] event: fn(UpstreamIndex) -> PoolEvent,
+) {
+    let mut pool = pool_with_request();
+    let before = current(&pool).index;
+    pool.handle_event(event(before), 20);
+
+    pool.handle_event(PoolEvent::Sources(vec![source_with_incarnation(9)]), 100);
+
+    assert_eq!(dispatched_ids(&pool.arrive(2, 0, 110)), [2]);
+    assert!(!current(&pool).is_resting());
+    assert_eq!(current(&pool).rate_pace.rate(), RateStatement::Unlimited);
+}
+
+/// Guards against an upstream that starts again and is backed off, or counted as full, for the requests
+/// that failed at its earlier incarnation.
+#[test]
+fn failures_and_memory_of_an_earlier_birth_do_not_count_for_a_later_one() {
+    let mut pool = pool_with_request();
+    for id in [2, 3] {
+        assert_eq!(dispatched_ids(&pool.arrive(id, 0, 20)), [id]);
+        let outcome = DispatchOutcome::Failed;
+        pool.handle_event(PoolEvent::Ended { id: RequestId(id), outcome }, 20);
+    }
+    let failing = current(&pool);
+    assert!(failing.failure_rate > 0.0 && failing.backoff_until > Moment(0));
+    assert!(failing.memory.held_tokens() > 0);
+
+    pool.handle_event(PoolEvent::Sources(vec![source_with_incarnation(9)]), 100);
+
+    let after = current(&pool);
+    assert_eq!((after.failure_rate, after.backoff_until), (0.0, Moment(0)));
+    assert_eq!(after.memory.held_tokens(), 0);
+}
--- a/tests/test_settings_template.rs
+++ b/tests/test_settings_template.rs
@@ -121,6 +121,21 @@
     assert_eq!(ContractFeatures::of(&names(&missing)), ContractFeatures::default());
 }
 
+/// Guards against a bound that stays off because the memory that the platform states is lost on its way,
+/// and against a fault where it states none.
+#[test]
+fn the_memory_is_rendered_where_it_is_stated() {
+    let memory = |limits: Value| {
+        let mut given = fields();
+        given["limits"] = limits;
+        DaemonSettings::read(&render(TEMPLATE, &given)).expect("valid settings").memory_mb
+    };
+
+    assert_eq!(memory(json!({"memory_mb": 112})), Some(112));
+    assert_eq!(memory(json!({"memory_mb": 112.5})), Some(112));
+    assert_eq!(memory(json!({})), None);
+}
+
 #[test]
 fn a_voter_is_rendered_too() {
     let mut fields = fields();
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -57,6 +57,7 @@
 mod test_list_pages;
 mod test_list_spread;
 mod test_log_buffer;
+mod test_memory_budget;
 mod test_packed_table;
 mod test_part_table;
 mod test_placing;
