--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -146,6 +146,7 @@
         sheds_locally: false,
         event_tokens: 1,
         cold_bound: None,
+        engine_memory_tokens: None,
         size_share: 0.75,
         mechanisms: MechanismSet::default(),
         has_reservations: false,
