--- a/src/policy/scheduler/plan.rs
+++ b/src/policy/scheduler/plan.rs
@@ -60,6 +60,8 @@
     pub cold_bound: Option<ColdBound>,
     /// True if slots that this daemon leaves unused are offered to the group's other daemons.
     pub has_slot_notices: bool,
+    /// Tokens that fit into the memory of one upstream; `None` if they are not counted.
+    pub engine_memory_tokens: Option<u64>,
 }
 
 impl PoolPlan {
@@ -87,6 +89,7 @@
             has_reservations: row.reservation_ms.is_some(),
             cold_bound: None,
             has_slot_notices: false,
+            engine_memory_tokens: row.engine_memory_tokens,
         }
     }
 
--- a/tests/session.rs
+++ b/tests/session.rs
@@ -41,6 +41,7 @@
         has_reservations: false,
         cold_bound: None,
         has_slot_notices: false,
+        engine_memory_tokens: None,
     }
 }
 
