Organisations share a pool's service by max-min fairness (setting organisation_shares)

Where capacity is insufficient, the organisation that sends most got most, and the others lost as often. Requests beyond their organisation's share, by the fleet's flow rates or else by the daemon's own sums, are marked on arrival; within a lane of the urgency queue they follow those within the shares, and the refusal on arrival and the review of late requests use the same order. Off by default; the contract 'pressure' enables it.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -62,6 +62,7 @@
         demand: PlacementDemand::default(),
         may_be_resumed: false,
         is_underserved: false,
+        is_over_share: false,
     }
 }
 
@@ -144,6 +145,7 @@
         sheds_locally: false,
         event_tokens: 1,
         cold_bound: None,
+        shares_organisations: false,
         size_share: 0.75,
         mechanisms: MechanismSet::default(),
         has_reservations: false,
--- a/src/daemon/background.rs
+++ b/src/daemon/background.rs
@@ -1,6 +1,7 @@
 //! Periodic background tasks: scheduler ticks, load report polls, probes and reads of the
 //! platform's list.
 
+use super::share_report::ShareReport;
 use crate::platform::InstanceLister;
 use crate::policy::{DEPARTED_TTL, PoolEvent, TierRank, UpstreamEvent, UpstreamIndex};
 use crate::settings::DaemonSettings;
@@ -69,6 +70,7 @@
 async fn tick_pools(state: Arc<TrafficState>) {
     let mut floors: BTreeMap<ServiceName, (Option<TierRank>, Option<TierRank>)> = BTreeMap::new();
     let mut cut_off = BTreeSet::new();
+    let mut shares = ShareReport::default();
     let mut refreshed_at = state.clock.now();
     loop {
         if state.clock.now().since(refreshed_at) >= DEPARTED_TTL {
@@ -82,6 +84,7 @@
             refuse_after_lease_expiry(&state, pool);
             pool.handle_event(PoolEvent::Tick);
             report_reach(&state, pool, &mut cut_off);
+            shares.update(&state, pool);
             let floor =
                 pool.inspect(|scheduler| (scheduler.wanted_floor(), scheduler.effective_floor()));
             is_busy |= floor != (None, None) || pool.status().waiting > 0;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! Assembles a daemon: the control thread, the traffic threads and the background tasks.
 
 mod background;
+mod share_report;
 
 use crate::control::{
     AgentSettings, ClaimClient, ClaimClientSettings, ControlHandle, ControlSetup, FleetKey,
@@ -95,9 +96,15 @@
     if let Some(platform) = &settings.platform {
         let features = ContractFeatures::of(&platform.contracts);
         state.set_interface(platform::interface(features));
+        if features.shares_organisations {
+            state.enable_organisation_shares();
+        }
         let now = state.clock.now();
         state.limits().start_empty(now);
     }
+    if settings.organisation_shares {
+        state.enable_organisation_shares();
+    }
     state.limits().set_tolerance(limit_tolerance(settings));
     state
         .set_retry_bound(RetryBound { ratio: settings.repeat_ratio, slack: settings.repeat_slack });
--- a/src/fleet_state/state/queries.rs
+++ b/src/fleet_state/state/queries.rs
@@ -126,6 +126,20 @@
         }
     }
 
+    /// Returns a function that gives what an organisation asks of the whole fleet and what is
+    /// admitted of it, in tokens per second; `None` while the sums cover less than half of the fleet.
+    pub fn organisation_rates(
+        &self,
+        now: Moment,
+    ) -> Option<impl Fn(OrganisationHash) -> (f64, f64)> {
+        let is_covered = self.covered_daemons(now) * 2 >= self.layout.addresses().len();
+        let rates = move |organisation| {
+            let asked = self.asked_rates.rate(organisation, now);
+            (asked, self.taken_rates.rate(organisation, now))
+        };
+        is_covered.then_some(rates)
+    }
+
     /// Returns true if this daemon is the one that reads the platform's list: the aggregator with
     /// the lowest address among those that are live and can read it, or in a mesh the daemon with
     /// the lowest one. Partitions of the fleet that cannot hear each other have one reader each.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -15,6 +15,7 @@
 mod learned_limit;
 mod mechanism;
 mod organisation_limits;
+mod organisation_shares;
 mod owner_ring;
 mod placement;
 mod placement_demand;
@@ -51,6 +52,7 @@
 pub use organisation_limits::{
     LimitClaim, LimitForecast, LimitTable, LimitTolerance, OrganisationLimit,
 };
+pub use organisation_shares::{OrganisationFlow, OrganisationShares};
 pub use owner_ring::OwnerRing;
 pub use placement::{
     AffinityPlacement, LeastReported, PlacementPolicy, PlacementQuery, RequiredFit, RoundRobin,
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -73,6 +73,8 @@
     pub size_tenth: Option<SizeDecile>,
     /// True if it has priority because too few requests of its size are served.
     pub is_underserved: bool,
+    /// True if it is beyond its organisation's share of the service.
+    pub is_over_share: bool,
 }
 
 impl WaitingRequest {
--- a/src/policy/scheduler/admission.rs
+++ b/src/policy/scheduler/admission.rs
@@ -62,6 +62,7 @@
             };
         }
         request.is_underserved = self.claim_owed_service(&request, now, rng);
+        request.is_over_share = self.is_over_share(&request, now, rng);
         if self.plan.queue == QueueDiscipline::Fifo {
             match self.queue.len() >= self.plan.waiting_limit {
                 true => self.shed_now(&request, AnswerKind::Overloaded, now, actions),
@@ -162,6 +163,24 @@
             && self.size_shares.record_arrival(&request.size_claim(), rng.random(), now)
     }
 
+    /// Returns whether the request is beyond its organisation's share. One that is owed service by
+    /// its size is within it.
+    fn is_over_share(
+        &mut self,
+        request: &WaitingRequest,
+        now: Moment,
+        rng: &mut dyn RngCore,
+    ) -> bool {
+        if !self.plan.marks_shares() {
+            return false;
+        }
+        let organisation = (request.organisation, request.weight);
+        let draw = rng.random();
+        let is_over =
+            self.organisation_shares.record_arrival(organisation, request.cost, draw, now);
+        is_over && !request.is_underserved
+    }
+
     /// Records whether a request was served, in the account of its size. A search for another place
     /// that finds none says nothing: the request goes on where it is.
     pub(super) fn record_end(&mut self, request: &WaitingRequest, is_served: bool) {
@@ -208,6 +227,7 @@
             demand: request.demand,
             may_be_resumed: request.may_be_resumed,
             is_underserved: false,
+            is_over_share: false,
         };
         // A run time estimate longer than the whole slack must not make the request late at once:
         // such requests are admitted because the estimate is a mean.
--- a/src/policy/scheduler/events.rs
+++ b/src/policy/scheduler/events.rs
@@ -3,9 +3,9 @@
 use super::PoolPlan;
 use crate::answer::AnswerKind;
 use crate::policy::{
-    FleetGroup, FloorOrder, LoadReport, Moment, OrganisationIndex, OwnerRing, PeerWork,
-    PlacementDemand, RateStatement, RequestId, RequestSizes, RouteKey, SizeDecile, TierRank,
-    UpstreamEvent, UpstreamIndex, UpstreamSource, WaitingLevels,
+    FleetGroup, FloorOrder, LoadReport, Moment, OrganisationFlow, OrganisationIndex, OwnerRing,
+    PeerWork, PlacementDemand, RateStatement, RequestId, RequestSizes, RouteKey, SizeDecile,
+    TierRank, UpstreamEvent, UpstreamIndex, UpstreamSource, WaitingLevels,
 };
 use crate::table::UpstreamName;
 use std::sync::Arc;
@@ -210,6 +210,8 @@
         /// Requests waiting at the other daemons of the group.
         waiting: PeerWaiting,
     },
+    /// What the organisations asked of the whole fleet, and got, as last reported.
+    OrganisationFlows(Vec<OrganisationFlow>),
     /// Periodic timer.
     Tick,
 }
--- a/src/policy/scheduler/feedback.rs
+++ b/src/policy/scheduler/feedback.rs
@@ -71,6 +71,7 @@
         self.upstreams.update(upstream, |status| status.record_processed_tokens(unread_tokens));
         self.upstreams.record_outcome(upstream, outcome, now);
         if matches!(outcome, DispatchOutcome::NotSent | DispatchOutcome::NoSlot) {
+            self.organisation_shares.record_return(request.organisation, request.cost, now);
             self.upstreams.update(upstream, |status| status.cold_pace.retract_send());
         }
         // A refused reservation has reached the upstream, so it counts against the stated rate.
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -14,10 +14,10 @@
 
 use super::{
     CapacityClass, CostModel, DrainMeter, EngineSpeed, FirstEventModel, Mechanism, Moment,
-    OrganisationIndex, PlacementPolicy, PlacementQuery, ReachMonitor, RequestId, RequiredFit,
-    ShedAudit, ShedFloor, SizeShares, TierRank, UpstreamEvent, UpstreamIndex, UpstreamQueueMeter,
-    UpstreamSet, UpstreamState, UpstreamStatus, WaitingLevels, WaitingQueue, WaitingRequest,
-    placement_policy,
+    OrganisationIndex, OrganisationShares, PlacementPolicy, PlacementQuery, ReachMonitor,
+    RequestId, RequiredFit, ShedAudit, ShedFloor, SizeShares, TierRank, UpstreamEvent,
+    UpstreamIndex, UpstreamQueueMeter, UpstreamSet, UpstreamState, UpstreamStatus, WaitingLevels,
+    WaitingQueue, WaitingRequest, placement_policy,
 };
 use crate::answer::AnswerKind;
 use crate::table::QueueDiscipline;
@@ -93,6 +93,7 @@
     size_shares: SizeShares,
     /// Queue lengths inside the upstreams of a plain service.
     upstream_queues: UpstreamQueueMeter,
+    organisation_shares: OrganisationShares,
 }
 
 impl PoolScheduler {
@@ -123,6 +124,7 @@
             reach: ReachMonitor::default(),
             size_shares: SizeShares::default(),
             upstream_queues: UpstreamQueueMeter::default(),
+            organisation_shares: OrganisationShares::default(),
             plan,
         }
     }
@@ -208,6 +210,9 @@
                 self.upstreams.set_group(group);
                 self.peer_waiting = waiting;
             }
+            PoolEvent::OrganisationFlows(flows) => {
+                self.organisation_shares.set_fleet(&flows, now);
+            }
             PoolEvent::Tick => self.tick(now, actions),
         }
         if self.reach.is_cut_off() && !was_cut_off {
@@ -240,6 +245,9 @@
         }
         self.upstreams.set_headroom(plan.headroom());
         self.upstreams.set_cold_bound(plan.cold_bound);
+        if !plan.marks_shares() {
+            self.organisation_shares = OrganisationShares::default();
+        }
         self.plan = plan;
         self.floor.set_ranks(self.plan.tier_ranks());
     }
@@ -358,6 +366,16 @@
         &self.peer_waiting
     }
 
+    /// The shares of the organisations; without any where the plan does not call for them.
+    pub fn organisation_shares(&self) -> &OrganisationShares {
+        &self.organisation_shares
+    }
+
+    /// True if organisations share this pool's service.
+    pub fn shares_organisations(&self) -> bool {
+        self.plan.marks_shares()
+    }
+
     fn choose_upstream(
         &mut self,
         request: &WaitingRequest,
@@ -443,6 +461,7 @@
         let (tokens_ahead, slowness) = self.prefill_ahead(upstream, unread_tokens);
         self.upstreams.update(upstream, |status| status.unread_tokens += u64::from(unread_tokens));
         self.drain_meter.dispatched(request.tier, request.cost);
+        self.organisation_shares.record_dispatch(request.organisation, request.cost, now);
         self.redispatch_budget = (self.redispatch_budget + REDISPATCH_SHARE).min(REDISPATCH_BURST);
         actions.push(PoolAction::Dispatch { id: request.id, upstream });
         let was_limited = !self.queue.is_empty()
--- a/src/policy/scheduler/plan.rs
+++ b/src/policy/scheduler/plan.rs
@@ -58,6 +58,9 @@
     pub has_reservations: bool,
     /// Bound on requests to cold upstreams, if there is one.
     pub cold_bound: Option<ColdBound>,
+    /// True if a service that is too small for all is shared among the organisations. Only the queue
+    /// by value density does so; the weighted one has its own shares.
+    pub shares_organisations: bool,
 }
 
 impl PoolPlan {
@@ -84,6 +87,7 @@
             mechanisms: MechanismSet::default(),
             has_reservations: row.reservation_ms.is_some(),
             cold_bound: None,
+            shares_organisations: false,
         }
     }
 
@@ -97,6 +101,11 @@
         }
     }
 
+    /// Returns whether requests are marked as within or beyond their organisation's share.
+    pub(super) fn marks_shares(&self) -> bool {
+        self.shares_organisations && self.queue == QueueDiscipline::Urgency
+    }
+
     pub(super) fn tier_ranks(&self) -> Vec<TierRank> {
         self.tiers.iter().map(|share| share.rank).collect()
     }
--- a/src/policy/urgency_queue.rs
+++ b/src/policy/urgency_queue.rs
@@ -9,6 +9,10 @@
 //! [`ROTATION_INTERVAL`]th dispatch rotates among the lanes and takes the request due first, so
 //! that no lane starves; every [`UNDERSERVED_INTERVAL`]th takes a request of an underserved size,
 //! so that no size starves.
+//!
+//! Within a lane, requests that are within their organisation's share go before those beyond it,
+//! of those in time and of the late ones alike. Which lane is served does not depend on it: lanes
+//! compete by the densest request of each.
 
 use super::queue::{WaitingQueue, WaitingRequest};
 use super::value_density::{CostHistogram, LATE_VALUE_RATIO, LaneMeans, base_value};
@@ -46,9 +50,54 @@
     density: DensityKey,
 }
 
+impl QueuedRequest {
+    /// Its position in the [`DensityOrder`] of its lane.
+    fn key(&self) -> (Reverse<DensityKey>, Moment, RequestId) {
+        (Reverse(self.density), self.request.start_by, self.request.id)
+    }
+}
+
 /// Requests by descending density, then by due time.
 type DensityOrder = BTreeSet<(Reverse<DensityKey>, Moment, RequestId)>;
 
+/// Requests of a lane that are within their organisations' shares, or those beyond them.
+#[derive(Debug, Default)]
+struct ShareClass {
+    due: BTreeSet<(Moment, RequestId)>,
+    in_time: DensityOrder,
+    late: DensityOrder,
+    in_time_costs: CostHistogram,
+    late_costs: CostHistogram,
+}
+
+impl ShareClass {
+    fn insert(&mut self, queued: &QueuedRequest) {
+        let request = &queued.request;
+        self.due.insert((request.start_by, request.id));
+        self.in_time.insert(queued.key());
+        self.in_time_costs.add(queued.density.density(), request.cost);
+    }
+
+    fn remove(&mut self, queued: &QueuedRequest) {
+        let request = &queued.request;
+        self.due.remove(&(request.start_by, request.id));
+        let density = queued.density.density();
+        if self.in_time.remove(&queued.key()) {
+            self.in_time_costs.remove(density, request.cost);
+        } else if self.late.remove(&queued.key()) {
+            self.late_costs.remove(density, request.cost);
+        }
+    }
+
+    fn order(&self, is_late: bool) -> &DensityOrder {
+        if is_late { &self.late } else { &self.in_time }
+    }
+
+    fn costs(&self, is_late: bool) -> &CostHistogram {
+        if is_late { &self.late_costs } else { &self.in_time_costs }
+    }
+}
+
 /// Requests of one tier and one rank within it.
 #[derive(Debug)]
 struct UrgencyLane {
@@ -60,9 +109,8 @@
     /// Requests of underserved sizes, in time or late, by due time; they are in no other set of the
     /// lane.
     underserved: BTreeSet<(Moment, RequestId)>,
-    due: BTreeSet<(Moment, RequestId)>,
-    in_time: DensityOrder,
-    late: DensityOrder,
+    within: ShareClass,
+    over: ShareClass,
     cost: u64,
 }
 
@@ -82,49 +130,77 @@
             self.underserved.insert((request.start_by, request.id));
             return;
         }
-        self.due.insert((request.start_by, request.id));
-        self.in_time.insert((Reverse(queued.density), request.start_by, request.id));
+        self.class(request.is_over_share).insert(queued);
     }
 
     fn remove(&mut self, queued: &QueuedRequest) {
         let request = &queued.request;
-        let key = (Reverse(queued.density), request.start_by, request.id);
         self.cost -= u64::from(request.cost);
-        self.due.remove(&(request.start_by, request.id));
         self.underserved.remove(&(request.start_by, request.id));
-        if !self.in_time.remove(&key) {
-            self.late.remove(&key);
-        }
+        self.class(request.is_over_share).remove(queued);
     }
 
-    /// The next request outside `underserved` and its density; requests in time come first.
+    fn class(&mut self, is_over_share: bool) -> &mut ShareClass {
+        if is_over_share { &mut self.over } else { &mut self.within }
+    }
+
+    /// The classes in the order of service.
+    fn classes(&self) -> [&ShareClass; 2] {
+        [&self.within, &self.over]
+    }
+
+    /// The next request outside `underserved`, and the highest density of those that are in time or
+    /// late like it; requests in time come first.
     fn head(&self) -> Option<(f64, RequestId)> {
-        let in_time = self.in_time.first().map(|(density, _, id)| (density.0.density(), *id));
-        let late = self.late.first().map(|(density, _, id)| (density.0.density(), *id));
-        in_time.or(late)
+        self.head_of(false).or_else(|| self.head_of(true))
+    }
+
+    fn head_of(&self, is_late: bool) -> Option<(f64, RequestId)> {
+        let mut heads = self.classes().into_iter().filter_map(|class| class.order(is_late).first());
+        let (density, _, id) = heads.next()?;
+        let densest = heads.map(|(density, ..)| density.0).fold(density.0, DensityKey::max);
+        Some((densest.density(), *id))
     }
 
     /// The request in time that is due first, or else the first of the late ones.
     fn earliest_due(&self) -> Option<RequestId> {
-        self.due.first().map(|(_, id)| *id).or_else(|| self.late.first().map(|(.., id)| *id))
+        let due = self.classes().into_iter().find_map(|class| class.due.first());
+        due.map(|(_, id)| *id).or_else(|| self.head_of(true).map(|(_, id)| id))
     }
 
     /// The request to evict first.
     fn eviction_candidate(&self) -> Option<RequestId> {
-        let regular = self.late.last().or(self.in_time.last()).map(|(.., id)| *id);
+        let orders = [&self.over.late, &self.within.late, &self.over.in_time, &self.within.in_time];
+        let regular = orders.into_iter().find_map(|order| order.last()).map(|(.., id)| *id);
         regular.or(self.underserved.last().map(|(_, id)| *id))
     }
 
+    /// Cost of the lane's requests that precede one of `density` only through their organisations'
+    /// shares, less that of those that follow it only through them.
+    fn cost_by_share(&self, density: f64, is_over_share: bool, is_late: bool) -> i64 {
+        match is_over_share {
+            true => self.within.costs(is_late).cost_below(density) as i64,
+            false => -(self.over.costs(is_late).cost_at_or_above(density) as i64),
+        }
+    }
+
     fn len(&self) -> usize {
         self.underserved.len() + self.regular_len()
     }
 
     /// Number of requests outside `underserved`.
     fn regular_len(&self) -> usize {
-        self.in_time.len() + self.late.len()
+        self.classes().into_iter().map(|class| class.in_time.len() + class.late.len()).sum()
     }
 }
 
+/// Density of a request in comparison with those of other daemons. One beyond its organisation's
+/// share yields to those within their shares as a late one does to those in time: the ratio is
+/// above that of two ranks, so that the order of the ranks stays.
+fn share_density(request: &WaitingRequest, density: f64) -> f64 {
+    if request.is_over_share { density * LATE_VALUE_RATIO } else { density }
+}
+
 /// Queue ordered by value density.
 #[derive(Debug)]
 pub struct UrgencyQueue {
@@ -162,9 +238,8 @@
                 value: base_value(&self.tiers, tier, rank),
                 means: LaneMeans::default(),
                 underserved: BTreeSet::new(),
-                due: BTreeSet::new(),
-                in_time: BTreeSet::new(),
-                late: BTreeSet::new(),
+                within: ShareClass::default(),
+                over: ShareClass::default(),
                 cost: 0,
             });
             self.lanes.len() - 1
@@ -175,16 +250,20 @@
     /// Marks requests whose latest start has passed as late and lowers their density.
     fn mark_late(&mut self, now: Moment) {
         for lane in &mut self.lanes {
-            while let Some((start_by, id)) = lane.due.first().copied().filter(|due| due.0 < now) {
-                lane.due.remove(&(start_by, id));
-                let Some(queued) = self.entries.get_mut(&id) else { continue };
-                let key = (Reverse(queued.density), start_by, id);
-                lane.in_time.remove(&key);
-                let late = DensityKey::of(queued.density.density() * LATE_VALUE_RATIO);
-                lane.late.insert((Reverse(late), start_by, id));
-                self.histogram.remove(queued.density.density(), queued.request.cost);
-                self.histogram.add(late.density(), queued.request.cost);
-                queued.density = late;
+            for class in [&mut lane.within, &mut lane.over] {
+                while let Some(id) = class.due.first().filter(|due| due.0 < now).map(|due| due.1) {
+                    let Some(queued) = self.entries.get_mut(&id) else {
+                        class.due.pop_first();
+                        continue;
+                    };
+                    class.remove(queued);
+                    self.histogram.remove(queued.density.density(), queued.request.cost);
+                    let late = queued.density.density() * LATE_VALUE_RATIO;
+                    queued.density = DensityKey::of(late);
+                    class.late.insert(queued.key());
+                    class.late_costs.add(late, queued.request.cost);
+                    self.histogram.add(late, queued.request.cost);
+                }
             }
         }
     }
@@ -298,7 +377,10 @@
     fn cost_ahead(&mut self, request: &WaitingRequest, is_late: bool, now: Moment) -> u64 {
         self.mark_late(now);
         let density = self.density(request);
-        self.histogram.cost_at_or_above(if is_late { density * LATE_VALUE_RATIO } else { density })
+        let density = if is_late { density * LATE_VALUE_RATIO } else { density };
+        let cost = self.histogram.cost_at_or_above(density);
+        let lane = self.lane(request.tier, request.rank);
+        cost.saturating_add_signed(lane.cost_by_share(density, request.is_over_share, is_late))
     }
 
     fn waiting_levels(&self) -> WaitingLevels {
@@ -306,13 +388,15 @@
         // Requests of underserved sizes have dispatches reserved for them; others do not yield to
         // them.
         let regular = self.entries.values().filter(|queued| !queued.request.is_underserved);
-        let densities = regular.map(|queued| queued.density.density());
+        let densities =
+            regular.map(|queued| share_density(&queued.request, queued.density.density()));
         densities.for_each(|density| levels.add(DensityLevel::of(density), 1));
         levels
     }
 
     fn density_level(&mut self, request: &WaitingRequest, now: Moment) -> Option<DensityLevel> {
         let density = self.density(request);
+        let density = share_density(request, density);
         let is_late = request.start_by < now;
         Some(DensityLevel::of(if is_late { density * LATE_VALUE_RATIO } else { density }))
     }
--- a/src/policy/value_density.rs
+++ b/src/policy/value_density.rs
@@ -105,6 +105,11 @@
         *bucket = bucket.saturating_sub(u64::from(cost));
     }
 
+    /// Total cost of the requests of a lower density, to the precision of a bucket.
+    pub fn cost_below(&self, density: f64) -> u64 {
+        self.buckets[..Self::bucket(density)].iter().sum()
+    }
+
     /// Total cost of the requests of this density or higher, to the precision of a bucket.
     pub fn cost_at_or_above(&self, density: f64) -> u64 {
         self.buckets[Self::bucket(density)..].iter().sum()
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -89,6 +89,10 @@
     #[serde_as(as = "WholeNumber")]
     #[serde(default)]
     pub cold_slack: u64,
+    /// True if organisations share a service that is too small for all, so that one that asks for
+    /// more than its share bears the refusals. A platform's contracts may enable it as well.
+    #[serde(default)]
+    pub organisation_shares: bool,
     /// Additional address for metrics, with a fixed port, beside `callers` and `readiness`.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[schemars(with = "Option<String>")]
--- a/src/traffic/access.rs
+++ b/src/traffic/access.rs
@@ -51,6 +51,8 @@
     routes: RouteIndex,
     /// Organisations with a token rate limit.
     token_limited: HashMap<OrganisationHash, OrganisationIndex>,
+    /// Name and weight of each organisation.
+    organisations: HashMap<OrganisationIndex, (OrganisationName, u32)>,
 }
 
 impl AccessIndex {
@@ -70,6 +72,7 @@
         for row in &table.organisations {
             let organisation_index = indices.get_or_assign(&row.organisation);
             index.limits.insert(organisation_index, limit_of(row));
+            index.organisations.insert(organisation_index, (row.organisation.clone(), row.weight));
             if row.tokens_per_second.is_some() {
                 index
                     .token_limited
@@ -159,6 +162,11 @@
         self.token_limited.get(&organisation).copied()
     }
 
+    /// Name and weight of an organisation of the table.
+    pub fn organisation(&self, index: OrganisationIndex) -> Option<(&OrganisationName, u32)> {
+        self.organisations.get(&index).map(|(name, weight)| (name, *weight))
+    }
+
     pub fn routes(&self) -> &RouteIndex {
         &self.routes
     }
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -2,6 +2,7 @@
 //! messages, and applies what they report to limits and pools.
 
 mod list;
+mod shares;
 mod wire;
 
 pub use wire::{DaemonMessage, DropCause, decode_message, encode_message};
@@ -411,6 +412,7 @@
             socket.send(&DaemonMessage::State(message), &to);
         }
         refresh_limits_and_pools(&state);
+        shares::refresh_shares(&state);
         tokio::time::sleep(send_interval).await;
     }
 }
--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -90,6 +90,7 @@
     retry_budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     retry_bound: OnceLock<RetryBound>,
     mechanisms: OnceLock<MechanismSet>,
+    shares_organisations: AtomicBool,
     /// Detectors of retries by the callers' remaining time, by route.
     retry_detectors: Mutex<HashMap<String, RetryDetector>>,
     /// Sizes of recent requests, by route.
@@ -150,6 +151,7 @@
             retry_budgets: Mutex::default(),
             retry_bound: OnceLock::new(),
             mechanisms: OnceLock::new(),
+            shares_organisations: AtomicBool::new(false),
             retry_detectors: Mutex::default(),
             route_sizes: Mutex::default(),
             is_ready: AtomicBool::new(true),
@@ -335,6 +337,17 @@
         let _ = self.mechanisms.set(mechanisms);
     }
 
+    /// Lets organisations share services that are too small for all; called before any table is in
+    /// force.
+    pub fn enable_organisation_shares(&self) {
+        self.shares_organisations.store(true, Ordering::Release);
+    }
+
+    /// True if organisations share services that are too small for all.
+    pub fn shares_organisations(&self) -> bool {
+        self.shares_organisations.load(Ordering::Acquire)
+    }
+
     fn mechanisms(&self) -> MechanismSet {
         self.mechanisms.get().cloned().unwrap_or_default()
     }
@@ -394,6 +407,7 @@
             plan.sheds_locally = !access.table().routes.is_empty();
             plan.mechanisms = self.mechanisms();
             plan.cold_bound = self.cold_bound(row);
+            plan.shares_organisations = self.shares_organisations();
             let name = version_pool_name(&row.service, version.as_ref());
             let pool = match old.get(&name) {
                 Some(pool) => {
--- a/tests/session.rs
+++ b/tests/session.rs
@@ -40,6 +40,7 @@
         mechanisms: MechanismSet::default(),
         has_reservations: false,
         cold_bound: None,
+        shares_organisations: false,
     }
 }
 
--- a/tests/test_policy.rs
+++ b/tests/test_policy.rs
@@ -45,6 +45,7 @@
         demand: PlacementDemand::default(),
         may_be_resumed: false,
         is_underserved: false,
+        is_over_share: false,
     }
 }
 
