--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -63,6 +63,7 @@
         may_be_resumed: false,
         is_underserved: false,
         held_tokens: 0,
+        is_over_share: false,
     }
 }
 
@@ -148,6 +149,7 @@
         cold_bound: None,
         engine_memory_tokens: None,
         has_slot_notices: false,
+        shares_organisations: false,
         size_share: 0.75,
         mechanisms: MechanismSet::default(),
         has_reservations: false,
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -75,6 +75,8 @@
     pub is_underserved: bool,
     /// Tokens that it may use of an engine's memory: its prompt and its maximum output.
     pub held_tokens: u32,
+    /// True if it is beyond its organisation's share of the service.
+    pub is_over_share: bool,
 }
 
 impl WaitingRequest {
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -15,10 +15,10 @@
 
 use super::{
     CapacityClass, CostModel, DrainMeter, EngineSpeed, FirstEventModel, Mechanism, MemoryNeed,
-    Moment, OrganisationIndex, PlacementPolicy, PlacementQuery, ReachMonitor, RequestId,
-    RequiredFit, ShedAudit, ShedFloor, SizeShares, TierRank, UpstreamEvent, UpstreamIndex,
-    UpstreamQueueMeter, UpstreamSet, UpstreamState, UpstreamStatus, WaitingLevels, WaitingQueue,
-    WaitingRequest, placement_policy,
+    Moment, OrganisationIndex, OrganisationShares, PlacementPolicy, PlacementQuery, ReachMonitor,
+    RequestId, RequiredFit, ShedAudit, ShedFloor, SizeShares, TierRank, UpstreamEvent,
+    UpstreamIndex, UpstreamQueueMeter, UpstreamSet, UpstreamState, UpstreamStatus, WaitingLevels,
+    WaitingQueue, WaitingRequest, placement_policy,
 };
 use crate::answer::AnswerKind;
 use crate::table::QueueDiscipline;
@@ -99,6 +99,7 @@
     upstream_queues: UpstreamQueueMeter,
     /// Slots to offer to the group's other daemons.
     unused_slots: Vec<UpstreamIndex>,
+    organisation_shares: OrganisationShares,
 }
 
 impl PoolScheduler {
@@ -130,6 +131,7 @@
             size_shares: SizeShares::default(),
             upstream_queues: UpstreamQueueMeter::default(),
             unused_slots: Vec::new(),
+            organisation_shares: OrganisationShares::default(),
             plan,
         }
     }
@@ -220,6 +222,9 @@
                 self.upstreams.set_group(group);
                 self.peer_waiting = waiting;
             }
+            PoolEvent::OrganisationFlows(flows) => {
+                self.organisation_shares.set_fleet(&flows, now);
+            }
             PoolEvent::Tick => self.tick(now, actions),
         }
         if self.reach.is_cut_off() && !was_cut_off {
@@ -253,6 +258,9 @@
         }
         self.upstreams.set_headroom(plan.headroom());
         self.upstreams.set_cold_bound(plan.cold_bound);
+        if !plan.marks_shares() {
+            self.organisation_shares = OrganisationShares::default();
+        }
         self.plan = plan;
         self.floor.set_ranks(self.plan.tier_ranks());
     }
@@ -376,6 +384,16 @@
         &self.peer_waiting
     }
 
+    /// The shares of the organisations; without any where the plan does not call for them.
+    pub fn organisation_shares(&self) -> &OrganisationShares {
+        &self.organisation_shares
+    }
+
+    /// True if organisations share this pool's service.
+    pub fn shares_organisations(&self) -> bool {
+        self.plan.marks_shares()
+    }
+
     fn choose_upstream(
         &mut self,
         request: &WaitingRequest,
@@ -486,6 +504,7 @@
         let (tokens_ahead, slowness) = self.prefill_ahead(upstream, unread_tokens);
         self.upstreams.update(upstream, |status| status.unread_tokens += u64::from(unread_tokens));
         self.drain_meter.dispatched(request.tier, request.cost);
+        self.organisation_shares.record_dispatch(request.organisation, request.cost, now);
         self.redispatch_budget = (self.redispatch_budget + REDISPATCH_SHARE).min(REDISPATCH_BURST);
         actions.push(PoolAction::Dispatch { id: request.id, upstream });
         let was_limited = !self.queue.is_empty()
--- a/src/policy/scheduler/plan.rs
+++ b/src/policy/scheduler/plan.rs
@@ -62,6 +62,9 @@
     pub has_slot_notices: bool,
     /// Tokens that fit into the memory of one upstream; `None` if they are not counted.
     pub engine_memory_tokens: Option<u64>,
+    /// True if a service that is too small for all is shared among the organisations. Only the queue
+    /// by value density does so; the weighted one has its own shares.
+    pub shares_organisations: bool,
 }
 
 impl PoolPlan {
@@ -90,6 +93,7 @@
             cold_bound: None,
             has_slot_notices: false,
             engine_memory_tokens: row.engine_memory_tokens,
+            shares_organisations: false,
         }
     }
 
@@ -103,6 +107,11 @@
         }
     }
 
+    /// Returns whether requests are marked as within or beyond their organisation's share.
+    pub(super) fn marks_shares(&self) -> bool {
+        self.shares_organisations && self.queue == QueueDiscipline::Urgency
+    }
+
     pub(super) fn tier_ranks(&self) -> Vec<TierRank> {
         self.tiers.iter().map(|share| share.rank).collect()
     }
--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -93,6 +93,7 @@
     mechanisms: OnceLock<MechanismSet>,
     /// True if slots that this daemon leaves unused are offered to other daemons.
     has_slot_notices: AtomicBool,
+    shares_organisations: AtomicBool,
     /// Detectors of retries by the callers' remaining time, by route.
     retry_detectors: Mutex<HashMap<String, RetryDetector>>,
     /// Sizes of recent requests, by route.
@@ -157,6 +158,7 @@
             retry_bound: OnceLock::new(),
             mechanisms: OnceLock::new(),
             has_slot_notices: AtomicBool::new(false),
+            shares_organisations: AtomicBool::new(false),
             retry_detectors: Mutex::default(),
             route_sizes: Mutex::default(),
             is_ready: AtomicBool::new(true),
@@ -347,6 +349,17 @@
         self.has_slot_notices.store(true, Ordering::Release);
     }
 
+    /// Lets organisations share services that are too small for all; called before any table is in
+    /// force.
+    pub fn enable_organisation_shares(&self) {
+        self.shares_organisations.store(true, Ordering::Release);
+    }
+
+    /// True if organisations share services that are too small for all.
+    pub fn shares_organisations(&self) -> bool {
+        self.shares_organisations.load(Ordering::Acquire)
+    }
+
     fn mechanisms(&self) -> MechanismSet {
         self.mechanisms.get().cloned().unwrap_or_default()
     }
@@ -407,6 +420,7 @@
             plan.mechanisms = self.mechanisms();
             plan.cold_bound = self.cold_bound(row);
             plan.has_slot_notices = self.has_slot_notices.load(Ordering::Acquire);
+            plan.shares_organisations = self.shares_organisations();
             let name = version_pool_name(&row.service, version.as_ref());
             let pool = match old.get(&name) {
                 Some(pool) => {
--- a/tests/session.rs
+++ b/tests/session.rs
@@ -42,6 +42,7 @@
         cold_bound: None,
         has_slot_notices: false,
         engine_memory_tokens: None,
+        shares_organisations: false,
     }
 }
 
--- a/tests/test_policy.rs
+++ b/tests/test_policy.rs
@@ -46,6 +46,7 @@
         may_be_resumed: false,
         is_underserved: false,
         held_tokens: 0,
+        is_over_share: false,
     }
 }
 
