Placement counts the prompt parts that upstreams hold

Engines do not process again the leading parts of a prompt that they still hold, but `earliest` placement estimated each prompt as wholly unread. `Tarragonknot-Prefix-Hash` is now read into cumulative hashes with token counts, and with `prefix_reuse` of a service (`off` by default) the estimate of the first event leaves out what a candidate is expected to hold. Exclusions and fit are still decided on the whole prompt, and the off setting draws and chooses as before.

Two ways behind one trait: `recent`, a bounded and expiring table of this daemon's sends, and `ring`, consistent hashing with bounded loads.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -11,9 +11,9 @@
 use tarragonknot::policy::{
     AffinityPlacement, ArrivedRequest, CapacityClass, DispatchOutcome, EngineSpeed, FairQueue,
     LearnedLimit, MechanismSet, Moment, OrganisationIndex, PlacementDemand, PlacementPolicy,
-    PlacementQuery, PoolAction, PoolEvent, PoolPlan, PoolScheduler, RequestId, RequiredFit,
-    RouteKey, TierRank, TierShare, UpstreamSet, UpstreamSource, WaitingQueue, WaitingRequest,
-    prefix_hashes,
+    PlacementQuery, PoolAction, PoolEvent, PoolPlan, PoolScheduler, PrefixPlan, RequestId,
+    RequiredFit, RouteKey, TierRank, TierShare, UpstreamSet, UpstreamSource, WaitingQueue,
+    WaitingRequest, prefix_marks,
 };
 use tarragonknot::table::{
     DaemonName, KeyDigest, LimitMode, LimitUnit, OrganisationRow, PlacementMode, QueueDiscipline,
@@ -68,7 +68,7 @@
 fn bench_placement(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("placement");
     let prompt = "an inventory of a furnished flat ".repeat(100);
-    let prefix = prefix_hashes(prompt.as_bytes());
+    let prefix = prefix_marks(prompt.as_bytes());
     for count in [18, 1_000, 11_000] {
         let mut set = UpstreamSet::default();
         set.set_sources(
@@ -147,6 +147,7 @@
         size_share: 0.75,
         mechanisms: MechanismSet::default(),
         has_reservations: false,
+        prefix: PrefixPlan::default(),
     };
     let mut scheduler = PoolScheduler::new(plan);
     let mut rng = ChaCha8Rng::seed_from_u64(1);
--- a/src/experiment/run.rs
+++ b/src/experiment/run.rs
@@ -10,8 +10,8 @@
 use crate::load::{PlannedRequest, RequestKind};
 use crate::policy::{
     ArrivedRequest, DispatchOutcome, LoadReport, Moment, OrganisationIndex, PlacementDemand,
-    PoolAction, PoolEvent, PoolScheduler, RequestId, RouteKey, TierRank, UpstreamEvent,
-    UpstreamIndex, UpstreamSource, prefix_hashes,
+    PoolAction, PoolEvent, PoolScheduler, PrefixMark, RequestId, RouteKey, TierRank, UpstreamEvent,
+    UpstreamIndex, UpstreamSource, prefix_marks,
 };
 use crate::standin::{EngineJob, JobId, PrefillLedger};
 use crate::table::{DaemonName, VersionedTable};
@@ -78,7 +78,7 @@
     arrives_at: Duration,
     daemon: usize,
     phase: RequestPhase,
-    prefix: Box<[u64]>,
+    prefix: Box<[PrefixMark]>,
     sent_at: Moment,
     first_token_at: Option<Moment>,
     emitted_tokens: u32,
@@ -265,7 +265,7 @@
         let job = EngineJob {
             id: JobId(request as u64),
             prompt_tokens: sent.planned.prompt_tokens,
-            blocks: sent.prefix.clone(),
+            blocks: sent.prefix.iter().map(|mark| mark.hash).collect(),
             output_tokens: sent.planned.output_tokens,
         };
         if self.engines[engine].submit(job) {
@@ -549,7 +549,7 @@
             arrives_at: plan.burst_arrival(planned.at),
             daemon: rng.random_range(0..plan.daemons),
             phase: RequestPhase::Planned,
-            prefix: prefix_hashes(plan.profile.prompt(&planned, plan.seed).as_bytes()),
+            prefix: prefix_marks(plan.profile.prompt(&planned, plan.seed).as_bytes()),
             sent_at: Moment(0),
             first_token_at: None,
             emitted_tokens: 0,
--- a/src/load/profile.rs
+++ b/src/load/profile.rs
@@ -3,7 +3,7 @@
 use crate::standin::EngineShape;
 use crate::table::{
     AssignmentRow, KeyDigest, LimitMode, LimitUnit, OperatorTable, OrganisationRow, PlacementMode,
-    QueueDiscipline, ServiceKind, ServiceRow, TierRow, UpstreamRow,
+    PrefixReuse, QueueDiscipline, ServiceKind, ServiceRow, TierRow, UpstreamRow,
 };
 use clap::ValueEnum;
 use rand::{Rng, SeedableRng};
@@ -302,6 +302,7 @@
             queue,
             placement: if is_model { placement } else { PlacementMode::LeastReported },
             limit,
+            prefix_reuse: PrefixReuse::Off,
         }
     }
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,6 +1,6 @@
 //! Request and response headers exchanged with callers and engines.
 
-use crate::policy::{LoadReport, RateStatement};
+use crate::policy::{LoadReport, PrefixMark, RateStatement};
 use crate::quarantine::PromptPart;
 use crate::traffic::{
     AnswerMetadata, CallDialect, CallerMetadata, ReservationReply, ReservationRequest, SendMetadata,
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use std::str::FromStr;
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 const REQUEST_ID: &str = "tarragonknot-request-id";
 const DEADLINE: &str = "tarragonknot-deadline-ms";
@@ -82,6 +83,7 @@
     fn read_caller(&self, headers: &HeaderMap) -> CallerMetadata {
         // Format: `PROMPT_TOKENS,MAX_OUTPUT_TOKENS`.
         let counts = text(headers, TOKEN_COUNT).and_then(|counts| counts.split_once(','));
+        let entries = read_prompt_entries(headers).unwrap_or_default();
         CallerMetadata {
             id: text(headers, REQUEST_ID).map(str::to_owned),
             key: bearer_key(headers).map(str::to_owned),
@@ -91,7 +93,8 @@
             output_guess: number(headers, LENGTH_HINT),
             last_event_id: number(headers, LAST_EVENT_ID),
             resumes: RESUMES.iter().find_map(|name| text(headers, name)).map(str::to_owned),
-            prompt_parts: read_prompt_parts(headers).unwrap_or_default(),
+            prompt_parts: entries.iter().map(|(id, _)| PromptPart::of(id.as_bytes())).collect(),
+            prefix: prefix_of(&entries),
         }
     }
 
@@ -172,19 +175,29 @@
 
 /// Reads the `ID:TOKENS` entries of a prompt, without the last one, which belongs to the request or its
 /// session; `None` if any of them is not readable.
-fn read_prompt_parts(headers: &HeaderMap) -> Option<Box<[PromptPart]>> {
+fn read_prompt_entries(headers: &HeaderMap) -> Option<Vec<(String, u32)>> {
     let mut parts = Vec::new();
     for value in headers.get_all(PREFIX_HASH) {
         for entry in value.to_str().ok()?.split(',') {
             let (id, tokens) = entry.trim().split_once(':')?;
             let is_readable = id.bytes().all(|byte| byte.is_ascii_hexdigit()) && !id.is_empty();
-            tokens.trim().parse::<u32>().ok().filter(|_| is_readable)?;
-            parts.push(PromptPart::of(id.to_ascii_lowercase().as_bytes()));
+            let tokens = tokens.trim().parse::<u32>().ok().filter(|_| is_readable)?;
+            parts.push((id.to_ascii_lowercase(), tokens));
         }
     }
     parts.pop();
     parts.truncate(MAX_PROMPT_PARTS);
-    Some(parts.into_boxed_slice())
+    Some(parts)
+}
+
+/// Cumulative hashes and token counts of a prompt's parts.
+fn prefix_of(entries: &[(String, u32)]) -> Box<[PrefixMark]> {
+    let marks = entries.iter().scan(PrefixMark { hash: 0, tokens: 0 }, |mark, (id, tokens)| {
+        mark.hash = xxh3_64_with_seed(id.as_bytes(), mark.hash);
+        mark.tokens = mark.tokens.saturating_add(*tokens);
+        Some(*mark)
+    });
+    marks.collect()
 }
 
 /// Parses `RUNNING,QUEUED,SLOTS`; the slots are ignored.
--- a/src/policy/earliest_placement.rs
+++ b/src/policy/earliest_placement.rs
@@ -1,7 +1,10 @@
 //! Placement on the upstream with the earliest expected first event.
 
 use super::placement::{PlacementPolicy, PlacementQuery, RequiredFit};
-use super::{UpstreamIndex, UpstreamSet, UpstreamStatus};
+use super::{
+    Moment, PrefixHolders, PrefixMark, PrefixPlan, SentPrompt, UpstreamIndex, UpstreamSet,
+    UpstreamStatus, prefix_holders,
+};
 use rand::{Rng, RngCore};
 
 /// An upstream that fails every request has its estimate increased by this multiple.
@@ -46,10 +49,34 @@
 /// speed relative to the pool (a third of the engines are four times slower than the others).
 /// Engines admit requests in order of arrival and ignore tiers, so no engine is sent more requests
 /// than it can run concurrently.
-#[derive(Debug)]
-pub struct EarliestPlacement;
+///
+/// Prompt tokens that an upstream is expected to hold shorten its estimate by the time to process them,
+/// so that they never outweigh a longer wait. They change neither which upstreams are excluded nor
+/// which ones count as unfit.
+#[derive(Debug, Default)]
+pub struct EarliestPlacement {
+    holders: Option<Box<dyn PrefixHolders>>,
+    kept_tokens: u32,
+    changed_choices: u64,
+}
+
+/// The estimate of one upstream, to be compared with others: what excludes it, the microseconds with
+/// and without the time saved by the tokens that it holds, and these tokens.
+#[derive(Clone, Copy, Debug)]
+struct UpstreamRating {
+    index: UpstreamIndex,
+    exclusion: (bool, bool),
+    micros: f64,
+    full_micros: f64,
+    held_tokens: f64,
+}
 
 impl EarliestPlacement {
+    /// Creates the policy; `prefix` selects how it learns what upstreams hold.
+    pub fn new(prefix: PrefixPlan) -> Self {
+        EarliestPlacement { holders: prefix_holders(prefix), ..EarliestPlacement::default() }
+    }
+
     /// Returns an upstream's time between tokens in microseconds, and its slowdown relative to the
     /// pool.
     fn gap_and_slowness(status: &UpstreamStatus, query: &PlacementQuery<'_>) -> (f64, f64) {
@@ -57,19 +84,26 @@
         (gap, gap / query.speed.gap_micros.max(1.0))
     }
 
-    /// Estimates the microseconds until the first event.
-    fn first_event_micros(status: &UpstreamStatus, query: &PlacementQuery<'_>) -> f64 {
+    /// Estimates the microseconds until the first event if the upstream holds `held_tokens` of the
+    /// prompt.
+    fn first_event_micros(
+        status: &UpstreamStatus,
+        query: &PlacementQuery<'_>,
+        held_tokens: f64,
+    ) -> f64 {
         let (gap, slowness) = Self::gap_and_slowness(status, query);
         let unread = status.total_unread_tokens();
         let prompt = (unread as f64 + f64::from(query.prompt_tokens)) * query.speed.prefill_micros;
         let load = status.occupancy().min(1.0);
-        let total = prompt * slowness + STEPS_BEFORE_FIRST_EVENT * gap + load * gap;
-        let total = total + Self::slot_wait_micros(status, query, gap);
-        let total = total * Self::stall_penalty(status, query, gap, slowness);
+        let saved = held_tokens * query.speed.prefill_micros * slowness;
+        let full = prompt * slowness + STEPS_BEFORE_FIRST_EVENT * gap + load * gap;
+        let full = full + Self::slot_wait_micros(status, query, gap);
+        let stall = Self::stall_penalty(status, query, gap, slowness);
+        let total = (full - saved) * stall;
         let run = f64::from(query.output_tokens) * gap * OUTPUT_MARGIN;
         // Without this factor, a long answer starts on time on an engine four times slower than the
         // others and is then cut by its deadline, having held a slot for its entire duration.
-        let is_too_slow = total + run > query.time_left.as_micros() as f64;
+        let is_too_slow = full * stall + run > query.time_left.as_micros() as f64;
         let total = if is_too_slow { total * MISSED_DEADLINE_PENALTY } else { total };
         // A cold upstream, or one that states a rate, is used by its owners alone, whatever their groups.
         let is_preferred =
@@ -136,6 +170,15 @@
     }
 }
 
+impl UpstreamRating {
+    /// True if this upstream is preferred to another one by exclusion, then `micros`, then index.
+    fn is_before(&self, other: &Self, micros: impl Fn(&Self) -> f64) -> bool {
+        let by_exclusion = self.exclusion.cmp(&other.exclusion);
+        let by_time = by_exclusion.then(micros(self).total_cmp(&micros(other)));
+        by_time.then(self.index.cmp(&other.index)).is_lt()
+    }
+}
+
 impl PlacementPolicy for EarliestPlacement {
     fn place(
         &mut self,
@@ -143,24 +186,68 @@
         query: &PlacementQuery<'_>,
         rng: &mut dyn RngCore,
     ) -> Option<UpstreamIndex> {
+        self.kept_tokens = 0;
+        if let Some(holders) = &mut self.holders {
+            holders.review(set, query);
+        }
+        let holders = &self.holders;
         let open = query.open(set);
         let start = if open.len() > MAX_CANDIDATES { rng.random_range(0..open.len()) } else { 0 };
         let sample = open.iter().cycle().skip(start).take(open.len().min(MAX_CANDIDATES));
-        let open = sample.filter_map(|index| set.get(*index));
+        // A holder outside the sample of a large pool is compared as well.
+        let is_sampled = open.len() <= MAX_CANDIDATES;
+        let extra = holders.iter().filter(|_| !is_sampled).flat_map(|holders| holders.holders());
+        let extra = extra.filter(|index| open.contains(index));
+        let open = sample.chain(extra).filter_map(|index| set.get(*index));
         let rated = open.map(|status| {
             let is_backed_off = query.now < status.backoff_until;
             let is_unfit = !Self::fits(status, query);
             let jitter = 1.0 + ESTIMATE_JITTER * rng.random::<f64>();
-            (
-                (is_backed_off, is_unfit),
-                Self::first_event_micros(status, query) * jitter,
-                status.index,
-            )
+            let held_tokens =
+                holders.as_ref().map_or(0.0, |holders| holders.held_tokens(status, query));
+            let full_micros = Self::first_event_micros(status, query, 0.0) * jitter;
+            let micros = match held_tokens > 0.0 {
+                true => Self::first_event_micros(status, query, held_tokens) * jitter,
+                false => full_micros,
+            };
+            let exclusion = (is_backed_off, is_unfit);
+            UpstreamRating { index: status.index, exclusion, micros, full_micros, held_tokens }
         });
-        let best =
-            rated.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)))?;
-        let ((_, is_unfit), _, index) = best;
-        let should_wait = is_unfit && Self::may_fit_later(set, query);
-        (!should_wait).then_some(index)
+        // Of the ratings with and without held tokens, the best of each.
+        let choice = rated.fold(None, |best: Option<(UpstreamRating, UpstreamRating)>, rating| {
+            let Some((kept, full)) = best else { return Some((rating, rating)) };
+            let is_better = rating.is_before(&kept, |rating| rating.micros);
+            let is_better_in_full = rating.is_before(&full, |rating| rating.full_micros);
+            let kept = if is_better { rating } else { kept };
+            Some((kept, if is_better_in_full { rating } else { full }))
+        });
+        let (best, without) = choice?;
+        let should_wait = best.exclusion.1 && Self::may_fit_later(set, query);
+        if should_wait {
+            return None;
+        }
+        self.kept_tokens = best.held_tokens as u32;
+        self.changed_choices += u64::from(best.index != without.index);
+        Some(best.index)
+    }
+
+    fn kept_tokens(&self) -> u32 {
+        self.kept_tokens
+    }
+
+    fn record_send(&mut self, prompt: SentPrompt<'_>, upstream: UpstreamIndex, now: Moment) {
+        if let Some(holders) = &mut self.holders {
+            holders.record_send(prompt, upstream, now);
+        }
+    }
+
+    fn retract_send(&mut self, prefix: &[PrefixMark], upstream: UpstreamIndex) {
+        if let Some(holders) = &mut self.holders {
+            holders.retract_send(prefix, upstream);
+        }
+    }
+
+    fn changed_choices(&self) -> u64 {
+        self.changed_choices
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -18,6 +18,8 @@
 mod owner_ring;
 mod placement;
 mod placement_demand;
+mod prefix_ring;
+mod prefix_table;
 mod queue;
 mod reach_monitor;
 mod request_sizes;
@@ -54,9 +56,13 @@
 pub use owner_ring::OwnerRing;
 pub use placement::{
     AffinityPlacement, LeastReported, PlacementPolicy, PlacementQuery, RequiredFit, RoundRobin,
-    placement_policy, prefix_hashes,
+    placement_policy, prefix_hashes, prefix_marks,
 };
 pub use placement_demand::PlacementDemand;
+pub use prefix_ring::PrefixRing;
+pub use prefix_table::{
+    PrefixHolders, PrefixMark, PrefixPlan, PrefixTable, SentPrompt, prefix_holders,
+};
 pub use queue::{FairQueue, FifoQueue, TierShare, WaitingQueue, WaitingRequest};
 pub use reach_monitor::ReachMonitor;
 pub use request_sizes::{RouteSizes, SizeDecile};
@@ -64,7 +70,7 @@
 pub use retry_detector::RetryDetector;
 pub use scheduler::{
     ArrivedRequest, DispatchOutcome, PeerWaiting, PoolAction, PoolEvent, PoolPlan, PoolScheduler,
-    PoolStatus,
+    PoolStatus, PrefixCounts,
 };
 pub use shared_list::{
     ChangeVerdict, ListChange, ListPart, ListedUpstream, MissingParts, PackedChange, SharedList,
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -2,7 +2,8 @@
 
 use super::earliest_placement::EarliestPlacement;
 use super::{
-    CapacityClass, EngineSpeed, Moment, PlacementDemand, UpstreamIndex, UpstreamSet, UpstreamStatus,
+    CapacityClass, EngineSpeed, Moment, PlacementDemand, PrefixMark, PrefixPlan, SentPrompt,
+    UpstreamIndex, UpstreamSet, UpstreamStatus,
 };
 use crate::table::PlacementMode;
 use rand::{Rng, RngCore};
@@ -45,6 +46,15 @@
         .collect()
 }
 
+/// Returns the prompt's leading blocks as prefix marks, with the tokens assumed per block.
+pub fn prefix_marks(prompt: &[u8]) -> Box<[PrefixMark]> {
+    let hashes = prefix_hashes(prompt);
+    let marks = hashes.iter().zip(1u32..);
+    marks
+        .map(|(hash, blocks)| PrefixMark { hash: *hash, tokens: blocks * BLOCK_TOKENS as u32 })
+        .collect()
+}
+
 /// How much of a safety margin an upstream must have for a request to be sent there instead of
 /// waiting.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,8 +70,8 @@
 /// The request and pool properties that a placement decision depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementQuery<'a> {
-    /// Cumulative hashes of the prompt's leading blocks, shortest prefix first.
-    pub prefix: &'a [u64],
+    /// The prompt's leading parts that other prompts may share, shortest first.
+    pub prefix: &'a [PrefixMark],
     /// Estimated prompt tokens.
     pub prompt_tokens: u32,
     /// Estimated output tokens.
@@ -114,18 +124,30 @@
         rng: &mut dyn RngCore,
     ) -> Option<UpstreamIndex>;
     /// Records that a prompt with these blocks was sent to an upstream.
-    fn dispatched(&mut self, _prefix: &[u64], _upstream: UpstreamIndex) {}
+    fn dispatched(&mut self, _prefix: &[PrefixMark], _upstream: UpstreamIndex) {}
+    /// Prompt tokens that the upstream chosen last is expected to hold.
+    fn kept_tokens(&self) -> u32 {
+        0
+    }
+    /// Records that a prompt was sent to an upstream that has a slot for it.
+    fn record_send(&mut self, _prompt: SentPrompt<'_>, _upstream: UpstreamIndex, _now: Moment) {}
+    /// Withdraws a send that did not reach its upstream.
+    fn retract_send(&mut self, _prefix: &[PrefixMark], _upstream: UpstreamIndex) {}
+    /// Number of choices that differ from those without regard to what upstreams hold.
+    fn changed_choices(&self) -> u64 {
+        0
+    }
     /// Records that an upstream evicted a block from its cache.
     fn evicted(&mut self, _block: u64, _upstream: UpstreamIndex) {}
 }
 
 /// Builds the policy that the table selects.
-pub fn placement_policy(choice: PlacementMode) -> Box<dyn PlacementPolicy> {
+pub fn placement_policy(choice: PlacementMode, prefix: PrefixPlan) -> Box<dyn PlacementPolicy> {
     match choice {
         PlacementMode::Affinity => Box::new(AffinityPlacement::default()),
         PlacementMode::RoundRobin => Box::new(RoundRobin::default()),
         PlacementMode::LeastReported => Box::new(LeastReported),
-        PlacementMode::Earliest => Box::new(EarliestPlacement),
+        PlacementMode::Earliest => Box::new(EarliestPlacement::new(prefix)),
     }
 }
 
@@ -198,10 +220,12 @@
     }
 
     /// The upstream with the longest known prefix, and the length of that prefix in blocks.
-    fn longest_prefix(&self, prefix: &[u64]) -> Option<(UpstreamIndex, usize)> {
+    fn longest_prefix(&self, prefix: &[PrefixMark]) -> Option<(UpstreamIndex, usize)> {
         let lengths = (1..=prefix.len()).rev();
         lengths
-            .filter_map(|length| self.get(prefix[length - 1]).map(|upstream| (upstream, length)))
+            .filter_map(|length| {
+                self.get(prefix[length - 1].hash).map(|upstream| (upstream, length))
+            })
             .next()
     }
 }
@@ -296,7 +320,7 @@
         known: Option<UpstreamIndex>,
         rng: &mut dyn RngCore,
     ) -> Option<UpstreamIndex> {
-        let key = query.prefix.first()?;
+        let key = query.prefix.first()?.hash;
         let bound = mean_load(set, query, rng) * LOAD_BOUND_FACTOR + LOAD_SLACK;
         let is_fit = |index: &UpstreamIndex| {
             set.get(*index).is_some_and(|status| {
@@ -306,7 +330,7 @@
                     && request_load(status, query.now) <= bound
             })
         };
-        known.into_iter().chain(self.ring_candidates(*key)).find(is_fit)
+        known.into_iter().chain(self.ring_candidates(key)).find(is_fit)
     }
 }
 
@@ -325,7 +349,7 @@
         {
             return Some(upstream);
         }
-        let ring_owner = query.prefix.first().and_then(|key| self.ring_candidates(*key).next());
+        let ring_owner = query.prefix.first().and_then(|key| self.ring_candidates(key.hash).next());
         let mut best: Option<(f64, UpstreamIndex)> = None;
         let mut consider = |index: UpstreamIndex| {
             let can_serve = |status: &&UpstreamStatus| {
@@ -355,7 +379,7 @@
             .prefix
             .first()
             .into_iter()
-            .flat_map(|key| self.ring_candidates(*key))
+            .flat_map(|key| self.ring_candidates(key.hash))
             .for_each(&mut consider);
         for _ in 0..RANDOM_CANDIDATES {
             consider(open[rng.random_range(0..open.len())]);
@@ -363,8 +387,8 @@
         best.map(|(_, index)| index)
     }
 
-    fn dispatched(&mut self, prefix: &[u64], upstream: UpstreamIndex) {
-        prefix.iter().for_each(|block| self.index.insert(*block, upstream));
+    fn dispatched(&mut self, prefix: &[PrefixMark], upstream: UpstreamIndex) {
+        prefix.iter().for_each(|block| self.index.insert(block.hash, upstream));
     }
 
     fn evicted(&mut self, block: u64, upstream: UpstreamIndex) {
--- a/src/policy/queue.rs
+++ b/src/policy/queue.rs
@@ -5,8 +5,8 @@
 //! in its fair turn, but can still meet it if sent now, is served ahead of lower tiers.
 
 use super::{
-    DensityLevel, Moment, OrganisationIndex, PlacementDemand, RequestId, RouteKey, SizeClaim,
-    SizeDecile, TierProgress, TierRank, WaitingLevels,
+    DensityLevel, Moment, OrganisationIndex, PlacementDemand, PrefixMark, RequestId, RouteKey,
+    SizeClaim, SizeDecile, TierProgress, TierRank, WaitingLevels,
 };
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
@@ -57,8 +57,8 @@
     pub run_time: Duration,
     /// Arrival time.
     pub arrived: Moment,
-    /// Cumulative hashes of the prompt's leading blocks.
-    pub prefix: Box<[u64]>,
+    /// The prompt's leading parts that other prompts may share, shortest first.
+    pub prefix: Box<[PrefixMark]>,
     /// Size of the prompt in bytes.
     pub prompt_bytes: usize,
     /// Time after which [`WaitingQueue::pop_for_review`] returns it to be reviewed or refused as
--- a/src/policy/scheduler/events.rs
+++ b/src/policy/scheduler/events.rs
@@ -4,8 +4,8 @@
 use crate::answer::AnswerKind;
 use crate::policy::{
     FleetGroup, FloorOrder, LoadReport, Moment, OrganisationIndex, OwnerRing, PeerWork,
-    PlacementDemand, RateStatement, RequestId, RequestSizes, RouteKey, SizeDecile, TierRank,
-    UpstreamEvent, UpstreamIndex, UpstreamSource, WaitingLevels,
+    PlacementDemand, PrefixMark, RateStatement, RequestId, RequestSizes, RouteKey, SizeDecile,
+    TierRank, UpstreamEvent, UpstreamIndex, UpstreamSource, WaitingLevels,
 };
 use crate::table::UpstreamName;
 use std::sync::Arc;
@@ -58,8 +58,8 @@
     pub must_stay: bool,
     /// Route of the request; sizes are compared among the requests of one route.
     pub route: RouteKey,
-    /// Cumulative hashes of the leading blocks of the prompt.
-    pub prefix: Box<[u64]>,
+    /// The prompt's leading parts that other prompts may share, shortest first.
+    pub prefix: Box<[PrefixMark]>,
 }
 
 /// Outcome of a dispatch.
--- a/src/policy/scheduler/feedback.rs
+++ b/src/policy/scheduler/feedback.rs
@@ -18,7 +18,7 @@
         self.reach.record_contact();
         let Some(running) = self.running.get_mut(&id) else { return };
         let unread_tokens = std::mem::take(&mut running.unread_tokens);
-        let prompt_tokens = running.request.prompt_tokens;
+        let prompt_tokens = running.request.prompt_tokens.saturating_sub(running.kept_tokens);
         let (tokens_ahead, slowness) = (running.tokens_ahead, running.slowness);
         let upstream = running.upstream;
         self.upstreams.update(upstream, |status| status.record_processed_tokens(unread_tokens));
@@ -75,6 +75,7 @@
         }
         // A refused reservation has reached the upstream, so it counts against the stated rate.
         if outcome == DispatchOutcome::NotSent {
+            self.placement.retract_send(&request.prefix, upstream);
             self.upstreams.update(upstream, |status| status.rate_pace.retract_send());
         }
         match outcome {
@@ -104,14 +105,16 @@
     }
 
     /// Handles a granted slot reservation; the request is sent to the upstream.
-    pub(super) fn handle_grant(&mut self, id: RequestId) {
-        let Some(running) = self.running.get_mut(&id) else { return };
+    pub(super) fn handle_grant(&mut self, id: RequestId, now: Moment) {
+        let Some(mut running) = self.running.remove(&id) else { return };
         if std::mem::take(&mut running.is_reserving) {
+            self.record_prefix_send(&running, now);
             self.reach.record_contact();
             let upstream = running.upstream;
             self.upstreams.update(upstream, UpstreamStatus::clear_refusals);
             self.reservations.record_grant();
         }
+        self.running.insert(id, running);
     }
 
     /// Handles a refused slot reservation: the request returns to the front of its queue.
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -15,12 +15,12 @@
 use super::{
     CapacityClass, CostModel, DrainMeter, EngineSpeed, FirstEventModel, Mechanism, Moment,
     OrganisationIndex, PlacementPolicy, PlacementQuery, ReachMonitor, RequestId, RequiredFit,
-    ShedAudit, ShedFloor, SizeShares, TierRank, UpstreamEvent, UpstreamIndex, UpstreamQueueMeter,
-    UpstreamSet, UpstreamState, UpstreamStatus, WaitingLevels, WaitingQueue, WaitingRequest,
-    placement_policy,
+    SentPrompt, ShedAudit, ShedFloor, SizeShares, TierRank, UpstreamEvent, UpstreamIndex,
+    UpstreamQueueMeter, UpstreamSet, UpstreamState, UpstreamStatus, WaitingLevels, WaitingQueue,
+    WaitingRequest, placement_policy,
 };
 use crate::answer::AnswerKind;
-use crate::table::QueueDiscipline;
+use crate::table::{PrefixReuse, QueueDiscipline};
 use rand::{Rng, RngCore};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -54,6 +54,26 @@
     slowness: f64,
     /// True until the upstream grants or refuses the slot reservation.
     is_reserving: bool,
+    /// Prompt tokens that the upstream is expected to hold, at dispatch.
+    kept_tokens: u32,
+}
+
+impl RunningRequest {
+    /// The prompt as sent to the upstream.
+    fn sent_prompt(&self) -> SentPrompt<'_> {
+        let tokens = self.request.prompt_tokens.saturating_sub(self.kept_tokens);
+        let new_tokens = u64::from(tokens) + u64::from(self.request.output_tokens);
+        SentPrompt { prefix: &self.request.prefix, new_tokens }
+    }
+}
+
+/// Counters of the effect of prefix reuse.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PrefixCounts {
+    /// Prompt tokens that the upstreams of sent requests were expected to hold.
+    pub kept_tokens: u64,
+    /// Choices that differ from those without regard to what upstreams hold.
+    pub changed_choices: u64,
 }
 
 /// Pool counters for status pages and metrics.
@@ -93,6 +113,7 @@
     size_shares: SizeShares,
     /// Queue lengths inside the upstreams of a plain service.
     upstream_queues: UpstreamQueueMeter,
+    prefix_counts: PrefixCounts,
 }
 
 impl PoolScheduler {
@@ -106,7 +127,7 @@
         PoolScheduler {
             queue: plan.new_queue(),
             resumed: ResumedQueue::default(),
-            placement: placement_policy(plan.placement),
+            placement: placement_policy(plan.placement, plan.prefix),
             upstreams,
             model: CostModel::new(plan.counts_tokens),
             first_events: FirstEventModel::default(),
@@ -123,6 +144,7 @@
             reach: ReachMonitor::default(),
             size_shares: SizeShares::default(),
             upstream_queues: UpstreamQueueMeter::default(),
+            prefix_counts: PrefixCounts::default(),
             plan,
         }
     }
@@ -143,7 +165,7 @@
                     self.record_end(&request, false);
                 }
             }
-            PoolEvent::Granted(id) => self.handle_grant(id),
+            PoolEvent::Granted(id) => self.handle_grant(id, now),
             PoolEvent::FirstToken { id, after } => self.handle_first_token(id, after, now),
             PoolEvent::TokenGap { id, gap } => self.handle_token_gap(id, gap, now),
             PoolEvent::Ended { id, outcome } => self.handle_end(id, outcome, now, actions),
@@ -223,8 +245,8 @@
         if plan == self.plan {
             return;
         }
-        if plan.placement != self.plan.placement {
-            self.placement = placement_policy(plan.placement);
+        if plan.placement != self.plan.placement || plan.prefix != self.plan.prefix {
+            self.placement = placement_policy(plan.placement, plan.prefix);
         }
         if plan.queue != self.plan.queue
             || plan.tiers != self.plan.tiers
@@ -439,7 +461,8 @@
     ) {
         self.placement.dispatched(&request.prefix, upstream);
         self.upstreams.dispatched(upstream, request.cost, now);
-        let unread_tokens = request.prompt_tokens;
+        let kept_tokens = self.placement.kept_tokens().min(request.prompt_tokens);
+        let unread_tokens = request.prompt_tokens - kept_tokens;
         let (tokens_ahead, slowness) = self.prefill_ahead(upstream, unread_tokens);
         self.upstreams.update(upstream, |status| status.unread_tokens += u64::from(unread_tokens));
         self.drain_meter.dispatched(request.tier, request.cost);
@@ -459,11 +482,35 @@
             tokens_ahead,
             slowness,
             is_reserving,
+            kept_tokens,
             request,
         };
+        if !is_reserving {
+            self.record_prefix_send(&running, now);
+        }
         self.running.insert(running.request.id, running);
     }
 
+    /// Records a request that an upstream has a slot for.
+    fn record_prefix_send(&mut self, running: &RunningRequest, now: Moment) {
+        self.prefix_counts.kept_tokens += u64::from(running.kept_tokens);
+        self.placement.record_send(running.sent_prompt(), running.upstream, now);
+    }
+
+    /// Prompt tokens that the upstream of a running request is expected to hold; `None` if the pool
+    /// does not take them into account.
+    pub fn kept_tokens(&self, id: RequestId) -> Option<u32> {
+        let is_on = self.plan.prefix.mode != PrefixReuse::Off;
+        self.running.get(&id).filter(|_| is_on).map(|running| running.kept_tokens)
+    }
+
+    /// Counters of the effect of prefix reuse; `None` if it is off.
+    pub fn prefix_counts(&self) -> Option<PrefixCounts> {
+        let is_on = self.plan.prefix.mode != PrefixReuse::Off;
+        let changed_choices = self.placement.changed_choices();
+        is_on.then_some(PrefixCounts { changed_choices, ..self.prefix_counts })
+    }
+
     /// Prompt tokens that an upstream must prefill before the first event of a request dispatched
     /// now, and the upstream's slowdown.
     fn prefill_ahead(&self, upstream: UpstreamIndex, own: u32) -> (u64, f64) {
--- a/src/policy/scheduler/plan.rs
+++ b/src/policy/scheduler/plan.rs
@@ -1,8 +1,8 @@
 //! Scheduler configuration of one pool, derived from the table.
 
 use crate::policy::{
-    ColdBound, FairQueue, FifoQueue, LearnedLimit, MechanismSet, TierRank, TierShare, UrgencyQueue,
-    WaitingQueue,
+    ColdBound, FairQueue, FifoQueue, LearnedLimit, MechanismSet, PrefixPlan, TierRank, TierShare,
+    UrgencyQueue, WaitingQueue,
 };
 use crate::table::{LimitMode, PlacementMode, QueueDiscipline, ServiceKind, ServiceRow};
 use std::time::Duration;
@@ -58,6 +58,8 @@
     pub has_reservations: bool,
     /// Bound on requests to cold upstreams, if there is one.
     pub cold_bound: Option<ColdBound>,
+    /// How placement takes into account the prompt parts that upstreams hold.
+    pub prefix: PrefixPlan,
 }
 
 impl PoolPlan {
@@ -84,6 +86,7 @@
             mechanisms: MechanismSet::default(),
             has_reservations: row.reservation_ms.is_some(),
             cold_bound: None,
+            prefix: PrefixPlan { mode: row.prefix_reuse, memory_tokens: row.engine_memory_tokens },
         }
     }
 
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -189,7 +189,13 @@
         let name = service.to_string();
         gauge!("tarragonknot_waiting", "service" => name.clone()).set(status.waiting as f64);
         gauge!("tarragonknot_running", "service" => name.clone()).set(status.running as f64);
-        gauge!("tarragonknot_live_upstreams", "service" => name).set(status.live as f64);
+        gauge!("tarragonknot_live_upstreams", "service" => name.clone()).set(status.live as f64);
+        if let Some(counts) = pool.inspect(|scheduler| scheduler.prefix_counts()) {
+            counter!("tarragonknot_prefix_kept_tokens_total", "service" => name.clone())
+                .absolute(counts.kept_tokens);
+            counter!("tarragonknot_prefix_changed_choices_total", "service" => name)
+                .absolute(counts.changed_choices);
+        }
     }
     let sizes = state.quarantine.sizes(state.clock.now());
     gauge!("tarragonknot_quarantined_requests").set(sizes.held as f64);
--- a/src/table/mod.rs
+++ b/src/table/mod.rs
@@ -190,6 +190,26 @@
     Fixed,
 }
 
+/// How placement takes into account the prompt parts that upstreams hold; it applies to the placement
+/// policy `earliest`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum PrefixReuse {
+    /// Not at all.
+    #[default]
+    Off,
+    /// By the daemon's own recent sends.
+    Recent,
+    /// By consistent hashing with bounded loads, on which all daemons agree.
+    Ring,
+}
+
+impl PrefixReuse {
+    fn is_off(&self) -> bool {
+        *self == PrefixReuse::Off
+    }
+}
+
 /// A service: a pool of upstreams and how callers reach it.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -288,6 +308,9 @@
     /// Kind of concurrency limit per upstream.
     #[serde(default)]
     pub limit: LimitMode,
+    /// Whether placement takes into account the prompt parts that upstreams hold.
+    #[serde(default, skip_serializing_if = "PrefixReuse::is_off")]
+    pub prefix_reuse: PrefixReuse,
 }
 
 impl ServiceRow {
@@ -317,6 +340,7 @@
             queue: QueueDiscipline::default(),
             placement: PlacementMode::default(),
             limit: LimitMode::default(),
+            prefix_reuse: PrefixReuse::Off,
         }
     }
 
--- a/src/traffic/frontend/request_parts.rs
+++ b/src/traffic/frontend/request_parts.rs
@@ -1,7 +1,7 @@
 //! Parses and validates the head and the body of a request; each error names the faulty part.
 
 use crate::answer::AnswerKind;
-use crate::policy::prefix_hashes;
+use crate::policy::{PrefixMark, prefix_marks};
 use crate::quarantine::PromptPart;
 use crate::table::{ServiceKind, ServiceRow};
 use crate::traffic::model_call::ModelCall;
@@ -55,7 +55,7 @@
     pub wants_stream: bool,
     pub prompt_bytes: usize,
     pub output_limit: Option<u32>,
-    pub prefix: Box<[u64]>,
+    pub prefix: Box<[PrefixMark]>,
     /// Parts of the prompt that other requests may share.
     pub parts: Box<[PromptPart]>,
 }
@@ -85,7 +85,7 @@
         wants_stream: call.stream,
         prompt_bytes: text.len(),
         output_limit,
-        prefix: prefix_hashes(text.as_bytes()),
+        prefix: prefix_marks(text.as_bytes()),
         parts: call.prompt_parts(),
         service: call.model,
     })
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -241,6 +241,11 @@
         self.inspect(|scheduler| scheduler.slowness(upstream))
     }
 
+    /// Prompt tokens that the upstream of a request is expected to hold; `None` if prefix reuse is off.
+    pub fn kept_tokens(&self, id: RequestId) -> Option<u32> {
+        self.inspect(|scheduler| scheduler.kept_tokens(id))
+    }
+
     /// True if the upstream is still the incarnation at which a slot was requested, and may be sent
     /// work. An incarnation that the upstream reported with the slot is recorded first.
     pub fn may_send_to(&self, upstream: UpstreamIndex, incarnation: Option<u64>) -> bool {
--- a/src/traffic/routed/dialect.rs
+++ b/src/traffic/routed/dialect.rs
@@ -2,7 +2,7 @@
 //!
 //! A platform adapter implements [`CallDialect`]; all decisions are made by the traffic code.
 
-use crate::policy::{LoadReport, RateStatement};
+use crate::policy::{LoadReport, PrefixMark, RateStatement};
 use crate::quarantine::PromptPart;
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
@@ -29,6 +29,8 @@
     pub resumes: Option<String>,
     /// Parts of the prompt that other requests may share.
     pub prompt_parts: Box<[PromptPart]>,
+    /// The same parts as cumulative hashes with token counts.
+    pub prefix: Box<[PrefixMark]>,
 }
 
 /// Metadata that the daemon adds to a request sent to an upstream.
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -7,6 +7,7 @@
 use super::relay::{AnswerSource, StreamContent, StreamRelay, buffered_response, stream_response};
 use super::request::{RequestStage, RoutedRequest};
 use super::send_history::SendHistory;
+use super::size_fields::KeptTokens;
 use super::through_peer::{PeerForward, forward_through_peers};
 use crate::answer::AnswerKind;
 use crate::policy::{DispatchOutcome, PoolEvent, RouteKey, UpstreamEvent, UpstreamHash};
@@ -130,7 +131,8 @@
             "list" => list.map(|stamp| format!("{:016x}", stamp.digest)), "reading" => list.map(|stamp| stamp.order.number),
             "list_age_ms" => list.map(|stamp| stamp.age_ms),
             "left_ms" => self.time_left().as_millis() as u64, "tokens" => self.limit.as_ref().map_or(0, |limit| limit.cost),
-            "slowness" => format!("{:.2}", placed.pool.slowness(placed.upstream)), self.size_fields());
+            "slowness" => format!("{:.2}", placed.pool.slowness(placed.upstream)), self.size_fields(),
+            KeptTokens(placed.pool.kept_tokens(placed.number)));
     }
 }
 
--- a/src/traffic/routed/placing.rs
+++ b/src/traffic/routed/placing.rs
@@ -304,7 +304,7 @@
             may_be_resumed: route.kind == RouteKind::ResumableStream,
             must_stay: self.must_stay,
             route: RouteKey::of(&route.route),
-            prefix: Box::default(),
+            prefix: self.metadata.prefix.clone(),
         }
     }
 }
--- a/src/traffic/routed/size_fields.rs
+++ b/src/traffic/routed/size_fields.rs
@@ -27,6 +27,16 @@
     }
 }
 
+/// Prompt tokens that the upstream is expected to hold; no field if prefix reuse is off.
+#[derive(Clone, Copy, Debug)]
+pub struct KeptTokens(pub Option<u32>);
+
+impl KV for KeptTokens {
+    fn serialize(&self, _: &Record<'_>, serializer: &mut dyn Serializer) -> Result {
+        self.0.map_or(Ok(()), |tokens| serializer.emit_u32("kept_tokens", tokens))
+    }
+}
+
 impl KV for SizeFields {
     fn serialize(&self, _: &Record<'_>, serializer: &mut dyn Serializer) -> Result {
         let mut emit = |name: &'static str, number: Option<u32>| match number {
--- a/tests/session.rs
+++ b/tests/session.rs
@@ -11,8 +11,8 @@
 use tarragonknot::policy::{
     ArrivedRequest, DispatchOutcome, Exchange, ExchangeAction, ExchangeEvent, LoadReport,
     MechanismSet, Moment, OrganisationIndex, PlacementDemand, PoolAction, PoolEvent, PoolPlan,
-    PoolScheduler, RequestId, RequestState, RouteKey, TierRank, TierShare, UpstreamIndex,
-    UpstreamSource, prefix_hashes,
+    PoolScheduler, PrefixPlan, RequestId, RequestState, RouteKey, TierRank, TierShare,
+    UpstreamIndex, UpstreamSource, prefix_marks,
 };
 use tarragonknot::table::{LimitMode, PlacementMode, QueueDiscipline};
 use tarragonknot::traffic::{DrainAction, DrainEvent, DrainState, drain_chart};
@@ -40,6 +40,7 @@
         mechanisms: MechanismSet::default(),
         has_reservations: false,
         cold_bound: None,
+        prefix: PrefixPlan::default(),
     }
 }
 
@@ -186,7 +187,7 @@
             objective: None,
             patience: None,
             pause: None,
-            prefix: prefix_hashes(prompt.as_bytes()),
+            prefix: prefix_marks(prompt.as_bytes()),
         }));
         self
     }
--- a/tests/test_experiment.rs
+++ b/tests/test_experiment.rs
@@ -15,7 +15,7 @@
 use tarragonknot::policy::{
     ArrivedRequest, DrainMeter, LoadReport, Moment, OrganisationIndex, PlacementDemand, PoolAction,
     PoolEvent, PoolPlan, PoolScheduler, RequestId, RouteKey, TierProgress, TierRank, UpstreamIndex,
-    UpstreamSource, prefix_hashes,
+    UpstreamSource, prefix_marks,
 };
 use tarragonknot::table::LimitMode;
 
@@ -163,7 +163,7 @@
             objective: None,
             patience: None,
             pause: None,
-            prefix: prefix_hashes(prompt.as_bytes()),
+            prefix: prefix_marks(prompt.as_bytes()),
         }));
         actions.into_iter().find_map(|action| match action {
             PoolAction::Dispatch { id: sent, upstream } if sent == id => Some(upstream),
--- a/tests/test_platform.rs
+++ b/tests/test_platform.rs
@@ -165,6 +165,24 @@
     assert_eq!((parts.len(), parts[0], parts[18]), (19, part("100"), part("208")));
 }
 
+/// Guards against parts that count as held although an earlier part of the prompt differs.
+#[test]
+fn the_common_parts_of_a_prompt_are_read_with_their_tokens() {
+    let read = |value| {
+        let headers = headers(&[("tarragonknot-prefix-hash", value)]);
+        HeaderDialect.read_caller(&headers).prefix
+    };
+    let first = read("5c1e:800,91BD:410,e440:250");
+    let same_parts = read("5C1E:800,91bd:410,77aa:9");
+    let other_start = read("aaaa:800,91bd:410,e440:250");
+
+    let tokens: Vec<u32> = first.iter().map(|mark| mark.tokens).collect();
+    assert_eq!(tokens, [800, 1_210]);
+    assert_eq!(first, same_parts);
+    assert_ne!(first[1].hash, other_start[1].hash);
+    assert!(read("5c1e:many,91bd:410").is_empty());
+}
+
 /// Guards against streams whose first attempt is not found, as the header may arrive with the prefix of
 /// the others or without.
 #[rstest]
--- a/tests/test_policy.rs
+++ b/tests/test_policy.rs
@@ -11,7 +11,7 @@
     ArrivedRequest, DispatchOutcome, FairQueue, FloorOrder, LimitTable, LoadReport, Moment,
     OrganisationIndex, OrganisationLimit, PlacementDemand, PoolAction, PoolEvent, PoolScheduler,
     RequestId, RouteKey, ShedFloor, TierRank, TierShare, WaitingQueue, WaitingRequest,
-    prefix_hashes,
+    prefix_marks,
 };
 
 const SHARES: [TierShare; 3] = [
@@ -178,7 +178,7 @@
             objective: None,
             patience: None,
             pause: None,
-        prefix: prefix_hashes(&[]),
+        prefix: prefix_marks(&[]),
                 };
                 scheduler.handle(PoolEvent::Arrived(arrived), now, &mut rng, &mut actions);
             } else if ended.len() == count {
