--- a/src/policy/scheduler/plan.rs
+++ b/src/policy/scheduler/plan.rs
@@ -1,8 +1,8 @@
 //! Scheduler configuration of one pool, derived from the table.
 
 use crate::policy::{
-    ColdBound, FairQueue, FifoQueue, LearnedLimit, MechanismSet, TierRank, TierShare, UrgencyQueue,
-    WaitingQueue,
+    ColdBound, FairQueue, FifoQueue, LearnedLimit, MechanismSet, PrefixPlan, TierRank, TierShare,
+    UrgencyQueue, WaitingQueue,
 };
 use crate::table::{LimitMode, PlacementMode, QueueDiscipline, ServiceKind, ServiceRow};
 use std::time::Duration;
@@ -65,6 +65,8 @@
     /// True if a service that is too small for all is shared among the organisations. Only the queue
     /// by value density does so; the weighted one has its own shares.
     pub shares_organisations: bool,
+    /// How placement takes into account the prompt parts that upstreams hold.
+    pub prefix: PrefixPlan,
 }
 
 impl PoolPlan {
@@ -94,6 +96,7 @@
             has_slot_notices: false,
             engine_memory_tokens: row.engine_memory_tokens,
             shares_organisations: false,
+            prefix: PrefixPlan { mode: row.prefix_reuse, memory_tokens: row.engine_memory_tokens },
         }
     }
 
