--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -95,10 +95,13 @@
     let state = TrafficState::new(settings.daemon.clone(), log.clone(), seed);
     if let Some(platform) = &settings.platform {
         let features = ContractFeatures::of(&platform.contracts);
-        state.set_interface(platform::interface(features));
+        state.set_interface(platform::interface(features, platform.prefix_reuse));
         if features.shares_organisations {
             state.enable_organisation_shares();
         }
+        if features.offers_slots {
+            state.enable_slot_notices();
+        }
         let now = state.clock.now();
         state.limits().start_empty(now);
     }
--- a/src/platform/contracts.rs
+++ b/src/platform/contracts.rs
@@ -10,12 +10,18 @@
     pub shares_organisations: bool,
     /// Memory held for callers, and that of upstreams, is bounded.
     pub bounds_memory: bool,
+    /// Slots that a daemon leaves unused are offered to others that wait.
+    pub offers_slots: bool,
 }
 
 impl ContractFeatures {
     /// Returns the features that contracts of these names enable.
     pub fn of(contracts: &[String]) -> Self {
         let has_pressure = contracts.iter().any(|name| name == PRESSURE);
-        ContractFeatures { shares_organisations: has_pressure, bounds_memory: has_pressure }
+        ContractFeatures {
+            shares_organisations: has_pressure,
+            bounds_memory: has_pressure,
+            offers_slots: has_pressure,
+        }
     }
 }
--- a/src/platform/document.rs
+++ b/src/platform/document.rs
@@ -3,8 +3,8 @@
 use super::ContractFeatures;
 use crate::table::{
     AssignmentRow, FaultList, KeyDigest, LimitMode, LimitUnit, OperatorTable, OrganisationRow,
-    PlacementMode, QueueDiscipline, RegionName, RouteKind, RouteRow, RouteTarget, ServiceKind,
-    ServiceRow, TableReader, TierRow, semantic_faults, tier_name_of_rank,
+    PlacementMode, PrefixReuse, QueueDiscipline, RegionName, RouteKind, RouteRow, RouteTarget,
+    ServiceKind, ServiceRow, TableReader, TierRow, semantic_faults, tier_name_of_rank,
 };
 use serde::Deserialize;
 use std::collections::BTreeSet;
@@ -126,12 +126,13 @@
 #[derive(Debug, Default)]
 pub struct DocumentReader {
     features: ContractFeatures,
+    prefix_reuse: PrefixReuse,
 }
 
 impl DocumentReader {
-    /// Creates a reader for a deployment with these features.
-    pub fn new(features: ContractFeatures) -> Self {
-        DocumentReader { features }
+    /// Creates a reader for a deployment with these features and this prefix reuse.
+    pub fn new(features: ContractFeatures, prefix_reuse: PrefixReuse) -> Self {
+        DocumentReader { features, prefix_reuse }
     }
 }
 
@@ -143,18 +144,18 @@
             faults.add("/", place, format!("a configuration ({error})"));
             faults
         })?;
-        let table = document.table(self.features);
+        let table = document.table(self);
         let faults = semantic_faults(&table);
         if faults.0.is_empty() { Ok((document.version, table)) } else { Err(faults) }
     }
 }
 
 impl ConfigDocument {
-    fn table(&self, features: ContractFeatures) -> OperatorTable {
+    fn table(&self, reader: &DocumentReader) -> OperatorTable {
         OperatorTable {
             tiers: self.tiers(),
             organisations: self.tenants.iter().map(WireTenant::organisation).collect(),
-            services: self.services.iter().map(|service| service.service(features)).collect(),
+            services: self.services.iter().map(|service| service.service(reader)).collect(),
             assignments: self.tenants.iter().filter_map(WireTenant::assignment).collect(),
             upstreams: Vec::new(),
             routes: self.routes.iter().map(WireRoute::route).collect(),
@@ -216,7 +217,7 @@
 }
 
 impl WireService {
-    fn service(&self, features: ContractFeatures) -> ServiceRow {
+    fn service(&self, reader: &DocumentReader) -> ServiceRow {
         let kind = if self.engine.is_some() { ServiceKind::Model } else { ServiceKind::Plain };
         let mut row = ServiceRow::new(self.name.as_str().into(), kind, tier_name_of_rank(0));
         row.health_path.clone_from(&self.health_path);
@@ -231,7 +232,8 @@
             let reservation = Duration::from_millis(engine.hold_ms as u64);
             row.reservation_ms = (!reservation.is_zero()).then_some(reservation);
             let memory = Some(engine.kv_tokens).filter(|tokens| *tokens > 0);
-            row.engine_memory_tokens = memory.filter(|_| features.bounds_memory);
+            row.engine_memory_tokens = memory.filter(|_| reader.features.bounds_memory);
+            row.prefix_reuse = reader.prefix_reuse;
         }
         row
     }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -15,14 +15,15 @@
 pub use operators::operators_router;
 pub use pages::{InstancePage, NextPage, read_page};
 
+use crate::table::PrefixReuse;
 use crate::traffic::PlatformInterface;
 use std::sync::Arc;
 
 /// Returns the document reader and header dialect of the platform, for a deployment with these
 /// features.
-pub fn interface(features: ContractFeatures) -> PlatformInterface {
+pub fn interface(features: ContractFeatures, prefix_reuse: PrefixReuse) -> PlatformInterface {
     PlatformInterface {
-        reader: Arc::new(DocumentReader::new(features)),
+        reader: Arc::new(DocumentReader::new(features, prefix_reuse)),
         dialect: Arc::new(HeaderDialect),
     }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,7 +1,9 @@
 //! Settings of one daemon, such as its name, addresses, data centre, peers and data folder.
 
 use crate::policy::{Mechanism, RetryBound};
-use crate::table::{DaemonName, DataCentreName, FaultList, RegionName, WholeNumber, read_checked};
+use crate::table::{
+    DaemonName, DataCentreName, FaultList, PrefixReuse, RegionName, WholeNumber, read_checked,
+};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -175,6 +177,10 @@
     /// adapter enables the parts that they call for; unknown names are ignored.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub contracts: Vec<String>,
+    /// How placement uses the prompt parts that model engines hold; the platform's configuration does
+    /// not state it.
+    #[serde(default)]
+    pub prefix_reuse: PrefixReuse,
 }
 
 /// Another voter.
--- a/tests/routed_fleet.rs
+++ b/tests/routed_fleet.rs
@@ -12,7 +12,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tarragonknot::platform::{self, ContractFeatures};
-use tarragonknot::table::VersionedTable;
+use tarragonknot::table::{PrefixReuse, VersionedTable};
 use tarragonknot::traffic::{
     FrontendHandle, TrafficState, start_exchange, start_frontend, start_relay_server,
 };
@@ -470,7 +470,7 @@
         log: Logger,
     ) -> Self {
         let state = TrafficState::new(daemon.into(), log, 7);
-        state.set_interface(platform::interface(ContractFeatures::default()));
+        state.set_interface(platform::interface(ContractFeatures::default(), PrefixReuse::Off));
         state.allow_expired_table();
         let listener =
             std::net::TcpListener::bind("127.0.0.1:0").expect("a loopback port can be bound");
--- a/tests/test_kept_pools.rs
+++ b/tests/test_kept_pools.rs
@@ -13,7 +13,9 @@
 use std::time::Duration;
 use tarragonknot::platform::{self, ContractFeatures};
 use tarragonknot::policy::RetryBound;
-use tarragonknot::table::{FaultList, OperatorTable, ServiceName, TableReader, VersionedTable};
+use tarragonknot::table::{
+    FaultList, OperatorTable, PrefixReuse, ServiceName, TableReader, VersionedTable,
+};
 use tarragonknot::traffic::{PlatformInterface, TrafficState};
 use tarragonknot::upstream::{PlatformList, VmRow, VmState};
 
@@ -317,7 +319,8 @@
 fn a_list_is_applied_while_a_table_is_being_read() {
     let (begun, has_begun) = mpsc::channel();
     let (allow, may_return) = mpsc::channel();
-    let PlatformInterface { reader, dialect } = platform::interface(ContractFeatures::default());
+    let PlatformInterface { reader, dialect } =
+        platform::interface(ContractFeatures::default(), PrefixReuse::Off);
     let (begun, may_return) = (Mutex::new(begun), Mutex::new(may_return));
     let reader = Arc::new(SlowReader { reader, begun, may_return });
     let state = TrafficState::new("entry".into(), Logger::root(Discard, o!()), 7);
