Daemons use the members of a voter's log until a leader names the daemons

After a loss of power of the whole fleet, entries had a table and waited 0.5 to 1.6 s for a list of upstreams, as each read it at a random moment until a leader named the others. Joins in the log now have the control address of a daemon that serves callers, voters name these addresses with the table, and daemons form groups with them: the one with the lowest address reads the list at once, five more in turn if it is not heard, and the others ask the first holder that they hear. Setting presumes_members; off unless the platform's contracts call for it. The times of a start are logged and exported.

--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -44,6 +44,8 @@
     /// True if this daemon agrees shares of limits with the other daemons without the leader, and
     /// sheds load without the leader's orders.
     pub divides_alone: bool,
+    /// True if this daemon relies on the members that a voter knows until a leader names the daemons.
+    pub presumes_members: bool,
 }
 
 /// Starts the agent on the current Tokio runtime.
@@ -54,7 +56,9 @@
     let member = if settings.divides_alone { member.dividing_alone() } else { member };
     let leader = LeaderClient::new(voters, key, hint);
     let divides_alone = settings.divides_alone;
-    let agent = FleetAgent { state, member, leader, silent_since: None, divides_alone };
+    let presumes_members = settings.presumes_members;
+    let agent =
+        FleetAgent { state, member, leader, silent_since: None, divides_alone, presumes_members };
     tokio::spawn(agent.run());
 }
 
@@ -66,6 +70,7 @@
     /// reset it; otherwise a floor that changes continuously would hide a dead connection.
     silent_since: Option<Instant>,
     divides_alone: bool,
+    presumes_members: bool,
 }
 
 impl FleetAgent {
@@ -139,6 +144,20 @@
         if let Ok(Ok(Some(table))) = known {
             info!(self.state.log, "applying a voter's table without confirmation by a leader"; "version" => table.version);
             self.state.apply_table(&table);
+            self.presume_members(&client).await;
+        }
+    }
+
+    /// Forms groups with the members that a voter's log names, so that the list of upstreams can be
+    /// read and distributed before there is a leader.
+    async fn presume_members(&self, client: &WsClient) {
+        if !self.presumes_members {
+            return;
+        }
+        let members = tokio::time::timeout(REPORT_TIMEOUT, client.serving_members()).await;
+        if let Ok(Ok(members)) = members {
+            info!(self.state.log, "using a voter's members until a leader names the daemons"; "members" => members.len());
+            self.state.fleet.presume_daemons(members, self.state.clock.now());
         }
     }
 
--- a/src/control/control_loop/mod.rs
+++ b/src/control/control_loop/mod.rs
@@ -256,7 +256,7 @@
             && let EntryPayload::Command(command) = &entry.payload
         {
             match command {
-                ControlCommand::Join { daemon, boot } => registry.add_member(daemon, *boot),
+                ControlCommand::Join { daemon, boot, .. } => registry.add_member(daemon, *boot),
                 ControlCommand::Leave { daemon, boot } => registry.remove_member(daemon, *boot),
                 _ => {}
             }
@@ -366,6 +366,9 @@
             ControlRequest::FleetSize { reply } => {
                 let _ = reply.send(self.ledger.members().len());
             }
+            ControlRequest::ServingMembers { reply } => {
+                let _ = reply.send(self.ledger.serving_addresses());
+            }
             ControlRequest::KnownTable { reply } => {
                 let table = self.ledger.table();
                 drop(reply.send((table.version > 0).then(|| table.clone())));
--- a/src/control/control_loop/reports.rs
+++ b/src/control/control_loop/reports.rs
@@ -39,6 +39,7 @@
         let (daemon, version, has_lease) =
             (report.daemon.clone(), report.version, report.has_lease);
         let (boot, divides_alone) = (report.boot, report.divides_alone);
+        let serves_at = report.serves_callers.then_some(report.control);
         let wants_suspects = report.wants_suspects;
         let mut report = report;
         let suspects = std::mem::take(&mut report.suspects);
@@ -49,7 +50,7 @@
         match registry.record(report, now) {
             ReportOutcome::Recorded => {}
             ReportOutcome::UnknownBoot => {
-                let command = ControlCommand::Join { daemon: daemon.clone(), boot };
+                let command = ControlCommand::Join { daemon: daemon.clone(), boot, serves_at };
                 self.proposals.push((vec![command], EntryWaiter::NoReply));
                 self.sent_orders.remove(&daemon);
                 return drop(reply.send(LeaderAnswer::Elsewhere(None)));
--- a/src/control/ledger.rs
+++ b/src/control/ledger.rs
@@ -11,6 +11,7 @@
 use crate::table::{CellChange, DaemonName, OperatorTable, VersionedTable, diff_tables};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Number of edits whose complete tables are retained for `table diff`.
@@ -120,6 +121,10 @@
         daemon: DaemonName,
         /// Boot number of the daemon.
         boot: u64,
+        /// Control address of the daemon if it serves callers; `None` otherwise, and in entries of
+        /// builds that did not record it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        serves_at: Option<SocketAddr>,
     },
     /// Removes a daemon that no longer holds a lease.
     Leave {
@@ -207,6 +212,9 @@
     outcomes_by_edit_id: HashMap<String, EditOutcome>,
     claims: ClaimRegistry,
     members: BTreeMap<DaemonName, u64>,
+    /// Control addresses of the members that serve callers.
+    #[serde(default)]
+    serving: BTreeMap<DaemonName, SocketAddr>,
     barred: BTreeSet<DaemonName>,
     #[serde(default)]
     quarantine: QuarantineLog,
@@ -232,6 +240,7 @@
             outcomes_by_edit_id: HashMap::new(),
             claims: ClaimRegistry::default(),
             members: BTreeMap::new(),
+            serving: BTreeMap::new(),
             barred: BTreeSet::new(),
             quarantine: QuarantineLog::default(),
             rollouts: RolloutLog::default(),
@@ -275,12 +284,17 @@
                 return ControlReply::Evacuation(self.evacuations.apply(order, *at));
             }
             ControlCommand::RolloutStep(step) => self.rollouts.step(step),
-            ControlCommand::Join { daemon, boot } => {
+            ControlCommand::Join { daemon, boot, serves_at } => {
                 self.members.insert(daemon.clone(), *boot);
+                match serves_at {
+                    Some(address) => self.serving.insert(daemon.clone(), *address),
+                    None => self.serving.remove(daemon),
+                };
             }
             ControlCommand::Leave { daemon, boot } => {
                 if self.members.get(daemon) == Some(boot) {
                     self.members.remove(daemon);
+                    self.serving.remove(daemon);
                 }
             }
             ControlCommand::Quarantine { rows, at } => self.quarantine.merge(rows, *at),
@@ -386,6 +400,11 @@
         &self.members
     }
 
+    /// Control addresses of the members that serve callers. Some may have ended.
+    pub fn serving_addresses(&self) -> Vec<SocketAddr> {
+        self.serving.values().copied().collect()
+    }
+
     /// Quarantined contents.
     pub fn quarantine(&self) -> &QuarantineLog {
         &self.quarantine
--- a/src/control/requests.rs
+++ b/src/control/requests.rs
@@ -49,6 +49,9 @@
     FleetSize {
         reply: oneshot::Sender<usize>,
     },
+    ServingMembers {
+        reply: oneshot::Sender<Vec<SocketAddr>>,
+    },
     KnownTable {
         reply: oneshot::Sender<Option<VersionedTable>>,
     },
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -139,6 +139,11 @@
     #[method(name = "fleet_size")]
     async fn fleet_size(&self) -> RpcResult<usize>;
 
+    /// Returns the control addresses of the members that serve callers, as far as this daemon knows.
+    /// Some may have ended.
+    #[method(name = "serving_members")]
+    async fn serving_members(&self) -> RpcResult<Vec<SocketAddr>>;
+
     /// Returns the difference between two stored versions.
     #[method(name = "diff")]
     async fn diff(
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -146,6 +146,10 @@
         self.ask(|reply| ControlRequest::FleetSize { reply }).await
     }
 
+    async fn serving_members(&self) -> RpcResult<Vec<SocketAddr>> {
+        self.ask(|reply| ControlRequest::ServingMembers { reply }).await
+    }
+
     async fn report(&self, report: DaemonReport) -> RpcResult<LeaderAnswer<ReportAnswer>> {
         self.ask(|reply| ControlRequest::Report { report, reply }).await
     }
--- a/src/daemon/background.rs
+++ b/src/daemon/background.rs
@@ -246,7 +246,9 @@
     loop {
         let has_table = state.snapshot().version > 0;
         if !state.fleet.is_list_read_due(has_table, state.clock.now()) {
-            tokio::time::sleep(READER_CHECK_INTERVAL).await;
+            // A voter that names the daemons may make this one the first reader.
+            let presumed = state.fleet.presumed();
+            let _ = tokio::time::timeout(READER_CHECK_INTERVAL, presumed).await;
             continue;
         }
         let begun = state.begin_list_reading();
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -247,9 +247,17 @@
         lease: settings.currency_lease_ms,
         serves_callers: settings.callers.is_some(),
         divides_alone: settings.platform.is_some(),
+        presumes_members: presumes_members(settings),
     }
 }
 
+/// True if the settings or the platform's contracts let this daemon rely on a voter's members.
+fn presumes_members(settings: &DaemonSettings) -> bool {
+    let contracts = settings.platform.as_ref().map(|platform| &platform.contracts[..]);
+    let features = ContractFeatures::of(contracts.unwrap_or_default());
+    settings.presumes_members.unwrap_or(features.presumes_members)
+}
+
 /// Returns the control addresses to ask for the leader.
 fn voter_addresses(settings: &DaemonSettings, control: SocketAddr) -> Vec<SocketAddr> {
     let own = settings.data_folder.as_ref().map(|_| control);
--- a/src/fleet_state/list_freshness.rs
+++ b/src/fleet_state/list_freshness.rs
@@ -1,6 +1,7 @@
 //! Freshness of a daemon's copy of the platform's list, and when the daemon reads or requests the
 //! list itself.
 
+use super::state::FIRST_READERS;
 use crate::policy::Moment;
 use std::time::Duration;
 
@@ -19,6 +20,9 @@
 /// the list of others. The rest is left to the reader: if its calls were refused, too, all would lack
 /// a new list, and read ever more.
 const OWN_READ_RATE_SHARE: f64 = 0.5;
+/// Minimum time after which the next of the first readers takes over from one that is not heard.
+/// Daemons that lose power together get their tables within about this time of each other.
+const MIN_READ_TURN: Duration = Duration::from_millis(75);
 /// Daemons for each page of the list, if the list is as long as usual: three upstreams for each
 /// daemon, and 200 on a page.
 const DAEMONS_PER_PAGE: f64 = 64.0;
@@ -61,6 +65,8 @@
     requested_at: Option<Moment>,
     /// Rate of calls that the platform takes from all daemons, if the settings state it.
     calls_per_second: Option<f64>,
+    /// True if other daemons are known that read the list first.
+    has_first_readers: bool,
 }
 
 impl ListFreshness {
@@ -96,7 +102,9 @@
             }
             (None, Some(since)) => {
                 let spread = read_spread.max(INITIAL_READ_SPREAD);
-                now.since(since) >= INITIAL_READ_DELAY + spread.mul_f64(self.jitter)
+                let turns = if self.has_first_readers { FIRST_READERS - 1 } else { 0 };
+                let delay = INITIAL_READ_DELAY + self.read_turn(daemons) * turns;
+                now.since(since) >= delay + spread.mul_f64(self.jitter)
             }
             (None, None) => false,
         }
@@ -106,10 +114,27 @@
     /// small fleet a read is the fastest way to a list; in a large one nearly all daemons get the list
     /// from others before their turn comes.
     fn read_spread(&self, daemons: usize) -> Duration {
+        Duration::from_secs_f64(daemons as f64 * self.read_seconds(daemons))
+    }
+
+    /// Returns the time that one of the first readers in a fleet of `daemons` leaves to the one
+    /// before it.
+    pub fn read_turn(&self, daemons: usize) -> Duration {
+        Duration::from_secs_f64(self.read_seconds(daemons)).max(MIN_READ_TURN)
+    }
+
+    /// Seconds between two reads of the whole list that take no more calls than daemons may that
+    /// read for themselves.
+    fn read_seconds(&self, daemons: usize) -> f64 {
         let pages = 1.0 + daemons as f64 / DAEMONS_PER_PAGE;
         let rate = self.calls_per_second.unwrap_or(DEFAULT_CALLS_PER_SECOND);
-        let seconds = daemons as f64 * pages / (rate * OWN_READ_RATE_SHARE).max(1.0);
-        Duration::from_secs_f64(seconds)
+        pages / (rate * OWN_READ_RATE_SHARE).max(1.0)
+    }
+
+    /// Records that other daemons are known that read the list first, so that this one's own first
+    /// read leaves them time.
+    pub fn await_first_readers(&mut self) {
+        self.has_first_readers = true;
     }
 
     /// Returns when the last reading that agrees with this daemon's list began; the epoch if there was
--- a/src/fleet_state/list_sync.rs
+++ b/src/fleet_state/list_sync.rs
@@ -24,6 +24,8 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
 /// Silence after which the rest of a list is requested again.
 const STALL_TIMEOUT: Duration = Duration::from_millis(300);
+/// Minimum interval between requests for the first list from daemons that state a reading.
+const MIN_HOLDER_REQUEST_INTERVAL: Duration = Duration::from_millis(200);
 /// A list of a later reading is refused if it is older than this daemon's list by more than this.
 /// Daemons that have never heard of each other may number their readings by clocks that differ, and
 /// stated ages lack the time that messages took.
@@ -92,6 +94,11 @@
     last_part: Option<(Moment, SocketAddr)>,
     /// The last list that was refused and not yet taken by [`ListSync::take_older`].
     older: Option<OlderList>,
+    /// True if a daemon without a list asks the first one that states a reading, instead of waiting
+    /// for its next request.
+    asks_holders: bool,
+    /// When such a request was last allowed.
+    asked_holder_at: Option<Moment>,
 }
 
 impl ListSync {
@@ -122,6 +129,18 @@
         self.freshness.is_overdue(daemons, has_table, now)
     }
 
+    /// See [`ListFreshness::read_turn`].
+    pub fn read_turn(&self, daemons: usize) -> Duration {
+        self.freshness.read_turn(daemons)
+    }
+
+    /// Records that other daemons are known before a leader has named any: they read the list first,
+    /// and the first one that states a reading is asked for it.
+    pub fn await_first_readers(&mut self) {
+        self.freshness.await_first_readers();
+        self.asks_holders = true;
+    }
+
     /// See [`ListFreshness::can_read`].
     pub fn can_read(&self, now: Moment) -> bool {
         self.freshness.can_read(now)
@@ -198,12 +217,25 @@
         self.observe(&stamp, now);
         if self.list.digest() == Some(stamp.digest) {
             self.confirm_by(&stamp, now);
+        } else if self.asks_holders && !self.list.is_known() {
+            self.ask_holder(from, now);
         } else if self.is_newer(&stamp, now) && self.freshness.record_mismatch(now) {
             self.wanted_from = Some(from);
             self.may_request = true;
         }
     }
 
+    /// Requests the first list from a daemon that has one. The request replaces those to daemons of
+    /// which it is not known whether they have one.
+    fn ask_holder(&mut self, from: SocketAddr, now: Moment) {
+        let is_recent =
+            self.asked_holder_at.is_some_and(|at| now.since(at) < MIN_HOLDER_REQUEST_INTERVAL);
+        if !is_recent && !self.is_receiving(now) {
+            self.asked_holder_at = Some(now);
+            (self.wanted_from, self.is_unanswered, self.may_request) = (Some(from), false, true);
+        }
+    }
+
     fn observe(&mut self, stamp: &ListStamp, now: Moment) {
         self.clock.observe(stamp, now);
         if stamp.order > self.heard_order {
--- a/src/fleet_state/mod.rs
+++ b/src/fleet_state/mod.rs
@@ -24,6 +24,7 @@
 mod flow_totals;
 mod layout;
 mod list_freshness;
+mod list_reading;
 mod list_sync;
 mod messages;
 mod own_history;
@@ -39,6 +40,7 @@
 pub use flow_rates::FlowRates;
 pub use layout::{FleetLayout, MAX_MESH_SIZE};
 pub use list_freshness::ListFreshness;
+pub use list_reading::is_list_read_due;
 pub use list_sync::{ListMessage, ListOutgoing, ListPeers, ListSync, OlderList};
 pub use messages::{
     Departure, FleetMessage, FleetSummary, FlowRow, GroupSum, ListStamp, MemberReport,
--- a/src/fleet_state/state/mod.rs
+++ b/src/fleet_state/state/mod.rs
@@ -2,10 +2,12 @@
 //! receives.
 
 mod peers;
+mod presumed;
 mod queries;
 mod receive;
 mod send;
 
+pub use presumed::FIRST_READERS;
 pub use queries::FleetRole;
 pub use receive::BucketEstimates;
 
@@ -21,6 +23,7 @@
 use crate::quarantine::SuspectUpdate;
 use crate::table::DaemonName;
 use peers::{LastSummary, MemberState, PeerAggregator};
+use presumed::PresumedDaemons;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -91,6 +94,8 @@
     /// The leader's list of daemons that serve callers, and when it was last confirmed; none before
     /// the first.
     serving_list: Option<(Vec<SocketAddr>, Moment)>,
+    /// Daemons that a voter named before the first list of a leader; none after it.
+    presumed: Option<PresumedDaemons>,
     /// When a message was last received from each address.
     last_heard: BTreeMap<SocketAddr, Moment>,
     layout: FleetLayout,
@@ -132,6 +137,7 @@
             identity,
             sequence: 0,
             serving_list: None,
+            presumed: None,
             last_heard: BTreeMap::new(),
             layout,
             owners: Arc::default(),
@@ -166,6 +172,9 @@
 
     /// Sets the leader's list of daemons that serve callers.
     pub fn set_serving_list(&mut self, serving_list: Vec<SocketAddr>, now: Moment) {
+        if !serving_list.is_empty() {
+            self.presumed = None;
+        }
         self.serving_list = Some((serving_list, now));
         self.refresh_layout(now);
     }
@@ -225,8 +234,9 @@
         let trusts_leader = self.serving_list.as_ref().is_some_and(|(_, at)| is_fresh(at));
         let heard_addresses = self.last_heard.keys().filter(|_| !trusts_leader);
         let own = [self.identity.address];
-        let addresses: Vec<SocketAddr> =
-            serving_list.iter().chain(heard_addresses).chain(&own).copied().collect();
+        let presumed = self.presumed.iter().flat_map(|presumed| &presumed.addresses);
+        let known = serving_list.iter().chain(heard_addresses).chain(presumed).chain(&own);
+        let addresses: Vec<SocketAddr> = known.copied().collect();
         let layout = FleetLayout::new(addresses);
         if layout != self.layout || self.owners.is_empty() && self.has_serving_list() {
             self.layout = layout;
--- a/src/platform/contracts.rs
+++ b/src/platform/contracts.rs
@@ -10,12 +10,18 @@
     pub shares_organisations: bool,
     /// Memory held for callers, and that of upstreams, is bounded.
     pub bounds_memory: bool,
+    /// Daemons use the members that a voter names until a leader names the daemons.
+    pub presumes_members: bool,
 }
 
 impl ContractFeatures {
     /// Returns the features that contracts of these names enable.
     pub fn of(contracts: &[String]) -> Self {
         let has_pressure = contracts.iter().any(|name| name == PRESSURE);
-        ContractFeatures { shares_organisations: has_pressure, bounds_memory: has_pressure }
+        ContractFeatures {
+            shares_organisations: has_pressure,
+            bounds_memory: has_pressure,
+            presumes_members: has_pressure,
+        }
     }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -93,6 +93,10 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[schemars(with = "Option<String>")]
     pub metrics: Option<SocketAddr>,
+    /// True if a daemon that may serve while cut off uses the members that a voter names until a
+    /// leader names the daemons that serve callers; absent means as the platform's contracts say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub presumes_members: Option<bool>,
     /// Address at which this daemon accepts requests that other daemons pass on, on the same port as
     /// all of them; absent means that no requests are passed on.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/src/traffic/fleet_exchange/list.rs
+++ b/src/traffic/fleet_exchange/list.rs
@@ -2,7 +2,9 @@
 
 use super::wire::DaemonMessage;
 use super::{ListStamp, MessageSocket, lock};
-use crate::fleet_state::{BegunReading, ListMessage, ListPeers, ListSync, OlderList};
+use crate::fleet_state::{
+    BegunReading, FleetState, ListMessage, ListPeers, ListSync, OlderList, is_list_read_due,
+};
 use crate::policy::{ListedUpstream, Moment};
 use crate::traffic::state::TrafficState;
 use crate::upstream::{PlatformList, VmRow, VmState};
@@ -27,9 +29,14 @@
         *lock(&self.sync) = ListSync::new(jitter).with_platform_rate(calls_per_second);
     }
 
-    /// See [`ListSync::is_overdue`].
-    pub fn is_overdue(&self, daemons: usize, has_table: bool, now: Moment) -> bool {
-        lock(&self.sync).is_overdue(daemons, has_table, now)
+    /// See [`is_list_read_due`].
+    pub fn is_read_due(&self, fleet: &FleetState, known: (usize, bool), now: Moment) -> bool {
+        is_list_read_due(fleet, &mut lock(&self.sync), known, now)
+    }
+
+    /// See [`ListSync::await_first_readers`].
+    pub fn await_first_readers(&self) {
+        lock(&self.sync).await_first_readers();
     }
 
     /// Returns the last reading that agrees with this daemon's list.
@@ -47,11 +54,6 @@
         lock(&self.sync).record_failure(now);
     }
 
-    /// See [`ListSync::is_known`].
-    pub fn is_known(&self) -> bool {
-        lock(&self.sync).is_known()
-    }
-
     /// See [`ListSync::begin_reading`].
     pub fn begin_reading(&self, now: Moment) -> BegunReading {
         lock(&self.sync).begin_reading(now)
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -24,6 +24,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 
 /// Pause after a socket error.
 const SOCKET_ERROR_DELAY: Duration = Duration::from_millis(40);
@@ -43,6 +44,8 @@
     daemon_count: AtomicUsize,
     /// Number of daemons that a voter knows; 0 if none was asked.
     expected_daemons: AtomicUsize,
+    /// Notified when a voter has named the daemons.
+    presumed: Notify,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -138,15 +141,23 @@
     /// serve callers once it has a list.
     pub fn is_list_read_due(&self, has_table: bool, now: Moment) -> bool {
         let Some(fleet) = self.fleet() else { return true };
-        if fleet.has_serving_list() && fleet.is_list_reader(now) {
-            return true;
+        let expected = self.expected_daemons.load(Ordering::Relaxed);
+        self.list.is_read_due(&fleet, (expected, has_table), now)
+    }
+
+    /// Sets the daemons that a voter's log names, until the leader names those that serve callers.
+    pub fn presume_daemons(&self, addresses: Vec<SocketAddr>, now: Moment) {
+        let Some(mut fleet) = self.fleet() else { return };
+        if !addresses.is_empty() && !fleet.has_serving_list() {
+            fleet.presume_daemons(addresses, now);
+            self.list.await_first_readers();
+            self.presumed.notify_one();
         }
-        let daemons = fleet.addresses().len().max(self.expected_daemons.load(Ordering::Relaxed));
-        // A daemon that is cut off from the others gets no list from them.
-        let is_alone = self.list.is_known() && !fleet.hears_others(now);
-        let daemons = if is_alone { 1 } else { daemons };
-        drop(fleet);
-        self.list.is_overdue(daemons, has_table, now)
+    }
+
+    /// Completes when [`presume_daemons`](Self::presume_daemons) was called.
+    pub async fn presumed(&self) {
+        self.presumed.notified().await;
     }
 
     /// Records how many daemons a voter knows; until the leader has named them, this daemon cannot
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -17,6 +17,7 @@
 mod rollout_gate;
 mod routed;
 mod sink;
+mod start_times;
 mod state;
 mod stream_origins;
 
--- a/src/traffic/routed/admission.rs
+++ b/src/traffic/routed/admission.rs
@@ -98,7 +98,13 @@
     let caller_deadline = metadata.deadline;
     let id: Arc<str> = Arc::from(metadata.id.clone().unwrap_or_default());
     match admit(&state, dialect, request, metadata, (arrived_at, ticket)).await {
-        Ok(admitted) => forward(admitted).await,
+        Ok(admitted) => {
+            let answer = forward(admitted).await;
+            if answer.status().is_success() {
+                state.start_times.record_answer(&state.log, state.clock.now());
+            }
+            answer
+        }
         Err(kind) => {
             info!(state.log, "refused"; "request" => &*id, "kind" => kind.row().name, "table" => state.snapshot().version);
             let refusal = RefusalAnswer::new(kind, "", state.jitter());
--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -28,6 +28,7 @@
     DaemonName, DataCentreName, OperatorTable, RegionName, RouteRow, ServiceKind, ServiceName,
     ServiceRow, TableReader, UpstreamName, VersionedTable,
 };
+use crate::traffic::start_times::StartTimes;
 use crate::upstream::{ConnectionPool, EngineDriver, PlainDriver, PlatformList, UpstreamDriver};
 use arc_swap::{ArcSwap, ArcSwapOption};
 use rand::RngCore;
@@ -117,6 +118,8 @@
     pub crash_checks: CrashChecks,
     /// Notified when a shed floor must be reported to the leader at once.
     pub floor_changes: Notify,
+    /// Times from the start to the first table, list and answer.
+    pub start_times: StartTimes,
     in_progress: AtomicUsize,
     next_request: AtomicU64,
     boot: u64,
@@ -128,11 +131,11 @@
     /// and [`TrafficState::set_current_until`] were called.
     pub fn new(daemon: DaemonName, log: Logger, seed: u64) -> Arc<Self> {
         let rng = ChaCha8Rng::seed_from_u64(seed);
-
+        let clock = MonotonicClock::start();
         Arc::new(TrafficState {
             daemon,
             log,
-            clock: MonotonicClock::start(),
+            clock,
             snapshot: ArcSwap::default(),
             pools: ArcSwap::default(),
             outgoing_pools: OutgoingPools::default(),
@@ -165,6 +168,7 @@
             origins: StreamOrigins::default(),
             crash_checks: CrashChecks::default(),
             floor_changes: Notify::new(),
+            start_times: StartTimes::new(clock.now()),
             in_progress: AtomicUsize::new(0),
             next_request: AtomicU64::new(1),
             boot: seed,
@@ -237,6 +241,7 @@
         self.update_pools(&access);
         self.snapshot.store(Arc::new(TableSnapshot { version: versioned.version, access }));
         self.table_since.store(self.clock.now().0, Ordering::Release);
+        self.start_times.record_table(self.clock.now());
         self.table_changes.notify_waiters();
         info!(self.log, "table in force"; "version" => versioned.version, "hash" => &versioned.hash);
     }
@@ -455,6 +460,7 @@
         self.platform_list.store(Arc::new(list));
         self.update_sources(self.snapshot.load().access.table());
         drop(changes);
+        self.start_times.record_list(self.clock.now());
         self.has_upstream_list.send_replace(true);
     }
 
