--- a/src/platform/contracts.rs
+++ b/src/platform/contracts.rs
@@ -12,6 +12,8 @@
     pub bounds_memory: bool,
     /// Slots that a daemon leaves unused are offered to others that wait.
     pub offers_slots: bool,
+    /// Daemons use the members that a voter names until a leader names the daemons.
+    pub presumes_members: bool,
 }
 
 impl ContractFeatures {
@@ -22,6 +24,7 @@
             shares_organisations: has_pressure,
             bounds_memory: has_pressure,
             offers_slots: has_pressure,
+            presumes_members: has_pressure,
         }
     }
 }
