--- a/tests/test_organisation_shares.rs
+++ b/tests/test_organisation_shares.rs
@@ -215,6 +215,24 @@
     );
 }
 
+/// Guards against organisations that ask no more than usual and are not served as if they were alone.
+#[rstest]
+#[case::seven_daemons(7)]
+#[case::many_daemons(63)]
+fn as_if_alone(#[case] daemons: usize) {
+    let load = OrganisationLoad::of(daemons, &[1], 7.5);
+    let calm = OrganisationLoad { has_shares: false, ..OrganisationLoad::of(daemons, &[], 1.0) };
+
+    let (outcomes, alone) = (simulate(&load), simulate(&calm));
+
+    let small = |outcomes: &OrganisationOutcomes| outcomes.of(others(&load)).in_time_share();
+    assert!(small(&outcomes) >= small(&alone) - 0.1, "{} of {}", small(&outcomes), small(&alone));
+    let all = outcomes.of(0..16).in_time_share();
+    let least = others(&load).map(|own| outcomes.by_organisation[own].in_time_share());
+    let least = least.fold(1.0, f64::min);
+    assert!(least >= 0.7 * all, "{least} of {all}: {}", describe(&outcomes));
+}
+
 /// Guards against shares that depend on the fleet's sums: what a daemon knows itself must serve the
 /// others at least as well as no shares do.
 #[rstest]
