Pace of an upstream's VM, told from the upstream's own speed

Upstreams state in the fourth figure of their load how long work takes on their VM at the moment. It was not read, so a time between tokens measured while the VM was slow counted as the speed of the engine. Placement does not yet multiply it in.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,6 +1,6 @@
 //! Request and response headers exchanged with callers and engines.
 
-use crate::policy::{LoadReport, RateStatement};
+use crate::policy::{LoadReport, PacePercent, RateStatement};
 use crate::quarantine::PromptPart;
 use crate::traffic::{
     AnswerMetadata, CallDialect, CallerMetadata, ReservationReply, ReservationRequest, SendMetadata,
@@ -187,12 +187,13 @@
     Some(parts.into_boxed_slice())
 }
 
-/// Parses `RUNNING,QUEUED,SLOTS`; the slots are ignored.
+/// Parses `RUNNING,QUEUED,SLOTS,PACE`; the slots are ignored, and the pace may be missing.
 fn read_load(text: &str) -> Option<LoadReport> {
-    let mut numbers = text.split(',').map(|number| number.trim().parse::<u32>().ok());
-    let running = numbers.next()??;
-    let queued = numbers.next()??;
-    Some(LoadReport { running, queued, ..LoadReport::default() })
+    let mut fields = text.split(',').map(str::trim);
+    let running = fields.next()?.parse().ok()?;
+    let queued = fields.next()?.parse().ok()?;
+    let pace = fields.nth(1).and_then(|pace| PacePercent::from_figure(pace.parse().ok()?));
+    Some(LoadReport { running, queued, pace, ..LoadReport::default() })
 }
 
 /// Converts the milliseconds for which an engine stays cold; `None` if it is not cold.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,6 +12,7 @@
 mod first_event;
 mod fleet_group;
 mod home_regions;
+mod host_pace;
 mod learned_limit;
 mod mechanism;
 mod organisation_limits;
@@ -46,6 +47,7 @@
 pub use first_event::FirstEventModel;
 pub use fleet_group::FleetGroup;
 pub use home_regions::{HomeRegions, NoCommonRegion};
+pub use host_pace::{HostPace, PacePercent};
 pub use learned_limit::LearnedLimit;
 pub use mechanism::{Mechanism, MechanismSet};
 pub use organisation_limits::{
--- a/src/policy/scheduler/admission.rs
+++ b/src/policy/scheduler/admission.rs
@@ -247,7 +247,8 @@
                     true => self.first_events.base_micros(),
                     false => 0.0,
                 };
-                let micros = base + f64::from(request.prompt_tokens) * self.speed().prefill_micros;
+                let prefill = f64::from(request.prompt_tokens) * self.speed().prefill_micros;
+                let micros = (base + prefill) * self.model.usual_pace();
                 Duration::from_micros(micros as u64)
             }
             false => request.run_time,
--- a/src/policy/upstream_set.rs
+++ b/src/policy/upstream_set.rs
@@ -3,8 +3,8 @@
 use super::upstreams::CAPACITY_CLASSES;
 use super::{
     CapacityClass, ColdBound, DispatchOutcome, FleetGroup, LearnedLimit, LoadReport, Moment,
-    OwnerRing, PeerWork, PlacementDemand, RateReport, RateStatement, UpstreamEvent, UpstreamIndex,
-    UpstreamSource, UpstreamState, UpstreamStatus,
+    OwnerRing, PacePercent, PeerWork, PlacementDemand, RateReport, RateStatement, UpstreamEvent,
+    UpstreamIndex, UpstreamSource, UpstreamState, UpstreamStatus,
 };
 use crate::table::{SoftwareVersion, UpstreamName};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -58,6 +58,8 @@
     /// Bound on requests to cold upstreams, if there is one.
     cold_bound: Option<ColdBound>,
     owners: Arc<OwnerRing>,
+    /// True if the paces that upstreams report are used.
+    has_host_pace: bool,
 }
 
 impl UpstreamSet {
@@ -263,6 +265,21 @@
         });
     }
 
+    /// Sets whether the paces that upstreams report are used.
+    pub fn set_host_pace(&mut self, has_host_pace: bool) {
+        self.has_host_pace = has_host_pace;
+        if !has_host_pace {
+            self.update_all(|status| status.pace.reset());
+        }
+    }
+
+    /// Records the pace of an upstream's VM.
+    pub fn record_pace(&mut self, index: UpstreamIndex, pace: PacePercent, now: Moment) {
+        if self.has_host_pace {
+            self.update(index, |status| status.pace.record(pace, now));
+        }
+    }
+
     /// Sets the bound on requests to cold upstreams.
     pub fn set_cold_bound(&mut self, bound: Option<ColdBound>) {
         self.cold_bound = bound;
@@ -539,6 +556,7 @@
 
     /// Applies a load report.
     pub fn reported(&mut self, index: UpstreamIndex, report: LoadReport, now: Moment) {
+        let report = LoadReport { pace: report.pace.filter(|_| self.has_host_pace), ..report };
         self.update(index, |status| status.record_report(report, now));
         self.apply_event(
             index,
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -1,7 +1,8 @@
 //! The state of one upstream as seen by this daemon: life cycle, work in flight and load reports.
 
 use super::{
-    ColdBound, ColdPace, LearnedLimit, Moment, PlacementDemand, RatePace, RateReport, UpstreamIndex,
+    ColdBound, ColdPace, HostPace, LearnedLimit, Moment, PacePercent, PlacementDemand, RatePace,
+    RateReport, UpstreamIndex,
 };
 use crate::chart::{ChartMachine, NoAction, StateChart};
 use crate::chart_names;
@@ -142,6 +143,9 @@
     pub step_micros: u32,
     /// True if the upstream reports that it is leaving.
     pub is_leaving: bool,
+    /// Pace of its VM, if it reports a readable one.
+    #[serde(default)]
+    pub pace: Option<PacePercent>,
 }
 
 /// What this daemon knows about one upstream.
@@ -159,7 +163,7 @@
     pub in_flight: u32,
     /// This daemon's share of the limit, from 0.0 to 1.0.
     pub share: f64,
-    /// Mean time between tokens, in microseconds.
+    /// Mean time between tokens at the usual pace of the upstream's VM, in microseconds.
     pub gap_micros: Option<f64>,
     /// True while the upstream is much slower than its pool.
     pub is_straggler: bool,
@@ -208,6 +212,8 @@
     pub(super) is_held_back: bool,
     /// True if it is counted among the usable upstreams of its pool.
     pub(super) is_counted: bool,
+    /// The pace of its VM.
+    pub pace: HostPace,
 }
 
 /// The other daemons' work at an upstream.
@@ -291,6 +297,7 @@
             is_owned: false,
             is_held_back: false,
             is_counted: false,
+            pace: HostPace::default(),
         }
     }
 
@@ -492,6 +499,9 @@
             return;
         }
         self.report = Some((time, report));
+        if let Some(pace) = report.pace {
+            self.pace.record(pace, time);
+        }
         let has_queue = report.queued > QUEUED_TOLERANCE + report.running / QUEUED_BATCH_DIVISOR;
         if has_queue && self.had_queue {
             self.limit.record_queueing(report.running, now);
@@ -502,10 +512,19 @@
         }
     }
 
-    /// Adds a time between tokens, in microseconds, to the moving average.
+    /// Adds a time between tokens measured just now, in microseconds, to the moving average. The pace
+    /// of the VM is divided out, since it says nothing of the upstream itself.
     pub fn learn_gap(&mut self, micros: f64, now: Moment) {
+        self.learn_gap_at(micros, self.pace.now(now), now);
+    }
+
+    /// As [`UpstreamStatus::learn_gap`], of a time in which the mean pace was `pace`.
+    pub fn learn_gap_at(&mut self, micros: f64, pace: f64, now: Moment) {
+        let steady = micros / pace;
+        let weight = GAP_WEIGHT * self.pace.confidence(now);
         self.gap_measured_at = now;
         self.gap_micros =
-            Some(self.gap_micros.map_or(micros, |mean| mean + (micros - mean) * GAP_WEIGHT));
+            Some(self.gap_micros.map_or(steady, |mean| mean + (steady - mean) * weight));
+        self.pace.record_measurement(pace, weight);
     }
 }
