Daemons tell each other the last pace of an upstream's VM and its age

A daemon hears from an upstream itself too seldom to know a pace that lasts 0.6 s. Rows of work carry the last pace that the upstream reported to the sender and its age, in two bytes (one if there is none); the freshest one counts. Reports of others are not sent on, since two daemons that repeated each other's reports would keep them in use.

--- a/src/fleet_state/state/queries.rs
+++ b/src/fleet_state/state/queries.rs
@@ -231,6 +231,7 @@
             add_hints(&mut sums, self.other_groups.rows());
         }
         self.other_groups.add_speeds(&mut sums);
+        self.other_groups.add_paces(&mut sums, now);
         sums
     }
 }
--- a/src/policy/host_pace.rs
+++ b/src/policy/host_pace.rs
@@ -52,10 +52,45 @@
     }
 }
 
+/// Step of the paces in messages, in percent, and of their ages.
+const MESSAGE_STEP_PERCENT: u16 = 5;
+const MESSAGE_STEP_AGE: Duration = Duration::from_millis(20);
+/// Number of ages in messages. Older paces are not sent, as they say nothing more: 1.26 s is twice the
+/// time for which a pace lasts.
+const MESSAGE_AGES: u16 = 64;
+
+/// A pace and its age in a message between daemons; the default states no pace. A pace takes two
+/// bytes and none takes one, since a fleet sends one of them per upstream in each message.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerPace(u16);
+
+impl PeerPace {
+    /// The pace reported at `at`, as sent at `now`.
+    pub fn new(pace: PacePercent, at: Moment, now: Moment) -> Self {
+        // Rounded up, which also covers the time that the message takes.
+        let age = now.since(at).as_micros() / MESSAGE_STEP_AGE.as_micros() + 1;
+        let steps = (pace.0 + MESSAGE_STEP_PERCENT / 2) / MESSAGE_STEP_PERCENT;
+        match u16::try_from(age) {
+            Ok(age) if age < MESSAGE_AGES => PeerPace(steps * MESSAGE_AGES + age),
+            _ => PeerPace::default(),
+        }
+    }
+
+    /// The pace, and when it was reported, of a message received at `now`; `None` if it states none.
+    pub fn read(self, now: Moment) -> Option<(PacePercent, Moment)> {
+        let percent = u32::from(self.0 / MESSAGE_AGES) * u32::from(MESSAGE_STEP_PERCENT);
+        let pace = PacePercent::from_figure(f64::from(percent))?;
+        Some((pace, now.before(MESSAGE_STEP_AGE * u32::from(self.0 % MESSAGE_AGES))))
+    }
+}
+
 /// Pace of one upstream's VM, as reported to this daemon or to another one.
 #[derive(Clone, Copy, Debug)]
 pub struct HostPace {
     last: Option<(PacePercent, Moment)>,
+    /// The last pace that the upstream reported to this daemon itself. Only this one is sent to other
+    /// daemons; two that repeated each other's reports would keep them in use.
+    own: Option<(PacePercent, Moment)>,
     /// Mean of the reported paces, each weighted by the time for which it may have lasted, and the
     /// number of paces in it.
     mean: f64,
@@ -68,13 +103,28 @@
 impl Default for HostPace {
     /// Until an upstream reports a pace, it counts as usual.
     fn default() -> Self {
-        HostPace { last: None, mean: 1.0, mean_samples: 1.0, measured: None, give_ups: 0 }
+        HostPace {
+            last: None,
+            own: None,
+            mean: 1.0,
+            mean_samples: 1.0,
+            measured: None,
+            give_ups: 0,
+        }
     }
 }
 
 impl HostPace {
-    /// Records a pace reported at `at`. Reports older than the latest one are ignored.
+    /// Records a pace that the upstream reported to this daemon at `at`.
     pub fn record(&mut self, pace: PacePercent, at: Moment) {
+        if self.own.is_none_or(|(_, last)| last <= at) {
+            self.own = Some((pace, at));
+        }
+        self.record_remote(pace, at);
+    }
+
+    /// Records a pace that the upstream reported to any daemon at `at`. Reports older than the latest one are ignored.
+    pub fn record_remote(&mut self, pace: PacePercent, at: Moment) {
         let since = match self.last {
             Some((_, last)) if last > at => return,
             Some((_, last)) => at.since(last).min(PACE_DURATION),
@@ -97,6 +147,11 @@
         self.last
     }
 
+    /// The last pace reported to this daemon itself, for a message to others.
+    pub fn own_report(&self, now: Moment) -> PeerPace {
+        self.own.map(|(pace, at)| PeerPace::new(pace, at, now)).unwrap_or_default()
+    }
+
     /// The pace now, as a factor; 1.0 if none was ever reported.
     pub fn now(&self, now: Moment) -> f64 {
         self.over(now, Duration::ZERO)
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -47,7 +47,7 @@
 pub use first_event::FirstEventModel;
 pub use fleet_group::FleetGroup;
 pub use home_regions::{HomeRegions, NoCommonRegion};
-pub use host_pace::{HostPace, PacePercent};
+pub use host_pace::{HostPace, PacePercent, PeerPace};
 pub use learned_limit::LearnedLimit;
 pub use mechanism::{Mechanism, MechanismSet};
 pub use organisation_limits::{
--- a/src/policy/upstream_set.rs
+++ b/src/policy/upstream_set.rs
@@ -440,10 +440,14 @@
         let down = rows.iter().filter(|(_, work)| work.is_down).count();
         let is_trusted = down * 2 <= self.live;
         let (bound, owners) = (self.cold_bound, Arc::clone(&self.owners));
+        let has_host_pace = self.has_host_pace;
         for (name, work) in rows {
             let Some(index) = self.find(name) else { continue };
             self.update(index, |status| {
                 status.peer_work = *work;
+                if let Some((pace, at)) = work.pace.read(now).filter(|_| has_host_pace) {
+                    status.pace.record_remote(pace, at);
+                }
                 let reported_gap = (work.gap_micros > 0).then(|| f64::from(work.gap_micros));
                 status.peer_gap_micros = reported_gap.or(status.peer_gap_micros);
                 let is_known_reachable = now.since(status.gap_measured_at) < REACHABLE_WINDOW;
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -1,8 +1,8 @@
 //! The state of one upstream as seen by this daemon: life cycle, work in flight and load reports.
 
 use super::{
-    ColdBound, ColdPace, HostPace, LearnedLimit, Moment, PacePercent, PlacementDemand, RatePace,
-    RateReport, UpstreamIndex,
+    ColdBound, ColdPace, HostPace, LearnedLimit, Moment, PacePercent, PeerPace, PlacementDemand,
+    RatePace, RateReport, UpstreamIndex,
 };
 use crate::chart::{ChartMachine, NoAction, StateChart};
 use crate::chart_names;
@@ -230,6 +230,8 @@
     pub is_leaving: bool,
     /// The rate that the upstream stated to one of the daemons.
     pub stated_rate: RateReport,
+    /// The pace of the upstream's VM as last reported to one of the daemons.
+    pub pace: PeerPace,
     /// Requests of daemons outside this one's group, from outdated reports; an estimate that is
     /// never forwarded.
     #[serde(skip)]
