--- a/tests/test_host_pace.rs
+++ b/tests/test_host_pace.rs
@@ -2,13 +2,15 @@
 
 use crate::burst_pool::{BurstPool, arrived, dispatched_ids, urgency_plan};
 use crate::session::source;
+use crate::sized_load::{SizedLoad, in_time_fraction, simulate_with};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 use std::time::Duration;
 use tarragonknot::policy::{
-    DispatchOutcome, HostPace, LoadReport, Mechanism, MechanismSet, Moment, PacePercent, PoolEvent,
-    RequestId, UpstreamIndex, UpstreamStatus,
+    DispatchOutcome, FleetGroup, HostPace, LoadReport, Mechanism, MechanismSet, Moment,
+    PacePercent, PeerPace, PeerWaiting, PeerWork, PoolAction, PoolEvent, RequestId, UpstreamIndex,
+    UpstreamStatus,
 };
 
 const ENGINE: UpstreamIndex = UpstreamIndex(0);
@@ -276,3 +278,114 @@
 
     assert_eq!(status.pace.last(), None);
 }
+
+/// The engine, numbered from 0, that the next request goes to in a pool of two.
+fn placed_on(pool: &mut BurstPool, id: u64, millis: u64) -> Option<u32> {
+    let actions = pool.arrive(id, 0, millis);
+    actions.iter().find_map(|action| match action {
+        PoolAction::Dispatch { upstream, .. } => Some(upstream.0),
+        PoolAction::Refuse { .. } => None,
+    })
+}
+
+fn two_engines() -> BurstPool {
+    let mut plan = urgency_plan();
+    plan.first_guess = 4;
+    let mut pool = BurstPool::with_plan(plan);
+    pool.handle_event(PoolEvent::Sources(vec![source("e1", 1), source("e2", 2)]), 0);
+    pool
+}
+
+/// Guards against requests being sent to an engine whose VM is known to be slow while another engine
+/// is free, whether the daemon learned of it itself or from another one.
+#[rstest]
+#[case::from_the_engine(true)]
+#[case::from_another_daemon(false)]
+fn an_engine_on_a_slow_vm_is_used_last(#[case] is_own_report: bool) {
+    let mut pool = two_engines();
+    let event = match is_own_report {
+        true => PoolEvent::LoadReported { upstream: ENGINE, report: pace_report(250.0) },
+        false => {
+            let at = Moment::from_millis(90);
+            let pace = PeerPace::new(percent(250.0), at, Moment::from_millis(95));
+            let rows = vec![("e1".into(), PeerWork { pace, ..PeerWork::default() })];
+            let (group, waiting) = (FleetGroup::default(), PeerWaiting::default());
+            PoolEvent::PeerLoad { rows, group, waiting }
+        }
+    };
+    pool.handle_event(event, 100);
+
+    let placed = (1..=3).map(|id| {
+        let placed = placed_on(&mut pool, id, 100 + 2 * id);
+        pool.complete(id, 101 + 2 * id);
+        placed
+    });
+    let placed: Vec<_> = placed.collect();
+
+    assert_eq!(placed, [Some(1); 3]);
+}
+
+/// Guards against an engine getting no requests for ever because it once reported a high pace; it
+/// cannot report another one without any.
+#[test]
+fn an_engine_that_reported_a_high_pace_is_used_again() {
+    let mut pool = two_engines();
+    for step in 0..50 {
+        let report = pace_report(1_000.0);
+        pool.handle_event(PoolEvent::LoadReported { upstream: ENGINE, report }, step * 600);
+    }
+
+    let placed = (1..=40).map(|id| {
+        let placed = placed_on(&mut pool, id, 36_000 + id * 50);
+        pool.complete(id, 36_000 + id * 50 + 40);
+        placed
+    });
+
+    assert!(placed.filter(|placed| *placed == Some(0)).count() > 0);
+}
+
+#[test]
+fn a_pace_in_a_message_is_read_with_its_age() {
+    let at = Moment::from_millis(10_000);
+    let sent = PeerPace::new(percent(250.0), at, Moment::from_millis(10_190));
+
+    let (pace, seen) = sent.read(Moment::from_millis(20_190)).expect("a pace");
+
+    assert_eq!((pace, seen), (percent(250.0), Moment::from_millis(19_990)));
+    assert_eq!(PeerPace::new(percent(250.0), at, Moment::from_millis(12_000)), PeerPace::default());
+    assert_eq!(PeerPace::default().read(at), None);
+}
+
+/// Guards against two daemons that keep an outdated pace in use by repeating each other's messages.
+#[test]
+fn a_pace_from_another_daemon_is_not_sent_on() {
+    let mut pace = HostPace::default();
+    pace.record_remote(percent(250.0), Moment::from_millis(100));
+
+    assert_eq!(pace.own_report(Moment::from_millis(110)), PeerPace::default());
+}
+
+/// Guards against requests being late on slow VMs while others are free. Prints the shares for the
+/// design note.
+#[rstest]
+#[case::one_daemon(1)]
+#[case::seven_daemons(7)]
+#[case::sixty_three_daemons(63)]
+fn more_callers_are_served_in_time_on_changing_vms(#[case] daemons: usize) {
+    let share = |disabled: &[Mechanism], load: f64, seed: u64| {
+        let load = SizedLoad { seed, ..SizedLoad::on_changing_hosts(daemons, load) };
+        let disabled = MechanismSet::without(disabled);
+        in_time_fraction(&simulate_with(&load, |plan| plan.mechanisms = disabled.clone()))
+    };
+    let mean = |disabled: &[Mechanism], load: f64| {
+        (1..=3).map(|seed| share(disabled, load, seed)).sum::<f64>() / 3.0
+    };
+
+    for load in [0.6, 0.8, 1.0] {
+        let (with, without) = (mean(&[], load), mean(&[Mechanism::HostPace], load));
+        println!(
+            "{daemons} daemons, load {load}: {with:.4} in time, without the part {without:.4}"
+        );
+        assert!(with >= without - 0.005, "{daemons} {load}: {with} {without}");
+    }
+}
