Revert: pace of an upstream's VM

Cause not known; first to look at: fits keeps requests waiting at slow paces, usual_pace brings start_by forward.

--- a/src/fleet_state/state/queries.rs
+++ b/src/fleet_state/state/queries.rs
@@ -245,7 +245,6 @@
             add_hints(&mut sums, self.other_groups.rows());
         }
         self.other_groups.add_speeds(&mut sums);
-        self.other_groups.add_paces(&mut sums, now);
         sums
     }
 }
--- a/src/fleet_state/state/send.rs
+++ b/src/fleet_state/state/send.rs
@@ -114,7 +114,6 @@
         let mut sums = BTreeMap::new();
         let fresh = self.members.values().filter(|member| now.since(member.last_heard) < ttl);
         fresh.for_each(|member| add_work(&mut sums, member.work.iter().copied()));
-        self.other_groups.add_paces(&mut sums, now);
         sums
     }
 
--- a/src/fleet_state/work_tables.rs
+++ b/src/fleet_state/work_tables.rs
@@ -1,7 +1,7 @@
 //! Requests that other daemons have at upstreams, as far as known.
 
 use super::WorkRow;
-use crate::policy::{Moment, PacePercent, PeerPace, PeerWork, UpstreamHash};
+use crate::policy::{Moment, PeerWork, UpstreamHash};
 use std::collections::BTreeMap;
 use std::ops::Bound;
 use std::time::Duration;
@@ -79,13 +79,11 @@
     }
 }
 
-/// Rows of other groups, and the measured speed and the pace of each upstream.
+/// Rows of other groups, and the measured speed of each upstream.
 #[derive(Clone, Debug, Default)]
 pub struct WorkTable {
     other_groups: ExpiringRows,
     speeds: BTreeMap<UpstreamHash, (u32, Moment)>,
-    /// The last pace of each upstream's VM, and when it was reported.
-    paces: BTreeMap<UpstreamHash, (PacePercent, Moment)>,
 }
 
 /// Position of a round-robin over rows that are sent a few at a time.
@@ -113,25 +111,16 @@
         self.record_speeds(rows, now);
     }
 
-    /// Records the speeds and paces of `rows` only.
+    /// Records the speeds of `rows` only.
     pub fn record_speeds(&mut self, rows: &[WorkRow], now: Moment) {
         let measured = rows.iter().filter(|(_, work)| work.gap_micros > 0);
         self.speeds.extend(measured.map(|(upstream, work)| (*upstream, (work.gap_micros, now))));
-        let paces =
-            rows.iter().filter_map(|(upstream, work)| Some((*upstream, work.pace.read(now)?)));
-        for (upstream, (pace, at)) in paces {
-            let last = self.paces.entry(upstream).or_insert((pace, at));
-            if last.1 < at {
-                *last = (pace, at);
-            }
-        }
     }
 
     /// Removes expired rows and speeds.
     pub fn remove_expired(&mut self, now: Moment) {
         self.other_groups.remove_expired(now);
         self.speeds.retain(|_, (_, at)| now.since(*at) < SPEED_TTL);
-        self.paces.retain(|_, (pace, at)| PeerPace::new(*pace, *at, now) != PeerPace::default());
     }
 
     /// Returns the rows of other groups.
@@ -145,14 +134,4 @@
             sums.entry(*upstream).or_default().gap_micros = *gap_micros;
         }
     }
-
-    /// Sets the known paces in `sums`, with their ages at `now`.
-    pub fn add_paces(&self, sums: &mut BTreeMap<UpstreamHash, PeerWork>, now: Moment) {
-        for (upstream, (pace, at)) in &self.paces {
-            let pace = PeerPace::new(*pace, *at, now);
-            if pace != PeerPace::default() {
-                sums.entry(*upstream).or_default().pace = pace;
-            }
-        }
-    }
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,6 +1,6 @@
 //! Request and response headers exchanged with callers and engines.
 
-use crate::policy::{LoadReport, PacePercent, PrefixMark, RateStatement};
+use crate::policy::{LoadReport, PrefixMark, RateStatement};
 use crate::quarantine::PromptPart;
 use crate::traffic::{
     AnswerMetadata, CallDialect, CallerMetadata, ReservationReply, ReservationRequest, SendMetadata,
@@ -200,13 +200,12 @@
     marks.collect()
 }
 
-/// Parses `RUNNING,QUEUED,SLOTS,PACE`; the slots are ignored, and the pace may be missing.
+/// Parses `RUNNING,QUEUED,SLOTS`; the slots are ignored.
 fn read_load(text: &str) -> Option<LoadReport> {
-    let mut fields = text.split(',').map(str::trim);
-    let running = fields.next()?.parse().ok()?;
-    let queued = fields.next()?.parse().ok()?;
-    let pace = fields.nth(1).and_then(|pace| PacePercent::from_figure(pace.parse().ok()?));
-    Some(LoadReport { running, queued, pace, ..LoadReport::default() })
+    let mut numbers = text.split(',').map(|number| number.trim().parse::<u32>().ok());
+    let running = numbers.next()??;
+    let queued = numbers.next()??;
+    Some(LoadReport { running, queued, ..LoadReport::default() })
 }
 
 /// Converts the milliseconds for which an engine stays cold; `None` if it is not cold.
--- a/src/policy/earliest_placement.rs
+++ b/src/policy/earliest_placement.rs
@@ -6,7 +6,6 @@
     UpstreamStatus, prefix_holders,
 };
 use rand::{Rng, RngCore};
-use std::time::Duration;
 
 /// An upstream that fails every request has its estimate increased by this multiple.
 const FAILURE_PENALTY: f64 = 8.0;
@@ -79,22 +78,10 @@
     }
 
     /// Returns an upstream's time between tokens in microseconds, and its slowdown relative to the
-    /// pool, both at the pace that its VM is expected to have while the prompt is processed.
+    /// pool.
     fn gap_and_slowness(status: &UpstreamStatus, query: &PlacementQuery<'_>) -> (f64, f64) {
-        let steady = status.gap().unwrap_or(query.speed.gap_micros);
-        let slowness = steady / query.speed.gap_micros.max(1.0);
-        let prompt = status.total_unread_tokens() as f64 + f64::from(query.prompt_tokens);
-        let micros = prompt * query.speed.prefill_micros * slowness;
-        let pace = status.pace.over(query.now, Duration::from_micros(micros as u64));
-        (steady * pace, slowness * pace)
-    }
-
-    /// Estimates the microseconds that the output takes, if it is `margin` times as long as estimated.
-    /// A long run outlasts the present pace of the VM.
-    fn run_micros(status: &UpstreamStatus, query: &PlacementQuery<'_>, margin: f64) -> f64 {
-        let steady = status.gap().unwrap_or(query.speed.gap_micros);
-        let micros = f64::from(query.output_tokens) * steady * margin;
-        micros * status.pace.over(query.now, Duration::from_micros(micros as u64))
+        let gap = status.gap().unwrap_or(query.speed.gap_micros);
+        (gap, gap / query.speed.gap_micros.max(1.0))
     }
 
     /// Estimates the microseconds until the first event if the upstream holds `held_tokens` of the
@@ -110,10 +97,10 @@
         let load = status.occupancy().min(1.0);
         let saved = held_tokens * query.speed.prefill_micros * slowness;
         let full = prompt * slowness + STEPS_BEFORE_FIRST_EVENT * gap + load * gap;
-        let full = full + Self::slot_wait_micros(status, query);
+        let full = full + Self::slot_wait_micros(status, query, gap);
         let stall = Self::stall_penalty(status, query, gap, slowness);
         let total = (full - saved) * stall;
-        let run = Self::run_micros(status, query, OUTPUT_MARGIN);
+        let run = f64::from(query.output_tokens) * gap * OUTPUT_MARGIN;
         // Without this factor, a long answer starts on time on an engine four times slower than the
         // others and is then cut by its deadline, having held a slot for its entire duration.
         let is_too_slow = full * stall + run > query.time_left.as_micros() as f64;
@@ -129,10 +116,10 @@
 impl EarliestPlacement {
     /// Estimates the wait for a free slot where the latest, possibly outdated, information shows
     /// all slots in use.
-    fn slot_wait_micros(status: &UpstreamStatus, query: &PlacementQuery<'_>) -> f64 {
+    fn slot_wait_micros(status: &UpstreamStatus, query: &PlacementQuery<'_>, gap: f64) -> f64 {
         let excess = (status.occupancy() - 1.0).max(0.0) + 1.0 / status.limit.requests().max(1.0);
         let is_full = status.occupancy() >= 1.0;
-        let run = Self::run_micros(status, query, 1.0);
+        let run = f64::from(query.output_tokens) * gap;
         if is_full { run * excess } else { 0.0 }
     }
 
@@ -149,7 +136,7 @@
             RequiredFit::Likely => OUTPUT_MARGIN,
             RequiredFit::Any => return true,
         };
-        let run = Self::run_micros(status, query, margin);
+        let run = f64::from(query.output_tokens) * gap * margin;
         let ends_in_time = prefill_micros + run <= query.time_left.as_micros() as f64;
         ends_in_time && Self::stall_penalty(status, query, gap, slowness) <= 1.0
     }
--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -65,8 +65,6 @@
     output_means: HashMap<(OrganisationIndex, TierRank), OutputMean>,
     pool_mean_output: f64,
     speed: EngineSpeed,
-    /// Mean pace of the upstreams' VMs at which the gaps were measured, as a factor.
-    usual_pace: f64,
     /// False for plain services, where each request costs one and no tokens are estimated.
     counts_tokens: bool,
 }
@@ -82,7 +80,6 @@
                 prefill_micros: INITIAL_PREFILL_MICROS,
                 gap_micros: INITIAL_GAP_MICROS,
             },
-            usual_pace: 1.0,
             counts_tokens,
         }
     }
@@ -170,17 +167,7 @@
         update_mean(&mut self.speed.gap_micros, gap.as_micros() as f64);
     }
 
-    /// Learns from the pace of the upstream's VM at which a time between tokens was measured.
-    pub fn learn_pace(&mut self, pace: f64) {
-        update_mean(&mut self.usual_pace, pace);
-    }
-
-    /// Mean pace of the upstreams' VMs, as a factor.
-    pub fn usual_pace(&self) -> f64 {
-        self.usual_pace
-    }
-
-    /// The engine speed learned so far, at the mean pace of the upstreams' VMs.
+    /// The engine speed learned so far.
     pub fn speed(&self) -> EngineSpeed {
         self.speed
     }
--- a/src/policy/mechanism.rs
+++ b/src/policy/mechanism.rs
@@ -36,8 +36,6 @@
     /// Makes a late request yield slots to other daemons' requests that are worth more for their
     /// cost.
     GroupOrder,
-    /// Tells the pace of an upstream's VM, which upstreams report, from the upstream's own speed.
-    HostPace,
 }
 
 /// The set of enabled mechanisms, stored as the disabled ones.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,7 +13,6 @@
 mod first_event;
 mod fleet_group;
 mod home_regions;
-mod host_pace;
 mod learned_limit;
 mod mechanism;
 mod organisation_limits;
@@ -52,7 +51,6 @@
 pub use first_event::FirstEventModel;
 pub use fleet_group::FleetGroup;
 pub use home_regions::{HomeRegions, NoCommonRegion};
-pub use host_pace::{HostPace, PacePercent, PeerPace};
 pub use learned_limit::LearnedLimit;
 pub use mechanism::{Mechanism, MechanismSet};
 pub use organisation_limits::{
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -300,9 +300,7 @@
 ) -> f64 {
     let prefill =
         (f64::from(query.prompt_tokens) - cached_tokens).max(0.0) * query.speed.prefill_micros;
-    let pace = status.pace.now(query.now);
-    let prefill = prefill * pace;
-    let gap = status.gap_micros.unwrap_or(query.speed.gap_micros) * pace;
+    let gap = status.gap_micros.unwrap_or(query.speed.gap_micros);
     let other_requests =
         (status.corrected_requests(query.now) - f64::from(status.in_flight)).max(0.0);
     let mean_cost = f64::from(query.prompt_tokens + query.output_tokens).max(1.0);
--- a/src/policy/scheduler/admission.rs
+++ b/src/policy/scheduler/admission.rs
@@ -282,8 +282,7 @@
                     true => self.first_events.base_micros(),
                     false => 0.0,
                 };
-                let prefill = f64::from(request.prompt_tokens) * self.speed().prefill_micros;
-                let micros = (base + prefill) * self.model.usual_pace();
+                let micros = base + f64::from(request.prompt_tokens) * self.speed().prefill_micros;
                 Duration::from_micros(micros as u64)
             }
             false => request.run_time,
--- a/src/policy/scheduler/events.rs
+++ b/src/policy/scheduler/events.rs
@@ -4,8 +4,8 @@
 use crate::answer::AnswerKind;
 use crate::policy::{
     FleetGroup, FloorOrder, LoadReport, Moment, OrganisationFlow, OrganisationIndex, OwnerRing,
-    PacePercent, PeerWork, PlacementDemand, PrefixMark, RateStatement, RequestId, RequestSizes,
-    RouteKey, SizeDecile, TierRank, UpstreamEvent, UpstreamIndex, UpstreamSource, WaitingLevels,
+    PeerWork, PlacementDemand, PrefixMark, RateStatement, RequestId, RequestSizes, RouteKey,
+    SizeDecile, TierRank, UpstreamEvent, UpstreamIndex, UpstreamSource, WaitingLevels,
 };
 use crate::table::UpstreamName;
 use std::sync::Arc;
@@ -161,13 +161,6 @@
         /// Load report.
         report: LoadReport,
     },
-    /// An upstream reported the pace of its VM in a reply other than an answer to a request.
-    PaceReported {
-        /// The upstream.
-        upstream: UpstreamIndex,
-        /// The pace.
-        pace: PacePercent,
-    },
     /// An event of an upstream's life cycle was observed.
     Lifecycle {
         /// Upstream concerned.
--- a/src/policy/scheduler/feedback.rs
+++ b/src/policy/scheduler/feedback.rs
@@ -2,7 +2,6 @@
 
 use super::{DispatchOutcome, PoolAction, PoolScheduler, RunningRequest};
 use crate::answer::AnswerKind;
-use crate::policy::host_pace::pace_between;
 use crate::policy::{
     Moment, RequestId, UpstreamEvent, UpstreamIndex, UpstreamStatus, WaitingRequest,
 };
@@ -21,12 +20,11 @@
         let unread_tokens = std::mem::take(&mut running.unread_tokens);
         let prompt_tokens = running.request.prompt_tokens.saturating_sub(running.kept_tokens);
         let (tokens_ahead, slowness) = (running.tokens_ahead, running.slowness);
-        let (upstream, begin_pace) = (running.upstream, running.pace);
-        let pace = self.pace_since(upstream, begin_pace, now);
+        let upstream = running.upstream;
         self.upstreams.update(upstream, |status| status.record_processed_tokens(unread_tokens));
         let expected = f64::from(prompt_tokens) * self.model.speed().prefill_micros;
         self.model.learn_prefill(prompt_tokens, after);
-        self.first_events.learn(tokens_ahead, slowness * pace, after);
+        self.first_events.learn(tokens_ahead, slowness, after);
         let micros = after.as_micros() as f64;
         let is_late =
             after > self.plan.first_token / 2 && micros > LATE_FIRST_TOKEN_RATIO * expected;
@@ -43,9 +41,7 @@
 
     pub(super) fn handle_token_gap(&mut self, id: RequestId, gap: Duration, now: Moment) {
         let Some(running) = self.running.get(&id) else { return };
-        let pace = self.upstreams.get(running.upstream).map_or(1.0, |status| status.pace.now(now));
         self.model.learn_gap(gap);
-        self.model.learn_pace(pace);
         let is_late = gap > self.plan.token_gap;
         self.upstreams.update(running.upstream, |status| {
             status.learn_gap(gap.as_micros() as f64, now);
@@ -113,8 +109,6 @@
     /// Handles a granted slot reservation; the request is sent to the upstream.
     pub(super) fn handle_grant(&mut self, id: RequestId, now: Moment) {
         let Some(mut running) = self.running.remove(&id) else { return };
-        running.pace =
-            self.upstreams.get(running.upstream).map_or(1.0, |status| status.pace.now(now));
         if std::mem::take(&mut running.is_reserving) {
             self.record_prefix_send(&running, now);
             self.reach.record_contact();
@@ -125,12 +119,6 @@
         self.running.insert(id, running);
     }
 
-    /// The mean pace of an upstream's VM since a time when it was `begin`.
-    fn pace_since(&self, upstream: UpstreamIndex, begin: f64, now: Moment) -> f64 {
-        let end = self.upstreams.get(upstream).map_or(1.0, |status| status.pace.now(now));
-        pace_between(begin, end)
-    }
-
     /// Handles a refused slot reservation: the request returns to the front of its queue.
     fn handle_no_slot(&mut self, request: WaitingRequest, upstream: UpstreamIndex, now: Moment) {
         self.reach.record_contact();
@@ -161,12 +149,10 @@
                 output_tokens,
             );
         } else {
-            let pace = self.pace_since(*upstream, running.pace, now);
             self.model.learn_gap(time);
-            self.model.learn_pace(pace);
             let is_late = time > self.plan.first_token;
             self.upstreams.update(*upstream, |status| {
-                status.learn_gap_at(time.as_micros() as f64, pace, now);
+                status.learn_gap(time.as_micros() as f64, now);
                 if is_late {
                     status.limit.record_slow_response(now);
                 }
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -56,8 +56,6 @@
     tokens_ahead: u64,
     /// Estimated slowdown of the upstream relative to the pool, at dispatch.
     slowness: f64,
-    /// Pace of the upstream's VM when it was sent, as a factor.
-    pace: f64,
     /// True until the upstream grants or refuses the slot reservation.
     is_reserving: bool,
     /// Prompt tokens that the upstream is expected to hold, at dispatch.
@@ -133,7 +131,6 @@
         let mut upstreams = UpstreamSet::default();
         upstreams.set_headroom(plan.headroom());
         upstreams.set_cold_bound(plan.cold_bound);
-        upstreams.set_host_pace(plan.mechanisms.has(Mechanism::HostPace));
         PoolScheduler {
             queue: plan.new_queue(),
             resumed: ResumedQueue::default(),
@@ -191,9 +188,6 @@
                 self.record_upstream_queue(upstream, report.queued, now);
                 self.upstreams.reported(upstream, report, now)
             }
-            PoolEvent::PaceReported { upstream, pace } => {
-                self.upstreams.record_pace(upstream, pace, now);
-            }
             PoolEvent::Lifecycle { upstream, event } => {
                 self.upstreams.apply_event(upstream, event);
                 match event {
@@ -289,7 +283,6 @@
         if !plan.marks_shares() {
             self.organisation_shares = OrganisationShares::default();
         }
-        self.upstreams.set_host_pace(plan.mechanisms.has(Mechanism::HostPace));
         self.plan = plan;
         self.floor.set_ranks(self.plan.tier_ranks());
     }
@@ -437,7 +430,7 @@
             prefix: &request.prefix,
             prompt_tokens: request.prompt_tokens,
             output_tokens: request.output_tokens,
-            speed: self.steady_speed(),
+            speed: self.speed(),
             capacity: self.room_kind(request.tier),
             event_tokens: self.plan.event_tokens,
             max_pause: request.pause,
@@ -489,16 +482,6 @@
         }
     }
 
-    /// Engine speed of the pool at the usual pace of the VMs.
-    fn steady_speed(&self) -> EngineSpeed {
-        let (speed, pace) = (self.speed(), self.model.usual_pace());
-        let prefill_micros = match self.has_first_event_model() {
-            true => speed.prefill_micros,
-            false => speed.prefill_micros / pace,
-        };
-        EngineSpeed { prefill_micros, gap_micros: speed.gap_micros / pace }
-    }
-
     /// Engine speed of the pool, as learned so far.
     pub(super) fn speed(&self) -> EngineSpeed {
         let speed = self.model.speed();
@@ -550,7 +533,6 @@
         let was_limited = !self.queue.is_empty()
             || self.upstreams.get(upstream).is_some_and(|status| status.load() > 0.8);
         let is_reserving = self.plan.has_reservations;
-        let pace = self.upstreams.get(upstream).map_or(1.0, |status| status.pace.now(now));
         if is_reserving {
             self.reservations.record_request();
         }
@@ -561,7 +543,6 @@
             unread_tokens,
             tokens_ahead,
             slowness,
-            pace,
             is_reserving,
             kept_tokens,
             request,
@@ -599,10 +580,9 @@
         (status.total_unread_tokens() + u64::from(own), self.slowness(upstream))
     }
 
-    /// Time between tokens of an upstream divided by the pool's mean, both at the usual pace of their
-    /// VMs; 1 if unknown.
+    /// Time between tokens of an upstream divided by the pool's mean; 1 if unknown.
     pub fn slowness(&self, upstream: UpstreamIndex) -> f64 {
-        let usual = (self.model.speed().gap_micros / self.model.usual_pace()).max(1.0);
+        let usual = self.model.speed().gap_micros.max(1.0);
         let gap = self.upstreams.get(upstream).and_then(UpstreamStatus::gap);
         gap.map_or(1.0, |gap| gap / usual)
     }
--- a/src/policy/upstream_set.rs
+++ b/src/policy/upstream_set.rs
@@ -3,8 +3,8 @@
 use super::upstreams::CAPACITY_CLASSES;
 use super::{
     CapacityClass, ColdBound, DispatchOutcome, FleetGroup, LearnedLimit, LoadReport, Moment,
-    OwnerRing, PacePercent, PeerWork, PlacementDemand, PlacementQuery, RateReport, RateStatement,
-    UpstreamEvent, UpstreamIndex, UpstreamSource, UpstreamState, UpstreamStatus,
+    OwnerRing, PeerWork, PlacementDemand, PlacementQuery, RateReport, RateStatement, UpstreamEvent,
+    UpstreamIndex, UpstreamSource, UpstreamState, UpstreamStatus,
 };
 use crate::table::{SoftwareVersion, UpstreamName};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -62,8 +62,6 @@
     owners: Arc<OwnerRing>,
     /// Mean tokens that this daemon's requests may use of an upstream's memory.
     mean_held_tokens: Option<f64>,
-    /// True if the paces that upstreams report are used.
-    has_host_pace: bool,
 }
 
 impl UpstreamSet {
@@ -269,21 +267,6 @@
         });
     }
 
-    /// Sets whether the paces that upstreams report are used.
-    pub fn set_host_pace(&mut self, has_host_pace: bool) {
-        self.has_host_pace = has_host_pace;
-        if !has_host_pace {
-            self.update_all(|status| status.pace.reset());
-        }
-    }
-
-    /// Records the pace of an upstream's VM.
-    pub fn record_pace(&mut self, index: UpstreamIndex, pace: PacePercent, now: Moment) {
-        if self.has_host_pace {
-            self.update(index, |status| status.pace.record(pace, now));
-        }
-    }
-
     /// Sets the bound on requests to cold upstreams.
     pub fn set_cold_bound(&mut self, bound: Option<ColdBound>) {
         self.cold_bound = bound;
@@ -444,14 +427,10 @@
         let down = rows.iter().filter(|(_, work)| work.is_down).count();
         let is_trusted = down * 2 <= self.live;
         let (bound, owners) = (self.cold_bound, Arc::clone(&self.owners));
-        let has_host_pace = self.has_host_pace;
         for (name, work) in rows {
             let Some(index) = self.find(name) else { continue };
             self.update(index, |status| {
                 status.peer_work = *work;
-                if let Some((pace, at)) = work.pace.read(now).filter(|_| has_host_pace) {
-                    status.pace.record_remote(pace, at);
-                }
                 let reported_gap = (work.gap_micros > 0).then(|| f64::from(work.gap_micros));
                 status.peer_gap_micros = reported_gap.or(status.peer_gap_micros);
                 let is_known_reachable = now.since(status.gap_measured_at) < REACHABLE_WINDOW;
@@ -597,7 +576,6 @@
 
     /// Applies a load report.
     pub fn reported(&mut self, index: UpstreamIndex, report: LoadReport, now: Moment) {
-        let report = LoadReport { pace: report.pace.filter(|_| self.has_host_pace), ..report };
         self.update(index, |status| status.record_report(report, now));
         self.apply_event(
             index,
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -1,8 +1,8 @@
 //! The state of one upstream as seen by this daemon: life cycle, work in flight and load reports.
 
 use super::{
-    ColdBound, ColdPace, EngineMemory, HostPace, LearnedLimit, MemoryNeed, Moment, PacePercent,
-    PeerPace, PlacementDemand, RatePace, RateReport, UpstreamIndex,
+    ColdBound, ColdPace, EngineMemory, LearnedLimit, MemoryNeed, Moment, PlacementDemand, RatePace,
+    RateReport, UpstreamIndex,
 };
 use crate::chart::{ChartMachine, NoAction, StateChart};
 use crate::chart_names;
@@ -143,9 +143,6 @@
     pub step_micros: u32,
     /// True if the upstream reports that it is leaving.
     pub is_leaving: bool,
-    /// Pace of its VM, if it reports a readable one.
-    #[serde(default)]
-    pub pace: Option<PacePercent>,
 }
 
 /// What this daemon knows about one upstream.
@@ -163,7 +160,7 @@
     pub in_flight: u32,
     /// This daemon's share of the limit, from 0.0 to 1.0.
     pub share: f64,
-    /// Mean time between tokens at the usual pace of the upstream's VM, in microseconds.
+    /// Mean time between tokens, in microseconds.
     pub gap_micros: Option<f64>,
     /// True while the upstream is much slower than its pool.
     pub is_straggler: bool,
@@ -214,8 +211,6 @@
     pub(super) is_counted: bool,
     /// Tokens that the known requests may use of its memory.
     pub memory: EngineMemory,
-    /// The pace of its VM.
-    pub pace: HostPace,
 }
 
 /// The other daemons' work at an upstream.
@@ -232,8 +227,6 @@
     pub is_leaving: bool,
     /// The rate that the upstream stated to one of the daemons.
     pub stated_rate: RateReport,
-    /// The pace of the upstream's VM as last reported to one of the daemons.
-    pub pace: PeerPace,
     /// Requests of daemons outside this one's group, from outdated reports; an estimate that is
     /// never forwarded.
     #[serde(skip)]
@@ -302,7 +295,6 @@
             is_held_back: false,
             is_counted: false,
             memory: EngineMemory::default(),
-            pace: HostPace::default(),
         }
     }
 
@@ -514,9 +506,6 @@
             return;
         }
         self.report = Some((time, report));
-        if let Some(pace) = report.pace {
-            self.pace.record(pace, time);
-        }
         let has_queue = report.queued > QUEUED_TOLERANCE + report.running / QUEUED_BATCH_DIVISOR;
         if has_queue && self.had_queue {
             self.limit.record_queueing(report.running, now);
@@ -527,19 +516,10 @@
         }
     }
 
-    /// Adds a time between tokens measured just now, in microseconds, to the moving average. The pace
-    /// of the VM is divided out, since it says nothing of the upstream itself.
+    /// Adds a time between tokens, in microseconds, to the moving average.
     pub fn learn_gap(&mut self, micros: f64, now: Moment) {
-        self.learn_gap_at(micros, self.pace.now(now), now);
-    }
-
-    /// As [`UpstreamStatus::learn_gap`], of a time in which the mean pace was `pace`.
-    pub fn learn_gap_at(&mut self, micros: f64, pace: f64, now: Moment) {
-        let steady = micros / pace;
-        let weight = GAP_WEIGHT * self.pace.confidence(now);
         self.gap_measured_at = now;
         self.gap_micros =
-            Some(self.gap_micros.map_or(steady, |mean| mean + (steady - mean) * weight));
-        self.pace.record_measurement(pace, weight);
+            Some(self.gap_micros.map_or(micros, |mean| mean + (micros - mean) * GAP_WEIGHT));
     }
 }
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -520,7 +520,6 @@
                     is_down: !is_doubtful && status.state() == UpstreamState::Suspect,
                     is_leaving: false,
                     stated_rate: status.rate_pace.report(now),
-                    pace: status.pace.own_report(now),
                     hinted: 0,
                 };
                 let hash =
--- a/src/traffic/probe.rs
+++ b/src/traffic/probe.rs
@@ -2,7 +2,6 @@
 
 use super::routed::SendMetadata;
 use super::state::TrafficState;
-use crate::policy::PacePercent;
 use crate::upstream::{OpenError, can_connect};
 use bytes::Bytes;
 use http::header::HOST;
@@ -20,9 +19,8 @@
 /// Result of a probe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeOutcome {
-    /// The upstream answered, and said how much longer it is cold, if it is, and the pace of its VM, if
-    /// it reports it.
-    Answered { cold_left: Option<Duration>, pace: Option<PacePercent> },
+    /// The upstream answered, and said how much longer it is cold, if it is.
+    Answered { cold_left: Option<Duration> },
     /// The upstream answered that it leaves.
     Leaving,
     /// Another incarnation uses the upstream's address.
@@ -52,7 +50,7 @@
     else {
         let is_open = can_connect(address).await;
         return match is_open {
-            true => ProbeOutcome::Answered { cold_left: None, pace: None },
+            true => ProbeOutcome::Answered { cold_left: None },
             false => ProbeOutcome::Refused,
         };
     };
@@ -63,10 +61,7 @@
             match (metadata.is_other_incarnation, metadata.is_leaving) {
                 (true, _) => ProbeOutcome::OtherIncarnation,
                 (false, true) => ProbeOutcome::Leaving,
-                (false, false) => ProbeOutcome::Answered {
-                    cold_left: metadata.cold_left,
-                    pace: metadata.load.and_then(|load| load.pace),
-                },
+                (false, false) => ProbeOutcome::Answered { cold_left: metadata.cold_left },
             }
         }
         Ok(Err(OpenError::NotSent { .. })) => ProbeOutcome::Refused,
--- a/src/traffic/routed/statements.rs
+++ b/src/traffic/routed/statements.rs
@@ -28,15 +28,11 @@
         self.apply_availability(from, metadata);
     }
 
-    /// Applies the pace of the upstream's VM, and whether it wants further requests, both of which it
-    /// may say in any reply.
+    /// Applies whether the upstream wants further requests, which it may say in any reply.
     pub fn apply_availability(&self, from: AnsweringUpstream<'_>, metadata: &AnswerMetadata) {
         if metadata.is_other_incarnation {
             return;
         }
-        if let Some(pace) = metadata.load.and_then(|load| load.pace) {
-            from.pool.handle_event(PoolEvent::PaceReported { upstream: from.index, pace });
-        }
         if let Some(rest) = metadata.rest {
             self.apply_rest(from, rest);
         }
--- a/src/upstream/orca.rs
+++ b/src/upstream/orca.rs
@@ -23,7 +23,6 @@
         queued: value("queued") as u32,
         step_micros: value("step_us") as u32,
         is_leaving: value("leaving") > 0.0,
-        pace: None,
     }
 }
 
