--- a/src/table/review.rs
+++ b/src/table/review.rs
@@ -164,8 +164,8 @@
         review_route_times(route, &path, warnings);
         let is_path = route.path_prefix.starts_with('/') && route.path_prefix.ends_with('/');
         if !is_path {
-            let detail = "a path prefix begins and ends with a slash";
-            warnings.unused(format!("{path}/path_prefix"), detail);
+            let detail = "its path prefix does not begin and end with a slash";
+            warnings.unused(path.clone(), detail);
         }
         for (k, target) in route.targets.iter().enumerate().filter(|(_, it)| it.weight == 0) {
             let detail = format!("{} gets no requests of this route", target.service);
