--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -148,7 +148,7 @@
         event_tokens: 1,
         cold_bound: None,
         engine_memory_tokens: None,
-        has_slot_notices: false,
+        has_slot_offers: false,
         shares_organisations: false,
         size_share: 0.75,
         mechanisms: MechanismSet::default(),
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -100,7 +100,7 @@
             state.enable_organisation_shares();
         }
         if features.offers_slots {
-            state.enable_slot_notices();
+            state.enable_slot_offers();
         }
         let now = state.clock.now();
         state.limits().start_empty(now);
@@ -120,8 +120,8 @@
         slack: settings.cold_slack,
     });
     state.set_mechanisms(MechanismSet::without(&settings.mechanisms_off));
-    if settings.slot_notices {
-        state.enable_slot_notices();
+    if settings.slot_offers {
+        state.enable_slot_offers();
     }
     if settings.when_cut_off == LeaseExpiryMode::Serve {
         state.allow_expired_table();
--- a/src/policy/scheduler/mod.rs
+++ b/src/policy/scheduler/mod.rs
@@ -6,7 +6,7 @@
 mod plan;
 mod reservations;
 mod resumed;
-mod slot_notices;
+mod slot_offers;
 
 pub use events::{ArrivedRequest, DispatchOutcome, PeerWaiting, PoolAction, PoolEvent};
 pub use plan::PoolPlan;
@@ -182,7 +182,7 @@
                 left_slot = self.left_slot(id, outcome);
                 self.handle_end(id, outcome, now, actions);
             }
-            PoolEvent::SlotFreed { upstream } => self.handle_slot_notice(upstream, now),
+            PoolEvent::SlotFreed { upstream } => self.handle_slot_offer(upstream, now),
             PoolEvent::LoadReported { upstream, report } => {
                 self.reach.record_contact();
                 self.record_upstream_queue(upstream, report.queued, now);
--- a/src/policy/scheduler/plan.rs
+++ b/src/policy/scheduler/plan.rs
@@ -59,7 +59,7 @@
     /// Bound on requests to cold upstreams, if there is one.
     pub cold_bound: Option<ColdBound>,
     /// True if slots that this daemon leaves unused are offered to the group's other daemons.
-    pub has_slot_notices: bool,
+    pub has_slot_offers: bool,
     /// Tokens that fit into the memory of one upstream; `None` if they are not counted.
     pub engine_memory_tokens: Option<u64>,
     /// True if a service that is too small for all is shared among the organisations. Only the queue
@@ -93,7 +93,7 @@
             mechanisms: MechanismSet::default(),
             has_reservations: row.reservation_ms.is_some(),
             cold_bound: None,
-            has_slot_notices: false,
+            has_slot_offers: false,
             engine_memory_tokens: row.engine_memory_tokens,
             shares_organisations: false,
             prefix: PrefixPlan { mode: row.prefix_reuse, memory_tokens: row.engine_memory_tokens },
--- a/src/policy/scheduler/slot_notices.rs
+++ b/src/policy/scheduler/slot_offers.rs
@@ -1,7 +1,7 @@
 //! Slots that this daemon's requests have left and that it has no use for itself.
 //!
 //! In a large fleet each daemon sees a few requests a second, so under a burst many have requests waiting
-//! while others have none. Without a notice, a slot that is left by a request of a daemon without waiting
+//! while others have none. Without an offer, a slot that is left by a request of a daemon without waiting
 //! work stays free until the next reports of the group, about 0.1 s, which is a third of a run: a fifth of
 //! all slots were free while requests of the group waited for them.
 
@@ -16,13 +16,13 @@
 }
 
 impl PoolScheduler {
-    /// The slot that the end of a request frees; `None` if it held none, or if no notices are sent.
+    /// The slot that the end of a request frees; `None` if it held none, or if no offers are made.
     pub(super) fn left_slot(&self, id: RequestId, outcome: DispatchOutcome) -> Option<LeftSlot> {
         let running = self.running.get(&id).filter(|running| !running.is_reserving)?;
         let held_slot = !matches!(outcome, DispatchOutcome::NotSent | DispatchOutcome::NoSlot);
         // Without reservations, the receiver would send its request to the upstream's own queue if another
         // daemon was faster.
-        let is_reserved = self.plan.has_slot_notices && self.plan.has_reservations;
+        let is_reserved = self.plan.has_slot_offers && self.plan.has_reservations;
         if !held_slot || !is_reserved {
             return None;
         }
@@ -48,7 +48,7 @@
 
     /// Records that a request of another daemon has left a slot at an upstream. The next report of that
     /// daemon replaces the corrected count.
-    pub(super) fn handle_slot_notice(&mut self, upstream: UpstreamIndex, now: Moment) {
+    pub(super) fn handle_slot_offer(&mut self, upstream: UpstreamIndex, now: Moment) {
         self.upstreams.update(upstream, |status| {
             status.peer_work.requests = status.peer_work.requests.saturating_sub(1);
             if status.is_refusing(now) {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -111,7 +111,7 @@
     /// True if slots at upstreams that this daemon leaves unused are offered to daemons of its group
     /// that have requests waiting.
     #[serde(default)]
-    pub slot_notices: bool,
+    pub slot_offers: bool,
     /// Mechanisms of the policy that are disabled, to measure the effect of each.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub mechanisms_off: Vec<Mechanism>,
--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -93,7 +93,7 @@
     retry_bound: OnceLock<RetryBound>,
     mechanisms: OnceLock<MechanismSet>,
     /// True if slots that this daemon leaves unused are offered to other daemons.
-    has_slot_notices: AtomicBool,
+    has_slot_offers: AtomicBool,
     shares_organisations: AtomicBool,
     /// Detectors of retries by the callers' remaining time, by route.
     retry_detectors: Mutex<HashMap<String, RetryDetector>>,
@@ -160,7 +160,7 @@
             retry_budgets: Mutex::default(),
             retry_bound: OnceLock::new(),
             mechanisms: OnceLock::new(),
-            has_slot_notices: AtomicBool::new(false),
+            has_slot_offers: AtomicBool::new(false),
             shares_organisations: AtomicBool::new(false),
             retry_detectors: Mutex::default(),
             route_sizes: Mutex::default(),
@@ -350,8 +350,8 @@
     }
 
     /// Offers slots that this daemon leaves unused to other daemons; set before any table is in force.
-    pub fn enable_slot_notices(&self) {
-        self.has_slot_notices.store(true, Ordering::Release);
+    pub fn enable_slot_offers(&self) {
+        self.has_slot_offers.store(true, Ordering::Release);
     }
 
     /// Lets organisations share services that are too small for all; called before any table is in
@@ -424,7 +424,7 @@
             plan.sheds_locally = !access.table().routes.is_empty();
             plan.mechanisms = self.mechanisms();
             plan.cold_bound = self.cold_bound(row);
-            plan.has_slot_notices = self.has_slot_notices.load(Ordering::Acquire);
+            plan.has_slot_offers = self.has_slot_offers.load(Ordering::Acquire);
             plan.shares_organisations = self.shares_organisations();
             let name = version_pool_name(&row.service, version.as_ref());
             let pool = match old.get(&name) {
--- a/tests/session.rs
+++ b/tests/session.rs
@@ -40,7 +40,7 @@
         mechanisms: MechanismSet::default(),
         has_reservations: false,
         cold_bound: None,
-        has_slot_notices: false,
+        has_slot_offers: false,
         engine_memory_tokens: None,
         shares_organisations: false,
         prefix: PrefixPlan::default(),
--- a/tests/shared_places.rs
+++ b/tests/shared_places.rs
@@ -92,7 +92,7 @@
 /// Simulates the same as [`simulate`], with or without offers of unused slots.
 pub fn simulate_offers(loads: &[f64], mode: OfferMode, seed: u64) -> OfferOutcome {
     let mut plan = SharedPlacesSimulation::plan(&[]);
-    plan.has_slot_notices = mode != OfferMode::Off;
+    plan.has_slot_offers = mode != OfferMode::Off;
     let mut simulation = SharedPlacesSimulation::new(&plan, seed);
     simulation.loses_offers = mode == OfferMode::Lost;
     simulation.play(loads, None);
--- a/tests/test_slot_notices.rs
+++ b/tests/test_slot_offers.rs
@@ -79,13 +79,13 @@
 #[case::nobody_waits((true, true), 0, 0, 0)]
 #[case::own_request_takes_it((true, true), 1, 1, 0)]
 fn a_slot_is_offered_if_it_is_unused_and_wanted(
-    #[case] (has_slot_notices, has_reservations): (bool, bool),
+    #[case] (has_slot_offers, has_reservations): (bool, bool),
     #[case] group_waiting: u32,
     #[case] own_waiting: u64,
     #[case] offers: usize,
 ) {
     let mut plan = urgency_plan();
-    (plan.has_slot_notices, plan.has_reservations) = (has_slot_notices, has_reservations);
+    (plan.has_slot_offers, plan.has_reservations) = (has_slot_offers, has_reservations);
     let mut pool = BurstPool::with_plan(plan);
     pool.arrive(1, 0, 0);
     pool.handle_event(PoolEvent::Granted(RequestId(1)), 1);
@@ -115,7 +115,7 @@
 #[test]
 fn a_refused_reservation_offers_nothing() {
     let mut plan = urgency_plan();
-    (plan.has_slot_notices, plan.has_reservations) = (true, true);
+    (plan.has_slot_offers, plan.has_reservations) = (true, true);
     let mut pool = BurstPool::with_plan(plan);
     pool.handle_event(group_waits(1), 0);
     pool.arrive(1, 0, 1);
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -94,7 +94,7 @@
 mod test_silent_upstreams;
 mod test_size_accounts;
 mod test_size_share;
-mod test_slot_notices;
+mod test_slot_offers;
 mod test_small_calls;
 mod test_start_list;
 mod test_stated_rates;
