Log where a daemon has its table from, who stands for election and who refuses a vote

A refusal now names the version of the table, its age, the voter or leader that sent it and when a leader last confirmed it; voters log each table that they hand out, candidacies and refused votes; reports that got no answer and orders that came after the lease are logged.

--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -6,10 +6,10 @@
 use super::packed_table::unpack;
 use super::rpc::{ControlApiClient, LeaderAnswer};
 use crate::policy::{PoolEvent, PoolScheduler};
-use crate::table::{DaemonName, ServiceName};
-use crate::traffic::TrafficState;
+use crate::table::{DaemonName, ServiceName, VersionedTable};
+use crate::traffic::{TableSource, TrafficState};
 use jsonrpsee::ws_client::WsClient;
-use slog::{error, info};
+use slog::{error, info, warn};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -114,7 +114,7 @@
             }
             Ok(Ok(LeaderAnswer::Done(ReportAnswer::Orders(orders)))) => {
                 self.leader.hint().set(Some(address));
-                self.apply_orders(orders);
+                self.apply_orders(orders, address);
                 true
             }
             Ok(Ok(LeaderAnswer::Elsewhere(leader))) => {
@@ -122,6 +122,8 @@
                 false
             }
             _ => {
+                info!(self.state.log, "report not answered"; "leader" => address, "after_ms" => since.elapsed().as_millis() as u64,
+                    "table" => self.state.snapshot().version);
                 self.leader.hint().set(None);
                 false
             }
@@ -135,19 +137,27 @@
         if self.state.snapshot().version > 0 || !self.state.may_use_expired_table() {
             return;
         }
-        let Some(client) = self.leader.connection() else { return };
+        let Some((voter, client)) = self.leader.connection() else { return };
         let size = tokio::time::timeout(REPORT_TIMEOUT, client.fleet_size()).await;
         if let Ok(Ok(daemons)) = size {
             self.state.fleet.expect_daemons(daemons);
         }
         let known = tokio::time::timeout(REPORT_TIMEOUT, client.known_table()).await;
         if let Ok(Ok(Some(table))) = known {
-            info!(self.state.log, "applying a voter's table without confirmation by a leader"; "version" => table.version);
-            self.state.apply_table(&table);
+            info!(self.state.log, "applying a voter's table without confirmation by a leader"; "version" => table.version, "voter" => voter);
+            self.apply_table(&table, TableSource::Voter(voter));
             self.presume_members(&client).await;
         }
     }
 
+    /// Puts a newer table in force.
+    fn apply_table(&self, table: &VersionedTable, source: TableSource) {
+        if table.version > self.state.snapshot().version {
+            self.state.apply_table(table);
+            self.state.table_origin.record_source(source);
+        }
+    }
+
     /// Forms groups with the members that a voter's log names, so that the list of upstreams can be
     /// read and distributed before there is a leader.
     async fn presume_members(&self, client: &WsClient) {
@@ -191,7 +201,7 @@
         states.chain([limits]).collect()
     }
 
-    fn apply_orders(&mut self, mut orders: DaemonOrders) {
+    fn apply_orders(&mut self, mut orders: DaemonOrders, leader: SocketAddr) {
         if let Some(packed) = orders.packed.take() {
             orders.table = unpack(&packed).map(Box::new);
             if orders.table.is_none() {
@@ -199,7 +209,10 @@
             }
         }
         // `None` if the lease expired before the answer arrived; the next report asks again.
-        let Some(moves) = self.member.apply(orders, self.state.clock.now()) else { return };
+        let version = orders.version;
+        let Some(moves) = self.member.apply(orders, self.state.clock.now()) else {
+            return warn!(self.state.log, "orders came after the lease"; "version" => version, "leader" => leader);
+        };
         let now = self.state.clock.now();
         match &moves.serving {
             Some(serving) => self.state.fleet.set_serving_list(serving.addresses.clone(), now),
@@ -215,7 +228,7 @@
             self.state.apply_evacuated(evacuated);
         }
         if let Some(table) = &moves.table {
-            self.state.apply_table(table);
+            self.apply_table(table, TableSource::Leader(leader));
         }
         let pools = self.state.pools();
         for pool_move in moves.pools {
@@ -233,6 +246,7 @@
                 info!(self.state.log, "table is current"; "version" => moves.version);
             }
             self.state.set_current_until(moves.current_until);
+            self.state.table_origin.confirm(now);
         }
     }
 }
--- a/src/control/control_loop/mod.rs
+++ b/src/control/control_loop/mod.rs
@@ -28,12 +28,12 @@
 use super::waiters::{EntryWaiter, WaiterTable};
 use crate::policy::Moment;
 use crate::replica::{
-    EntryPayload, FleetId, HardState, LogEntry, ReplicaCore, ReplicaEnvelope, ReplicaOutput,
-    ReplicaRole, VoterId,
+    EntryPayload, FleetId, HardState, LogEntry, ReplicaCore, ReplicaEnvelope, ReplicaMessage,
+    ReplicaOutput, ReplicaRole, VoterId,
 };
 use crate::store::{DataFolder, FolderIdentity, StoreError};
 use crate::table::{DaemonName, diff_tables};
-use metrics::histogram;
+use metrics::{counter, histogram};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use slog::{info, warn};
@@ -86,6 +86,7 @@
         recent_suspects: RecentRequests::default(),
         recent_releases: RecentRequests::default(),
         rollout_tracker: RolloutTracker::default(),
+        last_role: ReplicaRole::Follower,
         setup,
     };
     if let Some(voter) = voter {
@@ -127,6 +128,8 @@
     recent_releases: RecentRequests,
     /// Roll-outs in progress, while this daemon leads.
     rollout_tracker: RolloutTracker,
+    /// Role in which the replica was last seen.
+    last_role: ReplicaRole,
 }
 
 impl ControlLoop {
@@ -303,7 +306,22 @@
         self.core.as_ref().is_some_and(|core| core.has_lease(self.now()))
     }
 
+    /// Logs that the replica begins to request votes.
+    fn record_role(&mut self) {
+        let Some(core) = &self.core else { return };
+        let role = core.role();
+        if role != self.last_role
+            && matches!(role, ReplicaRole::PreCandidate | ReplicaRole::Candidate)
+        {
+            info!(self.setup.log, "stands for election"; "role" => format!("{role:?}"), "term" => core.term(),
+                "last_index" => core.log().last().index, "last_term" => core.log().last().term,
+                "committed" => core.commit_index(), "voters" => core.membership().voters.len());
+        }
+        self.last_role = role;
+    }
+
     fn update_role(&mut self) {
+        self.record_role();
         let is_leader = self.core.as_ref().is_some_and(|core| core.role() == ReplicaRole::Leader);
         match (is_leader, self.registry.is_some()) {
             (true, false) => {
@@ -371,6 +389,10 @@
             }
             ControlRequest::KnownTable { reply } => {
                 let table = self.ledger.table();
+                counter!("tarragonknot_known_tables_total").increment(1);
+                info!(self.setup.log, "known table requested"; "version" => table.version,
+                    "bytes" => table.document.as_ref().map_or(0, |document| document.len()),
+                    "committed" => self.core.as_ref().map_or(0, ReplicaCore::commit_index));
                 drop(reply.send((table.version > 0).then(|| table.clone())));
             }
             ControlRequest::Table { version, reply } => {
@@ -424,9 +446,26 @@
         let Some(core) = &mut self.core else { return drop(reply.send(Vec::new())) };
         let output = core.receive(envelope, now, &mut self.rng);
         let answers = self.process_output(output, Some(&from));
+        self.log_refused_votes(&answers);
         let _ = reply.send(answers);
     }
 
+    fn log_refused_votes(&self, answers: &[ReplicaEnvelope<ControlCommand>]) {
+        let Some(core) = &self.core else { return };
+        let is_refusal = |envelope: &&ReplicaEnvelope<ControlCommand>| {
+            matches!(
+                envelope.message,
+                ReplicaMessage::PreVoteReply { granted: false }
+                    | ReplicaMessage::VoteReply { granted: false }
+            )
+        };
+        for refusal in answers.iter().filter(is_refusal) {
+            info!(self.setup.log, "vote refused"; "candidate" => refusal.to.to_string(), "term" => core.term(),
+                "last_index" => core.log().last().index, "last_term" => core.log().last().term,
+                "leader" => core.leader().map_or_else(String::new, VoterId::to_string));
+        }
+    }
+
     /// The leader's address, or `None` if it is this daemon, which cannot answer yet.
     fn remote_leader(&self) -> Option<SocketAddr> {
         self.leader_address().filter(|address| *address != self.setup.control)
--- a/src/control/links.rs
+++ b/src/control/links.rs
@@ -223,9 +223,9 @@
         self.connection.clone()
     }
 
-    /// Returns the existing connection, if any.
-    pub fn connection(&self) -> Option<Arc<WsClient>> {
-        self.connection.as_ref().map(|(_, client)| Arc::clone(client))
+    /// Returns the existing connection and its address, if any.
+    pub fn connection(&self) -> Option<(SocketAddr, Arc<WsClient>)> {
+        self.connection.clone()
     }
 
     /// Drops the connection unless it leads to the presumed leader. A connection that gave no
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -21,6 +21,7 @@
 mod start_times;
 mod state;
 mod stream_origins;
+mod table_source;
 
 pub use access::{AccessIndex, CallerIdentity, OrganisationIndices};
 pub use drain::{DrainAction, DrainEvent, DrainState, drain_chart};
@@ -42,3 +43,4 @@
 };
 pub use state::{PlatformInterface, TableSnapshot, TrafficState};
 pub use stream_origins::{ResumableStream, StreamOrigins};
+pub use table_source::{TableOrigin, TableSource};
--- a/src/traffic/routed/admission.rs
+++ b/src/traffic/routed/admission.rs
@@ -108,7 +108,9 @@
             answer
         }
         Err(kind) => {
-            info!(state.log, "refused"; "request" => &*id, "kind" => kind.row().name, "table" => state.snapshot().version);
+            let now = state.clock.now();
+            info!(state.log, "refused"; "request" => &*id, "kind" => kind.row().name, "table" => state.snapshot().version,
+                "table_age_ms" => now.since(state.table_since()).as_millis() as u64, state.table_origin.fields(now));
             let refusal = RefusalAnswer::new(kind, "", state.jitter());
             let is_over_limit = kind == AnswerKind::RateLimited;
             let wait = caller_deadline
--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -30,6 +30,7 @@
     ServiceRow, TableReader, UpstreamName, VersionedTable,
 };
 use crate::traffic::start_times::StartTimes;
+use crate::traffic::table_source::TableOrigin;
 use crate::upstream::{ConnectionPool, EngineDriver, PlainDriver, PlatformList, UpstreamDriver};
 use arc_swap::{ArcSwap, ArcSwapOption};
 use rand::RngCore;
@@ -124,6 +125,8 @@
     pub crash_checks: CrashChecks,
     /// Notified when a shed floor must be reported to the leader at once.
     pub floor_changes: Notify,
+    /// Where the table in force came from.
+    pub table_origin: TableOrigin,
     /// Times from the start to the first table, list and answer.
     pub start_times: StartTimes,
     in_progress: AtomicUsize,
@@ -177,6 +180,7 @@
             origins: StreamOrigins::default(),
             crash_checks: CrashChecks::default(),
             floor_changes: Notify::new(),
+            table_origin: TableOrigin::default(),
             start_times: StartTimes::new(clock.now()),
             in_progress: AtomicUsize::new(0),
             next_request: AtomicU64::new(1),
