--- a/tests/slow_voters.rs
+++ b/tests/slow_voters.rs
@@ -30,6 +30,9 @@
 const RESEND_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of edits that the operator has under way.
 const MAX_EDITS_UNDER_WAY: usize = 8;
+/// Time after which a daemon asks another voter.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(900);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 const FLEET_ID: FleetId = FleetId(3);
 
 /// What one run of the voters is like.
@@ -80,6 +83,26 @@
     tick_at: Moment,
     starts_at: Moment,
     is_cut_off: bool,
+    /// Daemons that have asked for a table.
+    asked_by: VecDeque<usize>,
+}
+
+/// A daemon that has started and asks one voter after the other for a table.
+#[derive(Clone, Copy, Debug)]
+struct StartedDaemon {
+    voter: usize,
+    asks_at: Moment,
+    is_waiting: bool,
+}
+
+/// Daemons that start without a table.
+#[derive(Clone, Copy, Debug)]
+pub struct StartPlan {
+    pub daemons: usize,
+    /// Size of a voter's answer with a table.
+    pub answer_bytes: usize,
+    /// True if daemons begin with different voters.
+    pub is_spread: bool,
 }
 
 /// An edit of the operator.
@@ -103,6 +126,8 @@
     next_folder: u32,
     /// Number of snapshots that are still to be lost on their way.
     snapshots_to_lose: usize,
+    started: Vec<StartedDaemon>,
+    answer_bytes: usize,
 }
 
 fn control_address(position: usize) -> SocketAddr {
@@ -155,6 +180,7 @@
             tick_at: now,
             starts_at: now,
             is_cut_off: false,
+            asked_by: VecDeque::new(),
         };
         SlowFleet {
             setup,
@@ -166,9 +192,57 @@
             edit_at: now,
             next_folder: 1,
             snapshots_to_lose: 0,
+            started: Vec::new(),
+            answer_bytes: 0,
         }
     }
 
+    /// Starts daemons that ask the voters for a table.
+    pub fn start_daemons(&mut self, plan: StartPlan) {
+        let count = self.voters.len();
+        let daemon = |number: usize| StartedDaemon {
+            voter: if plan.is_spread { number % count } else { 0 },
+            asks_at: self.now,
+            is_waiting: true,
+        };
+        self.started = (0..plan.daemons).map(daemon).collect();
+        self.answer_bytes = plan.answer_bytes;
+    }
+
+    /// Number of daemons that have received no table.
+    pub fn daemons_without_table(&self) -> usize {
+        self.started.iter().filter(|daemon| daemon.is_waiting).count()
+    }
+
+    fn ask_for_tables(&mut self) {
+        for number in 0..self.started.len() {
+            let daemon = &mut self.started[number];
+            if !daemon.is_waiting || daemon.asks_at > self.now {
+                continue;
+            }
+            let voter = &mut self.voters[daemon.voter];
+            let is_up = voter.core.is_some();
+            daemon.asks_at = self.now + if is_up { REPORT_TIMEOUT } else { CONNECT_TIMEOUT };
+            daemon.voter = (daemon.voter + 1) % self.setup.voters;
+            if is_up {
+                voter.asked_by.push_back(number);
+            }
+        }
+    }
+
+    /// Answers the daemon that has waited longest at a voter, which does not notice that a daemon has
+    /// turned to another voter.
+    fn answer_daemon(&mut self, position: usize) {
+        let voter = &mut self.voters[position];
+        let Some(daemon) = voter.asked_by.pop_front() else { return };
+        voter.busy_until = self.now + handling_time(self.answer_bytes);
+        let count = self.setup.voters;
+        let daemon = &mut self.started[daemon];
+        let is_expected =
+            (daemon.voter + count - 1) % count == position && self.now < daemon.asks_at;
+        daemon.is_waiting &= !is_expected;
+    }
+
     /// Sets how often the operator edits the table; `None` for never.
     pub fn edit_every(&mut self, interval: Option<Duration>) {
         self.edit_interval = interval;
@@ -180,6 +254,7 @@
         while self.now < end {
             self.now = self.now + STEP;
             self.drive_operator();
+            self.ask_for_tables();
             for position in 0..self.voters.len() {
                 self.run_voter(position);
             }
@@ -299,8 +374,11 @@
             let voter = &self.voters[position];
             let has_message = voter.inbox.front().is_some_and(|(at, _)| *at <= self.now);
             let has_tick = voter.tick_at <= self.now;
+            let is_asked = !voter.asked_by.is_empty();
             // As the control loop does, which takes whichever of its inputs it polls first.
-            if has_tick && (!has_message || self.rng.random_bool(0.5)) {
+            if is_asked && ((!has_tick && !has_message) || self.rng.random_bool(0.5)) {
+                self.answer_daemon(position);
+            } else if has_tick && (!has_message || self.rng.random_bool(0.5)) {
                 self.tick(position);
             } else if has_message {
                 self.receive(position);
--- a/tests/test_catch_up.rs
+++ b/tests/test_catch_up.rs
@@ -1,12 +1,16 @@
 //! Edits are acknowledged while voters catch up with a log of large tables.
 
-use crate::slow_voters::{SlowFleet, VoterSetup};
+use crate::slow_voters::{SlowFleet, StartPlan, VoterSetup};
+use crate::test_packed_table::large_table;
 use rstest::rstest;
 use std::time::Duration;
 use tarragonknot::replica::ReplicaConfig;
 
 /// Time within which an edit must be acknowledged while no fault is injected.
 const ACK_LIMIT: Duration = Duration::from_secs(4);
+/// Time from the start of all voters within which one must lead: what daemons have to be in touch
+/// before their tables count.
+const ELECTION_LIMIT: Duration = Duration::from_secs(3);
 const STORM_INTERVAL: Duration = Duration::from_millis(110);
 const CALM_INTERVAL: Duration = Duration::from_millis(900);
 
@@ -128,3 +132,32 @@
     assert_eq!(fleet.leader(), leader, "no fault, so no election");
     assert!(fleet.is_complete(), "every voter has every edit");
 }
+
+/// Size of what a voter answers to a daemon that has no table, with a table of a thousand routes.
+fn known_table_bytes() -> usize {
+    serde_json::to_vec(&large_table(1_000)).expect("JSON").len()
+}
+
+/// Guards against a fleet that stays with an older table for seconds after a loss of power, as the
+/// voters hand out large tables to the daemons that start, and miss each other's votes.
+#[rstest]
+fn voters_elect_a_leader_while_daemons_start(
+    #[values(91, 182)] daemons: usize,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let latency = Duration::from_millis(10);
+    let setup = VoterSetup { voters: 6, latency, table_bytes: 300_000, seed, ..Default::default() };
+    let mut fleet = SlowFleet::new(setup);
+    fleet.run_for(Duration::from_secs(3));
+    let down = Duration::from_millis(500);
+    (0..4).for_each(|voter| fleet.stop(voter, down));
+    (4..6).for_each(|voter| fleet.wipe(voter, down));
+    fleet.run_for(down);
+
+    let answer_bytes = known_table_bytes();
+    fleet.start_daemons(StartPlan { daemons, answer_bytes, is_spread: false });
+    fleet.run_for(ELECTION_LIMIT);
+
+    assert!(fleet.leader().is_some(), "no leader");
+    assert_eq!(fleet.daemons_without_table(), 0);
+}
--- a/tests/test_packed_table.rs
+++ b/tests/test_packed_table.rs
@@ -7,7 +7,7 @@
 
 /// Returns a table, in the operators' format, with `routes` routes that differ only in name and
 /// path.
-fn large_table(routes: u32) -> VersionedTable {
+pub fn large_table(routes: u32) -> VersionedTable {
     let mut text = String::from("{\"version\":7,\"routes\":[");
     for number in 0..routes {
         let comma = if number > 0 { "," } else { "" };
--- a/tests/test_power_loss.rs
+++ b/tests/test_power_loss.rs
@@ -215,3 +215,26 @@
     assert!(committed.contains(&EDIT.to_owned()), "leader {leader} knows {committed:?}");
     assert!(voter.core.commit_index() >= 1);
 }
+
+/// Guards against voters that hand out an older table after a loss of power everywhere: an edit that
+/// has been in force for seconds is the last one, so no later sync covers the index up to which
+/// entries are committed.
+#[rstest]
+fn what_is_committed_is_known_after_a_loss_of_all_power(#[values(3, 6)] count: usize) {
+    let mut fleet = VoterFleet::found(count);
+    fleet.run();
+    let leader = fleet.leader().expect("a leader");
+    let now = fleet.now;
+    let voter = fleet.voters.get_mut(&leader).expect("the leader");
+    let (index, output) = voter.core.propose(vec![EDIT.to_owned()], now).expect("it leads");
+    fleet.deliver(leader, output);
+    fleet.run();
+
+    let voters = std::mem::take(&mut fleet.voters);
+    let restarted = voters.into_iter().map(|(number, voter)| {
+        FolderVoter::start(voter.lose_power(0), number, fleet.now, &mut fleet.rng)
+    });
+    let known: Vec<u64> = restarted.map(|voter| voter.core.commit_index()).collect();
+
+    assert!(known.iter().all(|known| *known >= index), "{known:?} of {index}");
+}
--- a/tests/test_store.rs
+++ b/tests/test_store.rs
@@ -3,7 +3,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use slog::{Discard, Logger, o};
-use std::path::Path;
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -137,6 +138,58 @@
     assert_eq!(torn.entries, whole.entries);
 }
 
+/// Guards against a voter that loses its vote with its power: of several writes after the last sync
+/// each may be whole, missing or torn, and a lost commit index before a kept one reads as damage.
+#[rstest::rstest]
+#[case::missing(0)]
+#[case::torn(10)]
+fn a_commit_index_lost_before_a_kept_one_is_no_damage(#[case] kept: usize) {
+    let folder = tempfile::tempdir().unwrap();
+    write_entries(folder.path());
+    let mut store = DataFolder::open(folder.path()).unwrap();
+    store.load::<String>(&log()).unwrap();
+    let before = unsynced_files(folder.path());
+    store.write_commit_index::<String>(3).unwrap();
+    let after = unsynced_files(folder.path());
+    store.write_commit_index::<String>(4).unwrap();
+    drop(store);
+    lose_write(folder.path(), &before, &after, kept);
+
+    let state = reload(folder.path());
+    let again = reload(folder.path());
+
+    let state = state.expect("no damage");
+    assert_eq!(state.entries, (1..=5).map(entry).collect::<Vec<_>>());
+    assert_eq!(again.expect("no damage").entries, state.entries);
+}
+
+/// Contents of the files of a data folder.
+fn unsynced_files(folder: &Path) -> BTreeMap<PathBuf, Vec<u8>> {
+    let files = std::fs::read_dir(folder).unwrap().map(|file| file.unwrap().path());
+    files.map(|path| (path.clone(), std::fs::read(path).unwrap())).collect()
+}
+
+/// Loses what was written between `before` and `after`, apart from its first `kept` bytes, where no
+/// later write has replaced it.
+fn lose_write(
+    folder: &Path,
+    before: &BTreeMap<PathBuf, Vec<u8>>,
+    after: &BTreeMap<PathBuf, Vec<u8>>,
+    kept: usize,
+) {
+    for (path, mut bytes) in unsynced_files(folder) {
+        let (old, new) = (&before[&path], &after[&path]);
+        let is_written = |at: &usize| old.get(*at) != new.get(*at);
+        let written: Vec<usize> = (0..new.len()).filter(is_written).collect();
+        for at in written.into_iter().skip(kept) {
+            if bytes[at] == new[at] {
+                bytes[at] = old.get(at).copied().unwrap_or(0);
+            }
+        }
+        std::fs::write(path, bytes).unwrap();
+    }
+}
+
 /// Guards against a voter voting after losing entries that it has acknowledged. A bit of an old
 /// record flips on disk, and the damage is mistaken for a torn last record.
 #[test]
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -51,6 +51,7 @@
 mod test_kept_fleets;
 mod test_kept_orders;
 mod test_kept_pools;
+mod test_known_table;
 mod test_leader_growth;
 mod test_limit_sizes;
 mod test_limits;
