Keep the commit index out of the log, where a lost write of it reads as damage

Cause: the commit index was appended to the log without a sync. Of several writes after the last sync each may be whole, missing or torn on its own, so a missing one before a kept one is a run of zeros in the middle of the log, which loading takes for damage: the folder is set aside. Why this works: the index has a file of its own with two slots, each with a checksum; the log holds only records that were synced, and at most one write that was not. Logs of earlier builds, with the index in them, are still read.

a_note_of_what_is_committed_is_read_back_and_may_be_torn tore the last record of the log; it now loses the last write wherever that went, whole or but for its first byte, and has a further test for logs of earlier builds.

--- a/src/control/control_loop/mod.rs
+++ b/src/control/control_loop/mod.rs
@@ -230,7 +230,7 @@
         }
         output.committed.iter().for_each(|entry| self.apply(entry));
         if let (Some(last), Some(store)) = (output.committed.last(), &mut self.store)
-            && let Err(fault) = store.write_commit_index::<ControlCommand>(last.at.index)
+            && let Err(fault) = store.write_commit_index(last.at.index)
         {
             warn!(self.setup.log, "could not record the commit index"; "fault" => fault.to_string());
         }
--- a/src/store/journal.rs
+++ b/src/store/journal.rs
@@ -1,5 +1,6 @@
 //! Snapshot and log files of a voter.
 
+use super::commit_file::CommitFile;
 use super::{IoSnafu, StoreError};
 use crate::replica::{HardState, LogEntry, ReplicaOutput, SnapshotRecord};
 use serde::de::DeserializeOwned;
@@ -23,8 +24,7 @@
 enum JournalRecord<C> {
     Hard(HardState),
     Truncate(u64),
-    /// Entries up to this index are committed. Written without a sync; if it is lost, the index is
-    /// received from a leader again.
+    /// Entries up to this index are committed. Only in logs of earlier builds.
     Commit(u64),
     Entry(LogEntry<C>),
 }
@@ -47,6 +47,7 @@
 pub struct DataFolder {
     folder: PathBuf,
     log: File,
+    commit: CommitFile,
     _lock: FolderLock,
 }
 
@@ -104,7 +105,8 @@
             .create(true)
             .open(&path)
             .context(IoSnafu { path: &path })?;
-        Ok(DataFolder { folder: folder.to_owned(), log, _lock: lock })
+        let commit = CommitFile::open(folder)?;
+        Ok(DataFolder { folder: folder.to_owned(), log, commit, _lock: lock })
     }
 
     /// Path of the folder.
@@ -132,7 +134,7 @@
             hard_state: HardState::default(),
             snapshot,
             entries: Vec::new(),
-            commit_index: 0,
+            commit_index: self.commit.index(),
         };
         let mut offset = 0;
         while offset < bytes.len() {
@@ -206,14 +208,11 @@
         self.log.sync_data().context(IoSnafu { path: &path })
     }
 
-    /// Writes the commit index without a sync; its loss is harmless. Without this record, a fleet
-    /// whose voters were all killed does not know which entries are committed until it has a leader
-    /// again, and daemons started in the meantime serve no callers.
-    pub fn write_commit_index<C: Serialize>(&mut self, index: u64) -> Result<(), StoreError> {
-        let mut bytes = Vec::new();
-        write_record(&mut bytes, &JournalRecord::<C>::Commit(index));
-        let path = self.file(LOG_FILE);
-        self.log.write_all(&bytes).context(IoSnafu { path: &path })
+    /// Writes the commit index without a sync. Without it, a fleet whose voters were all killed does
+    /// not know which entries are committed until it has a leader again, and daemons started in the
+    /// meantime serve no callers.
+    pub fn write_commit_index(&mut self, index: u64) -> Result<(), StoreError> {
+        self.commit.write(index)
     }
 
     /// Stores a snapshot and starts a new log after it. The snapshot is synced before the old log
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,6 +5,7 @@
 //! JSON, and the JSON. Data counts as stored only once the file is synced, and for new or renamed
 //! files the folder too.
 
+mod commit_file;
 mod identity;
 mod journal;
 
--- a/tests/test_power_loss.rs
+++ b/tests/test_power_loss.rs
@@ -88,7 +88,7 @@
             output.committed.iter().filter_map(|entry| command(&entry.payload)).collect();
         if let Some(last) = output.committed.last() {
             // Not synced: a lost commit index is determined again once there is a leader.
-            self.store.write_commit_index::<String>(last.at.index).expect("commit index written");
+            self.store.write_commit_index(last.at.index).expect("commit index written");
         }
         (output.messages, committed)
     }
--- a/tests/test_store.rs
+++ b/tests/test_store.rs
@@ -117,20 +117,22 @@
 
 /// Guards against a fleet that serves no requests until it elects a leader, after every process was
 /// killed and daemons ask a restarted voter for its table. This happens if the voter does not know
-/// which entries are committed. A torn commit index record is ignored.
-#[test]
-fn a_note_of_what_is_committed_is_read_back_and_may_be_torn() {
+/// which entries are committed. A commit index that is lost or torn leaves the one before.
+#[rstest::rstest]
+fn a_note_of_what_is_committed_is_read_back_and_may_be_torn(#[values(0, 1)] kept: usize) {
     let folder = tempfile::tempdir().unwrap();
     write_entries(folder.path());
     let mut store = DataFolder::open(folder.path()).unwrap();
     store.load::<String>(&log()).unwrap();
-    store.write_commit_index::<String>(3).unwrap();
-    store.write_commit_index::<String>(4).unwrap();
+    store.write_commit_index(3).unwrap();
+    drop(store);
+    let mut store = DataFolder::open(folder.path()).unwrap();
+    store.load::<String>(&log()).unwrap();
+    let before = unsynced_files(folder.path());
+    store.write_commit_index(4).unwrap();
     drop(store);
     let whole = reload(folder.path()).unwrap();
-    let path = folder.path().join("log.bin");
-    let file = std::fs::File::options().write(true).open(&path).unwrap();
-    file.set_len(file.metadata().unwrap().len() - 2).unwrap();
+    lose_write(folder.path(), &before, &unsynced_files(folder.path()), kept);
 
     let torn = reload(folder.path()).unwrap();
 
@@ -138,6 +140,25 @@
     assert_eq!(torn.entries, whole.entries);
 }
 
+/// Guards against a voter that does not know what is committed after an update: earlier builds wrote
+/// the commit index into the log.
+#[test]
+fn a_commit_index_in_the_log_of_an_earlier_build_is_read() {
+    let folder = tempfile::tempdir().unwrap();
+    write_entries(folder.path());
+    let path = folder.path().join("log.bin");
+    let text = br#"{"commit":3}"#;
+    let mut bytes = std::fs::read(&path).unwrap();
+    bytes.extend_from_slice(&(text.len() as u32).to_le_bytes());
+    bytes.extend_from_slice(&crc32fast::hash(text).to_le_bytes());
+    bytes.extend_from_slice(text);
+    std::fs::write(&path, bytes).unwrap();
+
+    let state = reload(folder.path()).unwrap();
+
+    assert_eq!((state.commit_index, state.entries.len()), (3, 5));
+}
+
 /// Guards against a voter that loses its vote with its power: of several writes after the last sync
 /// each may be whole, missing or torn, and a lost commit index before a kept one reads as damage.
 #[rstest::rstest]
@@ -149,9 +170,9 @@
     let mut store = DataFolder::open(folder.path()).unwrap();
     store.load::<String>(&log()).unwrap();
     let before = unsynced_files(folder.path());
-    store.write_commit_index::<String>(3).unwrap();
+    store.write_commit_index(3).unwrap();
     let after = unsynced_files(folder.path());
-    store.write_commit_index::<String>(4).unwrap();
+    store.write_commit_index(4).unwrap();
     drop(store);
     lose_write(folder.path(), &before, &after, kept);
 
