Sync the commit index soon after it has risen

What callers saw: after a loss of power everywhere all daemons start with a table older than one that was in force for seconds or more, and answer 404, 401 and 403 by it until a leader's orders arrive. Cause: nothing but the sync of a later entry made the commit index durable; after the last edit there is none. An edit acknowledged less than a heartbeat before the loss is still known to its leader alone; a leader must be elected to know it.

--- a/src/control/control_loop/mod.rs
+++ b/src/control/control_loop/mod.rs
@@ -46,6 +46,9 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Delay of a tick from which it is logged: as long as an interval between heartbeats.
 const REPORTED_DELAY: Duration = Duration::from_millis(100);
+/// Minimum interval between syncs of the commit index. A sync keeps the control thread waiting for
+/// the disk, so a series of edits must not cause one for each.
+const COMMIT_SYNC_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum number of requests in one batch.
 const MAX_REQUEST_BATCH: usize = 2_048;
 
@@ -87,6 +90,7 @@
         recent_releases: RecentRequests::default(),
         rollout_tracker: RolloutTracker::default(),
         last_role: ReplicaRole::Follower,
+        commit_synced_at: Moment(0),
         setup,
     };
     if let Some(voter) = voter {
@@ -130,6 +134,8 @@
     rollout_tracker: RolloutTracker,
     /// Role in which the replica was last seen.
     last_role: ReplicaRole,
+    /// Time at which the commit index was last made durable.
+    commit_synced_at: Moment,
 }
 
 impl ControlLoop {
@@ -179,6 +185,24 @@
         self.process_output(output, None);
         self.run_leader_tasks();
         self.rejoin_if_leaderless(now);
+        self.sync_commit_index(now);
+    }
+
+    /// Makes the commit index durable soon after it has risen, so that voters know after a loss of
+    /// power what was in force before, although no further entry was stored.
+    fn sync_commit_index(&mut self, now: Moment) {
+        if now.since(self.commit_synced_at) < COMMIT_SYNC_INTERVAL {
+            return;
+        }
+        let Some(store) = &mut self.store else { return };
+        match store.sync_commit_index() {
+            Ok(true) => self.commit_synced_at = now,
+            Ok(false) => {}
+            Err(fault) => {
+                self.commit_synced_at = now;
+                warn!(self.setup.log, "could not sync the commit index"; "fault" => fault.to_string());
+            }
+        }
     }
 
     /// Records how late a tick is. A late control thread answers no peer, operator or daemon.
--- a/src/store/journal.rs
+++ b/src/store/journal.rs
@@ -215,6 +215,14 @@
         self.commit.write(index)
     }
 
+    /// Makes the written commit index durable; returns false if it is already.
+    pub fn sync_commit_index(&mut self) -> Result<bool, StoreError> {
+        if self.commit.is_synced() {
+            return Ok(false);
+        }
+        self.commit.sync().map(|()| true)
+    }
+
     /// Stores a snapshot and starts a new log after it. The snapshot is synced before the old log
     /// is replaced; a crash in between leaves records covered by the snapshot, which loading skips.
     pub fn replace_with_snapshot<C: Serialize + Clone>(
--- a/tests/test_power_loss.rs
+++ b/tests/test_power_loss.rs
@@ -42,6 +42,8 @@
     hard_state: HardState,
     /// Bytes of the log that have been synced.
     synced_len: u64,
+    /// The synced contents of the file of the commit index.
+    synced_commit: Vec<u8>,
 }
 
 impl FolderVoter {
@@ -69,7 +71,16 @@
         };
         let core = ReplicaCore::new(ReplicaConfig::default(), start, now, rng);
         let synced_len = log_len(folder.path());
-        FolderVoter { folder, store, core, hard_state: state.hard_state, synced_len }
+        let synced_commit = commit_file(folder.path());
+        let hard_state = state.hard_state;
+        FolderVoter { folder, store, core, hard_state, synced_len, synced_commit }
+    }
+
+    /// Syncs the commit index, as the control loop does some time after it has risen.
+    fn sync_commit_index(&mut self) {
+        if self.store.sync_commit_index().expect("synced") {
+            self.synced_commit = commit_file(self.folder.path());
+        }
     }
 
     /// Persists what an output requires; returns its messages and the committed commands.
@@ -95,8 +106,9 @@
 
     /// Simulates a power loss: unsynced bytes are lost, apart from the first `torn` of them.
     fn lose_power(self, torn: u64) -> TempDir {
-        let FolderVoter { folder, store, synced_len, .. } = self;
+        let FolderVoter { folder, store, synced_len, synced_commit, .. } = self;
         drop(store);
+        std::fs::write(folder.path().join("commit.bin"), synced_commit).expect("written");
         let file = std::fs::File::options().write(true).open(folder.path().join("log.bin"));
         let length = log_len(folder.path());
         file.expect("the log").set_len((synced_len + torn).min(length)).expect("truncated");
@@ -108,6 +120,10 @@
     if let EntryPayload::Command(command) = payload { Some(command.clone()) } else { None }
 }
 
+fn commit_file(folder: &Path) -> Vec<u8> {
+    std::fs::read(folder.join("commit.bin")).expect("the commit index")
+}
+
 fn log_len(folder: &Path) -> u64 {
     std::fs::metadata(folder.join("log.bin")).map_or(0, |file| file.len())
 }
@@ -163,6 +179,7 @@
             self.now = self.now + TICK;
             for number in self.voters.keys().copied().collect::<Vec<usize>>() {
                 let Some(voter) = self.voters.get_mut(&number) else { continue };
+                voter.sync_commit_index();
                 let output = voter.core.tick(self.now, &mut self.rng);
                 committed.append(&mut self.deliver(number, output));
             }
