Orders that arrive after the lease bring their table

What callers saw: an entry whose reports are answered late keeps an older table for a further round of reports, which a leader without knowledge of all daemons holds for up to a lease. Cause: FleetMember::apply rightly takes no share or floor from such orders, and returned nothing, so the table in them was dropped, too. Why this works: a table in force is committed and is applied whether or not the lease is over; the lease is not renewed by it.

--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -208,10 +208,16 @@
                 return error!(self.state.log, "could not unpack the table"; "version" => orders.version, "bytes" => packed.len());
             }
         }
-        // `None` if the lease expired before the answer arrived; the next report asks again.
+        let table = orders.table.take();
         let version = orders.version;
+        // `None` if the lease expired before the answer arrived; the next report asks again.
         let Some(moves) = self.member.apply(orders, self.state.clock.now()) else {
-            return warn!(self.state.log, "orders came after the lease"; "version" => version, "leader" => leader);
+            warn!(self.state.log, "orders came after the lease"; "version" => version, "leader" => leader);
+            // A table in force is committed, whether or not the lease is over.
+            if let Some(table) = &table {
+                self.apply_table(table, TableSource::Leader(leader));
+            }
+            return;
         };
         let now = self.state.clock.now();
         match &moves.serving {
@@ -227,7 +233,7 @@
         if let Some(evacuated) = moves.evacuated {
             self.state.apply_evacuated(evacuated);
         }
-        if let Some(table) = &moves.table {
+        if let Some(table) = &table {
             self.apply_table(table, TableSource::Leader(leader));
         }
         let pools = self.state.pools();
--- a/src/control/fleet_member.rs
+++ b/src/control/fleet_member.rs
@@ -6,7 +6,7 @@
 use crate::policy::{FloorOrder, Moment, TierRank};
 use crate::quarantine::SuspectRow;
 use crate::rollout::RolloutRows;
-use crate::table::{DaemonName, ServiceName, VersionedTable};
+use crate::table::{DaemonName, ServiceName};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -40,8 +40,6 @@
 /// Changes that new orders require of a daemon, to be applied in the order of the fields.
 #[derive(Clone, Debug, PartialEq)]
 pub struct MemberChange {
-    /// Newer table to put in force.
-    pub table: Option<Box<VersionedTable>>,
     /// Changes to the pools.
     pub pools: Vec<PoolChange>,
     /// Time until which the daemon may admit requests, provided that it has `version` in force.
@@ -218,7 +216,6 @@
             });
         }
         Some(MemberChange {
-            table: orders.table,
             pools,
             current_until: self.lease_until,
             version: orders.version,
