Voters hand out packed tables, and starting daemons begin with different voters

What callers saw: after a loss of power everywhere entries answer 404 for routes of an acknowledged version for six to seven seconds; at large tables. Cause: each daemon without a table asked a voter for the whole table in plain JSON, on the control thread that also votes, and all began with the same voter. Votes and heartbeats waited behind these answers and were given up, so there was no leader, and the daemons stayed with an older table. Why this works: the answer is the form that orders carry, packed once a version (a sixth of the size at most, see a_large_table_is_sent_small), and the first voter follows from the daemon's name. known_table stays for earlier builds; a daemon of this build that starts beside voters of an earlier one has no table until there is a leader.

--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -51,10 +51,10 @@
 /// Starts the agent on the current Tokio runtime.
 pub fn start_agent(settings: AgentSettings, state: Arc<TrafficState>, hint: LeaderHint) {
     let AgentSettings { daemon, boot, control, voters, key, lease, .. } = settings;
+    let leader = LeaderClient::new(voters, key, hint).for_daemon(&daemon);
     let member = FleetMember::new(daemon, boot, control, lease);
     let member = if settings.serves_callers { member } else { member.without_callers() };
     let member = if settings.divides_alone { member.dividing_alone() } else { member };
-    let leader = LeaderClient::new(voters, key, hint);
     let divides_alone = settings.divides_alone;
     let presumes_members = settings.presumes_members;
     let agent =
@@ -85,7 +85,7 @@
                 }
             };
             if !is_answered {
-                self.apply_known_table().await;
+                self.ask_for_newer_table().await;
                 self.leader.drop_unless_hinted();
                 tokio::time::sleep(RETRY_DELAY).await;
             }
@@ -130,23 +130,38 @@
         }
     }
 
-    /// Applies the newest committed table known to any voter, if this daemon has no table yet and
-    /// may serve while cut off from the leader. After a restart of the whole fleet, voters can
-    /// provide it a second before the first leader is elected.
-    async fn apply_known_table(&mut self) {
-        if self.state.snapshot().version > 0 || !self.state.may_use_expired_table() {
+    /// Takes a newer committed table from the voter that gave no orders, if this daemon may serve
+    /// while cut off from the leader. After a restart of the whole fleet, voters can provide a table
+    /// a second before the first leader is elected, and some of them are behind others.
+    async fn ask_for_newer_table(&mut self) {
+        let Some((voter, client)) = self.leader.connection() else { return };
+        let known = self.state.snapshot().version;
+        if known > 0 {
             return;
         }
-        let Some((voter, client)) = self.leader.connection() else { return };
-        let size = tokio::time::timeout(REPORT_TIMEOUT, client.fleet_size()).await;
-        if let Ok(Ok(daemons)) = size {
+        self.apply_newer_table(voter, &client).await;
+    }
+
+    async fn apply_newer_table(&mut self, voter: SocketAddr, client: &WsClient) {
+        if !self.state.may_use_expired_table() {
+            return;
+        }
+        let known = self.state.snapshot().version;
+        if known == 0
+            && let Ok(Ok(daemons)) = tokio::time::timeout(REPORT_TIMEOUT, client.fleet_size()).await
+        {
             self.state.fleet.expect_daemons(daemons);
         }
-        let known = tokio::time::timeout(REPORT_TIMEOUT, client.known_table()).await;
-        if let Ok(Ok(Some(table))) = known {
-            info!(self.state.log, "applying a voter's table without confirmation by a leader"; "version" => table.version, "voter" => voter);
-            self.apply_table(&table, TableSource::Voter(voter));
-            self.presume_members(&client).await;
+        let newer = tokio::time::timeout(REPORT_TIMEOUT, client.newer_table(known)).await;
+        let Ok(Ok(newer)) = newer else { return };
+        let Some(packed) = newer else { return };
+        let Some(table) = unpack(&packed) else {
+            return error!(self.state.log, "could not unpack the table"; "voter" => voter, "bytes" => packed.len());
+        };
+        info!(self.state.log, "applying a voter's table without confirmation by a leader"; "version" => table.version, "voter" => voter);
+        self.apply_table(&table, TableSource::Voter(voter));
+        if known == 0 {
+            self.presume_members(client).await;
         }
     }
 
--- a/src/control/control_loop/mod.rs
+++ b/src/control/control_loop/mod.rs
@@ -39,6 +39,7 @@
 use slog::{info, warn};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -413,12 +414,11 @@
             }
             ControlRequest::KnownTable { reply } => {
                 let table = self.ledger.table();
-                counter!("tarragonknot_known_tables_total").increment(1);
-                info!(self.setup.log, "known table requested"; "version" => table.version,
-                    "bytes" => table.document.as_ref().map_or(0, |document| document.len()),
-                    "committed" => self.core.as_ref().map_or(0, ReplicaCore::commit_index));
                 drop(reply.send((table.version > 0).then(|| table.clone())));
             }
+            ControlRequest::NewerTable { known, reply } => {
+                drop(reply.send(self.newer_table(known)));
+            }
             ControlRequest::Table { version, reply } => {
                 let table = version
                     .map_or(Some(self.ledger.table()), |version| self.ledger.table_at(version))
@@ -474,6 +474,19 @@
         let _ = reply.send(answers);
     }
 
+    /// The committed table that this daemon knows, packed, if its version is above `known`.
+    fn newer_table(&mut self, known: u64) -> Option<Arc<str>> {
+        let table = self.ledger.table();
+        if table.version <= known {
+            return None;
+        }
+        let packed = self.packed_table.get(table)?;
+        counter!("tarragonknot_known_tables_total").increment(1);
+        info!(self.setup.log, "table sent without orders"; "version" => table.version, "known" => known,
+            "bytes" => packed.len(), "committed" => self.core.as_ref().map_or(0, ReplicaCore::commit_index));
+        Some(packed)
+    }
+
     fn log_refused_votes(&self, answers: &[ReplicaEnvelope<ControlCommand>]) {
         let Some(core) = &self.core else { return };
         let is_refusal = |envelope: &&ReplicaEnvelope<ControlCommand>| {
--- a/src/control/links.rs
+++ b/src/control/links.rs
@@ -3,6 +3,7 @@
 use super::ledger::ControlCommand;
 use super::rpc::ControlApiClient;
 use crate::replica::{ReplicaEnvelope, ReplicaMessage, VoterId};
+use crate::table::DaemonName;
 use http::{HeaderMap, HeaderValue, header};
 use jsonrpsee::core::ClientError;
 use jsonrpsee::ws_client::{PingConfig, WsClient, WsClientBuilder};
@@ -15,6 +16,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -205,6 +207,13 @@
         }
     }
 
+    /// Begins with a voter that depends on the name of the daemon, so that daemons that start together
+    /// do not all ask the same voter first.
+    pub fn for_daemon(mut self, daemon: &DaemonName) -> Self {
+        self.voter_idx = xxh3_64(daemon.as_str().as_bytes()) as usize;
+        self
+    }
+
     /// Returns the presumed address of the leader.
     pub fn hint(&self) -> &LeaderHint {
         &self.hint
@@ -246,7 +255,7 @@
     fn next_voter(&mut self) -> Option<SocketAddr> {
         let known: Vec<SocketAddr> =
             self.listed_voters.iter().copied().chain(self.settings_voters.get()).collect();
-        self.voter_idx = (self.voter_idx + 1) % known.len().max(1);
+        self.voter_idx = self.voter_idx.wrapping_add(1) % known.len().max(1);
         known.get(self.voter_idx).copied()
     }
 }
--- a/src/control/requests.rs
+++ b/src/control/requests.rs
@@ -11,6 +11,7 @@
 use crate::rollout::{RolloutOrder, RolloutRecord, RolloutReply};
 use crate::table::{CellChange, DaemonName, VersionedTable};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
 
 /// A request to the control loop.
@@ -55,6 +56,10 @@
     KnownTable {
         reply: oneshot::Sender<Option<VersionedTable>>,
     },
+    NewerTable {
+        known: u64,
+        reply: oneshot::Sender<Option<Arc<str>>>,
+    },
     Table {
         version: Option<u64>,
         reply: oneshot::Sender<LeaderAnswer<Option<VersionedTable>>>,
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -13,6 +13,7 @@
 use jsonrpsee::proc_macros::rpc;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// An answer that only the leader can give.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -131,10 +132,15 @@
     #[method(name = "table")]
     async fn table(&self, version: Option<u64>) -> RpcResult<LeaderAnswer<Option<VersionedTable>>>;
 
-    /// Returns the newest table that this daemon knows to be committed. A newer one may exist.
+    /// Returns the newest table that this daemon knows to be committed. Called by earlier builds.
     #[method(name = "known_table")]
     async fn known_table(&self) -> RpcResult<Option<VersionedTable>>;
 
+    /// Returns the newest table that this daemon knows to be committed, packed, if its version is
+    /// above `known`. A still newer one may exist.
+    #[method(name = "newer_table")]
+    async fn newer_table(&self, known: u64) -> RpcResult<Option<Arc<str>>>;
+
     /// Returns the number of daemons on the member list that this daemon knows.
     #[method(name = "fleet_size")]
     async fn fleet_size(&self) -> RpcResult<usize>;
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -142,6 +142,10 @@
         self.ask(|reply| ControlRequest::KnownTable { reply }).await
     }
 
+    async fn newer_table(&self, known: u64) -> RpcResult<Option<Arc<str>>> {
+        self.ask(|reply| ControlRequest::NewerTable { known, reply }).await
+    }
+
     async fn fleet_size(&self) -> RpcResult<usize> {
         self.ask(|reply| ControlRequest::FleetSize { reply }).await
     }
