A daemon takes newer committed tables from voters while no leader gives it orders

What callers saw: 404, 401 or 403 by an older table from entries that run and are in touch, seconds after the acknowledgement of a newer one. Cause: a daemon that had any table asked no voter for a newer one. It waited for a leader's orders, which a new leader withholds from daemons without a lease until it has heard all or a lease has passed; reports are given up after 900 ms and the search begins anew. That the users' 404 came this way is only suspected. Why this works: committed tables depend on no lease and versions only rise. Each voter met in the search is asked once a second whether it knows a newer one (a number goes there; a table comes back only if it is newer), and a new leader at the first answer with its term.

--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -10,6 +10,7 @@
 use crate::traffic::{TableSource, TrafficState};
 use jsonrpsee::ws_client::WsClient;
 use slog::{error, info, warn};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -23,6 +24,9 @@
 /// Delay before the next attempt when no leader is known.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Minimum interval between two questions to one voter for a newer table, while no leader answers.
+const VOTER_RECHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Settings of the fleet agent.
 #[derive(Clone, Debug)]
 pub struct AgentSettings {
@@ -57,8 +61,15 @@
     let member = if settings.divides_alone { member.dividing_alone() } else { member };
     let divides_alone = settings.divides_alone;
     let presumes_members = settings.presumes_members;
-    let agent =
-        FleetAgent { state, member, leader, silent_since: None, divides_alone, presumes_members };
+    let agent = FleetAgent {
+        state,
+        member,
+        leader,
+        silent_since: None,
+        divides_alone,
+        presumes_members,
+        asked_at: BTreeMap::new(),
+    };
     tokio::spawn(agent.run());
 }
 
@@ -71,6 +82,8 @@
     silent_since: Option<Instant>,
     divides_alone: bool,
     presumes_members: bool,
+    /// When each voter was last asked for a newer table.
+    asked_at: BTreeMap<SocketAddr, Instant>,
 }
 
 impl FleetAgent {
@@ -110,6 +123,9 @@
             Ok(Ok(LeaderAnswer::Done(ReportAnswer::NewTerm(term)))) => {
                 self.leader.hint().set(Some(address));
                 self.member.set_term(term);
+                // A new leader gives no orders to a daemon whose lease is over until it has heard all
+                // daemons or a lease has passed.
+                self.apply_newer_table(address, client).await;
                 true
             }
             Ok(Ok(LeaderAnswer::Done(ReportAnswer::Orders(orders)))) => {
@@ -136,7 +152,8 @@
     async fn ask_for_newer_table(&mut self) {
         let Some((voter, client)) = self.leader.connection() else { return };
         let known = self.state.snapshot().version;
-        if known > 0 {
+        let is_asked = |at: &Instant| at.elapsed() < VOTER_RECHECK_INTERVAL;
+        if known > 0 && self.asked_at.get(&voter).is_some_and(is_asked) {
             return;
         }
         self.apply_newer_table(voter, &client).await;
@@ -154,6 +171,8 @@
         }
         let newer = tokio::time::timeout(REPORT_TIMEOUT, client.newer_table(known)).await;
         let Ok(Ok(newer)) = newer else { return };
+        self.asked_at.retain(|_, at| at.elapsed() < VOTER_RECHECK_INTERVAL);
+        self.asked_at.insert(voter, Instant::now());
         let Some(packed) = newer else { return };
         let Some(table) = unpack(&packed) else {
             return error!(self.state.log, "could not unpack the table"; "voter" => voter, "bytes" => packed.len());
