Soak: an entry that starts while only a voter that is behind answers

After the schedule an edit is acknowledged while one voter is paused; then the others are paused, an entry starts beside the one that is behind, and the others go on. The entry must have the acknowledged version within the time for contact and for an edit. Guards against entries that stay with the table of a voter.

--- a/soak/checks.rs
+++ b/soak/checks.rs
@@ -2,7 +2,7 @@
 
 use crate::callers::{FREE_KEY, ROUTE_HOST, event_count_text, request_body};
 use crate::context::{AddressKind, CALLERS_PORT, READY_PORT, SentRequest, SoakContext, lock};
-use crate::fleet::{POLL_INTERVAL, WAIT_TIMEOUT};
+use crate::fleet::{self, POLL_INTERVAL, ProcessName, SoakSignal, WAIT_TIMEOUT};
 use crate::operators::{read_config, replace_config};
 use crate::tables::{TableChange, TableEdit};
 use crate::wire::WireRequest;
@@ -32,6 +32,10 @@
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Time within which an edit must then be acknowledged.
 const ACK_LIMIT: Duration = Duration::from_secs(4);
+/// Time within which a confirmed table must be in force at entries in touch.
+const APPLY_TIME: Duration = Duration::from_millis(2_500);
+/// Time for which an entry that has started reaches only a voter that is behind.
+const BEHIND_TIME: Duration = Duration::from_secs(1);
 /// Distance of a version from those that the operators may still have under way.
 const VERSION_GAP: u64 = 1_000;
 /// Response statuses that guarantee that the request was not executed.
@@ -270,6 +274,45 @@
     }
 }
 
+/// Checks that an entry that starts while only a voter that is behind answers comes to the newest
+/// acknowledged table in time once the other voters answer again.
+pub async fn check_started_entry(ctx: &SoakContext) {
+    let behind = ProcessName::Voter(ctx.sizes.voters - 1);
+    let others: Vec<ProcessName> = (0..ctx.sizes.voters - 1).map(ProcessName::Voter).collect();
+    let entry = 0;
+    fleet::signal(ctx, behind, SoakSignal::Stop);
+    let edit = TableEdit::next(ctx, 1, TableChange::PLAIN);
+    let sent_at = Instant::now();
+    let mut voters = (0..others.len()).cycle();
+    while !replace_config(ctx, voters.next().unwrap_or(0), &edit).await {
+        if sent_at.elapsed() > WAIT_TIMEOUT {
+            return fleet::signal(ctx, behind, SoakSignal::Cont);
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    others.iter().for_each(|voter| fleet::signal(ctx, *voter, SoakSignal::Stop));
+    fleet::kill(ctx, ProcessName::Entry(entry));
+    fleet::signal(ctx, behind, SoakSignal::Cont);
+    drop(fleet::start(ctx, ProcessName::Entry(entry)));
+    tokio::time::sleep(BEHIND_TIME).await;
+    let first = active_version(ctx, entry).await.map_or(0, |(_, version)| version);
+    others.iter().for_each(|voter| fleet::signal(ctx, *voter, SoakSignal::Cont));
+
+    let deadline = Instant::now() + CONTACT_TIME + APPLY_TIME;
+    let mut version = first;
+    while version < edit.version && Instant::now() < deadline {
+        tokio::time::sleep(POLL_INTERVAL).await;
+        version = active_version(ctx, entry).await.map_or(0, |(_, version)| version);
+    }
+    if version < edit.version {
+        let detail = format!(
+            "entry {entry} started at version {first} and has {version} in force instead of {}",
+            edit.version
+        );
+        ctx.recorder.record_violation("CONFIG", detail);
+    }
+}
+
 /// Checks that the newest acknowledged version is still stored at every voter and in force at every
 /// entry.
 pub async fn check_durability(ctx: &SoakContext) {
--- a/soak/main.rs
+++ b/soak/main.rs
@@ -126,6 +126,7 @@
         checks::check_recorded_runs(&ctx);
         streams::check(&ctx);
         losses::check(&ctx);
+        checks::check_started_entry(&ctx).await;
         checks::check_durability(&ctx).await;
     }
     fleet::kill_all(&ctx).await;
--- a/tests/test_known_table.rs
+++ b/tests/test_known_table.rs
@@ -132,7 +132,9 @@
         }
     };
     let _ = tokio::time::timeout(TABLE_TIMEOUT, reached).await;
-    servers.iter().for_each(|server| drop(server.stop()));
+    for server in servers {
+        let _ = server.stop();
+    }
     state.snapshot().version
 }
 
