--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -159,6 +159,7 @@
         self.apply_newer_table(voter, &client).await;
     }
 
+    /// Puts the voter's table in force if it is newer.
     async fn apply_newer_table(&mut self, voter: SocketAddr, client: &WsClient) {
         if !self.state.may_use_expired_table() {
             return;
--- a/src/control/fleet_member.rs
+++ b/src/control/fleet_member.rs
@@ -191,7 +191,7 @@
     /// sent, since the answer proves that the leader was in office at some time after it. Returns
     /// `None` if the lease that the report was made under has expired since: before reading the
     /// report, the leader may have counted this daemon as dead, given its shares away and stopped
-    /// relying on its floors.
+    /// relying on its floors. A table in the orders does not depend on the lease and is ignored here.
     pub fn apply(&mut self, orders: DaemonOrders, now: Moment) -> Option<MemberChange> {
         if self.had_lease && now >= self.lease_until {
             return None;
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,8 +1,8 @@
 //! Durable storage of a voter in its data folder.
 //!
 //! `identity.json` contains the identity of the voter and its fleet, `snapshot.json` the latest
-//! snapshot, and `log.bin` the records after it. A record consists of a length, a CRC-32 of its
-//! JSON, and the JSON. Data counts as stored only once the file is synced, and for new or renamed
+//! snapshot, `log.bin` the records after it, and `commit.bin` the index up to which they are
+//! committed. A record consists of a length, a CRC-32 of its JSON, and the JSON. Data counts as stored only once the file is synced, and for new or renamed
 //! files the folder too.
 
 mod commit_file;
--- a/src/traffic/table_source.rs
+++ b/src/traffic/table_source.rs
@@ -8,7 +8,7 @@
 /// The daemon that sent a table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TableSource {
-    /// A voter that does not lead. A newer table may be in force.
+    /// A voter that gave no orders, leader or not. A newer table may be in force.
     Voter(SocketAddr),
     /// The leader, which knows the table in force.
     Leader(SocketAddr),
