--- a/review/kit/mod.rs
+++ b/review/kit/mod.rs
@@ -2,6 +2,8 @@
 //! operator, and the platform's list and engines over plain HTTP/1.1. Standard library only.
 #![allow(dead_code)]
 
+pub mod platform;
+
 use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
