--- a/review/kit/platform.rs
+++ b/review/kit/platform.rs
@@ -19,6 +19,7 @@
 #[derive(Clone, Debug)]
 pub struct Listed {
     pub id: String,
+    pub service: &'static str,
     pub address: SocketAddr,
     pub is_draining: bool,
 }
@@ -61,9 +62,9 @@
 fn row_text(row: &Listed) -> String {
     let state = if row.is_draining { "draining" } else { "ready" };
     format!(
-        "{{\"id\":\"{}\",\"service\":\"s-1\",\"address\":\"{}\",\"zone\":\"brum-a\",\"version\":\"v1\",\
+        "{{\"id\":\"{}\",\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"brum-a\",\"version\":\"v1\",\
          \"slots\":6,\"state\":\"{state}\",\"cold_left_ms\":0}}",
-        row.id, row.address
+        row.id, row.service, row.address
     )
 }
 
@@ -157,6 +158,9 @@
         AnswerKind::Stream => (1..=EVENTS).map(|number| event(id, number)).collect(),
     };
     let pause = if kind == AnswerKind::Plain { 0.4 } else { 0.1 };
+    if let Ok(mut runs) = fs::File::options().create(true).append(true).open(folder.join("runs")) {
+        let _ = runs.write_all(format!("engine {engine}: runs request {id}\n").as_bytes());
+    }
     let _ = stream.write_all(head.as_bytes());
     let half = pieces.len() / 2;
     for (number, piece) in pieces.iter().enumerate() {
@@ -204,7 +208,8 @@
     /// Starts a worker, which is a new incarnation with a new id.
     pub fn start_worker(&mut self) {
         self.starts += 1;
-        self.id = format!("i-{}-{}", self.address.ip().to_string().replace('.', ""), self.starts);
+        let address = self.address.to_string().replace(['.', ':'], "");
+        self.id = format!("i-{address}-{}", self.starts);
         let listener = match &self.kept {
             Some(kept) => kept.try_clone().expect("socket"),
             None => TcpListener::bind(self.address).expect("an engine's address"),
@@ -228,7 +233,7 @@
     }
 
     pub fn listed(&self) -> Listed {
-        Listed { id: self.id.clone(), address: self.address, is_draining: false }
+        Listed { id: self.id.clone(), service: "s-1", address: self.address, is_draining: false }
     }
 }
 
@@ -359,6 +364,8 @@
             sleep(2.5);
         }
     }
+    let runs = fs::read_to_string(folder.join("runs")).unwrap_or_default();
+    runs.lines().for_each(|line| record.line(line));
     record.line(format!("whole answers: {whole}; broken: {broken}"));
     (whole > 0).then_some(broken)
 }
