A voter that stops leaves a set that bears as many losses without it

Cause: the predecessor stayed a voter until it had been silent for 3 s. In that time the set had four voters, one of them gone, and a quorum of three; whatever disk is lost then can only be replaced by a leader, and there is none.

Ruled out: a slow join of the successor (promoted 0.1 s after it asked); a wiped voter that is refused (it asks, and there is no leader).

Now a voter that drains announces it to the leader until its process ends. The leader counts it as absent at once: it leaves an even number, and makes room for a ready learner; out of three it stays, as it may come back. The process waits for that decision, at most 1.5 s longer than before.

--- a/src/control/control_loop/members.rs
+++ b/src/control/control_loop/members.rs
@@ -90,7 +90,7 @@
     /// whose membership does not may add it as a learner.
     pub(super) fn rejoin_if_leaderless(&mut self, now: Moment) {
         let has_leader = self.core.as_ref().is_none_or(|core| core.leader().is_some());
-        if has_leader {
+        if has_leader || self.is_stopping() {
             self.leaderless_since = now;
         } else if now.since(self.leaderless_since) >= REJOIN_DELAY {
             self.leaderless_since = now;
@@ -124,7 +124,7 @@
     /// none is missed.
     pub(super) fn absent_members(&self, now: Moment) -> AbsentMembers {
         let Some(core) = &self.core else { return AbsentMembers::default() };
-        let absent = absent_members(core, &[], now);
+        let absent = absent_members(core, &self.stopping_members(now), now);
         match self.setup.replaces_voters {
             true => absent,
             false => AbsentMembers { voters: Vec::new(), ..absent },
--- a/src/control/control_loop/mod.rs
+++ b/src/control/control_loop/mod.rs
@@ -11,9 +11,11 @@
 mod quarantine;
 mod reports;
 mod rollouts;
+mod voter_exit;
 mod voter_losses;
 
 use self::rollouts::RolloutTracker;
+use self::voter_exit::VoterExits;
 use self::voter_losses::LossReport;
 use super::fleet::{FleetRegistry, PoolOrder};
 use super::joining::JoinedFleet;
@@ -63,6 +65,8 @@
 ) -> Result<ControlHandle, StoreError> {
     let (sender, requests) = mpsc::unbounded_channel();
     let (reply_sender, replies) = mpsc::unbounded_channel();
+    let announces_stop = setup.replaces_voters && setup.data_folder.is_some();
+    let (exit_sender, exit_decided) = watch::channel(!announces_stop);
     let links = PeerLinks::new(setup.key.clone(), setup.log.clone(), reply_sender);
     let mut rng = ChaCha8Rng::seed_from_u64(setup.seed);
     let voter = match &setup.data_folder {
@@ -93,6 +97,7 @@
         recent_releases: RecentRequests::default(),
         rollout_tracker: RolloutTracker::default(),
         last_role: ReplicaRole::Follower,
+        exits: VoterExits::new(exit_sender),
         loss_report: LossReport::default(),
         commit_synced_at: Moment(0),
         setup,
@@ -101,7 +106,7 @@
         control.install_voter(voter);
     }
     tokio::spawn(control.run(requests, replies));
-    Ok(ControlHandle { sender })
+    Ok(ControlHandle { sender, exit_decided })
 }
 
 struct ControlLoop {
@@ -136,6 +141,8 @@
     recent_releases: RecentRequests,
     /// Roll-outs in progress, while this daemon leads.
     rollout_tracker: RolloutTracker,
+    /// Members whose processes are about to end, and whether this one's exit is decided.
+    exits: VoterExits,
     /// The losses that the voters bear, as last logged.
     loss_report: LossReport,
     /// Role in which the replica was last seen.
@@ -190,6 +197,7 @@
         let output = core.tick(now, &mut self.rng);
         self.process_output(output, None);
         self.run_leader_tasks();
+        self.announce_stop(now);
         self.rejoin_if_leaderless(now);
         self.sync_commit_index(now);
     }
@@ -409,6 +417,7 @@
             ControlRequest::Report { report, reply } => self.on_report(report, reply),
             ControlRequest::Claims { commands, reply } => self.on_claims(commands, reply),
             ControlRequest::Join { voter, control, reply } => self.on_join(voter, control, reply),
+            ControlRequest::VoterStopping { voter, reply } => self.on_voter_stopping(voter, reply),
             ControlRequest::Fleet { reply } => drop(reply.send(self.fleet)),
             ControlRequest::Apply { edit, wait, reply } => self.on_edit(edit, wait, reply),
             ControlRequest::Replace { numbered, reply } => self.on_numbered(numbered, reply),
--- a/src/control/control_loop/voter_losses.rs
+++ b/src/control/control_loop/voter_losses.rs
@@ -37,7 +37,7 @@
     /// are silent.
     pub(super) fn report_losses(&mut self, now: Moment) {
         let Some(core) = &self.core else { return };
-        let absent = absent_members(core, &[], now);
+        let absent = absent_members(core, &self.stopping_members(now), now);
         let borne = losses_borne(core.membership(), &absent.voters);
         let voters = core.membership().voters.len();
         gauge!(LOSSES_BORNE_GAUGE).set(borne.map_or(-1.0, |borne| borne as f64));
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -43,7 +43,7 @@
 pub use requests::{ControlHandle, ControlRequest};
 pub use rpc::{
     ApplyAnswer, ControlApiClient, ControlApiServer, DaemonStatus, EditProgress, HistoryRow,
-    JoinAnswer, LeaderAnswer, VoterRow,
+    JoinAnswer, LeaderAnswer, VoterExit, VoterRow,
 };
 pub use server::start_server;
 pub use serving_history::{ServingHistory, ServingUpdate};
--- a/src/control/requests.rs
+++ b/src/control/requests.rs
@@ -3,7 +3,9 @@
 use super::fleet::{DaemonReport, ReportAnswer};
 use super::ledger::{ControlCommand, NumberedOutcome, NumberedTable, TableEdit};
 use super::quarantine_log::QuarantineRow;
-use super::rpc::{ApplyAnswer, DaemonStatus, HistoryRow, JoinAnswer, LeaderAnswer, VoterRow};
+use super::rpc::{
+    ApplyAnswer, DaemonStatus, HistoryRow, JoinAnswer, LeaderAnswer, VoterExit, VoterRow,
+};
 use crate::claim::{ClaimCommand, ClaimReply};
 use crate::evacuation::{EvacuationOrder, EvacuationRecord};
 use crate::quarantine::RequestFingerprint;
@@ -12,7 +14,7 @@
 use crate::table::{CellChange, DaemonName, VersionedTable};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 
 /// A request to the control loop.
 #[derive(Debug)]
@@ -35,6 +37,10 @@
         control: SocketAddr,
         reply: oneshot::Sender<LeaderAnswer<JoinAnswer>>,
     },
+    VoterStopping {
+        voter: VoterId,
+        reply: oneshot::Sender<LeaderAnswer<VoterExit>>,
+    },
     Fleet {
         reply: oneshot::Sender<Option<FleetId>>,
     },
@@ -114,9 +120,17 @@
 #[derive(Clone, Debug)]
 pub struct ControlHandle {
     pub(super) sender: mpsc::UnboundedSender<ControlRequest>,
+    /// True once it is known whether the voters do without this daemon while it is down.
+    pub(super) exit_decided: watch::Receiver<bool>,
 }
 
 impl ControlHandle {
+    /// Resolves once the leader has decided whether this daemon remains a voter while it is down.
+    pub async fn exit_decided(&self) {
+        let mut decided = self.exit_decided.clone();
+        let _ = decided.wait_for(|is_decided| *is_decided).await;
+    }
+
     /// Sends a request and waits for the answer; returns `None` if the loop has ended.
     pub async fn ask<T>(
         &self,
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -68,6 +68,18 @@
     pub is_accepted: bool,
 }
 
+/// What the leader does about a voter whose process is about to end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum VoterExit {
+    /// A change of the voters is under way or due; ask again.
+    Pending,
+    /// It is no voter any more. It may join again once it is back.
+    Left,
+    /// It remains a voter while it is down, as the set would bear no more losses without it.
+    Stays,
+}
+
 /// The status of one daemon and, on the leader, of the fleet.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct DaemonStatus {
@@ -127,6 +139,10 @@
         control: SocketAddr,
     ) -> RpcResult<LeaderAnswer<JoinAnswer>>;
 
+    /// Announces that the process of a voter or learner is about to end. Repeated until it ends.
+    #[method(name = "voter_stopping")]
+    async fn voter_stopping(&self, voter: VoterId) -> RpcResult<LeaderAnswer<VoterExit>>;
+
     /// Returns the id of the fleet to which this daemon belongs, if any.
     #[method(name = "fleet")]
     async fn fleet(&self) -> RpcResult<Option<FleetId>>;
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -7,7 +7,7 @@
 use super::requests::{ControlHandle, ControlRequest};
 use super::rpc::{
     ApplyAnswer, ControlApiClient, ControlApiServer, DaemonStatus, HistoryRow, JoinAnswer,
-    LeaderAnswer, VoterRow,
+    LeaderAnswer, VoterExit, VoterRow,
 };
 use crate::claim::{ClaimCommand, ClaimReply};
 use crate::evacuation::{EvacuationOrder, EvacuationRecord};
@@ -173,6 +173,10 @@
         self.ask(|reply| ControlRequest::Join { voter, control, reply }).await
     }
 
+    async fn voter_stopping(&self, voter: VoterId) -> RpcResult<LeaderAnswer<VoterExit>> {
+        self.ask(|reply| ControlRequest::VoterStopping { voter, reply }).await
+    }
+
     async fn fleet(&self) -> RpcResult<Option<FleetId>> {
         self.ask(|reply| ControlRequest::Fleet { reply }).await
     }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -34,6 +34,9 @@
 /// Time for which a drained daemon keeps its control thread, so that the leader can reclaim its
 /// shares.
 const SHARE_RECLAIM_TIME: Duration = Duration::from_millis(600);
+/// Maximum further time for which a stopping voter waits for the leader to decide whether the set
+/// does without it.
+const VOTER_EXIT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Error of starting a daemon.
 #[derive(Debug, Snafu)]
@@ -321,7 +324,7 @@
     {
         return drop(started.send(Err(error)));
     }
-    let server = match start_server(listener, key.clone(), control, hint.clone()).await {
+    let server = match start_server(listener, key.clone(), control.clone(), hint.clone()).await {
         Ok(server) => server,
         Err(error) => {
             return drop(started.send(Err(StartError::Component { detail: error.to_string() })));
@@ -335,6 +338,7 @@
     start_agent(agent, state, hint);
     let _ = started.send(Ok(()));
     let _ = stop.await;
+    let _ = tokio::time::timeout(VOTER_EXIT_TIMEOUT, control.exit_decided()).await;
     let _ = server.stop();
 }
 
--- a/tests/test_voters.rs
+++ b/tests/test_voters.rs
@@ -159,6 +159,27 @@
     assert_eq!((retained, acknowledged, fleet.read()), (3, 200, 8));
 }
 
+/// Guards against a set of four that keeps a voter which was stopped for good, so that the next lost
+/// disk leaves no quorum.
+#[test]
+fn a_voter_that_stops_leaves_a_set_of_four_before_it_ends() {
+    let mut fleet = SeededFleet::found(17);
+    assert_eq!(fleet.replace(3), 200);
+    fleet.start(4, false);
+    fleet.wait_for_voters(&[1, 2, 3, 4]);
+
+    fleet.signal(3, "-TERM");
+    fleet.wait_for("the end of the process", || (!fleet.is_running(3)).then_some(()));
+    fleet.kill(3);
+    fleet.kill(1);
+    std::fs::remove_dir_all(fleet.work.path("data-1")).expect("the data folder is removed");
+    fleet.start(1, false);
+
+    assert_eq!(fleet.read(), 3);
+    fleet.wait_for_voters(&[1, 2, 4]);
+    assert_eq!(fleet.replace(5), 200);
+}
+
 /// Guards against losing an accepted table and against a second fleet. A voter loses its disk and
 /// restarts at its address; then another one is killed. This happens if the empty voter votes under
 /// its old identity or founds a new fleet.
