Voters keep where streams began and which versions served

What callers saw (report on joined versions): all entries are killed at once during a release; streams that callers take up again are refused, or go on at the version that replaced theirs, with nothing in the answer to show it.

Cause: records of streams, and the memory of versions that have left, were kept by entries alone. With two versions listed every take-up was refused; with one, daemons that had just started vouched for each other.

Ruled out: records that are lost on their way (all owners were killed), and owners that are not found (all 198 lookups asked all entries, for 185 ms).

Now each record goes to two voters as well, in batches off the path of the first event, and entries report the versions that they list to all voters each second. The only version listed counts for an unknown stream only if a peer or voters have watched for as long as a stream can be resumed. No stream begins while no entry runs, so the voters' memory has no gap then.

Checks: an_unknown_stream_goes_on_while_one_version_serves stays, beside a voter that founded the fleet; its counterpart without one is new. a_version_that_others_remember_is_not_ruled_out is unchanged.

--- a/src/control/agent.rs
+++ b/src/control/agent.rs
@@ -259,6 +259,7 @@
             Some(serving) => self.state.fleet.set_serving_list(serving.addresses.clone(), now),
             None => self.state.fleet.confirm_serving_list(now),
         }
+        self.state.origins.set_voters(moves.voters.clone());
         self.leader.set_voters(moves.voters.clone());
         self.state.quarantine.merge_rows(&self.state, &moves.suspects);
         self.state.rollouts.confirm_leader(now);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -18,7 +18,7 @@
 use crate::table::DataCentreName;
 use crate::traffic::{
     FrontendHandle, TrafficState, drain_chart, readiness_router, start_exchange, start_frontend,
-    start_relay_server, without_frontend,
+    start_relay_server, start_voter_exchange, without_frontend,
 };
 use crate::upstream::connection_chart;
 pub use background::start_background_tasks;
@@ -118,6 +118,7 @@
     state
         .set_retry_bound(RetryBound { ratio: settings.repeat_ratio, slack: settings.repeat_slack });
     state.set_regions(settings.data_centres.clone());
+    state.origins.set_voters(voter_addresses(settings, settings.control));
     state.set_cold_tolerance(ColdTolerance {
         overage: settings.cold_overage,
         slack: settings.cold_slack,
@@ -154,6 +155,11 @@
             start_relay_server(Arc::clone(&state), listen(address).await?);
         }
     }
+    if settings.platform.is_some() && settings.callers.is_none() {
+        let socket = tokio::net::UdpSocket::bind(control).await.with_context(|_| bind(control))?;
+        state.origins.watch_versions(founds_fleet(settings));
+        start_voter_exchange(Arc::clone(&state), socket, control, Arc::from(key.bearer()));
+    }
     let operators = settings.platform.as_ref().and_then(|platform| platform.operators);
     let (stop, stopped) = oneshot::channel();
     let (started, starting) = oneshot::channel();
@@ -229,6 +235,12 @@
     }
 }
 
+/// True if this daemon founds the fleet with others now, rather than starts again.
+fn founds_fleet(settings: &DaemonSettings) -> bool {
+    let is_new = settings.data_folder.as_ref().is_some_and(|folder| !folder.exists());
+    settings.found_fleet && !settings.seeds.is_empty() && is_new
+}
+
 fn limit_tolerance(settings: &DaemonSettings) -> LimitTolerance {
     LimitTolerance { overage: settings.limit_overage, slack: settings.limit_slack_tokens }
 }
--- a/src/stream_origin/lookup.rs
+++ b/src/stream_origin/lookup.rs
@@ -52,9 +52,12 @@
     peers: PeerContact,
     /// The daemons to ask, the first owner first.
     owners: Vec<SocketAddr>,
+    /// The voters to ask, which are asked in every round until they reply.
+    voters: Vec<SocketAddr>,
     round: usize,
     replied: BTreeSet<SocketAddr>,
     claims: Vec<VersionClaim>,
+    voter_claims: Vec<VersionClaim>,
 }
 
 impl LookupResult {
@@ -87,8 +90,22 @@
         peers: PeerContact,
         owners: Vec<SocketAddr>,
     ) -> Self {
-        let (replied, claims) = (BTreeSet::new(), Vec::new());
-        OriginLookup { service, own_claim, peers, owners, round: 0, replied, claims }
+        OriginLookup {
+            service,
+            own_claim,
+            peers,
+            owners,
+            voters: Vec::new(),
+            round: 0,
+            replied: BTreeSet::new(),
+            claims: Vec::new(),
+            voter_claims: Vec::new(),
+        }
+    }
+
+    /// Asks these voters, too.
+    pub fn with_voters(self, voters: Vec<SocketAddr>) -> Self {
+        OriginLookup { voters, ..self }
     }
 
     /// The daemons to ask next; `None` once all rounds are over, or the fleet agrees on one version.
@@ -101,8 +118,8 @@
             self.replied.clear();
         }
         self.round += 1;
-        let asked = self.asked().iter().filter(|owner| !self.replied.contains(owner));
-        Some(asked.copied().collect())
+        let asked = self.asked().iter().chain(&self.voters);
+        Some(asked.filter(|daemon| !self.replied.contains(daemon)).copied().collect())
     }
 
     /// The service that the stream probably began at.
@@ -136,16 +153,17 @@
         match finding {
             OriginFinding::Known(known) => Some(LookupResult::of_known(known, Some(from))),
             OriginFinding::Unknown(claim) => {
-                self.claims.push(claim);
+                match self.voters.contains(&from) {
+                    true => self.voter_claims.push(claim),
+                    false => self.claims.push(claim),
+                }
                 None
             }
         }
     }
 
-    /// True if those that have replied agree on one version, or there is none to agree on. Daemons that
-    /// have just started agree on what they see, and one that remembers more may be among those that
-    /// have not replied; so all must, if none of them remembers. One that remembers suffices once the
-    /// round is over.
+    /// True if those that have replied agree on one version that one of them remembers, or there is none
+    /// to agree on. They suffice once the round is over.
     fn is_agreed(&self, is_round_over: bool) -> bool {
         if self.own_claim == VersionClaim::Unversioned {
             return true;
@@ -153,13 +171,7 @@
         if self.round == 0 || !matches!(self.result(), LookupResult::SoleVersion(_)) {
             return false;
         }
-        let is_sole = |claim: &VersionClaim| matches!(claim, VersionClaim::Sole(_));
-        let is_remembered = is_sole(&self.own_claim) || self.claims.iter().any(is_sole);
-        let is_everybody = self.asked().len() == self.owners.len();
-        match self.is_round_complete() {
-            true => is_remembered || is_everybody,
-            false => is_round_over && is_remembered && !self.claims.is_empty(),
-        }
+        self.is_round_complete() || (is_round_over && !self.claims.is_empty())
     }
 
     /// True if all that were asked have replied.
@@ -172,7 +184,7 @@
         let version = match self.own_claim {
             VersionClaim::Unversioned => return LookupResult::Unversioned,
             VersionClaim::Sole(version) if self.may_rely_on_itself() => version,
-            VersionClaim::Recent(version) if self.has_heard() => version,
+            VersionClaim::Recent(version) if self.is_remembered(version) => version,
             _ => return LookupResult::Unknown,
         };
         match self.claims.iter().all(|claim| Self::agrees(*claim, version)) {
@@ -184,6 +196,17 @@
         }
     }
 
+    /// True if a peer has watched the service's versions for long enough, or else voters have and agree
+    /// on `version`. Daemons that have just started only know what they see: the version before may
+    /// have left while all were down.
+    fn is_remembered(&self, version: VersionHash) -> bool {
+        let has_sole = |claims: &[VersionClaim]| {
+            claims.iter().any(|claim| matches!(claim, VersionClaim::Sole(_)))
+        };
+        let voters_agree = || self.voter_claims.iter().all(|claim| Self::agrees(*claim, version));
+        has_sole(&self.claims) || (has_sole(&self.voter_claims) && voters_agree())
+    }
+
     /// True if a peer has replied, or there is none.
     fn has_heard(&self) -> bool {
         !self.claims.is_empty() || self.peers == PeerContact::Alone
--- a/src/stream_origin/messages.rs
+++ b/src/stream_origin/messages.rs
@@ -1,6 +1,6 @@
 //! Messages between daemons about the origins of streams.
 
-use super::{AttemptKey, KnownOrigin, OriginRecord, VersionClaim};
+use super::{AttemptKey, KnownOrigin, OriginRecord, VersionClaim, VersionReport};
 use crate::fleet_state::ServiceHash;
 use serde::{Deserialize, Serialize};
 
@@ -21,6 +21,8 @@
     },
     /// The answer to a question.
     Reply { number: u64, finding: OriginFinding },
+    /// The versions that a daemon lists, for voters.
+    Versions(Vec<VersionReport>),
 }
 
 /// What a daemon knows of an attempt, or else of the service's versions.
--- a/src/stream_origin/mod.rs
+++ b/src/stream_origin/mod.rs
@@ -3,7 +3,9 @@
 //!
 //! The daemon through which a stream begins records its origin ([`OriginRecord`]) and sends the record
 //! to a few [`owners`] before the first event leaves. Callers mostly come back because that daemon is
-//! gone, so another one asks the owners ([`OriginLookup`]). Nothing is sent while a service has had one
+//! gone, so another one asks the owners ([`OriginLookup`]). Two voters keep each record, too, and all of
+//! them which versions were reported ([`VersionWatch`]), since all daemons that serve callers may be
+//! started again at once. Nothing is sent while a service has had one
 //! version for longer than its streams can be resumed ([`VersionHistory`]); once that ends, the records
 //! of this time are sent after all.
 //!
@@ -16,6 +18,7 @@
 mod origin_table;
 mod owners;
 mod version_history;
+mod version_watch;
 
 pub use attempt_key::AttemptKey;
 pub use lookup::{LookupResult, MAX_ASKED, OriginLookup, PeerContact, ROUND_TIMEOUT};
@@ -24,3 +27,4 @@
 pub use origin_table::{KnownOrigin, OriginRecord, OriginTable};
 pub use owners::{OWNER_COUNT, owners};
 pub use version_history::{VersionClaim, VersionHistory};
+pub use version_watch::{VERSION_REPORT_INTERVAL, VersionReport, VersionWatch};
--- a/src/stream_origin/version_history.rs
+++ b/src/stream_origin/version_history.rs
@@ -4,6 +4,7 @@
 //! of it began at that version, and records need not be sent. A daemon that has not watched for so
 //! long can't tell: the version before may have left just before it started.
 
+use super::VersionReport;
 use crate::fleet_state::ServiceHash;
 use crate::policy::{Moment, VersionHash};
 use serde::{Deserialize, Serialize};
@@ -69,6 +70,23 @@
         is_added
     }
 
+    /// The versions that are listed, of all services or of one.
+    pub fn reports(&self, service: Option<ServiceHash>) -> Vec<VersionReport> {
+        let services = self.services.iter();
+        let wanted = services.filter(|(known, _)| service.is_none_or(|service| service == **known));
+        let report = |(service, known): (&ServiceHash, &ServiceVersions)| {
+            let unknown = known.has_unknown.then_some(None);
+            let versions = known.listed.iter().copied().map(Some).chain(unknown).collect();
+            VersionReport { service: *service, versions }
+        };
+        wanted.map(report).collect()
+    }
+
+    /// True if a route changed its services within the last `horizon`.
+    pub fn has_moved_route(&self, horizon: Duration, now: Moment) -> bool {
+        self.routes_changed_at.is_some_and(|at| now.since(at) < horizon)
+    }
+
     /// Records that a route has changed its services: its streams may have begun at another one.
     pub fn record_route_change(&mut self, now: Moment) {
         self.routes_changed_at = Some(now);
@@ -79,7 +97,7 @@
         let Some(known) = self.services.get(&service) else { return VersionClaim::None };
         let is_recent = |at: &Moment| now.since(*at) < horizon;
         let has_left = known.left.values().any(is_recent);
-        let is_moved = self.routes_changed_at.as_ref().is_some_and(is_recent);
+        let is_moved = self.has_moved_route(horizon, now);
         let mut listed = known.listed.iter().copied();
         match (listed.next(), listed.next()) {
             (None, _) if known.has_unknown && known.left.is_empty() => VersionClaim::Unversioned,
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -239,9 +239,23 @@
     tokio::spawn(receive_messages(Arc::clone(&state), socket.clone()));
     tokio::spawn(list::send_messages(Arc::clone(&state), socket.clone()));
     tokio::spawn(slots::send_offers(Arc::clone(&state)));
+    let origins = Arc::clone(&state);
+    tokio::spawn(async move { origins.origins.send_to_voters(&origins).await });
     tokio::spawn(send_messages(state, socket));
 }
 
+/// Receives messages of the daemons that serve callers at a voter, which keeps their records of streams.
+pub fn start_voter_exchange(
+    state: Arc<TrafficState>,
+    socket: UdpSocket,
+    address: SocketAddr,
+    key: Arc<str>,
+) {
+    let socket = MessageSocket { socket: Arc::new(socket), own_address: address, key };
+    let _ = state.fleet.socket.set(socket.clone());
+    tokio::spawn(receive_messages(state, socket));
+}
+
 async fn receive_messages(state: Arc<TrafficState>, socket: MessageSocket) {
     let mut buffer = vec![0; MAX_DATAGRAM_LEN];
     loop {
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -27,6 +27,7 @@
 pub use drain::{DrainAction, DrainEvent, DrainState, drain_chart};
 pub use fleet_exchange::{
     DaemonMessage, DropCause, FleetExchange, decode_message, encode_message, start_exchange,
+    start_voter_exchange,
 };
 pub use frontend::{
     FrontendHandle, frontend_router, readiness_router, start_frontend, without_frontend,
--- a/src/traffic/stream_origins.rs
+++ b/src/traffic/stream_origins.rs
@@ -7,8 +7,8 @@
 use crate::policy::{Moment, UpstreamSource, VersionHash};
 use crate::stream_origin::{
     AttemptKey, LookupResult, MAX_ASKED, OWNER_COUNT, OriginFinding, OriginLookup, OriginMessage,
-    OriginRecord, OriginTable, PeerContact, ROUND_TIMEOUT, StreamOrigin, VersionClaim,
-    VersionHistory, owners,
+    OriginRecord, OriginTable, PeerContact, ROUND_TIMEOUT, StreamOrigin, VERSION_REPORT_INTERVAL,
+    VersionClaim, VersionHistory, VersionWatch, owners,
 };
 use crate::table::ServiceName;
 use slog::info;
@@ -29,6 +29,11 @@
 /// Datagrams sent at a time when many records are due, and the pause after them.
 const BATCHES_AT_ONCE: usize = 64;
 const BATCH_PAUSE: Duration = Duration::from_millis(10);
+/// Number of voters that keep each record.
+const VOTER_COPIES: usize = 2;
+/// Delay within which the records of streams that begin are sent to voters. Voters are few and small,
+/// so one datagram carries many.
+const VOTER_BATCH_DELAY: Duration = Duration::from_millis(100);
 
 type FindingSender = mpsc::UnboundedSender<(SocketAddr, OriginFinding)>;
 
@@ -37,6 +42,12 @@
 pub struct StreamOrigins {
     table: Mutex<OriginTable>,
     history: Mutex<VersionHistory>,
+    /// The voters' control addresses, as far as they are known.
+    voters: Mutex<Vec<SocketAddr>>,
+    /// Records that are still to be sent to voters.
+    unsent_to_voters: Mutex<Vec<OriginRecord>>,
+    /// The versions that were reported to this daemon, if it is a voter.
+    watch: Mutex<Option<VersionWatch>>,
     questions: Mutex<HashMap<u64, FindingSender>>,
     next_question: AtomicU64,
 }
@@ -68,11 +79,50 @@
     ) {
         let (service, now) = (ServiceHash::of(service), state.clock.now());
         let versions = sources.iter().map(|source| source.version.as_ref().map(VersionHash::of));
-        if lock(&self.history).apply_list(service, versions, now) {
+        let is_added = lock(&self.history).apply_list(service, versions, now);
+        self.report_versions(state, Some(service));
+        if is_added {
             self.send_unsent(state, Some(service));
         }
     }
 
+    /// Sets the voters that keep records and versions.
+    pub fn set_voters(&self, voters: Vec<SocketAddr>) {
+        if !voters.is_empty() {
+            *lock(&self.voters) = voters;
+        }
+    }
+
+    /// Makes this daemon keep the versions that are reported to it.
+    pub fn watch_versions(&self, is_from_founding: bool) {
+        *lock(&self.watch) = Some(VersionWatch::new(is_from_founding));
+    }
+
+    /// Tells the voters which versions are listed, of all services or of one.
+    fn report_versions(&self, state: &TrafficState, service: Option<ServiceHash>) {
+        let reports = lock(&self.history).reports(service);
+        let voters = lock(&self.voters).clone();
+        if !reports.is_empty() && !voters.is_empty() {
+            state.fleet.send(&DaemonMessage::Origin(OriginMessage::Versions(reports)), &voters);
+        }
+    }
+
+    /// Sends the voters what they keep, for as long as the daemon runs.
+    pub async fn send_to_voters(&self, state: &TrafficState) {
+        let mut reported_at = state.clock.now();
+        loop {
+            tokio::time::sleep(VOTER_BATCH_DELAY).await;
+            let now = state.clock.now();
+            if now.since(reported_at) >= VERSION_REPORT_INTERVAL {
+                reported_at = now;
+                self.report_versions(state, None);
+            }
+            let records = std::mem::take(&mut *lock(&self.unsent_to_voters));
+            let voters = lock(&self.voters).clone();
+            send_records(state, &records, |key| owners(key, &voters, None, VOTER_COPIES));
+        }
+    }
+
     /// Records that a route has changed its services.
     pub fn record_route_change(&self, state: &TrafficState) {
         lock(&self.history).record_route_change(state.clock.now());
@@ -94,7 +144,16 @@
         lock(&self.table).record(key, origin, horizon, is_evident, now);
         if !is_evident {
             let ttl_ms = horizon.as_millis() as u32;
-            send_to_owners(state, &[OriginRecord { key, origin, age_ms: 0, ttl_ms }]);
+            self.send_to_owners(state, &[OriginRecord { key, origin, age_ms: 0, ttl_ms }]);
+        }
+    }
+
+    /// Sends records to their owners, at once if there are few, and soon to voters.
+    fn send_to_owners(&self, state: &TrafficState, records: &[OriginRecord]) {
+        let peers = state.fleet.peer_addresses();
+        send_records(state, records, |key| owners(key, &peers.addresses, peers.own, OWNER_COUNT));
+        if !lock(&self.voters).is_empty() {
+            lock(&self.unsent_to_voters).extend_from_slice(records);
         }
     }
 
@@ -102,7 +161,7 @@
         let records = lock(&self.table).take_unsent(service, state.clock.now());
         if !records.is_empty() {
             info!(state.log, "sending records of streams"; "records" => records.len());
-            send_to_owners(state, &records);
+            self.send_to_owners(state, &records);
         }
     }
 
@@ -124,7 +183,14 @@
             }
             _ => VersionClaim::Several,
         };
-        let peers = known_peers(state).await;
+        let voters = lock(&self.voters).clone();
+        let kept =
+            OriginLookup::new(ServiceHash::of(service), claim, PeerContact::StaleList, Vec::new());
+        let peers = tokio::select! {
+            biased;
+            peers = known_peers(state) => peers,
+            found = self.ask_voters(state, stream, kept.with_voters(voters)) => return found,
+        };
         let owners = owners(stream.key, &peers.addresses, peers.own, MAX_ASKED);
         let is_fresh = state.fleet.list_age(now).is_some_and(|age| age <= MAX_LIST_AGE);
         let contact = match peers.is_complete && peers.is_alone() {
@@ -133,7 +199,21 @@
             false => PeerContact::StaleList,
         };
         let lookup = OriginLookup::new(ServiceHash::of(service), claim, contact, owners);
-        self.ask(state, stream, lookup).await
+        let voters = lock(&self.voters).clone();
+        self.ask(state, stream, lookup.with_voters(voters)).await
+    }
+
+    /// Asks the voters alone; completes only if one has a record.
+    async fn ask_voters(
+        &self,
+        state: &TrafficState,
+        stream: ResumableStream<'_>,
+        lookup: OriginLookup,
+    ) -> LookupResult {
+        match self.ask(state, stream, lookup).await {
+            found @ (LookupResult::Known { .. } | LookupResult::Ambiguous) => found,
+            _ => std::future::pending().await,
+        }
     }
 
     async fn ask(
@@ -167,6 +247,17 @@
         lookup.result()
     }
 
+    /// What this daemon can say of the streams of a service: as a voter by the reports of others, else
+    /// by the lists that it has seen.
+    fn claim(&self, service: ServiceHash, horizon: Duration, now: Moment) -> VersionClaim {
+        let history = lock(&self.history);
+        match lock(&self.watch).as_ref() {
+            Some(_) if history.has_moved_route(horizon, now) => VersionClaim::Several,
+            Some(watch) => watch.claim(service, horizon, now),
+            None => history.claim(service, horizon, now),
+        }
+    }
+
     /// Handles a message of a peer, and returns the reply to it.
     pub fn handle_message(
         &self,
@@ -185,12 +276,16 @@
                 let horizon = Duration::from_millis(u64::from(horizon_ms));
                 let finding = match known {
                     Some(known) => OriginFinding::Known(known),
-                    None => {
-                        OriginFinding::Unknown(lock(&self.history).claim(service, horizon, now))
-                    }
+                    None => OriginFinding::Unknown(self.claim(service, horizon, now)),
                 };
                 Some(OriginMessage::Reply { number, finding })
             }
+            OriginMessage::Versions(reports) => {
+                if let Some(watch) = lock(&self.watch).as_mut() {
+                    reports.iter().for_each(|report| watch.apply_report(report, now));
+                }
+                None
+            }
             OriginMessage::Reply { number, finding } => {
                 if let Some(sender) = lock(&self.questions).get(&number) {
                     let _ = sender.send((from, finding));
@@ -229,11 +324,14 @@
 }
 
 /// Sends records to their owners, at once if there are few.
-fn send_to_owners(state: &TrafficState, records: &[OriginRecord]) {
-    let peers = state.fleet.peer_addresses();
+fn send_records(
+    state: &TrafficState,
+    records: &[OriginRecord],
+    owners_of: impl Fn(AttemptKey) -> Vec<SocketAddr>,
+) {
     let mut by_owner: BTreeMap<SocketAddr, Vec<OriginRecord>> = BTreeMap::new();
     for record in records {
-        for owner in owners(record.key, &peers.addresses, peers.own, OWNER_COUNT) {
+        for owner in owners_of(record.key) {
             by_owner.entry(owner).or_default().push(*record);
         }
     }
--- a/tests/origin_fleet.rs
+++ b/tests/origin_fleet.rs
@@ -9,8 +9,8 @@
 use tarragonknot::policy::{Moment, VersionHash};
 use tarragonknot::stream_origin::{
     AttemptKey, LookupResult, MAX_ASKED, OWNER_COUNT, OriginFinding, OriginLookup, OriginMessage,
-    OriginRecord, OriginTable, PeerContact, ROUND_TIMEOUT, StreamOrigin, VersionClaim,
-    VersionHistory, owners,
+    OriginRecord, OriginTable, PeerContact, ROUND_TIMEOUT, StreamOrigin, VERSION_REPORT_INTERVAL,
+    VersionClaim, VersionHistory, VersionWatch, owners,
 };
 use tarragonknot::traffic::{DaemonMessage, encode_message};
 
@@ -31,6 +31,20 @@
     AttemptKey::of("agents", &format!("r{number}"))
 }
 
+/// Number of voters, and of those that keep each record.
+const VOTERS: usize = 3;
+const VOTER_COPIES: usize = 2;
+/// Daemons whose reports the voters hear; all list the same.
+const REPORTERS: usize = 5;
+
+/// A voter, which keeps records and versions for the daemons that serve callers.
+#[derive(Clone, Debug)]
+pub struct OriginVoter {
+    pub table: OriginTable,
+    pub watch: VersionWatch,
+    pub is_dead: bool,
+}
+
 /// One daemon.
 #[derive(Clone, Debug, Default)]
 pub struct OriginDaemon {
@@ -47,6 +61,8 @@
 /// A fleet of daemons.
 pub struct OriginFleet {
     pub daemons: Vec<OriginDaemon>,
+    pub voters: Vec<OriginVoter>,
+    voter_addresses: Vec<SocketAddr>,
     pub addresses: Vec<SocketAddr>,
     pub now: Moment,
     pub rng: ChaCha8Rng,
@@ -57,8 +73,13 @@
 impl OriginFleet {
     pub fn new(count: usize) -> Self {
         let address = |number: u32| SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + number), 7_600));
+        let voter_address =
+            |number: u32| SocketAddr::from((Ipv4Addr::from(0x0a80_0000 + number), 7_600));
+        let (table, watch) = (OriginTable::default(), VersionWatch::new(true));
         OriginFleet {
             daemons: vec![OriginDaemon::default(); count],
+            voters: vec![OriginVoter { table, watch, is_dead: false }; VOTERS],
+            voter_addresses: (1..=VOTERS as u32).map(voter_address).collect(),
             addresses: (1..=count as u32).map(address).collect(),
             now: Moment::from_millis(0),
             rng: ChaCha8Rng::seed_from_u64(3),
@@ -67,7 +88,31 @@
     }
 
     pub fn advance(&mut self, time: Duration) {
-        self.now = self.now + time;
+        let end = self.now + time;
+        while end.since(self.now) >= VERSION_REPORT_INTERVAL {
+            self.now = self.now + VERSION_REPORT_INTERVAL;
+            let count = self.daemons.len().min(REPORTERS);
+            (0..count).for_each(|daemon| self.report(daemon));
+        }
+        self.now = end;
+    }
+
+    /// Tells the voters which versions a daemon lists.
+    fn report(&mut self, daemon: usize) {
+        let sender = &self.daemons[daemon];
+        if sender.is_dead || sender.is_cut {
+            return;
+        }
+        let (reports, now) = (sender.history.reports(None), self.now);
+        for voter in self.voters.iter_mut().filter(|voter| !voter.is_dead) {
+            reports.iter().for_each(|report| voter.watch.apply_report(report, now));
+        }
+    }
+
+    /// Starts a voter again, which knows nothing.
+    pub fn restart_voter(&mut self, voter: usize) {
+        let (table, watch) = (OriginTable::default(), VersionWatch::new(false));
+        self.voters[voter] = OriginVoter { table, watch, is_dead: false };
     }
 
     /// Applies a list with these versions at one daemon.
@@ -75,6 +120,7 @@
         let now = self.now;
         let versions = versions.iter().map(|number| Some(version(*number)));
         let is_added = self.daemons[daemon].history.apply_list(service(), versions, now);
+        self.report(daemon);
         if is_added {
             let records = self.daemons[daemon].table.take_unsent(Some(service()), now);
             self.send_to_owners(daemon, &records);
@@ -107,6 +153,7 @@
                 by_owner.entry(owner).or_default().push(*record);
             }
         }
+        self.send_to_voters(daemon, records);
         for (owner, records) in by_owner {
             let message = OriginMessage::Store(records.clone());
             if let Some(owner) = self.deliver(daemon, owner, message) {
@@ -117,6 +164,21 @@
         }
     }
 
+    fn send_to_voters(&mut self, daemon: usize, records: &[OriginRecord]) {
+        let now = self.now;
+        let is_heard = !self.daemons[daemon].is_dead && !self.daemons[daemon].is_cut;
+        for record in records {
+            for owner in owners(record.key, &self.voter_addresses, None, VOTER_COPIES) {
+                let is_lost = self.rng.random::<f64>() < self.loss;
+                let position = self.voter_addresses.iter().position(|address| *address == owner);
+                let voter = &mut self.voters[position.expect("a voter")];
+                if is_heard && !is_lost && !voter.is_dead {
+                    voter.table.record_peer(record, now);
+                }
+            }
+        }
+    }
+
     /// Counts a datagram; returns its receiver unless it is lost.
     fn deliver(&mut self, from: usize, to: SocketAddr, message: OriginMessage) -> Option<usize> {
         let len = encode_message(&DaemonMessage::Origin(message), "a key").len();
@@ -143,7 +205,8 @@
             true => PeerContact::StaleList,
             false => PeerContact::FreshList,
         };
-        let mut lookup = OriginLookup::new(service(), claim, contact, asked);
+        let mut lookup = OriginLookup::new(service(), claim, contact, asked)
+            .with_voters(self.voter_addresses.clone());
         let mut time = Duration::ZERO;
         while let Some(asked) = lookup.next_round() {
             for peer in asked {
@@ -165,6 +228,9 @@
         key: AttemptKey,
         lookup: &mut OriginLookup,
     ) -> Option<LookupResult> {
+        if let Some(voter) = self.voter_addresses.iter().position(|address| *address == peer) {
+            return self.ask_voter(daemon, voter, key, lookup);
+        }
         let horizon_ms = HORIZON.as_millis() as u32;
         let ask = OriginMessage::Ask { number: 1, key, service: service(), horizon_ms };
         let receiver = self.deliver(daemon, peer, ask)?;
@@ -178,6 +244,25 @@
         lookup.handle_reply(peer, finding)
     }
 
+    fn ask_voter(
+        &mut self,
+        daemon: usize,
+        voter: usize,
+        key: AttemptKey,
+        lookup: &mut OriginLookup,
+    ) -> Option<LookupResult> {
+        let is_lost = self.rng.random::<f64>() < self.loss;
+        let known = &self.voters[voter];
+        if is_lost || known.is_dead || self.daemons[daemon].is_cut {
+            return None;
+        }
+        let finding = match known.table.get(key, self.now) {
+            Some(known) => OriginFinding::Known(known),
+            None => OriginFinding::Unknown(known.watch.claim(service(), HORIZON, self.now)),
+        };
+        lookup.handle_reply(self.voter_addresses[voter], finding)
+    }
+
     /// Ends a daemon, or starts it again knowing nothing.
     pub fn restart(&mut self, daemon: usize) {
         let (bytes, messages) = (self.daemons[daemon].bytes, self.daemons[daemon].messages);
--- a/tests/routed_fleet.rs
+++ b/tests/routed_fleet.rs
@@ -8,13 +8,14 @@
 use hyper_util::rt::TokioExecutor;
 use serde_json::json;
 use slog::{Discard, Logger, o};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tarragonknot::platform::{self, ContractFeatures};
 use tarragonknot::table::{PrefixReuse, VersionedTable};
 use tarragonknot::traffic::{
     FrontendHandle, TrafficState, start_exchange, start_frontend, start_relay_server,
+    start_voter_exchange,
 };
 use tarragonknot::upstream::{PlatformList, VmRow, VmState};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -445,6 +446,23 @@
     document.replace(plain, r#""engine":{"slots":4,"hold_ms":2000.0}"#)
 }
 
+fn message_socket(ip: IpAddr) -> (UdpSocket, SocketAddr) {
+    let socket = std::net::UdpSocket::bind((ip, 0)).expect("a loopback port can be bound");
+    socket.set_nonblocking(true).expect("the socket can be set to non-blocking");
+    let socket = UdpSocket::from_std(socket).expect("the runtime takes the socket");
+    let address = socket.local_addr().expect("the socket has a local address");
+    (socket, address)
+}
+
+/// Starts a voter that keeps records of streams and versions, on the current runtime.
+pub fn start_voter(is_from_founding: bool) -> (Arc<TrafficState>, SocketAddr) {
+    let state = TrafficState::new("voter".into(), Logger::root(Discard, o!()), 1);
+    let (socket, address) = message_socket(IpAddr::from([127, 0, 0, 1]));
+    state.origins.watch_versions(is_from_founding);
+    start_voter_exchange(Arc::clone(&state), socket, address, Arc::from("a key"));
+    (state, address)
+}
+
 impl RoutedFleet {
     /// Starts a daemon that knows the engines but has no table.
     pub async fn without_table(engines: &[&ScriptedEngine]) -> Self {
@@ -502,8 +520,18 @@
         Self::start_peers_on(&vec![Handle::current(); count], engines).await
     }
 
-    /// Starts a daemon on each of the runtimes, as [`RoutedFleet::start_peers`].
+    /// Starts a daemon on each of the runtimes, as [`RoutedFleet::start_peers`], beside a voter that
+    /// founds the fleet.
     pub async fn start_peers_on(runtimes: &[Handle], engines: &[&ScriptedEngine]) -> Vec<Self> {
+        Self::start_peers_beside(start_voter(true).1, runtimes, engines).await
+    }
+
+    /// Starts a daemon on each of the runtimes, as [`RoutedFleet::start_peers`], beside a voter.
+    pub async fn start_peers_beside(
+        voter: SocketAddr,
+        runtimes: &[Handle],
+        engines: &[&ScriptedEngine],
+    ) -> Vec<Self> {
         let mut fleets = Vec::new();
         let mut addresses = Vec::new();
         let key: Arc<str> = Arc::from("a key");
@@ -514,12 +542,9 @@
             let _context = runtime.enter();
             let relay = TcpListener::from_std(relay).expect("the runtime takes the socket");
             let fleet = Self::with_service(&format!("entry-{number}"), "pool", engines);
+            fleet.state.origins.set_voters(vec![voter]);
             fleet.apply(1, &document(1));
-            let socket =
-                std::net::UdpSocket::bind((own.ip(), 0)).expect("a loopback port can be bound");
-            socket.set_nonblocking(true).expect("the socket can be set to non-blocking");
-            let socket = UdpSocket::from_std(socket).expect("the runtime takes the socket");
-            let address = socket.local_addr().expect("the socket has a local address");
+            let (socket, address) = message_socket(own.ip());
             start_exchange(Arc::clone(&fleet.state), socket, address, Arc::clone(&key), None);
             fleet.state.relay.enable(own, Arc::clone(&key));
             start_relay_server(Arc::clone(&fleet.state), relay);
@@ -630,17 +655,29 @@
         id: &str,
         headers: &[(&str, &str)],
     ) -> ReceivedStream {
+        let received = self.try_stream(key, path, id, headers).await;
+        received.expect("the request gets a response")
+    }
+
+    /// As [`RoutedFleet::stream_for`]; `None` if the connection ends before the head of an answer.
+    pub async fn try_stream(
+        &self,
+        key: &str,
+        path: &str,
+        id: &str,
+        headers: &[(&str, &str)],
+    ) -> Option<ReceivedStream> {
         // Upstreams may be held to have crashed under a body that several streams share.
         let mut request = self.request(path, (key, headers), id);
         request.headers_mut().insert("tarragonknot-request-id", id.parse().expect("a valid id"));
         let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
-        let response = client.request(request).await.expect("the request gets a response");
+        let response = client.request(request).await.ok()?;
         let (status, mut body) = (response.status(), response.into_body());
         let mut text = String::new();
         loop {
             match body.frame().await {
-                None => return ReceivedStream { status, text, is_whole: true },
-                Some(Err(_)) => return ReceivedStream { status, text, is_whole: false },
+                None => return Some(ReceivedStream { status, text, is_whole: true }),
+                Some(Err(_)) => return Some(ReceivedStream { status, text, is_whole: false }),
                 Some(Ok(frame)) => {
                     let bytes = frame.into_data().unwrap_or_default();
                     text.push_str(&String::from_utf8_lossy(&bytes));
--- a/tests/test_stream_origin.rs
+++ b/tests/test_stream_origin.rs
@@ -7,9 +7,10 @@
 use std::time::Duration;
 use tarragonknot::policy::Moment;
 use tarragonknot::stream_origin::{
-    AttemptKey, KnownOrigin, LookupResult, OriginRecord, OriginTable, StreamOrigin, VersionClaim,
-    VersionHistory,
+    AttemptKey, KnownOrigin, LookupResult, OriginMessage, OriginRecord, OriginTable, StreamOrigin,
+    VersionClaim, VersionHistory, VersionReport, VersionWatch,
 };
+use tarragonknot::traffic::{DaemonMessage, encode_message};
 
 /// Streams of a test.
 const STREAMS: usize = 300;
@@ -141,6 +142,24 @@
     assert!((most as f64) < 2.0 * mean, "{most} records of {mean} in the mean");
 }
 
+/// Guards against voters that receive a datagram for each stream.
+#[test]
+fn a_batch_of_records_for_a_voter_stays_small() {
+    let record = |number: usize| OriginRecord {
+        key: key(number),
+        origin: origin(began(number)),
+        age_ms: 40,
+        ttl_ms: HORIZON.as_millis() as u32,
+    };
+    let records: Vec<OriginRecord> = (0..STREAMS_PER_DAEMON).map(record).collect();
+
+    let message = DaemonMessage::Origin(OriginMessage::Store(records));
+    let len = encode_message(&message, "a key").len();
+
+    println!("{} bytes a record", len as f64 / STREAMS_PER_DAEMON as f64);
+    assert!(len <= 32 * STREAMS_PER_DAEMON, "{len} bytes");
+}
+
 /// Guards against streams from before a second version came that are refused, or go on at it.
 #[rstest]
 fn streams_from_before_a_second_version_are_known(#[values(7, 291)] daemons: usize) {
@@ -162,6 +181,130 @@
     }
 }
 
+/// Starts all daemons again, with these versions listed.
+fn restart_all(fleet: &mut OriginFleet, versions: &[u8]) {
+    for daemon in 0..fleet.daemons.len() {
+        fleet.restart(daemon);
+        fleet.list(daemon, versions);
+    }
+}
+
+/// Begins streams at version 1 while it serves alone, then starts all daemons again beside `after`, and
+/// returns what each stream's lookup finds.
+fn found_after_restart(daemons: usize, down_for: Duration, after: &[u8]) -> Vec<LookupResult> {
+    let mut fleet = OriginFleet::new(daemons);
+    fleet.list_everywhere(&[1]);
+    fleet.advance(HORIZON * 2);
+    (0..STREAMS).for_each(|number| fleet.begin(number % daemons, key(number), 1));
+    fleet.now = fleet.now + down_for;
+    restart_all(&mut fleet, after);
+    (0..STREAMS).map(|number| fleet.resume(number % daemons, key(number)).0).collect()
+}
+
+/// Guards against a stream that goes on at the version which replaced its own while all daemons were
+/// down, as none of them remembers the one that left.
+#[rstest]
+fn a_version_that_left_while_all_daemons_were_down_is_not_forgotten(
+    #[values(1, 7, 80)] daemons: usize,
+    #[values(100, 2_600, 9_000)] down_ms: u64,
+) {
+    let found = found_after_restart(daemons, Duration::from_millis(down_ms), &[2]);
+
+    assert!(found.iter().all(|found| *found == LookupResult::Unknown), "{found:?}");
+}
+
+/// Guards against streams that are refused after a restart of all daemons, though their version has
+/// been the only one all the while.
+#[rstest]
+fn streams_of_a_sole_version_outlive_a_restart_of_all_daemons(#[values(1, 7, 80)] daemons: usize) {
+    let found = found_after_restart(daemons, Duration::from_millis(2_600), &[1]);
+
+    assert!(found.iter().all(|found| *found == LookupResult::SoleVersion(origin(1))), "{found:?}");
+}
+
+/// Guards against records of streams that are lost when all daemons that serve callers are started
+/// again at once. One voter is down, or none.
+#[rstest]
+fn records_outlive_a_restart_of_all_daemons(
+    #[values(1, 7, 291)] daemons: usize,
+    #[values(false, true)] is_voter_down: bool,
+    #[values(0.0, 0.05)] loss: f64,
+) {
+    let mut fleet = mixed_fleet(daemons);
+    fleet.loss = loss;
+    (0..STREAMS).for_each(|number| fleet.begin(number % daemons, key(number), began(number)));
+    fleet.voters[1].is_dead = is_voter_down;
+    restart_all(&mut fleet, &[1, 2]);
+
+    let mut known = 0;
+    let mut slowest = Duration::ZERO;
+    for number in 0..STREAMS {
+        let (found, time) = fleet.resume(number % daemons, key(number));
+        slowest = slowest.max(if loss == 0.0 { time } else { Duration::ZERO });
+        match found {
+            LookupResult::Known { origin: it, .. } => {
+                assert_eq!(it, origin(began(number)));
+                known += 1;
+            }
+            other => assert_eq!(other, LookupResult::Unknown),
+        }
+    }
+
+    assert!(known as f64 >= 0.9 * STREAMS as f64, "{known} of {STREAMS} known");
+    assert_eq!(slowest, Duration::ZERO, "a record at hand takes one exchange");
+}
+
+/// Guards against streams from before a second version came that are lost when all daemons are started
+/// again right after it.
+#[test]
+fn records_of_a_sole_version_reach_the_voters_with_the_second_one() {
+    let mut fleet = OriginFleet::new(7);
+    fleet.list_everywhere(&[1]);
+    fleet.advance(HORIZON * 2);
+    (0..STREAMS).for_each(|number| fleet.begin(number % 7, key(number), 1));
+    fleet.list_everywhere(&[1, 2]);
+    restart_all(&mut fleet, &[2]);
+
+    for number in 0..STREAMS {
+        let found = fleet.resume(number % 7, key(number)).0;
+        assert!(
+            matches!(found, LookupResult::Known { origin: it, .. } if it == origin(1)),
+            "{found:?}"
+        );
+    }
+}
+
+/// Guards against a voter that has just started, or heard of no daemon for long, and takes the version
+/// that is reported to it for the only one.
+#[test]
+fn a_voter_claims_a_sole_version_only_for_the_time_that_it_knows() {
+    let at = |seconds: u64| Moment::from_millis(seconds * 1_000);
+    let report =
+        |number: u8| VersionReport { service: service(), versions: vec![Some(version(number))] };
+    let claim = |watch: &VersionWatch, seconds| watch.claim(service(), HORIZON, at(seconds));
+    let mut founder = VersionWatch::new(true);
+    let mut restarted = VersionWatch::new(false);
+
+    let nothing = claim(&founder, 0);
+    founder.apply_report(&report(1), at(1));
+    restarted.apply_report(&report(1), at(1));
+    let young = (claim(&founder, 1), claim(&restarted, 1));
+    (2..40).for_each(|seconds| restarted.apply_report(&report(1), at(seconds)));
+    let old = claim(&restarted, 39);
+    founder.apply_report(&report(1), at(30));
+    let after_gap = claim(&founder, 30);
+    restarted.apply_report(&report(2), at(41));
+    let replaced = claim(&restarted, 41);
+
+    let (first, second) = (version(1), version(2));
+    assert_eq!(nothing, VersionClaim::None);
+    assert_eq!(young, (VersionClaim::Sole(first), VersionClaim::Recent(first)));
+    assert_eq!((old, after_gap), (VersionClaim::Sole(first), VersionClaim::Recent(first)));
+    assert_eq!(replaced, VersionClaim::Several);
+    (42..80).for_each(|seconds| restarted.apply_report(&report(2), at(seconds)));
+    assert_eq!(claim(&restarted, 79), VersionClaim::Sole(second));
+}
+
 /// Guards against a daemon that has just started, or that hears from no peer, and takes the version
 /// that it lists for the only one.
 #[test]
@@ -421,6 +564,38 @@
         }
     }
 
+    /// Guards against streams that go on at another version after all daemons were started again at once,
+    /// the list changed meanwhile, and voters were started again, too.
+    #[test]
+    fn no_restart_of_all_daemons_joins_versions(
+        steps in prop::collection::vec(play_step(), 1..60),
+        loss in prop_oneof![Just(0.0), Just(0.3), Just(1.0)],
+    ) {
+        let mut play = RandomPlay::new();
+        for step in steps {
+            match step {
+                PlayStep::List { versions, .. } => {
+                    (0..5).for_each(|daemon| play.list(daemon, &versions));
+                }
+                PlayStep::Begin { daemon, pick } => {
+                    play.fleet.loss = loss;
+                    play.begin(daemon, pick);
+                    play.fleet.loss = 0.0;
+                }
+                PlayStep::Resume { daemon, stream } => play.resume(daemon, stream),
+                PlayStep::Restart { daemon } => {
+                    // A list that changes while all are down.
+                    let newest = vec![daemon as u8 % 3 + 1];
+                    play.lists.iter_mut().for_each(|list| *list = newest.clone());
+                    play.newest = newest;
+                    (0..5).for_each(|daemon| play.restart(daemon));
+                }
+                PlayStep::Cut { daemon, .. } => play.fleet.restart_voter(daemon % 3),
+                PlayStep::Pass { millis } => play.pass(millis),
+            }
+        }
+    }
+
     /// Guards against streams that go on at another version while daemons learn of a list at different
     /// moments. At most two of the daemons that keep a record start again.
     #[test]
--- a/tests/test_stream_versions.rs
+++ b/tests/test_stream_versions.rs
@@ -3,15 +3,18 @@
 
 use crate::routed_fleet::{
     ConnectionEnd, DaemonRuntime, EngineAction, ReceivedRequest, ReceivedStream, RoutedFleet,
-    ScriptedEngine, document,
+    ScriptedEngine, document, start_voter,
 };
 use http::StatusCode;
 use rstest::rstest;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tarragonknot::answer::AnswerKind;
 use tarragonknot::policy::RetryBound;
 use tarragonknot::rollout::{RolloutEvent, RolloutLog, RolloutOrder, RolloutRows, RolloutStep};
+use tarragonknot::traffic::TrafficState;
 use tarragonknot::upstream::VmState;
 
 /// Events of a whole stream.
@@ -68,16 +71,26 @@
     engines: Vec<(ScriptedEngine, &'static str)>,
     entries: Vec<RoutedFleet>,
     runtimes: Vec<DaemonRuntime>,
+    voter: (Arc<TrafficState>, SocketAddr),
 }
 
 impl VersionedFleet {
     async fn start(entries: usize, versions: &[&'static str], sends: u64) -> Self {
+        Self::start_beside(start_voter(true), entries, versions, sends).await
+    }
+
+    async fn start_beside(
+        voter: (Arc<TrafficState>, SocketAddr),
+        entries: usize,
+        versions: &[&'static str],
+        sends: u64,
+    ) -> Self {
         let engines = start_engines(versions, sends).await;
         let refs: Vec<&ScriptedEngine> = engines.iter().map(|(engine, _)| engine).collect();
         let runtimes: Vec<DaemonRuntime> = (0..entries).map(|_| DaemonRuntime::new()).collect();
         let handles: Vec<_> = runtimes.iter().map(DaemonRuntime::handle).collect();
-        let entries = RoutedFleet::start_peers_on(&handles, &refs).await;
-        let fleet = VersionedFleet { engines, entries, runtimes };
+        let entries = RoutedFleet::start_peers_beside(voter.1, &handles, &refs).await;
+        let fleet = VersionedFleet { engines, entries, runtimes, voter };
         let bound = RetryBound { ratio: 1.0, slack: 10_000 };
         fleet.entries.iter().for_each(|entry| entry.state.set_retry_bound(bound));
         fleet.list(|_| true);
@@ -103,6 +116,52 @@
         assert!(known.is_ok(), "the entries don't know each other");
     }
 
+    /// Ends all entries like killed processes, and starts as many again once `listed` has changed.
+    async fn restart_all(&mut self, listed: impl Fn(&str) -> bool) {
+        let runtimes: Vec<_> = self.runtimes.iter().map(|_| DaemonRuntime::new()).collect();
+        self.runtimes = runtimes;
+        let handles: Vec<_> = self.runtimes.iter().map(DaemonRuntime::handle).collect();
+        let refs: Vec<&ScriptedEngine> = self.engines.iter().map(|(engine, _)| engine).collect();
+        self.entries = RoutedFleet::start_peers_beside(self.voter.1, &handles, &refs).await;
+        let bound = RetryBound { ratio: 1.0, slack: 10_000 };
+        self.entries.iter().for_each(|entry| entry.state.set_retry_bound(bound));
+        self.list(listed);
+        self.wait_until_acquainted().await;
+    }
+
+    /// Waits until the voter has the records of so many streams.
+    async fn wait_for_records(&self, count: usize) {
+        let stored = async {
+            while self.voter.0.origins.record_count() < count {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let is_stored = tokio::time::timeout(NOTICE_TIME, stored).await.is_ok();
+        assert!(is_stored, "the voter has {} records", self.voter.0.origins.record_count());
+    }
+
+    /// Begins streams through all entries in turn.
+    async fn begin_streams(&self) -> Vec<CallerStream> {
+        let mut begun = Vec::new();
+        for number in 0..STREAMS {
+            let entry = &self.entries[number % self.entries.len()];
+            let mut stream = CallerStream::default();
+            stream.add(entry.stream("/resumable/", &format!("r{number}"), &[]).await);
+            begun.push(stream);
+        }
+        begun
+    }
+
+    /// Takes the streams up again, each at another entry than the one that began it if there is one.
+    async fn take_up(&self, begun: &mut [CallerStream]) {
+        for (number, stream) in begun.iter_mut().enumerate() {
+            let (id, last) = (format!("r{number}"), stream.last_event().to_string());
+            let headers = [("last-event-id", last.as_str()), ("resumes", id.as_str())];
+            let entry = &self.entries[(number + 1) % self.entries.len()];
+            stream.add(entry.stream("/resumable/", &format!("{id}-1"), &headers).await);
+        }
+    }
+
     /// Ends an entry like a killed process; the others keep their numbers.
     fn kill(&mut self, number: usize) {
         self.runtimes[number] = DaemonRuntime::new();
@@ -252,6 +311,63 @@
     }
 }
 
+/// Guards against streams that are refused, or joined from two versions, once all entries were killed at
+/// the same time and none of them remembers where they began.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_go_on_at_their_versions_after_all_entries_were_killed(
+    #[values(1, 3)] entries: usize,
+) {
+    let mut fleet = VersionedFleet::start(entries, TWO_VERSIONS, 4).await;
+    let mut begun = fleet.begin_streams().await;
+    fleet.wait_for_records(STREAMS).await;
+
+    fleet.restart_all(|_| true).await;
+    fleet.take_up(&mut begun).await;
+
+    assert_all_whole(&begun);
+}
+
+/// Guards against streams that go on at the version which replaced theirs while all entries were down.
+/// Some callers name an attempt that no record has.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_are_refused_whose_version_left_while_all_entries_were_down(
+    #[values(1, 3)] entries: usize,
+    #[values(true, false)] is_from_founding: bool,
+) {
+    let voter = start_voter(is_from_founding);
+    let mut fleet = VersionedFleet::start_beside(voter, entries, TWO_VERSIONS, 4).await;
+    fleet.list(|version| version == "v1");
+    let mut begun = fleet.begin_streams().await;
+    fleet.wait_for_records(STREAMS).await;
+
+    fleet.restart_all(|version| version != "v1").await;
+    fleet.take_up(&mut begun).await;
+    let headers = [("last-event-id", "2"), ("resumes", "never-seen")];
+    let unknown = fleet.entries[0].stream("/resumable/", "r-unknown", &headers).await;
+
+    let answers: BTreeSet<Vec<u16>> = begun.iter().map(|stream| stream.statuses.clone()).collect();
+    assert_eq!(answers, BTreeSet::from([vec![200, 503]]));
+    assert_eq!(unknown.status, StatusCode::SERVICE_UNAVAILABLE, "{unknown:?}");
+}
+
+/// Guards against a stream that goes on at the version that entries list which have just started, beside
+/// voters that have just started, too: the version before may have left a moment ago.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_unknown_stream_is_refused_while_nobody_has_watched_for_long(
+    #[values(1, 3)] entries: usize,
+) {
+    let voter = start_voter(false);
+    let fleet = VersionedFleet::start_beside(voter, entries, &["v1", "v1"], EVENTS).await;
+    let headers = [("last-event-id", "2"), ("resumes", "never-seen")];
+
+    let received = fleet.entries[0].stream("/resumable/", "r1", &headers).await;
+
+    assert_eq!(received.status, StatusCode::SERVICE_UNAVAILABLE, "{received:?}");
+}
+
 /// Guards against a stream that no daemon knows and that goes on at a version by chance.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_unknown_stream_is_refused_while_two_versions_serve() {
