Tests: heads, size lines and trailers that stop in the middle

Report: an engine stops in the middle of its answer's head and closes, and clients get a 200 framed as whole. They cut answers of six framings at each byte (a sixth of the bytes in each case, all of them over the cases of a framing), with three ways to end the connection, on four kinds of route, over new and pooled connections, as the answer to a resumption, and at some bytes through a peer. None reached its caller as whole, and none as a promise that nothing has run. No logic changes.

--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -32,6 +32,7 @@
 mod test_crash_check;
 mod test_crash_table;
 
+mod test_cut_heads;
 mod test_cut_off_entries;
 mod test_demo;
 mod test_drain_ends;
