A voter counts a gap in the reports of versions for all services

A voter that was cut off from all entries for more than 10 s took the first report of a service that it had never heard of for complete since the fleet was founded, though another version may have served in the gap. Found by reading; a_voter_claims_a_sole_version_only_for_the_time_that_it_knows asks for it now. It counts from the first report.

Announcements of members that have ended are dropped on the leader.

--- a/src/control/control_loop/voter_exit.rs
+++ b/src/control/control_loop/voter_exit.rs
@@ -87,8 +87,8 @@
             return drop(reply.send(LeaderAnswer::Elsewhere(self.remote_leader())));
         }
         let now = self.now();
-        let previous = self.exits.announced.insert(voter.clone(), now);
-        if previous.is_none_or(|at| now.since(at) >= ANNOUNCEMENT_TTL) {
+        self.exits.announced.retain(|_, at| now.since(*at) < ANNOUNCEMENT_TTL);
+        if self.exits.announced.insert(voter.clone(), now).is_none() {
             info!(self.setup.log, "a member is stopping"; "member" => voter.to_string());
         }
         let exit = self.exit_of(&voter, now);
--- a/src/control/rpc.rs
+++ b/src/control/rpc.rs
@@ -101,8 +101,8 @@
     pub applied: u64,
     /// Number of stored claims.
     pub claims: usize,
-    /// Number of further voters whose loss leaves a quorum; `None` if there is none left, and on
-    /// daemons that do not lead.
+    /// Number of further voters whose loss leaves a quorum; `None` without a quorum of voters that
+    /// answer, and on daemons that do not lead.
     #[serde(default)]
     pub losses_borne: Option<usize>,
     /// Voters that are silent or stopping; reported by the leader only.
--- a/src/control/voting.rs
+++ b/src/control/voting.rs
@@ -4,7 +4,8 @@
 //! then promoted to voter. If its disk was wiped, its old identity remains a voter that no process
 //! can use; the old identity is removed first and the new one added afterwards, one step at a time.
 //!
-//! No step lowers the number of further losses that the set bears ([`losses_borne`]).
+//! No step lowers the number of further losses that the set bears ([`losses_borne`]), unless an
+//! operator has removed a voter.
 
 use super::ledger::ControlLedger;
 use crate::policy::Moment;
--- a/src/stream_origin/version_watch.rs
+++ b/src/stream_origin/version_watch.rs
@@ -30,7 +30,6 @@
 struct WatchedService {
     /// Start of the time for which the reports are complete; `None` if it is that of the fleet.
     since: Option<Moment>,
-    reported_at: Moment,
     /// When each version was last reported.
     seen: BTreeMap<Option<VersionHash>, Moment>,
 }
@@ -39,6 +38,8 @@
 #[derive(Clone, Debug)]
 pub struct VersionWatch {
     is_from_founding: bool,
+    /// Time of the last report.
+    heard_at: Option<Moment>,
     services: BTreeMap<ServiceHash, WatchedService>,
 }
 
@@ -46,21 +47,21 @@
     /// Creates a watch. `is_from_founding` is true at a voter that founds the fleet, before which no
     /// stream can have begun.
     pub fn new(is_from_founding: bool) -> Self {
-        VersionWatch { is_from_founding, services: BTreeMap::new() }
+        VersionWatch { is_from_founding, heard_at: None, services: BTreeMap::new() }
     }
 
     /// Applies the report of a daemon.
     pub fn apply_report(&mut self, report: &VersionReport, now: Moment) {
-        let since = (!self.is_from_founding).then_some(now);
-        let known = self.services.entry(report.service).or_insert_with(|| WatchedService {
-            since,
-            reported_at: now,
-            seen: BTreeMap::new(),
-        });
-        if now.since(known.reported_at) > MAX_REPORT_GAP {
-            known.since = Some(now);
+        if self.heard_at.is_some_and(|at| now.since(at) > MAX_REPORT_GAP) {
+            self.is_from_founding = false;
+            self.services.values_mut().for_each(|known| known.since = Some(now));
         }
-        known.reported_at = now;
+        self.heard_at = Some(now);
+        let since = (!self.is_from_founding).then_some(now);
+        let known = self
+            .services
+            .entry(report.service)
+            .or_insert_with(|| WatchedService { since, seen: BTreeMap::new() });
         known.seen.extend(report.versions.iter().map(|version| (*version, now)));
     }
 
@@ -71,7 +72,7 @@
         let mut seen =
             known.seen.iter().filter(|(_, at)| is_recent(at)).map(|(version, _)| version);
         let is_complete = !known.since.as_ref().is_some_and(is_recent)
-            && now.since(known.reported_at) <= MAX_REPORT_GAP;
+            && self.heard_at.is_some_and(|at| now.since(at) <= MAX_REPORT_GAP);
         match (seen.next(), seen.next()) {
             (None, _) => VersionClaim::None,
             (Some(None), None) => VersionClaim::Unversioned,
--- a/tests/test_stream_origin.rs
+++ b/tests/test_stream_origin.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 use rstest::rstest;
 use std::time::Duration;
+use tarragonknot::fleet_state::ServiceHash;
 use tarragonknot::policy::Moment;
 use tarragonknot::stream_origin::{
     AttemptKey, KnownOrigin, LookupResult, OriginMessage, OriginRecord, OriginTable, StreamOrigin,
@@ -301,6 +302,10 @@
     assert_eq!(young, (VersionClaim::Sole(first), VersionClaim::Recent(first)));
     assert_eq!((old, after_gap), (VersionClaim::Sole(first), VersionClaim::Recent(first)));
     assert_eq!(replaced, VersionClaim::Several);
+    let other = ServiceHash::of(&"other".into());
+    founder.apply_report(&VersionReport { service: other, versions: vec![Some(first)] }, at(42));
+    let unheard_of = founder.claim(other, HORIZON, at(42));
+    assert_eq!(unheard_of, VersionClaim::Recent(first), "it may have served during the gap");
     (42..80).for_each(|seconds| restarted.apply_report(&report(2), at(seconds)));
     assert_eq!(claim(&restarted, 79), VersionClaim::Sole(second));
 }
