--- a/soak/callers.rs
+++ b/soak/callers.rs
@@ -36,6 +36,8 @@
 const MAX_RETURNS: usize = 3;
 /// Pause of a caller before that.
 const RETURN_PAUSE: Duration = Duration::from_millis(50);
+/// Time for which a caller tries to connect while all entries are down.
+const MAX_ABSENCE: Duration = Duration::from_secs(4);
 /// One in how many streams that may be resumed is left by its caller, who takes it up elsewhere.
 const LEAVE_INTERVAL: u32 = 3;
 /// Names of the header with the attempt that brought the first event of a stream.
@@ -149,6 +151,19 @@
     ctx.recorder.record_request(id, request);
 }
 
+/// Connects to any entry, for as long as all may be down.
+async fn connect_once_back(ctx: &SoakContext, rng: &mut ChaCha8Rng) -> Option<CallerConnection> {
+    let start = Instant::now();
+    while start.elapsed() < MAX_ABSENCE {
+        tokio::time::sleep(RETURN_PAUSE).await;
+        let connection = connect(ctx, rng.random_range(0..ctx.sizes.entries)).await;
+        if connection.is_some() {
+            return connection;
+        }
+    }
+    None
+}
+
 /// Takes a stream that was cut off up at other entries, and checks that it goes on at its version.
 async fn take_up(
     ctx: &SoakContext,
@@ -168,7 +183,11 @@
         tokio::time::sleep(RETURN_PAUSE).await;
         let entry = rng.random_range(0..ctx.sizes.entries);
         let header = RESUMES_HEADERS[rng.random_range(0..RESUMES_HEADERS.len())];
-        let Some(mut connection) = connect(ctx, entry).await else { continue };
+        let connection = match connect(ctx, entry).await {
+            None if ctx.restarts_entries => connect_once_back(ctx, rng).await,
+            connection => connection,
+        };
+        let Some(mut connection) = connection else { continue };
         let id = format!("{first_id}-{number}");
         record_request(ctx, RequestKind::Resumable, &id);
         let request = draft.request(&id, Some((header, first_id, held.last_event)));
--- a/soak/context.rs
+++ b/soak/context.rs
@@ -177,6 +177,8 @@
 pub struct SoakContext {
     pub seed: u64,
     pub sizes: FleetSizes,
+    /// True if all entries are killed at once from time to time.
+    pub restarts_entries: bool,
     pub program: PathBuf,
     pub recorder: RunRecorder,
     pub processes: Mutex<FleetProcesses>,
@@ -220,6 +222,7 @@
         SoakContext {
             seed,
             sizes,
+            restarts_entries: args.restart_entries,
             program: args.program.clone(),
             recorder: RunRecorder::default(),
             processes: Mutex::default(),
--- a/soak/main.rs
+++ b/soak/main.rs
@@ -74,6 +74,9 @@
     /// Play planned work, pauses and stalls alone; faults of single requests follow `--fault-rate`.
     #[arg(long)]
     planned: bool,
+    /// Also kill all entries at once beside a release, every few seconds.
+    #[arg(long)]
+    restart_entries: bool,
     /// Program to test; a copy with a deliberately broken rule should fail.
     #[arg(long, default_value = env!("CARGO_BIN_EXE_tarragonknot"))]
     program: PathBuf,
@@ -99,12 +102,12 @@
 /// Runs one seed; true if no invariant was violated.
 async fn run_seed(args: &SoakArgs, seed: u64) -> bool {
     let ctx = Arc::new(SoakContext::new(args, seed));
-    let steps = plan::schedule(
-        &mut ChaCha8Rng::seed_from_u64(seed),
-        Duration::from_secs(args.seconds),
-        &ctx.sizes,
-        args.planned,
-    );
+    let length = Duration::from_secs(args.seconds);
+    let rng = &mut ChaCha8Rng::seed_from_u64(seed);
+    let mut steps = plan::schedule(rng, length, &ctx.sizes, args.planned);
+    if args.restart_entries {
+        plan::add_entry_restarts(&mut steps, rng, length, &ctx.sizes);
+    }
     if let Err(detail) = fleet::start_all(&ctx).await {
         ctx.recorder.record_violation("START", detail);
     } else {
--- a/soak/plan.rs
+++ b/soak/plan.rs
@@ -18,6 +18,8 @@
 
 /// Upper bound of the time between the starts of two faults.
 const MAX_FAULT_INTERVAL_MS: u64 = 900;
+/// Upper bound of the time between two restarts of all entries.
+const MAX_RESTART_INTERVAL_MS: u64 = 6_000;
 /// Time after the loss of a disk in which no other disk is removed: the fleet tolerates the loss of
 /// one disk at a time.
 const VOTER_CATCH_UP_TIME: Duration = Duration::from_secs(8);
@@ -95,6 +97,30 @@
     steps
 }
 
+/// Adds restarts of all entries at once: an engine leaves and another starts while they are down.
+pub fn add_entry_restarts(
+    steps: &mut Vec<TimedStep>,
+    rng: &mut ChaCha8Rng,
+    length: Duration,
+    sizes: &FleetSizes,
+) {
+    let mut at = Duration::from_millis(rng.random_range(1_500..MAX_RESTART_INTERVAL_MS));
+    while at < length {
+        let down = Duration::from_millis(rng.random_range(100..2_600));
+        let timed = |at, step| TimedStep { at, step };
+        for number in 0..sizes.entries {
+            let entry = ProcessName::Entry(number);
+            steps.push(timed(at, SoakStep::Kill(entry)));
+            steps.push(timed(at + down, SoakStep::Start(entry)));
+        }
+        let engine = rng.random_range(0..sizes.engines);
+        steps.push(timed(at + down / 3, SoakStep::LeaveEngine(engine)));
+        steps.push(timed(at + down / 2, SoakStep::AddEngine));
+        at += Duration::from_millis(rng.random_range(3_500..MAX_RESTART_INTERVAL_MS));
+    }
+    steps.sort_by_key(|timed| timed.at);
+}
+
 /// Draws a fault: the step that starts it and, for a lasting fault, the step that ends it.
 fn draw_fault(
     rng: &mut ChaCha8Rng,
