Tests of stream versions wait until the voter has heard of the versions

The fixture asked before the voter had any report: the first one is sent when the list is applied, and a datagram that a socket does not take then comes again only a second later. That is allowed for an entry that has just started; the checks stay as they were, after the fixture has waited for the report. That the datagram was lost, rather than late, is not shown.

--- a/tests/slow_voters.rs
+++ b/tests/slow_voters.rs
@@ -89,7 +89,7 @@
     busy_until: Moment,
     tick_at: Moment,
     starts_at: Moment,
-    /// Time at which a process that was told to stop ends.
+    /// Time at which a process that got SIGTERM ends.
     ends_at: Option<Moment>,
     is_cut_off: bool,
     /// Last time at which a leader was known.
@@ -470,7 +470,7 @@
         voter.last_led = now;
     }
 
-    /// Members that have told the leader that they stop.
+    /// Members that have announced their end to the leader.
     fn stopping(&self) -> Vec<VoterId> {
         let is_stopping = |voter: &&SlowVoter| voter.ends_at.is_some() && !voter.is_cut_off;
         self.voters.iter().filter(is_stopping).map(|voter| voter.id.clone()).collect()
--- a/tests/test_stream_origin.rs
+++ b/tests/test_stream_origin.rs
@@ -570,7 +570,7 @@
     }
 
     /// Guards against streams that go on at another version after all daemons were started again at once,
-    /// the list changed meanwhile, and voters were started again, too.
+    /// the list changed at the same time, and voters were started again, too.
     #[test]
     fn no_restart_of_all_daemons_joins_versions(
         steps in prop::collection::vec(play_step(), 1..60),
--- a/tests/test_stream_versions.rs
+++ b/tests/test_stream_versions.rs
@@ -12,8 +12,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tarragonknot::answer::AnswerKind;
+use tarragonknot::fleet_state::ServiceHash;
 use tarragonknot::policy::RetryBound;
 use tarragonknot::rollout::{RolloutEvent, RolloutLog, RolloutOrder, RolloutRows, RolloutStep};
+use tarragonknot::stream_origin::{AttemptKey, OriginFinding, OriginMessage, VersionClaim};
 use tarragonknot::traffic::TrafficState;
 use tarragonknot::upstream::VmState;
 
@@ -95,9 +97,34 @@
         fleet.entries.iter().for_each(|entry| entry.state.set_retry_bound(bound));
         fleet.list(|_| true);
         fleet.wait_until_acquainted().await;
+        fleet.wait_for_report().await;
         fleet
     }
 
+    /// Waits until the voter has heard of the service's versions. A report may be lost, and comes again
+    /// a second later.
+    async fn wait_for_report(&self) {
+        let ask = || OriginMessage::Ask {
+            number: 1,
+            key: AttemptKey::of("agents", "never-seen"),
+            service: ServiceHash::of(&"pool".into()),
+            horizon_ms: 1,
+        };
+        let unheard = OriginFinding::Unknown(VersionClaim::None);
+        let heard = async {
+            loop {
+                let (state, address) = &self.voter;
+                let reply = state.origins.handle_message(ask(), *address, state.clock.now());
+                match reply {
+                    Some(OriginMessage::Reply { finding, .. }) if finding != unheard => return,
+                    _ => tokio::time::sleep(Duration::from_millis(5)).await,
+                }
+            }
+        };
+        let is_heard = tokio::time::timeout(NOTICE_TIME, heard).await.is_ok();
+        assert!(is_heard, "the voter has heard of no versions");
+    }
+
     /// Lists the engines whose versions are `listed`, at all entries.
     fn list(&self, listed: impl Fn(&str) -> bool) {
         let rows = self.engines.iter().filter(|(_, version)| listed(version));
@@ -356,7 +383,7 @@
 /// voters that have just started, too: the version before may have left a moment ago.
 #[rstest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn an_unknown_stream_is_refused_while_nobody_has_watched_for_long(
+async fn an_unknown_stream_is_refused_while_no_daemon_has_watched_for_long(
     #[values(1, 3)] entries: usize,
 ) {
     let voter = start_voter(false);
