Log the claims that a stream's origin rests on

A line 'stream origin' with the result sole-version did not say what it rested on: the daemon's own history, how old its list was, or who had replied with which claim, so a join by a daemon out of step could not be told from a right one. The line has own_claim, peer_claims, voter_claims, voters_asked and list_age_ms, and lookups are counted by result.

--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -169,6 +169,11 @@
         .increment(1);
 }
 
+/// Counts a lookup of the version that began a stream, by its result.
+pub fn record_origin_lookup(result: &'static str) {
+    counter!("tarragonknot_stream_lookups_total", "result" => result).increment(1);
+}
+
 /// Counts a request that was offered to a peer: `answered`, `refused`, `unable` (another peer may serve
 /// it) or `failed`.
 pub fn record_relayed(outcome: &'static str) {
--- a/src/stream_origin/lookup.rs
+++ b/src/stream_origin/lookup.rs
@@ -44,6 +44,16 @@
     StaleList,
 }
 
+/// The claims that a result without a record rests on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LookupEvidence {
+    pub own: VersionClaim,
+    pub peers: Vec<VersionClaim>,
+    pub voters: Vec<VersionClaim>,
+    /// Number of voters that were asked.
+    pub voters_asked: usize,
+}
+
 /// A question to the owners of a record, and their replies so far.
 #[derive(Clone, Debug)]
 pub struct OriginLookup {
@@ -122,6 +132,16 @@
         Some(asked.filter(|daemon| !self.replied.contains(daemon)).copied().collect())
     }
 
+    /// The claims of those that have replied.
+    pub fn evidence(&self) -> LookupEvidence {
+        LookupEvidence {
+            own: self.own_claim,
+            peers: self.claims.clone(),
+            voters: self.voter_claims.clone(),
+            voters_asked: self.voters.len(),
+        }
+    }
+
     /// The service that the stream probably began at.
     pub fn service(&self) -> ServiceHash {
         self.service
--- a/src/stream_origin/mod.rs
+++ b/src/stream_origin/mod.rs
@@ -21,7 +21,9 @@
 mod version_watch;
 
 pub use attempt_key::AttemptKey;
-pub use lookup::{LookupResult, MAX_ASKED, OriginLookup, PeerContact, ROUND_TIMEOUT};
+pub use lookup::{
+    LookupEvidence, LookupResult, MAX_ASKED, OriginLookup, PeerContact, ROUND_TIMEOUT,
+};
 pub use messages::{OriginFinding, OriginMessage};
 pub use origin::{InvalidOrigin, StreamOrigin};
 pub use origin_table::{KnownOrigin, OriginRecord, OriginTable};
--- a/src/stream_origin/version_history.rs
+++ b/src/stream_origin/version_history.rs
@@ -26,6 +26,19 @@
     Unversioned,
 }
 
+impl VersionClaim {
+    /// Name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            VersionClaim::Sole(_) => "sole",
+            VersionClaim::Several => "several",
+            VersionClaim::Recent(_) => "recent",
+            VersionClaim::None => "none",
+            VersionClaim::Unversioned => "unversioned",
+        }
+    }
+}
+
 /// The versions of one service.
 #[derive(Clone, Debug)]
 struct ServiceVersions {
--- a/src/traffic/routed/origin.rs
+++ b/src/traffic/routed/origin.rs
@@ -2,10 +2,10 @@
 
 use super::request::RoutedRequest;
 use crate::answer::AnswerKind;
-use crate::report::record_resumption;
-use crate::stream_origin::{AttemptKey, LookupResult, StreamOrigin};
+use crate::report::{record_origin_lookup, record_resumption};
+use crate::stream_origin::{AttemptKey, LookupResult, StreamOrigin, VersionClaim};
 use crate::table::{RouteKind, ServiceName};
-use crate::traffic::stream_origins::ResumableStream;
+use crate::traffic::stream_origins::{FoundOrigin, ResumableStream};
 use slog::info;
 
 /// A stream may be resumed within this many times the timeout of its route after it began: its own
@@ -28,9 +28,10 @@
         let asked_at = self.state.clock.now();
         let services: Vec<ServiceName> = self.route.services().cloned().collect();
         let stream = self.resumable_stream(&services);
-        let result = self.state.origins.find(&self.state, stream).await;
-        self.log_origin(result, asked_at.0);
-        self.origin = match result {
+        let found = self.state.origins.find(&self.state, stream).await;
+        record_origin_lookup(found.result.name());
+        self.log_origin(&found, asked_at.0);
+        self.origin = match found.result {
             LookupResult::Known { origin, .. } | LookupResult::SoleVersion(origin) => Some(origin),
             LookupResult::Unversioned => None,
             LookupResult::Ambiguous | LookupResult::Unknown => {
@@ -72,8 +73,15 @@
     }
 
     /// Logs who knew what began the stream. `version` is empty if no upstream of it is listed here.
-    fn log_origin(&self, result: LookupResult, asked_at: u64) {
-        let waited = (self.state.clock.now().0 - asked_at) / 1_000;
+    fn log_origin(&self, found: &FoundOrigin, asked_at: u64) {
+        let now = self.state.clock.now();
+        let waited = (now.0 - asked_at) / 1_000;
+        let evidence = found.evidence.as_ref();
+        let names = |claims: &[VersionClaim]| {
+            claims.iter().map(|claim| claim.name()).collect::<Vec<_>>().join(",")
+        };
+        let list = self.state.fleet.list_stamp(now);
+        let result = found.result;
         let (origin, age, by) = match result {
             LookupResult::Known { origin, age_ms, by } => (Some(origin), Some(age_ms), by),
             LookupResult::SoleVersion(origin) => (Some(origin), None, None),
@@ -82,6 +90,9 @@
         info!(self.state.log, "stream origin"; "request" => self.id(), "resumes" => self.metadata.resumes.as_deref(),
             "after_event" => self.metadata.last_event_id, "route" => &self.route.route, "result" => result.name(),
             "origin" => origin.map(|origin| origin.to_string()), "version" => origin.and_then(|origin| self.state.version_name(origin)),
-            "known_by" => by.map(|peer| peer.to_string()), "age_ms" => age, "waited_ms" => waited);
+            "known_by" => by.map(|peer| peer.to_string()), "age_ms" => age, "waited_ms" => waited,
+            "own_claim" => evidence.map(|it| it.own.name()), "peer_claims" => evidence.map(|it| names(&it.peers)),
+            "voter_claims" => evidence.map(|it| names(&it.voters)), "voters_asked" => evidence.map(|it| it.voters_asked),
+            "list_age_ms" => list.map(|stamp| stamp.age_ms));
     }
 }
--- a/src/traffic/stream_origins.rs
+++ b/src/traffic/stream_origins.rs
@@ -6,9 +6,9 @@
 use crate::fleet_state::ServiceHash;
 use crate::policy::{Moment, UpstreamSource, VersionHash};
 use crate::stream_origin::{
-    AttemptKey, LookupResult, MAX_ASKED, OWNER_COUNT, OriginFinding, OriginLookup, OriginMessage,
-    OriginRecord, OriginTable, PeerContact, ROUND_TIMEOUT, StreamOrigin, VERSION_REPORT_INTERVAL,
-    VersionClaim, VersionHistory, VersionWatch, owners,
+    AttemptKey, LookupEvidence, LookupResult, MAX_ASKED, OWNER_COUNT, OriginFinding, OriginLookup,
+    OriginMessage, OriginRecord, OriginTable, PeerContact, ROUND_TIMEOUT, StreamOrigin,
+    VERSION_REPORT_INTERVAL, VersionClaim, VersionHistory, VersionWatch, owners,
 };
 use crate::table::ServiceName;
 use slog::info;
@@ -64,6 +64,14 @@
     pub horizon: Duration,
 }
 
+/// The result of a lookup.
+#[derive(Clone, Debug)]
+pub struct FoundOrigin {
+    pub result: LookupResult,
+    /// The claims of those that replied; `None` if this daemon has a record.
+    pub evidence: Option<LookupEvidence>,
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -166,12 +174,14 @@
     }
 
     /// Finds out what began a stream.
-    pub async fn find(&self, state: &TrafficState, stream: ResumableStream<'_>) -> LookupResult {
+    pub async fn find(&self, state: &TrafficState, stream: ResumableStream<'_>) -> FoundOrigin {
         let now = state.clock.now();
         if let Some(known) = lock(&self.table).get(stream.key, now) {
-            return LookupResult::of_known(known, None);
+            return FoundOrigin { result: LookupResult::of_known(known, None), evidence: None };
         }
-        let Some(service) = stream.services.first() else { return LookupResult::Unknown };
+        let Some(service) = stream.services.first() else {
+            return FoundOrigin { result: LookupResult::Unknown, evidence: None };
+        };
         let claim = |service: &ServiceName| {
             lock(&self.history).claim(ServiceHash::of(service), stream.horizon, now)
         };
@@ -209,9 +219,10 @@
         state: &TrafficState,
         stream: ResumableStream<'_>,
         lookup: OriginLookup,
-    ) -> LookupResult {
-        match self.ask(state, stream, lookup).await {
-            found @ (LookupResult::Known { .. } | LookupResult::Ambiguous) => found,
+    ) -> FoundOrigin {
+        let found = self.ask(state, stream, lookup).await;
+        match found.result {
+            LookupResult::Known { .. } | LookupResult::Ambiguous => found,
             _ => std::future::pending().await,
         }
     }
@@ -221,7 +232,7 @@
         state: &TrafficState,
         stream: ResumableStream<'_>,
         mut lookup: OriginLookup,
-    ) -> LookupResult {
+    ) -> FoundOrigin {
         let key = stream.key;
         let number = self.next_question.fetch_add(1, Ordering::Relaxed);
         let (sender, mut replies) = mpsc::unbounded_channel();
@@ -238,13 +249,13 @@
                     () = &mut round => break,
                     Some((from, finding)) = replies.recv() => {
                         if let Some(result) = lookup.handle_reply(from, finding) {
-                            return result;
+                            return FoundOrigin { result, evidence: Some(lookup.evidence()) };
                         }
                     }
                 }
             }
         }
-        lookup.result()
+        FoundOrigin { result: lookup.result(), evidence: Some(lookup.evidence()) }
     }
 
     /// What this daemon can say of the streams of a service: as a voter by the reports of others, else
