A sole version counts only if a majority of the voters confirms it

What callers saw (reported from a system like ours, during a release): a stream that had begun at an upstream of a new version through one entry broke, was taken up at another entry that was cut off or stood still for a moment, and went on at an upstream of the old version.

Cause: an entry that has seen one version for long took its own history as proof, if its list counted as fresh (up to 3 s old) or one peer replied that was as old. What voters replied counted only for entries that had just started. The claim was taken when the lookup began and not looked at again.

Why it works: two majorities of the voters have a member in common. A version is announced to the voters, and its upstreams get requests only once a majority has replied; an entry takes a version for the only one only if a majority, asked after the take-up arrived, knows no other. So the age of lists, the number of peers that are as old, and the time at which replies are read no longer matter. The entry also looks at its own list and records again when the replies are in. "No versions stated" needs the same majority. Voters that the settings name confirm nothing until the leader has named those in office.

Ruled out: a limit on the age of the own list (refuses all such take-ups at entries in touch while the platform does not answer); a wait of some seconds before new upstreams are used (new upstreams unused, and it holds only within the time).

Voters remember a version that has left for 2 s longer than entries, so streams of a service keep records for 6 s longer after a change.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -118,7 +118,7 @@
     state
         .set_retry_bound(RetryBound { ratio: settings.repeat_ratio, slack: settings.repeat_slack });
     state.set_regions(settings.data_centres.clone());
-    state.origins.set_voters(voter_addresses(settings, settings.control));
+    state.origins.set_seed_voters(voter_addresses(settings, settings.control));
     state.set_cold_tolerance(ColdTolerance {
         overage: settings.cold_overage,
         slack: settings.cold_slack,
--- a/src/stream_origin/lookup.rs
+++ b/src/stream_origin/lookup.rs
@@ -33,15 +33,15 @@
     Unknown,
 }
 
-/// What a daemon knows of its peers when it looks a stream up.
+/// Who must confirm that a service has had one version alone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PeerContact {
-    /// It is the only daemon that serves callers.
-    Alone,
-    /// It has peers, and its list of upstreams was read a moment ago, whether by them or by itself.
-    FreshList,
-    /// It has peers, and its list of upstreams may be out of date.
-    StaleList,
+pub enum VersionQuorum {
+    /// Nobody: the daemon exchanges nothing with others, so no stream began elsewhere.
+    Own,
+    /// A majority of the voters.
+    Voters,
+    /// The voters in office are not known, so nothing can be confirmed.
+    Unknown,
 }
 
 /// The claims that a result without a record rests on.
@@ -59,15 +59,14 @@
 pub struct OriginLookup {
     service: ServiceHash,
     own_claim: VersionClaim,
-    peers: PeerContact,
+    quorum: VersionQuorum,
     /// The daemons to ask, the first owner first.
     owners: Vec<SocketAddr>,
     /// The voters to ask, which are asked in every round until they reply.
     voters: Vec<SocketAddr>,
     round: usize,
     replied: BTreeSet<SocketAddr>,
-    claims: Vec<VersionClaim>,
-    voter_claims: Vec<VersionClaim>,
+    claims: Vec<(SocketAddr, VersionClaim)>,
 }
 
 impl LookupResult {
@@ -97,19 +96,18 @@
     pub fn new(
         service: ServiceHash,
         own_claim: VersionClaim,
-        peers: PeerContact,
+        quorum: VersionQuorum,
         owners: Vec<SocketAddr>,
     ) -> Self {
         OriginLookup {
             service,
             own_claim,
-            peers,
+            quorum,
             owners,
             voters: Vec::new(),
             round: 0,
             replied: BTreeSet::new(),
             claims: Vec::new(),
-            voter_claims: Vec::new(),
         }
     }
 
@@ -120,7 +118,8 @@
 
     /// The daemons to ask next; `None` once all rounds are over, or the fleet agrees on one version.
     pub fn next_round(&mut self) -> Option<Vec<SocketAddr>> {
-        if self.is_agreed(true) || self.round >= ROUND_SIZES.len() + REPEATED_ROUNDS {
+        let is_over = self.round > 0 && (self.is_agreed() || self.has_none_to_ask());
+        if is_over || self.round >= ROUND_SIZES.len() + REPEATED_ROUNDS {
             return None;
         }
         if self.round > 0 && self.asked().len() == self.owners.len() {
@@ -134,10 +133,15 @@
 
     /// The claims of those that have replied.
     pub fn evidence(&self) -> LookupEvidence {
+        let claims = |are_voters: bool| {
+            let claims = self.claims.iter();
+            let chosen = claims.filter(|(from, _)| self.voters.contains(from) == are_voters);
+            chosen.map(|(_, claim)| *claim).collect()
+        };
         LookupEvidence {
             own: self.own_claim,
-            peers: self.claims.clone(),
-            voters: self.voter_claims.clone(),
+            peers: claims(false),
+            voters: claims(true),
             voters_asked: self.voters.len(),
         }
     }
@@ -160,7 +164,7 @@
     /// or one version is agreed on.
     pub fn may_go_on(&self) -> bool {
         let has_more = self.asked().len() < self.owners.len();
-        self.is_round_complete() && (has_more || self.is_agreed(false))
+        self.is_round_complete() && (has_more || self.is_agreed() || self.has_none_to_ask())
     }
 
     /// Takes a reply into account; returns a result if it is decisive.
@@ -173,25 +177,20 @@
         match finding {
             OriginFinding::Known(known) => Some(LookupResult::of_known(known, Some(from))),
             OriginFinding::Unknown(claim) => {
-                match self.voters.contains(&from) {
-                    true => self.voter_claims.push(claim),
-                    false => self.claims.push(claim),
-                }
+                self.claims.push((from, claim));
                 None
             }
         }
     }
 
-    /// True if those that have replied agree on one version that one of them remembers, or there is none
-    /// to agree on. They suffice once the round is over.
-    fn is_agreed(&self, is_round_over: bool) -> bool {
-        if self.own_claim == VersionClaim::Unversioned {
-            return true;
-        }
-        if self.round == 0 || !matches!(self.result(), LookupResult::SoleVersion(_)) {
-            return false;
-        }
-        self.is_round_complete() || (is_round_over && !self.claims.is_empty())
+    /// True if one version is confirmed. Owners that have not replied by the end of a round are not
+    /// waited for.
+    fn is_agreed(&self) -> bool {
+        self.result() != LookupResult::Unknown
+    }
+
+    fn has_none_to_ask(&self) -> bool {
+        self.owners.is_empty() && self.voters.is_empty()
     }
 
     /// True if all that were asked have replied.
@@ -199,49 +198,64 @@
         self.asked().iter().all(|owner| self.replied.contains(owner))
     }
 
+    /// Replaces the claim of this daemon, whose list may have changed since the lookup began.
+    pub fn set_own_claim(&mut self, claim: VersionClaim) {
+        self.own_claim = claim;
+    }
+
     /// The result once no record was found.
     pub fn result(&self) -> LookupResult {
-        let version = match self.own_claim {
-            VersionClaim::Unversioned => return LookupResult::Unversioned,
-            VersionClaim::Sole(version) if self.may_rely_on_itself() => version,
-            VersionClaim::Recent(version) if self.is_remembered(version) => version,
+        let origin = |version| StreamOrigin { service: self.service, version: Some(version) };
+        let (version, result) = match self.own_claim {
+            VersionClaim::Unversioned => (None, LookupResult::Unversioned),
+            VersionClaim::Sole(version) => {
+                (Some(version), LookupResult::SoleVersion(origin(version)))
+            }
+            VersionClaim::Recent(version) if self.is_remembered() => {
+                (Some(version), LookupResult::SoleVersion(origin(version)))
+            }
             _ => return LookupResult::Unknown,
         };
-        match self.claims.iter().all(|claim| Self::agrees(*claim, version)) {
-            true => {
-                let origin = StreamOrigin { service: self.service, version: Some(version) };
-                LookupResult::SoleVersion(origin)
-            }
+        match self.is_confirmed(version) {
+            true => result,
             false => LookupResult::Unknown,
         }
     }
 
-    /// True if a peer has watched the service's versions for long enough, or else voters have and agree
-    /// on `version`. Daemons that have just started only know what they see: the version before may
-    /// have left while all were down.
-    fn is_remembered(&self, version: VersionHash) -> bool {
-        let has_sole = |claims: &[VersionClaim]| {
-            claims.iter().any(|claim| matches!(claim, VersionClaim::Sole(_)))
+    /// True if a majority of the voters knows `version` alone, and none that has replied knows another.
+    /// A stream begins at a version only once a majority of the voters has heard of it, so one of those
+    /// that reply knows any version that could have begun the stream, however old the lists of this
+    /// daemon and of its peers are.
+    fn is_confirmed(&self, version: Option<VersionHash>) -> bool {
+        let is_contradicted = self
+            .claims
+            .iter()
+            .any(|(_, claim)| *claim != VersionClaim::None && !Self::names_alone(*claim, version));
+        let named_by = |voter: &&SocketAddr| {
+            let mut claims = self.claims.iter();
+            claims.any(|(from, claim)| from == *voter && Self::names_alone(*claim, version))
         };
-        let voters_agree = || self.voter_claims.iter().all(|claim| Self::agrees(*claim, version));
-        has_sole(&self.claims) || (has_sole(&self.voter_claims) && voters_agree())
-    }
-
-    /// True if a peer has replied, or there is none.
-    fn has_heard(&self) -> bool {
-        !self.claims.is_empty() || self.peers == PeerContact::Alone
+        let has_quorum = match self.quorum {
+            VersionQuorum::Own => true,
+            VersionQuorum::Voters => {
+                self.voters.iter().filter(named_by).count() > self.voters.len() / 2
+            }
+            VersionQuorum::Unknown => false,
+        };
+        has_quorum && !is_contradicted
     }
 
-    /// A daemon that hears from no peer may have missed versions, unless its list is fresh.
-    fn may_rely_on_itself(&self) -> bool {
-        self.has_heard() || self.peers == PeerContact::FreshList
+    /// True if a peer or a voter has watched the service's versions for long enough. Daemons that have
+    /// just started only know what they see: the version before may have left while all were down.
+    fn is_remembered(&self) -> bool {
+        self.claims.iter().any(|(_, claim)| matches!(claim, VersionClaim::Sole(_)))
     }
 
-    fn agrees(claim: VersionClaim, version: VersionHash) -> bool {
+    fn names_alone(claim: VersionClaim, version: Option<VersionHash>) -> bool {
         match claim {
-            VersionClaim::Sole(known) | VersionClaim::Recent(known) => known == version,
-            VersionClaim::None => true,
-            VersionClaim::Several | VersionClaim::Unversioned => false,
+            VersionClaim::Sole(known) | VersionClaim::Recent(known) => Some(known) == version,
+            VersionClaim::Unversioned => version.is_none(),
+            VersionClaim::None | VersionClaim::Several => false,
         }
     }
 }
--- a/src/stream_origin/messages.rs
+++ b/src/stream_origin/messages.rs
@@ -23,6 +23,10 @@
     Reply { number: u64, finding: OriginFinding },
     /// The versions that a daemon lists, for voters.
     Versions(Vec<VersionReport>),
+    /// Versions that a daemon will use, for voters, which reply with those that they know.
+    Announce(Vec<VersionReport>),
+    /// The reply to an announcement.
+    Announced(Vec<VersionReport>),
 }
 
 /// What a daemon knows of an attempt, or else of the service's versions.
--- a/src/stream_origin/mod.rs
+++ b/src/stream_origin/mod.rs
@@ -9,8 +9,13 @@
 //! version for longer than its streams can be resumed ([`VersionHistory`]); once that ends, the records
 //! of this time are sent after all.
 //!
+//! A daemon's own list may be older than that of the daemon through which a stream began, and so may be
+//! those of its peers. So a version counts as the only one if a majority of the voters confirms it, and
+//! a new version is announced to a majority before it is used ([`AnnouncedVersions`]).
+//!
 //! This module is pure: it reads no clock and opens no socket.
 
+mod announced_versions;
 mod attempt_key;
 mod lookup;
 mod messages;
@@ -20,9 +25,10 @@
 mod version_history;
 mod version_watch;
 
+pub use announced_versions::{ANNOUNCEMENT_TIMEOUT, AnnouncedVersions, UsableVersion};
 pub use attempt_key::AttemptKey;
 pub use lookup::{
-    LookupEvidence, LookupResult, MAX_ASKED, OriginLookup, PeerContact, ROUND_TIMEOUT,
+    LookupEvidence, LookupResult, MAX_ASKED, OriginLookup, ROUND_TIMEOUT, VersionQuorum,
 };
 pub use messages::{OriginFinding, OriginMessage};
 pub use origin::{InvalidOrigin, StreamOrigin};
--- a/src/stream_origin/version_history.rs
+++ b/src/stream_origin/version_history.rs
@@ -11,6 +11,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// Time beyond the horizon for which a service must have had one version until its streams need no
+/// records. Voters, and daemons with an older list, remember a version that has left some seconds longer.
+const EVIDENCE_MARGIN: Duration = Duration::from_secs(6);
+
 /// What a daemon says of the versions that a stream of a service may have begun at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum VersionClaim {
@@ -95,6 +99,16 @@
         wanted.map(report).collect()
     }
 
+    /// The versions of a report that are listed here, too.
+    pub fn listed_of(&self, report: &VersionReport) -> VersionReport {
+        let listed = self.services.get(&report.service).map(|known| &known.listed);
+        let is_listed = |version: &&Option<VersionHash>| {
+            version.is_some_and(|version| listed.is_some_and(|listed| listed.contains(&version)))
+        };
+        let versions = report.versions.iter().filter(is_listed).copied().collect();
+        VersionReport { service: report.service, versions }
+    }
+
     /// True if a route changed its services within the last `horizon`.
     pub fn has_moved_route(&self, horizon: Duration, now: Moment) -> bool {
         self.routes_changed_at.is_some_and(|at| now.since(at) < horizon)
@@ -105,6 +119,18 @@
         self.routes_changed_at = Some(now);
     }
 
+    /// True if any daemon can tell without a record that a stream of the service which begins now began
+    /// at this version.
+    pub fn is_evident(
+        &self,
+        service: ServiceHash,
+        version: VersionHash,
+        horizon: Duration,
+        now: Moment,
+    ) -> bool {
+        self.claim(service, horizon + EVIDENCE_MARGIN, now) == VersionClaim::Sole(version)
+    }
+
     /// What this daemon can say of the streams of a service that began within the last `horizon`.
     pub fn claim(&self, service: ServiceHash, horizon: Duration, now: Moment) -> VersionClaim {
         let Some(known) = self.services.get(&service) else { return VersionClaim::None };
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -18,6 +18,7 @@
 use crate::policy::{
     Moment, PeerWaiting, PeerWork, PoolEvent, UpstreamHash, UpstreamSet, UpstreamState,
 };
+use crate::stream_origin::OriginMessage;
 use crate::table::{ServiceName, UpstreamName};
 use list::ListExchange;
 use slog::{info, warn};
@@ -96,6 +97,11 @@
         PeerAddresses { own, addresses, is_complete: fleet.has_serving_list() }
     }
 
+    /// True if this daemon exchanges messages with others.
+    pub fn is_exchanging(&self) -> bool {
+        self.socket.get().is_some()
+    }
+
     /// Age of the last reading that agrees with this daemon's list of upstreams; `None` if the daemon
     /// exchanges no lists.
     pub fn list_age(&self, now: Moment) -> Option<Duration> {
@@ -292,10 +298,15 @@
             list::handle_message(state, address, message)
         }
         DaemonMessage::Origin(message) => {
-            let reply = state.origins.handle_message(message, from, state.clock.now());
+            let now = state.clock.now();
+            let is_heard = matches!(message, OriginMessage::Announced(_));
+            let reply = state.origins.handle_message(message, from, now);
             if let Some(reply) = reply {
                 state.fleet.send(&DaemonMessage::Origin(reply), &[from]);
             }
+            if is_heard {
+                state.origins.use_announced(state);
+            }
         }
         DaemonMessage::SlotOffer(offer) => slots::handle_offer(state, offer),
         // This daemon's own message, received back, or one of an earlier build.
--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -535,6 +535,7 @@
             let sources = platform.upstream_sources(table, &row.service);
             self.origins.apply_sources(self, &row.service, &sources);
         }
+        self.origins.announce_versions(self);
         let evacuated = self.evacuated.load();
         for pool in self.pools().values() {
             // A table without the service says nothing of the upstreams that another one listed.
@@ -545,6 +546,9 @@
                 Some(row) => version_sources(&row, &platform, table, pool),
                 None => platform.upstream_sources(table, &pool.service),
             };
+            if table.routes.iter().any(|route| route.may_resume_at(&pool.service)) {
+                self.origins.hold_back(self, &pool.service, &mut sources);
+            }
             for source in &mut sources {
                 let Some(name) = &source.data_centre else { continue };
                 source.region = self.regions.get().and_then(|regions| regions.get(name).cloned());
--- a/src/traffic/stream_origins.rs
+++ b/src/traffic/stream_origins.rs
@@ -6,9 +6,10 @@
 use crate::fleet_state::ServiceHash;
 use crate::policy::{Moment, UpstreamSource, VersionHash};
 use crate::stream_origin::{
-    AttemptKey, LookupEvidence, LookupResult, MAX_ASKED, OWNER_COUNT, OriginFinding, OriginLookup,
-    OriginMessage, OriginRecord, OriginTable, PeerContact, ROUND_TIMEOUT, StreamOrigin,
-    VERSION_REPORT_INTERVAL, VersionClaim, VersionHistory, VersionWatch, owners,
+    AnnouncedVersions, AttemptKey, LookupEvidence, LookupResult, MAX_ASKED, OWNER_COUNT,
+    OriginFinding, OriginLookup, OriginMessage, OriginRecord, OriginTable, ROUND_TIMEOUT,
+    StreamOrigin, VERSION_REPORT_INTERVAL, VersionClaim, VersionHistory, VersionQuorum,
+    VersionWatch, owners,
 };
 use crate::table::ServiceName;
 use slog::info;
@@ -19,8 +20,6 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 
-/// Age of the list of upstreams up to which a daemon without contact to its peers relies on it.
-const MAX_LIST_AGE: Duration = Duration::from_secs(3);
 /// How long a daemon that has just started waits for the names of its peers, and between two looks.
 const PEERS_TIMEOUT: Duration = Duration::from_millis(300);
 const PEERS_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -42,8 +41,9 @@
 pub struct StreamOrigins {
     table: Mutex<OriginTable>,
     history: Mutex<VersionHistory>,
-    /// The voters' control addresses, as far as they are known.
-    voters: Mutex<Vec<SocketAddr>>,
+    voters: Mutex<KnownVoters>,
+    /// The listed versions that voters have heard of.
+    announced: Mutex<AnnouncedVersions>,
     /// Records that are still to be sent to voters.
     unsent_to_voters: Mutex<Vec<OriginRecord>>,
     /// The versions that were reported to this daemon, if it is a voter.
@@ -52,6 +52,14 @@
     next_question: AtomicU64,
 }
 
+/// The voters' control addresses, as far as they are known.
+#[derive(Clone, Debug, Default)]
+struct KnownVoters {
+    addresses: Vec<SocketAddr>,
+    /// True if they are those in office, as the leader named them.
+    are_named: bool,
+}
+
 /// The stream of a route's request.
 #[derive(Clone, Copy, Debug)]
 pub struct ResumableStream<'a> {
@@ -86,21 +94,77 @@
         sources: &[UpstreamSource],
     ) {
         let (service, now) = (ServiceHash::of(service), state.clock.now());
-        let versions = sources.iter().map(|source| source.version.as_ref().map(VersionHash::of));
-        let is_added = lock(&self.history).apply_list(service, versions, now);
+        let version = |source: &UpstreamSource| source.version.as_ref().map(VersionHash::of);
+        let is_added = lock(&self.history).apply_list(service, sources.iter().map(version), now);
+        let listed = sources.iter().filter_map(version).collect();
+        lock(&self.announced).apply_list(service, &listed, now);
         self.report_versions(state, Some(service));
         if is_added {
             self.send_unsent(state, Some(service));
         }
     }
 
-    /// Sets the voters that keep records and versions.
+    /// Sets the voters in office, which keep records and versions.
     pub fn set_voters(&self, voters: Vec<SocketAddr>) {
         if !voters.is_empty() {
-            *lock(&self.voters) = voters;
+            lock(&self.announced).set_voters(&voters);
+            *lock(&self.voters) = KnownVoters { addresses: voters, are_named: true };
         }
     }
 
+    /// Sets the voters that the settings name, which may have been replaced.
+    pub fn set_seed_voters(&self, voters: Vec<SocketAddr>) {
+        *lock(&self.voters) = KnownVoters { addresses: voters, are_named: false };
+    }
+
+    fn voters(&self) -> Vec<SocketAddr> {
+        lock(&self.voters).addresses.clone()
+    }
+
+    /// Removes the upstreams whose versions may not be used yet.
+    pub fn hold_back(
+        &self,
+        state: &TrafficState,
+        service: &ServiceName,
+        sources: &mut Vec<UpstreamSource>,
+    ) {
+        if !state.fleet.is_exchanging() || !lock(&self.voters).are_named {
+            return;
+        }
+        let held_back = lock(&self.announced).held_back(ServiceHash::of(service));
+        sources.retain(|source| {
+            let version = source.version.as_ref().map(VersionHash::of);
+            version.is_none_or(|version| !held_back.contains(&version))
+        });
+    }
+
+    /// Announces versions to the voters that no majority of them has heard of.
+    pub fn announce_versions(&self, state: &TrafficState) {
+        let pending = lock(&self.announced).pending();
+        let voters = self.voters();
+        if !pending.is_empty() && !voters.is_empty() {
+            state.fleet.send(&DaemonMessage::Origin(OriginMessage::Announce(pending)), &voters);
+        }
+    }
+
+    /// Puts upstreams in force whose versions may be used now.
+    pub fn use_announced(&self, state: &TrafficState) {
+        let usable = lock(&self.announced).update(state.clock.now());
+        for version in &usable {
+            let name = state.version_name(version.origin);
+            info!(state.log, "version may be used"; "origin" => version.origin.to_string(), "version" => name,
+                "voters_heard" => version.heard, "waited_ms" => version.waited.as_millis() as u64);
+        }
+        if !usable.is_empty() {
+            state.refresh_sources();
+        }
+    }
+
+    /// Number of listed versions that may not be used yet.
+    pub fn unannounced_count(&self) -> usize {
+        lock(&self.announced).pending().iter().map(|report| report.versions.len()).sum()
+    }
+
     /// Makes this daemon keep the versions that are reported to it.
     pub fn watch_versions(&self, is_from_founding: bool) {
         *lock(&self.watch) = Some(VersionWatch::new(is_from_founding));
@@ -109,7 +173,7 @@
     /// Tells the voters which versions are listed, of all services or of one.
     fn report_versions(&self, state: &TrafficState, service: Option<ServiceHash>) {
         let reports = lock(&self.history).reports(service);
-        let voters = lock(&self.voters).clone();
+        let voters = self.voters();
         if !reports.is_empty() && !voters.is_empty() {
             state.fleet.send(&DaemonMessage::Origin(OriginMessage::Versions(reports)), &voters);
         }
@@ -125,8 +189,10 @@
                 reported_at = now;
                 self.report_versions(state, None);
             }
+            self.use_announced(state);
+            self.announce_versions(state);
             let records = std::mem::take(&mut *lock(&self.unsent_to_voters));
-            let voters = lock(&self.voters).clone();
+            let voters = self.voters();
             send_records(state, &records, |key| owners(key, &voters, None, VOTER_COPIES));
         }
     }
@@ -147,8 +213,8 @@
     pub fn record(&self, state: &TrafficState, stream: ResumableStream<'_>, origin: StreamOrigin) {
         let Some(version) = origin.version else { return };
         let (now, horizon, key) = (state.clock.now(), stream.horizon, stream.key);
-        let claim = lock(&self.history).claim(origin.service, horizon, now);
-        let is_evident = claim == VersionClaim::Sole(version) && stream.services.len() == 1;
+        let is_evident = stream.services.len() == 1
+            && lock(&self.history).is_evident(origin.service, version, horizon, now);
         lock(&self.table).record(key, origin, horizon, is_evident, now);
         if !is_evident {
             let ttl_ms = horizon.as_millis() as u32;
@@ -160,7 +226,7 @@
     fn send_to_owners(&self, state: &TrafficState, records: &[OriginRecord]) {
         let peers = state.fleet.peer_addresses();
         send_records(state, records, |key| owners(key, &peers.addresses, peers.own, OWNER_COUNT));
-        if !lock(&self.voters).is_empty() {
+        if !self.voters().is_empty() {
             lock(&self.unsent_to_voters).extend_from_slice(records);
         }
     }
@@ -182,35 +248,38 @@
         let Some(service) = stream.services.first() else {
             return FoundOrigin { result: LookupResult::Unknown, evidence: None };
         };
+        let claim = self.own_claim(stream, now);
+        let asking =
+            OriginLookup::new(ServiceHash::of(service), claim, VersionQuorum::Unknown, Vec::new());
+        let peers = tokio::select! {
+            biased;
+            peers = known_peers(state) => peers,
+            found = self.ask_voters(state, stream, asking.with_voters(self.voters())) => return found,
+        };
+        let owners = owners(stream.key, &peers.addresses, peers.own, MAX_ASKED);
+        let KnownVoters { addresses: voters, are_named } = lock(&self.voters).clone();
+        let quorum = match are_named {
+            _ if !state.fleet.is_exchanging() => VersionQuorum::Own,
+            true => VersionQuorum::Voters,
+            false => VersionQuorum::Unknown,
+        };
+        let lookup = OriginLookup::new(ServiceHash::of(service), claim, quorum, owners);
+        self.ask(state, stream, lookup.with_voters(voters)).await
+    }
+
+    /// What this daemon's lists say of the version that began a stream.
+    fn own_claim(&self, stream: ResumableStream<'_>, now: Moment) -> VersionClaim {
         let claim = |service: &ServiceName| {
             lock(&self.history).claim(ServiceHash::of(service), stream.horizon, now)
         };
-        let claim = match stream.services.iter().map(claim).collect::<Vec<_>>()[..] {
+        match stream.services.iter().map(claim).collect::<Vec<_>>()[..] {
             [claim] => claim,
             // Any of the services may have begun it.
             ref claims if claims.iter().all(|it| *it == VersionClaim::Unversioned) => {
                 VersionClaim::Unversioned
             }
             _ => VersionClaim::Several,
-        };
-        let voters = lock(&self.voters).clone();
-        let kept =
-            OriginLookup::new(ServiceHash::of(service), claim, PeerContact::StaleList, Vec::new());
-        let peers = tokio::select! {
-            biased;
-            peers = known_peers(state) => peers,
-            found = self.ask_voters(state, stream, kept.with_voters(voters)) => return found,
-        };
-        let owners = owners(stream.key, &peers.addresses, peers.own, MAX_ASKED);
-        let is_fresh = state.fleet.list_age(now).is_some_and(|age| age <= MAX_LIST_AGE);
-        let contact = match peers.is_complete && peers.is_alone() {
-            true => PeerContact::Alone,
-            false if is_fresh => PeerContact::FreshList,
-            false => PeerContact::StaleList,
-        };
-        let lookup = OriginLookup::new(ServiceHash::of(service), claim, contact, owners);
-        let voters = lock(&self.voters).clone();
-        self.ask(state, stream, lookup.with_voters(voters)).await
+        }
     }
 
     /// Asks the voters alone; completes only if one has a record.
@@ -255,7 +324,13 @@
                 }
             }
         }
-        FoundOrigin { result: lookup.result(), evidence: Some(lookup.evidence()) }
+        // A record or a list may have come while replies were awaited.
+        let now = state.clock.now();
+        lookup.set_own_claim(self.own_claim(stream, now));
+        let known =
+            lock(&self.table).get(key, now).map(|known| LookupResult::of_known(known, None));
+        let result = known.unwrap_or_else(|| lookup.result());
+        FoundOrigin { result, evidence: Some(lookup.evidence()) }
     }
 
     /// What this daemon can say of the streams of a service: as a voter by the reports of others, else
@@ -297,6 +372,21 @@
                 }
                 None
             }
+            OriginMessage::Announce(reports) => {
+                let history = lock(&self.history);
+                let heard = match lock(&self.watch).as_mut() {
+                    Some(watch) => {
+                        reports.iter().for_each(|report| watch.apply_report(report, now));
+                        reports
+                    }
+                    None => reports.iter().map(|report| history.listed_of(report)).collect(),
+                };
+                Some(OriginMessage::Announced(heard))
+            }
+            OriginMessage::Announced(heard) => {
+                lock(&self.announced).apply_reply(from, &heard);
+                None
+            }
             OriginMessage::Reply { number, finding } => {
                 if let Some(sender) = lock(&self.questions).get(&number) {
                     let _ = sender.send((from, finding));
--- a/tests/test_stream_versions.rs
+++ b/tests/test_stream_versions.rs
@@ -125,6 +125,17 @@
         assert!(is_heard, "the voter has heard of no versions");
     }
 
+    /// Waits until the voter has heard of all versions that the entries list.
+    async fn wait_until_announced(&self) {
+        let announced = async {
+            while self.entries.iter().any(|entry| entry.state.origins.unannounced_count() > 0) {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let is_announced = tokio::time::timeout(NOTICE_TIME, announced).await.is_ok();
+        assert!(is_announced, "the voter has not heard of all versions");
+    }
+
     /// Lists the engines whose versions are `listed`, at all entries.
     fn list(&self, listed: impl Fn(&str) -> bool) {
         let rows = self.engines.iter().filter(|(_, version)| listed(version));
@@ -312,6 +323,45 @@
     assert_eq!((joined, begun.iter().filter(went_on).count()), (0, STREAMS), "{begun:?}");
 }
 
+/// Guards against a stream that begins at a version of which the voters do not know, so that another
+/// entry takes it for one of the version before.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_stream_begins_at_a_version_that_the_voters_have_not_heard_of() {
+    let runtime = DaemonRuntime::new();
+    let voter = {
+        let handle = runtime.handle();
+        let _context = handle.enter();
+        start_voter(true)
+    };
+    let fleet = VersionedFleet::start_beside(voter, 1, TWO_VERSIONS, EVENTS).await;
+    fleet.wait_until_announced().await;
+    fleet.list(|version| version == "v1");
+
+    drop(runtime);
+    fleet.list(|_| true);
+    let begun = fleet.begin_streams().await;
+
+    let versions: BTreeSet<String> =
+        begun.iter().flat_map(|stream| stream.versions.iter().cloned()).collect();
+    assert_eq!(versions, BTreeSet::from(["v1".to_owned()]));
+}
+
+/// Guards against upstreams of a new version that stay unused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_begin_at_a_new_version_that_a_voter_has_heard_of() {
+    let fleet = VersionedFleet::start(1, TWO_VERSIONS, EVENTS).await;
+    fleet.list(|version| version == "v1");
+    fleet.wait_until_announced().await;
+
+    fleet.list(|_| true);
+    fleet.wait_until_announced().await;
+    let begun = fleet.begin_streams().await;
+
+    let versions: BTreeSet<String> =
+        begun.iter().flat_map(|stream| stream.versions.iter().cloned()).collect();
+    assert_eq!(versions, BTreeSet::from(["v1".to_owned(), "v1.1".to_owned()]));
+}
+
 /// Guards against streams that go on at another version once no upstream of theirs is left.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_is_refused_once_its_version_has_left() {
