Voters that have just started do not confirm a sole version alone

A majority now consists of voters whose reports are complete for the time in which the stream may have begun. With fewer of them most of the peers that were asked must agree as well, so that take-ups at entries in touch go on while voters are started again.

--- a/src/stream_origin/lookup.rs
+++ b/src/stream_origin/lookup.rs
@@ -223,7 +223,8 @@
     }
 
     /// True if a majority of the voters knows `version` alone, and none that has replied knows another.
-    /// A stream begins at a version only once a majority of the voters has heard of it, so one of those
+    /// Voters that have just started may have forgotten a version; if they are needed for the majority,
+    /// most of the peers that were asked must agree, too. A stream begins at a version only once a majority of the voters has heard of it, so one of those
     /// that reply knows any version that could have begun the stream, however old the lists of this
     /// daemon and of its peers are.
     fn is_confirmed(&self, version: Option<VersionHash>) -> bool {
@@ -231,14 +232,24 @@
             .claims
             .iter()
             .any(|(_, claim)| *claim != VersionClaim::None && !Self::names_alone(*claim, version));
-        let named_by = |voter: &&SocketAddr| {
-            let mut claims = self.claims.iter();
-            claims.any(|(from, claim)| from == *voter && Self::names_alone(*claim, version))
+        let has_watched = |claim: VersionClaim| !matches!(claim, VersionClaim::Recent(_));
+        let names = |daemon: &SocketAddr, are_young_counted: bool| {
+            self.claims.iter().any(|(from, claim)| {
+                from == daemon
+                    && Self::names_alone(*claim, version)
+                    && (are_young_counted || has_watched(*claim))
+            })
+        };
+        let has_most = |daemons: &[SocketAddr], are_young_counted: bool| {
+            let naming = daemons.iter().filter(|daemon| names(daemon, are_young_counted));
+            naming.count() > daemons.len() / 2
         };
         let has_quorum = match self.quorum {
             VersionQuorum::Own => true,
             VersionQuorum::Voters => {
-                self.voters.iter().filter(named_by).count() > self.voters.len() / 2
+                has_most(&self.voters, false)
+                    || (has_most(&self.voters, true)
+                        && (self.owners.is_empty() || has_most(self.asked(), true)))
             }
             VersionQuorum::Unknown => false,
         };
--- a/src/stream_origin/mod.rs
+++ b/src/stream_origin/mod.rs
@@ -5,9 +5,8 @@
 //! to a few [`owners`] before the first event leaves. Callers mostly come back because that daemon is
 //! gone, so another one asks the owners ([`OriginLookup`]). Two voters keep each record, too, and all of
 //! them which versions were reported ([`VersionWatch`]), since all daemons that serve callers may be
-//! started again at once. Nothing is sent while a service has had one
-//! version for longer than its streams can be resumed ([`VersionHistory`]); once that ends, the records
-//! of this time are sent after all.
+//! started again at once. Nothing is sent while a service has had one version for longer than its streams
+//! can be resumed ([`VersionHistory`]); once that ends, the records of this time are sent after all.
 //!
 //! A daemon's own list may be older than that of the daemon through which a stream began, and so may be
 //! those of its peers. So a version counts as the only one if a majority of the voters confirms it, and
--- a/tests/release_play.rs
+++ b/tests/release_play.rs
@@ -32,6 +32,8 @@
     pub loss: f64,
     /// Maximum number of daemons that are out of step at a time.
     pub group_size: usize,
+    /// True if voters start again, too, and know nothing then.
+    pub restarts_voters: bool,
 }
 
 /// A daemon as the play disturbs it.
@@ -193,10 +195,14 @@
         let mut group: Vec<usize> = (0..DAEMONS).collect();
         group.shuffle(&mut self.rng);
         group.truncate(self.rng.random_range(1..=self.settings.group_size));
-        match self.rng.random_range(0..4) {
+        match self.rng.random_range(0..5) {
             0 | 1 if now >= self.cut_until => self.cut(&group, lasts),
             2 => self.pause(group[0], lasts),
             3 => self.end(group[0]),
+            4 if self.settings.restarts_voters => {
+                let voter = self.rng.random_range(0..VOTERS);
+                self.fleet.restart_voter(voter);
+            }
             _ => {}
         }
     }
--- a/tests/test_out_of_step.rs
+++ b/tests/test_out_of_step.rs
@@ -17,6 +17,10 @@
     fleet
 }
 
+fn sole(number: u8) -> LookupResult {
+    LookupResult::SoleVersion(StreamOrigin { service: service(), version: Some(version(number)) })
+}
+
 /// What the last daemon finds of a stream that begins at version 2 through daemon 0, which then ends.
 /// `cut` daemons, the last ones, are cut off from all others before they list that version, and `reached`
 /// voters with them. `None` if the stream may not begin.
@@ -53,8 +57,7 @@
 
     let found = found_out_of_step(fleet, cut, reached, Duration::from_millis(age_ms));
 
-    let wrong = StreamOrigin { service: service(), version: Some(version(1)) };
-    assert_ne!(found, Some(LookupResult::SoleVersion(wrong)));
+    assert_ne!(found, Some(sole(1)));
     assert_eq!(found.is_some(), reached <= voters / 2, "streams begin beside a majority");
 }
 
@@ -74,8 +77,27 @@
     fleet.list(6, &[1, 2]);
     let after = fleet.conclude(6, key(1), &mut lookup);
 
-    let sole = StreamOrigin { service: service(), version: Some(version(1)) };
-    assert_eq!((before, after), (LookupResult::SoleVersion(sole), LookupResult::Unknown));
+    assert_eq!((before, after), (sole(1), LookupResult::Unknown));
+}
+
+/// Guards against a daemon that trusts voters which have just started and forgotten a version.
+#[rstest]
+#[case::alone(1, LookupResult::Unknown)]
+#[case::in_touch(0, sole(1))]
+fn voters_that_have_just_started_do_not_suffice(
+    #[case] cut: usize,
+    #[case] expected: LookupResult,
+) {
+    let mut fleet = settled_fleet(7, 5);
+    fleet.daemons[7 - cut..].iter_mut().for_each(|daemon| daemon.side = 1);
+    fleet.voters[..3].iter_mut().for_each(|voter| voter.side = cut);
+    (0..3).for_each(|voter| fleet.restart_voter(voter));
+    fleet.advance(Duration::from_secs(1));
+    (0..7).for_each(|daemon| fleet.report(daemon));
+
+    let found = fleet.resume(6, key(1)).0;
+
+    assert_eq!(found, expected);
 }
 
 /// Guards against new upstreams that stay unused for long, as the voters do not hear of their version.
@@ -116,11 +138,13 @@
 fn no_release_joins_versions_at_daemons_out_of_step(
     #[values(1, 3, 5)] group_size: usize,
     #[values(0.0, 0.2)] loss: f64,
+    #[values(false, true)] restarts_voters: bool,
 ) {
+    let settings = PlaySettings { loss, group_size, restarts_voters };
     let mut sum = PlayReport::default();
 
     for seed in 0..PLAYS {
-        let report = ReleasePlay::new(seed, PlaySettings { loss, group_size }).play();
+        let report = ReleasePlay::new(seed, settings).play();
         sum.joined.extend(report.joined.iter().map(|text| format!("seed {seed}: {text}")));
         sum.gone_on += report.gone_on;
         sum.refused += report.refused;
@@ -130,7 +154,7 @@
     }
 
     println!(
-        "group of {group_size}, loss {loss}: {} joined, {} gone on, {} refused; in touch {} and {}; {} began at the new version",
+        "group of {group_size}, loss {loss}, voters restart {restarts_voters}: {} joined, {} gone on, {} refused; in touch {} and {}; {} began at the new version",
         sum.joined.len(),
         sum.gone_on,
         sum.refused,
