Only new streams that may be resumed wait for the voters

Found by review: upstreams of a version that the voters have not heard of were left out of the pool, so requests that can't be resumed, and resumptions of streams that had begun at this version through other entries, went without them, for up to 10 s at an entry that does not reach a majority. The latter got version-absent, which was not true.

The version is marked at the upstream now, and a new stream that may be resumed demands one that is not, when it is placed and again before it is sent, unless there is no other. Resumptions and all other requests use it at once. A gauge tells how many versions wait.

The other uses of a marked upstream have no test of their own.

--- a/src/policy/placement_demand.rs
+++ b/src/policy/placement_demand.rs
@@ -13,12 +13,18 @@
     pub version: Option<VersionHash>,
     /// An upstream that it would leave, and that must not serve it again.
     pub except: Option<UpstreamName>,
+    /// True for a new stream that may be resumed. It begins only at a version that the voters know, so
+    /// that every daemon can tell it from others.
+    pub needs_announced: bool,
 }
 
 impl PlacementDemand {
     /// True if any upstream may serve the request.
     pub fn is_empty(&self) -> bool {
-        self.homes.is_none() && self.version.is_none() && self.except.is_none()
+        self.homes.is_none()
+            && self.version.is_none()
+            && self.except.is_none()
+            && !self.needs_announced
     }
 
     /// True if the upstream may serve the request. One whose region or version is unknown equals no
@@ -28,6 +34,7 @@
         let has_version = self
             .version
             .is_none_or(|version| source.version.as_ref().map(VersionHash::of) == Some(version));
-        is_home && has_version && self.except.as_ref() != Some(&source.name)
+        let is_known = !(self.needs_announced && source.is_unannounced);
+        is_home && has_version && is_known && self.except.as_ref() != Some(&source.name)
     }
 }
--- a/src/policy/upstream_set.rs
+++ b/src/policy/upstream_set.rs
@@ -250,7 +250,9 @@
         let bound = self.cold_bound;
         let known = self.upstreams.get(&index).map(|status| &status.source);
         let is_changed = known.is_some_and(|known| {
-            known.version != source.version || known.is_evacuated != source.is_evacuated
+            known.version != source.version
+                || known.is_evacuated != source.is_evacuated
+                || known.is_unannounced != source.is_unannounced
         });
         self.generation += u64::from(is_changed);
         self.update(index, |status| {
@@ -263,6 +265,7 @@
             status.source.region.clone_from(&source.region);
             status.source.is_evacuated = source.is_evacuated;
             status.source.is_cold = source.is_cold;
+            status.source.is_unannounced = source.is_unannounced;
             status.review_pace(bound.as_ref(), now);
         });
     }
--- a/src/policy/upstreams.rs
+++ b/src/policy/upstreams.rs
@@ -110,6 +110,9 @@
     /// True if a source lists it as cold; see [`ColdBound`].
     #[serde(default)]
     pub is_cold: bool,
+    /// True while a majority of the voters has not heard of its version.
+    #[serde(default)]
+    pub is_unannounced: bool,
 }
 
 impl UpstreamSource {
@@ -126,6 +129,7 @@
             region: None,
             is_evacuated: false,
             is_cold: false,
+            is_unannounced: false,
         }
     }
 }
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -169,6 +169,11 @@
         .increment(1);
 }
 
+/// Sets the number of listed versions of which no majority of the voters has heard.
+pub fn record_unannounced(count: usize) {
+    gauge!("tarragonknot_unannounced_versions").set(count as f64);
+}
+
 /// Counts a lookup of the version that began a stream, by its result.
 pub fn record_origin_lookup(result: &'static str) {
     counter!("tarragonknot_stream_lookups_total", "result" => result).increment(1);
--- a/src/stream_origin/announced_versions.rs
+++ b/src/stream_origin/announced_versions.rs
@@ -108,7 +108,7 @@
         rows.map(report).collect()
     }
 
-    /// The versions of a service at which no request may begin yet. None of them if there is no other:
+    /// The versions of a service at which no stream that may be resumed begins yet. None of them if there is no other:
     /// a daemon that has just started lists versions that have served for long.
     pub fn held_back(&self, service: ServiceHash) -> BTreeSet<VersionHash> {
         let has_other = self.in_use.get(&service).is_some_and(|versions| !versions.is_empty());
--- a/src/table/routes.rs
+++ b/src/table/routes.rs
@@ -102,11 +102,6 @@
         self.targets.iter().any(|target| target.weight > 0 && target.service == *service)
     }
 
-    /// True if a stream of the route may be resumed at `service`.
-    pub fn may_resume_at(&self, service: &ServiceName) -> bool {
-        self.kind == RouteKind::ResumableStream && self.allows(service)
-    }
-
     /// The services that the route may send requests to.
     pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
         self.targets.iter().filter(|target| target.weight > 0).map(|target| &target.service)
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -102,14 +102,6 @@
         self.socket.get().is_some()
     }
 
-    /// Age of the last reading that agrees with this daemon's list of upstreams; `None` if the daemon
-    /// exchanges no lists.
-    pub fn list_age(&self, now: Moment) -> Option<Duration> {
-        self.fleet.get()?;
-        let age = |stamp: ListStamp| Duration::from_millis(u64::from(stamp.age_ms));
-        Some(self.list.stamp(now).map_or(Duration::MAX, age))
-    }
-
     /// Returns the last reading that agrees with this daemon's list of upstreams.
     pub fn list_stamp(&self, now: Moment) -> Option<ListStamp> {
         self.fleet.get()?;
--- a/src/traffic/pool_runtime.rs
+++ b/src/traffic/pool_runtime.rs
@@ -306,6 +306,11 @@
         self.inspect(|scheduler| scheduler.upstreams().find(name))
     }
 
+    /// True if some usable upstream may serve requests with this demand.
+    pub fn has_usable(&self, demand: &PlacementDemand) -> bool {
+        self.inspect(|scheduler| scheduler.upstreams().has_usable(demand))
+    }
+
     /// True if an upstream may serve a request with this demand.
     pub fn meets(&self, upstream: UpstreamIndex, demand: &PlacementDemand) -> bool {
         let meets = |status: &UpstreamStatus| status.meets(demand);
--- a/src/traffic/routed/placing.rs
+++ b/src/traffic/routed/placing.rs
@@ -131,7 +131,8 @@
             let Some(placed) = waited else { continue };
             self.check_quarantine(&service)?;
             let matched = self.match_by(rule, history)?;
-            let meets_demand = placed.pool.meets(placed.upstream, &self.demand(&matched, except));
+            let demand = self.demand(&placed.pool, &matched, except);
+            let meets_demand = placed.pool.meets(placed.upstream, &demand);
             let may_use_arm = self.may_use_arm(&service, placed.arm);
             if matched.route.allows(&service) && may_use_arm && meets_demand {
                 return Ok((placed, matched));
@@ -162,9 +163,23 @@
     }
 
     /// What the request demands of its upstream.
-    fn demand(&self, matched: &RouteMatch, except: Option<&UpstreamName>) -> PlacementDemand {
+    fn demand(
+        &self,
+        pool: &PoolRuntime,
+        matched: &RouteMatch,
+        except: Option<&UpstreamName>,
+    ) -> PlacementDemand {
         let version = self.origin.and_then(|origin| origin.version);
-        PlacementDemand { homes: matched.homes.clone(), version, except: except.cloned() }
+        let begins_stream =
+            matched.route.kind == RouteKind::ResumableStream && self.origin.is_none();
+        let needs_announced =
+            begins_stream && !self.state.origins.held_back(&self.state, &pool.service).is_empty();
+        let (homes, except) = (matched.homes.clone(), except.cloned());
+        let demand = PlacementDemand { homes, version, except, needs_announced };
+        match needs_announced && !pool.has_usable(&demand) {
+            true => PlacementDemand { needs_announced: false, ..demand },
+            false => demand,
+        }
     }
 
     /// True if the request may be sent to an arm of its service's roll-out.
@@ -203,7 +218,8 @@
     ) -> Result<Option<PlacedRequest>, AnswerKind> {
         let ChosenPool { pool, arm, ticket } = chosen;
         let number = RequestId(self.state.new_request_id().0);
-        let (mut guard, mut decision) = pool.submit(self.arrived_request(number, matched, except));
+        let arrived = self.arrived_request(&pool, number, matched, except);
+        let (mut guard, mut decision) = pool.submit(arrived);
         loop {
             let limit = self.time_left();
             let waited = tokio::select! {
@@ -277,6 +293,7 @@
 
     fn arrived_request(
         &self,
+        pool: &PoolRuntime,
         id: RequestId,
         matched: &RouteMatch,
         except: Option<&UpstreamName>,
@@ -300,7 +317,7 @@
             sizes: self.sizes,
             // A search is no request of its own in the account of sizes.
             size_tenth: self.size_tenth.filter(|_| except.is_none()),
-            demand: self.demand(matched, except),
+            demand: self.demand(pool, matched, except),
             may_be_resumed: route.kind == RouteKind::ResumableStream,
             must_stay: self.must_stay,
             route: RouteKey::of(&route.route),
--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -23,6 +23,7 @@
 use crate::policy::{
     ColdBound, ColdTolerance, LimitTable, Mechanism, MechanismSet, Moment, PoolEvent, PoolPlan,
     RequestSizes, RetryBound, RetryBudget, RetryDetector, RouteSizes, SizeDecile, UpstreamIndex,
+    VersionHash,
 };
 use crate::rollout::version_pool_name;
 use crate::table::{
@@ -546,10 +547,10 @@
                 Some(row) => version_sources(&row, &platform, table, pool),
                 None => platform.upstream_sources(table, &pool.service),
             };
-            if table.routes.iter().any(|route| route.may_resume_at(&pool.service)) {
-                self.origins.hold_back(self, &pool.service, &mut sources);
-            }
+            let held_back = self.origins.held_back(self, &pool.service);
             for source in &mut sources {
+                let version = source.version.as_ref().map(VersionHash::of);
+                source.is_unannounced = version.is_some_and(|it| held_back.contains(&it));
                 let Some(name) = &source.data_centre else { continue };
                 source.region = self.regions.get().and_then(|regions| regions.get(name).cloned());
                 source.is_evacuated = evacuated.as_ref().is_some_and(|set| set.contains(name));
--- a/src/traffic/stream_origins.rs
+++ b/src/traffic/stream_origins.rs
@@ -5,6 +5,7 @@
 use super::state::TrafficState;
 use crate::fleet_state::ServiceHash;
 use crate::policy::{Moment, UpstreamSource, VersionHash};
+use crate::report::record_unannounced;
 use crate::stream_origin::{
     AnnouncedVersions, AttemptKey, LookupEvidence, LookupResult, MAX_ASKED, OWNER_COUNT,
     OriginFinding, OriginLookup, OriginMessage, OriginRecord, OriginTable, ROUND_TIMEOUT,
@@ -13,7 +14,7 @@
 };
 use crate::table::ServiceName;
 use slog::info;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -41,7 +42,7 @@
 pub struct StreamOrigins {
     table: Mutex<OriginTable>,
     history: Mutex<VersionHistory>,
-    voters: Mutex<KnownVoters>,
+    voters: Mutex<VoterAddresses>,
     /// The listed versions that voters have heard of.
     announced: Mutex<AnnouncedVersions>,
     /// Records that are still to be sent to voters.
@@ -54,7 +55,7 @@
 
 /// The voters' control addresses, as far as they are known.
 #[derive(Clone, Debug, Default)]
-struct KnownVoters {
+struct VoterAddresses {
     addresses: Vec<SocketAddr>,
     /// True if they are those in office, as the leader named them.
     are_named: bool,
@@ -108,34 +109,25 @@
     pub fn set_voters(&self, voters: Vec<SocketAddr>) {
         if !voters.is_empty() {
             lock(&self.announced).set_voters(&voters);
-            *lock(&self.voters) = KnownVoters { addresses: voters, are_named: true };
+            *lock(&self.voters) = VoterAddresses { addresses: voters, are_named: true };
         }
     }
 
     /// Sets the voters that the settings name, which may have been replaced.
     pub fn set_seed_voters(&self, voters: Vec<SocketAddr>) {
-        *lock(&self.voters) = KnownVoters { addresses: voters, are_named: false };
+        *lock(&self.voters) = VoterAddresses { addresses: voters, are_named: false };
     }
 
     fn voters(&self) -> Vec<SocketAddr> {
         lock(&self.voters).addresses.clone()
     }
 
-    /// Removes the upstreams whose versions may not be used yet.
-    pub fn hold_back(
-        &self,
-        state: &TrafficState,
-        service: &ServiceName,
-        sources: &mut Vec<UpstreamSource>,
-    ) {
-        if !state.fleet.is_exchanging() || !lock(&self.voters).are_named {
-            return;
+    /// The listed versions of a service at which no stream that may be resumed begins yet.
+    pub fn held_back(&self, state: &TrafficState, service: &ServiceName) -> BTreeSet<VersionHash> {
+        match state.fleet.is_exchanging() && lock(&self.voters).are_named {
+            true => lock(&self.announced).held_back(ServiceHash::of(service)),
+            false => BTreeSet::new(),
         }
-        let held_back = lock(&self.announced).held_back(ServiceHash::of(service));
-        sources.retain(|source| {
-            let version = source.version.as_ref().map(VersionHash::of);
-            version.is_none_or(|version| !held_back.contains(&version))
-        });
     }
 
     /// Announces versions to the voters that no majority of them has heard of.
@@ -147,7 +139,7 @@
         }
     }
 
-    /// Puts upstreams in force whose versions may be used now.
+    /// Lets streams begin at the versions that may be used now.
     pub fn use_announced(&self, state: &TrafficState) {
         let usable = lock(&self.announced).update(state.clock.now());
         for version in &usable {
@@ -160,7 +152,7 @@
         }
     }
 
-    /// Number of listed versions that may not be used yet.
+    /// Number of listed versions of which no majority of the voters has heard.
     pub fn unannounced_count(&self) -> usize {
         lock(&self.announced).pending().iter().map(|report| report.versions.len()).sum()
     }
@@ -191,6 +183,7 @@
             }
             self.use_announced(state);
             self.announce_versions(state);
+            record_unannounced(self.unannounced_count());
             let records = std::mem::take(&mut *lock(&self.unsent_to_voters));
             let voters = self.voters();
             send_records(state, &records, |key| owners(key, &voters, None, VOTER_COPIES));
@@ -257,7 +250,7 @@
             found = self.ask_voters(state, stream, asking.with_voters(self.voters())) => return found,
         };
         let owners = owners(stream.key, &peers.addresses, peers.own, MAX_ASKED);
-        let KnownVoters { addresses: voters, are_named } = lock(&self.voters).clone();
+        let VoterAddresses { addresses: voters, are_named } = lock(&self.voters).clone();
         let quorum = match are_named {
             _ if !state.fleet.is_exchanging() => VersionQuorum::Own,
             true => VersionQuorum::Voters,
--- a/tests/test_resumed_requests.rs
+++ b/tests/test_resumed_requests.rs
@@ -27,9 +27,8 @@
 /// A request that resumes a stream of `version`.
 fn resuming(id: u64, version: &str, millis: u64) -> ArrivedRequest {
     let demand = PlacementDemand {
-        homes: None,
         version: Some(VersionHash::of(&version.into())),
-        except: None,
+        ..PlacementDemand::default()
     };
     ArrivedRequest { demand, may_be_resumed: true, ..arrived(id, 1, 10, millis) }
 }
--- a/tests/test_stream_versions.rs
+++ b/tests/test_stream_versions.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 use tarragonknot::answer::AnswerKind;
 use tarragonknot::fleet_state::ServiceHash;
-use tarragonknot::policy::RetryBound;
+use tarragonknot::policy::{RetryBound, VersionHash};
 use tarragonknot::rollout::{RolloutEvent, RolloutLog, RolloutOrder, RolloutRows, RolloutStep};
 use tarragonknot::stream_origin::{AttemptKey, OriginFinding, OriginMessage, VersionClaim};
 use tarragonknot::traffic::TrafficState;
@@ -26,6 +26,8 @@
 const STREAMS: usize = 24;
 /// Time within which daemons learn of each other and of streams; generous even for a busy machine.
 const NOTICE_TIME: Duration = Duration::from_secs(20);
+/// Time within which a stream of a route with a timeout of 1 s may be resumed.
+const LISTED_HORIZON: Duration = Duration::from_secs(2);
 /// Key of the organisation `others`.
 const OTHER_KEY: &str = "others-key";
 
@@ -136,6 +138,31 @@
         assert!(is_announced, "the voter has not heard of all versions");
     }
 
+    /// Waits until the voter claims this of the time in which a stream may be resumed.
+    async fn wait_for_claim(&self, claim: VersionClaim) {
+        let claimed = async {
+            while self.voter_claim(LISTED_HORIZON) != claim {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let is_claimed = tokio::time::timeout(NOTICE_TIME, claimed).await.is_ok();
+        assert!(is_claimed, "the voter claims {:?}", self.voter_claim(LISTED_HORIZON));
+    }
+
+    fn voter_claim(&self, horizon: Duration) -> VersionClaim {
+        let ask = OriginMessage::Ask {
+            number: 1,
+            key: AttemptKey::of("agents", "never-seen"),
+            service: ServiceHash::of(&"pool".into()),
+            horizon_ms: horizon.as_millis() as u32,
+        };
+        let (state, address) = &self.voter;
+        match state.origins.handle_message(ask, *address, state.clock.now()) {
+            Some(OriginMessage::Reply { finding: OriginFinding::Unknown(claim), .. }) => claim,
+            other => panic!("{other:?}"),
+        }
+    }
+
     /// Lists the engines whose versions are `listed`, at all entries.
     fn list(&self, listed: impl Fn(&str) -> bool) {
         let rows = self.engines.iter().filter(|(_, version)| listed(version));
@@ -346,6 +373,29 @@
     assert_eq!(versions, BTreeSet::from(["v1".to_owned()]));
 }
 
+/// Guards against a stream that goes on at the version which an entry and its peer list, though a new one
+/// began to serve at another entry, which is gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_with_an_older_list_asks_the_voter_for_other_versions() {
+    let mut fleet = VersionedFleet::start(3, TWO_VERSIONS, EVENTS).await;
+    let document = document(2).replace("\"timeout_ms\":3000", "\"timeout_ms\":1000");
+    fleet.entries.iter().for_each(|entry| entry.apply(2, &document));
+    fleet.list(|version| version == "v1");
+    fleet.wait_until_announced().await;
+    fleet.wait_for_claim(VersionClaim::Sole(VersionHash::of(&"v1".into()))).await;
+    let headers = [("last-event-id", "2")];
+
+    let before = fleet.entries[1].stream("/resumable/", "r1", &headers).await;
+    let rows: Vec<_> = fleet.engines.iter().map(|(engine, version)| (engine, *version)).collect();
+    fleet.entries[0].list_versions(&rows, VmState::Live);
+    fleet.wait_for_claim(VersionClaim::Several).await;
+    fleet.kill(0);
+    let after = fleet.entries[1].stream("/resumable/", "r2", &headers).await;
+
+    assert_eq!((before.status, before.is_whole), (StatusCode::OK, true), "{before:?}");
+    assert_eq!(after.status, StatusCode::SERVICE_UNAVAILABLE, "{after:?}");
+}
+
 /// Guards against upstreams of a new version that stay unused.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn streams_begin_at_a_new_version_that_a_voter_has_heard_of() {
