Questions of an earlier process get no replies in a later one

Found by review: questions to record owners were numbered from 0 in every process, at the same address, and replies name the number alone. A peer that stood still could answer a question of a process that was killed, and its record was taken for that of another stream. Numbers now begin at the random boot number. Read, not reproduced.

--- a/src/traffic/stream_origins.rs
+++ b/src/traffic/stream_origins.rs
@@ -296,7 +296,8 @@
         mut lookup: OriginLookup,
     ) -> FoundOrigin {
         let key = stream.key;
-        let number = self.next_question.fetch_add(1, Ordering::Relaxed);
+        // Replies to questions of an earlier process at this address must not match.
+        let number = state.boot().wrapping_add(self.next_question.fetch_add(1, Ordering::Relaxed));
         let (sender, mut replies) = mpsc::unbounded_channel();
         lock(&self.questions).insert(number, sender);
         let _question = QuestionGuard { origins: self, number };
