Soak: LOST leaves out requests whose peer was disrupted, with its record

RULES.md, LOST: "Around planned work, with no unplanned disruption from contact_ms before the request to its end". The check looked for disruptions of the entry that took the request and of its engine only.

The check stays stricter: besides those above only a disruption of a process through which this request was passed on counts, as the lines "sent through a peer" in the log of the entry that took the request name it, within the same time. A fault of the connections between callers and an entry does not count for requests that passed through that entry as a peer. Each such request goes into cuts.txt with the peer, the time between the disruption and the end, and the log lines; the summary counts them.

--- a/soak/losses.rs
+++ b/soak/losses.rs
@@ -1,6 +1,6 @@
 //! Requests that end without a complete answer although their engines are sound.
 
-use crate::context::{SoakContext, lock};
+use crate::context::{AddressKind, RELAY_PORT, SoakContext, lock};
 use crate::tables;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -25,6 +25,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FaultTarget {
     Entry(usize),
+    /// The connections between callers and an entry, whose process runs.
+    CallerLinks(usize),
     Engine(usize),
     AllEngines,
 }
@@ -61,6 +63,13 @@
     pub is_cut: bool,
 }
 
+impl EndedRequest {
+    /// True for a moment from `CONTACT_TIME` before the request to its end.
+    fn is_near(&self, at: Instant) -> bool {
+        at + CONTACT_TIME >= self.sent_at && at <= self.ended_at
+    }
+}
+
 /// Record of what ended requests, and of the planned and unplanned events around them.
 #[derive(Debug, Default)]
 pub struct LossRecord {
@@ -70,8 +79,8 @@
     hangups: Mutex<Vec<(Instant, usize)>>,
     terminations: Mutex<Vec<(Instant, usize)>>,
     /// Counts of requests that were cut after an engine got them, and of those whose engines were sound and
-    /// that were beside planned work.
-    counts: Mutex<[usize; 3]>,
+    /// that were beside planned work; and of those at sound engines whose peer was disrupted.
+    counts: Mutex<[usize; 4]>,
 }
 
 /// Records an engine's work on a request; a drop without an end is a crash.
@@ -140,17 +149,31 @@
 
     /// True if an unplanned fault may have ended the request.
     fn has_fault(&self, request: &EndedRequest, entries: &[usize], engine: usize) -> bool {
-        let is_near = |at: Instant| at + CONTACT_TIME >= request.sent_at && at <= request.ended_at;
         lock(&self.faults).iter().any(|(at, target)| {
             let concerns = match target {
-                FaultTarget::Entry(entry) => entries.contains(entry),
+                FaultTarget::Entry(entry) | FaultTarget::CallerLinks(entry) => {
+                    entries.contains(entry)
+                }
                 FaultTarget::Engine(number) => *number == engine,
                 FaultTarget::AllEngines => true,
             };
-            concerns && is_near(*at)
+            concerns && request.is_near(*at)
         })
     }
 
+    /// The last fault of a process among `peers`, through which the request was passed on, and how long
+    /// before the request's end it was.
+    fn peer_fault(&self, request: &EndedRequest, peers: &[usize]) -> Option<(usize, Duration)> {
+        let faults = lock(&self.faults);
+        let fault_of = |(at, target): &(Instant, FaultTarget)| match target {
+            FaultTarget::Entry(entry) if peers.contains(entry) && request.is_near(*at) => {
+                Some((*entry, request.ended_at - *at))
+            }
+            _ => None,
+        };
+        faults.iter().rev().find_map(fault_of)
+    }
+
     /// True if the entry received SIGTERM or SIGHUP before the request ended.
     fn is_beside_signal(&self, request: &EndedRequest) -> bool {
         let (sent_at, ended_at) = (request.sent_at, request.ended_at);
@@ -166,10 +189,10 @@
 
 impl fmt::Display for LossRecord {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let [cut, sound, planned] = *lock(&self.counts);
+        let [cut, sound, planned, peers] = *lock(&self.counts);
         write!(
             formatter,
-            "{cut} requests at engines were cut, {sound} at sound engines, {planned} beside planned work"
+            "{cut} requests at engines were cut, {sound} at sound engines, {planned} beside planned work, {peers} with a disrupted peer"
         )
     }
 }
@@ -208,6 +231,15 @@
         if ctx.losses.has_fault(request, &[request.entry], view.engine) {
             continue;
         }
+        let peers = passed_through(ctx, id, request);
+        if let Some((peer, time)) = ctx.losses.peer_fault(request, &peers) {
+            lock(&ctx.losses.counts)[3] += 1;
+            let detail = describe(ctx, id, request, view);
+            cuts.push_str(&format!(
+                "{id} passed on through entry {peer}, disrupted {time:?} before the end: {detail}\n"
+            ));
+            continue;
+        }
         lock(&ctx.losses.counts)[1] += 1;
         let time = tables::least_time(ctx, &request.path, request.sent_at, request.ended_at);
         let is_late = (request.ended_at - request.sent_at) * 10 >= time * USED_TENTHS;
@@ -239,12 +271,27 @@
     }
 }
 
+/// The entries through which a request was passed on, as the log of the entry that took it names them.
+/// "No unplanned disruption" (RULES.md, LOST) also concerns their processes.
+fn passed_through(ctx: &SoakContext, id: &str, request: &EndedRequest) -> Vec<usize> {
+    let lines = log_lines(ctx, request.entry, "\"sent through a peer\"");
+    let peer_of = |line: &String| {
+        let line: Value = serde_json::from_str(line).ok()?;
+        let peer = line["peer"].as_str().filter(|_| line["request"] == id)?;
+        let mut entries = 0..ctx.sizes.entries;
+        entries
+            .find(|entry| ctx.address(AddressKind::Entry, *entry, RELAY_PORT).to_string() == peer)
+    };
+    lines.iter().filter_map(peer_of).collect()
+}
+
 /// A cut request as its caller, its engine and its entry's log saw it.
 fn describe(ctx: &SoakContext, id: &str, request: &EndedRequest, view: EngineView) -> String {
     let EndedRequest { entry, path, last_event, .. } = request;
     let lines = log_lines(ctx, *entry, &format!("\"{id}\""));
-    let own_lines: Vec<&String> =
-        lines.iter().filter(|line| line.contains("\"stream ")).take(PRINTED_LINES).collect();
+    let is_told =
+        |line: &&String| line.contains("\"stream ") || line.contains("\"sent through a peer\"");
+    let own_lines: Vec<&String> = lines.iter().filter(is_told).take(PRINTED_LINES).collect();
     format!(
         "was cut at entry {entry} after {:?} and event {last_event} on {path}; engine {} {:?} {:?} after its send; log: {own_lines:?}",
         request.ended_at - request.sent_at,
--- a/soak/plan.rs
+++ b/soak/plan.rs
@@ -224,7 +224,7 @@
         }
         SoakStep::EntryProxy(entry, mode) => {
             ctx.record_disturbance();
-            ctx.losses.record_fault(FaultTarget::Entry(entry));
+            ctx.losses.record_fault(FaultTarget::CallerLinks(entry));
             ctx.proxies.set(ctx.address(AddressKind::EntryProxy, entry, CALLERS_PORT), mode);
         }
         SoakStep::EngineProxies(mode) => {
