Soak: callers take streams up at entries that run

So the three tries of a stream were used up within 0.2 s at entries that were down. Callers now choose among the entries whose process runs.

--- a/soak/callers.rs
+++ b/soak/callers.rs
@@ -2,6 +2,7 @@
 //! checks the responses.
 
 use crate::context::{AddressKind, CALLERS_PORT, SentRequest, SoakContext};
+use crate::fleet::{self, ProcessName};
 use crate::losses::EndedRequest;
 use crate::poison::sound_prompt;
 use crate::streams::{ReceivedEvents, has_two_engines};
@@ -151,12 +152,17 @@
     ctx.recorder.record_request(id, request);
 }
 
-/// Connects to any entry, for as long as all may be down.
+/// Connects to any entry whose process runs, for as long as all may be down. The proxy of an entry that is
+/// down accepts connections as well.
 async fn connect_once_back(ctx: &SoakContext, rng: &mut ChaCha8Rng) -> Option<CallerConnection> {
     let start = Instant::now();
     while start.elapsed() < MAX_ABSENCE {
         tokio::time::sleep(RETURN_PAUSE).await;
-        let connection = connect(ctx, rng.random_range(0..ctx.sizes.entries)).await;
+        let entry = rng.random_range(0..ctx.sizes.entries);
+        if !fleet::is_running(ctx, ProcessName::Entry(entry)) {
+            continue;
+        }
+        let connection = connect(ctx, entry).await;
         if connection.is_some() {
             return connection;
         }
@@ -180,12 +186,14 @@
         if is_complete || held.last_event == 0 || held.last_event >= draft.events {
             return;
         }
-        tokio::time::sleep(RETURN_PAUSE).await;
         let entry = rng.random_range(0..ctx.sizes.entries);
         let header = RESUMES_HEADERS[rng.random_range(0..RESUMES_HEADERS.len())];
-        let connection = match connect(ctx, entry).await {
-            None if ctx.restarts_entries => connect_once_back(ctx, rng).await,
-            connection => connection,
+        let connection = match ctx.restarts_entries {
+            true => connect_once_back(ctx, rng).await,
+            false => {
+                tokio::time::sleep(RETURN_PAUSE).await;
+                connect(ctx, entry).await
+            }
         };
         let Some(mut connection) = connection else { continue };
         let id = format!("{first_id}-{number}");
