--- a/soak/context.rs
+++ b/soak/context.rs
@@ -8,8 +8,8 @@
 use crate::poison::PoisonExecutions;
 use crate::proxy::ProxyModes;
 use crate::stated_rates::StatedRates;
-use crate::streams::StreamRecord;
-use crate::tables::TableRecord;
+use crate::streams::{ReleaseState, StreamRecord};
+use crate::tables::{self, TableRecord};
 use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -29,6 +29,9 @@
 pub const ENGINE_PORT: u16 = 18_080;
 /// Idle routes in the configurations of every second seed, some 90 KB.
 const LARGE_TABLE_ROUTES: usize = 350;
+/// Timeout of routes while releases are played. Entries rely on the only version that they list once
+/// they have watched for twice as long, which a short run reaches before its first release.
+const RELEASE_TIMEOUT_MS: u64 = 1_500;
 /// Maximum number of violations that are printed for one run.
 const MAX_PRINTED_VIOLATIONS: usize = 12;
 
@@ -41,6 +44,8 @@
     pub callers: usize,
     /// Routes of the configuration that no caller uses; a large table strains the voters.
     pub idle_routes: usize,
+    /// Timeout of the routes in the plain table.
+    pub timeout_ms: u64,
 }
 
 /// Kinds of participants; the value is the third octet of their addresses.
@@ -179,6 +184,9 @@
     pub sizes: FleetSizes,
     /// True if all entries are killed at once from time to time.
     pub restarts_entries: bool,
+    /// True if the engines' software is replaced by one version after the other.
+    pub plays_releases: bool,
+    pub releases: ReleaseState,
     pub program: PathBuf,
     pub recorder: RunRecorder,
     pub processes: Mutex<FleetProcesses>,
@@ -218,11 +226,18 @@
             engines: args.engines,
             callers: args.callers,
             idle_routes: if seed.is_multiple_of(2) { 0 } else { LARGE_TABLE_ROUTES },
+            timeout_ms: if args.out_of_step { RELEASE_TIMEOUT_MS } else { tables::TIMEOUT_MS },
         };
+        let releases = ReleaseState::default();
+        if args.out_of_step {
+            releases.start_with_one_version();
+        }
         SoakContext {
             seed,
             sizes,
-            restarts_entries: args.restart_entries,
+            restarts_entries: args.restart_entries || args.out_of_step,
+            plays_releases: args.out_of_step,
+            releases,
             program: args.program.clone(),
             recorder: RunRecorder::default(),
             processes: Mutex::default(),
--- a/soak/engines.rs
+++ b/soak/engines.rs
@@ -3,8 +3,8 @@
 use crate::connection::EngineConnection;
 use crate::context::{AddressKind, ENGINE_PORT, LIST_PORT, SoakContext, lock};
 use crate::losses::FaultTarget;
+use crate::proxy;
 use crate::wire::{WireStream, response_text};
-use crate::{proxy, streams};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
@@ -31,6 +31,8 @@
     pub listed_address: SocketAddr,
     pub draining_since: Option<Instant>,
     pub service: &'static str,
+    /// Version of its software.
+    pub version: String,
     task: AbortHandle,
 }
 
@@ -85,13 +87,31 @@
     let listener = TcpListener::bind(engine_address).await?;
     proxy::start(ctx, listed_address, engine_address).await?;
     let id = format!("i-{number:04}");
-    let task = tokio::spawn(accept_connections(Arc::clone(ctx), listener, id.clone(), number));
+    let version = ctx.releases.version_of(number);
+    let identity = EngineIdentity { id: id.clone(), number, version: version.clone() };
+    let task = tokio::spawn(accept_connections(Arc::clone(ctx), listener, identity));
     let task = task.abort_handle();
-    let engine = SimulatedEngine { id, listed_address, draining_since: None, service, task };
+    let engine =
+        SimulatedEngine { id, listed_address, draining_since: None, service, version, task };
     lock(&ctx.engines).engines.insert(number, engine);
     Ok(number)
 }
 
+/// Starts engines of the usual service.
+pub async fn add_many(ctx: &Arc<SoakContext>, count: usize) {
+    for _ in 0..count {
+        drop(add(ctx, SERVICE_NAME).await);
+    }
+}
+
+/// Numbers of the engines of the usual service that a release replaces.
+pub fn replaced(ctx: &SoakContext) -> Vec<usize> {
+    let set = lock(&ctx.engines);
+    let is_old = |engine: &SimulatedEngine| ctx.releases.is_old(&engine.version);
+    let engines = set.engines.iter().filter(|(_, engine)| engine.service == SERVICE_NAME);
+    engines.filter(|(_, engine)| is_old(engine)).map(|(number, _)| *number).collect()
+}
+
 /// Stops an engine at once, as a crash does, and resets its open connections; the next read of the
 /// list omits it. Returns its service.
 pub fn crash(ctx: &SoakContext, number: usize) -> Option<&'static str> {
@@ -109,22 +129,16 @@
     }
 }
 
-async fn accept_connections(
-    ctx: Arc<SoakContext>,
-    listener: TcpListener,
-    id: String,
-    number: usize,
-) {
+async fn accept_connections(ctx: Arc<SoakContext>, listener: TcpListener, engine: EngineIdentity) {
     let used_slots = Arc::new(Mutex::new(0u32));
     let mut connections = tokio::task::JoinSet::new();
-    let mut seed = ctx.seed ^ ((number as u64) << 32);
+    let mut seed = ctx.seed ^ ((engine.number as u64) << 32);
     while let Ok((stream, _)) = listener.accept().await {
         seed += 1;
         let rng = ChaCha8Rng::seed_from_u64(seed);
-        let engine = EngineIdentity { id: id.clone(), number };
         let connection = EngineConnection::new(
             Arc::clone(&ctx),
-            engine,
+            engine.clone(),
             WireStream::new(stream),
             rng,
             Arc::clone(&used_slots),
@@ -133,11 +147,12 @@
     }
 }
 
-/// The id and the number of an engine.
+/// The id, the number and the software version of an engine.
 #[derive(Clone, Debug)]
 pub struct EngineIdentity {
     pub id: String,
     pub number: usize,
+    pub version: String,
 }
 
 /// Serves the platform's list.
@@ -163,10 +178,10 @@
 
 fn list_document(ctx: &SoakContext) -> Value {
     let set = lock(&ctx.engines);
-    let rows = set.engines.iter().map(|(number, engine)| {
+    let rows = set.engines.values().map(|engine| {
         let state = if engine.draining_since.is_some() { "draining" } else { "ready" };
         json!({"id": engine.id, "service": engine.service, "address": engine.listed_address, "zone": "a", "slots": ENGINE_SLOTS,
-               "state": state, "version": streams::engine_version(*number), "cold_left_ms": 0})
+               "state": state, "version": engine.version, "cold_left_ms": 0})
     });
     json!({"instances": rows.collect::<Vec<Value>>(), "next_token": null})
 }
--- a/soak/main.rs
+++ b/soak/main.rs
@@ -15,6 +15,7 @@
 mod fleet;
 mod losses;
 mod operators;
+mod out_of_step;
 mod plan;
 mod planned;
 mod poison;
@@ -77,6 +78,9 @@
     /// Also kill all entries at once beside a release, every few seconds.
     #[arg(long)]
     restart_entries: bool,
+    /// Play releases of the engines' software alone, with entries that are out of step meanwhile.
+    #[arg(long)]
+    out_of_step: bool,
     /// Program to test; a copy with a deliberately broken rule should fail.
     #[arg(long, default_value = env!("CARGO_BIN_EXE_tarragonknot"))]
     program: PathBuf,
@@ -104,7 +108,10 @@
     let ctx = Arc::new(SoakContext::new(args, seed));
     let length = Duration::from_secs(args.seconds);
     let rng = &mut ChaCha8Rng::seed_from_u64(seed);
-    let mut steps = plan::schedule(rng, length, &ctx.sizes, args.planned);
+    let mut steps = match args.out_of_step {
+        true => out_of_step::schedule(rng, length, &ctx.sizes),
+        false => plan::schedule(rng, length, &ctx.sizes, args.planned),
+    };
     if args.restart_entries {
         plan::add_entry_restarts(&mut steps, rng, length, &ctx.sizes);
     }
@@ -114,7 +121,7 @@
         let traffic = callers::start(&ctx, seed);
         let operators = operators::start(&ctx, seed);
         let version_watch = checks::start_version_watch(&ctx);
-        let poison_caller = (!args.planned).then(|| poison::start(&ctx));
+        let poison_caller = (!args.planned && !args.out_of_step).then(|| poison::start(&ctx));
         plan::execute(&ctx, &steps).await;
         fleet::heal(&ctx).await;
         checks::wait_for_recovery(&ctx).await;
--- a/soak/operators.rs
+++ b/soak/operators.rs
@@ -2,7 +2,7 @@
 //! one reads it.
 
 use crate::checks;
-use crate::context::{AddressKind, OPERATORS_PORT, SoakContext, lock};
+use crate::context::{AddressKind, FleetSizes, OPERATORS_PORT, SoakContext, lock};
 use crate::tables::{self, TableChange, TableEdit};
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -129,9 +129,9 @@
 }
 
 async fn send_invalid_config(ctx: &SoakContext, voter: usize, version: u64) {
-    let mut invalid: Value =
-        serde_json::from_str(&tables::document(version + 1_000_000, 0, TableChange::PLAIN))
-            .unwrap_or_default();
+    let sizes = FleetSizes { idle_routes: 0, ..ctx.sizes };
+    let document = tables::document(version + 1_000_000, &sizes, TableChange::PLAIN);
+    let mut invalid: Value = serde_json::from_str(&document).unwrap_or_default();
     invalid["routes"][0]["service"] = json!("nobody");
     let request = Request::post("/-/config/replace").header("content-type", "application/json");
     if let Some((StatusCode::OK, _)) = call_voter(ctx, voter, request, invalid.to_string()).await {
--- a/soak/plan.rs
+++ b/soak/plan.rs
@@ -41,6 +41,11 @@
     /// Sets the mode of the proxies of all engines.
     EngineProxies(ProxyMode),
     AddEngine,
+    /// Starts this many engines of the next version.
+    BeginRelease(usize),
+    /// Lists the engines of versions before as draining, and starts this many of the new one.
+    DrainReplaced(usize),
+    RemoveReplaced,
     /// Crashes the engine at this index, modulo their count, among those that are not draining.
     CrashEngine(usize),
     LeaveEngine(usize),
@@ -236,6 +241,21 @@
             addresses.into_iter().for_each(|address| ctx.proxies.set(address, mode));
         }
         SoakStep::AddEngine => drop(engines::add(ctx, SERVICE_NAME).await),
+        SoakStep::BeginRelease(count) => {
+            ctx.releases.begin_next();
+            engines::add_many(ctx, count).await;
+        }
+        SoakStep::DrainReplaced(count) => {
+            let replaced = engines::replaced(ctx);
+            replaced.into_iter().for_each(|number| engines::start_drain(ctx, number));
+            engines::add_many(ctx, count).await;
+        }
+        SoakStep::RemoveReplaced => {
+            ctx.record_disturbance();
+            engines::replaced(ctx).into_iter().for_each(|number| {
+                engines::crash(ctx, number);
+            });
+        }
         SoakStep::CrashEngine(idx) => {
             ctx.record_disturbance();
             pick_engine(ctx, idx).into_iter().for_each(|number| {
--- a/soak/streams.rs
+++ b/soak/streams.rs
@@ -5,15 +5,46 @@
 use std::collections::BTreeSet;
 use std::fmt;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Versions of the engines' software; two engines in a row have the same one.
 const VERSIONS: [&str; 3] = ["v1", "v1.1", "v1.2"];
 /// Number of streams that are taken up from which the share that goes on is checked.
 const MIN_TAKEN_UP: usize = 12;
 
-/// Software version of an engine, by its number from 1.
-pub fn engine_version(number: usize) -> &'static str {
-    VERSIONS[(number - 1) / 2 % VERSIONS.len()]
+/// The software version of engines that start.
+#[derive(Debug, Default)]
+pub struct ReleaseState {
+    /// Number of the release; 0 if the versions follow the engines' numbers.
+    release: AtomicUsize,
+}
+
+impl ReleaseState {
+    /// Starts with a single version.
+    pub fn start_with_one_version(&self) {
+        self.release.store(1, Ordering::Relaxed);
+    }
+
+    /// Gives engines that start from now on the next version.
+    pub fn begin_next(&self) {
+        self.release.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Version of an engine that starts, by its number from 1.
+    pub fn version_of(&self, number: usize) -> String {
+        match self.release.load(Ordering::Relaxed) {
+            0 => VERSIONS[(number - 1) / 2 % VERSIONS.len()].to_owned(),
+            release => format!("v{release}"),
+        }
+    }
+
+    /// True if a release has replaced this version.
+    pub fn is_old(&self, version: &str) -> bool {
+        match self.release.load(Ordering::Relaxed) {
+            0 => false,
+            release => version != format!("v{release}"),
+        }
+    }
 }
 
 /// An event as an engine writes it.
@@ -126,7 +157,7 @@
 
 /// True if two engines of a version take requests.
 pub fn has_two_engines(ctx: &SoakContext, version: &str) -> bool {
-    lock(&ctx.engines).pool().filter(|(number, _)| engine_version(**number) == version).count() >= 2
+    lock(&ctx.engines).pool().filter(|(_, engine)| engine.version == version).count() >= 2
 }
 
 /// Checks that of the streams that were taken up at least half as large a share went on as of new ones
--- a/soak/tables.rs
+++ b/soak/tables.rs
@@ -2,7 +2,7 @@
 
 use crate::callers::{FREE_KEY, LIMITED_KEY, REQUEST_DEADLINE, ROUTE_HOST};
 use crate::checks;
-use crate::context::{SoakContext, lock};
+use crate::context::{FleetSizes, SoakContext, lock};
 use crate::engines::{ENGINE_SLOTS, OTHER_SERVICE, SERVICE_NAME};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -16,7 +16,8 @@
 const APPLY_TIME: Duration = Duration::from_secs(5);
 /// Time after an edit of a series in which the operators send no other edits.
 const SERIES_PAUSE: Duration = Duration::from_millis(500);
-const TIMEOUT_MS: u64 = 4_000;
+/// Timeout of the routes of the plain table, unless releases are played.
+pub const TIMEOUT_MS: u64 = 4_000;
 const SHORT_TIMEOUT_MS: u64 = 2_500;
 const LONG_TIMEOUT_MS: u64 = 12_000;
 
@@ -80,9 +81,9 @@
         }
     }
 
-    fn timeout(self, path: &str) -> Duration {
+    fn timeout(self, path: &str, usual_ms: u64) -> Duration {
         let is_short = self.kind == ChangeKind::ShorterTimeout && self.concerns(path);
-        Duration::from_millis(if is_short { SHORT_TIMEOUT_MS } else { TIMEOUT_MS })
+        Duration::from_millis(if is_short { SHORT_TIMEOUT_MS } else { usual_ms })
     }
 }
 
@@ -98,7 +99,7 @@
     pub fn new(ctx: &SoakContext, version: u64, change: TableChange) -> Self {
         ctx.tables.next_version.fetch_max(version, Ordering::Relaxed);
         lock(&ctx.tables.sent).insert(version, SentTable { change, sent_at: Instant::now() });
-        TableEdit { version, document: document(version, ctx.sizes.idle_routes, change) }
+        TableEdit { version, document: document(version, &ctx.sizes, change) }
     }
 
     /// An edit under the version `step` after the last one.
@@ -197,15 +198,16 @@
 /// The time that a request has under each table that may be in force between its send and its end.
 pub fn least_time(ctx: &SoakContext, path: &str, sent_at: Instant, ended_at: Instant) -> Duration {
     let tables = possible_tables(ctx, sent_at, ended_at);
-    let timeouts = tables.into_iter().map(|change| change.timeout(path));
+    let timeouts = tables.into_iter().map(|change| change.timeout(path, ctx.sizes.timeout_ms));
     timeouts.fold(REQUEST_DEADLINE, Duration::min)
 }
 
 /// The configuration of a version: the routes in use, one whose name contains the version, and a number
 /// that no caller uses.
-pub fn document(version: u64, idle_routes: usize, change: TableChange) -> String {
+pub fn document(version: u64, sizes: &FleetSizes, change: TableChange) -> String {
+    let FleetSizes { idle_routes, timeout_ms, .. } = *sizes;
     let route = |name: &str, kind: &str, max_attempts: u32, is_resumable: bool| {
-        json!({"name": name, "host": ROUTE_HOST, "path_prefix": format!("/{name}/"), "kind": kind, "timeout_ms": TIMEOUT_MS,
+        json!({"name": name, "host": ROUTE_HOST, "path_prefix": format!("/{name}/"), "kind": kind, "timeout_ms": timeout_ms,
                "latency_slo_ms": 400, "priority": 0, "service": SERVICE_NAME, "max_attempts": max_attempts, "public": false,
                "resumable": is_resumable, "gap_slo_ms": 300})
     };
