Soak: single entries and pairs are cut off from all other daemons

Daemons address each other by the addresses of their own sockets, so no proxy can stand between them. The soak therefore sets socket filters in the processes that it has started: datagrams are dropped by their source, and connections between daemons receive nothing at an entry that is cut off. Both directions or one; with or without the platform's list, which each entry now reads through a proxy of its own. It needs no root. Where the system does not permit it, the summary says so.

--- a/soak/context.rs
+++ b/soak/context.rs
@@ -2,6 +2,7 @@
 //! processes.
 
 use crate::SoakArgs;
+use crate::cuts::CutRecord;
 use crate::faults::FaultSettings;
 use crate::fleet::FleetProcesses;
 use crate::losses::LossRecord;
@@ -57,6 +58,8 @@
     EngineProxy = 8,
     Engine = 9,
     List = 20,
+    /// Between an entry and the platform's list.
+    ListProxy = 21,
 }
 
 /// A request as its caller sent it, and its outcome.
@@ -187,6 +190,8 @@
     /// True if the engines' software is replaced by one version after the other.
     pub plays_releases: bool,
     pub releases: ReleaseState,
+    /// Cuts between daemons.
+    pub cuts: CutRecord,
     pub program: PathBuf,
     pub recorder: RunRecorder,
     pub processes: Mutex<FleetProcesses>,
@@ -238,6 +243,7 @@
             restarts_entries: args.restart_entries || args.out_of_step,
             plays_releases: args.out_of_step,
             releases,
+            cuts: CutRecord::default(),
             program: args.program.clone(),
             recorder: RunRecorder::default(),
             processes: Mutex::default(),
--- a/soak/fleet.rs
+++ b/soak/fleet.rs
@@ -8,6 +8,7 @@
 use crate::losses::FaultTarget;
 use crate::tables::{TableChange, TableEdit};
 use crate::{checks, engines, operators, proxy};
+use rustix::process::Pid;
 use serde_json::{Value, json};
 use std::fs::OpenOptions;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -85,7 +86,8 @@
             settings["callers"] = json!(format!("{ip}:{CALLERS_PORT}"));
             settings["relay"] = json!(format!("{ip}:{RELAY_PORT}"));
             settings["readiness"] = json!(format!("{ip}:{READY_PORT}"));
-            settings["platform"] = json!({"list": ctx.address(AddressKind::List, 0, LIST_PORT)});
+            settings["platform"] =
+                json!({"list": ctx.address(AddressKind::ListProxy, number, LIST_PORT)});
             settings
         }
     }
@@ -156,7 +158,7 @@
     ctx.record_disturbance();
     let processes = lock(&ctx.processes);
     let Some((child, started_at)) = processes.running.get(&name) else { return };
-    let Some(pid) = rustix::process::Pid::from_raw(child.id() as i32) else { return };
+    let Some(pid) = Pid::from_raw(child.id() as i32) else { return };
     let is_starting = started_at.elapsed() < START_TIME && !catches_hangup(child.id());
     if signal == SoakSignal::Hangup && is_starting {
         return;
@@ -192,6 +194,13 @@
     lock(&ctx.processes).running.contains_key(&name)
 }
 
+/// The ids of the running processes.
+pub fn process_ids(ctx: &SoakContext) -> Vec<(ProcessName, Pid)> {
+    let processes = lock(&ctx.processes);
+    let ids = processes.running.iter();
+    ids.filter_map(|(name, (child, _))| Some((*name, Pid::from_raw(child.id() as i32)?))).collect()
+}
+
 /// Removes a killed voter's data folder.
 pub fn remove_data_folder(ctx: &SoakContext, name: ProcessName) {
     let _ = std::fs::remove_dir_all(ctx.folder().join(name.file_stem()));
@@ -211,6 +220,9 @@
         let proxy_address = ctx.address(AddressKind::EntryProxy, number, CALLERS_PORT);
         let entry_address = ctx.address(AddressKind::Entry, number, CALLERS_PORT);
         proxy::start(ctx, proxy_address, entry_address).await.map_err(to_text)?;
+        let list_proxy = ctx.address(AddressKind::ListProxy, number, LIST_PORT);
+        let list_address = ctx.address(AddressKind::List, 0, LIST_PORT);
+        proxy::start(ctx, list_proxy, list_address).await.map_err(to_text)?;
     }
     for name in process_names(ctx) {
         start(ctx, name).map_err(to_text)?;
--- a/soak/main.rs
+++ b/soak/main.rs
@@ -10,6 +10,7 @@
 mod checks;
 mod connection;
 mod context;
+mod cuts;
 mod engines;
 mod faults;
 mod fleet;
@@ -147,7 +148,8 @@
     let violations = ctx.recorder.violations();
     let all_steps: String = steps.iter().map(|step| format!("{step}\n")).collect();
     drop(std::fs::write(ctx.folder().join("steps.txt"), all_steps));
-    let summary = format!("{}; {}; {}", ctx.recorder.summary(), ctx.streams, ctx.losses);
+    let summary =
+        format!("{}; {}; {}; {}", ctx.recorder.summary(), ctx.streams, ctx.losses, ctx.cuts);
     if violations.is_empty() {
         println!("seed {}: kept, {} steps; {summary}", ctx.seed, steps.len());
         if keep {
--- a/soak/out_of_step.rs
+++ b/soak/out_of_step.rs
@@ -2,10 +2,12 @@
 //! and the loss of other entries soon after: streams of the new version break and are taken up there.
 
 use crate::context::FleetSizes;
+use crate::cuts::{CutWay, DaemonCut};
 use crate::fleet::{ProcessName, SoakSignal};
 use crate::plan::{SoakStep, TimedStep};
+use crate::proxy::ProxyMode;
 use rand::Rng;
-use rand::seq::SliceRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use rand_chacha::ChaCha8Rng;
 use std::ops::Range;
 use std::time::Duration;
@@ -28,6 +30,8 @@
 const DOWN_MS: Range<u64> = 400..1_500;
 /// Greatest time between the end of a disruption and kills that take place beside it.
 const KILL_LEAD_MS: u64 = 150;
+/// Half of the cuts are of both directions.
+const CUT_WAYS: [CutWay; 4] = [CutWay::Both, CutWay::Both, CutWay::In, CutWay::Out];
 /// An entry that is slowed runs and stands still in turns.
 const SLOW_RUN: Duration = Duration::from_millis(30);
 const SLOW_STOP: Duration = Duration::from_millis(90);
@@ -70,9 +74,10 @@
     let others = entries.split_off(count);
     let began_at = at.saturating_sub(draw(rng, LEAD_MS));
     let time = draw(rng, DISRUPTION_MS);
-    let mut steps = match rng.random_range(0..3) {
+    let mut steps = match rng.random_range(0..6) {
         0 | 1 => pause(&entries, began_at, time),
-        _ => slow(&entries, began_at, time),
+        2 => slow(&entries, began_at, time),
+        _ => cut(rng, &entries, began_at, time),
     };
     // Half of the kills take place just before the end of the disruption.
     let killed_at = match rng.random() {
@@ -87,6 +92,20 @@
     steps
 }
 
+/// Cuts entries off from all other daemons for `time`, and in half of the cases from the platform's list.
+fn cut(rng: &mut ChaCha8Rng, entries: &[usize], at: Duration, time: Duration) -> Vec<TimedStep> {
+    let way = CUT_WAYS.choose(rng).copied().unwrap_or(CutWay::Both);
+    let ends = [entries[0], entries[entries.len() - 1]];
+    let mut steps = vec![timed(at, SoakStep::Cut(DaemonCut { entries: ends, way, time }))];
+    if rng.random() {
+        for entry in entries {
+            steps.push(timed(at, SoakStep::ListProxy(*entry, ProxyMode::CutBack)));
+            steps.push(timed(at + time, SoakStep::ListProxy(*entry, ProxyMode::Pass)));
+        }
+    }
+    steps
+}
+
 /// Lets entries stand still for `time`.
 fn pause(entries: &[usize], at: Duration, time: Duration) -> Vec<TimedStep> {
     let pause_of = |entry: &usize| {
--- a/soak/plan.rs
+++ b/soak/plan.rs
@@ -1,6 +1,7 @@
 //! The schedule of faults: computed from the seed alone, then executed at the scheduled times.
 
-use crate::context::{AddressKind, CALLERS_PORT, FleetSizes, SoakContext, lock};
+use crate::context::{AddressKind, CALLERS_PORT, FleetSizes, LIST_PORT, SoakContext, lock};
+use crate::cuts::{self, DaemonCut};
 use crate::engines::{self, SERVICE_NAME};
 use crate::fleet::{self, ProcessName, SoakSignal};
 use crate::losses::FaultTarget;
@@ -38,6 +39,10 @@
     /// Kills a voter and removes its data folder.
     Wipe(usize),
     EntryProxy(usize, ProxyMode),
+    /// Sets the mode of the proxy between an entry and the platform's list.
+    ListProxy(usize, ProxyMode),
+    /// Cuts entries off from all other daemons for a while.
+    Cut(DaemonCut),
     /// Sets the mode of the proxies of all engines.
     EngineProxies(ProxyMode),
     AddEngine,
@@ -232,6 +237,18 @@
             ctx.losses.record_fault(FaultTarget::CallerLinks(entry));
             ctx.proxies.set(ctx.address(AddressKind::EntryProxy, entry, CALLERS_PORT), mode);
         }
+        SoakStep::ListProxy(entry, mode) => {
+            fleet::record_fault(ctx, ProcessName::Entry(entry));
+            ctx.proxies.set(ctx.address(AddressKind::ListProxy, entry, LIST_PORT), mode);
+        }
+        SoakStep::Cut(cut) => {
+            ctx.record_contact_change();
+            ctx.record_disturbance();
+            cut.entries
+                .iter()
+                .for_each(|entry| fleet::record_fault(ctx, ProcessName::Entry(*entry)));
+            cuts::start(ctx, cut);
+        }
         SoakStep::EngineProxies(mode) => {
             ctx.record_contact_change();
             ctx.record_disturbance();
