--- a/soak/engines.rs
+++ b/soak/engines.rs
@@ -33,6 +33,9 @@
     pub service: &'static str,
     /// Version of its software.
     pub version: String,
+    /// True once it has been killed while its listening socket stays open.
+    is_silent: bool,
+    listener: Arc<TcpListener>,
     task: AbortHandle,
 }
 
@@ -46,7 +49,8 @@
 impl EngineSet {
     /// The engines of the usual service that take requests, and their numbers.
     pub fn pool(&self) -> impl Iterator<Item = (&usize, &SimulatedEngine)> {
-        let is_serving = |engine: &SimulatedEngine| engine.draining_since.is_none();
+        let is_serving =
+            |engine: &SimulatedEngine| engine.draining_since.is_none() && !engine.is_silent;
         let engines = self.engines.iter();
         engines.filter(move |(_, engine)| is_serving(engine) && engine.service == SERVICE_NAME)
     }
@@ -77,24 +81,67 @@
 
 /// Starts another engine of a service and its proxy.
 pub async fn add(ctx: &Arc<SoakContext>, service: &'static str) -> std::io::Result<usize> {
-    let number = {
-        let mut set = lock(&ctx.engines);
-        set.last_number += 1;
-        set.last_number
-    };
+    let number = next_number(ctx);
     let engine_address = ctx.address(AddressKind::Engine, number, ENGINE_PORT);
     let listed_address = ctx.address(AddressKind::EngineProxy, number, ENGINE_PORT);
-    let listener = TcpListener::bind(engine_address).await?;
+    let listener = Arc::new(TcpListener::bind(engine_address).await?);
     proxy::start(ctx, listed_address, engine_address).await?;
+    serve(ctx, number, service, listener, listed_address);
+    Ok(number)
+}
+
+fn next_number(ctx: &SoakContext) -> usize {
+    let mut set = lock(&ctx.engines);
+    set.last_number += 1;
+    set.last_number
+}
+
+/// Lists an engine and lets it accept connections.
+fn serve(
+    ctx: &Arc<SoakContext>,
+    number: usize,
+    service: &'static str,
+    listener: Arc<TcpListener>,
+    listed_address: SocketAddr,
+) {
     let id = format!("i-{number:04}");
     let version = ctx.releases.version_of(number);
     let identity = EngineIdentity { id: id.clone(), number, version: version.clone() };
-    let task = tokio::spawn(accept_connections(Arc::clone(ctx), listener, identity));
-    let task = task.abort_handle();
-    let engine =
-        SimulatedEngine { id, listed_address, draining_since: None, service, version, task };
+    let task = tokio::spawn(accept_connections(Arc::clone(ctx), Arc::clone(&listener), identity));
+    let engine = SimulatedEngine {
+        id,
+        listed_address,
+        draining_since: None,
+        service,
+        version,
+        is_silent: false,
+        listener,
+        task: task.abort_handle(),
+    };
     lock(&ctx.engines).engines.insert(number, engine);
-    Ok(number)
+}
+
+/// Kills an engine between two events and keeps its listening socket: connections open, and nothing
+/// answers until the next engine starts there. The list has it meanwhile.
+pub fn silence(ctx: &SoakContext, number: usize) {
+    ctx.losses.record_fault(FaultTarget::Engine(number));
+    if let Some(engine) = lock(&ctx.engines).engines.get_mut(&number) {
+        engine.is_silent = true;
+        engine.task.abort();
+    }
+}
+
+/// Starts new engines at the listening sockets of those that are silent.
+pub fn replace_silent(ctx: &Arc<SoakContext>) {
+    let silent: Vec<SimulatedEngine> = {
+        let mut set = lock(&ctx.engines);
+        let numbers = set.engines.iter().filter(|(_, engine)| engine.is_silent);
+        let numbers: Vec<usize> = numbers.map(|(number, _)| *number).collect();
+        numbers.iter().filter_map(|number| set.engines.remove(number)).collect()
+    };
+    for engine in silent {
+        serve(ctx, next_number(ctx), engine.service, engine.listener, engine.listed_address);
+    }
 }
 
 /// Starts engines of the usual service.
@@ -129,7 +176,11 @@
     }
 }
 
-async fn accept_connections(ctx: Arc<SoakContext>, listener: TcpListener, engine: EngineIdentity) {
+async fn accept_connections(
+    ctx: Arc<SoakContext>,
+    listener: Arc<TcpListener>,
+    engine: EngineIdentity,
+) {
     let used_slots = Arc::new(Mutex::new(0u32));
     let mut connections = tokio::task::JoinSet::new();
     let mut seed = ctx.seed ^ ((engine.number as u64) << 32);
--- a/soak/fleet.rs
+++ b/soak/fleet.rs
@@ -262,6 +262,7 @@
             break;
         }
     }
+    engines::replace_silent(ctx);
     while lock(&ctx.engines).pool().count() < 2 {
         let _ = engines::add(ctx, SERVICE_NAME).await;
     }
--- a/soak/main.rs
+++ b/soak/main.rs
@@ -82,6 +82,9 @@
     /// Play releases of the engines' software alone, with entries that are out of step meanwhile.
     #[arg(long)]
     out_of_step: bool,
+    /// Also kill engines whose listening sockets stay open until the next engines start.
+    #[arg(long)]
+    silent_engines: bool,
     /// Program to test; a copy with a deliberately broken rule should fail.
     #[arg(long, default_value = env!("CARGO_BIN_EXE_tarragonknot"))]
     program: PathBuf,
@@ -116,6 +119,9 @@
     if args.restart_entries {
         plan::add_entry_restarts(&mut steps, rng, length, &ctx.sizes);
     }
+    if args.silent_engines {
+        plan::add_silent_engines(&mut steps, rng, length);
+    }
     if let Err(detail) = fleet::start_all(&ctx).await {
         ctx.recorder.record_violation("START", detail);
     } else {
--- a/soak/plan.rs
+++ b/soak/plan.rs
@@ -14,6 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeSet;
 use std::fmt;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +22,10 @@
 const MAX_FAULT_INTERVAL_MS: u64 = 900;
 /// Upper bound of the time between two restarts of all entries.
 const MAX_RESTART_INTERVAL_MS: u64 = 6_000;
+/// Time between two times at which engines fall silent, how long they are, and how many at most.
+const SILENCE_INTERVAL_MS: Range<u64> = 700..2_500;
+const SILENCE_MS: Range<u64> = 500..4_500;
+const MAX_SILENT_ENGINES: usize = 3;
 /// Time after the loss of a disk in which no other disk is removed: the fleet tolerates the loss of
 /// one disk at a time.
 const VOTER_CATCH_UP_TIME: Duration = Duration::from_secs(8);
@@ -54,6 +59,10 @@
     /// Crashes the engine at this index, modulo their count, among those that are not draining.
     CrashEngine(usize),
     LeaveEngine(usize),
+    /// Kills the engine at this index, chosen in the same way, and keeps its listening socket.
+    SilenceEngine(usize),
+    /// Starts new engines at the sockets of the silent ones.
+    ReplaceSilent,
     /// Sets how many more of a thousand requests fail at the engines from now on.
     Misbehave(u64),
     Edit(TableChange),
@@ -131,6 +140,21 @@
     steps.sort_by_key(|timed| timed.at);
 }
 
+/// Adds engines that are killed while their listening sockets stay open until the next ones start.
+pub fn add_silent_engines(steps: &mut Vec<TimedStep>, rng: &mut ChaCha8Rng, length: Duration) {
+    let mut at = Duration::from_millis(rng.random_range(SILENCE_INTERVAL_MS));
+    while at < length {
+        for _ in 0..rng.random_range(1..=MAX_SILENT_ENGINES) {
+            let step = SoakStep::SilenceEngine(rng.random_range(0..64));
+            steps.push(TimedStep { at, step });
+        }
+        let silence = Duration::from_millis(rng.random_range(SILENCE_MS));
+        steps.push(TimedStep { at: at + silence, step: SoakStep::ReplaceSilent });
+        at += Duration::from_millis(rng.random_range(SILENCE_INTERVAL_MS));
+    }
+    steps.sort_by_key(|timed| timed.at);
+}
+
 /// Draws a fault: the step that starts it and, for a lasting fault, the step that ends it.
 fn draw_fault(
     rng: &mut ChaCha8Rng,
@@ -282,6 +306,11 @@
         SoakStep::LeaveEngine(idx) => {
             pick_engine(ctx, idx).into_iter().for_each(|number| engines::start_drain(ctx, number));
         }
+        SoakStep::SilenceEngine(idx) => {
+            ctx.record_disturbance();
+            pick_engine(ctx, idx).into_iter().for_each(|number| engines::silence(ctx, number));
+        }
+        SoakStep::ReplaceSilent => engines::replace_silent(ctx),
         SoakStep::Misbehave(per_mille) => ctx.faults.set_added_rate(per_mille),
         SoakStep::Edit(change) => operators::start_edit(ctx, change),
         SoakStep::PauseEngines { are_all, time } => ctx.pauses.start(are_all, time),
