Soak: kills fall within cuts more often, and most streams may be resumed

Kills came before streams had begun at the new version, or after the cut. They now come 0.5 s after the change at the earliest, or up to 0.6 s before the disruption ends; half of the engines join at first; five of eight requests are streams that may be resumed.

--- a/soak/callers.rs
+++ b/soak/callers.rs
@@ -125,7 +125,7 @@
         let Some(mut connection) = connection else { continue };
         sent_count += 1;
         let id = format!("{:x}-{caller}-{sent_count}", ctx.seed);
-        let kind = RequestKind::random(&mut rng);
+        let kind = RequestKind::random(&ctx, &mut rng);
         let draft = RequestDraft::random(kind, &mut rng);
         let request = draft.request(&id, None);
         record_request(&ctx, kind, &id);
@@ -241,8 +241,9 @@
 }
 
 impl RequestKind {
-    fn random(rng: &mut ChaCha8Rng) -> Self {
-        match rng.random_range(0..4) {
+    /// Draws a kind, while releases are played most often that of streams which may be resumed.
+    fn random(ctx: &SoakContext, rng: &mut ChaCha8Rng) -> Self {
+        match rng.random_range(0..if ctx.plays_releases { 8 } else { 4 }) {
             0 => RequestKind::Safe,
             1 => RequestKind::Unsafe,
             2 => RequestKind::Stream,
--- a/soak/out_of_step.rs
+++ b/soak/out_of_step.rs
@@ -21,15 +21,15 @@
 const OVERLAP_MS: Range<u64> = 1_200..2_000;
 const DRAIN_MS: Range<u64> = 400..800;
 /// One in how many engines joins at the start of a release.
-const JOINING_PART: usize = 3;
+const JOINING_PART: usize = 2;
 /// How long entries are out of step, and how long before the engines join or leave this begins.
 const DISRUPTION_MS: Range<u64> = 300..3_000;
 const LEAD_MS: Range<u64> = 0..250;
 /// Time from the change of the engines until other entries are killed, and how long those are down.
-const KILL_DELAY_MS: Range<u64> = 300..1_500;
+const KILL_DELAY_MS: Range<u64> = 500..1_500;
 const DOWN_MS: Range<u64> = 400..1_500;
-/// Greatest time between the end of a disruption and kills that take place beside it.
-const KILL_LEAD_MS: u64 = 150;
+/// Time from kills to the end of a disruption that they are placed by.
+const KILL_LEAD_MS: Range<u64> = 0..600;
 /// Half of the cuts are of both directions.
 const CUT_WAYS: [CutWay; 4] = [CutWay::Both, CutWay::Both, CutWay::In, CutWay::Out];
 /// An entry that is slowed runs and stands still in turns.
@@ -74,6 +74,7 @@
     let others = entries.split_off(count);
     let began_at = at.saturating_sub(draw(rng, LEAD_MS));
     let time = draw(rng, DISRUPTION_MS);
+    let ends_at = began_at + time;
     let mut steps = match rng.random_range(0..6) {
         0 | 1 => pause(&entries, began_at, time),
         2 => slow(&entries, began_at, time),
@@ -81,7 +82,7 @@
     };
     // Half of the kills take place just before the end of the disruption.
     let killed_at = match rng.random() {
-        true => began_at + time - Duration::from_millis(rng.random_range(0..KILL_LEAD_MS)),
+        true => ends_at.saturating_sub(draw(rng, KILL_LEAD_MS)),
         false => at + draw(rng, KILL_DELAY_MS),
     };
     let killed = if rng.random() { others.len() } else { others.len().div_ceil(2) };
