--- a/soak/answers.rs
+++ b/soak/answers.rs
@@ -10,10 +10,6 @@
 use std::io;
 use std::time::Duration;
 
-/// Time between two events of a stream.
-const EVENT_INTERVAL: Duration = Duration::from_millis(15);
-/// The same while releases are played, so that many streams are under way when entries are killed.
-const RELEASE_EVENT_INTERVAL: Duration = Duration::from_millis(30);
 /// Upper bound of the time that a plain request runs.
 const MAX_RUN_TIME_MS: u64 = 40;
 /// Header line of answers that state that the request was not executed.
@@ -232,12 +228,8 @@
         let mut text =
             format!("HTTP/1.1 200 OK\r\n{headers}content-type: text/event-stream\r\n{framing}\r\n");
         self.wire.write(&text).await?;
-        let interval = match self.ctx.plays_releases {
-            true => RELEASE_EVENT_INTERVAL,
-            false => EVENT_INTERVAL,
-        };
         for event in last_received + 1..=event_count {
-            tokio::time::sleep(interval).await;
+            tokio::time::sleep(self.ctx.event_interval).await;
             self.ctx.pauses.wait(self.engine.number).await;
             if event == pause_event {
                 let time = self.rng.random_range(planned::PAUSE_MS);
--- a/soak/context.rs
+++ b/soak/context.rs
@@ -190,6 +190,8 @@
     /// True if the engines' software is replaced by one version after the other.
     pub plays_releases: bool,
     pub releases: ReleaseState,
+    /// Time between two events of a stream.
+    pub event_interval: Duration,
     /// Cuts between daemons.
     pub cuts: CutRecord,
     pub program: PathBuf,
@@ -242,6 +244,7 @@
             sizes,
             restarts_entries: args.restart_entries || args.out_of_step,
             plays_releases: args.out_of_step,
+            event_interval: Duration::from_millis(args.event_ms),
             releases,
             cuts: CutRecord::default(),
             program: args.program.clone(),
--- a/soak/main.rs
+++ b/soak/main.rs
@@ -82,6 +82,9 @@
     /// Play releases of the engines' software alone, with entries that are out of step meanwhile.
     #[arg(long)]
     out_of_step: bool,
+    /// Time between two events of a stream in milliseconds.
+    #[arg(long, default_value_t = 15)]
+    event_ms: u64,
     /// Also kill engines whose listening sockets stay open until the next engines start.
     #[arg(long)]
     silent_engines: bool,
