A daemon that starts keeps the list that a peer has sent

Each request waited 1.5 s for the first list of upstreams, until the list changed next.

Cause: the exchange with peers starts before the reader of the list, which declares that no list was received yet. A peer's list that came in between was in use, and the declaration said that there was none.

Now a list that has upstreams counts, whenever it came.

--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -469,9 +469,12 @@
         self.platform_list.load_full()
     }
 
-    /// Declares that a list of upstreams will be read, and that none was received yet.
+    /// Declares that a list of upstreams will be read. Requests wait for it unless a peer has sent one
+    /// already.
     pub fn expect_upstream_list(&self) {
-        self.has_upstream_list.send_replace(false);
+        let _changes = self.lock_changes();
+        let has_upstreams = !self.platform_list.load().vms.is_empty();
+        self.has_upstream_list.send_replace(has_upstreams);
     }
 
     /// Waits for the first list of upstreams, for at most `max_wait`.
--- a/tests/test_routed.rs
+++ b/tests/test_routed.rs
@@ -367,6 +367,21 @@
     assert!((40..=46).contains(&engine.count()), "{}", engine.count());
 }
 
+/// Guards against a start after which each request waits for a list, as that of a peer came before the
+/// daemon began to read its own.
+#[tokio::test]
+async fn a_list_that_came_before_the_reader_starts_is_not_waited_for() {
+    let engine = ScriptedEngine::start("i-1", |_| EngineAction::Answer(200, "fine")).await;
+    let fleet = RoutedFleet::start(&[]).await;
+    fleet.list(&[&engine], VmState::Live);
+
+    fleet.state.expect_upstream_list();
+    let wait = fleet.state.wait_for_upstream_list(Duration::from_secs(3_600));
+    let waited = tokio::time::timeout(Duration::ZERO, wait).await;
+
+    assert!(waited.is_ok(), "the list of the peer was forgotten");
+}
+
 /// Guards against refusals between the start and the first list of upstreams: each costs a caller
 /// its only retry.
 #[tokio::test]
