Log and count what the unstated end of an answer was judged by

`answer's end checked` names the framing, the evidence (a probe's result, or what the content shows) and the decision (whole, resumed, cut, discarded); `tarragonknot_end_checks_total` counts the same. No decision changes.

The readers of plain answers become methods of one type, which knows where the answer comes from.

--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -192,6 +192,12 @@
         .increment(1);
 }
 
+/// Counts an answer whose end was checked, by what the check found and what became of the answer.
+pub fn record_end_check(framing: AnswerFraming, evidence: &'static str, decision: &'static str) {
+    counter!("tarragonknot_end_checks_total", "framing" => framing.name(), "evidence" => evidence, "decision" => decision)
+        .increment(1);
+}
+
 /// Updates the gauges and renders all metrics in the Prometheus text format.
 pub fn render_metrics(state: &TrafficState) -> String {
     for (service, pool) in state.pools().iter() {
--- a/src/traffic/crash_check.rs
+++ b/src/traffic/crash_check.rs
@@ -131,22 +131,29 @@
 
 /// Probes the upstream. One that accepts the connection but stays silent is busy, and thus alive.
 async fn probe_upstream(state: &TrafficState, upstream: &BrokenUpstream) -> CheckResult {
+    match probe_repeatedly(state, upstream).await {
+        ProbeOutcome::Refused | ProbeOutcome::Closed => CheckResult::Ended,
+        ProbeOutcome::OtherIncarnation => CheckResult::Replaced,
+        ProbeOutcome::Answered { .. } | ProbeOutcome::Leaving | ProbeOutcome::Silent => {
+            CheckResult::Alive
+        }
+    }
+}
+
+/// Probes the upstream, again if it closes the connection without an answer.
+pub async fn probe_repeatedly(state: &TrafficState, upstream: &BrokenUpstream) -> ProbeOutcome {
     let path = state.health_path(&upstream.service);
     let name = upstream.upstream.as_str();
     for attempt in 0..PROBE_ATTEMPTS {
         if attempt > 0 {
             tokio::time::sleep(PROBE_RETRY_DELAY).await;
         }
-        match probe(state, upstream.address, name, path.as_deref()).await {
-            ProbeOutcome::Refused => return CheckResult::Ended,
-            ProbeOutcome::OtherIncarnation => return CheckResult::Replaced,
-            ProbeOutcome::Answered { .. } | ProbeOutcome::Leaving | ProbeOutcome::Silent => {
-                return CheckResult::Alive;
-            }
-            ProbeOutcome::Closed => {}
+        let outcome = probe(state, upstream.address, name, path.as_deref()).await;
+        if outcome != ProbeOutcome::Closed {
+            return outcome;
         }
     }
-    CheckResult::Ended
+    ProbeOutcome::Closed
 }
 
 /// Updates the pool, so that this daemon, and soon the others, send no more requests to an upstream
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -317,7 +317,8 @@
     }
     let limit = request.time_left();
     let framing = body.framing();
-    let buffered = tokio::time::timeout(limit, buffered_response(&request, head, body)).await;
+    let reading = buffered_response(&request, &placed, head, body);
+    let buffered = tokio::time::timeout(limit, reading).await;
     let error = match buffered {
         Ok(Ok(response)) => {
             let is_failure = status.is_server_error();
--- a/src/traffic/routed/mod.rs
+++ b/src/traffic/routed/mod.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod attempt;
 mod dialect;
+mod end_check;
 mod events;
 mod forward;
 mod index;
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -1,6 +1,7 @@
 //! Relays answers to callers: plain ones once complete, streams event by event as they arrive.
 
 use super::attempt::SendError;
+use super::end_check::{CheckedEnd, EndDecision, EndEvidence, check_upstream_end};
 use super::events::EventSplitter;
 use super::forward::{SendResult, report_send_error};
 use super::next_place::{NextPlace, SilentSend, settle};
@@ -14,7 +15,6 @@
 use crate::quarantine::SuspectKeys;
 use crate::report::{record_cut_answer, record_stream_end};
 use crate::rollout::VersionOutcome;
-use crate::traffic::crash_check::has_ended;
 use crate::traffic::memory_budget::NoMemory;
 use crate::traffic::relay::ORIGIN_HEADER;
 use crate::upstream::{
@@ -58,77 +58,96 @@
 /// end is unstated counts as complete unless its content shows that it is not.
 pub async fn buffered_response(
     request: &RoutedRequest,
+    placed: &PlacedRequest,
     head: response::Parts,
     body: AnswerBody,
 ) -> Result<Response<Body>, BufferError> {
-    let body = whole_body(request, &head, body).await?;
+    let reading = BodyReading { request, source: placed.name.to_string(), head: &head };
+    let body = reading.whole_body(body).await?;
     let mut response = build_response(&head, body);
     response.headers_mut().remove(CONTENT_LENGTH);
     Ok(response)
 }
 
-/// Reads the body of an answer that is not a stream, as for [`buffered_response`].
-pub async fn whole_body(
-    request: &RoutedRequest,
-    head: &response::Parts,
-    body: AnswerBody,
-) -> Result<Body, BufferError> {
-    if request.state.memory.is_bounded() {
-        return held_body(request, head, body).await;
-    }
-    let collected = body.collect(ANSWER_LIMIT_BYTES).await;
-    let (bytes, end) = collected.map_err(|error| BufferError::Unusable(error.to_string()))?;
-    check_end(head, end, || bytes.to_vec())?;
-    Ok(Body::from(bytes))
+/// An answer that is not a stream and is being read.
+pub struct BodyReading<'a> {
+    pub request: &'a RoutedRequest,
+    /// Name of the upstream, or address of the peer, for logs.
+    pub source: String,
+    pub head: &'a response::Parts,
 }
 
-/// Reads a body whose memory is counted until it is written to the caller.
-async fn held_body(
-    request: &RoutedRequest,
-    head: &response::Parts,
-    mut body: AnswerBody,
-) -> Result<Body, BufferError> {
-    let (writer, held) = request.state.memory.begin_answer(request.id());
-    loop {
-        let read = tokio::select! {
-            biased;
-            () = writer.dropped() => return Err(BufferError::NoMemory),
-            read = body.read() => read,
-        };
-        match read {
-            BodyRead::Data(bytes) if writer.unread() + bytes.len() > ANSWER_LIMIT_BYTES => {
-                let error = BodyError::TooLarge { limit: ANSWER_LIMIT_BYTES };
-                return Err(BufferError::Unusable(error.to_string()));
-            }
-            BodyRead::Data(bytes) => {
-                writer.push(&bytes).map_err(|NoMemory| BufferError::NoMemory)?;
+impl BodyReading<'_> {
+    /// Reads the body, as for [`buffered_response`].
+    pub async fn whole_body(&self, body: AnswerBody) -> Result<Body, BufferError> {
+        if self.request.state.memory.is_bounded() {
+            return self.held_body(body).await;
+        }
+        let framing = body.framing();
+        let collected = body.collect(ANSWER_LIMIT_BYTES).await;
+        let (bytes, end) = collected.map_err(|error| BufferError::Unusable(error.to_string()))?;
+        self.check_end(framing, end, || bytes.to_vec())?;
+        Ok(Body::from(bytes))
+    }
+
+    /// Reads a body whose memory is counted until it is written to the caller.
+    async fn held_body(&self, mut body: AnswerBody) -> Result<Body, BufferError> {
+        let framing = body.framing();
+        let (writer, held) = self.request.state.memory.begin_answer(self.request.id());
+        loop {
+            let read = tokio::select! {
+                biased;
+                () = writer.dropped() => return Err(BufferError::NoMemory),
+                read = body.read() => read,
+            };
+            match read {
+                BodyRead::Data(bytes) if writer.unread() + bytes.len() > ANSWER_LIMIT_BYTES => {
+                    let error = BodyError::TooLarge { limit: ANSWER_LIMIT_BYTES };
+                    return Err(BufferError::Unusable(error.to_string()));
+                }
+                BodyRead::Data(bytes) => {
+                    writer.push(&bytes).map_err(|NoMemory| BufferError::NoMemory)?;
+                }
+                BodyRead::Ended(end) => {
+                    self.check_end(framing, end, || writer.copy_unread())?;
+                    writer.finish();
+                    return Ok(held.into_body(self.request.time_left()));
+                }
+                BodyRead::Broken(source) => {
+                    let error = BodyError::Incomplete { source };
+                    return Err(BufferError::Unusable(error.to_string()));
+                }
             }
-            BodyRead::Ended(end) => {
-                check_end(head, end, || writer.copy_unread())?;
-                writer.finish();
-                return Ok(held.into_body(request.time_left()));
+        }
+    }
+
+    /// Checks that a body whose end is unstated is not known to be incomplete.
+    fn check_end(
+        &self,
+        framing: AnswerFraming,
+        end: BodyEnd,
+        bytes: impl FnOnce() -> Vec<u8>,
+    ) -> Result<(), BufferError> {
+        let evidence = match end {
+            BodyEnd::Stated => EndEvidence::Stated,
+            BodyEnd::Unstated if !is_json(self.head) => EndEvidence::Unchecked,
+            BodyEnd::Unstated if is_complete_json(&bytes()) => EndEvidence::WholeDocument,
+            BodyEnd::Unstated => EndEvidence::WithinContent,
+        };
+        let checked = CheckedEnd { upstream: self.source.clone(), framing, evidence };
+        match evidence.fault() {
+            None => {
+                checked.report(self.request, EndDecision::Whole);
+                Ok(())
             }
-            BodyRead::Broken(source) => {
-                let error = BodyError::Incomplete { source };
-                return Err(BufferError::Unusable(error.to_string()));
+            Some(fault) => {
+                checked.report(self.request, EndDecision::Discarded);
+                Err(BufferError::Unusable(fault.to_owned()))
             }
         }
     }
 }
 
-/// Checks that a body whose end is unstated is not known to be incomplete.
-fn check_end(
-    head: &response::Parts,
-    end: BodyEnd,
-    bytes: impl FnOnce() -> Vec<u8>,
-) -> Result<(), BufferError> {
-    if end == BodyEnd::Unstated && is_json(head) && !is_complete_json(&bytes()) {
-        let detail = "the connection ended within a JSON document";
-        return Err(BufferError::Unusable(detail.to_owned()));
-    }
-    Ok(())
-}
-
 fn is_json(head: &response::Parts) -> bool {
     media_type(head).is_some_and(|name| name.eq_ignore_ascii_case("application/json"))
 }
@@ -400,6 +419,7 @@
             return RelayStep::Done;
         }
         loop {
+            let mut checked = None;
             let error = match self.next_event().await {
                 RelayEvent::Read(BodyRead::Data(bytes)) => match self.splitter.push(&bytes) {
                     Some(events) => {
@@ -414,13 +434,16 @@
                         format!("no event ends within {} bytes", self.splitter.pending_bytes())
                     }
                 },
-                RelayEvent::Read(BodyRead::Ended(end)) => match self.find_break(end).await {
-                    None => return self.end(),
-                    Some(detail) => {
-                        self.record_end();
-                        detail.to_owned()
-                    }
-                },
+                RelayEvent::Read(BodyRead::Ended(end)) => {
+                    let end = self.check_end(end).await;
+                    let Some(fault) = end.evidence.fault() else {
+                        end.report(&self.request, EndDecision::Whole);
+                        return self.end();
+                    };
+                    self.record_end();
+                    checked = Some(end);
+                    fault.to_owned()
+                }
                 RelayEvent::Read(BodyRead::Broken(error)) => error.to_string(),
                 RelayEvent::Deadline => return self.cut(CutCause::Deadline),
                 RelayEvent::NextSource(next) => match self.leave_for(next).await {
@@ -428,7 +451,15 @@
                     Err(cause) => return self.cut_unresumed(cause),
                 },
             };
-            if let Err(cause) = self.resume_broken(SendError::ConnectionBroken(error)).await {
+            let resumed = self.resume_broken(SendError::ConnectionBroken(error)).await;
+            if let Some(end) = checked {
+                let decision = match resumed {
+                    Ok(()) => EndDecision::Resumed,
+                    Err(_) => EndDecision::Cut,
+                };
+                end.report(&self.request, decision);
+            }
+            if let Err(cause) = resumed {
                 return self.cut_unresumed(cause);
             }
         }
@@ -503,21 +534,19 @@
         true
     }
 
-    /// Why a body that ends here is incomplete; `None` if it is complete. No framing makes half an
-    /// event complete, but content of no stated type may be something else. An unstated end between
-    /// two events is that of a whole stream, unless the upstream ended with it.
-    async fn find_break(&self, end: BodyEnd) -> Option<&'static str> {
-        let is_within_event = self.splitter.is_within_event();
-        match (end, self.source.placed()) {
-            (BodyEnd::Stated, _) if self.content == StreamContent::Unstated => None,
-            _ if is_within_event => Some("the stream ended within an event"),
-            (BodyEnd::Unstated, Some(placed))
-                if has_ended(&self.request.state, &placed.broken_upstream()).await =>
-            {
-                Some("the upstream ended with its stream")
+    /// Checks a body that ends here. No framing makes half an event complete, but content of no
+    /// stated type may be something else.
+    async fn check_end(&self, end: BodyEnd) -> CheckedEnd {
+        let evidence = match (end, self.source.placed()) {
+            (BodyEnd::Stated, _) if self.content == StreamContent::Unstated => EndEvidence::Stated,
+            _ if self.splitter.is_within_event() => EndEvidence::WithinContent,
+            (BodyEnd::Stated, _) => EndEvidence::Stated,
+            (BodyEnd::Unstated, None) => EndEvidence::Unchecked,
+            (BodyEnd::Unstated, Some(placed)) => {
+                check_upstream_end(&self.request.state, &placed.broken_upstream()).await
             }
-            _ => None,
-        }
+        };
+        CheckedEnd { upstream: self.source.name(), framing: self.framing, evidence }
     }
 
     /// How long the upstream may pause before another place is looked for.
--- a/tests/test_answer_end.rs
+++ b/tests/test_answer_end.rs
@@ -1,6 +1,7 @@
 //! Ends of answers: what an upstream broke off must not look complete to its caller, and what is
 //! whole must arrive.
 
+use crate::log_lines::LogLines;
 use crate::routed_fleet::{ConnectionEnd, EngineAction, KEY, RoutedFleet, ScriptedEngine};
 use bytes::Bytes;
 use futures_util::future::join_all;
@@ -12,9 +13,11 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
+use tarragonknot::report::{install_metrics, render_metrics};
 use tarragonknot::upstream::{
     ConnectionPool, PieceRead, PlainDriver, UpstreamCall, UpstreamDriver,
 };
+use tokio::runtime::Handle;
 
 /// Status line and headers that each answer of an engine begins with.
 const HEAD: &str =
@@ -118,9 +121,14 @@
 
 /// Starts an engine that answers each request but probes with these bytes.
 async fn raw_engine(text: String, end: ConnectionEnd) -> ScriptedEngine {
+    probed_engine(text, end, EngineAction::Answer(200, "ok")).await
+}
+
+/// Starts an engine that answers each request with these bytes, and probes with this action.
+async fn probed_engine(text: String, end: ConnectionEnd, probed: EngineAction) -> ScriptedEngine {
     ScriptedEngine::start_with_request("i-1", move |_, request| {
         match request.head.starts_with("GET ") {
-            true => EngineAction::Answer(200, "ok"),
+            true => probed.clone(),
             false => EngineAction::Raw(text.clone(), end),
         }
     })
@@ -434,3 +442,35 @@
     assert_eq!(received.is_whole, is_whole, "{received:?}");
     assert!(!is_whole || received.text == body, "{received:?}");
 }
+
+/// Guards against an answer's end of which no line and no metric says what it was judged by.
+#[rstest]
+#[case::alive("/stream/", "", EngineAction::Answer(200, "ok"), "replied", "whole")]
+#[case::replaced("/stream/", "", EngineAction::OtherIncarnation, "replaced", "cut")]
+#[case::closed("/stream/", "", EngineAction::Close, "closed", "cut")]
+#[case::within_an_event("/stream/", HALF_EVENT, EngineAction::Close, "within-content", "cut")]
+#[tokio::test]
+async fn the_end_of_an_unframed_answer_is_logged_and_counted(
+    #[case] path: &str,
+    #[case] rest: &str,
+    #[case] probed: EngineAction,
+    #[case] evidence: &str,
+    #[case] decision: &str,
+) {
+    install_metrics();
+    let text = StreamFraming::Unframed.answer(&(events(1, 3) + rest));
+    let engine = probed_engine(text, ConnectionEnd::Close, probed).await;
+    let log = LogLines::default();
+    let fleet = RoutedFleet::start_on(&Handle::current(), log.logger(), &[&engine]);
+
+    call(&fleet, path, "id-1", CallerVersion::Http1).await;
+
+    let line = log.wait_for("answer's end checked").await;
+    assert_eq!((&line["evidence"], &line["decision"]), (&evidence.into(), &decision.into()));
+    assert_eq!((&line["request"], &line["upstream"]), (&"id-1".into(), &"i-1".into()));
+    let counter = format!(
+        r#"tarragonknot_end_checks_total{{framing="connection",evidence="{evidence}",decision="{decision}"}}"#
+    );
+    let metrics = render_metrics(&fleet.state);
+    assert!(metrics.contains(&counter), "{metrics}");
+}
