A silent probe no longer makes an unframed stream whole

Cause: a stream without a length or chunks that ended between two events counted as whole unless a probe showed that the upstream had ended. Silence shows neither: a busy upstream keeps a health check waiting, and so does the socket of one that has ended.

Now such a stream is whole only if something shows that its upstream lives on: a reply to the probe; another connection that the upstream had accepted before and keeps open 0.5 s after, when those of a process that ended are closed; or the report of a model engine, which needs no free place. Else it goes on at another upstream, or is cut. A reply that may be a gateway's (502, 503, 504 without the upstream's name) shows nothing, and one that names another incarnation shows an end. The check ends with the deadline.

Ruled out: waiting longer than 1.3 s (callers leave after 2 s without an event), a count of events (the stated tokens are a maximum), a last event (the protocol has none), the platform's list (it keeps crashed upstreams for seconds). A check that counted every silent upstream as ended would cut whole streams of busy ones; tests keep those with a report or a kept connection.

--- a/src/daemon/background.rs
+++ b/src/daemon/background.rs
@@ -183,7 +183,7 @@
 ) {
     let path = state.health_path(&pool.service);
     let outcome = probe(state, address, name.as_str(), path.as_deref()).await;
-    if let ProbeOutcome::Answered { cold_left: left } = outcome {
+    if let ProbeOutcome::Answered { cold_left: left, .. } = outcome {
         // Before the upstream is used again, since it may crash under the load.
         pool.handle_event(PoolEvent::ColdReported { upstream, left });
     }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -24,6 +24,7 @@
 /// The platform's specification names the header without the usual prefix, so both names are read.
 const RESUMES: [&str; 2] = ["resumes", "tarragonknot-resumes"];
 const EXPECT_INSTANCE: &str = "tarragonknot-expect-instance";
+const INSTANCE: &str = "tarragonknot-instance-id";
 const TENANT: &str = "tarragonknot-tenant";
 const SERVER_SEAL: &str = "tarragonknot-server-seal";
 const NOT_EXECUTED: &str = "tarragonknot-not-executed";
@@ -42,6 +43,8 @@
 const MAX_REST: Duration = Duration::from_secs(600);
 const HOLD: &str = "tarragonknot-hold";
 const HOLD_TAKE_PATH: &str = "/-/hold-take";
+/// The report of a model engine, which waits for no slot.
+const REPORT_PATH: &str = "/-/report";
 /// Headers removed from callers' requests: only this system may set them on requests to engines.
 const SYSTEM_ONLY_HEADERS: [&str; 8] = [
     EXPECT_INSTANCE,
@@ -126,6 +129,10 @@
             .ok()
     }
 
+    fn report_call(&self, incarnation: &str) -> Option<Request<Bytes>> {
+        Request::get(REPORT_PATH).header(EXPECT_INSTANCE, incarnation).body(Bytes::new()).ok()
+    }
+
     fn read_reservation(&self, status: StatusCode, body: &[u8]) -> ReservationReply {
         match status {
             StatusCode::OK => match serde_json::from_slice(body) {
@@ -148,6 +155,7 @@
             echoed_id: text(headers, REQUEST_ID).filter(|id| !id.is_empty()).map(str::to_owned),
             is_not_run: is_other_incarnation || headers.contains_key(NOT_EXECUTED),
             is_other_incarnation,
+            incarnation: text(headers, INSTANCE).map(str::to_owned),
             is_signed,
             load: text(headers, SERVER_LOAD).and_then(read_load),
             idle_timeout: text(headers, KEEP_ALIVE).and_then(read_keep_alive),
--- a/src/traffic/probe.rs
+++ b/src/traffic/probe.rs
@@ -1,26 +1,31 @@
 //! Probes whether an upstream is alive and still the same incarnation.
 
-use super::routed::SendMetadata;
+use super::routed::{AnswerMetadata, SendMetadata};
 use super::state::TrafficState;
 use crate::upstream::{OpenError, can_connect};
 use bytes::Bytes;
 use http::header::HOST;
-use http::{HeaderMap, HeaderValue, Request};
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
 use http_body_util::Full;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Time after which an unanswered upstream counts as silent. Longer than the connect timeout of one
 /// second, so that an unreachable upstream is distinguished from a busy one.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(1_300);
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// Path that is requested if the service has no health path.
 const DEFAULT_HEALTH_PATH: &str = "/";
 
 /// Result of a probe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeOutcome {
-    /// The upstream answered, and said how much longer it is cold, if it is.
-    Answered { cold_left: Option<Duration> },
+    /// The upstream answered.
+    Answered {
+        /// How much longer the upstream is cold, if it says that it is.
+        cold_left: Option<Duration>,
+        /// False if something else may have answered, such as a gateway before the upstream.
+        is_own: bool,
+    },
     /// The upstream answered that it leaves.
     Leaving,
     /// Another incarnation uses the upstream's address.
@@ -33,6 +38,25 @@
     Silent,
 }
 
+impl ProbeOutcome {
+    /// Reads a reply to a request that names the expected incarnation.
+    pub fn of_reply(status: StatusCode, metadata: &AnswerMetadata, incarnation: &str) -> Self {
+        let named = metadata.incarnation.as_deref();
+        if metadata.is_other_incarnation || named.is_some_and(|name| name != incarnation) {
+            return ProbeOutcome::OtherIncarnation;
+        }
+        if metadata.is_leaving {
+            return ProbeOutcome::Leaving;
+        }
+        let is_gateway_status = matches!(
+            status,
+            StatusCode::BAD_GATEWAY | StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
+        );
+        let is_own = !is_gateway_status || named.is_some() || metadata.is_not_run;
+        ProbeOutcome::Answered { cold_left: metadata.cold_left, is_own }
+    }
+}
+
 /// Probes the upstream at `address` over a new connection.
 ///
 /// A successful connect alone does not prove that the upstream is alive. An upstream that crashed
@@ -50,7 +74,7 @@
     else {
         let is_open = can_connect(address).await;
         return match is_open {
-            true => ProbeOutcome::Answered { cold_left: None },
+            true => ProbeOutcome::Answered { cold_left: None, is_own: false },
             false => ProbeOutcome::Refused,
         };
     };
@@ -58,11 +82,7 @@
     match tokio::time::timeout(PROBE_TIMEOUT, sent).await {
         Ok(Ok((response, _connection))) => {
             let metadata = interface.dialect.read_answer(response.status(), response.headers());
-            match (metadata.is_other_incarnation, metadata.is_leaving) {
-                (true, _) => ProbeOutcome::OtherIncarnation,
-                (false, true) => ProbeOutcome::Leaving,
-                (false, false) => ProbeOutcome::Answered { cold_left: metadata.cold_left },
-            }
+            ProbeOutcome::of_reply(response.status(), &metadata, incarnation)
         }
         Ok(Err(OpenError::NotSent { .. })) => ProbeOutcome::Refused,
         Ok(Err(OpenError::Lost { .. })) => ProbeOutcome::Closed,
--- a/src/traffic/routed/dialect.rs
+++ b/src/traffic/routed/dialect.rs
@@ -86,6 +86,8 @@
     pub is_not_run: bool,
     /// True if the upstream is not the expected incarnation.
     pub is_other_incarnation: bool,
+    /// The incarnation that answers, if it names itself.
+    pub incarnation: Option<String>,
     /// True if the answer carries the upstream's signature.
     pub is_signed: bool,
     /// The load that the upstream reports.
@@ -115,6 +117,9 @@
     fn read_answer(&self, status: StatusCode, headers: &HeaderMap) -> AnswerMetadata;
     /// Builds the request that reserves a place; `None` if the platform has no reservations.
     fn reservation_call(&self, request: &ReservationRequest<'_>) -> Option<Request<Bytes>>;
+    /// Builds the request for the report of a model engine, which is answered without a wait for a place;
+    /// `None` if the platform has no such report.
+    fn report_call(&self, incarnation: &str) -> Option<Request<Bytes>>;
     /// Reads the reply to a reservation request.
     fn read_reservation(&self, status: StatusCode, body: &[u8]) -> ReservationReply;
 }
--- a/src/traffic/routed/end_check.rs
+++ b/src/traffic/routed/end_check.rs
@@ -1,15 +1,24 @@
 //! Checks whether an answer is whole whose upstream did not mark its end.
 //!
 //! An answer with neither a length nor chunks ends with its connection, and a connection also ends if
-//! the upstream does.
+//! the upstream does. Such an answer is whole only if something shows that the upstream lives on. Silence
+//! shows nothing: a busy upstream keeps a health check waiting, and the socket of an upstream that has
+//! ended may still accept connections, until another process serves it.
 
 use super::request::RoutedRequest;
 use crate::report::record_end_check;
 use crate::traffic::crash_check::{BrokenUpstream, probe_repeatedly};
-use crate::traffic::probe::ProbeOutcome;
+use crate::traffic::probe::{PROBE_TIMEOUT, ProbeOutcome};
 use crate::traffic::state::TrafficState;
 use crate::upstream::AnswerFraming;
+use http::header::HOST;
+use http_body_util::Full;
 use slog::info;
+use std::time::{Duration, Instant};
+
+/// Time after the end of an answer within which the other connections of an upstream that has ended are
+/// closed, too. A lost segment is sent again after 200 ms at the earliest.
+const CLOSING_TIME: Duration = Duration::from_millis(500);
 
 /// What the end of an answer is judged by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,6 +33,12 @@
     Unchecked,
     /// The upstream replied to a probe afterwards.
     Replied,
+    /// The upstream sent its report afterwards, while a probe waited.
+    Reported,
+    /// The upstream kept another connection open, while a probe waited.
+    ConnectionKept,
+    /// Something else may have replied to a probe, such as a gateway before the upstream.
+    GatewayReplied,
     /// The upstream accepted a probe's connection and did not reply.
     Silent,
     /// The upstream refused a probe's connection.
@@ -43,6 +58,9 @@
             EndEvidence::WholeDocument => "whole-document",
             EndEvidence::Unchecked => "unchecked",
             EndEvidence::Replied => "replied",
+            EndEvidence::Reported => "reported",
+            EndEvidence::ConnectionKept => "connection-kept",
+            EndEvidence::GatewayReplied => "gateway-replied",
             EndEvidence::Silent => "silent",
             EndEvidence::Refused => "refused",
             EndEvidence::Closed => "closed",
@@ -57,18 +75,28 @@
             EndEvidence::Refused | EndEvidence::Closed | EndEvidence::Replaced => {
                 Some("the upstream ended with its answer")
             }
+            EndEvidence::Silent | EndEvidence::GatewayReplied => {
+                Some("nothing shows that the upstream has not ended with its answer")
+            }
             EndEvidence::Stated
             | EndEvidence::WholeDocument
             | EndEvidence::Unchecked
             | EndEvidence::Replied
-            | EndEvidence::Silent => None,
+            | EndEvidence::Reported
+            | EndEvidence::ConnectionKept => None,
         }
     }
+
+    /// True if it is unknown whether the upstream has ended.
+    pub fn is_uncertain(self) -> bool {
+        matches!(self, EndEvidence::Silent | EndEvidence::GatewayReplied)
+    }
 }
 
 impl From<ProbeOutcome> for EndEvidence {
     fn from(outcome: ProbeOutcome) -> Self {
         match outcome {
+            ProbeOutcome::Answered { is_own: false, .. } => EndEvidence::GatewayReplied,
             ProbeOutcome::Answered { .. } | ProbeOutcome::Leaving => EndEvidence::Replied,
             ProbeOutcome::Silent => EndEvidence::Silent,
             ProbeOutcome::Refused => EndEvidence::Refused,
@@ -102,9 +130,71 @@
     }
 }
 
-/// Whether the upstream has ended, as it shows right after its answer has.
-pub async fn check_upstream_end(state: &TrafficState, upstream: &BrokenUpstream) -> EndEvidence {
-    probe_repeatedly(state, upstream).await.into()
+/// Checks within a time whether the upstream has ended with an answer that has just ended.
+pub async fn check_upstream_end(
+    state: &TrafficState,
+    upstream: &BrokenUpstream,
+    limit: Duration,
+) -> EndEvidence {
+    let limit = limit.min(PROBE_TIMEOUT);
+    let checking = tokio::time::timeout(limit, find_evidence(state, upstream, Instant::now()));
+    checking.await.unwrap_or(EndEvidence::Silent)
+}
+
+async fn find_evidence(
+    state: &TrafficState,
+    upstream: &BrokenUpstream,
+    ended_at: Instant,
+) -> EndEvidence {
+    let mut signs = std::pin::pin!(other_signs(state, upstream, ended_at));
+    let probed = tokio::select! {
+        biased;
+        outcome = probe_repeatedly(state, upstream) => EndEvidence::from(outcome),
+        evidence = &mut signs => return evidence,
+    };
+    match probed {
+        EndEvidence::GatewayReplied => {
+            let signs = tokio::time::timeout(2 * CLOSING_TIME, signs).await;
+            signs.unwrap_or(EndEvidence::GatewayReplied)
+        }
+        evidence => evidence,
+    }
+}
+
+/// What else shows that the upstream lives on, or doesn't; never returns if nothing does.
+async fn other_signs(
+    state: &TrafficState,
+    upstream: &BrokenUpstream,
+    ended_at: Instant,
+) -> EndEvidence {
+    tokio::time::sleep(CLOSING_TIME).await;
+    if state.connections().has_kept_since(upstream.address, ended_at) {
+        return EndEvidence::ConnectionKept;
+    }
+    match ask_report(state, upstream).await {
+        Some(evidence) => evidence,
+        None => std::future::pending().await,
+    }
+}
+
+/// Asks a model engine for its report, for which it needs no free place.
+async fn ask_report(state: &TrafficState, upstream: &BrokenUpstream) -> Option<EndEvidence> {
+    if !state.has_model_engines(&upstream.service) {
+        return None;
+    }
+    let (interface, incarnation) = (state.interface()?, upstream.upstream.as_str());
+    let mut call = interface.dialect.report_call(incarnation)?.map(Full::new);
+    call.headers_mut().insert(HOST, upstream.address.to_string().parse().ok()?);
+    let sent = state.connections().send(upstream.address, call, Duration::ZERO).await;
+    let (response, _connection) = sent.ok()?;
+    let metadata = interface.dialect.read_answer(response.status(), response.headers());
+    match ProbeOutcome::of_reply(response.status(), &metadata, incarnation) {
+        ProbeOutcome::OtherIncarnation => Some(EndEvidence::Replaced),
+        ProbeOutcome::Answered { is_own: true, .. } | ProbeOutcome::Leaving => {
+            Some(EndEvidence::Reported)
+        }
+        _ => None,
+    }
 }
 
 /// An end that was checked.
--- a/src/traffic/routed/next_place.rs
+++ b/src/traffic/routed/next_place.rs
@@ -54,15 +54,17 @@
 }
 
 impl RoutedRequest {
-    /// Withdraws a retry and waits for a place for one more send, or returns why there is none.
+    /// Withdraws a retry and waits for a place for one more send, at any upstream but one, or returns why
+    /// there is none.
     pub async fn find_next_place(
         &self,
         service: &ServiceName,
         history: SendHistory,
         rule: PlacingRule,
+        except: Option<&UpstreamName>,
     ) -> Result<NextPlace, CutCause> {
         self.withdraw_retry(service, history, rule).map_err(CutCause::NoRetry)?;
-        match self.find_place(history, rule, None).await {
+        match self.find_place(history, rule, except).await {
             Ok((placed, matched)) => Ok(NextPlace::Here(Box::new(placed), matched)),
             Err(kind) if self.may_pass_on(kind) => Ok(NextPlace::ThroughPeer),
             Err(kind) => Err(CutCause::NoPlace(kind)),
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -15,6 +15,7 @@
 use crate::quarantine::SuspectKeys;
 use crate::report::{record_cut_answer, record_stream_end};
 use crate::rollout::VersionOutcome;
+use crate::table::UpstreamName;
 use crate::traffic::memory_budget::NoMemory;
 use crate::traffic::relay::ORIGIN_HEADER;
 use crate::upstream::{
@@ -42,6 +43,8 @@
 const MIN_PAUSE_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time between two searches for a peer that goes on with a stream.
 const PEER_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest wait for a place at any upstream but one, which may be the only one.
+const AVOIDING_SEARCH_TIME: Duration = Duration::from_millis(500);
 /// Event gaps are reported to the scheduler once per this many events.
 const GAP_REPORT_EVENTS: u64 = 4;
 
@@ -352,6 +355,8 @@
     interruption: Option<StreamBreak>,
     has_ended: bool,
     has_recorded_origin: bool,
+    /// An upstream at which the stream is not resumed.
+    avoided: Option<UpstreamName>,
     /// Memory reserved for the event that is being read.
     event_memory: Option<OwnedSemaphorePermit>,
 }
@@ -404,6 +409,7 @@
             interruption: None,
             has_ended: false,
             has_recorded_origin: false,
+            avoided: None,
             event_memory: None,
         }
     }
@@ -441,6 +447,7 @@
                         return self.end();
                     };
                     self.record_end();
+                    self.avoid_uncertain(end.evidence);
                     checked = Some(end);
                     fault.to_owned()
                 }
@@ -543,12 +550,19 @@
             (BodyEnd::Stated, _) => EndEvidence::Stated,
             (BodyEnd::Unstated, None) => EndEvidence::Unchecked,
             (BodyEnd::Unstated, Some(placed)) => {
-                check_upstream_end(&self.request.state, &placed.broken_upstream()).await
+                let (state, limit) = (&self.request.state, self.request.time_left());
+                check_upstream_end(state, &placed.broken_upstream(), limit).await
             }
         };
         CheckedEnd { upstream: self.source.name(), framing: self.framing, evidence }
     }
 
+    /// Keeps the stream from an upstream of which it is unknown whether it has ended.
+    fn avoid_uncertain(&mut self, evidence: EndEvidence) {
+        let placed = self.source.placed().filter(|_| evidence.is_uncertain());
+        self.avoided = placed.map(|placed| placed.name.clone());
+    }
+
     /// How long the upstream may pause before another place is looked for.
     fn pause_timeout(&self) -> Duration {
         let counted_sends = PlacingRule::Admitted.counted_sends(self.history);
@@ -730,7 +744,12 @@
     async fn next_place(&self, was_left: bool) -> Result<NextPlace, CutCause> {
         let (service, history, rule) = (self.source.service(), self.history, PlacingRule::Admitted);
         if !was_left {
-            return self.request.find_next_place(service, history, rule).await;
+            let Some(avoided) = &self.avoided else {
+                return self.request.find_next_place(service, history, rule, None).await;
+            };
+            let found = self.request.find_next_place(service, history, rule, Some(avoided));
+            let found = tokio::time::timeout(AVOIDING_SEARCH_TIME, found).await;
+            return found.unwrap_or(Err(CutCause::NoPlaceInTime));
         }
         let send = SilentSend { service, upstream: None, history, rule };
         let search = self.request.search_next_place(send);
--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -319,6 +319,13 @@
         }
     }
 
+    /// True if the upstreams of a service are model engines by the table in force.
+    pub fn has_model_engines(&self, service: &ServiceName) -> bool {
+        let snapshot = self.snapshot();
+        let row = snapshot.access.table().service(service.as_str());
+        row.is_some_and(|row| row.kind == ServiceKind::Model)
+    }
+
     pub fn connections(&self) -> &Arc<ConnectionPool> {
         &self.connections
     }
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -20,7 +20,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::{Arc, LazyLock, Mutex, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, LazyLock, Mutex, OnceLock, PoisonError, Weak};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
@@ -105,6 +106,35 @@
     },
 }
 
+/// What is known of a connection while it is open.
+#[derive(Debug, Default)]
+struct ConnectionWatch {
+    /// When the upstream first answered on it, and had thus accepted it. Before, it may wait in a queue
+    /// that outlives the upstream's process.
+    first_answer_at: OnceLock<Instant>,
+    /// True while the body of an answer is read. Its reader may be slow, so that a close goes unnoticed.
+    is_in_body: AtomicBool,
+    has_ended: AtomicBool,
+}
+
+impl ConnectionWatch {
+    /// True if the upstream had accepted the connection at `time`, and it is known to be open now.
+    fn is_kept_since(&self, time: Instant) -> bool {
+        self.first_answer_at.get().is_some_and(|answered| *answered <= time)
+            && !self.is_in_body.load(Ordering::Acquire)
+            && !self.has_ended.load(Ordering::Acquire)
+    }
+}
+
+/// Marks the connection as ended when its task ends or is aborted.
+struct WatchGuard(Arc<ConnectionWatch>);
+
+impl Drop for WatchGuard {
+    fn drop(&mut self) {
+        self.0.has_ended.store(true, Ordering::Release);
+    }
+}
+
 struct OpenConnection {
     sender: SendRequest<Full<Bytes>>,
     machine: ConnectionMachine,
@@ -114,6 +144,7 @@
     idle_timeout: Option<Duration>,
     /// True once an answer on this connection named its request.
     names_requests: bool,
+    watch: Arc<ConnectionWatch>,
     task: JoinHandle<hyper::Result<()>>,
 }
 
@@ -127,6 +158,8 @@
 #[derive(Default)]
 pub struct ConnectionPool {
     idle: Mutex<HashMap<SocketAddr, Vec<OpenConnection>>>,
+    /// The connections of each address, idle or in use.
+    watches: Mutex<HashMap<SocketAddr, Vec<Weak<ConnectionWatch>>>>,
 }
 
 /// A connection in use by one exchange. It is closed if dropped before [`ConnectionGuard::finish`].
@@ -169,6 +202,7 @@
         let actions = connection.machine.step(ConnectionEvent::Finished);
         if actions.contains(&ConnectionAction::Keep) && !connection.sender.is_closed() {
             connection.idle_since = Instant::now();
+            connection.watch.is_in_body.store(false, Ordering::Release);
             self.pool.put_idle(connection);
         }
     }
@@ -219,6 +253,23 @@
         Some(connection)
     }
 
+    /// Adds a new connection to those of its address.
+    fn watch(&self, address: SocketAddr) -> Arc<ConnectionWatch> {
+        let watch = Arc::<ConnectionWatch>::default();
+        let mut watches = self.watches.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = watches.entry(address).or_default();
+        known.retain(|watch| watch.strong_count() > 0);
+        known.push(Arc::downgrade(&watch));
+        watch
+    }
+
+    /// True if a connection to `address` is open that the upstream had accepted at `time`.
+    pub fn has_kept_since(&self, address: SocketAddr, time: Instant) -> bool {
+        let watches = self.watches.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut known = watches.get(&address).into_iter().flatten();
+        known.any(|watch| watch.upgrade().is_some_and(|watch| watch.is_kept_since(time)))
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<OpenConnection, OpenError> {
         let not_sent = |detail: String| OpenError::NotSent { detail };
         let mut machine = connection_chart().start();
@@ -233,7 +284,12 @@
             .await
             .map_err(|error| not_sent(format!("{address}: {error}")))?;
         machine.step(ConnectionEvent::Opened);
-        let task = tokio::spawn(connection);
+        let watch = self.watch(address);
+        let guard = WatchGuard(Arc::clone(&watch));
+        let task = tokio::spawn(async move {
+            let _guard = guard;
+            connection.await
+        });
         Ok(OpenConnection {
             sender,
             machine,
@@ -241,6 +297,7 @@
             idle_since: Instant::now(),
             idle_timeout: None,
             names_requests: false,
+            watch,
             task,
         })
     }
@@ -295,7 +352,13 @@
             }
         };
         match answered {
-            Ok(response) => Ok((response, guard)),
+            Ok(response) => {
+                if let Some(connection) = &guard.connection {
+                    connection.watch.is_in_body.store(true, Ordering::Release);
+                    let _ = connection.watch.first_answer_at.set(Instant::now());
+                }
+                Ok((response, guard))
+            }
             // hyper returns the request only if it has not begun to write it.
             Err(mut error) => {
                 let unsent = error.take_message().map(Box::new);
--- a/tests/routed_fleet.rs
+++ b/tests/routed_fleet.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 use slog::{Discard, Logger, o};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tarragonknot::platform::{self, ContractFeatures};
@@ -65,6 +66,8 @@
     Silent,
     /// Sends a sealed answer with the id of another request.
     Crossed,
+    /// Sends a complete answer with this body once this becomes true.
+    AnswerWhen(watch::Receiver<bool>, &'static str),
     /// Streams the events with ids from the first to the last and ends the stream properly.
     Events(u64, u64),
     /// Streams the events after the one that the request names, at a pace.
@@ -111,6 +114,9 @@
     Reset,
     /// Crashes the engine, which closes all its connections and the listening socket.
     Crash,
+    /// Crashes the engine, whose listening socket another process keeps: it closes all its connections,
+    /// and later ones open and get no answer.
+    SupervisedCrash,
     /// Keeps it open.
     Stay,
 }
@@ -144,6 +150,8 @@
         let address = listener.local_addr().expect("the socket has a local address");
         let seen: Arc<Mutex<Vec<ReceivedRequest>>> = Arc::default();
         let (end, has_ended) = watch::channel(false);
+        let keeps_socket = Arc::new(AtomicBool::new(false));
+        let keeps = Arc::clone(&keeps_socket);
         let (script, end): (EngineScript, _) = (Arc::new(script), Arc::new(end));
         let log = Arc::clone(&seen);
         let mut ended = has_ended.clone();
@@ -155,10 +163,15 @@
                     accepted = listener.accept() => {
                         let Ok((stream, _)) = accepted else { break };
                         let (log, script, end) = (Arc::clone(&log), Arc::clone(&script), Arc::clone(&end));
-                        connections.spawn(serve(stream, log, script, end));
+                        let keeps_socket = Arc::clone(&keeps_socket);
+                        connections.spawn(serve(stream, log, script, (end, keeps_socket)));
                     }
                 }
             }
+            connections.shutdown().await;
+            if keeps.load(Ordering::SeqCst) {
+                std::future::pending().await
+            }
         });
         ScriptedEngine { name: name.to_owned(), address, seen, has_ended }
     }
@@ -184,7 +197,7 @@
     mut stream: TcpStream,
     log: Arc<Mutex<Vec<ReceivedRequest>>>,
     script: EngineScript,
-    end: Arc<watch::Sender<bool>>,
+    (end, keeps_socket): (Arc<watch::Sender<bool>>, Arc<AtomicBool>),
 ) {
     while let Some(request) = read_request(&mut stream).await {
         let number = {
@@ -197,11 +210,14 @@
             action,
             EngineAction::Crash
                 | EngineAction::CrashAfter(..)
-                | EngineAction::Raw(_, ConnectionEnd::Crash)
+                | EngineAction::Raw(_, ConnectionEnd::Crash | ConnectionEnd::SupervisedCrash)
         );
+        if matches!(action, EngineAction::Raw(_, ConnectionEnd::SupervisedCrash)) {
+            keeps_socket.store(true, Ordering::SeqCst);
+        }
         let is_kept_open = perform(&mut stream, &request, action).await;
         if is_crash {
-            // The accept loop drops its `JoinSet` on this signal, which closes all connections.
+            // The accept loop shuts its `JoinSet` down on this signal, which closes all connections.
             let _ = end.send(true);
             return std::future::pending().await;
         }
@@ -274,6 +290,10 @@
         EngineAction::RunAfterStray(stray) => {
             (format!("{stray}HTTP/1.1 200 X\r\n{echo}content-length: 4\r\n\r\nfine"), true)
         }
+        EngineAction::AnswerWhen(mut signal, body) => {
+            let _ = signal.wait_for(|is_due| *is_due).await;
+            (format!("HTTP/1.1 200 X\r\n{echo}content-length: {}\r\n\r\n{body}", body.len()), true)
+        }
         EngineAction::Close | EngineAction::Crash => (String::new(), false),
         EngineAction::CloseWhen(mut signal) => {
             let _ = signal.wait_for(|is_due| *is_due).await;
@@ -347,7 +367,7 @@
 async fn end_connection(stream: &mut TcpStream, end: ConnectionEnd) -> bool {
     match end {
         ConnectionEnd::Stay => return true,
-        ConnectionEnd::Close | ConnectionEnd::Crash => {}
+        ConnectionEnd::Close | ConnectionEnd::Crash | ConnectionEnd::SupervisedCrash => {}
         ConnectionEnd::Reset => stream.set_zero_linger().expect("SO_LINGER can be set"),
         ConnectionEnd::HalfClose => {
             let _ = stream.shutdown().await;
--- a/tests/test_answer_end.rs
+++ b/tests/test_answer_end.rs
@@ -18,6 +18,7 @@
     ConnectionPool, PieceRead, PlainDriver, UpstreamCall, UpstreamDriver,
 };
 use tokio::runtime::Handle;
+use tokio::sync::watch;
 
 /// Status line and headers that each answer of an engine begins with.
 const HEAD: &str =
@@ -264,6 +265,140 @@
     assert_eq!(engine.count(), 1);
 }
 
+/// Guards against a stream that an engine's crash cut between two events and that its caller takes for
+/// complete, as the engine's socket still accepts connections.
+#[rstest]
+#[tokio::test]
+async fn a_stream_is_not_whole_because_a_probe_waits(
+    #[values(StreamFraming::Unframed, StreamFraming::Closing, StreamFraming::Http10)]
+    framing: StreamFraming,
+    #[values("/stream/", "/resumable/")] path: &str,
+    #[values(CallerVersion::Http1, CallerVersion::Http2)] version: CallerVersion,
+) {
+    let text = framing.answer(&events(1, 3));
+    let engine = raw_engine(text, ConnectionEnd::SupervisedCrash).await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    let received = call(&fleet, path, "id-1", version).await;
+
+    assert!(!received.is_whole, "{received:?}");
+    assert!(events(1, 3).starts_with(&received.text), "{received:?}");
+    assert_eq!(engine.count(), 1);
+}
+
+/// Guards against a resumable stream that ends where its engine did, though another can go on.
+#[tokio::test]
+async fn a_resumable_stream_goes_on_elsewhere_if_its_engine_may_have_ended() {
+    let order = Arc::new(AtomicUsize::new(0));
+    let engine = |name: &'static str| {
+        let order = Arc::clone(&order);
+        ScriptedEngine::start_with_request(name, move |_, request| {
+            if request.head.starts_with("GET ") {
+                return EngineAction::Answer(200, "ok");
+            }
+            match order.fetch_add(1, Ordering::SeqCst) {
+                0 => {
+                    let text = StreamFraming::Unframed.answer(&events(1, 3));
+                    EngineAction::Raw(text, ConnectionEnd::SupervisedCrash)
+                }
+                _ => EngineAction::Events(4, 6),
+            }
+        })
+    };
+    let (first, second) = (engine("i-1").await, engine("i-2").await);
+    let fleet = RoutedFleet::start(&[&first, &second]).await;
+
+    let received = call(&fleet, "/resumable/", "id-1", CallerVersion::Http1).await;
+
+    assert!(received.is_whole, "{received:?}");
+    assert_eq!(received.text, events(1, 6));
+    assert_eq!((first.count(), second.count()), (1, 1));
+}
+
+/// A reply to a probe with this status line and these headers.
+fn probe_reply(head: &str) -> EngineAction {
+    let text = format!("HTTP/1.1 {head}\r\ncontent-length: 0\r\n\r\n");
+    EngineAction::Raw(text, ConnectionEnd::Stay)
+}
+
+/// Guards against a whole stream of a busy engine that is cut, and against a reply of something else
+/// that is taken for the engine's.
+#[rstest]
+#[case::own_reply(probe_reply("200 OK\r\ntarragonknot-instance-id: i-1"), true)]
+#[case::failing(probe_reply("503 X\r\ntarragonknot-instance-id: i-1"), true)]
+#[case::full(probe_reply("503 X\r\ntarragonknot-not-executed: 1"), true)]
+#[case::gateway(probe_reply("503 X"), false)]
+#[case::other_incarnation(probe_reply("200 OK\r\ntarragonknot-instance-id: i-2"), false)]
+#[tokio::test]
+async fn a_stream_is_whole_only_if_its_own_engine_replies(
+    #[case] probed: EngineAction,
+    #[case] is_whole: bool,
+) {
+    let text = StreamFraming::Unframed.answer(&events(1, 3));
+    let engine = probed_engine(text, ConnectionEnd::Close, probed).await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    let received = call(&fleet, "/stream/", "id-1", CallerVersion::Http1).await;
+
+    assert_eq!(received.is_whole, is_whole, "{received:?}");
+    assert!(!is_whole || received.text == events(1, 3), "{received:?}");
+}
+
+/// Guards against a whole stream that is cut since its engine has no place for a health check.
+#[tokio::test]
+async fn a_stream_of_a_busy_engine_that_sends_its_report_is_whole() {
+    let text = StreamFraming::Unframed.answer(&events(1, 3));
+    let engine = ScriptedEngine::start_with_request("i-1", move |_, request| {
+        match (request.head.starts_with("GET "), request.path.as_str()) {
+            (true, "/-/report") => EngineAction::Answer(200, "{}"),
+            (true, _) => EngineAction::Silent,
+            (false, _) => EngineAction::Raw(text.clone(), ConnectionEnd::Close),
+        }
+    })
+    .await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    let received = call(&fleet, "/stream/", "id-1", CallerVersion::Http1).await;
+
+    assert!(received.is_whole, "{received:?}");
+    assert_eq!(received.text, events(1, 3));
+}
+
+/// Guards against a whole stream of a busy engine that is cut though the engine keeps another connection
+/// open, and against such connections that prove nothing since they have ended.
+#[rstest]
+#[case::lives_on(ConnectionEnd::Close, true)]
+#[case::has_ended(ConnectionEnd::SupervisedCrash, false)]
+#[tokio::test]
+async fn a_kept_connection_shows_that_an_engine_has_not_ended(
+    #[case] end: ConnectionEnd,
+    #[case] is_whole: bool,
+) {
+    let text = StreamFraming::Unframed.answer(&events(1, 3));
+    let (are_both_here, both_here) = watch::channel(false);
+    let arrivals = AtomicUsize::new(0);
+    let engine = ScriptedEngine::start_with_request("i-1", move |_, request| {
+        if request.head.starts_with("GET ") {
+            return EngineAction::Silent;
+        }
+        if request.path.starts_with("/stream/") {
+            return EngineAction::Raw(text.clone(), end);
+        }
+        are_both_here.send_replace(arrivals.fetch_add(1, Ordering::SeqCst) == 1);
+        EngineAction::AnswerWhen(both_here.clone(), "fine")
+    })
+    .await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    // Two requests at a time leave two idle connections, of which the stream takes one.
+    let plain = |id| call(&fleet, "/unsafe/", id, CallerVersion::Http1);
+    join_all([plain("id-1"), plain("id-2")]).await;
+    let received = call(&fleet, "/stream/", "id-3", CallerVersion::Http1).await;
+
+    assert_eq!(received.is_whole, is_whole, "{received:?}");
+    assert_eq!(received.text, events(1, 3));
+}
+
 /// Guards against a cut at any byte: a caller gets the whole events before it, and takes the stream
 /// for complete only if the cut is between two events.
 #[rstest]
@@ -448,6 +583,7 @@
 #[case::alive("/stream/", "", EngineAction::Answer(200, "ok"), "replied", "whole")]
 #[case::replaced("/stream/", "", EngineAction::OtherIncarnation, "replaced", "cut")]
 #[case::closed("/stream/", "", EngineAction::Close, "closed", "cut")]
+#[case::silent("/stream/", "", EngineAction::Silent, "silent", "cut")]
 #[case::within_an_event("/stream/", HALF_EVENT, EngineAction::Close, "within-content", "cut")]
 #[tokio::test]
 async fn the_end_of_an_unframed_answer_is_logged_and_counted(
