A plain answer without a length is whole only if its upstream outlived it

Cause: an answer with neither a length nor chunks that wasn't JSON counted as complete without a check, and got a length of ours, which says that it is.

Now its upstream is checked like that of a stream. If nothing shows that the upstream lives on, the request is sent again where its route allows, and is answered 502 else: what ends early must not look complete. A JSON document that can be read shows its own end, unless it is a number, of which each part is one, too.

Ruled out: to pass the answer on without a length and close the connection, which HTTP/1.1 takes for complete.

--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -29,6 +29,7 @@
 use serde::de::IgnoredAny;
 use slog::info;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
@@ -58,25 +59,41 @@
 }
 
 /// Buffers an answer that is not a stream; fails if it is incomplete or too large. An answer whose
-/// end is unstated counts as complete unless its content shows that it is not.
+/// end is unstated is complete if its content or its upstream shows it.
 pub async fn buffered_response(
     request: &RoutedRequest,
     placed: &PlacedRequest,
     head: response::Parts,
     body: AnswerBody,
 ) -> Result<Response<Body>, BufferError> {
-    let reading = BodyReading { request, source: placed.name.to_string(), head: &head };
+    let reading = BodyReading { request, source: BodySource::Upstream(placed), head: &head };
     let body = reading.whole_body(body).await?;
     let mut response = build_response(&head, body);
     response.headers_mut().remove(CONTENT_LENGTH);
     Ok(response)
 }
 
+/// Where an answer that is not a stream comes from.
+pub enum BodySource<'a> {
+    /// An upstream.
+    Upstream(&'a PlacedRequest),
+    /// A peer.
+    Peer(SocketAddr),
+}
+
+impl BodySource<'_> {
+    fn name(&self) -> String {
+        match self {
+            BodySource::Upstream(placed) => placed.name.to_string(),
+            BodySource::Peer(address) => address.to_string(),
+        }
+    }
+}
+
 /// An answer that is not a stream and is being read.
 pub struct BodyReading<'a> {
     pub request: &'a RoutedRequest,
-    /// Name of the upstream, or address of the peer, for logs.
-    pub source: String,
+    pub source: BodySource<'a>,
     pub head: &'a response::Parts,
 }
 
@@ -89,7 +106,7 @@
         let framing = body.framing();
         let collected = body.collect(ANSWER_LIMIT_BYTES).await;
         let (bytes, end) = collected.map_err(|error| BufferError::Unusable(error.to_string()))?;
-        self.check_end(framing, end, || bytes.to_vec())?;
+        self.check_end(framing, end, || bytes.to_vec()).await?;
         Ok(Body::from(bytes))
     }
 
@@ -112,7 +129,11 @@
                     writer.push(&bytes).map_err(|NoMemory| BufferError::NoMemory)?;
                 }
                 BodyRead::Ended(end) => {
-                    self.check_end(framing, end, || writer.copy_unread())?;
+                    tokio::select! {
+                        biased;
+                        () = writer.dropped() => return Err(BufferError::NoMemory),
+                        checked = self.check_end(framing, end, || writer.copy_unread()) => checked?,
+                    }
                     writer.finish();
                     return Ok(held.into_body(self.request.time_left()));
                 }
@@ -124,8 +145,8 @@
         }
     }
 
-    /// Checks that a body whose end is unstated is not known to be incomplete.
-    fn check_end(
+    /// Checks that a body whose end is unstated is whole.
+    async fn check_end(
         &self,
         framing: AnswerFraming,
         end: BodyEnd,
@@ -133,11 +154,9 @@
     ) -> Result<(), BufferError> {
         let evidence = match end {
             BodyEnd::Stated => EndEvidence::Stated,
-            BodyEnd::Unstated if !is_json(self.head) => EndEvidence::Unchecked,
-            BodyEnd::Unstated if is_complete_json(&bytes()) => EndEvidence::WholeDocument,
-            BodyEnd::Unstated => EndEvidence::WithinContent,
+            BodyEnd::Unstated => self.find_evidence(bytes).await,
         };
-        let checked = CheckedEnd { upstream: self.source.clone(), framing, evidence };
+        let checked = CheckedEnd { upstream: self.source.name(), framing, evidence };
         match evidence.fault() {
             None => {
                 checked.report(self.request, EndDecision::Whole);
@@ -149,6 +168,19 @@
             }
         }
     }
+
+    /// What shows whether a body whose end is unstated is whole.
+    async fn find_evidence(&self, bytes: impl FnOnce() -> Vec<u8>) -> EndEvidence {
+        let document = is_json(self.head).then(|| document_evidence(&bytes())).flatten();
+        match (document, &self.source) {
+            (Some(evidence), _) => evidence,
+            (None, BodySource::Upstream(placed)) => {
+                let (state, limit) = (&self.request.state, self.request.time_left());
+                check_upstream_end(state, &placed.broken_upstream(), limit).await
+            }
+            (None, BodySource::Peer(_)) => EndEvidence::Unchecked,
+        }
+    }
 }
 
 fn is_json(head: &response::Parts) -> bool {
@@ -183,8 +215,13 @@
     }
 }
 
-fn is_complete_json(bytes: &[u8]) -> bool {
-    serde_json::from_slice::<IgnoredAny>(bytes).is_ok()
+/// What the bytes of a JSON document say of its end; `None` if it may go on, as a number does.
+fn document_evidence(bytes: &[u8]) -> Option<EndEvidence> {
+    match serde_json::from_slice::<IgnoredAny>(bytes) {
+        Err(_) => Some(EndEvidence::WithinContent),
+        Ok(_) if bytes.last().is_some_and(u8::is_ascii_digit) => None,
+        Ok(_) => Some(EndEvidence::WholeDocument),
+    }
 }
 
 fn build_response(head: &response::Parts, body: Body) -> Response<Body> {
--- a/src/traffic/routed/through_peer.rs
+++ b/src/traffic/routed/through_peer.rs
@@ -4,7 +4,7 @@
 use super::placing::{PlacedRequest, PlacingRule};
 use super::refusal::{refusal_kind, refuse};
 use super::relay::{
-    AnswerSource, BodyReading, BufferError, StreamContent, StreamRelay, stream_response,
+    AnswerSource, BodyReading, BodySource, BufferError, StreamContent, StreamRelay, stream_response,
 };
 use super::request::{RequestStage, RoutedRequest};
 use super::send_history::SendHistory;
@@ -128,7 +128,8 @@
     }
     let framing = body.framing();
     let time_left = request.time_left();
-    let reading = BodyReading { request: &request, source: hop.peer.to_string(), head: &head };
+    let source = BodySource::Peer(hop.peer);
+    let reading = BodyReading { request: &request, source, head: &head };
     let whole = tokio::time::timeout(time_left, reading.whole_body(body)).await;
     match whole {
         Ok(Ok(body)) => {
--- a/tests/test_answer_end.rs
+++ b/tests/test_answer_end.rs
@@ -482,6 +482,53 @@
     assert_eq!(received.text, "all of it");
 }
 
+/// Guards against a plain answer that an engine's crash cut short and that its caller gets with a length,
+/// whether the engine's socket goes with it or still accepts connections.
+#[rstest]
+#[tokio::test]
+async fn a_plain_answer_that_ends_with_its_engine_does_not_look_complete(
+    #[values(ConnectionEnd::Crash, ConnectionEnd::SupervisedCrash)] end: ConnectionEnd,
+    #[values("", "content-type: text/plain\r\n", "content-type: application/json\r\n")] kind: &str,
+    #[values("/unsafe/", "/safe/", "/stream/")] path: &str,
+) {
+    // A number is a JSON document of which any part is one, too; no type on a stream's route is a
+    // stream.
+    let text = format!("HTTP/1.1 {HEAD}{kind}\r\n12");
+    let engine = raw_engine(text, end).await;
+    let fleet = RoutedFleet::start(&[&engine]).await;
+
+    let received = call(&fleet, path, "id-1", CallerVersion::Http1).await;
+
+    let is_success = received.status.is_some_and(|status| status.is_success());
+    assert!(!(is_success && received.is_whole), "{received:?}");
+    assert_eq!(engine.count(), 1);
+}
+
+/// Guards against a plain answer that is lost with its engine though another one can answer.
+#[tokio::test]
+async fn a_safe_request_is_sent_again_if_its_engine_ended_within_the_answer() {
+    let order = Arc::new(AtomicUsize::new(0));
+    let engine = |name: &'static str| {
+        let order = Arc::clone(&order);
+        ScriptedEngine::start_with_request(name, move |_, request| {
+            if request.head.starts_with("GET ") {
+                return EngineAction::Answer(200, "ok");
+            }
+            match order.fetch_add(1, Ordering::SeqCst) {
+                0 => EngineAction::Raw(format!("HTTP/1.1 {HEAD}\r\nhalf"), ConnectionEnd::Crash),
+                _ => EngineAction::Answer(200, "all of it"),
+            }
+        })
+    };
+    let (first, second) = (engine("i-1").await, engine("i-2").await);
+    let fleet = RoutedFleet::start(&[&first, &second]).await;
+
+    let received = call(&fleet, "/safe/", "id-1", CallerVersion::Http1).await;
+
+    assert_eq!(received.text, "all of it", "{received:?}");
+    assert_eq!((first.count(), second.count()), (1, 1));
+}
+
 /// Guards against a truncated document that its caller gets with a length of its own.
 #[rstest]
 #[case::cut(r#"{"booked": tr"#, StatusCode::BAD_GATEWAY)]
