An answer of a peer without a marked end is not whole

Daemons mark the end of all answers, so one without a mark was cut. No caller is known to have seen it.

Evidence: a scripted peer that answers without a length. 2 of 4 cases fail on the code before (the other two have chunks); all pass after.

--- a/src/traffic/routed/end_check.rs
+++ b/src/traffic/routed/end_check.rs
@@ -29,8 +29,8 @@
     WithinContent,
     /// The end is that of a document.
     WholeDocument,
-    /// No upstream of this daemon can be asked.
-    Unchecked,
+    /// A peer, which marks the end of all its answers, did not mark this one.
+    UnmarkedByPeer,
     /// The upstream replied to a probe afterwards.
     Replied,
     /// The upstream sent its report afterwards, while a probe waited.
@@ -56,7 +56,7 @@
             EndEvidence::Stated => "stated",
             EndEvidence::WithinContent => "within-content",
             EndEvidence::WholeDocument => "whole-document",
-            EndEvidence::Unchecked => "unchecked",
+            EndEvidence::UnmarkedByPeer => "unmarked-by-peer",
             EndEvidence::Replied => "replied",
             EndEvidence::Reported => "reported",
             EndEvidence::ConnectionKept => "connection-kept",
@@ -72,6 +72,7 @@
     pub fn fault(self) -> Option<&'static str> {
         match self {
             EndEvidence::WithinContent => Some("the answer ended within an event or a document"),
+            EndEvidence::UnmarkedByPeer => Some("the peer's connection ended with its answer"),
             EndEvidence::Refused | EndEvidence::Closed | EndEvidence::Replaced => {
                 Some("the upstream ended with its answer")
             }
@@ -80,7 +81,6 @@
             }
             EndEvidence::Stated
             | EndEvidence::WholeDocument
-            | EndEvidence::Unchecked
             | EndEvidence::Replied
             | EndEvidence::Reported
             | EndEvidence::ConnectionKept => None,
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -178,7 +178,7 @@
                 let (state, limit) = (&self.request.state, self.request.time_left());
                 check_upstream_end(state, &placed.broken_upstream(), limit).await
             }
-            (None, BodySource::Peer(_)) => EndEvidence::Unchecked,
+            (None, BodySource::Peer(_)) => EndEvidence::UnmarkedByPeer,
         }
     }
 }
@@ -585,7 +585,7 @@
             (BodyEnd::Stated, _) if self.content == StreamContent::Unstated => EndEvidence::Stated,
             _ if self.splitter.is_within_event() => EndEvidence::WithinContent,
             (BodyEnd::Stated, _) => EndEvidence::Stated,
-            (BodyEnd::Unstated, None) => EndEvidence::Unchecked,
+            (BodyEnd::Unstated, None) => EndEvidence::UnmarkedByPeer,
             (BodyEnd::Unstated, Some(placed)) => {
                 let (state, limit) = (&self.request.state, self.request.time_left());
                 check_upstream_end(state, &placed.broken_upstream(), limit).await
--- a/tests/routed_fleet.rs
+++ b/tests/routed_fleet.rs
@@ -577,6 +577,15 @@
         fleets
     }
 
+    /// Makes a peer known that takes requests at `relay`.
+    pub fn add_peer(&self, relay: SocketAddr) {
+        let key: Arc<str> = Arc::from("a key");
+        let (socket, own) = message_socket(IpAddr::from([127, 0, 1, 1]));
+        start_exchange(Arc::clone(&self.state), socket, own, Arc::clone(&key), None);
+        self.state.relay.enable(SocketAddr::new(own.ip(), relay.port()), key);
+        self.state.fleet.set_serving_list(vec![own, relay], self.state.clock.now());
+    }
+
     /// Puts a table document in force.
     pub fn apply(&self, version: u64, document: &str) {
         self.state.apply_table(&VersionedTable::from_document(version, &Arc::from(document)));
--- a/tests/test_answer_end.rs
+++ b/tests/test_answer_end.rs
@@ -565,6 +565,25 @@
     assert_eq!(engine.count() + other.count(), 1);
 }
 
+/// Guards against an answer that a peer's crash cut and that its caller takes for complete.
+#[rstest]
+#[tokio::test]
+async fn an_answer_of_a_peer_is_whole_only_if_the_peer_marks_its_end(
+    #[values("/stream/", "/unsafe/")] path: &str,
+    #[values(StreamFraming::Unframed, StreamFraming::Chunks)] framing: StreamFraming,
+) {
+    let peer = raw_engine(framing.answer(&events(1, 3)), ConnectionEnd::Close).await;
+    let fleet = RoutedFleet::start(&[]).await;
+    fleet.add_peer(peer.address);
+
+    let received = call(&fleet, path, "id-1", CallerVersion::Http1).await;
+
+    assert_eq!(peer.count(), 1);
+    let is_success = received.status.is_some_and(|status| status.is_success());
+    let is_marked = matches!(framing, StreamFraming::Chunks);
+    assert_eq!(is_success && received.is_whole, is_marked, "{received:?}");
+}
+
 /// Guards against a truncated answer of a plain service that counts as complete: a coding other than
 /// chunks doesn't mark its end.
 #[rstest]
