Log each resumption with its events, and who ended the part before

A caller that reads a number again, or misses one, had a log that did not tell between which events its stream was joined: "sent" names the event asked for, but no line named the last one passed on or the first one that came.

"stream resumed" is written with the first event after a resumption. It names who resumed the stream (this entry, the caller, a peer), the last event passed on, the event asked for, the first one received, whose part came before, and who ended it and why. "stream not resumed" names a place that did not go on, which left no line before. "stream broken", "stream cut" and "answered" name the last event.

Test: a_resumption_is_logged_with_its_events.

--- a/src/traffic/routed/events.rs
+++ b/src/traffic/routed/events.rs
@@ -26,6 +26,8 @@
     /// True if the stream continues one of another upstream.
     is_resumed: bool,
     last_event_id: Option<u64>,
+    /// Id of the first event of the current upstream.
+    first_event_id: Option<u64>,
     event_count: u64,
     has_unnumbered_event: bool,
 }
@@ -72,6 +74,12 @@
         self.event = EventFields::default();
         self.has_begun = false;
         self.is_resumed = true;
+        self.first_event_id = None;
+    }
+
+    /// Id of the first complete event since the stream began or was resumed.
+    pub fn first_event_id(&self) -> Option<u64> {
+        self.first_event_id
     }
 
     /// Id of the last complete event.
@@ -131,7 +139,9 @@
             return self.event.read_line(line);
         }
         let event = std::mem::take(&mut self.event);
-        self.last_event_id = event.id.flatten().or(self.last_event_id);
+        let id = event.id.flatten();
+        self.first_event_id = self.first_event_id.or(id);
+        self.last_event_id = id.or(self.last_event_id);
         self.event_count += u64::from(event.has_data || event.id.is_some());
         self.has_unnumbered_event |= event.has_data && event.id.flatten().is_none();
     }
--- a/src/traffic/routed/mod.rs
+++ b/src/traffic/routed/mod.rs
@@ -18,6 +18,7 @@
 mod relay;
 mod request;
 mod reserve;
+mod resumption;
 mod retry;
 mod send_history;
 mod size_fields;
--- a/src/traffic/routed/origin.rs
+++ b/src/traffic/routed/origin.rs
@@ -1,6 +1,7 @@
 //! Where the stream of a request began, and where it may go on.
 
 use super::request::RoutedRequest;
+use super::resumption::{ResumedBy, StreamResumption};
 use crate::answer::AnswerKind;
 use crate::report::{record_origin_lookup, record_resumption};
 use crate::stream_origin::{AttemptKey, LookupResult, StreamOrigin, VersionClaim};
@@ -19,6 +20,13 @@
         self.route.kind == RouteKind::ResumableStream && has_events
     }
 
+    /// The resumption that the request asks for, if it does.
+    pub fn caller_resumption(&self) -> Option<StreamResumption> {
+        let by = if self.ticket.is_some() { ResumedBy::Peer } else { ResumedBy::Caller };
+        let after_event = self.metadata.last_event_id;
+        self.resumes_stream().then_some(StreamResumption { by, after_event, previous: None })
+    }
+
     /// Finds out what began the stream that the caller takes up. A peer that passes the request on has
     /// done so already.
     pub async fn find_origin(&mut self) -> Result<(), AnswerKind> {
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -7,8 +7,9 @@
 use super::next_place::{NextPlace, SilentSend, settle};
 use super::placing::{PlacedRequest, PlacingRule};
 use super::request::{RequestStage, RoutedRequest};
+use super::resumption::{PartEnd, ResumedBy, StreamResumption};
 use super::send_history::SendHistory;
-use super::stream_end::{CutCause, StreamBreak};
+use super::stream_end::{CutCause, EndedBy, StreamBreak};
 use super::through_peer::{PeerAnswer, PeerHop, PeerOutcome, send_through_peers};
 use crate::answer::RAN_HEADER;
 use crate::policy::{DispatchOutcome, Moment, PoolEvent};
@@ -390,6 +391,10 @@
     timing: StreamTiming,
     /// What interrupted the stream last.
     interruption: Option<StreamBreak>,
+    /// How the last part ended that was not whole.
+    part_end: Option<PartEnd>,
+    /// The resumption whose first event is awaited.
+    resumption: Option<StreamResumption>,
     has_ended: bool,
     has_recorded_origin: bool,
     /// An upstream at which the stream is not resumed.
@@ -433,6 +438,7 @@
         content: StreamContent,
         body: AnswerBody,
     ) -> Self {
+        let resumption = request.caller_resumption();
         StreamRelay {
             request,
             source,
@@ -444,6 +450,8 @@
             gap_start: None,
             timing: StreamTiming::default(),
             interruption: None,
+            part_end: None,
+            resumption,
             has_ended: false,
             has_recorded_origin: false,
             avoided: None,
@@ -469,6 +477,7 @@
                         self.interruption = None;
                         self.event_memory = None;
                         self.record_origin();
+                        self.log_resumed();
                         self.report_timing();
                         return RelayStep::Events(events);
                     }
@@ -551,6 +560,20 @@
             "left_ms" => self.request.time_left().as_millis() as u64);
     }
 
+    /// Logs that the first event after a resumption has arrived.
+    fn log_resumed(&mut self) {
+        if self.splitter.first_event_id().is_none() {
+            return;
+        }
+        let Some(resumption) = self.resumption.take() else { return };
+        let previous = resumption.previous.as_ref();
+        info!(self.request.state.log, "stream resumed"; "request" => self.request.id(), "by" => resumption.by.name(),
+            "route" => &self.request.route.route, "resumes" => self.request.metadata.resumes.as_deref(), "upstream" => self.source.name(),
+            "last_event" => previous.and_then(|part| part.last_event), "after_event" => resumption.after_event,
+            "first_event" => self.splitter.first_event_id(), "previous" => previous.map(|part| &*part.source),
+            "ended_by" => previous.map(|part| part.ended_by.name()), "detail" => previous.map(|part| &*part.detail));
+    }
+
     /// Records what began the stream, before its first event leaves.
     fn record_origin(&mut self) {
         if self.has_recorded_origin {
@@ -638,7 +661,7 @@
         info!(self.request.state.log, "answered"; "request" => self.request.id(), "upstream" => self.source.name(),
             "status" => 200, "after_ms" => after.as_millis() as u64, "first_ms" => first.as_millis() as u64,
             "pause_ms" => self.timing.longest_pause.as_millis() as u64, "events" => self.splitter.event_count(),
-            "framing" => self.framing.name(), self.request.size_fields());
+            "last_event" => self.splitter.last_event_id(), "framing" => self.framing.name(), self.request.size_fields());
     }
 
     /// What the whole stream clears. An upstream that wrote no event has not begun on the parts; what
@@ -690,7 +713,7 @@
         let after = self.request.state.clock.now().since(self.request.arrived_at);
         info!(self.request.state.log, "stream cut"; "request" => self.request.id(), "upstream" => self.source.name(),
             "route" => &self.request.route.route, "events" => self.splitter.event_count(), "after_ms" => after.as_millis() as u64,
-            "sent" => self.history.sent(), "ended_by" => ended_by.name(), "cause" => cause.name(),
+            "last_event" => self.splitter.last_event_id(), "sent" => self.history.sent(), "ended_by" => ended_by.name(), "cause" => cause.name(),
             "silent_ms" => self.silent_ms(), self.request.table_fields(), self.request.size_fields());
         RelayStep::Cut
     }
@@ -736,9 +759,14 @@
     /// Closes the connection, which makes the upstream stop before another one begins.
     fn close_source(&mut self, error: &SendError) {
         self.body = None;
-        info!(self.request.state.log, "stream broken"; "request" => self.request.id(), "upstream" => self.source.name(),
-            "events" => self.splitter.event_count(), "framing" => self.framing.name(),
-            "unfinished_bytes" => self.splitter.pending_bytes(), "silent_ms" => self.silent_ms(), "detail" => error.to_string());
+        let last_event = self.splitter.last_event_id();
+        let ended_by = self.interruption.map_or(EndedBy::Daemon, StreamBreak::ended_by);
+        let (source, detail) = (self.source.name(), error.to_string());
+        info!(self.request.state.log, "stream broken"; "request" => self.request.id(), "upstream" => &source,
+            "events" => self.splitter.event_count(), "last_event" => last_event, "first_event" => self.splitter.first_event_id(),
+            "ended_by" => ended_by.name(), "framing" => self.framing.name(),
+            "unfinished_bytes" => self.splitter.pending_bytes(), "silent_ms" => self.silent_ms(), "detail" => &detail);
+        self.part_end = Some(PartEnd { source, ended_by, detail, last_event });
         if let AnswerSource::Upstream(placed) = &mut self.source {
             report_send_error(&self.request, placed, error);
         }
@@ -808,17 +836,20 @@
                 self.adopt(AnswerSource::Upstream(placed), answer.body);
                 return ResumeResult::Resumed;
             }
-            SendResult::Ended(Ok(_)) => {
+            SendResult::Ended(Ok(answer)) => {
+                self.log_not_resumed(&placed, &format!("status {}", answer.head.status));
                 self.request.record_version_answer(&placed, VersionOutcome::Failed);
                 placed.guard.end(DispatchOutcome::Failed);
                 ResumeResult::Failed
             }
             SendResult::Ended(Err(error)) => {
+                self.log_not_resumed(&placed, &error.to_string());
                 self.history.end_send(&error);
                 report_send_error(&self.request, &mut placed, &error);
                 ResumeResult::Failed
             }
             SendResult::Left(next, error) => {
+                self.log_not_resumed(&placed, &error.to_string());
                 report_send_error(&self.request, &mut placed, &error);
                 match next {
                     NextPlace::Here(next, _) => ResumeResult::Left(Some(next)),
@@ -830,6 +861,11 @@
         result
     }
 
+    fn log_not_resumed(&self, placed: &PlacedRequest, fault: &str) {
+        info!(self.request.state.log, "stream not resumed"; "request" => self.request.id(), "upstream" => placed.name.as_str(),
+            "after_event" => self.last_event_id(), "sent" => self.history.sent(), "fault" => fault);
+    }
+
     async fn resume_through_peers(&mut self, last_event_id: Option<u64>) -> bool {
         let answer = ask_peers(&mut self.request, &mut self.history, last_event_id).await;
         let is_resumed = answer.is_some();
@@ -846,6 +882,11 @@
         self.event_memory = None;
         self.gap_start = None;
         self.interruption = None;
+        self.resumption = Some(StreamResumption {
+            by: ResumedBy::Entry,
+            after_event: self.last_event_id(),
+            previous: self.part_end.take(),
+        });
         self.source = source;
         self.framing = body.framing();
         self.body = Some(body);
--- a/src/traffic/routed/stream_end.rs
+++ b/src/traffic/routed/stream_end.rs
@@ -35,6 +35,16 @@
     Silent(Duration),
 }
 
+impl StreamBreak {
+    /// Who ended the part of the stream before it. A silent upstream is left by this daemon.
+    pub fn ended_by(self) -> EndedBy {
+        match self {
+            StreamBreak::BrokenOff => EndedBy::Upstream,
+            StreamBreak::Silent(_) => EndedBy::Daemon,
+        }
+    }
+}
+
 /// Why a stream is cut.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CutCause {
@@ -74,8 +84,8 @@
             (CutCause::Deadline | CutCause::NoRetry(RetryObstacle::Deadline), _) => {
                 EndedBy::Deadline
             }
-            (_, Some(StreamBreak::BrokenOff)) => EndedBy::Upstream,
-            (_, Some(StreamBreak::Silent(_)) | None) => EndedBy::Daemon,
+            (_, Some(interruption)) => interruption.ended_by(),
+            (_, None) => EndedBy::Daemon,
         }
     }
 }
--- a/tests/log_lines.rs
+++ b/tests/log_lines.rs
@@ -46,6 +46,17 @@
         text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect()
     }
 
+    /// Waits until there are so many lines with this message, and returns them.
+    pub async fn wait_for_count(&self, message: &str, count: usize) -> Vec<Value> {
+        let lines = tokio::time::timeout(LINE_TIME, async {
+            while self.with_message(message).len() < count {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            self.with_message(message)
+        });
+        lines.await.unwrap_or_else(|_| panic!("fewer than {count} lines say {message:?}"))
+    }
+
     /// Waits until there is a line with this message, and returns the first one.
     pub async fn wait_for(&self, message: &str) -> Value {
         let line = tokio::time::timeout(LINE_TIME, async {
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -86,6 +86,7 @@
 mod test_reservations;
 mod test_rest;
 mod test_resumed_requests;
+mod test_resumed_streams;
 mod test_rollout;
 mod test_rollout_traffic;
 mod test_routed;
