Tests: a resumed stream has each event once, wherever it is cut

Callers resume at the next entry until their stream is whole: one entry, three entries, and three of which one reaches its peers only. A second test lets engines fall silent until about the moment at which they are left, and then write on.

So cuts at any byte, reads of any size, line ends, byte order marks, and late events of an engine that was left are ruled out as causes, for engines that go on after the event asked for.

At the entry that reaches its peers only, one or two tries in 64 streams waited until a deadline of 30 s before their caller could come back; not traced. The callers' tries have a deadline of 1.5 s, so that the test is short.

The fleet's reader keeps bytes until the answer ends, so that a character that is read in two parts is not damaged.

--- a/tests/routed_fleet.rs
+++ b/tests/routed_fleet.rs
@@ -78,6 +78,8 @@
     Truncated,
     /// Writes these bytes, where `{id}` is replaced by the request's id, then ends the connection.
     Raw(String, ConnectionEnd),
+    /// Writes these bytes, each part by itself, then ends the connection.
+    RawParts(Vec<Vec<u8>>, ConnectionEnd),
     /// Crashes the engine: closes all its connections and the listening socket.
     Crash,
     /// Streams the events with ids from the first to the last, then crashes like `Crash`.
@@ -332,6 +334,10 @@
             let is_written = stream.write_all(text.replace("{id}", &request.id).as_bytes()).await;
             return is_written.is_ok() && end_connection(stream, end).await;
         }
+        EngineAction::RawParts(parts, end) => {
+            let is_written = write_parts(stream, &parts).await;
+            return is_written.is_ok() && end_connection(stream, end).await;
+        }
         EngineAction::Truncated => {
             (format!("HTTP/1.1 200 OK\r\n{echo}content-length: 100\r\n\r\nshort"), false)
         }
@@ -363,6 +369,16 @@
     stream.write_all(b"0\r\n\r\n").await
 }
 
+/// Writes each part so that it is likely to be read by itself.
+async fn write_parts(stream: &mut TcpStream, parts: &[Vec<u8>]) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    for part in parts {
+        stream.write_all(part).await?;
+        tokio::task::yield_now().await;
+    }
+    Ok(())
+}
+
 /// Ends a connection; returns true if it stays open.
 async fn end_connection(stream: &mut TcpStream, end: ConnectionEnd) -> bool {
     match end {
@@ -702,17 +718,16 @@
         let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
         let response = client.request(request).await.ok()?;
         let (status, mut body) = (response.status(), response.into_body());
-        let mut text = String::new();
-        loop {
+        let mut bytes = Vec::new();
+        let is_whole = loop {
             match body.frame().await {
-                None => return Some(ReceivedStream { status, text, is_whole: true }),
-                Some(Err(_)) => return Some(ReceivedStream { status, text, is_whole: false }),
-                Some(Ok(frame)) => {
-                    let bytes = frame.into_data().unwrap_or_default();
-                    text.push_str(&String::from_utf8_lossy(&bytes));
-                }
+                None => break true,
+                Some(Err(_)) => break false,
+                Some(Ok(frame)) => bytes.extend(frame.into_data().unwrap_or_default()),
             }
-        }
+        };
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        Some(ReceivedStream { status, text, is_whole })
     }
 
     async fn send(
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -23,6 +23,7 @@
 mod slow_voters;
 mod small_calls;
 mod start_fleet;
+mod stream_reader;
 mod test_answer_end;
 mod test_births;
 mod test_caller_connections;
