Streams go on only with an event that follows the last one

Cause: the relay asked for the rest after an event and joined whatever came. Nothing compared the first event of the answer with the event asked for.

The ids are now followed in one place (EventOrder): the first event of a resumed part must have a number, which is later than the last one, and follows without a gap if the ids of the answer have counted up by one until then. Of a part that begins elsewhere nothing is passed on: the stream is resumed at another engine, or cut. Repeated events are not skipped, as the run may be another one. A stream whose ids do not increase is not resumed, as its last id does not tell how far it has got; it is passed on as it comes.

--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -39,7 +39,7 @@
 pub use probe::{ProbeOutcome, probe};
 pub use relay::{PeerChoice, RelayTicket, TicketSubject, start_relay_server};
 pub use routed::{
-    AnswerMetadata, CallDialect, CallerMetadata, EventSplitter, ReservationReply,
+    AnswerMetadata, CallDialect, CallerMetadata, EventSplitter, JoinFault, ReservationReply,
     ReservationRequest, RouteIndex, SendMetadata,
 };
 pub use state::{PlatformInterface, TableSnapshot, TrafficState};
--- a/src/traffic/routed/events.rs
+++ b/src/traffic/routed/events.rs
@@ -1,5 +1,6 @@
 //! Splits a stream of server-sent events (WHATWG HTML, section 9.2) into complete events.
 
+use super::event_order::{EventOrder, JoinFault};
 use bytes::{Buf, Bytes, BytesMut};
 
 /// Mark that may stand at the start of a stream, before its first line.
@@ -25,16 +26,24 @@
     has_begun: bool,
     /// True if the stream continues one of another upstream.
     is_resumed: bool,
-    last_event_id: Option<u64>,
-    /// Id of the first event of the current upstream.
-    first_event_id: Option<u64>,
+    order: EventOrder,
     event_count: u64,
-    has_unnumbered_event: bool,
+    /// Why the events of the current upstream are held back.
+    join_fault: Option<JoinFault>,
 }
 
 impl EventSplitter {
-    /// Appends bytes; returns all complete events in the buffer, or `None` if there are none.
+    /// A splitter for a stream that its caller resumes after an event.
+    pub fn resuming(after: Option<u64>) -> Self {
+        EventSplitter { order: EventOrder::after(after), ..EventSplitter::default() }
+    }
+
+    /// Appends bytes; returns all complete events in the buffer, or `None` if there are none. Returns
+    /// none of an upstream whose first event does not go on after the last one.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        if self.join_fault.is_some() {
+            return None;
+        }
         self.pending.extend_from_slice(bytes);
         if !self.has_begun && !self.read_byte_order_mark() {
             return None;
@@ -64,7 +73,12 @@
     /// True if another upstream can resume the stream after its last complete event, which is named
     /// by its id.
     pub fn can_resume(&self) -> bool {
-        !self.has_unnumbered_event
+        self.order.can_resume()
+    }
+
+    /// Why the answer of the current upstream does not go on after the last event.
+    pub fn join_fault(&self) -> Option<JoinFault> {
+        self.join_fault
     }
 
     /// Discards a partial event before another upstream resumes the stream.
@@ -74,17 +88,18 @@
         self.event = EventFields::default();
         self.has_begun = false;
         self.is_resumed = true;
-        self.first_event_id = None;
+        self.join_fault = None;
+        self.order.begin_part();
     }
 
     /// Id of the first complete event since the stream began or was resumed.
     pub fn first_event_id(&self) -> Option<u64> {
-        self.first_event_id
+        self.order.first_of_part()
     }
 
-    /// Id of the last complete event.
+    /// Id of the last complete event, or of the one that the stream was resumed after.
     pub fn last_event_id(&self) -> Option<u64> {
-        self.last_event_id
+        self.order.last()
     }
 
     /// Number of complete events so far.
@@ -120,8 +135,9 @@
             if !matches!(byte, b'\n' | b'\r') {
                 continue;
             }
-            if !is_second_of_pair {
-                self.end_line(at);
+            if !is_second_of_pair && let Err(fault) = self.end_line(at) {
+                self.join_fault = Some(fault);
+                break;
             }
             self.line_start = at + 1;
             if self.is_after_blank_line {
@@ -132,18 +148,20 @@
         complete_end
     }
 
-    fn end_line(&mut self, end: usize) {
+    fn end_line(&mut self, end: usize) -> Result<(), JoinFault> {
         let line = &self.pending[self.line_start..end];
         self.is_after_blank_line = line.is_empty();
         if !line.is_empty() {
-            return self.event.read_line(line);
+            self.event.read_line(line);
+            return Ok(());
         }
         let event = std::mem::take(&mut self.event);
         let id = event.id.flatten();
-        self.first_event_id = self.first_event_id.or(id);
-        self.last_event_id = id.or(self.last_event_id);
+        if event.has_data || id.is_some() {
+            self.order.record(id)?;
+        }
         self.event_count += u64::from(event.has_data || event.id.is_some());
-        self.has_unnumbered_event |= event.has_data && event.id.flatten().is_none();
+        Ok(())
     }
 }
 
--- a/src/traffic/routed/mod.rs
+++ b/src/traffic/routed/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod dialect;
 mod end_check;
+mod event_order;
 mod events;
 mod forward;
 mod index;
@@ -33,6 +34,7 @@
 pub use dialect::{
     AnswerMetadata, CallDialect, CallerMetadata, ReservationReply, ReservationRequest, SendMetadata,
 };
+pub use event_order::JoinFault;
 pub use events::EventSplitter;
 pub use index::RouteIndex;
 
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -439,6 +439,8 @@
         body: AnswerBody,
     ) -> Self {
         let resumption = request.caller_resumption();
+        let after = resumption.as_ref().and_then(|resumption| resumption.after_event);
+        let splitter = EventSplitter::resuming(after);
         StreamRelay {
             request,
             source,
@@ -446,7 +448,7 @@
             framing: body.framing(),
             content,
             body: Some(body),
-            splitter: EventSplitter::default(),
+            splitter,
             gap_start: None,
             timing: StreamTiming::default(),
             interruption: None,
@@ -472,19 +474,10 @@
         loop {
             let mut checked = None;
             let error = match self.next_event().await {
-                RelayEvent::Read(BodyRead::Data(bytes)) => match self.splitter.push(&bytes) {
-                    Some(events) => {
-                        self.interruption = None;
-                        self.event_memory = None;
-                        self.record_origin();
-                        self.log_resumed();
-                        self.report_timing();
-                        return RelayStep::Events(events);
-                    }
-                    None if self.reserve_event_memory() => continue,
-                    None => {
-                        format!("no event ends within {} bytes", self.splitter.pending_bytes())
-                    }
+                RelayEvent::Read(BodyRead::Data(bytes)) => match self.take_events(&bytes) {
+                    Ok(Some(events)) => return RelayStep::Events(events),
+                    Ok(None) => continue,
+                    Err(error) => error,
                 },
                 RelayEvent::Read(BodyRead::Ended(end)) => {
                     let end = self.check_end(end).await;
@@ -518,6 +511,24 @@
         }
     }
 
+    /// Takes bytes of the body; returns the complete events. Fails if the stream can't go on with them.
+    fn take_events(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, String> {
+        let events = self.splitter.push(bytes);
+        if let Some(fault) = self.splitter.join_fault() {
+            return Err(fault.to_string());
+        }
+        if events.is_some() {
+            self.interruption = None;
+            self.event_memory = None;
+            self.record_origin();
+            self.log_resumed();
+            self.report_timing();
+        } else if !self.reserve_event_memory() {
+            return Err(format!("no event ends within {} bytes", self.splitter.pending_bytes()));
+        }
+        Ok(events)
+    }
+
     /// Reads the body. While the upstream is silent for long, another place is looked for; whichever
     /// comes first is returned.
     async fn next_event(&mut self) -> RelayEvent {
--- a/src/traffic/routed/stream_end.rs
+++ b/src/traffic/routed/stream_end.rs
@@ -50,7 +50,8 @@
 pub enum CutCause {
     /// Its deadline has passed.
     Deadline,
-    /// An event without a number can't be named to another upstream.
+    /// Its last event can't be named to another upstream: an event had no number, or its number was not
+    /// above the one before.
     UnnumberedEvent,
     /// It may not be sent to another upstream.
     NoRetry(RetryObstacle),
--- a/tests/test_resumed_streams.rs
+++ b/tests/test_resumed_streams.rs
@@ -188,6 +188,21 @@
         self.entries[entry].list_addresses(&rows);
     }
 
+    /// Resumes a stream as a caller does that has so many events, until it is not refused. An entry that
+    /// has just started does not know yet that one version serves.
+    async fn resume_after(&self, last: &str) -> ReceivedStream {
+        let headers = [("last-event-id", last), ("tarragonknot-deadline-ms", DEADLINE_MS)];
+        for attempt in 0..MAX_TRIES {
+            let id = format!("r-{attempt}");
+            let received = self.entries[0].stream("/resumable/a", &id, &headers).await;
+            if received.status == StatusCode::OK {
+                return received;
+            }
+            tokio::time::sleep(REFUSAL_PAUSE).await;
+        }
+        panic!("the stream is refused");
+    }
+
     /// Reads a stream to its end, with a request to another entry after each break.
     async fn read_to_end(&self, number: usize) -> CallerStream {
         let id = format!("r{number}");
@@ -335,6 +350,121 @@
     assert!(sends > received.len(), "no stream was left");
 }
 
+/// What an engine does that is asked to resume a stream and does not go on after its last event.
+#[derive(Clone, Copy, Debug)]
+enum FalseResumption {
+    /// Begins the stream anew.
+    Anew,
+    /// Repeats the last event.
+    Repeated,
+    /// Goes on one event too late.
+    Skipped,
+    /// Writes an event without an id.
+    Unnumbered,
+    /// Writes an event whose id is no number.
+    NoNumber,
+}
+
+impl FalseResumption {
+    fn answer(self, after: u64) -> EngineAction {
+        let events = |first: u64| {
+            (first..=EVENTS).map(|id| format!("id: {id}\ndata: {id}\n\n")).collect::<String>()
+        };
+        let (status, kind, body) = match self {
+            FalseResumption::Anew => ("200 OK", EVENT_STREAM, events(1)),
+            FalseResumption::Repeated => ("200 OK", EVENT_STREAM, events(after)),
+            FalseResumption::Skipped => ("200 OK", EVENT_STREAM, events(after + 2)),
+            FalseResumption::Unnumbered => ("200 OK", EVENT_STREAM, "data: x\n\n".to_owned()),
+            FalseResumption::NoNumber => ("200 OK", EVENT_STREAM, "id: a\ndata: x\n\n".to_owned()),
+        };
+        let head = HEAD.replace("200 OK", status);
+        let text = format!("{head}{kind}content-length: {}\r\n\r\n{body}", body.len());
+        EngineAction::Raw(text, ConnectionEnd::Stay)
+    }
+}
+
+/// Guards against events of an engine that does not go on after the last event, which its caller would
+/// read as those that follow, and against a stream that ends as complete with them.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_that_does_not_go_on_after_the_last_event_is_not_joined(
+    #[values(
+        FalseResumption::Anew,
+        FalseResumption::Repeated,
+        FalseResumption::Skipped,
+        FalseResumption::Unnumbered,
+        FalseResumption::NoNumber
+    )]
+    answer: FalseResumption,
+    #[values(false, true)] is_cut_off: bool,
+) {
+    let script = move |_, request: &ReceivedRequest| match after_event(request) {
+        0 => EngineAction::CutEvents(1, 4),
+        after => answer.answer(after),
+    };
+    let fleet = ResumingFleet::start(2, 2, start_engines(2, script).await).await;
+    if is_cut_off {
+        fleet.cut_off(0);
+    }
+
+    let headers = [("tarragonknot-deadline-ms", DEADLINE_MS)];
+    let received = fleet.entries[0].stream("/resumable/a", "r1", &headers).await;
+
+    assert_eq!(event_ids(&read_events(received.text.as_bytes())), [1, 2, 3, 4], "{received:?}");
+    assert!(!received.is_whole, "{received:?}");
+    let sends: usize = fleet.engines.iter().map(ScriptedEngine::count).sum();
+    assert!(sends > 1, "the stream was not resumed");
+}
+
+/// Guards against an engine that does not go on after the caller's last event being held for the only
+/// one, though another does.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_goes_on_at_an_engine_that_goes_on_after_its_last_event(
+    #[values(FalseResumption::Anew, FalseResumption::Repeated)] answer: FalseResumption,
+) {
+    let script = move |engine, request: &ReceivedRequest| match (engine, after_event(request)) {
+        (_, 0) => EngineAction::CutEvents(1, 4),
+        (0, after) => answer.answer(after),
+        (_, after) => EngineAction::Events(after + 1, EVENTS),
+    };
+    let fleet = ResumingFleet::start(1, 6, start_engines(ENGINES, script).await).await;
+
+    let mut received = Vec::new();
+    for number in 0..STREAMS {
+        let headers = [("tarragonknot-deadline-ms", DEADLINE_MS)];
+        let id = format!("r{number}");
+        received.push(fleet.entries[0].stream("/resumable/a", &id, &headers).await);
+    }
+
+    let ids: Vec<u64> = (1..=EVENTS).collect();
+    for stream in &received {
+        assert!(stream.is_whole, "{stream:?}");
+        assert_eq!(event_ids(&read_events(stream.text.as_bytes())), ids, "{stream:?}");
+    }
+}
+
+/// Guards against a caller that resumes its stream and gets events again that it has.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_gets_no_event_that_it_has(
+    #[values(
+        FalseResumption::Anew,
+        FalseResumption::Repeated,
+        FalseResumption::Unnumbered,
+        FalseResumption::NoNumber
+    )]
+    answer: FalseResumption,
+) {
+    let script = move |_, request: &ReceivedRequest| answer.answer(after_event(request));
+    let fleet = ResumingFleet::start(1, 2, start_engines(2, script).await).await;
+
+    let received = fleet.resume_after("4").await;
+
+    assert!(read_events(received.text.as_bytes()).is_empty(), "{received:?}");
+    assert!(!received.is_whole, "{received:?}");
+}
+
 /// Guards against a resumption whose log does not tell who resumed the stream, after which event, and
 /// where the answer went on.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
