An answer that is no event stream does not complete a resumed stream

Seen by callers: a stream broken off after its fourth event ended as complete after it, if the engine that was asked for the rest answered 204, or 200 with text ("it is over") that was appended to the events.

Cause: any success was taken for the rest of the stream. A body without events that ends as stated is a whole rest, so the stream counted as complete.

The rest has to have a body of the media type that the stream began with. Any other answer counts as one of an upstream that does not go on: the stream is resumed at another place, or cut. The line "stream not resumed" names the status and the media type.

An event stream that is empty and ends as stated remains a whole rest: the engine may have broken off after the last event.

--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -324,6 +324,7 @@
     history: &mut SendHistory,
     source: &AnswerSource,
     last_event_id: Option<u64>,
+    content: StreamContent,
 ) -> NextSource {
     let (service, rule) = (source.service(), PlacingRule::Admitted);
     let upstream = source.placed().map(|placed| &placed.name);
@@ -333,7 +334,7 @@
         match request.search_next_place(send).await {
             Ok(NextPlace::Here(placed, _)) => return NextSource::Place(placed),
             Ok(NextPlace::ThroughPeer) => {
-                if let Some(answer) = ask_peers(request, history, last_event_id).await {
+                if let Some(answer) = ask_peers(request, history, last_event_id, content).await {
                     return NextSource::Peer(answer);
                 }
                 tokio::time::sleep(PEER_INTERVAL).await;
@@ -348,6 +349,7 @@
     request: &mut RoutedRequest,
     history: &mut SendHistory,
     last_event_id: Option<u64>,
+    content: StreamContent,
 ) -> Option<Box<PeerAnswer>> {
     let (origin, sent) = (request.origin, history.sent());
     let outcome = send_through_peers(request, history, last_event_id).await;
@@ -358,7 +360,7 @@
     }
     match outcome {
         PeerOutcome::Answered(answer)
-            if answer.head.status.is_success()
+            if may_hold_rest(&answer.head, &answer.body, content)
                 && origin.is_none_or(|origin| answer.hop.origin == origin) =>
         {
             Some(answer)
@@ -367,6 +369,18 @@
     }
 }
 
+/// True if an answer may hold the rest of a stream of this content. One that has no body, or a body of
+/// another media type, does not say that the stream is complete.
+fn may_hold_rest(head: &response::Parts, body: &AnswerBody, content: StreamContent) -> bool {
+    let has_body = body.framing() != AnswerFraming::NoBody;
+    head.status.is_success() && has_body && StreamContent::of(head) == content
+}
+
+/// What an answer says that does not hold the rest of a stream.
+fn unusable_answer(head: &response::Parts) -> String {
+    format!("status {}, media type {}", head.status, media_type(head).unwrap_or("not stated"))
+}
+
 /// Where the answer to a request comes from.
 pub enum AnswerSource {
     /// An upstream.
@@ -545,11 +559,12 @@
         self.log_silence(silence);
         self.interruption = Some(StreamBreak::Silent(silence));
         let last_event_id = self.last_event_id();
+        let content = self.content;
         let StreamRelay { request, history, body, source, splitter, .. } = self;
         let Some(body) = body else { return RelayEvent::Deadline };
         let search = Box::pin(async {
             match splitter.can_resume() {
-                true => find_next_source(request, history, source, last_event_id).await,
+                true => find_next_source(request, history, source, last_event_id, content).await,
                 false => std::future::pending().await,
             }
         });
@@ -843,12 +858,14 @@
         let rule = PlacingRule::Admitted;
         let sent = self.request.try_send(&placed, &mut self.history, last_event_id, rule).await;
         let result = match sent {
-            SendResult::Ended(Ok(answer)) if answer.head.status.is_success() => {
+            SendResult::Ended(Ok(answer))
+                if may_hold_rest(&answer.head, &answer.body, self.content) =>
+            {
                 self.adopt(AnswerSource::Upstream(placed), answer.body);
                 return ResumeResult::Resumed;
             }
             SendResult::Ended(Ok(answer)) => {
-                self.log_not_resumed(&placed, &format!("status {}", answer.head.status));
+                self.log_not_resumed(&placed, &unusable_answer(&answer.head));
                 self.request.record_version_answer(&placed, VersionOutcome::Failed);
                 placed.guard.end(DispatchOutcome::Failed);
                 ResumeResult::Failed
@@ -878,7 +895,8 @@
     }
 
     async fn resume_through_peers(&mut self, last_event_id: Option<u64>) -> bool {
-        let answer = ask_peers(&mut self.request, &mut self.history, last_event_id).await;
+        let answer =
+            ask_peers(&mut self.request, &mut self.history, last_event_id, self.content).await;
         let is_resumed = answer.is_some();
         answer
             .into_iter()
--- a/tests/test_resumed_streams.rs
+++ b/tests/test_resumed_streams.rs
@@ -363,6 +363,10 @@
     Unnumbered,
     /// Writes an event whose id is no number.
     NoNumber,
+    /// Answers with text that is no event stream, and is complete.
+    PlainText,
+    /// Answers that there is no content.
+    NoContent,
 }
 
 impl FalseResumption {
@@ -376,6 +380,13 @@
             FalseResumption::Skipped => ("200 OK", EVENT_STREAM, events(after + 2)),
             FalseResumption::Unnumbered => ("200 OK", EVENT_STREAM, "data: x\n\n".to_owned()),
             FalseResumption::NoNumber => ("200 OK", EVENT_STREAM, "id: a\ndata: x\n\n".to_owned()),
+            FalseResumption::PlainText => {
+                ("200 OK", "content-type: text/plain\r\n", "it is over\n\n".to_owned())
+            }
+            FalseResumption::NoContent => {
+                let head = HEAD.replace("200 OK", "204 No Content");
+                return EngineAction::Raw(format!("{head}\r\n"), ConnectionEnd::Stay);
+            }
         };
         let head = HEAD.replace("200 OK", status);
         let text = format!("{head}{kind}content-length: {}\r\n\r\n{body}", body.len());
@@ -393,7 +404,9 @@
         FalseResumption::Repeated,
         FalseResumption::Skipped,
         FalseResumption::Unnumbered,
-        FalseResumption::NoNumber
+        FalseResumption::NoNumber,
+        FalseResumption::PlainText,
+        FalseResumption::NoContent
     )]
     answer: FalseResumption,
     #[values(false, true)] is_cut_off: bool,
@@ -421,7 +434,8 @@
 #[rstest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stream_goes_on_at_an_engine_that_goes_on_after_its_last_event(
-    #[values(FalseResumption::Anew, FalseResumption::Repeated)] answer: FalseResumption,
+    #[values(FalseResumption::Anew, FalseResumption::Repeated, FalseResumption::PlainText)]
+    answer: FalseResumption,
 ) {
     let script = move |engine, request: &ReceivedRequest| match (engine, after_event(request)) {
         (_, 0) => EngineAction::CutEvents(1, 4),
