--- a/soak/cuts.rs
+++ b/soak/cuts.rs
@@ -12,7 +12,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// Interval at which connections that were opened meanwhile are cut as well.
+/// Interval at which connections that were opened during a cut are cut as well.
 const SCAN_INTERVAL: Duration = Duration::from_millis(50);
 /// Instructions of socket filters: load a word of the packet, jump if equal, return.
 const LOAD_WORD: u16 = 0x20;
@@ -103,7 +103,7 @@
                     .iter()
                     .try_for_each(|socket| filter_socket(socket, &blocked, is_deaf, is_cut))
             });
-            // A process may end meanwhile.
+            // A process may have ended.
             if let Err(error) = filtered
                 && error.kind() == io::ErrorKind::PermissionDenied
             {
--- a/soak/engines.rs
+++ b/soak/engines.rs
@@ -122,7 +122,7 @@
 }
 
 /// Kills an engine between two events and keeps its listening socket: connections open, and nothing
-/// answers until the next engine starts there. The list has it meanwhile.
+/// answers until the next engine starts there. The list has it until then.
 pub fn silence(ctx: &SoakContext, number: usize) {
     ctx.losses.record_fault(FaultTarget::Engine(number));
     if let Some(engine) = lock(&ctx.engines).engines.get_mut(&number) {
--- a/soak/main.rs
+++ b/soak/main.rs
@@ -86,7 +86,7 @@
     /// Also kill all entries at once beside a release, every few seconds.
     #[arg(long)]
     restart_entries: bool,
-    /// Play releases of the engines' software alone, with entries that are out of step meanwhile.
+    /// Play releases of the engines' software alone, beside entries that are out of step.
     #[arg(long)]
     out_of_step: bool,
     /// Time between two events of a stream in milliseconds.
--- a/src/stream_origin/lookup.rs
+++ b/src/stream_origin/lookup.rs
@@ -36,7 +36,7 @@
 /// Who must confirm that a service has had one version alone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum VersionQuorum {
-    /// Nobody: the daemon exchanges nothing with others, so no stream began elsewhere.
+    /// None: the daemon exchanges no messages with others, so no stream began elsewhere.
     Own,
     /// A majority of the voters.
     Voters,
@@ -223,39 +223,35 @@
     }
 
     /// True if a majority of the voters knows `version` alone, and none that has replied knows another.
-    /// Voters that have just started may have forgotten a version; if they are needed for the majority,
-    /// most of the peers that were asked must agree, too. A stream begins at a version only once a majority of the voters has heard of it, so one of those
+    /// A stream begins at a version only once a majority of the voters has heard of it, so one of those
     /// that reply knows any version that could have begun the stream, however old the lists of this
-    /// daemon and of its peers are.
+    /// daemon and of its peers are. Voters that have just started may have forgotten a version: if they
+    /// are needed for the majority, most of the peers that were asked must agree, too.
     fn is_confirmed(&self, version: Option<VersionHash>) -> bool {
-        let is_contradicted = self
-            .claims
-            .iter()
-            .any(|(_, claim)| *claim != VersionClaim::None && !Self::names_alone(*claim, version));
-        let has_watched = |claim: VersionClaim| !matches!(claim, VersionClaim::Recent(_));
-        let names = |daemon: &SocketAddr, are_young_counted: bool| {
-            self.claims.iter().any(|(from, claim)| {
-                from == daemon
-                    && Self::names_alone(*claim, version)
-                    && (are_young_counted || has_watched(*claim))
-            })
-        };
-        let has_most = |daemons: &[SocketAddr], are_young_counted: bool| {
-            let naming = daemons.iter().filter(|daemon| names(daemon, are_young_counted));
-            naming.count() > daemons.len() / 2
-        };
+        let names = |claim| Self::names_alone(claim, version);
+        let has_watched = |claim| names(claim) && !matches!(claim, VersionClaim::Recent(_));
+        let is_contradicted =
+            self.claims.iter().any(|(_, claim)| *claim != VersionClaim::None && !names(*claim));
         let has_quorum = match self.quorum {
             VersionQuorum::Own => true,
+            VersionQuorum::Unknown => false,
             VersionQuorum::Voters => {
-                has_most(&self.voters, false)
-                    || (has_most(&self.voters, true)
-                        && (self.owners.is_empty() || has_most(self.asked(), true)))
+                let peers_agree = || self.owners.is_empty() || self.most_claim(self.asked(), names);
+                self.most_claim(&self.voters, has_watched)
+                    || (self.most_claim(&self.voters, names) && peers_agree())
             }
-            VersionQuorum::Unknown => false,
         };
         has_quorum && !is_contradicted
     }
 
+    /// True if more than half of these daemons have replied with such a claim.
+    fn most_claim(&self, daemons: &[SocketAddr], agrees: impl Fn(VersionClaim) -> bool) -> bool {
+        let has_claimed = |daemon: &&SocketAddr| {
+            self.claims.iter().any(|(from, claim)| from == *daemon && agrees(*claim))
+        };
+        daemons.iter().filter(has_claimed).count() > daemons.len() / 2
+    }
+
     /// True if a peer or a voter has watched the service's versions for long enough. Daemons that have
     /// just started only know what they see: the version before may have left while all were down.
     fn is_remembered(&self) -> bool {
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -291,12 +291,12 @@
         }
         DaemonMessage::Origin(message) => {
             let now = state.clock.now();
-            let is_heard = matches!(message, OriginMessage::Announced(_));
+            let is_acknowledged = matches!(message, OriginMessage::Announced(_));
             let reply = state.origins.handle_message(message, from, now);
             if let Some(reply) = reply {
                 state.fleet.send(&DaemonMessage::Origin(reply), &[from]);
             }
-            if is_heard {
+            if is_acknowledged {
                 state.origins.use_announced(state);
             }
         }
