--- a/tests/fleet_play.rs
+++ b/tests/fleet_play.rs
@@ -4,13 +4,15 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BTreeSet, BinaryHeap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tarragonknot::fleet_state::{
     DaemonIdentity, FleetMessage, FleetState, FlowRow, LocalState, OrganisationHash, WorkRow,
 };
-use tarragonknot::policy::{LimitTable, Moment, OrganisationIndex, OrganisationLimit};
+use tarragonknot::policy::{
+    LimitTable, LimitTolerance, Moment, OrganisationIndex, OrganisationLimit,
+};
 use tarragonknot::quarantine::CrashTable;
 
 /// The organisation whose limit is under test.
@@ -127,6 +129,10 @@
     last_boot: u64,
     rng: ChaCha8Rng,
     delivery_rule: DeliveryRule,
+    /// How far limits may be exceeded.
+    tolerance: LimitTolerance,
+    /// Daemons that neither send nor receive messages.
+    pub is_cut_off: BTreeSet<usize>,
 }
 
 impl FleetSimulation {
@@ -142,6 +148,8 @@
             last_boot: 1,
             rng: ChaCha8Rng::seed_from_u64(seed),
             delivery_rule,
+            tolerance: LimitTolerance::default(),
+            is_cut_off: BTreeSet::new(),
         };
         for number in 0..count {
             let initial_credit = simulation.rng.random();
@@ -185,6 +193,12 @@
         daemons.for_each(|daemon| daemon.fleet.set_serving_list(serving.clone(), now));
     }
 
+    /// Sets how far the daemons' limits may be exceeded.
+    pub fn set_tolerance(&mut self, tolerance: LimitTolerance) {
+        self.tolerance = tolerance;
+        self.daemons.iter_mut().for_each(|daemon| daemon.limits.set_tolerance(tolerance));
+    }
+
     /// Stops a daemon without a departure message.
     pub fn kill(&mut self, number: usize) {
         self.daemons[number].is_running = false;
@@ -194,7 +208,8 @@
     pub fn start(&mut self, number: usize) {
         self.last_boot += 1;
         let initial_credit = self.rng.random();
-        let daemon = SimulatedDaemon::new(number, self.last_boot, initial_credit, self.now);
+        let mut daemon = SimulatedDaemon::new(number, self.last_boot, initial_credit, self.now);
+        daemon.limits.set_tolerance(self.tolerance);
         match self.daemons.get_mut(number) {
             Some(known) => *known = daemon,
             None => self.daemons.push(daemon),
@@ -267,6 +282,9 @@
         let Some(number) = (0..self.daemons.len()).find(|number| address(*number) == to) else {
             return;
         };
+        if self.is_cut_off.contains(&from) || self.is_cut_off.contains(&number) {
+            return;
+        }
         let copies = (self.delivery_rule)(from, number, self.now, self.rng.random());
         for _ in 0..copies {
             // One message in fifty takes 60 ms longer and is overtaken by later ones.
@@ -329,7 +347,7 @@
                 let number = choose_daemon(self.rng.random());
                 let now = self.now;
                 let daemon = &mut self.daemons[number];
-                if daemon.is_running {
+                if daemon.is_running && !daemon.has_left {
                     let is_admitted = daemon.limits.admit(HOT, cost, now).is_ok();
                     admitted_tokens += u64::from(is_admitted) * u64::from(cost);
                     outcome.requests += 1;
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -58,6 +58,7 @@
 mod test_leader_growth;
 mod test_limit_sizes;
 mod test_limits;
+mod test_limits_without_aggregators;
 mod test_list_freshness;
 mod test_list_in_force;
 mod test_list_order;
