Count admissions across a change of aggregator

Callers of one organisation got more than its limit on a fleet of hundreds while aggregators came and went.

Cause: whoever hears a source of counters for the first time took its first values as the baseline. After a change of aggregator this happens at three levels: each member's first report to the new aggregator, the new aggregator's first sum at all others, and theirs at it. What was admitted between the last message to the old aggregator and the first one to the new one was charged to no daemon. The estimate for a silent aggregator begins after 0.6 s, and was dropped once the new one covered its members, usually before.

Now a member tells a new aggregator which of its tokens the sums have included (`counted`), and is counted from there. An aggregator that begins to count says since when; the others count its sums from zero if they have counted for longer. What a new aggregator has not heard of is estimated at an equal share of the limit. Sources that are counted elsewhere keep their totals, in case they are heard again, and what was estimated for them is refunded. The message format is version 10: daemons of earlier builds and these drop each other's reports.

New for operators: the line `counters heard for the first time`, and `fleet_first_counts{level,baseline}`.

--- a/src/fleet_state/flow_ledger.rs
+++ b/src/fleet_state/flow_ledger.rs
@@ -5,6 +5,7 @@
 use crate::policy::Moment;
 use crate::table::DaemonName;
 use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
 use std::time::Duration;
 
 /// If a silent source turns out to have admitted less than was estimated, the excess is refunded,
@@ -23,15 +24,28 @@
     pub asked: u64,
 }
 
-/// Identifies a message of a source by process start and sequence number.
+/// Identifies a message of a source by process start, count and sequence number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SourceStamp {
     /// The number of the source's process start.
     pub boot: u64,
-    /// The sequence number of the message.
+    /// The number of the count; the source's counters begin at zero with each.
+    pub count: u64,
+    /// The sequence number of the message, which increases within a process start.
     pub sequence: u64,
 }
 
+/// What the first message of a source is counted from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FlowBaseline<'a> {
+    /// Its own values: what they contain has been counted elsewhere, or before this daemon counted.
+    OwnValues,
+    /// Zero: the source began to count after this daemon, so all of it is new.
+    Zero,
+    /// The values that the fleet's sums included before; rows left out are zero.
+    Counted(&'a [FlowRow]),
+}
+
 /// The last reported state of one source.
 #[derive(Clone, Debug)]
 struct FlowSource {
@@ -43,6 +57,8 @@
     /// True if rows that were never received are known to be zero. Otherwise their baseline is
     /// unknown and the first value received becomes the baseline.
     has_zero_baseline: bool,
+    /// True if its daemons are counted elsewhere.
+    is_retired: bool,
 }
 
 /// The state of a source that has exceeded the silence timeout.
@@ -65,48 +81,59 @@
 
 /// Counters by the daemon that reports them.
 ///
-/// When a source is heard for the first time, its tokens so far have already been counted
-/// elsewhere, so its counters are the baseline. A source that has restarted counts from zero.
+/// When a source is heard for the first time, a [`FlowBaseline`] says what it is counted from. A
+/// source that has restarted counts from zero.
 #[derive(Clone, Debug, Default)]
 pub struct FlowLedger {
     sources: BTreeMap<DaemonName, FlowSource>,
 }
 
+impl FlowBaseline<'_> {
+    /// The name used in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            FlowBaseline::OwnValues => "own-values",
+            FlowBaseline::Zero => "zero",
+            FlowBaseline::Counted(_) => "counted",
+        }
+    }
+}
+
 impl FlowLedger {
-    /// Applies a message and returns the increases, unless the message was overtaken or a counter
-    /// has fallen. Rows left out have not changed, or are zero if `is_whole`.
+    /// Applies a message of a source whose first one is counted from its own values.
     pub fn apply(
+        &mut self,
+        daemon: &DaemonName,
+        stamp: SourceStamp,
+        rows: (&[FlowRow], bool),
+        now: Moment,
+    ) -> Result<Vec<FlowDelta>, MessageRefusal> {
+        self.apply_from(daemon, stamp, rows, FlowBaseline::OwnValues, now)
+    }
+
+    /// Applies a message and returns the increases, unless the message was overtaken or a counter
+    /// has fallen. Rows left out have not changed, or are zero if `is_whole`. `baseline` is what
+    /// the first message of a source is counted from.
+    pub fn apply_from(
         &mut self,
         daemon: &DaemonName,
         stamp: SourceStamp,
         (rows, is_whole): (&[FlowRow], bool),
+        baseline: FlowBaseline<'_>,
         now: Moment,
     ) -> Result<Vec<FlowDelta>, MessageRefusal> {
-        let Some(source) = self.sources.get_mut(daemon) else {
-            let source = FlowSource {
-                stamp,
-                totals: totals_of(rows),
-                rates: FlowRates::default(),
-                last_heard: now,
-                silence: None,
-                has_zero_baseline: is_whole,
-            };
-            self.sources.insert(daemon.clone(), source);
-            return Ok(Vec::new());
+        let source = match self.sources.entry(daemon.clone()) {
+            Entry::Vacant(entry) => entry.insert(FlowSource::new(stamp, rows, baseline, now)),
+            Entry::Occupied(entry) => {
+                let source = entry.into_mut();
+                source.check(stamp, rows)?;
+                source.begin_message(stamp, now);
+                source
+            }
         };
-        let is_same_boot = source.stamp.boot == stamp.boot;
-        if is_same_boot && source.stamp.sequence >= stamp.sequence {
-            return Err(MessageRefusal::Overtaken);
+        if let FlowBaseline::Counted(counted) = baseline {
+            source.raise_totals(counted);
         }
-        if is_same_boot && rows.iter().any(|row| source.asked(row.organisation) > row.asked) {
-            return Err(MessageRefusal::FallingCounter);
-        }
-        if !is_same_boot {
-            source.totals.clear();
-            source.has_zero_baseline = true;
-        }
-        source.stamp = stamp;
-        source.last_heard = now;
         let silence = source.silence.take();
         let deltas = source.deltas(rows, silence, now);
         source.has_zero_baseline |= is_whole;
@@ -128,7 +155,7 @@
     ) -> Vec<FlowDelta> {
         let mut deltas = Vec::new();
         for source in self.sources.values_mut() {
-            if now.since(source.last_heard) < timeout {
+            if source.is_retired || now.since(source.last_heard) < timeout {
                 continue;
             }
             source.begin_silence(limit_rates, fleet, equal_share, now);
@@ -137,8 +164,19 @@
         deltas
     }
 
-    pub fn remove(&mut self, daemon: &DaemonName) {
-        self.sources.remove(daemon);
+    /// Ends the estimates for a source whose daemons are counted elsewhere from now on. Its totals are
+    /// kept, in case it is heard again. Returns the refunds of the fraction `counted_elsewhere` of
+    /// what was estimated for its silence.
+    pub fn retire(&mut self, daemon: &DaemonName, counted_elsewhere: f64) -> Vec<FlowDelta> {
+        let Some(source) = self.sources.get_mut(daemon) else { return Vec::new() };
+        source.is_retired = true;
+        let silence = source.silence.take();
+        silence.map_or_else(Vec::new, |silence| silence.refunds(counted_elsewhere))
+    }
+
+    /// Returns true if a message of the source has been applied.
+    pub fn knows(&self, daemon: &DaemonName) -> bool {
+        self.sources.contains_key(daemon)
     }
 
     /// Keeps the sources for which `keep` returns true, given the daemon and when it was last
@@ -153,7 +191,70 @@
     }
 }
 
+impl SilentPeriod {
+    /// Refunds of a fraction of the estimates, as far as they may be refunded.
+    fn refunds(self, fraction: f64) -> Vec<FlowDelta> {
+        let refunds = self.estimated.into_iter().map(|(organisation, estimated)| FlowDelta {
+            organisation,
+            taken: -((estimated.refundable * fraction) as i64),
+            asked: 0,
+        });
+        refunds.filter(|delta| delta.taken != 0).collect()
+    }
+}
+
 impl FlowSource {
+    fn new(stamp: SourceStamp, rows: &[FlowRow], baseline: FlowBaseline<'_>, now: Moment) -> Self {
+        let totals = match baseline {
+            FlowBaseline::OwnValues => totals_of(rows),
+            FlowBaseline::Zero | FlowBaseline::Counted(_) => FlowTotals::new(),
+        };
+        FlowSource {
+            stamp,
+            totals,
+            rates: FlowRates::default(),
+            last_heard: now,
+            silence: None,
+            has_zero_baseline: baseline != FlowBaseline::OwnValues,
+            is_retired: false,
+        }
+    }
+
+    /// Refuses a message that was overtaken, or whose counters have fallen.
+    fn check(&self, stamp: SourceStamp, rows: &[FlowRow]) -> Result<(), MessageRefusal> {
+        if self.stamp.boot == stamp.boot && self.stamp.sequence >= stamp.sequence {
+            return Err(MessageRefusal::Overtaken);
+        }
+        let has_fallen = |row: &FlowRow| self.asked(row.organisation) > row.asked;
+        match self.is_same_count(stamp) && rows.iter().any(has_fallen) {
+            true => Err(MessageRefusal::FallingCounter),
+            false => Ok(()),
+        }
+    }
+
+    fn is_same_count(&self, stamp: SourceStamp) -> bool {
+        (self.stamp.boot, self.stamp.count) == (stamp.boot, stamp.count)
+    }
+
+    fn begin_message(&mut self, stamp: SourceStamp, now: Moment) {
+        if !self.is_same_count(stamp) {
+            self.totals.clear();
+            self.has_zero_baseline = true;
+        }
+        self.stamp = stamp;
+        self.last_heard = now;
+        self.is_retired = false;
+    }
+
+    /// Raises the totals to those that were counted elsewhere.
+    fn raise_totals(&mut self, counted: &[FlowRow]) {
+        for row in counted {
+            if row.asked > self.asked(row.organisation) {
+                self.totals.insert(row.organisation, (row.taken, row.asked));
+            }
+        }
+    }
+
     fn asked(&self, organisation: OrganisationHash) -> u64 {
         self.totals.get(&organisation).map_or(0, |(_, asked)| *asked)
     }
--- a/src/fleet_state/messages.rs
+++ b/src/fleet_state/messages.rs
@@ -102,7 +102,8 @@
     /// The daemon continues to report.
     #[default]
     Stays,
-    /// The daemon reports to another aggregator from now on.
+    /// The daemon reports to another aggregator from now on, which counts what the sums have not
+    /// included.
     Moved,
     /// The daemon has drained and admits no more requests.
     Left,
@@ -116,6 +117,8 @@
     pub flows: Vec<FlowRow>,
     /// True if only rows at zero are left out of `flows`.
     pub is_whole: bool,
+    /// If `is_whole`, the token counters that an aggregator's sums have included so far.
+    pub counted: Vec<FlowRow>,
     /// All of its requests at upstreams.
     pub work: Vec<WorkRow>,
     /// All of its waiting requests.
@@ -139,7 +142,11 @@
     pub members: Vec<u32>,
     /// Age of the oldest included report, in milliseconds.
     pub age_ms: u32,
-    /// Their token counters since the aggregator began to count.
+    /// The number of the aggregator's count; increases with each within a process start.
+    pub count: u64,
+    /// Milliseconds since the count began.
+    pub counting_ms: u32,
+    /// Their token counters since the count began.
     pub flows: Vec<FlowRow>,
     /// Their requests at upstreams. If there are too many rows for one message, a part of them in
     /// round-robin order.
@@ -267,8 +274,12 @@
             row.asked <= MAX_TOKENS && row.taken.unsigned_abs() <= max_taken
         };
         let is_valid_work = |row: &WorkRow| row.1.requests <= MAX_REQUESTS;
+        let counted = match self {
+            FleetMessage::Report(report) => report.counted.as_slice(),
+            FleetMessage::Sum(_) | FleetMessage::Summary(_) => &[],
+        };
         let is_plausible = is_reachable
-            && flows.iter().all(is_valid_flow)
+            && flows.iter().chain(counted).all(is_valid_flow)
             && work.iter().all(is_valid_work)
             && self.suspects().is_plausible();
         if is_plausible { Ok(()) } else { Err(MessageRefusal::Implausible) }
--- a/src/fleet_state/mod.rs
+++ b/src/fleet_state/mod.rs
@@ -17,6 +17,11 @@
 //! Counters are cumulative and tied to one start of the process, so lost, duplicated and reordered
 //! messages are harmless. The usage of a daemon that has fallen silent is estimated from its rate
 //! and the time since its last message ([`FlowLedger`]).
+//!
+//! Aggregators come and go, and no admission may be lost with one. So a daemon tells a new
+//! aggregator which of its tokens the sums have included before, and an aggregator that begins to
+//! count says so, which lets the others count its sums from zero. What a new aggregator has not yet
+//! heard of is estimated ([`FlowBaseline`]).
 
 mod aggregator_choice;
 mod flow_ledger;
@@ -36,7 +41,7 @@
 mod work_tables;
 
 pub use aggregator_choice::AggregatorChoice;
-pub use flow_ledger::{FlowDelta, FlowLedger, SourceStamp};
+pub use flow_ledger::{FlowBaseline, FlowDelta, FlowLedger, SourceStamp};
 pub use flow_rates::FlowRates;
 pub use layout::{FleetLayout, MAX_MESH_SIZE};
 pub use list_freshness::ListFreshness;
@@ -50,7 +55,7 @@
 pub use reading_order::{BegunReading, ReadingClock, ReadingOrder};
 pub use row_rotation::RowRotation;
 pub use state::{
-    BucketEstimates, DaemonIdentity, FleetRole, FleetState, LocalState, OfferTarget,
+    BucketEstimates, DaemonIdentity, FirstCount, FleetRole, FleetState, LocalState, OfferTarget,
     OutgoingMessage,
 };
 pub use work_tables::WorkTable;
--- a/src/fleet_state/own_history.rs
+++ b/src/fleet_state/own_history.rs
@@ -22,6 +22,8 @@
 pub struct ReportHistory {
     reports: VecDeque<SentReport>,
     included: Option<SentReport>,
+    /// This daemon's counters that the sums of any aggregator have included.
+    counted: FlowTotals,
 }
 
 impl ReportHistory {
@@ -39,8 +41,7 @@
     }
 
     /// Notes that the aggregator's sums include the report `sequence`, and returns the increase of
-    /// this daemon's own counters since the report included before. The first included report is
-    /// the baseline and returns no increase.
+    /// this daemon's own counters since those that were included before.
     pub fn mark_included(&mut self, sequence: u64) -> Vec<FlowDelta> {
         let is_new = self.included.as_ref().is_none_or(|report| report.sequence < sequence);
         let Some(idx) = self.reports.iter().position(|report| report.sequence == sequence) else {
@@ -50,8 +51,19 @@
             return Vec::new();
         }
         let report = self.reports[idx].clone();
-        let before = self.included.replace(report.clone());
-        before.map_or_else(Vec::new, |before| flow_deltas(&before.totals, &report.totals))
+        let before = std::mem::replace(&mut self.counted, report.totals.clone());
+        self.included = Some(report);
+        flow_deltas(&before, &self.counted)
+    }
+
+    /// Notes that this daemon has included its own counters in its sums as an aggregator.
+    pub fn mark_counted(&mut self, totals: FlowTotals) {
+        self.counted = totals;
+    }
+
+    /// This daemon's counters that the sums of any aggregator have included.
+    pub fn counted(&self) -> &FlowTotals {
+        &self.counted
     }
 
     /// Forgets the included report, since the sums of a new aggregator include none of this daemon
--- a/src/fleet_state/state/mod.rs
+++ b/src/fleet_state/state/mod.rs
@@ -1,6 +1,7 @@
 //! The fleet's state as one daemon sees it: its role, the messages that it sends, and those that it
 //! receives.
 
+mod own_count;
 mod peers;
 mod presumed;
 mod queries;
@@ -8,6 +9,7 @@
 mod send;
 mod slot_offers;
 
+pub use own_count::FirstCount;
 pub use presumed::FIRST_READERS;
 pub use queries::FleetRole;
 pub use receive::BucketEstimates;
@@ -24,6 +26,7 @@
 use crate::policy::{Moment, OwnerRing};
 use crate::quarantine::SuspectUpdate;
 use crate::table::DaemonName;
+use own_count::OwnCount;
 use peers::{LastSummary, MemberState, PeerAggregator};
 use presumed::PresumedDaemons;
 use std::collections::{BTreeMap, BTreeSet};
@@ -119,8 +122,12 @@
     other_groups_cursor: RowCursor,
     history: ReportHistory,
     local: LocalState,
+    /// This daemon's count as an aggregator; `None` while it does not aggregate.
+    own_count: Option<OwnCount>,
     group_flows: FlowTotals,
     fleet_flows: FlowTotals,
+    /// First messages of sources, until they are logged.
+    first_counts: Vec<FirstCount>,
     taken_rates: FlowRates,
     asked_rates: FlowRates,
     own_rates: FlowRates,
@@ -155,8 +162,10 @@
             other_groups_cursor: RowCursor::default(),
             history: ReportHistory::default(),
             local: LocalState::default(),
+            own_count: None,
             group_flows: FlowTotals::new(),
             fleet_flows: FlowTotals::new(),
+            first_counts: Vec::new(),
             taken_rates: FlowRates::default(),
             asked_rates: FlowRates::default(),
             own_rates: FlowRates::default(),
@@ -207,7 +216,10 @@
             self.report_to_aggregator(now, &mut outgoing);
         }
         if self.is_aggregating(now) {
+            self.begin_count(now);
             self.send_sums(now, &mut outgoing);
+        } else {
+            self.own_count = None;
         }
         self.estimate_silent(limit_rates, now);
         self.remove_expired(now);
@@ -338,18 +350,15 @@
             now,
         );
         self.add_deltas(&peers, (false, false), now);
-        self.estimate_silent_aggregator(limit_rates, now);
+        match self.has_direct_view(now) {
+            true => self.estimate_uncovered(limit_rates, now),
+            false => self.estimate_silent_aggregator(limit_rates, now),
+        }
     }
 
     /// Adds the estimated usage behind a silent aggregator, either the current one or one that was
-    /// excluded. It stands for all other daemons until another source of their counters is
-    /// available.
+    /// excluded. It stands for all other daemons until another aggregator is heard.
     fn estimate_silent_aggregator(&mut self, limit_rates: &[(OrganisationHash, f64)], now: Moment) {
-        let is_replaced = self.has_direct_view(now)
-            && self.aggregators.values().any(|peer| now.since(peer.last_heard) < LIVENESS_TIMEOUT);
-        if is_replaced {
-            self.summary_flows = FlowLedger::default();
-        }
         let address = self.summary.as_ref().map(|summary| summary.address);
         let is_excluded = address.is_some() && self.choice.chosen() != address;
         let timeout = if is_excluded { Duration::ZERO } else { self.silence_timeout() };
@@ -376,25 +385,29 @@
             .iter()
             .filter(|(_, member)| !is_live(member.last_heard) && covered.contains(&member.hash));
         let moved: Vec<DaemonName> = moved.map(|(daemon, _)| daemon.clone()).collect();
-        moved.iter().for_each(|daemon| self.remove_member(daemon));
+        moved.iter().for_each(|daemon| self.remove_member(daemon, now));
         covered.extend(self.members.values().map(|member| member.hash));
-        let is_covered =
-            |peer: &PeerAggregator| peer.members.iter().any(|hash| covered.contains(hash));
-        let replaced = self
-            .aggregators
-            .iter()
-            .filter(|(_, peer)| !is_live(peer.last_heard) && is_covered(peer));
-        let replaced: Vec<DaemonName> = replaced.map(|(daemon, _)| daemon.clone()).collect();
-        replaced.iter().for_each(|daemon| self.remove_peer(daemon));
+        let covered_share = |peer: &PeerAggregator| {
+            let count = peer.members.iter().filter(|hash| covered.contains(hash)).count();
+            count as f64 / peer.members.len().max(1) as f64
+        };
+        let silent = self.aggregators.iter().filter(|(_, peer)| !is_live(peer.last_heard));
+        let replaced = silent.map(|(daemon, peer)| (daemon.clone(), covered_share(peer)));
+        let replaced: Vec<(DaemonName, f64)> = replaced.filter(|(_, share)| *share > 0.0).collect();
+        replaced.iter().for_each(|(daemon, share)| self.remove_peer(daemon, *share, now));
     }
 
-    fn remove_member(&mut self, daemon: &DaemonName) {
-        self.member_flows.remove(daemon);
+    /// Removes a daemon that reports elsewhere or has left.
+    fn remove_member(&mut self, daemon: &DaemonName, now: Moment) {
+        let refunds = self.member_flows.retire(daemon, 1.0);
+        self.add_deltas(&refunds, (true, false), now);
         self.members.remove(daemon);
     }
 
-    fn remove_peer(&mut self, daemon: &DaemonName) {
-        self.peer_flows.remove(daemon);
+    /// Removes an aggregator that has left, or a fraction of whose daemons reports to another one.
+    fn remove_peer(&mut self, daemon: &DaemonName, counted_elsewhere: f64, now: Moment) {
+        let refunds = self.peer_flows.retire(daemon, counted_elsewhere);
+        self.add_deltas(&refunds, (false, false), now);
         self.aggregators.remove(daemon);
     }
 
@@ -405,11 +418,10 @@
         self.last_heard.retain(|_, at| is_known(*at));
         self.members.retain(|_, member| is_known(member.last_heard) || is_serving(member.address));
         let members = &self.members;
-        let own = &self.identity.daemon;
-        self.member_flows.retain(|daemon, _| daemon == own || members.contains_key(daemon));
+        let is_member = |daemon: &DaemonName| members.contains_key(daemon);
+        self.member_flows.retain(|daemon, at| is_member(daemon) || is_known(at));
         self.aggregators.retain(|_, peer| is_known(peer.last_heard));
-        let aggregators = &self.aggregators;
-        self.peer_flows.retain(|daemon, _| aggregators.contains_key(daemon));
+        self.peer_flows.retain(|_, at| is_known(at));
         self.summary_flows.retain(|_, last_heard| is_known(last_heard));
         self.other_groups.remove_expired(now);
     }
--- a/src/fleet_state/state/receive.rs
+++ b/src/fleet_state/state/receive.rs
@@ -3,8 +3,8 @@
 use super::{FleetState, LastSummary, MemberState, PeerAggregator};
 use crate::fleet_state::messages::daemon_hash;
 use crate::fleet_state::{
-    Departure, FleetMessage, FleetSummary, FlowRow, GroupSum, MemberReport, MessageRefusal,
-    MessageSource, SourceStamp,
+    Departure, FleetMessage, FleetSummary, FlowBaseline, FlowRow, GroupSum, MemberReport,
+    MessageRefusal, MessageSource, SourceStamp,
 };
 use crate::policy::Moment;
 use std::time::Duration;
@@ -61,6 +61,7 @@
             source,
             flows,
             is_whole,
+            counted,
             work,
             waiting,
             list: _,
@@ -69,15 +70,32 @@
             suspects: _,
         } = report;
         let MessageSource { daemon, address, .. } = &source;
-        if departure != Departure::Stays && self.member_flows.stamp(daemon).is_none() {
+        let is_first = !self.member_flows.knows(daemon);
+        if departure != Departure::Stays && is_first {
             return Ok(());
         }
+        // The next aggregator counts what the sums have not included, so this one must not.
+        if departure == Departure::Moved {
+            self.remove_member(daemon, now);
+            self.last_heard.remove(address);
+            return Ok(());
+        }
+        if !self.is_mesh(now) {
+            self.begin_count(now);
+        }
+        let baseline = match is_whole && !self.is_mesh(now) {
+            true => FlowBaseline::Counted(&counted),
+            false => FlowBaseline::OwnValues,
+        };
         let rows = (flows.as_slice(), is_whole);
-        let deltas = self.member_flows.apply(daemon, stamp(&source), rows, now)?;
+        let deltas = self.member_flows.apply_from(daemon, stamp(&source), rows, baseline, now)?;
+        if is_first {
+            self.note_first_count(daemon, ("member", baseline), &deltas);
+        }
         let is_own = *daemon == self.identity.daemon;
         self.add_deltas(&deltas, (true, is_own), now);
-        if departure != Departure::Stays {
-            self.remove_member(daemon);
+        if departure == Departure::Left {
+            self.remove_member(daemon, now);
             self.last_heard.remove(address);
             return Ok(());
         }
@@ -99,10 +117,16 @@
     fn apply_sum(&mut self, sum: GroupSum, now: Moment) -> Result<(), MessageRefusal> {
         let MessageSource { daemon, address, .. } = &sum.source;
         let rows = (sum.flows.as_slice(), false);
-        let deltas = self.peer_flows.apply(daemon, stamp(&sum.source), rows, now)?;
+        let stamp = SourceStamp { count: sum.count, ..stamp(&sum.source) };
+        let is_first = !self.peer_flows.knows(daemon);
+        let baseline = self.sum_baseline(&sum, now);
+        let deltas = self.peer_flows.apply_from(daemon, stamp, rows, baseline, now)?;
+        if is_first {
+            self.note_first_count(daemon, ("aggregator", baseline), &deltas);
+        }
         self.add_deltas(&deltas, (false, false), now);
         if sum.is_leaving {
-            self.remove_peer(daemon);
+            self.remove_peer(daemon, 0.0, now);
             return Ok(());
         }
         self.other_groups.insert(&sum.work, now);
@@ -129,18 +153,27 @@
         now: Moment,
     ) -> Result<bool, MessageRefusal> {
         let address = summary.source.address;
-        if summary.is_leaving {
-            self.choice.exclude(address, now);
-            return Ok(false);
+        match summary.is_leaving {
+            true => self.choice.exclude(address, now),
+            false => self.choice.record_summary(address, now),
         }
-        self.choice.record_summary(address, now);
         let is_first = self.choice.chosen().is_none();
         if !is_first && self.choice.chosen() != Some(address) {
             return Ok(false);
         }
         let daemon = &summary.source.daemon;
         let rows = (summary.flows.as_slice(), false);
-        let deltas = self.summary_flows.apply(daemon, stamp(&summary.source), rows, now)?;
+        let stamp = stamp(&summary.source);
+        let known = self.summary_flows.stamp(daemon);
+        let is_first = known.is_none_or(|known| known.boot != stamp.boot);
+        if known.is_some() && is_first {
+            // The aggregator has started again, so that it has no state of this daemon.
+            self.history.clear_included();
+        }
+        let deltas = self.summary_flows.apply(daemon, stamp, rows, now)?;
+        if is_first {
+            self.note_first_count(daemon, ("summary", FlowBaseline::OwnValues), &deltas);
+        }
         // The estimate for the previous aggregator ends here.
         self.summary_flows.retain(|source, _| source == daemon);
         for delta in deltas {
@@ -151,7 +184,8 @@
         let included_reports = summary.included_reports.iter().find(|(hash, _)| *hash == own);
         let own = included_reports
             .map_or_else(Vec::new, |(_, sequence)| self.history.mark_included(*sequence));
-        for delta in own {
+        // The first summary is the baseline, with what it includes of this daemon.
+        for delta in own.into_iter().filter(|_| known.is_some()) {
             self.queue_charge(delta.organisation, -delta.taken);
         }
         self.other_groups.insert(&summary.other_groups, now);
@@ -175,5 +209,5 @@
 }
 
 fn stamp(source: &MessageSource) -> SourceStamp {
-    SourceStamp { boot: source.boot, sequence: source.sequence }
+    SourceStamp { boot: source.boot, count: 0, sequence: source.sequence }
 }
--- a/src/fleet_state/state/send.rs
+++ b/src/fleet_state/state/send.rs
@@ -2,7 +2,7 @@
 //! fleet.
 
 use super::{FleetState, LIVENESS_TIMEOUT, OutgoingMessage, WORK_TTL, departure};
-use crate::fleet_state::flow_totals::FlowTotals;
+use crate::fleet_state::flow_totals::{FlowTotals, totals_of};
 use crate::fleet_state::waiting_table::{WaitingTable, add_waiting, waiting_rows};
 use crate::fleet_state::work_tables::add_work;
 use crate::fleet_state::{
@@ -26,10 +26,12 @@
             true => self.local.flows.clone(),
             false => self.report_rows.select_rows(self.local.flows.iter().copied()),
         };
+        let counted = if is_whole { rows(self.history.counted(), &[]) } else { Vec::new() };
         MemberReport {
             source: self.source(),
             flows,
             is_whole,
+            counted,
             work: self.local.work.clone(),
             waiting: self.local.waiting.clone(),
             list: self.local.list,
@@ -45,6 +47,7 @@
         let others = self.layout.addresses().iter().copied().filter(|address| *address != own);
         let to: Vec<SocketAddr> = others.collect();
         let report = self.report(true, departure(&self.local));
+        self.history.mark_counted(totals_of(&self.local.flows));
         if !to.is_empty() {
             outgoing.push(OutgoingMessage { to, message: FleetMessage::Report(report) });
         }
@@ -72,7 +75,7 @@
             }
             if before == Some(own) {
                 let daemon = self.identity.daemon.clone();
-                self.remove_member(&daemon);
+                self.remove_member(&daemon, now);
             }
         }
         let report = self.report(!self.history.is_included(), departure(&self.local));
@@ -80,6 +83,7 @@
         if aggregator == own {
             // A daemon's own report is never overtaken.
             let _ = self.apply_report(MemberReport { departure: Departure::Stays, ..report }, now);
+            self.history.mark_counted(totals_of(&self.local.flows));
         } else {
             let message = FleetMessage::Report(report);
             outgoing.push(OutgoingMessage { to: vec![aggregator], message });
@@ -136,8 +140,13 @@
     fn group_sum(&mut self, work: &BTreeMap<UpstreamHash, PeerWork>, now: Moment) -> GroupSum {
         let flows = rows(&self.group_flows, &self.local.flows);
         let chosen = self.group_cursor.next_rows(work);
+        let (count, counting) = self
+            .own_count
+            .map_or((0, Duration::ZERO), |count| (count.number, now.since(count.began)));
         GroupSum {
             source: self.source(),
+            count,
+            counting_ms: counting.as_millis() as u32,
             members: self.members.values().map(|member| member.hash).collect(),
             age_ms: self.members_age(now).as_millis() as u32,
             flows: self.group_rows.select_rows(flows),
--- a/src/traffic/fleet_exchange/mod.rs
+++ b/src/traffic/fleet_exchange/mod.rs
@@ -11,9 +11,9 @@
 
 use super::state::TrafficState;
 use crate::fleet_state::{
-    BucketEstimates, DaemonIdentity, FleetMessage, FleetRole, FleetState, FlowRow, ListStamp,
-    LocalState, MessageRefusal, OrganisationHash, OutgoingMessage, ServiceHash, WaitingRow,
-    WorkRow,
+    BucketEstimates, DaemonIdentity, FirstCount, FleetMessage, FleetRole, FleetState, FlowRow,
+    ListStamp, LocalState, MessageRefusal, OrganisationHash, OutgoingMessage, ServiceHash,
+    WaitingRow, WorkRow,
 };
 use crate::policy::{
     Moment, PeerWaiting, PeerWork, PoolEvent, UpstreamHash, UpstreamSet, UpstreamState,
@@ -318,8 +318,10 @@
     let Some(mut fleet) = state.fleet.fleet() else { return Ok(()) };
     let estimates = fleet.receive(message, now)?;
     let charges = fleet.drain_charges();
+    let first_counts = fleet.drain_first_counts();
     let is_mesh = fleet.role(now) == FleetRole::Mesh;
     drop(fleet);
+    log_first_counts(state, &first_counts);
     if let Some(stamp) = stamp {
         list::handle_stamp(state, address, stamp);
     }
@@ -334,6 +336,16 @@
     Ok(())
 }
 
+/// Logs and counts the first messages of sources of counters.
+fn log_first_counts(state: &TrafficState, first_counts: &[FirstCount]) {
+    for FirstCount { source, level, baseline, tokens } in first_counts {
+        let labels = [("level", *level), ("baseline", *baseline)];
+        metrics::counter!("fleet_first_counts", &labels).increment(1);
+        info!(state.log, "counters heard for the first time"; "source" => source.as_str(), "level" => *level,
+            "baseline" => *baseline, "tokens" => *tokens);
+    }
+}
+
 /// Charges the limits with the tokens that other daemons admitted.
 fn apply_charges(state: &TrafficState, charges: &[(OrganisationHash, i64)]) {
     if charges.is_empty() {
@@ -437,6 +449,7 @@
             let outgoing = fleet.tick(local, &rates, now);
             state.fleet.daemon_count.store(fleet.addresses().len(), Ordering::Relaxed);
             log_changes(&state, &fleet, &mut logged, now);
+            log_first_counts(&state, &fleet.drain_first_counts());
             (outgoing, fleet.drain_charges(), fleet.send_interval())
         }) else {
             return;
--- a/src/traffic/fleet_exchange/wire.rs
+++ b/src/traffic/fleet_exchange/wire.rs
@@ -10,7 +10,7 @@
 
 /// Version of the message format. Messages of other versions are dropped, and both daemons continue
 /// with the state that they have.
-const FORMAT_VERSION: u8 = 9;
+const FORMAT_VERSION: u8 = 10;
 /// Length of the authentication tag in bytes.
 const TAG_LEN: usize = 8;
 
--- a/tests/test_fleet_messages.rs
+++ b/tests/test_fleet_messages.rs
@@ -23,6 +23,7 @@
         source: MessageSource { daemon: "entry-9".into(), boot: 1, sequence, address: address(9) },
         flows: vec![flow],
         is_whole: true,
+        counted: Vec::new(),
         work: vec![(UpstreamHash::of(&"pool".into(), &"e1".into(), 1), work)],
         waiting: Vec::new(),
         list: None,
--- a/tests/test_fleet_state.rs
+++ b/tests/test_fleet_state.rs
@@ -7,8 +7,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 use tarragonknot::fleet_state::{
-    AggregatorChoice, FleetLayout, FleetRole, FlowLedger, FlowRates, FlowRow, MessageRefusal,
-    RowRotation, SourceStamp,
+    AggregatorChoice, FleetLayout, FleetRole, FlowBaseline, FlowLedger, FlowRates, FlowRow,
+    MessageRefusal, RowRotation, SourceStamp,
 };
 use tarragonknot::policy::{Moment, PeerWork, UpstreamHash};
 use tarragonknot::table::DaemonName;
@@ -42,7 +42,7 @@
 }
 
 fn stamp(boot: u64, sequence: u64) -> SourceStamp {
-    SourceStamp { boot, sequence }
+    SourceStamp { boot, count: 0, sequence }
 }
 
 proptest! {
@@ -133,6 +133,68 @@
     assert!(given_back > 0 && given_back <= estimated[0].taken, "{given_back} of {estimated:?}");
 }
 
+/// Guards against admissions that are counted nowhere: what a daemon admitted between the last sum of
+/// one aggregator that included it and its first report to the next one.
+#[test]
+fn a_daemon_is_counted_from_what_the_sums_have_included() {
+    let (daemon, now) = (DaemonName::from("entry-1"), Moment::from_millis(1_000));
+    let counted = [row(40_000)];
+    let baseline = FlowBaseline::Counted(&counted);
+    let mut new = FlowLedger::default();
+    let mut known = FlowLedger::default();
+    known.apply(&daemon, stamp(1, 1), (&[row(10_000)], true), now).expect("the first message");
+
+    let at_new = new.apply_from(&daemon, stamp(1, 9), (&[row(45_000)], true), baseline, now);
+    let at_known = known.apply_from(&daemon, stamp(1, 9), (&[row(45_000)], true), baseline, now);
+
+    assert_eq!(at_new.map(|deltas| deltas[0].taken), Ok(5_000));
+    assert_eq!(at_known.map(|deltas| deltas[0].taken), Ok(5_000));
+}
+
+/// Guards against the first sum of a new aggregator being counted nowhere, and against the counters of
+/// an earlier count of the same process being taken for those of the new one.
+#[test]
+fn a_count_that_began_later_is_counted_from_zero() {
+    let (daemon, now) = (DaemonName::from("entry-1"), Moment::from_millis(1_000));
+    let stamp = |count, sequence| SourceStamp { boot: 1, count, sequence };
+    let mut ledger = FlowLedger::default();
+    let mut apply = |stamp, rows: &[FlowRow]| {
+        let deltas = ledger.apply_from(&daemon, stamp, (rows, false), FlowBaseline::Zero, now);
+        deltas.map(|deltas| deltas.iter().map(|delta| delta.taken).sum::<i64>())
+    };
+
+    let first = apply(stamp(5, 6), &[row(7_000)]);
+    let second = apply(stamp(5, 7), &[row(9_000)]);
+    let of_next_count = apply(stamp(20, 21), &[row(300)]);
+    let of_first_count_late = apply(stamp(5, 8), &[row(9_500)]);
+
+    assert_eq!((first, second, of_next_count), (Ok(7_000), Ok(2_000), Ok(300)));
+    assert_eq!(of_first_count_late, Err(MessageRefusal::Overtaken));
+}
+
+/// Guards against charging an organisation twice: for the estimates of a silent source and for what
+/// another one counts in its place, or for all that a source has counted when it is heard again.
+#[test]
+fn a_source_that_is_counted_elsewhere_is_refunded_and_not_counted_anew() {
+    let (daemon, limits) = (DaemonName::from("entry-1"), [(hot_hash(), RATE as f64)]);
+    let after = Duration::from_millis(600);
+    let (began, later) = (Moment::from_millis(1_000), Moment::from_millis(2_000));
+    let mut ledger = FlowLedger::default();
+    ledger.apply(&daemon, stamp(1, 1), (&[row(50_000)], true), began).expect("the first message");
+    let rates = FlowRates::default();
+    let estimated = ledger.estimate_silent(&limits, &rates, (0.5, after), later);
+
+    let refunds = ledger.retire(&daemon, 0.5);
+    let while_retired = ledger.estimate_silent(&limits, &rates, (0.5, after), later + after);
+    let baseline = FlowBaseline::Zero;
+    let again =
+        ledger.apply_from(&daemon, stamp(1, 2), (&[row(50_100)], true), baseline, later + after);
+
+    assert_eq!(refunds[0].taken, -estimated[0].taken / 2);
+    assert_eq!(while_retired, []);
+    assert_eq!(again.map(|deltas| deltas[0].taken), Ok(100));
+}
+
 #[test]
 fn changed_rows_are_sent_again_and_the_others_in_turn() {
     let hash = |number: usize| {
--- a/tests/test_limits_without_aggregators.rs
+++ b/tests/test_limits_without_aggregators.rs
@@ -155,3 +155,23 @@
     let admitted = outcome.max_admitted(WINDOW_SECONDS) as f64;
     assert!(admitted <= allowed, "{:.3} of what is allowed: {outcome:?}", admitted / allowed);
 }
+
+/// Guards against refusing an organisation below its limit while aggregators change, since admissions
+/// are estimated where they are counted as well.
+#[rstest]
+fn a_change_of_aggregator_refuses_little_below_the_limit(
+    #[values(74, 291)] daemons: usize,
+    #[values(
+        Churn::ThirdOfAggregatorsKilled,
+        Churn::FifthOfAggregatorsLeave,
+        Churn::OneAggregatorKilled
+    )]
+    churn: Churn,
+) {
+    let mut play = ChurnPlay::new(daemons, churn, 1);
+    play.offer(0.5, 2);
+
+    let outcome = play.offer(0.7, 12);
+
+    assert!(outcome.refused * 50 <= outcome.requests, "{outcome:?}");
+}
--- a/tests/test_slot_offers.rs
+++ b/tests/test_slot_offers.rs
@@ -150,6 +150,7 @@
         source,
         flows: Vec::new(),
         is_whole: true,
+        counted: Vec::new(),
         work: Vec::new(),
         waiting: vec![row],
         list: None,
