Bound the answers that are kept whole, and bytes before a head

Cause: each answer that is kept whole until it is judged was bounded (16 MiB), but their sum only where the platform's contracts list `pressure`. And nothing but the deadline bounded interim answers (1xx) before a head.

Now plain answers share a quarter of the daemon's memory wherever it is stated, and the largest is dropped; connections to upstreams parse in 64 KiB and fail after 256 KiB without a head.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -108,8 +108,10 @@
         let now = state.clock.now();
         state.limits().start_empty(now);
     }
-    if let Some(memory) = settings.memory_mb.filter(|_| bounds_memory(settings)) {
-        state.memory.set_memory(memory);
+    match settings.memory_mb {
+        Some(memory) if bounds_memory(settings) => state.memory.set_memory(memory),
+        Some(memory) => state.memory.set_answer_memory(memory),
+        None => {}
     }
     if settings.organisation_shares {
         state.enable_organisation_shares();
--- a/src/traffic/memory_budget.rs
+++ b/src/traffic/memory_budget.rs
@@ -132,6 +132,8 @@
 struct BudgetState {
     ledger: MemoryLedger,
     buffers: BTreeMap<AnswerNumber, Arc<AnswerBuffer>>,
+    /// True if the bound is for answers that are kept whole alone, not for bodies and streams.
+    counts_whole_answers_only: bool,
 }
 
 #[derive(Debug)]
@@ -163,13 +165,25 @@
         self.set_limit(usize::try_from(bytes).unwrap_or(usize::MAX));
     }
 
+    /// Sets the bound as [`set_memory`](Self::set_memory) does, for answers that are kept whole alone.
+    pub fn set_answer_memory(&self, memory_mb: u64) {
+        self.set_memory(memory_mb);
+        self.lock().counts_whole_answers_only = true;
+    }
+
     /// Sets the bound, in bytes.
     pub fn set_limit(&self, bytes: usize) {
         self.lock().ledger.limit = Some(bytes);
     }
 
-    /// True if there is a bound.
+    /// True if there is a bound for bodies and all answers.
     pub fn is_bounded(&self) -> bool {
+        let state = self.lock();
+        state.ledger.limit.is_some() && !state.counts_whole_answers_only
+    }
+
+    /// True if there is a bound for answers that are kept whole.
+    pub fn bounds_whole_answers(&self) -> bool {
         self.lock().ledger.limit.is_some()
     }
 
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -101,7 +101,7 @@
 impl BodyReading<'_> {
     /// Reads the body, as for [`buffered_response`].
     pub async fn whole_body(&self, body: AnswerBody) -> Result<Body, BufferError> {
-        if self.request.state.memory.is_bounded() {
+        if self.request.state.memory.bounds_whole_answers() {
             return self.held_body(body).await;
         }
         let framing = body.framing();
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -18,11 +18,14 @@
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
 use std::collections::HashMap;
+use std::io::{self, IoSlice};
 use std::net::SocketAddr;
-use std::pin::pin;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::pin::{Pin, pin};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, LazyLock, Mutex, OnceLock, PoisonError, Weak};
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
@@ -33,6 +36,11 @@
 /// the connection slightly early, which would lose a request in transit.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Size of the buffer in which a connection's bytes are parsed, and so the maximum size of a head.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+/// Maximum number of bytes before the head of an answer, interim answers (1xx) included. The parser
+/// itself bounds a single head only.
+const MAX_HEAD_BYTES: usize = 4 * READ_BUFFER_BYTES;
 /// Maximum number of idle connections for each address.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
@@ -115,6 +123,8 @@
     /// True while the body of an answer is read. Its reader may be slow, so that a close goes unnoticed.
     is_in_body: AtomicBool,
     has_ended: AtomicBool,
+    /// Bytes read since the last body.
+    head_bytes: AtomicUsize,
 }
 
 impl ConnectionWatch {
@@ -124,6 +134,76 @@
             && !self.is_in_body.load(Ordering::Acquire)
             && !self.has_ended.load(Ordering::Acquire)
     }
+
+    fn set_in_body(&self, is_in_body: bool) {
+        self.head_bytes.store(0, Ordering::Release);
+        self.is_in_body.store(is_in_body, Ordering::Release);
+    }
+
+    /// Counts bytes that were read; fails if they are too many for a head.
+    fn count_read(&self, bytes: usize) -> io::Result<()> {
+        if self.is_in_body.load(Ordering::Acquire) {
+            return Ok(());
+        }
+        let total = self.head_bytes.fetch_add(bytes, Ordering::AcqRel) + bytes;
+        match total <= MAX_HEAD_BYTES {
+            true => Ok(()),
+            false => Err(io::Error::other("the head of the answer is too long")),
+        }
+    }
+}
+
+/// The socket of an upstream, which fails once the upstream sends too much before an answer.
+struct UpstreamStream {
+    stream: TcpStream,
+    watch: Arc<ConnectionWatch>,
+}
+
+impl AsyncRead for UpstreamStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        match read {
+            Poll::Ready(Ok(())) => {
+                Poll::Ready(self.watch.count_read(buffer.filled().len() - before))
+            }
+            other => other,
+        }
+    }
+}
+
+impl AsyncWrite for UpstreamStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
 }
 
 /// Marks the connection as ended when its task ends or is aborted.
@@ -202,7 +282,7 @@
         let actions = connection.machine.step(ConnectionEvent::Finished);
         if actions.contains(&ConnectionAction::Keep) && !connection.sender.is_closed() {
             connection.idle_since = Instant::now();
-            connection.watch.is_in_body.store(false, Ordering::Release);
+            connection.watch.set_in_body(false);
             self.pool.put_idle(connection);
         }
     }
@@ -280,11 +360,14 @@
             })?
             .map_err(|error| not_sent(format!("{address}: {error}")))?;
         let _ = stream.set_nodelay(true);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let watch = self.watch(address);
+        let io = TokioIo::new(UpstreamStream { stream, watch: Arc::clone(&watch) });
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(io)
             .await
             .map_err(|error| not_sent(format!("{address}: {error}")))?;
         machine.step(ConnectionEvent::Opened);
-        let watch = self.watch(address);
         let guard = WatchGuard(Arc::clone(&watch));
         let task = tokio::spawn(async move {
             let _guard = guard;
@@ -354,7 +437,7 @@
         match answered {
             Ok(response) => {
                 if let Some(connection) = &guard.connection {
-                    connection.watch.is_in_body.store(true, Ordering::Release);
+                    connection.watch.set_in_body(true);
                     let _ = connection.watch.first_answer_at.set(Instant::now());
                 }
                 Ok((response, guard))
--- a/tests/test_process_end.rs
+++ b/tests/test_process_end.rs
@@ -2,18 +2,15 @@
 
 use crate::raw_engine::request_head;
 use crate::routed_fleet::{
-    ConnectionEnd, EngineAction, EventPace, KEY, ReceivedRequest, ScriptedEngine, document,
+    ConnectionEnd, EngineAction, EventPace, KEY, ReceivedRequest, ScriptedEngine,
 };
+use crate::served_entry::{START_TIME, order_table, serve_list, wait_for_message};
 use crate::workdir::{WorkDir, free_address};
-use axum::routing::get;
-use http::{Request, StatusCode};
-use hyper_util::client::legacy::Client;
-use hyper_util::rt::TokioExecutor;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 
 /// Events of a whole stream.
 const EVENTS: u64 = 40;
@@ -21,8 +18,6 @@
 const LARGE_BYTES: usize = 12 << 20;
 /// Time for which a caller reads nothing of it.
 const READ_PAUSE: Duration = Duration::from_secs(3);
-/// Time within which the daemon must serve; generous even for a busy machine.
-const START_TIME: Duration = Duration::from_secs(120);
 
 /// Guards against records that are lost when the process ends.
 #[test]
@@ -71,45 +66,6 @@
     }
 }
 
-/// Serves a list that has one engine.
-async fn serve_list(engine: &ScriptedEngine) -> SocketAddr {
-    let list = json!({"instances": [{
-        "service": "pool", "address": engine.address.to_string(), "zone": "hall-a", "version": "v1",
-        "slots": 4, "state": "ready", "cold_left_ms": 0, "id": engine.name,
-    }], "next_token": null});
-    let router = axum::Router::new().route("/instances", get(move || async { axum::Json(list) }));
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
-    let address = listener.local_addr().expect("the socket has an address");
-    tokio::spawn(async move { axum::serve(listener, router).await });
-    address
-}
-
-/// Puts the table in force, as an operator does.
-async fn order_table(operators: SocketAddr) {
-    let table = document(1).replace("\"timeout_ms\":3000", "\"timeout_ms\":60000");
-    let client: Client<_, String> = Client::builder(TokioExecutor::new()).build_http();
-    loop {
-        let request = Request::post(format!("http://{operators}/-/config/replace"))
-            .header("content-type", "application/json")
-            .body(table.clone())
-            .expect("the request consists of valid parts");
-        if client.request(request).await.is_ok_and(|answer| answer.status() == StatusCode::OK) {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
-/// Waits until the daemon's log has this message.
-async fn wait_for_message(work: &WorkDir, message: &str) {
-    let waiting = tokio::time::timeout(START_TIME, async {
-        while !work.read("entry-1.log").contains(message) {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-    });
-    assert!(waiting.await.is_ok(), "{}", work.read("entry-1.log"));
-}
-
 /// Sends a request on a connection of its own, and reads its answer after a pause.
 async fn read_answer(callers: SocketAddr, path: &str, id: &str, pause: Duration) -> String {
     let mut stream = TcpStream::connect(callers).await.expect("the daemon listens");
@@ -130,7 +86,7 @@
         "daemon": "entry-1", "data_centre": "hall-a", "callers": callers.to_string(),
         "control": free_address().to_string(), "data_folder": "data", "found_fleet": true,
         "fleet_key_file": "fleet.key", "balancer_wait_ms": 10,
-        "platform": {"operators": operators.to_string(), "list": serve_list(&engine).await.to_string()},
+        "platform": {"operators": operators.to_string(), "list": serve_list(&[(&engine.name, engine.address)]).await.to_string()},
     });
     let daemon = work.serve(&work.write("entry-1.json", &settings.to_string()));
     let ordered = tokio::time::timeout(START_TIME, order_table(operators)).await;
