Keep to the grace time of a stop

After SIGTERM a daemon did not know when it would be killed. Requests that waited, came late or had a slow body were sent with less time left than their answers take, and those without an answer were cut by SIGKILL, whether they may be repeated or not.

Now the platform's grace time is a setting (`stop_grace_s`). From the signal on a request is sent, for the first time or again, here or through a peer, only if answers of its route usually end in the time left (mean and four variations, RFC 6298). Others get `draining`, which has not run. What has no answer near the end gets `stopped-running`, which may have run. A connection without an answer in progress no longer keeps the process until it is killed.

--- a/src/answer/mod.rs
+++ b/src/answer/mod.rs
@@ -123,6 +123,8 @@
     MemoryFull,
     /// The daemon had no memory left for the answer and dropped it.
     AnswerDropped,
+    /// This daemon was stopped before the answer began; the request may have run.
+    StoppedRunning,
 }
 
 /// Row of the response table.
@@ -203,6 +205,7 @@
     ExceedsMemory "exceeds-memory" 503 No RetryHint::Never, false, "The request does not fit into the memory of an engine";
     MemoryFull "memory-full" 503 No RETRY_IN_1S, false, "The daemon has no memory left for the body";
     AnswerDropped "answer-dropped" 502 Unknown RETRY_IN_1S, false, "The daemon had no memory left for the answer";
+    StoppedRunning "stopped-running" 502 Unknown RETRY_IN_1S, false, "The daemon stopped while the work ran";
 }
 
 /// True if callers of routes take the status as a promise that the request has not run and never
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -17,8 +17,8 @@
 use crate::store::StoreError;
 use crate::table::DataCentreName;
 use crate::traffic::{
-    FrontendHandle, TrafficState, drain_chart, readiness_router, start_exchange, start_frontend,
-    start_relay_server, start_voter_exchange, without_frontend,
+    DrainTimes, FrontendHandle, TrafficState, drain_chart, readiness_router, start_exchange,
+    start_frontend, start_relay_server, start_voter_exchange, without_frontend,
 };
 use crate::upstream::connection_chart;
 pub use background::start_background_tasks;
@@ -135,8 +135,11 @@
     let frontend = match settings.callers {
         Some(callers) => {
             let listener = listen(callers).await?;
-            start_frontend(Arc::clone(&state), listener, settings.balancer_wait_ms)
-                .with_context(|_| bind(callers))?
+            let times = DrainTimes {
+                balancer_wait: settings.balancer_wait_ms,
+                grace: settings.stop_grace_s,
+            };
+            start_frontend(Arc::clone(&state), listener, times).with_context(|_| bind(callers))?
         }
         None => without_frontend(Arc::clone(&state)),
     };
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,6 +4,7 @@
 //! [`PoolScheduler`] consumes timestamped [`PoolEvent`]s and emits [`PoolAction`]s. [`Exchange`]
 //! does the same for the dispatch of one request. The surrounding traffic code performs the I/O.
 
+mod answer_times;
 mod cold_pace;
 mod drain_meter;
 mod earliest_placement;
@@ -42,6 +43,7 @@
 mod version_hash;
 mod waiting_levels;
 
+pub use answer_times::AnswerTimes;
 pub use cold_pace::{ColdBound, ColdPace, ColdTolerance};
 pub use drain_meter::{DrainMeter, TierProgress};
 pub use earliest_placement::EarliestPlacement;
--- a/src/traffic/frontend/admitted.rs
+++ b/src/traffic/frontend/admitted.rs
@@ -70,10 +70,17 @@
         Ok(admitted) => {
             let streams = admitted.exchange.call.wants_stream;
             let (sink, response) = AnswerSink::new(Arc::clone(&id), streams);
+            let stopping = Arc::clone(&state);
             tokio::spawn(run_admitted(state, admitted, Box::new(sink)));
-            response
-                .await
-                .unwrap_or_else(|_| RefusalAnswer::new(AnswerKind::Internal, "", 0.0).response(&id))
+            tokio::select! {
+                biased;
+                response = response => response
+                    .unwrap_or_else(|_| RefusalAnswer::new(AnswerKind::Internal, "", 0.0).response(&id)),
+                () = stopping.stop.answers_due(stopping.clock) => {
+                    let kind = AnswerKind::StoppedRunning;
+                    RefusalAnswer::new(kind, "", stopping.jitter()).response(&id)
+                }
+            }
         }
         Err(refusal) => {
             RefusalAnswer::new(refusal.kind, refusal.detail, state.jitter()).response(&id)
--- a/src/traffic/frontend/mod.rs
+++ b/src/traffic/frontend/mod.rs
@@ -37,6 +37,15 @@
 /// Interval at which the drain checks whether the last request has ended.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Times of a drain.
+#[derive(Clone, Copy, Debug)]
+pub struct DrainTimes {
+    /// How long the daemon goes on accepting requests after it became unready.
+    pub balancer_wait: Duration,
+    /// Time from the signal until the process is killed.
+    pub grace: Duration,
+}
+
 /// Handle of a running server.
 pub struct FrontendHandle {
     /// The address that the server is bound to.
@@ -74,13 +83,13 @@
 pub fn start_frontend(
     state: Arc<TrafficState>,
     listener: TcpListener,
-    balancer_wait: Duration,
+    times: DrainTimes,
 ) -> std::io::Result<FrontendHandle> {
     let address = listener.local_addr()?;
     let (drain, drain_ordered) = watch::channel(false);
     let (done_sender, done) = watch::channel(false);
     tokio::spawn(async move {
-        serve_until_drained(state, listener, drain_ordered, balancer_wait).await;
+        serve_until_drained(state, listener, drain_ordered, times).await;
         done_sender.send_replace(true);
     });
     Ok(FrontendHandle { address, drain, done })
@@ -104,7 +113,7 @@
     state: Arc<TrafficState>,
     listener: TcpListener,
     mut drain_ordered: watch::Receiver<bool>,
-    balancer_wait: Duration,
+    DrainTimes { balancer_wait, grace }: DrainTimes,
 ) {
     let router = match state.interface() {
         Some(_) => routed_router(Arc::clone(&state)),
@@ -118,8 +127,10 @@
     accept_until(&state, &listener, &server, &mut drain_signal).await;
     for action in machine.step(DrainEvent::Signal) {
         if *action == DrainAction::TurnUnready {
-            info!(state.log, "draining: unready, still accepting"; "balancer_wait_ms" => balancer_wait.as_millis() as u64);
+            info!(state.log, "draining: unready, still accepting"; "balancer_wait_ms" => balancer_wait.as_millis() as u64,
+                "grace_ms" => grace.as_millis() as u64);
             state.turn_unready();
+            state.stop.begin(grace, state.clock.now());
         }
     }
     let mut balancer_delay = Box::pin(tokio::time::sleep(balancer_wait));
@@ -130,7 +141,13 @@
     }
     if actions.contains(&DrainAction::CloseKeepAlive) {
         info!(state.log, "draining: closing connections"; "in_progress" => state.in_progress());
-        server.graceful.shutdown().await;
+        // A connection whose caller has not sent a whole request must not keep the process.
+        tokio::select! {
+            () = server.graceful.shutdown() => {}
+            () = state.stop.connections_due(state.clock) => {
+                warn!(state.log, "connections still open at the end of the grace time"; "in_progress" => state.in_progress());
+            }
+        }
     }
     while state.in_progress() > 0 {
         tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -20,6 +20,7 @@
 mod sink;
 mod start_times;
 mod state;
+mod stop_plan;
 mod stream_origins;
 mod table_source;
 
@@ -30,7 +31,7 @@
     start_voter_exchange,
 };
 pub use frontend::{
-    FrontendHandle, frontend_router, readiness_router, start_frontend, without_frontend,
+    DrainTimes, FrontendHandle, frontend_router, readiness_router, start_frontend, without_frontend,
 };
 pub use memory_budget::{
     AnswerNumber, AnswerWriter, HeldBody, MemoryBudget, MemoryGuard, MemoryLedger, NoMemory,
@@ -43,5 +44,6 @@
     ReservationRequest, RouteIndex, SendMetadata,
 };
 pub use state::{PlatformInterface, TableSnapshot, TrafficState};
+pub use stop_plan::StopPlan;
 pub use stream_origins::{ResumableStream, StreamOrigins};
 pub use table_source::{TableOrigin, TableSource};
--- a/src/traffic/routed/admission.rs
+++ b/src/traffic/routed/admission.rs
@@ -99,9 +99,21 @@
     let metadata = dialect.read_caller(request.headers());
     let caller_deadline = metadata.deadline;
     let id: Arc<str> = Arc::from(metadata.id.clone().unwrap_or_default());
-    match admit(&state, dialect, request, metadata, (arrived_at, ticket)).await {
+    let admitted = tokio::select! {
+        biased;
+        admitted = admit(&state, dialect, request, metadata, (arrived_at, ticket)) => admitted,
+        () = state.stop.answers_due(state.clock) => Err(AnswerKind::Draining),
+    };
+    match admitted {
         Ok(admitted) => {
-            let answer = forward(admitted).await;
+            let answer = tokio::select! {
+                biased;
+                answer = forward(admitted) => answer,
+                () = state.stop.answers_due(state.clock) => {
+                    info!(state.log, "refused"; "request" => &*id, "kind" => AnswerKind::StoppedRunning.row().name);
+                    RefusalAnswer::new(AnswerKind::StoppedRunning, "", state.jitter()).response(&id)
+                }
+            };
             if answer.status().is_success() {
                 state.start_times.record_answer(&state.log, state.clock.now());
             }
--- a/src/traffic/routed/forward.rs
+++ b/src/traffic/routed/forward.rs
@@ -188,6 +188,10 @@
         if let Err(error) = &sent {
             history.end_send(error);
             request.set_charged(history.may_have_run());
+            if !history.may_have_run() {
+                info!(request.state.log, "charge withdrawn"; "request" => request.id(), "upstream" => name.as_str(),
+                    "tokens" => request.limit.as_ref().map_or(0, |limit| limit.cost), "cause" => error.to_string());
+            }
         }
         let error = match sent {
             Ok(answer) => match relay_answer(request, placed, history, *answer).await {
@@ -332,6 +336,7 @@
             request.record_version_answer(&placed, answer);
             placed.guard.end(outcome);
             if status.is_success() {
+                request.state.record_answer_time(&request.route.route, after);
                 request.note_whole_answer(&request.suspect_keys(&placed.pool.service));
             }
             if !is_failure || !request.may_send_again(&placed.pool.service, history) {
--- a/src/traffic/routed/placing.rs
+++ b/src/traffic/routed/placing.rs
@@ -217,14 +217,19 @@
         changes: &mut watch::Receiver<()>,
     ) -> Result<Option<PlacedRequest>, AnswerKind> {
         let ChosenPool { pool, arm, ticket } = chosen;
+        let mut stop = self.state.stop.subscribe();
+        if self.time_to_send().is_zero() {
+            return Err(AnswerKind::Draining);
+        }
         let number = RequestId(self.state.new_request_id().0);
         let arrived = self.arrived_request(&pool, number, matched, except);
         let (mut guard, mut decision) = pool.submit(arrived);
         loop {
-            let limit = self.time_left();
+            let limit = self.time_left().min(self.time_to_send());
             let waited = tokio::select! {
                 biased;
                 waited = tokio::time::timeout(limit, &mut decision) => waited,
+                Ok(()) = stop.changed() => continue,
                 Ok(()) = changes.changed() => {
                     if self.may_use_arm(&pool.service, arm) {
                         continue;
@@ -241,6 +246,7 @@
                     return Err(kind);
                 }
                 Ok(Err(_)) => return Err(AnswerKind::Internal),
+                Err(_) if self.time_to_send().is_zero() => return Err(AnswerKind::Draining),
                 Err(_) => return Err(AnswerKind::DeadlineWaiting),
             };
             let reservation = match pool.reservation() {
--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -670,6 +670,10 @@
         self.body = None;
         self.record_end();
         let output_tokens = self.splitter.event_count() as u32;
+        if let Some(placed) = self.source.placed() {
+            let time = self.request.state.clock.now().since(placed.sent_at);
+            self.request.state.record_answer_time(&self.request.route.route, time);
+        }
         self.source.end(DispatchOutcome::Completed { prompt_tokens: None, output_tokens });
         self.log_ended();
         self.splitter.take_remainder().map_or(RelayStep::Done, RelayStep::Events)
--- a/src/traffic/routed/request.rs
+++ b/src/traffic/routed/request.rs
@@ -80,9 +80,12 @@
     fn drop(&mut self) {
         if self.stage != RequestStage::Ended {
             let after = self.state.clock.now().since(self.arrived_at).as_millis() as u64;
-            let is_panicking = std::thread::panicking();
-            self.record(if is_panicking { "panicked" } else { "caller-left" }, None);
-            let message = if is_panicking { "request panicked" } else { "caller left" };
+            let (message, outcome) = match std::thread::panicking() {
+                true => ("request panicked", "panicked"),
+                false if self.is_stopped() => ("stopped before the answer", "stopped"),
+                false => ("caller left", "caller-left"),
+            };
+            self.record(outcome, None);
             info!(self.state.log, "{}", message; "request" => self.id(), "stage" => format!("{:?}", self.stage),
                 "route" => &self.route.route, "after_ms" => after, "left_ms" => self.time_left().as_millis() as u64,
                 self.table_fields(), self.size_fields());
@@ -96,6 +99,21 @@
         self.deadline.since(self.state.clock.now())
     }
 
+    /// True once the stopping daemon answers whatever has no answer yet.
+    fn is_stopped(&self) -> bool {
+        let now = self.state.clock.now();
+        self.state.stop.times().is_some_and(|times| times.answers_until <= now)
+    }
+
+    /// Time left in which the request may be sent. A daemon that stops sends only what is likely to
+    /// be answered before its process is killed.
+    pub fn time_to_send(&self) -> Duration {
+        let Some(times) = self.state.stop.times() else { return Duration::MAX };
+        let usual = self.state.answer_time(&self.route.route).unwrap_or(self.route.objective_ms);
+        let needed = usual.min(self.time_left());
+        times.answers_until.since(self.state.clock.now() + needed)
+    }
+
     /// Records the end of the request in the metrics; `timing` is the timing of a stream's events.
     pub fn record(&self, outcome: &'static str, timing: Option<&StreamTiming>) {
         record_route(&RouteRecord {
--- a/src/traffic/routed/through_peer.rs
+++ b/src/traffic/routed/through_peer.rs
@@ -174,7 +174,10 @@
         return PeerOutcome::NotTaken;
     };
     let mut tried = Vec::new();
-    while tried.len() < MAX_PEERS && !request.time_left().is_zero() {
+    let may_offer = |request: &RoutedRequest| {
+        !request.time_left().is_zero() && !request.time_to_send().is_zero()
+    };
+    while tried.len() < MAX_PEERS && may_offer(request) {
         let now = state.clock.now();
         let chosen = state.relay.choice().choose(&peers, &tried, now, &mut state.new_rng());
         let Some(peer) = chosen else { break };
--- a/src/traffic/state/mod.rs
+++ b/src/traffic/state/mod.rs
@@ -16,14 +16,15 @@
 use super::relay::PeerRelay;
 use super::rollout_gate::RolloutGate;
 use super::routed::CallDialect;
+use super::stop_plan::StopPlan;
 use super::stream_origins::StreamOrigins;
 use crate::clock::MonotonicClock;
 use crate::control::ClaimClient;
 use crate::evacuation::EvacuatedSet;
 use crate::policy::{
-    ColdBound, ColdTolerance, LimitTable, Mechanism, MechanismSet, Moment, PoolEvent, PoolPlan,
-    RequestSizes, RetryBound, RetryBudget, RetryDetector, RouteSizes, SizeDecile, UpstreamIndex,
-    VersionHash,
+    AnswerTimes, ColdBound, ColdTolerance, LimitTable, Mechanism, MechanismSet, Moment, PoolEvent,
+    PoolPlan, RequestSizes, RetryBound, RetryBudget, RetryDetector, RouteSizes, SizeDecile,
+    UpstreamIndex, VersionHash,
 };
 use crate::rollout::version_pool_name;
 use crate::table::{
@@ -101,6 +102,10 @@
     retry_detectors: Mutex<HashMap<String, RetryDetector>>,
     /// Sizes of recent requests, by route.
     route_sizes: Mutex<HashMap<String, RouteSizes>>,
+    /// Times that answers take, by route.
+    answer_times: Mutex<HashMap<String, AnswerTimes>>,
+    /// The time left for answers once the daemon stops.
+    pub stop: StopPlan,
     is_ready: AtomicBool,
     is_drained: AtomicBool,
     claims: OnceLock<ClaimClient>,
@@ -168,6 +173,8 @@
             shares_organisations: AtomicBool::new(false),
             retry_detectors: Mutex::default(),
             route_sizes: Mutex::default(),
+            answer_times: Mutex::default(),
+            stop: StopPlan::default(),
             is_ready: AtomicBool::new(true),
             is_drained: AtomicBool::new(false),
             claims: OnceLock::new(),
@@ -413,6 +420,21 @@
         take(known.entry(route.to_owned()).or_default())
     }
 
+    /// Records the time from the send of a request to its whole answer.
+    pub fn record_answer_time(&self, route: &str, time: Duration) {
+        let mut known = self.answer_times.lock().unwrap_or_else(PoisonError::into_inner);
+        match known.get_mut(route) {
+            Some(times) => times.record(time),
+            None => known.entry(route.to_owned()).or_default().record(time),
+        }
+    }
+
+    /// Time within which nearly all answers of a route end; `None` before the first one.
+    pub fn answer_time(&self, route: &str) -> Option<Duration> {
+        let known = self.answer_times.lock().unwrap_or_else(PoisonError::into_inner);
+        known.get(route)?.upper_estimate()
+    }
+
     /// Calls `change` with the budget for retries to a service.
     pub fn with_retry_budget<T>(
         &self,
@@ -469,6 +491,9 @@
         let mut sizes = self.route_sizes.lock().unwrap_or_else(PoisonError::into_inner);
         sizes.retain(|route, _| routes.contains(route.as_str()));
         drop(sizes);
+        let mut times = self.answer_times.lock().unwrap_or_else(PoisonError::into_inner);
+        times.retain(|route, _| routes.contains(route.as_str()));
+        drop(times);
         self.update_sources(access.table());
     }
 
--- a/tests/fixtures.rs
+++ b/tests/fixtures.rs
@@ -8,9 +8,13 @@
     EngineShape, EngineStandin, PlainShape, PlainStandin, PrefillLedger, start_engine, start_plain,
 };
 use tarragonknot::table::{KeyDigest, OperatorTable, UpstreamRow, VersionedTable, read_table};
-use tarragonknot::traffic::{FrontendHandle, TrafficState, start_frontend};
+use tarragonknot::traffic::{DrainTimes, FrontendHandle, TrafficState, start_frontend};
 use tokio::net::TcpListener;
 
+/// Times of a drain, whose grace time no test reaches.
+const DRAIN_TIMES: DrainTimes =
+    DrainTimes { balancer_wait: Duration::from_millis(50), grace: Duration::from_secs(600) };
+
 /// API key of the organisation `agents`.
 pub const AGENTS_KEY: &str = "agents-key";
 /// API key of the organisation `staff`.
@@ -82,7 +86,7 @@
     state.apply_table(&VersionedTable::new(1, table.clone()));
     state.set_current_until(Moment(u64::MAX));
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let front = start_frontend(Arc::clone(&state), listener, Duration::from_millis(50)).unwrap();
+    let front = start_frontend(Arc::clone(&state), listener, DRAIN_TIMES).unwrap();
     SmallFleet { state, front, engine, service, table }
 }
 
--- a/tests/routed_fleet.rs
+++ b/tests/routed_fleet.rs
@@ -15,7 +15,7 @@
 use tarragonknot::platform::{self, ContractFeatures};
 use tarragonknot::table::{PrefixReuse, VersionedTable};
 use tarragonknot::traffic::{
-    FrontendHandle, TrafficState, start_exchange, start_frontend, start_relay_server,
+    DrainTimes, FrontendHandle, TrafficState, start_exchange, start_frontend, start_relay_server,
     start_voter_exchange,
 };
 use tarragonknot::upstream::{PlatformList, VmRow, VmState};
@@ -456,6 +456,10 @@
     pub body: Option<String>,
 }
 
+/// Times of a drain, whose grace time no test reaches.
+const DRAIN_TIMES: DrainTimes =
+    DrainTimes { balancer_wait: Duration::from_millis(10), grace: Duration::from_secs(600) };
+
 /// Builds a table document with a route of each kind.
 pub fn document(version: u64) -> String {
     let route = |name: &str, kind: &str, attempts: u32, resumable: bool| {
@@ -530,7 +534,7 @@
             std::net::TcpListener::bind("127.0.0.1:0").expect("a loopback port can be bound");
         listener.set_nonblocking(true).expect("the socket can be set to non-blocking");
         let listener = TcpListener::from_std(listener).expect("the runtime takes the socket");
-        let front = start_frontend(Arc::clone(&state), listener, Duration::from_millis(10));
+        let front = start_frontend(Arc::clone(&state), listener, DRAIN_TIMES);
         let fleet = RoutedFleet { state, front: front.expect("the front end starts"), pool };
         fleet.list(engines, VmState::Live);
         fleet
--- a/tests/test_settings_template.rs
+++ b/tests/test_settings_template.rs
@@ -3,6 +3,7 @@
 use crate::settings_template::{TEMPLATE, render};
 use rstest::rstest;
 use serde_json::{Value, json};
+use std::time::Duration;
 use tarragonknot::platform::ContractFeatures;
 use tarragonknot::settings::DaemonSettings;
 
@@ -15,7 +16,7 @@
         "seeds": ["10.1.0.16:8229", "10.2.0.7:8229"],
         "bootstrap": true, "data_dir": null,
         "cloud_api": {"address": "10.200.0.35:8225", "rate_per_s": 40.0},
-        "bounds": {"quota_overage": 0.1, "quota_slack": 190_000, "retry_ratio": 0.3, "retry_slack": 52}
+        "bounds": {"quota_overage": 0.1, "quota_slack": 190_000, "retry_ratio": 0.3, "retry_slack": 52, "grace_s": 8}
     })
 }
 
@@ -55,6 +56,16 @@
     assert_eq!(bounds(&settings), expected);
 }
 
+/// Guards against a daemon that does not know when its process is killed.
+#[rstest]
+#[case::whole(json!(8), 8_000)]
+#[case::fraction(json!(7.5), 7_500)]
+fn the_grace_time_of_a_stop_is_read(#[case] value: Value, #[case] millis: u64) {
+    let settings = settings_with("grace_s", value);
+
+    assert_eq!(settings.stop_grace_s, Duration::from_millis(millis));
+}
+
 #[rstest]
 #[case::no_value("quota_overage", Value::Null)]
 #[case::no_slack("quota_slack", Value::Null)]
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -107,6 +107,7 @@
 mod test_small_calls;
 mod test_start_list;
 mod test_stated_rates;
+mod test_stop_in_time;
 mod test_store;
 mod test_stream_origin;
 mod test_stream_versions;
