--- a/tests/test_limits_without_aggregators.rs
+++ b/tests/test_limits_without_aggregators.rs
@@ -78,10 +78,10 @@
         let affected: Vec<usize> = match self.churn {
             Churn::None => Vec::new(),
             Churn::ThirdOfAggregatorsKilled | Churn::ThirdOfAggregatorsCutOff => {
-                if second % 2 == 0 { every(3).collect() } else { Vec::new() }
+                if second.is_multiple_of(2) { every(3).collect() } else { Vec::new() }
             }
             Churn::AllAggregatorsKilled => {
-                if second % 4 == 0 {
+                if second.is_multiple_of(4) {
                     every(1).collect()
                 } else {
                     Vec::new()
