End a stream at its deadline also if its bytes are always ready

Callers of a stream whose upstream writes events without end got them past their deadline, as long as both sides were fast enough: the wait for bytes had a time limit, which is looked at only once no bytes are ready.

--- a/src/traffic/routed/relay.rs
+++ b/src/traffic/routed/relay.rs
@@ -548,6 +548,10 @@
     async fn next_event(&mut self) -> RelayEvent {
         let silence = self.pause_timeout();
         let limit = self.request.time_left();
+        // Bytes that are always ready never let a timeout end.
+        if limit.is_zero() {
+            return RelayEvent::Deadline;
+        }
         let Some(body) = &mut self.body else { return RelayEvent::Deadline };
         if let Ok(read) = tokio::time::timeout(silence.min(limit), body.read()).await {
             return RelayEvent::Read(read);
--- a/tests/test_endless_answers.rs
+++ b/tests/test_endless_answers.rs
@@ -186,6 +186,24 @@
     drop(entry.work);
 }
 
+/// Guards against a stream that goes on after its deadline, as its events are always ready to be read.
+#[rstest]
+#[case::again("id: 1\ndata: x\n\n")]
+#[case::without_ids("data: x\n\n")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_events_end_at_the_deadline(
+    #[case] piece: &'static str,
+    #[values("/stream/a", "/resumable/a")] path: &str,
+) {
+    let upstream = EndlessUpstream::start(STREAM, piece).await;
+    let entry = SmallEntry::start(&[("i-1", upstream.address)]).await;
+
+    let (status, last) = entry.call(path, "id-1").await;
+
+    assert!(status.starts_with("HTTP/1.1 200"), "{status}");
+    assert!(!last.ends_with("0\r\n\r\n"), "{last}");
+}
+
 /// Guards against a process that is kept busy by an endless upstream, so that the others' callers wait.
 #[rstest]
 #[case::interim_answers("", "HTTP/1.1 103 Early\r\n\r\n")]
