Refuse a waiting request as not run when a stop begins without time for it

A request that waited for a place when the daemon was stopped without time left could get `stopped-running` instead of `draining`: two timers of zero length ran against each other. The time left is now checked before each wait.

--- a/src/traffic/routed/placing.rs
+++ b/src/traffic/routed/placing.rs
@@ -162,6 +162,14 @@
         }
     }
 
+    /// Fails once a stopping daemon has too little time left for the request.
+    fn check_time_to_send(&self) -> Result<(), AnswerKind> {
+        match self.time_to_send().is_zero() {
+            true => Err(AnswerKind::Draining),
+            false => Ok(()),
+        }
+    }
+
     /// What the request demands of its upstream.
     fn demand(
         &self,
@@ -218,13 +226,12 @@
     ) -> Result<Option<PlacedRequest>, AnswerKind> {
         let ChosenPool { pool, arm, ticket } = chosen;
         let mut stop = self.state.stop.subscribe();
-        if self.time_to_send().is_zero() {
-            return Err(AnswerKind::Draining);
-        }
+        self.check_time_to_send()?;
         let number = RequestId(self.state.new_request_id().0);
         let arrived = self.arrived_request(&pool, number, matched, except);
         let (mut guard, mut decision) = pool.submit(arrived);
         loop {
+            self.check_time_to_send()?;
             let limit = self.time_left().min(self.time_to_send());
             let waited = tokio::select! {
                 biased;
@@ -246,8 +253,10 @@
                     return Err(kind);
                 }
                 Ok(Err(_)) => return Err(AnswerKind::Internal),
-                Err(_) if self.time_to_send().is_zero() => return Err(AnswerKind::Draining),
-                Err(_) => return Err(AnswerKind::DeadlineWaiting),
+                Err(_) => {
+                    self.check_time_to_send()?;
+                    return Err(AnswerKind::DeadlineWaiting);
+                }
             };
             let reservation = match pool.reservation() {
                 Some(max_hold) => {
