--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -128,10 +128,10 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub balancer_wait_ms: Duration,
     /// Time between the signal to stop and the end of the process by force, in seconds. Requests that
-    /// would not end in it are refused.
+    /// would not end in it are refused, and new ones are accepted for at most half of it.
     #[serde(default = "default_stop_grace")]
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
-    #[schemars(with = "f64", range(min = 0.1, max = 86_400.0))]
+    #[schemars(with = "f64", range(min = 0.0, max = 86_400.0))]
     pub stop_grace_s: Duration,
     /// Duration of the table lease: how long a daemon may admit requests without confirming that
     /// its table is current, in milliseconds.
@@ -302,13 +302,6 @@
         if self.data_folder.is_none() && self.peers.is_empty() && self.seeds.is_empty() {
             faults.add("/peers", "[]", "at least one voter, since this daemon has no /data_folder");
         }
-        if self.stop_grace_s <= self.balancer_wait_ms {
-            faults.add(
-                "/stop_grace_s",
-                self.stop_grace_s.as_secs_f64(),
-                "a time longer than /balancer_wait_ms",
-            );
-        }
         for (i, peer) in self.peers.iter().enumerate() {
             if peer.daemon == self.daemon {
                 faults.add(
--- a/src/traffic/frontend/mod.rs
+++ b/src/traffic/frontend/mod.rs
@@ -115,6 +115,7 @@
     mut drain_ordered: watch::Receiver<bool>,
     DrainTimes { balancer_wait, grace }: DrainTimes,
 ) {
+    let balancer_wait = balancer_wait.min(grace / 2);
     let router = match state.interface() {
         Some(_) => routed_router(Arc::clone(&state)),
         None => frontend_router(Arc::clone(&state)),
