--- a/src/fleet_state/mod.rs
+++ b/src/fleet_state/mod.rs
@@ -18,10 +18,10 @@
 //! messages are harmless. The usage of a daemon that has fallen silent is estimated from its rate
 //! and the time since its last message ([`FlowLedger`]).
 //!
-//! Aggregators come and go, and no admission may be lost with one. So a daemon tells a new
-//! aggregator which of its tokens the sums have included before, and an aggregator that begins to
-//! count says so, which lets the others count its sums from zero. What a new aggregator has not yet
-//! heard of is estimated ([`FlowBaseline`]).
+//! When an aggregator is replaced, no admission may be lost. A daemon therefore reports to a new
+//! aggregator which of its tokens earlier sums include, and a new aggregator reports how long it has
+//! been counting, so that the others use zero as the baseline of its sums. Usage of daemons that it
+//! has not received reports of is estimated ([`FlowBaseline`]).
 
 mod aggregator_choice;
 mod flow_ledger;
--- a/tests/test_limits_without_aggregators.rs
+++ b/tests/test_limits_without_aggregators.rs
@@ -128,7 +128,7 @@
 }
 
 /// Guards against exceeding the limit while daemons, aggregators above all, are lost and replaced:
-/// what was admitted around the change of an aggregator was charged to nobody.
+/// tokens admitted during the change of an aggregator were missing from the sums of all daemons.
 #[rstest]
 fn a_change_of_aggregator_loses_no_admissions(
     #[values(74, 291)] daemons: usize,
