--- a/tests/slow_voters.rs
+++ b/tests/slow_voters.rs
@@ -1,6 +1,7 @@
 //! Voters in virtual time whose control thread needs time for every byte that it writes or reads,
 //! and an operator who edits a large table.
 
+use crate::order_clients::{CallAnswer, CallId, OrderClients};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::VecDeque;
@@ -37,6 +38,10 @@
 /// Time after which a daemon asks another voter.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(900);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after which a voter gives up an order.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+/// Size of the answer recorded with a claim.
+const CLAIM_BYTES: usize = 800;
 const FLEET_ID: FleetId = FleetId(3);
 
 /// What one run of the voters is like.
@@ -76,6 +81,13 @@
     }
 }
 
+/// An order whose entry is in the log of the voter that proposed it.
+struct WaitingOrder {
+    call: CallId,
+    version: u64,
+    until: Moment,
+}
+
 /// A machine that no longer starts.
 const NEVER: Moment = Moment(u64::MAX);
 
@@ -96,6 +108,9 @@
     last_led: Moment,
     /// Daemons that have asked for a table.
     asked_by: VecDeque<usize>,
+    /// Operators' calls that have arrived, with their versions.
+    calls: VecDeque<(CallId, u64)>,
+    waiting: Vec<WaitingOrder>,
 }
 
 impl SlowVoter {
@@ -113,8 +128,18 @@
             is_cut_off: false,
             last_led: starts_at,
             asked_by: VecDeque::new(),
+            calls: VecDeque::new(),
+            waiting: Vec::new(),
         }
     }
+
+    /// Ends the process; its callers get no answer.
+    fn end(&mut self) {
+        self.core = None;
+        self.inbox.clear();
+        self.calls.clear();
+        self.waiting.clear();
+    }
 }
 
 /// A daemon that has started and asks one voter after the other for a table.
@@ -158,6 +183,10 @@
     snapshots_to_lose: usize,
     started: Vec<StartedDaemon>,
     answer_bytes: usize,
+    clients: Option<OrderClients>,
+    claim_interval: Option<Duration>,
+    claim_at: Moment,
+    claims: usize,
 }
 
 fn control_address(position: usize) -> SocketAddr {
@@ -215,6 +244,105 @@
             snapshots_to_lose: 0,
             started: Vec::new(),
             answer_bytes: 0,
+            clients: None,
+            claim_interval: None,
+            claim_at: now,
+            claims: 0,
+        }
+    }
+
+    /// Adds operators that call the voters as the platform's operators do.
+    pub fn add_clients(&mut self, clients: OrderClients) {
+        self.clients = Some(clients);
+    }
+
+    /// The operators added by [`add_clients`](Self::add_clients).
+    pub fn clients(&mut self) -> &mut OrderClients {
+        self.clients.as_mut().expect("clients")
+    }
+
+    /// Sets how often the leader stores a claim.
+    pub fn claim_every(&mut self, interval: Duration) {
+        self.claim_interval = Some(interval);
+        self.claim_at = self.now;
+    }
+
+    /// Passes an operator's call to a machine; false if no process runs there.
+    pub fn call(&mut self, machine: usize, call: CallId, version: u64) -> bool {
+        let voter = &mut self.voters[machine];
+        if voter.core.is_some() {
+            voter.calls.push_back((call, version));
+        }
+        voter.core.is_some()
+    }
+
+    fn answer_call(&mut self, call: CallId, answer: CallAnswer) {
+        if let Some(clients) = &mut self.clients {
+            clients.answer(call, answer, self.now);
+        }
+    }
+
+    /// Decides an operator's call as the control loop does.
+    fn take_call(&mut self, position: usize) {
+        let now = self.now;
+        let voter = &mut self.voters[position];
+        let Some((call, version)) = voter.calls.pop_front() else { return };
+        voter.busy_until = now + handling_time(self.setup.table_bytes);
+        let Some(core) = &voter.core else { return };
+        if core.has_lease(now) {
+            let until = now + ANSWER_TIMEOUT;
+            voter.waiting.push(WaitingOrder { call, version, until });
+            return self.propose(position, version);
+        }
+        let answer = self.redirect(position);
+        self.answer_call(call, answer);
+    }
+
+    /// The answer of a voter that cannot decide: the leader that it knows, if it is another.
+    fn redirect(&self, position: usize) -> CallAnswer {
+        let leader = self.voters[position].core.as_ref().and_then(ReplicaCore::leader);
+        let machine = leader.and_then(|leader| {
+            self.voters.iter().position(|voter| voter.id.daemon == leader.daemon)
+        });
+        match machine.filter(|machine| *machine != position) {
+            Some(machine) => CallAnswer::Elsewhere(machine),
+            None => CallAnswer::Unknown,
+        }
+    }
+
+    /// Answers the calls whose entries are applied, those that waited too long and, if the voter no
+    /// longer leads, all.
+    fn answer_waiting(&mut self, position: usize) {
+        let now = self.now;
+        let voter = &mut self.voters[position];
+        let Some(core) = &voter.core else { return };
+        let leads = core.role() == ReplicaRole::Leader;
+        let held = voter.ledger.table().version;
+        let is_over =
+            |order: &mut WaitingOrder| !leads || order.version <= held || now >= order.until;
+        let over: Vec<WaitingOrder> = voter.waiting.extract_if(.., is_over).collect();
+        for order in over {
+            let answer = match (leads, order.version <= held) {
+                (true, true) => CallAnswer::Done,
+                (true, false) => CallAnswer::Unknown,
+                (false, _) => self.redirect(position),
+            };
+            self.answer_call(order.call, answer);
+        }
+    }
+
+    /// Lets the operators call, and the leader store claims.
+    fn drive_clients(&mut self) {
+        if let Some(mut clients) = self.clients.take() {
+            clients.drive(self);
+            self.clients = Some(clients);
+        }
+        if let (Some(interval), true) = (self.claim_interval, self.now >= self.claim_at) {
+            self.claim_at = self.now + interval;
+            let Some(leader) = self.leader() else { return };
+            self.claims += 1;
+            let commands = claim_commands(self.claims, CLAIM_BYTES);
+            self.propose_commands(leader, commands);
         }
     }
 
@@ -275,6 +403,7 @@
         while self.now < end {
             self.now = self.now + STEP;
             self.drive_operator();
+            self.drive_clients();
             self.ask_for_tables();
             for position in 0..self.voters.len() {
                 self.run_voter(position);
@@ -322,8 +451,7 @@
     pub fn stop(&mut self, position: usize, span: Duration) {
         let starts_at = self.now + span;
         let voter = &mut self.voters[position];
-        voter.core = None;
-        voter.inbox.clear();
+        voter.end();
         voter.starts_at = starts_at;
     }
 
@@ -382,6 +510,28 @@
         self.edits.iter().map(wait).max().unwrap_or_default()
     }
 
+    /// What each machine's replica has come to, for messages of failed checks.
+    pub fn states(&self) -> Vec<String> {
+        let state = |voter: &SlowVoter| {
+            let Some(core) = &voter.core else { return format!("{}: down", voter.id) };
+            let matched = core
+                .membership()
+                .members()
+                .filter_map(|(id, _)| core.match_index(id).map(|index| format!("{id} {index}")));
+            format!(
+                "{}: {:?} of term {}, last {:?}, committed {}, lease {}, acknowledged {:?}",
+                voter.id,
+                core.role(),
+                core.term(),
+                core.log().last(),
+                core.commit_index(),
+                core.has_lease(self.now),
+                matched.collect::<Vec<String>>()
+            )
+        };
+        self.voters.iter().map(state).collect()
+    }
+
     /// True if every voter has the newest acknowledged edit.
     pub fn is_complete(&self) -> bool {
         let newest = self.edits.iter().rev().find(|edit| edit.acked_at.is_some());
@@ -418,18 +568,20 @@
         let text = "r".repeat(self.setup.table_bytes);
         let numbered = Box::new(NumberedTable { version, document: Arc::from(text) });
         self.voters[leader].busy_until = self.now + handling_time(self.setup.table_bytes);
+        self.propose_commands(leader, vec![ControlCommand::Replace(numbered)]);
+    }
+
+    fn propose_commands(&mut self, leader: usize, commands: Vec<ControlCommand>) {
         let now = self.now;
         let Some(core) = &mut self.voters[leader].core else { return };
-        if let Ok((_, output)) = core.propose(vec![ControlCommand::Replace(numbered)], now) {
+        if let Ok((_, output)) = core.propose(commands, now) {
             self.process(leader, output);
         }
     }
 
     fn run_voter(&mut self, position: usize) {
         if self.voters[position].ends_at.take_if(|ends_at| *ends_at <= self.now).is_some() {
-            let voter = &mut self.voters[position];
-            voter.core = None;
-            voter.inbox.clear();
+            self.voters[position].end();
         }
         if self.voters[position].core.is_none() && self.now >= self.voters[position].starts_at {
             self.start(position);
@@ -439,9 +591,12 @@
             let has_message = voter.inbox.front().is_some_and(|(at, _)| *at <= self.now);
             let has_tick = voter.tick_at <= self.now;
             let is_asked = !voter.asked_by.is_empty();
+            let is_called = !voter.calls.is_empty();
             // As the control loop does, which takes whichever of its inputs it polls first.
             if is_asked && ((!has_tick && !has_message) || self.rng.random_bool(0.5)) {
                 self.answer_daemon(position);
+            } else if is_called && ((!has_tick && !has_message) || self.rng.random_bool(0.5)) {
+                self.take_call(position);
             } else if has_tick && (!has_message || self.rng.random_bool(0.5)) {
                 self.tick(position);
             } else if has_message {
@@ -484,6 +639,7 @@
         self.process(position, output);
         self.run_leader_tasks(position);
         self.ask_to_join(position);
+        self.answer_waiting(position);
     }
 
     fn run_leader_tasks(&mut self, position: usize) {
@@ -588,6 +744,7 @@
             let version = voter.ledger.table().version;
             let acked = self.edits.iter_mut().filter(|edit| edit.version <= version);
             acked.for_each(|edit| edit.acked_at = edit.acked_at.or(Some(self.now)));
+            self.answer_waiting(position);
         }
     }
 
--- /dev/null
+++ b/tests/test_order_acknowledgement.rs
@@ -0,0 +1,53 @@
+//! Operators' orders are acknowledged in time whenever the voters are calm.
+
+use crate::order_clients::OrderClients;
+use crate::slow_voters::VoterSetup;
+use crate::test_voter_losses::{ALL_STEPS, FleetStep, LossPlay};
+use rand::seq::IndexedRandom;
+use rstest::rstest;
+use std::time::Duration;
+
+/// Time within which an order must be acknowledged while the voters are calm.
+const ACK_LIMIT: Duration = Duration::from_secs(4);
+const ORDER_INTERVAL: Duration = Duration::from_millis(500);
+const CLAIM_INTERVAL: Duration = Duration::from_millis(10);
+/// Number of seeds.
+const PLAYS: u64 = 16;
+const CALM_TIME: Duration = Duration::from_secs(12);
+
+/// A fleet whose operators give an order each half second, beside claims.
+fn play_with_orders(voters: usize, seed: u64) -> LossPlay {
+    let setup = VoterSetup { voters, seed, ..VoterSetup::default() };
+    let mut play = LossPlay::with_setup(setup, 1);
+    play.fleet.add_clients(OrderClients::new(ORDER_INTERVAL, seed));
+    play.fleet.claim_every(CLAIM_INTERVAL);
+    play.fleet.run_for(Duration::from_secs(4));
+    play
+}
+
+/// Takes the steps, and returns the longest wait of an order in the calm after them.
+fn longest_wait_after(play: &mut LossPlay, steps: &[FleetStep]) -> Duration {
+    steps.iter().for_each(|step| play.apply(*step));
+    let calm_since = play.fleet.now;
+    play.fleet.run_for(CALM_TIME);
+    let now = play.fleet.now;
+    play.fleet.clients().longest_wait(calm_since, now)
+}
+
+/// Guards against orders without an acknowledgement although the voters have been calm for long.
+#[rstest]
+fn orders_are_acknowledged_in_the_calm_after_troubles(
+    #[values(3, 5)] voters: usize,
+    #[values(1, 6)] count: usize,
+) {
+    for seed in 0..PLAYS {
+        let mut play = play_with_orders(voters, seed);
+        let steps: Vec<FleetStep> =
+            (0..count).map(|_| *ALL_STEPS.choose(&mut play.rng).expect("a step")).collect();
+
+        let longest = longest_wait_after(&mut play, &steps);
+
+        let (done, states) = (&play.done, play.fleet.states());
+        assert!(longest <= ACK_LIMIT, "waited for {longest:?} after {done:#?}; {states:#?}");
+    }
+}
--- a/tests/test_voter_losses.rs
+++ b/tests/test_voter_losses.rs
@@ -21,7 +21,7 @@
 /// A change of the machines after which the next one may come. What is lost without a signal may be as
 /// many machines at once as the fleet tolerates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum FleetStep {
+pub enum FleetStep {
     /// A machine is added.
     Add,
     /// The successor starts first; its predecessor gets SIGTERM once the successor has caught up.
@@ -40,7 +40,7 @@
     RollingRestart,
 }
 
-const ALL_STEPS: [FleetStep; 8] = [
+pub const ALL_STEPS: [FleetStep; 8] = [
     FleetStep::Add,
     FleetStep::ReplaceAfter,
     FleetStep::ReplaceBefore,
@@ -52,17 +52,23 @@
 ];
 
 /// A fleet, the number of disks that may be lost at once, and what has been done to it.
-struct LossPlay {
-    fleet: SlowFleet,
+pub struct LossPlay {
+    pub fleet: SlowFleet,
     tolerance: usize,
     catch_up: Duration,
-    rng: ChaCha8Rng,
-    done: Vec<String>,
+    pub rng: ChaCha8Rng,
+    pub done: Vec<String>,
 }
 
 impl LossPlay {
     fn new(voters: usize, tolerance: usize, seed: u64) -> Self {
         let setup = VoterSetup { voters, table_bytes: 1_000, seed, ..VoterSetup::default() };
+        Self::with_setup(setup, tolerance)
+    }
+
+    /// A fleet as `setup` says, once it has elected a leader.
+    pub fn with_setup(setup: VoterSetup, tolerance: usize) -> Self {
+        let seed = setup.seed;
         let mut fleet = SlowFleet::new(setup);
         fleet.run_for(FOUNDING_TIME);
         let catch_up = CATCH_UP[tolerance - 1];
@@ -92,7 +98,7 @@
         targets
     }
 
-    fn apply(&mut self, step: FleetStep) {
+    pub fn apply(&mut self, step: FleetStep) {
         let target = self.target();
         let targets = self.targets();
         let leader = self.fleet.leader();
