--- a/src/control/control_loop/edits.rs
+++ b/src/control/control_loop/edits.rs
@@ -38,6 +38,7 @@
         reply: LeaderReplySender<NumberedOutcome>,
     ) {
         if !self.holds_lease() {
+            self.log_undecided(numbered.version);
             return drop(reply.send(LeaderAnswer::Elsewhere(self.remote_leader())));
         }
         info!(self.setup.log, "numbered table proposed"; "version" => numbered.version,
@@ -46,6 +47,15 @@
             .push((vec![ControlCommand::Replace(numbered)], EntryWaiter::Replace { reply }));
     }
 
+    /// Logs an order that this daemon cannot decide, with the leader that it knows.
+    fn log_undecided(&self, version: u64) {
+        let core = self.core.as_ref();
+        let heard = core.and_then(|core| core.leader().and(core.leader_heard()));
+        info!(self.setup.log, "numbered table not decided here"; "version" => version,
+            "leader" => self.leader_address().map_or_else(String::new, |leader| leader.to_string()),
+            "leader_silent_ms" => heard.map(|heard| self.now().since(heard).as_millis() as u64));
+    }
+
     pub(super) fn on_claims(
         &mut self,
         commands: Vec<ClaimCommand>,
--- a/src/control/control_loop/folder.rs
+++ b/src/control/control_loop/folder.rs
@@ -93,9 +93,13 @@
         if !core.should_compact() {
             return;
         }
+        let started = self.setup.clock.now();
         let snapshot = core.compact(Arc::from(self.ledger.to_json()));
         let entries = core.entries_after_snapshot();
-        if let Err(fault) = store.replace_with_snapshot(&snapshot, &self.hard_state, entries) {
+        let stored = store.replace_with_snapshot(&snapshot, &self.hard_state, entries);
+        info!(self.setup.log, "snapshot written"; "index" => snapshot.at.index, "bytes" => snapshot.state.len(),
+            "taken_ms" => self.now().since(started).as_millis() as u64);
+        if let Err(fault) = stored {
             self.stop_voting(&fault);
         }
     }
--- a/src/control/control_loop/members.rs
+++ b/src/control/control_loop/members.rs
@@ -10,7 +10,7 @@
 use crate::control::voting::{AbsentMembers, absent_members, may_join, next_membership};
 use crate::control::waiters::{EntryWaiter, LeaderReplySender};
 use crate::policy::Moment;
-use crate::replica::{FleetId, FleetMembership, HardState, SnapshotRecord, VoterId};
+use crate::replica::{FleetId, FleetMembership, HardState, ReplicaCore, SnapshotRecord, VoterId};
 use crate::store::FolderState;
 use rand::Rng;
 use slog::{error, info, warn};
@@ -28,6 +28,15 @@
     members.keys().map(VoterId::to_string).collect::<Vec<String>>().join(" ")
 }
 
+/// What each learner lacks, for the log.
+fn learner_lags(core: &ReplicaCore<ControlCommand>) -> String {
+    let lag = |id: &VoterId| {
+        let lag = core.lag(id)?;
+        Some(format!("{id} entries {} bytes {}", lag.entries, lag.bytes))
+    };
+    core.membership().learners.keys().filter_map(lag).collect::<Vec<String>>().join(", ")
+}
+
 impl ControlLoop {
     pub(super) fn join_task(&self) -> JoinTask {
         let voter = self.identity.as_ref().map(|identity| identity.voter.clone());
@@ -110,9 +119,10 @@
         let Some(core) = &mut self.core else { return };
         if let Some(membership) = next_membership(core, &self.ledger, &absent) {
             let (voters, learners) = (names(&membership.voters), names(&membership.learners));
+            let lags = learner_lags(core);
             if let Ok(output) = core.change_membership(membership, now) {
                 info!(self.setup.log, "changing voters"; "voters" => voters, "learners" => learners,
-                    "absent" => format!("{:?}", absent.voters));
+                    "learner_lags" => lags, "absent" => format!("{:?}", absent.voters));
                 self.process_output(output, None);
             }
         }
--- a/src/control/control_loop/mod.rs
+++ b/src/control/control_loop/mod.rs
@@ -4,6 +4,7 @@
 //! Requests arrive over one channel. All requests that have arrived are handled as one batch, so
 //! that their entries share one sync (group commit) and one message to each follower.
 
+mod commit_watch;
 mod edits;
 mod evacuations;
 mod folder;
@@ -14,6 +15,7 @@
 mod voter_exit;
 mod voter_losses;
 
+use self::commit_watch::CommitWatch;
 use self::rollouts::RolloutTracker;
 use self::voter_exit::VoterExits;
 use self::voter_losses::LossReport;
@@ -99,6 +101,7 @@
         last_role: ReplicaRole::Follower,
         exits: VoterExits::new(exit_sender),
         loss_report: LossReport::default(),
+        commit_watch: CommitWatch::default(),
         commit_synced_at: Moment(0),
         setup,
     };
@@ -145,6 +148,8 @@
     exits: VoterExits,
     /// The losses that the voters bear, as last logged.
     loss_report: LossReport,
+    /// Entries that wait for a quorum, and times without a lease, as last logged.
+    commit_watch: CommitWatch,
     /// Role in which the replica was last seen.
     last_role: ReplicaRole,
     /// Time at which the commit index was last made durable.
@@ -197,6 +202,7 @@
         let output = core.tick(now, &mut self.rng);
         self.process_output(output, None);
         self.run_leader_tasks();
+        self.watch_commits(now);
         self.announce_stop(now);
         self.rejoin_if_leaderless(now);
         self.sync_commit_index(now);
--- a/src/control/operator_client.rs
+++ b/src/control/operator_client.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Timeout for the answer of the control loop; operators try another daemon after one second.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
@@ -66,13 +66,15 @@
             }
         };
         let numbered = Box::new(NumberedTable { version, document: Arc::from(document) });
+        let asked_at = Instant::now();
         let answer = self.ask(|reply| ControlRequest::Replace { numbered, reply }).await;
         let outcome = match &answer {
             OperatorAnswer::Done(outcome) => format!("{outcome:?}"),
             OperatorAnswer::Elsewhere(leader) => format!("redirected to {leader}"),
             _ => "unknown".to_owned(),
         };
-        info!(self.log, "operator request to replace the table"; "version" => version, "outcome" => outcome);
+        info!(self.log, "operator request to replace the table"; "version" => version, "outcome" => outcome,
+            "taken_ms" => asked_at.elapsed().as_millis() as u64);
         answer
     }
 
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -85,6 +85,15 @@
     Removed,
 }
 
+/// What a member lacks of the leader's log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReplicaLag {
+    /// Number of entries.
+    pub entries: u64,
+    /// Size of these entries, and of the snapshot if some are only in that, in bytes.
+    pub bytes: usize,
+}
+
 /// The leader's view of another member.
 #[derive(Clone, Debug)]
 pub(super) struct PeerProgress {
@@ -540,6 +549,23 @@
         self.progress.get(id).map(|progress| progress.match_index)
     }
 
+    /// What a member has not acknowledged, as far as this leader knows. `None` if it is no member.
+    pub fn lag(&self, id: &VoterId) -> Option<ReplicaLag> {
+        let matched = self.match_index(id)?;
+        let missing = self.log.entries_in(matched + 1..u64::MAX);
+        let lacks_snapshot = matched < self.log.base().index;
+        let snapshot_bytes = if lacks_snapshot { self.snapshot.state.len() } else { 0 };
+        Some(ReplicaLag {
+            entries: self.log.last().index.saturating_sub(matched),
+            bytes: snapshot_bytes + missing.iter().map(LogEntry::size_bytes).sum::<usize>(),
+        })
+    }
+
+    /// Time of the last message of the leader, or of the start.
+    pub fn leader_heard(&self) -> Option<Moment> {
+        self.last_leader_contact
+    }
+
     /// Time of the last reply from a member. If it has not replied since this replica's election: the
     /// time of the election or, of the leader before, that of its last message. Known to a leader
     /// only.
--- a/src/replica/mod.rs
+++ b/src/replica/mod.rs
@@ -15,7 +15,7 @@
 mod transfer;
 
 pub use self::core::{
-    InitialState, LeadershipEnd, ReplicaConfig, ReplicaCore, ReplicaOutput, ReplicaRole,
+    InitialState, LeadershipEnd, ReplicaConfig, ReplicaCore, ReplicaLag, ReplicaOutput, ReplicaRole,
 };
 pub use log::{EntryPayload, LogEntry, LogPosition, MemoryLog, ReplicatedCommand};
 pub use membership::{FleetId, FleetMembership, VoterId};
