Find the last common entry of a member while proposals go on

Callers saw no acknowledgement of their orders although the voters ran and were connected: a leader led, heard its followers and committed nothing, for as long as it was watched.

Cause: a member that holds entries which were never committed, as a leader has that was cut off, rejects what it is sent until the leader has found the last entry that both have. A rejection counted as outdated if entries had been sent in a later round. Every proposal begins a round, so the rejections that found the conflict were dropped, and only those of heartbeats at the end of what had been sent counted; they set the search back to its start. Where a rejection did count, the search went back one entry for each round trip. The member answered all the time, so it counted as a sound voter, and with one more voter lost the leader waited for it without end.

Now a rejection counts if its message was sent since the position was last set back, whatever has been sent since; the message at the new position begins a round of its own, so that its reply can be told from earlier ones. A conflict is answered with the member's commit index, which no leader's log contradicts, so that one round trip is enough.

--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -103,8 +103,8 @@
     pub(super) last_contact: Moment,
     /// Size of the entries sent and not acknowledged.
     pub(super) unacked_bytes: usize,
-    /// The heartbeat round in which entries were last sent.
-    pub(super) entries_round: u64,
+    /// The round in which `next_index` was last set back. Rejections of earlier messages are outdated.
+    pub(super) rewound_round: u64,
     /// The snapshot that the member is being sent.
     pub(super) snapshot: Option<OutgoingSnapshot>,
 }
--- a/src/replica/election.rs
+++ b/src/replica/election.rs
@@ -178,7 +178,7 @@
                 acked_round: 0,
                 last_contact: now,
                 unacked_bytes: 0,
-                entries_round: 0,
+                rewound_round: 0,
                 snapshot: None,
             };
             self.progress.entry(id).or_insert(fresh);
--- a/src/replica/replication.rs
+++ b/src/replica/replication.rs
@@ -40,13 +40,18 @@
         self.membership().voters.keys().filter(has_contact).count() >= self.membership().quorum()
     }
 
-    /// Starts a heartbeat round and sends every other member the entries it lacks.
-    pub(super) fn broadcast(&mut self, now: Moment) {
+    /// Starts a round, whose number every message carries until the next one starts.
+    fn start_round(&mut self, now: Moment) {
         self.round += 1;
         self.sent_rounds.push_back((self.round, now));
         if self.sent_rounds.len() > MAX_SENT_ROUNDS {
             self.sent_rounds.pop_front();
         }
+    }
+
+    /// Starts a heartbeat round and sends every other member the entries it lacks.
+    pub(super) fn broadcast(&mut self, now: Moment) {
+        self.start_round(now);
         self.heartbeat_at = now + self.config.heartbeat_interval;
         let members: Vec<VoterId> =
             self.progress.keys().filter(|id| **id != self.id).cloned().collect();
@@ -62,9 +67,6 @@
         let Some(term) = term else { return self.send_snapshot(to) };
         let previous = LogPosition { term, index: previous_index };
         let entries = next_batch(&self.log, progress, &self.config).to_vec();
-        if !entries.is_empty() {
-            progress.entries_round = round;
-        }
         progress.unacked_bytes += entries.iter().map(LogEntry::size_bytes).sum::<usize>();
         progress.next_index += entries.len() as u64;
         let commit = self.commit_index;
@@ -110,13 +112,14 @@
         commit: u64,
         round: u64,
     ) {
-        if previous.index > self.log.base().index
-            && self.log.term_at(previous.index) != Some(previous.term)
-        {
-            let hint =
-                self.log.last().index.min(previous.index.saturating_sub(1)).max(self.commit_index);
-            return self
-                .send(from, ReplicaMessage::AppendReply { accepted: false, index: hint, round });
+        let known_term = self.log.term_at(previous.index);
+        if previous.index > self.log.base().index && known_term != Some(previous.term) {
+            // Only committed entries are sure to match the leader's. To try the entries before a
+            // conflict one by one takes a round trip each, and does not end while heartbeats, which
+            // ask at the end of what has been sent, set the search back.
+            let is_conflict = known_term.is_some();
+            let index = if is_conflict { self.commit_index } else { self.log.last().index };
+            return self.send(from, ReplicaMessage::AppendReply { accepted: false, index, round });
         }
         let mut match_index = previous.index.max(self.log.base().index);
         for entry in entries {
@@ -206,8 +209,6 @@
         let Some(progress) = self.progress.get_mut(from) else { return };
         progress.last_contact = now;
         progress.acked_round = progress.acked_round.max(round);
-        // The heartbeats that precede entries on their way are rejected, too.
-        let is_outdated = !accepted && round < progress.entries_round;
         if accepted {
             progress.match_index = progress.match_index.max(index);
             progress.next_index = progress.next_index.max(progress.match_index + 1);
@@ -217,27 +218,34 @@
                 progress.snapshot = None;
                 progress.next_index = progress.match_index + 1;
             }
-        } else if !is_outdated {
-            progress.next_index = (index + 1).max(progress.match_index + 1);
         }
         let unacked = self.log.entries_in(progress.match_index + 1..progress.next_index);
-        progress.unacked_bytes = if accepted || is_outdated {
-            unacked.iter().map(LogEntry::size_bytes).sum()
-        } else {
-            0
-        };
-        // While a snapshot is in transit, replying to a rejected heartbeat with another one would
-        // loop without end.
-        let has_more_to_send = progress.snapshot.is_none()
-            && !is_outdated
-            && (!accepted || !next_batch(&self.log, progress, &self.config).is_empty());
+        progress.unacked_bytes = unacked.iter().map(LogEntry::size_bytes).sum();
+        // Heartbeats are rejected while a snapshot is in transit.
+        let is_sending_snapshot = progress.snapshot.is_some();
+        let has_more = !next_batch(&self.log, progress, &self.config).is_empty();
+        let must_rewind = !accepted && round >= progress.rewound_round;
         self.extend_lease();
         self.advance_commit();
-        if has_more_to_send {
+        if must_rewind && !is_sending_snapshot {
+            self.rewind(from, index, now);
+        } else if accepted && has_more && !is_sending_snapshot {
             self.send_entries(from.clone());
         }
     }
 
+    /// Sends a member the entries after `index` again, or for the first time. The messages sent before
+    /// are rejected as well, so the new one starts a round.
+    fn rewind(&mut self, to: &VoterId, index: u64, now: Moment) {
+        self.start_round(now);
+        let round = self.round;
+        let Some(progress) = self.progress.get_mut(to) else { return };
+        progress.next_index = (index + 1).max(progress.match_index + 1);
+        progress.unacked_bytes = 0;
+        progress.rewound_round = round;
+        self.send_entries(to.clone());
+    }
+
     /// Extends the lease, which starts when the latest round acknowledged by a quorum was sent:
     /// each voter of the quorum refuses votes for the minimum election timeout from then or later.
     fn extend_lease(&mut self) {
--- a/tests/slow_voters.rs
+++ b/tests/slow_voters.rs
@@ -510,6 +510,12 @@
         self.edits.iter().map(wait).max().unwrap_or_default()
     }
 
+    /// Number of entries that a machine's voter lacks, as the leader knows it.
+    pub fn lag(&self, position: usize) -> Option<u64> {
+        let core = self.voters[self.leader()?].core.as_ref()?;
+        core.lag(&self.voters[position].id).map(|lag| lag.entries)
+    }
+
     /// What each machine's replica has come to, for messages of failed checks.
     pub fn states(&self) -> Vec<String> {
         let state = |voter: &SlowVoter| {
--- a/tests/test_order_acknowledgement.rs
+++ b/tests/test_order_acknowledgement.rs
@@ -9,6 +9,10 @@
 
 /// Time within which an order must be acknowledged while the voters are calm.
 const ACK_LIMIT: Duration = Duration::from_secs(4);
+/// Time within which a voter that was away for two seconds has nearly all entries.
+const CATCH_UP_LIMIT: Duration = Duration::from_secs(1);
+/// Entries that may be on their way to a voter that has caught up.
+const MAX_LAG_ENTRIES: u64 = 64;
 const ORDER_INTERVAL: Duration = Duration::from_millis(500);
 const CLAIM_INTERVAL: Duration = Duration::from_millis(10);
 /// Number of seeds.
@@ -16,8 +20,8 @@
 const CALM_TIME: Duration = Duration::from_secs(12);
 
 /// A fleet whose operators give an order each half second, beside claims.
-fn play_with_orders(voters: usize, seed: u64) -> LossPlay {
-    let setup = VoterSetup { voters, seed, ..VoterSetup::default() };
+fn play_with_orders(setup: VoterSetup) -> LossPlay {
+    let seed = setup.seed;
     let mut play = LossPlay::with_setup(setup, 1);
     play.fleet.add_clients(OrderClients::new(ORDER_INTERVAL, seed));
     play.fleet.claim_every(CLAIM_INTERVAL);
@@ -34,6 +38,27 @@
     play.fleet.clients().longest_wait(calm_since, now)
 }
 
+/// Guards against a former leader that keeps entries which were never committed: a quorum that needs
+/// it commits nothing.
+#[rstest]
+fn a_voter_with_entries_of_its_own_catches_up(
+    #[values(3, 5)] voters: usize,
+    #[values(1, 8)] latency_ms: u64,
+    #[values(1, 2, 3, 4)] seed: u64,
+) {
+    let latency = Duration::from_millis(latency_ms);
+    let mut play = play_with_orders(VoterSetup { voters, latency, seed, ..VoterSetup::default() });
+    let former = play.fleet.leader().expect("a leader");
+    play.fleet.cut_off(former, true);
+    play.fleet.run_for(Duration::from_secs(2));
+
+    play.fleet.cut_off(former, false);
+    play.fleet.run_for(CATCH_UP_LIMIT);
+
+    let (lag, states) = (play.fleet.lag(former), play.fleet.states());
+    assert!(lag.is_some_and(|lag| lag <= MAX_LAG_ENTRIES), "lacks {lag:?} entries; {states:#?}");
+}
+
 /// Guards against orders without an acknowledgement although the voters have been calm for long.
 #[rstest]
 fn orders_are_acknowledged_in_the_calm_after_troubles(
@@ -41,7 +66,7 @@
     #[values(1, 6)] count: usize,
 ) {
     for seed in 0..PLAYS {
-        let mut play = play_with_orders(voters, seed);
+        let mut play = play_with_orders(VoterSetup { voters, seed, ..VoterSetup::default() });
         let steps: Vec<FleetStep> =
             (0..count).map(|_| *ALL_STEPS.choose(&mut play.rng).expect("a step")).collect();
 
