--- a/src/replica/replication.rs
+++ b/src/replica/replication.rs
@@ -10,10 +10,10 @@
 
 /// Maximum number of heartbeat rounds whose send time is remembered.
 const MAX_SENT_ROUNDS: usize = 256;
-/// Number of heartbeat rounds after which an unacknowledged snapshot, or part of one, is sent again:
-/// several times as long as a member takes to store a part, and a fraction of the time within which
-/// an edit must be acknowledged, since a quorum may wait for this member.
-const SNAPSHOT_RETRY_ROUNDS: u64 = 10;
+/// Time after which an unacknowledged snapshot, or part of one, is sent again, in intervals between
+/// heartbeats: several times as long as a member takes to store a part, and a fraction of the time
+/// within which an edit must be acknowledged, since a quorum may wait for this member.
+const SNAPSHOT_RETRY_HEARTBEATS: u32 = 10;
 
 impl<C: ReplicatedCommand> ReplicaCore<C> {
     pub(super) fn tick_leader(&mut self, now: Moment, rng: &mut dyn RngCore) {
@@ -55,16 +55,16 @@
         self.heartbeat_at = now + self.config.heartbeat_interval;
         let members: Vec<VoterId> =
             self.progress.keys().filter(|id| **id != self.id).cloned().collect();
-        members.into_iter().for_each(|id| self.send_entries(id));
+        members.into_iter().for_each(|id| self.send_entries(id, now));
         self.extend_lease();
     }
 
-    fn send_entries(&mut self, to: VoterId) {
+    fn send_entries(&mut self, to: VoterId, now: Moment) {
         let round = self.round;
         let Some(progress) = self.progress.get_mut(&to) else { return };
         let previous_index = progress.next_index - 1;
         let term = self.log.term_at(previous_index).filter(|_| progress.snapshot.is_none());
-        let Some(term) = term else { return self.send_snapshot(to) };
+        let Some(term) = term else { return self.send_snapshot(to, now) };
         let previous = LogPosition { term, index: previous_index };
         let entries = next_batch(&self.log, progress, &self.config).to_vec();
         progress.unacked_bytes += entries.iter().map(LogEntry::size_bytes).sum::<usize>();
@@ -74,29 +74,30 @@
     }
 
     /// Sends the next part of the snapshot, or a heartbeat while a part is on its way.
-    fn send_snapshot(&mut self, to: VoterId) {
+    fn send_snapshot(&mut self, to: VoterId, now: Moment) {
         let round = self.round;
+        let retry_delay = self.config.heartbeat_interval * SNAPSHOT_RETRY_HEARTBEATS;
         let Some(progress) = self.progress.get_mut(&to) else { return };
         if let Some(outgoing) = &mut progress.snapshot {
-            if round < outgoing.sent_round + SNAPSHOT_RETRY_ROUNDS {
+            if now.since(outgoing.sent_at) < retry_delay {
                 // The empty heartbeat prevents an election by the follower.
                 let previous = outgoing.record.at;
                 let entries = Vec::new();
                 let message = ReplicaMessage::Append { previous, entries, commit: 0, round };
                 return self.send(to, message);
             }
-            outgoing.sent_round = round;
+            outgoing.sent_at = now;
         }
-        self.send_snapshot_part(to);
+        self.send_snapshot_part(to, now);
     }
 
-    fn send_snapshot_part(&mut self, to: VoterId) {
+    fn send_snapshot_part(&mut self, to: VoterId, now: Moment) {
         let round = self.round;
         let max_bytes = self.config.max_unacked_bytes;
         let Some(progress) = self.progress.get_mut(&to) else { return };
         let outgoing = progress
             .snapshot
-            .get_or_insert_with(|| OutgoingSnapshot::new(self.snapshot.clone(), round));
+            .get_or_insert_with(|| OutgoingSnapshot::new(self.snapshot.clone(), now));
         let message = match outgoing.record.state.len() <= max_bytes {
             true => ReplicaMessage::Snapshot { snapshot: outgoing.record.clone(), round },
             false => ReplicaMessage::SnapshotPart { part: outgoing.part(max_bytes), round },
@@ -185,16 +186,14 @@
         round: u64,
         now: Moment,
     ) {
-        let current_round = self.round;
         let Some(progress) = self.progress.get_mut(from) else { return };
         progress.last_contact = now;
         progress.acked_round = progress.acked_round.max(round);
         let outgoing = progress.snapshot.as_mut().filter(|outgoing| outgoing.record.at == at);
-        let has_next =
-            outgoing.is_some_and(|outgoing| outgoing.continue_at(received, current_round));
+        let has_next = outgoing.is_some_and(|outgoing| outgoing.continue_at(received, now));
         self.extend_lease();
         if has_next {
-            self.send_snapshot_part(from.clone());
+            self.send_snapshot_part(from.clone(), now);
         }
     }
 
@@ -230,7 +229,7 @@
         if must_rewind && !is_sending_snapshot {
             self.rewind(from, index, now);
         } else if accepted && has_more && !is_sending_snapshot {
-            self.send_entries(from.clone());
+            self.send_entries(from.clone(), now);
         }
     }
 
@@ -243,7 +242,7 @@
         progress.next_index = (index + 1).max(progress.match_index + 1);
         progress.unacked_bytes = 0;
         progress.rewound_round = round;
-        self.send_entries(to.clone());
+        self.send_entries(to.clone(), now);
     }
 
     /// Extends the lease, which starts when the latest round acknowledged by a quorum was sent:
--- a/src/replica/transfer.rs
+++ b/src/replica/transfer.rs
@@ -2,6 +2,7 @@
 
 use super::log::LogPosition;
 use super::messages::{SnapshotPart, SnapshotRecord};
+use crate::policy::Moment;
 use std::sync::Arc;
 
 /// A snapshot on its way to a member.
@@ -11,13 +12,13 @@
     pub(super) record: SnapshotRecord,
     /// Number of bytes acknowledged.
     pub(super) offset: usize,
-    /// The heartbeat round in which a part was last sent.
-    pub(super) sent_round: u64,
+    /// Time at which a part was last sent.
+    pub(super) sent_at: Moment,
 }
 
 impl OutgoingSnapshot {
-    pub(super) fn new(record: SnapshotRecord, round: u64) -> Self {
-        OutgoingSnapshot { record, offset: 0, sent_round: round }
+    pub(super) fn new(record: SnapshotRecord, now: Moment) -> Self {
+        OutgoingSnapshot { record, offset: 0, sent_at: now }
     }
 
     /// The part at the current offset, of at most `max_bytes`.
@@ -34,12 +35,12 @@
     }
 
     /// Continues at the offset that the member asks for; false if it is the current one.
-    pub(super) fn continue_at(&mut self, received: usize, round: u64) -> bool {
+    pub(super) fn continue_at(&mut self, received: usize, now: Moment) -> bool {
         if received == self.offset || !self.record.state.is_char_boundary(received) {
             return false;
         }
         self.offset = received;
-        self.sent_round = round;
+        self.sent_at = now;
         true
     }
 }
--- a/tests/slow_voters.rs
+++ b/tests/slow_voters.rs
@@ -181,6 +181,8 @@
     next_folder: u32,
     /// Number of snapshots that are still to be lost on their way.
     snapshots_to_lose: usize,
+    /// Number of snapshots, or parts of one, that were sent.
+    pub snapshots_sent: usize,
     started: Vec<StartedDaemon>,
     answer_bytes: usize,
     clients: Option<OrderClients>,
@@ -242,6 +244,7 @@
             edit_at: now,
             next_folder: 1,
             snapshots_to_lose: 0,
+            snapshots_sent: 0,
             started: Vec::new(),
             answer_bytes: 0,
             clients: None,
@@ -516,6 +519,18 @@
         core.lag(&self.voters[position].id).map(|lag| lag.entries)
     }
 
+    /// True if the leader knows a machine as voter or learner.
+    pub fn is_member(&self, position: usize) -> bool {
+        self.lag(position).is_some()
+    }
+
+    /// Size of what a machine lacks once it votes, in bytes, as the leader knows it.
+    pub fn voter_lag_bytes(&self, position: usize) -> Option<usize> {
+        let core = self.voters[self.leader()?].core.as_ref()?;
+        let id = &self.voters[position].id;
+        core.lag(id).filter(|_| core.membership().voters.contains_key(id)).map(|lag| lag.bytes)
+    }
+
     /// What each machine's replica has come to, for messages of failed checks.
     pub fn states(&self) -> Vec<String> {
         let state = |voter: &SlowVoter| {
@@ -728,6 +743,7 @@
         let sender = &mut self.voters[from];
         sender.busy_until = sender.busy_until.max(self.now) + cost;
         let arrives_at = sender.busy_until + self.setup.latency;
+        self.snapshots_sent += usize::from(is_snapshot(&envelope.message));
         if self.snapshots_to_lose > 0 && is_snapshot(&envelope.message) {
             self.snapshots_to_lose -= 1;
             return;
--- a/tests/test_order_acknowledgement.rs
+++ b/tests/test_order_acknowledgement.rs
@@ -6,6 +6,7 @@
 use rand::seq::IndexedRandom;
 use rstest::rstest;
 use std::time::Duration;
+use tarragonknot::replica::ReplicaConfig;
 
 /// Time within which an order must be acknowledged while the voters are calm.
 const ACK_LIMIT: Duration = Duration::from_secs(4);
@@ -17,6 +18,11 @@
 const CLAIM_INTERVAL: Duration = Duration::from_millis(10);
 /// Number of seeds.
 const PLAYS: u64 = 16;
+/// Claims whose answers make up a snapshot that takes a slow voter long to store.
+const CLAIMS: usize = 260;
+const CLAIM_BYTES: usize = 10_000;
+/// Messages of 256 KiB for the snapshot of these claims.
+const SNAPSHOT_PARTS: usize = 12;
 const CALM_TIME: Duration = Duration::from_secs(12);
 
 /// A fleet whose operators give an order each half second, beside claims.
@@ -59,6 +65,25 @@
     assert!(lag.is_some_and(|lag| lag <= MAX_LAG_ENTRIES), "lacks {lag:?} entries; {states:#?}");
 }
 
+/// Guards against parts of a snapshot that are sent again while the member still stores them, because
+/// proposals come quickly.
+#[rstest]
+fn a_snapshot_is_not_sent_again_for_each_proposal(#[values(1, 2, 3)] seed: u64) {
+    let replica = ReplicaConfig { retained_log_bytes: 0, ..ReplicaConfig::default() };
+    let setup = VoterSetup { replica, seed, table_bytes: 1_000, ..VoterSetup::default() };
+    let mut play = play_with_orders(setup);
+    play.fleet.store_claims(CLAIMS, CLAIM_BYTES);
+    play.fleet.claim_every(Duration::from_millis(5));
+    let behind = play.fleet.follower();
+
+    play.fleet.wipe(behind, Duration::from_millis(500));
+    play.fleet.run_for(Duration::from_secs(4));
+
+    let (sent, parts) = (play.fleet.snapshots_sent, SNAPSHOT_PARTS);
+    assert!(play.fleet.is_member(behind), "{sent} messages; {:#?}", play.fleet.states());
+    assert!(sent <= parts, "{sent} messages for a snapshot of {parts} parts or fewer");
+}
+
 /// Guards against orders without an acknowledgement although the voters have been calm for long.
 #[rstest]
 fn orders_are_acknowledged_in_the_calm_after_troubles(
