Let a learner forget a leader that it no longer hears

Only voters have an election timeout, so a learner that was cut off named its last leader for ever. After 10 s the leader removes it; it heard nobody, yet had a leader, so it never asked to join again: the spare was lost, and it sent every operator to an address that may be dead or another daemon's.

A learner now forgets its leader after the same timeout, and asks to join again as a voter without a leader does. Test: a spare beside five voters, cut off for 12 s, is no member 4 s after it was joined (before), and is one (now).

--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -251,8 +251,10 @@
     pub fn tick(&mut self, now: Moment, rng: &mut dyn RngCore) -> ReplicaOutput<C> {
         match self.role {
             ReplicaRole::Leader => self.tick_leader(now, rng),
-            _ if now >= self.election_at && self.is_voter() => self.start_pre_vote(now, rng),
-            _ => {}
+            _ if now < self.election_at => {}
+            _ if self.is_voter() => self.start_pre_vote(now, rng),
+            // Without a leader, a learner asks to join again.
+            _ => self.leader = None,
         }
         self.take_output()
     }
--- a/tests/test_order_acknowledgement.rs
+++ b/tests/test_order_acknowledgement.rs
@@ -84,6 +84,24 @@
     assert!(sent <= parts, "{sent} messages for a snapshot of {parts} parts or fewer");
 }
 
+/// Guards against a spare voter that was removed while it was cut off, and never joins again as it
+/// keeps its last leader.
+#[test]
+fn a_learner_that_was_removed_joins_again() {
+    let mut play = play_with_orders(VoterSetup { voters: 5, ..VoterSetup::default() });
+    let spare = play.fleet.add_machine();
+    play.fleet.run_for(Duration::from_secs(3));
+    assert!(play.fleet.is_member(spare));
+
+    play.fleet.cut_off(spare, true);
+    play.fleet.run_for(Duration::from_secs(12));
+    assert!(!play.fleet.is_member(spare), "removed after 10 s");
+    play.fleet.cut_off(spare, false);
+    play.fleet.run_for(Duration::from_secs(4));
+
+    assert!(play.fleet.is_member(spare));
+}
+
 /// Guards against orders without an acknowledgement although the voters have been calm for long.
 #[rstest]
 fn orders_are_acknowledged_in_the_calm_after_troubles(
