Promote learners by the bytes that they lack, too

A learner counted as caught up when it lacked 64 entries or fewer. A table of 350 routes is an entry of 75 to 120 KB, so a quorum could come to wait for a voter that was megabytes behind. It must also lack no more than one message, unless that is a single entry. Lags now count committed entries only.

--- a/src/control/voting.rs
+++ b/src/control/voting.rs
@@ -9,7 +9,7 @@
 
 use super::ledger::ControlLedger;
 use crate::policy::Moment;
-use crate::replica::{FleetMembership, ReplicaCore, ReplicatedCommand, VoterId};
+use crate::replica::{FleetMembership, ReplicaCore, ReplicaLag, ReplicatedCommand, VoterId};
 use std::time::Duration;
 
 /// Maximum number of voters that the leader adds on its own. Operators cannot exceed it either,
@@ -118,12 +118,19 @@
     absent: &[VoterId],
 ) -> Option<&'a VoterId> {
     let is_ready = |id: &&VoterId| {
-        let matched = core.match_index(id).unwrap_or(0);
-        matched > 0 && matched + MAX_LAG_ENTRIES >= core.commit_index() && !absent.contains(id)
+        let has_entries = core.match_index(id).is_some_and(|matched| matched > 0);
+        has_entries && core.lag(id).is_some_and(|lag| is_small(lag, core)) && !absent.contains(id)
     };
     core.membership().learners.keys().find(is_ready)
 }
 
+/// True if a quorum may wait for a member that lacks this much: no more than one message, which may
+/// be a single large entry.
+fn is_small<C: ReplicatedCommand>(lag: ReplicaLag, core: &ReplicaCore<C>) -> bool {
+    lag.entries <= MAX_LAG_ENTRIES
+        && (lag.entries <= 1 || lag.bytes <= core.config().max_unacked_bytes)
+}
+
 /// The set without one of its absent voters, if it is to go.
 ///
 /// The quorum of an even number of voters is that of the odd number below it, so an absent voter of
--- a/src/replica/core.rs
+++ b/src/replica/core.rs
@@ -85,7 +85,7 @@
     Removed,
 }
 
-/// What a member lacks of the leader's log.
+/// What a member lacks of the committed entries.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ReplicaLag {
     /// Number of entries.
@@ -551,18 +551,24 @@
         self.progress.get(id).map(|progress| progress.match_index)
     }
 
-    /// What a member has not acknowledged, as far as this leader knows. `None` if it is no member.
+    /// The committed entries that a member has not acknowledged, as far as this leader knows. `None`
+    /// if it is no member.
     pub fn lag(&self, id: &VoterId) -> Option<ReplicaLag> {
         let matched = self.match_index(id)?;
-        let missing = self.log.entries_in(matched + 1..u64::MAX);
+        let missing = self.log.entries_in(matched + 1..self.commit_index + 1);
         let lacks_snapshot = matched < self.log.base().index;
         let snapshot_bytes = if lacks_snapshot { self.snapshot.state.len() } else { 0 };
         Some(ReplicaLag {
-            entries: self.log.last().index.saturating_sub(matched),
+            entries: self.commit_index.saturating_sub(matched),
             bytes: snapshot_bytes + missing.iter().map(LogEntry::size_bytes).sum::<usize>(),
         })
     }
 
+    /// Timing and batching parameters.
+    pub fn config(&self) -> &ReplicaConfig {
+        &self.config
+    }
+
     /// Time of the last message of the leader, or of the start.
     pub fn leader_heard(&self) -> Option<Moment> {
         self.last_leader_contact
--- a/tests/test_order_acknowledgement.rs
+++ b/tests/test_order_acknowledgement.rs
@@ -102,6 +102,26 @@
     assert!(play.fleet.is_member(spare));
 }
 
+/// Guards against a learner that becomes a voter while it lacks megabytes, for which a quorum then
+/// waits.
+#[rstest]
+fn a_learner_votes_only_once_it_lacks_little(#[values(1, 2, 3, 4)] seed: u64) {
+    let mut play = play_with_orders(VoterSetup { seed, ..VoterSetup::default() });
+    play.fleet.edit_every(Some(Duration::from_millis(60)));
+    play.fleet.run_for(Duration::from_secs(2));
+    let wiped = play.fleet.follower();
+    play.fleet.wipe(wiped, Duration::from_millis(500));
+
+    let mut lag = None;
+    for _ in 0..2_000 {
+        play.fleet.run_for(Duration::from_millis(5));
+        lag = lag.or(play.fleet.voter_lag_bytes(wiped));
+    }
+
+    let limit = ReplicaConfig::default().max_unacked_bytes + 75_000;
+    assert!(lag.is_some_and(|lag| lag <= limit), "votes while it lacks {lag:?} bytes");
+}
+
 /// Guards against orders without an acknowledgement although the voters have been calm for long.
 #[rstest]
 fn orders_are_acknowledged_in_the_calm_after_troubles(
