Store an order once, however often it is sent

An operator without an answer sends the order again, to any daemon, and each attempt put the whole table into the log: 75 to 120 KB with 350 routes.

A leader with its lease now answers a table that changes nothing from the ledger, where all committed entries are applied, and lets the copy of a table that is in the log wait for the same entry. Test: eight copies at once, a later one and an overtaken one left 10 entries in the log before (one voter), 1 now.

--- a/src/control/control_loop/edits.rs
+++ b/src/control/control_loop/edits.rs
@@ -41,10 +41,38 @@
             self.log_undecided(numbered.version);
             return drop(reply.send(LeaderAnswer::Elsewhere(self.remote_leader())));
         }
+        if let Some(outcome) = self.ledger.outcome_of(&numbered) {
+            return drop(reply.send(LeaderAnswer::Done(outcome)));
+        }
+        let reply = match self.add_waiter(&numbered, reply) {
+            Some(reply) => reply,
+            None => return,
+        };
         info!(self.setup.log, "numbered table proposed"; "version" => numbered.version,
             "held" => self.ledger.table().version, "bytes" => numbered.document.len());
-        self.proposals
-            .push((vec![ControlCommand::Replace(numbered)], EntryWaiter::Replace { reply }));
+        let waiter = EntryWaiter::Replace { numbered: numbered.clone(), replies: vec![reply] };
+        self.proposals.push((vec![ControlCommand::Replace(numbered)], waiter));
+    }
+
+    /// Lets a caller wait for the entry of the same table, if one is under way; returns the caller
+    /// otherwise.
+    fn add_waiter(
+        &mut self,
+        numbered: &NumberedTable,
+        reply: LeaderReplySender<NumberedOutcome>,
+    ) -> Option<LeaderReplySender<NumberedOutcome>> {
+        let proposed = self.proposals.iter_mut().map(|(_, waiter)| waiter);
+        let logged = self.waiting.entries.iter_mut().map(|(_, _, waiter)| waiter);
+        let replies = proposed.chain(logged).find_map(|waiter| match waiter {
+            EntryWaiter::Replace { numbered: known, replies } if **known == *numbered => {
+                Some(replies)
+            }
+            _ => None,
+        });
+        let Some(replies) = replies else { return Some(reply) };
+        replies.retain(|waiting| !waiting.is_closed());
+        replies.push(reply);
+        None
     }
 
     /// Logs an order that this daemon cannot decide, with the leader that it knows.
@@ -122,17 +150,19 @@
             (EntryWaiter::Edit { wait, reply, .. }, ControlReply::Edit(outcome)) => {
                 self.answer_edit(*outcome, wait, reply)
             }
-            (EntryWaiter::Replace { reply }, ControlReply::Replace(outcome)) => {
-                let _ = reply.send(LeaderAnswer::Done(outcome));
+            (EntryWaiter::Replace { replies, .. }, ControlReply::Replace(outcome)) => {
+                for reply in replies {
+                    let _ = reply.send(LeaderAnswer::Done(outcome));
+                }
             }
             (EntryWaiter::Claims { mut replies, reply, .. }, _) => {
                 self.mark_dead_owners(&mut replies);
                 let _ = reply.send(LeaderAnswer::Done(replies));
             }
-            (EntryWaiter::Rollout { reply }, ControlReply::Rollout(answer)) => {
+            (EntryWaiter::Rollout { reply, .. }, ControlReply::Rollout(answer)) => {
                 let _ = reply.send(LeaderAnswer::Done(*answer));
             }
-            (EntryWaiter::Evacuation { reply }, ControlReply::Evacuation(record)) => {
+            (EntryWaiter::Evacuation { reply, .. }, ControlReply::Evacuation(record)) => {
                 let _ = reply.send(LeaderAnswer::Done(record));
             }
             (EntryWaiter::Quarantine { reply }, _) => {
--- a/src/control/ledger.rs
+++ b/src/control/ledger.rs
@@ -334,13 +334,20 @@
     /// Replaces the table if the version is higher. Older documents are not retained: they are
     /// large, and the operators keep them.
     fn replace(&mut self, numbered: &NumberedTable) -> NumberedOutcome {
-        if numbered.version > self.table.version {
+        self.outcome_of(numbered).unwrap_or_else(|| {
             self.table = VersionedTable::from_document(numbered.version, &numbered.document);
-            return NumberedOutcome::Taken;
+            NumberedOutcome::Taken
+        })
+    }
+
+    /// The outcome of a numbered table that changes nothing; `None` if it would be taken.
+    pub fn outcome_of(&self, numbered: &NumberedTable) -> Option<NumberedOutcome> {
+        if numbered.version > self.table.version {
+            return None;
         }
         let is_same = numbered.version == self.table.version
             && self.table.document.as_ref() == Some(&numbered.document);
-        if is_same { NumberedOutcome::Held } else { NumberedOutcome::Overtaken }
+        Some(if is_same { NumberedOutcome::Held } else { NumberedOutcome::Overtaken })
     }
 
     fn accept(&mut self, edit: &TableEdit) -> EditRecord {
--- a/src/control/waiters.rs
+++ b/src/control/waiters.rs
@@ -2,7 +2,7 @@
 
 use super::fleet::ReportAnswer;
 use super::held_reports::HeldReports;
-use super::ledger::NumberedOutcome;
+use super::ledger::{NumberedOutcome, NumberedTable};
 use super::quarantine_log::QuarantineRow;
 use super::rpc::{ApplyAnswer, LeaderAnswer, VoterRow};
 use crate::claim::ClaimReply;
@@ -24,7 +24,9 @@
         reply: LeaderReplySender<ApplyAnswer>,
     },
     Replace {
-        reply: LeaderReplySender<NumberedOutcome>,
+        numbered: Box<NumberedTable>,
+        /// One for each copy of the order.
+        replies: Vec<LeaderReplySender<NumberedOutcome>>,
     },
     Claims {
         replies: Vec<ClaimReply>,
@@ -88,12 +90,16 @@
     pub fn redirect(self, leader: Option<SocketAddr>) {
         match self {
             EntryWaiter::Edit { reply, .. } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
-            EntryWaiter::Replace { reply } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
+            EntryWaiter::Replace { replies, .. } => replies.into_iter().for_each(|reply| {
+                let _ = reply.send(LeaderAnswer::Elsewhere(leader));
+            }),
             EntryWaiter::Claims { reply, .. } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
             EntryWaiter::Voters { reply } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
             EntryWaiter::Quarantine { reply } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
-            EntryWaiter::Rollout { reply } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
-            EntryWaiter::Evacuation { reply } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
+            EntryWaiter::Rollout { reply, .. } => drop(reply.send(LeaderAnswer::Elsewhere(leader))),
+            EntryWaiter::Evacuation { reply, .. } => {
+                drop(reply.send(LeaderAnswer::Elsewhere(leader)))
+            }
             EntryWaiter::NoReply => {}
         }
     }
--- a/tests/tests.rs
+++ b/tests/tests.rs
@@ -70,6 +70,7 @@
 mod test_log_buffer;
 mod test_memory_budget;
 mod test_order_acknowledgement;
+mod test_orders_at_a_voter;
 mod test_organisation_shares;
 mod test_out_of_step;
 mod test_packed_table;
