Hold an order until it is known who leads

A voter that knew no leader, and a leader without its lease, refused an operator at once, and each refusal doubles the operator's pause, while a leader may be elected within milliseconds. A redirect to a leader that had just ended cost the operator its own timeout. A voter that was cut off refused each attempt for as long as the cut lasted, though the others had a leader.

Operators' requests (tables, roll-outs, evacuations and their reads) are now held for up to 0.8 s while no leader is known, while it has been silent for two intervals between heartbeats, and while this voter leads without the lease. If a leader steps down, the orders whose entries it waits for are decided anew. A voter that has heard no leader for four election timeouts names another voter.

The tests of the control loop failed before: a request was refused without being held, and no other voter was named within 120 s.

--- a/src/control/control_loop/edits.rs
+++ b/src/control/control_loop/edits.rs
@@ -39,7 +39,7 @@
     ) {
         if !self.holds_lease() {
             self.log_undecided(numbered.version);
-            return drop(reply.send(LeaderAnswer::Elsewhere(self.remote_leader())));
+            return drop(reply.send(LeaderAnswer::Elsewhere(self.operators_leader())));
         }
         if let Some(outcome) = self.ledger.outcome_of(&numbered) {
             return drop(reply.send(LeaderAnswer::Done(outcome)));
@@ -109,11 +109,11 @@
     }
 
     /// Answers a read. Reads require the lease, so that no answer is older than one given before.
-    pub(super) fn answer_read<T>(&self, value: T, reply: LeaderReplySender<T>) {
+    pub(super) fn answer_read<T>(&mut self, value: T, reply: LeaderReplySender<T>) {
         let answer = if self.holds_lease() {
             LeaderAnswer::Done(value)
         } else {
-            LeaderAnswer::Elsewhere(self.remote_leader())
+            LeaderAnswer::Elsewhere(self.operators_leader())
         };
         let _ = reply.send(answer);
     }
--- a/src/control/control_loop/evacuations.rs
+++ b/src/control/control_loop/evacuations.rs
@@ -15,11 +15,11 @@
         reply: LeaderReplySender<EvacuationRecord>,
     ) {
         if !self.holds_lease() {
-            return drop(reply.send(LeaderAnswer::Elsewhere(self.remote_leader())));
+            return drop(reply.send(LeaderAnswer::Elsewhere(self.operators_leader())));
         }
         info!(self.setup.log, "evacuation order proposed"; "data_centre" => order.data_centre.as_str(),
             "order" => format!("{:?}", order.event));
-        let command = ControlCommand::Evacuation { order, at: unix_millis() };
-        self.proposals.push((vec![command], EntryWaiter::Evacuation { reply }));
+        let command = ControlCommand::Evacuation { order: order.clone(), at: unix_millis() };
+        self.proposals.push((vec![command], EntryWaiter::Evacuation { order, reply }));
     }
 }
--- a/src/control/control_loop/mod.rs
+++ b/src/control/control_loop/mod.rs
@@ -8,6 +8,7 @@
 mod edits;
 mod evacuations;
 mod folder;
+mod held_requests;
 mod members;
 mod quarantine;
 mod reports;
@@ -16,6 +17,7 @@
 mod voter_losses;
 
 use self::commit_watch::CommitWatch;
+use self::held_requests::HeldRequest;
 use self::rollouts::RolloutTracker;
 use self::voter_exit::VoterExits;
 use self::voter_losses::LossReport;
@@ -102,6 +104,8 @@
         exits: VoterExits::new(exit_sender),
         loss_report: LossReport::default(),
         commit_watch: CommitWatch::default(),
+        held_requests: Vec::new(),
+        named_voters: 0,
         commit_synced_at: Moment(0),
         setup,
     };
@@ -150,6 +154,10 @@
     loss_report: LossReport,
     /// Entries that wait for a quorum, and times without a lease, as last logged.
     commit_watch: CommitWatch,
+    /// Operators' requests that wait until it is known who leads.
+    held_requests: Vec<HeldRequest>,
+    /// Number of times that operators were sent to another voter.
+    named_voters: usize,
     /// Role in which the replica was last seen.
     last_role: ReplicaRole,
     /// Time at which the commit index was last made durable.
@@ -190,6 +198,7 @@
                 Some(joined) = founding.recv() => self.enter_fleet(joined),
                 _ = ticks.tick() => self.tick(),
             }
+            self.retry_held();
             self.answer_waiting();
         }
     }
@@ -389,7 +398,12 @@
                 self.loss_report.clear();
                 let leader = self.leader_address();
                 let mut waiting = std::mem::take(&mut self.waiting);
-                waiting.entries.into_iter().for_each(|(_, _, waiter)| waiter.redirect(leader));
+                for (_, _, waiter) in waiting.entries {
+                    match waiter.into_requests() {
+                        Ok(requests) => requests.into_iter().for_each(|request| self.hold(request)),
+                        Err(waiter) => waiter.redirect(leader),
+                    }
+                }
                 waiting.reports.redirect_all(leader);
                 // Accepted edits are already committed, so their outcome is final.
                 waiting.in_force.into_iter().for_each(|force| {
@@ -418,6 +432,12 @@
     }
 
     fn on_request(&mut self, request: ControlRequest) {
+        if let Some(request) = self.hold_if_unsettled(request) {
+            self.decide(request);
+        }
+    }
+
+    fn decide(&mut self, request: ControlRequest) {
         match request {
             ControlRequest::Replica { envelope, reply } => self.on_envelope(*envelope, reply),
             ControlRequest::Report { report, reply } => self.on_report(report, reply),
--- a/src/control/control_loop/rollouts.rs
+++ b/src/control/control_loop/rollouts.rs
@@ -63,12 +63,12 @@
         reply: LeaderReplySender<RolloutReply>,
     ) {
         if !self.holds_lease() {
-            return drop(reply.send(LeaderAnswer::Elsewhere(self.remote_leader())));
+            return drop(reply.send(LeaderAnswer::Elsewhere(self.operators_leader())));
         }
         info!(self.setup.log, "roll-out proposed"; "service" => order.service.as_str(), "to" => order.to.as_str(),
             "duration_ms" => order.duration_ms);
-        let command = ControlCommand::Rollout { order, at: unix_millis() };
-        self.proposals.push((vec![command], EntryWaiter::Rollout { reply }));
+        let command = ControlCommand::Rollout { order: order.clone(), at: unix_millis() };
+        self.proposals.push((vec![command], EntryWaiter::Rollout { order, reply }));
     }
 
     pub(super) fn on_rollout_reports(
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod fleet_member;
 mod held_reports;
 mod joining;
+mod leader_route;
 mod ledger;
 mod links;
 mod operator_client;
@@ -32,6 +33,7 @@
 };
 pub use fleet_member::{FleetMember, MemberChange, PoolChange, PoolState};
 pub use held_reports::{CommonOrders, HeldReports};
+pub use leader_route::{LeaderRoute, leader_route};
 pub use ledger::{
     ControlCommand, ControlLedger, ControlReply, EditConflict, EditOutcome, EditRecord,
     NumberedOutcome, NumberedTable, TableEdit,
--- a/src/control/waiters.rs
+++ b/src/control/waiters.rs
@@ -4,11 +4,12 @@
 use super::held_reports::HeldReports;
 use super::ledger::{NumberedOutcome, NumberedTable};
 use super::quarantine_log::QuarantineRow;
+use super::requests::ControlRequest;
 use super::rpc::{ApplyAnswer, LeaderAnswer, VoterRow};
 use crate::claim::ClaimReply;
-use crate::evacuation::EvacuationRecord;
+use crate::evacuation::{EvacuationOrder, EvacuationRecord};
 use crate::policy::Moment;
-use crate::rollout::RolloutReply;
+use crate::rollout::{RolloutOrder, RolloutReply};
 use crate::table::DaemonName;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -40,9 +41,11 @@
         reply: LeaderReplySender<Vec<QuarantineRow>>,
     },
     Rollout {
+        order: RolloutOrder,
         reply: LeaderReplySender<RolloutReply>,
     },
     Evacuation {
+        order: EvacuationOrder,
         reply: LeaderReplySender<EvacuationRecord>,
     },
     NoReply,
@@ -104,6 +107,24 @@
         }
     }
 
+    /// The requests of operators who wait, to be decided anew; the waiter itself if it is no
+    /// operator's order or cannot be given twice.
+    pub fn into_requests(self) -> Result<Vec<ControlRequest>, Self> {
+        match self {
+            EntryWaiter::Replace { numbered, replies } => Ok(replies
+                .into_iter()
+                .map(|reply| ControlRequest::Replace { numbered: numbered.clone(), reply })
+                .collect()),
+            EntryWaiter::Rollout { order, reply } => {
+                Ok(vec![ControlRequest::Rollout { order, reply }])
+            }
+            EntryWaiter::Evacuation { order, reply } => {
+                Ok(vec![ControlRequest::Evacuate { order, reply }])
+            }
+            waiter => Err(waiter),
+        }
+    }
+
     /// Number of entries for which the caller waits.
     pub fn entry_count(&self) -> usize {
         if let EntryWaiter::Claims { entries_left, .. } = self { *entries_left } else { 1 }
--- a/tests/slow_voters.rs
+++ b/tests/slow_voters.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 use tarragonknot::claim::{ClaimCommand, ClaimKey, ClaimOutcome, ClaimOwner, RecordedAnswer};
 use tarragonknot::control::{
-    ControlCommand, ControlLedger, NumberedTable, absent_members, may_join, next_membership,
+    ControlCommand, ControlLedger, LeaderRoute, NumberedTable, absent_members, leader_route,
+    may_join, next_membership,
 };
 use tarragonknot::policy::Moment;
 use tarragonknot::replica::{
@@ -81,7 +82,7 @@
     }
 }
 
-/// An order whose entry is in the log of the voter that proposed it.
+/// An order that has no answer yet, and the time at which its caller gets none.
 struct WaitingOrder {
     call: CallId,
     version: u64,
@@ -111,6 +112,9 @@
     /// Operators' calls that have arrived, with their versions.
     calls: VecDeque<(CallId, u64)>,
     waiting: Vec<WaitingOrder>,
+    /// Orders that wait until it is known who leads.
+    held: Vec<WaitingOrder>,
+    named_voters: usize,
 }
 
 impl SlowVoter {
@@ -130,6 +134,8 @@
             asked_by: VecDeque::new(),
             calls: VecDeque::new(),
             waiting: Vec::new(),
+            held: Vec::new(),
+            named_voters: 0,
         }
     }
 
@@ -139,6 +145,7 @@
         self.inbox.clear();
         self.calls.clear();
         self.waiting.clear();
+        self.held.clear();
     }
 }
 
@@ -285,36 +292,54 @@
         }
     }
 
-    /// Decides an operator's call as the control loop does.
+    /// Takes an operator's call from the network.
     fn take_call(&mut self, position: usize) {
-        let now = self.now;
         let voter = &mut self.voters[position];
         let Some((call, version)) = voter.calls.pop_front() else { return };
-        voter.busy_until = now + handling_time(self.setup.table_bytes);
+        voter.busy_until = self.now + handling_time(self.setup.table_bytes);
+        let until = self.now + ANSWER_TIMEOUT;
+        self.route_order(position, WaitingOrder { call, version, until });
+    }
+
+    /// Decides an order as the control loop does.
+    fn route_order(&mut self, position: usize, order: WaitingOrder) {
+        let now = self.now;
+        let voter = &mut self.voters[position];
         let Some(core) = &voter.core else { return };
-        if core.has_lease(now) {
-            let until = now + ANSWER_TIMEOUT;
-            voter.waiting.push(WaitingOrder { call, version, until });
-            return self.propose(position, version);
+        match leader_route(core, voter.named_voters, now) {
+            LeaderRoute::Here => {
+                let version = order.version;
+                let is_known = version <= voter.ledger.table().version
+                    || voter.waiting.iter().any(|known| known.version == version);
+                voter.waiting.push(order);
+                if !is_known {
+                    self.propose(position, version);
+                }
+            }
+            LeaderRoute::Elsewhere(id) => {
+                voter.named_voters += 1;
+                let machine = self.voters.iter().position(|voter| voter.id.daemon == id.daemon);
+                let answer = machine.map_or(CallAnswer::Unknown, CallAnswer::Elsewhere);
+                self.answer_call(order.call, answer);
+            }
+            LeaderRoute::Unsettled => voter.held.push(order),
         }
-        let answer = self.redirect(position);
-        self.answer_call(call, answer);
     }
 
-    /// The answer of a voter that cannot decide: the leader that it knows, if it is another.
-    fn redirect(&self, position: usize) -> CallAnswer {
-        let leader = self.voters[position].core.as_ref().and_then(ReplicaCore::leader);
-        let machine = leader.and_then(|leader| {
-            self.voters.iter().position(|voter| voter.id.daemon == leader.daemon)
-        });
-        match machine.filter(|machine| *machine != position) {
-            Some(machine) => CallAnswer::Elsewhere(machine),
-            None => CallAnswer::Unknown,
+    /// Decides the orders that waited until it is known who leads.
+    fn retry_held(&mut self, position: usize) {
+        let voter = &mut self.voters[position];
+        let held = std::mem::take(&mut voter.held);
+        for order in held {
+            match self.now >= order.until {
+                true => self.answer_call(order.call, CallAnswer::Unknown),
+                false => self.route_order(position, order),
+            }
         }
     }
 
-    /// Answers the calls whose entries are applied, those that waited too long and, if the voter no
-    /// longer leads, all.
+    /// Answers the calls whose entries are applied and those that waited too long. If the voter no
+    /// longer leads, the others are decided anew.
     fn answer_waiting(&mut self, position: usize) {
         let now = self.now;
         let voter = &mut self.voters[position];
@@ -325,12 +350,11 @@
             |order: &mut WaitingOrder| !leads || order.version <= held || now >= order.until;
         let over: Vec<WaitingOrder> = voter.waiting.extract_if(.., is_over).collect();
         for order in over {
-            let answer = match (leads, order.version <= held) {
-                (true, true) => CallAnswer::Done,
-                (true, false) => CallAnswer::Unknown,
-                (false, _) => self.redirect(position),
-            };
-            self.answer_call(order.call, answer);
+            match (leads, order.version <= held) {
+                (true, true) => self.answer_call(order.call, CallAnswer::Done),
+                (true, false) => self.answer_call(order.call, CallAnswer::Unknown),
+                (false, _) => self.voters[position].held.push(order),
+            }
         }
     }
 
@@ -661,6 +685,7 @@
         self.run_leader_tasks(position);
         self.ask_to_join(position);
         self.answer_waiting(position);
+        self.retry_held(position);
     }
 
     fn run_leader_tasks(&mut self, position: usize) {
--- a/tests/test_order_acknowledgement.rs
+++ b/tests/test_order_acknowledgement.rs
@@ -23,6 +23,10 @@
 const CLAIM_BYTES: usize = 10_000;
 /// Messages of 256 KiB for the snapshot of these claims.
 const SNAPSHOT_PARTS: usize = 12;
+/// Time after the last trouble from which the voters count as stable, and operators' lists are right.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Time within which an order should be acknowledged once the voters are stable.
+const CALM_ACK_LIMIT: Duration = Duration::from_secs(1);
 const CALM_TIME: Duration = Duration::from_secs(12);
 
 /// A fleet whose operators give an order each half second, beside claims.
@@ -35,13 +39,15 @@
     play
 }
 
-/// Takes the steps, and returns the longest wait of an order in the calm after them.
-fn longest_wait_after(play: &mut LossPlay, steps: &[FleetStep]) -> Duration {
+/// Takes the steps, and returns the longest wait of an order in the calm after them: from the last
+/// step on, and from the time on at which the voters count as stable.
+fn longest_waits_after(play: &mut LossPlay, steps: &[FleetStep]) -> [Duration; 2] {
     steps.iter().for_each(|step| play.apply(*step));
     let calm_since = play.fleet.now;
     play.fleet.run_for(CALM_TIME);
     let now = play.fleet.now;
-    play.fleet.clients().longest_wait(calm_since, now)
+    [calm_since, calm_since + CONTACT_TIME]
+        .map(|since| play.fleet.clients().longest_wait(since, now))
 }
 
 /// Guards against a former leader that keeps entries which were never committed: a quorum that needs
@@ -133,9 +139,10 @@
         let steps: Vec<FleetStep> =
             (0..count).map(|_| *ALL_STEPS.choose(&mut play.rng).expect("a step")).collect();
 
-        let longest = longest_wait_after(&mut play, &steps);
+        let [longest, in_calm] = longest_waits_after(&mut play, &steps);
 
         let (done, states) = (&play.done, play.fleet.states());
         assert!(longest <= ACK_LIMIT, "waited for {longest:?} after {done:#?}; {states:#?}");
+        assert!(in_calm <= CALM_ACK_LIMIT, "waited for {in_calm:?} after {done:#?}; {states:#?}");
     }
 }
--- a/tests/test_orders_at_a_voter.rs
+++ b/tests/test_orders_at_a_voter.rs
@@ -95,3 +95,35 @@
     assert!(matches!(overtaken, LeaderAnswer::Done(NumberedOutcome::Overtaken)), "{overtaken:?}");
     assert_eq!(applied(&control).await, before + 1);
 }
+
+/// Guards against operators who are refused at once, and pause for longer each time, while a leader
+/// may be elected.
+#[tokio::test]
+async fn an_order_waits_for_an_election() {
+    let (work, log) = (WorkDir::new(), LogLines::default());
+    let control = start_voter(&work, 3, &log);
+
+    let answer = order(&control, 1).await;
+
+    assert!(matches!(answer, LeaderAnswer::Elsewhere(_)), "{answer:?}");
+    log.wait_for("operator request was held").await;
+}
+
+/// Guards against operators who get no further at a voter that is cut off, while the others have a
+/// leader.
+#[tokio::test]
+async fn a_voter_that_is_cut_off_names_others() {
+    let (work, log) = (WorkDir::new(), LogLines::default());
+    let control = start_voter(&work, 3, &log);
+    let is_redirect = |answer: &_| matches!(answer, LeaderAnswer::Elsewhere(Some(_)));
+
+    let first = order_until(&control, 1, is_redirect).await;
+    let second = order_until(&control, 1, is_redirect).await;
+
+    let mut named = [first, second].map(|answer| match answer {
+        LeaderAnswer::Elsewhere(named) => named,
+        LeaderAnswer::Done(_) => None,
+    });
+    named.sort_unstable();
+    assert_eq!(named, [Some(peer(2).control), Some(peer(3).control)]);
+}
