--- a/src/control/control_loop/mod.rs
+++ b/src/control/control_loop/mod.rs
@@ -53,7 +53,7 @@
 
 /// Interval between ticks of the replica.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
-/// Delay of a tick from which it is logged: as long as an interval between heartbeats.
+/// Delay of a tick, and duration of a sync, from which it is logged: as long as an interval between heartbeats.
 const REPORTED_DELAY: Duration = Duration::from_millis(100);
 /// Minimum interval between syncs of the commit index. A sync keeps the control thread waiting for
 /// the disk, so a series of edits must not cause one for each.
@@ -262,8 +262,7 @@
             self.hard_state = hard_state.clone();
         }
         if output.must_sync()
-            && let Some(store) = &mut self.store
-            && let Err(fault) = store.save(&output, &self.hard_state)
+            && let Err(fault) = self.save(&output)
         {
             // A failed write may be partially complete, so the contents of the folder are unknown.
             // This voter must make no promises until the folder has been read again.
@@ -292,6 +291,20 @@
         answers
     }
 
+    /// Stores and syncs the records of `output`, during which the control thread does nothing else.
+    fn save(&mut self, output: &ReplicaOutput<ControlCommand>) -> Result<(), StoreError> {
+        let started = self.now();
+        let Some(store) = &mut self.store else { return Ok(()) };
+        let saved = store.save(output, &self.hard_state);
+        let taken = self.now().since(started);
+        histogram!("tarragonknot_sync_seconds").record(taken);
+        if taken >= REPORTED_DELAY {
+            warn!(self.setup.log, "data folder was slow"; "taken_ms" => taken.as_millis() as u64,
+                "entries" => output.entries.len());
+        }
+        saved
+    }
+
     fn address_of(&self, voter: &VoterId) -> Option<SocketAddr> {
         let known = self.core.as_ref().and_then(|core| core.membership().address(voter));
         known.or_else(|| {
