Soak: eight orders at once, from operators whose pauses grow

The check at the end of a run sent one order, to the voters in turn with a fixed pause. It now sends eight at once, each beginning with another voter and pausing for longer after each failure. The bound of 4 s is as it was.

--- a/soak/checks.rs
+++ b/soak/checks.rs
@@ -32,6 +32,10 @@
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Time within which an edit must then be acknowledged.
 const ACK_LIMIT: Duration = Duration::from_secs(4);
+/// Number of orders that operators have under way at once.
+const ORDERS_AT_ONCE: usize = 8;
+/// Maximum pause between two attempts at an order.
+const MAX_PAUSE: Duration = Duration::from_secs(2);
 /// Time within which a confirmed table must be in force at entries in touch.
 const APPLY_TIME: Duration = Duration::from_millis(2_500);
 /// Time for which an entry that has started reaches only a voter that is behind.
@@ -260,9 +264,16 @@
     tokio::time::sleep(CONTACT_TIME.saturating_sub(ctx.time_since_disturbance())).await;
     let newest = lock(&ctx.acknowledged_versions).last_key_value().map_or(0, |(newest, _)| *newest);
     let version = newest + VERSION_GAP;
+    let orders =
+        (0..ORDERS_AT_ONCE).map(|number| check_order(ctx, version + number as u64, number));
+    futures_util::future::join_all(orders).await;
+}
+
+/// Sends an order, beginning with one voter, as an operator does whose pauses grow.
+async fn check_order(ctx: &SoakContext, version: u64, first_voter: usize) {
     let edit = TableEdit::new(ctx, version, TableChange::PLAIN);
-    let sent_at = Instant::now();
-    for voter in (0..ctx.sizes.voters).cycle() {
+    let (sent_at, mut pause) = (Instant::now(), POLL_INTERVAL);
+    for voter in (0..ctx.sizes.voters).cycle().skip(first_voter) {
         if replace_config(ctx, voter, &edit).await {
             return;
         }
@@ -270,7 +281,8 @@
             let detail = format!("version {version} has no acknowledgement after {ACK_LIMIT:?}");
             return ctx.recorder.record_violation("SHORT", detail);
         }
-        tokio::time::sleep(POLL_INTERVAL).await;
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(MAX_PAUSE);
     }
 }
 
