--- a/src/control/control_loop/held_requests.rs
+++ b/src/control/control_loop/held_requests.rs
@@ -14,7 +14,7 @@
 /// Maximum time for which a request is held, below the timeout of those who ask.
 const MAX_HOLD: Duration = Duration::from_millis(800);
 
-/// A request and the time at which it is refused.
+/// A request and the time since which it is held.
 pub struct HeldRequest {
     request: ControlRequest,
     since: Moment,
--- a/src/control/control_loop/mod.rs
+++ b/src/control/control_loop/mod.rs
@@ -53,7 +53,8 @@
 
 /// Interval between ticks of the replica.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
-/// Delay of a tick, and duration of a sync, from which it is logged: as long as an interval between heartbeats.
+/// Delay of a tick, and duration of a sync, from which it is logged: as long as an interval between
+/// heartbeats.
 const REPORTED_DELAY: Duration = Duration::from_millis(100);
 /// Minimum interval between syncs of the commit index. A sync keeps the control thread waiting for
 /// the disk, so a series of edits must not cause one for each.
