--- a/tests/order_clients.rs
+++ b/tests/order_clients.rs
@@ -50,8 +50,6 @@
     pub acked_at: Option<Moment>,
     state: CallState,
     pause: Duration,
-    /// What became of each call: the time, the machine, the answer.
-    pub history: Vec<String>,
 }
 
 /// The operators and their orders.
@@ -94,7 +92,6 @@
             acked_at: None,
             state: CallState::Paused { until: now },
             pause: MIN_PAUSE,
-            history: Vec::new(),
         });
     }
 
@@ -127,7 +124,7 @@
                     self.call(fleet, number, machine, redirects);
                 }
                 CallState::Waiting { until, .. } if now >= until => {
-                    self.orders[number].fail("no response", now);
+                    self.orders[number].fail(now);
                 }
                 _ => {}
             }
@@ -141,7 +138,6 @@
         let is_up = fleet.call(machine, self.next_call, order.version);
         let until = now + if is_up { RESPONSE_TIMEOUT } else { CONNECT_TIMEOUT };
         order.state = CallState::Waiting { call: self.next_call, until, redirects };
-        order.history.push(format!("{:.2} calls {machine}", now.0 as f64 / 1e6));
     }
 
     /// Passes a voter's answer to the order that waits for it.
@@ -157,16 +153,14 @@
             CallAnswer::Elsewhere(machine) if redirects > 0 => {
                 order.state = CallState::Redirected { machine, redirects: redirects - 1 };
             }
-            CallAnswer::Elsewhere(_) => order.fail("too many redirects", now),
-            CallAnswer::Unknown => order.fail("503", now),
+            CallAnswer::Elsewhere(_) | CallAnswer::Unknown => order.fail(now),
         }
     }
 }
 
 impl ClientOrder {
     /// Pauses before the next attempt, each time longer.
-    fn fail(&mut self, reason: &str, now: Moment) {
-        self.history.push(format!("{:.2} {reason}", now.0 as f64 / 1e6));
+    fn fail(&mut self, now: Moment) {
         self.state = CallState::Paused { until: now + self.pause };
         self.pause = (self.pause * 2).min(MAX_PAUSE);
     }
