Review, case 6: a burst of large bodies ends the entries

An independent review, part one. Two entries serve 80 callers who send bodies of 4,000,000 bytes (max_body_bytes is 4,194,304). Twice the usual requests for 5 s take both beyond the 260 MiB of their machines, three times each, and some 20 requests that engines run end without an answer on kept connections (LOST).

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Builds the stand-ins of the cases, with the compiler alone. Run in the repository's root.
+set -e
+mkdir -p target/review-2
+for source in review/kit-2/large_bodies.rs; do
+    rustc --edition 2024 -O -o "target/review-2/$(basename "$source" .rs)" "$source"
+done
