--- a/review/kit-2/common.rs
+++ b/review/kit-2/common.rs
@@ -160,10 +160,14 @@
     pub daemons: Vec<Daemon>,
 }
 
+/// Memory of an entry's machine.
 pub const MEMORY_MB: u64 = 260;
+/// The contracts of lodgeframe-prod and wrekin-tk.
+pub const CONTRACTS: &str =
+    r#""base","drain","config","cost","retry","recover","engine","stream","tenants","quota""#;
 
 impl Deployment {
-    pub fn new(entries: u8, voters: u8) -> Self {
+    pub fn new(entries: u8, voters: u8, contracts: &str) -> Self {
         let net = free_network();
         let folder = std::env::temp_dir().join(format!("tarragonknot-case-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
@@ -202,7 +206,7 @@
 "control": "{}", "seeds": [{seeds}], "when_cut_off": "serve", "balancer_wait_ms": 2500, "stop_grace_s": 8,
 "currency_lease_ms": 1500, "traffic_threads": 1, "limit_overage": 0.1, "limit_slack_tokens": 190000,
 "repeat_ratio": 0.2, "repeat_slack": 52, "memory_mb": {}, "metrics": "{}", "platform": {{{platform}
-"contracts": ["base","drain","config","cost","retry","recover","engine","stream","tenants","quota"]}}}}"#,
+"contracts": [{contracts}]}}}}"#,
                     at(CONTROL),
                     if is_voter { 256 } else { MEMORY_MB },
                     at(METRICS)
--- a/review/kit-2/large_bodies.rs
+++ b/review/kit-2/large_bodies.rs
@@ -57,7 +57,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::create(&Path::new(&folder).join("record.txt"));
     let runs = Arc::default();
-    let mut deployment = Deployment::new(ENTRIES, VOTERS);
+    let mut deployment = Deployment::new(ENTRIES, VOTERS, CONTRACTS);
     let net = deployment.net;
     let engines = (1..=ENGINES)
         .map(|number| Engine::start((net, number), "pack-llm", (SLOTS, WORK), &record, &runs))
